--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+PYTHON ?= python3
+BIN := .venv/bin
+
+.PHONY: run test bench lint format
+
+.venv/installed: pyproject.toml
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install -q -e '.[test]'
+	touch .venv/installed
+
+run: .venv/installed
+	@exec scripts/run-demo.sh
+
+test: .venv/installed
+	$(BIN)/python -m pytest
+
+lint: .venv/installed
+	$(BIN)/black --check -q -l 100 .
+	$(BIN)/ruff check .
+
+format: .venv/installed
+	$(BIN)/black -q -l 100 .
+	$(BIN)/ruff check --fix .
+
+bench: .venv/installed
+	$(BIN)/python -m bench
--- /dev/null
+++ b/flamingofront/__init__.py
@@ -0,0 +1,5 @@
+"""Serving of language model and application requests on reclaimable VMs."""
+
+__all__ = ["__version__"]
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/flamingofront/connection/client.py
@@ -0,0 +1,362 @@
+"""HTTP client over circuits sockets: many calls at once, streamed or whole.
+
+The stock client of circuits.net spins while a connection is being made and owns one socket for each
+component; this one component owns all outgoing sockets, never blocks, and keeps idle connections
+for reuse (docs/DESIGN.md, "Outgoing calls").
+"""
+
+import errno
+import socket
+from collections import deque
+from collections.abc import Callable
+
+from circuits import Component, handler
+from circuits.core.pollers import BasePoller
+from circuits.core.utils import findcmp
+
+from flamingofront.connection.framing import BodyDecoder, Head, HeadBuffer, response_decoder
+from flamingofront.connection.interfaces import CallEvent, CallHandle, Transport
+from flamingofront.errors import RequestError
+from flamingofront.messages import (
+    CallFailed,
+    OutboundCall,
+    ResponseData,
+    ResponseEnd,
+    ResponseHead,
+)
+from flamingofront.process.timers import Timer, TimerService
+
+__all__ = ["HTTPClient"]
+
+READ_BYTES = 64 * 1024
+MAX_RESPONSE_HEAD_BYTES = 64 * 1024
+MAX_IDLE_PER_ADDRESS = 16
+IDLE_SECONDS = 20.0
+_IN_PROGRESS = (errno.EINPROGRESS, errno.EWOULDBLOCK, errno.EALREADY)
+
+
+def _request_bytes(call: OutboundCall) -> bytes:
+    lines = [f"{call.method} {call.path} HTTP/1.1", f"Host: {call.address}"]
+    lines += [f"{name}: {value}" for name, value in call.headers]
+    lines.append(f"Content-Length: {len(call.body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1", "replace") + call.body
+
+
+class _Call(CallHandle):
+    """One call: its listener, its timer and the response read so far."""
+
+    def __init__(self, call: OutboundCall, listener: Callable[[CallEvent], None]):
+        self.call = call
+        self.listener: Callable[[CallEvent], None] | None = listener
+        self.conn: _ClientConnection | None = None
+        self.timer: Timer | None = None
+        self._wrote = False
+
+    @property
+    def wrote(self) -> bool:
+        """False only while no byte has been given to the network."""
+        return self._wrote
+
+    def mark_written(self) -> None:
+        """Note that a byte may have reached the target."""
+        self._wrote = True
+
+    def cancel(self) -> None:
+        """Give the call up without a further event."""
+        self.listener = None
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.conn is not None:
+            self.conn.close()
+
+    def tell(self, event: CallEvent) -> None:
+        """Pass an event on, unless the call was given up."""
+        if self.listener is not None:
+            self.listener(event)
+
+    def end(self, event: CallEvent) -> None:
+        """Pass the last event on; the connection may carry another call from now on."""
+        self.conn = None
+        if self.timer is not None:
+            self.timer.cancel()
+        listener, self.listener = self.listener, None
+        if listener is not None:
+            listener(event)
+
+
+class _ClientConnection:
+    """One outgoing socket; carries one call at a time."""
+
+    def __init__(self, client: "HTTPClient", address: str):
+        self._client = client
+        self.address = address
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.setblocking(False)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.connected = False
+        self.closed = False
+        self.idle_timer: Timer | None = None
+        self._call: _Call | None = None
+        self._unsent = b""
+
+    def connect(self) -> None:
+        """Begin to connect; the socket becomes writable when that is done."""
+        host, _, port = self.address.rpartition(":")
+        code = self.sock.connect_ex((host, int(port)))
+        if code and code not in _IN_PROGRESS:
+            self._client.timers.once(0.0, lambda: self.fail("connect"))
+            return
+        self._client.want_write(self)
+
+    def carry(self, call: _Call) -> None:
+        """Take a call over and send it as soon as the connection stands."""
+        self._call = call
+        call.conn = self
+        self._heads = HeadBuffer(is_request=False, max_bytes=MAX_RESPONSE_HEAD_BYTES)
+        self._head: Head | None = None
+        self._decoder: BodyDecoder | None = None
+        self._unsent = _request_bytes(call.call)
+        if self.connected:
+            self.writable()
+
+    def writable(self) -> None:
+        """Send what is unsent."""
+        if not self.connected and not self._finish_connect():
+            return
+        if not self._unsent:
+            self._client.no_write(self)
+            return
+        self._call.mark_written()
+        try:
+            sent = self.sock.send(self._unsent)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            self.fail("reset")
+            return
+        self._unsent = self._unsent[sent:]
+        if self._unsent:
+            self._client.want_write(self)
+        else:
+            self._client.no_write(self)
+
+    def _finish_connect(self) -> bool:
+        if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self.fail("connect")
+            return False
+        self.connected = True
+        self._client.want_read(self)
+        return True
+
+    def readable(self) -> None:
+        """Read and pass on what has arrived."""
+        try:
+            data = self.sock.recv(READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            self.fail("reset")
+            return
+        if not data:
+            self._ended_by_peer()
+        elif self._call is None:
+            self.close()
+        else:
+            self._parse(data)
+
+    def _ended_by_peer(self) -> None:
+        if self._decoder_allows_end():
+            call, self._call = self._call, None
+            self.close()
+            call.end(ResponseEnd())
+        else:
+            self.fail("reset")
+
+    def _decoder_allows_end(self) -> bool:
+        return self._call is not None and self._head is not None and self._decoder.end_of_stream()
+
+    def _parse(self, data: bytes) -> None:
+        call = self._call
+        try:
+            if self._head is None and not self._parse_head(data):
+                return
+            data = self._rest if self._rest is not None else data
+            self._rest = None
+            body, _ = self._decoder.feed(data)
+        except RequestError:
+            self.fail("framing")
+            return
+        if body:
+            self._client.renew_timeout(call)
+            call.tell(ResponseData(body))
+        if self._decoder.complete and self._call is call:
+            self._finish_call()
+
+    _rest: bytes | None = None
+
+    def _parse_head(self, data: bytes) -> bool:
+        while True:
+            result = self._heads.feed(data)
+            if result is None:
+                return False
+            head, data = result
+            if head.status != 100:
+                break
+        self._head = head
+        self._rest = data
+        self._decoder = response_decoder(head, self._call.call.method)
+        self._call.tell(ResponseHead(head.status, head.headers))
+        return self._call is not None
+
+    def _finish_call(self) -> None:
+        call, self._call = self._call, None
+        reusable = self._head.keep_alive and not self._unsent
+        if reusable:
+            self._client.keep(self)
+        else:
+            self.close()
+        call.end(ResponseEnd())
+
+    def fail(self, reason: str) -> None:
+        """Close and tell the call that it failed."""
+        call, self._call = self._call, None
+        self.close()
+        if call is not None:
+            call.end(CallFailed(reason, call.wrote))
+
+    def close(self) -> None:
+        """Close the socket; a second call has no effect."""
+        if self.closed:
+            return
+        self.closed = True
+        self._call = None
+        if self.idle_timer is not None:
+            self.idle_timer.cancel()
+        self._client.forget(self)
+        self.sock.close()
+
+
+class HTTPClient(Component):
+    """Owner of all outgoing connections of a process.
+
+    Parameters
+    ----------
+    timers : TimerService
+        Source of the time-outs.
+    """
+
+    channel = "http-client"
+
+    def __init__(self, timers: TimerService):
+        super().__init__(channel="http-client")
+        self.timers = timers
+        self._poller: BasePoller | None = None
+        self._connections: dict[socket.socket, _ClientConnection] = {}
+        self._idle: dict[str, deque[_ClientConnection]] = {}
+
+    def start(self, call: OutboundCall, listener: Callable[[CallEvent], None]) -> CallHandle:
+        """Begin a call on an idle or a new connection.
+
+        Notes
+        -----
+        The target may be closing an idle connection at the very moment it is used again; the reset
+        then says nothing about execution. A call with `fresh` set avoids that doubt.
+        """
+        handle = _Call(call, listener)
+        handle.timer = self.timers.once(call.timeout, lambda: self._timed_out(handle))
+        conn = None if call.fresh else self._take_idle(call.address)
+        if conn is None:
+            conn = _ClientConnection(self, call.address)
+            self._connections[conn.sock] = conn
+            conn.carry(handle)
+            conn.connect()
+        else:
+            conn.carry(handle)
+        return handle
+
+    def _take_idle(self, address: str) -> _ClientConnection | None:
+        idle = self._idle.get(address)
+        while idle:
+            conn = idle.pop()
+            if not conn.closed:
+                conn.idle_timer.cancel()
+                return conn
+        return None
+
+    def keep(self, conn: _ClientConnection) -> None:
+        """Keep a connection for the next call to its address."""
+        idle = self._idle.setdefault(conn.address, deque())
+        if len(idle) >= MAX_IDLE_PER_ADDRESS:
+            conn.close()
+            return
+        idle.append(conn)
+        conn.idle_timer = self.timers.once(IDLE_SECONDS, conn.close)
+
+    def forget(self, conn: _ClientConnection) -> None:
+        """Drop a connection that was closed."""
+        self._connections.pop(conn.sock, None)
+        idle = self._idle.get(conn.address)
+        if idle is not None and conn in idle:
+            idle.remove(conn)
+            if not idle:
+                del self._idle[conn.address]
+        self._find_poller().discard(conn.sock)
+
+    def renew_timeout(self, handle: _Call) -> None:
+        """Start the time-out of a stream anew: it bounds silence, not length."""
+        if handle.call.stream and handle.timer is not None:
+            handle.timer.cancel()
+            handle.timer = self.timers.once(handle.call.timeout, lambda: self._timed_out(handle))
+
+    def _timed_out(self, handle: _Call) -> None:
+        if handle.conn is not None and not handle.conn.closed:
+            handle.conn.fail("timeout")
+
+    def _find_poller(self) -> BasePoller:
+        if self._poller is None:
+            self._poller = findcmp(self.root, BasePoller)
+        return self._poller
+
+    def want_read(self, conn: _ClientConnection) -> None:
+        """Watch a socket for data."""
+        poller = self._find_poller()
+        if not poller.isReading(conn.sock):
+            poller.addReader(self, conn.sock)
+
+    def want_write(self, conn: _ClientConnection) -> None:
+        """Watch a socket for room to write."""
+        poller = self._find_poller()
+        if not poller.isWriting(conn.sock):
+            poller.addWriter(self, conn.sock)
+
+    def no_write(self, conn: _ClientConnection) -> None:
+        """Stop watching a socket for room to write."""
+        poller = self._find_poller()
+        if poller.isWriting(conn.sock):
+            poller.removeWriter(conn.sock)
+
+    @handler("_read")
+    def _on_read(self, sock) -> None:
+        conn = self._connections.get(sock)
+        if conn is not None:
+            conn.readable()
+
+    @handler("_write")
+    def _on_write(self, sock) -> None:
+        conn = self._connections.get(sock)
+        if conn is not None:
+            conn.writable()
+
+    @handler("_disconnect", "_error")
+    def _on_disconnect(self, sock, *details) -> None:
+        conn = self._connections.get(sock)
+        if conn is None:
+            return
+        if not conn.connected:
+            conn.fail("connect")
+            return
+        conn.readable()
+
+
+# circuits components have a metaclass of their own, so the interface is taken on by registration.
+Transport.register(HTTPClient)
--- /dev/null
+++ b/flamingofront/connection/interfaces.py
@@ -0,0 +1,66 @@
+"""Abstract interfaces between the decisions and the sockets.
+
+The daemon implements them over circuits; tests implement them in memory.
+"""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+
+from flamingofront.messages import (
+    CallFailed,
+    OutboundCall,
+    ResponseData,
+    ResponseEnd,
+    ResponseHead,
+)
+
+__all__ = ["CallEvent", "CallHandle", "Exchange", "Transport"]
+
+CallEvent = ResponseHead | ResponseData | ResponseEnd | CallFailed
+
+
+class CallHandle(ABC):
+    """A call in flight."""
+
+    @abstractmethod
+    def cancel(self) -> None:
+        """Give the call up; no event is delivered afterwards."""
+
+    @property
+    @abstractmethod
+    def wrote(self) -> bool:
+        """False only while it is certain that no byte has reached the network."""
+
+
+class Transport(ABC):
+    """Sends calls to peers, endpoints and the platform."""
+
+    @abstractmethod
+    def start(self, call: OutboundCall, listener: Callable[[CallEvent], None]) -> CallHandle:
+        """Begin a call; `listener` gets its events, the last one `ResponseEnd` or `CallFailed`."""
+
+
+class Exchange(ABC):
+    """The caller's side of one request: where its answer goes."""
+
+    on_gone: Callable[[], None] | None = None
+
+    @abstractmethod
+    def respond(self, status: int, headers: tuple[tuple[str, str], ...], body: bytes) -> None:
+        """Send a whole answer."""
+
+    @abstractmethod
+    def begin(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
+        """Send the head of a streamed answer."""
+
+    @abstractmethod
+    def send(self, data: bytes) -> bool:
+        """Send a part of a streamed answer; False if the caller reads too slowly or is gone."""
+
+    @abstractmethod
+    def finish(self) -> None:
+        """End a streamed answer."""
+
+    @abstractmethod
+    def abort(self) -> None:
+        """Break the connection, so that a cut answer cannot look like a whole one."""
--- /dev/null
+++ b/flamingofront/connection/runtime.py
@@ -0,0 +1,65 @@
+"""The circuits side of a process: event loop, timer service, fault handling."""
+
+from collections.abc import Callable
+
+from circuits import Component, handler
+from circuits.core.pollers import EPoll
+
+from flamingofront.process.timers import BootClock, TimerService
+
+__all__ = ["Runtime"]
+
+LONGEST_WAIT_SECONDS = 1.0
+
+
+class _Ticker(Component):
+    """Runs the timer service from the event loop."""
+
+    channel = "ticker"
+
+    def __init__(self, timers: TimerService):
+        super().__init__()
+        self._timers = timers
+
+    @handler("generate_events", channel="*", priority=1)
+    def _on_generate_events(self, event) -> None:
+        self._timers.run_due()
+        due = self._timers.next_due()
+        if due is not None:
+            wait = max(0.0, min(LONGEST_WAIT_SECONDS, due - self._timers.now()))
+            event.reduce_time_left(wait)
+
+
+class Runtime(Component):
+    """Root of the components of a process.
+
+    Parameters
+    ----------
+    on_fault : callable
+        Gets an exception that a handler did not catch.
+    on_stop_signal : callable, optional
+        Called on SIGTERM and SIGINT instead of stopping at once.
+    """
+
+    channel = "runtime"
+
+    def __init__(
+        self,
+        on_fault: Callable[[BaseException], None],
+        on_stop_signal: Callable[[], None] | None = None,
+    ):
+        super().__init__()
+        self.timers = TimerService(BootClock())
+        self._on_fault = on_fault
+        self._on_stop_signal = on_stop_signal
+        self.poller = EPoll().register(self)
+        _Ticker(self.timers).register(self)
+
+    def _signal_handler(self, signo, stack) -> None:
+        """Begin to stop from within the event loop, and wake it up: a signal does not end a poll."""
+        self.timers.once(0.0, self._on_stop_signal or self.stop)
+        self.poller.resume()
+
+    @handler("exception", channel="*")
+    def _on_exception(self, error_type, value, traceback, handler=None, fevent=None) -> None:
+        self._on_fault(value)
--- /dev/null
+++ b/flamingofront/connection/server.py
@@ -0,0 +1,326 @@
+"""Guarded HTTP server over circuits sockets.
+
+One request at a time on a connection: bytes that arrive while an answer is outstanding wait, and
+are read as the next request after the answer. Every limit (head, body, time, unread answer) is
+kept here, so that no handler sees a request that is not complete and well framed.
+"""
+
+from collections.abc import Callable
+
+import orjson
+from circuits import Component, handler
+from circuits.net.events import close, write
+from circuits.net.sockets import TCPServer
+
+from flamingofront.connection.framing import BodyDecoder, Head, HeadBuffer, request_decoder
+from flamingofront.connection.interfaces import Exchange
+from flamingofront.errors import ANSWERS, ErrorKind, RequestError
+from flamingofront.messages import InboundRequest
+from flamingofront.process.timers import Timer, TimerService
+
+__all__ = ["HTTPServer", "ServerLimits", "error_body", "error_headers"]
+
+READ_BYTES = 64 * 1024
+MAX_WAITING_BYTES = 64 * 1024
+REASONS = {
+    200: "OK",
+    202: "Accepted",
+    400: "Bad Request",
+    401: "Unauthorized",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    409: "Conflict",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+HOP_HEADERS = frozenset({"connection", "keep-alive", "transfer-encoding", "content-length", "te"})
+JSON_HEADERS = (("Content-Type", "application/json"),)
+
+
+class ServerLimits:
+    """Limits of one server.
+
+    Parameters
+    ----------
+    max_body : int
+        Bytes of a request body.
+    request_timeout : float
+        Seconds from the first byte of a request to its last.
+    idle_timeout : float
+        Seconds that a connection may be open without a request.
+    max_unread : int
+        Bytes of an answer that may wait for a slow reader.
+    """
+
+    def __init__(
+        self,
+        max_body: int = 8 * 1024 * 1024,
+        request_timeout: float = 10.0,
+        idle_timeout: float = 75.0,
+        max_unread: int = 1024 * 1024,
+    ):
+        self.max_body = max_body
+        self.request_timeout = request_timeout
+        self.idle_timeout = idle_timeout
+        self.max_unread = max_unread
+
+
+def error_body(exc: RequestError, request_id: str = "") -> bytes:
+    """Return the JSON body that tells `exc`."""
+    return orjson.dumps(
+        {
+            "error": {
+                "kind": exc.kind.value,
+                "message": exc.detail or ANSWERS[exc.kind].text,
+                "request_id": request_id,
+                "ran": exc.ran.value,
+                "retry_after": exc.retry_after,
+            }
+        }
+    )
+
+
+def error_headers(exc: RequestError) -> tuple[tuple[str, str], ...]:
+    """Return the headers that go with `error_body`."""
+    if exc.retry_after is None:
+        return JSON_HEADERS
+    seconds = max(1, int(exc.retry_after + 0.999))
+    return (*JSON_HEADERS, ("Retry-After", str(seconds)))
+
+
+class _Connection(Exchange):
+    """State of one caller connection; also the exchange of its current request."""
+
+    def __init__(self, server: "HTTPServer", sock):
+        self._server = server
+        self._sock = sock
+        self._waiting = bytearray()
+        self._timer: Timer | None = None
+        self._closed = False
+        self._keep_alive = True
+        self._streaming = False
+        self._method = ""
+        self.on_gone = None
+        self._reset()
+
+    def _reset(self) -> None:
+        self._heads = HeadBuffer(is_request=True)
+        self._head: Head | None = None
+        self._decoder: BodyDecoder | None = None
+        self._body = bytearray()
+        self._answering = False
+        self.on_gone = None
+
+    def watch_idle(self) -> None:
+        """Close the connection if no request begins in time."""
+        self._set_timer(self._server.limits.idle_timeout, self._close)
+
+    def _set_timer(self, delay: float, callback: Callable[[], None]) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._server.timers.once(delay, callback)
+
+    def receive(self, data: bytes) -> None:
+        """Take bytes from the socket."""
+        if self._answering:
+            self._hold(data)
+            return
+        if self._head is None and self._heads.empty:
+            self._set_timer(self._server.limits.request_timeout, self._request_late)
+        try:
+            self._parse(data)
+        except RequestError as exc:
+            self._refuse(exc)
+
+    def _hold(self, data: bytes) -> None:
+        self._waiting += data
+        if len(self._waiting) > MAX_WAITING_BYTES:
+            self.abort()
+
+    def _parse(self, data: bytes) -> None:
+        if self._head is None:
+            result = self._heads.feed(data)
+            if result is None:
+                return
+            self._head, data = result
+            self._decoder = request_decoder(self._head, self._server.limits.max_body)
+            if self._head.headers.get("expect", "").lower() == "100-continue":
+                self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        body, rest = self._decoder.feed(data)
+        self._body += body
+        if len(self._body) > self._server.limits.max_body:
+            raise RequestError(
+                ErrorKind.BODY_TOO_LARGE, f"the body is over {self._server.limits.max_body} bytes"
+            )
+        if self._decoder.complete:
+            self._dispatch(rest)
+
+    def _dispatch(self, rest: bytes) -> None:
+        self._timer.cancel()
+        self._answering = True
+        self._waiting += rest
+        head = self._head
+        self._keep_alive = head.keep_alive
+        self._method = head.method
+        req = InboundRequest(head.method, head.path, head.query, head.headers, bytes(self._body))
+        self._server.dispatch(req, self)
+
+    def _request_late(self) -> None:
+        self._refuse(RequestError(ErrorKind.REQUEST_TIMEOUT, retry_after=1.0))
+
+    def _refuse(self, exc: RequestError) -> None:
+        """Answer a request that could not be read, and close: its end is not known."""
+        self._server.count_refusal(exc.kind)
+        self._answering = True
+        self._keep_alive = False
+        self.respond(ANSWERS[exc.kind].status, error_headers(exc), error_body(exc))
+
+    def respond(self, status: int, headers: tuple[tuple[str, str], ...], body: bytes) -> None:
+        """Send a whole answer."""
+        extra = (("Content-Length", str(len(body))),)
+        payload = b"" if self._method == "HEAD" else body
+        self._write(self._head_bytes(status, headers + extra) + payload)
+        self._answered()
+
+    def begin(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
+        """Send the head of a streamed answer."""
+        self._streaming = True
+        self._write(self._head_bytes(status, (*headers, ("Transfer-Encoding", "chunked"))))
+
+    def send(self, data: bytes) -> bool:
+        """Send one chunk; False if the caller is gone or too far behind."""
+        if self._closed:
+            return False
+        if not data:
+            return True
+        self._write(b"%x\r\n%b\r\n" % (len(data), data))
+        return self._server.unread(self._sock) <= self._server.limits.max_unread
+
+    def finish(self) -> None:
+        """End a streamed answer."""
+        self._write(b"0\r\n\r\n")
+        self._answered()
+
+    def abort(self) -> None:
+        """Break the connection at once."""
+        self._server.drop(self._sock)
+
+    def gone(self) -> None:
+        """Note that the socket is closed and tell who was answering."""
+        self._closed = True
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._answering and self.on_gone is not None:
+            listener, self.on_gone = self.on_gone, None
+            listener()
+
+    def _head_bytes(self, status: int, headers: tuple[tuple[str, str], ...]) -> bytes:
+        lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        if not self._keep_alive:
+            lines.append("Connection: close")
+        return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1", "replace")
+
+    def _write(self, data: bytes) -> None:
+        if not self._closed:
+            self._server.fire(write(self._sock, data), self._server.socket_channel)
+
+    def _answered(self) -> None:
+        self._streaming = False
+        if self._closed:
+            return
+        if not self._keep_alive:
+            self._close()
+            return
+        waiting = bytes(self._waiting)
+        self._waiting.clear()
+        self._reset()
+        self.watch_idle()
+        if waiting:
+            self.receive(waiting)
+
+    def _close(self) -> None:
+        self._server.fire(close(self._sock), self._server.socket_channel)
+
+
+class HTTPServer(Component):
+    """Accept connections on one address and hand each complete request to `on_request`.
+
+    Parameters
+    ----------
+    bind : tuple of (str, int)
+        Address and port; port 0 lets the kernel pick.
+    on_request : callable
+        Gets the `InboundRequest` and its `Exchange`.
+    count_refusal : callable, optional
+        Gets the `ErrorKind` of each request that could not be read.
+    """
+
+    def __init__(
+        self,
+        bind: tuple[str, int],
+        on_request: Callable[[InboundRequest, Exchange], None],
+        timers: TimerService,
+        limits: ServerLimits | None = None,
+        count_refusal: Callable[[ErrorKind], None] = lambda kind: None,
+        on_fault: Callable[[Exception], None] = lambda exc: None,
+        channel: str = "http-server",
+    ):
+        super().__init__(channel=channel)
+        self.socket_channel = channel
+        self.timers = timers
+        self.limits = limits or ServerLimits()
+        self.count_refusal = count_refusal
+        self._on_request = on_request
+        self._on_fault = on_fault
+        self._connections: dict = {}
+        self._sockets = TCPServer(bind, channel=channel, bufsize=READ_BYTES).register(self)
+
+    @property
+    def port(self) -> int:
+        """Port that the server listens on."""
+        return self._sockets.port
+
+    def dispatch(self, req: InboundRequest, exchange: Exchange) -> None:
+        """Hand a request over; a fault in the handler ends that request only."""
+        try:
+            self._on_request(req, exchange)
+        except RequestError as exc:
+            exchange.respond(ANSWERS[exc.kind].status, error_headers(exc), error_body(exc))
+        except Exception as exc:  # a fault must not leave the caller without an answer
+            self._on_fault(exc)
+            fault = RequestError(ErrorKind.INTERNAL)
+            exchange.respond(ANSWERS[fault.kind].status, JSON_HEADERS, error_body(fault))
+
+    def unread(self, sock) -> int:
+        """Return the number of bytes that wait for the reader of `sock`."""
+        return sum(map(len, self._sockets._buffers.get(sock, ())))
+
+    def drop(self, sock) -> None:
+        """Close `sock` without sending what waits for it."""
+        self._sockets._close(sock)
+
+    @handler("connect")
+    def _on_connect(self, sock, *peer) -> None:
+        conn = _Connection(self, sock)
+        self._connections[sock] = conn
+        conn.watch_idle()
+
+    @handler("read")
+    def _on_read(self, sock, data) -> None:
+        conn = self._connections.get(sock)
+        if conn is not None:
+            conn.receive(data)
+
+    @handler("disconnect")
+    def _on_disconnect(self, sock) -> None:
+        conn = self._connections.pop(sock, None)
+        if conn is not None:
+            conn.gone()
--- /dev/null
+++ b/flamingofront/messages.py
@@ -0,0 +1,187 @@
+"""Frozen data classes that the tasks of one process exchange.
+
+Units are seconds for times and tokens for lengths unless a field says otherwise.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from flamingofront.errors import ErrorKind, Ran
+
+__all__ = [
+    "CallFailed",
+    "CancelAttempt",
+    "Complete",
+    "Emit",
+    "Fail",
+    "Frame",
+    "InboundRequest",
+    "OutboundCall",
+    "ResponseData",
+    "ResponseEnd",
+    "ResponseHead",
+    "ScheduleRetry",
+    "Sleep",
+    "StartAttempt",
+    "WholeResponse",
+]
+
+
+@dataclass(frozen=True)
+class InboundRequest:
+    """One complete HTTP request as it came from a caller, peer or operator."""
+
+    method: str
+    path: str
+    query: Mapping[str, str]
+    headers: Mapping[str, str]
+    body: bytes
+
+    def header(self, name: str, default: str = "") -> str:
+        """Return the value of a header, by its lower-case name."""
+        return self.headers.get(name, default)
+
+
+@dataclass(frozen=True)
+class OutboundCall:
+    """One HTTP request to a peer, an endpoint or the platform.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT`` of the target.
+    timeout : float
+        Seconds until the response must be complete; for a stream, the longest silence.
+    stream : bool
+        True if response data is wanted as it arrives.
+    fresh : bool
+        True if the call must not reuse an idle connection.
+    """
+
+    address: str
+    method: str
+    path: str
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
+    timeout: float = 2.0
+    stream: bool = False
+    fresh: bool = False
+
+
+@dataclass(frozen=True)
+class Sleep:
+    """Yielded by a task that wants to go on after some seconds."""
+
+    seconds: float
+
+
+@dataclass(frozen=True)
+class ResponseHead:
+    """Status line and headers of a streamed response."""
+
+    status: int
+    headers: Mapping[str, str]
+
+
+@dataclass(frozen=True)
+class ResponseData:
+    """Part of the body of a streamed response."""
+
+    data: bytes
+
+
+@dataclass(frozen=True)
+class ResponseEnd:
+    """The response is complete."""
+
+
+@dataclass(frozen=True)
+class CallFailed:
+    """The call ended without a complete response.
+
+    Parameters
+    ----------
+    reason : str
+        One of ``connect``, ``reset``, ``timeout``, ``framing``, ``cancelled``.
+    wrote : bool
+        False only if it is certain that no byte of the request reached the network.
+    """
+
+    reason: str
+    wrote: bool
+
+
+@dataclass(frozen=True)
+class WholeResponse:
+    """A complete response."""
+
+    status: int
+    headers: Mapping[str, str] = field(default_factory=dict)
+    body: bytes = b""
+
+
+@dataclass(frozen=True)
+class Frame:
+    """Tokens that one attempt produced for one request.
+
+    Parameters
+    ----------
+    offset : int
+        Number of tokens of the answer that come before `tokens`.
+    final : bool
+        True if the answer ends with these tokens.
+    """
+
+    request_id: str
+    attempt_id: str
+    offset: int
+    tokens: tuple[str, ...]
+    final: bool = False
+
+
+@dataclass(frozen=True)
+class StartAttempt:
+    """Order to send the request to an endpoint, resuming at `offset`."""
+
+    attempt_id: str
+    offset: int
+    exclude: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True)
+class CancelAttempt:
+    """Order to end an attempt whose output is no longer wanted."""
+
+    attempt_id: str
+
+
+@dataclass(frozen=True)
+class ScheduleRetry:
+    """Order to come back after `delay` seconds and start another attempt."""
+
+    delay: float
+
+
+@dataclass(frozen=True)
+class Emit:
+    """Tokens to pass to the caller."""
+
+    offset: int
+    tokens: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class Complete:
+    """The answer is complete."""
+
+    total_tokens: int
+
+
+@dataclass(frozen=True)
+class Fail:
+    """The request ends with an error answer."""
+
+    kind: ErrorKind
+    ran: Ran
+    detail: str = ""
+    retry_after: float | None = None
--- /dev/null
+++ b/flamingofront/process/drain.py
@@ -0,0 +1,139 @@
+"""Graceful shutdown of an entry process: finish what can be finished, hand over the rest."""
+
+from collections.abc import Callable
+from enum import StrEnum
+
+from flamingofront.process.membership import Fact
+from flamingofront.process.metrics import Metrics
+from flamingofront.process.tasks import TaskRunner
+from flamingofront.process.timers import Timer, TimerService
+from flamingofront.request.active import ActiveRequest, ModelRequest
+from flamingofront.request.handover import (
+    HandoverResult,
+    HandoverTarget,
+    offer_record,
+    rank_targets,
+)
+from flamingofront.request.hub import RequestHub
+
+__all__ = ["DrainController", "DrainState"]
+
+AGAIN_SECONDS = 0.5
+
+
+class DrainState(StrEnum):
+    """Where an entry process stands."""
+
+    OPEN = "open"
+    DRAINING = "draining"
+    HANDING_OVER = "handing_over"
+    DRAINED = "drained"
+
+
+class DrainController:
+    """Takes an entry process out of service.
+
+    Parameters
+    ----------
+    peers : callable
+        Returns the peers that may take requests.
+    on_drained : callable
+        Called once no request is left here.
+    """
+
+    def __init__(
+        self,
+        own_id: str,
+        zone: str,
+        hub: RequestHub,
+        tasks: TaskRunner,
+        timers: TimerService,
+        metrics: Metrics,
+        peers: Callable[[], tuple[Fact, ...]],
+        headers: tuple[tuple[str, str], ...],
+        on_drained: Callable[[], None],
+    ):
+        self.state = DrainState.OPEN
+        self._own_id = own_id
+        self._zone = zone
+        self._hub = hub
+        self._tasks = tasks
+        self._timers = timers
+        self._metrics = metrics
+        self._peers = peers
+        self._headers = headers
+        self._on_drained = on_drained
+        self._timer: Timer | None = None
+        self._avoid_zone: str | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """True if new work is taken."""
+        return self.state is DrainState.OPEN
+
+    def begin(self, seconds: float, zone_is_going: bool = False) -> None:
+        """Refuse new work; hand over what is left after some seconds.
+
+        Notes
+        -----
+        A later call with less time brings the hand-over forward; one with more time has no effect.
+        """
+        if self.state in (DrainState.HANDING_OVER, DrainState.DRAINED):
+            return
+        if zone_is_going:
+            self._avoid_zone = self._zone
+        due = self._timers.now() + max(0.0, seconds)
+        if self._timer is not None and self._timer.due <= due:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self.state = DrainState.DRAINING
+        self._timer = self._timers.once(seconds, self._hand_over_all)
+        self.check()
+
+    def reopen(self) -> None:
+        """Take new work again, if nothing has been handed over yet."""
+        if self.state is DrainState.DRAINING:
+            self._timer.cancel()
+            self._timer = None
+            self.state = DrainState.OPEN
+
+    def check(self) -> None:
+        """End the drain once no request is left."""
+        ending = self.state in (DrainState.DRAINING, DrainState.HANDING_OVER)
+        if ending and not self._hub.active:
+            self.state = DrainState.DRAINED
+            if self._timer is not None:
+                self._timer.cancel()
+            self._on_drained()
+
+    def _hand_over_all(self) -> None:
+        self.state = DrainState.HANDING_OVER
+        for request in list(self._hub.active.values()):
+            if isinstance(request, ModelRequest) and request.can_move:
+                self.hand_over(request)
+        self.check()
+        if self.state is DrainState.HANDING_OVER:
+            self._timer = self._timers.once(AGAIN_SECONDS, self._hand_over_all)
+
+    def hand_over(self, request: ActiveRequest) -> None:
+        """Freeze a request and offer its record to the peers."""
+        targets = rank_targets(request.request_id, self._peers(), self._avoid_zone)
+        if not targets:
+            self._metrics.count("handovers_total", result="no_peer")
+            return
+        record = request.freeze()
+        task = offer_record(record, self._own_id, targets, self._headers)
+        self._tasks.start(task, lambda outcome: self._offered(request, *outcome))
+
+    def _offered(
+        self, request: ActiveRequest, result: HandoverResult, target: HandoverTarget | None
+    ) -> None:
+        self._metrics.count("handovers_total", result=result.value)
+        if result is HandoverResult.NOT_TAKEN:
+            # Nobody else has the text, so it may go on here after all.
+            self._hub.thaw(request)
+            return
+        self._hub.note_moved(request.request_id, target.vm_id)
+        request.moved()
+        self.check()
--- /dev/null
+++ b/flamingofront/process/metrics.py
@@ -0,0 +1,98 @@
+"""Metrics of an entry process, kept by aioprometheus."""
+
+from collections.abc import Mapping
+
+from aioprometheus import Counter, Gauge, Registry, Summary, render
+
+__all__ = ["COUNTERS", "GAUGES", "Metrics"]
+
+PREFIX = "flamingofront_"
+
+# Name to help text; docs/OPERATIONS.md lists the same names.
+COUNTERS: Mapping[str, str] = {
+    "requests_accepted_total": "Accepted requests, by service",
+    "requests_completed_total": "Requests answered whole, by service",
+    "refusals_total": "Error answers, by kind",
+    "retries_total": "Further attempts, by reason",
+    "attempts_total": "Attempts started, by service",
+    "frames_dropped_total": "Frames that were not used, by reason",
+    "tokens_sent_total": "Tokens passed to callers, by service",
+    "tokens_recomputed_total": "Tokens that a further attempt had to compute again, by cause",
+    "handovers_total": "Requests given to another entry VM, by result",
+    "migrations_total": "Streams moved off a leaving endpoint, by way",
+    "ejections_total": "Ejections of failing endpoints, by service",
+    "platform_errors_total": "Failed platform operations, by operation",
+    "gossip_total": "Messages between entry VMs, by kind and result",
+    "configurations_total": "Configurations put in force",
+    "leases_total": "Lease changes, by duty and event",
+    "orders_total": "Orders to endpoints and cloud, by kind and result",
+    "reattachments_total": "Callers that came back, by result",
+    "claims_total": "Idempotency key claims, by result",
+    "faults_total": "Program faults that were caught",
+}
+GAUGES: Mapping[str, str] = {
+    "requests_in_flight": "Requests held here",
+    "requests_waiting": "Requests that wait for an endpoint",
+    "configuration_revision": "Revision in force",
+    "members": "Entry VMs known, by state",
+    "endpoints": "Endpoint VMs known, by state",
+    "ready": "1 if this process takes new work",
+}
+SUMMARIES: Mapping[str, str] = {
+    "first_token_seconds": "Time from acceptance to the first token",
+    "request_seconds": "Time from acceptance to the end",
+}
+
+
+class Metrics:
+    """The metrics of one process; values can be read back for the query language."""
+
+    def __init__(self, const_labels: Mapping[str, str] | None = None):
+        self._registry = Registry()
+        self._counts: dict[tuple[str, tuple[tuple[str, str], ...]], float] = {}
+        labels = dict(const_labels or {})
+        self._counters = {
+            name: Counter(PREFIX + name, text, labels, registry=self._registry)
+            for name, text in COUNTERS.items()
+        }
+        self._gauges = {
+            name: Gauge(PREFIX + name, text, labels, registry=self._registry)
+            for name, text in GAUGES.items()
+        }
+        self._summaries = {
+            name: Summary(PREFIX + name, text, labels, registry=self._registry)
+            for name, text in SUMMARIES.items()
+        }
+
+    def count(self, name: str, amount: float = 1, **labels: str) -> None:
+        """Add to a counter."""
+        key = (name, tuple(sorted(labels.items())))
+        self._counts[key] = self._counts.get(key, 0) + amount
+        self._counters[name].add(labels, amount)
+
+    def value(self, name: str, **labels: str) -> float:
+        """Return the value of a counter."""
+        return self._counts.get((name, tuple(sorted(labels.items()))), 0)
+
+    def gauge(self, name: str, value: float, **labels: str) -> None:
+        """Set a gauge."""
+        self._gauges[name].set(labels, value)
+
+    def observe(self, name: str, value: float, **labels: str) -> None:
+        """Add a value to a summary."""
+        self._summaries[name].observe(labels, value)
+
+    def rows(self) -> list[dict[str, object]]:
+        """Return all counters as rows for the query language."""
+        return [
+            {
+                "counter": name,
+                "labels": ",".join(f"{key}={value}" for key, value in labels),
+                "value": int(value),
+            }
+            for (name, labels), value in sorted(self._counts.items())
+        ]
+
+    def render(self) -> tuple[bytes, dict[str, str]]:
+        """Return the exposition text and its headers."""
+        return render(self._registry, ("text/plain",))
--- /dev/null
+++ b/flamingofront/process/node.py
@@ -0,0 +1,563 @@
+"""One entry process, without its sockets: wires the decisions together.
+
+The daemon gives it a transport and a timer service over circuits; tests give it fakes.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+import orjson
+
+from flamingofront.connection.interfaces import Exchange, Transport
+from flamingofront.connection.server import JSON_HEADERS
+from flamingofront.errors import ErrorKind, PlatformError, RequestError
+from flamingofront.messages import InboundRequest
+from flamingofront.process.dissemination import Dissemination, Push
+from flamingofront.process.drain import DrainController, DrainState
+from flamingofront.process.leases import LeaseKeeper
+from flamingofront.process.logs import Log
+from flamingofront.process.membership import Fact, Role, VmState
+from flamingofront.process.metrics import Metrics
+from flamingofront.process.operators import OperatorService
+from flamingofront.process.orders import EndpointOrders
+from flamingofront.process.peers import PeerLinks
+from flamingofront.process.platform import Platform
+from flamingofront.process.rows import LocalRows
+from flamingofront.process.settings import EntrySettings
+from flamingofront.process.status import StatusRecord
+from flamingofront.process.tasks import Task, TaskRunner
+from flamingofront.process.timers import TimerService
+from flamingofront.process.watch import EndpointWatch, PlatformWatch
+from flamingofront.request.admission import WorkspaceShare, shared_limit
+from flamingofront.request.attachments import respond_error
+from flamingofront.request.directory import EndpointDirectory
+from flamingofront.request.gateway import Gateway
+from flamingofront.request.hub import HubSettings, RequestHub
+from flamingofront.request.inheritance import Inheritance
+from flamingofront.request.keyed import KeyedRequests
+from flamingofront.request.migration import Migrations
+from flamingofront.request.reattach import Reattachment
+from flamingofront.version.model import Configuration, DrainKind, Workspace
+
+__all__ = ["EntryNode"]
+
+NOTICE_MARGIN_SECONDS = 4.0
+DEFAULT_NOTICE_SECONDS = 10.0
+MIN_READY_EXCHANGES = 1
+
+
+class EntryNode:
+    """All parts of one entry process.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Checked settings.
+    incarnation : int
+        Start of the process; higher than that of any earlier process on this VM.
+    on_exit : callable
+        Called when a drain that ends the process is complete.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        transport: Transport,
+        timers: TimerService,
+        rng: random.Random,
+        incarnation: int,
+        log: Log,
+        metrics: Metrics | None = None,
+        on_exit: Callable[[], None] = lambda: None,
+    ):
+        self.settings = settings
+        self.timers = timers
+        self.log = log
+        self.metrics = metrics or Metrics({"vm": settings.vm_id, "zone": settings.zone})
+        self._rng = rng
+        self._on_exit = on_exit
+        self._exiting = False
+        self._sequence = 0
+        self._exchanges = 0
+        self.platform = Platform(str(settings.platform), settings.platform_timeout)
+        self.tasks = TaskRunner(transport, timers, self._fault)
+        self._headers = _peer_headers(settings.control_token)
+        self._build_membership(incarnation)
+        self._build_requests(transport)
+        self._build_watches()
+        self._build_operators()
+        self._build_duties(incarnation)
+
+    def _build_membership(self, incarnation: int) -> None:
+        settings = self.settings
+        own = Fact(
+            settings.vm_id,
+            incarnation,
+            VmState.LIVE,
+            Role.ENTRY,
+            settings.zone,
+            str(settings.advertise or settings.control_bind),
+        )
+        self.gossip = Dissemination(
+            own, self._rng, self._configuration_changed, self._facts_changed, self.own_record
+        )
+        self.links = PeerLinks(
+            self.gossip,
+            self.tasks,
+            self.timers,
+            self.metrics,
+            self._rng,
+            self._headers,
+            tuple(str(each) for each in settings.peers),
+            self._exchanged,
+        )
+
+    def _build_requests(self, transport: Transport) -> None:
+        settings = self.settings
+        self.directory = EndpointDirectory(self.gossip.facts, self._rng)
+        self.hub = RequestHub(
+            HubSettings(
+                settings.vm_id,
+                settings.zone,
+                settings.reattach_grace,
+                settings.answer_retention,
+            ),
+            transport,
+            self.timers,
+            self.directory,
+            self.metrics,
+            self.log,
+            self._rng,
+        )
+        self.hub.capacity_share = self._capacity_share
+        self.keyed = KeyedRequests(
+            settings.vm_id,
+            self.hub,
+            self.platform,
+            self.tasks,
+            self._rng,
+            self._is_gone,
+            self.links.ask_not_run,
+        )
+        self.reattachment = Reattachment(
+            self.hub, self.platform, self.tasks, transport, self._holders, self._headers
+        )
+        self.gateway = Gateway(
+            settings.vm_id,
+            self.hub,
+            self.platform,
+            self.tasks,
+            self.keyed,
+            self.reattachment,
+            self._rng,
+            settings.default_deadline,
+            self._workspace_limit,
+            self._refusal,
+        )
+        self.inheritance = Inheritance(
+            settings.vm_id, self.hub, self.platform, self.tasks, self.keyed, self._share_of
+        )
+        self.migrations = Migrations(self.hub, self.tasks, self._address_of)
+        self.drain = DrainController(
+            settings.vm_id,
+            settings.zone,
+            self.hub,
+            self.tasks,
+            self.timers,
+            self.metrics,
+            self._takers,
+            self._headers,
+            self._drained,
+        )
+        self.hub.on_idle = self.drain.check
+
+    def _build_watches(self) -> None:
+        settings = self.settings
+        self.watch = PlatformWatch(
+            self.platform,
+            self.gossip,
+            self.tasks,
+            self.timers,
+            self.metrics,
+            self._rng,
+            settings.zone,
+            settings.list_period,
+            self._notice,
+            self.put_in_force,
+            self._listed,
+            self._vanished,
+        )
+        self.endpoint_watch = EndpointWatch(
+            self.gossip, self.tasks, self.timers, self._load_read, self._cache_events
+        )
+        self._own_loads: dict[str, float] = {}
+
+    def _build_operators(self) -> None:
+        self.rows = LocalRows(self)
+        self.operators = OperatorService(
+            self.gossip,
+            self.platform,
+            self.tasks,
+            self.timers,
+            self.links,
+            self._rng,
+            self.rows.of,
+            self.put_in_force,
+        )
+
+    def _build_duties(self, incarnation: int) -> None:
+        settings = self.settings
+        holder = f"{settings.vm_id}/{incarnation}"
+        self.leases = [
+            LeaseKeeper(
+                self.platform,
+                f"{duty}/{settings.zone}",
+                holder,
+                self.timers.now,
+                self._rng,
+                settings.lease_duration,
+            )
+            for duty in ("models", "fleet")
+            if duty != "fleet" or settings.fleet == "on"
+        ]
+        self.orders = EndpointOrders(self.leases[0], self.gossip, self.tasks, self.metrics)
+
+    def start(self) -> None:
+        """Begin all periodic work."""
+        self.watch.start()
+        self.inheritance.reclaim_own()
+        self.timers.every(self.settings.gossip_period, self._gossip_round)
+        self.timers.every(self.settings.load_period, self.endpoint_watch.poll)
+        for lease in self.leases:
+            self.tasks.start(lease.run())
+        self.timers.every(self.settings.lease_duration / 2, self.orders.step)
+        self.log.info("started", zone=self.settings.zone)
+
+    def _fault(self, exc: Exception) -> None:
+        """Log a fault of the program."""
+        self.metrics.count("faults_total")
+        self.log.error("fault", exc=exc)
+
+    # Readiness and shutdown
+
+    @property
+    def ready(self) -> bool:
+        """True if the balancer may send new work here.
+
+        Notes
+        -----
+        A new process must have the highest revision that it can hear of: from the platform, or
+        while that is out, from a peer.
+        """
+        return self.drain.is_open and self._is_current()
+
+    def _is_current(self) -> bool:
+        if self.watch.revision_was_read:
+            return True
+        heard_peer = self._exchanges >= MIN_READY_EXCHANGES
+        known = self.gossip.configuration.revision > 0
+        return self.watch.revision_read_failed and heard_peer and known
+
+    def _refusal(self) -> ErrorKind | None:
+        if not self.drain.is_open:
+            return ErrorKind.DRAINING
+        return None if self._is_current() else ErrorKind.NOT_READY
+
+    def shut_down(self) -> None:
+        """Begin a graceful shutdown; `on_exit` is called at its end."""
+        self._exiting = True
+        self.log.info("shutting down", requests=len(self.hub.active))
+        self._tell_leaving()
+        self.drain.begin(self.settings.drain_timeout)
+        if self.drain.state is DrainState.DRAINED:
+            self._leave()
+
+    def _tell_leaving(self) -> None:
+        facts = self.gossip.facts.mark(self.settings.vm_id, VmState.LEAVING)
+        if facts:
+            self.links.push(Push(facts=facts))
+
+    def _drained(self) -> None:
+        self.log.info("drained")
+        if self._exiting:
+            self._leave()
+
+    def _leave(self) -> None:
+        for lease in self.leases:
+            self.tasks.start(lease.release())
+        # Time for the releases, the last pushes and the last bytes to callers.
+        self.timers.once(0.3, self._on_exit)
+
+    # Membership
+
+    def own_record(self) -> StatusRecord:
+        """Return the status record of this process as it is now."""
+        self._sequence += 1
+        return StatusRecord(
+            self.settings.vm_id,
+            self.gossip.facts.get(self.settings.vm_id).incarnation,
+            self._sequence,
+            self.settings.zone,
+            self.gossip.configuration.revision,
+            self.ready,
+            len(self.hub.active),
+            self.hub.demand(),
+            dict(self._own_loads),
+        )
+
+    def _gossip_round(self) -> None:
+        self.links.exchange()
+        now = self.timers.now()
+        for record in self.gossip.statuses.heard(now):
+            if record.vm_id != self.settings.vm_id:
+                self.directory.reported(record.loads, now)
+        self._set_gauges()
+
+    def _set_gauges(self) -> None:
+        self.metrics.gauge("requests_in_flight", len(self.hub.active))
+        self.metrics.gauge("requests_waiting", self.hub.waiting())
+        self.metrics.gauge("configuration_revision", self.gossip.configuration.revision)
+        self.metrics.gauge("ready", int(self.ready))
+        for state in VmState:
+            facts = self.gossip.facts
+            self.metrics.gauge("members", len(facts.select(Role.ENTRY, state)), state=state.value)
+            endpoints = len(facts.select(Role.ENDPOINT, state))
+            self.metrics.gauge("endpoints", endpoints, state=state.value)
+
+    def _exchanged(self) -> None:
+        self._exchanges += 1
+
+    def _is_gone(self, vm_id: str) -> bool:
+        fact = self.gossip.facts.get(vm_id)
+        return fact is not None and fact.state is VmState.GONE
+
+    def _takers(self) -> tuple[Fact, ...]:
+        """Return the peers that may take requests over."""
+        live = self.gossip.facts.select(Role.ENTRY)
+        return tuple(each for each in live if each.vm_id != self.settings.vm_id)
+
+    def _holders(self, request_id: str) -> list[str]:
+        moved_to = self.hub.moved_to.get(request_id)
+        fact = self.gossip.facts.get(moved_to) if moved_to else None
+        holders = self.links.holders(request_id)
+        if fact is None:
+            return holders
+        return [fact.address, *(each for each in holders if each != fact.address)]
+
+    def _address_of(self, vm_id: str) -> str | None:
+        fact = self.gossip.facts.get(vm_id)
+        return None if fact is None else fact.address
+
+    def _listed(self, facts: list[Fact]) -> None:
+        self.links.push(self.gossip.take_facts(facts))
+
+    def _vanished(self, vm_id: str) -> None:
+        if vm_id != self.settings.vm_id:
+            self.mark(vm_id, VmState.GONE)
+
+    def mark(self, vm_id: str, state: VmState) -> None:
+        """Take note that a VM leaves or is gone, and tell the peers."""
+        fact = self.gossip.facts.get(vm_id)
+        if fact is not None:
+            self.links.push(self.gossip.take_facts([replace(fact, state=state)]))
+
+    def _notice(self, vm_id: str, seconds: float) -> None:
+        """Take a reclaim notice."""
+        if vm_id == self.settings.vm_id:
+            self._own_notice(seconds)
+            return
+        self.mark(vm_id, VmState.LEAVING)
+        self.migrations.endpoint_leaving(vm_id, seconds)
+
+    def _own_notice(self, seconds: float) -> None:
+        if not self._exiting:
+            self.log.warning("reclaim notice", seconds=seconds)
+            self._exiting = True
+            self._tell_leaving()
+        zone_is_going = self._zone_is_going()
+        self.drain.begin(max(0.0, seconds - NOTICE_MARGIN_SECONDS), zone_is_going)
+
+    def _zone_is_going(self) -> bool:
+        """Tell whether most entry VMs of the zone are leaving."""
+        entries = [
+            each
+            for state in (VmState.LIVE, VmState.LEAVING)
+            for each in self.gossip.facts.select(Role.ENTRY, state)
+            if each.zone == self.settings.zone
+        ]
+        leaving = sum(each.state is VmState.LEAVING for each in entries)
+        return 2 * leaving >= len(entries)
+
+    def _facts_changed(self, facts: tuple[Fact, ...]) -> None:
+        for fact in facts:
+            if fact.role is Role.ENDPOINT:
+                self._endpoint_changed(fact)
+            elif fact.state is VmState.GONE and fact.vm_id != self.settings.vm_id:
+                self.inheritance.member_gone(fact.vm_id, self.gossip.peers())
+
+    def _endpoint_changed(self, fact: Fact) -> None:
+        if fact.state is VmState.LEAVING and self.directory.in_flight(fact.vm_id):
+            self.tasks.start(self._ask_notice(fact))
+        elif fact.state is VmState.GONE:
+            self.directory.forget(fact.vm_id)
+            self.migrations.endpoint_gone(fact.vm_id)
+            self._own_loads.pop(fact.vm_id, None)
+
+    def _ask_notice(self, fact: Fact) -> Task:
+        """Find out how long an endpoint of another zone stays, and plan for its streams."""
+        try:
+            yield from self.watch.read_notices(fact.zone)
+        except PlatformError:
+            self.migrations.endpoint_leaving(fact.vm_id, DEFAULT_NOTICE_SECONDS)
+
+    # Configuration
+
+    def put_in_force(self, cfg: Configuration) -> None:
+        """Put a configuration in force here and push it to the peers."""
+        self.links.push(self.gossip.take_configuration(cfg))
+
+    def _configuration_changed(self, cfg: Configuration) -> None:
+        self.metrics.count("configurations_total")
+        self.log.info("configuration in force", revision=cfg.revision, operator=cfg.operator)
+        self.directory.configuration = cfg
+        self.gateway.configuration = cfg
+        self._follow_drains(cfg)
+
+    def _follow_drains(self, cfg: Configuration) -> None:
+        drained = self.settings.vm_id in cfg.drained(
+            DrainKind.VM
+        ) or self.settings.zone in cfg.drained(DrainKind.ZONE)
+        if drained and self.drain.is_open:
+            self.drain.begin(self.settings.drain_timeout)
+        elif not drained and not self._exiting:
+            self.drain.reopen()
+
+    # Limits
+
+    def _heard_peers(self) -> list[StatusRecord]:
+        heard = self.gossip.statuses.heard(self.timers.now())
+        return [each for each in heard if each.vm_id != self.settings.vm_id]
+
+    def _member_count(self) -> int:
+        return len(self.gossip.facts.select(Role.ENTRY)) or 1
+
+    def _capacity_share(self) -> float:
+        """Return this process's part of the endpoints' slots, by the demand that it hears of."""
+        members = self._member_count()
+        heard = self._heard_peers()
+        if len(heard) < members - 1:
+            return 1.0 / members if not heard else 1.0 / (len(heard) + 1)
+        own = len(self.hub.active) + 1.0
+        total = own + sum(each.in_flight + 1.0 for each in heard)
+        return own / total
+
+    def _workspace_limit(self, workspace: Workspace) -> int:
+        heard = {
+            each.vm_id: float(each.demand.get(workspace.name, 0)) for each in self._heard_peers()
+        }
+        members = self._member_count()
+        own = float(self.hub.demand().get(workspace.name, 0))
+        unheard = max(0, members - 1 - len(heard))
+        return shared_limit(workspace.max_in_flight, own, heard, members, unheard)
+
+    def _share_of(self, name: str) -> WorkspaceShare:
+        workspace = self.gossip.configuration.workspace(name)
+        if workspace is None:
+            return WorkspaceShare(name)
+        limit = self._workspace_limit(workspace)
+        return WorkspaceShare(name, workspace.weight, workspace.priority, limit)
+
+    # Endpoints
+
+    def _load_read(self, endpoint_id: str, load: float) -> None:
+        self._own_loads[endpoint_id] = load
+        self.directory.reported({endpoint_id: load}, self.timers.now())
+
+    def _cache_events(
+        self, endpoint_id: str, stored: list[str], evicted: list[str], gap: bool
+    ) -> None:
+        if gap:
+            self.directory.prefixes.forget(endpoint_id)
+        self.directory.prefixes.stored(endpoint_id, stored)
+        self.directory.prefixes.evicted(endpoint_id, evicted)
+
+    # Inbound calls
+
+    def handle_caller(self, req: InboundRequest, exchange: Exchange) -> None:
+        """Take a request that came to the callers' address."""
+        if not self._handle_health(req, exchange):
+            self.gateway.handle(req, exchange)
+
+    def handle_control(self, req: InboundRequest, exchange: Exchange) -> None:
+        """Take a request that came to the control address."""
+        if self._handle_health(req, exchange):
+            return
+        if req.path == "/metrics":
+            body, headers = self.metrics.render()
+            exchange.respond(200, tuple(headers.items()), body)
+            return
+        try:
+            self._authorize(req)
+            self._handle_control(req, exchange)
+        except RequestError as exc:
+            self.metrics.count("refusals_total", kind=exc.kind.value)
+            respond_error(exchange, exc)
+
+    def _handle_health(self, req: InboundRequest, exchange: Exchange) -> bool:
+        if req.path == "/healthz":
+            _respond_json(exchange, {"alive": True})
+        elif req.path == "/readyz":
+            body = {"ready": self.ready, "revision": self.gossip.configuration.revision}
+            _respond_json(exchange, body, 200 if self.ready else 503)
+        else:
+            return False
+        return True
+
+    def _authorize(self, req: InboundRequest) -> None:
+        token = self.settings.control_token
+        if token and req.header("authorization") != f"Bearer {token}":
+            raise RequestError(ErrorKind.UNKNOWN_WORKSPACE, "the control token is missing or wrong")
+
+    def _handle_control(self, req: InboundRequest, exchange: Exchange) -> None:
+        if req.path == "/operate":
+            self.operators.handle(req, exchange)
+        elif req.path == "/peer/digest":
+            _respond_json(exchange, self.links.take_digest(orjson.loads(req.body)))
+        elif req.path == "/peer/push":
+            self.links.take_push(orjson.loads(req.body))
+            _respond_json(exchange, {})
+        elif req.path == "/peer/rows":
+            rows = self.rows.of(orjson.loads(req.body)["subject"])
+            _respond_json(exchange, {"rows": rows})
+        elif req.path == "/peer/handover":
+            self._take_handover(orjson.loads(req.body), exchange)
+        elif req.path.startswith("/peer/claims/"):
+            request_id = req.path.rsplit("/", 1)[1]
+            _respond_json(exchange, {"not_run": self.keyed.was_not_run(request_id)})
+        elif req.path.startswith("/peer/requests/"):
+            self._relay(req, exchange)
+        else:
+            raise RequestError(ErrorKind.NOT_FOUND, f"no such path {req.path[:80]!r}")
+
+    def _take_handover(self, data: dict[str, Any], exchange: Exchange) -> None:
+        if not self.drain.is_open:
+            raise RequestError(ErrorKind.DRAINING)
+        self.inheritance.take(data["record"], data["sender"])
+        _respond_json(exchange, {"taken": True})
+
+    def _relay(self, req: InboundRequest, exchange: Exchange) -> None:
+        request_id = req.path.rsplit("/", 1)[1]
+        offset, workspace = int(req.query["offset"]), req.query["workspace"]
+        stream = req.query.get("stream") == "1"
+        if not self.reattachment.relay(request_id, workspace, offset, stream, exchange):
+            raise RequestError(ErrorKind.UNKNOWN_REQUEST)
+
+
+def _peer_headers(token: str) -> tuple[tuple[str, str], ...]:
+    return (("Authorization", f"Bearer {token}"),) if token else ()
+
+
+def _respond_json(exchange: Exchange, data: Any, status: int = 200) -> None:
+    exchange.respond(status, JSON_HEADERS, orjson.dumps(data))
--- /dev/null
+++ b/flamingofront/process/peers.py
@@ -0,0 +1,183 @@
+"""Talk to the other entry processes: gossip, pushes, hand-over, relays, questions."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import quote
+
+import orjson
+
+from flamingofront.messages import CallFailed, OutboundCall
+from flamingofront.process.dissemination import (
+    PUSH_FANOUT,
+    Digest,
+    DigestReply,
+    Dissemination,
+    Push,
+)
+from flamingofront.process.membership import Fact, Role
+from flamingofront.process.metrics import Metrics
+from flamingofront.process.rendezvous import rank
+from flamingofront.process.tasks import Task, TaskRunner
+from flamingofront.process.timers import TimerService
+from flamingofront.request.reattach import origin_of
+
+__all__ = ["PeerLinks"]
+
+MAX_HOLDERS_ASKED = 4
+QUESTION_TIMEOUT_SECONDS = 1.0
+
+
+class PeerLinks:
+    """The outgoing side of the conversations with peers.
+
+    Parameters
+    ----------
+    headers : tuple
+        Headers that authorize calls to peers.
+    seeds : tuple of str
+        Control addresses to ask while no member is known.
+    on_exchange : callable
+        Called after each digest exchange that was answered.
+    """
+
+    def __init__(
+        self,
+        dissemination: Dissemination,
+        tasks: TaskRunner,
+        timers: TimerService,
+        metrics: Metrics,
+        rng: random.Random,
+        headers: tuple[tuple[str, str], ...],
+        seeds: tuple[str, ...] = (),
+        on_exchange: Callable[[], None] = lambda: None,
+    ):
+        self._gossip = dissemination
+        self._tasks = tasks
+        self._timers = timers
+        self._metrics = metrics
+        self._rng = rng
+        self.headers = headers
+        self._seeds = seeds
+        self._on_exchange = on_exchange
+
+    def exchange(self) -> None:
+        """Exchange digests with one random peer, and with one seed while there is none."""
+        peers = self._gossip.pick_peers(1)
+        addresses = [each.address for each in peers]
+        if not addresses:
+            addresses = list(self._seeds)
+        for address in addresses:
+            self._tasks.start(self._exchange_with(address))
+
+    def _post(self, address: str, path: str, data: Any, timeout: float = 2.0) -> OutboundCall:
+        headers = (("Content-Type", "application/json"), *self.headers)
+        return OutboundCall(address, "POST", path, orjson.dumps(data), headers, timeout)
+
+    def _exchange_with(self, address: str) -> Task:
+        digest = self._gossip.make_digest(self._timers.now())
+        reply = yield self._post(address, "/peer/digest", digest.to_json())
+        if isinstance(reply, CallFailed) or reply.status != 200:
+            self._metrics.count("gossip_total", kind="digest", result="failed")
+            return
+        self._metrics.count("gossip_total", kind="digest", result="ok")
+        answer = DigestReply.from_json(orjson.loads(reply.body))
+        to_peer, onward = self._gossip.take_reply(answer, self._timers.now())
+        if onward is not None:
+            self.push(onward)
+        self._on_exchange()
+        if to_peer is not None:
+            yield self._post(address, "/peer/push", to_peer.to_json())
+
+    def push(self, push: Push | None) -> None:
+        """Send news to a few peers at once."""
+        if push is None:
+            return
+        for peer in self._gossip.pick_peers(PUSH_FANOUT):
+            self._tasks.start(self._push_to(peer, push))
+
+    def _push_to(self, peer: Fact, push: Push) -> Task:
+        reply = yield self._post(peer.address, "/peer/push", push.to_json())
+        failed = isinstance(reply, CallFailed) or reply.status != 200
+        self._metrics.count("gossip_total", kind="push", result="failed" if failed else "ok")
+
+    def take_digest(self, data: dict) -> dict:
+        """Answer a peer's digest."""
+        reply = self._gossip.answer_digest(Digest.from_json(data), self._timers.now())
+        return reply.to_json()
+
+    def take_push(self, data: dict) -> None:
+        """Take a peer's news and pass on what was new."""
+        self.push(self._gossip.take_push(Push.from_json(data)))
+
+    def holders(self, request_id: str) -> list[str]:
+        """Return the addresses of the peers that may hold a request, the likeliest first."""
+        peers = {each.vm_id: each.address for each in self._gossip.peers()}
+        origin = origin_of(request_id)
+        ordered = [each for each in rank(request_id, peers) if each != origin]
+        if origin in peers:
+            ordered.insert(0, origin)
+        return [peers[each] for each in ordered[:MAX_HOLDERS_ASKED]]
+
+    def ask_not_run(self, vm_id: str, request_id: str) -> Task:
+        """Ask the owner of a claim whether its request was certainly not run."""
+        fact = self._gossip.facts.get(vm_id)
+        if fact is None or fact.role is not Role.ENTRY:
+            return False
+        path = f"/peer/claims/{quote(request_id)}"
+        reply = yield OutboundCall(
+            fact.address, "GET", path, b"", self.headers, QUESTION_TIMEOUT_SECONDS
+        )
+        if isinstance(reply, CallFailed) or reply.status != 200:
+            return False
+        return orjson.loads(reply.body)["not_run"] is True
+
+    def collect_rows(self, subject: str, on_done: Callable[[list[dict], list[str]], None]) -> None:
+        """Ask all peers for their rows of a subject; tell which could not be asked."""
+        _Collection(self, subject, on_done).start(self._gossip.peers(), self._tasks)
+
+    def rows_of(self, peer: Fact, subject: str) -> Task:
+        """Ask one peer for its rows of a subject; return None if it does not answer."""
+        reply = yield self._post(
+            peer.address, "/peer/rows", {"subject": subject}, QUESTION_TIMEOUT_SECONDS
+        )
+        if isinstance(reply, CallFailed) or reply.status != 200:
+            return None
+        return orjson.loads(reply.body)["rows"]
+
+
+class _Collection:
+    """Rows from all peers, on their way."""
+
+    def __init__(
+        self,
+        links: PeerLinks,
+        subject: str,
+        on_done: Callable[[list[dict], list[str]], None],
+    ):
+        self._links = links
+        self._subject = subject
+        self._on_done = on_done
+        self._rows: list[dict] = []
+        self._missing: list[str] = []
+        self._left = 0
+
+    def start(self, peers: tuple[Fact, ...], tasks: TaskRunner) -> None:
+        """Ask all peers at once."""
+        self._left = len(peers)
+        if not peers:
+            self._on_done([], [])
+        for peer in peers:
+            tasks.start(
+                self._links.rows_of(peer, self._subject),
+                lambda rows, vm_id=peer.vm_id: self._take(vm_id, rows),
+            )
+
+    def _take(self, vm_id: str, rows: list[dict] | None) -> None:
+        if rows is None:
+            self._missing.append(vm_id)
+        else:
+            self._rows += rows
+        self._left -= 1
+        if self._left == 0:
+            self._on_done(self._rows, sorted(self._missing))
--- /dev/null
+++ b/flamingofront/request/active.py
@@ -0,0 +1,581 @@
+"""One accepted request in this process: carries out the orders of its state machine."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import orjson
+
+from flamingofront.connection.interfaces import CallEvent, CallHandle
+from flamingofront.errors import ErrorKind, Ran, RequestError
+from flamingofront.messages import (
+    CallFailed,
+    CancelAttempt,
+    Complete,
+    Emit,
+    Fail,
+    Frame,
+    OutboundCall,
+    ResponseData,
+    ResponseEnd,
+    ResponseHead,
+    ScheduleRetry,
+    StartAttempt,
+)
+from flamingofront.process.timers import Timer
+from flamingofront.request.admission import Ticket
+from flamingofront.request.attachments import Attachment, whole_completion
+from flamingofront.request.attempts import Order, Phase, RequestFacts, RequestMachine
+from flamingofront.request.choice import Candidate
+from flamingofront.request.prefixes import block_hashes
+from flamingofront.request.records import ModelWork, PlainWork, RequestRecord
+from flamingofront.request.stored_answer import StoredAnswer
+
+if TYPE_CHECKING:
+    from flamingofront.request.hub import RequestHub
+
+__all__ = ["ActiveRequest", "ModelRequest", "PlainRequest", "make_request"]
+
+NOT_RUN_HEADER = "x-not-run"
+SECONDS_BETWEEN_CHOICES = 0.2
+
+
+class ActiveRequest(ABC):
+    """What is common to model and plain requests.
+
+    Parameters
+    ----------
+    record : RequestRecord
+        The request as it was accepted or handed over.
+    ticket : Ticket
+        Its place in the admission.
+    """
+
+    def __init__(self, hub: "RequestHub", record: RequestRecord, ticket: Ticket):
+        self.hub = hub
+        self.record = record
+        self.ticket = ticket
+        self.accepted_at = hub.now()
+        self.attachments: list[Attachment] = []
+        self.answer: StoredAnswer | None = None
+        self.endpoint_id = ""
+        self.on_settled: Callable[[StoredAnswer | None, RequestError | None], None] | None = None
+        self.log = hub.log.bind(request=record.request_id, workspace=record.workspace)
+        facts = RequestFacts(
+            record.request_id, record.may_repeat, self.accepted_at + record.deadline_left
+        )
+        self.machine = RequestMachine(
+            facts,
+            hub.budget(record.service),
+            hub.rng,
+            tokens=record.tokens,
+            ran=record.ran,
+        )
+        self._handle: CallHandle | None = None
+        self._retry_timer: Timer | None = None
+        self._deadline_timer = hub.timers.once(record.deadline_left, self._on_deadline)
+        self._grace_timer: Timer | None = None
+        self._held_back = False
+        self._is_due = False
+
+    @property
+    def request_id(self) -> str:
+        """Id of the request."""
+        return self.record.request_id
+
+    @property
+    def done(self) -> bool:
+        """True if the request has its final answer or went elsewhere."""
+        return self.machine.phase in (Phase.DONE, Phase.FROZEN)
+
+    @property
+    def can_move(self) -> bool:
+        """True if the request may be handed over now."""
+        return not self.done and not self._held_back
+
+    @abstractmethod
+    def _call(self, order: StartAttempt, chosen: Candidate) -> OutboundCall:
+        """Return the call that starts an attempt."""
+
+    @abstractmethod
+    def _listener(self, attempt_id: str, chosen: Candidate) -> Callable[[CallEvent], None]:
+        """Return what takes the events of an attempt."""
+
+    @abstractmethod
+    def hashes(self) -> tuple[str, ...]:
+        """Return the prefix blocks of the request."""
+
+    def hold_back(self) -> None:
+        """Don't start before `allow_start`: something must be written first."""
+        self._held_back = True
+
+    def allow_start(self) -> None:
+        """Start now if admission has let the request through meanwhile."""
+        self._held_back = False
+        if self._is_due:
+            self.carry(self.machine.start())
+
+    def begin(self) -> None:
+        """Start the first attempt, unless it is held back."""
+        self._is_due = True
+        if not self._held_back:
+            self.carry(self.machine.start())
+
+    def attach(self, attachment: Attachment) -> None:
+        """Add a reader."""
+        if self._grace_timer is not None:
+            self._grace_timer.cancel()
+            self._grace_timer = None
+        attachment.on_gone = self._reader_gone
+        self.attachments.append(attachment)
+
+    def expect_reader(self, seconds: float) -> None:
+        """End the request if no reader comes within some seconds."""
+        if self.record.job or self.attachments:
+            return
+        self._grace_timer = self.hub.timers.once(seconds, self._nobody_waits)
+
+    def _reader_gone(self, attachment: Attachment) -> None:
+        self.attachments.remove(attachment)
+        if self.attachments or self.record.job or self.record.key or self.done:
+            return
+        if attachment.wants_tokens:
+            self.expect_reader(self.hub.settings.reattach_grace)
+        else:
+            self._nobody_waits()
+
+    def _nobody_waits(self) -> None:
+        if self.attachments or self.done:
+            return
+        self.hub.metrics.count("refusals_total", kind="caller_gone")
+        self._sync_wrote()
+        self.carry(self.machine.caller_gone())
+        self._end()
+        self.hub.request_ended(self)
+
+    def _on_deadline(self) -> None:
+        self._sync_wrote()
+        self.carry(self.machine.deadline())
+
+    def refuse(self, exc: RequestError) -> None:
+        """End a request that never started with an error."""
+        self.machine.caller_gone()
+        self._settle(None, exc)
+
+    def resolve(self, answer: StoredAnswer) -> None:
+        """End a request that never started with the answer of an earlier one."""
+        self.machine.caller_gone()
+        readers, self.attachments = self.attachments, []
+        for each in readers:
+            each.detach()
+            each.repeat(answer)
+        self.drop()
+
+    def drop(self) -> None:
+        """End a request that never started; its reader is answered elsewhere."""
+        self.machine.caller_gone()
+        self._end()
+        self.hub.request_ended(self)
+
+    def _sync_wrote(self) -> None:
+        if self._handle is not None and self._handle.wrote and self.machine.attempt_id:
+            self.machine.wrote(self.machine.attempt_id)
+
+    def carry(self, orders: list[Order]) -> None:
+        """Carry out the orders of the machine."""
+        for order in orders:
+            if isinstance(order, StartAttempt):
+                self._start_attempt(order)
+            elif isinstance(order, Emit):
+                self._emit(order)
+            elif isinstance(order, ScheduleRetry):
+                self._retry_timer = self.hub.timers.once(order.delay, self._retry)
+            elif isinstance(order, CancelAttempt):
+                self._release()
+            elif isinstance(order, Complete):
+                self._complete()
+            elif isinstance(order, Fail):
+                self._fail(order)
+
+    def _retry(self) -> None:
+        self._retry_timer = None
+        self.carry(self.machine.start())
+
+    def _start_attempt(self, order: StartAttempt) -> None:
+        chosen = self.hub.choose(self, order.exclude)
+        if chosen is None:
+            delay = SECONDS_BETWEEN_CHOICES * (1 + self.hub.rng.random())
+            self.hub.metrics.count("retries_total", reason="no_endpoint")
+            self.carry(self.machine.no_endpoint(order.attempt_id, self.hub.now(), delay))
+            return
+        self.launch(order, chosen)
+
+    def launch(self, order: StartAttempt, chosen: Candidate) -> None:
+        """Send an attempt to an endpoint."""
+        self.hub.metrics.count("attempts_total", service=self.record.service.name)
+        self.log.debug("attempt", attempt=order.attempt_id, endpoint=chosen.endpoint_id)
+        self.endpoint_id = chosen.endpoint_id
+        self.hub.directory.started(chosen.endpoint_id)
+        listener = self._listener(order.attempt_id, chosen)
+        self._handle = self.hub.transport.start(self._call(order, chosen), listener)
+
+    def _release(self, cancel: bool = True) -> None:
+        """Note that the endpoint is free of the call in flight; give the call up if told so."""
+        handle, self._handle = self._handle, None
+        if handle is None:
+            return
+        if cancel:
+            handle.cancel()
+        self.hub.directory.ended(self.endpoint_id)
+
+    def lost(self, attempt_id: str, executed: Ran, reason: str) -> None:
+        """An attempt ended without its answer."""
+        if attempt_id != self.machine.attempt_id:
+            return
+        now = self.hub.now()
+        self._release()
+        self.hub.attempt_lost(self.record.service, self.endpoint_id, executed, reason, now)
+        self.log.info("attempt lost", attempt=attempt_id, endpoint=self.endpoint_id, reason=reason)
+        self.carry(self.machine.lost(attempt_id, self.endpoint_id, executed, now, reason))
+
+    def call_failed(self, attempt_id: str, event: CallFailed) -> None:
+        """Judge a call that ended without a response."""
+        if event.reason == "connect":
+            self.hub.directory.connect_failed(self.endpoint_id, self.hub.now())
+        executed = Ran.UNKNOWN if event.wrote else Ran.NO
+        self.lost(attempt_id, executed, event.reason)
+
+    def _emit(self, order: Emit) -> None:
+        for each in list(self.attachments):
+            if each.wants_tokens and not each.tokens(order.offset, order.tokens):
+                self._drop_slow(each)
+
+    def _drop_slow(self, attachment: Attachment) -> None:
+        """Cut off a reader that is too far behind; it may come back for the rest."""
+        self.hub.metrics.count("refusals_total", kind=ErrorKind.SLOW_READER.value)
+        attachment.abort()
+        self._reader_gone(attachment)
+
+    @abstractmethod
+    def _complete(self) -> None:
+        """Make the final answer."""
+
+    def _fail(self, order: Fail) -> None:
+        exc = RequestError(order.kind, order.detail, order.ran, order.retry_after)
+        self.log.info("request failed", kind=order.kind.value, ran=order.ran.value)
+        self._settle(None, exc)
+
+    def _settle(self, answer: StoredAnswer | None, exc: RequestError | None) -> None:
+        """Give the final answer to all readers, once."""
+        self._end()
+        self.answer = answer
+        if exc is not None:
+            self.hub.metrics.count("refusals_total", kind=exc.kind.value)
+        readers, self.attachments = self.attachments, []
+        for each in readers:
+            each.detach()
+            if answer is not None:
+                each.complete(answer)
+            else:
+                each.failed(exc)
+        if self.on_settled is not None:
+            self.on_settled(answer, exc)
+        self.hub.request_ended(self)
+
+    def _end(self) -> None:
+        self._release()
+        for timer in (self._deadline_timer, self._retry_timer, self._grace_timer):
+            if timer is not None:
+                timer.cancel()
+
+    def freeze(self) -> RequestRecord:
+        """Stop the text for good and return the record to hand over."""
+        self._sync_wrote()
+        self.carry(self.machine.freeze())
+        self._end()
+        return self.to_record()
+
+    def take_over(self, frozen: "ActiveRequest") -> None:
+        """Take the readers of the frozen request that this one continues."""
+        self.accepted_at = frozen.accepted_at
+        self.on_settled = frozen.on_settled
+        readers, frozen.attachments = frozen.attachments, []
+        for each in readers:
+            self.attach(each)
+
+    def to_record(self) -> RequestRecord:
+        """Return the record as it stands now."""
+        left = self.machine.facts.deadline - self.hub.now()
+        return replace(
+            self.record,
+            tokens=tuple(self.machine.assembler.tokens),
+            ran=self.machine.ran,
+            epoch=self.record.epoch + 1,
+            deadline_left=max(0.0, left),
+        )
+
+    def moved(self) -> None:
+        """Tell all readers that the request goes on at another entry VM."""
+        readers, self.attachments = self.attachments, []
+        for each in readers:
+            each.detach()
+            each.moved(self.machine.assembler.offset)
+        self.hub.request_ended(self)
+
+
+class ModelRequest(ActiveRequest):
+    """A completion."""
+
+    def __init__(self, hub: "RequestHub", record: RequestRecord, ticket: Ticket):
+        self._hashes: tuple[str, ...] | None = None
+        self._kv = ""
+        self._cache_at: Candidate | None = None
+        self._last_token_at = 0.0
+        super().__init__(hub, record, ticket)
+
+    @property
+    def work(self) -> ModelWork:
+        """What the engine is asked for."""
+        return self.record.work
+
+    def hashes(self) -> tuple[str, ...]:
+        """Return the prefix blocks of the prompt."""
+        if self._hashes is None:
+            self._hashes = block_hashes(self.work.prompt)
+        return self._hashes
+
+    def use_cache(self, kv_handle: str, chosen: Candidate) -> None:
+        """Let the next attempt begin from a KV cache that was imported by an endpoint."""
+        self._kv = kv_handle
+        self._cache_at = chosen
+
+    def _start_attempt(self, order: StartAttempt) -> None:
+        chosen, self._cache_at = self._cache_at, None
+        if chosen is None or self.hub.directory.leaving(chosen.endpoint_id):
+            self._kv = ""
+            super()._start_attempt(order)
+        else:
+            self.launch(order, chosen)
+
+    def _call(self, order: StartAttempt, chosen: Candidate) -> OutboundCall:
+        kv_handle, self._kv = self._kv, ""
+        self._last_token_at = self.hub.now()
+        body = {
+            "request": self.request_id,
+            "attempt": order.attempt_id,
+            "model": self.work.model,
+            "prompt": self.work.prompt,
+            "resume": self.machine.assembler.tokens,
+            "max_tokens": self.work.max_tokens,
+            "priority": self.ticket.share.priority,
+            "kv": kv_handle,
+        }
+        return OutboundCall(
+            chosen.address,
+            "POST",
+            "/generate",
+            orjson.dumps(body),
+            (("Content-Type", "application/json"),),
+            self.record.service.call_timeout,
+            stream=True,
+        )
+
+    def _listener(self, attempt_id: str, chosen: Candidate) -> Callable[[CallEvent], None]:
+        return _FrameReader(self, attempt_id)
+
+    def frame(self, frame: Frame, prefilled: int) -> None:
+        """Take a frame of the current attempt."""
+        self._count_recomputed(frame, prefilled)
+        before = sum(self.machine.assembler.dropped.values())
+        first = self.machine.assembler.offset == 0
+        orders = self.machine.frame(frame)
+        if sum(self.machine.assembler.dropped.values()) > before:
+            self.hub.metrics.count("frames_dropped_total", reason="assembler")
+        if first and self.machine.assembler.offset:
+            self.hub.metrics.observe("first_token_seconds", self.hub.now() - self.accepted_at)
+        self._observe(frame)
+        self.carry(orders)
+
+    def _observe(self, frame: Frame) -> None:
+        now = self.hub.now()
+        if frame.tokens and self.machine.attempt_id == frame.attempt_id and not frame.final:
+            seconds = (now - self._last_token_at) / len(frame.tokens)
+            self.hub.directory.observed(self.endpoint_id, seconds)
+        self._last_token_at = now
+
+    def _count_recomputed(self, frame: Frame, prefilled: int) -> None:
+        if prefilled and self.machine.attempts + self.record.epoch > 1:
+            self.hub.metrics.count("tokens_recomputed_total", prefilled, cause="further_attempt")
+
+    def _emit(self, order: Emit) -> None:
+        service = self.record.service.name
+        self.hub.metrics.count("tokens_sent_total", len(order.tokens), service=service)
+        super()._emit(order)
+
+    def _complete(self) -> None:
+        self.hub.directory.health.succeeded(self.endpoint_id)
+        self.hub.directory.prefixes.stored(self.endpoint_id, self.hashes())
+        # The end of the response is still to come; reading it keeps the connection usable.
+        self._release(cancel=False)
+        tokens = self.machine.assembler.tokens
+        self._settle(whole_completion(self.request_id, self.work, tokens), None)
+
+
+class _FrameReader:
+    """Cut the response of an engine into frames."""
+
+    def __init__(self, request: ModelRequest, attempt_id: str):
+        self._request = request
+        self._attempt_id = attempt_id
+        self._status = 0
+        self._buffer = b""
+
+    def __call__(self, event: CallEvent) -> None:
+        if isinstance(event, ResponseHead):
+            self._status = event.status
+        elif isinstance(event, ResponseData):
+            self._buffer += event.data
+            if self._status == 200:
+                self._take_lines()
+        elif isinstance(event, ResponseEnd):
+            self._ended()
+        else:
+            self._request.call_failed(self._attempt_id, event)
+
+    def _take_lines(self) -> None:
+        *lines, self._buffer = self._buffer.split(b"\n")
+        try:
+            frames = [orjson.loads(line) for line in lines if line]
+            for data in _coalesced(frames):
+                self._take_frame(data)
+        except (orjson.JSONDecodeError, KeyError, TypeError):
+            self._request.lost(self._attempt_id, Ran.UNKNOWN, "malformed frame")
+
+    def _take_frame(self, data: dict) -> None:
+        if self._request.done or self._request.machine.attempt_id != self._attempt_id:
+            return
+        frame = Frame(
+            data["request"],
+            data["attempt"],
+            data["offset"],
+            tuple(data["tokens"]),
+            data.get("final", False),
+        )
+        self._request.frame(frame, data.get("prefilled", 0))
+
+    def _ended(self) -> None:
+        refused = self._status != 200 and _says_not_run(self._buffer)
+        executed = Ran.NO if refused else Ran.UNKNOWN
+        reason = "refused" if refused else f"ended with status {self._status}"
+        self._request.lost(self._attempt_id, executed, reason)
+
+
+def _coalesced(frames: list[dict]) -> list[dict]:
+    """Join frames that arrived together and follow one another, to pass them on as one."""
+    joined: list[dict] = []
+    for data in frames:
+        last = joined[-1] if joined else None
+        follows = (
+            last is not None
+            and not last.get("final")
+            and (last["request"], last["attempt"]) == (data["request"], data["attempt"])
+            and last["offset"] + len(last["tokens"]) == data["offset"]
+        )
+        if not follows:
+            joined.append(data)
+            continue
+        prefilled = last.get("prefilled", 0) + data.get("prefilled", 0)
+        joined[-1] = {
+            **data,
+            "offset": last["offset"],
+            "tokens": last["tokens"] + data["tokens"],
+            "prefilled": prefilled,
+        }
+    return joined
+
+
+def _says_not_run(body: bytes) -> bool:
+    """Tell whether an engine's error says that the request was not run."""
+    try:
+        return orjson.loads(body)["error"]["ran"] == "no"
+    except (orjson.JSONDecodeError, KeyError, TypeError):
+        return False
+
+
+class PlainRequest(ActiveRequest):
+    """A call of a plain service."""
+
+    @property
+    def work(self) -> PlainWork:
+        """What the service is asked for."""
+        return self.record.work
+
+    def hashes(self) -> tuple[str, ...]:
+        """Return no blocks: plain services have no prefix cache."""
+        return ()
+
+    def _call(self, order: StartAttempt, chosen: Candidate) -> OutboundCall:
+        headers = (*self.work.headers, ("X-Request-Id", self.request_id))
+        return OutboundCall(
+            chosen.address,
+            self.work.method,
+            self.work.path,
+            self.work.body,
+            headers,
+            self.record.service.call_timeout,
+            fresh=not self.record.may_repeat,
+        )
+
+    def _listener(self, attempt_id: str, chosen: Candidate) -> Callable[[CallEvent], None]:
+        return _AnswerReader(self, attempt_id)
+
+    def answered(self, attempt_id: str, status: int, content_type: str, body: bytes) -> None:
+        """Take the answer of the service."""
+        if not self.machine.answered(attempt_id):
+            return
+        self.hub.directory.health.succeeded(self.endpoint_id)
+        self.hub.metrics.observe("first_token_seconds", self.hub.now() - self.accepted_at)
+        self._settle(StoredAnswer(status, content_type, body), None)
+
+    def _complete(self) -> None:
+        raise AssertionError("a plain request is completed by its answer")
+
+
+class _AnswerReader:
+    """Collect the response of a plain service."""
+
+    def __init__(self, request: PlainRequest, attempt_id: str):
+        self._request = request
+        self._attempt_id = attempt_id
+        self._head: ResponseHead | None = None
+        self._parts: list[bytes] = []
+
+    def __call__(self, event: CallEvent) -> None:
+        if isinstance(event, ResponseHead):
+            self._head = event
+        elif isinstance(event, ResponseData):
+            self._parts.append(event.data)
+        elif isinstance(event, ResponseEnd):
+            self._ended()
+        else:
+            self._request.call_failed(self._attempt_id, event)
+
+    def _ended(self) -> None:
+        headers = self._head.headers
+        if headers.get(NOT_RUN_HEADER) == "true":
+            self._request.lost(self._attempt_id, Ran.NO, "refused")
+            return
+        echoed = headers.get("x-request-id", self._request.request_id)
+        if echoed != self._request.request_id:
+            self._request.lost(self._attempt_id, Ran.UNKNOWN, "crossed answer")
+            return
+        content_type = headers.get("content-type", "application/octet-stream")
+        body = b"".join(self._parts)
+        self._request.answered(self._attempt_id, self._head.status, content_type, body)
+
+
+def make_request(hub: "RequestHub", record: RequestRecord, ticket: Ticket) -> ActiveRequest:
+    """Return the active request for a record."""
+    cls = ModelRequest if isinstance(record.work, ModelWork) else PlainRequest
+    return cls(hub, record, ticket)
--- /dev/null
+++ b/flamingofront/request/attempts.py
@@ -0,0 +1,232 @@
+"""State machine of one accepted request: attempts, retry, resume, final answer.
+
+Facts go in as method calls, orders come out as messages. The machine holds no socket, clock or
+random state of its own, so the same code runs in the daemon, under fuzzing and in the benchmarks.
+"""
+
+import itertools
+import random
+from dataclasses import dataclass
+from enum import StrEnum
+
+from flamingofront.errors import ErrorKind, Ran
+from flamingofront.messages import (
+    CancelAttempt,
+    Complete,
+    Emit,
+    Fail,
+    Frame,
+    ScheduleRetry,
+    StartAttempt,
+)
+from flamingofront.process.backoff import Backoff
+from flamingofront.request.assembly import Assembler
+from flamingofront.request.retry import RetryBudget
+
+__all__ = ["Order", "Phase", "RequestFacts", "RequestMachine"]
+
+Order = StartAttempt | CancelAttempt | ScheduleRetry | Emit | Complete | Fail
+
+MAX_FAILURES_WITHOUT_PROGRESS = 12
+DEFAULT_BACKOFF = Backoff(0.05, 2.0)
+
+
+class Phase(StrEnum):
+    """Where a request stands."""
+
+    WAITING = "waiting"
+    RUNNING = "running"
+    FROZEN = "frozen"
+    DONE = "done"
+
+
+@dataclass(frozen=True)
+class RequestFacts:
+    """What the machine must know about its request.
+
+    Parameters
+    ----------
+    repeatable : bool
+        False if the work may be executed at most once.
+    deadline : float
+        Time at which the caller no longer waits.
+    """
+
+    request_id: str
+    repeatable: bool
+    deadline: float
+
+
+class RequestMachine:
+    """Drives one request to exactly one final answer.
+
+    Parameters
+    ----------
+    facts : RequestFacts
+        The request.
+    budget : RetryBudget
+        Shared by all requests of the service.
+    tokens : tuple of str
+        Text that is there already, after a hand-over.
+    ran : Ran
+        What is known about execution, after a hand-over.
+    """
+
+    def __init__(
+        self,
+        facts: RequestFacts,
+        budget: RetryBudget,
+        rng: random.Random,
+        backoff: Backoff = DEFAULT_BACKOFF,
+        tokens: tuple[str, ...] = (),
+        ran: Ran = Ran.NO,
+    ):
+        self.facts = facts
+        self.assembler = Assembler(facts.request_id, tokens)
+        self.phase = Phase.WAITING
+        self.ran = ran
+        self.attempts = 0
+        self.attempt_id: str | None = None
+        self._budget = budget
+        self._rng = rng
+        self._backoff = backoff
+        self._failures = 0
+        self._ran_before_attempt = ran
+        self._failed_endpoints: set[str] = set()
+        self._ids = itertools.count(1)
+
+    def start(self) -> list[Order]:
+        """Begin the first attempt, or the next one when a scheduled retry is due."""
+        if self.phase is not Phase.WAITING:
+            return []
+        self.attempts += 1
+        self._ran_before_attempt = self.ran
+        self.attempt_id = (
+            f"{self.facts.request_id}.{next(self._ids)}.{self._rng.randrange(1 << 32):08x}"
+        )
+        self.phase = Phase.RUNNING
+        self.assembler.assign(self.attempt_id)
+        exclude = frozenset(self._failed_endpoints)
+        return [StartAttempt(self.attempt_id, self.assembler.offset, exclude)]
+
+    def wrote(self, attempt_id: str) -> None:
+        """Note that bytes of an attempt may have reached its endpoint."""
+        if attempt_id == self.attempt_id and self.ran is Ran.NO:
+            self.ran = Ran.UNKNOWN
+
+    def frame(self, frame: Frame) -> list[Order]:
+        """Take tokens from an endpoint."""
+        added = self.assembler.accept(frame)
+        if self.phase is not Phase.RUNNING:
+            return []
+        orders: list[Order] = []
+        if added:
+            self.ran = Ran.YES
+            self._failures = 0
+            orders.append(Emit(self.assembler.offset - len(added), added))
+        if self.assembler.complete:
+            self.ran = Ran.YES
+            self._end()
+            orders.append(Complete(self.assembler.offset))
+        return orders
+
+    def answered(self, attempt_id: str) -> bool:
+        """Take a whole answer of a plain service; False if it is not the current attempt's."""
+        if self.phase is not Phase.RUNNING or attempt_id != self.attempt_id:
+            return False
+        self.ran = Ran.YES
+        self._end()
+        return True
+
+    def no_endpoint(self, attempt_id: str, now: float, retry_after: float) -> list[Order]:
+        """No endpoint could be chosen: wait if the caller does, else refuse."""
+        if attempt_id != self.attempt_id or self.phase is not Phase.RUNNING:
+            return []
+        self._failed_endpoints.clear()
+        self.attempts -= 1
+        return self._wait_or_fail(now, retry_after, ErrorKind.NO_ENDPOINT)
+
+    def lost(
+        self, attempt_id: str, endpoint_id: str, executed: Ran, now: float, detail: str = ""
+    ) -> list[Order]:
+        """Take the loss of an attempt.
+
+        Parameters
+        ----------
+        executed : Ran
+            ``NO`` only with evidence: never connected, nothing written, or a documented refusal.
+        """
+        if attempt_id != self.attempt_id or self.phase is not Phase.RUNNING:
+            return []
+        self._failures += 1
+        self._failed_endpoints.add(endpoint_id)
+        self._settle_ran(executed)
+        if now >= self.facts.deadline:
+            return self._fail(ErrorKind.DEADLINE_EXCEEDED, detail)
+        if not self.facts.repeatable and executed is not Ran.NO:
+            return self._fail(ErrorKind.OUTCOME_UNKNOWN, detail)
+        if self._failures >= MAX_FAILURES_WITHOUT_PROGRESS:
+            return self._fail(ErrorKind.ENDPOINT_FAILED, detail, self._backoff.longest)
+        delay = self._budget.reserve(now)
+        if self._failures > 1:
+            delay = max(delay, self._backoff.delay(self._failures - 2, self._rng))
+        return self._wait_or_fail(now, delay, ErrorKind.RETRY_BUDGET_EXHAUSTED)
+
+    def _settle_ran(self, executed: Ran) -> None:
+        """Keep the strongest evidence; a refused attempt proves nothing about earlier ones."""
+        if executed is Ran.NO and self.ran is not Ran.YES:
+            self.ran = self._ran_before_attempt
+        elif executed is not Ran.NO and self.ran is Ran.NO:
+            self.ran = Ran.UNKNOWN
+
+    def _wait_or_fail(self, now: float, delay: float, kind: ErrorKind) -> list[Order]:
+        if now + delay >= self.facts.deadline:
+            return self._fail(kind, retry_after=delay)
+        self.phase = Phase.WAITING
+        self.attempt_id = None
+        self.assembler.assign(None)
+        return [ScheduleRetry(delay)]
+
+    def replace(self, attempt_id: str) -> list[Order]:
+        """Stop the current attempt in favour of a new one elsewhere (planned migration)."""
+        if attempt_id != self.attempt_id or self.phase is not Phase.RUNNING:
+            return []
+        self.phase = Phase.WAITING
+        return [CancelAttempt(attempt_id), *self.start()]
+
+    def deadline(self) -> list[Order]:
+        """Give up because the caller's time is over."""
+        if self.phase in (Phase.DONE, Phase.FROZEN):
+            return []
+        return self._stop_attempt() + self._fail(ErrorKind.DEADLINE_EXCEEDED)
+
+    def caller_gone(self) -> list[Order]:
+        """Give up because nobody waits for the answer."""
+        if self.phase in (Phase.DONE, Phase.FROZEN):
+            return []
+        orders = self._stop_attempt()
+        self._end()
+        return orders
+
+    def freeze(self) -> list[Order]:
+        """Stop the text for good, before its record is offered to another process."""
+        if self.phase is Phase.DONE:
+            return []
+        orders = self._stop_attempt()
+        self.phase = Phase.FROZEN
+        self.assembler.freeze()
+        return orders
+
+    def _stop_attempt(self) -> list[Order]:
+        running = self.phase is Phase.RUNNING and self.attempt_id is not None
+        return [CancelAttempt(self.attempt_id)] if running else []
+
+    def _fail(
+        self, kind: ErrorKind, detail: str = "", retry_after: float | None = None
+    ) -> list[Order]:
+        self._end()
+        return [Fail(kind, self.ran, detail, retry_after)]
+
+    def _end(self) -> None:
+        self.phase = Phase.DONE
+        self.assembler.assign(None)
--- /dev/null
+++ b/flamingofront/request/choice.py
@@ -0,0 +1,227 @@
+"""Choice of the endpoint for an attempt.
+
+The score of an endpoint is the expected cost of running the request there, in the price unit of the
+VM list: machine time, the penalty for missing the latency target, and the work that a reclaim would
+waste. See docs/DESIGN.md, "Choice of endpoint", for the ways weighed.
+"""
+
+import itertools
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass
+
+__all__ = [
+    "Candidate",
+    "ChoicePolicy",
+    "CostChoice",
+    "CostWeights",
+    "LeastReportedChoice",
+    "RoundRobinChoice",
+    "WorkEstimate",
+    "usable",
+]
+
+
+@dataclass(frozen=True)
+class Candidate:
+    """What is known about one endpoint.
+
+    Parameters
+    ----------
+    price : float
+        Cost per hour of its VM.
+    slots : int
+        Requests that it runs at the same time within the target.
+    own_in_flight : int
+        Attempts of this process that run there now.
+    reported_load : float
+        Requests in its last load report.
+    own_at_report : int
+        Attempts of this process that ran there when the report was made.
+    cached_tokens : int
+        Prompt tokens that its prefix cache is believed to hold for this request.
+    reclaim_risk : float
+        Expected reclaims per hour of its VM; 0 for on-demand VMs.
+    slowness : float
+        Observed time relative to the other endpoints of the service; 1 is usual.
+    """
+
+    endpoint_id: str
+    zone: str
+    address: str
+    side: str = ""
+    price: float = 1.0
+    slots: int = 16
+    own_in_flight: int = 0
+    reported_load: float = 0.0
+    own_at_report: int = 0
+    cached_tokens: int = 0
+    reclaim_risk: float = 0.0
+    slowness: float = 1.0
+    leaving: bool = False
+    ejected: bool = False
+    reachable: bool = True
+
+    @property
+    def load(self) -> float:
+        """Requests that it runs now: the report, corrected by what this process did since."""
+        corrected = self.reported_load + self.own_in_flight - self.own_at_report
+        return max(float(self.own_in_flight), corrected)
+
+
+@dataclass(frozen=True)
+class WorkEstimate:
+    """What one request asks of an endpoint.
+
+    Parameters
+    ----------
+    prompt_tokens, output_tokens : int
+        Tokens to read and, expected, to write.
+    first_token_target, token_target : float
+        Latency targets in seconds.
+    zone : str
+        Zone of this process.
+    """
+
+    prompt_tokens: int = 0
+    output_tokens: int = 64
+    first_token_target: float = 1.6
+    token_target: float = 0.068
+    zone: str = ""
+
+
+def usable(
+    candidates: Iterable[Candidate], side: str | None, exclude: frozenset[str]
+) -> Iterator[Candidate]:
+    """Pass on the candidates that may get new work.
+
+    Notes
+    -----
+    A leaving endpoint never passes. An endpoint that failed this very request, or is ejected,
+    passes only through `relaxed` in the caller when nothing else is left.
+    """
+    for each in candidates:
+        if each.leaving or not each.reachable:
+            continue
+        if side is not None and each.side != side:
+            continue
+        if each.ejected or each.endpoint_id in exclude:
+            continue
+        yield each
+
+
+class ChoicePolicy(ABC):
+    """Picks one of the usable endpoints."""
+
+    @abstractmethod
+    def choose(
+        self, candidates: Sequence[Candidate], work: WorkEstimate, rng: random.Random
+    ) -> Candidate | None:
+        """Return the endpoint for an attempt, None if all are full."""
+
+
+class RoundRobinChoice(ChoicePolicy):
+    """The naive version: one after the other."""
+
+    def __init__(self):
+        self._turn = itertools.count()
+
+    def choose(
+        self, candidates: Sequence[Candidate], work: WorkEstimate, rng: random.Random
+    ) -> Candidate | None:
+        """Return the next endpoint in order of their ids."""
+        if not candidates:
+            return None
+        ordered = sorted(candidates, key=lambda each: each.endpoint_id)
+        return ordered[next(self._turn) % len(ordered)]
+
+
+class LeastReportedChoice(ChoicePolicy):
+    """A second baseline: the emptiest load report, without own corrections."""
+
+    def choose(
+        self, candidates: Sequence[Candidate], work: WorkEstimate, rng: random.Random
+    ) -> Candidate | None:
+        """Return the endpoint with the smallest reported load."""
+        return min(candidates, key=lambda each: each.reported_load, default=None)
+
+
+@dataclass(frozen=True)
+class CostWeights:
+    """Weights and rates of `CostChoice`.
+
+    Parameters
+    ----------
+    prefill_rate, decode_rate : float
+        Tokens a second that one request gets on an idle endpoint.
+    late_price : float
+        Cost of a second beyond the target, in price units per hour.
+    waste_price : float
+        Cost of a recomputed token relative to a prompt token.
+    remote_zone_seconds : float
+        Latency added by leaving the zone.
+    full_factor : float
+        Load, relative to `slots`, above which an endpoint gets no more work.
+    """
+
+    prefill_rate: float = 4000.0
+    decode_rate: float = 25.0
+    late_price: float = 40.0
+    waste_price: float = 2.0
+    remote_zone_seconds: float = 0.002
+    full_factor: float = 1.0
+
+
+class CostChoice(ChoicePolicy):
+    """Expected cost, compared over a random sample of the endpoints.
+
+    Parameters
+    ----------
+    weights : CostWeights
+        Weights and rates.
+    sample : int
+        Endpoints compared; the rest is left out so that many processes with the same late reports
+        don't all pick the same endpoint. The endpoint with the longest cached prefix is always in.
+    """
+
+    def __init__(self, weights: CostWeights | None = None, sample: int = 4):
+        self._weights = weights or CostWeights()
+        self._sample = sample
+
+    def choose(
+        self, candidates: Sequence[Candidate], work: WorkEstimate, rng: random.Random
+    ) -> Candidate | None:
+        """Return the endpoint with the smallest expected cost, None if all are full."""
+        limit = self._weights.full_factor
+        free = [each for each in candidates if each.load < each.slots * limit]
+        if not free:
+            return None
+        picked = self._pick_sample(free, rng)
+        return min(picked, key=lambda each: (self.score(each, work), rng.random()))
+
+    def _pick_sample(self, free: list[Candidate], rng: random.Random) -> list[Candidate]:
+        if len(free) <= self._sample:
+            return free
+        picked = rng.sample(free, self._sample)
+        warmest = max(free, key=lambda each: each.cached_tokens)
+        if warmest.cached_tokens and warmest not in picked:
+            picked.append(warmest)
+        return picked
+
+    def score(self, each: Candidate, work: WorkEstimate) -> float:
+        """Return the expected cost of the request on one endpoint, in price units times hours."""
+        weights = self._weights
+        crowding = 1.0 + each.load / each.slots
+        new_tokens = max(0, work.prompt_tokens - each.cached_tokens)
+        first = new_tokens / weights.prefill_rate * crowding * each.slowness
+        first += weights.remote_zone_seconds if each.zone != work.zone else 0.0
+        between = crowding * each.slowness / weights.decode_rate / 2.0
+        duration = first + between * work.output_tokens
+        late = max(0.0, first - work.first_token_target)
+        late += max(0.0, between - work.token_target) * work.output_tokens
+        # A busier batch shares the machine's price among more requests.
+        machine = each.price * duration / (each.load + 1.0)
+        lost = each.reclaim_risk * duration / 3600.0
+        waste = lost * (new_tokens + work.output_tokens) / weights.prefill_rate
+        return (machine + late * weights.late_price + waste * weights.waste_price) / 3600.0
--- /dev/null
+++ b/flamingofront/request/gateway.py
@@ -0,0 +1,323 @@
+"""The callers' interface: from an HTTP request to an accepted request.
+
+Paths: ``POST /v1/chat/completions``, ``POST /v1/completions``, ``ANY /services/ROUTE/...``,
+``GET /v1/requests/ID`` for re-attachment and asynchronous answers, ``GET /v1/models``.
+"""
+
+import hashlib
+import random
+from collections.abc import Callable
+from urllib.parse import quote, urlencode
+
+import orjson
+
+from flamingofront.connection.events import parse_event_id
+from flamingofront.connection.interfaces import Exchange
+from flamingofront.connection.server import JSON_HEADERS
+from flamingofront.errors import ErrorKind, PlatformError, Ran, RequestError
+from flamingofront.messages import InboundRequest
+from flamingofront.process.platform import Platform
+from flamingofront.process.tasks import Task, TaskRunner
+from flamingofront.request.active import ActiveRequest
+from flamingofront.request.admission import WorkspaceShare
+from flamingofront.request.attachments import (
+    Attachment,
+    StreamAttachment,
+    WholeAttachment,
+    respond_accepted,
+    respond_error,
+)
+from flamingofront.request.completion import (
+    CallerOptions,
+    parse_completion,
+    parse_options,
+)
+from flamingofront.request.hub import RequestHub
+from flamingofront.request.jobs import create_job
+from flamingofront.request.keyed import KeyedRequests
+from flamingofront.request.reattach import Reattachment
+from flamingofront.request.records import ModelWork, PlainWork, RequestRecord
+from flamingofront.version.model import Configuration, ObjectKind, Service, ServiceKind, Workspace
+from flamingofront.version.routing import side_for
+
+__all__ = ["Gateway"]
+
+COMPLETION_PATHS = {"/v1/chat/completions": True, "/v1/completions": False}
+SERVICES_PREFIX = "/services/"
+REQUESTS_PREFIX = "/v1/requests/"
+NOT_READY_RETRY_SECONDS = 1.0
+STORE_RETRY_SECONDS = 2.0
+# Fields of one hop, and those that are for this system alone.
+DROPPED_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "transfer-encoding",
+        "content-length",
+        "te",
+        "trailer",
+        "upgrade",
+        "host",
+        "expect",
+        "authorization",
+        "x-workspace",
+        "x-deadline",
+        "x-request-id",
+        "idempotency-key",
+        "prefer",
+    }
+)
+
+
+class Gateway:
+    """Turns callers' HTTP requests into accepted requests or refusals.
+
+    Parameters
+    ----------
+    is_open : callable
+        Returns the error kind to refuse all new work with, None if the process takes work.
+    """
+
+    def __init__(
+        self,
+        vm_id: str,
+        hub: RequestHub,
+        platform: Platform,
+        tasks: TaskRunner,
+        keyed: KeyedRequests,
+        reattachment: Reattachment,
+        rng: random.Random,
+        default_deadline: float,
+        workspace_limit: Callable[[Workspace], int],
+        is_open: Callable[[], ErrorKind | None],
+    ):
+        self.configuration = Configuration()
+        self._vm_id = vm_id
+        self._hub = hub
+        self._platform = platform
+        self._tasks = tasks
+        self._keyed = keyed
+        self._reattachment = reattachment
+        self._rng = rng
+        self._default_deadline = default_deadline
+        self._workspace_limit = workspace_limit
+        self._is_open = is_open
+
+    def handle(self, req: InboundRequest, exchange: Exchange) -> None:
+        """Take one request; every error is answered from the table."""
+        request_id = self._new_id()
+        try:
+            self._dispatch(req, exchange, request_id)
+        except RequestError as exc:
+            self._hub.metrics.count("refusals_total", kind=exc.kind.value)
+            respond_error(exchange, exc, request_id)
+
+    def _new_id(self) -> str:
+        return f"{self._vm_id}~{self._rng.getrandbits(64):016x}"
+
+    def _dispatch(self, req: InboundRequest, exchange: Exchange, request_id: str) -> None:
+        if req.path in COMPLETION_PATHS:
+            self._require_method(req, "POST")
+            self._completion(req, exchange, request_id, COMPLETION_PATHS[req.path])
+        elif req.path.startswith(SERVICES_PREFIX):
+            self._plain(req, exchange, request_id)
+        elif req.path.startswith(REQUESTS_PREFIX):
+            self._require_method(req, "GET")
+            self._come_back(req, exchange)
+        elif req.path == "/v1/models":
+            self._require_method(req, "GET")
+            self._models(req, exchange)
+        else:
+            raise RequestError(ErrorKind.NOT_FOUND, f"no such path {req.path[:80]!r}")
+
+    def _require_method(self, req: InboundRequest, method: str) -> None:
+        if req.method != method:
+            raise RequestError(
+                ErrorKind.METHOD_NOT_ALLOWED, f"{req.path} takes {method}, got {req.method}"
+            )
+
+    def _require_open(self) -> None:
+        kind = self._is_open()
+        if kind is not None:
+            raise RequestError(kind, retry_after=NOT_READY_RETRY_SECONDS)
+
+    def _workspace(self, req: InboundRequest) -> Workspace:
+        """Return the workspace by credential or header."""
+        authorization = req.header("authorization")
+        if authorization.startswith("Bearer "):
+            digest = hashlib.sha256(authorization[len("Bearer ") :].strip().encode()).hexdigest()
+            for each in self.configuration.of(ObjectKind.WORKSPACE).values():
+                if each.credential == digest:
+                    return each
+            raise RequestError(ErrorKind.UNKNOWN_WORKSPACE, "the credential is not known")
+        name = req.header("x-workspace")
+        workspace = self.configuration.workspace(name)
+        if workspace is None or workspace.credential:
+            raise RequestError(
+                ErrorKind.UNKNOWN_WORKSPACE, f"workspace {name[:80]!r} needs a known credential"
+            )
+        return workspace
+
+    def _service(self, route_name: str, workspace: Workspace, kind: ServiceKind) -> Service:
+        route = self.configuration.route(route_name)
+        service = self.configuration.service(route.service) if route is not None else None
+        known = route is not None and service is not None and route.allows(workspace.name)
+        if not known or service.kind is not kind:
+            raise RequestError(
+                ErrorKind.UNKNOWN_SERVICE, f"no {kind.value} named {route_name[:80]!r}"
+            )
+        return service
+
+    def _models(self, req: InboundRequest, exchange: Exchange) -> None:
+        workspace = self._workspace(req)
+        cfg = self.configuration
+        names = [
+            route.name
+            for route in cfg.of(ObjectKind.ROUTE).values()
+            if route.allows(workspace.name) and cfg.service(route.service).kind is ServiceKind.MODEL
+        ]
+        data = {"object": "list", "data": [{"id": name, "object": "model"} for name in names]}
+        exchange.respond(200, JSON_HEADERS, orjson.dumps(data))
+
+    def _completion(
+        self, req: InboundRequest, exchange: Exchange, request_id: str, chat: bool
+    ) -> None:
+        workspace = self._workspace(req)
+        options = parse_options(req)
+        wanted = parse_completion(req.body, chat)
+        service = self._service(wanted.model, workspace, ServiceKind.MODEL)
+        work = ModelWork(wanted.model, wanted.prompt, wanted.max_tokens, chat, wanted.stream)
+        record = self._record(request_id, workspace, wanted.model, service, work, options)
+        attachment: Attachment
+        if wanted.stream and not options.respond_async:
+            attachment = StreamAttachment(exchange, request_id, work)
+        else:
+            attachment = WholeAttachment(exchange, request_id)
+        self._accept(req, record, workspace, options, attachment, exchange)
+
+    def _plain(self, req: InboundRequest, exchange: Exchange, request_id: str) -> None:
+        workspace = self._workspace(req)
+        options = parse_options(req)
+        route, slash, rest = req.path[len(SERVICES_PREFIX) :].partition("/")
+        service = self._service(route, workspace, ServiceKind.PLAIN)
+        headers = tuple(
+            (name, value) for name, value in req.headers.items() if name not in DROPPED_HEADERS
+        )
+        path = _with_query("/" + rest, req)
+        work = PlainWork(req.method, path, headers, req.body)
+        record = self._record(request_id, workspace, route, service, work, options)
+        attachment = WholeAttachment(exchange, request_id)
+        self._accept(req, record, workspace, options, attachment, exchange)
+
+    def _record(
+        self,
+        request_id: str,
+        workspace: Workspace,
+        route: str,
+        service: Service,
+        work: ModelWork | PlainWork,
+        options: CallerOptions,
+    ) -> RequestRecord:
+        return RequestRecord(
+            request_id=request_id,
+            workspace=workspace.name,
+            route=route,
+            service=service,
+            work=work,
+            side=side_for(self.configuration, service.name, workspace.name, request_id),
+            deadline_left=options.deadline or self._default_deadline,
+            job=options.respond_async,
+            key=options.key,
+        )
+
+    def _accept(
+        self,
+        req: InboundRequest,
+        record: RequestRecord,
+        workspace: Workspace,
+        options: CallerOptions,
+        attachment: Attachment,
+        exchange: Exchange,
+    ) -> None:
+        self._require_open()
+        if options.key:
+            self._keyed.handle(req, record, self._share(workspace), attachment, exchange)
+        elif options.respond_async:
+            attachment.detach()
+            self._accept_job(record, self._share(workspace), exchange)
+        else:
+            request = self._hub.accept(record, self._share(workspace))
+            request.attach(attachment)
+            self._hub.pump()
+
+    def _share(self, workspace: Workspace) -> WorkspaceShare:
+        limit = self._workspace_limit(workspace)
+        return WorkspaceShare(workspace.name, workspace.weight, workspace.priority, limit)
+
+    def _accept_job(self, record: RequestRecord, share: WorkspaceShare, exchange: Exchange) -> None:
+        request = self._hub.accept(record, share)
+        request.hold_back()
+
+        def created(outcome: PlatformError | None) -> None:
+            if outcome is None:
+                self._job_accepted(request, exchange)
+            else:
+                self._job_refused(request, outcome, exchange)
+
+        task = create_job(self._platform, record, self._vm_id, self._rng)
+        self._tasks.start(_caught(task), created)
+
+    def _job_accepted(self, request: ActiveRequest, exchange: Exchange) -> None:
+        """Tell the caller where the answer will be, and start the work."""
+        respond_accepted(exchange, request.request_id)
+        self._keyed.start_job(request)
+
+    def _job_refused(
+        self, request: ActiveRequest, fault: PlatformError, exchange: Exchange
+    ) -> None:
+        ran = Ran.UNKNOWN if fault.maybe_done else Ran.NO
+        exc = RequestError(
+            ErrorKind.STORE_UNAVAILABLE, str(fault), ran, retry_after=STORE_RETRY_SECONDS
+        )
+        request.refuse(exc)
+        respond_error(exchange, exc, request.request_id)
+
+    def _come_back(self, req: InboundRequest, exchange: Exchange) -> None:
+        workspace = self._workspace(req)
+        request_id = req.path[len(REQUESTS_PREFIX) :]
+        offset, stream = _position(req, request_id)
+        self._reattachment.handle(request_id, workspace.name, offset, stream, exchange)
+
+
+def _caught(task: Task) -> Task:
+    """Return None if a task succeeds, its `PlatformError` if not."""
+    try:
+        yield from task
+    except PlatformError as exc:
+        return exc
+    return None
+
+
+def _with_query(path: str, req: InboundRequest) -> str:
+    encoded = quote(path, safe="/:@!$&'()*+,;=~-._")
+    return f"{encoded}?{urlencode(req.query)}" if req.query else encoded
+
+
+def _position(req: InboundRequest, request_id: str) -> tuple[int, bool]:
+    """Return from which offset the caller wants the text, and whether as a stream."""
+    last = req.headers.get("last-event-id")
+    if last is not None:
+        position = parse_event_id(last)
+        if position.request_id != request_id:
+            raise RequestError(
+                ErrorKind.MALFORMED_REQUEST, f"Last-Event-ID {last[:80]!r} is of another request"
+            )
+        return position.offset, True
+    text = req.query.get("offset")
+    if text is None:
+        return 0, "text/event-stream" in req.header("accept")
+    if not text.isdigit() or len(text) > 9:
+        raise RequestError(
+            ErrorKind.MALFORMED_REQUEST, f"offset must be a whole number, got {text[:40]!r}"
+        )
+    return int(text), True
--- /dev/null
+++ b/flamingofront/request/hub.py
@@ -0,0 +1,320 @@
+"""All requests in flight in this process, and what they share."""
+
+import random
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from flamingofront.connection.interfaces import Transport
+from flamingofront.errors import ErrorKind, Ran, RequestError
+from flamingofront.process.logs import Log
+from flamingofront.process.metrics import Metrics
+from flamingofront.process.timers import TimerService
+from flamingofront.request.active import ActiveRequest, make_request
+from flamingofront.request.admission import FairAdmission, Ticket, WorkspaceShare
+from flamingofront.request.choice import (
+    Candidate,
+    ChoicePolicy,
+    CostChoice,
+    WorkEstimate,
+    usable,
+)
+from flamingofront.request.directory import EndpointDirectory
+from flamingofront.request.records import ModelWork, RequestRecord
+from flamingofront.request.retry import PacedRetryBudget, RetryBudget
+from flamingofront.request.stored_answer import StoredAnswer
+from flamingofront.version.model import Service
+
+__all__ = ["FinishedAnswers", "HubSettings", "RequestHub"]
+
+QUEUE_PATIENCE = 4.0
+PRESSURE_SHARE = 1.0
+TOKENS_PER_COST = 64.0
+MAX_RETAINED_BYTES = 16 * 1024 * 1024
+
+
+@dataclass(frozen=True)
+class HubSettings:
+    """Settings that requests need; times in seconds."""
+
+    vm_id: str
+    zone: str
+    reattach_grace: float = 5.0
+    answer_retention: float = 300.0
+
+
+@dataclass(frozen=True)
+class _Finished:
+    workspace: str
+    answer: StoredAnswer | None
+    error: RequestError | None
+    record: RequestRecord
+    tokens: tuple[str, ...]
+    until: float
+
+    @property
+    def size(self) -> int:
+        return len(self.answer.body) if self.answer is not None else 200
+
+
+class FinishedAnswers:
+    """Answers kept for callers that come back, bounded in time and size."""
+
+    def __init__(self, max_bytes: int = MAX_RETAINED_BYTES):
+        self._max_bytes = max_bytes
+        self._size = 0
+        self._answers: OrderedDict[str, _Finished] = OrderedDict()
+
+    def put(self, request_id: str, finished: _Finished) -> None:
+        """Keep an answer; the oldest make room for it."""
+        self._drop(request_id)
+        self._answers[request_id] = finished
+        self._size += finished.size
+        while self._size > self._max_bytes and len(self._answers) > 1:
+            self._drop(next(iter(self._answers)))
+
+    def get(self, request_id: str, now: float) -> _Finished | None:
+        """Return an answer that is still kept."""
+        while self._answers and next(iter(self._answers.values())).until < now:
+            self._drop(next(iter(self._answers)))
+        return self._answers.get(request_id)
+
+    def _drop(self, request_id: str) -> None:
+        known = self._answers.pop(request_id, None)
+        if known is not None:
+            self._size -= known.size
+
+
+class RequestHub:
+    """Admits, starts and keeps track of requests.
+
+    Parameters
+    ----------
+    on_idle : callable
+        Called whenever a request has ended.
+    """
+
+    def __init__(
+        self,
+        settings: HubSettings,
+        transport: Transport,
+        timers: TimerService,
+        directory: EndpointDirectory,
+        metrics: Metrics,
+        log: Log,
+        rng: random.Random,
+        policy: ChoicePolicy | None = None,
+    ):
+        self.settings = settings
+        self.transport = transport
+        self.timers = timers
+        self.directory = directory
+        self.metrics = metrics
+        self.log = log
+        self.rng = rng
+        self.active: dict[str, ActiveRequest] = {}
+        self.finished = FinishedAnswers()
+        self.moved_to: OrderedDict[str, str] = OrderedDict()
+        self.on_idle: Callable[[], None] = lambda: None
+        self.capacity_share: Callable[[], float] = lambda: 1.0
+        self._policy = policy or CostChoice()
+        self._admissions: dict[str, FairAdmission] = {}
+        self._budgets: dict[str, RetryBudget] = {}
+        self._held: dict[str, int] = {}
+        self._expiry = timers.every(0.1, self._expire, first=0.1)
+
+    def now(self) -> float:
+        """Return the time of the timer service."""
+        return self.timers.now()
+
+    def budget(self, service: Service) -> RetryBudget:
+        """Return the retry budget of a service."""
+        budget = self._budgets.get(service.name)
+        if budget is None:
+            budget = self._budgets[service.name] = PacedRetryBudget(service.retry_ratio)
+        return budget
+
+    def admission(self, service: Service) -> FairAdmission:
+        """Return the admission of a service."""
+        admission = self._admissions.get(service.name)
+        if admission is None:
+            admission = self._admissions[service.name] = FairAdmission(self.rng)
+        share = self.capacity_share()
+        admission.set_capacity(max(1.0, self.directory.capacity(service) * share * PRESSURE_SHARE))
+        return admission
+
+    def demand(self) -> dict[str, int]:
+        """Return the requests held here by workspace."""
+        return dict(self._held)
+
+    def accept(
+        self, record: RequestRecord, share: WorkspaceShare, resumed: bool = False
+    ) -> ActiveRequest:
+        """Take a request in.
+
+        Raises
+        ------
+        RequestError
+            At once, if the request is over a limit or could not start in time.
+        """
+        service = record.service
+        if not resumed and self.directory.capacity(service) == 0:
+            raise RequestError(ErrorKind.NO_ENDPOINT, retry_after=self._no_endpoint_delay())
+        now = self.now()
+        patience = record.deadline_left
+        if not record.job and not resumed:
+            patience = min(patience, service.first_token_target * QUEUE_PATIENCE)
+        ticket = Ticket(record.request_id, share, _cost(record), now + patience, resumed)
+        self.admission(service).offer(ticket, now)
+        request = make_request(self, record, ticket)
+        self.active[record.request_id] = request
+        self._held[record.workspace] = self._held.get(record.workspace, 0) + 1
+        self.metrics.count("requests_accepted_total", service=service.name)
+        if not resumed:
+            self.budget(service).accepted(now)
+        return request
+
+    def _no_endpoint_delay(self) -> float:
+        return 1.0 + self.rng.random()
+
+    def pump(self) -> None:
+        """Start the requests that may start now."""
+        for name in list(self._admissions):
+            self._pump_service(name)
+
+    def _pump_service(self, name: str) -> None:
+        admission = self._admissions[name]
+        while True:
+            ticket = admission.next_ready(self.now())
+            if ticket is None:
+                return
+            request = self.active.get(ticket.request_id)
+            if request is not None and not request.done:
+                request.begin()
+            else:
+                admission.finished(ticket, self.now())
+
+    def _expire(self) -> None:
+        """Refuse at once what waited for too long, then start what fits."""
+        for admission in self._admissions.values():
+            for ticket in admission.expired(self.now()):
+                request = self.active.get(ticket.request_id)
+                if request is not None and not request.done:
+                    retry_after = admission.retry_after(self.now())
+                    request.refuse(
+                        RequestError(ErrorKind.OVERLOADED, ran=Ran.NO, retry_after=retry_after)
+                    )
+        self.refresh_capacity()
+        self.pump()
+
+    def refresh_capacity(self) -> None:
+        """Fit the capacity of each admission to the endpoints that are there."""
+        services = {each.record.service.name: each.record.service for each in self.active.values()}
+        for service in services.values():
+            self.admission(service)
+
+    def choose(self, request: ActiveRequest, exclude: frozenset[str]) -> Candidate | None:
+        """Return the endpoint for an attempt, None if there is none with room."""
+        service, record = request.record.service, request.record
+        candidates = self.directory.candidates(service, request.hashes(), self.now())
+        pool = _relaxed(candidates, record.side, exclude)
+        return self._policy.choose(pool, self._estimate(record), self.rng)
+
+    def _estimate(self, record: RequestRecord) -> WorkEstimate:
+        service, work = record.service, record.work
+        prompt, output = 0, 1
+        if isinstance(work, ModelWork):
+            prompt = len(work.prompt) + len(record.tokens)
+            output = work.max_tokens - len(record.tokens)
+        return WorkEstimate(
+            prompt,
+            output,
+            service.first_token_target,
+            service.token_target,
+            self.settings.zone,
+        )
+
+    def attempt_lost(
+        self, service: Service, endpoint_id: str, executed: Ran, reason: str, now: float
+    ) -> None:
+        """Count a lost attempt and judge its endpoint."""
+        self.metrics.count("retries_total", reason=reason)
+        if self.directory.health.failed(endpoint_id, now):
+            self.metrics.count("ejections_total", service=service.name)
+
+    def request_ended(self, request: ActiveRequest) -> None:
+        """Forget a request that has its answer or went elsewhere, and start the next one."""
+        if self.active.get(request.request_id) is not request:
+            return
+        del self.active[request.request_id]
+        now = self.now()
+        record = request.record
+        self._admissions[record.service.name].finished(request.ticket, now)
+        left = self._held.get(record.workspace, 0) - 1
+        if left > 0:
+            self._held[record.workspace] = left
+        else:
+            self._held.pop(record.workspace, None)
+        if request.answer is not None:
+            self.metrics.count("requests_completed_total", service=record.service.name)
+            self.metrics.observe("request_seconds", now - request.accepted_at)
+            tokens = tuple(request.machine.assembler.tokens)
+            until = now + self.settings.answer_retention
+            self.finished.put(
+                request.request_id,
+                _Finished(record.workspace, request.answer, None, record, tokens, until),
+            )
+        self.on_idle()
+        self._pump_service(record.service.name)
+
+    def thaw(self, frozen: ActiveRequest) -> None:
+        """Go on with a frozen request that certainly nobody else has taken."""
+        if self.active.get(frozen.request_id) is not frozen:
+            return
+        record = frozen.to_record()
+        request = make_request(self, record, frozen.ticket)
+        request.take_over(frozen)
+        self.active[record.request_id] = request
+        request.begin()
+
+    def note_moved(self, request_id: str, vm_id: str) -> None:
+        """Remember where a request went."""
+        self.moved_to[request_id] = vm_id
+        while len(self.moved_to) > 10_000:
+            self.moved_to.popitem(last=False)
+
+    def waiting(self) -> int:
+        """Return the requests that wait for their first attempt."""
+        return sum(not each.ticket.running for each in self.active.values())
+
+
+def _cost(record: RequestRecord) -> float:
+    """Return the work of a request relative to a usual one."""
+    work = record.work
+    if not isinstance(work, ModelWork):
+        return 1.0
+    return 1.0 + max(0, work.max_tokens - len(record.tokens)) / TOKENS_PER_COST
+
+
+def _relaxed(
+    candidates: list[Candidate], side: str | None, exclude: frozenset[str]
+) -> list[Candidate]:
+    """Return the best non-empty selection: rules are relaxed one by one, leaving never is.
+
+    Notes
+    -----
+    The side of a move goes last: only when it has no endpoint at all does the other side answer.
+    """
+    for wanted_side in (side, None):
+        on_side = list(usable(candidates, wanted_side, frozenset()))
+        fresh = [each for each in on_side if each.endpoint_id not in exclude]
+        if fresh or on_side:
+            return fresh or on_side
+        alive = [
+            each
+            for each in candidates
+            if not each.leaving and (wanted_side is None or each.side == wanted_side)
+        ]
+        if alive:
+            return alive
+    return []
--- /dev/null
+++ b/flamingofront/request/jobs.py
@@ -0,0 +1,203 @@
+"""Asynchronous requests: kept in the table service until they are done.
+
+The row of a job names its owner; every step that matters is a compare-and-swap on that row. If the
+owner dies, a peer adopts its jobs, and a late write of the old owner fails.
+"""
+
+import random
+from dataclasses import dataclass
+from enum import StrEnum
+
+from flamingofront.errors import PlatformError
+from flamingofront.messages import Sleep
+from flamingofront.process.backoff import Backoff
+from flamingofront.process.platform import Condition, Platform, Row, Write
+from flamingofront.process.tasks import Task
+from flamingofront.request.claims import repeat_until_done
+from flamingofront.request.records import RequestRecord
+from flamingofront.request.stored_answer import StoredAnswer, load_answer, store_answer
+
+__all__ = [
+    "AdoptedJob",
+    "JobState",
+    "JobStatus",
+    "create_job",
+    "fetch_job",
+    "finish_job",
+    "is_lost",
+    "mark_running",
+    "move_jobs",
+    "owned_jobs",
+    "take_job",
+]
+
+JOB_PREFIX = "job/"
+OWNER_PREFIX = "job-owner/"
+CREATE_TRIES = 5
+_BACKOFF = Backoff(0.05, 0.5)
+
+
+class JobState(StrEnum):
+    """State of a job row."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    DONE = "done"
+
+
+@dataclass(frozen=True)
+class JobStatus:
+    """A job as a caller may see it."""
+
+    workspace: str
+    state: JobState
+    answer: StoredAnswer | None = None
+
+
+@dataclass(frozen=True)
+class AdoptedJob:
+    """A job that this process has taken over.
+
+    Parameters
+    ----------
+    maybe_ran : bool
+        True if the old owner may have sent it to an endpoint.
+    """
+
+    record: RequestRecord
+    maybe_ran: bool
+
+
+def _job_key(request_id: str) -> str:
+    return JOB_PREFIX + request_id
+
+
+def _owner_key(owner: str, request_id: str) -> str:
+    return f"{OWNER_PREFIX}{owner}/{request_id}"
+
+
+def create_job(platform: Platform, record: RequestRecord, owner: str, rng: random.Random) -> Task:
+    """Write a job before its caller is told that it was accepted.
+
+    Raises
+    ------
+    PlatformError
+        If the job could not be confirmed; `maybe_done` if it may stand nevertheless.
+    """
+    key = _job_key(record.request_id)
+    value = {"record": record.to_json(), "owner": owner, "state": JobState.QUEUED.value}
+    writes = (Write(key, value), Write(_owner_key(owner, record.request_id), {}))
+    maybe_done = False
+    detail = ""
+    for tries in range(CREATE_TRIES):
+        try:
+            result = yield from platform.transact((Condition(key, 0),), writes)
+            # A failed condition means that an earlier try, whose answer was lost, took effect.
+            if result.ok or maybe_done:
+                return
+        except PlatformError as exc:
+            maybe_done = maybe_done or exc.maybe_done
+            detail = str(exc)
+        yield Sleep(_BACKOFF.delay(tries, rng))
+    raise PlatformError(detail, maybe_done)
+
+
+def fetch_job(platform: Platform, request_id: str) -> Task:
+    """Return the `JobStatus` of a job, None if there is no such job."""
+    (row,) = yield from platform.read([_job_key(request_id)])
+    if row.value is None:
+        return None
+    state = JobState(row.value["state"])
+    answer = None
+    if state is JobState.DONE:
+        answer = yield from load_answer(platform, row.value["answer"])
+    return JobStatus(row.value["record"]["workspace"], state, answer)
+
+
+def _swap(platform: Platform, row: Row, value: dict, *more: Write) -> Task:
+    """Write a job row if it did not change since it was read."""
+    conditions = (Condition(row.key, row.revision),)
+    return (yield from platform.transact(conditions, (Write(row.key, value), *more)))
+
+
+def mark_running(platform: Platform, request_id: str, owner: str) -> Task:
+    """Note, before the first byte is sent, that a job may be running; True if it is still ours."""
+    (row,) = yield from platform.read([_job_key(request_id)])
+    if row.value is None or row.value["owner"] != owner:
+        return False
+    if row.value["state"] == JobState.RUNNING.value:
+        return True
+    value = {**row.value, "state": JobState.RUNNING.value}
+    result = yield from _swap(platform, row, value)
+    return result.ok
+
+
+def finish_job(
+    platform: Platform,
+    request_id: str,
+    owner: str,
+    answer: StoredAnswer,
+    rng: random.Random,
+) -> Task:
+    """Store the answer of a job; repeat until it stands or the job is another's."""
+
+    def step() -> Task:
+        (row,) = yield from platform.read([_job_key(request_id)])
+        if row.value is None or row.value["owner"] != owner:
+            return True
+        if row.value["state"] == JobState.DONE.value:
+            return True
+        stored = yield from store_answer(platform, f"answer/{request_id}", answer)
+        value = {**row.value, "state": JobState.DONE.value, "answer": stored}
+        drop_index = Write(_owner_key(owner, request_id), None)
+        result = yield from _swap(platform, row, value, drop_index)
+        return result.ok
+
+    yield from repeat_until_done(step, rng)
+
+
+def take_job(platform: Platform, request_id: str, old_owner: str, new_owner: str) -> Task:
+    """Move a job to another owner; return it as `AdoptedJob`, None if it is not the old owner's."""
+    (row,) = yield from platform.read([_job_key(request_id)])
+    if row.value is None or row.value["owner"] != old_owner:
+        return None
+    if row.value["state"] == JobState.DONE.value:
+        return None
+    value = {**row.value, "owner": new_owner}
+    moved = (
+        Write(_owner_key(old_owner, request_id), None),
+        Write(_owner_key(new_owner, request_id), {}),
+    )
+    result = yield from _swap(platform, row, value, *moved)
+    if not result.ok:
+        return None
+    maybe_ran = row.value["state"] == JobState.RUNNING.value
+    return AdoptedJob(RequestRecord.from_json(row.value["record"]), maybe_ran)
+
+
+def move_jobs(platform: Platform, old_owner: str, new_owner: str) -> Task:
+    """Become the owner of all unfinished jobs of a process that is gone."""
+    rows = yield from platform.scan(f"{OWNER_PREFIX}{old_owner}/")
+    for row in rows:
+        request_id = row.key.rsplit("/", 1)[1]
+        yield from take_job(platform, request_id, old_owner, new_owner)
+
+
+def owned_jobs(platform: Platform, owner: str) -> Task:
+    """Return all unfinished jobs of an owner, those included whose move lost its answer."""
+    index = yield from platform.scan(f"{OWNER_PREFIX}{owner}/")
+    keys = [_job_key(row.key.rsplit("/", 1)[1]) for row in index]
+    rows = yield from platform.read(keys)
+    return [
+        AdoptedJob(
+            RequestRecord.from_json(row.value["record"]),
+            row.value["state"] == JobState.RUNNING.value,
+        )
+        for row in rows
+        if row.value is not None and row.value["state"] != JobState.DONE.value
+    ]
+
+
+def is_lost(job: AdoptedJob) -> bool:
+    """Tell whether an adopted job must not be sent again."""
+    return job.maybe_ran and not job.record.may_repeat
--- /dev/null
+++ b/flamingofront/request/migration.py
@@ -0,0 +1,132 @@
+"""Move streams off an endpoint that will be reclaimed, with their KV cache where time allows."""
+
+from collections.abc import Callable
+
+import orjson
+
+from flamingofront.messages import CallFailed, OutboundCall
+from flamingofront.process.tasks import Task, TaskRunner
+from flamingofront.request.active import ActiveRequest, ModelRequest
+from flamingofront.request.choice import Candidate
+from flamingofront.request.hub import RequestHub
+from flamingofront.request.recovery import (
+    CostRecovery,
+    RecoveryAction,
+    RecoveryPlan,
+    RecoveryPolicy,
+    RecoveryRates,
+    StreamState,
+)
+
+__all__ = ["Migrations"]
+
+TRANSFER_TIMEOUT_SECONDS = 5.0
+JSON_HEADERS = (("Content-Type", "application/json"),)
+
+
+class Migrations:
+    """Carries out recovery plans.
+
+    Parameters
+    ----------
+    address_of : callable
+        Returns the address of an endpoint by its id, None if it is not known.
+    """
+
+    def __init__(
+        self,
+        hub: RequestHub,
+        tasks: TaskRunner,
+        address_of: Callable[[str], str | None],
+        policy: RecoveryPolicy | None = None,
+        rates: RecoveryRates | None = None,
+    ):
+        self._hub = hub
+        self._tasks = tasks
+        self._address_of = address_of
+        self._policy = policy or CostRecovery()
+        self._rates = rates or RecoveryRates()
+        self._planned: set[str] = set()
+
+    def endpoint_leaving(self, endpoint_id: str, notice: float) -> None:
+        """Plan what becomes of the streams on an endpoint, once."""
+        if endpoint_id in self._planned:
+            return
+        self._planned.add(endpoint_id)
+        requests = {each.request_id: each for each in self._streams_on(endpoint_id)}
+        states = [_state_of(each) for each in requests.values()]
+        for plan in self._policy.plan(states, notice, self._rates):
+            self._schedule(requests[plan.request_id], plan)
+
+    def endpoint_gone(self, endpoint_id: str) -> None:
+        """Forget an endpoint that is gone."""
+        self._planned.discard(endpoint_id)
+
+    def _streams_on(self, endpoint_id: str) -> list[ModelRequest]:
+        return [
+            each
+            for each in self._hub.active.values()
+            if isinstance(each, ModelRequest) and each.endpoint_id == endpoint_id and not each.done
+        ]
+
+    def _schedule(self, request: ModelRequest, plan: RecoveryPlan) -> None:
+        if plan.action is RecoveryAction.FINISH:
+            return
+        attempt_id = request.machine.attempt_id
+        if attempt_id is None:
+            return
+        carry = self._transfer if plan.action is RecoveryAction.TRANSFER else self._recompute
+        self._hub.timers.once(plan.start_in, lambda: carry(request, attempt_id))
+
+    def _recompute(self, request: ModelRequest, attempt_id: str) -> None:
+        if request.done or request.machine.attempt_id != attempt_id:
+            return
+        self._hub.metrics.count("migrations_total", way="recompute")
+        request.carry(request.machine.replace(attempt_id))
+
+    def _transfer(self, request: ModelRequest, attempt_id: str) -> None:
+        if request.done or request.machine.attempt_id != attempt_id:
+            return
+        chosen = self._hub.choose(request, frozenset({request.endpoint_id}))
+        if chosen is None or chosen.endpoint_id == request.endpoint_id:
+            self._recompute(request, attempt_id)
+            return
+        source = self._address_of(request.endpoint_id)
+        task = _transfer_cache(source, chosen.address, request.request_id, attempt_id)
+        self._tasks.start(
+            task, lambda kv_handle: self._transferred(request, attempt_id, chosen, kv_handle)
+        )
+
+    def _transferred(
+        self, request: ModelRequest, attempt_id: str, chosen: Candidate, kv_handle: str
+    ) -> None:
+        if request.done or request.machine.attempt_id != attempt_id:
+            return
+        if not kv_handle:
+            self._recompute(request, attempt_id)
+            return
+        self._hub.metrics.count("migrations_total", way="transfer")
+        request.use_cache(kv_handle, chosen)
+        request.carry(request.machine.replace(attempt_id))
+
+
+def _state_of(request: ActiveRequest) -> StreamState:
+    work = request.record.work
+    offset = request.machine.assembler.offset
+    return StreamState(request.request_id, len(work.prompt) + offset, work.max_tokens - offset)
+
+
+def _transfer_cache(source: str, target: str, request_id: str, attempt_id: str) -> Task:
+    """Copy the KV cache of a stream; return its handle at the target, empty if that failed."""
+    body = orjson.dumps({"request": request_id, "attempt": attempt_id})
+    reply = yield OutboundCall(
+        source, "POST", "/kv/export", body, JSON_HEADERS, TRANSFER_TIMEOUT_SECONDS
+    )
+    if isinstance(reply, CallFailed) or reply.status != 200:
+        return ""
+    reply = yield OutboundCall(
+        target, "POST", "/kv/import", reply.body, JSON_HEADERS, TRANSFER_TIMEOUT_SECONDS
+    )
+    if isinstance(reply, CallFailed) or reply.status != 200:
+        return ""
+    return orjson.loads(reply.body)["handle"]
