--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -231,7 +231,7 @@
 
     def lost(self, attempt_id: str, executed: Ran, reason: str) -> None:
         """An attempt ended without its answer."""
-        if attempt_id != self.machine.attempt_id:
+        if self.done or attempt_id != self.machine.attempt_id:
             return
         now = self.hub.now()
         self._release()
