--- a/flamingofront/connection/runtime.py
+++ b/flamingofront/connection/runtime.py
@@ -56,8 +56,8 @@
         _Ticker(self.timers).register(self)
 
     def _signal_handler(self, signo, stack) -> None:
-        """Begin to stop from within the event loop, and wake it up: a signal does not end a
-        poll.""" self.timers.once(0.0, self._on_stop_signal or self.stop)
+        """Begin to stop from within the event loop; a signal alone does not end its poll."""
+        self.timers.once(0.0, self._on_stop_signal or self.stop)
         self.poller.resume()
 
     @handler("exception", channel="*")
--- a/flamingofront/process/drain.py
+++ b/flamingofront/process/drain.py
@@ -92,11 +92,13 @@
         self.check()
 
     def reopen(self) -> None:
-        """Take new work again, if nothing has been handed over yet."""
-        if self.state is DrainState.DRAINING:
+        """Take new work again, unless requests are just being handed over."""
+        if self.state is DrainState.HANDING_OVER:
+            return
+        if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-            self.state = DrainState.OPEN
+        self.state = DrainState.OPEN
 
     def check(self) -> None:
         """End the drain once no request is left."""
