--- a/flamingofront/request/gateway.py
+++ b/flamingofront/request/gateway.py
@@ -143,6 +143,8 @@
 
     def _workspace(self, req: InboundRequest) -> Workspace:
         """Return the workspace by credential or header."""
+        if self._is_open() is ErrorKind.NOT_READY:
+            self._require_open()  # without a configuration every workspace would seem unknown
         authorization = req.header("authorization")
         if authorization.startswith("Bearer "):
             digest = hashlib.sha256(authorization[len("Bearer ") :].strip().encode()).hexdigest()
@@ -182,6 +184,7 @@
     def _completion(
         self, req: InboundRequest, exchange: Exchange, request_id: str, chat: bool
     ) -> None:
+        self._require_open()
         workspace = self._workspace(req)
         options = parse_options(req)
         wanted = parse_completion(req.body, chat)
@@ -196,6 +199,7 @@
         self._accept(req, record, workspace, options, attachment, exchange)
 
     def _plain(self, req: InboundRequest, exchange: Exchange, request_id: str) -> None:
+        self._require_open()
         workspace = self._workspace(req)
         options = parse_options(req)
         route, slash, rest = req.path[len(SERVICES_PREFIX) :].partition("/")
@@ -239,7 +243,6 @@
         attachment: Attachment,
         exchange: Exchange,
     ) -> None:
-        self._require_open()
         if options.key:
             self._keyed.handle(req, record, self._share(workspace), attachment, exchange)
         elif options.respond_async:
--- a/flamingofront/request/tests/test_at_most_once.py
+++ b/flamingofront/request/tests/test_at_most_once.py
@@ -155,9 +155,10 @@
         world.finish(caller)
         assert caller.status == 200
 
-    def test_claim_whose_answer_was_lost_is_read_back(self):
+    @pytest.mark.parametrize(("count", "writes_only"), [(2, False), (1, True), (3, True)])
+    def test_claim_whose_answer_was_lost_is_read_back(self, count, writes_only):
         world = demo_world()
-        world.platform.fail("table", FaultMode.LOSE_ANSWER, count=2)
+        world.platform.fail("table", FaultMode.LOSE_ANSWER, 0.0, count, writes_only)
         caller = certificate(world, key="k1", deadline="30")
         world.finish(caller)
         assert caller.status == 200
--- a/flamingofront/standins/platform.py
+++ b/flamingofront/standins/platform.py
@@ -20,6 +20,7 @@
 
 WRITES_PER_SECOND = 500.0
 READS_PER_SECOND = 2000.0
+WRITE_PATHS = ("/table/transact", "/cloud/vms")
 SERVICES = ("table", "objects", "vms", "cloud", "weights")
 
 
@@ -39,10 +40,12 @@
     mode: FaultMode = FaultMode.UP
     delay: float = 0.0
     count: int = -1  # calls that are still affected; -1 for all
+    writes_only: bool = False
 
-    def take(self) -> FaultMode:
+    def take(self, is_write: bool) -> FaultMode:
         """Return the mode for one call and count it."""
-        if self.mode is FaultMode.UP or self.count == 0:
+        spared = self.writes_only and not is_write
+        if self.mode is FaultMode.UP or self.count == 0 or spared:
             return FaultMode.UP
         if self.count > 0:
             self.count -= 1
@@ -106,9 +109,16 @@
         self._weights_free_at = 0.0
         self._next_vm = 0
 
-    def fail(self, service: str, mode: FaultMode, delay: float = 0.0, count: int = -1) -> None:
+    def fail(
+        self,
+        service: str,
+        mode: FaultMode,
+        delay: float = 0.0,
+        count: int = -1,
+        writes_only: bool = False,
+    ) -> None:
         """Switch a fault on, or off with ``UP``."""
-        self.faults[service] = _Fault(mode, delay, count)
+        self.faults[service] = _Fault(mode, delay, count, writes_only)
 
     def handle(self, req: InboundRequest, exchange: Exchange) -> None:
         """Take one call."""
@@ -116,7 +126,13 @@
         if service == "faults":
             data = orjson.loads(req.body)
             mode = FaultMode(data["mode"])
-            self.fail(data["service"], mode, data.get("delay", 0.0), data.get("count", -1))
+            self.fail(
+                data["service"],
+                mode,
+                data.get("delay", 0.0),
+                data.get("count", -1),
+                data.get("writes_only", False),
+            )
             _respond(exchange, {})
             return
         if service == "control":
@@ -129,7 +145,7 @@
 
     def _with_fault(self, service: str, req: InboundRequest, exchange: Exchange) -> None:
         fault = self.faults[service]
-        mode = fault.take()
+        mode = fault.take(is_write=req.path in WRITE_PATHS or req.method in ("PUT", "DELETE"))
         if mode is FaultMode.DOWN:
             _respond(exchange, {"error": "out of service"}, 503)
         elif mode is FaultMode.SILENT:
