Guarded server, language, settings and the programs under test; four faults mended

Each was found by a test that failed first: - A handler that streams to a reader who does not read never saw the limit: writes were events, so nothing was counted until the handler had ended. Before: an endless loop, memory without bound. After: bytes are queued by a direct call and counted; a reader over the limit is cut off. - What a timer callback fired, and the stop of the loop, waited for the next poll, which may last for ever when no timer is left. Ruled out: a lost wake-up (the control pipe was read). After: a turn of the loop in which a timer ran does not wait. - G@T was accepted as a method by the parser; methods are capital letters now. - A query compared unknown values as texts, so 'age >= 3' selected rows without an age. Unknown values now equal only '-' and come last in any order. Conclusion: what is measured must be measured where it is made.

--- a/flamingofront/connection/framing.py
+++ b/flamingofront/connection/framing.py
@@ -35,6 +35,7 @@
 _FIELD_NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _LENGTH = re.compile(r"[0-9]{1,15}")
 _CHUNK_SIZE = re.compile(rb"[0-9a-fA-F]{1,8}")
+_METHOD = re.compile(r"[A-Z]{1,20}")
 _SINGLE_FIELDS = (b"content-length", b"transfer-encoding", b"host")
 
 
@@ -131,6 +132,8 @@
     if parser.get_version() not in ((1, 0), (1, 1)):
         raise _malformed(f"unsupported HTTP version {parser.get_version()}")
     headers = {name.lower(): value for name, value in parser.get_headers().items()}
+    if is_request and not _METHOD.fullmatch(parser.get_method()):
+        raise _malformed(f"bad method {parser.get_method()[:20]!r}")
     if is_request and not parser.get_url().startswith("/"):
         raise _malformed(f"bad request target {parser.get_url()[:60]!r}")
     return Head(
--- a/flamingofront/connection/runtime.py
+++ b/flamingofront/connection/runtime.py
@@ -5,7 +5,7 @@
 from circuits import Component, handler
 from circuits.core.pollers import EPoll
 
-from flamingofront.process.timers import BootClock, TimerService
+from flamingofront.process.timers import BootClock, Clock, TimerService
 
 __all__ = ["Runtime"]
 
@@ -23,11 +23,13 @@
 
     @handler("generate_events", channel="*", priority=1)
     def _on_generate_events(self, event) -> None:
-        self._timers.run_due()
+        wait = LONGEST_WAIT_SECONDS
+        if self._timers.run_due():
+            wait = 0.0  # what the callbacks fired is in the queue and must not wait for a poll
         due = self._timers.next_due()
         if due is not None:
-            wait = max(0.0, min(LONGEST_WAIT_SECONDS, due - self._timers.now()))
-            event.reduce_time_left(wait)
+            wait = max(0.0, min(wait, due - self._timers.now()))
+        event.reduce_time_left(wait)
 
 
 class Runtime(Component):
@@ -39,6 +41,8 @@
         Gets an exception that a handler did not catch.
     on_stop_signal : callable, optional
         Called on SIGTERM and SIGINT instead of stopping at once.
+    clock : Clock, optional
+        Source of time; `BootClock` if not given.
     """
 
     channel = "runtime"
@@ -47,9 +51,10 @@
         self,
         on_fault: Callable[[BaseException], None],
         on_stop_signal: Callable[[], None] | None = None,
+        clock: Clock | None = None,
     ):
         super().__init__()
-        self.timers = TimerService(BootClock())
+        self.timers = TimerService(clock or BootClock())
         self._on_fault = on_fault
         self._on_stop_signal = on_stop_signal
         self.poller = EPoll().register(self)
--- a/flamingofront/connection/server.py
+++ b/flamingofront/connection/server.py
@@ -5,11 +5,11 @@
 kept here, so that no handler sees a request that is not complete and well framed.
 """
 
+import socket
 from collections.abc import Callable
 
 import orjson
 from circuits import Component, handler
-from circuits.net.events import close, write
 from circuits.net.sockets import TCPServer
 
 from flamingofront.connection.framing import BodyDecoder, Head, HeadBuffer, request_decoder
@@ -22,6 +22,7 @@
 
 READ_BYTES = 64 * 1024
 MAX_WAITING_BYTES = 64 * 1024
+MAX_SEND_BYTES = 256 * 1024
 REASONS = {
     200: "OK",
     202: "Accepted",
@@ -230,7 +231,7 @@
 
     def _write(self, data: bytes) -> None:
         if not self._closed:
-            self._server.fire(write(self._sock, data), self._server.socket_channel)
+            self._server.send(self._sock, data)
 
     def _answered(self) -> None:
         self._streaming = False
@@ -247,7 +248,41 @@
             self.receive(waiting)
 
     def _close(self) -> None:
-        self._server.fire(close(self._sock), self._server.socket_channel)
+        if not self._closed:
+            self._server.close_after_sending(self._sock)
+
+
+class _Sockets(TCPServer):
+    """Sockets that know how much waits for each reader, and send what waits in one go."""
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.waiting: dict[socket.socket, int] = {}
+
+    def queue(self, sock: socket.socket, data: bytes) -> None:
+        """Take bytes to send."""
+        self.waiting[sock] = self.waiting.get(sock, 0) + len(data)
+        self.write(sock, data)
+
+    def _write(self, sock: socket.socket, data: bytes) -> None:
+        """Send the given bytes and those behind them; called when the socket has room."""
+        buffer = self._buffers[sock]
+        parts = [data]
+        size = len(data)
+        while buffer and size < MAX_SEND_BYTES:
+            parts.append(buffer.popleft())
+            size += len(parts[-1])
+        joined = b"".join(parts)
+        try:
+            sent = sock.send(joined)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            self._close(sock)
+            return
+        self.waiting[sock] = self.waiting.get(sock, 0) - sent
+        if sent < len(joined):
+            buffer.appendleft(joined[sent:])
 
 
 class HTTPServer(Component):
@@ -274,14 +309,13 @@
         channel: str = "http-server",
     ):
         super().__init__(channel=channel)
-        self.socket_channel = channel
         self.timers = timers
         self.limits = limits or ServerLimits()
         self.count_refusal = count_refusal
         self._on_request = on_request
         self._on_fault = on_fault
         self._connections: dict = {}
-        self._sockets = TCPServer(bind, channel=channel, bufsize=READ_BYTES).register(self)
+        self._sockets = _Sockets(bind, channel=channel, bufsize=READ_BYTES).register(self)
 
     @property
     def port(self) -> int:
@@ -301,7 +335,20 @@
 
     def unread(self, sock) -> int:
         """Return the number of bytes that wait for the reader of `sock`."""
-        return sum(map(len, self._sockets._buffers.get(sock, ())))
+        return self._sockets.waiting.get(sock, 0)
+
+    def send(self, sock: socket.socket, data: bytes) -> None:
+        """Queue bytes for `sock`.
+
+        Notes
+        -----
+        Called directly, not as an event: what waits must be counted before the next chunk is made.
+        """
+        self._sockets.queue(sock, data)
+
+    def close_after_sending(self, sock: socket.socket) -> None:
+        """Close `sock` once what waits for it has been sent."""
+        self._sockets.close(sock)
 
     def drop(self, sock) -> None:
         """Close `sock` without sending what waits for it."""
@@ -321,6 +368,7 @@
 
     @handler("disconnect")
     def _on_disconnect(self, sock) -> None:
+        self._sockets.waiting.pop(sock, None)
         conn = self._connections.pop(sock, None)
         if conn is not None:
             conn.gone()
--- /dev/null
+++ b/flamingofront/connection/tests/test_framing.py
@@ -0,0 +1,121 @@
+"""Strict framing: the same result for any cut of the bytes, an error for what is ambiguous."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from flamingofront.connection.framing import HeadBuffer, request_decoder
+from flamingofront.errors import ErrorKind, RequestError
+
+MAX_BODY = 1000
+
+
+def parse(pieces):
+    """Return (head, body, rest) of the first request in the pieces, or the kind of its error."""
+    heads, head, decoder, body, rest = HeadBuffer(True), None, None, b"", b""
+    try:
+        for piece in pieces:
+            if head is None:
+                result = heads.feed(piece)
+                if result is None:
+                    continue
+                head, piece = result
+                decoder = request_decoder(head, MAX_BODY)
+            if decoder.complete:
+                rest += piece
+                continue
+            more, left = decoder.feed(piece)
+            body, rest = body + more, rest + left
+    except RequestError as exc:
+        return exc.kind
+    if head is None or not decoder.complete:
+        return None
+    return head, body, rest
+
+
+def pieces_of(data, cuts):
+    edges = [0, *sorted(cut % (len(data) + 1) for cut in cuts), len(data)]
+    return [data[a:b] for a, b in zip(edges, edges[1:], strict=False)]
+
+
+def chunked(body, sizes):
+    out, at = b"", 0
+    for size in sizes:
+        part = body[at : at + size]
+        at += len(part)
+        out += b"%x\r\n%b\r\n" % (len(part), part) if part else b""
+    rest = body[at:]
+    out += b"%x\r\n%b\r\n" % (len(rest), rest) if rest else b""
+    return out + b"0\r\n\r\n"
+
+
+cuts = st.lists(st.integers(0, 2000), max_size=8)
+NEXT = b"GET /next HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+class TestCuts:
+    @given(st.binary(max_size=200), cuts)
+    def test_length_framed(self, body, at):
+        data = b"POST /p?a=1 HTTP/1.1\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body) + NEXT
+        head, got, rest = parse(pieces_of(data, at))
+        assert (head.method, head.path, head.query) == ("POST", "/p", {"a": "1"})
+        assert (got, rest) == (body, NEXT)
+
+    @given(st.binary(max_size=200), st.lists(st.integers(1, 50), max_size=6), cuts)
+    def test_chunked(self, body, sizes, at):
+        data = b"POST /p HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked(body, sizes)
+        head, got, rest = parse(pieces_of(data + NEXT, at))
+        assert (got, rest) == (body, NEXT)
+
+    @given(st.binary(max_size=300), cuts)
+    def test_any_bytes_give_the_same_result_however_cut(self, data, at):
+        assert parse(pieces_of(data, at)) == parse([data])
+
+    @given(st.lists(st.sampled_from([b"A: b\r\n", b"\r\n", b"\n", b"\\x41: \\N", b":", b"\x00"])))
+    def test_odd_heads_are_errors_or_heads_but_never_faults(self, lines):
+        parse([b"GET / HTTP/1.1\r\n" + b"".join(lines) + b"\r\n\r\n"])
+
+
+class TestAmbiguous:
+    @pytest.mark.parametrize(
+        "headers",
+        [
+            b"Content-Length: abc\r\n",
+            b"Content-Length: -1\r\n",
+            b"Content-Length: +1\r\n",
+            b"Content-Length: 1, 1\r\n",
+            b"Content-Length: 1\r\nContent-Length: 1\r\n",
+            b"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n",
+            b"Transfer-Encoding: gzip, chunked\r\n",
+            b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+            b"Transfer-Encoding : chunked\r\n",
+            b"A: b\r\n folded\r\n",
+            b"A: b\nB: c\r\n",
+            b"A: \x00\r\n",
+            b"No colon\r\n",
+        ],
+    )
+    def test_is_malformed(self, headers):
+        data = b"POST / HTTP/1.1\r\nHost: h\r\n" + headers + b"\r\nx"
+        assert parse([data]) is ErrorKind.MALFORMED_REQUEST
+
+    @pytest.mark.parametrize(
+        "line",
+        [b"GET", b"GET /", b"GET / HTTP/2.0", b"GET http://h/ HTTP/1.1", b"G@T / HTTP/1.1", b"\\"],
+    )
+    def test_first_line_is_malformed(self, line):
+        assert parse([line + b"\r\n\r\n"]) is ErrorKind.MALFORMED_REQUEST
+
+    @pytest.mark.parametrize("chunk", [b"zz\r\n", b"-1\r\n", b"3;x=y\r\nabc\r\n", b"3\r\nabcd\r\n"])
+    def test_chunk_is_malformed(self, chunk):
+        data = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + b"0\r\n\r\n"
+        assert parse([data]) is ErrorKind.MALFORMED_REQUEST
+
+    def test_sizes_are_limited(self):
+        assert parse([b"GET / HTTP/1.1\r\nA: " + b"x" * 20000]) is ErrorKind.HEADERS_TOO_LARGE
+        data = b"POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n"
+        assert parse([data]) is ErrorKind.BODY_TOO_LARGE
+
+    def test_backslashes_in_a_header_are_kept(self):
+        head, _, _ = parse([b"GET / HTTP/1.1\r\nA: \\x41\\N{DASH}\\\r\n\r\n"])
+        assert head.headers["a"] == "\\x41\\N{DASH}\\"
--- /dev/null
+++ b/flamingofront/connection/tests/test_server.py
@@ -0,0 +1,206 @@
+"""The guarded server on real sockets: hostile callers get an error and harm nobody else."""
+
+import socket
+import threading
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from flamingofront.connection.runtime import Runtime
+from flamingofront.connection.server import HTTPServer, ServerLimits
+from flamingofront.process.timers import ManualClock
+
+WAIT_SECONDS = 5.0
+
+
+class Server:
+    """A server in a thread of its own, with a clock that the test moves."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.faults = []
+        self.gone = threading.Event()
+        self.held = {}
+        self.arrived = threading.Event()
+        self.runtime = Runtime(self.faults.append, clock=self.clock)
+        limits = ServerLimits(max_body=2000, request_timeout=5.0, max_unread=200_000)
+        self.server = HTTPServer(
+            ("127.0.0.1", 0), self.handle, self.runtime.timers, limits, on_fault=self.faults.append
+        ).register(self.runtime)
+        self.thread = threading.Thread(target=self.runtime.run, daemon=True)
+        self.thread.start()
+        self.port = self.server.port
+
+    def handle(self, req, exchange):
+        if req.path == "/fault":
+            raise RuntimeError("secret detail")
+        if req.path == "/hold":
+            exchange.on_gone = self.gone.set
+            self.held["exchange"] = exchange
+            self.arrived.set()
+            return
+        if req.path == "/flood":
+            exchange.begin(200, ())
+            while exchange.send(b"x" * 10_000):
+                pass
+            exchange.abort()
+            self.gone.set()
+            return
+        exchange.respond(200, (), f"{req.method} {req.path} ".encode() + req.body)
+
+    def act(self, callback):
+        """Run something in the server's thread."""
+        self.runtime.timers.once(0.0, callback)
+        self.runtime.poller.resume()
+
+    def pass_time(self, seconds):
+        self.clock.time += seconds
+        self.runtime.poller.resume()
+
+    def connect(self):
+        conn = socket.create_connection(("127.0.0.1", self.port), timeout=WAIT_SECONDS)
+        conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return conn
+
+    def stop(self):
+        self.act(self.runtime.stop)
+        self.thread.join(WAIT_SECONDS)
+
+
+@pytest.fixture(scope="module")
+def server():
+    running = Server()
+    yield running
+    running.stop()
+
+
+def read_answer(conn, buffer=None):
+    """Return (status, body) of the next answer; (0, b"") if the connection is closed.
+
+    `buffer` keeps the bytes of later answers; without it there must be none.
+    """
+    data = bytes(buffer or b"")
+    while b"\r\n\r\n" not in data:
+        more = conn.recv(65536)
+        if not more:
+            return 0, data
+        data += more
+    head, _, body = data.partition(b"\r\n\r\n")
+    length = int(head.lower().split(b"content-length:")[1].split(b"\r\n")[0])
+    while len(body) < length:
+        body += conn.recv(65536)
+    if buffer is not None:
+        buffer[:] = body[length:]
+    else:
+        assert len(body) == length, "bytes of another answer follow"
+    return int(head.split(b" ")[1]), body[:length]
+
+
+def ask(server, data):
+    with server.connect() as conn:
+        conn.sendall(data)
+        return read_answer(conn)
+
+
+class TestOneAtATime:
+    def test_pipelined_requests_are_answered_in_order(self, server):
+        with server.connect() as conn:
+            conn.sendall(b"".join(b"GET /%d HTTP/1.1\r\n\r\n" % n for n in range(5)))
+            data = b""
+            while data.count(b"GET /") < 5:
+                data += conn.recv(65536)
+        assert [data.index(b"GET /%d " % n) for n in range(5)] == sorted(
+            data.index(b"GET /%d " % n) for n in range(5)
+        )
+
+    def test_request_that_begins_during_an_answer_waits(self, server):
+        server.arrived.clear()
+        with server.connect() as conn:
+            conn.sendall(b"GET /hold HTTP/1.1\r\n\r\n")
+            assert server.arrived.wait(WAIT_SECONDS)
+            conn.sendall(b"POST /second HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc")
+            exchange = server.held["exchange"]
+            server.act(lambda: exchange.respond(200, (), b"first"))
+            buffer = bytearray()
+            assert read_answer(conn, buffer) == (200, b"first")
+            assert read_answer(conn, buffer) == (200, b"POST /second abc")
+
+    def test_caller_that_leaves_is_noticed(self, server):
+        server.arrived.clear()
+        server.gone.clear()
+        with server.connect() as conn:
+            conn.sendall(b"GET /hold HTTP/1.1\r\n\r\n")
+            assert server.arrived.wait(WAIT_SECONDS)
+        assert server.gone.wait(WAIT_SECONDS)
+
+
+class TestLimits:
+    def test_half_a_request_then_silence(self, server):
+        with server.connect() as conn:
+            conn.sendall(b"POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nhalf")
+            # A second connection proves that the server has read the first one's bytes.
+            assert ask(server, b"GET /x HTTP/1.1\r\n\r\n")[0] == 200
+            server.pass_time(6.0)
+            status, body = read_answer(conn)
+        assert status == 408
+        assert b"request_timeout" in body
+
+    def test_large_body_and_head(self, server):
+        assert ask(server, b"POST / HTTP/1.1\r\nContent-Length: 3000\r\n\r\n")[0] == 413
+        assert ask(server, b"GET / HTTP/1.1\r\nA: " + b"x" * 20_000)[0] == 431
+        chunk = b"800\r\n" + b"x" * 0x800 + b"\r\n"
+        head = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        assert ask(server, head + chunk)[0] == 413
+
+    def test_slow_reader_is_cut_off(self, server):
+        server.gone.clear()
+        with server.connect() as conn:
+            conn.sendall(b"GET /flood HTTP/1.1\r\n\r\n")
+            assert server.gone.wait(WAIT_SECONDS)
+
+    def test_fault_in_a_handler_leaks_nothing(self, server):
+        status, body = ask(server, b"GET /fault HTTP/1.1\r\n\r\n")
+        assert status == 500
+        assert b"secret" not in body and b"Traceback" not in body
+        assert b'"kind":"internal_error"' in body
+
+
+BAD = [
+    b"POST / HTTP/1.1\r\nContent-Length: abc\r\n\r\n",
+    b"POST / HTTP/1.1\r\nContent-Length: -5\r\n\r\nhello",
+    b"POST / HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n",
+    b"GET / HTTP/9.9\r\n\r\n",
+]
+
+
+class TestHostile:
+    @pytest.mark.parametrize("data", BAD)
+    def test_clear_error_and_a_closed_connection(self, server, data):
+        with server.connect() as conn:
+            conn.sendall(data)
+            status, body = read_answer(conn)
+            assert status == 400
+            assert b"malformed_request" in body and b"Traceback" not in body
+            assert conn.recv(100) == b""
+
+    @settings(max_examples=60)
+    @given(
+        junk=st.one_of(
+            st.binary(max_size=120),
+            st.sampled_from(BAD),
+            st.builds(lambda a, b: a + b, st.sampled_from(BAD), st.binary(max_size=40)),
+        ),
+        cut=st.integers(0, 60),
+    )
+    def test_others_are_untouched(self, server, junk, cut):
+        """A good connection, open at the same time, gets exactly its own answer."""
+        with server.connect() as good, server.connect() as bad:
+            good.sendall(b"POST /good HTTP/1.1\r\nContent-Length: 6\r\n\r\nabc")
+            bad.sendall(junk[:cut])
+            bad.sendall(junk[cut:])
+            good.sendall(b"def")
+            assert read_answer(good) == (200, b"POST /good abcdef")
+        assert server.faults == [] or all("secret" in str(each) for each in server.faults)
--- a/flamingofront/daemon.py
+++ b/flamingofront/daemon.py
@@ -6,6 +6,7 @@
 import time
 
 import defopt
+import orjson
 
 from flamingofront.connection.client import HTTPClient
 from flamingofront.connection.runtime import Runtime
@@ -33,6 +34,7 @@
     def __init__(self, settings: EntrySettings):
         log = Log("entry", vm=settings.vm_id, zone=settings.zone)
         self._log = log
+        self._settings = settings
         self.runtime = Runtime(self._fault, self._stop_signal)
         client = HTTPClient(self.runtime.timers).register(self.runtime)
         self.node = EntryNode(
@@ -74,7 +76,19 @@
         self.node.shut_down()
 
     def run(self) -> None:
-        """Serve until a graceful shutdown is complete."""
+        """Serve until a graceful shutdown is complete.
+
+        Notes
+        -----
+        The first line on standard output names the addresses, for ports that the kernel picked.
+        """
+        addresses = {
+            "callers": f"{self._settings.caller_bind.host}:{self.callers.port}",
+            "control": f"{self._settings.control_bind.host}:{self.control.port}",
+        }
+        print(orjson.dumps(addresses).decode(), flush=True)
+        if self._settings.advertise is None:
+            self.node.advertise(addresses["control"])
         self.node.start()
         self.runtime.run()
 
--- a/flamingofront/process/dissemination.py
+++ b/flamingofront/process/dissemination.py
@@ -7,7 +7,7 @@
 
 import random
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from flamingofront.process.membership import Fact, FactTable, Role, VmState
@@ -130,6 +130,12 @@
         self._own_record = own_record
         self.facts.merge((own,))
 
+    def set_address(self, address: str) -> None:
+        """Change the address of this process, before anybody was told of it."""
+        own = self.facts.get(self.own_id)
+        self.facts.clear()
+        self.facts.merge((replace(own, address=address),))
+
     def peers(self) -> tuple[Fact, ...]:
         """Return the other entry processes that are not gone."""
         members = self.facts.select(Role.ENTRY) + self.facts.select(Role.ENTRY, VmState.LEAVING)
--- a/flamingofront/process/membership.py
+++ b/flamingofront/process/membership.py
@@ -115,6 +115,12 @@
     def __len__(self) -> int:
         return len(self._facts)
 
+    def clear(self) -> None:
+        """Forget all facts."""
+        self._facts.clear()
+        self._hashes = [0] * BUCKETS
+        self.changes += 1
+
     def get(self, vm_id: str) -> Fact | None:
         """Return the fact about a VM."""
         return self._facts.get(vm_id)
--- a/flamingofront/process/node.py
+++ b/flamingofront/process/node.py
@@ -224,6 +224,10 @@
         ]
         self.orders = EndpointOrders(self.leases[0], self.gossip, self.tasks, self.metrics)
 
+    def advertise(self, address: str) -> None:
+        """Tell peers another control address; to be called before `start`."""
+        self.gossip.set_address(address)
+
     def start(self) -> None:
         """Begin all periodic work."""
         self.watch.start()
--- a/flamingofront/version/query.py
+++ b/flamingofront/version/query.py
@@ -10,6 +10,7 @@
 __all__ = ["run_query"]
 
 TableRow = Mapping[str, Any]
+UNKNOWN_TEXT = "-"
 _COMPARE: dict[str, Callable[[Any, Any], bool]] = {
     "=": operator.eq,
     "!=": operator.ne,
@@ -51,15 +52,25 @@
 
 
 def _holds(value: Any, condition: Filter) -> bool:
+    if value is None:
+        return _holds_unknown(condition)
     if condition.operator == "~":
         return condition.value in str(value)
     left, right = _comparable(value, condition.value)
     return _COMPARE[condition.operator](left, right)
 
 
+def _holds_unknown(condition: Filter) -> bool:
+    """Judge a value that is not known: it equals only ``-`` and has no place in an order."""
+    is_unknown = condition.value == UNKNOWN_TEXT
+    if condition.operator == "=":
+        return is_unknown
+    return condition.operator == "!=" and not is_unknown
+
+
 def _comparable(value: Any, text: str) -> tuple[Any, Any]:
     """Compare as numbers where both sides are numbers, as texts elsewhere."""
-    if isinstance(value, bool) or value is None:
+    if isinstance(value, bool):
         return str(value).lower(), text.lower()
     if isinstance(value, int | float):
         try:
@@ -78,7 +89,11 @@
 def _order(rows: Iterable[TableRow], name: str, descending: bool) -> Iterable[TableRow]:
     if not name:
         return rows
-    return sorted(rows, key=lambda row: _sort_key(row.get(name)), reverse=descending)
+    known, unknown = [], []
+    for row in rows:
+        (unknown if row.get(name) is None else known).append(row)
+    known.sort(key=lambda row: _sort_key(row[name]), reverse=descending)
+    return known + unknown
 
 
 def _limit(rows: Iterable[TableRow], limit: int | None) -> Iterator[TableRow]:
