Policy benchmark; choice of endpoint by own attempts, not by late reports; shorter queue

Cause: measured against round robin, the first cost choice lost: it divided a machine's price by its load and so crowded endpoints, and its load was the last report, which eight processes share and herd on. The queue may now take three quarters of the first-token target (was four times the target), and admission fills nine tenths of the slots. Conclusion: what a process runs itself, divided by its part of all attempts, beats a late report as soon as it runs a few attempts on each endpoint; with fewer the report keeps its weight.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: every figure on the pages comes from here."""
--- /dev/null
+++ b/bench/policies.py
@@ -0,0 +1,132 @@
+"""Each decision against its naive version, under the scenarios of the users."""
+
+import statistics
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from bench.model import MIXES
+from bench.simulation import Policies, Simulation
+from flamingofront.request.admission import FirstComeAdmission
+from flamingofront.request.choice import LeastReportedChoice, RoundRobinChoice
+from flamingofront.request.recovery import ResumeOnLoss
+from flamingofront.request.retry import UnlimitedRetryBudget
+
+SEEDS = (1, 2, 3)
+OURS = Policies()
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """Load relative to the capacity, and what happens during the run."""
+
+    name: str
+    load: float
+    arrange: Callable[[Simulation], None] = lambda sim: None
+    report_lag: float = 1.0
+
+
+def _zone(sim):
+    sim.events.at(80.0, lambda: sim.reclaim("zone-a", 6.0))
+    sim.events.at(140.0, lambda: [sim.add_engine("zone-a", 1.0) for _ in range(2)])
+
+
+def _wave_on_wave(sim):
+    """Two zones one after the other; replacement starts are refused for long."""
+    sim.events.at(80.0, lambda: sim.reclaim("zone-a", 6.0))
+    sim.events.at(95.0, lambda: sim.reclaim("zone-c", 4.0))
+    sim.events.at(180.0, lambda: [sim.add_engine("zone-b", 1.0) for _ in range(3)])
+
+
+def _slow(sim):
+    sim.events.at(60.0, lambda: setattr(sim.engines[1], "slow", 6.0))
+
+
+def _failing(sim):
+    """One engine refuses quickly: it looks idle."""
+    sim.events.at(60.0, lambda: setattr(sim.engines[1], "failing", True))
+
+
+def _cut(sim):
+    sim.events.at(60.0, lambda: setattr(sim, "cut_zone", "zone-d"))
+    sim.events.at(120.0, lambda: setattr(sim, "cut_zone", None))
+
+
+CALM = Scenario("calm", 0.6)
+BUSY = Scenario("busy 0.9", 0.9)
+OVER = Scenario("overload 1.5", 1.5)
+FAR_OVER = Scenario("overload 3", 3.0)
+ZONE = Scenario("zone reclaimed", 0.6, _zone)
+WAVES = Scenario("wave on wave", 0.6, _wave_on_wave)
+STALE = Scenario("stale reports", 0.8, report_lag=8.0)
+SLOW = Scenario("slow endpoint", 0.6, _slow)
+FAILING = Scenario("failing endpoint", 0.6, _failing)
+CUT = Scenario("zone cut off", 0.6, _cut)
+
+DECISIONS = {
+    "choice of endpoint": (
+        {
+            "round robin": replace(OURS, choice=RoundRobinChoice),
+            "least reported": replace(OURS, choice=LeastReportedChoice),
+            "cost, reports": replace(OURS, extrapolate=False),
+            "cost (ours)": OURS,
+        },
+        (CALM, BUSY, STALE, SLOW, FAILING, ZONE, CUT),
+    ),
+    "admission": (
+        {
+            "first come": replace(OURS, admission=FirstComeAdmission),
+            "fair, patient": replace(OURS, patience=4.0, full_factor=1.0),
+            "fair (ours)": OURS,
+        },
+        (CALM, OVER, FAR_OVER, CUT),
+    ),
+    "retry": (
+        {
+            "unlimited": replace(OURS, budget=UnlimitedRetryBudget, ejection=False),
+            "paced (ours)": OURS,
+        },
+        (FAILING, ZONE, WAVES),
+    ),
+    "recovery": (
+        {
+            "resume on loss": replace(OURS, recovery=ResumeOnLoss),
+            "by cost (ours)": OURS,
+        },
+        (ZONE, WAVES),
+    ),
+}
+
+
+def run(mix, policies, scenario, seed, seconds=240.0):
+    """Return the result of one run."""
+    sim = Simulation(mix, policies, seed, scenario.load, seconds, scenario.report_lag)
+    scenario.arrange(sim)
+    return sim.run()
+
+
+def compare(mix, variants, scenario, seeds=SEEDS):
+    """Return the median figures of each variant."""
+    table = {}
+    for name, policies in variants.items():
+        rows = [run(mix, policies, scenario, seed).row() for seed in seeds]
+        table[name] = {key: statistics.median(row[key] for row in rows) for key in rows[0]}
+    return table
+
+
+def main():
+    """Print all comparisons."""
+    for decision, (variants, scenarios) in DECISIONS.items():
+        for mix in MIXES:
+            print(f"\n{decision}, {mix.name} (medians of {len(SEEDS)} seeds)")
+            header = None
+            for scenario in scenarios:
+                for name, row in compare(mix, variants, scenario).items():
+                    if header is None:
+                        header = list(row)
+                        print(f"{'scenario':18}{'policy':16}" + "".join(f"{h:>11}" for h in header))
+                    cells = "".join(f"{row[key]:>11.3f}" for key in header)
+                    print(f"{scenario.name:18}{name:16}{cells}", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/flamingofront/process/node.py
+++ b/flamingofront/process/node.py
@@ -132,6 +132,7 @@
             self._rng,
         )
         self.hub.capacity_share = self._capacity_share
+        self.directory.own_share = self._capacity_share
         self.keyed = KeyedRequests(
             settings.vm_id,
             self.hub,
--- a/flamingofront/request/choice.py
+++ b/flamingofront/request/choice.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     "Candidate",
+    "report_weight",
     "ChoicePolicy",
     "CostChoice",
     "CostWeights",
@@ -45,6 +46,10 @@
         Expected reclaims per hour of its VM; 0 for on-demand VMs.
     slowness : float
         Observed time relative to the other endpoints of the service; 1 is usual.
+    own_share : float
+        This process's part of all attempts on the service.
+    report_weight : float
+        Weight of the report against the extrapolation from own attempts, 0 to 1.
     """
 
     endpoint_id: str
@@ -62,12 +67,25 @@
     leaving: bool = False
     ejected: bool = False
     reachable: bool = True
+    own_share: float = 1.0
+    report_weight: float = 1.0
 
     @property
     def load(self) -> float:
-        """Requests that it runs now: the report, corrected by what this process did since."""
-        corrected = self.reported_load + self.own_in_flight - self.own_at_report
-        return max(float(self.own_in_flight), corrected)
+        """Requests that it runs now, by the better of two estimates.
+
+        Notes
+        -----
+        The report is late, and all processes see the same one, so alone it herds them onto one
+        endpoint. What this process itself runs there is exact; divided by this process's part of
+        all attempts it estimates the whole, the better the more there is of it.
+        """
+        reported = max(
+            float(self.own_in_flight),
+            self.reported_load + self.own_in_flight - self.own_at_report,
+        )
+        extrapolated = self.own_in_flight / self.own_share
+        return self.report_weight * reported + (1.0 - self.report_weight) * extrapolated
 
 
 @dataclass(frozen=True)
@@ -91,6 +109,25 @@
     zone: str = ""
 
 
+def report_weight(own_in_flight: int, endpoints: int) -> float:
+    """Return the weight of load reports, from 0 up to 1.
+
+    Parameters
+    ----------
+    own_in_flight : int
+        Attempts of this process on all endpoints of the service.
+    endpoints : int
+        Number of those endpoints.
+
+    Notes
+    -----
+    With a few own attempts on each endpoint they tell more than a late report; with hardly any
+    (many entry VMs before many endpoints) the report is all there is.
+    """
+    mean = own_in_flight / max(1, endpoints)
+    return 1.0 / (1.0 + mean) ** 2
+
+
 def usable(
     candidates: Iterable[Candidate], side: str | None, exclude: frozenset[str]
 ) -> Iterator[Candidate]:
@@ -153,8 +190,11 @@
 
     Parameters
     ----------
-    prefill_rate, decode_rate : float
-        Tokens a second that one request gets on an idle endpoint.
+    prefill_rate : float
+        Prompt tokens a second that an idle endpoint reads.
+    idle_pace : float
+        Time between tokens on an idle endpoint, relative to the target that it just keeps when all
+        its slots are taken.
     late_price : float
         Cost of a second beyond the target, in price units per hour.
     waste_price : float
@@ -163,14 +203,17 @@
         Latency added by leaving the zone.
     full_factor : float
         Load, relative to `slots`, above which an endpoint gets no more work.
+    strain_from : float
+        Expected time between tokens, relative to the target, from which on it costs.
     """
 
     prefill_rate: float = 4000.0
-    decode_rate: float = 25.0
+    idle_pace: float = 0.45
     late_price: float = 40.0
     waste_price: float = 2.0
     remote_zone_seconds: float = 0.002
     full_factor: float = 1.0
+    strain_from: float = 0.6
 
 
 class CostChoice(ChoicePolicy):
@@ -212,16 +255,18 @@
     def score(self, each: Candidate, work: WorkEstimate) -> float:
         """Return the expected cost of the request on one endpoint, in price units times hours."""
         weights = self._weights
-        crowding = 1.0 + each.load / each.slots
+        filled = each.load / each.slots
+        pace = weights.idle_pace + (1.0 - weights.idle_pace) * filled
         new_tokens = max(0, work.prompt_tokens - each.cached_tokens)
-        first = new_tokens / weights.prefill_rate * crowding * each.slowness
+        first = new_tokens / weights.prefill_rate * (1.0 + filled) * each.slowness
         first += weights.remote_zone_seconds if each.zone != work.zone else 0.0
-        between = crowding * each.slowness / weights.decode_rate / 2.0
+        between = work.token_target * pace * each.slowness
         duration = first + between * work.output_tokens
         late = max(0.0, first - work.first_token_target)
-        late += max(0.0, between - work.token_target) * work.output_tokens
-        # A busier batch shares the machine's price among more requests.
-        machine = each.price * duration / (each.load + 1.0)
+        # Reports are late and other processes choose too, so the penalty begins below the target.
+        strain = max(0.0, between / work.token_target - weights.strain_from)
+        late += strain * strain * between * work.output_tokens
+        machine = each.price * duration / each.slots
         lost = each.reclaim_risk * duration / 3600.0
         waste = lost * (new_tokens + work.output_tokens) / weights.prefill_rate
         return (machine + late * weights.late_price + waste * weights.waste_price) / 3600.0
--- a/flamingofront/request/directory.py
+++ b/flamingofront/request/directory.py
@@ -7,11 +7,11 @@
 import math
 import random
 from collections import Counter
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, replace
 
 from flamingofront.process.membership import Fact, FactTable, Role, VmState
-from flamingofront.request.choice import Candidate
+from flamingofront.request.choice import Candidate, report_weight
 from flamingofront.request.prefixes import PrefixIndex
 from flamingofront.request.retry import EndpointHealth
 from flamingofront.version.model import Configuration, DrainKind, Service
@@ -56,6 +56,7 @@
         self.health = EndpointHealth(rng)
         self.prefixes = PrefixIndex()
         self.configuration = Configuration()
+        self.own_share: Callable[[], float] = lambda: 1.0
         self._in_flight: Counter[str] = Counter()
         self._reports: dict[str, _Report] = {}
         self._token_seconds: dict[str, float] = {}
@@ -85,7 +86,16 @@
         ids = tuple(fact.vm_id for fact in facts)
         ejected = self.health.ejected(ids, now)
         usual = self._usual_token_seconds(ids)
-        return [self._candidate(fact, service, hashes, ejected, usual, now) for fact in facts]
+        weight = report_weight(sum(self._in_flight[each] for each in ids), len(ids))
+        share = self.own_share()
+        return [
+            replace(
+                self._candidate(fact, service, hashes, ejected, usual, now),
+                own_share=share,
+                report_weight=weight,
+            )
+            for fact in facts
+        ]
 
     def _candidate(
         self,
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -27,8 +27,10 @@
 
 __all__ = ["FinishedAnswers", "HubSettings", "RequestHub"]
 
-QUEUE_PATIENCE = 4.0
-PRESSURE_SHARE = 1.0
+# Part of the first-token target that a request may wait: the rest is for its prefill.
+QUEUE_PATIENCE = 0.75
+# Part of the slots that admission fills: entry VMs cannot balance perfectly.
+FILLED_SHARE = 0.9
 TOKENS_PER_COST = 64.0
 MAX_RETAINED_BYTES = 16 * 1024 * 1024
 
@@ -140,7 +142,7 @@
         if admission is None:
             admission = self._admissions[service.name] = FairAdmission(self.rng)
         share = self.capacity_share()
-        admission.set_capacity(max(1.0, self.directory.capacity(service) * share * PRESSURE_SHARE))
+        admission.set_capacity(max(1.0, self.directory.capacity(service) * share * FILLED_SHARE))
         return admission
 
     def demand(self) -> dict[str, int]:
