Slopes, overhead and fleet benchmarks; choice and idle cost no longer grow with the fleet

Cause: one choice among 600 endpoints built 600 candidates, the capacity was counted anew for each request, and the queue was looked at ten times a second in an idle process. Ruled out: the score itself (a sixth of the time). Also found by new tests that failed first: the parts of a shared limit could add up to more than the limit when some were rounded up to one; a process without completions yet refused nobody, since its expected wait was zero. Conclusion: a rate that is not known yet needs a cautious prior, not zero.

--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,14 @@
+"""`make bench`: print every figure of the pages."""
+
+from bench import fleet, overhead, policies, slopes
+
+
+def main():
+    """Run all benchmarks."""
+    for part in (overhead, slopes, policies, fleet):
+        print(f"\n== {part.__name__.removeprefix('bench.')} ==")
+        part.main()
+
+
+if __name__ == "__main__":
+    main()
--- a/flamingofront/request/admission.py
+++ b/flamingofront/request/admission.py
@@ -26,6 +26,8 @@
 MIN_RETRY_SECONDS = 0.5
 MAX_RETRY_SECONDS = 60.0
 RATE_WINDOW_SECONDS = 5.0
+# Cost that a slot completes in a second, assumed until the first completions are counted.
+PRIOR_RATE_PER_SLOT = 0.33
 
 
 @dataclass(frozen=True)
@@ -90,18 +92,18 @@
 
     Notes
     -----
-    The parts of all processes add up to at most the limit, rounded up to 1 each, as long as their
-    views agree; out of hearing, both sides fall back to fixed parts, so a partition cannot double
-    the limit.
+    The parts of all processes add up to at most the limit (or to one for each process, if the limit
+    is smaller than that), as long as their views agree; out of hearing, both sides fall back to
+    fixed parts, so a partition cannot double the limit.
     """
     members = max(1, members)
     fixed = limit / members
     if unheard >= members - 1:
         return max(1, math.floor(fixed))
-    pool = limit - fixed * unheard
-    # One request of head start keeps a quiet member able to take its first request.
+    # Each member may always run one request; what is left of the pool follows the demand.
+    spread = max(0.0, limit - fixed * unheard - (len(heard) + 1))
     total = own_demand + 1.0 + sum(demand + 1.0 for demand in heard.values())
-    return max(1, math.floor(pool * (own_demand + 1.0) / total))
+    return 1 + math.floor(spread * (own_demand + 1.0) / total)
 
 
 class AdmissionPolicy(ABC):
@@ -183,10 +185,8 @@
 
     def expected_wait(self, cost_ahead: float) -> float:
         """Return the seconds until work worth `cost_ahead` has been started."""
-        rate = self._rate.get()
-        if cost_ahead <= 0:
-            return 0.0
-        return cost_ahead / rate if rate > 0 else 0.0
+        rate = self._rate.get() or self._slots * PRIOR_RATE_PER_SLOT
+        return cost_ahead / rate if cost_ahead > 0 and rate > 0 else 0.0
 
     def retry_after(self, now: float) -> float:
         """Return a time that grows with the queue and is spread by jitter."""
--- a/flamingofront/request/directory.py
+++ b/flamingofront/request/directory.py
@@ -8,7 +8,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from flamingofront.process.membership import Fact, FactTable, Role, VmState
 from flamingofront.request.choice import Candidate, report_weight
@@ -23,6 +23,8 @@
 REPORT_SECONDS = 10.0
 DEFAULT_RECLAIM_RATE = 0.05
 UNREACHABLE_SECONDS = 1.0
+MAX_CANDIDATES = 32
+MAX_WARM = 4
 
 
 def is_drained(fact: Fact, cfg: Configuration) -> bool:
@@ -42,6 +44,30 @@
     at: float
 
 
+class _ServiceEndpoints:
+    """Live endpoints of one service, and which of them are drained."""
+
+    def __init__(self, facts: Mapping[str, Fact], drained: frozenset[str]):
+        self.facts = facts
+        self.drained = drained
+        self.ids = list(facts)
+
+
+_NO_ENDPOINTS = _ServiceEndpoints({}, frozenset())
+
+
+@dataclass(frozen=True)
+class _View:
+    """What is the same for all candidates of one choice."""
+
+    now: float
+    drained: frozenset[str]
+    ejected: frozenset[str]
+    usual_seconds: float
+    own_share: float
+    report_weight: float
+
+
 class EndpointDirectory:
     """Endpoints of all services, as this process sees them.
 
@@ -61,17 +87,28 @@
         self._reports: dict[str, _Report] = {}
         self._token_seconds: dict[str, float] = {}
         self._unreachable: dict[str, float] = {}
-        self._by_service: dict[str, tuple[Fact, ...]] = {}
-        self._seen_changes = -1
-
-    def _endpoints(self, service: str) -> tuple[Fact, ...]:
-        """Return the endpoints of a service that are live, from an index kept with the facts."""
-        if self._seen_changes != self._facts.changes:
-            self._by_service = {}
-            for fact in self._facts.select(Role.ENDPOINT):
-                self._by_service[fact.service] = (*self._by_service.get(fact.service, ()), fact)
-            self._seen_changes = self._facts.changes
-        return self._by_service.get(service, ())
+        self._index: dict[str, _ServiceEndpoints] = {}
+        self._basis = (-1, -1)
+
+    def _endpoints(self, service: str) -> "_ServiceEndpoints":
+        """Return the live endpoints of a service, from an index kept with facts and drains."""
+        basis = (self._facts.changes, self.configuration.revision)
+        if basis != self._basis:
+            self._basis = basis
+            self._index = self._build_index()
+        return self._index.get(service, _NO_ENDPOINTS)
+
+    def _build_index(self) -> "dict[str, _ServiceEndpoints]":
+        by_service: dict[str, dict[str, Fact]] = {}
+        for fact in self._facts.select(Role.ENDPOINT):
+            by_service.setdefault(fact.service, {})[fact.vm_id] = fact
+        cfg = self.configuration
+        return {
+            name: _ServiceEndpoints(
+                facts, frozenset(each.vm_id for each in facts.values() if is_drained(each, cfg))
+            )
+            for name, facts in by_service.items()
+        }
 
     def leaving(self, endpoint_id: str) -> bool:
         """Tell whether an endpoint gets no new work."""
@@ -80,37 +117,48 @@
             return True
         return is_drained(fact, self.configuration)
 
-    def candidates(self, service: Service, hashes: tuple[str, ...], now: float) -> list[Candidate]:
-        """Return the live endpoints of a service."""
-        facts = self._endpoints(service.name)
-        ids = tuple(fact.vm_id for fact in facts)
-        ejected = self.health.ejected(ids, now)
-        usual = self._usual_token_seconds(ids)
-        weight = report_weight(sum(self._in_flight[each] for each in ids), len(ids))
-        share = self.own_share()
-        return [
-            replace(
-                self._candidate(fact, service, hashes, ejected, usual, now),
-                own_share=share,
-                report_weight=weight,
-            )
-            for fact in facts
-        ]
+    def candidates(
+        self, service: Service, hashes: tuple[str, ...], now: float, rng: random.Random
+    ) -> list[Candidate]:
+        """Return live endpoints of a service to choose from.
+
+        Notes
+        -----
+        Of many endpoints only a random part is looked at, with those that hold the prompt's prefix:
+        the time of a choice then does not grow with the fleet.
+        """
+        endpoints = self._endpoints(service.name)
+        facts = self._sample(endpoints, hashes, rng)
+        ids = [fact.vm_id for fact in facts]
+        view = _View(
+            now=now,
+            drained=endpoints.drained,
+            ejected=self.health.ejected(endpoints.facts, now),
+            usual_seconds=self._usual_token_seconds(ids),
+            own_share=self.own_share(),
+            report_weight=report_weight(sum(self._in_flight[each] for each in ids), len(ids)),
+        )
+        return [self._candidate(fact, service, hashes, view) for fact in facts]
+
+    def _sample(
+        self, endpoints: "_ServiceEndpoints", hashes: tuple[str, ...], rng: random.Random
+    ) -> list[Fact]:
+        if len(endpoints.facts) <= MAX_CANDIDATES:
+            return list(endpoints.facts.values())
+        chosen = dict.fromkeys(rng.sample(endpoints.ids, MAX_CANDIDATES))
+        chosen.update(dict.fromkeys(sorted(self.prefixes.warmest(hashes))[:MAX_WARM]))
+        found = [endpoints.facts[each] for each in chosen if each in endpoints.facts]
+        if all(fact.vm_id in endpoints.drained for fact in found):
+            return list(endpoints.facts.values())
+        return found
 
     def _candidate(
-        self,
-        fact: Fact,
-        service: Service,
-        hashes: tuple[str, ...],
-        ejected: frozenset[str],
-        usual: float,
-        now: float,
+        self, fact: Fact, service: Service, hashes: tuple[str, ...], view: "_View"
     ) -> Candidate:
         endpoint_id = fact.vm_id
         report = self._reports.get(endpoint_id)
-        if report is not None and now - report.at > REPORT_SECONDS:
+        if report is not None and view.now - report.at > REPORT_SECONDS:
             report = None
-        in_flight = self._in_flight[endpoint_id]
         return Candidate(
             endpoint_id=endpoint_id,
             zone=fact.zone,
@@ -118,23 +166,23 @@
             side=fact.side,
             price=fact.price,
             slots=service.slots,
-            own_in_flight=in_flight,
+            own_in_flight=self._in_flight[endpoint_id],
             reported_load=report.load if report else 0.0,
             own_at_report=report.own_in_flight if report else 0,
             cached_tokens=self.prefixes.cached_tokens(endpoint_id, hashes),
             reclaim_risk=DEFAULT_RECLAIM_RATE if fact.reclaimable else 0.0,
-            slowness=self._slowness(endpoint_id, usual),
-            leaving=is_drained(fact, self.configuration),
-            ejected=endpoint_id in ejected,
-            reachable=self._unreachable.get(endpoint_id, -math.inf) <= now,
+            slowness=self._slowness(endpoint_id, view.usual_seconds),
+            leaving=endpoint_id in view.drained,
+            ejected=endpoint_id in view.ejected,
+            reachable=self._unreachable.get(endpoint_id, -math.inf) <= view.now,
+            own_share=view.own_share,
+            report_weight=view.report_weight,
         )
 
     def capacity(self, service: Service) -> int:
         """Return the slots of the endpoints that may get new work."""
-        cfg = self.configuration
-        return sum(
-            service.slots for fact in self._endpoints(service.name) if not is_drained(fact, cfg)
-        )
+        endpoints = self._endpoints(service.name)
+        return service.slots * (len(endpoints.facts) - len(endpoints.drained))
 
     def started(self, endpoint_id: str) -> None:
         """Note an attempt that runs on an endpoint."""
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -9,7 +9,7 @@
 from flamingofront.errors import ErrorKind, Ran, RequestError
 from flamingofront.process.logs import Log
 from flamingofront.process.metrics import Metrics
-from flamingofront.process.timers import TimerService
+from flamingofront.process.timers import Timer, TimerService
 from flamingofront.request.active import ActiveRequest, make_request
 from flamingofront.request.admission import FairAdmission, Ticket, WorkspaceShare
 from flamingofront.request.choice import (
@@ -31,6 +31,7 @@
 QUEUE_PATIENCE = 0.75
 # Part of the slots that admission fills: entry VMs cannot balance perfectly.
 FILLED_SHARE = 0.9
+EXPIRY_SECONDS = 0.1
 TOKENS_PER_COST = 64.0
 MAX_RETAINED_BYTES = 16 * 1024 * 1024
 
@@ -123,7 +124,7 @@
         self._admissions: dict[str, FairAdmission] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._held: dict[str, int] = {}
-        self._expiry = timers.every(0.1, self._expire, first=0.1)
+        self._expiry: Timer | None = None
 
     def now(self) -> float:
         """Return the time of the timer service."""
@@ -170,6 +171,7 @@
         self.admission(service).offer(ticket, now)
         request = make_request(self, record, ticket)
         self.active[record.request_id] = request
+        self._watch_queue()
         self._held[record.workspace] = self._held.get(record.workspace, 0) + 1
         self.metrics.count("requests_accepted_total", service=service.name)
         if not resumed:
@@ -198,6 +200,7 @@
 
     def _expire(self) -> None:
         """Refuse at once what waited for too long, then start what fits."""
+        self._expiry = None
         for admission in self._admissions.values():
             for ticket in admission.expired(self.now()):
                 request = self.active.get(ticket.request_id)
@@ -208,6 +211,12 @@
                     )
         self.refresh_capacity()
         self.pump()
+        self._watch_queue()
+
+    def _watch_queue(self) -> None:
+        """Look at the queue again soon, as long as there are requests."""
+        if self.active and self._expiry is None:
+            self._expiry = self.timers.once(EXPIRY_SECONDS, self._expire)
 
     def refresh_capacity(self) -> None:
         """Fit the capacity of each admission to the endpoints that are there."""
@@ -218,7 +227,7 @@
     def choose(self, request: ActiveRequest, exclude: frozenset[str]) -> Candidate | None:
         """Return the endpoint for an attempt, None if there is none with room."""
         service, record = request.record.service, request.record
-        candidates = self.directory.candidates(service, request.hashes(), self.now())
+        candidates = self.directory.candidates(service, request.hashes(), self.now(), self.rng)
         pool = _relaxed(candidates, record.side, exclude)
         return self._policy.choose(pool, self._estimate(record), self.rng)
 
--- a/flamingofront/request/prefixes.py
+++ b/flamingofront/request/prefixes.py
@@ -32,6 +32,7 @@
     def __init__(self, max_blocks: int = MAX_BLOCKS):
         self._max_blocks = max_blocks
         self._blocks: dict[str, OrderedDict[str, None]] = {}
+        self._holders: dict[str, set[str]] = {}
 
     def stored(self, endpoint_id: str, hashes: Iterable[str]) -> None:
         """Note blocks that an endpoint holds now."""
@@ -39,18 +40,41 @@
         for each in hashes:
             blocks[each] = None
             blocks.move_to_end(each)
+            self._holders.setdefault(each, set()).add(endpoint_id)
         while len(blocks) > self._max_blocks:
-            blocks.popitem(last=False)
+            old, _ = blocks.popitem(last=False)
+            self._drop_holder(old, endpoint_id)
+
+    def _drop_holder(self, block: str, endpoint_id: str) -> None:
+        holders = self._holders.get(block)
+        if holders is not None:
+            holders.discard(endpoint_id)
+            if not holders:
+                del self._holders[block]
 
     def evicted(self, endpoint_id: str, hashes: Iterable[str]) -> None:
         """Note blocks that an endpoint dropped."""
         blocks = self._blocks.get(endpoint_id, {})
         for each in hashes:
-            blocks.pop(each, None)
+            if each in blocks:
+                del blocks[each]
+                self._drop_holder(each, endpoint_id)
 
     def forget(self, endpoint_id: str) -> None:
         """Drop all blocks of an endpoint: it is gone, or its events have a gap."""
-        self._blocks.pop(endpoint_id, None)
+        for each in self._blocks.pop(endpoint_id, ()):
+            self._drop_holder(each, endpoint_id)
+
+    def warmest(self, hashes: Sequence[str]) -> frozenset[str]:
+        """Return the endpoints that hold the longest part of a prompt."""
+        best: frozenset[str] = frozenset()
+        for each in hashes:
+            holders = self._holders.get(each)
+            left = frozenset(holders or ()) & best if best else frozenset(holders or ())
+            if not left:
+                break
+            best = left
+        return best
 
     def cached_tokens(self, endpoint_id: str, hashes: Sequence[str]) -> int:
         """Return how many leading tokens of a prompt an endpoint is believed to hold."""
--- a/flamingofront/request/retry.py
+++ b/flamingofront/request/retry.py
@@ -3,6 +3,7 @@
 import math
 import random
 from abc import ABC, abstractmethod
+from collections.abc import Collection
 from dataclasses import dataclass
 
 __all__ = [
@@ -130,7 +131,7 @@
         """Drop what is known about an endpoint that is gone."""
         self._health.pop(endpoint_id, None)
 
-    def ejected(self, endpoint_ids: tuple[str, ...], now: float) -> frozenset[str]:
+    def ejected(self, endpoint_ids: Collection[str], now: float) -> frozenset[str]:
         """Return which of a service's endpoints are out, at most half of them.
 
         Notes
@@ -138,9 +139,9 @@
         When more are failing than may be out, those whose time ends first stay in.
         """
         out = [
-            (self._health[each].until, each)
-            for each in endpoint_ids
-            if each in self._health and self._health[each].until > now
+            (health.until, each)
+            for each, health in self._health.items()
+            if health.until > now and each in endpoint_ids
         ]
         most = int(len(endpoint_ids) * MAX_EJECTED_FRACTION)
         out.sort(reverse=True)
--- /dev/null
+++ b/flamingofront/request/tests/test_admission.py
@@ -0,0 +1,242 @@
+"""Admission, limits and choice under load."""
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from flamingofront.errors import ErrorKind, RequestError
+from flamingofront.request.admission import FairAdmission, Ticket, WorkspaceShare, shared_limit
+from flamingofront.request.choice import Candidate, CostChoice, WorkEstimate
+from flamingofront.request.prefixes import PrefixIndex, block_hashes
+from flamingofront.request.retry import EndpointHealth, PacedRetryBudget
+from flamingofront.tests.world import demo_world
+
+
+def ticket(number, workspace="w", weight=1.0, priority=5, limit=1000, latest=100.0, cost=1.0):
+    share = WorkspaceShare(workspace, weight, priority, limit)
+    return Ticket(f"r{number}", share, cost, latest)
+
+
+def started(admission, now=0.0):
+    found = []
+    while (each := admission.next_ready(now)) is not None:
+        found.append(each)
+    return found
+
+
+class TestFairness:
+    def test_large_workspace_does_not_push_back_a_small_one(self):
+        admission = FairAdmission(random.Random(1), slots=0)
+        for number in range(50):
+            admission.offer(ticket(number, "large"), 0.0)
+        for number in range(3):
+            admission.offer(ticket(100 + number, "small"), 0.0)
+        admission.set_capacity(6)
+        names = [each.share.name for each in started(admission)]
+        assert names.count("small") == 3
+
+    def test_weight_decides_the_parts(self):
+        admission = FairAdmission(random.Random(1), slots=0)
+        for number in range(60):
+            admission.offer(ticket(number, "heavy", weight=3.0), 0.0)
+            admission.offer(ticket(100 + number, "light", weight=1.0), 0.0)
+        admission.set_capacity(40)
+        names = [each.share.name for each in started(admission)]
+        assert 28 <= names.count("heavy") <= 32
+
+    def test_resumed_work_goes_first_and_priority_next(self):
+        admission = FairAdmission(random.Random(1), slots=0)
+        admission.offer(ticket(1, priority=5), 0.0)
+        admission.offer(ticket(2, priority=1), 0.0)
+        resumed = ticket(3, priority=9)
+        resumed.resumed = True
+        admission.offer(resumed, 0.0)
+        admission.set_capacity(3)
+        assert [each.request_id for each in started(admission)] == ["r3", "r2", "r1"]
+
+    def test_limit_is_refused_at_once_with_a_time_to_come_back(self):
+        admission = FairAdmission(random.Random(1))
+        admission.offer(ticket(1, limit=1), 0.0)
+        with pytest.raises(RequestError) as caught:
+            admission.offer(ticket(2, limit=1), 0.0)
+        assert caught.value.kind is ErrorKind.LIMIT_EXCEEDED
+        assert caught.value.retry_after > 0
+
+    @given(st.lists(st.tuples(st.sampled_from("abc"), st.sampled_from("ofx")), max_size=60))
+    def test_counts_match_a_simple_model(self, steps):
+        """Offers, starts and ends in any order: never over capacity, nothing lost, none twice."""
+        admission = FairAdmission(random.Random(1), slots=4, max_waiting=10)
+        held, running = {}, []
+        for number, (workspace, step) in enumerate(steps):
+            if step == "o":
+                each = ticket(number, workspace, limit=5)
+                try:
+                    admission.offer(each, 0.0)
+                    held[each.request_id] = each
+                except RequestError:
+                    same = [one for one in held.values() if one.share.name == workspace]
+                    assert len(same) >= 5 or len(held) - len(running) >= 10
+            elif step == "x" and held:
+                each = held.pop(next(iter(held)))
+                running = [one for one in running if one is not each]
+                admission.finished(each, 0.0)
+            for each in started(admission):
+                assert each.request_id in held and each not in running
+                running.append(each)
+            assert len(running) == min(4, len(held)) == admission.running
+        assert sum(admission.held().values()) == len(held)
+
+
+class TestOverload:
+    def test_refusals_are_immediate_and_true(self):
+        world = demo_world(entry_settings={"default_deadline": 60.0}, engines_per_zone=1)
+        callers = [world.complete("entry-a1", f"p{n}", 400) for n in range(120)]
+        world.run(0.01)
+        refused = [each for each in callers if each.status == 503]
+        assert refused
+        for each in refused:
+            assert (each.error["kind"], each.error["ran"]) == ("overloaded", "no")
+            assert int(each.headers["retry-after"]) >= 1
+        world.finish(*callers)
+        late = [each for each in callers if each.status == 503]
+        assert all(each.error["ran"] == "no" for each in late)
+        assert world.run_until(lambda: not world.nodes["entry-a1"].hub.active) < 1.0
+
+    def test_queued_request_that_will_miss_its_target_is_refused_in_time(self):
+        world = demo_world(engines_per_zone=1)
+        running = [world.complete("entry-a1", f"p{n}", 3000) for n in range(15)]
+        world.run(0.5)
+        waiting = world.complete("entry-a1", "late", 10)
+        assert not waiting.done
+        took = world.run_until(lambda: waiting.done)
+        assert waiting.error["kind"] == "overloaded"
+        assert took < 1.6
+        assert all(not each.done for each in running)
+
+    def test_workspace_limit_is_shared_by_all_entry_vms(self):
+        zones = ("zone-a", "zone-b", "zone-c", "zone-d")
+        world = demo_world(zones)
+        world.operate("change workspace desk max_in_flight=8")
+        world.run(3.0)
+        accepted = 0
+        for _ in range(10):
+            for name in world.nodes:
+                world.complete(name, tokens=3000)
+            world.run(1.0)
+            accepted = sum(len(node.hub.active) for node in world.nodes.values())
+        assert 4 <= accepted <= 8
+
+
+class TestSharedLimit:
+    @given(st.integers(4, 500), st.lists(st.integers(0, 100), min_size=2, max_size=8))
+    def test_parts_add_up_to_at_most_the_limit(self, limit, demands):
+        members = len(demands)
+        parts = [
+            shared_limit(
+                limit,
+                demand,
+                {str(j): other for j, other in enumerate(demands) if j != i},
+                members,
+                0,
+            )
+            for i, demand in enumerate(demands)
+        ]
+        assert sum(parts) <= max(limit, members)
+
+    @given(st.integers(8, 500), st.integers(2, 8))
+    def test_both_sides_of_a_partition_together_keep_the_limit(self, limit, members):
+        left = members // 2
+        total = 0
+        for size in (left, members - left):
+            heard = {str(index): 50.0 for index in range(size - 1)}
+            total += size * shared_limit(limit, 50.0, heard, members, members - size)
+        assert total <= max(limit, members)
+
+
+class TestChoice:
+    def candidate(self, name, **more):
+        return Candidate(name, "z", "127.0.0.1:1", **more)
+
+    def choose(self, *candidates, **work):
+        return (
+            CostChoice()
+            .choose(candidates, WorkEstimate(zone="z", **work), random.Random(1))
+            .endpoint_id
+        )
+
+    def test_cheaper_endpoint_is_preferred_when_idle(self):
+        dear, cheap = self.candidate("dear", price=2.0), self.candidate("cheap", price=1.0)
+        assert self.choose(dear, cheap) == "cheap"
+
+    def test_crowded_endpoint_is_avoided_although_cheap(self):
+        crowded = self.candidate("crowded", price=1.0, own_in_flight=15)
+        assert self.choose(crowded, self.candidate("idle", price=1.5)) == "idle"
+
+    def test_long_cached_prefix_wins(self):
+        cold = self.candidate("cold", own_in_flight=2)
+        warm = self.candidate("warm", own_in_flight=3, cached_tokens=3000)
+        assert self.choose(cold, warm, prompt_tokens=3000) == "warm"
+
+    def test_slow_endpoint_is_avoided(self):
+        slow = self.candidate("slow", price=0.9, slowness=5.0)
+        assert self.choose(slow, self.candidate("usual")) == "usual"
+
+    def test_full_endpoints_are_not_chosen(self):
+        full = self.candidate("full", own_in_flight=16)
+        assert CostChoice().choose([full], WorkEstimate(), random.Random(1)) is None
+
+
+class TestHealth:
+    def test_failing_endpoint_is_ejected_and_returns(self):
+        health = EndpointHealth(random.Random(1))
+        for _ in range(3):
+            health.failed("e1", 0.0)
+        assert health.ejected(("e1", "e2"), 0.1) == {"e1"}
+        assert health.ejected(("e1", "e2"), 10.0) == frozenset()
+
+    def test_never_more_than_half_are_out(self):
+        health = EndpointHealth(random.Random(1))
+        for name in ("e1", "e2", "e3", "e4"):
+            for _ in range(3):
+                health.failed(name, 0.0)
+        assert len(health.ejected(("e1", "e2", "e3", "e4"), 0.1)) == 2
+
+    def test_quickly_refusing_endpoint_does_not_draw_all_work(self):
+        world = demo_world(engines_per_zone=3)
+        world.engines["engine-a1"].faults.refuse = True
+        callers = []
+        for _ in range(40):
+            callers.append(world.complete("entry-a1", tokens=5))
+            world.run(0.1)
+        world.finish(*callers)
+        assert all(each.body.endswith(b"[DONE]\n\n") for each in callers)
+        rows = world.nodes["entry-a1"].metrics.rows()
+        retries = [row["value"] for row in rows if row["counter"] == "retries_total"]
+        assert sum(retries) <= 10
+
+
+class TestRetryBudget:
+    def test_wave_is_paced(self):
+        budget = PacedRetryBudget(ratio=0.2, floor_rate=10.0, burst=5.0)
+        delays = [budget.reserve(0.0) for _ in range(25)]
+        assert delays[:5] == [0.0] * 5
+        assert delays[-1] == pytest.approx(2.0)
+        assert delays == sorted(delays)
+
+
+class TestPrefixes:
+    @given(st.lists(st.tuples(st.sampled_from("abc"), st.integers(0, 6), st.booleans())))
+    def test_warmest_is_that_of_a_plain_scan(self, steps):
+        hashes = block_hashes([str(n) for n in range(16 * 6)])
+        index = PrefixIndex(max_blocks=4)
+        for endpoint, count, store in steps:
+            if store:
+                index.stored(endpoint, hashes[:count])
+            else:
+                index.evicted(endpoint, hashes[count:])
+        lengths = {name: index.cached_tokens(name, hashes) for name in "abc"}
+        best = max(lengths.values())
+        expected = {name for name, length in lengths.items() if length == best and best}
+        assert index.warmest(hashes) == expected
