--- a/flamingofront/connection/server.py
+++ b/flamingofront/connection/server.py
@@ -260,9 +260,20 @@
         self.waiting: dict[socket.socket, int] = {}
 
     def queue(self, sock: socket.socket, data: bytes) -> None:
-        """Take bytes to send."""
-        self.waiting[sock] = self.waiting.get(sock, 0) + len(data)
-        self.write(sock, data)
+        """Send bytes, and keep what the socket does not take at once."""
+        if not self.waiting.get(sock):
+            data = data[self._send_now(sock, data) :]
+        if data:
+            self.waiting[sock] = self.waiting.get(sock, 0) + len(data)
+            self.write(sock, data)
+
+    @staticmethod
+    def _send_now(sock: socket.socket, data: bytes) -> int:
+        """Return how many bytes the socket took; a broken one shows at the next poll."""
+        try:
+            return sock.send(data)
+        except OSError:
+            return 0
 
     def _write(self, sock: socket.socket, data: bytes) -> None:
         """Send the given bytes and those behind them; called when the socket has room."""
