Recovery by cost: transfers begin as late as is safe, with the others' transfers counted

Conclusion: plan for all transfers, but start them late only where the time of all processes' transfers leaves room.

--- a/flamingofront/request/directory.py
+++ b/flamingofront/request/directory.py
@@ -198,6 +198,14 @@
         """Return the attempts of this process on an endpoint."""
         return self._in_flight[endpoint_id]
 
+    def load_of(self, endpoint_id: str) -> float:
+        """Return the requests that an endpoint runs, by its last report and own attempts."""
+        report = self._reports.get(endpoint_id)
+        own = float(self._in_flight[endpoint_id])
+        if report is None:
+            return own
+        return max(own, report.load + own - report.own_in_flight)
+
     def reported(self, loads: Mapping[str, float], now: float) -> None:
         """Take load reports."""
         for endpoint_id, load in loads.items():
--- a/flamingofront/request/migration.py
+++ b/flamingofront/request/migration.py
@@ -1,6 +1,7 @@
 """Move streams off an endpoint that will be reclaimed, with their KV cache where time allows."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 import orjson
 
@@ -55,7 +56,9 @@
         self._planned.add(endpoint_id)
         requests = {each.request_id: each for each in self._streams_on(endpoint_id)}
         states = [_state_of(each) for each in requests.values()]
-        for plan in self._policy.plan(states, notice, self._rates):
+        total = self._hub.directory.load_of(endpoint_id)
+        rates = replace(self._rates, contention=max(1.0, total / max(1, len(states))))
+        for plan in self._policy.plan(states, notice, rates):
             self._schedule(requests[plan.request_id], plan)
 
     def endpoint_gone(self, endpoint_id: str) -> None:
--- a/flamingofront/request/recovery.py
+++ b/flamingofront/request/recovery.py
@@ -6,7 +6,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 
 __all__ = [
@@ -20,6 +20,9 @@
 ]
 
 
+LATE_START_SAFETY = 1.25
+
+
 class RecoveryAction(StrEnum):
     """What becomes of one stream."""
 
@@ -68,12 +71,15 @@
         Seconds to export and import the cache of one token.
     margin : float
         Seconds before the end of the notice when everything must be off the VM.
+    contention : float
+        Streams on the VM for each one of this process: the others' transfers take their time too.
     """
 
     token_seconds: float = 0.04
     transfer_setup: float = 0.05
     transfer_token_seconds: float = 0.0002
     margin: float = 0.5
+    contention: float = 1.0
 
 
 class RecoveryPolicy(ABC):
@@ -135,7 +141,10 @@
                 busy_until += needed
             else:
                 left.append(each)
-        return plans, left
+        # As late as is safe: until then the leaving VM still makes tokens that others need not.
+        all_transfers = busy_until * rates.contention
+        wait = max(0.0, usable - all_transfers * LATE_START_SAFETY)
+        return [replace(each, start_in=each.start_in + wait) for each in plans], left
 
     def _spread(self, streams: list[StreamState], usable: float) -> list[RecoveryPlan]:
         window = usable / 2
--- a/flamingofront/request/retry.py
+++ b/flamingofront/request/retry.py
@@ -60,7 +60,7 @@
     streams one after another, in the order of their reservations, instead of all at once.
     """
 
-    def __init__(self, ratio: float = 0.2, floor_rate: float = 5.0, burst: float = 32.0):
+    def __init__(self, ratio: float = 0.2, floor_rate: float = 10.0, burst: float = 32.0):
         self._ratio = ratio
         self._floor_rate = floor_rate
         self._burst = burst
