--- a/flamingofront/process/fleet.py
+++ b/flamingofront/process/fleet.py
@@ -209,17 +209,34 @@
         lacks_firm = firm < needed * self.on_demand_fraction
         firm_offers = [each for each in offers if not each.reclaimable]
         pool = firm_offers if lacks_firm and firm_offers else offers
-        base = self.surviving_slots(fleet)
+        at_risk = {each.zone: 0 for each in offers}
+        for vm in fleet:
+            if vm.reclaimable:
+                at_risk[vm.zone] = at_risk.get(vm.zone, 0) + vm.slots
 
         def value(offer: Offer) -> tuple[float, float, str]:
-            gain = self.surviving_slots([*fleet, _vm_of(offer, 0)]) - base
             cost = offer.price + offer.reclaim_rate * self.reclaim_cost
-            at_zone = sum(each.slots for each in fleet if each.zone == offer.zone)
-            # Slots in the largest zone gain nothing now but count once the others have caught up.
-            return (gain + 0.05 * offer.slots) / cost, -float(at_zone), offer.zone
+            gain = self._expected_gain(offer, at_risk)
+            return gain / cost, -float(at_risk[offer.zone]), offer.zone
 
         return max(pool, key=value, default=None)
 
+    def _expected_gain(self, offer: Offer, at_risk: dict[str, int]) -> float:
+        """Return the slots that survive the loss of a zone thanks to one more VM.
+
+        Notes
+        -----
+        Reclaimable VMs that are spread evenly over n zones keep (n - 1) / n of their slots. The
+        first of them seems to gain nothing, as its zone may be the one that is lost, so the even
+        spread is what counts, and only for the zones that have least.
+        """
+        if not offer.reclaimable:
+            return float(offer.slots)
+        zones = len(at_risk)
+        if at_risk[offer.zone] > min(at_risk.values()):
+            return 0.0
+        return offer.slots * (zones - 1) / zones
+
     def _stops(self, needed: float, staying: list[FleetVm]) -> list[StopOrder]:
         fleet = list(staying)
         orders: list[StopOrder] = []
--- a/flamingofront/process/node.py
+++ b/flamingofront/process/node.py
@@ -16,6 +16,7 @@
 from flamingofront.messages import InboundRequest
 from flamingofront.process.dissemination import Dissemination, Push
 from flamingofront.process.drain import DrainController, DrainState
+from flamingofront.process.fleet_duty import FleetDuty
 from flamingofront.process.leases import LeaseKeeper
 from flamingofront.process.logs import Log
 from flamingofront.process.membership import Fact, Role, VmState
@@ -46,6 +47,7 @@
 NOTICE_MARGIN_SECONDS = 4.0
 DEFAULT_NOTICE_SECONDS = 10.0
 MIN_READY_EXCHANGES = 1
+FLEET_PERIOD_SECONDS = 10.0
 
 
 class EntryNode:
@@ -223,7 +225,31 @@
             for duty in ("models", "fleet")
             if duty != "fleet" or settings.fleet == "on"
         ]
-        self.orders = EndpointOrders(self.leases[0], self.gossip, self.tasks, self.metrics)
+        self.orders = EndpointOrders(
+            self.leases[0], self.platform, self.gossip, self.tasks, self.metrics
+        )
+        self.fleet = self._make_fleet() if settings.fleet == "on" else None
+
+    def _make_fleet(self) -> FleetDuty:
+        return FleetDuty(
+            self.settings.zone,
+            self.leases[1],
+            self.platform,
+            self.tasks,
+            self.metrics,
+            self._rng,
+            self.timers.now,
+            lambda: self.gossip.configuration,
+            self._service_demand,
+            self.directory.load_of,
+            lambda vm_id: self.mark(vm_id, VmState.LEAVING),
+        )
+
+    def _service_demand(self, service: str) -> float:
+        """Return the requests that the endpoints of a service run, and those that wait here."""
+        facts = self.gossip.facts.select(Role.ENDPOINT)
+        loads = [self.directory.load_of(each.vm_id) for each in facts if each.service == service]
+        return sum(loads) + self.hub.waiting()
 
     def advertise(self, address: str) -> None:
         """Tell peers another control address; to be called before `start`."""
@@ -238,6 +264,8 @@
         for lease in self.leases:
             self.tasks.start(lease.run())
         self.timers.every(self.settings.lease_duration / 2, self.orders.step)
+        if self.fleet is not None:
+            self.timers.every(FLEET_PERIOD_SECONDS, self.fleet.step)
         self.log.info("started", zone=self.settings.zone)
 
     def _fault(self, exc: Exception) -> None:
--- a/flamingofront/process/watch.py
+++ b/flamingofront/process/watch.py
@@ -42,6 +42,8 @@
     """
     facts = []
     for each in records:
+        if not each.address:
+            continue  # still starting
         state = VmState.LEAVING if each.state == "leaving" else VmState.LIVE
         fact = known(each.vm_id)
         incarnation = fact.incarnation if fact is not None else 0
