--- /dev/null
+++ b/flamingofront/process/control.py
@@ -0,0 +1,137 @@
+"""The control address: what peers and operators may ask of a process."""
+
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+
+from flamingofront.connection.interfaces import Exchange
+from flamingofront.connection.server import JSON_HEADERS
+from flamingofront.errors import ErrorKind, RequestError
+from flamingofront.messages import InboundRequest
+from flamingofront.process.metrics import Metrics
+from flamingofront.process.operators import OperatorService
+from flamingofront.process.peers import PeerLinks
+from flamingofront.process.rows import LocalRows
+from flamingofront.request.attachments import respond_error
+from flamingofront.request.inheritance import Inheritance
+from flamingofront.request.keyed import KeyedRequests
+from flamingofront.request.reattach import Reattachment
+
+__all__ = ["ControlInterface", "respond_json"]
+
+
+def respond_json(exchange: Exchange, data: Any, status: int = 200) -> None:
+    """Answer with JSON."""
+    exchange.respond(status, JSON_HEADERS, orjson.dumps(data))
+
+
+class ControlInterface:
+    """Dispatches control calls by path.
+
+    Parameters
+    ----------
+    token : str
+        Bearer token that each call must carry; empty if none is needed.
+    takes_work : callable
+        Tells whether requests of peers may be taken over.
+    """
+
+    def __init__(
+        self,
+        token: str,
+        metrics: Metrics,
+        operators: OperatorService,
+        links: PeerLinks,
+        rows: LocalRows,
+        keyed: KeyedRequests,
+        inheritance: Inheritance,
+        reattachment: Reattachment,
+        takes_work: Callable[[], bool],
+    ):
+        self._token = token
+        self._metrics = metrics
+        self._operators = operators
+        self._links = links
+        self._rows = rows
+        self._keyed = keyed
+        self._inheritance = inheritance
+        self._reattachment = reattachment
+        self._takes_work = takes_work
+        self._by_path = {
+            "/operate": operators.handle,
+            "/peer/digest": self._digest,
+            "/peer/push": self._push,
+            "/peer/rows": self._peer_rows,
+            "/peer/handover": self._handover,
+        }
+        self._by_prefix = {
+            "/peer/claims/": self._claim,
+            "/peer/requests/": self._relay,
+        }
+
+    def handle(self, req: InboundRequest, exchange: Exchange) -> None:
+        """Take one call; every error is answered from the table."""
+        if req.path == "/metrics":
+            body, headers = self._metrics.render()
+            exchange.respond(200, tuple(headers.items()), body)
+            return
+        try:
+            self._authorize(req)
+            self._find(req.path)(req, exchange)
+        except RequestError as exc:
+            self._metrics.count("refusals_total", kind=exc.kind.value)
+            respond_error(exchange, exc)
+
+    def _authorize(self, req: InboundRequest) -> None:
+        if self._token and req.header("authorization") != f"Bearer {self._token}":
+            raise RequestError(ErrorKind.UNKNOWN_WORKSPACE, "the control token is missing or wrong")
+
+    def _find(self, path: str) -> Callable[[InboundRequest, Exchange], None]:
+        action = self._by_path.get(path)
+        if action is not None:
+            return action
+        for prefix, action in self._by_prefix.items():
+            if path.startswith(prefix):
+                return action
+        raise RequestError(ErrorKind.NOT_FOUND, f"no such path {path[:80]!r}")
+
+    def _digest(self, req: InboundRequest, exchange: Exchange) -> None:
+        respond_json(exchange, self._links.take_digest(_parse(req)))
+
+    def _push(self, req: InboundRequest, exchange: Exchange) -> None:
+        self._links.take_push(_parse(req))
+        respond_json(exchange, {})
+
+    def _peer_rows(self, req: InboundRequest, exchange: Exchange) -> None:
+        respond_json(exchange, {"rows": self._rows.of(_parse(req)["subject"])})
+
+    def _handover(self, req: InboundRequest, exchange: Exchange) -> None:
+        if not self._takes_work():
+            raise RequestError(ErrorKind.DRAINING)
+        data = _parse(req)
+        self._inheritance.take(data["record"], data["sender"])
+        respond_json(exchange, {"taken": True})
+
+    def _claim(self, req: InboundRequest, exchange: Exchange) -> None:
+        request_id = req.path.rsplit("/", 1)[1]
+        respond_json(exchange, {"not_run": self._keyed.was_not_run(request_id)})
+
+    def _relay(self, req: InboundRequest, exchange: Exchange) -> None:
+        request_id = req.path.rsplit("/", 1)[1]
+        offset = req.query.get("offset", "")
+        if not offset.isdigit():
+            raise RequestError(ErrorKind.MALFORMED_REQUEST, f"bad offset {offset[:40]!r}")
+        workspace, stream = req.query.get("workspace", ""), req.query.get("stream") == "1"
+        if not self._reattachment.relay(request_id, workspace, int(offset), stream, exchange):
+            raise RequestError(ErrorKind.UNKNOWN_REQUEST)
+
+
+def _parse(req: InboundRequest) -> dict[str, Any]:
+    try:
+        data = orjson.loads(req.body)
+    except orjson.JSONDecodeError as exc:
+        raise RequestError(ErrorKind.MALFORMED_REQUEST, f"not valid JSON: {exc}") from None
+    if not isinstance(data, dict):
+        raise RequestError(ErrorKind.MALFORMED_REQUEST, "the body must be a JSON object")
+    return data
--- a/flamingofront/process/drain.py
+++ b/flamingofront/process/drain.py
@@ -7,7 +7,7 @@
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.tasks import TaskRunner
 from flamingofront.process.timers import Timer, TimerService
-from flamingofront.request.active import ActiveRequest, ModelRequest
+from flamingofront.request.active import ActiveRequest
 from flamingofront.request.handover import (
     HandoverResult,
     HandoverTarget,
@@ -15,6 +15,7 @@
     rank_targets,
 )
 from flamingofront.request.hub import RequestHub
+from flamingofront.request.model_request import ModelRequest
 
 __all__ = ["DrainController", "DrainState"]
 
--- a/flamingofront/process/node.py
+++ b/flamingofront/process/node.py
@@ -6,18 +6,16 @@
 import random
 from collections.abc import Callable
 from dataclasses import replace
-from typing import Any
-
-import orjson
 
 from flamingofront.connection.interfaces import Exchange, Transport
-from flamingofront.connection.server import JSON_HEADERS
-from flamingofront.errors import ErrorKind, PlatformError, RequestError
+from flamingofront.errors import ErrorKind, PlatformError
 from flamingofront.messages import InboundRequest
+from flamingofront.process.control import ControlInterface, respond_json
 from flamingofront.process.dissemination import Dissemination, Push
 from flamingofront.process.drain import DrainController, DrainState
 from flamingofront.process.fleet_duty import FleetDuty
 from flamingofront.process.leases import LeaseKeeper
+from flamingofront.process.limits import SharedLimits
 from flamingofront.process.logs import Log
 from flamingofront.process.membership import Fact, Role, VmState
 from flamingofront.process.metrics import Metrics
@@ -31,8 +29,6 @@
 from flamingofront.process.tasks import Task, TaskRunner
 from flamingofront.process.timers import TimerService
 from flamingofront.process.watch import EndpointWatch, PlatformWatch
-from flamingofront.request.admission import WorkspaceShare, shared_limit
-from flamingofront.request.attachments import respond_error
 from flamingofront.request.directory import EndpointDirectory
 from flamingofront.request.gateway import Gateway
 from flamingofront.request.hub import HubSettings, RequestHub
@@ -40,7 +36,7 @@
 from flamingofront.request.keyed import KeyedRequests
 from flamingofront.request.migration import Migrations
 from flamingofront.request.reattach import Reattachment
-from flamingofront.version.model import Configuration, DrainKind, Workspace
+from flamingofront.version.model import Configuration, DrainKind
 
 __all__ = ["EntryNode"]
 
@@ -133,8 +129,9 @@
             self.log,
             self._rng,
         )
-        self.hub.capacity_share = self._capacity_share
-        self.directory.own_share = self._capacity_share
+        self.limits = SharedLimits(self.gossip, self.hub, self.timers)
+        self.hub.capacity_share = self.limits.capacity_share
+        self.directory.own_share = self.limits.capacity_share
         self.keyed = KeyedRequests(
             settings.vm_id,
             self.hub,
@@ -156,11 +153,11 @@
             self.reattachment,
             self._rng,
             settings.default_deadline,
-            self._workspace_limit,
+            self.limits.workspace_limit,
             self._refusal,
         )
         self.inheritance = Inheritance(
-            settings.vm_id, self.hub, self.platform, self.tasks, self.keyed, self._share_of
+            settings.vm_id, self.hub, self.platform, self.tasks, self.keyed, self.limits.share_of
         )
         self.migrations = Migrations(self.hub, self.tasks, self._address_of)
         self.drain = DrainController(
@@ -209,6 +206,17 @@
             self.rows.of,
             self.put_in_force,
         )
+        self.control = ControlInterface(
+            self.settings.control_token,
+            self.metrics,
+            self.operators,
+            self.links,
+            self.rows,
+            self.keyed,
+            self.inheritance,
+            self.reattachment,
+            lambda: self.drain.is_open,
+        )
 
     def _build_duties(self, incarnation: int) -> None:
         settings = self.settings
@@ -467,41 +475,6 @@
         elif not drained and not self._exiting:
             self.drain.reopen()
 
-    # Limits
-
-    def _heard_peers(self) -> list[StatusRecord]:
-        heard = self.gossip.statuses.heard(self.timers.now())
-        return [each for each in heard if each.vm_id != self.settings.vm_id]
-
-    def _member_count(self) -> int:
-        return len(self.gossip.facts.select(Role.ENTRY)) or 1
-
-    def _capacity_share(self) -> float:
-        """Return this process's part of the endpoints' slots, by the demand that it hears of."""
-        members = self._member_count()
-        heard = self._heard_peers()
-        if len(heard) < members - 1:
-            return 1.0 / members if not heard else 1.0 / (len(heard) + 1)
-        own = len(self.hub.active) + 1.0
-        total = own + sum(each.in_flight + 1.0 for each in heard)
-        return own / total
-
-    def _workspace_limit(self, workspace: Workspace) -> int:
-        heard = {
-            each.vm_id: float(each.demand.get(workspace.name, 0)) for each in self._heard_peers()
-        }
-        members = self._member_count()
-        own = float(self.hub.demand().get(workspace.name, 0))
-        unheard = max(0, members - 1 - len(heard))
-        return shared_limit(workspace.max_in_flight, own, heard, members, unheard)
-
-    def _share_of(self, name: str) -> WorkspaceShare:
-        workspace = self.gossip.configuration.workspace(name)
-        if workspace is None:
-            return WorkspaceShare(name)
-        limit = self._workspace_limit(workspace)
-        return WorkspaceShare(name, workspace.weight, workspace.priority, limit)
-
     # Endpoints
 
     def _load_read(self, endpoint_id: str, load: float) -> None:
@@ -525,72 +498,19 @@
 
     def handle_control(self, req: InboundRequest, exchange: Exchange) -> None:
         """Take a request that came to the control address."""
-        if self._handle_health(req, exchange):
-            return
-        if req.path == "/metrics":
-            body, headers = self.metrics.render()
-            exchange.respond(200, tuple(headers.items()), body)
-            return
-        try:
-            self._authorize(req)
-            self._handle_control(req, exchange)
-        except RequestError as exc:
-            self.metrics.count("refusals_total", kind=exc.kind.value)
-            respond_error(exchange, exc)
+        if not self._handle_health(req, exchange):
+            self.control.handle(req, exchange)
 
     def _handle_health(self, req: InboundRequest, exchange: Exchange) -> bool:
         if req.path == "/healthz":
-            _respond_json(exchange, {"alive": True})
+            respond_json(exchange, {"alive": True})
         elif req.path == "/readyz":
             body = {"ready": self.ready, "revision": self.gossip.configuration.revision}
-            _respond_json(exchange, body, 200 if self.ready else 503)
+            respond_json(exchange, body, 200 if self.ready else 503)
         else:
             return False
         return True
 
-    def _authorize(self, req: InboundRequest) -> None:
-        token = self.settings.control_token
-        if token and req.header("authorization") != f"Bearer {token}":
-            raise RequestError(ErrorKind.UNKNOWN_WORKSPACE, "the control token is missing or wrong")
-
-    def _handle_control(self, req: InboundRequest, exchange: Exchange) -> None:
-        if req.path == "/operate":
-            self.operators.handle(req, exchange)
-        elif req.path == "/peer/digest":
-            _respond_json(exchange, self.links.take_digest(orjson.loads(req.body)))
-        elif req.path == "/peer/push":
-            self.links.take_push(orjson.loads(req.body))
-            _respond_json(exchange, {})
-        elif req.path == "/peer/rows":
-            rows = self.rows.of(orjson.loads(req.body)["subject"])
-            _respond_json(exchange, {"rows": rows})
-        elif req.path == "/peer/handover":
-            self._take_handover(orjson.loads(req.body), exchange)
-        elif req.path.startswith("/peer/claims/"):
-            request_id = req.path.rsplit("/", 1)[1]
-            _respond_json(exchange, {"not_run": self.keyed.was_not_run(request_id)})
-        elif req.path.startswith("/peer/requests/"):
-            self._relay(req, exchange)
-        else:
-            raise RequestError(ErrorKind.NOT_FOUND, f"no such path {req.path[:80]!r}")
-
-    def _take_handover(self, data: dict[str, Any], exchange: Exchange) -> None:
-        if not self.drain.is_open:
-            raise RequestError(ErrorKind.DRAINING)
-        self.inheritance.take(data["record"], data["sender"])
-        _respond_json(exchange, {"taken": True})
-
-    def _relay(self, req: InboundRequest, exchange: Exchange) -> None:
-        request_id = req.path.rsplit("/", 1)[1]
-        offset, workspace = int(req.query["offset"]), req.query["workspace"]
-        stream = req.query.get("stream") == "1"
-        if not self.reattachment.relay(request_id, workspace, offset, stream, exchange):
-            raise RequestError(ErrorKind.UNKNOWN_REQUEST)
-
 
 def _peer_headers(token: str) -> tuple[tuple[str, str], ...]:
     return (("Authorization", f"Bearer {token}"),) if token else ()
-
-
-def _respond_json(exchange: Exchange, data: Any, status: int = 200) -> None:
-    exchange.respond(status, JSON_HEADERS, orjson.dumps(data))
--- a/flamingofront/process/tasks.py
+++ b/flamingofront/process/tasks.py
@@ -20,13 +20,13 @@
 )
 from flamingofront.process.timers import Timer, TimerService
 
-__all__ = ["Reply", "Task", "TaskRunner", "call_whole"]
+__all__ = ["Reply", "ReplyCollector", "Task", "TaskRunner", "call_whole"]
 
 Reply = WholeResponse | CallFailed
 Task = Generator[OutboundCall | Sleep, Reply | None, Any]
 
 
-class _Collector:
+class ReplyCollector:
     """Gather the events of one call into one reply."""
 
     def __init__(self, on_reply: Callable[[Reply], None]):
@@ -35,6 +35,7 @@
         self._parts: list[bytes] = []
 
     def __call__(self, event: CallEvent) -> None:
+        """Take one event; the last one makes the reply."""
         if isinstance(event, ResponseHead):
             self._head = event
         elif isinstance(event, ResponseData):
@@ -51,7 +52,7 @@
     transport: Transport, call: OutboundCall, on_reply: Callable[[Reply], None]
 ) -> CallHandle:
     """Send `call` and pass its complete response, or its failure, to `on_reply`."""
-    return transport.start(call, _Collector(on_reply))
+    return transport.start(call, ReplyCollector(on_reply))
 
 
 class RunningTask:
--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -5,8 +5,6 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-import orjson
-
 from flamingofront.connection.interfaces import CallEvent, CallHandle
 from flamingofront.errors import ErrorKind, Ran, RequestError
 from flamingofront.messages import (
@@ -15,29 +13,23 @@
     Complete,
     Emit,
     Fail,
-    Frame,
     OutboundCall,
-    ResponseData,
-    ResponseEnd,
-    ResponseHead,
     ScheduleRetry,
     StartAttempt,
 )
 from flamingofront.process.timers import Timer
 from flamingofront.request.admission import Ticket
-from flamingofront.request.attachments import Attachment, whole_completion
+from flamingofront.request.attachments import Attachment
 from flamingofront.request.attempts import Order, Phase, RequestFacts, RequestMachine
 from flamingofront.request.choice import Candidate
-from flamingofront.request.prefixes import block_hashes
-from flamingofront.request.records import ModelWork, PlainWork, RequestRecord
+from flamingofront.request.records import RequestRecord
 from flamingofront.request.stored_answer import StoredAnswer
 
 if TYPE_CHECKING:
     from flamingofront.request.hub import RequestHub
 
-__all__ = ["ActiveRequest", "ModelRequest", "PlainRequest", "make_request"]
+__all__ = ["ActiveRequest"]
 
-NOT_RUN_HEADER = "x-not-run"
 SECONDS_BETWEEN_CHOICES = 0.2
 
 
@@ -322,260 +314,3 @@
             each.detach()
             each.moved(self.machine.assembler.offset)
         self.hub.request_ended(self)
-
-
-class ModelRequest(ActiveRequest):
-    """A completion."""
-
-    def __init__(self, hub: "RequestHub", record: RequestRecord, ticket: Ticket):
-        self._hashes: tuple[str, ...] | None = None
-        self._kv = ""
-        self._cache_at: Candidate | None = None
-        self._last_token_at = 0.0
-        super().__init__(hub, record, ticket)
-
-    @property
-    def work(self) -> ModelWork:
-        """What the engine is asked for."""
-        return self.record.work
-
-    def hashes(self) -> tuple[str, ...]:
-        """Return the prefix blocks of the prompt."""
-        if self._hashes is None:
-            self._hashes = block_hashes(self.work.prompt)
-        return self._hashes
-
-    def use_cache(self, kv_handle: str, chosen: Candidate) -> None:
-        """Let the next attempt begin from a KV cache that was imported by an endpoint."""
-        self._kv = kv_handle
-        self._cache_at = chosen
-
-    def _start_attempt(self, order: StartAttempt) -> None:
-        chosen, self._cache_at = self._cache_at, None
-        if chosen is None or self.hub.directory.leaving(chosen.endpoint_id):
-            self._kv = ""
-            super()._start_attempt(order)
-        else:
-            self.launch(order, chosen)
-
-    def _call(self, order: StartAttempt, chosen: Candidate) -> OutboundCall:
-        kv_handle, self._kv = self._kv, ""
-        self._last_token_at = self.hub.now()
-        body = {
-            "request": self.request_id,
-            "attempt": order.attempt_id,
-            "model": self.work.model,
-            "prompt": self.work.prompt,
-            "resume": self.machine.assembler.tokens,
-            "max_tokens": self.work.max_tokens,
-            "priority": self.ticket.share.priority,
-            "kv": kv_handle,
-        }
-        return OutboundCall(
-            chosen.address,
-            "POST",
-            "/generate",
-            orjson.dumps(body),
-            (("Content-Type", "application/json"),),
-            self.record.service.call_timeout,
-            stream=True,
-        )
-
-    def _listener(self, attempt_id: str, chosen: Candidate) -> Callable[[CallEvent], None]:
-        return _FrameReader(self, attempt_id)
-
-    def frame(self, frame: Frame, prefilled: int) -> None:
-        """Take a frame of the current attempt."""
-        self._count_recomputed(frame, prefilled)
-        before = sum(self.machine.assembler.dropped.values())
-        first = self.machine.assembler.offset == 0
-        orders = self.machine.frame(frame)
-        if sum(self.machine.assembler.dropped.values()) > before:
-            self.hub.metrics.count("frames_dropped_total", reason="assembler")
-        if first and self.machine.assembler.offset:
-            self.hub.metrics.observe("first_token_seconds", self.hub.now() - self.accepted_at)
-        self._observe(frame)
-        self.carry(orders)
-
-    def _observe(self, frame: Frame) -> None:
-        now = self.hub.now()
-        if frame.tokens and self.machine.attempt_id == frame.attempt_id and not frame.final:
-            seconds = (now - self._last_token_at) / len(frame.tokens)
-            self.hub.directory.observed(self.endpoint_id, seconds)
-        self._last_token_at = now
-
-    def _count_recomputed(self, frame: Frame, prefilled: int) -> None:
-        if prefilled and self.machine.attempts + self.record.epoch > 1:
-            self.hub.metrics.count("tokens_recomputed_total", prefilled, cause="further_attempt")
-
-    def _emit(self, order: Emit) -> None:
-        service = self.record.service.name
-        self.hub.metrics.count("tokens_sent_total", len(order.tokens), service=service)
-        super()._emit(order)
-
-    def _complete(self) -> None:
-        self.hub.directory.health.succeeded(self.endpoint_id)
-        self.hub.directory.prefixes.stored(self.endpoint_id, self.hashes())
-        # The end of the response is still to come; reading it keeps the connection usable.
-        self._release(cancel=False)
-        tokens = self.machine.assembler.tokens
-        self._settle(whole_completion(self.request_id, self.work, tokens), None)
-
-
-class _FrameReader:
-    """Cut the response of an engine into frames."""
-
-    def __init__(self, request: ModelRequest, attempt_id: str):
-        self._request = request
-        self._attempt_id = attempt_id
-        self._status = 0
-        self._buffer = b""
-
-    def __call__(self, event: CallEvent) -> None:
-        if isinstance(event, ResponseHead):
-            self._status = event.status
-        elif isinstance(event, ResponseData):
-            self._buffer += event.data
-            if self._status == 200:
-                self._take_lines()
-        elif isinstance(event, ResponseEnd):
-            self._ended()
-        else:
-            self._request.call_failed(self._attempt_id, event)
-
-    def _take_lines(self) -> None:
-        *lines, self._buffer = self._buffer.split(b"\n")
-        try:
-            frames = [orjson.loads(line) for line in lines if line]
-            for data in _coalesced(frames):
-                self._take_frame(data)
-        except (orjson.JSONDecodeError, KeyError, TypeError):
-            self._request.lost(self._attempt_id, Ran.UNKNOWN, "malformed frame")
-
-    def _take_frame(self, data: dict) -> None:
-        if self._request.done or self._request.machine.attempt_id != self._attempt_id:
-            return
-        frame = Frame(
-            data["request"],
-            data["attempt"],
-            data["offset"],
-            tuple(data["tokens"]),
-            data.get("final", False),
-        )
-        self._request.frame(frame, data.get("prefilled", 0))
-
-    def _ended(self) -> None:
-        refused = self._status != 200 and _says_not_run(self._buffer)
-        executed = Ran.NO if refused else Ran.UNKNOWN
-        reason = "refused" if refused else f"ended with status {self._status}"
-        self._request.lost(self._attempt_id, executed, reason)
-
-
-def _coalesced(frames: list[dict]) -> list[dict]:
-    """Join frames that arrived together and follow one another, to pass them on as one."""
-    joined: list[dict] = []
-    for data in frames:
-        last = joined[-1] if joined else None
-        follows = (
-            last is not None
-            and not last.get("final")
-            and (last["request"], last["attempt"]) == (data["request"], data["attempt"])
-            and last["offset"] + len(last["tokens"]) == data["offset"]
-        )
-        if not follows:
-            joined.append(data)
-            continue
-        prefilled = last.get("prefilled", 0) + data.get("prefilled", 0)
-        joined[-1] = {
-            **data,
-            "offset": last["offset"],
-            "tokens": last["tokens"] + data["tokens"],
-            "prefilled": prefilled,
-        }
-    return joined
-
-
-def _says_not_run(body: bytes) -> bool:
-    """Tell whether an engine's error says that the request was not run."""
-    try:
-        return orjson.loads(body)["error"]["ran"] == "no"
-    except (orjson.JSONDecodeError, KeyError, TypeError):
-        return False
-
-
-class PlainRequest(ActiveRequest):
-    """A call of a plain service."""
-
-    @property
-    def work(self) -> PlainWork:
-        """What the service is asked for."""
-        return self.record.work
-
-    def hashes(self) -> tuple[str, ...]:
-        """Return no blocks: plain services have no prefix cache."""
-        return ()
-
-    def _call(self, order: StartAttempt, chosen: Candidate) -> OutboundCall:
-        headers = (*self.work.headers, ("X-Request-Id", self.request_id))
-        return OutboundCall(
-            chosen.address,
-            self.work.method,
-            self.work.path,
-            self.work.body,
-            headers,
-            self.record.service.call_timeout,
-            fresh=not self.record.may_repeat,
-        )
-
-    def _listener(self, attempt_id: str, chosen: Candidate) -> Callable[[CallEvent], None]:
-        return _AnswerReader(self, attempt_id)
-
-    def answered(self, attempt_id: str, status: int, content_type: str, body: bytes) -> None:
-        """Take the answer of the service."""
-        if not self.machine.answered(attempt_id):
-            return
-        self.hub.directory.health.succeeded(self.endpoint_id)
-        self.hub.metrics.observe("first_token_seconds", self.hub.now() - self.accepted_at)
-        self._settle(StoredAnswer(status, content_type, body), None)
-
-    def _complete(self) -> None:
-        raise AssertionError("a plain request is completed by its answer")
-
-
-class _AnswerReader:
-    """Collect the response of a plain service."""
-
-    def __init__(self, request: PlainRequest, attempt_id: str):
-        self._request = request
-        self._attempt_id = attempt_id
-        self._head: ResponseHead | None = None
-        self._parts: list[bytes] = []
-
-    def __call__(self, event: CallEvent) -> None:
-        if isinstance(event, ResponseHead):
-            self._head = event
-        elif isinstance(event, ResponseData):
-            self._parts.append(event.data)
-        elif isinstance(event, ResponseEnd):
-            self._ended()
-        else:
-            self._request.call_failed(self._attempt_id, event)
-
-    def _ended(self) -> None:
-        headers = self._head.headers
-        if headers.get(NOT_RUN_HEADER) == "true":
-            self._request.lost(self._attempt_id, Ran.NO, "refused")
-            return
-        echoed = headers.get("x-request-id", self._request.request_id)
-        if echoed != self._request.request_id:
-            self._request.lost(self._attempt_id, Ran.UNKNOWN, "crossed answer")
-            return
-        content_type = headers.get("content-type", "application/octet-stream")
-        body = b"".join(self._parts)
-        self._request.answered(self._attempt_id, self._head.status, content_type, body)
-
-
-def make_request(hub: "RequestHub", record: RequestRecord, ticket: Ticket) -> ActiveRequest:
-    """Return the active request for a record."""
-    cls = ModelRequest if isinstance(record.work, ModelWork) else PlainRequest
-    return cls(hub, record, ticket)
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -10,7 +10,7 @@
 from flamingofront.process.logs import Log
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.timers import Timer, TimerService
-from flamingofront.request.active import ActiveRequest, make_request
+from flamingofront.request.active import ActiveRequest
 from flamingofront.request.admission import FairAdmission, Ticket, WorkspaceShare
 from flamingofront.request.choice import (
     Candidate,
@@ -20,6 +20,8 @@
     usable,
 )
 from flamingofront.request.directory import EndpointDirectory
+from flamingofront.request.model_request import ModelRequest
+from flamingofront.request.plain_request import PlainRequest
 from flamingofront.request.records import ModelWork, RequestRecord
 from flamingofront.request.retry import PacedRetryBudget, RetryBudget
 from flamingofront.request.stored_answer import StoredAnswer
@@ -299,6 +301,12 @@
         return sum(not each.ticket.running for each in self.active.values())
 
 
+def make_request(hub: RequestHub, record: RequestRecord, ticket: Ticket) -> ActiveRequest:
+    """Return the active request for a record."""
+    cls = ModelRequest if isinstance(record.work, ModelWork) else PlainRequest
+    return cls(hub, record, ticket)
+
+
 def _cost(record: RequestRecord) -> float:
     """Return the work of a request relative to a usual one."""
     work = record.work
