--- a/flamingofront/connection/tests/test_server.py
+++ b/flamingofront/connection/tests/test_server.py
@@ -22,6 +22,7 @@
         self.faults = []
         self.gone = threading.Event()
         self.held = {}
+        self.holds = 0
         self.arrived = threading.Event()
         self.runtime = Runtime(self.faults.append, clock=self.clock)
         limits = ServerLimits(max_body=2000, request_timeout=5.0, max_unread=200_000)
@@ -38,6 +39,7 @@
         if req.path == "/hold":
             exchange.on_gone = self.gone.set
             self.held["exchange"] = exchange
+            self.holds += 1
             self.arrived.set()
             return
         if req.path == "/flood":
@@ -116,15 +118,19 @@
 
     def test_request_that_begins_during_an_answer_waits(self, server):
         server.arrived.clear()
+        server.holds = 0
         with server.connect() as conn:
             conn.sendall(b"GET /hold HTTP/1.1\r\n\r\n")
             assert server.arrived.wait(WAIT_SECONDS)
             conn.sendall(b"POST /second HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc")
+            # A round trip on another connection: the server has read the bytes above.
+            assert ask(server, b"GET /x HTTP/1.1\r\n\r\n")[0] == 200
             exchange = server.held["exchange"]
             server.act(lambda: exchange.respond(200, (), b"first"))
             buffer = bytearray()
             assert read_answer(conn, buffer) == (200, b"first")
             assert read_answer(conn, buffer) == (200, b"POST /second abc")
+        assert server.holds == 1
 
     def test_caller_that_leaves_is_noticed(self, server):
         server.arrived.clear()
--- a/flamingofront/process/node.py
+++ b/flamingofront/process/node.py
@@ -13,6 +13,7 @@
 from flamingofront.process.control import ControlInterface, respond_json
 from flamingofront.process.dissemination import Dissemination, Push
 from flamingofront.process.drain import DrainController, DrainState
+from flamingofront.process.expiry import Sweeper
 from flamingofront.process.fleet_duty import FleetDuty
 from flamingofront.process.leases import LeaseKeeper
 from flamingofront.process.limits import SharedLimits
@@ -236,6 +237,12 @@
         self.orders = EndpointOrders(
             self.leases[0], self.platform, self.gossip, self.tasks, self.metrics
         )
+        self.sweeper = Sweeper(
+            self.platform,
+            self.timers.wall,
+            lambda: self.leases[0].current() is not None,
+            self._rng,
+        )
         self.fleet = self._make_fleet() if settings.fleet == "on" else None
 
     def _make_fleet(self) -> FleetDuty:
@@ -271,6 +278,7 @@
         self.timers.every(self.settings.load_period, self.endpoint_watch.poll)
         for lease in self.leases:
             self.tasks.start(lease.run())
+        self.tasks.start(self.sweeper.run())
         self.timers.every(self.settings.lease_duration / 2, self.orders.step)
         if self.fleet is not None:
             self.timers.every(FLEET_PERIOD_SECONDS, self.fleet.step)
--- a/flamingofront/process/operators.py
+++ b/flamingofront/process/operators.py
@@ -12,6 +12,7 @@
 from flamingofront.errors import CommandError, ErrorKind, RequestError
 from flamingofront.messages import InboundRequest
 from flamingofront.process.dissemination import Dissemination
+from flamingofront.process.expiry import KEPT_SECONDS
 from flamingofront.process.peers import PeerLinks
 from flamingofront.process.platform import Platform
 from flamingofront.process.tasks import TaskRunner
@@ -153,6 +154,7 @@
             operation,
             self._timers.now,
             self._rng,
+            until=self._timers.wall() + KEPT_SECONDS,
         )
         self._tasks.start(task, lambda outcome: self._committed(outcome, exchange))
 
--- a/flamingofront/process/tests/test_configuration.py
+++ b/flamingofront/process/tests/test_configuration.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
+from flamingofront.process.dissemination import Push
 from flamingofront.standins.platform import FaultMode
 from flamingofront.tests.world import World, demo_world
 
@@ -133,6 +134,16 @@
         assert (settled["state"], settled["revision"]) == ("accepted", 2)
 
 
+class TestOldNews:
+    def test_old_configuration_that_comes_late_is_ignored(self):
+        world = demo_world(("zone-a",))
+        gossip = world.nodes["entry-a1"].gossip
+        old = gossip.configuration
+        world.operate("change workspace desk weight=2")
+        assert gossip.take_push(Push(configuration=old)) is None
+        assert gossip.configuration.revision == old.revision + 1
+
+
 class SpreadFuzz(RuleBasedStateMachine):
     """Changes, cuts, outages and restarts in any order.
 
@@ -143,6 +154,7 @@
     @initialize()
     def begin(self):
         self.world = demo_world(("zone-a", "zone-b", "zone-c"), engines_per_zone=1)
+        self.world.max_extra_delay = 0.3  # messages overtake one another
         self.seen = dict(revisions(self.world))
         self.changes = 0
 
--- a/flamingofront/process/tests/test_graceful_stop.py
+++ b/flamingofront/process/tests/test_graceful_stop.py
@@ -44,6 +44,14 @@
         assert set(refused) <= {"no"}
         assert len(refused) < len(callers)
 
+    def test_stop_takes_no_longer_than_the_drain_and_the_hand_over(self):
+        world = demo_world(ZONES)
+        caller = world.complete("entry-a1", tokens=5000)
+        world.run(0.5)
+        world.nodes["entry-a1"].shut_down()
+        assert world.run_until(lambda: "entry-a1" in world.exited) < 3.0
+        assert b"event: reattach" in caller.body
+
     def test_refusal_while_draining_says_not_run_and_when_to_come_back(self):
         world = demo_world(ZONES)
         world.complete("entry-a1", tokens=500)
--- a/flamingofront/process/timers.py
+++ b/flamingofront/process/timers.py
@@ -20,6 +20,10 @@
     def now(self) -> float:
         """Return seconds since an arbitrary start."""
 
+    @abstractmethod
+    def wall(self) -> float:
+        """Return seconds since the epoch; only for times that are kept for hours."""
+
 
 class BootClock(Clock):
     """Monotonic clock that goes on while the VM is suspended.
@@ -37,6 +41,10 @@
         """Return seconds since the boot of the machine."""
         return time.clock_gettime(self._clock_id)
 
+    def wall(self) -> float:
+        """Return the wall clock's seconds."""
+        return time.time()
+
 
 class ManualClock(Clock):
     """Clock that moves only when told to."""
@@ -48,6 +56,10 @@
         """Return the time that was set last."""
         return self.time
 
+    def wall(self) -> float:
+        """Return the same time as `now`."""
+        return self.time
+
 
 class Timer:
     """Handle of one subscription."""
@@ -83,6 +95,10 @@
         """Return the clock's seconds."""
         return self._clock.now()
 
+    def wall(self) -> float:
+        """Return the clock's seconds since the epoch."""
+        return self._clock.wall()
+
     def once(self, delay: float, callback: Callable[[], None]) -> Timer:
         """Call `callback` one time after `delay` seconds."""
         return self._push(Timer(self.now() + max(0.0, delay), callback, None))
--- a/flamingofront/request/claims.py
+++ b/flamingofront/request/claims.py
@@ -14,6 +14,7 @@
 from flamingofront.errors import PlatformError
 from flamingofront.messages import Sleep
 from flamingofront.process.backoff import Backoff
+from flamingofront.process.expiry import expiry_write
 from flamingofront.process.platform import Condition, Platform, Row, Write
 from flamingofront.process.tasks import Task
 from flamingofront.request.stored_answer import StoredAnswer, load_answer, store_answer
@@ -25,6 +26,7 @@
     "ClaimState",
     "claim",
     "finish_claim",
+    "move_claim",
     "release_claim",
     "repeat_until_done",
     "request_digest",
@@ -219,8 +221,15 @@
     request_id: str,
     answer: StoredAnswer | None,
     rng: random.Random,
+    until: float,
 ) -> Task:
-    """Store the answer with the claim, or that the outcome is unknown; repeat until it stands."""
+    """Store the answer with the claim, or that the outcome is unknown; repeat until it stands.
+
+    Parameters
+    ----------
+    until : float
+        Seconds since the epoch at which the claim is removed.
+    """
 
     def step() -> Task:
         (row,) = yield from platform.read([key.row_key])
@@ -230,9 +239,27 @@
         stored = None
         if answer is not None:
             stored = yield from store_answer(platform, f"answer/{request_id}", answer)
-        value = {**row.value, "state": state.value, "answer": stored}
+        value = {**row.value, "state": state.value, "answer": stored, "until": until}
+        result = yield from platform.transact(
+            (Condition(row.key, row.revision),),
+            (Write(row.key, value), expiry_write(row.key, until)),
+        )
+        return result.ok
+
+    yield from repeat_until_done(step, rng)
+
+
+def move_claim(
+    platform: Platform, key: ClaimKey, request_id: str, owner: str, rng: random.Random
+) -> Task:
+    """Become the owner of the claim of a request that was handed over; repeat until it stands."""
+
+    def step() -> Task:
+        (row,) = yield from platform.read([key.row_key])
+        if row.value is None or row.value["request_id"] != request_id:
+            return True
         result = yield from platform.transact(
-            (Condition(row.key, row.revision),), (Write(row.key, value),)
+            (Condition(row.key, row.revision),), (Write(row.key, {**row.value, "owner": owner}),)
         )
         return result.ok
 
--- a/flamingofront/request/jobs.py
+++ b/flamingofront/request/jobs.py
@@ -11,6 +11,7 @@
 from flamingofront.errors import PlatformError
 from flamingofront.messages import Sleep
 from flamingofront.process.backoff import Backoff
+from flamingofront.process.expiry import expiry_write
 from flamingofront.process.platform import Condition, Platform, Row, Write
 from flamingofront.process.tasks import Task
 from flamingofront.request.claims import repeat_until_done
@@ -138,8 +139,15 @@
     owner: str,
     answer: StoredAnswer,
     rng: random.Random,
+    until: float,
 ) -> Task:
-    """Store the answer of a job; repeat until it stands or the job is another's."""
+    """Store the answer of a job; repeat until it stands or the job is another's.
+
+    Parameters
+    ----------
+    until : float
+        Seconds since the epoch at which the job is removed.
+    """
 
     def step() -> Task:
         (row,) = yield from platform.read([_job_key(request_id)])
@@ -148,9 +156,10 @@
         if row.value["state"] == JobState.DONE.value:
             return True
         stored = yield from store_answer(platform, f"answer/{request_id}", answer)
-        value = {**row.value, "state": JobState.DONE.value, "answer": stored}
+        value = {**row.value, "state": JobState.DONE.value, "answer": stored, "until": until}
         drop_index = Write(_owner_key(owner, request_id), None)
-        result = yield from _swap(platform, row, value, drop_index)
+        end = expiry_write(row.key, until)
+        result = yield from _swap(platform, row, value, drop_index, end)
         return result.ok
 
     yield from repeat_until_done(step, rng)
--- a/flamingofront/request/keyed.py
+++ b/flamingofront/request/keyed.py
@@ -9,6 +9,7 @@
 from flamingofront.errors import ANSWERS, ErrorKind, PlatformError, Ran, RequestError
 from flamingofront.messages import InboundRequest, Sleep
 from flamingofront.process.backoff import Backoff
+from flamingofront.process.expiry import KEPT_SECONDS
 from flamingofront.process.platform import Platform
 from flamingofront.process.tasks import Task, TaskRunner
 from flamingofront.request.active import ActiveRequest
@@ -20,6 +21,7 @@
     ClaimOutcome,
     claim,
     finish_claim,
+    move_claim,
     release_claim,
     request_digest,
 )
@@ -191,7 +193,9 @@
             self._release(key, request.request_id, 0.0)
             self._claiming.pop(key, None)
             return
-        task = finish_claim(self._platform, key, request.request_id, answer, self._rng)
+        task = finish_claim(
+            self._platform, key, request.request_id, answer, self._rng, self._until()
+        )
         self._tasks.start(task, lambda _: self._claiming.pop(key, None))
 
     def _release(self, key: ClaimKey, request_id: str, settle: float) -> None:
@@ -201,9 +205,11 @@
         self._tasks.start(release_claim(self._platform, key, request_id, self._rng, settle))
 
     def keep_claim_answer(self, request: ActiveRequest) -> None:
-        """Store the answer of a keyed request that was handed over to this process."""
+        """Own the claim of a request that was handed over to this process, and store its answer."""
         key = ClaimKey(request.record.workspace, request.record.key)
         self._claiming[key] = request.request_id
+        task = move_claim(self._platform, key, request.request_id, self._vm_id, self._rng)
+        self._tasks.start(task)
         request.on_settled = lambda answer, exc: self._ended(key, request, answer, exc)
 
     def start_job(self, request: ActiveRequest) -> None:
@@ -249,6 +255,10 @@
         """Tell whether the answer of a job is still being stored."""
         return request_id in self._storing
 
+    def _until(self) -> float:
+        """Return when an answer that is stored now may be removed."""
+        return self._hub.timers.wall() + KEPT_SECONDS
+
     def store_job_answer(
         self, request_id: str, answer: StoredAnswer | None, exc: RequestError | None
     ) -> None:
@@ -257,5 +267,5 @@
             status = ANSWERS[exc.kind].status
             answer = StoredAnswer(status, "application/json", error_body(exc, request_id))
         self._storing.add(request_id)
-        task = finish_job(self._platform, request_id, self._vm_id, answer, self._rng)
+        task = finish_job(self._platform, request_id, self._vm_id, answer, self._rng, self._until())
         self._tasks.start(task, lambda _: self._storing.discard(request_id))
--- a/flamingofront/request/tests/test_reclaims.py
+++ b/flamingofront/request/tests/test_reclaims.py
@@ -173,6 +173,67 @@
         assert text == expected_text(prompt_tokens(caller.prompt), 1500)
 
 
+class TestKeptWorkIsHandedOver:
+    def test_key_goes_with_its_request(self):
+        world = demo_world(ZONES)
+        world.complete("entry-a1", tokens=800, headers={"idempotency-key": "k"})
+        world.run(1.0)
+        world.nodes["entry-a1"].shut_down()
+        world.run_until(lambda: "entry-a1" in world.exited)
+        early = world.complete("entry-b1", tokens=800, headers={"idempotency-key": "k"})
+        world.finish(early)
+        assert early.error["kind"] == "idempotency_key_in_progress"
+        world.run(15.0)
+        again = world.complete("entry-b1", tokens=800, headers={"idempotency-key": "k"})
+        world.finish(again)
+        assert again.text == expected_text(["a", " b", " c"], 800)
+        executions = [each.counts.executions for each in world.engines.values()]
+        assert len({request for each in executions for request in each}) == 1
+
+    def test_key_is_not_taken_over_while_its_request_goes_on_at_a_peer(self):
+        world = demo_world(("zone-a", "zone-b", "zone-c"))
+        world.complete("entry-a1", tokens=2500, headers={"idempotency-key": "k"})
+        world.run(1.0)
+        world.nodes["entry-a1"].shut_down()
+        world.run_until(lambda: "entry-a1" in world.exited)
+        world.platform.remove_vm("entry-a1")
+        world.run(10.0)
+        for name in ("entry-b1", "entry-c1"):
+            caller = world.complete(name, tokens=2500, headers={"idempotency-key": "k"})
+            world.finish(caller)
+            assert caller.error["kind"] == "idempotency_key_in_progress"
+
+    def test_job_goes_on_at_the_peer_from_where_it_was(self):
+        world = demo_world(ZONES)
+        caller = world.complete(
+            "entry-a1", "q", 800, stream=False, headers={"prefer": "respond-async"}
+        )
+        world.run(3.0)
+        world.nodes["entry-a1"].shut_down()
+        world.run_until(lambda: "entry-a1" in world.exited)
+        world.run(10.0)
+        later = world.call("entry-b1", "GET", caller.headers["location"])
+        world.finish(later)
+        assert later.text == expected_text(["q"], 800)
+        generated = sum(each.counts.generated for each in world.engines.values())
+        assert generated < 820
+
+    def test_job_and_its_owner_survive_a_store_outage_during_the_hand_over(self):
+        world = demo_world(ZONES)
+        caller = world.complete(
+            "entry-a1", "q", 800, stream=False, headers={"prefer": "respond-async"}
+        )
+        world.run(3.0)
+        world.platform.fail("table", FaultMode.DOWN)
+        world.nodes["entry-a1"].shut_down()
+        world.run(10.0)
+        world.platform.fail("table", FaultMode.UP)
+        world.run(20.0)
+        later = world.call("entry-b1", "GET", caller.headers["location"])
+        world.finish(later)
+        assert later.text == expected_text(["q"], 800)
+
+
 class TestZoneReclaimed:
     @pytest.mark.parametrize("refuse_starts", [False, True])
     def test_all_of_a_zone_at_once_and_again_during_recovery(self, refuse_starts):
--- a/flamingofront/version/commit.py
+++ b/flamingofront/version/commit.py
@@ -13,6 +13,7 @@
 from flamingofront.errors import ConfigurationError, PlatformError
 from flamingofront.messages import Sleep
 from flamingofront.process.backoff import Backoff
+from flamingofront.process.expiry import KEPT_SECONDS, expiry_write
 from flamingofront.process.platform import Condition, Platform, Row, Write
 from flamingofront.process.tasks import Task
 from flamingofront.version.edits import Edit, apply_edits
@@ -122,7 +123,9 @@
         base: int,
         operator: str,
         operation: str,
+        until: float,
     ):
+        self._until = until
         self._platform = platform
         self._edits = edits
         self._base = base
@@ -148,12 +151,18 @@
         return (yield from self._write(head, operation_key, new))
 
     def _write(self, head: Row, operation_key: str, new: Configuration) -> Task:
-        note = {"state": _ACCEPTED, "revision": new.revision, "operator": self._operator}
+        note = {
+            "state": _ACCEPTED,
+            "revision": new.revision,
+            "operator": self._operator,
+            "until": self._until,
+        }
         conditions = (Condition(HEAD_KEY, head.revision), Condition(operation_key, 0))
         writes = (
             Write(HEAD_KEY, {"revision": new.revision}),
             Write(DOCUMENT_KEY, configuration_to_json(new)),
             Write(operation_key, note),
+            expiry_write(operation_key, self._until),
         )
         try:
             result = yield from self._platform.transact(conditions, writes)
@@ -177,6 +186,7 @@
     rng: random.Random,
     budget: float = 6.0,
     backoff: Backoff = DEFAULT_BACKOFF,
+    until: float = KEPT_SECONDS,
 ) -> Task:
     """Bring a change into force in the table service.
 
@@ -189,6 +199,8 @@
         Unique id; a repetition with the same id is applied once.
     budget : float
         Seconds after which an outcome that is still open is reported as such.
+    until : float
+        Seconds since the epoch at which the operation's row may be removed.
 
     Returns
     -------
@@ -201,7 +213,7 @@
     absence of the operation's row. A conflict or refusal found after a lost answer is final: the
     lost write required a head revision that has passed.
     """
-    work = _Commit(platform, edits, base, operator, operation)
+    work = _Commit(platform, edits, base, operator, operation, until)
     deadline = now() + budget
     tries = 0
     while True:
