The answer table decides on Retry-After; unused names removed

Cause: the table's retry column was not read, so a passed deadline told no time to come back. Ruled out: a default in each caller of RequestError (eleven places, and one would be missed). Before: no Retry-After on deadline_exceeded, found by test_table_decides_whether_a_time_to_come_back_is_told, which failed first. After: each kind that the table allows has one.

--- a/bench/model.py
+++ b/bench/model.py
@@ -171,10 +171,6 @@
     token_target: float
     engines: tuple[str, ...]  # zone of each engine
 
-    @property
-    def mean_output(self):
-        return sum(each.part * each.output for each in self.classes)
-
 
 _ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
 COPY_EDITING = Mix(
@@ -217,7 +213,6 @@
     arrived: float
     tries: int = 0
     first_at: float | None = None
-    last_restart: float = 0.0
 
 
 @dataclass
--- a/flamingofront/connection/server.py
+++ b/flamingofront/connection/server.py
@@ -5,6 +5,7 @@
 kept here, so that no handler sees a request that is not complete and well framed.
 """
 
+import math
 import socket
 from collections.abc import Callable
 
@@ -43,7 +44,6 @@
     503: "Service Unavailable",
     504: "Gateway Timeout",
 }
-HOP_HEADERS = frozenset({"connection", "keep-alive", "transfer-encoding", "content-length", "te"})
 JSON_HEADERS = (("Content-Type", "application/json"),)
 
 
@@ -94,7 +94,7 @@
     """Return the headers that go with `error_body`."""
     if exc.retry_after is None:
         return JSON_HEADERS
-    seconds = max(1, int(exc.retry_after + 0.999))
+    seconds = max(1, math.ceil(exc.retry_after))
     return (*JSON_HEADERS, ("Retry-After", str(seconds)))
 
 
@@ -108,7 +108,6 @@
         self._timer: Timer | None = None
         self._closed = False
         self._keep_alive = True
-        self._streaming = False
         self._method = ""
         self.on_gone = None
         self._reset()
@@ -194,7 +193,6 @@
 
     def begin(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
         """Send the head of a streamed answer."""
-        self._streaming = True
         self._write(self._head_bytes(status, (*headers, ("Transfer-Encoding", "chunked"))))
 
     def send(self, data: bytes) -> bool:
@@ -236,7 +234,6 @@
             self._server.send(self._sock, data)
 
     def _answered(self) -> None:
-        self._streaming = False
         if self._closed:
             return
         if not self._keep_alive:
--- a/flamingofront/errors.py
+++ b/flamingofront/errors.py
@@ -21,6 +21,9 @@
 ]
 
 
+DEFAULT_RETRY_SECONDS = 1.0
+
+
 class Ran(StrEnum):
     """Whether the work of a request was executed by an endpoint."""
 
@@ -184,7 +187,7 @@
     ran : Ran, optional
         Evidence about execution; the table's default if not given.
     retry_after : float, optional
-        Seconds after which a retry makes sense.
+        Seconds after which a retry makes sense; a default where the table allows one.
     """
 
     def __init__(
@@ -198,4 +201,10 @@
         self.kind = kind
         self.detail = detail
         self.ran = ran if ran is not None else ANSWERS[kind].ran
-        self.retry_after = retry_after
+        self.retry_after = self._retry_after(retry_after)
+
+    def _retry_after(self, given: float | None) -> float | None:
+        """Return the time to tell: none where the table says that a retry makes no sense."""
+        if not ANSWERS[self.kind].retry:
+            return None
+        return DEFAULT_RETRY_SECONDS if given is None else given
--- a/flamingofront/process/control.py
+++ b/flamingofront/process/control.py
@@ -51,7 +51,6 @@
     ):
         self._token = token
         self._metrics = metrics
-        self._operators = operators
         self._links = links
         self._rows = rows
         self._keyed = keyed
--- a/flamingofront/process/watch.py
+++ b/flamingofront/process/watch.py
@@ -140,8 +140,6 @@
         self._duty = _Duty(dissemination, timers)
         self._missing: Counter[str] = Counter()
         self._listed: set[str] = set()
-        self._rounds = 0
-        self.list_was_read = False
         self.revision_was_read = False
         self.revision_read_failed = False
 
@@ -165,7 +163,6 @@
 
     def _list_step(self) -> Task:
         records = yield from self._platform.list_vms()
-        self.list_was_read = True
         self._on_facts(facts_of_list(records, self._gossip.facts.get))
         self._note_missing({each.vm_id for each in records})
 
--- a/flamingofront/tests/test_pages.py
+++ b/flamingofront/tests/test_pages.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from flamingofront.connection.server import error_headers
 from flamingofront.errors import ANSWERS, ErrorKind, Ran, RequestError
 from flamingofront.process.metrics import COUNTERS, GAUGES, PREFIX, SUMMARIES
 from flamingofront.process.operators import COLUMNS
@@ -30,6 +31,14 @@
         if kind not in FOR_OPERATORS:
             assert f"`{kind.value}`" in CALLERS
 
+    @pytest.mark.parametrize("kind", list(ErrorKind))
+    def test_table_decides_whether_a_time_to_come_back_is_told(self, kind):
+        names = [name for name, _ in error_headers(RequestError(kind))]
+        assert ("Retry-After" in names) == ANSWERS[kind].retry
+        assert RequestError(kind, retry_after=7.0).retry_after == (
+            7.0 if ANSWERS[kind].retry else None
+        )
+
     def test_error_keeps_better_evidence_than_the_table(self):
         exc = RequestError(ErrorKind.DEADLINE_EXCEEDED, ran=Ran.NO)
         assert exc.ran is Ran.NO
