--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -76,6 +76,13 @@
         "        yield from ()\n\n\ndef owned",
         "request/tests/test_reclaims.py",
     ),
+    Mutation(
+        "all no retry of work that must not repeat",
+        "request/attempts.py",
+        "if not self.facts.repeatable and executed is not Ran.NO:",
+        "if False:",
+        "tests/test_everything_at_once.py",
+    ),
     Mutation(
         "4 news is pushed at once",
         "process/peers.py",
