--- a/flamingofront/process/node.py
+++ b/flamingofront/process/node.py
@@ -18,6 +18,7 @@
 from flamingofront.process.leases import LeaseKeeper
 from flamingofront.process.limits import SharedLimits
 from flamingofront.process.logs import Log
+from flamingofront.process.members import Members
 from flamingofront.process.membership import Fact, Role, VmState
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.operators import OperatorService
@@ -112,6 +113,7 @@
             tuple(str(each) for each in settings.peers),
             self._exchanged,
         )
+        self.members = Members(settings.zone, self.gossip, self.links)
 
     def _build_requests(self, transport: Transport) -> None:
         settings = self.settings
@@ -139,11 +141,16 @@
             self.platform,
             self.tasks,
             self._rng,
-            self._is_gone,
+            self.members.is_gone,
             self.links.ask_not_run,
         )
         self.reattachment = Reattachment(
-            self.hub, self.platform, self.tasks, transport, self._holders, self._headers
+            self.hub,
+            self.platform,
+            self.tasks,
+            transport,
+            lambda request_id: self.members.holders(request_id, self.hub.moved_to.get(request_id)),
+            self._headers,
         )
         self.gateway = Gateway(
             settings.vm_id,
@@ -160,7 +167,7 @@
         self.inheritance = Inheritance(
             settings.vm_id, self.hub, self.platform, self.tasks, self.keyed, self.limits.share_of
         )
-        self.migrations = Migrations(self.hub, self.tasks, self._address_of)
+        self.migrations = Migrations(self.hub, self.tasks, self.members.address_of)
         self.drain = DrainController(
             settings.vm_id,
             settings.zone,
@@ -168,7 +175,7 @@
             self.tasks,
             self.timers,
             self.metrics,
-            self._takers,
+            self.members.takers,
             self._headers,
             self._drained,
         )
@@ -378,27 +385,6 @@
     def _exchanged(self) -> None:
         self._exchanges += 1
 
-    def _is_gone(self, vm_id: str) -> bool:
-        fact = self.gossip.facts.get(vm_id)
-        return fact is not None and fact.state is VmState.GONE
-
-    def _takers(self) -> tuple[Fact, ...]:
-        """Return the peers that may take requests over."""
-        live = self.gossip.facts.select(Role.ENTRY)
-        return tuple(each for each in live if each.vm_id != self.settings.vm_id)
-
-    def _holders(self, request_id: str) -> list[str]:
-        moved_to = self.hub.moved_to.get(request_id)
-        fact = self.gossip.facts.get(moved_to) if moved_to else None
-        holders = self.links.holders(request_id)
-        if fact is None:
-            return holders
-        return [fact.address, *(each for each in holders if each != fact.address)]
-
-    def _address_of(self, vm_id: str) -> str | None:
-        fact = self.gossip.facts.get(vm_id)
-        return None if fact is None else fact.address
-
     def _listed(self, facts: list[Fact]) -> None:
         self.links.push(self.gossip.take_facts(facts))
 
@@ -425,20 +411,9 @@
             self.log.warning("reclaim notice", seconds=seconds)
             self._exiting = True
             self._tell_leaving()
-        zone_is_going = self._zone_is_going()
+        zone_is_going = self.members.zone_is_going()
         self.drain.begin(max(0.0, seconds - NOTICE_MARGIN_SECONDS), zone_is_going)
 
-    def _zone_is_going(self) -> bool:
-        """Tell whether most entry VMs of the zone are leaving."""
-        entries = [
-            each
-            for state in (VmState.LIVE, VmState.LEAVING)
-            for each in self.gossip.facts.select(Role.ENTRY, state)
-            if each.zone == self.settings.zone
-        ]
-        leaving = sum(each.state is VmState.LEAVING for each in entries)
-        return 2 * leaving >= len(entries)
-
     def _facts_changed(self, facts: tuple[Fact, ...]) -> None:
         for fact in facts:
             if fact.role is Role.ENDPOINT:
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -51,15 +51,14 @@
 @dataclass(frozen=True)
 class _Finished:
     workspace: str
-    answer: StoredAnswer | None
-    error: RequestError | None
+    answer: StoredAnswer
     record: RequestRecord
     tokens: tuple[str, ...]
     until: float
 
     @property
     def size(self) -> int:
-        return len(self.answer.body) if self.answer is not None else 200
+        return len(self.answer.body)
 
 
 class FinishedAnswers:
@@ -275,7 +274,7 @@
             until = now + self.settings.answer_retention
             self.finished.put(
                 request.request_id,
-                _Finished(record.workspace, request.answer, None, record, tokens, until),
+                _Finished(record.workspace, request.answer, record, tokens, until),
             )
         self.on_idle()
         self._pump_service(record.service.name)
