--- a/bench/model.py
+++ b/bench/model.py
@@ -222,7 +222,10 @@
     offered: int = 0
     answered: int = 0
     in_target: int = 0
-    refused: int = 0
+    refused_at_door: int = 0
+    refused_late: int = 0
+    lost: int = 0
+    moved: int = 0
     failed: int = 0
     retries: int = 0
     attempts: int = 0
@@ -240,8 +243,11 @@
             "in target": self.in_target / max(1, self.offered),
             "answered": self.answered / max(1, self.offered),
             "small ws": self.small_in_target / max(1, self.small_offered),
-            "recomp/gen": self.recomputed / max(1, self.generated),
-            "refused": self.refused / max(1, self.offered),
+            "recomp": self.recomputed / max(1, self.generated),
+            "ref door": self.refused_at_door / max(1, self.offered),
+            "ref late": self.refused_late / max(1, self.offered),
+            "lost": self.lost / max(1, self.offered),
+            "moved": self.moved / max(1, self.offered),
             "retries": self.retries / max(1, self.offered),
             "attempts": self.attempts / max(1, self.answered),
         }
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -146,9 +146,9 @@
             if (decision, mix_index) != title:
                 title = decision, mix_index
                 print(f"\n{decision}, {MIXES[mix_index].name} (medians of {len(SEEDS)} seeds)")
-                print(f"{'scenario':19}{'policy':18}" + "".join(f"{key:>11}" for key in row))
+                print(f"{'scenario':19}{'policy':18}" + "".join(f"{key:>10}" for key in row))
             scenario = DECISIONS[decision][1][scenario_index]
-            cells = "".join(f"{value:>11.3f}" for value in row.values())
+            cells = "".join(f"{value:>10.3f}" for value in row.values())
             print(f"{scenario.name:19}{name:18}{cells}", flush=True)
 
 
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -149,6 +149,7 @@
         try:
             self.admission.offer(ticket, now)
         except RequestError as exc:
+            self.sim.result.refused_at_door += 1
             self.sim.refused(call, exc.retry_after)
             return
         self.budget.accepted(now)
@@ -163,6 +164,7 @@
         for ticket in self.admission.expired(self.sim.now):
             job = self.jobs.pop(ticket.request_id)
             job.machine.caller_gone()
+            self.sim.result.refused_late += 1
             self.sim.refused(job.call, self.admission.retry_after(self.sim.now))
         self.pump()
 
@@ -337,6 +339,7 @@
     def lost(self):
         if self.machine.phase is not Phase.RUNNING or self.stream is None:
             return
+        self.sim.result.lost += 1
         self._collect()
         engine_id, attempt = self.engine.engine_id, self.machine.attempt_id
         self.leave()
@@ -347,6 +350,7 @@
         """Resume elsewhere by recomputation."""
         if self.machine.attempt_id != attempt or self.stream is None:
             return
+        self.sim.result.moved += 1
         self._collect()
         self.carry(self.machine.replace(attempt))
 
@@ -368,6 +372,7 @@
         self.import_to = target
         if target is None:
             return
+        self.sim.result.moved += 1
         original = self._choose
         self._choose = lambda exclude: target
         self.carry(self.machine.replace(attempt))
@@ -460,7 +465,6 @@
 
     def refused(self, call, retry_after):
         """A caller was told to come back; some do."""
-        self.result.refused += 1
         call.tries += 1
         if call.tries < CALLER_TRIES and self.now < self.seconds:
             self.events.after(retry_after, lambda: self.rng.choice(self.entries).arrive(call))
