A keyed job whose write may stand is not told as not run, nor its key freed; late jobs are answered

Cause: any failure to write a keyed job counted as 'nothing left', so the caller was told ran: no and the key was released, while the job's row could stand and be run by an adopter, beside a second call with the key. And a job whose deadline passed while its row was written was dropped without an answer to the caller who waited for the 202. Ruled out: the unkeyed path for the first (it told unknown already). After: unknown and the key stays used; the late job gets its 202 and a stored deadline_exceeded with ran: no. Conclusion: each write that may have taken effect needs its own outcome, not that of the step before.

--- a/flamingofront/request/claims.py
+++ b/flamingofront/request/claims.py
@@ -53,6 +53,7 @@
     OUTCOME_UNKNOWN = "outcome_unknown"
     OTHER_REQUEST = "other_request"
     UNAVAILABLE = "unavailable"
+    JOB_UNCONFIRMED = "job_unconfirmed"
 
 
 @dataclass(frozen=True)
--- a/flamingofront/request/gateway.py
+++ b/flamingofront/request/gateway.py
@@ -282,7 +282,8 @@
         exc = RequestError(
             ErrorKind.STORE_UNAVAILABLE, str(fault), ran, retry_after=STORE_RETRY_SECONDS
         )
-        request.refuse(exc)
+        if not request.done:
+            request.refuse(exc)
         respond_error(exchange, exc, request.request_id)
 
     def _come_back(self, req: InboundRequest, exchange: Exchange) -> None:
--- a/flamingofront/request/keyed.py
+++ b/flamingofront/request/keyed.py
@@ -117,7 +117,9 @@
         if outcome.decision is ClaimDecision.GRANTED and record.job:
             try:
                 yield from create_job(self._platform, record, self._vm_id, self._rng)
-            except PlatformError:
+            except PlatformError as exc:
+                if exc.maybe_done:
+                    return ClaimOutcome(ClaimDecision.JOB_UNCONFIRMED)
                 return ClaimOutcome(ClaimDecision.UNAVAILABLE, maybe_left=True)
         return outcome
 
@@ -137,19 +139,29 @@
         if outcome.decision is ClaimDecision.GRANTED:
             self._start(key, request, exchange)
             return
+        if outcome.decision is ClaimDecision.JOB_UNCONFIRMED:
+            self._job_unconfirmed(key, request, exchange)
+            return
         self._claiming.pop(key, None)
         if outcome.maybe_left:
             self._release(key, request.request_id, LATE_WRITE_SECONDS)
-        if request.done:
-            return
         if outcome.decision is ClaimDecision.ANSWERED:
             self._repeat_answer(request, outcome, exchange)
             return
         kind, retry_after = _REFUSALS[outcome.decision]
         self._refuse(request, RequestError(kind, retry_after=retry_after), exchange)
 
+    def _job_unconfirmed(self, key: ClaimKey, request: ActiveRequest, exchange: Exchange) -> None:
+        """Refuse a job whose row may stand: an adopter may run it, so its key stays used."""
+        task = finish_claim(self._platform, key, request.request_id, None, self._rng, self._until())
+        self._tasks.start(task, lambda _: self._claiming.pop(key, None))
+        exc = RequestError(ErrorKind.STORE_UNAVAILABLE, ran=Ran.UNKNOWN)
+        self._refuse(request, exc, exchange)
+
     def _refuse(self, request: ActiveRequest, exc: RequestError, exchange: Exchange) -> None:
-        request.refuse(exc)
+        """Tell the caller; one of a job waits on the exchange, others on the request."""
+        if not request.done:
+            request.refuse(exc)
         if request.record.job:
             respond_error(exchange, exc, request.request_id)
 
@@ -158,9 +170,11 @@
     ) -> None:
         """Give the answer that the first call with the key got."""
         if not request.record.job:
-            request.resolve(outcome.answer)
+            if not request.done:
+                request.resolve(outcome.answer)
             return
-        request.drop()
+        if not request.done:
+            request.drop()
         answer = outcome.answer
         headers = (("Content-Type", answer.content_type), ("X-Request-Id", outcome.request_id))
         exchange.respond(answer.status, headers, answer.body)
@@ -170,6 +184,9 @@
             # The caller's time ended while the claim was made; nothing was sent.
             self._claiming.pop(key, None)
             self._release(key, request.request_id, 0.0)
+            if request.record.job:
+                respond_accepted(exchange, request.request_id)
+                self.start_job(request)
             return
         request.on_settled = lambda answer, exc: self._ended(key, request, answer, exc)
         if request.record.job:
@@ -220,6 +237,11 @@
         Work that may run only once is noted as running before it is sent: whoever adopts the job
         later then knows that it must not be sent again.
         """
+        if request.done:
+            # Its time ended while the row was written; nothing was sent.
+            late = RequestError(ErrorKind.DEADLINE_EXCEEDED, ran=Ran.NO)
+            self.store_job_answer(request.request_id, None, late)
+            return
         if request.on_settled is None:
             request.on_settled = lambda answer, exc: self.store_job_answer(
                 request.request_id, answer, exc
--- a/flamingofront/request/tests/test_at_most_once.py
+++ b/flamingofront/request/tests/test_at_most_once.py
@@ -185,3 +185,44 @@
         callers = [certificate(world, node=name, key="k1", deadline="30") for name in world.nodes]
         world.finish(*callers)
         assert executions(world) == 1
+
+
+class TestKeyedJob:
+    def test_job_that_may_stand_is_not_told_as_not_run(self):
+        """The job's write took effect, its answer was lost, and the table went out of service."""
+        world = demo_world(("zone-a", "zone-b"))
+        headers = {"x-work": "w1", "idempotency-key": "k1", "prefer": "respond-async"}
+        caller = world.call("entry-a1", "POST", CERTIFICATE, b"deposit 7", headers)
+        rows = world.platform.rows
+        world.run_until(lambda: any(key.startswith("claim/") for key in rows))
+        world.platform.fail("table", FaultMode.LOSE_ANSWER, count=1, writes_only=True)
+        world.run_until(lambda: any(key.startswith("job/") for key in rows))
+        world.platform.fail("table", FaultMode.DOWN)
+        world.finish(caller)
+        assert caller.error["ran"] == "unknown"
+        world.platform.fail("table", FaultMode.UP)
+        world.run(10.0)
+        again = certificate(world, node="entry-b1", key="k1")
+        world.finish(again)
+        world.kill("entry-a1")
+        world.entry("entry-a1")
+        world.run(20.0)
+        assert executions(world) <= 1
+
+    @pytest.mark.parametrize("key", ["", "k1"])
+    @pytest.mark.parametrize("mode", [FaultMode.SLOW, FaultMode.SILENT])
+    def test_job_whose_time_ends_while_it_is_written_leaves_no_caller_without_word(self, key, mode):
+        world = demo_world()
+        world.platform.fail("table", mode, 0.6)
+        headers = {"x-work": "w1", "prefer": "respond-async", "x-deadline": "0.5"}
+        if key:
+            headers["idempotency-key"] = key
+        caller = world.call("entry-a1", "POST", CERTIFICATE, b"deposit 7", headers)
+        world.finish(caller)
+        world.platform.fail("table", FaultMode.UP)
+        world.run(20.0)
+        assert executions(world) == 0
+        if caller.status == 202:
+            later = world.call("entry-a1", "GET", caller.headers["location"])
+            world.finish(later)
+            assert (later.error["kind"], later.error["ran"]) == ("deadline_exceeded", "no")
