--- a/flamingofront/connection/client.py
+++ b/flamingofront/connection/client.py
@@ -6,6 +6,7 @@
 """
 
 import errno
+import re
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -32,16 +33,45 @@
 MAX_RESPONSE_HEAD_BYTES = 64 * 1024
 MAX_IDLE_PER_ADDRESS = 16
 IDLE_SECONDS = 20.0
+# A kept connection is given up this long before the time that the target announced, so that a call
+# does not cross the target's close: about twice the slowest round trip plus the coarseness of the
+# announcement, which is in whole seconds.
+IDLE_MARGIN_SECONDS = 1.0
+# A silent target (no power, partition) is noticed after about two seconds instead of never; callers
+# of streams leave after two seconds of silence.
+USER_TIMEOUT_MS = 2000
+KEEP_ALIVE_SECONDS = 1
+KEEP_ALIVE_PROBES = 2
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d{1,6})")
+BODILESS_METHODS = ("GET", "HEAD")
 _IN_PROGRESS = (errno.EINPROGRESS, errno.EWOULDBLOCK, errno.EALREADY)
 
 
 def _request_bytes(call: OutboundCall) -> bytes:
-    lines = [f"{call.method} {call.path} HTTP/1.1", f"Host: {call.address}"]
+    lines = [f"{call.method} {call.path} HTTP/1.1", f"Host: {call.host or call.address}"]
     lines += [f"{name}: {value}" for name, value in call.headers]
-    lines.append(f"Content-Length: {len(call.body)}")
+    if call.body or call.method not in BODILESS_METHODS:
+        lines.append(f"Content-Length: {len(call.body)}")
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1", "replace") + call.body
 
 
+def _notice_silence(sock: socket.socket) -> None:
+    """Let the kernel reset the connection when its peer has fallen silent."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+def _idle_seconds(head: Head) -> float:
+    """Return how long a connection may be kept, by what the target announced."""
+    match = _KEEP_ALIVE_TIMEOUT.search(head.headers.get("keep-alive", ""))
+    if match is None:
+        return IDLE_SECONDS
+    return min(IDLE_SECONDS, float(match.group(1)) - IDLE_MARGIN_SECONDS)
+
+
 class _Call(CallHandle):
     """One call: its listener, its timer and the response read so far."""
 
@@ -93,9 +123,11 @@
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setblocking(False)
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        _notice_silence(self.sock)
         self.connected = False
         self.closed = False
         self.idle_timer: Timer | None = None
+        self._connect_timer: Timer | None = None
         self._call: _Call | None = None
         self._unsent = b""
 
@@ -107,6 +139,13 @@
             self._client.timers.once(0.0, lambda: self.fail("connect"))
             return
         self._client.want_write(self)
+        if self._call is not None and self._call.call.connect_timeout is not None:
+            seconds = self._call.call.connect_timeout
+            self._connect_timer = self._client.timers.once(seconds, self._connect_late)
+
+    def _connect_late(self) -> None:
+        if not self.connected:
+            self.fail("connect")
 
     def carry(self, call: _Call) -> None:
         """Take a call over and send it as soon as the connection stands."""
@@ -145,6 +184,8 @@
             self.fail("connect")
             return False
         self.connected = True
+        if self._connect_timer is not None:
+            self._connect_timer.cancel()
         self._client.want_read(self)
         return True
 
@@ -182,7 +223,7 @@
                 return
             data = self._rest if self._rest is not None else data
             self._rest = None
-            body, _ = self._decoder.feed(data)
+            body, beyond = self._decoder.feed(data)
         except RequestError:
             self.fail("framing")
             return
@@ -190,7 +231,7 @@
             self._client.renew_timeout(call)
             call.tell(ResponseData(body))
         if self._decoder.complete and self._call is call:
-            self._finish_call()
+            self._finish_call(beyond)
 
     _rest: bytes | None = None
 
@@ -200,19 +241,21 @@
             if result is None:
                 return False
             head, data = result
-            if head.status != 100:
+            if not 100 <= head.status < 200:
                 break
         self._head = head
         self._rest = data
         self._decoder = response_decoder(head, self._call.call.method)
-        self._call.tell(ResponseHead(head.status, head.headers))
+        self._call.tell(ResponseHead(head.status, head.headers, head.fields))
         return self._call is not None
 
-    def _finish_call(self) -> None:
+    def _finish_call(self, beyond: bytes) -> None:
+        """End the call; keep the connection if nothing is left unsent or was sent beyond."""
         call, self._call = self._call, None
-        reusable = self._head.keep_alive and not self._unsent
-        if reusable:
-            self._client.keep(self)
+        idle_seconds = _idle_seconds(self._head)
+        reusable = self._head.keep_alive and not self._unsent and not beyond
+        if reusable and idle_seconds > 0:
+            self._client.keep(self, idle_seconds)
         else:
             self.close()
         call.end(ResponseEnd())
@@ -230,8 +273,9 @@
             return
         self.closed = True
         self._call = None
-        if self.idle_timer is not None:
-            self.idle_timer.cancel()
+        for timer in (self.idle_timer, self._connect_timer):
+            if timer is not None:
+                timer.cancel()
         self._client.forget(self)
         self.sock.close()
 
@@ -243,6 +287,12 @@
     ----------
     timers : TimerService
         Source of the time-outs.
+
+    Attributes
+    ----------
+    max_idle : callable
+        Returns how many idle connections to an address are kept: targets limit their connections
+        over all callers, so a process's part shrinks as the processes grow in number.
     """
 
     channel = "http-client"
@@ -250,6 +300,7 @@
     def __init__(self, timers: TimerService):
         super().__init__(channel="http-client")
         self.timers = timers
+        self.max_idle: Callable[[str], int] = lambda address: MAX_IDLE_PER_ADDRESS
         self._poller: BasePoller | None = None
         self._connections: dict[socket.socket, _ClientConnection] = {}
         self._idle: dict[str, deque[_ClientConnection]] = {}
@@ -283,14 +334,14 @@
                 return conn
         return None
 
-    def keep(self, conn: _ClientConnection) -> None:
-        """Keep a connection for the next call to its address."""
+    def keep(self, conn: _ClientConnection, seconds: float) -> None:
+        """Keep a connection for the next call to its address, for some seconds."""
         idle = self._idle.setdefault(conn.address, deque())
-        if len(idle) >= MAX_IDLE_PER_ADDRESS:
+        if len(idle) >= self.max_idle(conn.address):
             conn.close()
             return
         idle.append(conn)
-        conn.idle_timer = self.timers.once(IDLE_SECONDS, conn.close)
+        conn.idle_timer = self.timers.once(seconds, conn.close)
 
     def forget(self, conn: _ClientConnection) -> None:
         """Drop a connection that was closed."""
--- a/flamingofront/connection/framing.py
+++ b/flamingofront/connection/framing.py
@@ -41,7 +41,17 @@
 
 @dataclass(frozen=True)
 class Head:
-    """First line and headers of a message; header names are in lower case."""
+    """First line and headers of a message.
+
+    Parameters
+    ----------
+    headers : mapping of str to str
+        Values by lower-case name.
+    target : str
+        Path and query of a request as they were sent, for forwarding without a change.
+    fields : tuple of (str, str)
+        Names and values of all headers as they were sent, in their order.
+    """
 
     method: str
     path: str
@@ -49,6 +59,8 @@
     status: int
     headers: Mapping[str, str]
     keep_alive: bool
+    target: str = ""
+    fields: tuple[tuple[str, str], ...] = ()
 
 
 class HeadBuffer:
@@ -143,9 +155,22 @@
         status=parser.get_status_code() or 0,
         headers=headers,
         keep_alive=parser.should_keep_alive(),
+        target=_target(raw) if is_request else "",
+        fields=_fields(raw),
     )
 
 
+def _target(raw: bytes) -> str:
+    """Return the request target as it was sent."""
+    return raw.split(b" ", 2)[1].decode("latin-1")
+
+
+def _fields(raw: bytes) -> tuple[tuple[str, str], ...]:
+    """Return names and values of the headers as they were sent."""
+    pairs = (line.partition(b":") for line in raw[:-4].split(b"\r\n")[1:])
+    return tuple((name.decode(), value.strip().decode("latin-1")) for name, _, value in pairs)
+
+
 class BodyDecoder(ABC):
     """Takes the bytes behind a head and returns those of the body."""
 
--- a/flamingofront/connection/server.py
+++ b/flamingofront/connection/server.py
@@ -8,18 +8,25 @@
 import math
 import socket
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import orjson
 from circuits import Component, handler
 from circuits.net.sockets import TCPServer
 
-from flamingofront.connection.framing import BodyDecoder, Head, HeadBuffer, request_decoder
+from flamingofront.connection.framing import (
+    MAX_HEAD_BYTES,
+    BodyDecoder,
+    Head,
+    HeadBuffer,
+    request_decoder,
+)
 from flamingofront.connection.interfaces import Exchange
 from flamingofront.errors import ANSWERS, ErrorKind, RequestError
 from flamingofront.messages import InboundRequest
 from flamingofront.process.timers import Timer, TimerService
 
-__all__ = ["HTTPServer", "ServerLimits", "error_body", "error_headers"]
+__all__ = ["HTTPServer", "RenderedError", "ServerLimits", "default_error", "error_body", "error_headers"]
 
 READ_BYTES = 64 * 1024
 MAX_WAITING_BYTES = 64 * 1024
@@ -47,6 +54,7 @@
 JSON_HEADERS = (("Content-Type", "application/json"),)
 
 
+@dataclass(frozen=True)
 class ServerLimits:
     """Limits of one server.
 
@@ -55,24 +63,20 @@
     max_body : int
         Bytes of a request body.
     request_timeout : float
-        Seconds from the first byte of a request to its last.
+        Seconds from the first byte of a request head to its last, and then for the body.
     idle_timeout : float
         Seconds that a connection may be open without a request.
     max_unread : int
         Bytes of an answer that may wait for a slow reader.
+    max_head : int
+        Bytes of a request head.
     """
 
-    def __init__(
-        self,
-        max_body: int = 8 * 1024 * 1024,
-        request_timeout: float = 10.0,
-        idle_timeout: float = 75.0,
-        max_unread: int = 1024 * 1024,
-    ):
-        self.max_body = max_body
-        self.request_timeout = request_timeout
-        self.idle_timeout = idle_timeout
-        self.max_unread = max_unread
+    max_body: int = 8 * 1024 * 1024
+    request_timeout: float = 10.0
+    idle_timeout: float = 75.0
+    max_unread: int = 1024 * 1024
+    max_head: int = MAX_HEAD_BYTES
 
 
 def error_body(exc: RequestError, request_id: str = "") -> bytes:
@@ -98,6 +102,14 @@
     return (*JSON_HEADERS, ("Retry-After", str(seconds)))
 
 
+RenderedError = tuple[int, tuple[tuple[str, str], ...], bytes]
+
+
+def default_error(exc: RequestError) -> RenderedError:
+    """Return status, headers and body of the answer that tells `exc`."""
+    return ANSWERS[exc.kind].status, error_headers(exc), error_body(exc)
+
+
 class _Connection(Exchange):
     """State of one caller connection; also the exchange of its current request."""
 
@@ -113,13 +125,19 @@
         self._reset()
 
     def _reset(self) -> None:
-        self._heads = HeadBuffer(is_request=True)
+        self._heads = HeadBuffer(is_request=True, max_bytes=self._server.limits.max_head)
         self._head: Head | None = None
         self._decoder: BodyDecoder | None = None
         self._body = bytearray()
         self._answering = False
+        self._head_at = 0.0
         self.on_gone = None
 
+    @property
+    def idle(self) -> bool:
+        """True if no byte of a request has arrived that is still to be answered."""
+        return not self._answering and self._head is None and self._heads.empty
+
     def watch_idle(self) -> None:
         """Close the connection if no request begins in time."""
         self._set_timer(self._server.limits.idle_timeout, self._close)
@@ -152,6 +170,8 @@
             if result is None:
                 return
             self._head, data = result
+            self._head_at = self._server.timers.now()
+            self._set_timer(self._server.limits.request_timeout, self._request_late)
             self._decoder = request_decoder(self._head, self._server.limits.max_body)
             if self._head.headers.get("expect", "").lower() == "100-continue":
                 self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -171,7 +191,16 @@
         head = self._head
         self._keep_alive = head.keep_alive
         self._method = head.method
-        req = InboundRequest(head.method, head.path, head.query, head.headers, bytes(self._body))
+        req = InboundRequest(
+            head.method,
+            head.path,
+            head.query,
+            head.headers,
+            bytes(self._body),
+            head.target,
+            head.fields,
+            self._head_at,
+        )
         self._server.dispatch(req, self)
 
     def _request_late(self) -> None:
@@ -182,7 +211,7 @@
         self._server.count_refusal(exc.kind)
         self._answering = True
         self._keep_alive = False
-        self.respond(ANSWERS[exc.kind].status, error_headers(exc), error_body(exc))
+        self.respond(*self._server.render_error(exc))
 
     def respond(self, status: int, headers: tuple[tuple[str, str], ...], body: bytes) -> None:
         """Send a whole answer."""
@@ -225,6 +254,8 @@
     def _head_bytes(self, status: int, headers: tuple[tuple[str, str], ...]) -> bytes:
         lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}"]
         lines += [f"{name}: {value}" for name, value in headers]
+        if self._server.closing:
+            self._keep_alive = False
         if not self._keep_alive:
             lines.append("Connection: close")
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1", "replace")
@@ -306,6 +337,15 @@
         Gets the `InboundRequest` and its `Exchange`.
     count_refusal : callable, optional
         Gets the `ErrorKind` of each request that could not be read.
+    render_error : callable, optional
+        Returns status, headers and body of the answer for a `RequestError`.
+
+    Attributes
+    ----------
+    limits : ServerLimits
+        May be replaced at any time; a connection takes the new ones with its next request.
+    closing : bool
+        True once each answer is to be the last one of its connection.
     """
 
     def __init__(
@@ -317,10 +357,13 @@
         count_refusal: Callable[[ErrorKind], None] = lambda kind: None,
         on_fault: Callable[[Exception], None] = lambda exc: None,
         channel: str = "http-server",
+        render_error: Callable[[RequestError], RenderedError] = default_error,
     ):
         super().__init__(channel=channel)
         self.timers = timers
         self.limits = limits or ServerLimits()
+        self.closing = False
+        self.render_error = render_error
         self.count_refusal = count_refusal
         self._on_request = on_request
         self._on_fault = on_fault
@@ -332,16 +375,20 @@
         """Port that the server listens on."""
         return self._sockets.port
 
+    @property
+    def connections(self) -> int:
+        """Number of open connections."""
+        return len(self._connections)
+
     def dispatch(self, req: InboundRequest, exchange: Exchange) -> None:
         """Hand a request over; a fault in the handler ends that request only."""
         try:
             self._on_request(req, exchange)
         except RequestError as exc:
-            exchange.respond(ANSWERS[exc.kind].status, error_headers(exc), error_body(exc))
+            exchange.respond(*self.render_error(exc))
         except Exception as exc:  # a fault must not leave the caller without an answer
             self._on_fault(exc)
-            fault = RequestError(ErrorKind.INTERNAL)
-            exchange.respond(ANSWERS[fault.kind].status, JSON_HEADERS, error_body(fault))
+            exchange.respond(*self.render_error(RequestError(ErrorKind.INTERNAL)))
 
     def unread(self, sock) -> int:
         """Return the number of bytes that wait for the reader of `sock`."""
@@ -360,6 +407,13 @@
         """Close `sock` once what waits for it has been sent."""
         self._sockets.close(sock)
 
+    def close_idle(self) -> int:
+        """Close the connections on which no request has begun and return their number."""
+        idle = [sock for sock, conn in self._connections.items() if conn.idle]
+        for sock in idle:
+            self.close_after_sending(sock)
+        return len(idle)
+
     def drop(self, sock) -> None:
         """Close `sock` without sending what waits for it."""
         self._sockets._close(sock)
--- /dev/null
+++ b/flamingofront/forward_daemon.py
@@ -0,0 +1,159 @@
+"""`flamingofront-forward`: the entry process on the users' platform."""
+
+import os
+import random
+import signal
+import sys
+
+import defopt
+
+from flamingofront.connection.client import HTTPClient
+from flamingofront.connection.runtime import Runtime
+from flamingofront.connection.server import HTTPServer, ServerLimits
+from flamingofront.errors import RequestError, SettingsError
+from flamingofront.platform.cloud import PlatformCloud
+from flamingofront.platform.config import CONFIG_KEY, CONFIG_TABLE, decode_configuration
+from flamingofront.platform.endpoints import ENDPOINT_TABLE, decode_endpoint
+from flamingofront.platform.requests import PlatformProtocol
+from flamingofront.platform.settings import SETTINGS_VARIABLE, read_settings, settings_path
+from flamingofront.platform.store import PlatformTableStore
+from flamingofront.process.forwarding.node import Dependencies, ForwardingNode, SharedTables
+from flamingofront.process.forwarding.settings import DeploymentSettings
+from flamingofront.process.forwarding.shutdown import GracefulStop
+from flamingofront.process.logs import Log, NonBlockingStream, set_up_logs
+from flamingofront.process.settings import Address
+from flamingofront.version.forwarding import ForwardingConfiguration
+
+__all__ = ["ForwardDaemon", "main"]
+
+EXIT_BAD_SETTINGS = 2
+# Longest wait for an answer of the platform: many times its usual 4 ms, and short enough that a
+# lost answer does not use up a lease of three seconds.
+PLATFORM_TIMEOUT_SECONDS = 1.0
+METRICS_PORT = 9464
+BODY_SECONDS = 10.0
+TABLES = SharedTables(
+    CONFIG_TABLE, CONFIG_KEY, ENDPOINT_TABLE, decode_configuration, decode_endpoint
+)
+
+
+class ForwardDaemon:
+    """A `ForwardingNode` with its sockets.
+
+    Parameters
+    ----------
+    settings : DeploymentSettings
+        Checked settings.
+    path : str
+        Settings file, read again on SIGHUP.
+    """
+
+    def __init__(self, settings: DeploymentSettings, path: str):
+        self._path = path
+        self._settings = settings
+        self._log = Log("entry", vm=settings.vm_id, zone=settings.zone)
+        self.runtime = Runtime(self._fault, self._stop_signal)
+        self._client = HTTPClient(self.runtime.timers).register(self.runtime)
+        self.node = ForwardingNode(settings, self._dependencies(), random.Random(), self._log)
+        self.node.on_configuration = self._limit_callers
+        self.callers = self._server(settings.caller_bind, self.node.handle_caller, "callers")
+        self._server(settings.ready_bind, self.node.handle_ready, "ready")
+        if settings.control_bind is not None:
+            self._server(settings.control_bind, self.node.handle_control, "control")
+        self._server(Address(settings.ip, METRICS_PORT), self.node.handle_control, "metrics")
+        self._stop = GracefulStop(self.node, self.callers, settings.stop_grace, self.runtime.stop)
+
+    def _dependencies(self) -> Dependencies:
+        settings = self._settings
+        cloud = settings.cloud
+        return Dependencies(
+            self._client,
+            self.runtime.timers,
+            PlatformTableStore(str(settings.store), PLATFORM_TIMEOUT_SECONDS),
+            PlatformCloud(str(cloud), PLATFORM_TIMEOUT_SECONDS) if cloud is not None else None,
+            PlatformProtocol(),
+            TABLES,
+        )
+
+    def _server(self, bind: Address, handler, channel: str) -> HTTPServer:
+        return HTTPServer(
+            (bind.host, bind.port),
+            handler,
+            self.runtime.timers,
+            ServerLimits(),
+            self._refused,
+            self._fault,
+            channel=channel,
+            render_error=PlatformProtocol().render_error,
+        ).register(self.runtime)
+
+    def _limit_callers(self, cfg: ForwardingConfiguration) -> None:
+        """Apply the configuration's limits to callers."""
+        limits = cfg.limits
+        self.callers.limits = ServerLimits(
+            max_body=limits.max_body,
+            request_timeout=limits.head_timeout,
+            idle_timeout=limits.idle_timeout,
+            max_head=limits.max_head,
+        )
+
+    def _fault(self, exc: BaseException) -> None:
+        self.node.fault(exc)
+
+    def _refused(self, kind) -> None:
+        self.node.gateway.refused(RequestError(kind))
+
+    def _stop_signal(self) -> None:
+        self._stop.begin()
+
+    def _reload_signal(self, signo, frame) -> None:
+        self.runtime.timers.once(0.0, self._reload)
+        self.runtime.poller.resume()
+
+    def _reload(self) -> None:
+        """Read the settings file again; a file with a fault changes nothing."""
+        try:
+            settings = read_settings(self._path)
+        except SettingsError as exc:
+            self._log.error("settings refused", detail=str(exc))
+            return
+        changed = settings != self._settings
+        self._log.info("settings read again", changed=changed)
+        if changed:
+            self._settings = settings
+            self.node.settings = settings
+
+    def run(self) -> None:
+        """Serve until a graceful stop is complete."""
+        signal.signal(signal.SIGHUP, self._reload_signal)
+        self.node.start()
+        self.runtime.run()
+        self._log.info("stopped")
+
+
+def forward(*, log_level: str = "info") -> None:
+    """Forward the routes of the platform's configuration.
+
+    The settings file is named by the environment variable FLAMINGOFRONT_BOOT.
+
+    :param log_level: debug, info, warning or error
+    """
+    set_up_logs(log_level, NonBlockingStream(sys.stdout.fileno()))
+    path = settings_path(os.environ)
+    try:
+        if path is None:
+            raise SettingsError(f"{SETTINGS_VARIABLE} is not set: it names the settings file")
+        settings = read_settings(path)
+    except SettingsError as exc:
+        print(f"flamingofront-forward: {exc}", file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    ForwardDaemon(settings, path).run()
+
+
+def main() -> None:
+    """Run the command line."""
+    defopt.run(forward, cli_options="all")
+
+
+if __name__ == "__main__":
+    main()
--- a/flamingofront/messages.py
+++ b/flamingofront/messages.py
@@ -29,13 +29,26 @@
 
 @dataclass(frozen=True)
 class InboundRequest:
-    """One complete HTTP request as it came from a caller, peer or operator."""
+    """One complete HTTP request as it came from a caller, peer or operator.
+
+    Parameters
+    ----------
+    target : str
+        Path and query as they were sent.
+    fields : tuple of (str, str)
+        Names and values of all headers as they were sent.
+    began_at : float
+        Time at which the head was complete; the caller's deadline counts from it.
+    """
 
     method: str
     path: str
     query: Mapping[str, str]
     headers: Mapping[str, str]
     body: bytes
+    target: str = ""
+    fields: tuple[tuple[str, str], ...] = ()
+    began_at: float = 0.0
 
     def header(self, name: str, default: str = "") -> str:
         """Return the value of a header, by its lower-case name."""
@@ -56,6 +69,10 @@
         True if response data is wanted as it arrives.
     fresh : bool
         True if the call must not reuse an idle connection.
+    host : str
+        Value of the ``Host`` header; the address if empty.
+    connect_timeout : float or None
+        Seconds until the connection must stand; None if only `timeout` bounds it.
     """
 
     address: str
@@ -66,6 +83,8 @@
     timeout: float = 2.0
     stream: bool = False
     fresh: bool = False
+    host: str = ""
+    connect_timeout: float | None = None
 
 
 @dataclass(frozen=True)
@@ -77,10 +96,11 @@
 
 @dataclass(frozen=True)
 class ResponseHead:
-    """Status line and headers of a streamed response."""
+    """Status line and headers of a streamed response; `fields` are the headers as sent."""
 
     status: int
     headers: Mapping[str, str]
+    fields: tuple[tuple[str, str], ...] = ()
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/flamingofront/platform/store.py
@@ -0,0 +1,148 @@
+"""Calls of the platform's table store."""
+
+import base64
+from collections.abc import Sequence
+from typing import Any
+from urllib.parse import urlencode
+
+import orjson
+
+from flamingofront.errors import PlatformError
+from flamingofront.messages import CallFailed, OutboundCall, WholeResponse
+from flamingofront.process.store import (
+    HistoryLostError,
+    RowChanges,
+    RowCondition,
+    RowRange,
+    RowWrite,
+    StoredRow,
+    TableStore,
+    TransactionOutcome,
+)
+from flamingofront.process.tasks import Task
+
+__all__ = ["PlatformTableStore", "ask"]
+
+STATUS_OK = 200
+STATUS_CONDITION_FAILED = 412
+STATUS_HISTORY_LOST = 410
+# Answers that promise that nothing was done.
+REFUSED_STATUSES = (429, 503)
+JSON_HEADERS = (("Content-Type", "application/json"),)
+
+
+def ask(call: OutboundCall, is_write: bool, allowed: tuple[int, ...]) -> Task:
+    """Send a call and return its response.
+
+    Raises
+    ------
+    PlatformError
+        If there is no answer or one that is not allowed.
+    """
+    reply = yield call
+    where = f"{call.method} {call.path.split('?')[0]}"
+    if isinstance(reply, CallFailed):
+        raise PlatformError(f"{where}: {reply.reason}", maybe_done=is_write and reply.wrote)
+    if reply.status not in allowed:
+        refused = reply.status in REFUSED_STATUSES
+        raise PlatformError(
+            f"{where}: status {reply.status}", maybe_done=is_write and not refused
+        )
+    return reply
+
+
+class PlatformTableStore(TableStore):
+    """The platform's table store.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT`` of the store.
+    timeout : float
+        Seconds to wait for an answer.
+    """
+
+    def __init__(self, address: str, timeout: float):
+        self._address = address
+        self._timeout = timeout
+
+    def read(self, table: str, part: str = "", first: str = "") -> Task:
+        """Return the rows of a table's part from key `first` on."""
+        query = {"table": table, "part": part, "from": first} if first else _place(table, part)
+        call = self._get("/api/rows-get", query, self._timeout)
+        reply = yield from ask(call, False, (STATUS_OK,))
+        doc = _body(reply)
+        return RowRange(_rows(doc), doc["ver"], bool(doc.get("truncated", False)))
+
+    def changes(self, table: str, after: int, wait: float) -> Task:
+        """Return what has changed since a version."""
+        query = {"table": table, "after_rev": after, "wait_ms": int(wait * 1000)}
+        call = self._get("/api/rows-feed", query, wait + self._timeout)
+        reply = yield from ask(call, False, (STATUS_OK, STATUS_HISTORY_LOST))
+        if reply.status == STATUS_HISTORY_LOST:
+            raise HistoryLostError(f"changes of table {table} since {after} are not kept")
+        doc = _body(reply)
+        return RowChanges(_rows(doc), doc["ver"])
+
+    def transact(
+        self, part: str, conditions: Sequence[RowCondition], writes: Sequence[RowWrite]
+    ) -> Task:
+        """Write all rows if all conditions hold."""
+        body = {
+            # Each row with the version that it must have.
+            "expected_rev": [
+                {"table": each.table, "part": part, "key": each.key, "ver": each.version}
+                for each in conditions
+            ],
+            "writes": [
+                {
+                    "table": each.table,
+                    "part": part,
+                    "key": each.key,
+                    "value": base64.b64encode(each.value).decode(),
+                }
+                for each in writes
+            ],
+            "remove": [],
+        }
+        call = OutboundCall(
+            self._address,
+            "POST",
+            "/api/rows-tx",
+            orjson.dumps(body),
+            JSON_HEADERS,
+            self._timeout,
+        )
+        reply = yield from ask(call, True, (STATUS_OK, STATUS_CONDITION_FAILED))
+        doc = _body(reply)
+        return TransactionOutcome(reply.status == STATUS_OK, doc.get("ver", 0), _rows(doc))
+
+    def _get(self, path: str, query: dict[str, Any], timeout: float) -> OutboundCall:
+        return OutboundCall(
+            self._address, "GET", f"{path}?{urlencode(query)}", timeout=timeout
+        )
+
+
+def _place(table: str, part: str) -> dict[str, str]:
+    return {"table": table, "part": part}
+
+
+def _body(reply: WholeResponse) -> dict[str, Any]:
+    try:
+        return orjson.loads(reply.body)
+    except orjson.JSONDecodeError as exc:
+        raise PlatformError(f"the store's answer is malformed: {exc}") from exc
+
+
+def _rows(doc: dict[str, Any]) -> tuple[StoredRow, ...]:
+    try:
+        return tuple(_row(each) for each in doc.get("rows", ()))
+    except (KeyError, TypeError, ValueError) as exc:
+        raise PlatformError(f"the store's rows are malformed: {exc!r}") from exc
+
+
+def _row(data: dict[str, Any]) -> StoredRow:
+    # A deleted row is marked so and has no value.
+    deleted = data.get("tombstone") or data.get("value") is None
+    value = None if deleted else base64.b64decode(data["value"])
+    return StoredRow(data["table"], data.get("part", ""), data["key"], value, data["ver"])
--- /dev/null
+++ b/flamingofront/process/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process that forwards routes kept in the platform's store."""
--- /dev/null
+++ b/flamingofront/process/forwarding/follower.py
@@ -0,0 +1,135 @@
+"""Follow a table of the store: read it once, then its changes."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from flamingofront.errors import PlatformError
+from flamingofront.messages import Sleep
+from flamingofront.process.backoff import Backoff
+from flamingofront.process.logs import Log
+from flamingofront.process.store import HistoryLostError, StoredRow, TableStore
+from flamingofront.process.tasks import Task
+
+__all__ = ["TableFollower", "TableListener"]
+
+# A silent store swallows a waiting call. The wait bounds how long that goes unnoticed: with it, a
+# process that is in touch again learns of a change within the two seconds that are allowed.
+FEED_WAIT_SECONDS = 3.5
+# First pause after a failed call and the longest one: quick enough to be back within a second of
+# the store's return, slow enough that 100 processes make 100 calls a second at most.
+BACKOFF = Backoff(0.1, 1.0)
+
+
+@dataclass(frozen=True)
+class TableListener:
+    """What is done with the rows of a table.
+
+    Parameters
+    ----------
+    replaced : callable
+        Gets all rows of the table, after it was read in full.
+    changed : callable
+        Gets rows that changed, in order.
+    lost, regained : callable
+        Called when the store stops answering, and when it answers again.
+    """
+
+    replaced: Callable[[tuple[StoredRow, ...]], None]
+    changed: Callable[[tuple[StoredRow, ...]], None]
+    lost: Callable[[], None] = lambda: None
+    regained: Callable[[], None] = lambda: None
+
+
+class TableFollower:
+    """Keeps up with one table.
+
+    Parameters
+    ----------
+    now : callable
+        Time of the timer service.
+    """
+
+    def __init__(
+        self,
+        store: TableStore,
+        table: str,
+        listener: TableListener,
+        now: Callable[[], float],
+        rng: random.Random,
+        log: Log,
+    ):
+        self._store = store
+        self._table = table
+        self._listener = listener
+        self._now = now
+        self._rng = rng
+        self._log = log
+        self._failures = 0
+        self._version: int | None = None
+        self.heard_at: float | None = None
+        self.errors = 0
+
+    @property
+    def version(self) -> int:
+        """Version up to which the table is known; 0 before it was read."""
+        return self._version or 0
+
+    def age(self) -> float | None:
+        """Return the seconds since the store's last answer; None before the first."""
+        return None if self.heard_at is None else self._now() - self.heard_at
+
+    @property
+    def is_cut_off(self) -> bool:
+        """True while the store does not answer this process."""
+        return self._failures > 0
+
+    def run(self) -> Task:
+        """Follow the table; never returns."""
+        while True:
+            try:
+                yield from self.step()
+            except HistoryLostError as exc:
+                self._log.warning("history lost", table=self._table, detail=str(exc))
+                self._version = None
+            except PlatformError as exc:
+                self._note_failure(exc)
+                yield Sleep(BACKOFF.delay(self._failures - 1, self._rng))
+
+    def step(self) -> Task:
+        """Read the table, or wait for its next changes."""
+        if self._version is None:
+            rows, version = yield from self._read_all()
+            self._note_answer()
+            self._version = version
+            self._listener.replaced(rows)
+            return
+        changes = yield from self._store.changes(self._table, self._version, FEED_WAIT_SECONDS)
+        self._note_answer()
+        self._version = max(self._version, changes.version)
+        if changes.rows:
+            self._listener.changed(changes.rows)
+
+    def _read_all(self) -> Task:
+        """Return all rows, and the version of the first part: later changes are read again."""
+        found = yield from self._store.read(self._table)
+        rows, version = found.rows, found.version
+        while found.truncated and found.rows:
+            # The first key behind the last one, in byte order.
+            found = yield from self._store.read(self._table, first=found.rows[-1].key + "\0")
+            rows += found.rows
+        return rows, version
+
+    def _note_answer(self) -> None:
+        self.heard_at = self._now()
+        if self._failures:
+            self._log.info("store regained", table=self._table, failures=self._failures)
+            self._failures = 0
+            self._listener.regained()
+
+    def _note_failure(self, exc: PlatformError) -> None:
+        self.errors += 1
+        self._failures += 1
+        if self._failures == 1:
+            self._log.warning("store lost", table=self._table, detail=str(exc), age=self.age())
+            self._listener.lost()
--- a/flamingofront/process/logs.py
+++ b/flamingofront/process/logs.py
@@ -1,12 +1,73 @@
 """Logs as JSON lines, through logbook."""
 
+import os
 import sys
+import time
+from collections.abc import Callable
 from typing import Any, TextIO
 
 import logbook
 import orjson
 
-__all__ = ["JsonLinesHandler", "Log", "set_up_logs"]
+__all__ = ["JsonLinesHandler", "Log", "NonBlockingStream", "set_up_logs"]
+
+# Lines a second beyond which further ones are counted and dropped: several times the requests that
+# one entry VM answers in a second at its peak.
+MAX_LINES_PER_SECOND = 400
+MAX_HELD_BYTES = 256 * 1024
+
+
+class NonBlockingStream:
+    """Text stream on a file descriptor that drops lines rather than wait.
+
+    A reader that does not keep up must not hold up requests, so what it has not taken is held up to
+    a bound, and beyond it lines are dropped. Their number is told in the next line that passes.
+
+    Parameters
+    ----------
+    fileno : int
+        Descriptor, for example of standard output.
+    """
+
+    encoding = "utf-8"
+
+    def __init__(self, fileno: int, clock: Callable[[], float] = time.monotonic):
+        os.set_blocking(fileno, False)
+        self._fileno = fileno
+        self._clock = clock
+        self._held = b""
+        self._second = 0
+        self._lines = 0
+        self.dropped = 0
+
+    def write(self, text: str) -> None:
+        """Write a line now, hold it, or drop it."""
+        if not self._admit():
+            self.dropped += 1
+            return
+        if self.dropped:
+            note = {"event": "log lines dropped", "count": self.dropped}
+            self._held += orjson.dumps(note) + b"\n"
+            self.dropped = 0
+        self._held += text.encode()
+        self.flush()
+
+    def _admit(self) -> bool:
+        second = int(self._clock())
+        if second != self._second:
+            self._second, self._lines = second, 0
+        self._lines += 1
+        return self._lines <= MAX_LINES_PER_SECOND and len(self._held) < MAX_HELD_BYTES
+
+    def flush(self) -> None:
+        """Give the descriptor as much as it takes at once."""
+        try:
+            self._held = self._held[os.write(self._fileno, self._held) :]
+        except BlockingIOError:
+            return
+        except OSError:
+            # Nobody reads any more; the process goes on without its log.
+            self._held = b""
 
 
 class JsonLinesHandler(logbook.StreamHandler):
--- a/flamingofront/process/membership.py
+++ b/flamingofront/process/membership.py
@@ -45,6 +45,8 @@
         Start of its process; 0 for VMs that run no process of this system.
     address : str
         ``IP:PORT`` of an endpoint, or of the control server of an entry VM.
+    slots : int
+        Requests that an endpoint says it runs at once; 0 if it says nothing.
     """
 
     vm_id: str
@@ -59,6 +61,7 @@
     reclaimable: bool = True
     price: float = 1.0
     model: str = ""
+    slots: int = 0
 
     @property
     def rank(self) -> tuple[int, int]:
@@ -80,6 +83,7 @@
             self.reclaimable,
             self.price,
             self.model,
+            self.slots,
         ]
 
     @classmethod
--- /dev/null
+++ b/flamingofront/process/store.py
@@ -0,0 +1,139 @@
+"""What the product needs of the platform, as abstract classes: table store and cloud.
+
+An implementation translates to a platform's own names and formats and decides nothing. Each
+operation is a generator for `flamingofront.process.tasks`.
+"""
+
+from abc import ABC, abstractmethod
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from flamingofront.errors import PlatformError
+from flamingofront.process.tasks import Task
+
+__all__ = [
+    "Cloud",
+    "EndpointOrder",
+    "HistoryLostError",
+    "RowChanges",
+    "RowCondition",
+    "RowRange",
+    "RowWrite",
+    "StoredRow",
+    "TableStore",
+    "TransactionOutcome",
+    "UsageReport",
+]
+
+
+class HistoryLostError(PlatformError):
+    """Changes since the given version are no longer kept: the table must be read anew."""
+
+
+@dataclass(frozen=True)
+class StoredRow:
+    """One row; `value` is None if the row was deleted, `version` that of its last write."""
+
+    table: str
+    part: str
+    key: str
+    value: bytes | None
+    version: int
+
+
+@dataclass(frozen=True)
+class RowRange:
+    """Rows of one table and part as of one moment; `version` is the newest of the store."""
+
+    rows: tuple[StoredRow, ...]
+    version: int
+    truncated: bool = False
+
+
+@dataclass(frozen=True)
+class RowChanges:
+    """Rows changed since the asked version, in order; go on from `version`."""
+
+    rows: tuple[StoredRow, ...]
+    version: int
+
+
+@dataclass(frozen=True)
+class RowCondition:
+    """Requirement that a row has this version; 0 requires its absence."""
+
+    table: str
+    key: str
+    version: int
+
+
+@dataclass(frozen=True)
+class RowWrite:
+    """New value of a row."""
+
+    table: str
+    key: str
+    value: bytes
+
+
+@dataclass(frozen=True)
+class TransactionOutcome:
+    """Answer to a transaction: `version` of the store, and the rows as they are if it failed."""
+
+    ok: bool
+    version: int
+    rows: tuple[StoredRow, ...] = ()
+
+
+class TableStore(ABC):
+    """Rows in tables, with conditional writes and a feed of changes."""
+
+    @abstractmethod
+    def read(self, table: str, part: str = "", first: str = "") -> Task:
+        """Return the `RowRange` of a table's part from key `first` on."""
+
+    @abstractmethod
+    def changes(self, table: str, after: int, wait: float) -> Task:
+        """Return the `RowChanges` after a version, waiting some seconds for the first.
+
+        Raises
+        ------
+        HistoryLostError
+            If the store no longer knows what changed since then.
+        """
+
+    @abstractmethod
+    def transact(
+        self, part: str, conditions: Sequence[RowCondition], writes: Sequence[RowWrite]
+    ) -> Task:
+        """Write all rows if all conditions hold; return the `TransactionOutcome`."""
+
+
+@dataclass(frozen=True)
+class UsageReport:
+    """Requests of each workspace that began to run in one window of the wall clock."""
+
+    window: int
+    counts: Mapping[str, int]
+
+
+@dataclass(frozen=True)
+class EndpointOrder:
+    """Order for a number of endpoints of one service in one zone."""
+
+    service: str
+    zone: str
+    count: int
+    reclaimable: bool
+
+
+class Cloud(ABC):
+    """Calls that only the holder of a duty may make; each carries its fencing number."""
+
+    @abstractmethod
+    def report_usage(self, holder: str, fencing: int, report: UsageReport) -> Task:
+        """Send a usage report; raises `PlatformError` if it was not accepted."""
+
+    @abstractmethod
+    def order(self, holder: str, fencing: int, order: EndpointOrder) -> Task:
+        """Send an order; return False if there are no such endpoints to be had now."""
--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -44,6 +44,9 @@
         Its place in the admission.
     """
 
+    # True if callers may come back for the answer.
+    retains_answer = True
+
     def __init__(self, hub: "RequestHub", record: RequestRecord, ticket: Ticket):
         self.hub = hub
         self.record = record
@@ -55,7 +58,11 @@
         self.on_settled: Callable[[StoredAnswer | None, RequestError | None], None] | None = None
         self.log = hub.log.bind(request=record.request_id, workspace=record.workspace)
         facts = RequestFacts(
-            record.request_id, record.may_repeat, self.accepted_at + record.deadline_left
+            record.request_id,
+            record.may_repeat,
+            self.accepted_at + record.deadline_left,
+            record.max_attempts,
+            self.accepted_at + hub.choice_patience(record),
         )
         self.machine = RequestMachine(
             facts,
@@ -221,22 +228,28 @@
             handle.cancel()
         self.hub.directory.ended(self.endpoint_id)
 
-    def lost(self, attempt_id: str, executed: Ran, reason: str) -> None:
-        """An attempt ended without its answer."""
+    def lost(self, attempt_id: str, executed: Ran, reason: str, sent: bool = True) -> None:
+        """An attempt ended without its answer; `sent` is False if nothing can have arrived."""
         if self.done or attempt_id != self.machine.attempt_id:
             return
         now = self.hub.now()
         self._release()
         self.hub.attempt_lost(self.record.service, self.endpoint_id, executed, reason, now)
-        self.log.info("attempt lost", attempt=attempt_id, endpoint=self.endpoint_id, reason=reason)
-        self.carry(self.machine.lost(attempt_id, self.endpoint_id, executed, now, reason))
+        self.log.info(
+            "attempt lost",
+            attempt=attempt_id,
+            endpoint=self.endpoint_id,
+            reason=reason,
+            ran=executed.value,
+        )
+        self.carry(self.machine.lost(attempt_id, self.endpoint_id, executed, now, reason, sent))
 
     def call_failed(self, attempt_id: str, event: CallFailed) -> None:
         """Judge a call that ended without a response."""
         if event.reason == "connect":
             self.hub.directory.connect_failed(self.endpoint_id, self.hub.now())
         executed = Ran.UNKNOWN if event.wrote else Ran.NO
-        self.lost(attempt_id, executed, event.reason)
+        self.lost(attempt_id, executed, event.reason, sent=event.wrote)
 
     def _emit(self, order: Emit) -> None:
         for each in list(self.attachments):
--- a/flamingofront/request/attempts.py
+++ b/flamingofront/request/attempts.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+import math
 import random
 from dataclasses import dataclass
 from enum import StrEnum
@@ -50,11 +51,17 @@
         False if the work may be executed at most once.
     deadline : float
         Time at which the caller no longer waits.
+    max_attempts : int or None
+        Endpoints that the request may be sent to; None if only the budget bounds them.
+    choose_until : float
+        Time after which a request is refused for which there is no endpoint.
     """
 
     request_id: str
     repeatable: bool
     deadline: float
+    max_attempts: int | None = None
+    choose_until: float = math.inf
 
 
 class RequestMachine:
@@ -144,10 +151,24 @@
             return []
         self._failed_endpoints.clear()
         self.attempts -= 1
+        if now + retry_after >= self.facts.choose_until:
+            return self._fail(ErrorKind.NO_ENDPOINT, retry_after=retry_after)
         return self._wait_or_fail(now, retry_after, ErrorKind.NO_ENDPOINT)
 
+    def progressed(self, attempt_id: str) -> None:
+        """Note that an endpoint has sent a part of the answer that was passed on."""
+        if attempt_id == self.attempt_id:
+            self.ran = Ran.YES
+            self._failures = 0
+
     def lost(
-        self, attempt_id: str, endpoint_id: str, executed: Ran, now: float, detail: str = ""
+        self,
+        attempt_id: str,
+        endpoint_id: str,
+        executed: Ran,
+        now: float,
+        detail: str = "",
+        sent: bool = True,
     ) -> list[Order]:
         """Take the loss of an attempt.
 
@@ -155,6 +176,8 @@
         ----------
         executed : Ran
             ``NO`` only with evidence: never connected, nothing written, or a documented refusal.
+        sent : bool
+            False if nothing can have arrived; such an attempt counts against no limit.
         """
         if attempt_id != self.attempt_id or self.phase is not Phase.RUNNING:
             return []
@@ -167,6 +190,11 @@
             return self._fail(ErrorKind.OUTCOME_UNKNOWN, detail)
         if self._failures >= MAX_FAILURES_WITHOUT_PROGRESS:
             return self._fail(ErrorKind.ENDPOINT_FAILED, detail, self._backoff.longest)
+        if not sent and self.facts.max_attempts is not None:
+            self.attempts -= 1
+            return self._wait_or_fail(now, 0.0, ErrorKind.ENDPOINT_FAILED)
+        if self.facts.max_attempts is not None and self.attempts >= self.facts.max_attempts:
+            return self._fail(self._last_kind(), detail)
         delay = self._budget.reserve(now)
         if self._failures > 1:
             delay = max(delay, self._backoff.delay(self._failures - 2, self._rng))
@@ -179,9 +207,13 @@
         elif executed is not Ran.NO and self.ran is Ran.NO:
             self.ran = Ran.UNKNOWN
 
+    def _last_kind(self) -> ErrorKind:
+        """Return the error of a request whose attempts are used up."""
+        return ErrorKind.OVERLOADED if self.ran is Ran.NO else ErrorKind.ENDPOINT_FAILED
+
     def _wait_or_fail(self, now: float, delay: float, kind: ErrorKind) -> list[Order]:
         if now + delay >= self.facts.deadline:
-            return self._fail(kind, retry_after=delay)
+            return self._fail(kind, retry_after=delay if delay < math.inf else None)
         self.phase = Phase.WAITING
         self.attempt_id = None
         self.assembler.assign(None)
--- a/flamingofront/request/directory.py
+++ b/flamingofront/request/directory.py
@@ -165,7 +165,7 @@
             address=fact.address,
             side=fact.side,
             price=fact.price,
-            slots=service.slots,
+            slots=fact.slots or service.slots,
             own_in_flight=self._in_flight[endpoint_id],
             reported_load=report.load if report else 0.0,
             own_at_report=report.own_in_flight if report else 0,
@@ -184,6 +184,15 @@
         endpoints = self._endpoints(service.name)
         return service.slots * (len(endpoints.facts) - len(endpoints.drained))
 
+    def slots(self, service: str) -> int:
+        """Return the slots that the endpoints of a service tell; 0 if they tell none."""
+        facts = self._endpoints(service).facts
+        return max((fact.slots for fact in facts.values()), default=0)
+
+    def address_reused(self, endpoint_id: str) -> None:
+        """Leave an endpoint out whose address belongs to another one now."""
+        self._facts.mark(endpoint_id, VmState.GONE)
+
     def started(self, endpoint_id: str) -> None:
         """Note an attempt that runs on an endpoint."""
         self._in_flight[endpoint_id] += 1
--- /dev/null
+++ b/flamingofront/request/forward_gateway.py
@@ -0,0 +1,199 @@
+"""The callers' interface of forwarded routes: from an HTTP request to an accepted request."""
+
+from collections.abc import Callable
+
+from flamingofront.connection.interfaces import Exchange
+from flamingofront.errors import ErrorKind, RequestError
+from flamingofront.messages import InboundRequest
+from flamingofront.process.logs import Log
+from flamingofront.request.admission import WorkspaceShare
+from flamingofront.request.forward_work import CallerRequest, ForwardProtocol, ForwardWork
+from flamingofront.request.forwarded_request import ForwardAttachment, ForwardedRequest
+from flamingofront.request.hub import RequestHub
+from flamingofront.request.quota import QuotaPolicy
+from flamingofront.request.records import RequestRecord
+from flamingofront.version.forwarding import (
+    ForwardedRoute,
+    ForwardedWorkspace,
+    ForwardingConfiguration,
+    RequestKind,
+)
+
+__all__ = ["ForwardGateway"]
+
+NOT_READY_RETRY_SECONDS = 0.5
+# Quotas count requests or tokens; the number in flight is bounded by the endpoints alone.
+NO_WORKSPACE_LIMIT = 1_000_000
+DEFAULT_PRIORITY = 5
+
+
+class ForwardGateway:
+    """Turns callers' HTTP requests on forwarded routes into accepted requests or refusals.
+
+    Parameters
+    ----------
+    quota : QuotaPolicy
+        Quotas of the workspaces over all entry processes.
+    on_running : callable
+        Gets each request when an endpoint begins to answer it.
+    """
+
+    def __init__(
+        self,
+        hub: RequestHub,
+        protocol: ForwardProtocol,
+        quota: QuotaPolicy,
+        log: Log,
+        on_running: Callable[[ForwardedRequest], None] = lambda request: None,
+    ):
+        self.configuration = ForwardingConfiguration()
+        self._hub = hub
+        self._protocol = protocol
+        self._quota = quota
+        self._log = log
+        self._on_running = on_running
+
+    def handle(self, req: InboundRequest, exchange: Exchange) -> None:
+        """Take one request; every error is answered from the table."""
+        try:
+            self._forward(req, exchange)
+        except RequestError as exc:
+            self.refused(exc, req)
+            exchange.respond(*self._protocol.render_error(exc))
+
+    def refused(self, exc: RequestError, req: InboundRequest | None = None) -> None:
+        """Count and log a refusal."""
+        self._hub.metrics.count("refusals_total", kind=exc.kind.value)
+        self._log.info(
+            "refused",
+            request=self._protocol.request_id(req) if req is not None else "",
+            kind=exc.kind.value,
+            detail=exc.detail,
+            status=self._protocol.render_error(exc)[0],
+            retry_after=exc.retry_after,
+            configuration=self.configuration.version,
+        )
+
+    def _forward(self, req: InboundRequest, exchange: Exchange) -> None:
+        cfg = self.configuration
+        if not cfg.version:
+            raise RequestError(ErrorKind.NOT_READY, retry_after=NOT_READY_RETRY_SECONDS)
+        caller = self._protocol.decode(req)
+        route = cfg.route_for(caller.host, caller.path)
+        if route is None:
+            raise RequestError(ErrorKind.UNKNOWN_SERVICE, f"no route for {caller.path[:80]!r}")
+        workspace = self._workspace(caller, route)
+        units = _units(caller, workspace)
+        self._check_quota(workspace, units)
+        record = self._record(req, caller, route, workspace)
+        request = self._hub.accept(record, _share(route, workspace))
+        if workspace is not None:
+            self._quota.spend(workspace, units, self._hub.now())
+        request.on_running = self._on_running
+        request.on_end = lambda ended: self._ended(ended, route, workspace, units)
+        request.attach(ForwardAttachment(exchange, caller.request_id, self._protocol))
+        self._hub.pump()
+
+    def _workspace(
+        self, caller: CallerRequest, route: ForwardedRoute
+    ) -> ForwardedWorkspace | None:
+        cfg = self.configuration
+        workspace = cfg.workspace_of(caller.key) if caller.key else None
+        if workspace is None and route.needs_key and cfg.workspaces:
+            raise RequestError(ErrorKind.UNKNOWN_WORKSPACE, "the API key is not known")
+        return workspace
+
+    def _check_quota(self, workspace: ForwardedWorkspace | None, units: float) -> None:
+        if workspace is None:
+            return
+        wait = self._quota.wait(workspace, units, self._hub.now())
+        if wait > 0:
+            raise RequestError(
+                ErrorKind.LIMIT_EXCEEDED,
+                f"workspace {workspace.name} is over its quota of {workspace.rate:g} a second",
+                retry_after=wait,
+            )
+
+    def _record(
+        self,
+        req: InboundRequest,
+        caller: CallerRequest,
+        route: ForwardedRoute,
+        workspace: ForwardedWorkspace | None,
+    ) -> RequestRecord:
+        spent = self._hub.now() - req.began_at
+        left = route.timeout - spent
+        if caller.deadline is not None:
+            left = min(left, caller.deadline - spent)
+        if left <= 0:
+            raise RequestError(ErrorKind.DEADLINE_EXCEEDED, "no time is left of the deadline")
+        name = route.backend_for(caller.request_id)
+        slots = self._hub.directory.slots(name)
+        work = ForwardWork(
+            method=req.method,
+            target=req.target,
+            host=caller.host,
+            fields=caller.fields,
+            body=req.body,
+            stream=route.kind is RequestKind.STREAM,
+            repeatable=route.may_repeat,
+            resumable=route.resumable,
+            max_attempts=route.max_attempts,
+            workspace=workspace.name if workspace is not None else "",
+            prompt=caller.prompt,
+            prompt_tokens=caller.prompt_tokens,
+            output_tokens=caller.output_tokens,
+        )
+        return RequestRecord(
+            request_id=caller.request_id,
+            workspace=work.workspace,
+            route=route.name,
+            service=self.configuration.service_for(route, name, slots),
+            work=work,
+            deadline_left=left,
+        )
+
+    def _ended(
+        self,
+        request: ForwardedRequest,
+        route: ForwardedRoute,
+        workspace: ForwardedWorkspace | None,
+        units: float,
+    ) -> None:
+        now = self._hub.now()
+        if workspace is not None and request.first_at is None:
+            self._quota.refund(workspace, units, now)
+        first = request.first_at
+        self._log.info(
+            "request ended",
+            request=request.request_id,
+            route=route.name,
+            service=request.record.service.name,
+            workspace=request.record.workspace,
+            configuration=self.configuration.version,
+            status=request.status,
+            failure=request.failure,
+            ran=request.machine.ran.value,
+            endpoints=request.endpoints,
+            events=request.relay.count,
+            first_ms=None if first is None else round((first - request.accepted_at) * 1000),
+            total_ms=round((now - request.accepted_at) * 1000),
+        )
+
+
+def _units(caller: CallerRequest, workspace: ForwardedWorkspace | None) -> float:
+    """Return what a request counts against its workspace's quota."""
+    if workspace is None or not workspace.counts_tokens:
+        return 1.0
+    if not caller.counts_tokens:
+        return workspace.plain_tokens
+    return float(caller.prompt_tokens + caller.output_tokens)
+
+
+def _share(route: ForwardedRoute, workspace: ForwardedWorkspace | None) -> WorkspaceShare:
+    """Return how admission sees the request: the workspace's priority goes before the route's."""
+    priority = route.priority
+    if workspace is not None and workspace.priority is not None:
+        priority = workspace.priority
+    name = workspace.name if workspace is not None else ""
+    return WorkspaceShare(name, 1.0, priority, NO_WORKSPACE_LIMIT)
--- /dev/null
+++ b/flamingofront/request/forwarded_request.py
@@ -0,0 +1,254 @@
+"""A forwarded request in flight: bytes pass unchanged, a stream as it arrives."""
+
+from collections.abc import Callable
+
+from flamingofront.connection.interfaces import CallEvent, Exchange
+from flamingofront.errors import ErrorKind, Ran, RequestError
+from flamingofront.messages import (
+    CallFailed,
+    Fail,
+    OutboundCall,
+    ResponseData,
+    ResponseEnd,
+    ResponseHead,
+    StartAttempt,
+)
+from flamingofront.request.active import ActiveRequest
+from flamingofront.request.attachments import Attachment
+from flamingofront.request.choice import Candidate
+from flamingofront.request.event_stream import EventRelay
+from flamingofront.request.forward_work import (
+    AttemptFacts,
+    EndpointAnswer,
+    Fields,
+    ForwardProtocol,
+    ForwardWork,
+    RelayedAnswer,
+)
+
+__all__ = ["ForwardAttachment", "ForwardedRequest"]
+
+# An endpoint in reach accepts within a few milliseconds; a lost first packet is sent again after a
+# second, too late for the tightest latency objective (0.3 s).
+CONNECT_SECONDS = 0.25
+# The request's own timer ends an attempt; the call's timer is only a second line.
+CALL_MARGIN_SECONDS = 1.0
+MAX_WHOLE_BYTES = 8 * 1024 * 1024
+
+
+class ForwardAttachment(Attachment):
+    """The caller of a forwarded request."""
+
+    def __init__(self, exchange: Exchange, request_id: str, protocol: ForwardProtocol):
+        super().__init__(exchange, request_id)
+        self._protocol = protocol
+        self.begun = False
+
+    def begin(self, status: int, fields: Fields) -> None:
+        """Send the head of a stream, once."""
+        if not self.begun:
+            self.begun = True
+            self._exchange.begin(status, fields)
+
+    def events(self, data: bytes) -> bool:
+        """Send whole events; False if the caller cannot keep up."""
+        return self._exchange.send(data)
+
+    def complete(self, answer: RelayedAnswer) -> None:
+        """Send the answer, or end the stream."""
+        if self.begun:
+            self._exchange.finish()
+        else:
+            self._exchange.respond(answer.status, answer.fields, answer.body)
+
+    def failed(self, exc: RequestError) -> None:
+        """Send the error, or break the stream so that it cannot look complete."""
+        if self.begun:
+            self._exchange.abort()
+        else:
+            self._exchange.respond(*self._protocol.render_error(exc))
+
+
+class ForwardedRequest(ActiveRequest):
+    """A request on a forwarded route."""
+
+    retains_answer = False
+
+    def __init__(self, hub, record, ticket):
+        super().__init__(hub, record, ticket)
+        self.relay = EventRelay()
+        self.status = 0
+        self.endpoints: list[str] = []
+        self.first_at: float | None = None
+        self.failure = ""
+        self.on_running: Callable[[ForwardedRequest], None] = lambda request: None
+        self.on_end: Callable[[ForwardedRequest], None] = lambda request: None
+        self._fallback: RelayedAnswer | None = None
+
+    @property
+    def work(self) -> ForwardWork:
+        """What the endpoint is asked for."""
+        return self.record.work
+
+    @property
+    def protocol(self) -> ForwardProtocol:
+        """Header names and formats."""
+        return self.hub.protocol
+
+    def hashes(self) -> tuple[str, ...]:
+        """Return the ids of the prompt's parts."""
+        return tuple(each.part_id for each in self.work.prompt)
+
+    def _call(self, order: StartAttempt, chosen: Candidate) -> OutboundCall:
+        left = self.machine.facts.deadline - self.hub.now()
+        facts = AttemptFacts(chosen.endpoint_id, left, self.relay.last_id)
+        work = self.work
+        self.endpoints.append(chosen.endpoint_id)
+        return OutboundCall(
+            chosen.address,
+            work.method,
+            work.target,
+            work.body,
+            self.protocol.attempt_fields(work, facts),
+            timeout=left + CALL_MARGIN_SECONDS,
+            stream=True,
+            # A reset on a kept connection leaves open whether the request ran.
+            fresh=not work.repeatable,
+            host=work.host,
+            connect_timeout=CONNECT_SECONDS,
+        )
+
+    def _listener(self, attempt_id: str, chosen: Candidate) -> Callable[[CallEvent], None]:
+        return _AnswerReader(self, attempt_id)
+
+    def running(self) -> None:
+        """Note that an endpoint has begun to answer."""
+        if self.first_at is None:
+            self.first_at = self.hub.now()
+            self.on_running(self)
+
+    def pass_events(self, attempt_id: str, answer: EndpointAnswer, data: bytes) -> None:
+        """Pass whole events on to the caller."""
+        if self.machine.attempt_id != attempt_id:
+            return
+        self.running()
+        self.machine.progressed(attempt_id)
+        self.status = answer.status
+        for each in list(self.attachments):
+            each.begin(answer.status, answer.fields)
+            if not each.events(data):
+                self._drop_slow(each)
+
+    def answered(self, attempt_id: str, answer: RelayedAnswer) -> None:
+        """Give the endpoint's complete answer to the caller."""
+        if not self.machine.answered(attempt_id):
+            return
+        self.status = answer.status
+        self.running()
+        self.hub.directory.health.succeeded(self.endpoint_id)
+        self._release(cancel=False)
+        self._settle(answer, None)
+
+    def endpoint_error(self, attempt_id: str, answer: RelayedAnswer) -> None:
+        """Try again after an endpoint's own error; if that is not possible, pass the error on."""
+        if self.work.repeatable and self.machine.attempt_id == attempt_id:
+            self._fallback = answer
+            self.running()
+            self.lost(attempt_id, Ran.UNKNOWN, f"status {answer.status}")
+        else:
+            self.answered(attempt_id, answer)
+
+    def _complete(self) -> None:
+        raise AssertionError("a forwarded request is completed by its answer")
+
+    def _fail(self, order: Fail) -> None:
+        if self._fallback is not None:
+            self.status = self._fallback.status
+            self._settle(self._fallback, None)
+            return
+        super()._fail(order)
+
+    def _settle(self, answer, exc: RequestError | None) -> None:
+        if exc is not None:
+            self.failure = exc.kind.value
+            begun = any(each.begun for each in self.attachments)
+            self.status = 0 if begun else self.protocol.render_error(exc)[0]
+        super()._settle(answer, exc)
+
+    def _end(self) -> None:
+        super()._end()
+        on_end, self.on_end = self.on_end, lambda request: None
+        on_end(self)
+
+
+class _AnswerReader:
+    """Take the events of one attempt."""
+
+    def __init__(self, request: ForwardedRequest, attempt_id: str):
+        self._request = request
+        self._attempt_id = attempt_id
+        self._answer: EndpointAnswer | None = None
+        self._parts: list[bytes] = []
+        self._size = 0
+        request.relay.restart()
+
+    def __call__(self, event: CallEvent) -> None:
+        if isinstance(event, ResponseHead):
+            self._take_head(event)
+        elif isinstance(event, ResponseData):
+            self._take_data(event.data)
+        elif isinstance(event, ResponseEnd):
+            self._take_end()
+        else:
+            self._take_failure(event)
+
+    def _lost(self, ran: Ran, reason: str) -> None:
+        self._request.lost(self._attempt_id, ran, reason)
+
+    def _take_head(self, head: ResponseHead) -> None:
+        answer = self._request.protocol.judge(self._request.request_id, head)
+        if answer.crossed:
+            self._lost(Ran.UNKNOWN, "crossed answer")
+        elif answer.wrong_endpoint:
+            self._request.hub.directory.address_reused(self._request.endpoint_id)
+            self._lost(Ran.NO, "another endpoint has the address")
+        elif answer.not_run:
+            self._lost(Ran.NO, f"refused with status {answer.status}")
+        else:
+            self._answer = answer
+
+    @property
+    def _is_stream(self) -> bool:
+        return self._answer.stream and self._answer.status == 200
+
+    def _take_data(self, data: bytes) -> None:
+        if self._is_stream:
+            self._relay(data)
+            return
+        self._parts.append(data)
+        self._size += len(data)
+        if self._size > MAX_WHOLE_BYTES:
+            self._lost(Ran.UNKNOWN, "the answer is too large")
+
+    def _relay(self, data: bytes) -> None:
+        try:
+            whole = self._request.relay.feed(data)
+        except ValueError as exc:
+            self._lost(Ran.UNKNOWN, str(exc))
+            return
+        if whole:
+            self._request.pass_events(self._attempt_id, self._answer, whole)
+
+    def _take_end(self) -> None:
+        answer = self._answer
+        body = b"".join(self._parts)
+        complete = RelayedAnswer(answer.status, answer.fields, body)
+        if self._is_stream and (self._request.relay.incomplete or not self._request.relay.count):
+            self._lost(Ran.UNKNOWN, "the stream ended within an event")
+        elif answer.status >= 500:
+            self._request.endpoint_error(self._attempt_id, complete)
+        else:
+            self._request.answered(self._attempt_id, complete)
+
+    def _take_failure(self, event: CallFailed) -> None:
+        self._request.call_failed(self._attempt_id, event)
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -1,5 +1,6 @@
 """All requests in flight in this process, and what they share."""
 
+import math
 import random
 from collections import OrderedDict
 from collections.abc import Callable
@@ -20,6 +21,8 @@
     usable,
 )
 from flamingofront.request.directory import EndpointDirectory
+from flamingofront.request.forward_work import ForwardProtocol, ForwardWork
+from flamingofront.request.forwarded_request import ForwardedRequest
 from flamingofront.request.model_request import ModelRequest
 from flamingofront.request.plain_request import PlainRequest
 from flamingofront.request.records import ModelWork, RequestRecord
@@ -40,12 +43,23 @@
 
 @dataclass(frozen=True)
 class HubSettings:
-    """Settings that requests need; times in seconds."""
+    """Settings that requests need; times in seconds.
+
+    Parameters
+    ----------
+    queue_patience : float
+        Part of the first-token target that a request may wait for its start.
+    choice_patience : float or None
+        Part of that target during which an endpoint is looked for when there is none; None to look
+        for one until the deadline.
+    """
 
     vm_id: str
     zone: str
     reattach_grace: float = 5.0
     answer_retention: float = 300.0
+    queue_patience: float = QUEUE_PATIENCE
+    choice_patience: float | None = None
 
 
 @dataclass(frozen=True)
@@ -89,6 +103,11 @@
             self._size -= known.size
 
 
+def paced_budget(service: Service) -> RetryBudget:
+    """Return the retry budget of a service that this process paces on its own."""
+    return PacedRetryBudget(service.retry_ratio)
+
+
 class RequestHub:
     """Admits, starts and keeps track of requests.
 
@@ -108,7 +127,11 @@
         log: Log,
         rng: random.Random,
         policy: ChoicePolicy | None = None,
+        protocol: ForwardProtocol | None = None,
+        make_budget: Callable[[Service], RetryBudget] = paced_budget,
     ):
+        self.protocol = protocol
+        self._make_budget = make_budget
         self.settings = settings
         self.transport = transport
         self.timers = timers
@@ -135,7 +158,7 @@
         """Return the retry budget of a service."""
         budget = self._budgets.get(service.name)
         if budget is None:
-            budget = self._budgets[service.name] = PacedRetryBudget(service.retry_ratio)
+            budget = self._budgets[service.name] = self._make_budget(service)
         return budget
 
     def admission(self, service: Service) -> FairAdmission:
@@ -167,7 +190,7 @@
         now = self.now()
         patience = record.deadline_left
         if not record.job and not resumed:
-            patience = min(patience, service.first_token_target * QUEUE_PATIENCE)
+            patience = min(patience, service.first_token_target * self.settings.queue_patience)
         ticket = Ticket(record.request_id, share, _cost(record), now + patience, resumed)
         self.admission(service).offer(ticket, now)
         request = make_request(self, record, ticket)
@@ -179,6 +202,11 @@
             self.budget(service).accepted(now)
         return request
 
+    def choice_patience(self, record: RequestRecord) -> float:
+        """Return the seconds during which an endpoint is looked for when there is none."""
+        part = self.settings.choice_patience
+        return math.inf if part is None else record.service.first_token_target * part
+
     def _no_endpoint_delay(self) -> float:
         return 1.0 + self.rng.random()
 
@@ -238,6 +266,8 @@
         if isinstance(work, ModelWork):
             prompt = len(work.prompt) + len(record.tokens)
             output = work.max_tokens - len(record.tokens)
+        elif isinstance(work, ForwardWork):
+            prompt, output = work.prompt_tokens, max(1, work.output_tokens)
         return WorkEstimate(
             prompt,
             output,
@@ -270,15 +300,19 @@
         if request.answer is not None:
             self.metrics.count("requests_completed_total", service=record.service.name)
             self.metrics.observe("request_seconds", now - request.accepted_at)
-            tokens = tuple(request.machine.assembler.tokens)
-            until = now + self.settings.answer_retention
-            self.finished.put(
-                request.request_id,
-                _Finished(record.workspace, request.answer, record, tokens, until),
-            )
+            if request.retains_answer:
+                self._retain(request, now)
         self.on_idle()
         self._pump_service(record.service.name)
 
+    def _retain(self, request: ActiveRequest, now: float) -> None:
+        """Keep the answer for a caller who comes back."""
+        record = request.record
+        tokens = tuple(request.machine.assembler.tokens)
+        until = now + self.settings.answer_retention
+        finished = _Finished(record.workspace, request.answer, record, tokens, until)
+        self.finished.put(request.request_id, finished)
+
     def thaw(self, frozen: ActiveRequest) -> None:
         """Go on with a frozen request that certainly nobody else has taken."""
         if self.active.get(frozen.request_id) is not frozen:
@@ -302,6 +336,8 @@
 
 def make_request(hub: RequestHub, record: RequestRecord, ticket: Ticket) -> ActiveRequest:
     """Return the active request for a record."""
+    if isinstance(record.work, ForwardWork):
+        return ForwardedRequest(hub, record, ticket)
     cls = ModelRequest if isinstance(record.work, ModelWork) else PlainRequest
     return cls(hub, record, ticket)
 
--- /dev/null
+++ b/flamingofront/request/quota.py
@@ -0,0 +1,124 @@
+"""Quotas of workspaces, kept by all entry processes together.
+
+Each process keeps a copy of one token bucket a workspace. It takes its own requests out at once and
+those of the others when it hears of them, so that all copies agree but for the time that word
+takes. A process that does not hear some of the others lets its copy fill at a lower rate, in
+proportion to those that it hears: the parts of all sides of a partition add up to the quota.
+"""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+
+from flamingofront.version.forwarding import ForwardedWorkspace
+
+__all__ = ["QuotaPolicy", "SharedQuota", "UnlimitedQuota"]
+
+MIN_RETRY_SECONDS = 0.05
+
+
+class QuotaPolicy(ABC):
+    """Decides whether a workspace may send another request now."""
+
+    @abstractmethod
+    def wait(self, workspace: ForwardedWorkspace, units: float, now: float) -> float:
+        """Return 0 if the request is within the quota, else the seconds until it would be."""
+
+    @abstractmethod
+    def spend(self, workspace: ForwardedWorkspace, units: float, now: float) -> None:
+        """Take an accepted request out of the quota."""
+
+    @abstractmethod
+    def refund(self, workspace: ForwardedWorkspace, units: float, now: float) -> None:
+        """Give back what a request took that did not run."""
+
+
+class UnlimitedQuota(QuotaPolicy):
+    """No quota at all; for tests and measurements."""
+
+    def wait(self, workspace: ForwardedWorkspace, units: float, now: float) -> float:
+        """Return 0."""
+        return 0.0
+
+    def spend(self, workspace: ForwardedWorkspace, units: float, now: float) -> None:
+        """Do nothing."""
+
+    def refund(self, workspace: ForwardedWorkspace, units: float, now: float) -> None:
+        """Do nothing."""
+
+
+class _Bucket:
+    """This process's copy of one workspace's token bucket; it may hold less than nothing."""
+
+    def __init__(self, level: float, now: float):
+        self.level = level
+        self.updated = now
+
+    def fill(self, rate: float, burst: float, now: float) -> None:
+        """Add what was earned since the last time."""
+        self.level = min(burst, self.level + (now - self.updated) * rate)
+        self.updated = now
+
+
+class SharedQuota(QuotaPolicy):
+    """Token buckets that agree over all entry processes.
+
+    Parameters
+    ----------
+    heard_share : callable
+        Returns the part of the entry processes that is heard now, this one included; 0 to 1.
+    member_share : callable
+        Returns one process's part of all, by their number: what a new copy may begin with.
+    """
+
+    def __init__(self, heard_share: Callable[[], float], member_share: Callable[[], float]):
+        self._heard_share = heard_share
+        self._member_share = member_share
+        self._buckets: dict[str, _Bucket] = {}
+        self._spent: dict[str, float] = {}
+        self._heard: dict[tuple[str, str], float] = {}
+
+    def spent(self) -> dict[str, float]:
+        """Return what this process has taken out in all, by workspace, to tell the others."""
+        return dict(self._spent)
+
+    def _bucket(self, workspace: ForwardedWorkspace, now: float) -> _Bucket:
+        bucket = self._buckets.get(workspace.name)
+        if bucket is None:
+            level = workspace.burst * self._member_share()
+            bucket = self._buckets[workspace.name] = _Bucket(level, now)
+        bucket.fill(workspace.rate * self._heard_share(), workspace.burst, now)
+        return bucket
+
+    def wait(self, workspace: ForwardedWorkspace, units: float, now: float) -> float:
+        """Return 0 if the bucket holds enough, else the seconds until it will."""
+        if workspace.rate <= 0:
+            return 0.0
+        lacking = min(units, workspace.burst) - self._bucket(workspace, now).level
+        if lacking <= 0:
+            return 0.0
+        return max(MIN_RETRY_SECONDS, lacking / workspace.rate)
+
+    def spend(self, workspace: ForwardedWorkspace, units: float, now: float) -> None:
+        """Take an accepted request out, here at once and elsewhere with the next report."""
+        if workspace.rate > 0:
+            self._bucket(workspace, now).level -= units
+        self._spent[workspace.name] = self._spent.get(workspace.name, 0.0) + units
+
+    def refund(self, workspace: ForwardedWorkspace, units: float, now: float) -> None:
+        """Give back what a request took that did not run."""
+        self.spend(workspace, -units, now)
+
+    def heard(self, process: str, spent: dict[str, float]) -> None:
+        """Take in what another process has taken out in all.
+
+        Parameters
+        ----------
+        process : str
+            VM and incarnation: a new process counts from 0.
+        """
+        for name, total in spent.items():
+            known = self._heard.get((process, name))
+            self._heard[process, name] = total
+            bucket = self._buckets.get(name)
+            if known is not None and bucket is not None:
+                bucket.level -= total - known
--- a/flamingofront/request/records.py
+++ b/flamingofront/request/records.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from flamingofront.errors import Ran
+from flamingofront.request.forward_work import ForwardWork
 from flamingofront.version.model import ObjectKind, Service, make_object
 
 __all__ = ["ModelWork", "PlainWork", "RequestRecord"]
@@ -56,7 +57,7 @@
     workspace: str
     route: str
     service: Service
-    work: ModelWork | PlainWork
+    work: ModelWork | PlainWork | ForwardWork
     side: str | None = None
     tokens: tuple[str, ...] = ()
     ran: Ran = Ran.NO
@@ -69,8 +70,15 @@
     def may_repeat(self) -> bool:
         """Tell whether the work may run a second time."""
         work = self.work
+        if isinstance(work, ForwardWork):
+            return work.repeatable
         return isinstance(work, ModelWork) or self.service.may_repeat(work.method, work.path)
 
+    @property
+    def max_attempts(self) -> int | None:
+        """Return how many endpoints the request may be sent to; None if there is no limit."""
+        return self.work.max_attempts if isinstance(self.work, ForwardWork) else None
+
     def to_json(self) -> dict[str, Any]:
         """Return the record as JSON values."""
         data = {each.name: getattr(self, each.name) for each in dataclasses.fields(self)}
