--- a/flamingofront/connection/client.py
+++ b/flamingofront/connection/client.py
@@ -8,6 +8,7 @@
 import errno
 import re
 import socket
+import struct
 from collections import deque
 from collections.abc import Callable
 
@@ -42,6 +43,7 @@
 USER_TIMEOUT_MS = 2000
 KEEP_ALIVE_SECONDS = 1
 KEEP_ALIVE_PROBES = 2
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d{1,6})")
 BODILESS_METHODS = ("GET", "HEAD")
 _IN_PROGRESS = (errno.EINPROGRESS, errno.EWOULDBLOCK, errno.EALREADY)
@@ -262,7 +264,7 @@
 
     def fail(self, reason: str) -> None:
         """Close and tell the call that it failed."""
-        call, self._call = self._call, None
+        call = self._call
         self.close()
         if call is not None:
             call.end(CallFailed(reason, call.wrote))
@@ -272,6 +274,9 @@
         if self.closed:
             return
         self.closed = True
+        if self._call is not None:
+            # Nothing that is still unsent may arrive after the call was given up.
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
         self._call = None
         for timer in (self.idle_timer, self._connect_timer):
             if timer is not None:
--- a/flamingofront/connection/server.py
+++ b/flamingofront/connection/server.py
@@ -26,7 +26,14 @@
 from flamingofront.messages import InboundRequest
 from flamingofront.process.timers import Timer, TimerService
 
-__all__ = ["HTTPServer", "RenderedError", "ServerLimits", "default_error", "error_body", "error_headers"]
+__all__ = [
+    "HTTPServer",
+    "RenderedError",
+    "ServerLimits",
+    "default_error",
+    "error_body",
+    "error_headers",
+]
 
 READ_BYTES = 64 * 1024
 MAX_WAITING_BYTES = 64 * 1024
--- a/flamingofront/forward_daemon.py
+++ b/flamingofront/forward_daemon.py
@@ -4,10 +4,12 @@
 import random
 import signal
 import sys
+import time
 
 import defopt
 
 from flamingofront.connection.client import HTTPClient
+from flamingofront.connection.datagrams import DatagramSocket
 from flamingofront.connection.runtime import Runtime
 from flamingofront.connection.server import HTTPServer, ServerLimits
 from flamingofront.errors import RequestError, SettingsError
@@ -54,6 +56,9 @@
         self._log = Log("entry", vm=settings.vm_id, zone=settings.zone)
         self.runtime = Runtime(self._fault, self._stop_signal)
         self._client = HTTPClient(self.runtime.timers).register(self.runtime)
+        self._datagrams = DatagramSocket(
+            (settings.ip, settings.peer_port), self._datagram, self._fault
+        ).register(self.runtime)
         self.node = ForwardingNode(settings, self._dependencies(), random.Random(), self._log)
         self.node.on_configuration = self._limit_callers
         self.callers = self._server(settings.caller_bind, self.node.handle_caller, "callers")
@@ -73,8 +78,13 @@
             PlatformCloud(str(cloud), PLATFORM_TIMEOUT_SECONDS) if cloud is not None else None,
             PlatformProtocol(),
             TABLES,
+            self._datagrams.send,
+            int(time.time() * 1000),
         )
 
+    def _datagram(self, data: bytes) -> None:
+        self.node.peers.received(data)
+
     def _server(self, bind: Address, handler, channel: str) -> HTTPServer:
         return HTTPServer(
             (bind.host, bind.port),
--- a/flamingofront/platform/cloud.py
+++ b/flamingofront/platform/cloud.py
@@ -47,6 +47,4 @@
 
     def _post(self, path: str, holder: str, fencing: int, body: dict[str, Any]) -> OutboundCall:
         headers = (*JSON_HEADERS, (HOLDER_HEADER, holder), (FENCING_HEADER, str(fencing)))
-        return OutboundCall(
-            self._address, "POST", path, orjson.dumps(body), headers, self._timeout
-        )
+        return OutboundCall(self._address, "POST", path, orjson.dumps(body), headers, self._timeout)
--- a/flamingofront/platform/store.py
+++ b/flamingofront/platform/store.py
@@ -45,9 +45,7 @@
         raise PlatformError(f"{where}: {reply.reason}", maybe_done=is_write and reply.wrote)
     if reply.status not in allowed:
         refused = reply.status in REFUSED_STATUSES
-        raise PlatformError(
-            f"{where}: status {reply.status}", maybe_done=is_write and not refused
-        )
+        raise PlatformError(f"{where}: status {reply.status}", maybe_done=is_write and not refused)
     return reply
 
 
@@ -68,7 +66,9 @@
 
     def read(self, table: str, part: str = "", first: str = "") -> Task:
         """Return the rows of a table's part from key `first` on."""
-        query = {"table": table, "part": part, "from": first} if first else _place(table, part)
+        query = {"table": table, "part": part}
+        if first:
+            query["from"] = first
         call = self._get("/api/rows-get", query, self._timeout)
         reply = yield from ask(call, False, (STATUS_OK,))
         doc = _body(reply)
@@ -118,13 +118,7 @@
         return TransactionOutcome(reply.status == STATUS_OK, doc.get("ver", 0), _rows(doc))
 
     def _get(self, path: str, query: dict[str, Any], timeout: float) -> OutboundCall:
-        return OutboundCall(
-            self._address, "GET", f"{path}?{urlencode(query)}", timeout=timeout
-        )
-
-
-def _place(table: str, part: str) -> dict[str, str]:
-    return {"table": table, "part": part}
+        return OutboundCall(self._address, "GET", f"{path}?{urlencode(query)}", timeout=timeout)
 
 
 def _body(reply: WholeResponse) -> dict[str, Any]:
--- /dev/null
+++ b/flamingofront/process/forwarding/duty.py
@@ -0,0 +1,261 @@
+"""The lease of the duties that one entry process at a time does, and its state.
+
+One row of the store holds the holder, the fencing number and what a successor must repeat. The
+holder renews it with one conditional write, so that a process that lost the lease finds out. Others
+do not read the row while they hear the holder: they take over when they have neither heard it nor
+seen the row change for longer than the lease.
+
+Between the calls of two holders there is always a whole lease: a new holder waits for one before it
+acts, so that a process that has just lost the lease to another cannot act again within that time.
+"""
+
+import random
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field, replace
+
+import orjson
+
+from flamingofront.errors import PlatformError
+from flamingofront.messages import Sleep
+from flamingofront.process.forwarding.reports import PeerReport
+from flamingofront.process.logs import Log
+from flamingofront.process.store import RowCondition, RowWrite, StoredRow, TableStore
+from flamingofront.process.tasks import Task
+
+__all__ = ["DutyLease", "DutyState", "HeldLease"]
+
+DUTY_TABLE = "duties"
+DUTY_PART = "duties"
+DUTY_KEY = "all"
+RENEWALS_PER_LEASE = 3
+# A call of the last holder may still be on its way for as long as it waits for an answer (1 s).
+TAKEOVER_MARGIN_SECONDS = 1.2
+# The holder acts only while so much of its lease is left: the way of a call to the cloud.
+ACT_MARGIN_SECONDS = 0.3
+RETRY_SECONDS = 0.3
+
+
+@dataclass(frozen=True)
+class DutyState:
+    """The row: who holds the duties and what was reported.
+
+    Parameters
+    ----------
+    holder : str
+        VM of the holder, empty if nobody holds the lease.
+    incarnation : int
+        Process of the holder.
+    fencing : int
+        Grows with each change of holder.
+    reports : mapping
+        Usage counts by window, as they are or will be reported.
+    """
+
+    holder: str = ""
+    incarnation: int = 0
+    fencing: int = 0
+    reports: Mapping[str, Mapping[str, int]] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class HeldLease:
+    """A lease held here; times on the own clock."""
+
+    fencing: int
+    acts_from: float
+    valid_until: float
+
+
+class DutyLease:
+    """Takes, keeps and gives up the duty lease.
+
+    Parameters
+    ----------
+    duration : float
+        Seconds that a lease lasts without renewal.
+    """
+
+    def __init__(
+        self,
+        store: TableStore,
+        vm_id: str,
+        incarnation: int,
+        duration: float,
+        now: Callable[[], float],
+        rng: random.Random,
+        log: Log,
+    ):
+        self.state = DutyState()
+        self._store = store
+        self._vm_id = vm_id
+        self._incarnation = incarnation
+        self._duration = duration
+        self._now = now
+        self._rng = rng
+        self._log = log
+        self._version: int | None = None
+        self._lease: HeldLease | None = None
+        self._evidence_at = now()
+        self._announced = 0
+        self._stopped = False
+
+    @property
+    def version(self) -> int:
+        """Version of the row after the last renewal."""
+        return self._version or 0
+
+    def held(self) -> HeldLease | None:
+        """Return the lease if this process may act on it now; to be called before each act."""
+        lease = self._lease
+        if lease is None:
+            return None
+        now = self._now()
+        if now < lease.acts_from or now >= lease.valid_until - ACT_MARGIN_SECONDS:
+            return None
+        return lease
+
+    def holding(self) -> HeldLease | None:
+        """Return the lease if it is valid, also while this process may not yet act on it."""
+        lease = self._lease
+        return lease if lease is not None and self._now() < lease.valid_until else None
+
+    def heard(self, report: PeerReport) -> None:
+        """Take word of a peer that holds the lease."""
+        if report.fencing and report.fencing >= self.state.fencing:
+            self._evidence_at = self._now()
+            self._announced = max(self._announced, report.lease_version)
+
+    def run(self) -> Task:
+        """Keep the lease, or watch it until it is free; ends after `release`."""
+        while not self._stopped:
+            try:
+                yield from self._step()
+            except PlatformError as exc:
+                self._log.warning("duty lease not reached", detail=str(exc))
+                yield Sleep(RETRY_SECONDS * (0.5 + self._rng.random()))
+                continue
+            yield Sleep(self._pause())
+
+    def _pause(self) -> float:
+        if self._lease is not None:
+            return self._duration / RENEWALS_PER_LEASE
+        return RETRY_SECONDS * (0.5 + self._rng.random())
+
+    def _step(self) -> Task:
+        if self._lease is not None:
+            yield from self.renew()
+            return
+        waited = self._now() - self._evidence_at
+        if self._version is not None and waited < self._duration + TAKEOVER_MARGIN_SECONDS:
+            return
+        yield from self._look()
+
+    def _look(self) -> Task:
+        """Read the row and take the lease if it is free."""
+        known, self._version = self._version, None
+        found = yield from self._store.read(DUTY_TABLE, DUTY_PART)
+        row = next((each for each in found.rows if each.key == DUTY_KEY), None)
+        self._version = row.version if row is not None else 0
+        self.state = _decode(row)
+        unchanged = self._version in (known, self._announced)
+        if not self.state.holder or (unchanged and known is not None) or self._is_own_row():
+            yield from self._take()
+        else:
+            self._evidence_at = self._now()
+
+    def _is_own_row(self) -> bool:
+        """Tell whether an earlier process of this VM held the lease: it is gone for sure."""
+        return self.state.holder == self._vm_id
+
+    def _take(self) -> Task:
+        last = self.state.holder
+        state = replace(
+            self.state,
+            holder=self._vm_id,
+            incarnation=self._incarnation,
+            fencing=self.state.fencing + 1,
+        )
+        sent_at = self._now()
+        if not (yield from self._write(state)):
+            self._log.info("duty lease not taken", fencing=state.fencing)
+            return
+        # Nobody else can have acted within a lease if the row is new or was this VM's own.
+        alone = state.fencing == 1 or last == self._vm_id
+        acts_from = sent_at if alone else self._now() + self._duration
+        self._lease = HeldLease(state.fencing, acts_from, sent_at + self._duration)
+        self._log.info("duty lease taken", fencing=state.fencing, last_holder=last)
+
+    def renew(self, reports: Mapping[str, Mapping[str, int]] | None = None) -> Task:
+        """Renew the lease, and store reports with the same write; False if it is lost.
+
+        Raises
+        ------
+        PlatformError
+            If the store did not answer: whether the lease was renewed is then not known.
+        """
+        if self._lease is None:
+            return False
+        state = self.state if reports is None else replace(self.state, reports=reports)
+        sent_at = self._now()
+        if (yield from self._write(state)):
+            if self._lease is not None:
+                self._lease = replace(self._lease, valid_until=sent_at + self._duration)
+            return self._lease is not None
+        if self._lease is not None:
+            self._log.warning("duty lease lost", fencing=self._lease.fencing)
+        self._lease = None
+        self._evidence_at = self._now()
+        return False
+
+    def _write(self, state: DutyState) -> Task:
+        """Write the row if it is as it was seen last; return whether that was done.
+
+        Notes
+        -----
+        A write whose answer was lost may have taken effect: the row is then this process's own, but
+        newer than it knows. It is written once more on condition of that version, since only a
+        confirmed write counts as a renewal.
+        """
+        for _ in range(2):
+            condition = RowCondition(DUTY_TABLE, DUTY_KEY, self._version or 0)
+            write = RowWrite(DUTY_TABLE, DUTY_KEY, _encode(state))
+            outcome = yield from self._store.transact(DUTY_PART, (condition,), (write,))
+            if outcome.ok:
+                self._version, self.state = outcome.version, state
+                return True
+            row = next((each for each in outcome.rows if each.key == DUTY_KEY), None)
+            self._version = row.version if row is not None else 0
+            self.state = _decode(row)
+            if not self._is_mine(self.state, state.fencing):
+                return False
+        return False
+
+    def _is_mine(self, found: DutyState, fencing: int) -> bool:
+        own = (self._vm_id, self._incarnation, fencing)
+        return (found.holder, found.incarnation, found.fencing) == own
+
+    def release(self) -> Task:
+        """Give the lease up, so that a successor need not wait; ends `run`."""
+        self._stopped = True
+        lease, self._lease = self._lease, None
+        if lease is None:
+            return
+        try:
+            yield from self._write(replace(self.state, holder=""))
+            self._log.info("duty lease released", fencing=lease.fencing)
+        except PlatformError as exc:
+            self._log.info("duty lease runs out by itself", detail=str(exc))
+
+
+def _encode(state: DutyState) -> bytes:
+    return orjson.dumps(state)
+
+
+def _decode(row: StoredRow | None) -> DutyState:
+    """Return the state in a row; a malformed one counts as held by nobody known."""
+    if row is None or row.value is None:
+        return DutyState()
+    try:
+        return DutyState(**orjson.loads(row.value))
+    except (TypeError, orjson.JSONDecodeError) as exc:
+        raise PlatformError(f"malformed duty row: {exc}") from exc
--- a/flamingofront/process/forwarding/endpoints.py
+++ b/flamingofront/process/forwarding/endpoints.py
@@ -97,13 +97,23 @@
             self._grace_until = self._timers.now() + LAPSE_GRACE_SECONDS
             self._timers.once(LAPSE_GRACE_SECONDS, self._end_grace)
 
-    def replace_all(self, rows: Iterable[EndpointRow]) -> None:
-        """Take the whole table in."""
+    def replace_all(self, rows: Iterable[EndpointRow], confirmed: bool = False) -> None:
+        """Take the whole table in.
+
+        Parameters
+        ----------
+        confirmed : bool
+            True if the rows come from a peer that the store answers: what is missing is gone then,
+            though this process itself does not reach the store.
+        """
         found = {each.endpoint_id: each for each in rows}
         for row in found.values():
             self.put(row)
         for endpoint_id in [each for each in self._rows if each not in found]:
-            self.remove(endpoint_id)
+            if confirmed:
+                self._drop(endpoint_id)
+            else:
+                self.remove(endpoint_id)
 
     def put(self, row: EndpointRow) -> None:
         """Take one row in."""
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -1,15 +1,27 @@
 """One entry process that forwards routes, without its sockets."""
 
 import random
+from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from flamingofront.connection.interfaces import Exchange, Transport
 from flamingofront.errors import ConfigurationError, PlatformError
 from flamingofront.messages import InboundRequest
+from flamingofront.process.forwarding.duty import DutyLease
 from flamingofront.process.forwarding.endpoints import EndpointRow, EndpointView
 from flamingofront.process.forwarding.follower import TableFollower, TableListener
+from flamingofront.process.forwarding.peers import (
+    CONFIGURATION_PATH,
+    ENDPOINTS_PATH,
+    PeerKnowledge,
+    Peers,
+    encode_rows,
+)
+from flamingofront.process.forwarding.reports import HEARD_SECONDS, PeerReport
+from flamingofront.process.forwarding.scaling import Demand, ScalingDuty, SpreadReclaimable
 from flamingofront.process.forwarding.settings import DeploymentSettings
+from flamingofront.process.forwarding.usage import UsageBook, UsageDuty
 from flamingofront.process.logs import Log
 from flamingofront.process.membership import FactTable
 from flamingofront.process.metrics import Metrics
@@ -20,17 +32,22 @@
 from flamingofront.request.directory import EndpointDirectory
 from flamingofront.request.forward_gateway import ForwardGateway
 from flamingofront.request.forward_work import ForwardProtocol
+from flamingofront.request.forwarded_request import ForwardedRequest
 from flamingofront.request.hub import HubSettings, RequestHub
 from flamingofront.request.quota import SharedQuota
 from flamingofront.request.retry import RetryBudget
 from flamingofront.request.shared_retry import SharedRetryBudget
-from flamingofront.version.forwarding import ForwardingConfiguration
+from flamingofront.version.forwarding import DEFAULT_SLOTS, ForwardingConfiguration
 from flamingofront.version.model import Service
 
 __all__ = ["Dependencies", "ForwardingNode", "SharedTables"]
 
 # A request is refused early in its objective, while another entry VM can still serve it in time.
 REFUSE_WITHIN = 0.2
+# How often the loads that peers tell are taken together; as often as they report.
+LOAD_SECONDS = 0.25
+USAGE = "usage"
+SCALING = "scaling"
 
 
 @dataclass(frozen=True)
@@ -62,6 +79,8 @@
     cloud: Cloud | None
     protocol: ForwardProtocol
     tables: SharedTables
+    send: Callable[[bytes, tuple[str, int]], None]
+    incarnation: int
 
 
 class ForwardingNode:
@@ -78,11 +97,25 @@
         self.configuration_data = b""
         self.on_configuration: Callable[[ForwardingConfiguration], None] = lambda cfg: None
         self.stopping = False
+        self._peer_endpoints = 0
         self._needs = needs
         self._rng = rng
         self.tasks = TaskRunner(needs.transport, needs.timers, self.fault)
+        own = PeerReport(
+            settings.vm_id,
+            needs.incarnation,
+            0,
+            settings.zone,
+            settings.ip,
+            str(settings.control_bind or settings.ready_bind),
+        )
+        self._own = own
+        self._sequence = 0
+        self.usage = UsageBook(own.process, settings.rules.usage_window)
         self._build_requests()
         self._build_followers()
+        self._build_peers()
+        self._build_duties()
 
     def _build_requests(self) -> None:
         settings, needs = self.settings, self._needs
@@ -108,8 +141,10 @@
             needs.protocol,
             self._retry_budget,
         )
-        self.quota = SharedQuota(self.heard_share, self.member_share)
-        self.gateway = ForwardGateway(self.hub, needs.protocol, self.quota, self.log)
+        self.quota = SharedQuota(lambda: self.peers.heard_share())
+        self.gateway = ForwardGateway(
+            self.hub, needs.protocol, self.quota, self.log, self._began_to_run
+        )
 
     def _build_followers(self) -> None:
         tables = self._needs.tables
@@ -138,16 +173,142 @@
             rules.retry_ratio, rules.retry_allowance, rules.retry_window, self.member_share
         )
 
+    def _build_peers(self) -> None:
+        knowledge = PeerKnowledge(
+            lambda: self.configuration.version,
+            self.endpoints_version,
+            lambda: self.endpoint_follower.is_cut_off,
+            lambda data: self.take_configuration(data, "peer"),
+            self._endpoints_from_peer,
+        )
+        self.peers = Peers(
+            self._own,
+            self.settings.peer_port,
+            self.settings.seeds,
+            self.own_report,
+            self._needs.send,
+            self._heard,
+            knowledge,
+            self._needs.store,
+            self.tasks,
+            self.timers,
+            self._rng,
+            self.log,
+        )
+
+    def _build_duties(self) -> None:
+        settings, needs = self.settings, self._needs
+        self.lease = DutyLease(
+            needs.store,
+            settings.vm_id,
+            needs.incarnation,
+            settings.rules.lease_seconds,
+            self.timers.now,
+            self._rng,
+            self.log,
+        )
+        self.duties: list[UsageDuty | ScalingDuty] = []
+        if needs.cloud is None:
+            return
+        if USAGE in settings.duties:
+            self.duties.append(
+                UsageDuty(
+                    self.lease,
+                    needs.cloud,
+                    self.usage,
+                    settings.rules,
+                    settings.vm_id,
+                    self.peers.true_time,
+                    self.log,
+                )
+            )
+        if SCALING in settings.duties:
+            self.duties.append(
+                ScalingDuty(
+                    self.lease,
+                    needs.cloud,
+                    SpreadReclaimable(),
+                    settings.vm_id,
+                    self.timers.now,
+                    lambda: self.configuration,
+                    self.endpoints.rows,
+                    self._service_demand,
+                    self.log,
+                )
+            )
+
+    def _service_demand(self, service: str) -> Demand:
+        """Return the requests that run at the endpoints of a service, over all processes."""
+        own = self.hub.in_flight_of(service)
+        heard = self.peers.table.heard(self.timers.now())
+        others = sum(each.demand.get(service, 0) for each in heard)
+        return Demand(own + others, self.directory.slots(service) or DEFAULT_SLOTS)
+
     def member_share(self) -> float:
         """Return one process's part of all entry processes, by their number."""
-        return 1.0 / 8
+        return 1.0 / self.peers.member_count()
+
+    def _began_to_run(self, request: ForwardedRequest) -> None:
+        """Count a request in the window in which an endpoint began it."""
+        if not request.work.workspace:
+            return
+        ago = self.timers.now() - request.began_at()
+        self.usage.began(request.work.workspace, self.peers.true_time() - ago)
+
+    # Peers
+
+    def own_report(self) -> PeerReport:
+        """Return this process's report as it is now."""
+        self._sequence += 1
+        lease = self.lease.holding()
+        now = self.timers.now()
+        return replace(
+            self._own,
+            sequence=self._sequence,
+            wall=self.timers.wall(),
+            configuration=self.configuration.version,
+            endpoints=self.endpoints_version(),
+            cut_off=self.endpoint_follower.is_cut_off,
+            leaving=self.stopping,
+            fencing=lease.fencing if lease is not None else 0,
+            lease_version=self.lease.version if lease is not None else 0,
+            spent=self.quota.spent(),
+            in_flight=self.directory.all_in_flight(),
+            usage=self.usage.own(self.peers.true_time()),
+            demand=self.hub.in_flight_by_service(),
+            peers=tuple(each.ip for each in self.peers.table.heard(now)),
+        )
+
+    def endpoints_version(self) -> int:
+        """Return the version of the store up to which the endpoints are known."""
+        return max(self.endpoint_follower.version, self._peer_endpoints)
+
+    def _heard(self, report: PeerReport, gap: float | None) -> None:
+        """Take a peer's report: its quota use, its counts, its word on the lease, its load."""
+        self.quota.heard(report.process, report.spent, gap is not None and gap < HEARD_SECONDS)
+        self.usage.heard(report)
+        self.lease.heard(report)
+
+    def _spread_loads(self) -> None:
+        """Tell the directory what all processes together run at each endpoint."""
+        now = self.timers.now()
+        loads = Counter(self.directory.all_in_flight())
+        for report in self.peers.table.heard(now):
+            loads.update(report.in_flight)
+        self.directory.reported(loads, now)
 
-    def heard_share(self) -> float:
-        """Return the part of the entry processes that is heard, this one included."""
-        return 1.0 / 8
+    def _endpoints_from_peer(self, rows: tuple[EndpointRow, ...], version: int) -> None:
+        self._peer_endpoints = version
+        self.endpoints.replace_all(rows, confirmed=True)
 
     def start(self) -> None:
         """Begin all periodic work."""
+        self.peers.start()
+        self.timers.every(LOAD_SECONDS, self._spread_loads)
+        if self.duties:
+            self.tasks.start(self.lease.run())
+        for duty in self.duties:
+            self.tasks.start(duty.run())
         self.tasks.start(self.configuration_follower.run())
         self.tasks.start(self.endpoint_follower.run())
         self.log.info("started", zone=self.settings.zone, first=self.settings.first_start)
@@ -183,6 +344,7 @@
         self.configuration = cfg
         self.configuration_data = data
         self.gateway.configuration = cfg
+        self.quota.prepare(cfg.workspaces, self.timers.now())
         self.metrics.count("configurations_total")
         self.log.info(
             "configuration in force",
@@ -231,6 +393,10 @@
         """Take a request of an operator or a peer."""
         if req.path == "/metrics":
             self.respond_metrics(exchange)
+        elif req.path == CONFIGURATION_PATH:
+            exchange.respond(200, (), self.configuration_data)
+        elif req.path == ENDPOINTS_PATH:
+            exchange.respond(200, (), encode_rows(self.endpoints.rows()))
         else:
             exchange.respond(404, (), b"")
 
--- /dev/null
+++ b/flamingofront/process/forwarding/peers.py
@@ -0,0 +1,282 @@
+"""Hearing of the other entry processes: who they are, what they hold, what they know."""
+
+import random
+from collections.abc import Callable
+from dataclasses import asdict
+
+import orjson
+
+from flamingofront.errors import PlatformError
+from flamingofront.messages import OutboundCall, Sleep, WholeResponse
+from flamingofront.process.forwarding.endpoints import EndpointRow
+from flamingofront.process.forwarding.reports import (
+    PeerReport,
+    PeerTable,
+    decode_report,
+    encode_report,
+)
+from flamingofront.process.logs import Log
+from flamingofront.process.settings import Address
+from flamingofront.process.store import RowWrite, TableStore
+from flamingofront.process.tasks import Task, TaskRunner
+from flamingofront.process.timers import TimerService
+
+__all__ = [
+    "CONFIGURATION_PATH",
+    "ENDPOINTS_PATH",
+    "PeerKnowledge",
+    "Peers",
+    "decode_rows",
+    "encode_rows",
+]
+
+# Reports go out so often that quotas and loads lag by less than a latency objective.
+REPORT_SECONDS = 0.25
+# Peers told at one time: with more members each hears from a process less often, so that the
+# traffic of one process does not grow with their number.
+MAX_TOLD = 16
+MEMBER_TABLE = "entry-vms"
+# Pause between two looks at the member table while nobody is heard.
+LONELY_SECONDS = 5.0
+RETRY_SECONDS = 1.0
+ASK_TIMEOUT = 1.0
+# A peer's newer knowledge is asked for when the store has not brought it by itself meanwhile.
+STORE_LEAD_SECONDS = 0.5
+CONFIGURATION_PATH = "/forwarding/configuration"
+ENDPOINTS_PATH = "/forwarding/endpoints"
+
+
+def encode_rows(rows: tuple[EndpointRow, ...]) -> bytes:
+    """Return the endpoints as a peer is told of them."""
+    return orjson.dumps([asdict(each) for each in rows])
+
+
+def decode_rows(data: bytes) -> tuple[EndpointRow, ...]:
+    """Return the endpoints that a peer tells of; raises `ValueError` if they are malformed."""
+    try:
+        return tuple(EndpointRow(**each) for each in orjson.loads(data))
+    except TypeError as exc:
+        raise ValueError(f"malformed endpoints: {exc}") from exc
+
+
+class PeerKnowledge:
+    """What is done with what peers know better.
+
+    Parameters
+    ----------
+    configuration_version, endpoints_version : callable
+        Return the versions known here.
+    cut_off : callable
+        Returns whether the store does not answer this process.
+    take_configuration : callable
+        Gets a configuration document.
+    take_endpoints : callable
+        Gets a peer's endpoints and its version of the store.
+    """
+
+    def __init__(
+        self,
+        configuration_version: Callable[[], int],
+        endpoints_version: Callable[[], int],
+        cut_off: Callable[[], bool],
+        take_configuration: Callable[[bytes], None],
+        take_endpoints: Callable[[tuple[EndpointRow, ...], int], None],
+    ):
+        self.configuration_version = configuration_version
+        self.endpoints_version = endpoints_version
+        self.cut_off = cut_off
+        self.take_configuration = take_configuration
+        self.take_endpoints = take_endpoints
+
+
+class Peers:
+    """Tells the other entry processes of this one, and listens to them.
+
+    Parameters
+    ----------
+    own_report : callable
+        Returns this process's report as it is now.
+    send : callable
+        Sends a datagram to an IP number and port.
+    on_report : callable
+        Gets each new report, and the seconds since the sender was heard before (None: never).
+    """
+
+    def __init__(
+        self,
+        own: PeerReport,
+        port: int,
+        seeds: tuple[Address, ...],
+        own_report: Callable[[], PeerReport],
+        send: Callable[[bytes, tuple[str, int]], None],
+        on_report: Callable[[PeerReport, float | None], None],
+        knowledge: PeerKnowledge,
+        store: TableStore,
+        tasks: TaskRunner,
+        timers: TimerService,
+        rng: random.Random,
+        log: Log,
+    ):
+        self.table = PeerTable(own.vm_id)
+        self._own = own
+        self._port = port
+        self._ips = {each.host for each in seeds} - {own.ip}
+        self._own_report = own_report
+        self._send = send
+        self._on_report = on_report
+        self._knowledge = knowledge
+        self._store = store
+        self._tasks = tasks
+        self._timers = timers
+        self._rng = rng
+        self._log = log
+        self._order: list[str] = []
+        self._asking = False
+        self._newer_since: float | None = None
+        self._registered: dict[str, float] = {}
+
+    def start(self) -> None:
+        """Begin to tell and to listen."""
+        self._timers.every(REPORT_SECONDS, self._tell, first=self._rng.random() * REPORT_SECONDS)
+        self._tasks.start(self._register())
+
+    # Members
+
+    def member_count(self) -> int:
+        """Return the number of entry processes, this one included."""
+        now = self._timers.now()
+        known = {each.vm_id for each in self.table.members(now)}
+        known.update(vm_id for vm_id, until in self._registered.items() if until > now)
+        return len(known - {self._own.vm_id}) + 1
+
+    def heard_share(self) -> float:
+        """Return the part of the members that is heard now, this one included."""
+        heard = len(self.table.heard(self._timers.now())) + 1
+        return min(1.0, heard / self.member_count())
+
+    def true_time(self) -> float:
+        """Return the wall clock's time, as the median of the members' clocks tells it.
+
+        Notes
+        -----
+        A VM whose clock was set wrong so agrees with the others while they are the majority.
+        """
+        now = self._timers.now()
+        offsets = sorted([*self.table.clock_offsets(now), self._timers.wall() - now])
+        return now + offsets[len(offsets) // 2]
+
+    def _register(self) -> Task:
+        """Write this process into the member table and read who else is there."""
+        written = False
+        while True:
+            try:
+                if not written:
+                    value = orjson.dumps({"ip": self._own.ip})
+                    row = RowWrite(MEMBER_TABLE, self._own.vm_id, value)
+                    yield from self._store.transact("", (), (row,))
+                    written = True
+                found = yield from self._store.read(MEMBER_TABLE)
+            except PlatformError as exc:
+                self._log.warning("member table not reached", detail=str(exc))
+                yield Sleep(RETRY_SECONDS * (0.5 + self._rng.random()))
+                continue
+            self._take_members(found.rows)
+            yield Sleep(LONELY_SECONDS)
+            while self.table.heard(self._timers.now()):
+                yield Sleep(LONELY_SECONDS)
+
+    def _take_members(self, rows) -> None:
+        until = self._timers.now() + LONELY_SECONDS
+        for row in rows:
+            if row.value is None or row.key == self._own.vm_id:
+                continue
+            try:
+                self._ips.add(orjson.loads(row.value)["ip"])
+            except (KeyError, TypeError, orjson.JSONDecodeError) as exc:
+                self._log.error("malformed member row", vm=row.key, detail=repr(exc))
+                continue
+            # A registered VM counts until there was time to hear it.
+            self._registered[row.key] = until
+
+    # Reports
+
+    def _tell(self) -> None:
+        data = encode_report(self._own_report())
+        if not self._order:
+            self._order = list(self._ips)
+            self._rng.shuffle(self._order)
+        for _ in range(min(MAX_TOLD, len(self._order))):
+            self._send(data, (self._order.pop(), self._port))
+
+    def tell_now(self) -> None:
+        """Tell all peers at once: something changed that they should know soon."""
+        self._order = []
+        self._tell()
+
+    def received(self, data: bytes) -> None:
+        """Take a datagram."""
+        try:
+            report = decode_report(data)
+        except ValueError as exc:
+            self._log.error("datagram refused", detail=str(exc))
+            return
+        now = self._timers.now()
+        gap = self.table.gap(report.vm_id, now)
+        if not self.table.take(report, now):
+            return
+        if gap is None:
+            self._log.info("peer heard", peer=report.vm_id, incarnation=report.incarnation)
+        self._ips.add(report.ip)
+        self._ips.update(each for each in report.peers if each != self._own.ip)
+        self._on_report(report, gap)
+        self._compare(report)
+
+    # Knowledge
+
+    def _compare(self, report: PeerReport) -> None:
+        """Ask a peer for what it knows better, if the store does not bring it in time."""
+        known = self._knowledge
+        newer_configuration = report.configuration > known.configuration_version()
+        newer_endpoints = (
+            known.cut_off() and not report.cut_off and report.endpoints > known.endpoints_version()
+        )
+        if not newer_configuration and not newer_endpoints:
+            return
+        now = self._timers.now()
+        if self._newer_since is None:
+            self._newer_since = now
+        waited = now - self._newer_since >= STORE_LEAD_SECONDS
+        if self._asking or not (waited or known.cut_off()):
+            return
+        self._asking = True
+        self._tasks.start(self._ask(report, newer_configuration, newer_endpoints), self._asked)
+
+    def _asked(self, result: object) -> None:
+        self._asking = False
+        self._newer_since = None
+
+    def _ask(self, report: PeerReport, configuration: bool, endpoints: bool) -> Task:
+        if configuration:
+            data = yield from self._get(report, CONFIGURATION_PATH)
+            if data:
+                self._knowledge.take_configuration(data)
+        if endpoints:
+            data = yield from self._get(report, ENDPOINTS_PATH)
+            if data:
+                self._take_rows(report, data)
+
+    def _get(self, report: PeerReport, path: str) -> Task:
+        reply = yield OutboundCall(report.address, "GET", path, timeout=ASK_TIMEOUT)
+        if isinstance(reply, WholeResponse) and reply.status == 200:
+            return reply.body
+        self._log.info("peer did not answer", peer=report.vm_id, path=path, reply=str(reply)[:80])
+        return b""
+
+    def _take_rows(self, report: PeerReport, data: bytes) -> None:
+        try:
+            rows = decode_rows(data)
+        except ValueError as exc:
+            self._log.error("peer's endpoints refused", peer=report.vm_id, detail=str(exc))
+            return
+        self._log.info("endpoints from peer", peer=report.vm_id, version=report.endpoints)
+        self._knowledge.take_endpoints(rows, report.endpoints)
--- /dev/null
+++ b/flamingofront/process/forwarding/scaling.py
@@ -0,0 +1,272 @@
+"""How many endpoints of each service are ordered in each zone.
+
+The plan is pure: limits, endpoints and demand go in, wanted numbers come out. The holder of the
+duty lease sends the orders.
+"""
+
+import math
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+
+from flamingofront.errors import PlatformError
+from flamingofront.messages import Sleep
+from flamingofront.process.forwarding.duty import DutyLease
+from flamingofront.process.forwarding.endpoints import EndpointRow
+from flamingofront.process.logs import Log
+from flamingofront.process.store import Cloud, EndpointOrder
+from flamingofront.process.tasks import Task
+from flamingofront.version.forwarding import ForwardingConfiguration, ScalingLimits
+
+__all__ = ["Demand", "FleetCounts", "ScalingDuty", "ScalingPolicy", "SpreadReclaimable"]
+
+STEP_SECONDS = 0.5
+# An order that the cloud could not fill is sent again after this time, and its zone counts as
+# without reclaimable endpoints until then; the platform refuses for ten seconds and more at a time.
+REFUSED_SECONDS = 4.0
+# Orders are repeated now and then: nothing can be read back, and one may have been lost.
+REPEAT_SECONDS = 20.0
+# Scaling in waits until the lower number has been enough for so long: longer than a burst (3 to
+# 5 s), several times an endpoint's start.
+SCALE_IN_SECONDS = 8.0
+
+
+@dataclass(frozen=True)
+class Demand:
+    """Load of one service.
+
+    Parameters
+    ----------
+    in_flight : float
+        Requests that run or wait at its endpoints.
+    slots : int
+        Requests that one endpoint runs at once.
+    """
+
+    in_flight: float
+    slots: int
+
+
+@dataclass(frozen=True)
+class FleetCounts:
+    """Wanted endpoints of one service by zone; `reclaimable` and `firm` ones are ordered apart."""
+
+    reclaimable: Mapping[str, int]
+    firm: Mapping[str, int]
+
+
+class ScalingPolicy(ABC):
+    """Decides on the wanted numbers."""
+
+    @abstractmethod
+    def plan(self, limits: ScalingLimits, demand: Demand, dry: frozenset[str]) -> FleetCounts:
+        """Return the wanted endpoints.
+
+        Parameters
+        ----------
+        dry : frozenset of str
+            Zones in which no reclaimable endpoints are to be had now.
+        """
+
+
+@dataclass(frozen=True)
+class SpreadReclaimable(ScalingPolicy):
+    """Reclaimable endpoints, spread over the zones so that the loss of any one zone is borne.
+
+    Parameters
+    ----------
+    utilization : float
+        Part of the slots that the demand may fill. An engine prefills prompts between the tokens of
+        what runs, so that long before its slots are full its answers come late.
+    spare : int
+        Endpoints beyond the demand: what the loss of a zone takes away.
+    """
+
+    utilization: float = 0.3
+    spare: int = 1
+
+    def plan(self, limits: ScalingLimits, demand: Demand, dry: frozenset[str]) -> FleetCounts:
+        """Return the wanted endpoints, cheapest zones first."""
+        zones = sorted(limits.zone_prices, key=lambda zone: (limits.zone_prices[zone], zone))
+        needed = math.ceil(demand.in_flight / (demand.slots * self.utilization)) + self.spare
+        counts = {zone: max(1, limits.least) for zone in zones}
+        wet = [zone for zone in zones if zone not in dry]
+        missing = needed - sum(counts[zone] for zone in wet)
+        while missing > 0:
+            open_zones = [zone for zone in wet if counts[zone] < limits.most]
+            if not open_zones:
+                break
+            emptiest = min(open_zones, key=lambda zone: counts[zone])
+            counts[emptiest] += 1
+            missing -= 1
+        firm = self._firm(limits, zones, counts, dry, missing)
+        return FleetCounts(counts, firm)
+
+    @staticmethod
+    def _firm(
+        limits: ScalingLimits,
+        zones: list[str],
+        counts: Mapping[str, int],
+        dry: frozenset[str],
+        missing: int,
+    ) -> dict[str, int]:
+        """Return the firm endpoints that stand in where no reclaimable ones are left."""
+        firm = dict.fromkeys(zones, 0)
+        for zone in zones:
+            room = limits.most - counts[zone]
+            while missing > 0 and room > 0:
+                firm[zone] += 1
+                room -= 1
+                missing -= 1
+        return firm
+
+
+@dataclass(frozen=True)
+class _Subject:
+    """What orders are kept apart by."""
+
+    service: str
+    zone: str
+    reclaimable: bool
+
+
+@dataclass
+class _Ordered:
+    """Last order for a subject.
+
+    Parameters
+    ----------
+    granted : int
+        Endpoints that the cloud last granted.
+    sent_at : float
+        Time of the last call.
+    refused : int or None
+        Number that was refused since.
+    wanted_at : float
+        Last time at which the plan wanted all that was granted.
+    """
+
+    granted: int
+    sent_at: float
+    refused: int | None = None
+    wanted_at: float = -math.inf
+
+
+class ScalingDuty:
+    """Sends the orders that bring the endpoints to the wanted numbers."""
+
+    def __init__(
+        self,
+        lease: DutyLease,
+        cloud: Cloud,
+        policy: ScalingPolicy,
+        vm_id: str,
+        now: Callable[[], float],
+        configuration: Callable[[], ForwardingConfiguration],
+        endpoints: Callable[[], Iterable[EndpointRow]],
+        demand: Callable[[str], Demand],
+        log: Log,
+    ):
+        self._lease = lease
+        self._cloud = cloud
+        self._policy = policy
+        self._vm_id = vm_id
+        self._now = now
+        self._configuration = configuration
+        self._endpoints = endpoints
+        self._demand = demand
+        self._log = log
+        self._ordered: dict[_Subject, _Ordered] = {}
+        self._dry_until: dict[tuple[str, str], float] = {}
+        self._fencing = 0
+
+    def run(self) -> Task:
+        """Plan and order again and again; never returns."""
+        while True:
+            yield Sleep(STEP_SECONDS)
+            lease = self._lease.held()
+            if lease is None:
+                continue
+            if lease.fencing != self._fencing:
+                self._fencing = lease.fencing
+                self._ordered.clear()
+            for order in list(self.wanted()):
+                try:
+                    yield from self._order(order)
+                except PlatformError as exc:
+                    self._log.warning("order failed", order=str(order), detail=str(exc))
+
+    def wanted(self) -> Iterable[EndpointOrder]:
+        """Yield the orders that are to be sent now, those for more endpoints first."""
+        now = self._now()
+        orders = []
+        for service in self._configuration().services.values():
+            if service.scaling is None:
+                continue
+            dry = self._dry(service.name, now)
+            plan = self._policy.plan(service.scaling, self._demand(service.name), dry)
+            for reclaimable, counts in ((True, plan.reclaimable), (False, plan.firm)):
+                for zone, count in counts.items():
+                    orders.append(EndpointOrder(service.name, zone, count, reclaimable))
+        needed = [each for each in orders if self._is_needed(each, now)]
+        return sorted(needed, key=self._is_scale_in)
+
+    def _dry(self, service: str, now: float) -> frozenset[str]:
+        """Return the zones whose reclaimable endpoints are being taken back or were refused."""
+        refused = {
+            zone
+            for (name, zone), until in self._dry_until.items()
+            if name == service and until > now
+        }
+        leaving = {
+            each.zone
+            for each in self._endpoints()
+            if each.service == service and each.reclaimable and each.leaves_in is not None
+        }
+        return frozenset(refused | leaving)
+
+    def _is_scale_in(self, order: EndpointOrder) -> bool:
+        known = self._ordered.get(_subject(order))
+        return known is not None and order.count < known.granted
+
+    def _is_needed(self, order: EndpointOrder, now: float) -> bool:
+        """Tell whether an order is to be sent: it is new, was refused a while ago, or is old."""
+        known = self._ordered.get(_subject(order))
+        if known is None:
+            return True
+        if order.count >= known.granted:
+            known.wanted_at = now
+        if order.count < known.granted:
+            return now - known.wanted_at >= SCALE_IN_SECONDS
+        if known.refused is not None and order.count >= known.refused:
+            return now - known.sent_at >= REFUSED_SECONDS
+        return order.count > known.granted or now - known.sent_at >= REPEAT_SECONDS
+
+    def _order(self, order: EndpointOrder) -> Task:
+        lease = self._lease.held()
+        if lease is None:
+            return
+        granted = yield from self._cloud.order(self._vm_id, lease.fencing, order)
+        now = self._now()
+        known = self._ordered.setdefault(_subject(order), _Ordered(0, now))
+        known.sent_at = now
+        known.refused = None if granted else order.count
+        if granted:
+            known.granted = order.count
+            known.wanted_at = now
+        elif order.reclaimable:
+            self._dry_until[order.service, order.zone] = now + REFUSED_SECONDS
+        self._log.info(
+            "endpoints ordered",
+            service=order.service,
+            at_zone=order.zone,
+            count=order.count,
+            reclaimable=order.reclaimable,
+            granted=granted,
+            fencing=lease.fencing,
+            in_flight=self._demand(order.service).in_flight,
+        )
+
+
+def _subject(order: EndpointOrder) -> _Subject:
+    return _Subject(order.service, order.zone, order.reclaimable)
--- a/flamingofront/process/forwarding/shutdown.py
+++ b/flamingofront/process/forwarding/shutdown.py
@@ -47,6 +47,8 @@
         self._begun_at = timers.now()
         self._node.stopping = True
         self._callers.closing = True
+        self._node.tasks.start(self._node.lease.release())
+        self._node.peers.tell_now()
         self._node.log.info("stopping", requests=len(self._node.hub.active))
         timers.once(TURNED_AWAY_SECONDS, self._turned_away)
 
--- /dev/null
+++ b/flamingofront/process/forwarding/usage.py
@@ -0,0 +1,155 @@
+"""Usage: how many requests of each workspace began to run, by window of the wall clock."""
+
+from collections import Counter
+from collections.abc import Callable, Mapping
+
+from flamingofront.errors import PlatformError
+from flamingofront.messages import Sleep
+from flamingofront.process.forwarding.duty import DutyLease
+from flamingofront.process.forwarding.reports import PeerReport
+from flamingofront.process.forwarding.settings import SharedRules
+from flamingofront.process.logs import Log
+from flamingofront.process.store import Cloud, UsageReport
+from flamingofront.process.tasks import Task
+
+__all__ = ["UsageBook", "UsageDuty"]
+
+# Windows that are told to peers and kept for a successor: a report is due ten seconds after a
+# window of five seconds, so that four cover all that may still be reported.
+KEPT_WINDOWS = 4
+# Time after the end of a window in which the last reports of all processes arrive: a process is
+# heard at least every 1.3 seconds (80 members, 16 told in each quarter of a second).
+SETTLE_SECONDS = 2.0
+STEP_SECONDS = 0.25
+
+
+class UsageBook:
+    """Counts of all processes, by window.
+
+    Parameters
+    ----------
+    process : str
+        This process.
+    window : float
+        Length of a window in seconds.
+    """
+
+    def __init__(self, process: str, window: float):
+        self._process = process
+        self._window = window
+        self._counts: dict[int, dict[str, Mapping[str, int]]] = {}
+
+    def window_at(self, wall: float) -> int:
+        """Return the number of the window that a time of the wall clock lies in."""
+        return int(wall // self._window)
+
+    def end_of(self, window: int) -> float:
+        """Return the wall clock's time at which a window ends."""
+        return (window + 1) * self._window
+
+    def began(self, workspace: str, wall: float) -> None:
+        """Count a request that began to run."""
+        own = self._counts.setdefault(self.window_at(wall), {}).setdefault(self._process, Counter())
+        own[workspace] += 1
+
+    def own(self, wall: float) -> dict[str, dict[str, int]]:
+        """Return this process's counts of the last windows, to tell the others."""
+        self._forget(self.window_at(wall))
+        return {
+            str(window): dict(counts[self._process])
+            for window, counts in self._counts.items()
+            if self._process in counts
+        }
+
+    def _forget(self, window: int) -> None:
+        for old in [each for each in self._counts if each <= window - KEPT_WINDOWS]:
+            del self._counts[old]
+
+    def heard(self, report: PeerReport) -> None:
+        """Take another process's counts in."""
+        for window, counts in report.usage.items():
+            self._counts.setdefault(int(window), {})[report.process] = counts
+
+    def total(self, window: int) -> dict[str, int]:
+        """Return the counts of a window over all processes."""
+        total: Counter[str] = Counter()
+        for counts in self._counts.get(window, {}).values():
+            total.update(counts)
+        return dict(sorted(total.items()))
+
+
+class UsageDuty:
+    """Reports each window once, by the holder of the duty lease.
+
+    What will be reported is written to the store first, with the renewal of the lease, so that a
+    successor repeats it exactly.
+
+    Parameters
+    ----------
+    true_time : callable
+        Wall clock, agreed with the other processes.
+    """
+
+    def __init__(
+        self,
+        lease: DutyLease,
+        cloud: Cloud,
+        book: UsageBook,
+        rules: SharedRules,
+        vm_id: str,
+        true_time: Callable[[], float],
+        log: Log,
+    ):
+        self._lease = lease
+        self._cloud = cloud
+        self._book = book
+        self._rules = rules
+        self._vm_id = vm_id
+        self._true_time = true_time
+        self._log = log
+        self._confirmed: set[str] = set()
+        self._first = book.window_at(true_time()) + 1
+
+    def run(self) -> Task:
+        """Report whenever a window is due; never returns."""
+        while True:
+            try:
+                yield from self.step()
+            except PlatformError as exc:
+                self._log.warning("usage report failed", detail=str(exc))
+            yield Sleep(STEP_SECONDS)
+
+    def step(self) -> Task:
+        """Write the window that is due into the store, then report what is not yet confirmed."""
+        if self._lease.held() is None:
+            return
+        window = self._due()
+        if window is not None and not (yield from self._record(window)):
+            return
+        for name, counts in sorted(self._lease.state.reports.items()):
+            if name not in self._confirmed:
+                yield from self._report(name, counts)
+
+    def _due(self) -> int | None:
+        """Return the next window whose counts are complete and not yet in the store."""
+        last = self._book.window_at(self._true_time() - SETTLE_SECONDS) - 1
+        known = self._lease.state.reports
+        wanted = range(max(self._first, last - KEPT_WINDOWS + 2), last + 1)
+        newest = max((int(each) for each in known), default=0)
+        return next((each for each in wanted if each > newest), None)
+
+    def _record(self, window: int) -> Task:
+        reports = dict(self._lease.state.reports)
+        reports[str(window)] = self._book.total(window)
+        kept = dict(sorted(reports.items(), key=lambda item: int(item[0]))[-KEPT_WINDOWS:])
+        return (yield from self._lease.renew(kept))
+
+    def _report(self, name: str, counts: Mapping[str, int]) -> Task:
+        lease = self._lease.held()
+        if lease is None:
+            return
+        report = UsageReport(int(name), counts)
+        yield from self._cloud.report_usage(self._vm_id, lease.fencing, report)
+        self._confirmed.add(name)
+        self._confirmed &= {*self._lease.state.reports, name}
+        self._log.info("usage reported", window=report.window, counts=counts, fencing=lease.fencing)
--- a/flamingofront/request/directory.py
+++ b/flamingofront/request/directory.py
@@ -207,6 +207,10 @@
         """Return the attempts of this process on an endpoint."""
         return self._in_flight[endpoint_id]
 
+    def all_in_flight(self) -> dict[str, int]:
+        """Return the attempts of this process, by endpoint."""
+        return dict(self._in_flight)
+
     def load_of(self, endpoint_id: str) -> float:
         """Return the requests that an endpoint runs, by its last report and own attempts."""
         report = self._reports.get(endpoint_id)
--- a/flamingofront/request/forward_gateway.py
+++ b/flamingofront/request/forward_gateway.py
@@ -94,9 +94,7 @@
         request.attach(ForwardAttachment(exchange, caller.request_id, self._protocol))
         self._hub.pump()
 
-    def _workspace(
-        self, caller: CallerRequest, route: ForwardedRoute
-    ) -> ForwardedWorkspace | None:
+    def _workspace(self, caller: CallerRequest, route: ForwardedRoute) -> ForwardedWorkspace | None:
         cfg = self.configuration
         workspace = cfg.workspace_of(caller.key) if caller.key else None
         if workspace is None and route.needs_key and cfg.workspaces:
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from flamingofront.connection.interfaces import CallEvent, Exchange
-from flamingofront.errors import ErrorKind, Ran, RequestError
+from flamingofront.errors import Ran, RequestError
 from flamingofront.messages import (
     CallFailed,
     Fail,
@@ -79,6 +79,7 @@
         self.relay = EventRelay()
         self.status = 0
         self.endpoints: list[str] = []
+        self.sent_at = 0.0
         self.first_at: float | None = None
         self.failure = ""
         self.on_running: Callable[[ForwardedRequest], None] = lambda request: None
@@ -104,6 +105,7 @@
         facts = AttemptFacts(chosen.endpoint_id, left, self.relay.last_id)
         work = self.work
         self.endpoints.append(chosen.endpoint_id)
+        self.sent_at = self.hub.now()
         return OutboundCall(
             chosen.address,
             work.method,
@@ -121,6 +123,15 @@
     def _listener(self, attempt_id: str, chosen: Candidate) -> Callable[[CallEvent], None]:
         return _AnswerReader(self, attempt_id)
 
+    def began_at(self) -> float:
+        """Return when an endpoint began to run the request, as far as can be told from here.
+
+        Notes
+        -----
+        A stream begins with its first event; any other request at once when it is sent.
+        """
+        return self.first_at if self.work.stream else self.sent_at
+
     def running(self) -> None:
         """Note that an endpoint has begun to answer."""
         if self.first_at is None:
@@ -161,6 +172,12 @@
     def _complete(self) -> None:
         raise AssertionError("a forwarded request is completed by its answer")
 
+    def call_failed(self, attempt_id: str, event: CallFailed) -> None:
+        """Judge a call that ended without an answer; what was sent has most likely run."""
+        if event.wrote and event.reason != "connect" and not self.work.stream:
+            self.running()
+        super().call_failed(attempt_id, event)
+
     def _fail(self, order: Fail) -> None:
         if self._fallback is not None:
             self.status = self._fallback.status
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -329,6 +329,14 @@
         while len(self.moved_to) > 10_000:
             self.moved_to.popitem(last=False)
 
+    def in_flight_of(self, service: str) -> int:
+        """Return the requests for a service that are held here."""
+        return sum(each.record.service.name == service for each in self.active.values())
+
+    def in_flight_by_service(self) -> dict[str, int]:
+        """Return the requests held here, by service."""
+        return dict(Counter(each.record.service.name for each in self.active.values()))
+
     def waiting(self) -> int:
         """Return the requests that wait for their first attempt."""
         return sum(not each.ticket.running for each in self.active.values())
--- a/flamingofront/request/quota.py
+++ b/flamingofront/request/quota.py
@@ -7,7 +7,7 @@
 """
 
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 
 from flamingofront.version.forwarding import ForwardedWorkspace
 
@@ -66,13 +66,10 @@
     ----------
     heard_share : callable
         Returns the part of the entry processes that is heard now, this one included; 0 to 1.
-    member_share : callable
-        Returns one process's part of all, by their number: what a new copy may begin with.
     """
 
-    def __init__(self, heard_share: Callable[[], float], member_share: Callable[[], float]):
+    def __init__(self, heard_share: Callable[[], float]):
         self._heard_share = heard_share
-        self._member_share = member_share
         self._buckets: dict[str, _Bucket] = {}
         self._spent: dict[str, float] = {}
         self._heard: dict[tuple[str, str], float] = {}
@@ -84,8 +81,9 @@
     def _bucket(self, workspace: ForwardedWorkspace, now: float) -> _Bucket:
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
-            level = workspace.burst * self._member_share()
-            bucket = self._buckets[workspace.name] = _Bucket(level, now)
+            # A new process cannot know what the others have taken out; the copy fills in about a
+            # second with the usual burst of one second's rate.
+            bucket = self._buckets[workspace.name] = _Bucket(0.0, now)
         bucket.fill(workspace.rate * self._heard_share(), workspace.burst, now)
         return bucket
 
@@ -108,17 +106,28 @@
         """Give back what a request took that did not run."""
         self.spend(workspace, -units, now)
 
-    def heard(self, process: str, spent: dict[str, float]) -> None:
+    def prepare(self, workspaces: Iterable[ForwardedWorkspace], now: float) -> None:
+        """Let the copies of all workspaces begin to fill."""
+        for each in workspaces:
+            if each.rate > 0:
+                self._bucket(each, now)
+
+    def heard(self, process: str, spent: Mapping[str, float], continuous: bool) -> None:
         """Take in what another process has taken out in all.
 
         Parameters
         ----------
         process : str
             VM and incarnation: a new process counts from 0.
+        continuous : bool
+            False if the process was out of hearing: what it took meanwhile was its own part, which
+            this process's copies have left out.
         """
         for name, total in spent.items():
             known = self._heard.get((process, name))
             self._heard[process, name] = total
             bucket = self._buckets.get(name)
-            if known is not None and bucket is not None:
+            if known is None:
+                known = 0.0
+            if continuous and bucket is not None:
                 bucket.level -= total - known
--- a/flamingofront/version/forwarding.py
+++ b/flamingofront/version/forwarding.py
@@ -13,6 +13,7 @@
 from flamingofront.version.model import Service, ServiceKind
 
 __all__ = [
+    "DEFAULT_SLOTS",
     "Backend",
     "CallerLimits",
     "ForwardedRoute",
