--- a/flamingofront/process/forwarding/follower.py
+++ b/flamingofront/process/forwarding/follower.py
@@ -104,7 +104,9 @@
             self._version = version
             self._listener.replaced(rows)
             return
-        changes = yield from self._store.changes(self._table, self._version, FEED_WAIT_SECONDS)
+        # While the store is away a waiting call would hide its return: it is asked without a wait.
+        wait = 0.0 if self._failures else FEED_WAIT_SECONDS
+        changes = yield from self._store.changes(self._table, self._version, wait)
         self._note_answer()
         self._version = max(self._version, changes.version)
         if changes.rows:
