--- /dev/null
+++ b/flamingofront/tests/forwarding_world.py
@@ -0,0 +1,202 @@
+"""The fake network of `world`, with the users' platform and entry processes that forward."""
+
+import random
+
+from flamingofront.messages import InboundRequest
+from flamingofront.platform.cloud import PlatformCloud
+from flamingofront.platform.config import CONFIG_KEY, CONFIG_TABLE, decode_configuration
+from flamingofront.platform.endpoints import ENDPOINT_TABLE, decode_endpoint
+from flamingofront.platform.requests import PlatformProtocol
+from flamingofront.platform.store import PlatformTableStore
+from flamingofront.process.forwarding.node import Dependencies, ForwardingNode, SharedTables
+from flamingofront.process.forwarding.settings import DeploymentSettings, SharedRules
+from flamingofront.process.logs import Log
+from flamingofront.process.settings import parse_address
+from flamingofront.standins.forward_endpoint import ForwardEndpointStandIn
+from flamingofront.standins.table_store import TableStoreStandIn
+from flamingofront.tests.world import LATENCY, Caller, World, _FakeTransport
+
+__all__ = ["ForwardingWorld", "RULES", "configuration", "ready_world"]
+
+TIMEOUT = 1.0
+RULES = SharedRules(
+    retry_ratio=0.2,
+    retry_window=10.0,
+    retry_allowance=40.0,
+    lease_seconds=3.0,
+    usage_window=5.0,
+    usage_due=10.0,
+    quota_window=8.0,
+)
+TABLES = SharedTables(
+    CONFIG_TABLE, CONFIG_KEY, ENDPOINT_TABLE, decode_configuration, decode_endpoint
+)
+ENGINE = {"slots": 8, "kv_capacity_tokens": 100_000}
+SCALING = {
+    "min": 1,
+    "max": 3,
+    "boot_time_s": 4.0,
+    "spot_price": 0.2,
+    "zone_prices": {"zone-a": 1.0, "zone-b": 0.8},
+}
+
+
+def _route(name: str, prefix: str, service: str, kind: str, **more) -> dict:
+    return {
+        "name": name,
+        "host": "desk.example",
+        "prefix": prefix,
+        "service": service,
+        "kind": kind,
+        "timeout_ms": 4000,
+        "latency_goal_ms": 400,
+        "priority": 1,
+        "max_attempts": 2,
+        **more,
+    }
+
+
+def configuration(version: int = 1, **changes) -> dict:
+    """Return a configuration document as the operator writes it."""
+    doc = {
+        "version": version,
+        "routes": [
+            _route("read", "/read/", "records", "idempotent"),
+            _route("write", "/write/", "records", "non_idempotent"),
+            _route("once", "/stream/once/", "engines", "stream", sticky=True),
+            _route("again", "/stream/again/", "engines", "stream", resumable=True, sticky=True),
+            _route("open", "/open/", "records", "idempotent", anonymous=True),
+        ],
+        "services": [
+            {"name": "records", "max_conns": 100},
+            {"name": "engines", "max_conns": 100, "engine": ENGINE, "scaling": SCALING},
+        ],
+        "tenants": [{"name": "desk", "api_keys": ["key-1", "key-2"], "priority": 1}],
+        "limits": {},
+    }
+    return {**doc, **changes}
+
+
+class ForwardingWorld(World):
+    """World with the platform's table store in place of the project's own platform."""
+
+    def __init__(self, seed: int = 1):
+        super().__init__(seed)
+        self.store = TableStoreStandIn(self._host("store", "store").timers)
+        self.host("store").handler = self.store.handle
+        self.fronts: dict[str, ForwardingNode] = {}
+        self.endpoints: dict[str, ForwardEndpointStandIn] = {}
+        self.lost_datagrams = 0.0
+
+    def endpoint(self, name: str, service: str, zone: str = "zone-a", **options):
+        """Start an endpoint and register it."""
+        host = self._host(name, zone)
+        endpoint = ForwardEndpointStandIn(name, host.timers, **options)
+        host.handler = endpoint.handle
+        self.endpoints[name] = endpoint
+        self.register(name, service, zone)
+        return endpoint
+
+    def register(self, name: str, service: str, zone: str = "zone-a", **changes) -> None:
+        """Write an endpoint's row."""
+        row = {
+            "service": service,
+            "address": self.host(name).address,
+            "zone": zone,
+            "slots": 8,
+            "state": "ready",
+            "sequence": 1,
+        }
+        self.store.put(ENDPOINT_TABLE, name, {**row, **changes})
+
+    def configure_routes(self, **changes) -> None:
+        """Let the operator write a configuration."""
+        self.store.put(CONFIG_TABLE, CONFIG_KEY, configuration(**changes))
+
+    def front(self, name: str, zone: str = "zone-a", rules: SharedRules = RULES) -> ForwardingNode:
+        """Start an entry process; starting one of the same name again replaces it."""
+        host = self._host(name, zone)
+        address = parse_address(host.address)
+        store = self.host("store").address
+        settings = DeploymentSettings(
+            vm_id=name,
+            zone=zone,
+            ip=host.address,
+            caller_bind=address,
+            ready_bind=address,
+            control_bind=address,
+            peer_port=1,
+            seeds=(),
+            first_start=True,
+            store=parse_address(store),
+            cloud=parse_address(store),
+            duties=("usage", "scaling"),
+            stop_grace=8.0,
+            rules=rules,
+        )
+        needs = Dependencies(
+            _FakeTransport(self, host),
+            host.timers,
+            PlatformTableStore(store, TIMEOUT),
+            PlatformCloud(store, TIMEOUT),
+            PlatformProtocol(),
+            TABLES,
+            lambda data, target: self._datagram(host, target[0], data),
+            int(self.clock.now() * 1000) + len(self.hosts),
+        )
+        node = ForwardingNode(settings, needs, random.Random(self.rng.random()), Log("entry"))
+        host.handler = node.handle_control
+        self.fronts[name] = node
+        node.start()
+        return node
+
+    def _datagram(self, source, address: str, data: bytes) -> None:
+        target = self.hosts.get(address)
+        if target is None or target.dead or source.dead or self.is_cut(source, target):
+            return
+        if self.rng.random() < self.lost_datagrams:
+            return
+        node = self.fronts[target.name]
+        target.timers.once(LATENCY, lambda: target.dead or node.peers.received(data))
+
+    def ask(
+        self,
+        front: str,
+        path: str,
+        method: str = "POST",
+        body: bytes = b"body",
+        key: str | None = "key-1",
+        **headers: str,
+    ) -> Caller:
+        """Send a caller's request to an entry process without waiting."""
+        host = self.host(front)
+        caller = Caller(self.fronts[front], host)
+        fields = [
+            ("Host", "desk.example"),
+            ("X-Flamingofront-Request-Id", f"r-{self.rng.getrandbits(48):012x}"),
+            ("X-Flamingofront-Deadline-Ms", "3000"),
+        ]
+        if key is not None:
+            fields.append(("Authorization", f"Bearer {key}"))
+        fields += [(name.replace("_", "-"), value) for name, value in headers.items()]
+        names = {name.lower(): value for name, value in fields}
+        req = InboundRequest(method, path, {}, names, body, path, tuple(fields), self.clock.now())
+        self.fronts[front].handle_caller(req, caller)
+        return caller
+
+
+def ready_world(
+    fronts: int = 1, engines: int = 2, plains: int = 2, seed: int = 1, **changes
+) -> ForwardingWorld:
+    """Return a world whose entry processes are ready, `front-1` first."""
+    world = ForwardingWorld(seed)
+    world.configure_routes(**changes)
+    for number in range(1, engines + 1):
+        world.endpoint(f"engine-{number}", "engines", "zone-a" if number % 2 else "zone-b")
+    for number in range(1, plains + 1):
+        world.endpoint(f"plain-{number}", "records")
+    for number in range(1, fronts + 1):
+        world.front(f"front-{number}")
+    world.run_until(lambda: all(each.ready for each in world.fronts.values()))
+    world.run(3.0)
+    return world
--- a/flamingofront/tests/world.py
+++ b/flamingofront/tests/world.py
@@ -116,9 +116,19 @@
         if self.closed or self.target.dead:
             return
         parts = urlsplit(self.call.path)
-        headers = {name.lower(): value for name, value in self.call.headers}
         query = dict(parse_qsl(parts.query))
-        req = InboundRequest(self.call.method, unquote(parts.path), query, headers, self.call.body)
+        fields = (("Host", self.call.host or self.call.address), *self.call.headers)
+        headers = {name.lower(): value for name, value in fields}
+        req = InboundRequest(
+            self.call.method,
+            unquote(parts.path),
+            query,
+            headers,
+            self.call.body,
+            self.call.path,
+            fields,
+            self.target.timers.now(),
+        )
         self.exchange = FakeExchange(self)
         self.target.handler(req, self.exchange)
 
@@ -158,7 +168,8 @@
         self.begin(status, headers, body, ResponseEnd())
 
     def begin(self, status, headers, body=b"", *more) -> None:
-        head = ResponseHead(status, {name.lower(): value for name, value in headers})
+        names = {name.lower(): value for name, value in headers}
+        head = ResponseHead(status, names, tuple(headers))
         self._link.back(head, *([ResponseData(body)] if body else []), *more)
 
     def send(self, data: bytes) -> bool:
@@ -182,6 +193,7 @@
         self.body = b""
         self.done = False
         self.answers = 0
+        self.broken = False
         self.on_gone = None
 
     def respond(self, status, headers, body) -> None:
@@ -202,6 +214,7 @@
         self.done = True
 
     def abort(self) -> None:
+        self.broken = True
         self.done = True
 
     def leave(self) -> None:
