--- /dev/null
+++ b/flamingofront/platform/tests/test_adapter.py
@@ -0,0 +1,165 @@
+"""The adapter decodes what the platform sends, and no wire name stands outside it."""
+
+import re
+from pathlib import Path
+
+import pytest
+
+from flamingofront.errors import ConfigurationError, ErrorKind, PlatformError, Ran, RequestError
+from flamingofront.messages import InboundRequest, ResponseHead
+from flamingofront.platform.config import decode_configuration
+from flamingofront.platform.endpoints import decode_endpoint
+from flamingofront.platform.requests import PlatformProtocol
+from flamingofront.platform.settings import parse_settings
+from flamingofront.version.forwarding import Backend, ForwardedRoute, RequestKind
+
+PACKAGE = Path(__file__).resolve().parents[2]
+WIRE_NAMES = re.compile(
+    r"x-flamingofront-(?!wire)|/api/(rows|report|kv|blob|hold)|rows-(tx|get|feed)|kv-(move|from)"
+    r"|tombstone|expected_rev|desired|tenants|max_conns|latency_goal_ms|drain_ms|listen\.front",
+    re.IGNORECASE,
+)
+SETTINGS = """
+node_name=front-1
+zone=zone-a
+ip=127.0.0.1
+listen.front=127.0.0.1:8221
+listen.ready=127.0.0.1:8224
+port_range=7600,7615
+seeds=127.0.0.1:8229,127.0.0.2:8229
+platform.address=127.0.0.1:8225
+cloud_api.address=127.0.0.1:8226
+cloud_api.duties=usage,scaling
+bounds.grace_s=8
+bounds.lease_ms=3000
+some.new.key=ignored
+"""
+
+
+class TestWireNames:
+    @pytest.mark.parametrize(
+        "path",
+        [
+            each
+            for each in PACKAGE.rglob("*.py")
+            if not {"platform", "standins", "tests"} & set(each.relative_to(PACKAGE).parts)
+        ],
+        ids=lambda path: str(path.relative_to(PACKAGE)),
+    )
+    def test_no_wire_name_outside_the_adapter(self, path):
+        assert not WIRE_NAMES.findall(path.read_text())
+
+
+class TestSettings:
+    def test_values_are_decoded_and_unknown_keys_ignored(self):
+        settings = parse_settings(SETTINGS)
+        assert settings.vm_id == "front-1"
+        assert settings.rules.lease_seconds == 3.0
+        assert settings.peer_port == 7600
+        assert settings.duties == ("usage", "scaling")
+        assert [each.host for each in settings.seeds] == ["127.0.0.1", "127.0.0.2"]
+        assert settings.control_bind is None
+
+    @pytest.mark.parametrize(
+        "line, named",
+        [
+            ("listen.front=nonsense", "listen.front"),
+            ("bounds.grace_s=soon", "bounds.grace_s"),
+            ("port_range=x", "port_range"),
+            ("node_name=", "node_name"),
+            ("no equals sign", "no equals sign"),
+        ],
+    )
+    def test_bad_value_is_named(self, line, named):
+        with pytest.raises(Exception, match=re.escape(named)):
+            parse_settings(SETTINGS + line + "\n")
+
+
+class TestConfigurationDocument:
+    def test_split_and_single_service(self):
+        cfg = decode_configuration(
+            b'{"version": 3, "services": [], "routes": ['
+            b'{"name": "a", "host": "h", "prefix": "/a/", "kind": "stream", "timeout_ms": 500,'
+            b' "backends": [{"service": "x", "weight": 90}, {"service": "y", "weight": 10}]},'
+            b'{"name": "b", "host": "h", "prefix": "/b/", "kind": "idempotent",'
+            b' "timeout_ms": 500, "service": "x"}]}'
+        )
+        assert cfg.version == 3
+        assert cfg.routes[0].backends == (Backend("x", 90.0), Backend("y", 10.0))
+        assert cfg.routes[1].backends == (Backend("x"),)
+        assert cfg.routes[1].may_repeat and not cfg.routes[0].may_repeat
+
+    @pytest.mark.parametrize(
+        "data", [b"", b"[]", b"null", b'{"version": "x"}', b'{"version": 1, "routes": [{}]}']
+    )
+    def test_malformed_document_is_refused(self, data):
+        with pytest.raises(ConfigurationError):
+            decode_configuration(data)
+
+    def test_split_follows_the_weights(self):
+        backends = (Backend("x", 90.0), Backend("y", 10.0))
+        route = ForwardedRoute("r", "h", "/r/", RequestKind.IDEMPOTENT, backends)
+        share = sum(route.backend_for(f"request-{n}") == "y" for n in range(5000)) / 5000
+        assert 0.08 < share < 0.12
+
+
+class TestEndpointRows:
+    def test_reclaimed_endpoint(self):
+        row = decode_endpoint(
+            "i-1",
+            b'{"service": "s", "address": "127.0.0.1:1", "zone": "z", "state": "draining",'
+            b' "spot": true, "leaves_ms": 2500, "sequence": 7, "slots": 8}',
+        )
+        assert (row.ready, row.reclaimable, row.leaves_in, row.sequence) == (False, True, 2.5, 7)
+
+    @pytest.mark.parametrize("data", [b"", b"{}", b"[1]", b'{"service": 1}'])
+    def test_malformed_row_is_refused(self, data):
+        with pytest.raises(PlatformError):
+            decode_endpoint("i-1", data)
+
+
+class TestErrorAnswers:
+    @pytest.mark.parametrize("kind", list(ErrorKind))
+    def test_a_status_that_says_not_run_needs_evidence(self, kind):
+        for ran in (Ran.UNKNOWN, Ran.YES):
+            status, fields, _ = PlatformProtocol().render_error(RequestError(kind, ran=ran))
+            assert status not in (408, 421, 429, 503)
+            assert "Retry-After" not in dict(fields)
+
+    def test_time_to_come_back_has_a_fraction(self):
+        exc = RequestError(ErrorKind.OVERLOADED, ran=Ran.NO, retry_after=0.25)
+        status, fields, _ = PlatformProtocol().render_error(exc)
+        assert status == 503 and dict(fields)["Retry-After"] == "0.250"
+
+
+class TestHeaders:
+    def test_prompt_and_tokens(self):
+        headers = {
+            "x-flamingofront-request-id": "r",
+            "x-flamingofront-token-counts": "1460,80",
+            "x-flamingofront-prompt-prefix": "5c:800,e4:660",
+            "host": "h",
+        }
+        caller = PlatformProtocol().decode(InboundRequest("POST", "/a/", {}, headers, b""))
+        assert (caller.prompt_tokens, caller.output_tokens) == (1460, 80)
+        assert [each.tokens for each in caller.prompt] == [800, 660]
+
+    def test_missing_id_and_bad_deadline_are_named(self):
+        protocol = PlatformProtocol()
+        with pytest.raises(RequestError, match="request-id"):
+            protocol.decode(InboundRequest("GET", "/", {}, {}, b""))
+        headers = {"x-flamingofront-request-id": "r", "x-flamingofront-deadline-ms": "soon"}
+        with pytest.raises(RequestError, match="soon"):
+            protocol.decode(InboundRequest("GET", "/", {}, headers, b""))
+
+    @pytest.mark.parametrize(
+        "headers, not_run, crossed",
+        [
+            ({"x-flamingofront-request-id": "r"}, False, False),
+            ({"x-flamingofront-request-id": "q"}, False, True),
+            ({"x-flamingofront-not-executed": "1"}, True, False),
+        ],
+    )
+    def test_answers_are_judged(self, headers, not_run, crossed):
+        answer = PlatformProtocol().judge("r", ResponseHead(503, headers))
+        assert (answer.not_run, answer.crossed) == (not_run, crossed)
--- /dev/null
+++ b/flamingofront/process/forwarding/tests/test_duties.py
@@ -0,0 +1,162 @@
+"""The duty lease, usage reports and orders, over several entry processes under failure."""
+
+import pytest
+
+from flamingofront.process.forwarding.duty import DUTY_KEY, DUTY_PART, DUTY_TABLE
+from flamingofront.process.forwarding.scaling import Demand, SpreadReclaimable
+from flamingofront.standins.table_store import StoreFault
+from flamingofront.tests.forwarding_world import ready_world
+from flamingofront.version.forwarding import ScalingLimits
+
+LEASE = 3.0
+
+
+def calls(world, path):
+    return [each for each in world.store.duty_calls if each.path == path]
+
+
+def usage(world):
+    """Return the reported counts by window; a repeat must be exact."""
+    found = {}
+    for each in calls(world, "/usage"):
+        window, counts = each.body["window_id"], each.body["counts"]
+        assert found.setdefault(window, counts) == counts
+    return found
+
+
+def holder(world):
+    return next(name for name, each in world.fronts.items() if each.lease.holding() is not None)
+
+
+def assert_one_holder_at_a_time(world):
+    """Fencing numbers never fall, and two holders' calls are a whole lease apart."""
+    last = None
+    for each in world.store.duty_calls:
+        if last is not None:
+            assert each.fencing >= last.fencing
+            if each.holder != last.holder:
+                assert each.fencing > last.fencing
+                assert each.at - last.at >= LEASE
+        last = each
+
+
+class TestUsage:
+    def test_each_window_is_reported_with_the_requests_of_all_processes(self):
+        world = ready_world(fronts=3)
+        for number in range(30):
+            world.finish(world.ask(f"front-{1 + number % 3}", "/read/x"))
+            world.run(0.3)
+        world.run(12.0)
+        assert sum(each.get("desk", 0) for each in usage(world).values()) == 30
+        windows = sorted(usage(world))
+        assert windows == list(range(windows[0], windows[-1] + 1))
+        assert_one_holder_at_a_time(world)
+
+    @pytest.mark.parametrize("way", ["kill", "cut", "freeze"])
+    def test_successor_goes_on_without_a_gap(self, way):
+        world = ready_world(fronts=3)
+        world.run(6.0)
+        first = holder(world)
+        others = [name for name in world.fronts if name != first]
+        if way == "kill":
+            world.kill(first)
+        elif way == "cut":
+            world.cut(first, "store")
+        else:
+            world.pause(first)
+        for number in range(40):
+            world.finish(world.ask(others[number % 2], "/read/x"))
+            world.run(0.5)
+        if way == "freeze":
+            world.resume(first)
+        world.heal()
+        world.run(15.0)
+        windows = sorted(usage(world))
+        assert windows == list(range(windows[0], windows[-1] + 1))
+        assert sum(each.get("desk", 0) for each in usage(world).values()) == 40
+        assert len({each.holder for each in world.store.duty_calls}) >= 2
+        assert_one_holder_at_a_time(world)
+
+    def test_lost_answers_lead_to_exact_repeats_only(self):
+        world = ready_world(fronts=2)
+        world.store.fault = StoreFault.LOSE_ANSWERS
+        world.store.cloud_fault = StoreFault.LOSE_ANSWERS
+        for number in range(20):
+            world.finish(world.ask(f"front-{1 + number % 2}", "/read/x"))
+            world.run(0.5)
+        world.store.fault = StoreFault.NONE
+        world.store.cloud_fault = StoreFault.NONE
+        world.run(15.0)
+        usage(world)
+        assert_one_holder_at_a_time(world)
+
+    def test_clock_that_is_set_wrong_is_outvoted(self):
+        world = ready_world(fronts=3)
+        front = world.fronts["front-2"]
+        own = front.timers.wall
+        front.timers.wall = lambda: own() + 40.0
+        world.run(1.0)
+        assert abs(front.peers.true_time() - world.clock.now()) < 0.1
+
+
+class TestLease:
+    def test_row_is_rarely_read_by_those_that_hear_the_holder(self):
+        world = ready_world(fronts=6)
+        world.run(5.0)
+        before = world.store.calls
+        world.run(20.0)
+        renewals, feeds, reports = 20, 2 * 6 * 20 / 3.5, 2 * 5
+        assert world.store.calls - before < 1.3 * (renewals + feeds + reports)
+
+    def test_released_lease_is_taken_at_once_and_used_a_lease_later(self):
+        world = ready_world(fronts=3)
+        world.run(5.0)
+        first = holder(world)
+        node = world.fronts[first]
+        node.stopping = True
+        node.tasks.start(node.lease.release())
+        world.run(0.1)
+        node.peers.tell_now()
+        world.run(LEASE + 1.5)
+        second = holder(world)
+        assert second != first
+        world.run(20.0)
+        assert_one_holder_at_a_time(world)
+
+    def test_state_is_kept_in_one_row(self):
+        world = ready_world()
+        world.run(8.0)
+        row = world.store.value(DUTY_TABLE, DUTY_KEY, DUTY_PART)
+        assert row["holder"] == "front-1" and row["reports"]
+
+
+class TestScaling:
+    LIMITS = ScalingLimits(1, 3, 4.0, 0.2, {"zone-a": 1.0, "zone-b": 0.8, "zone-c": 1.2})
+
+    def plan(self, in_flight, dry=frozenset()):
+        return SpreadReclaimable().plan(self.LIMITS, Demand(in_flight, 10), frozenset(dry))
+
+    def test_one_reclaimable_endpoint_a_zone_while_calm(self):
+        plan = self.plan(1)
+        assert set(plan.reclaimable.values()) == {1}
+        assert sum(plan.firm.values()) == 0
+
+    def test_demand_adds_endpoints_within_the_limits(self):
+        counts = [sum(self.plan(demand).reclaimable.values()) for demand in (0, 10, 20, 30, 500)]
+        assert counts == sorted(counts) and counts[-1] == 9
+
+    def test_dry_zones_are_made_up_for_elsewhere(self):
+        plan = self.plan(20, {"zone-a"})
+        assert plan.reclaimable["zone-b"] + plan.reclaimable["zone-c"] > 2
+        everywhere = self.plan(20, self.LIMITS.zone_prices)
+        assert sum(everywhere.firm.values()) > 0
+
+    def test_orders_are_sent_once_and_a_refused_one_is_repeated_after_a_while(self):
+        world = ready_world(fronts=2)
+        world.run(8.0)
+        orders = calls(world, "/scale")
+        assert {(each.body["zone"], each.body.get("spot", False)) for each in orders} == {
+            (zone, spot) for zone in ("zone-a", "zone-b") for spot in (True, False)
+        }
+        assert len(orders) == 4
+        assert_one_holder_at_a_time(world)
--- a/flamingofront/process/forwarding/usage.py
+++ b/flamingofront/process/forwarding/usage.py
@@ -108,7 +108,7 @@
         self._true_time = true_time
         self._log = log
         self._confirmed: set[str] = set()
-        self._first = book.window_at(true_time()) + 1
+        self._first = book.window_at(true_time())
 
     def run(self) -> Task:
         """Report whenever a window is due; never returns."""
@@ -133,10 +133,9 @@
     def _due(self) -> int | None:
         """Return the next window whose counts are complete and not yet in the store."""
         last = self._book.window_at(self._true_time() - SETTLE_SECONDS) - 1
-        known = self._lease.state.reports
-        wanted = range(max(self._first, last - KEPT_WINDOWS + 2), last + 1)
-        newest = max((int(each) for each in known), default=0)
-        return next((each for each in wanted if each > newest), None)
+        newest = max((int(each) for each in self._lease.state.reports), default=self._first - 1)
+        due = max(newest + 1, last - KEPT_WINDOWS + 2)
+        return due if due <= last else None
 
     def _record(self, window: int) -> Task:
         reports = dict(self._lease.state.reports)
--- /dev/null
+++ b/flamingofront/request/tests/test_quota.py
@@ -0,0 +1,107 @@
+"""Quotas and the retry budget over several processes, against the sum that all may take."""
+
+import math
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from flamingofront.request.quota import SharedQuota
+from flamingofront.request.shared_retry import SharedRetryBudget
+from flamingofront.version.forwarding import ForwardedWorkspace
+
+RATE = 100.0
+WORKSPACE = ForwardedWorkspace("desk", ("k",), rate=RATE, burst=RATE, counts_tokens=True)
+LAG = 0.25
+
+
+def played(demands, groups, seconds=12.0):
+    """Play processes with a demand each; those of a group hear one another.
+
+    Returns
+    -------
+    list of (float, float)
+        Time and units of each request that was let through.
+    """
+    members = len(demands)
+    size = {index: len(group) for group in groups for index in group}
+    quotas = [SharedQuota(lambda index=index: size[index] / members) for index in range(members)]
+    rng = random.Random(1)
+    taken, now, told_at = [], 0.0, 0.0
+    for each in quotas:
+        each.prepare((WORKSPACE,), now)
+    while now < seconds:
+        now += 0.01
+        for index, quota in enumerate(quotas):
+            if rng.random() < demands[index] * 0.01 and quota.wait(WORKSPACE, 1.0, now) == 0:
+                quota.spend(WORKSPACE, 1.0, now)
+                taken.append(now)
+        if now - told_at >= LAG:
+            told_at = now
+            for group in groups:
+                for one in group:
+                    for other in group:
+                        if one != other:
+                            quotas[one].heard(str(other), quotas[other].spent(), True)
+    return taken
+
+
+def most_in_window(times, window=8.0):
+    best, start = 0, 0
+    for end, time in enumerate(times):
+        while times[start] < time - window:
+            start += 1
+        best = max(best, end - start + 1)
+    return best
+
+
+class TestSharedQuota:
+    @given(st.lists(st.floats(0, 90), min_size=4, max_size=4))
+    def test_all_together_keep_the_quota(self, demands):
+        taken = played(demands, [[0, 1, 2, 3]])
+        slack = sum(demands) * LAG * 2 + 10
+        assert most_in_window(taken) <= (RATE * 8 + RATE) + slack
+
+    @given(st.lists(st.floats(0, 90), min_size=4, max_size=4))
+    def test_also_in_a_partition(self, demands):
+        taken = played(demands, [[0, 1], [2, 3]])
+        slack = sum(demands) * LAG * 2 + 10
+        assert most_in_window(taken) <= (RATE * 8 + 2 * RATE) + slack
+
+    def test_what_is_asked_below_the_quota_passes_wherever_it_comes_in(self):
+        taken = played([80.0, 0.0, 0.0, 0.0], [[0, 1, 2, 3]])
+        assert len(taken) > 0.9 * 80 * 12
+
+    def test_time_to_come_back_is_when_it_passes(self):
+        quota = SharedQuota(lambda: 1.0)
+        quota.prepare((WORKSPACE,), 0.0)
+        quota.spend(WORKSPACE, 150.0, 1.0)
+        wait = quota.wait(WORKSPACE, 20.0, 1.0)
+        assert wait > 0 and quota.wait(WORKSPACE, 20.0, 1.0 + wait + 0.001) == 0
+
+    def test_word_of_a_process_that_was_out_of_hearing_is_no_debt(self):
+        quota = SharedQuota(lambda: 1.0)
+        quota.prepare((WORKSPACE,), 0.0)
+        quota.heard("other/1", {"desk": 10.0}, True)
+        quota.heard("other/1", {"desk": 5000.0}, False)
+        assert quota.wait(WORKSPACE, 50.0, 2.0) == 0
+
+
+class TestSharedRetryBudget:
+    @given(st.lists(st.sampled_from("ar"), max_size=400), st.integers(1, 8))
+    def test_attempts_stay_within_the_part(self, actions, members):
+        budget = SharedRetryBudget(0.2, 40.0, 10.0, lambda: 1 / members)
+        accepted = attempts = 0
+        for action in actions:
+            if action == "a":
+                budget.accepted(1.0)
+                accepted += 1
+            elif budget.reserve(1.0) < math.inf:
+                attempts += 1
+        assert attempts <= 0.2 * accepted + 40.0 / members
+
+    def test_budget_comes_back_with_time(self):
+        budget = SharedRetryBudget(0.0, 10.0, 10.0, lambda: 1.0)
+        while budget.reserve(0.0) < math.inf:
+            pass
+        assert budget.reserve(10.1) == 0.0
