Order reclaimable endpoints so that the loss of two zones is borne

Ruled out: firm endpoints standing by in the cheapest zone (same price, less left after two reclaims).

--- a/flamingofront/process/forwarding/scaling.py
+++ b/flamingofront/process/forwarding/scaling.py
@@ -71,53 +71,42 @@
 
 @dataclass(frozen=True)
 class SpreadReclaimable(ScalingPolicy):
-    """Reclaimable endpoints, spread over the zones so that the loss of any one zone is borne.
+    """Reclaimable endpoints, spread evenly so that the loss of some zones is borne.
+
+    While none are to be had anywhere, firm ones stand in for what the demand still lacks.
 
     Parameters
     ----------
     utilization : float
         Part of the slots that the demand may fill. An engine prefills prompts between the tokens of
         what runs, so that long before its slots are full its answers come late.
-    spare : int
-        Endpoints beyond the demand: what the loss of a zone takes away.
+    lost_zones : int
+        Zones whose reclaimable endpoints may be taken back while the demand is still carried.
+        Reclaims come in waves, and for ten seconds and more there is no replacement.
     """
 
-    utilization: float = 0.3
-    spare: int = 1
+    utilization: float = 0.25
+    lost_zones: int = 2
 
     def plan(self, limits: ScalingLimits, demand: Demand, dry: frozenset[str]) -> FleetCounts:
         """Return the wanted endpoints, cheapest zones first."""
         zones = sorted(limits.zone_prices, key=lambda zone: (limits.zone_prices[zone], zone))
-        needed = math.ceil(demand.in_flight / (demand.slots * self.utilization)) + self.spare
-        counts = {zone: max(1, limits.least) for zone in zones}
-        wet = [zone for zone in zones if zone not in dry]
-        missing = needed - sum(counts[zone] for zone in wet)
-        while missing > 0:
-            open_zones = [zone for zone in wet if counts[zone] < limits.most]
-            if not open_zones:
-                break
-            emptiest = min(open_zones, key=lambda zone: counts[zone])
-            counts[emptiest] += 1
-            missing -= 1
-        firm = self._firm(limits, zones, counts, dry, missing)
-        return FleetCounts(counts, firm)
+        needed = math.ceil(demand.in_flight / (demand.slots * self.utilization))
+        surviving = max(1, len(zones) - self.lost_zones)
+        each = min(limits.most, max(1, limits.least, math.ceil(needed / surviving)))
+        reclaimable = dict.fromkeys(zones, each)
+        missing = needed - each * sum(zone not in dry for zone in zones)
+        return FleetCounts(reclaimable, self._firm(limits, zones, reclaimable, missing))
 
     @staticmethod
     def _firm(
-        limits: ScalingLimits,
-        zones: list[str],
-        counts: Mapping[str, int],
-        dry: frozenset[str],
-        missing: int,
+        limits: ScalingLimits, zones: list[str], reclaimable: Mapping[str, int], missing: int
     ) -> dict[str, int]:
-        """Return the firm endpoints that stand in where no reclaimable ones are left."""
-        firm = dict.fromkeys(zones, 0)
+        """Return the firm endpoints that make up for missing ones, within the limits."""
+        firm = {}
         for zone in zones:
-            room = limits.most - counts[zone]
-            while missing > 0 and room > 0:
-                firm[zone] += 1
-                room -= 1
-                missing -= 1
+            firm[zone] = max(0, min(missing, limits.most - reclaimable[zone]))
+            missing -= firm[zone]
         return firm
 
 
