Slow endpoints of forwarded routes show in the choice; an own error counts as a failure

Cause: slowness was measured for the product's own completions only, and an endpoint's 5xx answer counted as a success.

--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -33,6 +33,7 @@
 CONNECT_SECONDS = 0.25
 # The request's own timer ends an attempt; the call's timer is only a second line.
 CALL_MARGIN_SECONDS = 1.0
+FIRST_ERROR_STATUS = 500
 MAX_WHOLE_BYTES = 8 * 1024 * 1024
 
 
@@ -85,6 +86,8 @@
         self.on_running: Callable[[ForwardedRequest], None] = lambda request: None
         self.on_end: Callable[[ForwardedRequest], None] = lambda request: None
         self._fallback: RelayedAnswer | None = None
+        self._events_seen = 0
+        self._event_at = 0.0
 
     @property
     def work(self) -> ForwardWork:
@@ -142,6 +145,7 @@
         """Pass whole events on to the caller."""
         if self.machine.attempt_id != attempt_id:
             return
+        self._observe_events()
         self.running()
         self.machine.progressed(attempt_id)
         self.status = answer.status
@@ -150,13 +154,31 @@
             if not each.events(data):
                 self._drop_slow(each)
 
+    def _observe_events(self) -> None:
+        """Note the pause before events, so that a slow endpoint shows."""
+        now = self.hub.now()
+        count = self.relay.count - self._events_seen
+        if self.first_at is not None and count > 0:
+            self.hub.directory.observed(self.endpoint_id, (now - self._event_at) / count)
+        self._events_seen, self._event_at = self.relay.count, now
+
+    def _judge_endpoint(self, answer: RelayedAnswer) -> None:
+        """Tell the directory how the endpoint did."""
+        directory, now = self.hub.directory, self.hub.now()
+        if answer.status >= FIRST_ERROR_STATUS:
+            self.hub.endpoint_failed(self.record.service, self.endpoint_id, now)
+            return
+        directory.health.succeeded(self.endpoint_id)
+        if not self.work.stream:
+            directory.observed(self.endpoint_id, now - self.sent_at)
+
     def answered(self, attempt_id: str, answer: RelayedAnswer) -> None:
         """Give the endpoint's complete answer to the caller."""
         if not self.machine.answered(attempt_id):
             return
         self.status = answer.status
         self.running()
-        self.hub.directory.health.succeeded(self.endpoint_id)
+        self._judge_endpoint(answer)
         self._release(cancel=False)
         self._settle(answer, None)
 
@@ -262,7 +284,7 @@
         complete = RelayedAnswer(answer.status, answer.fields, body)
         if self._is_stream and (self._request.relay.incomplete or not self._request.relay.count):
             self._lost(Ran.UNKNOWN, "the stream ended within an event")
-        elif answer.status >= 500:
+        elif answer.status >= FIRST_ERROR_STATUS:
             self._request.endpoint_error(self._attempt_id, complete)
         else:
             self._request.answered(self._attempt_id, complete)
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -281,8 +281,13 @@
     ) -> None:
         """Count a lost attempt and judge its endpoint."""
         self.metrics.count("retries_total", reason=reason)
+        self.endpoint_failed(service, endpoint_id, now)
+
+    def endpoint_failed(self, service: Service, endpoint_id: str, now: float) -> None:
+        """Note a failure of an endpoint, which may eject it for a while."""
         if self.directory.health.failed(endpoint_id, now):
             self.metrics.count("ejections_total", service=service.name)
+            self.log.warning("endpoint ejected", service=service.name, endpoint=endpoint_id)
 
     def request_ended(self, request: ActiveRequest) -> None:
         """Forget a request that has its answer or went elsewhere, and start the next one."""
