--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -141,7 +141,9 @@
             needs.protocol,
             self._retry_budget,
         )
-        self.quota = SharedQuota(lambda: self.peers.heard_share())
+        self.quota = SharedQuota(
+            lambda: self.peers.heard_share(), settings.rules.quota_allowance
+        )
         self.gateway = ForwardGateway(
             self.hub, needs.protocol, self.quota, self.log, self._began_to_run
         )
--- a/flamingofront/process/forwarding/scaling.py
+++ b/flamingofront/process/forwarding/scaling.py
@@ -6,6 +6,7 @@
 
 import math
 from abc import ABC, abstractmethod
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
@@ -59,13 +60,17 @@
     """Decides on the wanted numbers."""
 
     @abstractmethod
-    def plan(self, limits: ScalingLimits, demand: Demand, dry: frozenset[str]) -> FleetCounts:
+    def plan(
+        self, limits: ScalingLimits, demand: Demand, dry: frozenset[str], live: Mapping[str, int]
+    ) -> FleetCounts:
         """Return the wanted endpoints.
 
         Parameters
         ----------
         dry : frozenset of str
-            Zones in which no reclaimable endpoints are to be had now.
+            Zones in which no more reclaimable endpoints are to be had now.
+        live : mapping of str to int
+            Reclaimable endpoints that serve now, by zone.
         """
 
 
@@ -88,14 +93,20 @@
     utilization: float = 0.25
     lost_zones: int = 2
 
-    def plan(self, limits: ScalingLimits, demand: Demand, dry: frozenset[str]) -> FleetCounts:
+    def plan(
+        self, limits: ScalingLimits, demand: Demand, dry: frozenset[str], live: Mapping[str, int]
+    ) -> FleetCounts:
         """Return the wanted endpoints, cheapest zones first."""
         zones = sorted(limits.zone_prices, key=lambda zone: (limits.zone_prices[zone], zone))
         needed = math.ceil(demand.in_flight / (demand.slots * self.utilization))
         surviving = max(1, len(zones) - self.lost_zones)
-        each = min(limits.most, max(1, limits.least, math.ceil(needed / surviving)))
-        reclaimable = dict.fromkeys(zones, each)
-        missing = needed - each * sum(zone not in dry for zone in zones)
+        least = max(1, limits.least)
+        each = min(limits.most, max(least, math.ceil(needed / surviving)))
+        reclaimable = {
+            zone: max(least, min(each, live.get(zone, 0))) if zone in dry else each
+            for zone in zones
+        }
+        missing = needed - sum(live.get(zone, 0) if zone in dry else each for zone in zones)
         return FleetCounts(reclaimable, self._firm(limits, zones, reclaimable, missing))
 
     @staticmethod
@@ -193,7 +204,8 @@
             if service.scaling is None:
                 continue
             dry = self._dry(service.name, now)
-            plan = self._policy.plan(service.scaling, self._demand(service.name), dry)
+            live = self._live(service.name)
+            plan = self._policy.plan(service.scaling, self._demand(service.name), dry, live)
             for reclaimable, counts in ((True, plan.reclaimable), (False, plan.firm)):
                 for zone, count in counts.items():
                     orders.append(EndpointOrder(service.name, zone, count, reclaimable))
@@ -214,6 +226,14 @@
         }
         return frozenset(refused | leaving)
 
+    def _live(self, service: str) -> Mapping[str, int]:
+        """Return the reclaimable endpoints that serve now, by zone."""
+        return Counter(
+            each.zone
+            for each in self._endpoints()
+            if each.service == service and each.reclaimable and each.ready
+        )
+
     def _is_scale_in(self, order: EndpointOrder) -> bool:
         known = self._ordered.get(_subject(order))
         return known is not None and order.count < known.granted
--- a/flamingofront/request/event_stream.py
+++ b/flamingofront/request/event_stream.py
@@ -56,6 +56,6 @@
             return
         event_id = match.group(1).decode("latin-1")
         if event_id.isdigit() and self.last_id.isdigit() and int(event_id) <= int(self.last_id):
-            raise ValueError(f"event {event_id} came behind event {self.last_id}")
+            raise ValueError("an event came out of order")
         self.last_id = event_id
         self.count += 1
--- a/flamingofront/request/quota.py
+++ b/flamingofront/request/quota.py
@@ -14,6 +14,10 @@
 __all__ = ["QuotaPolicy", "SharedQuota", "UnlimitedQuota"]
 
 MIN_RETRY_SECONDS = 0.05
+# Part of the allowance by which a quota may be exceeded that is given to callers, so that clumps of
+# requests within the quota are not refused. The rest covers what all processes together let through
+# before they have heard of one another: a quarter of a second of the demand.
+USED_ALLOWANCE = 0.4
 
 
 class QuotaPolicy(ABC):
@@ -66,10 +70,13 @@
     ----------
     heard_share : callable
         Returns the part of the entry processes that is heard now, this one included; 0 to 1.
+    allowance : float
+        Units by which a quota may be exceeded.
     """
 
-    def __init__(self, heard_share: Callable[[], float]):
+    def __init__(self, heard_share: Callable[[], float], allowance: float = 0.0):
         self._heard_share = heard_share
+        self._extra = allowance * USED_ALLOWANCE
         self._buckets: dict[str, _Bucket] = {}
         self._spent: dict[str, float] = {}
         self._heard: dict[tuple[str, str], float] = {}
@@ -84,7 +91,9 @@
             # A new process cannot know what the others have taken out; the copy fills in about a
             # second with the usual burst of one second's rate.
             bucket = self._buckets[workspace.name] = _Bucket(0.0, now)
-        bucket.fill(workspace.rate * self._heard_share(), workspace.burst, now)
+        # Out of hearing each side keeps its part of the burst too.
+        share = self._heard_share()
+        bucket.fill(workspace.rate * share, (workspace.burst + self._extra) * share, now)
         return bucket
 
     def wait(self, workspace: ForwardedWorkspace, units: float, now: float) -> float:
