Duties go on through a rolling restart

Now only a VM that held the lease shortly before waits; counts of processes that are gone are told on; the lease is given up after the last call in flight. Ruled out: keeping the lease until the exit (the successor then waits for its end).

--- a/flamingofront/process/forwarding/duty.py
+++ b/flamingofront/process/forwarding/duty.py
@@ -5,10 +5,11 @@
 do not read the row while they hear the holder: they take over when they have neither heard it nor
 seen the row change for longer than the lease.
 
-Between the calls of two holders there is always a whole lease: a new holder waits for one before it
-acts, so that a process that has just lost the lease to another cannot act again within that time.
+A VM that held the lease, lost it to another and takes it again waits for a whole lease before it
+acts: its calls before and after those of the other are never closer than that.
 """
 
+import math
 import random
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
@@ -33,6 +34,11 @@
 # The holder acts only while so much of its lease is left: the way of a call to the cloud.
 ACT_MARGIN_SECONDS = 0.3
 RETRY_SECONDS = 0.3
+# The longest call of this holder that may be in flight when it gives the lease up.
+LONGEST_ACT_SECONDS = 1.1
+# Holders that the row remembers. With a second or so a holder, as in a rolling restart, they cover
+# several leases.
+PAST_HOLDERS = 8
 
 
 @dataclass(frozen=True)
@@ -49,12 +55,15 @@
         Grows with each change of holder.
     reports : mapping
         Usage counts by window, as they are or will be reported.
+    past : tuple of str
+        VMs that held the lease before, the last one first.
     """
 
     holder: str = ""
     incarnation: int = 0
     fencing: int = 0
     reports: Mapping[str, Mapping[str, int]] = field(default_factory=dict)
+    past: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -73,6 +82,13 @@
     ----------
     duration : float
         Seconds that a lease lasts without renewal.
+
+    Attributes
+    ----------
+    state : DutyState
+        The row as it was seen last.
+    released : int
+        Fencing number of the lease that this process has given up; 0 if it has not.
     """
 
     def __init__(
@@ -97,7 +113,9 @@
         self._lease: HeldLease | None = None
         self._evidence_at = now()
         self._announced = 0
+        self._heard_fencing = 0
         self._stopped = False
+        self.released = 0
 
     @property
     def version(self) -> int:
@@ -107,7 +125,7 @@
     def held(self) -> HeldLease | None:
         """Return the lease if this process may act on it now; to be called before each act."""
         lease = self._lease
-        if lease is None:
+        if lease is None or self._stopped:
             return None
         now = self._now()
         if now < lease.acts_from or now >= lease.valid_until - ACT_MARGIN_SECONDS:
@@ -120,9 +138,13 @@
         return lease if lease is not None and self._now() < lease.valid_until else None
 
     def heard(self, report: PeerReport) -> None:
-        """Take word of a peer that holds the lease."""
+        """Take word of a peer that holds the lease, or has given it up."""
+        if report.released and report.released >= max(self.state.fencing, self._heard_fencing):
+            self._evidence_at = -math.inf
+            return
         if report.fencing and report.fencing >= self.state.fencing:
             self._evidence_at = self._now()
+            self._heard_fencing = report.fencing
             self._announced = max(self._announced, report.lease_version)
 
     def run(self) -> Task:
@@ -169,19 +191,20 @@
 
     def _take(self) -> Task:
         last = self.state.holder
+        past = ((last,) if last else ()) + tuple(self.state.past)
         state = replace(
             self.state,
             holder=self._vm_id,
             incarnation=self._incarnation,
             fencing=self.state.fencing + 1,
+            past=past[:PAST_HOLDERS],
         )
         sent_at = self._now()
         if not (yield from self._write(state)):
             self._log.info("duty lease not taken", fencing=state.fencing)
             return
-        # Nobody else can have acted within a lease if the row is new or was this VM's own.
-        alone = state.fencing == 1 or last == self._vm_id
-        acts_from = sent_at if alone else self._now() + self._duration
+        returned = self._vm_id in past and past[0] != self._vm_id
+        acts_from = self._now() + self._duration if returned else sent_at
         self._lease = HeldLease(state.fencing, acts_from, sent_at + self._duration)
         self._log.info("duty lease taken", fencing=state.fencing, last_holder=last)
 
@@ -235,13 +258,22 @@
         return (found.holder, found.incarnation, found.fencing) == own
 
     def release(self) -> Task:
-        """Give the lease up, so that a successor need not wait; ends `run`."""
+        """Give the lease up, so that a successor need not wait; ends `run`.
+
+        Notes
+        -----
+        A call that is still in flight must not arrive behind the successor's first one.
+        """
         self._stopped = True
-        lease, self._lease = self._lease, None
+        lease = self._lease
         if lease is None:
             return
+        yield Sleep(LONGEST_ACT_SECONDS)
+        self._lease = None
+        past = (self._vm_id, *self.state.past)[:PAST_HOLDERS]
         try:
-            yield from self._write(replace(self.state, holder=""))
+            yield from self._write(replace(self.state, holder="", past=past))
+            self.released = lease.fencing
             self._log.info("duty lease released", fencing=lease.fencing)
         except PlatformError as exc:
             self._log.info("duty lease runs out by itself", detail=str(exc))
@@ -256,6 +288,7 @@
     if row is None or row.value is None:
         return DutyState()
     try:
-        return DutyState(**orjson.loads(row.value))
+        values = orjson.loads(row.value)
+        return DutyState(**{**values, "past": tuple(values.get("past", ()))})
     except (TypeError, orjson.JSONDecodeError) as exc:
         raise PlatformError(f"malformed duty row: {exc}") from exc
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -267,7 +267,7 @@
         """Return this process's report as it is now."""
         self._sequence += 1
         lease = self.lease.holding()
-        now = self.timers.now()
+        heard = self.peers.table.heard(self.timers.now())
         return replace(
             self._own,
             sequence=self._sequence,
@@ -277,13 +277,14 @@
             cut_off=self.endpoint_follower.is_cut_off,
             leaving=self.stopping,
             fencing=lease.fencing if lease is not None else 0,
+            released=self.lease.released,
             lease_version=self.lease.version if lease is not None else 0,
             spent=self.quota.spent(),
             in_flight=self.directory.all_in_flight(),
             backlog=self.directory.all_backlog(),
-            usage=self.usage.own(self.peers.true_time()),
+            usage=self.usage.to_tell({each.process for each in heard}, self.peers.true_time()),
             demand=self.hub.in_flight_by_service(),
-            peers=tuple(each.ip for each in self.peers.table.heard(now)),
+            peers=tuple(each.ip for each in heard),
         )
 
     def endpoints_version(self) -> int:
@@ -293,7 +294,7 @@
     def _heard(self, report: PeerReport, gap: float | None) -> None:
         """Take a peer's report: its quota use, its counts, its word on the lease, its load."""
         self.quota.heard(report.process, report.spent, gap is not None and gap < HEARD_SECONDS)
-        self.usage.heard(report)
+        self.usage.heard(report.usage)
         self.lease.heard(report)
 
     def _spread_loads(self) -> None:
--- a/flamingofront/process/forwarding/reports.py
+++ b/flamingofront/process/forwarding/reports.py
@@ -6,7 +6,9 @@
 
 import orjson
 
-__all__ = ["PeerReport", "PeerTable", "decode_report", "encode_report"]
+__all__ = ["PeerReport", "PeerTable", "ProcessCounts", "decode_report", "encode_report"]
+
+ProcessCounts = Mapping[str, Mapping[str, Mapping[str, int]]]
 
 # A process that has not been heard for so long is out of hearing: four lost reports in a row.
 HEARD_SECONDS = 1.6
@@ -39,6 +41,8 @@
         True if it is stopping.
     fencing : int
         Fencing number of the duty lease that it holds; 0 if it holds none.
+    released : int
+        Fencing number of the lease that it has given up; 0 if it has not.
     lease_version : int
         Version of the lease's row after its last renewal.
     spent : mapping of str to float
@@ -48,7 +52,8 @@
     backlog : mapping of str to int
         Prompt tokens of its attempts that have not begun to be answered, by endpoint.
     usage : mapping
-        Requests that began, by window and workspace, for the last windows.
+        Requests that began, by process, window and workspace, for the last windows: those of this
+        process and of processes that are gone.
     demand : mapping of str to float
         Requests a second, by service.
     peers : tuple of str
@@ -67,11 +72,12 @@
     cut_off: bool = False
     leaving: bool = False
     fencing: int = 0
+    released: int = 0
     lease_version: int = 0
     spent: Mapping[str, float] = field(default_factory=dict)
     in_flight: Mapping[str, int] = field(default_factory=dict)
     backlog: Mapping[str, int] = field(default_factory=dict)
-    usage: Mapping[str, Mapping[str, int]] = field(default_factory=dict)
+    usage: ProcessCounts = field(default_factory=dict)
     demand: Mapping[str, float] = field(default_factory=dict)
     peers: tuple[str, ...] = ()
 
--- a/flamingofront/process/forwarding/usage.py
+++ b/flamingofront/process/forwarding/usage.py
@@ -1,12 +1,12 @@
 """Usage: how many requests of each workspace began to run, by window of the wall clock."""
 
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 from flamingofront.errors import PlatformError
 from flamingofront.messages import Sleep
 from flamingofront.process.forwarding.duty import DutyLease
-from flamingofront.process.forwarding.reports import PeerReport
+from flamingofront.process.forwarding.reports import ProcessCounts
 from flamingofront.process.forwarding.settings import SharedRules
 from flamingofront.process.logs import Log
 from flamingofront.process.store import Cloud, UsageReport
@@ -21,6 +21,9 @@
 # heard at least every 1.3 seconds (80 members, 16 told in each quarter of a second).
 SETTLE_SECONDS = 2.0
 STEP_SECONDS = 0.25
+# Processes whose counts are told at a time, so that a report stays within a datagram also when all
+# of a large deployment restart.
+MAX_TOLD = 16
 
 
 class UsageBook:
@@ -52,23 +55,39 @@
         own = self._counts.setdefault(self.window_at(wall), {}).setdefault(self._process, Counter())
         own[workspace] += 1
 
-    def own(self, wall: float) -> dict[str, dict[str, int]]:
-        """Return this process's counts of the last windows, to tell the others."""
+    def to_tell(self, alive: Collection[str], wall: float) -> ProcessCounts:
+        """Return what the others are told: own counts, and those of processes that are gone.
+
+        Notes
+        -----
+        A process that starts in the middle of a rolling restart learns so what those that were
+        stopped before it came had counted.
+
+        Parameters
+        ----------
+        alive : collection of str
+            Processes that tell their counts themselves.
+        """
         self._forget(self.window_at(wall))
-        return {
-            str(window): dict(counts[self._process])
-            for window, counts in self._counts.items()
-            if self._process in counts
-        }
+        found: dict[str, dict[str, Mapping[str, int]]] = {}
+        for window, by_process in self._counts.items():
+            for process, counts in by_process.items():
+                if process not in alive and (process in found or len(found) < MAX_TOLD):
+                    found.setdefault(process, {})[str(window)] = counts
+        return found
 
     def _forget(self, window: int) -> None:
         for old in [each for each in self._counts if each <= window - KEPT_WINDOWS]:
             del self._counts[old]
 
-    def heard(self, report: PeerReport) -> None:
-        """Take another process's counts in."""
-        for window, counts in report.usage.items():
-            self._counts.setdefault(int(window), {})[report.process] = counts
+    def heard(self, told: ProcessCounts) -> None:
+        """Take other processes' counts in; counts only grow."""
+        for process, windows in told.items():
+            if process == self._process:
+                continue
+            for window, counts in windows.items():
+                known = self._counts.setdefault(int(window), {})
+                known[process] = Counter(known.get(process, {})) | Counter(counts)
 
     def total(self, window: int) -> dict[str, int]:
         """Return the counts of a window over all processes."""
