--- a/flamingofront/process/forwarding/follower.py
+++ b/flamingofront/process/forwarding/follower.py
@@ -60,7 +60,7 @@
         log: Log,
     ):
         self._store = store
-        self._table = table
+        self.table = table
         self._listener = listener
         self._now = now
         self._rng = rng
@@ -90,7 +90,7 @@
             try:
                 yield from self.step()
             except HistoryLostError as exc:
-                self._log.warning("history lost", table=self._table, detail=str(exc))
+                self._log.warning("history lost", table=self.table, detail=str(exc))
                 self._version = None
             except PlatformError as exc:
                 self._note_failure(exc)
@@ -106,7 +106,7 @@
             return
         # While the store is away a waiting call would hide its return: it is asked without a wait.
         wait = 0.0 if self._failures else FEED_WAIT_SECONDS
-        changes = yield from self._store.changes(self._table, self._version, wait)
+        changes = yield from self._store.changes(self.table, self._version, wait)
         self._note_answer()
         self._version = max(self._version, changes.version)
         if changes.rows:
@@ -114,18 +114,18 @@
 
     def _read_all(self) -> Task:
         """Return all rows, and the version of the first part: later changes are read again."""
-        found = yield from self._store.read(self._table)
+        found = yield from self._store.read(self.table)
         rows, version = found.rows, found.version
         while found.truncated and found.rows:
             # The first key behind the last one, in byte order.
-            found = yield from self._store.read(self._table, first=found.rows[-1].key + "\0")
+            found = yield from self._store.read(self.table, first=found.rows[-1].key + "\0")
             rows += found.rows
         return rows, version
 
     def _note_answer(self) -> None:
         self.heard_at = self._now()
         if self._failures:
-            self._log.info("store regained", table=self._table, failures=self._failures)
+            self._log.info("store regained", table=self.table, failures=self._failures)
             self._failures = 0
             self._listener.regained()
 
@@ -133,5 +133,5 @@
         self.errors += 1
         self._failures += 1
         if self._failures == 1:
-            self._log.warning("store lost", table=self._table, detail=str(exc), age=self.age())
+            self._log.warning("store lost", table=self.table, detail=str(exc), age=self.age())
             self._listener.lost()
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -24,7 +24,7 @@
 from flamingofront.process.forwarding.settings import DeploymentSettings
 from flamingofront.process.forwarding.usage import UsageBook, UsageDuty
 from flamingofront.process.logs import Log
-from flamingofront.process.membership import FactTable
+from flamingofront.process.membership import FactTable, Role, VmState
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.store import Cloud, StoredRow, TableStore
 from flamingofront.process.tasks import TaskRunner
@@ -307,6 +307,24 @@
             backlog.update(report.backlog)
         self.directory.reported(loads, now)
         self.directory.peers_queued(backlog)
+        self._set_gauges(now)
+
+    def _set_gauges(self, now: float) -> None:
+        gauge = self.metrics.gauge
+        gauge("requests_in_flight", len(self.hub.active))
+        gauge("requests_waiting", self.hub.waiting())
+        gauge("configuration_revision", self.configuration.version)
+        gauge("ready", int(self.ready))
+        gauge("peers_heard", len(self.peers.table.heard(now)))
+        lease = self.lease.holding()
+        gauge("duty_fencing", lease.fencing if lease is not None else 0)
+        for follower in (self.configuration_follower, self.endpoint_follower):
+            age = follower.age()
+            if age is not None:
+                gauge("store_age_seconds", age, table=follower.table)
+        for state in VmState:
+            count = len(self.facts.select(Role.ENDPOINT, state))
+            gauge("endpoints", count, state=state.value)
 
     def _endpoints_from_peer(self, rows: tuple[EndpointRow, ...], version: int) -> None:
         self._peer_endpoints = version
--- a/flamingofront/process/metrics.py
+++ b/flamingofront/process/metrics.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Mapping
 
-from aioprometheus import Counter, Gauge, Registry, Summary, render
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
-__all__ = ["COUNTERS", "GAUGES", "Metrics"]
+__all__ = ["COUNTERS", "GAUGES", "HISTOGRAMS", "Metrics"]
 
 PREFIX = "flamingofront_"
 
@@ -29,6 +29,9 @@
     "reattachments_total": "Callers that came back, by result",
     "claims_total": "Idempotency key claims, by result",
     "faults_total": "Program faults that were caught",
+    "peer_reports_total": "Reports between forwarding entry processes, by result",
+    "usage_reports_total": "Usage reports that the cloud took",
+    "log_lines_dropped_total": "Log lines dropped because they were too many or not read",
 }
 GAUGES: Mapping[str, str] = {
     "requests_in_flight": "Requests held here",
@@ -37,13 +40,20 @@
     "members": "Entry VMs known, by state",
     "endpoints": "Endpoint VMs known, by state",
     "ready": "1 if this process takes new work",
+    "store_age_seconds": "Time since the store last answered, by table",
+    "peers_heard": "Other entry processes heard now",
+    "duty_fencing": "Fencing number of the duty lease held here, 0 if none",
 }
-SUMMARIES: Mapping[str, str] = {
-    "first_token_seconds": "Time from acceptance to the first token",
+HISTOGRAMS: Mapping[str, str] = {
+    "first_token_seconds": "Time from acceptance to the first token or event",
     "request_seconds": "Time from acceptance to the end",
 }
 
 
+# Upper bounds in seconds: around the latency objectives of the users' routes, 0.3 to 1.6 s.
+LATENCY_BUCKETS = (0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 1.6, 2.5, 5.0, 12.0)
+
+
 class Metrics:
     """The metrics of one process; values can be read back for the query language."""
 
@@ -59,9 +69,11 @@
             name: Gauge(PREFIX + name, text, labels, registry=self._registry)
             for name, text in GAUGES.items()
         }
-        self._summaries = {
-            name: Summary(PREFIX + name, text, labels, registry=self._registry)
-            for name, text in SUMMARIES.items()
+        self._histograms = {
+            name: Histogram(
+                PREFIX + name, text, labels, registry=self._registry, buckets=LATENCY_BUCKETS
+            )
+            for name, text in HISTOGRAMS.items()
         }
 
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
@@ -79,8 +91,8 @@
         self._gauges[name].set(labels, value)
 
     def observe(self, name: str, value: float, **labels: str) -> None:
-        """Add a value to a summary."""
-        self._summaries[name].observe(labels, value)
+        """Add a value to a histogram."""
+        self._histograms[name].observe(labels, value)
 
     def rows(self) -> list[dict[str, object]]:
         """Return all counters as rows for the query language."""
--- a/flamingofront/request/directory.py
+++ b/flamingofront/request/directory.py
@@ -103,6 +103,7 @@
         self.configuration = Configuration()
         self.own_share: Callable[[], float] = lambda: 1.0
         self._in_flight: Counter[str] = Counter()
+        self._reported_at: float | None = None
         self._backlog: Counter[str] = Counter()
         self._peer_backlog: dict[str, int] = {}
         self._reports: dict[str, _Report] = {}
@@ -283,8 +284,13 @@
             return own
         return max(own, report.load + own - report.own_in_flight)
 
+    def loads_age(self, now: float) -> float | None:
+        """Return the seconds since the last load reports; None if there were none."""
+        return None if self._reported_at is None else round(now - self._reported_at, 3)
+
     def reported(self, loads: Mapping[str, float], now: float) -> None:
         """Take load reports."""
+        self._reported_at = now
         for endpoint_id, load in loads.items():
             self._reports[endpoint_id] = _Report(load, self._in_flight[endpoint_id], now)
 
--- a/flamingofront/request/forward_gateway.py
+++ b/flamingofront/request/forward_gateway.py
@@ -90,7 +90,7 @@
         if workspace is not None:
             self._quota.spend(workspace, units, self._hub.now())
         request.on_running = self._on_running
-        request.on_end = lambda ended: self._ended(ended, route, workspace, units)
+        request.on_end = lambda ended: self._ended(ended, route, workspace, units, cfg.version)
         request.attach(ForwardAttachment(exchange, caller.request_id, self._protocol))
         self._hub.pump()
 
@@ -157,6 +157,7 @@
         route: ForwardedRoute,
         workspace: ForwardedWorkspace | None,
         units: float,
+        version: int,
     ) -> None:
         now = self._hub.now()
         if workspace is not None and request.first_at is None:
@@ -168,7 +169,7 @@
             route=route.name,
             service=request.record.service.name,
             workspace=request.record.workspace,
-            configuration=self.configuration.version,
+            configuration=version,
             status=request.status,
             failure=request.failure,
             ran=request.machine.ran.value,
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -135,7 +135,27 @@
         capacity = self.hub.cache_tokens(self.record.service.name)
         self.hub.directory.prefixes.stored(self.endpoint_id, self.hashes(), sizes, capacity)
 
+    def _log_choice(self, order: StartAttempt, chosen: Candidate) -> None:
+        """Tell which endpoint was chosen, and by what."""
+        directory = self.hub.directory
+        self.log.info(
+            "attempt",
+            attempt=order.attempt_id,
+            service=self.record.service.name,
+            endpoint=chosen.endpoint_id,
+            zone_of_endpoint=chosen.zone,
+            load=round(chosen.load, 1),
+            slots=chosen.slots,
+            backlog=chosen.backlog_tokens,
+            cached=chosen.cached_tokens,
+            slowness=round(chosen.slowness, 2),
+            loads_age=directory.loads_age(self.hub.now()),
+            excluded=sorted(order.exclude),
+            left_ms=round((self.machine.facts.deadline - self.hub.now()) * 1000),
+        )
+
     def _call(self, order: StartAttempt, chosen: Candidate) -> OutboundCall:
+        self._log_choice(order, chosen)
         self._queue(chosen)
         left = self.machine.facts.deadline - self.hub.now()
         facts = AttemptFacts(chosen.endpoint_id, left, self.relay.last_id)
@@ -175,6 +195,7 @@
             self._note_cached()
         if self.first_at is None:
             self.first_at = self.hub.now()
+            self.hub.metrics.observe("first_token_seconds", self.first_at - self.accepted_at)
             self.on_running(self)
 
     def pass_events(self, attempt_id: str, answer: EndpointAnswer, data: bytes) -> None:
--- a/flamingofront/tests/test_pages.py
+++ b/flamingofront/tests/test_pages.py
@@ -7,7 +7,7 @@
 
 from flamingofront.connection.server import error_headers
 from flamingofront.errors import ANSWERS, ErrorKind, Ran, RequestError
-from flamingofront.process.metrics import COUNTERS, GAUGES, PREFIX, SUMMARIES
+from flamingofront.process.metrics import COUNTERS, GAUGES, HISTOGRAMS, PREFIX
 from flamingofront.process.operators import COLUMNS
 from flamingofront.process.settings import EntrySettings
 from flamingofront.version.language import SUBJECTS
@@ -46,7 +46,7 @@
 
 
 class TestOperationsPage:
-    @pytest.mark.parametrize("name", [*COUNTERS, *GAUGES, *SUMMARIES])
+    @pytest.mark.parametrize("name", [*COUNTERS, *GAUGES, *HISTOGRAMS])
     def test_each_metric_is_listed(self, name):
         assert f"`{PREFIX}{name}`" in OPERATIONS
 
