--- a/flamingofront/process/forwarding/scaling.py
+++ b/flamingofront/process/forwarding/scaling.py
@@ -8,7 +8,7 @@
 from abc import ABC, abstractmethod
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from flamingofront.errors import PlatformError
 from flamingofront.messages import Sleep
@@ -30,6 +30,8 @@
 # Scaling in waits until the lower number has been enough for so long: longer than a burst (3 to
 # 5 s), several times an endpoint's start.
 SCALE_IN_SECONDS = 8.0
+# Demand of a shorter time says little: requests come in clumps of some seconds.
+OBSERVED_SECONDS = 15.0
 
 
 @dataclass(frozen=True)
@@ -42,10 +44,13 @@
         Requests that run or wait at its endpoints.
     slots : int
         Requests that one endpoint runs at once.
+    known : bool
+        False until requests were seen for a while.
     """
 
     in_flight: float
     slots: int
+    known: bool = True
 
 
 @dataclass(frozen=True)
@@ -88,10 +93,13 @@
     lost_zones : int
         Zones whose reclaimable endpoints may be taken back while the demand is still carried.
         Reclaims come in waves, and for ten seconds and more there is no replacement.
+    first_each : int
+        Endpoints in each zone while the demand is not yet known.
     """
 
-    utilization: float = 0.25
+    utilization: float = 0.2
     lost_zones: int = 2
+    first_each: int = 2
 
     def plan(
         self, limits: ScalingLimits, demand: Demand, dry: frozenset[str], live: Mapping[str, int]
@@ -100,7 +108,7 @@
         zones = sorted(limits.zone_prices, key=lambda zone: (limits.zone_prices[zone], zone))
         needed = math.ceil(demand.in_flight / (demand.slots * self.utilization))
         surviving = max(1, len(zones) - self.lost_zones)
-        least = max(1, limits.least)
+        least = max(1, limits.least, 0 if demand.known else self.first_each)
         each = min(limits.most, max(least, math.ceil(needed / surviving)))
         reclaimable = {
             zone: max(least, min(each, live.get(zone, 0))) if zone in dry else each
@@ -178,6 +186,7 @@
         self._log = log
         self._ordered: dict[_Subject, _Ordered] = {}
         self._dry_until: dict[tuple[str, str], float] = {}
+        self._first_seen: dict[str, float] = {}
         self._fencing = 0
 
     def run(self) -> Task:
@@ -205,13 +214,22 @@
                 continue
             dry = self._dry(service.name, now)
             live = self._live(service.name)
-            plan = self._policy.plan(service.scaling, self._demand(service.name), dry, live)
+            demand = self._known_demand(service.name, now)
+            plan = self._policy.plan(service.scaling, demand, dry, live)
             for reclaimable, counts in ((True, plan.reclaimable), (False, plan.firm)):
                 for zone, count in counts.items():
                     orders.append(EndpointOrder(service.name, zone, count, reclaimable))
         needed = [each for each in orders if self._is_needed(each, now)]
         return sorted(needed, key=self._is_scale_in)
 
+    def _known_demand(self, service: str, now: float) -> Demand:
+        """Return the demand, and whether requests were seen for long enough to trust it."""
+        demand = self._demand(service)
+        if demand.in_flight:
+            self._first_seen.setdefault(service, now)
+        since = self._first_seen.get(service, now)
+        return replace(demand, known=now - since >= OBSERVED_SECONDS)
+
     def _dry(self, service: str, now: float) -> frozenset[str]:
         """Return the zones whose reclaimable endpoints are being taken back or were refused."""
         refused = {
