--- a/flamingofront/process/forwarding/duty.py
+++ b/flamingofront/process/forwarding/duty.py
@@ -201,6 +201,8 @@
         )
         sent_at = self._now()
         if not (yield from self._write(state)):
+            # Somebody else has just taken it: its lease begins now.
+            self._evidence_at = self._now()
             self._log.info("duty lease not taken", fencing=state.fencing)
             return
         returned = self._vm_id in past and past[0] != self._vm_id
--- a/flamingofront/process/forwarding/scaling.py
+++ b/flamingofront/process/forwarding/scaling.py
@@ -213,14 +213,15 @@
             if service.scaling is None:
                 continue
             dry = self._dry(service.name, now)
-            live = self._live(service.name)
+            live = self._live(service.name, True)
             demand = self._known_demand(service.name, now)
             plan = self._policy.plan(service.scaling, demand, dry, live)
             for reclaimable, counts in ((True, plan.reclaimable), (False, plan.firm)):
                 for zone, count in counts.items():
-                    orders.append(EndpointOrder(service.name, zone, count, reclaimable))
-        needed = [each for each in orders if self._is_needed(each, now)]
-        return sorted(needed, key=self._is_scale_in)
+                    order = EndpointOrder(service.name, zone, count, reclaimable)
+                    if self._is_needed(order, service.scaling.start_seconds, now):
+                        orders.append(order)
+        return sorted(orders, key=self._is_scale_in)
 
     def _known_demand(self, service: str, now: float) -> Demand:
         """Return the demand, and whether requests were seen for long enough to trust it."""
@@ -244,30 +245,49 @@
         }
         return frozenset(refused | leaving)
 
-    def _live(self, service: str) -> Mapping[str, int]:
-        """Return the reclaimable endpoints that serve now, by zone."""
+    def _live(self, service: str, reclaimable: bool) -> Counter[str]:
+        """Return the endpoints of one kind that serve now, by zone."""
         return Counter(
             each.zone
             for each in self._endpoints()
-            if each.service == service and each.reclaimable and each.ready
+            if each.service == service and each.reclaimable is reclaimable and each.ready
         )
 
     def _is_scale_in(self, order: EndpointOrder) -> bool:
         known = self._ordered.get(_subject(order))
         return known is not None and order.count < known.granted
 
-    def _is_needed(self, order: EndpointOrder, now: float) -> bool:
-        """Tell whether an order is to be sent: it is new, was refused a while ago, or is old."""
+    def _is_needed(self, order: EndpointOrder, start_seconds: float, now: float) -> bool:
+        """Tell whether an order is to be sent now.
+
+        Notes
+        -----
+        A new number is sent at once if it is higher, and after a while if it is lower. A refused
+        order, and one that was granted but is not filled after an endpoint's start, is sent again:
+        the limits hold for both kinds of endpoints together, so that what is granted depends on
+        what else runs.
+        """
+        live = self._live(order.service, order.reclaimable)[order.zone]
         known = self._ordered.get(_subject(order))
         if known is None:
-            return True
+            if not live > order.count > 0 and not (live and self._has_demand(order.service)):
+                return True
+            # Another process may have ordered these for a reason that still holds.
+            known = self._ordered[_subject(order)] = _Ordered(live, now, wanted_at=now)
         if order.count >= known.granted:
             known.wanted_at = now
         if order.count < known.granted:
             return now - known.wanted_at >= SCALE_IN_SECONDS
         if known.refused is not None and order.count >= known.refused:
             return now - known.sent_at >= REFUSED_SECONDS
-        return order.count > known.granted or now - known.sent_at >= REPEAT_SECONDS
+        if order.count > known.granted:
+            return True
+        unfilled = live < order.count
+        wait = start_seconds + REFUSED_SECONDS if unfilled else REPEAT_SECONDS
+        return now - known.sent_at >= wait
+
+    def _has_demand(self, service: str) -> bool:
+        return service in self._first_seen
 
     def _order(self, order: EndpointOrder) -> Task:
         lease = self._lease.held()
--- a/flamingofront/process/forwarding/tests/test_duties.py
+++ b/flamingofront/process/forwarding/tests/test_duties.py
@@ -80,6 +80,16 @@
         assert len({each.holder for each in world.store.duty_calls}) >= 2
         assert_one_holder_at_a_time(world)
 
+    @pytest.mark.parametrize("seed", range(6))
+    def test_only_one_of_many_takes_a_lost_lease(self, seed):
+        world = ready_world(fronts=6, seed=seed)
+        world.run(4.0)
+        world.kill(holder(world))
+        world.run(20.0)
+        usage(world)
+        assert_one_holder_at_a_time(world)
+        assert len({each.fencing for each in world.store.duty_calls}) == 2
+
     def test_rolling_restart_loses_no_counts(self):
         world = ready_world(fronts=3)
         world.run(4.0)
@@ -184,12 +194,16 @@
         for zone in self.LIMITS.zone_prices:
             assert plan.reclaimable[zone] + plan.firm[zone] <= self.LIMITS.most
 
-    def test_orders_are_sent_once_and_a_refused_one_is_repeated_after_a_while(self):
+    def test_orders_are_sent_once_and_an_unfilled_one_is_repeated_after_a_while(self):
         world = ready_world(fronts=2)
-        world.run(8.0)
+        world.run(4.0)
         orders = calls(world, "/scale")
         assert {(each.body["zone"], each.body.get("spot", False)) for each in orders} == {
             (zone, spot) for zone in ("zone-a", "zone-b") for spot in (True, False)
         }
         assert len(orders) == 4
+        world.run(6.0)
+        repeated = calls(world, "/scale")[4:]
+        assert {(each.body["desired"], each.body.get("spot")) for each in repeated} == {(2, True)}
+        assert len(repeated) == 2
         assert_one_holder_at_a_time(world)
