--- a/flamingofront/process/forwarding/scaling.py
+++ b/flamingofront/process/forwarding/scaling.py
@@ -206,7 +206,7 @@
                     self._log.warning("order failed", order=str(order), detail=str(exc))
 
     def wanted(self) -> Iterable[EndpointOrder]:
-        """Yield the orders that are to be sent now, those for more endpoints first."""
+        """Return the orders that are to be sent now."""
         now = self._now()
         orders = []
         for service in self._configuration().services.values():
@@ -221,7 +221,7 @@
                     order = EndpointOrder(service.name, zone, count, reclaimable)
                     if self._is_needed(order, service.scaling.start_seconds, now):
                         orders.append(order)
-        return sorted(orders, key=self._is_scale_in)
+        return sorted(orders, key=self._rank)
 
     def _known_demand(self, service: str, now: float) -> Demand:
         """Return the demand, and whether requests were seen for long enough to trust it."""
@@ -253,9 +253,12 @@
             if each.service == service and each.reclaimable is reclaimable and each.ready
         )
 
-    def _is_scale_in(self, order: EndpointOrder) -> bool:
+    def _rank(self, order: EndpointOrder) -> int:
+        """Return in which order to send: first what makes room within the limits at a start."""
         known = self._ordered.get(_subject(order))
-        return known is not None and order.count < known.granted
+        if known is None:
+            return 0 if order.count == 0 else 1
+        return 2 if order.count < known.granted else 1
 
     def _is_needed(self, order: EndpointOrder, start_seconds: float, now: float) -> bool:
         """Tell whether an order is to be sent now.
