--- a/flamingofront/process/forwarding/peers.py
+++ b/flamingofront/process/forwarding/peers.py
@@ -226,6 +226,8 @@
             return
         if gap is None:
             self._log.info("peer heard", peer=report.vm_id, incarnation=report.incarnation)
+            # One of the two has just started: it needs the other's counts before the next round.
+            self._send(encode_report(self._own_report()), (report.ip, self._port))
         self._ips.add(report.ip)
         self._ips.update(each for each in report.peers if each != self._own.ip)
         self._on_report(report, gap)
--- a/flamingofront/request/quota.py
+++ b/flamingofront/request/quota.py
@@ -18,6 +18,9 @@
 # requests within the quota are not refused. The rest covers what all processes together let through
 # before they have heard of one another: a quarter of a second of the demand.
 USED_ALLOWANCE = 0.4
+# Part of a full bucket that a new process begins with, times the part of the processes that it
+# hears: when all start at once they give out half a burst together, not one each.
+FIRST_LEVEL = 0.5
 
 
 class QuotaPolicy(ABC):
@@ -86,13 +89,12 @@
         return dict(self._spent)
 
     def _bucket(self, workspace: ForwardedWorkspace, now: float) -> _Bucket:
+        share = self._heard_share()
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
-            # A new process cannot know what the others have taken out; the copy fills in about a
-            # second with the usual burst of one second's rate.
-            bucket = self._buckets[workspace.name] = _Bucket(0.0, now)
+            level = workspace.burst * share * FIRST_LEVEL
+            bucket = self._buckets[workspace.name] = _Bucket(level, now)
         # Out of hearing each side keeps its part of the burst too.
-        share = self._heard_share()
         bucket.fill(workspace.rate * share, (workspace.burst + self._extra) * share, now)
         return bucket
 
