Second demonstration on stand-ins of the platform; requests with one id are kept apart; process tests

Cause of the second: requests in flight were kept by the caller's id; two with the same id (a caller's fault, or a forgery) left one of them in the admission for good. The test fails without the change.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: run test bench lint format mutations
+.PHONY: run run-platform test bench lint format mutations
 
 .venv/installed: pyproject.toml
 	$(PYTHON) -m venv .venv
@@ -11,6 +11,9 @@
 run: .venv/installed
 	@exec scripts/run-demo.sh
 
+run-platform: .venv/installed
+	@exec scripts/run-platform-demo.sh
+
 test: .venv/installed
 	$(BIN)/python -m pytest
 
--- a/flamingofront/forward_daemon.py
+++ b/flamingofront/forward_daemon.py
@@ -48,9 +48,11 @@
         Checked settings.
     path : str
         Settings file, read again on SIGHUP.
+    metrics_port : int
+        Port for metrics on the VM's address; 0 lets the kernel pick.
     """
 
-    def __init__(self, settings: DeploymentSettings, path: str):
+    def __init__(self, settings: DeploymentSettings, path: str, metrics_port: int = METRICS_PORT):
         self._path = path
         self._settings = settings
         self._log = Log("entry", vm=settings.vm_id, zone=settings.zone)
@@ -62,10 +64,17 @@
         self.node = ForwardingNode(settings, self._dependencies(), random.Random(), self._log)
         self.node.on_configuration = self._limit_callers
         self.callers = self._server(settings.caller_bind, self.node.handle_caller, "callers")
-        self._server(settings.ready_bind, self.node.handle_ready, "ready")
+        ready = self._server(settings.ready_bind, self.node.handle_ready, "ready")
+        metrics = Address(settings.ip, metrics_port)
+        servers = {
+            "callers": self.callers,
+            "ready": ready,
+            "metrics": self._server(metrics, self.node.handle_control, "metrics"),
+        }
         if settings.control_bind is not None:
-            self._server(settings.control_bind, self.node.handle_control, "control")
-        self._server(Address(settings.ip, METRICS_PORT), self.node.handle_control, "metrics")
+            control = self._server(settings.control_bind, self.node.handle_control, "control")
+            servers["control"] = control
+        self._ports = {name: server.port for name, server in servers.items()}
         self._stop = GracefulStop(self.node, self.callers, settings.stop_grace, self.runtime.stop)
 
     def _dependencies(self) -> Dependencies:
@@ -136,20 +145,22 @@
     def run(self) -> None:
         """Serve until a graceful stop is complete."""
         signal.signal(signal.SIGHUP, self._reload_signal)
+        self._log.info("listening", ip=self._settings.ip, ports=self._ports)
         self.node.start()
         self.runtime.run()
         self._log.info("stopped")
 
 
-def forward(*, log_level: str = "info") -> None:
+def forward(*, log_level: str = "info", metrics_port: int = METRICS_PORT) -> None:
     """Forward the routes of the platform's configuration.
 
     The settings file is named by the environment variable FLAMINGOFRONT_BOOT.
 
     :param log_level: debug, info, warning or error
+    :param metrics_port: port for metrics on the VM's address, 0 to let the kernel pick
     """
     set_up_logs(log_level, NonBlockingStream(sys.stdout.fileno()))
-    path = settings_path(os.environ)
+    path = settings_path(os.environ) or None
     try:
         if path is None:
             raise SettingsError(f"{SETTINGS_VARIABLE} is not set: it names the settings file")
@@ -157,7 +168,7 @@
     except SettingsError as exc:
         print(f"flamingofront-forward: {exc}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
-    ForwardDaemon(settings, path).run()
+    ForwardDaemon(settings, path, metrics_port).run()
 
 
 def main() -> None:
--- a/flamingofront/request/forward_gateway.py
+++ b/flamingofront/request/forward_gateway.py
@@ -1,5 +1,6 @@
 """The callers' interface of forwarded routes: from an HTTP request to an accepted request."""
 
+import itertools
 from collections.abc import Callable
 
 from flamingofront.connection.interfaces import Exchange
@@ -52,6 +53,7 @@
         self._quota = quota
         self._log = log
         self._on_running = on_running
+        self._numbers = itertools.count(1)
 
     def handle(self, req: InboundRequest, exchange: Exchange) -> None:
         """Take one request; every error is answered from the table."""
@@ -137,13 +139,14 @@
             repeatable=route.may_repeat,
             resumable=route.resumable,
             max_attempts=route.max_attempts,
+            caller_id=caller.request_id,
             workspace=workspace.name if workspace is not None else "",
             prompt=caller.prompt,
             prompt_tokens=caller.prompt_tokens,
             output_tokens=caller.output_tokens,
         )
         return RequestRecord(
-            request_id=caller.request_id,
+            request_id=f"{caller.request_id}#{next(self._numbers)}",
             workspace=work.workspace,
             route=route.name,
             service=self.configuration.service_for(route, name, slots),
--- a/flamingofront/request/forward_work.py
+++ b/flamingofront/request/forward_work.py
@@ -74,6 +74,8 @@
         True if its stream may go on at another endpoint.
     max_attempts : int
         Endpoints that it may be sent to.
+    caller_id : str
+        Id that the caller gave; not unique, as a caller may use one twice.
     """
 
     method: str
@@ -85,6 +87,7 @@
     repeatable: bool
     resumable: bool
     max_attempts: int
+    caller_id: str = ""
     workspace: str = ""
     prompt: tuple[PromptPart, ...] = ()
     prompt_tokens: int = 0
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -302,7 +302,7 @@
         self._request.lost(self._attempt_id, ran, reason)
 
     def _take_head(self, head: ResponseHead) -> None:
-        answer = self._request.protocol.judge(self._request.request_id, head)
+        answer = self._request.protocol.judge(self._request.work.caller_id, head)
         if answer.crossed:
             self._lost(Ran.UNKNOWN, "crossed answer")
         elif answer.wrong_endpoint:
--- a/flamingofront/standins/programs.py
+++ b/flamingofront/standins/programs.py
@@ -1,9 +1,14 @@
 """The stand-ins as programs, for development on one machine."""
 
+import base64
+import http.client
 import sys
 from collections.abc import Callable
+from http import HTTPStatus
+from pathlib import Path
 
 import defopt
+import orjson
 
 from flamingofront.connection.interfaces import Exchange
 from flamingofront.connection.runtime import Runtime
@@ -11,10 +16,14 @@
 from flamingofront.messages import InboundRequest
 from flamingofront.process.settings import parse_address
 from flamingofront.standins.engine import EngineOptions, EngineStandIn
+from flamingofront.standins.forward_endpoint import ForwardEndpointStandIn
 from flamingofront.standins.plain import PlainStandIn
 from flamingofront.standins.platform import PlatformStandIn
+from flamingofront.standins.table_store import TableStoreStandIn
 
-__all__ = ["engine_main", "plain_main", "platform_main"]
+__all__ = ["endpoint_main", "engine_main", "plain_main", "platform_main", "store_main"]
+
+REGISTER_SECONDS = 10.0
 
 Handler = Callable[[InboundRequest, Exchange], None]
 
@@ -89,6 +98,82 @@
     )
 
 
+def store(*, bind: str = "127.0.0.1:8225", config: str = "") -> None:
+    """Serve the users' platform: its table store and the cloud's duty calls.
+
+    :param bind: IP:PORT to listen on
+    :param config: JSON file with the configuration that the operator has written
+    """
+
+    def make_handler(runtime: Runtime) -> Handler:
+        standin = TableStoreStandIn(runtime.timers)
+        if config:
+            standin.put("op", "config", orjson.loads(Path(config).read_bytes()))
+        return standin.handle
+
+    _serve("store", bind, make_handler)
+
+
+def endpoint(
+    *,
+    bind: str = "127.0.0.1:8230",
+    store: str = "127.0.0.1:8225",
+    endpoint_id: str = "endpoint-1",
+    service: str = "records",
+    zone: str = "zone-a",
+    slots: int = 8,
+    gap: float = 0.05,
+) -> None:
+    """Serve forwarded requests, and register in the store.
+
+    :param bind: IP:PORT to listen on
+    :param store: IP:PORT of the store
+    :param endpoint_id: id of this start of the endpoint
+    :param service: service that it belongs to
+    :param zone: availability zone
+    :param slots: requests that it runs at once
+    :param gap: seconds between the events of a stream
+    """
+    row = {
+        "service": service,
+        "address": bind,
+        "zone": zone,
+        "slots": slots,
+        "state": "ready",
+        "sequence": 1,
+    }
+    _register(store, endpoint_id, row)
+    _serve(
+        "endpoint",
+        bind,
+        lambda runtime: ForwardEndpointStandIn(endpoint_id, runtime.timers, 8, gap).handle,
+    )
+
+
+def _register(store: str, endpoint_id: str, row: dict) -> None:
+    """Write the endpoint's row."""
+    value = base64.b64encode(orjson.dumps(row)).decode()
+    write = {"table": "servers", "part": "", "key": endpoint_id, "value": value}
+    body = {"expected_rev": [], "writes": [write], "remove": []}
+    conn = http.client.HTTPConnection(store, timeout=REGISTER_SECONDS)
+    conn.request("POST", "/api/rows-tx", orjson.dumps(body))
+    status = conn.getresponse().status
+    conn.close()
+    if status != HTTPStatus.OK:
+        print(f"endpoint: the store answered {status}", file=sys.stderr)
+        sys.exit(1)
+
+
+def store_main() -> None:
+    """Run `flamingofront-standin-store`."""
+    defopt.run(store)
+
+
+def endpoint_main() -> None:
+    """Run `flamingofront-standin-endpoint`."""
+    defopt.run(endpoint)
+
+
 def platform_main() -> None:
     """Run `flamingofront-standin-platform`."""
     defopt.run(platform)
--- /dev/null
+++ b/flamingofront/tests/test_forward_processes.py
@@ -0,0 +1,182 @@
+"""The forwarding entry process as a process: start, serve, reload, stop. Handshakes only."""
+
+import base64
+import http.client
+import os
+import signal
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+import orjson
+import pytest
+
+ROOT = Path(__file__).resolve().parents[2]
+BIN = Path(sys.executable).parent
+WAIT_SECONDS = 30
+IP = "127.0.0.1"
+
+
+def get(address, path, headers=None, method="GET", body=None):
+    """Return (status, headers, body)."""
+    conn = http.client.HTTPConnection(address, timeout=WAIT_SECONDS)
+    conn.request(method, path, body, headers or {})
+    res = conn.getresponse()
+    answer = (res.status, dict(res.getheaders()), res.read())
+    conn.close()
+    return answer
+
+
+class Processes:
+    """A store, two endpoints and one forwarding entry process, on ports that the kernel picked."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.running = []
+        self.store = self.standin("store", "--config", str(ROOT / "examples/forwarding.json"))
+        for name, service in (("engine-1", "engines"), ("plain-1", "records")):
+            self.endpoint(name, service)
+        self.settings = folder / "front.conf"
+        self.write_settings()
+        self.front = self.start({"FLAMINGOFRONT_BOOT": str(self.settings)})
+        self.ports = self.wait_event("listening")["ports"]
+
+    def write_settings(self, **more):
+        values = {
+            "node_name": "front-1",
+            "zone": "zone-a",
+            "ip": IP,
+            "listen.front": f"{IP}:0",
+            "listen.ready": f"{IP}:0",
+            "port_range": "0,0",
+            "platform.address": self.store,
+            "cloud_api.address": self.store,
+            "cloud_api.duties": "usage,scaling",
+            "bounds.grace_s": "20",
+            **more,
+        }
+        lines = [f"{name}={value}\n" for name, value in values.items()]
+        self.settings.write_text("".join(lines))
+
+    def standin(self, name, *words):
+        child = subprocess.Popen(
+            [BIN / f"flamingofront-standin-{name}", "--bind", f"{IP}:0", *words],
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self.running.append(child)
+        return child.stdout.readline().split()[-1]
+
+    def endpoint(self, name, service):
+        """Start an endpoint, and register it under the address that it got."""
+        address = self.standin("endpoint", "--store", self.store, "--endpoint-id", name)
+        row = {"service": service, "address": address, "zone": "zone-a", "slots": 4}
+        row |= {"state": "ready", "sequence": 2}
+        value = base64.b64encode(orjson.dumps(row)).decode()
+        write = {"table": "servers", "part": "", "key": name, "value": value}
+        body = orjson.dumps({"expected_rev": [], "writes": [write], "remove": []})
+        assert get(self.store, "/api/rows-tx", method="POST", body=body)[0] == 200
+
+    def start(self, environment):
+        child = subprocess.Popen(
+            [BIN / "flamingofront-forward", "--metrics-port", "0"],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            env={**os.environ, **environment},
+        )
+        self.running.append(child)
+        return child
+
+    def wait_event(self, event):
+        """Return the next log line with this event."""
+        for line in self.front.stdout:
+            data = orjson.loads(line)
+            if data["event"] == event:
+                return data
+        raise AssertionError(f"no line {event!r} before the end of the log")
+
+    def address(self, name):
+        return f"{IP}:{self.ports[name]}"
+
+    def wait_ready(self):
+        while get(self.address("ready"), "/api/ready")[0] != 200:
+            self.wait_event("endpoint")
+
+    def stop(self):
+        for child in self.running:
+            child.kill()
+            child.wait()
+            for pipe in (child.stdout, child.stderr):
+                if pipe is not None:
+                    pipe.close()
+
+
+@pytest.fixture
+def processes(tmp_path):
+    started = Processes(tmp_path)
+    yield started
+    started.stop()
+
+
+CALL = {
+    "Host": "desk.example",
+    "X-Flamingofront-Request-Id": "r1",
+    "Authorization": "Bearer demo-key",
+}
+
+
+class TestForwardProcess:
+    def test_serves_reloads_and_stops(self, processes):
+        processes.wait_ready()
+        address = processes.address("callers")
+        assert get(address, "/lookup/1", CALL)[::2] == (200, b"from plain-1")
+        status, _, body = get(address, "/stream/letter/1", CALL, "POST", b"x")
+        assert status == 200 and body.count(b"id: ") == 8
+        ended = processes.wait_event("request ended")
+        assert ended["request"].startswith("r1#") and ended["endpoints"] == ["plain-1"]
+        text = get(processes.address("metrics"), "/metrics")[2]
+        assert b"flamingofront_first_token_seconds_bucket" in text
+
+        processes.write_settings(**{"bounds.grace_s": "nonsense"})
+        processes.front.send_signal(signal.SIGHUP)
+        assert "bounds.grace_s" in processes.wait_event("settings refused")["detail"]
+        processes.write_settings(**{"bounds.grace_s": "15"})
+        processes.front.send_signal(signal.SIGHUP)
+        assert processes.wait_event("settings read again")["changed"] is True
+        assert get(address, "/lookup/1", CALL)[0] == 200
+
+        processes.front.send_signal(signal.SIGTERM)
+        processes.wait_event("stopping")
+        assert get(processes.address("ready"), "/api/ready")[0] == 503
+        status, headers, _ = get(address, "/lookup/1", CALL)
+        assert status == 200 and headers["Connection"] == "close"
+        assert processes.wait_event("exit")["unanswered"] == 0
+        assert processes.front.wait(WAIT_SECONDS) == 0
+
+    @pytest.mark.parametrize(
+        "settings, named", [(None, b"FLAMINGOFRONT_BOOT"), ("node_name=x\n", b"zone")]
+    )
+    def test_bad_settings_end_the_start_with_one_line(self, processes, settings, named, tmp_path):
+        environment = {"FLAMINGOFRONT_BOOT": ""}
+        if settings is not None:
+            path = tmp_path / "bad.conf"
+            path.write_text(settings)
+            environment = {"FLAMINGOFRONT_BOOT": str(path)}
+        child = processes.start(environment)
+        _, errors = child.communicate(timeout=WAIT_SECONDS)
+        assert child.returncode == 2
+        assert named in errors and errors.count(b"\n") == 1
+
+
+class TestDeployFile:
+    def test_dependencies_are_kept_once(self):
+        project = tomllib.loads((ROOT / "pyproject.toml").read_text())
+        required = (ROOT / "requirements.txt").read_text().split()
+        assert project["project"]["dependencies"] == required
+
+    def test_deploy_file_names_the_program(self):
+        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
+        assert "requirements.txt" in deploy["build"]
+        (role,) = deploy["roles"].values()
+        assert role["run"].split()[:3] == ["python3", "-m", "flamingofront.forward_daemon"]
--- a/flamingofront/tests/test_forwarding.py
+++ b/flamingofront/tests/test_forwarding.py
@@ -92,6 +92,18 @@
         assert caller.status == 503 and "retry-after" in caller.headers
         assert not world.fronts["front-2"].ready
 
+    def test_requests_with_one_id_are_answered_apart(self):
+        world = ready_world()
+        for each in world.endpoints.values():
+            each.fail(ForwardFault.CUT, 1)
+        same = {"X_Flamingofront_Request_Id": "r-same"}
+        callers = [world.ask("front-1", "/stream/again/x", **same) for _ in range(3)]
+        world.finish(*callers)
+        assert [each.body.count(b"id:") for each in callers] == [4] * 3
+        assert {each.header("x-flamingofront-request-id") for each in runs(world)} == {"r-same"}
+        hub = world.fronts["front-1"].hub
+        assert not hub.active and not hub.demand()
+
 
 class TestAtMostOnce:
     @pytest.mark.parametrize("fault", [ForwardFault.LOSE_ANSWER, ForwardFault.CROSSED])
