--- a/flamingofront/connection/server.py
+++ b/flamingofront/connection/server.py
@@ -297,7 +297,15 @@
         self.waiting: dict[socket.socket, int] = {}
 
     def queue(self, sock: socket.socket, data: bytes) -> None:
-        """Send bytes, and keep what the socket does not take at once."""
+        """Send bytes, and keep what the socket does not take at once.
+
+        Notes
+        -----
+        A socket is closed before the event that tells of it is handled; what is sent in between is
+        dropped.
+        """
+        if sock.fileno() < 0:
+            return
         if not self.waiting.get(sock):
             data = data[self._send_now(sock, data) :]
         if data:
--- a/flamingofront/connection/tests/test_server.py
+++ b/flamingofront/connection/tests/test_server.py
@@ -210,3 +210,55 @@
             good.sendall(b"def")
             assert read_answer(good) == (200, b"POST /good abcdef")
         assert server.faults == [] or all("secret" in str(each) for each in server.faults)
+
+
+class TestClosedSocket:
+    def test_answer_to_a_socket_that_was_just_closed_is_no_fault(self, server):
+        """The socket closes before the event that tells of it is handled."""
+        done = threading.Event()
+        faults = len(server.faults)
+        server.arrived.clear()
+        conn = socket.create_connection(("127.0.0.1", server.port), WAIT_SECONDS)
+        conn.sendall(b"GET /hold HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert server.arrived.wait(WAIT_SECONDS)
+
+        def close_and_answer():
+            exchange = server.held["exchange"]
+            exchange.abort()
+            exchange.respond(200, (), b"late")
+            done.set()
+
+        server.act(close_and_answer)
+        assert done.wait(WAIT_SECONDS)
+        conn.close()
+        assert len(server.faults) == faults
+
+
+class TestStoppingServer:
+    def test_answers_end_their_connection(self, server, request):
+        conn = socket.create_connection(("127.0.0.1", server.port), WAIT_SECONDS)
+        conn.settimeout(WAIT_SECONDS)
+        conn.sendall(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert b"Connection: close" not in conn.recv(4096)
+        server.act(lambda: setattr(server.server, "closing", True))
+        request.addfinalizer(lambda: setattr(server.server, "closing", False))
+        conn.sendall(b"GET /b HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert b"Connection: close" in conn.recv(4096)
+        assert conn.recv(4096) == b""
+        conn.close()
+
+    def test_only_connections_without_a_request_are_idle(self, server):
+        idle, busy = (
+            socket.create_connection(("127.0.0.1", server.port), WAIT_SECONDS) for _ in range(2)
+        )
+        server.arrived.clear()
+        busy.sendall(b"GET /hold HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert server.arrived.wait(WAIT_SECONDS)
+        server.act(server.server.close_idle)
+        idle.settimeout(WAIT_SECONDS)
+        assert idle.recv(10) == b""
+        server.act(lambda: server.held["exchange"].respond(200, (), b"whole"))
+        busy.settimeout(WAIT_SECONDS)
+        assert b"whole" in busy.recv(4096)
+        idle.close()
+        busy.close()
--- a/flamingofront/request/directory.py
+++ b/flamingofront/request/directory.py
@@ -23,7 +23,13 @@
 MAX_SLOWNESS = 20.0
 REPORT_SECONDS = 10.0
 DEFAULT_RECLAIM_RATE = 0.05
+# Endpoints that cannot be connected to are left out for a time that doubles up to the longest one.
 UNREACHABLE_SECONDS = 1.0
+LONGEST_UNREACHABLE_SECONDS = 4.0
+# A zone in which so many endpoints could not be reached within this time, and none was, is taken to
+# be cut off: the others there are not tried one by one, at a connect timeout each.
+CUT_OFF_ENDPOINTS = 2
+CUT_OFF_SECONDS = 2.0
 MAX_CANDIDATES = 32
 MAX_WARM = 4
 
@@ -87,6 +93,29 @@
     report_weight: float
 
 
+class _ZoneReach:
+    """Which zones seem to be cut off from this process."""
+
+    def __init__(self):
+        self._failed: dict[str, dict[str, float]] = {}
+
+    def failed(self, zone: str, endpoint_id: str, now: float) -> None:
+        """Note an endpoint that could not be connected to."""
+        self._failed.setdefault(zone, {})[endpoint_id] = now
+
+    def reached(self, zone: str) -> None:
+        """Note that an endpoint of the zone has answered."""
+        self._failed.pop(zone, None)
+
+    def is_cut_off(self, zone: str, now: float) -> bool:
+        """Tell whether several endpoints of the zone failed lately and none answered."""
+        times = self._failed.get(zone)
+        if times is None:
+            return False
+        lately = sum(now - each <= CUT_OFF_SECONDS for each in times.values())
+        return lately >= CUT_OFF_ENDPOINTS
+
+
 class EndpointDirectory:
     """Endpoints of all services, as this process sees them.
 
@@ -109,6 +138,8 @@
         self._reports: dict[str, _Report] = {}
         self._token_seconds: dict[str, float] = {}
         self._unreachable: dict[str, float] = {}
+        self._connect_failures: Counter[str] = Counter()
+        self._zones = _ZoneReach()
         self._index: dict[str, _ServiceEndpoints] = {}
         self._basis = (-1, -1)
 
@@ -217,7 +248,7 @@
             slowness=self._slowness(endpoint_id, view.usual_seconds),
             leaving=endpoint_id in view.drained,
             ejected=endpoint_id in view.ejected,
-            reachable=self._unreachable.get(endpoint_id, -math.inf) <= view.now,
+            reachable=self._is_reachable(fact, view.now),
             own_share=view.own_share,
             report_weight=view.report_weight,
         )
@@ -301,7 +332,26 @@
 
     def connect_failed(self, endpoint_id: str, now: float) -> None:
         """Leave an endpoint out for a moment because it could not be connected to."""
-        self._unreachable[endpoint_id] = now + UNREACHABLE_SECONDS
+        tries = self._connect_failures[endpoint_id]
+        self._connect_failures[endpoint_id] += 1
+        seconds = min(LONGEST_UNREACHABLE_SECONDS, UNREACHABLE_SECONDS * 2**tries)
+        self._unreachable[endpoint_id] = now + seconds
+        fact = self._facts.get(endpoint_id)
+        if fact is not None:
+            self._zones.failed(fact.zone, endpoint_id, now)
+
+    def reached(self, endpoint_id: str) -> None:
+        """Note that an endpoint has answered."""
+        if endpoint_id in self._connect_failures:
+            del self._connect_failures[endpoint_id]
+        fact = self._facts.get(endpoint_id)
+        if fact is not None:
+            self._zones.reached(fact.zone)
+
+    def _is_reachable(self, fact: Fact, now: float) -> bool:
+        if self._unreachable.get(fact.vm_id, -math.inf) > now:
+            return False
+        return not self._zones.is_cut_off(fact.zone, now)
 
     def _usual_token_seconds(self, ids: Iterable[str]) -> float:
         known = sorted(self._token_seconds[each] for each in ids if each in self._token_seconds)
@@ -317,5 +367,11 @@
         """Drop what is known of an endpoint that is gone."""
         self.health.forget(endpoint_id)
         self.prefixes.forget(endpoint_id)
-        for table in (self._reports, self._token_seconds, self._unreachable):
+        tables = (
+            self._reports,
+            self._token_seconds,
+            self._unreachable,
+            self._connect_failures,
+        )
+        for table in tables:
             table.pop(endpoint_id, None)
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -312,6 +312,8 @@
             self._lost(Ran.NO, f"refused with status {answer.status}")
         else:
             self._answer = answer
+        if not answer.crossed:
+            self._request.hub.directory.reached(self._request.endpoint_id)
 
     @property
     def _is_stream(self) -> bool:
--- a/flamingofront/tests/test_forwarding.py
+++ b/flamingofront/tests/test_forwarding.py
@@ -264,6 +264,23 @@
         world.run(2.5)
         assert world.ask("front-1", "/read/x").status == 503
 
+    def test_zone_that_seems_cut_off_is_not_tried_endpoint_by_endpoint(self):
+        world = ready_world(plains=0)
+        for number in range(6):
+            world.endpoint(f"far-{number}", "records", "zone-far")
+        world.endpoint("near", "records", "zone-a")
+        world.run(0.5)
+        for number in range(6):
+            world.kill(f"far-{number}")
+        callers = []
+        for _ in range(40):
+            callers.append(world.ask("front-1", "/read/x", "GET"))
+            world.run(0.02)
+        world.finish(*callers)
+        assert {each.status for each in callers} == {200}
+        directory = world.fronts["front-1"].directory
+        assert sum(directory._connect_failures.values()) <= 3
+
     def test_address_that_another_endpoint_took_over_is_left_out(self):
         world = ready_world()
         world.endpoints["plain-1"].endpoint_id = "another"
