--- a/flamingofront/process/forwarding/scaling.py
+++ b/flamingofront/process/forwarding/scaling.py
@@ -30,6 +30,9 @@
 # Scaling in waits until the lower number has been enough for so long: longer than a burst (3 to
 # 5 s), several times an endpoint's start.
 SCALE_IN_SECONDS = 8.0
+# The demand is averaged over about this time: requests come in clumps, and an endpoint that is
+# ordered for one of them comes four seconds later and is paid for eight seconds and more.
+SMOOTHING_SECONDS = 2.0
 # Demand of a shorter time says little: requests come in clumps of some seconds.
 OBSERVED_SECONDS = 15.0
 
@@ -187,6 +190,7 @@
         self._ordered: dict[_Subject, _Ordered] = {}
         self._dry_until: dict[tuple[str, str], float] = {}
         self._first_seen: dict[str, float] = {}
+        self._mean: dict[str, float] = {}
         self._fencing = 0
 
     def run(self) -> Task:
@@ -229,7 +233,14 @@
         if demand.in_flight:
             self._first_seen.setdefault(service, now)
         since = self._first_seen.get(service, now)
-        return replace(demand, known=now - since >= OBSERVED_SECONDS)
+        known = now - since >= OBSERVED_SECONDS
+        return replace(demand, in_flight=self._smoothed(service, demand.in_flight), known=known)
+
+    def _smoothed(self, service: str, in_flight: float) -> float:
+        """Return the requests in flight, averaged over the last looks."""
+        last = self._mean.get(service, in_flight)
+        self._mean[service] = last + (in_flight - last) * STEP_SECONDS / SMOOTHING_SECONDS
+        return self._mean[service]
 
     def _dry(self, service: str, now: float) -> frozenset[str]:
         """Return the zones whose reclaimable endpoints are being taken back or were refused."""
