--- a/flamingofront/process/forwarding/scaling.py
+++ b/flamingofront/process/forwarding/scaling.py
@@ -98,11 +98,15 @@
         Reclaims come in waves, and for ten seconds and more there is no replacement.
     first_each : int
         Endpoints in each zone while the demand is not yet known.
+    firm_utilization : float
+        Part of the slots that the demand must fill before firm endpoints are ordered: they cost
+        several times as much, and what they make up for is back after a while.
     """
 
     utilization: float = 0.2
     lost_zones: int = 2
     first_each: int = 2
+    firm_utilization: float = 0.35
 
     def plan(
         self, limits: ScalingLimits, demand: Demand, dry: frozenset[str], live: Mapping[str, int]
@@ -110,6 +114,7 @@
         """Return the wanted endpoints, cheapest zones first."""
         zones = sorted(limits.zone_prices, key=lambda zone: (limits.zone_prices[zone], zone))
         needed = math.ceil(demand.in_flight / (demand.slots * self.utilization))
+        urgent = math.ceil(demand.in_flight / (demand.slots * self.firm_utilization))
         surviving = max(1, len(zones) - self.lost_zones)
         least = max(1, limits.least, 0 if demand.known else self.first_each)
         each = min(limits.most, max(least, math.ceil(needed / surviving)))
@@ -117,7 +122,7 @@
             zone: max(least, min(each, live.get(zone, 0))) if zone in dry else each
             for zone in zones
         }
-        missing = needed - sum(live.get(zone, 0) if zone in dry else each for zone in zones)
+        missing = urgent - sum(live.get(zone, 0) if zone in dry else each for zone in zones)
         return FleetCounts(reclaimable, self._firm(limits, zones, reclaimable, missing))
 
     @staticmethod
