--- a/flamingofront/process/forwarding/scaling.py
+++ b/flamingofront/process/forwarding/scaling.py
@@ -282,9 +282,9 @@
         Notes
         -----
         A new number is sent at once if it is higher, and after a while if it is lower. A refused
-        order, and one that was granted but is not filled after an endpoint's start, is sent again:
-        the limits hold for both kinds of endpoints together, so that what is granted depends on
-        what else runs.
+        order, and one that was granted but is not carried out, is sent again: the limits hold for
+        both kinds of endpoints together, so that what is granted depends on what else runs, and
+        endpoints that were just starting are not taken away.
         """
         live = self._live(order.service, order.reclaimable)[order.zone]
         known = self._ordered.get(_subject(order))
@@ -301,9 +301,7 @@
             return now - known.sent_at >= REFUSED_SECONDS
         if order.count > known.granted:
             return True
-        unfilled = live < order.count
-        wait = start_seconds + REFUSED_SECONDS if unfilled else REPEAT_SECONDS
-        return now - known.sent_at >= wait
+        return now - known.sent_at >= _repeat_after(live, order.count, start_seconds)
 
     def _has_demand(self, service: str) -> bool:
         return service in self._first_seen
@@ -334,5 +332,12 @@
         )
 
 
+def _repeat_after(live: int, wanted: int, start_seconds: float) -> float:
+    """Return the seconds after which an order is repeated, by the endpoints that serve now."""
+    if live > wanted:
+        return REFUSED_SECONDS
+    return start_seconds + REFUSED_SECONDS if live < wanted else REPEAT_SECONDS
+
+
 def _subject(order: EndpointOrder) -> _Subject:
     return _Subject(order.service, order.zone, order.reclaimable)
--- a/flamingofront/process/forwarding/tests/test_duties.py
+++ b/flamingofront/process/forwarding/tests/test_duties.py
@@ -209,3 +209,14 @@
         assert {(each.body["desired"], each.body.get("spot")) for each in repeated} == {(2, True)}
         assert len(repeated) == 2
         assert_one_holder_at_a_time(world)
+
+    def test_endpoints_that_were_not_taken_away_are_ordered_away_again(self):
+        world = ready_world(fronts=1, engines=0)
+        world.endpoint("engine-1", "engines", "zone-a")
+        world.run(12.0)
+        firm = [
+            each.at
+            for each in calls(world, "/scale")
+            if each.body["zone"] == "zone-a" and not each.body.get("spot")
+        ]
+        assert len(firm) >= 3 and firm[1] - firm[0] < 6.0
