--- a/flamingofront/cli.py
+++ b/flamingofront/cli.py
@@ -17,6 +17,7 @@
 import orjson
 
 from flamingofront.errors import CommandError
+from flamingofront.logview import select_lines
 from flamingofront.version.files import statements_of
 
 __all__ = ["ExitCode", "OperatorClient", "main"]
@@ -424,6 +425,25 @@
     print(f"drained: {kind} {target}")
 
 
+def logs(*files: str, request: str = "", event: str = "", since: str = "") -> None:
+    """Print log lines of entry processes in order of time.
+
+    :param files: log files of JSON lines; standard input if none is given
+    :param request: only lines of the request with this id
+    :param event: only lines of this event
+    :param since: only lines from this time on, for example 2026-01-31T12:00:00
+    """
+    try:
+        lines = [line for name in files for line in Path(name).read_text().splitlines()]
+    except OSError as exc:
+        _say(f"{exc.filename}: {exc.strerror}")
+        sys.exit(ExitCode.BAD_COMMAND)
+    if not files:
+        lines = sys.stdin.read().splitlines()
+    for text in select_lines(lines, request, event, since):
+        print(text)
+
+
 def main() -> None:
     """Run the command line."""
     commands = {
@@ -438,6 +458,7 @@
         "settle": settle,
         "apply": apply,
         "wait": wait,
+        "logs": logs,
     }
     defopt.run(commands)
 
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -12,6 +12,7 @@
 from flamingofront.process.forwarding.duty import DutyLease
 from flamingofront.process.forwarding.endpoints import EndpointRow, EndpointView
 from flamingofront.process.forwarding.follower import TableFollower, TableListener
+from flamingofront.process.forwarding.operators import ForwardingOperators
 from flamingofront.process.forwarding.peers import (
     CONFIGURATION_PATH,
     ENDPOINTS_PATH,
@@ -117,6 +118,7 @@
         self._build_followers()
         self._build_peers()
         self._build_duties()
+        self.operators = ForwardingOperators(self)
 
     def _build_requests(self) -> None:
         settings, needs = self.settings, self._needs
@@ -221,6 +223,7 @@
                     settings.rules,
                     settings.vm_id,
                     self.peers.true_time,
+                    self.metrics,
                     self.log,
                 )
             )
@@ -235,6 +238,7 @@
                     lambda: self.configuration,
                     self.endpoints.rows,
                     self._service_demand,
+                    self.metrics,
                     self.log,
                 )
             )
@@ -293,6 +297,7 @@
 
     def _heard(self, report: PeerReport, gap: float | None) -> None:
         """Take a peer's report: its quota use, its counts, its word on the lease, its load."""
+        self.metrics.count("peer_reports_total", result="heard" if gap is not None else "first")
         self.quota.heard(report.process, report.spent, gap is not None and gap < HEARD_SECONDS)
         self.usage.heard(report.usage)
         self.lease.heard(report)
@@ -422,6 +427,8 @@
         """Take a request of an operator or a peer."""
         if req.path == "/metrics":
             self.respond_metrics(exchange)
+        elif req.path == "/operate":
+            self.operators.handle(req, exchange)
         elif req.path == CONFIGURATION_PATH:
             exchange.respond(200, (), self.configuration_data)
         elif req.path == ENDPOINTS_PATH:
--- /dev/null
+++ b/flamingofront/process/forwarding/operators.py
@@ -0,0 +1,212 @@
+"""What operators may ask a forwarding entry process, with `flamingofront show`.
+
+The answers are what this process believes, with the age of its sources. The configuration of
+forwarded routes belongs to the platform's operator, so every change is refused with a word on that.
+"""
+
+from typing import TYPE_CHECKING, Any
+
+import orjson
+
+from flamingofront.connection.interfaces import Exchange
+from flamingofront.connection.server import JSON_HEADERS
+from flamingofront.errors import CommandError, ErrorKind, RequestError
+from flamingofront.messages import InboundRequest
+from flamingofront.process.membership import Role
+from flamingofront.version.language import Query, Statement, parse
+from flamingofront.version.query import run_query
+
+if TYPE_CHECKING:
+    from flamingofront.process.forwarding.node import ForwardingNode
+
+__all__ = ["COLUMNS", "ForwardingOperators"]
+
+Rows = list[dict[str, Any]]
+
+COLUMNS: dict[str, tuple[str, ...]] = {
+    "vms": ("vm", "zone", "ip", "incarnation", "heard", "configuration", "store", "fencing"),
+    "endpoints": (
+        "endpoint",
+        "service",
+        "zone",
+        "state",
+        "address",
+        "slots",
+        "reclaimable",
+        "in_flight",
+        "load",
+        "backlog",
+    ),
+    "services": ("name", "kind", "max_connections", "slots", "least", "most"),
+    "routes": ("name", "host", "prefix", "kind", "services", "timeout", "objective", "attempts"),
+    "workspaces": ("name", "keys", "priority", "rate", "burst", "spent"),
+    "leases": ("lease", "vm", "holder", "fencing", "held", "past"),
+    "configuration": ("vm", "zone", "revision", "table", "version", "age"),
+    "requests": ("request", "workspace", "service", "endpoint", "phase", "attempts", "age"),
+    "counters": ("vm", "counter", "labels", "value"),
+}
+
+
+class ForwardingOperators:
+    """Answers the statements of operators."""
+
+    def __init__(self, node: "ForwardingNode"):
+        self._node = node
+
+    def handle(self, req: InboundRequest, exchange: Exchange) -> None:
+        """Take the statements of one call.
+
+        Raises
+        ------
+        RequestError
+            If a statement is wrong, or asks for a change.
+        """
+        try:
+            statements = [parse(text) for text in orjson.loads(req.body)["statements"]]
+            self._answer(statements, exchange)
+        except (orjson.JSONDecodeError, KeyError, TypeError) as exc:
+            detail = f"the body must name statements: {exc!r}"
+            raise RequestError(ErrorKind.MALFORMED_REQUEST, detail) from None
+        except CommandError as exc:
+            raise RequestError(ErrorKind.INVALID_COMMAND, str(exc)) from exc
+
+    def _answer(self, statements: list[Statement], exchange: Exchange) -> None:
+        query = statements[0]
+        if len(statements) != 1 or not isinstance(query, Query):
+            raise CommandError(
+                "the configuration of forwarded routes belongs to the platform's operator and is "
+                "read-only here; only show is possible"
+            )
+        columns = COLUMNS.get(query.subject)
+        if columns is None:
+            known = ", ".join(COLUMNS)
+            raise CommandError(f"no {query.subject} are kept here; subjects are {known}")
+        rows = run_query(query, getattr(self, f"_{query.subject}")(), columns)
+        body = {"columns": list(query.fields or columns), "rows": rows, "missing": []}
+        exchange.respond(200, JSON_HEADERS, orjson.dumps(body))
+
+    def _vms(self) -> Rows:
+        node = self._node
+        now = node.timers.now()
+        reports = [node.own_report(), *node.peers.table.members(now)]
+        return [
+            {
+                "vm": each.vm_id,
+                "zone": each.zone,
+                "ip": each.ip,
+                "incarnation": each.incarnation,
+                "heard": round(node.peers.table.gap(each.vm_id, now) or 0.0, 2),
+                "configuration": each.configuration,
+                "store": "cut off" if each.cut_off else "reached",
+                "fencing": each.fencing,
+            }
+            for each in reports
+        ]
+
+    def _endpoints(self) -> Rows:
+        directory = self._node.directory
+        backlog = directory.all_backlog()
+        return [
+            {
+                "endpoint": fact.vm_id,
+                "service": fact.service,
+                "zone": fact.zone,
+                "state": fact.state.value,
+                "address": fact.address,
+                "slots": fact.slots,
+                "reclaimable": fact.reclaimable,
+                "in_flight": directory.in_flight(fact.vm_id),
+                "load": directory.load_of(fact.vm_id),
+                "backlog": backlog.get(fact.vm_id, 0),
+            }
+            for fact in self._node.facts.all()
+            if fact.role is Role.ENDPOINT
+        ]
+
+    def _services(self) -> Rows:
+        return [
+            {
+                "name": each.name,
+                "kind": "model" if each.is_model else "plain",
+                "max_connections": each.max_connections,
+                "slots": each.slots or self._node.directory.slots(each.name),
+                "least": each.scaling.least if each.scaling else None,
+                "most": each.scaling.most if each.scaling else None,
+            }
+            for each in self._node.configuration.services.values()
+        ]
+
+    def _routes(self) -> Rows:
+        return [
+            {
+                "name": each.name,
+                "host": each.host,
+                "prefix": each.prefix,
+                "kind": each.kind.value,
+                "services": ",".join(f"{b.service}:{b.weight:g}" for b in each.backends),
+                "timeout": each.timeout,
+                "objective": each.latency_objective,
+                "attempts": each.max_attempts,
+            }
+            for each in self._node.configuration.routes
+        ]
+
+    def _workspaces(self) -> Rows:
+        spent = self._node.quota.spent()
+        return [
+            {
+                "name": each.name,
+                "keys": len(each.keys),
+                "priority": each.priority,
+                "rate": each.rate,
+                "burst": each.burst,
+                "spent": spent.get(each.name, 0.0),
+            }
+            for each in self._node.configuration.workspaces
+        ]
+
+    def _leases(self) -> Rows:
+        lease = self._node.lease
+        return [
+            {
+                "lease": "duties",
+                "vm": self._node.settings.vm_id,
+                "holder": lease.state.holder,
+                "fencing": lease.state.fencing,
+                "held": lease.holding() is not None,
+                "past": ",".join(lease.state.past),
+            }
+        ]
+
+    def _configuration(self) -> Rows:
+        node = self._node
+        return [
+            {
+                "vm": node.settings.vm_id,
+                "zone": node.settings.zone,
+                "revision": node.configuration.version,
+                "table": each.table,
+                "version": each.version,
+                "age": each.age(),
+            }
+            for each in (node.configuration_follower, node.endpoint_follower)
+        ]
+
+    def _requests(self) -> Rows:
+        now = self._node.timers.now()
+        return [
+            {
+                "request": each.request_id,
+                "workspace": each.record.workspace,
+                "service": each.record.service.name,
+                "endpoint": each.endpoint_id or None,
+                "phase": each.machine.phase.value,
+                "attempts": each.machine.attempts,
+                "age": round(now - each.accepted_at, 3),
+            }
+            for each in self._node.hub.active.values()
+        ]
+
+    def _counters(self) -> Rows:
+        vm = self._node.settings.vm_id
+        return [{"vm": vm, **each} for each in self._node.metrics.rows()]
--- a/flamingofront/process/forwarding/scaling.py
+++ b/flamingofront/process/forwarding/scaling.py
@@ -15,6 +15,7 @@
 from flamingofront.process.forwarding.duty import DutyLease
 from flamingofront.process.forwarding.endpoints import EndpointRow
 from flamingofront.process.logs import Log
+from flamingofront.process.metrics import Metrics
 from flamingofront.process.store import Cloud, EndpointOrder
 from flamingofront.process.tasks import Task
 from flamingofront.version.forwarding import ForwardingConfiguration, ScalingLimits
@@ -181,8 +182,10 @@
         configuration: Callable[[], ForwardingConfiguration],
         endpoints: Callable[[], Iterable[EndpointRow]],
         demand: Callable[[str], Demand],
+        metrics: Metrics,
         log: Log,
     ):
+        self._metrics = metrics
         self._lease = lease
         self._cloud = cloud
         self._policy = policy
@@ -311,6 +314,8 @@
         if lease is None:
             return
         granted = yield from self._cloud.order(self._vm_id, lease.fencing, order)
+        result = "granted" if granted else "refused"
+        self._metrics.count("orders_total", kind="endpoints", result=result)
         now = self._now()
         known = self._ordered.setdefault(_subject(order), _Ordered(0, now))
         known.sent_at = now
--- a/flamingofront/process/forwarding/usage.py
+++ b/flamingofront/process/forwarding/usage.py
@@ -9,6 +9,7 @@
 from flamingofront.process.forwarding.reports import ProcessCounts
 from flamingofront.process.forwarding.settings import SharedRules
 from flamingofront.process.logs import Log
+from flamingofront.process.metrics import Metrics
 from flamingofront.process.store import Cloud, UsageReport
 from flamingofront.process.tasks import Task
 
@@ -117,8 +118,10 @@
         rules: SharedRules,
         vm_id: str,
         true_time: Callable[[], float],
+        metrics: Metrics,
         log: Log,
     ):
+        self._metrics = metrics
         self._lease = lease
         self._cloud = cloud
         self._book = book
@@ -168,6 +171,7 @@
             return
         report = UsageReport(int(name), counts)
         yield from self._cloud.report_usage(self._vm_id, lease.fencing, report)
+        self._metrics.count("usage_reports_total")
         self._confirmed.add(name)
         self._confirmed &= {*self._lease.state.reports, name}
         self._log.info("usage reported", window=report.window, counts=counts, fencing=lease.fencing)
--- a/flamingofront/process/metrics.py
+++ b/flamingofront/process/metrics.py
@@ -31,7 +31,6 @@
     "faults_total": "Program faults that were caught",
     "peer_reports_total": "Reports between forwarding entry processes, by result",
     "usage_reports_total": "Usage reports that the cloud took",
-    "log_lines_dropped_total": "Log lines dropped because they were too many or not read",
 }
 GAUGES: Mapping[str, str] = {
     "requests_in_flight": "Requests held here",
