--- a/flamingofront/cli.py
+++ b/flamingofront/cli.py
@@ -440,8 +440,13 @@
         sys.exit(ExitCode.BAD_COMMAND)
     if not files:
         lines = sys.stdin.read().splitlines()
-    for text in select_lines(lines, request, event, since):
-        print(text)
+    try:
+        for text in select_lines(lines, request, event, since):
+            print(text)
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # The reader, for example `head`, has seen enough; the interpreter must not flush again.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
 
 
 def main() -> None:
