--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -37,7 +37,8 @@
     report_weight,
     usable,
 )
-from flamingofront.request.hub import FILLED_SHARE, QUEUE_PATIENCE
+from flamingofront.request.host import QUEUE_PATIENCE
+from flamingofront.request.hub import FILLED_SHARE
 from flamingofront.request.prefixes import BLOCK_TOKENS, PrefixIndex
 from flamingofront.request.recovery import (
     CostRecovery,
--- a/flamingofront/connection/server.py
+++ b/flamingofront/connection/server.py
@@ -12,7 +12,6 @@
 
 import orjson
 from circuits import Component, handler
-from circuits.net.sockets import TCPServer
 
 from flamingofront.connection.framing import (
     MAX_HEAD_BYTES,
@@ -22,6 +21,7 @@
     request_decoder,
 )
 from flamingofront.connection.interfaces import Exchange
+from flamingofront.connection.sockets import CountedSockets
 from flamingofront.errors import ANSWERS, ErrorKind, RequestError
 from flamingofront.messages import InboundRequest
 from flamingofront.process.timers import Timer, TimerService
@@ -38,7 +38,6 @@
 READ_BYTES = 64 * 1024
 MAX_WAITING_BYTES = 64 * 1024
 STATUS_NOT_MODIFIED = 304
-MAX_SEND_BYTES = 256 * 1024
 REASONS = {
     200: "OK",
     202: "Accepted",
@@ -289,58 +288,6 @@
             self._server.close_after_sending(self._sock)
 
 
-class _Sockets(TCPServer):
-    """Sockets that know how much waits for each reader, and send what waits in one go."""
-
-    def __init__(self, *args, **kwargs):
-        super().__init__(*args, **kwargs)
-        self.waiting: dict[socket.socket, int] = {}
-
-    def queue(self, sock: socket.socket, data: bytes) -> None:
-        """Send bytes, and keep what the socket does not take at once.
-
-        Notes
-        -----
-        A socket is closed before the event that tells of it is handled; what is sent in between is
-        dropped.
-        """
-        if sock.fileno() < 0:
-            return
-        if not self.waiting.get(sock):
-            data = data[self._send_now(sock, data) :]
-        if data:
-            self.waiting[sock] = self.waiting.get(sock, 0) + len(data)
-            self.write(sock, data)
-
-    @staticmethod
-    def _send_now(sock: socket.socket, data: bytes) -> int:
-        """Return how many bytes the socket took; a broken one shows at the next poll."""
-        try:
-            return sock.send(data)
-        except OSError:
-            return 0
-
-    def _write(self, sock: socket.socket, data: bytes) -> None:
-        """Send the given bytes and those behind them; called when the socket has room."""
-        buffer = self._buffers[sock]
-        parts = [data]
-        size = len(data)
-        while buffer and size < MAX_SEND_BYTES:
-            parts.append(buffer.popleft())
-            size += len(parts[-1])
-        joined = b"".join(parts)
-        try:
-            sent = sock.send(joined)
-        except BlockingIOError:
-            sent = 0
-        except OSError:
-            self._close(sock)
-            return
-        self.waiting[sock] = self.waiting.get(sock, 0) - sent
-        if sent < len(joined):
-            buffer.appendleft(joined[sent:])
-
-
 class HTTPServer(Component):
     """Accept connections on one address and hand each complete request to `on_request`.
 
@@ -383,7 +330,7 @@
         self._on_request = on_request
         self._on_fault = on_fault
         self._connections: dict = {}
-        self._sockets = _Sockets(bind, channel=channel, bufsize=READ_BYTES).register(self)
+        self._sockets = CountedSockets(bind, channel=channel, bufsize=READ_BYTES).register(self)
 
     @property
     def port(self) -> int:
--- a/flamingofront/forward_daemon.py
+++ b/flamingofront/forward_daemon.py
@@ -19,7 +19,8 @@
 from flamingofront.platform.requests import PlatformProtocol
 from flamingofront.platform.settings import SETTINGS_VARIABLE, read_settings, settings_path
 from flamingofront.platform.store import PlatformTableStore
-from flamingofront.process.forwarding.node import Dependencies, ForwardingNode, SharedTables
+from flamingofront.process.forwarding.knowledge import SharedTables
+from flamingofront.process.forwarding.node import Dependencies, ForwardingNode
 from flamingofront.process.forwarding.settings import DeploymentSettings
 from flamingofront.process.forwarding.shutdown import GracefulStop
 from flamingofront.process.logs import Log, NonBlockingStream, set_up_logs
@@ -63,6 +64,7 @@
         ).register(self.runtime)
         self.node = ForwardingNode(settings, self._dependencies(), random.Random(), self._log)
         self.node.on_configuration = self._limit_callers
+        self._client.max_idle = self.node.max_idle
         self.callers = self._server(settings.caller_bind, self.node.handle_caller, "callers")
         ready = self._server(settings.ready_bind, self.node.handle_ready, "ready")
         metrics = Address(settings.ip, metrics_port)
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -6,12 +6,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
+from flamingofront.connection.client import MAX_IDLE_PER_ADDRESS
 from flamingofront.connection.interfaces import Exchange, Transport
-from flamingofront.errors import ConfigurationError, PlatformError
 from flamingofront.messages import InboundRequest
 from flamingofront.process.forwarding.duty import DutyLease
-from flamingofront.process.forwarding.endpoints import EndpointRow, EndpointView
-from flamingofront.process.forwarding.follower import TableFollower, TableListener
+from flamingofront.process.forwarding.endpoints import EndpointView
+from flamingofront.process.forwarding.knowledge import Knowledge, SharedTables
 from flamingofront.process.forwarding.operators import ForwardingOperators
 from flamingofront.process.forwarding.peers import (
     CONFIGURATION_PATH,
@@ -27,7 +27,7 @@
 from flamingofront.process.logs import Log
 from flamingofront.process.membership import FactTable, Role, VmState
 from flamingofront.process.metrics import Metrics
-from flamingofront.process.store import Cloud, StoredRow, TableStore
+from flamingofront.process.store import Cloud, TableStore
 from flamingofront.process.tasks import TaskRunner
 from flamingofront.process.timers import TimerService
 from flamingofront.request.choice import BacklogChoice
@@ -42,35 +42,18 @@
 from flamingofront.version.forwarding import DEFAULT_SLOTS, ForwardingConfiguration
 from flamingofront.version.model import Service
 
-__all__ = ["Dependencies", "ForwardingNode", "SharedTables"]
+__all__ = ["Dependencies", "ForwardingNode"]
 
 # A request is refused early in its objective, while another entry VM can still serve it in time.
 REFUSE_WITHIN = 0.2
 # How often the loads that peers tell are taken together; as often as they report.
 LOAD_SECONDS = 0.25
+# Part of an endpoint's connections that may be idle ones.
+IDLE_PART = 0.5
 USAGE = "usage"
 SCALING = "scaling"
 
 
-@dataclass(frozen=True)
-class SharedTables:
-    """Where the store keeps the configuration and the endpoints, and how rows are decoded.
-
-    Parameters
-    ----------
-    decode_configuration : callable
-        Returns the `ForwardingConfiguration` in a row's value.
-    decode_endpoint : callable
-        Returns the `EndpointRow` in a row's key and value.
-    """
-
-    configuration: str
-    configuration_key: str
-    endpoints: str
-    decode_configuration: Callable[[bytes], ForwardingConfiguration]
-    decode_endpoint: Callable[[str, bytes], EndpointRow]
-
-
 @dataclass(frozen=True)
 class Dependencies:
     """What a node needs from outside: sockets, time, and the platform."""
@@ -95,11 +78,8 @@
         self.timers = needs.timers
         self.log = log
         self.metrics = Metrics({"vm": settings.vm_id, "zone": settings.zone})
-        self.configuration = ForwardingConfiguration()
-        self.configuration_data = b""
         self.on_configuration: Callable[[ForwardingConfiguration], None] = lambda cfg: None
         self.stopping = False
-        self._peer_endpoints = 0
         self._needs = needs
         self._rng = rng
         self.tasks = TaskRunner(needs.transport, needs.timers, self.fault)
@@ -115,7 +95,6 @@
         self._sequence = 0
         self.usage = UsageBook(own.process, settings.rules.usage_window)
         self._build_requests()
-        self._build_followers()
         self._build_peers()
         self._build_duties()
         self.operators = ForwardingOperators(self)
@@ -124,8 +103,15 @@
         settings, needs = self.settings, self._needs
         self.facts = FactTable()
         self.directory = EndpointDirectory(self.facts, self._rng)
-        self.endpoints = EndpointView(
-            self.facts, self.timers, self.log, on_gone=self.directory.forget
+        self.knowledge = Knowledge(
+            needs.store,
+            needs.tables,
+            EndpointView(self.facts, self.timers, self.log, on_gone=self.directory.forget),
+            self._configuration_changed,
+            self.timers.now,
+            self._rng,
+            self.metrics,
+            self.log,
         )
         self.hub = RequestHub(
             HubSettings(
@@ -150,27 +136,6 @@
             self.hub, needs.protocol, self.quota, self.log, self._began_to_run
         )
 
-    def _build_followers(self) -> None:
-        tables = self._needs.tables
-        self.configuration_follower = self._follower(
-            tables.configuration,
-            TableListener(self._configuration_rows, self._configuration_rows),
-        )
-        self.endpoint_follower = self._follower(
-            tables.endpoints,
-            TableListener(
-                self._endpoints_replaced,
-                self._endpoints_changed,
-                self.endpoints.store_lost,
-                self.endpoints.store_back,
-            ),
-        )
-
-    def _follower(self, table: str, listener: TableListener) -> TableFollower:
-        return TableFollower(
-            self._needs.store, table, listener, self.timers.now, self._rng, self.log
-        )
-
     def _retry_budget(self, service: Service) -> RetryBudget:
         rules = self.settings.rules
         return SharedRetryBudget(
@@ -179,11 +144,11 @@
 
     def _build_peers(self) -> None:
         knowledge = PeerKnowledge(
-            lambda: self.configuration.version,
-            self.endpoints_version,
-            lambda: self.endpoint_follower.is_cut_off,
-            lambda data: self.take_configuration(data, "peer"),
-            self._endpoints_from_peer,
+            lambda: self.knowledge.configuration.version,
+            self.knowledge.endpoints_version,
+            lambda: self.knowledge.cut_off,
+            lambda data: self.knowledge.take_configuration(data, "peer"),
+            self.knowledge.take_endpoints,
         )
         self.peers = Peers(
             self._own,
@@ -236,7 +201,7 @@
                     settings.vm_id,
                     self.timers.now,
                     lambda: self.configuration,
-                    self.endpoints.rows,
+                    self.knowledge.endpoints.rows,
                     self._service_demand,
                     self.metrics,
                     self.log,
@@ -277,8 +242,8 @@
             sequence=self._sequence,
             wall=self.timers.wall(),
             configuration=self.configuration.version,
-            endpoints=self.endpoints_version(),
-            cut_off=self.endpoint_follower.is_cut_off,
+            endpoints=self.knowledge.endpoints_version(),
+            cut_off=self.knowledge.cut_off,
             leaving=self.stopping,
             fencing=lease.fencing if lease is not None else 0,
             released=self.lease.released,
@@ -291,10 +256,6 @@
             peers=tuple(each.ip for each in heard),
         )
 
-    def endpoints_version(self) -> int:
-        """Return the version of the store up to which the endpoints are known."""
-        return max(self.endpoint_follower.version, self._peer_endpoints)
-
     def _heard(self, report: PeerReport, gap: float | None) -> None:
         """Take a peer's report: its quota use, its counts, its word on the lease, its load."""
         self.metrics.count("peer_reports_total", result="heard" if gap is not None else "first")
@@ -323,7 +284,7 @@
         gauge("peers_heard", len(self.peers.table.heard(now)))
         lease = self.lease.holding()
         gauge("duty_fencing", lease.fencing if lease is not None else 0)
-        for follower in (self.configuration_follower, self.endpoint_follower):
+        for follower in self.knowledge.followers:
             age = follower.age()
             if age is not None:
                 gauge("store_age_seconds", age, table=follower.table)
@@ -331,9 +292,22 @@
             count = len(self.facts.select(Role.ENDPOINT, state))
             gauge("endpoints", count, state=state.value)
 
-    def _endpoints_from_peer(self, rows: tuple[EndpointRow, ...], version: int) -> None:
-        self._peer_endpoints = version
-        self.endpoints.replace_all(rows, confirmed=True)
+    def max_idle(self, address: str) -> int:
+        """Return how many idle connections to an address this process may keep.
+
+        Notes
+        -----
+        An endpoint limits its connections over all callers, so each process's part shrinks as the
+        processes grow in number. Half of it is left for connections in use.
+        """
+        row = next(
+            (each for each in self.knowledge.endpoints.rows() if each.address == address), None
+        )
+        service = self.configuration.services.get(row.service) if row is not None else None
+        if service is None or not service.max_connections:
+            return MAX_IDLE_PER_ADDRESS
+        part = service.max_connections * IDLE_PART * self.member_share()
+        return max(1, min(MAX_IDLE_PER_ADDRESS, int(part)))
 
     def start(self) -> None:
         """Begin all periodic work."""
@@ -343,8 +317,8 @@
             self.tasks.start(self.lease.run())
         for duty in self.duties:
             self.tasks.start(duty.run())
-        self.tasks.start(self.configuration_follower.run())
-        self.tasks.start(self.endpoint_follower.run())
+        for follower in self.knowledge.followers:
+            self.tasks.start(follower.run())
         self.log.info("started", zone=self.settings.zone, first=self.settings.first_start)
 
     def fault(self, exc: BaseException) -> None:
@@ -353,65 +327,20 @@
         self.log.error("fault", exc=exc)
 
     @property
-    def ready(self) -> bool:
-        """True if the balancer may send new connections here."""
-        known = bool(self.configuration.version) and bool(len(self.facts))
-        return known and not self.stopping
-
-    # Configuration
-
-    def _configuration_rows(self, rows: tuple[StoredRow, ...]) -> None:
-        for row in rows:
-            if row.key == self._needs.tables.configuration_key and row.value is not None:
-                self.take_configuration(row.value, "store")
+    def configuration(self) -> ForwardingConfiguration:
+        """Configuration in force."""
+        return self.knowledge.configuration
 
-    def take_configuration(self, data: bytes, source: str) -> None:
-        """Put a configuration in force if it is well formed and newer than the last one."""
-        try:
-            cfg = self._needs.tables.decode_configuration(data)
-        except ConfigurationError as exc:
-            self.metrics.count("platform_errors_total", operation="configuration")
-            self.log.error("configuration refused", detail=str(exc), source=source)
-            return
-        if cfg.version <= self.configuration.version:
-            return
-        self.configuration = cfg
-        self.configuration_data = data
+    def _configuration_changed(self, cfg: ForwardingConfiguration) -> None:
         self.gateway.configuration = cfg
         self.quota.prepare(cfg.workspaces, self.timers.now())
-        self.metrics.count("configurations_total")
-        self.log.info(
-            "configuration in force",
-            version=cfg.version,
-            source=source,
-            routes=len(cfg.routes),
-            workspaces=len(cfg.workspaces),
-        )
         self.on_configuration(cfg)
 
-    # Endpoints
-
-    def _decoded(self, rows: tuple[StoredRow, ...]) -> list[EndpointRow]:
-        found = []
-        for row in rows:
-            try:
-                found.append(self._needs.tables.decode_endpoint(row.key, row.value))
-            except PlatformError as exc:
-                self.metrics.count("platform_errors_total", operation="endpoint")
-                self.log.error("endpoint row refused", detail=str(exc))
-        return found
-
-    def _endpoints_replaced(self, rows: tuple[StoredRow, ...]) -> None:
-        present = tuple(each for each in rows if each.value is not None)
-        self.endpoints.replace_all(self._decoded(present))
-
-    def _endpoints_changed(self, rows: tuple[StoredRow, ...]) -> None:
-        for row in rows:
-            if row.value is None:
-                self.endpoints.remove(row.key)
-            else:
-                for each in self._decoded((row,)):
-                    self.endpoints.put(each)
+    @property
+    def ready(self) -> bool:
+        """True if the balancer may send new connections here."""
+        known = bool(self.configuration.version) and bool(len(self.facts))
+        return known and not self.stopping
 
     # Inbound calls
 
@@ -430,9 +359,9 @@
         elif req.path == "/operate":
             self.operators.handle(req, exchange)
         elif req.path == CONFIGURATION_PATH:
-            exchange.respond(200, (), self.configuration_data)
+            exchange.respond(200, (), self.knowledge.configuration_data)
         elif req.path == ENDPOINTS_PATH:
-            exchange.respond(200, (), encode_rows(self.endpoints.rows()))
+            exchange.respond(200, (), encode_rows(self.knowledge.endpoints.rows()))
         else:
             exchange.respond(404, (), b"")
 
--- a/flamingofront/process/forwarding/operators.py
+++ b/flamingofront/process/forwarding/operators.py
@@ -189,7 +189,7 @@
                 "version": each.version,
                 "age": each.age(),
             }
-            for each in (node.configuration_follower, node.endpoint_follower)
+            for each in node.knowledge.followers
         ]
 
     def _requests(self) -> Rows:
--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -3,7 +3,6 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from dataclasses import replace
-from typing import TYPE_CHECKING
 
 from flamingofront.connection.interfaces import CallEvent, CallHandle
 from flamingofront.errors import ErrorKind, Ran, RequestError
@@ -23,12 +22,10 @@
 from flamingofront.request.attempts import Order, Phase, RequestFacts, RequestMachine
 from flamingofront.request.choice import Candidate
 from flamingofront.request.directory import SharedPrefix
+from flamingofront.request.host import RequestHost
 from flamingofront.request.records import RequestRecord
 from flamingofront.request.stored_answer import StoredAnswer
 
-if TYPE_CHECKING:
-    from flamingofront.request.hub import RequestHub
-
 __all__ = ["ActiveRequest"]
 
 SECONDS_BETWEEN_CHOICES = 0.2
@@ -48,7 +45,7 @@
     # True if callers may come back for the answer.
     retains_answer = True
 
-    def __init__(self, hub: "RequestHub", record: RequestRecord, ticket: Ticket):
+    def __init__(self, hub: RequestHost, record: RequestRecord, ticket: Ticket):
         self.hub = hub
         self.record = record
         self.ticket = ticket
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -14,6 +14,7 @@
     StartAttempt,
 )
 from flamingofront.request.active import ActiveRequest
+from flamingofront.request.admission import Ticket
 from flamingofront.request.attachments import Attachment
 from flamingofront.request.choice import Candidate
 from flamingofront.request.directory import SharedPrefix
@@ -26,6 +27,8 @@
     ForwardWork,
     RelayedAnswer,
 )
+from flamingofront.request.host import RequestHost
+from flamingofront.request.records import RequestRecord
 
 __all__ = ["ForwardAttachment", "ForwardedRequest"]
 
@@ -76,7 +79,7 @@
 
     retains_answer = False
 
-    def __init__(self, hub, record, ticket):
+    def __init__(self, hub: RequestHost, record: RequestRecord, ticket: Ticket):
         super().__init__(hub, record, ticket)
         self.relay = EventRelay()
         self.status = 0
--- /dev/null
+++ b/flamingofront/request/host.py
@@ -0,0 +1,104 @@
+"""What a request in flight needs of the process that holds it.
+
+Requests know this interface only, so that they can be read and tested without the hub that keeps
+all of them.
+"""
+
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from flamingofront.connection.interfaces import Transport
+from flamingofront.errors import Ran
+from flamingofront.process.logs import Log
+from flamingofront.process.metrics import Metrics
+from flamingofront.process.timers import TimerService
+from flamingofront.request.choice import Candidate
+from flamingofront.request.directory import EndpointDirectory
+from flamingofront.request.forward_work import ForwardProtocol
+from flamingofront.request.records import RequestRecord
+from flamingofront.request.retry import RetryBudget
+from flamingofront.version.model import Service
+
+if TYPE_CHECKING:
+    from flamingofront.request.active import ActiveRequest
+
+__all__ = ["HubSettings", "QUEUE_PATIENCE", "RequestHost"]
+
+# Part of the first-token target that a request may wait: the rest is for its prefill.
+QUEUE_PATIENCE = 0.75
+
+
+@dataclass(frozen=True)
+class HubSettings:
+    """Settings that requests need; times in seconds.
+
+    Parameters
+    ----------
+    queue_patience : float
+        Part of the first-token target that a request may wait for its start.
+    choice_patience : float or None
+        Part of that target during which an endpoint is looked for when there is none; None to look
+        for one until the deadline.
+    """
+
+    vm_id: str
+    zone: str
+    reattach_grace: float = 5.0
+    answer_retention: float = 300.0
+    queue_patience: float = QUEUE_PATIENCE
+    choice_patience: float | None = None
+
+
+class RequestHost(ABC):
+    """Shared parts of a process and the decisions that span its requests.
+
+    Attributes
+    ----------
+    protocol : ForwardProtocol or None
+        Header names of forwarded requests; None where none are forwarded.
+    cache_tokens : callable
+        Returns the prompt tokens that an endpoint of a service can hold in its cache.
+    """
+
+    settings: HubSettings
+    transport: Transport
+    timers: TimerService
+    directory: EndpointDirectory
+    metrics: Metrics
+    log: Log
+    rng: random.Random
+    protocol: ForwardProtocol | None
+    cache_tokens: Callable[[str], float]
+
+    @abstractmethod
+    def now(self) -> float:
+        """Return the time of the timer service."""
+
+    @abstractmethod
+    def budget(self, service: Service) -> RetryBudget:
+        """Return the retry budget of a service."""
+
+    @abstractmethod
+    def choice_patience(self, record: RequestRecord) -> float:
+        """Return the seconds during which an endpoint is looked for when there is none."""
+
+    @abstractmethod
+    def choose(self, request: "ActiveRequest", exclude: frozenset[str]) -> Candidate | None:
+        """Return the endpoint for an attempt, None if there is none with room."""
+
+    @abstractmethod
+    def attempt_lost(
+        self, service: Service, endpoint_id: str, executed: Ran, reason: str, now: float
+    ) -> None:
+        """Count a lost attempt and judge its endpoint."""
+
+    @abstractmethod
+    def endpoint_failed(self, service: Service, endpoint_id: str, now: float) -> None:
+        """Note a failure of an endpoint, which may eject it for a while."""
+
+    @abstractmethod
+    def request_ended(self, request: "ActiveRequest") -> None:
+        """Forget a request that has its answer or went elsewhere, and start the next one."""
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -4,7 +4,6 @@
 import random
 from collections import Counter, OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from flamingofront.connection.interfaces import Transport
 from flamingofront.errors import ErrorKind, Ran, RequestError
@@ -21,86 +20,22 @@
     usable,
 )
 from flamingofront.request.directory import EndpointDirectory
+from flamingofront.request.finished import FinishedAnswer, FinishedAnswers
 from flamingofront.request.forward_work import ForwardProtocol, ForwardWork
 from flamingofront.request.forwarded_request import ForwardedRequest
+from flamingofront.request.host import HubSettings, RequestHost
 from flamingofront.request.model_request import ModelRequest
 from flamingofront.request.plain_request import PlainRequest
 from flamingofront.request.records import ModelWork, RequestRecord
 from flamingofront.request.retry import PacedRetryBudget, RetryBudget
-from flamingofront.request.stored_answer import StoredAnswer
 from flamingofront.version.model import Service
 
-__all__ = ["FinishedAnswers", "HubSettings", "RequestHub"]
+__all__ = ["HubSettings", "RequestHub"]
 
-# Part of the first-token target that a request may wait: the rest is for its prefill.
-QUEUE_PATIENCE = 0.75
 # Part of the slots that admission fills: entry VMs cannot balance perfectly.
 FILLED_SHARE = 0.9
 EXPIRY_SECONDS = 0.1
 TOKENS_PER_COST = 64.0
-MAX_RETAINED_BYTES = 16 * 1024 * 1024
-
-
-@dataclass(frozen=True)
-class HubSettings:
-    """Settings that requests need; times in seconds.
-
-    Parameters
-    ----------
-    queue_patience : float
-        Part of the first-token target that a request may wait for its start.
-    choice_patience : float or None
-        Part of that target during which an endpoint is looked for when there is none; None to look
-        for one until the deadline.
-    """
-
-    vm_id: str
-    zone: str
-    reattach_grace: float = 5.0
-    answer_retention: float = 300.0
-    queue_patience: float = QUEUE_PATIENCE
-    choice_patience: float | None = None
-
-
-@dataclass(frozen=True)
-class _Finished:
-    workspace: str
-    answer: StoredAnswer
-    record: RequestRecord
-    tokens: tuple[str, ...]
-    until: float
-
-    @property
-    def size(self) -> int:
-        return len(self.answer.body)
-
-
-class FinishedAnswers:
-    """Answers kept for callers that come back, bounded in time and size."""
-
-    def __init__(self, max_bytes: int = MAX_RETAINED_BYTES):
-        self._max_bytes = max_bytes
-        self._size = 0
-        self._answers: OrderedDict[str, _Finished] = OrderedDict()
-
-    def put(self, request_id: str, finished: _Finished) -> None:
-        """Keep an answer; the oldest make room for it."""
-        self._drop(request_id)
-        self._answers[request_id] = finished
-        self._size += finished.size
-        while self._size > self._max_bytes and len(self._answers) > 1:
-            self._drop(next(iter(self._answers)))
-
-    def get(self, request_id: str, now: float) -> _Finished | None:
-        """Return an answer that is still kept."""
-        while self._answers and next(iter(self._answers.values())).until < now:
-            self._drop(next(iter(self._answers)))
-        return self._answers.get(request_id)
-
-    def _drop(self, request_id: str) -> None:
-        known = self._answers.pop(request_id, None)
-        if known is not None:
-            self._size -= known.size
 
 
 def paced_budget(service: Service) -> RetryBudget:
@@ -108,7 +43,7 @@
     return PacedRetryBudget(service.retry_ratio)
 
 
-class RequestHub:
+class RequestHub(RequestHost):
     """Admits, starts and keeps track of requests.
 
     Parameters
@@ -319,7 +254,7 @@
         record = request.record
         tokens = tuple(request.machine.assembler.tokens)
         until = now + self.settings.answer_retention
-        finished = _Finished(record.workspace, request.answer, record, tokens, until)
+        finished = FinishedAnswer(record.workspace, request.answer, record, tokens, until)
         self.finished.put(request.request_id, finished)
 
     def thaw(self, frozen: ActiveRequest) -> None:
--- a/flamingofront/request/model_request.py
+++ b/flamingofront/request/model_request.py
@@ -1,7 +1,6 @@
 """A completion in flight: from the frames of an engine to the text of the answer."""
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 import orjson
 
@@ -20,19 +19,17 @@
 from flamingofront.request.admission import Ticket
 from flamingofront.request.attachments import whole_completion
 from flamingofront.request.choice import Candidate
+from flamingofront.request.host import RequestHost
 from flamingofront.request.prefixes import block_hashes
 from flamingofront.request.records import ModelWork, RequestRecord
 
-if TYPE_CHECKING:
-    from flamingofront.request.hub import RequestHub
-
 __all__ = ["ModelRequest"]
 
 
 class ModelRequest(ActiveRequest):
     """A completion."""
 
-    def __init__(self, hub: "RequestHub", record: RequestRecord, ticket: Ticket):
+    def __init__(self, hub: RequestHost, record: RequestRecord, ticket: Ticket):
         self._hashes: tuple[str, ...] | None = None
         self._kv = ""
         self._cache_at: Candidate | None = None
--- a/flamingofront/tests/forwarding_world.py
+++ b/flamingofront/tests/forwarding_world.py
@@ -8,7 +8,8 @@
 from flamingofront.platform.endpoints import ENDPOINT_TABLE, decode_endpoint
 from flamingofront.platform.requests import PlatformProtocol
 from flamingofront.platform.store import PlatformTableStore
-from flamingofront.process.forwarding.node import Dependencies, ForwardingNode, SharedTables
+from flamingofront.process.forwarding.knowledge import SharedTables
+from flamingofront.process.forwarding.node import Dependencies, ForwardingNode
 from flamingofront.process.forwarding.settings import DeploymentSettings, SharedRules
 from flamingofront.process.logs import Log
 from flamingofront.process.settings import parse_address
--- a/flamingofront/tests/test_forwarding.py
+++ b/flamingofront/tests/test_forwarding.py
@@ -281,6 +281,13 @@
         directory = world.fronts["front-1"].directory
         assert sum(directory._connect_failures.values()) <= 3
 
+    def test_idle_connections_are_shared_among_the_processes(self):
+        alone, many = ready_world(), ready_world(fronts=10)
+        address = [world.host("plain-1").address for world in (alone, many)]
+        assert alone.fronts["front-1"].max_idle(address[0]) == 16
+        assert many.fronts["front-1"].max_idle(address[1]) == 5
+        assert many.fronts["front-1"].max_idle("127.0.0.1:1") == 16
+
     def test_address_that_another_endpoint_took_over_is_left_out(self):
         world = ready_world()
         world.endpoints["plain-1"].endpoint_id = "another"
--- a/scripts/run-demo.sh
+++ b/scripts/run-demo.sh
@@ -3,27 +3,9 @@
 # on SIGINT or SIGTERM. FLAMINGOFRONT_DEMO_PORT moves the block of 20 ports.
 set -u
 cd "$(dirname "$0")/.."
-bin=.venv/bin
+. scripts/demo-common.sh
 base=${FLAMINGOFRONT_DEMO_PORT:-18080}
-logs=${FLAMINGOFRONT_DEMO_LOGS:-$(mktemp -d)}
 platform=127.0.0.1:$((base + 10))
-pids=()
-
-stop() {
-    trap - INT TERM EXIT
-    for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null; done
-    wait
-    exit "${1:-0}"
-}
-trap 'stop 0' INT TERM
-trap 'stop 1' EXIT
-
-start() {
-    local name=$1
-    shift
-    "$@" >"$logs/$name.log" 2>&1 &
-    pids+=($!)
-}
 
 add_vm() {
     curl -fs -X POST "http://$platform/control/add" -d "$1" >/dev/null
@@ -33,15 +15,6 @@
     add_vm "{\"vm_id\":\"$1\",\"zone\":\"$3\",\"role\":\"endpoint\",\"address\":\"127.0.0.1:$2\",\"service\":\"$5\",\"side\":\"$4\"}"
 }
 
-wait_for() { # url
-    for _ in $(seq 150); do
-        curl -fs -o /dev/null "$1" && return 0
-        sleep 0.1
-    done
-    echo "no answer from $1; logs are in $logs" >&2
-    exit 1
-}
-
 start platform $bin/flamingofront-standin-platform --bind $platform
 wait_for "http://$platform/vms"
 
--- a/scripts/run-platform-demo.sh
+++ b/scripts/run-platform-demo.sh
@@ -3,37 +3,9 @@
 # and stops them all on SIGINT or SIGTERM. FLAMINGOFRONT_DEMO_PORT moves the block of ports.
 set -u
 cd "$(dirname "$0")/.."
-bin=.venv/bin
+. scripts/demo-common.sh
 base=${FLAMINGOFRONT_DEMO_PORT:-18180}
-logs=${FLAMINGOFRONT_DEMO_LOGS:-$(mktemp -d)}
 store=127.0.0.1:$((base + 10))
-pids=()
-
-stop() {
-    trap - INT TERM EXIT
-    for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null; done
-    wait
-    exit "${1:-0}"
-}
-trap 'stop 0' INT TERM
-trap 'stop 1' EXIT
-
-start() {
-    local name=$1
-    shift
-    "$@" >"$logs/$name.log" 2>&1 &
-    pids+=($!)
-    eval "pid_${name//-/_}=$!"
-}
-
-wait_for() { # url
-    for _ in $(seq 150); do
-        curl -fs -o /dev/null "$1" && return 0
-        sleep 0.1
-    done
-    echo "no answer from $1; logs are in $logs" >&2
-    exit 1
-}
 
 start store $bin/flamingofront-standin-store --bind $store --config examples/forwarding.json
 wait_for "http://$store/api/rows-get?table=op"
