--- a/flamingofront/request/quota.py
+++ b/flamingofront/request/quota.py
@@ -17,7 +17,10 @@
 # Part of the allowance by which a quota may be exceeded that is given to callers, so that clumps of
 # requests within the quota are not refused. The rest covers what all processes together let through
 # before they have heard of one another: a quarter of a second of the demand.
-USED_ALLOWANCE = 0.2
+USED_ALLOWANCE = 0.3
+# Part of a request that the bucket must hold for it to pass; the rest is taken as debt. Smaller:
+# more large requests pass, and more small ones wait for their debt to be paid.
+HELD_PART = 0.25
 # Part of a full bucket that a new process begins with, times the part of the processes that it
 # hears: when all start at once they give out half a burst together, not one each.
 FIRST_LEVEL = 0.5
@@ -99,7 +102,7 @@
         return bucket
 
     def wait(self, workspace: ForwardedWorkspace, units: float, now: float) -> float:
-        """Return 0 if the bucket is not empty, else the seconds until it will not be.
+        """Return 0 if the bucket holds a part of the request, else the seconds until it will.
 
         Notes
         -----
@@ -110,8 +113,8 @@
         """
         if workspace.rate <= 0:
             return 0.0
-        level = self._bucket(workspace, now).level
-        return 0.0 if level > 0 else max(MIN_RETRY_SECONDS, -level / workspace.rate)
+        lacking = HELD_PART * min(units, workspace.burst) - self._bucket(workspace, now).level
+        return 0.0 if lacking <= 0 else max(MIN_RETRY_SECONDS, lacking / workspace.rate)
 
     def spend(self, workspace: ForwardedWorkspace, units: float, now: float) -> None:
         """Take an accepted request out, here at once and elsewhere with the next report."""
