--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -8,24 +8,15 @@
 import subprocess
 import sys
 import tempfile
-from dataclasses import dataclass
 from pathlib import Path
 
+from bench.mutation import Mutation
+from bench.platform_mutations import PLATFORM_MUTATIONS
+
 ROOT = Path(__file__).resolve().parent.parent
 TIME_LIMIT_SECONDS = 90
 
 
-@dataclass(frozen=True)
-class Mutation:
-    """One edit that takes a mechanism away, and the tests that must fail."""
-
-    point: str
-    file: str
-    old: str
-    new: str
-    tests: str
-
-
 MUTATIONS = (
     Mutation(
         "1 one owner extends the text",
@@ -197,13 +188,18 @@
 
 
 def main():
-    """Print which mutations the tests notice; exit 1 if one is not."""
+    """Print which mutations the tests notice; exit 1 if one is not.
+
+    A word on the command line chooses the points that begin with it.
+    """
+    begin = sys.argv[1] if len(sys.argv) > 1 else ""
+    chosen = [each for each in MUTATIONS + PLATFORM_MUTATIONS if each.point.startswith(begin)]
     unnoticed = 0
-    for mutation in MUTATIONS:
+    for mutation in chosen:
         survived = _survives(mutation)
         unnoticed += survived
         print(f"{'NOT NOTICED' if survived else 'noticed':12}{mutation.point}", flush=True)
-    print(f"{len(MUTATIONS) - unnoticed} of {len(MUTATIONS)} noticed")
+    print(f"{len(chosen) - unnoticed} of {len(chosen)} noticed")
     sys.exit(1 if unnoticed else 0)
 
 
--- /dev/null
+++ b/bench/platform_mutations.py
@@ -0,0 +1,163 @@
+"""Mutations of what running on the users' platform calls for; see `bench.mutations`."""
+
+from bench.mutation import Mutation
+
+__all__ = ["PLATFORM_MUTATIONS"]
+
+FORWARDING = "tests/test_forwarding.py"
+DUTIES = "process/forwarding/tests/test_duties.py"
+FUZZ = "process/forwarding/tests/test_lease_fuzz.py"
+QUOTA = "request/tests/test_quota.py"
+CLIENT = "connection/tests/test_client.py"
+
+PLATFORM_MUTATIONS = (
+    Mutation(
+        "P forged headers are dropped",
+        "platform/requests.py",
+        "NOT_FORWARDED = HOP_FIELDS | SYSTEM_FIELDS | {",
+        "NOT_FORWARDED = HOP_FIELDS | {",
+        FORWARDING,
+    ),
+    Mutation(
+        "P a status that says not run needs evidence",
+        "platform/requests.py",
+        "if status in NOT_RUN_STATUSES and exc.ran is not Ran.NO:",
+        "if False:",
+        "platform/tests/test_adapter.py",
+    ),
+    Mutation(
+        "P answers of other requests are not passed on",
+        "request/forwarded_request.py",
+        "        if answer.crossed:\n            self._lost",
+        "        if False:\n            self._lost",
+        FORWARDING,
+    ),
+    Mutation(
+        "P no more endpoints than the route allows",
+        "request/attempts.py",
+        "and self.attempts >= self.facts.max_attempts:",
+        "and False:",
+        FORWARDING,
+    ),
+    Mutation(
+        "P only whole events pass",
+        "request/event_stream.py",
+        "whole, self._buffer = self._buffer[:end], self._buffer[end:]",
+        'whole, self._buffer = self._buffer, b""',
+        FORWARDING,
+    ),
+    Mutation(
+        "P requests are kept apart by a number of our own",
+        "request/forward_gateway.py",
+        'request_id=f"{caller.request_id}#{next(self._numbers)}"',
+        "request_id=caller.request_id",
+        FORWARDING,
+    ),
+    Mutation(
+        "P configuration versions never go back",
+        "process/forwarding/knowledge.py",
+        "if cfg.version <= self.configuration.version:",
+        "if cfg.version == self.configuration.version:",
+        FORWARDING,
+    ),
+    Mutation(
+        "P rows that lapsed in an outage have grace",
+        "process/forwarding/endpoints.py",
+        "if self._away or self._timers.now() < self._grace_until:",
+        "if False:",
+        FORWARDING,
+    ),
+    Mutation(
+        "P an old row revives nothing",
+        "process/forwarding/endpoints.py",
+        "(row.sequence < known.sequence or not known.ready):",
+        "False:",
+        "process/forwarding/tests/test_endpoints.py",
+    ),
+    Mutation(
+        "P peers tell a process that the store turns away",
+        "process/forwarding/peers.py",
+        "if not newer_configuration and not newer_endpoints:",
+        "if True:",
+        FORWARDING,
+    ),
+    Mutation(
+        "P the store's return is not hidden by a waiting call",
+        "process/forwarding/follower.py",
+        "wait = 0.0 if self._failures else FEED_WAIT_SECONDS",
+        "wait = FEED_WAIT_SECONDS",
+        FORWARDING,
+    ),
+    Mutation(
+        "P a lease is taken after its whole duration",
+        "process/forwarding/duty.py",
+        "return waited >= self._duration + TAKEOVER_MARGIN_SECONDS",
+        "return waited >= 0.5",
+        FUZZ,
+    ),
+    Mutation(
+        "P the wait is looked at again behind the read",
+        "process/forwarding/duty.py",
+        "if not self.state.holder or self._is_own_row() or self._has_waited():",
+        "if not self.state.holder or self._is_own_row() or known is not None:",
+        FUZZ,
+    ),
+    Mutation(
+        "P the lease is written on condition of its version",
+        "process/forwarding/duty.py",
+        "outcome = yield from self._store.transact(DUTY_PART, (condition,), (write,))",
+        "condition = RowCondition(DUTY_TABLE, DUTY_KEY, (yield from self._store.read(DUTY_TABLE,"
+        " DUTY_PART)).version)\n            "
+        "outcome = yield from self._store.transact(DUTY_PART, (condition,), (write,))",
+        FUZZ,
+    ),
+    Mutation(
+        "P no act when the lease has run out",
+        "process/forwarding/duty.py",
+        "if now < lease.acts_from or now >= lease.valid_until - ACT_MARGIN_SECONDS:",
+        "if now < lease.acts_from:",
+        FUZZ,
+    ),
+    Mutation(
+        "P reports are stored before they are sent",
+        "process/forwarding/usage.py",
+        "return (yield from self._lease.renew(kept))",
+        "object.__setattr__(self._lease.state, 'reports', kept)\n        return True",
+        DUTIES,
+    ),
+    Mutation(
+        "P counts of processes that are gone are told on",
+        "process/forwarding/usage.py",
+        "if process not in alive and (process in found or len(found) < MAX_TOLD):",
+        "if process == self._process:",
+        DUTIES,
+    ),
+    Mutation(
+        "P quotas fill at the part that is heard",
+        "request/quota.py",
+        "bucket.fill(workspace.rate * share,",
+        "bucket.fill(workspace.rate,",
+        QUOTA,
+    ),
+    Mutation(
+        "P the retry budget is shared by number",
+        "request/shared_retry.py",
+        "allowance = self._allowance * USED_ALLOWANCE * self._member_share()",
+        "allowance = self._allowance * USED_ALLOWANCE",
+        QUOTA,
+    ),
+    Mutation(
+        "P bytes behind an answer end the connection",
+        "connection/client.py",
+        "reusable = self._head.keep_alive and not self._unsent and not beyond",
+        "reusable = self._head.keep_alive and not self._unsent",
+        CLIENT,
+    ),
+    Mutation(
+        "P a zone that seems cut off is left out",
+        "request/directory.py",
+        "return lately >= CUT_OFF_ENDPOINTS",
+        "return False",
+        FORWARDING,
+    ),
+)
--- a/flamingofront/tests/test_forwarding.py
+++ b/flamingofront/tests/test_forwarding.py
@@ -334,6 +334,16 @@
         world.run(2.0)
         assert world.ask("front-1", "/read/x").status == 404
 
+    @pytest.mark.parametrize("seconds", [5.0, 6.0, 7.0, 8.0, 9.0, 10.0])
+    def test_return_of_a_silent_store_is_noticed_whenever_it_comes(self, seconds):
+        world = ready_world()
+        world.store.fault = StoreFault.SILENT
+        world.run(seconds)
+        world.store.fault = StoreFault.NONE
+        world.configure_routes(version=2, routes=[])
+        world.run(2.0)
+        assert world.ask("front-1", "/read/x").status == 404
+
     def test_lost_history_is_read_again(self):
         world = ready_world()
         world.store.fault = StoreFault.BUSY
