A stream that cannot go on never looks complete; events without an id count

Cause, found by reading: where a resumed stream met an endpoint's own error, or an answer in one piece, the caller's stream was ended in order, as if it were whole. The tests fail without the change.

--- a/flamingofront/request/event_stream.py
+++ b/flamingofront/request/event_stream.py
@@ -51,6 +51,7 @@
         return whole
 
     def _note(self, event: bytes) -> None:
+        self.count += 1
         match = _EVENT_ID.search(event)
         if match is None:
             return
@@ -58,4 +59,3 @@
         if event_id.isdigit() and self.last_id.isdigit() and int(event_id) <= int(self.last_id):
             raise ValueError("an event came out of order")
         self.last_id = event_id
-        self.count += 1
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -260,8 +260,13 @@
             self.running()
         super().call_failed(attempt_id, event)
 
+    @property
+    def begun(self) -> bool:
+        """True once a part of a stream was sent to the caller."""
+        return self.relay.count > 0
+
     def _fail(self, order: Fail) -> None:
-        if self._fallback is not None:
+        if self._fallback is not None and not self.begun:
             self.status = self._fallback.status
             self._settle(self._fallback, None)
             return
@@ -270,8 +275,7 @@
     def _settle(self, answer, exc: RequestError | None) -> None:
         if exc is not None:
             self.failure = exc.kind.value
-            begun = any(each.begun for each in self.attachments)
-            self.status = 0 if begun else self.protocol.render_error(exc)[0]
+            self.status = 0 if self.begun else self.protocol.render_error(exc)[0]
         super()._settle(answer, exc)
 
     def _end(self) -> None:
@@ -346,6 +350,8 @@
         complete = RelayedAnswer(answer.status, answer.fields, body)
         if self._is_stream and (self._request.relay.incomplete or not self._request.relay.count):
             self._lost(Ran.UNKNOWN, "the stream ended within an event")
+        elif self._request.begun and not self._is_stream:
+            self._lost(Ran.UNKNOWN, f"the stream went on with status {answer.status}")
         elif answer.status >= FIRST_ERROR_STATUS:
             self._request.endpoint_error(self._attempt_id, complete)
         else:
--- a/flamingofront/standins/forward_endpoint.py
+++ b/flamingofront/standins/forward_endpoint.py
@@ -45,6 +45,8 @@
         self.runs: list[InboundRequest] = []
         self.rejected: list[InboundRequest] = []
         self.abandoned = 0
+        # True to answer requests for streams in one piece.
+        self.plain_answers = False
         self._timers = timers
 
     def fail(self, fault: ForwardFault, count: int = -1) -> None:
@@ -94,7 +96,7 @@
             exchange.respond(200, crossed, b"of another request")
         elif fault is ForwardFault.ERROR:
             exchange.respond(500, fields, b"failed")
-        elif req.path.startswith("/stream/"):
+        elif req.path.startswith("/stream/") and not self.plain_answers:
             exchange.begin(200, (*fields, ("Content-Type", "text/event-stream")))
             cut = self.events // 2 if fault is ForwardFault.CUT else None
             self._stream(exchange, int(req.header("last-event-id") or 0) + 1, cut)
--- a/flamingofront/tests/test_forwarding.py
+++ b/flamingofront/tests/test_forwarding.py
@@ -214,6 +214,30 @@
             assert ids == [b"id: %d" % n for n in range(1, 5)]
             assert not caller.broken and caller.answers == 1
 
+    @pytest.mark.parametrize(
+        "then", [ForwardFault.ERROR, ForwardFault.REFUSE, ForwardFault.CROSSED]
+    )
+    def test_stream_that_cannot_go_on_never_looks_complete(self, then):
+        world = ready_world()
+        for each in world.endpoints.values():
+            each.fail(ForwardFault.CUT, 1)
+        caller = world.ask("front-1", "/stream/again/x")
+        world.run_until(lambda: b"id: 1" in caller.body)
+        for each in world.endpoints.values():
+            each.fail(then)
+        world.finish(caller)
+        assert caller.broken and caller.status == 200
+
+    def test_stream_that_goes_on_as_another_answer_never_looks_complete(self):
+        world = ready_world()
+        caller = world.ask("front-1", "/stream/again/x")
+        world.run_until(lambda: b"id: 1" in caller.body)
+        for each in world.endpoints.values():
+            each.plain_answers = True
+        world.kill(world.fronts["front-1"].hub.active.popitem()[1].endpoint_id)
+        world.finish(caller)
+        assert caller.broken and b"from" not in caller.body
+
     def test_other_stream_is_visibly_broken(self):
         world = ready_world()
         for each in world.endpoints.values():
