Calls of duties that a partition holds up are given up by the system

Ruled out: a holder that acted without a lease (its last renewal and the retransmission times fit a call sent inside the lease).

--- a/flamingofront/connection/client.py
+++ b/flamingofront/connection/client.py
@@ -63,7 +63,6 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_SECONDS)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_SECONDS)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
 def _idle_seconds(head: Head) -> float:
@@ -153,6 +152,7 @@
         """Take a call over and send it as soon as the connection stands."""
         self._call = call
         call.conn = self
+        self._limit_silence(call.call.silence_timeout)
         self._heads = HeadBuffer(is_request=False, max_bytes=MAX_RESPONSE_HEAD_BYTES)
         self._head: Head | None = None
         self._decoder: BodyDecoder | None = None
@@ -160,6 +160,11 @@
         if self.connected:
             self.writable()
 
+    def _limit_silence(self, seconds: float | None) -> None:
+        """Set after how long the system gives up what the target does not acknowledge."""
+        limit = USER_TIMEOUT_MS if seconds is None else int(seconds * 1000)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit)
+
     def writable(self) -> None:
         """Send what is unsent."""
         if not self.connected and not self._finish_connect():
--- a/flamingofront/connection/tests/test_client.py
+++ b/flamingofront/connection/tests/test_client.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from flamingofront.connection.client import HTTPClient
+from flamingofront.connection.client import USER_TIMEOUT_MS, HTTPClient
 from flamingofront.connection.runtime import Runtime
 from flamingofront.messages import (
     CallFailed,
@@ -192,3 +192,12 @@
         assert events == [CallFailed("connect", False)]
         for each in (*fillers, listener):
             each.close()
+
+    def test_call_sets_how_long_the_system_keeps_unacknowledged_bytes(self, client):
+        endpoint = Endpoint(answer(), answer())
+        client.call(endpoint.address, silence_timeout=0.8)
+        (conn,) = client.client._connections.values()
+        option = (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        assert conn.sock.getsockopt(*option) == 800
+        client.call(endpoint.address)
+        assert conn.sock.getsockopt(*option) == USER_TIMEOUT_MS
--- a/flamingofront/messages.py
+++ b/flamingofront/messages.py
@@ -73,6 +73,10 @@
         Value of the ``Host`` header; the address if empty.
     connect_timeout : float or None
         Seconds until the connection must stand; None if only `timeout` bounds it.
+    silence_timeout : float or None
+        Seconds without word from the target's system after which what was sent is given up by the
+        system itself, so that it cannot arrive later; None for the client's own limit. To be below
+        `timeout` for calls that must not arrive late.
     """
 
     address: str
@@ -85,6 +89,7 @@
     fresh: bool = False
     host: str = ""
     connect_timeout: float | None = None
+    silence_timeout: float | None = None
 
 
 @dataclass(frozen=True)
--- a/flamingofront/platform/cloud.py
+++ b/flamingofront/platform/cloud.py
@@ -14,6 +14,10 @@
 HOLDER_HEADER = "X-Flamingofront-Duty-Holder"
 FENCING_HEADER = "X-Flamingofront-Fencing-Token"
 STATUS_NONE_TO_BE_HAD = 409
+# Part of the wait for an answer after which the system gives up an unacknowledged call. What a
+# partition holds up is lost then; a call that was only closed could arrive when the partition
+# heals, behind those of the next holder.
+SILENCE_PART = 0.8
 
 
 class PlatformCloud(Cloud):
@@ -47,4 +51,12 @@
 
     def _post(self, path: str, holder: str, fencing: int, body: dict[str, Any]) -> OutboundCall:
         headers = (*JSON_HEADERS, (HOLDER_HEADER, holder), (FENCING_HEADER, str(fencing)))
-        return OutboundCall(self._address, "POST", path, orjson.dumps(body), headers, self._timeout)
+        return OutboundCall(
+            self._address,
+            "POST",
+            path,
+            orjson.dumps(body),
+            headers,
+            self._timeout,
+            silence_timeout=self._timeout * SILENCE_PART,
+        )
--- a/flamingofront/platform/tests/test_adapter.py
+++ b/flamingofront/platform/tests/test_adapter.py
@@ -7,10 +7,12 @@
 
 from flamingofront.errors import ConfigurationError, ErrorKind, PlatformError, Ran, RequestError
 from flamingofront.messages import InboundRequest, ResponseHead
+from flamingofront.platform.cloud import PlatformCloud
 from flamingofront.platform.config import decode_configuration
 from flamingofront.platform.endpoints import decode_endpoint
 from flamingofront.platform.requests import PlatformProtocol
 from flamingofront.platform.settings import parse_settings
+from flamingofront.process.store import EndpointOrder, UsageReport
 from flamingofront.version.forwarding import Backend, ForwardedRoute, RequestKind
 
 PACKAGE = Path(__file__).resolve().parents[2]
@@ -132,6 +134,18 @@
         assert status == 503 and dict(fields)["Retry-After"] == "0.250"
 
 
+class TestDutyCalls:
+    def test_what_a_partition_holds_up_is_given_up_before_the_wait_ends(self):
+        cloud = PlatformCloud("127.0.0.1:1", 1.0)
+        for task in (
+            cloud.order("front-1", 2, EndpointOrder("s", "z", 1, True)),
+            cloud.report_usage("front-1", 2, UsageReport(7, {})),
+        ):
+            call = next(task)
+            assert call.silence_timeout < call.timeout
+            assert dict(call.headers)["X-Flamingofront-Fencing-Token"] == "2"
+
+
 class TestHeaders:
     def test_prompt_and_tokens(self):
         headers = {
--- a/flamingofront/process/forwarding/peers.py
+++ b/flamingofront/process/forwarding/peers.py
@@ -243,6 +243,7 @@
             known.cut_off() and not report.cut_off and report.endpoints > known.endpoints_version()
         )
         if not newer_configuration and not newer_endpoints:
+            self._newer_since = None
             return
         now = self._timers.now()
         if self._newer_since is None:
--- a/flamingofront/process/forwarding/scaling.py
+++ b/flamingofront/process/forwarding/scaling.py
@@ -292,7 +292,8 @@
         live = self._live(order.service, order.reclaimable)[order.zone]
         known = self._ordered.get(_subject(order))
         if known is None:
-            if not live > order.count > 0 and not (live and self._has_demand(order.service)):
+            takes_away = live > order.count
+            if not takes_away or (order.count == 0 and not self._has_demand(order.service)):
                 return True
             # Another process may have ordered these for a reason that still holds.
             known = self._ordered[_subject(order)] = _Ordered(live, now, wanted_at=now)
