Renewals of the duty lease never undo stored reports

Both tests fail without the change. Ruled out: counts that grow after they were reported (a report is made from the stored row alone).

--- a/flamingofront/process/forwarding/duty.py
+++ b/flamingofront/process/forwarding/duty.py
@@ -115,6 +115,7 @@
         self._announced = 0
         self._heard_fencing = 0
         self._stopped = False
+        self._writing = False
         self.released = 0
 
     @property
@@ -214,48 +215,55 @@
         self._log.info("duty lease taken", fencing=state.fencing, last_holder=last)
 
     def renew(self, reports: Mapping[str, Mapping[str, int]] | None = None) -> Task:
-        """Renew the lease, and store reports with the same write; False if it is lost.
+        """Renew the lease, and store reports with the same write; True if that was done.
+
+        Notes
+        -----
+        One write is in flight at a time: of two, the second would be repeated with a state from
+        before the first and undo it.
 
         Raises
         ------
         PlatformError
             If the store did not answer: whether the lease was renewed is then not known.
         """
-        if self._lease is None:
+        if self._lease is None or self._writing:
             return False
-        state = self.state if reports is None else replace(self.state, reports=reports)
-        sent_at = self._now()
-        if (yield from self._write(state)):
-            if self._lease is not None:
-                self._lease = replace(self._lease, valid_until=sent_at + self._duration)
-            return self._lease is not None
-        if self._lease is not None:
-            self._log.warning("duty lease lost", fencing=self._lease.fencing)
-        self._lease = None
-        self._evidence_at = self._now()
-        return False
-
-    def _write(self, state: DutyState) -> Task:
-        """Write the row if it is as it was seen last; return whether that was done.
+        self._writing = True
+        try:
+            return (yield from self._renew(reports))
+        finally:
+            self._writing = False
 
-        Notes
-        -----
-        A write whose answer was lost may have taken effect: the row is then this process's own, but
-        newer than it knows. It is written once more on condition of that version, since only a
-        confirmed write counts as a renewal.
-        """
+    def _renew(self, reports: Mapping[str, Mapping[str, int]] | None) -> Task:
+        fencing = self._lease.fencing
         for _ in range(2):
-            condition = RowCondition(DUTY_TABLE, DUTY_KEY, self._version or 0)
-            write = RowWrite(DUTY_TABLE, DUTY_KEY, _encode(state))
-            outcome = yield from self._store.transact(DUTY_PART, (condition,), (write,))
-            if outcome.ok:
-                self._version, self.state = outcome.version, state
-                return True
-            row = next((each for each in outcome.rows if each.key == DUTY_KEY), None)
-            self._version = row.version if row is not None else 0
-            self.state = _decode(row)
-            if not self._is_mine(self.state, state.fencing):
+            state = self.state if reports is None else replace(self.state, reports=reports)
+            sent_at = self._now()
+            if (yield from self._write(state)):
+                if self._lease is not None:
+                    self._lease = replace(self._lease, valid_until=sent_at + self._duration)
+                return self._lease is not None
+            if not self._is_mine(self.state, fencing):
+                self._log.warning("duty lease lost", fencing=fencing)
+                self._lease = None
+                self._evidence_at = self._now()
                 return False
+            # A write whose answer was lost has taken effect: what it stored stays as it is.
+            reports = None
+        return False
+
+    def _write(self, state: DutyState) -> Task:
+        """Write the row if it is as it was seen last; if not, take over what it holds now."""
+        condition = RowCondition(DUTY_TABLE, DUTY_KEY, self._version or 0)
+        write = RowWrite(DUTY_TABLE, DUTY_KEY, _encode(state))
+        outcome = yield from self._store.transact(DUTY_PART, (condition,), (write,))
+        if outcome.ok:
+            self._version, self.state = outcome.version, state
+            return True
+        row = next((each for each in outcome.rows if each.key == DUTY_KEY), None)
+        self._version = row.version if row is not None else 0
+        self.state = _decode(row)
         return False
 
     def _is_mine(self, found: DutyState, fencing: int) -> bool:
--- a/flamingofront/process/forwarding/tests/test_lease_fuzz.py
+++ b/flamingofront/process/forwarding/tests/test_lease_fuzz.py
@@ -8,6 +8,8 @@
 import random
 from dataclasses import replace
 
+import orjson
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -130,6 +132,66 @@
         assert not isinstance(third.call, _Write)
 
 
+class TestStoredReports:
+    def setup_method(self):
+        self.clock, self.store = Clock(), NaiveStore()
+        self.holder = Process(0, self.store, self.clock)
+        for _ in range(2):
+            self.holder.step(self.store.carry_out(self.holder.call))
+        assert self.holder.lease.held() is not None
+
+    def stored(self):
+        return orjson.loads(self.store.row.value)["reports"]
+
+    def renewal(self):
+        """Let the holder send its next renewal."""
+        self.clock.time = max(self.clock.time, self.holder.wake_at)
+        self.holder.step(None)
+        assert isinstance(self.holder.call, _Write)
+
+    def record(self, reports):
+        """Store reports; return the outcome, and None if the call must wait for its answer."""
+        task = self.holder.lease.renew(reports)
+        try:
+            return task, next(task)
+        except StopIteration as exc:
+            return exc.value, None
+
+    def test_renewal_in_flight_does_not_undo_reports(self):
+        self.renewal()
+        task, call = self.record({"7": {"desk": 3}})
+        if call is None:
+            assert task is False
+        else:
+            answer = self.store.carry_out(call)
+            try:
+                task.send(answer)
+            except StopIteration as exc:
+                assert exc.value is True
+        while isinstance(self.holder.call, _Write):
+            self.holder.step(self.store.carry_out(self.holder.call))
+        if call is not None:
+            assert self.stored() == {"7": {"desk": 3}}
+        else:
+            task, call = self.record({"7": {"desk": 3}})
+            with pytest.raises(StopIteration):
+                task.send(self.store.carry_out(call))
+            assert self.stored() == {"7": {"desk": 3}}
+
+    def test_reports_whose_answer_was_lost_stay_as_they_were_stored(self):
+        task, call = self.record({"7": {"desk": 3}})
+        self.store.carry_out(call)
+        with pytest.raises(PlatformError):
+            task.throw(PlatformError("timeout", maybe_done=True))
+        task, call = self.record({"7": {"desk": 4}})
+        with pytest.raises(StopIteration):
+            while True:
+                call = task.send(self.store.carry_out(call))
+        assert self.stored() == {"7": {"desk": 3}}
+        assert self.holder.lease.state.reports == {"7": {"desk": 3}}
+        assert self.holder.lease.held() is not None
+
+
 class LeaseMachine(RuleBasedStateMachine):
     """Processes that take, renew and lose one lease."""
 
