A request read at the moment of the close of its idle connection is not passed on

The test fails without the change. Ruled out: waiting longer before idle connections are closed (the same can happen at any time).

--- a/flamingofront/connection/server.py
+++ b/flamingofront/connection/server.py
@@ -389,7 +389,9 @@
     @handler("read")
     def _on_read(self, sock, data) -> None:
         conn = self._connections.get(sock)
-        if conn is not None:
+        # Bytes that were read just before the connection was closed wait as an event. A request in
+        # them could not be answered, so it is not begun; its caller sees that it was not taken.
+        if conn is not None and sock.fileno() >= 0:
             conn.receive(data)
 
     @handler("disconnect")
--- a/flamingofront/connection/tests/test_server.py
+++ b/flamingofront/connection/tests/test_server.py
@@ -235,6 +235,26 @@
 
 
 class TestStoppingServer:
+    def test_request_that_was_read_but_not_handled_at_the_close_is_not_passed_on(self, server):
+        """Its bytes wait as an event while the idle connection is closed."""
+        conn = socket.create_connection(("127.0.0.1", server.port), WAIT_SECONDS)
+        conn.settimeout(WAIT_SECONDS)
+        conn.sendall(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert conn.recv(4096)
+        holds, done = server.holds, threading.Event()
+
+        def close_and_read():
+            sockets = [each for each, state in server.server._connections.items() if state.idle]
+            server.server.close_idle()
+            for sock in sockets:
+                server.server._on_read(sock, b"GET /hold HTTP/1.1\r\nHost: x\r\n\r\n")
+            done.set()
+
+        server.act(close_and_read)
+        assert done.wait(WAIT_SECONDS)
+        assert server.holds == holds
+        conn.close()
+
     def test_answers_end_their_connection(self, server, request):
         conn = socket.create_connection(("127.0.0.1", server.port), WAIT_SECONDS)
         conn.settimeout(WAIT_SECONDS)
