--- a/bench/platform_mutations.py
+++ b/bench/platform_mutations.py
@@ -107,7 +107,7 @@
         "process/forwarding/duty.py",
         "outcome = yield from self._store.transact(DUTY_PART, (condition,), (write,))",
         "condition = RowCondition(DUTY_TABLE, DUTY_KEY, (yield from self._store.read(DUTY_TABLE,"
-        " DUTY_PART)).version)\n            "
+        " DUTY_PART)).version)\n        "
         "outcome = yield from self._store.transact(DUTY_PART, (condition,), (write,))",
         FUZZ,
     ),
--- a/flamingofront/platform/settings.py
+++ b/flamingofront/platform/settings.py
@@ -65,7 +65,6 @@
         lease_seconds=fields.number("bounds.lease_ms", 3000.0) / 1000,
         usage_window=fields.number("bounds.usage_window_s", 5.0),
         usage_due=fields.number("bounds.usage_late_s", 10.0),
-        # How late an endpoint's row may come back after the store was away.
         quota_window=fields.number("bounds.quota_window_s", 8.0),
         quota_allowance=fields.number("bounds.quota_slack", 0.0),
     )
