--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -63,7 +63,7 @@
     Mutation(
         "3 adoption of jobs",
         "request/jobs.py",
-        "        yield from take_job(platform, request_id, old_owner, new_owner)\n\n\ndef owned",
+        "        yield from take_job(documents, request_id, old_owner, new_owner)\n\n\ndef owned",
         "        yield from ()\n\n\ndef owned",
         "request/tests/test_reclaims.py",
     ),
@@ -123,6 +123,13 @@
         "Condition(HEAD_KEY, head.revision),",
         "version/tests/test_commit.py",
     ),
+    Mutation(
+        "6 operation id read after the configuration",
+        "version/commit.py",
+        "read([HEAD_KEY, DOCUMENT_KEY, operation_key])\n        head, document, done = rows",
+        "read([operation_key, HEAD_KEY, DOCUMENT_KEY])\n        done, head, document = rows",
+        "version/tests/test_commit.py",
+    ),
     Mutation(
         "6 ready only with a known revision",
         "process/node.py",
--- a/flamingofront/daemon.py
+++ b/flamingofront/daemon.py
@@ -12,11 +12,14 @@
 from flamingofront.connection.runtime import Runtime
 from flamingofront.connection.server import HTTPServer, ServerLimits
 from flamingofront.errors import SettingsError
+from flamingofront.platform.objects import PlatformObjectStore
+from flamingofront.platform.store import PlatformTableStore
+from flamingofront.process.documents import DocumentStore
 from flamingofront.process.logs import Log, set_up_logs
 from flamingofront.process.node import EntryNode
 from flamingofront.process.settings import EntrySettings, resolve_settings
 
-__all__ = ["EntryDaemon", "main"]
+__all__ = ["EntryDaemon", "documents_at", "main"]
 
 EXIT_BAD_SETTINGS = 2
 CONTROL_MAX_BODY = 32 * 1024 * 1024
@@ -39,6 +42,7 @@
         client = HTTPClient(self.runtime.timers).register(self.runtime)
         self.node = EntryNode(
             settings,
+            documents_at(str(settings.platform), settings.platform_timeout),
             client,
             self.runtime.timers,
             random.Random(),
@@ -93,6 +97,13 @@
         self.runtime.run()
 
 
+def documents_at(address: str, timeout: float) -> DocumentStore:
+    """Return the documents in the platform's store at ``IP:PORT``; `timeout` is in seconds."""
+    return DocumentStore(
+        PlatformTableStore(address, timeout), PlatformObjectStore(address, timeout)
+    )
+
+
 def _incarnation() -> int:
     """Return the start of this process, in milliseconds since the epoch.
 
@@ -124,7 +135,6 @@
     default_deadline: str | None = None,
     max_body: str | None = None,
     log_level: str | None = None,
-    fleet: str | None = None,
 ) -> None:
     """Serve requests on an entry VM.
 
@@ -150,7 +160,6 @@
     :param default_deadline: if the caller names none, default 120
     :param max_body: largest request body, default 8388608
     :param log_level: debug, info, warning or error, default info
-    :param fleet: on: take part in renting VMs by lease, default off
     """
     flags = {name: value for name, value in locals().items() if value is not None}
     try:
--- a/flamingofront/platform/cloud.py
+++ b/flamingofront/platform/cloud.py
@@ -5,7 +5,8 @@
 import orjson
 
 from flamingofront.messages import OutboundCall
-from flamingofront.platform.store import JSON_HEADERS, STATUS_OK, ask
+from flamingofront.platform.store import JSON_HEADERS, STATUS_OK
+from flamingofront.process.calls import ask
 from flamingofront.process.store import Cloud, EndpointOrder, UsageReport
 from flamingofront.process.tasks import Task
 
--- a/flamingofront/platform/store.py
+++ b/flamingofront/platform/store.py
@@ -8,7 +8,8 @@
 import orjson
 
 from flamingofront.errors import PlatformError
-from flamingofront.messages import CallFailed, OutboundCall, WholeResponse
+from flamingofront.messages import OutboundCall, WholeResponse
+from flamingofront.process.calls import ask
 from flamingofront.process.store import (
     HistoryLostError,
     RowChanges,
@@ -21,34 +22,14 @@
 )
 from flamingofront.process.tasks import Task
 
-__all__ = ["PlatformTableStore", "ask"]
+__all__ = ["PlatformTableStore"]
 
 STATUS_OK = 200
 STATUS_CONDITION_FAILED = 412
 STATUS_HISTORY_LOST = 410
-# Answers that promise that nothing was done.
-REFUSED_STATUSES = (429, 503)
 JSON_HEADERS = (("Content-Type", "application/json"),)
 
 
-def ask(call: OutboundCall, is_write: bool, allowed: tuple[int, ...]) -> Task:
-    """Send a call and return its response.
-
-    Raises
-    ------
-    PlatformError
-        If there is no answer or one that is not allowed.
-    """
-    reply = yield call
-    where = f"{call.method} {call.path.split('?')[0]}"
-    if isinstance(reply, CallFailed):
-        raise PlatformError(f"{where}: {reply.reason}", maybe_done=is_write and reply.wrote)
-    if reply.status not in allowed:
-        refused = reply.status in REFUSED_STATUSES
-        raise PlatformError(f"{where}: status {reply.status}", maybe_done=is_write and not refused)
-    return reply
-
-
 class PlatformTableStore(TableStore):
     """The platform's table store.
 
@@ -64,11 +45,14 @@
         self._address = address
         self._timeout = timeout
 
-    def read(self, table: str, part: str = "", first: str = "") -> Task:
+    def read(
+        self, table: str, part: str = "", first: str = "", end: str = "", limit: int = 0
+    ) -> Task:
         """Return the rows of a table's part from key `first` on."""
         query = {"table": table, "part": part}
-        if first:
-            query["from"] = first
+        # The range excludes the key ``to``.
+        bounds = {"from": first, "to": end, "limit": limit}
+        query.update({name: value for name, value in bounds.items() if value})
         call = self._get("/api/rows-get", query, self._timeout)
         reply = yield from ask(call, False, (STATUS_OK,))
         doc = _body(reply)
@@ -102,8 +86,13 @@
                     "value": base64.b64encode(each.value).decode(),
                 }
                 for each in writes
+                if each.value is not None
+            ],
+            "remove": [
+                {"table": each.table, "part": part, "key": each.key}
+                for each in writes
+                if each.value is None
             ],
-            "remove": [],
         }
         call = OutboundCall(
             self._address,
--- /dev/null
+++ b/flamingofront/process/documents.py
@@ -0,0 +1,179 @@
+"""JSON documents by key: what the entry processes keep in the platform's store.
+
+A document is a row of one table. One that is too large for a row is kept as an object, and its row
+names the object. Each operation is a generator for `flamingofront.process.tasks`; a failed one
+raises `PlatformError`, whose `maybe_done` says whether a write may have taken effect.
+"""
+
+import hashlib
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+
+from flamingofront.errors import PlatformError
+from flamingofront.process.store import (
+    ObjectStore,
+    RowCondition,
+    RowWrite,
+    StoredRow,
+    TableStore,
+)
+from flamingofront.process.tasks import Task
+
+__all__ = ["Condition", "Document", "DocumentStore", "TransactionResult", "Write"]
+
+DOCUMENT_TABLE = "flamingofront"
+# Largest row of the users' platform, in bytes before its encoding.
+ROW_BYTES = 65_536
+# Fields of a row: the document itself, or the name of the object that holds it.
+VALUE_FIELD = "value"
+OBJECT_FIELD = "object"
+DIGEST_BYTES = 16
+
+
+@dataclass(frozen=True)
+class Document:
+    """One document; revision 0 means that there is none.
+
+    Parameters
+    ----------
+    object_name : str
+        Object that holds the document; empty if its row does.
+    """
+
+    key: str
+    value: Any = None
+    revision: int = 0
+    object_name: str = ""
+
+
+@dataclass(frozen=True)
+class Condition:
+    """Requirement that a document has exactly this revision; 0 requires its absence."""
+
+    key: str
+    revision: int
+
+
+@dataclass(frozen=True)
+class Write:
+    """New value of a document; None deletes it."""
+
+    key: str
+    value: Any
+
+
+@dataclass(frozen=True)
+class TransactionResult:
+    """Outcome of a transaction that the store answered.
+
+    Parameters
+    ----------
+    ok : bool
+        True if all conditions held and all writes took effect.
+    """
+
+    ok: bool
+
+
+def _prefix_end(prefix: str) -> str:
+    """Return the first key behind all keys that begin with an ASCII prefix."""
+    return prefix[:-1] + chr(ord(prefix[-1]) + 1)
+
+
+class DocumentStore:
+    """Documents in a table store and an object store.
+
+    Parameters
+    ----------
+    row_bytes : int
+        Largest row; a larger document is kept as an object.
+    """
+
+    def __init__(self, tables: TableStore, objects: ObjectStore, row_bytes: int = ROW_BYTES):
+        self._tables = tables
+        self._objects = objects
+        self._row_bytes = row_bytes
+
+    def read(self, keys: Iterable[str]) -> Task:
+        """Read documents one after the other, in this order; return a `Document` for each key.
+
+        Notes
+        -----
+        They are not of one moment: a caller that needs that repeats what it read as conditions of
+        its transaction.
+        """
+        found = []
+        for key in keys:
+            # The range ends right behind the key, in byte order.
+            rows = yield from self._tables.read(DOCUMENT_TABLE, first=key, end=key + "\0", limit=1)
+            found.append((yield from self._document(rows.rows[0])) if rows.rows else Document(key))
+        return tuple(found)
+
+    def scan(self, prefix: str) -> Task:
+        """Read all documents whose key begins with `prefix`, in the order of their keys."""
+        end = _prefix_end(prefix)
+        part = yield from self._tables.read(DOCUMENT_TABLE, first=prefix, end=end)
+        rows = list(part.rows)
+        while part.truncated and part.rows:
+            first = part.rows[-1].key + "\0"
+            part = yield from self._tables.read(DOCUMENT_TABLE, first=first, end=end)
+            rows += part.rows
+        found = []
+        for row in rows:
+            found.append((yield from self._document(row)))
+        return tuple(found)
+
+    def transact(self, conditions: Iterable[Condition], writes: Sequence[Write]) -> Task:
+        """Write all documents if all conditions hold; return the `TransactionResult`."""
+        rows = []
+        for write in writes:
+            rows.append(RowWrite(DOCUMENT_TABLE, write.key, (yield from self._encoded(write))))
+        required = [RowCondition(DOCUMENT_TABLE, each.key, each.revision) for each in conditions]
+        outcome = yield from self._tables.transact("", required, rows)
+        return TransactionResult(outcome.ok)
+
+    def drop_object(self, document: Document) -> Task:
+        """Remove the object of a document that was deleted or replaced, if it had one."""
+        if document.object_name:
+            yield from self._objects.drop(document.object_name)
+
+    def _encoded(self, write: Write) -> Task:
+        """Return a document's row; store its object first if it needs one."""
+        if write.value is None:
+            return None
+        data = orjson.dumps({VALUE_FIELD: write.value})
+        if len(data) <= self._row_bytes:
+            return data
+        digest = hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
+        name = f"{write.key}/{digest}"
+        try:
+            yield from self._objects.put(name, data)
+        except PlatformError as exc:
+            # An object alone changes nothing: the transaction was not sent.
+            raise PlatformError(str(exc), maybe_done=False) from exc
+        return orjson.dumps({OBJECT_FIELD: name})
+
+    def _document(self, row: StoredRow) -> Task:
+        body = _decoded(row.key, row.value or b"")
+        name = body.get(OBJECT_FIELD, "")
+        if not name:
+            return Document(row.key, body.get(VALUE_FIELD), row.version)
+        data = yield from self._objects.get(name)
+        if data is None:
+            # Replaced since the row was read, or removed with it: to be read again.
+            raise PlatformError(f"the object of document {row.key} is gone")
+        value = _decoded(row.key, data).get(VALUE_FIELD)
+        return Document(row.key, value, row.version, name)
+
+
+def _decoded(key: str, data: bytes) -> dict[str, Any]:
+    try:
+        body = orjson.loads(data)
+    except orjson.JSONDecodeError as exc:
+        raise PlatformError(f"document {key} is malformed: {exc}") from exc
+    if not isinstance(body, dict):
+        raise PlatformError(f"document {key} is malformed: not a JSON object")
+    return body
--- a/flamingofront/process/expiry.py
+++ b/flamingofront/process/expiry.py
@@ -1,4 +1,4 @@
-"""Remove rows of the table service when their time is over.
+"""Remove documents when their time is over.
 
 A row that is kept for a stated time gets a second row in the same transaction, under the hour of
 its end. The sweeper scans the hours that have passed, so its cost follows what ends, not what is
@@ -11,7 +11,7 @@
 
 from flamingofront.errors import PlatformError
 from flamingofront.messages import Sleep
-from flamingofront.process.platform import Condition, Platform, Row, Write
+from flamingofront.process.documents import Condition, Document, DocumentStore, Write
 from flamingofront.process.tasks import Task
 
 __all__ = ["KEPT_SECONDS", "Sweeper", "expiry_write"]
@@ -54,12 +54,12 @@
 
     def __init__(
         self,
-        platform: Platform,
+        documents: DocumentStore,
         wall: Callable[[], float],
         is_mine: Callable[[], bool],
         rng: random.Random,
     ):
-        self._platform = platform
+        self._documents = documents
         self._wall = wall
         self._is_mine = is_mine
         self._rng = rng
@@ -80,17 +80,19 @@
         """Remove the rows of all hours that have passed."""
         last = int(self._wall() // HOUR_SECONDS)
         for hour in range(last - SWEPT_HOURS, last + 1):
-            index = yield from self._platform.scan(_hour_prefix(hour))
+            index = yield from self._documents.scan(_hour_prefix(hour))
             for entry in index:
                 yield from self._remove(entry, entry.key[len(_hour_prefix(hour)) :])
 
-    def _remove(self, entry: Row, key: str) -> Task:
+    def _remove(self, entry: Document, key: str) -> Task:
         """Remove one row and its index entry, unless the row was given more time."""
-        (row,) = yield from self._platform.read([key])
+        (row,) = yield from self._documents.read([key])
         expired = row.value is not None and row.value.get(UNTIL_FIELD, math.inf) <= self._wall()
         conditions = (Condition(key, row.revision),)
         writes = [Write(entry.key, None)]
         if expired:
             writes.append(Write(key, None))
-        result = yield from self._platform.transact(conditions, writes)
-        self.removed += result.ok and expired
+        result = yield from self._documents.transact(conditions, writes)
+        if result.ok and expired:
+            self.removed += 1
+            yield from self._documents.drop_object(row)
--- a/flamingofront/process/leases.py
+++ b/flamingofront/process/leases.py
@@ -12,7 +12,7 @@
 
 from flamingofront.errors import PlatformError
 from flamingofront.messages import Sleep
-from flamingofront.process.platform import Condition, Platform, Row, Write
+from flamingofront.process.documents import Condition, Document, DocumentStore, Write
 from flamingofront.process.tasks import Task
 
 __all__ = ["Lease", "LeaseKeeper", "LeaseView"]
@@ -46,7 +46,7 @@
     Parameters
     ----------
     name : str
-        Duty and zone, for example ``fleet/zone-a``.
+        Duty and zone, for example ``models/zone-a``.
     holder : str
         Identity of this process: VM id and incarnation.
     duration : float
@@ -58,7 +58,7 @@
 
     def __init__(
         self,
-        platform: Platform,
+        documents: DocumentStore,
         name: str,
         holder: str,
         now: Callable[[], float],
@@ -67,14 +67,14 @@
         wait_extra: float = 2.0,
     ):
         self.name = name
-        self._platform = platform
+        self._documents = documents
         self._holder = holder
         self._now = now
         self._rng = rng
         self._duration = duration
         self._wait_extra = wait_extra
         self._lease: Lease | None = None
-        self._seen: Row | None = None
+        self._seen: Document | None = None
         self._seen_since = 0.0
 
     @property
@@ -106,7 +106,7 @@
 
     def step(self) -> Task:
         """Read the row and renew or take the lease if that is right."""
-        (row,) = yield from self._platform.read([LEASE_PREFIX + self.name])
+        (row,) = yield from self._documents.read([LEASE_PREFIX + self.name])
         self._observe(row)
         if row.value is not None and row.value["holder"] == self._holder:
             if self._lease is not None and row.value["fencing"] == self._lease.fencing:
@@ -120,20 +120,20 @@
             fencing = row.value["fencing"] + 1 if row.value else 1
             yield from self._write(row, fencing)
 
-    def _observe(self, row: Row) -> None:
+    def _observe(self, row: Document) -> None:
         if self._seen is None or row.revision != self._seen.revision:
             self._seen = row
             self._seen_since = self._now()
 
-    def _is_free(self, row: Row) -> bool:
+    def _is_free(self, row: Document) -> bool:
         if row.value is None or row.value["holder"] == "":
             return True
         return self._now() - self._seen_since >= self._duration + self._wait_extra
 
-    def _write(self, row: Row, fencing: int) -> Task:
+    def _write(self, row: Document, fencing: int) -> Task:
         sent_at = self._now()
         value = {"holder": self._holder, "fencing": fencing}
-        result = yield from self._platform.transact(
+        result = yield from self._documents.transact(
             (Condition(row.key, row.revision),), (Write(row.key, value),)
         )
         if result.ok:
@@ -147,11 +147,11 @@
         if lease is None:
             return
         try:
-            (row,) = yield from self._platform.read([LEASE_PREFIX + self.name])
+            (row,) = yield from self._documents.read([LEASE_PREFIX + self.name])
             if row.value is None or row.value["holder"] != self._holder:
                 return
             value = {"holder": "", "fencing": row.value["fencing"]}
-            yield from self._platform.transact(
+            yield from self._documents.transact(
                 (Condition(row.key, row.revision),), (Write(row.key, value),)
             )
         except PlatformError:
--- a/flamingofront/process/node.py
+++ b/flamingofront/process/node.py
@@ -12,9 +12,9 @@
 from flamingofront.messages import InboundRequest
 from flamingofront.process.control import ControlInterface, respond_json
 from flamingofront.process.dissemination import Dissemination, Push
+from flamingofront.process.documents import DocumentStore
 from flamingofront.process.drain import DrainController, DrainState
 from flamingofront.process.expiry import Sweeper
-from flamingofront.process.fleet_duty import FleetDuty
 from flamingofront.process.leases import LeaseKeeper
 from flamingofront.process.limits import SharedLimits
 from flamingofront.process.logs import Log
@@ -24,12 +24,12 @@
 from flamingofront.process.operators import OperatorService
 from flamingofront.process.orders import EndpointOrders
 from flamingofront.process.peers import PeerLinks
-from flamingofront.process.platform import Platform
 from flamingofront.process.rows import LocalRows
 from flamingofront.process.settings import EntrySettings
 from flamingofront.process.status import StatusRecord
 from flamingofront.process.tasks import Task, TaskRunner
 from flamingofront.process.timers import TimerService
+from flamingofront.process.vm_list import VmList
 from flamingofront.process.watch import EndpointWatch, PlatformWatch
 from flamingofront.request.directory import EndpointDirectory
 from flamingofront.request.gateway import Gateway
@@ -45,7 +45,6 @@
 NOTICE_MARGIN_SECONDS = 4.0
 DEFAULT_NOTICE_SECONDS = 10.0
 MIN_READY_EXCHANGES = 1
-FLEET_PERIOD_SECONDS = 10.0
 
 
 class EntryNode:
@@ -55,6 +54,8 @@
     ----------
     settings : EntrySettings
         Checked settings.
+    documents : DocumentStore
+        What all entry processes keep in the platform's store.
     incarnation : int
         Start of the process; higher than that of any earlier process on this VM.
     on_exit : callable
@@ -64,6 +65,7 @@
     def __init__(
         self,
         settings: EntrySettings,
+        documents: DocumentStore,
         transport: Transport,
         timers: TimerService,
         rng: random.Random,
@@ -81,7 +83,7 @@
         self._exiting = False
         self._sequence = 0
         self._exchanges = 0
-        self.platform = Platform(str(settings.platform), settings.platform_timeout)
+        self.documents = documents
         self.tasks = TaskRunner(transport, timers, self._fault)
         self._headers = _peer_headers(settings.control_token)
         self._build_membership(incarnation)
@@ -138,7 +140,7 @@
         self.keyed = KeyedRequests(
             settings.vm_id,
             self.hub,
-            self.platform,
+            self.documents,
             self.tasks,
             self._rng,
             self.members.is_gone,
@@ -146,7 +148,7 @@
         )
         self.reattachment = Reattachment(
             self.hub,
-            self.platform,
+            self.documents,
             self.tasks,
             transport,
             lambda request_id: self.members.holders(request_id, self.hub.moved_to.get(request_id)),
@@ -155,7 +157,7 @@
         self.gateway = Gateway(
             settings.vm_id,
             self.hub,
-            self.platform,
+            self.documents,
             self.tasks,
             self.keyed,
             self.reattachment,
@@ -165,7 +167,7 @@
             self._refusal,
         )
         self.inheritance = Inheritance(
-            settings.vm_id, self.hub, self.platform, self.tasks, self.keyed, self.limits.share_of
+            settings.vm_id, self.hub, self.documents, self.tasks, self.keyed, self.limits.share_of
         )
         self.migrations = Migrations(self.hub, self.tasks, self.members.address_of)
         self.drain = DrainController(
@@ -184,7 +186,8 @@
     def _build_watches(self) -> None:
         settings = self.settings
         self.watch = PlatformWatch(
-            self.platform,
+            self.documents,
+            VmList(str(settings.platform), settings.platform_timeout),
             self.gossip,
             self.tasks,
             self.timers,
@@ -206,7 +209,7 @@
         self.rows = LocalRows(self)
         self.operators = OperatorService(
             self.gossip,
-            self.platform,
+            self.documents,
             self.tasks,
             self.timers,
             self.links,
@@ -229,50 +232,22 @@
     def _build_duties(self, incarnation: int) -> None:
         settings = self.settings
         holder = f"{settings.vm_id}/{incarnation}"
-        self.leases = [
-            LeaseKeeper(
-                self.platform,
-                f"{duty}/{settings.zone}",
-                holder,
-                self.timers.now,
-                self._rng,
-                settings.lease_duration,
-            )
-            for duty in ("models", "fleet")
-            if duty != "fleet" or settings.fleet == "on"
-        ]
-        self.orders = EndpointOrders(
-            self.leases[0], self.platform, self.gossip, self.tasks, self.metrics
+        self.lease = LeaseKeeper(
+            self.documents,
+            f"models/{settings.zone}",
+            holder,
+            self.timers.now,
+            self._rng,
+            settings.lease_duration,
         )
+        self.orders = EndpointOrders(self.lease, self.gossip, self.tasks, self.metrics)
         self.sweeper = Sweeper(
-            self.platform,
+            self.documents,
             self.timers.wall,
-            lambda: self.leases[0].current() is not None,
-            self._rng,
-        )
-        self.fleet = self._make_fleet() if settings.fleet == "on" else None
-
-    def _make_fleet(self) -> FleetDuty:
-        return FleetDuty(
-            self.settings.zone,
-            self.leases[1],
-            self.platform,
-            self.tasks,
-            self.metrics,
+            lambda: self.lease.current() is not None,
             self._rng,
-            self.timers.now,
-            lambda: self.gossip.configuration,
-            self._service_demand,
-            self.directory.load_of,
-            lambda vm_id: self.mark(vm_id, VmState.LEAVING),
         )
 
-    def _service_demand(self, service: str) -> float:
-        """Return the requests that the endpoints of a service run, and those that wait here."""
-        facts = self.gossip.facts.select(Role.ENDPOINT)
-        loads = [self.directory.load_of(each.vm_id) for each in facts if each.service == service]
-        return sum(loads) + self.hub.waiting()
-
     def advertise(self, address: str) -> None:
         """Tell peers another control address; to be called before `start`."""
         self.gossip.set_address(address)
@@ -283,12 +258,9 @@
         self.inheritance.reclaim_own()
         self.timers.every(self.settings.gossip_period, self._gossip_round)
         self.timers.every(self.settings.load_period, self.endpoint_watch.poll)
-        for lease in self.leases:
-            self.tasks.start(lease.run())
+        self.tasks.start(self.lease.run())
         self.tasks.start(self.sweeper.run())
         self.timers.every(self.settings.lease_duration / 2, self.orders.step)
-        if self.fleet is not None:
-            self.timers.every(FLEET_PERIOD_SECONDS, self.fleet.step)
         self.log.info("started", zone=self.settings.zone)
 
     def _fault(self, exc: Exception) -> None:
@@ -341,8 +313,7 @@
             self._leave()
 
     def _leave(self) -> None:
-        for lease in self.leases:
-            self.tasks.start(lease.release())
+        self.tasks.start(self.lease.release())
         # Time for the releases, the last pushes and the last bytes to callers.
         self.timers.once(0.3, self._on_exit)
 
--- a/flamingofront/process/operators.py
+++ b/flamingofront/process/operators.py
@@ -12,9 +12,9 @@
 from flamingofront.errors import CommandError, ErrorKind, RequestError
 from flamingofront.messages import InboundRequest
 from flamingofront.process.dissemination import Dissemination
+from flamingofront.process.documents import DocumentStore
 from flamingofront.process.expiry import KEPT_SECONDS
 from flamingofront.process.peers import PeerLinks
-from flamingofront.process.platform import Platform
 from flamingofront.process.tasks import TaskRunner
 from flamingofront.process.timers import TimerService
 from flamingofront.version.commit import CommitOutcome, CommitState, commit, settle
@@ -104,7 +104,7 @@
     def __init__(
         self,
         dissemination: Dissemination,
-        platform: Platform,
+        documents: DocumentStore,
         tasks: TaskRunner,
         timers: TimerService,
         links: PeerLinks,
@@ -113,7 +113,7 @@
         on_configuration: Callable[[Configuration], None],
     ):
         self._gossip = dissemination
-        self._platform = platform
+        self._documents = documents
         self._tasks = tasks
         self._timers = timers
         self._links = links
@@ -147,7 +147,7 @@
         if base is None:
             base = self._gossip.configuration.revision
         task = commit(
-            self._platform,
+            self._documents,
             edits,
             base,
             data["operator"],
@@ -164,7 +164,7 @@
         _respond_outcome(outcome, exchange)
 
     def _settle(self, statement: Settle, operator: str, exchange: Exchange) -> None:
-        task = settle(self._platform, statement.operation, operator, self._rng)
+        task = settle(self._documents, statement.operation, operator, self._rng)
         self._tasks.start(task, lambda outcome: _respond_outcome(outcome, exchange))
 
     def _query(self, query: Query, exchange: Exchange) -> None:
--- a/flamingofront/process/orders.py
+++ b/flamingofront/process/orders.py
@@ -7,13 +7,11 @@
 
 import orjson
 
-from flamingofront.errors import PlatformError
 from flamingofront.messages import CallFailed, OutboundCall
 from flamingofront.process.dissemination import Dissemination
 from flamingofront.process.leases import LeaseKeeper
 from flamingofront.process.membership import Fact, Role
 from flamingofront.process.metrics import Metrics
-from flamingofront.process.platform import Platform
 from flamingofront.process.tasks import Reply, Task, TaskRunner
 from flamingofront.version.model import ServiceKind
 
@@ -29,13 +27,11 @@
     def __init__(
         self,
         lease: LeaseKeeper,
-        platform: Platform,
         dissemination: Dissemination,
         tasks: TaskRunner,
         metrics: Metrics,
     ):
         self._lease = lease
-        self._platform = platform
         self._gossip = dissemination
         self._tasks = tasks
         self._metrics = metrics
@@ -63,9 +59,7 @@
             return
         if orjson.loads(reply.body)["model"] == model:
             return
-        if not (yield from self._may_load(model)):
-            return
-        # The lease may have lapsed during the questions; it counts at the moment of the order.
+        # The lease may have lapsed during the question; it counts at the moment of the order.
         lease = self._lease.current()
         if lease is None:
             self._metrics.count("orders_total", kind="load", result="lease_lapsed")
@@ -81,17 +75,6 @@
         )
         self._metrics.count("orders_total", kind="load", result=_result_of(reply))
 
-    def _may_load(self, model: str) -> Task:
-        """Ask the weight store for its permit: a load that it refuses would block the engine."""
-        try:
-            wait = yield from self._platform.weights(model)
-        except PlatformError:
-            self._metrics.count("platform_errors_total", operation="weights")
-            return False
-        if wait > 0:
-            self._metrics.count("orders_total", kind="load", result="weight_store_busy")
-        return wait <= 0
-
 
 def _result_of(reply: Reply) -> str:
     if isinstance(reply, CallFailed):
--- a/flamingofront/process/rows.py
+++ b/flamingofront/process/rows.py
@@ -155,7 +155,7 @@
         return rows
 
     def _leases(self) -> Rows:
-        views = [lease.view() for lease in self._node.leases]
+        views = [self._node.lease.view()]
         return [
             {
                 "lease": view.name,
--- a/flamingofront/process/settings.py
+++ b/flamingofront/process/settings.py
@@ -89,12 +89,6 @@
     return text
 
 
-def _on_or_off(text: str) -> str:
-    if text not in ("on", "off"):
-        raise ValueError("must be on or off")
-    return text
-
-
 def _text(text: str) -> str:
     return text
 
@@ -132,7 +126,6 @@
     default_deadline: float = _setting(_seconds(0.1, 86400), 120.0, "if the caller names none")
     max_body: int = _setting(_whole(1024, 1 << 30), 8 << 20, "largest request body")
     log_level: str = _setting(_level, "info", "debug, info, warning or error")
-    fleet: str = _setting(_on_or_off, "off", "on: take part in renting VMs by lease")
 
 
 REQUIRED = ("vm_id", "zone", "platform")
--- a/flamingofront/process/store.py
+++ b/flamingofront/process/store.py
@@ -1,4 +1,4 @@
-"""What the product needs of the platform, as abstract classes: table store and cloud.
+"""What the product needs of the platform, as abstract classes: table store, object store, cloud.
 
 An implementation translates to a platform's own names and formats and decides nothing. Each
 operation is a generator for `flamingofront.process.tasks`.
@@ -15,6 +15,7 @@
     "Cloud",
     "EndpointOrder",
     "HistoryLostError",
+    "ObjectStore",
     "RowChanges",
     "RowCondition",
     "RowRange",
@@ -69,11 +70,11 @@
 
 @dataclass(frozen=True)
 class RowWrite:
-    """New value of a row."""
+    """New value of a row; None deletes it."""
 
     table: str
     key: str
-    value: bytes
+    value: bytes | None
 
 
 @dataclass(frozen=True)
@@ -89,8 +90,18 @@
     """Rows in tables, with conditional writes and a feed of changes."""
 
     @abstractmethod
-    def read(self, table: str, part: str = "", first: str = "") -> Task:
-        """Return the `RowRange` of a table's part from key `first` on."""
+    def read(
+        self, table: str, part: str = "", first: str = "", end: str = "", limit: int = 0
+    ) -> Task:
+        """Return the `RowRange` of a table's part from key `first` on.
+
+        Parameters
+        ----------
+        end : str
+            First key that is left out; empty for none.
+        limit : int
+            Largest number of rows; 0 for as many as the store returns at once.
+        """
 
     @abstractmethod
     def changes(self, table: str, after: int, wait: float) -> Task:
@@ -109,6 +120,22 @@
         """Write all rows if all conditions hold; return the `TransactionOutcome`."""
 
 
+class ObjectStore(ABC):
+    """Named objects, too large for a row."""
+
+    @abstractmethod
+    def put(self, name: str, data: bytes) -> Task:
+        """Store an object; the same bytes under the same name again have no further effect."""
+
+    @abstractmethod
+    def get(self, name: str) -> Task:
+        """Return the bytes of an object, None if there is none."""
+
+    @abstractmethod
+    def drop(self, name: str) -> Task:
+        """Remove an object; without effect if there is none."""
+
+
 @dataclass(frozen=True)
 class UsageReport:
     """Requests of each workspace that began to run in one window of the wall clock."""
--- /dev/null
+++ b/flamingofront/process/vm_list.py
@@ -0,0 +1,87 @@
+"""The platform's VM list and reclaim notices, as the entry processes of `EntryNode` read them.
+
+Each operation is a generator for `flamingofront.process.tasks`.
+"""
+
+from dataclasses import dataclass
+from urllib.parse import quote
+
+import orjson
+
+from flamingofront.messages import OutboundCall
+from flamingofront.process.calls import ask
+from flamingofront.process.tasks import Task
+
+__all__ = ["VmList", "VmRecord"]
+
+STATUS_OK = 200
+STATUS_NOT_MODIFIED = 304
+
+
+@dataclass(frozen=True)
+class VmRecord:
+    """One VM as the VM list tells it.
+
+    Parameters
+    ----------
+    role : str
+        ``entry`` or ``endpoint``.
+    state : str
+        ``live`` or ``leaving``.
+    price : float
+        Cost per hour.
+    """
+
+    vm_id: str
+    zone: str
+    role: str
+    address: str
+    state: str = "live"
+    service: str = ""
+    side: str = ""
+    vm_class: str = "standard"
+    reclaimable: bool = True
+    price: float = 1.0
+
+
+class VmList:
+    """VM list and reclaim notices.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT`` of the platform.
+    timeout : float
+        Seconds to wait for one answer.
+    """
+
+    def __init__(self, address: str, timeout: float = 2.0):
+        self._address = address
+        self._timeout = timeout
+        self._list: tuple[VmRecord, ...] = ()
+        self._list_tag = ""
+
+    def list_vms(self) -> Task:
+        """Return the VM list as a tuple of `VmRecord`; it may lag behind.
+
+        Notes
+        -----
+        The list is asked for with the tag of the last one, so that an unchanged list, the usual
+        case, costs a few bytes however long it is.
+        """
+        headers = (("If-None-Match", self._list_tag),) if self._list_tag else ()
+        call = self._get("/vms", headers)
+        reply = yield from ask(call, False, (STATUS_OK, STATUS_NOT_MODIFIED))
+        if reply.status == STATUS_OK:
+            self._list = tuple(VmRecord(**each) for each in orjson.loads(reply.body)["vms"])
+            self._list_tag = reply.headers.get("etag", "")
+        return self._list
+
+    def notices(self, zone: str) -> Task:
+        """Return the reclaim notices of a zone as a mapping from VM id to seconds left."""
+        call = self._get(f"/cloud/notices?zone={quote(zone)}")
+        reply = yield from ask(call, False, (STATUS_OK,))
+        return dict(orjson.loads(reply.body)["notices"])
+
+    def _get(self, path: str, headers: tuple[tuple[str, str], ...] = ()) -> OutboundCall:
+        return OutboundCall(self._address, "GET", path, b"", headers, self._timeout)
--- a/flamingofront/process/watch.py
+++ b/flamingofront/process/watch.py
@@ -14,12 +14,13 @@
 from flamingofront.errors import PlatformError
 from flamingofront.messages import CallFailed, OutboundCall, Sleep
 from flamingofront.process.dissemination import Dissemination
+from flamingofront.process.documents import DocumentStore
 from flamingofront.process.membership import Fact, Role, VmState
 from flamingofront.process.metrics import Metrics
-from flamingofront.process.platform import Platform, VmRecord
 from flamingofront.process.rendezvous import rank
 from flamingofront.process.tasks import Task, TaskRunner
 from flamingofront.process.timers import TimerService
+from flamingofront.process.vm_list import VmList, VmRecord
 from flamingofront.version.commit import load_configuration, load_revision
 from flamingofront.version.model import Configuration
 
@@ -112,7 +113,8 @@
 
     def __init__(
         self,
-        platform: Platform,
+        documents: DocumentStore,
+        vm_list: VmList,
         dissemination: Dissemination,
         tasks: TaskRunner,
         timers: TimerService,
@@ -125,7 +127,8 @@
         on_facts: Callable[[list[Fact]], None],
         on_gone: Callable[[str], None],
     ):
-        self._platform = platform
+        self._documents = documents
+        self._vm_list = vm_list
         self._gossip = dissemination
         self._tasks = tasks
         self._timers = timers
@@ -162,7 +165,7 @@
             yield Sleep(self._period * (0.9 + 0.2 * self._rng.random()))
 
     def _list_step(self) -> Task:
-        records = yield from self._platform.list_vms()
+        records = yield from self._vm_list.list_vms()
         self._on_facts(facts_of_list(records, self._gossip.facts.get))
         self._note_missing({each.vm_id for each in records})
 
@@ -183,15 +186,15 @@
 
     def read_notices(self, zone: str) -> Task:
         """Read the reclaim notices of a zone."""
-        notices = yield from self._platform.notices(zone)
+        notices = yield from self._vm_list.notices(zone)
         for vm_id, seconds in notices.items():
             self._on_notice(vm_id, seconds)
 
     def _revision_step(self) -> Task:
         try:
-            revision = yield from load_revision(self._platform)
+            revision = yield from load_revision(self._documents)
             if revision > self._gossip.configuration.revision:
-                cfg = yield from load_configuration(self._platform)
+                cfg = yield from load_configuration(self._documents)
                 self._on_configuration(cfg)
         except PlatformError:
             self.revision_read_failed = True
--- a/flamingofront/request/claims.py
+++ b/flamingofront/request/claims.py
@@ -14,10 +14,10 @@
 from flamingofront.errors import PlatformError
 from flamingofront.messages import Sleep
 from flamingofront.process.backoff import Backoff
+from flamingofront.process.documents import Condition, Document, DocumentStore, Write
 from flamingofront.process.expiry import expiry_write
-from flamingofront.process.platform import Condition, Platform, Row, Write
 from flamingofront.process.tasks import Task
-from flamingofront.request.stored_answer import StoredAnswer, load_answer, store_answer
+from flamingofront.request.stored_answer import StoredAnswer, answer_from_json, answer_to_json
 
 __all__ = [
     "ClaimDecision",
@@ -99,12 +99,8 @@
 
 
 def _judge(
-    platform: Platform,
-    row: Row,
-    request_id: str,
-    digest: str,
-    is_gone: Callable[[str], bool],
-) -> Task:
+    row: Document, request_id: str, digest: str, is_gone: Callable[[str], bool]
+) -> ClaimOutcome:
     """Return what a standing row means for this request."""
     value = row.value
     if value["digest"] != digest:
@@ -113,9 +109,7 @@
         return ClaimOutcome(ClaimDecision.GRANTED, value["owner"], request_id)
     state = ClaimState(value["state"])
     if state is ClaimState.DONE:
-        answer = yield from load_answer(platform, value["answer"])
-        if answer is None:
-            return ClaimOutcome(ClaimDecision.OUTCOME_UNKNOWN, request_id=value["request_id"])
+        answer = answer_from_json(value["answer"])
         return ClaimOutcome(ClaimDecision.ANSWERED, request_id=value["request_id"], answer=answer)
     if state is ClaimState.UNKNOWN or is_gone(value["owner"]):
         return ClaimOutcome(ClaimDecision.OUTCOME_UNKNOWN, value["owner"], value["request_id"])
@@ -139,7 +133,7 @@
 
 
 def claim(
-    platform: Platform,
+    documents: DocumentStore,
     key: ClaimKey,
     request_id: str,
     owner: str,
@@ -183,12 +177,12 @@
     maybe_left = False
     while True:
         try:
-            (row,) = yield from platform.read([key.row_key])
+            (row,) = yield from documents.read([key.row_key])
             if row.value is not None:
-                outcome = yield from _judge(platform, row, request_id, digest, is_gone)
+                outcome = _judge(row, request_id, digest, is_gone)
                 if not (yield from _may_take_over(outcome, ask_owner, repeatable)):
                     return outcome
-            result = yield from platform.transact(
+            result = yield from documents.transact(
                 (Condition(key.row_key, row.revision),), (Write(key.row_key, value),)
             )
             if result.ok:
@@ -217,7 +211,7 @@
 
 
 def finish_claim(
-    platform: Platform,
+    documents: DocumentStore,
     key: ClaimKey,
     request_id: str,
     answer: StoredAnswer | None,
@@ -233,15 +227,13 @@
     """
 
     def step() -> Task:
-        (row,) = yield from platform.read([key.row_key])
+        (row,) = yield from documents.read([key.row_key])
         if row.value is None or row.value["request_id"] != request_id:
             return True
         state = ClaimState.DONE if answer is not None else ClaimState.UNKNOWN
-        stored = None
-        if answer is not None:
-            stored = yield from store_answer(platform, f"answer/{request_id}", answer)
+        stored = answer_to_json(answer) if answer is not None else None
         value = {**row.value, "state": state.value, "answer": stored, "until": until}
-        result = yield from platform.transact(
+        result = yield from documents.transact(
             (Condition(row.key, row.revision),),
             (Write(row.key, value), expiry_write(row.key, until)),
         )
@@ -251,15 +243,15 @@
 
 
 def move_claim(
-    platform: Platform, key: ClaimKey, request_id: str, owner: str, rng: random.Random
+    documents: DocumentStore, key: ClaimKey, request_id: str, owner: str, rng: random.Random
 ) -> Task:
     """Become the owner of the claim of a request that was handed over; repeat until it stands."""
 
     def step() -> Task:
-        (row,) = yield from platform.read([key.row_key])
+        (row,) = yield from documents.read([key.row_key])
         if row.value is None or row.value["request_id"] != request_id:
             return True
-        result = yield from platform.transact(
+        result = yield from documents.transact(
             (Condition(row.key, row.revision),), (Write(row.key, {**row.value, "owner": owner}),)
         )
         return result.ok
@@ -268,7 +260,11 @@
 
 
 def release_claim(
-    platform: Platform, key: ClaimKey, request_id: str, rng: random.Random, settle: float = 0.0
+    documents: DocumentStore,
+    key: ClaimKey,
+    request_id: str,
+    rng: random.Random,
+    settle: float = 0.0,
 ) -> Task:
     """Remove the claim of a request that was certainly not run; repeat until it is gone.
 
@@ -279,10 +275,10 @@
     """
 
     def step() -> Task:
-        (row,) = yield from platform.read([key.row_key])
+        (row,) = yield from documents.read([key.row_key])
         if row.value is None or row.value["request_id"] != request_id:
             return True
-        result = yield from platform.transact(
+        result = yield from documents.transact(
             (Condition(row.key, row.revision),), (Write(row.key, None),)
         )
         return result.ok
--- a/flamingofront/request/gateway.py
+++ b/flamingofront/request/gateway.py
@@ -16,7 +16,7 @@
 from flamingofront.connection.server import JSON_HEADERS
 from flamingofront.errors import ErrorKind, PlatformError, Ran, RequestError
 from flamingofront.messages import InboundRequest
-from flamingofront.process.platform import Platform
+from flamingofront.process.documents import DocumentStore
 from flamingofront.process.tasks import Task, TaskRunner
 from flamingofront.request.active import ActiveRequest
 from flamingofront.request.admission import WorkspaceShare
@@ -82,7 +82,7 @@
         self,
         vm_id: str,
         hub: RequestHub,
-        platform: Platform,
+        documents: DocumentStore,
         tasks: TaskRunner,
         keyed: KeyedRequests,
         reattachment: Reattachment,
@@ -94,7 +94,7 @@
         self.configuration = Configuration()
         self._vm_id = vm_id
         self._hub = hub
-        self._platform = platform
+        self._documents = documents
         self._tasks = tasks
         self._keyed = keyed
         self._reattachment = reattachment
@@ -267,7 +267,7 @@
             else:
                 self._job_refused(request, outcome, exchange)
 
-        task = create_job(self._platform, record, self._vm_id, self._rng)
+        task = create_job(self._documents, record, self._vm_id, self._rng)
         self._tasks.start(_caught(task), created)
 
     def _job_accepted(self, request: ActiveRequest, exchange: Exchange) -> None:
--- a/flamingofront/request/inheritance.py
+++ b/flamingofront/request/inheritance.py
@@ -7,8 +7,8 @@
 from flamingofront.errors import ErrorKind, PlatformError, Ran, RequestError
 from flamingofront.messages import Sleep
 from flamingofront.process.backoff import Backoff
+from flamingofront.process.documents import DocumentStore
 from flamingofront.process.membership import Fact
-from flamingofront.process.platform import Platform
 from flamingofront.process.rendezvous import rank
 from flamingofront.process.tasks import Task, TaskRunner
 from flamingofront.request.active import ActiveRequest
@@ -38,14 +38,14 @@
         self,
         vm_id: str,
         hub: RequestHub,
-        platform: Platform,
+        documents: DocumentStore,
         tasks: TaskRunner,
         keyed: KeyedRequests,
         share_of: Callable[[str], WorkspaceShare],
     ):
         self._vm_id = vm_id
         self._hub = hub
-        self._platform = platform
+        self._documents = documents
         self._tasks = tasks
         self._keyed = keyed
         self._share_of = share_of
@@ -81,7 +81,7 @@
         tries = 0
         while True:
             try:
-                return (yield from take_job(self._platform, request_id, sender, self._vm_id))
+                return (yield from take_job(self._documents, request_id, sender, self._vm_id))
             except PlatformError:
                 yield Sleep(_BACKOFF.delay(tries, self._hub.rng))
                 tries += 1
@@ -114,8 +114,8 @@
         while True:
             try:
                 if vm_id != self._vm_id:
-                    yield from move_jobs(self._platform, vm_id, self._vm_id)
-                return (yield from owned_jobs(self._platform, self._vm_id))
+                    yield from move_jobs(self._documents, vm_id, self._vm_id)
+                return (yield from owned_jobs(self._documents, self._vm_id))
             except PlatformError:
                 yield Sleep(_BACKOFF.delay(tries, self._hub.rng))
                 tries += 1
--- a/flamingofront/request/jobs.py
+++ b/flamingofront/request/jobs.py
@@ -11,12 +11,12 @@
 from flamingofront.errors import PlatformError
 from flamingofront.messages import Sleep
 from flamingofront.process.backoff import Backoff
+from flamingofront.process.documents import Condition, Document, DocumentStore, Write
 from flamingofront.process.expiry import expiry_write
-from flamingofront.process.platform import Condition, Platform, Row, Write
 from flamingofront.process.tasks import Task
 from flamingofront.request.claims import repeat_until_done
 from flamingofront.request.records import RequestRecord
-from flamingofront.request.stored_answer import StoredAnswer, load_answer, store_answer
+from flamingofront.request.stored_answer import StoredAnswer, answer_from_json, answer_to_json
 
 __all__ = [
     "AdoptedJob",
@@ -77,7 +77,9 @@
     return f"{OWNER_PREFIX}{owner}/{request_id}"
 
 
-def create_job(platform: Platform, record: RequestRecord, owner: str, rng: random.Random) -> Task:
+def create_job(
+    documents: DocumentStore, record: RequestRecord, owner: str, rng: random.Random
+) -> Task:
     """Write a job before its caller is told that it was accepted.
 
     Raises
@@ -92,7 +94,7 @@
     detail = ""
     for tries in range(CREATE_TRIES):
         try:
-            result = yield from platform.transact((Condition(key, 0),), writes)
+            result = yield from documents.transact((Condition(key, 0),), writes)
             # A failed condition means that an earlier try, whose answer was lost, took effect.
             if result.ok or maybe_done:
                 return
@@ -103,38 +105,38 @@
     raise PlatformError(detail, maybe_done)
 
 
-def fetch_job(platform: Platform, request_id: str) -> Task:
+def fetch_job(documents: DocumentStore, request_id: str) -> Task:
     """Return the `JobStatus` of a job, None if there is no such job."""
-    (row,) = yield from platform.read([_job_key(request_id)])
+    (row,) = yield from documents.read([_job_key(request_id)])
     if row.value is None:
         return None
     state = JobState(row.value["state"])
     answer = None
     if state is JobState.DONE:
-        answer = yield from load_answer(platform, row.value["answer"])
+        answer = answer_from_json(row.value["answer"])
     return JobStatus(row.value["record"]["workspace"], state, answer)
 
 
-def _swap(platform: Platform, row: Row, value: dict, *more: Write) -> Task:
+def _swap(documents: DocumentStore, row: Document, value: dict, *more: Write) -> Task:
     """Write a job row if it did not change since it was read."""
     conditions = (Condition(row.key, row.revision),)
-    return (yield from platform.transact(conditions, (Write(row.key, value), *more)))
+    return (yield from documents.transact(conditions, (Write(row.key, value), *more)))
 
 
-def mark_running(platform: Platform, request_id: str, owner: str) -> Task:
+def mark_running(documents: DocumentStore, request_id: str, owner: str) -> Task:
     """Note, before the first byte is sent, that a job may be running; True if it is still ours."""
-    (row,) = yield from platform.read([_job_key(request_id)])
+    (row,) = yield from documents.read([_job_key(request_id)])
     if row.value is None or row.value["owner"] != owner:
         return False
     if row.value["state"] == JobState.RUNNING.value:
         return True
     value = {**row.value, "state": JobState.RUNNING.value}
-    result = yield from _swap(platform, row, value)
+    result = yield from _swap(documents, row, value)
     return result.ok
 
 
 def finish_job(
-    platform: Platform,
+    documents: DocumentStore,
     request_id: str,
     owner: str,
     answer: StoredAnswer,
@@ -150,24 +152,24 @@
     """
 
     def step() -> Task:
-        (row,) = yield from platform.read([_job_key(request_id)])
+        (row,) = yield from documents.read([_job_key(request_id)])
         if row.value is None or row.value["owner"] != owner:
             return True
         if row.value["state"] == JobState.DONE.value:
             return True
-        stored = yield from store_answer(platform, f"answer/{request_id}", answer)
+        stored = answer_to_json(answer)
         value = {**row.value, "state": JobState.DONE.value, "answer": stored, "until": until}
         drop_index = Write(_owner_key(owner, request_id), None)
         end = expiry_write(row.key, until)
-        result = yield from _swap(platform, row, value, drop_index, end)
+        result = yield from _swap(documents, row, value, drop_index, end)
         return result.ok
 
     yield from repeat_until_done(step, rng)
 
 
-def take_job(platform: Platform, request_id: str, old_owner: str, new_owner: str) -> Task:
+def take_job(documents: DocumentStore, request_id: str, old_owner: str, new_owner: str) -> Task:
     """Move a job to another owner; return it as `AdoptedJob`, None if it is not the old owner's."""
-    (row,) = yield from platform.read([_job_key(request_id)])
+    (row,) = yield from documents.read([_job_key(request_id)])
     if row.value is None or row.value["owner"] != old_owner:
         return None
     if row.value["state"] == JobState.DONE.value:
@@ -177,26 +179,26 @@
         Write(_owner_key(old_owner, request_id), None),
         Write(_owner_key(new_owner, request_id), {}),
     )
-    result = yield from _swap(platform, row, value, *moved)
+    result = yield from _swap(documents, row, value, *moved)
     if not result.ok:
         return None
     maybe_ran = row.value["state"] == JobState.RUNNING.value
     return AdoptedJob(RequestRecord.from_json(row.value["record"]), maybe_ran)
 
 
-def move_jobs(platform: Platform, old_owner: str, new_owner: str) -> Task:
+def move_jobs(documents: DocumentStore, old_owner: str, new_owner: str) -> Task:
     """Become the owner of all unfinished jobs of a process that is gone."""
-    rows = yield from platform.scan(f"{OWNER_PREFIX}{old_owner}/")
+    rows = yield from documents.scan(f"{OWNER_PREFIX}{old_owner}/")
     for row in rows:
         request_id = row.key.rsplit("/", 1)[1]
-        yield from take_job(platform, request_id, old_owner, new_owner)
+        yield from take_job(documents, request_id, old_owner, new_owner)
 
 
-def owned_jobs(platform: Platform, owner: str) -> Task:
+def owned_jobs(documents: DocumentStore, owner: str) -> Task:
     """Return all unfinished jobs of an owner, those included whose move lost its answer."""
-    index = yield from platform.scan(f"{OWNER_PREFIX}{owner}/")
+    index = yield from documents.scan(f"{OWNER_PREFIX}{owner}/")
     keys = [_job_key(row.key.rsplit("/", 1)[1]) for row in index]
-    rows = yield from platform.read(keys)
+    rows = yield from documents.read(keys)
     return [
         AdoptedJob(
             RequestRecord.from_json(row.value["record"]),
--- a/flamingofront/request/keyed.py
+++ b/flamingofront/request/keyed.py
@@ -9,8 +9,8 @@
 from flamingofront.errors import ANSWERS, ErrorKind, PlatformError, Ran, RequestError
 from flamingofront.messages import InboundRequest, Sleep
 from flamingofront.process.backoff import Backoff
+from flamingofront.process.documents import DocumentStore
 from flamingofront.process.expiry import KEPT_SECONDS
-from flamingofront.process.platform import Platform
 from flamingofront.process.tasks import Task, TaskRunner
 from flamingofront.request.active import ActiveRequest
 from flamingofront.request.admission import WorkspaceShare
@@ -61,7 +61,7 @@
         self,
         vm_id: str,
         hub: RequestHub,
-        platform: Platform,
+        documents: DocumentStore,
         tasks: TaskRunner,
         rng: random.Random,
         is_gone: Callable[[str], bool],
@@ -69,7 +69,7 @@
     ):
         self._vm_id = vm_id
         self._hub = hub
-        self._platform = platform
+        self._documents = documents
         self._tasks = tasks
         self._rng = rng
         self._is_gone = is_gone
@@ -103,7 +103,7 @@
 
     def _claim(self, key: ClaimKey, record: RequestRecord, digest: str) -> Task:
         outcome = yield from claim(
-            self._platform,
+            self._documents,
             key,
             record.request_id,
             self._vm_id,
@@ -116,7 +116,7 @@
         )
         if outcome.decision is ClaimDecision.GRANTED and record.job:
             try:
-                yield from create_job(self._platform, record, self._vm_id, self._rng)
+                yield from create_job(self._documents, record, self._vm_id, self._rng)
             except PlatformError as exc:
                 if exc.maybe_done:
                     return ClaimOutcome(ClaimDecision.JOB_UNCONFIRMED)
@@ -153,7 +153,9 @@
 
     def _job_unconfirmed(self, key: ClaimKey, request: ActiveRequest, exchange: Exchange) -> None:
         """Refuse a job whose row may stand: an adopter may run it, so its key stays used."""
-        task = finish_claim(self._platform, key, request.request_id, None, self._rng, self._until())
+        task = finish_claim(
+            self._documents, key, request.request_id, None, self._rng, self._until()
+        )
         self._tasks.start(task, lambda _: self._claiming.pop(key, None))
         exc = RequestError(ErrorKind.STORE_UNAVAILABLE, ran=Ran.UNKNOWN)
         self._refuse(request, exc, exchange)
@@ -211,7 +213,7 @@
             self._claiming.pop(key, None)
             return
         task = finish_claim(
-            self._platform, key, request.request_id, answer, self._rng, self._until()
+            self._documents, key, request.request_id, answer, self._rng, self._until()
         )
         self._tasks.start(task, lambda _: self._claiming.pop(key, None))
 
@@ -219,13 +221,13 @@
         self._not_run[request_id] = None
         while len(self._not_run) > MAX_REMEMBERED:
             self._not_run.popitem(last=False)
-        self._tasks.start(release_claim(self._platform, key, request_id, self._rng, settle))
+        self._tasks.start(release_claim(self._documents, key, request_id, self._rng, settle))
 
     def keep_claim_answer(self, request: ActiveRequest) -> None:
         """Own the claim of a request that was handed over to this process, and store its answer."""
         key = ClaimKey(request.record.workspace, request.record.key)
         self._claiming[key] = request.request_id
-        task = move_claim(self._platform, key, request.request_id, self._vm_id, self._rng)
+        task = move_claim(self._documents, key, request.request_id, self._vm_id, self._rng)
         self._tasks.start(task)
         request.on_settled = lambda answer, exc: self._ended(key, request, answer, exc)
 
@@ -259,7 +261,7 @@
         tries = 0
         while True:
             try:
-                return (yield from mark_running(self._platform, request_id, self._vm_id))
+                return (yield from mark_running(self._documents, request_id, self._vm_id))
             except PlatformError:
                 yield Sleep(_BACKOFF.delay(tries, self._rng))
                 tries += 1
@@ -289,5 +291,7 @@
             status = ANSWERS[exc.kind].status
             answer = StoredAnswer(status, "application/json", error_body(exc, request_id))
         self._storing.add(request_id)
-        task = finish_job(self._platform, request_id, self._vm_id, answer, self._rng, self._until())
+        task = finish_job(
+            self._documents, request_id, self._vm_id, answer, self._rng, self._until()
+        )
         self._tasks.start(task, lambda _: self._storing.discard(request_id))
--- a/flamingofront/request/reattach.py
+++ b/flamingofront/request/reattach.py
@@ -13,7 +13,7 @@
 from flamingofront.connection.server import JSON_HEADERS
 from flamingofront.errors import ErrorKind, PlatformError, Ran, RequestError
 from flamingofront.messages import OutboundCall, ResponseData, ResponseEnd, ResponseHead
-from flamingofront.process.platform import Platform
+from flamingofront.process.documents import DocumentStore
 from flamingofront.process.tasks import Task, TaskRunner
 from flamingofront.request.active import ActiveRequest
 from flamingofront.request.attachments import (
@@ -54,14 +54,14 @@
     def __init__(
         self,
         hub: RequestHub,
-        platform: Platform,
+        documents: DocumentStore,
         tasks: TaskRunner,
         transport: Transport,
         holders: Callable[[str], list[str]],
         peer_headers: tuple[tuple[str, str], ...] = (),
     ):
         self._hub = hub
-        self._platform = platform
+        self._documents = documents
         self._tasks = tasks
         self._transport = transport
         self._holders = holders
@@ -165,7 +165,7 @@
     def fetch_job(self, request_id: str) -> Task:
         """Return the status of a job, or the `PlatformError` that kept it from being read."""
         try:
-            return (yield from fetch_job(self._platform, request_id))
+            return (yield from fetch_job(self._documents, request_id))
         except PlatformError as exc:
             return exc
 
--- a/flamingofront/request/stored_answer.py
+++ b/flamingofront/request/stored_answer.py
@@ -1,15 +1,10 @@
-"""Answers kept by the platform: small ones in their row, large ones in the object store."""
+"""Answers that are kept with the document of their request."""
 
 import base64
 from dataclasses import dataclass
 from typing import Any
 
-from flamingofront.process.platform import Platform
-from flamingofront.process.tasks import Task
-
-__all__ = ["StoredAnswer", "load_answer", "store_answer"]
-
-MAX_ROW_BYTES = 64 * 1024
+__all__ = ["StoredAnswer", "answer_from_json", "answer_to_json"]
 
 
 @dataclass(frozen=True)
@@ -21,23 +16,12 @@
     body: bytes
 
 
-def store_answer(platform: Platform, name: str, answer: StoredAnswer) -> Task:
-    """Store a large body as an object and return the JSON values for the row."""
-    data: dict[str, Any] = {"status": answer.status, "content_type": answer.content_type}
-    if len(answer.body) <= MAX_ROW_BYTES:
-        data["body"] = base64.b64encode(answer.body).decode()
-        return data
-    yield from platform.put_object(name, answer.body)
-    data["object"] = name
-    return data
-
-
-def load_answer(platform: Platform, data: dict[str, Any]) -> Task:
-    """Return the answer that `store_answer` stored, None if its object is missing."""
-    if "body" in data:
-        body = base64.b64decode(data["body"])
-    else:
-        body = yield from platform.get_object(data["object"])
-    if body is None:
-        return None
-    return StoredAnswer(data["status"], data["content_type"], body)
+def answer_to_json(answer: StoredAnswer) -> dict[str, Any]:
+    """Return the JSON values of an answer."""
+    body = base64.b64encode(answer.body).decode()
+    return {"status": answer.status, "content_type": answer.content_type, "body": body}
+
+
+def answer_from_json(data: dict[str, Any]) -> StoredAnswer:
+    """Return the answer that `answer_to_json` gave the values of."""
+    return StoredAnswer(data["status"], data["content_type"], base64.b64decode(data["body"]))
--- a/flamingofront/version/commit.py
+++ b/flamingofront/version/commit.py
@@ -5,6 +5,7 @@
 same change again cannot apply it twice.
 """
 
+import contextlib
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -13,8 +14,8 @@
 from flamingofront.errors import ConfigurationError, PlatformError
 from flamingofront.messages import Sleep
 from flamingofront.process.backoff import Backoff
+from flamingofront.process.documents import Condition, Document, DocumentStore, Write
 from flamingofront.process.expiry import KEPT_SECONDS, expiry_write
-from flamingofront.process.platform import Condition, Platform, Row, Write
 from flamingofront.process.tasks import Task
 from flamingofront.version.edits import Edit, apply_edits
 from flamingofront.version.model import (
@@ -75,23 +76,23 @@
     faults: tuple[str, ...] = ()
 
 
-def _configuration_in(row: Row) -> Configuration:
+def _configuration_in(row: Document) -> Configuration:
     return Configuration() if row.value is None else configuration_from_json(row.value)
 
 
-def load_configuration(platform: Platform) -> Task:
+def load_configuration(documents: DocumentStore) -> Task:
     """Return the configuration in the table service."""
-    (row,) = yield from platform.read([DOCUMENT_KEY])
+    (row,) = yield from documents.read([DOCUMENT_KEY])
     return _configuration_in(row)
 
 
-def load_revision(platform: Platform) -> Task:
+def load_revision(documents: DocumentStore) -> Task:
     """Return the revision in force, without reading the whole configuration."""
-    (row,) = yield from platform.read([HEAD_KEY])
+    (row,) = yield from documents.read([HEAD_KEY])
     return 0 if row.value is None else int(row.value["revision"])
 
 
-def _operation_outcome(operation: str, row: Row) -> CommitOutcome:
+def _operation_outcome(operation: str, row: Document) -> CommitOutcome:
     state = CommitState(row.value["state"])
     return CommitOutcome(state, operation, row.value["revision"], row.value["operator"])
 
@@ -118,7 +119,7 @@
 
     def __init__(
         self,
-        platform: Platform,
+        documents: DocumentStore,
         edits: tuple[Edit, ...],
         base: int,
         operator: str,
@@ -126,7 +127,7 @@
         until: float,
     ):
         self._until = until
-        self._platform = platform
+        self._documents = documents
         self._edits = edits
         self._base = base
         self._operator = operator
@@ -136,7 +137,9 @@
     def attempt(self) -> Task:
         """Try once; return the outcome, None if the head moved meanwhile."""
         operation_key = OPERATION_PREFIX + self._operation
-        rows = yield from self._platform.read([HEAD_KEY, DOCUMENT_KEY, operation_key])
+        # The operation's row is read last: a document that shows this change, by a write whose
+        # answer was lost, must not be taken for another operator's.
+        rows = yield from self._documents.read([HEAD_KEY, DOCUMENT_KEY, operation_key])
         head, document, done = rows
         if done.value is not None:
             return _operation_outcome(self._operation, done)
@@ -148,9 +151,18 @@
             new = apply_edits(cfg, self._edits, self._operator, self._operation)
         except ConfigurationError as exc:
             return CommitOutcome(CommitState.REFUSED, self._operation, faults=exc.faults)
-        return (yield from self._write(head, operation_key, new))
+        outcome = yield from self._write(head, operation_key, new)
+        if outcome is not None:
+            yield from self._drop_replaced(document)
+        return outcome
+
+    def _drop_replaced(self, document: Document) -> Task:
+        """Remove the object of the configuration before, if it had one."""
+        # The change stands; an object that is left behind only takes room.
+        with contextlib.suppress(PlatformError):
+            yield from self._documents.drop_object(document)
 
-    def _write(self, head: Row, operation_key: str, new: Configuration) -> Task:
+    def _write(self, head: Document, operation_key: str, new: Configuration) -> Task:
         note = {
             "state": _ACCEPTED,
             "revision": new.revision,
@@ -165,7 +177,7 @@
             expiry_write(operation_key, self._until),
         )
         try:
-            result = yield from self._platform.transact(conditions, writes)
+            result = yield from self._documents.transact(conditions, writes)
         except PlatformError as exc:
             self.maybe_written = self.maybe_written or exc.maybe_done
             raise
@@ -177,7 +189,7 @@
 
 
 def commit(
-    platform: Platform,
+    documents: DocumentStore,
     edits: tuple[Edit, ...],
     base: int,
     operator: str,
@@ -213,7 +225,7 @@
     absence of the operation's row. A conflict or refusal found after a lost answer is final: the
     lost write required a head revision that has passed.
     """
-    work = _Commit(platform, edits, base, operator, operation, until)
+    work = _Commit(documents, edits, base, operator, operation, until)
     deadline = now() + budget
     tries = 0
     while True:
@@ -234,7 +246,7 @@
 
 
 def settle(
-    platform: Platform, operation: str, operator: str, rng: random.Random, tries: int = 4
+    documents: DocumentStore, operation: str, operator: str, rng: random.Random, tries: int = 4
 ) -> Task:
     """Find out, and make final, what became of an operation.
 
@@ -248,10 +260,10 @@
     fault = ""
     for count in range(tries):
         try:
-            (row,) = yield from platform.read([key])
+            (row,) = yield from documents.read([key])
             if row.value is not None:
                 return _operation_outcome(operation, row)
-            yield from platform.transact((Condition(key, 0),), (Write(key, note),))
+            yield from documents.transact((Condition(key, 0),), (Write(key, note),))
         except PlatformError as exc:
             fault = str(exc)
             yield Sleep(DEFAULT_BACKOFF.delay(count, rng))
