Reports between many entry processes: short form to all, counts to those that need them

Ruled out: fewer reports (loads and quotas would lag by seconds). Hearing allows for four reports at the rate at which they come. Before: 907 bytes for a report without counts, after: 705 (16 workspaces, measured).

--- a/flamingofront/process/forwarding/duty.py
+++ b/flamingofront/process/forwarding/duty.py
@@ -71,6 +71,7 @@
     """A lease held here; times on the own clock."""
 
     fencing: int
+    taken_at: float
     acts_from: float
     valid_until: float
 
@@ -211,7 +212,7 @@
             return
         returned = self._vm_id in past and past[0] != self._vm_id
         acts_from = self._now() + self._duration if returned else sent_at
-        self._lease = HeldLease(state.fencing, acts_from, sent_at + self._duration)
+        self._lease = HeldLease(state.fencing, sent_at, acts_from, sent_at + self._duration)
         self._log.info("duty lease taken", fencing=state.fencing, last_holder=last)
 
     def renew(self, reports: Mapping[str, Mapping[str, int]] | None = None) -> Task:
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -16,11 +16,12 @@
 from flamingofront.process.forwarding.peers import (
     CONFIGURATION_PATH,
     ENDPOINTS_PATH,
+    MAX_PEERS_TOLD,
     PeerKnowledge,
     Peers,
     encode_rows,
 )
-from flamingofront.process.forwarding.reports import HEARD_SECONDS, PeerReport
+from flamingofront.process.forwarding.reports import PeerReport
 from flamingofront.process.forwarding.scaling import Demand, ScalingDuty, SpreadReclaimable
 from flamingofront.process.forwarding.settings import DeploymentSettings
 from flamingofront.process.forwarding.usage import UsageBook, UsageDuty
@@ -188,6 +189,8 @@
                     settings.rules,
                     settings.vm_id,
                     self.peers.true_time,
+                    self.peers.counts_wait,
+                    self.timers.now,
                     self.metrics,
                     self.log,
                 )
@@ -212,7 +215,7 @@
         """Return the requests that run at the endpoints of a service, over all processes."""
         own = self.hub.in_flight_of(service)
         heard = self.peers.table.heard(self.timers.now())
-        others = sum(each.demand.get(service, 0) for each in heard)
+        others = sum((each.demand or {}).get(service, 0) for each in heard)
         return Demand(own + others, self.directory.slots(service) or DEFAULT_SLOTS)
 
     def _cache_tokens(self, service: str) -> float:
@@ -248,19 +251,24 @@
             fencing=lease.fencing if lease is not None else 0,
             released=self.lease.released,
             lease_version=self.lease.version if lease is not None else 0,
-            spent=self.quota.spent(),
+            spent={name: round(units) for name, units in self.quota.spent().items()},
             in_flight=self.directory.all_in_flight(),
             backlog=self.directory.all_backlog(),
+            peers=self._some_peers(heard),
             usage=self.usage.to_tell({each.process for each in heard}, self.peers.true_time()),
             demand=self.hub.in_flight_by_service(),
-            peers=tuple(each.ip for each in heard),
         )
 
+    def _some_peers(self, heard: list[PeerReport]) -> tuple[str, ...]:
+        count = min(MAX_PEERS_TOLD, len(heard))
+        return tuple(each.ip for each in self._rng.sample(heard, count))
+
     def _heard(self, report: PeerReport, gap: float | None) -> None:
         """Take a peer's report: its quota use, its counts, its word on the lease, its load."""
         self.metrics.count("peer_reports_total", result="heard" if gap is not None else "first")
-        self.quota.heard(report.process, report.spent, gap is not None and gap < HEARD_SECONDS)
-        self.usage.heard(report.usage)
+        continuous = gap is not None and self.peers.table.in_hearing(gap)
+        self.quota.heard(report.process, report.spent, continuous)
+        self.usage.heard(report.usage or {})
         self.lease.heard(report)
 
     def _spread_loads(self) -> None:
--- a/flamingofront/process/forwarding/peers.py
+++ b/flamingofront/process/forwarding/peers.py
@@ -1,7 +1,8 @@
 """Hearing of the other entry processes: who they are, what they hold, what they know."""
 
+import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import asdict
 
 import orjson
@@ -14,8 +15,10 @@
     PeerTable,
     decode_report,
     encode_report,
+    without_counts,
 )
 from flamingofront.process.logs import Log
+from flamingofront.process.rendezvous import rank
 from flamingofront.process.settings import Address
 from flamingofront.process.store import RowWrite, TableStore
 from flamingofront.process.tasks import Task, TaskRunner
@@ -35,6 +38,17 @@
 # Peers told at one time: with more members each hears from a process less often, so that the
 # traffic of one process does not grow with their number.
 MAX_TOLD = 16
+# With more members than that, those that keep counts for the holder of the duties are told them so
+# often that a window is complete at the holder well within the two seconds for which it waits.
+COUNTS_SECONDS = 0.5
+# A new holder of the duties has heard the counts of all after so long: the others learn of it with
+# its next report, tell it within half a second, and once more if that is lost.
+COUNTS_HEARD_SECONDS = 1.5
+# Processes, each in a zone of its own, that keep the counts of all, so that those of a process that
+# dies are not lost while one of them lives.
+COUNT_KEEPERS = 3
+# IP numbers of others in a report: a process that knows one peer soon knows all.
+MAX_PEERS_TOLD = 4
 MEMBER_TABLE = "entry-vms"
 # Pause between two looks at the member table while nobody is heard.
 LONELY_SECONDS = 5.0
@@ -131,6 +145,7 @@
         self._rng = rng
         self._log = log
         self._order: list[str] = []
+        self._counts_told_at = -math.inf
         self._asking = False
         self._newer_since: float | None = None
         self._registered: dict[str, float] = {}
@@ -201,17 +216,54 @@
     # Reports
 
     def _tell(self) -> None:
-        data = encode_report(self._own_report())
-        if not self._order:
-            self._order = list(self._ips)
-            self._rng.shuffle(self._order)
-        for _ in range(min(MAX_TOLD, len(self._order))):
-            self._send(data, (self._order.pop(), self._port))
+        report = self._own_report()
+        if len(self._ips) <= MAX_TOLD:
+            self._send_to(self._ips, report)
+            return
+        self._tell_counts(report)
+        if len(self._order) < MAX_TOLD:
+            others = list(self._ips.difference(self._order))
+            self._rng.shuffle(others)
+            self._order += others
+        told, self._order = self._order[:MAX_TOLD], self._order[MAX_TOLD:]
+        self._send_to(told, without_counts(report))
+
+    def _send_to(self, ips: Iterable[str], report: PeerReport) -> None:
+        data = encode_report(report)
+        for ip in ips:
+            self._send(data, (ip, self._port))
+
+    def counts_wait(self) -> float:
+        """Return the seconds after which a new holder of the duties knows the counts of all."""
+        return COUNTS_HEARD_SECONDS if len(self._ips) > MAX_TOLD else 0.0
+
+    def _tell_counts(self, report: PeerReport) -> None:
+        """Tell the processes that need this one's counts, now and then."""
+        now = self._timers.now()
+        if now - self._counts_told_at < COUNTS_SECONDS:
+            return
+        self._counts_told_at = now
+        self._send_to(self._count_keepers(), report)
+
+    def _count_keepers(self) -> set[str]:
+        """Return the IP numbers of the duties' holder and of those that keep counts for it."""
+        heard = {each.vm_id: each for each in self.table.heard(self._timers.now())}
+        members = {**heard, self._own.vm_id: self._own}
+        first_of_zone: dict[str, PeerReport] = {}
+        for vm_id in rank("counts", members):
+            first_of_zone.setdefault(members[vm_id].zone, members[vm_id])
+        keepers = {each.ip for each in list(first_of_zone.values())[:COUNT_KEEPERS]}
+        holder = max(heard.values(), key=lambda each: each.fencing, default=None)
+        if holder is not None and holder.fencing:
+            keepers.add(holder.ip)
+        return keepers - {self._own.ip}
 
     def tell_now(self) -> None:
         """Tell all peers at once: something changed that they should know soon."""
         self._order = []
-        self._tell()
+        report = self._own_report()
+        self._send_to(self._count_keepers(), report)
+        self._send_to(self._ips, without_counts(report) if len(self._ips) > MAX_TOLD else report)
 
     def received(self, data: bytes) -> None:
         """Take a datagram."""
@@ -221,6 +273,7 @@
             self._log.error("datagram refused", detail=str(exc))
             return
         now = self._timers.now()
+        self.table.expect_every(REPORT_SECONDS * math.ceil(len(self._ips) / MAX_TOLD))
         gap = self.table.gap(report.vm_id, now)
         if not self.table.take(report, now):
             return
--- a/flamingofront/process/forwarding/reports.py
+++ b/flamingofront/process/forwarding/reports.py
@@ -1,17 +1,31 @@
-"""What entry processes tell one another, several times a second, by datagram."""
+"""What entry processes tell one another, several times a second, by datagram.
+
+A report goes out in two forms: with the counts that only some of the processes need (usage,
+demand), and without them. A process that hears the short form keeps the demand that it was told
+before.
+"""
 
 import dataclasses
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import orjson
 
-__all__ = ["PeerReport", "PeerTable", "ProcessCounts", "decode_report", "encode_report"]
+__all__ = [
+    "PeerReport",
+    "PeerTable",
+    "ProcessCounts",
+    "decode_report",
+    "encode_report",
+    "without_counts",
+]
 
 ProcessCounts = Mapping[str, Mapping[str, Mapping[str, int]]]
 
-# A process that has not been heard for so long is out of hearing: four lost reports in a row.
+# A process that has not been heard for so long is out of hearing, or for as long as four of its
+# reports take, whichever is more.
 HEARD_SECONDS = 1.6
+HEARD_REPORTS = 4
 # A process that has not been heard for so long is no member any more: longer than any restart or
 # partition after which it would come back with its old counts.
 MEMBER_SECONDS = 30.0
@@ -51,13 +65,13 @@
         Attempts that it runs, by endpoint.
     backlog : mapping of str to int
         Prompt tokens of its attempts that have not begun to be answered, by endpoint.
-    usage : mapping
-        Requests that began, by process, window and workspace, for the last windows: those of this
-        process and of processes that are gone.
-    demand : mapping of str to float
-        Requests a second, by service.
     peers : tuple of str
-        IP numbers of the processes that it hears.
+        IP numbers of some of the processes that it hears.
+    usage : mapping, optional
+        Requests that began, by process, window and workspace, for the last windows: those of this
+        process and of processes that are gone. None if this report does not tell it.
+    demand : mapping of str to float, optional
+        Requests that it runs, by service. None if this report does not tell it.
     """
 
     vm_id: str
@@ -77,9 +91,9 @@
     spent: Mapping[str, float] = field(default_factory=dict)
     in_flight: Mapping[str, int] = field(default_factory=dict)
     backlog: Mapping[str, int] = field(default_factory=dict)
-    usage: ProcessCounts = field(default_factory=dict)
-    demand: Mapping[str, float] = field(default_factory=dict)
     peers: tuple[str, ...] = ()
+    usage: ProcessCounts | None = None
+    demand: Mapping[str, float] | None = None
 
     @property
     def process(self) -> str:
@@ -87,16 +101,31 @@
         return f"{self.vm_id}/{self.incarnation}"
 
 
-def encode_report(report: PeerReport) -> bytes:
-    """Return the datagram of a report."""
-    return orjson.dumps(report)
+def without_counts(report: PeerReport) -> PeerReport:
+    """Return the short form of a report."""
+    return replace(report, usage=None, demand=None)
+
 
+_FIELDS = tuple(each.name for each in dataclasses.fields(PeerReport))
+_REQUIRED = sum(
+    each.default is dataclasses.MISSING and each.default_factory is dataclasses.MISSING
+    for each in dataclasses.fields(PeerReport)
+)
 
-_FIELDS = frozenset(each.name for each in dataclasses.fields(PeerReport))
+
+def encode_report(report: PeerReport) -> bytes:
+    """Return the datagram of a report: the values in the order of the fields.
+
+    Notes
+    -----
+    Without the names of the fields the short form of a process with 16 workspaces takes 705 bytes
+    in place of 907.
+    """
+    return orjson.dumps([getattr(report, name) for name in _FIELDS])
 
 
 def decode_report(data: bytes) -> PeerReport:
-    """Return the report in a datagram; fields of a newer version are ignored.
+    """Return the report in a datagram; fields that a newer version has appended are ignored.
 
     Raises
     ------
@@ -104,11 +133,14 @@
         If it is no report.
     """
     try:
-        values = {name: value for name, value in orjson.loads(data).items() if name in _FIELDS}
-        values["peers"] = tuple(values.get("peers", ()))
-        return PeerReport(**values)
-    except (AttributeError, TypeError, orjson.JSONDecodeError) as exc:
+        values = orjson.loads(data)
+    except orjson.JSONDecodeError as exc:
         raise ValueError(f"malformed report: {exc}") from exc
+    if not isinstance(values, list) or len(values) < _REQUIRED:
+        raise ValueError("malformed report: not a list of its fields")
+    named = dict(zip(_FIELDS, values, strict=False))
+    named["peers"] = tuple(named.get("peers", ()))
+    return PeerReport(**named)
 
 
 @dataclass(frozen=True)
@@ -124,6 +156,15 @@
     def __init__(self, own_id: str):
         self._own_id = own_id
         self._heard: dict[str, _Heard] = {}
+        self._heard_seconds = HEARD_SECONDS
+
+    def expect_every(self, seconds: float) -> None:
+        """Set the time between two reports of a process to the same peer."""
+        self._heard_seconds = max(HEARD_SECONDS, HEARD_REPORTS * seconds)
+
+    def in_hearing(self, gap: float) -> bool:
+        """Tell whether a process that was heard some seconds ago counts as heard."""
+        return gap <= self._heard_seconds
 
     def take(self, report: PeerReport, now: float) -> bool:
         """Take a report in; False if it is old or this process's own."""
@@ -133,6 +174,8 @@
         rank = (report.incarnation, report.sequence)
         if known and rank <= (known.report.incarnation, known.report.sequence):
             return False
+        if known and report.demand is None:
+            report = replace(report, demand=known.report.demand)
         self._heard[report.vm_id] = _Heard(report, now, report.wall - now)
         return True
 
@@ -143,13 +186,14 @@
 
     def heard(self, now: float) -> list[PeerReport]:
         """Return the last reports of the processes within hearing."""
-        return [each.report for each in self._heard.values() if now - each.at <= HEARD_SECONDS]
+        return [each.report for each in self._heard.values() if self.in_hearing(now - each.at)]
 
     def members(self, now: float) -> list[PeerReport]:
         """Return the last reports of all other members, heard now or not."""
         for vm_id, each in list(self._heard.items()):
             silent = now - each.at
-            if silent > MEMBER_SECONDS or (each.report.leaving and silent > HEARD_SECONDS):
+            left = each.report.leaving and not self.in_hearing(silent)
+            if silent > MEMBER_SECONDS or left:
                 del self._heard[vm_id]
         return [each.report for each in self._heard.values()]
 
--- /dev/null
+++ b/flamingofront/process/forwarding/tests/test_reports.py
@@ -0,0 +1,115 @@
+"""What entry processes tell one another when they are many."""
+
+import pytest
+
+from flamingofront.process.forwarding.peers import COUNTS_SECONDS, MAX_TOLD, REPORT_SECONDS
+from flamingofront.process.forwarding.reports import (
+    PeerReport,
+    PeerTable,
+    decode_report,
+    encode_report,
+    without_counts,
+)
+from flamingofront.process.forwarding.tests.test_duties import holder, usage
+from flamingofront.tests.forwarding_world import ForwardingWorld
+
+ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
+MANY = 2 * MAX_TOLD + 4
+
+
+def many_world(count=MANY):
+    """Return a world with many entry processes in four zones."""
+    world = ForwardingWorld()
+    world.configure_routes()
+    world.endpoint("plain-1", "records")
+    for number in range(count):
+        world.front(f"front-{number}", ZONES[number % len(ZONES)])
+    world.run_until(lambda: all(each.ready for each in world.fronts.values()))
+    world.run(3.0)
+    return world
+
+
+class Datagrams:
+    """Counts what the entry processes of a world send."""
+
+    def __init__(self, world):
+        self.bytes = 0
+        self.count = 0
+        inner = world._datagram
+
+        def send(source, address, data):
+            self.bytes += len(data)
+            self.count += 1
+            inner(source, address, data)
+
+        world._datagram = send
+
+
+class TestManyMembers:
+    def test_all_stay_in_hearing_of_all_though_datagrams_are_lost(self):
+        world = many_world()
+        world.lost_datagrams = 0.05
+        for _ in range(20):
+            world.run(0.5)
+            shares = [each.peers.heard_share() for each in world.fronts.values()]
+            assert min(shares) >= 1.0 - 1.5 / MANY
+
+    def test_traffic_of_a_process_does_not_grow_with_their_number(self):
+        # The rotation, and the counts for three keepers and the holder each half second.
+        most = MAX_TOLD / REPORT_SECONDS + 4 / COUNTS_SECONDS
+        for count in (MANY, 2 * MANY):
+            world = many_world(count)
+            sent = Datagrams(world)
+            world.run(5.0)
+            assert 0.9 * most <= sent.count / count / 5.0 <= 1.02 * most
+
+    @pytest.mark.parametrize("killed", ["none", "a process", "the holder"])
+    def test_usage_is_complete(self, killed):
+        world = many_world()
+        for number in range(40):
+            world.finish(world.ask(f"front-{number % MANY}", "/read/x"))
+            world.run(0.1)
+        world.run(1.0)
+        first = holder(world)
+        if killed == "the holder":
+            world.kill(first)
+        elif killed == "a process":
+            world.kill(next(name for name in world.fronts if name != first))
+        world.run(25.0)
+        assert sum(each.get("desk", 0) for each in usage(world).values()) == 40
+
+    def test_holder_knows_the_demand_of_all(self):
+        world = many_world()
+        for number in range(MANY):
+            world.ask(f"front-{number}", "/read/x")
+        world.run(0.6)
+        node = world.fronts[holder(world)]
+        heard = node.peers.table.heard(node.timers.now())
+        running = sum(each.hub.in_flight_of("records") for each in world.fronts.values())
+        told = sum((each.demand or {}).get("records", 0) for each in heard)
+        assert told + node.hub.in_flight_of("records") >= running - 1
+
+
+class TestReport:
+    report = PeerReport("vm", 7, 3, "zone-a", "1.2.3.4", "1.2.3.4:5", peers=("4.3.2.1",), demand={})
+
+    def test_it_is_decoded_as_it_was_encoded(self):
+        assert decode_report(encode_report(self.report)) == self.report
+
+    def test_fields_of_a_newer_version_are_ignored(self):
+        data = encode_report(self.report)[:-1] + b',"new",{"a":1}]'
+        assert decode_report(data) == self.report
+
+    @pytest.mark.parametrize("data", [b"", b"{}", b"[]", b'["vm",1]', b"7", b"\xff"])
+    def test_what_is_no_report_is_refused(self, data):
+        with pytest.raises(ValueError, match="malformed report"):
+            decode_report(data)
+
+    def test_short_form_leaves_the_demand_as_it_was_told(self):
+        table = PeerTable("other")
+        told = PeerReport("vm", 7, 1, "z", "1.2.3.4", "1.2.3.4:5", demand={"records": 4})
+        table.take(told, 1.0)
+        newer = without_counts(PeerReport("vm", 7, 2, "z", "1.2.3.4", "1.2.3.4:5"))
+        assert table.take(newer, 2.0)
+        (kept,) = table.heard(2.0)
+        assert (kept.sequence, kept.demand) == (2, {"records": 4})
--- a/flamingofront/process/forwarding/usage.py
+++ b/flamingofront/process/forwarding/usage.py
@@ -108,6 +108,10 @@
     ----------
     true_time : callable
         Wall clock, agreed with the other processes.
+    counts_wait : callable
+        Returns the seconds after which a new holder has heard the counts of all processes.
+    now : callable
+        Time of the timer service.
     """
 
     def __init__(
@@ -118,6 +122,8 @@
         rules: SharedRules,
         vm_id: str,
         true_time: Callable[[], float],
+        counts_wait: Callable[[], float],
+        now: Callable[[], float],
         metrics: Metrics,
         log: Log,
     ):
@@ -128,6 +134,8 @@
         self._rules = rules
         self._vm_id = vm_id
         self._true_time = true_time
+        self._counts_wait = counts_wait
+        self._now = now
         self._log = log
         self._confirmed: set[str] = set()
         self._first = book.window_at(true_time())
@@ -143,9 +151,11 @@
 
     def step(self) -> Task:
         """Write the window that is due into the store, then report what is not yet confirmed."""
-        if self._lease.held() is None:
+        lease = self._lease.held()
+        if lease is None:
             return
-        window = self._due()
+        knows_counts = self._now() - lease.taken_at >= self._counts_wait()
+        window = self._due() if knows_counts else None
         if window is not None and not (yield from self._record(window)):
             return
         for name, counts in sorted(self._lease.state.reports.items()):
