Quotas: clumps use the allowance, a sum over the window keeps the limit

Ruled out: a larger bucket alone (debts of large requests and late word could take a window over the limit). Now the bucket takes up 0.7 of the allowance (0.3 before), and what all took within the window is summed at each process, with what it cannot have heard yet added at the present rate.

--- a/flamingofront/platform/settings.py
+++ b/flamingofront/platform/settings.py
@@ -66,6 +66,7 @@
         usage_window=fields.number("bounds.usage_window_s", 5.0),
         usage_due=fields.number("bounds.usage_late_s", 10.0),
         quota_window=fields.number("bounds.quota_window_s", 8.0),
+        quota_over=fields.number("bounds.quota_over", 0.0),
         quota_allowance=fields.number("bounds.quota_slack", 0.0),
     )
 
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -37,7 +37,7 @@
 from flamingofront.request.forward_work import ForwardProtocol
 from flamingofront.request.forwarded_request import ForwardedRequest
 from flamingofront.request.hub import HubSettings, RequestHub
-from flamingofront.request.quota import SharedQuota
+from flamingofront.request.quota import QuotaRules, SharedQuota
 from flamingofront.request.retry import RetryBudget
 from flamingofront.request.shared_retry import SharedRetryBudget
 from flamingofront.version.forwarding import DEFAULT_SLOTS, ForwardingConfiguration
@@ -132,7 +132,12 @@
             self._retry_budget,
         )
         self.hub.cache_tokens = self._cache_tokens
-        self.quota = SharedQuota(lambda: self.peers.heard_share(), settings.rules.quota_allowance)
+        rules = settings.rules
+        self.quota = SharedQuota(
+            lambda: self.peers.heard_share(),
+            QuotaRules(rules.quota_window, rules.quota_over, rules.quota_allowance),
+            lambda: self.peers.lag(),
+        )
         self.gateway = ForwardGateway(
             self.hub, needs.protocol, self.quota, self.log, self._began_to_run
         )
@@ -267,7 +272,7 @@
         """Take a peer's report: its quota use, its counts, its word on the lease, its load."""
         self.metrics.count("peer_reports_total", result="heard" if gap is not None else "first")
         continuous = gap is not None and self.peers.table.in_hearing(gap)
-        self.quota.heard(report.process, report.spent, continuous)
+        self.quota.heard(report.process, report.spent, continuous, self.timers.now())
         self.usage.heard(report.usage or {})
         self.lease.heard(report)
 
--- a/flamingofront/process/forwarding/peers.py
+++ b/flamingofront/process/forwarding/peers.py
@@ -35,6 +35,8 @@
 
 # Reports go out so often that quotas and loads lag by less than a latency objective.
 REPORT_SECONDS = 0.25
+# Way of a datagram between two VMs that are busy, with their turn of the processor.
+TRAVEL_SECONDS = 0.05
 # Peers told at one time: with more members each hears from a process less often, so that the
 # traffic of one process does not grow with their number.
 MAX_TOLD = 16
@@ -169,6 +171,14 @@
         heard = len(self.table.heard(self._timers.now())) + 1
         return min(1.0, heard / self.member_count())
 
+    def lag(self) -> float:
+        """Return the seconds after which this process hears of what another does, in the mean."""
+        return self._period() / 2 + TRAVEL_SECONDS
+
+    def _period(self) -> float:
+        """Return the seconds between two reports of a process to the same peer."""
+        return REPORT_SECONDS * max(1.0, len(self._ips) / MAX_TOLD)
+
     def true_time(self) -> float:
         """Return the wall clock's time, as the median of the members' clocks tells it.
 
@@ -273,7 +283,7 @@
             self._log.error("datagram refused", detail=str(exc))
             return
         now = self._timers.now()
-        self.table.expect_every(REPORT_SECONDS * math.ceil(len(self._ips) / MAX_TOLD))
+        self.table.expect_every(self._period())
         gap = self.table.gap(report.vm_id, now)
         if not self.table.take(report, now):
             return
--- a/flamingofront/process/forwarding/settings.py
+++ b/flamingofront/process/forwarding/settings.py
@@ -20,8 +20,9 @@
         Shortest time between two holders of a duty.
     usage_window, usage_due : float
         Length of a usage window, and how long after its end the report is due.
-    quota_window, quota_allowance : float
-        Span over which quotas are measured, and the units by which one may be exceeded.
+    quota_window, quota_over, quota_allowance : float
+        Span over which quotas are measured, and the part and the units by which one may be
+        exceeded.
     """
 
     retry_ratio: float = 0.2
@@ -31,6 +32,7 @@
     usage_window: float = 5.0
     usage_due: float = 10.0
     quota_window: float = 8.0
+    quota_over: float = 0.0
     quota_allowance: float = 0.0
 
 
--- a/flamingofront/request/quota.py
+++ b/flamingofront/request/quota.py
@@ -4,20 +4,31 @@
 those of the others when it hears of them, so that all copies agree but for the time that word
 takes. A process that does not hear some of the others lets its copy fill at a lower rate, in
 proportion to those that it hears: the parts of all sides of a partition add up to the quota.
+
+The bucket says what a workspace is owed. Beside it each process sums what all took in the last
+seconds, and refuses what would take that sum over the limit that the deployment sets: so the bucket
+may take up the clumps in which requests come, and large requests may run into debt, though word of
+the others comes late.
 """
 
 from abc import ABC, abstractmethod
+from collections import deque
 from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
 
 from flamingofront.version.forwarding import ForwardedWorkspace
 
-__all__ = ["QuotaPolicy", "SharedQuota", "UnlimitedQuota"]
+__all__ = ["QuotaPolicy", "QuotaRules", "SharedQuota", "UnlimitedQuota"]
 
 MIN_RETRY_SECONDS = 0.05
 # Part of the allowance by which a quota may be exceeded that is given to callers, so that clumps of
-# requests within the quota are not refused. The rest covers what all processes together let through
-# before they have heard of one another: a quarter of a second of the demand.
-USED_ALLOWANCE = 0.3
+# requests within the quota are not refused. The rest covers a restart of all processes at once, who
+# then know nothing of what was taken, and begin with half a burst.
+USED_ALLOWANCE = 0.7
+# What was taken is summed in steps of this length, in seconds: as often as processes report.
+STEP_SECONDS = 0.25
+# Span over which the present rate of a workspace is taken, in seconds: four reports.
+RATE_SECONDS = 1.0
 # Part of a request that the bucket must hold for it to pass; the rest is taken as debt. Smaller:
 # more large requests pass, and more small ones wait for their debt to be paid.
 HELD_PART = 0.25
@@ -26,6 +37,30 @@
 FIRST_LEVEL = 0.5
 
 
+@dataclass(frozen=True)
+class QuotaRules:
+    """How much may be taken in any span of time.
+
+    Parameters
+    ----------
+    window : float
+        Length of the span in seconds.
+    over : float
+        Part of the quota by which it may be exceeded in a window.
+    allowance : float
+        Units by which it may be exceeded besides.
+    """
+
+    window: float = 8.0
+    over: float = 0.0
+    allowance: float = 0.0
+
+    def limit(self, workspace: ForwardedWorkspace) -> float:
+        """Return the most that a workspace may take in a window."""
+        quota = workspace.rate * self.window + workspace.burst
+        return quota * (1 + self.over) + self.allowance
+
+
 class QuotaPolicy(ABC):
     """Decides whether a workspace may send another request now."""
 
@@ -69,6 +104,42 @@
         self.updated = now
 
 
+class _Taken:
+    """Units that all processes took of one workspace lately, in steps of time."""
+
+    def __init__(self, window: float):
+        self._window = window
+        self._steps: deque[list[float]] = deque()
+        self._sum = 0.0
+
+    def add(self, units: float, now: float) -> None:
+        """Note units taken, or given back."""
+        start = now - now % STEP_SECONDS
+        if self._steps and self._steps[-1][0] == start:
+            self._steps[-1][1] += units
+        else:
+            self._steps.append([start, units])
+        self._sum += units
+
+    def sum(self, now: float) -> float:
+        """Return what was taken within the window."""
+        while self._steps and self._steps[0][0] + STEP_SECONDS <= now - self._window:
+            self._sum -= self._steps.popleft()[1]
+        return self._sum
+
+    def since(self, time: float) -> float:
+        """Return what was taken since a time."""
+        return sum(units for start, units in self._steps if start >= time)
+
+    def wait(self, excess: float, now: float) -> float:
+        """Return the seconds until so many units have left the window."""
+        for start, units in self._steps:
+            excess -= units
+            if excess <= 0:
+                return max(MIN_RETRY_SECONDS, start + STEP_SECONDS + self._window - now)
+        return self._window
+
+
 class SharedQuota(QuotaPolicy):
     """Token buckets that agree over all entry processes.
 
@@ -76,13 +147,21 @@
     ----------
     heard_share : callable
         Returns the part of the entry processes that is heard now, this one included; 0 to 1.
-    allowance : float
-        Units by which a quota may be exceeded.
+    lag : callable
+        Returns the seconds after which word of the others comes, in the mean.
     """
 
-    def __init__(self, heard_share: Callable[[], float], allowance: float = 0.0):
+    def __init__(
+        self,
+        heard_share: Callable[[], float],
+        rules: QuotaRules | None = None,
+        lag: Callable[[], float] = lambda: 0.0,
+    ):
         self._heard_share = heard_share
-        self._extra = allowance * USED_ALLOWANCE
+        self._rules = rules or QuotaRules()
+        self._lag = lag
+        self._extra = self._rules.allowance * USED_ALLOWANCE
+        self._taken: dict[str, _Taken] = {}
         self._buckets: dict[str, _Bucket] = {}
         self._spent: dict[str, float] = {}
         self._heard: dict[tuple[str, str], float] = {}
@@ -114,12 +193,29 @@
         if workspace.rate <= 0:
             return 0.0
         lacking = HELD_PART * min(units, workspace.burst) - self._bucket(workspace, now).level
-        return 0.0 if lacking <= 0 else max(MIN_RETRY_SECONDS, lacking / workspace.rate)
+        if lacking > 0:
+            return max(MIN_RETRY_SECONDS, lacking / workspace.rate)
+        return self._wait_for_window(workspace, units, now)
+
+    def _wait_for_window(self, workspace: ForwardedWorkspace, units: float, now: float) -> float:
+        """Return the seconds until the request keeps the limit of the window; 0 if it does now."""
+        taken = self._taken.get(workspace.name)
+        if taken is None:
+            return 0.0
+        total = taken.sum(now)
+        # Of what the others take now this process hears later.
+        unheard = self._lag() * taken.since(now - RATE_SECONDS) / RATE_SECONDS
+        excess = total + unheard + units - self._rules.limit(workspace) * self._heard_share()
+        return 0.0 if total <= 0 or excess <= 0 else taken.wait(excess, now)
+
+    def _note(self, name: str, units: float, now: float) -> None:
+        self._taken.setdefault(name, _Taken(self._rules.window)).add(units, now)
 
     def spend(self, workspace: ForwardedWorkspace, units: float, now: float) -> None:
         """Take an accepted request out, here at once and elsewhere with the next report."""
         if workspace.rate > 0:
             self._bucket(workspace, now).level -= units
+            self._note(workspace.name, units, now)
         self._spent[workspace.name] = self._spent.get(workspace.name, 0.0) + units
 
     def refund(self, workspace: ForwardedWorkspace, units: float, now: float) -> None:
@@ -132,7 +228,7 @@
             if each.rate > 0:
                 self._bucket(each, now)
 
-    def heard(self, process: str, spent: Mapping[str, float], continuous: bool) -> None:
+    def heard(self, process: str, spent: Mapping[str, float], continuous: bool, now: float) -> None:
         """Take in what another process has taken out in all.
 
         Parameters
@@ -151,3 +247,4 @@
                 known = 0.0
             if continuous and bucket is not None:
                 bucket.level -= total - known
+                self._note(name, total - known, now)
--- a/flamingofront/request/tests/test_quota.py
+++ b/flamingofront/request/tests/test_quota.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from flamingofront.request.quota import SharedQuota
+from flamingofront.request.quota import QuotaRules, SharedQuota
 from flamingofront.request.shared_retry import SharedRetryBudget
 from flamingofront.version.forwarding import ForwardedWorkspace
 
@@ -15,7 +15,7 @@
 LAG = 0.25
 
 
-def played(demands, groups, seconds=12.0):
+def played(demands, groups, seconds=12.0, rules=None, units=1.0, workspace=WORKSPACE, lag=LAG):
     """Play processes with a demand each; those of a group hear one another.
 
     Returns
@@ -25,24 +25,29 @@
     """
     members = len(demands)
     size = {index: len(group) for group in groups for index in group}
-    quotas = [SharedQuota(lambda index=index: size[index] / members) for index in range(members)]
+    quotas = [
+        SharedQuota(lambda index=index: size[index] / members, rules, lambda: lag / 2)
+        for index in range(members)
+    ]
     rng = random.Random(1)
     taken, now, told_at = [], 0.0, 0.0
     for each in quotas:
-        each.prepare((WORKSPACE,), now)
+        each.prepare((workspace,), now)
     while now < seconds:
         now += 0.01
         for index, quota in enumerate(quotas):
-            if rng.random() < demands[index] * 0.01 and quota.wait(WORKSPACE, 1.0, now) == 0:
-                quota.spend(WORKSPACE, 1.0, now)
+            if rng.random() >= demands[index] * 0.01:
+                continue
+            if quota.wait(workspace, units, now) == 0:
+                quota.spend(workspace, units, now)
                 taken.append(now)
-        if now - told_at >= LAG:
+        if now - told_at >= lag:
             told_at = now
             for group in groups:
                 for one in group:
                     for other in group:
                         if one != other:
-                            quotas[one].heard(str(other), quotas[other].spent(), True)
+                            quotas[one].heard(str(other), quotas[other].spent(), True, now)
     return taken
 
 
@@ -72,6 +77,39 @@
         taken = played([80.0, 0.0, 0.0, 0.0], [[0, 1, 2, 3]])
         assert len(taken) > 0.9 * 80 * 12
 
+    @given(
+        st.lists(st.floats(0, 40), min_size=4, max_size=4),
+        st.sampled_from([0.1, 1.0, 3.0]),
+        st.sampled_from([0.25, 1.0]),
+    )
+    def test_window_limit_holds_for_large_requests_and_late_word(self, demands, size, lag):
+        """The bucket runs into debt with each request; the limit of the window holds."""
+        rules = QuotaRules(8.0, 0.1, 3 * RATE)
+        units = size * RATE
+        taken = played(demands, [[0, 1, 2, 3]], 30.0, rules, units, lag=lag)
+        limit = rules.limit(WORKSPACE)
+        # What comes in within one round of word, above the rate of the second before.
+        raced = 2 * lag * sum(demands) * units / 4
+        assert most_in_window(taken) * units <= limit + raced + units
+
+    def test_clumps_within_the_allowance_are_not_refused(self):
+        quota = SharedQuota(lambda: 1.0, QuotaRules(8.0, 0.1, 3 * RATE))
+        quota.prepare((WORKSPACE,), 0.0)
+        for _ in range(int(1.0 * RATE + 2.0 * RATE)):
+            assert quota.wait(WORKSPACE, 1.0, 20.0) == 0
+            quota.spend(WORKSPACE, 1.0, 20.0)
+
+    def test_wait_for_the_window_ends_when_the_request_passes(self):
+        quota = SharedQuota(lambda: 1.0, QuotaRules(8.0, 0.0, 0.0))
+        quota.prepare((WORKSPACE,), 0.0)
+        now, large = 10.0, 4 * RATE
+        while quota.wait(WORKSPACE, large, now) == 0:
+            quota.spend(WORKSPACE, large, now)
+            now += 4.1
+        wait = quota.wait(WORKSPACE, large, now)
+        assert 0 < wait <= 8.0
+        assert quota.wait(WORKSPACE, large, now + wait + 0.3) == 0
+
     def test_time_to_come_back_is_when_it_passes(self):
         quota = SharedQuota(lambda: 1.0)
         quota.prepare((WORKSPACE,), 0.0)
@@ -91,8 +129,8 @@
     def test_word_of_a_process_that_was_out_of_hearing_is_no_debt(self):
         quota = SharedQuota(lambda: 1.0)
         quota.prepare((WORKSPACE,), 0.0)
-        quota.heard("other/1", {"desk": 10.0}, True)
-        quota.heard("other/1", {"desk": 5000.0}, False)
+        quota.heard("other/1", {"desk": 10.0}, True, 0.0)
+        quota.heard("other/1", {"desk": 5000.0}, False, 2.0)
         assert quota.wait(WORKSPACE, 50.0, 2.0) == 0
 
 
