--- a/flamingofront/process/forwarding/scaling.py
+++ b/flamingofront/process/forwarding/scaling.py
@@ -70,7 +70,12 @@
 
     @abstractmethod
     def plan(
-        self, limits: ScalingLimits, demand: Demand, dry: frozenset[str], live: Mapping[str, int]
+        self,
+        limits: ScalingLimits,
+        demand: Demand,
+        dry: frozenset[str],
+        live: Mapping[str, int],
+        found: Mapping[str, int],
     ) -> FleetCounts:
         """Return the wanted endpoints.
 
@@ -80,6 +85,8 @@
             Zones in which no more reclaimable endpoints are to be had now.
         live : mapping of str to int
             Reclaimable endpoints that serve now, by zone.
+        found : mapping of str to int
+            Endpoints of both kinds that served when this process began, by zone.
         """
 
 
@@ -98,7 +105,10 @@
         Zones whose reclaimable endpoints may be taken back while the demand is still carried.
         Reclaims come in waves, and for ten seconds and more there is no replacement.
     first_each : int
-        Endpoints in each zone while the demand is not yet known.
+        Least endpoints in each zone while the demand is not yet known.
+    first_part : float
+        Part of the endpoints that were found in a zone that are kept until then: what somebody set
+        up is the only word on the demand, and half of it is enough once requests are spread well.
     firm_utilization : float
         Part of the slots that the demand must fill before firm endpoints are ordered: they cost
         several times as much, and what they make up for is back after a while.
@@ -107,25 +117,40 @@
     utilization: float = 0.2
     lost_zones: int = 2
     first_each: int = 2
+    first_part: float = 0.5
     firm_utilization: float = 0.35
 
     def plan(
-        self, limits: ScalingLimits, demand: Demand, dry: frozenset[str], live: Mapping[str, int]
+        self,
+        limits: ScalingLimits,
+        demand: Demand,
+        dry: frozenset[str],
+        live: Mapping[str, int],
+        found: Mapping[str, int],
     ) -> FleetCounts:
         """Return the wanted endpoints, cheapest zones first."""
         zones = sorted(limits.zone_prices, key=lambda zone: (limits.zone_prices[zone], zone))
         needed = math.ceil(demand.in_flight / (demand.slots * self.utilization))
         urgent = math.ceil(demand.in_flight / (demand.slots * self.firm_utilization))
         surviving = max(1, len(zones) - self.lost_zones)
-        least = max(1, limits.least, 0 if demand.known else self.first_each)
-        each = min(limits.most, max(least, math.ceil(needed / surviving)))
-        reclaimable = {
-            zone: max(least, min(each, live.get(zone, 0))) if zone in dry else each
-            for zone in zones
-        }
-        missing = urgent - sum(live.get(zone, 0) if zone in dry else each for zone in zones)
+        lasting = math.ceil(needed / surviving)
+        reclaimable = {}
+        missing = urgent
+        for zone in zones:
+            least = self._least(limits, demand, found.get(zone, 0))
+            each = min(limits.most, max(least, lasting))
+            serving = live.get(zone, 0)
+            reclaimable[zone] = max(least, min(each, serving)) if zone in dry else each
+            missing -= serving if zone in dry else each
         return FleetCounts(reclaimable, self._firm(limits, zones, reclaimable, missing))
 
+    def _least(self, limits: ScalingLimits, demand: Demand, found: int) -> int:
+        """Return the least endpoints of a zone."""
+        least = max(1, limits.least)
+        if demand.known:
+            return least
+        return min(limits.most, max(least, self.first_each, math.ceil(found * self.first_part)))
+
     @staticmethod
     def _firm(
         limits: ScalingLimits, zones: list[str], reclaimable: Mapping[str, int], missing: int
@@ -199,6 +224,7 @@
         self._dry_until: dict[tuple[str, str], float] = {}
         self._first_seen: dict[str, float] = {}
         self._mean: dict[str, float] = {}
+        self._found: dict[str, Counter[str]] = {}
         self._fencing = 0
 
     def run(self) -> Task:
@@ -227,7 +253,8 @@
             dry = self._dry(service.name, now)
             live = self._live(service.name, True)
             demand = self._known_demand(service.name, now)
-            plan = self._policy.plan(service.scaling, demand, dry, live)
+            found = self._found_at_start(service.name)
+            plan = self._policy.plan(service.scaling, demand, dry, live, found)
             for reclaimable, counts in ((True, plan.reclaimable), (False, plan.firm)):
                 for zone, count in counts.items():
                     order = EndpointOrder(service.name, zone, count, reclaimable)
@@ -244,6 +271,14 @@
         known = now - since >= OBSERVED_SECONDS
         return replace(demand, in_flight=self._smoothed(service, demand.in_flight), known=known)
 
+    def _found_at_start(self, service: str) -> Counter[str]:
+        """Return the endpoints that served when this process first saw any, by zone."""
+        found = self._found.get(service)
+        if not found:
+            found = self._live(service, True) + self._live(service, False)
+            self._found[service] = found
+        return found
+
     def _smoothed(self, service: str, in_flight: float) -> float:
         """Return the requests in flight, averaged over the last looks."""
         last = self._mean.get(service, in_flight)
--- a/flamingofront/process/forwarding/tests/test_duties.py
+++ b/flamingofront/process/forwarding/tests/test_duties.py
@@ -168,9 +168,11 @@
 class TestScaling:
     LIMITS = ScalingLimits(1, 3, 4.0, 0.2, {"zone-a": 1.0, "zone-b": 0.8, "zone-c": 1.2})
 
-    def plan(self, in_flight, dry=frozenset(), live=None):
-        demand = Demand(in_flight, 10)
-        return SpreadReclaimable().plan(self.LIMITS, demand, frozenset(dry), live or {})
+    def plan(self, in_flight, dry=frozenset(), live=None, known=True, found=None):
+        demand = Demand(in_flight, 10, known)
+        return SpreadReclaimable().plan(
+            self.LIMITS, demand, frozenset(dry), live or {}, found or {}
+        )
 
     def test_one_reclaimable_endpoint_a_zone_while_calm(self):
         plan = self.plan(1)
@@ -181,6 +183,13 @@
         counts = [sum(self.plan(demand).reclaimable.values()) for demand in (0, 10, 20, 30, 500)]
         assert counts == sorted(counts) and counts[-1] == 9
 
+    def test_half_of_what_was_found_stays_until_the_demand_is_known(self):
+        found = {"zone-a": 5, "zone-b": 3}
+        first = self.plan(0, known=False, found=found).reclaimable
+        assert first == {"zone-a": 3, "zone-b": 2, "zone-c": 2}
+        later = self.plan(0, found=found).reclaimable
+        assert set(later.values()) == {1}
+
     def test_dry_zones_are_made_up_for_elsewhere(self):
         plan = self.plan(5, {"zone-a"})
         assert plan.reclaimable["zone-b"] + plan.reclaimable["zone-c"] > 2
