A few processes of a zone follow the store for all of it

Ruled out: longer waits (they hide the return of a silent store), one process a zone (its death would leave the zone without word until it is missed). Three processes of a zone, by rendezvous hash, follow; the others rest while they hear two of them, ask them for changed endpoints at once and the store for a new configuration. Zones of up to three processes work as before. Found by the new fuzz test: an endpoint given up at the end of the grace was never told to those that rest; a peer's row undid the grace; changes from a peer followed by the own feed lost a row's end. Each is mended, the first has a test of its own.

--- a/flamingofront/process/forwarding/endpoints.py
+++ b/flamingofront/process/forwarding/endpoints.py
@@ -108,19 +108,27 @@
         """
         found = {each.endpoint_id: each for each in rows}
         for row in found.values():
-            self.put(row)
+            self.put(row, by_peer=confirmed)
         for endpoint_id in [each for each in self._rows if each not in found]:
             if confirmed:
                 self._drop(endpoint_id)
             else:
                 self.remove(endpoint_id)
 
-    def put(self, row: EndpointRow) -> None:
-        """Take one row in."""
+    def put(self, row: EndpointRow, by_peer: bool = False) -> None:
+        """Take one row in.
+
+        Parameters
+        ----------
+        by_peer : bool
+            True if a peer tells it. A row whose grace runs here may still have grace there too:
+            only a newer one shows that the endpoint is back.
+        """
         known = self._rows.get(row.endpoint_id)
         if known is not None and (row.sequence < known.sequence or not known.ready):
             return
-        self._missing.discard(row.endpoint_id)
+        if known is None or not by_peer or row.sequence > known.sequence:
+            self._missing.discard(row.endpoint_id)
         self._rows[row.endpoint_id] = row
         fact = self._facts.get(row.endpoint_id)
         returned = fact is not None and fact.state is VmState.GONE
@@ -156,6 +164,10 @@
             return
         self._drop(endpoint_id)
 
+    def confirm_gone(self, endpoint_id: str) -> None:
+        """Take word of a peer that the store answers that a row vanished."""
+        self._drop(endpoint_id)
+
     def _end_grace(self) -> None:
         if self._away:
             return
--- a/flamingofront/process/forwarding/follower.py
+++ b/flamingofront/process/forwarding/follower.py
@@ -16,6 +16,8 @@
 # A silent store swallows a waiting call. The wait bounds how long that goes unnoticed: with it, a
 # process that is in touch again learns of a change within the two seconds that are allowed.
 FEED_WAIT_SECONDS = 3.5
+# Pause between two looks at whether others still follow the store for this process.
+REST_SECONDS = 0.2
 # First pause after a failed call and the longest one: quick enough to be back within a second of
 # the store's return, slow enough that 100 processes make 100 calls a second at most.
 BACKOFF = Backoff(0.1, 1.0)
@@ -28,14 +30,14 @@
     Parameters
     ----------
     replaced : callable
-        Gets all rows of the table, after it was read in full.
+        Gets all rows of the table and the version of the store, after it was read in full.
     changed : callable
         Gets rows that changed, in order.
     lost, regained : callable
         Called when the store stops answering, and when it answers again.
     """
 
-    replaced: Callable[[tuple[StoredRow, ...]], None]
+    replaced: Callable[[tuple[StoredRow, ...], int], None]
     changed: Callable[[tuple[StoredRow, ...]], None]
     lost: Callable[[], None] = lambda: None
     regained: Callable[[], None] = lambda: None
@@ -46,6 +48,8 @@
 
     Parameters
     ----------
+    may_rest : callable
+        Returns whether other processes follow the table for this one.
     now : callable
         Time of the timer service.
     """
@@ -58,7 +62,12 @@
         now: Callable[[], float],
         rng: random.Random,
         log: Log,
+        may_rest: Callable[[], bool] = lambda: False,
     ):
+        self._may_rest = may_rest
+        self._look_once = False
+        self._told_by_peer = False
+        self.rests = False
         self._store = store
         self.table = table
         self._listener = listener
@@ -84,9 +93,32 @@
         """True while the store does not answer this process."""
         return self._failures > 0
 
+    def look_once(self) -> None:
+        """Ask for changes soon, also while others follow the table for this process."""
+        self._look_once = True
+
+    def read_anew(self) -> None:
+        """Read the whole table before its changes are followed again.
+
+        Notes
+        -----
+        A peer has told of some changes, and not of rows that it holds only by the grace after an
+        outage. Changes since this process's own version would undo what it has learned.
+        """
+        self._told_by_peer = True
+
     def run(self) -> Task:
         """Follow the table; never returns."""
         while True:
+            rests = self._version is not None and not self._failures and self._may_rest()
+            if rests != self.rests:
+                self.rests = rests
+                self._log.info("store is followed by others" if rests else "store is followed here")
+            if rests and not self._look_once:
+                yield Sleep(REST_SECONDS)
+                continue
+            if self._told_by_peer:
+                self._told_by_peer, self._version = False, None
             try:
                 yield from self.step()
             except HistoryLostError as exc:
@@ -102,10 +134,11 @@
             rows, version = yield from self._read_all()
             self._note_answer()
             self._version = version
-            self._listener.replaced(rows)
+            self._listener.replaced(rows, version)
             return
         # While the store is away a waiting call would hide its return: it is asked without a wait.
-        wait = 0.0 if self._failures else FEED_WAIT_SECONDS
+        wait = 0.0 if self._failures or self._look_once else FEED_WAIT_SECONDS
+        self._look_once = False
         changes = yield from self._store.changes(self.table, self._version, wait)
         self._note_answer()
         self._version = max(self._version, changes.version)
--- a/flamingofront/process/forwarding/knowledge.py
+++ b/flamingofront/process/forwarding/knowledge.py
@@ -7,6 +7,7 @@
 from flamingofront.errors import ConfigurationError, PlatformError
 from flamingofront.process.forwarding.endpoints import EndpointRow, EndpointView
 from flamingofront.process.forwarding.follower import TableFollower, TableListener
+from flamingofront.process.forwarding.news import EndpointHistory, EndpointNews, mark_of
 from flamingofront.process.logs import Log
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.store import StoredRow, TableStore
@@ -44,6 +45,13 @@
     ----------
     on_configuration : callable
         Gets each configuration that comes into force.
+    may_rest : callable
+        Returns whether other processes follow the store for this one.
+
+    Attributes
+    ----------
+    on_change : callable
+        Called after the store told of a change.
     """
 
     def __init__(
@@ -56,7 +64,10 @@
         rng: random.Random,
         metrics: Metrics,
         log: Log,
+        may_rest: Callable[[], bool] = lambda: False,
     ):
+        self.on_change: Callable[[], None] = lambda: None
+        self._history = EndpointHistory()
         self.configuration = ForwardingConfiguration()
         self.configuration_data = b""
         self.endpoints = endpoints
@@ -64,8 +75,9 @@
         self._on_configuration = on_configuration
         self._metrics = metrics
         self._log = log
-        self._peer_version = 0
-        configuration_listener = TableListener(self._configuration_rows, self._configuration_rows)
+        configuration_listener = TableListener(
+            lambda rows, version: self._configuration_rows(rows), self._configuration_rows
+        )
         endpoint_listener = TableListener(
             self._endpoints_replaced,
             self._endpoints_changed,
@@ -73,8 +85,10 @@
             endpoints.store_back,
         )
         self.followers = (
-            TableFollower(store, tables.configuration, configuration_listener, now, rng, log),
-            TableFollower(store, tables.endpoints, endpoint_listener, now, rng, log),
+            TableFollower(
+                store, tables.configuration, configuration_listener, now, rng, log, may_rest
+            ),
+            TableFollower(store, tables.endpoints, endpoint_listener, now, rng, log, may_rest),
         )
 
     @property
@@ -82,14 +96,34 @@
         """True while the store does not answer this process about the endpoints."""
         return self.followers[1].is_cut_off
 
-    def endpoints_version(self) -> int:
-        """Return the version of the store up to which the endpoints are known."""
-        return max(self.followers[1].version, self._peer_version)
+    @property
+    def rests(self) -> bool:
+        """True while other processes follow the store for this one."""
+        return self.followers[1].rests
+
+    def read_configuration_now(self) -> None:
+        """Ask the store for the configuration, also while this process does not follow it."""
+        self.followers[0].look_once()
+
+    def endpoints_mark(self) -> int:
+        """Return the mark of the last change of the endpoints."""
+        return self._history.mark
+
+    def endpoint_news(self, after: int) -> EndpointNews:
+        """Return what a peer is told that knows the endpoints up to a mark."""
+        rows = self.endpoints.rows()
+        changed = self._history.since(after)
+        if changed is None:
+            return EndpointNews(self._history.mark, True, rows)
+        present = tuple(each for each in rows if each.endpoint_id in changed)
+        gone = changed.difference(each.endpoint_id for each in rows)
+        return EndpointNews(self._history.mark, False, present, tuple(sorted(gone)))
 
     def _configuration_rows(self, rows: tuple[StoredRow, ...]) -> None:
         for row in rows:
             if row.key == self._tables.configuration_key and row.value is not None:
                 self.take_configuration(row.value, "store")
+        self.on_change()
 
     def take_configuration(self, data: bytes, source: str) -> None:
         """Put a configuration in force if it is well formed and newer than the last one.
@@ -129,9 +163,11 @@
                 self._log.error("endpoint row refused", detail=str(exc))
         return found
 
-    def _endpoints_replaced(self, rows: tuple[StoredRow, ...]) -> None:
+    def _endpoints_replaced(self, rows: tuple[StoredRow, ...], version: int) -> None:
         present = tuple(each for each in rows if each.value is not None)
+        self._history.restart(mark_of(version))
         self.endpoints.replace_all(self._decoded(present))
+        self.on_change()
 
     def _endpoints_changed(self, rows: tuple[StoredRow, ...]) -> None:
         for row in rows:
@@ -140,8 +176,31 @@
             else:
                 for each in self._decoded((row,)):
                     self.endpoints.put(each)
+                self._history.changed(row.key, mark_of(row.version))
+        self.on_change()
+
+    def endpoint_gone(self, endpoint_id: str) -> None:
+        """Remember for peers that an endpoint is gone.
 
-    def take_endpoints(self, rows: tuple[EndpointRow, ...], version: int) -> None:
-        """Take the endpoints of a peer that the store answers."""
-        self._peer_version = version
-        self.endpoints.replace_all(rows, confirmed=True)
+        Notes
+        -----
+        That may be after the grace that follows an outage of the store, when later changes are
+        known already.
+        """
+        mark = mark_of(self.followers[1].version) + 1
+        self._history.changed(endpoint_id, max(mark, self._history.mark))
+        self.on_change()
+
+    def take_endpoints(self, news: EndpointNews) -> None:
+        """Take what a peer tells that the store answers."""
+        self.followers[1].read_anew()
+        if news.whole:
+            self._history.restart(news.mark)
+            self.endpoints.replace_all(news.rows, confirmed=True)
+        else:
+            for row in news.rows:
+                self.endpoints.put(row, by_peer=True)
+                self._history.changed(row.endpoint_id, news.mark)
+            for endpoint_id in news.gone:
+                self.endpoints.confirm_gone(endpoint_id)
+                self._history.changed(endpoint_id, news.mark)
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -11,16 +11,16 @@
 from flamingofront.messages import InboundRequest
 from flamingofront.process.forwarding.duty import DutyLease
 from flamingofront.process.forwarding.endpoints import EndpointView
-from flamingofront.process.forwarding.knowledge import Knowledge, SharedTables
-from flamingofront.process.forwarding.operators import ForwardingOperators
-from flamingofront.process.forwarding.peers import (
+from flamingofront.process.forwarding.exchange import (
     CONFIGURATION_PATH,
     ENDPOINTS_PATH,
-    MAX_PEERS_TOLD,
-    PeerKnowledge,
-    Peers,
-    encode_rows,
+    KnowledgeExchange,
 )
+from flamingofront.process.forwarding.knowledge import Knowledge, SharedTables
+from flamingofront.process.forwarding.news import encode_news
+from flamingofront.process.forwarding.operators import ForwardingOperators
+from flamingofront.process.forwarding.peers import MAX_PEERS_TOLD, Peers
+from flamingofront.process.forwarding.readers import StoreReaders
 from flamingofront.process.forwarding.reports import PeerReport
 from flamingofront.process.forwarding.scaling import Demand, ScalingDuty, SpreadReclaimable
 from flamingofront.process.forwarding.settings import DeploymentSettings
@@ -107,12 +107,13 @@
         self.knowledge = Knowledge(
             needs.store,
             needs.tables,
-            EndpointView(self.facts, self.timers, self.log, on_gone=self.directory.forget),
+            EndpointView(self.facts, self.timers, self.log, on_gone=self._endpoint_gone),
             self._configuration_changed,
             self.timers.now,
             self._rng,
             self.metrics,
             self.log,
+            lambda: self.readers.may_rest(),
         )
         self.hub = RequestHub(
             HubSettings(
@@ -142,6 +143,10 @@
             self.hub, needs.protocol, self.quota, self.log, self._began_to_run
         )
 
+    def _endpoint_gone(self, endpoint_id: str) -> None:
+        self.directory.forget(endpoint_id)
+        self.knowledge.endpoint_gone(endpoint_id)
+
     def _retry_budget(self, service: Service) -> RetryBudget:
         rules = self.settings.rules
         return SharedRetryBudget(
@@ -149,13 +154,6 @@
         )
 
     def _build_peers(self) -> None:
-        knowledge = PeerKnowledge(
-            lambda: self.knowledge.configuration.version,
-            self.knowledge.endpoints_version,
-            lambda: self.knowledge.cut_off,
-            lambda data: self.knowledge.take_configuration(data, "peer"),
-            self.knowledge.take_endpoints,
-        )
         self.peers = Peers(
             self._own,
             self.settings.peer_port,
@@ -163,13 +161,25 @@
             self.own_report,
             self._needs.send,
             self._heard,
-            knowledge,
             self._needs.store,
             self.tasks,
             self.timers,
             self._rng,
             self.log,
         )
+        self.exchange = KnowledgeExchange(self.knowledge, self.tasks, self.timers.now, self.log)
+        self.readers = StoreReaders(
+            self.settings.vm_id,
+            self.settings.zone,
+            lambda: self.peers.table.heard(self.timers.now()),
+        )
+        self.knowledge.on_change = self._store_changed
+
+    def _store_changed(self) -> None:
+        """Tell the zone, if others may rest because this process follows the store."""
+        heard = self.peers.table.heard(self.timers.now())
+        if any(each.zone == self.settings.zone and not each.follows for each in heard):
+            self.peers.tell_zone()
 
     def _build_duties(self) -> None:
         settings, needs = self.settings, self._needs
@@ -250,8 +260,9 @@
             sequence=self._sequence,
             wall=self.timers.wall(),
             configuration=self.configuration.version,
-            endpoints=self.knowledge.endpoints_version(),
+            endpoints=self.knowledge.endpoints_mark(),
             cut_off=self.knowledge.cut_off,
+            follows=not self.knowledge.rests,
             leaving=self.stopping,
             fencing=lease.fencing if lease is not None else 0,
             released=self.lease.released,
@@ -275,6 +286,7 @@
         self.quota.heard(report.process, report.spent, continuous, self.timers.now())
         self.usage.heard(report.usage or {})
         self.lease.heard(report)
+        self.exchange.compare(report)
 
     def _spread_loads(self) -> None:
         """Tell the directory what all processes together run at each endpoint."""
@@ -374,7 +386,9 @@
         elif req.path == CONFIGURATION_PATH:
             exchange.respond(200, (), self.knowledge.configuration_data)
         elif req.path == ENDPOINTS_PATH:
-            exchange.respond(200, (), encode_rows(self.knowledge.endpoints.rows()))
+            after = req.query.get("after", "")
+            news = self.knowledge.endpoint_news(int(after) if after.isdigit() else -1)
+            exchange.respond(200, (), encode_news(news))
         else:
             exchange.respond(404, (), b"")
 
--- a/flamingofront/process/forwarding/operators.py
+++ b/flamingofront/process/forwarding/operators.py
@@ -12,6 +12,7 @@
 from flamingofront.connection.server import JSON_HEADERS
 from flamingofront.errors import CommandError, ErrorKind, RequestError
 from flamingofront.messages import InboundRequest
+from flamingofront.process.forwarding.reports import PeerReport
 from flamingofront.process.membership import Role
 from flamingofront.version.language import Query, Statement, parse
 from flamingofront.version.query import run_query
@@ -97,7 +98,7 @@
                 "incarnation": each.incarnation,
                 "heard": round(node.peers.table.gap(each.vm_id, now) or 0.0, 2),
                 "configuration": each.configuration,
-                "store": "cut off" if each.cut_off else "reached",
+                "store": _store_word(each),
                 "fencing": each.fencing,
             }
             for each in reports
@@ -210,3 +211,10 @@
     def _counters(self) -> Rows:
         vm = self._node.settings.vm_id
         return [{"vm": vm, **each} for each in self._node.metrics.rows()]
+
+
+def _store_word(report: PeerReport) -> str:
+    """Return how a process learns of the store's changes."""
+    if report.cut_off:
+        return "cut off"
+    return "reached" if report.follows else "by others"
--- a/flamingofront/process/forwarding/peers.py
+++ b/flamingofront/process/forwarding/peers.py
@@ -3,13 +3,11 @@
 import math
 import random
 from collections.abc import Callable, Iterable
-from dataclasses import asdict
 
 import orjson
 
 from flamingofront.errors import PlatformError
-from flamingofront.messages import OutboundCall, Sleep, WholeResponse
-from flamingofront.process.forwarding.endpoints import EndpointRow
+from flamingofront.messages import Sleep
 from flamingofront.process.forwarding.reports import (
     PeerReport,
     PeerTable,
@@ -24,14 +22,7 @@
 from flamingofront.process.tasks import Task, TaskRunner
 from flamingofront.process.timers import TimerService
 
-__all__ = [
-    "CONFIGURATION_PATH",
-    "ENDPOINTS_PATH",
-    "PeerKnowledge",
-    "Peers",
-    "decode_rows",
-    "encode_rows",
-]
+__all__ = ["MAX_PEERS_TOLD", "Peers"]
 
 # Reports go out so often that quotas and loads lag by less than a latency objective.
 REPORT_SECONDS = 0.25
@@ -55,54 +46,6 @@
 # Pause between two looks at the member table while nobody is heard.
 LONELY_SECONDS = 5.0
 RETRY_SECONDS = 1.0
-ASK_TIMEOUT = 1.0
-# A peer's newer knowledge is asked for when the store has not brought it by itself meanwhile.
-STORE_LEAD_SECONDS = 0.5
-CONFIGURATION_PATH = "/forwarding/configuration"
-ENDPOINTS_PATH = "/forwarding/endpoints"
-
-
-def encode_rows(rows: tuple[EndpointRow, ...]) -> bytes:
-    """Return the endpoints as a peer is told of them."""
-    return orjson.dumps([asdict(each) for each in rows])
-
-
-def decode_rows(data: bytes) -> tuple[EndpointRow, ...]:
-    """Return the endpoints that a peer tells of; raises `ValueError` if they are malformed."""
-    try:
-        return tuple(EndpointRow(**each) for each in orjson.loads(data))
-    except TypeError as exc:
-        raise ValueError(f"malformed endpoints: {exc}") from exc
-
-
-class PeerKnowledge:
-    """What is done with what peers know better.
-
-    Parameters
-    ----------
-    configuration_version, endpoints_version : callable
-        Return the versions known here.
-    cut_off : callable
-        Returns whether the store does not answer this process.
-    take_configuration : callable
-        Gets a configuration document.
-    take_endpoints : callable
-        Gets a peer's endpoints and its version of the store.
-    """
-
-    def __init__(
-        self,
-        configuration_version: Callable[[], int],
-        endpoints_version: Callable[[], int],
-        cut_off: Callable[[], bool],
-        take_configuration: Callable[[bytes], None],
-        take_endpoints: Callable[[tuple[EndpointRow, ...], int], None],
-    ):
-        self.configuration_version = configuration_version
-        self.endpoints_version = endpoints_version
-        self.cut_off = cut_off
-        self.take_configuration = take_configuration
-        self.take_endpoints = take_endpoints
 
 
 class Peers:
@@ -126,7 +69,6 @@
         own_report: Callable[[], PeerReport],
         send: Callable[[bytes, tuple[str, int]], None],
         on_report: Callable[[PeerReport, float | None], None],
-        knowledge: PeerKnowledge,
         store: TableStore,
         tasks: TaskRunner,
         timers: TimerService,
@@ -140,7 +82,6 @@
         self._own_report = own_report
         self._send = send
         self._on_report = on_report
-        self._knowledge = knowledge
         self._store = store
         self._tasks = tasks
         self._timers = timers
@@ -148,8 +89,6 @@
         self._log = log
         self._order: list[str] = []
         self._counts_told_at = -math.inf
-        self._asking = False
-        self._newer_since: float | None = None
         self._registered: dict[str, float] = {}
 
     def start(self) -> None:
@@ -268,6 +207,12 @@
             keepers.add(holder.ip)
         return keepers - {self._own.ip}
 
+    def tell_zone(self) -> None:
+        """Tell the peers of the own zone at once."""
+        heard = self.table.heard(self._timers.now())
+        ips = [each.ip for each in heard if each.zone == self._own.zone]
+        self._send_to(ips, without_counts(self._own_report()))
+
     def tell_now(self) -> None:
         """Tell all peers at once: something changed that they should know soon."""
         self._order = []
@@ -294,55 +239,3 @@
         self._ips.add(report.ip)
         self._ips.update(each for each in report.peers if each != self._own.ip)
         self._on_report(report, gap)
-        self._compare(report)
-
-    # Knowledge
-
-    def _compare(self, report: PeerReport) -> None:
-        """Ask a peer for what it knows better, if the store does not bring it in time."""
-        known = self._knowledge
-        newer_configuration = report.configuration > known.configuration_version()
-        newer_endpoints = (
-            known.cut_off() and not report.cut_off and report.endpoints > known.endpoints_version()
-        )
-        if not newer_configuration and not newer_endpoints:
-            self._newer_since = None
-            return
-        now = self._timers.now()
-        if self._newer_since is None:
-            self._newer_since = now
-        waited = now - self._newer_since >= STORE_LEAD_SECONDS
-        if self._asking or not (waited or known.cut_off()):
-            return
-        self._asking = True
-        self._tasks.start(self._ask(report, newer_configuration, newer_endpoints), self._asked)
-
-    def _asked(self, result: object) -> None:
-        self._asking = False
-        self._newer_since = None
-
-    def _ask(self, report: PeerReport, configuration: bool, endpoints: bool) -> Task:
-        if configuration:
-            data = yield from self._get(report, CONFIGURATION_PATH)
-            if data:
-                self._knowledge.take_configuration(data)
-        if endpoints:
-            data = yield from self._get(report, ENDPOINTS_PATH)
-            if data:
-                self._take_rows(report, data)
-
-    def _get(self, report: PeerReport, path: str) -> Task:
-        reply = yield OutboundCall(report.address, "GET", path, timeout=ASK_TIMEOUT)
-        if isinstance(reply, WholeResponse) and reply.status == 200:
-            return reply.body
-        self._log.info("peer did not answer", peer=report.vm_id, path=path, reply=str(reply)[:80])
-        return b""
-
-    def _take_rows(self, report: PeerReport, data: bytes) -> None:
-        try:
-            rows = decode_rows(data)
-        except ValueError as exc:
-            self._log.error("peer's endpoints refused", peer=report.vm_id, detail=str(exc))
-            return
-        self._log.info("endpoints from peer", peer=report.vm_id, version=report.endpoints)
-        self._knowledge.take_endpoints(rows, report.endpoints)
--- a/flamingofront/process/forwarding/reports.py
+++ b/flamingofront/process/forwarding/reports.py
@@ -48,9 +48,11 @@
     configuration : int
         Version of the configuration in force there.
     endpoints : int
-        Version of the store up to which it knows the endpoints.
+        Mark of the last change of the endpoints that it knows.
     cut_off : bool
         True if the store does not answer it.
+    follows : bool
+        True if it follows the store itself, and tells its zone of changes.
     leaving : bool
         True if it is stopping.
     fencing : int
@@ -84,6 +86,7 @@
     configuration: int = 0
     endpoints: int = 0
     cut_off: bool = False
+    follows: bool = True
     leaving: bool = False
     fencing: int = 0
     released: int = 0
