Orders wait for the endpoints to register; wanted endpoints follow requests, not slots alone

Now a service's first orders wait until its endpoints are seen (3 s at most), and an endpoint is to take half of its slots, at most 12.8 requests (what a fifth of 64 slots was, so that the first two sites do not change). Ruled out: one part of the slots for all engines. Two tests of the plan named the old default; they set the same figures themselves now.

--- a/flamingofront/process/forwarding/scaling.py
+++ b/flamingofront/process/forwarding/scaling.py
@@ -23,6 +23,9 @@
 __all__ = ["Demand", "FleetCounts", "ScalingDuty", "ScalingPolicy", "SpreadReclaimable"]
 
 STEP_SECONDS = 0.5
+# Orders for a service wait until its endpoints have registered, so that what was set up is seen; a
+# service without any is ordered after this time. They write their rows about every second.
+REGISTER_SECONDS = 3.0
 # An order that the cloud could not fill is sent again after this time, and its zone counts as
 # without reclaimable endpoints until then; the platform refuses for ten seconds and more at a time.
 REFUSED_SECONDS = 4.0
@@ -99,8 +102,10 @@
     Parameters
     ----------
     utilization : float
-        Part of the slots that the demand may fill. An engine prefills prompts between the tokens of
-        what runs, so that long before its slots are full its answers come late.
+        Part of the slots that the demand may fill, so that clumps find a free one.
+    crowd : float
+        Requests at an endpoint above which answers come late however many slots it has: an engine
+        prefills prompts between the tokens of what runs.
     lost_zones : int
         Zones whose reclaimable endpoints may be taken back while the demand is still carried.
         Reclaims come in waves, and for ten seconds and more there is no replacement.
@@ -109,16 +114,18 @@
     first_part : float
         Part of the endpoints that were found in a zone that are kept until then: what somebody set
         up is the only word on the demand, and half of it is enough once requests are spread well.
-    firm_utilization : float
-        Part of the slots that the demand must fill before firm endpoints are ordered: they cost
-        several times as much, and what they make up for is back after a while.
+    firm_utilization, firm_crowd : float
+        The same for firm endpoints: they cost several times as much, and what they make up for is
+        back after a while.
     """
 
-    utilization: float = 0.2
+    utilization: float = 0.5
+    crowd: float = 12.8
     lost_zones: int = 2
     first_each: int = 2
     first_part: float = 0.5
-    firm_utilization: float = 0.35
+    firm_utilization: float = 0.75
+    firm_crowd: float = 22.4
 
     def plan(
         self,
@@ -130,8 +137,10 @@
     ) -> FleetCounts:
         """Return the wanted endpoints, cheapest zones first."""
         zones = sorted(limits.zone_prices, key=lambda zone: (limits.zone_prices[zone], zone))
-        needed = math.ceil(demand.in_flight / (demand.slots * self.utilization))
-        urgent = math.ceil(demand.in_flight / (demand.slots * self.firm_utilization))
+        needed = math.ceil(demand.in_flight / min(demand.slots * self.utilization, self.crowd))
+        urgent = math.ceil(
+            demand.in_flight / min(demand.slots * self.firm_utilization, self.firm_crowd)
+        )
         surviving = max(1, len(zones) - self.lost_zones)
         lasting = math.ceil(needed / surviving)
         reclaimable = {}
@@ -225,6 +234,7 @@
         self._first_seen: dict[str, float] = {}
         self._mean: dict[str, float] = {}
         self._found: dict[str, Counter[str]] = {}
+        self._planned_since: dict[str, float] = {}
         self._fencing = 0
 
     def run(self) -> Task:
@@ -248,7 +258,7 @@
         now = self._now()
         orders = []
         for service in self._configuration().services.values():
-            if service.scaling is None:
+            if service.scaling is None or self._is_unregistered(service.name, now):
                 continue
             dry = self._dry(service.name, now)
             live = self._live(service.name, True)
@@ -271,6 +281,11 @@
         known = now - since >= OBSERVED_SECONDS
         return replace(demand, in_flight=self._smoothed(service, demand.in_flight), known=known)
 
+    def _is_unregistered(self, service: str, now: float) -> bool:
+        """Tell whether the endpoints of a service may only not have registered yet."""
+        since = self._planned_since.setdefault(service, now)
+        return not self._found_at_start(service) and now - since < REGISTER_SECONDS
+
     def _found_at_start(self, service: str) -> Counter[str]:
         """Return the endpoints that served when this process first saw any, by zone."""
         found = self._found.get(service)
--- a/flamingofront/process/forwarding/tests/test_duties.py
+++ b/flamingofront/process/forwarding/tests/test_duties.py
@@ -5,7 +5,7 @@
 from flamingofront.process.forwarding.duty import DUTY_KEY, DUTY_PART, DUTY_TABLE
 from flamingofront.process.forwarding.scaling import Demand, SpreadReclaimable
 from flamingofront.standins.table_store import StoreFault
-from flamingofront.tests.forwarding_world import ready_world
+from flamingofront.tests.forwarding_world import ForwardingWorld, ready_world
 from flamingofront.version.forwarding import ScalingLimits
 
 LEASE = 3.0
@@ -170,9 +170,30 @@
 
     def plan(self, in_flight, dry=frozenset(), live=None, known=True, found=None):
         demand = Demand(in_flight, 10, known)
-        return SpreadReclaimable().plan(
-            self.LIMITS, demand, frozenset(dry), live or {}, found or {}
-        )
+        policy = SpreadReclaimable(utilization=0.2, firm_utilization=0.35)
+        return policy.plan(self.LIMITS, demand, frozenset(dry), live or {}, found or {})
+
+    def test_many_slots_do_not_make_an_endpoint_serve_more(self):
+        """Beyond a number of requests their prompts delay one another."""
+        limits = ScalingLimits(1, 50, 4.0, 0.2, {"zone-a": 1.0})
+        counts = [
+            SpreadReclaimable().plan(limits, Demand(128, slots), frozenset(), {}, {}).reclaimable
+            for slots in (4, 16, 64, 256)
+        ]
+        assert [each["zone-a"] for each in counts] == [50, 16, 10, 10]
+
+    def test_nothing_is_ordered_before_the_endpoints_have_registered(self):
+        world = ForwardingWorld()
+        world.configure_routes()
+        world.endpoint("plain-1", "records", "zone-a")
+        world.front("front-1")
+        world.run(2.0)
+        assert not calls(world, "/scale")
+        for number in range(5):
+            world.endpoint(f"engine-{number}", "engines", "zone-a")
+        world.run(1.5)
+        orders = [each.body for each in calls(world, "/scale") if each.body["zone"] == "zone-a"]
+        assert [each["desired"] for each in orders if each.get("spot")] == [3]
 
     def test_one_reclaimable_endpoint_a_zone_while_calm(self):
         plan = self.plan(1)
