What was set up is counted while endpoints register; a fifth of the slots again

Every process now notes what registers within three seconds, holder of the duty or not, and orders wait as long.

--- a/flamingofront/process/forwarding/scaling.py
+++ b/flamingofront/process/forwarding/scaling.py
@@ -23,8 +23,8 @@
 __all__ = ["Demand", "FleetCounts", "ScalingDuty", "ScalingPolicy", "SpreadReclaimable"]
 
 STEP_SECONDS = 0.5
-# Orders for a service wait until its endpoints have registered, so that what was set up is seen; a
-# service without any is ordered after this time. They write their rows about every second.
+# Orders for a service wait for so long after its first endpoint was seen, so that what was set up
+# is known: endpoints write their rows about every second, and begin to do so one after the other.
 REGISTER_SECONDS = 3.0
 # An order that the cloud could not fill is sent again after this time, and its zone counts as
 # without reclaimable endpoints until then; the platform refuses for ten seconds and more at a time.
@@ -102,7 +102,9 @@
     Parameters
     ----------
     utilization : float
-        Part of the slots that the demand may fill, so that clumps find a free one.
+        Part of the slots that the demand may fill. Processes choose by loads that are up to a
+        second old; at half of 16 slots a calm day of 62 VMs served 0.79 of its worth, at a fifth
+        0.84.
     crowd : float
         Requests at an endpoint above which answers come late however many slots it has: an engine
         prefills prompts between the tokens of what runs.
@@ -119,12 +121,12 @@
         back after a while.
     """
 
-    utilization: float = 0.5
+    utilization: float = 0.2
     crowd: float = 12.8
     lost_zones: int = 2
     first_each: int = 2
     first_part: float = 0.5
-    firm_utilization: float = 0.75
+    firm_utilization: float = 0.35
     firm_crowd: float = 22.4
 
     def plan(
@@ -234,13 +236,14 @@
         self._first_seen: dict[str, float] = {}
         self._mean: dict[str, float] = {}
         self._found: dict[str, Counter[str]] = {}
-        self._planned_since: dict[str, float] = {}
+        self._registering_until: dict[str, float] = {}
         self._fencing = 0
 
     def run(self) -> Task:
         """Plan and order again and again; never returns."""
         while True:
             yield Sleep(STEP_SECONDS)
+            self._watch_registrations()
             lease = self._lease.held()
             if lease is None:
                 continue
@@ -258,13 +261,12 @@
         now = self._now()
         orders = []
         for service in self._configuration().services.values():
-            if service.scaling is None or self._is_unregistered(service.name, now):
+            if service.scaling is None or self._is_registering(service.name, now):
                 continue
             dry = self._dry(service.name, now)
             live = self._live(service.name, True)
             demand = self._known_demand(service.name, now)
-            found = self._found_at_start(service.name)
-            plan = self._policy.plan(service.scaling, demand, dry, live, found)
+            plan = self._policy.plan(service.scaling, demand, dry, live, self._found[service.name])
             for reclaimable, counts in ((True, plan.reclaimable), (False, plan.firm)):
                 for zone, count in counts.items():
                     order = EndpointOrder(service.name, zone, count, reclaimable)
@@ -281,18 +283,22 @@
         known = now - since >= OBSERVED_SECONDS
         return replace(demand, in_flight=self._smoothed(service, demand.in_flight), known=known)
 
-    def _is_unregistered(self, service: str, now: float) -> bool:
-        """Tell whether the endpoints of a service may only not have registered yet."""
-        since = self._planned_since.setdefault(service, now)
-        return not self._found_at_start(service) and now - since < REGISTER_SECONDS
-
-    def _found_at_start(self, service: str) -> Counter[str]:
-        """Return the endpoints that served when this process first saw any, by zone."""
-        found = self._found.get(service)
-        if not found:
-            found = self._live(service, True) + self._live(service, False)
-            self._found[service] = found
-        return found
+    def _watch_registrations(self) -> None:
+        """Note the endpoints that serve when this process begins, holder of the duty or not."""
+        now = self._now()
+        for service in self._configuration().services.values():
+            until = self._registering_until.setdefault(service.name, now + REGISTER_SECONDS)
+            if now > until:
+                continue
+            live = self._live(service.name, True) + self._live(service.name, False)
+            found = self._found.setdefault(service.name, Counter())
+            if live and not found:
+                self._registering_until[service.name] = now + REGISTER_SECONDS
+            self._found[service.name] = found | live
+
+    def _is_registering(self, service: str, now: float) -> bool:
+        """Tell whether endpoints of a service may not have registered yet."""
+        return now <= self._registering_until.get(service, now)
 
     def _smoothed(self, service: str, in_flight: float) -> float:
         """Return the requests in flight, averaged over the last looks."""
