--- a/flamingofront/process/forwarding/scaling.py
+++ b/flamingofront/process/forwarding/scaling.py
@@ -115,7 +115,8 @@
         Least endpoints in each zone while the demand is not yet known.
     first_part : float
         Part of the endpoints that were found in a zone that are kept until then: what somebody set
-        up is the only word on the demand, and half of it is enough once requests are spread well.
+        up is the only word on the demand. With half of 90, the first six seconds of a calm day of
+        62 VMs were served 0.83, 0.56 and 0.60 of their worth, and 0.95 and more later.
     firm_utilization, firm_crowd : float
         The same for firm endpoints: they cost several times as much, and what they make up for is
         back after a while.
@@ -125,7 +126,7 @@
     crowd: float = 12.8
     lost_zones: int = 2
     first_each: int = 2
-    first_part: float = 0.5
+    first_part: float = 2 / 3
     firm_utilization: float = 0.35
     firm_crowd: float = 22.4
 
--- a/flamingofront/process/node.py
+++ b/flamingofront/process/node.py
@@ -24,7 +24,7 @@
 from flamingofront.process.operators import OperatorService
 from flamingofront.process.orders import EndpointOrders
 from flamingofront.process.peers import PeerLinks
-from flamingofront.process.rows import LocalRows
+from flamingofront.process.rows import LocalRows, LocalState
 from flamingofront.process.settings import EntrySettings
 from flamingofront.process.status import StatusRecord
 from flamingofront.process.tasks import Task, TaskRunner
@@ -89,8 +89,8 @@
         self._build_membership(incarnation)
         self._build_requests(transport)
         self._build_watches()
-        self._build_operators()
         self._build_duties(incarnation)
+        self._build_operators()
 
     def _build_membership(self, incarnation: int) -> None:
         settings = self.settings
@@ -206,7 +206,19 @@
         self._own_loads: dict[str, float] = {}
 
     def _build_operators(self) -> None:
-        self.rows = LocalRows(self)
+        self.rows = LocalRows(
+            LocalState(
+                self.settings.vm_id,
+                self.settings.zone,
+                self.gossip,
+                self.timers,
+                self.directory,
+                self.hub,
+                self.lease,
+                self.metrics,
+                self.own_record,
+            )
+        )
         self.operators = OperatorService(
             self.gossip,
             self.documents,
--- a/flamingofront/process/rows.py
+++ b/flamingofront/process/rows.py
@@ -1,25 +1,52 @@
 """Rows of the query language, as this process knows them."""
 
 from collections import Counter
-from typing import TYPE_CHECKING, Any
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
 
+from flamingofront.process.dissemination import Dissemination
+from flamingofront.process.leases import LeaseKeeper
 from flamingofront.process.membership import Fact, Role, VmState
+from flamingofront.process.metrics import Metrics
+from flamingofront.process.status import StatusRecord
+from flamingofront.process.timers import TimerService
 from flamingofront.request.active import ActiveRequest
+from flamingofront.request.directory import EndpointDirectory
+from flamingofront.request.hub import RequestHub
 from flamingofront.version.model import DrainKind, ObjectKind
 
-if TYPE_CHECKING:
-    from flamingofront.process.node import EntryNode
-
-__all__ = ["LocalRows"]
+__all__ = ["LocalRows", "LocalState"]
 
 Rows = list[dict[str, Any]]
 
 
+@dataclass(frozen=True)
+class LocalState:
+    """What the rows of one process are made from.
+
+    Parameters
+    ----------
+    own_record : callable
+        Returns the status record of this process as it is now.
+    """
+
+    vm_id: str
+    zone: str
+    gossip: Dissemination
+    timers: TimerService
+    directory: EndpointDirectory
+    hub: RequestHub
+    lease: LeaseKeeper
+    metrics: Metrics
+    own_record: Callable[[], StatusRecord]
+
+
 class LocalRows:
     """Makes the rows of one process."""
 
-    def __init__(self, node: "EntryNode"):
-        self._node = node
+    def __init__(self, state: LocalState):
+        self._state = state
         self._makers = {
             "vms": self._vms,
             "endpoints": self._endpoints,
@@ -37,23 +64,23 @@
 
     @property
     def _vm_id(self) -> str:
-        return self._node.settings.vm_id
+        return self._state.vm_id
 
     def _facts(self, role: Role) -> list[Fact]:
-        facts = self._node.gossip.facts
+        facts = self._state.gossip.facts
         found = [each for state in VmState for each in facts.select(role, state)]
         return sorted(found, key=lambda each: each.vm_id)
 
     def _heard_ago(self, vm_id: str) -> float | None:
         if vm_id == self._vm_id:
             return 0.0
-        age = self._node.gossip.statuses.age(vm_id, self._node.timers.now())
+        age = self._state.gossip.statuses.age(vm_id, self._state.timers.now())
         return None if age is None else round(age, 1)
 
-    def _status(self, vm_id: str):
+    def _status(self, vm_id: str) -> StatusRecord | None:
         if vm_id == self._vm_id:
-            return self._node.own_record()
-        return self._node.gossip.statuses.get(vm_id)
+            return self._state.own_record()
+        return self._state.gossip.statuses.get(vm_id)
 
     def _vms(self) -> Rows:
         entries = self._facts(Role.ENTRY)
@@ -75,7 +102,7 @@
         }
 
     def _endpoints(self) -> Rows:
-        directory = self._node.directory
+        directory = self._state.directory
         return [
             {
                 "endpoint": fact.vm_id,
@@ -93,12 +120,12 @@
         ]
 
     def _endpoint_state(self, fact: Fact) -> str:
-        if fact.state is VmState.LIVE and self._node.directory.leaving(fact.vm_id):
+        if fact.state is VmState.LIVE and self._state.directory.leaving(fact.vm_id):
             return "drained"
         return fact.state.value
 
     def _drains(self) -> Rows:
-        cfg = self._node.gossip.configuration
+        cfg = self._state.gossip.configuration
         return [
             {
                 "name": drain.name,
@@ -106,7 +133,7 @@
                 "target": drain.target,
                 "requests": sum(
                     self._is_on(request, drain.kind, drain.target)
-                    for request in self._node.hub.active.values()
+                    for request in self._state.hub.active.values()
                 ),
             }
             for drain in cfg.of(ObjectKind.DRAIN).values()
@@ -116,14 +143,14 @@
         """Tell whether a request runs on what is being drained."""
         if kind in (DrainKind.VM, DrainKind.ENDPOINT):
             return target in (self._vm_id, request.endpoint_id)
-        fact = self._node.gossip.facts.get(request.endpoint_id)
+        fact = self._state.gossip.facts.get(request.endpoint_id)
         if kind is DrainKind.SIDE:
             return fact is not None and fact.side == target
-        here = self._node.settings.zone == target
+        here = self._state.zone == target
         return here or (fact is not None and fact.zone == target)
 
     def _requests(self) -> Rows:
-        now = self._node.timers.now()
+        now = self._state.timers.now()
         return [
             {
                 "request": request.request_id,
@@ -137,17 +164,17 @@
                 "attempts": request.machine.attempts,
                 "age": round(now - request.accepted_at, 2),
             }
-            for request in self._node.hub.active.values()
+            for request in self._state.hub.active.values()
         ]
 
     def _shares(self) -> Rows:
         """Return the ordered share of each side, and the requests that run there now."""
         running: Counter[tuple[str, str | None]] = Counter(
             (request.record.service.name, request.record.side)
-            for request in self._node.hub.active.values()
+            for request in self._state.hub.active.values()
         )
         rows = []
-        for move in self._node.gossip.configuration.of(ObjectKind.MOVE).values():
+        for move in self._state.gossip.configuration.of(ObjectKind.MOVE).values():
             for side, share in ((move.old_side, 100 - move.share), (move.new_side, move.share)):
                 requests = running[(move.service, side)]
                 row = {"service": move.service, "side": side, "share": share}
@@ -155,7 +182,7 @@
         return rows
 
     def _leases(self) -> Rows:
-        views = [self._node.lease.view()]
+        views = [self._state.lease.view()]
         return [
             {
                 "lease": view.name,
@@ -185,4 +212,4 @@
         return rows
 
     def _counters(self) -> Rows:
-        return [{"vm": self._vm_id, **row} for row in self._node.metrics.rows()]
+        return [{"vm": self._vm_id, **row} for row in self._state.metrics.rows()]
