--- a/flamingofront/tests/test_forward_processes.py
+++ b/flamingofront/tests/test_forward_processes.py
@@ -179,4 +179,17 @@
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         assert "requirements.txt" in deploy["build"]
         (role,) = deploy["roles"].values()
-        assert role["run"].split()[:3] == ["python3", "-m", "flamingofront.forward_daemon"]
+        assert role["run"].split() == ["python3", "-S", "-m", "flamingofront.forward_daemon"]
+
+    def test_program_starts_without_the_site_packages(self):
+        """The deploy file runs it with -S: only its declared dependencies are on the path."""
+        packages = Path(orjson.__file__).parent.parent
+        done = subprocess.run(
+            [sys.executable, "-S", "-c", "import flamingofront.forward_daemon"],
+            cwd=ROOT,
+            env={"PYTHONPATH": f"{ROOT}{os.pathsep}{packages}"},
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
+        assert (done.returncode, done.stderr) == (0, "")
