--- a/bench/platform_mutations.py
+++ b/bench/platform_mutations.py
@@ -8,6 +8,10 @@
 DUTIES = "process/forwarding/tests/test_duties.py"
 FUZZ = "process/forwarding/tests/test_lease_fuzz.py"
 QUOTA = "request/tests/test_quota.py"
+REPORTS = "process/forwarding/tests/test_reports.py"
+READERS = "process/forwarding/tests/test_readers.py"
+DIRECTORY = "request/tests/test_directory.py"
+SERVER = "connection/tests/test_server.py"
 CLIENT = "connection/tests/test_client.py"
 
 PLATFORM_MUTATIONS = (
@@ -76,7 +80,7 @@
     ),
     Mutation(
         "P peers tell a process that the store turns away",
-        "process/forwarding/peers.py",
+        "process/forwarding/exchange.py",
         "if not newer_configuration and not newer_endpoints:",
         "if True:",
         FORWARDING,
@@ -84,8 +88,8 @@
     Mutation(
         "P the store's return is not hidden by a waiting call",
         "process/forwarding/follower.py",
-        "wait = 0.0 if self._failures else FEED_WAIT_SECONDS",
-        "wait = FEED_WAIT_SECONDS",
+        "wait = 0.0 if self._failures or self._look_once else FEED_WAIT_SECONDS",
+        "wait = 0.0 if self._look_once else FEED_WAIT_SECONDS",
         FORWARDING,
     ),
     Mutation(
@@ -139,6 +143,69 @@
         "bucket.fill(workspace.rate,",
         QUOTA,
     ),
+    Mutation(
+        "P the sum over the window keeps the limit",
+        "request/quota.py",
+        "return 0.0 if total <= 0 or excess <= 0 else taken.wait(excess, now)",
+        "return 0.0",
+        QUOTA,
+    ),
+    Mutation(
+        "P a new holder waits for the counts of all",
+        "process/forwarding/usage.py",
+        "window = self._due() if knows_counts else None",
+        "window = self._due()",
+        REPORTS,
+    ),
+    Mutation(
+        "P demand that is not told stays",
+        "process/forwarding/reports.py",
+        "if known and report.demand is None:",
+        "if False:",
+        REPORTS,
+    ),
+    Mutation(
+        "P nobody rests without hearing those that follow",
+        "process/forwarding/readers.py",
+        "return sum(each.follows for each in able) >= HEARD_READERS",
+        "return True",
+        READERS,
+    ),
+    Mutation(
+        "P the end of grace is told to those that rest",
+        "process/forwarding/knowledge.py",
+        "self._history.changed(endpoint_id, max(mark, self._history.mark))",
+        "pass",
+        READERS,
+    ),
+    Mutation(
+        "P the whole table is read after a peer's word",
+        "process/forwarding/follower.py",
+        "self._told_by_peer, self._version = False, None",
+        "self._told_by_peer = False",
+        READERS,
+    ),
+    Mutation(
+        "P orders wait for endpoints to register",
+        "process/forwarding/scaling.py",
+        "return now <= self._registering_until.get(service, now)",
+        "return False",
+        DUTIES,
+    ),
+    Mutation(
+        "P few are looked at where word is late",
+        "request/directory.py",
+        "if whole or len(endpoints.facts) <= self.sample_size():",
+        "if True:",
+        DIRECTORY,
+    ),
+    Mutation(
+        "P an idle connection is closed behind what was read",
+        "connection/server.py",
+        "self.fire(retire(sock, conn.requests))",
+        "self.close_after_sending(sock)",
+        SERVER,
+    ),
     Mutation(
         "P the retry budget is shared by number",
         "request/shared_retry.py",
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -16,13 +16,14 @@
     ENDPOINTS_PATH,
     KnowledgeExchange,
 )
+from flamingofront.process.forwarding.fleet_plan import Demand, SpreadReclaimable
 from flamingofront.process.forwarding.knowledge import Knowledge, SharedTables
 from flamingofront.process.forwarding.news import encode_news
 from flamingofront.process.forwarding.operators import ForwardingOperators
 from flamingofront.process.forwarding.peers import MAX_PEERS_TOLD, REPORT_SECONDS, Peers
 from flamingofront.process.forwarding.readers import StoreReaders
 from flamingofront.process.forwarding.reports import PeerReport
-from flamingofront.process.forwarding.scaling import Demand, ScalingDuty, SpreadReclaimable
+from flamingofront.process.forwarding.scaling import ScalingDuty
 from flamingofront.process.forwarding.settings import DeploymentSettings
 from flamingofront.process.forwarding.usage import UsageBook, UsageDuty
 from flamingofront.process.logs import Log
--- a/flamingofront/process/forwarding/tests/test_duties.py
+++ b/flamingofront/process/forwarding/tests/test_duties.py
@@ -3,7 +3,7 @@
 import pytest
 
 from flamingofront.process.forwarding.duty import DUTY_KEY, DUTY_PART, DUTY_TABLE
-from flamingofront.process.forwarding.scaling import Demand, SpreadReclaimable
+from flamingofront.process.forwarding.fleet_plan import Demand, SpreadReclaimable
 from flamingofront.standins.table_store import StoreFault
 from flamingofront.tests.forwarding_world import ForwardingWorld, ready_world
 from flamingofront.version.forwarding import ScalingLimits
