One way to write a document that was read; its old object goes with it

The conditional write of one document stood seven times; it is one call now, which also removes the object that the replaced value was kept in (before, only expired documents lost theirs). Writing the same value again keeps the object, since its name is that of the content; a test shows both.

--- a/flamingofront/process/documents.py
+++ b/flamingofront/process/documents.py
@@ -5,6 +5,7 @@
 raises `PlatformError`, whose `maybe_done` says whether a write may have taken effect.
 """
 
+import contextlib
 import hashlib
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
@@ -135,6 +136,24 @@
         outcome = yield from self._tables.transact("", required, rows)
         return TransactionResult(outcome.ok)
 
+    def replace(self, document: Document, value: Any, *more: Write) -> Task:
+        """Write a document if it did not change since it was read; return whether that was done.
+
+        Parameters
+        ----------
+        value : object
+            New value; None deletes the document.
+        more : Write
+            Other documents to write with it.
+        """
+        condition = Condition(document.key, document.revision)
+        result = yield from self.transact((condition,), (Write(document.key, value), *more))
+        if result.ok and value != document.value:
+            # An object that is left behind only takes room: the change itself stands.
+            with contextlib.suppress(PlatformError):
+                yield from self.drop_object(document)
+        return result.ok
+
     def drop_object(self, document: Document) -> Task:
         """Remove the object of a document that was deleted or replaced, if it had one."""
         if document.object_name:
--- a/flamingofront/process/leases.py
+++ b/flamingofront/process/leases.py
@@ -12,7 +12,7 @@
 
 from flamingofront.errors import PlatformError
 from flamingofront.messages import Sleep
-from flamingofront.process.documents import Condition, Document, DocumentStore, Write
+from flamingofront.process.documents import Document, DocumentStore
 from flamingofront.process.tasks import Task
 
 __all__ = ["Lease", "LeaseKeeper", "LeaseView"]
@@ -133,10 +133,7 @@
     def _write(self, row: Document, fencing: int) -> Task:
         sent_at = self._now()
         value = {"holder": self._holder, "fencing": fencing}
-        result = yield from self._documents.transact(
-            (Condition(row.key, row.revision),), (Write(row.key, value),)
-        )
-        if result.ok:
+        if (yield from self._documents.replace(row, value)):
             self._lease = Lease(self.name, fencing, sent_at + self._duration)
         else:
             self._lease = None
@@ -151,8 +148,6 @@
             if row.value is None or row.value["holder"] != self._holder:
                 return
             value = {"holder": "", "fencing": row.value["fencing"]}
-            yield from self._documents.transact(
-                (Condition(row.key, row.revision),), (Write(row.key, value),)
-            )
+            yield from self._documents.replace(row, value)
         except PlatformError:
             return  # the lease runs out by itself
--- a/flamingofront/process/tests/test_documents.py
+++ b/flamingofront/process/tests/test_documents.py
@@ -112,6 +112,21 @@
         store.run(store.documents.drop_object(large))
         assert store.platform.store.objects == {}
 
+    def test_object_of_a_replaced_document_goes_and_a_failed_one_leaves_all_as_it_was(self, store):
+        store.write(Write("large", LARGE))
+        (old,) = store.read("large")
+        assert store.run(store.documents.replace(old, LARGE + "y", Write("other", 1)))
+        (new,) = store.read("large")
+        assert list(store.platform.store.objects) == [new.object_name]
+        assert not store.run(store.documents.replace(old, LARGE + "z"))
+        assert store.read("large")[0].value == LARGE + "y"
+
+    def test_writing_the_same_again_keeps_its_object(self, store):
+        store.write(Write("large", LARGE))
+        (row,) = store.read("large")
+        assert store.run(store.documents.replace(row, LARGE))
+        assert store.read("large")[0].value == LARGE
+
     def test_row_whose_object_is_gone_is_an_error_and_not_an_empty_document(self, store):
         store.write(Write("large", LARGE))
         store.platform.store.objects.clear()
--- a/flamingofront/request/claims.py
+++ b/flamingofront/request/claims.py
@@ -14,7 +14,7 @@
 from flamingofront.errors import PlatformError
 from flamingofront.messages import Sleep
 from flamingofront.process.backoff import Backoff
-from flamingofront.process.documents import Condition, Document, DocumentStore, Write
+from flamingofront.process.documents import Document, DocumentStore
 from flamingofront.process.expiry import expiry_write
 from flamingofront.process.tasks import Task
 from flamingofront.request.stored_answer import StoredAnswer, answer_from_json, answer_to_json
@@ -182,10 +182,7 @@
                 outcome = _judge(row, request_id, digest, is_gone)
                 if not (yield from _may_take_over(outcome, ask_owner, repeatable)):
                     return outcome
-            result = yield from documents.transact(
-                (Condition(key.row_key, row.revision),), (Write(key.row_key, value),)
-            )
-            if result.ok:
+            if (yield from documents.replace(row, value)):
                 return ClaimOutcome(ClaimDecision.GRANTED, owner, request_id)
         except PlatformError as exc:
             maybe_left = maybe_left or exc.maybe_done
@@ -233,11 +230,7 @@
         state = ClaimState.DONE if answer is not None else ClaimState.UNKNOWN
         stored = answer_to_json(answer) if answer is not None else None
         value = {**row.value, "state": state.value, "answer": stored, "until": until}
-        result = yield from documents.transact(
-            (Condition(row.key, row.revision),),
-            (Write(row.key, value), expiry_write(row.key, until)),
-        )
-        return result.ok
+        return (yield from documents.replace(row, value, expiry_write(row.key, until)))
 
     yield from repeat_until_done(step, rng)
 
@@ -251,10 +244,7 @@
         (row,) = yield from documents.read([key.row_key])
         if row.value is None or row.value["request_id"] != request_id:
             return True
-        result = yield from documents.transact(
-            (Condition(row.key, row.revision),), (Write(row.key, {**row.value, "owner": owner}),)
-        )
-        return result.ok
+        return (yield from documents.replace(row, {**row.value, "owner": owner}))
 
     yield from repeat_until_done(step, rng)
 
@@ -278,10 +268,7 @@
         (row,) = yield from documents.read([key.row_key])
         if row.value is None or row.value["request_id"] != request_id:
             return True
-        result = yield from documents.transact(
-            (Condition(row.key, row.revision),), (Write(row.key, None),)
-        )
-        return result.ok
+        return (yield from documents.replace(row, None))
 
     if settle:
         yield Sleep(settle)
--- a/flamingofront/request/jobs.py
+++ b/flamingofront/request/jobs.py
@@ -11,7 +11,7 @@
 from flamingofront.errors import PlatformError
 from flamingofront.messages import Sleep
 from flamingofront.process.backoff import Backoff
-from flamingofront.process.documents import Condition, Document, DocumentStore, Write
+from flamingofront.process.documents import Condition, DocumentStore, Write
 from flamingofront.process.expiry import expiry_write
 from flamingofront.process.tasks import Task
 from flamingofront.request.claims import repeat_until_done
@@ -117,12 +117,6 @@
     return JobStatus(row.value["record"]["workspace"], state, answer)
 
 
-def _swap(documents: DocumentStore, row: Document, value: dict, *more: Write) -> Task:
-    """Write a job row if it did not change since it was read."""
-    conditions = (Condition(row.key, row.revision),)
-    return (yield from documents.transact(conditions, (Write(row.key, value), *more)))
-
-
 def mark_running(documents: DocumentStore, request_id: str, owner: str) -> Task:
     """Note, before the first byte is sent, that a job may be running; True if it is still ours."""
     (row,) = yield from documents.read([_job_key(request_id)])
@@ -131,8 +125,7 @@
     if row.value["state"] == JobState.RUNNING.value:
         return True
     value = {**row.value, "state": JobState.RUNNING.value}
-    result = yield from _swap(documents, row, value)
-    return result.ok
+    return (yield from documents.replace(row, value))
 
 
 def finish_job(
@@ -161,8 +154,7 @@
         value = {**row.value, "state": JobState.DONE.value, "answer": stored, "until": until}
         drop_index = Write(_owner_key(owner, request_id), None)
         end = expiry_write(row.key, until)
-        result = yield from _swap(documents, row, value, drop_index, end)
-        return result.ok
+        return (yield from documents.replace(row, value, drop_index, end))
 
     yield from repeat_until_done(step, rng)
 
@@ -179,8 +171,7 @@
         Write(_owner_key(old_owner, request_id), None),
         Write(_owner_key(new_owner, request_id), {}),
     )
-    result = yield from _swap(documents, row, value, *moved)
-    if not result.ok:
+    if not (yield from documents.replace(row, value, *moved)):
         return None
     maybe_ran = row.value["state"] == JobState.RUNNING.value
     return AdoptedJob(RequestRecord.from_json(row.value["record"]), maybe_ran)
