--- a/flamingofront/request/tests/test_quota.py
+++ b/flamingofront/request/tests/test_quota.py
@@ -73,6 +73,11 @@
         slack = sum(demands) * LAG * 2 + 10
         assert most_in_window(taken) <= (RATE * 8 + 2 * RATE) + slack
 
+    def test_sides_of_a_partition_get_their_parts_where_no_window_binds(self):
+        """The bucket alone: the limit of the window is far away."""
+        taken = played([90.0] * 4, [[0, 1], [2, 3]], rules=QuotaRules(8.0, 10.0, 0.0))
+        assert most_in_window(taken) <= (RATE * 8 + RATE) * 1.1
+
     def test_what_is_asked_below_the_quota_passes_wherever_it_comes_in(self):
         taken = played([80.0, 0.0, 0.0, 0.0], [[0, 1, 2, 3]])
         assert len(taken) > 0.9 * 80 * 12
