--- a/flamingofront/process/forwarding/readers.py
+++ b/flamingofront/process/forwarding/readers.py
@@ -11,7 +11,7 @@
 from flamingofront.process.forwarding.reports import PeerReport
 from flamingofront.process.rendezvous import rank
 
-__all__ = ["StoreReaders"]
+__all__ = ["HEARD_READERS", "READERS_PER_ZONE", "StoreReaders"]
 
 # Processes of a zone that follow the store: if one is cut off and another dies, one is left.
 READERS_PER_ZONE = 3
--- a/flamingofront/process/forwarding/tests/test_readers.py
+++ b/flamingofront/process/forwarding/tests/test_readers.py
@@ -1,5 +1,7 @@
 """A few processes of a zone follow the store for all of it."""
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import Phase, settings
 from hypothesis import strategies as st
@@ -12,7 +14,12 @@
     decode_news,
     encode_news,
 )
-from flamingofront.process.forwarding.readers import READERS_PER_ZONE
+from flamingofront.process.forwarding.readers import (
+    HEARD_READERS,
+    READERS_PER_ZONE,
+    StoreReaders,
+)
+from flamingofront.process.forwarding.reports import PeerReport
 from flamingofront.process.membership import Role, VmState
 from flamingofront.standins.table_store import StoreFault
 from flamingofront.tests.forwarding_world import ForwardingWorld
@@ -108,6 +115,34 @@
         for front in rest.values():
             assert live_endpoints(front) == {"plain-2"}
 
+    def test_nobody_rests_while_all_others_do(self):
+        """After a loss of those that followed, peers that rest are no reason to rest."""
+        peers = [
+            PeerReport(f"vm-{number}", 1, 1, "zone-a", "1.2.3.4", "1.2.3.4:5", follows=False)
+            for number in range(8)
+        ]
+        follow = [replace(each, follows=True) for each in peers[:HEARD_READERS]]
+
+        def may_rest(heard):
+            names = [f"vm-{number}" for number in range(20, 40)]
+            return [StoreReaders(name, "zone-a", lambda: heard).may_rest() for name in names]
+
+        assert not any(may_rest(peers))
+        assert any(may_rest([*follow, *peers[HEARD_READERS:]]))
+
+    def test_endpoint_that_went_and_came_back_is_kept_by_those_that_take_over(self):
+        """They heard of both from a peer; the store's feed would tell them of the end again."""
+        world = zones_world()
+        world.store.drop("servers", "plain-1")
+        world.run(0.3)
+        world.register("plain-1", "records", sequence=2)
+        world.run(0.3)
+        for name in readers(world):
+            world.kill(name)
+        world.run(4.0)
+        for front in alive(world).values():
+            assert live_endpoints(front) == {"plain-1", "plain-2"}
+
     def test_lost_history_is_no_harm(self):
         world = zones_world()
         world.store.forget_history()
