Decisions have a package of their own

Cause: admission, choice, quotas, retries and the fleet's plan stood in rooms of requests and processes, so that nothing kept them apart from input and output. Ruled out: a copy beside the old modules; nothing but imports and paths changes. Conclusion: flamingofront/decisions/ is where the next changes go.

--- a/bench/platform_mutations.py
+++ b/bench/platform_mutations.py
@@ -138,14 +138,14 @@
     ),
     Mutation(
         "P quotas fill at the part that is heard",
-        "request/quota.py",
+        "decisions/quota.py",
         "bucket.fill(workspace.rate * share,",
         "bucket.fill(workspace.rate,",
         QUOTA,
     ),
     Mutation(
         "P the sum over the window keeps the limit",
-        "request/quota.py",
+        "decisions/quota.py",
         "return 0.0 if total <= 0 or excess <= 0 else taken.wait(excess, now)",
         "return 0.0",
         QUOTA,
@@ -208,7 +208,7 @@
     ),
     Mutation(
         "P the retry budget is shared by number",
-        "request/shared_retry.py",
+        "decisions/shared_retry.py",
         "allowance = self._allowance * USED_ALLOWANCE * self._member_share()",
         "allowance = self._allowance * USED_ALLOWANCE",
         QUOTA,
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -7,10 +7,10 @@
 
 from bench.model import MIXES
 from bench.simulation import Policies, Simulation
-from flamingofront.request.admission import FirstComeAdmission
-from flamingofront.request.choice import LeastReportedChoice, RoundRobinChoice
+from flamingofront.decisions.admission import FirstComeAdmission
+from flamingofront.decisions.choice import LeastReportedChoice, RoundRobinChoice
+from flamingofront.decisions.retry import UnlimitedRetryBudget
 from flamingofront.request.recovery import ResumeOnLoss
-from flamingofront.request.retry import UnlimitedRetryBudget
 
 SEEDS = (1, 2, 3)
 WORKERS = 4
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -13,23 +13,13 @@
     draw_call,
     make_rng,
 )
-from flamingofront.errors import Ran, RequestError
-from flamingofront.messages import (
-    CancelAttempt,
-    Complete,
-    Fail,
-    Frame,
-    ScheduleRetry,
-    StartAttempt,
-)
-from flamingofront.request.admission import (
+from flamingofront.decisions.admission import (
     AdmissionPolicy,
     FairAdmission,
     Ticket,
     WorkspaceShare,
 )
-from flamingofront.request.attempts import Phase, RequestFacts, RequestMachine
-from flamingofront.request.choice import (
+from flamingofront.decisions.choice import (
     Candidate,
     ChoicePolicy,
     CostChoice,
@@ -37,6 +27,17 @@
     report_weight,
     usable,
 )
+from flamingofront.decisions.retry import EndpointHealth, PacedRetryBudget, RetryBudget
+from flamingofront.errors import Ran, RequestError
+from flamingofront.messages import (
+    CancelAttempt,
+    Complete,
+    Fail,
+    Frame,
+    ScheduleRetry,
+    StartAttempt,
+)
+from flamingofront.request.attempts import Phase, RequestFacts, RequestMachine
 from flamingofront.request.host import QUEUE_PATIENCE
 from flamingofront.request.hub import FILLED_SHARE
 from flamingofront.request.prefixes import BLOCK_TOKENS, PrefixIndex
@@ -47,7 +48,6 @@
     RecoveryRates,
     StreamState,
 )
-from flamingofront.request.retry import EndpointHealth, PacedRetryBudget, RetryBudget
 
 ENTRY_ZONES = ("zone-a", "zone-b", "zone-c", "zone-d") * 2
 REPORT_PERIOD = 1.0
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -10,17 +10,17 @@
 
 import orjson
 
+from flamingofront.decisions.admission import FairAdmission, Ticket, WorkspaceShare
+from flamingofront.decisions.choice import CostChoice, WorkEstimate
+from flamingofront.decisions.retry import UnlimitedRetryBudget
 from flamingofront.process.dissemination import Digest, DigestReply, Dissemination, Push
 from flamingofront.process.membership import Fact, Role, VmState
 from flamingofront.process.status import StatusRecord
-from flamingofront.request.admission import FairAdmission, Ticket, WorkspaceShare
 from flamingofront.request.assembly import Assembler
 from flamingofront.request.attempts import RequestFacts, RequestMachine
-from flamingofront.request.choice import CostChoice, WorkEstimate
 from flamingofront.request.directory import EndpointDirectory
 from flamingofront.request.hub import _relaxed
 from flamingofront.request.prefixes import block_hashes
-from flamingofront.request.retry import UnlimitedRetryBudget
 from flamingofront.version.edits import apply_edits
 from flamingofront.version.language import parse
 from flamingofront.version.model import Configuration, Service, configuration_to_json
--- a/flamingofront/request/shared_retry.py
+++ b/flamingofront/decisions/shared_retry.py
@@ -4,7 +4,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from flamingofront.request.retry import RetryBudget
+from flamingofront.decisions.retry import RetryBudget
 
 __all__ = ["SharedRetryBudget"]
 
--- a/flamingofront/request/tests/test_admission.py
+++ b/flamingofront/decisions/tests/test_admission.py
@@ -6,11 +6,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from flamingofront.decisions.admission import FairAdmission, Ticket, WorkspaceShare, shared_limit
+from flamingofront.decisions.choice import Candidate, CostChoice, WorkEstimate
+from flamingofront.decisions.retry import EndpointHealth, PacedRetryBudget
 from flamingofront.errors import ErrorKind, RequestError
-from flamingofront.request.admission import FairAdmission, Ticket, WorkspaceShare, shared_limit
-from flamingofront.request.choice import Candidate, CostChoice, WorkEstimate
 from flamingofront.request.prefixes import PrefixIndex, block_hashes
-from flamingofront.request.retry import EndpointHealth, PacedRetryBudget
 from flamingofront.tests.world import demo_world
 
 
--- a/flamingofront/request/tests/test_quota.py
+++ b/flamingofront/decisions/tests/test_quota.py
@@ -8,8 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from flamingofront.request.quota import QuotaRules, SharedQuota
-from flamingofront.request.shared_retry import SharedRetryBudget
+from flamingofront.decisions.quota import QuotaRules, SharedQuota
+from flamingofront.decisions.shared_retry import SharedRetryBudget
 from flamingofront.version.forwarding import ForwardedWorkspace
 
 RATE = 100.0
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -8,6 +8,11 @@
 
 from flamingofront.connection.client import MAX_IDLE_PER_ADDRESS
 from flamingofront.connection.interfaces import Exchange, Transport
+from flamingofront.decisions.choice import PREFILL_RATE, BacklogChoice
+from flamingofront.decisions.fleet_plan import Demand, SpreadReclaimable
+from flamingofront.decisions.quota import QuotaRules, SharedQuota
+from flamingofront.decisions.retry import RetryBudget
+from flamingofront.decisions.shared_retry import SharedRetryBudget
 from flamingofront.messages import InboundRequest
 from flamingofront.process.forwarding.duty import DutyLease
 from flamingofront.process.forwarding.endpoints import EndpointView
@@ -16,7 +21,6 @@
     ENDPOINTS_PATH,
     KnowledgeExchange,
 )
-from flamingofront.process.forwarding.fleet_plan import Demand, SpreadReclaimable
 from flamingofront.process.forwarding.knowledge import Knowledge, SharedTables
 from flamingofront.process.forwarding.news import encode_news
 from flamingofront.process.forwarding.operators import ForwardingOperators
@@ -32,15 +36,11 @@
 from flamingofront.process.store import Cloud, TableStore
 from flamingofront.process.tasks import TaskRunner
 from flamingofront.process.timers import TimerService
-from flamingofront.request.choice import PREFILL_RATE, BacklogChoice
 from flamingofront.request.directory import MAX_CANDIDATES, EndpointDirectory
 from flamingofront.request.forward_gateway import ForwardGateway
 from flamingofront.request.forward_work import ForwardProtocol
 from flamingofront.request.forwarded_request import ForwardedRequest
 from flamingofront.request.hub import HubSettings, RequestHub
-from flamingofront.request.quota import QuotaRules, SharedQuota
-from flamingofront.request.retry import RetryBudget
-from flamingofront.request.shared_retry import SharedRetryBudget
 from flamingofront.version.forwarding import DEFAULT_SLOTS, ForwardingConfiguration
 from flamingofront.version.model import Service
 
--- a/flamingofront/process/forwarding/scaling.py
+++ b/flamingofront/process/forwarding/scaling.py
@@ -1,6 +1,6 @@
 """Orders for endpoints, sent by the holder of the duty lease.
 
-What is wanted is worked out in `flamingofront.process.forwarding.fleet_plan`.
+What is wanted is worked out in `flamingofront.decisions.fleet_plan`.
 """
 
 import math
@@ -8,11 +8,11 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
+from flamingofront.decisions.fleet_plan import Demand, ScalingPolicy
 from flamingofront.errors import PlatformError
 from flamingofront.messages import Sleep
 from flamingofront.process.forwarding.duty import DutyLease
 from flamingofront.process.forwarding.endpoints import EndpointRow
-from flamingofront.process.forwarding.fleet_plan import Demand, ScalingPolicy
 from flamingofront.process.logs import Log
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.store import Cloud, EndpointOrder
--- a/flamingofront/process/forwarding/tests/test_duties.py
+++ b/flamingofront/process/forwarding/tests/test_duties.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from flamingofront.decisions.fleet_plan import Demand, SpreadReclaimable
 from flamingofront.process.forwarding.duty import DUTY_KEY, DUTY_PART, DUTY_TABLE
-from flamingofront.process.forwarding.fleet_plan import Demand, SpreadReclaimable
 from flamingofront.standins.table_store import StoreFault
 from flamingofront.tests.forwarding_world import ForwardingWorld, ready_world
 from flamingofront.version.forwarding import ScalingLimits
--- a/flamingofront/process/limits.py
+++ b/flamingofront/process/limits.py
@@ -1,10 +1,10 @@
 """This process's part of what all entry processes share: slots and workspace limits."""
 
+from flamingofront.decisions.admission import WorkspaceShare, shared_limit
 from flamingofront.process.dissemination import Dissemination
 from flamingofront.process.membership import Role
 from flamingofront.process.status import StatusRecord
 from flamingofront.process.timers import TimerService
-from flamingofront.request.admission import WorkspaceShare, shared_limit
 from flamingofront.request.hub import RequestHub
 from flamingofront.version.model import Workspace
 
--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -5,6 +5,8 @@
 from dataclasses import replace
 
 from flamingofront.connection.interfaces import CallEvent, CallHandle
+from flamingofront.decisions.admission import Ticket
+from flamingofront.decisions.choice import Candidate
 from flamingofront.errors import ErrorKind, Ran, RequestError
 from flamingofront.messages import (
     CallFailed,
@@ -17,10 +19,8 @@
     StartAttempt,
 )
 from flamingofront.process.timers import Timer
-from flamingofront.request.admission import Ticket
 from flamingofront.request.attachments import Attachment
 from flamingofront.request.attempts import Order, Phase, RequestFacts, RequestMachine
-from flamingofront.request.choice import Candidate
 from flamingofront.request.directory import SharedPrefix
 from flamingofront.request.host import RequestHost
 from flamingofront.request.records import RequestRecord
--- a/flamingofront/request/attempts.py
+++ b/flamingofront/request/attempts.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from flamingofront.decisions.retry import RetryBudget
 from flamingofront.errors import ErrorKind, Ran
 from flamingofront.messages import (
     CancelAttempt,
@@ -22,7 +23,6 @@
 )
 from flamingofront.process.backoff import Backoff
 from flamingofront.request.assembly import Assembler
-from flamingofront.request.retry import RetryBudget
 
 __all__ = ["Order", "Phase", "RequestFacts", "RequestMachine"]
 
--- a/flamingofront/request/directory.py
+++ b/flamingofront/request/directory.py
@@ -10,11 +10,11 @@
 from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass
 
+from flamingofront.decisions.choice import Candidate, report_weight
+from flamingofront.decisions.retry import EndpointHealth
 from flamingofront.process.membership import Fact, FactTable, Role, VmState
 from flamingofront.process.rendezvous import rank
-from flamingofront.request.choice import Candidate, report_weight
 from flamingofront.request.prefixes import PrefixIndex
-from flamingofront.request.retry import EndpointHealth
 from flamingofront.version.model import Configuration, DrainKind, Service
 
 __all__ = ["MAX_CANDIDATES", "EndpointDirectory", "SharedPrefix", "is_drained"]
--- a/flamingofront/request/forward_gateway.py
+++ b/flamingofront/request/forward_gateway.py
@@ -4,14 +4,14 @@
 from collections.abc import Callable
 
 from flamingofront.connection.interfaces import Exchange
+from flamingofront.decisions.admission import WorkspaceShare
+from flamingofront.decisions.quota import QuotaPolicy
 from flamingofront.errors import ErrorKind, RequestError
 from flamingofront.messages import InboundRequest
 from flamingofront.process.logs import Log
-from flamingofront.request.admission import WorkspaceShare
 from flamingofront.request.forward_work import CallerRequest, ForwardProtocol, ForwardWork
 from flamingofront.request.forwarded_request import ForwardAttachment, ForwardedRequest
 from flamingofront.request.hub import RequestHub
-from flamingofront.request.quota import QuotaPolicy
 from flamingofront.request.records import RequestRecord
 from flamingofront.version.forwarding import (
     ForwardedRoute,
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 
 from flamingofront.connection.interfaces import CallEvent, Exchange
+from flamingofront.decisions.admission import Ticket
+from flamingofront.decisions.choice import Candidate
 from flamingofront.errors import Ran, RequestError
 from flamingofront.messages import (
     CallFailed,
@@ -14,9 +16,7 @@
     StartAttempt,
 )
 from flamingofront.request.active import ActiveRequest
-from flamingofront.request.admission import Ticket
 from flamingofront.request.attachments import Attachment
-from flamingofront.request.choice import Candidate
 from flamingofront.request.directory import SharedPrefix
 from flamingofront.request.event_stream import EventRelay
 from flamingofront.request.forward_work import (
--- a/flamingofront/request/gateway.py
+++ b/flamingofront/request/gateway.py
@@ -14,12 +14,12 @@
 from flamingofront.connection.events import parse_event_id
 from flamingofront.connection.interfaces import Exchange
 from flamingofront.connection.server import JSON_HEADERS
+from flamingofront.decisions.admission import WorkspaceShare
 from flamingofront.errors import ErrorKind, PlatformError, Ran, RequestError
 from flamingofront.messages import InboundRequest
 from flamingofront.process.documents import DocumentStore
 from flamingofront.process.tasks import Task, TaskRunner
 from flamingofront.request.active import ActiveRequest
-from flamingofront.request.admission import WorkspaceShare
 from flamingofront.request.attachments import (
     Attachment,
     StreamAttachment,
--- a/flamingofront/request/host.py
+++ b/flamingofront/request/host.py
@@ -11,15 +11,15 @@
 from typing import TYPE_CHECKING
 
 from flamingofront.connection.interfaces import Transport
+from flamingofront.decisions.choice import Candidate
+from flamingofront.decisions.retry import RetryBudget
 from flamingofront.errors import Ran
 from flamingofront.process.logs import Log
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.timers import TimerService
-from flamingofront.request.choice import Candidate
 from flamingofront.request.directory import EndpointDirectory
 from flamingofront.request.forward_work import ForwardProtocol
 from flamingofront.request.records import RequestRecord
-from flamingofront.request.retry import RetryBudget
 from flamingofront.version.model import Service
 
 if TYPE_CHECKING:
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -6,19 +6,20 @@
 from collections.abc import Callable
 
 from flamingofront.connection.interfaces import Transport
-from flamingofront.errors import ErrorKind, Ran, RequestError
-from flamingofront.process.logs import Log
-from flamingofront.process.metrics import Metrics
-from flamingofront.process.timers import Timer, TimerService
-from flamingofront.request.active import ActiveRequest
-from flamingofront.request.admission import FairAdmission, Ticket, WorkspaceShare
-from flamingofront.request.choice import (
+from flamingofront.decisions.admission import FairAdmission, Ticket, WorkspaceShare
+from flamingofront.decisions.choice import (
     Candidate,
     ChoicePolicy,
     CostChoice,
     WorkEstimate,
     usable,
 )
+from flamingofront.decisions.retry import PacedRetryBudget, RetryBudget
+from flamingofront.errors import ErrorKind, Ran, RequestError
+from flamingofront.process.logs import Log
+from flamingofront.process.metrics import Metrics
+from flamingofront.process.timers import Timer, TimerService
+from flamingofront.request.active import ActiveRequest
 from flamingofront.request.directory import EndpointDirectory
 from flamingofront.request.finished import FinishedAnswer, FinishedAnswers
 from flamingofront.request.forward_work import ForwardProtocol, ForwardWork
@@ -27,7 +28,6 @@
 from flamingofront.request.model_request import ModelRequest
 from flamingofront.request.plain_request import PlainRequest
 from flamingofront.request.records import ModelWork, RequestRecord
-from flamingofront.request.retry import PacedRetryBudget, RetryBudget
 from flamingofront.version.model import Service
 
 __all__ = ["HubSettings", "RequestHub"]
--- a/flamingofront/request/inheritance.py
+++ b/flamingofront/request/inheritance.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from flamingofront.decisions.admission import WorkspaceShare
 from flamingofront.errors import ErrorKind, PlatformError, Ran, RequestError
 from flamingofront.messages import Sleep
 from flamingofront.process.backoff import Backoff
@@ -12,7 +13,6 @@
 from flamingofront.process.rendezvous import rank
 from flamingofront.process.tasks import Task, TaskRunner
 from flamingofront.request.active import ActiveRequest
-from flamingofront.request.admission import WorkspaceShare
 from flamingofront.request.hub import RequestHub
 from flamingofront.request.jobs import AdoptedJob, is_lost, move_jobs, owned_jobs, take_job
 from flamingofront.request.keyed import KeyedRequests
--- a/flamingofront/request/keyed.py
+++ b/flamingofront/request/keyed.py
@@ -6,6 +6,7 @@
 
 from flamingofront.connection.interfaces import Exchange
 from flamingofront.connection.server import error_body
+from flamingofront.decisions.admission import WorkspaceShare
 from flamingofront.errors import ANSWERS, ErrorKind, PlatformError, Ran, RequestError
 from flamingofront.messages import InboundRequest, Sleep
 from flamingofront.process.backoff import Backoff
@@ -13,7 +14,6 @@
 from flamingofront.process.expiry import KEPT_SECONDS
 from flamingofront.process.tasks import Task, TaskRunner
 from flamingofront.request.active import ActiveRequest
-from flamingofront.request.admission import WorkspaceShare
 from flamingofront.request.attachments import Attachment, respond_accepted, respond_error
 from flamingofront.request.claims import (
     ClaimDecision,
--- a/flamingofront/request/migration.py
+++ b/flamingofront/request/migration.py
@@ -5,10 +5,10 @@
 
 import orjson
 
+from flamingofront.decisions.choice import Candidate
 from flamingofront.messages import CallFailed, OutboundCall
 from flamingofront.process.tasks import Task, TaskRunner
 from flamingofront.request.active import ActiveRequest
-from flamingofront.request.choice import Candidate
 from flamingofront.request.hub import RequestHub
 from flamingofront.request.model_request import ModelRequest
 from flamingofront.request.recovery import (
--- a/flamingofront/request/model_request.py
+++ b/flamingofront/request/model_request.py
@@ -5,6 +5,8 @@
 import orjson
 
 from flamingofront.connection.interfaces import CallEvent
+from flamingofront.decisions.admission import Ticket
+from flamingofront.decisions.choice import Candidate
 from flamingofront.errors import Ran
 from flamingofront.messages import (
     Emit,
@@ -16,9 +18,7 @@
     StartAttempt,
 )
 from flamingofront.request.active import ActiveRequest
-from flamingofront.request.admission import Ticket
 from flamingofront.request.attachments import whole_completion
-from flamingofront.request.choice import Candidate
 from flamingofront.request.host import RequestHost
 from flamingofront.request.prefixes import block_hashes
 from flamingofront.request.records import ModelWork, RequestRecord
--- a/flamingofront/request/plain_request.py
+++ b/flamingofront/request/plain_request.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable
 
 from flamingofront.connection.interfaces import CallEvent
+from flamingofront.decisions.choice import Candidate
 from flamingofront.errors import Ran
 from flamingofront.messages import CallFailed, OutboundCall, StartAttempt, WholeResponse
 from flamingofront.process.tasks import Reply, ReplyCollector
 from flamingofront.request.active import ActiveRequest
-from flamingofront.request.choice import Candidate
 from flamingofront.request.records import PlainWork
 from flamingofront.request.stored_answer import StoredAnswer
 
--- a/flamingofront/request/tests/test_attempts.py
+++ b/flamingofront/request/tests/test_attempts.py
@@ -5,10 +5,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
+from flamingofront.decisions.retry import PacedRetryBudget, UnlimitedRetryBudget
 from flamingofront.errors import ErrorKind, Ran
 from flamingofront.messages import Complete, Emit, Fail, Frame, ScheduleRetry, StartAttempt
 from flamingofront.request.attempts import Phase, RequestFacts, RequestMachine
-from flamingofront.request.retry import PacedRetryBudget, UnlimitedRetryBudget
 
 LENGTH = 8
 
--- a/flamingofront/request/tests/test_directory.py
+++ b/flamingofront/request/tests/test_directory.py
@@ -4,9 +4,9 @@
 
 import pytest
 
+from flamingofront.decisions.choice import BacklogChoice, WorkEstimate
 from flamingofront.process.membership import Fact, FactTable, Role, VmState
 from flamingofront.process.rendezvous import rank
-from flamingofront.request.choice import BacklogChoice, WorkEstimate
 from flamingofront.request.directory import EndpointDirectory, SharedPrefix
 from flamingofront.version.model import Service
 
