--- a/flamingofront/decisions/choice.py
+++ b/flamingofront/decisions/choice.py
@@ -11,6 +11,8 @@
 from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
 
+from flamingofront.decisions.engine_rates import EngineRates
+
 __all__ = [
     "BacklogChoice",
     "Candidate",
@@ -18,9 +20,7 @@
     "ChoicePolicy",
     "CostChoice",
     "CostWeights",
-    "EngineRates",
     "LeastReportedChoice",
-    "PREFILL_RATE",
     "RoundRobinChoice",
     "WorkEstimate",
     "usable",
@@ -106,6 +106,8 @@
         Latency targets in seconds.
     zone : str
         Zone of this process.
+    rates : EngineRates
+        What the endpoints of the service can do.
     """
 
     prompt_tokens: int = 0
@@ -113,6 +115,7 @@
     first_token_target: float = 1.6
     token_target: float = 0.068
     zone: str = ""
+    rates: EngineRates = EngineRates()
 
 
 def report_weight(own_in_flight: int, endpoints: int) -> float:
@@ -278,33 +281,10 @@
         return (machine + late * weights.late_price + waste * weights.waste_price) / 3600.0
 
 
-# Prompt tokens a second that an engine reads; the engines' data sheet says 101 a millisecond.
-PREFILL_RATE = 101_000.0
-
-
-@dataclass(frozen=True)
-class EngineRates:
-    """Rates of the engines, as `BacklogChoice` needs them.
-
-    Parameters
-    ----------
-    prefill_rate : float
-        Prompt tokens a second that an engine reads.
-    token_seconds : float
-        Time between tokens of a full engine; 4.4 ms by the same sheet (2.97 ms and 0.022 a slot).
-    full_strain : float
-        Part of that time which the other requests of a full engine add.
-    base_seconds : float
-        Time of a request beside its tokens, and of a plain call.
-    remote_zone_seconds : float
-        Latency added by leaving the zone; some zones are up to 1.4 ms apart, one way.
-    """
-
-    prefill_rate: float = PREFILL_RATE
-    token_seconds: float = 0.0044
-    full_strain: float = 0.33
-    base_seconds: float = 0.08
-    remote_zone_seconds: float = 0.003
+# Latency added by leaving the zone, in seconds; zones are up to 1.4 ms apart, one way.
+REMOTE_ZONE_SECONDS = 0.003
+# Part by which the other requests of a full plain endpoint lengthen a call.
+FULL_STRAIN = 0.33
 
 
 class BacklogChoice(ChoicePolicy):
@@ -315,9 +295,6 @@
     requests run.
     """
 
-    def __init__(self, rates: EngineRates | None = None):
-        self._rates = rates or EngineRates()
-
     def choose(
         self, candidates: Sequence[Candidate], work: WorkEstimate, rng: random.Random
     ) -> Candidate | None:
@@ -327,10 +304,10 @@
 
     def delay(self, each: Candidate, work: WorkEstimate) -> float:
         """Return the expected delay in seconds."""
-        rates = self._rates
+        rates = work.rates
         new_tokens = max(0, work.prompt_tokens - each.cached_tokens)
-        reading = (each.backlog_tokens + new_tokens) / rates.prefill_rate
-        duration = rates.base_seconds + work.output_tokens * rates.token_seconds
-        strain = rates.full_strain * each.load / each.slots * duration
-        way = rates.remote_zone_seconds if each.zone != work.zone else 0.0
-        return (reading + strain) * each.slowness + way
+        reading = (each.backlog_tokens + new_tokens) * rates.token_seconds
+        crowd = rates.crowd_seconds * each.load
+        strain = FULL_STRAIN * rates.base_seconds * each.load / each.slots
+        way = REMOTE_ZONE_SECONDS if each.zone != work.zone else 0.0
+        return (reading + crowd + strain) * each.slowness + way
--- /dev/null
+++ b/flamingofront/decisions/demand.py
@@ -0,0 +1,97 @@
+"""How much work callers ask of a service, in endpoints that it would keep busy.
+
+Load pattern: clumps of some seconds on waves of tens of seconds. A fast mean shows a burst before
+its queue does; a slow one is not driven by each clump. Requests in flight are no measure: a queue
+that has formed counts as demand long after its cause is over, and an idle stream as much as a
+prompt of 20,000 tokens.
+"""
+
+import math
+from dataclasses import dataclass
+
+__all__ = ["Demand", "Work", "WorkMeter"]
+
+# Time constants of the two means. A clump lasts one to three seconds; a wave 40.
+FAST_SECONDS = 2.0
+SLOW_SECONDS = 8.0
+
+
+@dataclass(frozen=True)
+class Work:
+    """Offered work in busy endpoints: seconds of one endpoint that a second of requests takes."""
+
+    fast: float = 0.0
+    slow: float = 0.0
+
+    def __add__(self, other: "Work") -> "Work":
+        return Work(self.fast + other.fast, self.slow + other.slow)
+
+
+@dataclass(frozen=True)
+class Demand:
+    """Load of one service, over all entry processes.
+
+    Parameters
+    ----------
+    in_flight : float
+        Requests that run or wait at its endpoints.
+    slots : int
+        Requests that one endpoint runs at once.
+    known : bool
+        False until requests were seen for a while.
+    """
+
+    in_flight: float
+    slots: int
+    work: Work = Work()
+    known: bool = True
+
+
+class _DecayingRate:
+    """Sum over an exponential window, as a rate; unbiased also before the window is full."""
+
+    def __init__(self, seconds: float, now: float):
+        self._seconds = seconds
+        self._began = self._updated = now
+        self._sum = 0.0
+
+    def add(self, amount: float, now: float) -> None:
+        """Count an amount."""
+        self._sum = self._sum * self._decay(now - self._updated) + amount
+        self._updated = now
+
+    def _decay(self, elapsed: float) -> float:
+        return math.exp(-max(0.0, elapsed) / self._seconds)
+
+    def get(self, now: float) -> float:
+        """Return the amount a second.
+
+        Notes
+        -----
+        A window of a tenth of a second or so says nothing: no less than half of it counts as seen.
+        """
+        seen = max(1.0 - self._decay(now - self._began), 0.5)
+        return self._sum * self._decay(now - self._updated) / (self._seconds * seen)
+
+
+class WorkMeter:
+    """Work that this process places, by service."""
+
+    def __init__(self):
+        self._rates: dict[str, tuple[_DecayingRate, _DecayingRate]] = {}
+
+    def add(self, service: str, seconds: float, now: float) -> None:
+        """Count the work of one request, in seconds of one endpoint."""
+        if service not in self._rates:
+            self._rates[service] = (
+                _DecayingRate(FAST_SECONDS, now),
+                _DecayingRate(SLOW_SECONDS, now),
+            )
+        for rate in self._rates[service]:
+            rate.add(seconds, now)
+
+    def work(self, now: float) -> dict[str, Work]:
+        """Return the work by service."""
+        return {
+            name: Work(fast.get(now), slow.get(now)) for name, (fast, slow) in self._rates.items()
+        }
--- a/flamingofront/decisions/fleet_plan.py
+++ b/flamingofront/decisions/fleet_plan.py
@@ -1,131 +1,133 @@
 """How many endpoints of a service are wanted in each zone.
 
-Limits, endpoints and demand go in, wanted numbers come out; nothing is sent here.
+Load pattern: reclaimable endpoints of a whole zone are taken back with a notice that is shorter
+than the start of a replacement, the next zone follows while none are to be had anywhere, and what
+remains has to carry the work. Limits, endpoints and demand go in, wanted numbers come out; nothing
+is sent here.
 """
 
 import math
 from abc import ABC, abstractmethod
-from collections.abc import Mapping
-from dataclasses import dataclass
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
 
+from flamingofront.decisions.demand import Demand
 from flamingofront.version.forwarding import ScalingLimits
 
-__all__ = ["Demand", "FleetCounts", "ScalingPolicy", "SpreadReclaimable"]
+__all__ = ["CheapestSafeFleet", "FleetCounts", "FleetState", "ScalingPolicy"]
 
+Counts = Mapping[str, int]
 
-@dataclass(frozen=True)
-class Demand:
-    """Load of one service.
 
-    Parameters
-    ----------
-    in_flight : float
-        Requests that run or wait at its endpoints.
-    slots : int
-        Requests that one endpoint runs at once.
-    known : bool
-        False until requests were seen for a while.
-    """
+@dataclass(frozen=True)
+class FleetCounts:
+    """Wanted endpoints of one service by zone; `reclaimable` and `firm` ones are ordered apart."""
 
-    in_flight: float
-    slots: int
-    known: bool = True
+    reclaimable: Counts
+    firm: Counts
 
 
 @dataclass(frozen=True)
-class FleetCounts:
-    """Wanted endpoints of one service by zone; `reclaimable` and `firm` ones are ordered apart."""
+class FleetState:
+    """What serves and what can be had.
+
+    Parameters
+    ----------
+    reclaimable, firm : mapping of str to int
+        Endpoints that serve now and are not leaving, by zone.
+    dry : frozenset of str
+        Zones in which no more reclaimable endpoints are to be had now.
+    found : mapping of str to int
+        Endpoints of both kinds that served when this process began, by zone.
+    """
 
-    reclaimable: Mapping[str, int]
-    firm: Mapping[str, int]
+    reclaimable: Counts = field(default_factory=dict)
+    firm: Counts = field(default_factory=dict)
+    dry: frozenset[str] = frozenset()
+    found: Counts = field(default_factory=dict)
 
 
 class ScalingPolicy(ABC):
     """Decides on the wanted numbers."""
 
     @abstractmethod
-    def plan(
-        self,
-        limits: ScalingLimits,
-        demand: Demand,
-        dry: frozenset[str],
-        live: Mapping[str, int],
-        found: Mapping[str, int],
-    ) -> FleetCounts:
-        """Return the wanted endpoints.
-
-        Parameters
-        ----------
-        dry : frozenset of str
-            Zones in which no more reclaimable endpoints are to be had now.
-        live : mapping of str to int
-            Reclaimable endpoints that serve now, by zone.
-        found : mapping of str to int
-            Endpoints of both kinds that served when this process began, by zone.
-        """
+    def plan(self, limits: ScalingLimits, demand: Demand, state: FleetState) -> FleetCounts:
+        """Return the wanted endpoints."""
 
 
 @dataclass(frozen=True)
-class SpreadReclaimable(ScalingPolicy):
-    """Reclaimable endpoints, spread evenly so that the loss of some zones is borne.
+class _Need:
+    """Endpoints that the demand asks for.
+
+    Parameters
+    ----------
+    lasting : int
+        So many keep answers in time, also in clumps.
+    firm : int
+        The same while reclaimable ones are not to be had.
+    surviving : int
+        So many must be left when a zone's reclaimable ones are taken back.
+    """
 
-    While none are to be had anywhere, firm ones stand in for what the demand still lacks.
+    lasting: int
+    firm: int
+    surviving: int
+
+
+@dataclass(frozen=True)
+class CheapestSafeFleet(ScalingPolicy):
+    """The cheapest mix of both kinds that carries the work, also when the next zone is taken back.
+
+    Reclaimable endpoints are spread evenly. How many are kept beyond the work follows from their
+    price against that of firm ones: where they cost a fifth, a spare zone of them is cheaper than
+    firm ones; where they cost nearly as much, firm ones are.
 
     Parameters
     ----------
     utilization : float
-        Part of the slots that the demand may fill. Many processes choose by loads that are up to a
-        second old: with 62 of them 16 in 100 streams were late at half of 16 slots, 10 at a fifth.
-    crowd : float
-        Requests at an endpoint above which answers come late however many slots it has: an engine
-        prefills prompts between the tokens of what runs.
-    lost_zones : int
-        Zones whose reclaimable endpoints may be taken back while the demand is still carried.
-        Reclaims come in waves, and for ten seconds and more there is no replacement.
+        Part of the time for which endpoints may read and step. Requests come in clumps of three
+        and more, and prompts are read one after another.
+    firm_utilization : float
+        The same for firm endpoints, which cost several times as much.
+    survivor_utilization : float
+        The same for the seconds in which replacements start.
+    slot_use : float
+        Part of the slots that may be taken.
     first_each : int
         Least endpoints in each zone while the demand is not yet known.
     first_part : float
         Part of the endpoints that were found in a zone that are kept until then: what somebody set
         up is the only word on the demand. With half of 90 endpoints kept, 25 in 100 requests of the
         first six seconds were late.
-    firm_utilization, firm_crowd : float
-        The same for firm endpoints: they cost several times as much, and what they make up for is
-        back after a while.
     """
 
-    utilization: float = 0.2
-    crowd: float = 12.8
-    lost_zones: int = 2
+    utilization: float = 0.25
+    firm_utilization: float = 0.6
+    survivor_utilization: float = 0.9
+    slot_use: float = 0.6
     first_each: int = 2
     first_part: float = 2 / 3
-    firm_utilization: float = 0.35
-    firm_crowd: float = 22.4
 
-    def plan(
-        self,
-        limits: ScalingLimits,
-        demand: Demand,
-        dry: frozenset[str],
-        live: Mapping[str, int],
-        found: Mapping[str, int],
-    ) -> FleetCounts:
+    def plan(self, limits: ScalingLimits, demand: Demand, state: FleetState) -> FleetCounts:
         """Return the wanted endpoints, cheapest zones first."""
         zones = sorted(limits.zone_prices, key=lambda zone: (limits.zone_prices[zone], zone))
-        needed = math.ceil(demand.in_flight / min(demand.slots * self.utilization, self.crowd))
-        urgent = math.ceil(
-            demand.in_flight / min(demand.slots * self.firm_utilization, self.firm_crowd)
+        need = self._need(demand)
+        least = {zone: self._least(limits, demand, state.found.get(zone, 0)) for zone in zones}
+        plans = (
+            self._with_firm(reclaimable, zones, limits, need, state)
+            for reclaimable in self._reclaimable_counts(zones, limits, least, state)
+        )
+        return min(plans, key=lambda plan: self._rank(plan, limits, need, state))
+
+    def _need(self, demand: Demand) -> _Need:
+        peak = max(demand.work.fast, demand.work.slow)
+        full = demand.in_flight / demand.slots
+        firm = _count(peak / self.firm_utilization, full / self.slot_use)
+        return _Need(
+            lasting=max(firm, _count(demand.work.slow / self.utilization)),
+            firm=firm,
+            surviving=_count(peak / self.survivor_utilization, full),
         )
-        surviving = max(1, len(zones) - self.lost_zones)
-        lasting = math.ceil(needed / surviving)
-        reclaimable = {}
-        missing = urgent
-        for zone in zones:
-            least = self._least(limits, demand, found.get(zone, 0))
-            each = min(limits.most, max(least, lasting))
-            serving = live.get(zone, 0)
-            reclaimable[zone] = max(least, min(each, serving)) if zone in dry else each
-            missing -= serving if zone in dry else each
-        return FleetCounts(reclaimable, self._firm(limits, zones, reclaimable, missing))
 
     def _least(self, limits: ScalingLimits, demand: Demand, found: int) -> int:
         """Return the least endpoints of a zone."""
@@ -135,12 +137,76 @@
         return min(limits.most, max(least, self.first_each, math.ceil(found * self.first_part)))
 
     @staticmethod
-    def _firm(
-        limits: ScalingLimits, zones: list[str], reclaimable: Mapping[str, int], missing: int
-    ) -> dict[str, int]:
-        """Return the firm endpoints that make up for missing ones, within the limits."""
-        firm = {}
+    def _reclaimable_counts(
+        zones: list[str], limits: ScalingLimits, least: Counts, state: FleetState
+    ) -> Iterator[dict[str, int]]:
+        """Yield ever more reclaimable endpoints, spread evenly; dry zones keep what they have."""
+        counts = {
+            zone: state.reclaimable.get(zone, 0) if zone in state.dry else least[zone]
+            for zone in zones
+        }
+        yield dict(counts)
+        open_zones = [zone for zone in zones if zone not in state.dry]
+        while any(counts[zone] < limits.most for zone in open_zones):
+            fewest = min(open_zones, key=lambda zone: (counts[zone], zones.index(zone)))
+            counts[fewest] += 1
+            yield dict(counts)
+
+    @classmethod
+    def _with_firm(
+        cls,
+        reclaimable: dict[str, int],
+        zones: list[str],
+        limits: ScalingLimits,
+        need: _Need,
+        state: FleetState,
+    ) -> FleetCounts:
+        """Add the firm endpoints that are missing.
+
+        Notes
+        -----
+        A zone without reclaimable endpoints keeps the least number of firm ones in any case: the
+        platform starts them where nobody orders them, and then later.
+        """
+        firm = {zone: max(0, limits.least - reclaimable[zone]) for zone in zones}
+        missing = cls._missing(reclaimable, need, state) - sum(firm.values())
         for zone in zones:
-            firm[zone] = max(0, min(missing, limits.most - reclaimable[zone]))
-            missing -= firm[zone]
-        return firm
+            room = limits.most - reclaimable[zone] - firm[zone]
+            more = max(0, min(missing, room))
+            firm[zone] += more
+            missing -= more
+        return FleetCounts(reclaimable, firm)
+
+    @staticmethod
+    def _missing(reclaimable: Counts, need: _Need, state: FleetState) -> int:
+        """Return the firm endpoints that the reclaimable ones leave to be wished for.
+
+        Notes
+        -----
+        Firm ones that serve stay until reclaimable ones have taken their place: without that the
+        work of a drought lay on half of the endpoints for four seconds at its end.
+        """
+        total = sum(reclaimable.values())
+        survivors = total - max(reclaimable.values())
+        lasting = need.firm if state.dry else need.lasting
+        serving = sum(min(each, reclaimable[zone]) for zone, each in state.reclaimable.items())
+        uncovered = min(sum(state.firm.values()), need.firm - serving)
+        return max(0, lasting - total, need.surviving - survivors, uncovered)
+
+    @classmethod
+    def _rank(
+        cls, plan: FleetCounts, limits: ScalingLimits, need: _Need, state: FleetState
+    ) -> tuple[int, float]:
+        """Return the endpoints that a plan lacks, then its price; the least is best."""
+        missing = cls._missing(plan.reclaimable, need, state)
+        lacking = max(0, missing - sum(plan.firm.values()))
+        price = sum(
+            limits.zone_prices[zone] * (limits.reclaimable_price * plan.reclaimable[zone] + count)
+            for zone, count in plan.firm.items()
+        )
+        return lacking, price
+
+
+def _count(*endpoints: float) -> int:
+    """Return the endpoints that all of some needs ask for, at least one."""
+    return max(1, *(math.ceil(each) for each in endpoints))
--- a/flamingofront/platform/requests.py
+++ b/flamingofront/platform/requests.py
@@ -1,6 +1,7 @@
 """Headers of forwarded requests and answers."""
 
 from flamingofront.connection.server import RenderedError, error_body
+from flamingofront.decisions.lateness import Urgency
 from flamingofront.errors import ANSWERS, ErrorKind, Ran, RequestError
 from flamingofront.messages import InboundRequest, ResponseHead
 from flamingofront.request.forward_work import (
@@ -24,6 +25,8 @@
 # Id of the endpoint's present start; any other endpoint refuses the request.
 EXPECTED_ENDPOINT = "X-Flamingofront-Expect-Instance"
 WORKSPACE = "X-Flamingofront-Tenant"
+# A digit, 0 first and 5 where there is none.
+URGENCY = "X-Flamingofront-Request-Urgency"
 NOT_RUN = PREFIX + "not-executed"
 LAST_EVENT = "last-event-id"
 STATUS_WRONG_ENDPOINT = 421
@@ -54,7 +57,7 @@
         DEADLINE,
         NOT_RUN,
         PREFIX + "expect-version",
-        PREFIX + "request-urgency",
+        URGENCY.lower(),
         PREFIX + "hold",
         PREFIX + "pin-ms",
         PREFIX + "kv-backup",
@@ -110,6 +113,8 @@
         )
         if work.workspace:
             fields += ((WORKSPACE, work.workspace),)
+        if facts.urgency is not Urgency.IN_TIME:
+            fields += ((URGENCY, str(int(facts.urgency))),)
         return fields
 
     def judge(self, request_id: str, head: ResponseHead) -> EndpointAnswer:
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -8,8 +8,9 @@
 
 from flamingofront.connection.client import MAX_IDLE_PER_ADDRESS
 from flamingofront.connection.interfaces import Exchange, Transport
-from flamingofront.decisions.choice import PREFILL_RATE, BacklogChoice
-from flamingofront.decisions.fleet_plan import Demand, SpreadReclaimable
+from flamingofront.decisions.choice import BacklogChoice
+from flamingofront.decisions.demand import Demand, Work
+from flamingofront.decisions.fleet_plan import CheapestSafeFleet
 from flamingofront.decisions.quota import QuotaRules, SharedQuota
 from flamingofront.decisions.retry import RetryBudget
 from flamingofront.decisions.shared_retry import SharedRetryBudget
@@ -57,6 +58,8 @@
 LATE_WORD_SECONDS = 0.2
 # Part of an endpoint's connections that may be idle ones.
 IDLE_PART = 0.5
+# Pause between two lines in the log on what was learned of the endpoints.
+RATES_LOG_SECONDS = 5.0
 USAGE = "usage"
 SCALING = "scaling"
 
@@ -228,7 +231,7 @@
                 ScalingDuty(
                     self.lease,
                     needs.cloud,
-                    SpreadReclaimable(),
+                    CheapestSafeFleet(),
                     settings.vm_id,
                     self.timers.now,
                     lambda: self.configuration,
@@ -244,7 +247,11 @@
         own = self.hub.in_flight_of(service)
         heard = self.peers.table.heard(self.timers.now())
         others = sum((each.demand or {}).get(service, 0) for each in heard)
-        return Demand(own + others, self.directory.slots(service) or DEFAULT_SLOTS)
+        work = self.hub.work.work(self.timers.now()).get(service, Work())
+        for each in heard:
+            if each.work and service in each.work:
+                work += Work(*each.work[service])
+        return Demand(own + others, self.directory.slots(service) or DEFAULT_SLOTS, work)
 
     def _cache_tokens(self, service: str) -> float:
         known = self.configuration.services.get(service)
@@ -286,8 +293,14 @@
             peers=self._some_peers(heard),
             usage=self.usage.to_tell({each.process for each in heard}, self.peers.true_time()),
             demand=self.hub.in_flight_by_service(),
+            work=self._work_told(),
         )
 
+    def _work_told(self) -> dict[str, tuple[float, float]]:
+        """Return the work that this process places, rounded to a thousandth of an endpoint."""
+        found = self.hub.work.work(self.timers.now())
+        return {name: (round(each.fast, 3), round(each.slow, 3)) for name, each in found.items()}
+
     def _some_peers(self, heard: list[PeerReport]) -> tuple[str, ...]:
         count = min(MAX_PEERS_TOLD, len(heard))
         return tuple(each.ip for each in self._rng.sample(heard, count))
@@ -329,12 +342,34 @@
             loads.update(report.in_flight)
             # Of what waited when an old report was made the engine has read a part since.
             age = self.peers.table.gap(report.vm_id, now) or 0.0
-            read = round(max(0.0, age - REPORT_SECONDS) * PREFILL_RATE)
-            backlog.update({name: max(0, each - read) for name, each in report.backlog.items()})
+            spent = max(0.0, age - REPORT_SECONDS)
+            for name, tokens in report.backlog.items():
+                backlog[name] += max(0, tokens - round(spent / self._token_seconds(name)))
         self.directory.reported(loads, now)
         self.directory.peers_queued(backlog)
         self._set_gauges(now)
 
+    def _token_seconds(self, endpoint_id: str) -> float:
+        """Return the seconds in which an endpoint reads a prompt token."""
+        fact = self.facts.get(endpoint_id)
+        return self.hub.rates.of(fact.service if fact is not None else "").now().token_seconds
+
+    def _log_rates(self) -> None:
+        """Tell what was learned of the endpoints: placement and the fleet follow from it."""
+        now = self.timers.now()
+        for name, each in self.hub.rates.known():
+            work = self.hub.work.work(now).get(name, Work())
+            self.log.info(
+                "rates learned",
+                service=name,
+                answers=each.answers,
+                token_us=round(each.now().token_seconds * 1e6, 2),
+                base_ms=round(each.now().base_seconds * 1e3, 1),
+                pause_ms=round(each.now().pause_seconds * 1e3, 1),
+                events=round(each.now().events, 1),
+                work=(round(work.fast, 3), round(work.slow, 3)),
+            )
+
     def _set_gauges(self, now: float) -> None:
         gauge = self.metrics.gauge
         gauge("requests_in_flight", len(self.hub.active))
@@ -373,6 +408,7 @@
         """Begin all periodic work."""
         self.peers.start()
         self.timers.every(LOAD_SECONDS, self._spread_loads)
+        self.timers.every(RATES_LOG_SECONDS, self._log_rates)
         if self.duties:
             self.tasks.start(self.lease.run())
         for duty in self.duties:
--- a/flamingofront/process/forwarding/reports.py
+++ b/flamingofront/process/forwarding/reports.py
@@ -79,6 +79,9 @@
         process and of processes that are gone. None if this report does not tell it.
     demand : mapping of str to float, optional
         Requests that it runs, by service. None if this report does not tell it.
+    work : mapping of str to (float, float), optional
+        Fast and slow mean of the work that it places, in busy endpoints, by service. None if this
+        report does not tell it.
     """
 
     vm_id: str
@@ -102,6 +105,7 @@
     peers: tuple[str, ...] = ()
     usage: ProcessCounts | None = None
     demand: Mapping[str, float] | None = None
+    work: Mapping[str, tuple[float, float]] | None = None
 
     @property
     def process(self) -> str:
@@ -111,7 +115,7 @@
 
 def without_counts(report: PeerReport) -> PeerReport:
     """Return the short form of a report."""
-    return replace(report, usage=None, demand=None)
+    return replace(report, usage=None, demand=None, work=None)
 
 
 _FIELDS = tuple(each.name for each in dataclasses.fields(PeerReport))
@@ -236,7 +240,7 @@
         if known and rank <= (known.report.incarnation, known.report.sequence):
             return False
         if known and report.demand is None:
-            report = replace(report, demand=known.report.demand)
+            report = replace(report, demand=known.report.demand, work=known.report.work)
         self._heard[report.vm_id] = _Heard(report, now, report.wall - now)
         return True
 
--- a/flamingofront/process/forwarding/scaling.py
+++ b/flamingofront/process/forwarding/scaling.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
-from flamingofront.decisions.fleet_plan import Demand, ScalingPolicy
+from flamingofront.decisions.demand import Demand
+from flamingofront.decisions.fleet_plan import FleetState, ScalingPolicy
 from flamingofront.errors import PlatformError
 from flamingofront.messages import Sleep
 from flamingofront.process.forwarding.duty import DutyLease
@@ -27,12 +28,15 @@
 REGISTER_SECONDS = 3.0
 # An order that the cloud could not fill is sent again after this time, and its zone counts as
 # without reclaimable endpoints until then; the platform refuses for ten seconds and more at a time.
-REFUSED_SECONDS = 4.0
+REFUSED_SECONDS = 2.0
 # Orders are repeated now and then: nothing can be read back, and one may have been lost.
 REPEAT_SECONDS = 20.0
 # Scaling in waits until the lower number has been enough for so long: longer than a burst (3 to
 # 5 s), several times an endpoint's start.
 SCALE_IN_SECONDS = 8.0
+# Firm ones cost several times as much, and are given back sooner: they are kept for as long as one
+# starts, so that a clump does not make them come and go.
+FIRM_SCALE_IN_SECONDS = 4.0
 # The demand is averaged over about this time: requests come in clumps, and an endpoint that is
 # ordered for one of them comes four seconds later and is paid for eight seconds and more.
 SMOOTHING_SECONDS = 2.0
@@ -109,7 +113,7 @@
         """Plan and order again and again; never returns."""
         while True:
             yield Sleep(STEP_SECONDS)
-            self._watch_registrations()
+            self._watch()
             lease = self._lease.held()
             if lease is None:
                 continue
@@ -129,10 +133,13 @@
         for service in self._configuration().services.values():
             if service.scaling is None or self._is_registering(service.name, now):
                 continue
-            dry = self._dry(service.name, now)
-            live = self._live(service.name, True)
-            demand = self._known_demand(service.name, now)
-            plan = self._policy.plan(service.scaling, demand, dry, live, self._found[service.name])
+            state = FleetState(
+                self._live(service.name, True),
+                self._live(service.name, False),
+                self._dry(service.name, now),
+                self._found[service.name],
+            )
+            plan = self._policy.plan(service.scaling, self._known_demand(service.name), state)
             for reclaimable, counts in ((True, plan.reclaimable), (False, plan.firm)):
                 for zone, count in counts.items():
                     order = EndpointOrder(service.name, zone, count, reclaimable)
@@ -140,19 +147,22 @@
                         orders.append(order)
         return sorted(orders, key=self._rank)
 
-    def _known_demand(self, service: str, now: float) -> Demand:
+    def _known_demand(self, service: str) -> Demand:
         """Return the demand, and whether requests were seen for long enough to trust it."""
-        demand = self._demand(service)
-        if demand.in_flight:
-            self._first_seen.setdefault(service, now)
-        since = self._first_seen.get(service, now)
-        known = now - since >= OBSERVED_SECONDS
-        return replace(demand, in_flight=self._smoothed(service, demand.in_flight), known=known)
-
-    def _watch_registrations(self) -> None:
-        """Note the endpoints that serve when this process begins, holder of the duty or not."""
+        now = self._now()
+        known = now - self._first_seen.get(service, now) >= OBSERVED_SECONDS
+        return replace(self._demand(service), in_flight=self._mean.get(service, 0.0), known=known)
+
+    def _watch(self) -> None:
+        """Note demand and endpoints, holder of the duties or not: the next holder then knows."""
         now = self._now()
         for service in self._configuration().services.values():
+            in_flight = self._demand(service.name).in_flight
+            if in_flight:
+                self._first_seen.setdefault(service.name, now)
+            last = self._mean.get(service.name, in_flight)
+            gain = STEP_SECONDS / SMOOTHING_SECONDS
+            self._mean[service.name] = last + (in_flight - last) * gain
             until = self._registering_until.setdefault(service.name, now + REGISTER_SECONDS)
             if now > until:
                 continue
@@ -166,12 +176,6 @@
         """Tell whether endpoints of a service may not have registered yet."""
         return now <= self._registering_until.get(service, now)
 
-    def _smoothed(self, service: str, in_flight: float) -> float:
-        """Return the requests in flight, averaged over the last looks."""
-        last = self._mean.get(service, in_flight)
-        self._mean[service] = last + (in_flight - last) * STEP_SECONDS / SMOOTHING_SECONDS
-        return self._mean[service]
-
     def _dry(self, service: str, now: float) -> frozenset[str]:
         """Return the zones whose reclaimable endpoints are being taken back or were refused."""
         refused = {
@@ -179,12 +183,21 @@
             for (name, zone), until in self._dry_until.items()
             if name == service and until > now
         }
-        leaving = {
-            each.zone
-            for each in self._endpoints()
-            if each.service == service and each.reclaimable and each.leaves_in is not None
-        }
-        return frozenset(refused | leaving)
+        return frozenset(refused | self._taken_back(service))
+
+    def _taken_back(self, service: str) -> set[str]:
+        """Return the zones whose reclaimable endpoints all leave.
+
+        Notes
+        -----
+        The notice comes two to three seconds before, a replacement starts for four: to wait for a
+        refused order would lose a second of them.
+        """
+        states: dict[str, set[bool]] = {}
+        for each in self._endpoints():
+            if each.service == service and each.reclaimable:
+                states.setdefault(each.zone, set()).add(each.ready)
+        return {zone for zone, ready in states.items() if ready == {False}}
 
     def _live(self, service: str, reclaimable: bool) -> Counter[str]:
         """Return the endpoints of one kind that serve now, by zone."""
@@ -222,7 +235,8 @@
         if order.count >= known.granted:
             known.wanted_at = now
         if order.count < known.granted:
-            return now - known.wanted_at >= SCALE_IN_SECONDS
+            kept = SCALE_IN_SECONDS if order.reclaimable else FIRM_SCALE_IN_SECONDS
+            return now - known.wanted_at >= kept
         if known.refused is not None and order.count >= known.refused:
             return now - known.sent_at >= REFUSED_SECONDS
         if order.count > known.granted:
@@ -256,9 +270,20 @@
             reclaimable=order.reclaimable,
             granted=granted,
             fencing=lease.fencing,
-            in_flight=self._demand(order.service).in_flight,
+            **self._inputs(order.service, now),
         )
 
+    def _inputs(self, service: str, now: float) -> dict[str, object]:
+        """Return what decided on an order, for its line in the log."""
+        demand = self._demand(service)
+        return {
+            "in_flight": demand.in_flight,
+            "work": (round(demand.work.fast, 2), round(demand.work.slow, 2)),
+            "serving": dict(self._live(service, True)),
+            "serving_firm": dict(self._live(service, False)),
+            "dry": sorted(self._dry(service, now)),
+        }
+
 
 def _repeat_after(live: int, wanted: int, start_seconds: float) -> float:
     """Return the seconds after which an order is repeated, by the endpoints that serve now."""
--- a/flamingofront/request/forward_work.py
+++ b/flamingofront/request/forward_work.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from flamingofront.connection.server import RenderedError
+from flamingofront.decisions.lateness import Urgency
 from flamingofront.errors import RequestError
 from flamingofront.messages import InboundRequest, ResponseHead
 
@@ -106,11 +107,14 @@
         Seconds after which nobody waits any more.
     last_event : str
         Id of the last event that the caller has; empty at the begin of an answer.
+    urgency : Urgency
+        How soon a model engine takes the request among others.
     """
 
     endpoint_id: str
     time_left: float
     last_event: str = ""
+    urgency: Urgency = Urgency.IN_TIME
 
 
 @dataclass(frozen=True)
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -5,6 +5,8 @@
 from flamingofront.connection.interfaces import CallEvent, Exchange
 from flamingofront.decisions.admission import Ticket
 from flamingofront.decisions.choice import Candidate
+from flamingofront.decisions.engine_rates import ServiceRates
+from flamingofront.decisions.lateness import Expectation, urgency
 from flamingofront.errors import Ran, RequestError
 from flamingofront.messages import (
     CallFailed,
@@ -92,6 +94,7 @@
         self._fallback: RelayedAnswer | None = None
         self._unread = 0
         self._unread_at = ""
+        self._ahead = 0
         self._events_seen = 0
         self._event_at = 0.0
 
@@ -105,6 +108,11 @@
         """Header names and formats."""
         return self.hub.protocol
 
+    @property
+    def _rates(self) -> ServiceRates:
+        """What is learned of the service's endpoints."""
+        return self.hub.rates.of(self.record.service.name)
+
     def hashes(self) -> tuple[str, ...]:
         """Return the ids of the prompt's parts."""
         return tuple(each.part_id for each in self.work.prompt)
@@ -120,8 +128,17 @@
         """Count the prompt tokens that the endpoint has to read."""
         self._unread = max(0, self.work.prompt_tokens - chosen.cached_tokens)
         self._unread_at = chosen.endpoint_id
+        self._ahead = chosen.backlog_tokens + self._unread
+        self.hub.work_placed(self.record.service.name, self._unread)
         self.hub.directory.queued(self._unread_at, self._unread)
 
+    def _expected(self, chosen: Candidate) -> Expectation:
+        """Return when the endpoint is expected to begin its answer."""
+        first = self._rates.now().first_event(self._ahead) * chosen.slowness
+        objective = self.record.service.first_token_target
+        left = objective - (self.hub.now() - self.accepted_at)
+        return Expectation(first, left, self.begun)
+
     def _dequeue(self) -> None:
         """The prompt was read, or the attempt is over."""
         if self._unread:
@@ -150,6 +167,7 @@
             load=round(chosen.load, 1),
             slots=chosen.slots,
             backlog=chosen.backlog_tokens,
+            prompt=self.work.prompt_tokens,
             cached=chosen.cached_tokens,
             slowness=round(chosen.slowness, 2),
             loads_age=directory.loads_age(self.hub.now()),
@@ -161,7 +179,9 @@
         self._log_choice(order, chosen)
         self._queue(chosen)
         left = self.machine.facts.deadline - self.hub.now()
-        facts = AttemptFacts(chosen.endpoint_id, left, self.relay.last_id)
+        facts = AttemptFacts(
+            chosen.endpoint_id, left, self.relay.last_id, urgency(self._expected(chosen))
+        )
         work = self.work
         self.endpoints.append(chosen.endpoint_id)
         self.sent_at = self.hub.now()
@@ -194,6 +214,8 @@
     def running(self) -> None:
         """Note that an endpoint has begun to answer."""
         if self._unread:
+            if self.work.stream and self.endpoint_id == self._unread_at:
+                self._rates.first_event(self._ahead, self.hub.now() - self.sent_at)
             self._dequeue()
             self._note_cached()
         if self.first_at is None:
@@ -219,7 +241,9 @@
         now = self.hub.now()
         count = self.relay.count - self._events_seen
         if self.first_at is not None and count > 0:
-            self.hub.directory.observed(self.endpoint_id, (now - self._event_at) / count)
+            pause = (now - self._event_at) / count
+            self.hub.directory.observed(self.endpoint_id, pause)
+            self._rates.pause(pause)
         self._events_seen, self._event_at = self.relay.count, now
 
     def _judge_endpoint(self, answer: RelayedAnswer) -> None:
@@ -231,6 +255,9 @@
         directory.health.succeeded(self.endpoint_id)
         if not self.work.stream:
             directory.observed(self.endpoint_id, now - self.sent_at)
+            self._rates.call(now - self.sent_at)
+        elif self.relay.count:
+            self._rates.ended(self.relay.count)
 
     def answered(self, attempt_id: str, answer: RelayedAnswer) -> None:
         """Give the endpoint's complete answer to the caller."""
--- a/flamingofront/request/host.py
+++ b/flamingofront/request/host.py
@@ -12,6 +12,7 @@
 
 from flamingofront.connection.interfaces import Transport
 from flamingofront.decisions.choice import Candidate
+from flamingofront.decisions.engine_rates import LearnedRates
 from flamingofront.decisions.retry import RetryBudget
 from flamingofront.errors import Ran
 from flamingofront.process.logs import Log
@@ -61,6 +62,8 @@
         Header names of forwarded requests; None where none are forwarded.
     cache_tokens : callable
         Returns the prompt tokens that an endpoint of a service can hold in its cache.
+    rates : LearnedRates
+        What the endpoints can do, as their answers showed.
     """
 
     settings: HubSettings
@@ -72,6 +75,7 @@
     rng: random.Random
     protocol: ForwardProtocol | None
     cache_tokens: Callable[[str], float]
+    rates: LearnedRates
 
     @abstractmethod
     def now(self) -> float:
@@ -89,6 +93,10 @@
     def choose(self, request: "ActiveRequest", exclude: frozenset[str]) -> Candidate | None:
         """Return the endpoint for an attempt, None if there is none with room."""
 
+    @abstractmethod
+    def work_placed(self, service: str, tokens: int) -> None:
+        """Count the work of an attempt, by the prompt tokens that its endpoint has to read."""
+
     @abstractmethod
     def attempt_lost(
         self, service: Service, endpoint_id: str, executed: Ran, reason: str, now: float
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -14,6 +14,8 @@
     WorkEstimate,
     usable,
 )
+from flamingofront.decisions.demand import WorkMeter
+from flamingofront.decisions.engine_rates import LearnedRates
 from flamingofront.decisions.retry import PacedRetryBudget, RetryBudget
 from flamingofront.errors import ErrorKind, Ran, RequestError
 from flamingofront.process.logs import Log
@@ -81,6 +83,8 @@
         self.capacity_share: Callable[[], float] = lambda: 1.0
         # Prompt tokens that an endpoint of a service can hold in its cache.
         self.cache_tokens: Callable[[str], float] = lambda service: math.inf
+        self.rates = LearnedRates()
+        self.work = WorkMeter()
         self._policy = policy or CostChoice()
         self._admissions: dict[str, FairAdmission] = {}
         self._budgets: dict[str, RetryBudget] = {}
@@ -217,8 +221,13 @@
             service.first_token_target,
             service.token_target,
             self.settings.zone,
+            self.rates.of(service.name).now(),
         )
 
+    def work_placed(self, service: str, tokens: int) -> None:
+        """Count the work of an attempt, by the prompt tokens that its endpoint has to read."""
+        self.work.add(service, self.rates.of(service).now().work(tokens), self.now())
+
     def attempt_lost(
         self, service: Service, endpoint_id: str, executed: Ran, reason: str, now: float
     ) -> None:
