Trial: late work stands back while others wait to be read

Ruled out: refusing them (a late answer still serves a caller); urgency at the engines, which order by it only what waits for a slot.

--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -210,8 +210,17 @@
             self.hub.metrics.count("retries_total", reason="no_endpoint")
             self.carry(self.machine.no_endpoint(order.attempt_id, self.hub.now(), delay))
             return
+        delay = self._postponement(chosen)
+        if delay > 0:
+            self.hub.metrics.count("retries_total", reason="postponed")
+            self.carry(self.machine.postponed(order.attempt_id, self.hub.now(), delay))
+            return
         self.launch(order, chosen)
 
+    def _postponement(self, chosen: Candidate) -> float:
+        """Return the seconds for which an attempt stands back for more urgent work; 0 for none."""
+        return 0.0
+
     def launch(self, order: StartAttempt, chosen: Candidate) -> None:
         """Send an attempt to an endpoint."""
         self.hub.metrics.count("attempts_total", service=self.record.service.name)
--- a/flamingofront/request/attempts.py
+++ b/flamingofront/request/attempts.py
@@ -155,6 +155,13 @@
             return self._fail(ErrorKind.NO_ENDPOINT, retry_after=retry_after)
         return self._wait_or_fail(now, retry_after, ErrorKind.NO_ENDPOINT)
 
+    def postponed(self, attempt_id: str, now: float, delay: float) -> list[Order]:
+        """The attempt was not sent: other work goes first."""
+        if attempt_id != self.attempt_id or self.phase is not Phase.RUNNING:
+            return []
+        self.attempts -= 1
+        return self._wait_or_fail(now, delay, ErrorKind.OVERLOADED)
+
     def progressed(self, attempt_id: str) -> None:
         """Note that an endpoint has sent a part of the answer that was passed on."""
         if attempt_id == self.attempt_id:
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -6,7 +6,7 @@
 from flamingofront.decisions.admission import Ticket
 from flamingofront.decisions.choice import Candidate
 from flamingofront.decisions.engine_rates import ServiceRates
-from flamingofront.decisions.lateness import Expectation, urgency
+from flamingofront.decisions.lateness import Expectation, postponement, urgency
 from flamingofront.errors import Ran, RequestError
 from flamingofront.messages import (
     CallFailed,
@@ -95,6 +95,8 @@
         self._unread = 0
         self._unread_at = ""
         self._ahead = 0
+        self._asked_work = False
+        self._stood_back = False
         self._events_seen = 0
         self._event_at = 0.0
 
@@ -128,8 +130,6 @@
         """Count the prompt tokens that the endpoint has to read."""
         self._unread = max(0, self.work.prompt_tokens - chosen.cached_tokens)
         self._unread_at = chosen.endpoint_id
-        self._ahead = chosen.backlog_tokens + self._unread
-        self.hub.work_placed(self.record.service.name, self._unread)
         self.hub.directory.queued(self._unread_at, self._unread)
 
     def _expected(self, chosen: Candidate) -> Expectation:
@@ -139,6 +139,32 @@
         left = objective - (self.hub.now() - self.accepted_at)
         return Expectation(first, left, self.begun)
 
+    def _postponement(self, chosen: Candidate) -> float:
+        """Stand back while the request will be late in any case and others wait to be read."""
+        new_tokens = max(0, self.work.prompt_tokens - chosen.cached_tokens)
+        self._ahead = chosen.backlog_tokens + new_tokens
+        if not self._asked_work:
+            self._asked_work = True
+            self.hub.work_asked(self.record.service.name, new_tokens)
+        rates, now = self._rates.now(), self.hub.now()
+        wait = postponement(
+            self._expected(chosen),
+            rates.token_seconds * chosen.backlog_tokens * chosen.slowness,
+            now - self.accepted_at,
+            self.record.deadline_left,
+        )
+        if wait > 0 and not self._stood_back:
+            self._stood_back = True
+            self.log.info(
+                "request stands back",
+                endpoint=chosen.endpoint_id,
+                backlog=chosen.backlog_tokens,
+                prompt=self.work.prompt_tokens,
+                expected_ms=round(self._expected(chosen).first_event * 1000),
+                loads_age=self.hub.directory.loads_age(now),
+            )
+        return wait * (0.5 + self.hub.rng.random())
+
     def _dequeue(self) -> None:
         """The prompt was read, or the attempt is over."""
         if self._unread:
--- a/flamingofront/request/host.py
+++ b/flamingofront/request/host.py
@@ -94,8 +94,8 @@
         """Return the endpoint for an attempt, None if there is none with room."""
 
     @abstractmethod
-    def work_placed(self, service: str, tokens: int) -> None:
-        """Count the work of an attempt, by the prompt tokens that its endpoint has to read."""
+    def work_asked(self, service: str, tokens: int) -> None:
+        """Count the work of a request, by the prompt tokens that its endpoint has to read."""
 
     @abstractmethod
     def attempt_lost(
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -224,8 +224,8 @@
             self.rates.of(service.name).now(),
         )
 
-    def work_placed(self, service: str, tokens: int) -> None:
-        """Count the work of an attempt, by the prompt tokens that its endpoint has to read."""
+    def work_asked(self, service: str, tokens: int) -> None:
+        """Count the work of a request, by the prompt tokens that its endpoint has to read."""
         self.work.add(service, self.rates.of(service).now().work(tokens), self.now())
 
     def attempt_lost(
