--- /dev/null
+++ b/flamingofront/decisions/zone_reach.py
@@ -0,0 +1,55 @@
+"""Which availability zones are cut off from this process.
+
+Load pattern: a zone is partitioned for some seconds. What was sent there hangs for two seconds until
+the system gives its connections up, and each further try costs a connect timeout. Two signs tell
+it sooner: all entry processes of the zone fall silent, who report several times a second, or two of
+its endpoints cannot be connected to. Limits: an endpoint of the zone that has just sent something
+outweighs both (all processes of a zone may be killed while its endpoints serve on), and the own
+zone is never judged by its peers.
+"""
+
+from collections.abc import Collection
+
+__all__ = ["ZoneReach"]
+
+# A zone in which so many endpoints could not be reached within this time, and none was, is taken to
+# be cut off: the others there are not tried one by one, at a connect timeout each.
+CUT_OFF_ENDPOINTS = 2
+CUT_OFF_SECONDS = 2.0
+# Bytes from an endpoint speak for its zone for so long, in seconds: a stream sends every 20 to 100
+# ms.
+SPOKE_SECONDS = 0.4
+
+
+class ZoneReach:
+    """Signs of zones that are cut off; times in seconds."""
+
+    def __init__(self):
+        self._failed: dict[str, dict[str, float]] = {}
+        self._spoke: dict[str, float] = {}
+        self._silent: frozenset[str] = frozenset()
+
+    def failed(self, zone: str, endpoint_id: str, now: float) -> None:
+        """Note an endpoint that could not be connected to."""
+        self._failed.setdefault(zone, {})[endpoint_id] = now
+
+    def spoke(self, zone: str, now: float) -> None:
+        """Note that an endpoint of the zone has sent something."""
+        self._failed.pop(zone, None)
+        self._spoke[zone] = now
+
+    def peers_silent(self, zones: Collection[str]) -> None:
+        """Take the zones all of whose entry processes have fallen silent."""
+        self._silent = frozenset(zones)
+
+    def is_cut_off(self, zone: str, now: float) -> bool:
+        """Tell whether a zone seems to be cut off from this process."""
+        if now - self._spoke.get(zone, -SPOKE_SECONDS) < SPOKE_SECONDS:
+            return False
+        if zone in self._silent:
+            return True
+        times = self._failed.get(zone)
+        if times is None:
+            return False
+        lately = sum(now - each <= CUT_OFF_SECONDS for each in times.values())
+        return lately >= CUT_OFF_ENDPOINTS
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -103,6 +103,7 @@
         )
         self._own = own
         self._sequence = 0
+        self._cut_off: set[str] = set()
         self._changes: dict[str, tuple[int, int]] = {}
         self.usage = UsageBook(own.process, settings.rules.usage_window)
         self._build_requests()
@@ -354,6 +355,23 @@
         fact = self.facts.get(endpoint_id)
         return self.hub.rates.of(fact.service if fact is not None else "").now().token_seconds
 
+    def _watch_zones(self) -> None:
+        """Look which zones have fallen silent; what waits there goes on elsewhere."""
+        now = self.timers.now()
+        zones = self.directory.zones
+        zones.peers_silent(self.peers.table.silent_zones(now) - {self.settings.zone})
+        known = {each.zone for each in self.facts.select(Role.ENDPOINT)}
+        cut_off = {zone for zone in known if zones.is_cut_off(zone, now)}
+        for zone in cut_off ^ self._cut_off:
+            self.log.warning(
+                "zone cut off" if zone in cut_off else "zone reached again",
+                of_zone=zone,
+                silent=sorted(self.peers.table.silent_zones(now)),
+            )
+        self._cut_off = cut_off
+        for zone in cut_off:
+            self.hub.zone_cut_off(zone)
+
     def _log_rates(self) -> None:
         """Tell what was learned of the endpoints: placement and the fleet follow from it."""
         now = self.timers.now()
@@ -408,6 +426,7 @@
         """Begin all periodic work."""
         self.peers.start()
         self.timers.every(LOAD_SECONDS, self._spread_loads)
+        self.timers.every(LOAD_SECONDS, self._watch_zones)
         self.timers.every(RATES_LOG_SECONDS, self._log_rates)
         if self.duties:
             self.tasks.start(self.lease.run())
--- a/flamingofront/process/forwarding/reports.py
+++ b/flamingofront/process/forwarding/reports.py
@@ -31,6 +31,11 @@
 # reports take, whichever is more.
 HEARD_SECONDS = 1.6
 HEARD_REPORTS = 4
+# A zone is silent when none of its members was heard for as long as three of their reports take, and
+# two of them or more were heard within the last seconds: one alone may have been killed.
+SILENCE_REPORTS = 3
+SILENT_MEMBERS = 2
+RECALLED_SECONDS = 8.0
 # A process that has not been heard for so long is no member any more: longer than any restart or
 # partition after which it would come back with its old counts.
 MEMBER_SECONDS = 30.0
@@ -221,11 +226,12 @@
     def __init__(self, own_id: str):
         self._own_id = own_id
         self._heard: dict[str, _Heard] = {}
-        self._heard_seconds = HEARD_SECONDS
+        self._heard_seconds = self._silence_seconds = HEARD_SECONDS
 
     def expect_every(self, seconds: float) -> None:
         """Set the time between two reports of a process to the same peer."""
         self._heard_seconds = max(HEARD_SECONDS, HEARD_REPORTS * seconds)
+        self._silence_seconds = SILENCE_REPORTS * seconds
 
     def in_hearing(self, gap: float) -> bool:
         """Tell whether a process that was heard some seconds ago counts as heard."""
@@ -270,6 +276,19 @@
         """Return the last reports of the processes within hearing."""
         return [each.report for each in self._heard.values() if self.in_hearing(now - each.at)]
 
+    def silent_zones(self, now: float) -> frozenset[str]:
+        """Return the zones of which two members or more were heard, and none is any more."""
+        heard: dict[str, int] = {}
+        silent: dict[str, int] = {}
+        for each in self._heard.values():
+            if each.report.leaving or now - each.at > RECALLED_SECONDS:
+                continue
+            counts = heard if now - each.at <= self._silence_seconds else silent
+            counts[each.report.zone] = counts.get(each.report.zone, 0) + 1
+        return frozenset(
+            zone for zone, count in silent.items() if zone not in heard and count >= SILENT_MEMBERS
+        )
+
     def members(self, now: float) -> list[PeerReport]:
         """Return the last reports of all other members, heard now or not."""
         for vm_id, each in list(self._heard.items()):
--- a/flamingofront/request/directory.py
+++ b/flamingofront/request/directory.py
@@ -12,6 +12,7 @@
 
 from flamingofront.decisions.choice import Candidate, report_weight
 from flamingofront.decisions.retry import EndpointHealth
+from flamingofront.decisions.zone_reach import ZoneReach
 from flamingofront.process.membership import Fact, FactTable, Role, VmState
 from flamingofront.process.rendezvous import rank
 from flamingofront.request.prefixes import PrefixIndex
@@ -26,10 +27,6 @@
 # Endpoints that cannot be connected to are left out for a time that doubles up to the longest one.
 UNREACHABLE_SECONDS = 1.0
 LONGEST_UNREACHABLE_SECONDS = 4.0
-# A zone in which so many endpoints could not be reached within this time, and none was, is taken to
-# be cut off: the others there are not tried one by one, at a connect timeout each.
-CUT_OFF_ENDPOINTS = 2
-CUT_OFF_SECONDS = 2.0
 MAX_CANDIDATES = 32
 MAX_WARM = 4
 
@@ -93,29 +90,6 @@
     report_weight: float
 
 
-class _ZoneReach:
-    """Which zones seem to be cut off from this process."""
-
-    def __init__(self):
-        self._failed: dict[str, dict[str, float]] = {}
-
-    def failed(self, zone: str, endpoint_id: str, now: float) -> None:
-        """Note an endpoint that could not be connected to."""
-        self._failed.setdefault(zone, {})[endpoint_id] = now
-
-    def reached(self, zone: str) -> None:
-        """Note that an endpoint of the zone has answered."""
-        self._failed.pop(zone, None)
-
-    def is_cut_off(self, zone: str, now: float) -> bool:
-        """Tell whether several endpoints of the zone failed lately and none answered."""
-        times = self._failed.get(zone)
-        if times is None:
-            return False
-        lately = sum(now - each <= CUT_OFF_SECONDS for each in times.values())
-        return lately >= CUT_OFF_ENDPOINTS
-
-
 class EndpointDirectory:
     """Endpoints of all services, as this process sees them.
 
@@ -151,7 +125,7 @@
         self._token_seconds: dict[str, float] = {}
         self._unreachable: dict[str, float] = {}
         self._connect_failures: Counter[str] = Counter()
-        self._zones = _ZoneReach()
+        self.zones = ZoneReach()
         self._index: dict[str, _ServiceEndpoints] = {}
         self._basis = (-1, -1)
 
@@ -387,20 +361,25 @@
         self._unreachable[endpoint_id] = now + seconds
         fact = self._facts.get(endpoint_id)
         if fact is not None:
-            self._zones.failed(fact.zone, endpoint_id, now)
+            self.zones.failed(fact.zone, endpoint_id, now)
 
-    def reached(self, endpoint_id: str) -> None:
-        """Note that an endpoint has answered."""
+    def reached(self, endpoint_id: str, now: float) -> None:
+        """Note that an endpoint has sent something."""
         if endpoint_id in self._connect_failures:
             del self._connect_failures[endpoint_id]
         fact = self._facts.get(endpoint_id)
         if fact is not None:
-            self._zones.reached(fact.zone)
+            self.zones.spoke(fact.zone, now)
 
     def _is_reachable(self, fact: Fact, now: float) -> bool:
         if self._unreachable.get(fact.vm_id, -math.inf) > now:
             return False
-        return not self._zones.is_cut_off(fact.zone, now)
+        return not self.zones.is_cut_off(fact.zone, now)
+
+    def zone_of(self, endpoint_id: str) -> str:
+        """Return the availability zone of an endpoint; empty if it is not known."""
+        fact = self._facts.get(endpoint_id)
+        return fact.zone if fact is not None else ""
 
     def _usual_token_seconds(self, ids: Iterable[str]) -> float:
         known = sorted(self._token_seconds[each] for each in ids if each in self._token_seconds)
--- a/flamingofront/request/forward_gateway.py
+++ b/flamingofront/request/forward_gateway.py
@@ -22,7 +22,8 @@
 
 __all__ = ["ForwardGateway"]
 
-NOT_READY_RETRY_SECONDS = 0.5
+# The configuration is there some ten milliseconds after the first request can be.
+NOT_READY_RETRY_SECONDS = 0.1
 # Quotas count requests or tokens; the number in flight is bounded by the endpoints alone.
 NO_WORKSPACE_LIMIT = 1_000_000
 DEFAULT_PRIORITY = 5
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -253,6 +253,7 @@
         """Pass whole events on to the caller."""
         if self.machine.attempt_id != attempt_id:
             return
+        self.hub.directory.reached(self.endpoint_id, self.hub.now())
         self._observe_events()
         self.running()
         self.machine.progressed(attempt_id)
@@ -304,6 +305,15 @@
         else:
             self.answered(attempt_id, answer)
 
+    def zone_cut_off(self) -> None:
+        """Go on at another endpoint, if that is allowed: this one cannot be heard any more."""
+        if self.work.repeatable and self.machine.attempt_id and self._may_try_again():
+            self.lost(self.machine.attempt_id, Ran.UNKNOWN, "zone cut off")
+
+    def _may_try_again(self) -> bool:
+        most = self.machine.facts.max_attempts
+        return most is None or self.machine.attempts < most
+
     def _complete(self) -> None:
         raise AssertionError("a forwarded request is completed by its answer")
 
@@ -373,7 +383,8 @@
         else:
             self._answer = answer
         if not answer.crossed:
-            self._request.hub.directory.reached(self._request.endpoint_id)
+            directory = self._request.hub.directory
+            directory.reached(self._request.endpoint_id, self._request.hub.now())
 
     @property
     def _is_stream(self) -> bool:
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -241,6 +241,14 @@
             self.metrics.count("ejections_total", service=service.name)
             self.log.warning("endpoint ejected", service=service.name, endpoint=endpoint_id)
 
+    def zone_cut_off(self, zone: str) -> None:
+        """Let what waits for an endpoint of a zone that cannot be heard go on elsewhere."""
+        for request in list(self.active.values()):
+            if not isinstance(request, ForwardedRequest) or request.done:
+                continue
+            if self.directory.zone_of(request.endpoint_id) == zone:
+                request.zone_cut_off()
+
     def request_ended(self, request: ActiveRequest) -> None:
         """Forget a request that has its answer or went elsewhere, and start the next one."""
         if self.active.get(request.request_id) is not request:
