--- a/flamingofront/decisions/zone_reach.py
+++ b/flamingofront/decisions/zone_reach.py
@@ -2,10 +2,11 @@
 
 Load pattern: a zone is partitioned for some seconds. What was sent there hangs for two seconds
 until the system gives its connections up, and each further try costs a connect timeout. Two signs
-tell it sooner: all entry processes of the zone fall silent, who report several times a second, or
-two of its endpoints cannot be connected to. Limits: an endpoint of the zone that has just sent
-something outweighs both (all processes of a zone may be killed while its endpoints serve on), and
-the own zone is never judged by its peers.
+tell it sooner: two of its endpoints cannot be connected to, or one cannot, or does not answer, and
+all entry processes of the zone, who report several times a second, have fallen silent. Limits:
+silent processes alone tell nothing, since all of a zone may be killed while its endpoints serve on;
+an endpoint that has just sent something outweighs all signs; a verdict holds for two seconds, then
+the zone is tried again; the own zone is never judged by its peers.
 """
 
 from collections.abc import Collection
@@ -27,6 +28,7 @@
     def __init__(self):
         self._failed: dict[str, dict[str, float]] = {}
         self._spoke: dict[str, float] = {}
+        self._unanswered: dict[str, float] = {}
         self._silent: frozenset[str] = frozenset()
 
     def failed(self, zone: str, endpoint_id: str, now: float) -> None:
@@ -36,20 +38,26 @@
     def spoke(self, zone: str, now: float) -> None:
         """Note that an endpoint of the zone has sent something."""
         self._failed.pop(zone, None)
+        self._unanswered.pop(zone, None)
         self._spoke[zone] = now
 
     def peers_silent(self, zones: Collection[str]) -> None:
         """Take the zones all of whose entry processes have fallen silent."""
         self._silent = frozenset(zones)
 
+    def awaited(self, zone: str, since: float, now: float) -> None:
+        """Note that an answer from the zone is awaited, and since when nothing has come of it."""
+        if now - since >= SPOKE_SECONDS:
+            self._unanswered[zone] = now
+
     def is_cut_off(self, zone: str, now: float) -> bool:
         """Tell whether a zone seems to be cut off from this process."""
         if now - self._spoke.get(zone, -SPOKE_SECONDS) < SPOKE_SECONDS:
             return False
+        needed = CUT_OFF_ENDPOINTS
         if zone in self._silent:
-            return True
-        times = self._failed.get(zone)
-        if times is None:
-            return False
-        lately = sum(now - each <= CUT_OFF_SECONDS for each in times.values())
-        return lately >= CUT_OFF_ENDPOINTS
+            if now - self._unanswered.get(zone, -CUT_OFF_SECONDS) < CUT_OFF_SECONDS:
+                return True
+            needed = 1
+        times = self._failed.get(zone, {})
+        return sum(now - each <= CUT_OFF_SECONDS for each in times.values()) >= needed
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -360,14 +360,17 @@
         """Look which zones have fallen silent; what waits there goes on elsewhere."""
         now = self.timers.now()
         zones = self.directory.zones
-        zones.peers_silent(self.peers.table.silent_zones(now) - {self.settings.zone})
+        silent = self.peers.table.silent_zones(now) - {self.settings.zone}
+        zones.peers_silent(silent)
+        for zone in silent:
+            zones.awaited(zone, self.hub.silent_since(zone), now)
         known = {each.zone for each in self.facts.select(Role.ENDPOINT)}
         cut_off = {zone for zone in known if zones.is_cut_off(zone, now)}
         for zone in cut_off ^ self._cut_off:
             self.log.warning(
                 "zone cut off" if zone in cut_off else "zone reached again",
                 of_zone=zone,
-                silent=sorted(self.peers.table.silent_zones(now)),
+                silent=sorted(silent),
             )
         self._cut_off = cut_off
         for zone in cut_off:
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -305,6 +305,15 @@
         else:
             self.answered(attempt_id, answer)
 
+    @property
+    def is_sent(self) -> bool:
+        """True while an endpoint works on it, as far as is known here."""
+        return self._handle is not None
+
+    def silent_since(self) -> float:
+        """Return when the endpoint last sent something, or else when it was asked."""
+        return max(self.sent_at, self._event_at)
+
     def zone_cut_off(self) -> None:
         """Go on at another endpoint, if that is allowed: this one cannot be heard any more."""
         if self.work.repeatable and self.machine.attempt_id and self._may_try_again():
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -241,13 +241,24 @@
             self.metrics.count("ejections_total", service=service.name)
             self.log.warning("endpoint ejected", service=service.name, endpoint=endpoint_id)
 
+    def _waiting_for(self, zone: str) -> list[ForwardedRequest]:
+        """Return the forwarded requests that endpoints of a zone work on."""
+        return [
+            each
+            for each in self.active.values()
+            if isinstance(each, ForwardedRequest)
+            and each.is_sent
+            and self.directory.zone_of(each.endpoint_id) == zone
+        ]
+
+    def silent_since(self, zone: str) -> float:
+        """Return the earliest time since which an answer from a zone is awaited."""
+        return min((each.silent_since() for each in self._waiting_for(zone)), default=math.inf)
+
     def zone_cut_off(self, zone: str) -> None:
         """Let what waits for an endpoint of a zone that cannot be heard go on elsewhere."""
-        for request in list(self.active.values()):
-            if not isinstance(request, ForwardedRequest) or request.done:
-                continue
-            if self.directory.zone_of(request.endpoint_id) == zone:
-                request.zone_cut_off()
+        for request in self._waiting_for(zone):
+            request.zone_cut_off()
 
     def request_ended(self, request: ActiveRequest) -> None:
         """Forget a request that has its answer or went elsewhere, and start the next one."""
