What a process observes of endpoints has a module of its own

Ruled out: a split by size alone; what moved is one job. Conclusion: process/forwarding/observations.py feeds the decisions.

--- a/bench/platform_mutations.py
+++ b/bench/platform_mutations.py
@@ -243,8 +243,8 @@
     ),
     Mutation(
         "P placements are told to peers at once",
-        "process/forwarding/node.py",
-        "        self.directory.on_load = self._load_changed\n",
+        "process/forwarding/observations.py",
+        "        self._hub.directory.on_load = self._load_changed\n",
         "",
         REPORTS,
     ),
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -2,7 +2,6 @@
 
 import math
 import random
-from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
@@ -24,10 +23,11 @@
 )
 from flamingofront.process.forwarding.knowledge import Knowledge, SharedTables
 from flamingofront.process.forwarding.news import encode_news
+from flamingofront.process.forwarding.observations import Observations
 from flamingofront.process.forwarding.operators import ForwardingOperators
-from flamingofront.process.forwarding.peers import MAX_PEERS_TOLD, REPORT_SECONDS, Peers
+from flamingofront.process.forwarding.peers import MAX_PEERS_TOLD, Peers
 from flamingofront.process.forwarding.readers import StoreReaders
-from flamingofront.process.forwarding.reports import LoadNote, PeerReport
+from flamingofront.process.forwarding.reports import PeerReport
 from flamingofront.process.forwarding.scaling import ScalingDuty
 from flamingofront.process.forwarding.settings import DeploymentSettings
 from flamingofront.process.forwarding.usage import UsageBook, UsageDuty
@@ -49,8 +49,8 @@
 
 # A request is refused early in its objective, while another entry VM can still serve it in time.
 REFUSE_WITHIN = 0.2
-# How often the loads that peers tell are taken together; as often as they report.
-LOAD_SECONDS = 0.25
+# How often the gauges of the metrics address are set.
+GAUGE_SECONDS = 0.25
 # Endpoints looked at for one choice where word of the loads is late: of the few that seem idle many
 # processes would each pick the same ones.
 FEW_CANDIDATES = 6
@@ -58,8 +58,6 @@
 LATE_WORD_SECONDS = 0.2
 # Part of an endpoint's connections that may be idle ones.
 IDLE_PART = 0.5
-# Pause between two lines in the log on what was learned of the endpoints.
-RATES_LOG_SECONDS = 5.0
 USAGE = "usage"
 SCALING = "scaling"
 
@@ -103,8 +101,6 @@
         )
         self._own = own
         self._sequence = 0
-        self._cut_off: set[str] = set()
-        self._changes: dict[str, tuple[int, int]] = {}
         self.usage = UsageBook(own.process, settings.rules.usage_window)
         self._build_requests()
         self._build_peers()
@@ -145,7 +141,6 @@
         )
         self.hub.cache_tokens = self._cache_tokens
         self.directory.sample_size = self._sample_size
-        self.directory.on_load = self._load_changed
         rules = settings.rules
         self.quota = SharedQuota(
             lambda: self.peers.heard_share(),
@@ -177,13 +172,23 @@
             self.own_report,
             self._needs.send,
             self._heard,
-            self._noted,
+            lambda note: self.observations.noted(note),
             self._needs.store,
             self.tasks,
             self.timers,
             self._rng,
             self.log,
         )
+        self.observations = Observations(
+            self.hub,
+            self.peers,
+            self.facts,
+            self.settings.zone,
+            lambda: self._sequence,
+            self.timers,
+            self.metrics,
+            self.log,
+        )
         self.exchange = KnowledgeExchange(self.knowledge, self.tasks, self.timers.now, self.log)
         self.readers = StoreReaders(
             self.settings.vm_id,
@@ -316,83 +321,8 @@
         self.lease.heard(report)
         self.exchange.compare(report)
 
-    def _load_changed(self, endpoint_id: str, requests: int, tokens: int) -> None:
-        """Gather what changes at endpoints, and tell it when this turn of work is done."""
-        if not self._changes:
-            self.timers.once(0.0, self._tell_load)
-        before = self._changes.get(endpoint_id, (0, 0))
-        self._changes[endpoint_id] = (before[0] + requests, before[1] + tokens)
-
-    def _tell_load(self) -> None:
-        changes, self._changes = self._changes, {}
-        told = {name: each for name, each in changes.items() if each != (0, 0)}
-        if told:
-            self.peers.tell_load(self._sequence, told)
-
-    def _noted(self, note: LoadNote) -> None:
-        """Take what a peer has placed at endpoints, or what they have read of it."""
-        self.metrics.count("peer_notes_total")
-        for endpoint_id, (requests, tokens) in note.changes.items():
-            self.directory.peer_changed(endpoint_id, requests, tokens)
-
-    def _spread_loads(self) -> None:
-        """Tell the directory what all processes together run at each endpoint."""
-        now = self.timers.now()
-        loads = Counter(self.directory.all_in_flight())
-        backlog: Counter[str] = Counter()
-        for report in self.peers.table.heard(now):
-            loads.update(report.in_flight)
-            # Of what waited when an old report was made the engine has read a part since.
-            age = self.peers.table.gap(report.vm_id, now) or 0.0
-            spent = max(0.0, age - REPORT_SECONDS)
-            for name, tokens in report.backlog.items():
-                backlog[name] += max(0, tokens - round(spent / self._token_seconds(name)))
-        self.directory.reported(loads, now)
-        self.directory.peers_queued(backlog)
-        self._set_gauges(now)
-
-    def _token_seconds(self, endpoint_id: str) -> float:
-        """Return the seconds in which an endpoint reads a prompt token."""
-        fact = self.facts.get(endpoint_id)
-        return self.hub.rates.of(fact.service if fact is not None else "").now().token_seconds
-
-    def _watch_zones(self) -> None:
-        """Look which zones have fallen silent; what waits there goes on elsewhere."""
+    def _set_gauges(self) -> None:
         now = self.timers.now()
-        zones = self.directory.zones
-        silent = self.peers.table.silent_zones(now) - {self.settings.zone}
-        zones.peers_silent(silent)
-        for zone in silent:
-            zones.awaited(zone, self.hub.silent_since(zone), now)
-        known = {each.zone for each in self.facts.select(Role.ENDPOINT)}
-        cut_off = {zone for zone in known if zones.is_cut_off(zone, now)}
-        for zone in cut_off ^ self._cut_off:
-            self.log.warning(
-                "zone cut off" if zone in cut_off else "zone reached again",
-                of_zone=zone,
-                silent=sorted(silent),
-            )
-        self._cut_off = cut_off
-        for zone in cut_off:
-            self.hub.zone_cut_off(zone)
-
-    def _log_rates(self) -> None:
-        """Tell what was learned of the endpoints: placement and the fleet follow from it."""
-        now = self.timers.now()
-        for name, each in self.hub.rates.known():
-            work = self.hub.work.work(now).get(name, Work())
-            self.log.info(
-                "rates learned",
-                service=name,
-                answers=each.answers,
-                token_us=round(each.now().token_seconds * 1e6, 2),
-                base_ms=round(each.now().base_seconds * 1e3, 1),
-                pause_ms=round(each.now().pause_seconds * 1e3, 1),
-                events=round(each.now().events, 1),
-                work=(round(work.fast, 3), round(work.slow, 3)),
-            )
-
-    def _set_gauges(self, now: float) -> None:
         gauge = self.metrics.gauge
         gauge("requests_in_flight", len(self.hub.active))
         gauge("requests_waiting", self.hub.waiting())
@@ -429,9 +359,8 @@
     def start(self) -> None:
         """Begin all periodic work."""
         self.peers.start()
-        self.timers.every(LOAD_SECONDS, self._spread_loads)
-        self.timers.every(LOAD_SECONDS, self._watch_zones)
-        self.timers.every(RATES_LOG_SECONDS, self._log_rates)
+        self.observations.start()
+        self.timers.every(GAUGE_SECONDS, self._set_gauges)
         if self.duties:
             self.tasks.start(self.lease.run())
         for duty in self.duties:
--- /dev/null
+++ b/flamingofront/process/forwarding/observations.py
@@ -0,0 +1,138 @@
+"""What a process observes of endpoints and zones, from its own answers and from its peers.
+
+Fed to the decisions: loads, prompts that wait, zones that are cut off, rates that were learned.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+
+from flamingofront.decisions.demand import Work
+from flamingofront.process.forwarding.peers import REPORT_SECONDS, Peers
+from flamingofront.process.forwarding.reports import LoadNote
+from flamingofront.process.logs import Log
+from flamingofront.process.membership import FactTable, Role
+from flamingofront.process.metrics import Metrics
+from flamingofront.process.timers import TimerService
+from flamingofront.request.hub import RequestHub
+
+__all__ = ["Observations"]
+
+# How often the loads that peers tell are taken together; as often as they report.
+LOAD_SECONDS = 0.25
+# Pause between two lines in the log on what was learned of the endpoints.
+RATES_LOG_SECONDS = 5.0
+
+
+class Observations:
+    """Gathers what is seen of endpoints and zones, and tells peers of own placements.
+
+    Parameters
+    ----------
+    facts : FactTable
+        Endpoints, shared with the directory.
+    zone : str
+        Availability zone of this process.
+    sequence : callable
+        Returns the number of the last report: a note to peers says which one it follows.
+    """
+
+    def __init__(
+        self,
+        hub: RequestHub,
+        peers: Peers,
+        facts: FactTable,
+        zone: str,
+        sequence: Callable[[], int],
+        timers: TimerService,
+        metrics: Metrics,
+        log: Log,
+    ):
+        self._hub = hub
+        self._peers = peers
+        self._facts = facts
+        self._zone = zone
+        self._sequence = sequence
+        self._timers = timers
+        self._metrics = metrics
+        self._log = log
+        self._changes: dict[str, tuple[int, int]] = {}
+        self._cut_off: set[str] = set()
+
+    def start(self) -> None:
+        """Begin to observe."""
+        self._hub.directory.on_load = self._load_changed
+        self._timers.every(LOAD_SECONDS, self._spread_loads)
+        self._timers.every(LOAD_SECONDS, self._watch_zones)
+        self._timers.every(RATES_LOG_SECONDS, self._log_rates)
+
+    def _load_changed(self, endpoint_id: str, requests: int, tokens: int) -> None:
+        """Gather what changes at endpoints, and tell it when this turn of work is done."""
+        if not self._changes:
+            self._timers.once(0.0, self._tell_load)
+        before = self._changes.get(endpoint_id, (0, 0))
+        self._changes[endpoint_id] = (before[0] + requests, before[1] + tokens)
+
+    def _tell_load(self) -> None:
+        changes, self._changes = self._changes, {}
+        told = {name: each for name, each in changes.items() if each != (0, 0)}
+        if told:
+            self._peers.tell_load(self._sequence(), told)
+
+    def noted(self, note: LoadNote) -> None:
+        """Take what a peer has placed at endpoints, or what they have read of it."""
+        self._metrics.count("peer_notes_total")
+        for endpoint_id, (requests, tokens) in note.changes.items():
+            self._hub.directory.peer_changed(endpoint_id, requests, tokens)
+
+    def _spread_loads(self) -> None:
+        """Tell the directory what all processes together run at each endpoint."""
+        now = self._timers.now()
+        directory, table = self._hub.directory, self._peers.table
+        loads = Counter(directory.all_in_flight())
+        backlog: Counter[str] = Counter()
+        for report in table.heard(now):
+            loads.update(report.in_flight)
+            # Of what waited when an old report was made the engine has read a part since.
+            spent = max(0.0, (table.gap(report.vm_id, now) or 0.0) - REPORT_SECONDS)
+            for name, tokens in report.backlog.items():
+                backlog[name] += max(0, tokens - round(spent / self._token_seconds(name)))
+        directory.reported(loads, now)
+        directory.peers_queued(backlog)
+
+    def _token_seconds(self, endpoint_id: str) -> float:
+        """Return the seconds in which an endpoint reads a prompt token."""
+        fact = self._facts.get(endpoint_id)
+        return self._hub.rates.of(fact.service if fact is not None else "").now().token_seconds
+
+    def _watch_zones(self) -> None:
+        """Look which zones are cut off; what waits there goes on elsewhere."""
+        now = self._timers.now()
+        zones = self._hub.directory.zones
+        silent = self._peers.table.silent_zones(now) - {self._zone}
+        zones.peers_silent(silent)
+        for zone in silent:
+            zones.awaited(zone, self._hub.silent_since(zone), now)
+        known = {each.zone for each in self._facts.select(Role.ENDPOINT)}
+        cut_off = {zone for zone in known if zones.is_cut_off(zone, now)}
+        for zone in cut_off ^ self._cut_off:
+            event = "zone cut off" if zone in cut_off else "zone reached again"
+            self._log.warning(event, of_zone=zone, silent=sorted(silent))
+        self._cut_off = cut_off
+        for zone in cut_off:
+            self._hub.zone_cut_off(zone)
+
+    def _log_rates(self) -> None:
+        """Tell what was learned of the endpoints: placement and the fleet follow from it."""
+        work = self._hub.work.work(self._timers.now())
+        for name, rates in self._hub.rates.known():
+            now, asked = rates.now(), work.get(name, Work())
+            self._log.info(
+                "rates learned",
+                service=name,
+                answers=rates.answers,
+                token_us=round(now.token_seconds * 1e6, 2),
+                base_ms=round(now.base_seconds * 1e3, 1),
+                pause_ms=round(now.pause_seconds * 1e3, 1),
+                events=round(now.events, 1),
+                work=(round(asked.fast, 3), round(asked.slow, 3)),
+            )
