--- a/flamingofront/process/forwarding/scaling.py
+++ b/flamingofront/process/forwarding/scaling.py
@@ -26,8 +26,8 @@
 # Orders for a service wait for so long after its first endpoint was seen, so that what was set up
 # is known: endpoints write their rows about every second, and begin to do so one after the other.
 # With many it takes longer: the wait goes on until for half of this time none was new. Of 45 that
-# registered within 3.6 s only 35 were counted after three, and half of the requests of the first
-# eight seconds were late.
+# registered within 3.6 s only 35 were counted after three, and half of the requests of seconds two
+# to eight were late.
 REGISTER_SECONDS = 3.0
 # The same where only this process began: the rows are there and are read in one call. With three
 # seconds nobody ordered for that long after the holder of the duties was killed and came back.
