--- a/flamingofront/process/forwarding/tests/test_reports.py
+++ b/flamingofront/process/forwarding/tests/test_reports.py
@@ -89,7 +89,7 @@
 
     @pytest.mark.parametrize(("tokens", "told"), [(9000, FEW_NOTED), (200, 0)])
     def test_few_are_told_of_large_prompts_and_nobody_of_small_ones(self, tokens, told):
-        """With notes of all changes a day of 89 processes was given up for its processor time."""
+        """With notes of all changes 89 processes took too much processor time."""
         world = many_world()
         front = world.fronts["front-0"]
         sent = []
