--- a/flamingofront/process/forwarding/peers.py
+++ b/flamingofront/process/forwarding/peers.py
@@ -49,8 +49,8 @@
 # Peers told at once what was placed at an endpoint. A prompt is read within 20 to 200 ms, so that
 # reports alone, a quarter of a second apart, come when it is over. Among many members only a few
 # are told, and only of prompts that delay others by more than the way of a datagram: with notes of
-# all changes 89 processes took 685 s of processor time for 48 s of traffic, without any 583 s for 78
-# (one run each, on a busy machine).
+# all changes 89 processes took 685 s of processor time for 48 s of traffic, without any 583 s for a
+# whole day (one run each, on a busy machine).
 MAX_NOTED = 16
 FEW_NOTED = 8
 NOTED_TOKENS = 1000
