Relays send evenly, and find one another however their zone starts

A relay sent 30 digests at once; the link lost what came behind the first 20 KB, at each turn the same part: those to other zones and the counts. And processes that had read a part of the member table chose other relays. Ruled out: refused datagrams (2 lines), wrong addresses (those first in the burst arrived), sizes (1.2 KB). Change: PacedSender sends 4 KB each 10 ms; digests to other zones go first; the table is read once more two seconds after the start and counts for eight; who is no relay tells what its relays do.

--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -185,6 +185,7 @@
                 self.own_report,
                 self._relay_believes,
                 self._heard_spent,
+                lambda: self.observations.spread_loads(),
                 lambda counts: self.usage.heard(counts),
                 lambda processes: self.usage.counts_of(processes, self.peers.true_time()),
                 lambda: self.peers.true_time(),
--- a/flamingofront/process/forwarding/observations.py
+++ b/flamingofront/process/forwarding/observations.py
@@ -61,7 +61,7 @@
     def start(self) -> None:
         """Begin to observe."""
         self._hub.directory.on_load = self._load_changed
-        self._timers.every(LOAD_SECONDS, self._spread_loads)
+        self._timers.every(LOAD_SECONDS, self.spread_loads)
         self._timers.every(LOAD_SECONDS, self._watch_zones)
         self._timers.every(RATES_LOG_SECONDS, self._log_rates)
 
@@ -84,7 +84,7 @@
         for endpoint_id, (requests, tokens) in note.changes.items():
             self._hub.directory.peer_changed(endpoint_id, requests, tokens)
 
-    def _spread_loads(self) -> None:
+    def spread_loads(self) -> None:
         """Tell the directory what all processes together run at each endpoint."""
         now = self._timers.now()
         directory = self._hub.directory
--- /dev/null
+++ b/flamingofront/process/forwarding/pacing.py
@@ -0,0 +1,52 @@
+"""Datagrams that are sent evenly: a small link loses what comes in one burst."""
+
+from collections import deque
+from collections.abc import Callable
+
+from flamingofront.process.timers import TimerService
+
+__all__ = ["PacedSender"]
+
+# What is sent at once, and again after each pause: 3.3 Mbit/s, two thirds of the smallest link that
+# a VM has. A relay needs a third of it for 30 processes. Sent in one burst, all that came behind
+# the first 20 KB was lost at each turn, always the same addressees' part.
+BURST_BYTES = 4096
+PAUSE_SECONDS = 0.01
+# Datagrams that wait; more would be told too late to be true. Several turns of a relay's.
+MAX_WAITING = 400
+
+
+class PacedSender:
+    """Sends datagrams in the order in which they come, in small bursts.
+
+    Parameters
+    ----------
+    send : callable
+        Sends one datagram to an IP number.
+    """
+
+    def __init__(self, send: Callable[[bytes, str], None], timers: TimerService):
+        self._send = send
+        self._timers = timers
+        self._waiting: deque[tuple[bytes, str]] = deque(maxlen=MAX_WAITING)
+        self._left = BURST_BYTES
+        self._pausing = False
+
+    def send(self, data: bytes, ip: str) -> None:
+        """Send a datagram now, or behind those that wait."""
+        self._waiting.append((data, ip))
+        self._send_some()
+
+    def _send_some(self) -> None:
+        while self._waiting and self._left > 0:
+            data, ip = self._waiting.popleft()
+            self._left -= len(data)
+            self._send(data, ip)
+        if not self._pausing and self._left < BURST_BYTES:
+            self._pausing = True
+            self._timers.once(PAUSE_SECONDS, self._go_on)
+
+    def _go_on(self) -> None:
+        self._pausing = False
+        self._left = min(BURST_BYTES, self._left + BURST_BYTES)
+        self._send_some()
--- a/flamingofront/process/forwarding/peers.py
+++ b/flamingofront/process/forwarding/peers.py
@@ -43,9 +43,9 @@
 # Most peers that are told directly. With more of them word goes through relays, so that what a
 # process sends and hears does not grow with their number.
 MAX_TOLD = 16
-# Age of word that comes through relays, in the mean: half of a report's pause and of a digest's,
-# and two ways; from another zone another half of a digest's.
-RELAYED_SECONDS = 0.5
+# Age of word that comes through relays: half of a report's pause, of a digest's to other zones and
+# of one to the own, and three ways.
+RELAYED_SECONDS = 0.8
 # A new holder of the duties has heard the counts of all after so long: the relays learn of it
 # within a second, and tell them within another one, and once more if that is lost.
 RELAYED_COUNTS_SECONDS = 3.0
@@ -59,6 +59,9 @@
 # Pause between two looks at the member table while nobody is heard.
 LONELY_SECONDS = 5.0
 RETRY_SECONDS = 1.0
+# The table is read once more so long after the first time: VMs that start together have registered
+# by then, and all choose the same relays.
+STARTED_SECONDS = 2.0
 # Pause between two looks at who is heard, and the names of missing ones in a line. A line for each
 # peer was 38,000 lines at the start of 195 VMs.
 HEARING_LOG_SECONDS = 1.0
@@ -213,14 +216,23 @@
         if self.many:  # only a relay hears directly, and only its zone
             known = [each for each in known if self._is_near(each) and self.relaying.is_relay]
         missing = sorted(each.vm_id for each in known if each.vm_id not in names)
-        if (zones, missing) == self._hearing:
+        told = (self.member_count(), self.heard_count(), zones, missing)
+        if told == self._hearing:
             return
-        self._hearing = (zones, missing)
-        self._log.info("peers heard", zones=zones, missing=len(missing), named=missing[:MAX_NAMED])
+        self._hearing = told
+        self._log.info(
+            "peers heard",
+            members=told[0],
+            heard=told[1],
+            directly=zones,
+            missing=len(missing),
+            named=missing[:MAX_NAMED],
+            relay=self.many and self.relaying.is_relay,
+        )
 
     def _register(self) -> Task:
         """Write this process into the member table and read who else is there."""
-        written = False
+        written = read_again = False
         while True:
             try:
                 if not written:
@@ -234,6 +246,10 @@
                 yield Sleep(RETRY_SECONDS * (0.5 + self._rng.random()))
                 continue
             self._take_members(found.rows)
+            if not read_again:
+                read_again = True
+                yield Sleep(STARTED_SECONDS)
+                continue
             yield Sleep(LONELY_SECONDS)
             while self.heard_count():
                 yield Sleep(LONELY_SECONDS)
--- a/flamingofront/process/forwarding/relaying.py
+++ b/flamingofront/process/forwarding/relaying.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, replace
 
 from flamingofront.process.forwarding.digests import ALL_ZONES, Claim, Digest, DigestWriter
+from flamingofront.process.forwarding.pacing import PacedSender
 from flamingofront.process.forwarding.reports import (
     PeerReport,
     PeerTable,
@@ -51,6 +52,9 @@
 SILENT_SECONDS = 1.6
 # A zone that was silent for so long is no longer told of.
 FORGOTTEN_SECONDS = 30.0
+# A process that the member table names counts for so long, so that all choose the same relays from
+# the start; later only those count that are heard, since nobody takes a row out.
+REGISTERED_SECONDS = 8.0
 # Own reports that are remembered, to know what of this process is in a digest: eight seconds.
 KEPT_REPORTS = 32
 # Processes whose counts are told in one digest, so that it stays within a datagram.
@@ -77,6 +81,8 @@
         Gets what a relay holds and knows, and the claim that it passes on.
     spent : callable
         Gets a teller, its sums of quota units by workspace, and whether what it has added counts.
+    loads_changed : callable
+        Called when word of what all processes run has come.
     counts : callable
         Gets counts of requests that began.
     zone_counts : callable
@@ -88,6 +94,7 @@
     own_report: Callable[[], PeerReport]
     believed: Callable[[PeerReport, Claim], None]
     spent: Callable[[str, Mapping[str, float], bool], None]
+    loads_changed: Callable[[], None]
     counts: Callable[[ProcessCounts], None]
     zone_counts: Callable[[Iterable[str]], ProcessCounts]
     wall: Callable[[], float]
@@ -123,7 +130,7 @@
     ):
         self._own = own
         self._table = table
-        self._send = send
+        self._send = PacedSender(send, timers).send
         self._listener = listener
         self._timers = timers
         self._rng = rng
@@ -136,6 +143,7 @@
         self._zone_spent = SpentLedger()
         self._elsewhere_spent = SpentLedger()
         self._relay_since = math.inf
+        self._registered_until = 0.0
         self._counted: set[str] = set()
         self._passed_on: set[tuple[str, int, int]] = set()
         self._members_known = 1
@@ -145,6 +153,7 @@
 
     def registered(self, vm_id: str, zone: str, ip: str) -> None:
         """Take note of a process that the member table names."""
+        self._registered_until = self._timers.now() + REGISTERED_SECONDS
         self._registered.setdefault(zone, {})[vm_id] = ip
 
     @property
@@ -200,8 +209,8 @@
         for each in self._fresh():
             found.update(each.digest.roster or {})
         leaving = {each.digest.relay.vm_id for each in self._fresh() if each.digest.relay.leaving}
-        if not found:
-            found = dict(self._registered.get(self._own.zone, {}))
+        if not found or self._timers.now() < self._registered_until:
+            found = {**self._registered.get(self._own.zone, {}), **found}
         found.pop(self._own.vm_id, None)
         return {name: ip for name, ip in found.items() if name not in leaving}
 
@@ -303,9 +312,9 @@
         if self._ticks % TICKS_PER_REPORT == 0 or self._relays.chosen != before:
             self._report(own, relays.values())
         full = self._ticks % TICKS_PER_REPORT == 1
-        self._tell_zone(own, full)
         if self.is_relay and full:
             self._tell_elsewhere(own)
+        self._tell_zone(own, full)
         if self.is_relay and self._ticks % TICKS_PER_COUNTS == 0:
             self._tell_counts(own)
         self._streams.forget(self._timers.now())
@@ -373,7 +382,17 @@
         )
 
     def _roster(self, reports: list[PeerReport]) -> dict[str, str]:
+        """Return the processes of the zone, for those who report here.
+
+        Notes
+        -----
+        A relay tells those that it hears itself: two relays that passed on what each told the other
+        would never forget a process. One that is no relay tells what its relays do, so that whoever
+        reports to it by mistake finds them.
+        """
         found = {each.vm_id: each.ip for each in reports if not each.leaving}
+        if not self.is_relay:
+            found.update(self._members())
         return {**found, self._own.vm_id: self._own.ip}
 
     def _relays_by_zone(self) -> dict[str, tuple[str, ...]]:
@@ -469,7 +488,8 @@
             self._listener.counts(digest.usage)
             return
         if digest.scope == ALL_ZONES:
-            self._take(digest, self._zone)
+            if self._take(digest, self._zone) and not self.is_relay:
+                self._listener.loads_changed()
         elif digest.scope != self._own.zone:
             by_relay = self._elsewhere.setdefault(digest.scope, {})
             if self._take(digest, by_relay):
