Counts of requests go in small digests, and whole to a new holder of the duties

Digests of 16 processes and four windows took 10 KB and more; not all arrived. Change: four processes and two windows in a digest, all four windows twice when the holder changes. Sets whose order decided what a generator drew are sorted: one test failed in one run of two.

--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -187,7 +187,9 @@
                 self._heard_spent,
                 lambda: self.observations.spread_loads(),
                 lambda counts: self.usage.heard(counts),
-                lambda processes: self.usage.counts_of(processes, self.peers.true_time()),
+                lambda processes, windows: self.usage.counts_of(
+                    processes, self.peers.true_time(), windows
+                ),
                 lambda: self.peers.true_time(),
             ),
             self._needs.store,
--- a/flamingofront/process/forwarding/peers.py
+++ b/flamingofront/process/forwarding/peers.py
@@ -48,7 +48,7 @@
 RELAYED_SECONDS = 0.8
 # A new holder of the duties has heard the counts of all after so long: the relays learn of it
 # within a second, and tell them within another one, and once more if that is lost.
-RELAYED_COUNTS_SECONDS = 3.0
+RELAYED_COUNTS_SECONDS = 3.5
 # IP numbers of others in a report: a process that knows one peer soon knows all.
 MAX_PEERS_TOLD = 4
 # Among many processes only prompts that delay others by more than the way of a datagram are told at
--- a/flamingofront/process/forwarding/relaying.py
+++ b/flamingofront/process/forwarding/relaying.py
@@ -29,6 +29,7 @@
     load_without,
     total_loads,
 )
+from flamingofront.process.forwarding.usage import KEPT_WINDOWS
 from flamingofront.process.forwarding.zone_relays import ZoneRelays
 from flamingofront.process.rendezvous import rank
 from flamingofront.process.timers import TimerService
@@ -57,10 +58,15 @@
 REGISTERED_SECONDS = 8.0
 # Own reports that are remembered, to know what of this process is in a digest: eight seconds.
 KEPT_REPORTS = 32
-# Processes whose counts are told in one digest, so that it stays within a datagram.
-MAX_COUNTED = 16
+# Processes whose counts are told in one digest: about 1.5 KB. Of digests of 16 processes, 10 KB and
+# more, a tenth of the counts did not arrive in time.
+MAX_COUNTED = 4
 # Time in which a new relay has heard the reports of its zone and the digests of the others twice.
 SETTLED_SECONDS = 1.5
+# Windows that are told each second: the one that runs and the last one.
+NEWEST_WINDOWS = 2
+# Times that all windows that are kept are told to a new holder of the duties; one may be lost.
+TOLD_WHOLE = 2
 # Other zones whose first relay keeps this zone's counts, besides the holder.
 COUNT_KEEPERS = 2
 # Processes of a silent zone that are told, any of which passes the digest on to its relays.
@@ -86,7 +92,7 @@
     counts : callable
         Gets counts of requests that began.
     zone_counts : callable
-        Returns the counts that some processes were heard to have.
+        Returns the counts that some processes were heard to have, in so many newest windows.
     wall : callable
         Returns the wall clock on which the processes agree.
     """
@@ -96,7 +102,7 @@
     spent: Callable[[str, Mapping[str, float], bool], None]
     loads_changed: Callable[[], None]
     counts: Callable[[ProcessCounts], None]
-    zone_counts: Callable[[Iterable[str]], ProcessCounts]
+    zone_counts: Callable[[Iterable[str], int], ProcessCounts]
     wall: Callable[[], float]
 
 
@@ -144,6 +150,8 @@
         self._elsewhere_spent = SpentLedger()
         self._relay_since = math.inf
         self._registered_until = 0.0
+        self._counted_for = 0
+        self._whole_left = 0
         self._counted: set[str] = set()
         self._passed_on: set[tuple[str, int, int]] = set()
         self._members_known = 1
@@ -399,7 +407,7 @@
         """Return the relays of the other zones, as they were told or as the member table has it."""
         found = {}
         told = self._fresh_elsewhere()
-        for zone in {*self._registered, *told} - {self._own.zone}:
+        for zone in sorted({*self._registered, *told} - {self._own.zone}):
             if zone in told:
                 digest = told[zone].digest
                 found[zone] = (digest.relays or {}).get(zone) or (digest.relay.ip,)
@@ -437,16 +445,21 @@
 
     def _tell_counts(self, own: PeerReport) -> None:
         """Tell the counts of this zone to the holder of the duties and to those that keep them."""
-        targets = {self._claim(own, elsewhere=True).ip}
+        claim = self._claim(own, elsewhere=True)
+        if claim.fencing != self._counted_for:
+            self._counted_for, self._whole_left = claim.fencing, TOLD_WHOLE
+        windows = KEPT_WINDOWS if self._whole_left > 0 else NEWEST_WINDOWS
+        self._whole_left -= 1
+        targets = {claim.ip}
         relays = self._relays_by_zone()
         for zone in rank("counts", relays)[:COUNT_KEEPERS]:
             targets.update(relays[zone][:1])
         processes = sorted({own.process, *self._counted})
         for start in range(0, len(processes), MAX_COUNTED):
-            counts = self._listener.zone_counts(processes[start : start + MAX_COUNTED])
+            counts = self._listener.zone_counts(processes[start : start + MAX_COUNTED], windows)
             digest = Digest(own, self._own.zone, self._listener.wall(), 0, 0, usage=counts)
             data = DigestWriter(digest).datagram()
-            for ip in targets - {"", self._own.ip}:
+            for ip in sorted(targets - {"", self._own.ip}):
                 self._send(data, ip)
 
     # Hearing
@@ -558,8 +571,8 @@
     def lonely_targets(self, ips: Iterable[str]) -> list[str]:
         """Return whom to tell directly while no relay is heard: those of the own zone first."""
         own_zone = set(self._registered.get(self._own.zone, {}).values()) - {self._own.ip}
-        others = list(set(ips) - own_zone - {self._own.ip})
-        near = list(own_zone)
+        others = sorted(set(ips) - own_zone - {self._own.ip})
+        near = sorted(own_zone)
         self._rng.shuffle(near)
         self._rng.shuffle(others)
         return [*near[:LONELY_TOLD], *others[:LONELY_TOLD]]
@@ -589,5 +602,5 @@
     return {name: round(units) for name, units in total.items()}
 
 
-def _all(parts: Iterable[tuple[str, ...]]) -> set[str]:
-    return {each for part in parts for each in part}
+def _all(parts: Iterable[tuple[str, ...]]) -> list[str]:
+    return sorted({each for part in parts for each in part})
--- a/flamingofront/process/forwarding/usage.py
+++ b/flamingofront/process/forwarding/usage.py
@@ -13,7 +13,7 @@
 from flamingofront.process.store import Cloud, UsageReport
 from flamingofront.process.tasks import Task
 
-__all__ = ["UsageBook", "UsageDuty"]
+__all__ = ["KEPT_WINDOWS", "UsageBook", "UsageDuty"]
 
 # Windows that are told to peers and kept for a successor: a report is due ten seconds after a
 # window of five seconds, so that four cover all that may still be reported.
@@ -77,13 +77,14 @@
                     found.setdefault(process, {})[str(window)] = counts
         return found
 
-    def counts_of(self, processes: Iterable[str], wall: float) -> ProcessCounts:
-        """Return the counts that some processes were heard to have, by window."""
-        self._forget(self.window_at(wall))
+    def counts_of(self, processes: Iterable[str], wall: float, windows: int) -> ProcessCounts:
+        """Return the counts that some processes were heard to have, in the newest windows."""
+        newest = self.window_at(wall)
+        self._forget(newest)
         found: dict[str, dict[str, Mapping[str, int]]] = {}
         for process in processes:
             for window, by_process in self._counts.items():
-                if process in by_process:
+                if window > newest - windows and process in by_process:
                     found.setdefault(process, {})[str(window)] = by_process[process]
         return found
 
