Among many VMs each process first looks at two endpoints that it shares with few

Change: decisions/shares.py: processes and endpoints on a ring by zone, two endpoints each; those that share them are told at once of prompts of 1,000 tokens and more.

--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -56,8 +56,8 @@
 # How often the gauges of the metrics address are set.
 GAUGE_SECONDS = 0.25
 # Endpoints looked at for one choice where word of the loads is late: of the few that seem idle many
-# processes would each pick the same ones.
-FEW_CANDIDATES = 6
+# processes would each pick the same ones. Two are those that a process uses first.
+FEW_CANDIDATES = 3
 # Mean age of that word from which on it counts as late, in seconds: more than sixteen peers.
 LATE_WORD_SECONDS = 0.2
 # Pause of a relay between two questions for changes, so that many come in one answer: each question
@@ -203,6 +203,7 @@
             self.hub,
             self.peers,
             self.facts,
+            self.settings.vm_id,
             self.settings.zone,
             lambda: self._sequence,
             self.timers,
--- a/flamingofront/process/forwarding/observations.py
+++ b/flamingofront/process/forwarding/observations.py
@@ -4,9 +4,10 @@
 """
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 
 from flamingofront.decisions.demand import Work
+from flamingofront.decisions.shares import Placement, first_endpoints
 from flamingofront.process.forwarding.peers import REPORT_SECONDS, Peers
 from flamingofront.process.forwarding.reports import LoadNote
 from flamingofront.process.logs import Log
@@ -30,8 +31,8 @@
     ----------
     facts : FactTable
         Endpoints, shared with the directory.
-    zone : str
-        Availability zone of this process.
+    own_id, zone : str
+        VM and availability zone of this process.
     sequence : callable
         Returns the number of the last report: a note to peers says which one it follows.
     """
@@ -41,6 +42,7 @@
         hub: RequestHub,
         peers: Peers,
         facts: FactTable,
+        own_id: str,
         zone: str,
         sequence: Callable[[], int],
         timers: TimerService,
@@ -50,6 +52,7 @@
         self._hub = hub
         self._peers = peers
         self._facts = facts
+        self._own_id = own_id
         self._zone = zone
         self._sequence = sequence
         self._timers = timers
@@ -61,6 +64,8 @@
     def start(self) -> None:
         """Begin to observe."""
         self._hub.directory.on_load = self._load_changed
+        self._hub.directory.first = self.first_endpoints
+        self._peers.sharers = self.sharers
         self._timers.every(LOAD_SECONDS, self.spread_loads)
         self._timers.every(LOAD_SECONDS, self._watch_zones)
         self._timers.every(RATES_LOG_SECONDS, self._log_rates)
@@ -81,8 +86,39 @@
     def noted(self, note: LoadNote) -> None:
         """Take what a peer has placed at endpoints, or what they have read of it."""
         self._metrics.count("peer_notes_total")
+        directory, now = self._hub.directory, self._timers.now()
         for endpoint_id, (requests, tokens) in note.changes.items():
-            self._hub.directory.peer_changed(endpoint_id, requests, tokens)
+            if self._peers.many:
+                directory.noted.add(endpoint_id, requests, tokens, now)
+            else:
+                directory.peer_changed(endpoint_id, requests, tokens)
+
+    def first_endpoints(self, endpoints: Mapping[str, str]) -> tuple[str, ...]:
+        """Return the endpoints that this process uses first; none where processes are few."""
+        if not self._peers.many:
+            return ()
+        return first_endpoints(
+            self._places()[self._own_id], self._peers.relaying.zones(), endpoints
+        )
+
+    def _places(self) -> dict[str, Placement]:
+        """Return where the processes of the zone stand among all."""
+        names = sorted(self._peers.relaying.near())
+        return {
+            name: Placement(self._zone, number, len(names)) for number, name in enumerate(names)
+        }
+
+    def sharers(self, endpoints: Iterable[str]) -> dict[str, list[str]]:
+        """Return the endpoints that other processes of the zone use first too, by IP number."""
+        near, zones = self._peers.relaying.near(), self._peers.relaying.zones()
+        found: dict[str, list[str]] = {}
+        for service in {fact.service for fact in map(self._facts.get, endpoints) if fact}:
+            known = self._hub.directory.zones_of(service)
+            for name, place in self._places().items():
+                shared = set(first_endpoints(place, zones, known)).intersection(endpoints)
+                if shared and name != self._own_id:
+                    found.setdefault(near[name], []).extend(sorted(shared))
+        return found
 
     def spread_loads(self) -> None:
         """Tell the directory what all processes together run at each endpoint."""
--- a/flamingofront/process/forwarding/peers.py
+++ b/flamingofront/process/forwarding/peers.py
@@ -3,6 +3,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
+from dataclasses import replace
 
 import orjson
 
@@ -127,6 +128,8 @@
         self._registered: dict[str, float] = {}
         self._hearing: tuple | None = None
         self._refused: set[str] = set()
+        # Returns the endpoints of which a process has to know at once, by its IP number.
+        self.sharers: Callable[[Iterable[str]], Mapping[str, list[str]]] = lambda endpoints: {}
 
     def start(self) -> None:
         """Begin to tell and to listen."""
@@ -312,14 +315,24 @@
         A prompt is read within 20 to 200 ms, so that reports alone, a quarter of a second apart,
         come when it is over. Among many processes the relays are told, of large prompts only.
         """
+        note = LoadNote(self._own.vm_id, self._own.incarnation, sequence, changes)
         if self.many:
-            if any(tokens >= NOTED_TOKENS for _, tokens in changes.values()):
-                self.relaying.report_now()
+            self._tell_large(note)
             return
-        data = encode_note(LoadNote(self._own.vm_id, self._own.incarnation, sequence, changes))
+        data = encode_note(note)
         for each in self.table.heard(self._timers.now()):
             self._send_one(data, each.ip)
 
+    def _tell_large(self, note: LoadNote) -> None:
+        """Tell the relays of large prompts, and those who share their endpoints."""
+        large = {name: each for name, each in note.changes.items() if each[1] >= NOTED_TOKENS}
+        if not large:
+            return
+        self.relaying.report_now()
+        for ip, names in self.sharers(large).items():
+            told = replace(note, changes={name: large[name] for name in names})
+            self._send_one(encode_note(told), ip)
+
     def tell_now(self) -> None:
         """Tell at once: something changed that the others should know soon."""
         if self.many:
@@ -378,5 +391,6 @@
         self._on_report(report, gap)
 
     def _received_note(self, note: LoadNote) -> None:
-        if self.table.note(note):
+        """Take a note; among many processes it counts by itself, and its sender is not heard."""
+        if self.many or self.table.note(note):
             self._on_note(note)
--- a/flamingofront/process/forwarding/relaying.py
+++ b/flamingofront/process/forwarding/relaying.py
@@ -231,6 +231,15 @@
         self._relay_since = min(self._relay_since, now) if self.is_relay else math.inf
         return {name: members[name] for name in chosen if name in members}
 
+    def zones(self) -> list[str]:
+        """Return all zones that have entry processes, as far as they are known."""
+        told = {zone for each in self._fresh() for zone in each.digest.relays or ()}
+        return sorted({self._own.zone, *self._registered, *self._elsewhere, *told})
+
+    def near(self) -> dict[str, str]:
+        """Return the IP number by VM of the zone's processes, this one included."""
+        return {**self._members(), self._own.vm_id: self._own.ip}
+
     def counts(self) -> tuple[int, int]:
         """Return how many processes there are and how many of them are heard, this one included."""
         fresh = self._fresh()
--- a/flamingofront/request/directory.py
+++ b/flamingofront/request/directory.py
@@ -12,6 +12,7 @@
 
 from flamingofront.decisions.choice import Candidate, report_weight
 from flamingofront.decisions.retry import EndpointHealth
+from flamingofront.decisions.shares import NotedPrompts
 from flamingofront.decisions.zone_reach import ZoneReach
 from flamingofront.process.membership import Fact, FactTable, Role, VmState
 from flamingofront.process.rendezvous import rank
@@ -104,6 +105,9 @@
     ----------
     sample_size : callable
         Returns how many endpoints of a service are looked at for one choice.
+    first : callable
+        Returns the endpoints that are looked at first, of those of a service with their zones;
+        none if all are looked at alike.
     on_load : callable
         Gets each change of this process's load: endpoint, attempts and prompt tokens.
     """
@@ -112,6 +116,8 @@
         self._facts = facts
         self._zone = zone
         self.sample_size: Callable[[], int] = lambda: MAX_CANDIDATES
+        self.first: Callable[[Mapping[str, str]], tuple[str, ...]] = lambda endpoints: ()
+        self.noted = NotedPrompts()
         self.health = EndpointHealth(rng)
         self.prefixes = PrefixIndex()
         self.configuration = Configuration()
@@ -219,7 +225,12 @@
         now: float,
         rng: random.Random,
     ) -> list[Fact]:
-        """Return some endpoints that can be used, half of them of the own zone, and the wanted."""
+        """Return some endpoints that can be used, and the wanted.
+
+        Notes
+        -----
+        They are those that this process uses first, or else half of them of its own zone.
+        """
         usable = [
             name
             for name, fact in endpoints.facts.items()
@@ -229,9 +240,11 @@
         ]
         if not usable:
             return list(endpoints.facts.values())
-        near = [each for each in usable if endpoints.facts[each].zone == self._zone]
         size = self.sample_size()
-        chosen = dict.fromkeys(rng.sample(near, min(size // 2, len(near))))
+        chosen = dict.fromkeys(self.first({name: endpoints.facts[name].zone for name in usable}))
+        if not chosen:
+            near = [each for each in usable if endpoints.facts[each].zone == self._zone]
+            chosen = dict.fromkeys(rng.sample(near, min(size // 2, len(near))))
         chosen.update(dict.fromkeys(rng.sample(usable, min(size - len(chosen), len(usable)))))
         chosen.update(dict.fromkeys(each for each in wanted if each in endpoints.facts))
         return [endpoints.facts[each] for each in chosen]
@@ -243,6 +256,8 @@
         report = self._reports.get(endpoint_id)
         if report is not None and view.now - report.at > REPORT_SECONDS:
             report = None
+        noted_requests, noted_tokens = self.noted.at(endpoint_id, view.now)
+        backlog = self._backlog[endpoint_id] + self._peer_backlog.get(endpoint_id, 0)
         return Candidate(
             endpoint_id=endpoint_id,
             zone=fact.zone,
@@ -251,10 +266,10 @@
             price=fact.price,
             slots=fact.slots or service.slots,
             own_in_flight=self._in_flight[endpoint_id],
-            reported_load=report.load if report else 0.0,
+            reported_load=(report.load if report else 0.0) + noted_requests,
             own_at_report=report.own_in_flight if report else 0,
             cached_tokens=self._cached_tokens(endpoint_id, hashes, view),
-            backlog_tokens=self._backlog[endpoint_id] + self._peer_backlog.get(endpoint_id, 0),
+            backlog_tokens=backlog + noted_tokens,
             reclaim_risk=DEFAULT_RECLAIM_RATE if fact.reclaimable else 0.0,
             slowness=self._slowness(endpoint_id, view.usual_seconds),
             leaving=endpoint_id in view.drained,
@@ -273,6 +288,15 @@
         endpoints = self._endpoints(service.name)
         return service.slots * (len(endpoints.facts) - len(endpoints.drained))
 
+    def zones_of(self, service: str) -> dict[str, str]:
+        """Return the zone of each endpoint that may get new work of a service."""
+        endpoints = self._endpoints(service)
+        return {
+            name: fact.zone
+            for name, fact in endpoints.facts.items()
+            if name not in endpoints.drained
+        }
+
     def slots(self, service: str) -> int:
         """Return the slots that the endpoints of a service tell; 0 if they tell none."""
         facts = self._endpoints(service).facts
