--- a/flamingofront/decisions/shares.py
+++ b/flamingofront/decisions/shares.py
@@ -1,7 +1,7 @@
 """Endpoints that a process uses first, where many processes place work at many endpoints.
 
-Word of what others place comes too late for a prompt that is read in 20 to 200 ms: where it shows an
-endpoint as idle, prompts wait more often than elsewhere. So each process looks first at a few
+Word of what others place comes too late for a prompt that is read in 20 to 200 ms: where it shows
+an endpoint as idle, prompts wait more often than elsewhere. So each process looks first at a few
 endpoints, evenly shared out, and only those that share an endpoint have to tell one another of each
 large prompt, which a few datagrams do at once. In the first 20 s of a calm day of 89 VMs 0.801 of
 the worth was earned, and 0.776 with two endpoints at random (one run each, without processor time).
