--- a/bench/platform_mutations.py
+++ b/bench/platform_mutations.py
@@ -9,6 +9,7 @@
 FUZZ = "process/forwarding/tests/test_lease_fuzz.py"
 QUOTA = "decisions/tests/test_quota.py"
 REPORTS = "process/forwarding/tests/test_reports.py"
+DIGESTS = "process/forwarding/tests/test_digests.py"
 READERS = "process/forwarding/tests/test_readers.py"
 DIRECTORY = "request/tests/test_directory.py"
 SERVER = "connection/tests/test_server.py"
@@ -81,7 +82,7 @@
     Mutation(
         "P peers tell a process that the store turns away",
         "process/forwarding/exchange.py",
-        "if not newer_configuration and not newer_endpoints:",
+        "if self._asking or not (ask_endpoints or ask_configuration):",
         "if True:",
         FORWARDING,
     ),
@@ -200,10 +201,10 @@
         DIRECTORY,
     ),
     Mutation(
-        "P an idle connection is closed behind what was read",
+        "P an idle connection is closed behind what has arrived",
         "connection/server.py",
-        "self.fire(retire(sock, conn.requests))",
-        "self.close_after_sending(sock)",
+        "        self._sockets.read_now(sock)\n",
+        "",
         SERVER,
     ),
     Mutation(
@@ -248,6 +249,69 @@
         "",
         REPORTS,
     ),
+    Mutation(
+        "P a peer that knows no more does not reset the wait",
+        "process/forwarding/exchange.py",
+        "        if known >= self._newest:\n",
+        "        if known >= told:\n",
+        DIGESTS,
+    ),
+    Mutation(
+        "P two tellers of one sum count once",
+        "process/forwarding/streams.py",
+        "                return Step.MARK\n",
+        "                return Step.COUNT\n",
+        DIGESTS,
+    ),
+    Mutation(
+        "P a late teller's place is not taken at once",
+        "process/forwarding/streams.py",
+        "return Step.HOLD if is_known else Step.MARK",
+        "return Step.MARK",
+        DIGESTS,
+    ),
+    Mutation(
+        "P silent relays are passed over",
+        "process/forwarding/zone_relays.py",
+        "if vm_id != self._own_id and now - quiet_since > PATIENCE_SECONDS:",
+        "if False:",
+        DIGESTS,
+    ),
+    Mutation(
+        "P datagrams are sent evenly",
+        "process/forwarding/pacing.py",
+        "while self._waiting and self._left > 0:",
+        "while self._waiting:",
+        REPORTS,
+    ),
+    Mutation(
+        "P what a process runs itself is not taken for others' work",
+        "process/forwarding/relaying.py",
+        "own = self._told.get(best.digest.acknowledged)",
+        "own = None",
+        REPORTS,
+    ),
+    Mutation(
+        "P a new holder is told all windows",
+        "process/forwarding/relaying.py",
+        "windows = KEPT_WINDOWS if self._whole_left > 0 else NEWEST_WINDOWS",
+        "windows = NEWEST_WINDOWS",
+        REPORTS,
+    ),
+    Mutation(
+        "P endpoints are shared out evenly",
+        "decisions/shares.py",
+        "position = (order[place.zone] + place.index / place.count) / len(zones)",
+        "position = order[place.zone] / len(zones)",
+        "decisions/tests/test_shares.py",
+    ),
+    Mutation(
+        "P datagrams that tell of another VM are refused",
+        "process/forwarding/peers.py",
+        "if report.ip != ip:",
+        "if False:",
+        DIGESTS,
+    ),
     Mutation(
         "P late work stands back",
         "decisions/lateness.py",
