A process that stops refuses what would outlast it

Ruled out: refusing all requests after the balancer has turned away (short ones are served in time), a fixed time (streams last 0.4 to 3 s on one deployment and 10 s on another). Before and after, test of a process with streams of 2.4 s and a grace of 8 s: 8 streams were left at the exit, none now.

--- a/bench/platform_mutations.py
+++ b/bench/platform_mutations.py
@@ -312,6 +312,13 @@
         "if False:",
         DIGESTS,
     ),
+    Mutation(
+        "P what would outlast a stop is refused",
+        "request/forward_gateway.py",
+        "        self._check_stop(record)\n",
+        "",
+        "process/forwarding/tests/test_stopping.py",
+    ),
     Mutation(
         "P late work stands back",
         "decisions/lateness.py",
--- a/flamingofront/process/forwarding/shutdown.py
+++ b/flamingofront/process/forwarding/shutdown.py
@@ -47,6 +47,7 @@
         self._begun_at = timers.now()
         self._node.stopping = True
         self._callers.closing = True
+        self._node.gateway.stop_left = self._left
         self._node.tasks.start(self._node.lease.release())
         self._node.peers.tell_now()
         self._node.log.info("stopping", requests=len(self._node.hub.active))
@@ -58,11 +59,14 @@
         self._node.log.info("balancer has turned away", closed=closed)
         self._check()
 
+    def _left(self) -> float:
+        """Return the seconds until this process ends, whatever still runs then."""
+        return self._begun_at + self._grace - EXIT_MARGIN_SECONDS - self._node.timers.now()
+
     def _check(self) -> None:
         self._callers.close_idle()
         timers = self._node.timers
-        left = self._begun_at + self._grace - EXIT_MARGIN_SECONDS - timers.now()
-        if left > 0 and (self._node.hub.active or self._callers.connections):
+        if self._left() > 0 and (self._node.hub.active or self._callers.connections):
             timers.once(CHECK_SECONDS, self._check)
             return
         self._node.log.info("exit", unanswered=len(self._node.hub.active))
--- a/flamingofront/request/forward_gateway.py
+++ b/flamingofront/request/forward_gateway.py
@@ -1,12 +1,14 @@
 """The callers' interface of forwarded routes: from an HTTP request to an accepted request."""
 
 import itertools
+import math
 from collections.abc import Callable
 from dataclasses import asdict
 
 from flamingofront.connection.interfaces import Exchange
 from flamingofront.decisions.admission import WorkspaceShare
 from flamingofront.decisions.quota import QuotaPolicy
+from flamingofront.decisions.stopping import ends_in_time
 from flamingofront.errors import ErrorKind, RequestError
 from flamingofront.messages import InboundRequest
 from flamingofront.process.logs import Log
@@ -25,6 +27,8 @@
 
 # The configuration is there some ten milliseconds after the first request can be.
 NOT_READY_RETRY_SECONDS = 0.1
+# Another process takes the request at once.
+STOPPING_RETRY_SECONDS = 0.05
 # Quotas count requests or tokens; the number in flight is bounded by the endpoints alone.
 NO_WORKSPACE_LIMIT = 1_000_000
 DEFAULT_PRIORITY = 5
@@ -39,6 +43,11 @@
         Quotas of the workspaces over all entry processes.
     on_running : callable
         Gets each request when an endpoint begins to answer it.
+
+    Attributes
+    ----------
+    stop_left : callable
+        Returns the seconds until this process ends; infinity while it does not stop.
     """
 
     def __init__(
@@ -50,6 +59,7 @@
         on_running: Callable[[ForwardedRequest], None] = lambda request: None,
     ):
         self.configuration = ForwardingConfiguration()
+        self.stop_left: Callable[[], float] = lambda: math.inf
         self._hub = hub
         self._protocol = protocol
         self._quota = quota
@@ -91,6 +101,7 @@
         units = _units(caller, workspace)
         self._check_quota(workspace, units)
         record = self._record(req, caller, route, workspace)
+        self._check_stop(record)
         request = self._hub.accept(record, _share(route, workspace))
         if workspace is not None:
             self._quota.spend(workspace, units, self._hub.now())
@@ -127,6 +138,26 @@
             inputs=inputs,
         )
 
+    def _check_stop(self, record: RequestRecord) -> None:
+        """Refuse what would be broken off by the end of this process; another one can serve it."""
+        left = self.stop_left()
+        rates = self._hub.rates.of(record.service.name).now()
+        work = record.work
+        if ends_in_time(rates, work.prompt_tokens, work.stream, left):
+            return
+        raise RequestError(
+            ErrorKind.DRAINING,
+            "this process stops before the request could end",
+            retry_after=STOPPING_RETRY_SECONDS,
+            inputs={
+                "stop_left": round(left, 2),
+                "prompt": work.prompt_tokens,
+                "first_event_ms": round(rates.first_event(work.prompt_tokens) * 1000),
+                "pause_ms": round(rates.pause_seconds * 1000),
+                "events": round(rates.events),
+            },
+        )
+
     def _record(
         self,
         req: InboundRequest,
