--- a/flamingofront/process/forwarding/pacing.py
+++ b/flamingofront/process/forwarding/pacing.py
@@ -29,7 +29,8 @@
         self._send = send
         self._timers = timers
         self._waiting: deque[tuple[bytes, str]] = deque(maxlen=MAX_WAITING)
-        self._left = BURST_BYTES
+        self._left = float(BURST_BYTES)
+        self._filled_at = timers.now()
         self._pausing = False
 
     def send(self, data: bytes, ip: str) -> None:
@@ -38,15 +39,24 @@
         self._send_some()
 
     def _send_some(self) -> None:
+        """Send while there is room for it; what is left waits for a pause.
+
+        Notes
+        -----
+        A timer runs only while something waits: one after each datagram would be a further turn of
+        the loop.
+        """
+        now = self._timers.now()
+        earned = (now - self._filled_at) / PAUSE_SECONDS * BURST_BYTES
+        self._left, self._filled_at = min(BURST_BYTES, self._left + earned), now
         while self._waiting and self._left > 0:
             data, ip = self._waiting.popleft()
             self._left -= len(data)
             self._send(data, ip)
-        if not self._pausing and self._left < BURST_BYTES:
+        if self._waiting and not self._pausing:
             self._pausing = True
             self._timers.once(PAUSE_SECONDS, self._go_on)
 
     def _go_on(self) -> None:
         self._pausing = False
-        self._left = min(BURST_BYTES, self._left + BURST_BYTES)
         self._send_some()
