Roll-outs: a first step that gives a new version a small part of the traffic

Cause: an operator's order for a roll-out was not read, and rows' versions were not either, so a new version got traffic by its endpoints' number at once, however bad it was. Now orders are read with the configuration's table; word of them and of their phases goes with reports and digests, sums of good and bad answers with those of the quotas. Ruled out: a budget of exposures that processes share, for now: a part by chance needs no word. Proof: whole processes against the stand-ins, good, failing and late failing versions, a restart of all, an order for a version that never comes, malformed orders. Conclusion: the safe first step. Sequential tests, shares that grow and worlds of 64 are not built.

--- a/flamingofront/forward_daemon.py
+++ b/flamingofront/forward_daemon.py
@@ -17,6 +17,7 @@
 from flamingofront.platform.config import CONFIG_KEY, CONFIG_TABLE, decode_configuration
 from flamingofront.platform.endpoints import ENDPOINT_TABLE, decode_endpoint
 from flamingofront.platform.requests import PlatformProtocol
+from flamingofront.platform.rollouts import ROLLOUT_ROWS
 from flamingofront.platform.settings import SETTINGS_VARIABLE, read_settings, settings_path
 from flamingofront.platform.store import PlatformTableStore
 from flamingofront.process.forwarding.knowledge import SharedTables
@@ -36,7 +37,7 @@
 METRICS_PORT = 9464
 BODY_SECONDS = 10.0
 TABLES = SharedTables(
-    CONFIG_TABLE, CONFIG_KEY, ENDPOINT_TABLE, decode_configuration, decode_endpoint
+    CONFIG_TABLE, CONFIG_KEY, ENDPOINT_TABLE, decode_configuration, decode_endpoint, ROLLOUT_ROWS
 )
 
 
--- /dev/null
+++ b/flamingofront/platform/rollouts.py
@@ -0,0 +1,86 @@
+"""Orders for roll-outs, and the rows that tell how far they are."""
+
+import math
+
+import orjson
+
+from flamingofront.decisions.rollout import Phase, RolloutOrder
+from flamingofront.errors import PlatformError
+from flamingofront.process.forwarding.rollouts import RolloutRows
+
+__all__ = ["ROLLOUT_ROWS", "decode_rollout", "decode_status", "encode_status"]
+
+_STATUS_TABLE = "status"
+_KEY = "rollout/"
+# While requests are moving, the roll-out still counts as running.
+_STATES = {
+    Phase.RUNNING: "running",
+    Phase.MOVING: "running",
+    Phase.COMPLETED: "completed",
+    Phase.ROLLED_BACK: "rolled_back",
+}
+
+
+def _rollout_service(key: str) -> str:
+    """Return the service that a key of the operator's table orders a roll-out of, or nothing."""
+    return key.removeprefix(_KEY) if key.startswith(_KEY) else ""
+
+
+def _status_key(service: str) -> str:
+    """Return the key of the row that tells how far a service's roll-out is."""
+    return _KEY + service
+
+
+def decode_rollout(service: str, data: bytes, number: int) -> RolloutOrder:
+    """Return the order in a row; its number is the version of the row.
+
+    Raises
+    ------
+    PlatformError
+        If the order is malformed.
+    """
+    try:
+        doc = orjson.loads(data)
+        # ``to`` is a version; ``duration_s`` the time until the roll-out has to be over.
+        version, seconds = doc["to"], doc["duration_s"]
+        if type(version) is not str or not version:
+            raise ValueError(f"to is {version!r:.60}, which is no version")
+        if type(seconds) not in (int, float) or not 0 < seconds < math.inf:
+            raise ValueError(f"duration_s is {seconds!r:.60}, which is no time in seconds")
+        if doc.get("service", service) != service:
+            raise ValueError(f"the order is for {doc['service']!r:.60}")
+    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+        raise PlatformError(f"malformed roll-out of {service}: {exc!r:.200}") from exc
+    return RolloutOrder(service, version, float(seconds), number)
+
+
+def encode_status(order: RolloutOrder, phase: Phase) -> bytes:
+    """Return the row that tells how far a roll-out is; the order's number is the system's own."""
+    doc = {
+        "service": order.service,
+        "to": order.version,
+        "state": _STATES[phase],
+        "order": order.number,
+        "phase": phase.name.lower(),
+    }
+    return orjson.dumps(doc)
+
+
+def decode_status(data: bytes) -> tuple[int, Phase]:
+    """Return the number of the order that a status is about, and its phase.
+
+    Raises
+    ------
+    PlatformError
+        If the row is malformed.
+    """
+    try:
+        doc = orjson.loads(data)
+        return int(doc["order"]), Phase[doc["phase"].upper()]
+    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+        raise PlatformError(f"malformed status of a roll-out: {exc!r:.200}") from exc
+
+
+ROLLOUT_ROWS = RolloutRows(
+    _rollout_service, decode_rollout, _STATUS_TABLE, _status_key, encode_status, decode_status
+)
--- a/flamingofront/platform/settings.py
+++ b/flamingofront/platform/settings.py
@@ -68,6 +68,7 @@
         quota_window=fields.number("bounds.quota_window_s", 8.0),
         quota_over=fields.number("bounds.quota_over", 0.0),
         quota_allowance=fields.number("bounds.quota_slack", 0.0),
+        expose_share=fields.number("bounds.expose_share", 0.1),
     )
 
 
--- a/flamingofront/process/forwarding/digests.py
+++ b/flamingofront/process/forwarding/digests.py
@@ -10,7 +10,7 @@
 
 import orjson
 
-from flamingofront.process.forwarding.reports import PeerReport, ProcessCounts
+from flamingofront.process.forwarding.reports import PeerReport, ProcessCounts, rollout_word
 
 __all__ = [
     "ALL_ZONES",
@@ -118,7 +118,7 @@
     def __init__(self, digest: Digest):
         relay = digest.relay
         identity = [relay.vm_id, relay.incarnation, relay.sequence, relay.zone, relay.ip]
-        state = [relay.address, relay.configuration, relay.endpoints]
+        state = [relay.address, relay.configuration, relay.endpoints, relay.rollouts]
         flags = [relay.cut_off, relay.follows, relay.leaving]
         claim = digest.claim
         values = [
@@ -170,7 +170,7 @@
     identity, state, flags, scope, wall, counts, loads, claim, silent = values[:9]
     spent, demand, work, roster, relays, usage, told_until = values[9:16]
     vm_id, incarnation, sequence, zone, ip = identity
-    address, configuration, endpoints = state
+    address, configuration, endpoints, rollouts = state
     cut_off, follows, leaving = flags
     relay = PeerReport(
         str(vm_id),
@@ -185,6 +185,7 @@
         cut_off=bool(cut_off),
         follows=bool(follows),
         leaving=bool(leaving),
+        rollouts=rollout_word(rollouts),
     )
     fencing, lease_version, released, holder_ip = claim
     return Digest(
--- a/flamingofront/process/forwarding/endpoints.py
+++ b/flamingofront/process/forwarding/endpoints.py
@@ -168,6 +168,8 @@
             row.zone,
             row.address,
             row.service,
+            # Versions stand side by side during a roll-out.
+            side=row.version,
             reclaimable=row.reclaimable,
             slots=row.slots,
         )
--- a/flamingofront/process/forwarding/knowledge.py
+++ b/flamingofront/process/forwarding/knowledge.py
@@ -4,11 +4,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from flamingofront.decisions.rollout import RolloutOrder
 from flamingofront.errors import ConfigurationError, PlatformError
 from flamingofront.process.forwarding.endpoint_row import EndpointRow
 from flamingofront.process.forwarding.endpoints import EndpointView
 from flamingofront.process.forwarding.follower import TableFollower, TableListener
 from flamingofront.process.forwarding.news import EndpointHistory, EndpointNews, mark_of
+from flamingofront.process.forwarding.rollouts import RolloutRows
 from flamingofront.process.logs import Log
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.store import StoredRow, TableStore
@@ -30,6 +32,8 @@
         Returns the `ForwardingConfiguration` in a row's value.
     decode_endpoint : callable
         Returns the `EndpointRow` in a row's key and value.
+    rollouts : RolloutRows
+        Orders for roll-outs stand in the table of the configuration.
     """
 
     configuration: str
@@ -37,6 +41,7 @@
     endpoints: str
     decode_configuration: Callable[[bytes], ForwardingConfiguration]
     decode_endpoint: Callable[[str, bytes], EndpointRow]
+    rollouts: RolloutRows
 
 
 class Knowledge:
@@ -56,6 +61,8 @@
     ----------
     on_change : callable
         Called after the store told of a change.
+    on_rollout : callable
+        Gets each order for a roll-out.
     """
 
     def __init__(
@@ -72,6 +79,7 @@
         pause: Callable[[], float] = lambda: 0.0,
     ):
         self.on_change: Callable[[], None] = lambda: None
+        self.on_rollout: Callable[[RolloutOrder], None] = lambda order: None
         self._history = EndpointHistory()
         self._refused: set[str] = set()
         self.configuration = ForwardingConfiguration()
@@ -131,8 +139,21 @@
         for row in rows:
             if row.key == self._tables.configuration_key and row.value is not None:
                 self.take_configuration(row.value, "store")
+            elif self._tables.rollouts.service_of(row.key) and row.value is not None:
+                self._take_rollout(row)
         self.on_change()
 
+    def _take_rollout(self, row: StoredRow) -> None:
+        """Take an order for a roll-out in; a malformed one moves nothing."""
+        service = self._tables.rollouts.service_of(row.key)
+        try:
+            order = self._tables.rollouts.decode_order(service, row.value, row.version)
+        except PlatformError as exc:
+            self._metrics.count("platform_errors_total", operation="rollout")
+            self._log.warning("roll-out refused", service=service, detail=str(exc))
+            return
+        self.on_rollout(order)
+
     def take_configuration(self, data: bytes, source: str) -> None:
         """Put a configuration in force if it is well formed and newer than the last one.
 
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 
@@ -32,6 +33,7 @@
 from flamingofront.process.forwarding.readers import StoreReaders
 from flamingofront.process.forwarding.relaying import RelayListener
 from flamingofront.process.forwarding.reports import PeerReport
+from flamingofront.process.forwarding.rollouts import RolloutDuty, Rollouts
 from flamingofront.process.forwarding.scaling import ScalingDuty
 from flamingofront.process.forwarding.settings import DeploymentSettings
 from flamingofront.process.forwarding.sums import add_demand, add_work
@@ -110,6 +112,7 @@
         self._own = own
         self._sequence = 0
         self.usage = UsageBook(own.process, settings.rules.usage_window)
+        self.rollouts = Rollouts(settings.rules.expose_share, self.timers.now, rng, log)
         self._build_requests()
         self._build_peers()
         self._build_duties()
@@ -154,6 +157,8 @@
             needs.protocol,
             self._retry_budget,
         )
+        self.knowledge.on_rollout = self.rollouts.take_order
+        self.hub.on_outcome = self._outcome
         self.hub.cache_tokens = self._cache_tokens
         self.directory.sample_size = self._sample_size
         rules = settings.rules
@@ -166,6 +171,31 @@
         self.gateway = ForwardGateway(
             self.hub, needs.protocol, self.quota, self.log, self._began_to_run
         )
+        self.gateway.version_rule = self.rollouts.rule
+
+    def _outcome(self, service: str, endpoint_id: str, is_bad: bool) -> None:
+        """Count an answer for the roll-out of a service, if there is one."""
+        self.rollouts.answered(service, self.directory.version_of(endpoint_id), is_bad)
+
+    def _old_in_flight(self, service: str, version: str) -> int | None:
+        """Return what all processes run at endpoints of other versions of a service.
+
+        Returns
+        -------
+        int or None
+            None while some processes cannot be heard.
+        """
+        if self.peers.heard_share() < 1.0:
+            return None
+        total = Counter(self.directory.all_in_flight())
+        for each in self.peers.loads():
+            total.update(each.in_flight)
+        old = {
+            fact.vm_id
+            for fact in self.facts.all()
+            if fact.service == service and fact.side != version
+        }
+        return sum(count for endpoint_id, count in total.items() if endpoint_id in old)
 
     def _sample_size(self) -> int:
         return FEW_CANDIDATES if self.peers.lag() > LATE_WORD_SECONDS else MAX_CANDIDATES
@@ -262,7 +292,7 @@
             self._rng,
             self.log,
         )
-        self.duties: list[UsageDuty | ScalingDuty] = []
+        self.duties: list[UsageDuty | ScalingDuty | RolloutDuty] = []
         if needs.cloud is None:
             return
         if USAGE in settings.duties:
@@ -297,6 +327,18 @@
                     settings.first_start,
                 )
             )
+        self.rollouts.on_verdict = self.peers.tell_now
+        self.duties.append(
+            RolloutDuty(
+                self.lease,
+                needs.store,
+                needs.tables.rollouts,
+                self.rollouts,
+                self._old_in_flight,
+                self.timers.now,
+                self.log,
+            )
+        )
 
     def _service_demand(self, service: str) -> Demand:
         """Return the requests that run at the endpoints of a service, over all processes."""
@@ -341,7 +383,11 @@
             fencing=lease.fencing if lease is not None else 0,
             released=self.lease.released,
             lease_version=self.lease.version if lease is not None else 0,
-            spent={name: round(units) for name, units in self.quota.spent().items()},
+            spent={
+                **{name: round(units) for name, units in self.quota.spent().items()},
+                **self.rollouts.sums(),
+            },
+            rollouts=self.rollouts.word(),
             in_flight=self.directory.all_in_flight(),
             backlog=self.directory.all_backlog(),
             peers=self._some_peers(heard),
@@ -364,7 +410,8 @@
         self.metrics.count("peer_reports_total", result="heard" if gap is not None else "first")
         continuous = gap is not None and self.peers.table.in_hearing(gap)
         counts = continuous and self.peers.counts_directly()
-        self.quota.heard(report.process, report.spent, counts, self.timers.now())
+        self._heard_spent(report.process, report.spent, counts)
+        self._heard_rollouts(report)
         if report.usage is not None:
             self.usage.reported(report.usage, report.process, self.peers.true_time())
         self.lease.heard(report)
@@ -373,12 +420,19 @@
             self.peers.relaying.reported(report, continuous, gap is None)
 
     def _heard_spent(self, process: str, spent: Mapping[str, float], counts: bool) -> None:
-        """Take what a relay tells of the quotas."""
+        """Take sums of a peer or a relay: of the quotas, and of the answers during roll-outs."""
         self.quota.heard(process, spent, counts, self.timers.now())
+        self.rollouts.hear_sums(process, spent, counts)
+
+    def _heard_rollouts(self, report: PeerReport) -> None:
+        """Take a peer's word of roll-outs; an order that it knows first is read from the store."""
+        if self.rollouts.hear(report.rollouts):
+            self.knowledge.read_configuration_now()
 
     def _relay_believes(self, relay: PeerReport, claim: Claim) -> None:
         """Take what a relay knows, and its word on the duties' holder."""
         self.metrics.count("peer_digests_total")
+        self._heard_rollouts(relay)
         self.lease.heard(
             replace(
                 relay,
--- a/flamingofront/process/forwarding/reports.py
+++ b/flamingofront/process/forwarding/reports.py
@@ -9,9 +9,12 @@
 import dataclasses
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
+from typing import Any
 
 import orjson
 
+from flamingofront.decisions.rollout import Phase
+
 __all__ = [
     "LoadNote",
     "PeerReport",
@@ -87,6 +90,8 @@
     work : mapping of str to (float, float), optional
         Fast and slow mean of the work that it places, in busy endpoints, by service. None if this
         report does not tell it.
+    rollouts : mapping of str to (int, int)
+        Number of the order and phase of each roll-out that it knows, by service.
     """
 
     vm_id: str
@@ -111,6 +116,7 @@
     usage: ProcessCounts | None = None
     demand: Mapping[str, float] | None = None
     work: Mapping[str, tuple[float, float]] | None = None
+    rollouts: Mapping[str, tuple[int, int]] = field(default_factory=dict)
 
     @property
     def process(self) -> str:
@@ -157,9 +163,24 @@
         raise ValueError("malformed report: not a list of its fields")
     named = dict(zip(_FIELDS, values, strict=False))
     named["peers"] = tuple(named.get("peers", ()))
+    named["rollouts"] = rollout_word(named.get("rollouts", {}))
     return PeerReport(**named)
 
 
+def rollout_word(value: Any) -> dict[str, tuple[int, int]]:
+    """Return the number of the order and the phase of each roll-out, as they were told.
+
+    Raises
+    ------
+    ValueError
+        If it is something else.
+    """
+    try:
+        return {str(name): (int(each[0]), int(Phase(each[1]))) for name, each in value.items()}
+    except (TypeError, AttributeError, IndexError) as exc:
+        raise ValueError(f"malformed word of roll-outs: {exc!r:.100}") from exc
+
+
 @dataclass(frozen=True)
 class LoadNote:
     """What changed at the endpoints since a report.
--- a/flamingofront/process/forwarding/settings.py
+++ b/flamingofront/process/forwarding/settings.py
@@ -23,6 +23,8 @@
     quota_window, quota_over, quota_allowance : float
         Span over which quotas are measured, and the part and the units by which one may be
         exceeded.
+    expose_share : float
+        Part of a service's requests that a bad version may get at most during a roll-out.
     """
 
     retry_ratio: float = 0.2
@@ -34,6 +36,7 @@
     quota_window: float = 8.0
     quota_over: float = 0.0
     quota_allowance: float = 0.0
+    expose_share: float = 0.1
 
 
 @dataclass(frozen=True)
--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -7,6 +7,7 @@
 from flamingofront.connection.interfaces import CallEvent, CallHandle
 from flamingofront.decisions.admission import Ticket
 from flamingofront.decisions.choice import Candidate
+from flamingofront.decisions.rollout import VersionRule
 from flamingofront.errors import ErrorKind, Ran, RequestError
 from flamingofront.messages import (
     CallFailed,
@@ -107,6 +108,10 @@
         """Return the part of the prompt that other requests have too, if that is known."""
         return None
 
+    def version_rule(self) -> VersionRule | None:
+        """Return which versions the next attempt may go to; None if that makes no difference."""
+        return None
+
     def hold_back(self) -> None:
         """Don't start before `allow_start`: something must be written first."""
         self._held_back = True
--- a/flamingofront/request/directory.py
+++ b/flamingofront/request/directory.py
@@ -12,6 +12,7 @@
 
 from flamingofront.decisions.choice import Candidate, report_weight
 from flamingofront.decisions.retry import EndpointHealth
+from flamingofront.decisions.rollout import VersionRule
 from flamingofront.decisions.shares import NotedPrompts
 from flamingofront.decisions.zone_reach import ZoneReach
 from flamingofront.process.membership import Fact, FactTable, Role, VmState
@@ -173,6 +174,7 @@
         rng: random.Random,
         shared: "SharedPrefix | None" = None,
         whole: bool = False,
+        rule: VersionRule | None = None,
     ) -> list[Candidate]:
         """Return live endpoints of a service to choose from.
 
@@ -183,6 +185,8 @@
             the caches hold; they all expect it at the same endpoint, by its hash.
         whole : bool
             Return all endpoints, also where there are many.
+        rule : VersionRule, optional
+            Which versions may be chosen, during a roll-out.
 
         Notes
         -----
@@ -192,6 +196,8 @@
         """
         self.before_choice()
         endpoints = self._endpoints(service.name)
+        if rule is not None:
+            endpoints = _ServiceEndpoints(rule.select(endpoints.facts), endpoints.drained)
         ejected = self.health.ejected(endpoints.facts, now)
         home = self._home(endpoints, shared)
         if whole or len(endpoints.facts) <= self.sample_size():
@@ -404,6 +410,11 @@
             return False
         return not self.zones.is_cut_off(fact.zone, now)
 
+    def version_of(self, endpoint_id: str) -> str:
+        """Return the version of an endpoint's software; empty if it is not known."""
+        fact = self._facts.get(endpoint_id)
+        return fact.side if fact is not None else ""
+
     def zone_of(self, endpoint_id: str) -> str:
         """Return the availability zone of an endpoint; empty if it is not known."""
         fact = self._facts.get(endpoint_id)
--- a/flamingofront/request/forward_gateway.py
+++ b/flamingofront/request/forward_gateway.py
@@ -8,6 +8,7 @@
 from flamingofront.connection.interfaces import Exchange
 from flamingofront.decisions.admission import WorkspaceShare
 from flamingofront.decisions.quota import QuotaPolicy
+from flamingofront.decisions.rollout import VersionRule
 from flamingofront.decisions.stopping import ends_in_time
 from flamingofront.errors import ErrorKind, RequestError
 from flamingofront.messages import InboundRequest
@@ -60,6 +61,8 @@
     ):
         self.configuration = ForwardingConfiguration()
         self.stop_left: Callable[[], float] = lambda: math.inf
+        # Returns, by service and whether it is a first attempt, which versions it may go to.
+        self.version_rule: Callable[[str, bool], VersionRule | None] = lambda service, first: None
         self._hub = hub
         self._protocol = protocol
         self._quota = quota
@@ -106,10 +109,14 @@
         if workspace is not None:
             self._quota.spend(workspace, units, self._hub.now())
         request.on_running = self._on_running
+        request.rule_of = self._version_rule
         request.on_end = lambda ended: self._ended(ended, route, workspace, units, cfg.version)
         request.attach(ForwardAttachment(exchange, caller.request_id, self._protocol))
         self._hub.pump()
 
+    def _version_rule(self, request: ForwardedRequest) -> VersionRule | None:
+        return self.version_rule(request.record.service.name, not request.endpoints)
+
     def _workspace(self, caller: CallerRequest, route: ForwardedRoute) -> ForwardedWorkspace | None:
         cfg = self.configuration
         workspace = cfg.workspace_of(caller.key) if caller.key else None
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -7,6 +7,7 @@
 from flamingofront.decisions.choice import Candidate
 from flamingofront.decisions.engine_rates import ServiceRates
 from flamingofront.decisions.lateness import Expectation, postponement, urgency
+from flamingofront.decisions.rollout import VersionRule
 from flamingofront.errors import Ran, RequestError
 from flamingofront.messages import (
     CallFailed,
@@ -40,6 +41,10 @@
 # The request's own timer ends an attempt; the call's timer is only a second line.
 CALL_MARGIN_SECONDS = 1.0
 FIRST_ERROR_STATUS = 500
+# A version of which several times as many answers as of another one take so many times as long as
+# expected, and so many seconds more, is slow; a single answer may be so by a queue or a cold cache.
+SLOW_TIMES = 3.0
+SLOW_SECONDS = 0.1
 # How far the wall clock of an endpoint may be off from that of the entry VMs: a few milliseconds
 # are usual, and an attempt that is left alone is still ended by its connection.
 CLOCK_MARGIN_SECONDS = 0.25
@@ -92,6 +97,8 @@
         self.sent_at = 0.0
         self.first_at: float | None = None
         self.failure = ""
+        self.rule_of: Callable[[ForwardedRequest], VersionRule | None] = lambda request: None
+        self._is_slow = False
         self.on_running: Callable[[ForwardedRequest], None] = lambda request: None
         self.on_end: Callable[[ForwardedRequest], None] = lambda request: None
         self._fallback: RelayedAnswer | None = None
@@ -118,6 +125,10 @@
         """What is learned of the service's endpoints."""
         return self.hub.rates.of(self.record.service.name)
 
+    def version_rule(self) -> VersionRule | None:
+        """Return which versions the next attempt may go to; None if that makes no difference."""
+        return self.rule_of(self)
+
     def hashes(self) -> tuple[str, ...]:
         """Return the ids of the prompt's parts."""
         return tuple(each.part_id for each in self.work.prompt)
@@ -244,7 +255,9 @@
         """Note that an endpoint has begun to answer."""
         if self._unread:
             if self.work.stream and self.endpoint_id == self._unread_at:
-                self._rates.first_event(self._ahead, self.hub.now() - self.sent_at)
+                seconds = self.hub.now() - self.sent_at
+                self._is_slow = seconds > self._too_slow(self._rates.now().first_event(self._ahead))
+                self._rates.first_event(self._ahead, seconds)
             self._dequeue()
             self._note_cached()
         if self.first_at is None:
@@ -276,9 +289,28 @@
             self._rates.pause(pause)
         self._events_seen, self._event_at = self.relay.count, now
 
+    @staticmethod
+    def _too_slow(expected: float) -> float:
+        """Return the seconds from which on an answer counts as a bad one of its version."""
+        return SLOW_TIMES * expected + SLOW_SECONDS
+
+    def _tell_outcome(self, is_bad: bool) -> None:
+        self.hub.on_outcome(self.record.service.name, self.endpoint_id, is_bad)
+
+    def lost(self, attempt_id: str, executed: Ran, reason: str, sent: bool = True) -> None:
+        """Take note of an attempt that ended without its answer."""
+        is_current = not self.done and attempt_id == self.machine.attempt_id
+        if is_current and sent and executed is not Ran.NO:
+            self._tell_outcome(is_bad=True)
+        super().lost(attempt_id, executed, reason, sent)
+
     def _judge_endpoint(self, answer: RelayedAnswer) -> None:
         """Tell the directory how the endpoint did."""
         directory, now = self.hub.directory, self.hub.now()
+        expected = self._rates.now().first_event(0)
+        if not self.work.stream and now - self.sent_at > self._too_slow(expected):
+            self._is_slow = True
+        self._tell_outcome(self._is_slow or answer.status >= FIRST_ERROR_STATUS)
         if answer.status >= FIRST_ERROR_STATUS:
             self.hub.endpoint_failed(self.record.service, self.endpoint_id, now)
             return
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -81,6 +81,8 @@
         self.moved_to: OrderedDict[str, str] = OrderedDict()
         self.on_idle: Callable[[], None] = lambda: None
         self.capacity_share: Callable[[], float] = lambda: 1.0
+        # Gets service, endpoint, and whether what came of an attempt there was bad.
+        self.on_outcome: Callable[[str, str, bool], None] = lambda service, endpoint_id, bad: None
         # Prompt tokens that an endpoint of a service can hold in its cache.
         self.cache_tokens: Callable[[str], float] = lambda service: math.inf
         self.rates = LearnedRates()
@@ -196,9 +198,16 @@
     def choose(self, request: ActiveRequest, exclude: frozenset[str]) -> Candidate | None:
         """Return the endpoint for an attempt, None if there is none with room."""
         service, record = request.record.service, request.record
+        rule = request.version_rule()
         for whole in (False, True):
             candidates = self.directory.candidates(
-                service, request.hashes(), self.now(), self.rng, request.shared_prefix(), whole
+                service,
+                request.hashes(),
+                self.now(),
+                self.rng,
+                request.shared_prefix(),
+                whole,
+                rule,
             )
             pool = _relaxed(candidates, record.side, exclude)
             chosen = self._policy.choose(pool, self._estimate(record), self.rng)
--- a/flamingofront/tests/forwarding_world.py
+++ b/flamingofront/tests/forwarding_world.py
@@ -7,6 +7,7 @@
 from flamingofront.platform.config import CONFIG_KEY, CONFIG_TABLE, decode_configuration
 from flamingofront.platform.endpoints import ENDPOINT_TABLE, decode_endpoint
 from flamingofront.platform.requests import PlatformProtocol
+from flamingofront.platform.rollouts import ROLLOUT_ROWS
 from flamingofront.platform.store import PlatformTableStore
 from flamingofront.process.forwarding.knowledge import SharedTables
 from flamingofront.process.forwarding.node import Dependencies, ForwardingNode
@@ -30,7 +31,7 @@
     quota_window=8.0,
 )
 TABLES = SharedTables(
-    CONFIG_TABLE, CONFIG_KEY, ENDPOINT_TABLE, decode_configuration, decode_endpoint
+    CONFIG_TABLE, CONFIG_KEY, ENDPOINT_TABLE, decode_configuration, decode_endpoint, ROLLOUT_ROWS
 )
 ENGINE = {"slots": 8, "kv_capacity_tokens": 100_000}
 SCALING = {
@@ -91,13 +92,15 @@
         self.burst_bytes = 24_000
         self._bursts: dict[str, tuple[float, int]] = {}
 
-    def endpoint(self, name: str, service: str, zone: str = "zone-a", **options):
+    def endpoint(
+        self, name: str, service: str, zone: str = "zone-a", version: str = "v1", **options
+    ):
         """Start an endpoint and register it."""
         host = self._host(name, zone)
         endpoint = ForwardEndpointStandIn(name, host.timers, **options)
         host.handler = endpoint.handle
         self.endpoints[name] = endpoint
-        self.register(name, service, zone)
+        self.register(name, service, zone, version=version)
         return endpoint
 
     def register(self, name: str, service: str, zone: str = "zone-a", **changes) -> None:
