A process that knows nobody yet does not take itself for the only one

Each process had begun its copy of the bucket before the member table was read, as one of one, with a quarter of the whole burst; the cap of its real part came some milliseconds later. Test fails first: 55 requests pass where 50 may.

--- a/flamingofront/decisions/rollout.py
+++ b/flamingofront/decisions/rollout.py
@@ -5,9 +5,10 @@
 what became of the others in the same time. Each process stops by the evidence that it has heard,
 before any verdict; the holder of the duties gives the verdict, and it is final.
 
-The thresholds are plain ones. Of 1,000 seeded plays of 150 requests each a version as good as the old
-one was stopped in 1 where 3 in 100 answers of both were bad, and in 16 where 10 in 100 were; one of
-which 20 in 100 were bad, and 3 of the old one, in 977, after 28 requests in the median.
+The thresholds are plain ones. Of 1,000 seeded plays of 150 requests each a version as good as the
+old one was stopped in 1 where 3 in 100 answers of both were bad, and in 16 where 10 in 100 were.
+One of which 20 in 100 were bad, and 3 of the old one, was stopped in 977, after 28 requests in the
+median.
 """
 
 import enum
--- a/flamingofront/decisions/tests/test_quota.py
+++ b/flamingofront/decisions/tests/test_quota.py
@@ -196,6 +196,28 @@
         assert budget.reserve(10.1) == 0.0
 
 
+class TestRestartOfAll:
+    def test_process_that_knows_nobody_yet_does_not_take_the_quota_for_its_own(self):
+        """All processes are killed and asked for many times the quota as soon as they serve."""
+        tenant = {"name": "desk", "api_keys": ["key-1"], "rate_per_s": 20.0, "burst": 40.0}
+        world = ready_world(fronts=12, tenants=[tenant])
+        world.run(5.0)
+        for name in list(world.fronts):
+            world.kill(name)
+        for name in list(world.fronts):
+            world.front(name, first_start=False)
+        before = sum(len(each.runs) for each in world.endpoints.values())
+        start = world.clock.now()
+        while world.clock.now() < start + 0.5:
+            for name, front in world.fronts.items():
+                if front.ready:
+                    world.ask(name, "/read/x", "GET")
+            world.run(0.02)
+        world.run(0.5)
+        passed = sum(len(each.runs) for each in world.endpoints.values()) - before
+        assert passed <= 40 + 0.5 * 20
+
+
 class TestRefusal:
     def test_its_line_tells_what_decided(self):
         """An engineer on call must see by whose level and limit a request was refused."""
--- a/flamingofront/process/forwarding/peers.py
+++ b/flamingofront/process/forwarding/peers.py
@@ -57,6 +57,9 @@
 # traffic, without any 583 s for a whole day (one run each, on a busy machine).
 NOTED_TOKENS = 1000
 MEMBER_TABLE = "entry-vms"
+# Entry processes that there are taken to be until the member table was read or a peer was heard: a
+# number of the size of usual deployments. It is read within some 20 ms of a start.
+ASSUMED_MEMBERS = 100
 # Pause between two looks at the member table while nobody is heard.
 LONELY_SECONDS = 5.0
 RETRY_SECONDS = 1.0
@@ -126,6 +129,7 @@
         self._log = log
         self.relaying = Relaying(own, self.table, self._send_one, relay_listener, timers, rng)
         self._registered: dict[str, float] = {}
+        self._is_table_read = False
         self._hearing: tuple | None = None
         self._refused: set[str] = set()
         # Returns the endpoints of which a process has to know at once, by its IP number.
@@ -171,7 +175,17 @@
         return len(self.table.heard(self._timers.now()))
 
     def member_count(self) -> int:
-        """Return the number of entry processes, this one included."""
+        """Return the number of entry processes, this one included.
+
+        Notes
+        -----
+        A process that has just started and knows nobody does not take itself for the only one: when
+        64 were killed at once, each began with a quota for itself, and a workspace that sent four
+        times its quota got 200 requests through within 0.15 s: 1 to 2 in 100 more than the limit of
+        its window.
+        """
+        if not self._is_table_read and not self.heard_count():
+            return ASSUMED_MEMBERS
         if self.many:
             return max(self.relaying.counts()[0], len(self._registered_now()) + 1)
         now = self._timers.now()
@@ -260,6 +274,7 @@
                 yield Sleep(LONELY_SECONDS)
 
     def _take_members(self, rows) -> None:
+        self._is_table_read = True
         until = self._timers.now() + LONELY_SECONDS
         for row in rows:
             if row.value is None or row.key == self._own.vm_id:
