A process that starts looks up how far a roll-out is

Cause, found on reading: after a roll-out was completed and all processes had been restarted, none knew that it was over, and each kept its requests off the new version, the only one there, until a holder of the duties had taken over. A successor also counted an order's time from when it had seen it itself, so that a deadline could pass unnoticed. Now each process reads the status when it learns of an order, and the status keeps when the order was seen first. A status that cannot be read has its line. Ruled out: to use the new version for want of others, which would expose everybody to a bad one.

--- a/flamingofront/decisions/rollout.py
+++ b/flamingofront/decisions/rollout.py
@@ -22,6 +22,7 @@
     "Evidence",
     "Phase",
     "RolloutOrder",
+    "RolloutStatus",
     "Tally",
     "VersionRule",
     "next_phase",
@@ -90,6 +91,23 @@
     number: int
 
 
+@dataclass(frozen=True)
+class RolloutStatus:
+    """How far a roll-out is, as it is kept for those that start and for the next holder.
+
+    Parameters
+    ----------
+    number : int
+        Number of the order.
+    since : float
+        Wall clock seconds at which the order was seen first.
+    """
+
+    number: int
+    phase: Phase
+    since: float
+
+
 @dataclass(frozen=True)
 class Tally:
     """Answers of the endpoints of a version: good ones, and failed or much too slow ones."""
--- a/flamingofront/platform/rollouts.py
+++ b/flamingofront/platform/rollouts.py
@@ -4,7 +4,7 @@
 
 import orjson
 
-from flamingofront.decisions.rollout import Phase, RolloutOrder
+from flamingofront.decisions.rollout import Phase, RolloutOrder, RolloutStatus
 from flamingofront.errors import PlatformError
 from flamingofront.process.forwarding.rollouts import RolloutRows
 
@@ -54,20 +54,28 @@
     return RolloutOrder(service, version, float(seconds), number)
 
 
-def encode_status(order: RolloutOrder, phase: Phase) -> bytes:
-    """Return the row that tells how far a roll-out is; the order's number is the system's own."""
+def encode_status(order: RolloutOrder, phase: Phase, since: float) -> bytes:
+    """Return the row that tells how far a roll-out is.
+
+    Parameters
+    ----------
+    since : float
+        Wall clock seconds at which the order was seen first.
+    """
     doc = {
         "service": order.service,
         "to": order.version,
         "state": _STATES[phase],
+        # What a successor needs is the system's own.
         "order": order.number,
         "phase": phase.name.lower(),
+        "since": since,
     }
     return orjson.dumps(doc)
 
 
-def decode_status(data: bytes) -> tuple[int, Phase]:
-    """Return the number of the order that a status is about, and its phase.
+def decode_status(data: bytes) -> RolloutStatus:
+    """Return how far a roll-out is, as a row tells it.
 
     Raises
     ------
@@ -76,7 +84,7 @@
     """
     try:
         doc = orjson.loads(data)
-        return int(doc["order"]), Phase[doc["phase"].upper()]
+        return RolloutStatus(int(doc["order"]), Phase[doc["phase"].upper()], float(doc["since"]))
     except (KeyError, TypeError, ValueError, AttributeError) as exc:
         raise PlatformError(f"malformed status of a roll-out: {exc!r:.200}") from exc
 
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -307,17 +307,18 @@
                 )
             )
         self.rollouts.on_verdict = self.peers.tell_now
-        self.duties.append(
-            RolloutDuty(
-                self.lease,
-                needs.store,
-                needs.tables.rollouts,
-                self.rollouts,
-                load.at_other_versions,
-                self.timers.now,
-                self.log,
-            )
+        rollout_duty = RolloutDuty(
+            self.lease,
+            needs.store,
+            needs.tables.rollouts,
+            self.rollouts,
+            load.at_other_versions,
+            self.timers.now,
+            self.peers.true_time,
+            self.log,
         )
+        self.rollouts.on_order = lambda: self.tasks.start(rollout_duty.look_up())
+        self.duties.append(rollout_duty)
 
     def _cache_tokens(self, service: str) -> float:
         known = self.configuration.services.get(service)
--- a/flamingofront/process/forwarding/rollouts.py
+++ b/flamingofront/process/forwarding/rollouts.py
@@ -10,6 +10,7 @@
     Evidence,
     Phase,
     RolloutOrder,
+    RolloutStatus,
     Tally,
     VersionRule,
     next_phase,
@@ -65,6 +66,8 @@
         self._own: Counter[str] = Counter()
         # Called after a verdict that is given here, so that the others hear of it at once.
         self.on_verdict: Callable[[], None] = lambda: None
+        # Called for each new order, so that it is looked up how far its roll-out is already.
+        self.on_order: Callable[[], None] = lambda: None
         self._heard: dict[tuple[str, str], float] = {}
 
     def orders(self) -> list[RolloutOrder]:
@@ -89,6 +92,17 @@
             seconds=order.seconds,
             number=order.number,
         )
+        self.on_order()
+
+    def seen_before(self, service: str, number: int, seconds: float) -> None:
+        """Take word that an order was seen by another process some seconds ago."""
+        known = self._known.get(service)
+        if known is not None and known.order.number == number:
+            known.seen_at = min(known.seen_at, self._now() - max(0.0, seconds))
+
+    def seen_at(self, service: str) -> float:
+        """Return the time at which an order was seen first, as far as is known here."""
+        return self._known[service].seen_at
 
     def reach(self, service: str, number: int, phase: Phase, source: str) -> None:
         """Take word that a roll-out has come to a phase; it never goes back."""
@@ -218,8 +232,8 @@
     decode_order: Callable[[str, bytes, int], RolloutOrder]
     status_table: str
     status_key: Callable[[str], str]
-    encode_status: Callable[[RolloutOrder, Phase], bytes]
-    decode_status: Callable[[bytes], tuple[int, Phase]]
+    encode_status: Callable[[RolloutOrder, Phase, float], bytes]
+    decode_status: Callable[[bytes], RolloutStatus]
 
 
 class RolloutDuty:
@@ -233,6 +247,8 @@
     old_in_flight : callable
         Returns the requests that run at endpoints of a service that have not a version, over all
         processes; None while some processes cannot be heard.
+    wall : callable
+        Wall clock, agreed with the other processes.
     """
 
     def __init__(
@@ -243,9 +259,11 @@
         rollouts: Rollouts,
         old_in_flight: Callable[[str, str], int | None],
         now: Callable[[], float],
+        wall: Callable[[], float],
         log: Log,
     ):
         self._log = log
+        self._wall = wall
         self._lease = lease
         self._store = store
         self._rows = rows
@@ -265,6 +283,23 @@
             except PlatformError as exc:
                 self._log.warning("status of a roll-out not written", detail=str(exc))
 
+    def look_up(self) -> Task:
+        """Find out how far roll-outs are, when an order has just become known.
+
+        Notes
+        -----
+        A process that started after the end of a roll-out, together with all others, would leave
+        the endpoints of the new version alone until a holder had taken over: they are all there is.
+        """
+        while True:
+            try:
+                yield from self._read()
+            except PlatformError as exc:
+                self._log.warning("status of roll-outs not read", detail=str(exc))
+                yield Sleep(STEP_SECONDS, relaxed=True)
+            else:
+                return
+
     def step(self) -> Task:
         """Take each roll-out one phase further, if what is known says so."""
         lease = self._lease.held()
@@ -304,16 +339,20 @@
     def _take_row(self, service: str, value: bytes, version: int) -> None:
         self._versions[service] = version
         try:
-            number, phase = self._rows.decode_status(value)
-        except PlatformError:
-            return  # not a row of this system: the next write takes its place
-        self._rollouts.reach(service, number, phase, "store")
+            status = self._rows.decode_status(value)
+        except PlatformError as exc:
+            # The next write takes its place.
+            self._log.warning("status of a roll-out refused", service=service, detail=str(exc))
+            return
+        self._rollouts.seen_before(service, status.number, self._wall() - status.since)
+        self._rollouts.reach(service, status.number, status.phase, "store")
 
     def _write(self, order: RolloutOrder, phase: Phase) -> Task:
         """Write a phase if the row is as it was seen last; if not, take over what it says now."""
         table, key = self._rows.status_table, self._rows.status_key(order.service)
         condition = RowCondition(table, key, self._versions[order.service])
-        write = RowWrite(table, key, self._rows.encode_status(order, phase))
+        since = self._wall() - (self._now() - self._rollouts.seen_at(order.service))
+        write = RowWrite(table, key, self._rows.encode_status(order, phase, round(since, 3)))
         outcome = yield from self._store.transact("", (condition,), (write,))
         if outcome.ok:
             self._versions[order.service] = outcome.version
--- a/flamingofront/process/forwarding/tests/test_rollouts.py
+++ b/flamingofront/process/forwarding/tests/test_rollouts.py
@@ -9,6 +9,7 @@
     Evidence,
     Phase,
     RolloutOrder,
+    RolloutStatus,
     Tally,
     VersionRule,
     next_phase,
@@ -127,7 +128,8 @@
     def test_status_is_read_as_it_was_written(self):
         for phase in Phase:
             if phase is not Phase.ORDERED:
-                assert decode_status(encode_status(ORDER, phase)) == (7, phase)
+                status = decode_status(encode_status(ORDER, phase, 1234.5))
+                assert status == RolloutStatus(7, phase, 1234.5)
 
     @pytest.mark.parametrize("word", [[1], {"s": 3}, {"s": [1]}, {"s": [1, 77]}])
     def test_malformed_word_is_refused(self, word):
@@ -223,6 +225,32 @@
         assert rollout.runs("new") == exposed
         assert rollout.state() == "rolled_back"
 
+    def test_new_version_serves_at_once_after_a_restart_of_all(self):
+        """Nobody knows by then that the roll-out is over, and no other endpoints are there."""
+        rollout = Rollout()
+        rollout.serve_until("completed", 40.0)
+        for name in ("plain-1", "plain-2"):
+            rollout.world.host(name).dead = True
+            rollout.world.store.drop("servers", name)
+        for name in list(rollout.world.fronts):
+            rollout.world.kill(name)
+            rollout.world.front(name, first_start=False)
+        fronts = rollout.world.fronts
+        rollout.world.run_until(lambda: all(each.ready for each in fronts.values()))
+        rollout.world.run(0.1)
+        rollout.callers.clear()
+        rollout.serve(2.0)
+        rollout.world.run(1.0)
+        assert {each.status for each in rollout.callers} == {200}
+
+    def test_next_holder_keeps_the_time_of_the_order(self):
+        rollout = Rollout(seconds=20.0)
+        rollout.serve(8.0)
+        for name in list(rollout.world.fronts):
+            rollout.world.kill(name)
+            rollout.world.front(name, first_start=False)
+        rollout.serve_until("rolled_back", 22.0)
+
     def test_order_for_a_version_that_never_comes_moves_nothing(self):
         rollout = Rollout(seconds=20.0)
         rollout.world.store.put("op", "rollout/records", {**rollout.order, "to": "v9"})
