--- a/flamingofront/decisions/tests/test_quota.py
+++ b/flamingofront/decisions/tests/test_quota.py
@@ -327,6 +327,10 @@
         for seed in range(2):
             assert Surge(4.8, lag, seed).play(killed_at).worst_window() <= 1.0
 
+    def test_limit_holds_when_many_times_the_quota_comes_at_once(self):
+        """All that comes before the first word of the others passes wherever it comes in."""
+        assert Surge(12.0, 0.8, 0).play(9.0).worst_window() <= 1.0
+
     def test_little_is_refused_of_what_comes_at_the_rate_of_the_quota(self):
         played_out = [Surge(0.9, 0.5, seed).play() for seed in range(3)]
         passed = sum(units for each in played_out for _, units in each.taken)
