--- a/bench/policies.py
+++ b/bench/policies.py
@@ -5,8 +5,9 @@
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, replace
 
+from bench.entries import Policies
 from bench.model import MIXES
-from bench.simulation import Policies, Simulation
+from bench.simulation import Simulation
 from flamingofront.decisions.admission import FirstComeAdmission
 from flamingofront.decisions.choice import LeastReportedChoice, RoundRobinChoice
 from flamingofront.decisions.retry import UnlimitedRetryBudget
--- a/flamingofront/process/forwarding/tests/test_digests.py
+++ b/flamingofront/process/forwarding/tests/test_digests.py
@@ -244,12 +244,7 @@
         world.run(6.0)
         lost = relays(world) & set(in_zone(world, "zone-a"))
         for name in lost:
-            if way == "kill":
-                world.kill(name)
-            elif way == "pause":
-                world.pause(name)
-            else:
-                world.cut(name, "store")
+            world.lose(name, way)
         world.configure_routes(version=2)
         world.register("plain-1", "records", state="draining", sequence=90)
         world.run(3.0)
--- a/flamingofront/process/forwarding/tests/test_endpoints.py
+++ b/flamingofront/process/forwarding/tests/test_endpoints.py
@@ -269,23 +269,23 @@
         assert caller.status == 200
         assert len(world.endpoints["engine-1"].runs) == 1
 
-    def test_stream_that_ran_there_goes_on_at_the_new_start(self):
+    def asked_before_the_start(self, path):
+        """Return a world, and a caller whose endpoint has started again without an answer."""
         world = self.world()
         world.endpoints["engine-1"].fail(ForwardFault.HANG)
-        caller = world.ask("front-1", "/stream/again/x")
+        caller = world.ask("front-1", path)
         world.run(0.6)
         self.start_again(world)
         world.run(0.6)
+        return world, caller
+
+    def test_stream_that_ran_there_goes_on_at_the_new_start(self):
+        world, caller = self.asked_before_the_start("/stream/again/x")
         assert len(world.endpoints["engine-1"].runs) == 1
         world.finish(caller)
         assert caller.status == 200
 
     def test_call_that_may_run_once_fails_at_once_and_is_not_said_to_have_not_run(self):
-        world = self.world()
-        world.endpoints["engine-1"].fail(ForwardFault.HANG)
-        caller = world.ask("front-1", "/stream/once/x")
-        world.run(0.6)
-        self.start_again(world)
-        world.run(0.6)
+        world, caller = self.asked_before_the_start("/stream/once/x")
         assert caller.status == 502
         assert not world.endpoints["engine-1"].runs
--- a/flamingofront/process/forwarding/tests/test_readers.py
+++ b/flamingofront/process/forwarding/tests/test_readers.py
@@ -99,12 +99,7 @@
         world = zones_world()
         lost = readers(world)
         for name in lost:
-            if way == "kill":
-                world.kill(name)
-            elif way == "pause":
-                world.pause(name)
-            else:
-                world.cut(name, "store")
+            world.lose(name, way)
         world.configure_routes(version=2)
         world.register("plain-1", "records", state="draining", sequence=2)
         # A dead or frozen reader is out of hearing after 1.6 s; one that is cut off notices at the
--- a/flamingofront/process/tests/test_documents.py
+++ b/flamingofront/process/tests/test_documents.py
@@ -8,7 +8,8 @@
 from flamingofront.process.tasks import TaskRunner
 from flamingofront.standins.platform import FaultMode
 from flamingofront.standins.table_store import RANGE_ROWS
-from flamingofront.tests.world import World, _FakeTransport
+from flamingofront.tests.network import FakeTransport
+from flamingofront.tests.world import World
 
 LARGE = "x" * (2 * ROW_BYTES)
 
@@ -20,7 +21,7 @@
         self.world = World()
         host = self.world._host("process", "zone-a")
         self.documents = documents_at(self.world.host("platform").address, 1.0)
-        self.tasks = TaskRunner(_FakeTransport(self.world, host), host.timers, self.fail)
+        self.tasks = TaskRunner(FakeTransport(self.world, host), host.timers, self.fail)
         self.platform = self.world.platform
 
     @staticmethod
--- a/flamingofront/process/tests/test_leases.py
+++ b/flamingofront/process/tests/test_leases.py
@@ -29,12 +29,12 @@
 
     def start(self, host, number):
         from flamingofront.process.tasks import TaskRunner
-        from flamingofront.tests.world import _FakeTransport
+        from flamingofront.tests.network import FakeTransport
 
         def fault(exc):
             raise exc
 
-        runner = TaskRunner(_FakeTransport(self.world, host), host.timers, fault)
+        runner = TaskRunner(FakeTransport(self.world, host), host.timers, fault)
         documents = documents_at(self.world.host("platform").address, 1.0)
         keeper = LeaseKeeper(
             documents,
@@ -94,9 +94,9 @@
         number = pair.keepers.index(first)
         host = pair.world.host(f"keeper-{number}")
         from flamingofront.process.tasks import TaskRunner
-        from flamingofront.tests.world import _FakeTransport
+        from flamingofront.tests.network import FakeTransport
 
-        TaskRunner(_FakeTransport(pair.world, host), host.timers, print).start(task)
+        TaskRunner(FakeTransport(pair.world, host), host.timers, print).start(task)
         pair.world.pause(f"keeper-{number}")
         pair.world.host(f"keeper-{number}").paused = False
         assert pair.world.run_until(lambda: pair.holders(), 5.0) < DURATION
@@ -167,7 +167,7 @@
         import orjson
 
         from flamingofront.messages import OutboundCall
-        from flamingofront.tests.world import _FakeTransport
+        from flamingofront.tests.network import FakeTransport
 
         world = demo_world(entries_per_zone=2, check_fencing=check_fencing)
         world.run(10.0)
@@ -179,7 +179,7 @@
         world.resume(holder)
         body = orjson.dumps({"order": "load", "model": "stale", "fencing": old})
         call = OutboundCall(world.host("engine-a1").address, "POST", "/order", body)
-        _FakeTransport(world, world.host(holder)).start(call, lambda event: None)
+        FakeTransport(world, world.host(holder)).start(call, lambda event: None)
         world.run(0.01)
         return world, call
 
--- a/flamingofront/tests/forwarding_world.py
+++ b/flamingofront/tests/forwarding_world.py
@@ -16,7 +16,8 @@
 from flamingofront.process.settings import parse_address
 from flamingofront.standins.forward_endpoint import ForwardEndpointStandIn
 from flamingofront.standins.table_store import TableStoreStandIn
-from flamingofront.tests.world import LATENCY, Caller, World, _FakeTransport
+from flamingofront.tests.network import LATENCY, Caller, FakeTransport
+from flamingofront.tests.world import World
 
 __all__ = ["ForwardingWorld", "RULES", "configuration", "ready_world"]
 
@@ -149,7 +150,7 @@
             rules=rules,
         )
         needs = Dependencies(
-            _FakeTransport(self, host),
+            FakeTransport(self, host),
             host.timers,
             PlatformTableStore(store, TIMEOUT),
             PlatformCloud(store, TIMEOUT),
@@ -164,6 +165,15 @@
         node.start()
         return node
 
+    def lose(self, name: str, way: str) -> None:
+        """Kill an entry process, freeze it, or cut it off from the store."""
+        if way == "kill":
+            self.kill(name)
+        elif way == "pause":
+            self.pause(name)
+        else:
+            self.cut(name, "store")
+
     def _datagram(self, source, address: str, data: bytes) -> None:
         target = self.hosts.get(address)
         if target is None or target.dead or source.dead or self.is_cut(source, target):
--- a/flamingofront/tests/test_everything_at_once.py
+++ b/flamingofront/tests/test_everything_at_once.py
@@ -11,7 +11,8 @@
 from flamingofront.request.tests.test_reclaims import expected_text, prompt_tokens
 from flamingofront.standins.plain import PlainFault
 from flamingofront.standins.platform import FaultMode
-from flamingofront.tests.world import demo_world, stream_texts
+from flamingofront.tests.network import stream_texts
+from flamingofront.tests.world import demo_world
 
 ZONES = ("zone-a", "zone-b")
 TOKENS = 120
--- a/flamingofront/tests/test_forwarding.py
+++ b/flamingofront/tests/test_forwarding.py
@@ -6,7 +6,7 @@
 from flamingofront.standins.forward_endpoint import ForwardFault
 from flamingofront.standins.table_store import StoreFault
 from flamingofront.tests.forwarding_world import configuration, ready_world
-from flamingofront.tests.world import LATENCY
+from flamingofront.tests.network import LATENCY
 
 FORGED = {
     "X_Flamingofront_Tenant": "another",
--- a/flamingofront/tests/test_operating.py
+++ b/flamingofront/tests/test_operating.py
@@ -11,7 +11,7 @@
 from flamingofront.process.forwarding.operators import COLUMNS
 from flamingofront.process.logs import MAX_HELD_BYTES, MAX_LINES_PER_SECOND, NonBlockingStream
 from flamingofront.tests.forwarding_world import ready_world
-from flamingofront.tests.world import Caller
+from flamingofront.tests.network import Caller
 
 
 def operate(world, text):
--- a/flamingofront/tests/test_processes.py
+++ b/flamingofront/tests/test_processes.py
@@ -11,7 +11,7 @@
 import pytest
 
 from flamingofront.standins.engine import expected_token
-from flamingofront.tests.world import stream_texts
+from flamingofront.tests.network import stream_texts
 
 BIN = Path(sys.executable).parent
 WAIT_SECONDS = 30
--- a/flamingofront/tests/world.py
+++ b/flamingofront/tests/world.py
@@ -5,21 +5,13 @@
 """
 
 import random
-from collections.abc import Callable
-from dataclasses import dataclass, field
-from urllib.parse import parse_qsl, unquote, urlsplit
 
 import logbook
 import orjson
 
-from flamingofront.connection.interfaces import CallHandle, Exchange, Transport
 from flamingofront.daemon import documents_at
 from flamingofront.messages import (
-    CallFailed,
     InboundRequest,
-    ResponseData,
-    ResponseEnd,
-    ResponseHead,
 )
 from flamingofront.process.logs import Log
 from flamingofront.process.node import EntryNode
@@ -28,9 +20,9 @@
 from flamingofront.standins.engine import EngineOptions, EngineStandIn
 from flamingofront.standins.plain import PlainStandIn
 from flamingofront.standins.platform import PlatformStandIn
+from flamingofront.tests.network import LATENCY, Caller, FakeTransport, Host
 from flamingofront.version.files import statements_of
 
-LATENCY = 0.001
 DEMO = """
 [services.demo]
 kind = "model"
@@ -51,226 +43,6 @@
 logbook.NullHandler().push_application()
 
 
-@dataclass
-class Host:
-    """A machine in the fake network."""
-
-    name: str
-    zone: str
-    timers: TimerService
-    handler: Callable[[InboundRequest, Exchange], None] | None = None
-    paused: bool = False
-    dead: bool = False
-    links: list = field(default_factory=list)
-
-
-class _Link(CallHandle):
-    """One call between two hosts."""
-
-    def __init__(self, world, source: Host, target: Host | None, call, listener):
-        self.world, self.source, self.target = world, source, target
-        self.call, self.listener = call, listener
-        self.exchange: FakeExchange | None = None
-        self._wrote = False
-        self.closed = False
-        self.timer = source.timers.once(call.timeout, self._timed_out)
-        source.links.append(self)
-        if target is None or target.dead:
-            source.timers.once(LATENCY, lambda: self.fail("connect", False))
-        elif not world.is_cut(source, target):
-            self._wrote = True
-            target.links.append(self)
-            target.timers.once(LATENCY, self._arrive)
-
-    @property
-    def wrote(self) -> bool:
-        return self._wrote
-
-    def cancel(self) -> None:
-        if not self.closed:
-            self._close()
-            self._tell_target_gone()
-
-    def _tell_target_gone(self) -> None:
-        if self.exchange is not None and not self.target.dead:
-            self.target.timers.once(LATENCY, self.exchange.caller_gone)
-
-    def _close(self) -> None:
-        self.closed = True
-        self.timer.cancel()
-        for host in (self.source, self.target):
-            if host is not None and self in host.links:
-                host.links.remove(self)
-
-    def _timed_out(self) -> None:
-        if not self.closed:
-            self._close()
-            self._tell_target_gone()
-            self.listener(CallFailed("timeout", self._wrote))
-
-    def fail(self, reason: str, wrote: bool) -> None:
-        if not self.closed:
-            self._close()
-            self.listener(CallFailed(reason, wrote))
-
-    def _arrive(self) -> None:
-        if self.closed or self.target.dead:
-            return
-        parts = urlsplit(self.call.path)
-        query = dict(parse_qsl(parts.query))
-        fields = (("Host", self.call.host or self.call.address), *self.call.headers)
-        headers = {name.lower(): value for name, value in fields}
-        req = InboundRequest(
-            self.call.method,
-            unquote(parts.path),
-            query,
-            headers,
-            self.call.body,
-            self.call.path,
-            fields,
-            self.target.timers.now(),
-        )
-        self.exchange = FakeExchange(self)
-        self.target.handler(req, self.exchange)
-
-    def back(self, *events) -> None:
-        """Carry events to the caller."""
-        if self.source.dead or self.world.is_cut(self.source, self.target):
-            return
-        self.source.timers.once(LATENCY + self.world.extra_delay(), lambda: self._deliver(events))
-
-    def _deliver(self, events) -> None:
-        for event in events:
-            if self.closed:
-                return
-            if isinstance(event, ResponseData) and self.call.stream:
-                self.timer.cancel()
-                self.timer = self.source.timers.once(self.call.timeout, self._timed_out)
-            if isinstance(event, ResponseEnd | CallFailed):
-                self._close()
-            self.listener(event)
-
-
-class FakeExchange(Exchange):
-    """The served side of a call in the fake network."""
-
-    def __init__(self, link: _Link):
-        self._link = link
-        self.on_gone = None
-        self.gone = False
-
-    def caller_gone(self) -> None:
-        self.gone = True
-        if self.on_gone is not None:
-            listener, self.on_gone = self.on_gone, None
-            listener()
-
-    def respond(self, status, headers, body) -> None:
-        self.begin(status, headers, body, ResponseEnd())
-
-    def begin(self, status, headers, body=b"", *more) -> None:
-        names = {name.lower(): value for name, value in headers}
-        head = ResponseHead(status, names, tuple(headers))
-        self._link.back(head, *([ResponseData(body)] if body else []), *more)
-
-    def send(self, data: bytes) -> bool:
-        self._link.back(ResponseData(data))
-        return not self.gone
-
-    def finish(self) -> None:
-        self._link.back(ResponseEnd())
-
-    def abort(self) -> None:
-        self._link.back(CallFailed("reset", True))
-
-
-class Caller(Exchange):
-    """A caller's connection; keeps all that it is told."""
-
-    def __init__(self, node: EntryNode, host: Host):
-        self.node, self.host = node, host
-        self.status = 0
-        self.headers: dict[str, str] = {}
-        self.body = b""
-        self.done = False
-        self.answers = 0
-        self.broken = False
-        self.on_gone = None
-
-    def respond(self, status, headers, body) -> None:
-        self.begin(status, headers)
-        self.body = body
-        self.done = True
-
-    def begin(self, status, headers) -> None:
-        self.answers += 1
-        self.status = status
-        self.headers = {name.lower(): value for name, value in headers}
-
-    def send(self, data: bytes) -> bool:
-        self.body += data
-        return True
-
-    def finish(self) -> None:
-        self.done = True
-
-    def abort(self) -> None:
-        self.broken = True
-        self.done = True
-
-    def leave(self) -> None:
-        """Close the connection."""
-        if self.on_gone is not None:
-            listener, self.on_gone = self.on_gone, None
-            listener()
-
-    @property
-    def data(self) -> dict:
-        return orjson.loads(self.body)
-
-    @property
-    def error(self) -> dict:
-        return self.data["error"]
-
-    @property
-    def text(self) -> str:
-        """The text of a whole completion or of the events of a stream."""
-        if not self.headers["content-type"].startswith("text/event-stream"):
-            choice = self.data["choices"][0]
-            return choice.get("text") or choice["message"]["content"]
-        return "".join(stream_texts(self.body))
-
-    @property
-    def last_event_id(self) -> str:
-        ids = [line[4:] for line in self.body.decode().split("\n") if line.startswith("id: ")]
-        return ids[-1]
-
-
-def stream_texts(body: bytes) -> list[str]:
-    """Return the texts in a completion's event stream."""
-    texts = []
-    for block in body.decode().split("\n\n"):
-        lines = block.split("\n")
-        data = next((line[6:] for line in lines if line.startswith("data: ")), "[DONE]")
-        if data == "[DONE]" or any(line.startswith("event: ") for line in lines):
-            continue
-        choice = orjson.loads(data)["choices"][0]
-        texts.append(choice["text"] if "text" in choice else choice["delta"].get("content", ""))
-    return texts
-
-
-class _FakeTransport(Transport):
-    def __init__(self, world: "World", host: Host):
-        self._world, self._host = world, host
-
-    def start(self, call, listener):
-        target = self._world.hosts.get(call.address)
-        return _Link(self._world, self._host, target, call, listener)
-
-    def drop_idle(self, address):
-        """Do nothing: each call has a connection of its own here."""
-
-
 class World:
     """Hosts, their network, the platform, and helpers to act on them."""
 
@@ -365,7 +137,7 @@
         node = EntryNode(
             settings,
             documents_at(str(settings.platform), settings.platform_timeout),
-            _FakeTransport(self, host),
+            FakeTransport(self, host),
             host.timers,
             random.Random(self.rng.random()),
             int(self.clock.now() * 1000) + len(self.hosts),
