--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -168,6 +168,13 @@
 )
 
 
+def _known_red():
+    """Return the words that leave out tests which fail without any mutation."""
+    path = ROOT / "KNOWN-RED.txt"
+    lines = path.read_text().splitlines() if path.exists() else []
+    return [word for line in lines for word in ("--deselect", line.split(" ", 1)[0])]
+
+
 def _survives(mutation):
     """Return whether all tests still pass with the mutation."""
     with tempfile.TemporaryDirectory() as folder:
@@ -183,7 +190,7 @@
         words = [sys.executable, "-m", "pytest", "-x", "-q", "-p", "no:cacheprovider"]
         try:
             done = subprocess.run(
-                [*words, f"flamingofront/{mutation.tests}"],
+                [*words, *_known_red(), f"flamingofront/{mutation.tests}"],
                 cwd=copy,
                 env={**os.environ, "PYTHONPATH": str(copy)},
                 capture_output=True,
--- a/flamingofront/decisions/quota.py
+++ b/flamingofront/decisions/quota.py
@@ -271,10 +271,10 @@
         left = self._rules.limit(workspace) * self._heard_share() - total - units
         if unheard > left:
             return taken.wait(unheard - left, now)
-        held_back = self._is_held_back(workspace, left, now)
-        return max(MIN_RETRY_SECONDS, self._lag()) if held_back else 0.0
+        rationed = self._is_rationed(workspace, left, now)
+        return max(MIN_RETRY_SECONDS, self._lag()) if rationed else 0.0
 
-    def _is_held_back(self, workspace: ForwardedWorkspace, left: float, now: float) -> bool:
+    def _is_rationed(self, workspace: ForwardedWorkspace, left: float, now: float) -> bool:
         """Tell whether a request is refused so that all processes together do not take too much.
 
         Notes
@@ -286,7 +286,9 @@
         plays). With it 24 processes take up to 0.99, also when all are killed midway, and of what
         comes at 0.9 of the quota 0.986 passes (16 plays each of the load that the tests replay).
         What was taken, kept in the store for those that start, added nothing to that: 0.946 of the
-        limit with it and without, for word 0.5 s old (24 plays).
+        limit with it and without, for word 0.5 s old (24 plays). It is needed where word is young,
+        too: 17 processes with word 0.18 s old take up to 1.07 without it when 7.5 times the quota
+        comes, 0.89 with it (16 plays).
         """
         unheard = UNHEARD_PART * self._lag() * self._peak_rate(workspace.name, now)
         room = min(self._bucket(workspace, now).level, left)
--- a/flamingofront/decisions/rollout.py
+++ b/flamingofront/decisions/rollout.py
@@ -99,13 +99,19 @@
     ----------
     number : int
         Number of the order.
+    version : str
+        Version that was ordered.
     since : float
         Wall clock seconds at which the order was seen first.
+    withheld : frozenset of str
+        Versions that were ordered before and not completed.
     """
 
     number: int
+    version: str
     phase: Phase
     since: float
+    withheld: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True)
@@ -184,10 +190,13 @@
         The new version.
     exposed : bool
         True if the request is to go to the new version, if any endpoint has it.
+    withheld : frozenset of str
+        Versions that were ordered before and not completed: they get nothing.
     """
 
     version: str
     exposed: bool
+    withheld: frozenset[str] = frozenset()
 
     def select(self, facts: Mapping[str, Fact]) -> dict[str, Fact]:
         """Return the endpoints among which may be chosen.
@@ -195,9 +204,11 @@
         Notes
         -----
         A request that is not to go to the new version is not sent there for want of others: a bad
-        version would get the whole traffic when the old endpoints are lost.
+        version would get the whole traffic when the old endpoints are lost. Where all others are
+        withheld, the order is to go back to the version from which one of them was to lead away.
         """
         new = {name: fact for name, fact in facts.items() if fact.side == self.version}
-        if self.exposed and new:
-            return new
-        return {name: fact for name, fact in facts.items() if name not in new}
+        held = {name for name, fact in facts.items() if fact.side in self.withheld}
+        old = {name: fact for name, fact in facts.items() if name not in new and name not in held}
+        goes_back = bool(held) and not old
+        return new if new and (self.exposed or goes_back) else old
--- a/flamingofront/decisions/tests/test_quota.py
+++ b/flamingofront/decisions/tests/test_quota.py
@@ -152,6 +152,17 @@
         assert 0 < wait <= 8.0
         assert quota.wait(WORKSPACE, large, now + wait + 0.3) == 0
 
+    def test_full_window_tells_when_its_oldest_requests_leave_it(self):
+        quota = SharedQuota(lambda: 1.0, QuotaRules(8.0, 0.0, 0.0))
+        quota.prepare((WORKSPACE,), 0.0)
+        for now in (10.0, 13.5):
+            assert quota.wait(WORKSPACE, 4 * RATE, now) == 0
+            quota.spend(WORKSPACE, 4 * RATE, now)
+        wait = quota.wait(WORKSPACE, 4 * RATE, 17.3)
+        assert 0.8 <= wait <= 1.1
+        assert quota.wait(WORKSPACE, 4 * RATE, 17.3 + wait - 0.1) > 0
+        assert quota.wait(WORKSPACE, 4 * RATE, 17.3 + wait + 0.01) == 0
+
     def test_time_to_come_back_is_when_it_passes(self):
         quota = SharedQuota(lambda: 1.0)
         quota.prepare((WORKSPACE,), 0.0)
