Roll-outs: slow versions, replaced orders; large modules split

(3) A zone that is cut off counted against the version. (4) A report with a list of the wrong kind ended as a fault. Now an attempt has its own pace, to the first event and between events; a version whose order was replaced before it was completed gets nothing, also after a restart of all; tests for each, and for a version five times slower, which no test had. Ruled out: the old version as all that is not ordered.

--- a/flamingofront/platform/rollouts.py
+++ b/flamingofront/platform/rollouts.py
@@ -54,22 +54,17 @@
     return RolloutOrder(service, version, float(seconds), number)
 
 
-def encode_status(order: RolloutOrder, phase: Phase, since: float) -> bytes:
-    """Return the row that tells how far a roll-out is.
-
-    Parameters
-    ----------
-    since : float
-        Wall clock seconds at which the order was seen first.
-    """
+def encode_status(service: str, status: RolloutStatus) -> bytes:
+    """Return the row that tells how far a roll-out is."""
     doc = {
-        "service": order.service,
-        "to": order.version,
-        "state": _STATES[phase],
+        "service": service,
+        "to": status.version,
+        "state": _STATES[status.phase],
         # What a successor needs is the system's own.
-        "order": order.number,
-        "phase": phase.name.lower(),
-        "since": since,
+        "order": status.number,
+        "phase": status.phase.name.lower(),
+        "since": status.since,
+        "withheld": sorted(status.withheld),
     }
     return orjson.dumps(doc)
 
@@ -84,7 +79,13 @@
     """
     try:
         doc = orjson.loads(data)
-        return RolloutStatus(int(doc["order"]), Phase[doc["phase"].upper()], float(doc["since"]))
+        return RolloutStatus(
+            int(doc["order"]),
+            str(doc["to"]),
+            Phase[doc["phase"].upper()],
+            float(doc["since"]),
+            frozenset(map(str, doc["withheld"])),
+        )
     except (KeyError, TypeError, ValueError, AttributeError) as exc:
         raise PlatformError(f"malformed status of a roll-out: {exc!r:.200}") from exc
 
--- /dev/null
+++ b/flamingofront/process/forwarding/control.py
@@ -0,0 +1,61 @@
+"""Calls of operators, of peers, and for metrics, to a forwarding entry process."""
+
+from typing import TYPE_CHECKING
+
+from flamingofront.connection.interfaces import Exchange
+from flamingofront.messages import InboundRequest
+from flamingofront.process.forwarding.exchange import CONFIGURATION_PATH, ENDPOINTS_PATH
+from flamingofront.process.forwarding.news import encode_news
+from flamingofront.process.forwarding.operators import ForwardingOperators
+from flamingofront.process.membership import Role, VmState
+
+if TYPE_CHECKING:
+    from flamingofront.process.forwarding.node import ForwardingNode
+
+__all__ = ["ControlCalls"]
+
+
+class ControlCalls:
+    """Answers what does not come from callers."""
+
+    def __init__(self, node: "ForwardingNode"):
+        self._node = node
+        self._operators = ForwardingOperators(node)
+
+    def handle(self, req: InboundRequest, exchange: Exchange) -> None:
+        """Take a request of an operator or a peer."""
+        knowledge = self._node.knowledge
+        if req.path == "/metrics":
+            self._respond_metrics(exchange)
+        elif req.path == "/operate":
+            self._operators.handle(req, exchange)
+        elif req.path == CONFIGURATION_PATH:
+            exchange.respond(200, (), knowledge.configuration_data)
+        elif req.path == ENDPOINTS_PATH:
+            after = req.query.get("after", "")
+            news = knowledge.endpoint_news(int(after) if after.isdigit() else -1)
+            exchange.respond(200, (), encode_news(news))
+        else:
+            exchange.respond(404, (), b"")
+
+    def _respond_metrics(self, exchange: Exchange) -> None:
+        """Answer with the exposition text of all metrics."""
+        self._set_gauges()
+        body, headers = self._node.metrics.render()
+        exchange.respond(200, tuple(headers.items()), body)
+
+    def _set_gauges(self) -> None:
+        node, gauge = self._node, self._node.metrics.gauge
+        gauge("requests_in_flight", len(node.hub.active))
+        gauge("requests_waiting", node.hub.waiting())
+        gauge("configuration_revision", node.configuration.version)
+        gauge("ready", int(node.ready))
+        gauge("peers_heard", node.peers.heard_count())
+        lease = node.lease.holding()
+        gauge("duty_fencing", lease.fencing if lease is not None else 0)
+        for follower in node.knowledge.followers:
+            age = follower.age()
+            if age is not None:
+                gauge("store_age_seconds", age, table=follower.table)
+        for state in VmState:
+            gauge("endpoints", len(node.facts.select(Role.ENDPOINT, state)), state=state.value)
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 from flamingofront.connection.client import MAX_IDLE_PER_ADDRESS
@@ -14,20 +14,15 @@
 from flamingofront.decisions.shared_retry import SharedRetryBudget
 from flamingofront.messages import InboundRequest
 from flamingofront.process.counted_store import CountedTableStore
-from flamingofront.process.forwarding.digests import Claim
+from flamingofront.process.forwarding.control import ControlCalls
 from flamingofront.process.forwarding.duty import DutyLease
 from flamingofront.process.forwarding.endpoint_row import EndpointRow
 from flamingofront.process.forwarding.endpoints import EndpointView
-from flamingofront.process.forwarding.exchange import (
-    CONFIGURATION_PATH,
-    ENDPOINTS_PATH,
-    KnowledgeExchange,
-)
+from flamingofront.process.forwarding.exchange import KnowledgeExchange
 from flamingofront.process.forwarding.knowledge import Knowledge, SharedTables
-from flamingofront.process.forwarding.news import encode_news
 from flamingofront.process.forwarding.observations import Observations
-from flamingofront.process.forwarding.operators import ForwardingOperators
 from flamingofront.process.forwarding.own_report import OwnReport, ReportedParts
+from flamingofront.process.forwarding.peer_word import PeerWord, WordParts
 from flamingofront.process.forwarding.peers import Peers
 from flamingofront.process.forwarding.readers import StoreReaders
 from flamingofront.process.forwarding.relaying import RelayListener
@@ -38,7 +33,7 @@
 from flamingofront.process.forwarding.usage import CountsHeard, UsageBook, UsageDuty
 from flamingofront.process.forwarding.whole_load import WholeLoad
 from flamingofront.process.logs import Log
-from flamingofront.process.membership import FactTable, Role, VmState
+from flamingofront.process.membership import FactTable
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.store import Cloud, TableStore
 from flamingofront.process.tasks import TaskRunner
@@ -114,7 +109,12 @@
         self._build_requests()
         self._build_peers()
         self._build_duties()
-        self.operators = ForwardingOperators(self)
+        reported = ReportedParts(
+            self.hub, self.knowledge, self.lease, self.peers, self.rollouts, self.usage
+        )
+        parts = WordParts(reported, self.quota, self.exchange)
+        self._word = PeerWord(self._report, parts, self.timers, self.metrics)
+        self.handle_control = ControlCalls(self).handle
 
     def _build_requests(self) -> None:
         settings, needs = self.settings, self._needs
@@ -209,12 +209,12 @@
             self.settings.seeds,
             self.own_report,
             self._needs.send,
-            self._heard,
+            lambda report, gap: self._word.take_report(report, gap),
             lambda note: self.observations.noted(note),
             RelayListener(
                 self.own_report,
-                self._relay_believes,
-                self._heard_spent,
+                lambda relay, claim: self._word.take_belief(relay, claim),
+                lambda process, sums, counts: self._word.take_sums(process, sums, counts),
                 lambda: self.observations.loads_told(),
                 lambda counts, told_until: self.usage.heard(counts, told_until),
                 lambda processes, windows: self.usage.counts_of(
@@ -341,66 +341,8 @@
 
     def own_report(self) -> PeerReport:
         """Return this process's report as it is now."""
-        parts = ReportedParts(
-            self.hub, self.knowledge, self.lease, self.peers, self.rollouts, self.usage
-        )
         self._report.leaving = self.stopping
-        return self._report.make(parts, self.quota.spent())
-
-    def _heard(self, report: PeerReport, gap: float | None) -> None:
-        """Take a peer's report: its quota use, its counts, its word on the lease, its load."""
-        self.metrics.count("peer_reports_total", result="heard" if gap is not None else "first")
-        continuous = gap is not None and self.peers.table.in_hearing(gap)
-        counts = continuous and self.peers.counts_directly()
-        self._heard_spent(report.process, report.spent, counts)
-        self._heard_rollouts(report)
-        if report.usage is not None:
-            self.usage.reported(report.usage, report.process, self.peers.true_time())
-        self.lease.heard(report)
-        self.exchange.compare(report)
-        if self.peers.many:
-            self.peers.relaying.reported(report, continuous, gap is None)
-
-    def _heard_spent(self, process: str, spent: Mapping[str, float], counts: bool) -> None:
-        """Take sums of a peer or a relay: of the quotas, and of the answers during roll-outs."""
-        self.quota.heard(process, spent, counts, self.timers.now())
-        self.rollouts.hear_sums(process, spent, counts)
-
-    def _heard_rollouts(self, report: PeerReport) -> None:
-        """Take a peer's word of roll-outs; an order that it knows first is read from the store."""
-        if self.rollouts.hear(report.rollouts):
-            self.knowledge.read_configuration_now()
-
-    def _relay_believes(self, relay: PeerReport, claim: Claim) -> None:
-        """Take what a relay knows, and its word on the duties' holder."""
-        self.metrics.count("peer_digests_total")
-        self._heard_rollouts(relay)
-        self.lease.heard(
-            replace(
-                relay,
-                fencing=claim.fencing,
-                released=claim.released,
-                lease_version=claim.lease_version,
-            )
-        )
-        self.exchange.compare(relay)
-
-    def _set_gauges(self) -> None:
-        gauge = self.metrics.gauge
-        gauge("requests_in_flight", len(self.hub.active))
-        gauge("requests_waiting", self.hub.waiting())
-        gauge("configuration_revision", self.configuration.version)
-        gauge("ready", int(self.ready))
-        gauge("peers_heard", self.peers.heard_count())
-        lease = self.lease.holding()
-        gauge("duty_fencing", lease.fencing if lease is not None else 0)
-        for follower in self.knowledge.followers:
-            age = follower.age()
-            if age is not None:
-                gauge("store_age_seconds", age, table=follower.table)
-        for state in VmState:
-            count = len(self.facts.select(Role.ENDPOINT, state))
-            gauge("endpoints", count, state=state.value)
+        return self._word.own_report()
 
     def max_idle(self, address: str) -> int:
         """Return how many idle connections to an address this process may keep.
@@ -461,24 +403,3 @@
     def handle_ready(self, req: InboundRequest, exchange: Exchange) -> None:
         """Answer the balancer whether new connections may come here."""
         exchange.respond(200 if self.ready else 503, (), b"")
-
-    def handle_control(self, req: InboundRequest, exchange: Exchange) -> None:
-        """Take a request of an operator or a peer."""
-        if req.path == "/metrics":
-            self.respond_metrics(exchange)
-        elif req.path == "/operate":
-            self.operators.handle(req, exchange)
-        elif req.path == CONFIGURATION_PATH:
-            exchange.respond(200, (), self.knowledge.configuration_data)
-        elif req.path == ENDPOINTS_PATH:
-            after = req.query.get("after", "")
-            news = self.knowledge.endpoint_news(int(after) if after.isdigit() else -1)
-            exchange.respond(200, (), encode_news(news))
-        else:
-            exchange.respond(404, (), b"")
-
-    def respond_metrics(self, exchange: Exchange) -> None:
-        """Answer with the exposition text of all metrics."""
-        self._set_gauges()
-        body, headers = self.metrics.render()
-        exchange.respond(200, tuple(headers.items()), body)
--- a/flamingofront/process/forwarding/reports.py
+++ b/flamingofront/process/forwarding/reports.py
@@ -162,11 +162,17 @@
     if not isinstance(values, list) or len(values) < _REQUIRED:
         raise ValueError("malformed report: not a list of its fields")
     named = dict(zip(_FIELDS, values, strict=False))
-    named["peers"] = tuple(named.get("peers", ()))
+    named["peers"] = _texts(named.get("peers", ()))
     named["rollouts"] = rollout_word(named.get("rollouts", {}))
     return PeerReport(**named)
 
 
+def _texts(value: Any) -> tuple[str, ...]:
+    if not isinstance(value, list | tuple) or not all(isinstance(each, str) for each in value):
+        raise ValueError(f"malformed report: {value!r:.60} is no list of IP numbers")
+    return tuple(value)
+
+
 def rollout_word(value: Any) -> dict[str, tuple[int, int]]:
     """Return the number of the order and the phase of each roll-out, as they were told.
 
--- a/flamingofront/process/forwarding/rollouts.py
+++ b/flamingofront/process/forwarding/rollouts.py
@@ -41,11 +41,19 @@
     phase: Phase = Phase.ORDERED
     sums: Counter[tuple[str, str]] = field(default_factory=Counter)
     stopped: bool = False
+    withheld: frozenset[str] = frozenset()
 
     def tally(self, side: str) -> Tally:
         return Tally(self.sums[side, _GOOD], self.sums[side, _BAD])
 
 
+def _withheld_after(known: _Rollout | None, order: RolloutOrder) -> frozenset[str]:
+    """Return the versions that get nothing once an order has replaced another."""
+    if known is None or known.phase is Phase.COMPLETED:
+        return frozenset()
+    return (known.withheld | {known.order.version}) - {order.version}
+
+
 class Rollouts:
     """What this process knows of roll-outs, and which versions its requests go to.
 
@@ -84,7 +92,9 @@
         known = self._known.get(order.service)
         if known is not None and known.order.number >= order.number:
             return
-        self._known[order.service] = _Rollout(order, self._now())
+        self._known[order.service] = _Rollout(
+            order, self._now(), withheld=_withheld_after(known, order)
+        )
         self._log.info(
             "roll-out ordered",
             service=order.service,
@@ -94,15 +104,22 @@
         )
         self.on_order()
 
-    def seen_before(self, service: str, number: int, seconds: float) -> None:
-        """Take word that an order was seen by another process some seconds ago."""
-        known = self._known.get(service)
-        if known is not None and known.order.number == number:
-            known.seen_at = min(known.seen_at, self._now() - max(0.0, seconds))
+    def status(self, service: str, phase: Phase, wall: float) -> RolloutStatus:
+        """Return what is to be kept of a service's roll-out that comes to a phase now."""
+        known = self._known[service]
+        since = round(wall - (self._now() - known.seen_at), 3)
+        return RolloutStatus(known.order.number, known.order.version, phase, since, known.withheld)
 
-    def seen_at(self, service: str) -> float:
-        """Return the time at which an order was seen first, as far as is known here."""
-        return self._known[service].seen_at
+    def take_status(self, service: str, status: RolloutStatus, wall: float) -> None:
+        """Take in how far a service's roll-out is, as an earlier holder left it."""
+        known = self._known[service]
+        if status.number == known.order.number:
+            ago = max(0.0, wall - status.since)
+            known.seen_at = min(known.seen_at, self._now() - ago)
+            known.withheld |= status.withheld
+            self.reach(service, status.number, status.phase, "store")
+        elif status.number < known.order.number and status.phase is not Phase.COMPLETED:
+            known.withheld |= (status.withheld | {status.version}) - {known.order.version}
 
     def reach(self, service: str, number: int, phase: Phase, source: str) -> None:
         """Take word that a roll-out has come to a phase; it never goes back."""
@@ -194,7 +211,7 @@
         exposed = known.phase in (Phase.MOVING, Phase.COMPLETED)
         if known.phase is Phase.RUNNING and is_first and not known.stopped:
             exposed = self._rng.random() < self._part
-        return VersionRule(known.order.version, exposed)
+        return VersionRule(known.order.version, exposed, known.withheld)
 
     def answered(self, service: str, version: str, is_bad: bool) -> None:
         """Count an answer of an endpoint."""
@@ -232,7 +249,7 @@
     decode_order: Callable[[str, bytes, int], RolloutOrder]
     status_table: str
     status_key: Callable[[str], str]
-    encode_status: Callable[[RolloutOrder, Phase, float], bytes]
+    encode_status: Callable[[str, RolloutStatus], bytes]
     decode_status: Callable[[bytes], RolloutStatus]
 
 
@@ -344,15 +361,14 @@
             # The next write takes its place.
             self._log.warning("status of a roll-out refused", service=service, detail=str(exc))
             return
-        self._rollouts.seen_before(service, status.number, self._wall() - status.since)
-        self._rollouts.reach(service, status.number, status.phase, "store")
+        self._rollouts.take_status(service, status, self._wall())
 
     def _write(self, order: RolloutOrder, phase: Phase) -> Task:
         """Write a phase if the row is as it was seen last; if not, take over what it says now."""
         table, key = self._rows.status_table, self._rows.status_key(order.service)
         condition = RowCondition(table, key, self._versions[order.service])
-        since = self._wall() - (self._now() - self._rollouts.seen_at(order.service))
-        write = RowWrite(table, key, self._rows.encode_status(order, phase, round(since, 3)))
+        status = self._rollouts.status(order.service, phase, self._wall())
+        write = RowWrite(table, key, self._rows.encode_status(order.service, status))
         outcome = yield from self._store.transact("", (condition,), (write,))
         if outcome.ok:
             self._versions[order.service] = outcome.version
--- a/flamingofront/process/forwarding/tests/test_rollouts.py
+++ b/flamingofront/process/forwarding/tests/test_rollouts.py
@@ -2,6 +2,7 @@
 
 import random
 
+import orjson
 import pytest
 
 from flamingofront.decisions.rollout import (
@@ -16,7 +17,12 @@
 )
 from flamingofront.errors import PlatformError
 from flamingofront.platform.rollouts import decode_rollout, decode_status, encode_status
-from flamingofront.process.forwarding.reports import decode_report, rollout_word
+from flamingofront.process.forwarding.reports import (
+    PeerReport,
+    decode_report,
+    encode_report,
+    rollout_word,
+)
 from flamingofront.process.forwarding.rollouts import Rollouts
 from flamingofront.process.logs import Log
 from flamingofront.standins.forward_endpoint import ForwardFault
@@ -103,7 +109,7 @@
         known.take_order(RolloutOrder("records", "v3", 40.0, 9))
         assert known.phase("records") is Phase.ORDERED
         known.take_order(ORDER)
-        assert known.rule("records", True) == VersionRule("v3", False)
+        assert known.rule("records", True) == VersionRule("v3", False, frozenset({"v2"}))
 
 
 class TestRows:
@@ -128,21 +134,22 @@
     def test_status_is_read_as_it_was_written(self):
         for phase in Phase:
             if phase is not Phase.ORDERED:
-                status = decode_status(encode_status(ORDER, phase, 1234.5))
-                assert status == RolloutStatus(7, phase, 1234.5)
+                status = RolloutStatus(7, "v2", phase, 1234.5, frozenset({"v1"}))
+                assert decode_status(encode_status("records", status)) == status
 
     @pytest.mark.parametrize("word", [[1], {"s": 3}, {"s": [1]}, {"s": [1, 77]}])
     def test_malformed_word_is_refused(self, word):
         with pytest.raises(ValueError):
             rollout_word(word)
+        report = orjson.loads(encode_report(PeerReport("vm", 1, 1, "zone-a", "1.2.3.4", "a:1")))
         with pytest.raises(ValueError):
-            decode_report(b"[]")
+            decode_report(orjson.dumps([*report[:-1], word]))
 
 
 class Rollout:
     """A world with traffic in which a service is rolled out to new endpoints."""
 
-    def __init__(self, fault=ForwardFault.NONE, fronts=3, seconds=40.0):
+    def __init__(self, fault=ForwardFault.NONE, fronts=3, seconds=40.0, gap=0.02):
         self.world = ready_world(fronts=fronts, plains=2)
         self.world.run(4.0)
         self.callers = []
@@ -152,7 +159,7 @@
         self.world.store.put("op", "rollout/records", self.order)
         self.serve(2.0)
         for name in ("new-1", "new-2"):
-            self.world.endpoint(name, "records", version="v2")
+            self.world.endpoint(name, "records", version="v2", gap=gap)
             self.world.endpoints[name].fail(fault)
 
     def serve(self, seconds):
@@ -204,6 +211,37 @@
         assert rollout.runs("new") == exposed
         assert rollout.state() == "rolled_back"
 
+    def test_version_that_is_several_times_slower_is_taken_back(self):
+        rollout = Rollout(gap=0.25)
+        rollout.serve_until("rolled_back", 25.0)
+        assert rollout.runs("new") <= 0.1 * len(rollout.callers) + 10
+
+    def test_order_to_go_back_takes_the_traffic_from_the_new_version_at_once(self):
+        rollout = Rollout()
+        rollout.serve(8.0)
+        rollout.world.store.put("op", "rollout/records", {**rollout.order, "to": "v1"})
+        rollout.world.run(1.0)
+        exposed = rollout.runs("new")
+        rollout.callers.clear()
+        rollout.serve(4.0)
+        rollout.world.run(1.0)
+        assert rollout.runs("new") == exposed
+        assert {each.status for each in rollout.callers} == {200}
+
+    @pytest.mark.parametrize("restart", [False, True])
+    def test_version_whose_order_was_replaced_gets_nothing(self, restart):
+        rollout = Rollout()
+        rollout.serve(8.0)
+        rollout.world.store.put("op", "rollout/records", {**rollout.order, "to": "v3"})
+        if restart:
+            for name in list(rollout.world.fronts):
+                rollout.world.kill(name)
+                rollout.world.front(name, first_start=False)
+        rollout.world.run(1.0)
+        exposed = rollout.runs("new")
+        rollout.serve(4.0)
+        assert rollout.runs("new") == exposed
+
     def test_version_that_turns_bad_later_is_taken_back(self):
         rollout = Rollout()
         rollout.serve(12.0)
--- a/flamingofront/request/forward_gateway.py
+++ b/flamingofront/request/forward_gateway.py
@@ -13,8 +13,9 @@
 from flamingofront.errors import ErrorKind, RequestError
 from flamingofront.messages import InboundRequest
 from flamingofront.process.logs import Log
+from flamingofront.request.forward_attachment import ForwardAttachment
 from flamingofront.request.forward_work import CallerRequest, ForwardProtocol, ForwardWork
-from flamingofront.request.forwarded_request import ForwardAttachment, ForwardedRequest
+from flamingofront.request.forwarded_request import ForwardedRequest
 from flamingofront.request.hub import RequestHub
 from flamingofront.request.records import RequestRecord
 from flamingofront.version.forwarding import (
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from flamingofront.connection.interfaces import CallEvent, Exchange
+from flamingofront.connection.interfaces import CallEvent
 from flamingofront.decisions.admission import Ticket
 from flamingofront.decisions.choice import Candidate
 from flamingofront.decisions.engine_rates import ServiceRates
@@ -13,19 +13,16 @@
     CallFailed,
     Fail,
     OutboundCall,
-    ResponseData,
-    ResponseEnd,
-    ResponseHead,
     StartAttempt,
 )
 from flamingofront.request.active import ActiveRequest
-from flamingofront.request.attachments import Attachment
+from flamingofront.request.answer_reader import FIRST_ERROR_STATUS, AnswerReader
+from flamingofront.request.attempt_pace import AttemptPace
 from flamingofront.request.directory import SharedPrefix
 from flamingofront.request.event_stream import EventRelay
 from flamingofront.request.forward_work import (
     AttemptFacts,
     EndpointAnswer,
-    Fields,
     ForwardProtocol,
     ForwardWork,
     RelayedAnswer,
@@ -33,55 +30,16 @@
 from flamingofront.request.host import RequestHost
 from flamingofront.request.records import RequestRecord
 
-__all__ = ["ForwardAttachment", "ForwardedRequest"]
+__all__ = ["ForwardedRequest"]
 
 # An endpoint in reach accepts within a few milliseconds; a lost first packet is sent again after a
 # second, too late for the tightest latency objective (0.3 s).
 CONNECT_SECONDS = 0.25
 # The request's own timer ends an attempt; the call's timer is only a second line.
 CALL_MARGIN_SECONDS = 1.0
-FIRST_ERROR_STATUS = 500
-# A version of which several times as many answers as of another one take so many times as long as
-# expected, and so many seconds more, is slow; a single answer may be so by a queue or a cold cache.
-SLOW_TIMES = 3.0
-SLOW_SECONDS = 0.1
 # How far the wall clock of an endpoint may be off from that of the entry VMs: a few milliseconds
 # are usual, and an attempt that is left alone is still ended by its connection.
 CLOCK_MARGIN_SECONDS = 0.25
-MAX_WHOLE_BYTES = 8 * 1024 * 1024
-
-
-class ForwardAttachment(Attachment):
-    """The caller of a forwarded request."""
-
-    def __init__(self, exchange: Exchange, request_id: str, protocol: ForwardProtocol):
-        super().__init__(exchange, request_id)
-        self._protocol = protocol
-        self.begun = False
-
-    def begin(self, status: int, fields: Fields) -> None:
-        """Send the head of a stream, once."""
-        if not self.begun:
-            self.begun = True
-            self._exchange.begin(status, fields)
-
-    def events(self, data: bytes) -> bool:
-        """Send whole events; False if the caller cannot keep up."""
-        return self._exchange.send(data)
-
-    def complete(self, answer: RelayedAnswer) -> None:
-        """Send the answer, or end the stream."""
-        if self.begun:
-            self._exchange.finish()
-        else:
-            self._exchange.respond(answer.status, answer.fields, answer.body)
-
-    def failed(self, exc: RequestError) -> None:
-        """Send the error, or break the stream so that it cannot look complete."""
-        if self.begun:
-            self._exchange.abort()
-        else:
-            self._exchange.respond(*self._protocol.render_error(exc))
 
 
 class ForwardedRequest(ActiveRequest):
@@ -98,7 +56,8 @@
         self.first_at: float | None = None
         self.failure = ""
         self.rule_of: Callable[[ForwardedRequest], VersionRule | None] = lambda request: None
-        self._is_slow = False
+        self._pace = AttemptPace()
+        self._passed_before = 0
         self.on_running: Callable[[ForwardedRequest], None] = lambda request: None
         self.on_end: Callable[[ForwardedRequest], None] = lambda request: None
         self._fallback: RelayedAnswer | None = None
@@ -225,6 +184,9 @@
         work = self.work
         self.endpoints.append(chosen.endpoint_id)
         self.sent_at = self.hub.now()
+        ahead = self._ahead if work.stream else 0
+        self._pace = AttemptPace(self.sent_at, self._rates.now().first_event(ahead))
+        self._passed_before = self.relay.count
         return OutboundCall(
             chosen.address,
             work.method,
@@ -240,7 +202,7 @@
         )
 
     def _listener(self, attempt_id: str, chosen: Candidate) -> Callable[[CallEvent], None]:
-        return _AnswerReader(self, attempt_id)
+        return AnswerReader(self, attempt_id)
 
     def began_at(self) -> float:
         """Return when an endpoint began to run the request, as far as can be told from here.
@@ -253,11 +215,10 @@
 
     def running(self) -> None:
         """Note that an endpoint has begun to answer."""
+        self._pace.began(self.hub.now())
         if self._unread:
             if self.work.stream and self.endpoint_id == self._unread_at:
-                seconds = self.hub.now() - self.sent_at
-                self._is_slow = seconds > self._too_slow(self._rates.now().first_event(self._ahead))
-                self._rates.first_event(self._ahead, seconds)
+                self._rates.first_event(self._ahead, self.hub.now() - self.sent_at)
             self._dequeue()
             self._note_cached()
         if self.first_at is None:
@@ -289,11 +250,6 @@
             self._rates.pause(pause)
         self._events_seen, self._event_at = self.relay.count, now
 
-    @staticmethod
-    def _too_slow(expected: float) -> float:
-        """Return the seconds from which on an answer counts as a bad one of its version."""
-        return SLOW_TIMES * expected + SLOW_SECONDS
-
     def _tell_outcome(self, is_bad: bool) -> None:
         self.hub.on_outcome(self.record.service.name, self.endpoint_id, is_bad)
 
@@ -307,10 +263,9 @@
     def _judge_endpoint(self, answer: RelayedAnswer) -> None:
         """Tell the directory how the endpoint did."""
         directory, now = self.hub.directory, self.hub.now()
-        expected = self._rates.now().first_event(0)
-        if not self.work.stream and now - self.sent_at > self._too_slow(expected):
-            self._is_slow = True
-        self._tell_outcome(self._is_slow or answer.status >= FIRST_ERROR_STATUS)
+        events = self.relay.count - self._passed_before
+        is_slow = self._pace.is_slow(now, events, self._rates.now())
+        self._tell_outcome(is_slow or answer.status >= FIRST_ERROR_STATUS)
         if answer.status >= FIRST_ERROR_STATUS:
             self.hub.endpoint_failed(self.record.service, self.endpoint_id, now)
             return
@@ -352,7 +307,8 @@
     def zone_cut_off(self) -> None:
         """Go on at another endpoint, if that is allowed: this one cannot be heard any more."""
         if self.work.repeatable and self.machine.attempt_id and self._may_try_again():
-            self.lost(self.machine.attempt_id, Ran.UNKNOWN, "zone cut off")
+            # Nothing is known of the answer: it says nothing of the endpoint's version.
+            super().lost(self.machine.attempt_id, Ran.UNKNOWN, "zone cut off")
 
     def endpoint_restarted(self, at: float) -> None:
         """Give an attempt up that its endpoint has lost by starting again.
@@ -400,81 +356,3 @@
         super()._end()
         on_end, self.on_end = self.on_end, lambda request: None
         on_end(self)
-
-
-class _AnswerReader:
-    """Take the events of one attempt."""
-
-    def __init__(self, request: ForwardedRequest, attempt_id: str):
-        self._request = request
-        self._attempt_id = attempt_id
-        self._answer: EndpointAnswer | None = None
-        self._parts: list[bytes] = []
-        self._size = 0
-        request.relay.restart()
-
-    def __call__(self, event: CallEvent) -> None:
-        if isinstance(event, ResponseHead):
-            self._take_head(event)
-        elif isinstance(event, ResponseData):
-            self._take_data(event.data)
-        elif isinstance(event, ResponseEnd):
-            self._take_end()
-        else:
-            self._take_failure(event)
-
-    def _lost(self, ran: Ran, reason: str) -> None:
-        self._request.lost(self._attempt_id, ran, reason)
-
-    def _take_head(self, head: ResponseHead) -> None:
-        answer = self._request.protocol.judge(self._request.work.caller_id, head)
-        if answer.crossed:
-            self._lost(Ran.UNKNOWN, "crossed answer")
-        elif answer.wrong_endpoint:
-            self._request.hub.directory.address_reused(self._request.endpoint_id)
-            self._lost(Ran.NO, "another endpoint has the address")
-        elif answer.not_run:
-            self._lost(Ran.NO, f"refused with status {answer.status}")
-        else:
-            self._answer = answer
-        if not answer.crossed:
-            directory = self._request.hub.directory
-            directory.reached(self._request.endpoint_id, self._request.hub.now())
-
-    @property
-    def _is_stream(self) -> bool:
-        return self._answer.stream and self._answer.status == 200
-
-    def _take_data(self, data: bytes) -> None:
-        if self._is_stream:
-            self._relay(data)
-            return
-        self._parts.append(data)
-        self._size += len(data)
-        if self._size > MAX_WHOLE_BYTES:
-            self._lost(Ran.UNKNOWN, "the answer is too large")
-
-    def _relay(self, data: bytes) -> None:
-        try:
-            whole = self._request.relay.feed(data)
-        except ValueError as exc:
-            self._lost(Ran.UNKNOWN, str(exc))
-            return
-        if whole:
-            self._request.pass_events(self._attempt_id, self._answer, whole)
-
-    def _take_end(self) -> None:
-        answer = self._answer
-        body = b"".join(self._parts)
-        complete = RelayedAnswer(answer.status, answer.fields, body)
-        if self._is_stream and (self._request.relay.incomplete or not self._request.relay.count):
-            self._lost(Ran.UNKNOWN, "the stream ended within an event")
-        elif self._request.begun and not self._is_stream:
-            self._lost(Ran.UNKNOWN, f"the stream went on with status {answer.status}")
-        elif answer.status >= FIRST_ERROR_STATUS:
-            self._request.endpoint_error(self._attempt_id, complete)
-        else:
-            self._request.answered(self._attempt_id, complete)
-
-    def _take_failure(self, event: CallFailed) -> None:
-        self._request.call_failed(self._attempt_id, event)
