Failing test: a request that ends endpoints is sent again and again

Callers saw all engines of a deployment end within 1.3 s, and their streams with them, since one request came again and each process sent it to two engines.

The test plays that in the simulated network: seven processes of four zones, nine engines, four plain endpoints, one request that crashes what runs it, each 0.3 s under another id, beside others.

Ruled out by it: the retry budget (sends stay within it) and reclaims (none here).

--- a/flamingofront/standins/forward_endpoint.py
+++ b/flamingofront/standins/forward_endpoint.py
@@ -11,6 +11,8 @@
 
 REQUEST_ID = "x-flamingofront-request-id"
 STATUS_WRONG_ENDPOINT = 421
+# From the begin of a request to the end of the endpoint that it crashes, as engines were seen to.
+CRASH_SECONDS = 0.09
 
 
 class ForwardFault(StrEnum):
@@ -47,6 +49,9 @@
         self.abandoned = 0
         # True to answer requests for streams in one piece.
         self.plain_answers = False
+        # Which requests end the endpoint a moment after they began, and what happens then.
+        self.crashes_on: Callable[[InboundRequest], bool] = lambda req: False
+        self.on_crash: Callable[[InboundRequest], None] = lambda req: None
         self._timers = timers
 
     def fail(self, fault: ForwardFault, count: int = -1) -> None:
@@ -74,6 +79,9 @@
             return
         self.runs.append(req)
         exchange.on_gone = self._gone
+        if self.crashes_on(req):
+            self._timers.once(CRASH_SECONDS, lambda: self.on_crash(req))
+            return
         self._timers.once(self.gap, lambda: self._answer(req, exchange, fault))
 
     def _gone(self) -> None:
