--- a/flamingofront/cli.py
+++ b/flamingofront/cli.py
@@ -425,13 +425,14 @@
     print(f"drained: {kind} {target}")
 
 
-def logs(*files: str, request: str = "", event: str = "", since: str = "") -> None:
+def logs(*files: str, request: str = "", event: str = "", since: str = "", work: str = "") -> None:
     """Print log lines of entry processes in order of time.
 
     :param files: log files of JSON lines; standard input if none is given
     :param request: only lines of the request with this id
     :param event: only lines of this event
     :param since: only lines from this time on, for example 2026-01-31T12:00:00
+    :param work: only lines on this piece of work: a digest that all repeats of a request have
     """
     try:
         lines = [line for name in files for line in Path(name).read_text().splitlines()]
@@ -441,7 +442,7 @@
     if not files:
         lines = sys.stdin.read().splitlines()
     try:
-        for text in select_lines(lines, request, event, since):
+        for text in select_lines(lines, request, event, since, work):
             print(text)
         sys.stdout.flush()
     except BrokenPipeError:
--- /dev/null
+++ b/flamingofront/decisions/quarantine.py
@@ -0,0 +1,445 @@
+"""Requests that crash the endpoints that run them: who is suspected, and what is not run any more.
+
+Load pattern: one request, repeated by its caller under new ids at any entry process, ends each
+endpoint that begins to run it, and with it all that ran there. Limits on attempts count a request
+id at one process, and health counts an endpoint, so neither sees it. Here the request itself is
+counted, by its fingerprint, over all processes.
+
+What speaks against a request is that endpoints ended while it was there. That holds for all that
+ran beside it as well, so one end proves nothing: of a request three ends are enough, or two if
+nothing else was at both. Ends of which the culprit is found speak against nobody else. Several ends
+in one availability zone at the same moment, of which some were without the request, have a common
+cause and count once. Any answer clears a request.
+
+A request that is held back may be innocent, so that it is tried again after a while: three times in
+all over all processes, each claimed by one of them, and served again when a trial is answered.
+"""
+
+import itertools
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+from enum import StrEnum
+
+__all__ = [
+    "EndpointEnd",
+    "Hold",
+    "Quarantine",
+    "QuarantineWord",
+    "Release",
+    "Standing",
+    "TRIAL_SECONDS",
+]
+
+# Ends under a request from which on it is not run any more. A fleet is lost at nine ends within
+# 1.3 s, and a retried stream that ran beside such a request was seen at two of its ends, 50 times.
+ENDS_TO_HOLD = 3
+# Ends that are enough even if culprits are known for some of them: two requests that crash
+# endpoints may have met, and the one that was found first must not hide the other.
+ENDS_IN_ANY_CASE = ENDS_TO_HOLD + 1
+# Ends that are enough if no other request was at all of them.
+ENDS_ALONE = 2
+# Word of what ran beside it at other processes has come by then, also through relays.
+SETTLED_SECONDS = 1.0
+# Tellings of one end by several processes, whose clocks differ; an endpoint takes longer to start.
+SAME_END_SECONDS = 3.0
+# Ends with a common cause, as a zone's loss of power, come within this time.
+TOGETHER_SECONDS = 0.2
+# Pauses before the trials of a request that is held back: several times the start of an endpoint,
+# and six times longer after each that ended one. After the last it is held until it is forgotten.
+TRIAL_SECONDS = (20.0, 120.0, 720.0)
+FORGOTTEN_SECONDS = 86_400.0
+# Suspicion of a request under which no further endpoint has ended for so long is dropped.
+SUSPECTED_SECONDS = 600.0
+# Memory: about 1 MB, many times what the largest fleet runs at its ends in ten minutes.
+MAX_SUSPECTS = 4096
+MAX_ENDS = 512
+MAX_HOLDS = 1024
+MAX_RELEASED = 1024
+# How long what is new is told to others, and at most how much of it: a report to 16 peers stays
+# small enough to be sent to all of them at once.
+TOLD_SECONDS = 3.0
+MAX_TOLD_REQUESTS = 96
+MAX_TOLD_HOLDS = 48
+
+
+class Standing(StrEnum):
+    """What is known of a request."""
+
+    CLEAR = "clear"
+    """Nothing speaks against it."""
+    SUSPECTED = "suspected"
+    """An endpoint ended while it was there; it is run apart from other suspects."""
+    HELD = "held"
+    """It is not run."""
+    TRIAL_DUE = "trial_due"
+    """It is not run but for one trial, which has to be claimed."""
+
+
+@dataclass(frozen=True)
+class EndpointEnd:
+    """An endpoint that ended without notice, and the requests that were there.
+
+    Parameters
+    ----------
+    at : float
+        When it ended, in seconds of the wall clock that the processes agree on.
+    requests : tuple of str
+        Fingerprints of the requests, of one process or of several.
+    untold : int
+        Requests that are left out here.
+    """
+
+    endpoint_id: str
+    zone: str
+    at: float
+    requests: tuple[str, ...]
+    untold: int = 0
+
+
+@dataclass(frozen=True)
+class Hold:
+    """A request that is not run.
+
+    Parameters
+    ----------
+    endpoints : tuple of str
+        Endpoints that ended under it.
+    since : float
+        When the last of them ended, in seconds of the wall clock.
+    trials : int
+        Trials that were claimed.
+    next_trial : float
+        Wall clock seconds from which on the next trial may be claimed.
+    lifted : bool
+        True once it was answered: it is run as any other.
+    """
+
+    fingerprint: str
+    endpoints: tuple[str, ...]
+    since: float
+    trials: int = 0
+    next_trial: float = 0.0
+    lifted: bool = False
+
+    @property
+    def rank(self) -> tuple[float, int, bool, float]:
+        """Order in which holds of the same request supersede each other."""
+        return self.since, self.trials, self.lifted, self.next_trial
+
+    def claimed(self, now: float) -> "Hold":
+        """Return the hold with a further trial claimed."""
+        trials = self.trials + 1
+        if trials < len(TRIAL_SECONDS):
+            return replace(self, trials=trials, next_trial=now + TRIAL_SECONDS[trials])
+        return replace(self, trials=trials, next_trial=self.since + FORGOTTEN_SECONDS)
+
+
+@dataclass(frozen=True)
+class Release:
+    """A request of which an endpoint has given an answer, and when."""
+
+    fingerprint: str
+    at: float
+
+
+@dataclass(frozen=True)
+class QuarantineWord:
+    """What one process tells others: what is new, and all that is held back."""
+
+    ends: tuple[EndpointEnd, ...] = ()
+    holds: tuple[Hold, ...] = ()
+    released: tuple[Release, ...] = ()
+
+
+@dataclass(eq=False)
+class _End:
+    endpoint_id: str
+    zone: str
+    at: float
+    requests: set[str] = field(default_factory=set)
+    untold: int = 0
+    culprits: set[str] = field(default_factory=set)
+
+    def explained_for(self, fingerprint: str) -> bool:
+        """Tell whether the end speaks against others only."""
+        return bool(self.culprits) and fingerprint not in self.culprits
+
+
+class Quarantine:
+    """Counts ends by request; times are seconds of the wall clock that the processes agree on."""
+
+    def __init__(self):
+        self._ends: OrderedDict[tuple[str, float], _End] = OrderedDict()
+        self._suspects: OrderedDict[str, list[_End]] = OrderedDict()
+        self._holds: OrderedDict[str, Hold] = OrderedDict()
+        self._released: OrderedDict[str, float] = OrderedDict()
+
+    def __bool__(self) -> bool:
+        """True while anything speaks against any request."""
+        return bool(self._suspects or self._holds)
+
+    # What speaks against a request
+
+    def ended(self, end: EndpointEnd, now: float) -> bool:
+        """Take note of an end; True if it told anything new."""
+        if now - end.at > SUSPECTED_SECONDS:
+            return False
+        known = self._same_end(end)
+        is_new = known is None
+        if known is None:
+            known = self._ends[end.endpoint_id, end.at] = _End(end.endpoint_id, end.zone, end.at)
+        known.untold = max(known.untold, end.untold)
+        for fingerprint in end.requests:
+            if fingerprint in known.requests or self._answered_since(fingerprint, known.at):
+                continue
+            is_new = True
+            known.requests.add(fingerprint)
+            self._suspects.setdefault(fingerprint, []).append(known)
+            self._suspects.move_to_end(fingerprint)
+            if fingerprint in self._holds and not self._holds[fingerprint].lifted:
+                known.culprits.add(fingerprint)
+        self._bound()
+        return is_new
+
+    def _same_end(self, end: EndpointEnd) -> _End | None:
+        for known in reversed(self._ends.values()):
+            if known.endpoint_id == end.endpoint_id and abs(known.at - end.at) < SAME_END_SECONDS:
+                return known
+        return None
+
+    def _answered_since(self, fingerprint: str, at: float) -> bool:
+        return self._released.get(fingerprint, at - 1.0) >= at
+
+    def _bound(self) -> None:
+        while len(self._suspects) > MAX_SUSPECTS:
+            self._drop_suspect(next(iter(self._suspects)))
+        while len(self._ends) > MAX_ENDS:
+            self._drop_end(next(iter(self._ends)))
+        while len(self._holds) > MAX_HOLDS:
+            self._holds.popitem(last=False)
+        while len(self._released) > MAX_RELEASED:
+            self._released.popitem(last=False)
+
+    def _drop_suspect(self, fingerprint: str) -> None:
+        for end in self._suspects.pop(fingerprint, ()):
+            end.requests.discard(fingerprint)
+
+    def _drop_end(self, key: tuple[str, float]) -> None:
+        end = self._ends.pop(key)
+        for fingerprint in end.requests:
+            ends = self._suspects[fingerprint]
+            ends.remove(end)
+            if not ends:
+                del self._suspects[fingerprint]
+
+    def ends_under(self, fingerprint: str) -> tuple[EndpointEnd, ...]:
+        """Return the ends that speak against a request, in the order in which they were told."""
+        return tuple(
+            EndpointEnd(each.endpoint_id, each.zone, each.at, (fingerprint,))
+            for each in self._speaking(fingerprint)
+        )
+
+    def _speaking(self, fingerprint: str) -> list[_End]:
+        found = self._suspects.get(fingerprint, ())
+        return [each for each in found if not each.explained_for(fingerprint)]
+
+    def _count(self, fingerprint: str, ends: list[_End]) -> int:
+        """Return how many causes a request's ends have; ends with a common cause are one."""
+        count = 0
+        for _, of_zone in itertools.groupby(
+            sorted(ends, key=lambda each: (each.zone, each.at)), lambda each: each.zone
+        ):
+            count += sum(self._causes(fingerprint, each) for each in _clusters(of_zone))
+        return count
+
+    def _causes(self, fingerprint: str, cluster: list[_End]) -> int:
+        if len(cluster) == 1:
+            return 1
+        first, last = cluster[0].at - TOGETHER_SECONDS, cluster[-1].at + TOGETHER_SECONDS
+        without = any(
+            each.zone == cluster[0].zone
+            and first <= each.at <= last
+            and fingerprint not in each.requests
+            for each in self._ends.values()
+        )
+        return 1 if without else len(cluster)
+
+    def _is_proved(self, fingerprint: str, now: float) -> bool:
+        if self._count(fingerprint, self._suspects[fingerprint]) >= ENDS_IN_ANY_CASE:
+            return True
+        ends = self._speaking(fingerprint)
+        count = self._count(fingerprint, ends)
+        if count >= ENDS_TO_HOLD:
+            return True
+        # Ends with a common cause speak against nobody alone.
+        if count < max(ENDS_ALONE, len(ends)):
+            return False
+        if now - max(each.at for each in ends) < SETTLED_SECONDS:
+            return False
+        others = set.intersection(*(each.requests for each in ends))
+        return others == {fingerprint} and not any(each.untold for each in ends)
+
+    def standing(self, fingerprint: str, now: float) -> Standing:
+        """Return what is known of a request, by what is held back and what speaks against it."""
+        hold = self._holds.get(fingerprint)
+        if hold is not None and not hold.lifted:
+            return Standing.TRIAL_DUE if self._trial_due(hold, now) else Standing.HELD
+        return Standing.SUSPECTED if self._speaking(fingerprint) else Standing.CLEAR
+
+    @staticmethod
+    def _trial_due(hold: Hold, now: float) -> bool:
+        return hold.trials < len(TRIAL_SECONDS) and now >= hold.next_trial
+
+    # What is not run
+
+    def judge(self, now: float) -> tuple[Hold, ...]:
+        """Hold back what is proved by now and return it; the rest of what ran there is cleared.
+
+        Notes
+        -----
+        Those with the most ends go first: what ran beside one of them at fewer ends was there by
+        chance. Of several with equally many none is cleared by the others.
+        """
+        found: list[Hold] = []
+        while proved := self._proved(now):
+            most = max(len(self._suspects[each]) for each in proved)
+            worst = sorted(each for each in proved if len(self._suspects[each]) == most)
+            holds = [self._new_hold(each) for each in worst]
+            for hold in holds:
+                self._put(hold)
+            found += holds
+        return tuple(found)
+
+    def _proved(self, now: float) -> list[str]:
+        return [
+            each
+            for each in self._suspects
+            if self.hold(each) is None and self._is_proved(each, now)
+        ]
+
+    def _new_hold(self, fingerprint: str) -> Hold:
+        ends = self._suspects[fingerprint]
+        since = max(each.at for each in ends)
+        names = tuple(dict.fromkeys(each.endpoint_id for each in ends))
+        return Hold(fingerprint, names, since, next_trial=since + TRIAL_SECONDS[0])
+
+    def _put(self, hold: Hold) -> None:
+        self._holds[hold.fingerprint] = hold
+        self._holds.move_to_end(hold.fingerprint)
+        if not hold.lifted:
+            for end in self._suspects.get(hold.fingerprint, ()):
+                end.culprits.add(hold.fingerprint)
+        self._bound()
+
+    def hold(self, fingerprint: str) -> Hold | None:
+        """Return the hold of a request that is not run; None if it is run."""
+        hold = self._holds.get(fingerprint)
+        return None if hold is None or hold.lifted else hold
+
+    def holds(self) -> tuple[Hold, ...]:
+        """Return all holds, the oldest first."""
+        return tuple(each for each in self._holds.values() if not each.lifted)
+
+    def take_hold(self, hold: Hold, now: float) -> bool:
+        """Take a hold that another process told or that was kept; True if it is news."""
+        known = self._holds.get(hold.fingerprint)
+        if now - hold.since > FORGOTTEN_SECONDS:
+            return False
+        if known is not None and hold.rank <= known.rank:
+            return False
+        self._put(hold)
+        if hold.lifted:
+            self.answered(hold.fingerprint, hold.since)
+        return True
+
+    def suspects(self, now: float) -> frozenset[str]:
+        """Return the requests that are suspected, and run."""
+        return frozenset(
+            each for each in self._suspects if self.standing(each, now) is Standing.SUSPECTED
+        )
+
+    # What clears a request
+
+    def answered(self, fingerprint: str, now: float) -> bool:
+        """Clear a request that an endpoint has answered; True if anything spoke against it."""
+        if fingerprint not in self._suspects and self.hold(fingerprint) is None:
+            return False
+        hold = self.hold(fingerprint)
+        if hold is not None:
+            self._holds[fingerprint] = replace(hold, lifted=True)
+        for end in self._suspects.get(fingerprint, ()):
+            end.culprits.discard(fingerprint)
+        self._drop_suspect(fingerprint)
+        self._released[fingerprint] = now
+        self._released.move_to_end(fingerprint)
+        self._bound()
+        return True
+
+    def released(self, release: Release) -> bool:
+        """Take word that a request was answered elsewhere; True if that is news."""
+        ends = self._suspects.get(release.fingerprint, ())
+        if any(each.at > release.at for each in ends):
+            return False
+        return self.answered(release.fingerprint, release.at)
+
+    def forget(self, now: float) -> tuple[str, ...]:
+        """Drop what is too old, and return the requests that were held back until now."""
+        for key in [key for key, end in self._ends.items() if _is_over(end.at, now)]:
+            self._drop_end(key)
+        old = [each for each in self._holds.values() if now - each.since > FORGOTTEN_SECONDS]
+        for hold in old:
+            del self._holds[hold.fingerprint]
+        for name in [name for name, at in self._released.items() if _is_over(at, now)]:
+            del self._released[name]
+        return tuple(each.fingerprint for each in old if not each.lifted)
+
+    # Word between processes
+
+    def word(self, now: float) -> QuarantineWord | None:
+        """Return what others have to be told; None if that is nothing."""
+        fresh = [each for each in self._ends.values() if now - each.at <= TOLD_SECONDS]
+        holds = tuple(self._holds.values())[-MAX_TOLD_HOLDS:]
+        released = tuple(
+            Release(name, at) for name, at in self._released.items() if now - at <= TOLD_SECONDS
+        )
+        if not fresh and not holds and not released:
+            return None
+        return QuarantineWord(self._told(fresh), holds, released[-MAX_TOLD_REQUESTS:])
+
+    def _told(self, ends: list[_End]) -> tuple[EndpointEnd, ...]:
+        """Return ends with as many of their requests as may be told: the most suspected ones."""
+        ranked = sorted(
+            {each for end in ends for each in end.requests},
+            key=lambda each: (-len(self._suspects[each]), each),
+        )
+        told = frozenset(ranked[:MAX_TOLD_REQUESTS])
+        return tuple(_message(each, told) for each in ends)
+
+    def hear(self, word: QuarantineWord, now: float) -> bool:
+        """Take what another process tells; True if anything was news."""
+        news = [self.ended(each, now) for each in word.ends]
+        news += [self.take_hold(each, now) for each in word.holds]
+        news += [self.released(each) for each in word.released]
+        return any(news)
+
+
+def _is_over(at: float, now: float) -> bool:
+    return now - at > SUSPECTED_SECONDS
+
+
+def _message(end: _End, told: frozenset[str]) -> EndpointEnd:
+    requests = tuple(sorted(end.requests & told))
+    untold = max(end.untold, len(end.requests) - len(requests))
+    return EndpointEnd(end.endpoint_id, end.zone, end.at, requests, untold)
+
+
+def _clusters(ends: Iterable[_End]) -> list[list[_End]]:
+    """Return ends of one zone in groups that came at the same moment; they are sorted by time."""
+    found: list[list[_End]] = []
+    for end in ends:
+        if found and end.at - found[-1][-1].at <= TOGETHER_SECONDS:
+            found[-1].append(end)
+        else:
+            found.append([end])
+    return found
--- /dev/null
+++ b/flamingofront/decisions/tests/test_quarantine.py
@@ -0,0 +1,249 @@
+"""Who is suspected of crashing endpoints, who is held back, and how both are cleared."""
+
+import random
+
+import pytest
+
+from flamingofront.decisions.quarantine import (
+    ENDS_IN_ANY_CASE,
+    ENDS_TO_HOLD,
+    FORGOTTEN_SECONDS,
+    MAX_ENDS,
+    MAX_HOLDS,
+    MAX_SUSPECTS,
+    MAX_TOLD_REQUESTS,
+    SETTLED_SECONDS,
+    SUSPECTED_SECONDS,
+    TRIAL_SECONDS,
+    EndpointEnd,
+    Hold,
+    Quarantine,
+    Standing,
+)
+
+LATER = 100.0
+
+
+class Case:
+    """A quarantine that is told of ends, one a second, each of another zone."""
+
+    def __init__(self):
+        self.quarantine = Quarantine()
+        self.now = 1000.0
+        self.count = 0
+
+    def end(self, *requests, zone=None, endpoint=None, after=1.0):
+        self.now += after
+        self.count += 1
+        name = endpoint or f"e-{self.count}"
+        end = EndpointEnd(name, zone or f"zone-{self.count}", self.now, requests)
+        self.quarantine.ended(end, self.now)
+        return end
+
+    def judge(self, after=0.0):
+        self.now += after
+        return [each.fingerprint for each in self.quarantine.judge(self.now)]
+
+    def standing(self, request):
+        return self.quarantine.standing(request, self.now)
+
+
+class TestHolding:
+    def test_one_end_proves_nothing(self):
+        case = Case()
+        case.end("bad")
+        assert case.judge(LATER) == []
+        assert case.standing("bad") is Standing.SUSPECTED
+
+    def test_three_ends_are_enough_at_once(self):
+        case = Case()
+        for _ in range(ENDS_TO_HOLD):
+            case.end("bad", f"beside-{case.count}", "often beside")
+            if case.count == 1:
+                assert case.judge() == []
+        assert set(case.judge()) == {"bad", "often beside"}
+
+    def test_two_ends_are_enough_where_nothing_else_was_at_both(self):
+        case = Case()
+        case.end("bad", "beside")
+        case.end("bad", "another")
+        assert case.judge() == []
+        assert case.judge(SETTLED_SECONDS) == ["bad"]
+        assert case.standing("bad") is Standing.HELD
+
+    def test_two_ends_are_not_where_something_else_was_at_both(self):
+        case = Case()
+        case.end("bad", "beside")
+        case.end("bad", "beside")
+        assert case.judge(LATER) == []
+
+    def test_two_ends_are_not_where_what_was_there_is_known_in_part(self):
+        case = Case()
+        case.end("bad")
+        end = EndpointEnd("e-x", "zone-x", case.now + 1, ("bad",), untold=1)
+        case.quarantine.ended(end, case.now + 1)
+        assert case.judge(LATER) == []
+
+    def test_an_end_that_several_processes_tell_counts_once(self):
+        case = Case()
+        for offset in (0.0, 0.4, -0.3):
+            end = EndpointEnd("e-1", "zone-1", case.now + offset, ("bad",))
+            case.quarantine.ended(end, case.now + 1)
+        assert len(case.quarantine.ends_under("bad")) == 1
+
+    def test_endpoint_that_started_again_under_its_id_counts_again(self):
+        case = Case()
+        for _ in range(ENDS_TO_HOLD):
+            case.end("bad", endpoint="e-same", zone="zone-1", after=5.0)
+        assert case.judge() == ["bad"]
+
+
+class TestOthers:
+    def test_what_ran_beside_it_is_cleared_once_the_culprit_is_held(self):
+        case = Case()
+        case.end("bad", "beside")
+        case.end("bad", "beside")
+        case.end("bad")
+        assert case.judge() == ["bad"]
+        assert case.standing("beside") is Standing.CLEAR
+
+    def test_worst_goes_first_and_clears_one_that_has_enough_ends_too(self):
+        case = Case()
+        for _ in range(ENDS_TO_HOLD):
+            case.end("bad", "beside")
+        case.end("bad")
+        assert case.judge() == ["bad"]
+        assert case.standing("beside") is Standing.CLEAR
+
+    def test_ends_of_a_zone_at_one_moment_count_once_if_others_were_not_under_it(self):
+        case = Case()
+        for number in range(4):
+            requests = ("common",) if number else ("other",)
+            case.end(*requests, zone="zone-a", after=0.01)
+        assert case.judge(LATER) == []
+        assert case.standing("common") is Standing.SUSPECTED
+
+    def test_ends_of_a_zone_at_one_moment_count_each_if_all_were_under_it(self):
+        case = Case()
+        for _ in range(ENDS_TO_HOLD):
+            case.end("bad", f"beside-{case.count}", zone="zone-a", after=0.01)
+        assert case.judge() == ["bad"]
+
+    def test_zones_lost_one_after_another_count_each_loss_once(self):
+        case = Case()
+        for zone in ("zone-a", "zone-b"):
+            for number in range(5):
+                case.end(*(("common",) if number < 3 else ("other",)), zone=zone, after=0.01)
+            case.now += 10.0
+        case.end("third")
+        assert case.standing("common") is Standing.SUSPECTED
+        assert "common" not in case.judge()
+
+    def test_culprit_that_was_found_first_does_not_hide_another_one(self):
+        case = Case()
+        for _ in range(3):
+            case.end("bad", "worse")
+        case.end("worse")
+        assert case.judge() == ["worse"]
+        case.end("bad")
+        assert case.judge() == ["bad"]
+
+
+class TestClearing:
+    def test_answer_clears_a_suspect(self):
+        case = Case()
+        case.end("fine")
+        case.end("fine", "beside")
+        assert case.quarantine.answered("fine", case.now)
+        assert case.standing("fine") is Standing.CLEAR
+        case.end("fine")
+        assert case.judge(LATER) == []
+
+    def test_answer_lifts_a_hold_and_late_word_of_old_ends_does_not_bring_it_back(self):
+        case = Case()
+        ends = [case.end("fine") for _ in range(ENDS_TO_HOLD)]
+        case.judge()
+        case.quarantine.answered("fine", case.now + 1)
+        for each in ends:
+            case.quarantine.ended(each, case.now + 2)
+        assert case.judge(LATER) == []
+        assert case.standing("fine") is Standing.CLEAR
+
+    def test_answer_told_by_another_process_clears_but_not_of_later_ends(self):
+        here, there = Case(), Case()
+        end = here.end("fine")
+        there.quarantine.ended(end, here.now)
+        there.quarantine.answered("fine", here.now + 0.1)
+        word = there.quarantine.word(here.now + 0.2)
+        assert here.quarantine.hear(word, here.now + 0.2)
+        assert here.standing("fine") is Standing.CLEAR
+        here.end("fine")
+        assert not here.quarantine.hear(word, here.now)
+        assert here.standing("fine") is Standing.SUSPECTED
+
+    def test_suspicion_is_dropped_after_a_while(self):
+        case = Case()
+        case.end("fine")
+        case.quarantine.forget(case.now + SUSPECTED_SECONDS + 1)
+        assert case.standing("fine") is Standing.CLEAR and not case.quarantine
+
+    def test_three_trials_and_then_none_until_it_is_forgotten(self):
+        hold = Hold("bad", ("e-1",), 0.0, next_trial=TRIAL_SECONDS[0])
+        now, trials = 0.0, 0
+        quarantine = Quarantine()
+        quarantine.take_hold(hold, now)
+        while now < FORGOTTEN_SECONDS - 60:
+            now += 10.0
+            if quarantine.standing("bad", now) is Standing.TRIAL_DUE:
+                trials += 1
+                quarantine.take_hold(quarantine.hold("bad").claimed(now), now)
+        assert trials == len(TRIAL_SECONDS)
+        assert quarantine.forget(FORGOTTEN_SECONDS + 1) == ("bad",)
+        assert quarantine.standing("bad", now) is Standing.CLEAR
+
+
+class TestMemory:
+    def test_it_is_bounded_under_many_different_requests(self):
+        case = Case()
+        for number in range(2 * MAX_ENDS):
+            case.end(*(f"r-{number}-{each}" for each in range(12)), after=0.01)
+            case.judge()
+        for number in range(2 * MAX_HOLDS):
+            case.quarantine.take_hold(Hold(f"h-{number}", ("e",), case.now), case.now)
+        inner = case.quarantine
+        assert len(inner._suspects) <= MAX_SUSPECTS and len(inner._ends) <= MAX_ENDS
+        assert len(inner._holds) <= MAX_HOLDS
+        assert all(each.requests for each in list(inner._ends.values())[-300:])
+
+    def test_what_is_told_is_bounded_and_names_the_most_suspected(self):
+        case = Case()
+        for _ in range(2):
+            case.end("bad", *(f"r-{case.count}-{each}" for each in range(200)), after=0.5)
+        word = case.quarantine.word(case.now)
+        assert len({name for end in word.ends for name in end.requests}) <= MAX_TOLD_REQUESTS
+        assert all("bad" in end.requests and end.untold for end in word.ends)
+
+
+class TestWordInAnyOrder:
+    @pytest.mark.parametrize("seed", range(40))
+    def test_processes_that_heard_all_agree(self, seed):
+        """Ends, some of them under one request, told in any order, more than once."""
+        rng = random.Random(seed)
+        ends = []
+        for number in range(rng.randrange(2, 9)):
+            others = rng.sample([f"r-{each}" for each in range(30)], rng.randrange(0, 8))
+            bad = ("bad",) if rng.random() < 0.7 else ()
+            requests = tuple(sorted({*others, *bad}))
+            ends.append(EndpointEnd(f"e-{number}", f"z-{number % 3}", 1000.0 + number, requests))
+        verdicts = set()
+        for _ in range(5):
+            told = [*ends, *rng.choices(ends, k=3)]
+            rng.shuffle(told)
+            quarantine = Quarantine()
+            for each in told:
+                quarantine.ended(each, 1010.0)
+            quarantine.judge(1015.0)
+            verdicts.add(tuple(sorted(each.fingerprint for each in quarantine.holds())))
+        assert len(verdicts) == 1
+        if sum("bad" in each.requests for each in ends) >= ENDS_IN_ANY_CASE:
+            assert "bad" in verdicts.pop()
--- a/flamingofront/errors.py
+++ b/flamingofront/errors.py
@@ -55,6 +55,7 @@
     DEADLINE_EXCEEDED = "deadline_exceeded"
     ENDPOINT_FAILED = "endpoint_failed"
     OUTCOME_UNKNOWN = "outcome_unknown"
+    CRASHES_ENDPOINTS = "crashes_endpoints"
     KEY_REUSED = "idempotency_key_reused"
     KEY_IN_PROGRESS = "idempotency_key_in_progress"
     STORE_UNAVAILABLE = "store_unavailable"
@@ -115,6 +116,9 @@
     ErrorKind.OUTCOME_UNKNOWN: Answer(
         502, Ran.UNKNOWN, False, "the call was sent but its outcome is not known"
     ),
+    ErrorKind.CRASHES_ENDPOINTS: Answer(
+        502, Ran.YES, False, "endpoints ended while they ran this request; it is not run again"
+    ),
     ErrorKind.KEY_REUSED: Answer(
         422, Ran.NO, False, "the idempotency key was used with another request"
     ),
--- a/flamingofront/logview.py
+++ b/flamingofront/logview.py
@@ -12,7 +12,7 @@
 
 
 def select_lines(
-    lines: Iterable[str], request: str = "", event: str = "", since: str = ""
+    lines: Iterable[str], request: str = "", event: str = "", since: str = "", work: str = ""
 ) -> Iterator[str]:
     """Yield the chosen lines as text, in order of time.
 
@@ -24,6 +24,8 @@
         Name of the event; empty for all.
     since : str
         Time from which on lines are chosen, as in the log.
+    work : str
+        Digest of what is asked, the same for all repeats of a request; empty for all.
 
     Notes
     -----
@@ -35,6 +37,7 @@
         for data in parsed
         if data
         and (not request or _is_of(data, request))
+        and (not work or _is_on(data, work))
         and (not event or data.get("event") == event)
         and str(data.get("time", "")) >= since
     ]
@@ -43,6 +46,12 @@
         yield _text(data)
 
 
+def _is_on(data: dict[str, Any], work: str) -> bool:
+    """Tell whether a line is on a piece of work, alone or among others."""
+    told = data.get("work")
+    return work in told if isinstance(told, list) else told == work
+
+
 def _parse(line: str) -> dict[str, Any]:
     start = line.find("{")
     if start < 0:
--- a/flamingofront/process/forwarding/control.py
+++ b/flamingofront/process/forwarding/control.py
@@ -48,6 +48,8 @@
         node, gauge = self._node, self._node.metrics.gauge
         gauge("requests_in_flight", len(node.hub.active))
         gauge("requests_waiting", node.hub.waiting())
+        gauge("requests_suspected", len(node.hub.guard.suspects()))
+        gauge("requests_held", len(node.hub.guard.quarantine.holds()))
         gauge("configuration_revision", node.configuration.version)
         gauge("ready", int(node.ready))
         gauge("peers_heard", node.peers.heard_count())
--- a/flamingofront/process/forwarding/digests.py
+++ b/flamingofront/process/forwarding/digests.py
@@ -11,6 +11,7 @@
 import orjson
 
 from flamingofront.process.forwarding.reports import PeerReport, ProcessCounts, rollout_word
+from flamingofront.process.quarantine_codec import decode_word, encode_word
 
 __all__ = [
     "ALL_ZONES",
@@ -25,7 +26,7 @@
 # Scope of a digest that sums over all zones.
 ALL_ZONES = "*"
 # Format of the datagram; a process of another version refuses it and says so.
-_START = b"D2 "
+_START = b"D3 "
 _ACKNOWLEDGED_END = b"\n"
 # Longest digest that is read: 600 endpoints, 64 workspaces and 41 members take under 20 KB.
 MAX_DIGEST_BYTES = 48 * 1024
@@ -138,6 +139,7 @@
             digest.relays,
             digest.usage,
             digest.told_until,
+            encode_word(relay.quarantine),
         ]
         self._body = orjson.dumps(values)
 
@@ -168,7 +170,7 @@
 
 def _digest(values: list, acknowledged: int) -> Digest:
     identity, state, flags, scope, wall, counts, loads, claim, silent = values[:9]
-    spent, demand, work, roster, relays, usage, told_until = values[9:16]
+    spent, demand, work, roster, relays, usage, told_until, quarantine = values[9:17]
     vm_id, incarnation, sequence, zone, ip = identity
     address, configuration, endpoints, rollouts = state
     cut_off, follows, leaving = flags
@@ -186,6 +188,7 @@
         follows=bool(follows),
         leaving=bool(leaving),
         rollouts=rollout_word(rollouts),
+        quarantine=decode_word(quarantine),
     )
     fencing, lease_version, released, holder_ip = claim
     return Digest(
--- a/flamingofront/process/forwarding/follower.py
+++ b/flamingofront/process/forwarding/follower.py
@@ -52,6 +52,8 @@
         Returns whether other processes follow the table for this one.
     pause : callable
         Returns the seconds between an answer with changes and the next question.
+    wait : float
+        Seconds for which one question waits for a change.
     now : callable
         Time of the timer service.
     """
@@ -66,7 +68,9 @@
         log: Log,
         may_rest: Callable[[], bool] = lambda: False,
         pause: Callable[[], float] = lambda: 0.0,
+        wait: float = FEED_WAIT_SECONDS,
     ):
+        self._wait = wait
         self._may_rest = may_rest
         self._pause = pause
         self._look_once = False
@@ -141,7 +145,7 @@
             self._listener.replaced(rows, version)
             return
         # While the store is away a waiting call would hide its return: it is asked without a wait.
-        wait = 0.0 if self._failures or self._look_once else FEED_WAIT_SECONDS
+        wait = 0.0 if self._failures or self._look_once else self._wait
         self._look_once = False
         changes = yield from self._store.changes(self.table, self._version, wait)
         self._note_answer()
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -19,6 +19,7 @@
 from flamingofront.process.forwarding.endpoint_row import EndpointRow
 from flamingofront.process.forwarding.endpoints import EndpointView
 from flamingofront.process.forwarding.exchange import KnowledgeExchange
+from flamingofront.process.forwarding.follower import TableFollower, TableListener
 from flamingofront.process.forwarding.knowledge import Knowledge, SharedTables
 from flamingofront.process.forwarding.observations import Observations
 from flamingofront.process.forwarding.own_report import OwnReport, ReportedParts
@@ -32,6 +33,7 @@
 from flamingofront.process.forwarding.settings import DeploymentSettings
 from flamingofront.process.forwarding.usage import CountsHeard, UsageBook, UsageDuty
 from flamingofront.process.forwarding.whole_load import WholeLoad
+from flamingofront.process.holds import HOLD_TABLE, HoldKeeper, TableHolds
 from flamingofront.process.logs import Log
 from flamingofront.process.membership import FactTable
 from flamingofront.process.metrics import Metrics
@@ -62,6 +64,10 @@
 LAST_ANSWERS_SECONDS = 0.05
 # Part of an endpoint's connections that may be idle ones.
 IDLE_PART = 0.5
+# Longest wait for a change of the requests that are held back: word of peers comes within a second,
+# and the table is for zones that hear nobody. Of 3.5 s as for the others each process would make
+# three times the calls on a calm day.
+HOLD_WAIT_SECONDS = 10.0
 USAGE = "usage"
 SCALING = "scaling"
 
@@ -170,6 +176,26 @@
             self.hub, needs.protocol, self.quota, self.log, self._began_to_run
         )
         self.gateway.version_rule = self.rollouts.rule
+        self.hub.guard.wall = lambda: self.peers.true_time()
+        self.hub.guard.on_news = lambda: self.peers.tell_now()
+        self.holds = HoldKeeper(
+            self.hub.guard,
+            TableHolds(needs.store),
+            self.tasks,
+            self._rng,
+            self.metrics,
+            self.log,
+        )
+        self.hold_follower = TableFollower(
+            needs.store,
+            HOLD_TABLE,
+            TableListener(lambda rows, version: self.holds.take_rows(rows), self.holds.take_rows),
+            self.timers.now,
+            self._rng,
+            self.log,
+            self._may_rest,
+            wait=HOLD_WAIT_SECONDS,
+        )
 
     def _outcome(self, service: str, endpoint_id: str, is_bad: bool) -> None:
         """Count an answer for the roll-out of a service, if there is one."""
@@ -179,7 +205,7 @@
         return FEW_CANDIDATES if self.peers.lag() > LATE_WORD_SECONDS else MAX_CANDIDATES
 
     def _endpoint_gone(self, row: EndpointRow) -> None:
-        self.hub.ends.gone(row.endpoint_id)
+        self.hub.guard.ends.gone(row.endpoint_id)
         self.directory.forget(row.endpoint_id)
         self._needs.transport.drop_idle(row.address)
         self.knowledge.endpoint_gone(row.endpoint_id)
@@ -370,7 +396,7 @@
             self.tasks.start(self.lease.run())
         for duty in self.duties:
             self.tasks.start(duty.run())
-        for follower in self.knowledge.followers:
+        for follower in (*self.knowledge.followers, self.hold_follower):
             self.tasks.start(follower.run())
         self.log.info("started", zone=self.settings.zone, first=self.settings.first_start)
 
--- a/flamingofront/process/forwarding/own_report.py
+++ b/flamingofront/process/forwarding/own_report.py
@@ -83,6 +83,7 @@
             demand=parts.hub.in_flight_by_service(),
             work=self._work(parts.hub),
             rollouts=parts.rollouts.word(),
+            quarantine=parts.hub.guard.word(),
         )
 
     def _work(self, hub: RequestHub) -> dict[str, tuple[float, float]]:
--- a/flamingofront/process/forwarding/peer_word.py
+++ b/flamingofront/process/forwarding/peer_word.py
@@ -56,6 +56,7 @@
         continuous = gap is not None and peers.table.in_hearing(gap)
         self.take_sums(report.process, report.spent, continuous and peers.counts_directly())
         self._take_rollouts(report)
+        self._reported.hub.guard.hear(report.quarantine)
         if report.usage is not None:
             usage.reported(report.usage, report.process, peers.true_time())
         self._reported.lease.heard(report)
@@ -78,6 +79,7 @@
         """Take what a relay knows, and its word on the duties' holder."""
         self._metrics.count("peer_digests_total")
         self._take_rollouts(relay)
+        self._reported.hub.guard.hear(relay.quarantine)
         self._reported.lease.heard(
             replace(
                 relay,
--- a/flamingofront/process/forwarding/reports.py
+++ b/flamingofront/process/forwarding/reports.py
@@ -13,7 +13,9 @@
 
 import orjson
 
+from flamingofront.decisions.quarantine import QuarantineWord
 from flamingofront.decisions.rollout import Phase
+from flamingofront.process.quarantine_codec import decode_word, encode_word
 
 __all__ = [
     "LoadNote",
@@ -92,6 +94,9 @@
         report does not tell it.
     rollouts : mapping of str to (int, int)
         Number of the order and phase of each roll-out that it knows, by service.
+    quarantine : QuarantineWord, optional
+        Endpoints that have just ended and what ran there, and requests that are not run. None if
+        there are none.
     """
 
     vm_id: str
@@ -117,6 +122,7 @@
     demand: Mapping[str, float] | None = None
     work: Mapping[str, tuple[float, float]] | None = None
     rollouts: Mapping[str, tuple[int, int]] = field(default_factory=dict)
+    quarantine: QuarantineWord | None = None
 
     @property
     def process(self) -> str:
@@ -144,7 +150,8 @@
     Without the names of the fields the short form of a process with 16 workspaces takes 705 bytes
     in place of 907.
     """
-    return orjson.dumps([getattr(report, name) for name in _FIELDS])
+    values = [getattr(report, name) for name in _FIELDS[:-1]]
+    return orjson.dumps([*values, encode_word(report.quarantine)])
 
 
 def decode_report(data: bytes) -> PeerReport:
@@ -164,6 +171,7 @@
     named = dict(zip(_FIELDS, values, strict=False))
     named["peers"] = _texts(named.get("peers", ()))
     named["rollouts"] = rollout_word(named.get("rollouts", {}))
+    named["quarantine"] = decode_word(named.get("quarantine"))
     return PeerReport(**named)
 
 
--- /dev/null
+++ b/flamingofront/process/holds.py
@@ -0,0 +1,212 @@
+"""Holds of requests in the store: they outlast all processes, and trials are claimed there.
+
+A zone that hears no other, and a process that starts when all others are gone, learn of a hold from
+the store alone. A trial is one conditional write of the hold's row, so that of all processes that
+want one only one gets it.
+"""
+
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import orjson
+
+from flamingofront.decisions.quarantine import Hold
+from flamingofront.errors import PlatformError
+from flamingofront.messages import Sleep
+from flamingofront.process.backoff import Backoff
+from flamingofront.process.documents import Condition, DocumentStore, Write
+from flamingofront.process.logs import Log
+from flamingofront.process.metrics import Metrics
+from flamingofront.process.quarantine_codec import decode_hold, encode_hold
+from flamingofront.process.store import RowCondition, RowWrite, StoredRow, TableStore
+from flamingofront.process.tasks import Task, TaskRunner
+from flamingofront.request.guard import RequestGuard
+
+__all__ = ["HOLD_TABLE", "DocumentHolds", "HoldKeeper", "HoldRows", "KeptHold", "TableHolds"]
+
+HOLD_TABLE = "held-requests"
+HOLD_PREFIX = "held-request/"
+# Whoever saw the last end writes first; the others only if that one could not.
+OTHERS_FIRST_SECONDS = 0.5
+OTHERS_LAST_SECONDS = 1.5
+_BACKOFF = Backoff(0.1, 1.0)
+
+
+@dataclass(frozen=True)
+class KeptHold:
+    """A hold as the store has it; `version` is that of its row."""
+
+    hold: Hold
+    version: int
+
+
+class HoldRows(ABC):
+    """Where holds are kept."""
+
+    @abstractmethod
+    def write(self, hold: Hold, version: int) -> Task:
+        """Write a hold if its row has a version, 0 for none; return whether that was done."""
+
+    @abstractmethod
+    def read(self, fingerprint: str) -> Task:
+        """Return the `KeptHold` of a request, None if there is none."""
+
+
+class TableHolds(HoldRows):
+    """Holds as rows of a table of their own."""
+
+    def __init__(self, store: TableStore):
+        self._store = store
+
+    def write(self, hold: Hold, version: int) -> Task:
+        """Write a hold if its row has a version."""
+        condition = RowCondition(HOLD_TABLE, hold.fingerprint, version)
+        row = RowWrite(HOLD_TABLE, hold.fingerprint, orjson.dumps(encode_hold(hold)))
+        outcome = yield from self._store.transact("", (condition,), (row,))
+        return outcome.ok
+
+    def read(self, fingerprint: str) -> Task:
+        """Return the kept hold of a request."""
+        found = yield from self._store.read(
+            HOLD_TABLE, first=fingerprint, end=fingerprint + "\0", limit=1
+        )
+        return kept_hold(found.rows[0]) if found.rows else None
+
+
+class DocumentHolds(HoldRows):
+    """Holds as documents beside the others of the product."""
+
+    def __init__(self, documents: DocumentStore):
+        self._documents = documents
+
+    def write(self, hold: Hold, version: int) -> Task:
+        """Write a hold if its document has a revision."""
+        key = HOLD_PREFIX + hold.fingerprint
+        result = yield from self._documents.transact(
+            (Condition(key, version),), (Write(key, encode_hold(hold)),)
+        )
+        return result.ok
+
+    def read(self, fingerprint: str) -> Task:
+        """Return the kept hold of a request."""
+        (found,) = yield from self._documents.read([HOLD_PREFIX + fingerprint])
+        if not found.revision:
+            return None
+        return KeptHold(decode_hold(found.key, found.value), found.revision)
+
+    def read_all(self) -> Task:
+        """Return all kept holds."""
+        found = yield from self._documents.scan(HOLD_PREFIX)
+        return tuple(KeptHold(decode_hold(each.key, each.value), each.revision) for each in found)
+
+
+def kept_hold(row: StoredRow) -> KeptHold:
+    """Return the hold in a row; raises `PlatformError` if it is malformed."""
+    return KeptHold(decode_hold(row.key, row.value), row.version)
+
+
+class HoldKeeper:
+    """Keeps the holds of a process's guard in the store, and claims trials there."""
+
+    def __init__(
+        self,
+        guard: RequestGuard,
+        rows: HoldRows,
+        tasks: TaskRunner,
+        rng: random.Random,
+        metrics: Metrics,
+        log: Log,
+    ):
+        self._guard = guard
+        self._rows = rows
+        self._tasks = tasks
+        self._rng = rng
+        self._metrics = metrics
+        self._log = log
+        self._versions: dict[str, int] = {}
+        self._kept: dict[str, Hold] = {}
+        guard.on_hold = self._changed
+        guard.claim = self._claim
+
+    def take(self, kept: KeptHold) -> None:
+        """Take a hold as the store has it."""
+        name = kept.hold.fingerprint
+        if self._versions.get(name, 0) < kept.version:
+            self._versions[name] = kept.version
+            self._kept[name] = kept.hold
+        self._guard.take_kept(kept.hold)
+
+    def take_rows(self, rows: tuple[StoredRow, ...]) -> None:
+        """Take rows of the table of holds; one that cannot be read is told and left out."""
+        for row in rows:
+            if row.value is None:
+                continue
+            try:
+                self.take(kept_hold(row))
+            except PlatformError as exc:
+                self._metrics.count("platform_errors_total", operation="hold")
+                self._log.warning("hold refused", work=row.key, detail=str(exc))
+
+    def _changed(self, hold: Hold, is_own: bool) -> None:
+        """Keep a hold that is new or was lifted."""
+        self._tasks.start(self._keep(hold, is_own))
+
+    def _keep(self, hold: Hold, is_own: bool) -> Task:
+        """Write a hold until the store has it, or one that goes before it."""
+        if not is_own:
+            spread = OTHERS_LAST_SECONDS - OTHERS_FIRST_SECONDS
+            yield Sleep(OTHERS_FIRST_SECONDS + spread * self._rng.random())
+        tries = 0
+        while self._is_wanted(hold):
+            try:
+                yield from self._write(hold)
+            except PlatformError as exc:
+                self._metrics.count("platform_errors_total", operation="hold")
+                if tries == 0:
+                    self._log.warning("hold not kept yet", work=hold.fingerprint, detail=str(exc))
+                yield Sleep(_BACKOFF.delay(tries, self._rng))
+                tries += 1
+
+    def _is_wanted(self, hold: Hold) -> bool:
+        kept = self._kept.get(hold.fingerprint)
+        return kept is None or kept.rank < hold.rank
+
+    def _write(self, hold: Hold) -> Task:
+        """Write a hold over what the store was last known to have; else learn what it has."""
+        name = hold.fingerprint
+        done = yield from self._rows.write(hold, self._versions.get(name, 0))
+        if done:
+            self._kept[name] = hold
+        yield from self._read(name)
+
+    def _read(self, fingerprint: str) -> Task:
+        kept = yield from self._rows.read(fingerprint)
+        if kept is None:
+            self._versions.pop(fingerprint, None)
+            self._kept.pop(fingerprint, None)
+        else:
+            self._versions[fingerprint] = kept.version
+            self._kept[fingerprint] = kept.hold
+            self._guard.take_kept(kept.hold)
+
+    def _claim(self, hold: Hold, on_done: Callable[[bool], None]) -> None:
+        self._tasks.start(self._claim_trial(hold), on_done)
+
+    def _claim_trial(self, hold: Hold) -> Task:
+        """Claim a trial by one conditional write; without the store there is none."""
+        name = hold.fingerprint
+        claimed = hold.claimed(self._guard.wall())
+        try:
+            if name not in self._versions:
+                yield from self._read(name)
+            known = self._kept.get(name)
+            if known is not None and known.rank > hold.rank:
+                return False
+            done = yield from self._rows.write(claimed, self._versions.get(name, 0))
+            yield from self._read(name)
+        except PlatformError as exc:
+            self._log.warning("trial not claimed", work=name, detail=str(exc))
+            return False
+        return done
--- a/flamingofront/process/metrics.py
+++ b/flamingofront/process/metrics.py
@@ -23,6 +23,9 @@
     "ejections_total": "Ejections of failing endpoints, by service",
     "endpoint_ends_total": "Endpoints that ended without notice while requests of this process ran",
     "endpoint_probes_total": "Connections opened to see whether an endpoint has ended",
+    "requests_held_total": "Requests that are not run any more, by source",
+    "requests_released_total": "Requests that are run again, by reason",
+    "request_trials_total": "Trials of requests that are held back, by result",
     "platform_errors_total": "Failed platform operations, by operation",
     "gossip_total": "Messages between entry VMs, by kind and result",
     "configurations_total": "Configurations put in force",
@@ -43,6 +46,8 @@
 GAUGES: Mapping[str, str] = {
     "requests_in_flight": "Requests held here",
     "requests_waiting": "Requests that wait for an endpoint",
+    "requests_suspected": "Requests at which endpoints ended, and that are run",
+    "requests_held": "Requests that are not run",
     "configuration_revision": "Revision in force",
     "members": "Entry VMs known, by state",
     "endpoints": "Endpoint VMs known, by state",
--- a/flamingofront/process/node.py
+++ b/flamingofront/process/node.py
@@ -357,6 +357,8 @@
     def _set_gauges(self) -> None:
         self.metrics.gauge("requests_in_flight", len(self.hub.active))
         self.metrics.gauge("requests_waiting", self.hub.waiting())
+        self.metrics.gauge("requests_suspected", len(self.hub.guard.suspects()))
+        self.metrics.gauge("requests_held", len(self.hub.guard.quarantine.holds()))
         self.metrics.gauge("configuration_revision", self.gossip.configuration.revision)
         self.metrics.gauge("ready", int(self.ready))
         for state in VmState:
@@ -408,7 +410,7 @@
         if fact.state is VmState.LEAVING and self.directory.in_flight(fact.vm_id):
             self.tasks.start(self._ask_notice(fact))
         elif fact.state is VmState.GONE:
-            self.hub.ends.gone(fact.vm_id)
+            self.hub.guard.ends.gone(fact.vm_id)
             self.directory.forget(fact.vm_id)
             self.migrations.endpoint_gone(fact.vm_id)
             self._own_loads.pop(fact.vm_id, None)
--- /dev/null
+++ b/flamingofront/process/quarantine_codec.py
@@ -0,0 +1,104 @@
+"""What processes tell one another, and keep, of requests that crash endpoints: as JSON values."""
+
+from typing import Any
+
+import orjson
+
+from flamingofront.decisions.quarantine import EndpointEnd, Hold, QuarantineWord, Release
+from flamingofront.errors import PlatformError
+
+__all__ = ["decode_hold", "decode_word", "encode_hold", "encode_word"]
+
+
+def encode_word(word: QuarantineWord | None) -> list | None:
+    """Return the JSON values of what is told; lists without names, as it is told often."""
+    if word is None:
+        return None
+    return [
+        [[each.endpoint_id, each.zone, each.at, each.requests, each.untold] for each in word.ends],
+        [_hold_values(each) for each in word.holds],
+        [[each.fingerprint, each.at] for each in word.released],
+    ]
+
+
+def decode_word(value: Any) -> QuarantineWord | None:
+    """Return what was told.
+
+    Raises
+    ------
+    ValueError
+        If it is malformed.
+    """
+    if value is None:
+        return None
+    try:
+        ends, holds, released = value
+        return QuarantineWord(
+            tuple(
+                EndpointEnd(str(name), str(zone), float(at), tuple(map(str, requests)), int(untold))
+                for name, zone, at, requests, untold in ends
+            ),
+            tuple(_hold(each) for each in holds),
+            tuple(Release(str(fingerprint), float(at)) for fingerprint, at in released),
+        )
+    except (TypeError, ValueError) as exc:
+        raise ValueError(f"malformed word of requests that are held: {exc!r:.100}") from exc
+
+
+def _hold_values(hold: Hold) -> list:
+    return [
+        hold.fingerprint,
+        hold.endpoints,
+        hold.since,
+        hold.trials,
+        hold.next_trial,
+        hold.lifted,
+    ]
+
+
+def _hold(values: Any) -> Hold:
+    fingerprint, endpoints, since, trials, next_trial, lifted = values
+    return Hold(
+        str(fingerprint),
+        tuple(map(str, endpoints)),
+        float(since),
+        int(trials),
+        float(next_trial),
+        bool(lifted),
+    )
+
+
+def encode_hold(hold: Hold) -> dict[str, Any]:
+    """Return a hold as it is kept in the store, with names for whoever reads it there."""
+    return {
+        "fingerprint": hold.fingerprint,
+        "endpoints": list(hold.endpoints),
+        "since": hold.since,
+        "trials": hold.trials,
+        "next_trial": hold.next_trial,
+        "lifted": hold.lifted,
+    }
+
+
+def decode_hold(key: str, value: Any) -> Hold:
+    """Return a hold as it was kept.
+
+    Raises
+    ------
+    PlatformError
+        If it is malformed.
+    """
+    try:
+        doc = orjson.loads(value) if isinstance(value, bytes) else value
+        return _hold(
+            [
+                doc["fingerprint"],
+                doc["endpoints"],
+                doc["since"],
+                doc["trials"],
+                doc["next_trial"],
+                doc["lifted"],
+            ]
+        )
+    except (KeyError, TypeError, ValueError) as exc:
+        raise PlatformError(f"malformed hold {key}: {exc!r:.100}") from exc
--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -7,6 +7,7 @@
 from flamingofront.connection.interfaces import CallEvent, CallHandle
 from flamingofront.decisions.admission import Ticket
 from flamingofront.decisions.choice import Candidate
+from flamingofront.decisions.quarantine import Standing
 from flamingofront.decisions.rollout import VersionRule
 from flamingofront.errors import ErrorKind, Ran, RequestError
 from flamingofront.messages import (
@@ -24,6 +25,7 @@
 from flamingofront.request.attempts import Order, Phase, RequestFacts, RequestMachine
 from flamingofront.request.directory import SharedPrefix
 from flamingofront.request.fingerprint import fingerprint_of
+from flamingofront.request.guard import refusal_of
 from flamingofront.request.host import RequestHost
 from flamingofront.request.records import RequestRecord
 from flamingofront.request.stored_answer import StoredAnswer
@@ -83,6 +85,8 @@
         self._grace_timer: Timer | None = None
         self._held_back = False
         self._is_due = False
+        # True for the one attempt that may show that a request which is held back is harmless.
+        self.is_trial = False
 
     @property
     def request_id(self) -> str:
@@ -94,6 +98,11 @@
         """True if the request has its final answer or went elsewhere."""
         return self.machine.phase in (Phase.DONE, Phase.FROZEN)
 
+    @property
+    def is_sent(self) -> bool:
+        """True while an endpoint works on it, as far as is known here."""
+        return self._handle is not None
+
     @property
     def can_move(self) -> bool:
         """True if the request may be handed over now."""
@@ -216,6 +225,35 @@
         self.carry(self.machine.start())
 
     def _start_attempt(self, order: StartAttempt) -> None:
+        """Start an attempt, unless the request has crashed the endpoints that ran it."""
+        standing = self.hub.guard.standing(self.fingerprint)
+        if standing is Standing.HELD:
+            self.held_back()
+        elif standing is Standing.TRIAL_DUE:
+            self.hub.guard.claim_trial(
+                self.fingerprint, lambda granted: self._trial_claimed(order, granted)
+            )
+        else:
+            self._place(order)
+
+    def _trial_claimed(self, order: StartAttempt, granted: bool) -> None:
+        if self.done or self.machine.attempt_id != order.attempt_id:
+            return
+        if granted:
+            self.is_trial = True
+            self._place(order)
+        else:
+            self.held_back()
+
+    def held_back(self) -> None:
+        """End the request at once, also while an endpoint has it: it crashes what runs it."""
+        hold = self.hub.guard.hold(self.fingerprint)
+        if hold is not None:
+            exc = refusal_of(hold, self.hub.guard.wall())
+            self.carry(self.machine.give_up(exc.kind, exc.detail))
+
+    def _place(self, order: StartAttempt) -> None:
+        """Choose an endpoint for an attempt and send it there."""
         chosen = self.hub.choose(self, order.exclude)
         if chosen is None:
             delay = SECONDS_BETWEEN_CHOICES * (1 + self.hub.rng.random())
@@ -280,7 +318,7 @@
     def connection_broke(self, attempt_id: str) -> None:
         """Take note that the current attempt's connection ended before its answer did."""
         if not self.done and attempt_id == self.machine.attempt_id:
-            self.hub.ends.broke(self.endpoint_id, self.endpoint_address, self.fingerprint)
+            self.hub.guard.ends.broke(self.endpoint_id, self.endpoint_address, self.fingerprint)
 
     def _emit(self, order: Emit) -> None:
         for each in list(self.attachments):
@@ -298,7 +336,8 @@
         """Make the final answer."""
 
     def _fail(self, order: Fail) -> None:
-        exc = RequestError(order.kind, order.detail, order.ran, order.retry_after)
+        ran = Ran.YES if order.kind is ErrorKind.CRASHES_ENDPOINTS else order.ran
+        exc = RequestError(order.kind, order.detail, ran, order.retry_after)
         self.log.info("request failed", kind=order.kind.value, ran=order.ran.value)
         self._settle(None, exc)
 
--- a/flamingofront/request/attempts.py
+++ b/flamingofront/request/attempts.py
@@ -233,6 +233,12 @@
         self.phase = Phase.WAITING
         return [CancelAttempt(attempt_id), *self.start()]
 
+    def give_up(self, kind: ErrorKind, detail: str) -> list[Order]:
+        """End the request with an error: no further attempt may be made."""
+        if self.phase in (Phase.DONE, Phase.FROZEN):
+            return []
+        return self._stop_attempt() + self._fail(kind, detail)
+
     def deadline(self) -> list[Order]:
         """Give up because the caller's time is over."""
         if self.phase in (Phase.DONE, Phase.FROZEN):
--- a/flamingofront/request/endpoint_ends.py
+++ b/flamingofront/request/endpoint_ends.py
@@ -9,12 +9,13 @@
 from dataclasses import dataclass, field
 
 from flamingofront.connection.interfaces import Reach, Transport
+from flamingofront.decisions.quarantine import EndpointEnd
 from flamingofront.process.logs import Log
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.timers import TimerService
 from flamingofront.request.directory import EndpointDirectory
 
-__all__ = ["EndpointEnd", "EndpointEnds"]
+__all__ = ["EndpointEnds"]
 
 # As for any attempt: an endpoint in reach accepts within a few milliseconds.
 PROBE_SECONDS = 0.25
@@ -32,24 +33,6 @@
 MAX_NAMED = 16
 
 
-@dataclass(frozen=True)
-class EndpointEnd:
-    """An endpoint that ended, and what ran there for this process.
-
-    Parameters
-    ----------
-    at : float
-        When its first connection broke, on the clock of the timer service.
-    requests : frozenset of str
-        Fingerprints of the requests that were at the endpoint.
-    """
-
-    endpoint_id: str
-    zone: str
-    at: float
-    requests: frozenset[str]
-
-
 @dataclass
 class _Doubt:
     """An endpoint of which connections broke."""
@@ -68,7 +51,8 @@
     Attributes
     ----------
     on_ended : callable
-        Gets each `EndpointEnd`; a second one of the same end names what was noticed later.
+        Gets each `EndpointEnd`, with its time on the clock of the timer service. A second one of
+        the same end names what was noticed later.
     """
 
     def __init__(
@@ -162,4 +146,4 @@
         self._tell(endpoint_id, doubt, frozenset(doubt.requests))
 
     def _tell(self, endpoint_id: str, doubt: _Doubt, requests: frozenset[str]) -> None:
-        self.on_ended(EndpointEnd(endpoint_id, doubt.zone, doubt.at, requests))
+        self.on_ended(EndpointEnd(endpoint_id, doubt.zone, doubt.at, tuple(sorted(requests))))
--- a/flamingofront/request/forward_gateway.py
+++ b/flamingofront/request/forward_gateway.py
@@ -102,9 +102,11 @@
         if route is None:
             raise RequestError(ErrorKind.UNKNOWN_SERVICE, f"no route for {caller.path[:80]!r}")
         workspace = self._workspace(caller, route)
+        record = self._record(req, caller, route, workspace)
+        # Before the quota: a refusal for that would ask the caller to come back.
+        self._hub.guard.check(record)
         units = _units(caller, workspace)
         self._check_quota(workspace, units)
-        record = self._record(req, caller, route, workspace)
         self._check_stop(record)
         request = self._hub.accept(record, _share(route, workspace))
         if workspace is not None:
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -281,6 +281,7 @@
         if not self.machine.answered(attempt_id):
             return
         self.status = answer.status
+        self.hub.guard.answered(self.fingerprint)
         self.running()
         self._judge_endpoint(answer)
         self._release(cancel=False)
@@ -295,11 +296,6 @@
         else:
             self.answered(attempt_id, answer)
 
-    @property
-    def is_sent(self) -> bool:
-        """True while an endpoint works on it, as far as is known here."""
-        return self._handle is not None
-
     def silent_since(self) -> float:
         """Return when the endpoint last sent something, or else when it was asked."""
         return max(self.sent_at, self._event_at)
@@ -319,7 +315,7 @@
         one. Clocks of VMs differ, so an attempt that was sent close to the start is left alone.
         """
         if self.is_sent and self.sent_at < at - CLOCK_MARGIN_SECONDS:
-            self.hub.ends.restarted(self.endpoint_id, frozenset((self.fingerprint,)))
+            self.hub.guard.ends.restarted(self.endpoint_id, frozenset((self.fingerprint,)))
             self.lost(self.machine.attempt_id, Ran.UNKNOWN, "endpoint started again")
 
     def _may_try_again(self) -> bool:
--- /dev/null
+++ b/flamingofront/request/guard.py
@@ -0,0 +1,290 @@
+"""Keeps requests that crash endpoints away from them, for one process.
+
+`flamingofront.decisions.quarantine` decides; here its facts come from the attempts of this process
+and the word of others, and its verdicts reach the requests.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from flamingofront.decisions.quarantine import (
+    SETTLED_SECONDS,
+    EndpointEnd,
+    Hold,
+    Quarantine,
+    QuarantineWord,
+    Standing,
+)
+from flamingofront.errors import ErrorKind, Ran, RequestError
+from flamingofront.process.logs import Log
+from flamingofront.process.metrics import Metrics
+from flamingofront.process.timers import TimerService
+from flamingofront.request.endpoint_ends import EndpointEnds
+from flamingofront.request.fingerprint import fingerprint_of
+from flamingofront.request.records import RequestRecord
+
+if TYPE_CHECKING:
+    from flamingofront.request.active import ActiveRequest
+
+__all__ = ["RequestGuard", "refusal_of"]
+
+# Pause between two looks at what is too old.
+FORGET_SECONDS = 10.0
+# Word of what others saw is told on in bundles: tens of processes tell of one end.
+BUNDLE_SECONDS = 0.03
+
+
+def refusal_of(hold: Hold, wall: float) -> RequestError:
+    """Return the error of a request that is not run, with what it has done."""
+    ago = max(0.0, wall - hold.since)
+    return RequestError(
+        ErrorKind.CRASHES_ENDPOINTS,
+        f"{len(hold.endpoints)} endpoints ended while they ran this request, the last one "
+        f"{ago:.1f} s ago; do not repeat it",
+        inputs={
+            "work": hold.fingerprint,
+            "endpoints": hold.endpoints,
+            "last_end_age": round(ago, 3),
+            "trials": hold.trials,
+            "next_trial_in": round(hold.next_trial - wall, 1),
+        },
+    )
+
+
+class RequestGuard:
+    """What this process knows of requests that crash endpoints.
+
+    Parameters
+    ----------
+    active : callable
+        Returns the requests that this process holds.
+
+    Attributes
+    ----------
+    wall : callable
+        Returns the wall clock that the processes agree on.
+    on_news : callable
+        Called when others have to be told.
+    on_hold : callable
+        Gets each hold that is new or was lifted, and whether this process found it out itself.
+    claim : callable
+        Claims a trial for this process alone: gets the hold, and what to call with the outcome.
+    """
+
+    def __init__(
+        self,
+        ends: EndpointEnds,
+        timers: TimerService,
+        metrics: Metrics,
+        log: Log,
+        active: Callable[[], Iterable["ActiveRequest"]],
+    ):
+        self.ends = ends
+        ends.on_ended = self._ended
+        self.quarantine = Quarantine()
+        self.wall: Callable[[], float] = timers.wall
+        self.on_news: Callable[[], None] = lambda: None
+        self.on_hold: Callable[[Hold, bool], None] = lambda hold, is_own: None
+        self.claim: Callable[[Hold, Callable[[bool], None]], None] = lambda hold, done: done(False)
+        self._timers = timers
+        self._metrics = metrics
+        self._log = log
+        self._active = active
+        self._telling = False
+        self._settling = False
+        timers.every(FORGET_SECONDS, self._forget, first=FORGET_SECONDS, relaxed=True)
+
+    # Verdicts
+
+    def standing(self, fingerprint: str) -> Standing:
+        """Return what is known of a request."""
+        if not self.quarantine:
+            return Standing.CLEAR
+        return self.quarantine.standing(fingerprint, self.wall())
+
+    def hold(self, fingerprint: str) -> Hold | None:
+        """Return the hold of a request that is not run; None if it is run."""
+        return self.quarantine.hold(fingerprint)
+
+    def suspects(self) -> frozenset[str]:
+        """Return the requests that are suspected, and run."""
+        return self.quarantine.suspects(self.wall())
+
+    def check(self, record: RequestRecord) -> None:
+        """Refuse a request that is not run.
+
+        Raises
+        ------
+        RequestError
+            At once, with the endpoints that ended under it.
+        """
+        if not self.quarantine:
+            return
+        fingerprint = fingerprint_of(record)
+        if self.standing(fingerprint) is Standing.HELD:
+            raise refusal_of(self.hold(fingerprint), self.wall())
+
+    def keep_away(self, request: "ActiveRequest") -> frozenset[str]:
+        """Return the endpoints that a suspect is kept away from while there are others.
+
+        Notes
+        -----
+        Two suspects at one endpoint cannot be told apart by its end. What is tried once more is
+        kept from all that runs here.
+        """
+        if not self.quarantine:
+            return frozenset()
+        if not request.is_trial and self.standing(request.fingerprint) is not Standing.SUSPECTED:
+            return frozenset()
+        return frozenset(
+            each.endpoint_id
+            for each in self._active()
+            if each is not request and each.is_sent and self._keeps_away(request, each)
+        )
+
+    def _keeps_away(self, request: "ActiveRequest", other: "ActiveRequest") -> bool:
+        if other.fingerprint == request.fingerprint:
+            return True
+        return request.is_trial or self.standing(other.fingerprint) is not Standing.CLEAR
+
+    # Facts
+
+    def _ended(self, end: EndpointEnd) -> None:
+        """Take note of an end that this process has seen."""
+        at = self.wall() - (self._timers.now() - end.at)
+        if self.quarantine.ended(replace(end, at=at), self.wall()):
+            self._judge(is_own=True)
+            self.on_news()
+
+    def answered(self, fingerprint: str) -> None:
+        """Take note that an endpoint has answered a request."""
+        if not self.quarantine:
+            return
+        hold, now = self.quarantine.hold(fingerprint), self.wall()
+        ends = self.quarantine.ends_under(fingerprint)
+        if not self.quarantine.answered(fingerprint, now):
+            return
+        if hold is not None:
+            self._released(hold, "answered")
+            self.on_hold(replace(hold, lifted=True), True)
+        else:
+            self._log.info(
+                "suspicion dropped",
+                work=fingerprint,
+                reason="answered",
+                endpoints=[each.endpoint_id for each in ends],
+            )
+        self.on_news()
+
+    def hear(self, word: QuarantineWord | None) -> None:
+        """Take what another process tells."""
+        if word is None:
+            return
+        before = {each.fingerprint: each for each in self.quarantine.holds()}
+        if not self.quarantine.hear(word, self.wall()):
+            return
+        self._compare(before, "peer")
+        self._judge(is_own=False)
+        self._tell_on()
+
+    def take_kept(self, hold: Hold) -> None:
+        """Take a hold as the store has it."""
+        before = {each.fingerprint: each for each in self.quarantine.holds()}
+        if self.quarantine.take_hold(hold, self.wall()):
+            self._compare(before, "store")
+            self._tell_on()
+
+    def word(self) -> QuarantineWord | None:
+        """Return what others have to be told; None if that is nothing."""
+        return self.quarantine.word(self.wall()) if self.quarantine else None
+
+    def _tell_on(self) -> None:
+        """Tell others soon of what was heard: some of them cannot hear its source."""
+        if not self._telling:
+            self._telling = True
+            self._timers.once(BUNDLE_SECONDS, self._told_on)
+
+    def _told_on(self) -> None:
+        self._telling = False
+        self.on_news()
+
+    # What follows
+
+    def _compare(self, before: dict[str, Hold], source: str) -> None:
+        """Act on holds that came or went by word of others."""
+        after = {each.fingerprint: each for each in self.quarantine.holds()}
+        for fingerprint, hold in after.items():
+            if fingerprint not in before:
+                self._held(hold, source)
+        for fingerprint, hold in before.items():
+            if fingerprint not in after:
+                self._released(hold, f"answered, says {source}")
+
+    def _judge(self, is_own: bool) -> None:
+        for hold in self.quarantine.judge(self.wall()):
+            self._held(hold, "own" if is_own else "ends")
+            self.on_hold(hold, is_own)
+        if not self._settling:
+            self._settling = True
+            self._timers.once(SETTLED_SECONDS, self._settled)
+
+    def _settled(self) -> None:
+        """Look again once word of all processes has come."""
+        self._settling = False
+        for hold in self.quarantine.judge(self.wall()):
+            self._held(hold, "settled")
+            self.on_hold(hold, False)
+
+    def _held(self, hold: Hold, source: str) -> None:
+        """Stop a request wherever this process has it."""
+        self._metrics.count("requests_held_total", source=source)
+        self._log.warning(
+            "request held",
+            work=hold.fingerprint,
+            source=source,
+            endpoints=hold.endpoints,
+            last_end_age=round(self.wall() - hold.since, 3),
+            trials=hold.trials,
+            next_trial_in=round(hold.next_trial - self.wall(), 1),
+        )
+        for request in self._active():
+            is_begun = request.machine.ran is Ran.YES
+            if request.fingerprint == hold.fingerprint and not (is_begun or request.is_trial):
+                request.held_back()
+
+    def _released(self, hold: Hold, reason: str) -> None:
+        self._metrics.count("requests_released_total", reason=reason)
+        self._log.info(
+            "request served again",
+            work=hold.fingerprint,
+            reason=reason,
+            endpoints=hold.endpoints,
+            held_for=round(self.wall() - hold.since, 1),
+            trials=hold.trials,
+        )
+
+    def claim_trial(self, fingerprint: str, on_done: Callable[[bool], None]) -> None:
+        """Claim a trial of a request that is held back, for this process alone."""
+        hold = self.hold(fingerprint)
+        if hold is None:
+            on_done(True)
+            return
+        self.claim(hold, lambda granted: self._trial_claimed(hold, granted, on_done))
+
+    def _trial_claimed(self, hold: Hold, granted: bool, on_done: Callable[[bool], None]) -> None:
+        result = "granted" if granted else "denied"
+        self._metrics.count("request_trials_total", result=result)
+        self._log.info(
+            "request trial",
+            work=hold.fingerprint,
+            result=result,
+            trials=hold.trials,
+            held_for=round(self.wall() - hold.since, 1),
+        )
+        on_done(granted)
+
+    def _forget(self) -> None:
+        before = {each.fingerprint: each for each in self.quarantine.holds()}
+        for fingerprint in self.quarantine.forget(self.wall()):
+            self._released(before[fingerprint], "forgotten")
--- a/flamingofront/request/host.py
+++ b/flamingofront/request/host.py
@@ -19,8 +19,8 @@
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.timers import TimerService
 from flamingofront.request.directory import EndpointDirectory
-from flamingofront.request.endpoint_ends import EndpointEnds
 from flamingofront.request.forward_work import ForwardProtocol
+from flamingofront.request.guard import RequestGuard
 from flamingofront.request.records import RequestRecord
 from flamingofront.version.model import Service
 
@@ -65,8 +65,8 @@
         Returns the prompt tokens that an endpoint of a service can hold in its cache.
     rates : LearnedRates
         What the endpoints can do, as their answers showed.
-    ends : EndpointEnds
-        Endpoints that ended while requests ran there.
+    guard : RequestGuard
+        Requests that crash the endpoints that run them.
     """
 
     settings: HubSettings
@@ -79,7 +79,7 @@
     protocol: ForwardProtocol | None
     cache_tokens: Callable[[str], float]
     rates: LearnedRates
-    ends: EndpointEnds
+    guard: RequestGuard
 
     @abstractmethod
     def now(self) -> float:
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -27,6 +27,7 @@
 from flamingofront.request.finished import FinishedAnswer, FinishedAnswers
 from flamingofront.request.forward_work import ForwardProtocol, ForwardWork
 from flamingofront.request.forwarded_request import ForwardedRequest
+from flamingofront.request.guard import RequestGuard
 from flamingofront.request.host import HubSettings, RequestHost
 from flamingofront.request.model_request import ModelRequest
 from flamingofront.request.plain_request import PlainRequest
@@ -87,7 +88,8 @@
         # Prompt tokens that an endpoint of a service can hold in its cache.
         self.cache_tokens: Callable[[str], float] = lambda service: math.inf
         self.rates = LearnedRates()
-        self.ends = EndpointEnds(transport, timers, directory, metrics, log)
+        ends = EndpointEnds(transport, timers, directory, metrics, log)
+        self.guard = RequestGuard(ends, timers, metrics, log, lambda: tuple(self.active.values()))
         self.work = WorkMeter()
         self._policy = policy or CostChoice()
         self._admissions: dict[str, FairAdmission] = {}
@@ -130,6 +132,8 @@
             At once, if the request is over a limit or could not start in time.
         """
         service = record.service
+        if not resumed:
+            self.guard.check(record)
         if not resumed and self.directory.capacity(service) == 0:
             raise RequestError(ErrorKind.NO_ENDPOINT, retry_after=self._no_endpoint_delay())
         now = self.now()
@@ -200,6 +204,7 @@
     def choose(self, request: ActiveRequest, exclude: frozenset[str]) -> Candidate | None:
         """Return the endpoint for an attempt, None if there is none with room."""
         service, record = request.record.service, request.record
+        exclude |= self.guard.keep_away(request)
         rule = request.version_rule()
         for whole in (False, True):
             candidates = self.directory.candidates(
--- a/flamingofront/request/model_request.py
+++ b/flamingofront/request/model_request.py
@@ -52,11 +52,11 @@
         self._kv = kv_handle
         self._cache_at = chosen
 
-    def _start_attempt(self, order: StartAttempt) -> None:
+    def _place(self, order: StartAttempt) -> None:
         chosen, self._cache_at = self._cache_at, None
         if chosen is None or self.hub.directory.leaving(chosen.endpoint_id):
             self._kv = ""
-            super()._start_attempt(order)
+            super()._place(order)
         else:
             self.launch(order, chosen)
 
@@ -88,6 +88,7 @@
 
     def frame(self, frame: Frame, prefilled: int) -> None:
         """Take a frame of the current attempt."""
+        self.hub.directory.reached(self.endpoint_id, self.hub.now())
         self._count_recomputed(frame, prefilled)
         before = sum(self.machine.assembler.dropped.values())
         first = self.machine.assembler.offset == 0
@@ -117,6 +118,7 @@
 
     def _complete(self) -> None:
         self.hub.directory.health.succeeded(self.endpoint_id)
+        self.hub.guard.answered(self.fingerprint)
         self.hub.directory.prefixes.stored(self.endpoint_id, self.hashes())
         # The end of the response is still to come; reading it keeps the connection usable.
         self._release(cancel=False)
--- a/flamingofront/request/tests/test_endpoint_ends.py
+++ b/flamingofront/request/tests/test_endpoint_ends.py
@@ -63,7 +63,7 @@
         world.run(0.1)
         (end,) = world.ends
         assert (end.endpoint_id, end.zone, end.at) == ("e-1", "zone-a", 100.0)
-        assert end.requests == {"one", "two"}
+        assert end.requests == ("one", "two")
         assert world.metrics.value("endpoint_ends_total") == 1
 
     def test_endpoint_that_accepts_connections_has_not_ended(self):
@@ -96,7 +96,7 @@
         world.run(2.5)
         assert not world.ends
         world.watch.gone("e-1")
-        assert [each.requests for each in world.ends] == [{"one"}]
+        assert [each.requests for each in world.ends] == [("one",)]
 
     def test_silent_endpoint_that_comes_back_has_not_ended(self):
         world = Watch()
@@ -113,10 +113,10 @@
         world.broke("one")
         world.run(0.1)
         world.broke("one", "two")
-        assert [each.requests for each in world.ends] == [{"one"}, {"two"}]
+        assert [each.requests for each in world.ends] == [("one",), ("two",)]
         assert {each.at for each in world.ends} == {100.0}
 
     def test_new_start_of_an_endpoint_shows_the_end_of_the_one_before(self):
         world = Watch()
         world.watch.restarted("e-1", frozenset({"one"}))
-        assert [each.requests for each in world.ends] == [{"one"}]
+        assert [each.requests for each in world.ends] == [("one",)]
--- a/flamingofront/tests/crashing_world.py
+++ b/flamingofront/tests/crashing_world.py
@@ -5,7 +5,7 @@
 from flamingofront.platform.endpoints import ENDPOINT_TABLE
 from flamingofront.tests.forwarding_world import ForwardingWorld
 
-__all__ = ["CONTACT_SECONDS", "Crash", "CrashingWorld", "crashing_world"]
+__all__ = ["CONTACT_SECONDS", "ZONES", "Crash", "CrashingWorld", "crashing_world"]
 
 # Word of what happened is owed to all processes so much later, as the platform sees it.
 CONTACT_SECONDS = 3.0
--- a/flamingofront/tests/test_crashing_requests.py
+++ b/flamingofront/tests/test_crashing_requests.py
@@ -18,9 +18,15 @@
 moment on at which word of its third end can have come to all (three seconds later).
 """
 
+import logbook
 import pytest
 
-from flamingofront.tests.crashing_world import crashing_world
+from flamingofront.decisions.quarantine import TRIAL_SECONDS
+from flamingofront.process.holds import HOLD_TABLE
+from flamingofront.process.quarantine_codec import decode_hold
+from flamingofront.standins.forward_endpoint import ForwardFault
+from flamingofront.standins.table_store import StoreFault
+from flamingofront.tests.crashing_world import CONTACT_SECONDS, ZONES, crashing_world
 
 POISON = b"a prompt that no engine survives"
 MAX_SENT_LATE = 3
@@ -48,3 +54,233 @@
         world.poison.add(POISON)
         repeat(world, path)
         assert world.sent_late(POISON) <= MAX_SENT_LATE
+
+    def test_word_of_it_comes_to_many_processes_through_relays(self):
+        world = crashing_world(fronts=36, engines=16)
+        world.poison.add(POISON)
+        repeat(world, "/stream/once/x", seconds=10.0)
+        assert world.sent_late(POISON) <= MAX_SENT_LATE
+        assert all(each.hub.guard.quarantine.holds() for each in world.fronts.values())
+
+    @pytest.mark.parametrize("path", ["/stream/again/x", "/write/x"])
+    def test_many_that_come_at_once_again_and_again(self, path):
+        world = crashing_world()
+        world.poison.add(POISON)
+        for _ in range(4):
+            callers = [world.ask_one(path, POISON) for _ in range(20)]
+            world.run(4.5)
+            assert all(each.done for each in callers)
+        assert world.sent_late(POISON) <= MAX_SENT_LATE
+
+    def test_trials_of_a_request_that_stays_harmful_are_few(self):
+        """Three trials are all that is owed, over all processes."""
+        world = crashing_world()
+        world.poison.add(POISON)
+        repeat(world, "/stream/once/x", seconds=160.0, pause=1.5)
+        assert 1 <= world.sent_late(POISON) <= MAX_SENT_LATE
+
+
+class TestProcessesThatCameLater:
+    @pytest.mark.parametrize("path", ["/stream/again/x", "/read/x"])
+    def test_all_processes_are_killed_and_start_again(self, path):
+        world = crashing_world()
+        world.poison.add(POISON)
+        repeat(world, path, seconds=3.0)
+        for name in list(world.fronts):
+            world.kill(name)
+        world.run(1.0)
+        for number, name in enumerate(list(world.fronts)):
+            world.front(name, ZONES[number % len(ZONES)], first_start=False)
+        world.run(0.5)
+        repeat(world, path, seconds=8.0)
+        assert len(world.ends_under(POISON)) >= 3
+        assert world.sent_late(POISON) <= MAX_SENT_LATE
+
+    def test_processes_start_and_restart_in_the_middle(self):
+        world = crashing_world()
+        world.poison.add(POISON)
+        for number in range(10):
+            repeat(world, "/stream/once/x", seconds=1.0)
+            name = f"front-{number % 7}"
+            world.kill(name)
+            world.front(name, ZONES[number % len(ZONES)], first_start=False)
+            world.front(f"later-{number}", ZONES[number % len(ZONES)], first_start=False)
+        assert world.sent_late(POISON) <= MAX_SENT_LATE
+
+    def test_process_that_stood_still_learns_of_it_before_word_is_owed(self):
+        world = crashing_world()
+        world.poison.add(POISON)
+        world.pause("front-0")
+        repeat(world, "/stream/once/x", seconds=6.0)
+        world.resume("front-0")
+        world.run(CONTACT_SECONDS)
+        before = len(world.sent)
+        callers = [world.ask_one("/stream/once/x", POISON, "front-0") for _ in range(3)]
+        world.run(1.0)
+        assert [each.error["kind"] for each in callers] == ["crashes_endpoints"] * 3
+        assert len(world.sent) == before
+
+
+class TestZonesThatHearNobody:
+    @pytest.mark.parametrize("path", ["/stream/again/x", "/stream/once/x", "/write/x"])
+    def test_bound_holds_while_they_are_cut_off_and_after(self, path):
+        """Each zone still reaches the store, and sends to its own endpoints only."""
+        world = crashing_world(fronts=8, engines=12, plains=8)
+        world.poison.add(POISON)
+        for number, zone in enumerate(ZONES):
+            for other in ZONES[number + 1 :]:
+                world.cut(zone, other)
+        world.run(2.0)
+        repeat(world, path, seconds=12.0)
+        world.heal()
+        repeat(world, path, seconds=6.0)
+        assert len(world.ends_under(POISON)) >= 3
+        assert world.sent_late(POISON) <= MAX_SENT_LATE
+
+
+class TestOthers:
+    def refused(self, callers):
+        return sum(b"crashes_endpoints" in each.body for each in callers)
+
+    def test_what_runs_beside_it_is_not_refused(self):
+        """Streams that go on elsewhere when their engine ends, of the same caller and route."""
+        world = crashing_world(engines=6)
+        world.poison.add(POISON)
+        others = []
+        for number in range(150):
+            others.append(world.ask_one("/stream/again/x", b"prompt %d" % number))
+            if number % 6 == 0:
+                world.ask_one("/stream/again/x", POISON)
+            world.run(0.05)
+        world.run(5.0)
+        assert self.refused(others) == 0
+        again = [world.ask_one("/stream/again/x", b"prompt %d" % each) for each in range(150)]
+        world.run(5.0)
+        assert self.refused(again) == 0
+
+    @pytest.mark.parametrize("seed", range(5))
+    def test_endpoints_that_end_for_other_reasons_hold_nothing_back(self, seed):
+        """Single ones again and again, and the engines of a whole zone at once."""
+        world = crashing_world(seed=seed)
+        callers = []
+        for turn in range(12):
+            for number in range(25):
+                path = "/read/x" if number % 4 == 0 else "/stream/again/x"
+                callers.append(world.ask_one(path, b"prompt %d.%d" % (turn, number)))
+                callers.append(world.ask_one("/read/the-same-for-all", b""))
+                world.run(0.02)
+            zone = world.rng.choice(ZONES)
+            for name in list(world.alive("engines") + world.alive("records")):
+                host = world.host(name)
+                if host.zone == zone if turn % 3 == 0 else world.rng.random() < 0.1:
+                    service = "engines" if name.startswith("engine") else "records"
+                    world.end_endpoint(name, service, host.zone)
+            world.run(0.5)
+        world.run(5.0)
+        assert self.refused(callers) == 0
+        assert not any(each.hub.guard.quarantine.holds() for each in world.fronts.values())
+
+    @pytest.mark.parametrize(
+        "fault", [ForwardFault.ERROR, ForwardFault.LOSE_ANSWER, ForwardFault.CUT]
+    )
+    def test_endpoints_that_fail_answers_without_ending_speak_against_nobody(self, fault):
+        world = crashing_world()
+        for each in world.endpoints.values():
+            each.fail(fault)
+        callers = []
+        for _ in range(40):
+            callers.append(world.ask_one("/stream/again/x", b"the same prompt"))
+            callers.append(world.ask_one("/read/x", b"the same body"))
+            world.run(0.1)
+        world.run(5.0)
+        assert self.refused(callers) == 0
+        assert not any(each.hub.guard.quarantine for each in world.fronts.values())
+
+
+class TestAnswer:
+    def test_caller_learns_at_once_what_happened_and_is_not_asked_to_come_back(self):
+        world = crashing_world()
+        world.poison.add(POISON)
+        repeat(world, "/write/x", seconds=3.0)
+        caller = world.ask_one("/write/x", POISON)
+        assert caller.done and caller.status == 502
+        assert "retry-after" not in caller.headers
+        error = caller.error
+        assert (error["kind"], error["ran"]) == ("crashes_endpoints", "yes")
+        assert "3 endpoints ended while they ran this request" in error["message"]
+
+    def test_request_that_is_under_way_elsewhere_is_stopped(self):
+        """Of twenty that came at once, those that wait at other engines end nothing more."""
+        world = crashing_world()
+        world.poison.add(POISON)
+        repeat(world, "/write/x", seconds=1.0)
+        name = next(iter(world.fronts))
+        active = [each.fingerprint for each in world.fronts[name].hub.active.values()]
+        held = {each.fingerprint for each in world.fronts[name].hub.guard.quarantine.holds()}
+        assert held and not held.intersection(active)
+
+    def test_lines_lead_from_an_id_to_all_endpoints_and_to_the_refusal(self):
+        with logbook.TestHandler(level="INFO", bubble=True).applicationbound() as log:
+            world = crashing_world()
+            world.poison.add(POISON)
+            repeat(world, "/write/x", seconds=3.0)
+            caller = world.ask_one("/write/x", POISON, X_Flamingofront_Request_Id="asked-for")
+        assert caller.status == 502
+        lines = [(each.message, each.kwargs) for each in log.records]
+        (work,) = {
+            kwargs["work"]
+            for message, kwargs in lines
+            if message == "refused" and kwargs["request"] == "asked-for"
+        }
+        ended = {
+            kwargs["endpoint"]
+            for message, kwargs in lines
+            if message == "endpoint ended" and work in kwargs["work"]
+        }
+        assert ended == {each.endpoint_id for each in world.ends_under(POISON)}
+        held = [kwargs for message, kwargs in lines if message == "request held"]
+        assert {each["work"] for each in held} == {work}
+        assert len(held) == len(world.fronts)
+        assert all(set(each["endpoints"]) <= ended for each in held)
+
+
+class TestTrial:
+    def test_request_that_was_held_wrongly_is_served_again(self):
+        """Its caller mended the prompt's cause elsewhere; the first trial is answered."""
+        with logbook.TestHandler(level="INFO", bubble=True).applicationbound() as log:
+            world = crashing_world()
+            world.poison.add(POISON)
+            repeat(world, "/stream/once/x", seconds=3.0)
+            world.poison.clear()
+            world.run(TRIAL_SECONDS[0] + 1.0)
+            trial = world.ask_one("/stream/once/x", POISON)
+            world.finish(trial)
+            assert trial.status == 200 and not trial.broken
+            world.run(1.0)
+            callers = [world.ask(name, "/stream/once/x", body=POISON) for name in world.fronts]
+            world.finish(*callers)
+        assert {each.status for each in callers} == {200}
+        released = [each.kwargs for each in log.records if each.message == "request served again"]
+        assert len(released) == 7 and "answered" in released[0]["reason"]
+        (kept,) = [decode_hold(key, row[0]) for key, row in world.store.rows(HOLD_TABLE).items()]
+        assert kept.lifted
+
+    def test_only_one_of_many_processes_gets_the_trial(self):
+        world = crashing_world()
+        world.poison.add(POISON)
+        repeat(world, "/stream/once/x", seconds=3.0)
+        world.run(TRIAL_SECONDS[0] + 1.0)
+        sent = len(world.sent)
+        callers = [world.ask(name, "/stream/once/x", body=POISON) for name in world.fronts]
+        world.finish(*callers)
+        assert len(world.sent) == sent + 1
+
+    def test_without_the_store_there_is_no_trial(self):
+        world = crashing_world()
+        world.poison.add(POISON)
+        repeat(world, "/stream/once/x", seconds=3.0)
+        world.store.fault = StoreFault.BUSY
+        world.run(TRIAL_SECONDS[0] + 1.0)
+        caller = world.ask_one("/stream/once/x", POISON)
+        world.finish(caller)
+        assert caller.error["kind"] == "crashes_endpoints"
--- a/flamingofront/tests/test_operating.py
+++ b/flamingofront/tests/test_operating.py
@@ -66,6 +66,16 @@
         assert len(list(select_lines(self.LINES, event="attempt"))) == 2
         assert len(list(select_lines(self.LINES, since="3"))) == 1
 
+    def test_lines_on_one_piece_of_work_under_whatever_id(self):
+        lines = [
+            '{"time": "1", "event": "attempt", "request": "r#1", "work": "w-1"}',
+            '{"time": "2", "event": "endpoint ended", "work": ["w-1", "w-2"]}',
+            '{"time": "3", "event": "refused", "request": "q#1", "work": "w-1"}',
+            '{"time": "4", "event": "attempt", "request": "s#1", "work": "w-2"}',
+        ]
+        found = list(select_lines(lines, work="w-1"))
+        assert [each.split()[0] for each in found] == ["1", "2", "3"]
+
 
 class TestNonBlockingStream:
     def test_reader_that_stands_still_holds_nobody_up(self):
