--- a/flamingofront/tests/network.py
+++ b/flamingofront/tests/network.py
@@ -31,6 +31,7 @@
     handler: Callable[[InboundRequest, Exchange], None] | None = None
     paused: bool = False
     dead: bool = False
+    dark: bool = False
     links: list = field(default_factory=list)
 
 
@@ -46,7 +47,7 @@
         self.timer = source.timers.once(call.timeout, self._timed_out)
         source.links.append(self)
         if target is None or target.dead:
-            reason = "connect" if target is None else "refused"
+            reason = "connect" if target is None or target.dark else "refused"
             source.timers.once(LATENCY, lambda: self.fail(reason, False))
         elif not world.is_cut(source, target):
             self._wrote = True
@@ -241,7 +242,7 @@
     def probe(self, address, timeout, listener):
         target = self._world.hosts.get(address)
         timers = self._host.timers
-        if target is None or target.paused or self._world.is_cut(self._host, target):
+        if target is None or target.paused or target.dark or self._world.is_cut(self._host, target):
             timers.once(timeout, lambda: listener(Reach.UNANSWERED))
         else:
             reach = Reach.REFUSED if target.dead else Reach.CONNECTED
--- a/flamingofront/tests/test_forwarding.py
+++ b/flamingofront/tests/test_forwarding.py
@@ -296,7 +296,7 @@
         world.endpoint("near", "records", "zone-a", gap=0.1)
         world.run(0.5)
         for number in range(6):
-            world.kill(f"far-{number}")
+            world.kill(f"far-{number}", dark=True)
         callers = []
         for _ in range(40):
             callers.append(world.ask("front-1", "/read/x", "GET"))
--- a/flamingofront/tests/world.py
+++ b/flamingofront/tests/world.py
@@ -156,10 +156,16 @@
 
     # Failures
 
-    def kill(self, name: str) -> None:
-        """End a host at once; its peers see resets."""
+    def kill(self, name: str, dark: bool = False) -> None:
+        """End a host at once; its peers see resets.
+
+        Parameters
+        ----------
+        dark : bool
+            True if its VM answers nobody any more: connections are not even refused.
+        """
         host = self.host(name)
-        host.dead = True
+        host.dead, host.dark = True, dark
         if name in self.engines:
             self.engines[name].dead = True
         for link in list(host.links):
