Holds: one process writes each, old ones are removed, a trial has to be due

Callers: none saw it.

Whoever saw the last end writes at once; others wait until they would have seen it, and those that rest do not write. Words and rows of any shape are refused by name (hypothesis). Ruled out: that the conditional write alone keeps trials apart (it does only between processes that know the same row).

--- a/flamingofront/decisions/quarantine.py
+++ b/flamingofront/decisions/quarantine.py
@@ -29,6 +29,7 @@
     "Release",
     "Standing",
     "TRIAL_SECONDS",
+    "is_forgotten",
 ]
 
 # Ends under a request from which on it is not run any more. A fleet is lost at nine ends within
@@ -314,8 +315,8 @@
     def _proved(self, now: float) -> list[str]:
         return [
             each
-            for each in self._suspects
-            if self.hold(each) is None and self._is_proved(each, now)
+            for each, ends in self._suspects.items()
+            if len(ends) >= ENDS_ALONE and self.hold(each) is None and self._is_proved(each, now)
         ]
 
     def _new_hold(self, fingerprint: str) -> Hold:
@@ -344,7 +345,7 @@
     def take_hold(self, hold: Hold, now: float) -> bool:
         """Take a hold that another process told or that was kept; True if it is news."""
         known = self._holds.get(hold.fingerprint)
-        if now - hold.since > FORGOTTEN_SECONDS:
+        if is_forgotten(hold, now):
             return False
         if known is not None and hold.rank <= known.rank:
             return False
@@ -387,7 +388,7 @@
         """Drop what is too old, and return the requests that were held back until now."""
         for key in [key for key, end in self._ends.items() if _is_over(end.at, now)]:
             self._drop_end(key)
-        old = [each for each in self._holds.values() if now - each.since > FORGOTTEN_SECONDS]
+        old = [each for each in self._holds.values() if is_forgotten(each, now)]
         for hold in old:
             del self._holds[hold.fingerprint]
         for name in [name for name, at in self._released.items() if _is_over(at, now)]:
@@ -424,6 +425,11 @@
         return any(news)
 
 
+def is_forgotten(hold: Hold, now: float) -> bool:
+    """Tell whether a hold is so old that it counts no more."""
+    return now - hold.since > FORGOTTEN_SECONDS
+
+
 def _is_over(at: float, now: float) -> bool:
     return now - at > SUSPECTED_SECONDS
 
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -68,6 +68,8 @@
 # and the table is for zones that hear nobody. Of 3.5 s as for the others each process would make
 # three times the calls on a calm day.
 HOLD_WAIT_SECONDS = 10.0
+# A hold that another process has kept is seen in the feed within some ten milliseconds.
+HOLD_HEARD_SECONDS = 0.5
 USAGE = "usage"
 SCALING = "scaling"
 
@@ -185,6 +187,8 @@
             self._rng,
             self.metrics,
             self.log,
+            HOLD_HEARD_SECONDS,
+            self._may_rest,
         )
         self.hold_follower = TableFollower(
             needs.store,
--- a/flamingofront/process/holds.py
+++ b/flamingofront/process/holds.py
@@ -12,7 +12,7 @@
 
 import orjson
 
-from flamingofront.decisions.quarantine import Hold
+from flamingofront.decisions.quarantine import Hold, is_forgotten
 from flamingofront.errors import PlatformError
 from flamingofront.messages import Sleep
 from flamingofront.process.backoff import Backoff
@@ -28,9 +28,9 @@
 
 HOLD_TABLE = "held-requests"
 HOLD_PREFIX = "held-request/"
-# Whoever saw the last end writes first; the others only if that one could not.
-OTHERS_FIRST_SECONDS = 0.5
-OTHERS_LAST_SECONDS = 1.5
+# Whoever saw the last end writes at once; the others only if that one could not, after a wait that
+# is spread over so long.
+SPREAD_SECONDS = 1.0
 _BACKOFF = Backoff(0.1, 1.0)
 
 
@@ -49,6 +49,10 @@
     def write(self, hold: Hold, version: int) -> Task:
         """Write a hold if its row has a version, 0 for none; return whether that was done."""
 
+    @abstractmethod
+    def drop(self, kept: KeptHold) -> Task:
+        """Remove a hold if its row is still as it was read."""
+
     @abstractmethod
     def read(self, fingerprint: str) -> Task:
         """Return the `KeptHold` of a request, None if there is none."""
@@ -67,6 +71,12 @@
         outcome = yield from self._store.transact("", (condition,), (row,))
         return outcome.ok
 
+    def drop(self, kept: KeptHold) -> Task:
+        """Remove a hold if its row is still as it was read."""
+        condition = RowCondition(HOLD_TABLE, kept.hold.fingerprint, kept.version)
+        row = RowWrite(HOLD_TABLE, kept.hold.fingerprint, None)
+        yield from self._store.transact("", (condition,), (row,))
+
     def read(self, fingerprint: str) -> Task:
         """Return the kept hold of a request."""
         found = yield from self._store.read(
@@ -89,6 +99,11 @@
         )
         return result.ok
 
+    def drop(self, kept: KeptHold) -> Task:
+        """Remove a hold if its document is still as it was read."""
+        key = HOLD_PREFIX + kept.hold.fingerprint
+        yield from self._documents.transact((Condition(key, kept.version),), (Write(key, None),))
+
     def read(self, fingerprint: str) -> Task:
         """Return the kept hold of a request."""
         (found,) = yield from self._documents.read([HOLD_PREFIX + fingerprint])
@@ -108,7 +123,15 @@
 
 
 class HoldKeeper:
-    """Keeps the holds of a process's guard in the store, and claims trials there."""
+    """Keeps the holds of a process's guard in the store, and claims trials there.
+
+    Parameters
+    ----------
+    others_wait : float
+        Seconds in which this process learns by itself of a hold that another one has kept.
+    may_rest : callable
+        Returns whether other processes look at the store for this one.
+    """
 
     def __init__(
         self,
@@ -118,7 +141,11 @@
         rng: random.Random,
         metrics: Metrics,
         log: Log,
+        others_wait: float,
+        may_rest: Callable[[], bool] = lambda: False,
     ):
+        self._others_wait = others_wait
+        self._may_rest = may_rest
         self._guard = guard
         self._rows = rows
         self._tasks = tasks
@@ -133,11 +160,21 @@
     def take(self, kept: KeptHold) -> None:
         """Take a hold as the store has it."""
         name = kept.hold.fingerprint
+        if is_forgotten(kept.hold, self._guard.wall()):
+            self._tasks.start(self._drop(kept))
+            return
         if self._versions.get(name, 0) < kept.version:
             self._versions[name] = kept.version
             self._kept[name] = kept.hold
         self._guard.take_kept(kept.hold)
 
+    def _drop(self, kept: KeptHold) -> Task:
+        """Remove a hold that is forgotten; one that stays for an outage is dropped later."""
+        try:
+            yield from self._rows.drop(kept)
+        except PlatformError as exc:
+            self._log.info("old hold not removed", work=kept.hold.fingerprint, detail=str(exc))
+
     def take_rows(self, rows: tuple[StoredRow, ...]) -> None:
         """Take rows of the table of holds; one that cannot be read is told and left out."""
         for row in rows:
@@ -156,8 +193,9 @@
     def _keep(self, hold: Hold, is_own: bool) -> Task:
         """Write a hold until the store has it, or one that goes before it."""
         if not is_own:
-            spread = OTHERS_LAST_SECONDS - OTHERS_FIRST_SECONDS
-            yield Sleep(OTHERS_FIRST_SECONDS + spread * self._rng.random())
+            yield Sleep(self._others_wait + SPREAD_SECONDS * self._rng.random())
+            if self._may_rest():
+                return
         tries = 0
         while self._is_wanted(hold):
             try:
--- a/flamingofront/process/node.py
+++ b/flamingofront/process/node.py
@@ -29,7 +29,7 @@
 from flamingofront.process.settings import EntrySettings
 from flamingofront.process.status import StatusRecord
 from flamingofront.process.tasks import Task, TaskRunner
-from flamingofront.process.timers import TimerService
+from flamingofront.process.timers import SLACK_SECONDS, TimerService
 from flamingofront.process.vm_list import VmList
 from flamingofront.process.watch import EndpointWatch, PlatformWatch
 from flamingofront.request.directory import EndpointDirectory
@@ -196,7 +196,13 @@
         guard.on_news = lambda: self.links.push(Push(quarantine=guard.word()))
         self._hold_rows = DocumentHolds(self.documents)
         self.holds = HoldKeeper(
-            guard, self._hold_rows, self.tasks, self._rng, self.metrics, self.log
+            guard,
+            self._hold_rows,
+            self.tasks,
+            self._rng,
+            self.metrics,
+            self.log,
+            HOLDS_SECONDS + SLACK_SECONDS,
         )
 
     def _read_holds(self) -> Task:
--- /dev/null
+++ b/flamingofront/process/tests/test_holds.py
@@ -0,0 +1,129 @@
+"""Holds in the store, and the words on them that processes exchange."""
+
+import random
+
+import orjson
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from flamingofront.decisions.quarantine import (
+    FORGOTTEN_SECONDS,
+    EndpointEnd,
+    Hold,
+    QuarantineWord,
+    Release,
+)
+from flamingofront.errors import PlatformError
+from flamingofront.process.holds import HOLD_TABLE
+from flamingofront.process.quarantine_codec import (
+    decode_hold,
+    decode_word,
+    encode_hold,
+    encode_word,
+)
+from flamingofront.standins.table_store import StoreFault
+from flamingofront.tests.forwarding_world import ready_world
+
+WORD = QuarantineWord(
+    (EndpointEnd("e-1", "zone-a", 12.5, ("f-1", "f-2"), 3),),
+    (Hold("f-1", ("e-1", "e-2"), 12.5, 1, 32.5, False),),
+    (Release("f-3", 11.0),),
+)
+JSON = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-5, 5)
+    | st.floats(allow_nan=False)
+    | st.text(max_size=3),
+    lambda inner: st.lists(inner, max_size=6) | st.dictionaries(st.text(max_size=3), inner),
+    max_leaves=12,
+)
+
+
+class TestWord:
+    def test_it_is_told_whole(self):
+        assert decode_word(orjson.loads(orjson.dumps(encode_word(WORD)))) == WORD
+        assert decode_word(encode_word(None)) is None
+
+    @given(JSON)
+    def test_malformed_word_is_named_as_such(self, value):
+        try:
+            found = decode_word(value)
+        except ValueError as exc:
+            assert "malformed" in str(exc)
+        else:
+            assert found is None or isinstance(found, QuarantineWord)
+
+    @given(JSON)
+    def test_malformed_hold_is_refused(self, value):
+        try:
+            assert isinstance(decode_hold("f-1", value), Hold)
+        except PlatformError as exc:
+            assert "f-1" in str(exc)
+
+    def test_hold_is_kept_whole(self):
+        (hold,) = WORD.holds
+        assert decode_hold("f-1", orjson.dumps(encode_hold(hold))) == hold
+
+
+class TestKeeping:
+    def hold(self, world, fingerprint="f-1", **changes):
+        now = world.clock.now()
+        values = {"endpoints": ("e-1",), "since": now, "next_trial": now + 20.0, **changes}
+        return Hold(fingerprint, **values)
+
+    def kept(self, world):
+        return {key: decode_hold(key, row[0]) for key, row in world.store.rows(HOLD_TABLE).items()}
+
+    def test_hold_outlasts_an_outage_of_the_store(self):
+        world = ready_world(fronts=3)
+        world.store.fault = StoreFault.BUSY
+        node = world.fronts["front-1"]
+        node.hub.guard.on_hold(self.hold(world), True)
+        world.run(5.0)
+        assert not self.kept(world)
+        world.store.fault = StoreFault.NONE
+        world.run(3.0)
+        assert set(self.kept(world)) == {"f-1"}
+        assert all(each.hub.guard.hold("f-1") for each in world.fronts.values())
+
+    def test_one_of_many_writes_a_hold_that_all_have_found(self):
+        world = ready_world(fronts=8)
+        hold = self.hold(world)
+        before = world.store.version
+        for number, node in enumerate(world.fronts.values()):
+            node.hub.guard.on_hold(hold, number == 0)
+        world.run(4.0)
+        assert set(self.kept(world)) == {"f-1"}
+        duty_writes = sum(each.lease.holding() is not None for each in world.fronts.values()) * 5
+        assert world.store.version - before <= 1 + duty_writes
+
+    @pytest.mark.parametrize("seed", range(10))
+    def test_of_trials_claimed_at_once_one_is_granted(self, seed):
+        world = ready_world(fronts=5, seed=seed)
+        hold = self.hold(world, next_trial=world.clock.now())
+        world.fronts["front-1"].hub.guard.on_hold(hold, True)
+        world.run(1.0)
+        rng, outcomes = random.Random(seed), []
+        for node in world.fronts.values():
+            node.hub.guard.claim_trial("f-1", outcomes.append)
+            world.run(rng.choice((0.0, 0.001, 0.003)))
+        world.run(3.0)
+        assert sorted(outcomes) == [False] * 4 + [True]
+
+    def test_row_of_another_writer_is_left_out_and_told(self):
+        world = ready_world()
+        world.store.put(HOLD_TABLE, "f-1", {"fingerprint": 3})
+        world.run(1.0)
+        node = world.fronts["front-1"]
+        assert not node.hub.guard.quarantine
+        assert node.metrics.value("platform_errors_total", operation="hold") == 1
+
+    def test_old_rows_are_removed(self):
+        world = ready_world()
+        hold = self.hold(world, since=world.clock.now() - FORGOTTEN_SECONDS - 1)
+        world.store.put(HOLD_TABLE, "f-1", encode_hold(hold))
+        world.run(1.0)
+        assert not self.kept(world)
+        assert not world.fronts["front-1"].hub.guard.quarantine
--- a/flamingofront/request/guard.py
+++ b/flamingofront/request/guard.py
@@ -267,8 +267,8 @@
     def claim_trial(self, fingerprint: str, on_done: Callable[[bool], None]) -> None:
         """Claim a trial of a request that is held back, for this process alone."""
         hold = self.hold(fingerprint)
-        if hold is None:
-            on_done(True)
+        if hold is None or self.standing(fingerprint) is not Standing.TRIAL_DUE:
+            on_done(hold is None)
             return
         self.claim(hold, lambda granted: self._trial_claimed(hold, granted, on_done))
 
