Test: requests that crash endpoints beside any trouble

Two such requests come again and again beside some hundred harmless ones, while processes are killed (one or all), stand still, zones are cut off, the store fails in each of its ways, datagrams are lost and endpoints end for other reasons.

--- a/flamingofront/tests/test_crashing_requests.py
+++ b/flamingofront/tests/test_crashing_requests.py
@@ -26,7 +26,7 @@
 from flamingofront.process.quarantine_codec import decode_hold
 from flamingofront.standins.forward_endpoint import ForwardFault
 from flamingofront.standins.table_store import StoreFault
-from flamingofront.tests.crashing_world import CONTACT_SECONDS, ZONES, crashing_world
+from flamingofront.tests.crashing_world import CONTACT_SECONDS, ZONES, AnyTrouble, crashing_world
 
 POISON = b"a prompt that no engine survives"
 MAX_SENT_LATE = 3
@@ -284,3 +284,14 @@
         caller = world.ask_one("/stream/once/x", POISON)
         world.finish(caller)
         assert caller.error["kind"] == "crashes_endpoints"
+
+
+class TestAnyTrouble:
+    """Kills, stops, cuts, outages, lost datagrams and ends of endpoints, in any order."""
+
+    @pytest.mark.parametrize("seed", range(6))
+    def test_bound_holds_for_processes_in_touch_and_others_are_hardly_refused(self, seed):
+        trouble = AnyTrouble(seed).play(25.0)
+        for body, _ in trouble.poison:
+            assert trouble.world.sent_late(body) <= MAX_SENT_LATE
+        assert trouble.refused_for_nothing() <= len(trouble.callers) / 100
