--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -12,6 +12,7 @@
 
 from bench.mutation import Mutation
 from bench.platform_mutations import PLATFORM_MUTATIONS
+from bench.quarantine_mutations import QUARANTINE_MUTATIONS
 
 ROOT = Path(__file__).resolve().parent.parent
 TIME_LIMIT_SECONDS = 90
@@ -207,7 +208,8 @@
     A word on the command line chooses the points that begin with it.
     """
     begin = sys.argv[1] if len(sys.argv) > 1 else ""
-    chosen = [each for each in MUTATIONS + PLATFORM_MUTATIONS if each.point.startswith(begin)]
+    known = (*MUTATIONS, *PLATFORM_MUTATIONS, *QUARANTINE_MUTATIONS)
+    chosen = [each for each in known if each.point.startswith(begin)]
     unnoticed = 0
     for mutation in chosen:
         survived = _survives(mutation)
--- /dev/null
+++ b/bench/quarantine_mutations.py
@@ -0,0 +1,112 @@
+"""Mutations of what keeps requests that crash endpoints away from them; see `bench.mutations`."""
+
+from bench.mutation import Mutation
+
+__all__ = ["QUARANTINE_MUTATIONS"]
+
+DECISIONS = "decisions/tests/test_quarantine.py"
+ENDS = "request/tests/test_endpoint_ends.py"
+HOLDS = "process/tests/test_holds.py"
+PRODUCT = "request/tests/test_crashing_requests.py"
+WORLD = "tests/test_crashing_requests.py"
+
+QUARANTINE_MUTATIONS = (
+    Mutation(
+        "Q the request is known by what it asks",
+        "request/fingerprint.py",
+        "work.target.encode(), work.body",
+        "work.target.encode(), record.request_id.encode()",
+        WORLD,
+    ),
+    Mutation(
+        "Q an endpoint that still sends has not ended",
+        "request/endpoint_ends.py",
+        "if self._directory.reached_at(endpoint_id) > doubt.at + LAST_BYTES_SECONDS:",
+        "if False:",
+        ENDS,
+    ),
+    Mutation(
+        "Q an endpoint that leaves speaks against nobody",
+        "request/endpoint_ends.py",
+        "if self._directory.leaving(endpoint_id):",
+        "if False:",
+        ENDS,
+    ),
+    Mutation(
+        "Q what runs beside it is cleared",
+        "decisions/quarantine.py",
+        "return bool(self.culprits) and fingerprint not in self.culprits",
+        "return False",
+        DECISIONS,
+    ),
+    Mutation(
+        "Q ends with a common cause count once",
+        "decisions/quarantine.py",
+        "return 1 if without else len(cluster)",
+        "return len(cluster)",
+        DECISIONS,
+    ),
+    Mutation(
+        "Q an answer clears",
+        "decisions/quarantine.py",
+        "        self._drop_suspect(fingerprint)\n        self._released",
+        "        self._released",
+        DECISIONS,
+    ),
+    Mutation(
+        "Q late word of old ends does not bring it back",
+        "decisions/quarantine.py",
+        "return self._released.get(fingerprint, at - 1.0) >= at",
+        "return False",
+        DECISIONS,
+    ),
+    Mutation(
+        "Q trials are few",
+        "decisions/quarantine.py",
+        "return hold.trials < len(TRIAL_SECONDS) and now >= hold.next_trial",
+        "return now >= hold.since + TRIAL_SECONDS[0]",
+        DECISIONS,
+    ),
+    Mutation(
+        "Q others are told",
+        "process/forwarding/peer_word.py",
+        "        self._reported.hub.guard.hear(report.quarantine)\n",
+        "",
+        WORLD,
+    ),
+    Mutation(
+        "Q holds outlast all processes",
+        "process/holds.py",
+        "        self._tasks.start(self._keep(hold, is_own))",
+        "        pass",
+        WORLD,
+    ),
+    Mutation(
+        "Q a trial is claimed by one process",
+        "process/holds.py",
+        "            done = yield from self._rows.write(claimed, self._versions.get(name, 0))",
+        "            done = True",
+        HOLDS,
+    ),
+    Mutation(
+        "Q what is held is refused at once",
+        "request/guard.py",
+        "        if self.standing(fingerprint) is Standing.HELD:\n            raise",
+        "        if False:\n            raise",
+        WORLD,
+    ),
+    Mutation(
+        "Q what is under way is stopped",
+        "request/guard.py",
+        "                request.held_back()",
+        "                pass",
+        WORLD,
+    ),
+    Mutation(
+        "Q processes of the product tell one another",
+        "process/node.py",
+        "        self.gossip.on_word = guard.hear\n",
+        "",
+        PRODUCT,
+    ),
+)
