Failing test: a store that comes back from a copy some seconds old

Callers and operators would see changes of endpoints and routes missed until the next full read, and the cloud two holders with one fencing number or a window reported with other counts.

The stand-in store comes back from a copy (restore): versions go back and are given out again, a read from one that it does not have gets 410, Store-Era rises in all its answers; the test lets operators and endpoints write theirs again, late and in any order. Red on this code: changes after the return are missed; members do not register again; holds are lost; a write under an old condition takes another's place; the duty row goes back (fencing 1 after 2), and a window is reported as {'desk': 9} and {}. Green already: the configuration does not go back, endpoints that went stay gone.

--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -100,7 +100,8 @@
         self.metrics = Metrics({"vm": settings.vm_id, "zone": settings.zone})
         self.on_configuration: Callable[[ForwardingConfiguration], None] = lambda cfg: None
         self.stopping = False
-        self._needs = replace(needs, store=CountedTableStore(needs.store, self.metrics))
+        self.store = CountedTableStore(needs.store, self.metrics)
+        self._needs = replace(needs, store=self.store)
         self._rng = rng
         self.tasks = TaskRunner(needs.transport, needs.timers, self.fault)
         own = PeerReport(
--- /dev/null
+++ b/flamingofront/process/forwarding/tests/test_restored_store.py
@@ -0,0 +1,193 @@
+"""A store that comes back from a copy some seconds old: versions go back and are given out again.
+
+What the system wrote since the copy is gone; what operators and endpoints wrote is written again,
+late and in any order. Versions were compared as if they only grew: a follower whose next version
+the new writes had passed went on behind them and never saw them, a conditional write of an old
+version took the place of other content, and the row of the duties went back to a fencing number
+that had been used.
+"""
+
+import random
+
+import pytest
+
+from flamingofront.platform.config import CONFIG_TABLE
+from flamingofront.platform.endpoints import ENDPOINT_TABLE
+from flamingofront.process.forwarding.peers import MEMBER_TABLE
+from flamingofront.process.forwarding.tests.test_duties import (
+    assert_one_holder_at_a_time,
+    holder,
+    usage,
+)
+from flamingofront.process.holds import HOLD_TABLE
+from flamingofront.process.store import RowCondition, RowWrite, position, version_of
+from flamingofront.standins.table_store import StoreFault
+from flamingofront.tests.crashing_world import CONTACT_SECONDS, crashing_world
+from flamingofront.tests.forwarding_world import configuration, ready_world
+from flamingofront.tests.test_crashing_requests import POISON, repeat
+
+OWNERS = (CONFIG_TABLE, ENDPOINT_TABLE)
+
+
+def restore(world, seconds, out=0.5, rng=None, latest=1.5):
+    """Let the store be away for a moment and come back from a copy; its owners write again."""
+    rng = rng or random.Random(1)
+    world.store.fault = StoreFault.RESET
+    world.run(out)
+    world.store.fault = StoreFault.NONE
+    timers = world.host("store").timers
+    for each in world.store.restore(seconds):
+        if each.table in OWNERS:
+            timers.once(latest * rng.random(), lambda each=each: world.store.put_back(each))
+
+
+class TestFollowing:
+    def test_changes_whose_versions_were_given_out_before_are_seen(self):
+        world = ready_world(fronts=3)
+        for number in range(20):
+            world.store.put("other", f"key-{number}", {})
+        world.run(1.0)
+        restore(world, 3.0)
+        world.endpoint("plain-9", "records")
+        world.configure_routes(version=7)
+        for number in range(60):
+            world.store.put("other", f"key-{number}", {})
+        world.run(3.0)
+        for node in world.fronts.values():
+            assert node.configuration.version == 7
+            assert "plain-9" in {each.endpoint_id for each in node.knowledge.endpoints.rows()}
+
+    def test_configuration_does_not_go_back(self):
+        world = ready_world(fronts=3)
+        world.configure_routes(version=5, routes=configuration()["routes"][1:])
+        world.run(1.0)
+        restore(world, 3.0, latest=5.0)
+        for _ in range(30):
+            world.run(0.2)
+            assert world.ask("front-1", "/read/x").status == 404
+        assert {each.configuration.version for each in world.fronts.values()} == {5}
+
+    def test_endpoint_that_went_since_the_copy_is_not_taken_for_alive(self):
+        world = ready_world(fronts=3, plains=3)
+        world.store.drop(ENDPOINT_TABLE, "plain-1")
+        world.run(1.0)
+        restore(world, 3.0, latest=5.0)
+        callers = []
+        for _ in range(40):
+            world.run(0.1)
+            callers.append(world.ask("front-1", "/read/x"))
+        world.finish(*callers)
+        assert not world.endpoints["plain-1"].runs
+
+    def test_endpoint_whose_row_the_copy_lacks_is_served_on(self):
+        world = ready_world(fronts=3, plains=0)
+        world.endpoint("plain-new", "records")
+        world.run(1.0)
+        restore(world, 3.0)
+        callers = []
+        for _ in range(30):
+            world.run(0.1)
+            callers.append(world.ask("front-1", "/read/x"))
+        world.finish(*callers)
+        assert {each.status for each in callers} == {200}
+
+
+class TestOwnRows:
+    def test_members_register_again(self):
+        world = ready_world(fronts=3)
+        world.front("front-9")
+        world.run(1.0)
+        restore(world, 3.0)
+        world.run(3.0)
+        assert set(world.store.rows(MEMBER_TABLE)) == set(world.fronts)
+
+    def test_requests_that_are_held_back_stay_so_and_are_kept_again(self):
+        world = crashing_world()
+        world.poison.add(POISON)
+        repeat(world, "/write/x", seconds=3.0)
+        restore(world, 12.0)
+        world.run(CONTACT_SECONDS)
+        assert len(world.store.rows(HOLD_TABLE)) == 1
+        ends = len(world.ends_under(POISON))
+        for name in list(world.fronts):
+            world.kill(name)
+            world.front(name, world.host(name).zone, first_start=False)
+        world.run(CONTACT_SECONDS)
+        repeat(world, "/write/x", seconds=4.0)
+        assert len(world.ends_under(POISON)) == ends
+
+    def test_write_under_a_condition_of_an_earlier_era_takes_nobodys_place(self):
+        """The same version stands for other content after the return."""
+        world = ready_world(fronts=2)
+        store = world.fronts["front-1"].store
+        outcomes = []
+
+        def write(version, value):
+            return store.transact(
+                "", (RowCondition("own", "key", version),), (RowWrite("own", "key", value),)
+            )
+
+        def run(task):
+            world.fronts["front-1"].tasks.start(task, outcomes.append)
+            world.run(0.5)
+            return outcomes[-1]
+
+        first = run(write(0, b"first"))
+        world.cut("front-1", "store")
+        world.store.fault = StoreFault.RESET
+        world.run(0.2)
+        world.store.fault = StoreFault.NONE
+        world.store.restore(0.8)
+        world.heal()
+        other = world.fronts["front-2"].store
+        while world.store.rows("own").get("key", (b"", 0))[1] < version_of(first.version):
+            known = world.store.rows("own").get("key", (b"", 0))[1]
+            condition = RowCondition("own", "key", position(1, known) if known else 0)
+            task = other.transact("", (condition,), (RowWrite("own", "key", b"other"),))
+            world.fronts["front-2"].tasks.start(task, outcomes.append)
+            world.run(0.1)
+        late = run(write(first.version, b"late"))
+        assert not late.ok
+        assert world.store.rows("own")["key"][0] == b"other"
+
+
+class TestDuties:
+    @pytest.mark.parametrize("seed", range(12))
+    def test_fencing_numbers_never_go_back_and_windows_are_told_once(self, seed):
+        rng = random.Random(seed)
+        world = ready_world(fronts=4, seed=seed)
+        for _ in range(3):
+            for number in range(20):
+                world.finish(world.ask(f"front-{1 + number % 4}", "/read/x"))
+                world.run(0.2)
+            if rng.random() < 0.5:
+                world.lose(holder(world), rng.choice(("kill", "pause")))
+                world.run(5.0 * rng.random())
+            restore(world, 10.0 * rng.random(), 4.0 * rng.random(), rng)
+            world.run(2.0 * rng.random())
+            for name in list(world.fronts):
+                if world.host(name).dead:
+                    world.front(name, first_start=False)
+                elif world.host(name).paused:
+                    world.resume(name)
+            world.run(6.0)
+        world.run(12.0)
+        usage(world)
+        assert_one_holder_at_a_time(world)
+        assert world.store.duty_calls[-1].at > world.clock.now() - 6.0
+
+    def test_holder_goes_on_at_once_with_what_it_has_reported(self):
+        world = ready_world(fronts=3)
+        for number in range(60):
+            world.finish(world.ask(f"front-{1 + number % 3}", "/read/x"))
+            world.run(0.2)
+        first = holder(world)
+        fencing = world.fronts[first].lease.holding().fencing
+        restore(world, 6.0, out=0.3)
+        world.run(2.0)
+        assert holder(world) == first
+        assert world.fronts[first].lease.holding().fencing == fencing
+        world.run(12.0)
+        windows = sorted(usage(world))
+        assert windows == list(range(windows[0], windows[-1] + 1))
+        assert sum(each.get("desk", 0) for each in usage(world).values()) == 60
--- a/flamingofront/process/store.py
+++ b/flamingofront/process/store.py
@@ -24,8 +24,35 @@
     "TableStore",
     "TransactionOutcome",
     "UsageReport",
+    "era_of",
+    "position",
+    "version_of",
 ]
 
+# Versions of one era: a counter of transactions, at 1,200 a second for 464 years.
+VERSION_BITS = 44
+
+
+def position(era: int, version: int) -> int:
+    """Return a number that grows with each change of the store, also across its eras.
+
+    Notes
+    -----
+    A store that comes back from an older copy gives versions out again, in its next era. Everything
+    here that compares, keeps or tells a version means this number.
+    """
+    return era << VERSION_BITS | version
+
+
+def era_of(position: int) -> int:
+    """Return the era of the store in which a change was made."""
+    return position >> VERSION_BITS
+
+
+def version_of(position: int) -> int:
+    """Return the store's own number of a change within its era."""
+    return position & ((1 << VERSION_BITS) - 1)
+
 
 class HistoryLostError(PlatformError):
     """Changes since the given version are no longer kept: the table must be read anew."""
@@ -33,7 +60,7 @@
 
 @dataclass(frozen=True)
 class StoredRow:
-    """One row; `value` is None if the row was deleted, `version` that of its last write."""
+    """One row; `value` is None if it was deleted, `version` the `position` of its last write."""
 
     table: str
     part: str
--- a/flamingofront/standins/table_store.py
+++ b/flamingofront/standins/table_store.py
@@ -15,9 +15,11 @@
 from flamingofront.messages import InboundRequest
 from flamingofront.process.timers import TimerService
 
-__all__ = ["DutyCall", "StoreFault", "TableStoreStandIn"]
+__all__ = ["DutyCall", "LostWrite", "StoreFault", "TableStoreStandIn"]
 
 HISTORY_ROWS = 10_000
+# Writes that can be undone: a copy is some seconds old.
+KEPT_WRITES = 20_000
 RANGE_ROWS = 500
 OBJECT_PATHS = ("/api/blob-put/", "/api/blob-get/", "/api/blob-drop/")
 Respond = Callable[[int, dict[str, Any]], None]
@@ -44,6 +46,26 @@
     body: dict[str, Any]
 
 
+@dataclass(frozen=True)
+class _Undo:
+    """A write, and what its row was before."""
+
+    at: float
+    row: tuple[str, str, str]
+    before: tuple[bytes, int] | None
+    version_before: int
+
+
+@dataclass(frozen=True)
+class LostWrite:
+    """A row as it was before the store came back from a copy that does not have it so."""
+
+    table: str
+    part: str
+    key: str
+    value: bytes | None
+
+
 @dataclass
 class _Waiting:
     table: str
@@ -80,6 +102,9 @@
         self._history: deque[tuple[int, str, str, str, bytes | None]] = deque(maxlen=HISTORY_ROWS)
         self._lost_before = 0
         self._waiting: list[_Waiting] = []
+        self._undo: deque[_Undo] = deque(maxlen=KEPT_WRITES)
+        # Rises each time the store comes back from a copy; its answers tell it.
+        self.era = 0
         self.objects: dict[str, bytes] = {}
 
     # What the operator and the endpoints do
@@ -115,7 +140,44 @@
         self._lost_before = self.version
         self._history.clear()
 
+    def restore(self, seconds: float) -> tuple[LostWrite, ...]:
+        """Come back from a copy of some seconds ago, and return what that took away.
+
+        Notes
+        -----
+        Versions go back and are given out again. Calls that wait are cut.
+        """
+        lost: dict[tuple[str, str, str], LostWrite] = {}
+        since = self.timers.now() - seconds
+        while self._undo and self._undo[-1].at > since:
+            undo = self._undo.pop()
+            if undo.row not in lost:
+                value = self._rows.get(undo.row, (None, 0))[0]
+                lost[undo.row] = LostWrite(*undo.row, value)
+            if undo.before is None:
+                self._rows.pop(undo.row, None)
+            else:
+                self._rows[undo.row] = undo.before
+            self.version = undo.version_before
+        self._history = deque(
+            (each for each in self._history if each[0] <= self.version), maxlen=HISTORY_ROWS
+        )
+        self.era += 1
+        waiting, self._waiting = self._waiting, []
+        for each in waiting:
+            each.done = True
+            each.exchange.abort()
+        return tuple(lost.values())
+
+    def put_back(self, lost: LostWrite) -> None:
+        """Write a row that a copy has taken away again, as the operator and endpoints do."""
+        self.version += 1
+        self._write(lost.table, lost.part, lost.key, lost.value)
+        self._wake()
+
     def _write(self, table: str, part: str, key: str, value: bytes | None) -> None:
+        row = (table, part, key)
+        self._undo.append(_Undo(self.timers.now(), row, self._rows.get(row), self.version - 1))
         if value is None:
             self._rows.pop((table, part, key), None)
         else:
@@ -141,10 +203,10 @@
             exchange.abort()
             return
         if fault is StoreFault.BUSY:
-            exchange.respond(503, (), b"")
+            exchange.respond(503, self._era_fields(), b"")
             return
         lose = fault is StoreFault.LOSE_ANSWERS and req.method != "GET"
-        self._serve(req, exchange, _lost if lose else _responder(exchange))
+        self._serve(req, exchange, _lost if lose else self._responder(exchange))
 
     def _serve(self, req: InboundRequest, exchange: Exchange, respond: Respond) -> None:
         if req.path == "/api/rows-tx":
@@ -212,7 +274,7 @@
 
     def _feed(self, req: InboundRequest, exchange: Exchange, respond: Respond) -> None:
         after = int(req.query["after_rev"])
-        if after < self._lost_before:
+        if after < self._lost_before or after > self.version:
             respond(410, self._stamp())
             return
         waiting = _Waiting(req.query["table"], after, exchange)
@@ -233,7 +295,7 @@
             return False
         waiting.done = True
         if self.fault is not StoreFault.SILENT:
-            _responder(waiting.exchange)(200, {"rows": rows, **self._stamp()})
+            self._responder(waiting.exchange)(200, {"rows": rows, **self._stamp()})
         return True
 
     @staticmethod
@@ -260,12 +322,15 @@
         refused = self.out_of_stock and body.get("spot") and body["desired"] > 1
         respond(409 if refused else 200, {})
 
+    def _era_fields(self) -> tuple[tuple[str, str], ...]:
+        return (("Store-Era", str(self.era)),)
 
-def _responder(exchange: Exchange) -> Respond:
-    def respond(status: int, body: dict[str, Any]) -> None:
-        exchange.respond(status, JSON_HEADERS, orjson.dumps(body))
+    def _responder(self, exchange: Exchange) -> Respond:
+        def respond(status: int, body: dict[str, Any]) -> None:
+            fields = (*JSON_HEADERS, *self._era_fields())
+            exchange.respond(status, fields, orjson.dumps(body))
 
-    return respond
+        return respond
 
 
 def _lost(status: int, body: dict[str, Any]) -> None:
