Versions of the store count with their era

Callers and the cloud would have seen missed changes, two holders with one fencing number, and a window reported with other counts, after the store came back from a copy some seconds old.

Cause: a version was taken for a number that only grows. The store gives versions out again in its next era: a follower went on behind what it had missed, a write under an old condition could match other content, and the row of the duties went back to a number and to reports from before.

One number of era and version takes the version's place where the platform's words are decoded, so that all that compares, keeps or tells it is right. Writes under conditions of an earlier era fail; a marker row refuses those of processes that have not noticed. The holder goes on with its number and with what it knows to be reported; any other successor takes a number 100 higher and leaves windows out that may have been reported; a holder whose lease has lapsed looks at the era before it renews. Members and held requests are written again.

Ruled out: that 410 alone shows the return (versions pass the old ones within a second). Weighed: rewriting all rows by those that know them, against rebuilding from what processes know (kept for the duties' row: its holder knows it best).

Why it holds: a number that is used never comes again (the gap is larger than what a copy can lack), and what may have been reported is not reported otherwise. Not done: roll-outs and the product's own documents (docs/PLATFORM.md).

--- a/flamingofront/platform/store.py
+++ b/flamingofront/platform/store.py
@@ -19,6 +19,8 @@
     StoredRow,
     TableStore,
     TransactionOutcome,
+    position,
+    version_of,
 )
 from flamingofront.process.tasks import Task
 
@@ -28,6 +30,8 @@
 STATUS_CONDITION_FAILED = 412
 STATUS_HISTORY_LOST = 410
 JSON_HEADERS = (("Content-Type", "application/json"),)
+# Rises by one each time the store comes back from an older copy. A store without it has one era.
+ERA = "store-era"
 
 
 class PlatformTableStore(TableStore):
@@ -55,18 +59,19 @@
         query.update({name: value for name, value in bounds.items() if value})
         call = self._get("/api/rows-get", query, self._timeout)
         reply = yield from ask(call, False, (STATUS_OK,))
-        doc = _body(reply)
-        return RowRange(_rows(doc), doc["ver"], bool(doc.get("truncated", False)))
+        doc, era = _body(reply), _era(reply)
+        version = position(era, doc["ver"])
+        return RowRange(_rows(doc, era), version, bool(doc.get("truncated", False)))
 
     def changes(self, table: str, after: int, wait: float) -> Task:
         """Return what has changed since a version."""
-        query = {"table": table, "after_rev": after, "wait_ms": int(wait * 1000)}
+        query = {"table": table, "after_rev": version_of(after), "wait_ms": int(wait * 1000)}
         call = self._get("/api/rows-feed", query, wait + self._timeout)
         reply = yield from ask(call, False, (STATUS_OK, STATUS_HISTORY_LOST))
         if reply.status == STATUS_HISTORY_LOST:
             raise HistoryLostError(f"changes of table {table} since {after} are not kept")
-        doc = _body(reply)
-        return RowChanges(_rows(doc), doc["ver"])
+        doc, era = _body(reply), _era(reply)
+        return RowChanges(_rows(doc, era), position(era, doc["ver"]))
 
     def transact(
         self, part: str, conditions: Sequence[RowCondition], writes: Sequence[RowWrite]
@@ -75,7 +80,12 @@
         body = {
             # Each row with the version that it must have.
             "expected_rev": [
-                {"table": each.table, "part": part, "key": each.key, "ver": each.version}
+                {
+                    "table": each.table,
+                    "part": part,
+                    "key": each.key,
+                    "ver": version_of(each.version),
+                }
                 for each in conditions
             ],
             "writes": [
@@ -103,8 +113,9 @@
             self._timeout,
         )
         reply = yield from ask(call, True, (STATUS_OK, STATUS_CONDITION_FAILED))
-        doc = _body(reply)
-        return TransactionOutcome(reply.status == STATUS_OK, doc.get("ver", 0), _rows(doc))
+        doc, era = _body(reply), _era(reply)
+        version = position(era, doc.get("ver", 0))
+        return TransactionOutcome(reply.status == STATUS_OK, version, _rows(doc, era))
 
     def _get(self, path: str, query: dict[str, Any], timeout: float) -> OutboundCall:
         return OutboundCall(self._address, "GET", f"{path}?{urlencode(query)}", timeout=timeout)
@@ -117,15 +128,23 @@
         raise PlatformError(f"the store's answer is malformed: {exc}") from exc
 
 
-def _rows(doc: dict[str, Any]) -> tuple[StoredRow, ...]:
+def _era(reply: WholeResponse) -> int:
+    text = reply.headers.get(ERA, "0")
+    if not text.isdigit():
+        raise PlatformError(f"the store's era is malformed: {text[:40]!r}")
+    return int(text)
+
+
+def _rows(doc: dict[str, Any], era: int) -> tuple[StoredRow, ...]:
     try:
-        return tuple(_row(each) for each in doc.get("rows", ()))
+        return tuple(_row(each, era) for each in doc.get("rows", ()))
     except (KeyError, TypeError, ValueError) as exc:
         raise PlatformError(f"the store's rows are malformed: {exc!r}") from exc
 
 
-def _row(data: dict[str, Any]) -> StoredRow:
+def _row(data: dict[str, Any], era: int) -> StoredRow:
     # A deleted row is marked so and has no value.
     deleted = data.get("tombstone") or data.get("value") is None
     value = None if deleted else base64.b64decode(data["value"])
-    return StoredRow(data["table"], data.get("part", ""), data["key"], value, data["ver"])
+    version = position(era, data["ver"])
+    return StoredRow(data["table"], data.get("part", ""), data["key"], value, version)
--- a/flamingofront/process/forwarding/duty.py
+++ b/flamingofront/process/forwarding/duty.py
@@ -20,7 +20,7 @@
 from flamingofront.messages import Sleep
 from flamingofront.process.forwarding.reports import PeerReport
 from flamingofront.process.logs import Log
-from flamingofront.process.store import RowCondition, RowWrite, StoredRow, TableStore
+from flamingofront.process.store import RowCondition, RowWrite, StoredRow, TableStore, era_of
 from flamingofront.process.tasks import Task
 
 __all__ = ["DutyLease", "DutyState", "HeldLease"]
@@ -39,6 +39,10 @@
 # Holders that the row remembers. With a second or so a holder, as in a rolling restart, they cover
 # several leases.
 PAST_HOLDERS = 8
+# Fencing numbers that are left out by the first holder after the store's return from a copy: more
+# than the changes of holder that such a copy can lack. One takes a second at least, a copy is some
+# seconds old.
+ERA_GAP = 100
 
 
 @dataclass(frozen=True)
@@ -57,6 +61,8 @@
         Usage counts by window, as they are or will be reported.
     past : tuple of str
         VMs that held the lease before, the last one first.
+    era : int
+        Era of the store in which the row was written.
     """
 
     holder: str = ""
@@ -64,6 +70,7 @@
     fencing: int = 0
     reports: Mapping[str, Mapping[str, int]] = field(default_factory=dict)
     past: tuple[str, ...] = ()
+    era: int = 0
 
 
 @dataclass(frozen=True)
@@ -118,6 +125,12 @@
         self._stopped = False
         self._writing = False
         self.released = 0
+        self._era = 0
+        self._highest_fencing = 0
+        self._known_reports: dict[str, Mapping[str, int]] = {}
+        # Called when the lease is taken after the store's return from a copy: what the holders
+        # before have reported since then is not known.
+        self.on_gap: Callable[[], None] = lambda: None
 
     @property
     def version(self) -> int:
@@ -144,6 +157,7 @@
         if report.released and report.released >= max(self.state.fencing, self._heard_fencing):
             self._evidence_at = -math.inf
             return
+        self._highest_fencing = max(self._highest_fencing, report.fencing, report.released)
         if report.fencing and report.fencing >= self.state.fencing:
             self._evidence_at = self._now()
             self._heard_fencing = report.fencing
@@ -167,11 +181,32 @@
 
     def _step(self) -> Task:
         if self._lease is not None:
-            yield from self.renew()
+            if self._now() < self._lease.valid_until or not (yield from self._lost_in_a_copy()):
+                yield from self.renew()
             return
         if self._version is None or self._has_waited():
             yield from self._look()
 
+    def _lost_in_a_copy(self) -> Task:
+        """Tell whether a lease that has lapsed must be taken anew, and not just renewed.
+
+        Notes
+        -----
+        That nobody took it meanwhile shows in the row; but not if the store has come back from a
+        copy of before: a holder that had stood still went on with a number lower than that of its
+        successor.
+        """
+        era = self._era
+        found = yield from self._store.read(DUTY_TABLE, DUTY_PART)
+        if era_of(found.version) == era:
+            return False
+        self._log.warning("duty lease lost", fencing=self._lease.fencing, era=era)
+        self._lease = None
+        row = next((each for each in found.rows if each.key == DUTY_KEY), None)
+        self._saw(row, found.version)
+        self._evidence_at = self._now()
+        return True
+
     def _has_waited(self) -> bool:
         """Tell whether the last sign of the holder is older than its lease can be."""
         waited = self._now() - self._evidence_at
@@ -182,14 +217,32 @@
         known, self._version = self._version, None
         found = yield from self._store.read(DUTY_TABLE, DUTY_PART)
         row = next((each for each in found.rows if each.key == DUTY_KEY), None)
-        self._version = row.version if row is not None else 0
-        self.state = _decode(row)
+        self._saw(row, found.version)
         if known is None or self._version not in (known, self._announced):
             self._evidence_at = self._now()
         # Word of a new holder may have come while the row was read, so the wait is looked at again.
         if not self.state.holder or self._is_own_row() or self._has_waited():
             yield from self._take()
 
+    def _saw(self, row: StoredRow | None, version: int) -> None:
+        """Take in what the row holds now, with what is known of it from before.
+
+        Notes
+        -----
+        A store that came back from a copy lacks what was written since. Reports that this process
+        knows to have been there may have been sent, and stand.
+        """
+        self._era = max(self._era, era_of(version))
+        self._version = row.version if row is not None else 0
+        state = _decode(row)
+        self._highest_fencing = max(self._highest_fencing, state.fencing)
+        for window in [each for each in self._known_reports if each not in state.reports]:
+            if state.era >= self._era:
+                # A holder of this era has dropped it: it is long reported.
+                del self._known_reports[window]
+        self._known_reports = {**state.reports, **self._known_reports}
+        self.state = replace(state, reports=dict(self._known_reports))
+
     def _is_own_row(self) -> bool:
         """Tell whether an earlier process of this VM held the lease: it is gone for sure."""
         return self.state.holder == self._vm_id
@@ -197,11 +250,12 @@
     def _take(self) -> Task:
         last = self.state.holder
         past = ((last,) if last else ()) + tuple(self.state.past)
+        is_behind = self.state.era < self._era
         state = replace(
             self.state,
             holder=self._vm_id,
             incarnation=self._incarnation,
-            fencing=self.state.fencing + 1,
+            fencing=self._highest_fencing + (ERA_GAP if is_behind else 1),
             past=past[:PAST_HOLDERS],
         )
         sent_at = self._now()
@@ -210,7 +264,10 @@
             self._evidence_at = self._now()
             self._log.info("duty lease not taken", fencing=state.fencing)
             return
-        returned = self._vm_id in past and past[0] != self._vm_id
+        if is_behind:
+            self.on_gap()
+        # Who held the lease since the copy is not known, so that this one may have, too.
+        returned = is_behind or (self._vm_id in past and past[0] != self._vm_id)
         acts_from = self._now() + self._duration if returned else sent_at
         self._lease = HeldLease(state.fencing, sent_at, acts_from, sent_at + self._duration)
         self._log.info("duty lease taken", fencing=state.fencing, last_holder=last)
@@ -238,13 +295,19 @@
 
     def _renew(self, reports: Mapping[str, Mapping[str, int]] | None) -> Task:
         fencing = self._lease.fencing
+        own = self.state
         for _ in range(2):
+            if self.state.fencing < fencing:
+                self.state = replace(own, reports=self.state.reports)
             state = self.state if reports is None else replace(self.state, reports=reports)
             sent_at = self._now()
             if (yield from self._write(state)):
                 if self._lease is not None:
                     self._lease = replace(self._lease, valid_until=sent_at + self._duration)
                 return self._lease is not None
+            if self._is_older_copy(fencing):
+                # The row is from before this lease: nobody has taken it in this era.
+                continue
             if not self._is_mine(self.state, fencing):
                 self._log.warning("duty lease lost", fencing=fencing)
                 self._lease = None
@@ -256,17 +319,24 @@
 
     def _write(self, state: DutyState) -> Task:
         """Write the row if it is as it was seen last; if not, take over what it holds now."""
+        state = replace(state, era=self._era)
         condition = RowCondition(DUTY_TABLE, DUTY_KEY, self._version or 0)
         write = RowWrite(DUTY_TABLE, DUTY_KEY, _encode(state))
         outcome = yield from self._store.transact(DUTY_PART, (condition,), (write,))
         if outcome.ok:
+            self._era = max(self._era, era_of(outcome.version))
             self._version, self.state = outcome.version, state
+            self._highest_fencing = max(self._highest_fencing, state.fencing)
+            self._known_reports = dict(state.reports)
             return True
         row = next((each for each in outcome.rows if each.key == DUTY_KEY), None)
-        self._version = row.version if row is not None else 0
-        self.state = _decode(row)
+        self._saw(row, outcome.version)
         return False
 
+    def _is_older_copy(self, fencing: int) -> bool:
+        """Tell whether the row is what a copy had before this process took its lease."""
+        return self.state.era < self._era and self.state.fencing < fencing
+
     def _is_mine(self, found: DutyState, fencing: int) -> bool:
         own = (self._vm_id, self._incarnation, fencing)
         return (found.holder, found.incarnation, found.fencing) == own
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -38,6 +38,7 @@
 from flamingofront.process.membership import FactTable
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.store import Cloud, TableStore
+from flamingofront.process.store_eras import EraStore
 from flamingofront.process.tasks import TaskRunner
 from flamingofront.process.timers import TimerService
 from flamingofront.request.directory import MAX_CANDIDATES, EndpointDirectory
@@ -100,7 +101,7 @@
         self.metrics = Metrics({"vm": settings.vm_id, "zone": settings.zone})
         self.on_configuration: Callable[[ForwardingConfiguration], None] = lambda cfg: None
         self.stopping = False
-        self.store = CountedTableStore(needs.store, self.metrics)
+        self.store = EraStore(CountedTableStore(needs.store, self.metrics), log)
         self._needs = replace(needs, store=self.store)
         self._rng = rng
         self.tasks = TaskRunner(needs.transport, needs.timers, self.fault)
@@ -118,6 +119,8 @@
         self._build_requests()
         self._build_peers()
         self._build_duties()
+        self.store.on_return(self.peers.register_again)
+        self.store.on_return(self.holds.write_again)
         reported = ReportedParts(
             self.hub, self.knowledge, self.lease, self.peers, self.rollouts, self.usage
         )
--- a/flamingofront/process/forwarding/peers.py
+++ b/flamingofront/process/forwarding/peers.py
@@ -130,6 +130,7 @@
         self.relaying = Relaying(own, self.table, self._send_one, relay_listener, timers, rng)
         self._registered: dict[str, float] = {}
         self._is_table_read = False
+        self._is_written = False
         self._hearing: tuple | None = None
         self._refused: set[str] = set()
         # Returns the endpoints of which a process has to know at once, by its IP number.
@@ -251,14 +252,14 @@
 
     def _register(self) -> Task:
         """Write this process into the member table and read who else is there."""
-        written = read_again = False
+        read_again = False
         while True:
             try:
-                if not written:
+                if not self._is_written:
                     value = orjson.dumps({"ip": self._own.ip, "zone": self._own.zone})
                     row = RowWrite(MEMBER_TABLE, self._own.vm_id, value)
                     yield from self._store.transact("", (), (row,))
-                    written = True
+                    self._is_written = True
                 found = yield from self._store.read(MEMBER_TABLE)
             except PlatformError as exc:
                 self._log.warning("member table not reached", detail=str(exc))
@@ -270,9 +271,13 @@
                 yield Sleep(STARTED_SECONDS)
                 continue
             yield Sleep(LONELY_SECONDS)
-            while self.heard_count():
+            while self.heard_count() and self._is_written:
                 yield Sleep(LONELY_SECONDS)
 
+    def register_again(self) -> None:
+        """Write this process into the member table once more: the store may have lost its row."""
+        self._is_written = False
+
     def _take_members(self, rows) -> None:
         self._is_table_read = True
         until = self._timers.now() + LONELY_SECONDS
--- a/flamingofront/process/forwarding/usage.py
+++ b/flamingofront/process/forwarding/usage.py
@@ -203,6 +203,20 @@
         self._log = log
         self._confirmed: set[str] = set()
         self._first = book.window_at(heard.true_time())
+        # Windows before this one may have been reported by holders of which the store lost word.
+        self._unknown_before = 0
+        lease.on_gap = self._skip_unknown
+
+    def _skip_unknown(self) -> None:
+        """Leave windows out that another holder may have reported: the store lost its word of it.
+
+        Notes
+        -----
+        A window that is reported with other counts breaks what the cloud is promised; one that is
+        not is only missing.
+        """
+        self._unknown_before = self._book.window_at(self._heard.true_time())
+        self._log.warning("usage windows left out", before=self._unknown_before)
 
     def run(self) -> Task:
         """Report whenever a window is due; never returns."""
@@ -241,7 +255,7 @@
         if wall < end + MISSING_SECONDS and not self._book.known_until(end, heard, wall):
             last -= 1
         newest = max((int(each) for each in self._lease.state.reports), default=self._first - 1)
-        due = max(newest + 1, last - KEPT_WINDOWS + 2)
+        due = max(newest + 1, last - KEPT_WINDOWS + 2, self._unknown_before)
         return due if due <= last else None
 
     def _record(self, window: int) -> Task:
--- a/flamingofront/process/holds.py
+++ b/flamingofront/process/holds.py
@@ -186,6 +186,13 @@
                 self._metrics.count("platform_errors_total", operation="hold")
                 self._log.warning("hold refused", work=row.key, detail=str(exc))
 
+    def write_again(self) -> None:
+        """Keep all holds again that the store may have lost with its return from a copy."""
+        self._versions.clear()
+        self._kept.clear()
+        for hold in self._guard.quarantine.holds():
+            self._changed(hold, is_own=False)
+
     def _changed(self, hold: Hold, is_own: bool) -> None:
         """Keep a hold that is new or was lifted."""
         self._tasks.start(self._keep(hold, is_own))
