Tests that notice two mechanisms whose loss none had noticed

Callers: no change. What is given up before it began to run ends no stand-in any more: it did before, which hid the first.

--- a/flamingofront/request/tests/test_crashing_requests.py
+++ b/flamingofront/request/tests/test_crashing_requests.py
@@ -128,6 +128,17 @@
             world.run(0.4)
         assert len(product.ends) == ends
 
+    def test_all_processes_learn_of_it_at_once(self):
+        """Word of the ends comes by push; the store is read each two seconds only."""
+        product = CrashingProduct()
+        nodes = product.world.nodes.values()
+        product.ask("stream")
+        product.world.run_until(
+            lambda: any(each.hub.guard.quarantine.holds() for each in nodes), limit=5.0
+        )
+        product.world.run(0.2)
+        assert all(each.hub.guard.quarantine.holds() for each in nodes)
+
     def test_caller_is_told_what_happened(self):
         product = CrashingProduct()
         for _ in range(6):
--- a/flamingofront/standins/forward_endpoint.py
+++ b/flamingofront/standins/forward_endpoint.py
@@ -80,7 +80,9 @@
         self.runs.append(req)
         exchange.on_gone = self._gone
         if self.crashes_on(req):
-            self._timers.once(CRASH_SECONDS, lambda: self.on_crash(req))
+            crash = self._timers.once(CRASH_SECONDS, lambda: self.on_crash(req))
+            # What is given up before it began to run ends nothing.
+            exchange.on_gone = crash.cancel
             return
         self._timers.once(self.gap, lambda: self._answer(req, exchange, fault))
 
--- a/flamingofront/tests/test_crashing_requests.py
+++ b/flamingofront/tests/test_crashing_requests.py
@@ -239,14 +239,18 @@
         assert "3 endpoints ended while they ran this request" in error["message"]
 
     def test_request_that_is_under_way_elsewhere_is_stopped(self):
-        """Of twenty that came at once, those that wait at other engines end nothing more."""
-        world = crashing_world()
+        """Those that reached other engines shortly before the third end are given up there."""
+        world = crashing_world(engines=16)
         world.poison.add(POISON)
-        repeat(world, "/write/x", seconds=1.0)
-        name = next(iter(world.fronts))
-        active = [each.fingerprint for each in world.fronts[name].hub.active.values()]
-        held = {each.fingerprint for each in world.fronts[name].hub.guard.quarantine.holds()}
-        assert held and not held.intersection(active)
+        first = [world.ask_one("/stream/once/x", POISON) for _ in range(12)]
+        world.run(0.07)
+        ended = len(world.ends_under(POISON))
+        later = [world.ask_one("/stream/once/x", POISON) for _ in range(12)]
+        world.run(2.0)
+        assert ended == 0 and len(world.ends_under(POISON)) >= 3
+        assert all(each.done for each in (*first, *later))
+        kinds = [each.error["kind"] for each in later]
+        assert kinds.count("crashes_endpoints") >= 8
 
     def test_lines_lead_from_an_id_to_all_endpoints_and_to_the_refusal(self):
         with logbook.TestHandler(level="INFO", bubble=True).applicationbound() as log:
