--- a/flamingofront/process/forwarding/tests/test_restored_store.py
+++ b/flamingofront/process/forwarding/tests/test_restored_store.py
@@ -19,8 +19,10 @@
     holder,
     usage,
 )
+from flamingofront.process.forwarding.tests.test_rollouts import Rollout
 from flamingofront.process.holds import HOLD_TABLE
 from flamingofront.process.store import RowCondition, RowWrite, position, version_of
+from flamingofront.standins.forward_endpoint import ForwardFault
 from flamingofront.standins.table_store import StoreFault
 from flamingofront.tests.crashing_world import CONTACT_SECONDS, crashing_world
 from flamingofront.tests.forwarding_world import configuration, ready_world
@@ -191,3 +193,43 @@
         windows = sorted(usage(world))
         assert windows == list(range(windows[0], windows[-1] + 1))
         assert sum(each.get("desk", 0) for each in usage(world).values()) == 60
+
+
+class TestRollouts:
+    @pytest.mark.parametrize("is_order_lost", [False, True])
+    @pytest.mark.parametrize("is_holder_killed", [False, True])
+    def test_one_that_was_judged_bad_is_not_begun_again(self, is_order_lost, is_holder_killed):
+        """Its verdict, or the order with it, is gone; the order is written again by its owner."""
+        rollout = Rollout(ForwardFault.ERROR)
+        world = rollout.world
+        age = rollout.serve_until("rolled_back", 40.0)
+        exposed = rollout.runs("new")
+        if is_holder_killed:
+            world.kill(holder(world))
+        restore(world, age + 1.0 if is_order_lost else 1.0)
+        if is_holder_killed:
+            for name in list(world.fronts):
+                if world.host(name).dead:
+                    world.front(name, first_start=False)
+            world.run_until(lambda: all(each.ready for each in world.fronts.values()))
+        rollout.serve(12.0)
+        assert rollout.runs("new") == exposed
+        assert rollout.state() == "rolled_back"
+
+    def test_one_that_is_under_way_goes_on(self):
+        rollout = Rollout()
+        rollout.serve(8.0)
+        restore(rollout.world, 9.0)
+        assert rollout.serve_until("completed", 40.0) <= 40.0
+
+    def test_order_that_is_given_once_more_later_begins_anew(self):
+        rollout = Rollout(ForwardFault.ERROR)
+        rollout.serve_until("rolled_back", 40.0)
+        restore(rollout.world, 3.0)
+        rollout.serve(4.0)
+        for name in ("new-1", "new-2"):
+            rollout.world.endpoints[name].fail(ForwardFault.NONE)
+        rollout.world.store.put("op", "rollout/records", rollout.order)
+        rollout.world.run(1.0)
+        rollout.ordered_at = rollout.world.clock.now()
+        rollout.serve_until("completed", 40.0)
