--- /dev/null
+++ b/flamingofront/process/forwarding/held_requests.py
@@ -0,0 +1,69 @@
+"""Requests that crash endpoints, as the forwarding processes know them together.
+
+What this process finds out goes to the others with its reports and digests, and holds go to the
+store. What others find out comes the same way, and through the feed of the table of holds, which
+also reaches zones that hear nobody.
+"""
+
+from collections.abc import Callable
+
+from flamingofront.process.forwarding.follower import TableFollower, TableListener
+from flamingofront.process.forwarding.peers import Peers
+from flamingofront.process.holds import HOLD_TABLE, HoldKeeper, TableHolds
+from flamingofront.process.services import Services
+from flamingofront.process.store_eras import EraStore
+from flamingofront.process.tasks import Task
+from flamingofront.request.guard import RequestGuard
+
+__all__ = ["HeldRequests"]
+
+# Longest wait for a change of the requests that are held back: word of peers comes within a second,
+# and the table is for zones that hear nobody. Of 3.5 s as for the others each process would make
+# three times the calls on a calm day.
+FEED_WAIT_SECONDS = 10.0
+# A hold that another process has kept is seen in the feed within some ten milliseconds.
+FEED_SEEN_SECONDS = 0.5
+
+
+class HeldRequests:
+    """Joins the guard of a process with its peers and the store.
+
+    Parameters
+    ----------
+    may_rest : callable
+        Returns whether other processes follow the store for this one.
+
+    Attributes
+    ----------
+    follower : TableFollower
+        Follows the table of holds.
+    """
+
+    def __init__(
+        self,
+        guard: RequestGuard,
+        peers: Peers,
+        store: EraStore,
+        services: Services,
+        may_rest: Callable[[], bool],
+    ):
+        guard.wall = peers.true_time
+        guard.on_news = peers.tell_now
+        self._keeper = HoldKeeper(guard, TableHolds(store), services, FEED_SEEN_SECONDS, may_rest)
+        store.on_return(self._keeper.write_again)
+        self.follower = TableFollower(
+            store,
+            HOLD_TABLE,
+            TableListener(
+                lambda rows, version: self._keeper.take_rows(rows), self._keeper.take_rows
+            ),
+            services.timers.now,
+            services.rng,
+            services.log,
+            may_rest,
+            wait=FEED_WAIT_SECONDS,
+        )
+
+    def run(self) -> Task:
+        """Follow the table of holds; never returns."""
+        yield from self.follower.run()
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -19,7 +19,7 @@
 from flamingofront.process.forwarding.endpoint_row import EndpointRow
 from flamingofront.process.forwarding.endpoints import EndpointView
 from flamingofront.process.forwarding.exchange import KnowledgeExchange
-from flamingofront.process.forwarding.follower import TableFollower, TableListener
+from flamingofront.process.forwarding.held_requests import HeldRequests
 from flamingofront.process.forwarding.knowledge import Knowledge, SharedTables
 from flamingofront.process.forwarding.observations import Observations
 from flamingofront.process.forwarding.own_report import OwnReport, ReportedParts
@@ -33,10 +33,10 @@
 from flamingofront.process.forwarding.settings import DeploymentSettings
 from flamingofront.process.forwarding.usage import CountsHeard, UsageBook, UsageDuty
 from flamingofront.process.forwarding.whole_load import WholeLoad
-from flamingofront.process.holds import HOLD_TABLE, HoldKeeper, TableHolds
 from flamingofront.process.logs import Log
 from flamingofront.process.membership import FactTable
 from flamingofront.process.metrics import Metrics
+from flamingofront.process.services import Services
 from flamingofront.process.store import Cloud, TableStore
 from flamingofront.process.store_eras import EraStore
 from flamingofront.process.tasks import TaskRunner
@@ -65,12 +65,6 @@
 LAST_ANSWERS_SECONDS = 0.05
 # Part of an endpoint's connections that may be idle ones.
 IDLE_PART = 0.5
-# Longest wait for a change of the requests that are held back: word of peers comes within a second,
-# and the table is for zones that hear nobody. Of 3.5 s as for the others each process would make
-# three times the calls on a calm day.
-HOLD_WAIT_SECONDS = 10.0
-# A hold that another process has kept is seen in the feed within some ten milliseconds.
-HOLD_HEARD_SECONDS = 0.5
 USAGE = "usage"
 SCALING = "scaling"
 
@@ -120,7 +114,8 @@
         self._build_peers()
         self._build_duties()
         self.store.on_return(self.peers.register_again)
-        self.store.on_return(self.holds.write_again)
+        services = Services(self.tasks, self.timers, rng, self.metrics, log)
+        self.held = HeldRequests(self.hub.guard, self.peers, self.store, services, self._may_rest)
         reported = ReportedParts(
             self.hub, self.knowledge, self.lease, self.peers, self.rollouts, self.usage
         )
@@ -182,28 +177,6 @@
             self.hub, needs.protocol, self.quota, self.log, self._began_to_run
         )
         self.gateway.version_rule = self.rollouts.rule
-        self.hub.guard.wall = lambda: self.peers.true_time()
-        self.hub.guard.on_news = lambda: self.peers.tell_now()
-        self.holds = HoldKeeper(
-            self.hub.guard,
-            TableHolds(needs.store),
-            self.tasks,
-            self._rng,
-            self.metrics,
-            self.log,
-            HOLD_HEARD_SECONDS,
-            self._may_rest,
-        )
-        self.hold_follower = TableFollower(
-            needs.store,
-            HOLD_TABLE,
-            TableListener(lambda rows, version: self.holds.take_rows(rows), self.holds.take_rows),
-            self.timers.now,
-            self._rng,
-            self.log,
-            self._may_rest,
-            wait=HOLD_WAIT_SECONDS,
-        )
 
     def _outcome(self, service: str, endpoint_id: str, is_bad: bool) -> None:
         """Count an answer for the roll-out of a service, if there is one."""
@@ -405,8 +378,9 @@
             self.tasks.start(self.lease.run())
         for duty in self.duties:
             self.tasks.start(duty.run())
-        for follower in (*self.knowledge.followers, self.hold_follower):
+        for follower in self.knowledge.followers:
             self.tasks.start(follower.run())
+        self.tasks.start(self.held.run())
         self.log.info("started", zone=self.settings.zone, first=self.settings.first_start)
 
     def fault(self, exc: BaseException) -> None:
--- a/flamingofront/process/holds.py
+++ b/flamingofront/process/holds.py
@@ -5,7 +5,6 @@
 want one only one gets it.
 """
 
-import random
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -17,11 +16,10 @@
 from flamingofront.messages import Sleep
 from flamingofront.process.backoff import Backoff
 from flamingofront.process.documents import Condition, DocumentStore, Write
-from flamingofront.process.logs import Log
-from flamingofront.process.metrics import Metrics
 from flamingofront.process.quarantine_codec import decode_hold, encode_hold
+from flamingofront.process.services import Services
 from flamingofront.process.store import RowCondition, RowWrite, StoredRow, TableStore
-from flamingofront.process.tasks import Task, TaskRunner
+from flamingofront.process.tasks import Task
 from flamingofront.request.guard import RequestGuard
 
 __all__ = ["HOLD_TABLE", "DocumentHolds", "HoldKeeper", "HoldRows", "KeptHold", "TableHolds"]
@@ -137,10 +135,7 @@
         self,
         guard: RequestGuard,
         rows: HoldRows,
-        tasks: TaskRunner,
-        rng: random.Random,
-        metrics: Metrics,
-        log: Log,
+        services: Services,
         others_wait: float,
         may_rest: Callable[[], bool] = lambda: False,
     ):
@@ -148,10 +143,10 @@
         self._may_rest = may_rest
         self._guard = guard
         self._rows = rows
-        self._tasks = tasks
-        self._rng = rng
-        self._metrics = metrics
-        self._log = log
+        self._tasks = services.tasks
+        self._rng = services.rng
+        self._metrics = services.metrics
+        self._log = services.log
         self._versions: dict[str, int] = {}
         self._kept: dict[str, Hold] = {}
         guard.on_hold = self._changed
--- a/flamingofront/process/node.py
+++ b/flamingofront/process/node.py
@@ -26,6 +26,7 @@
 from flamingofront.process.orders import EndpointOrders
 from flamingofront.process.peers import PeerLinks
 from flamingofront.process.rows import LocalRows, LocalState
+from flamingofront.process.services import Services
 from flamingofront.process.settings import EntrySettings
 from flamingofront.process.status import StatusRecord
 from flamingofront.process.tasks import Task, TaskRunner
@@ -195,15 +196,8 @@
         self.gossip.on_word = guard.hear
         guard.on_news = lambda: self.links.push(Push(quarantine=guard.word()))
         self._hold_rows = DocumentHolds(self.documents)
-        self.holds = HoldKeeper(
-            guard,
-            self._hold_rows,
-            self.tasks,
-            self._rng,
-            self.metrics,
-            self.log,
-            HOLDS_SECONDS + SLACK_SECONDS,
-        )
+        services = Services(self.tasks, self.timers, self._rng, self.metrics, self.log)
+        self.holds = HoldKeeper(guard, self._hold_rows, services, HOLDS_SECONDS + SLACK_SECONDS)
 
     def _read_holds(self) -> Task:
         """Read the requests that are held back, for zones that hear nobody; never returns."""
