Documents that a copy of the store lacks are written again by their writers

Callers: a call with an idempotency key ran twice after its claim had gone with the copy. Operators: an accepted change was gone after a restart of all.

Cause: the store alone had them. Ruled out: rebuilding claims from requests in flight (a finished call is in none). Each process remembers what it wrote in the last 30 s and writes it again when the store's era rises, unless the store has something later: a document tells the era in which it was written, and one that was written again the place of its first write.

Not kept: what its writer does not survive; for some 100 ms after the return a second call may still run. Why it holds: of two processes that write a key again the later first write stands, in whatever order they come.

--- a/flamingofront/daemon.py
+++ b/flamingofront/daemon.py
@@ -4,6 +4,7 @@
 import random
 import sys
 import time
+from collections.abc import Callable
 
 import defopt
 import orjson
@@ -18,6 +19,7 @@
 from flamingofront.process.logs import Log, set_up_logs
 from flamingofront.process.node import EntryNode
 from flamingofront.process.settings import EntrySettings, resolve_settings
+from flamingofront.process.store_eras import EraStore
 
 __all__ = ["EntryDaemon", "documents_at", "main"]
 
@@ -42,7 +44,9 @@
         client = HTTPClient(self.runtime.timers).register(self.runtime)
         self.node = EntryNode(
             settings,
-            documents_at(str(settings.platform), settings.platform_timeout),
+            documents_at(
+                str(settings.platform), settings.platform_timeout, self.runtime.timers.now, log
+            ),
             client,
             self.runtime.timers,
             random.Random(),
@@ -97,11 +101,20 @@
         self.runtime.run()
 
 
-def documents_at(address: str, timeout: float) -> DocumentStore:
-    """Return the documents in the platform's store at ``IP:PORT``; `timeout` is in seconds."""
-    return DocumentStore(
-        PlatformTableStore(address, timeout), PlatformObjectStore(address, timeout)
-    )
+def documents_at(address: str, timeout: float, now: Callable[[], float], log: Log) -> DocumentStore:
+    """Return the documents in the platform's store.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT`` of the store.
+    timeout : float
+        Seconds to wait for an answer.
+    now : callable
+        Time of the timer service.
+    """
+    tables = EraStore(PlatformTableStore(address, timeout), log)
+    return DocumentStore(tables, PlatformObjectStore(address, timeout), now)
 
 
 def _incarnation() -> int:
--- a/flamingofront/process/documents.py
+++ b/flamingofront/process/documents.py
@@ -7,20 +7,23 @@
 
 import contextlib
 import hashlib
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from typing import Any
 
 import orjson
 
 from flamingofront.errors import PlatformError
+from flamingofront.process.recent_documents import Mark, RecentDocuments, is_newer
 from flamingofront.process.store import (
     ObjectStore,
     RowCondition,
     RowWrite,
     StoredRow,
-    TableStore,
+    era_of,
+    version_of,
 )
+from flamingofront.process.store_eras import EraStore
 from flamingofront.process.tasks import Task
 
 __all__ = ["Condition", "Document", "DocumentStore", "TransactionResult", "Write"]
@@ -31,6 +34,10 @@
 # Fields of a row: the document itself, or the name of the object that holds it.
 VALUE_FIELD = "value"
 OBJECT_FIELD = "object"
+# Era of the store in which a document was written, and the position of its first write if it was
+# written again after a return from a copy.
+ERA_FIELD = "era"
+ORIGIN_FIELD = "origin"
 DIGEST_BYTES = 16
 
 
@@ -42,12 +49,15 @@
     ----------
     object_name : str
         Object that holds the document; empty if its row does.
+    mark : Mark
+        Where its value stands among all writes.
     """
 
     key: str
     value: Any = None
     revision: int = 0
     object_name: str = ""
+    mark: Mark = Mark()
 
 
 @dataclass(frozen=True)
@@ -89,14 +99,45 @@
 
     Parameters
     ----------
+    now : callable
+        Time of the timer service.
     row_bytes : int
         Largest row; a larger document is kept as an object.
     """
 
-    def __init__(self, tables: TableStore, objects: ObjectStore, row_bytes: int = ROW_BYTES):
+    def __init__(
+        self,
+        tables: EraStore,
+        objects: ObjectStore,
+        now: Callable[[], float],
+        row_bytes: int = ROW_BYTES,
+    ):
         self._tables = tables
         self._objects = objects
         self._row_bytes = row_bytes
+        self._recent = RecentDocuments(now)
+
+    def on_return(self, listener: Callable[[], None]) -> None:
+        """Call `listener` each time the store has come back from an older copy."""
+        self._tables.on_return(listener)
+
+    def write_again(self) -> Task:
+        """Write what this process wrote lately and the store has lost; return how much it was."""
+        count = 0
+        for write in self._recent.last_writes():
+            (found,) = yield from self.read([write.key])
+            version = version_of(found.revision)
+            if not is_newer(write, found.mark, version, self._tables.era):
+                continue
+            if found.revision == 0 and write.value is None:
+                continue
+            mark = Mark(era_of(write.position), write.position)
+            data = yield from self._encoded(Write(write.key, write.value), mark)
+            condition = RowCondition(DOCUMENT_TABLE, write.key, found.revision)
+            row = RowWrite(DOCUMENT_TABLE, write.key, data)
+            outcome = yield from self._tables.transact("", (condition,), (row,))
+            count += outcome.ok
+        return count
 
     def read(self, keys: Iterable[str]) -> Task:
         """Read documents one after the other, in this order; return a `Document` for each key.
@@ -131,9 +172,13 @@
         """Write all documents if all conditions hold; return the `TransactionResult`."""
         rows = []
         for write in writes:
-            rows.append(RowWrite(DOCUMENT_TABLE, write.key, (yield from self._encoded(write))))
+            data = yield from self._encoded(write, Mark(self._tables.era))
+            rows.append(RowWrite(DOCUMENT_TABLE, write.key, data))
         required = [RowCondition(DOCUMENT_TABLE, each.key, each.revision) for each in conditions]
         outcome = yield from self._tables.transact("", required, rows)
+        if outcome.ok:
+            for write in writes:
+                self._recent.wrote(write.key, write.value, outcome.version)
         return TransactionResult(outcome.ok)
 
     def replace(self, document: Document, value: Any, *more: Write) -> Task:
@@ -159,11 +204,13 @@
         if document.object_name:
             yield from self._objects.drop(document.object_name)
 
-    def _encoded(self, write: Write) -> Task:
+    def _encoded(self, write: Write, mark: Mark) -> Task:
         """Return a document's row; store its object first if it needs one."""
         if write.value is None:
             return None
-        data = orjson.dumps({VALUE_FIELD: write.value})
+        marked = {ERA_FIELD: mark.era, ORIGIN_FIELD: mark.origin}
+        marked = {name: value for name, value in marked.items() if value}
+        data = orjson.dumps({VALUE_FIELD: write.value, **marked})
         if len(data) <= self._row_bytes:
             return data
         digest = hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
@@ -173,19 +220,20 @@
         except PlatformError as exc:
             # An object alone changes nothing: the transaction was not sent.
             raise PlatformError(str(exc), maybe_done=False) from exc
-        return orjson.dumps({OBJECT_FIELD: name})
+        return orjson.dumps({OBJECT_FIELD: name, **marked})
 
     def _document(self, row: StoredRow) -> Task:
         body = _decoded(row.key, row.value or b"")
         name = body.get(OBJECT_FIELD, "")
+        mark = Mark(body.get(ERA_FIELD, 0), body.get(ORIGIN_FIELD, 0))
         if not name:
-            return Document(row.key, body.get(VALUE_FIELD), row.version)
+            return Document(row.key, body.get(VALUE_FIELD), row.version, mark=mark)
         data = yield from self._objects.get(name)
         if data is None:
             # Replaced since the row was read, or removed with it: to be read again.
             raise PlatformError(f"the object of document {row.key} is gone")
         value = _decoded(row.key, data).get(VALUE_FIELD)
-        return Document(row.key, value, row.version, name)
+        return Document(row.key, value, row.version, name, mark)
 
 
 def _decoded(key: str, data: bytes) -> dict[str, Any]:
--- a/flamingofront/process/node.py
+++ b/flamingofront/process/node.py
@@ -50,6 +50,8 @@
 # Pause between two looks at the requests that are held back. Peers tell of them at once; a process
 # that hears none of them has to know before three seconds are over.
 HOLDS_SECONDS = 2.0
+# Pause after a failed try to write again what a copy of the store lacks.
+WRITE_AGAIN_SECONDS = 0.2
 
 
 class EntryNode:
@@ -90,6 +92,7 @@
         self._exchanges = 0
         self.documents = documents
         self.tasks = TaskRunner(transport, timers, self._fault)
+        documents.on_return(lambda: self.tasks.start(self._write_again()))
         self._headers = _peer_headers(settings.control_token)
         self._build_membership(incarnation)
         self._build_requests(transport)
@@ -189,6 +192,19 @@
         )
         self.hub.on_idle = self.drain.check
 
+    def _write_again(self) -> Task:
+        """Write what the store has lost by coming back from a copy, until that is done."""
+        while True:
+            try:
+                count = yield from self.documents.write_again()
+            except PlatformError as exc:
+                self.metrics.count("platform_errors_total", operation="write_again")
+                self.log.info("lost documents not written yet", detail=str(exc))
+                yield Sleep(WRITE_AGAIN_SECONDS)
+            else:
+                self.log.info("lost documents written again", count=count)
+                return
+
     def _guard_endpoints(self) -> None:
         """Tell the others what crashes endpoints, and keep it in the store."""
         guard = self.hub.guard
--- a/flamingofront/process/tests/test_documents.py
+++ b/flamingofront/process/tests/test_documents.py
@@ -5,6 +5,14 @@
 from flamingofront.daemon import documents_at
 from flamingofront.errors import PlatformError
 from flamingofront.process.documents import DOCUMENT_TABLE, ROW_BYTES, Condition, Write
+from flamingofront.process.logs import Log
+from flamingofront.process.recent_documents import (
+    Mark,
+    RecentDocuments,
+    WrittenDocument,
+    is_newer,
+)
+from flamingofront.process.store import position
 from flamingofront.process.tasks import TaskRunner
 from flamingofront.standins.platform import FaultMode
 from flamingofront.standins.table_store import RANGE_ROWS
@@ -20,7 +28,9 @@
     def __init__(self):
         self.world = World()
         host = self.world._host("process", "zone-a")
-        self.documents = documents_at(self.world.host("platform").address, 1.0)
+        self.documents = documents_at(
+            self.world.host("platform").address, 1.0, self.world.clock.now, Log("test")
+        )
         self.tasks = TaskRunner(FakeTransport(self.world, host), host.timers, self.fail)
         self.platform = self.world.platform
 
@@ -141,3 +151,36 @@
         store.platform.store.put(DOCUMENT_TABLE, "odd", data)
         with pytest.raises(PlatformError, match="document odd is malformed"):
             store.read("odd")
+
+
+class TestRecentWrites:
+    """What of its own a process writes again after the store's return from a copy."""
+
+    @pytest.mark.parametrize(
+        "mark, version, newer",
+        [
+            (Mark(0), 10, True),
+            (Mark(0), 20, False),
+            (Mark(0), 30, False),
+            (Mark(0, position(0, 10)), 99, True),
+            (Mark(0, position(0, 30)), 1, False),
+            (Mark(1), 5, False),
+        ],
+    )
+    def test_it_is_written_again_only_over_what_is_older(self, mark, version, newer):
+        write = WrittenDocument("key", "value", position(0, 20), 0.0)
+        assert is_newer(write, mark, version, 1) is newer
+
+    def test_row_of_a_later_era_is_newer_whatever_its_number(self):
+        write = WrittenDocument("key", "value", position(0, 2000), 0.0)
+        assert not is_newer(write, Mark(1), 100, 2)
+        assert is_newer(WrittenDocument("key", "value", position(1, 3), 0.0), Mark(0), 900, 2)
+
+    def test_old_writes_are_not_kept(self):
+        now = [0.0]
+        recent = RecentDocuments(lambda: now[0])
+        recent.wrote("old", 1, 1)
+        now[0] = 40.0
+        recent.wrote("key", 1, 2)
+        recent.wrote("key", 2, 3)
+        assert [each.value for each in recent.last_writes()] == [2]
--- a/flamingofront/process/tests/test_leases.py
+++ b/flamingofront/process/tests/test_leases.py
@@ -9,6 +9,7 @@
 from flamingofront.daemon import documents_at
 from flamingofront.messages import Sleep
 from flamingofront.process.leases import LeaseKeeper
+from flamingofront.process.logs import Log
 from flamingofront.standins.platform import FaultMode
 from flamingofront.tests.world import World, demo_world
 
@@ -35,7 +36,9 @@
             raise exc
 
         runner = TaskRunner(FakeTransport(self.world, host), host.timers, fault)
-        documents = documents_at(self.world.host("platform").address, 1.0)
+        documents = documents_at(
+            self.world.host("platform").address, 1.0, self.world.clock.now, Log("test")
+        )
         keeper = LeaseKeeper(
             documents,
             "duty/zone",
@@ -198,7 +201,12 @@
 
     def test_generator_waits_between_renewals(self):
         keeper = LeaseKeeper(
-            documents_at("127.0.0.1:1", 1.0), "d/z", "h/1", lambda: 0.0, random.Random(1), DURATION
+            documents_at("127.0.0.1:1", 1.0, lambda: 0.0, Log("test")),
+            "d/z",
+            "h/1",
+            lambda: 0.0,
+            random.Random(1),
+            DURATION,
         )
         task = keeper.run()
         next(task)
--- a/flamingofront/tests/world.py
+++ b/flamingofront/tests/world.py
@@ -152,7 +152,12 @@
         settings = EntrySettings(**values)
         node = EntryNode(
             settings,
-            documents_at(str(settings.platform), settings.platform_timeout),
+            documents_at(
+                str(settings.platform),
+                settings.platform_timeout,
+                host.timers.now,
+                Log("entry"),
+            ),
             FakeTransport(self, host),
             host.timers,
             random.Random(self.rng.random()),
