--- a/flamingofront/version/tests/test_commit.py
+++ b/flamingofront/version/tests/test_commit.py
@@ -12,6 +12,7 @@
 from flamingofront.connection.interfaces import Exchange
 from flamingofront.daemon import documents_at
 from flamingofront.messages import CallFailed, InboundRequest, OutboundCall, Sleep, WholeResponse
+from flamingofront.process.logs import Log
 from flamingofront.process.timers import ManualClock, TimerService
 from flamingofront.standins.platform import TRANSACTION_PATH, PlatformStandIn
 from flamingofront.version.commit import CommitState, commit, settle
@@ -19,6 +20,10 @@
 from flamingofront.version.model import Configuration, configuration_from_json
 
 
+def documents():
+    return documents_at("127.0.0.1:1", 1.0, lambda: 0.0, Log("test"))
+
+
 class Answer(Exchange):
     """Keeps the answer to one call."""
 
@@ -59,7 +64,7 @@
     edits = parse(text).edits
     now = clock or (lambda: 0.0)
     return commit(
-        documents_at("127.0.0.1:1", 1.0),
+        documents(),
         edits,
         base,
         operator,
@@ -157,9 +162,7 @@
         late = task.send(None)
         while late.path != TRANSACTION_PATH:
             late = task.send(table.serve(late))
-        outcome = run_task(
-            table, settle(documents_at("127.0.0.1:1", 1.0), "op", "ops", random.Random(1))
-        )
+        outcome = run_task(table, settle(documents(), "op", "ops", random.Random(1)))
         assert outcome.state is CommitState.ABANDONED
         assert table.serve(late).status == 412
         assert table.configuration().revision == 0
@@ -246,7 +249,7 @@
         ]
         if unknown:
             run = unknown[index % len(unknown)]
-            task = settle(documents_at("127.0.0.1:1", 1.0), run.operation, "ops", random.Random(1))
+            task = settle(documents(), run.operation, "ops", random.Random(1))
             run.outcome = run_task(self.table, task)
 
     def took_effect(self, run):
