Old word of an answer lifts no later hold; what is counted reads as evidence

Callers: none saw it; found by reading. A process that knew a hold but none of its ends would have lifted it for an answer from before, told within three seconds. Before: the new test fails; after: the hold's own time decides. Names and comments of the quarantine use evidence and explained in place of figures of speech.

--- a/bench/quarantine_mutations.py
+++ b/bench/quarantine_mutations.py
@@ -26,7 +26,7 @@
         ENDS,
     ),
     Mutation(
-        "Q an endpoint that leaves speaks against nobody",
+        "Q an endpoint that leaves is no evidence",
         "request/endpoint_ends.py",
         "if self._directory.leaving(endpoint_id):",
         "if False:",
@@ -35,7 +35,7 @@
     Mutation(
         "Q what runs beside it is cleared",
         "decisions/quarantine.py",
-        "return bool(self.culprits) and fingerprint not in self.culprits",
+        "return bool(self.explained_by) and fingerprint not in self.explained_by",
         "return False",
         DECISIONS,
     ),
--- a/flamingofront/decisions/quarantine.py
+++ b/flamingofront/decisions/quarantine.py
@@ -5,10 +5,10 @@
 id at one process, and health counts an endpoint, so neither sees it. Here the request itself is
 counted, by its fingerprint, over all processes.
 
-What speaks against a request is that endpoints ended while it was there. That holds for all that
-ran beside it as well, so one end proves nothing: of a request three ends are enough, or two if
-nothing else was at both. Ends of which the culprit is found speak against nobody else. Several ends
-in one availability zone at the same moment, of which some were without the request, have a common
+The evidence against a request is that endpoints ended while it was there. All that ran beside it
+has the same, so that one end proves nothing: three ends of a request are enough, or two if nothing
+else was at both. An end that a held request explains is no evidence against others. Several ends in
+one availability zone at the same moment, of which some were without the request, have a common
 cause and count once. Any answer clears a request.
 
 A request that is held back may be innocent, so that it is tried again after a while: three times in
@@ -35,8 +35,8 @@
 # Ends under a request from which on it is not run any more. A fleet is lost at nine ends within
 # 1.3 s, and a retried stream that ran beside such a request was seen at two of its ends, 50 times.
 ENDS_TO_HOLD = 3
-# Ends that are enough even if culprits are known for some of them: two requests that crash
-# endpoints may have met, and the one that was found first must not hide the other.
+# Ends that are enough even if held requests explain some of them: two requests that crash endpoints
+# may have met, and the one that was found first must not hide the other.
 ENDS_IN_ANY_CASE = ENDS_TO_HOLD + 1
 # Ends that are enough if no other request was at all of them.
 ENDS_ALONE = 2
@@ -68,7 +68,7 @@
     """What is known of a request."""
 
     CLEAR = "clear"
-    """Nothing speaks against it."""
+    """There is no evidence against it."""
     SUSPECTED = "suspected"
     """An endpoint ended while it was there; it is run apart from other suspects."""
     HELD = "held"
@@ -160,11 +160,11 @@
     at: float
     requests: set[str] = field(default_factory=set)
     untold: int = 0
-    culprits: set[str] = field(default_factory=set)
+    explained_by: set[str] = field(default_factory=set)
 
     def explained_for(self, fingerprint: str) -> bool:
-        """Tell whether the end speaks against others only."""
-        return bool(self.culprits) and fingerprint not in self.culprits
+        """Tell whether other requests explain the end."""
+        return bool(self.explained_by) and fingerprint not in self.explained_by
 
 
 class Quarantine:
@@ -177,10 +177,10 @@
         self._released: OrderedDict[str, float] = OrderedDict()
 
     def __bool__(self) -> bool:
-        """True while anything speaks against any request."""
+        """True while there is evidence against any request."""
         return bool(self._suspects or self._holds)
 
-    # What speaks against a request
+    # Evidence
 
     def ended(self, end: EndpointEnd, now: float) -> bool:
         """Take note of an end; True if it told anything new."""
@@ -199,7 +199,7 @@
             self._suspects.setdefault(fingerprint, []).append(known)
             self._suspects.move_to_end(fingerprint)
             if fingerprint in self._holds and not self._holds[fingerprint].lifted:
-                known.culprits.add(fingerprint)
+                known.explained_by.add(fingerprint)
         self._bound()
         return is_new
 
@@ -239,13 +239,13 @@
         return frozenset(endpoint_id for endpoint_id, _ in self._ends)
 
     def ends_under(self, fingerprint: str) -> tuple[EndpointEnd, ...]:
-        """Return the ends that speak against a request, in the order in which they were told."""
+        """Return the ends that are evidence against a request, in the order of their telling."""
         return tuple(
             EndpointEnd(each.endpoint_id, each.zone, each.at, (fingerprint,))
-            for each in self._speaking(fingerprint)
+            for each in self._unexplained(fingerprint)
         )
 
-    def _speaking(self, fingerprint: str) -> list[_End]:
+    def _unexplained(self, fingerprint: str) -> list[_End]:
         found = self._suspects.get(fingerprint, ())
         return [each for each in found if not each.explained_for(fingerprint)]
 
@@ -273,11 +273,11 @@
     def _is_proved(self, fingerprint: str, now: float) -> bool:
         if self._count(fingerprint, self._suspects[fingerprint]) >= ENDS_IN_ANY_CASE:
             return True
-        ends = self._speaking(fingerprint)
+        ends = self._unexplained(fingerprint)
         count = self._count(fingerprint, ends)
         if count >= ENDS_TO_HOLD:
             return True
-        # Ends with a common cause speak against nobody alone.
+        # Ends with a common cause are no evidence by themselves.
         if count < max(ENDS_ALONE, len(ends)):
             return False
         if now - max(each.at for each in ends) < SETTLED_SECONDS:
@@ -286,17 +286,17 @@
         return others == {fingerprint} and not any(each.untold for each in ends)
 
     def standing(self, fingerprint: str, now: float) -> Standing:
-        """Return what is known of a request, by what is held back and what speaks against it."""
+        """Return what is known of a request, by holds and by the evidence against it."""
         hold = self._holds.get(fingerprint)
         if hold is not None and not hold.lifted:
             return Standing.TRIAL_DUE if self._trial_due(hold, now) else Standing.HELD
-        return Standing.SUSPECTED if self._speaking(fingerprint) else Standing.CLEAR
+        return Standing.SUSPECTED if self._unexplained(fingerprint) else Standing.CLEAR
 
     @staticmethod
     def _trial_due(hold: Hold, now: float) -> bool:
         return hold.trials < len(TRIAL_SECONDS) and now >= hold.next_trial
 
-    # What is not run
+    # Verdicts
 
     def judge(self, now: float) -> tuple[Hold, ...]:
         """Hold back what is proved by now and return it; the rest of what ran there is cleared.
@@ -334,7 +334,7 @@
         self._holds.move_to_end(hold.fingerprint)
         if not hold.lifted:
             for end in self._suspects.get(hold.fingerprint, ()):
-                end.culprits.add(hold.fingerprint)
+                end.explained_by.add(hold.fingerprint)
         self._bound()
 
     def hold(self, fingerprint: str) -> Hold | None:
@@ -367,14 +367,14 @@
     # What clears a request
 
     def answered(self, fingerprint: str, now: float) -> bool:
-        """Clear a request that an endpoint has answered; True if anything spoke against it."""
+        """Clear a request that an endpoint has answered; True if there was evidence against it."""
         if fingerprint not in self._suspects and self.hold(fingerprint) is None:
             return False
         hold = self.hold(fingerprint)
         if hold is not None:
             self._holds[fingerprint] = replace(hold, lifted=True)
         for end in self._suspects.get(fingerprint, ()):
-            end.culprits.discard(fingerprint)
+            end.explained_by.discard(fingerprint)
         self._drop_suspect(fingerprint)
         self._released[fingerprint] = now
         self._released.move_to_end(fingerprint)
@@ -384,7 +384,9 @@
     def released(self, release: Release) -> bool:
         """Take word that a request was answered elsewhere; True if that is news."""
         ends = self._suspects.get(release.fingerprint, ())
-        if any(each.at > release.at for each in ends):
+        hold = self.hold(release.fingerprint)
+        is_later = hold is not None and hold.since > release.at
+        if is_later or any(each.at > release.at for each in ends):
             return False
         return self.answered(release.fingerprint, release.at)
 
--- a/flamingofront/decisions/tests/test_quarantine.py
+++ b/flamingofront/decisions/tests/test_quarantine.py
@@ -18,6 +18,7 @@
     EndpointEnd,
     Hold,
     Quarantine,
+    Release,
     Standing,
 )
 
@@ -99,7 +100,7 @@
 
 
 class TestOthers:
-    def test_what_ran_beside_it_is_cleared_once_the_culprit_is_held(self):
+    def test_what_ran_beside_it_is_cleared_once_it_is_held(self):
         case = Case()
         case.end("bad", "beside")
         case.end("bad", "beside")
@@ -139,7 +140,7 @@
         assert case.standing("common") is Standing.SUSPECTED
         assert "common" not in case.judge()
 
-    def test_culprit_that_was_found_first_does_not_hide_another_one(self):
+    def test_request_that_is_held_first_does_not_hide_another_one(self):
         case = Case()
         for _ in range(3):
             case.end("bad", "worse")
@@ -181,6 +182,13 @@
         assert not here.quarantine.hear(word, here.now)
         assert here.standing("fine") is Standing.SUSPECTED
 
+    def test_old_word_of_an_answer_does_not_lift_a_later_hold(self):
+        quarantine = Quarantine()
+        quarantine.take_hold(Hold("bad", ("e-1", "e-2", "e-3"), 100.0), 101.0)
+        assert not quarantine.released(Release("bad", 99.0))
+        assert quarantine.hold("bad")
+        assert quarantine.released(Release("bad", 101.0))
+
     def test_suspicion_is_dropped_after_a_while(self):
         case = Case()
         case.end("fine")
--- a/flamingofront/request/tests/test_crashing_requests.py
+++ b/flamingofront/request/tests/test_crashing_requests.py
@@ -174,7 +174,7 @@
         assert not any(each.hub.guard.quarantine.holds() for each in world.nodes.values())
         assert all(b"crashes_endpoints" not in each.body for each in callers)
 
-    def test_engine_of_a_reclaimed_vm_speaks_against_nobody(self):
+    def test_engine_of_a_reclaimed_vm_is_no_evidence(self):
         world = demo_world(engines_per_zone=2)
         caller = world.complete("entry-a1", tokens=400)
         world.run(0.5)
--- a/flamingofront/tests/test_crashing_requests.py
+++ b/flamingofront/tests/test_crashing_requests.py
@@ -212,7 +212,7 @@
     @pytest.mark.parametrize(
         "fault", [ForwardFault.ERROR, ForwardFault.LOSE_ANSWER, ForwardFault.CUT]
     )
-    def test_endpoints_that_fail_answers_without_ending_speak_against_nobody(self, fault):
+    def test_endpoints_that_fail_answers_without_ending_are_no_evidence(self, fault):
         world = crashing_world()
         for each in world.endpoints.values():
             each.fail(fault)
