All that ran at an endpoint which started again is told of its end

Callers: none saw it; found by reading. Where the row of an endpoint shows a new start under its id, the first request that was there was told, the others were not: one of those that crashes endpoints could have been among them. Before: the sharpened test fails; after: each is told. Besides, what a process remembers of the store's holds is bounded, and a gauge tells the store's era.

--- a/flamingofront/decisions/quarantine.py
+++ b/flamingofront/decisions/quarantine.py
@@ -24,6 +24,7 @@
 __all__ = [
     "EndpointEnd",
     "Hold",
+    "MAX_HOLDS",
     "Quarantine",
     "QuarantineWord",
     "Release",
--- a/flamingofront/process/forwarding/control.py
+++ b/flamingofront/process/forwarding/control.py
@@ -51,6 +51,7 @@
         gauge("requests_suspected", len(node.hub.guard.suspects()))
         gauge("requests_held", len(node.hub.guard.quarantine.holds()))
         gauge("configuration_revision", node.configuration.version)
+        gauge("store_era", node.store.era)
         gauge("ready", int(node.ready))
         gauge("peers_heard", node.peers.heard_count())
         lease = node.lease.holding()
--- a/flamingofront/process/holds.py
+++ b/flamingofront/process/holds.py
@@ -11,7 +11,7 @@
 
 import orjson
 
-from flamingofront.decisions.quarantine import Hold, is_forgotten
+from flamingofront.decisions.quarantine import MAX_HOLDS, Hold, is_forgotten
 from flamingofront.errors import PlatformError
 from flamingofront.messages import Sleep
 from flamingofront.process.backoff import Backoff
@@ -159,10 +159,18 @@
             self._tasks.start(self._drop(kept))
             return
         if self._versions.get(name, 0) < kept.version:
-            self._versions[name] = kept.version
-            self._kept[name] = kept.hold
+            self._remember(kept)
         self._guard.take_kept(kept.hold)
 
+    def _remember(self, kept: KeptHold) -> None:
+        """Remember what the store has, of as many holds as the guard knows at most."""
+        self._versions[kept.hold.fingerprint] = kept.version
+        self._kept[kept.hold.fingerprint] = kept.hold
+        while len(self._kept) > MAX_HOLDS:
+            oldest = next(iter(self._kept))
+            del self._kept[oldest]
+            self._versions.pop(oldest, None)
+
     def _drop(self, kept: KeptHold) -> Task:
         """Remove a hold that is forgotten; one that stays for an outage is dropped later."""
         try:
@@ -227,8 +235,7 @@
             self._versions.pop(fingerprint, None)
             self._kept.pop(fingerprint, None)
         else:
-            self._versions[fingerprint] = kept.version
-            self._kept[fingerprint] = kept.hold
+            self._remember(kept)
             self._guard.take_kept(kept.hold)
 
     def _claim(self, hold: Hold, on_done: Callable[[bool], None]) -> None:
--- a/flamingofront/process/metrics.py
+++ b/flamingofront/process/metrics.py
@@ -52,6 +52,7 @@
     "members": "Entry VMs known, by state",
     "endpoints": "Endpoint VMs known, by state",
     "ready": "1 if this process takes new work",
+    "store_era": "Era of the store: rises when it comes back from an older copy",
     "store_age_seconds": "Time since the store last answered, by table",
     "peers_heard": "Other entry processes heard now",
     "duty_fencing": "Fencing number of the duty lease held here, 0 if none",
--- a/flamingofront/request/endpoint_ends.py
+++ b/flamingofront/request/endpoint_ends.py
@@ -95,13 +95,16 @@
 
     def restarted(self, endpoint_id: str, requests: frozenset[str]) -> None:
         """Take note that an endpoint has started again while requests were there."""
-        if endpoint_id not in self._doubts:
+        doubt = self._doubts.get(endpoint_id)
+        if doubt is None:
             zone = self._directory.zone_of(endpoint_id)
-            self._doubts[endpoint_id] = _Doubt("", zone, self._timers.now())
-        doubt = self._doubts[endpoint_id]
-        doubt.requests |= requests
-        if not doubt.ended and doubt.requests:
+            doubt = self._doubts[endpoint_id] = _Doubt("", zone, self._timers.now())
+        added = requests - doubt.requests
+        doubt.requests |= added
+        if not doubt.ended:
             self._ended(endpoint_id, doubt)
+        elif added:
+            self._tell(endpoint_id, doubt, added)
 
     def _probe(self, endpoint_id: str, doubt: _Doubt) -> None:
         if self._doubts.get(endpoint_id) is not doubt or doubt.ended:
--- a/flamingofront/request/tests/test_endpoint_ends.py
+++ b/flamingofront/request/tests/test_endpoint_ends.py
@@ -119,4 +119,5 @@
     def test_new_start_of_an_endpoint_shows_the_end_of_the_one_before(self):
         world = Watch()
         world.watch.restarted("e-1", frozenset({"one"}))
-        assert [each.requests for each in world.ends] == [("one",)]
+        world.watch.restarted("e-1", frozenset({"two"}))
+        assert [each.requests for each in world.ends] == [("one",), ("two",)]
