What two ends have shown outlasts a restart of all processes

Callers: each restart of all let a request end two more endpoints before it was held.

Cause: ends were known to processes alone until three had come; only holds were kept. Ruled out: word between processes (all were killed at once). A witness of an end writes the ends of a request under which two have ended into the store's table, in one call, and removes them once an answer clears it; whoever starts reads them with the holds. With two kept, the next end holds it.

Why it holds: between two restarts of all at most one end is not kept, and what is kept counts as known in part, so that nothing is held for being alone in it.

--- a/flamingofront/decisions/quarantine.py
+++ b/flamingofront/decisions/quarantine.py
@@ -31,6 +31,7 @@
     "Standing",
     "TRIAL_SECONDS",
     "is_forgotten",
+    "is_over",
 ]
 
 # Ends under a request from which on it is not run any more. A fleet is lost at nine ends within
@@ -41,6 +42,9 @@
 ENDS_IN_ANY_CASE = ENDS_TO_HOLD + 1
 # Ends that are enough if no other request was at all of them.
 ENDS_ALONE = 2
+# Ends of one request that are kept in the store: with them one more is enough after a restart of
+# all. Where fewer were kept, each restart of all let it end two more endpoints.
+ENDS_KEPT = 2
 # Word of what ran beside it at other processes has come by then, also through relays.
 SETTLED_SECONDS = 1.0
 # Tellings of one end by several processes, whose clocks differ; an endpoint takes longer to start.
@@ -239,6 +243,23 @@
         """Return the endpoints of which ends are known."""
         return frozenset(endpoint_id for endpoint_id, _ in self._ends)
 
+    def grave_evidence(self, fingerprints: Iterable[str]) -> dict[str, tuple[EndpointEnd, ...]]:
+        """Return the ends of those requests that have so many that they are to be kept.
+
+        Notes
+        -----
+        Each is told as known in part: that nothing else was there cannot be seen from it.
+        """
+        found = {}
+        for fingerprint in fingerprints:
+            ends = self._suspects.get(fingerprint, ())
+            if len(ends) >= ENDS_KEPT and self.hold(fingerprint) is None:
+                found[fingerprint] = tuple(
+                    EndpointEnd(each.endpoint_id, each.zone, each.at, (fingerprint,), untold=1)
+                    for each in ends
+                )
+        return found
+
     def ends_under(self, fingerprint: str) -> tuple[EndpointEnd, ...]:
         """Return the ends that are evidence against a request, in the order of their telling."""
         return tuple(
@@ -393,12 +414,12 @@
 
     def forget(self, now: float) -> tuple[str, ...]:
         """Drop what is too old, and return the requests that were held back until now."""
-        for key in [key for key, end in self._ends.items() if _is_over(end.at, now)]:
+        for key in [key for key, end in self._ends.items() if is_over(end.at, now)]:
             self._drop_end(key)
         old = [each for each in self._holds.values() if is_forgotten(each, now)]
         for hold in old:
             del self._holds[hold.fingerprint]
-        for name in [name for name, at in self._released.items() if _is_over(at, now)]:
+        for name in [name for name, at in self._released.items() if is_over(at, now)]:
             del self._released[name]
         return tuple(each.fingerprint for each in old if not each.lifted)
 
@@ -437,7 +458,8 @@
     return now - hold.since > FORGOTTEN_SECONDS
 
 
-def _is_over(at: float, now: float) -> bool:
+def is_over(at: float, now: float) -> bool:
+    """Tell whether an end is so old that it is no evidence any more."""
     return now - at > SUSPECTED_SECONDS
 
 
--- a/flamingofront/process/holds.py
+++ b/flamingofront/process/holds.py
@@ -11,24 +11,36 @@
 
 import orjson
 
-from flamingofront.decisions.quarantine import MAX_HOLDS, Hold, is_forgotten
+from flamingofront.decisions.quarantine import MAX_HOLDS, EndpointEnd, Hold, is_forgotten, is_over
 from flamingofront.errors import PlatformError
 from flamingofront.messages import Sleep
 from flamingofront.process.backoff import Backoff
 from flamingofront.process.documents import Condition, DocumentStore, Write
-from flamingofront.process.quarantine_codec import decode_hold, encode_hold
+from flamingofront.process.quarantine_codec import (
+    decode_evidence,
+    decode_hold,
+    encode_evidence,
+    encode_hold,
+)
 from flamingofront.process.services import Services
 from flamingofront.process.store import RowCondition, RowWrite, StoredRow, TableStore
 from flamingofront.process.tasks import Task
-from flamingofront.request.guard import RequestGuard
+from flamingofront.request.guard import Evidence, RequestGuard
 
 __all__ = ["HOLD_TABLE", "DocumentHolds", "HoldKeeper", "HoldRows", "KeptHold", "TableHolds"]
 
 HOLD_TABLE = "held-requests"
 HOLD_PREFIX = "held-request/"
+# Ends of requests that are not held yet: rows beside the holds.
+EVIDENCE_PREFIX = "ends/"
+DOCUMENT_EVIDENCE_PREFIX = "crash-evidence/"
+# Tries to keep ends, a second apart at most; later a further end has come, or they count little.
+MAX_EVIDENCE_TRIES = 20
 # Whoever saw the last end writes at once; the others only if that one could not, after a wait that
 # is spread over so long.
 SPREAD_SECONDS = 1.0
+# Rows of one transaction: what the platform takes.
+MAX_ROWS = 100
 _BACKOFF = Backoff(0.1, 1.0)
 
 
@@ -47,6 +59,10 @@
     def write(self, hold: Hold, version: int) -> Task:
         """Write a hold if its row has a version, 0 for none; return whether that was done."""
 
+    @abstractmethod
+    def write_evidence(self, evidence: Evidence) -> Task:
+        """Write the ends of some requests over what is there; remove those without ends."""
+
     @abstractmethod
     def drop(self, kept: KeptHold) -> Task:
         """Remove a hold if its row is still as it was read."""
@@ -69,6 +85,18 @@
         outcome = yield from self._store.transact("", (condition,), (row,))
         return outcome.ok
 
+    def write_evidence(self, evidence: Evidence) -> Task:
+        """Write the ends of some requests over what is there."""
+        rows = [
+            RowWrite(
+                HOLD_TABLE,
+                EVIDENCE_PREFIX + fingerprint,
+                orjson.dumps(encode_evidence(ends)) if ends else None,
+            )
+            for fingerprint, ends in evidence.items()
+        ]
+        yield from self._store.transact("", (), rows[:MAX_ROWS])
+
     def drop(self, kept: KeptHold) -> Task:
         """Remove a hold if its row is still as it was read."""
         condition = RowCondition(HOLD_TABLE, kept.hold.fingerprint, kept.version)
@@ -97,6 +125,22 @@
         )
         return result.ok
 
+    def write_evidence(self, evidence: Evidence) -> Task:
+        """Write the ends of some requests over what is there."""
+        writes = [
+            Write(DOCUMENT_EVIDENCE_PREFIX + fingerprint, encode_evidence(ends) if ends else None)
+            for fingerprint, ends in evidence.items()
+        ]
+        yield from self._documents.transact((), writes[:MAX_ROWS])
+
+    def read_evidence(self) -> Task:
+        """Return the kept ends by request."""
+        found = yield from self._documents.scan(DOCUMENT_EVIDENCE_PREFIX)
+        names = [each.key.removeprefix(DOCUMENT_EVIDENCE_PREFIX) for each in found]
+        return {
+            name: decode_evidence(name, each.value) for name, each in zip(names, found, strict=True)
+        }
+
     def drop(self, kept: KeptHold) -> Task:
         """Remove a hold if its document is still as it was read."""
         key = HOLD_PREFIX + kept.hold.fingerprint
@@ -151,6 +195,7 @@
         self._kept: dict[str, Hold] = {}
         guard.on_hold = self._changed
         guard.claim = self._claim
+        guard.on_evidence = lambda evidence: self._tasks.start(self._keep_evidence(evidence))
 
     def take(self, kept: KeptHold) -> None:
         """Take a hold as the store has it."""
@@ -184,11 +229,22 @@
             if row.value is None:
                 continue
             try:
-                self.take(kept_hold(row))
+                if row.key.startswith(EVIDENCE_PREFIX):
+                    fingerprint = row.key.removeprefix(EVIDENCE_PREFIX)
+                    self.take_evidence(fingerprint, decode_evidence(fingerprint, row.value))
+                else:
+                    self.take(kept_hold(row))
             except PlatformError as exc:
                 self._metrics.count("platform_errors_total", operation="hold")
                 self._log.warning("hold refused", work=row.key, detail=str(exc))
 
+    def take_evidence(self, fingerprint: str, ends: tuple[EndpointEnd, ...]) -> None:
+        """Take the ends of a request as the store has them; remove those that are too old."""
+        if all(is_over(each.at, self._guard.wall()) for each in ends):
+            self._tasks.start(self._keep_evidence({fingerprint: ()}))
+        else:
+            self._guard.take_evidence(ends)
+
     def write_again(self) -> None:
         """Keep all holds again that the store may have lost with its return from a copy."""
         self._versions.clear()
@@ -217,6 +273,19 @@
                 yield Sleep(_BACKOFF.delay(tries, self._rng))
                 tries += 1
 
+    def _keep_evidence(self, evidence: Evidence) -> Task:
+        """Keep the ends of requests that one more would hold back."""
+        for tries in range(MAX_EVIDENCE_TRIES):
+            try:
+                yield from self._rows.write_evidence(evidence)
+            except PlatformError as exc:
+                self._metrics.count("platform_errors_total", operation="evidence")
+                if tries == 0:
+                    self._log.info("ends not kept yet", work=list(evidence), detail=str(exc))
+                yield Sleep(_BACKOFF.delay(tries, self._rng))
+            else:
+                return
+
     def _is_wanted(self, hold: Hold) -> bool:
         kept = self._kept.get(hold.fingerprint)
         return kept is None or kept.rank < hold.rank
--- a/flamingofront/process/node.py
+++ b/flamingofront/process/node.py
@@ -221,6 +221,9 @@
             try:
                 for each in (yield from self._hold_rows.read_all()):
                     self.holds.take(each)
+                kept = yield from self._hold_rows.read_evidence()
+                for fingerprint, ends in kept.items():
+                    self.holds.take_evidence(fingerprint, ends)
             except PlatformError as exc:
                 self.metrics.count("platform_errors_total", operation="holds")
                 self.log.info("holds not read", detail=str(exc))
--- a/flamingofront/process/quarantine_codec.py
+++ b/flamingofront/process/quarantine_codec.py
@@ -7,7 +7,14 @@
 from flamingofront.decisions.quarantine import EndpointEnd, Hold, QuarantineWord, Release
 from flamingofront.errors import PlatformError
 
-__all__ = ["decode_hold", "decode_word", "encode_hold", "encode_word"]
+__all__ = [
+    "decode_evidence",
+    "decode_hold",
+    "decode_word",
+    "encode_evidence",
+    "encode_hold",
+    "encode_word",
+]
 
 
 def encode_word(word: QuarantineWord | None) -> list | None:
@@ -102,3 +109,30 @@
         )
     except (KeyError, TypeError, ValueError) as exc:
         raise PlatformError(f"malformed hold {key}: {exc!r:.100}") from exc
+
+
+def encode_evidence(ends: tuple[EndpointEnd, ...]) -> dict[str, Any]:
+    """Return the ends of one request as they are kept in the store."""
+    return {
+        "ends": [{"endpoint": each.endpoint_id, "zone": each.zone, "at": each.at} for each in ends]
+    }
+
+
+def decode_evidence(fingerprint: str, value: Any) -> tuple[EndpointEnd, ...]:
+    """Return the ends of one request as they were kept.
+
+    Raises
+    ------
+    PlatformError
+        If they are malformed.
+    """
+    try:
+        doc = orjson.loads(value) if isinstance(value, bytes) else value
+        return tuple(
+            EndpointEnd(
+                str(each["endpoint"]), str(each["zone"]), float(each["at"]), (fingerprint,), 1
+            )
+            for each in doc["ends"]
+        )
+    except (KeyError, TypeError, ValueError) as exc:
+        raise PlatformError(f"malformed ends of {fingerprint}: {exc!r:.100}") from exc
--- a/flamingofront/process/tests/test_holds.py
+++ b/flamingofront/process/tests/test_holds.py
@@ -9,16 +9,20 @@
 
 from flamingofront.decisions.quarantine import (
     FORGOTTEN_SECONDS,
+    SUSPECTED_SECONDS,
     EndpointEnd,
     Hold,
     QuarantineWord,
     Release,
+    Standing,
 )
 from flamingofront.errors import PlatformError
-from flamingofront.process.holds import HOLD_TABLE
+from flamingofront.process.holds import EVIDENCE_PREFIX, HOLD_TABLE
 from flamingofront.process.quarantine_codec import (
+    decode_evidence,
     decode_hold,
     decode_word,
+    encode_evidence,
     encode_hold,
     encode_word,
 )
@@ -122,8 +126,29 @@
 
     def test_old_rows_are_removed(self):
         world = ready_world()
+        old = world.clock.now() - SUSPECTED_SECONDS - 1
+        ends = (EndpointEnd("e-1", "zone-a", old, ("f-2",), 1),)
+        world.store.put(HOLD_TABLE, EVIDENCE_PREFIX + "f-2", encode_evidence(ends))
         hold = self.hold(world, since=world.clock.now() - FORGOTTEN_SECONDS - 1)
         world.store.put(HOLD_TABLE, "f-1", encode_hold(hold))
         world.run(1.0)
-        assert not self.kept(world)
+        assert not world.store.rows(HOLD_TABLE)
         assert not world.fronts["front-1"].hub.guard.quarantine
+
+    def test_kept_ends_of_a_request_count_with_the_next_one(self):
+        world = ready_world()
+        guard = world.fronts["front-1"].hub.guard
+        now = world.clock.now()
+        ends = [EndpointEnd(f"e-{each}", f"zone-{each}", now, ("f-2",), 1) for each in range(2)]
+        world.store.put(HOLD_TABLE, EVIDENCE_PREFIX + "f-2", encode_evidence(tuple(ends)))
+        world.run(5.0)
+        assert guard.standing("f-2") is Standing.SUSPECTED
+        guard.take_evidence((EndpointEnd("e-9", "zone-9", now + 5.0, ("f-2",)),))
+        assert guard.standing("f-2") is Standing.HELD
+
+    @given(JSON)
+    def test_malformed_ends_are_refused(self, value):
+        try:
+            decode_evidence("f-1", value)
+        except PlatformError as exc:
+            assert "f-1" in str(exc)
--- a/flamingofront/request/guard.py
+++ b/flamingofront/request/guard.py
@@ -4,7 +4,7 @@
 and the word of others, and its verdicts reach the requests.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -27,7 +27,9 @@
 if TYPE_CHECKING:
     from flamingofront.request.active import ActiveRequest
 
-__all__ = ["RequestGuard", "refusal_of"]
+__all__ = ["Evidence", "RequestGuard", "refusal_of"]
+
+Evidence = Mapping[str, tuple[EndpointEnd, ...]]
 
 # Pause between two looks at what is too old.
 FORGET_SECONDS = 10.0
@@ -68,6 +70,9 @@
         Called when others have to be told.
     on_hold : callable
         Gets each hold that is new or was lifted, and whether this process found it out itself.
+    on_evidence : callable
+        Gets the ends by request that are to outlast this process; no ends where an answer has
+        cleared it.
     on_end : callable
         Gets each endpoint that has ended, as this process saw it or was told.
     claim : callable
@@ -88,12 +93,15 @@
         self.wall: Callable[[], float] = timers.wall
         self.on_news: Callable[[], None] = lambda: None
         self.on_hold: Callable[[Hold, bool], None] = lambda hold, is_own: None
+        self.on_evidence: Callable[[Evidence], None] = lambda evidence: None
         self.on_end: Callable[[str], None] = lambda endpoint_id: None
         self.claim: Callable[[Hold, Callable[[bool], None]], None] = lambda hold, done: done(False)
         self._timers = timers
         self._metrics = metrics
         self._log = log
         self._active = active
+        # Requests at whose ends this process was a witness, until word of others has come.
+        self._witnessed: set[str] = set()
         self._telling = False
         self._settling = False
         timers.every(FORGET_SECONDS, self._forget, first=FORGET_SECONDS, relaxed=True)
@@ -158,17 +166,33 @@
         at = self.wall() - (self._timers.now() - end.at)
         self.on_end(end.endpoint_id)
         if self.quarantine.ended(replace(end, at=at), self.wall()):
+            self._witnessed.update(end.requests)
             self._judge(is_own=True)
+            self._keep_evidence(end.requests)
             self.on_news()
 
+    def _keep_evidence(self, fingerprints: Iterable[str]) -> None:
+        evidence = self.quarantine.grave_evidence(fingerprints)
+        if evidence:
+            self.on_evidence(evidence)
+
+    def take_evidence(self, ends: Iterable[EndpointEnd]) -> None:
+        """Take ends as the store has them."""
+        news = [self.quarantine.ended(each, self.wall()) for each in ends]
+        if any(news):
+            self._judge(is_own=False)
+
     def answered(self, fingerprint: str) -> None:
         """Take note that an endpoint has answered a request."""
         if not self.quarantine:
             return
         hold, now = self.quarantine.hold(fingerprint), self.wall()
         ends = self.quarantine.ends_under(fingerprint)
+        was_kept = hold is not None or self.quarantine.grave_evidence((fingerprint,))
         if not self.quarantine.answered(fingerprint, now):
             return
+        if was_kept:
+            self.on_evidence({fingerprint: ()})
         if hold is not None:
             self._released(hold, "answered")
             self.on_hold(replace(hold, lifted=True), True)
@@ -239,6 +263,8 @@
     def _settled(self) -> None:
         """Look again once word of all processes has come."""
         self._settling = False
+        self._keep_evidence(self._witnessed)
+        self._witnessed.clear()
         for hold in self.quarantine.judge(self.wall()):
             self._held(hold, "settled")
             self.on_hold(hold, False)
--- a/flamingofront/tests/test_crashing_requests.py
+++ b/flamingofront/tests/test_crashing_requests.py
@@ -22,7 +22,7 @@
 import pytest
 
 from flamingofront.decisions.quarantine import TRIAL_SECONDS
-from flamingofront.process.holds import HOLD_TABLE
+from flamingofront.process.holds import EVIDENCE_PREFIX, HOLD_TABLE
 from flamingofront.process.quarantine_codec import decode_hold
 from flamingofront.standins.forward_endpoint import ForwardFault
 from flamingofront.standins.table_store import StoreFault
@@ -311,7 +311,9 @@
         assert {each.status for each in callers} == {200}
         released = [each.kwargs for each in log.records if each.message == "request served again"]
         assert len(released) == 7 and "answered" in released[0]["reason"]
-        (kept,) = [decode_hold(key, row[0]) for key, row in world.store.rows(HOLD_TABLE).items()]
+        rows = world.store.rows(HOLD_TABLE)
+        assert not [each for each in rows if each.startswith(EVIDENCE_PREFIX)]
+        (kept,) = [decode_hold(key, row[0]) for key, row in rows.items()]
         assert kept.lifted
 
     def test_only_one_of_many_processes_gets_the_trial(self):
