--- a/flamingofront/standins/forward_endpoint.py
+++ b/flamingofront/standins/forward_endpoint.py
@@ -11,8 +11,10 @@
 
 REQUEST_ID = "x-flamingofront-request-id"
 STATUS_WRONG_ENDPOINT = 421
-# From the begin of a request to the end of the endpoint that it crashes, as engines were seen to.
+# From the arrival of a request to the end of the endpoint that it crashes, as engines were seen to,
+# and to its begin: what is given up until then ends nothing.
 CRASH_SECONDS = 0.09
+BEGIN_SECONDS = 0.02
 
 
 class ForwardFault(StrEnum):
@@ -80,12 +82,20 @@
         self.runs.append(req)
         exchange.on_gone = self._gone
         if self.crashes_on(req):
-            crash = self._timers.once(CRASH_SECONDS, lambda: self.on_crash(req))
-            # What is given up before it began to run ends nothing.
-            exchange.on_gone = crash.cancel
+            self._begin_to_crash(req, exchange)
             return
         self._timers.once(self.gap, lambda: self._answer(req, exchange, fault))
 
+    def _begin_to_crash(self, req: InboundRequest, exchange: Exchange) -> None:
+        crash = self._timers.once(CRASH_SECONDS, lambda: self.on_crash(req))
+        begins_at = self._timers.now() + BEGIN_SECONDS
+
+        def gone() -> None:
+            if self._timers.now() < begins_at:
+                crash.cancel()
+
+        exchange.on_gone = gone
+
     def _gone(self) -> None:
         self.abandoned += 1
 
