--- a/flamingofront/process/forwarding/tests/test_stopping.py
+++ b/flamingofront/process/forwarding/tests/test_stopping.py
@@ -52,3 +52,28 @@
         refused = [each for each in asked if each.status == 503]
         whole = [each for each in asked if each.status == 200]
         assert refused and whole and len(refused) + len(whole) == len(asked)
+
+    def test_stream_many_times_longer_than_usual_is_not_broken_off(self):
+        """A chat of 93 events shares its engines with answers of 8 and 17.
+
+        Four seconds after the signal it was taken, since the mean of all its service's streams
+        ends in time, and it was broken off 3.6 s later, when the process ended.
+        """
+        world = ready_world(engines=1)
+        engine = world.endpoints["engine-1"]
+        engine.gap = 0.03
+        for _ in range(60):
+            world.finish(world.ask("front-1", "/stream/once/x"))
+        front = world.fronts["front-1"]
+        left_at_exit = []
+        callers = SimpleNamespace(closing=False, connections=1, close_idle=lambda: 0)
+        stop = GracefulStop(front, callers, 8.0, lambda: left_at_exit.append(len(front.hub.active)))
+        stop.begin()
+        # One that runs all the while keeps the process until its end.
+        engine.events = 400
+        world.ask("front-1", "/stream/once/x", X_Flamingofront_Deadline_Ms="9000")
+        world.run(4.0)
+        engine.events = 160
+        caller = world.ask("front-1", "/stream/once/x", X_Flamingofront_Deadline_Ms="9000")
+        world.run_until(lambda: left_at_exit)
+        assert caller.done and not caller.broken
