A process that stops takes only what certainly ends before it does

Cause: a process that stops judged what it still took by three times the mean of its service. A chat of 663 tokens, taken 4.0 s after the signal with 13.9 s of its time left, passed for one of the short streams beside it; a plain request that waited for its endpoint's time limit passed for a call of 16 ms. Ruled out: connections closed while idle (both had been read and passed on), a stop that ends early (exit 7.6 s after the signal, as meant). Evidence: the processes' own lines `stopping`, `attempt` (left_ms 13955 and 1100) and `exit` (unanswered 2). Lines did not tell how many tokens a caller allows; they do.

Change: a request is taken if it ends by its deadline, or, for a stream that names its tokens, if the slowest of the last 128 streams of like size would. It is looked at again before its first attempt. What has no answer shortly before the exit gets one: 503 where it certainly has not run, else 502. Requests that have not come whole are refused. The process uses its time up to 0.05 s before it would be killed (0.4 s before).

Why it holds: no quantity of other requests enters the decision but the pace of streams of like size; what is not known is decided by the deadline.

--- a/flamingofront/connection/server.py
+++ b/flamingofront/connection/server.py
@@ -220,6 +220,13 @@
     def _request_late(self) -> None:
         self._refuse(RequestError(ErrorKind.REQUEST_TIMEOUT, retry_after=1.0))
 
+    def refuse_unread(self, exc: RequestError) -> bool:
+        """Refuse a request that has not come whole; False if there is none."""
+        is_unread = not self.idle and not self._answering and not self._closed
+        if is_unread:
+            self._refuse(exc)
+        return is_unread
+
     def _refuse(self, exc: RequestError) -> None:
         """Answer a request that could not be read, and close: its end is not known."""
         self._server.count_refusal(exc.kind)
@@ -386,6 +393,10 @@
             self.retire(sock)
         return len(idle)
 
+    def refuse_unread(self, exc: RequestError) -> int:
+        """Refuse the requests that have not come whole and return their number."""
+        return sum(conn.refuse_unread(exc) for conn in list(self._connections.values()))
+
     def retire(self, sock: socket.socket) -> None:
         """Close an idle connection, unless a request has arrived on it.
 
--- a/flamingofront/connection/tests/test_server.py
+++ b/flamingofront/connection/tests/test_server.py
@@ -10,6 +10,7 @@
 
 from flamingofront.connection.runtime import Runtime
 from flamingofront.connection.server import HTTPServer, ServerLimits
+from flamingofront.errors import ErrorKind, RequestError
 from flamingofront.process.timers import ManualClock
 
 WAIT_SECONDS = 5.0
@@ -291,6 +292,26 @@
         assert server.holds == holds
         conn.close()
 
+    def test_request_that_has_not_come_whole_is_refused_before_the_end(self, server):
+        """Its caller saw a reset, which leaves open whether the request was taken."""
+        partial, idle = (server.connect() for _ in range(2))
+        partial.sendall(b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\npart")
+        idle.sendall(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert read_answer(idle)[0] == 200
+        refused = []
+
+        def refuse():
+            refused.append(server.server.refuse_unread(RequestError(ErrorKind.DRAINING)))
+
+        while not any(refused):
+            server.act(refuse)
+        status, body = read_answer(partial)
+        assert (status, sum(refused)) == (503, 1)
+        assert b'"ran":"no"' in body
+        assert partial.recv(10) == b""
+        partial.close()
+        idle.close()
+
     def test_answers_end_their_connection(self, server, request):
         conn = socket.create_connection(("127.0.0.1", server.port), WAIT_SECONDS)
         conn.settimeout(WAIT_SECONDS)
--- a/flamingofront/forward_daemon.py
+++ b/flamingofront/forward_daemon.py
@@ -78,7 +78,13 @@
             control = self._server(settings.control_bind, self.node.handle_control, "control")
             servers["control"] = control
         self._ports = {name: server.port for name, server in servers.items()}
-        self._stop = GracefulStop(self.node, self.callers, settings.stop_grace, self.runtime.stop)
+        self._stop = GracefulStop(
+            self.node,
+            self.callers,
+            settings.stop_grace,
+            self.runtime.stop,
+            self.callers.refuse_unread,
+        )
 
     def _dependencies(self) -> Dependencies:
         settings = self._settings
--- a/flamingofront/process/forwarding/shutdown.py
+++ b/flamingofront/process/forwarding/shutdown.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from flamingofront.connection.server import HTTPServer
+from flamingofront.errors import ErrorKind, RequestError
 from flamingofront.process.forwarding.node import ForwardingNode
 
 __all__ = ["GracefulStop"]
@@ -11,8 +12,11 @@
 # come here, and kept ones carry new requests.
 TURNED_AWAY_SECONDS = 2.5
 CHECK_SECONDS = 0.05
-# Time for the last bytes to callers, before the process would be killed.
-EXIT_MARGIN_SECONDS = 0.4
+# What is begun ends so long before the process would be killed.
+ANSWER_MARGIN_SECONDS = 0.4
+# What has no answer by then is told that the process ends; the last bytes have time to leave.
+LAST_ANSWERS_SECONDS = 0.2
+EXIT_MARGIN_SECONDS = 0.05
 
 
 class GracefulStop:
@@ -24,6 +28,8 @@
         Seconds from the signal until the process would be killed.
     on_exit : callable
         Ends the process.
+    refuse_unread : callable
+        Refuses the requests that have not come whole.
     """
 
     def __init__(
@@ -32,12 +38,15 @@
         callers: HTTPServer,
         grace: float,
         on_exit: Callable[[], None],
+        refuse_unread: Callable[[RequestError], int] = lambda exc: 0,
     ):
         self._node = node
         self._callers = callers
         self._grace = grace
         self._on_exit = on_exit
+        self._refuse_unread = refuse_unread
         self._begun_at: float | None = None
+        self._is_last_told = False
 
     def begin(self) -> None:
         """Begin to stop; a second call has no effect."""
@@ -47,7 +56,7 @@
         self._begun_at = timers.now()
         self._node.stopping = True
         self._callers.closing = True
-        self._node.gateway.stop_left = self._left
+        self._node.hub.stop_left = lambda: self._left(ANSWER_MARGIN_SECONDS)
         self._node.tasks.start(self._node.lease.release())
         self._node.peers.tell_now()
         self._node.log.info("stopping", requests=len(self._node.hub.active))
@@ -59,15 +68,33 @@
         self._node.log.info("balancer has turned away", closed=closed)
         self._check()
 
-    def _left(self) -> float:
-        """Return the seconds until this process ends, whatever still runs then."""
-        return self._begun_at + self._grace - EXIT_MARGIN_SECONDS - self._node.timers.now()
+    def _left(self, margin: float) -> float:
+        """Return the seconds until so long before this process would be killed."""
+        return self._begun_at + self._grace - margin - self._node.timers.now()
 
     def _check(self) -> None:
         self._callers.close_idle()
         timers = self._node.timers
-        if self._left() > 0 and (self._node.hub.active or self._callers.connections):
+        if not self._is_last_told and self._left(LAST_ANSWERS_SECONDS) <= 0:
+            self._is_last_told = True
+            self._tell_last()
+        if self._left(EXIT_MARGIN_SECONDS) > 0 and (
+            self._node.hub.active or self._callers.connections
+        ):
             timers.once(CHECK_SECONDS, self._check)
             return
         self._node.log.info("exit", unanswered=len(self._node.hub.active))
         self._on_exit()
+
+    def _tell_last(self) -> None:
+        """Answer what would lose its connection without an answer: only begun streams are left."""
+        unanswered = len(self._node.hub.active)
+        for request in list(self._node.hub.active.values()):
+            request.process_ends()
+        unread = self._refuse_unread(RequestError(ErrorKind.DRAINING))
+        self._node.log.info(
+            "last answers",
+            unanswered=unanswered,
+            unread=unread,
+            broken_off=len(self._node.hub.active),
+        )
--- a/flamingofront/request/attempts.py
+++ b/flamingofront/request/attempts.py
@@ -233,11 +233,13 @@
         self.phase = Phase.WAITING
         return [CancelAttempt(attempt_id), *self.start()]
 
-    def give_up(self, kind: ErrorKind, detail: str) -> list[Order]:
+    def give_up(
+        self, kind: ErrorKind, detail: str, retry_after: float | None = None
+    ) -> list[Order]:
         """End the request with an error: no further attempt may be made."""
         if self.phase in (Phase.DONE, Phase.FROZEN):
             return []
-        return self._stop_attempt() + self._fail(kind, detail)
+        return self._stop_attempt() + self._fail(kind, detail, retry_after)
 
     def deadline(self) -> list[Order]:
         """Give up because the caller's time is over."""
--- a/flamingofront/request/forward_gateway.py
+++ b/flamingofront/request/forward_gateway.py
@@ -1,7 +1,6 @@
 """The callers' interface of forwarded routes: from an HTTP request to an accepted request."""
 
 import itertools
-import math
 from collections.abc import Callable
 from dataclasses import asdict
 
@@ -9,7 +8,6 @@
 from flamingofront.decisions.admission import WorkspaceShare
 from flamingofront.decisions.quota import QuotaPolicy
 from flamingofront.decisions.rollout import VersionRule
-from flamingofront.decisions.stopping import ends_in_time
 from flamingofront.errors import ErrorKind, RequestError
 from flamingofront.messages import InboundRequest
 from flamingofront.process.logs import Log
@@ -18,6 +16,7 @@
 from flamingofront.request.forwarded_request import ForwardedRequest
 from flamingofront.request.hub import RequestHub
 from flamingofront.request.records import RequestRecord
+from flamingofront.request.stop_refusal import refusal_for_stop
 from flamingofront.version.forwarding import (
     ForwardedRoute,
     ForwardedWorkspace,
@@ -29,8 +28,6 @@
 
 # The configuration is there some ten milliseconds after the first request can be.
 NOT_READY_RETRY_SECONDS = 0.1
-# Another process takes the request at once.
-STOPPING_RETRY_SECONDS = 0.05
 # Quotas count requests or tokens; the number in flight is bounded by the endpoints alone.
 NO_WORKSPACE_LIMIT = 1_000_000
 DEFAULT_PRIORITY = 5
@@ -45,11 +42,6 @@
         Quotas of the workspaces over all entry processes.
     on_running : callable
         Gets each request when an endpoint begins to answer it.
-
-    Attributes
-    ----------
-    stop_left : callable
-        Returns the seconds until this process ends; infinity while it does not stop.
     """
 
     def __init__(
@@ -61,7 +53,6 @@
         on_running: Callable[[ForwardedRequest], None] = lambda request: None,
     ):
         self.configuration = ForwardingConfiguration()
-        self.stop_left: Callable[[], float] = lambda: math.inf
         # Returns, by service and whether it is a first attempt, which versions it may go to.
         self.version_rule: Callable[[str, bool], VersionRule | None] = lambda service, first: None
         self._hub = hub
@@ -150,23 +141,9 @@
 
     def _check_stop(self, record: RequestRecord) -> None:
         """Refuse what would be broken off by the end of this process; another one can serve it."""
-        left = self.stop_left()
-        rates = self._hub.rates.of(record.service.name).now()
-        work = record.work
-        if ends_in_time(rates, work.prompt_tokens, work.stream, left):
-            return
-        raise RequestError(
-            ErrorKind.DRAINING,
-            "this process stops before the request could end",
-            retry_after=STOPPING_RETRY_SECONDS,
-            inputs={
-                "stop_left": round(left, 2),
-                "prompt": work.prompt_tokens,
-                "first_event_ms": round(rates.first_event(work.prompt_tokens) * 1000),
-                "pause_ms": round(rates.pause_seconds * 1000),
-                "events": round(rates.events),
-            },
-        )
+        refusal = refusal_for_stop(self._hub, record, record.deadline_left)
+        if refusal is not None:
+            raise refusal
 
     def _record(
         self,
@@ -233,6 +210,7 @@
             ran=request.machine.ran.value,
             endpoints=request.endpoints,
             events=request.relay.count,
+            output=request.work.output_tokens,
             first_ms=None if first is None else round((first - request.accepted_at) * 1000),
             total_ms=round((now - request.accepted_at) * 1000),
         )
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -8,7 +8,8 @@
 from flamingofront.decisions.engine_rates import ServiceRates
 from flamingofront.decisions.lateness import Expectation, postponement, urgency
 from flamingofront.decisions.rollout import VersionRule
-from flamingofront.errors import Ran, RequestError
+from flamingofront.decisions.stopping import StreamTimes
+from flamingofront.errors import ErrorKind, Ran, RequestError
 from flamingofront.messages import (
     CallFailed,
     Fail,
@@ -29,6 +30,7 @@
 )
 from flamingofront.request.host import RequestHost
 from flamingofront.request.records import RequestRecord
+from flamingofront.request.stop_refusal import refusal_for_stop
 
 __all__ = ["ForwardedRequest"]
 
@@ -275,6 +277,14 @@
             self._rates.call(now - self.sent_at)
         elif self.relay.count:
             self._rates.ended(self.relay.count)
+            self._observe_times(now)
+
+    def _observe_times(self, now: float) -> None:
+        """Note how long a stream has taken, for what a process that stops still begins."""
+        times = StreamTimes(
+            self.first_at - self.accepted_at, now - self.first_at, self.work.output_tokens
+        )
+        self.hub.completion.of(self.record.service.name).observe(times)
 
     def answered(self, attempt_id: str, answer: RelayedAnswer) -> None:
         """Give the endpoint's complete answer to the caller."""
@@ -331,6 +341,28 @@
             self.running()
         super().call_failed(attempt_id, event)
 
+    def _start_attempt(self, order: StartAttempt) -> None:
+        """Start an attempt, unless it has waited so long that it may outlast this process."""
+        left = self.machine.facts.deadline - self.hub.now()
+        refusal = refusal_for_stop(self.hub, self.record, left)
+        if refusal is None or self.machine.ran is not Ran.NO:
+            super()._start_attempt(order)
+            return
+        self.log.info("refused for the stop", **refusal.inputs)
+        self.carry(self.machine.give_up(refusal.kind, refusal.detail, refusal.retry_after))
+
+    def process_ends(self) -> None:
+        """Tell the caller that this process ends, unless a part of a stream was sent already."""
+        if self.done or self.begun:
+            return
+        self._sync_wrote()
+        kind = ErrorKind.DRAINING
+        if self.machine.ran is not Ran.NO:
+            # No 503: that would state that the request has not run.
+            repeatable = self.work.repeatable
+            kind = ErrorKind.ENDPOINT_FAILED if repeatable else ErrorKind.OUTCOME_UNKNOWN
+        self.carry(self.machine.give_up(kind, "the process that held the request stops"))
+
     @property
     def begun(self) -> bool:
         """True once a part of a stream was sent to the caller."""
--- a/flamingofront/request/host.py
+++ b/flamingofront/request/host.py
@@ -14,6 +14,7 @@
 from flamingofront.decisions.choice import Candidate
 from flamingofront.decisions.engine_rates import LearnedRates
 from flamingofront.decisions.retry import RetryBudget
+from flamingofront.decisions.stopping import CompletionBounds
 from flamingofront.errors import Ran
 from flamingofront.process.logs import Log
 from flamingofront.process.metrics import Metrics
@@ -67,6 +68,10 @@
         What the endpoints can do, as their answers showed.
     guard : RequestGuard
         Requests that crash the endpoints that run them.
+    completion : CompletionBounds
+        How long streams can last, as those that ended showed.
+    stop_left : callable
+        Returns the seconds until this process ends; infinity while it does not stop.
     """
 
     settings: HubSettings
@@ -80,6 +85,8 @@
     cache_tokens: Callable[[str], float]
     rates: LearnedRates
     guard: RequestGuard
+    completion: CompletionBounds
+    stop_left: Callable[[], float]
 
     @abstractmethod
     def now(self) -> float:
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -17,6 +17,7 @@
 from flamingofront.decisions.demand import WorkMeter
 from flamingofront.decisions.engine_rates import LearnedRates
 from flamingofront.decisions.retry import PacedRetryBudget, RetryBudget
+from flamingofront.decisions.stopping import CompletionBounds
 from flamingofront.errors import ErrorKind, Ran, RequestError
 from flamingofront.process.logs import Log
 from flamingofront.process.metrics import Metrics
@@ -88,6 +89,8 @@
         # Prompt tokens that an endpoint of a service can hold in its cache.
         self.cache_tokens: Callable[[str], float] = lambda service: math.inf
         self.rates = LearnedRates()
+        self.completion = CompletionBounds()
+        self.stop_left: Callable[[], float] = lambda: math.inf
         ends = EndpointEnds(transport, timers, directory, metrics, log)
         self.guard = RequestGuard(ends, timers, metrics, log, lambda: tuple(self.active.values()))
         self.guard.on_end = self._endpoint_ended
