One process decides on the quota of a workspace for all

Callers saw: a workspace that sent many times its quota got up to 30 in 100 more through than the limit of a window (QUOTA), at the expense of all others.

Cause: each process decided by its own copy of what all took, which word reaches 0.2 to 0.8 s late. All that came before the first word passed, and what a killed process knew the next one did not. Evidence: the decision objects alone break it, without sockets; parts of the processes mend that.

Change: the first process by rendezvous hash decides on a workspace, among many processes a relay; it charges at once what it allows. One that has just become the arbiter keeps to a part until word has come; so does each process while none is reached. A process assumes for one window that the quota was taken before its start. A partition's side gives back what it took of others.

Why it holds: what one process allows needs no word of others; where that process is out of reach the parts add up to what is left, whatever comes.

--- a/flamingofront/decisions/quota.py
+++ b/flamingofront/decisions/quota.py
@@ -9,6 +9,11 @@
 seconds, and refuses what would take that sum over the limit that the deployment sets: so the bucket
 may take up the clumps in which requests come, and large requests may run into debt, though word of
 the others comes late.
+
+Word comes too late for a surge: what comes before the first word of it passes wherever it comes in.
+So one process decides for all on the requests of a workspace, while it can be reached. It charges
+what it allows at once, before those who asked tell of it. Where none is reached, each process keeps
+to its part of what is left.
 """
 
 import math
@@ -40,6 +45,25 @@
 FIRST_LEVEL = 0.25
 # The age of word is a mean: some of it is older by half.
 UNHEARD_PART = 1.5
+# A process that hears nobody takes itself for no less than this part of all.
+LEAST_SHARE = 0.001
+# Units in the busiest second, in parts of the rate, from which on a workspace sends too much.
+PRESSING_RATE = 2.0
+# Part of the reserve (what the window allows beyond rate and burst) that all may take beyond the
+# bucket while a workspace sends too much.
+PRESSING_PART = 0.2
+# What may be taken at the start of a process, in parts of the reserve: it does not know what was
+# taken before, which is in the same window.
+FIRST_PART = 2.0
+# Processes that may decide for all at the same time, while the choice of one changes.
+ARBITERS_OF_ONE_SIDE = 2
+# The part of one side of a partition is not renewed for so long, in seconds: by then the sides have
+# found out that they do not hear each other.
+UNSETTLED_SECONDS = 2.0
+# Time after which the silence of a process is noticed, in seconds.
+NOTICED_SECONDS = 1.6
+# What was allowed and is not told by then was not used: several times the age of late word.
+TOLD_WITHIN_SECONDS = 4.0
 # How fast a peak of what was taken fades: a workspace sends too much for about so long.
 PEAK_HALF_LIFE_SECONDS = 8.0
 
@@ -64,8 +88,14 @@
 
     def limit(self, workspace: ForwardedWorkspace) -> float:
         """Return the most that a workspace may take in a window."""
-        quota = workspace.rate * self.window + workspace.burst
-        return quota * (1 + self.over) + self.allowance
+        return self._quota(workspace) * (1 + self.over) + self.allowance
+
+    def reserve(self, workspace: ForwardedWorkspace) -> float:
+        """Return the part of the limit that goes beyond rate and burst."""
+        return self._quota(workspace) * self.over + self.allowance
+
+    def _quota(self, workspace: ForwardedWorkspace) -> float:
+        return workspace.rate * self.window + workspace.burst
 
 
 @dataclass(frozen=True)
@@ -134,8 +164,9 @@
 class _Bucket:
     """This process's copy of one workspace's token bucket; it may hold less than nothing."""
 
-    def __init__(self, level: float, now: float):
+    def __init__(self, level: float, share: float, now: float):
         self.level = level
+        self.share = share
         self.updated = now
 
     def fill(self, rate: float, burst: float, now: float) -> None:
@@ -188,6 +219,68 @@
         return self._window
 
 
+class _OwnPart:
+    """What this process lately let through of a workspace on its own word.
+
+    A request that is larger than what is left of the part passes by chance, with the probability
+    that keeps the mean; the rest of the part is used up either way. So many small chances do not
+    add up to more than the part.
+    """
+
+    def __init__(self):
+        self._used: deque[tuple[float, float]] = deque()
+        self._sum = 0.0
+
+    def use(self, units: float, now: float) -> None:
+        """Note units of the part that are used."""
+        self._used.append((now, units))
+        self._sum += units
+
+    def used(self, since: float) -> float:
+        """Return what was used since a time; what is older is forgotten."""
+        while self._used and self._used[0][0] < since:
+            self._sum -= self._used.popleft()[1]
+        return self._sum
+
+    def allows(
+        self, units: float, part: float, since: float, now: float, rng: random.Random
+    ) -> bool:
+        """Tell whether a request passes within a part."""
+        left = part - self.used(since)
+        if units <= left:
+            return True
+        if left <= 0:
+            return False
+        if rng.random() * units < left:
+            return True
+        self.use(left, now)
+        return False
+
+
+class _Ahead:
+    """What other processes were allowed and have not told yet."""
+
+    def __init__(self):
+        self._allowed: deque[list[float]] = deque()
+
+    def add(self, units: float, now: float) -> None:
+        """Note what was allowed."""
+        self._allowed.append([now, units])
+
+    def cover(self, units: float, now: float) -> float:
+        """Return how much of some units was allowed before, and strike it off."""
+        while self._allowed and self._allowed[0][0] < now - TOLD_WITHIN_SECONDS:
+            self._allowed.popleft()
+        covered = 0.0
+        while self._allowed and covered < units:
+            part = min(self._allowed[0][1], units - covered)
+            covered += part
+            self._allowed[0][1] -= part
+            if self._allowed[0][1] <= 0:
+                self._allowed.popleft()
+        return covered
+
+
 class SharedQuota(QuotaPolicy):
     """Token buckets that agree over all entry processes.
 
@@ -197,6 +290,8 @@
         Returns the part of the entry processes that is heard now, this one included; 0 to 1.
     lag : callable
         Returns the seconds after which word of the others comes, in the mean.
+    members : callable, optional
+        Returns the number of entry processes; estimated from those that are heard if not given.
     """
 
     def __init__(
@@ -205,8 +300,14 @@
         rules: QuotaRules | None = None,
         lag: Callable[[], float] = lambda: 0.0,
         rng: random.Random | None = None,
+        members: Callable[[], int] | None = None,
     ):
         self._rng = rng or random.Random()
+        self._members = members or self._members_heard
+        self._tellers: set[str] = set()
+        self._begun_at: dict[str, float] = {}
+        self._ahead: dict[str, _Ahead] = {}
+        self._own_parts: dict[str, _OwnPart] = {}
         self._heard_share = heard_share
         self._rules = rules or QuotaRules()
         self._lag = lag
@@ -217,6 +318,9 @@
         self._heard: dict[tuple[str, str], float] = {}
         self._peaks: dict[str, tuple[float, float]] = {}
 
+    def _members_heard(self) -> int:
+        return math.ceil((1 + len(self._tellers)) / max(self._heard_share(), LEAST_SHARE))
+
     def spent(self) -> dict[str, float]:
         """Return what this process has taken out in all, by workspace, to tell the others."""
         return dict(self._spent)
@@ -226,11 +330,24 @@
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
             level = workspace.burst * share * FIRST_LEVEL
-            bucket = self._buckets[workspace.name] = _Bucket(level, now)
+            bucket = self._buckets[workspace.name] = _Bucket(level, share, now)
+        self._charge_for_silent(workspace.name, bucket, share, now)
         # Out of hearing each side keeps its part of the burst too.
         bucket.fill(workspace.rate * share, (workspace.burst + self._extra) * share, now)
         return bucket
 
+    def _charge_for_silent(self, name: str, bucket: _Bucket, share: float, now: float) -> None:
+        """Take out what was taken here of the parts of processes that are not heard any more.
+
+        Notes
+        -----
+        Until their silence is noticed, each side of a partition takes the whole quota for its own.
+        """
+        silent = bucket.share - share
+        bucket.share = share
+        if silent > 0 and name in self._taken:
+            bucket.level -= silent * self._taken[name].since(now - NOTICED_SECONDS)
+
     def wait(self, workspace: ForwardedWorkspace, units: float, now: float) -> float:
         """Return 0 if the bucket holds a part of the request, else the seconds until it will.
 
@@ -243,10 +360,74 @@
         """
         if workspace.rate <= 0:
             return 0.0
+        lacking = self._wait_for_bucket(workspace, units, now)
+        return lacking or self._wait_for_window(workspace, units, self._members(), now)
+
+    def _wait_for_bucket(self, workspace: ForwardedWorkspace, units: float, now: float) -> float:
         lacking = HELD_PART * min(units, workspace.burst) - self._bucket(workspace, now).level
-        if lacking > 0:
-            return max(MIN_RETRY_SECONDS, lacking / workspace.rate)
-        return self._wait_for_window(workspace, units, now)
+        return max(MIN_RETRY_SECONDS, lacking / workspace.rate) if lacking > 0 else 0.0
+
+    # Decisions for all processes
+
+    def wait_as_arbiter(self, workspace: ForwardedWorkspace, units: float, now: float) -> float:
+        """Return the seconds until a request may pass, if nothing is taken without this process."""
+        if workspace.rate <= 0:
+            return 0.0
+        if lacking := self._wait_for_bucket(workspace, units, now):
+            return lacking
+        total = self._total(workspace.name, now)
+        excess = total + units - self._rules.limit(workspace) * self._heard_share()
+        if excess > 0:
+            return self._taken[workspace.name].wait(excess, now) if total else self._rules.window
+        since_start = self._left_since_start(workspace, total, now)
+        return 0.0 if since_start > 0 else max(MIN_RETRY_SECONDS, -since_start / workspace.rate)
+
+    def wait_as_new_arbiter(
+        self, workspace: ForwardedWorkspace, units: float, sides: int, now: float
+    ) -> float:
+        """Return the seconds until a request may pass, if others may decide on it, too.
+
+        Parameters
+        ----------
+        sides : int
+            Sides of a partition that there may be, each with an arbiter of its own; 1 if all zones
+            are heard, so that only the arbiter before this one has decided on anything lately.
+        """
+        if workspace.rate <= 0:
+            return 0.0
+        if lacking := self._wait_for_bucket(workspace, units, now):
+            return lacking
+        if sides == 1:
+            return self._wait_for_window(workspace, units, ARBITERS_OF_ONE_SIDE, now)
+        total = self._total(workspace.name, now)
+        left = min(
+            self._rules.limit(workspace) * self._heard_share() - total,
+            self._left_since_start(workspace, total, now),
+            self._bucket(workspace, now).level + PRESSING_PART * self._rules.reserve(workspace),
+        )
+        since = now - UNSETTLED_SECONDS
+        if self._is_within_part(workspace.name, units, left / sides, since, now):
+            return 0.0
+        return MIN_RETRY_SECONDS
+
+    def _total(self, name: str, now: float) -> float:
+        """Return what all processes that are heard took of a workspace within the window."""
+        taken = self._taken.get(name)
+        return taken.sum(now) if taken is not None else 0.0
+
+    def charge_ahead(self, workspace: ForwardedWorkspace, units: float, now: float) -> None:
+        """Take out what another process was allowed; its own word of it is not counted again."""
+        self._bucket(workspace, now).level -= units
+        self._note(workspace.name, units, now)
+        self._own_parts.setdefault(workspace.name, _OwnPart()).use(units, now)
+        self._ahead.setdefault(workspace.name, _Ahead()).add(units, now)
+
+    def give_back(self, workspace: ForwardedWorkspace, units: float, now: float) -> None:
+        """Give back what another process was allowed and has not used."""
+        ahead = self._ahead.setdefault(workspace.name, _Ahead())
+        units = ahead.cover(units, now)
+        self._bucket(workspace, now).level += units
+        self._note(workspace.name, -units, now)
 
     def state(self, workspace: ForwardedWorkspace, now: float) -> QuotaState:
         """Return what decides on the workspace's requests now."""
@@ -260,19 +441,55 @@
             lag=round(self._lag(), 3),
         )
 
-    def _wait_for_window(self, workspace: ForwardedWorkspace, units: float, now: float) -> float:
+    def _wait_for_window(
+        self, workspace: ForwardedWorkspace, units: float, members: int, now: float
+    ) -> float:
         """Return the seconds until the request keeps the limit of the window; 0 if it does now."""
-        taken = self._taken.get(workspace.name)
-        total = taken.sum(now) if taken is not None else 0.0
-        if total <= 0:
-            return 0.0
-        # Of what the others take now this process hears later.
-        unheard = self._lag() * taken.since(now - RATE_SECONDS) / RATE_SECONDS
-        left = self._rules.limit(workspace) * self._heard_share() - total - units
-        if unheard > left:
-            return taken.wait(unheard - left, now)
-        rationed = self._is_rationed(workspace, left, now)
-        return max(MIN_RETRY_SECONDS, self._lag()) if rationed else 0.0
+        taken, total = self._taken.get(workspace.name), self._total(workspace.name, now)
+        left = self._rules.limit(workspace) * self._heard_share() - total
+        if total > 0:
+            # Of what the others take now this process hears later.
+            unheard = self._lag() * taken.since(now - RATE_SECONDS) / RATE_SECONDS
+            if unheard > left - units:
+                return taken.wait(unheard - left + units, now)
+            if self._is_rationed(workspace, left - units, now):
+                return max(MIN_RETRY_SECONDS, self._lag())
+        since_start = self._left_since_start(workspace, total, now)
+        if since_start <= 0:
+            return max(MIN_RETRY_SECONDS, -since_start / workspace.rate)
+        left = min(left, since_start, self._left_while_pressing(workspace, now))
+        part, since = left / members, now - UNHEARD_PART * self._lag() - STEP_SECONDS
+        if members > 1 and not self._is_within_part(workspace.name, units, part, since, now):
+            return max(MIN_RETRY_SECONDS, self._lag())
+        return 0.0
+
+    def _left_since_start(self, workspace: ForwardedWorkspace, total: float, now: float) -> float:
+        """Return what may be taken before this process knows what was taken before its start."""
+        age = now - self._begun_at.get(workspace.name, now)
+        if age >= self._rules.window:
+            return math.inf
+        first = FIRST_LEVEL * workspace.burst + FIRST_PART * self._rules.reserve(workspace)
+        return first + workspace.rate * age - total
+
+    def _left_while_pressing(self, workspace: ForwardedWorkspace, now: float) -> float:
+        """Return what may be taken beyond the bucket while a workspace sends too much."""
+        if self._peak_rate(workspace.name, now) <= PRESSING_RATE * workspace.rate:
+            return math.inf
+        level = self._bucket(workspace, now).level
+        return level + PRESSING_PART * self._rules.reserve(workspace)
+
+    def _is_within_part(
+        self, name: str, units: float, part: float, since: float, now: float
+    ) -> bool:
+        """Tell whether a request keeps to this process's part of what is left of the window.
+
+        Notes
+        -----
+        All processes may let requests through at the same moment, before any word of it: the parts
+        add up to what is left, whatever comes.
+        """
+        own = self._own_parts.setdefault(name, _OwnPart())
+        return own.allows(units, part, since, now, self._rng)
 
     def _is_rationed(self, workspace: ForwardedWorkspace, left: float, now: float) -> bool:
         """Tell whether a request is refused so that all processes together do not take too much.
@@ -296,7 +513,7 @@
 
     def _peak_rate(self, name: str, now: float) -> float:
         """Return the units a second that were taken at most lately; it fades away."""
-        peak = self._taken[name].peak(now)
+        peak = self._taken[name].peak(now) if name in self._taken else 0.0
         known, at = self._peaks.get(name, (0.0, now))
         peak = max(peak, known * 0.5 ** ((now - at) / PEAK_HALF_LIFE_SECONDS))
         self._peaks[name] = (peak, now)
@@ -310,6 +527,7 @@
         if workspace.rate > 0:
             self._bucket(workspace, now).level -= units
             self._note(workspace.name, units, now)
+            self._own_parts.setdefault(workspace.name, _OwnPart()).use(units, now)
         self._spent[workspace.name] = self._spent.get(workspace.name, 0.0) + units
 
     def refund(self, workspace: ForwardedWorkspace, units: float, now: float) -> None:
@@ -321,6 +539,7 @@
         for each in workspaces:
             if each.rate > 0:
                 self._bucket(each, now)
+                self._begun_at.setdefault(each.name, now)
 
     def heard(self, process: str, spent: Mapping[str, float], continuous: bool, now: float) -> None:
         """Take in what another process has taken out in all.
@@ -333,10 +552,14 @@
             False if the process was out of hearing: what it took meanwhile was its own part, which
             this process's copies have left out.
         """
+        self._tellers.add(process)
         for name, total in spent.items():
             known = self._heard.get((process, name), 0.0)
             self._heard[process, name] = total
             bucket = self._buckets.get(name)
             if continuous and bucket is not None and total != known:
-                bucket.level -= total - known
-                self._note(name, total - known, now)
+                added = total - known
+                if added > 0 and name in self._ahead:
+                    added -= self._ahead[name].cover(added, now)
+                bucket.level -= added
+                self._note(name, added, now)
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -25,6 +25,7 @@
 from flamingofront.process.forwarding.own_report import OwnReport, ReportedParts
 from flamingofront.process.forwarding.peer_word import PeerWord, WordParts
 from flamingofront.process.forwarding.peers import Peers
+from flamingofront.process.forwarding.quota_arbiter import QuotaArbiters, QuotaView
 from flamingofront.process.forwarding.readers import StoreReaders
 from flamingofront.process.forwarding.relaying import RelayListener
 from flamingofront.process.forwarding.reports import PeerReport
@@ -172,6 +173,7 @@
             QuotaRules(rules.quota_window, rules.quota_over, rules.quota_allowance),
             lambda: self.peers.lag(),
             self._rng,
+            lambda: self.peers.member_count(),
         )
         self.gateway = ForwardGateway(
             self.hub, needs.protocol, self.quota, self.log, self._began_to_run
@@ -249,6 +251,24 @@
             self.metrics,
             self.log,
         )
+        self.arbiters = QuotaArbiters(
+            self.quota,
+            QuotaView(
+                self.settings.ip,
+                self.peers.quota_arbiters,
+                lambda: self.configuration.workspaces_by_name,
+                self._knows_less_of_quotas,
+                self.peers.quota_sides,
+            ),
+            self.peers.send,
+            self.timers,
+            self.metrics,
+            self.log,
+        )
+        self.gateway.quota_gate = self.arbiters
+        self.peers.quota_window = self.settings.rules.quota_window
+        self.peers.on_question = self.arbiters.take_question
+        self.peers.on_reply = self.arbiters.take_reply
         self.exchange = KnowledgeExchange(self.knowledge, self.tasks, self.timers.now, self.log)
         self.readers = StoreReaders(
             self.settings.vm_id,
@@ -257,6 +277,10 @@
         )
         self.knowledge.on_change = self._store_changed
 
+    def _knows_less_of_quotas(self) -> bool:
+        """Tell whether others are to decide on quotas: they know more, or stay longer."""
+        return self.stopping or self.peers.is_new_among_older()
+
     def _may_rest(self) -> bool:
         """Tell whether others follow the store for this process."""
         if self.peers.many:
@@ -374,6 +398,7 @@
         """Begin all periodic work."""
         self.peers.start()
         self.observations.start()
+        self.arbiters.start()
         if self.duties:
             self.tasks.start(self.lease.run())
         for duty in self.duties:
--- a/flamingofront/process/forwarding/peers.py
+++ b/flamingofront/process/forwarding/peers.py
@@ -1,5 +1,6 @@
 """Hearing of the other entry processes: who they are, what they hold, what they know."""
 
+import math
 import random
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
@@ -10,6 +11,7 @@
 from flamingofront.errors import PlatformError
 from flamingofront.messages import Sleep
 from flamingofront.process.forwarding.digests import decode_digest, is_digest
+from flamingofront.process.forwarding.quota_messages import is_question, is_reply
 from flamingofront.process.forwarding.relaying import (
     DIGEST_SECONDS,
     TICKS_PER_REPORT,
@@ -30,6 +32,7 @@
 from flamingofront.process.forwarding.sums import OthersLoad, load_of
 from flamingofront.process.logs import Log
 from flamingofront.process.metrics import Metrics
+from flamingofront.process.rendezvous import rank
 from flamingofront.process.settings import Address
 from flamingofront.process.store import RowWrite, TableStore
 from flamingofront.process.tasks import Task, TaskRunner
@@ -50,6 +53,8 @@
 # A new holder of the duties has heard the counts of all after so long: the relays learn of it
 # within a second, and tell them within another one, and once more if that is lost.
 RELAYED_COUNTS_SECONDS = 3.5
+# A zone of which no report came for so many turns may be cut off.
+UNHEARD_REPORTS = 2.5
 # IP numbers of others in a report: a process that knows one peer soon knows all.
 MAX_PEERS_TOLD = 4
 # Among many processes only prompts that delay others by more than the way of a datagram are told at
@@ -74,6 +79,13 @@
 MAX_REFUSED_TOLD = 64
 
 
+def _kind_of(data: bytes) -> str:
+    """Return the kind of a datagram, for the metrics."""
+    if is_question(data) or is_reply(data):
+        return "quota"
+    return "digest" if is_digest(data) else "note" if is_note(data) else "report"
+
+
 class Peers:
     """Tells the other entry processes of this one, and listens to them.
 
@@ -134,6 +146,11 @@
         self._hearing: tuple | None = None
         self._refused: set[str] = set()
         # Returns the endpoints of which a process has to know at once, by its IP number.
+        # Seconds for which what was taken of a quota counts.
+        self.quota_window = 0.0
+        # Get a datagram and the IP number of its sender.
+        self.on_question: Callable[[bytes, str], None] = lambda data, ip: None
+        self.on_reply: Callable[[bytes, str], None] = lambda data, ip: None
         self.sharers: Callable[[Iterable[str]], Mapping[str, list[str]]] = lambda endpoints: {}
 
     def start(self) -> None:
@@ -214,6 +231,72 @@
         """Return the seconds after which a new holder of the duties has heard all counts."""
         return RELAYED_COUNTS_SECONDS if self.many else 0.0
 
+    def quota_arbiters(self, workspace: str) -> list[str]:
+        """Return the IP numbers of the processes that may decide on a quota, the first one first.
+
+        Notes
+        -----
+        Among many processes these are the relays: they alone hear all the others. Those that began
+        within the window of the quotas come last, since they do not know what was taken before.
+        """
+        heard = [each for each in self.table.heard(self._timers.now()) if not each.leaving]
+        told = self.relaying.relays_heard() if self.many else []
+        new = {each.ip for each in (*heard, *told, self._own_report_now()) if self._is_new(each)}
+        if self.many:
+            ranked = self.relaying.ranked_relays(workspace)
+        else:
+            ips = {each.vm_id: each.ip for each in heard} | {self._own.vm_id: self._own.ip}
+            ranked = [ips[name] for name in rank(workspace, ips)]
+        return sorted(ranked, key=lambda ip: ip in new)
+
+    def _own_report_now(self) -> PeerReport:
+        return replace(self._own, wall=self._timers.wall())
+
+    def _is_new(self, report: PeerReport) -> bool:
+        return report.wall - report.incarnation / 1000 < self.quota_window
+
+    def quota_sides(self, workspace: str) -> int:
+        """Return into how many sides a partition may have divided those who decide on a quota.
+
+        Notes
+        -----
+        If this process is asked in place of one that it heard a moment ago, that one is out of
+        reach for those who ask: it has just ended, or any zone may be cut off from the others.
+        """
+        now = self._timers.now()
+        zones = self._last_heard_by_zone(now)
+        first = next(iter(self.quota_arbiters(workspace)), self._own.ip)
+        if first != self._own.ip and self._heard_lately(first, now):
+            return max(2, len(zones))
+        late = UNHEARD_REPORTS * self._period()
+        return 1 + sum(now - at > late for zone, at in zones.items() if zone != self._own.zone)
+
+    def _last_heard_by_zone(self, now: float) -> dict[str, float]:
+        """Return when any process of each zone was heard last; never counts as long ago."""
+        found = dict.fromkeys((self._own.zone, *self.relaying.zones()), -math.inf)
+        for each in self.table.members(now):
+            at = now - (self.table.gap(each.vm_id, now) or 0.0)
+            found[each.zone] = max(at, found.get(each.zone, -math.inf))
+        if self.many:
+            for zone, at in self.relaying.last_told().items():
+                found[zone] = max(at, found.get(zone, -math.inf))
+        return found
+
+    def _heard_lately(self, ip: str, now: float) -> bool:
+        late = UNHEARD_REPORTS * self._period()
+        gaps = [self.table.gap(each.vm_id, now) for each in self.table.heard(now) if each.ip == ip]
+        if self.many:
+            gaps += [now - at for at in self.relaying.heard_at(ip)]
+        return any(gap <= late for gap in gaps)
+
+    def is_new_among_older(self) -> bool:
+        """Tell whether others know what was taken of the quotas before this process began."""
+        if not self._is_new(self._own_report_now()):
+            return False
+        heard = [each for each in self.table.heard(self._timers.now()) if not each.leaving]
+        told = self.relaying.relays_heard() if self.many else []
+        return any(not self._is_new(each) for each in (*heard, *told))
+
     def true_time(self) -> float:
         """Return the wall clock's time, as the median of the members' clocks tells it.
 
@@ -308,12 +391,16 @@
         for ip in ips:
             self._send_one(data, ip)
 
+    def send(self, data: bytes, ip: str) -> None:
+        """Send a datagram to the process at an IP number."""
+        self._send_one(data, ip)
+
     def _send_one(self, data: bytes, ip: str) -> None:
         self._count(data, "sent")
         self._send(data, (ip, self._port))
 
     def _count(self, data: bytes, way: str) -> None:
-        kind = "digest" if is_digest(data) else "note" if is_note(data) else "report"
+        kind = _kind_of(data)
         self._metrics.count("peer_datagrams_total", way=way, kind=kind)
         self._metrics.count("peer_bytes_total", len(data), way=way, kind=kind)
 
@@ -379,7 +466,11 @@
         ValueError
             If it is malformed, of another version, or tells of another VM than its sender's.
         """
-        if is_digest(data):
+        if is_question(data):
+            self.on_question(data, ip)
+        elif is_reply(data):
+            self.on_reply(data, ip)
+        elif is_digest(data):
             digest = decode_digest(data)
             if not self.relaying.may_tell(digest, ip):
                 raise ValueError(f"digest of {digest.relay.vm_id}, which has another address")
--- /dev/null
+++ b/flamingofront/process/forwarding/quota_messages.py
@@ -0,0 +1,129 @@
+"""Datagrams by which entry processes ask one of them whether a request is within its quota."""
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+import orjson
+
+__all__ = [
+    "QuotaQuestion",
+    "QuotaReply",
+    "Verdict",
+    "decode_question",
+    "decode_reply",
+    "encode_question",
+    "encode_reply",
+    "is_question",
+    "is_reply",
+]
+
+_QUESTION = b"?"
+_REPLY = b"!"
+
+
+class Verdict(IntEnum):
+    """What an arbiter says of a request."""
+
+    ALLOWED = 0
+    REFUSED = 1
+    """It is over the quota."""
+    NOT_HERE = 2
+    """The process does not decide on this workspace: another one is to be asked."""
+
+
+@dataclass(frozen=True)
+class QuotaQuestion:
+    """Whether a request of a workspace may pass, or that one which was allowed has not passed.
+
+    Parameters
+    ----------
+    number : int
+        Number of the question at its sender; a repeated question has the same.
+    units : float
+        Units of the request; less than nothing to give back what was allowed.
+    """
+
+    number: int
+    workspace: str
+    units: float
+
+
+@dataclass(frozen=True)
+class QuotaReply:
+    """Answer to a question.
+
+    Parameters
+    ----------
+    wait : float
+        Seconds after which a refused request would pass.
+    bucket, taken, limit : float
+        What decided, in units: the level of the bucket, and what was taken within the window
+        against the most that may be.
+    """
+
+    number: int
+    verdict: Verdict
+    wait: float = 0.0
+    bucket: float = 0.0
+    taken: float = 0.0
+    limit: float = 0.0
+
+
+def is_question(data: bytes) -> bool:
+    """Tell whether a datagram is a question."""
+    return data.startswith(_QUESTION)
+
+
+def is_reply(data: bytes) -> bool:
+    """Tell whether a datagram is a reply."""
+    return data.startswith(_REPLY)
+
+
+def encode_question(question: QuotaQuestion) -> bytes:
+    """Return the datagram of a question."""
+    fields = (question.number, question.workspace, round(question.units, 3))
+    return _QUESTION + orjson.dumps(fields)
+
+
+def encode_reply(reply: QuotaReply) -> bytes:
+    """Return the datagram of a reply."""
+    fields = (
+        reply.number,
+        int(reply.verdict),
+        round(reply.wait, 3),
+        round(reply.bucket),
+        round(reply.taken),
+        round(reply.limit),
+    )
+    return _REPLY + orjson.dumps(fields)
+
+
+def decode_question(data: bytes) -> QuotaQuestion:
+    """Return the question in a datagram; fields that a newer version has appended are ignored.
+
+    Raises
+    ------
+    ValueError
+        If it is malformed.
+    """
+    try:
+        number, workspace, units = orjson.loads(data[1:])[:3]
+        return QuotaQuestion(int(number), str(workspace), float(units))
+    except (TypeError, ValueError) as exc:
+        raise ValueError(f"malformed question: {exc!r:.100}") from exc
+
+
+def decode_reply(data: bytes) -> QuotaReply:
+    """Return the reply in a datagram; fields that a newer version has appended are ignored.
+
+    Raises
+    ------
+    ValueError
+        If it is malformed.
+    """
+    try:
+        number, verdict, *figures = orjson.loads(data[1:])[:6]
+        wait, bucket, taken, limit = (float(each) for each in figures)
+        return QuotaReply(int(number), Verdict(verdict), wait, bucket, taken, limit)
+    except (TypeError, ValueError) as exc:
+        raise ValueError(f"malformed reply: {exc!r:.100}") from exc
--- a/flamingofront/process/forwarding/relay_hearing.py
+++ b/flamingofront/process/forwarding/relay_hearing.py
@@ -8,6 +8,7 @@
 from flamingofront.process.forwarding.reports import PeerReport, PeerTable
 from flamingofront.process.forwarding.sums import OthersLoad, load_of, load_without
 from flamingofront.process.forwarding.zone_relays import ZoneRelays
+from flamingofront.process.rendezvous import rank
 from flamingofront.process.timers import TimerService
 
 __all__ = ["FORGOTTEN_SECONDS", "HeardDigest", "RelayHearing"]
@@ -135,6 +136,52 @@
         told = {zone for each in self._fresh() for zone in each.digest.relays or ()}
         return sorted({self._own.zone, *self._registered, *self._elsewhere, *told})
 
+    def ranked_relays(self, key: str) -> list[str]:
+        """Return the IP numbers of all relays, zone by zone in the order of preference for a key.
+
+        Notes
+        -----
+        Other zones' relays are those that the own relays tell of.
+        """
+        relays = {self._own.zone: self._own_relays()}
+        for each in reversed(self._fresh()):
+            told = each.digest.relays or {}
+            relays.update({zone: ips for zone, ips in told.items() if zone != self._own.zone})
+        for zone, each in self._fresh_elsewhere().items():
+            relays[zone] = (each.digest.relays or {}).get(zone) or (each.digest.relay.ip,)
+        return list(dict.fromkeys(ip for zone in rank(key, relays) for ip in relays[zone]))
+
+    def last_told(self) -> dict[str, float]:
+        """Return when a digest of each other zone was heard last.
+
+        Notes
+        -----
+        A process that is no relay hears of the others as long as its own relays do.
+        """
+        if not self.is_relay:
+            at = max((each.at for each in self._zone.values()), default=-math.inf)
+            return {zone: at for zone in set(self.zones()) - {self._own.zone, *self.silent_zones()}}
+        return {
+            zone: max((each.at for each in by_relay.values()), default=-math.inf)
+            for zone, by_relay in self._elsewhere.items()
+        }
+
+    def heard_at(self, ip: str) -> list[float]:
+        """Return when digests of the relay at an IP number were heard last."""
+        told = [*self._zone.values()]
+        told += [each for by_relay in self._elsewhere.values() for each in by_relay.values()]
+        return [each.at for each in told if each.digest.relay.ip == ip]
+
+    def _own_relays(self) -> tuple[str, ...]:
+        """Return the IP numbers of the relays of the own zone."""
+        near = self.near()
+        return tuple(near[name] for name in self._relays.chosen if name in near)
+
+    def relays_heard(self) -> list[PeerReport]:
+        """Return the last reports of the relays that are heard by their digests."""
+        told = [*self._fresh(), *self._fresh_elsewhere().values()]
+        return [each.digest.relay for each in told]
+
     def near(self) -> dict[str, str]:
         """Return the IP number by VM of the zone's processes, this one included."""
         return {**self._members(), self._own.vm_id: self._own.ip}
--- a/flamingofront/process/metrics.py
+++ b/flamingofront/process/metrics.py
@@ -40,6 +40,10 @@
     "peer_datagrams_total": "Datagrams to and from other entry processes, by way and kind",
     "peer_bytes_total": "Bytes of these datagrams, by way and kind",
     "peer_datagrams_refused_total": "Datagrams that were malformed or not their sender's own",
+    "quota_questions_total": "Questions to other processes on quotas",
+    "quota_questions_unanswered_total": "Questions on quotas without a reply in time",
+    "quota_replies_total": "Replies to questions on quotas, by verdict",
+    "quota_decisions_alone_total": "Decisions on quotas while no arbiter was reached",
     "platform_calls_total": "Calls to the platform's table store, by operation and table",
     "usage_reports_total": "Usage reports that the cloud took",
 }
--- a/flamingofront/request/forward_gateway.py
+++ b/flamingofront/request/forward_gateway.py
@@ -2,7 +2,7 @@
 
 import itertools
 from collections.abc import Callable
-from dataclasses import asdict
+from dataclasses import asdict, dataclass, replace
 
 from flamingofront.connection.interfaces import Exchange
 from flamingofront.decisions.admission import WorkspaceShare
@@ -15,6 +15,7 @@
 from flamingofront.request.forward_work import CallerRequest, ForwardProtocol, ForwardWork
 from flamingofront.request.forwarded_request import ForwardedRequest
 from flamingofront.request.hub import RequestHub
+from flamingofront.request.quota_gate import OwnQuotaGate, QuotaDecision, QuotaGate
 from flamingofront.request.records import RequestRecord
 from flamingofront.request.stop_refusal import refusal_for_stop
 from flamingofront.version.forwarding import (
@@ -33,6 +34,39 @@
 DEFAULT_PRIORITY = 5
 
 
+@dataclass
+class _Offer:
+    """A request that is not accepted yet.
+
+    Parameters
+    ----------
+    units : float
+        What it counts against its workspace's quota.
+    configuration : int
+        Version of the configuration that it was read with.
+    """
+
+    req: InboundRequest
+    exchange: Exchange
+    record: RequestRecord
+    route: ForwardedRoute
+    workspace: ForwardedWorkspace | None
+    units: float
+    configuration: int
+    is_gone: bool = False
+
+    def caller_left(self) -> None:
+        """Note that nobody waits for the answer any more."""
+        self.is_gone = True
+
+    def later(self, seconds: float) -> "_Offer":
+        """Return the request after some seconds in which it waited."""
+        left = self.record.deadline_left - seconds
+        if left <= 0:
+            raise RequestError(ErrorKind.DEADLINE_EXCEEDED, "no time is left of the deadline")
+        return replace(self, record=replace(self.record, deadline_left=left))
+
+
 class ForwardGateway:
     """Turns callers' HTTP requests on forwarded routes into accepted requests or refusals.
 
@@ -42,6 +76,11 @@
         Quotas of the workspaces over all entry processes.
     on_running : callable
         Gets each request when an endpoint begins to answer it.
+
+    Attributes
+    ----------
+    quota_gate : QuotaGate
+        Decides whether a request is within its quota; by the own copy if nothing else is set.
     """
 
     def __init__(
@@ -58,6 +97,7 @@
         self._hub = hub
         self._protocol = protocol
         self._quota = quota
+        self.quota_gate: QuotaGate = OwnQuotaGate(quota, hub.timers)
         self._log = log
         self._on_running = on_running
         self._numbers = itertools.count(1)
@@ -97,15 +137,41 @@
         # Before the quota: a refusal for that would ask the caller to come back.
         self._hub.guard.check(record)
         units = _units(caller, workspace)
-        self._check_quota(workspace, units)
-        self._check_stop(record)
-        request = self._hub.accept(record, _share(route, workspace))
-        if workspace is not None:
-            self._quota.spend(workspace, units, self._hub.now())
+        offer = _Offer(req, exchange, record, route, workspace, units, cfg.version)
+        if workspace is None:
+            self._accept(offer)
+            return
+        asked_at = self._hub.now()
+        exchange.on_gone = offer.caller_left
+        self.quota_gate.decide(
+            workspace, units, lambda decision: self._decided(offer, decision, asked_at)
+        )
+
+    def _decided(self, offer: "_Offer", decision: QuotaDecision, asked_at: float) -> None:
+        """Take a request in whose quota was decided on, or refuse it."""
+        try:
+            self._refuse_over_quota(offer, decision)
+            if not offer.is_gone:
+                self._accept(offer.later(self._hub.now() - asked_at))
+                return
+            self._hub.metrics.count("refusals_total", kind="caller_gone")
+        except RequestError as exc:
+            self.refused(exc, offer.req)
+            offer.exchange.respond(*self._protocol.render_error(exc))
+        if decision.wait <= 0:
+            self.quota_gate.unused(offer.workspace, offer.units, decision)
+
+    def _accept(self, offer: "_Offer") -> None:
+        """Take a request in, unless this process or its endpoints have no time for it."""
+        self._check_stop(offer.record)
+        request = self._hub.accept(offer.record, _share(offer.route, offer.workspace))
+        if offer.workspace is not None:
+            self._quota.spend(offer.workspace, offer.units, self._hub.now())
         request.on_running = self._on_running
         request.rule_of = self._version_rule
-        request.on_end = lambda ended: self._ended(ended, route, workspace, units, cfg.version)
-        request.attach(ForwardAttachment(exchange, caller.request_id, self._protocol))
+        request.on_end = lambda ended: self._ended(ended, offer)
+        caller_id = offer.record.work.caller_id
+        request.attach(ForwardAttachment(offer.exchange, caller_id, self._protocol))
         self._hub.pump()
 
     def _version_rule(self, request: ForwardedRequest) -> VersionRule | None:
@@ -118,24 +184,23 @@
             raise RequestError(ErrorKind.UNKNOWN_WORKSPACE, "the API key is not known")
         return workspace
 
-    def _check_quota(self, workspace: ForwardedWorkspace | None, units: float) -> None:
-        if workspace is None:
-            return
-        now = self._hub.now()
-        wait = self._quota.wait(workspace, units, now)
-        if wait <= 0:
+    def _refuse_over_quota(self, offer: "_Offer", decision: QuotaDecision) -> None:
+        if decision.wait <= 0:
             return
+        workspace = offer.workspace
+        state = decision.state or self._quota.state(workspace, self._hub.now())
         inputs = {
             "workspace": workspace.name,
-            "units": units,
+            "units": offer.units,
             "rate": workspace.rate,
             "burst": workspace.burst,
-            **asdict(self._quota.state(workspace, now)),
+            "arbiter": decision.arbiter,
+            **asdict(state),
         }
         raise RequestError(
             ErrorKind.LIMIT_EXCEEDED,
             f"workspace {workspace.name} is over its quota of {workspace.rate:g} a second",
-            retry_after=wait,
+            retry_after=decision.wait,
             inputs=inputs,
         )
 
@@ -185,26 +250,19 @@
             deadline_left=left,
         )
 
-    def _ended(
-        self,
-        request: ForwardedRequest,
-        route: ForwardedRoute,
-        workspace: ForwardedWorkspace | None,
-        units: float,
-        version: int,
-    ) -> None:
+    def _ended(self, request: ForwardedRequest, offer: "_Offer") -> None:
         now = self._hub.now()
-        if workspace is not None and request.first_at is None:
-            self._quota.refund(workspace, units, now)
+        if offer.workspace is not None and request.first_at is None:
+            self._quota.refund(offer.workspace, offer.units, now)
         first = request.first_at
         self._log.info(
             "request ended",
             request=request.request_id,
             work=request.fingerprint,
-            route=route.name,
+            route=offer.route.name,
             service=request.record.service.name,
             workspace=request.record.workspace,
-            configuration=version,
+            configuration=offer.configuration,
             status=request.status,
             failure=request.failure,
             ran=request.machine.ran.value,
--- a/flamingofront/version/forwarding.py
+++ b/flamingofront/version/forwarding.py
@@ -205,6 +205,11 @@
             found.setdefault(each.host.lower(), {})[each.prefix] = each
         return found
 
+    @cached_property
+    def workspaces_by_name(self) -> Mapping[str, ForwardedWorkspace]:
+        """Workspaces by their names."""
+        return {each.name: each for each in self.workspaces}
+
     @cached_property
     def _workspaces_by_key(self) -> dict[str, ForwardedWorkspace]:
         return {key: each for each in self.workspaces for key in each.keys}
