Ends of endpoints that nobody saw count against a request's trials

Callers saw: a request that crashes the endpoints that run it was sent four times more, later than word of its third end is owed, with all that ran beside it there (BUDGET; three are allowed).

Cause: what a request has done is counted from ends with a witness. A killed process takes with it what it had under way, so that its ends are counted by none, and the request begins anew with three ends and three trials. Ruled out: late word (all processes hold it within 0.3 s). The end that nobody saw had no line; `endpoint ended unseen` is new.

Change: endpoints that end about the time at which a process began may have ended under any request that is not known to have been elsewhere. Each end beyond three uses up a trial. A single end is kept in the store too, a second after it, unless an answer cleared the request: one that came once in the life of each process was never held.

Why it holds: sends that may have come after the third end are taken for such, whoever knows of them.

--- a/flamingofront/decisions/quarantine.py
+++ b/flamingofront/decisions/quarantine.py
@@ -13,11 +13,15 @@
 
 A request that is held back may be innocent, so that it is tried again after a while: three times in
 all over all processes, each claimed by one of them, and served again when a trial is answered.
+
+A process that is killed takes with it what it knew of its requests. Endpoints that ended about then
+may have ended under any of them, so that a request which is found out later may have had its three
+ends before: each that it then had beyond them counts as a trial.
 """
 
 import itertools
-from collections import OrderedDict
-from collections.abc import Iterable
+from collections import OrderedDict, deque
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field, replace
 
 from flamingofront.decisions.quarantine_facts import (
@@ -45,8 +49,8 @@
 ENDS_IN_ANY_CASE = ENDS_TO_HOLD + 1
 # Ends that are enough if no other request was at all of them.
 ENDS_ALONE = 2
-# Ends of one request that are kept in the store: with them one more is enough after a restart of
-# all. Where fewer were kept, each restart of all let it end two more endpoints.
+# Ends of one request that are kept in the store at once: with them one more is enough after a
+# restart of all. A single end is kept if nothing has cleared the request once word has settled.
 ENDS_KEPT = 2
 # Word of what ran beside it at other processes has come by then, also through relays.
 SETTLED_SECONDS = 1.0
@@ -54,6 +58,10 @@
 SAME_END_SECONDS = 3.0
 # Ends with a common cause, as a zone's loss of power, come within this time.
 TOGETHER_SECONDS = 0.2
+# A process that began so shortly before or after an end may have had requests there in the life
+# before, of which nobody knows: a killed one is back within seconds, and a row lapses after four.
+RESTART_SECONDS = 8.0
+MAX_UNWITNESSED = 64
 # Memory: 1.6 MB with all suspects at 512 ends (traced).
 MAX_SUSPECTS = 4096
 MAX_ENDS = 512
@@ -88,6 +96,7 @@
         self._suspects: OrderedDict[str, list[_End]] = OrderedDict()
         self._holds: OrderedDict[str, Hold] = OrderedDict()
         self._released: OrderedDict[str, float] = OrderedDict()
+        self._unwitnessed: deque[tuple[str, float]] = deque(maxlen=MAX_UNWITNESSED)
 
     def __bool__(self) -> bool:
         """True while there is evidence against any request."""
@@ -147,12 +156,18 @@
             if not ends:
                 del self._suspects[fingerprint]
 
+    def unwitnessed(self, endpoint_id: str, at: float) -> None:
+        """Take note of an endpoint that ended while no request of a known process was there."""
+        self._unwitnessed.append((endpoint_id, at))
+
     def ended_endpoints(self) -> frozenset[str]:
         """Return the endpoints of which ends are known."""
         return frozenset(endpoint_id for endpoint_id, _ in self._ends)
 
-    def grave_evidence(self, fingerprints: Iterable[str]) -> dict[str, tuple[EndpointEnd, ...]]:
-        """Return the ends of those requests that have so many that they are to be kept.
+    def evidence(
+        self, fingerprints: Iterable[str], least: int
+    ) -> dict[str, tuple[EndpointEnd, ...]]:
+        """Return the ends of those requests that have so many, or more, and are not held yet.
 
         Notes
         -----
@@ -161,7 +176,7 @@
         found = {}
         for fingerprint in fingerprints:
             ends = self._suspects.get(fingerprint, ())
-            if len(ends) >= ENDS_KEPT and self.hold(fingerprint) is None:
+            if len(ends) >= least and self.hold(fingerprint) is None:
                 found[fingerprint] = tuple(
                     EndpointEnd(each.endpoint_id, each.zone, each.at, (fingerprint,), untold=1)
                     for each in ends
@@ -228,9 +243,14 @@
 
     # Verdicts
 
-    def judge(self, now: float) -> tuple[Hold, ...]:
+    def judge(self, now: float, restarts: Sequence[float] = ()) -> tuple[Hold, ...]:
         """Hold back what is proved by now and return it; the rest of what ran there is cleared.
 
+        Parameters
+        ----------
+        restarts : sequence of float
+            When the entry processes began; what they ran before is not known.
+
         Notes
         -----
         Those with the most ends go first: what ran beside one of them at fewer ends was there by
@@ -240,7 +260,7 @@
         while proved := self._proved(now):
             most = max(len(self._suspects[each]) for each in proved)
             worst = sorted(each for each in proved if len(self._suspects[each]) == most)
-            holds = [self._new_hold(each) for each in worst]
+            holds = [self._new_hold(each, restarts) for each in worst]
             for hold in holds:
                 self._put(hold)
             found += holds
@@ -253,11 +273,24 @@
             if len(ends) >= ENDS_ALONE and self.hold(each) is None and self._is_proved(each, now)
         ]
 
-    def _new_hold(self, fingerprint: str) -> Hold:
+    def _new_hold(self, fingerprint: str, restarts: Sequence[float]) -> Hold:
         ends = self._suspects[fingerprint]
         since = max(each.at for each in ends)
         names = tuple(dict.fromkeys(each.endpoint_id for each in ends))
-        return Hold(fingerprint, names, since, next_trial=since + TRIAL_SECONDS[0])
+        hold = Hold(fingerprint, names, since, next_trial=since + TRIAL_SECONDS[0])
+        # Each end later than the third one has used up a trial.
+        late = len(names) + self._unseen_ends(names, restarts) - ENDS_TO_HOLD
+        return hold.with_trials(late) if late > 0 else hold
+
+    def _unseen_ends(self, names: tuple[str, ...], restarts: Sequence[float]) -> int:
+        """Return how many other endpoints may have ended under a request that nobody remembers."""
+        ends = [*self._unwitnessed, *((each.endpoint_id, each.at) for each in self._ends.values())]
+        near = {
+            endpoint_id
+            for endpoint_id, at in ends
+            if any(abs(at - began) <= RESTART_SECONDS for began in restarts)
+        }
+        return len(near.difference(names))
 
     def _put(self, hold: Hold) -> None:
         self._holds[hold.fingerprint] = hold
@@ -329,6 +362,8 @@
             del self._holds[hold.fingerprint]
         for name in [name for name, at in self._released.items() if is_over(at, now)]:
             del self._released[name]
+        while self._unwitnessed and is_over(self._unwitnessed[0][1], now):
+            self._unwitnessed.popleft()
         return tuple(each.fingerprint for each in old if not each.lifted)
 
     # Word between processes
--- a/flamingofront/decisions/quarantine_facts.py
+++ b/flamingofront/decisions/quarantine_facts.py
@@ -88,7 +88,13 @@
 
     def claimed(self, now: float) -> "Hold":
         """Return the hold with a further trial claimed."""
-        trials = self.trials + 1
+        return self._after(self.trials + 1, now)
+
+    def with_trials(self, trials: int) -> "Hold":
+        """Return the hold with so many trials, or all, taken for made."""
+        return self._after(min(trials, len(TRIAL_SECONDS)), self.since)
+
+    def _after(self, trials: int, now: float) -> "Hold":
         if trials < len(TRIAL_SECONDS):
             return replace(self, trials=trials, next_trial=now + TRIAL_SECONDS[trials])
         return replace(self, trials=trials, next_trial=self.since + FORGOTTEN_SECONDS)
--- a/flamingofront/decisions/tests/test_quarantine.py
+++ b/flamingofront/decisions/tests/test_quarantine.py
@@ -212,6 +212,48 @@
         assert quarantine.standing("bad", now) is Standing.CLEAR
 
 
+class TestUnseenEnds:
+    """A process that is killed takes with it what it ran: ends about then may belong to any."""
+
+    def held(self, case, restarts):
+        (hold,) = case.quarantine.judge(case.now, restarts)
+        return hold
+
+    @pytest.mark.parametrize(("unseen", "trials"), [(0, 0), (1, 1), (2, 2), (3, 3), (9, 3)])
+    def test_each_unseen_end_near_a_restart_takes_a_trial(self, unseen, trials):
+        case = Case()
+        restart = case.now
+        for number in range(unseen):
+            case.quarantine.unwitnessed(f"unseen-{number}", case.now + 3.0)
+        for _ in range(3):
+            case.end("bad")
+        hold = self.held(case, [restart])
+        assert hold.trials == trials
+        if trials == len(TRIAL_SECONDS):
+            assert case.quarantine.standing("bad", case.now + 80_000) is Standing.HELD
+
+    def test_ends_far_from_any_restart_take_none(self):
+        case = Case()
+        case.quarantine.unwitnessed("unseen", case.now)
+        for _ in range(3):
+            case.end("bad", after=5.0)
+        assert self.held(case, [case.now + 60.0, case.now - 600.0]).trials == 0
+
+    def test_ends_under_others_count_if_a_process_began_about_then(self):
+        """What the killed process had at that endpoint is in nobody's list."""
+        case = Case()
+        case.end("other")
+        for _ in range(3):
+            case.end("bad")
+        assert self.held(case, [case.now]).trials == 1
+
+    def test_own_ends_are_not_counted_twice(self):
+        case = Case()
+        ends = [case.end("bad") for _ in range(3)]
+        case.quarantine.unwitnessed(ends[0].endpoint_id, case.now)
+        assert self.held(case, [case.now]).trials == 0
+
+
 class TestMemory:
     def test_it_is_bounded_under_many_different_requests(self):
         case = Case()
--- a/flamingofront/process/forwarding/held_requests.py
+++ b/flamingofront/process/forwarding/held_requests.py
@@ -49,6 +49,7 @@
     ):
         guard.wall = peers.true_time
         guard.on_news = peers.tell_now
+        guard.restarts = peers.starts
         self._keeper = HoldKeeper(guard, TableHolds(store), services, FEED_SEEN_SECONDS, may_rest)
         store.on_return(self._keeper.write_again)
         self.follower = TableFollower(
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -188,7 +188,7 @@
         return FEW_CANDIDATES if self.peers.lag() > LATE_WORD_SECONDS else MAX_CANDIDATES
 
     def _endpoint_gone(self, row: EndpointRow) -> None:
-        self.hub.guard.ends.gone(row.endpoint_id)
+        self.hub.guard.ends.gone(row.endpoint_id, announced=not row.ready)
         self.directory.forget(row.endpoint_id)
         self._needs.transport.drop_idle(row.address)
         self.knowledge.endpoint_gone(row.endpoint_id)
--- a/flamingofront/process/forwarding/peers.py
+++ b/flamingofront/process/forwarding/peers.py
@@ -289,6 +289,12 @@
             gaps += [now - at for at in self.relaying.heard_at(ip)]
         return any(gap <= late for gap in gaps)
 
+    def starts(self) -> list[float]:
+        """Return when the processes that are heard began, on the wall clock; this one included."""
+        told = self.relaying.relays_heard() if self.many else []
+        known = (self._own, *self.table.members(self._timers.now()), *told)
+        return [each.incarnation / 1000 for each in known]
+
     def is_new_among_older(self) -> bool:
         """Tell whether others know what was taken of the quotas before this process began."""
         if not self._is_new(self._own_report_now()):
--- a/flamingofront/process/node.py
+++ b/flamingofront/process/node.py
@@ -211,10 +211,16 @@
         self.gossip.word = guard.word
         self.gossip.on_word = guard.hear
         guard.on_news = lambda: self.links.push(Push(quarantine=guard.word()))
+        guard.restarts = self._starts
         self._hold_rows = DocumentHolds(self.documents)
         services = Services(self.tasks, self.timers, self._rng, self.metrics, self.log)
         self.holds = HoldKeeper(guard, self._hold_rows, services, HOLDS_SECONDS + SLACK_SECONDS)
 
+    def _starts(self) -> list[float]:
+        """Return when the entry processes that are known began, on the wall clock."""
+        entries = [each for each in self.gossip.facts.all() if each.role is Role.ENTRY]
+        return [each.incarnation / 1000 for each in entries if each.incarnation]
+
     def _read_holds(self) -> Task:
         """Read the requests that are held back, for zones that hear nobody; never returns."""
         while True:
--- a/flamingofront/request/endpoint_ends.py
+++ b/flamingofront/request/endpoint_ends.py
@@ -53,6 +53,8 @@
     on_ended : callable
         Gets each `EndpointEnd`, with its time on the clock of the timer service. A second one of
         the same end names what was noticed later.
+    on_unwitnessed : callable
+        Gets each endpoint whose row went without notice while no request of this process was there.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         self._log = log
         self._doubts: dict[str, _Doubt] = {}
         self.on_ended: Callable[[EndpointEnd], None] = lambda end: None
+        self.on_unwitnessed: Callable[[str], None] = lambda endpoint_id: None
 
     def broke(self, endpoint_id: str, address: str, request: str) -> None:
         """Take note that the connection of a request to an endpoint broke after it was sent."""
@@ -87,10 +90,18 @@
         self._doubts[endpoint_id] = doubt
         self._probe(endpoint_id, doubt)
 
-    def gone(self, endpoint_id: str) -> None:
-        """Take note that an endpoint's row went, or that it has started again."""
+    def gone(self, endpoint_id: str, announced: bool = False) -> None:
+        """Take note that an endpoint's row went.
+
+        Parameters
+        ----------
+        announced : bool
+            True if it had said before that it leaves.
+        """
         doubt = self._doubts.get(endpoint_id)
-        if doubt is not None and not doubt.ended:
+        if doubt is None and not announced:
+            self.on_unwitnessed(endpoint_id)
+        elif doubt is not None and not doubt.ended:
             self._ended(endpoint_id, doubt)
 
     def restarted(self, endpoint_id: str, requests: frozenset[str]) -> None:
--- a/flamingofront/request/guard.py
+++ b/flamingofront/request/guard.py
@@ -4,11 +4,17 @@
 and the word of others, and its verdicts reach the requests.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections import OrderedDict
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from flamingofront.decisions.quarantine import SETTLED_SECONDS, Quarantine
+from flamingofront.decisions.quarantine import (
+    ENDS_KEPT,
+    MAX_SUSPECTS,
+    SETTLED_SECONDS,
+    Quarantine,
+)
 from flamingofront.decisions.quarantine_facts import EndpointEnd, Hold, QuarantineWord, Standing
 from flamingofront.errors import ErrorKind, Ran, RequestError
 from flamingofront.process.logs import Log
@@ -69,6 +75,8 @@
         cleared it.
     on_end : callable
         Gets each endpoint that has ended, as this process saw it or was told.
+    restarts : callable
+        Returns when the entry processes that are known began, on the wall clock.
     claim : callable
         Claims a trial for this process alone: gets the hold, and what to call with the outcome.
     """
@@ -83,12 +91,14 @@
     ):
         self.ends = ends
         ends.on_ended = self._ended
+        ends.on_unwitnessed = self._unwitnessed
         self.quarantine = Quarantine()
         self.wall: Callable[[], float] = timers.wall
         self.on_news: Callable[[], None] = lambda: None
         self.on_hold: Callable[[Hold, bool], None] = lambda hold, is_own: None
         self.on_evidence: Callable[[Evidence], None] = lambda evidence: None
         self.on_end: Callable[[str], None] = lambda endpoint_id: None
+        self.restarts: Callable[[], Sequence[float]] = lambda: ()
         self.claim: Callable[[Hold, Callable[[bool], None]], None] = lambda hold, done: done(False)
         self._timers = timers
         self._metrics = metrics
@@ -96,6 +106,8 @@
         self._active = active
         # Requests at whose ends this process was a witness, until word of others has come.
         self._witnessed: set[str] = set()
+        # Requests whose ends are in the store, as far as this process knows.
+        self._kept: OrderedDict[str, None] = OrderedDict()
         self._telling = False
         self._settling = False
         timers.every(FORGET_SECONDS, self._forget, first=FORGET_SECONDS, relaxed=True)
@@ -162,17 +174,34 @@
         if self.quarantine.ended(replace(end, at=at), self.wall()):
             self._witnessed.update(end.requests)
             self._judge(is_own=True)
-            self._keep_evidence(end.requests)
+            self._keep_evidence(end.requests, ENDS_KEPT)
             self.on_news()
 
-    def _keep_evidence(self, fingerprints: Iterable[str]) -> None:
-        evidence = self.quarantine.grave_evidence(fingerprints)
+    def _unwitnessed(self, endpoint_id: str) -> None:
+        """Take note of an end at which no request of this process was, nor of one that told it."""
+        if endpoint_id in self.quarantine.ended_endpoints():
+            return
+        self.quarantine.unwitnessed(endpoint_id, self.wall())
+        self._log.info("endpoint ended unseen", endpoint=endpoint_id)
+
+    def _keep_evidence(self, fingerprints: Iterable[str], least: int) -> None:
+        """Keep the ends of requests that have so many in the store."""
+        evidence = self.quarantine.evidence(fingerprints, least)
         if evidence:
+            self._note_kept(evidence)
             self.on_evidence(evidence)
 
+    def _note_kept(self, fingerprints: Iterable[str]) -> None:
+        self._kept.update(dict.fromkeys(fingerprints))
+        while len(self._kept) > MAX_SUSPECTS:
+            self._kept.popitem(last=False)
+
     def take_evidence(self, ends: Iterable[EndpointEnd]) -> None:
         """Take ends as the store has them."""
-        news = [self.quarantine.ended(each, self.wall()) for each in ends]
+        news = []
+        for each in ends:
+            self._note_kept(each.requests)
+            news.append(self.quarantine.ended(each, self.wall()))
         if any(news):
             self._judge(is_own=False)
 
@@ -182,10 +211,10 @@
             return
         hold, now = self.quarantine.hold(fingerprint), self.wall()
         ends = self.quarantine.ends_under(fingerprint)
-        was_kept = hold is not None or self.quarantine.grave_evidence((fingerprint,))
         if not self.quarantine.answered(fingerprint, now):
             return
-        if was_kept:
+        if hold is not None or fingerprint in self._kept:
+            self._kept.pop(fingerprint, None)
             self.on_evidence({fingerprint: ()})
         if hold is not None:
             self._released(hold, "answered")
@@ -247,7 +276,7 @@
                 self._released(hold, f"answered, says {source}")
 
     def _judge(self, is_own: bool) -> None:
-        for hold in self.quarantine.judge(self.wall()):
+        for hold in self.quarantine.judge(self.wall(), self.restarts()):
             self._held(hold, "own" if is_own else "ends")
             self.on_hold(hold, is_own)
         if not self._settling:
@@ -257,9 +286,9 @@
     def _settled(self) -> None:
         """Look again once word of all processes has come."""
         self._settling = False
-        self._keep_evidence(self._witnessed)
+        self._keep_evidence(self._witnessed, least=1)
         self._witnessed.clear()
-        for hold in self.quarantine.judge(self.wall()):
+        for hold in self.quarantine.judge(self.wall(), self.restarts()):
             self._held(hold, "settled")
             self.on_hold(hold, False)
 
--- a/flamingofront/tests/test_crashing_requests.py
+++ b/flamingofront/tests/test_crashing_requests.py
@@ -131,6 +131,74 @@
         repeat(world, "/stream/once/x", seconds=25.0)
         assert world.sent_late(POISON) <= MAX_SENT_LATE
 
+    @pytest.mark.parametrize("path", ["/stream/once/x", "/write/x"])
+    def test_all_are_killed_again_and_again_after_each_single_end(self, path):
+        """One end of each life was forgotten: a request that came once a life was never held."""
+        world = crashing_world(engines=16, plains=16)
+        world.poison.add(POISON)
+        for _ in range(9):
+            world.ask_one(path, POISON)
+            world.run(1.5)
+            for number, name in enumerate(list(world.fronts)):
+                world.kill(name)
+                world.front(name, ZONES[number % len(ZONES)], first_start=False)
+            world.run(CONTACT_SECONDS + 0.5)
+        assert world.sent_late(POISON) <= MAX_SENT_LATE
+
+    @pytest.mark.parametrize("seed", range(4))
+    def test_sends_are_few_after_ends_at_any_moment_that_nobody_saw(self, seed):
+        """Of some processes or of all, a moment before or after the endpoints' ends."""
+        world = crashing_world(engines=16, seed=seed)
+        world.poison.add(POISON)
+        for number in range(5):
+            world.ask(f"front-{number}", "/stream/once/x", body=POISON)
+        world.run(0.02 + 0.15 * world.rng.random())
+        names = list(world.fronts)
+        for name in names if seed % 2 else world.rng.sample(names, 4):
+            zone = world.host(name).zone
+            world.kill(name)
+            world.front(name, zone, first_start=False)
+        world.run(CONTACT_SECONDS + 1.0)
+        repeat(world, "/stream/once/x", seconds=25.0)
+        assert world.sent_late(POISON) <= MAX_SENT_LATE
+
+    def test_sends_are_few_after_ends_that_nobody_saw_in_two_lives(self):
+        """All processes were killed while the request was on its way, and so were its repeats.
+
+        The three ends of the first life have no witness, nor have the three sends of the second
+        (late already); three more were needed to hold it.
+        """
+        world = crashing_world(engines=16)
+        world.poison.add(POISON)
+        for _ in range(2):
+            for number in range(3):
+                world.ask(f"front-{number}", "/stream/once/x", body=POISON)
+            world.run(0.05)
+            for number, name in enumerate(list(world.fronts)):
+                world.kill(name)
+                world.front(name, ZONES[number % len(ZONES)], first_start=False)
+            world.run(CONTACT_SECONDS + 1.0)
+        assert len(world.ends_under(POISON)) >= 6
+        repeat(world, "/stream/once/x", seconds=25.0)
+        assert world.sent_late(POISON) <= MAX_SENT_LATE
+
+    def test_request_whose_earlier_ends_may_be_unknown_is_told_as_held_for_good(self):
+        with logbook.TestHandler(level="INFO", bubble=True).applicationbound() as log:
+            world = crashing_world(engines=16)
+            world.poison.add(POISON)
+            for number in range(5):
+                world.ask(f"front-{number}", "/stream/once/x", body=POISON)
+            world.run(0.05)
+            for number, name in enumerate(list(world.fronts)):
+                world.kill(name)
+                world.front(name, ZONES[number % len(ZONES)], first_start=False)
+            world.run(CONTACT_SECONDS + 1.0)
+            repeat(world, "/stream/once/x", seconds=3.0)
+        unseen = [each for each in log.records if each.message == "endpoint ended unseen"]
+        held = [each for each in log.records if each.message == "request held"]
+        assert unseen and held
+        assert max(each.kwargs["trials"] for each in held) == len(TRIAL_SECONDS)
+
     def test_processes_start_and_restart_in_the_middle(self):
         world = crashing_world()
         world.poison.add(POISON)
