The retry budget of a new process leaves room for attempts before its start

Callers could see: after a restart of all processes an endpoint service gets up to the whole allowance of further attempts again within the same window (three times with two restarts), when it is least able to bear them.

Cause: `SharedRetryBudget` counts from nothing at each start.

Change: in its first window a process hands out a tenth of its part, in place of eight tenths. Its part by the requests that it sees stays.

Why it holds: eight tenths before, and a tenth after each of two restarts, are the allowance.

--- a/flamingofront/decisions/shared_retry.py
+++ b/flamingofront/decisions/shared_retry.py
@@ -11,6 +11,9 @@
 # Part of the allowance that is handed out: the rest covers members not yet known and calls of
 # which it is not clear whether they arrived.
 USED_ALLOWANCE = 0.8
+# Part that a process hands out in its first window: attempts made before its start are in the same
+# window, and all may start twice within one.
+FIRST_ALLOWANCE = 0.1
 
 
 class SharedRetryBudget(RetryBudget):
@@ -27,11 +30,19 @@
         Seconds over which they are counted.
     member_share : callable
         Returns this process's part of the allowance, 0 to 1.
+    began : float
+        When this process began: it does not know what was attempted before.
     """
 
     def __init__(
-        self, ratio: float, allowance: float, window: float, member_share: Callable[[], float]
+        self,
+        ratio: float,
+        allowance: float,
+        window: float,
+        member_share: Callable[[], float],
+        began: float = -math.inf,
     ):
+        self._began = began
         self._ratio = ratio
         self._allowance = allowance
         self._window = window
@@ -52,7 +63,9 @@
     def reserve(self, now: float) -> float:
         """Return 0 if a further attempt may start now, infinity if the budget is used up."""
         self._forget(now)
-        allowance = self._allowance * USED_ALLOWANCE * self._member_share()
+        is_new = now - self._began < self._window
+        part = FIRST_ALLOWANCE if is_new else USED_ALLOWANCE
+        allowance = self._allowance * part * self._member_share()
         if len(self._attempts) + 1 > self._ratio * len(self._requests) + allowance:
             return math.inf
         self._attempts.append(now)
--- a/flamingofront/decisions/tests/test_quota.py
+++ b/flamingofront/decisions/tests/test_quota.py
@@ -200,6 +200,29 @@
                 attempts += 1
         assert attempts <= 0.2 * accepted + 40.0 / members
 
+    @pytest.mark.parametrize("restarts", [(), (4.0,), (3.0, 6.0), (0.5, 9.5)])
+    def test_limit_holds_when_all_processes_restart_within_a_window(self, restarts):
+        """Each start handed the whole allowance out anew: up to three times the limit."""
+        members, ratio, allowance, window = 8, 0.2, 40.0, 10.0
+
+        def share():
+            return 1 / members
+
+        starts = [-math.inf, *restarts]
+        accepted = attempts = 0
+        for began, until in zip(starts, [*restarts, window], strict=True):
+            budgets = [
+                SharedRetryBudget(ratio, allowance, window, share, began) for _ in range(members)
+            ]
+            now = max(0.0, began)
+            while now < until:
+                now += 0.05
+                for budget in budgets:
+                    budget.accepted(now)
+                    accepted += 1
+                    attempts += budget.reserve(now) == 0.0
+        assert attempts <= ratio * accepted + allowance
+
     def test_budget_comes_back_with_time(self):
         budget = SharedRetryBudget(0.0, 10.0, 10.0, lambda: 1.0)
         while budget.reserve(0.0) < math.inf:
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -96,6 +96,7 @@
         self.metrics = Metrics({"vm": settings.vm_id, "zone": settings.zone})
         self.on_configuration: Callable[[ForwardingConfiguration], None] = lambda cfg: None
         self.stopping = False
+        self._began = needs.timers.now()
         self.store = EraStore(CountedTableStore(needs.store, self.metrics), log)
         self._needs = replace(needs, store=self.store)
         self._rng = rng
@@ -209,7 +210,11 @@
     def _retry_budget(self, service: Service) -> RetryBudget:
         rules = self.settings.rules
         return SharedRetryBudget(
-            rules.retry_ratio, rules.retry_allowance, rules.retry_window, self.member_share
+            rules.retry_ratio,
+            rules.retry_allowance,
+            rules.retry_window,
+            self.member_share,
+            self._began,
         )
 
     def _build_peers(self) -> None:
