A process that ends refuses at once what it cannot answer, quota or not

Callers could see: a request that reached a process in its last tenth of a second waited for the decision on its quota, and the process ended before the reply came: a connection closed without an answer.

Cause: the time that the process has left was looked at after the decision on the quota, which takes some milliseconds since another process makes it, and up to a tenth of a second where that one does not reply. Found by reading; the new test fails without the change (the request was not answered at once).

Change: the time left is looked at before the question, too.

Why it holds: nothing is asked that could not be answered in full.

--- a/flamingofront/process/forwarding/tests/test_quota_arbiter.py
+++ b/flamingofront/process/forwarding/tests/test_quota_arbiter.py
@@ -209,6 +209,17 @@
         assert owner.quota.state(workspace, owner.timers.now()).taken == 0
 
 
+class TestStop:
+    def test_process_that_ends_asks_nobody_about_what_it_refuses(self):
+        """The reply came after its end, and the caller's connection was closed unanswered."""
+        world = QuotaWorld()
+        arbiter = world.fronts["front-0"].peers.quota_arbiters("desk")[0]
+        asked = next(each for each in world.fronts if world.host(each).address != arbiter)
+        world.fronts[asked].hub.stop_left = lambda: 0.05
+        caller = world.ask(asked, "/read/x", "GET")
+        assert caller.done and caller.status == 503
+
+
 class Arbitration:
     """Two processes of which the second decides, joined by hand."""
 
--- a/flamingofront/request/forward_gateway.py
+++ b/flamingofront/request/forward_gateway.py
@@ -141,6 +141,8 @@
         if workspace is None:
             self._accept(offer)
             return
+        # Before the question: its reply could come after the end of this process.
+        self._check_stop(record)
         asked_at = self._hub.now()
         exchange.on_gone = offer.caller_left
         self.quota_gate.decide(
