Questions on quotas have other numbers in each life of a process

Cause: an arbiter remembers its replies by the asker's IP number and the number of the question, so that a repeated question is charged once. A process that starts again began its numbers anew, and got the replies to the questions of its earlier life: permissions for other workspaces. Evidence: lines `refused` of one workspace and one arbiter with two limits in turn (945200 and 1279780); what was over was taken by the four processes that had begun at 12.86 s, while the arbiter refused 720 times. Beside it: a process that had heard nobody yet took itself for the arbiter.

Change: the numbers of a process begin with its start in milliseconds. One that has begun within the window and hears nobody, though there are others, does not decide for all.

Why it holds: no two lives of a process share a number.

--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -260,6 +260,7 @@
             self.quota,
             QuotaView(
                 self.settings.ip,
+                self._needs.incarnation,
                 self.peers.quota_arbiters,
                 lambda: self.configuration.workspaces_by_name,
                 self._knows_less_of_quotas,
--- a/flamingofront/process/forwarding/peers.py
+++ b/flamingofront/process/forwarding/peers.py
@@ -301,12 +301,14 @@
         return any(wall - began < self.quota_window for began in self.starts())
 
     def is_new_among_older(self) -> bool:
-        """Tell whether others know what was taken of the quotas before this process began."""
+        """Tell whether others may know what was taken of the quotas before this process began."""
         if not self._is_new(self._own_report_now()):
             return False
         heard = [each for each in self.table.heard(self._timers.now()) if not each.leaving]
-        told = self.relaying.relays_heard() if self.many else []
-        return any(not self._is_new(each) for each in (*heard, *told))
+        told = [*heard, *(self.relaying.relays_heard() if self.many else ())]
+        if not told:
+            return self.member_count() > 1
+        return any(not self._is_new(each) for each in told)
 
     def true_time(self) -> float:
         """Return the wall clock's time, as the median of the members' clocks tells it.
--- a/flamingofront/process/forwarding/quota_arbiter.py
+++ b/flamingofront/process/forwarding/quota_arbiter.py
@@ -43,6 +43,8 @@
 # Questions and replies that are remembered, for datagrams that come twice or late: some seconds of
 # the busiest process.
 MAX_REMEMBERED = 4096
+# Questions that a process may ask in each millisecond of its life, before the next one's numbers.
+NUMBERS_A_MILLISECOND = 1 << 20
 
 
 @dataclass(frozen=True)
@@ -53,12 +55,15 @@
     ----------
     own_ip : str
         IP number of this process.
+    incarnation : int
+        Start of this process, in milliseconds.
     ranked : callable
         Returns, for the name of a workspace, the IP numbers of the processes in their order.
     workspaces : callable
         Returns the workspaces of the configuration in force, by name.
     knows_less : callable
-        Returns True if other processes know of what was taken before this one started.
+        Returns True if other processes are to decide: they may know what was taken before this one
+        began.
     lost_memory : callable
         Returns True if a process has begun anew within the window, so that what was decided lately
         may not be known to anyone.
@@ -68,6 +73,7 @@
     """
 
     own_ip: str
+    incarnation: int
     ranked: Callable[[str], list[str]]
     workspaces: Callable[[], Mapping[str, ForwardedWorkspace]]
     knows_less: Callable[[], bool]
@@ -111,7 +117,8 @@
         self._timers = timers
         self._metrics = metrics
         self._log = log
-        self._numbers = itertools.count(1)
+        # A process that starts again goes on with other numbers: replies are remembered by them.
+        self._numbers = itertools.count(view.incarnation * NUMBERS_A_MILLISECOND + 1)
         self._pending: dict[int, _Pending] = {}
         self._avoided: dict[str, float] = {}
         self._first_since: dict[str, float] = {}
@@ -195,7 +202,7 @@
         self._log.info("quota arbiter left out", arbiter=ip, reason=reason)
 
     def _decide_as_arbiter(self, pending: _Pending) -> None:
-        if self._view.knows_less() and pending.left:
+        if self._view.knows_less():
             self._ask_next(pending)
             return
         wait = self._wait(pending.workspace, pending.units)
