--- a/bench/platform_mutations.py
+++ b/bench/platform_mutations.py
@@ -149,7 +149,7 @@
     Mutation(
         "P the sum over the window keeps the limit",
         "decisions/quota.py",
-        "if unheard > left:",
+        "if unheard > left - units:",
         "if False:",
         QUOTA,
     ),
@@ -212,8 +212,8 @@
     Mutation(
         "P the retry budget is shared by number",
         "decisions/shared_retry.py",
-        "allowance = self._allowance * USED_ALLOWANCE * self._member_share()",
-        "allowance = self._allowance * USED_ALLOWANCE",
+        "allowance = self._allowance * part * self._member_share()",
+        "allowance = self._allowance * part",
         QUOTA,
     ),
     Mutation(
@@ -317,7 +317,7 @@
     Mutation(
         "P what would outlast a stop is refused",
         "request/forward_gateway.py",
-        "        self._check_stop(record)\n",
+        "        if refusal is not None:\n            raise refusal\n",
         "",
         "process/forwarding/tests/test_stopping.py",
     ),
--- a/flamingofront/decisions/quota.py
+++ b/flamingofront/decisions/quota.py
@@ -19,21 +19,25 @@
 import math
 import random
 from abc import ABC, abstractmethod
-from collections import deque
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
 
+from flamingofront.decisions.quota_facts import QuotaRules, QuotaState
+from flamingofront.decisions.quota_ledger import (
+    MIN_RETRY_SECONDS,
+    STEP_SECONDS,
+    AllowedAhead,
+    Bucket,
+    OwnPart,
+    TakenUnits,
+)
 from flamingofront.version.forwarding import ForwardedWorkspace
 
 __all__ = ["QuotaPolicy", "QuotaRules", "QuotaState", "SharedQuota", "UnlimitedQuota"]
 
-MIN_RETRY_SECONDS = 0.05
 # Part of the allowance by which a quota may be exceeded that is given to callers, so that clumps of
 # requests within the quota are not refused. The rest covers large requests and late word around a
 # restart of all processes at once, who then know nothing of what was taken.
 USED_ALLOWANCE = 0.3
-# What was taken is summed in steps of this length, in seconds: as often as processes report.
-STEP_SECONDS = 0.25
 # Span over which the present rate of a workspace is taken, in seconds: four reports.
 RATE_SECONDS = 1.0
 # Part of a request that the bucket must hold for it to pass; the rest is taken as debt. Smaller:
@@ -64,67 +68,10 @@
 UNSETTLED_SECONDS = 2.0
 # Time after which the silence of a process is noticed, in seconds.
 NOTICED_SECONDS = 1.6
-# What was allowed and is not told by then was not used: several times the age of late word.
-TOLD_WITHIN_SECONDS = 4.0
 # How fast a peak of what was taken fades: a workspace sends too much for about so long.
 PEAK_HALF_LIFE_SECONDS = 8.0
 
 
-@dataclass(frozen=True)
-class QuotaRules:
-    """How much may be taken in any span of time.
-
-    Parameters
-    ----------
-    window : float
-        Length of the span in seconds.
-    over : float
-        Part of the quota by which it may be exceeded in a window.
-    allowance : float
-        Units by which it may be exceeded besides.
-    """
-
-    window: float = 8.0
-    over: float = 0.0
-    allowance: float = 0.0
-
-    def limit(self, workspace: ForwardedWorkspace) -> float:
-        """Return the most that a workspace may take in a window."""
-        return self._quota(workspace) * (1 + self.over) + self.allowance
-
-    def reserve(self, workspace: ForwardedWorkspace) -> float:
-        """Return the part of the limit that goes beyond rate and burst."""
-        return self._quota(workspace) * self.over + self.allowance
-
-    def _quota(self, workspace: ForwardedWorkspace) -> float:
-        return workspace.rate * self.window + workspace.burst
-
-
-@dataclass(frozen=True)
-class QuotaState:
-    """What decides on the requests of a workspace, in units.
-
-    Parameters
-    ----------
-    bucket : float
-        What this process's copy of the bucket holds.
-    taken : float
-        What all processes that are heard took within the window.
-    limit : float
-        Most that may be taken in a window, here: less while some processes are not heard.
-    heard_share : float
-        Part of the processes that is heard.
-    lag : float
-        Age of the word of the others, in seconds.
-    """
-
-    bucket: float = 0.0
-    taken: float = 0.0
-    limit: float = 0.0
-    heard_share: float = 1.0
-    lag: float = 0.0
-
-
 class QuotaPolicy(ABC):
     """Decides whether a workspace may send another request now."""
 
@@ -163,126 +110,6 @@
         """Do nothing."""
 
 
-class _Bucket:
-    """This process's copy of one workspace's token bucket; it may hold less than nothing."""
-
-    def __init__(self, level: float, share: float, now: float):
-        self.level = level
-        self.share = share
-        self.updated = now
-
-    def fill(self, rate: float, burst: float, now: float) -> None:
-        """Add what was earned since the last time."""
-        self.level = min(burst, self.level + (now - self.updated) * rate)
-        self.updated = now
-
-
-class _Taken:
-    """Units that all processes took of one workspace lately, in steps of time."""
-
-    def __init__(self, window: float):
-        self._window = window
-        self._steps: deque[list[float]] = deque()
-        self._sum = 0.0
-
-    def add(self, units: float, now: float) -> None:
-        """Note units taken, or given back."""
-        start = now - now % STEP_SECONDS
-        if self._steps and self._steps[-1][0] == start:
-            self._steps[-1][1] += units
-        else:
-            self._steps.append([start, units])
-        self._sum += units
-
-    def sum(self, now: float) -> float:
-        """Return what was taken within the window."""
-        while self._steps and self._steps[0][0] + STEP_SECONDS <= now - self._window:
-            self._sum -= self._steps.popleft()[1]
-        return self._sum
-
-    def peak(self, now: float) -> float:
-        """Return the most that was taken in a second of the window."""
-        self.sum(now)
-        seconds: dict[int, float] = {}
-        for start, units in self._steps:
-            seconds[int(start)] = seconds.get(int(start), 0.0) + units
-        return max(seconds.values(), default=0.0)
-
-    def since(self, time: float) -> float:
-        """Return what was taken since a time."""
-        return sum(units for start, units in self._steps if start >= time)
-
-    def wait(self, excess: float, now: float) -> float:
-        """Return the seconds until so many units have left the window."""
-        for start, units in self._steps:
-            excess -= units
-            if excess <= 0:
-                return max(MIN_RETRY_SECONDS, start + STEP_SECONDS + self._window - now)
-        return self._window
-
-
-class _OwnPart:
-    """What this process lately let through of a workspace on its own word.
-
-    A request that is larger than what is left of the part passes by chance, with the probability
-    that keeps the mean; the rest of the part is used up either way. So many small chances do not
-    add up to more than the part.
-    """
-
-    def __init__(self):
-        self._used: deque[tuple[float, float]] = deque()
-        self._sum = 0.0
-
-    def use(self, units: float, now: float) -> None:
-        """Note units of the part that are used."""
-        self._used.append((now, units))
-        self._sum += units
-
-    def used(self, since: float) -> float:
-        """Return what was used since a time; what is older is forgotten."""
-        while self._used and self._used[0][0] < since:
-            self._sum -= self._used.popleft()[1]
-        return self._sum
-
-    def allows(
-        self, units: float, part: float, since: float, now: float, rng: random.Random
-    ) -> bool:
-        """Tell whether a request passes within a part."""
-        left = part - self.used(since)
-        if units <= left:
-            return True
-        if left <= 0:
-            return False
-        if rng.random() * units < left:
-            return True
-        self.use(left, now)
-        return False
-
-
-class _Ahead:
-    """What other processes were allowed and have not told yet."""
-
-    def __init__(self):
-        self._allowed: deque[list[float]] = deque()
-
-    def add(self, units: float, now: float) -> None:
-        """Note what was allowed."""
-        self._allowed.append([now, units])
-
-    def cover(self, units: float, now: float) -> float:
-        """Return how much of some units was allowed before, and strike it off."""
-        while self._allowed and self._allowed[0][0] < now - TOLD_WITHIN_SECONDS:
-            self._allowed.popleft()
-        covered = 0.0
-        while self._allowed and covered < units:
-            part = min(self._allowed[0][1], units - covered)
-            covered += part
-            self._allowed[0][1] -= part
-            if self._allowed[0][1] <= 0:
-                self._allowed.popleft()
-        return covered
-
-
 class SharedQuota(QuotaPolicy):
     """Token buckets that agree over all entry processes.
 
@@ -308,14 +135,14 @@
         self._members = members or self._members_heard
         self._tellers: set[str] = set()
         self._begun_at: dict[str, float] = {}
-        self._ahead: dict[str, _Ahead] = {}
-        self._own_parts: dict[str, _OwnPart] = {}
+        self._ahead: dict[str, AllowedAhead] = {}
+        self._own_parts: dict[str, OwnPart] = {}
         self._heard_share = heard_share
         self._rules = rules or QuotaRules()
         self._lag = lag
         self._extra = self._rules.allowance * USED_ALLOWANCE
-        self._taken: dict[str, _Taken] = {}
-        self._buckets: dict[str, _Bucket] = {}
+        self._taken: dict[str, TakenUnits] = {}
+        self._buckets: dict[str, Bucket] = {}
         self._spent: dict[str, float] = {}
         self._heard: dict[tuple[str, str], float] = {}
         self._peaks: dict[str, tuple[float, float]] = {}
@@ -327,18 +154,18 @@
         """Return what this process has taken out in all, by workspace, to tell the others."""
         return dict(self._spent)
 
-    def _bucket(self, workspace: ForwardedWorkspace, now: float) -> _Bucket:
+    def _bucket(self, workspace: ForwardedWorkspace, now: float) -> Bucket:
         share = self._heard_share()
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
             level = workspace.burst * share * FIRST_LEVEL
-            bucket = self._buckets[workspace.name] = _Bucket(level, share, now)
+            bucket = self._buckets[workspace.name] = Bucket(level, share, now)
         self._charge_for_silent(workspace.name, bucket, share, now)
         # Out of hearing each side keeps its part of the burst too.
         bucket.fill(workspace.rate * share, (workspace.burst + self._extra) * share, now)
         return bucket
 
-    def _charge_for_silent(self, name: str, bucket: _Bucket, share: float, now: float) -> None:
+    def _charge_for_silent(self, name: str, bucket: Bucket, share: float, now: float) -> None:
         """Take out what was taken here of the parts of processes that are not heard any more.
 
         Notes
@@ -452,12 +279,12 @@
         charged = units if is_alone else ARBITERS_OF_ONE_SIDE * units
         self._bucket(workspace, now).level -= charged
         self._note(workspace.name, charged, now)
-        self._own_parts.setdefault(workspace.name, _OwnPart()).use(units, now)
-        self._ahead.setdefault(workspace.name, _Ahead()).add(units, now)
+        self._own_parts.setdefault(workspace.name, OwnPart()).use(units, now)
+        self._ahead.setdefault(workspace.name, AllowedAhead()).add(units, now)
 
     def give_back(self, workspace: ForwardedWorkspace, units: float, now: float) -> None:
         """Give back what another process was allowed and has not used."""
-        ahead = self._ahead.setdefault(workspace.name, _Ahead())
+        ahead = self._ahead.setdefault(workspace.name, AllowedAhead())
         units = ahead.cover(units, now)
         self._bucket(workspace, now).level += units
         self._note(workspace.name, -units, now)
@@ -521,7 +348,7 @@
         All processes may let requests through at the same moment, before any word of it: the parts
         add up to what is left, whatever comes.
         """
-        own = self._own_parts.setdefault(name, _OwnPart())
+        own = self._own_parts.setdefault(name, OwnPart())
         return own.allows(units, part, since, now, self._rng)
 
     def _is_rationed(self, workspace: ForwardedWorkspace, left: float, now: float) -> bool:
@@ -553,14 +380,14 @@
         return peak
 
     def _note(self, name: str, units: float, now: float) -> None:
-        self._taken.setdefault(name, _Taken(self._rules.window)).add(units, now)
+        self._taken.setdefault(name, TakenUnits(self._rules.window)).add(units, now)
 
     def spend(self, workspace: ForwardedWorkspace, units: float, now: float) -> None:
         """Take an accepted request out, here at once and elsewhere with the next report."""
         if workspace.rate > 0:
             self._bucket(workspace, now).level -= units
             self._note(workspace.name, units, now)
-            self._own_parts.setdefault(workspace.name, _OwnPart()).use(units, now)
+            self._own_parts.setdefault(workspace.name, OwnPart()).use(units, now)
         self._spent[workspace.name] = self._spent.get(workspace.name, 0.0) + units
 
     def refund(self, workspace: ForwardedWorkspace, units: float, now: float) -> None:
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -9,7 +9,8 @@
 from flamingofront.connection.interfaces import Exchange, Transport
 from flamingofront.decisions.choice import BacklogChoice
 from flamingofront.decisions.fleet_plan import CheapestSafeFleet
-from flamingofront.decisions.quota import QuotaRules, SharedQuota
+from flamingofront.decisions.quota import SharedQuota
+from flamingofront.decisions.quota_facts import QuotaRules
 from flamingofront.decisions.retry import RetryBudget
 from flamingofront.decisions.shared_retry import SharedRetryBudget
 from flamingofront.messages import InboundRequest
@@ -26,6 +27,7 @@
 from flamingofront.process.forwarding.peer_word import PeerWord, WordParts
 from flamingofront.process.forwarding.peers import Peers
 from flamingofront.process.forwarding.quota_arbiter import QuotaArbiters, QuotaView
+from flamingofront.process.forwarding.quota_members import QuotaMembers
 from flamingofront.process.forwarding.readers import StoreReaders
 from flamingofront.process.forwarding.relaying import RelayListener
 from flamingofront.process.forwarding.reports import PeerReport
@@ -256,16 +258,19 @@
             self.metrics,
             self.log,
         )
+        self.quota_members = QuotaMembers(
+            self._report.identity, self.peers, self.settings.rules.quota_window, self.timers
+        )
         self.arbiters = QuotaArbiters(
             self.quota,
             QuotaView(
                 self.settings.ip,
                 self._needs.incarnation,
-                self.peers.quota_arbiters,
+                self.quota_members.ranked,
                 lambda: self.configuration.workspaces_by_name,
                 self._knows_less_of_quotas,
-                self.peers.any_is_new,
-                self.peers.quota_sides,
+                self.quota_members.any_is_new,
+                self.quota_members.sides,
             ),
             self.peers.send,
             self.timers,
@@ -273,7 +278,6 @@
             self.log,
         )
         self.gateway.quota_gate = self.arbiters
-        self.peers.quota_window = self.settings.rules.quota_window
         self.peers.on_question = self.arbiters.take_question
         self.peers.on_reply = self.arbiters.take_reply
         self.exchange = KnowledgeExchange(self.knowledge, self.tasks, self.timers.now, self.log)
@@ -286,7 +290,7 @@
 
     def _knows_less_of_quotas(self) -> bool:
         """Tell whether others are to decide on quotas: they know more, or stay longer."""
-        return self.stopping or self.peers.is_new_among_older()
+        return self.stopping or self.quota_members.is_new_among_older()
 
     def _may_rest(self) -> bool:
         """Tell whether others follow the store for this process."""
--- a/flamingofront/process/forwarding/peers.py
+++ b/flamingofront/process/forwarding/peers.py
@@ -1,6 +1,5 @@
 """Hearing of the other entry processes: who they are, what they hold, what they know."""
 
-import math
 import random
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
@@ -32,7 +31,6 @@
 from flamingofront.process.forwarding.sums import OthersLoad, load_of
 from flamingofront.process.logs import Log
 from flamingofront.process.metrics import Metrics
-from flamingofront.process.rendezvous import rank
 from flamingofront.process.settings import Address
 from flamingofront.process.store import RowWrite, TableStore
 from flamingofront.process.tasks import Task, TaskRunner
@@ -53,8 +51,6 @@
 # A new holder of the duties has heard the counts of all after so long: the relays learn of it
 # within a second, and tell them within another one, and once more if that is lost.
 RELAYED_COUNTS_SECONDS = 3.5
-# A zone of which no report came for so many turns may be cut off.
-UNHEARD_REPORTS = 2.5
 # IP numbers of others in a report: a process that knows one peer soon knows all.
 MAX_PEERS_TOLD = 4
 # Among many processes only prompts that delay others by more than the way of a datagram are told at
@@ -146,8 +142,6 @@
         self._hearing: tuple | None = None
         self._refused: set[str] = set()
         # Returns the endpoints of which a process has to know at once, by its IP number.
-        # Seconds for which what was taken of a quota counts.
-        self.quota_window = 0.0
         # Get a datagram and the IP number of its sender.
         self.on_question: Callable[[bytes, str], None] = lambda data, ip: None
         self.on_reply: Callable[[bytes, str], None] = lambda data, ip: None
@@ -223,7 +217,7 @@
         """Return the seconds after which this process hears of what another does, in the mean."""
         return RELAYED_SECONDS if self.many else REPORT_SECONDS / 2 + TRAVEL_SECONDS
 
-    def _period(self) -> float:
+    def period(self) -> float:
         """Return the seconds between two reports of a process to the same peer."""
         return REPORT_SECONDS * (TICKS_PER_REPORT if self.many else 1)
 
@@ -231,85 +225,12 @@
         """Return the seconds after which a new holder of the duties has heard all counts."""
         return RELAYED_COUNTS_SECONDS if self.many else 0.0
 
-    def quota_arbiters(self, workspace: str) -> list[str]:
-        """Return the IP numbers of the processes that may decide on a quota, the first one first.
-
-        Notes
-        -----
-        Among many processes these are the relays: they alone hear all the others. Those that began
-        within the window of the quotas come last, since they do not know what was taken before.
-        """
-        heard = [each for each in self.table.heard(self._timers.now()) if not each.leaving]
-        told = self.relaying.relays_heard() if self.many else []
-        new = {each.ip for each in (*heard, *told, self._own_report_now()) if self._is_new(each)}
-        if self.many:
-            ranked = self.relaying.ranked_relays(workspace)
-        else:
-            ips = {each.vm_id: each.ip for each in heard} | {self._own.vm_id: self._own.ip}
-            ranked = [ips[name] for name in rank(workspace, ips)]
-        return sorted(ranked, key=lambda ip: ip in new)
-
-    def _own_report_now(self) -> PeerReport:
-        return replace(self._own, wall=self._timers.wall())
-
-    def _is_new(self, report: PeerReport) -> bool:
-        return report.wall - report.incarnation / 1000 < self.quota_window
-
-    def quota_sides(self, workspace: str) -> int:
-        """Return into how many sides a partition may have divided those who decide on a quota.
-
-        Notes
-        -----
-        If this process is asked in place of one that it heard a moment ago, that one is out of
-        reach for those who ask: it has just ended, or any zone may be cut off from the others.
-        """
-        now = self._timers.now()
-        zones = self._last_heard_by_zone(now)
-        first = next(iter(self.quota_arbiters(workspace)), self._own.ip)
-        if first != self._own.ip and self._heard_lately(first, now):
-            return max(2, len(zones))
-        late = UNHEARD_REPORTS * self._period()
-        return 1 + sum(now - at > late for zone, at in zones.items() if zone != self._own.zone)
-
-    def _last_heard_by_zone(self, now: float) -> dict[str, float]:
-        """Return when any process of each zone was heard last; never counts as long ago."""
-        found = dict.fromkeys((self._own.zone, *self.relaying.zones()), -math.inf)
-        for each in self.table.members(now):
-            at = now - (self.table.gap(each.vm_id, now) or 0.0)
-            found[each.zone] = max(at, found.get(each.zone, -math.inf))
-        if self.many:
-            for zone, at in self.relaying.last_told().items():
-                found[zone] = max(at, found.get(zone, -math.inf))
-        return found
-
-    def _heard_lately(self, ip: str, now: float) -> bool:
-        late = UNHEARD_REPORTS * self._period()
-        gaps = [self.table.gap(each.vm_id, now) for each in self.table.heard(now) if each.ip == ip]
-        if self.many:
-            gaps += [now - at for at in self.relaying.heard_at(ip)]
-        return any(gap <= late for gap in gaps)
-
     def starts(self) -> list[float]:
         """Return when the processes that are heard began, on the wall clock; this one included."""
         told = self.relaying.relays_heard() if self.many else []
         known = (self._own, *self.table.members(self._timers.now()), *told)
         return [each.incarnation / 1000 for each in known]
 
-    def any_is_new(self) -> bool:
-        """Tell whether a process that is heard, or this one, began within the quotas' window."""
-        wall = self._timers.wall()
-        return any(wall - began < self.quota_window for began in self.starts())
-
-    def is_new_among_older(self) -> bool:
-        """Tell whether others may know what was taken of the quotas before this process began."""
-        if not self._is_new(self._own_report_now()):
-            return False
-        heard = [each for each in self.table.heard(self._timers.now()) if not each.leaving]
-        told = [*heard, *(self.relaying.relays_heard() if self.many else ())]
-        if not told:
-            return self.member_count() > 1
-        return any(not self._is_new(each) for each in told)
-
     def true_time(self) -> float:
         """Return the wall clock's time, as the median of the members' clocks tells it.
 
@@ -505,7 +426,7 @@
 
     def _received_report(self, report: PeerReport) -> None:
         now = self._timers.now()
-        self.table.expect_every(self._period())
+        self.table.expect_every(self.period())
         gap = self.table.gap(report.vm_id, now)
         if not self.table.take(report, now):
             return
--- a/flamingofront/process/forwarding/quota_arbiter.py
+++ b/flamingofront/process/forwarding/quota_arbiter.py
@@ -11,7 +11,8 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
-from flamingofront.decisions.quota import QuotaState, SharedQuota
+from flamingofront.decisions.quota import SharedQuota
+from flamingofront.decisions.quota_facts import QuotaState
 from flamingofront.process.forwarding.quota_messages import (
     QuotaQuestion,
     QuotaReply,
--- a/flamingofront/process/forwarding/tests/test_quota_arbiter.py
+++ b/flamingofront/process/forwarding/tests/test_quota_arbiter.py
@@ -12,7 +12,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from flamingofront.decisions.quota import QuotaRules, SharedQuota
+from flamingofront.decisions.quota import SharedQuota
+from flamingofront.decisions.quota_facts import QuotaRules
 from flamingofront.process.forwarding.quota_arbiter import QuotaArbiters, QuotaView
 from flamingofront.process.forwarding.quota_messages import (
     QuotaQuestion,
@@ -116,7 +117,7 @@
     def test_arbiter_is_killed_in_the_middle(self, seed):
         world = QuotaWorld(seed=seed)
         world.press(12, 1.0 + world.rng.random())
-        first = world.fronts["front-0"].peers.quota_arbiters("desk")[0]
+        first = world.fronts["front-0"].quota_members.ranked("desk")[0]
         world.restart(*[each.name for each in world.hosts.values() if each.address == first])
         world.press(12, 6.0)
         assert world.most_in_window() <= LIMIT
@@ -175,7 +176,7 @@
         """Among many only relays hear all others; a new process may take anyone for a relay."""
         world = QuotaWorld(24)
         front = world.fronts["front-0"]
-        relays = set(front.peers.quota_arbiters("desk"))
+        relays = set(front.quota_members.ranked("desk"))
         asked = next(each for each in world.fronts if world.host(each).address not in relays)
         replies = []
         front.peers.on_reply = lambda data, ip: replies.append(decode_reply(data))
@@ -202,7 +203,7 @@
     def test_restart_of_the_arbiter_refuses_nothing(self):
         world = QuotaWorld()
         callers = world.press(0.7, 3.0)
-        first = world.fronts["front-0"].peers.quota_arbiters("desk")[0]
+        first = world.fronts["front-0"].quota_members.ranked("desk")[0]
         world.restart(*[each.name for each in world.hosts.values() if each.address == first])
         callers += world.press(0.7, 12.0)
         world.run(1.0)
@@ -221,7 +222,7 @@
 
     def test_caller_that_leaves_while_it_is_decided_on_runs_nothing(self):
         world = QuotaWorld()
-        arbiter = world.fronts["front-0"].peers.quota_arbiters("desk")[0]
+        arbiter = world.fronts["front-0"].quota_members.ranked("desk")[0]
         asked = next(each for each in world.fronts if world.host(each).address != arbiter)
         caller = world.ask(asked, "/read/x", "GET")
         caller.leave()
@@ -238,7 +239,7 @@
     def test_process_that_ends_asks_nobody_about_what_it_refuses(self):
         """The reply came after its end, and the caller's connection was closed unanswered."""
         world = QuotaWorld()
-        arbiter = world.fronts["front-0"].peers.quota_arbiters("desk")[0]
+        arbiter = world.fronts["front-0"].quota_members.ranked("desk")[0]
         asked = next(each for each in world.fronts if world.host(each).address != arbiter)
         world.fronts[asked].hub.stop_left = lambda: 0.05
         caller = world.ask(asked, "/read/x", "GET")
--- a/flamingofront/request/quota_gate.py
+++ b/flamingofront/request/quota_gate.py
@@ -4,7 +4,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from flamingofront.decisions.quota import QuotaPolicy, QuotaState
+from flamingofront.decisions.quota import QuotaPolicy
+from flamingofront.decisions.quota_facts import QuotaState
 from flamingofront.process.timers import TimerService
 from flamingofront.version.forwarding import ForwardedWorkspace
 
