Tests of last answers and of starts with a window used up; mutations

`python -m bench.mutations S` takes 15 of the new mechanisms away. Of the first six, which ran, two were not noticed: what has no answer gets one before the exit, and what was taken before the start is assumed. Each has a test now, which fails without its mechanism (tried by hand). No code of the product is changed.

--- /dev/null
+++ b/bench/known_failure_mutations.py
@@ -0,0 +1,119 @@
+"""Mutations of what stops, surges and unseen ends are borne by."""
+
+from bench.mutation import Mutation
+
+__all__ = ["KNOWN_FAILURE_MUTATIONS"]
+
+STOPPING = "process/forwarding/tests/test_stopping.py"
+QUOTA = "decisions/tests/test_quota.py"
+ARBITER = "process/forwarding/tests/test_quota_arbiter.py"
+QUARANTINE = "decisions/tests/test_quarantine.py"
+CRASHING = "tests/test_crashing_requests.py"
+
+KNOWN_FAILURE_MUTATIONS = (
+    Mutation(
+        "S a deadline alone decides where the size is not known",
+        "decisions/stopping.py",
+        "if output_tokens <= 0 or len(self._seen) < LEAST_ANSWERS:\n            return math.inf",
+        "if output_tokens <= 0 or len(self._seen) < LEAST_ANSWERS:\n            return 1.0",
+        STOPPING,
+    ),
+    Mutation(
+        "S longer streams take longer than those that were seen",
+        "decisions/stopping.py",
+        "self.rest * max(1.0, output_tokens / self.output_tokens)",
+        "self.rest",
+        STOPPING,
+    ),
+    Mutation(
+        "S the time left is looked at again before an attempt",
+        "request/forwarded_request.py",
+        "if refusal is None or self.machine.ran is not Ran.NO:",
+        "if True:",
+        STOPPING,
+    ),
+    Mutation(
+        "S what has no answer gets one before the exit",
+        "process/forwarding/shutdown.py",
+        "            request.process_ends()",
+        "            pass",
+        STOPPING,
+    ),
+    Mutation(
+        "S each process keeps to its part",
+        "decisions/quota.py",
+        "if members > 1 and not self._is_within_part(",
+        "if False and not self._is_within_part(",
+        QUOTA,
+    ),
+    Mutation(
+        "S what was taken before the start is assumed",
+        "decisions/quota.py",
+        "        if age >= self._rules.window:\n            return math.inf",
+        "        return math.inf",
+        QUOTA,
+    ),
+    Mutation(
+        "S one process is asked",
+        "process/forwarding/quota_arbiter.py",
+        "        left = self._candidates(workspace.name)",
+        "        left = []",
+        ARBITER,
+    ),
+    Mutation(
+        "S what is allowed is charged at once",
+        "process/forwarding/quota_arbiter.py",
+        "            self._quota.charge_ahead(workspace, question.units, is_alone, now)",
+        "            pass",
+        ARBITER,
+    ),
+    Mutation(
+        "S a repeated question is charged once",
+        "process/forwarding/quota_arbiter.py",
+        "reply = known or self._reply(question, workspace)",
+        "reply = self._reply(question, workspace)",
+        ARBITER,
+    ),
+    Mutation(
+        "S numbers go on in the next life",
+        "process/forwarding/quota_arbiter.py",
+        "view.incarnation * NUMBERS_A_MILLISECOND + 1",
+        "1",
+        ARBITER,
+    ),
+    Mutation(
+        "S only who would be asked decides",
+        "process/forwarding/quota_arbiter.py",
+        "return self._view.own_ip in self._view.ranked(name) and not self._view.knows_less()",
+        "return True",
+        ARBITER,
+    ),
+    Mutation(
+        "S a side gives back what it took of the others",
+        "decisions/quota.py",
+        "        if silent > 0 and name in self._taken:",
+        "        if False:",
+        ARBITER,
+    ),
+    Mutation(
+        "S the first retries of a process are few",
+        "decisions/shared_retry.py",
+        "is_new = now - self._began < self._window",
+        "is_new = False",
+        QUOTA,
+    ),
+    Mutation(
+        "S unseen ends use up trials",
+        "decisions/quarantine.py",
+        "return hold.with_trials(late) if late > 0 else hold",
+        "return hold",
+        QUARANTINE,
+    ),
+    Mutation(
+        "S a single end is kept",
+        "request/guard.py",
+        "self._keep_evidence(self._witnessed, least=1)",
+        "self._keep_evidence(self._witnessed, least=2)",
+        CRASHING,
+    ),
+)
--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -10,6 +10,7 @@
 import tempfile
 from pathlib import Path
 
+from bench.known_failure_mutations import KNOWN_FAILURE_MUTATIONS
 from bench.mutation import Mutation
 from bench.platform_mutations import PLATFORM_MUTATIONS
 from bench.quarantine_mutations import QUARANTINE_MUTATIONS
@@ -208,7 +209,12 @@
     A word on the command line chooses the points that begin with it.
     """
     begin = sys.argv[1] if len(sys.argv) > 1 else ""
-    known = (*MUTATIONS, *PLATFORM_MUTATIONS, *QUARANTINE_MUTATIONS)
+    known = (
+        *MUTATIONS,
+        *PLATFORM_MUTATIONS,
+        *QUARANTINE_MUTATIONS,
+        *KNOWN_FAILURE_MUTATIONS,
+    )
     chosen = [each for each in known if each.point.startswith(begin)]
     unnoticed = 0
     for mutation in chosen:
--- a/flamingofront/decisions/tests/test_quota.py
+++ b/flamingofront/decisions/tests/test_quota.py
@@ -365,6 +365,11 @@
         """All that comes before the first word of the others passes wherever it comes in."""
         assert Surge(12.0, 0.8, 0).play(9.0).worst_window() <= 1.0
 
+    @pytest.mark.parametrize("seed", range(2))
+    def test_limit_holds_when_all_start_again_with_the_window_used_up(self, seed):
+        """They know nothing of what was taken before, which is in the same window."""
+        assert Surge(50.0, 0.2, seed).play(6.0).worst_window() <= 1.0
+
     def test_little_is_refused_of_what_comes_at_the_rate_of_the_quota(self):
         played_out = [Surge(0.9, 0.5, seed).play() for seed in range(3)]
         passed = sum(units for each in played_out for _, units in each.taken)
--- a/flamingofront/process/forwarding/tests/test_stopping.py
+++ b/flamingofront/process/forwarding/tests/test_stopping.py
@@ -11,6 +11,7 @@
 from flamingofront.decisions.stopping import StreamBound, StreamTimes, ends_in_time
 from flamingofront.errors import ErrorKind
 from flamingofront.process.forwarding.shutdown import GracefulStop
+from flamingofront.standins.forward_endpoint import ForwardFault
 from flamingofront.tests.forwarding_world import ready_world
 
 
@@ -243,6 +244,26 @@
         assert caller.done and not caller.broken and caller.status == 503
 
 
+class TestLastAnswers:
+    @pytest.mark.parametrize(
+        ("path", "kind"),
+        [("/read/x", "endpoint_failed"), ("/write/x", "outcome_unknown")],
+    )
+    def test_request_that_outlasts_the_process_is_told_so(self, path, kind):
+        """Its caller saw a connection that closed without an answer."""
+        world = ready_world()
+        for each in world.endpoints.values():
+            each.fail(ForwardFault.HANG)
+        caller = world.ask("front-1", path)
+        world.run(0.1)
+        callers = SimpleNamespace(closing=False, connections=1, close_idle=lambda: 0)
+        exits = []
+        GracefulStop(world.fronts["front-1"], callers, 1.0, lambda: exits.append(1)).begin()
+        world.run_until(lambda: exits)
+        assert caller.done and caller.status == 502
+        assert (caller.error["kind"], caller.error["ran"]) == (kind, "unknown")
+
+
 class TestRequestThatIsStillComing:
     def test_it_is_refused_before_the_process_ends(self):
         """Its caller saw a reset, which leaves open whether the request was taken."""
