Lines and counters of the rates that endpoints name

What callers saw: nothing. On-call saw nothing either: no line tells what endpoints say of the rate that they take, so that the three hypotheses on an endpoint that gets more than it named cannot be told apart. Cause: the header is not decoded; attempts are logged by load and caches only. Change: the adapter decodes the header into a typed field; EndpointLimits keeps what each endpoint said last and writes a line for each change with its age and the request; each attempt's line has the rate; a counter, a gauge and a column of 'show endpoints'. The stand-in endpoint names a limit. Nothing decides by it yet. Before and after: test_endpoint_limits.py of request/ has nothing to see before; its 27 tests pass now. Why it holds: every answer passes AnswerReader, whatever its status, and a limit ends only by an answer to a request that was sent after it was named.

--- a/flamingofront/platform/requests.py
+++ b/flamingofront/platform/requests.py
@@ -1,5 +1,7 @@
 """Headers of forwarded requests and answers."""
 
+import re
+
 from flamingofront.connection.server import RenderedError, error_body
 from flamingofront.decisions.lateness import Urgency
 from flamingofront.errors import ANSWERS, ErrorKind, Ran, RequestError
@@ -29,6 +31,9 @@
 URGENCY = "X-Flamingofront-Request-Urgency"
 NOT_RUN = PREFIX + "not-executed"
 LAST_EVENT = "last-event-id"
+# Requests a second that an endpoint takes from all callers together, with or without a fraction.
+RATE_LIMIT = "server-limit"
+DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?", re.ASCII)
 STATUS_WRONG_ENDPOINT = 421
 # These statuses tell a caller that its request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -127,6 +132,8 @@
             wrong_endpoint=wrong_endpoint,
             stream=head.headers.get("content-type", "").startswith("text/event-stream"),
             fields=_without(head.fields, HOP_FIELDS | _connection_options(head.fields)),
+            names_limit=RATE_LIMIT in head.headers,
+            rate_limit=_decimal(head.headers.get(RATE_LIMIT, "")),
         )
 
     def render_error(self, exc: RequestError) -> RenderedError:
@@ -163,6 +170,11 @@
         ) from None
 
 
+def _decimal(text: str) -> float | None:
+    """Return a decimal number that is not negative; None if it is absent or something else."""
+    return float(text) if DECIMAL.fullmatch(text.strip()) else None
+
+
 def _key(authorization: str) -> str | None:
     if authorization[: len(BEARER)].lower() != BEARER:
         return None
--- a/flamingofront/process/forwarding/control.py
+++ b/flamingofront/process/forwarding/control.py
@@ -50,6 +50,7 @@
         gauge("requests_waiting", node.hub.waiting())
         gauge("requests_suspected", len(node.hub.guard.suspects()))
         gauge("requests_held", len(node.hub.guard.quarantine.holds()))
+        gauge("endpoints_limited", len(node.hub.limits.limited()))
         gauge("configuration_revision", node.configuration.version)
         gauge("store_era", node.store.era)
         gauge("ready", int(node.ready))
--- a/flamingofront/process/forwarding/endpoints.py
+++ b/flamingofront/process/forwarding/endpoints.py
@@ -69,6 +69,11 @@
         """Return the endpoints whose rows stand."""
         return tuple(self._rows.values())
 
+    def born(self, endpoint_id: str) -> int:
+        """Return the start of an endpoint in Unix milliseconds; 0 if its row does not tell."""
+        row = self._rows.get(endpoint_id)
+        return 0 if row is None else row.born
+
     def store_lost(self) -> None:
         """Note that the store cannot be reached: rows may lapse without their endpoints."""
         self._away = True
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -193,12 +193,14 @@
     def _endpoint_gone(self, row: EndpointRow) -> None:
         self.hub.guard.ends.gone(row.endpoint_id, announced=not row.ready)
         self.directory.forget(row.endpoint_id)
+        self.hub.limits.forget(row.endpoint_id)
         self._needs.transport.drop_idle(row.address)
         self.knowledge.endpoint_gone(row.endpoint_id)
 
     def _endpoint_restarted(self, row: EndpointRow, before: EndpointRow) -> None:
         """Forget the earlier start of an endpoint, and what ran there."""
         self.directory.forget(row.endpoint_id)
+        self.hub.limits.forget(row.endpoint_id)
         self.observations.endpoint_restarted(row.endpoint_id)
         for address in {row.address, before.address}:
             self._needs.transport.drop_idle(address)
@@ -278,6 +280,8 @@
             self.log,
         )
         self.gateway.quota_gate = self.arbiters
+        self.hub.limits.wall = self.peers.true_time
+        self.hub.limits.born_of = self.knowledge.endpoints.born
         self.peers.on_question = self.arbiters.take_question
         self.peers.on_reply = self.arbiters.take_reply
         self.exchange = KnowledgeExchange(self.knowledge, self.tasks, self.timers.now, self.log)
--- a/flamingofront/process/forwarding/operators.py
+++ b/flamingofront/process/forwarding/operators.py
@@ -37,6 +37,7 @@
         "in_flight",
         "load",
         "backlog",
+        "rate_limit",
     ),
     "services": ("name", "kind", "max_connections", "slots", "least", "most"),
     "routes": ("name", "host", "prefix", "kind", "services", "timeout", "objective", "attempts"),
@@ -119,6 +120,7 @@
                 "in_flight": directory.in_flight(fact.vm_id),
                 "load": directory.load_of(fact.vm_id),
                 "backlog": backlog.get(fact.vm_id, 0),
+                "rate_limit": self._node.hub.limits.rate(fact.vm_id),
             }
             for fact in self._node.facts.all()
             if fact.role is Role.ENDPOINT
--- a/flamingofront/request/answer_reader.py
+++ b/flamingofront/request/answer_reader.py
@@ -22,6 +22,8 @@
     def __init__(self, request: "ForwardedRequest", attempt_id: str):
         self._request = request
         self._attempt_id = attempt_id
+        self._endpoint_id = request.endpoint_id
+        self._sent_at = request.hub.now()
         self._answer: EndpointAnswer | None = None
         self._parts: list[bytes] = []
         self._size = 0
@@ -55,6 +57,16 @@
         if not answer.crossed:
             directory = self._request.hub.directory
             directory.reached(self._request.endpoint_id, self._request.hub.now())
+        if not answer.crossed and not answer.wrong_endpoint:
+            self._take_limit(answer)
+
+    def _take_limit(self, answer: EndpointAnswer) -> None:
+        """Take what the endpoint says of the rate that it takes, whatever else it answers."""
+        if answer.names_limit and answer.rate_limit is None:
+            return
+        self._request.hub.limits.answered(
+            self._endpoint_id, answer.rate_limit, self._sent_at, self._request.request_id
+        )
 
     @property
     def _is_stream(self) -> bool:
--- a/flamingofront/request/forward_work.py
+++ b/flamingofront/request/forward_work.py
@@ -129,6 +129,11 @@
         True if the answer belongs to another request.
     wrong_endpoint : bool
         True if another endpoint has the address now.
+    names_limit : bool
+        True if the endpoint speaks of a limit, be it readable or not.
+    rate_limit : float or None
+        Requests a second that it takes from all entry processes together; None if it names none
+        that can be read.
     fields : tuple of (str, str)
         Headers to pass on.
     """
@@ -139,6 +144,8 @@
     wrong_endpoint: bool
     stream: bool
     fields: Fields
+    names_limit: bool = False
+    rate_limit: float | None = None
 
 
 @dataclass(frozen=True)
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -172,6 +172,7 @@
             cached=chosen.cached_tokens,
             slowness=round(chosen.slowness, 2),
             loads_age=directory.loads_age(self.hub.now()),
+            rate_limit=self.hub.limits.rate(chosen.endpoint_id),
             excluded=sorted(order.exclude),
             left_ms=round((self.machine.facts.deadline - self.hub.now()) * 1000),
         )
--- a/flamingofront/request/host.py
+++ b/flamingofront/request/host.py
@@ -20,6 +20,7 @@
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.timers import TimerService
 from flamingofront.request.directory import EndpointDirectory
+from flamingofront.request.endpoint_limits import EndpointLimits
 from flamingofront.request.forward_work import ForwardProtocol
 from flamingofront.request.guard import RequestGuard
 from flamingofront.request.records import RequestRecord
@@ -68,6 +69,8 @@
         What the endpoints can do, as their answers showed.
     guard : RequestGuard
         Requests that crash the endpoints that run them.
+    limits : EndpointLimits
+        Rates that endpoints take from all entry processes.
     completion : CompletionBounds
         How long streams can last, as those that ended showed.
     stop_left : callable
@@ -85,6 +88,7 @@
     cache_tokens: Callable[[str], float]
     rates: LearnedRates
     guard: RequestGuard
+    limits: EndpointLimits
     completion: CompletionBounds
     stop_left: Callable[[], float]
 
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -25,6 +25,7 @@
 from flamingofront.request.active import ActiveRequest
 from flamingofront.request.directory import EndpointDirectory
 from flamingofront.request.endpoint_ends import EndpointEnds
+from flamingofront.request.endpoint_limits import EndpointLimits
 from flamingofront.request.finished import FinishedAnswer, FinishedAnswers
 from flamingofront.request.forward_work import ForwardProtocol, ForwardWork
 from flamingofront.request.forwarded_request import ForwardedRequest
@@ -94,6 +95,7 @@
         ends = EndpointEnds(transport, timers, directory, metrics, log)
         self.guard = RequestGuard(ends, timers, metrics, log, lambda: tuple(self.active.values()))
         self.guard.on_end = self._endpoint_ended
+        self.limits = EndpointLimits(timers, metrics, log)
         self.work = WorkMeter()
         self._policy = policy or CostChoice()
         self._admissions: dict[str, FairAdmission] = {}
--- /dev/null
+++ b/flamingofront/request/tests/test_endpoint_limits.py
@@ -0,0 +1,99 @@
+"""What a process knows of the rates that endpoints name in their answers."""
+
+import pytest
+
+from flamingofront.messages import ResponseHead
+from flamingofront.platform.requests import PlatformProtocol
+from flamingofront.process.logs import Log
+from flamingofront.process.metrics import Metrics
+from flamingofront.process.timers import ManualClock, TimerService
+from flamingofront.request.endpoint_limits import EndpointLimits
+from flamingofront.standins.forward_endpoint import ForwardFault
+from flamingofront.tests.forwarding_world import ready_world
+
+
+class Observer:
+    """`EndpointLimits` on a clock that a test moves."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.metrics = Metrics()
+        self.limits = EndpointLimits(TimerService(self.clock), self.metrics, Log("test"))
+
+    def answer(self, rate, sent_ago=0.01):
+        self.limits.answered("e", rate, self.clock.now() - sent_ago, "r")
+
+    def changes(self, change):
+        return self.metrics.value("endpoint_limits_total", change=change)
+
+
+class TestDecoding:
+    @pytest.mark.parametrize(
+        "text, rate",
+        [("2.1", 2.1), ("1", 1.0), (" 200 ", 200.0), ("0", 0.0), ("0.5", 0.5)]
+        + [(text, None) for text in ("", "-1", "nan", "inf", "1e3", "two", "1,5", "١", "9" * 40)],
+    )
+    def test_only_decimal_numbers_are_limits(self, text, rate):
+        head = ResponseHead(200, {"server-limit": text}, (("Server-Limit", text),))
+        answer = PlatformProtocol().judge("r", head)
+        assert (answer.names_limit, answer.rate_limit) == (True, rate)
+
+    def test_answer_without_the_header_names_no_limit(self):
+        answer = PlatformProtocol().judge("r", ResponseHead(200, {}, ()))
+        assert (answer.names_limit, answer.rate_limit) == (False, None)
+
+
+class TestEndOfALimit:
+    def test_answer_without_a_limit_ends_it(self):
+        observer = Observer()
+        observer.answer(2.0)
+        observer.clock.time += 1.0
+        observer.answer(None)
+        assert observer.limits.rate("e") is None
+        assert observer.changes("ended") == 1
+
+    def test_answer_to_an_earlier_request_does_not_end_it(self):
+        """A long answer that began before the limit comes after it on another connection."""
+        observer = Observer()
+        observer.answer(2.0)
+        observer.clock.time += 1.0
+        observer.answer(None, sent_ago=1.1)
+        assert observer.limits.rate("e") == 2.0
+
+    def test_new_start_of_the_endpoint_ends_it(self):
+        observer = Observer()
+        observer.answer(2.0)
+        observer.limits.forget("e")
+        assert observer.limits.limited() == {}
+
+    def test_rate_that_falls_and_rises_is_followed(self):
+        observer = Observer()
+        for rate in (2.0, 0.5, 0.5, 20.0):
+            observer.answer(rate)
+        assert observer.limits.rate("e") == 20.0
+        assert (observer.changes("named"), observer.changes("changed")) == (1, 2)
+
+
+class TestAnswersOfEveryKind:
+    @pytest.mark.parametrize("fault", [ForwardFault.NONE, ForwardFault.ERROR, ForwardFault.REFUSE])
+    @pytest.mark.parametrize("path", ["/read/x", "/write/x"])
+    def test_limit_is_read_from_success_failure_and_refusal(self, path, fault):
+        world = ready_world(plains=1)
+        world.endpoints["plain-1"].rate_limit = "2.5"
+        world.endpoints["plain-1"].fail(fault)
+        world.finish(world.ask("front-1", path))
+        assert world.fronts["front-1"].hub.limits.limited() == {"plain-1": 2.5}
+
+    def test_limit_is_read_from_the_head_of_a_stream(self):
+        world = ready_world(engines=1)
+        world.endpoints["engine-1"].rate_limit = "2.5"
+        world.ask("front-1", "/stream/once/x")
+        world.run(0.05)
+        assert world.fronts["front-1"].hub.limits.limited() == {"engine-1": 2.5}
+
+    def test_operators_see_it(self):
+        world = ready_world(plains=1)
+        world.endpoints["plain-1"].rate_limit = "2.5"
+        world.finish(world.ask("front-1", "/read/x"))
+        front = world.fronts["front-1"]
+        assert front.metrics.value("endpoint_limits_total", change="named") == 1
--- a/flamingofront/standins/forward_endpoint.py
+++ b/flamingofront/standins/forward_endpoint.py
@@ -49,6 +49,8 @@
         self.runs: list[InboundRequest] = []
         self.rejected: list[InboundRequest] = []
         self.abandoned = 0
+        # Requests a second that it says it takes from all, as it is written in the header.
+        self.rate_limit: str | None = None
         # True to answer requests for streams in one piece.
         self.plain_answers = False
         # Which requests end the endpoint a moment after they began, and what happens then.
@@ -100,10 +102,13 @@
         self.abandoned += 1
 
     def _fields(self, req: InboundRequest) -> tuple[tuple[str, str], ...]:
-        return (
+        fields = (
             ("X-Flamingofront-Request-Id", req.header(REQUEST_ID)),
             ("X-Flamingofront-Instance-Id", self.endpoint_id),
         )
+        if self.rate_limit is not None:
+            fields += (("Server-Limit", self.rate_limit),)
+        return fields
 
     def _answer(self, req: InboundRequest, exchange: Exchange, fault: ForwardFault) -> None:
         fields = (*self._fields(req), ("X-Flamingofront-Response-Seal", self.endpoint_id))
