Asking the process that decides for all stands apart from quotas

What callers saw: nothing. Cause: who is asked, in which turn, and what a silent process costs was part of the quotas' code; a second matter that one process decides on for all would repeat it. Evidence: the tests of the quotas' arbiters, unchanged, pass (69 with those of limits). Change: process/forwarding/inquiries.py asks in turn and remembers replies; quota_arbiter.py decides. Before and after: the same datagrams, lines and counters. Why it holds: no figure and no order of calls is changed.

--- a/flamingofront/process/forwarding/quota_arbiter.py
+++ b/flamingofront/process/forwarding/quota_arbiter.py
@@ -6,13 +6,12 @@
 become one for one of two.
 """
 
-import itertools
-from collections import OrderedDict
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from flamingofront.decisions.quota import SharedQuota
 from flamingofront.decisions.quota_facts import QuotaState
+from flamingofront.process.forwarding.inquiries import Inquirer, Inquiries, Matter, RepliesSent
 from flamingofront.process.forwarding.quota_messages import (
     QuotaQuestion,
     QuotaReply,
@@ -24,28 +23,15 @@
 )
 from flamingofront.process.logs import Log
 from flamingofront.process.metrics import Metrics
-from flamingofront.process.timers import Timer, TimerService
+from flamingofront.process.timers import TimerService
 from flamingofront.request.quota_gate import QuotaDecision, QuotaGate
 from flamingofront.version.forwarding import ForwardedWorkspace
 
 __all__ = ["QuotaArbiters", "QuotaView"]
 
-# Time for a reply: many times the way there and back between two zones, and a small part of the
-# tightest latency objective.
-REPLY_SECONDS = 0.03
-# A process that did not reply twice, or does not decide, is left out for so long.
-AVOIDED_SECONDS = 1.0
-# Processes that may stay silent to a question; the first one is asked twice, since a datagram may
-# be lost. One that does not decide says so at once, and does not count.
-MAX_SILENT = 3
 # A process that has been the first in rank for so long knows all that was taken without it.
 SETTLED_SECONDS = 2.0
 LOOK_SECONDS = 0.5
-# Questions and replies that are remembered, for datagrams that come twice or late: some seconds of
-# the busiest process.
-MAX_REMEMBERED = 4096
-# Questions that a process may ask in each millisecond of its life, before the next one's numbers.
-NUMBERS_A_MILLISECOND = 1 << 20
 
 
 @dataclass(frozen=True)
@@ -82,16 +68,33 @@
     sides: Callable[[str], int]
 
 
-@dataclass(eq=False)
-class _Pending:
-    number: int
-    workspace: ForwardedWorkspace
-    units: float
-    then: Callable[[QuotaDecision], None]
-    left: list[str]
-    asked: str = ""
-    silent: set[str] = field(default_factory=set)
-    timer: Timer | None = None
+class _Request(Matter):
+    """A request of a workspace that waits for the decision on its quota."""
+
+    def __init__(
+        self,
+        arbiters: "QuotaArbiters",
+        workspace: ForwardedWorkspace,
+        units: float,
+        then: Callable[[QuotaDecision], None],
+    ):
+        self.key = workspace.name
+        self.workspace = workspace
+        self.units = units
+        self.then = then
+        self._arbiters = arbiters
+
+    def question(self, number: int) -> bytes:
+        """Return the datagram that asks whether the request may pass."""
+        return encode_question(QuotaQuestion(number, self.workspace.name, self.units))
+
+    def decide_here(self) -> bool:
+        """Decide for all processes."""
+        return self._arbiters.decide_here(self)
+
+    def decide_alone(self) -> None:
+        """Decide by this process's part."""
+        self._arbiters.decide_alone(self)
 
 
 class QuotaArbiters(QuotaGate):
@@ -118,15 +121,13 @@
         self._timers = timers
         self._metrics = metrics
         self._log = log
-        # A process that starts again goes on with other numbers: replies are remembered by them.
-        self._numbers = itertools.count(view.incarnation * NUMBERS_A_MILLISECOND + 1)
-        self._pending: dict[int, _Pending] = {}
-        self._avoided: dict[str, float] = {}
+        inquirer = Inquirer(view.own_ip, view.incarnation, view.ranked)
+        self._inquiries: Inquiries[_Request] = Inquiries(
+            "quota", inquirer, send, timers, metrics, log
+        )
+        self._sent: RepliesSent[QuotaReply] = RepliesSent()
         self._first_since: dict[str, float] = {}
         self._settled: set[str] = set()
-        self._replied: OrderedDict[tuple[str, int], QuotaReply] = OrderedDict()
-        # Questions that were decided, with who decided: a late permission is given back.
-        self._decided: OrderedDict[int, tuple[str, float, str]] = OrderedDict()
 
     def start(self) -> None:
         """Begin to follow which workspaces this process decides on."""
@@ -166,63 +167,20 @@
         if workspace.rate <= 0:
             then(QuotaDecision(0.0))
             return
-        left = self._candidates(workspace.name)
-        pending = _Pending(next(self._numbers), workspace, units, then, left)
-        self._ask_next(pending)
+        self._inquiries.ask(_Request(self, workspace, units, then))
 
-    def _candidates(self, name: str) -> list[str]:
-        """Return whom to ask in turn: the first one twice."""
-        now = self._timers.now()
-        self._avoided = {ip: until for ip, until in self._avoided.items() if until > now}
-        ranked = [each for each in self._view.ranked(name) if each not in self._avoided]
-        return [*ranked[:1], *ranked]
-
-    def _ask_next(self, pending: _Pending) -> None:
-        if not pending.left or len(pending.silent) >= MAX_SILENT:
-            self._decide_alone(pending)
-            return
-        pending.asked = pending.left.pop(0)
-        if pending.asked == self._view.own_ip:
-            self._decide_as_arbiter(pending)
-            return
-        self._pending[pending.number] = pending
-        pending.timer = self._timers.once(REPLY_SECONDS, lambda: self._no_reply(pending))
-        question = QuotaQuestion(pending.number, pending.workspace.name, pending.units)
-        self._metrics.count("quota_questions_total")
-        self._send(encode_question(question), pending.asked)
-
-    def _no_reply(self, pending: _Pending) -> None:
-        self._metrics.count("quota_questions_unanswered_total")
-        if pending.asked in pending.silent:
-            self._avoid(pending.asked, "no reply")
-        pending.silent.add(pending.asked)
-        self._ask_next(pending)
-
-    def _avoid(self, ip: str, reason: str) -> None:
-        self._avoided[ip] = self._timers.now() + AVOIDED_SECONDS
-        self._log.info("quota arbiter left out", arbiter=ip, reason=reason)
-
-    def _decide_as_arbiter(self, pending: _Pending) -> None:
+    def decide_here(self, request: _Request) -> bool:
+        """Decide on a request for all processes; False if others are to."""
         if self._view.knows_less():
-            self._ask_next(pending)
-            return
-        wait = self._wait(pending.workspace, pending.units)
-        self._finish(pending, QuotaDecision(wait))
+            return False
+        request.then(QuotaDecision(self._wait(request.workspace, request.units)))
+        return True
 
-    def _decide_alone(self, pending: _Pending) -> None:
+    def decide_alone(self, request: _Request) -> None:
         """Decide by the own part of what is left, since nobody who decides for all is reached."""
-        self._metrics.count("quota_decisions_alone_total")
         is_newcomer = self._view.knows_less()
         wait_of = self._quota.wait_as_newcomer if is_newcomer else self._quota.wait
-        wait = wait_of(pending.workspace, pending.units, self._timers.now())
-        self._finish(pending, QuotaDecision(wait))
-
-    def _finish(self, pending: _Pending, decision: QuotaDecision) -> None:
-        self._pending.pop(pending.number, None)
-        self._decided[pending.number] = (pending.workspace.name, pending.units, decision.arbiter)
-        while len(self._decided) > MAX_REMEMBERED:
-            self._decided.popitem(last=False)
-        pending.then(decision)
+        request.then(QuotaDecision(wait_of(request.workspace, request.units, self._timers.now())))
 
     def unused(self, workspace: ForwardedWorkspace, units: float, decision: QuotaDecision) -> None:
         """Give back what was allowed to a request that was not taken in the end."""
@@ -230,7 +188,7 @@
             self._give_back(workspace.name, units, decision.arbiter)
 
     def _give_back(self, name: str, units: float, ip: str) -> None:
-        question = QuotaQuestion(next(self._numbers), name, -units)
+        question = QuotaQuestion(self._inquiries.next_number(), name, -units)
         self._send(encode_question(question), ip)
 
     def take_reply(self, data: bytes, ip: str) -> None:
@@ -242,29 +200,21 @@
             If it is malformed.
         """
         reply = decode_reply(data)
-        pending = self._pending.get(reply.number)
-        if pending is None or ip != pending.asked:
-            self._take_late(reply, ip)
-            return
-        pending.timer.cancel()
         if reply.verdict is Verdict.NOT_HERE:
-            self._avoid(ip, "does not decide")
-            pending.left = [each for each in pending.left if each != ip]
-            self._ask_next(pending)
+            self._inquiries.declined(reply.number, ip)
+            return
+        request = self._inquiries.replied(reply.number, ip)
+        if request is None:
+            self._take_late(reply, ip)
             return
         state = QuotaState(reply.bucket, reply.taken, reply.limit)
-        self._finish(pending, QuotaDecision(reply.wait, ip, state))
+        request.then(QuotaDecision(reply.wait, ip, state))
 
     def _take_late(self, reply: QuotaReply, ip: str) -> None:
         """Give a permission back that came when another process had been asked already."""
-        if reply.verdict is not Verdict.ALLOWED:
-            return
-        pending = self._pending.get(reply.number)
-        name, units, arbiter = self._decided.get(reply.number, ("", 0.0, ip))
-        if pending is not None:
-            name, units, arbiter = pending.workspace.name, pending.units, ""
-        if arbiter != ip:
-            self._give_back(name, units, ip)
+        request = self._inquiries.unused(reply.number, ip)
+        if request is not None and reply.verdict is Verdict.ALLOWED:
+            self._give_back(request.workspace.name, request.units, ip)
 
     # Deciding
 
@@ -282,11 +232,7 @@
             if workspace is not None:
                 self._quota.give_back(workspace, -question.units, self._timers.now())
             return
-        known = self._replied.get((ip, question.number))
-        reply = known or self._reply(question, workspace)
-        self._replied[ip, question.number] = reply
-        while len(self._replied) > MAX_REMEMBERED:
-            self._replied.popitem(last=False)
+        reply = self._sent.once(ip, question.number, lambda: self._reply(question, workspace))
         self._metrics.count("quota_replies_total", verdict=reply.verdict.name.lower())
         self._send(encode_reply(reply), ip)
 
