One process decides what is sent to an endpoint that names its rate

What callers saw: nothing yet; endpoints that could bear no more got up to 17 times the rate that they had named, which is how an endpoint in need ends. Cause: what an endpoint says of itself in its answers was read by nobody, and a limit over all cannot be kept by each process from its own choice. Class: a word of the interface that no part of the code takes. Evidence: the failing tests, and the lines of: the rate is known in a process from its first answer on. Change: an attempt at such an endpoint needs a permit. The process that is first by rendezvous hash for the endpoint gives it out of a token bucket that begins empty (decisions/rate_limits.py, limit_arbiter.py), at once or for a moment within the request's patience; a refused process leaves the endpoint alone for the time that it is told, and other endpoints take the rest. Urgent requests are kept a part of the bucket. The second in rank gives a quarter, for those who do not reach the first; who reaches neither for half a second keeps to its part by number. Changes of limits ride on reports and digests for three seconds. Where all endpoints are closed a request is refused at once, with the time at which the first one opens.

--- a/flamingofront/decisions/choice.py
+++ b/flamingofront/decisions/choice.py
@@ -55,6 +55,8 @@
         This process's part of all attempts on the service.
     report_weight : float
         Weight of the report against the extrapolation from own attempts, 0 to 1.
+    closed : bool
+        True if it takes nothing now by what it has said itself.
     """
 
     endpoint_id: str
@@ -75,6 +77,12 @@
     reachable: bool = True
     own_share: float = 1.0
     report_weight: float = 1.0
+    closed: bool = False
+
+    @property
+    def barred(self) -> bool:
+        """True if it must not get new work, whatever else is left."""
+        return self.leaving or self.closed
 
     @property
     def load(self) -> float:
@@ -144,11 +152,11 @@
 
     Notes
     -----
-    A leaving endpoint never passes. An endpoint that failed this very request, or is ejected,
-    passes only through `relaxed` in the caller when nothing else is left.
+    A leaving or closed endpoint never passes. An endpoint that failed this very request, or is
+    ejected, passes only through `relaxed` in the caller when nothing else is left.
     """
     for each in candidates:
-        if each.leaving or not each.reachable:
+        if each.barred or not each.reachable:
             continue
         if side is not None and each.side != side:
             continue
--- a/flamingofront/process/forwarding/digests.py
+++ b/flamingofront/process/forwarding/digests.py
@@ -10,6 +10,7 @@
 
 import orjson
 
+from flamingofront.process.forwarding.limit_messages import decode_limits, encode_limits
 from flamingofront.process.forwarding.reports import PeerReport, ProcessCounts, rollout_word
 from flamingofront.process.quarantine_codec import decode_word, encode_word
 
@@ -140,6 +141,7 @@
             digest.usage,
             digest.told_until,
             encode_word(relay.quarantine),
+            encode_limits(relay.limits),
         ]
         self._body = orjson.dumps(values)
 
@@ -189,6 +191,8 @@
         leaving=bool(leaving),
         rollouts=rollout_word(rollouts),
         quarantine=decode_word(quarantine),
+        # A relay of an earlier version tells none.
+        limits=decode_limits(*values[17:18] or ((),)),
     )
     fencing, lease_version, released, holder_ip = claim
     return Digest(
--- a/flamingofront/process/forwarding/endpoints.py
+++ b/flamingofront/process/forwarding/endpoints.py
@@ -69,10 +69,13 @@
         """Return the endpoints whose rows stand."""
         return tuple(self._rows.values())
 
-    def born(self, endpoint_id: str) -> int:
-        """Return the start of an endpoint in Unix milliseconds; 0 if its row does not tell."""
+    def born(self, endpoint_id: str) -> int | None:
+        """Return the start of an endpoint in Unix milliseconds, 0 if its row does not tell.
+
+        None if it has no row.
+        """
         row = self._rows.get(endpoint_id)
-        return 0 if row is None else row.born
+        return None if row is None else row.born
 
     def store_lost(self) -> None:
         """Note that the store cannot be reached: rows may lapse without their endpoints."""
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -21,7 +21,9 @@
 from flamingofront.process.forwarding.endpoints import EndpointView
 from flamingofront.process.forwarding.exchange import KnowledgeExchange
 from flamingofront.process.forwarding.held_requests import HeldRequests
+from flamingofront.process.forwarding.inquiries import Inquirer
 from flamingofront.process.forwarding.knowledge import Knowledge, SharedTables
+from flamingofront.process.forwarding.limit_arbiter import LimitArbiters, LimitView
 from flamingofront.process.forwarding.observations import Observations
 from flamingofront.process.forwarding.own_report import OwnReport, ReportedParts
 from flamingofront.process.forwarding.peer_word import PeerWord, WordParts
@@ -280,10 +282,9 @@
             self.log,
         )
         self.gateway.quota_gate = self.arbiters
-        self.hub.limits.wall = self.peers.true_time
-        self.hub.limits.born_of = self.knowledge.endpoints.born
         self.peers.on_question = self.arbiters.take_question
         self.peers.on_reply = self.arbiters.take_reply
+        self._build_limits()
         self.exchange = KnowledgeExchange(self.knowledge, self.tasks, self.timers.now, self.log)
         self.readers = StoreReaders(
             self.settings.vm_id,
@@ -292,6 +293,29 @@
         )
         self.knowledge.on_change = self._store_changed
 
+    def _build_limits(self) -> None:
+        """Let one process decide on each endpoint that names the rate that it takes from all."""
+        limits, permits = self.hub.limits, self.hub.permits
+        limits.wall = self.peers.true_time
+        limits.born_of = self.knowledge.endpoints.born
+        inquirer = Inquirer(self.settings.ip, self._needs.incarnation, self.quota_members.by_hash)
+        self.limit_arbiters = LimitArbiters(
+            limits,
+            LimitView(inquirer, self._heard_part, self.member_share),
+            self.peers.send,
+            self.timers,
+            self.metrics,
+            self.log,
+        )
+        permits.gate = self.limit_arbiters
+        permits.own_name = self.settings.ip
+        self.peers.on_permit_question = self.limit_arbiters.take_question
+        self.peers.on_permit_reply = self.limit_arbiters.take_reply
+
+    def _heard_part(self) -> float:
+        """Return the part of the processes that is heard, if a zone is silent; else 1."""
+        return self.peers.heard_share() if self.peers.silent_zones() else 1.0
+
     def _knows_less_of_quotas(self) -> bool:
         """Tell whether others are to decide on quotas: they know more, or stay longer."""
         return self.stopping or self.quota_members.is_new_among_older()
--- a/flamingofront/process/forwarding/operators.py
+++ b/flamingofront/process/forwarding/operators.py
@@ -38,6 +38,7 @@
         "load",
         "backlog",
         "rate_limit",
+        "closed_for",
     ),
     "services": ("name", "kind", "max_connections", "slots", "least", "most"),
     "routes": ("name", "host", "prefix", "kind", "services", "timeout", "objective", "attempts"),
@@ -121,6 +122,7 @@
                 "load": directory.load_of(fact.vm_id),
                 "backlog": backlog.get(fact.vm_id, 0),
                 "rate_limit": self._node.hub.limits.rate(fact.vm_id),
+                "closed_for": self._node.hub.permits.reopens_in(fact.vm_id),
             }
             for fact in self._node.facts.all()
             if fact.role is Role.ENDPOINT
--- a/flamingofront/process/forwarding/own_report.py
+++ b/flamingofront/process/forwarding/own_report.py
@@ -84,6 +84,7 @@
             work=self._work(parts.hub),
             rollouts=parts.rollouts.word(),
             quarantine=parts.hub.guard.word(),
+            limits=parts.hub.limits.word(),
         )
 
     def _work(self, hub: RequestHub) -> dict[str, tuple[float, float]]:
--- a/flamingofront/process/forwarding/peers.py
+++ b/flamingofront/process/forwarding/peers.py
@@ -10,6 +10,10 @@
 from flamingofront.errors import PlatformError
 from flamingofront.messages import Sleep
 from flamingofront.process.forwarding.digests import decode_digest, is_digest
+from flamingofront.process.forwarding.limit_messages import (
+    is_permit_question,
+    is_permit_reply,
+)
 from flamingofront.process.forwarding.quota_messages import is_question, is_reply
 from flamingofront.process.forwarding.relaying import (
     DIGEST_SECONDS,
@@ -79,6 +83,8 @@
     """Return the kind of a datagram, for the metrics."""
     if is_question(data) or is_reply(data):
         return "quota"
+    if is_permit_question(data) or is_permit_reply(data):
+        return "limit"
     return "digest" if is_digest(data) else "note" if is_note(data) else "report"
 
 
@@ -141,10 +147,12 @@
         self._is_written = False
         self._hearing: tuple | None = None
         self._refused: set[str] = set()
-        # Returns the endpoints of which a process has to know at once, by its IP number.
         # Get a datagram and the IP number of its sender.
+        self.on_permit_question: Callable[[bytes, str], None] = lambda data, ip: None
+        self.on_permit_reply: Callable[[bytes, str], None] = lambda data, ip: None
         self.on_question: Callable[[bytes, str], None] = lambda data, ip: None
         self.on_reply: Callable[[bytes, str], None] = lambda data, ip: None
+        # Returns the endpoints of which a process has to know at once, by its IP number.
         self.sharers: Callable[[Iterable[str]], Mapping[str, list[str]]] = lambda endpoints: {}
 
     def start(self) -> None:
@@ -404,6 +412,10 @@
             self.on_question(data, ip)
         elif is_reply(data):
             self.on_reply(data, ip)
+        elif is_permit_question(data):
+            self.on_permit_question(data, ip)
+        elif is_permit_reply(data):
+            self.on_permit_reply(data, ip)
         elif is_digest(data):
             digest = decode_digest(data)
             if not self.relaying.may_tell(digest, ip):
--- a/flamingofront/process/forwarding/quota_members.py
+++ b/flamingofront/process/forwarding/quota_members.py
@@ -31,22 +31,29 @@
         self._window = window
         self._timers = timers
 
+    def by_hash(self, key: str) -> list[str]:
+        """Return the IP numbers of the processes that may decide on something, the first one first.
+
+        Notes
+        -----
+        Among many processes these are the relays: they alone hear all the others.
+        """
+        if self._peers.many:
+            return self._peers.relaying.ranked_relays(key)
+        ips = {each.vm_id: each.ip for each in self._heard()} | {self._own.vm_id: self._own.ip}
+        return [ips[name] for name in rank(key, ips)]
+
     def ranked(self, workspace: str) -> list[str]:
         """Return the IP numbers of the processes that may decide on a quota, the first one first.
 
         Notes
         -----
-        Among many processes these are the relays: they alone hear all the others. Those that began
-        within the window of the quotas come last, since they do not know what was taken before.
+        Those that began within the window of the quotas come last, since they do not know what was
+        taken before.
         """
         heard = self._heard()
         new = {each.ip for each in (*heard, *self._relays(), self._own_now()) if self._is_new(each)}
-        if self._peers.many:
-            ranked = self._peers.relaying.ranked_relays(workspace)
-        else:
-            ips = {each.vm_id: each.ip for each in heard} | {self._own.vm_id: self._own.ip}
-            ranked = [ips[name] for name in rank(workspace, ips)]
-        return sorted(ranked, key=lambda ip: ip in new)
+        return sorted(self.by_hash(workspace), key=lambda ip: ip in new)
 
     def _heard(self) -> list[PeerReport]:
         heard = self._peers.table.heard(self._timers.now())
--- a/flamingofront/process/forwarding/reports.py
+++ b/flamingofront/process/forwarding/reports.py
@@ -15,7 +15,9 @@
 
 from flamingofront.decisions.quarantine_facts import QuarantineWord
 from flamingofront.decisions.rollout import Phase
+from flamingofront.process.forwarding.limit_messages import decode_limits, encode_limits
 from flamingofront.process.quarantine_codec import decode_word, encode_word
+from flamingofront.request.endpoint_limits import EndpointLimit
 
 __all__ = [
     "LoadNote",
@@ -97,6 +99,8 @@
     quarantine : QuarantineWord, optional
         Endpoints that have just ended and what ran there, and requests that are not run. None if
         there are none.
+    limits : tuple of EndpointLimit
+        Changes of the rates that endpoints take from all, of the last seconds.
     """
 
     vm_id: str
@@ -123,6 +127,7 @@
     work: Mapping[str, tuple[float, float]] | None = None
     rollouts: Mapping[str, tuple[int, int]] = field(default_factory=dict)
     quarantine: QuarantineWord | None = None
+    limits: tuple[EndpointLimit, ...] = ()
 
     @property
     def process(self) -> str:
@@ -136,6 +141,8 @@
 
 
 _FIELDS = tuple(each.name for each in dataclasses.fields(PeerReport))
+# The last two fields have a form of their own.
+_PLAIN_FIELDS = _FIELDS[:-2]
 _REQUIRED = sum(
     each.default is dataclasses.MISSING and each.default_factory is dataclasses.MISSING
     for each in dataclasses.fields(PeerReport)
@@ -150,8 +157,9 @@
     Without the names of the fields the short form of a process with 16 workspaces takes 705 bytes
     in place of 907.
     """
-    values = [getattr(report, name) for name in _FIELDS[:-1]]
-    return orjson.dumps([*values, encode_word(report.quarantine)])
+    values = [getattr(report, name) for name in _PLAIN_FIELDS]
+    encoded = (encode_word(report.quarantine), encode_limits(report.limits))
+    return orjson.dumps([*values, *encoded])
 
 
 def decode_report(data: bytes) -> PeerReport:
@@ -172,6 +180,7 @@
     named["peers"] = _texts(named.get("peers", ()))
     named["rollouts"] = rollout_word(named.get("rollouts", {}))
     named["quarantine"] = decode_word(named.get("quarantine"))
+    named["limits"] = decode_limits(named.get("limits", ()))
     return PeerReport(**named)
 
 
--- a/flamingofront/request/directory.py
+++ b/flamingofront/request/directory.py
@@ -88,6 +88,7 @@
     usual_seconds: float
     home: str
     home_tokens: int
+    closed: frozenset[str]
     own_share: float
     report_weight: float
 
@@ -176,6 +177,7 @@
         shared: "SharedPrefix | None" = None,
         whole: bool = False,
         rule: VersionRule | None = None,
+        closed: frozenset[str] = frozenset(),
     ) -> list[Candidate]:
         """Return live endpoints of a service to choose from.
 
@@ -188,6 +190,8 @@
             Return all endpoints, also where there are many.
         rule : VersionRule, optional
             Which versions may be chosen, during a roll-out.
+        closed : frozenset of str
+            Endpoints that take nothing now by what they have said themselves.
 
         Notes
         -----
@@ -204,7 +208,9 @@
         if whole or len(endpoints.facts) <= self.sample_size():
             facts = list(endpoints.facts.values())
         else:
-            facts = self._sample(endpoints, ejected, (home, *self._warmest(hashes)), now, rng)
+            facts = self._sample(
+                endpoints, ejected | closed, (home, *self._warmest(hashes)), now, rng
+            )
         ids = [fact.vm_id for fact in facts]
         view = _View(
             now=now,
@@ -213,6 +219,7 @@
             usual_seconds=self._usual_token_seconds(ids),
             home=home,
             home_tokens=shared.tokens if shared is not None else 0,
+            closed=closed,
             own_share=self.own_share(),
             report_weight=report_weight(sum(self._in_flight[each] for each in ids), len(ids)),
         )
@@ -288,6 +295,7 @@
             reachable=self._is_reachable(fact, view.now),
             own_share=view.own_share,
             report_weight=view.report_weight,
+            closed=endpoint_id in view.closed,
         )
 
     def _cached_tokens(self, endpoint_id: str, hashes: tuple[str, ...], view: "_View") -> int:
--- a/flamingofront/request/endpoint_limits.py
+++ b/flamingofront/request/endpoint_limits.py
@@ -5,8 +5,8 @@
 the endpoint that named it.
 """
 
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
 
 from flamingofront.process.logs import Log
 from flamingofront.process.metrics import Metrics
@@ -17,6 +17,10 @@
 # Answers on different connections overtake one another, and clocks of VMs differ: an answer without
 # a limit counts only if its request was sent so long after the limit was last named.
 OVERTAKING_SECONDS = 0.25
+# A change is told to the other processes for so long: some reports, of which a few may be lost.
+TOLD_SECONDS = 3.0
+# Most changes in one report; the latest ones go first.
+MAX_TOLD = 32
 
 
 @dataclass(frozen=True)
@@ -47,16 +51,20 @@
     wall : callable
         Returns the wall clock that the processes agree on.
     born_of : callable
-        Returns when an endpoint started, in Unix milliseconds; 0 if that is not known.
+        Returns when an endpoint started, in Unix milliseconds; None if it is not known here.
+    on_end : callable
+        Gets each endpoint that names no limit any more.
     """
 
     def __init__(self, timers: TimerService, metrics: Metrics, log: Log):
         self.wall: Callable[[], float] = timers.wall
-        self.born_of: Callable[[str], int] = lambda endpoint_id: 0
+        self.born_of: Callable[[str], int | None] = lambda endpoint_id: 0
+        self.on_end: Callable[[str], None] = lambda endpoint_id: None
         self._timers = timers
         self._metrics = metrics
         self._log = log
         self._limits: dict[str, EndpointLimit] = {}
+        self._changed_at: dict[str, float] = {}
 
     def rate(self, endpoint_id: str) -> float | None:
         """Return the requests a second that an endpoint takes from all; None if it sets none."""
@@ -67,6 +75,10 @@
         """Return the rates of all endpoints that name one."""
         return {name: each.rate for name, each in self._limits.items() if each.rate is not None}
 
+    def limit(self, endpoint_id: str) -> EndpointLimit | None:
+        """Return what an endpoint has last said; None if nothing is known."""
+        return self._limits.get(endpoint_id)
+
     def answered(self, endpoint_id: str, rate: float | None, sent_at: float, request: str) -> None:
         """Take what an answer says.
 
@@ -79,40 +91,76 @@
         request : str
             Id of the request, for the log.
         """
+        if rate is None and not self._may_end(endpoint_id, sent_at):
+            return
+        born = self.born_of(endpoint_id) or 0
+        self._take(EndpointLimit(endpoint_id, born, rate, self.wall()), request)
+
+    def _may_end(self, endpoint_id: str, sent_at: float) -> bool:
+        """Tell whether an answer without a limit ends the one that is known."""
         known = self._limits.get(endpoint_id)
-        if rate is None:
-            ago = self._timers.now() - sent_at
-            sent_wall = self.wall() - ago
-            if known is None or known.rate is None:
-                return
-            if sent_wall <= known.named_at + OVERTAKING_SECONDS:
-                return
-        self._take(
-            EndpointLimit(endpoint_id, self.born_of(endpoint_id), rate, self.wall()), request
-        )
+        if known is None or known.rate is None:
+            return False
+        sent_wall = self.wall() - (self._timers.now() - sent_at)
+        return sent_wall > known.named_at + OVERTAKING_SECONDS
+
+    def hear(self, limits: Iterable[EndpointLimit]) -> None:
+        """Take what other processes know, where it is newer."""
+        wall = self.wall()
+        for each in limits:
+            # A clock that is ahead must not outweigh what is said later.
+            told = replace(each, named_at=min(each.named_at, wall))
+            if self._is_news(told):
+                self._take(told, "")
+
+    def _is_news(self, told: EndpointLimit) -> bool:
+        born = self.born_of(told.endpoint_id)
+        if born is None or told.born < born:
+            return False
+        known = self._limits.get(told.endpoint_id)
+        if known is None or known.born < told.born:
+            return told.rate is not None
+        margin = OVERTAKING_SECONDS if told.rate is None else 0.0
+        return told.rate != known.rate and told.named_at > known.named_at + margin
+
+    def word(self) -> tuple[EndpointLimit, ...]:
+        """Return what changed lately, to be told to the other processes."""
+        since = self._timers.now() - TOLD_SECONDS
+        self._changed_at = {name: at for name, at in self._changed_at.items() if at > since}
+        latest = sorted(self._changed_at, key=lambda name: -self._changed_at[name])
+        return tuple(self._limits[name] for name in latest[:MAX_TOLD])
 
     def forget(self, endpoint_id: str) -> None:
         """Forget an endpoint that is gone or has started again."""
         known = self._limits.pop(endpoint_id, None)
+        self._changed_at.pop(endpoint_id, None)
         if known is not None and known.rate is not None:
             self._log.info("endpoint limit forgotten", endpoint=endpoint_id, rate=known.rate)
+            self.on_end(endpoint_id)
 
     def _take(self, limit: EndpointLimit, request: str) -> None:
         known = self._limits.get(limit.endpoint_id)
         before = None if known is None else known.rate
         self._limits[limit.endpoint_id] = limit
-        if limit.rate != before:
-            self._tell(limit, known, request)
-
-    def _tell(self, limit: EndpointLimit, known: EndpointLimit | None, request: str) -> None:
+        if limit.rate == before:
+            return
+        self._changed_at[limit.endpoint_id] = self._timers.now()
+        self._log_change(limit, known, request)
+        if limit.rate is None:
+            self.on_end(limit.endpoint_id)
+
+    def _log_change(self, limit: EndpointLimit, known: EndpointLimit | None, request: str) -> None:
         """Log and count a change of what is known."""
-        change = "ended" if limit.rate is None else "named" if known is None else "changed"
+        before = None if known is None else known.rate
+        change = "ended" if limit.rate is None else "named" if before is None else "changed"
         self._metrics.count("endpoint_limits_total", change=change)
         self._log.info(
             f"endpoint limit {change}",
             endpoint=limit.endpoint_id,
             rate=limit.rate,
-            before=None if known is None else known.rate,
-            before_age=None if known is None else round(limit.named_at - known.named_at, 3),
+            age=round(self.wall() - limit.named_at, 3),
+            before=before,
+            before_age=None if known is None else round(self.wall() - known.named_at, 3),
+            source="answer" if request else "peer",
             request=request,
         )
--- a/flamingofront/request/host.py
+++ b/flamingofront/request/host.py
@@ -23,6 +23,7 @@
 from flamingofront.request.endpoint_limits import EndpointLimits
 from flamingofront.request.forward_work import ForwardProtocol
 from flamingofront.request.guard import RequestGuard
+from flamingofront.request.permits import Permits
 from flamingofront.request.records import RequestRecord
 from flamingofront.version.model import Service
 
@@ -71,6 +72,8 @@
         Requests that crash the endpoints that run them.
     limits : EndpointLimits
         Rates that endpoints take from all entry processes.
+    permits : Permits
+        Permits to send to endpoints with such a rate.
     completion : CompletionBounds
         How long streams can last, as those that ended showed.
     stop_left : callable
@@ -89,6 +92,7 @@
     rates: LearnedRates
     guard: RequestGuard
     limits: EndpointLimits
+    permits: Permits
     completion: CompletionBounds
     stop_left: Callable[[], float]
 
@@ -105,8 +109,20 @@
         """Return the seconds during which an endpoint is looked for when there is none."""
 
     @abstractmethod
-    def choose(self, request: "ActiveRequest", exclude: frozenset[str]) -> Candidate | None:
-        """Return the endpoint for an attempt, None if there is none with room."""
+    def choose(
+        self, request: "ActiveRequest", exclude: frozenset[str], without_limits: bool = False
+    ) -> Candidate | None:
+        """Return the endpoint for an attempt, None if there is none with room.
+
+        Parameters
+        ----------
+        without_limits : bool
+            True to leave endpoints out that take a limited rate.
+        """
+
+    @abstractmethod
+    def choice_pause(self, record: RequestRecord) -> float:
+        """Return the seconds after which an endpoint may be found where there is none now."""
 
     @abstractmethod
     def work_asked(self, service: str, tokens: int) -> None:
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -32,6 +32,7 @@
 from flamingofront.request.guard import RequestGuard
 from flamingofront.request.host import HubSettings, RequestHost
 from flamingofront.request.model_request import ModelRequest
+from flamingofront.request.permits import Permits
 from flamingofront.request.plain_request import PlainRequest
 from flamingofront.request.records import ModelWork, RequestRecord
 from flamingofront.version.model import Service
@@ -41,6 +42,7 @@
 # Part of the slots that admission fills: entry VMs cannot balance perfectly.
 FILLED_SHARE = 0.9
 EXPIRY_SECONDS = 0.1
+SECONDS_BETWEEN_CHOICES = 0.2
 TOKENS_PER_COST = 64.0
 
 
@@ -96,6 +98,7 @@
         self.guard = RequestGuard(ends, timers, metrics, log, lambda: tuple(self.active.values()))
         self.guard.on_end = self._endpoint_ended
         self.limits = EndpointLimits(timers, metrics, log)
+        self.permits = Permits(self.limits, timers, metrics, rng)
         self.work = WorkMeter()
         self._policy = policy or CostChoice()
         self._admissions: dict[str, FairAdmission] = {}
@@ -207,11 +210,16 @@
         for service in services.values():
             self.admission(service)
 
-    def choose(self, request: ActiveRequest, exclude: frozenset[str]) -> Candidate | None:
+    def choose(
+        self, request: ActiveRequest, exclude: frozenset[str], without_limits: bool = False
+    ) -> Candidate | None:
         """Return the endpoint for an attempt, None if there is none with room."""
         service, record = request.record.service, request.record
         exclude |= self.guard.keep_away(request)
         rule = request.version_rule()
+        closed = self.permits.closed(request.ticket.share.priority)
+        if without_limits:
+            closed |= self.limits.limited().keys()
         for whole in (False, True):
             candidates = self.directory.candidates(
                 service,
@@ -221,6 +229,7 @@
                 request.shared_prefix(),
                 whole,
                 rule,
+                closed,
             )
             pool = _relaxed(candidates, record.side, exclude)
             chosen = self._policy.choose(pool, self._estimate(record), self.rng)
@@ -228,6 +237,11 @@
                 return chosen
         return None
 
+    def choice_pause(self, record: RequestRecord) -> float:
+        """Return the seconds after which an endpoint may be found where there is none now."""
+        closed_for = self.permits.wait(self.directory.zones_of(record.service.name))
+        return closed_for or SECONDS_BETWEEN_CHOICES * (1 + self.rng.random())
+
     def _estimate(self, record: RequestRecord) -> WorkEstimate:
         service, work = record.service, record.work
         prompt, output = 0, 1
@@ -384,7 +398,7 @@
 def _relaxed(
     candidates: list[Candidate], side: str | None, exclude: frozenset[str]
 ) -> list[Candidate]:
-    """Return the best non-empty selection: rules are relaxed one by one, leaving never is.
+    """Return the best non-empty selection: rules are relaxed one by one, but for barred endpoints.
 
     Notes
     -----
@@ -398,7 +412,7 @@
         alive = [
             each
             for each in candidates
-            if not each.leaving and (wanted_side is None or each.side == wanted_side)
+            if not each.barred and (wanted_side is None or each.side == wanted_side)
         ]
         if alive:
             return alive
