--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -408,7 +408,12 @@
     def _fail(self, order: Fail) -> None:
         ran = Ran.YES if order.kind is ErrorKind.CRASHES_ENDPOINTS else order.ran
         exc = RequestError(order.kind, order.detail, ran, order.retry_after)
-        self.log.info("request failed", kind=order.kind.value, ran=order.ran.value)
+        self.log.info(
+            "request failed",
+            kind=order.kind.value,
+            ran=order.ran.value,
+            retry_after=exc.retry_after,
+        )
         self._settle(None, exc)
 
     def _settle(self, answer: StoredAnswer | None, exc: RequestError | None) -> None:
--- a/flamingofront/standins/programs.py
+++ b/flamingofront/standins/programs.py
@@ -123,6 +123,8 @@
     zone: str = "zone-a",
     slots: int = 8,
     gap: float = 0.05,
+    rate_limit: str = "",
+    log_arrivals: bool = False,
 ) -> None:
     """Serve forwarded requests, and register in the store.
 
@@ -133,6 +135,8 @@
     :param zone: availability zone
     :param slots: requests that it runs at once
     :param gap: seconds between the events of a stream
+    :param rate_limit: requests a second that it says it takes from all entry processes
+    :param log_arrivals: print a line with the time of each request that arrives
     """
     row = {
         "service": service,
@@ -145,11 +149,23 @@
         "sequence": 1,
     }
     _register(store, endpoint_id, row)
-    _serve(
-        "endpoint",
-        bind,
-        lambda runtime: ForwardEndpointStandIn(endpoint_id, runtime.timers, 8, gap).handle,
-    )
+
+    def make_handler(runtime: Runtime) -> Handler:
+        standin = ForwardEndpointStandIn(endpoint_id, runtime.timers, 8, gap)
+        standin.rate_limit = rate_limit or None
+        return _logged(standin.handle, runtime) if log_arrivals else standin.handle
+
+    _serve("endpoint", bind, make_handler)
+
+
+def _logged(handle: Handler, runtime: Runtime) -> Handler:
+    """Return a handler that prints the time of each request before it takes it."""
+
+    def logged(req: InboundRequest, exchange: Exchange) -> None:
+        print(f"arrival {runtime.timers.now():.3f}", flush=True)
+        handle(req, exchange)
+
+    return logged
 
 
 def _register(store: str, endpoint_id: str, row: dict) -> None:
