Tests run side by side

What callers saw: nothing. Why it holds: no test shares state with another; subprocess tests let the kernel pick their ports.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	@exec scripts/run-platform-demo.sh
 
 test: .venv/installed
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n auto
 
 lint: .venv/installed
 	$(BIN)/black --check -q -l 100 .
