Lines and counters of endpoints that leave or ask for a pause by their answers

What callers saw: nothing. On-call could not tell whether a process had read what endpoints said, or did not follow it. Cause: neither header is decoded. Change: the adapter decodes both into typed fields; a line and a counter for each endpoint that says that it leaves, with its row's number and whether the store is away, and for each pause, with what was left of the one before. The stand-in says both. Nothing decides by it yet. Before and after: request/tests/test_endpoint_pauses.py has nothing to see before; it passes now. Why it holds: every answer passes AnswerReader, whatever its status.

--- a/flamingofront/platform/requests.py
+++ b/flamingofront/platform/requests.py
@@ -34,7 +34,12 @@
 # Requests a second that an endpoint takes from all callers together, with or without a fraction.
 RATE_LIMIT = "server-limit"
 DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?", re.ASCII)
+# "1" once the endpoint leaves.
+LEAVING = "server-leaving"
+# Seconds, with or without a fraction; a date is none.
+RETRY_AFTER = "retry-after"
 STATUS_WRONG_ENDPOINT = 421
+STATUS_UNAVAILABLE = 503
 # These statuses tell a caller that its request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 STATUS_MAY_HAVE_RUN = 502
@@ -134,6 +139,8 @@
             fields=_without(head.fields, HOP_FIELDS | _connection_options(head.fields)),
             names_limit=RATE_LIMIT in head.headers,
             rate_limit=_decimal(head.headers.get(RATE_LIMIT, "")),
+            leaving=head.headers.get(LEAVING, "").strip() == "1",
+            pause=_pause(head),
         )
 
     def render_error(self, exc: RequestError) -> RenderedError:
@@ -175,6 +182,13 @@
     return float(text) if DECIMAL.fullmatch(text.strip()) else None
 
 
+def _pause(head: ResponseHead) -> float | None:
+    """Return the seconds for which a refusal wants no requests; None if it names no such time."""
+    if head.status != STATUS_UNAVAILABLE:
+        return None
+    return _decimal(head.headers.get(RETRY_AFTER, "")) or None
+
+
 def _key(authorization: str) -> str | None:
     if authorization[: len(BEARER)].lower() != BEARER:
         return None
--- a/flamingofront/process/forwarding/endpoints.py
+++ b/flamingofront/process/forwarding/endpoints.py
@@ -5,6 +5,7 @@
 from flamingofront.process.forwarding.endpoint_row import EndpointRow
 from flamingofront.process.logs import Log
 from flamingofront.process.membership import Fact, FactTable, Role, VmState
+from flamingofront.process.metrics import Metrics
 from flamingofront.process.timers import TimerService
 
 __all__ = ["EndpointView", "LAPSE_GRACE_SECONDS"]
@@ -45,6 +46,7 @@
         self,
         facts: FactTable,
         timers: TimerService,
+        metrics: Metrics,
         log: Log,
         on_leaving: Callable[[EndpointRow], None] = lambda row: None,
         on_gone: Callable[[EndpointRow], None] = lambda row: None,
@@ -52,6 +54,7 @@
     ):
         self._facts = facts
         self._timers = timers
+        self._metrics = metrics
         self._log = log
         self._on_leaving = on_leaving
         self._on_gone = on_gone
@@ -61,6 +64,7 @@
         self._last: dict[str, EndpointRow] = {}
         self._unreadable: set[str] = set()
         self._missing: set[str] = set()
+        self._said_leaving: set[str] = set()
         self._away = False
         self._first_answer = False
         self._grace_until = 0.0
@@ -77,6 +81,30 @@
         row = self._rows.get(endpoint_id)
         return None if row is None else row.born
 
+    def says_it_leaves(self, endpoint_id: str, source: str, request: str = "") -> None:
+        """Take word of an endpoint itself that it leaves, whatever its row says.
+
+        Parameters
+        ----------
+        source : str
+            Whether one of its answers says so, or a peer.
+        request : str
+            Id of the request that was answered, for the log.
+        """
+        row = self._rows.get(endpoint_id)
+        if row is None or not row.ready or endpoint_id in self._said_leaving:
+            return
+        self._said_leaving.add(endpoint_id)
+        self._metrics.count("endpoint_leaving_total", source=source)
+        self._log.info(
+            "endpoint says that it leaves",
+            endpoint=endpoint_id,
+            source=source,
+            row_sequence=row.sequence,
+            store_away=self._away,
+            request=request,
+        )
+
     def store_lost(self) -> None:
         """Note that the store cannot be reached: rows may lapse without their endpoints."""
         self._away = True
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -139,6 +139,7 @@
             EndpointView(
                 self.facts,
                 self.timers,
+                self.metrics,
                 self.log,
                 on_gone=self._endpoint_gone,
                 on_restarted=self._endpoint_restarted,
@@ -169,6 +170,7 @@
             self._retry_budget,
         )
         self.knowledge.on_rollout = self.rollouts.take_order
+        self.hub.on_leaving = self._endpoint_leaves
         self.hub.on_outcome = self._outcome
         self.hub.cache_tokens = self._cache_tokens
         self.directory.sample_size = self._sample_size
@@ -196,13 +198,19 @@
         self.hub.guard.ends.gone(row.endpoint_id, announced=not row.ready)
         self.directory.forget(row.endpoint_id)
         self.hub.limits.forget(row.endpoint_id)
+        self.hub.pauses.forget(row.endpoint_id)
         self._needs.transport.drop_idle(row.address)
         self.knowledge.endpoint_gone(row.endpoint_id)
 
+    def _endpoint_leaves(self, endpoint_id: str, request: str) -> None:
+        """Take word of an endpoint itself that it leaves."""
+        self.knowledge.endpoints.says_it_leaves(endpoint_id, "answer", request)
+
     def _endpoint_restarted(self, row: EndpointRow, before: EndpointRow) -> None:
         """Forget the earlier start of an endpoint, and what ran there."""
         self.directory.forget(row.endpoint_id)
         self.hub.limits.forget(row.endpoint_id)
+        self.hub.pauses.forget(row.endpoint_id)
         self.observations.endpoint_restarted(row.endpoint_id)
         for address in {row.address, before.address}:
             self._needs.transport.drop_idle(address)
--- a/flamingofront/process/forwarding/tests/test_endpoints.py
+++ b/flamingofront/process/forwarding/tests/test_endpoints.py
@@ -10,6 +10,7 @@
 from flamingofront.process.forwarding.endpoints import LAPSE_GRACE_SECONDS, EndpointView
 from flamingofront.process.logs import Log
 from flamingofront.process.membership import FactTable, VmState
+from flamingofront.process.metrics import Metrics
 from flamingofront.process.timers import ManualClock, TimerService
 from flamingofront.standins.forward_endpoint import ForwardFault
 from flamingofront.tests.forwarding_world import ready_world
@@ -29,6 +30,7 @@
         self.view = EndpointView(
             self.facts,
             self.timers,
+            Metrics(),
             Log("entry"),
             on_gone=lambda row: self.gone.append(row.endpoint_id),
             on_restarted=lambda row, before: self.restarted.append((row.born, before.address)),
--- a/flamingofront/process/metrics.py
+++ b/flamingofront/process/metrics.py
@@ -27,6 +27,8 @@
     "limit_questions_unanswered_total": "Questions for permits without a reply in time",
     "limit_replies_total": "Replies to questions for permits, by verdict",
     "limit_decisions_alone_total": "Decisions on permits while no arbiter was reached",
+    "endpoint_pauses_total": "Answers of endpoints that want no requests for a while",
+    "endpoint_leaving_total": "Endpoints of which an answer, or a peer, says that they leave",
     "endpoint_ends_total": "Endpoints that ended without notice while requests of this process ran",
     "endpoint_probes_total": "Connections opened to see whether an endpoint has ended",
     "requests_held_total": "Requests that are not run any more, by source",
--- a/flamingofront/request/answer_reader.py
+++ b/flamingofront/request/answer_reader.py
@@ -59,6 +59,7 @@
             directory.reached(self._request.endpoint_id, self._request.hub.now())
         if not answer.crossed and not answer.wrong_endpoint:
             self._take_limit(answer)
+            self._take_wishes(answer)
 
     def _take_limit(self, answer: EndpointAnswer) -> None:
         """Take what the endpoint says of the rate that it takes, whatever else it answers."""
@@ -68,6 +69,14 @@
             self._endpoint_id, answer.rate_limit, self._sent_at, self._request.request_id
         )
 
+    def _take_wishes(self, answer: EndpointAnswer) -> None:
+        """Take what the endpoint says of further requests: none at all, or none for a while."""
+        request = self._request
+        if answer.leaving:
+            request.hub.on_leaving(self._endpoint_id, request.request_id)
+        if answer.pause is not None:
+            request.hub.pauses.asked(self._endpoint_id, answer.pause, request.request_id)
+
     @property
     def _is_stream(self) -> bool:
         return self._answer.stream and self._answer.status == 200
--- a/flamingofront/request/forward_work.py
+++ b/flamingofront/request/forward_work.py
@@ -134,6 +134,11 @@
     rate_limit : float or None
         Requests a second that it takes from all entry processes together; None if it names none
         that can be read.
+    leaving : bool
+        True if the endpoint says that it leaves: it wants no further requests.
+    pause : float or None
+        Seconds for which it wants no requests of this process; None if it names no time that can be
+        read.
     fields : tuple of (str, str)
         Headers to pass on.
     """
@@ -146,6 +151,8 @@
     fields: Fields
     names_limit: bool = False
     rate_limit: float | None = None
+    leaving: bool = False
+    pause: float | None = None
 
 
 @dataclass(frozen=True)
--- a/flamingofront/request/host.py
+++ b/flamingofront/request/host.py
@@ -21,6 +21,7 @@
 from flamingofront.process.timers import TimerService
 from flamingofront.request.directory import EndpointDirectory
 from flamingofront.request.endpoint_limits import EndpointLimits
+from flamingofront.request.endpoint_pauses import EndpointPauses
 from flamingofront.request.forward_work import ForwardProtocol
 from flamingofront.request.guard import RequestGuard
 from flamingofront.request.permits import Permits
@@ -72,6 +73,10 @@
         Requests that crash the endpoints that run them.
     limits : EndpointLimits
         Rates that endpoints take from all entry processes.
+    pauses : EndpointPauses
+        Times for which endpoints want no requests of this process.
+    on_leaving : callable
+        Gets each endpoint that says in an answer that it leaves, and the id of the request.
     permits : Permits
         Permits to send to endpoints with such a rate.
     completion : CompletionBounds
@@ -93,6 +98,8 @@
     guard: RequestGuard
     limits: EndpointLimits
     permits: Permits
+    pauses: EndpointPauses
+    on_leaving: Callable[[str, str], None]
     completion: CompletionBounds
     stop_left: Callable[[], float]
 
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -26,6 +26,7 @@
 from flamingofront.request.directory import EndpointDirectory
 from flamingofront.request.endpoint_ends import EndpointEnds
 from flamingofront.request.endpoint_limits import EndpointLimits
+from flamingofront.request.endpoint_pauses import EndpointPauses
 from flamingofront.request.finished import FinishedAnswer, FinishedAnswers
 from flamingofront.request.forward_work import ForwardProtocol, ForwardWork
 from flamingofront.request.forwarded_request import ForwardedRequest
@@ -99,6 +100,8 @@
         self.guard.on_end = self._endpoint_ended
         self.limits = EndpointLimits(timers, metrics, log)
         self.permits = Permits(self.limits, timers, metrics, rng)
+        self.pauses = EndpointPauses(timers, metrics, log)
+        self.on_leaving: Callable[[str, str], None] = lambda endpoint_id, request: None
         self.work = WorkMeter()
         self._policy = policy or CostChoice()
         self._admissions: dict[str, FairAdmission] = {}
--- /dev/null
+++ b/flamingofront/request/tests/test_endpoint_pauses.py
@@ -0,0 +1,72 @@
+"""What answers say of leaving and of pauses, and what a process knows of pauses."""
+
+import pytest
+
+from flamingofront.messages import ResponseHead
+from flamingofront.platform.requests import PlatformProtocol
+from flamingofront.process.logs import Log
+from flamingofront.process.metrics import Metrics
+from flamingofront.process.timers import ManualClock, TimerService
+from flamingofront.request.endpoint_pauses import LONGEST_PAUSE_SECONDS, EndpointPauses
+from flamingofront.standins.forward_endpoint import ForwardFault
+from flamingofront.tests.forwarding_world import ready_world
+
+DATE = "Thu, 03 Dec 2026 12:00:00 GMT"
+
+
+def judged(status, **headers):
+    fields = tuple((name.replace("_", "-"), value) for name, value in headers.items())
+    names = {name.lower(): value for name, value in fields}
+    return PlatformProtocol().judge("r", ResponseHead(status, names, fields))
+
+
+class TestDecoding:
+    @pytest.mark.parametrize(
+        "text, pause",
+        [("3", 3.0), ("0.6", 0.6), (" 30 ", 30.0), ("86400", 86400.0)]
+        + [(text, None) for text in ("", "0", "-3", "soon", "1e3", "nan", DATE)],
+    )
+    def test_only_seconds_are_pauses(self, text, pause):
+        assert judged(503, Retry_After=text).pause == pause
+
+    @pytest.mark.parametrize("status", [200, 429, 500])
+    def test_other_answers_ask_for_no_pause(self, status):
+        assert judged(status, Retry_After="3").pause is None
+
+    @pytest.mark.parametrize("text, leaving", [("1", True), ("0", False), ("", False)])
+    def test_one_says_that_the_endpoint_leaves(self, text, leaving):
+        assert judged(200, Server_Leaving=text).leaving is leaving
+
+
+class TestPauses:
+    def setup_method(self):
+        self.clock = ManualClock()
+        self.pauses = EndpointPauses(TimerService(self.clock), Metrics(), Log("test"))
+
+    def test_shorter_time_does_not_shorten_a_pause(self):
+        """Answers on several connections come in any order."""
+        self.pauses.asked("e", 3.0, "r")
+        self.clock.time += 1.0
+        self.pauses.asked("e", 0.6, "r")
+        assert self.pauses.left("e") == 2.0
+
+    def test_time_that_is_too_long_to_be_meant_is_cut(self):
+        self.pauses.asked("e", 86400.0, "r")
+        assert self.pauses.left("e") == LONGEST_PAUSE_SECONDS
+
+    def test_next_start_of_the_endpoint_has_none(self):
+        self.pauses.asked("e", 3.0, "r")
+        self.pauses.forget("e")
+        assert self.pauses.left("e") == 0.0
+
+
+class TestCounters:
+    def test_what_an_answer_says_is_counted(self):
+        world = ready_world(plains=1)
+        world.endpoints["plain-1"].fail(ForwardFault.TURN_AWAY, 1)
+        world.finish(world.ask("front-1", "/write/x"))
+        world.endpoints["plain-1"].leaving = True
+        world.finish(world.ask("front-1", "/write/x"))
+        metrics = world.fronts["front-1"].metrics
+        assert metrics.value("endpoint_pauses_total") == 1
+        assert metrics.value("endpoint_leaving_total", source="answer") == 1
--- a/flamingofront/standins/forward_endpoint.py
+++ b/flamingofront/standins/forward_endpoint.py
@@ -27,6 +27,8 @@
     HANG = "hang"
     CROSSED = "crossed"
     CUT = "cut"
+    TURN_AWAY = "turn_away"
+    """Refuse with a time for which it wants no requests."""
 
 
 class ForwardEndpointStandIn:
@@ -51,6 +53,10 @@
         self.abandoned = 0
         # Requests a second that it says it takes from all, as it is written in the header.
         self.rate_limit: str | None = None
+        # True to say in each answer that it leaves.
+        self.leaving = False
+        # Time that it names when it turns requests away, as it is written in the header.
+        self.retry_after = "3"
         # True to answer requests for streams in one piece.
         self.plain_answers = False
         # Which requests end the endpoint a moment after they began, and what happens then.
@@ -76,9 +82,11 @@
             exchange.respond(STATUS_WRONG_ENDPOINT, self._fields(req), b"")
             return
         fault = self._take_fault()
-        if fault is ForwardFault.REFUSE:
+        if fault in (ForwardFault.REFUSE, ForwardFault.TURN_AWAY):
             self.rejected.append(req)
             fields = (*self._fields(req), ("X-Flamingofront-Not-Executed", "1"))
+            if fault is ForwardFault.TURN_AWAY:
+                fields += (("Retry-After", self.retry_after),)
             exchange.respond(503, fields, b"")
             return
         self.runs.append(req)
@@ -108,6 +116,8 @@
         )
         if self.rate_limit is not None:
             fields += (("Server-Limit", self.rate_limit),)
+        if self.leaving:
+            fields += (("Server-Leaving", "1"),)
         return fields
 
     def _answer(self, req: InboundRequest, exchange: Exchange, fault: ForwardFault) -> None:
--- a/flamingofront/tests/network.py
+++ b/flamingofront/tests/network.py
@@ -136,6 +136,11 @@
         self.on_gone = None
         self.gone = False
 
+    @property
+    def source(self) -> str:
+        """Name of the host that called."""
+        return self._link.source.name
+
     def caller_gone(self) -> None:
         self.gone = True
         if self.on_gone is not None:
