Endpoints that say in an answer that they leave get no new work

What callers saw: nothing yet; requests went to an endpoint up to seven seconds after it had said that it leaves, to end with it. Cause: the row in the store was the only source of an endpoint's leaving; while the store is away nobody reads it. Class, as with the rates that endpoints name: a word of an answer that no part of the code takes. Change: an answer that says so makes the endpoint leave here as its row would, until its next start; later rows that say ready, and a row that comes back after it had gone, do not change that. Reports and digests tell it for three seconds. An attempt that has waited for its permit looks again whether its endpoint takes work. Why it holds: all that sends chooses among the directory's endpoints, which never offers one that leaves; what was under way before the answer reaches the endpoint within the bound.

--- a/flamingofront/process/forwarding/digests.py
+++ b/flamingofront/process/forwarding/digests.py
@@ -11,7 +11,12 @@
 import orjson
 
 from flamingofront.process.forwarding.limit_messages import decode_limits, encode_limits
-from flamingofront.process.forwarding.reports import PeerReport, ProcessCounts, rollout_word
+from flamingofront.process.forwarding.reports import (
+    PeerReport,
+    ProcessCounts,
+    rollout_word,
+    starts_word,
+)
 from flamingofront.process.quarantine_codec import decode_word, encode_word
 
 __all__ = [
@@ -142,6 +147,7 @@
             digest.told_until,
             encode_word(relay.quarantine),
             encode_limits(relay.limits),
+            relay.leaving_endpoints,
         ]
         self._body = orjson.dumps(values)
 
@@ -193,6 +199,7 @@
         quarantine=decode_word(quarantine),
         # A relay of an earlier version tells none.
         limits=decode_limits(*values[17:18] or ((),)),
+        leaving_endpoints=starts_word(*values[18:19] or ((),)),
     )
     fencing, lease_version, released, holder_ip = claim
     return Digest(
--- a/flamingofront/process/forwarding/endpoints.py
+++ b/flamingofront/process/forwarding/endpoints.py
@@ -1,6 +1,7 @@
 """Endpoints as their rows in the store tell, with grace after an outage of the store."""
 
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 from flamingofront.process.forwarding.endpoint_row import EndpointRow
 from flamingofront.process.logs import Log
@@ -17,6 +18,11 @@
 # reach it for two seconds from then on, less what is on its way. With the grace of the others one
 # reached it 2,082 ms after its row had gone.
 VANISHED_GRACE_SECONDS = 1.5
+# Word of endpoints that say that they leave is told for so long, in seconds: some reports, of which
+# a few may be lost.
+TOLD_SECONDS = 3.0
+# Most of them in one report; the latest ones go first.
+MAX_TOLD = 32
 
 
 class EndpointView:
@@ -64,7 +70,8 @@
         self._last: dict[str, EndpointRow] = {}
         self._unreadable: set[str] = set()
         self._missing: set[str] = set()
-        self._said_leaving: set[str] = set()
+        # When endpoints that leave were heard to say so, where it is still told.
+        self._left_at: dict[str, float] = {}
         self._away = False
         self._first_answer = False
         self._grace_until = 0.0
@@ -92,9 +99,8 @@
             Id of the request that was answered, for the log.
         """
         row = self._rows.get(endpoint_id)
-        if row is None or not row.ready or endpoint_id in self._said_leaving:
+        if row is None or not row.ready:
             return
-        self._said_leaving.add(endpoint_id)
         self._metrics.count("endpoint_leaving_total", source=source)
         self._log.info(
             "endpoint says that it leaves",
@@ -104,6 +110,22 @@
             store_away=self._away,
             request=request,
         )
+        self._left_at[endpoint_id] = self._timers.now()
+        self.put(replace(row, ready=False), by_peer=True)
+
+    def hear_leaving(self, told: Iterable[tuple[str, int]]) -> None:
+        """Take word of a peer of endpoints that say that they leave, with their starts."""
+        for endpoint_id, born in told:
+            row = self._rows.get(endpoint_id)
+            if row is not None and row.born == born:
+                self.says_it_leaves(endpoint_id, "peer")
+
+    def leaving_word(self) -> tuple[tuple[str, int], ...]:
+        """Return the endpoints that have lately said that they leave, with their starts."""
+        since = self._timers.now() - TOLD_SECONDS
+        self._left_at = {name: at for name, at in self._left_at.items() if at > since}
+        latest = sorted(self._left_at, key=lambda name: -self._left_at[name])[:MAX_TOLD]
+        return tuple((name, self._rows[name].born) for name in latest if name in self._rows)
 
     def store_lost(self) -> None:
         """Note that the store cannot be reached: rows may lapse without their endpoints."""
@@ -166,13 +188,19 @@
             self._on_restarted(row, before)
 
     def _is_old(self, row: EndpointRow, before: EndpointRow) -> bool:
-        """Tell whether a row says nothing new after the last one that was seen."""
-        if row.endpoint_id not in self._rows:
-            if row.endpoint_id in self._unreadable:
-                return row.position < before.position
-            return row.position <= before.position
-        left = row.born == before.born and not before.ready
-        return row.position < before.position or left
+        """Tell whether a row says nothing new after the last one that was seen.
+
+        Notes
+        -----
+        Leaving is final for one start of an endpoint, also for one that was taken for gone since:
+        the store may have come back from a copy in which it was ready.
+        """
+        is_known = row.endpoint_id in self._rows
+        if row.born == before.born and not before.ready and (is_known or row.ready):
+            return True
+        if is_known or row.endpoint_id in self._unreadable:
+            return row.position < before.position
+        return row.position <= before.position
 
     def _merge_row(self, row: EndpointRow, restarted: bool, newer: bool) -> None:
         """Merge the fact of a row; a newer one revives an endpoint that was taken for gone.
--- a/flamingofront/process/forwarding/own_report.py
+++ b/flamingofront/process/forwarding/own_report.py
@@ -85,6 +85,7 @@
             rollouts=parts.rollouts.word(),
             quarantine=parts.hub.guard.word(),
             limits=parts.hub.limits.word(),
+            leaving_endpoints=knowledge.endpoints.leaving_word(),
         )
 
     def _work(self, hub: RequestHub) -> dict[str, tuple[float, float]]:
--- a/flamingofront/process/forwarding/reports.py
+++ b/flamingofront/process/forwarding/reports.py
@@ -29,6 +29,7 @@
     "encode_note",
     "encode_report",
     "is_note",
+    "starts_word",
     "without_counts",
 ]
 
@@ -101,6 +102,8 @@
         there are none.
     limits : tuple of EndpointLimit
         Changes of the rates that endpoints take from all, of the last seconds.
+    leaving_endpoints : tuple of (str, int)
+        Endpoints that have lately said in answers that they leave, with their starts.
     """
 
     vm_id: str
@@ -128,6 +131,7 @@
     rollouts: Mapping[str, tuple[int, int]] = field(default_factory=dict)
     quarantine: QuarantineWord | None = None
     limits: tuple[EndpointLimit, ...] = ()
+    leaving_endpoints: tuple[tuple[str, int], ...] = ()
 
     @property
     def process(self) -> str:
@@ -141,8 +145,8 @@
 
 
 _FIELDS = tuple(each.name for each in dataclasses.fields(PeerReport))
-# The last two fields have a form of their own.
-_PLAIN_FIELDS = _FIELDS[:-2]
+# The last three fields have a form of their own, or come after those.
+_PLAIN_FIELDS = _FIELDS[:-3]
 _REQUIRED = sum(
     each.default is dataclasses.MISSING and each.default_factory is dataclasses.MISSING
     for each in dataclasses.fields(PeerReport)
@@ -159,7 +163,7 @@
     """
     values = [getattr(report, name) for name in _PLAIN_FIELDS]
     encoded = (encode_word(report.quarantine), encode_limits(report.limits))
-    return orjson.dumps([*values, *encoded])
+    return orjson.dumps([*values, *encoded, report.leaving_endpoints])
 
 
 def decode_report(data: bytes) -> PeerReport:
@@ -181,6 +185,7 @@
     named["rollouts"] = rollout_word(named.get("rollouts", {}))
     named["quarantine"] = decode_word(named.get("quarantine"))
     named["limits"] = decode_limits(named.get("limits", ()))
+    named["leaving_endpoints"] = starts_word(named.get("leaving_endpoints", ()))
     return PeerReport(**named)
 
 
@@ -204,6 +209,20 @@
         raise ValueError(f"malformed word of roll-outs: {exc!r:.100}") from exc
 
 
+def starts_word(value: Any) -> tuple[tuple[str, int], ...]:
+    """Return endpoints and their starts, as they were told.
+
+    Raises
+    ------
+    ValueError
+        If it is something else.
+    """
+    try:
+        return tuple((str(endpoint_id), int(born)) for endpoint_id, born in value)
+    except TypeError as exc:
+        raise ValueError(f"malformed word of endpoints: {exc!r:.100}") from exc
+
+
 @dataclass(frozen=True)
 class LoadNote:
     """What changed at the endpoints since a report.
--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -311,7 +311,7 @@
                 permit.decision.delay, lambda: self._use_permit(order, chosen, permit)
             )
         elif permit.given:
-            self.launch(order, chosen)
+            self._use_permit(order, chosen, permit)
         else:
             self.log.info(
                 "permit refused",
@@ -325,11 +325,14 @@
             self._place(order)
 
     def _use_permit(self, order: StartAttempt, chosen: Candidate, permit: Permit) -> None:
-        """Send an attempt whose turn has come, unless the request has ended meanwhile."""
+        """Send an attempt whose turn has come, if the endpoint still takes it."""
         if self.done or self.machine.attempt_id != order.attempt_id:
             self.hub.permits.unused(permit)
-        else:
+        elif self.hub.takes_work(chosen.endpoint_id):
             self.launch(order, chosen)
+        else:
+            self.hub.permits.unused(permit)
+            self._place(order)
 
     def _postponement(self, chosen: Candidate) -> float:
         """Return the seconds for which an attempt stands back for more urgent work; 0 for none."""
--- a/flamingofront/request/host.py
+++ b/flamingofront/request/host.py
@@ -127,6 +127,10 @@
             True to leave endpoints out that take a limited rate.
         """
 
+    @abstractmethod
+    def takes_work(self, endpoint_id: str) -> bool:
+        """Tell whether an endpoint that was chosen a moment ago still takes new work."""
+
     @abstractmethod
     def choice_pause(self, record: RequestRecord) -> float:
         """Return the seconds after which an endpoint may be found where there is none now."""
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -240,6 +240,10 @@
                 return chosen
         return None
 
+    def takes_work(self, endpoint_id: str) -> bool:
+        """Tell whether an endpoint that was chosen a moment ago still takes new work."""
+        return not self.directory.leaving(endpoint_id)
+
     def choice_pause(self, record: RequestRecord) -> float:
         """Return the seconds after which an endpoint may be found where there is none now."""
         closed_for = self.permits.wait(self.directory.zones_of(record.service.name))
