Endpoints that refuse a request and name a time get none of this process until then

What callers saw: 503 from endpoints that had said that they would refuse; with all endpoints of a service doing so, none of their requests was tried where it could have been served. Cause: the time that a refusal names was read by nobody; an endpoint was left alone only after errors in a row, which a success between them ended. Class: a word of an answer that no part of the code takes. Change: a pause of this process for the endpoint, of the named time and up to a quarter more, at most a minute; successes do not end it. After it one request goes first, and the others follow once it is answered otherwise, or after a second. Where all endpoints are closed a request is refused at once, and no refusal tells a time before the first of them opens. An attempt that has waited for a permit looks again. Why it holds: the choice never offers a closed endpoint, also not where nothing else is left.

--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -345,6 +345,7 @@
         self.endpoint_id = chosen.endpoint_id
         self.endpoint_address = chosen.address
         self._launched_at = self.hub.now()
+        self.hub.pauses.sent(chosen.endpoint_id)
         self.hub.directory.started(chosen.endpoint_id)
         listener = self._listener(order.attempt_id, chosen)
         self._handle = self.hub.transport.start(self._call(order, chosen), listener)
@@ -410,7 +411,7 @@
 
     def _fail(self, order: Fail) -> None:
         ran = Ran.YES if order.kind is ErrorKind.CRASHES_ENDPOINTS else order.ran
-        exc = RequestError(order.kind, order.detail, ran, order.retry_after)
+        exc = RequestError(order.kind, order.detail, ran, self._retry_after(order))
         self.log.info(
             "request failed",
             kind=order.kind.value,
@@ -419,6 +420,12 @@
         )
         self._settle(None, exc)
 
+    def _retry_after(self, order: Fail) -> float | None:
+        """Return when to come back: not before an endpoint takes the request, if none does now."""
+        if self.hub.closed_for(self.record.service.name) <= 0:
+            return order.retry_after
+        return max(order.retry_after or 0.0, self.hub.choice_pause(self.record))
+
     def _settle(self, answer: StoredAnswer | None, exc: RequestError | None) -> None:
         """Give the final answer to all readers, once."""
         self._end()
--- a/flamingofront/request/answer_reader.py
+++ b/flamingofront/request/answer_reader.py
@@ -76,6 +76,8 @@
             request.hub.on_leaving(self._endpoint_id, request.request_id)
         if answer.pause is not None:
             request.hub.pauses.asked(self._endpoint_id, answer.pause, request.request_id)
+        else:
+            request.hub.pauses.answered(self._endpoint_id, self._sent_at)
 
     @property
     def _is_stream(self) -> bool:
--- a/flamingofront/request/endpoint_pauses.py
+++ b/flamingofront/request/endpoint_pauses.py
@@ -1,6 +1,7 @@
 """Times for which endpoints that refused a request want no further ones of this process."""
 
-from dataclasses import dataclass
+import random
+from dataclasses import dataclass, replace
 
 from flamingofront.process.logs import Log
 from flamingofront.process.metrics import Metrics
@@ -13,21 +14,41 @@
 LONGEST_PAUSE_SECONDS = 60.0
 
 
+# Random part by which a pause is longer than was asked for: processes that were refused together do
+# not come back together.
+JITTER = 0.25
+# After a pause one request shows whether the endpoint takes them again; the others wait for its
+# answer for so long, in seconds.
+TRIAL_SECONDS = 1.0
+
+
 @dataclass(frozen=True)
 class _Pause:
-    """A pause on the clock of the timer service."""
+    """A pause on the clock of the timer service.
+
+    Parameters
+    ----------
+    trial_at : float or None
+        When the first request after the pause was sent; None before.
+    """
 
     asked_at: float
     until: float
+    trial_at: float | None = None
 
 
 class EndpointPauses:
-    """Keeps until when endpoints want no requests of this process."""
+    """Keeps until when endpoints want no requests of this process.
 
-    def __init__(self, timers: TimerService, metrics: Metrics, log: Log):
+    A success in between does not end a pause. After it one request goes first, and the others
+    follow once it is answered otherwise.
+    """
+
+    def __init__(self, timers: TimerService, metrics: Metrics, log: Log, rng: random.Random):
         self._timers = timers
         self._metrics = metrics
         self._log = log
+        self._rng = rng
         self._pauses: dict[str, _Pause] = {}
 
     def asked(self, endpoint_id: str, seconds: float, request: str) -> None:
@@ -40,7 +61,8 @@
         """
         now = self._timers.now()
         known = self._pauses.get(endpoint_id)
-        until = now + min(seconds, LONGEST_PAUSE_SECONDS)
+        wanted = min(seconds, LONGEST_PAUSE_SECONDS)
+        until = now + wanted * (1.0 + JITTER * self._rng.random())
         self._metrics.count("endpoint_pauses_total")
         self._log.info(
             "endpoint asks for a pause",
@@ -56,7 +78,33 @@
     def left(self, endpoint_id: str) -> float:
         """Return the seconds for which an endpoint wants no requests; 0 if it takes them."""
         known = self._pauses.get(endpoint_id)
-        return 0.0 if known is None else max(0.0, known.until - self._timers.now())
+        if known is None:
+            return 0.0
+        until = known.until
+        if known.trial_at is not None:
+            until = max(until, known.trial_at + TRIAL_SECONDS)
+        return max(0.0, until - self._timers.now())
+
+    def closed(self) -> frozenset[str]:
+        """Return the endpoints that get nothing now."""
+        return frozenset(name for name in self._pauses if self.left(name) > 0)
+
+    def sent(self, endpoint_id: str) -> None:
+        """Take note of a request that was sent: after a pause it is the first one."""
+        known = self._pauses.get(endpoint_id)
+        if known is not None and self.left(endpoint_id) <= 0:
+            self._pauses[endpoint_id] = replace(known, trial_at=self._timers.now())
+
+    def answered(self, endpoint_id: str, sent_at: float) -> None:
+        """Take an answer that asks for no pause: one to a request after the pause ends it."""
+        known = self._pauses.get(endpoint_id)
+        if known is not None and known.trial_at is not None and sent_at >= known.trial_at:
+            del self._pauses[endpoint_id]
+            self._log.info(
+                "endpoint takes requests again",
+                endpoint=endpoint_id,
+                pause_age=round(self._timers.now() - known.asked_at, 3),
+            )
 
     def forget(self, endpoint_id: str) -> None:
         """Forget an endpoint that is gone or has started again."""
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -44,6 +44,8 @@
 FILLED_SHARE = 0.9
 EXPIRY_SECONDS = 0.1
 SECONDS_BETWEEN_CHOICES = 0.2
+# Random part by which callers are told to come back later than the first endpoint opens.
+COMEBACK_JITTER = 0.1
 TOKENS_PER_COST = 64.0
 
 
@@ -100,7 +102,7 @@
         self.guard.on_end = self._endpoint_ended
         self.limits = EndpointLimits(timers, metrics, log)
         self.permits = Permits(self.limits, timers, metrics, rng)
-        self.pauses = EndpointPauses(timers, metrics, log)
+        self.pauses = EndpointPauses(timers, metrics, log, rng)
         self.on_leaving: Callable[[str, str], None] = lambda endpoint_id, request: None
         self.work = WorkMeter()
         self._policy = policy or CostChoice()
@@ -220,7 +222,7 @@
         service, record = request.record.service, request.record
         exclude |= self.guard.keep_away(request)
         rule = request.version_rule()
-        closed = self.permits.closed(request.ticket.share.priority)
+        closed = self.permits.closed(request.ticket.share.priority) | self.pauses.closed()
         if without_limits:
             closed |= self.limits.limited().keys()
         for whole in (False, True):
@@ -242,12 +244,22 @@
 
     def takes_work(self, endpoint_id: str) -> bool:
         """Tell whether an endpoint that was chosen a moment ago still takes new work."""
-        return not self.directory.leaving(endpoint_id)
+        return not self.directory.leaving(endpoint_id) and not self.pauses.left(endpoint_id)
+
+    def closed_for(self, service: str) -> float:
+        """Return the seconds until the first endpoint of a service takes a request again."""
+        waits = (
+            max(self.pauses.left(name), self.permits.wait((name,)))
+            for name in self.directory.zones_of(service)
+        )
+        return min(waits, default=0.0)
 
     def choice_pause(self, record: RequestRecord) -> float:
         """Return the seconds after which an endpoint may be found where there is none now."""
-        closed_for = self.permits.wait(self.directory.zones_of(record.service.name))
-        return closed_for or SECONDS_BETWEEN_CHOICES * (1 + self.rng.random())
+        closed_for = self.closed_for(record.service.name)
+        if closed_for > 0:
+            return closed_for * (1 + COMEBACK_JITTER * self.rng.random())
+        return SECONDS_BETWEEN_CHOICES * (1 + self.rng.random())
 
     def _estimate(self, record: RequestRecord) -> WorkEstimate:
         service, work = record.service, record.work
--- a/flamingofront/tests/test_endpoint_pauses.py
+++ b/flamingofront/tests/test_endpoint_pauses.py
@@ -50,3 +50,41 @@
         for number in range(3):
             assert most_in_a_pause(world, f"plain-{number}", 3.0) <= BORNE_IN_PAUSE
         assert all(each.done for each in callers)
+
+    def test_caller_is_told_when_an_endpoint_takes_it(self):
+        """A time before the first pause ends would bring the caller back for nothing."""
+        world = WatchedWorld(fronts=1)
+        for number in range(3):
+            world.turn_away(f"plain-{number}", 1.0, "8")
+        world.offer(40, 1.0)
+        caller = world.ask("front-0", "/read/x", "GET")
+        asked = world.clock.now()
+        world.run(0.2)
+        hub = world.fronts["front-0"].hub
+        opens_at = world.clock.now() + hub.closed_for("records")
+        assert caller.status == 503
+        assert asked + float(caller.headers["retry-after"]) >= opens_at - 0.01
+
+    @pytest.mark.parametrize("text", ["-3", "soon", "Thu, 03 Dec 2026 12:00:00 GMT"])
+    def test_time_that_is_none_asks_for_no_pause(self, text):
+        world = WatchedWorld(fronts=1, plains=1)
+        world.turn_away("plain-0", 0.2, text)
+        callers = world.offer(20, 4.0, "/write/x")
+        world.run(1.0)
+        assert [each.status for each in callers].count(200) >= 0.5 * len(callers)
+
+    def test_only_the_process_that_was_asked_stays_away(self):
+        world = WatchedWorld(fronts=2, plains=1)
+        world.turn_away("plain-0", 1.0, "5")
+        world.finish(world.ask("front-0", "/write/x"))
+        world.turn_away("plain-0", 0.0)
+        caller = world.ask("front-1", "/write/x")
+        world.finish(caller)
+        assert caller.status == 200
+
+    def test_others_take_what_it_refuses(self):
+        world = WatchedWorld()
+        world.turn_away("plain-0", 1.0)
+        callers = world.offer(40, 6.0)
+        world.run(1.0)
+        assert {each.status for each in callers} == {200}
