'show endpoints' tells why an endpoint gets nothing

What callers saw: nothing. Operators saw state and load of an endpoint, and not why a process sends nothing there. Cause: reasons were spread over the directory, errors in a row and what answers say. Evidence: request/tests/test_endpoint_limits.py::TestShow. Change: a column 'withheld' with the reason, and 'closed_for' with the seconds left. Why it holds: the reasons are asked of the same objects that the choice asks.

--- a/flamingofront/process/forwarding/operators.py
+++ b/flamingofront/process/forwarding/operators.py
@@ -13,7 +13,7 @@
 from flamingofront.errors import CommandError, ErrorKind, RequestError
 from flamingofront.messages import InboundRequest
 from flamingofront.process.forwarding.reports import PeerReport
-from flamingofront.process.membership import Role
+from flamingofront.process.membership import Fact, Role, VmState
 from flamingofront.version.language import Query, Statement, parse
 from flamingofront.version.query import run_query
 
@@ -39,6 +39,7 @@
         "backlog",
         "rate_limit",
         "closed_for",
+        "withheld",
     ),
     "services": ("name", "kind", "max_connections", "slots", "least", "most"),
     "routes": ("name", "host", "prefix", "kind", "services", "timeout", "objective", "attempts"),
@@ -122,12 +123,29 @@
                 "load": directory.load_of(fact.vm_id),
                 "backlog": backlog.get(fact.vm_id, 0),
                 "rate_limit": self._node.hub.limits.rate(fact.vm_id),
-                "closed_for": self._node.hub.permits.reopens_in(fact.vm_id),
+                **self._withheld(fact),
             }
             for fact in self._node.facts.all()
             if fact.role is Role.ENDPOINT
         ]
 
+    def _withheld(self, fact: Fact) -> dict[str, Any]:
+        """Return why an endpoint gets nothing from this process now, and for how long."""
+        hub = self._node.hub
+        pause, permit = hub.pauses.left(fact.vm_id), hub.permits.wait((fact.vm_id,))
+        reason = None
+        if hub.directory.leaving(fact.vm_id):
+            reason = "leaves" if fact.state is VmState.LEAVING else "gone"
+        elif pause > 0:
+            reason = "asked for a pause"
+        elif permit > 0:
+            reason = "no permit"
+        elif not hub.directory.is_reachable(fact.vm_id, hub.now()):
+            reason = "not reached"
+        elif hub.directory.health.ejected((fact.vm_id,), hub.now()):
+            reason = "errors"
+        return {"closed_for": round(max(pause, permit), 3) or None, "withheld": reason}
+
     def _services(self) -> Rows:
         return [
             {
--- a/flamingofront/request/directory.py
+++ b/flamingofront/request/directory.py
@@ -427,6 +427,11 @@
         """Return when an endpoint last sent something; minus infinity if it never did."""
         return self._reached_at.get(endpoint_id, -math.inf)
 
+    def is_reachable(self, endpoint_id: str, now: float) -> bool:
+        """Tell whether an endpoint seems to be reached from here."""
+        fact = self._facts.get(endpoint_id)
+        return fact is not None and self._is_reachable(fact, now)
+
     def _is_reachable(self, fact: Fact, now: float) -> bool:
         if self._unreachable.get(fact.vm_id, -math.inf) > now:
             return False
--- a/flamingofront/request/permits.py
+++ b/flamingofront/request/permits.py
@@ -80,11 +80,6 @@
         ends = (self._closed.get(each, (now, 0))[0] for each in endpoint_ids)
         return max(0.0, min(ends, default=now) - now)
 
-    def reopens_in(self, endpoint_id: str) -> float | None:
-        """Return the seconds for which an endpoint is left alone; None if it is not."""
-        wait = self.wait((endpoint_id,))
-        return wait if wait > 0 else None
-
     def claim(
         self, endpoint_id: str, priority: int, patience: float, then: Callable[[Permit], None]
     ) -> None:
--- a/flamingofront/request/tests/test_endpoint_limits.py
+++ b/flamingofront/request/tests/test_endpoint_limits.py
@@ -1,8 +1,9 @@
 """What a process knows of the rates that endpoints name in their answers."""
 
+import orjson
 import pytest
 
-from flamingofront.messages import ResponseHead
+from flamingofront.messages import InboundRequest, ResponseHead
 from flamingofront.platform.requests import PlatformProtocol
 from flamingofront.process.logs import Log
 from flamingofront.process.metrics import Metrics
@@ -10,6 +11,7 @@
 from flamingofront.request.endpoint_limits import EndpointLimits
 from flamingofront.standins.forward_endpoint import ForwardFault
 from flamingofront.tests.forwarding_world import ready_world
+from flamingofront.tests.network import Caller
 
 
 class Observer:
@@ -27,6 +29,16 @@
         return self.metrics.value("endpoint_limits_total", change=change)
 
 
+def shown(world, name):
+    """Return what an operator is told of an endpoint."""
+    caller = Caller(world.fronts["front-1"], world.host("front-1"))
+    body = orjson.dumps({"statements": ["show endpoints"]})
+    req = InboundRequest("POST", "/operate", {}, {}, body, "/operate", (), world.clock.now())
+    world.fronts["front-1"].handle_control(req, caller)
+    row = next(each for each in caller.data["rows"] if each["endpoint"] == name)
+    return row["rate_limit"], row["withheld"]
+
+
 class TestDecoding:
     @pytest.mark.parametrize(
         "text, rate",
@@ -97,3 +109,24 @@
         world.finish(world.ask("front-1", "/read/x"))
         front = world.fronts["front-1"]
         assert front.metrics.value("endpoint_limits_total", change="named") == 1
+        world.finish(world.ask("front-1", "/read/x"))
+        assert shown(world, "plain-1") == (2.5, "no permit")
+
+
+class TestShow:
+    """`flamingofront show endpoints` tells why an endpoint gets nothing."""
+
+    def test_pause(self):
+        world = ready_world(plains=1)
+        world.endpoints["plain-1"].fail(ForwardFault.TURN_AWAY)
+        world.finish(world.ask("front-1", "/write/x"))
+        assert shown(world, "plain-1") == (None, "asked for a pause")
+
+    def test_leaving(self):
+        world = ready_world(plains=1)
+        world.endpoints["plain-1"].leaving = True
+        world.finish(world.ask("front-1", "/write/x"))
+        assert shown(world, "plain-1") == (None, "leaves")
+
+    def test_nothing(self):
+        assert shown(ready_world(plains=1), "plain-1") == (None, None)
