What a refusal says is known before its own request goes on

What callers saw: a 503 with Retry-After of one second, from the only endpoint, which had asked for eight. Cause: the answer ended the attempt first, so that the next choice, or the refusal, did not know of the pause that it named. Change: what the head of an answer says of the endpoint is taken before the attempt ends. Why it holds: there is one place where heads are taken.

--- a/flamingofront/request/answer_reader.py
+++ b/flamingofront/request/answer_reader.py
@@ -45,6 +45,10 @@
 
     def _take_head(self, head: ResponseHead) -> None:
         answer = self._request.protocol.judge(self._request.work.caller_id, head)
+        if not answer.crossed and not answer.wrong_endpoint:
+            # Before the attempt ends: the next one is chosen by it.
+            self._take_limit(answer)
+            self._take_wishes(answer)
         if answer.crossed:
             self._lost(Ran.UNKNOWN, "crossed answer")
         elif answer.wrong_endpoint:
@@ -57,9 +61,6 @@
         if not answer.crossed:
             directory = self._request.hub.directory
             directory.reached(self._request.endpoint_id, self._request.hub.now())
-        if not answer.crossed and not answer.wrong_endpoint:
-            self._take_limit(answer)
-            self._take_wishes(answer)
 
     def _take_limit(self, answer: EndpointAnswer) -> None:
         """Take what the endpoint says of the rate that it takes, whatever else it answers."""
--- a/flamingofront/tests/test_endpoint_pauses.py
+++ b/flamingofront/tests/test_endpoint_pauses.py
@@ -65,6 +65,14 @@
         assert caller.status == 503
         assert asked + float(caller.headers["retry-after"]) >= opens_at - 0.01
 
+    def test_refusal_that_asks_for_the_pause_counts_for_its_own_caller(self):
+        """The request was ended before the time that the endpoint had named was known."""
+        world = WatchedWorld(fronts=1, plains=1)
+        world.turn_away("plain-0", 1.0, "8")
+        caller = world.ask("front-0", "/write/x")
+        world.finish(caller)
+        assert caller.status == 503 and float(caller.headers["retry-after"]) >= 8.0
+
     @pytest.mark.parametrize("text", ["-3", "soon", "Thu, 03 Dec 2026 12:00:00 GMT"])
     def test_time_that_is_none_asks_for_no_pause(self, text):
         world = WatchedWorld(fronts=1, plains=1)
