--- a/flamingofront/standins/programs.py
+++ b/flamingofront/standins/programs.py
@@ -2,6 +2,7 @@
 
 import base64
 import http.client
+import random
 import sys
 from collections.abc import Callable
 from http import HTTPStatus
@@ -16,7 +17,7 @@
 from flamingofront.messages import InboundRequest
 from flamingofront.process.settings import parse_address
 from flamingofront.standins.engine import EngineOptions, EngineStandIn
-from flamingofront.standins.forward_endpoint import ForwardEndpointStandIn
+from flamingofront.standins.forward_endpoint import ForwardEndpointStandIn, ForwardFault
 from flamingofront.standins.plain import PlainStandIn
 from flamingofront.standins.platform import PlatformStandIn
 from flamingofront.standins.table_store import TableStoreStandIn
@@ -124,6 +125,9 @@
     slots: int = 8,
     gap: float = 0.05,
     rate_limit: str = "",
+    leaving: bool = False,
+    turn_away: float = 0.0,
+    retry_after: str = "3",
     log_arrivals: bool = False,
 ) -> None:
     """Serve forwarded requests, and register in the store.
@@ -136,7 +140,11 @@
     :param slots: requests that it runs at once
     :param gap: seconds between the events of a stream
     :param rate_limit: requests a second that it says it takes from all entry processes
-    :param log_arrivals: print a line with the time of each request that arrives
+    :param leaving: say in each answer that it leaves, whatever its row says
+    :param turn_away: part of the requests that it refuses with a time to stay away
+    :param retry_after: that time, in seconds
+    :param log_arrivals: print a line with the time of each request that arrives, and whether it is
+        turned away
     """
     row = {
         "service": service,
@@ -153,19 +161,20 @@
     def make_handler(runtime: Runtime) -> Handler:
         standin = ForwardEndpointStandIn(endpoint_id, runtime.timers, 8, gap)
         standin.rate_limit = rate_limit or None
-        return _logged(standin.handle, runtime) if log_arrivals else standin.handle
-
-    _serve("endpoint", bind, make_handler)
+        standin.leaving, standin.retry_after = leaving, retry_after
+        rng = random.Random(endpoint_id)
 
+        def handle(req: InboundRequest, exchange: Exchange) -> None:
+            refused = rng.random() < turn_away
+            standin.fail(ForwardFault.TURN_AWAY if refused else ForwardFault.NONE)
+            if log_arrivals:
+                word = "refused" if refused else "taken"
+                print(f"arrival {runtime.timers.now():.3f} {word}", flush=True)
+            standin.handle(req, exchange)
 
-def _logged(handle: Handler, runtime: Runtime) -> Handler:
-    """Return a handler that prints the time of each request before it takes it."""
+        return handle
 
-    def logged(req: InboundRequest, exchange: Exchange) -> None:
-        print(f"arrival {runtime.timers.now():.3f}", flush=True)
-        handle(req, exchange)
-
-    return logged
+    _serve("endpoint", bind, make_handler)
 
 
 def _register(store: str, endpoint_id: str, row: dict) -> None:
--- a/scripts/try_endpoint_answers.py
+++ b/scripts/try_endpoint_answers.py
@@ -1,8 +1,12 @@
 #!/usr/bin/env python3
-"""Real entry processes on loopback before endpoints that name the rate that they take from all.
+"""Real entry processes on loopback before endpoints that say in their answers what they want.
 
 Starts a store, endpoints and entry processes, offers requests, and compares what reached each
-endpoint with what it bears. Exits with 1 if one got more. Run it in the project's environment.
+endpoint with what it bears. Exits with 1 if one got more. Run it in the project's environment:
+
+    .venv/bin/python scripts/try_endpoint_answers.py limits    # rates that they take from all
+    .venv/bin/python scripts/try_endpoint_answers.py leaving   # one that leaves, its row ready
+    .venv/bin/python scripts/try_endpoint_answers.py pauses    # refusals with a time to stay away
 """
 
 import http.client
@@ -15,7 +19,7 @@
 import tempfile
 import threading
 import time
-from collections.abc import Sequence
+from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -30,32 +34,117 @@
 PORT = 18380
 
 
+@dataclass(frozen=True)
+class Arrival:
+    """A request that reached an endpoint."""
+
+    at: float
+    refused: bool
+
+
 @dataclass
 class Endpoint:
-    """An endpoint process and the times at which requests reached it."""
+    """An endpoint process and the requests that reached it."""
 
     name: str
-    rate: float
     child: subprocess.Popen
-    arrivals: list[float] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
 
     def read(self) -> None:
         """Take the lines of the process until it ends."""
         for line in self.child.stdout:
-            word, _, at = line.partition(" ")
+            word, _, rest = line.partition(" ")
             if word == "arrival":
-                self.arrivals.append(float(at))
+                at, _, outcome = rest.partition(" ")
+                self.arrivals.append(Arrival(float(at), outcome.strip() == "refused"))
+
+    def times_from(self, seconds: float) -> list[float]:
+        """Return the times of the arrivals from some seconds after the first one on."""
+        return [each.at for each in self.arrivals if each.at >= self.arrivals[0].at + seconds]
+
+
+class Wish(ABC):
+    """What an endpoint wants, and how much against it is borne."""
 
-    def most(self) -> int:
-        """Return the most arrivals within a window, once the limit has to be kept."""
-        late = [at for at in self.arrivals if at >= self.arrivals[0] + NOTICE_SECONDS]
+    @abstractmethod
+    def words(self) -> list[str]:
+        """Return the flags of the stand-in."""
+
+    @abstractmethod
+    def against(self, endpoint: Endpoint) -> tuple[int, int]:
+        """Return the requests against the wish, and the most that are borne."""
+
+
+@dataclass(frozen=True)
+class RateLimit(Wish):
+    """At most a rate from all processes together, in any window."""
+
+    rate: float
+
+    def words(self) -> list[str]:
+        """Return the flags of the stand-in."""
+        return ["--rate-limit", f"{self.rate:g}"]
+
+    def against(self, endpoint: Endpoint) -> tuple[int, int]:
+        """Return the most requests in a window, and the most that are borne."""
+        late = endpoint.times_from(NOTICE_SECONDS)
         windows = (sum(at <= each < at + WINDOW_SECONDS for each in late) for at in late)
-        return max(windows, default=0)
+        return max(windows, default=0), int(1.5 * self.rate * WINDOW_SECONDS) + 5
+
 
-    @property
-    def borne(self) -> int:
-        """Return the most that it bears within a window."""
-        return int(1.5 * self.rate * WINDOW_SECONDS) + 5
+@dataclass(frozen=True)
+class Leaving(Wish):
+    """Nothing any more, though the row says ready."""
+
+    def words(self) -> list[str]:
+        """Return the flags of the stand-in."""
+        return ["--leaving"]
+
+    def against(self, endpoint: Endpoint) -> tuple[int, int]:
+        """Return the requests later than two seconds after the first one."""
+        return len(endpoint.times_from(2.0)), 0
+
+
+@dataclass(frozen=True)
+class Pause(Wish):
+    """Nothing of a process for a while after a refusal; for one entry process."""
+
+    share: float
+    seconds: float
+
+    def words(self) -> list[str]:
+        """Return the flags of the stand-in."""
+        return ["--turn-away", f"{self.share:g}", "--retry-after", f"{self.seconds:g}"]
+
+    def against(self, endpoint: Endpoint) -> tuple[int, int]:
+        """Return the most requests in a pause, from half a second after its begin."""
+        begins = [each.at for each in endpoint.arrivals if each.refused]
+        pauses = (
+            sum(at + 0.5 < each.at <= at + self.seconds for each in endpoint.arrivals)
+            for at in begins
+        )
+        return max(pauses, default=0), 2
+
+
+@dataclass(frozen=True)
+class Nothing(Wish):
+    """An endpoint without a wish."""
+
+    def words(self) -> list[str]:
+        """Return no flags."""
+        return []
+
+    def against(self, endpoint: Endpoint) -> tuple[int, int]:
+        """Return that nothing is against it."""
+        return 0, 0
+
+
+# Wishes of the endpoints, and the number of entry processes, by kind.
+KINDS: dict[str, tuple[list[Wish], int]] = {
+    "limits": ([RateLimit(1.0), RateLimit(5.0), RateLimit(20.0)], 5),
+    "leaving": ([Leaving(), Nothing(), Nothing()], 5),
+    "pauses": ([Pause(0.25, 3.0), Pause(1.0, 1.5), Nothing()], 1),
+}
 
 
 class Deployment:
@@ -85,15 +174,15 @@
         self._children.append(child)
         return child
 
-    def endpoint(self, number: int, rate: float) -> None:
+    def endpoint(self, number: int, wish: Wish) -> None:
         """Start an endpoint of the plain service."""
         name = f"plain-{number}"
         words = ["--bind", f"127.0.0.1:{PORT + number}", "--store", self.store, "--gap", "0.02"]
-        words += ["--endpoint-id", name, "--rate-limit", f"{rate:g}", "--log-arrivals"]
+        words += ["--endpoint-id", name, "--log-arrivals", *wish.words()]
         child = self._start(
             "flamingofront-standin-endpoint", words, stdout=subprocess.PIPE, text=True
         )
-        endpoint = Endpoint(name, rate, child)
+        endpoint = Endpoint(name, child)
         self.endpoints.append(endpoint)
         threading.Thread(target=endpoint.read, daemon=True).start()
 
@@ -176,35 +265,35 @@
     return statuses
 
 
-def main(
-    *,
-    processes: int = 5,
-    rates: Sequence[float] = (1.0, 5.0, 20.0),
-    load: float = 60.0,
-    seconds: float = 15.0,
-) -> None:
-    """Offer requests to limited endpoints through real entry processes.
+def main(kind: str, *, processes: int = 0, load: float = 60.0, seconds: float = 15.0) -> None:
+    """Offer requests through real entry processes to endpoints that say what they want.
 
-    :param processes: entry processes
-    :param rates: requests a second that each endpoint takes from all of them
+    :param kind: limits, leaving or pauses
+    :param processes: entry processes; 0 for the usual number of the kind
     :param load: requests a second that are offered in all
     :param seconds: time for which they are offered
     """
+    if kind not in KINDS:
+        raise SystemExit(f"no kind {kind!r}; kinds are {', '.join(KINDS)}")
+    wishes, usual = KINDS[kind]
     folder = Path(tempfile.mkdtemp())
     with Deployment(folder) as deployment:
-        for number, rate in enumerate(rates, 1):
-            deployment.endpoint(number, rate)
-        addresses = [deployment.front(number) for number in range(1, processes + 1)]
+        for number, wish in enumerate(wishes, 1):
+            deployment.endpoint(number, wish)
+        addresses = [deployment.front(number) for number in range(1, (processes or usual) + 1)]
         for address in addresses:
             _wait_for(address.replace(str(PORT + 100), str(PORT + 101)), "/api/ready")
         statuses = _offer(addresses, load, seconds)
     counts = {status: statuses.count(status) for status in sorted(set(statuses))}
     print(json.dumps({"statuses": counts, "logs": str(folder)}))
-    for each in deployment.endpoints:
-        used = len(each.arrivals) / (each.rate * seconds)
-        print(f"{each.name}: {each.rate:g} a second, most {each.most()} of {each.borne}", end="")
-        print(f" in {WINDOW_SECONDS:g} s, {used:.2f} of the rate used")
-    sys.exit(any(each.most() > each.borne for each in deployment.endpoints))
+    is_borne = True
+    for wish, each in zip(wishes, deployment.endpoints, strict=True):
+        got, borne = wish.against(each)
+        is_borne &= got <= borne
+        print(
+            f"{each.name}: {wish}: {len(each.arrivals)} requests, {got} against it, {borne} borne"
+        )
+    sys.exit(not is_borne)
 
 
 if __name__ == "__main__":
