Names of limits, pauses and leaving follow the field's terms

What callers saw: nothing. Cause: names and comments of the new modules used words of their own: matter, word, wish, borne, turned away. Evidence: reading the diff as a newcomer. Change: DecisionRequest, merge, recent_changes, mark_leaving, start and remaining of a pause, rejected, allowed; the test of callers that leave waits first for those that were promised a turn before. Before and after: no behaviour is changed; the lines say 'endpoint requested a pause'. Why it holds: the tests are the same but for names, and for the one that counted an earlier caller's turn.

--- a/flamingofront/decisions/rate_limits.py
+++ b/flamingofront/decisions/rate_limits.py
@@ -1,7 +1,7 @@
 """Who may send to an endpoint that takes a limited rate from all entry processes together.
 
-Load pattern: an endpoint in need names the requests a second that it takes, 0.5 to 200, before up
-to some hundred processes that ask for more. One process decides on an endpoint for all and keeps a
+Load pattern: an overloaded endpoint names the requests a second that it accepts, 0.5 to 200, before
+up to some hundred processes that offer more. One process decides on an endpoint for all and keeps a
 token bucket for it. Limits: a bucket begins empty, so that what an earlier decider has let through
 is not let through again; it holds half a second's requests and two more, so that any four seconds
 bring at most 4.5 times the rate and two; a decider that may not be the only one has a part.
--- a/flamingofront/process/control.py
+++ b/flamingofront/process/control.py
@@ -33,7 +33,7 @@
     ----------
     token : str
         Bearer token that each call must carry; empty if none is needed.
-    takes_work : callable
+    accepts_work : callable
         Tells whether requests of peers may be taken over.
     """
 
@@ -47,7 +47,7 @@
         keyed: KeyedRequests,
         inheritance: Inheritance,
         reattachment: Reattachment,
-        takes_work: Callable[[], bool],
+        accepts_work: Callable[[], bool],
     ):
         self._token = token
         self._metrics = metrics
@@ -56,7 +56,7 @@
         self._keyed = keyed
         self._inheritance = inheritance
         self._reattachment = reattachment
-        self._takes_work = takes_work
+        self._takes_work = accepts_work
         self._by_path = {
             "/operate": operators.handle,
             "/peer/digest": self._digest,
--- a/flamingofront/process/forwarding/digests.py
+++ b/flamingofront/process/forwarding/digests.py
@@ -14,8 +14,8 @@
 from flamingofront.process.forwarding.reports import (
     PeerReport,
     ProcessCounts,
+    decode_starts,
     rollout_word,
-    starts_word,
 )
 from flamingofront.process.quarantine_codec import decode_word, encode_word
 
@@ -199,7 +199,7 @@
         quarantine=decode_word(quarantine),
         # A relay of an earlier version tells none.
         limits=decode_limits(*values[17:18] or ((),)),
-        leaving_endpoints=starts_word(*values[18:19] or ((),)),
+        leaving_endpoints=decode_starts(*values[18:19] or ((),)),
     )
     fencing, lease_version, released, holder_ip = claim
     return Digest(
--- a/flamingofront/process/forwarding/endpoints.py
+++ b/flamingofront/process/forwarding/endpoints.py
@@ -88,7 +88,7 @@
         row = self._rows.get(endpoint_id)
         return None if row is None else row.born
 
-    def says_it_leaves(self, endpoint_id: str, source: str, request: str = "") -> None:
+    def mark_leaving(self, endpoint_id: str, source: str, request: str = "") -> None:
         """Take word of an endpoint itself that it leaves, whatever its row says.
 
         Parameters
@@ -113,14 +113,14 @@
         self._left_at[endpoint_id] = self._timers.now()
         self.put(replace(row, ready=False), by_peer=True)
 
-    def hear_leaving(self, told: Iterable[tuple[str, int]]) -> None:
+    def merge_leaving(self, told: Iterable[tuple[str, int]]) -> None:
         """Take word of a peer of endpoints that say that they leave, with their starts."""
         for endpoint_id, born in told:
             row = self._rows.get(endpoint_id)
             if row is not None and row.born == born:
-                self.says_it_leaves(endpoint_id, "peer")
+                self.mark_leaving(endpoint_id, "peer")
 
-    def leaving_word(self) -> tuple[tuple[str, int], ...]:
+    def recently_leaving(self) -> tuple[tuple[str, int], ...]:
         """Return the endpoints that have lately said that they leave, with their starts."""
         since = self._timers.now() - TOLD_SECONDS
         self._left_at = {name: at for name, at in self._left_at.items() if at > since}
--- a/flamingofront/process/forwarding/inquiries.py
+++ b/flamingofront/process/forwarding/inquiries.py
@@ -15,7 +15,7 @@
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.timers import Timer, TimerService
 
-__all__ = ["Inquiries", "Inquirer", "Matter", "RepliesSent"]
+__all__ = ["Inquiries", "Inquirer", "DecisionRequest", "RepliesSent"]
 
 # Time for a reply: many times the way there and back between two zones, and a small part of the
 # tightest latency objective.
@@ -32,7 +32,7 @@
 NUMBERS_A_MILLISECOND = 1 << 20
 
 
-class Matter(ABC):
+class DecisionRequest(ABC):
     """Something that one process decides on for all.
 
     Attributes
@@ -56,13 +56,13 @@
         """Decide by this process's part, since nobody who decides for all is reached."""
 
 
-MatterT = TypeVar("MatterT", bound=Matter)
+RequestT = TypeVar("RequestT", bound=DecisionRequest)
 
 
 @dataclass(eq=False)
-class _Inquiry(Generic[MatterT]):
+class _Inquiry(Generic[RequestT]):
     number: int
-    matter: MatterT
+    request: RequestT
     left: list[str]
     asked: str = ""
     silent: set[str] = field(default_factory=set)
@@ -88,7 +88,7 @@
     ranked: Callable[[str], list[str]]
 
 
-class Inquiries(Generic[MatterT]):
+class Inquiries(Generic[RequestT]):
     """Questions of this process that wait for a reply.
 
     Parameters
@@ -117,19 +117,19 @@
         self._log = log
         # A process that starts again goes on with other numbers: replies are remembered by them.
         self._numbers = itertools.count(inquirer.incarnation * NUMBERS_A_MILLISECOND + 1)
-        self._pending: dict[int, _Inquiry[MatterT]] = {}
+        self._pending: dict[int, _Inquiry[RequestT]] = {}
         self._avoided: dict[str, float] = {}
         # Matters that were decided, with the IP number of who decided; empty for this process.
-        self._decided: OrderedDict[int, tuple[MatterT, str]] = OrderedDict()
+        self._decided: OrderedDict[int, tuple[RequestT, str]] = OrderedDict()
 
     def next_number(self) -> int:
         """Return a number that no question of this process had."""
         return next(self._numbers)
 
-    def ask(self, matter: MatterT) -> None:
-        """Have a matter decided on; at once if that is done here."""
-        left = self._candidates(matter.key)
-        self._ask_next(_Inquiry(self.next_number(), matter, left))
+    def ask(self, request: RequestT) -> None:
+        """Have a request decided on; at once if that is done here."""
+        left = self._candidates(request.key)
+        self._ask_next(_Inquiry(self.next_number(), request, left))
 
     def _candidates(self, key: str) -> list[str]:
         """Return whom to ask in turn: the first one twice."""
@@ -138,24 +138,24 @@
         ranked = [each for each in self._inquirer.ranked(key) if each not in self._avoided]
         return [*ranked[:1], *ranked]
 
-    def _ask_next(self, inquiry: _Inquiry[MatterT]) -> None:
+    def _ask_next(self, inquiry: _Inquiry[RequestT]) -> None:
         if not inquiry.left or len(inquiry.silent) >= MAX_SILENT:
             self._metrics.count(f"{self._name}_decisions_alone_total")
             self._end(inquiry, "")
-            inquiry.matter.decide_alone()
+            inquiry.request.decide_alone()
             return
         inquiry.asked = inquiry.left.pop(0)
         if inquiry.asked == self._inquirer.own_ip:
             self._end(inquiry, "")
-            if not inquiry.matter.decide_here():
+            if not inquiry.request.decide_here():
                 self._ask_next(inquiry)
             return
         self._pending[inquiry.number] = inquiry
         inquiry.timer = self._timers.once(REPLY_SECONDS, lambda: self._no_reply(inquiry))
         self._metrics.count(f"{self._name}_questions_total")
-        self._send(inquiry.matter.question(inquiry.number), inquiry.asked)
+        self._send(inquiry.request.question(inquiry.number), inquiry.asked)
 
-    def _no_reply(self, inquiry: _Inquiry[MatterT]) -> None:
+    def _no_reply(self, inquiry: _Inquiry[RequestT]) -> None:
         self._metrics.count(f"{self._name}_questions_unanswered_total")
         if inquiry.asked in inquiry.silent:
             self._avoid(inquiry.asked, "no reply")
@@ -166,19 +166,19 @@
         self._avoided[ip] = self._timers.now() + AVOIDED_SECONDS
         self._log.info(f"{self._name} arbiter left out", arbiter=ip, reason=reason)
 
-    def _end(self, inquiry: _Inquiry[MatterT], arbiter: str) -> None:
+    def _end(self, inquiry: _Inquiry[RequestT], arbiter: str) -> None:
         self._pending.pop(inquiry.number, None)
-        self._decided[inquiry.number] = (inquiry.matter, arbiter)
+        self._decided[inquiry.number] = (inquiry.request, arbiter)
         while len(self._decided) > MAX_REMEMBERED:
             self._decided.popitem(last=False)
 
-    def replied(self, number: int, ip: str) -> MatterT | None:
+    def replied(self, number: int, ip: str) -> RequestT | None:
         """Take a reply that decides; None if it is not awaited from there."""
         inquiry = self._awaited(number, ip)
         if inquiry is None:
             return None
         self._end(inquiry, ip)
-        return inquiry.matter
+        return inquiry.request
 
     def declined(self, number: int, ip: str) -> None:
         """Take the reply of a process that does not decide: the next one is asked."""
@@ -189,20 +189,20 @@
         inquiry.left = [each for each in inquiry.left if each != ip]
         self._ask_next(inquiry)
 
-    def _awaited(self, number: int, ip: str) -> _Inquiry[MatterT] | None:
+    def _awaited(self, number: int, ip: str) -> _Inquiry[RequestT] | None:
         inquiry = self._pending.get(number)
         if inquiry is None or ip != inquiry.asked:
             return None
         inquiry.timer.cancel()
         return inquiry
 
-    def unused(self, number: int, ip: str) -> MatterT | None:
-        """Return the matter of a late permission that is not used: another process decided."""
+    def unused(self, number: int, ip: str) -> RequestT | None:
+        """Return the request of a late permission that is not used: another process decided."""
         inquiry = self._pending.get(number)
         if inquiry is not None:
-            return inquiry.matter
-        matter, arbiter = self._decided.get(number, (None, ip))
-        return None if arbiter == ip else matter
+            return inquiry.request
+        request, arbiter = self._decided.get(number, (None, ip))
+        return None if arbiter == ip else request
 
 
 ReplyT = TypeVar("ReplyT")
--- a/flamingofront/process/forwarding/limit_arbiter.py
+++ b/flamingofront/process/forwarding/limit_arbiter.py
@@ -5,7 +5,12 @@
 from dataclasses import dataclass
 
 from flamingofront.decisions.rate_limits import MIN_WAIT_SECONDS, RateClaim, RateLimiter
-from flamingofront.process.forwarding.inquiries import Inquirer, Inquiries, Matter, RepliesSent
+from flamingofront.process.forwarding.inquiries import (
+    DecisionRequest,
+    Inquirer,
+    Inquiries,
+    RepliesSent,
+)
 from flamingofront.process.forwarding.limit_messages import (
     PermitQuestion,
     PermitReply,
@@ -54,7 +59,7 @@
     member_part: Callable[[], float]
 
 
-class _Attempt(Matter):
+class _PermitRequest(DecisionRequest):
     """An attempt that waits for a permit."""
 
     def __init__(
@@ -107,7 +112,7 @@
         # What is decided for all, and what only for this process.
         self._for_all = RateLimiter()
         self._alone = RateLimiter()
-        self._inquiries: Inquiries[_Attempt] = Inquiries(
+        self._inquiries: Inquiries[_PermitRequest] = Inquiries(
             "limit", view.inquirer, send, timers, metrics, log
         )
         self._sent: RepliesSent[PermitReply] = RepliesSent()
@@ -117,7 +122,7 @@
 
     def decide(self, claim: RateClaim, then: Callable[[RateDecision], None]) -> None:
         """Have an attempt decided on; at once if that is done here."""
-        self._inquiries.ask(_Attempt(self, claim, then))
+        self._inquiries.ask(_PermitRequest(self, claim, then))
 
     def question(self, number: int, claim: RateClaim) -> bytes:
         """Return the datagram that asks for a permit."""
@@ -129,24 +134,24 @@
         known = self._limits.limit(claim.endpoint_id)
         return known or EndpointLimit(claim.endpoint_id, 0, claim.rate, 0.0)
 
-    def decide_here(self, attempt: _Attempt) -> bool:
+    def decide_here(self, request: _PermitRequest) -> bool:
         """Decide on an attempt for all processes; False if others are to."""
-        part = self._part(attempt.claim.endpoint_id)
+        part = self._part(request.claim.endpoint_id)
         if part <= 0:
             return False
-        verdict = self._for_all.decide(attempt.claim, part, self._timers.now())
-        attempt.then(RateDecision(verdict.delay, verdict.wait, ""))
+        verdict = self._for_all.decide(request.claim, part, self._timers.now())
+        request.then(RateDecision(verdict.delay, verdict.wait, ""))
         return True
 
-    def decide_alone(self, attempt: _Attempt) -> None:
+    def decide_alone(self, request: _PermitRequest) -> None:
         """Decide by the own part, since nobody who decides for all is reached."""
         now = self._timers.now()
-        if now - self._replied_at.get(attempt.claim.endpoint_id, -math.inf) < SILENCE_SECONDS:
-            attempt.then(RateDecision(0.0, MIN_WAIT_SECONDS))
+        if now - self._replied_at.get(request.claim.endpoint_id, -math.inf) < SILENCE_SECONDS:
+            request.then(RateDecision(0.0, MIN_WAIT_SECONDS))
             return
         part = self._view.member_part()
-        verdict = self._alone.decide(attempt.claim, part, now)
-        attempt.then(RateDecision(verdict.delay, min(ASKED_AGAIN_SECONDS, verdict.wait)))
+        verdict = self._alone.decide(request.claim, part, now)
+        request.then(RateDecision(verdict.delay, min(ASKED_AGAIN_SECONDS, verdict.wait)))
 
     def _part(self, endpoint_id: str) -> float:
         """Return the part of a limit that this process decides on for all; 0 if it does not."""
@@ -187,11 +192,11 @@
         if reply.verdict is Verdict.NOT_HERE:
             self._inquiries.declined(reply.number, ip)
             return
-        attempt = self._inquiries.replied(reply.number, ip)
-        if attempt is not None:
-            self._replied_at[attempt.claim.endpoint_id] = self._timers.now()
-            self._alone.forget(attempt.claim.endpoint_id)
-            attempt.then(RateDecision(reply.delay, reply.wait, ip))
+        request = self._inquiries.replied(reply.number, ip)
+        if request is not None:
+            self._replied_at[request.claim.endpoint_id] = self._timers.now()
+            self._alone.forget(request.claim.endpoint_id)
+            request.then(RateDecision(reply.delay, reply.wait, ip))
             return
         late = self._inquiries.unused(reply.number, ip)
         if late is not None and reply.verdict is Verdict.ALLOWED:
@@ -216,7 +221,7 @@
         self._send(encode_permit_reply(reply), ip)
 
     def _reply(self, question: PermitQuestion, ip: str) -> PermitReply:
-        self._limits.hear((question.limit,))
+        self._limits.merge((question.limit,))
         endpoint_id = question.limit.endpoint_id
         part = self._part(endpoint_id)
         if part <= 0:
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -204,7 +204,7 @@
 
     def _endpoint_leaves(self, endpoint_id: str, request: str) -> None:
         """Take word of an endpoint itself that it leaves."""
-        self.knowledge.endpoints.says_it_leaves(endpoint_id, "answer", request)
+        self.knowledge.endpoints.mark_leaving(endpoint_id, "answer", request)
 
     def _endpoint_restarted(self, row: EndpointRow, before: EndpointRow) -> None:
         """Forget the earlier start of an endpoint, and what ran there."""
--- a/flamingofront/process/forwarding/operators.py
+++ b/flamingofront/process/forwarding/operators.py
@@ -132,12 +132,12 @@
     def _withheld(self, fact: Fact) -> dict[str, Any]:
         """Return why an endpoint gets nothing from this process now, and for how long."""
         hub = self._node.hub
-        pause, permit = hub.pauses.left(fact.vm_id), hub.permits.wait((fact.vm_id,))
+        pause, permit = hub.pauses.remaining(fact.vm_id), hub.permits.wait((fact.vm_id,))
         reason = None
         if hub.directory.leaving(fact.vm_id):
             reason = "leaves" if fact.state is VmState.LEAVING else "gone"
         elif pause > 0:
-            reason = "asked for a pause"
+            reason = "requested a pause"
         elif permit > 0:
             reason = "no permit"
         elif not hub.directory.is_reachable(fact.vm_id, hub.now()):
--- a/flamingofront/process/forwarding/own_report.py
+++ b/flamingofront/process/forwarding/own_report.py
@@ -84,8 +84,8 @@
             work=self._work(parts.hub),
             rollouts=parts.rollouts.word(),
             quarantine=parts.hub.guard.word(),
-            limits=parts.hub.limits.word(),
-            leaving_endpoints=knowledge.endpoints.leaving_word(),
+            limits=parts.hub.limits.recent_changes(),
+            leaving_endpoints=knowledge.endpoints.recently_leaving(),
         )
 
     def _work(self, hub: RequestHub) -> dict[str, tuple[float, float]]:
--- a/flamingofront/process/forwarding/peer_word.py
+++ b/flamingofront/process/forwarding/peer_word.py
@@ -57,8 +57,8 @@
         self.take_sums(report.process, report.spent, continuous and peers.counts_directly())
         self._take_rollouts(report)
         self._reported.hub.guard.hear(report.quarantine)
-        self._reported.hub.limits.hear(report.limits)
-        self._reported.knowledge.endpoints.hear_leaving(report.leaving_endpoints)
+        self._reported.hub.limits.merge(report.limits)
+        self._reported.knowledge.endpoints.merge_leaving(report.leaving_endpoints)
         if report.usage is not None:
             usage.reported(report.usage, report.process, peers.true_time())
         self._reported.lease.heard(report)
@@ -82,8 +82,8 @@
         self._metrics.count("peer_digests_total")
         self._take_rollouts(relay)
         self._reported.hub.guard.hear(relay.quarantine)
-        self._reported.hub.limits.hear(relay.limits)
-        self._reported.knowledge.endpoints.hear_leaving(relay.leaving_endpoints)
+        self._reported.hub.limits.merge(relay.limits)
+        self._reported.knowledge.endpoints.merge_leaving(relay.leaving_endpoints)
         self._reported.lease.heard(
             replace(
                 relay,
--- a/flamingofront/process/forwarding/quota_arbiter.py
+++ b/flamingofront/process/forwarding/quota_arbiter.py
@@ -11,7 +11,12 @@
 
 from flamingofront.decisions.quota import SharedQuota
 from flamingofront.decisions.quota_facts import QuotaState
-from flamingofront.process.forwarding.inquiries import Inquirer, Inquiries, Matter, RepliesSent
+from flamingofront.process.forwarding.inquiries import (
+    DecisionRequest,
+    Inquirer,
+    Inquiries,
+    RepliesSent,
+)
 from flamingofront.process.forwarding.quota_messages import (
     QuotaQuestion,
     QuotaReply,
@@ -68,7 +73,7 @@
     sides: Callable[[str], int]
 
 
-class _Request(Matter):
+class _QuotaRequest(DecisionRequest):
     """A request of a workspace that waits for the decision on its quota."""
 
     def __init__(
@@ -122,7 +127,7 @@
         self._metrics = metrics
         self._log = log
         inquirer = Inquirer(view.own_ip, view.incarnation, view.ranked)
-        self._inquiries: Inquiries[_Request] = Inquiries(
+        self._inquiries: Inquiries[_QuotaRequest] = Inquiries(
             "quota", inquirer, send, timers, metrics, log
         )
         self._sent: RepliesSent[QuotaReply] = RepliesSent()
@@ -167,16 +172,16 @@
         if workspace.rate <= 0:
             then(QuotaDecision(0.0))
             return
-        self._inquiries.ask(_Request(self, workspace, units, then))
+        self._inquiries.ask(_QuotaRequest(self, workspace, units, then))
 
-    def decide_here(self, request: _Request) -> bool:
+    def decide_here(self, request: _QuotaRequest) -> bool:
         """Decide on a request for all processes; False if others are to."""
         if self._view.knows_less():
             return False
         request.then(QuotaDecision(self._wait(request.workspace, request.units)))
         return True
 
-    def decide_alone(self, request: _Request) -> None:
+    def decide_alone(self, request: _QuotaRequest) -> None:
         """Decide by the own part of what is left, since nobody who decides for all is reached."""
         is_newcomer = self._view.knows_less()
         wait_of = self._quota.wait_as_newcomer if is_newcomer else self._quota.wait
--- a/flamingofront/process/forwarding/reports.py
+++ b/flamingofront/process/forwarding/reports.py
@@ -29,7 +29,7 @@
     "encode_note",
     "encode_report",
     "is_note",
-    "starts_word",
+    "decode_starts",
     "without_counts",
 ]
 
@@ -185,7 +185,7 @@
     named["rollouts"] = rollout_word(named.get("rollouts", {}))
     named["quarantine"] = decode_word(named.get("quarantine"))
     named["limits"] = decode_limits(named.get("limits", ()))
-    named["leaving_endpoints"] = starts_word(named.get("leaving_endpoints", ()))
+    named["leaving_endpoints"] = decode_starts(named.get("leaving_endpoints", ()))
     return PeerReport(**named)
 
 
@@ -209,7 +209,7 @@
         raise ValueError(f"malformed word of roll-outs: {exc!r:.100}") from exc
 
 
-def starts_word(value: Any) -> tuple[tuple[str, int], ...]:
+def decode_starts(value: Any) -> tuple[tuple[str, int], ...]:
     """Return endpoints and their starts, as they were told.
 
     Raises
--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -288,7 +288,7 @@
 
     def _no_endpoint(self, order: StartAttempt) -> None:
         """Wait for an endpoint, or refuse the request if that takes too long."""
-        delay = self.hub.choice_pause(self.record)
+        delay = self.hub.choice_delay(self.record)
         self.hub.metrics.count("retries_total", reason="no_endpoint")
         self.carry(self.machine.no_endpoint(order.attempt_id, self.hub.now(), delay))
 
@@ -328,7 +328,7 @@
         """Send an attempt whose turn has come, if the endpoint still takes it."""
         if self.done or self.machine.attempt_id != order.attempt_id:
             self.hub.permits.unused(permit)
-        elif self.hub.takes_work(chosen.endpoint_id):
+        elif self.hub.accepts_work(chosen.endpoint_id):
             self.launch(order, chosen)
         else:
             self.hub.permits.unused(permit)
@@ -422,9 +422,9 @@
 
     def _retry_after(self, order: Fail) -> float | None:
         """Return when to come back: not before an endpoint takes the request, if none does now."""
-        if self.hub.closed_for(self.record.service.name) <= 0:
+        if self.hub.time_until_open(self.record.service.name) <= 0:
             return order.retry_after
-        return max(order.retry_after or 0.0, self.hub.choice_pause(self.record))
+        return max(order.retry_after or 0.0, self.hub.choice_delay(self.record))
 
     def _settle(self, answer: StoredAnswer | None, exc: RequestError | None) -> None:
         """Give the final answer to all readers, once."""
--- a/flamingofront/request/answer_reader.py
+++ b/flamingofront/request/answer_reader.py
@@ -48,7 +48,7 @@
         if not answer.crossed and not answer.wrong_endpoint:
             # Before the attempt ends: the next one is chosen by it.
             self._take_limit(answer)
-            self._take_wishes(answer)
+            self._take_availability(answer)
         if answer.crossed:
             self._lost(Ran.UNKNOWN, "crossed answer")
         elif answer.wrong_endpoint:
@@ -70,13 +70,13 @@
             self._endpoint_id, answer.rate_limit, self._sent_at, self._request.request_id
         )
 
-    def _take_wishes(self, answer: EndpointAnswer) -> None:
+    def _take_availability(self, answer: EndpointAnswer) -> None:
         """Take what the endpoint says of further requests: none at all, or none for a while."""
         request = self._request
         if answer.leaving:
             request.hub.on_leaving(self._endpoint_id, request.request_id)
         if answer.pause is not None:
-            request.hub.pauses.asked(self._endpoint_id, answer.pause, request.request_id)
+            request.hub.pauses.start(self._endpoint_id, answer.pause, request.request_id)
         else:
             request.hub.pauses.answered(self._endpoint_id, self._sent_at)
 
--- a/flamingofront/request/endpoint_limits.py
+++ b/flamingofront/request/endpoint_limits.py
@@ -1,6 +1,6 @@
 """Rate limits that endpoints name in their answers, as this process knows them.
 
-An endpoint in need names in each answer the requests a second that it takes from all entry
+An overloaded endpoint names in each answer the requests a second that it accepts from all entry
 processes together. A limit ends with the first answer that does not name one, or with the start of
 the endpoint that named it.
 """
@@ -104,8 +104,8 @@
         sent_wall = self.wall() - (self._timers.now() - sent_at)
         return sent_wall > known.named_at + OVERTAKING_SECONDS
 
-    def hear(self, limits: Iterable[EndpointLimit]) -> None:
-        """Take what other processes know, where it is newer."""
+    def merge(self, limits: Iterable[EndpointLimit]) -> None:
+        """Merge what other processes know, where it is newer."""
         wall = self.wall()
         for each in limits:
             # A clock that is ahead must not outweigh what is said later.
@@ -123,7 +123,7 @@
         margin = OVERTAKING_SECONDS if told.rate is None else 0.0
         return told.rate != known.rate and told.named_at > known.named_at + margin
 
-    def word(self) -> tuple[EndpointLimit, ...]:
+    def recent_changes(self) -> tuple[EndpointLimit, ...]:
         """Return what changed lately, to be told to the other processes."""
         since = self._timers.now() - TOLD_SECONDS
         self._changed_at = {name: at for name, at in self._changed_at.items() if at > since}
--- a/flamingofront/request/endpoint_pauses.py
+++ b/flamingofront/request/endpoint_pauses.py
@@ -1,4 +1,4 @@
-"""Times for which endpoints that refused a request want no further ones of this process."""
+"""Pauses that endpoints request of this process when they reject a request."""
 
 import random
 from dataclasses import dataclass, replace
@@ -38,7 +38,7 @@
 
 
 class EndpointPauses:
-    """Keeps until when endpoints want no requests of this process.
+    """Keeps until when this process sends nothing to an endpoint.
 
     A success in between does not end a pause. After it one request goes first, and the others
     follow once it is answered otherwise.
@@ -51,8 +51,8 @@
         self._rng = rng
         self._pauses: dict[str, _Pause] = {}
 
-    def asked(self, endpoint_id: str, seconds: float, request: str) -> None:
-        """Take the time that an endpoint names; it never shortens a pause.
+    def start(self, endpoint_id: str, seconds: float, request: str) -> None:
+        """Start the pause that an endpoint requested; a running one is never shortened.
 
         Parameters
         ----------
@@ -65,7 +65,7 @@
         until = now + wanted * (1.0 + JITTER * self._rng.random())
         self._metrics.count("endpoint_pauses_total")
         self._log.info(
-            "endpoint asks for a pause",
+            "endpoint requested a pause",
             endpoint=endpoint_id,
             seconds=seconds,
             left_before=None if known is None else round(known.until - now, 3),
@@ -75,8 +75,8 @@
         if known is None or until > known.until:
             self._pauses[endpoint_id] = _Pause(now, until)
 
-    def left(self, endpoint_id: str) -> float:
-        """Return the seconds for which an endpoint wants no requests; 0 if it takes them."""
+    def remaining(self, endpoint_id: str) -> float:
+        """Return the seconds that are left of an endpoint's pause; 0 if it has none."""
         known = self._pauses.get(endpoint_id)
         if known is None:
             return 0.0
@@ -86,13 +86,13 @@
         return max(0.0, until - self._timers.now())
 
     def closed(self) -> frozenset[str]:
-        """Return the endpoints that get nothing now."""
-        return frozenset(name for name in self._pauses if self.left(name) > 0)
+        """Return the endpoints that are paused now."""
+        return frozenset(name for name in self._pauses if self.remaining(name) > 0)
 
     def sent(self, endpoint_id: str) -> None:
         """Take note of a request that was sent: after a pause it is the first one."""
         known = self._pauses.get(endpoint_id)
-        if known is not None and self.left(endpoint_id) <= 0:
+        if known is not None and self.remaining(endpoint_id) <= 0:
             self._pauses[endpoint_id] = replace(known, trial_at=self._timers.now())
 
     def answered(self, endpoint_id: str, sent_at: float) -> None:
--- a/flamingofront/request/host.py
+++ b/flamingofront/request/host.py
@@ -128,15 +128,15 @@
         """
 
     @abstractmethod
-    def takes_work(self, endpoint_id: str) -> bool:
+    def accepts_work(self, endpoint_id: str) -> bool:
         """Tell whether an endpoint that was chosen a moment ago still takes new work."""
 
     @abstractmethod
-    def closed_for(self, service: str) -> float:
+    def time_until_open(self, service: str) -> float:
         """Return the seconds until the first endpoint of a service takes a request again."""
 
     @abstractmethod
-    def choice_pause(self, record: RequestRecord) -> float:
+    def choice_delay(self, record: RequestRecord) -> float:
         """Return the seconds after which an endpoint may be found where there is none now."""
 
     @abstractmethod
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -242,21 +242,21 @@
                 return chosen
         return None
 
-    def takes_work(self, endpoint_id: str) -> bool:
+    def accepts_work(self, endpoint_id: str) -> bool:
         """Tell whether an endpoint that was chosen a moment ago still takes new work."""
-        return not self.directory.leaving(endpoint_id) and not self.pauses.left(endpoint_id)
+        return not self.directory.leaving(endpoint_id) and not self.pauses.remaining(endpoint_id)
 
-    def closed_for(self, service: str) -> float:
+    def time_until_open(self, service: str) -> float:
         """Return the seconds until the first endpoint of a service takes a request again."""
         waits = (
-            max(self.pauses.left(name), self.permits.wait((name,)))
+            max(self.pauses.remaining(name), self.permits.wait((name,)))
             for name in self.directory.zones_of(service)
         )
         return min(waits, default=0.0)
 
-    def choice_pause(self, record: RequestRecord) -> float:
+    def choice_delay(self, record: RequestRecord) -> float:
         """Return the seconds after which an endpoint may be found where there is none now."""
-        closed_for = self.closed_for(record.service.name)
+        closed_for = self.time_until_open(record.service.name)
         if closed_for > 0:
             return closed_for * (1 + COMEBACK_JITTER * self.rng.random())
         return SECONDS_BETWEEN_CHOICES * (1 + self.rng.random())
--- a/flamingofront/request/tests/test_endpoint_limits.py
+++ b/flamingofront/request/tests/test_endpoint_limits.py
@@ -118,9 +118,9 @@
 
     def test_pause(self):
         world = ready_world(plains=1)
-        world.endpoints["plain-1"].fail(ForwardFault.TURN_AWAY)
+        world.endpoints["plain-1"].fail(ForwardFault.REJECT)
         world.finish(world.ask("front-1", "/write/x"))
-        assert shown(world, "plain-1") == (None, "asked for a pause")
+        assert shown(world, "plain-1") == (None, "requested a pause")
 
     def test_leaving(self):
         world = ready_world(plains=1)
--- a/flamingofront/request/tests/test_endpoint_pauses.py
+++ b/flamingofront/request/tests/test_endpoint_pauses.py
@@ -48,19 +48,19 @@
 
     def test_shorter_time_does_not_shorten_a_pause(self):
         """Answers on several connections come in any order."""
-        self.pauses.asked("e", 3.0, "r")
+        self.pauses.start("e", 3.0, "r")
         self.clock.time += 1.0
-        self.pauses.asked("e", 0.6, "r")
-        assert 2.0 <= self.pauses.left("e") <= 2.75
+        self.pauses.start("e", 0.6, "r")
+        assert 2.0 <= self.pauses.remaining("e") <= 2.75
 
     def test_time_that_is_too_long_to_be_meant_is_cut(self):
-        self.pauses.asked("e", 86400.0, "r")
-        assert self.pauses.left("e") <= 1.25 * LONGEST_PAUSE_SECONDS
+        self.pauses.start("e", 86400.0, "r")
+        assert self.pauses.remaining("e") <= 1.25 * LONGEST_PAUSE_SECONDS
 
     def test_next_start_of_the_endpoint_has_none(self):
-        self.pauses.asked("e", 3.0, "r")
+        self.pauses.start("e", 3.0, "r")
         self.pauses.forget("e")
-        assert self.pauses.left("e") == 0.0
+        assert self.pauses.remaining("e") == 0.0
 
 
 class TestAfterAPause:
@@ -68,7 +68,7 @@
         self.clock = ManualClock()
         rng = random.Random(1)
         self.pauses = EndpointPauses(TimerService(self.clock), Metrics(), Log("test"), rng)
-        self.pauses.asked("e", 3.0, "r")
+        self.pauses.start("e", 3.0, "r")
         self.clock.time += 4.0
 
     def test_one_request_goes_first(self):
@@ -96,7 +96,7 @@
 class TestCounters:
     def test_what_an_answer_says_is_counted(self):
         world = ready_world(plains=1)
-        world.endpoints["plain-1"].fail(ForwardFault.TURN_AWAY, 1)
+        world.endpoints["plain-1"].fail(ForwardFault.REJECT, 1)
         world.finish(world.ask("front-1", "/write/x"))
         world.run(4.0)
         world.endpoints["plain-1"].leaving = True
--- a/flamingofront/standins/forward_endpoint.py
+++ b/flamingofront/standins/forward_endpoint.py
@@ -27,8 +27,8 @@
     HANG = "hang"
     CROSSED = "crossed"
     CUT = "cut"
-    TURN_AWAY = "turn_away"
-    """Refuse with a time for which it wants no requests."""
+    REJECT = "reject"
+    """Refuse with a Retry-After header."""
 
 
 class ForwardEndpointStandIn:
@@ -55,7 +55,7 @@
         self.rate_limit: str | None = None
         # True to say in each answer that it leaves.
         self.leaving = False
-        # Time that it names when it turns requests away, as it is written in the header.
+        # Value of the Retry-After header of its rejections.
         self.retry_after = "3"
         # True to answer requests for streams in one piece.
         self.plain_answers = False
@@ -82,10 +82,10 @@
             exchange.respond(STATUS_WRONG_ENDPOINT, self._fields(req), b"")
             return
         fault = self._take_fault()
-        if fault in (ForwardFault.REFUSE, ForwardFault.TURN_AWAY):
+        if fault in (ForwardFault.REFUSE, ForwardFault.REJECT):
             self.rejected.append(req)
             fields = (*self._fields(req), ("X-Flamingofront-Not-Executed", "1"))
-            if fault is ForwardFault.TURN_AWAY:
+            if fault is ForwardFault.REJECT:
                 fields += (("Retry-After", self.retry_after),)
             exchange.respond(503, fields, b"")
             return
--- a/flamingofront/standins/programs.py
+++ b/flamingofront/standins/programs.py
@@ -126,7 +126,7 @@
     gap: float = 0.05,
     rate_limit: str = "",
     leaving: bool = False,
-    turn_away: float = 0.0,
+    reject: float = 0.0,
     retry_after: str = "3",
     log_arrivals: bool = False,
 ) -> None:
@@ -141,7 +141,7 @@
     :param gap: seconds between the events of a stream
     :param rate_limit: requests a second that it says it takes from all entry processes
     :param leaving: say in each answer that it leaves, whatever its row says
-    :param turn_away: part of the requests that it refuses with a time to stay away
+    :param reject: part of the requests that it refuses with a time to stay away
     :param retry_after: that time, in seconds
     :param log_arrivals: print a line with the time of each request that arrives, and whether it is
         turned away
@@ -165,8 +165,8 @@
         rng = random.Random(endpoint_id)
 
         def handle(req: InboundRequest, exchange: Exchange) -> None:
-            refused = rng.random() < turn_away
-            standin.fail(ForwardFault.TURN_AWAY if refused else ForwardFault.NONE)
+            refused = rng.random() < reject
+            standin.fail(ForwardFault.REJECT if refused else ForwardFault.NONE)
             if log_arrivals:
                 word = "refused" if refused else "taken"
                 print(f"arrival {runtime.timers.now():.3f} {word}", flush=True)
--- a/flamingofront/tests/test_endpoint_limits.py
+++ b/flamingofront/tests/test_endpoint_limits.py
@@ -14,14 +14,14 @@
 ZONES = ("zone-a", "zone-b", "zone-c")
 # The endpoint bears one and a half times what its limit allows in any four seconds, and five more.
 WINDOW_SECONDS = 4.0
-BORNE_RATIO, BORNE_REQUESTS = 1.5, 5
+ALLOWED_RATIO, ALLOWED_REQUESTS = 1.5, 5
 # From the first answer that names a limit until it has to be kept.
 NOTICE_SECONDS = 3.0
 
 
-def borne(rate):
+def allowed(rate):
     """Return the most requests that an endpoint bears within a window."""
-    return math.floor(BORNE_RATIO * rate * WINDOW_SECONDS) + BORNE_REQUESTS
+    return math.floor(ALLOWED_RATIO * rate * WINDOW_SECONDS) + ALLOWED_REQUESTS
 
 
 def most_in_window(times, since):
@@ -96,14 +96,14 @@
         """Each process sent what it chose, whatever the endpoint had named."""
         world = LimitedWorld(fronts, (rate, None, None))
         world.offer(60 + 6 * rate, 8.0)
-        assert world.most("plain-0") <= borne(rate)
+        assert world.most("plain-0") <= allowed(rate)
 
     @pytest.mark.parametrize("fronts", [8, 30])
     def test_all_endpoints_of_a_service_name_limits(self, fronts):
         world = LimitedWorld(fronts, (0.5, 1.9, 20.0))
         world.offer(80, 8.0)
         for name, rate in (("plain-0", 0.5), ("plain-1", 1.9), ("plain-2", 20.0)):
-            assert world.most(name) <= borne(rate)
+            assert world.most(name) <= allowed(rate)
 
     def test_limit_is_used_where_more_is_asked_for(self):
         """A bound that is kept by sending next to nothing is half a mend."""
@@ -119,7 +119,7 @@
         for each in world.endpoints.values():
             each.fail(ForwardFault.ERROR)
         world.offer(40, 8.0)
-        assert all(world.most(name) <= borne(1.9) for name in world.endpoints)
+        assert all(world.most(name) <= allowed(1.9) for name in world.endpoints)
 
     def test_streams_count(self):
         world = LimitedWorld(4, (None,))
@@ -127,7 +127,7 @@
             world.watched_endpoint(f"engine-{number}", "engines", 1.9)
         world.run(1.0)
         world.offer(30, 8.0, "/stream/again/x")
-        assert all(world.most(f"engine-{number}") <= borne(1.9) for number in range(2))
+        assert all(world.most(f"engine-{number}") <= allowed(1.9) for number in range(2))
 
     @pytest.mark.parametrize("seed", range(2))
     def test_arbiter_is_killed_and_others_start_again(self, seed):
@@ -138,7 +138,7 @@
         world.offer(50, 2.0)
         world.restart(*world.rng.sample(list(world.fronts), 4))
         world.offer(50, 3.0)
-        assert all(world.most(name) <= borne(10.0) for name in world.endpoints)
+        assert all(world.most(name) <= allowed(10.0) for name in world.endpoints)
 
     @pytest.mark.parametrize("lost", [0.3, 1.0])
     def test_questions_and_replies_are_lost(self, lost):
@@ -147,7 +147,7 @@
         world.lost_datagrams = lost
         callers = world.offer(50, 7.0)
         world.run(3.0)
-        assert all(world.most(name) <= borne(10.0) for name in world.endpoints)
+        assert all(world.most(name) <= allowed(10.0) for name in world.endpoints)
         assert all(each.done for each in callers)
 
     def test_zone_that_hears_nobody(self):
@@ -158,7 +158,7 @@
         world.offer(50, 4.0)
         world.heal()
         world.offer(50, 3.0)
-        assert all(world.most(name) <= borne(10.0) for name in world.endpoints)
+        assert all(world.most(name) <= allowed(10.0) for name in world.endpoints)
 
 
 class TestLimitThatChanges:
@@ -168,7 +168,7 @@
         world.limit("plain-0", 1.9)
         fell = world.clock.now()
         world.offer(80, 7.0)
-        assert most_in_window(world.arrivals["plain-0"], fell + NOTICE_SECONDS) <= borne(1.9)
+        assert most_in_window(world.arrivals["plain-0"], fell + NOTICE_SECONDS) <= allowed(1.9)
         world.limit("plain-0", 20.0)
         world.offer(80, 3.0)
         before = len(world.arrivals["plain-0"])
@@ -242,6 +242,8 @@
     def test_caller_that_leaves_before_its_turn_is_not_sent(self):
         world = LimitedWorld(1, (10.0,))
         world.offer(40, 3.0)
+        # Those that were promised a turn before are sent.
+        world.run(0.2)
         for _ in range(40):
             caller = world.ask("front-0", "/read/x", "GET")
             caller.leave()
--- a/flamingofront/tests/watched_world.py
+++ b/flamingofront/tests/watched_world.py
@@ -16,7 +16,7 @@
 
     at: float
     front: str
-    turned_away: bool
+    rejected: bool
 
 
 class WatchedWorld(ForwardingWorld):
@@ -33,7 +33,7 @@
         self.configure_routes()
         self.arrivals = {}
         # Part of the requests that an endpoint refuses with the wish for a pause.
-        self._turned_away = {}
+        self._rejected = {}
         for number in range(plains):
             self.watched_endpoint(f"plain-{number}", "records", ZONES[number % 3])
         for number in range(2):
@@ -49,17 +49,17 @@
         arrivals = self.arrivals[name] = []
 
         def handle(req, exchange):
-            turned_away = self.rng.random() < self._turned_away.get(name, 0.0)
-            arrivals.append(Arrival(self.clock.now(), exchange.source, turned_away))
-            if turned_away:
-                endpoint.fail(ForwardFault.TURN_AWAY, 1)
+            rejected = self.rng.random() < self._rejected.get(name, 0.0)
+            arrivals.append(Arrival(self.clock.now(), exchange.source, rejected))
+            if rejected:
+                endpoint.fail(ForwardFault.REJECT, 1)
             endpoint.handle(req, exchange)
 
         self.host(name).handler = handle
 
-    def turn_away(self, name, share, seconds="3"):
+    def reject(self, name, share, seconds="3"):
         """Let an endpoint refuse a part of its requests and name a time each time."""
-        self._turned_away[name] = share
+        self._rejected[name] = share
         self.endpoints[name].retry_after = seconds
 
     def offer(self, rate, seconds, path="/read/x"):
--- a/scripts/try_endpoint_answers.py
+++ b/scripts/try_endpoint_answers.py
@@ -1,8 +1,8 @@
 #!/usr/bin/env python3
-"""Real entry processes on loopback before endpoints that say in their answers what they want.
+"""Real entry processes on loopback before endpoints that say in their answers what they accept.
 
 Starts a store, endpoints and entry processes, offers requests, and compares what reached each
-endpoint with what it bears. Exits with 1 if one got more. Run it in the project's environment:
+endpoint with what it allows. Exits with 1 if one got more. Run it in the project's environment:
 
     .venv/bin/python scripts/try_endpoint_answers.py limits    # rates that they take from all
     .venv/bin/python scripts/try_endpoint_answers.py leaving   # one that leaves, its row ready
@@ -63,60 +63,60 @@
         return [each.at for each in self.arrivals if each.at >= self.arrivals[0].at + seconds]
 
 
-class Wish(ABC):
-    """What an endpoint wants, and how much against it is borne."""
+class Behaviour(ABC):
+    """What an endpoint asks of its clients, and how much beyond it is allowed."""
 
     @abstractmethod
-    def words(self) -> list[str]:
+    def flags(self) -> list[str]:
         """Return the flags of the stand-in."""
 
     @abstractmethod
-    def against(self, endpoint: Endpoint) -> tuple[int, int]:
-        """Return the requests against the wish, and the most that are borne."""
+    def violations(self, endpoint: Endpoint) -> tuple[int, int]:
+        """Return the requests that violate it, and the most that are allowed."""
 
 
 @dataclass(frozen=True)
-class RateLimit(Wish):
+class RateLimit(Behaviour):
     """At most a rate from all processes together, in any window."""
 
     rate: float
 
-    def words(self) -> list[str]:
+    def flags(self) -> list[str]:
         """Return the flags of the stand-in."""
         return ["--rate-limit", f"{self.rate:g}"]
 
-    def against(self, endpoint: Endpoint) -> tuple[int, int]:
-        """Return the most requests in a window, and the most that are borne."""
+    def violations(self, endpoint: Endpoint) -> tuple[int, int]:
+        """Return the most requests in a window, and the most that are allowed."""
         late = endpoint.times_from(NOTICE_SECONDS)
         windows = (sum(at <= each < at + WINDOW_SECONDS for each in late) for at in late)
         return max(windows, default=0), int(1.5 * self.rate * WINDOW_SECONDS) + 5
 
 
 @dataclass(frozen=True)
-class Leaving(Wish):
+class Leaving(Behaviour):
     """Nothing any more, though the row says ready."""
 
-    def words(self) -> list[str]:
+    def flags(self) -> list[str]:
         """Return the flags of the stand-in."""
         return ["--leaving"]
 
-    def against(self, endpoint: Endpoint) -> tuple[int, int]:
+    def violations(self, endpoint: Endpoint) -> tuple[int, int]:
         """Return the requests later than two seconds after the first one."""
         return len(endpoint.times_from(2.0)), 0
 
 
 @dataclass(frozen=True)
-class Pause(Wish):
+class Pause(Behaviour):
     """Nothing of a process for a while after a refusal; for one entry process."""
 
     share: float
     seconds: float
 
-    def words(self) -> list[str]:
+    def flags(self) -> list[str]:
         """Return the flags of the stand-in."""
-        return ["--turn-away", f"{self.share:g}", "--retry-after", f"{self.seconds:g}"]
+        return ["--reject", f"{self.share:g}", "--retry-after", f"{self.seconds:g}"]
 
-    def against(self, endpoint: Endpoint) -> tuple[int, int]:
+    def violations(self, endpoint: Endpoint) -> tuple[int, int]:
         """Return the most requests in a pause, from half a second after its begin."""
         begins = [each.at for each in endpoint.arrivals if each.refused]
         pauses = (
@@ -127,20 +127,20 @@
 
 
 @dataclass(frozen=True)
-class Nothing(Wish):
-    """An endpoint without a wish."""
+class Nothing(Behaviour):
+    """An endpoint that asks for nothing."""
 
-    def words(self) -> list[str]:
+    def flags(self) -> list[str]:
         """Return no flags."""
         return []
 
-    def against(self, endpoint: Endpoint) -> tuple[int, int]:
-        """Return that nothing is against it."""
+    def violations(self, endpoint: Endpoint) -> tuple[int, int]:
+        """Return that nothing violates it."""
         return 0, 0
 
 
-# Wishes of the endpoints, and the number of entry processes, by kind.
-KINDS: dict[str, tuple[list[Wish], int]] = {
+# Behavioures of the endpoints, and the number of entry processes, by kind.
+KINDS: dict[str, tuple[list[Behaviour], int]] = {
     "limits": ([RateLimit(1.0), RateLimit(5.0), RateLimit(20.0)], 5),
     "leaving": ([Leaving(), Nothing(), Nothing()], 5),
     "pauses": ([Pause(0.25, 3.0), Pause(1.0, 1.5), Nothing()], 1),
@@ -174,11 +174,11 @@
         self._children.append(child)
         return child
 
-    def endpoint(self, number: int, wish: Wish) -> None:
+    def endpoint(self, number: int, behaviour: Behaviour) -> None:
         """Start an endpoint of the plain service."""
         name = f"plain-{number}"
         words = ["--bind", f"127.0.0.1:{PORT + number}", "--store", self.store, "--gap", "0.02"]
-        words += ["--endpoint-id", name, "--log-arrivals", *wish.words()]
+        words += ["--endpoint-id", name, "--log-arrivals", *behaviour.flags()]
         child = self._start(
             "flamingofront-standin-endpoint", words, stdout=subprocess.PIPE, text=True
         )
@@ -266,7 +266,7 @@
 
 
 def main(kind: str, *, processes: int = 0, load: float = 60.0, seconds: float = 15.0) -> None:
-    """Offer requests through real entry processes to endpoints that say what they want.
+    """Offer requests through real entry processes to endpoints that say what they accept.
 
     :param kind: limits, leaving or pauses
     :param processes: entry processes; 0 for the usual number of the kind
@@ -275,25 +275,24 @@
     """
     if kind not in KINDS:
         raise SystemExit(f"no kind {kind!r}; kinds are {', '.join(KINDS)}")
-    wishes, usual = KINDS[kind]
+    behaviours, usual = KINDS[kind]
     folder = Path(tempfile.mkdtemp())
     with Deployment(folder) as deployment:
-        for number, wish in enumerate(wishes, 1):
-            deployment.endpoint(number, wish)
+        for number, behaviour in enumerate(behaviours, 1):
+            deployment.endpoint(number, behaviour)
         addresses = [deployment.front(number) for number in range(1, (processes or usual) + 1)]
         for address in addresses:
             _wait_for(address.replace(str(PORT + 100), str(PORT + 101)), "/api/ready")
         statuses = _offer(addresses, load, seconds)
     counts = {status: statuses.count(status) for status in sorted(set(statuses))}
     print(json.dumps({"statuses": counts, "logs": str(folder)}))
-    is_borne = True
-    for wish, each in zip(wishes, deployment.endpoints, strict=True):
-        got, borne = wish.against(each)
-        is_borne &= got <= borne
-        print(
-            f"{each.name}: {wish}: {len(each.arrivals)} requests, {got} against it, {borne} borne"
-        )
-    sys.exit(not is_borne)
+    is_kept = True
+    for behaviour, each in zip(behaviours, deployment.endpoints, strict=True):
+        got, allowed = behaviour.violations(each)
+        is_kept &= got <= allowed
+        requests = f"{len(each.arrivals)} requests, {got} violations, {allowed} allowed"
+        print(f"{each.name}: {behaviour}: {requests}")
+    sys.exit(not is_kept)
 
 
 if __name__ == "__main__":
