A process that stops leaves the limits of endpoints to the others

What callers saw: nothing yet; an endpoint that accepts ten requests a second got 81 in four seconds (65 are allowed). Cause: the others ask the next process from the signal on, while the one that stops still took itself for the first and gave the limit out a second time to the callers that it serves on for seconds. Class: two deciders by views that differ. Change: a process that stops does not rank itself. Why it holds: what it still serves asks the same process as all others.

--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -306,7 +306,7 @@
         limits, permits = self.hub.limits, self.hub.permits
         limits.wall = self.peers.true_time
         limits.born_of = self.knowledge.endpoints.born
-        inquirer = Inquirer(self.settings.ip, self._needs.incarnation, self.quota_members.by_hash)
+        inquirer = Inquirer(self.settings.ip, self._needs.incarnation, self._rank_deciders)
         self.limit_arbiters = LimitArbiters(
             limits,
             LimitView(inquirer, self._heard_part, self.member_share),
@@ -320,6 +320,16 @@
         self.peers.on_permit_question = self.limit_arbiters.take_question
         self.peers.on_permit_reply = self.limit_arbiters.take_reply
 
+    def _rank_deciders(self, key: str) -> list[str]:
+        """Return who decides on an endpoint's limit; a process that stops leaves it to the others.
+
+        Notes
+        -----
+        The others do not ask it any more: two deciders would give out the limit twice.
+        """
+        ranked = self.quota_members.by_hash(key)
+        return [ip for ip in ranked if not (self.stopping and ip == self.settings.ip)]
+
     def _heard_part(self) -> float:
         """Return the part of the processes that is heard, if a zone is silent; else 1."""
         return self.peers.heard_share() if self.peers.silent_zones() else 1.0
--- a/flamingofront/tests/test_endpoint_limits.py
+++ b/flamingofront/tests/test_endpoint_limits.py
@@ -150,6 +150,15 @@
         assert all(world.most(name) <= allowed(10.0) for name in world.endpoints)
         assert all(each.done for each in callers)
 
+    def test_process_that_stops_does_not_decide_beside_the_next(self):
+        """It served on for seconds, and gave out the limit a second time to its own callers."""
+        world = LimitedWorld(4, (10.0, 10.0, 10.0))
+        world.offer(60, 3.0)
+        first = world.fronts["front-0"].quota_members.by_hash("plain-0")[0]
+        next(each for each in world.fronts.values() if each.settings.ip == first).stopping = True
+        world.offer(120, 6.0)
+        assert all(world.most(name) <= allowed(10.0) for name in world.endpoints)
+
     def test_zone_that_hears_nobody(self):
         world = LimitedWorld(9, (10.0, 10.0, 10.0))
         world.offer(50, 3.0)
