Mutations of limits, leaving and pauses; tests that notice them

What callers saw: nothing. Cause: three of 14 mutations of the new mechanisms were not noticed by the tests that were named for them. Change: bench/answer_mutations.py; a row that comes back does so after the bound of the test has passed; a success of a request that was sent before a pause; a request whose only attempt was rejected. Why it holds: the bounds are the same, one case is stricter.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -10,6 +10,7 @@
 import tempfile
 from pathlib import Path
 
+from bench.answer_mutations import ANSWER_MUTATIONS
 from bench.known_failure_mutations import KNOWN_FAILURE_MUTATIONS
 from bench.mutation import Mutation
 from bench.platform_mutations import PLATFORM_MUTATIONS
@@ -214,6 +215,7 @@
         *PLATFORM_MUTATIONS,
         *QUARANTINE_MUTATIONS,
         *KNOWN_FAILURE_MUTATIONS,
+        *ANSWER_MUTATIONS,
     )
     chosen = [each for each in known if each.point.startswith(begin)]
     unnoticed = 0
--- a/flamingofront/request/tests/test_endpoint_pauses.py
+++ b/flamingofront/request/tests/test_endpoint_pauses.py
@@ -53,6 +53,12 @@
         self.pauses.start("e", 0.6, "r")
         assert 2.0 <= self.pauses.remaining("e") <= 2.75
 
+    def test_success_of_a_request_sent_before_does_not_end_a_pause(self):
+        self.pauses.start("e", 3.0, "r")
+        self.clock.time += 0.1
+        self.pauses.answered("e", self.clock.now() - 0.2)
+        assert self.pauses.remaining("e") > 2.0
+
     def test_time_that_is_too_long_to_be_meant_is_cut(self):
         self.pauses.start("e", 86400.0, "r")
         assert self.pauses.remaining("e") <= 1.25 * LONGEST_PAUSE_SECONDS
--- a/flamingofront/tests/test_endpoint_pauses.py
+++ b/flamingofront/tests/test_endpoint_pauses.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from flamingofront.tests.forwarding_world import configuration
 from flamingofront.tests.watched_world import WatchedWorld
 
 # Requests that an endpoint bears from a process in a pause that it has asked it for, and the time
@@ -73,6 +74,17 @@
         world.finish(caller)
         assert caller.status == 503 and float(caller.headers["retry-after"]) >= 8.0
 
+    def test_request_without_further_attempts_is_told_of_the_pause_too(self):
+        """It was told one second, the usual time, by the only endpoint that had asked for eight."""
+        world = WatchedWorld(fronts=1, plains=1)
+        routes = [{**each, "max_attempts": 1} for each in configuration()["routes"]]
+        world.configure_routes(version=2, routes=routes)
+        world.run(1.0)
+        world.reject("plain-0", 1.0, "8")
+        caller = world.ask("front-0", "/write/x")
+        world.finish(caller)
+        assert caller.status == 503 and float(caller.headers["retry-after"]) >= 8.0
+
     @pytest.mark.parametrize("text", ["-3", "soon", "Thu, 03 Dec 2026 12:00:00 GMT"])
     def test_time_that_is_none_asks_for_no_pause(self, text):
         world = WatchedWorld(fronts=1, plains=1)
--- a/flamingofront/tests/test_leaving_endpoints.py
+++ b/flamingofront/tests/test_leaving_endpoints.py
@@ -61,7 +61,7 @@
         world.offer(40, 1.0)
         told = world.clock.now()
         world.store.drop(ENDPOINT_TABLE, "plain-0")
-        world.run(1.0)
+        world.run(LEAVE_SECONDS)
         world.register("plain-0", "records", ZONES[0], sequence=9)
         world.offer(40, 4.0)
         assert late_at(world, "plain-0", told) == []
