Who decides for all is one object; what waits for it is data

What callers saw: nothing. Cause: the requests that wait for a decision on a quota or a limit were objects that passed each call on to their arbiter, twice over. Change: Decider is the abstract base of both arbiters; the requests are frozen data classes with a key. Why it holds: the tests of both arbiters, unchanged.

--- a/flamingofront/process/forwarding/inquiries.py
+++ b/flamingofront/process/forwarding/inquiries.py
@@ -15,7 +15,7 @@
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.timers import Timer, TimerService
 
-__all__ = ["Inquiries", "Inquirer", "DecisionRequest", "RepliesSent"]
+__all__ = ["Decider", "DecisionRequest", "Inquirer", "Inquiries", "RepliesSent"]
 
 # Time for a reply: many times the way there and back between two zones, and a small part of the
 # tightest latency objective.
@@ -33,32 +33,33 @@
 
 
 class DecisionRequest(ABC):
-    """Something that one process decides on for all.
+    """Something that one process decides on for all."""
+
+    @property
+    @abstractmethod
+    def key(self) -> str:
+        """Ranks the processes that may decide on it."""
+
+
+RequestT = TypeVar("RequestT", bound=DecisionRequest)
 
-    Attributes
-    ----------
-    key : str
-        Ranks the processes that may decide on it.
-    """
 
-    key: str
+class Decider(ABC, Generic[RequestT]):
+    """Decides on requests of one kind, and words the question to other processes."""
 
     @abstractmethod
-    def question(self, number: int) -> bytes:
+    def question(self, number: int, request: RequestT) -> bytes:
         """Return the datagram that asks for a decision."""
 
     @abstractmethod
-    def decide_here(self) -> bool:
+    def decide_here(self, request: RequestT) -> bool:
         """Decide in this process for all; False if others are to."""
 
     @abstractmethod
-    def decide_alone(self) -> None:
+    def decide_alone(self, request: RequestT) -> None:
         """Decide by this process's part, since nobody who decides for all is reached."""
 
 
-RequestT = TypeVar("RequestT", bound=DecisionRequest)
-
-
 @dataclass(eq=False)
 class _Inquiry(Generic[RequestT]):
     number: int
@@ -103,6 +104,7 @@
     def __init__(
         self,
         name: str,
+        decider: Decider[RequestT],
         inquirer: Inquirer,
         send: Callable[[bytes, str], None],
         timers: TimerService,
@@ -110,6 +112,7 @@
         log: Log,
     ):
         self._name = name
+        self._decider = decider
         self._inquirer = inquirer
         self._send = send
         self._timers = timers
@@ -142,18 +145,18 @@
         if not inquiry.left or len(inquiry.silent) >= MAX_SILENT:
             self._metrics.count(f"{self._name}_decisions_alone_total")
             self._end(inquiry, "")
-            inquiry.request.decide_alone()
+            self._decider.decide_alone(inquiry.request)
             return
         inquiry.asked = inquiry.left.pop(0)
         if inquiry.asked == self._inquirer.own_ip:
             self._end(inquiry, "")
-            if not inquiry.request.decide_here():
+            if not self._decider.decide_here(inquiry.request):
                 self._ask_next(inquiry)
             return
         self._pending[inquiry.number] = inquiry
         inquiry.timer = self._timers.once(REPLY_SECONDS, lambda: self._no_reply(inquiry))
         self._metrics.count(f"{self._name}_questions_total")
-        self._send(inquiry.request.question(inquiry.number), inquiry.asked)
+        self._send(self._decider.question(inquiry.number, inquiry.request), inquiry.asked)
 
     def _no_reply(self, inquiry: _Inquiry[RequestT]) -> None:
         self._metrics.count(f"{self._name}_questions_unanswered_total")
--- a/flamingofront/process/forwarding/limit_arbiter.py
+++ b/flamingofront/process/forwarding/limit_arbiter.py
@@ -6,6 +6,7 @@
 
 from flamingofront.decisions.rate_limits import MIN_WAIT_SECONDS, RateClaim, RateLimiter
 from flamingofront.process.forwarding.inquiries import (
+    Decider,
     DecisionRequest,
     Inquirer,
     Inquiries,
@@ -59,34 +60,20 @@
     member_part: Callable[[], float]
 
 
+@dataclass(frozen=True)
 class _PermitRequest(DecisionRequest):
     """An attempt that waits for a permit."""
 
-    def __init__(
-        self,
-        arbiters: "LimitArbiters",
-        claim: RateClaim,
-        then: Callable[[RateDecision], None],
-    ):
-        self.key = claim.endpoint_id
-        self.claim = claim
-        self.then = then
-        self._arbiters = arbiters
+    claim: RateClaim
+    then: Callable[[RateDecision], None]
 
-    def question(self, number: int) -> bytes:
-        """Return the datagram that asks for the permit."""
-        return self._arbiters.question(number, self.claim)
+    @property
+    def key(self) -> str:
+        """Id of the endpoint: it ranks who decides."""
+        return self.claim.endpoint_id
 
-    def decide_here(self) -> bool:
-        """Decide for all processes."""
-        return self._arbiters.decide_here(self)
 
-    def decide_alone(self) -> None:
-        """Decide by this process's part."""
-        self._arbiters.decide_alone(self)
-
-
-class LimitArbiters(RateGate):
+class LimitArbiters(RateGate, Decider[_PermitRequest]):
     """Has attempts at endpoints with a limit decided on, here or at another process.
 
     Parameters
@@ -113,7 +100,7 @@
         self._for_all = RateLimiter()
         self._alone = RateLimiter()
         self._inquiries: Inquiries[_PermitRequest] = Inquiries(
-            "limit", view.inquirer, send, timers, metrics, log
+            "limit", self, view.inquirer, send, timers, metrics, log
         )
         self._sent: RepliesSent[PermitReply] = RepliesSent()
         self._replied_at: dict[str, float] = {}
@@ -122,17 +109,14 @@
 
     def decide(self, claim: RateClaim, then: Callable[[RateDecision], None]) -> None:
         """Have an attempt decided on; at once if that is done here."""
-        self._inquiries.ask(_PermitRequest(self, claim, then))
+        self._inquiries.ask(_PermitRequest(claim, then))
 
-    def question(self, number: int, claim: RateClaim) -> bytes:
+    def question(self, number: int, request: _PermitRequest) -> bytes:
         """Return the datagram that asks for a permit."""
-        limit = self._known_limit(claim)
-        question = PermitQuestion(number, limit, claim.priority, claim.patience)
-        return encode_permit_question(question)
-
-    def _known_limit(self, claim: RateClaim) -> EndpointLimit:
+        claim = request.claim
         known = self._limits.limit(claim.endpoint_id)
-        return known or EndpointLimit(claim.endpoint_id, 0, claim.rate, 0.0)
+        limit = known or EndpointLimit(claim.endpoint_id, 0, claim.rate, 0.0)
+        return encode_permit_question(PermitQuestion(number, limit, claim.priority, claim.patience))
 
     def decide_here(self, request: _PermitRequest) -> bool:
         """Decide on an attempt for all processes; False if others are to."""
--- a/flamingofront/process/forwarding/quota_arbiter.py
+++ b/flamingofront/process/forwarding/quota_arbiter.py
@@ -12,6 +12,7 @@
 from flamingofront.decisions.quota import SharedQuota
 from flamingofront.decisions.quota_facts import QuotaState
 from flamingofront.process.forwarding.inquiries import (
+    Decider,
     DecisionRequest,
     Inquirer,
     Inquiries,
@@ -73,36 +74,21 @@
     sides: Callable[[str], int]
 
 
+@dataclass(frozen=True)
 class _QuotaRequest(DecisionRequest):
     """A request of a workspace that waits for the decision on its quota."""
 
-    def __init__(
-        self,
-        arbiters: "QuotaArbiters",
-        workspace: ForwardedWorkspace,
-        units: float,
-        then: Callable[[QuotaDecision], None],
-    ):
-        self.key = workspace.name
-        self.workspace = workspace
-        self.units = units
-        self.then = then
-        self._arbiters = arbiters
-
-    def question(self, number: int) -> bytes:
-        """Return the datagram that asks whether the request may pass."""
-        return encode_question(QuotaQuestion(number, self.workspace.name, self.units))
+    workspace: ForwardedWorkspace
+    units: float
+    then: Callable[[QuotaDecision], None]
 
-    def decide_here(self) -> bool:
-        """Decide for all processes."""
-        return self._arbiters.decide_here(self)
+    @property
+    def key(self) -> str:
+        """Name of the workspace: it ranks who decides."""
+        return self.workspace.name
 
-    def decide_alone(self) -> None:
-        """Decide by this process's part."""
-        self._arbiters.decide_alone(self)
 
-
-class QuotaArbiters(QuotaGate):
+class QuotaArbiters(QuotaGate, Decider[_QuotaRequest]):
     """Has requests of workspaces with a quota decided on, here or at another process.
 
     Parameters
@@ -128,7 +114,7 @@
         self._log = log
         inquirer = Inquirer(view.own_ip, view.incarnation, view.ranked)
         self._inquiries: Inquiries[_QuotaRequest] = Inquiries(
-            "quota", inquirer, send, timers, metrics, log
+            "quota", self, inquirer, send, timers, metrics, log
         )
         self._sent: RepliesSent[QuotaReply] = RepliesSent()
         self._first_since: dict[str, float] = {}
@@ -172,7 +158,11 @@
         if workspace.rate <= 0:
             then(QuotaDecision(0.0))
             return
-        self._inquiries.ask(_QuotaRequest(self, workspace, units, then))
+        self._inquiries.ask(_QuotaRequest(workspace, units, then))
+
+    def question(self, number: int, request: _QuotaRequest) -> bytes:
+        """Return the datagram that asks whether a request may pass."""
+        return encode_question(QuotaQuestion(number, request.workspace.name, request.units))
 
     def decide_here(self, request: _QuotaRequest) -> bool:
         """Decide on a request for all processes; False if others are to."""
