--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -27,14 +27,12 @@
 from flamingofront.request.fingerprint import fingerprint_of
 from flamingofront.request.guard import refusal_of
 from flamingofront.request.host import RequestHost
-from flamingofront.request.permits import Permit
+from flamingofront.request.permit_claims import PermitClaims
 from flamingofront.request.records import RequestRecord
 from flamingofront.request.stored_answer import StoredAnswer
 
 __all__ = ["NOT_CONNECTED", "ActiveRequest"]
 
-# Endpoints with a limit that one attempt asks for a permit: each costs a way there and back.
-MAX_CLAIMS = 4
 # Reasons for which a call failed that never had a connection.
 NOT_CONNECTED = frozenset({"connect", "refused"})
 # A kept connection that is reset so soon after it was used again had been closed before: the way
@@ -92,9 +90,7 @@
         self._grace_timer: Timer | None = None
         self._held_back = False
         self._is_due = False
-        # Permits asked for on behalf of one attempt.
-        self._claims_of: str | None = None
-        self._claims = 0
+        self._permit_claims = PermitClaims(self)
         # True for the one attempt that may show that a request which is held back is harmless.
         self.is_trial = False
 
@@ -251,14 +247,14 @@
                 self.fingerprint, lambda granted: self._trial_claimed(order, granted)
             )
         else:
-            self._place(order)
+            self.place(order)
 
     def _trial_claimed(self, order: StartAttempt, granted: bool) -> None:
         if self.done or self.machine.attempt_id != order.attempt_id:
             return
         if granted:
             self.is_trial = True
-            self._place(order)
+            self.place(order)
         else:
             self.held_back()
 
@@ -269,11 +265,9 @@
             exc = refusal_of(hold, self.hub.guard.wall())
             self.carry(self.machine.give_up(exc.kind, exc.detail))
 
-    def _place(self, order: StartAttempt) -> None:
+    def place(self, order: StartAttempt) -> None:
         """Choose an endpoint for an attempt and send it there."""
-        if self._claims_of != order.attempt_id:
-            self._claims_of, self._claims = order.attempt_id, 0
-        chosen = self.hub.choose(self, order.exclude, self._claims >= MAX_CLAIMS)
+        chosen = self.hub.choose(self, order.exclude, self._permit_claims.exhausted(order))
         if chosen is None:
             self._no_endpoint(order)
             return
@@ -282,7 +276,7 @@
             self.hub.metrics.count("retries_total", reason="postponed")
             self.carry(self.machine.postponed(order.attempt_id, self.hub.now(), delay))
         elif self.hub.permits.needed(chosen.endpoint_id):
-            self._claim_permit(order, chosen)
+            self._permit_claims.ask(order, chosen)
         else:
             self.launch(order, chosen)
 
@@ -292,48 +286,6 @@
         self.hub.metrics.count("retries_total", reason="no_endpoint")
         self.carry(self.machine.no_endpoint(order.attempt_id, self.hub.now(), delay))
 
-    def _claim_permit(self, order: StartAttempt, chosen: Candidate) -> None:
-        """Ask whether an endpoint with a limit takes one more request."""
-        self._claims += 1
-        self.hub.permits.claim(
-            chosen.endpoint_id,
-            self.ticket.share.priority,
-            max(0.0, self.machine.facts.choose_until - self.hub.now()),
-            lambda permit: self._permit_decided(order, chosen, permit),
-        )
-
-    def _permit_decided(self, order: StartAttempt, chosen: Candidate, permit: Permit) -> None:
-        if self.done or self.machine.attempt_id != order.attempt_id:
-            if permit.given:
-                self.hub.permits.unused(permit)
-        elif permit.given and permit.decision.delay > 0:
-            self.hub.timers.once(
-                permit.decision.delay, lambda: self._use_permit(order, chosen, permit)
-            )
-        elif permit.given:
-            self._use_permit(order, chosen, permit)
-        else:
-            self.log.info(
-                "permit refused",
-                attempt=order.attempt_id,
-                endpoint=chosen.endpoint_id,
-                rate_limit=permit.rate,
-                priority=self.ticket.share.priority,
-                arbiter=permit.decision.arbiter,
-                wait=round(permit.decision.wait, 3),
-            )
-            self._place(order)
-
-    def _use_permit(self, order: StartAttempt, chosen: Candidate, permit: Permit) -> None:
-        """Send an attempt whose turn has come, if the endpoint still takes it."""
-        if self.done or self.machine.attempt_id != order.attempt_id:
-            self.hub.permits.unused(permit)
-        elif self.hub.accepts_work(chosen.endpoint_id):
-            self.launch(order, chosen)
-        else:
-            self.hub.permits.unused(permit)
-            self._place(order)
-
     def _postponement(self, chosen: Candidate) -> float:
         """Return the seconds for which an attempt stands back for more urgent work; 0 for none."""
         return 0.0
--- a/flamingofront/request/model_request.py
+++ b/flamingofront/request/model_request.py
@@ -52,11 +52,12 @@
         self._kv = kv_handle
         self._cache_at = chosen
 
-    def _place(self, order: StartAttempt) -> None:
+    def place(self, order: StartAttempt) -> None:
+        """Send an attempt to the endpoint that has the cache, else to a chosen one."""
         chosen, self._cache_at = self._cache_at, None
         if chosen is None or self.hub.directory.leaving(chosen.endpoint_id):
             self._kv = ""
-            super()._place(order)
+            super().place(order)
         else:
             self.launch(order, chosen)
 
