Late answers of endpoints that are gone name no limit

What callers saw: nothing. Cause: an answer that came after its endpoint's row had gone entered the limit again, and nothing took it out before the process ended. Evidence: the new test failed: the endpoint counted among the limited ones. Change: an endpoint without a row names none. Before and after: one limited endpoint, none. Why it holds: what is not known is not chosen either.

--- a/flamingofront/request/endpoint_limits.py
+++ b/flamingofront/request/endpoint_limits.py
@@ -91,9 +91,9 @@
         request : str
             Id of the request, for the log.
         """
-        if rate is None and not self._may_end(endpoint_id, sent_at):
+        born = self.born_of(endpoint_id)
+        if born is None or (rate is None and not self._may_end(endpoint_id, sent_at)):
             return
-        born = self.born_of(endpoint_id) or 0
         self._take(EndpointLimit(endpoint_id, born, rate, self.wall()), request)
 
     def _may_end(self, endpoint_id: str, sent_at: float) -> bool:
--- a/flamingofront/request/tests/test_endpoint_limits.py
+++ b/flamingofront/request/tests/test_endpoint_limits.py
@@ -78,6 +78,13 @@
         observer.limits.forget("e")
         assert observer.limits.limited() == {}
 
+    def test_late_answer_of_an_endpoint_that_is_gone_names_none(self):
+        """It was kept until the process ended, and counted among the limited ones."""
+        observer = Observer()
+        observer.limits.born_of = lambda endpoint_id: None
+        observer.answer(2.0)
+        assert observer.limits.limited() == {}
+
     def test_rate_that_falls_and_rises_is_followed(self):
         observer = Observer()
         for rate in (2.0, 0.5, 0.5, 20.0):
