Urgent callers are told when an endpoint takes urgent work

What callers saw: concluded from the code: a refused urgent request was told the time at which less urgent ones may come back. Cause: the seconds for which an endpoint is closed were taken without the rank that had been refused. Evidence: the new test; there was no way to ask by rank. Change: the time until an endpoint opens is that for the request's own rank. Before and after: the refusal of rank 3 put off rank 0 by its wait; 0 s. Why it holds: the choice of endpoints goes by the same rule.

--- a/bench/answer_mutations.py
+++ b/bench/answer_mutations.py
@@ -106,7 +106,7 @@
     Mutation(
         "Pause: no refusal tells a time before an endpoint opens",
         "request/active.py",
-        "        if self.hub.time_until_open(self.record.service.name) <= 0:\n",
+        "        if self.hub.time_until_open(service, priority) <= 0:\n",
         "        if True:\n",
         PAUSES,
     ),
--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -282,7 +282,7 @@
 
     def _no_endpoint(self, order: StartAttempt) -> None:
         """Wait for an endpoint, or refuse the request if that takes too long."""
-        delay = self.hub.choice_delay(self.record)
+        delay = self.hub.choice_delay(self.record.service.name, self.ticket.share.priority)
         self.hub.metrics.count("retries_total", reason="no_endpoint")
         self.carry(self.machine.no_endpoint(order.attempt_id, self.hub.now(), delay))
 
@@ -374,9 +374,10 @@
 
     def _retry_after(self, order: Fail) -> float | None:
         """Return when to come back: not before an endpoint takes the request, if none does now."""
-        if self.hub.time_until_open(self.record.service.name) <= 0:
+        service, priority = self.record.service.name, self.ticket.share.priority
+        if self.hub.time_until_open(service, priority) <= 0:
             return order.retry_after
-        return max(order.retry_after or 0.0, self.hub.choice_delay(self.record))
+        return max(order.retry_after or 0.0, self.hub.choice_delay(service, priority))
 
     def _settle(self, answer: StoredAnswer | None, exc: RequestError | None) -> None:
         """Give the final answer to all readers, once."""
--- a/flamingofront/request/host.py
+++ b/flamingofront/request/host.py
@@ -4,6 +4,7 @@
 all of them.
 """
 
+import math
 import random
 from abc import ABC, abstractmethod
 from collections.abc import Callable
@@ -132,11 +133,17 @@
         """Tell whether an endpoint that was chosen a moment ago still takes new work."""
 
     @abstractmethod
-    def time_until_open(self, service: str) -> float:
-        """Return the seconds until the first endpoint of a service takes a request again."""
+    def time_until_open(self, service: str, priority: float = math.inf) -> float:
+        """Return the seconds until an endpoint of a service takes a request of a rank again.
+
+        Parameters
+        ----------
+        priority : float
+            Rank of the request; the least urgent one if it is not given.
+        """
 
     @abstractmethod
-    def choice_delay(self, record: RequestRecord) -> float:
+    def choice_delay(self, service: str, priority: float) -> float:
         """Return the seconds after which an endpoint may be found where there is none now."""
 
     @abstractmethod
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -246,17 +246,17 @@
         """Tell whether an endpoint that was chosen a moment ago still takes new work."""
         return not self.directory.leaving(endpoint_id) and not self.pauses.remaining(endpoint_id)
 
-    def time_until_open(self, service: str) -> float:
+    def time_until_open(self, service: str, priority: float = math.inf) -> float:
         """Return the seconds until the first endpoint of a service takes a request again."""
         waits = (
-            max(self.pauses.remaining(name), self.permits.wait((name,)))
+            max(self.pauses.remaining(name), self.permits.wait((name,), priority))
             for name in self.directory.zones_of(service)
         )
         return min(waits, default=0.0)
 
-    def choice_delay(self, record: RequestRecord) -> float:
+    def choice_delay(self, service: str, priority: float) -> float:
         """Return the seconds after which an endpoint may be found where there is none now."""
-        closed_for = self.time_until_open(record.service.name)
+        closed_for = self.time_until_open(service, priority)
         if closed_for > 0:
             return closed_for * (1 + COMEBACK_JITTER * self.rng.random())
         return SECONDS_BETWEEN_CHOICES * (1 + self.rng.random())
--- a/flamingofront/request/permits.py
+++ b/flamingofront/request/permits.py
@@ -1,5 +1,6 @@
 """Permits of this process to send to endpoints that name a limit, and when to ask for the next."""
 
+import math
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -74,11 +75,21 @@
             del self._closed[name]
         return frozenset(name for name, (_, refused) in self._closed.items() if priority >= refused)
 
-    def wait(self, endpoint_ids: Iterable[str]) -> float:
-        """Return the seconds until the first of some endpoints may take a request; 0 if one may."""
+    def wait(self, endpoint_ids: Iterable[str], priority: float = math.inf) -> float:
+        """Return the seconds until the first of some endpoints may take a request; 0 if one may.
+
+        Parameters
+        ----------
+        priority : float
+            Rank of the request; the least urgent one if it is not given.
+        """
         now = self._timers.now()
-        ends = (self._closed.get(each, (now, 0))[0] for each in endpoint_ids)
-        return max(0.0, min(ends, default=now) - now)
+        waits = (self._wait_for(each, priority, now) for each in endpoint_ids)
+        return max(0.0, min(waits, default=0.0))
+
+    def _wait_for(self, endpoint_id: str, priority: float, now: float) -> float:
+        until, refused = self._closed.get(endpoint_id, (now, 0))
+        return until - now if priority >= refused else 0.0
 
     def claim(
         self, endpoint_id: str, priority: int, patience: float, then: Callable[[Permit], None]
--- a/flamingofront/request/tests/test_endpoint_limits.py
+++ b/flamingofront/request/tests/test_endpoint_limits.py
@@ -1,5 +1,7 @@
 """What a process knows of the rates that endpoints name in their answers."""
 
+import random
+
 import orjson
 import pytest
 
@@ -9,6 +11,7 @@
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.timers import ManualClock, TimerService
 from flamingofront.request.endpoint_limits import EndpointLimits
+from flamingofront.request.permits import Permits
 from flamingofront.standins.forward_endpoint import ForwardFault
 from flamingofront.tests.forwarding_world import ready_world
 from flamingofront.tests.network import Caller
@@ -93,6 +96,18 @@
         assert (observer.changes("named"), observer.changes("changed")) == (1, 2)
 
 
+class TestPermits:
+    def test_refusal_of_less_urgent_work_does_not_put_off_urgent_callers(self):
+        """They were told the time at which the less urgent ones may come back."""
+        observer = Observer()
+        observer.answer(0.5)
+        timers = TimerService(observer.clock)
+        permits = Permits(observer.limits, timers, observer.metrics, random.Random(1))
+        permits.claim("e", 3, 0.0, lambda permit: None)
+        assert permits.wait(("e",), 3) > 0
+        assert permits.wait(("e",), 0) == 0.0
+
+
 class TestAnswersOfEveryKind:
     @pytest.mark.parametrize("fault", [ForwardFault.NONE, ForwardFault.ERROR, ForwardFault.REFUSE])
     @pytest.mark.parametrize("path", ["/read/x", "/write/x"])
