Who may decide on limits, and mutations of restarts, in modules of their own

What callers saw: nothing. Cause: node.py of the forwarding processes and platform_mutations.py had grown. Change: limit_members.py, restart_mutations.py. Why it holds: the texts that mutations replace were looked up in the files they name, before and after.

--- a/bench/answer_mutations.py
+++ b/bench/answer_mutations.py
@@ -49,8 +49,8 @@
     ),
     Mutation(
         "Limit: a process that stops does not decide",
-        "process/forwarding/node.py",
-        "if not (self.stopping and ip == self.settings.ip)]",
+        "process/forwarding/limit_members.py",
+        "if not (self._is_stopping() and ip == self._own_ip)]",
         "if ip]",
         LIMITS,
     ),
--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -15,6 +15,7 @@
 from bench.mutation import Mutation
 from bench.platform_mutations import PLATFORM_MUTATIONS
 from bench.quarantine_mutations import QUARANTINE_MUTATIONS
+from bench.restart_mutations import RESTART_MUTATIONS
 
 ROOT = Path(__file__).resolve().parent.parent
 TIME_LIMIT_SECONDS = 90
@@ -213,6 +214,7 @@
     known = (
         *MUTATIONS,
         *PLATFORM_MUTATIONS,
+        *RESTART_MUTATIONS,
         *QUARANTINE_MUTATIONS,
         *KNOWN_FAILURE_MUTATIONS,
         *ANSWER_MUTATIONS,
--- /dev/null
+++ b/bench/restart_mutations.py
@@ -0,0 +1,139 @@
+"""Mutations of restarts of endpoints, late word and roll-outs; see `bench.mutations`."""
+
+from bench.mutation import Mutation
+
+__all__ = ["RESTART_MUTATIONS"]
+
+ENDPOINTS = "process/forwarding/tests/test_endpoints.py"
+ROLLOUTS = "process/forwarding/tests/test_rollouts.py"
+QUOTA = "decisions/tests/test_quota.py"
+REPORTS = "process/forwarding/tests/test_reports.py"
+
+RESTART_MUTATIONS = (
+    Mutation(
+        "R a later start is another endpoint",
+        "process/forwarding/endpoint_row.py",
+        "return self.born, self.sequence",
+        "return 0, self.sequence",
+        ENDPOINTS,
+    ),
+    Mutation(
+        "R what ran at an earlier start is given up",
+        "request/hub.py",
+        "                request.endpoint_restarted(at)",
+        "                pass",
+        ENDPOINTS,
+    ),
+    Mutation(
+        "R an unreadable row names no endpoint",
+        "process/forwarding/endpoints.py",
+        "            self._unreadable.add(endpoint_id)\n        self._drop(endpoint_id)",
+        "            self._unreadable.add(endpoint_id)",
+        ENDPOINTS,
+    ),
+    Mutation(
+        "R a row that vanishes after the return has less grace",
+        "process/forwarding/endpoints.py",
+        "if not self._away and not self._first_answer:",
+        "if False:",
+        ENDPOINTS,
+    ),
+    Mutation(
+        "R rows are checked",
+        "process/forwarding/endpoint_row.py",
+        "            _check_count(name, getattr(self, name))",
+        "            pass",
+        "platform/tests/test_adapter.py",
+    ),
+    Mutation(
+        "R processes with late word let through a part",
+        "decisions/quota.py",
+        "return room < unheard and self._rng.random() * unheard > room",
+        "return False",
+        QUOTA,
+    ),
+    Mutation(
+        "R a process that knows nobody is not the only one",
+        "process/forwarding/peers.py",
+        "            return ASSUMED_MEMBERS",
+        "            return 1",
+        QUOTA,
+    ),
+    Mutation(
+        "R digests that cannot be counted are left out",
+        "process/forwarding/relaying.py",
+        "if of_all and digest.acknowledged not in self._told:",
+        "if of_all and digest.acknowledged not in self._told and not digest.spent:",
+        REPORTS + "::TestRestartOfAll",
+    ),
+    Mutation(
+        "R a usage window waits for missing counts",
+        "process/forwarding/usage.py",
+        "            last -= 1\n",
+        "            pass\n",
+        REPORTS + "::TestManyMembers::test_window_waits_for_counts_that_are_known_to_be_missing",
+    ),
+    Mutation(
+        "R relaxed timers wait for company",
+        "process/timers.py",
+        "latest = relaxed + SLACK_SECONDS",
+        "latest = relaxed",
+        "process/tests/test_timers.py",
+    ),
+    Mutation(
+        "R a process stops a bad version by its own evidence",
+        "process/forwarding/rollouts.py",
+        "            known.stopped = True",
+        "            known.stopped = False",
+        ROLLOUTS,
+    ),
+    Mutation(
+        "R further attempts go to the old version",
+        "process/forwarding/rollouts.py",
+        "known.phase is Phase.RUNNING and is_first and not known.stopped",
+        "known.phase is Phase.RUNNING and not known.stopped",
+        ROLLOUTS,
+    ),
+    Mutation(
+        "R a verdict is final",
+        "process/forwarding/rollouts.py",
+        "or phase <= known.phase:",
+        "or phase is known.phase:",
+        ROLLOUTS,
+    ),
+    Mutation(
+        "R a version whose order was replaced is withheld",
+        "process/forwarding/rollouts.py",
+        "    return (known.withheld | {known.order.version}) - {order.version}",
+        "    return frozenset()",
+        ROLLOUTS,
+    ),
+    Mutation(
+        "R a process that starts looks up how far a roll-out is",
+        "process/forwarding/node.py",
+        "self.rollouts.on_order = lambda: self.tasks.start(rollout_duty.look_up())",
+        "pass",
+        ROLLOUTS,
+    ),
+    Mutation(
+        "R the old version ends before a roll-out is complete",
+        "decisions/rollout.py",
+        "evidence.clear >= CLEAR_SECONDS else phase",
+        "True else phase",
+        ROLLOUTS,
+    ),
+    Mutation(
+        "R slow answers count as bad",
+        "request/forwarded_request.py",
+        "self._tell_outcome(is_slow or answer.status >= FIRST_ERROR_STATUS)",
+        "self._tell_outcome(answer.status >= FIRST_ERROR_STATUS)",
+        ROLLOUTS,
+    ),
+    Mutation(
+        "R a successor keeps the time of the order",
+        "process/forwarding/rollouts.py",
+        "known.seen_at = min(known.seen_at, self._now() - ago)",
+        "pass",
+        ROLLOUTS,
+    ),
+)
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -24,6 +24,7 @@
 from flamingofront.process.forwarding.inquiries import Inquirer
 from flamingofront.process.forwarding.knowledge import Knowledge, SharedTables
 from flamingofront.process.forwarding.limit_arbiter import LimitArbiters, LimitView
+from flamingofront.process.forwarding.limit_members import LimitMembers
 from flamingofront.process.forwarding.observations import Observations
 from flamingofront.process.forwarding.own_report import OwnReport, ReportedParts
 from flamingofront.process.forwarding.peer_word import PeerWord, WordParts
@@ -306,34 +307,22 @@
         limits, permits = self.hub.limits, self.hub.permits
         limits.wall = self.peers.true_time
         limits.born_of = self.knowledge.endpoints.born
-        inquirer = Inquirer(self.settings.ip, self._needs.incarnation, self._rank_deciders)
+        own_ip = self.settings.ip
+        members = LimitMembers(own_ip, self.quota_members, self.peers, lambda: self.stopping)
+        inquirer = Inquirer(own_ip, self._needs.incarnation, members.ranked)
         self.limit_arbiters = LimitArbiters(
             limits,
-            LimitView(inquirer, self._heard_part, self.member_share),
+            LimitView(inquirer, members.heard_part, self.member_share),
             self.peers.send,
             self.timers,
             self.metrics,
             self.log,
         )
         permits.gate = self.limit_arbiters
-        permits.own_name = self.settings.ip
+        permits.own_name = own_ip
         self.peers.on_permit_question = self.limit_arbiters.take_question
         self.peers.on_permit_reply = self.limit_arbiters.take_reply
 
-    def _rank_deciders(self, key: str) -> list[str]:
-        """Return who decides on an endpoint's limit; a process that stops leaves it to the others.
-
-        Notes
-        -----
-        The others do not ask it any more: two deciders would give out the limit twice.
-        """
-        ranked = self.quota_members.by_hash(key)
-        return [ip for ip in ranked if not (self.stopping and ip == self.settings.ip)]
-
-    def _heard_part(self) -> float:
-        """Return the part of the processes that is heard, if a zone is silent; else 1."""
-        return self.peers.heard_share() if self.peers.silent_zones() else 1.0
-
     def _knows_less_of_quotas(self) -> bool:
         """Tell whether others are to decide on quotas: they know more, or stay longer."""
         return self.stopping or self.quota_members.is_new_among_older()
