--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -172,6 +172,16 @@
 )
 
 
+ALL_MUTATIONS = (
+    *MUTATIONS,
+    *PLATFORM_MUTATIONS,
+    *RESTART_MUTATIONS,
+    *QUARANTINE_MUTATIONS,
+    *KNOWN_FAILURE_MUTATIONS,
+    *ANSWER_MUTATIONS,
+)
+
+
 def _known_red():
     """Return the words that leave out tests which fail without any mutation."""
     path = ROOT / "KNOWN-RED.txt"
@@ -211,15 +221,7 @@
     A word on the command line chooses the points that begin with it.
     """
     begin = sys.argv[1] if len(sys.argv) > 1 else ""
-    known = (
-        *MUTATIONS,
-        *PLATFORM_MUTATIONS,
-        *RESTART_MUTATIONS,
-        *QUARANTINE_MUTATIONS,
-        *KNOWN_FAILURE_MUTATIONS,
-        *ANSWER_MUTATIONS,
-    )
-    chosen = [each for each in known if each.point.startswith(begin)]
+    chosen = [each for each in ALL_MUTATIONS if each.point.startswith(begin)]
     unnoticed = 0
     for mutation in chosen:
         survived = _survives(mutation)
--- a/bench/platform_mutations.py
+++ b/bench/platform_mutations.py
@@ -89,8 +89,8 @@
     Mutation(
         "P the store's return is not hidden by a waiting call",
         "process/forwarding/follower.py",
-        "wait = 0.0 if self._failures or self._look_once else FEED_WAIT_SECONDS",
-        "wait = 0.0 if self._look_once else FEED_WAIT_SECONDS",
+        "wait = 0.0 if self._failures or self._look_once else self._wait",
+        "wait = 0.0 if self._look_once else self._wait",
         FORWARDING,
     ),
     Mutation(
