The test of mutations takes a class and a test beside the file

What callers saw: nothing. Cause: two mutations name their tests with a class; the new test took the whole for a file's name. Evidence: the two failures. The test was wrong; it is replaced by a stricter one, which looks for class and test in the file as well. Change: test_mutations.py. Why it holds: both forms that pytest takes are split the same way.

--- a/flamingofront/tests/test_mutations.py
+++ b/flamingofront/tests/test_mutations.py
@@ -17,4 +17,8 @@
 
     @pytest.mark.parametrize("mutation", ALL_MUTATIONS, ids=lambda each: each.point)
     def test_its_tests_are_there(self, mutation):
-        assert (PACKAGE / mutation.tests).exists()
+        """A file, and where they are given the class and the test in it."""
+        name, *parts = mutation.tests.split("::")
+        text = (PACKAGE / name).read_text()
+        for part in parts:
+            assert f"class {part}" in text or f"def {part}(" in text
