A request waits for the outcome of its earlier sends in full; what records sends is three modules

What callers saw: nothing yet; a request that crashes endpoints could be sent a fourth time 40 ms after three unanswered sends, where it is to wait 0.2 s for what they did. Cause: where no write was under way, the wait began while the record was queued, and the timer for the store's answer was set after it. Evidence: read in the diff; `show held` told no waiting request 0.12 s after the fourth send (the test asked after 0.02 s before). Change: the timer for the store is not set for a request that waits. Before and after: the test at 0.12 s fails on the line as it was, and passes. No other behaviour is changed. Why it holds: each request has one timer at a time, which is set where its state is decided.

--- a/bench/quarantine_mutations.py
+++ b/bench/quarantine_mutations.py
@@ -128,7 +128,7 @@
     ),
     Mutation(
         "Q what was recorded before is evidence",
-        "process/intents.py",
+        "process/former_sends.py",
         "        self._guard.take_evidence(ends)\n",
         "        pass\n",
         SERIES,
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -15,6 +15,7 @@
 from flamingofront.decisions.shared_retry import SharedRetryBudget
 from flamingofront.messages import InboundRequest
 from flamingofront.process.counted_store import CountedTableStore
+from flamingofront.process.former_sends import Sender
 from flamingofront.process.forwarding.control import ControlCalls
 from flamingofront.process.forwarding.duty import DutyLease
 from flamingofront.process.forwarding.endpoint_row import EndpointRow
@@ -41,7 +42,7 @@
 from flamingofront.process.forwarding.vanished import VanishedEndpoints
 from flamingofront.process.forwarding.whole_load import WholeLoad
 from flamingofront.process.intent_rows import IntentRows
-from flamingofront.process.intents import IntentRecorder, Sender
+from flamingofront.process.intents import IntentRecorder
 from flamingofront.process.logs import Log
 from flamingofront.process.membership import FactTable
 from flamingofront.process.metrics import Metrics
--- a/flamingofront/process/intents.py
+++ b/flamingofront/process/intents.py
@@ -9,12 +9,10 @@
 answer: it is sent then, and recorded as soon as the store takes it.
 """
 
-from collections import OrderedDict
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import dataclass
 
-from flamingofront.connection.interfaces import Reach
-from flamingofront.decisions.quarantine_facts import EndpointEnd, RecordedSends, is_over
+from flamingofront.decisions.quarantine_facts import is_over
 from flamingofront.decisions.send_intents import (
     UNANSWERED_WAIT_SECONDS,
     IntentPolicy,
@@ -24,7 +22,9 @@
 from flamingofront.errors import PlatformError
 from flamingofront.messages import Sleep
 from flamingofront.process.backoff import Backoff
+from flamingofront.process.former_sends import FormerSends, Sender
 from flamingofront.process.intent_rows import IntentRows, KeptIntents
+from flamingofront.process.intent_state import KnownRecords, Pace
 from flamingofront.process.services import Services
 from flamingofront.process.tasks import Task
 from flamingofront.process.timers import Timer
@@ -42,13 +42,9 @@
 # is 400.
 MAX_WRITES_PER_SECOND = 25.0
 ALL_WRITES_PER_SECOND = 150.0
-WRITES_AT_ONCE = 8.0
-# Part of a transaction that is none: what the sum of small times may lack.
-ROUNDING = 1e-6
-# Rows of one transaction: what the platform takes.
+# Rows of one transaction: half of what the platform takes, as each has a condition, too.
 MAX_ROWS = 50
-# Records that this process remembers, and requests that wait for one: more are not recorded.
-MAX_RECORDS = 1024
+# Requests that wait for a record: more are not recorded.
 MAX_PENDING = 256
 # Pause between removals of records that are no longer needed.
 REMOVE_SECONDS = 1.0
@@ -57,31 +53,9 @@
 KEPT_SECONDS = 5.0
 # Pause between two looks at what is too old.
 FORGET_SECONDS = 60.0
-# Time after a start at which the endpoints that ended with the life before are looked for, and how
-# many of them one process tries: what it finds, it tells the others.
-LOOK_SECONDS = 0.2
-PROBE_SECONDS = 0.25
-MAX_PROBES = 8
-# Ends that are found together are told to the guard together.
-TOGETHER_SECONDS = 0.02
 _BACKOFF = Backoff(0.1, 1.0)
 
 
-@dataclass(frozen=True)
-class Sender:
-    """The process that records, and whether it has started before.
-
-    Parameters
-    ----------
-    incarnation : int
-        Start of the process in milliseconds.
-    """
-
-    vm_id: str
-    incarnation: int
-    first_start: bool = False
-
-
 @dataclass(eq=False)
 class _Claim(IntentHandle):
     """One send that is recorded, or is to be."""
@@ -114,57 +88,6 @@
         self.recorder.send_ended(self)
 
 
-@dataclass
-class _Bucket:
-    """Pace of transactions."""
-
-    rate: Callable[[], float]
-    tokens: float = WRITES_AT_ONCE
-    at: float = 0.0
-
-    def wait(self, now: float) -> float:
-        """Return the seconds until the next transaction may be made; 0 if it may now."""
-        self.tokens = min(WRITES_AT_ONCE, self.tokens + (now - self.at) * self.rate())
-        self.at = now
-        missing = 1.0 - self.tokens
-        return 0.0 if missing <= ROUNDING else missing / self.rate()
-
-    def take(self) -> None:
-        """Count a transaction."""
-        self.tokens -= 1.0
-
-
-@dataclass
-class _Known:
-    """Records as this process knows them, and what is to change in the store."""
-
-    kept: OrderedDict[str, KeptIntents] = field(default_factory=OrderedDict)
-    # Requests whose records are removed, and those of which some sends are.
-    answered: dict[str, None] = field(default_factory=dict)
-    changed: dict[str, None] = field(default_factory=dict)
-
-    def record(self, fingerprint: str) -> IntentRecord:
-        """Return the record of a request, which may be empty."""
-        kept = self.kept.get(fingerprint)
-        return kept.record if kept is not None else IntentRecord(fingerprint)
-
-    def version(self, fingerprint: str) -> int:
-        """Return the version of a record's row; 0 if there is none."""
-        kept = self.kept.get(fingerprint)
-        return kept.version if kept is not None else 0
-
-    def take(self, kept: KeptIntents) -> None:
-        """Take a record as the store has it."""
-        fingerprint = kept.record.fingerprint
-        if not kept.version or not kept.record.sends:
-            self.kept.pop(fingerprint, None)
-            return
-        self.kept[fingerprint] = kept
-        self.kept.move_to_end(fingerprint)
-        while len(self.kept) > MAX_RECORDS:
-            self.kept.popitem(last=False)
-
-
 class IntentRecorder(IntentGate):
     """Records what one process sends, and reads what those before it had recorded.
 
@@ -188,7 +111,6 @@
         vanished: Callable[[], Task] | None = None,
     ):
         self._guard = hub.guard
-        self._vanished = vanished
         self._rows = rows
         self._tasks = services.tasks
         self._timers = services.timers
@@ -197,22 +119,22 @@
         self._log = services.log
         self._sender = sender
         self._directory = hub.directory
-        self._transport = hub.transport
         now = services.timers.now()
         self._policy = IntentPolicy() if sender.first_start else IntentPolicy(now)
-        self._bucket = _Bucket(
+        self._pace = Pace(
             lambda: min(MAX_WRITES_PER_SECOND, ALL_WRITES_PER_SECOND * member_share()), at=now
         )
-        self._known = _Known()
+        self._known = KnownRecords()
+        self._former = FormerSends(hub, rows, services, sender, self._known, vanished)
+        self._former.on_read = lambda: self._timers.once(
+            KEPT_SECONDS, self._drop_former, relaxed=True
+        )
         self._pending: list[_Claim] = []
         self._waiting: list[_Claim] = []
         # Sends of this process that no answer has cleared.
         self._own: dict[SendIntent, _Claim] = {}
-        self._seen_alive: dict[str, float] = {}
-        self._ended: set[str] = set()
         self._writing = False
         self._removing = False
-        self._resolving = False
         self._store_answers = True
         hub.guard.intents = self
 
@@ -221,10 +143,7 @@
         self._timers.every(FORGET_SECONDS, self._forget_old, first=FORGET_SECONDS, relaxed=True)
         if self._sender.first_start:
             return
-        self._tasks.start(self._read_former())
-        if self._vanished is not None:
-            self._tasks.start(self._read_vanished())
-        self._timers.once(LOOK_SECONDS, self._look)
+        self._former.start()
 
     def count(self, outcome: Recorded) -> None:
         """Count a request that may be sent."""
@@ -254,6 +173,8 @@
         claim = _Claim(self, facts.fingerprint, intent, then, self._timers.now())
         self._own[intent] = claim
         self._queue(claim)
+        if claim.waited:
+            return claim
         if claim.fingerprint in self._known.kept:
             wait = self._longest_wait()
             claim.timer = self._timers.once(wait, lambda: self._not_in_time(claim))
@@ -264,7 +185,7 @@
 
     def _longest_wait(self) -> float:
         """Return for how long a request may wait: not at all if it would wait in vain."""
-        is_paced = self._bucket.wait(self._timers.now()) > RECORD_WAIT_SECONDS
+        is_paced = self._pace.wait(self._timers.now()) > RECORD_WAIT_SECONDS
         return 0.0 if is_paced or not self._store_answers else RECORD_WAIT_SECONDS
 
     def _not_in_time(self, claim: _Claim) -> None:
@@ -337,92 +258,7 @@
 
     def endpoint_ended(self, endpoint_id: str) -> None:
         """Take note of an end: what was recorded there before may have caused it."""
-        self._ended.add(endpoint_id)
-        if self._resolving:
-            return
-        sends = (send for each in self._known.kept.values() for send in each.record.sends)
-        if any(each.endpoint_id == endpoint_id and not self._is_own(each) for each in sends):
-            self._resolving = True
-            self._timers.once(TOGETHER_SECONDS, lambda: self._tasks.start(self._read_again()))
-
-    def _is_own(self, send: SendIntent) -> bool:
-        return (send.vm_id, send.incarnation) == (self._sender.vm_id, self._sender.incarnation)
-
-    def _look(self) -> None:
-        """Try the endpoints that are known: some may have ended with the life before."""
-        known = self._directory.ready_endpoints()
-        if not known:
-            self._timers.once(LOOK_SECONDS, self._look)
-            return
-        for endpoint_id in self._rng.sample(known, min(len(known), MAX_PROBES)):
-            self._probe(endpoint_id, self._directory.address_of(endpoint_id))
-
-    def _probe(self, endpoint_id: str, address: str) -> None:
-        self._metrics.count("endpoint_probes_total")
-        self._transport.probe(
-            address, PROBE_SECONDS, lambda reach: self._probed(endpoint_id, reach)
-        )
-
-    def _probed(self, endpoint_id: str, reach: Reach) -> None:
-        if reach is Reach.CONNECTED:
-            self._seen_alive[endpoint_id] = self._guard.wall()
-        elif reach is Reach.REFUSED:
-            self._guard.ends.found_ended(endpoint_id)
-
-    def _read_vanished(self) -> Task:
-        """Take note of endpoints that vanished while no entry process ran."""
-        try:
-            found = yield from self._vanished()
-        except PlatformError as exc:
-            self._log.info("vanished endpoints not known", detail=str(exc))
-            return
-        for endpoint_id in found:
-            self._guard.ends.found_ended(endpoint_id)
-
-    # What was recorded before
-
-    def _read_former(self) -> Task:
-        """Read all records once."""
-        tries = 0
-        while True:
-            try:
-                found = yield from self._rows.read_all()
-            except PlatformError as exc:
-                self._metrics.count("platform_errors_total", operation="recorded_sends")
-                if tries == 0:
-                    self._log.warning("recorded sends not read yet", detail=str(exc))
-                yield Sleep(_BACKOFF.delay(tries, self._rng))
-                tries += 1
-            else:
-                self._take_former(found)
-                return
-
-    def _take_former(self, found: Iterable[KeptIntents | PlatformError]) -> None:
-        """Take records, and try the endpoints that they name."""
-        for each in self._readable(found):
-            self._known.take(each)
-        if not self._known.kept:
-            return
-        records = [each.record for each in self._known.kept.values()]
-        self._log.info("recorded sends read", requests=len(records))
-        for endpoint_id, address in self._to_probe(records).items():
-            self._probe_former(endpoint_id, address)
-        self._timers.once(KEPT_SECONDS, self._drop_former, relaxed=True)
-
-    def _to_probe(self, records: list[IntentRecord]) -> dict[str, str]:
-        """Return endpoints and addresses: all of requests sent repeatedly, few of the others."""
-        repeated = [each for each in records if len(each.sends) > 1]
-        others = [each for each in records if len(each.sends) == 1]
-        chosen = repeated + self._rng.sample(others, min(len(others), MAX_PROBES))
-        return {send.endpoint_id: send.address for each in chosen for send in each.sends}
-
-    def _readable(self, found: Iterable[KeptIntents | PlatformError]) -> Iterable[KeptIntents]:
-        for each in found:
-            if isinstance(each, KeptIntents):
-                yield each
-            else:
-                self._metrics.count("platform_errors_total", operation="recorded_sends")
-                self._log.warning("record of sends refused", detail=str(each))
+        self._former.endpoint_ended(endpoint_id)
 
     def _forget_old(self) -> None:
         """Remove records whose sends are so old that they are no evidence any more."""
@@ -433,65 +269,6 @@
         if self._known.answered:
             self._remove_soon()
 
-    def _probe_former(self, endpoint_id: str, address: str) -> None:
-        """Try an endpoint of a record: its row may be gone already."""
-        self._metrics.count("endpoint_probes_total")
-        self._transport.probe(
-            address, PROBE_SECONDS, lambda reach: self._former_probed(endpoint_id, reach)
-        )
-
-    def _former_probed(self, endpoint_id: str, reach: Reach) -> None:
-        if reach is not Reach.REFUSED and not self._directory.ready_endpoints():
-            # The rows of endpoints are not read yet.
-            self._timers.once(TOGETHER_SECONDS, lambda: self._former_probed(endpoint_id, reach))
-        elif reach is Reach.REFUSED or not self._directory.zone_of(endpoint_id):
-            self._guard.ends.found_ended(endpoint_id)
-        elif reach is Reach.CONNECTED:
-            self._seen_alive[endpoint_id] = self._guard.wall()
-
-    def _read_again(self) -> Task:
-        """Take evidence from the records of endpoints that have ended, as they are now."""
-        self._resolving = False
-        try:
-            found = yield from self._rows.read_all()
-        except PlatformError as exc:
-            self._log.info("recorded sends not read", detail=str(exc))
-        else:
-            for each in self._readable(found):
-                self._known.take(each)
-        self._take_evidence()
-
-    def _take_evidence(self) -> None:
-        """Tell the guard which requests were at endpoints that have ended."""
-        at_endpoint: dict[str, list[tuple[str, SendIntent]]] = {}
-        for kept in self._known.kept.values():
-            for send in kept.record.sends:
-                if send.endpoint_id in self._ended and not self._is_own(send):
-                    named = (kept.record.fingerprint, send)
-                    at_endpoint.setdefault(send.endpoint_id, []).append(named)
-            recorded = RecordedSends(len(kept.record.sends), frozenset(kept.record.unseen))
-            self._guard.quarantine.take_record(kept.record.fingerprint, recorded)
-        ends = tuple(_end(each) for each in at_endpoint.values())
-        for end in ends:
-            self._log.info(
-                "endpoint ended under recorded sends",
-                endpoint=end.endpoint_id,
-                work=end.requests,
-                ago=round(self._guard.wall() - end.at, 3),
-            )
-            self.unseen_end(end.endpoint_id)
-        self._guard.take_evidence(ends)
-
-    def _drop_former(self) -> None:
-        """Remove what this VM's process before has recorded at endpoints that are still there."""
-        for kept in list(self._known.kept.values()):
-            for send in kept.record.sends:
-                is_former = send.vm_id == self._sender.vm_id and not self._is_own(send)
-                if is_former and send.endpoint_id not in self._ended:
-                    self._known.changed[kept.record.fingerprint] = None
-        if self._known.changed:
-            self._remove_soon()
-
     def write_again(self) -> None:
         """Record what is under way again: the store may have lost it with its return from a copy.
 
@@ -516,14 +293,14 @@
         """Record what is pending, at a bounded pace."""
         tries = 0
         while self._pending:
-            wait = self._bucket.wait(self._timers.now())
+            wait = self._pace.wait(self._timers.now())
             if wait > 0:
                 yield Sleep(wait)
                 continue
             batch = self._next_batch()
             if not batch:
                 continue
-            self._bucket.take()
+            self._pace.take()
             try:
                 yield from self._write_batch(batch)
             except PlatformError as exc:
@@ -554,7 +331,7 @@
             return False
         record = self._known.record(claim.fingerprint)
         record = record.with_sends(tuple(each.intent for each in beside))
-        return self._policy.must_wait(record, self._seen_alive)
+        return self._policy.must_wait(record, self._former.seen_alive)
 
     def _wait(self, claim: _Claim) -> None:
         """Let a request wait until it is known what its earlier sends did."""
@@ -627,6 +404,16 @@
 
     # Removal
 
+    def _drop_former(self) -> None:
+        """Remove what this VM's process before has recorded at endpoints that are still there."""
+        for kept in list(self._known.kept.values()):
+            for send in kept.record.sends:
+                is_former = send.vm_id == self._sender.vm_id and not self._former.is_own(send)
+                if is_former and not self._former.has_ended(send.endpoint_id):
+                    self._known.changed[kept.record.fingerprint] = None
+        if self._known.changed:
+            self._remove_soon()
+
     def _remove_soon(self) -> None:
         if not self._removing:
             self._removing = True
@@ -677,16 +464,7 @@
     def _without_ended(self, record: IntentRecord) -> IntentRecord:
         """Return a record without the sends of this VM that are over."""
         for send in record.sends:
-            is_over = send not in self._own and send.endpoint_id not in self._ended
+            is_over = send not in self._own and not self._former.has_ended(send.endpoint_id)
             if send.vm_id == self._sender.vm_id and is_over:
                 record = record.without(send)
         return record.with_unseen(self._policy.unseen())
-
-
-def _end(sends: list[tuple[str, SendIntent]]) -> EndpointEnd:
-    """Return the end of an endpoint as the records of what was there tell it."""
-    first = sends[0][1]
-    names = tuple(dict.fromkeys(fingerprint for fingerprint, _ in sends))
-    at = max(send.at for _, send in sends)
-    # Others may have been there: what was answered before needed no record.
-    return EndpointEnd(first.endpoint_id, first.zone, at, names, untold=1)
--- a/flamingofront/process/node.py
+++ b/flamingofront/process/node.py
@@ -15,9 +15,10 @@
 from flamingofront.process.documents import DocumentStore
 from flamingofront.process.drain import DrainController, DrainState
 from flamingofront.process.expiry import Sweeper
+from flamingofront.process.former_sends import Sender
 from flamingofront.process.holds import DocumentHolds, HoldKeeper
 from flamingofront.process.intent_rows import DocumentIntents
-from flamingofront.process.intents import IntentRecorder, Sender
+from flamingofront.process.intents import IntentRecorder
 from flamingofront.process.leases import LeaseKeeper
 from flamingofront.process.limits import SharedLimits
 from flamingofront.process.logs import Log
--- a/flamingofront/process/tests/test_intents.py
+++ b/flamingofront/process/tests/test_intents.py
@@ -8,7 +8,8 @@
 from flamingofront.errors import PlatformError
 from flamingofront.process.forwarding.duty import DUTY_TABLE
 from flamingofront.process.intent_rows import INTENT_TABLE, decode_record, encode_record
-from flamingofront.process.intents import ALL_WRITES_PER_SECOND, WRITES_AT_ONCE
+from flamingofront.process.intent_state import WRITES_AT_ONCE
+from flamingofront.process.intents import ALL_WRITES_PER_SECOND
 from flamingofront.process.tests.test_holds import JSON
 from flamingofront.tests.crashing_world import CONTACT_SECONDS, crashing_world
 
--- a/flamingofront/tests/test_operating.py
+++ b/flamingofront/tests/test_operating.py
@@ -46,6 +46,7 @@
         for _ in range(4):
             world.ask("front-1", "/stream/once/x", body=b"the same")
             world.run(0.02)
+        world.run(0.1)
         (row,) = operate(world, "show held")["rows"]
         assert (row["state"], row["recorded_sends"], row["waiting"]) == ("clear", 3, 1)
         world.run(0.2)
