--- a/flamingofront/process/intents.py
+++ b/flamingofront/process/intents.py
@@ -31,7 +31,7 @@
 from flamingofront.request.host import RequestHost
 from flamingofront.request.intent_gate import IntentGate, IntentHandle, Recorded, SendFacts
 
-__all__ = ["IntentRecorder", "Sender"]
+__all__ = ["IntentRecorder"]
 
 # Longest wait for a record: an eighth of the tightest latency objective (0.3 s); the store usually
 # answers in 4 ms.
