Lines on which way a configuration and word of an endpoint came, and how late

What callers saw: nothing new; of a 404 for a confirmed route the log told neither when the process first heard of the version nor which way it came. Cause: `configuration in force` named `store` or `peer` only, and `endpoint` no source at all. Change: `newer configuration told` (version, version in force, teller), `configuration in force` with teller, time since the first word, time and bytes of the transfer; `endpoint` with its source and whether the store is away; histogram `configuration_missing_seconds`.

--- a/flamingofront/process/forwarding/endpoints.py
+++ b/flamingofront/process/forwarding/endpoints.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from flamingofront.process.forwarding.endpoint_row import EndpointRow
+from flamingofront.process.forwarding.provenance import Source
 from flamingofront.process.logs import Log
 from flamingofront.process.membership import Fact, FactTable, Role, VmState
 from flamingofront.process.metrics import Metrics
@@ -158,7 +159,7 @@
             self.put(row, by_peer=confirmed)
         for endpoint_id in [each for each in self._rows if each not in found]:
             if confirmed:
-                self._drop(endpoint_id)
+                self._drop(endpoint_id, Source.PEER)
             else:
                 self.remove(endpoint_id)
 
@@ -182,7 +183,8 @@
         self._last.pop(endpoint_id, None)
         self._unreadable.discard(endpoint_id)
         restarted = before is not None and row.born > before.born
-        self._merge_row(row, restarted, newer)
+        source = Source.PEER if by_peer else Source.STORE
+        self._merge_row(row, restarted, newer, source)
         if restarted:
             self._log.info("endpoint started again", endpoint=endpoint_id, born=row.born)
             self._on_restarted(row, before)
@@ -202,7 +204,7 @@
             return row.position < before.position
         return row.position <= before.position
 
-    def _merge_row(self, row: EndpointRow, restarted: bool, newer: bool) -> None:
+    def _merge_row(self, row: EndpointRow, restarted: bool, newer: bool, source: Source) -> None:
         """Merge the fact of a row; a newer one revives an endpoint that was taken for gone.
 
         Notes
@@ -215,7 +217,8 @@
         if fact is not None:
             returned = newer and fact.state is VmState.GONE
             incarnation = fact.incarnation + (restarted or returned)
-        self._merge(row, incarnation, VmState.LIVE if row.ready else VmState.LEAVING)
+        state = VmState.LIVE if row.ready else VmState.LEAVING
+        self._merge(row, incarnation, state, source)
 
     def put_unreadable(self, endpoint_id: str) -> None:
         """Take note that the row of an endpoint cannot be read: it gets no work until it can."""
@@ -223,7 +226,7 @@
             self._unreadable.add(endpoint_id)
         self._drop(endpoint_id)
 
-    def _merge(self, row: EndpointRow, incarnation: int, state: VmState) -> None:
+    def _merge(self, row: EndpointRow, incarnation: int, state: VmState, source: Source) -> None:
         fact = Fact(
             row.endpoint_id,
             incarnation,
@@ -238,7 +241,14 @@
             slots=row.slots,
         )
         if self._facts.merge((fact,)):
-            self._log.info("endpoint", endpoint=row.endpoint_id, state=state.value, row=str(row))
+            self._log.info(
+                "endpoint",
+                endpoint=row.endpoint_id,
+                state=state.value,
+                source=source,
+                store_away=self._away,
+                row=str(row),
+            )
             if state is VmState.LEAVING:
                 self._on_leaving(row)
 
@@ -255,7 +265,7 @@
 
     def confirm_gone(self, endpoint_id: str) -> None:
         """Take word of a peer that the store answers that a row vanished."""
-        self._drop(endpoint_id)
+        self._drop(endpoint_id, Source.PEER)
 
     def _end_grace(self) -> None:
         for endpoint_id in list(self._missing):
@@ -265,7 +275,7 @@
         if not self._away and endpoint_id in self._missing:
             self._drop(endpoint_id)
 
-    def _drop(self, endpoint_id: str) -> None:
+    def _drop(self, endpoint_id: str, source: Source = Source.STORE) -> None:
         self._missing.discard(endpoint_id)
         row = self._rows.pop(endpoint_id, None)
         if row is None:
@@ -274,5 +284,5 @@
         self._last[endpoint_id] = row
         fact = self._facts.get(endpoint_id)
         if fact is not None:
-            self._merge(row, fact.incarnation, VmState.GONE)
+            self._merge(row, fact.incarnation, VmState.GONE, source)
         self._on_gone(row)
--- a/flamingofront/process/forwarding/exchange.py
+++ b/flamingofront/process/forwarding/exchange.py
@@ -5,7 +5,9 @@
 from flamingofront.messages import OutboundCall, WholeResponse
 from flamingofront.process.forwarding.knowledge import Knowledge
 from flamingofront.process.forwarding.news import decode_news
+from flamingofront.process.forwarding.provenance import Provenance, Source
 from flamingofront.process.forwarding.reports import PeerReport
+from flamingofront.process.forwarding.version_word import VersionWord
 from flamingofront.process.logs import Log
 from flamingofront.process.tasks import Task, TaskRunner
 
@@ -21,23 +23,6 @@
 ENDPOINTS_PATH = "/forwarding/endpoints"
 
 
-class _Lag:
-    """Since when others know something newer."""
-
-    def __init__(self):
-        self._newest = 0
-        self._since: float | None = None
-
-    def waited(self, told: int, known: int, now: float) -> float:
-        """Return for how long a newer version than the known one has been told, in seconds."""
-        self._newest = max(self._newest, told)
-        if known >= self._newest:
-            self._since = None
-        elif self._since is None:
-            self._since = now
-        return 0.0 if self._since is None else now - self._since
-
-
 class KnowledgeExchange:
     """Compares what peers report with what is known here.
 
@@ -58,19 +43,17 @@
         self._now = now
         self._log = log
         self._asking = False
-        self._configuration = _Lag()
-        self._endpoints = _Lag()
+        self._endpoints = VersionWord()
 
     def compare(self, report: PeerReport) -> None:
         """Ask a peer for what it knows better, if the store does not bring it in time."""
         now = self._now()
-        waited = self._configuration.waited(
-            report.configuration, self._knowledge.configuration.version, now
-        )
+        self._knowledge.hear_of_configuration(report.configuration, report.vm_id)
+        waited = self._knowledge.configuration_missing_for() or 0.0
         reached = report.follows and not report.cut_off
-        lagged = self._endpoints.waited(
-            report.endpoints if reached else 0, self._knowledge.endpoints_mark(), now
-        )
+        mark = self._knowledge.endpoints_mark()
+        self._endpoints.told(report.endpoints if reached else 0, report.vm_id, mark, now)
+        lagged = self._endpoints.missing_for(mark, now) or 0.0
         newer_configuration = report.configuration > self._knowledge.configuration.version
         newer_endpoints = reached and report.endpoints > self._knowledge.endpoints_mark()
         if newer_configuration and self._knowledge.rests:
@@ -92,9 +75,12 @@
 
     def _ask(self, report: PeerReport, configuration: bool, endpoints: bool) -> Task:
         if configuration:
+            asked_at = self._now()
             data = yield from self._get(report, CONFIGURATION_PATH)
             if data:
-                self._knowledge.take_configuration(data, "peer")
+                took = self._now() - asked_at
+                origin = Provenance(Source.PEER, report.vm_id, took, len(data))
+                self._knowledge.take_configuration(data, origin)
         if endpoints:
             path = f"{ENDPOINTS_PATH}?after={self._knowledge.endpoints_mark()}"
             data = yield from self._get(report, path)
--- a/flamingofront/process/forwarding/knowledge.py
+++ b/flamingofront/process/forwarding/knowledge.py
@@ -10,7 +10,9 @@
 from flamingofront.process.forwarding.endpoints import EndpointView
 from flamingofront.process.forwarding.follower import TableFollower, TableListener
 from flamingofront.process.forwarding.news import EndpointHistory, EndpointNews, mark_of
+from flamingofront.process.forwarding.provenance import FROM_STORE, Provenance
 from flamingofront.process.forwarding.rollouts import RolloutRows
+from flamingofront.process.forwarding.version_word import VersionWord
 from flamingofront.process.logs import Log
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.store import StoredRow, TableStore
@@ -87,6 +89,8 @@
         self.endpoints = endpoints
         self._tables = tables
         self._on_configuration = on_configuration
+        self._configuration_word = VersionWord()
+        self._now = now
         self._metrics = metrics
         self._log = log
         configuration_listener = TableListener(
@@ -138,7 +142,7 @@
     def _configuration_rows(self, rows: tuple[StoredRow, ...]) -> None:
         for row in rows:
             if row.key == self._tables.configuration_key and row.value is not None:
-                self.take_configuration(row.value, "store")
+                self.take_configuration(row.value, FROM_STORE)
             elif self._tables.rollouts.service_of(row.key) and row.value is not None:
                 self._take_rollout(row)
         self.on_change()
@@ -154,29 +158,42 @@
             return
         self.on_rollout(order)
 
-    def take_configuration(self, data: bytes, source: str) -> None:
-        """Put a configuration in force if it is well formed and newer than the last one.
+    def hear_of_configuration(self, version: int, teller: str) -> None:
+        """Take word of a peer of the version that it has in force."""
+        known = self.configuration.version
+        if self._configuration_word.told(version, teller, known, self._now()):
+            self._log.info(
+                "newer configuration told", version=version, in_force=known, teller=teller
+            )
 
-        Parameters
-        ----------
-        source : str
-            ``store`` or ``peer``, for the log.
-        """
+    def configuration_missing_for(self) -> float | None:
+        """Return for how long a newer configuration is known of and missing, in seconds."""
+        return self._configuration_word.missing_for(self.configuration.version, self._now())
+
+    def take_configuration(self, data: bytes, origin: Provenance) -> None:
+        """Put a configuration in force if it is well formed and newer than the last one."""
         try:
             cfg = self._tables.decode_configuration(data)
         except ConfigurationError as exc:
             self._metrics.count("platform_errors_total", operation="configuration")
-            self._log.error("configuration refused", detail=str(exc), source=source)
+            self._log.error("configuration refused", detail=str(exc), source=origin.source)
             return
         if cfg.version <= self.configuration.version:
             return
+        missing = self.configuration_missing_for()
         self.configuration = cfg
         self.configuration_data = data
         self._metrics.count("configurations_total")
+        if missing is not None:
+            self._metrics.observe("configuration_missing_seconds", missing)
         self._log.info(
             "configuration in force",
             version=cfg.version,
-            source=source,
+            source=origin.source,
+            teller=origin.teller,
+            told_ago_ms=_milliseconds(missing),
+            took_ms=_milliseconds(origin.seconds),
+            received=origin.size or len(data),
             routes=len(cfg.routes),
             workspaces=len(cfg.workspaces),
         )
@@ -243,3 +260,7 @@
             for endpoint_id in news.gone:
                 self.endpoints.confirm_gone(endpoint_id)
                 self._history.changed(endpoint_id, news.mark)
+
+
+def _milliseconds(seconds: float | None) -> int | None:
+    return None if seconds is None else round(seconds * 1000)
--- a/flamingofront/process/metrics.py
+++ b/flamingofront/process/metrics.py
@@ -74,6 +74,7 @@
 HISTOGRAMS: Mapping[str, str] = {
     "first_token_seconds": "Time from acceptance to the first token or event",
     "request_seconds": "Time from acceptance to the end",
+    "configuration_missing_seconds": "Time from word of a newer configuration until it is in force",
 }
 
 
