--- a/flamingofront/tests/network.py
+++ b/flamingofront/tests/network.py
@@ -112,9 +112,10 @@
         """Carry events to the caller."""
         if self.source.dead or self.world.is_cut(self.source, self.target):
             return
-        self.source.timers.once(LATENCY + self.world.extra_delay(), lambda: self._deliver(events))
+        self.world.carry_back(self, events)
 
-    def _deliver(self, events) -> None:
+    def deliver(self, events) -> None:
+        """Hand events to the caller, unless the call was given up."""
         for event in events:
             if self.closed:
                 return
--- a/flamingofront/tests/world.py
+++ b/flamingofront/tests/world.py
@@ -96,6 +96,11 @@
         names = [(a, b) for a in (one.name, one.zone) for b in (other.name, other.zone)]
         return any(frozenset(pair) in self.cuts for pair in names if pair[0] != pair[1])
 
+    def carry_back(self, link, events) -> None:
+        """Carry events of a call back to the host that made it."""
+        delay = LATENCY + self.extra_delay()
+        link.source.timers.once(delay, lambda: link.deliver(events))
+
     def keep_connection(self, source: Host, address: str) -> None:
         """Keep a connection for the next call, if this world keeps any."""
         if self.keeps_connections:
