A response that has begun is bounded by its silence, not by its length

What callers saw: 404 for a route 5 s after the store had confirmed it; around it late answers and refusals at VMs whose link was full for ten seconds. Cause: `timeout` bounded a whole response (1.0 s for the store). The configuration with 1,672 routes more takes 0.75 s of a 5 Mbit/s link alone; with anything beside it the read was given up at the second and began anew, which kept the link full, so that the next one ended the same way. Ruled out: late word (it was told at once), decoding (2 to 6% of the processor). Change: `OutboundCall.stall_timeout`: the longest silence within a response; reads of the store have it. A store that falls silent is noticed as before. Why it holds: a read that makes progress is never begun again; a stalled one is given up as soon as before. Real sockets: TestLargeResponses.

--- a/flamingofront/connection/client.py
+++ b/flamingofront/connection/client.py
@@ -78,6 +78,13 @@
     return min(IDLE_SECONDS, float(match.group(1)) - IDLE_MARGIN_SECONDS)
 
 
+def _longest_silence(call: OutboundCall) -> float:
+    """Return the seconds after which a response that has begun is given up, 0 for none."""
+    if call.stall_timeout is not None:
+        return call.stall_timeout
+    return call.timeout if call.stream else 0.0
+
+
 class _Call(CallHandle):
     """One call: its listener, its timer and the response read so far."""
 
@@ -86,7 +93,8 @@
         self.listener: Callable[[CallEvent], None] | None = listener
         self.conn: _ClientConnection | None = None
         self.timer: Timer | None = None
-        self.heard_at = 0.0
+        # When data of the response came last.
+        self.heard_at: float | None = None
         self.reused = False
         self._wrote = False
 
@@ -435,20 +443,25 @@
         self._find_poller().forget(conn.sock)
 
     def renew_timeout(self, handle: _Call) -> None:
-        """Start the time-out of a stream anew: it bounds silence, not length.
+        """Start the time-out anew where it bounds silence, not length.
 
         Notes
         -----
         The timer itself is set anew only when it runs: one for each event would stay in the heap
         of timers for the whole time-out, some hundreds at once.
         """
+        stall_timeout = handle.call.stall_timeout
+        if stall_timeout is not None and handle.heard_at is None:
+            handle.timer.cancel()
+            handle.timer = self.timers.once(stall_timeout, lambda: self._timed_out(handle))
         handle.heard_at = self.timers.now()
 
     def _timed_out(self, handle: _Call) -> None:
         if handle.conn is None or handle.conn.closed:
             return
-        left = handle.heard_at + handle.call.timeout - self.timers.now()
-        if handle.call.stream and left > 0:
+        silence = _longest_silence(handle.call)
+        left = 0.0 if handle.heard_at is None else handle.heard_at + silence - self.timers.now()
+        if left > 0:
             handle.timer = self.timers.once(left, lambda: self._timed_out(handle))
         else:
             handle.conn.fail("timeout")
--- a/flamingofront/connection/tests/test_client.py
+++ b/flamingofront/connection/tests/test_client.py
@@ -1,5 +1,6 @@
 """The HTTP client against endpoints that misbehave, on real sockets and a manual clock."""
 
+import queue
 import socket
 import threading
 
@@ -204,6 +205,68 @@
         assert conn.sock.getsockopt(*option) == USER_TIMEOUT_MS
 
 
+class SlowEndpoint:
+    """Sends the parts of one answer when it is told to."""
+
+    def __init__(self):
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self._conn = None
+
+    def send(self, data):
+        """Send a part of the answer, the first one to whoever has connected."""
+        if self._conn is None:
+            self._conn, _ = self._listener.accept()
+        self._conn.sendall(data)
+
+    def stop(self):
+        for each in (self._conn, self._listener):
+            each.close()
+
+
+class TestLargeResponses:
+    """A response that took its link longer than the time-out was given up and asked for again."""
+
+    SECONDS = 1.0
+
+    @pytest.fixture
+    def endpoint(self):
+        started = SlowEndpoint()
+        yield started
+        started.stop()
+
+    def begin(self, client, endpoint, **options):
+        """Begin a call; return the queue of its events."""
+        events = queue.Queue()
+        call = OutboundCall(endpoint.address, "GET", "/", timeout=self.SECONDS, **options)
+        client.act(lambda: client.client.start(call, events.put))
+        endpoint.send(b"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nab")
+        assert isinstance(events.get(timeout=WAIT_SECONDS), ResponseHead)
+        assert events.get(timeout=WAIT_SECONDS) == ResponseData(b"ab")
+        return events
+
+    def test_response_that_goes_on_is_read_to_its_end(self, client, endpoint):
+        events = self.begin(client, endpoint, stall_timeout=self.SECONDS)
+        for part in (b"cd", b"ef", b"gh"):
+            client.pass_time(0.9 * self.SECONDS)
+            endpoint.send(part)
+            assert events.get(timeout=WAIT_SECONDS) == ResponseData(part)
+        assert events.get(timeout=WAIT_SECONDS) == ResponseEnd()
+
+    def test_response_that_stalls_is_given_up(self, client, endpoint):
+        events = self.begin(client, endpoint, stall_timeout=0.5 * self.SECONDS)
+        client.pass_time(0.6 * self.SECONDS)
+        assert events.get(timeout=WAIT_SECONDS) == CallFailed("timeout", True)
+
+    def test_call_without_a_stall_timeout_is_bounded_as_a_whole(self, client, endpoint):
+        events = self.begin(client, endpoint)
+        client.pass_time(0.9 * self.SECONDS)
+        endpoint.send(b"cd")
+        assert events.get(timeout=WAIT_SECONDS) == ResponseData(b"cd")
+        client.pass_time(0.2 * self.SECONDS)
+        assert events.get(timeout=WAIT_SECONDS) == CallFailed("timeout", True)
+
+
 def unused_address():
     with socket.create_server(("127.0.0.1", 0)) as listener:
         return f"127.0.0.1:{listener.getsockname()[1]}"
--- a/flamingofront/messages.py
+++ b/flamingofront/messages.py
@@ -64,7 +64,8 @@
     address : str
         ``IP:PORT`` of the target.
     timeout : float
-        Seconds until the response must be complete; for a stream, the longest silence.
+        Seconds until the response must be complete; for a stream, the longest silence. With
+        `stall_timeout`, seconds until the response must have begun.
     stream : bool
         True if response data is wanted as it arrives.
     fresh : bool
@@ -77,6 +78,9 @@
         Seconds without word from the target's system after which what was sent is given up by the
         system itself, so that it cannot arrive later; None for the client's own limit. To be below
         `timeout` for calls that must not arrive late.
+    stall_timeout : float or None
+        Longest silence within a response that has begun, in seconds: a large response may take as
+        long as its link needs. None if `timeout` bounds it as a whole.
     """
 
     address: str
@@ -90,6 +94,7 @@
     host: str = ""
     connect_timeout: float | None = None
     silence_timeout: float | None = None
+    stall_timeout: float | None = None
 
 
 @dataclass(frozen=True)
--- a/flamingofront/platform/store.py
+++ b/flamingofront/platform/store.py
@@ -42,7 +42,7 @@
     address : str
         ``IP:PORT`` of the store.
     timeout : float
-        Seconds to wait for an answer.
+        Seconds to wait for an answer to begin, and for its next part.
     """
 
     def __init__(self, address: str, timeout: float):
@@ -118,7 +118,14 @@
         return TransactionOutcome(reply.status == STATUS_OK, version, _rows(doc, era))
 
     def _get(self, path: str, query: dict[str, Any], timeout: float) -> OutboundCall:
-        return OutboundCall(self._address, "GET", f"{path}?{urlencode(query)}", timeout=timeout)
+        return OutboundCall(
+            self._address,
+            "GET",
+            f"{path}?{urlencode(query)}",
+            timeout=timeout,
+            # Rows may be larger than a VM's link carries within the time-out.
+            stall_timeout=self._timeout,
+        )
 
 
 def _body(reply: WholeResponse) -> dict[str, Any]:
--- a/flamingofront/tests/network.py
+++ b/flamingofront/tests/network.py
@@ -119,15 +119,20 @@
         for event in events:
             if self.closed:
                 return
-            if isinstance(event, ResponseData) and self.call.stream:
-                self.timer.cancel()
-                self.timer = self.source.timers.once(self.call.timeout, self._timed_out)
+            if isinstance(event, ResponseData):
+                self._renew_timeout()
             if isinstance(event, ResponseEnd | CallFailed):
                 self._close()
             if isinstance(event, ResponseEnd):
                 self.world.keep_connection(self.source, self.call.address)
             self.listener(event)
 
+    def _renew_timeout(self) -> None:
+        seconds = self.call.timeout if self.call.stream else self.call.stall_timeout
+        if seconds is not None:
+            self.timer.cancel()
+            self.timer = self.source.timers.once(seconds, self._timed_out)
+
 
 class FakeExchange(Exchange):
     """The served side of a call in the fake network."""
