A zone's processes get a change of the configuration from a peer, as what changed

Cause: on word of a newer version each process read the whole document from the store (510 KB for 1,700 routes), after half a second also from a peer, and both shared one small link. The way had been chosen because a relay cannot send that to its zone. Change: `document_copies.py`: a copy is compressed and names unchanged parts of the version that the asker has. A process that rests asks the peer that told it, at once, two peers at a time at most; the store after a second; one that follows the store itself asks a peer after 0.25 s. What came from a peer is told to the zone at once. A process of the program before is told the document as it was. Why it holds: what a link carries for a change is what changed; a checksum refuses a copy that was made for another version.

--- a/flamingofront/process/forwarding/control.py
+++ b/flamingofront/process/forwarding/control.py
@@ -30,7 +30,7 @@
         elif req.path == "/operate":
             self._operators.handle(req, exchange)
         elif req.path == CONFIGURATION_PATH:
-            exchange.respond(200, (), knowledge.configuration_data)
+            self._respond_configuration(req, exchange)
         elif req.path == ENDPOINTS_PATH:
             after = req.query.get("after", "")
             news = knowledge.endpoint_news(int(after) if after.isdigit() else -1)
@@ -38,6 +38,14 @@
         else:
             exchange.respond(404, (), b"")
 
+    def _respond_configuration(self, req: InboundRequest, exchange: Exchange) -> None:
+        """Answer with a copy for the version that the peer has, or with the whole document."""
+        knowledge, after = self._node.knowledge, req.query.get("after", "")
+        if after.isdigit():
+            exchange.respond(200, (), knowledge.configuration_copy(int(after)))
+        else:
+            exchange.respond(200, (), knowledge.configuration_data)
+
     def _respond_metrics(self, exchange: Exchange) -> None:
         """Answer with the exposition text of all metrics."""
         self._set_gauges()
--- a/flamingofront/process/forwarding/exchange.py
+++ b/flamingofront/process/forwarding/exchange.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from flamingofront.messages import OutboundCall, WholeResponse
+from flamingofront.process.forwarding.document_copies import apply_copy
 from flamingofront.process.forwarding.knowledge import Knowledge
 from flamingofront.process.forwarding.news import decode_news
 from flamingofront.process.forwarding.provenance import Provenance, Source
@@ -17,8 +18,13 @@
 # What a peer knows is asked for when the store has not brought it by itself meanwhile, in seconds.
 # A silent store is noticed after a waiting call of some seconds only, and others may rest on this
 # process all the while. The second is longer than the pause after which a relay asks it again.
-CONFIGURATION_LEAD_SECONDS = 0.5
+CONFIGURATION_LEAD_SECONDS = 0.25
 ENDPOINTS_LEAD_SECONDS = 1.1
+# A process that others follow the store for asks it by itself if no peer has told a configuration
+# that is known of for so long, in seconds.
+STORE_LEAD_SECONDS = 1.0
+# Peers that are asked for the configuration at the same time: one of them may be gone.
+MAX_ASKED = 2
 CONFIGURATION_PATH = "/forwarding/configuration"
 ENDPOINTS_PATH = "/forwarding/endpoints"
 
@@ -26,10 +32,9 @@
 class KnowledgeExchange:
     """Compares what peers report with what is known here.
 
-    A process that follows the store asks its peers only while the store does not answer it. One
-    that rests asks for each change as soon as it hears of it: the endpoints from the peer, the
-    configuration from the store, since it may be too large for the small link of a VM to be sent
-    to a whole zone.
+    A process that follows the store asks its peers only while the store does not answer it, or not
+    in time. One that rests asks a peer for each change as soon as it hears of it: a copy of the
+    configuration takes a tenth of the bytes of a read, or less.
 
     Parameters
     ----------
@@ -43,6 +48,7 @@
         self._now = now
         self._log = log
         self._asking = False
+        self._asked_for_configuration: set[str] = set()
         self._endpoints = VersionWord()
 
     def compare(self, report: PeerReport) -> None:
@@ -54,41 +60,58 @@
         mark = self._knowledge.endpoints_mark()
         self._endpoints.told(report.endpoints if reached else 0, report.vm_id, mark, now)
         lagged = self._endpoints.missing_for(mark, now) or 0.0
-        newer_configuration = report.configuration > self._knowledge.configuration.version
-        newer_endpoints = reached and report.endpoints > self._knowledge.endpoints_mark()
-        if newer_configuration and self._knowledge.rests:
-            self._knowledge.read_configuration_now()
-        cut_off = self._knowledge.cut_off
-        ask_configuration = newer_configuration and (
-            cut_off or waited >= CONFIGURATION_LEAD_SECONDS
-        )
-        ask_endpoints = newer_endpoints and (
-            cut_off or self._knowledge.rests or lagged >= ENDPOINTS_LEAD_SECONDS
-        )
-        if self._asking or not (ask_endpoints or ask_configuration):
+        newer_endpoints = reached and report.endpoints > mark
+        cut_off, rests = self._knowledge.cut_off, self._knowledge.rests
+        if report.configuration > self._knowledge.configuration.version:
+            if cut_off or rests or waited >= CONFIGURATION_LEAD_SECONDS:
+                self._ask_configuration(report)
+            if rests and waited >= STORE_LEAD_SECONDS:
+                self._knowledge.read_configuration_now()
+        if newer_endpoints and (cut_off or rests or lagged >= ENDPOINTS_LEAD_SECONDS):
+            self._ask_endpoints(report)
+
+    def _ask_configuration(self, report: PeerReport) -> None:
+        """Ask a peer for the configuration, unless it or enough others are being asked."""
+        asked = self._asked_for_configuration
+        if report.vm_id in asked or len(asked) >= MAX_ASKED:
+            return
+        asked.add(report.vm_id)
+        self._tasks.start(self._fetch_configuration(report), lambda _: asked.discard(report.vm_id))
+
+    def _fetch_configuration(self, report: PeerReport) -> Task:
+        base, version = self._knowledge.configuration_data, self._knowledge.configuration.version
+        asked_at = self._now()
+        data = yield from self._get(report, f"{CONFIGURATION_PATH}?after={version}")
+        if not data:
+            return
+        try:
+            document = apply_copy(data, base)
+        except ValueError as exc:
+            self._log.error("peer's configuration refused", peer=report.vm_id, detail=str(exc))
+            return
+        origin = Provenance(Source.PEER, report.vm_id, self._now() - asked_at, len(data))
+        self._knowledge.take_configuration(document, origin)
+
+    def _ask_endpoints(self, report: PeerReport) -> None:
+        """Ask a peer for the endpoints, unless one is being asked."""
+        if self._asking:
             return
         self._asking = True
-        self._tasks.start(self._ask(report, ask_configuration, ask_endpoints), self._asked)
+        self._tasks.start(self._fetch_endpoints(report), self._asked)
 
     def _asked(self, result: object) -> None:
         self._asking = False
 
-    def _ask(self, report: PeerReport, configuration: bool, endpoints: bool) -> Task:
-        if configuration:
-            asked_at = self._now()
-            data = yield from self._get(report, CONFIGURATION_PATH)
-            if data:
-                took = self._now() - asked_at
-                origin = Provenance(Source.PEER, report.vm_id, took, len(data))
-                self._knowledge.take_configuration(data, origin)
-        if endpoints:
-            path = f"{ENDPOINTS_PATH}?after={self._knowledge.endpoints_mark()}"
-            data = yield from self._get(report, path)
-            if data:
-                self._take_endpoints(report, data)
+    def _fetch_endpoints(self, report: PeerReport) -> Task:
+        path = f"{ENDPOINTS_PATH}?after={self._knowledge.endpoints_mark()}"
+        data = yield from self._get(report, path)
+        if data:
+            self._take_endpoints(report, data)
 
     def _get(self, report: PeerReport, path: str) -> Task:
-        reply = yield OutboundCall(report.address, "GET", path, timeout=ASK_TIMEOUT)
+        reply = yield OutboundCall(
+            report.address, "GET", path, timeout=ASK_TIMEOUT, stall_timeout=ASK_TIMEOUT
+        )
         if isinstance(reply, WholeResponse) and reply.status == 200:
             return reply.body
         self._log.info("peer did not answer", peer=report.vm_id, path=path, reply=str(reply)[:80])
--- a/flamingofront/process/forwarding/knowledge.py
+++ b/flamingofront/process/forwarding/knowledge.py
@@ -6,11 +6,12 @@
 
 from flamingofront.decisions.rollout import RolloutOrder
 from flamingofront.errors import ConfigurationError, PlatformError
+from flamingofront.process.forwarding.document_copies import CopySource
 from flamingofront.process.forwarding.endpoint_row import EndpointRow
 from flamingofront.process.forwarding.endpoints import EndpointView
 from flamingofront.process.forwarding.follower import TableFollower, TableListener
 from flamingofront.process.forwarding.news import EndpointHistory, EndpointNews, mark_of
-from flamingofront.process.forwarding.provenance import FROM_STORE, Provenance
+from flamingofront.process.forwarding.provenance import FROM_STORE, Provenance, Source
 from flamingofront.process.forwarding.rollouts import RolloutRows
 from flamingofront.process.forwarding.version_word import VersionWord
 from flamingofront.process.logs import Log
@@ -86,6 +87,7 @@
         self._refused: set[str] = set()
         self.configuration = ForwardingConfiguration()
         self.configuration_data = b""
+        self._copies = CopySource()
         self.endpoints = endpoints
         self._tables = tables
         self._on_configuration = on_configuration
@@ -125,6 +127,10 @@
         """Ask the store for the configuration, also while this process does not follow it."""
         self.followers[0].look_once()
 
+    def configuration_copy(self, after: int) -> bytes:
+        """Return the configuration in force for a peer that has another version of it."""
+        return self._copies.copy(after)
+
     def endpoints_mark(self) -> int:
         """Return the mark of the last change of the endpoints."""
         return self._history.mark
@@ -172,6 +178,8 @@
 
     def take_configuration(self, data: bytes, origin: Provenance) -> None:
         """Put a configuration in force if it is well formed and newer than the last one."""
+        if data == self.configuration_data:
+            return
         try:
             cfg = self._tables.decode_configuration(data)
         except ConfigurationError as exc:
@@ -183,6 +191,7 @@
         missing = self.configuration_missing_for()
         self.configuration = cfg
         self.configuration_data = data
+        self._copies.put(cfg.version, data)
         self._metrics.count("configurations_total")
         if missing is not None:
             self._metrics.observe("configuration_missing_seconds", missing)
@@ -198,6 +207,8 @@
             workspaces=len(cfg.workspaces),
         )
         self._on_configuration(cfg)
+        if origin.source is Source.PEER:
+            self.on_change()
 
     def _decoded(self, rows: tuple[StoredRow, ...]) -> list[EndpointRow]:
         """Return the endpoints in rows; one whose row cannot be read gets no work until it can."""
--- a/flamingofront/tests/narrow_links.py
+++ b/flamingofront/tests/narrow_links.py
@@ -1,14 +1,23 @@
 """The simulated network with links of limited bandwidth, as small VMs have them."""
 
+import random
+import string
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import orjson
+
 from flamingofront.messages import ResponseData
 from flamingofront.tests.forwarding_world import ForwardingWorld, configuration
 from flamingofront.tests.network import LATENCY, Host
 from flamingofront.version.forwarding import ForwardingConfiguration
 
-__all__ = ["LARGE_CHANGE_ROUTES", "NarrowLinksWorld", "with_more_routes"]
+__all__ = [
+    "LARGE_CHANGE_ROUTES",
+    "NarrowLinksWorld",
+    "with_more_routes",
+    "with_more_routes_data",
+]
 
 # Bytes a second of the smallest links of a deployment (5 Mbit/s) and of its larger ones.
 NARROW_LINK = 625_000.0
@@ -19,6 +28,7 @@
 LONGEST_QUEUE_SECONDS = 0.5
 # Routes of one large change: of the size of about 340 KB.
 LARGE_CHANGE_ROUTES = 1_672
+_LETTERS = string.ascii_lowercase + string.digits
 
 
 @dataclass
@@ -124,16 +134,21 @@
         target.timers.once(delay, lambda: target.dead or node.peers.received(data, source.address))
 
 
-def with_more_routes(version: int, count: int, seed: str = "r") -> dict:
-    """Return a configuration document with many routes besides the usual ones."""
+def with_more_routes(version: int, count: int) -> dict:
+    """Return a configuration document with many routes besides the usual ones.
+
+    Notes
+    -----
+    Their names are random, as those of a deployment are, and the same in each version.
+    """
     doc = configuration(version=version)
-    usual = doc["routes"][0]
+    rng = random.Random(1)
     more = [
         {
-            **usual,
-            "name": f"{seed}-{number:07d}",
-            "host": f"{seed}{number % 97}.example",
-            "prefix": f"/added{number:06d}/",
+            **doc["routes"][0],
+            "name": f"r-{_random_name(rng, 7)}",
+            "host": f"{_random_name(rng, 4)}{number % 97}.example",
+            "prefix": f"/{_random_name(rng, 8)}/",
             "anonymous": False,
             "sticky": False,
             "resumable": False,
@@ -143,6 +158,15 @@
     return {**doc, "routes": [*doc["routes"], *more]}
 
 
+def with_more_routes_data(version: int, count: int) -> bytes:
+    """Return the bytes of such a document."""
+    return orjson.dumps(with_more_routes(version, count))
+
+
+def _random_name(rng: random.Random, length: int) -> str:
+    return "".join(rng.choices(_LETTERS, k=length))
+
+
 def _chunks(event) -> list:
     """Return the parts of an event that take a link one after the other."""
     if not isinstance(event, ResponseData) or len(event.data) <= CHUNK_BYTES:
