Failing test: endpoints that leave while the relays of a zone are cut off from the store

Change: the test, and in its world messages that wait at busy processes. Before and after: no code of the product is changed. Why it holds: the bound is the stated one; the other processes of the zone reach the store all the while, so that nothing excuses them.

--- a/flamingofront/tests/narrow_links.py
+++ b/flamingofront/tests/narrow_links.py
@@ -70,6 +70,8 @@
         self._links: dict[tuple[str, str], _Link] = {}
         self.in_force: dict[str, dict[int, float]] = {}
         self.store_delay = 0.0
+        # Longest time that a message waits at an entry process before it is read, in seconds.
+        self.busy_seconds = 0.0
 
     def front(self, name: str, zone: str = "zone-a", **options):
         """Start an entry process and note what it puts in force."""
@@ -96,7 +98,8 @@
     def carry_back(self, link, events) -> None:
         """Carry the events of a response over both links, large bodies in chunks."""
         parts = [part for event in events for part in _chunks(event)]
-        delay = LATENCY + (self.store_delay if link.target.name == "store" else 0.0)
+        delay = LATENCY + self._busy_delay()
+        delay += self.store_delay if link.target.name == "store" else 0.0
         link.source.timers.once(delay, lambda: self._carry(link, parts))
 
     def _carry(self, link, parts: list) -> None:
@@ -112,6 +115,9 @@
         link.deliver(parts[:1])
         self._carry(link, parts[1:])
 
+    def _busy_delay(self) -> float:
+        return self.rng.random() * self.busy_seconds
+
     def _passes(self, sender: Host, receiver: Host, size: int) -> float:
         """Return when bytes have passed the sender's link and then the receiver's."""
         now = self.clock.now()
@@ -130,7 +136,7 @@
         if max(waits) > LONGEST_QUEUE_SECONDS:
             return
         node = self.fronts[target.name]
-        delay = LATENCY + self._passes(source, target, len(data)) - now
+        delay = LATENCY + self._busy_delay() + self._passes(source, target, len(data)) - now
         target.timers.once(delay, lambda: target.dead or node.peers.received(data, source.address))
 
 
--- /dev/null
+++ b/flamingofront/tests/test_word_of_leaving.py
@@ -0,0 +1,89 @@
+"""Word of endpoints whose rows say that they leave, on its way to each process."""
+
+import pytest
+
+from flamingofront.process.membership import VmState
+from flamingofront.tests.narrow_links import NarrowLinksWorld
+
+# From the store's confirmation that an endpoint leaves until no process sends it anything.
+DRAIN_SECONDS = 3.0
+ZONES = ("zone-a", "zone-b", "zone-c")
+PROCESSES = 60
+ENDPOINTS = 16
+
+
+class LeavingWorld(NarrowLinksWorld):
+    """World that notes when each process learns that an endpoint leaves.
+
+    Attributes
+    ----------
+    left_at : dict
+        When the store confirmed that an endpoint leaves.
+    heard_after : dict
+        Seconds from then until a process knew it, by process and endpoint.
+    """
+
+    def __init__(self, seed=1, processes=PROCESSES):
+        super().__init__(seed, lambda name: int(name.split("-")[1]) % 8 < 2)
+        self.left_at = {}
+        self.heard_after = {}
+        self.configure_routes()
+        for number in range(ENDPOINTS):
+            self.endpoint(f"plain-{number}", "records", ZONES[number % len(ZONES)])
+        self.endpoint("engine-1", "engines")
+        for number in range(processes):
+            self.front(f"front-{number}", ZONES[number % len(ZONES)])
+        self.run_until(lambda: all(each.ready for each in self.fronts.values()))
+        self.run(6.0)
+
+    def leave(self, *endpoints):
+        """Let endpoints say in their rows that they leave."""
+        for name in endpoints:
+            self.register(name, "records", state="draining", sequence=2)
+            self.left_at[name] = self.clock.now()
+
+    def watch(self, seconds):
+        """Let time pass, and note what processes learn meanwhile."""
+        self.run_until(self._note, seconds, must=False)
+
+    def _note(self):
+        for endpoint, at in self.left_at.items():
+            for name, front in self.fronts.items():
+                if (name, endpoint) not in self.heard_after:
+                    fact = front.facts.get(endpoint)
+                    if fact is not None and fact.state is not VmState.LIVE:
+                        self.heard_after[name, endpoint] = self.clock.now() - at
+        return False
+
+    def relays(self, zone):
+        """Return the processes that the others of a zone rest on."""
+        return [
+            name
+            for name, front in self.fronts.items()
+            if front.settings.zone == zone and front.peers.relaying.is_relay
+        ]
+
+    def late(self, lost=()):
+        """Return processes and endpoints of which they had not heard in time."""
+        known = {each for each, seconds in self.heard_after.items() if seconds <= DRAIN_SECONDS}
+        due = {(name, endpoint) for name in self.fronts for endpoint in self.left_at}
+        return sorted(each for each in due - known if each[0] not in lost)
+
+
+class TestRelaysCutOff:
+    """The others rested on relays that did not know yet that the store was out of reach."""
+
+    @pytest.mark.parametrize("seed", [1, 2, 3, 4])
+    def test_endpoints_that_leave_one_after_the_other_are_known_in_time(self, seed):
+        world = LeavingWorld(seed)
+        # Where the relays stand between two questions to the store differs.
+        world.run(0.31 * seed)
+        world.store_delay, world.busy_seconds = 0.2, 0.25
+        lost = world.relays(ZONES[0])
+        for name in lost:
+            world.lose(name, "cut")
+        for number in range(6):
+            world.leave(f"plain-{number}")
+            world.watch(0.3)
+        world.watch(8.0)
+        assert world.late(lost) == []
