Rows that say an endpoint leaves are told in reports and digests, as answers are

What callers saw: requests at an endpoint 3.3 s after the store had confirmed that it leaves (DRAIN). Change: what a row says goes with the word that answers say already, for three seconds, to the relays of all zones at once; a relay that was told by a peer tells its zone at once. A later row of an endpoint that leaves is taken, since it may tell when. Up to 64 endpoints in a report. Why it holds: the word needs no question and no state of the receiver but the row itself; leaving is final for one start of an endpoint.

--- a/bench/answer_mutations.py
+++ b/bench/answer_mutations.py
@@ -71,8 +71,8 @@
     Mutation(
         "Leave: leaving is final though the row had gone",
         "process/forwarding/endpoints.py",
-        "not before.ready and (is_known or row.ready):",
-        "not before.ready and is_known:",
+        "if row.born == before.born and not before.ready and row.ready:",
+        "if is_known and row.born == before.born and not before.ready and row.ready:",
         LEAVING,
     ),
     Mutation(
--- a/bench/platform_mutations.py
+++ b/bench/platform_mutations.py
@@ -82,8 +82,8 @@
     Mutation(
         "P peers tell a process that the store turns away",
         "process/forwarding/exchange.py",
-        "if self._asking or not (ask_endpoints or ask_configuration):",
-        "if True:",
+        "if cut_off or rests or waited >= CONFIGURATION_LEAD_SECONDS:",
+        "if False:",
         FORWARDING,
     ),
     Mutation(
@@ -251,9 +251,9 @@
     ),
     Mutation(
         "P a peer that knows no more does not reset the wait",
-        "process/forwarding/exchange.py",
-        "        if known >= self._newest:\n",
-        "        if known >= told:\n",
+        "process/forwarding/version_word.py",
+        "        if self.newest <= known:\n",
+        "        if version <= known:\n",
         DIGESTS,
     ),
     Mutation(
--- a/flamingofront/process/forwarding/endpoints.py
+++ b/flamingofront/process/forwarding/endpoints.py
@@ -19,11 +19,11 @@
 # reach it for two seconds from then on, less what is on its way. With the grace of the others one
 # reached it 2,082 ms after its row had gone.
 VANISHED_GRACE_SECONDS = 1.5
-# Word of endpoints that say that they leave is told for so long, in seconds: some reports, of which
-# a few may be lost.
+# Word of endpoints that leave is told for so long, in seconds: some reports, of which a few may be
+# lost.
 TOLD_SECONDS = 3.0
-# Most of them in one report; the latest ones go first.
-MAX_TOLD = 32
+# Most of them in one report; the latest ones go first. Others are asked for.
+MAX_TOLD = 64
 
 
 class EndpointView:
@@ -71,7 +71,7 @@
         self._last: dict[str, EndpointRow] = {}
         self._unreadable: set[str] = set()
         self._missing: set[str] = set()
-        # When endpoints that leave were heard to say so, where it is still told.
+        # When endpoints that leave were learned of, by their answers or rows, while it is told.
         self._left_at: dict[str, float] = {}
         self._away = False
         self._first_answer = False
@@ -115,14 +115,14 @@
         self.put(replace(row, ready=False), by_peer=True)
 
     def merge_leaving(self, told: Iterable[tuple[str, int]]) -> None:
-        """Take word of a peer of endpoints that say that they leave, with their starts."""
+        """Take word of a peer of endpoints that leave, with their starts."""
         for endpoint_id, born in told:
             row = self._rows.get(endpoint_id)
             if row is not None and row.born == born:
                 self.mark_leaving(endpoint_id, "peer")
 
     def recently_leaving(self) -> tuple[tuple[str, int], ...]:
-        """Return the endpoints that have lately said that they leave, with their starts."""
+        """Return the endpoints that have lately begun to leave, with their starts."""
         since = self._timers.now() - TOLD_SECONDS
         self._left_at = {name: at for name, at in self._left_at.items() if at > since}
         latest = sorted(self._left_at, key=lambda name: -self._left_at[name])[:MAX_TOLD]
@@ -195,10 +195,11 @@
         Notes
         -----
         Leaving is final for one start of an endpoint, also for one that was taken for gone since:
-        the store may have come back from a copy in which it was ready.
+        the store may have come back from a copy in which it was ready. A later row that says the
+        same may tell when it leaves.
         """
         is_known = row.endpoint_id in self._rows
-        if row.born == before.born and not before.ready and (is_known or row.ready):
+        if row.born == before.born and not before.ready and row.ready:
             return True
         if is_known or row.endpoint_id in self._unreadable:
             return row.position < before.position
@@ -250,6 +251,8 @@
                 row=str(row),
             )
             if state is VmState.LEAVING:
+                if source is Source.STORE:
+                    self._left_at[row.endpoint_id] = self._timers.now()
                 self._on_leaving(row)
 
     def remove(self, endpoint_id: str) -> None:
--- a/flamingofront/process/forwarding/knowledge.py
+++ b/flamingofront/process/forwarding/knowledge.py
@@ -208,6 +208,11 @@
         )
         self._on_configuration(cfg)
         if origin.source is Source.PEER:
+            self._tell_on()
+
+    def _tell_on(self) -> None:
+        """Tell what a peer has told, if others rest on this process."""
+        if not self.rests:
             self.on_change()
 
     def _decoded(self, rows: tuple[StoredRow, ...]) -> list[EndpointRow]:
@@ -271,6 +276,9 @@
             for endpoint_id in news.gone:
                 self.endpoints.confirm_gone(endpoint_id)
                 self._history.changed(endpoint_id, news.mark)
+            self._history.told_up_to(news.mark)
+        if news.rows or news.gone:
+            self._tell_on()
 
 
 def _milliseconds(seconds: float | None) -> int | None:
--- a/flamingofront/process/forwarding/news.py
+++ b/flamingofront/process/forwarding/news.py
@@ -101,6 +101,10 @@
         self._changes.append((mark, endpoint_id))
         self.mark = max(self.mark, mark)
 
+    def told_up_to(self, mark: int) -> None:
+        """Note that no further change is known up to a mark."""
+        self.mark = max(self.mark, mark)
+
     def since(self, mark: int) -> frozenset[str] | None:
         """Return the endpoints that changed after a mark; None if that is no longer known."""
         if mark < self._complete_since:
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -105,6 +105,7 @@
         self.metrics = Metrics({"vm": settings.vm_id, "zone": settings.zone})
         self.on_configuration: Callable[[ForwardingConfiguration], None] = lambda cfg: None
         self.stopping = False
+        self._leaving_untold = False
         self._began = needs.timers.now()
         self.store = EraStore(CountedTableStore(needs.store, self.metrics), log)
         self._needs = replace(needs, store=self.store)
@@ -161,6 +162,7 @@
                 self.timers,
                 self.metrics,
                 self.log,
+                on_leaving=self._row_leaves,
                 on_gone=self._endpoint_gone,
                 on_restarted=self._endpoint_restarted,
             ),
@@ -355,6 +357,13 @@
     def _store_changed(self) -> None:
         """Tell the zone, if others may rest because this process follows the store."""
         self.peers.tell_zone()
+        if self._leaving_untold:
+            self._leaving_untold = False
+            self.peers.tell_leaving()
+
+    def _row_leaves(self, row: EndpointRow) -> None:
+        """Tell of a leaving endpoint once all that came with its row is taken in."""
+        self._leaving_untold = True
 
     def _build_duties(self) -> None:
         settings, needs = self.settings, self._needs
--- a/flamingofront/process/forwarding/peers.py
+++ b/flamingofront/process/forwarding/peers.py
@@ -355,6 +355,11 @@
         if any(not each.follows for each in heard):
             self._send_to([each.ip for each in heard], without_counts(self._own_report()))
 
+    def tell_leaving(self) -> None:
+        """Tell all zones at once that endpoints leave: others may not have heard it themselves."""
+        if self.many:
+            self.relaying.tell_relays_now()
+
     def _is_near(self, report: PeerReport) -> bool:
         return report.zone == self._own.zone
 
--- a/flamingofront/process/forwarding/relaying.py
+++ b/flamingofront/process/forwarding/relaying.py
@@ -197,6 +197,13 @@
         if self.is_relay:
             self._tell_zone(self._listener.own_report(), full=False)
 
+    def tell_relays_now(self) -> None:
+        """Tell the relays of all zones at once, if this process is one."""
+        if self.is_relay:
+            own = self._listener.own_report()
+            self._report(own, self._choose().values())
+            self._tell_elsewhere(own)
+
     def _report(self, report: PeerReport, ips: Iterable[str]) -> None:
         self._told[report.sequence] = report
         while len(self._told) > KEPT_REPORTS:
--- a/flamingofront/process/forwarding/reports.py
+++ b/flamingofront/process/forwarding/reports.py
@@ -103,7 +103,7 @@
     limits : tuple of EndpointLimit
         Changes of the rates that endpoints take from all, of the last seconds.
     leaving_endpoints : tuple of (str, int)
-        Endpoints that have lately said in answers that they leave, with their starts.
+        Endpoints that have lately begun to leave, by their answers or rows, with their starts.
     """
 
     vm_id: str
--- a/flamingofront/process/forwarding/tests/test_endpoints.py
+++ b/flamingofront/process/forwarding/tests/test_endpoints.py
@@ -77,6 +77,28 @@
         assert seen.state() is VmState.LIVE
 
 
+class TestWordOfLeaving:
+    LEAVING = replace(ROW, ready=False, sequence=6)
+
+    def test_row_that_says_so_is_told_to_others(self, seen):
+        """Others asked for each change: with a link of that chain lost they knew after 3.4 s."""
+        seen.view.put(self.LEAVING)
+        assert seen.view.recently_leaving() == (("i-1", 0),)
+
+    def test_what_was_asked_for_is_not_told_on(self, seen):
+        seen.view.put(self.LEAVING, by_peer=True)
+        assert seen.view.recently_leaving() == ()
+
+    def test_word_of_it_goes_before_the_row(self, seen):
+        seen.view.merge_leaving((("i-1", 0),))
+        assert seen.state() is VmState.LEAVING
+
+    def test_row_that_follows_the_word_tells_when_it_leaves(self, seen):
+        seen.view.merge_leaving((("i-1", 0),))
+        seen.view.put(replace(self.LEAVING, leaves_in=2.0))
+        assert seen.view.rows()[0].leaves_in == 2.0
+
+
 class TestOutage:
     def test_missing_row_has_grace_after_the_outage(self, seen):
         seen.view.store_lost()
