An unknown route or key is refused as unknown only by knowledge that is current

What callers saw: 404 for a route whose addition had been confirmed five seconds before. Cause: a process refused by the configuration that it had, whatever it knew of its age: it had heard of a newer version for seconds, and a process that rests on others could not tell how old theirs was. Here: three of the new tests fail without the gate (404 in place of 200 and 503), one answers a caller that has left. Change: reports and digests tell up to which change of the store, and how old, the knowledge of the configuration and the endpoints is; each process so knows the age of its own. A route or key that is not known is looked up where that is over a second old or a newer version is known of: one question to the store from that change on, shared by all that wait, for 0.25 s at most. What cannot be confirmed is refused with 503 and a time. Followers ask for the configuration's next change without a pause. Before and after: a request for a route that its process has not heard of is served (200). Why it holds: a 404 is sent only within a second of a moment at which the configuration in force was the newest; a change has three seconds.

--- a/flamingofront/process/forwarding/digests.py
+++ b/flamingofront/process/forwarding/digests.py
@@ -14,6 +14,7 @@
 from flamingofront.process.forwarding.reports import (
     PeerReport,
     ProcessCounts,
+    decode_ages,
     decode_starts,
     rollout_word,
 )
@@ -148,6 +149,7 @@
             encode_word(relay.quarantine),
             encode_limits(relay.limits),
             relay.leaving_endpoints,
+            [relay.position, relay.ages],
         ]
         self._body = orjson.dumps(values)
 
@@ -179,6 +181,8 @@
 def _digest(values: list, acknowledged: int) -> Digest:
     identity, state, flags, scope, wall, counts, loads, claim, silent = values[:9]
     spent, demand, work, roster, relays, usage, told_until, quarantine = values[9:17]
+    # A relay of an earlier version does not tell how old its knowledge is.
+    position, ages = values[19] if len(values) > 19 else (0, (None, None))
     vm_id, incarnation, sequence, zone, ip = identity
     address, configuration, endpoints, rollouts = state
     cut_off, follows, leaving = flags
@@ -200,6 +204,8 @@
         # A relay of an earlier version tells none.
         limits=decode_limits(*values[17:18] or ((),)),
         leaving_endpoints=decode_starts(*values[18:19] or ((),)),
+        position=int(position),
+        ages=decode_ages(ages),
     )
     fencing, lease_version, released, holder_ip = claim
     return Digest(
--- a/flamingofront/process/forwarding/exchange.py
+++ b/flamingofront/process/forwarding/exchange.py
@@ -55,6 +55,7 @@
         """Ask a peer for what it knows better, if the store does not bring it in time."""
         now = self._now()
         self._knowledge.hear_of_configuration(report.configuration, report.vm_id)
+        self._knowledge.confirm_by_peer(report)
         waited = self._knowledge.configuration_missing_for() or 0.0
         reached = report.follows and not report.cut_off
         mark = self._knowledge.endpoints_mark()
@@ -64,71 +65,73 @@
         cut_off, rests = self._knowledge.cut_off, self._knowledge.rests
         if report.configuration > self._knowledge.configuration.version:
             if cut_off or rests or waited >= CONFIGURATION_LEAD_SECONDS:
-                self._ask_configuration(report)
+                self._ask_configuration(report.vm_id, report.address)
             if rests and waited >= STORE_LEAD_SECONDS:
                 self._knowledge.read_configuration_now()
         if newer_endpoints and (cut_off or rests or lagged >= ENDPOINTS_LEAD_SECONDS):
-            self._ask_endpoints(report)
+            self._ask_endpoints(report.vm_id, report.address)
 
-    def _ask_configuration(self, report: PeerReport) -> None:
+    def _ask_configuration(self, peer: str, address: str) -> None:
         """Ask a peer for the configuration, unless it or enough others are being asked."""
         asked = self._asked_for_configuration
-        if report.vm_id in asked or len(asked) >= MAX_ASKED:
+        if peer in asked or len(asked) >= MAX_ASKED:
             return
-        asked.add(report.vm_id)
-        self._tasks.start(self._fetch_configuration(report), lambda _: asked.discard(report.vm_id))
+        asked.add(peer)
+        task = self._fetch_configuration(peer, address)
+        self._tasks.start(task, lambda _: asked.discard(peer))
 
-    def _fetch_configuration(self, report: PeerReport) -> Task:
+    def _fetch_configuration(self, peer: str, address: str) -> Task:
         base, version = self._knowledge.configuration_data, self._knowledge.configuration.version
         asked_at = self._now()
-        data = yield from self._get(report, f"{CONFIGURATION_PATH}?after={version}")
+        data = yield from self._get(peer, address, f"{CONFIGURATION_PATH}?after={version}")
         if not data:
             return
         try:
             document = apply_copy(data, base)
         except ValueError as exc:
-            self._log.error("peer's configuration refused", peer=report.vm_id, detail=str(exc))
+            self._log.error("peer's configuration refused", peer=peer, detail=str(exc))
             return
-        origin = Provenance(Source.PEER, report.vm_id, self._now() - asked_at, len(data))
+        origin = Provenance(Source.PEER, peer, self._now() - asked_at, len(data))
         self._knowledge.take_configuration(document, origin)
 
-    def _ask_endpoints(self, report: PeerReport) -> None:
+    def _ask_endpoints(self, peer: str, address: str) -> None:
         """Ask a peer for the endpoints, unless one is being asked."""
         if self._asking:
             return
         self._asking = True
-        self._tasks.start(self._fetch_endpoints(report), self._asked)
+        self._tasks.start(self._fetch_endpoints(peer, address), self._asked)
 
     def _asked(self, result: object) -> None:
         self._asking = False
 
-    def _fetch_endpoints(self, report: PeerReport) -> Task:
+    def _fetch_endpoints(self, peer: str, address: str) -> Task:
         path = f"{ENDPOINTS_PATH}?after={self._knowledge.endpoints_mark()}"
-        data = yield from self._get(report, path)
+        data = yield from self._get(peer, address, path)
         if data:
-            self._take_endpoints(report, data)
+            self._take_endpoints(peer, data)
 
-    def _get(self, report: PeerReport, path: str) -> Task:
+    def _get(self, peer: str, address: str, path: str) -> Task:
         reply = yield OutboundCall(
-            report.address, "GET", path, timeout=ASK_TIMEOUT, stall_timeout=ASK_TIMEOUT
+            address, "GET", path, timeout=ASK_TIMEOUT, stall_timeout=ASK_TIMEOUT
         )
         if isinstance(reply, WholeResponse) and reply.status == 200:
             return reply.body
-        self._log.info("peer did not answer", peer=report.vm_id, path=path, reply=str(reply)[:80])
+        self._log.info("peer did not answer", peer=peer, path=path, reply=str(reply)[:80])
         return b""
 
-    def _take_endpoints(self, report: PeerReport, data: bytes) -> None:
+    def _take_endpoints(self, peer: str, data: bytes) -> None:
         try:
             news = decode_news(data)
         except ValueError as exc:
-            self._log.error("peer's endpoints refused", peer=report.vm_id, detail=str(exc))
+            self._log.error("peer's endpoints refused", peer=peer, detail=str(exc))
             return
         self._log.info(
             "endpoints from peer",
-            peer=report.vm_id,
+            peer=peer,
             mark=news.mark,
             whole=news.whole,
             rows=len(news.rows),
             gone=len(news.gone),
         )
-        self._knowledge.take_endpoints(news)
+        if news.mark > self._knowledge.endpoints_mark():
+            self._knowledge.take_endpoints(news)
--- a/flamingofront/process/forwarding/follower.py
+++ b/flamingofront/process/forwarding/follower.py
@@ -16,6 +16,8 @@
 # A silent store swallows a waiting call. The wait bounds how long that goes unnoticed: with it, a
 # process that is in touch again learns of a change within the two seconds that are allowed.
 FEED_WAIT_SECONDS = 3.5
+# Answers up to this size, in bytes, pass the smallest link of a VM in a tenth of a second.
+QUICK_BYTES = 64 * 1024
 # Pause between two looks at whether others still follow the store for this process.
 REST_SECONDS = 0.2
 # First pause after a failed call and the longest one: quick enough to be back within a second of
@@ -85,6 +87,8 @@
         self._failures = 0
         self._version: int | None = None
         self.heard_at: float | None = None
+        # The table is known here as it was then.
+        self.confirmed_at: float | None = None
         self.errors = 0
 
     @property
@@ -138,9 +142,11 @@
 
     def step(self) -> Task:
         """Read the table, or wait for its next changes."""
+        asked_at = self._now()
         if self._version is None:
             rows, version = yield from self._read_all()
             self._note_answer()
+            self.confirmed_at = asked_at
             self._version = version
             self._listener.replaced(rows, version)
             return
@@ -149,6 +155,9 @@
         self._look_once = False
         changes = yield from self._store.changes(self.table, self._version, wait)
         self._note_answer()
+        # A large answer may have been on its way for a while; any other is as of now.
+        is_large = sum(len(each.value or b"") for each in changes.rows) > QUICK_BYTES
+        self.confirmed_at = asked_at if is_large else self.heard_at
         self._version = max(self._version, changes.version)
         if changes.rows:
             self._listener.changed(changes.rows)
--- /dev/null
+++ b/flamingofront/process/forwarding/freshness.py
@@ -0,0 +1,67 @@
+"""Whether the configuration in force is the newest, by the age of that knowledge and by a look."""
+
+from collections.abc import Callable
+
+from flamingofront.errors import PlatformError
+from flamingofront.process.forwarding.knowledge import Knowledge
+from flamingofront.process.logs import Log
+from flamingofront.process.tasks import Task, TaskRunner
+from flamingofront.process.timers import TimerService
+from flamingofront.request.unknown_gate import UnknownGate
+
+__all__ = ["ConfigurationCheck"]
+
+# Younger knowledge counts as current: a third of the time in which a change has to be in force.
+CURRENT_SECONDS = 1.0
+# Longest time for which a request waits for the look.
+LONGEST_WAIT_SECONDS = 0.25
+
+
+class ConfigurationCheck(UnknownGate):
+    """Asks the store for a newer configuration when the knowledge here is too old to refuse by.
+
+    All requests that wait share one look, so that a process makes one a second at most.
+    """
+
+    def __init__(self, knowledge: Knowledge, tasks: TaskRunner, timers: TimerService, log: Log):
+        self._knowledge = knowledge
+        self._tasks = tasks
+        self._timers = timers
+        self._log = log
+        self._waiting: list[Callable[[bool], None]] = []
+        self._is_asking = False
+
+    def is_current(self) -> bool:
+        """Tell whether the configuration in force is known to be the newest."""
+        age = self._knowledge.configuration_age()
+        is_missing = self._knowledge.configuration_missing_for() is not None
+        return not is_missing and age is not None and age <= CURRENT_SECONDS
+
+    def verify(self, then: Callable[[bool], None]) -> None:
+        """Have `then` told whether it is, after a look at the store."""
+        self._waiting.append(then)
+        if len(self._waiting) == 1:
+            self._timers.once(LONGEST_WAIT_SECONDS, self._tell)
+        if not self._is_asking:
+            self._is_asking = True
+            self._tasks.start(self._look(), self._looked)
+
+    def _look(self) -> Task:
+        age = self._knowledge.configuration_age()
+        try:
+            yield from self._knowledge.look_at_configuration()
+        except PlatformError as exc:
+            self._log.info("configuration not confirmed", age=age, detail=str(exc))
+        else:
+            version = self._knowledge.configuration.version
+            self._log.info("configuration confirmed", age=age, version=version)
+
+    def _looked(self, result: object) -> None:
+        self._is_asking = False
+        self._tell()
+
+    def _tell(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        outcome = self.is_current()
+        for each in waiting:
+            each(outcome)
--- a/flamingofront/process/forwarding/knowledge.py
+++ b/flamingofront/process/forwarding/knowledge.py
@@ -12,11 +12,13 @@
 from flamingofront.process.forwarding.follower import TableFollower, TableListener
 from flamingofront.process.forwarding.news import EndpointHistory, EndpointNews, mark_of
 from flamingofront.process.forwarding.provenance import FROM_STORE, Provenance, Source
+from flamingofront.process.forwarding.reports import PeerReport
 from flamingofront.process.forwarding.rollouts import RolloutRows
 from flamingofront.process.forwarding.version_word import VersionWord
 from flamingofront.process.logs import Log
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.store import StoredRow, TableStore
+from flamingofront.process.tasks import Task
 from flamingofront.version.forwarding import ForwardingConfiguration
 
 __all__ = ["Knowledge", "SharedTables"]
@@ -93,8 +95,12 @@
         self._on_configuration = on_configuration
         self._configuration_word = VersionWord()
         self._now = now
+        # What peers told: when each table was known, and up to which change the configuration was.
+        self._told_at: dict[str, float] = {}
+        self._told_position = 0
         self._metrics = metrics
         self._log = log
+        self._store = store
         configuration_listener = TableListener(
             lambda rows, version: self._configuration_rows(rows), self._configuration_rows
         )
@@ -105,8 +111,9 @@
             endpoints.store_back,
         )
         self.followers = (
+            # Without a pause: a change is rare, and may take a second of a small link.
             TableFollower(
-                store, tables.configuration, configuration_listener, now, rng, log, may_rest, pause
+                store, tables.configuration, configuration_listener, now, rng, log, may_rest
             ),
             TableFollower(
                 store, tables.endpoints, endpoint_listener, now, rng, log, may_rest, pause
@@ -127,6 +134,52 @@
         """Ask the store for the configuration, also while this process does not follow it."""
         self.followers[0].look_once()
 
+    def look_at_configuration(self) -> Task:
+        """Ask the store whether there is a newer configuration, and put it in force.
+
+        Raises
+        ------
+        PlatformError
+            If the store does not answer, or does not know any more what has changed.
+        """
+        asked_at = self._now()
+        after = self.configuration_position()
+        changes = yield from self._store.changes(self._tables.configuration, after, 0.0)
+        self._configuration_rows(changes.rows)
+        self._told_position = max(self._told_position, changes.version)
+        self._confirm(self._tables.configuration, asked_at)
+
+    def configuration_position(self) -> int:
+        """Return the change of the store up to which the configuration is known."""
+        return max(self.followers[0].version, self._told_position)
+
+    def configuration_age(self) -> float | None:
+        """Return the seconds since the configuration was known to be the newest; None if never."""
+        return self._age(self.followers[0])
+
+    def endpoints_age(self) -> float | None:
+        """Return the seconds since the endpoints were known to be current; None if never."""
+        return self._age(self.followers[1])
+
+    def _age(self, follower: TableFollower) -> float | None:
+        known = (follower.confirmed_at, self._told_at.get(follower.table))
+        times = [each for each in known if each is not None]
+        return self._now() - max(times) if times else None
+
+    def _confirm(self, table: str, at: float) -> None:
+        self._told_at[table] = max(at, self._told_at.get(table, at))
+
+    def confirm_by_peer(self, report: PeerReport) -> None:
+        """Take word of how old a peer's knowledge is, where it is the same as this process's."""
+        now = self._now()
+        configuration_age, endpoints_age = report.ages
+        if report.configuration == self.configuration.version:
+            self._told_position = max(self._told_position, report.position)
+            if configuration_age is not None:
+                self._confirm(self._tables.configuration, now - configuration_age)
+        if endpoints_age is not None and report.endpoints <= self.endpoints_mark():
+            self._confirm(self._tables.endpoints, now - endpoints_age)
+
     def configuration_copy(self, after: int) -> bytes:
         """Return the configuration in force for a peer that has another version of it."""
         return self._copies.copy(after)
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -21,6 +21,7 @@
 from flamingofront.process.forwarding.endpoint_row import EndpointRow
 from flamingofront.process.forwarding.endpoints import EndpointView
 from flamingofront.process.forwarding.exchange import KnowledgeExchange
+from flamingofront.process.forwarding.freshness import ConfigurationCheck
 from flamingofront.process.forwarding.held_requests import HeldRequests
 from flamingofront.process.forwarding.inquiries import Inquirer
 from flamingofront.process.forwarding.knowledge import Knowledge, SharedTables
@@ -316,6 +317,9 @@
         self.peers.on_reply = self.arbiters.take_reply
         self._build_limits()
         self.exchange = KnowledgeExchange(self.knowledge, self.tasks, self.timers.now, self.log)
+        self.gateway.unknown_gate = ConfigurationCheck(
+            self.knowledge, self.tasks, self.timers, self.log
+        )
         self.readers = StoreReaders(
             self.settings.vm_id,
             self.settings.zone,
--- a/flamingofront/process/forwarding/own_report.py
+++ b/flamingofront/process/forwarding/own_report.py
@@ -86,6 +86,8 @@
             quarantine=parts.hub.guard.word(),
             limits=parts.hub.limits.recent_changes(),
             leaving_endpoints=knowledge.endpoints.recently_leaving(),
+            position=knowledge.configuration_position(),
+            ages=(_rounded(knowledge.configuration_age()), _rounded(knowledge.endpoints_age())),
         )
 
     def _work(self, hub: RequestHub) -> dict[str, tuple[float, float]]:
@@ -96,3 +98,7 @@
     def _some_peers(self, heard: list[PeerReport]) -> tuple[str, ...]:
         count = min(MAX_PEERS_TOLD, len(heard))
         return tuple(each.ip for each in self._rng.sample(heard, count))
+
+
+def _rounded(age: float | None) -> float | None:
+    return None if age is None else round(age, 2)
--- a/flamingofront/process/forwarding/reports.py
+++ b/flamingofront/process/forwarding/reports.py
@@ -29,6 +29,7 @@
     "encode_note",
     "encode_report",
     "is_note",
+    "decode_ages",
     "decode_starts",
     "without_counts",
 ]
@@ -104,6 +105,11 @@
         Changes of the rates that endpoints take from all, of the last seconds.
     leaving_endpoints : tuple of (str, int)
         Endpoints that have lately begun to leave, by their answers or rows, with their starts.
+    position : int
+        Change of the store up to which it knows the configuration.
+    ages : tuple of (float or None, float or None)
+        Seconds since what it knows of the configuration, and of the endpoints, was current. None if
+        that is not known.
     """
 
     vm_id: str
@@ -132,6 +138,8 @@
     quarantine: QuarantineWord | None = None
     limits: tuple[EndpointLimit, ...] = ()
     leaving_endpoints: tuple[tuple[str, int], ...] = ()
+    position: int = 0
+    ages: tuple[float | None, float | None] = (None, None)
 
     @property
     def process(self) -> str:
@@ -145,8 +153,7 @@
 
 
 _FIELDS = tuple(each.name for each in dataclasses.fields(PeerReport))
-# The last three fields have a form of their own, or come after those.
-_PLAIN_FIELDS = _FIELDS[:-3]
+_ENCODERS = {"quarantine": encode_word, "limits": encode_limits}
 _REQUIRED = sum(
     each.default is dataclasses.MISSING and each.default_factory is dataclasses.MISSING
     for each in dataclasses.fields(PeerReport)
@@ -161,9 +168,8 @@
     Without the names of the fields the short form of a process with 16 workspaces takes 705 bytes
     in place of 907.
     """
-    values = [getattr(report, name) for name in _PLAIN_FIELDS]
-    encoded = (encode_word(report.quarantine), encode_limits(report.limits))
-    return orjson.dumps([*values, *encoded, report.leaving_endpoints])
+    values = ((_ENCODERS.get(name), getattr(report, name)) for name in _FIELDS)
+    return orjson.dumps([value if encode is None else encode(value) for encode, value in values])
 
 
 def decode_report(data: bytes) -> PeerReport:
@@ -186,6 +192,7 @@
     named["quarantine"] = decode_word(named.get("quarantine"))
     named["limits"] = decode_limits(named.get("limits", ()))
     named["leaving_endpoints"] = decode_starts(named.get("leaving_endpoints", ()))
+    named["ages"] = decode_ages(named.get("ages", (None, None)))
     return PeerReport(**named)
 
 
@@ -223,6 +230,21 @@
         raise ValueError(f"malformed word of endpoints: {exc!r:.100}") from exc
 
 
+def decode_ages(value: Any) -> tuple[float | None, float | None]:
+    """Return the ages of what is known of the configuration and the endpoints, as they were told.
+
+    Raises
+    ------
+    ValueError
+        If it is something else.
+    """
+    try:
+        configuration, endpoints = (None if each is None else float(each) for each in value)
+    except TypeError as exc:
+        raise ValueError(f"malformed ages: {exc!r:.100}") from exc
+    return configuration, endpoints
+
+
 @dataclass(frozen=True)
 class LoadNote:
     """What changed at the endpoints since a report.
--- /dev/null
+++ b/flamingofront/process/forwarding/tests/test_freshness.py
@@ -0,0 +1,96 @@
+"""Refusals of unknown routes by processes that may not have the newest configuration."""
+
+import pytest
+
+from flamingofront.platform.config import CONFIG_KEY, CONFIG_TABLE
+from flamingofront.process.forwarding.freshness import CURRENT_SECONDS, LONGEST_WAIT_SECONDS
+from flamingofront.tests.forwarding_world import ForwardingWorld, configuration, ready_world
+
+FEW = configuration()["routes"][:1]
+PROCESSES = 24
+
+
+def many_world():
+    """Return a world of many processes, most of which rest on others."""
+    world = ForwardingWorld()
+    world.configure_routes(routes=FEW)
+    world.endpoint("plain-1", "records")
+    world.endpoint("engine-1", "engines")
+    for number in range(PROCESSES):
+        world.front(f"front-{number}", ("zone-a", "zone-b")[number % 2])
+    world.run_until(lambda: all(each.ready for each in world.fronts.values()))
+    world.run(6.0)
+    return world
+
+
+def settle(world, caller):
+    """Return the status of a request, which waits for a look at most."""
+    world.finish(caller, limit=LONGEST_WAIT_SECONDS + 0.5)
+    return caller.status
+
+
+class TestUnknownRoutes:
+    def test_route_is_not_refused_as_unknown_by_processes_that_have_not_heard_of_it(self):
+        """A confirmed route was refused with 404 by a process that was behind."""
+        world = many_world()
+        for name in list(world.fronts)[1:]:
+            world.cut(name, "front-0")
+        world.run(2.0)
+        world.configure_routes(version=2)
+        assert settle(world, world.ask("front-0", "/write/x")) == 200
+
+    @pytest.mark.parametrize("key", ["key-1", "unknown"])
+    def test_refusal_is_503_while_a_newer_configuration_is_known_of(self, key):
+        world = many_world()
+        front = world.fronts["front-0"]
+        front.knowledge.hear_of_configuration(2, "front-1")
+        world.cut("front-0", "store")
+        path = "/write/x" if key == "key-1" else "/read/x"
+        caller = world.ask("front-0", path, key=key)
+        assert settle(world, caller) == 503
+        assert 0 < float(caller.headers["retry-after"]) <= 1.0
+
+    def test_unknown_route_is_refused_as_such_after_a_look(self):
+        world = many_world()
+        assert settle(world, world.ask("front-0", "/nowhere/x")) == 404
+
+    def test_many_unknown_routes_cost_one_look_a_second(self):
+        world = many_world()
+        name = next(name for name, each in world.fronts.items() if each.knowledge.rests)
+        metrics = world.fronts[name].metrics
+        read = {"operation": "changes", "table": CONFIG_TABLE}
+        before = metrics.value("platform_calls_total", **read)
+        for _ in range(60):
+            world.finish(world.ask(name, "/nowhere/x"))
+            world.run(0.05)
+        assert metrics.value("platform_calls_total", **read) - before <= 3.0 / CURRENT_SECONDS + 1
+
+    def test_looks_do_not_read_again_what_a_peer_has_told(self):
+        """Each process that rests would read the whole configuration for each look."""
+        world = many_world()
+        written_at = world.store.put(CONFIG_TABLE, CONFIG_KEY, configuration(version=2))
+        world.run(2.0)
+        for front in world.fronts.values():
+            assert front.knowledge.configuration_position() >= written_at
+
+    def test_caller_that_has_left_is_not_answered(self):
+        world = many_world()
+        caller = world.ask("front-0", "/nowhere/x")
+        caller.leave()
+        world.run(1.0)
+        assert not caller.done
+
+
+class TestAges:
+    def test_processes_that_rest_know_how_old_their_knowledge_is(self):
+        world = many_world()
+        for _ in range(20):
+            world.run(0.3)
+            for front in world.fronts.values():
+                assert front.knowledge.configuration_age() < 4.0
+                assert front.knowledge.endpoints_age() < 4.0
+
+
+def test_first_process_of_a_small_deployment_refuses_after_a_look():
+    world = ready_world()
+    assert settle(world, world.ask("front-1", "/nowhere/x")) == 404
--- a/flamingofront/request/forward_gateway.py
+++ b/flamingofront/request/forward_gateway.py
@@ -18,6 +18,7 @@
 from flamingofront.request.quota_gate import OwnQuotaGate, QuotaDecision, QuotaGate
 from flamingofront.request.records import RequestRecord
 from flamingofront.request.stop_refusal import refusal_for_stop
+from flamingofront.request.unknown_gate import NoUnknownGate, UnknownGate
 from flamingofront.version.forwarding import (
     ForwardedRoute,
     ForwardedWorkspace,
@@ -32,6 +33,21 @@
 # Quotas count requests or tokens; the number in flight is bounded by the endpoints alone.
 NO_WORKSPACE_LIMIT = 1_000_000
 DEFAULT_PRIORITY = 5
+# When to ask again for what may be known by then: a look at the store, or word of a peer.
+UNCONFIRMED_RETRY_SECONDS = 0.5
+# Refusals that are true only of the newest configuration.
+UNKNOWN_KINDS = (ErrorKind.UNKNOWN_SERVICE, ErrorKind.UNKNOWN_WORKSPACE)
+
+
+@dataclass
+class _Waits:
+    """Whether the caller of a request that waits is still there."""
+
+    is_gone: bool = False
+
+    def caller_left(self) -> None:
+        """Note that nobody waits for the answer any more."""
+        self.is_gone = True
 
 
 @dataclass
@@ -81,6 +97,8 @@
     ----------
     quota_gate : QuotaGate
         Decides whether a request is within its quota; by the own copy if nothing else is set.
+    unknown_gate : UnknownGate
+        Tells whether what is not known here is unknown in the newest configuration.
     """
 
     def __init__(
@@ -98,6 +116,7 @@
         self._protocol = protocol
         self._quota = quota
         self.quota_gate: QuotaGate = OwnQuotaGate(quota, hub.timers)
+        self.unknown_gate: UnknownGate = NoUnknownGate()
         self._log = log
         self._on_running = on_running
         self._numbers = itertools.count(1)
@@ -107,8 +126,34 @@
         try:
             self._forward(req, exchange)
         except RequestError as exc:
-            self.refused(exc, req)
-            exchange.respond(*self._protocol.render_error(exc))
+            if exc.kind in UNKNOWN_KINDS and not self.unknown_gate.is_current():
+                self._verify(req, exchange)
+            else:
+                self._refuse(exc, req, exchange)
+
+    def _refuse(self, exc: RequestError, req: InboundRequest, exchange: Exchange) -> None:
+        self.refused(exc, req)
+        exchange.respond(*self._protocol.render_error(exc))
+
+    def _verify(self, req: InboundRequest, exchange: Exchange) -> None:
+        """Let a request wait until it is known whether a newer configuration knows its route."""
+        waits = _Waits()
+        exchange.on_gone = waits.caller_left
+        self.unknown_gate.verify(
+            lambda is_current: waits.is_gone or self._verified(req, exchange, is_current)
+        )
+
+    def _verified(self, req: InboundRequest, exchange: Exchange, is_current: bool) -> None:
+        try:
+            self._forward(req, exchange)
+        except RequestError as exc:
+            if exc.kind in UNKNOWN_KINDS and not is_current:
+                exc = RequestError(
+                    ErrorKind.NOT_READY,
+                    f"{exc.detail}, and a newer configuration may be in force",
+                    retry_after=UNCONFIRMED_RETRY_SECONDS,
+                )
+            self._refuse(exc, req, exchange)
 
     def refused(self, exc: RequestError, req: InboundRequest | None = None) -> None:
         """Count and log a refusal."""
--- a/flamingofront/tests/forwarding_world.py
+++ b/flamingofront/tests/forwarding_world.py
@@ -192,6 +192,18 @@
         self._bursts[source.name] = (self.clock.now(), sent)
         return sent <= self.burst_bytes
 
+    def refusal(self, front: str, path: str, version: int) -> int:
+        """Return the status of a request that a version refuses, which has to be in force now.
+
+        Notes
+        -----
+        What is not known is looked up for a moment before it is refused as unknown.
+        """
+        assert self.fronts[front].configuration.version == version
+        caller = self.ask(front, path)
+        self.finish(caller, limit=0.3)
+        return caller.status
+
     def ask(
         self,
         front: str,
--- a/flamingofront/tests/narrow_links.py
+++ b/flamingofront/tests/narrow_links.py
@@ -95,6 +95,14 @@
         """Return the bytes that each VM's link has passed in a direction."""
         return {name: link.sent for (name, each), link in self._links.items() if each == way}
 
+    def relays(self, zone: str) -> list[str]:
+        """Return the processes that the others of a zone rest on."""
+        return [
+            name
+            for name, front in self.fronts.items()
+            if front.settings.zone == zone and front.peers.relaying.is_relay
+        ]
+
     def carry_back(self, link, events) -> None:
         """Carry the events of a response over both links, large bodies in chunks."""
         parts = [part for event in events for part in _chunks(event)]
