A process without word of those that follow the store asks it, and relays elsewhere, itself

What callers saw: with the relays of a zone frozen while a large change spread, its other processes had the change after 3.2 to 4.0 s (simulated network, links of 5 Mbit/s, store 0.08 s); 3.0 s are allowed. Cause: a process that rests waited 1.2 s until its relays were passed over, and the next relay read the document over its own small link before it told it. Change: after 0.7 s without word of a process that follows the store, or with knowledge older than 4.5 s, a process asks the store for both tables and two relays of other zones for copies, once a second at most (`store is asked without word of it`). Why it holds: whoever still has word of the store passes a copy of a tenth of the document's size.

--- a/flamingofront/process/forwarding/exchange.py
+++ b/flamingofront/process/forwarding/exchange.py
@@ -25,6 +25,15 @@
 STORE_LEAD_SECONDS = 1.0
 # Peers that are asked for the configuration at the same time: one of them may be gone.
 MAX_ASKED = 2
+# Without word of a process that follows the store for so long, a process that rests asks the store
+# itself: some digests, of which a few may be lost.
+QUIET_SECONDS = 0.7
+# So does one whose knowledge is older: a waiting call of a relay takes 3.5 s at most.
+OLD_SECONDS = 4.5
+# Pause between two such looks.
+LOOK_SECONDS = 1.0
+# Pause between two checks of whether one is due.
+WATCH_SECONDS = 0.2
 CONFIGURATION_PATH = "/forwarding/configuration"
 ENDPOINTS_PATH = "/forwarding/endpoints"
 
@@ -40,9 +49,15 @@
     ----------
     now : callable
         Time of the timer service.
+
+    Attributes
+    ----------
+    distant : callable
+        Returns the addresses of processes elsewhere that follow the store.
     """
 
     def __init__(self, knowledge: Knowledge, tasks: TaskRunner, now: Callable[[], float], log: Log):
+        self.distant: Callable[[], list[str]] = lambda: []
         self._knowledge = knowledge
         self._tasks = tasks
         self._now = now
@@ -50,6 +65,8 @@
         self._asking = False
         self._asked_for_configuration: set[str] = set()
         self._endpoints = VersionWord()
+        self._reader_heard_at = now()
+        self._looked_at = now()
 
     def compare(self, report: PeerReport) -> None:
         """Ask a peer for what it knows better, if the store does not bring it in time."""
@@ -58,6 +75,8 @@
         self._knowledge.confirm_by_peer(report)
         waited = self._knowledge.configuration_missing_for() or 0.0
         reached = report.follows and not report.cut_off
+        if reached:
+            self._reader_heard_at = now
         mark = self._knowledge.endpoints_mark()
         self._endpoints.told(report.endpoints if reached else 0, report.vm_id, mark, now)
         lagged = self._endpoints.missing_for(mark, now) or 0.0
@@ -71,6 +90,27 @@
         if newer_endpoints and (cut_off or rests or lagged >= ENDPOINTS_LEAD_SECONDS):
             self._ask_endpoints(report.vm_id, report.address)
 
+    def watch(self) -> None:
+        """Ask the store itself if no word comes of those who follow it, or only of old knowledge.
+
+        Notes
+        -----
+        To be called several times a second.
+        """
+        now = self._now()
+        if not self._knowledge.rests or now - self._looked_at < LOOK_SECONDS:
+            return
+        quiet = now - self._reader_heard_at
+        ages = (self._knowledge.configuration_age(), self._knowledge.endpoints_age())
+        if quiet < QUIET_SECONDS and all(age is None or age < OLD_SECONDS for age in ages):
+            return
+        self._looked_at = now
+        self._log.info("store is asked without word of it", quiet=quiet, ages=ages)
+        self._knowledge.look_now()
+        for address in self.distant()[:MAX_ASKED]:
+            self._ask_configuration(address, address)
+            self._ask_endpoints(address, address)
+
     def _ask_configuration(self, peer: str, address: str) -> None:
         """Ask a peer for the configuration, unless it or enough others are being asked."""
         asked = self._asked_for_configuration
--- a/flamingofront/process/forwarding/knowledge.py
+++ b/flamingofront/process/forwarding/knowledge.py
@@ -134,6 +134,11 @@
         """Ask the store for the configuration, also while this process does not follow it."""
         self.followers[0].look_once()
 
+    def look_now(self) -> None:
+        """Ask the store for both tables, also while this process does not follow it."""
+        for each in self.followers:
+            each.look_once()
+
     def look_at_configuration(self) -> Task:
         """Ask the store whether there is a newer configuration, and put it in force.
 
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -20,7 +20,7 @@
 from flamingofront.process.forwarding.duty import DutyLease
 from flamingofront.process.forwarding.endpoint_row import EndpointRow
 from flamingofront.process.forwarding.endpoints import EndpointView
-from flamingofront.process.forwarding.exchange import KnowledgeExchange
+from flamingofront.process.forwarding.exchange import WATCH_SECONDS, KnowledgeExchange
 from flamingofront.process.forwarding.freshness import ConfigurationCheck
 from flamingofront.process.forwarding.held_requests import HeldRequests
 from flamingofront.process.forwarding.inquiries import Inquirer
@@ -317,6 +317,7 @@
         self.peers.on_reply = self.arbiters.take_reply
         self._build_limits()
         self.exchange = KnowledgeExchange(self.knowledge, self.tasks, self.timers.now, self.log)
+        self.exchange.distant = self._distant
         self.gateway.unknown_gate = ConfigurationCheck(
             self.knowledge, self.tasks, self.timers, self.log
         )
@@ -327,6 +328,12 @@
         )
         self.knowledge.on_change = self._store_changed
 
+    def _distant(self) -> list[str]:
+        """Return the control addresses of the other zones' relays, in random order."""
+        ips = self.peers.relaying.relays_elsewhere() if self.peers.many else []
+        own = self._report.identity
+        return [own.address.replace(own.ip, ip, 1) for ip in self._rng.sample(ips, len(ips))]
+
     def _build_limits(self) -> None:
         """Let one process decide on each endpoint that names the rate that it takes from all."""
         limits, permits = self.hub.limits, self.hub.permits
@@ -484,6 +491,7 @@
         for follower in self.knowledge.followers:
             self.tasks.start(follower.run())
         self.tasks.start(self.held.run())
+        self.timers.every(WATCH_SECONDS, self.exchange.watch, WATCH_SECONDS, relaxed=True)
         self.log.info("started", zone=self.settings.zone, first=self.settings.first_start)
 
     def fault(self, exc: BaseException) -> None:
--- a/flamingofront/process/forwarding/relay_hearing.py
+++ b/flamingofront/process/forwarding/relay_hearing.py
@@ -151,6 +151,12 @@
             relays[zone] = (each.digest.relays or {}).get(zone) or (each.digest.relay.ip,)
         return list(dict.fromkeys(ip for zone in rank(key, relays) for ip in relays[zone]))
 
+    def relays_elsewhere(self) -> list[str]:
+        """Return the IP numbers of the other zones' relays, as they were told last."""
+        told = [each.digest.relays or {} for each in self._zone.values()]
+        found = {ip for by_zone in told for ips in by_zone.values() for ip in ips}
+        return sorted(found - {self._own.ip})
+
     def last_told(self) -> dict[str, float]:
         """Return when a digest of each other zone was heard last.
 
--- a/flamingofront/process/forwarding/tests/test_freshness.py
+++ b/flamingofront/process/forwarding/tests/test_freshness.py
@@ -90,6 +90,22 @@
                 assert front.knowledge.configuration_age() < 4.0
                 assert front.knowledge.endpoints_age() < 4.0
 
+    def test_process_without_word_of_others_asks_the_store_itself(self):
+        """Those that rest on relays that are gone learned of a change when new ones were found."""
+        world = many_world()
+        for name, front in list(world.fronts.items()):
+            if front.settings.zone == "zone-a" and front.peers.relaying.is_relay:
+                world.pause(name)
+        world.run(0.05)
+        world.configure_routes(version=2)
+        world.run(1.6)
+        late = [
+            name
+            for name, front in world.fronts.items()
+            if front.configuration.version != 2 and not world.host(name).paused
+        ]
+        assert late == []
+
 
 def test_first_process_of_a_small_deployment_refuses_after_a_look():
     world = ready_world()
--- a/flamingofront/tests/test_large_changes.py
+++ b/flamingofront/tests/test_large_changes.py
@@ -78,3 +78,20 @@
             world.lose(name, way)
         world.run(6.0)
         assert set(late(world, 2, confirmed)) <= set(relays)
+
+    @pytest.mark.parametrize(("frozen_after", "seed"), [(0.5, 2), (0.9, 1), (0.9, 2)])
+    def test_relays_freeze_while_a_change_spreads_over_small_links(self, frozen_after, seed):
+        """The others waited for new relays, and for these to read it over a small link."""
+        world = started_world(wide=0, seed=seed)
+        # Where the relays stand between two questions to the store differs.
+        world.run(0.37 * seed)
+        world.store_delay = 0.08
+        first = change(world, 2, LARGE_CHANGE_ROUTES)
+        world.run(frozen_after)
+        relays = world.relays(ZONES[0])
+        for name in relays:
+            world.pause(name)
+        second = change(world, 3, LARGE_CHANGE_ROUTES + 1)
+        world.run(8.0)
+        behind = {*late(world, 2, first), *late(world, 3, second)}
+        assert behind <= set(relays)
