Rows that vanished about a VM's own outage are compared with a peer's

Cause: a process that was out of touch gives rows that are missing at its first answer the grace of rows that lapse in an outage of the store (2.2 s), though the store had been there for all others, who knew that the endpoint had gone. Change: while rows have that grace, a process asks a peer that the store answers, and that knows no less, for all its endpoints; what it lacks is gone. A row that lapsed for all has its grace at the peer, too, and is told as there. Before and after: TestOwnOutage fails before and passes; a row that lapsed for all keeps its grace. Why it holds: a peer that had the store all the while has seen the row go; one that had not still holds it.

--- a/flamingofront/process/forwarding/endpoints.py
+++ b/flamingofront/process/forwarding/endpoints.py
@@ -81,6 +81,10 @@
         """Return the endpoints whose rows stand."""
         return tuple(self._rows.values())
 
+    def missing(self) -> frozenset[str]:
+        """Return the endpoints whose rows vanished, and that have grace as after an outage."""
+        return frozenset(self._missing)
+
     def born(self, endpoint_id: str) -> int | None:
         """Return the start of an endpoint in Unix milliseconds, 0 if its row does not tell.
 
--- a/flamingofront/process/forwarding/exchange.py
+++ b/flamingofront/process/forwarding/exchange.py
@@ -5,7 +5,7 @@
 from flamingofront.messages import OutboundCall, WholeResponse
 from flamingofront.process.forwarding.document_copies import apply_copy
 from flamingofront.process.forwarding.knowledge import Knowledge
-from flamingofront.process.forwarding.news import decode_news
+from flamingofront.process.forwarding.news import EndpointNews, decode_news
 from flamingofront.process.forwarding.provenance import Provenance, Source
 from flamingofront.process.forwarding.reports import PeerReport
 from flamingofront.process.forwarding.version_word import VersionWord
@@ -62,7 +62,7 @@
         self._tasks = tasks
         self._now = now
         self._log = log
-        self._asking = False
+        self._asking = self._asking_missing = False
         self._asked_for_configuration: set[str] = set()
         self._endpoints = VersionWord()
         self._reader_heard_at = now()
@@ -87,6 +87,8 @@
                 self._ask_configuration(report.vm_id, report.address)
             if rests and waited >= STORE_LEAD_SECONDS:
                 self._knowledge.read_configuration_now()
+        if reached and report.endpoints >= mark and self._knowledge.endpoints.missing():
+            self._ask_missing(report)
         if newer_endpoints and (cut_off or rests or lagged >= ENDPOINTS_LEAD_SECONDS):
             self._ask_endpoints(report.vm_id, report.address)
 
@@ -144,6 +146,27 @@
     def _asked(self, result: object) -> None:
         self._asking = False
 
+    def _ask_missing(self, report: PeerReport) -> None:
+        """Ask a peer for all endpoints: what vanished here may be gone since an outage or not.
+
+        Notes
+        -----
+        A process that alone was out of touch cannot tell rows that lapsed from those that went.
+        """
+        if not self._asking_missing:
+            self._asking_missing = True
+            self._tasks.start(self._fetch_missing(report), self._asked_missing)
+
+    def _asked_missing(self, result: object) -> None:
+        self._asking_missing = False
+
+    def _fetch_missing(self, report: PeerReport) -> Task:
+        path = f"{ENDPOINTS_PATH}?after=all"
+        data = yield from self._get(report.vm_id, report.address, path)
+        news = self._decoded_news(report.vm_id, data) if data else None
+        if news is not None and news.whole:
+            self._knowledge.confirm_missing(news)
+
     def _fetch_endpoints(self, peer: str, address: str) -> Task:
         path = f"{ENDPOINTS_PATH}?after={self._knowledge.endpoints_mark()}"
         data = yield from self._get(peer, address, path)
@@ -159,11 +182,16 @@
         self._log.info("peer did not answer", peer=peer, path=path, reply=str(reply)[:80])
         return b""
 
-    def _take_endpoints(self, peer: str, data: bytes) -> None:
+    def _decoded_news(self, peer: str, data: bytes) -> EndpointNews | None:
         try:
-            news = decode_news(data)
+            return decode_news(data)
         except ValueError as exc:
             self._log.error("peer's endpoints refused", peer=peer, detail=str(exc))
+            return None
+
+    def _take_endpoints(self, peer: str, data: bytes) -> None:
+        news = self._decoded_news(peer, data)
+        if news is None:
             return
         self._log.info(
             "endpoints from peer",
--- a/flamingofront/process/forwarding/knowledge.py
+++ b/flamingofront/process/forwarding/knowledge.py
@@ -321,6 +321,18 @@
         self._history.changed(endpoint_id, max(mark, self._history.mark))
         self.on_change()
 
+    def confirm_missing(self, news: EndpointNews) -> None:
+        """Take for gone what vanished here, and a peer that had the store all the while lacks.
+
+        Parameters
+        ----------
+        news : EndpointNews
+            All endpoints that the peer knows. One that has grace there, too, is among them.
+        """
+        present = {each.endpoint_id for each in news.rows}
+        for endpoint_id in self.endpoints.missing() - present:
+            self.endpoints.confirm_gone(endpoint_id)
+
     def take_endpoints(self, news: EndpointNews) -> None:
         """Take what a peer tells that the store answers."""
         self.followers[1].read_anew()
--- a/flamingofront/process/forwarding/tests/test_readers.py
+++ b/flamingofront/process/forwarding/tests/test_readers.py
@@ -163,6 +163,48 @@
             assert live_endpoints(front) == {"plain-2"}
 
 
+class TestOwnOutage:
+    """One VM was out of touch, and took a row that went after its return for a lapsed one."""
+
+    # From the moment at which the row vanished until nothing more is sent.
+    DRAIN_SECONDS = 2.0
+
+    def small_world(self):
+        world = ForwardingWorld()
+        world.configure_routes()
+        world.endpoint("plain-1", "records")
+        world.endpoint("plain-2", "records")
+        for number in range(4):
+            world.front(f"front-{number}", ZONES[number % 2])
+        world.run(5.0)
+        return world
+
+    def test_row_that_went_before_its_first_read_is_gone_in_time(self):
+        world = self.small_world()
+        for other in ("store", "front-1", "front-2", "front-3"):
+            world.cut("front-0", other)
+        world.run(8.0)
+        # The store is there before word of the others.
+        world.cuts.discard(frozenset(("front-0", "store")))
+        world.store.drop("servers", "plain-1")
+        went_at = world.clock.now()
+        front = world.fronts["front-0"]
+        world.run_until(lambda: not front.knowledge.cut_off)
+        world.run(0.5)
+        world.heal()
+        world.run(went_at + self.DRAIN_SECONDS - world.clock.now())
+        assert live_endpoints(front) == {"plain-2"}
+
+    def test_row_that_lapsed_for_all_keeps_its_grace(self):
+        world = self.small_world()
+        world.store.fault = StoreFault.SILENT
+        world.run(6.0)
+        world.store.drop("servers", "plain-1")
+        world.store.fault = StoreFault.NONE
+        world.run(1.0)
+        assert live_endpoints(world.fronts["front-0"]) == {"plain-1", "plain-2"}
+
+
 class ReadersFuzz(RuleBasedStateMachine):
     """Any process may be lost, replaced, cut or frozen: in the end all know what stands."""
 
