--- a/flamingofront/process/forwarding/control.py
+++ b/flamingofront/process/forwarding/control.py
@@ -69,5 +69,11 @@
             age = follower.age()
             if age is not None:
                 gauge("store_age_seconds", age, table=follower.table)
+        knowledge = node.knowledge
+        ages = {"configuration": knowledge.configuration_age()}
+        ages["endpoints"] = knowledge.endpoints_age()
+        for subject, age in ages.items():
+            if age is not None:
+                gauge("knowledge_age_seconds", age, subject=subject)
         for state in VmState:
             gauge("endpoints", len(node.facts.select(Role.ENDPOINT, state)), state=state.value)
--- a/flamingofront/process/forwarding/operators.py
+++ b/flamingofront/process/forwarding/operators.py
@@ -26,7 +26,18 @@
 Rows = list[dict[str, Any]]
 
 COLUMNS: dict[str, tuple[str, ...]] = {
-    "vms": ("vm", "zone", "ip", "incarnation", "heard", "configuration", "store", "fencing"),
+    "vms": (
+        "vm",
+        "zone",
+        "ip",
+        "incarnation",
+        "heard",
+        "configuration",
+        "configuration_age",
+        "endpoints_age",
+        "store",
+        "fencing",
+    ),
     "endpoints": (
         "endpoint",
         "service",
@@ -46,7 +57,7 @@
     "routes": ("name", "host", "prefix", "kind", "services", "timeout", "objective", "attempts"),
     "workspaces": ("name", "keys", "priority", "rate", "burst", "spent"),
     "leases": ("lease", "vm", "holder", "fencing", "held", "past"),
-    "configuration": ("vm", "zone", "revision", "table", "version", "age"),
+    "configuration": ("vm", "zone", "revision", "table", "version", "age", "source"),
     "requests": ("request", "workspace", "service", "endpoint", "phase", "attempts", "age"),
     "held": HELD_COLUMNS,
     "counters": ("vm", "counter", "labels", "value"),
@@ -103,12 +114,19 @@
                 "incarnation": each.incarnation,
                 "heard": round(node.peers.table.gap(each.vm_id, now) or 0.0, 2),
                 "configuration": each.configuration,
+                "configuration_age": self._age_now(each, each.ages[0]),
+                "endpoints_age": self._age_now(each, each.ages[1]),
                 "store": _store_word(each),
                 "fencing": each.fencing,
             }
             for each in reports
         ]
 
+    def _age_now(self, report: PeerReport, age: float | None) -> float | None:
+        """Return how old a process's knowledge is now, by what it told."""
+        gap = self._node.peers.table.gap(report.vm_id, self._node.timers.now()) or 0.0
+        return None if age is None else round(age + gap, 2)
+
     def _held(self) -> Rows:
         return held_rows(self._node.settings.vm_id, self._node.hub.guard)
 
@@ -208,6 +226,7 @@
 
     def _configuration(self) -> Rows:
         node = self._node
+        ages = (node.knowledge.configuration_age(), node.knowledge.endpoints_age())
         return [
             {
                 "vm": node.settings.vm_id,
@@ -215,9 +234,10 @@
                 "revision": node.configuration.version,
                 "table": each.table,
                 "version": each.version,
-                "age": each.age(),
+                "age": None if age is None else round(age, 3),
+                "source": "others" if each.rests else "store",
             }
-            for each in node.knowledge.followers
+            for each, age in zip(node.knowledge.followers, ages, strict=True)
         ]
 
     def _requests(self) -> Rows:
--- a/flamingofront/process/forwarding/tests/test_freshness.py
+++ b/flamingofront/process/forwarding/tests/test_freshness.py
@@ -1,10 +1,13 @@
 """Refusals of unknown routes by processes that may not have the newest configuration."""
 
+import orjson
 import pytest
 
+from flamingofront.messages import InboundRequest
 from flamingofront.platform.config import CONFIG_KEY, CONFIG_TABLE
 from flamingofront.process.forwarding.freshness import CURRENT_SECONDS, LONGEST_WAIT_SECONDS
 from flamingofront.tests.forwarding_world import ForwardingWorld, configuration, ready_world
+from flamingofront.tests.network import Caller
 
 FEW = configuration()["routes"][:1]
 PROCESSES = 24
@@ -90,6 +93,18 @@
                 assert front.knowledge.configuration_age() < 4.0
                 assert front.knowledge.endpoints_age() < 4.0
 
+    def test_operators_see_them_for_each_process(self):
+        world = many_world()
+        relay = next(each for each in world.fronts.values() if each.peers.relaying.is_relay)
+        for statement in ("show vms", "show configuration"):
+            body = orjson.dumps({"statements": [statement]})
+            caller = Caller(relay, world.host(relay.settings.vm_id))
+            relay.handle_control(InboundRequest("POST", "/operate", {}, {}, body), caller)
+            # A relay hears those of its own zone only.
+            rows = [each for each in caller.data["rows"] if each.get("heard", 0.0) <= 1.0]
+            ages = [each["age"] if "age" in each else each["configuration_age"] for each in rows]
+            assert len(ages) > 1 and max(ages) < 5.0
+
     def test_process_without_word_of_others_asks_the_store_itself(self):
         """Those that rest on relays that are gone learned of a change when new ones were found."""
         world = many_world()
--- a/flamingofront/process/metrics.py
+++ b/flamingofront/process/metrics.py
@@ -68,6 +68,7 @@
     "ready": "1 if this process takes new work",
     "store_era": "Era of the store: rises when it comes back from an older copy",
     "store_age_seconds": "Time since the store last answered, by table",
+    "knowledge_age_seconds": "Time since what is known here was known to be current, by subject",
     "peers_heard": "Other entry processes heard now",
     "duty_fencing": "Fencing number of the duty lease held here, 0 if none",
 }
