Copies of a change spread from process to process, a few at a time

Later each process read the whole document from the store once more. Cause: a relay sent the copies of its whole zone at once, so that all of them ended together, after 1 to 2 s, and none of their receivers could help; after a second each also began to read the store. A large answer made a follower's knowledge as old as its question, up to 3.5 s more, so that all others looked for themselves, each from the change that it had once read itself. Evidence: 80 processes: 59 MB received for one change, 36 of them between 3.0 and 4.0 s after it, when all had it. Change: a process sends copies for 0.15 s of a small link at a time (`CopyPacer`) and answers others with nothing; whoever misses a version asks a process of its zone, at random, each 0.1 s in the mean, beside the relay. The store is asked after 1.5 s. A follower asks again at once after a large answer; whoever begins to follow goes on from the change up to which peers told the configuration. Orders for roll-outs, which copies lack, are read with the whole table as before. Why it holds: each process that has a copy sends it on, so that their number doubles; what is not sent at once is asked for elsewhere.

--- a/flamingofront/process/forwarding/control.py
+++ b/flamingofront/process/forwarding/control.py
@@ -4,6 +4,7 @@
 
 from flamingofront.connection.interfaces import Exchange
 from flamingofront.messages import InboundRequest
+from flamingofront.process.forwarding.document_copies import CopyPacer
 from flamingofront.process.forwarding.exchange import CONFIGURATION_PATH, ENDPOINTS_PATH
 from flamingofront.process.forwarding.news import encode_news
 from flamingofront.process.forwarding.operators import ForwardingOperators
@@ -21,6 +22,7 @@
     def __init__(self, node: "ForwardingNode"):
         self._node = node
         self._operators = ForwardingOperators(node)
+        self._pacer = CopyPacer(node.timers.now)
 
     def handle(self, req: InboundRequest, exchange: Exchange) -> None:
         """Take a request of an operator or a peer."""
@@ -42,7 +44,9 @@
         """Answer with a copy for the version that the peer has, or with the whole document."""
         knowledge, after = self._node.knowledge, req.query.get("after", "")
         if after.isdigit():
-            exchange.respond(200, (), knowledge.configuration_copy(int(after)))
+            copy = knowledge.configuration_copy(int(after))
+            # Nothing, if this process has no more or is busy: the peer asks another one.
+            exchange.respond(200, (), copy if self._pacer.takes(len(copy)) else b"")
         else:
             exchange.respond(200, (), knowledge.configuration_data)
 
--- a/flamingofront/process/forwarding/document_copies.py
+++ b/flamingofront/process/forwarding/document_copies.py
@@ -6,16 +6,22 @@
 
 import zlib
 from collections import OrderedDict
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import orjson
 
-__all__ = ["CopySource", "apply_copy", "encode_copy"]
+__all__ = ["CopyPacer", "CopySource", "apply_copy", "encode_copy"]
 
 # Versions of which a sender remembers the document: those of some changes in quick succession.
 KEPT_VERSIONS = 4
 # Encoded copies that are kept, since all processes of a zone ask for the same one.
 KEPT_COPIES = 4
+# What one process sends of copies, in bytes a second: two thirds of the smallest link of a VM.
+PACE_BYTES = 400_000.0
+# Whoever asks while copies for a longer time are on their way is to ask another process.
+LONGEST_BUSY_SECONDS = 0.15
+# Copies up to this size are not counted.
+FREE_BYTES = 4096
 # Longest document that is unpacked: many times one of 10,000 routes.
 MAX_DOCUMENT_BYTES = 64 * 1024 * 1024
 _COMPRESSION = 6
@@ -103,6 +109,32 @@
             yield from known[at : at + count]
 
 
+class CopyPacer:
+    """Bounds the copies that a process sends, so that the first of them arrive soon.
+
+    Copies that share a small link all end late, and none of their receivers can help the others.
+
+    Parameters
+    ----------
+    now : callable
+        Time of the timer service.
+    """
+
+    def __init__(self, now: Callable[[], float]):
+        self._now = now
+        self._busy_until = 0.0
+
+    def takes(self, size: int) -> bool:
+        """Tell whether a copy of so many bytes may be sent now, and count it if so."""
+        if size <= FREE_BYTES:
+            return True
+        now = self._now()
+        if self._busy_until - now > LONGEST_BUSY_SECONDS:
+            return False
+        self._busy_until = max(self._busy_until, now) + size / PACE_BYTES
+        return True
+
+
 class CopySource:
     """The last versions of a document, and copies of the newest for those that have another."""
 
--- a/flamingofront/process/forwarding/exchange.py
+++ b/flamingofront/process/forwarding/exchange.py
@@ -1,8 +1,9 @@
 """Ask peers for what they know better: the configuration and the endpoints."""
 
+import random
 from collections.abc import Callable
 
-from flamingofront.messages import OutboundCall, WholeResponse
+from flamingofront.messages import OutboundCall, Sleep, WholeResponse
 from flamingofront.process.forwarding.document_copies import apply_copy
 from flamingofront.process.forwarding.knowledge import Knowledge
 from flamingofront.process.forwarding.news import EndpointNews, decode_news
@@ -22,7 +23,10 @@
 ENDPOINTS_LEAD_SECONDS = 1.1
 # A process that others follow the store for asks it by itself if no peer has told a configuration
 # that is known of for so long, in seconds.
-STORE_LEAD_SECONDS = 1.0
+STORE_LEAD_SECONDS = 1.5
+# Pause in the mean between two questions for a configuration that is known of: one that has told of
+# it may be busy with others.
+RETRY_SECONDS = 0.1
 # Peers that are asked for the configuration at the same time: one of them may be gone.
 MAX_ASKED = 2
 # Without word of a process that follows the store for so long, a process that rests asks the store
@@ -54,15 +58,26 @@
     ----------
     distant : callable
         Returns the addresses of processes elsewhere that follow the store.
+    near : callable
+        Returns the addresses of the other processes of the zone, in random order.
     """
 
-    def __init__(self, knowledge: Knowledge, tasks: TaskRunner, now: Callable[[], float], log: Log):
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        tasks: TaskRunner,
+        now: Callable[[], float],
+        rng: random.Random,
+        log: Log,
+    ):
         self.distant: Callable[[], list[str]] = lambda: []
+        self.near: Callable[[], list[str]] = lambda: []
         self._knowledge = knowledge
         self._tasks = tasks
         self._now = now
+        self._rng = rng
         self._log = log
-        self._asking = self._asking_missing = False
+        self._asking = self._asking_missing = self._is_asking_others = False
         self._asked_for_configuration: set[str] = set()
         self._endpoints = VersionWord()
         self._reader_heard_at = now()
@@ -85,6 +100,7 @@
         if report.configuration > self._knowledge.configuration.version:
             if cut_off or rests or waited >= CONFIGURATION_LEAD_SECONDS:
                 self._ask_configuration(report.vm_id, report.address)
+                self._ask_others_too()
             if rests and waited >= STORE_LEAD_SECONDS:
                 self._knowledge.read_configuration_now()
         if reached and report.endpoints >= mark and self._knowledge.endpoints.missing():
@@ -113,6 +129,24 @@
             self._ask_configuration(address, address)
             self._ask_endpoints(address, address)
 
+    def _ask_others_too(self) -> None:
+        """Ask processes of the zone in turn while the configuration is missing."""
+        if not self._is_asking_others:
+            self._is_asking_others = True
+            self._tasks.start(self._ask_others(), self._asked_others)
+
+    def _asked_others(self, result: object) -> None:
+        self._is_asking_others = False
+
+    def _ask_others(self) -> Task:
+        known = self._knowledge.configuration.version
+        while self._knowledge.configuration.version == known:
+            yield Sleep(RETRY_SECONDS * (0.5 + self._rng.random()))
+            if self._knowledge.configuration_missing_for() is None:
+                return
+            for address in self.near()[:1]:
+                self._ask_configuration(address, address)
+
     def _ask_configuration(self, peer: str, address: str) -> None:
         """Ask a peer for the configuration, unless it or enough others are being asked."""
         asked = self._asked_for_configuration
--- a/flamingofront/process/forwarding/follower.py
+++ b/flamingofront/process/forwarding/follower.py
@@ -58,6 +58,8 @@
         Seconds for which one question waits for a change.
     now : callable
         Time of the timer service.
+    known : callable
+        Returns the change up to which others have told what is in the table.
     """
 
     def __init__(
@@ -71,7 +73,9 @@
         may_rest: Callable[[], bool] = lambda: False,
         pause: Callable[[], float] = lambda: 0.0,
         wait: float = FEED_WAIT_SECONDS,
+        known: Callable[[], int] = lambda: 0,
     ):
+        self._known = known
         self._wait = wait
         self._may_rest = may_rest
         self._pause = pause
@@ -153,12 +157,14 @@
         # While the store is away a waiting call would hide its return: it is asked without a wait.
         wait = 0.0 if self._failures or self._look_once else self._wait
         self._look_once = False
-        changes = yield from self._store.changes(self.table, self._version, wait)
+        after = max(self._version, self._known())
+        changes = yield from self._store.changes(self.table, after, wait)
         self._note_answer()
         # A large answer may have been on its way for a while; any other is as of now.
         is_large = sum(len(each.value or b"") for each in changes.rows) > QUICK_BYTES
         self.confirmed_at = asked_at if is_large else self.heard_at
-        self._version = max(self._version, changes.version)
+        self._look_once |= is_large
+        self._version = max(after, changes.version)
         if changes.rows:
             self._listener.changed(changes.rows)
             if self._pause():
--- a/flamingofront/process/forwarding/knowledge.py
+++ b/flamingofront/process/forwarding/knowledge.py
@@ -113,7 +113,14 @@
         self.followers = (
             # Without a pause: a change is rare, and may take a second of a small link.
             TableFollower(
-                store, tables.configuration, configuration_listener, now, rng, log, may_rest
+                store,
+                tables.configuration,
+                configuration_listener,
+                now,
+                rng,
+                log,
+                may_rest,
+                known=lambda: self._told_position,
             ),
             TableFollower(
                 store, tables.endpoints, endpoint_listener, now, rng, log, may_rest, pause
@@ -139,6 +146,11 @@
         for each in self.followers:
             each.look_once()
 
+    def read_rollouts(self) -> None:
+        """Read the orders for roll-outs: what peers tell of the configuration is without them."""
+        self.followers[0].read_anew()
+        self.followers[0].look_once()
+
     def look_at_configuration(self) -> Task:
         """Ask the store whether there is a newer configuration, and put it in force.
 
@@ -186,8 +198,11 @@
             self._confirm(self._tables.endpoints, now - endpoints_age)
 
     def configuration_copy(self, after: int) -> bytes:
-        """Return the configuration in force for a peer that has another version of it."""
-        return self._copies.copy(after)
+        """Return the configuration in force for a peer that has another version of it.
+
+        Empty if the peer has this version or a later one.
+        """
+        return self._copies.copy(after) if after < self.configuration.version else b""
 
     def endpoints_mark(self) -> int:
         """Return the mark of the last change of the endpoints."""
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -316,8 +316,11 @@
         self.peers.on_question = self.arbiters.take_question
         self.peers.on_reply = self.arbiters.take_reply
         self._build_limits()
-        self.exchange = KnowledgeExchange(self.knowledge, self.tasks, self.timers.now, self.log)
+        self.exchange = KnowledgeExchange(
+            self.knowledge, self.tasks, self.timers.now, self._rng, self.log
+        )
         self.exchange.distant = self._distant
+        self.exchange.near = self._near
         self.gateway.unknown_gate = ConfigurationCheck(
             self.knowledge, self.tasks, self.timers, self.log
         )
@@ -330,7 +333,14 @@
 
     def _distant(self) -> list[str]:
         """Return the control addresses of the other zones' relays, in random order."""
-        ips = self.peers.relaying.relays_elsewhere() if self.peers.many else []
+        return self._addresses(self.peers.relaying.relays_elsewhere() if self.peers.many else [])
+
+    def _near(self) -> list[str]:
+        """Return the control addresses of the other processes of the zone, in random order."""
+        near = self.peers.relaying.near() if self.peers.many else {}
+        return self._addresses(sorted({*near.values()} - {self._report.identity.ip}))
+
+    def _addresses(self, ips: list[str]) -> list[str]:
         own = self._report.identity
         return [own.address.replace(own.ip, ip, 1) for ip in self._rng.sample(ips, len(ips))]
 
--- a/flamingofront/process/forwarding/peer_word.py
+++ b/flamingofront/process/forwarding/peer_word.py
@@ -97,4 +97,4 @@
     def _take_rollouts(self, report: PeerReport) -> None:
         """Take a peer's word of roll-outs; an order that it knows first is read from the store."""
         if self._reported.rollouts.hear(report.rollouts):
-            self._reported.knowledge.read_configuration_now()
+            self._reported.knowledge.read_rollouts()
--- a/flamingofront/process/forwarding/tests/test_document_copies.py
+++ b/flamingofront/process/forwarding/tests/test_document_copies.py
@@ -5,11 +5,16 @@
 from hypothesis import strategies as st
 
 from flamingofront.process.forwarding.document_copies import (
+    FREE_BYTES,
     KEPT_VERSIONS,
+    LONGEST_BUSY_SECONDS,
+    PACE_BYTES,
+    CopyPacer,
     CopySource,
     apply_copy,
     encode_copy,
 )
+from flamingofront.process.timers import ManualClock
 from flamingofront.tests.narrow_links import with_more_routes_data
 
 documents = st.one_of(
@@ -60,3 +65,24 @@
             source.put(number, b'{"version":%d}' % number)
         for after in (0, 1, 99):
             assert apply_copy(source.copy(after)) == b'{"version":%d}' % (KEPT_VERSIONS + 1)
+
+
+class TestCopyPacer:
+    """With copies for a whole zone on one small link none arrived before all did."""
+
+    def test_few_large_copies_are_sent_at_a_time(self):
+        clock = ManualClock()
+        pacer = CopyPacer(clock.now)
+        size = 33_000
+        sent = 0
+        for _ in range(100):
+            sent += sum(pacer.takes(size) for _ in range(10))
+            clock.time += 0.01
+        most = PACE_BYTES * (1.0 + LONGEST_BUSY_SECONDS) / size + 1
+        assert most / 2 < sent <= most
+
+    def test_small_copies_are_always_sent(self):
+        pacer = CopyPacer(ManualClock().now)
+        while pacer.takes(33_000):
+            pass
+        assert all(pacer.takes(FREE_BYTES) for _ in range(100))
--- a/flamingofront/tests/test_large_changes.py
+++ b/flamingofront/tests/test_large_changes.py
@@ -95,3 +95,22 @@
         world.run(8.0)
         behind = {*late(world, 2, first), *late(world, 3, second)}
         assert behind <= set(relays)
+
+    @pytest.mark.parametrize("processes", [60, 120])
+    def test_large_change_reaches_zones_of_many_processes_over_small_links(self, processes):
+        """One relay sent copies to all of its zone at once, and all of them arrived late."""
+        world = started_world(processes=processes)
+        world.store_delay = 0.2
+        confirmed = change(world, 2, LARGE_CHANGE_ROUTES)
+        world.run(4.0)
+        assert late(world, 2, confirmed) == []
+
+    def test_large_change_is_not_read_by_each_process_again_later(self):
+        """The age of knowledge grew while the change was read, until each looked for itself."""
+        world = started_world()
+        change(world, 2, LARGE_CHANGE_ROUTES)
+        world.run(4.0)
+        before = sum(world.bytes_of("in").values())
+        world.run(8.0)
+        # Reports and digests alone.
+        assert sum(world.bytes_of("in").values()) - before < 200_000 * PROCESSES
