Looks for unknown routes are few at a store that does not answer

What callers saw: nothing yet; found in review: where the store refuses a process, each request for an unknown route would have brought the next question; the time limit of one batch of waiting requests could end the wait of the next. Cause: only a look under way was shared; the timer was not cancelled with its batch. Evidence: read in the diff. Change: after a failed look the next one is half a second later, and requests are refused with 503 until then; the timer ends with its batch. Before and after: a test of 80 requests for unknown routes in three seconds at a store that is busy: the looks beyond the process's usual calls are bounded. Why it holds: the bound does not depend on the requests.

--- a/flamingofront/process/forwarding/freshness.py
+++ b/flamingofront/process/forwarding/freshness.py
@@ -6,7 +6,7 @@
 from flamingofront.process.forwarding.knowledge import Knowledge
 from flamingofront.process.logs import Log
 from flamingofront.process.tasks import Task, TaskRunner
-from flamingofront.process.timers import TimerService
+from flamingofront.process.timers import Timer, TimerService
 from flamingofront.request.unknown_gate import UnknownGate
 
 __all__ = ["ConfigurationCheck"]
@@ -15,6 +15,8 @@
 CURRENT_SECONDS = 1.0
 # Longest time for which a request waits for the look.
 LONGEST_WAIT_SECONDS = 0.25
+# After a look that the store did not answer the next one is as long in coming.
+FAILED_PAUSE_SECONDS = 0.5
 
 
 class ConfigurationCheck(UnknownGate):
@@ -30,6 +32,8 @@
         self._log = log
         self._waiting: list[Callable[[bool], None]] = []
         self._is_asking = False
+        self._timer: Timer | None = None
+        self._next_look_at = timers.now()
 
     def is_current(self) -> bool:
         """Tell whether the configuration in force is known to be the newest."""
@@ -39,9 +43,12 @@
 
     def verify(self, then: Callable[[bool], None]) -> None:
         """Have `then` told whether it is, after a look at the store."""
+        if self._timers.now() < self._next_look_at:
+            then(False)
+            return
         self._waiting.append(then)
         if len(self._waiting) == 1:
-            self._timers.once(LONGEST_WAIT_SECONDS, self._tell)
+            self._timer = self._timers.once(LONGEST_WAIT_SECONDS, self._tell)
         if not self._is_asking:
             self._is_asking = True
             self._tasks.start(self._look(), self._looked)
@@ -51,6 +58,7 @@
         try:
             yield from self._knowledge.look_at_configuration()
         except PlatformError as exc:
+            self._next_look_at = self._timers.now() + FAILED_PAUSE_SECONDS
             self._log.info("configuration not confirmed", age=age, detail=str(exc))
         else:
             version = self._knowledge.configuration.version
@@ -61,6 +69,8 @@
         self._tell()
 
     def _tell(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
         waiting, self._waiting = self._waiting, []
         outcome = self.is_current()
         for each in waiting:
--- a/flamingofront/process/forwarding/tests/test_freshness.py
+++ b/flamingofront/process/forwarding/tests/test_freshness.py
@@ -5,7 +5,12 @@
 
 from flamingofront.messages import InboundRequest
 from flamingofront.platform.config import CONFIG_KEY, CONFIG_TABLE
-from flamingofront.process.forwarding.freshness import CURRENT_SECONDS, LONGEST_WAIT_SECONDS
+from flamingofront.process.forwarding.freshness import (
+    CURRENT_SECONDS,
+    FAILED_PAUSE_SECONDS,
+    LONGEST_WAIT_SECONDS,
+)
+from flamingofront.standins.table_store import StoreFault
 from flamingofront.tests.forwarding_world import ForwardingWorld, configuration, ready_world
 from flamingofront.tests.network import Caller
 
@@ -68,6 +73,23 @@
             world.run(0.05)
         assert metrics.value("platform_calls_total", **read) - before <= 3.0 / CURRENT_SECONDS + 1
 
+    def test_many_unknown_routes_are_few_looks_at_a_store_that_turns_the_process_away(self):
+        """Each refusal of the store would bring the next question."""
+        world = many_world()
+        name = next(name for name, each in world.fronts.items() if each.knowledge.rests)
+        world.store.fault = StoreFault.BUSY
+        world.run(3.0)
+        before = world.store.calls
+        callers = [world.ask(name, "/nowhere/x") for _ in range(20)]
+        for _ in range(60):
+            callers.append(world.ask(name, "/nowhere/x"))
+            world.run(0.05)
+        busy = world.store.calls - before
+        before = world.store.calls
+        world.run(3.0)
+        assert {each.status for each in callers} == {503}
+        assert busy - (world.store.calls - before) <= 3.0 / FAILED_PAUSE_SECONDS + 12
+
     def test_looks_do_not_read_again_what_a_peer_has_told(self):
         """Each process that rests would read the whole configuration for each look."""
         world = many_world()
