A test of a process alone on a small link; mutations that no test noticed

What callers saw: nothing. Cause: the mutation that takes the bound by silence away from reads of the store was noticed by no test once processes help one another; one that takes the check of a copy's base away changes nothing, since the checksum refuses the copy as well. Before and after: the test fails without the bound (at one of the four moments) and passes with it. No code of the product is changed. Why it holds: nobody can help that process; the read itself has to end.

--- a/flamingofront/tests/test_large_changes.py
+++ b/flamingofront/tests/test_large_changes.py
@@ -67,6 +67,16 @@
         world.run(6.0)
         assert (late(world, 2, first), late(world, 3, second)) == ([], [])
 
+    @pytest.mark.parametrize("phase", [0.0, 0.9, 1.8, 2.7])
+    def test_process_that_nobody_can_help_reads_a_large_change_over_a_small_link(self, phase):
+        """Its reads were given up by the second: a change that took longer never came."""
+        world = started_world(processes=1)
+        # A call that has waited for a change has less time left for it.
+        world.run(phase)
+        confirmed = change(world, 2, 2 * LARGE_CHANGE_ROUTES)
+        world.run(4.0)
+        assert late(world, 2, confirmed) == []
+
     @pytest.mark.parametrize("way", ["kill", "pause", "cut"])
     def test_change_is_in_force_in_time_though_the_relays_of_a_zone_are_lost(self, way):
         """The others rest on them, and have to find another way while the change spreads."""
