--- a/flamingofront/process/forwarding/tests/test_freshness.py
+++ b/flamingofront/process/forwarding/tests/test_freshness.py
@@ -129,8 +129,8 @@
             ages = [each["age"] if "age" in each else each["configuration_age"] for each in rows]
             assert len(ages) > 1 and max(ages) < 5.0
 
-    def test_process_without_word_of_others_asks_the_store_itself(self):
-        """Those that rest on relays that are gone learned of a change when new ones were found."""
+    def test_zone_whose_relays_froze_has_a_change_soon(self):
+        """Those that rest on relays must not wait until these are back."""
         world = many_world()
         for name, front in list(world.fronts.items()):
             if front.settings.zone == "zone-a" and front.peers.relaying.is_relay:
