A monitor tells lost paths of this VM from failed endpoints, in log, metrics and show paths

Change: after a failed connection, or 0.4 s without data from any endpoint while a response is pending, a process opens connections to up to four others of different services and zones. If fewer than half are reached, its paths are lost; it then probes three endpoints each half second until half of all are reached. Nothing else uses the state yet. The simulated network learns five faults of paths, idle connections included, and connect timeouts on them.

--- a/flamingofront/connection/client.py
+++ b/flamingofront/connection/client.py
@@ -274,7 +274,7 @@
         self._head = head
         self._after_head = data
         self._decoder = create_response_decoder(head, self._call.call.method)
-        self._call.deliver(ResponseHead(head.status, head.headers, head.fields))
+        self._call.deliver(ResponseHead(head.status, head.headers, head.fields, self._call.reused))
         return self._call is not None
 
     def _finish_call(self, trailing: bytes) -> None:
--- /dev/null
+++ b/flamingofront/decisions/direct_paths.py
@@ -0,0 +1,106 @@
+"""Detection that this VM has lost its own network paths to the endpoints.
+
+A connection that is refused or not established does not tell whether the endpoint has failed or the
+path to it. If a failure is followed by failed connections to most of a sample of other endpoints,
+the paths of this VM are lost. Only new connections count as evidence, because open ones may work
+while new ones are refused.
+"""
+
+import math
+from collections.abc import Collection
+from enum import StrEnum
+
+__all__ = ["DirectPaths", "PathStatus"]
+
+# Checks are this far apart, so that the endpoints of a crashed zone do not cause one per failure.
+CHECK_PAUSE_SECONDS = 0.5
+# The paths are lost if less than this fraction of the checked endpoints is reached. Endpoints of a
+# single zone or service may all be gone while the paths work.
+MIN_REACHED_FRACTION = 0.5
+
+
+class PathStatus(StrEnum):
+    """State of the direct paths of this VM to the endpoints."""
+
+    WORKING = "working"
+    CHECKING = "checking"
+    LOST = "lost"
+
+
+class DirectPaths:
+    """Evidence on the direct paths to endpoints; times in seconds.
+
+    Attributes
+    ----------
+    status : PathStatus
+        Current state.
+    since : float
+        Start time of the last check, from which on evidence counts for the current state.
+    """
+
+    def __init__(self):
+        self.status = PathStatus.WORKING
+        self.since = -math.inf
+        self._connected_at: dict[str, float] = {}
+        self._failed_at: dict[str, float] = {}
+
+    def record_connected(self, endpoint_id: str, now: float) -> None:
+        """Record that a new connection to an endpoint was established."""
+        self._connected_at[endpoint_id] = now
+        self._failed_at.pop(endpoint_id, None)
+
+    def record_failure(self, endpoint_id: str, now: float) -> None:
+        """Record that no new connection to an endpoint could be established."""
+        self._failed_at[endpoint_id] = now
+        self._connected_at.pop(endpoint_id, None)
+
+    def forget(self, endpoint_id: str) -> None:
+        """Drop the evidence on an endpoint that was removed."""
+        self._connected_at.pop(endpoint_id, None)
+        self._failed_at.pop(endpoint_id, None)
+
+    def can_start_check(self, now: float) -> bool:
+        """Return True if the state is not in doubt and the last check is long enough ago."""
+        return self.status is PathStatus.WORKING and now - self.since >= CHECK_PAUSE_SECONDS
+
+    def start_check(self, now: float) -> None:
+        """Start a check; an endpoint counts as reached once it is connected after `now`."""
+        self.status = PathStatus.CHECKING
+        self.since = now
+
+    def has_reached_most(self, endpoint_ids: Collection[str]) -> bool:
+        """Return True if enough of the given endpoints were connected since the check started."""
+        reached = self.count_reached(endpoint_ids)
+        return bool(reached) and reached >= MIN_REACHED_FRACTION * len(endpoint_ids)
+
+    def count_reached(self, endpoint_ids: Collection[str]) -> int:
+        """Return how many of the given endpoints were connected since the check started."""
+        return sum(self._is_connected(each) for each in endpoint_ids)
+
+    def conclude_check(self, endpoint_ids: Collection[str]) -> PathStatus:
+        """End a check of the given endpoints and return the new state."""
+        is_working = self.has_reached_most(endpoint_ids)
+        self.status = PathStatus.WORKING if is_working else PathStatus.LOST
+        return self.status
+
+    def restore_if_reached(self, endpoint_ids: Collection[str]) -> bool:
+        """Return True if lost paths count as working again: most of all endpoints are reached."""
+        if self.status is not PathStatus.LOST or not self.has_reached_most(endpoint_ids):
+            return False
+        self.status = PathStatus.WORKING
+        return True
+
+    def is_lost(self, endpoint_id: str) -> bool:
+        """Return True if the direct path to an endpoint is lost, or in doubt during a check."""
+        return self.status is not PathStatus.WORKING and not self._is_connected(endpoint_id)
+
+    def last_failure_at(self, endpoint_id: str) -> float | None:
+        """Return the time of the last failed connection since which none was established."""
+        return self._failed_at.get(endpoint_id)
+
+    def last_connected_at(self, endpoint_id: str) -> float | None:
+        """Return the time of the last established connection since which none has failed."""
+        return self._connected_at.get(endpoint_id)
+
+    def _is_connected(self, endpoint_id: str) -> bool:
+        return self._connected_at.get(endpoint_id, -math.inf) >= self.since
--- a/flamingofront/messages.py
+++ b/flamingofront/messages.py
@@ -116,11 +116,18 @@
 
 @dataclass(frozen=True)
 class ResponseHead:
-    """Status and headers of a streamed response; `fields` has the headers exactly as received."""
+    """Status and headers of a streamed response; `fields` has the headers exactly as received.
+
+    Parameters
+    ----------
+    reused : bool
+        True if the call was sent on a previously idle connection, False on a new one.
+    """
 
     status: int
     headers: Mapping[str, str]
     fields: tuple[tuple[str, str], ...] = ()
+    reused: bool = False
 
 
 @dataclass(frozen=True)
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -197,6 +197,7 @@
         )
         self.store_view.on_rollout = self.rollouts.apply_order
         self.hub.on_endpoint_leaving = self._on_endpoint_leaving
+        self.hub.paths.enabled = True
         self.hub.on_outcome = self._record_outcome
         self.hub.cache_tokens = self._cache_tokens
         self.directory.sample_size = self._sample_size
@@ -228,21 +229,24 @@
     def _on_endpoint_removed(self, row: EndpointRow) -> None:
         """Drop all state of an endpoint whose row was deleted or expired."""
         self.hub.guard.crash_detector.record_row_removal(row.endpoint_id, announced=not row.ready)
-        self.directory.forget(row.endpoint_id)
-        self.hub.limits.forget(row.endpoint_id)
-        self.hub.backoffs.forget(row.endpoint_id)
+        self._forget_endpoint(row.endpoint_id)
         self._dependencies.transport.drop_idle(row.address)
         self.store_view.record_removed_endpoint(row.endpoint_id)
 
+    def _forget_endpoint(self, endpoint_id: str) -> None:
+        """Drop what was observed of an endpoint that was removed or has restarted."""
+        self.directory.forget(endpoint_id)
+        self.hub.limits.forget(endpoint_id)
+        self.hub.backoffs.forget(endpoint_id)
+        self.hub.paths.forget(endpoint_id)
+
     def _on_endpoint_leaving(self, endpoint_id: str, request: str) -> None:
         """Record that an endpoint has announced in a response that it leaves."""
         self.store_view.endpoints.mark_leaving(endpoint_id, "answer", request)
 
     def _on_endpoint_restarted(self, row: EndpointRow, previous: EndpointRow) -> None:
         """Drop the state and the requests of an endpoint's earlier incarnation."""
-        self.directory.forget(row.endpoint_id)
-        self.hub.limits.forget(row.endpoint_id)
-        self.hub.backoffs.forget(row.endpoint_id)
+        self._forget_endpoint(row.endpoint_id)
         self.observations.discard_earlier_loads(row.endpoint_id)
         for address in {row.address, previous.address}:
             self._dependencies.transport.drop_idle(address)
--- a/flamingofront/process/forwarding/operators.py
+++ b/flamingofront/process/forwarding/operators.py
@@ -53,6 +53,7 @@
         "closed_for",
         "withheld",
     ),
+    "paths": ("vm", "zone", "endpoint", "zone_of_endpoint", "path", "connected", "failed"),
     "services": ("name", "kind", "max_connections", "slots", "least", "most"),
     "routes": ("name", "host", "prefix", "kind", "services", "timeout", "objective", "attempts"),
     "workspaces": ("name", "keys", "priority", "rate", "burst", "spent"),
@@ -174,6 +175,26 @@
             reason = "errors"
         return {"closed_for": round(max(pause, permit), 3) or None, "withheld": reason}
 
+    def _paths(self) -> Rows:
+        node = self._node
+        return [
+            {
+                "vm": node.settings.vm_id,
+                "zone": node.settings.zone,
+                "endpoint": each,
+                "zone_of_endpoint": node.directory.zone_of(each),
+                "path": "lost" if node.hub.paths.is_lost(each) else "direct",
+                **dict(
+                    zip(
+                        ("connected", "failed"),
+                        node.hub.paths.get_evidence_age(each),
+                        strict=True,
+                    )
+                ),
+            }
+            for each in node.directory.ready_endpoints()
+        ]
+
     def _services(self) -> Rows:
         return [
             {
--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -390,6 +390,7 @@
         if event.reason in NO_CONNECTION_REASONS:
             refused = event.reason == "refused"
             self.hub.directory.record_connect_failure(self.endpoint_id, self.hub.now(), refused)
+            self.hub.paths.record_failure(self.endpoint_id, event.reason)
         elif event.reason == "reset" and event.wrote and not self._is_stale_connection(event):
             self.report_connection_loss(attempt_id)
         executed = Executed.UNKNOWN if event.wrote else Executed.NO
--- a/flamingofront/request/answer_reader.py
+++ b/flamingofront/request/answer_reader.py
@@ -61,6 +61,8 @@
         if not response.is_mismatched:
             directory = self._request.hub.directory
             directory.record_contact(self._request.endpoint_id, self._request.hub.now())
+            if not head.reused:
+                self._request.hub.paths.record_connected(self._request.endpoint_id)
 
     def _apply_rate_limit(self, response: EndpointResponseHead) -> None:
         """Store the rate limit that the response advertises, whatever its status.
--- a/flamingofront/request/directory.py
+++ b/flamingofront/request/directory.py
@@ -160,6 +160,7 @@
         self._backoff_until: dict[str, float] = {}
         self._connect_failures: Counter[str] = Counter()
         self._last_contact_at: dict[str, float] = {}
+        self._last_contact_of_any = -math.inf
         self.zones = ZoneReachability()
         self._index: dict[str, _ServiceEndpoints] = {}
         self._index_key = (-1, -1)
@@ -474,7 +475,7 @@
 
     def record_contact(self, endpoint_id: str, now: float) -> None:
         """Record that data from an endpoint has been received."""
-        self._last_contact_at[endpoint_id] = now
+        self._last_contact_at[endpoint_id] = self._last_contact_of_any = now
         if endpoint_id in self._connect_failures:
             del self._connect_failures[endpoint_id]
         fact = self._facts.get(endpoint_id)
@@ -485,6 +486,10 @@
         """Return the time of the last data from an endpoint; minus infinity if there was none."""
         return self._last_contact_at.get(endpoint_id, -math.inf)
 
+    def last_contact_of_any(self) -> float:
+        """Return the time of the last data from any endpoint; minus infinity if there was none."""
+        return self._last_contact_of_any
+
     def is_reachable(self, endpoint_id: str, now: float) -> bool:
         """Return True if an endpoint is not in connect backoff and its zone is not partitioned."""
         fact = self._facts.get(endpoint_id)
--- a/flamingofront/request/host.py
+++ b/flamingofront/request/host.py
@@ -24,6 +24,7 @@
 from flamingofront.request.endpoint_pauses import EndpointBackoffs
 from flamingofront.request.forward_work import ForwardProtocol
 from flamingofront.request.guard import RequestGuard
+from flamingofront.request.path_monitor import PathMonitor
 from flamingofront.request.permits import Permits
 from flamingofront.request.records import RequestRecord
 from flamingofront.version.model import Service
@@ -77,6 +78,8 @@
         Returns the prompt tokens that the cache of an endpoint of a service can hold.
     rates : LearnedRates
         Processing rates of the endpoints, learned from their responses.
+    paths : PathMonitor
+        State of the direct network paths to the endpoints.
     guard : RequestGuard
         Quarantine of poison requests.
     limits : EndpointLimits
@@ -103,6 +106,7 @@
     protocol: ForwardProtocol | None
     cache_tokens: Callable[[str], float]
     rates: LearnedRates
+    paths: PathMonitor
     guard: RequestGuard
     limits: EndpointLimits
     permits: Permits
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -33,6 +33,7 @@
 from flamingofront.request.guard import RequestGuard
 from flamingofront.request.host import HubSettings, RequestHost
 from flamingofront.request.model_request import ModelRequest
+from flamingofront.request.path_monitor import PathMonitor
 from flamingofront.request.permits import Permits
 from flamingofront.request.plain_request import PlainRequest
 from flamingofront.request.records import ModelWork, RequestRecord
@@ -99,6 +100,7 @@
             lambda service, endpoint_id, is_bad: None
         )
         self.cache_tokens: Callable[[str], float] = lambda service: math.inf
+        self.paths = PathMonitor(transport, timers, directory, metrics, log, rng)
         self.rates = LearnedRates()
         self.completion = CompletionBounds()
         self.shutdown_seconds_left: Callable[[], float] = lambda: math.inf
@@ -352,6 +354,20 @@
             (each.compute_last_activity() for each in self._sent_to_zone(zone)), default=math.inf
         )
 
+    def unanswered_since_in_any_zone(self) -> float:
+        """Return the earliest time since which a request has received no data.
+
+        Infinity if no attempt is in flight.
+        """
+        return min(
+            (
+                each.compute_last_activity()
+                for each in self.active.values()
+                if isinstance(each, ForwardedRequest) and each.has_attempt_in_flight
+            ),
+            default=math.inf,
+        )
+
     def fail_over_zone(self, zone: str) -> None:
         """Retry elsewhere the forwarded requests that are sent to a partitioned zone."""
         for request in self._sent_to_zone(zone):
--- /dev/null
+++ b/flamingofront/request/path_monitor.py
@@ -0,0 +1,234 @@
+"""Monitor of the direct network paths from this VM to the endpoints.
+
+After a failed connection, connections to a few other endpoints are opened and closed. While the
+paths are lost, further ones are opened regularly to notice when an endpoint is reached again.
+"""
+
+import random
+from collections import Counter
+from collections.abc import Callable, Iterable
+
+from flamingofront.connection.interfaces import ConnectResult, Transport
+from flamingofront.decisions.direct_paths import DirectPaths, PathStatus
+from flamingofront.process.logs import Log
+from flamingofront.process.metrics import Metrics
+from flamingofront.process.timers import TimerService
+from flamingofront.request.directory import EndpointDirectory
+
+__all__ = ["PathMonitor"]
+
+# The connect timeout of attempts; a reachable endpoint accepts within a few milliseconds.
+PROBE_TIMEOUT_SECONDS = 0.25
+# Endpoints that are probed in a check, of different services and zones if possible.
+CHECKED_ENDPOINTS = 4
+# Period of the probes while paths are lost, and their number; after the first success more follow
+# at once, so that hundreds of endpoints are reached directly again within a second or two.
+RETRY_PERIOD_SECONDS = 0.5
+RETRIED_ENDPOINTS = 3
+RETRIED_AFTER_SUCCESS = 16
+RETRY_AFTER_SUCCESS_SECONDS = 0.1
+# Time without data from any endpoint, while a response is pending, after which paths are checked.
+# Streams send data every 20 to 300 ms.
+UNANSWERED_SECONDS = 0.4
+
+
+class PathMonitor:
+    """Probes endpoints to distinguish a lost path of this VM from failed endpoints.
+
+    Attributes
+    ----------
+    enabled : bool
+        False if failures are not checked; the paths then count as working.
+    on_lost : callable
+        Called when the paths to most endpoints are found to be lost.
+    on_restored : callable
+        Called when most endpoints are reached again.
+    """
+
+    def __init__(
+        self,
+        transport: Transport,
+        timers: TimerService,
+        directory: EndpointDirectory,
+        metrics: Metrics,
+        log: Log,
+        rng: random.Random,
+    ):
+        self.enabled = False
+        self.on_lost: Callable[[], None] = lambda: None
+        self.on_restored: Callable[[], None] = lambda: None
+        self._paths = DirectPaths()
+        self._transport = transport
+        self._timers = timers
+        self._directory = directory
+        self._metrics = metrics
+        self._log = log
+        self._rng = rng
+        self._pending: set[str] = set()
+        self._checked: tuple[str, ...] = ()
+        self._lost_at = 0.0
+        self._has_progress = False
+
+    @property
+    def status(self) -> PathStatus:
+        """State of the direct paths to the endpoints."""
+        return self._paths.status
+
+    def is_lost(self, endpoint_id: str) -> bool:
+        """Return True if the direct path to an endpoint is lost, or in doubt during a check."""
+        return self._paths.is_lost(endpoint_id)
+
+    def get_evidence_age(self, endpoint_id: str) -> tuple[float | None, float | None]:
+        """Return the seconds since the last established and the last failed connection."""
+        now = self._timers.now()
+        times = (
+            self._paths.last_connected_at(endpoint_id),
+            self._paths.last_failure_at(endpoint_id),
+        )
+        return tuple(None if at is None else round(now - at, 3) for at in times)
+
+    def count_lost(self) -> int:
+        """Return the number of ready endpoints to which the direct path is lost."""
+        return sum(self.is_lost(each) for each in self._directory.ready_endpoints())
+
+    def forget(self, endpoint_id: str) -> None:
+        """Drop the evidence on an endpoint that was removed."""
+        self._paths.forget(endpoint_id)
+
+    def record_connected(self, endpoint_id: str) -> None:
+        """Record that a new connection to an endpoint was established."""
+        was_lost = self._paths.status is PathStatus.LOST and self.is_lost(endpoint_id)
+        self._paths.record_connected(endpoint_id, self._timers.now())
+        if was_lost:
+            self._has_progress = True
+            self._log.info(
+                "path to endpoint restored",
+                endpoint=endpoint_id,
+                lost_for=round(self._timers.now() - self._lost_at, 3),
+                still_lost=self.count_lost(),
+            )
+            self._restore_if_reached()
+
+    def record_failure(self, endpoint_id: str, reason: str) -> None:
+        """Record that no new connection to an endpoint could be established.
+
+        Parameters
+        ----------
+        reason : str
+            Failure of the connection, for the log.
+        """
+        self._paths.record_failure(endpoint_id, self._timers.now())
+        self._start_check(f"{endpoint_id}: {reason}", frozenset((endpoint_id,)))
+
+    def check_if_unanswered(self, since: float) -> None:
+        """Check the paths if responses are pending and no endpoint has sent data for a while.
+
+        Parameters
+        ----------
+        since : float
+            Earliest time since which a pending response has received no data.
+        """
+        now = self._timers.now()
+        if now - max(since, self._directory.last_contact_of_any()) >= UNANSWERED_SECONDS:
+            self._start_check("no data from any endpoint", frozenset())
+
+    def _start_check(self, cause: str, excluded: frozenset[str]) -> None:
+        if not self.enabled or not self._paths.can_start_check(self._timers.now()):
+            return
+        self._paths.start_check(self._timers.now())
+        others = [each for each in self._directory.ready_endpoints() if each not in excluded]
+        self._checked = tuple(self._spread(others)[:CHECKED_ENDPOINTS])
+        self._pending = set(self._checked)
+        if not self._checked:
+            self._conclude(cause)
+        for each in self._checked:
+            self._probe(each, lambda: self._on_check_result(cause))
+
+    def _spread(self, endpoint_ids: Iterable[str]) -> list[str]:
+        """Return endpoints in an order in which services and zones take turns, else random."""
+        shuffled = list(endpoint_ids)
+        self._rng.shuffle(shuffled)
+        counts: Counter[tuple[str, str]] = Counter()
+        turns = {}
+        for each in shuffled:
+            group = (self._directory.service_of(each), self._directory.zone_of(each))
+            turns[each] = counts[group]
+            counts[group] += 1
+        return sorted(shuffled, key=turns.__getitem__)
+
+    def _probe(self, endpoint_id: str, on_result: Callable[[], None]) -> None:
+        self._metrics.count("endpoint_probes_total")
+        self._transport.probe(
+            self._directory.address_of(endpoint_id),
+            PROBE_TIMEOUT_SECONDS,
+            lambda result: self._on_probe_result(endpoint_id, result, on_result),
+        )
+
+    def _on_probe_result(
+        self, endpoint_id: str, result: ConnectResult, on_result: Callable[[], None]
+    ) -> None:
+        self._pending.discard(endpoint_id)
+        if result is ConnectResult.CONNECTED:
+            self.record_connected(endpoint_id)
+        else:
+            self._paths.record_failure(endpoint_id, self._timers.now())
+        on_result()
+
+    def _on_check_result(self, cause: str) -> None:
+        if self._paths.status is not PathStatus.CHECKING:
+            return
+        if not self._pending or self._paths.has_reached_most(self._checked):
+            self._conclude(cause)
+
+    def _conclude(self, cause: str) -> None:
+        """End a check by its results, and log the evidence."""
+        status = self._paths.conclude_check(self._checked)
+        now = self._timers.now()
+        self._metrics.count("path_checks_total", outcome=status.value)
+        log = self._log.warning if status is PathStatus.LOST else self._log.info
+        log(
+            "paths to endpoints lost" if status is PathStatus.LOST else "paths to endpoints work",
+            cause=cause,
+            probed=self._checked,
+            reached=self._paths.count_reached(self._checked),
+            check_ms=round((now - self._paths.since) * 1000),
+            data_age=round(min(now - self._directory.last_contact_of_any(), now), 3),
+        )
+        if status is PathStatus.LOST:
+            self._lost_at = self._paths.since
+            self._has_progress = False
+            self._schedule_retry()
+            self.on_lost()
+
+    def _schedule_retry(self) -> None:
+        seconds = RETRY_PERIOD_SECONDS * (0.75 + 0.5 * self._rng.random())
+        if self._has_progress:
+            seconds = RETRY_AFTER_SUCCESS_SECONDS
+        self._timers.once(seconds, self._retry_lost)
+
+    def _retry_lost(self) -> None:
+        """Probe some of the endpoints that are not reached directly."""
+        if self._paths.status is not PathStatus.LOST:
+            return
+        lost = [each for each in self._directory.ready_endpoints() if self.is_lost(each)]
+        count = RETRIED_AFTER_SUCCESS if self._has_progress else RETRIED_ENDPOINTS
+        self._has_progress = False
+        for each in self._spread(lost)[:count]:
+            if each not in self._pending:
+                self._pending.add(each)
+                self._probe(each, lambda: None)
+        self._restore_if_reached()
+        if self._paths.status is PathStatus.LOST:
+            self._schedule_retry()
+
+    def _restore_if_reached(self) -> None:
+        endpoints = self._directory.ready_endpoints()
+        if not self._paths.restore_if_reached(endpoints):
+            return
+        self._log.warning(
+            "paths to endpoints restored",
+            lost_for=round(self._timers.now() - self._lost_at, 3),
+            reached=self._paths.count_reached(endpoints),
+            endpoints=len(endpoints),
+        )
+        self.on_restored()
--- a/flamingofront/tests/network.py
+++ b/flamingofront/tests/network.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import StrEnum
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 import orjson
@@ -16,9 +17,44 @@
 )
 from flamingofront.process.timers import TimerService
 
-__all__ = ["LATENCY", "Caller", "FakeExchange", "FakeTransport", "Host", "stream_texts"]
+__all__ = [
+    "LATENCY",
+    "Caller",
+    "FakeExchange",
+    "FakeTransport",
+    "Host",
+    "PathFault",
+    "stream_texts",
+]
 
 LATENCY = 0.001
+# After this time a connection without a reply is reset by the kernel of its client.
+USER_TIMEOUT_SECONDS = 2.0
+
+
+class PathFault(StrEnum):
+    """How the path from one host to another fails."""
+
+    SILENT = "silent"
+    """Packets are lost both ways."""
+    REPLIES_LOST = "replies lost"
+    """Packets are lost on the way back only, so that requests on open connections arrive."""
+    REFUSED = "refused"
+    """Open connections are reset, and new ones are refused."""
+    NEW_REFUSED = "new refused"
+    """New connections are refused, and open ones work."""
+    NEW_SILENT = "new silent"
+    """New connections are not answered, and open ones work."""
+
+    @property
+    def blocks_open(self) -> bool:
+        """True if open connections fail too."""
+        return self not in (PathFault.NEW_REFUSED, PathFault.NEW_SILENT)
+
+    @property
+    def refuses(self) -> bool:
+        """True if the client notices at once that no connection is established."""
+        return self in (PathFault.REFUSED, PathFault.NEW_REFUSED)
 
 
 @dataclass
@@ -45,17 +81,47 @@
         self._wrote = False
         self.closed = False
         self.timer = source.timers.once(call.timeout, self._timed_out)
+        self.reused = False
         source.links.append(self)
-        if target is not None and target.dead and world.takes_stale(source, call):
+        fault = world.path_faults.get((source.name, target.name)) if target is not None else None
+        if fault is not None:
+            self._start_on_faulty_path(fault)
+        elif target is not None and target.dead and world.takes_idle(source, call):
             self._wrote = True
             source.timers.once(2 * LATENCY, lambda: self.fail("reset", True, reused=True))
         elif target is None or target.dead:
             reason = "connect" if target is None or target.dark else "refused"
             source.timers.once(LATENCY, lambda: self.fail(reason, False))
         elif not world.is_cut(source, target):
+            self.reused = world.takes_idle(source, call)
+            self._send()
+
+    def _send(self) -> None:
+        self._wrote = True
+        self.target.links.append(self)
+        self.target.timers.once(LATENCY, self._arrive)
+
+    def _start_on_faulty_path(self, fault: PathFault) -> None:
+        """Use an idle connection if there is one, or fail to establish a new one."""
+        self.reused = self.world.takes_idle(self.source, self.call)
+        if self.reused and (not fault.blocks_open or fault is PathFault.REPLIES_LOST):
+            self._send()
+        if self.reused:
             self._wrote = True
-            target.links.append(self)
-            target.timers.once(LATENCY, self._arrive)
+            if fault.blocks_open:
+                self._reset_after(USER_TIMEOUT_SECONDS)
+        elif fault.refuses:
+            self.source.timers.once(LATENCY, lambda: self.fail("refused", False))
+        elif self.call.connect_timeout is not None:
+            self.source.timers.once(self.call.connect_timeout, lambda: self.fail("connect", False))
+
+    def _reset_after(self, seconds: float) -> None:
+        self.source.timers.once(seconds, lambda: self.fail("reset", self._wrote, self.reused))
+
+    def path_fails(self, fault: PathFault) -> None:
+        """Let the path of this open call fail."""
+        if fault.blocks_open:
+            self._reset_after(LATENCY if fault.refuses else USER_TIMEOUT_SECONDS)
 
     @property
     def wrote(self) -> bool:
@@ -112,6 +178,8 @@
         """Carry events to the caller."""
         if self.source.dead or self.world.is_cut(self.source, self.target):
             return
+        if self.world.blocks_open(self.source, self.target):
+            return
         self.world.carry_back(self, events)
 
     def deliver(self, events) -> None:
@@ -158,7 +226,7 @@
 
     def begin(self, status, headers, body=b"", *more) -> None:
         names = {name.lower(): value for name, value in headers}
-        head = ResponseHead(status, names, tuple(headers))
+        head = ResponseHead(status, names, tuple(headers), self._link.reused)
         self._link.back(head, *([ResponseData(body)] if body else []), *more)
 
     def send(self, data: bytes) -> bool:
@@ -258,7 +326,13 @@
     def probe(self, address, timeout, listener):
         target = self._world.hosts.get(address)
         timers = self._host.timers
-        if target is None or target.paused or target.dark or self._world.is_cut(self._host, target):
+        fault = target and self._world.path_faults.get((self._host.name, target.name))
+        if fault is not None:
+            result = ConnectResult.REFUSED if fault.refuses else ConnectResult.UNANSWERED
+            timers.once(2 * LATENCY if fault.refuses else timeout, lambda: listener(result))
+        elif (
+            target is None or target.paused or target.dark or self._world.is_cut(self._host, target)
+        ):
             timers.once(timeout, lambda: listener(ConnectResult.UNANSWERED))
         else:
             reach = ConnectResult.REFUSED if target.dead else ConnectResult.CONNECTED
--- a/flamingofront/tests/world.py
+++ b/flamingofront/tests/world.py
@@ -4,7 +4,9 @@
 timers and its incoming messages wait) or killed. No test that uses it depends on the wall clock.
 """
 
+import itertools
 import random
+from collections.abc import Iterable
 
 import logbook
 import orjson
@@ -20,7 +22,7 @@
 from flamingofront.standins.engine import EngineOptions, EngineStandIn
 from flamingofront.standins.plain import PlainStandIn
 from flamingofront.standins.platform import PlatformStandIn
-from flamingofront.tests.network import LATENCY, Caller, FakeTransport, Host
+from flamingofront.tests.network import LATENCY, Caller, FakeTransport, Host, PathFault
 from flamingofront.version.files import load_statements
 
 DEMO = """
@@ -51,6 +53,8 @@
         self.rng = random.Random(seed)
         self.hosts: dict[str, Host] = {}
         self.cuts: set[frozenset[str]] = set()
+        # Faults of one-way paths, by the names of the calling and the called host.
+        self.path_faults: dict[tuple[str, str], PathFault] = {}
         self.max_extra_delay = 0.0
         # Connections that are kept, by host and address; none unless a test wants them.
         self.keeps_connections = False
@@ -83,8 +87,24 @@
         """Lose all messages between two hosts or zones."""
         self.cuts.add(frozenset((one, other)))
 
+    def fail_paths(self, sources: Iterable[str], targets: Iterable[str], fault: PathFault) -> None:
+        """Let the paths from some hosts to others fail; open calls fail as the fault says."""
+        for pair in itertools.product(sources, targets):
+            self.path_faults[pair] = fault
+            for link in list(self.host(pair[0]).links):
+                if link.target is not None and (link.source.name, link.target.name) == pair:
+                    link.path_fails(fault)
+            if fault is PathFault.REFUSED:
+                self.idle.discard((pair[0], self.host(pair[1]).address))
+
+    def blocks_open(self, source: Host, target: Host) -> bool:
+        """Return True if nothing comes back to a host on its open connections to another."""
+        fault = self.path_faults.get((source.name, target.name))
+        return fault is not None and fault.blocks_open
+
     def heal(self) -> None:
         self.cuts.clear()
+        self.path_faults.clear()
 
     def isolate(self, zone: str) -> None:
         """Cut a zone off from all others and the platform."""
@@ -106,8 +126,8 @@
         if self.keeps_connections:
             self.idle.add((source.name, address))
 
-    def takes_stale(self, source: Host, call) -> bool:
-        """Tell whether a call goes out on a connection to a process that has ended since."""
+    def takes_idle(self, source: Host, call) -> bool:
+        """Take the idle connection for a call; return False if it needs a new connection."""
         known = (source.name, call.address)
         if call.new_connection or known not in self.idle:
             return False
