--- a/flamingofront/tests/test_lost_paths.py
+++ b/flamingofront/tests/test_lost_paths.py
@@ -1,23 +1,10 @@
-"""VMs that have lost their network paths to the endpoints, in the simulated network."""
+"""Detection of lost network paths to the endpoints, in the simulated network."""
 
 import pytest
 
 from flamingofront.decisions.direct_paths import PathStatus
-from flamingofront.tests.forwarding_world import ForwardingWorld, ready_world
 from flamingofront.tests.network import PathFault
-
-ALL_FAULTS = list(PathFault)
-
-
-def paths_world(fronts: int = 5, **options) -> ForwardingWorld:
-    """Return a ready world whose entry processes keep idle connections."""
-    world = ready_world(fronts=fronts, engines=4, plains=4, **options)
-    world.keeps_connections = True
-    return world
-
-
-def cut_off(world: ForwardingWorld, fronts: list[str], fault: PathFault) -> None:
-    world.fail_paths(fronts, list(world.endpoints), fault)
+from flamingofront.tests.paths_world import ALL_FAULTS, cut_off, paths_world
 
 
 class TestPathMonitor:
