--- a/flamingofront/cli.py
+++ b/flamingofront/cli.py
@@ -312,7 +312,7 @@
     """Show the state of the system as a table.
 
     Subjects: vms, endpoints, services, routes, moves, workspaces, drains, requests, shares, leases,
-    held, configuration, counters. Clauses: where FIELD OP VALUE [and ...], fields F,F,
+    held, configuration, counters, paths. Clauses: where FIELD OP VALUE [and ...], fields F,F,
     order by F [desc], limit N. Examples:
     "flamingofront show requests where workspace=demo order by age desc limit 5",
     "flamingofront show counters where counter=refusals_total".
--- a/flamingofront/decisions/choice.py
+++ b/flamingofront/decisions/choice.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
 
+from flamingofront.decisions.direct_paths import EndpointPath
 from flamingofront.decisions.engine_rates import EngineRates
 
 __all__ = [
@@ -61,6 +62,8 @@
         Weight of the report against the extrapolation from local attempts, 0 to 1.
     closed : bool
         True while the endpoint itself asks clients to back off.
+    path : EndpointPath
+        Path on which an attempt reaches it.
     """
 
     endpoint_id: str
@@ -82,11 +85,12 @@
     local_share: float = 1.0
     report_weight: float = 1.0
     closed: bool = False
+    path: EndpointPath = EndpointPath.DIRECT
 
     @property
     def is_unavailable(self) -> bool:
         """True if it must not get new requests, even if no other endpoint is left."""
-        return self.leaving or self.closed
+        return self.leaving or self.closed or self.path is EndpointPath.NONE
 
     @property
     def load(self) -> float:
@@ -308,6 +312,8 @@
 
 # Latency added by an endpoint in another zone; the one-way delay between zones is up to 1.4 ms.
 REMOTE_ZONE_SECONDS = 0.003
+# Latency added by a peer that proxies the attempt.
+PROXY_SECONDS = 0.005
 # Fraction by which the other requests on a fully loaded plain endpoint slow down a call.
 FULL_LOAD_SLOWDOWN = 0.33
 
@@ -339,4 +345,6 @@
         crowding = rates.crowding_seconds * candidate.load
         strain = FULL_LOAD_SLOWDOWN * rates.base_seconds * candidate.load / candidate.slots
         network = REMOTE_ZONE_SECONDS if candidate.zone != work.zone else 0.0
+        if candidate.path is EndpointPath.PROXIED:
+            network += PROXY_SECONDS
         return (prefill + crowding + strain) * candidate.slowness + network
--- a/flamingofront/decisions/direct_paths.py
+++ b/flamingofront/decisions/direct_paths.py
@@ -1,22 +1,23 @@
 """Detection that this VM has lost its own network paths to the endpoints.
 
 A connection that is refused or not established does not tell whether the endpoint has failed or the
-path to it. If a failure is followed by failed connections to most of a sample of other endpoints,
+path to it. If a failure is followed by failed connections to all of a sample of other endpoints,
 the paths of this VM are lost. Only new connections count as evidence, because open ones may work
-while new ones are refused.
+while new ones are refused. A VM that still reaches the endpoints of its own zone has lost no more
+than other zones, which `ZoneReachability` handles.
 """
 
 import math
 from collections.abc import Collection
 from enum import StrEnum
 
-__all__ = ["DirectPaths", "PathStatus"]
+__all__ = ["DirectPaths", "EndpointPath", "PathStatus"]
 
 # Checks are this far apart, so that the endpoints of a crashed zone do not cause one per failure.
 CHECK_PAUSE_SECONDS = 0.5
-# The paths are lost if less than this fraction of the checked endpoints is reached. Endpoints of a
-# single zone or service may all be gone while the paths work.
-MIN_REACHED_FRACTION = 0.5
+# Lost paths count as working again once this fraction of all endpoints is reached; the others may
+# have failed meanwhile.
+RESTORED_FRACTION = 0.5
 
 
 class PathStatus(StrEnum):
@@ -27,6 +28,16 @@
     LOST = "lost"
 
 
+class EndpointPath(StrEnum):
+    """Path on which attempts reach an endpoint."""
+
+    DIRECT = "direct"
+    PROXIED = "proxied"
+    """Through a peer that sends the attempt on."""
+    NONE = "none"
+    """No path is known."""
+
+
 class DirectPaths:
     """Evidence on the direct paths to endpoints; times in seconds.
 
@@ -68,24 +79,21 @@
         self.status = PathStatus.CHECKING
         self.since = now
 
-    def has_reached_most(self, endpoint_ids: Collection[str]) -> bool:
-        """Return True if enough of the given endpoints were connected since the check started."""
-        reached = self.count_reached(endpoint_ids)
-        return bool(reached) and reached >= MIN_REACHED_FRACTION * len(endpoint_ids)
-
     def count_reached(self, endpoint_ids: Collection[str]) -> int:
         """Return how many of the given endpoints were connected since the check started."""
         return sum(self._is_connected(each) for each in endpoint_ids)
 
     def conclude_check(self, endpoint_ids: Collection[str]) -> PathStatus:
         """End a check of the given endpoints and return the new state."""
-        is_working = self.has_reached_most(endpoint_ids)
+        is_working = self.count_reached(endpoint_ids) > 0
         self.status = PathStatus.WORKING if is_working else PathStatus.LOST
         return self.status
 
     def restore_if_reached(self, endpoint_ids: Collection[str]) -> bool:
         """Return True if lost paths count as working again: most of all endpoints are reached."""
-        if self.status is not PathStatus.LOST or not self.has_reached_most(endpoint_ids):
+        if self.status is not PathStatus.LOST or not endpoint_ids:
+            return False
+        if self.count_reached(endpoint_ids) < RESTORED_FRACTION * len(endpoint_ids):
             return False
         self.status = PathStatus.WORKING
         return True
--- a/flamingofront/forward_daemon.py
+++ b/flamingofront/forward_daemon.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 import time
+from dataclasses import replace
 
 import defopt
 
@@ -36,6 +37,8 @@
 PLATFORM_TIMEOUT_SECONDS = 1.0
 METRICS_PORT = 9464
 BODY_SECONDS = 10.0
+# Size that the parameters of a proxied call add to a caller's request head, with its target twice.
+PROXY_HEAD_BYTES = 16 * 1024
 TABLES = SharedTables(
     CONFIG_TABLE, CONFIG_KEY, ENDPOINT_TABLE, decode_configuration, decode_endpoint, ROLLOUT_ROWS
 )
@@ -74,9 +77,12 @@
             "ready": ready,
             "metrics": self._make_server(metrics, self.node.handle_control, "metrics"),
         }
+        self._control: HTTPServer | None = None
         if settings.control_bind is not None:
-            control = self._make_server(settings.control_bind, self.node.handle_control, "control")
-            servers["control"] = control
+            self._control = self._make_server(
+                settings.control_bind, self.node.handle_control, "control"
+            )
+            servers["control"] = self._control
         self._ports = {name: server.port for name, server in servers.items()}
         self._stop = GracefulShutdown(
             self.node,
@@ -124,6 +130,14 @@
             idle_timeout=limits.idle_timeout,
             max_head=limits.max_head,
         )
+        if self._control is not None:
+            # Peers send whole requests of callers to the proxy.
+            default = ServerLimits()
+            self._control.limits = replace(
+                default,
+                max_body=max(default.max_body, limits.max_body),
+                max_head=max(default.max_head, limits.max_head + PROXY_HEAD_BYTES),
+            )
 
     def _handle_exception(self, exc: BaseException) -> None:
         self.node.fault(exc)
--- a/flamingofront/messages.py
+++ b/flamingofront/messages.py
@@ -156,11 +156,14 @@
     reused : bool
         True if the call was sent on a previously idle connection, which the target may have closed
         long before.
+    by_proxy : bool
+        True if the peer that proxied the call failed, which tells nothing about the endpoint.
     """
 
     reason: str
     wrote: bool
     reused: bool = False
+    by_proxy: bool = False
 
 
 @dataclass(frozen=True)
--- a/flamingofront/process/forwarding/control.py
+++ b/flamingofront/process/forwarding/control.py
@@ -1,14 +1,17 @@
 """Control API of a forwarding entry process: operators, peers and metrics scrapes."""
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from flamingofront.connection.interfaces import Exchange
+from flamingofront.decisions.direct_paths import EndpointPath
 from flamingofront.messages import InboundRequest
 from flamingofront.process.forwarding.document_copies import DeltaPacer
 from flamingofront.process.forwarding.exchange import CONFIGURATION_PATH, ENDPOINTS_PATH
 from flamingofront.process.forwarding.news import encode_endpoint_update
 from flamingofront.process.forwarding.operators import OperatorQueries
 from flamingofront.process.membership import Role, VmState
+from flamingofront.request.proxy_messages import PROXY_PATH
 
 if TYPE_CHECKING:
     from flamingofront.process.forwarding.node import ForwardingNode
@@ -31,6 +34,8 @@
             self._respond_metrics(exchange)
         elif req.path == "/operate":
             self._operators.handle(req, exchange)
+        elif req.path == PROXY_PATH:
+            self._node.proxy.handle(req, exchange)
         elif req.path == CONFIGURATION_PATH:
             self._respond_configuration(req, exchange)
         elif req.path == ENDPOINTS_PATH:
@@ -62,9 +67,10 @@
         gauge("requests_waiting", node.hub.count_queued())
         gauge("requests_suspected", len(node.hub.guard.suspects()))
         gauge("requests_held", len(node.hub.guard.quarantine.list_entries()))
-        lost = node.hub.paths.count_lost()
-        gauge("endpoint_paths", len(node.directory.ready_endpoints()) - lost, way="direct")
-        gauge("endpoint_paths", lost, way="lost")
+        ways = Counter(map(node.hub.paths.path_to, node.directory.ready_endpoints()))
+        for way in EndpointPath:
+            gauge("endpoint_paths", ways[way], way=way.value)
+        gauge("proxied_attempts", node.proxy.count_active())
         gauge("endpoints_limited", len(node.hub.limits.rates_by_endpoint()))
         gauge("configuration_revision", node.configuration.version)
         gauge("store_era", node.store.era)
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -31,6 +31,7 @@
 from flamingofront.process.forwarding.own_report import LocalReport, ReportSources
 from flamingofront.process.forwarding.peer_word import PeerDispatcher, UpdateReceivers
 from flamingofront.process.forwarding.peers import Peers
+from flamingofront.process.forwarding.proxy import AttemptProxy
 from flamingofront.process.forwarding.quota_arbiter import QuotaArbiters, QuotaContext
 from flamingofront.process.forwarding.quota_members import QuotaMembers
 from flamingofront.process.forwarding.readers import ZoneWatchers
@@ -144,6 +145,7 @@
         )
         parts = UpdateReceivers(reported, self.quota, self.exchange)
         self._gossip = PeerDispatcher(self._report_builder, parts, self.timers, self.metrics)
+        self.proxy = AttemptProxy(self)
         self.handle_control = ControlHandler(self).handle
 
     def _make_recorder(self, rows: IntentRows, services: Services) -> IntentRecorder:
@@ -197,7 +199,8 @@
         )
         self.store_view.on_rollout = self.rollouts.apply_order
         self.hub.on_endpoint_leaving = self._on_endpoint_leaving
-        self.hub.paths.enabled = True
+        self.hub.paths.monitor.enabled = True
+        self.hub.paths.peers.addresses = self._proxy_addresses
         self.hub.on_outcome = self._record_outcome
         self.hub.cache_tokens = self._cache_tokens
         self.directory.sample_size = self._sample_size
@@ -353,6 +356,15 @@
         near = self.peers.relaying.zone_members() if self.peers.is_relayed else {}
         return self._addresses(sorted({*near.values()} - {self._report_builder.identity.ip}))
 
+    def _proxy_addresses(self) -> list[str]:
+        """Return the control addresses of the peers that may proxy attempts."""
+        if not self.peers.is_relayed:
+            live = self.peers.table.live_reports(self.timers.now())
+            return [each.address for each in live if not each.leaving]
+        identity = self._report_builder.identity
+        ips = self.peers.relaying.known_ips() - {identity.ip}
+        return [identity.address.replace(identity.ip, each, 1) for each in sorted(ips)]
+
     def _addresses(self, ips: list[str]) -> list[str]:
         """Return the control addresses for some IP addresses, in random order."""
         identity = self._report_builder.identity
--- a/flamingofront/process/forwarding/observations.py
+++ b/flamingofront/process/forwarding/observations.py
@@ -207,7 +207,8 @@
     def _check_zones(self) -> None:
         """Detect partitioned zones, and move the requests that wait there to other zones."""
         now = self._timers.now()
-        self._hub.paths.check_if_unanswered(self._hub.unanswered_since_in_any_zone())
+        self._hub.paths.monitor.check_if_unanswered(self._hub.unanswered_since_in_any_zone())
+        self._hub.fail_over_unresponsive_peers()
         zones = self._hub.directory.zones
         unreachable = self._peers.unreachable_zones() - {self._zone}
         zones.set_unresponsive_zones(unreachable)
--- a/flamingofront/process/forwarding/operators.py
+++ b/flamingofront/process/forwarding/operators.py
@@ -15,6 +15,7 @@
 from flamingofront.process.forwarding.reports import PeerReport
 from flamingofront.process.held_rows import QUARANTINE_COLUMNS, held_rows
 from flamingofront.process.membership import Fact, Role, VmState
+from flamingofront.process.path_rows import PATH_COLUMNS, path_rows
 from flamingofront.version.language import Query, Statement, parse
 from flamingofront.version.query import run_query
 
@@ -53,7 +54,7 @@
         "closed_for",
         "withheld",
     ),
-    "paths": ("vm", "zone", "endpoint", "zone_of_endpoint", "path", "connected", "failed"),
+    "paths": PATH_COLUMNS,
     "services": ("name", "kind", "max_connections", "slots", "least", "most"),
     "routes": ("name", "host", "prefix", "kind", "services", "timeout", "objective", "attempts"),
     "workspaces": ("name", "keys", "priority", "rate", "burst", "spent"),
@@ -176,24 +177,7 @@
         return {"closed_for": round(max(pause, permit), 3) or None, "withheld": reason}
 
     def _paths(self) -> Rows:
-        node = self._node
-        return [
-            {
-                "vm": node.settings.vm_id,
-                "zone": node.settings.zone,
-                "endpoint": each,
-                "zone_of_endpoint": node.directory.zone_of(each),
-                "path": "lost" if node.hub.paths.is_lost(each) else "direct",
-                **dict(
-                    zip(
-                        ("connected", "failed"),
-                        node.hub.paths.get_evidence_age(each),
-                        strict=True,
-                    )
-                ),
-            }
-            for each in node.directory.ready_endpoints()
-        ]
+        return path_rows(self._node.hub)
 
     def _services(self) -> Rows:
         return [
--- /dev/null
+++ b/flamingofront/process/forwarding/proxy.py
@@ -0,0 +1,209 @@
+"""Proxying of attempts for peers that have no direct path to an endpoint.
+
+The process of the caller keeps the request: its deadline, retries, quotas and limits. This process
+only opens the connection to the endpoint and passes the response on. It never asks another peer, so
+an attempt cannot circulate.
+"""
+
+from typing import TYPE_CHECKING
+
+from flamingofront.connection.interfaces import CallEvent, CallHandle, Exchange
+from flamingofront.decisions.direct_paths import PathStatus
+from flamingofront.messages import (
+    CallFailed,
+    InboundRequest,
+    OutboundCall,
+    ResponseData,
+    ResponseEnd,
+    ResponseHead,
+)
+from flamingofront.request.active import NO_CONNECTION_REASONS
+from flamingofront.request.proxy_messages import (
+    ProxiedCall,
+    ProxyFailure,
+    ProxyRefusal,
+    decode_proxied_call,
+    encode_proxy_failure,
+)
+
+if TYPE_CHECKING:
+    from flamingofront.process.forwarding.node import ForwardingNode
+
+__all__ = ["AttemptProxy"]
+
+# Attempts proxied at once; beyond it peers ask another process, so that one VM is not overloaded
+# by the callers of many.
+MAX_PROXIED_ATTEMPTS = 256
+STATUS_BAD_REQUEST = 400
+STATUS_NOT_PROXIED = 502
+BODILESS_STATUSES = frozenset({204, 304})
+# Headers that concern one connection only; the body is framed anew on each one.
+_HOP_FIELDS = frozenset(
+    {"connection", "content-length", "keep-alive", "trailer", "transfer-encoding", "upgrade"}
+)
+
+
+class AttemptProxy:
+    """Sends the attempts of peers to endpoints."""
+
+    def __init__(self, node: "ForwardingNode"):
+        self.node = node
+        self._attempts: set[_ProxiedAttempt] = set()
+
+    def count_active(self) -> int:
+        """Return the number of attempts in flight for peers."""
+        return len(self._attempts)
+
+    def handle(self, req: InboundRequest, exchange: Exchange) -> None:
+        """Send the attempt in a peer's call to its endpoint, or refuse it at once."""
+        try:
+            call = decode_proxied_call(req.query)
+        except ValueError as exc:
+            self.node.log.warning("malformed call to the proxy", detail=str(exc))
+            exchange.respond(STATUS_BAD_REQUEST, (), str(exc).encode())
+            return
+        refusal = self._find_refusal(call)
+        if refusal is not None:
+            self._refuse(call, exchange, refusal)
+            return
+        self.node.metrics.count("proxied_attempts_total", role="proxy")
+        attempt = _ProxiedAttempt(self, call, exchange)
+        self._attempts.add(attempt)
+        attempt.start(req)
+
+    def _find_refusal(self, call: ProxiedCall) -> ProxyRefusal | None:
+        node = self.node
+        if node.stopping:
+            return ProxyRefusal.STOPPING
+        if node.directory.is_unavailable(call.endpoint_id):
+            return ProxyRefusal.UNKNOWN_ENDPOINT
+        monitor = node.hub.paths.monitor
+        if monitor.status is PathStatus.LOST and monitor.is_lost(call.endpoint_id):
+            return ProxyRefusal.NO_PATH
+        return ProxyRefusal.BUSY if len(self._attempts) >= MAX_PROXIED_ATTEMPTS else None
+
+    def _refuse(self, call: ProxiedCall, exchange: Exchange, refusal: ProxyRefusal) -> None:
+        next_peer = ""
+        if refusal is ProxyRefusal.NO_PATH:
+            next_peer = self.node.hub.paths.peers.proven_peer()
+        self.node.metrics.count("proxy_refusals_total", reason=refusal.value)
+        self.node.log.info(
+            "proxied attempt refused",
+            request=call.request_id,
+            sender=call.sender,
+            endpoint=call.endpoint_id,
+            reason=refusal.value,
+            next_peer=next_peer,
+        )
+        respond_failure(exchange, ProxyFailure(refusal.value, next_peer=next_peer))
+
+    def remove(self, attempt: "_ProxiedAttempt") -> None:
+        """Remove an attempt that has ended."""
+        self._attempts.discard(attempt)
+
+
+def respond_failure(exchange: Exchange, failure: ProxyFailure) -> None:
+    """Tell the peer that its attempt failed before a response started."""
+    exchange.respond(STATUS_NOT_PROXIED, (encode_proxy_failure(failure),), b"")
+
+
+class _ProxiedAttempt:
+    """One attempt between a peer and an endpoint."""
+
+    def __init__(self, proxy: AttemptProxy, call: ProxiedCall, exchange: Exchange):
+        self._proxy = proxy
+        self._node = proxy.node
+        self._call = call
+        self._exchange = exchange
+        self._handle: CallHandle | None = None
+        self._started_at = self._node.timers.now()
+        self._has_begun = False
+        self._is_done = False
+
+    def start(self, req: InboundRequest) -> None:
+        """Send the attempt to the endpoint."""
+        call = self._call
+        self._exchange.on_disconnect = self._on_disconnect
+        fields = tuple(each for each in req.fields if each[0].lower() not in _HOP_FIELDS | {"host"})
+        self._handle = self._node.hub.transport.start(
+            OutboundCall(
+                self._node.directory.address_of(call.endpoint_id),
+                call.method,
+                call.target,
+                req.body,
+                fields,
+                timeout=call.timeout,
+                stream=True,
+                new_connection=call.new_connection,
+                host=req.header("host"),
+                connect_timeout=call.connect_timeout,
+            ),
+            self._on_event,
+        )
+
+    def _on_event(self, event: CallEvent) -> None:
+        if self._is_done:
+            return
+        if isinstance(event, ResponseHead):
+            self._on_head(event)
+        elif isinstance(event, ResponseData):
+            if not self._exchange.send(event.data):
+                self._handle.cancel()
+                self._exchange.abort()
+                self._end("the peer reads too slowly")
+        elif isinstance(event, ResponseEnd):
+            self._exchange.finish()
+            self._end("complete")
+        else:
+            self._on_failure(event)
+
+    def _on_head(self, head: ResponseHead) -> None:
+        endpoint_id = self._call.endpoint_id
+        self._node.directory.record_contact(endpoint_id, self._node.timers.now())
+        if not head.reused:
+            self._node.hub.paths.monitor.record_connected(endpoint_id)
+        self._has_begun = True
+        if head.status in BODILESS_STATUSES:
+            self._exchange.respond(head.status, _end_to_end_fields(head), b"")
+            self._end("complete")
+        else:
+            self._exchange.begin(head.status, _end_to_end_fields(head))
+
+    def _on_failure(self, event: CallFailed) -> None:
+        if event.reason in NO_CONNECTION_REASONS:
+            self._node.hub.paths.monitor.record_failure(self._call.endpoint_id, event.reason)
+        if self._has_begun:
+            self._exchange.abort()
+        else:
+            respond_failure(self._exchange, ProxyFailure(event.reason, event.wrote, event.reused))
+        self._end(event.reason)
+
+    def _on_disconnect(self) -> None:
+        """Cancel the attempt: the peer's caller has left, or the peer is gone."""
+        if not self._is_done:
+            self._handle.cancel()
+            self._end("the peer disconnected")
+
+    def _end(self, outcome: str) -> None:
+        self._is_done = True
+        self._proxy.remove(self)
+        self._node.log.info(
+            "proxied attempt ended",
+            request=self._call.request_id,
+            sender=self._call.sender,
+            endpoint=self._call.endpoint_id,
+            outcome=outcome,
+            wrote=self._handle is not None and self._handle.wrote,
+            total_ms=round((self._node.timers.now() - self._started_at) * 1000),
+        )
+
+
+def _end_to_end_fields(head: ResponseHead) -> tuple[tuple[str, str], ...]:
+    """Return the headers of a response without those that concern one connection only."""
+    listed = {
+        each.strip().lower()
+        for name, value in head.fields
+        if name.lower() == "connection"
+        for each in value.split(",")
+    }
+    return tuple(each for each in head.fields if each[0].lower() not in _HOP_FIELDS | listed)
--- a/flamingofront/process/forwarding/relay_hearing.py
+++ b/flamingofront/process/forwarding/relay_hearing.py
@@ -63,6 +63,10 @@
         self._registered_until = self._timers.now() + REGISTRATION_EXPIRY_SECONDS
         self._registered.setdefault(zone, {})[vm_id] = ip
 
+    def known_ips(self) -> set[str]:
+        """Return the IP addresses of all processes in the member table, live or not."""
+        return {ip for zone in self._registered.values() for ip in zone.values()}
+
     @property
     def is_relay(self) -> bool:
         """True if this process is a relay, which sums the reports of its zone."""
--- a/flamingofront/process/forwarding/shutdown.py
+++ b/flamingofront/process/forwarding/shutdown.py
@@ -81,11 +81,15 @@
             self._has_answered_remaining = True
             self._answer_remaining()
         if self._remaining(EXIT_MARGIN_SECONDS) > 0 and (
-            self._node.hub.active or self._callers.connections
+            self._node.hub.active or self._callers.connections or self._node.proxy.count_active()
         ):
             timers.once(CHECK_SECONDS, self._check)
             return
-        self._node.log.info("exit", unanswered=len(self._node.hub.active))
+        self._node.log.info(
+            "exit",
+            unanswered=len(self._node.hub.active),
+            proxied=self._node.proxy.count_active(),
+        )
         self._on_exit()
 
     def _answer_remaining(self) -> None:
--- a/flamingofront/process/operators.py
+++ b/flamingofront/process/operators.py
@@ -15,6 +15,7 @@
 from flamingofront.process.documents import DocumentStore
 from flamingofront.process.expiry import RETENTION_SECONDS
 from flamingofront.process.held_rows import QUARANTINE_COLUMNS
+from flamingofront.process.path_rows import PATH_COLUMNS
 from flamingofront.process.peers import PeerLinks
 from flamingofront.process.tasks import TaskRunner
 from flamingofront.process.timers import TimerService
@@ -72,10 +73,11 @@
     "leases": ("lease", "vm", "holder", "fencing", "held"),
     "configuration": ("zone", "vm", "revision", "ready", "heard"),
     "held": QUARANTINE_COLUMNS,
+    "paths": PATH_COLUMNS,
     "counters": ("vm", "counter", "labels", "value"),
 }
 # Subjects whose rows must be collected from all processes.
-PER_PROCESS_SUBJECTS = ("requests", "leases", "held", "counters", "drains", "shares")
+PER_PROCESS_SUBJECTS = ("requests", "leases", "held", "counters", "drains", "shares", "paths")
 _OBJECT_SUBJECTS = {
     "services": ObjectKind.SERVICE,
     "routes": ObjectKind.ROUTE,
--- a/flamingofront/process/rows.py
+++ b/flamingofront/process/rows.py
@@ -10,6 +10,7 @@
 from flamingofront.process.leases import LeaseKeeper
 from flamingofront.process.membership import Fact, Role, VmState
 from flamingofront.process.metrics import Metrics
+from flamingofront.process.path_rows import path_rows
 from flamingofront.process.status import StatusRecord
 from flamingofront.process.timers import TimerService
 from flamingofront.request.active import ActiveRequest
@@ -57,6 +58,7 @@
             "leases": self._list_leases,
             "configuration": self._list_configurations,
             "held": self._list_quarantined,
+            "paths": self._list_paths,
             "counters": self._list_counters,
         }
 
@@ -222,5 +224,8 @@
     def _list_quarantined(self) -> Rows:
         return held_rows(self._vm_id, self._state.hub.guard)
 
+    def _list_paths(self) -> Rows:
+        return path_rows(self._state.hub)
+
     def _list_counters(self) -> Rows:
         return [{"vm": self._vm_id, **row} for row in self._state.metrics.rows()]
--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -24,6 +24,7 @@
 from flamingofront.request.attachments import Attachment
 from flamingofront.request.attempts import Action, Phase, RequestFacts, RequestMachine
 from flamingofront.request.directory import SharedPrefix
+from flamingofront.request.endpoint_paths import PathRequest
 from flamingofront.request.fingerprint import compute_fingerprint
 from flamingofront.request.guard import quarantine_error
 from flamingofront.request.host import RequestHost
@@ -60,6 +61,8 @@
         True if the answer is kept for callers that reattach.
     on_finished : callable or None
         Called once with the final answer or error, one of which is None.
+    proxy_address : str
+        Peer that proxies the attempt in flight; empty if there is none or it is sent directly.
     is_trial : bool
         True if this is the trial request that tests whether a quarantined request is harmless.
     """
@@ -76,6 +79,7 @@
         self.endpoint_id = ""
         self.endpoint_address = ""
         self._sent_at = 0.0
+        self.proxy_address = ""
         self.fingerprint = compute_fingerprint(record)
         self.on_finished: Callable[[StoredAnswer | None, RequestError | None], None] | None = None
         self.log = hub.log.bind(
@@ -120,6 +124,11 @@
         """True while an attempt is in flight."""
         return self._handle is not None
 
+    @property
+    def has_direct_attempt(self) -> bool:
+        """True while an attempt is in flight on a connection of this VM to the endpoint."""
+        return self.has_attempt_in_flight and not self.proxy_address
+
     @property
     def can_hand_over(self) -> bool:
         """True if the request can be handed over to another entry process now."""
@@ -335,7 +344,11 @@
         self.hub.backoffs.record_send(chosen.endpoint_id)
         self.hub.directory.record_attempt_start(chosen.endpoint_id)
         listener = self._make_listener(action.attempt_id, chosen)
-        self._handle = self.hub.transport.start(self._build_call(action, chosen), listener)
+        self._handle, self.proxy_address = self.hub.paths.start(
+            PathRequest(
+                chosen.endpoint_id, self.request_id, self._build_call(action, chosen), listener
+            )
+        )
 
     def _end_call(self, cancel: bool = True) -> None:
         """Stop tracking the call in flight, if any.
@@ -346,6 +359,7 @@
             False if the call has ended or its remaining data should still be read.
         """
         handle, self._handle = self._handle, None
+        self.proxy_address = ""
         if handle is None:
             return
         self._attempt_intents.close_current()
@@ -354,7 +368,12 @@
         self.hub.directory.record_attempt_end(self.endpoint_id)
 
     def fail_attempt(
-        self, attempt_id: str, executed: Executed, reason: str, sent: bool = True
+        self,
+        attempt_id: str,
+        executed: Executed,
+        reason: str,
+        sent: bool = True,
+        is_endpoint_failure: bool = True,
     ) -> None:
         """Handle an attempt that ended without a response.
 
@@ -364,18 +383,24 @@
             Whether the endpoint ran the request.
         sent : bool
             False if no byte of the attempt can have reached the endpoint.
+        is_endpoint_failure : bool
+            False if the path to the endpoint failed.
         """
         if self.done or attempt_id != self.machine.attempt_id:
             return
         now = self.hub.now()
         if not sent or executed is Executed.NO:
             self._attempt_intents.withdraw()
+        proxy_address = self.proxy_address
         self._end_call()
-        self.hub.record_attempt_loss(self.record.service, self.endpoint_id, executed, reason, now)
+        self.hub.record_attempt_loss(
+            self.record.service, self.endpoint_id, reason, is_endpoint_failure
+        )
         self.log.info(
             "attempt failed",
             attempt=attempt_id,
             endpoint=self.endpoint_id,
+            proxy=proxy_address,
             reason=reason,
             ran=executed.value,
         )
@@ -387,14 +412,27 @@
 
     def handle_call_failure(self, attempt_id: str, event: CallFailed) -> None:
         """Handle a call that ended without a response."""
+        executed = Executed.UNKNOWN if event.wrote else Executed.NO
+        if event.by_proxy:
+            reason = f"proxy: {event.reason}"
+            self.fail_attempt(attempt_id, executed, reason, event.wrote, is_endpoint_failure=False)
+            return
+        is_endpoint_failure = True
         if event.reason in NO_CONNECTION_REASONS:
-            refused = event.reason == "refused"
-            self.hub.directory.record_connect_failure(self.endpoint_id, self.hub.now(), refused)
-            self.hub.paths.record_failure(self.endpoint_id, event.reason)
+            is_endpoint_failure = self._record_no_connection(event.reason)
         elif event.reason == "reset" and event.wrote and not self._is_stale_connection(event):
             self.report_connection_loss(attempt_id)
-        executed = Executed.UNKNOWN if event.wrote else Executed.NO
-        self.fail_attempt(attempt_id, executed, event.reason, sent=event.wrote)
+        self.fail_attempt(attempt_id, executed, event.reason, event.wrote, is_endpoint_failure)
+
+    def _record_no_connection(self, reason: str) -> bool:
+        """Record that no connection was established; return False if the path may be lost."""
+        paths, endpoint_id = self.hub.paths, self.endpoint_id
+        if self.proxy_address:
+            paths.record_unreached(endpoint_id)
+            return True
+        self.hub.directory.record_connect_failure(endpoint_id, self.hub.now(), reason == "refused")
+        paths.monitor.record_failure(endpoint_id, reason)
+        return not paths.monitor.is_lost(endpoint_id)
 
     def _is_stale_connection(self, event: CallFailed) -> bool:
         """Return True if the attempt used a connection that was already closed by the endpoint."""
--- a/flamingofront/request/answer_reader.py
+++ b/flamingofront/request/answer_reader.py
@@ -59,10 +59,9 @@
         else:
             self._response = response
         if not response.is_mismatched:
-            directory = self._request.hub.directory
-            directory.record_contact(self._request.endpoint_id, self._request.hub.now())
-            if not head.reused:
-                self._request.hub.paths.record_connected(self._request.endpoint_id)
+            self._request.record_contact()
+            if not head.reused and self._request.has_direct_attempt:
+                self._request.hub.paths.monitor.record_connected(self._request.endpoint_id)
 
     def _apply_rate_limit(self, response: EndpointResponseHead) -> None:
         """Store the rate limit that the response advertises, whatever its status.
--- a/flamingofront/request/attempts.py
+++ b/flamingofront/request/attempts.py
@@ -211,7 +211,10 @@
         if not self.facts.repeatable and executed is not Executed.NO:
             return self._fail(ErrorKind.OUTCOME_UNKNOWN, detail)
         if self._failures >= MAX_FAILURES_WITHOUT_PROGRESS:
-            return self._fail(ErrorKind.ENDPOINT_FAILED, detail, self._backoff.max_seconds)
+            # A request that was never executed may be sent again by its caller, elsewhere.
+            not_executed = self.ran is Executed.NO
+            kind = ErrorKind.NO_ENDPOINT if not_executed else ErrorKind.ENDPOINT_FAILED
+            return self._fail(kind, detail, self._backoff.max_seconds)
         if not sent and self.facts.max_attempts is not None:
             self.attempts -= 1
             return self._retry_or_fail(now, 0.0, ErrorKind.ENDPOINT_FAILED)
--- a/flamingofront/request/directory.py
+++ b/flamingofront/request/directory.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, replace
 
 from flamingofront.decisions.choice import Candidate, compute_report_weight
+from flamingofront.decisions.direct_paths import EndpointPath
 from flamingofront.decisions.retry import EndpointHealth
 from flamingofront.decisions.rollout import VersionRule
 from flamingofront.decisions.shares import RemotePrompts
@@ -131,6 +132,8 @@
         Called before each choice, to update the loads from other processes.
     local_share : callable
         Returns the share of the load that comes from this process, from 0 to 1.
+    path_to : callable
+        Returns the `EndpointPath` on which attempts reach an endpoint.
     noted_prompts : RemotePrompts
         Prompts that other processes have reported recently; load reports may not include them yet.
     """
@@ -143,6 +146,7 @@
             lambda endpoints: ()
         )
         self.refresh_loads: Callable[[], None] = lambda: None
+        self.path_to: Callable[[str], EndpointPath] = lambda endpoint_id: EndpointPath.DIRECT
         self.noted_prompts = RemotePrompts()
         self.health = EndpointHealth(rng)
         self.prefixes = PrefixIndex()
@@ -336,6 +340,7 @@
             local_share=context.local_share,
             report_weight=context.report_weight,
             closed=endpoint_id in context.closed,
+            path=self.path_to(endpoint_id),
         )
 
     def _cached_tokens(
@@ -473,9 +478,18 @@
         if fact is not None and not is_refused:
             self.zones.record_connect_failure(fact.zone, endpoint_id, now)
 
-    def record_contact(self, endpoint_id: str, now: float) -> None:
-        """Record that data from an endpoint has been received."""
-        self._last_contact_at[endpoint_id] = self._last_contact_of_any = now
+    def record_contact(self, endpoint_id: str, now: float, is_direct: bool = True) -> None:
+        """Record that data from an endpoint has been received.
+
+        Parameters
+        ----------
+        is_direct : bool
+            False if it came through a peer, which tells nothing about the paths of this VM.
+        """
+        self._last_contact_at[endpoint_id] = now
+        if not is_direct:
+            return
+        self._last_contact_of_any = now
         if endpoint_id in self._connect_failures:
             del self._connect_failures[endpoint_id]
         fact = self._facts.get(endpoint_id)
@@ -496,10 +510,21 @@
         return fact is not None and self._is_reachable(fact, now)
 
     def _is_reachable(self, fact: Fact, now: float) -> bool:
+        path = self.path_to(fact.vm_id)
+        if path is not EndpointPath.DIRECT:
+            return path is EndpointPath.PROXIED
         if self._backoff_until.get(fact.vm_id, -math.inf) > now:
             return False
         return not self.zones.is_partitioned(fact.zone, now)
 
+    def forget_failures(self) -> None:
+        """Drop the failures of all endpoints, after they turned out to be those of the paths."""
+        self._backoff_until.clear()
+        self._connect_failures.clear()
+        self.zones = ZoneReachability()
+        for each in self.ready_endpoints():
+            self.health.forget(each)
+
     def version_of(self, endpoint_id: str) -> str:
         """Return the software version of an endpoint; empty if the endpoint is unknown."""
         fact = self._facts.get(endpoint_id)
--- a/flamingofront/request/endpoint_ends.py
+++ b/flamingofront/request/endpoint_ends.py
@@ -66,6 +66,11 @@
         request there.
     on_crash_found : callable
         Called with each endpoint that this process finds crashed before its row is deleted.
+    on_refused : callable
+        Called with each endpoint that refuses a probe.
+    is_path_lost : callable
+        Returns True if the direct path to an endpoint is or may be lost, so that probes do not show
+        whether it has crashed.
     """
 
     def __init__(
@@ -85,6 +90,8 @@
         self.on_crash: Callable[[EndpointCrash], None] = lambda crash: None
         self.on_unobserved_crash: Callable[[str], None] = lambda endpoint_id: None
         self.on_crash_found: Callable[[str], None] = lambda endpoint_id: None
+        self.on_refused: Callable[[str], None] = lambda endpoint_id: None
+        self.is_path_lost: Callable[[str], bool] = lambda endpoint_id: False
 
     def record_connection_loss(self, endpoint_id: str, address: str, fingerprint: str) -> None:
         """Record that the connection of a request that was sent to an endpoint was lost.
@@ -143,6 +150,8 @@
     ) -> None:
         if reach is ConnectResult.CONNECTED and not self._directory.is_replaced(endpoint_id):
             self._log.info("endpoint still listens after its row was deleted", endpoint=endpoint_id)
+        elif self.is_path_lost(endpoint_id):
+            self._log.info("endpoint with a deleted row cannot be probed", endpoint=endpoint_id)
         else:
             on_confirmed()
 
@@ -185,6 +194,8 @@
         if self._checks.get(endpoint_id) is not check or check.is_crashed:
             return
         if reach is ConnectResult.REFUSED:
+            # All endpoints seem to refuse connections if the path of this VM to them is lost.
+            self.on_refused(endpoint_id)
             self._timers.once(
                 SETTLE_DELAY_SECONDS, lambda: self._conclude_check(endpoint_id, check)
             )
@@ -199,9 +210,18 @@
             return
         if self._directory.last_contact_at(endpoint_id) > check.lost_at + LAST_DATA_SECONDS:
             del self._checks[endpoint_id]
+        elif self.is_path_lost(endpoint_id):
+            self._wait_for_paths(endpoint_id, check)
         else:
             self._declare_crash(endpoint_id, check)
 
+    def _wait_for_paths(self, endpoint_id: str, check: _CrashCheck) -> None:
+        """Probe again until the paths are known to work, or the row of the endpoint has expired."""
+        if check.probe_count < MAX_PROBES:
+            self._timers.once(PROBE_RETRY_SECONDS, lambda: self._send_probe(endpoint_id, check))
+        else:
+            del self._checks[endpoint_id]
+
     def _declare_crash(self, endpoint_id: str, check: _CrashCheck) -> None:
         check.is_crashed = True
         self._timers.once(CRASH_RETENTION_SECONDS, lambda: self._checks.pop(endpoint_id, None))
--- /dev/null
+++ b/flamingofront/request/endpoint_paths.py
@@ -0,0 +1,187 @@
+"""Ways in which the attempts of this process reach the endpoints: directly, or through a peer."""
+
+import math
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from flamingofront.connection.interfaces import CallEvent, CallHandle, Transport
+from flamingofront.decisions.direct_paths import EndpointPath, PathStatus
+from flamingofront.messages import CallFailed, OutboundCall, ResponseEnd, ResponseHead
+from flamingofront.process.logs import Log
+from flamingofront.process.metrics import Metrics
+from flamingofront.process.timers import TimerService
+from flamingofront.request.directory import EndpointDirectory
+from flamingofront.request.path_monitor import PathMonitor
+from flamingofront.request.proxy_messages import (
+    FAILURE_HEADER,
+    ProxiedCall,
+    ProxyFailure,
+    decode_proxy_failure,
+    encode_proxied_call,
+)
+from flamingofront.request.proxy_peers import ProxyPeers
+
+__all__ = ["EndpointPaths", "PathRequest"]
+
+# Time for which an endpoint gets no attempts after a peer could not connect to it.
+UNREACHED_SECONDS = 1.0
+# A peer that has sent nothing for so long while a response is pending is taken to be stopped.
+UNRESPONSIVE_PEER_SECONDS = 1.0
+
+
+@dataclass(frozen=True)
+class PathRequest:
+    """Attempt to be started on a path; `request_id` is for the log of the peer."""
+
+    endpoint_id: str
+    request_id: str
+    call: OutboundCall
+    listener: Callable[[CallEvent], None]
+
+
+class EndpointPaths:
+    """Starts attempts on the path that reaches their endpoint.
+
+    Parameters
+    ----------
+    vm_id, zone : str
+        VM and availability zone of this process.
+
+    Attributes
+    ----------
+    monitor : PathMonitor
+        State of the direct paths.
+    peers : ProxyPeers
+        Peers that proxy attempts.
+    """
+
+    def __init__(
+        self,
+        vm_id: str,
+        zone: str,
+        transport: Transport,
+        timers: TimerService,
+        directory: EndpointDirectory,
+        metrics: Metrics,
+        log: Log,
+        rng: random.Random,
+    ):
+        self.monitor = PathMonitor(transport, timers, directory, metrics, log, rng, zone)
+        self.peers = ProxyPeers(timers, rng)
+        self._vm_id = vm_id
+        self._transport = transport
+        self._timers = timers
+        self._metrics = metrics
+        self._log = log
+        self._unreached_until: dict[str, float] = {}
+
+    def path_to(self, endpoint_id: str) -> EndpointPath:
+        """Return the path on which an attempt reaches an endpoint.
+
+        Notes
+        -----
+        A process without any peer uses the direct path even if it seems lost.
+        """
+        if not self.monitor.is_lost(endpoint_id) or not self.peers.has_any:
+            return EndpointPath.DIRECT
+        is_unreached = self._unreached_until.get(endpoint_id, -math.inf) > self._timers.now()
+        if self.peers.is_available and not is_unreached:
+            return EndpointPath.PROXIED
+        is_certain = self.monitor.status is PathStatus.LOST
+        return EndpointPath.NONE if is_certain else EndpointPath.DIRECT
+
+    def wait_seconds(self, endpoint_id: str) -> float:
+        """Return the seconds until an endpoint may be reached; 0 if a path is known now."""
+        if self.path_to(endpoint_id) is not EndpointPath.NONE:
+            return 0.0
+        now = self._timers.now()
+        return max(self._unreached_until.get(endpoint_id, now) - now, self.peers.wait_seconds())
+
+    def forget(self, endpoint_id: str) -> None:
+        """Drop the evidence on an endpoint that was removed."""
+        self.monitor.forget(endpoint_id)
+        self._unreached_until.pop(endpoint_id, None)
+
+    def record_unreached(self, endpoint_id: str) -> None:
+        """Record that a peer could not connect to an endpoint."""
+        self._unreached_until[endpoint_id] = self._timers.now() + UNREACHED_SECONDS
+
+    def start(self, attempt: PathRequest) -> tuple[CallHandle, str]:
+        """Start an attempt; return its handle, and the address of the peer that proxies it.
+
+        The address is empty for an attempt on the direct path.
+        """
+        peer = None
+        if self.path_to(attempt.endpoint_id) is EndpointPath.PROXIED:
+            peer = self.peers.choose()
+        if peer is None:
+            return self._transport.start(attempt.call, attempt.listener), ""
+        call = ProxiedCall(
+            attempt.endpoint_id,
+            attempt.request_id,
+            self._vm_id,
+            attempt.call.method,
+            attempt.call.path,
+            attempt.call.timeout,
+            attempt.call.connect_timeout or attempt.call.timeout,
+            attempt.call.new_connection,
+        )
+        self._metrics.count("proxied_attempts_total", role="sender")
+        listener = _ProxiedResponse(self.peers, peer, attempt.listener)
+        return (
+            self._transport.start(encode_proxied_call(call, attempt.call, peer), listener),
+            peer,
+        )
+
+    def list_unresponsive(self, pending: Iterable[tuple[str, float]]) -> set[str]:
+        """Return the peers that do not respond, and back off from them.
+
+        Parameters
+        ----------
+        pending : iterable of (str, float)
+            Peer, and time since which no data came, of each proxied attempt in flight.
+        """
+        now = self._timers.now()
+        found = {
+            peer
+            for peer, since in pending
+            if now - max(since, self.peers.responded_at(peer)) > UNRESPONSIVE_PEER_SECONDS
+        }
+        for peer in found:
+            self._log.warning("proxy peer does not respond", peer=peer)
+            self.peers.record_failure(peer)
+        return found
+
+
+class _ProxiedResponse:
+    """Passes the events of a proxied call on as if they came from the endpoint."""
+
+    def __init__(self, peers: ProxyPeers, address: str, listener: Callable[[CallEvent], None]):
+        self._peers = peers
+        self._address = address
+        self._listener = listener
+        self._failure: ProxyFailure | None = None
+
+    def __call__(self, event: CallEvent) -> None:
+        """Handle one event."""
+        if isinstance(event, ResponseHead) and FAILURE_HEADER in event.headers:
+            self._failure = decode_proxy_failure(event.headers[FAILURE_HEADER])
+        elif isinstance(event, CallFailed):
+            self._peers.record_failure(self._address)
+            is_written = event.wrote if self._failure is None else self._failure.wrote
+            self._listener(CallFailed(event.reason, is_written, event.reused, by_proxy=True))
+        elif self._failure is None:
+            self._peers.record_response(self._address)
+            self._listener(event)
+        elif isinstance(event, ResponseEnd):
+            self._fail(self._failure)
+
+    def _fail(self, failure: ProxyFailure) -> None:
+        if failure.is_refusal:
+            self._peers.record_refusal(self._address, failure.reason, failure.next_peer)
+        else:
+            self._peers.record_response(self._address)
+        self._listener(
+            CallFailed(failure.reason, failure.wrote, failure.reused, failure.is_refusal)
+        )
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -212,6 +212,7 @@
             cached=chosen.cached_tokens,
             slowness=round(chosen.slowness, 2),
             loads_age=directory.load_report_age(self.hub.now()),
+            path=chosen.path.value,
             rate_limit=self.hub.limits.rate_of(chosen.endpoint_id),
             excluded=sorted(action.exclude),
             left_ms=round((self.machine.facts.deadline - self.hub.now()) * 1000),
@@ -280,7 +281,7 @@
         """Forward complete events to the caller."""
         if self.machine.attempt_id != attempt_id:
             return
-        self.hub.directory.record_contact(self.endpoint_id, self.hub.now())
+        self.record_contact()
         self._record_event_interval()
         self.record_response_start()
         self.machine.record_progress(attempt_id)
@@ -290,6 +291,12 @@
             if not each.send_events(data):
                 self._abort_slow_consumer(each)
 
+    def record_contact(self) -> None:
+        """Record that data from the endpoint has been received."""
+        self.hub.directory.record_contact(
+            self.endpoint_id, self.hub.now(), is_direct=not self.proxy_address
+        )
+
     def _record_event_interval(self) -> None:
         """Record the mean interval between events, which shows a slow endpoint."""
         now = self.hub.now()
@@ -304,7 +311,12 @@
         self.hub.on_outcome(self.record.service.name, self.endpoint_id, is_failure)
 
     def fail_attempt(
-        self, attempt_id: str, executed: Executed, reason: str, sent: bool = True
+        self,
+        attempt_id: str,
+        executed: Executed,
+        reason: str,
+        sent: bool = True,
+        is_endpoint_failure: bool = True,
     ) -> None:
         """Handle an attempt that ended without a response.
 
@@ -314,11 +326,13 @@
             Whether the endpoint ran the request.
         sent : bool
             False if no byte of the attempt can have reached the endpoint.
+        is_endpoint_failure : bool
+            False if the path to the endpoint failed.
         """
         is_current = not self.done and attempt_id == self.machine.attempt_id
-        if is_current and sent and executed is not Executed.NO:
+        if is_current and sent and executed is not Executed.NO and is_endpoint_failure:
             self._report_outcome(is_failure=True)
-        super().fail_attempt(attempt_id, executed, reason, sent)
+        super().fail_attempt(attempt_id, executed, reason, sent, is_endpoint_failure)
 
     def _record_endpoint_result(self, answer: EndpointResponse) -> None:
         """Record the endpoint's health and processing rates from a complete response."""
@@ -370,11 +384,25 @@
         """Return the time of the endpoint's last event, or of the attempt if that is later."""
         return max(self.sent_at, self._last_event_at)
 
-    def fail_over(self) -> None:
-        """Retry at another endpoint, if allowed, because the current one is partitioned."""
-        if self.work.repeatable and self.machine.attempt_id and self._has_attempts_left():
+    def fail_over(self, reason: str) -> None:
+        """Retry on another path, if allowed, because the current one does not work.
+
+        Parameters
+        ----------
+        reason : str
+            Failure of the path, for the log.
+        """
+        attempt_id = self.machine.attempt_id
+        if attempt_id and self.has_attempt_in_flight and not self._handle.wrote:
+            super().fail_attempt(attempt_id, Executed.NO, reason, False, False)
+        elif attempt_id and self.work.repeatable and self._has_attempts_left():
             # The outcome is unknown, so it must not count against the endpoint's version.
-            super().fail_attempt(self.machine.attempt_id, Executed.UNKNOWN, "zone cut off")
+            super().fail_attempt(attempt_id, Executed.UNKNOWN, reason, is_endpoint_failure=False)
+
+    def leave_lost_path(self, waiting_since: float) -> None:
+        """Retry through a peer, if allowed, unless data came after a time."""
+        if not self._handle.wrote or self.compute_last_activity() <= waiting_since:
+            self.fail_over("path lost")
 
     def fail_if_restarted(self, started_at: float) -> None:
         """Fail the current attempt if it was sent before its endpoint restarted.
--- a/flamingofront/request/host.py
+++ b/flamingofront/request/host.py
@@ -15,16 +15,15 @@
 from flamingofront.decisions.engine_rates import LearnedRates
 from flamingofront.decisions.retry import RetryBudget
 from flamingofront.decisions.stopping import CompletionBounds
-from flamingofront.errors import Executed
 from flamingofront.process.logs import Log
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.timers import TimerService
 from flamingofront.request.directory import EndpointDirectory
 from flamingofront.request.endpoint_limits import EndpointLimits
+from flamingofront.request.endpoint_paths import EndpointPaths
 from flamingofront.request.endpoint_pauses import EndpointBackoffs
 from flamingofront.request.forward_work import ForwardProtocol
 from flamingofront.request.guard import RequestGuard
-from flamingofront.request.path_monitor import PathMonitor
 from flamingofront.request.permits import Permits
 from flamingofront.request.records import RequestRecord
 from flamingofront.version.model import Service
@@ -78,8 +77,8 @@
         Returns the prompt tokens that the cache of an endpoint of a service can hold.
     rates : LearnedRates
         Processing rates of the endpoints, learned from their responses.
-    paths : PathMonitor
-        State of the direct network paths to the endpoints.
+    paths : EndpointPaths
+        Network paths to the endpoints, directly or through peers.
     guard : RequestGuard
         Quarantine of poison requests.
     limits : EndpointLimits
@@ -106,7 +105,7 @@
     protocol: ForwardProtocol | None
     cache_tokens: Callable[[str], float]
     rates: LearnedRates
-    paths: PathMonitor
+    paths: EndpointPaths
     guard: RequestGuard
     limits: EndpointLimits
     permits: Permits
@@ -165,9 +164,9 @@
 
     @abstractmethod
     def record_attempt_loss(
-        self, service: Service, endpoint_id: str, ran: Executed, reason: str, now: float
+        self, service: Service, endpoint_id: str, reason: str, is_endpoint_failure: bool
     ) -> None:
-        """Count a failed attempt and record the failure of its endpoint."""
+        """Count a failed attempt and record the failure of its endpoint, if it failed."""
 
     @abstractmethod
     def record_endpoint_failure(self, service: Service, endpoint_id: str, now: float) -> None:
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -26,6 +26,7 @@
 from flamingofront.request.directory import EndpointDirectory
 from flamingofront.request.endpoint_ends import CrashDetector
 from flamingofront.request.endpoint_limits import EndpointLimits
+from flamingofront.request.endpoint_paths import EndpointPaths
 from flamingofront.request.endpoint_pauses import EndpointBackoffs
 from flamingofront.request.finished import AnswerCache, RetainedAnswer
 from flamingofront.request.forward_work import ForwardProtocol, ForwardWork
@@ -33,7 +34,6 @@
 from flamingofront.request.guard import RequestGuard
 from flamingofront.request.host import HubSettings, RequestHost
 from flamingofront.request.model_request import ModelRequest
-from flamingofront.request.path_monitor import PathMonitor
 from flamingofront.request.permits import Permits
 from flamingofront.request.plain_request import PlainRequest
 from flamingofront.request.records import ModelWork, RequestRecord
@@ -44,6 +44,8 @@
 # Fraction of the slots that admission fills, because entry VMs cannot balance load perfectly.
 ADMISSION_FILL_FRACTION = 0.9
 EXPIRY_PERIOD_SECONDS = 0.1
+# Time without data after which a request does not wait for its attempt on a lost path.
+UNANSWERED_SECONDS = 0.25
 CHOICE_RETRY_SECONDS = 0.2
 # The delay until the first endpoint opens, which callers also get as Retry-After, is extended by a
 # random fraction up to this one.
@@ -100,11 +102,20 @@
             lambda service, endpoint_id, is_bad: None
         )
         self.cache_tokens: Callable[[str], float] = lambda service: math.inf
-        self.paths = PathMonitor(transport, timers, directory, metrics, log, rng)
+        self.paths = EndpointPaths(
+            settings.vm_id, settings.zone, transport, timers, directory, metrics, log, rng
+        )
+        self.paths.monitor.on_lost = self._on_paths_lost
+        self.paths.monitor.on_restored = directory.forget_failures
+        directory.path_to = self.paths.path_to
         self.rates = LearnedRates()
         self.completion = CompletionBounds()
         self.shutdown_seconds_left: Callable[[], float] = lambda: math.inf
         crash_detector = CrashDetector(transport, timers, directory, metrics, log)
+        crash_detector.on_refused = lambda endpoint_id: self.paths.monitor.record_failure(
+            endpoint_id, "probe refused"
+        )
+        crash_detector.is_path_lost = self.paths.monitor.is_lost
         self.guard = RequestGuard(
             crash_detector, timers, metrics, log, lambda: tuple(self.active.values())
         )
@@ -273,6 +284,7 @@
             max(
                 self.backoffs.remaining_seconds(name),
                 self.permits.wait_seconds((name,), priority),
+                self.paths.wait_seconds(name),
             )
             for name in self.directory.zones_of(service)
         )
@@ -309,11 +321,12 @@
         )
 
     def record_attempt_loss(
-        self, service: Service, endpoint_id: str, ran: Executed, reason: str, now: float
+        self, service: Service, endpoint_id: str, reason: str, is_endpoint_failure: bool
     ) -> None:
-        """Count a failed attempt and record the failure of its endpoint."""
+        """Count a failed attempt and record the failure of its endpoint, if it failed."""
         self.metrics.count("retries_total", reason=reason)
-        self.record_endpoint_failure(service, endpoint_id, now)
+        if is_endpoint_failure:
+            self.record_endpoint_failure(service, endpoint_id, self.now())
 
     def record_endpoint_failure(self, service: Service, endpoint_id: str, now: float) -> None:
         """Record a failure of an endpoint, which may eject it temporarily."""
@@ -341,7 +354,7 @@
             each
             for each in self.active.values()
             if isinstance(each, ForwardedRequest)
-            and each.has_attempt_in_flight
+            and each.has_direct_attempt
             and self.directory.zone_of(each.endpoint_id) == zone
         ]
 
@@ -363,15 +376,44 @@
             (
                 each.compute_last_activity()
                 for each in self.active.values()
-                if isinstance(each, ForwardedRequest) and each.has_attempt_in_flight
+                if isinstance(each, ForwardedRequest) and each.has_direct_attempt
             ),
             default=math.inf,
         )
 
+    def _on_paths_lost(self) -> None:
+        """Retry through peers the requests whose direct attempts are not answered.
+
+        Notes
+        -----
+        Idle connections are closed: a request on one that hangs would wait for its timeout.
+        """
+        self.directory.forget_failures()
+        for each in self.directory.ready_endpoints():
+            self.transport.drop_idle(self.directory.address_of(each))
+        waiting_since = self.now() - UNANSWERED_SECONDS
+        for request in list(self.active.values()):
+            if isinstance(request, ForwardedRequest) and request.has_direct_attempt:
+                request.leave_lost_path(waiting_since)
+
+    def fail_over_unresponsive_peers(self) -> None:
+        """Retry the requests whose attempts a peer proxies that no longer responds."""
+        proxied = [
+            each
+            for each in self.active.values()
+            if isinstance(each, ForwardedRequest) and each.proxy_address
+        ]
+        peers = self.paths.list_unresponsive(
+            (each.proxy_address, each.compute_last_activity()) for each in proxied
+        )
+        for request in proxied:
+            if request.proxy_address in peers:
+                request.fail_over("proxy peer does not respond")
+
     def fail_over_zone(self, zone: str) -> None:
         """Retry elsewhere the forwarded requests that are sent to a partitioned zone."""
         for request in self._sent_to_zone(zone):
-            request.fail_over()
+            request.fail_over("zone cut off")
 
     def handle_endpoint_restart(self, endpoint_id: str, at: float) -> None:
         """Retry elsewhere, or fail, the requests that ran at an endpoint before its restart.
--- a/flamingofront/request/path_monitor.py
+++ b/flamingofront/request/path_monitor.py
@@ -19,7 +19,8 @@
 
 # The connect timeout of attempts; a reachable endpoint accepts within a few milliseconds.
 PROBE_TIMEOUT_SECONDS = 0.25
-# Endpoints that are probed in a check, of different services and zones if possible.
+# Endpoints that are probed in a check, of different services and zones if possible; one of them is
+# in the zone of this VM.
 CHECKED_ENDPOINTS = 4
 # Period of the probes while paths are lost, and their number; after the first success more follow
 # at once, so that hundreds of endpoints are reached directly again within a second or two.
@@ -53,6 +54,7 @@
         metrics: Metrics,
         log: Log,
         rng: random.Random,
+        zone: str,
     ):
         self.enabled = False
         self.on_lost: Callable[[], None] = lambda: None
@@ -64,6 +66,7 @@
         self._metrics = metrics
         self._log = log
         self._rng = rng
+        self._zone = zone
         self._pending: set[str] = set()
         self._checked: tuple[str, ...] = ()
         self._lost_at = 0.0
@@ -137,13 +140,19 @@
             return
         self._paths.start_check(self._timers.now())
         others = [each for each in self._directory.ready_endpoints() if each not in excluded]
-        self._checked = tuple(self._spread(others)[:CHECKED_ENDPOINTS])
+        self._checked = self._choose_sample(others)
         self._pending = set(self._checked)
         if not self._checked:
             self._conclude(cause)
         for each in self._checked:
             self._probe(each, lambda: self._on_check_result(cause))
 
+    def _choose_sample(self, endpoint_ids: Iterable[str]) -> tuple[str, ...]:
+        ordered = self._spread(endpoint_ids)
+        near = [each for each in ordered if self._directory.zone_of(each) == self._zone][:1]
+        far = [each for each in ordered if each not in near]
+        return (*near, *far)[:CHECKED_ENDPOINTS]
+
     def _spread(self, endpoint_ids: Iterable[str]) -> list[str]:
         """Return endpoints in an order in which services and zones take turns, else random."""
         shuffled = list(endpoint_ids)
@@ -177,7 +186,7 @@
     def _on_check_result(self, cause: str) -> None:
         if self._paths.status is not PathStatus.CHECKING:
             return
-        if not self._pending or self._paths.has_reached_most(self._checked):
+        if not self._pending or self._paths.count_reached(self._checked):
             self._conclude(cause)
 
     def _conclude(self, cause: str) -> None:
--- a/flamingofront/tests/paths_world.py
+++ b/flamingofront/tests/paths_world.py
@@ -5,7 +5,16 @@
 from flamingofront.tests.forwarding_world import ForwardingWorld, ready_world
 from flamingofront.tests.network import Caller, PathFault
 
-__all__ = ["ALL_FAULTS", "FRONTS", "cut_off", "offer", "paths_world", "runs_of", "served_share"]
+__all__ = [
+    "ALL_FAULTS",
+    "FRONTS",
+    "cut_off",
+    "offer",
+    "offer_for",
+    "paths_world",
+    "runs_of",
+    "served_share",
+]
 
 ALL_FAULTS = list(PathFault)
 FRONTS = tuple(f"front-{number}" for number in range(1, 6))
@@ -15,6 +24,13 @@
 
 
 def offer(world: ForwardingWorld, seconds: float) -> list[tuple[str, float, Caller]]:
+    """Send requests as `offer_for` does, and wait until all are answered."""
+    sent = offer_for(world, seconds)
+    world.run(4.0)
+    return sent
+
+
+def offer_for(world: ForwardingWorld, seconds: float) -> list[tuple[str, float, Caller]]:
     """Send requests to all entry processes for some seconds; return VM, time and caller of each."""
     sent, until = [], world.clock.now() + seconds
     paths = itertools.cycle(PATHS)
@@ -23,7 +39,6 @@
             if not world.host(name).dead and not node.stopping:
                 sent.append((name, world.clock.now(), world.ask(name, next(paths))))
         world.run(PERIOD_SECONDS)
-    world.run(4.0)
     return sent
 
 
--- a/flamingofront/tests/test_lost_paths.py
+++ b/flamingofront/tests/test_lost_paths.py
@@ -17,10 +17,10 @@
         cut_off(world, ["front-1"], fault)
         world.ask("front-1", "/write/1")
         world.run(1.0)
-        assert node.hub.paths.status is PathStatus.LOST
-        assert node.hub.paths.count_lost() == 8
+        assert node.hub.paths.monitor.status is PathStatus.LOST
+        assert node.hub.paths.monitor.count_lost() == 8
         world.heal()
-        seconds = world.run_until(lambda: node.hub.paths.status is PathStatus.WORKING)
+        seconds = world.run_until(lambda: node.hub.paths.monitor.status is PathStatus.WORKING)
         assert seconds < 1.5
 
     @pytest.mark.parametrize("dead", [["plain-1"], ["plain-1", "plain-2", "plain-3", "plain-4"]])
@@ -33,7 +33,7 @@
         for _ in range(4):
             world.ask("front-1", "/write/1")
             world.run(0.5)
-        assert world.fronts["front-1"].hub.paths.status is PathStatus.WORKING
+        assert world.fronts["front-1"].hub.paths.monitor.status is PathStatus.WORKING
 
     def test_each_change_of_belief_is_counted(self):
         world = paths_world()
--- a/flamingofront/tests/test_serving_without_paths.py
+++ b/flamingofront/tests/test_serving_without_paths.py
@@ -1,14 +1,19 @@
 """VMs that have lost their network paths to the endpoints, in the simulated network."""
 
 from collections import Counter
+from types import SimpleNamespace
 
 import pytest
 
+from flamingofront.process.forwarding.shutdown import GracefulShutdown
+from flamingofront.standins.forward_endpoint import ForwardFault
+from flamingofront.tests.network import PathFault
 from flamingofront.tests.paths_world import (
     ALL_FAULTS,
     FRONTS,
     cut_off,
     offer,
+    offer_for,
     paths_world,
     runs_of,
     served_share,
@@ -34,3 +39,186 @@
         assert others == 1.0
         assert served_share(sent, cut, start + REACTION_SECONDS) >= others - 1 / 50
         assert max(Counter(runs_of(world, "/write/")).values()) == 1
+
+    @pytest.mark.parametrize("fault", ALL_FAULTS)
+    def test_series_of_faults_at_different_vms(self, fault):
+        # The next VMs lose their paths as those of the first ones return.
+        world = paths_world()
+        offer(world, 1.0)
+        shares = []
+        for cut in (FRONTS[:2], FRONTS[2:4], FRONTS[1:3]):
+            start = world.clock.now()
+            world.heal()
+            cut_off(world, cut, fault)
+            sent = offer(world, 5.0)
+            shares.append(served_share(sent, cut, start + REACTION_SECONDS))
+        assert min(shares) >= 1 - 1 / 50
+
+    def test_most_processes_among_many_lose_their_paths(self):
+        # With more than 17 processes, a process hears of the others only through relays.
+        world = paths_world(fronts=20)
+        cut = tuple(world.fronts)[:15]
+        offer(world, 0.5)
+        start = world.clock.now()
+        cut_off(world, cut, PathFault.REFUSED)
+        sent = offer(world, 5.0)
+        assert served_share(sent, cut, start + REACTION_SECONDS) >= 1 - 1 / 50
+        assert served_share(sent, set(world.fronts) - set(cut), start + REACTION_SECONDS) == 1.0
+
+    def test_process_that_starts_without_any_path(self):
+        # It has never reached an endpoint, so nothing it knows tells it that they work.
+        world = paths_world()
+        world.path_faults.update({("front-6", name): PathFault.SILENT for name in world.endpoints})
+        node = world.front("front-6")
+        world.run_until(lambda: node.ready)
+        start = world.clock.now()
+        sent = offer(world, 5.0)
+        assert served_share(sent, ("front-6",), start + REACTION_SECONDS) == 1.0
+
+    @pytest.mark.parametrize("way", ["kill", "pause"])
+    def test_peer_that_proxies_is_lost(self, way):
+        world = paths_world()
+        offer(world, 1.0)
+        cut_off(world, ("front-1",), PathFault.SILENT)
+        offer(world, 1.0)
+        world.lose("front-2", way)
+        start = world.clock.now()
+        sent = [each for each in offer(world, 5.0) if each[0] != "front-2"]
+        assert served_share(sent, ("front-1",), start + REACTION_SECONDS) >= 1 - 1 / 50
+        assert max(Counter(runs_of(world, "/write/")).values()) == 1
+
+
+class TestNoPathAnywhere:
+    def test_requests_are_refused_at_once(self):
+        # Nobody reaches an endpoint: a true refusal, not a deadline that passes.
+        world = paths_world()
+        offer(world, 1.0)
+        cut_off(world, FRONTS, PathFault.SILENT)
+        offer(world, 1.0)
+        runs = len(runs_of(world, "/"))
+        caller = world.ask("front-1", "/write/1")
+        seconds = world.run_until(lambda: caller.done)
+        assert caller.status == 503 and caller.error["ran"] == "no"
+        assert float(caller.headers["retry-after"]) > 0
+        assert seconds < 0.1
+        assert len(runs_of(world, "/")) == runs
+
+    def test_attempts_do_not_circulate(self):
+        world = paths_world(fronts=2)
+        offer(world, 1.0)
+        cut_off(world, ("front-1", "front-2"), PathFault.REFUSED)
+        offer(world, 3.0)
+        sent = [
+            node.metrics.value("proxied_attempts_total", role="sender")
+            for node in world.fronts.values()
+        ]
+        proxied = [
+            node.metrics.value("proxied_attempts_total", role="proxy")
+            for node in world.fronts.values()
+        ]
+        # Within the first check of its paths a process may try for its peer.
+        assert sum(proxied) <= 4
+        assert max(sent) <= 10
+
+
+class TestProxiedAttempts:
+    def proxied_world(self, fault=PathFault.SILENT):
+        world = paths_world()
+        offer(world, 0.5)
+        cut_off(world, ("front-1",), fault)
+        offer(world, 1.0)
+        return world
+
+    def test_caller_that_leaves_ends_the_work_at_the_endpoint(self):
+        world = self.proxied_world()
+        for each in world.endpoints.values():
+            each.gap = 0.5
+        caller = world.ask("front-1", "/stream/once/1")
+        world.run(0.3)
+        caller.leave()
+        world.run(0.1)
+        assert sum(each.abandoned for each in world.endpoints.values()) == 1
+        assert sum(node.proxy.count_active() for node in world.fronts.values()) == 0
+
+    def test_broken_stream_is_visibly_broken(self):
+        world = self.proxied_world()
+        for each in world.endpoints.values():
+            each.inject_fault(ForwardFault.CUT)
+        caller = world.ask("front-1", "/stream/once/1")
+        world.finish(caller)
+        assert caller.broken
+
+    def test_write_is_not_sent_again_after_its_peer_is_killed(self):
+        # Whether the endpoint ran it is not known, so its caller gets 502 and not 503.
+        world = self.proxied_world()
+        for each in world.endpoints.values():
+            each.gap = 0.5
+        caller = world.ask("front-1", "/write/7")
+        world.run(0.1)
+        peers = [name for name, node in world.fronts.items() if node.proxy.count_active()]
+        world.kill(peers[0])
+        world.finish(caller)
+        assert caller.status == 502
+        assert len(runs_of(world, "/write/7")) == 1
+
+    def test_request_has_one_id_in_the_logs_of_both_processes(self, log_watch):
+        world = self.proxied_world()
+        lines = []
+        for name in FRONTS:
+            world.fronts[name].proxy.node.log.info = (
+                lambda event, name=name, **fields: lines.append((name, event, fields))
+            )
+        caller = world.ask("front-1", "/write/9", X_Flamingofront_Request_Id="r-traced")
+        world.finish(caller)
+        world.run(0.1)
+        requests = {
+            (name, event)
+            for name, event, fields in lines
+            if fields.get("request", "").startswith("r-traced")
+        }
+        assert any(event == "proxied attempt ended" for _, event in requests)
+
+    def test_stopping_process_finishes_what_it_proxies(self):
+        world = self.proxied_world()
+        for each in world.endpoints.values():
+            each.gap = 1.0
+        caller = world.ask("front-1", "/write/1")
+        world.run(0.1)
+        name = next(name for name, node in world.fronts.items() if node.proxy.count_active())
+        exits = []
+        callers = SimpleNamespace(closing=False, connections=0, close_idle=lambda: 0)
+        GracefulShutdown(
+            world.fronts[name], callers, 8.0, lambda: exits.append(world.clock.now())
+        ).begin()
+        start = world.clock.now()
+        world.run_until(lambda: bool(exits))
+        assert caller.status == 200
+        assert exits[0] - start < 3.5
+
+
+class TestWorkingPaths:
+    def test_endpoint_that_is_silent_for_a_second_is_used_again(self):
+        # A sound endpoint pauses for 1.2 s: nothing is cut off and nothing runs twice.
+        world = paths_world()
+        offer(world, 0.5)
+        world.pause("plain-1")
+        start = world.clock.now()
+        sent = offer_for(world, 1.2)
+        world.resume("plain-1")
+        sent += offer(world, 2.0)
+        assert served_share(sent, FRONTS, start) == 1.0
+        assert max(Counter(runs_of(world, "/write/")).values()) == 1
+        assert all(not node.hub.paths.monitor.count_lost() for node in world.fronts.values())
+
+    @pytest.mark.parametrize("prefix", ["plain", "engine"])
+    def test_service_without_endpoints_is_no_lost_path(self, prefix):
+        world = paths_world()
+        for name in list(world.endpoints):
+            if name.startswith(prefix):
+                world.kill(name, dark=True)
+        offer(world, 3.0)
+        assert all(not node.hub.paths.monitor.count_lost() for node in world.fronts.values())
+        assert all(
+            not node.metrics.value("proxied_attempts_total", role="sender") > 20
+            for node in world.fronts.values()
+        )
--- a/flamingofront/version/language.py
+++ b/flamingofront/version/language.py
@@ -46,6 +46,7 @@
     "held",
     "configuration",
     "counters",
+    "paths",
 )
 OPERATORS = ("=", "!=", "<", "<=", ">", ">=", "~")
 _VERBS = ("show", "create", "change", "put", "delete", "set", "drain", "undrain", "settle")
