Brittle endpoints: one process grants their places, so that they need not reject

What callers saw: endpoints that state how many rejections a second they survive (Server-Brittle) were offered more than they had room for, and fell; callers were refused or met ended endpoints. Cause: no part of the code read the header, and each process chooses by loads that are a report old. Change: the header is decoded once, spreads with the rate limits, and makes an attempt need a permit. The arbiter of the endpoint grants as many at once as the endpoint has slots (ConcurrencyLimiter), takes a place back when it is told of the end or when the request's deadline has passed, shrinks the limit after a rejection, and grants nothing for the rest of a second with half of the rejections that the endpoint survives. Retry-After is at least 50 ms.

--- a/flamingofront/decisions/rate_limits.py
+++ b/flamingofront/decisions/rate_limits.py
@@ -36,21 +36,24 @@
 
     Parameters
     ----------
-    rate : float
-        Requests per second that the endpoint accepts from all processes.
+    rate : float or None
+        Requests per second that the endpoint accepts from all processes; None if it is not limited.
     priority : int
         Priority of the request; 0 is the most urgent.
     patience : float
         Maximum delay of the request in seconds.
     claimant : str
         Process that sends the request.
+    hold_seconds : float
+        Longest time for which the request may run.
     """
 
     endpoint_id: str
-    rate: float
+    rate: float | None
     priority: int
     patience: float = 0.0
     claimant: str = ""
+    hold_seconds: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -134,6 +137,8 @@
         now : float
             Current time.
         """
+        if claim.rate is None:
+            return RateVerdict()
         endpoint = self._endpoints.get(claim.endpoint_id)
         if endpoint is None:
             endpoint = self._endpoints[claim.endpoint_id] = _EndpointState(now)
--- a/flamingofront/platform/requests.py
+++ b/flamingofront/platform/requests.py
@@ -34,6 +34,9 @@
 # Requests per second that the endpoint accepts from all entry processes together, as a decimal.
 RATE_LIMIT_HEADER = "server-limit"
 DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?", re.ASCII)
+COUNT = re.compile(r"\d{1,9}", re.ASCII)
+# Rejections per second, over all entry processes, that the endpoint survives; only while brittle.
+BRITTLE_HEADER = "server-brittle"
 # "1" while the endpoint is draining.
 LEAVING_HEADER = "server-leaving"
 # Seconds as a decimal. HTTP dates are not supported and are ignored.
@@ -147,6 +150,7 @@
             fields=_remove_headers(head.fields, HOP_FIELDS | _get_connection_options(head.fields)),
             has_rate_limit_header=RATE_LIMIT_HEADER in head.headers,
             rate_limit=_parse_decimal(head.headers.get(RATE_LIMIT_HEADER, "")),
+            max_rejections=_parse_count(head.headers.get(BRITTLE_HEADER, "")),
             leaving=head.headers.get(LEAVING_HEADER, "").strip() == "1",
             backoff_seconds=_parse_backoff(head),
         )
@@ -196,6 +200,11 @@
     return float(text) if DECIMAL.fullmatch(text.strip()) else None
 
 
+def _parse_count(text: str) -> int | None:
+    """Return a non-negative whole number, or None if the text is empty or malformed."""
+    return int(text) if COUNT.fullmatch(text.strip()) else None
+
+
 def _parse_backoff(head: ResponseHead) -> float | None:
     """Return the Retry-After seconds of a 503 response, or None if there is no valid time."""
     if head.status != STATUS_UNAVAILABLE:
--- a/flamingofront/process/forwarding/control.py
+++ b/flamingofront/process/forwarding/control.py
@@ -71,7 +71,7 @@
         for way in EndpointPath:
             gauge("endpoint_paths", ways[way], way=way.value)
         gauge("proxied_attempts", node.proxy.count_active())
-        gauge("endpoints_limited", len(node.hub.limits.rates_by_endpoint()))
+        gauge("endpoints_limited", len(node.hub.limits.limited_endpoints()))
         gauge("configuration_revision", node.configuration.version)
         gauge("store_era", node.store.era)
         gauge("ready", int(node.ready))
--- a/flamingofront/process/forwarding/limit_arbiter.py
+++ b/flamingofront/process/forwarding/limit_arbiter.py
@@ -4,7 +4,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from flamingofront.decisions.rate_limits import MIN_WAIT_SECONDS, RateClaim, RateLimiter
+from flamingofront.decisions.concurrency_limits import ConcurrencyClaim, ConcurrencyLimiter
+from flamingofront.decisions.rate_limits import (
+    MIN_WAIT_SECONDS,
+    RateClaim,
+    RateLimiter,
+    RateVerdict,
+)
 from flamingofront.process.forwarding.inquiries import (
     ArbiterClient,
     ArbiterContext,
@@ -37,8 +43,11 @@
 RECENT_REPLY_SECONDS = 0.5
 # Longest wait after a local rejection: an arbiter may be reachable again by then.
 MAX_LOCAL_WAIT_SECONDS = 1.0
-# Priority on the wire that marks a returned permit.
+# Priorities on the wire that mark a returned permit: unused, after its request has ended, and after
+# the endpoint rejected the request.
 PERMIT_RETURNED = -1
+PERMIT_RELEASED = -2
+PERMIT_REJECTED = -3
 
 
 @dataclass(frozen=True)
@@ -54,11 +63,64 @@
         unreachable.
     member_share : callable
         Returns one process's share: 1 divided by the number of processes.
+    places_of : callable
+        Returns how many requests an endpoint runs at once.
+    load_of : callable
+        Returns the requests of all processes in flight at an endpoint, by their reports.
     """
 
     arbiters: ArbiterContext
     live_share: Callable[[], float]
     member_share: Callable[[], float]
+    places_of: Callable[[str], int] = lambda endpoint_id: 1
+    load_of: Callable[[str], float] = lambda endpoint_id: 0.0
+
+
+class _Limiters:
+    """Limiters of one scope of decision: for all processes, or for this one alone."""
+
+    def __init__(self, limits: EndpointLimits, context: LimitContext):
+        self._limits = limits
+        self._context = context
+        self._rates = RateLimiter()
+        self._places = ConcurrencyLimiter()
+
+    def decide(self, claim: RateClaim, share: float, now: float) -> RateVerdict:
+        """Return whether and when a request may be sent, within a share of each limit."""
+        place = self._claim_place(claim, share, now)
+        if place is not None and not place.is_granted:
+            return place
+        verdict = self._rates.decide(claim, share, now)
+        if place is not None and not verdict.is_granted:
+            self._places.release(claim.endpoint_id, claim.claimant, False, now)
+        return verdict
+
+    def _claim_place(self, claim: RateClaim, share: float, now: float) -> RateVerdict | None:
+        limit = self._limits.limit_of(claim.endpoint_id)
+        if limit is None or limit.max_rejections is None:
+            return None
+        place = ConcurrencyClaim(
+            claim.endpoint_id,
+            claim.claimant,
+            self._context.places_of(claim.endpoint_id) * share,
+            limit.max_rejections,
+            claim.hold_seconds,
+        )
+        return self._places.decide(place, round(self._context.load_of(claim.endpoint_id)), now)
+
+    def return_unused(self, endpoint_id: str, claimant: str, now: float) -> None:
+        """Take back a permit that was not used."""
+        self._rates.return_permit(endpoint_id)
+        self._places.release(endpoint_id, claimant, False, now)
+
+    def release(self, endpoint_id: str, claimant: str, was_rejected: bool, now: float) -> None:
+        """Take back the place of a request that has ended."""
+        self._places.release(endpoint_id, claimant, was_rejected, now)
+
+    def forget(self, endpoint_id: str) -> None:
+        """Drop the state of an endpoint."""
+        self._rates.forget(endpoint_id)
+        self._places.forget(endpoint_id)
 
 
 @dataclass(frozen=True)
@@ -98,8 +160,8 @@
         self._timers = timers
         self._metrics = metrics
         # Decisions for all processes, and for this process alone.
-        self._shared_limiter = RateLimiter()
-        self._local_limiter = RateLimiter()
+        self._shared_limiter = _Limiters(limits, context)
+        self._local_limiter = _Limiters(limits, context)
         self._client: ArbiterClient[_PendingPermit] = ArbiterClient(
             "limit", self, context.arbiters, send, timers, metrics, log
         )
@@ -117,7 +179,9 @@
         claim = request.claim
         current = self._limits.limit_of(claim.endpoint_id)
         limit = current or EndpointLimit(claim.endpoint_id, 0, claim.rate, 0.0)
-        return encode_permit_request(PermitRequest(number, limit, claim.priority, claim.patience))
+        return encode_permit_request(
+            PermitRequest(number, limit, claim.priority, claim.patience, claim.hold_seconds)
+        )
 
     def decide_as_arbiter(self, request: _PendingPermit) -> bool:
         """Decide on an attempt for all processes; return False if not an arbiter."""
@@ -151,12 +215,24 @@
         """Return an unused permit to the arbiter that granted it, unless granted locally."""
         if decision.arbiter:
             self._return_permit(endpoint_id, decision.arbiter)
-        elif decision.arbiter is not None:
-            self._shared_limiter.return_permit(endpoint_id)
+        else:
+            limiter = self._local_limiter if decision.arbiter is None else self._shared_limiter
+            limiter.return_unused(endpoint_id, self._context.arbiters.local_ip, self._timers.now())
 
-    def _return_permit(self, endpoint_id: str, ip: str) -> None:
+    def release(self, endpoint_id: str, decision: RateDecision, was_rejected: bool) -> None:
+        """Return the place of a request that has ended to the arbiter that granted it."""
+        if decision.arbiter:
+            kind = PERMIT_REJECTED if was_rejected else PERMIT_RELEASED
+            self._return_permit(endpoint_id, decision.arbiter, kind)
+            return
+        limiter = self._local_limiter if decision.arbiter is None else self._shared_limiter
+        limiter.release(
+            endpoint_id, self._context.arbiters.local_ip, was_rejected, self._timers.now()
+        )
+
+    def _return_permit(self, endpoint_id: str, ip: str, kind: int = PERMIT_RETURNED) -> None:
         limit = self._limits.limit_of(endpoint_id) or EndpointLimit(endpoint_id, 0, None, 0.0)
-        request = PermitRequest(self._client.next_number(), limit, PERMIT_RETURNED)
+        request = PermitRequest(self._client.next_number(), limit, kind)
         self._send(encode_permit_request(request), ip)
 
     def forget(self, endpoint_id: str) -> None:
@@ -198,8 +274,8 @@
             If the request is malformed.
         """
         request = decode_permit_request(data)
-        if request.priority == PERMIT_RETURNED:
-            self._shared_limiter.return_permit(request.limit.endpoint_id)
+        if request.priority < 0:
+            self._take_back(request, ip)
             return
         reply = self._replies.get_or_create(
             ip, request.number, lambda: self._make_reply(request, ip)
@@ -207,6 +283,15 @@
         self._metrics.count("limit_replies_total", verdict=reply.verdict.name.lower())
         self._send(encode_permit_reply(reply), ip)
 
+    def _take_back(self, request: PermitRequest, ip: str) -> None:
+        """Take back a permit of another process."""
+        endpoint_id, now = request.limit.endpoint_id, self._timers.now()
+        if request.priority == PERMIT_RETURNED:
+            self._shared_limiter.return_unused(endpoint_id, ip, now)
+        else:
+            was_rejected = request.priority == PERMIT_REJECTED
+            self._shared_limiter.release(endpoint_id, ip, was_rejected, now)
+
     def _make_reply(self, request: PermitRequest, ip: str) -> PermitReply:
         """Return the decision on a permit request of another process."""
         self._limits.merge((request.limit,))
@@ -215,9 +300,11 @@
         if share <= 0:
             return PermitReply(request.number, Verdict.NOT_HERE)
         current = self._limits.limit_of(endpoint_id) or request.limit
-        if current.rate is None:
+        if not current.is_limited:
             return PermitReply(request.number, Verdict.ALLOWED)
-        claim = RateClaim(endpoint_id, current.rate, request.priority, request.patience, ip)
+        claim = RateClaim(
+            endpoint_id, current.rate, request.priority, request.patience, ip, request.hold_seconds
+        )
         grant = self._shared_limiter.decide(claim, share, self._timers.now())
         verdict = Verdict.ALLOWED if grant.is_granted else Verdict.REFUSED
         return PermitReply(request.number, verdict, grant.delay, grant.wait)
--- a/flamingofront/process/forwarding/limit_messages.py
+++ b/flamingofront/process/forwarding/limit_messages.py
@@ -40,12 +40,15 @@
         Priority of the request, 0 is the most urgent; negative to return a permit.
     patience : float
         Seconds for which the request can wait for its permit.
+    hold_seconds : float
+        Longest time for which the request may run.
     """
 
     number: int
     limit: EndpointLimit
     priority: int
     patience: float = 0.0
+    hold_seconds: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -80,6 +83,7 @@
     """Return limits as JSON values; lists without keys, since limits are sent often."""
     return [
         [each.endpoint_id, each.started_ms, each.rate, round(each.advertised_at, 3)]
+        + ([] if each.max_rejections is None else [each.max_rejections])
         for each in limits
     ]
 
@@ -99,20 +103,30 @@
 
 
 def _parse_limit(
-    endpoint_id: str, started_ms: int, rate: float | None, advertised_at: float
+    endpoint_id: str,
+    started_ms: int,
+    rate: float | None,
+    advertised_at: float,
+    max_rejections: int | None = None,
 ) -> EndpointLimit:
-    """Return the limit with the given JSON values; raises ValueError if the rate is negative."""
+    """Return the limit with the given JSON values; raises ValueError if one is negative."""
     checked_rate = None if rate is None else float(rate)
     if checked_rate is not None and checked_rate < 0:
         raise ValueError(f"rate is {checked_rate}, expected at least 0")
-    return EndpointLimit(str(endpoint_id), int(started_ms), checked_rate, float(advertised_at))
+    checked_count = None if max_rejections is None else int(max_rejections)
+    if checked_count is not None and checked_count < 0:
+        raise ValueError(f"rejections are {checked_count}, expected at least 0")
+    return EndpointLimit(
+        str(endpoint_id), int(started_ms), checked_rate, float(advertised_at), checked_count
+    )
 
 
 def encode_permit_request(request: PermitRequest) -> bytes:
     """Return the datagram of a permit request."""
     (limit,) = encode_limits((request.limit,))
     patience = round(request.patience, 3)
-    return _REQUEST + orjson.dumps((request.number, request.priority, patience, limit))
+    hold = round(request.hold_seconds, 3)
+    return _REQUEST + orjson.dumps((request.number, request.priority, patience, limit, hold))
 
 
 def encode_permit_reply(reply: PermitReply) -> bytes:
@@ -130,8 +144,11 @@
         If the datagram is malformed.
     """
     try:
-        number, priority, patience, limit = orjson.loads(data[len(_REQUEST) :])[:4]
-        return PermitRequest(int(number), _parse_limit(*limit), int(priority), float(patience))
+        # Older versions do not send the last field.
+        number, priority, patience, limit, hold = (*orjson.loads(data[len(_REQUEST) :]), 0.0)[:5]
+        return PermitRequest(
+            int(number), _parse_limit(*limit), int(priority), float(patience), float(hold)
+        )
     except (TypeError, ValueError) as exc:
         raise ValueError(f"malformed permit request: {exc!r:.100}") from exc
 
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -382,7 +382,13 @@
         context = ArbiterContext(local_ip, self._dependencies.incarnation, members.rank_arbiters)
         self.limit_arbiters = LimitArbiters(
             limits,
-            LimitContext(context, members.live_share, self.member_share),
+            LimitContext(
+                context,
+                members.live_share,
+                self.member_share,
+                self.directory.slots_of,
+                self.directory.load_of,
+            ),
             self.peers.send,
             self.timers,
             self.metrics,
--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -363,6 +363,7 @@
         if handle is None:
             return
         self._attempt_intents.close_current()
+        self._permit_claims.release()
         if cancel:
             handle.cancel()
         self.hub.directory.record_attempt_end(self.endpoint_id)
--- a/flamingofront/request/answer_reader.py
+++ b/flamingofront/request/answer_reader.py
@@ -55,6 +55,7 @@
             self._request.hub.directory.mark_address_reused(self._request.endpoint_id)
             self._fail_attempt(Executed.NO, "another endpoint has the address")
         elif response.not_run:
+            self._request.record_rejection()
             self._fail_attempt(Executed.NO, f"refused with status {response.status}")
         else:
             self._response = response
@@ -68,10 +69,15 @@
 
         A malformed limit is ignored; a response without one ends the stored limit.
         """
-        if response.has_rate_limit_header and response.rate_limit is None:
+        is_malformed = response.has_rate_limit_header and response.rate_limit is None
+        if is_malformed and response.max_rejections is None:
             return
         self._request.hub.limits.record_response(
-            self._endpoint_id, response.rate_limit, self._sent_at, self._request.request_id
+            self._endpoint_id,
+            response.rate_limit,
+            self._sent_at,
+            self._request.request_id,
+            response.max_rejections,
         )
 
     def _apply_availability(self, response: EndpointResponseHead) -> None:
--- a/flamingofront/request/directory.py
+++ b/flamingofront/request/directory.py
@@ -372,6 +372,11 @@
         facts = self._endpoints_of(service).facts
         return max((fact.slots for fact in facts.values()), default=0)
 
+    def slots_of(self, endpoint_id: str) -> int:
+        """Return the requests that an endpoint runs at once; 1 if it advertises none."""
+        fact = self._facts.get(endpoint_id)
+        return max(1, fact.slots) if fact is not None else 1
+
     def mark_address_reused(self, endpoint_id: str) -> None:
         """Mark an endpoint as gone because another endpoint now has its address."""
         self._facts.advance_state(endpoint_id, VmState.GONE)
--- a/flamingofront/request/endpoint_limits.py
+++ b/flamingofront/request/endpoint_limits.py
@@ -34,13 +34,27 @@
     rate : float or None
         Requests per second from all entry processes together; None if the limit has ended.
     advertised_at : float
-        Wall time, in seconds, of the last response that advertised this rate.
+        Wall time, in seconds, of the last response that advertised this limit.
+    max_rejections : int or None
+        Rejections per second, over all entry processes, that the endpoint survives; None if it is
+        not brittle.
     """
 
     endpoint_id: str
     started_ms: int
     rate: float | None
     advertised_at: float
+    max_rejections: int | None = None
+
+    @property
+    def is_limited(self) -> bool:
+        """True if the endpoint advertises a rate limit or that it is brittle."""
+        return self.rate is not None or self.max_rejections is not None
+
+    @property
+    def values(self) -> tuple[float | None, int | None]:
+        """What the endpoint advertises."""
+        return self.rate, self.max_rejections
 
 
 class EndpointLimits:
@@ -75,12 +89,31 @@
         """Return all current rate limits in requests per second, by endpoint."""
         return {name: each.rate for name, each in self._limits.items() if each.rate is not None}
 
+    def limited_endpoints(self) -> frozenset[str]:
+        """Return the endpoints that advertise a rate limit or that they are brittle."""
+        return frozenset(name for name, each in self._limits.items() if each.is_limited)
+
+    def is_limited(self, endpoint_id: str) -> bool:
+        """Return True if an endpoint advertises a rate limit or that it is brittle."""
+        cached = self._limits.get(endpoint_id)
+        return cached is not None and cached.is_limited
+
+    def is_brittle(self, endpoint_id: str) -> bool:
+        """Return True if an endpoint advertises that it is brittle."""
+        cached = self._limits.get(endpoint_id)
+        return cached is not None and cached.max_rejections is not None
+
     def limit_of(self, endpoint_id: str) -> EndpointLimit | None:
         """Return the last stored limit of an endpoint; None if there is none."""
         return self._limits.get(endpoint_id)
 
     def record_response(
-        self, endpoint_id: str, rate: float | None, sent_at: float, request_id: str
+        self,
+        endpoint_id: str,
+        rate: float | None,
+        sent_at: float,
+        request_id: str,
+        max_rejections: int | None = None,
     ) -> None:
         """Store the limit that a response advertises, or its absence.
 
@@ -92,11 +125,15 @@
             Time at which the request was sent, on the clock of the timer service.
         request_id : str
             Id of the request, for the log.
+        max_rejections : int or None
+            Advertised rejections per second; None if the endpoint is not brittle.
         """
         started_ms = self.start_ms_of(endpoint_id)
-        if started_ms is None or (rate is None and not self._can_clear_limit(endpoint_id, sent_at)):
+        if started_ms is None:
             return
-        self._store_limit(EndpointLimit(endpoint_id, started_ms, rate, self.wall()), request_id)
+        limit = EndpointLimit(endpoint_id, started_ms, rate, self.wall(), max_rejections)
+        if limit.is_limited or self._can_clear_limit(endpoint_id, sent_at):
+            self._store_limit(limit, request_id)
 
     def _can_clear_limit(self, endpoint_id: str, sent_at: float) -> bool:
         """Return True if a response without a limit ends the stored limit.
@@ -107,7 +144,7 @@
             Time at which the request was sent, on the clock of the timer service.
         """
         cached = self._limits.get(endpoint_id)
-        if cached is None or cached.rate is None:
+        if cached is None or not cached.is_limited:
             return False
         sent_wall = self.wall() - (self._timers.now() - sent_at)
         return sent_wall > cached.advertised_at + REORDERING_MARGIN_SECONDS
@@ -127,9 +164,10 @@
             return False
         cached = self._limits.get(update.endpoint_id)
         if cached is None or cached.started_ms < update.started_ms:
-            return update.rate is not None
-        margin = REORDERING_MARGIN_SECONDS if update.rate is None else 0.0
-        return update.rate != cached.rate and update.advertised_at > cached.advertised_at + margin
+            return update.is_limited
+        margin = 0.0 if update.is_limited else REORDERING_MARGIN_SECONDS
+        is_later = update.advertised_at > cached.advertised_at + margin
+        return update.values != cached.values and is_later
 
     def recent_changes(self) -> tuple[EndpointLimit, ...]:
         """Return the limits that changed recently, to be gossiped to other processes."""
@@ -142,34 +180,37 @@
         """Remove the limit of an endpoint that has left or restarted."""
         cached = self._limits.pop(endpoint_id, None)
         self._changed_at.pop(endpoint_id, None)
-        if cached is not None and cached.rate is not None:
+        if cached is not None and cached.is_limited:
             self._log.info("endpoint limit removed", endpoint=endpoint_id, rate=cached.rate)
             self.on_limit_ended(endpoint_id)
 
     def _store_limit(self, limit: EndpointLimit, request_id: str) -> None:
         cached = self._limits.get(limit.endpoint_id)
-        previous_rate = None if cached is None else cached.rate
+        previous = (None, None) if cached is None else cached.values
         self._limits[limit.endpoint_id] = limit
-        if limit.rate == previous_rate:
+        if limit.values == previous:
             return
         self._changed_at[limit.endpoint_id] = self._timers.now()
         self._log_change(limit, cached, request_id)
-        if limit.rate is None:
+        if not limit.is_limited:
             self.on_limit_ended(limit.endpoint_id)
 
     def _log_change(
         self, limit: EndpointLimit, cached: EndpointLimit | None, request_id: str
     ) -> None:
         """Log and count a change of a stored limit."""
-        previous_rate = None if cached is None else cached.rate
-        change = "ended" if limit.rate is None else "named" if previous_rate is None else "changed"
+        was_limited = cached is not None and cached.is_limited
+        change = "changed" if was_limited else "named"
+        if not limit.is_limited:
+            change = "ended"
         self._metrics.count("endpoint_limits_total", change=change)
         self._log.info(
             f"endpoint limit {change}",
             endpoint=limit.endpoint_id,
             rate=limit.rate,
             age=round(self.wall() - limit.advertised_at, 3),
-            before=previous_rate,
+            max_rejections=limit.max_rejections,
+            before=None if cached is None else cached.rate,
             before_age=None if cached is None else round(self.wall() - cached.advertised_at, 3),
             source="answer" if request_id else "peer",
             request=request_id,
--- a/flamingofront/request/forward_work.py
+++ b/flamingofront/request/forward_work.py
@@ -138,6 +138,9 @@
     rate_limit : float or None
         Requests per second that the endpoint accepts from all entry processes together; None
         without a valid header.
+    max_rejections : int or None
+        Rejections per second, over all entry processes, that the endpoint survives; None unless it
+        states that it is brittle.
     leaving : bool
         True if the endpoint announces its shutdown: it accepts no further requests.
     backoff_seconds : float or None
@@ -153,6 +156,7 @@
     fields: Fields
     has_rate_limit_header: bool = False
     rate_limit: float | None = None
+    max_rejections: int | None = None
     leaving: bool = False
     backoff_seconds: float | None = None
 
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -297,6 +297,10 @@
             self.endpoint_id, self.hub.now(), is_direct=not self.proxy_address
         )
 
+    def record_rejection(self) -> None:
+        """Record that the endpoint rejected the current attempt."""
+        self._permit_claims.record_rejection()
+
     def _record_event_interval(self) -> None:
         """Record the mean interval between events, which shows a slow endpoint."""
         now = self.hub.now()
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -47,6 +47,8 @@
 # Time without data after which a request does not wait for its attempt on a lost path.
 UNANSWERED_SECONDS = 0.25
 CHOICE_RETRY_SECONDS = 0.2
+# Several round trips: the place that opens first may be taken by another process.
+MIN_RETRY_SECONDS = 0.05
 # The delay until the first endpoint opens, which callers also get as Retry-After, is extended by a
 # random fraction up to this one.
 RETRY_JITTER_FRACTION = 0.1
@@ -254,7 +256,7 @@
             | self.backoffs.endpoints_in_backoff()
         )
         if without_limits:
-            closed |= self.limits.rates_by_endpoint().keys()
+            closed |= self.limits.limited_endpoints()
         for include_all in (False, True):
             candidates = self.directory.candidates(
                 service,
@@ -294,7 +296,8 @@
         """Return the seconds until the next choice of an endpoint, after a choice found none."""
         wait = self.seconds_until_open(service, priority)
         if wait > 0:
-            return wait * (1 + RETRY_JITTER_FRACTION * self.rng.random())
+            seconds = max(wait, MIN_RETRY_SECONDS)
+            return seconds * (1 + RETRY_JITTER_FRACTION * self.rng.random())
         return CHOICE_RETRY_SECONDS * (1 + self.rng.random())
 
     def _estimate_work(self, record: RequestRecord) -> WorkEstimate:
--- a/flamingofront/request/permit_claims.py
+++ b/flamingofront/request/permit_claims.py
@@ -22,6 +22,19 @@
         self._request = request
         self._attempt_id: str | None = None
         self._claim_count = 0
+        self._held: Permit | None = None
+        self._was_rejected = False
+
+    def record_rejection(self) -> None:
+        """Record that the endpoint rejected the current attempt for want of room."""
+        self._was_rejected = True
+
+    def release(self) -> None:
+        """Return the permit of the attempt that has ended, if it needed one."""
+        permit, self._held = self._held, None
+        was_rejected, self._was_rejected = self._was_rejected, False
+        if permit is not None:
+            self._request.hub.permits.release(permit, was_rejected)
 
     def is_exhausted(self, action: StartAttempt) -> bool:
         """Return True if an attempt may claim no more permits.
@@ -41,6 +54,7 @@
             request.ticket.share.priority,
             max(0.0, request.machine.facts.choice_deadline - request.hub.now()),
             lambda permit: self._on_decision(action, chosen, permit),
+            max(0.0, request.machine.facts.deadline - request.hub.now()),
         )
 
     def _is_current(self, action: StartAttempt) -> bool:
@@ -61,6 +75,7 @@
         """Send the attempt if it is current and the endpoint accepts it, else return the permit."""
         hub = self._request.hub
         if self._is_current(action) and hub.accepts_requests(chosen.endpoint_id):
+            self._held = permit
             self._request.record_and_send(action, chosen)
             return
         hub.permits.return_unused(permit)
--- a/flamingofront/request/permits.py
+++ b/flamingofront/request/permits.py
@@ -24,12 +24,13 @@
 
     Parameters
     ----------
-    rate : float
-        Requests per second that the endpoint accepts from all entry processes together.
+    rate : float or None
+        Requests per second that the endpoint accepts from all entry processes together; None if it
+        is only brittle.
     """
 
     endpoint_id: str
-    rate: float
+    rate: float | None
     decision: RateDecision
 
     @property
@@ -64,7 +65,7 @@
 
     def is_required(self, endpoint_id: str) -> bool:
         """Return True if a request to an endpoint needs a permit."""
-        return self._limits.rate_of(endpoint_id) is not None
+        return self._limits.is_limited(endpoint_id)
 
     def closed_endpoints(self, priority: int) -> frozenset[str]:
         """Return the endpoints that are closed to requests of a priority."""
@@ -96,7 +97,12 @@
         return until - now if priority >= closed_priority else 0.0
 
     def claim(
-        self, endpoint_id: str, priority: int, patience: float, on_outcome: Callable[[Permit], None]
+        self,
+        endpoint_id: str,
+        priority: int,
+        patience: float,
+        on_outcome: Callable[[Permit], None],
+        hold_seconds: float = 0.0,
     ) -> None:
         """Claim a permit for an endpoint with a rate limit and pass the outcome to `on_outcome`.
 
@@ -106,9 +112,11 @@
             Priority of the request; lower is more urgent.
         patience : float
             Longest time that the request can wait for the permit, in seconds.
+        hold_seconds : float
+            Longest time for which the request may run.
         """
-        rate = self._limits.rate_of(endpoint_id) or 0.0
-        claim = RateClaim(endpoint_id, rate, priority, patience, self.process_name)
+        rate = self._limits.rate_of(endpoint_id)
+        claim = RateClaim(endpoint_id, rate, priority, patience, self.process_name, hold_seconds)
         self.gate.decide(claim, lambda decision: self._on_decision(claim, decision, on_outcome))
 
     def _on_decision(
@@ -137,6 +145,17 @@
         if self.is_required(permit.endpoint_id):
             self.gate.return_unused(permit.endpoint_id, permit.decision)
 
+    def release(self, permit: Permit, was_rejected: bool) -> None:
+        """Return the permit of an attempt that has ended, so that another may use its place.
+
+        Parameters
+        ----------
+        was_rejected : bool
+            True if the endpoint rejected the request for want of room.
+        """
+        if self._limits.is_brittle(permit.endpoint_id):
+            self.gate.release(permit.endpoint_id, permit.decision, was_rejected)
+
     def _on_limit_ended(self, endpoint_id: str) -> None:
         """Reopen an endpoint that no longer advertises a rate limit."""
         self._closed_until.pop(endpoint_id, None)
--- a/flamingofront/request/rate_gate.py
+++ b/flamingofront/request/rate_gate.py
@@ -41,6 +41,16 @@
     def return_unused(self, endpoint_id: str, decision: RateDecision) -> None:
         """Return a granted permit that was not used."""
 
+    @abstractmethod
+    def release(self, endpoint_id: str, decision: RateDecision, was_rejected: bool) -> None:
+        """Return the permit of a request that has ended at a brittle endpoint.
+
+        Parameters
+        ----------
+        was_rejected : bool
+            True if the endpoint rejected the request for want of room.
+        """
+
     @abstractmethod
     def forget(self, endpoint_id: str) -> None:
         """Discard the permits granted for an endpoint that no longer advertises a limit."""
@@ -69,6 +79,9 @@
         """Return a granted permit that was not used."""
         self._limiter.return_permit(endpoint_id)
 
+    def release(self, endpoint_id: str, decision: RateDecision, was_rejected: bool) -> None:
+        """Ignore the end of a request: without an arbiter only rates are limited."""
+
     def forget(self, endpoint_id: str) -> None:
         """Discard the permits granted for an endpoint."""
         self._limiter.forget(endpoint_id)
