Connections of clients that are silently gone end after some ten seconds

Cause: accepted sockets had no keep-alive, so that work for a caller or peer whose path is lost went on and its connection stayed; found by measuring each kind of connection before a silent partner.

--- a/flamingofront/connection/sockets.py
+++ b/flamingofront/connection/sockets.py
@@ -18,6 +18,13 @@
 MAX_SEND_BYTES = 256 * 1024
 # Large enough that all callers of a VM can connect at once.
 LISTEN_BACKLOG = 4096
+# A connection whose client is silent for these seconds gets a keep-alive probe, and is reset after
+# some without a reply: the VM of the client or the path to it is gone.
+KEEPALIVE_IDLE_SECONDS = 5
+KEEPALIVE_INTERVAL_SECONDS = 2
+KEEPALIVE_PROBE_COUNT = 3
+# Same for bytes that are not acknowledged. Linux also gives keep-alive probes up after this time.
+USER_TIMEOUT_MS = 10_000
 # No connection is pending, or the caller closed it before it was accepted.
 _NO_CONNECTION_ERRORS = (errno.EAGAIN, errno.ECONNABORTED)
 
@@ -117,6 +124,7 @@
             return
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        _enable_keepalive(sock)
         self._buffers[sock] = deque()
         self._poller.watch(sock, self, READ)
         self._listener.accepted(sock)
@@ -215,3 +223,17 @@
             sock.shutdown(socket.SHUT_RDWR)
         sock.close()
         self._timers.once(0.0, lambda: self._listener.closed(sock))
+
+
+def _enable_keepalive(sock: socket.socket) -> None:
+    """Let the kernel reset a connection whose client is silently gone.
+
+    Notes
+    -----
+    Without it, the work for a peer whose path is lost would run to its end unread.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBE_COUNT)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
