--- a/flamingofront/tests/network.py
+++ b/flamingofront/tests/network.py
@@ -82,6 +82,7 @@
         self.closed = False
         self.timer = source.timers.once(call.timeout, self._timed_out)
         self.reused = False
+        self._unsent: tuple = ()
         source.links.append(self)
         fault = world.path_faults.get((source.name, target.name)) if target is not None else None
         if fault is not None:
@@ -175,12 +176,14 @@
         self.target.handler(req, self.exchange)
 
     def back(self, *events) -> None:
-        """Carry events to the caller."""
+        """Carry events to the caller, in order; those that a cut loses are sent again after it."""
+        self._unsent += events
         if self.source.dead or self.world.is_cut(self.source, self.target):
             return
-        if self.world.blocks_open(self.source, self.target):
+        if self.world.blocks_open(self.source, self.target) or not self._unsent:
             return
-        self.world.carry_back(self, events)
+        sent, self._unsent = self._unsent, ()
+        self.world.carry_back(self, sent)
 
     def deliver(self, events) -> None:
         """Hand events to the caller, unless the call was given up."""
--- a/flamingofront/tests/world.py
+++ b/flamingofront/tests/world.py
@@ -105,6 +105,9 @@
     def heal(self) -> None:
         self.cuts.clear()
         self.path_faults.clear()
+        for link in [each for host in self.hosts.values() for each in host.links]:
+            if link.target is not None and link.exchange is not None:
+                link.back()
 
     def isolate(self, zone: str) -> None:
         """Cut a zone off from all others and the platform."""
