Attempts on lost paths are looked at again after the paths were found to be lost

What callers saw: streams broke two seconds after their VM lost its paths, though the process knew within milliseconds: the paths refuse new connections, so the loss was concluded while the stream had just sent data, and open streams were looked at only at that moment. The simulated network has paths that hang and refuse new connections.

--- a/flamingofront/process/forwarding/observations.py
+++ b/flamingofront/process/forwarding/observations.py
@@ -208,6 +208,7 @@
         """Detect partitioned zones, and move the requests that wait there to other zones."""
         now = self._timers.now()
         self._hub.paths.monitor.check_if_unanswered(self._hub.unanswered_since_in_any_zone())
+        self._hub.leave_lost_paths()
         self._hub.fail_over_unresponsive_peers()
         zones = self._hub.directory.zones
         unreachable = self._peers.unreachable_zones() - {self._zone}
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -15,6 +15,7 @@
     filter_usable,
 )
 from flamingofront.decisions.demand import LoadMeter
+from flamingofront.decisions.direct_paths import EndpointPath
 from flamingofront.decisions.engine_rates import LearnedRates
 from flamingofront.decisions.retry import PacedRetryBudget, RetryBudget
 from flamingofront.decisions.stopping import CompletionBounds
@@ -46,6 +47,9 @@
 EXPIRY_PERIOD_SECONDS = 0.1
 # Time without data after which a request does not wait for its attempt on a lost path.
 UNANSWERED_SECONDS = 0.25
+# Same for attempts that received data after the paths were found to be lost: streams send data
+# every 20 to 300 ms.
+LATER_UNANSWERED_SECONDS = 0.5
 CHOICE_RETRY_SECONDS = 0.2
 # Several round trips: the place that opens first may be taken by another process.
 MIN_RETRY_SECONDS = 0.05
@@ -394,9 +398,23 @@
         self.directory.forget_failures()
         for each in self.directory.ready_endpoints():
             self.transport.drop_idle(self.directory.address_of(each))
-        waiting_since = self.now() - UNANSWERED_SECONDS
+        self.leave_lost_paths(UNANSWERED_SECONDS)
+
+    def leave_lost_paths(self, seconds: float = LATER_UNANSWERED_SECONDS) -> None:
+        """Retry through peers the requests whose attempts on lost paths receive no data.
+
+        Parameters
+        ----------
+        seconds : float
+            Time without data; open connections may work while new ones fail.
+        """
+        waiting_since = self.now() - seconds
         for request in list(self.active.values()):
-            if isinstance(request, ForwardedRequest) and request.has_direct_attempt:
+            if (
+                isinstance(request, ForwardedRequest)
+                and request.has_direct_attempt
+                and self.paths.path_to(request.endpoint_id) is EndpointPath.PROXIED
+            ):
                 request.leave_lost_path(waiting_since)
 
     def fail_over_unresponsive_peers(self) -> None:
--- a/flamingofront/tests/network.py
+++ b/flamingofront/tests/network.py
@@ -41,6 +41,8 @@
     """Packets are lost on the way back only, so that requests on open connections arrive."""
     REFUSED = "refused"
     """Open connections are reset, and new ones are refused."""
+    HANGING = "hanging"
+    """New connections are refused, and open ones are silent."""
     NEW_REFUSED = "new refused"
     """New connections are refused, and open ones work."""
     NEW_SILENT = "new silent"
@@ -54,7 +56,7 @@
     @property
     def refuses(self) -> bool:
         """True if the client notices at once that no connection is established."""
-        return self in (PathFault.REFUSED, PathFault.NEW_REFUSED)
+        return self in (PathFault.REFUSED, PathFault.HANGING, PathFault.NEW_REFUSED)
 
 
 @dataclass
@@ -122,7 +124,8 @@
     def path_fails(self, fault: PathFault) -> None:
         """Let the path of this open call fail."""
         if fault.blocks_open:
-            self._reset_after(LATENCY if fault.refuses else USER_TIMEOUT_SECONDS)
+            is_reset = fault is PathFault.REFUSED
+            self._reset_after(LATENCY if is_reset else USER_TIMEOUT_SECONDS)
 
     @property
     def wrote(self) -> bool:
--- a/flamingofront/tests/test_serving_without_paths.py
+++ b/flamingofront/tests/test_serving_without_paths.py
@@ -87,6 +87,21 @@
         assert served_share(sent, ("front-1",), start + REACTION_SECONDS) >= 1 - 1 / 50
         assert max(Counter(runs_of(world, "/write/")).values()) == 1
 
+    def test_streams_that_received_data_just_before_are_resumed(self):
+        # Paths were found to be lost within milliseconds, and nobody looked at open streams again.
+        world = paths_world()
+        world.run(10.0)  # a new process has a smaller retry budget
+        for each in world.endpoints.values():
+            each.events, each.gap = 30, 0.05
+        callers = [world.ask("front-1", "/stream/again/1") for _ in range(4)]
+        world.run(0.4)
+        cut_off(world, ("front-1",), PathFault.HANGING)
+        world.ask("front-1", "/write/1")
+        start = world.clock.now()
+        world.finish(*callers)
+        assert all(each.status == 200 and not each.broken for each in callers)
+        assert world.clock.now() - start < 3.0
+
 
 class TestNoPathAnywhere:
     def test_requests_are_refused_at_once(self):
