Tests: quarantine and usage over proxied attempts, and the proxy of a real process

Cause: rules that span processes had no test on the new path of attempts. Result: requests that crash endpoints are quarantined with at most three late sends and no harmless request refused, though probes of cut-off VMs say 'refused' of each endpoint; usage is counted once; a real process proxies a body of 3 MB and names a refusal.

--- a/flamingofront/tests/test_forward_processes.py
+++ b/flamingofront/tests/test_forward_processes.py
@@ -8,6 +8,7 @@
 import sys
 import tomllib
 from pathlib import Path
+from urllib.parse import urlencode
 
 import orjson
 import pytest
@@ -162,6 +163,33 @@
         assert processes.front.wait(WAIT_SECONDS) == 0
         assert processes.errors() == ["settings rejected"]
 
+    def test_proxies_attempts_for_peers(self, processes):
+        # A peer without a path to the endpoint sends its attempts here.
+        processes.write_settings(**{"listen.control": f"{IP}:0"})
+        processes.front.terminate()
+        processes.front.wait(WAIT_SECONDS)
+        processes.front = processes.start({"FLAMINGOFRONT_BOOT": str(processes.settings)})
+        processes.ports = processes.wait_event("listening")["ports"]
+        processes.wait_ready()
+        control = processes.address("control")
+        body = b"x" * 3_000_000
+        query = {"endpoint": "plain-1", "request": "r#1", "sender": "vm-2", "method": "POST"}
+        query |= {"target": "/lookup/1", "timeout": "5", "connect": "0.5", "new": "1"}
+        headers = {**CALL, "X-Flamingofront-Expect-Instance": "plain-1"}
+        status, fields, answer = get(control, f"/proxy?{urlencode(query)}", headers, "POST", body)
+        assert (status, answer) == (200, b"from plain-1")
+        assert fields["X-Flamingofront-Response-Seal"] == "plain-1"
+        ended = processes.wait_event("proxied attempt ended")
+        assert (ended["request"], ended["sender"], ended["outcome"]) == ("r#1", "vm-2", "complete")
+
+        query["endpoint"] = "nobody"
+        status, fields, _ = get(control, f"/proxy?{urlencode(query)}", headers, "POST", body)
+        assert status == 502 and "wrote=0" in fields["proxy-failure"]
+        query["target"] = "nonsense"
+        assert get(control, f"/proxy?{urlencode(query)}", headers, "POST")[0] == 400
+        text = get(control, "/metrics")[2]
+        assert b'flamingofront_proxied_attempts_total{role="proxy"' in text
+
     @pytest.mark.parametrize(
         "settings, named", [(None, b"FLAMINGOFRONT_BOOT"), ("node_name=x\n", b"zone")]
     )
--- a/flamingofront/tests/test_serving_without_paths.py
+++ b/flamingofront/tests/test_serving_without_paths.py
@@ -7,6 +7,7 @@
 
 from flamingofront.process.forwarding.shutdown import GracefulShutdown
 from flamingofront.standins.forward_endpoint import ForwardFault
+from flamingofront.tests.crashing_world import crashing_world
 from flamingofront.tests.network import PathFault
 from flamingofront.tests.paths_world import (
     ALL_FAULTS,
@@ -237,3 +238,48 @@
             not node.metrics.value("proxied_attempts_total", role="sender") > 20
             for node in world.fronts.values()
         )
+
+
+class LostForAll(dict):
+    """Faulty paths from some entry processes to all endpoints, also those that start later."""
+
+    def __init__(self, fronts, fault):
+        super().__init__()
+        self._fronts, self._fault = fronts, fault
+
+    def get(self, pair, default=None):
+        is_endpoint = pair[1].startswith(("engine", "plain"))
+        return self._fault if pair[0] in self._fronts and is_endpoint else default
+
+
+class TestRulesThatSpanProcesses:
+    @pytest.mark.parametrize("path", ["/stream/again/x", "/write/x"])
+    @pytest.mark.parametrize("fault", [PathFault.SILENT, PathFault.REFUSED])
+    def test_requests_that_crash_endpoints_are_quarantined(self, fault, path):
+        # A probe from a VM without paths says "refused" of each endpoint, crashed or not.
+        world = crashing_world(fronts=6, engines=9, plains=8)
+        world.path_faults = LostForAll(("front-0", "front-1"), fault)
+        world.poison.add(b"poison")
+        harmless = []
+        for turn in range(150):
+            if turn % 3 == 0:
+                world.ask_one(path, b"poison")
+            harmless.append(world.ask_one("/read/x", b"prompt %d" % turn))
+            harmless.append(world.ask_one("/stream/again/x", b"prompt %d" % turn))
+            world.run(0.1)
+        assert len(world.ends_under(b"poison")) >= 3
+        assert world.sent_late(b"poison") <= 3
+        assert not any(b"crashes_endpoints" in each.body for each in harmless)
+
+    def test_usage_is_counted_once(self):
+        world = paths_world()
+        offer(world, 0.5)
+        cut_off(world, ("front-1",), PathFault.SILENT)
+        offer(world, 1.0)
+        before = len(runs_of(world, "/"))
+        counted = Counter()
+        for node in world.fronts.values():
+            node.usage.count_started = lambda workspace, at: counted.update([workspace])
+        sent = [world.ask("front-1", "/read/1") for _ in range(20)]
+        world.finish(*sent)
+        assert len(runs_of(world, "/")) - before == counted["desk"] == 20
