Paths to all endpoints of one service may be lost while others work

What callers saw: VMs that lost their paths to all endpoints of one service refused its requests with 503, though other VMs reached them; the process reached other endpoints and so took its paths for working. Whether the endpoints or the paths fail cannot be told from this VM. Change: if none of up to four endpoints of a service is reached while others are, a peer is asked whether it reaches one. If it does, the paths to that service are lost until a connection to each is established. Only that answer is evidence, so that a service whose endpoints are all gone raises no alarm.

--- a/flamingofront/decisions/direct_paths.py
+++ b/flamingofront/decisions/direct_paths.py
@@ -54,11 +54,13 @@
         self.since = -math.inf
         self._connected_at: dict[str, float] = {}
         self._failed_at: dict[str, float] = {}
+        self._singly_lost_at: dict[str, float] = {}
 
     def record_connected(self, endpoint_id: str, now: float) -> None:
         """Record that a new connection to an endpoint was established."""
         self._connected_at[endpoint_id] = now
         self._failed_at.pop(endpoint_id, None)
+        self._singly_lost_at.pop(endpoint_id, None)
 
     def record_failure(self, endpoint_id: str, now: float) -> None:
         """Record that no new connection to an endpoint could be established."""
@@ -69,6 +71,7 @@
         """Drop the evidence on an endpoint that was removed."""
         self._connected_at.pop(endpoint_id, None)
         self._failed_at.pop(endpoint_id, None)
+        self._singly_lost_at.pop(endpoint_id, None)
 
     def can_start_check(self, now: float) -> bool:
         """Return True if the state is not in doubt and the last check is long enough ago."""
@@ -100,8 +103,24 @@
 
     def is_lost(self, endpoint_id: str) -> bool:
         """Return True if the direct path to an endpoint is lost, or in doubt during a check."""
+        if endpoint_id in self._singly_lost_at:
+            return True
         return self.status is not PathStatus.WORKING and not self._is_connected(endpoint_id)
 
+    def record_loss(self, endpoint_ids: Collection[str], now: float) -> None:
+        """Record that the paths to some endpoints are lost while others work.
+
+        They count as lost until a connection is established.
+        """
+        for each in endpoint_ids:
+            if not self._is_connected(each):
+                self._singly_lost_at.setdefault(each, now)
+
+    @property
+    def has_single_losses(self) -> bool:
+        """True if paths to some endpoints are lost while others work."""
+        return bool(self._singly_lost_at)
+
     def last_failure_at(self, endpoint_id: str) -> float | None:
         """Return the time of the last failed connection since which none was established."""
         return self._failed_at.get(endpoint_id)
--- a/flamingofront/decisions/zone_reach.py
+++ b/flamingofront/decisions/zone_reach.py
@@ -41,6 +41,10 @@
         self._pending.pop(zone, None)
         self._responses[zone] = now
 
+    def forget(self, zone: str, endpoint_id: str) -> None:
+        """Drop the connect failure of an endpoint, which does not speak against its zone."""
+        self._connect_failures.get(zone, {}).pop(endpoint_id, None)
+
     def set_unresponsive_zones(self, zones: Collection[str]) -> None:
         """Set the zones whose entry processes are all unresponsive."""
         self._unresponsive_zones = frozenset(zones)
--- a/flamingofront/process/forwarding/proxy.py
+++ b/flamingofront/process/forwarding/proxy.py
@@ -7,7 +7,7 @@
 
 from typing import TYPE_CHECKING
 
-from flamingofront.connection.interfaces import CallEvent, CallHandle, Exchange
+from flamingofront.connection.interfaces import CallEvent, CallHandle, ConnectResult, Exchange
 from flamingofront.decisions.direct_paths import PathStatus
 from flamingofront.messages import (
     CallFailed,
@@ -18,7 +18,10 @@
     ResponseHead,
 )
 from flamingofront.request.active import NO_CONNECTION_REASONS
+from flamingofront.request.path_monitor import PROBE_TIMEOUT_SECONDS
 from flamingofront.request.proxy_messages import (
+    STATUS_NOT_REACHED,
+    STATUS_REACHED,
     ProxiedCall,
     ProxyFailure,
     ProxyRefusal,
@@ -71,6 +74,21 @@
         self._attempts.add(attempt)
         attempt.start(req)
 
+    def handle_question(self, req: InboundRequest, exchange: Exchange) -> None:
+        """Respond whether this process can connect to an endpoint."""
+        address = self.node.directory.address_of(req.query.get("endpoint", ""))
+        if not address:
+            exchange.respond(STATUS_NOT_REACHED, (), b"")
+            return
+        self.node.metrics.count("endpoint_probes_total")
+        self.node.hub.transport.probe(
+            address,
+            PROBE_TIMEOUT_SECONDS,
+            lambda result: exchange.respond(
+                STATUS_REACHED if result is ConnectResult.CONNECTED else STATUS_NOT_REACHED, (), b""
+            ),
+        )
+
     def _find_refusal(self, call: ProxiedCall) -> ProxyRefusal | None:
         node = self.node
         if node.stopping:
@@ -78,7 +96,8 @@
         if node.directory.is_unavailable(call.endpoint_id):
             return ProxyRefusal.UNKNOWN_ENDPOINT
         monitor = node.hub.paths.monitor
-        if monitor.status is PathStatus.LOST and monitor.is_lost(call.endpoint_id):
+        is_certain = monitor.status is not PathStatus.CHECKING
+        if is_certain and monitor.is_lost(call.endpoint_id):
             return ProxyRefusal.NO_PATH
         return ProxyRefusal.BUSY if len(self._attempts) >= MAX_PROXIED_ATTEMPTS else None
 
--- a/flamingofront/request/directory.py
+++ b/flamingofront/request/directory.py
@@ -522,13 +522,13 @@
             return False
         return not self.zones.is_partitioned(fact.zone, now)
 
-    def forget_failures(self) -> None:
-        """Drop the failures of all endpoints, after they turned out to be those of the paths."""
-        self._backoff_until.clear()
-        self._connect_failures.clear()
-        self.zones = ZoneReachability()
-        for each in self.ready_endpoints():
+    def forget_failures(self, endpoint_ids: Iterable[str]) -> None:
+        """Drop the failures of endpoints, after they turned out to be those of the paths."""
+        for each in endpoint_ids:
+            self._backoff_until.pop(each, None)
+            self._connect_failures.pop(each, None)
             self.health.forget(each)
+            self.zones.forget(self.zone_of(each), each)
 
     def version_of(self, endpoint_id: str) -> str:
         """Return the software version of an endpoint; empty if the endpoint is unknown."""
--- a/flamingofront/request/endpoint_paths.py
+++ b/flamingofront/request/endpoint_paths.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from urllib.parse import urlencode
 
 from flamingofront.connection.interfaces import CallEvent, CallHandle, Transport
 from flamingofront.decisions.direct_paths import EndpointPath, PathStatus
@@ -15,6 +16,8 @@
 from flamingofront.request.path_monitor import PathMonitor
 from flamingofront.request.proxy_messages import (
     FAILURE_HEADER,
+    REACH_PATH,
+    STATUS_REACHED,
     ProxiedCall,
     ProxyFailure,
     decode_proxy_failure,
@@ -28,6 +31,8 @@
 UNREACHED_SECONDS = 1.0
 # A peer that has sent nothing for so long while a response is pending is taken to be stopped.
 UNRESPONSIVE_PEER_SECONDS = 1.0
+# The peer waits a quarter of a second for a connection.
+QUESTION_TIMEOUT_SECONDS = 0.5
 
 
 @dataclass(frozen=True)
@@ -68,6 +73,7 @@
         rng: random.Random,
     ):
         self.monitor = PathMonitor(transport, timers, directory, metrics, log, rng, zone)
+        self.monitor.ask_peer = self._ask_peer
         self.peers = ProxyPeers(timers, rng)
         self._vm_id = vm_id
         self._transport = transport
@@ -88,7 +94,7 @@
         is_unreached = self._unreached_until.get(endpoint_id, -math.inf) > self._timers.now()
         if self.peers.is_available and not is_unreached:
             return EndpointPath.PROXIED
-        is_certain = self.monitor.status is PathStatus.LOST
+        is_certain = self.monitor.status is not PathStatus.CHECKING
         return EndpointPath.NONE if is_certain else EndpointPath.DIRECT
 
     def wait_seconds(self, endpoint_id: str) -> float:
@@ -134,6 +140,25 @@
             peer,
         )
 
+    def _ask_peer(self, endpoint_id: str, on_answer: Callable[[bool], None]) -> None:
+        """Ask a peer whether it reaches an endpoint; call back with the answer, if one comes."""
+        peer = self.peers.choose()
+        if peer is None:
+            return
+
+        def on_event(event: CallEvent) -> None:
+            if isinstance(event, ResponseHead):
+                on_answer(event.status == STATUS_REACHED)
+
+        call = OutboundCall(
+            peer,
+            "GET",
+            f"{REACH_PATH}?{urlencode({'endpoint': endpoint_id})}",
+            timeout=QUESTION_TIMEOUT_SECONDS,
+            connect_timeout=QUESTION_TIMEOUT_SECONDS,
+        )
+        self._transport.start(call, on_event)
+
     def list_unresponsive(self, pending: Iterable[tuple[str, float]]) -> set[str]:
         """Return the peers that do not respond, and back off from them.
 
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -112,7 +112,9 @@
             settings.vm_id, settings.zone, transport, timers, directory, metrics, log, rng
         )
         self.paths.monitor.on_lost = self._on_paths_lost
-        self.paths.monitor.on_restored = directory.forget_failures
+        self.paths.monitor.on_restored = lambda: directory.forget_failures(
+            directory.ready_endpoints()
+        )
         directory.path_to = self.paths.path_to
         self.rates = LearnedRates()
         self.completion = CompletionBounds()
@@ -395,8 +397,11 @@
         -----
         Idle connections are closed: a request on one that hangs would wait for its timeout.
         """
-        self.directory.forget_failures()
-        for each in self.directory.ready_endpoints():
+        lost = [
+            each for each in self.directory.ready_endpoints() if self.paths.monitor.is_lost(each)
+        ]
+        self.directory.forget_failures(lost)
+        for each in lost:
             self.transport.drop_idle(self.directory.address_of(each))
         self.leave_lost_paths(UNANSWERED_SECONDS)
 
--- a/flamingofront/request/path_monitor.py
+++ b/flamingofront/request/path_monitor.py
@@ -4,6 +4,7 @@
 paths are lost, further ones are opened regularly to notice when an endpoint is reached again.
 """
 
+import math
 import random
 from collections import Counter
 from collections.abc import Callable, Iterable
@@ -31,6 +32,10 @@
 # Time without data from any endpoint, while a response is pending, after which paths are checked.
 # Streams send data every 20 to 300 ms.
 UNANSWERED_SECONDS = 0.4
+# Endpoints of a service that are probed before a peer is asked whether it reaches them, and the
+# time between two such questions.
+CHECKED_OF_SERVICE = 3
+QUESTION_PAUSE_SECONDS = 1.0
 
 
 class PathMonitor:
@@ -44,6 +49,8 @@
         Called when the paths to most endpoints are found to be lost.
     on_restored : callable
         Called when most endpoints are reached again.
+    ask_peer : callable
+        Asks a peer whether it reaches an endpoint, and calls back with the answer.
     """
 
     def __init__(
@@ -59,6 +66,11 @@
         self.enabled = False
         self.on_lost: Callable[[], None] = lambda: None
         self.on_restored: Callable[[], None] = lambda: None
+        self.ask_peer: Callable[[str, Callable[[bool], None]], None] = (
+            lambda endpoint_id, on_answer: None
+        )
+        self._asked_at: dict[str, float] = {}
+        self._is_retry_scheduled = False
         self._paths = DirectPaths()
         self._transport = transport
         self._timers = timers
@@ -100,7 +112,8 @@
 
     def record_connected(self, endpoint_id: str) -> None:
         """Record that a new connection to an endpoint was established."""
-        was_lost = self._paths.status is PathStatus.LOST and self.is_lost(endpoint_id)
+        is_checking = self._paths.status is PathStatus.CHECKING
+        was_lost = not is_checking and self.is_lost(endpoint_id)
         self._paths.record_connected(endpoint_id, self._timers.now())
         if was_lost:
             self._has_progress = True
@@ -121,7 +134,7 @@
             Failure of the connection, for the log.
         """
         self._paths.record_failure(endpoint_id, self._timers.now())
-        self._start_check(f"{endpoint_id}: {reason}", frozenset((endpoint_id,)))
+        self._start_check(f"{endpoint_id}: {reason}", endpoint_id)
 
     def check_if_unanswered(self, since: float) -> None:
         """Check the paths if responses are pending and no endpoint has sent data for a while.
@@ -133,19 +146,20 @@
         """
         now = self._timers.now()
         if now - max(since, self._directory.last_contact_of_any()) >= UNANSWERED_SECONDS:
-            self._start_check("no data from any endpoint", frozenset())
+            self._start_check("no data from any endpoint")
 
-    def _start_check(self, cause: str, excluded: frozenset[str]) -> None:
+    def _start_check(self, cause: str, failed: str = "") -> None:
+        """Start a check, unless one is under way; `failed` is the endpoint that caused it."""
         if not self.enabled or not self._paths.can_start_check(self._timers.now()):
             return
         self._paths.start_check(self._timers.now())
-        others = [each for each in self._directory.ready_endpoints() if each not in excluded]
+        others = [each for each in self._directory.ready_endpoints() if each != failed]
         self._checked = self._choose_sample(others)
         self._pending = set(self._checked)
         if not self._checked:
-            self._conclude(cause)
+            self._conclude(cause, failed)
         for each in self._checked:
-            self._probe(each, lambda: self._on_check_result(cause))
+            self._probe(each, lambda: self._on_check_result(cause, failed))
 
     def _choose_sample(self, endpoint_ids: Iterable[str]) -> tuple[str, ...]:
         ordered = self._spread(endpoint_ids)
@@ -183,13 +197,13 @@
             self._paths.record_failure(endpoint_id, self._timers.now())
         on_result()
 
-    def _on_check_result(self, cause: str) -> None:
+    def _on_check_result(self, cause: str, failed: str) -> None:
         if self._paths.status is not PathStatus.CHECKING:
             return
         if not self._pending or self._paths.count_reached(self._checked):
-            self._conclude(cause)
+            self._conclude(cause, failed)
 
-    def _conclude(self, cause: str) -> None:
+    def _conclude(self, cause: str, failed: str) -> None:
         """End a check by its results, and log the evidence."""
         status = self._paths.conclude_check(self._checked)
         now = self._timers.now()
@@ -208,8 +222,45 @@
             self._has_progress = False
             self._schedule_retry()
             self.on_lost()
+        elif failed:
+            self._check_service(failed)
+
+    def _check_service(self, failed: str) -> None:
+        """Check whether the paths to all endpoints of a service are lost, while others work."""
+        service, now = self._directory.service_of(failed), self._timers.now()
+        endpoints = list(self._directory.zones_of(service))
+        is_reached = self._paths.count_reached(endpoints) > 0
+        if is_reached or now - self._asked_at.get(service, -math.inf) < QUESTION_PAUSE_SECONDS:
+            return
+        self._asked_at[service] = now
+        others = [each for each in endpoints if each != failed]
+        sample = set(self._spread(others)[:CHECKED_OF_SERVICE])
+        waiting = set(sample)
+
+        def on_result(endpoint_id: str) -> None:
+            waiting.discard(endpoint_id)
+            if not waiting and not self._paths.count_reached(endpoints):
+                self.ask_peer(failed, lambda is_reached: self._on_answer(service, is_reached))
+
+        for each in sample:
+            self._probe(each, lambda each=each: on_result(each))
+        if not sample:
+            on_result("")
+
+    def _on_answer(self, service: str, is_reached: bool) -> None:
+        """Take the paths to a service for lost if a peer reaches an endpoint of it."""
+        endpoints = list(self._directory.zones_of(service))
+        if not is_reached or self._paths.count_reached(endpoints):
+            return
+        self._paths.record_loss(endpoints, self._timers.now())
+        self._log.warning("paths to service lost", service=service, endpoints=len(endpoints))
+        self._schedule_retry()
+        self.on_lost()
 
     def _schedule_retry(self) -> None:
+        if self._is_retry_scheduled:
+            return
+        self._is_retry_scheduled = True
         seconds = RETRY_PERIOD_SECONDS * (0.75 + 0.5 * self._rng.random())
         if self._has_progress:
             seconds = RETRY_AFTER_SUCCESS_SECONDS
@@ -217,7 +268,8 @@
 
     def _retry_lost(self) -> None:
         """Probe some of the endpoints that are not reached directly."""
-        if self._paths.status is not PathStatus.LOST:
+        self._is_retry_scheduled = False
+        if self._paths.status is not PathStatus.LOST and not self._paths.has_single_losses:
             return
         lost = [each for each in self._directory.ready_endpoints() if self.is_lost(each)]
         count = RETRIED_AFTER_SUCCESS if self._has_progress else RETRIED_ENDPOINTS
@@ -227,7 +279,7 @@
                 self._pending.add(each)
                 self._probe(each, lambda: None)
         self._restore_if_reached()
-        if self._paths.status is PathStatus.LOST:
+        if self._paths.status is PathStatus.LOST or self._paths.has_single_losses:
             self._schedule_retry()
 
     def _restore_if_reached(self) -> None:
--- a/flamingofront/request/proxy_messages.py
+++ b/flamingofront/request/proxy_messages.py
@@ -15,6 +15,9 @@
 __all__ = [
     "FAILURE_HEADER",
     "PROXY_PATH",
+    "REACH_PATH",
+    "STATUS_NOT_REACHED",
+    "STATUS_REACHED",
     "ProxiedCall",
     "ProxyFailure",
     "ProxyRefusal",
@@ -26,6 +29,10 @@
 
 PROXY_PATH = "/proxy"
 FAILURE_HEADER = "proxy-failure"
+# A question whether a peer reaches an endpoint, and the statuses of the answer.
+REACH_PATH = "/reach"
+STATUS_REACHED = 200
+STATUS_NOT_REACHED = 504
 
 
 class ProxyRefusal(StrEnum):
--- a/flamingofront/tests/test_serving_without_paths.py
+++ b/flamingofront/tests/test_serving_without_paths.py
@@ -55,6 +55,21 @@
             shares.append(served_share(sent, cut, start + REACTION_SECONDS))
         assert min(shares) >= 1 - 1 / 50
 
+    @pytest.mark.parametrize("fault", ALL_FAULTS)
+    @pytest.mark.parametrize("prefix", ["plain", "engine"])
+    def test_paths_to_one_service_only_are_lost(self, prefix, fault):
+        # The process reaches other endpoints, so its paths as a whole work.
+        world = paths_world()
+        offer(world, 1.0)
+        start = world.clock.now()
+        lost = [name for name in world.endpoints if name.startswith(prefix)]
+        world.fail_paths(("front-1",), lost, fault)
+        sent = offer(world, 6.0)
+        assert served_share(sent, ("front-1",), start + REACTION_SECONDS) >= 1 - 1 / 50
+        world.heal()
+        world.run(2.0)
+        assert not world.fronts["front-1"].hub.paths.monitor.count_lost()
+
     def test_most_processes_among_many_lose_their_paths(self):
         # With more than 17 processes, a process hears of the others only through relays.
         world = paths_world(fronts=20)
