Soak of real processes, findings, and a second reading of the monitor of paths

Cause: the fault soak needs real sockets; log fields and doc strings of the monitor did not say enough.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: run run-platform test bench lint format mutations
+.PHONY: run run-platform test bench lint format mutations soak
 
 .venv/installed: pyproject.toml
 	$(PYTHON) -m venv .venv
@@ -30,3 +30,8 @@
 
 mutations: .venv/installed
 	$(BIN)/python -m bench.mutations
+
+SEED ?= 1
+MINUTES ?= 1
+soak: .venv/installed
+	$(BIN)/python scripts/soak.py $(SEED) --seconds $$((60 * $(MINUTES)))
--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -416,7 +416,9 @@
         executed = Executed.UNKNOWN if event.wrote else Executed.NO
         if event.by_proxy:
             reason = f"proxy: {event.reason}"
-            self.fail_attempt(attempt_id, executed, reason, event.wrote, is_endpoint_failure=False)
+            self.fail_attempt(
+                attempt_id, executed, reason, sent=event.wrote, is_endpoint_failure=False
+            )
             return
         is_endpoint_failure = True
         if event.reason in NO_CONNECTION_REASONS:
--- a/flamingofront/request/endpoint_paths.py
+++ b/flamingofront/request/endpoint_paths.py
@@ -37,7 +37,17 @@
 
 @dataclass(frozen=True)
 class PathRequest:
-    """Attempt to be started on a path; `request_id` is for the log of the peer."""
+    """Attempt to be started on the path to its endpoint.
+
+    Parameters
+    ----------
+    request_id : str
+        Request of the attempt, for the log of a peer that proxies it.
+    call : OutboundCall
+        Call as it is sent on the direct path.
+    listener : callable
+        Gets the events of the call, on either path.
+    """
 
     endpoint_id: str
     request_id: str
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -398,7 +398,9 @@
         """
         attempt_id = self.machine.attempt_id
         if attempt_id and self.has_attempt_in_flight and not self._handle.wrote:
-            super().fail_attempt(attempt_id, Executed.NO, reason, False, False)
+            super().fail_attempt(
+                attempt_id, Executed.NO, reason, sent=False, is_endpoint_failure=False
+            )
         elif attempt_id and self.work.repeatable and self._has_attempts_left():
             # The outcome is unknown, so it must not count against the endpoint's version.
             super().fail_attempt(attempt_id, Executed.UNKNOWN, reason, is_endpoint_failure=False)
--- a/flamingofront/request/path_monitor.py
+++ b/flamingofront/request/path_monitor.py
@@ -46,7 +46,7 @@
     enabled : bool
         False if failures are not checked; the paths then count as working.
     on_lost : callable
-        Called when the paths to most endpoints are found to be lost.
+        Called when the paths to all endpoints, or to those of a service, are found to be lost.
     on_restored : callable
         Called when most endpoints are reached again.
     ask_peer : callable
@@ -69,8 +69,6 @@
         self.ask_peer: Callable[[str, Callable[[bool], None]], None] = (
             lambda endpoint_id, on_answer: None
         )
-        self._asked_at: dict[str, float] = {}
-        self._is_retry_scheduled = False
         self._paths = DirectPaths()
         self._transport = transport
         self._timers = timers
@@ -83,6 +81,8 @@
         self._checked: tuple[str, ...] = ()
         self._lost_at = 0.0
         self._has_progress = False
+        self._is_retry_scheduled = False
+        self._asked_at: dict[str, float] = {}
 
     @property
     def status(self) -> PathStatus:
@@ -252,7 +252,8 @@
         endpoints = list(self._directory.zones_of(service))
         if not is_reached or self._paths.count_reached(endpoints):
             return
-        self._paths.record_loss(endpoints, self._timers.now())
+        self._lost_at = self._timers.now()
+        self._paths.record_loss(endpoints, self._lost_at)
         self._log.warning("paths to service lost", service=service, endpoints=len(endpoints))
         self._schedule_retry()
         self.on_lost()
--- a/flamingofront/standins/programs.py
+++ b/flamingofront/standins/programs.py
@@ -145,8 +145,8 @@
     :param leaving: state in each response that the endpoint is draining, whatever its row says
     :param reject: fraction of the requests that are rejected with a Retry-After header
     :param retry_after: value of the Retry-After header in seconds
-    :param log_arrivals: print a line for each request with its arrival time and whether it was
-        rejected
+    :param log_arrivals: print a line for each request with its arrival time, whether it was
+        rejected, and its id
     """
     row = {
         "service": service,
@@ -171,7 +171,8 @@
             standin.inject_fault(ForwardFault.REJECT if is_rejected else ForwardFault.NONE)
             if log_arrivals:
                 result = "refused" if is_rejected else "taken"
-                print(f"arrival {runtime.timers.now():.3f} {result}", flush=True)
+                request_id = req.header("x-flamingofront-request-id")
+                print(f"arrival {runtime.timers.now():.3f} {result} {request_id}", flush=True)
             standin.handle(req, exchange)
 
         return handle
--- a/scripts/try_endpoint_answers.py
+++ b/scripts/try_endpoint_answers.py
@@ -55,8 +55,8 @@
         for line in self.child.stdout:
             word, _, rest = line.partition(" ")
             if word == "arrival":
-                at, _, outcome = rest.partition(" ")
-                self.arrivals.append(Arrival(float(at), outcome.strip() == "refused"))
+                at, outcome, *_ = rest.split()
+                self.arrivals.append(Arrival(float(at), outcome == "refused"))
 
     def times_from(self, seconds: float) -> list[float]:
         """Return the times of the arrivals from some seconds after the first one on."""
--- a/scripts/try_lost_paths.py
+++ b/scripts/try_lost_paths.py
@@ -84,7 +84,9 @@
             writer.transport.abort()
 
     async def fail(self, fault: str) -> None:
-        """Let the path fail."""
+        """Let the path fail; one that is refused already stays so."""
+        if not self._server.sockets:
+            return
         if fault == "silent":
             silence(self._server.sockets[0])
             for each in self._writers:
@@ -175,7 +177,11 @@
     def __init__(self, folder: Path, fronts: int, endpoints: int):
         self._folder = folder
         self._children: list[subprocess.Popen] = []
+        self.front_processes: list[subprocess.Popen] = []
+        self.endpoint_processes: list[subprocess.Popen] = []
         self._loop = asyncio.new_event_loop()
+        # Connections that break as the deployment ends are of no interest.
+        self._loop.set_exception_handler(lambda loop, context: None)
         threading.Thread(target=self._loop.run_forever, daemon=True).start()
         self.fronts = fronts
         self._endpoint_ports = [PORT + 1 + number for number in range(endpoints)]
@@ -191,8 +197,10 @@
         _wait_for(store)
         for number, port in enumerate(self._endpoint_ports):
             words = ["--bind", f"{HOST}:{port}", "--store", store, "--gap", "0.05"]
-            words += ["--endpoint-id", f"plain-{number}", "--log-arrivals"]
-            self._start("flamingofront-standin-endpoint", words)
+            name = f"plain-{number}"
+            words += ["--endpoint-id", name, "--log-arrivals"]
+            child = self._start("flamingofront-standin-endpoint", words, output=name)
+            self.endpoint_processes.append(child)
         for number in range(self.fronts):
             self._start_front(number)
         return self
@@ -208,17 +216,21 @@
 
     def __exit__(self, *exc: object) -> None:
         for child in self._children:
-            child.terminate()
+            child.kill()
         for child in self._children:
             child.wait()
+        self._await(_cancel_others())
         self._loop.call_soon_threadsafe(self._loop.stop)
 
-    def _start(self, program: str, words: list[str], environment=None, output="errors") -> None:
+    def _start(
+        self, program: str, words: list[str], environment=None, output="errors"
+    ) -> subprocess.Popen:
         with open(self._folder / f"{output}.log", "a") as log:
             child = subprocess.Popen(
                 [BIN / program, *words], stdout=log, stderr=log, env=environment
             )
         self._children.append(child)
+        return child
 
     def _start_front(self, number: int) -> None:
         paths = [PathForwarder(port) for port in self._endpoint_ports]
@@ -247,8 +259,17 @@
         }
         settings = self._folder / f"front-{number}.conf"
         settings.write_text("".join(f"{name}={value}\n" for name, value in values.items()))
+        self.front_processes.append(self._run_front(number))
+
+    def _run_front(self, number: int) -> subprocess.Popen:
+        settings = self._folder / f"front-{number}.conf"
         environment = {**os.environ, "FLAMINGOFRONT_BOOT": str(settings)}
-        self._start("flamingofront-forward", [], environment, f"front-{number}")
+        return self._start("flamingofront-forward", [], environment, f"front-{number}")
+
+    def restart_front(self, number: int) -> None:
+        """Start an entry process again after it has ended."""
+        self.front_processes[number].wait()
+        self.front_processes[number] = self._run_front(number)
 
     def wait_ready(self) -> None:
         """Wait until all entry processes are ready."""
@@ -261,6 +282,10 @@
             for path in self.paths[number]:
                 self._await(path.fail(fault))
 
+    def fail_path(self, front: int, endpoint: int, fault: str) -> None:
+        """Let one path fail."""
+        self._await(self.paths[front][endpoint].fail(fault))
+
     def heal(self, fronts: list[int]) -> None:
         """Let these paths work again."""
         for number in fronts:
@@ -294,6 +319,14 @@
         return outcomes
 
 
+async def _cancel_others() -> None:
+    """Cancel all other tasks of the event loop."""
+    others = asyncio.all_tasks() - {asyncio.current_task()}
+    for each in others:
+        each.cancel()
+    await asyncio.gather(*others, return_exceptions=True)
+
+
 def _wait_for(address: str, path: str = "") -> None:
     """Wait until an address answers, with 200 if a path is given."""
     end = time.monotonic() + 20.0
