A refused path to an endpoint is no crash of the endpoint while a peer reaches it

Cause: an endpoint whose connection was reset and that refuses a probe was taken for crashed. A path of this VM alone that resets and refuses looks the same, and word of the crash goes to all. The check of all paths did not help, since paths failed one after the other within milliseconds. Evidence: lines 'endpoint crashed' of front-2 and front-4 within 25 ms of 'paths to endpoints work', beside a fault of paths; test_refused_path_is_no_crash_of_the_endpoint failed before. Change: before a crash is declared by a refused probe, a peer is asked whether it reaches the endpoint, and a second one if the first cannot tell. If none can tell, the removal of the endpoint's row decides. Without peers as before. Result: the test passes; test_endpoint_ends.py and test_crashing_requests.py unchanged.

--- a/flamingofront/process/forwarding/proxy.py
+++ b/flamingofront/process/forwarding/proxy.py
@@ -22,6 +22,7 @@
 from flamingofront.request.proxy_messages import (
     STATUS_NOT_REACHED,
     STATUS_REACHED,
+    STATUS_UNKNOWN,
     ProxiedCall,
     ProxyFailure,
     ProxyRefusal,
@@ -76,9 +77,10 @@
 
     def handle_question(self, req: InboundRequest, exchange: Exchange) -> None:
         """Respond whether this process can connect to an endpoint."""
-        address = self.node.directory.address_of(req.query.get("endpoint", ""))
-        if not address:
-            exchange.respond(STATUS_NOT_REACHED, (), b"")
+        endpoint_id = req.query.get("endpoint", "")
+        address = self.node.directory.address_of(endpoint_id)
+        if not address or self.node.hub.paths.monitor.is_lost(endpoint_id):
+            exchange.respond(STATUS_UNKNOWN, (), b"")
             return
         self.node.metrics.count("endpoint_probes_total")
         self.node.hub.transport.probe(
--- a/flamingofront/request/endpoint_ends.py
+++ b/flamingofront/request/endpoint_ends.py
@@ -68,6 +68,9 @@
         Called with each endpoint that this process finds crashed before its row is deleted.
     on_refused : callable
         Called with each endpoint that refuses a probe.
+    ask_peer : callable
+        Asks a peer whether it reaches an endpoint; calls back with the answer, None if no peer
+        knows. Without peers it calls back with False.
     is_path_lost : callable
         Returns True if the direct path to an endpoint is or may be lost, so that probes do not show
         whether it has crashed.
@@ -91,6 +94,9 @@
         self.on_unobserved_crash: Callable[[str], None] = lambda endpoint_id: None
         self.on_crash_found: Callable[[str], None] = lambda endpoint_id: None
         self.on_refused: Callable[[str], None] = lambda endpoint_id: None
+        self.ask_peer: Callable[[str, Callable[[bool | None], None]], None] = (
+            lambda endpoint_id, on_answer: on_answer(False)
+        )
         self.is_path_lost: Callable[[str], bool] = lambda endpoint_id: False
 
     def record_connection_loss(self, endpoint_id: str, address: str, fingerprint: str) -> None:
@@ -212,6 +218,22 @@
             del self._checks[endpoint_id]
         elif self.is_path_lost(endpoint_id):
             self._wait_for_paths(endpoint_id, check)
+        else:
+            self.ask_peer(
+                endpoint_id, lambda is_reached: self._on_answer(endpoint_id, check, is_reached)
+            )
+
+    def _on_answer(self, endpoint_id: str, check: _CrashCheck, is_reached: bool | None) -> None:
+        """Declare a crash unless a peer reaches the endpoint, or cannot tell."""
+        if self._checks.get(endpoint_id) is not check or check.is_crashed:
+            return
+        if is_reached is None:
+            self._wait_for_paths(endpoint_id, check)
+        elif is_reached:
+            self._log.info(
+                "endpoint that refuses connections is reached by a peer", endpoint=endpoint_id
+            )
+            del self._checks[endpoint_id]
         else:
             self._declare_crash(endpoint_id, check)
 
--- a/flamingofront/request/endpoint_paths.py
+++ b/flamingofront/request/endpoint_paths.py
@@ -17,6 +17,7 @@
 from flamingofront.request.proxy_messages import (
     FAILURE_HEADER,
     REACH_PATH,
+    STATUS_NOT_REACHED,
     STATUS_REACHED,
     ProxiedCall,
     ProxyFailure,
@@ -33,6 +34,7 @@
 UNRESPONSIVE_PEER_SECONDS = 1.0
 # The peer waits a quarter of a second for a connection.
 QUESTION_TIMEOUT_SECONDS = 0.5
+ANSWERS = {STATUS_REACHED: True, STATUS_NOT_REACHED: False}
 
 
 @dataclass(frozen=True)
@@ -83,7 +85,7 @@
         rng: random.Random,
     ):
         self.monitor = PathMonitor(transport, timers, directory, metrics, log, rng, zone)
-        self.monitor.ask_peer = self._ask_peer
+        self.monitor.ask_peer = self.ask_peer
         self.peers = ProxyPeers(timers, rng)
         self._vm_id = vm_id
         self._transport = transport
@@ -150,21 +152,38 @@
             peer,
         )
 
-    def _ask_peer(self, endpoint_id: str, on_answer: Callable[[bool], None]) -> None:
-        """Ask a peer whether it reaches an endpoint; call back with the answer, if one comes."""
-        peer = self.peers.choose()
+    def ask_peer(
+        self, endpoint_id: str, on_answer: Callable[[bool | None], None], questions: int = 2
+    ) -> None:
+        """Ask a peer whether it reaches an endpoint, and another one if it cannot tell.
+
+        Parameters
+        ----------
+        on_answer : callable
+            Called with the answer; with None if no peer knows, with False if there is no peer.
+        questions : int
+            Number of peers to ask at most.
+        """
+        peer = self.peers.choose() if questions else None
         if peer is None:
+            on_answer(None if self.peers.has_any else False)
             return
 
         def on_event(event: CallEvent) -> None:
-            if isinstance(event, ResponseHead):
-                on_answer(event.status == STATUS_REACHED)
+            if isinstance(event, CallFailed):
+                self.peers.record_failure(peer)
+                self.ask_peer(endpoint_id, on_answer, questions - 1)
+            elif isinstance(event, ResponseHead) and event.status in ANSWERS:
+                on_answer(ANSWERS[event.status])
+            elif isinstance(event, ResponseHead):
+                self.ask_peer(endpoint_id, on_answer, questions - 1)
 
         call = OutboundCall(
             peer,
             "GET",
             f"{REACH_PATH}?{urlencode({'endpoint': endpoint_id})}",
             timeout=QUESTION_TIMEOUT_SECONDS,
+            stream=True,
             connect_timeout=QUESTION_TIMEOUT_SECONDS,
         )
         self._transport.start(call, on_event)
--- a/flamingofront/request/path_monitor.py
+++ b/flamingofront/request/path_monitor.py
@@ -66,7 +66,7 @@
         self.enabled = False
         self.on_lost: Callable[[], None] = lambda: None
         self.on_restored: Callable[[], None] = lambda: None
-        self.ask_peer: Callable[[str, Callable[[bool], None]], None] = (
+        self.ask_peer: Callable[[str, Callable[[bool | None], None]], None] = (
             lambda endpoint_id, on_answer: None
         )
         self._paths = DirectPaths()
@@ -247,7 +247,7 @@
         if not sample:
             on_result("")
 
-    def _on_answer(self, service: str, is_reached: bool) -> None:
+    def _on_answer(self, service: str, is_reached: bool | None) -> None:
         """Take the paths to a service for lost if a peer reaches an endpoint of it."""
         endpoints = list(self._directory.zones_of(service))
         if not is_reached or self._paths.count_reached(endpoints):
--- a/flamingofront/request/proxy_messages.py
+++ b/flamingofront/request/proxy_messages.py
@@ -18,6 +18,7 @@
     "REACH_PATH",
     "STATUS_NOT_REACHED",
     "STATUS_REACHED",
+    "STATUS_UNKNOWN",
     "ProxiedCall",
     "ProxyFailure",
     "ProxyRefusal",
@@ -33,6 +34,7 @@
 REACH_PATH = "/reach"
 STATUS_REACHED = 200
 STATUS_NOT_REACHED = 504
+STATUS_UNKNOWN = 503
 
 
 class ProxyRefusal(StrEnum):
--- a/flamingofront/tests/test_serving_without_paths.py
+++ b/flamingofront/tests/test_serving_without_paths.py
@@ -298,3 +298,26 @@
         sent = [world.ask("front-1", "/read/1") for _ in range(20)]
         world.finish(*sent)
         assert len(runs_of(world, "/")) - before == counted["desk"] == 20
+
+
+class TestSinglePaths:
+    def test_refused_path_is_no_crash_of_the_endpoint(self):
+        # Requests on a path that was reset were quarantined as if they had crashed endpoints.
+        world = paths_world()
+        offer(world, 0.5)
+        for name in ("plain-1", "plain-2", "plain-3", "plain-4"):
+            for each in world.endpoints.values():
+                each.gap = 0.3
+            callers = [world.ask("front-1", "/read/same") for _ in range(8)]
+            world.run(0.1)
+            world.fail_paths(("front-1",), (name,), PathFault.REFUSED)
+            world.finish(*callers)
+            world.run(1.0)
+            world.heal()
+            world.run(2.0)
+        again = [world.ask(front, "/read/same") for front in FRONTS for _ in range(4)]
+        world.finish(*again)
+        assert {each.status for each in again} == {200}
+        nodes = world.fronts.values()
+        assert not any(node.hub.guard.quarantine.list_entries() for node in nodes)
+        assert not any(node.metrics.value("endpoint_ends_total") for node in nodes)
