A reload signal during the start does not end the process

What callers saw: a process that was told to reload while it started was gone, without a line of log. Cause: SIGHUP ends a process without a handler, and the handler was installed after the imports (0.3 s). Change: the program first imports a module that records the signal; the settings are read again at the start. Result: test_reload_signal_during_the_imports_does_not_end_the_process passes.

--- a/flamingofront/forward_daemon.py
+++ b/flamingofront/forward_daemon.py
@@ -1,5 +1,9 @@
 """`flamingofront-forward`: the entry process on the users' platform."""
 
+# First, since SIGHUP would end the process while the other modules are imported.
+from flamingofront.process.early_signals import was_reload_requested
+
+# isort: split
 import os
 import random
 import signal
@@ -168,6 +172,8 @@
     def run(self) -> None:
         """Serve until a graceful shutdown is complete."""
         signal.signal(signal.SIGHUP, self._handle_reload_signal)
+        if was_reload_requested():
+            self.runtime.timers.once(0.0, self._reload_settings)
         self._log.info("listening", ip=self._settings.ip, ports=self._ports)
         self.node.start()
         self.runtime.run()
--- a/flamingofront/tests/test_forward_processes.py
+++ b/flamingofront/tests/test_forward_processes.py
@@ -205,6 +205,27 @@
         assert named in errors and errors.count(b"\n") == 1
 
 
+class TestEarlyReload:
+    def test_reload_signal_during_the_imports_does_not_end_the_process(self):
+        # A process that was started and told to reload at once was ended by the signal.
+        program = (
+            "import builtins, os, signal\n"
+            "imported = builtins.__import__\n"
+            "def send_first(name, *rest, **more):\n"
+            "    module = imported(name, *rest, **more)\n"
+            "    if name == 'flamingofront.connection.client':\n"
+            "        os.kill(os.getpid(), signal.SIGHUP)\n"
+            "    return module\n"
+            "builtins.__import__ = send_first\n"
+            "import flamingofront.forward_daemon as daemon\n"
+            "print(daemon.was_reload_requested())\n"
+        )
+        done = subprocess.run(
+            [sys.executable, "-c", program], capture_output=True, text=True, timeout=WAIT_SECONDS
+        )
+        assert (done.returncode, done.stdout.strip()) == (0, "True")
+
+
 class TestDeployFile:
     def test_dependencies_are_kept_once(self):
         project = tomllib.loads((ROOT / "pyproject.toml").read_text())
