--- a/flamingofront/request/tests/test_attempt_pace.py
+++ b/flamingofront/request/tests/test_attempt_pace.py
@@ -40,6 +40,6 @@
         world.ask("front-1", "/stream/again/x")
         world.run(0.5)
         (request,) = hub.active.values()
-        hub.fail_over_zone(world.host(request.endpoint_id).zone)
+        hub.failover.fail_over_zone(world.host(request.endpoint_id).zone)
         world.run(0.5)
         assert len(request.endpoints) == 2 and outcomes == []
