The log tells version, origin and last event of each attempt of a stream

Cause: two hypotheses of the incident cannot be told apart: no line names the version of the endpoint of an attempt, nor that the caller resumes a stream, which of its attempts began it, and after which event it goes on. Change: the header that names the attempt that began a stream is decoded (origin_id), the last event too; attempt started has version, origin and last_event. Stand-in world with endpoints of several versions and callers that resume. Result: the test of the line passes; no logic changes.

--- a/flamingofront/platform/requests.py
+++ b/flamingofront/platform/requests.py
@@ -32,6 +32,8 @@
 URGENCY_HEADER = "X-Flamingofront-Request-Urgency"
 NOT_RUN_HEADER = HEADER_PREFIX + "not-executed"
 LAST_EVENT_HEADER = "last-event-id"
+# Request id of the caller's attempt that brought the first event of the stream to be resumed.
+ORIGIN_HEADER = "resumes"
 # Requests per second that the endpoint accepts from all entry processes together, as a decimal.
 RATE_LIMIT_HEADER = "server-limit"
 DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?", re.ASCII)
@@ -105,6 +107,8 @@
             prompt_tokens=counts[0] if counts else 0,
             output_tokens=counts[1] if counts else 0,
             counts_tokens=counts is not None,
+            origin_id=req.header(ORIGIN_HEADER),
+            last_event=req.header(LAST_EVENT_HEADER),
             fields=_remove_headers(req.fields, NOT_FORWARDED | hop_names),
         )
 
--- a/flamingofront/request/forward_gateway.py
+++ b/flamingofront/request/forward_gateway.py
@@ -304,6 +304,8 @@
             prompt=caller.prompt,
             prompt_tokens=caller.prompt_tokens,
             output_tokens=caller.output_tokens,
+            origin_id=caller.origin_id if route.resumable else "",
+            last_event=caller.last_event if route.resumable else "",
         )
         return RequestRecord(
             request_id=f"{caller.request_id}#{next(self._numbers)}",
--- a/flamingofront/request/forward_work.py
+++ b/flamingofront/request/forward_work.py
@@ -47,6 +47,11 @@
         Maximum number of tokens of the response.
     counts_tokens : bool
         True if the request states its numbers of tokens.
+    origin_id : str
+        Id of the caller's attempt that brought the first event of the stream to be resumed; empty
+        if the caller names none.
+    last_event : str
+        Id of the last event that the caller has received; empty if none.
     fields : tuple of (str, str)
         Headers to forward, without hop-by-hop headers and those that only this system may set.
     """
@@ -61,6 +66,8 @@
     output_tokens: int
     counts_tokens: bool
     fields: Fields
+    origin_id: str = ""
+    last_event: str = ""
 
 
 @dataclass(frozen=True)
@@ -77,6 +84,9 @@
         Maximum number of attempts.
     caller_id : str
         Id that the caller gave; not unique, as a caller may use an id twice.
+    origin_id, last_event : str
+        Attempt of the caller that began the stream, and last event that the caller has received, if
+        the caller resumes a stream; empty otherwise.
     """
 
     method: str
@@ -93,6 +103,13 @@
     prompt: tuple[PromptPart, ...] = ()
     prompt_tokens: int = 0
     output_tokens: int = 0
+    origin_id: str = ""
+    last_event: str = ""
+
+    @property
+    def resumes_stream(self) -> bool:
+        """True if the caller has received a part of this stream before."""
+        return self.resumable and bool(self.origin_id or self.last_event)
 
 
 @dataclass(frozen=True)
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -42,6 +42,8 @@
 # Tolerated difference between the wall clocks of an endpoint and an entry VM, usually a few
 # milliseconds. An attempt within the margin still ends when its connection is reset.
 CLOCK_MARGIN_SECONDS = 0.25
+# Characters of an id that the caller chose, in a line of the log.
+MAX_LOGGED_ID = 64
 
 
 class ForwardedRequest(ActiveRequest):
@@ -205,6 +207,9 @@
             service=self.record.service.name,
             endpoint=chosen.endpoint_id,
             zone_of_endpoint=chosen.zone,
+            version=chosen.side,
+            origin=self.work.origin_id[:MAX_LOGGED_ID],
+            last_event=(self.relay.last_id or self.work.last_event)[:MAX_LOGGED_ID],
             load=round(chosen.load, 1),
             slots=chosen.slots,
             backlog=chosen.backlog_tokens,
--- a/flamingofront/tests/forwarding_world.py
+++ b/flamingofront/tests/forwarding_world.py
@@ -211,6 +211,7 @@
         method: str = "POST",
         body: bytes = b"body",
         key: str | None = "key-1",
+        request_id: str | None = None,
         **headers: str,
     ) -> Caller:
         """Send a caller's request to an entry process without waiting."""
@@ -218,7 +219,7 @@
         caller = Caller(self.fronts[front], host)
         fields = [
             ("Host", "desk.example"),
-            ("X-Flamingofront-Request-Id", f"r-{self.rng.getrandbits(48):012x}"),
+            ("X-Flamingofront-Request-Id", request_id or f"r-{self.rng.getrandbits(48):012x}"),
             ("X-Flamingofront-Deadline-Ms", "3000"),
         ]
         if key is not None:
--- /dev/null
+++ b/flamingofront/tests/versions_world.py
@@ -0,0 +1,140 @@
+"""Simulated network whose model endpoints have several software versions, and callers that resume.
+
+An endpoint writes its version into each event, so that a caller's events tell which versions they
+come from, as callers and operators cannot.
+"""
+
+import itertools
+import re
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from flamingofront.tests.forwarding_world import ForwardingWorld, configuration
+from flamingofront.tests.network import Caller
+
+__all__ = ["StreamCaller", "VersionsWorld", "versions_world"]
+
+_EVENT = re.compile(rb"id: (\d+)\ndata: (\S+)\n\n")
+ZONES = ("zone-a", "zone-b")
+EVENTS = 24
+GAP_SECONDS = 0.06
+MAX_ATTEMPTS = 3
+
+
+class VersionsWorld(ForwardingWorld):
+    """World that knows the version of each endpoint.
+
+    Attributes
+    ----------
+    versions : dict of str to str
+        Version of each endpoint that was started.
+    """
+
+    def __init__(self, seed: int = 1):
+        super().__init__(seed)
+        self.versions: dict[str, str] = {}
+
+    def versioned_engine(self, name: str, version: str, zone: str = "zone-a", **options):
+        """Start a model endpoint of a version."""
+        self.versions[name] = version
+        options = {"events": EVENTS, "gap": GAP_SECONDS, **options}
+        return self.endpoint(name, "engines", zone, version, **options)
+
+    def remove_version(self, version: str) -> None:
+        """Kill all endpoints of a version, and remove their rows."""
+        for name in [each for each, found in self.versions.items() if found == version]:
+            self.kill(name)
+            self.store.drop("servers", name)
+
+    def live_fronts(self) -> list[str]:
+        """Return the entry processes that run."""
+        return [name for name in self.fronts if not self.host(name).dead]
+
+
+def versions_world(
+    fronts: int = 5, versions: tuple[str, ...] = ("v1", "v1.2"), each: int = 3, seed: int = 1
+) -> VersionsWorld:
+    """Return a ready world with endpoints of each version in two zones."""
+    world = VersionsWorld(seed)
+    doc = configuration()
+    doc["routes"] = [{**route, "max_attempts": MAX_ATTEMPTS} for route in doc["routes"]]
+    world.configure_routes(routes=doc["routes"])
+    zones = itertools.cycle(ZONES)
+    for version in versions:
+        for number in range(1, each + 1):
+            world.versioned_engine(f"{version}-{number}", version, next(zones))
+    for number in range(1, fronts + 1):
+        world.front(f"front-{number}", ZONES[number % 2])
+    world.run_until(lambda: all(node.ready for node in world.fronts.values()))
+    world.run(12.0)  # a new process has a smaller retry budget
+    return world
+
+
+@dataclass
+class StreamCaller:
+    """A caller that takes up its stream again until it is whole or its tries are used up.
+
+    Parameters
+    ----------
+    world : VersionsWorld
+        Network in which it calls.
+    number : int
+        Its stream; each has a target of its own.
+    """
+
+    world: VersionsWorld
+    number: int
+    tries: list[tuple[str, str, Caller]] = field(default_factory=list)
+
+    def call(self, front: str, **headers: str) -> Caller:
+        """Send the next try to an entry process: the first one, or one that resumes the stream."""
+        request_id = f"s{self.number}-{len(self.tries) + 1}"
+        if self.origin_id and not headers:
+            headers = {"Resumes": self.origin_id, "Last_Event_Id": str(self.events[-1][0])}
+        caller = self.world.ask(
+            front,
+            f"/stream/again/{self.number}",
+            request_id=request_id,
+            **headers,
+        )
+        self.tries.append((request_id, front, caller))
+        return caller
+
+    @property
+    def caller(self) -> Caller:
+        """Connection of the last try."""
+        return self.tries[-1][2]
+
+    @property
+    def events(self) -> list[tuple[int, str]]:
+        """Numbers of the events that all tries brought, and the endpoint of each."""
+        return [each for _, _, caller in self.tries for each in _read_events(caller)]
+
+    @property
+    def origin_id(self) -> str:
+        """Id of the try that brought the first event; empty without one."""
+        return next((name for name, _, caller in self.tries if any(_read_events(caller))), "")
+
+    @property
+    def seen_versions(self) -> set[str]:
+        """Versions of the endpoints whose events the tries brought."""
+        return {self.world.versions[endpoint] for _, endpoint in self.events}
+
+    @property
+    def is_whole(self) -> bool:
+        """True if each event came once and in order, and the last try ended as complete."""
+        numbers = [number for number, _ in self.events]
+        done = self.caller.done and not self.caller.broken and self.caller.status == 200
+        return done and numbers == list(range(1, EVENTS + 1))
+
+    @property
+    def looks_complete(self) -> bool:
+        """True if the last try ended as a complete stream."""
+        return self.caller.done and not self.caller.broken and self.caller.status == 200
+
+
+def _read_events(caller: Caller) -> Iterator[tuple[int, str]]:
+    if caller.status != 200:
+        return
+    for match in _EVENT.finditer(caller.body):
+        yield int(match[1]), match[2].decode()
