--- a/flamingofront/tests/versions_world.py
+++ b/flamingofront/tests/versions_world.py
@@ -46,6 +46,10 @@
             self.kill(name)
             self.store.drop("servers", name)
 
+    def hosts_by_name(self) -> list[str]:
+        """Return the names of all hosts."""
+        return [each.name for each in self.hosts.values()]
+
     def live_fronts(self) -> list[str]:
         """Return the entry processes that run."""
         return [name for name in self.fronts if not self.host(name).dead]
