A stream goes on only at endpoints of the version that began it

Cause: an attempt that continues a stream took any endpoint of its service; a process that a caller reached to resume a stream knew nothing of the version that began it, and read nothing of what the caller names. Class: one endpoint is taken for as good as another though what they write does not fit together. Change: StreamOrigin (version, service, endpoint) of a stream; once an event was sent, or if its caller resumes it, the choice is restricted to endpoints of that version (SameVersion); without any the answer breaks, or the try is refused at once (stream_not_resumable, 503, not run). An endpoint whose row changes its version under one id makes what began there uncertain. Why it holds: the rule is applied at the choice of an endpoint, which all ways of an attempt share, and the unknown is refused rather than guessed.

--- a/flamingofront/decisions/rollout.py
+++ b/flamingofront/decisions/rollout.py
@@ -14,6 +14,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from flamingofront.decisions.endpoint_rule import EndpointRule
 from flamingofront.process.membership import Fact
 
 __all__ = [
@@ -180,7 +181,7 @@
 
 
 @dataclass(frozen=True)
-class VersionRule:
+class VersionRule(EndpointRule):
     """Rule that selects the endpoints for a request during a rollout.
 
     Parameters
--- a/flamingofront/errors.py
+++ b/flamingofront/errors.py
@@ -51,6 +51,7 @@
     DRAINING = "draining"
     NOT_READY = "not_ready"
     NO_ENDPOINT = "no_endpoint"
+    STREAM_NOT_RESUMABLE = "stream_not_resumable"
     RETRY_BUDGET_EXHAUSTED = "retry_budget_exhausted"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     ENDPOINT_FAILED = "endpoint_failed"
@@ -124,6 +125,9 @@
     ErrorKind.NO_ENDPOINT: ErrorResponse(
         503, Executed.NO, True, "no endpoint can take the request"
     ),
+    ErrorKind.STREAM_NOT_RESUMABLE: ErrorResponse(
+        503, Executed.NO, True, "no endpoint can continue the stream; it may be started anew"
+    ),
     ErrorKind.RETRY_BUDGET_EXHAUSTED: ErrorResponse(
         503, Executed.UNKNOWN, True, "the retry budget of the service is used up"
     ),
--- a/flamingofront/process/forwarding/control.py
+++ b/flamingofront/process/forwarding/control.py
@@ -73,6 +73,7 @@
         for path in EndpointPath:
             gauge("endpoint_paths", counts[path], path=path.value)
         gauge("proxied_attempts", node.proxy.count_active())
+        gauge("stream_origins", len(node.origins.local.table))
         gauge("endpoints_limited", len(node.hub.limits.limited_endpoints()))
         gauge("configuration_revision", node.configuration.version)
         gauge("store_era", node.store.era)
--- a/flamingofront/process/forwarding/endpoints.py
+++ b/flamingofront/process/forwarding/endpoints.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 
+from flamingofront.decisions.stream_origin import VersionHistory
 from flamingofront.process.forwarding.endpoint_row import EndpointRow
 from flamingofront.process.forwarding.provenance import Source
 from flamingofront.process.logs import Log
@@ -49,6 +50,11 @@
         Called with the last valid row of each endpoint whose row was removed or is unreadable.
     on_restarted : callable
         Called with the first row after a restart of an endpoint, and the last row before it.
+
+    Attributes
+    ----------
+    versions : VersionHistory
+        Versions that the endpoints have had.
     """
 
     def __init__(
@@ -68,6 +74,7 @@
         self._on_leaving = on_leaving
         self._on_removed = on_removed
         self._on_restarted = on_restarted
+        self.versions = VersionHistory(timers.now)
         self._rows: dict[str, EndpointRow] = {}
         # Last rows of removed endpoints, and ids of those removed because of an unreadable row.
         self._last_rows: dict[str, EndpointRow] = {}
@@ -227,7 +234,8 @@
         incarnation = 0
         if fact is not None:
             returned = newer and fact.state is VmState.GONE
-            incarnation = fact.incarnation + (restarted or returned)
+            has_new_version = fact.side != row.version
+            incarnation = fact.incarnation + (restarted or returned or has_new_version)
         state = VmState.LIVE if row.ready else VmState.LEAVING
         self._merge_fact(row, incarnation, state, source)
 
@@ -253,6 +261,10 @@
             reclaimable=row.reclaimable,
             slots=row.slots,
         )
+        if state is VmState.GONE:
+            self.versions.record_removal(row.endpoint_id)
+        else:
+            self.versions.record(row.endpoint_id, row.service, row.version)
         if self._facts.merge((fact,)):
             self._log.info(
                 "endpoint state changed",
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -28,6 +28,7 @@
 from flamingofront.process.forwarding.limit_arbiter import LimitArbiters, LimitContext
 from flamingofront.process.forwarding.limit_members import LimitMembers
 from flamingofront.process.forwarding.observations import Observations
+from flamingofront.process.forwarding.origin_members import OriginMembers
 from flamingofront.process.forwarding.own_report import LocalReport, ReportSources
 from flamingofront.process.forwarding.peer_word import PeerDispatcher, UpdateReceivers
 from flamingofront.process.forwarding.peers import Peers
@@ -40,6 +41,7 @@
 from flamingofront.process.forwarding.rollouts import RolloutController, Rollouts
 from flamingofront.process.forwarding.scaling import ScalingController
 from flamingofront.process.forwarding.settings import DeploymentSettings
+from flamingofront.process.forwarding.shared_origins import SharedOrigins
 from flamingofront.process.forwarding.usage import UsageBook, UsageCoverage, UsageReporter
 from flamingofront.process.forwarding.vanished import UnobservedRemovals
 from flamingofront.process.forwarding.whole_load import ClusterLoad
@@ -79,6 +81,8 @@
 LAST_RESPONSES_SECONDS = 0.05
 # Fraction of an endpoint's connections that may be idle.
 IDLE_SHARE = 0.5
+# Age up to which the known endpoints count as current; reports that confirm them come each 0.25 s.
+CURRENT_ENDPOINTS_SECONDS = 3.0
 USAGE = "usage"
 SCALING = "scaling"
 
@@ -334,6 +338,7 @@
         self.peers.on_quota_request = self.arbiters.handle_request
         self.peers.on_quota_reply = self.arbiters.handle_reply
         self._build_limits()
+        self._build_origins()
         self.exchange = PeerSync(self.store_view, self.tasks, self.timers.now, self._rng, self.log)
         self.exchange.remote_watchers = self._remote_relays
         self.exchange.zone_peers = self._zone_peers
@@ -399,6 +404,23 @@
         self.peers.on_permit_request = self.limit_arbiters.handle_request
         self.peers.on_permit_reply = self.limit_arbiters.handle_reply
 
+    def _build_origins(self) -> None:
+        """Build the announcement and lookup of the versions that began streams."""
+        self.hub.origins = self.origins = SharedOrigins(
+            OriginMembers(self._report_builder.identity, self.peers, self.timers),
+            self.store_view.endpoints.versions,
+            self._has_current_endpoints,
+            self.peers.send,
+            self.timers,
+            self.metrics,
+        )
+        self.peers.on_origin_datagram = self.origins.receive
+
+    def _has_current_endpoints(self) -> bool:
+        """Return True if the known endpoints were confirmed a moment ago."""
+        age = self.store_view.endpoints_age()
+        return age is not None and age <= CURRENT_ENDPOINTS_SECONDS
+
     def _defers_quota_decisions(self) -> bool:
         """Return True if this process is stopping or new, so that others decide on quotas."""
         return self.stopping or self.quota_members.is_newcomer()
--- a/flamingofront/process/forwarding/operators.py
+++ b/flamingofront/process/forwarding/operators.py
@@ -42,6 +42,7 @@
     "endpoints": (
         "endpoint",
         "service",
+        "version",
         "zone",
         "state",
         "address",
@@ -142,6 +143,7 @@
             {
                 "endpoint": fact.vm_id,
                 "service": fact.service,
+                "version": fact.side,
                 "zone": fact.zone,
                 "state": fact.state.value,
                 "address": fact.address,
--- a/flamingofront/process/forwarding/peers.py
+++ b/flamingofront/process/forwarding/peers.py
@@ -14,6 +14,7 @@
     is_permit_reply,
     is_permit_request,
 )
+from flamingofront.process.forwarding.origin_messages import is_origin_datagram
 from flamingofront.process.forwarding.quota_messages import is_quota_reply, is_quota_request
 from flamingofront.process.forwarding.relaying import (
     DIGEST_PERIOD_SECONDS,
@@ -85,6 +86,8 @@
         return "quota"
     if is_permit_request(data) or is_permit_reply(data):
         return "limit"
+    if is_origin_datagram(data):
+        return "origin"
     return "digest" if is_digest(data) else "note" if is_load_delta(data) else "report"
 
 
@@ -113,6 +116,8 @@
 
     Attributes
     ----------
+    is_table_read : bool
+        True once the member table was read.
     relaying : Relaying
         Gossip through relays, used in large deployments.
     """
@@ -150,7 +155,7 @@
         self._log = log
         self.relaying = Relaying(identity, self.table, self._send_one, relay_listener, timers, rng)
         self._registered: dict[str, float] = {}
-        self._is_table_read = False
+        self.is_table_read = False
         self._is_registered = False
         self._logged_liveness: tuple | None = None
         self._rejected_senders: set[str] = set()
@@ -159,6 +164,7 @@
         self.on_permit_reply: Callable[[bytes, str], None] = lambda data, ip: None
         self.on_quota_request: Callable[[bytes, str], None] = lambda data, ip: None
         self.on_quota_reply: Callable[[bytes, str], None] = lambda data, ip: None
+        self.on_origin_datagram: Callable[[bytes, str], None] = lambda data, ip: None
         # Returns, by IP address, which of the given endpoints that process prefers too.
         self.shared_endpoints: Callable[[Iterable[str]], Mapping[str, list[str]]] = (
             lambda endpoints: {}
@@ -186,6 +192,10 @@
         """True if there are too many processes for each to send reports to all others."""
         return len(self._ips) > MAX_DIRECT_PEERS
 
+    def known_ips(self) -> list[str]:
+        """Return the IP addresses of all other processes, live or not."""
+        return sorted(self._ips)
+
     def is_counting_directly(self) -> bool:
         """Return True if quota consumption is counted from direct reports, not from digests."""
         return not self.is_relayed or self.relaying.is_counting_directly()
@@ -223,7 +233,7 @@
         workspace that sent four times its quota got 200 requests admitted within 0.15 s, 1 to 2 %
         more than the limit of its window.
         """
-        if not self._is_table_read and not self.live_count():
+        if not self.is_table_read and not self.live_count():
             return ASSUMED_MEMBERS
         if self.is_relayed:
             return max(self.relaying.count_members()[0], len(self._list_recently_registered()) + 1)
@@ -330,7 +340,7 @@
 
     def _add_members(self, rows) -> None:
         """Add the processes in the rows of the member table; malformed rows are logged."""
-        self._is_table_read = True
+        self.is_table_read = True
         until = self._timers.now() + MEMBER_POLL_SECONDS
         for row in rows:
             if row.value is None or row.key == self._identity.vm_id:
@@ -454,6 +464,8 @@
             self.on_permit_request(data, ip)
         elif is_permit_reply(data):
             self.on_permit_reply(data, ip)
+        elif is_origin_datagram(data):
+            self.on_origin_datagram(data, ip)
         elif is_digest(data):
             digest = decode_digest(data)
             if not self.relaying.is_valid_source(digest, ip):
--- a/flamingofront/process/forwarding/relay_hearing.py
+++ b/flamingofront/process/forwarding/relay_hearing.py
@@ -67,6 +67,11 @@
         """Return the IP addresses of all processes in the member table, live or not."""
         return {ip for zone in self._registered.values() for ip in zone.values()}
 
+    def members_by_zone(self) -> dict[str, dict[str, str]]:
+        """Return the IP address by VM of the members of each zone, live ones only in the own."""
+        others = {zone: dict(members) for zone, members in self._registered.items()}
+        return {**others, self._identity.zone: self.zone_members()}
+
     @property
     def is_relay(self) -> bool:
         """True if this process is a relay, which sums the reports of its zone."""
--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -7,8 +7,8 @@
 from flamingofront.connection.interfaces import CallEvent, CallHandle
 from flamingofront.decisions.admission import Ticket
 from flamingofront.decisions.choice import Candidate
+from flamingofront.decisions.endpoint_rule import EndpointRule
 from flamingofront.decisions.quarantine_facts import QuarantineStatus
-from flamingofront.decisions.rollout import VersionRule
 from flamingofront.errors import ErrorKind, Executed, RequestError
 from flamingofront.messages import (
     CallFailed,
@@ -163,8 +163,8 @@
         """Return the prompt prefix that is shared with other requests; None if unknown."""
         return None
 
-    def version_rule(self) -> VersionRule | None:
-        """Return the endpoint versions that the next attempt may use; None for any version."""
+    def version_rule(self) -> EndpointRule | None:
+        """Return the rule for the endpoints of the next attempt; None for any endpoint."""
         return None
 
     def defer_start(self) -> None:
--- a/flamingofront/request/directory.py
+++ b/flamingofront/request/directory.py
@@ -12,8 +12,8 @@
 
 from flamingofront.decisions.choice import Candidate, compute_report_weight
 from flamingofront.decisions.direct_paths import EndpointPath
+from flamingofront.decisions.endpoint_rule import EndpointRule
 from flamingofront.decisions.retry import EndpointHealth
-from flamingofront.decisions.rollout import VersionRule
 from flamingofront.decisions.shares import RemotePrompts
 from flamingofront.decisions.zone_reach import ZoneReachability
 from flamingofront.process.membership import Fact, FactTable, Role, VmState
@@ -209,7 +209,7 @@
         rng: random.Random,
         shared: "SharedPrefix | None" = None,
         include_all: bool = False,
-        rule: VersionRule | None = None,
+        rule: EndpointRule | None = None,
         closed: frozenset[str] = frozenset(),
     ) -> list[Candidate]:
         """Return the live endpoints of a service among which to choose.
@@ -223,8 +223,8 @@
             contents; they all expect the prefix at the endpoint chosen by rendezvous hashing.
         include_all : bool
             Return all endpoints instead of a sample.
-        rule : VersionRule, optional
-            Versions that may be chosen during a rollout.
+        rule : EndpointRule, optional
+            Rule that restricts the endpoints, during a rollout or for a stream in progress.
         closed : frozenset of str
             Endpoints that accept no requests now, by their rate limit or a back-off they asked for.
 
@@ -367,6 +367,15 @@
             if name not in endpoints.drained
         }
 
+    def endpoints_of_version(self, service: str, version: str) -> list[str]:
+        """Return the ids of the endpoints of a service and version that may get new requests."""
+        endpoints = self._endpoints_of(service)
+        return [
+            name
+            for name, fact in endpoints.facts.items()
+            if fact.side == version and name not in endpoints.drained
+        ]
+
     def advertised_slots(self, service: str) -> int:
         """Return the most slots that an endpoint of a service advertises; 0 if none does."""
         facts = self._endpoints_of(service).facts
--- a/flamingofront/request/forward_gateway.py
+++ b/flamingofront/request/forward_gateway.py
@@ -17,7 +17,9 @@
 from flamingofront.request.hub import RequestHub
 from flamingofront.request.quota_gate import LocalQuotaGate, QuotaDecision, QuotaGate
 from flamingofront.request.records import RequestRecord
+from flamingofront.request.resumption import Resumption
 from flamingofront.request.stop_refusal import make_shutdown_rejection
+from flamingofront.request.stream_origins import OriginLookup, OriginQuery, compute_origin_key
 from flamingofront.request.unknown_gate import AssumedFreshness, ConfigFreshness
 from flamingofront.version.forwarding import (
     ForwardedRoute,
@@ -128,6 +130,7 @@
         self._log = log
         self._on_response_start = on_response_start
         self._numbers = itertools.count(1)
+        self._resumption = Resumption(hub)
 
     def handle(self, req: InboundRequest, exchange: Exchange) -> None:
         """Accept or reject a request; a `RequestError` is sent as an error response."""
@@ -178,7 +181,44 @@
             **exc.log_fields,
         )
 
-    def _accept_or_raise(self, req: InboundRequest, exchange: Exchange) -> None:
+    def _look_up_origin(
+        self,
+        req: InboundRequest,
+        exchange: Exchange,
+        caller: CallerRequest,
+        route: ForwardedRoute,
+        workspace: ForwardedWorkspace | None,
+    ) -> None:
+        """Find out where a stream began that its caller resumes, then accept or reject it."""
+        name = workspace.name if workspace is not None else ""
+        query = OriginQuery(
+            compute_origin_key(name, route.name, caller.origin_id) if caller.origin_id else "",
+            tuple(each.service for each in route.backends),
+            route.timeout,
+        )
+        caller_presence = _CallerPresence()
+        exchange.on_disconnect = caller_presence.mark_disconnected
+
+        def accept(found: OriginLookup) -> None:
+            if caller_presence.is_disconnected:
+                return
+            try:
+                self._accept_or_raise(req, exchange, found)
+            except RequestError as exc:
+                self._reject(exc, req, exchange)
+
+        self._hub.origins.look_up(query, accept)
+
+    def _accept_or_raise(
+        self, req: InboundRequest, exchange: Exchange, resumed: OriginLookup | None = None
+    ) -> None:
+        """Accept a request, or raise a `RequestError`.
+
+        Parameters
+        ----------
+        resumed : OriginLookup, optional
+            Where the stream began that the caller resumes; it is looked up first if not given.
+        """
         cfg = self.configuration
         if not cfg.version:
             raise RequestError(ErrorKind.NOT_READY, retry_after=NOT_READY_RETRY_SECONDS)
@@ -187,7 +227,10 @@
         if route is None:
             raise RequestError(ErrorKind.UNKNOWN_SERVICE, f"no route for {caller.path[:80]!r}")
         workspace = self._find_workspace(caller, route)
-        record = self._build_record(req, caller, route, workspace)
+        if route.resumable and (caller.origin_id or caller.last_event) and resumed is None:
+            self._look_up_origin(req, exchange, caller, route, workspace)
+            return
+        record = self._build_record(req, caller, route, workspace, resumed)
         # Before the quota: a quota rejection would ask the caller to retry.
         self._hub.guard.reject_quarantined(record)
         units = _count_quota_units(caller, workspace)
@@ -280,6 +323,7 @@
         caller: CallerRequest,
         route: ForwardedRoute,
         workspace: ForwardedWorkspace | None,
+        resumed: OriginLookup | None = None,
     ) -> RequestRecord:
         spent = self._hub.now() - req.head_received_at
         seconds_left = route.timeout - spent
@@ -288,6 +332,8 @@
         if seconds_left <= 0:
             raise RequestError(ErrorKind.DEADLINE_EXCEEDED, "no time is left of the deadline")
         name = route.select_backend(caller.request_id)
+        if resumed is not None:
+            name = self._resumption.check(caller, route, resumed)
         slots = self._hub.directory.advertised_slots(name)
         work = ForwardWork(
             method=req.method,
@@ -306,6 +352,7 @@
             output_tokens=caller.output_tokens,
             origin_id=caller.origin_id if route.resumable else "",
             last_event=caller.last_event if route.resumable else "",
+            resumed=resumed,
         )
         return RequestRecord(
             request_id=f"{caller.request_id}#{next(self._numbers)}",
--- a/flamingofront/request/forward_work.py
+++ b/flamingofront/request/forward_work.py
@@ -7,6 +7,7 @@
 from flamingofront.decisions.lateness import Urgency
 from flamingofront.errors import RequestError
 from flamingofront.messages import InboundRequest, ResponseHead
+from flamingofront.request.stream_origins import OriginLookup
 
 __all__ = [
     "AttemptFacts",
@@ -87,6 +88,8 @@
     origin_id, last_event : str
         Attempt of the caller that began the stream, and last event that the caller has received, if
         the caller resumes a stream; empty otherwise.
+    resumed : OriginLookup, optional
+        Where the stream that the caller resumes began.
     """
 
     method: str
@@ -105,11 +108,7 @@
     output_tokens: int = 0
     origin_id: str = ""
     last_event: str = ""
-
-    @property
-    def resumes_stream(self) -> bool:
-        """True if the caller has received a part of this stream before."""
-        return self.resumable and bool(self.origin_id or self.last_event)
+    resumed: OriginLookup | None = None
 
 
 @dataclass(frozen=True)
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -5,10 +5,11 @@
 from flamingofront.connection.interfaces import CallEvent
 from flamingofront.decisions.admission import Ticket
 from flamingofront.decisions.choice import Candidate
+from flamingofront.decisions.endpoint_rule import EndpointRule
 from flamingofront.decisions.engine_rates import ServiceRates
 from flamingofront.decisions.lateness import LatencyEstimate, classify_urgency, compute_yield_delay
-from flamingofront.decisions.rollout import VersionRule
 from flamingofront.decisions.stopping import StreamTimes
+from flamingofront.decisions.stream_origin import SameVersion, StreamOrigin
 from flamingofront.errors import ErrorKind, Executed, RequestError
 from flamingofront.messages import (
     CallFailed,
@@ -30,7 +31,9 @@
 )
 from flamingofront.request.host import RequestHost
 from flamingofront.request.records import RequestRecord
+from flamingofront.request.resumption import MAX_LOGGED_ID, log_continuation
 from flamingofront.request.stop_refusal import make_shutdown_rejection
+from flamingofront.request.stream_origins import compute_origin_key
 
 __all__ = ["ForwardedRequest"]
 
@@ -42,8 +45,6 @@
 # Tolerated difference between the wall clocks of an endpoint and an entry VM, usually a few
 # milliseconds. An attempt within the margin still ends when its connection is reset.
 CLOCK_MARGIN_SECONDS = 0.25
-# Characters of an id that the caller chose, in a line of the log.
-MAX_LOGGED_ID = 64
 
 
 class ForwardedRequest(ActiveRequest):
@@ -72,8 +73,12 @@
         Time at which the response first started.
     failure : str
         Error kind of a failed request.
+    origin : StreamOrigin or None
+        Where the stream began, once an event was sent or if the caller resumes it.
+    origin_since : float
+        Time at which the endpoint that began the stream was chosen.
     version_rule_of : callable
-        Returns the endpoint versions that the next attempt may use; None for any version.
+        Returns the rule for the endpoints of an attempt that begins a stream; None for any.
     on_response_start : callable
         Called once when the response first starts.
     on_end : callable
@@ -90,7 +95,11 @@
         self.sent_at = 0.0
         self.first_response_at: float | None = None
         self.failure = ""
-        self.version_rule_of: Callable[[ForwardedRequest], VersionRule | None] = (
+        self.origin: StreamOrigin | None = None
+        self.origin_since = self.accepted_at
+        self._next_origin: StreamOrigin | None = None
+        self._restore_origin()
+        self.version_rule_of: Callable[[ForwardedRequest], EndpointRule | None] = (
             lambda request: None
         )
         self._latency = AttemptLatency()
@@ -121,9 +130,64 @@
         """Processing rates of the service's endpoints, learned from their responses."""
         return self.hub.rates.for_service(self.record.service.name)
 
-    def version_rule(self) -> VersionRule | None:
-        """Return the endpoint versions that the next attempt may use; None for any version."""
-        return self.version_rule_of(self)
+    def _restore_origin(self) -> None:
+        """Take over origin and position of a stream that the caller resumes."""
+        resumed = self.work.resumed
+        if resumed is None:
+            return
+        self.origin = resumed.origin
+        self.origin_since = self.accepted_at - (resumed.age or 0.0)
+        self.relay.last_id = self.work.last_event
+
+    def version_rule(self) -> EndpointRule | None:
+        """Return the rule for the endpoints of the next attempt; None for any endpoint."""
+        if self.origin is None:
+            return self.version_rule_of(self)
+        is_certain = self.hub.origins.is_certain(self.origin, self.origin_since)
+        return SameVersion(self.origin.version if is_certain else None)
+
+    def _has_endpoint_to_continue(self) -> bool:
+        """Return True if an endpoint of the version that began the stream serves."""
+        facts = self.hub.directory.endpoints_of_version(self.origin.service, self.origin.version)
+        return bool(facts) and self.hub.origins.is_certain(self.origin, self.origin_since)
+
+    def _record_origin(self, chosen: Candidate) -> None:
+        """Record which version begins the stream, if the current attempt brings its first event."""
+        if not self.work.resumable:
+            return
+        origin = self.origin or StreamOrigin(
+            chosen.side, self.record.service.name, chosen.endpoint_id, len(self.endpoints)
+        )
+        if self.origin is None:
+            self.origin_since = self.hub.now()
+        elif len(self.endpoints) > 1:
+            return
+        self._next_origin = origin
+        for request_id in filter(None, (self.work.caller_id, self.work.origin_id)):
+            self._send_origin(request_id)
+
+    def _send_origin(self, request_id: str) -> None:
+        now = self.hub.now()
+        self.hub.origins.record(
+            compute_origin_key(self.record.workspace, self.record.route, request_id),
+            self._next_origin,
+            self.machine.facts.deadline - now,
+            now - self.origin_since,
+        )
+
+    def _fix_origin(self) -> None:
+        """Fix the origin of the stream at its first event.
+
+        Notes
+        -----
+        After a change of the endpoint the origin is announced twice: peers that lose the second
+        announcement would keep an endpoint whose attempt brought no event.
+        """
+        if self.origin is not None or self._next_origin is None:
+            return
+        self.origin = self._next_origin
+        if self.origin.attempt > 1:
+            self._send_origin(self.work.caller_id)
 
     def prefix_blocks(self) -> tuple[str, ...]:
         """Return the ids of the prompt parts."""
@@ -235,6 +299,9 @@
         )
         work = self.work
         self.endpoints.append(chosen.endpoint_id)
+        self._record_origin(chosen)
+        if self.has_sent_events:
+            log_continuation(self, "resumed")
         self.sent_at = self.hub.now()
         tokens_ahead = self._tokens_ahead if work.stream else 0
         self._latency = AttemptLatency(
@@ -286,6 +353,7 @@
         """Forward complete events to the caller."""
         if self.machine.attempt_id != attempt_id:
             return
+        self._fix_origin()
         self.record_contact()
         self._record_event_interval()
         self.record_response_start()
@@ -431,6 +499,21 @@
         self.log.info("request rejected during shutdown", **rejection.log_fields)
         self.execute(self.machine.fail(rejection.kind, rejection.detail, rejection.retry_after))
 
+    def _defer_without_endpoint(self, action: StartAttempt) -> None:
+        """Schedule another choice, or fail at once if no endpoint can continue the stream."""
+        if self.origin is None or self._has_endpoint_to_continue():
+            super()._defer_without_endpoint(action)
+            return
+        is_certain = self.hub.origins.is_certain(self.origin, self.origin_since)
+        log_continuation(self, "version_gone" if is_certain else "version_unknown")
+        self.execute(
+            self.machine.fail(
+                ErrorKind.STREAM_NOT_RESUMABLE,
+                "no endpoint of the version that began the stream serves",
+                self.hub.no_endpoint_delay(),
+            )
+        )
+
     def fail_for_shutdown(self) -> None:
         """Fail the request because this process exits, unless a stream was partly sent."""
         if self.done or self.has_sent_events:
--- a/flamingofront/request/host.py
+++ b/flamingofront/request/host.py
@@ -26,6 +26,7 @@
 from flamingofront.request.guard import RequestGuard
 from flamingofront.request.permits import Permits
 from flamingofront.request.records import RequestRecord
+from flamingofront.request.stream_origins import StreamOrigins
 from flamingofront.version.model import Service
 
 if TYPE_CHECKING:
@@ -87,6 +88,8 @@
         Back-off periods that endpoints have requested.
     on_endpoint_leaving : callable
         Called with each endpoint that announces its shutdown in a response, and the request id.
+    origins : StreamOrigins
+        Versions that began streams.
     permits : Permits
         Permits to send to endpoints with a rate limit.
     completion : CompletionBounds
@@ -107,6 +110,7 @@
     rates: LearnedRates
     paths: EndpointPaths
     guard: RequestGuard
+    origins: StreamOrigins
     limits: EndpointLimits
     permits: Permits
     backoffs: EndpointBackoffs
@@ -126,6 +130,10 @@
     def choice_timeout(self, record: RequestRecord) -> float:
         """Return the seconds for which the choice of an endpoint is retried."""
 
+    @abstractmethod
+    def no_endpoint_delay(self) -> float:
+        """Return the seconds after which a caller may retry if no endpoint exists."""
+
     @abstractmethod
     def choose_endpoint(
         self, request: "ActiveRequest", exclude: frozenset[str], without_limits: bool = False
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -38,6 +38,7 @@
 from flamingofront.request.permits import Permits
 from flamingofront.request.plain_request import PlainRequest
 from flamingofront.request.records import ModelWork, RequestRecord
+from flamingofront.request.stream_origins import LocalOrigins, StreamOrigins
 from flamingofront.version.model import Service
 
 __all__ = ["HubSettings", "RequestHub"]
@@ -123,6 +124,7 @@
             crash_detector, timers, metrics, log, lambda: tuple(self.active.values())
         )
         self.guard.on_endpoint_crash = self._on_endpoint_crash
+        self.origins: StreamOrigins = LocalOrigins(timers)
         self.limits = EndpointLimits(timers, metrics, log)
         self.permits = Permits(self.limits, timers, metrics, rng)
         self.backoffs = EndpointBackoffs(timers, metrics, log, rng)
@@ -179,7 +181,7 @@
         if not resumed:
             self.guard.reject_quarantined(record)
         if not resumed and self.directory.capacity(service) == 0:
-            raise RequestError(ErrorKind.NO_ENDPOINT, retry_after=self._no_endpoint_delay())
+            raise RequestError(ErrorKind.NO_ENDPOINT, retry_after=self.no_endpoint_delay())
         now = self.now()
         max_wait = record.deadline_left
         if not record.job and not resumed:
@@ -199,7 +201,8 @@
         fraction = self.settings.choice_wait_fraction
         return math.inf if fraction is None else record.service.first_token_target * fraction
 
-    def _no_endpoint_delay(self) -> float:
+    def no_endpoint_delay(self) -> float:
+        """Return the seconds after which a caller may retry if no endpoint exists."""
         return 1.0 + self.rng.random()
 
     def start_ready_requests(self) -> None:
--- a/flamingofront/tests/test_streams_of_versions.py
+++ b/flamingofront/tests/test_streams_of_versions.py
@@ -179,6 +179,7 @@
     def test_line_of_an_attempt_names_version_origin_and_last_event(self):
         # Nothing told the version of an attempt, and that a caller resumed its stream.
         world = versions_world(fronts=1, versions=("v1",))
+        world.run(8.0)  # until the only version is known to be the only one
         with logbook.TestHandler(level="INFO", bubble=True).applicationbound() as log:
             caller = world.ask("front-1", "/stream/again/1", Resumes="r-first", Last_Event_Id="2")
             world.finish(caller)
--- a/flamingofront/tests/versions_world.py
+++ b/flamingofront/tests/versions_world.py
@@ -28,11 +28,24 @@
     ----------
     versions : dict of str to str
         Version of each endpoint that was started.
+    leaving : set of str
+        Endpoints whose row says that they leave.
     """
 
     def __init__(self, seed: int = 1):
         super().__init__(seed)
         self.versions: dict[str, str] = {}
+        self.leaving: set[str] = set()
+
+    def is_serving(self, name: str) -> bool:
+        """Return True if an endpoint runs and takes new requests."""
+        return not self.host(name).dead and name not in self.leaving
+
+    def count_serving(self, version: str) -> int:
+        """Return the number of endpoints of a version that take new requests."""
+        return sum(
+            self.is_serving(name) for name, found in self.versions.items() if found == version
+        )
 
     def versioned_engine(self, name: str, version: str, zone: str = "zone-a", **options):
         """Start a model endpoint of a version."""
@@ -74,7 +87,7 @@
     return world
 
 
-@dataclass
+@dataclass(eq=False)
 class StreamCaller:
     """A caller that takes up its stream again until it is whole or its tries are used up.
 
@@ -89,6 +102,7 @@
     world: VersionsWorld
     number: int
     tries: list[tuple[str, str, Caller]] = field(default_factory=list)
+    _read: dict[str, list[tuple[int, str]]] = field(default_factory=dict)
 
     def call(self, front: str, **headers: str) -> Caller:
         """Send the next try to an entry process: the first one, or one that resumes the stream."""
@@ -112,12 +126,26 @@
     @property
     def events(self) -> list[tuple[int, str]]:
         """Numbers of the events that all tries brought, and the endpoint of each."""
-        return [each for _, _, caller in self.tries for each in _read_events(caller)]
+        return [each for name, _, caller in self.tries for each in self._events_of(name, caller)]
+
+    def _events_of(self, name: str, caller: Caller) -> list[tuple[int, str]]:
+        return self._read[name] if name in self._read else list(_read_events(caller))
+
+    def close_last(self) -> None:
+        """Read nothing more of the last try: its caller has closed the connection."""
+        name, _, caller = self.tries[-1]
+        self._read[name] = list(_read_events(caller))
+
+    def brought_event(self, index: int) -> bool:
+        """Return True if a try brought an event."""
+        name, _, caller = self.tries[index]
+        return bool(self._events_of(name, caller))
 
     @property
     def origin_id(self) -> str:
         """Id of the try that brought the first event; empty without one."""
-        return next((name for name, _, caller in self.tries if any(_read_events(caller))), "")
+        tries = ((name, self._events_of(name, caller)) for name, _, caller in self.tries)
+        return next((name for name, events in tries if events), "")
 
     @property
     def seen_versions(self) -> set[str]:
