A caller that resumes a stream of which only the end is missing gets the end

Cause: a stream that ends without an event of this request was taken for one that broke off before its first event. Change: events of the caller's earlier tries count, as those of earlier attempts within one answer do. Result: test_caller_that_has_all_events_gets_the_end fails on the commit before and passes here.

--- a/flamingofront/request/answer_reader.py
+++ b/flamingofront/request/answer_reader.py
@@ -119,7 +119,7 @@
         body = b"".join(self._chunks)
         complete = EndpointResponse(response.status, response.fields, body)
         if self._is_stream and (
-            self._request.relay.has_partial_event or not self._request.relay.count
+            self._request.relay.has_partial_event or not self._request.has_any_event
         ):
             self._request.report_connection_loss(self._attempt_id)
             self._fail_attempt(Executed.UNKNOWN, "the stream ended within an event")
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -531,6 +531,11 @@
         """True once events were sent to the caller."""
         return self.relay.count > 0
 
+    @property
+    def has_any_event(self) -> bool:
+        """True once the caller has an event of the stream, from this or an earlier request."""
+        return self.has_sent_events or self.work.resumed is not None
+
     def _fail_request(self, action: Fail) -> None:
         if self._error_response is not None and not self.has_sent_events:
             self.status = self._error_response.status
--- a/flamingofront/tests/test_stream_resumptions.py
+++ b/flamingofront/tests/test_stream_resumptions.py
@@ -246,6 +246,17 @@
             assert each.is_whole and len(kinds) == 1 and len(each.seen_versions) == 1
         assert len({each.events[0][1].startswith("other") for each in callers}) == 2
 
+    def test_caller_that_has_all_events_gets_the_end(self):
+        # A stream of which only the end was missing was answered 502.
+        world = versions_world()
+        caller = begin_stream(world, "v1")
+        world.run_until(lambda: len(caller.events) == EVENTS)
+        caller.close_last()
+        caller.caller.leave()
+        caller.call("front-2")
+        world.run(1.0)
+        assert caller.is_whole
+
 
 class TestLog:
     def test_lines_of_a_stream_that_goes_on_and_of_one_that_cannot(self):
