--- /dev/null
+++ b/bench/origins.py
@@ -0,0 +1,120 @@
+"""Ways to know the version that began a stream: what goes on after a kill, and what each costs.
+
+Streams of two versions run in the simulated network; two entry processes are killed while they
+run, and their callers resume at others. Bytes and datagrams are those of all processes on origins.
+"""
+
+import time
+from abc import ABC, abstractmethod
+
+from flamingofront.process.forwarding import shared_origins
+from flamingofront.tests.versions_world import (
+    GAP_SECONDS,
+    StreamCaller,
+    VersionsWorld,
+    versions_world,
+)
+
+__all__ = ["main"]
+
+STREAMS_PER_SECOND = 100.0
+SECONDS = 2.0
+KILLED = ("front-1", "front-2")
+
+
+class Way(ABC):
+    """Way to know the version that began a stream."""
+
+    name: str
+
+    @abstractmethod
+    def prepare(self, world: VersionsWorld) -> None:
+        """Let the processes of a world use this way."""
+
+
+class AnnounceAtOnce(Way):
+    """Announce each attempt to three peers within 5 ms, and ask peers at a resumption."""
+
+    name = "announced at once"
+
+    def prepare(self, world: VersionsWorld) -> None:
+        """Change nothing."""
+
+
+class AnnounceInReports(Way):
+    """Announce with the period of the reports between processes."""
+
+    name = "announced each 0.25 s"
+
+    def prepare(self, world: VersionsWorld) -> None:
+        """Flush as rarely as reports are sent."""
+        shared_origins.FLUSH_SECONDS = 0.25
+
+
+class AskOnly(Way):
+    """Announce nothing, and ask peers at a resumption."""
+
+    name = "asked only"
+
+    def prepare(self, world: VersionsWorld) -> None:
+        """Drop all announcements."""
+        for node in world.fronts.values():
+            node.origins._announce = lambda key, record: None
+
+
+WAYS: tuple[Way, ...] = (AnnounceAtOnce(), AnnounceInReports(), AskOnly())
+
+
+def play(way: Way, fronts: int, seed: int) -> dict[str, float]:
+    """Return the figures of one play."""
+    flush_seconds = shared_origins.FLUSH_SECONDS
+    world = versions_world(fronts, each=6, seed=seed)
+    way.prepare(world)
+    before = sum_origin_bytes(world)
+    started = time.process_time()
+    callers = []
+    while len(callers) < STREAMS_PER_SECOND * SECONDS:
+        caller = StreamCaller(world, len(callers))
+        callers.append(caller)
+        caller.call(f"front-{1 + caller.number % fronts}")
+        world.run(1 / STREAMS_PER_SECOND)
+    spent = time.process_time() - started
+    sent = sum_origin_bytes(world) - before
+    for name in KILLED:
+        world.kill(name)
+    lost = [
+        each for each in callers if each.tries[0][1] in KILLED and each.events and not each.is_whole
+    ]
+    for each in lost:
+        each.call(f"front-{3 + each.number % (fronts - 2)}")
+    world.run(30 * GAP_SECONDS + 1.0)
+    shared_origins.FLUSH_SECONDS = flush_seconds
+    return {
+        "resumed": len(lost),
+        "went on": sum(each.is_whole for each in lost),
+        "mixed": sum(len(each.seen_versions) > 1 for each in lost),
+        "bytes a stream": sent / len(callers),
+        "ms a stream": 1000 * spent / len(callers),
+    }
+
+
+def sum_origin_bytes(world: VersionsWorld) -> float:
+    """Return the bytes of datagrams on origins that all processes have sent."""
+    return sum(
+        node.metrics.value("peer_bytes_total", way="sent", kind="origin")
+        for node in world.fronts.values()
+    )
+
+
+def main() -> None:
+    """Print the figures of each way."""
+    for fronts in (5, 24):
+        for way in WAYS:
+            for seed in (1, 2):
+                figures = play(way, fronts, seed)
+                text = ", ".join(f"{name} {value:g}" for name, value in figures.items())
+                print(f"{fronts} processes, seed {seed}, {way.name}: {text}")
+
+
+if __name__ == "__main__":
+    main()
--- a/flamingofront/standins/programs.py
+++ b/flamingofront/standins/programs.py
@@ -131,6 +131,9 @@
     reject: float = 0.0,
     retry_after: str = "3",
     log_arrivals: bool = False,
+    software: str = "v1",
+    events: int = 8,
+    cut: float = 0.0,
 ) -> None:
     """Serve forwarded requests as an endpoint that registers itself in the store.
 
@@ -147,12 +150,15 @@
     :param retry_after: value of the Retry-After header in seconds
     :param log_arrivals: print a line for each request with its arrival time, whether it was
         rejected, and its id
+    :param software: software version in the row
+    :param events: number of events in a stream
+    :param cut: fraction of the streams that break off in the middle of an event
     """
     row = {
         "service": service,
         "address": bind,
         "zone": zone,
-        "version": "v1",
+        "version": software,
         "slots": slots,
         "state": "ready",
         "cold_left_ms": 0,
@@ -161,14 +167,15 @@
     _register_endpoint(store, endpoint_id, row)
 
     def make_handler(runtime: Runtime) -> Handler:
-        standin = ForwardEndpointStandIn(endpoint_id, runtime.timers, 8, gap)
+        standin = ForwardEndpointStandIn(endpoint_id, runtime.timers, events, gap)
         standin.rate_limit = rate_limit or None
         standin.leaving, standin.retry_after = leaving, retry_after
         rng = random.Random(endpoint_id)
 
         def handle(req: InboundRequest, exchange: Exchange) -> None:
-            is_rejected = rng.random() < reject
-            standin.inject_fault(ForwardFault.REJECT if is_rejected else ForwardFault.NONE)
+            is_rejected, is_cut = rng.random() < reject, rng.random() < cut
+            fault = ForwardFault.CUT if is_cut else ForwardFault.NONE
+            standin.inject_fault(ForwardFault.REJECT if is_rejected else fault)
             if log_arrivals:
                 result = "refused" if is_rejected else "taken"
                 request_id = req.header("x-flamingofront-request-id")
