Paths whose connections are established and lead nowhere are lost paths too

Callers saw: at VMs behind a forwarder that accepts connections and reaches no endpoint, 0 of 234 first tries were served (reset), 0 of 156 (silent), and no write where open connections live on. Cause: an established connection counted as proof of the path; what followed was taken for failures of endpoints. Change: after a new connection that is reset before a response, or without data from an endpoint for 0.4 s while an attempt waits there, a few endpoints are asked for their state (ResponseProbe); without any response a peer is asked whether it gets one, since endpoints that stand still respond to nobody. Then the paths count as lost until responses come. These checks are 0.5 s apart, up to 4 s while they find that paths work. A service's paths are checked in the same way. Why it holds: only a response proves that a request reaches an endpoint, and only a peer's response that it could.

--- a/flamingofront/decisions/direct_paths.py
+++ b/flamingofront/decisions/direct_paths.py
@@ -86,9 +86,21 @@
         """Return how many of the given endpoints were connected since the check started."""
         return sum(self._is_connected(each) for each in endpoint_ids)
 
-    def conclude_check(self, endpoint_ids: Collection[str]) -> PathStatus:
-        """End a check of the given endpoints and return the new state."""
-        is_working = self.count_reached(endpoint_ids) > 0
+    def count_reached_since(self, endpoint_ids: Collection[str], at: float) -> int:
+        """Return how many of the given endpoints were connected since a time."""
+        return sum(self._connected_at.get(each, -math.inf) >= at for each in endpoint_ids)
+
+    def conclude_check(
+        self, endpoint_ids: Collection[str], is_confirmed: bool = True
+    ) -> PathStatus:
+        """End a check of the given endpoints and return the new state.
+
+        Parameters
+        ----------
+        is_confirmed : bool
+            False if endpoints that were not reached are not reached by others either.
+        """
+        is_working = self.count_reached(endpoint_ids) > 0 or not is_confirmed
         self.status = PathStatus.WORKING if is_working else PathStatus.LOST
         return self.status
 
@@ -113,8 +125,7 @@
         They count as lost until a connection is established.
         """
         for each in endpoint_ids:
-            if not self._is_connected(each):
-                self._singly_lost_at.setdefault(each, now)
+            self._singly_lost_at.setdefault(each, now)
 
     @property
     def has_single_losses(self) -> bool:
--- a/flamingofront/platform/config.py
+++ b/flamingofront/platform/config.py
@@ -79,6 +79,7 @@
         slots=engine.get("slots", 0),
         cache_tokens=engine.get("kv_capacity_tokens", 0),
         scaling=_decode_scaling(data.get("scaling")),
+        health_path=data.get("health_path", "/"),
     )
 
 
--- a/flamingofront/platform/requests.py
+++ b/flamingofront/platform/requests.py
@@ -16,6 +16,7 @@
     ForwardWork,
     PromptPart,
 )
+from flamingofront.version.forwarding import ForwardedService
 
 __all__ = ["PlatformProtocol"]
 
@@ -44,6 +45,8 @@
 LEAVING_HEADER = "server-leaving"
 # Seconds as a decimal. HTTP dates are not supported and are ignored.
 RETRY_AFTER_HEADER = "retry-after"
+# State of a model engine.
+REPORT_PATH = "/api/report"
 STATUS_WRONG_ENDPOINT = 421
 STATUS_UNAVAILABLE = 503
 # These statuses state that the request was not executed and never will be.
@@ -128,6 +131,13 @@
             fields += ((URGENCY_HEADER, str(int(facts.urgency))),)
         return fields
 
+    def probe_target(self, service: ForwardedService | None) -> str:
+        """Return the target of a request for the state of an endpoint of a service."""
+        if service is None:
+            return "/"
+        # Engines report without a slot; a health check waits for one.
+        return REPORT_PATH if service.is_model else service.health_path
+
     def decode_response_head(self, request_id: str, head: ResponseHead) -> EndpointResponseHead:
         """Return the facts decoded from the status and headers of an endpoint's response."""
         wrong_endpoint = head.status == STATUS_WRONG_ENDPOINT
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -204,6 +204,7 @@
         self.store_view.on_rollout = self.rollouts.apply_order
         self.hub.on_endpoint_leaving = self._on_endpoint_leaving
         self.hub.paths.monitor.enabled = True
+        self.hub.paths.monitor.probe_target_of = self._probe_target_of
         self.hub.paths.peers.addresses = self._proxy_addresses
         self.hub.on_outcome = self._record_outcome
         self.hub.cache_tokens = self._cache_tokens
@@ -221,6 +222,11 @@
         )
         self.gateway.version_rule = self.rollouts.version_rule
 
+    def _probe_target_of(self, endpoint_id: str) -> str:
+        """Return the target of a request for the state of an endpoint."""
+        service = self.configuration.services.get(self.directory.service_of(endpoint_id))
+        return self._dependencies.protocol.probe_target(service)
+
     def _record_outcome(self, service: str, endpoint_id: str, is_bad: bool) -> None:
         """Count a response for the rollout of its service, if there is one."""
         self.rollouts.record_response(service, self.directory.version_of(endpoint_id), is_bad)
--- a/flamingofront/process/forwarding/observations.py
+++ b/flamingofront/process/forwarding/observations.py
@@ -210,6 +210,7 @@
         self._hub.paths.monitor.check_if_unanswered(
             self._hub.failover.unanswered_since_in_any_zone()
         )
+        self._hub.paths.monitor.check_silent(self._hub.failover.silent_endpoints())
         self._hub.failover.leave_lost_paths()
         self._hub.failover.fail_over_unresponsive_peers()
         zones = self._hub.directory.zones
--- a/flamingofront/process/forwarding/proxy.py
+++ b/flamingofront/process/forwarding/proxy.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from flamingofront.connection.framing import HOP_BY_HOP_FIELDS, get_connection_options
-from flamingofront.connection.interfaces import CallEvent, CallHandle, ConnectResult, Exchange
+from flamingofront.connection.interfaces import CallEvent, CallHandle, Exchange
 from flamingofront.decisions.direct_paths import PathStatus
 from flamingofront.messages import (
     CallFailed,
@@ -19,8 +19,8 @@
     ResponseHead,
 )
 from flamingofront.request.active import NO_CONNECTION_REASONS
-from flamingofront.request.path_monitor import PROBE_TIMEOUT_SECONDS
 from flamingofront.request.proxy_messages import (
+    BY_RESPONSE,
     STATUS_NOT_REACHED,
     STATUS_REACHED,
     STATUS_UNKNOWN,
@@ -73,18 +73,19 @@
         attempt.start(req)
 
     def handle_question(self, req: InboundRequest, exchange: Exchange) -> None:
-        """Respond whether this process can connect to an endpoint."""
+        """Respond whether this process reaches an endpoint."""
         endpoint_id = req.query.get("endpoint", "")
         address = self.node.directory.address_of(endpoint_id)
         if not address or self.node.hub.paths.monitor.is_lost(endpoint_id):
             exchange.respond(STATUS_UNKNOWN, (), b"")
             return
         self.node.metrics.count("endpoint_probes_total")
-        self.node.hub.transport.probe(
-            address,
-            PROBE_TIMEOUT_SECONDS,
-            lambda result: exchange.respond(
-                STATUS_REACHED if result is ConnectResult.CONNECTED else STATUS_NOT_REACHED, (), b""
+        needs_response = req.query.get("by") == BY_RESPONSE
+        self.node.hub.paths.monitor.start_probe(
+            endpoint_id,
+            needs_response,
+            lambda is_reached: exchange.respond(
+                STATUS_REACHED if is_reached else STATUS_NOT_REACHED, (), b""
             ),
         )
 
--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -63,6 +63,8 @@
         Called once with the final answer or error, one of which is None.
     proxy_address : str
         Peer that proxies the attempt in flight; empty if there is none or it is sent directly.
+    has_response : bool
+        True once the endpoint of the current attempt has begun to respond.
     is_trial : bool
         True if this is the trial request that tests whether a quarantined request is harmless.
     """
@@ -108,6 +110,7 @@
         self._permit_claims = PermitClaims(self)
         self._attempt_intents = AttemptIntents(self)
         self.is_trial = False
+        self.has_response = False
 
     @property
     def request_id(self) -> str:
@@ -341,6 +344,7 @@
         self.endpoint_id = chosen.endpoint_id
         self.endpoint_address = chosen.address
         self._sent_at = self.hub.now()
+        self.has_response = False
         self.hub.backoffs.record_send(chosen.endpoint_id)
         self.hub.directory.record_attempt_start(chosen.endpoint_id)
         listener = self._make_listener(action.attempt_id, chosen)
@@ -431,6 +435,8 @@
             is_endpoint_failure = self._record_no_connection(event.reason)
         elif event.reason == "reset" and event.wrote and not self._is_stale_connection(event):
             self.report_connection_loss(attempt_id)
+            if not event.reused and not self.proxy_address and not self.has_response:
+                self.hub.paths.monitor.record_unanswered(self.endpoint_id)
         self.fail_attempt(attempt_id, executed, event.reason, event.wrote, is_endpoint_failure)
 
     def _record_no_connection(self, reason: str) -> bool:
--- a/flamingofront/request/answer_reader.py
+++ b/flamingofront/request/answer_reader.py
@@ -59,6 +59,7 @@
             self._fail_attempt(Executed.NO, f"refused with status {response.status}")
         else:
             self._response = response
+        self._request.has_response = True
         if not response.is_mismatched:
             self._request.record_contact()
             if not head.reused and self._request.has_direct_attempt:
--- a/flamingofront/request/endpoint_paths.py
+++ b/flamingofront/request/endpoint_paths.py
@@ -15,6 +15,8 @@
 from flamingofront.request.directory import EndpointDirectory
 from flamingofront.request.path_monitor import PathMonitor
 from flamingofront.request.proxy_messages import (
+    BY_CONNECTION,
+    BY_RESPONSE,
     FAILURE_HEADER,
     REACH_PATH,
     STATUS_NOT_REACHED,
@@ -34,6 +36,10 @@
 UNRESPONSIVE_PEER_SECONDS = 1.0
 # The peer waits a quarter of a second for a connection.
 QUESTION_TIMEOUT_SECONDS = 0.5
+# Peers that are asked at most; more if endpoints accept connections, since peers that have lost
+# their paths too reply at once that they cannot tell.
+MAX_QUESTIONS = 2
+MAX_RESPONSE_QUESTIONS = 8
 ANSWERS = {STATUS_REACHED: True, STATUS_NOT_REACHED: False}
 
 
@@ -153,18 +159,25 @@
         )
 
     def ask_peer(
-        self, endpoint_id: str, on_answer: Callable[[bool | None], None], questions: int = 2
+        self,
+        endpoint_id: str,
+        needs_response: bool,
+        on_answer: Callable[[bool | None], None],
+        asked: frozenset[str] = frozenset(),
     ) -> None:
         """Ask a peer whether it reaches an endpoint, and another one if it cannot tell.
 
         Parameters
         ----------
+        needs_response : bool
+            True if a connection is no evidence, only a response of the endpoint.
         on_answer : callable
             Called with the answer; with None if no peer knows, with False if there is no peer.
-        questions : int
-            Number of peers to ask at most.
+        asked : frozenset of str
+            Peers that were asked already.
         """
-        peer = self.peers.choose() if questions else None
+        limit = MAX_RESPONSE_QUESTIONS if needs_response else MAX_QUESTIONS
+        peer = self.peers.choose(asked) if len(asked) < limit else None
         if peer is None:
             on_answer(None if self.peers.has_any else False)
             return
@@ -172,16 +185,17 @@
         def on_event(event: CallEvent) -> None:
             if isinstance(event, CallFailed):
                 self.peers.record_failure(peer)
-                self.ask_peer(endpoint_id, on_answer, questions - 1)
+                self.ask_peer(endpoint_id, needs_response, on_answer, asked | {peer})
             elif isinstance(event, ResponseHead) and event.status in ANSWERS:
                 on_answer(ANSWERS[event.status])
             elif isinstance(event, ResponseHead):
-                self.ask_peer(endpoint_id, on_answer, questions - 1)
+                self.ask_peer(endpoint_id, needs_response, on_answer, asked | {peer})
 
+        kind = BY_RESPONSE if needs_response else BY_CONNECTION
         call = OutboundCall(
             peer,
             "GET",
-            f"{REACH_PATH}?{urlencode({'endpoint': endpoint_id})}",
+            f"{REACH_PATH}?{urlencode({'endpoint': endpoint_id, 'by': kind})}",
             timeout=QUESTION_TIMEOUT_SECONDS,
             stream=True,
             connect_timeout=QUESTION_TIMEOUT_SECONDS,
--- a/flamingofront/request/forward_work.py
+++ b/flamingofront/request/forward_work.py
@@ -8,6 +8,7 @@
 from flamingofront.errors import RequestError
 from flamingofront.messages import InboundRequest, ResponseHead
 from flamingofront.request.stream_origins import OriginLookup
+from flamingofront.version.forwarding import ForwardedService
 
 __all__ = [
     "AttemptFacts",
@@ -201,6 +202,10 @@
     def encode_attempt_headers(self, work: ForwardWork, facts: AttemptFacts) -> Fields:
         """Return the headers of an attempt."""
 
+    @abstractmethod
+    def probe_target(self, service: ForwardedService | None) -> str:
+        """Return the target of a request for the state of an endpoint of a service."""
+
     @abstractmethod
     def decode_response_head(self, request_id: str, head: ResponseHead) -> EndpointResponseHead:
         """Return the decoded head of an endpoint's response to a request."""
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -118,7 +118,9 @@
         crash_detector.on_refused = lambda endpoint_id: self.paths.monitor.record_failure(
             endpoint_id, "probe refused"
         )
-        crash_detector.ask_peer = self.paths.ask_peer
+        crash_detector.ask_peer = lambda endpoint_id, on_answer: self.paths.ask_peer(
+            endpoint_id, False, on_answer
+        )
         crash_detector.is_path_lost = self.paths.monitor.is_lost
         self.guard = RequestGuard(
             crash_detector, timers, metrics, log, lambda: tuple(self.active.values())
--- a/flamingofront/request/path_failover.py
+++ b/flamingofront/request/path_failover.py
@@ -16,6 +16,8 @@
 # Same for attempts that received data after the paths were found to be lost: streams send data
 # every 20 to 300 ms.
 LATER_UNANSWERED_SECONDS = 0.5
+# Time without data from an endpoint after which the paths to its service are checked.
+SILENT_ENDPOINT_SECONDS = 0.4
 
 
 class PathFailover:
@@ -53,6 +55,20 @@
             (each.compute_last_activity() for each in self._sent_to_zone(zone)), default=math.inf
         )
 
+    def silent_endpoints(self) -> list[str]:
+        """Return the endpoints that have sent nothing for a while, though attempts wait there."""
+        before = self._hub.now() - SILENT_ENDPOINT_SECONDS
+        return sorted(
+            {
+                each.endpoint_id
+                for each in self._hub.active.values()
+                if isinstance(each, ForwardedRequest)
+                and each.has_direct_attempt
+                and each.compute_last_activity() <= before
+                and self._hub.directory.last_contact_at(each.endpoint_id) <= before
+            }
+        )
+
     def unanswered_since_in_any_zone(self) -> float:
         """Return the earliest time since which a request has received no data.
 
--- a/flamingofront/request/path_monitor.py
+++ b/flamingofront/request/path_monitor.py
@@ -2,6 +2,9 @@
 
 After a failed connection, connections to a few other endpoints are opened and closed. While the
 paths are lost, further ones are opened regularly to notice when an endpoint is reached again.
+
+If connections are established and then reset or silent, as by a forwarder that reaches nobody, only
+responses count. Endpoints that are silent by themselves look alike, so that a peer is asked too.
 """
 
 import math
@@ -9,17 +12,16 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 
-from flamingofront.connection.interfaces import ConnectResult, Transport
+from flamingofront.connection.interfaces import Transport
 from flamingofront.decisions.direct_paths import DirectPaths, PathStatus
 from flamingofront.process.logs import Log
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.timers import TimerService
 from flamingofront.request.directory import EndpointDirectory
+from flamingofront.request.path_probes import ConnectProbe, PathProbe, ResponseProbe
 
 __all__ = ["PathMonitor"]
 
-# The connect timeout of attempts; a reachable endpoint accepts within a few milliseconds.
-PROBE_TIMEOUT_SECONDS = 0.25
 # Endpoints that are probed in a check, of different services and zones if possible; one of them is
 # in the zone of this VM.
 CHECKED_ENDPOINTS = 4
@@ -36,6 +38,10 @@
 # time between two such questions.
 CHECKED_OF_SERVICE = 3
 QUESTION_PAUSE_SECONDS = 1.0
+# Pause between checks by responses, which endpoints have to serve; it doubles with each that finds
+# that paths work, up to the longest one.
+RESPONSE_CHECK_PAUSE_SECONDS = 0.5
+MAX_RESPONSE_CHECK_PAUSE_SECONDS = 4.0
 
 
 class PathMonitor:
@@ -50,7 +56,10 @@
     on_restored : callable
         Called when most endpoints are reached again.
     ask_peer : callable
-        Asks a peer whether it reaches an endpoint, and calls back with the answer.
+        Asks a peer whether it reaches an endpoint, by a response if the second argument is True,
+        and calls back with the answer.
+    probe_target_of : callable
+        Returns the target of a request for the state of an endpoint.
     """
 
     def __init__(
@@ -66,17 +75,24 @@
         self.enabled = False
         self.on_lost: Callable[[], None] = lambda: None
         self.on_restored: Callable[[], None] = lambda: None
-        self.ask_peer: Callable[[str, Callable[[bool | None], None]], None] = (
-            lambda endpoint_id, on_answer: None
+        self.ask_peer: Callable[[str, bool, Callable[[bool | None], None]], None] = (
+            lambda endpoint_id, needs_response, on_answer: None
         )
+        self.probe_target_of: Callable[[str], str] = lambda endpoint_id: "/"
         self._paths = DirectPaths()
-        self._transport = transport
         self._timers = timers
         self._directory = directory
         self._metrics = metrics
         self._log = log
         self._rng = rng
         self._zone = zone
+        self._connect_probe = ConnectProbe(transport, directory)
+        self._response_probe = ResponseProbe(
+            transport, directory, lambda endpoint_id: self.probe_target_of(endpoint_id)
+        )
+        self._needs_response = False
+        self._response_checked_at = -math.inf
+        self._response_check_pause = RESPONSE_CHECK_PAUSE_SECONDS
         self._pending: set[str] = set()
         self._checked: tuple[str, ...] = ()
         self._lost_at = 0.0
@@ -136,6 +152,10 @@
         self._paths.record_failure(endpoint_id, self._timers.now())
         self._start_check(f"{endpoint_id}: {reason}", endpoint_id)
 
+    def record_unanswered(self, endpoint_id: str) -> None:
+        """Record that a new connection to an endpoint was reset before any response."""
+        self._start_check(f"{endpoint_id}: reset before a response", endpoint_id, True)
+
     def check_if_unanswered(self, since: float) -> None:
         """Check the paths if responses are pending and no endpoint has sent data for a while.
 
@@ -146,12 +166,52 @@
         """
         now = self._timers.now()
         if now - max(since, self._directory.last_contact_of_any()) >= UNANSWERED_SECONDS:
-            self._start_check("no data from any endpoint")
+            needs_response = self._may_check_responses()
+            self._start_check("no data from any endpoint", needs_response=needs_response)
+
+    def check_silent(self, endpoint_ids: Iterable[str]) -> None:
+        """Check the paths to the services of endpoints that do not respond, while others do."""
+        services = {self._directory.service_of(each): each for each in endpoint_ids}
+        for endpoint_id in services.values():
+            is_in_doubt = self._paths.status is not PathStatus.WORKING
+            if is_in_doubt or not self.enabled or not self._may_check_responses():
+                return
+            self._record_response_check()
+            self._check_service(endpoint_id, self._timers.now(), True)
+
+    def _may_check_responses(self) -> bool:
+        return self._timers.now() - self._response_checked_at >= self._response_check_pause
+
+    def _record_response_check(self) -> None:
+        """Record a check by responses, and extend the pause until the next one."""
+        self._response_checked_at = self._timers.now()
+        self._response_check_pause = min(
+            2 * self._response_check_pause, MAX_RESPONSE_CHECK_PAUSE_SECONDS
+        )
+
+    @property
+    def _probe_kind(self) -> PathProbe:
+        return self._response_probe if self._needs_response else self._connect_probe
+
+    def _start_check(self, cause: str, failed: str = "", needs_response: bool = False) -> None:
+        """Start a check, unless one is under way.
 
-    def _start_check(self, cause: str, failed: str = "") -> None:
-        """Start a check, unless one is under way; `failed` is the endpoint that caused it."""
+        Parameters
+        ----------
+        failed : str
+            Endpoint that caused the check.
+        needs_response : bool
+            True if only responses are evidence.
+        """
         if not self.enabled or not self._paths.can_start_check(self._timers.now()):
             return
+        if needs_response and not self._may_check_responses():
+            return
+        if needs_response:
+            self._record_response_check()
+        self._needs_response = needs_response or (
+            self._needs_response and self._paths.has_single_losses
+        )
         self._paths.start_check(self._timers.now())
         others = [each for each in self._directory.ready_endpoints() if each != failed]
         self._checked = self._choose_sample(others)
@@ -181,17 +241,23 @@
 
     def _probe(self, endpoint_id: str, on_result: Callable[[], None]) -> None:
         self._metrics.count("endpoint_probes_total")
-        self._transport.probe(
-            self._directory.address_of(endpoint_id),
-            PROBE_TIMEOUT_SECONDS,
-            lambda result: self._on_probe_result(endpoint_id, result, on_result),
+        self._probe_kind.start(
+            endpoint_id,
+            lambda is_reached: self._on_probe_result(endpoint_id, is_reached, on_result),
         )
 
+    def start_probe(
+        self, endpoint_id: str, needs_response: bool, on_result: Callable[[bool], None]
+    ) -> None:
+        """Test the path to an endpoint for a peer, and pass on whether it was reached."""
+        probe = self._response_probe if needs_response else self._connect_probe
+        probe.start(endpoint_id, on_result)
+
     def _on_probe_result(
-        self, endpoint_id: str, result: ConnectResult, on_result: Callable[[], None]
+        self, endpoint_id: str, is_reached: bool, on_result: Callable[[], None]
     ) -> None:
         self._pending.discard(endpoint_id)
-        if result is ConnectResult.CONNECTED:
+        if is_reached:
             self.record_connected(endpoint_id)
         else:
             self._paths.record_failure(endpoint_id, self._timers.now())
@@ -200,12 +266,29 @@
     def _on_check_result(self, cause: str, failed: str) -> None:
         if self._paths.status is not PathStatus.CHECKING:
             return
-        if not self._pending or self._paths.count_reached(self._checked):
+        if self._paths.count_reached(self._checked):
+            self._conclude(cause, failed)
+        elif not self._pending and self._needs_response:
+            # Endpoints that stand still do not respond either, but to nobody.
+            self.ask_peer(
+                self._checked[0],
+                True,
+                lambda is_reached: self._conclude(cause, failed, bool(is_reached)),
+            )
+        elif not self._pending:
             self._conclude(cause, failed)
 
-    def _conclude(self, cause: str, failed: str) -> None:
-        """End a check by its results, and log the evidence."""
-        status = self._paths.conclude_check(self._checked)
+    def _conclude(self, cause: str, failed: str, is_confirmed: bool = True) -> None:
+        """End a check by its results, and log the evidence.
+
+        Parameters
+        ----------
+        is_confirmed : bool
+            False if no peer reaches an endpoint that was not reached.
+        """
+        if self._paths.status is not PathStatus.CHECKING:
+            return
+        status = self._paths.conclude_check(self._checked, is_confirmed)
         now = self._timers.now()
         self._metrics.count("path_checks_total", outcome=status.value)
         log = self._log.warning if status is PathStatus.LOST else self._log.info
@@ -213,45 +296,61 @@
             "paths to endpoints lost" if status is PathStatus.LOST else "paths to endpoints work",
             cause=cause,
             probed=self._checked,
+            by="response" if self._needs_response else "connection",
             reached=self._paths.count_reached(self._checked),
             check_ms=round((now - self._paths.since) * 1000),
             data_age=round(min(now - self._directory.last_contact_of_any(), now), 3),
         )
         if status is PathStatus.LOST:
+            self._response_check_pause = RESPONSE_CHECK_PAUSE_SECONDS
             self._lost_at = self._paths.since
             self._has_progress = False
             self._schedule_retry()
             self.on_lost()
         elif failed:
-            self._check_service(failed)
+            self._check_service(failed, self._paths.since, self._needs_response)
+
+    def _check_service(self, failed: str, since: float, needs_response: bool) -> None:
+        """Check whether the paths to all endpoints of a service are lost, while others work.
 
-    def _check_service(self, failed: str) -> None:
-        """Check whether the paths to all endpoints of a service are lost, while others work."""
+        Parameters
+        ----------
+        since : float
+            Time from which on evidence counts.
+        needs_response : bool
+            True if only responses are evidence.
+        """
         service, now = self._directory.service_of(failed), self._timers.now()
         endpoints = list(self._directory.zones_of(service))
-        is_reached = self._paths.count_reached(endpoints) > 0
+        is_reached = self._paths.count_reached_since(endpoints, since) > 0
         if is_reached or now - self._asked_at.get(service, -math.inf) < QUESTION_PAUSE_SECONDS:
             return
         self._asked_at[service] = now
+        self._needs_response = self._needs_response or needs_response
         others = [each for each in endpoints if each != failed]
         sample = set(self._spread(others)[:CHECKED_OF_SERVICE])
         waiting = set(sample)
 
         def on_result(endpoint_id: str) -> None:
             waiting.discard(endpoint_id)
-            if not waiting and not self._paths.count_reached(endpoints):
-                self.ask_peer(failed, lambda is_reached: self._on_answer(service, is_reached))
+            if not waiting and not self._paths.count_reached_since(endpoints, since):
+                self.ask_peer(
+                    failed,
+                    needs_response,
+                    lambda is_reached: self._on_answer(service, since, is_reached),
+                )
 
         for each in sample:
             self._probe(each, lambda each=each: on_result(each))
         if not sample:
             on_result("")
 
-    def _on_answer(self, service: str, is_reached: bool | None) -> None:
+    def _on_answer(self, service: str, since: float, is_reached: bool | None) -> None:
         """Take the paths to a service for lost if a peer reaches an endpoint of it."""
         endpoints = list(self._directory.zones_of(service))
-        if not is_reached or self._paths.count_reached(endpoints):
+        if not is_reached or self._paths.count_reached_since(endpoints, since):
             return
+        self._response_check_pause = RESPONSE_CHECK_PAUSE_SECONDS
         self._lost_at = self._timers.now()
         self._paths.record_loss(endpoints, self._lost_at)
         self._log.warning("paths to service lost", service=service, endpoints=len(endpoints))
--- a/flamingofront/request/proxy_messages.py
+++ b/flamingofront/request/proxy_messages.py
@@ -13,6 +13,8 @@
 from flamingofront.messages import OutboundCall
 
 __all__ = [
+    "BY_CONNECTION",
+    "BY_RESPONSE",
     "FAILURE_HEADER",
     "PROXY_PATH",
     "REACH_PATH",
@@ -32,6 +34,9 @@
 FAILURE_HEADER = "proxy-failure"
 # A question whether a peer reaches an endpoint, and the statuses of the answer.
 REACH_PATH = "/reach"
+# What counts as reached, in the parameter "by" of the question; a connection if it is absent.
+BY_CONNECTION = "connection"
+BY_RESPONSE = "response"
 STATUS_REACHED = 200
 STATUS_NOT_REACHED = 504
 STATUS_UNKNOWN = 503
--- a/flamingofront/request/proxy_peers.py
+++ b/flamingofront/request/proxy_peers.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 from flamingofront.process.timers import TimerService
 from flamingofront.request.proxy_messages import ProxyRefusal
@@ -40,16 +40,25 @@
         self._backoff_until: dict[str, float] = {}
         self._responded_at: dict[str, float] = {}
 
-    def choose(self) -> str | None:
+    def choose(self, other_than: Collection[str] = ()) -> str | None:
         """Return the address of a peer, at random to spread the load; None if there is none.
 
+        Parameters
+        ----------
+        other_than : collection of str
+            Peers that are not to be chosen.
+
         Notes
         -----
         If most peers are in backoff, those that have just proxied an attempt are preferred, so that
         a request does not ask one peer without a path after the other.
         """
         now, addresses = self._timers.now(), self.addresses()
-        usable = [each for each in addresses if not self._is_in_backoff(each, now)]
+        usable = [
+            each
+            for each in addresses
+            if each not in other_than and not self._is_in_backoff(each, now)
+        ]
         proven = [each for each in usable if now - self.responded_at(each) < PROVEN_SECONDS]
         if proven and 2 * len(usable) < len(addresses):
             usable = proven
--- a/flamingofront/standins/forward_endpoint.py
+++ b/flamingofront/standins/forward_endpoint.py
@@ -11,6 +11,8 @@
 
 REQUEST_ID = "x-flamingofront-request-id"
 STATUS_WRONG_ENDPOINT = 421
+# Requests for the state of the endpoint, which it does not run.
+STATE_PATHS = ("/health", "/api/report")
 # Time from the arrival of a poison request until the endpoint crashes, as observed with engines.
 CRASH_SECONDS = 0.09
 # Time from the arrival of a request until it starts to run. A request cancelled before does not
@@ -78,6 +80,9 @@
 
     def handle(self, req: InboundRequest, exchange: Exchange) -> None:
         """Handle one forwarded request."""
+        if req.method == "GET" and req.path in STATE_PATHS:
+            exchange.respond(200, (("X-Flamingofront-Instance-Id", self.endpoint_id),), b"{}")
+            return
         expected = req.header("x-flamingofront-expect-instance")
         if expected and expected != self.endpoint_id:
             self.rejected.append(req)
--- a/flamingofront/tests/forwarding_world.py
+++ b/flamingofront/tests/forwarding_world.py
@@ -71,7 +71,7 @@
             _route("open", "/open/", "records", "idempotent", anonymous=True),
         ],
         "services": [
-            {"name": "records", "max_conns": 100},
+            {"name": "records", "max_conns": 100, "health_path": "/health"},
             {"name": "engines", "max_conns": 100, "engine": ENGINE, "scaling": SCALING},
         ],
         "tenants": [{"name": "desk", "api_keys": ["key-1", "key-2"], "priority": 1}],
--- a/flamingofront/tests/network.py
+++ b/flamingofront/tests/network.py
@@ -47,11 +47,35 @@
     """New connections are refused, and open ones work."""
     NEW_SILENT = "new silent"
     """New connections are not answered, and open ones work."""
+    ACCEPTED_RESET = "accepted-reset"
+    """Connections are established and then reset, as by a forwarder that reaches nobody."""
+    ACCEPTED_SILENT = "accepted-silent"
+    """Connections are established, and what is sent is acknowledged and not answered."""
+    NEW_ACCEPTED_RESET = "new-accepted-reset"
+    """New connections are established and then reset, and open ones work."""
 
     @property
     def blocks_open(self) -> bool:
         """True if open connections fail too."""
-        return self not in (PathFault.NEW_REFUSED, PathFault.NEW_SILENT)
+        return self not in (
+            PathFault.NEW_REFUSED,
+            PathFault.NEW_SILENT,
+            PathFault.NEW_ACCEPTED_RESET,
+        )
+
+    @property
+    def accepts(self) -> bool:
+        """True if new connections are established."""
+        return self in (
+            PathFault.ACCEPTED_RESET,
+            PathFault.ACCEPTED_SILENT,
+            PathFault.NEW_ACCEPTED_RESET,
+        )
+
+    @property
+    def resets_open(self) -> bool:
+        """True if open connections are reset at once."""
+        return self in (PathFault.REFUSED, PathFault.ACCEPTED_RESET)
 
     @property
     def refuses(self) -> bool:
@@ -111,8 +135,12 @@
             self._send()
         if self.reused:
             self._wrote = True
-            if fault.blocks_open:
+            if fault.blocks_open and fault is not PathFault.ACCEPTED_SILENT:
                 self._reset_after(USER_TIMEOUT_SECONDS)
+        elif fault.accepts:
+            self._wrote = True
+            if fault is not PathFault.ACCEPTED_SILENT:
+                self._reset_after(2 * LATENCY)
         elif fault.refuses:
             self.source.timers.once(LATENCY, lambda: self.fail("refused", False))
         elif self.call.connect_timeout is not None:
@@ -123,9 +151,8 @@
 
     def path_fails(self, fault: PathFault) -> None:
         """Let the path of this open call fail."""
-        if fault.blocks_open:
-            is_reset = fault is PathFault.REFUSED
-            self._reset_after(LATENCY if is_reset else USER_TIMEOUT_SECONDS)
+        if fault.blocks_open and fault is not PathFault.ACCEPTED_SILENT:
+            self._reset_after(LATENCY if fault.resets_open else USER_TIMEOUT_SECONDS)
 
     @property
     def wrote(self) -> bool:
@@ -333,7 +360,9 @@
         target = self._world.hosts.get(address)
         timers = self._host.timers
         fault = target and self._world.path_faults.get((self._host.name, target.name))
-        if fault is not None:
+        if fault is not None and fault.accepts:
+            timers.once(2 * LATENCY, lambda: listener(ConnectResult.CONNECTED))
+        elif fault is not None:
             result = ConnectResult.REFUSED if fault.refuses else ConnectResult.UNANSWERED
             timers.once(2 * LATENCY if fault.refuses else timeout, lambda: listener(result))
         elif (
--- a/flamingofront/tests/paths_soak.py
+++ b/flamingofront/tests/paths_soak.py
@@ -6,10 +6,11 @@
 import random
 import sys
 from collections import Counter
+from collections.abc import Sequence
 
 from flamingofront.tests.forwarding_world import ready_world
 from flamingofront.tests.network import PathFault
-from flamingofront.tests.paths_world import PATHS
+from flamingofront.tests.paths_world import CONNECT_FAULTS, PATHS
 
 __all__ = ["PathsSoak"]
 
@@ -21,13 +22,19 @@
 class PathsSoak:
     """Plays requests beside random faults.
 
+    Parameters
+    ----------
+    faults : sequence of PathFault
+        Ways in which paths fail.
+
     Attributes
     ----------
     asked : list of (str, str, float, Caller)
         VM, path, time and caller of each request.
     """
 
-    def __init__(self, seed: int):
+    def __init__(self, seed: int, faults: Sequence[PathFault] = CONNECT_FAULTS):
+        self._path_faults = faults
         self.rng = random.Random(seed)
         self.world = ready_world(fronts=0, engines=4, plains=4, seed=seed)
         self.world.keeps_connections = True
@@ -94,7 +101,7 @@
         targets = list(self.world.endpoints)
         if self.rng.random() < 0.3:
             targets = self.rng.sample(targets, 3)
-        fault = self.rng.choice(list(PathFault))
+        fault = self.rng.choice(self._path_faults)
         self.world.fail_paths(self.rng.sample(names, count), targets, fault)
 
     def _heal(self) -> None:
--- a/flamingofront/tests/paths_world.py
+++ b/flamingofront/tests/paths_world.py
@@ -6,7 +6,9 @@
 from flamingofront.tests.network import Caller, PathFault
 
 __all__ = [
+    "ACCEPTING_FAULTS",
     "ALL_FAULTS",
+    "CONNECT_FAULTS",
     "FRONTS",
     "cut_off",
     "offer",
@@ -17,6 +19,9 @@
 ]
 
 ALL_FAULTS = list(PathFault)
+# Faults that a connection shows; the seeds of the soaks were played with these.
+CONNECT_FAULTS = [each for each in PathFault if not each.accepts]
+ACCEPTING_FAULTS = [each for each in PathFault if each.accepts]
 FRONTS = tuple(f"front-{number}" for number in range(1, 6))
 # Requests of each kind: idempotent, at most once, streams that may be resumed and that may not.
 PATHS = ("/read/1", "/write/1", "/stream/again/1", "/stream/once/1")
--- a/flamingofront/tests/test_lost_paths.py
+++ b/flamingofront/tests/test_lost_paths.py
@@ -3,6 +3,7 @@
 import pytest
 
 from flamingofront.decisions.direct_paths import PathStatus
+from flamingofront.standins.forward_endpoint import ForwardFault
 from flamingofront.tests.network import PathFault
 from flamingofront.tests.paths_world import ALL_FAULTS, cut_off, paths_world
 
@@ -35,6 +36,37 @@
             world.run(0.5)
         assert world.fronts["front-1"].hub.paths.monitor.status is PathStatus.WORKING
 
+    @pytest.mark.parametrize("count", [4, 8])
+    def test_endpoints_that_stand_still_are_no_lost_paths(self, count):
+        # Endpoints that respond to nobody accept connections, as lost paths do behind a forwarder.
+        world = paths_world()
+        world.run(10.0)
+        names = list(world.endpoints)[-count:]
+        callers = [world.ask(name, "/read/1") for name in world.fronts]
+        for name in names:
+            world.pause(name)
+        callers += [world.ask(name, "/read/1") for name in world.fronts for _ in range(3)]
+        world.run(1.2)
+        lost = [node.hub.paths.monitor.count_lost() for node in world.fronts.values()]
+        for name in names:
+            world.resume(name)
+        world.finish(*callers)
+        assert lost == [0] * 5
+        assert all(each.status == 200 for each in callers)
+
+    def test_check_by_responses_is_rare_while_endpoints_crash(self):
+        # Each reset on a new connection asked four endpoints for their state.
+        world = paths_world()
+        world.run(2.0)
+        node = world.fronts["front-1"]
+        before = node.metrics.value("endpoint_probes_total")
+        for _ in range(40):
+            world.endpoints["plain-1"].inject_fault(ForwardFault.LOSE_ANSWER, 1)
+            world.ask("front-1", "/write/1")
+            world.run(0.1)
+        crash_probes = 2 * 40
+        assert node.metrics.value("endpoint_probes_total") - before <= crash_probes + 4 * 7 * 2
+
     def test_each_change_of_belief_is_counted(self):
         world = paths_world()
         metrics = world.fronts["front-1"].metrics
--- a/flamingofront/tests/test_paths_soak.py
+++ b/flamingofront/tests/test_paths_soak.py
@@ -3,6 +3,7 @@
 import pytest
 
 from flamingofront.tests.paths_soak import PathsSoak
+from flamingofront.tests.paths_world import ACCEPTING_FAULTS, CONNECT_FAULTS
 
 
 class TestPathsSoak:
@@ -13,3 +14,11 @@
         statuses = {each.status for each in soak.serve_calmly()}
         assert soak.violations() == []
         assert statuses == {200}
+
+    @pytest.mark.parametrize("seed", [101, 102])
+    def test_connections_that_are_established_and_lead_nowhere(self, seed):
+        # Forwarders that reach no endpoint, beside lost, refused and silent paths.
+        soak = PathsSoak(seed, [*ACCEPTING_FAULTS, *CONNECT_FAULTS[:2]]).play(20.0)
+        statuses = {each.status for each in soak.serve_calmly()}
+        assert soak.violations() == []
+        assert statuses == {200}
--- a/flamingofront/tests/versions_soak.py
+++ b/flamingofront/tests/versions_soak.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from flamingofront.standins.forward_endpoint import ForwardFault
-from flamingofront.tests.network import PathFault
+from flamingofront.tests.paths_world import CONNECT_FAULTS
 from flamingofront.tests.versions_world import ZONES, StreamCaller, VersionsWorld, versions_world
 
 __all__ = ["VersionsSoak"]
@@ -156,7 +156,7 @@
 
     def _lose_paths(self) -> None:
         names = self.rng.sample(list(self.world.fronts), self.rng.choice((1, 2)))
-        fault = self.rng.choice(list(PathFault))
+        fault = self.rng.choice(CONNECT_FAULTS)
         self.world.fail_paths(names, list(self.world.endpoints), fault)
 
     def _heal(self) -> None:
--- a/flamingofront/tests/world.py
+++ b/flamingofront/tests/world.py
@@ -94,7 +94,7 @@
             for link in list(self.host(pair[0]).links):
                 if link.target is not None and (link.source.name, link.target.name) == pair:
                     link.path_fails(fault)
-            if fault is PathFault.REFUSED:
+            if fault.resets_open:
                 self.idle.discard((pair[0], self.host(pair[1]).address))
 
     def blocks_open(self, source: Host, target: Host) -> bool:
--- a/flamingofront/version/forwarding.py
+++ b/flamingofront/version/forwarding.py
@@ -135,6 +135,8 @@
         Requests that one endpoint can run concurrently; 0 if only the endpoints report it.
     cache_tokens : int
         KV cache capacity of one model engine in tokens; 0 for a plain service.
+    health_path : str
+        Path at which an endpoint tells whether it is healthy.
     """
 
     name: str
@@ -142,6 +144,7 @@
     slots: int = 0
     cache_tokens: int = 0
     scaling: ScalingLimits | None = None
+    health_path: str = "/"
 
     @property
     def is_model(self) -> bool:
--- a/scripts/try_lost_paths.py
+++ b/scripts/try_lost_paths.py
@@ -35,6 +35,9 @@
 PORT = 19380
 HOST = "127.0.0.1"
 FAULTS = ("silent", "reset", "refused", "live")
+# Faults of a forwarder that accepts connections and reaches no endpoint; with "new-accepted"
+# open connections live on.
+ACCEPTING_FAULTS = ("accepted", "accepted-silent", "new-accepted")
 REACTION_SECONDS = 3.0
 DEADLINE_MS = 2000
 
@@ -46,6 +49,7 @@
         self._target = target
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
+        self._accepting_fault = ""
         self.port = 0
 
     async def open(self) -> None:
@@ -54,6 +58,12 @@
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def _forward(self, reader, writer) -> None:
+        if self._accepting_fault == "accepted-silent":
+            self._writers.add(writer)
+            return
+        if self._accepting_fault:
+            writer.transport.abort()
+            return
         try:
             far_reader, far_writer = await asyncio.open_connection(HOST, self._target)
         except OSError:
@@ -66,6 +76,8 @@
     async def _copy(self, reader, writer) -> None:
         try:
             while data := await reader.read(65536):
+                if self._accepting_fault == "accepted-silent":
+                    continue
                 writer.write(data)
                 await writer.drain()
             writer.close()
@@ -76,6 +88,11 @@
         """Let the path fail; one that is refused already stays so."""
         if not self._server.sockets:
             return
+        if fault in ACCEPTING_FAULTS:
+            self._accepting_fault = fault
+            for each in list(self._writers) if fault == "accepted" else ():
+                each.transport.abort()
+            return
         if fault == "silent":
             silence(self._server.sockets[0])
             for each in self._writers:
@@ -88,6 +105,7 @@
 
     async def heal(self) -> None:
         """Let the path work again; connections that were silent stay lost."""
+        self._accepting_fault = ""
         self._server.close()
         for each in list(self._writers):
             each.transport.abort()
@@ -363,14 +381,16 @@
 ) -> None:
     """Let some entry processes lose their paths to all endpoints, while requests arrive.
 
-    :param fault: silent, reset, refused or live (open connections live on, new ones are refused)
+    :param fault: silent, reset, refused or live (open connections live on, new ones are refused);
+        accepted (connections are established, then reset), accepted-silent or new-accepted
     :param processes: entry processes
     :param cut: how many of them lose their paths
     :param rate: requests a second at each of them
     :param seconds: length of the fault
     """
-    if fault not in FAULTS:
-        raise SystemExit(f"no fault {fault!r}; faults are {', '.join(FAULTS)}")
+    known = (*FAULTS, *ACCEPTING_FAULTS)
+    if fault not in known:
+        raise SystemExit(f"no fault {fault!r}; faults are {', '.join(known)}")
     folder = Path(tempfile.mkdtemp())
     lost = set(range(cut))
     with Deployment(folder, processes, 4) as deployment:
