A resumed request is looked up again if its route or key became unknown meanwhile

Cause: read again: after the lookup of its origin, an unknown route or key was refused without the check whether a newer configuration is in force, as all other requests get it. Change: one way to accept or reject, for both. No test of its own: the same code as without a lookup.

--- a/flamingofront/request/forward_gateway.py
+++ b/flamingofront/request/forward_gateway.py
@@ -134,8 +134,13 @@
 
     def handle(self, req: InboundRequest, exchange: Exchange) -> None:
         """Accept or reject a request; a `RequestError` is sent as an error response."""
+        self._accept_or_reject(req, exchange)
+
+    def _accept_or_reject(
+        self, req: InboundRequest, exchange: Exchange, resumed: OriginLookup | None = None
+    ) -> None:
         try:
-            self._accept_or_raise(req, exchange)
+            self._accept_or_raise(req, exchange, resumed)
         except RequestError as exc:
             if exc.kind in UNKNOWN_KINDS and not self.config_freshness.is_current():
                 self._recheck_route(req, exchange)
@@ -200,12 +205,8 @@
         exchange.on_disconnect = caller_presence.mark_disconnected
 
         def accept(found: OriginLookup) -> None:
-            if caller_presence.is_disconnected:
-                return
-            try:
-                self._accept_or_raise(req, exchange, found)
-            except RequestError as exc:
-                self._reject(exc, req, exchange)
+            if not caller_presence.is_disconnected:
+                self._accept_or_reject(req, exchange, found)
 
         self._hub.origins.look_up(query, accept)
 
