--- a/scripts/try_versions.py
+++ b/scripts/try_versions.py
@@ -70,7 +70,7 @@
         _wait_for(store)
         for row, version in enumerate(VERSIONS):
             self.endpoints[version] = [
-                self._start_endpoint(version, ENDPOINTS * row + number, number)
+                self.start_endpoint(version, ENDPOINTS * row + number, number)
                 for number in range(ENDPOINTS)
             ]
         for number in range(self.processes):
@@ -93,7 +93,8 @@
         path.write_text(json.dumps({**doc, "routes": routes}))
         return path
 
-    def _start_endpoint(self, version: str, offset: int, number: int) -> subprocess.Popen:
+    def start_endpoint(self, version: str, offset: int, number: int) -> subprocess.Popen:
+        """Start an endpoint at a port; its id is made of its version and a number."""
         words = ["--bind", f"{HOST}:{PORT + 1 + offset}", "--store", f"{HOST}:{PORT}"]
         words += ["--endpoint-id", f"{version}-{number}", "--service", "engines", "--gap"]
         words += [str(GAP_SECONDS), "--zone", f"zone-{'ab'[number % 2]}", "--software", version]
@@ -248,20 +249,25 @@
             deployment.restart_front(number)
 
 
+def find_wrong_streams(callers: list[StreamCaller]) -> list[StreamCaller]:
+    """Return the streams of two versions, out of order, or complete without being whole."""
+    found = []
+    for each in callers:
+        numbers = [number for number, _ in each.events]
+        is_in_order = numbers == list(range(1, len(numbers) + 1))
+        looks_whole = bool(each.tries) and each.tries[-1].is_complete
+        if len(each.seen_versions) > 1 or not is_in_order or (looks_whole and not each.is_whole):
+            found.append(each)
+    return found
+
+
 def _report(callers: list[StreamCaller], way: str) -> list[StreamCaller]:
     """Print the figures; return the streams that are not as they should be."""
     resumed = [each for each in callers if len(each.tries) > 1]
     went_on = [each for each in resumed if any(again.events for again in each.tries[1:])]
     statuses = Counter(again.status for each in resumed for again in each.tries[1:])
     refused = [again.seconds for each in resumed for again in each.tries[1:] if again.status == 503]
-    numbers = [[number for number, _ in each.events] for each in callers]
-    bad = [
-        each
-        for each, found in zip(callers, numbers, strict=True)
-        if len(each.seen_versions) > 1
-        or found != list(range(1, len(found) + 1))
-        or (each.tries[-1].is_complete and not each.is_whole)
-    ]
+    bad = find_wrong_streams(callers)
     mixed = sum(len(each.seen_versions) > 1 for each in callers)
     print(
         f"{way}: {len(callers)} streams, {sum(bool(each.events) for each in callers)} began, "
