--- a/flamingofront/tests/paths_soak.py
+++ b/flamingofront/tests/paths_soak.py
@@ -11,6 +11,7 @@
 from flamingofront.tests.forwarding_world import ready_world
 from flamingofront.tests.network import PathFault
 from flamingofront.tests.paths_world import CONNECT_FAULTS, PATHS
+from flamingofront.tests.soak_faults import ProcessFaults
 
 __all__ = ["PathsSoak"]
 
@@ -42,8 +43,8 @@
             self.world.front(f"front-{number}", ZONES[number % 3])
         self.world.run_until(lambda: all(each.ready for each in self.world.fronts.values()))
         self.world.run(3.0)
+        self.faults = ProcessFaults(self.world, self.rng, ZONES)
         self.asked: list = []
-        self._paused: set[str] = set()
         self._left: set = set()
         self._numbers = iter(range(1_000_000))
 
@@ -69,11 +70,7 @@
         return [each[3] for each in self.asked[first:] if each[3] not in self._left]
 
     def _ask(self) -> None:
-        running = [
-            name
-            for name in self.world.fronts
-            if not self.world.host(name).dead and name not in self._paused
-        ]
+        running = self.faults.running()
         for _ in range(self.rng.choice((1, 1, 4))):
             name = self.rng.choice(running)
             path = f"{self.rng.choice(PATHS)}/{next(self._numbers)}"
@@ -89,9 +86,9 @@
             self._lose_paths,
             self._heal,
             self._kill,
-            self._pause,
-            self._cut_zone,
-            self._lose_datagrams,
+            self.faults.pause,
+            self.faults.cut_zone,
+            lambda: self.faults.lose_datagrams(0.0, 0.1, 0.5),
             self._pause_endpoint,
         )
 
@@ -109,42 +106,20 @@
 
     def _kill(self) -> None:
         name = self.rng.choice(list(self.world.fronts))
-        self._paused.discard(name)
+        self.faults.paused.discard(name)
         zone = self.world.host(name).zone
         self.world.kill(name)
         self.world.front(name, zone, first_start=False)
 
-    def _pause(self) -> None:
-        name = self.rng.choice(list(self.world.fronts))
-        if len(self._paused) < 2:
-            self._paused.add(name)
-            self.world.pause(name)
-            seconds = 0.3 + 2 * self.rng.random()
-            self.world.host("store").timers.once(seconds, lambda: self._resume(name))
-
-    def _resume(self, name: str) -> None:
-        if name in self._paused:
-            self._paused.discard(name)
-            self.world.resume(name)
-
-    def _cut_zone(self) -> None:
-        self.world.isolate(self.rng.choice(ZONES))
-        self.world.host("store").timers.once(0.5 + 2 * self.rng.random(), self.world.heal)
-
-    def _lose_datagrams(self) -> None:
-        self.world.lost_datagrams = self.rng.choice((0.0, 0.1, 0.5))
-
     def _pause_endpoint(self) -> None:
         name = self.rng.choice(list(self.world.endpoints))
         self.world.pause(name)
         self.world.host("store").timers.once(1.2, lambda: self.world.resume(name))
 
     def _return_all(self) -> None:
-        self.world.heal()
-        self.world.lost_datagrams = 0.0
-        for name in (*self._paused, *self.world.endpoints):
+        self.faults.end()
+        for name in self.world.endpoints:
             self.world.resume(name)
-        self._paused.clear()
 
     def violations(self) -> list[str]:
         """Return the rules that a request broke; empty if none did."""
--- a/flamingofront/tests/versions_soak.py
+++ b/flamingofront/tests/versions_soak.py
@@ -9,6 +9,7 @@
 
 from flamingofront.standins.forward_endpoint import ForwardFault
 from flamingofront.tests.paths_world import CONNECT_FAULTS
+from flamingofront.tests.soak_faults import ProcessFaults
 from flamingofront.tests.versions_world import ZONES, StreamCaller, VersionsWorld, versions_world
 
 __all__ = ["VersionsSoak"]
@@ -37,7 +38,7 @@
         self.world: VersionsWorld = versions_world(fronts, VERSIONS, 3, seed)
         self.callers: list[StreamCaller] = []
         self.resumed = self.continued = 0
-        self._paused: set[str] = set()
+        self.faults = ProcessFaults(self.world, self.rng, ZONES)
         self._progress: dict[StreamCaller, tuple[int, float]] = {}
         self._counted: list[tuple[StreamCaller, int]] = []
         self._numbers = iter(range(1_000_000))
@@ -50,7 +51,7 @@
             if self.rng.random() < 0.2:
                 self.rng.choice(self._faults())()
             self._step()
-        self._return_all()
+        self.faults.end()
         end = self.world.clock.now() + CALM_SECONDS
         while self.world.clock.now() < end:
             self._step(begin=False)
@@ -69,7 +70,7 @@
         self.world.run(0.02 + self.rng.random() * 0.1)
 
     def _pick_front(self, other_than: str = "") -> str:
-        running = [name for name in self.world.live_fronts() if name not in self._paused]
+        running = self.faults.running()
         return self.rng.choice([each for each in running if each != other_than] or running)
 
     def _resume_if_broken(self, caller: StreamCaller) -> None:
@@ -96,9 +97,9 @@
             self._break_off,
             self._kill_front,
             self._kill_front,
-            self._pause_front,
-            self._cut_zone,
-            self._lose_datagrams,
+            self.faults.pause,
+            self.faults.cut_zone,
+            lambda: self.faults.lose_datagrams(0.0, 0.1, 0.3),
             self._kill_engine,
             self._kill_engine,
             self._leave_engine,
@@ -119,41 +120,18 @@
     def _kill_front(self) -> None:
         name = self.rng.choice(list(self.world.fronts))
         zone = self.world.host(name).zone
-        self._paused.discard(name)
+        self.faults.paused.discard(name)
         self.world.kill(name)
-        seconds = self.rng.choice((0.0, 0.3, 1.5))
-        start = lambda: self._start_front(name, zone)  # noqa: E731
-        self.world.host("store").timers.once(seconds, start)
+        self.faults.after(self.rng.choice((0.0, 0.3, 1.5)), lambda: self._start_front(name, zone))
 
     def _start_front(self, name: str, zone: str) -> None:
         if self.world.host(name).dead:
             self.world.front(name, zone, first_start=False)
 
-    def _pause_front(self) -> None:
-        if len(self._paused) >= 2:
-            return
-        name = self._pick_front()
-        self._paused.add(name)
-        self.world.pause(name)
-        seconds = 0.3 + 2 * self.rng.random()
-        self.world.host("store").timers.once(seconds, lambda: self._resume_front(name))
-
-    def _resume_front(self, name: str) -> None:
-        if name in self._paused:
-            self._paused.discard(name)
-            self.world.resume(name)
-
-    def _cut_zone(self) -> None:
-        self.world.isolate(self.rng.choice(ZONES))
-        self.world.host("store").timers.once(0.5 + 2 * self.rng.random(), self.world.heal)
-
     def _cut_store(self) -> None:
         for name in self.rng.sample(list(self.world.fronts), 3):
             self.world.cut(name, "store")
 
-    def _lose_datagrams(self) -> None:
-        self.world.lost_datagrams = self.rng.choice((0.0, 0.1, 0.3))
-
     def _lose_paths(self) -> None:
         names = self.rng.sample(list(self.world.fronts), self.rng.choice((1, 2)))
         fault = self.rng.choice(CONNECT_FAULTS)
@@ -179,12 +157,6 @@
         self.world.register(name, service, zone, version=version, state="draining", sequence=2)
         self.world.leaving.add(name)
 
-    def _return_all(self) -> None:
-        self.world.heal()
-        self.world.lost_datagrams = 0.0
-        for name in list(self._paused):
-            self._resume_front(name)
-
     def violations(self) -> list[str]:
         """Return what is wrong with the streams that callers received; empty if nothing is."""
         found = []
