The origin of a stream has a module of its own

Cause: forwarded_request.py held the state of the origin beside that of the request. Change: OriginTracker, as PermitClaims and AttemptIntents are; no behaviour changes.

--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -9,7 +9,6 @@
 from flamingofront.decisions.engine_rates import ServiceRates
 from flamingofront.decisions.lateness import LatencyEstimate, classify_urgency, compute_yield_delay
 from flamingofront.decisions.stopping import StreamTimes
-from flamingofront.decisions.stream_origin import SameVersion, StreamOrigin
 from flamingofront.errors import ErrorKind, Executed, RequestError
 from flamingofront.messages import (
     CallFailed,
@@ -30,10 +29,10 @@
     ForwardWork,
 )
 from flamingofront.request.host import RequestHost
+from flamingofront.request.origin_tracker import OriginTracker
 from flamingofront.request.records import RequestRecord
 from flamingofront.request.resumption import MAX_LOGGED_ID, log_continuation
 from flamingofront.request.stop_refusal import make_shutdown_rejection
-from flamingofront.request.stream_origins import compute_origin_key
 
 __all__ = ["ForwardedRequest"]
 
@@ -73,10 +72,8 @@
         Time at which the response first started.
     failure : str
         Error kind of a failed request.
-    origin : StreamOrigin or None
-        Where the stream began, once an event was sent or if the caller resumes it.
-    origin_since : float
-        Time at which the endpoint that began the stream was chosen.
+    stream_origin : OriginTracker
+        Where the stream began.
     version_rule_of : callable
         Returns the rule for the endpoints of an attempt that begins a stream; None for any.
     on_response_start : callable
@@ -95,10 +92,9 @@
         self.sent_at = 0.0
         self.first_response_at: float | None = None
         self.failure = ""
-        self.origin: StreamOrigin | None = None
-        self.origin_since = self.accepted_at
-        self._next_origin: StreamOrigin | None = None
-        self._restore_origin()
+        self.stream_origin = OriginTracker(self)
+        # The endpoint is not to send events that the caller has.
+        self.relay.last_id = self.work.last_event
         self.version_rule_of: Callable[[ForwardedRequest], EndpointRule | None] = (
             lambda request: None
         )
@@ -130,64 +126,11 @@
         """Processing rates of the service's endpoints, learned from their responses."""
         return self.hub.rates.for_service(self.record.service.name)
 
-    def _restore_origin(self) -> None:
-        """Take over origin and position of a stream that the caller resumes."""
-        resumed = self.work.resumed
-        if resumed is None:
-            return
-        self.origin = resumed.origin
-        self.origin_since = self.accepted_at - (resumed.age or 0.0)
-        self.relay.last_id = self.work.last_event
-
     def version_rule(self) -> EndpointRule | None:
         """Return the rule for the endpoints of the next attempt; None for any endpoint."""
-        if self.origin is None:
+        if self.stream_origin.origin is None:
             return self.version_rule_of(self)
-        is_certain = self.hub.origins.is_certain(self.origin, self.origin_since)
-        return SameVersion(self.origin.version if is_certain else None)
-
-    def _has_endpoint_to_continue(self) -> bool:
-        """Return True if an endpoint of the version that began the stream serves."""
-        facts = self.hub.directory.endpoints_of_version(self.origin.service, self.origin.version)
-        return bool(facts) and self.hub.origins.is_certain(self.origin, self.origin_since)
-
-    def _record_origin(self, chosen: Candidate) -> None:
-        """Record which version begins the stream, if the current attempt brings its first event."""
-        if not self.work.resumable:
-            return
-        origin = self.origin or StreamOrigin(
-            chosen.side, self.record.service.name, chosen.endpoint_id, len(self.endpoints)
-        )
-        if self.origin is None:
-            self.origin_since = self.hub.now()
-        elif len(self.endpoints) > 1:
-            return
-        self._next_origin = origin
-        for request_id in filter(None, (self.work.caller_id, self.work.origin_id)):
-            self._send_origin(request_id)
-
-    def _send_origin(self, request_id: str) -> None:
-        now = self.hub.now()
-        self.hub.origins.record(
-            compute_origin_key(self.record.workspace, self.record.route, request_id),
-            self._next_origin,
-            self.machine.facts.deadline - now,
-            now - self.origin_since,
-        )
-
-    def _fix_origin(self) -> None:
-        """Fix the origin of the stream at its first event.
-
-        Notes
-        -----
-        After a change of the endpoint the origin is announced twice: peers that lose the second
-        announcement would keep an endpoint whose attempt brought no event.
-        """
-        if self.origin is not None or self._next_origin is None:
-            return
-        self.origin = self._next_origin
-        if self.origin.attempt > 1:
-            self._send_origin(self.work.caller_id)
+        return self.stream_origin.rule
 
     def prefix_blocks(self) -> tuple[str, ...]:
         """Return the ids of the prompt parts."""
@@ -299,7 +242,7 @@
         )
         work = self.work
         self.endpoints.append(chosen.endpoint_id)
-        self._record_origin(chosen)
+        self.stream_origin.record_attempt(chosen, len(self.endpoints))
         if self.has_sent_events:
             log_continuation(self, "resumed")
         self.sent_at = self.hub.now()
@@ -353,7 +296,7 @@
         """Forward complete events to the caller."""
         if self.machine.attempt_id != attempt_id:
             return
-        self._fix_origin()
+        self.stream_origin.fix()
         self.record_contact()
         self._record_event_interval()
         self.record_response_start()
@@ -501,10 +444,10 @@
 
     def _defer_without_endpoint(self, action: StartAttempt) -> None:
         """Schedule another choice, or fail at once if no endpoint can continue the stream."""
-        if self.origin is None or self._has_endpoint_to_continue():
+        if not self.stream_origin.is_stuck:
             super()._defer_without_endpoint(action)
             return
-        is_certain = self.hub.origins.is_certain(self.origin, self.origin_since)
+        is_certain = self.stream_origin.is_certain
         log_continuation(self, "version_gone" if is_certain else "version_unknown")
         self.execute(
             self.machine.fail(
--- a/flamingofront/request/resumption.py
+++ b/flamingofront/request/resumption.py
@@ -103,7 +103,7 @@
 
 def log_continuation(request: "ForwardedRequest", result: str) -> None:
     """Log and count that an answer in progress goes on at another endpoint, or cannot."""
-    hub, origin = request.hub, request.origin
+    hub, origin = request.hub, request.stream_origin.origin
     hub.metrics.count("stream_resumptions_total", by="process", result=result)
     endpoints = hub.directory.endpoints_of_version(origin.service, origin.version)
     request.log.info(
@@ -111,7 +111,7 @@
         result=result,
         began_version=origin.version,
         began_at=origin.endpoint_id,
-        age=round(hub.now() - request.origin_since, 3),
+        age=round(hub.now() - request.stream_origin.since, 3),
         last_event=request.relay.last_id[:MAX_LOGGED_ID],
         endpoints=endpoints[:MAX_LOGGED_ENDPOINTS],
     )
