Streams of the only version go on after a start of all processes

Cause: a process takes the only version it sees for the only one there was if some process has watched the versions for the route's timeout and 15 s; after a start of all processes none has (asked 6, replied 6, evidence none). Change: if all known processes reply, none has watched for so long, all see one version and this process's endpoints are current, that version is taken (evidence: sole version present). One that is not heard, or a second version, refuses as before. What remains: a version whose last endpoint left just before such a start is not known to anybody.

--- a/flamingofront/process/forwarding/shared_origins.py
+++ b/flamingofront/process/forwarding/shared_origins.py
@@ -191,11 +191,21 @@
         self._ask(pending)
 
     def _finish(self, pending: _PendingLookup) -> None:
-        """End a lookup without a record: the version is known only if it is the sole one."""
+        """End a lookup without a record: the version is known only if it is the sole one.
+
+        Notes
+        -----
+        After a start of all processes nobody has watched the versions for long enough. What all of
+        them see now is taken then, so that callers of a service with one version are not refused.
+        """
         query = pending.request.query
         versions = frozenset(pending.versions) | self.local.list_versions(query)
-        is_complete = pending.is_complete or self.local.knows_all_versions(query)
-        found = make_sole_version(versions) if is_complete else None
+        evidence = Evidence.NONE
+        if pending.is_complete or self.local.knows_all_versions(query):
+            evidence = Evidence.SOLE_VERSION
+        elif not pending.silent and self._members.is_complete() and self.local.is_current():
+            evidence = Evidence.SOLE_PRESENT
+        found = None if evidence is Evidence.NONE else make_sole_version(versions, evidence)
         self._close(pending, found or OriginLookup(None, Evidence.NONE))
 
     def _close(self, pending: _PendingLookup, found: OriginLookup) -> None:
--- a/flamingofront/request/stream_origins.py
+++ b/flamingofront/request/stream_origins.py
@@ -42,6 +42,8 @@
     """A peer replied with it."""
     SOLE_VERSION = "sole version"
     """All endpoints of the service have had this version while the stream can have begun."""
+    SOLE_PRESENT = "sole version present"
+    """All endpoints of the service have it now; no process has run for long enough to tell more."""
     NONE = "none"
     """It is not known."""
 
@@ -225,7 +227,7 @@
     ):
         self._timers = timers
         self.versions = versions or VersionHistory(timers.now)
-        self._is_current = is_current
+        self.is_current = is_current
         self.table = OriginTable(timers)
 
     def record(self, key: str, origin: StreamOrigin, seconds: float, age: float = 0.0) -> None:
@@ -265,7 +267,7 @@
 
     def knows_all_versions(self, query: OriginQuery) -> bool:
         """Return True if no other version can have begun a stream."""
-        return self.versions.covers(query.memory_seconds) and self._is_current()
+        return self.versions.covers(query.memory_seconds) and self.is_current()
 
     def find_sole_version(self, query: OriginQuery) -> OriginLookup | None:
         """Return the only origin that a stream can have; None if there are several."""
@@ -274,9 +276,11 @@
         return make_sole_version(self.list_versions(query))
 
 
-def make_sole_version(versions: frozenset[tuple[str, str]]) -> OriginLookup | None:
+def make_sole_version(
+    versions: frozenset[tuple[str, str]], evidence: Evidence = Evidence.SOLE_VERSION
+) -> OriginLookup | None:
     """Return the result for a stream that can have begun at these services and versions."""
     if len(versions) != 1:
         return None
     ((service, version),) = versions
-    return OriginLookup(StreamOrigin(version, service), Evidence.SOLE_VERSION)
+    return OriginLookup(StreamOrigin(version, service), evidence)
--- a/flamingofront/tests/test_stream_resumptions.py
+++ b/flamingofront/tests/test_stream_resumptions.py
@@ -12,6 +12,7 @@
     EVENTS,
     GAP_SECONDS,
     StreamCaller,
+    VersionsWorld,
     versions_world,
 )
 
@@ -124,6 +125,45 @@
         assert caller.is_whole and caller.seen_versions == {"v1"}
 
 
+class TestStartOfAllProcesses:
+    """All processes start again, and with them goes what they knew."""
+
+    def restart_all(self, versions: tuple[str, ...]) -> tuple[VersionsWorld, StreamCaller]:
+        world = versions_world(versions=versions)
+        caller = begin_stream(world, versions[0])
+        for name in list(world.fronts):
+            world.kill(name)
+            world.front(name, world.host(name).zone, first_start=False)
+        world.run_until(lambda: all(each.ready for each in world.fronts.values()))
+        world.run(0.5)
+        return world, caller
+
+    @pytest.mark.parametrize("named", [True, False])
+    def test_stream_of_the_only_version_goes_on(self, named):
+        # Streams of a service with one version were refused for half a minute.
+        world, caller = self.restart_all(("v1",))
+        if not named:
+            caller.call("front-2", Last_Event_Id=str(caller.events[-1][0]))
+        else:
+            caller.call("front-2")
+        world.run(WHOLE_STREAM)
+        assert caller.is_whole
+
+    def test_stream_of_one_of_two_versions_is_refused(self):
+        world, caller = self.restart_all(("v1", "v1.2"))
+        caller.call("front-2")
+        world.run(REFUSAL_SECONDS)
+        assert is_refused(caller)
+
+    def test_process_that_does_not_hear_all_others_refuses(self):
+        # One that is not heard may know of another version.
+        world, caller = self.restart_all(("v1",))
+        world.pause("front-4")
+        caller.call("front-2")
+        world.run(REFUSAL_SECONDS)
+        assert is_refused(caller)
+
+
 class TestVersionsThatChange:
     def test_second_version_appears_while_streams_run(self):
         # Streams that began while there was one version were unknown once there were two.
