--- a/flamingofront/process/forwarding/peers.py
+++ b/flamingofront/process/forwarding/peers.py
@@ -41,7 +41,7 @@
 from flamingofront.process.tasks import Task, TaskRunner
 from flamingofront.process.timers import TimerService
 
-__all__ = ["MAX_PEERS_LISTED", "REPORT_PERIOD_SECONDS", "Peers"]
+__all__ = ["MAX_DIRECT_PEERS", "MAX_PEERS_LISTED", "REPORT_PERIOD_SECONDS", "Peers"]
 
 # Short enough that quotas and loads lag by less than a latency objective.
 REPORT_PERIOD_SECONDS = DIGEST_PERIOD_SECONDS
