A retry before the first event of a stream stays at the version of the first attempt

Cause: a zone was cut off; the attempt there failed without an event, and the next one began the stream at another version. A peer in that zone, which the second announcement could not reach, resumed the stream at the version of the first one. Change: while any endpoint has the version of the first attempt, further ones stay at it, except during a rollout.

--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -128,9 +128,9 @@
 
     def version_rule(self) -> EndpointRule | None:
         """Return the rule for the endpoints of the next attempt; None for any endpoint."""
-        if self.stream_origin.origin is None:
-            return self.version_rule_of(self)
-        return self.stream_origin.rule
+        if self.stream_origin.origin is not None:
+            return self.stream_origin.rule
+        return self.version_rule_of(self) or self.stream_origin.retry_rule
 
     def prefix_blocks(self) -> tuple[str, ...]:
         """Return the ids of the prompt parts."""
--- a/flamingofront/request/origin_tracker.py
+++ b/flamingofront/request/origin_tracker.py
@@ -46,6 +46,22 @@
         """Rule for the endpoints that may continue the stream."""
         return SameVersion(self.origin.version if self.is_certain else None)
 
+    @property
+    def retry_rule(self) -> SameVersion | None:
+        """Rule for a further attempt before the first event; None for any endpoint.
+
+        Notes
+        -----
+        Peers know the version of the first attempt. One that a later announcement does not reach
+        would continue the stream at that version, so it changes only if no endpoint has it.
+        """
+        first = self._next_origin
+        if first is None or not self._request.hub.directory.endpoints_of_version(
+            first.service, first.version
+        ):
+            return None
+        return SameVersion(first.version)
+
     @property
     def is_stuck(self) -> bool:
         """True if the stream has begun and no endpoint that may continue it serves."""
