Read again: a row that returns with another version, one count of reached endpoints, a test that could not fail

Cause: a row that was removed and came back under its id with another version was not known to have changed, so that a stream begun there passed for one of a certain version; count_reached stood twice; test_other_routes_ignore_the_names accepted almost any answer. Change: the last version of removed endpoints is kept, a bounded number; count_reached calls the other; the test asks for 200 on each of the three routes, which is stricter. The whole suite was not run on this commit.

--- a/flamingofront/decisions/direct_paths.py
+++ b/flamingofront/decisions/direct_paths.py
@@ -84,7 +84,7 @@
 
     def count_reached(self, endpoint_ids: Collection[str]) -> int:
         """Return how many of the given endpoints were connected since the check started."""
-        return sum(self._is_connected(each) for each in endpoint_ids)
+        return self.count_reached_since(endpoint_ids, self.since)
 
     def count_reached_since(self, endpoint_ids: Collection[str], at: float) -> int:
         """Return how many of the given endpoints were connected since a time."""
--- a/flamingofront/decisions/stream_origin.py
+++ b/flamingofront/decisions/stream_origin.py
@@ -16,6 +16,8 @@
 
 # Endpoints whose change of version under the same id is kept; such changes are rare.
 MAX_CHANGED_ENDPOINTS = 1024
+# Removed endpoints whose last version is kept.
+MAX_REMOVED_ENDPOINTS = 4096
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,16 +80,18 @@
         self._versions: dict[str, tuple[str, str]] = {}
         self._left_at: dict[tuple[str, str], float] = {}
         self._changed_at: OrderedDict[str, float] = OrderedDict()
+        self._removed: OrderedDict[str, tuple[str, str]] = OrderedDict()
         self.on_new_version: Callable[[str], None] = lambda service: None
 
     def record(self, endpoint_id: str, service: str, version: str) -> None:
         """Record the version of an endpoint that has a row."""
         self._began_at = min(self._began_at, self._now())
-        previous = self._versions.get(endpoint_id)
-        if previous == (service, version):
+        if self._versions.get(endpoint_id) == (service, version):
             return
+        # A row may be removed and return with another version.
+        previous = self._versions.get(endpoint_id) or self._removed.pop(endpoint_id, None)
         is_new = (service, version) not in self._versions.values()
-        if previous is not None:
+        if previous is not None and previous != (service, version):
             self._record_change(endpoint_id, previous)
         self._versions[endpoint_id] = (service, version)
         if is_new:
@@ -105,6 +109,9 @@
         previous = self._versions.pop(endpoint_id, None)
         if previous is not None:
             self._left_at[previous] = self._now()
+            self._removed[endpoint_id] = previous
+            if len(self._removed) > MAX_REMOVED_ENDPOINTS:
+                self._removed.popitem(last=False)
 
     def versions_since(self, service: str, seconds: float) -> frozenset[str]:
         """Return the versions that endpoints of a service have had in the last seconds."""
--- a/flamingofront/decisions/tests/test_stream_origin.py
+++ b/flamingofront/decisions/tests/test_stream_origin.py
@@ -46,6 +46,20 @@
         assert not history.has_changed_since("e-2", 0.0)
         assert history.versions_since("engines", 1.0) == {"v1", "v2"}
 
+    def test_row_that_returns_with_another_version(self):
+        # The change was not seen, as the row had been removed between the two versions.
+        times = [0.0]
+        history = make_history(times)
+        history.record("e-1", "engines", "v1")
+        history.record_removal("e-1")
+        times.append(3.0)
+        history.record("e-1", "engines", "v2")
+        assert history.has_changed_since("e-1", 2.0)
+        history.record_removal("e-1")
+        times.append(6.0)
+        history.record("e-1", "engines", "v2")
+        assert not history.has_changed_since("e-1", 4.0)
+
     def test_new_version_is_reported_once(self):
         history, reported = make_history([0.0]), []
         history.on_new_version = reported.append
--- a/flamingofront/tests/test_stream_resumptions.py
+++ b/flamingofront/tests/test_stream_resumptions.py
@@ -285,13 +285,15 @@
 
     def test_other_routes_ignore_the_names(self):
         world = versions_world(fronts=1)
+        world.endpoint("plain-1", "records")
+        world.run(0.5)
         callers = [
             world.ask("front-1", path, Resumes="never-seen", Last_Event_Id="1")
             for path in ("/read/1", "/write/1", "/stream/once/1")
         ]
-        world.run(0.1)
-        assert all(each.status in (0, 200, 404) or each.done for each in callers)
-        assert not any("stream_not_resumable" in str(each.body) for each in callers)
+        world.finish(*callers)
+        assert [each.status for each in callers] == [200, 200, 200]
+        assert not any(each.broken for each in callers)
 
     def test_stream_goes_on_at_the_service_that_began_it(self):
         # A try has another id than the one before, which led to another service of a split route.
