Log and metrics tell how an endpoint's leaving was learned, from whom, and how late

Cause: the record of requests that reached endpoints after their removal could not tell a dead change feed from old word of a peer or from a request held up after the choice: no line named the age of the copy or its sender. Change: 'endpoint state changed' has the way, the teller, the longest time for which the store may have had the change before, and the time of grace; 'attempt started' has the age of the copy, the way and the sender of the last word on its endpoint; histogram endpoint_departure_seconds by way. No decision changes.

--- a/flamingofront/process/forwarding/endpoints.py
+++ b/flamingofront/process/forwarding/endpoints.py
@@ -4,11 +4,11 @@
 """
 
 from collections.abc import Callable, Iterable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from flamingofront.decisions.stream_origin import VersionHistory
 from flamingofront.process.forwarding.endpoint_row import EndpointRow
-from flamingofront.process.forwarding.provenance import Source
+from flamingofront.process.forwarding.provenance import FROM_STORE, Provenance, Source, Way
 from flamingofront.process.logs import Log
 from flamingofront.process.membership import Fact, FactTable, Role, VmState
 from flamingofront.process.metrics import Metrics
@@ -27,6 +27,16 @@
 LEAVING_REPORT_SECONDS = 3.0
 # Limit per report, latest endpoints first. Peers fetch the others with the endpoint update.
 MAX_REPORTED_LEAVING = 64
+FROM_PEER = Provenance(Source.PEER, way=Way.UPDATE)
+FROM_REPORT = Provenance(Source.PEER, way=Way.REPORT)
+
+
+@dataclass(frozen=True)
+class _MissingRow:
+    """A row that is missing from the store, but may have expired in an outage."""
+
+    since: float
+    origin: Provenance
 
 
 class EndpointView:
@@ -79,7 +89,9 @@
         # Last rows of removed endpoints, and ids of those removed because of an unreadable row.
         self._last_rows: dict[str, EndpointRow] = {}
         self._unreadable: set[str] = set()
-        self._missing: set[str] = set()
+        self._missing: dict[str, _MissingRow] = {}
+        # Where the current state of each endpoint was learned.
+        self._origins: dict[str, Provenance] = {}
         # When each leaving endpoint was detected, by a response or row; kept while it is reported.
         self._leaving_since: dict[str, float] = {}
         self._store_unreachable = False
@@ -102,37 +114,45 @@
         row = self._rows.get(endpoint_id)
         return None if row is None else row.born
 
-    def mark_leaving(self, endpoint_id: str, source: str, request_id: str = "") -> None:
+    def origin_of(self, endpoint_id: str) -> Provenance | None:
+        """Return where the state of an endpoint was learned; None if it has no row."""
+        return self._origins.get(endpoint_id)
+
+    def mark_leaving(self, endpoint_id: str, origin: Provenance, request_id: str = "") -> None:
         """Mark an endpoint as leaving before its row says so.
 
         Parameters
         ----------
-        source : str
-            What announced it: ``answer`` for a response of the endpoint, or ``peer``.
+        origin : Provenance
+            What announced it: a response of the endpoint, or a peer.
         request_id : str
             Id of the request whose response announced it, for the log.
         """
         row = self._rows.get(endpoint_id)
         if row is None or not row.ready:
             return
-        self._metrics.count("endpoint_leaving_total", source=source)
+        self._metrics.count("endpoint_leaving_total", source=origin.source.value)
         self._log.info(
             "endpoint announced that it is leaving",
             endpoint=endpoint_id,
-            source=source,
+            source=origin.source,
+            way=origin.way,
+            teller=origin.sender,
             row_sequence=row.sequence,
             store_away=self._store_unreachable,
             request=request_id,
         )
         self._leaving_since[endpoint_id] = self._timers.now()
-        self.merge_row(replace(row, ready=False), from_peer=True)
+        self.merge_row(replace(row, ready=False), from_peer=True, origin=origin)
 
-    def merge_leaving(self, reported: Iterable[tuple[str, int]]) -> None:
+    def merge_leaving(
+        self, reported: Iterable[tuple[str, int]], origin: Provenance = FROM_REPORT
+    ) -> None:
         """Merge a peer's report of leaving endpoints, pairs of id and start time."""
         for endpoint_id, born in reported:
             row = self._rows.get(endpoint_id)
             if row is not None and row.born == born:
-                self.mark_leaving(endpoint_id, "peer")
+                self.mark_leaving(endpoint_id, origin)
 
     def recently_leaving(self) -> tuple[tuple[str, int], ...]:
         """Return id and start time of the endpoints to report as leaving, latest first."""
@@ -160,7 +180,12 @@
         """Record that all rows of the first answer after an outage have been merged."""
         self._in_first_answer = False
 
-    def replace_all(self, rows: Iterable[EndpointRow], confirmed: bool = False) -> None:
+    def replace_all(
+        self,
+        rows: Iterable[EndpointRow],
+        confirmed: bool = False,
+        origin: Provenance | None = None,
+    ) -> None:
         """Replace the state with all rows of the table.
 
         Parameters
@@ -169,16 +194,19 @@
             True if the rows come from a peer that can reach the store. Missing rows are then
             deleted rows, also if this process cannot reach the store itself.
         """
+        origin = origin or (FROM_PEER if confirmed else FROM_STORE)
         found = {each.endpoint_id: each for each in rows}
         for row in found.values():
-            self.merge_row(row, from_peer=confirmed)
+            self.merge_row(row, confirmed, origin)
         for endpoint_id in [each for each in self._rows if each not in found]:
             if confirmed:
-                self._drop(endpoint_id, Source.PEER)
+                self._drop(endpoint_id, origin)
             else:
-                self.remove(endpoint_id)
+                self.remove(endpoint_id, origin)
 
-    def merge_row(self, row: EndpointRow, from_peer: bool = False) -> None:
+    def merge_row(
+        self, row: EndpointRow, from_peer: bool = False, origin: Provenance | None = None
+    ) -> None:
         """Merge one row.
 
         Parameters
@@ -187,19 +215,21 @@
             True if a peer sent the row. A row in its grace period here may be in its grace period
             there too, so that only a newer row shows that the endpoint is back.
         """
+        origin = origin or (FROM_PEER if from_peer else FROM_STORE)
         endpoint_id = row.endpoint_id
         before = self._rows.get(endpoint_id) or self._last_rows.get(endpoint_id)
         if before is not None and self._is_outdated(row, before):
             return
         newer = endpoint_id not in self._rows or row.order_key > before.order_key
         if newer or not from_peer:
-            self._missing.discard(endpoint_id)
+            self._missing.pop(endpoint_id, None)
         self._rows[endpoint_id] = row
+        if newer or endpoint_id not in self._origins:
+            self._origins[endpoint_id] = origin
         self._last_rows.pop(endpoint_id, None)
         self._unreadable.discard(endpoint_id)
         restarted = before is not None and row.born > before.born
-        source = Source.PEER if from_peer else Source.STORE
-        self._merge_row_fact(row, restarted, newer, source)
+        self._merge_row_fact(row, restarted, newer, origin)
         if restarted:
             self._log.info("endpoint restarted", endpoint=endpoint_id, born=row.born)
             self._on_restarted(row, before)
@@ -221,7 +251,7 @@
         return row.order_key <= before.order_key
 
     def _merge_row_fact(
-        self, row: EndpointRow, restarted: bool, newer: bool, source: Source
+        self, row: EndpointRow, restarted: bool, newer: bool, origin: Provenance
     ) -> None:
         """Merge the fact of a row; a newer row revives an endpoint marked as gone.
 
@@ -237,16 +267,21 @@
             has_new_version = fact.side != row.version
             incarnation = fact.incarnation + (restarted or returned or has_new_version)
         state = VmState.LIVE if row.ready else VmState.LEAVING
-        self._merge_fact(row, incarnation, state, source)
+        self._merge_fact(row, incarnation, state, origin)
 
     def mark_unreadable(self, endpoint_id: str) -> None:
         """Stop sending requests to an endpoint until its row can be decoded again."""
         if endpoint_id in self._rows or endpoint_id in self._last_rows:
             self._unreadable.add(endpoint_id)
-        self._drop(endpoint_id)
+        self._drop(endpoint_id, FROM_STORE)
 
     def _merge_fact(
-        self, row: EndpointRow, incarnation: int, state: VmState, source: Source
+        self,
+        row: EndpointRow,
+        incarnation: int,
+        state: VmState,
+        origin: Provenance,
+        waited: float = 0.0,
     ) -> None:
         fact = Fact(
             row.endpoint_id,
@@ -270,40 +305,55 @@
                 "endpoint state changed",
                 endpoint=row.endpoint_id,
                 state=state.value,
-                source=source,
+                source=origin.source,
+                way=origin.way,
+                teller=origin.sender,
+                max_delay_ms=_to_milliseconds(origin.max_delay),
+                waited_ms=_to_milliseconds(waited),
                 store_away=self._store_unreachable,
                 row=str(row),
             )
+            if state is not VmState.LIVE:
+                self._observe_delay(origin, waited)
             if state is VmState.LEAVING:
-                if source is Source.STORE:
+                if origin.source is Source.STORE:
                     self._leaving_since[row.endpoint_id] = self._timers.now()
                 self._on_leaving(row)
 
-    def remove(self, endpoint_id: str) -> None:
+    def _observe_delay(self, origin: Provenance, waited: float) -> None:
+        """Record how long after the store this process may have learned that an endpoint leaves."""
+        if origin.max_delay is not None:
+            self._metrics.observe(
+                "endpoint_departure_seconds", origin.max_delay + waited, way=origin.way.value
+            )
+
+    def remove(self, endpoint_id: str, origin: Provenance = FROM_STORE) -> None:
         """Remove an endpoint whose row is missing, at once or at the end of its grace period."""
         if endpoint_id not in self._rows:
             return
         if not self._store_unreachable and self._timers.now() >= self._grace_until:
-            self._drop(endpoint_id)
+            self._drop(endpoint_id, origin)
             return
-        self._missing.add(endpoint_id)
+        self._missing.setdefault(endpoint_id, _MissingRow(self._timers.now(), origin))
         if not self._store_unreachable and not self._in_first_answer:
             self._timers.once(DELETION_GRACE_SECONDS, lambda: self._end_row_grace(endpoint_id))
 
-    def confirm_deleted(self, endpoint_id: str) -> None:
+    def confirm_deleted(self, endpoint_id: str, origin: Provenance = FROM_PEER) -> None:
         """Remove an endpoint at once: a peer that reaches the store reports its row as deleted."""
-        self._drop(endpoint_id, Source.PEER)
+        self._drop(endpoint_id, origin)
 
     def _end_grace(self) -> None:
         for endpoint_id in list(self._missing):
             self._end_row_grace(endpoint_id)
 
     def _end_row_grace(self, endpoint_id: str) -> None:
-        if not self._store_unreachable and endpoint_id in self._missing:
-            self._drop(endpoint_id)
+        missing = self._missing.get(endpoint_id)
+        if not self._store_unreachable and missing is not None:
+            self._drop(endpoint_id, missing.origin, self._timers.now() - missing.since)
 
-    def _drop(self, endpoint_id: str, source: Source = Source.STORE) -> None:
-        self._missing.discard(endpoint_id)
+    def _drop(self, endpoint_id: str, origin: Provenance, waited: float = 0.0) -> None:
+        self._missing.pop(endpoint_id, None)
+        self._origins.pop(endpoint_id, None)
         row = self._rows.pop(endpoint_id, None)
         if row is None:
             return
@@ -311,5 +361,9 @@
         self._last_rows[endpoint_id] = row
         fact = self._facts.get(endpoint_id)
         if fact is not None:
-            self._merge_fact(row, fact.incarnation, VmState.GONE, source)
+            self._merge_fact(row, fact.incarnation, VmState.GONE, origin, waited)
         self._on_removed(row)
+
+
+def _to_milliseconds(seconds: float | None) -> int | None:
+    return None if seconds is None else round(seconds * 1000)
--- a/flamingofront/process/forwarding/exchange.py
+++ b/flamingofront/process/forwarding/exchange.py
@@ -210,7 +210,7 @@
         data = yield from self._request_peer(report.vm_id, report.address, path)
         update = self._decode_endpoint_update(report.vm_id, data) if data else None
         if update is not None and update.is_full:
-            self._store_view.drop_missing_rows(update)
+            self._store_view.drop_missing_rows(update, report.vm_id)
 
     def _fetch_endpoints(self, peer: str, address: str) -> Task:
         path = f"{ENDPOINTS_PATH}?after={self._store_view.endpoints_change_number()}"
@@ -247,4 +247,4 @@
             gone=len(update.removed),
         )
         if update.change_number > self._store_view.endpoints_change_number():
-            self._store_view.apply_endpoint_update(update)
+            self._store_view.apply_endpoint_update(update, peer)
--- a/flamingofront/process/forwarding/follower.py
+++ b/flamingofront/process/forwarding/follower.py
@@ -93,6 +93,8 @@
         self.answered_at: float | None = None
         # Latest time at which the local copy of the table was certainly current.
         self.confirmed_at: float | None = None
+        # Longest time for which the store may have had the changes of the last answer before.
+        self.unconfirmed_seconds: float | None = None
         self.errors = 0
 
     @property
@@ -154,6 +156,7 @@
         if self._version is None:
             rows, version = yield from self._read_all()
             self._record_answer()
+            self._record_unconfirmed_time(asked_at)
             self.confirmed_at = asked_at
             self._version = version
             self._listener.on_reload(rows, version)
@@ -164,6 +167,7 @@
         after = max(self._version, self._peer_version())
         changes = yield from self._store.read_changes(self.table, after, wait)
         self._record_answer()
+        self._record_unconfirmed_time(asked_at)
         # A large answer may have been in transit for a while; any other one is current.
         is_large = sum(len(each.value or b"") for each in changes.rows) > LARGE_ANSWER_BYTES
         self.confirmed_at = asked_at if is_large else self.answered_at
@@ -191,6 +195,11 @@
             self._failures = 0
             self._listener.on_recovered()
 
+    def _record_unconfirmed_time(self, asked_at: float) -> None:
+        """Record how long before a poll the local copy was last confirmed."""
+        if self.confirmed_at is not None:
+            self.unconfirmed_seconds = max(0.0, asked_at - self.confirmed_at)
+
     def _record_failure(self, exc: PlatformError) -> None:
         self.errors += 1
         self._failures += 1
--- a/flamingofront/process/forwarding/knowledge.py
+++ b/flamingofront/process/forwarding/knowledge.py
@@ -11,7 +11,7 @@
 from flamingofront.process.forwarding.endpoints import EndpointView
 from flamingofront.process.forwarding.follower import TableListener, TableWatcher
 from flamingofront.process.forwarding.news import EndpointHistory, EndpointUpdate, to_change_number
-from flamingofront.process.forwarding.provenance import FROM_STORE, Provenance, Source
+from flamingofront.process.forwarding.provenance import FROM_STORE, Provenance, Source, Way
 from flamingofront.process.forwarding.reports import PeerReport
 from flamingofront.process.forwarding.rollouts import RolloutRows
 from flamingofront.process.forwarding.version_word import VersionTracker
@@ -326,16 +326,23 @@
     def _reload_endpoints(self, rows: tuple[StoredRow, ...], version: int) -> None:
         present = tuple(each for each in rows if each.value is not None)
         self._history.reset(to_change_number(version))
-        self.endpoints.replace_all(self._decode_endpoints(present))
+        self.endpoints.replace_all(
+            self._decode_endpoints(present), origin=self._describe_answer(Way.READ)
+        )
         self.on_change()
 
+    def _describe_answer(self, way: Way) -> Provenance:
+        """Return the origin of the endpoints in the last answer of the store."""
+        return Provenance(Source.STORE, way=way, max_delay=self.watchers[1].unconfirmed_seconds)
+
     def _apply_endpoint_changes(self, rows: tuple[StoredRow, ...]) -> None:
+        origin = self._describe_answer(Way.FEED)
         for row in rows:
             if row.value is None:
-                self.endpoints.remove(row.key)
+                self.endpoints.remove(row.key, origin)
             else:
                 for each in self._decode_endpoints((row,)):
-                    self.endpoints.merge_row(each)
+                    self.endpoints.merge_row(each, origin=origin)
                 self._history.record_change(row.key, to_change_number(row.version))
         self.on_change()
 
@@ -350,7 +357,7 @@
         self._history.record_change(endpoint_id, max(change_number, self._history.change_number))
         self.on_change()
 
-    def drop_missing_rows(self, update: EndpointUpdate) -> None:
+    def drop_missing_rows(self, update: EndpointUpdate, peer: str) -> None:
         """Remove endpoints with a missing row that a peer does not have either.
 
         Parameters
@@ -360,20 +367,25 @@
         """
         present = {each.endpoint_id for each in update.rows}
         for endpoint_id in self.endpoints.missing_ids() - present:
-            self.endpoints.confirm_deleted(endpoint_id)
+            self.endpoints.confirm_deleted(endpoint_id, self._describe_update(peer))
+
+    def _describe_update(self, peer: str) -> Provenance:
+        """Return the origin of the endpoints in an update of a peer."""
+        return Provenance(Source.PEER, peer, way=Way.UPDATE, max_delay=self.endpoints_age())
 
-    def apply_endpoint_update(self, update: EndpointUpdate) -> None:
+    def apply_endpoint_update(self, update: EndpointUpdate, peer: str) -> None:
         """Merge an update from a peer that can reach the store."""
         self.watchers[1].schedule_reload()
+        origin = self._describe_update(peer)
         if update.is_full:
             self._history.reset(update.change_number)
-            self.endpoints.replace_all(update.rows, confirmed=True)
+            self.endpoints.replace_all(update.rows, True, origin)
         else:
             for row in update.rows:
-                self.endpoints.merge_row(row, from_peer=True)
+                self.endpoints.merge_row(row, True, origin)
                 self._history.record_change(row.endpoint_id, update.change_number)
             for endpoint_id in update.removed:
-                self.endpoints.confirm_deleted(endpoint_id)
+                self.endpoints.confirm_deleted(endpoint_id, origin)
                 self._history.record_change(endpoint_id, update.change_number)
             self._history.advance_to(update.change_number)
         if update.rows or update.removed:
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -32,6 +32,7 @@
 from flamingofront.process.forwarding.own_report import LocalReport, ReportSources
 from flamingofront.process.forwarding.peer_word import PeerDispatcher, UpdateReceivers
 from flamingofront.process.forwarding.peers import Peers
+from flamingofront.process.forwarding.provenance import FROM_ANSWER
 from flamingofront.process.forwarding.proxy import AttemptProxy
 from flamingofront.process.forwarding.quota_arbiter import QuotaArbiters, QuotaContext
 from flamingofront.process.forwarding.quota_members import QuotaMembers
@@ -164,6 +165,7 @@
         settings, dependencies = self.settings, self._dependencies
         self.facts = FactTable()
         self.directory = EndpointDirectory(self.facts, self._rng, settings.zone)
+        self.directory.describe_knowledge = self._describe_endpoint_knowledge
         self.store_view = StoreView(
             dependencies.store,
             dependencies.tables,
@@ -222,6 +224,16 @@
         )
         self.gateway.version_rule = self.rollouts.version_rule
 
+    def _describe_endpoint_knowledge(self, endpoint_id: str) -> dict[str, object]:
+        """Return the age of what this process knows of an endpoint and its origin, for the log."""
+        age = self.store_view.endpoints_age()
+        origin = self.store_view.endpoints.origin_of(endpoint_id)
+        return {
+            "known_age": None if age is None else round(age, 3),
+            "known_by": origin.way if origin is not None else "",
+            "known_from": origin.sender if origin is not None else "",
+        }
+
     def _probe_target_of(self, endpoint_id: str) -> str:
         """Return the target of a request for the state of an endpoint."""
         service = self.configuration.services.get(self.directory.service_of(endpoint_id))
@@ -255,7 +267,7 @@
 
     def _on_endpoint_leaving(self, endpoint_id: str, request: str) -> None:
         """Record that an endpoint has announced in a response that it leaves."""
-        self.store_view.endpoints.mark_leaving(endpoint_id, "answer", request)
+        self.store_view.endpoints.mark_leaving(endpoint_id, FROM_ANSWER, request)
 
     def _on_endpoint_restarted(self, row: EndpointRow, previous: EndpointRow) -> None:
         """Drop the state and the requests of an endpoint's earlier incarnation."""
--- a/flamingofront/process/forwarding/peer_word.py
+++ b/flamingofront/process/forwarding/peer_word.py
@@ -7,6 +7,7 @@
 from flamingofront.process.forwarding.digests import LeaseClaim
 from flamingofront.process.forwarding.exchange import PeerSync
 from flamingofront.process.forwarding.own_report import LocalReport, ReportSources
+from flamingofront.process.forwarding.provenance import Provenance, Source, Way
 from flamingofront.process.forwarding.reports import PeerReport
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.timers import TimerService
@@ -68,7 +69,7 @@
         self._apply_rollouts(report)
         self._reported.hub.guard.merge_update(report.quarantine)
         self._reported.hub.limits.merge(report.limits)
-        self._reported.knowledge.endpoints.merge_leaving(report.leaving_endpoints)
+        self._merge_leaving(report, Way.REPORT)
         if report.usage is not None:
             usage.merge_report(report.usage, report.process, peers.cluster_time())
         self._reported.lease.observe_report(report)
@@ -95,7 +96,7 @@
         self._apply_rollouts(relay)
         self._reported.hub.guard.merge_update(relay.quarantine)
         self._reported.hub.limits.merge(relay.limits)
-        self._reported.knowledge.endpoints.merge_leaving(relay.leaving_endpoints)
+        self._merge_leaving(relay, Way.DIGEST)
         self._reported.lease.observe_report(
             replace(
                 relay,
@@ -106,6 +107,12 @@
         )
         self._receivers.exchange.sync_with(relay)
 
+    def _merge_leaving(self, report: PeerReport, way: Way) -> None:
+        """Merge the endpoints that began to leave according to a peer."""
+        knowledge = self._reported.knowledge
+        origin = Provenance(Source.PEER, report.vm_id, way=way, max_delay=knowledge.endpoints_age())
+        knowledge.endpoints.merge_leaving(report.leaving_endpoints, origin)
+
     def _apply_rollouts(self, report: PeerReport) -> None:
         """Merge a peer's rollouts, and read those from the store that are newer there."""
         if self._reported.rollouts.merge_update(report.rollouts):
--- a/flamingofront/process/metrics.py
+++ b/flamingofront/process/metrics.py
@@ -83,6 +83,7 @@
     "first_token_seconds": "Time from acceptance to the first token or event",
     "request_seconds": "Time from acceptance to the end",
     "configuration_missing_seconds": "Time from word of a newer configuration until it is in force",
+    "endpoint_departure_seconds": "Longest time for which an endpoint had left unknown, by way",
 }
 
 
--- a/flamingofront/request/directory.py
+++ b/flamingofront/request/directory.py
@@ -134,6 +134,8 @@
         Returns the share of the load that comes from this process, from 0 to 1.
     path_to : callable
         Returns the `EndpointPath` on which attempts reach an endpoint.
+    describe_knowledge : callable
+        Returns fields for the log: the age of what is known of an endpoint, and where from.
     noted_prompts : RemotePrompts
         Prompts that other processes have reported recently; load reports may not include them yet.
     """
@@ -147,6 +149,7 @@
         )
         self.refresh_loads: Callable[[], None] = lambda: None
         self.path_to: Callable[[str], EndpointPath] = lambda endpoint_id: EndpointPath.DIRECT
+        self.describe_knowledge: Callable[[str], Mapping[str, object]] = lambda endpoint_id: {}
         self.noted_prompts = RemotePrompts()
         self.health = EndpointHealth(rng)
         self.prefixes = PrefixIndex()
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -226,6 +226,7 @@
             loads_age=directory.load_report_age(self.hub.now()),
             path=chosen.path.value,
             rate_limit=self.hub.limits.rate_of(chosen.endpoint_id),
+            **directory.describe_knowledge(chosen.endpoint_id),
             excluded=sorted(action.exclude),
             left_ms=round((self.machine.facts.deadline - self.hub.now()) * 1000),
         )
