Ages of cached state do not shrink when peers pass them on

Cause: a process told its peers the age of its copy, theirs included, and each hop made the age younger by the transit time; beside slow links all processes held their copies for newer than they were, up to a store that nobody reached. Change: answers of the store carry the time of its steady clock, which StoreClock relates to the local clock; reports and digests pass that time on, and fall back to ages for processes of earlier versions.

--- a/flamingofront/platform/store.py
+++ b/flamingofront/platform/store.py
@@ -29,6 +29,7 @@
 STATUS_OK = 200
 STATUS_CONDITION_FAILED = 412
 STATUS_HISTORY_LOST = 410
+_MS_PER_SECOND = 1000
 JSON_HEADERS = (("Content-Type", "application/json"),)
 # Incremented each time the store is restored from an older snapshot. Some stores do not send it;
 # their era is always 0.
@@ -62,7 +63,8 @@
         reply = yield from send_call(call, False, (STATUS_OK,))
         doc, era = _decode_body(reply), _parse_era(reply)
         version = make_revision(era, doc["ver"])
-        return RowRange(_decode_rows(doc, era), version, bool(doc.get("truncated", False)))
+        is_truncated = bool(doc.get("truncated", False))
+        return RowRange(_decode_rows(doc, era), version, is_truncated, _decode_time(doc))
 
     def read_changes(self, table: str, after: int, wait: float) -> Task:
         """Return the rows changed since a feed position, after a wait for the first change.
@@ -78,7 +80,8 @@
         if reply.status == STATUS_HISTORY_LOST:
             raise HistoryLostError(f"changes of table {table} since {after} are no longer stored")
         doc, era = _decode_body(reply), _parse_era(reply)
-        return RowChanges(_decode_rows(doc, era), make_revision(era, doc["ver"]))
+        version = make_revision(era, doc["ver"])
+        return RowChanges(_decode_rows(doc, era), version, _decode_time(doc))
 
     def transact(
         self, part: str, conditions: Sequence[RowCondition], writes: Sequence[RowWrite]
@@ -149,6 +152,13 @@
     return int(text)
 
 
+def _decode_time(doc: dict[str, Any]) -> float | None:
+    """Return the time of the store's steady clock in seconds."""
+    # "now_ms" has no relation to the time of day.
+    now_ms = doc.get("now_ms")
+    return now_ms / _MS_PER_SECOND if type(now_ms) in (int, float) else None
+
+
 def _decode_rows(doc: dict[str, Any], era: int) -> tuple[StoredRow, ...]:
     try:
         return tuple(_decode_row(each, era) for each in doc.get("rows", ()))
--- a/flamingofront/process/forwarding/digests.py
+++ b/flamingofront/process/forwarding/digests.py
@@ -161,6 +161,7 @@
             encode_limits(relay.limits),
             relay.leaving_endpoints,
             [relay.position, relay.ages],
+            relay.confirmed,
         ]
         self._body = orjson.dumps(values)
 
@@ -217,6 +218,8 @@
         leaving_endpoints=decode_endpoint_starts(*values[18:19] or ((),)),
         position=int(position),
         ages=decode_ages(ages),
+        # Earlier versions do not send the times.
+        confirmed=decode_ages(*values[20:21] or ((None, None),)),
     )
     fencing, lease_version, released, holder_ip = claim
     return Digest(
--- a/flamingofront/process/forwarding/follower.py
+++ b/flamingofront/process/forwarding/follower.py
@@ -9,6 +9,7 @@
 from flamingofront.process.backoff import Backoff
 from flamingofront.process.logs import Log
 from flamingofront.process.store import HistoryLostError, StoredRow, TableStore
+from flamingofront.process.store_clock import StoreClock
 from flamingofront.process.tasks import Task
 
 __all__ = ["TableWatcher", "TableListener"]
@@ -60,6 +61,8 @@
         Time of the timer service.
     peer_version : callable
         Returns the feed position up to which peers have delivered the table.
+    clock : StoreClock, optional
+        Gets the store's time of each answer.
     """
 
     def __init__(
@@ -74,6 +77,7 @@
         pause: Callable[[], float] = lambda: 0.0,
         wait: float = FEED_WAIT_SECONDS,
         peer_version: Callable[[], int] = lambda: 0,
+        clock: StoreClock | None = None,
     ):
         self._peer_version = peer_version
         self._wait_seconds = wait
@@ -91,8 +95,11 @@
         self._failures = 0
         self._version: int | None = None
         self.answered_at: float | None = None
-        # Latest time at which the local copy of the table was certainly current.
+        self._clock = clock
+        # Latest time at which the local copy of the table was certainly current, on the local clock
+        # and on the clock of the store.
         self.confirmed_at: float | None = None
+        self.confirmed_time: float | None = None
         # Longest time for which the store may have had the changes of the last answer before.
         self.unconfirmed_seconds: float | None = None
         self.errors = 0
@@ -154,10 +161,11 @@
         """Read the whole table, or long-poll its next changes."""
         asked_at = self._now()
         if self._version is None:
-            rows, version = yield from self._read_all()
+            rows, version, time = yield from self._read_all()
             self._record_answer()
             self._record_unconfirmed_time(asked_at)
             self.confirmed_at = asked_at
+            self.confirmed_time = time
             self._version = version
             self._listener.on_reload(rows, version)
             return
@@ -171,6 +179,7 @@
         # A large answer may have been in transit for a while; any other one is current.
         is_large = sum(len(each.value or b"") for each in changes.rows) > LARGE_ANSWER_BYTES
         self.confirmed_at = asked_at if is_large else self.answered_at
+        self._record_time(changes.time, asked_at)
         self._poll_requested |= is_large
         self._version = max(after, changes.version)
         if changes.rows:
@@ -178,15 +187,25 @@
             if self._pause():
                 yield Sleep(self._pause())
 
+    def _record_time(self, time: float | None, asked_at: float) -> None:
+        """Record the store's time of an answer that confirms the local copy."""
+        if time is None:
+            return
+        self.confirmed_time = time
+        if self._clock is not None:
+            self._clock.record_answer(time, asked_at, self._now())
+
     def _read_all(self) -> Task:
-        """Return all rows and the version of the first page: changes since are polled again."""
+        """Return all rows, and version and time of the first page: later changes are polled."""
+        asked_at = self._now()
         found = yield from self._store.read(self.table)
-        rows, version = found.rows, found.version
+        rows, version, time = found.rows, found.version, found.time
+        self._record_time(time, asked_at)
         while found.truncated and found.rows:
             # Smallest key after the last one, in byte order.
             found = yield from self._store.read(self.table, first=found.rows[-1].key + "\0")
             rows += found.rows
-        return rows, version
+        return rows, version, time
 
     def _record_answer(self) -> None:
         self.answered_at = self._now()
--- a/flamingofront/process/forwarding/knowledge.py
+++ b/flamingofront/process/forwarding/knowledge.py
@@ -18,6 +18,7 @@
 from flamingofront.process.logs import Log
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.store import StoredRow, TableStore
+from flamingofront.process.store_clock import StoreClock
 from flamingofront.process.tasks import Task
 from flamingofront.version.forwarding import ForwardingConfiguration
 
@@ -97,8 +98,11 @@
         self._on_configuration = on_configuration
         self._peer_versions = VersionTracker()
         self._now = now
-        # From peers: when each table was last confirmed, and the configuration's feed position.
+        self._clock = StoreClock()
+        # From peers: when each table was last confirmed, on the local clock and on the clock of the
+        # store, and the configuration's feed position.
         self._peer_confirmed_at: dict[str, float] = {}
+        self._peer_confirmed_time: dict[str, float] = {}
         self._peer_position = 0
         self._metrics = metrics
         self._log = log
@@ -124,9 +128,18 @@
                 log,
                 can_stand_by,
                 peer_version=lambda: self._peer_position,
+                clock=self._clock,
             ),
             TableWatcher(
-                store, tables.endpoints, endpoint_listener, now, rng, log, can_stand_by, pause
+                store,
+                tables.endpoints,
+                endpoint_listener,
+                now,
+                rng,
+                log,
+                can_stand_by,
+                pause,
+                clock=self._clock,
             ),
         )
 
@@ -191,16 +204,58 @@
             confirmed_at, self._peer_confirmed_at.get(table, confirmed_at)
         )
 
+    def confirmed_times(self) -> tuple[float | None, float | None]:
+        """Return the store's times up to which configuration and endpoints are known to be current.
+
+        None for a table that was never confirmed, or by a store that tells no time.
+        """
+        configuration, endpoints = self.watchers
+        return self._confirmed_time(configuration), self._confirmed_time(endpoints)
+
+    def _confirmed_time(self, watcher: TableWatcher) -> float | None:
+        times = (watcher.confirmed_time, self._peer_confirmed_time.get(watcher.table))
+        return max((each for each in times if each is not None), default=None)
+
     def merge_peer_ages(self, report: PeerReport) -> None:
         """Merge the staleness that a peer reports for state that this process has, too."""
-        now = self._now()
-        configuration_age, endpoints_age = report.ages
+        configuration_at, endpoints_at = self._locate_confirmations(report)
         if report.configuration == self.configuration.version:
             self._peer_position = max(self._peer_position, report.position)
-            if configuration_age is not None:
-                self._record_confirmation(self._tables.configuration, now - configuration_age)
-        if endpoints_age is not None and report.endpoints <= self.endpoints_change_number():
-            self._record_confirmation(self._tables.endpoints, now - endpoints_age)
+            self._merge_confirmation(
+                self._tables.configuration, configuration_at, report.confirmed[0]
+            )
+        if report.endpoints <= self.endpoints_change_number():
+            self._merge_confirmation(self._tables.endpoints, endpoints_at, report.confirmed[1])
+
+    def _locate_confirmations(self, report: PeerReport) -> tuple[float | None, float | None]:
+        """Return when the store confirmed a peer's configuration and endpoints, on the local clock.
+
+        Notes
+        -----
+        The times of the store are preferred to the ages, which are those at the time of sending.
+        """
+        now = self._now()
+        configuration, endpoints = (
+            now - age if local is None and age is not None else local
+            for age, local in zip(
+                report.ages, (self._to_local(each) for each in report.confirmed), strict=True
+            )
+        )
+        return configuration, endpoints
+
+    def _to_local(self, store_time: float | None) -> float | None:
+        """Return a time of the store on the local clock, which is not in the future."""
+        local = None if store_time is None else self._clock.to_local(store_time)
+        return None if local is None else min(local, self._now())
+
+    def _merge_confirmation(
+        self, table: str, confirmed_at: float | None, store_time: float | None
+    ) -> None:
+        if confirmed_at is not None:
+            self._record_confirmation(table, confirmed_at)
+        if store_time is not None:
+            known = self._peer_confirmed_time.get(table, store_time)
+            self._peer_confirmed_time[table] = max(known, store_time)
 
     def build_configuration_delta(self, base_version: int) -> bytes:
         """Return the delta from a peer's version to the active configuration.
--- a/flamingofront/process/forwarding/own_report.py
+++ b/flamingofront/process/forwarding/own_report.py
@@ -90,6 +90,7 @@
             leaving_endpoints=knowledge.endpoints.recently_leaving(),
             position=knowledge.configuration_position(),
             ages=(_round_age(knowledge.configuration_age()), _round_age(knowledge.endpoints_age())),
+            confirmed=knowledge.confirmed_times(),
         )
 
     def _round_work(self, hub: RequestHub) -> dict[str, tuple[float, float]]:
--- a/flamingofront/process/forwarding/reports.py
+++ b/flamingofront/process/forwarding/reports.py
@@ -115,6 +115,8 @@
     ages : tuple of (float or None, float or None)
         Seconds since its cached configuration, and its cached endpoints, were current. None if
         unknown.
+    confirmed : tuple of (float or None, float or None)
+        Times of the store's steady clock up to which both were current. None if unknown.
     """
 
     vm_id: str
@@ -145,6 +147,7 @@
     leaving_endpoints: tuple[tuple[str, int], ...] = ()
     position: int = 0
     ages: tuple[float | None, float | None] = (None, None)
+    confirmed: tuple[float | None, float | None] = (None, None)
 
     @property
     def process(self) -> str:
@@ -198,6 +201,7 @@
     named["limits"] = decode_limits(named.get("limits", ()))
     named["leaving_endpoints"] = decode_endpoint_starts(named.get("leaving_endpoints", ()))
     named["ages"] = decode_ages(named.get("ages", (None, None)))
+    named["confirmed"] = decode_ages(named.get("confirmed", (None, None)))
     return PeerReport(**named)
 
 
@@ -236,7 +240,7 @@
 
 
 def decode_ages(value: Any) -> tuple[float | None, float | None]:
-    """Return the ages of the cached configuration and endpoints, in seconds.
+    """Return the ages, or times, of the cached configuration and endpoints, in seconds.
 
     Raises
     ------
--- a/flamingofront/process/forwarding/tests/test_freshness.py
+++ b/flamingofront/process/forwarding/tests/test_freshness.py
@@ -12,6 +12,7 @@
 )
 from flamingofront.standins.table_store import StoreFault
 from flamingofront.tests.forwarding_world import ForwardingWorld, configuration, ready_world
+from flamingofront.tests.narrow_links import NarrowLinksWorld
 from flamingofront.tests.network import Caller
 
 ONE_ROUTE = configuration()["routes"][:1]
@@ -117,6 +118,25 @@
                 assert front.store_view.configuration_age() < 4.0
                 assert front.store_view.endpoints_age() < 4.0
 
+    @pytest.mark.parametrize("processes", [5, 24])
+    def test_age_that_processes_pass_on_does_not_shrink(self, processes):
+        """Guards against copies that seem current because peers confirm them to one another."""
+        world = NarrowLinksWorld(wide=lambda name: True)
+        world.configure_routes()
+        world.endpoint("plain-1", "records")
+        world.endpoint("engine-1", "engines")
+        for number in range(processes):
+            world.front(f"front-{number}", ("zone-a", "zone-b")[number % 2])
+        world.run_until(lambda: all(each.ready for each in world.fronts.values()))
+        world.run(6.0)
+        world.busy_seconds = 0.25
+        for name in world.fronts:
+            world.cut(name, "store")
+        world.run(4.0)
+        for front in world.fronts.values():
+            assert front.store_view.configuration_age() >= 4.0
+            assert front.store_view.endpoints_age() >= 4.0
+
     def test_show_lists_staleness_of_each_process(self):
         world = large_world()
         relay = next(each for each in world.fronts.values() if each.peers.relaying.is_relay)
--- a/flamingofront/process/store.py
+++ b/flamingofront/process/store.py
@@ -97,11 +97,14 @@
         Revision of the store at the time of the read.
     truncated : bool
         True if further rows follow the last one.
+    time : float or None
+        Time of the store's steady clock at the answer, in seconds; None if it tells none.
     """
 
     rows: tuple[StoredRow, ...]
     version: int
     truncated: bool = False
+    time: float | None = None
 
 
 @dataclass(frozen=True)
@@ -112,10 +115,13 @@
     ----------
     version : int
         Revision from which the next request has to continue.
+    time : float or None
+        Time of the store's steady clock at the answer, in seconds; None if it tells none.
     """
 
     rows: tuple[StoredRow, ...]
     version: int
+    time: float | None = None
 
 
 @dataclass(frozen=True)
