A dead change feed is noticed within a second, and a lost answer is no outage of the store

What callers saw: requests at endpoints whose row had been removed two to three seconds before. Cause: a response of the store that was lost on an open connection left the long poll of the endpoints waiting for up to 4.5 s; the timeout then counted as an outage of the store, and each row that was missing after it got the 2.2 s of rows that expire in an outage, counted from the process's own discovery. Change: FeedCheck polls beside the long poll when no process had an answer for 0.6 s (the first by rendezvous hash, the others 0.45 s later each), and replaces a long poll that missed changes. A timeout while the store answers others is a lost answer. StoreOutages decides whether a missing row may have expired: not while the store answers other processes, and not later than 2.2 s after its first answer to any. The last one is still listed: removals are not pushed yet.

--- a/flamingofront/errors.py
+++ b/flamingofront/errors.py
@@ -16,6 +16,7 @@
     "ErrorKind",
     "FlamingofrontError",
     "PlatformError",
+    "PlatformTimeoutError",
     "Executed",
     "RequestError",
     "SettingsError",
@@ -208,6 +209,10 @@
         self.maybe_applied = maybe_applied
 
 
+class PlatformTimeoutError(PlatformError):
+    """A call to the platform was not answered in time."""
+
+
 class RequestError(FlamingofrontError):
     """A caller's request fails with an error response.
 
--- a/flamingofront/process/calls.py
+++ b/flamingofront/process/calls.py
@@ -1,6 +1,6 @@
 """Calls to the services of the platform, with errors that tell if a write may have taken effect."""
 
-from flamingofront.errors import PlatformError
+from flamingofront.errors import PlatformError, PlatformTimeoutError
 from flamingofront.messages import CallFailed, OutboundCall
 from flamingofront.process.tasks import Task
 
@@ -8,6 +8,7 @@
 
 # Responses that guarantee that the call had no effect.
 REJECTED_STATUSES = (429, 503)
+TIMEOUT_REASON = "timeout"
 
 
 def send_call(call: OutboundCall, is_write: bool, allowed_statuses: tuple[int, ...]) -> Task:
@@ -29,7 +30,8 @@
     reply = yield call
     where = f"{call.method} {call.path.split('?')[0]}"
     if isinstance(reply, CallFailed):
-        raise PlatformError(f"{where}: {reply.reason}", maybe_applied=is_write and reply.wrote)
+        error = PlatformTimeoutError if reply.reason == TIMEOUT_REASON else PlatformError
+        raise error(f"{where}: {reply.reason}", maybe_applied=is_write and reply.wrote)
     if reply.status not in allowed_statuses:
         is_rejected = reply.status in REJECTED_STATUSES
         raise PlatformError(
--- a/flamingofront/process/forwarding/endpoints.py
+++ b/flamingofront/process/forwarding/endpoints.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
+from flamingofront.decisions.store_outage import EXPIRY_GRACE_SECONDS, StoreOutages
 from flamingofront.decisions.stream_origin import VersionHistory
 from flamingofront.process.forwarding.endpoint_row import EndpointRow
 from flamingofront.process.forwarding.provenance import FROM_STORE, Provenance, Source, Way
@@ -16,9 +17,6 @@
 
 __all__ = ["EndpointView", "EXPIRY_GRACE_SECONDS"]
 
-# The platform states that rows which expired during an outage of the store are written again within
-# about two seconds of its recovery. A row that is still missing after that was deleted.
-EXPIRY_GRACE_SECONDS = 2.2
 # A row deleted after the store recovered may belong to an endpoint that is leaving, which accepts
 # requests for two more seconds, minus the transit time. With the longer grace period above, a
 # request reached such an endpoint 2,082 ms after its row was deleted.
@@ -94,9 +92,8 @@
         self._origins: dict[str, Provenance] = {}
         # When each leaving endpoint was detected, by a response or row; kept while it is reported.
         self._leaving_since: dict[str, float] = {}
-        self._store_unreachable = False
+        self._outages = StoreOutages()
         self._in_first_answer = False
-        self._grace_until = 0.0
 
     def rows(self) -> tuple[EndpointRow, ...]:
         """Return the current rows, those in their grace period included."""
@@ -139,7 +136,7 @@
             way=origin.way,
             teller=origin.sender,
             row_sequence=row.sequence,
-            store_away=self._store_unreachable,
+            store_away=self._outages.is_failing,
             request=request_id,
         )
         self._leaving_since[endpoint_id] = self._timers.now()
@@ -163,18 +160,25 @@
         ]
         return tuple((name, self._rows[name].born) for name in latest if name in self._rows)
 
-    def mark_store_unreachable(self) -> None:
-        """Record that the store is unreachable: rows may expire while their endpoints run."""
-        self._store_unreachable = True
+    def record_store_failure(self) -> None:
+        """Record that a call to the store failed: rows may expire while their endpoints run."""
+        self._outages.record_failure(self._timers.now())
+        if self._outages.is_partial:
+            self._drop_missing()
 
-    def mark_store_reachable(self) -> None:
-        """Record that the store answers again, and start the grace period of missing rows."""
-        if self._store_unreachable:
-            self._store_unreachable = False
-            self._in_first_answer = True
-            self._grace_until = self._timers.now() + EXPIRY_GRACE_SECONDS
-            self._timers.once(0.0, self._end_first_answer)
-            self._timers.once(EXPIRY_GRACE_SECONDS, self._end_grace)
+    def record_store_answer_to_any(self, at: float) -> None:
+        """Record a time at which the store answered this or another process."""
+        self._outages.record_answer_to_any(at)
+
+    def record_store_answer(self) -> None:
+        """Record an answer of the store, which begins the grace period after an outage."""
+        if not self._outages.is_failing:
+            return
+        now = self._timers.now()
+        self._outages.record_answer(now)
+        self._in_first_answer = True
+        self._timers.once(0.0, self._end_first_answer)
+        self._timers.once(max(0.0, self._outages.grace_end - now), self._drop_missing)
 
     def _end_first_answer(self) -> None:
         """Record that all rows of the first answer after an outage have been merged."""
@@ -310,7 +314,7 @@
                 teller=origin.sender,
                 max_delay_ms=_to_milliseconds(origin.max_delay),
                 waited_ms=_to_milliseconds(waited),
-                store_away=self._store_unreachable,
+                store_away=self._outages.is_failing,
                 row=str(row),
             )
             if state is not VmState.LIVE:
@@ -331,24 +335,26 @@
         """Remove an endpoint whose row is missing, at once or at the end of its grace period."""
         if endpoint_id not in self._rows:
             return
-        if not self._store_unreachable and self._timers.now() >= self._grace_until:
+        now = self._timers.now()
+        if not self._outages.may_have_expired(now):
             self._drop(endpoint_id, origin)
             return
-        self._missing.setdefault(endpoint_id, _MissingRow(self._timers.now(), origin))
-        if not self._store_unreachable and not self._in_first_answer:
+        self._missing.setdefault(endpoint_id, _MissingRow(now, origin))
+        if not self._outages.is_failing and not self._in_first_answer:
             self._timers.once(DELETION_GRACE_SECONDS, lambda: self._end_row_grace(endpoint_id))
 
     def confirm_deleted(self, endpoint_id: str, origin: Provenance = FROM_PEER) -> None:
         """Remove an endpoint at once: a peer that reaches the store reports its row as deleted."""
         self._drop(endpoint_id, origin)
 
-    def _end_grace(self) -> None:
+    def _drop_missing(self) -> None:
         for endpoint_id in list(self._missing):
             self._end_row_grace(endpoint_id)
 
     def _end_row_grace(self, endpoint_id: str) -> None:
         missing = self._missing.get(endpoint_id)
-        if not self._store_unreachable and missing is not None:
+        is_away = self._outages.is_failing and not self._outages.is_partial
+        if missing is not None and not is_away:
             self._drop(endpoint_id, missing.origin, self._timers.now() - missing.since)
 
     def _drop(self, endpoint_id: str, origin: Provenance, waited: float = 0.0) -> None:
--- a/flamingofront/process/forwarding/exchange.py
+++ b/flamingofront/process/forwarding/exchange.py
@@ -81,6 +81,11 @@
         self._watcher_report_at = now()
         self._polled_at = now()
 
+    def endpoints_lag(self) -> float | None:
+        """Return the seconds since a peer reported newer endpoints; None if none are missing."""
+        change_number = self._store_view.endpoints_change_number()
+        return self._endpoint_versions.missing_seconds(change_number, self._now())
+
     def sync_with(self, report: PeerReport) -> None:
         """Merge a peer's report, and fetch what is newer there and overdue from the store."""
         now = self._now()
--- /dev/null
+++ b/flamingofront/process/forwarding/feed_check.py
@@ -0,0 +1,129 @@
+"""Checks that the long poll of a table is alive, by short polls beside it.
+
+A response that is lost on an open connection leaves a long poll waiting for its timeout. The
+processes that watch a table share the times of their answers, so that one of them polls when no
+process had an answer for a while, and the others only if that does not help.
+"""
+
+from collections.abc import Callable
+
+from flamingofront.errors import PlatformError
+from flamingofront.process.forwarding.follower import TableWatcher
+from flamingofront.process.store import HistoryLostError
+from flamingofront.process.tasks import RunningTask, Task, TaskRunner
+from flamingofront.process.timers import TimerService
+
+__all__ = ["FeedCheck", "WatcherRank"]
+
+CHECK_PERIOD_SECONDS = 0.1
+# Interval of the polls for a version that a peer has reported, which may be no change of the store.
+LAG_POLL_INTERVAL_SECONDS = 1.0
+# A long poll that has become needless ends after this time.
+STANDBY_SECONDS = 3.5
+# Ranks that add to the delay of a check; more would delay it beyond its use.
+MAX_RANK = 4
+
+WatcherRank = Callable[[], tuple[int, float]]
+
+
+class FeedCheck:
+    """Runs a table watcher, and polls beside it when the table was not confirmed for a while.
+
+    Parameters
+    ----------
+    age : callable
+        Returns the seconds since the store confirmed the table to any process; None if it never
+        did.
+    rank : callable
+        Returns the rank of this process among those that watch the table, and the seconds by which
+        each rank waits longer: the time until its answers are known to the others.
+    max_age : float
+        Age in seconds at which the first process polls.
+    lag : callable
+        Returns the seconds since a peer reported a newer version; None if none did.
+    max_lag : callable
+        Returns the lag in seconds at which this process polls, whatever its rank.
+    on_found : callable
+        Called after a poll that found changes, which other processes may have missed, too.
+    """
+
+    def __init__(
+        self,
+        watcher: TableWatcher,
+        tasks: TaskRunner,
+        timers: TimerService,
+        age: Callable[[], float | None],
+        rank: WatcherRank,
+        max_age: float,
+        lag: Callable[[], float | None],
+        max_lag: Callable[[], float],
+        on_found: Callable[[], None] = lambda: None,
+    ):
+        self._watcher = watcher
+        self._tasks = tasks
+        self._timers = timers
+        self._age = age
+        self._rank = rank
+        self._max_age = max_age
+        self._lag = lag
+        self._max_lag = max_lag
+        self._on_found = on_found
+        self._running: RunningTask | None = None
+        self._is_polling = False
+        self._next_lag_poll_at = timers.now()
+
+    def start(self) -> None:
+        """Start to watch the table."""
+        self._running = self._tasks.start(self._watcher.run())
+        self._timers.every(
+            CHECK_PERIOD_SECONDS, self._check, first=CHECK_PERIOD_SECONDS, relaxed=True
+        )
+
+    def _check(self) -> None:
+        if self._is_polling or not self._watcher.is_long_polling:
+            return
+        if self._watcher.long_poll_seconds > STANDBY_SECONDS and self._watcher.could_stand_by():
+            self._restart()
+            return
+        if self._is_stale() or self._is_lagging():
+            self._is_polling = True
+            self._tasks.start(self._poll(), self._end_poll)
+
+    def _is_lagging(self) -> bool:
+        """Return True if a peer has had a newer version for so long that the long poll is dead."""
+        now = self._timers.now()
+        if (self._lag() or 0.0) <= self._max_lag() or now < self._next_lag_poll_at:
+            return False
+        self._next_lag_poll_at = now + LAG_POLL_INTERVAL_SECONDS
+        return True
+
+    def _is_stale(self) -> bool:
+        """Return True if the table was not confirmed for so long that this process has to poll."""
+        age = self._age()
+        if age is None or age <= self._max_age:
+            return False
+        rank, seconds_per_rank = self._rank()
+        return age > self._max_age + min(rank, MAX_RANK) * seconds_per_rank
+
+    def _end_poll(self, result: object) -> None:
+        self._is_polling = False
+
+    def _poll(self) -> Task:
+        """Poll for changes; replace the long poll if it has missed some or the store fails."""
+        try:
+            has_changes = yield from self._watcher.poll_beside()
+        except HistoryLostError:
+            self._watcher.schedule_reload()
+        except PlatformError as exc:
+            if not self._watcher.record_failed_check(exc):
+                return
+        else:
+            if not has_changes:
+                return
+            self._on_found()
+        self._restart()
+
+    def _restart(self) -> None:
+        """Cancel the long poll; the watcher goes on with a new call, or on standby."""
+        self._running.cancel()
+        self._running = self._tasks.start(self._watcher.run())
--- a/flamingofront/process/forwarding/follower.py
+++ b/flamingofront/process/forwarding/follower.py
@@ -4,11 +4,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from flamingofront.errors import PlatformError
+from flamingofront.errors import PlatformError, PlatformTimeoutError
 from flamingofront.messages import Sleep
 from flamingofront.process.backoff import Backoff
 from flamingofront.process.logs import Log
-from flamingofront.process.store import HistoryLostError, StoredRow, TableStore
+from flamingofront.process.store import HistoryLostError, RowChanges, StoredRow, TableStore
 from flamingofront.process.store_clock import StoreClock
 from flamingofront.process.tasks import Task
 
@@ -17,6 +17,8 @@
 # Long-poll timeout. An unresponsive store never answers a long poll, so this bounds how long that
 # goes unnoticed. With 3.5 s, a reconnected process receives a change within the allowed 2 s.
 FEED_WAIT_SECONDS = 3.5
+# A store that answered any process this recently is not away: an answer to this one was lost.
+RECENT_ANSWER_SECONDS = 1.5
 # Smaller answers take at most 0.1 s on the smallest VM link.
 LARGE_ANSWER_BYTES = 64 * 1024
 # Interval of the check that other processes still watch the store for this one.
@@ -36,14 +38,16 @@
         Called with all rows and the version of the store after each full read.
     on_changes : callable
         Called with changed rows, in order.
-    on_unreachable, on_recovered : callable
-        Called when the store becomes unreachable, and when it answers again.
+    on_failure : callable
+        Called with each call that failed.
+    on_answer : callable
+        Called with each answer, before its rows are passed on.
     """
 
     on_reload: Callable[[tuple[StoredRow, ...], int], None]
     on_changes: Callable[[tuple[StoredRow, ...]], None]
-    on_unreachable: Callable[[], None] = lambda: None
-    on_recovered: Callable[[], None] = lambda: None
+    on_failure: Callable[[], None] = lambda: None
+    on_answer: Callable[[], None] = lambda: None
 
 
 class TableWatcher:
@@ -54,7 +58,7 @@
     can_stand_by : callable
         Returns True if other processes watch the table for this one.
     pause : callable
-        Returns the seconds to wait after an answer with changes before the next poll.
+        Returns the mean seconds to wait after an answer with changes before the next poll.
     wait : float
         Long-poll timeout in seconds.
     now : callable
@@ -63,6 +67,8 @@
         Returns the feed position up to which peers have delivered the table.
     clock : StoreClock, optional
         Gets the store's time of each answer.
+    answer_age : callable
+        Returns the seconds since the store's last answer to any process; None if unknown.
     """
 
     def __init__(
@@ -78,8 +84,11 @@
         wait: float = FEED_WAIT_SECONDS,
         peer_version: Callable[[], int] = lambda: 0,
         clock: StoreClock | None = None,
+        answer_age: Callable[[], float | None] = lambda: None,
     ):
         self._peer_version = peer_version
+        self._answer_age = answer_age
+        self._long_poll_at: float | None = None
         self._wait_seconds = wait
         self._can_stand_by = can_stand_by
         self._pause = pause
@@ -118,6 +127,20 @@
         """True while the store does not answer this process."""
         return self._failures > 0
 
+    @property
+    def is_long_polling(self) -> bool:
+        """True while a long poll waits for a change."""
+        return self._long_poll_at is not None
+
+    @property
+    def long_poll_seconds(self) -> float:
+        """Seconds for which the current long poll has waited; 0 if there is none."""
+        return 0.0 if self._long_poll_at is None else self._now() - self._long_poll_at
+
+    def could_stand_by(self) -> bool:
+        """Return True if the long poll is needless: other processes watch the table."""
+        return self.is_long_polling and not self._failures and self._can_stand_by()
+
     def poll_once(self) -> None:
         """Request one poll without wait, also in standby."""
         self._poll_requested = True
@@ -154,9 +177,43 @@
                 )
                 self._version = None
             except PlatformError as exc:
+                if self._is_lost_answer(exc):
+                    self._log.info("change feed reconnected: answer lost", **self._log_fields(exc))
+                    continue
                 self._record_failure(exc)
                 yield Sleep(BACKOFF.compute_delay(self._failures - 1, self._rng))
 
+    def _is_lost_answer(self, exc: PlatformError) -> bool:
+        """Return True if an answer was lost, since the store answers other calls."""
+        answer_age = self._answer_age()
+        return (
+            isinstance(exc, PlatformTimeoutError)
+            and answer_age is not None
+            and answer_age <= RECENT_ANSWER_SECONDS
+        )
+
+    def poll_beside(self) -> Task:
+        """Poll for changes without wait, beside the long poll; return True if there are any."""
+        asked_at, after = self._now(), max(self.version, self._peer_version())
+        changes = yield from self._store.read_changes(self.table, after, 0.0)
+        if after < max(self.version, self._peer_version()):
+            return False  # the long poll was answered meanwhile
+        self.answered_at = self._now()
+        self._record_unconfirmed_time(asked_at)
+        self._apply_changes(changes, after, asked_at)
+        return bool(changes.rows)
+
+    def record_failed_check(self, exc: PlatformError) -> bool:
+        """Record that a poll beside the long poll failed; return False if its answer was lost."""
+        if self._is_lost_answer(exc):
+            self._log.info("answer of the store lost", **self._log_fields(exc))
+            return False
+        self._record_failure(exc)
+        return True
+
+    def _log_fields(self, exc: PlatformError) -> dict[str, object]:
+        return {"table": self.table, "detail": str(exc), "age": self.age()}
+
     def step(self) -> Task:
         """Read the whole table, or long-poll its next changes."""
         asked_at = self._now()
@@ -170,12 +227,24 @@
             self._listener.on_reload(rows, version)
             return
         # During an outage a long poll would delay the detection of the recovery: poll without wait.
-        wait = 0.0 if self._failures or self._poll_requested else self._wait_seconds
+        is_short = self._failures or self._poll_requested
+        wait = 0.0 if is_short else self._wait_seconds
         self._poll_requested = False
         after = max(self._version, self._peer_version())
-        changes = yield from self._store.read_changes(self.table, after, wait)
+        self._long_poll_at = asked_at if wait else None
+        try:
+            changes = yield from self._store.read_changes(self.table, after, wait)
+        finally:
+            self._long_poll_at = None
         self._record_answer()
         self._record_unconfirmed_time(asked_at)
+        self._apply_changes(changes, after, asked_at)
+        if changes.rows and self._pause():
+            # The relays get the same change, and are not to pause for the same time.
+            yield Sleep(self._pause() * (0.5 + self._rng.random()))
+
+    def _apply_changes(self, changes: RowChanges, after: int, asked_at: float) -> None:
+        """Pass the changes after a version on, and record when the local copy was current."""
         # A large answer may have been in transit for a while; any other one is current.
         is_large = sum(len(each.value or b"") for each in changes.rows) > LARGE_ANSWER_BYTES
         self.confirmed_at = asked_at if is_large else self.answered_at
@@ -184,8 +253,6 @@
         self._version = max(after, changes.version)
         if changes.rows:
             self._listener.on_changes(changes.rows)
-            if self._pause():
-                yield Sleep(self._pause())
 
     def _record_time(self, time: float | None, asked_at: float) -> None:
         """Record the store's time of an answer that confirms the local copy."""
@@ -212,7 +279,7 @@
         if self._failures:
             self._log.info("store reachable again", table=self.table, failures=self._failures)
             self._failures = 0
-            self._listener.on_recovered()
+        self._listener.on_answer()
 
     def _record_unconfirmed_time(self, asked_at: float) -> None:
         """Record how long before a poll the local copy was last confirmed."""
@@ -223,7 +290,5 @@
         self.errors += 1
         self._failures += 1
         if self._failures == 1:
-            self._log.warning(
-                "store unreachable", table=self.table, detail=str(exc), age=self.age()
-            )
-            self._listener.on_unreachable()
+            self._log.warning("store unreachable", **self._log_fields(exc))
+        self._listener.on_failure()
--- a/flamingofront/process/forwarding/knowledge.py
+++ b/flamingofront/process/forwarding/knowledge.py
@@ -24,6 +24,8 @@
 
 __all__ = ["StoreView", "SharedTables"]
 
+# Long-poll timeout of the endpoint table; `FeedCheck` notices a dead long poll sooner.
+ENDPOINT_FEED_WAIT_SECONDS = 10.0
 # Limit on unreadable rows that are logged, each once until it is readable again.
 MAX_REJECTED_ROWS_LOGGED = 256
 
@@ -107,15 +109,18 @@
         self._metrics = metrics
         self._log = log
         self._store = store
+        # When the store last answered any process.
+        self._answered_at: float | None = None
         configuration_listener = TableListener(
             lambda rows, version: self._apply_configuration_rows(rows),
             self._apply_configuration_rows,
+            on_answer=self._record_answer,
         )
         endpoint_listener = TableListener(
             self._reload_endpoints,
             self._apply_endpoint_changes,
-            endpoints.mark_store_unreachable,
-            endpoints.mark_store_reachable,
+            endpoints.record_store_failure,
+            self._record_endpoint_answer,
         )
         self.watchers = (
             # No pause here: changes are rare, and one may take a second on a small link.
@@ -129,6 +134,7 @@
                 can_stand_by,
                 peer_version=lambda: self._peer_position,
                 clock=self._clock,
+                answer_age=self.store_answer_age,
             ),
             TableWatcher(
                 store,
@@ -139,7 +145,9 @@
                 log,
                 can_stand_by,
                 pause,
+                wait=ENDPOINT_FEED_WAIT_SECONDS,
                 clock=self._clock,
+                answer_age=self.store_answer_age,
             ),
         )
 
@@ -153,6 +161,21 @@
         """True while other processes watch the store for this one."""
         return self.watchers[1].is_standby
 
+    def store_answer_age(self) -> float | None:
+        """Return the seconds since the store last answered any process; None if unknown."""
+        return None if self._answered_at is None else self._now() - self._answered_at
+
+    def _record_answer(self) -> None:
+        self._record_answer_to_any(self._now())
+
+    def _record_answer_to_any(self, at: float) -> None:
+        self._answered_at = at if self._answered_at is None else max(self._answered_at, at)
+        self.endpoints.record_store_answer_to_any(at)
+
+    def _record_endpoint_answer(self) -> None:
+        self._record_answer()
+        self.endpoints.record_store_answer()
+
     def poll_configuration(self) -> None:
         """Request a poll of the configuration, also in standby."""
         self.watchers[0].poll_once()
@@ -219,6 +242,9 @@
     def merge_peer_ages(self, report: PeerReport) -> None:
         """Merge the staleness that a peer reports for state that this process has, too."""
         configuration_at, endpoints_at = self._locate_confirmations(report)
+        for each in (configuration_at, endpoints_at):
+            if each is not None:
+                self._record_answer_to_any(each)
         if report.configuration == self.configuration.version:
             self._peer_position = max(self._peer_position, report.position)
             self._merge_confirmation(
@@ -379,11 +405,22 @@
         self.endpoints.mark_unreadable(endpoint_id)
 
     def _reload_endpoints(self, rows: tuple[StoredRow, ...], version: int) -> None:
+        """Replace all endpoints; the change number grows only if some have changed.
+
+        Notes
+        -----
+        The version of the store grows with each write to any table. If it were the number, peers
+        would take it for changes that they lack, and fetch and reload in turn.
+        """
         present = tuple(each for each in rows if each.value is not None)
-        self._history.reset(to_change_number(version))
+        before = self.endpoints.rows()
         self.endpoints.replace_all(
             self._decode_endpoints(present), origin=self._describe_answer(Way.READ)
         )
+        if not self._history.change_number or self.endpoints.rows() != before:
+            newest = max((each.version for each in present), default=0)
+            change_number = max(to_change_number(newest), self._history.change_number)
+            self._history.reset(change_number, complete_since=to_change_number(version))
         self.on_change()
 
     def _describe_answer(self, way: Way) -> Provenance:
--- a/flamingofront/process/forwarding/news.py
+++ b/flamingofront/process/forwarding/news.py
@@ -88,10 +88,18 @@
         self._complete_since = 0
         self.change_number = 0
 
-    def reset(self, change_number: int) -> None:
-        """Clear the changes after a full reload that includes all changes up to a number."""
+    def reset(self, change_number: int, complete_since: int | None = None) -> None:
+        """Clear the changes after a full reload.
+
+        Parameters
+        ----------
+        change_number : int
+            Number of the last change that the reload includes.
+        complete_since : int, optional
+            Number from which on all changes will be known; `change_number` by default.
+        """
         self._changes.clear()
-        self._complete_since = change_number
+        self._complete_since = change_number if complete_since is None else complete_since
         self.change_number = change_number
 
     def record_change(self, endpoint_id: str, change_number: int) -> None:
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -21,6 +21,7 @@
 from flamingofront.process.forwarding.endpoint_row import EndpointRow
 from flamingofront.process.forwarding.endpoints import EndpointView
 from flamingofront.process.forwarding.exchange import STALENESS_CHECK_SECONDS, PeerSync
+from flamingofront.process.forwarding.feed_check import FeedCheck
 from flamingofront.process.forwarding.freshness import FreshnessCheck
 from flamingofront.process.forwarding.held_requests import QuarantineSync
 from flamingofront.process.forwarding.inquiries import ArbiterContext
@@ -78,6 +79,11 @@
 # response: each poll has a cost. The two relays of a zone poll in turn, so the mean delay of a
 # change is 0.3 s.
 FEED_PAUSE_SECONDS = 0.8
+# Age of the endpoints at which a process polls beside its long poll: all processes are to know
+# within a second that an endpoint leaves.
+MAX_ENDPOINTS_AGE_SECONDS = 0.6
+# A change that a peer reported arrives within this time if the own long poll is alive.
+MAX_FEED_LAG_SECONDS = 0.3
 # Responses that an endpoint sent before its restart may be in transit for this long.
 LAST_RESPONSES_SECONDS = 0.05
 # Fraction of an endpoint's connections that may be idle.
@@ -184,7 +190,7 @@
             self.metrics,
             self.log,
             self._is_standby,
-            lambda: FEED_PAUSE_SECONDS if self.peers.is_relayed else 0.0,
+            self._feed_pause,
         )
         self.hub = RequestHub(
             HubSettings(
@@ -369,6 +375,21 @@
             lambda: self.peers.table.live_reports(self.timers.now()),
         )
         self.store_view.on_change = self._on_store_change
+        self.feed_check = FeedCheck(
+            self.store_view.watchers[1],
+            self.tasks,
+            self.timers,
+            self.store_view.endpoints_age,
+            self.peers.rank_as_watcher,
+            MAX_ENDPOINTS_AGE_SECONDS,
+            self.exchange.endpoints_lag,
+            lambda: MAX_FEED_LAG_SECONDS + self._feed_pause(),
+            self.peers.broadcast_report,
+        )
+
+    def _feed_pause(self) -> float:
+        """Return the mean pause in seconds after a poll that found changes."""
+        return FEED_PAUSE_SECONDS if self.peers.is_relayed else 0.0
 
     def _remote_relays(self) -> list[str]:
         """Return the control addresses of the other zones' relays, in random order."""
@@ -574,8 +595,8 @@
             self.tasks.start(self.lease.run())
         for task in self.leader_tasks:
             self.tasks.start(task.run())
-        for watcher in self.store_view.watchers:
-            self.tasks.start(watcher.run())
+        self.tasks.start(self.store_view.watchers[0].run())
+        self.feed_check.start()
         self.tasks.start(self.quarantine_sync.run())
         self.timers.every(
             STALENESS_CHECK_SECONDS,
--- a/flamingofront/process/forwarding/peers.py
+++ b/flamingofront/process/forwarding/peers.py
@@ -36,6 +36,7 @@
 from flamingofront.process.forwarding.sums import PeerLoad, load_from_report
 from flamingofront.process.logs import Log
 from flamingofront.process.metrics import Metrics
+from flamingofront.process.rendezvous import rank
 from flamingofront.process.settings import Address
 from flamingofront.process.store import RowWrite, TableStore
 from flamingofront.process.tasks import Task, TaskRunner
@@ -47,6 +48,9 @@
 REPORT_PERIOD_SECONDS = DIGEST_PERIOD_SECONDS
 # Delay of a datagram between two busy VMs, including scheduling.
 DATAGRAM_DELAY_SECONDS = 0.05
+# Time until an answer of the store is known to the other processes, besides the report period: two
+# datagram delays and the period of the checks.
+ANSWER_SHARING_DELAY_SECONDS = 0.2
 # Largest number of peers that get reports directly. With more, reports go through relays, so that
 # the traffic of a process does not grow with their number.
 MAX_DIRECT_PEERS = 16
@@ -266,6 +270,30 @@
         """Return the seconds until a new leader has received the usage of all processes."""
         return RELAYED_USAGE_DELAY_SECONDS if self.is_relayed else 0.0
 
+    def rank_as_watcher(self) -> tuple[int, float]:
+        """Return this process's rank among those that watch the store.
+
+        Returns
+        -------
+        rank : int
+            0 for the first one by rendezvous hash.
+        seconds : float
+            Time until an answer to one of them is known to the others.
+        """
+        reports = (
+            self.relaying.live_relays()
+            if self.is_relayed
+            else self.table.live_reports(self._timers.now())
+        )
+        watchers = {
+            each.vm_id
+            for each in reports
+            if each.watches_store and not each.store_unreachable and not each.leaving
+        }
+        ranked = rank("store watchers", {*watchers, self._identity.vm_id})
+        seconds = self.report_period() + ANSWER_SHARING_DELAY_SECONDS
+        return ranked.index(self._identity.vm_id), seconds
+
     def start_times(self) -> list[float]:
         """Return the wall-clock start times of the live processes, including this one."""
         relays = self.relaying.live_relays() if self.is_relayed else []
--- a/flamingofront/process/forwarding/tests/test_endpoints.py
+++ b/flamingofront/process/forwarding/tests/test_endpoints.py
@@ -101,27 +101,27 @@
 
 class TestOutage:
     def test_missing_row_has_grace_period_after_outage(self, harness):
-        harness.view.mark_store_unreachable()
+        harness.view.record_store_failure()
         harness.view.remove("i-1")
         harness.pass_time(60.0)
         assert harness.state() is VmState.LIVE
-        harness.view.mark_store_reachable()
+        harness.view.record_store_answer()
         harness.pass_time(EXPIRY_GRACE_SECONDS - 0.1)
         assert harness.state() is VmState.LIVE
         harness.pass_time(0.2)
         assert harness.state() is VmState.GONE
 
     def test_row_written_again_within_grace_period_stays(self, harness):
-        harness.view.mark_store_unreachable()
+        harness.view.record_store_failure()
         harness.view.remove("i-1")
-        harness.view.mark_store_reachable()
+        harness.view.record_store_answer()
         harness.view.merge_row(replace(ROW, sequence=6))
         harness.pass_time(60.0)
         assert harness.state() is VmState.LIVE
 
     def test_row_missing_in_first_answer_has_full_grace_period(self, harness):
-        harness.view.mark_store_unreachable()
-        harness.view.mark_store_reachable()
+        harness.view.record_store_failure()
+        harness.view.record_store_answer()
         harness.view.remove("i-1")
         harness.pass_time(EXPIRY_GRACE_SECONDS - 0.1)
         harness.view.merge_row(replace(ROW, sequence=6))
@@ -129,9 +129,9 @@
         assert harness.state() is VmState.LIVE
 
     def test_row_deleted_after_recovery_has_shorter_grace_period(self, harness):
-        harness.view.mark_store_unreachable()
+        harness.view.record_store_failure()
         harness.pass_time(9.0)
-        harness.view.mark_store_reachable()
+        harness.view.record_store_answer()
         harness.pass_time(0.024)
         harness.view.remove("i-1")
         harness.pass_time(1.0)
@@ -140,7 +140,7 @@
         assert harness.state() is VmState.GONE
 
     def test_confirmed_rows_of_peer_apply_at_once(self, harness):
-        harness.view.mark_store_unreachable()
+        harness.view.record_store_failure()
         harness.view.replace_all((), confirmed=True)
         assert harness.state() is VmState.GONE
 
@@ -191,7 +191,7 @@
         assert harness.state() is VmState.LIVE
 
     def test_unreadable_row_has_no_grace_period(self, harness):
-        harness.view.mark_store_unreachable()
+        harness.view.record_store_failure()
         harness.view.mark_unreadable("i-1")
         assert harness.state() is VmState.GONE
 
--- a/flamingofront/process/tasks.py
+++ b/flamingofront/process/tasks.py
@@ -20,7 +20,7 @@
 )
 from flamingofront.process.timers import Timer, TimerService
 
-__all__ = ["Reply", "ReplyCollector", "Task", "TaskRunner", "call_buffered"]
+__all__ = ["Reply", "ReplyCollector", "RunningTask", "Task", "TaskRunner", "call_buffered"]
 
 Reply = BufferedResponse | CallFailed
 Task = Generator[OutboundCall | Sleep, Reply | None, Any]
