Usage of relays is not missing where datagrams are lost

Cause: a relay that keeps copies of the usage of other zones had no room left for its own counts in its report, so that the other relay of its zone reported it as complete without them; relays sent no usage while the advertisement of the lease was lost; the holder waited for as many processes as it heard, not as there are. Change: own counts always have room; usage goes to the last known holder for 5 s; the holder waits for all members, as before for 4.5 s at most.

--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -508,7 +508,7 @@
                     UsageCoverage(
                         self.peers.cluster_time,
                         self.peers.usage_sync_delay,
-                        lambda: self.peers.live_count() + 1,
+                        self.peers.member_count,
                     ),
                     self.timers.now,
                     self.metrics,
--- a/flamingofront/process/forwarding/relaying.py
+++ b/flamingofront/process/forwarding/relaying.py
@@ -59,6 +59,8 @@
 PROCESSES_PER_DIGEST = 4
 # Usage windows sent every second: the current and the previous one.
 RECENT_WINDOWS = 2
+# Usage is sent to the last known holder for this long: several periods, in a lossy network.
+USAGE_RECEIVER_SECONDS = 5.0
 # Number of times that all kept windows are sent to a new leader; one may be lost.
 FULL_USAGE_SENDS = 2
 # Number of other zones whose first relay keeps a copy of this zone's usage, besides the leader.
@@ -137,6 +139,8 @@
         self._zone_consumed = ConsumptionLedger()
         self._remote_consumed = ConsumptionLedger()
         self._usage_sent_to = 0
+        self._usage_receiver = LeaseClaim()
+        self._usage_receiver_at = -math.inf
         self._full_usage_left = 0
         self._processes_with_usage: set[str] = set()
         self._forwarded: set[tuple[str, int, int]] = set()
@@ -333,7 +337,7 @@
 
     def _send_usage(self, local: PeerReport) -> None:
         """Send the usage of this zone to the leader and to the relays that keep a copy."""
-        claim = self._find_newest_claim(local, include_remote=True)
+        claim = self._find_usage_receiver(local)
         if claim.fencing != self._usage_sent_to:
             self._usage_sent_to, self._full_usage_left = claim.fencing, FULL_USAGE_SENDS
         windows = KEPT_WINDOWS if self._full_usage_left > 0 else RECENT_WINDOWS
@@ -357,6 +361,22 @@
             for ip in sorted(targets - {"", self._identity.ip}):
                 self._send(data, ip)
 
+    def _find_usage_receiver(self, local: PeerReport) -> LeaseClaim:
+        """Return the newest lease advertisement; for a while also one that is too old to forward.
+
+        Notes
+        -----
+        Advertisements are lost like other datagrams. Usage that is sent to a holder that has ended
+        costs some datagrams, while usage that is not sent may be missing in a window.
+        """
+        now = self._timers.now()
+        claim = self._find_newest_claim(local, include_remote=True)
+        if claim.ip:
+            self._usage_receiver, self._usage_receiver_at = claim, now
+        if now - self._usage_receiver_at <= USAGE_RECEIVER_SECONDS:
+            return self._usage_receiver
+        return claim
+
     # Receiving
 
     def receive_report(self, report: PeerReport, is_continuous: bool, is_new: bool) -> None:
--- a/flamingofront/process/forwarding/tests/test_duties.py
+++ b/flamingofront/process/forwarding/tests/test_duties.py
@@ -6,6 +6,7 @@
 from flamingofront.decisions.fleet_plan import CheapestSafeFleet, FleetState
 from flamingofront.platform.endpoints import ENDPOINT_TABLE
 from flamingofront.process.forwarding.duty import LEADER_KEY, LEADER_PARTITION, LEADER_TABLE
+from flamingofront.process.forwarding.usage import MAX_DEPARTED, UsageBook
 from flamingofront.standins.table_store import StoreFault
 from flamingofront.tests.forwarding_world import ForwardingWorld, ready_world
 from flamingofront.version.forwarding import ScalingLimits
@@ -138,6 +139,18 @@
         assert abs(front.peers.cluster_time() - world.clock.now()) < 0.1
 
 
+class TestReportedCounts:
+    def test_report_has_own_counts_beside_those_of_many_others(self):
+        """Guards against a relay that keeps the usage of other zones and leaves its own out."""
+        book = UsageBook("own", 5.0)
+        others = {f"vm-{number}": {"0": {"desk": 1}} for number in range(2 * MAX_DEPARTED)}
+        book.merge_counts(others, {})
+        book.count_started("desk", 1.0)
+        found = book.collect_counts(set(), 1.0)
+        assert found["own"] == {"0": {"desk": 1}}
+        assert len(found) == MAX_DEPARTED + 1
+
+
 class TestLease:
     def test_row_is_rarely_read_while_the_holder_is_live(self):
         world = ready_world(fronts=6)
--- a/flamingofront/process/forwarding/usage.py
+++ b/flamingofront/process/forwarding/usage.py
@@ -82,7 +82,9 @@
         found: dict[str, dict[str, Mapping[str, int]]] = {}
         for window, by_process in self._counts.items():
             for process, counts in by_process.items():
-                if process not in live and (process in found or len(found) < MAX_DEPARTED):
+                is_local = process == self._process
+                has_room = process in found or len(found) < MAX_DEPARTED
+                if is_local or (process not in live and has_room):
                     found.setdefault(process, {})[str(window)] = counts
         return found
 
@@ -165,13 +167,13 @@
         Wall clock, agreed with the other processes.
     settle_wait : callable
         Returns the seconds after which a new lease holder has received the counts of all processes.
-    live_count : callable
-        Returns the number of live processes, this one included.
+    member_count : callable
+        Returns the number of entry processes, heard or not, this one included.
     """
 
     true_time: Callable[[], float]
     settle_wait: Callable[[], float]
-    live_count: Callable[[], int]
+    member_count: Callable[[], int]
 
 
 class UsageReporter:
@@ -259,9 +261,9 @@
         wall = self._coverage.true_time()
         last = self._book.window_at(wall - SETTLE_SECONDS) - 1
         end = self._book.window_end(last)
-        live = self._coverage.live_count()
+        members = self._coverage.member_count()
         if wall < end + MAX_MISSING_WAIT_SECONDS and not self._book.is_complete_until(
-            end, live, wall
+            end, members, wall
         ):
             last -= 1
         newest = max(
