Removed endpoints are reported to all processes, with the revision of their removal

What callers saw: requests at endpoints whose row had been removed, from processes that had not heard of it. Cause: only rows that say that an endpoint leaves were pushed to peers. A removal was found by comparing numbers of changes 1.1 s later, and fetched; with relays each step waited for the one before. Change: reports and digests carry removed endpoints for 3 s with the revision of the store up to which rows are older, and relays pass them on at once. Rows have the revision in which they were written, so that the order of word from feed, reads, peers and relays does not matter: a removal does not apply to a later row, and an older row, a stale read or a peer that knows less does not bring an endpoint back. In an outage of the store a reported removal gets the same grace as a missing row. All changes of an answer are reported together, not one by one.

--- a/flamingofront/process/forwarding/digests.py
+++ b/flamingofront/process/forwarding/digests.py
@@ -15,7 +15,7 @@
     PeerReport,
     ProcessCounts,
     decode_ages,
-    decode_endpoint_starts,
+    decode_endpoint_numbers,
     decode_rollouts,
 )
 from flamingofront.process.quarantine_codec import (
@@ -162,6 +162,7 @@
             relay.leaving_endpoints,
             [relay.position, relay.ages],
             relay.confirmed,
+            relay.removed_endpoints,
         ]
         self._body = orjson.dumps(values)
 
@@ -215,11 +216,12 @@
         quarantine=decode_quarantine_update(quarantine),
         # Earlier versions send neither limits nor leaving endpoints.
         limits=decode_limits(*values[17:18] or ((),)),
-        leaving_endpoints=decode_endpoint_starts(*values[18:19] or ((),)),
+        leaving_endpoints=decode_endpoint_numbers(*values[18:19] or ((),)),
         position=int(position),
         ages=decode_ages(ages),
-        # Earlier versions do not send the times.
+        # Earlier versions send neither times nor removed endpoints.
         confirmed=decode_ages(*values[20:21] or ((None, None),)),
+        removed_endpoints=decode_endpoint_numbers(*values[21:22] or ((),)),
     )
     fencing, lease_version, released, holder_ip = claim
     return Digest(
--- a/flamingofront/process/forwarding/endpoint_row.py
+++ b/flamingofront/process/forwarding/endpoint_row.py
@@ -35,6 +35,8 @@
         True if the cloud may reclaim its VM.
     leaves_in : float or None
         Seconds until its VM is reclaimed; None if unknown.
+    revision : int
+        Revision of the store in which the row was written; 0 if unknown.
 
     Raises
     ------
@@ -55,12 +57,13 @@
     version: str = ""
     reclaimable: bool = False
     leaves_in: float | None = None
+    revision: int = 0
 
     def __post_init__(self):
         for name in ("endpoint_id", "service", "address", "zone"):
             _check_text(name, getattr(self, name))
         _check_address(self.address)
-        for name in ("slots", "sequence", "born"):
+        for name in ("slots", "sequence", "born", "revision"):
             _check_count(name, getattr(self, name))
         for name in ("ready", "reclaimable"):
             _check_type(name, getattr(self, name), bool)
--- a/flamingofront/process/forwarding/endpoints.py
+++ b/flamingofront/process/forwarding/endpoints.py
@@ -13,6 +13,7 @@
 from flamingofront.process.logs import Log
 from flamingofront.process.membership import Fact, FactTable, Role, VmState
 from flamingofront.process.metrics import Metrics
+from flamingofront.process.store import get_era
 from flamingofront.process.timers import TimerService
 
 __all__ = ["EndpointView", "EXPIRY_GRACE_SECONDS"]
@@ -21,10 +22,14 @@
 # requests for two more seconds, minus the transit time. With the longer grace period above, a
 # request reached such an endpoint 2,082 ms after its row was deleted.
 DELETION_GRACE_SECONDS = 1.5
-# An endpoint is reported as leaving for this long: several reports, since a few may be lost.
+# An endpoint is reported as leaving or removed for this long: several reports, since a few may be
+# lost.
 LEAVING_REPORT_SECONDS = 3.0
 # Limit per report, latest endpoints first. Peers fetch the others with the endpoint update.
 MAX_REPORTED_LEAVING = 64
+MAX_REPORTED_REMOVED = 64
+# Removed endpoints whose revision is kept, so that late word of peers does not bring them back.
+MAX_KEPT_REMOVALS = 4096
 FROM_PEER = Provenance(Source.PEER, way=Way.UPDATE)
 FROM_REPORT = Provenance(Source.PEER, way=Way.REPORT)
 
@@ -92,6 +97,10 @@
         self._origins: dict[str, Provenance] = {}
         # When each leaving endpoint was detected, by a response or row; kept while it is reported.
         self._leaving_since: dict[str, float] = {}
+        # Revision up to which the rows of a removed endpoint are older than its removal, and when
+        # the removal was learned; the latter is kept while it is reported.
+        self._removed_revisions: dict[str, int] = {}
+        self._removed_since: dict[str, float] = {}
         self._outages = StoreOutages()
         self._in_first_answer = False
 
@@ -160,6 +169,39 @@
         ]
         return tuple((name, self._rows[name].born) for name in latest if name in self._rows)
 
+    def merge_removed(
+        self, reported: Iterable[tuple[str, int]], origin: Provenance = FROM_REPORT
+    ) -> None:
+        """Merge a peer's report of removed endpoints, pairs of id and revision.
+
+        Notes
+        -----
+        A row that was written after the removal is kept: the endpoint has returned.
+        """
+        for endpoint_id, revision in reported:
+            row = self._rows.get(endpoint_id)
+            if row is None:
+                self._record_removal(endpoint_id, revision)
+            elif row.revision < revision and endpoint_id not in self._missing:
+                self.remove(endpoint_id, origin, revision)
+
+    def recently_removed(self) -> tuple[tuple[str, int], ...]:
+        """Return id and revision of the endpoints to report as removed, latest first."""
+        since = self._timers.now() - LEAVING_REPORT_SECONDS
+        self._removed_since = {name: at for name, at in self._removed_since.items() if at > since}
+        latest = sorted(self._removed_since, key=lambda name: -self._removed_since[name])
+        return tuple(
+            (name, self._removed_revisions[name])
+            for name in latest[:MAX_REPORTED_REMOVED]
+            if name not in self._rows and self._removed_revisions.get(name)
+        )
+
+    def _record_removal(self, endpoint_id: str, revision: int) -> None:
+        known = self._removed_revisions.get(endpoint_id, 0)
+        self._removed_revisions[endpoint_id] = max(known, revision)
+        while len(self._removed_revisions) > MAX_KEPT_REMOVALS:
+            self._removed_revisions.pop(next(iter(self._removed_revisions)))
+
     def record_store_failure(self) -> None:
         """Record that a call to the store failed: rows may expire while their endpoints run."""
         self._outages.record_failure(self._timers.now())
@@ -189,6 +231,7 @@
         rows: Iterable[EndpointRow],
         confirmed: bool = False,
         origin: Provenance | None = None,
+        version: int = 0,
     ) -> None:
         """Replace the state with all rows of the table.
 
@@ -197,6 +240,8 @@
         confirmed : bool
             True if the rows come from a peer that can reach the store. Missing rows are then
             deleted rows, also if this process cannot reach the store itself.
+        version : int
+            Revision of the store at the read; rows that are newer are kept. 0 if unknown.
         """
         origin = origin or (FROM_PEER if confirmed else FROM_STORE)
         found = {each.endpoint_id: each for each in rows}
@@ -205,8 +250,8 @@
         for endpoint_id in [each for each in self._rows if each not in found]:
             if confirmed:
                 self._drop(endpoint_id, origin)
-            else:
-                self.remove(endpoint_id, origin)
+            elif not version or self._rows[endpoint_id].revision <= version:
+                self.remove(endpoint_id, origin, version)
 
     def merge_row(
         self, row: EndpointRow, from_peer: bool = False, origin: Provenance | None = None
@@ -224,6 +269,8 @@
         before = self._rows.get(endpoint_id) or self._last_rows.get(endpoint_id)
         if before is not None and self._is_outdated(row, before):
             return
+        if before is None and 0 < row.revision <= self._removed_revisions.get(endpoint_id, 0):
+            return  # a peer has reported the removal of an endpoint that was unknown here
         newer = endpoint_id not in self._rows or row.order_key > before.order_key
         if newer or not from_peer:
             self._missing.pop(endpoint_id, None)
@@ -248,10 +295,13 @@
         is leaving too is not outdated, since it may add the time until the VM is reclaimed.
         """
         is_present = row.endpoint_id in self._rows
+        removed_revision = self._removed_revisions.get(row.endpoint_id, 0)
         if row.born == before.born and not before.ready and row.ready:
             return True
         if is_present or row.endpoint_id in self._unreadable:
             return row.order_key < before.order_key
+        if row.order_key == before.order_key and _is_written_after(row.revision, removed_revision):
+            return False
         return row.order_key <= before.order_key
 
     def _merge_row_fact(
@@ -331,8 +381,15 @@
                 "endpoint_departure_seconds", origin.max_delay + waited, way=origin.way.value
             )
 
-    def remove(self, endpoint_id: str, origin: Provenance = FROM_STORE) -> None:
-        """Remove an endpoint whose row is missing, at once or at the end of its grace period."""
+    def remove(self, endpoint_id: str, origin: Provenance = FROM_STORE, revision: int = 0) -> None:
+        """Remove an endpoint whose row is missing, at once or at the end of its grace period.
+
+        Parameters
+        ----------
+        revision : int
+            Revision up to which its rows are older than the removal; 0 if unknown.
+        """
+        self._record_removal(endpoint_id, revision)
         if endpoint_id not in self._rows:
             return
         now = self._timers.now()
@@ -365,11 +422,24 @@
             return
         # Only a row newer than this one may revive the endpoint.
         self._last_rows[endpoint_id] = row
+        self._record_removal(endpoint_id, row.revision)
+        self._removed_since[endpoint_id] = self._timers.now()
         fact = self._facts.get(endpoint_id)
         if fact is not None:
             self._merge_fact(row, fact.incarnation, VmState.GONE, origin, waited)
         self._on_removed(row)
 
 
+def _is_written_after(revision: int, removed_revision: int) -> bool:
+    """Return True if a row was certainly written after a removal.
+
+    Notes
+    -----
+    A store that was restored from a snapshot has rows again that were removed, in a later era.
+    """
+    is_same_era = get_era(revision) == get_era(removed_revision)
+    return 0 < removed_revision < revision and is_same_era
+
+
 def _to_milliseconds(seconds: float | None) -> int | None:
     return None if seconds is None else round(seconds * 1000)
--- a/flamingofront/process/forwarding/knowledge.py
+++ b/flamingofront/process/forwarding/knowledge.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from flamingofront.decisions.rollout import RolloutSpec
 from flamingofront.errors import ConfigurationError, PlatformError
@@ -386,7 +386,8 @@
         found = []
         for row in rows:
             try:
-                found.append(self._tables.decode_endpoint(row.key, row.value))
+                decoded = self._tables.decode_endpoint(row.key, row.value)
+                found.append(replace(decoded, revision=row.version))
             except PlatformError as exc:
                 self._reject_row(row.key, exc)
             else:
@@ -415,7 +416,7 @@
         present = tuple(each for each in rows if each.value is not None)
         before = self.endpoints.rows()
         self.endpoints.replace_all(
-            self._decode_endpoints(present), origin=self._describe_answer(Way.READ)
+            self._decode_endpoints(present), origin=self._describe_answer(Way.READ), version=version
         )
         if not self._history.change_number or self.endpoints.rows() != before:
             newest = max((each.version for each in present), default=0)
@@ -431,7 +432,7 @@
         origin = self._describe_answer(Way.FEED)
         for row in rows:
             if row.value is None:
-                self.endpoints.remove(row.key, origin)
+                self.endpoints.remove(row.key, origin, row.version)
             else:
                 for each in self._decode_endpoints((row,)):
                     self.endpoints.merge_row(each, origin=origin)
--- a/flamingofront/process/forwarding/news.py
+++ b/flamingofront/process/forwarding/news.py
@@ -49,12 +49,20 @@
         {
             "mark": update.change_number,
             "whole": update.is_full,
-            "rows": [asdict(each) for each in update.rows],
+            "rows": [_encode_row(each) for each in update.rows],
             "gone": update.removed,
+            # Apart from the rows, in which processes of earlier versions accept no other fields.
+            "revisions": {each.endpoint_id: each.revision for each in update.rows},
         }
     )
 
 
+def _encode_row(row: EndpointRow) -> dict[str, object]:
+    values = asdict(row)
+    del values["revision"]
+    return values
+
+
 def decode_endpoint_update(data: bytes) -> EndpointUpdate:
     """Decode an update from a response body.
 
@@ -65,12 +73,16 @@
     """
     try:
         values = orjson.loads(data)
-        rows = tuple(EndpointRow(**each) for each in values["rows"])
+        revisions = values.get("revisions", {})
+        rows = tuple(
+            EndpointRow(**each, revision=revisions.get(each["endpoint_id"], 0))
+            for each in values["rows"]
+        )
         removed = tuple(values["gone"])
         if not all(isinstance(each, str) for each in removed):
             raise ValueError("id of a removed endpoint is not a string")
         return EndpointUpdate(int(values["mark"]), bool(values["whole"]), rows, removed)
-    except (KeyError, TypeError, ValueError) as exc:
+    except (AttributeError, KeyError, TypeError, ValueError) as exc:
         raise ValueError(f"malformed endpoint update: {exc!r:.200}") from exc
 
 
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -120,7 +120,8 @@
         self.metrics = Metrics({"vm": settings.vm_id, "zone": settings.zone})
         self.on_configuration: Callable[[ForwardingConfiguration], None] = lambda cfg: None
         self.stopping = False
-        self._has_unsent_leaving_report = False
+        self._has_unsent_departure = False
+        self._is_change_report_due = False
         self._started_at = dependencies.timers.now()
         self.store = EraStore(CountedTableStore(dependencies.store, self.metrics), log)
         self._dependencies = replace(dependencies, store=self.store)
@@ -262,6 +263,7 @@
         self.hub.guard.crash_detector.record_row_removal(row.endpoint_id, announced=not row.ready)
         self._forget_endpoint(row.endpoint_id)
         self._dependencies.transport.drop_idle(row.address)
+        self._has_unsent_departure = True
         self.store_view.record_removed_endpoint(row.endpoint_id)
 
     def _forget_endpoint(self, endpoint_id: str) -> None:
@@ -471,15 +473,22 @@
         return self.readers.can_stand_by()
 
     def _on_store_change(self) -> None:
-        """Report a store change to the zone, whose processes may rely on this watcher."""
+        """Report a store change to the peers once all changes of an answer are applied."""
+        if not self._is_change_report_due:
+            self._is_change_report_due = True
+            self.timers.once(0.0, self._report_store_change)
+
+    def _report_store_change(self) -> None:
+        """Report a change to the zone, which may rely on this watcher, and a departure to all."""
+        self._is_change_report_due = False
         self.peers.notify_zone()
-        if self._has_unsent_leaving_report:
-            self._has_unsent_leaving_report = False
+        if self._has_unsent_departure:
+            self._has_unsent_departure = False
             self.peers.broadcast_leaving()
 
     def _on_row_leaving(self, row: EndpointRow) -> None:
-        """Defer the report of a leaving endpoint until all changes of its poll are applied."""
-        self._has_unsent_leaving_report = True
+        """Let the next report of a change go to all zones."""
+        self._has_unsent_departure = True
 
     def _build_leader_tasks(self) -> None:
         """Build the leader lease and the leader tasks that this deployment needs."""
--- a/flamingofront/process/forwarding/peer_word.py
+++ b/flamingofront/process/forwarding/peer_word.py
@@ -108,10 +108,11 @@
         self._receivers.exchange.sync_with(relay)
 
     def _merge_leaving(self, report: PeerReport, way: Way) -> None:
-        """Merge the endpoints that began to leave according to a peer."""
+        """Merge the endpoints that began to leave, or were removed, according to a peer."""
         knowledge = self._reported.knowledge
         origin = Provenance(Source.PEER, report.vm_id, way=way, max_delay=knowledge.endpoints_age())
         knowledge.endpoints.merge_leaving(report.leaving_endpoints, origin)
+        knowledge.endpoints.merge_removed(report.removed_endpoints, origin)
 
     def _apply_rollouts(self, report: PeerReport) -> None:
         """Merge a peer's rollouts, and read those from the store that are newer there."""
--- a/flamingofront/process/forwarding/reports.py
+++ b/flamingofront/process/forwarding/reports.py
@@ -33,7 +33,7 @@
     "encode_report",
     "is_load_delta",
     "decode_ages",
-    "decode_endpoint_starts",
+    "decode_endpoint_numbers",
     "without_counts",
 ]
 
@@ -117,6 +117,9 @@
         unknown.
     confirmed : tuple of (float or None, float or None)
         Times of the store's steady clock up to which both were current. None if unknown.
+    removed_endpoints : tuple of (str, int)
+        Endpoints that were removed recently, with the revision of the store up to which a row is
+        older than the removal.
     """
 
     vm_id: str
@@ -148,6 +151,7 @@
     position: int = 0
     ages: tuple[float | None, float | None] = (None, None)
     confirmed: tuple[float | None, float | None] = (None, None)
+    removed_endpoints: tuple[tuple[str, int], ...] = ()
 
     @property
     def process(self) -> str:
@@ -199,9 +203,10 @@
     named["rollouts"] = decode_rollouts(named.get("rollouts", {}))
     named["quarantine"] = decode_quarantine_update(named.get("quarantine"))
     named["limits"] = decode_limits(named.get("limits", ()))
-    named["leaving_endpoints"] = decode_endpoint_starts(named.get("leaving_endpoints", ()))
+    named["leaving_endpoints"] = decode_endpoint_numbers(named.get("leaving_endpoints", ()))
     named["ages"] = decode_ages(named.get("ages", (None, None)))
     named["confirmed"] = decode_ages(named.get("confirmed", (None, None)))
+    named["removed_endpoints"] = decode_endpoint_numbers(named.get("removed_endpoints", ()))
     return PeerReport(**named)
 
 
@@ -225,8 +230,8 @@
         raise ValueError(f"malformed rollouts: {exc!r:.100}") from exc
 
 
-def decode_endpoint_starts(value: Any) -> tuple[tuple[str, int], ...]:
-    """Return endpoint ids with their start times, in milliseconds since the epoch.
+def decode_endpoint_numbers(value: Any) -> tuple[tuple[str, int], ...]:
+    """Return endpoint ids with a number each: a start time in milliseconds, or a revision.
 
     Raises
     ------
@@ -234,9 +239,9 @@
         If the value is malformed.
     """
     try:
-        return tuple((str(endpoint_id), int(started_at)) for endpoint_id, started_at in value)
+        return tuple((str(endpoint_id), int(number)) for endpoint_id, number in value)
     except TypeError as exc:
-        raise ValueError(f"malformed leaving endpoints: {exc!r:.100}") from exc
+        raise ValueError(f"malformed numbers of endpoints: {exc!r:.100}") from exc
 
 
 def decode_ages(value: Any) -> tuple[float | None, float | None]:
--- a/flamingofront/process/forwarding/tests/test_endpoints.py
+++ b/flamingofront/process/forwarding/tests/test_endpoints.py
@@ -2,15 +2,26 @@
 
 from dataclasses import replace
 
+import orjson
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from flamingofront.process.forwarding.endpoint_row import EndpointRow
-from flamingofront.process.forwarding.endpoints import EXPIRY_GRACE_SECONDS, EndpointView
+from flamingofront.process.forwarding.endpoints import (
+    EXPIRY_GRACE_SECONDS,
+    LEAVING_REPORT_SECONDS,
+    EndpointView,
+)
+from flamingofront.process.forwarding.news import (
+    EndpointUpdate,
+    decode_endpoint_update,
+    encode_endpoint_update,
+)
 from flamingofront.process.logs import Log
 from flamingofront.process.membership import FactTable, VmState
 from flamingofront.process.metrics import Metrics
+from flamingofront.process.store import make_revision
 from flamingofront.process.timers import ManualClock, TimerService
 from flamingofront.standins.forward_endpoint import ForwardFault
 from flamingofront.tests.forwarding_world import ready_world
@@ -313,3 +324,77 @@
         world, caller = self.request_before_restart("/stream/once/x")
         assert caller.status == 502
         assert not world.endpoints["engine-1"].runs
+
+
+class TestRemovalReports:
+    """Peers report removed endpoints with the revision of the store up to which rows are older."""
+
+    WRITTEN = replace(ROW, revision=90)
+
+    @pytest.fixture
+    def harness(self):
+        started = ViewHarness()
+        started.view.merge_row(self.WRITTEN)
+        return started
+
+    def test_reported_removal_takes_effect_at_once(self, harness):
+        harness.view.merge_removed((("i-1", 100),))
+        assert harness.state() is VmState.GONE
+        assert harness.view.recently_removed() == (("i-1", 100),)
+
+    def test_row_written_after_the_removal_is_kept(self, harness):
+        harness.view.merge_row(replace(ROW, sequence=6, revision=103))
+        harness.view.merge_removed((("i-1", 100),))
+        assert harness.state() is VmState.LIVE
+
+    def test_endpoint_that_returns_is_no_longer_reported(self, harness):
+        harness.view.remove("i-1", revision=100)
+        harness.view.merge_row(replace(ROW, sequence=6, revision=103))
+        assert harness.state() is VmState.LIVE
+        assert harness.view.recently_removed() == ()
+
+    def test_late_word_of_a_peer_does_not_bring_an_endpoint_back(self, harness):
+        """Guards against peers that know less, also where the endpoint was never known."""
+        harness.view.merge_removed((("i-1", 100), ("i-2", 100)))
+        for name in ("i-1", "i-2"):
+            harness.view.merge_row(replace(self.WRITTEN, endpoint_id=name), from_peer=True)
+        assert harness.view.rows() == ()
+
+    def test_row_of_a_later_write_brings_an_endpoint_back(self, harness):
+        harness.view.merge_removed((("i-1", 100),))
+        harness.view.merge_row(replace(self.WRITTEN, revision=101))
+        assert harness.state() is VmState.LIVE
+
+    def test_row_of_a_restored_store_does_not_bring_an_endpoint_back(self, harness):
+        harness.view.remove("i-1", revision=100)
+        harness.view.merge_row(replace(self.WRITTEN, revision=make_revision(1, 90)))
+        assert harness.state() is VmState.GONE
+
+    def test_read_that_is_older_than_a_row_does_not_remove_it(self, harness):
+        """Guards against stale reads of the store."""
+        harness.view.replace_all((), version=89)
+        assert harness.state() is VmState.LIVE
+        harness.view.replace_all((), version=91)
+        assert harness.state() is VmState.GONE
+
+    def test_reported_removal_gets_grace_in_an_outage(self, harness):
+        """Guards against endpoints that all drop because one process missed an outage."""
+        harness.view.record_store_failure()
+        harness.view.merge_removed((("i-1", 100),))
+        assert harness.state() is VmState.LIVE
+        harness.view.record_store_answer()
+        harness.pass_time(EXPIRY_GRACE_SECONDS + 0.1)
+        assert harness.state() is VmState.GONE
+
+    def test_reports_end_after_a_while(self, harness):
+        harness.view.remove("i-1", revision=100)
+        harness.pass_time(LEAVING_REPORT_SECONDS + 0.1)
+        assert harness.view.recently_removed() == ()
+
+    def test_update_carries_revisions_that_earlier_versions_ignore(self):
+        update = EndpointUpdate(7, True, (self.WRITTEN,))
+        data = orjson.loads(encode_endpoint_update(update))
+        assert decode_endpoint_update(orjson.dumps(data)) == update
+        assert "revision" not in data["rows"][0]
+        del data["revisions"]
+        assert decode_endpoint_update(orjson.dumps(data)).rows == (ROW,)
--- a/flamingofront/tests/test_departures.py
+++ b/flamingofront/tests/test_departures.py
@@ -35,3 +35,15 @@
                 world.ask(world.rng.choice(list(world.fronts)), "/read/x", "GET")
                 world.watch(0.1)
         assert world.late_arrivals() == []
+
+    @pytest.mark.parametrize("processes", PROCESSES)
+    def test_removal_is_known_in_time_after_open_connections_went_silent(self, processes):
+        """Guards against dead feeds that no change reveals: nothing was lost but the connection."""
+        for seed in range(1, 5):
+            world = DeparturesWorld(seed, processes)
+            world.lose_answers(0.1)
+            world.watch(3.1)
+            world.leave("plain-1")
+            world.leave("plain-2", "draining")
+            world.watch(6.0)
+            assert world.slowest() <= TARGET_SECONDS
