--- /dev/null
+++ b/scripts/soak_departures.py
@@ -0,0 +1,493 @@
+#!/usr/bin/env python3
+"""Soak of real processes with endpoints that leave, and an oracle over what reaches them.
+
+Endpoints leave in several ways and serve on, each entry process reaches the store through a relay
+that rejects, resets, silences or delays its calls, and entry processes are killed, suspended and
+reloaded. Exits with 1 if a request of an undisturbed process reaches an endpoint too late.
+
+    .venv/bin/python scripts/soak_departures.py 7 --seconds 60
+"""
+
+import asyncio
+import base64
+import contextlib
+import http.client
+import itertools
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import defopt
+from try_lost_paths import BIN, ROOT, _cancel_others, _read_message, _wait_for
+
+PORT = 20480
+MAX_NETWORKS = 250
+ENDPOINT_PORTS = 200
+ZONES = ("zone-a", "zone-b")
+# From the store's confirmation that an endpoint leaves until no process may send it anything.
+DRAIN_SECONDS = 2.0
+# A process is bound once it has been undisturbed for so long.
+CONTACT_SECONDS = 3.0
+# An endpoint has written its row within this time after its start, also on a busy machine.
+REGISTRATION_SECONDS = 4.0
+MODES = ("busy", "reset", "silent", "slow")
+SLOW_SECONDS = 1.2
+REJECTION = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+
+
+class StoreRelay:
+    """Relay of one entry process to the store, whose connections can fail."""
+
+    def __init__(self, host: str):
+        self.mode = ""
+        self.port = 0
+        self._host = host
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._dead: set[asyncio.StreamWriter] = set()
+
+    async def open(self) -> None:
+        """Listen on a free port."""
+        server = await asyncio.start_server(self._serve, self._host, 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader, writer) -> None:
+        self._writers.add(writer)
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                head, body = await _read_message(reader)
+                await self._answer(head + body, writer)
+        self._writers.discard(writer)
+
+    async def _answer(self, request: bytes, writer) -> None:
+        if self.mode == "busy":
+            writer.write(REJECTION)
+            return
+        if self.mode == "slow":
+            await asyncio.sleep(SLOW_SECONDS)
+        near, far = await asyncio.open_connection(self._host, PORT)
+        far.write(request)
+        head, body = await _read_message(near)
+        far.close()
+        if self.mode == "silent" or writer in self._dead:
+            # A connection on which a response was lost delivers nothing further.
+            self._dead.add(writer)
+            return
+        writer.write(head + body)
+
+    async def set_mode(self, mode: str) -> None:
+        """Let calls fail in a way from now on; an empty mode lets them work."""
+        self.mode = mode
+        for each in list(self._writers) if mode == "reset" else ():
+            each.transport.abort()
+        if mode == "silent":
+            self._dead |= self._writers
+
+
+@dataclass
+class Endpoint:
+    """An endpoint process, when it left, and the requests that reached it."""
+
+    name: str
+    service: str
+    port: int
+    child: subprocess.Popen
+    started_at: float
+    left_at: float | None = None
+    arrivals: list[tuple[float, str]] = field(default_factory=list)
+
+    def read(self) -> None:
+        """Record the arrivals that the process prints, until it ends."""
+        for line in self.child.stdout:
+            word, _, rest = line.partition(" ")
+            if word == "arrival":
+                at, _, request_id = rest.split()
+                self.arrivals.append((float(at), request_id))
+
+
+class Deployment:
+    """Store, endpoints, entry processes with their relays; ends all processes when left.
+
+    Parameters
+    ----------
+    network : int
+        Third number of the loopback addresses, so that several soaks run side by side.
+    """
+
+    def __init__(self, folder: Path, network: int, processes: int, endpoints: int):
+        self.folder = folder
+        self._network = network
+        self.host = self.ip_of(-1)
+        self.processes = processes
+        self._endpoint_count = endpoints
+        self._numbers = itertools.count()
+        self._children: list[subprocess.Popen] = []
+        self._loop = asyncio.new_event_loop()
+        # Connections that break as the deployment ends are of no interest.
+        self._loop.set_exception_handler(lambda loop, context: None)
+        threading.Thread(target=self._loop.run_forever, daemon=True).start()
+        self.fronts: list[subprocess.Popen] = []
+        self.relays = [StoreRelay(self.host) for _ in range(processes)]
+        self.endpoints: list[Endpoint] = []
+
+    def run_in_loop(self, coroutine):
+        """Run a coroutine of the relays and return its result."""
+        return asyncio.run_coroutine_threadsafe(coroutine, self._loop).result(10.0)
+
+    def __enter__(self) -> "Deployment":
+        words = [
+            "--bind",
+            f"{self.host}:{PORT}",
+            "--config",
+            str(ROOT / "examples/forwarding.json"),
+        ]
+        self._start("flamingofront-standin-store", words)
+        _wait_for(f"{self.host}:{PORT}")
+        for _ in range(self._endpoint_count):
+            self.add_endpoint()
+        for number, relay in enumerate(self.relays):
+            self.run_in_loop(relay.open())
+            self._write_settings(number, relay.port)
+            self.fronts.append(self.run_front(number))
+        for number in range(self.processes):
+            _wait_for(f"{self.ip_of(number)}:{PORT + 1001}", "/api/ready")
+        return self
+
+    def __exit__(self, *exc: object) -> None:
+        for child in self._children:
+            child.kill()
+        for child in self._children:
+            child.wait()
+        self.run_in_loop(_cancel_others())
+        self._loop.call_soon_threadsafe(self._loop.stop)
+
+    def ip_of(self, front: int) -> str:
+        """Return the address of an entry process; -1 for that of store and endpoints."""
+        return f"127.1.{self._network}.{front + 2}"
+
+    def write_rows(self, writes: dict[str, dict], removed: tuple[str, ...] = ()) -> float:
+        """Write and remove rows of endpoints; return the time of the store's confirmation."""
+        rows = [
+            {
+                "table": "servers",
+                "part": "",
+                "key": name,
+                "value": base64.b64encode(json.dumps(row).encode()).decode(),
+            }
+            for name, row in writes.items()
+        ]
+        remove = [{"table": "servers", "part": "", "key": name} for name in removed]
+        body = {"expected_rev": [], "writes": rows, "remove": remove}
+        conn = http.client.HTTPConnection(self.host, PORT, timeout=5.0)
+        conn.request("POST", "/api/rows-tx", json.dumps(body))
+        conn.getresponse().read()
+        conn.close()
+        return time.monotonic()
+
+    def add_endpoint(self) -> None:
+        """Start an endpoint of one of the services, under a new id."""
+        number = next(self._numbers)
+        port = PORT + 1 + number % ENDPOINT_PORTS
+        service = ("records", "engines")[number % 2]
+        name = f"e-{number}"
+        words = [
+            "--bind",
+            f"{self.host}:{port}",
+            "--store",
+            f"{self.host}:{PORT}",
+            "--endpoint-id",
+            name,
+        ]
+        words += ["--service", service, "--zone", ZONES[number // 2 % 2], "--gap", "0.03"]
+        words += ["--log-arrivals", "--slots", "64", "--software", f"v{number % 3}"]
+        child = self._start("flamingofront-standin-endpoint", words, is_read=True)
+        self.endpoints.append(Endpoint(name, service, port, child, time.monotonic()))
+        threading.Thread(target=self.endpoints[-1].read, daemon=True).start()
+
+    def serving(self) -> list[Endpoint]:
+        """Return the endpoints that have not left."""
+        return [each for each in self.endpoints if each.left_at is None]
+
+    def _write_settings(self, number: int, store_port: int) -> None:
+        ip = self.ip_of(number)
+        values = {
+            "node_name": f"front-{number}",
+            "zone": ZONES[number % len(ZONES)],
+            "ip": ip,
+            "listen.front": f"{ip}:{PORT + 1000}",
+            "listen.ready": f"{ip}:{PORT + 1001}",
+            "listen.control": f"{ip}:{PORT + 1002}",
+            "port_range": f"{PORT + 1003},{PORT + 1009}",
+            "seeds": f"{self.ip_of(0)}:{PORT + 1002}",
+            "bootstrap": "true",
+            "platform.address": f"{self.host}:{store_port}",
+            "cloud_api.address": f"{self.host}:{PORT}",
+        }
+        settings = self.folder / f"front-{number}.conf"
+        settings.write_text("".join(f"{name}={value}\n" for name, value in values.items()))
+
+    def run_front(self, number: int) -> subprocess.Popen:
+        """Start an entry process."""
+        settings = self.folder / f"front-{number}.conf"
+        environment = {**os.environ, "FLAMINGOFRONT_BOOT": str(settings)}
+        return self._start("flamingofront-forward", [], environment, f"front-{number}")
+
+    def _start(self, program, words, environment=None, output="errors", is_read=False):
+        with open(self.folder / f"{output}.log", "a") as log:
+            child = subprocess.Popen(
+                [BIN / program, *words],
+                stdout=subprocess.PIPE if is_read else log,
+                stderr=log,
+                env=environment,
+                text=True,
+            )
+        self._children.append(child)
+        return child
+
+
+class Soak:
+    """Callers, endpoints that leave, and faults of the store's relays and of processes."""
+
+    def __init__(self, deployment: Deployment, rng: random.Random):
+        self._deployment = deployment
+        self._rng = rng
+        self.senders: dict[str, int] = {}
+        self.statuses: Counter[int] = Counter()
+        self.faults: Counter[str] = Counter()
+        self.disturbed: dict[int, list[float]] = defaultdict(list)
+        self._busy: set[int] = set()
+        self._timers: list[threading.Timer] = []
+
+    def call_until(self, end: float, rate: float) -> list[threading.Thread]:
+        """Start callers that send requests on kept connections until a time."""
+        threads = [
+            threading.Thread(target=self._run_caller, args=(front, end, rate, self._rng.random()))
+            for front in range(self._deployment.processes)
+        ]
+        for thread in threads:
+            thread.start()
+        return threads
+
+    def _run_caller(self, front: int, end: float, rate: float, seed: float) -> None:
+        rng, conn = random.Random(seed), None
+        while time.monotonic() < end:
+            time.sleep(rng.expovariate(rate))
+            conn = conn or http.client.HTTPConnection(
+                f"{self._deployment.ip_of(front)}:{PORT + 1000}", timeout=6.0
+            )
+            request_id = f"r{rng.getrandbits(64):016x}"
+            self.senders[request_id] = front
+            if not self._call(conn, request_id, rng.random() < 0.3):
+                conn.close()
+                conn = None
+
+    def _call(self, conn: http.client.HTTPConnection, request_id: str, is_stream: bool) -> bool:
+        fields = {
+            "Host": "desk.example",
+            "Authorization": "Bearer demo-key",
+            "X-Flamingofront-Deadline-Ms": "3000",
+            "X-Flamingofront-Request-Id": request_id,
+        }
+        try:
+            if is_stream:
+                conn.request("POST", "/stream/letter/1", b"x", fields)
+            else:
+                conn.request("GET", "/lookup/1", headers=fields)
+            res = conn.getresponse()
+            res.read()
+        except (OSError, http.client.HTTPException):
+            self.statuses[0] += 1
+            return False
+        self.statuses[res.status] += 1
+        return not res.will_close
+
+    def play_until(self, end: float) -> None:
+        """Play rounds of faults, calm seconds, and endpoints that leave."""
+        while time.monotonic() < end:
+            for _ in range(self._rng.choice((0, 1, 1, 2))):
+                self._disturb()
+                time.sleep(0.3 * self._rng.random())
+            time.sleep(CONTACT_SECONDS + 1.5 * self._rng.random())
+            for _ in range(self._rng.choice((1, 2, 3))):
+                self._leave()
+            if self._rng.random() < 0.3:
+                self._disturb()
+            time.sleep(DRAIN_SECONDS + 0.8)
+        for timer in self._timers:
+            timer.join()
+
+    # Endpoints
+
+    def _registered(self) -> list[Endpoint]:
+        """Return the endpoints that have written their row and not left."""
+        since = time.monotonic() - REGISTRATION_SECONDS
+        return [each for each in self._deployment.serving() if each.started_at < since]
+
+    def _leave(self) -> None:
+        by_service = Counter(each.service for each in self._deployment.serving())
+        found = [each for each in self._registered() if by_service[each.service] > 2]
+        endpoint = self._rng.choice(found)
+        way = self._rng.choice(("removed", "removed", "draining", "both", "just written"))
+        self.faults[way] += 1
+        row = {
+            "service": endpoint.service,
+            "address": f"{self._deployment.host}:{endpoint.port}",
+            "zone": ZONES[0],
+            "version": "v1",
+            "slots": 64,
+            "state": "draining" if way in ("draining", "both") else "ready",
+            "cold_left_ms": 0,
+            "sequence": 2,
+        }
+        if way == "just written":
+            self._deployment.write_rows({endpoint.name: row})
+            time.sleep(0.05)
+        if way in ("draining", "both"):
+            endpoint.left_at = self._deployment.write_rows({endpoint.name: row})
+        else:
+            endpoint.left_at = self._deployment.write_rows({}, (endpoint.name,))
+        if way == "both":
+            self._later(
+                self._rng.random(), lambda: self._deployment.write_rows({}, (endpoint.name,))
+            )
+        self._deployment.add_endpoint()
+        self._later(DRAIN_SECONDS + 4.0, endpoint.child.kill)
+
+    def _later(self, seconds: float, action) -> None:
+        self._timers.append(threading.Timer(seconds, action))
+        self._timers[-1].start()
+
+    # Faults
+
+    def _disturb(self) -> None:
+        action = self._rng.choice(
+            (self._fail_store, self._fail_store, self._lose_answer, self._lose_answer)
+            + (self._kill, self._suspend, self._reload)
+        )
+        self.faults[action.__name__.strip("_")] += 1
+        action()
+
+    def _note(self, fronts: list[int]) -> None:
+        for each in fronts:
+            self.disturbed[each].append(time.monotonic())
+
+    def _fail_store(self) -> None:
+        count = self._rng.choice((1, 2, self._deployment.processes))
+        fronts = self._rng.sample(range(self._deployment.processes), count)
+        self._set_mode(fronts, self._rng.choice(MODES), 0.3 + 3 * self._rng.random())
+
+    def _lose_answer(self) -> None:
+        """Lose one answer at each process, whose change feed has just begun a long poll."""
+        endpoint = self._rng.choice(self._deployment.serving())
+        row = {
+            "service": endpoint.service,
+            "address": f"{self._deployment.host}:{endpoint.port}",
+            "zone": ZONES[0],
+        }
+        row |= {"version": "v1", "slots": 64, "state": "ready", "cold_left_ms": 0, "sequence": 2}
+        self._deployment.write_rows({endpoint.name: row})
+        time.sleep(0.1 + self._rng.random())
+        self._set_mode(list(range(self._deployment.processes)), "silent", 0.25)
+
+    def _set_mode(self, fronts: list[int], mode: str, seconds: float) -> None:
+        for each in fronts:
+            self._deployment.run_in_loop(self._deployment.relays[each].set_mode(mode))
+        self._note(fronts)
+        time.sleep(seconds)
+        for each in fronts:
+            self._deployment.run_in_loop(self._deployment.relays[each].set_mode(""))
+        self._note(fronts)
+
+    def _pick(self) -> int:
+        return self._rng.randrange(self._deployment.processes)
+
+    def _kill(self) -> None:
+        front = self._pick()
+        self._note([front])
+        self._deployment.fronts[front].kill()
+        self._deployment.fronts[front].wait()
+        self._deployment.fronts[front] = self._deployment.run_front(front)
+        _wait_for(f"{self._deployment.ip_of(front)}:{PORT + 1001}", "/api/ready")
+        self._note([front])
+
+    def _suspend(self) -> None:
+        front = self._pick()
+        self._note([front])
+        self._deployment.fronts[front].send_signal(signal.SIGSTOP)
+        time.sleep(0.3 + 4 * self._rng.random())
+        self._deployment.fronts[front].send_signal(signal.SIGCONT)
+        self._note([front])
+
+    def _reload(self) -> None:
+        self._deployment.fronts[self._pick()].send_signal(signal.SIGHUP)
+
+    # Oracle
+
+    def late(self, is_strict: bool) -> list[tuple[str, int, float]]:
+        """Return endpoint, sender and delay of the requests that reached endpoints too late.
+
+        Parameters
+        ----------
+        is_strict : bool
+            True to leave out those while other processes were disturbed, too.
+        """
+        found = []
+        for endpoint in self._deployment.endpoints:
+            for at, request_id in endpoint.arrivals:
+                if endpoint.left_at is None or at - endpoint.left_at <= DRAIN_SECONDS:
+                    continue
+                front = self.senders.get(request_id, -1)
+                fronts = self.disturbed if is_strict else (front,)
+                since = endpoint.left_at - CONTACT_SECONDS
+                times = [each for name in fronts for each in self.disturbed[name]]
+                if front >= 0 and not any(since <= each <= at for each in times):
+                    found.append((endpoint.name, front, round(at - endpoint.left_at, 2)))
+        return found
+
+
+def count_exceptions(folder: Path) -> int:
+    """Return the number of unhandled exceptions in the logs of the entry processes."""
+    lines = (line for path in folder.glob("front-*.log") for line in path.open())
+    return sum('"event":"fault"' in line for line in lines)
+
+
+def main(seed: int, *, seconds: float = 40.0, processes: int = 5, rate: float = 5.0) -> None:
+    """Run the soak with one seed.
+
+    :param seed: seed of the faults and of the callers
+    :param seconds: length of the soak
+    :param processes: entry processes
+    :param rate: requests a second at each entry process
+    """
+    folder = Path(tempfile.mkdtemp())
+    with Deployment(folder, seed % MAX_NETWORKS, processes, 10) as deployment:
+        soak = Soak(deployment, random.Random(seed))
+        time.sleep(REGISTRATION_SECONDS)
+        end = time.monotonic() + seconds
+        callers = soak.call_until(end + DRAIN_SECONDS + 2.0, rate)
+        soak.play_until(end)
+        for each in callers:
+            each.join()
+        late = soak.late(is_strict=False)
+        departures = len(deployment.endpoints) - len(deployment.serving())
+    exceptions = count_exceptions(folder)
+    print(
+        f"seed {seed}, {processes} processes: {departures} departures, {len(soak.senders)} "
+        f"requests {dict(soak.statuses)}; faults {dict(soak.faults)}; {exceptions} exceptions; "
+        f"late {len(late)}, of these {len(soak.late(is_strict=True))} in full calm {late[:4]}; "
+        f"logs in {folder}",
+        flush=True,
+    )
+    sys.exit(bool(late) or bool(exceptions))
+
+
+if __name__ == "__main__":
+    defopt.run(main)
