Streams without an event begin at another version when the endpoints of the first one cannot be reached

What callers saw: right after all endpoints of one version died, while their rows stood, up to one in five new streams was refused with 502, though endpoints of the other version served. Cause: retries before the first event stay at the version of the first attempt, which peers have been told, as long as a row names an endpoint of it, reachable or not. Change: they stay only while an endpoint of that version can be reached.

--- a/flamingofront/request/origin_tracker.py
+++ b/flamingofront/request/origin_tracker.py
@@ -53,14 +53,19 @@
         Notes
         -----
         Peers know the version of the first attempt. One that a later announcement does not reach
-        would continue the stream at that version, so it changes only if no endpoint has it.
+        would continue the stream at that version, so it changes only if no endpoint that can be
+        reached has it.
         """
-        first = self._next_origin
-        if first is None or not self._request.hub.directory.endpoints_of_version(
-            first.service, first.version
-        ):
+        first, directory, now = (
+            self._next_origin,
+            self._request.hub.directory,
+            self._request.hub.now(),
+        )
+        if first is None:
             return None
-        return SameVersion(first.version)
+        endpoints = directory.endpoints_of_version(first.service, first.version)
+        is_reachable = any(directory.is_reachable(each, now) for each in endpoints)
+        return SameVersion(first.version) if is_reachable else None
 
     @property
     def is_stuck(self) -> bool:
