Endpoints that this VM alone does not reach are used through peers, one by one

Cause: one reached endpoint of a sample showed that paths work, and a peer that did not reach one endpoint was not asked for any other for two seconds. Change: after a connection that fails a peer is asked whether it reaches that endpoint, once a second; if it does, the path to this endpoint is lost and attempts go through peers, as for a service. Peers that do not reach one endpoint say so ('no path to endpoint') and are left out for this endpoint only; two that cannot connect to it close it for a second.

--- a/flamingofront/decisions/direct_paths.py
+++ b/flamingofront/decisions/direct_paths.py
@@ -119,6 +119,10 @@
             return True
         return self.status is not PathStatus.WORKING and not self._is_connected(endpoint_id)
 
+    def is_singly_lost(self, endpoint_id: str) -> bool:
+        """Return True if the path to an endpoint is lost while others work."""
+        return endpoint_id in self._singly_lost_at
+
     def record_loss(self, endpoint_ids: Collection[str], now: float) -> None:
         """Record that the paths to some endpoints are lost while others work.
 
--- a/flamingofront/process/forwarding/proxy.py
+++ b/flamingofront/process/forwarding/proxy.py
@@ -98,7 +98,8 @@
         monitor = node.hub.paths.monitor
         is_certain = monitor.status is not PathStatus.CHECKING
         if is_certain and monitor.is_lost(call.endpoint_id):
-            return ProxyRefusal.NO_PATH
+            is_partial = monitor.status is PathStatus.WORKING
+            return ProxyRefusal.NO_PATH_TO_ENDPOINT if is_partial else ProxyRefusal.NO_PATH
         return ProxyRefusal.BUSY if len(self._attempts) >= MAX_PROXIED_ATTEMPTS else None
 
     def _refuse(self, call: ProxiedCall, exchange: Exchange, refusal: ProxyRefusal) -> None:
--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -443,7 +443,7 @@
         """Record that no connection was established; return False if the path may be lost."""
         paths, endpoint_id = self.hub.paths, self.endpoint_id
         if self.proxy_address:
-            paths.record_unreached(endpoint_id)
+            paths.record_unreached(endpoint_id, self.proxy_address)
             return True
         self.hub.directory.record_connect_failure(endpoint_id, self.hub.now(), reason == "refused")
         paths.monitor.record_failure(endpoint_id, reason)
--- a/flamingofront/request/endpoint_paths.py
+++ b/flamingofront/request/endpoint_paths.py
@@ -32,6 +32,8 @@
 
 # Time for which an endpoint gets no attempts after a peer could not connect to it.
 UNREACHED_SECONDS = 1.0
+# An endpoint that so many peers could not connect to is not reached by others either.
+MAX_UNREACHING_PEERS = 2
 # A peer that has sent nothing for so long while a response is pending is taken to be stopped.
 UNRESPONSIVE_PEER_SECONDS = 1.0
 # The peer waits a quarter of a second for a connection.
@@ -110,7 +112,7 @@
         if not self.monitor.is_lost(endpoint_id) or not self.peers.has_any:
             return EndpointPath.DIRECT
         is_unreached = self._unreached_until.get(endpoint_id, -math.inf) > self._timers.now()
-        if self.peers.is_available and not is_unreached:
+        if self.peers.may_reach(endpoint_id) and not is_unreached:
             return EndpointPath.PROXIED
         is_certain = self.monitor.status is not PathStatus.CHECKING
         return EndpointPath.NONE if is_certain else EndpointPath.DIRECT
@@ -120,16 +122,20 @@
         if self.path_to(endpoint_id) is not EndpointPath.NONE:
             return 0.0
         now = self._timers.now()
-        return max(self._unreached_until.get(endpoint_id, now) - now, self.peers.wait_seconds())
+        return max(
+            self._unreached_until.get(endpoint_id, now) - now, self.peers.wait_seconds(endpoint_id)
+        )
 
     def forget(self, endpoint_id: str) -> None:
         """Drop the evidence on an endpoint that was removed."""
         self.monitor.forget(endpoint_id)
         self._unreached_until.pop(endpoint_id, None)
 
-    def record_unreached(self, endpoint_id: str) -> None:
-        """Record that a peer could not connect to an endpoint."""
-        self._unreached_until[endpoint_id] = self._timers.now() + UNREACHED_SECONDS
+    def record_unreached(self, endpoint_id: str, peer: str) -> None:
+        """Record that a peer could not connect to an endpoint; other peers may reach it."""
+        self.peers.record_no_path(peer, endpoint_id, UNREACHED_SECONDS)
+        if self.peers.count_without_path(endpoint_id) >= MAX_UNREACHING_PEERS:
+            self._unreached_until[endpoint_id] = self._timers.now() + UNREACHED_SECONDS
 
     def start(self, attempt: PathRequest) -> tuple[CallHandle, str]:
         """Start an attempt; return its handle, and the address of the peer that proxies it.
@@ -138,7 +144,7 @@
         """
         peer = None
         if self.path_to(attempt.endpoint_id) is EndpointPath.PROXIED:
-            peer = self.peers.choose()
+            peer = self.peers.choose(endpoint_id=attempt.endpoint_id)
         if peer is None:
             return self._transport.start(attempt.call, attempt.listener), ""
         call = ProxiedCall(
@@ -152,7 +158,7 @@
             attempt.call.new_connection,
         )
         self._metrics.count("proxied_attempts_total", role="sender")
-        listener = _ProxiedResponse(self.peers, peer, attempt.listener)
+        listener = _ProxiedResponse(self.peers, peer, attempt.endpoint_id, attempt.listener)
         return (
             self._transport.start(encode_proxied_call(call, attempt.call, peer), listener),
             peer,
@@ -177,7 +183,7 @@
             Peers that were asked already.
         """
         limit = MAX_RESPONSE_QUESTIONS if needs_response else MAX_QUESTIONS
-        peer = self.peers.choose(asked) if len(asked) < limit else None
+        peer = self.peers.choose(asked, endpoint_id) if len(asked) < limit else None
         if peer is None:
             on_answer(None if self.peers.has_any else False)
             return
@@ -225,9 +231,16 @@
 class _ProxiedResponse:
     """Passes the events of a proxied call on as if they came from the endpoint."""
 
-    def __init__(self, peers: ProxyPeers, address: str, listener: Callable[[CallEvent], None]):
+    def __init__(
+        self,
+        peers: ProxyPeers,
+        address: str,
+        endpoint_id: str,
+        listener: Callable[[CallEvent], None],
+    ):
         self._peers = peers
         self._address = address
+        self._endpoint_id = endpoint_id
         self._listener = listener
         self._failure: ProxyFailure | None = None
 
@@ -247,7 +260,9 @@
 
     def _fail(self, failure: ProxyFailure) -> None:
         if failure.is_refusal:
-            self._peers.record_refusal(self._address, failure.reason, failure.next_peer)
+            self._peers.record_refusal(
+                self._address, failure.reason, failure.next_peer, self._endpoint_id
+            )
         else:
             self._peers.record_response(self._address)
         self._listener(
--- a/flamingofront/request/path_monitor.py
+++ b/flamingofront/request/path_monitor.py
@@ -99,6 +99,7 @@
         self._has_progress = False
         self._is_retry_scheduled = False
         self._asked_at: dict[str, float] = {}
+        self._endpoint_asked_at: dict[str, float] = {}
 
     @property
     def status(self) -> PathStatus:
@@ -125,6 +126,7 @@
     def forget(self, endpoint_id: str) -> None:
         """Drop the evidence on an endpoint that was removed."""
         self._paths.forget(endpoint_id)
+        self._endpoint_asked_at.pop(endpoint_id, None)
 
     def record_connected(self, endpoint_id: str) -> None:
         """Record that a new connection to an endpoint was established."""
@@ -151,6 +153,32 @@
         """
         self._paths.record_failure(endpoint_id, self._timers.now())
         self._start_check(f"{endpoint_id}: {reason}", endpoint_id)
+        self._ask_for_endpoint(endpoint_id)
+
+    def _ask_for_endpoint(self, endpoint_id: str) -> None:
+        """Ask a peer whether it reaches an endpoint, while this VM reaches others."""
+        now = self._timers.now()
+        asked_at = self._endpoint_asked_at.get(endpoint_id, -math.inf)
+        is_lost = self._paths.status is PathStatus.LOST or self._paths.is_singly_lost(endpoint_id)
+        if not self.enabled or is_lost or now - asked_at < QUESTION_PAUSE_SECONDS:
+            return
+        self._endpoint_asked_at[endpoint_id] = now
+        self.ask_peer(
+            endpoint_id,
+            False,
+            lambda is_reached: self._on_endpoint_answer(endpoint_id, now, is_reached),
+        )
+
+    def _on_endpoint_answer(self, endpoint_id: str, since: float, is_reached: bool | None) -> None:
+        """Take the path to an endpoint for lost if a peer reaches it."""
+        is_connected = self._paths.count_reached_since((endpoint_id,), since) > 0
+        if not is_reached or is_connected or self._paths.status is PathStatus.LOST:
+            return
+        self._lost_at = self._timers.now()
+        self._paths.record_loss((endpoint_id,), self._lost_at)
+        self._log.info("path to endpoint lost", endpoint=endpoint_id, lost=self.count_lost())
+        self._schedule_retry()
+        self.on_lost()
 
     def record_unanswered(self, endpoint_id: str) -> None:
         """Record that a new connection to an endpoint was reset before any response."""
--- a/flamingofront/request/proxy_messages.py
+++ b/flamingofront/request/proxy_messages.py
@@ -47,6 +47,8 @@
 
     NO_PATH = "no path"
     """The peer has no direct path to the endpoint either."""
+    NO_PATH_TO_ENDPOINT = "no path to endpoint"
+    """The peer has lost its direct path to this endpoint, while it reaches others."""
     UNKNOWN_ENDPOINT = "unknown endpoint"
     """The peer does not know the endpoint, or knows that it takes no new requests."""
     BUSY = "busy"
--- a/flamingofront/request/proxy_peers.py
+++ b/flamingofront/request/proxy_peers.py
@@ -13,6 +13,7 @@
 # paths together with this VM, for some seconds.
 REFUSAL_BACKOFF_SECONDS = {
     ProxyRefusal.NO_PATH: 2.0,
+    ProxyRefusal.NO_PATH_TO_ENDPOINT: 2.0,
     ProxyRefusal.UNKNOWN_ENDPOINT: 0.2,
     ProxyRefusal.BUSY: 0.2,
     ProxyRefusal.STOPPING: 10.0,
@@ -20,6 +21,8 @@
 # Same for a peer that is not reached or does not respond.
 FAILURE_BACKOFF_SECONDS = 2.0
 JITTER_FRACTION = 0.25
+# Pairs of peer and endpoint without a path that are kept before expired ones are dropped.
+MAX_NO_PATHS = 1024
 # Time for which a peer counts as proven after a response through it.
 PROVEN_SECONDS = 5.0
 
@@ -38,15 +41,19 @@
         self._timers = timers
         self._rng = rng
         self._backoff_until: dict[str, float] = {}
+        # Until when a peer is not asked for an endpoint that it does not reach.
+        self._no_path_until: dict[tuple[str, str], float] = {}
         self._responded_at: dict[str, float] = {}
 
-    def choose(self, other_than: Collection[str] = ()) -> str | None:
+    def choose(self, other_than: Collection[str] = (), endpoint_id: str = "") -> str | None:
         """Return the address of a peer, at random to spread the load; None if there is none.
 
         Parameters
         ----------
         other_than : collection of str
             Peers that are not to be chosen.
+        endpoint_id : str
+            Endpoint that the peer has to reach.
 
         Notes
         -----
@@ -57,7 +64,7 @@
         usable = [
             each
             for each in addresses
-            if each not in other_than and not self._is_in_backoff(each, now)
+            if each not in other_than and self._may_ask(each, endpoint_id, now)
         ]
         proven = [each for each in usable if now - self.responded_at(each) < PROVEN_SECONDS]
         if proven and 2 * len(usable) < len(addresses):
@@ -75,10 +82,22 @@
         now = self._timers.now()
         return any(not self._is_in_backoff(each, now) for each in self.addresses())
 
-    def wait_seconds(self) -> float:
+    def may_reach(self, endpoint_id: str) -> bool:
+        """Return True if a peer may be asked now to reach an endpoint."""
+        now = self._timers.now()
+        return any(self._may_ask(each, endpoint_id, now) for each in self.addresses())
+
+    def wait_seconds(self, endpoint_id: str = "") -> float:
         """Return the seconds until a peer may be asked; 0 if one may be asked now."""
         now = self._timers.now()
-        waits = (self._backoff_until.get(each, now) - now for each in self.addresses())
+        waits = (
+            max(
+                self._backoff_until.get(each, now),
+                self._no_path_until.get((each, endpoint_id), now),
+            )
+            - now
+            for each in self.addresses()
+        )
         return max(0.0, min(waits, default=0.0))
 
     def responded_at(self, address: str) -> float:
@@ -97,7 +116,25 @@
         self._responded_at[address] = self._timers.now()
         self._backoff_until.pop(address, None)
 
-    def record_refusal(self, address: str, reason: str, next_peer: str) -> None:
+    def record_no_path(self, address: str, endpoint_id: str, seconds: float) -> None:
+        """Record that a peer does not reach an endpoint; it is asked for others."""
+        now = self._timers.now()
+        if len(self._no_path_until) >= MAX_NO_PATHS:
+            self._no_path_until = {
+                key: until for key, until in self._no_path_until.items() if until > now
+            }
+        self._no_path_until[address, endpoint_id] = now + self._extend(seconds)
+
+    def count_without_path(self, endpoint_id: str) -> int:
+        """Return the number of peers that are not asked for an endpoint now."""
+        now = self._timers.now()
+        return sum(
+            until > now for (_, name), until in self._no_path_until.items() if name == endpoint_id
+        )
+
+    def record_refusal(
+        self, address: str, reason: str, next_peer: str, endpoint_id: str = ""
+    ) -> None:
         """Record that a peer did not try to reach the endpoint.
 
         Parameters
@@ -105,7 +142,11 @@
         next_peer : str
             Peer with a path according to the refusing one; empty if it knows none.
         """
-        self._back_off(address, REFUSAL_BACKOFF_SECONDS.get(reason, FAILURE_BACKOFF_SECONDS))
+        seconds = REFUSAL_BACKOFF_SECONDS.get(reason, FAILURE_BACKOFF_SECONDS)
+        if reason == ProxyRefusal.NO_PATH_TO_ENDPOINT:
+            self.record_no_path(address, endpoint_id, seconds)
+        else:
+            self._back_off(address, seconds)
         if next_peer in self.addresses() and next_peer != address:
             self.record_response(next_peer)
 
@@ -114,9 +155,15 @@
         self._back_off(address, FAILURE_BACKOFF_SECONDS)
 
     def _back_off(self, address: str, seconds: float) -> None:
-        jitter = 1.0 + JITTER_FRACTION * self._rng.random()
-        self._backoff_until[address] = self._timers.now() + seconds * jitter
+        self._backoff_until[address] = self._timers.now() + self._extend(seconds)
         self._responded_at.pop(address, None)
 
+    def _extend(self, seconds: float) -> float:
+        return seconds * (1.0 + JITTER_FRACTION * self._rng.random())
+
+    def _may_ask(self, address: str, endpoint_id: str, now: float) -> bool:
+        has_path = self._no_path_until.get((address, endpoint_id), -math.inf) <= now
+        return has_path and not self._is_in_backoff(address, now)
+
     def _is_in_backoff(self, address: str, now: float) -> bool:
         return self._backoff_until.get(address, -math.inf) > now
--- a/flamingofront/tests/test_serving_without_paths.py
+++ b/flamingofront/tests/test_serving_without_paths.py
@@ -70,6 +70,42 @@
         world.run(2.0)
         assert not world.fronts["front-1"].hub.paths.monitor.count_lost()
 
+    @pytest.mark.parametrize("fault", [PathFault.REFUSED, PathFault.SILENT, PathFault.NEW_REFUSED])
+    def test_paths_to_most_endpoints_of_a_service_are_lost(self, fault):
+        # VMs that reached one endpoint of a service sent all they had there, and refused the rest.
+        world = paths_world()
+        for each in world.endpoints.values():
+            each.gap = 0.4  # one endpoint of a service alone has no room for all requests
+        offer(world, 1.0)
+        start = world.clock.now()
+        lost = [name for name in world.endpoints if name not in ("plain-1", "engine-1")]
+        world.fail_paths(FRONTS[:4], lost, fault)
+        offer_for(world, 3.0)
+        runs = {name: len(each.runs) for name, each in world.endpoints.items()}
+        sent = offer(world, 6.0)
+        assert served_share(sent, FRONTS, start + REACTION_SECONDS) >= 1 - 1 / 50
+        added = {name: len(each.runs) - runs[name] for name, each in world.endpoints.items()}
+        # Three in four of the endpoints are among those that only one VM reaches directly.
+        assert sum(added[name] for name in lost) >= 0.5 * sum(added.values())
+        assert max(Counter(runs_of(world, "/write/")).values()) == 1
+        world.heal()
+        world.run(3.0)
+        assert not any(each.hub.paths.monitor.count_lost() for each in world.fronts.values())
+
+    @pytest.mark.parametrize("fault", [PathFault.REFUSED, PathFault.SILENT])
+    def test_overlapping_cuts_leave_each_vm_other_endpoints(self, fault):
+        # A peer that did not reach one endpoint was not asked for any other.
+        world = paths_world()
+        offer(world, 1.0)
+        start = world.clock.now()
+        names = sorted(world.endpoints)
+        for number, front in enumerate(FRONTS):
+            kept = {names[number % 4], names[4 + (number + 1) % 4]}
+            world.fail_paths((front,), [each for each in names if each not in kept], fault)
+        sent = offer(world, 8.0)
+        assert served_share(sent, FRONTS, start + REACTION_SECONDS) >= 1 - 1 / 50
+        assert max(Counter(runs_of(world, "/write/")).values()) == 1
+
     def test_most_processes_among_many_lose_their_paths(self):
         # With more than 17 processes, a process hears of the others only through relays.
         world = paths_world(fronts=20)
