Only answers to short calls show that the store accepts calls; mutations follow the code

Cause: a long poll that had begun before the outage was answered in it, and counted as an answer to others while the store failed this process, so that the row got no grace. Change: evidence that the store answers comes from calls that it answers within a second; reports carry the store's time of the last such answer.

--- a/bench/answer_mutations.py
+++ b/bench/answer_mutations.py
@@ -64,7 +64,7 @@
     Mutation(
         "Leave: an answer ends new work",
         "process/forwarding/endpoints.py",
-        "        self.merge_row(replace(row, ready=False), from_peer=True)\n",
+        "        self.merge_row(replace(row, ready=False), from_peer=True, origin=origin)\n",
         "        pass\n",
         LEAVING,
     ),
--- a/bench/knowledge_mutations.py
+++ b/bench/knowledge_mutations.py
@@ -63,7 +63,7 @@
     Mutation(
         "Know: rows that say an endpoint leaves are told",
         "process/forwarding/endpoints.py",
-        "                if source is Source.STORE:\n",
+        "                if origin.source is Source.STORE:\n",
         "                if False:\n",
         LEAVING,
     ),
--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 from bench.answer_mutations import ANSWER_MUTATIONS
+from bench.departure_mutations import DEPARTURE_MUTATIONS
 from bench.knowledge_mutations import KNOWLEDGE_MUTATIONS
 from bench.known_failure_mutations import KNOWN_FAILURE_MUTATIONS
 from bench.mutation import Mutation
@@ -181,6 +182,7 @@
     *KNOWN_FAILURE_MUTATIONS,
     *ANSWER_MUTATIONS,
     *KNOWLEDGE_MUTATIONS,
+    *DEPARTURE_MUTATIONS,
 )
 
 
--- a/bench/platform_mutations.py
+++ b/bench/platform_mutations.py
@@ -68,7 +68,7 @@
     Mutation(
         "P rows that lapsed in an outage have grace",
         "process/forwarding/endpoints.py",
-        "if not self._store_unreachable and self._timers.now() >= self._grace_until:",
+        "if not self._outages.may_have_expired(now):",
         "if True:",
         FORWARDING,
     ),
@@ -89,8 +89,8 @@
     Mutation(
         "P the store's return is not hidden by a waiting call",
         "process/forwarding/follower.py",
-        "wait = 0.0 if self._failures or self._poll_requested else self._wait",
-        "wait = 0.0 if self._poll_requested else self._wait",
+        "is_short = self._failures or self._poll_requested",
+        "is_short = self._poll_requested",
         FORWARDING,
     ),
     Mutation(
@@ -133,8 +133,8 @@
     Mutation(
         "P counts of processes that are gone are told on",
         "process/forwarding/usage.py",
-        "if process not in live and (process in found or len(found) < MAX_DEPARTED):",
-        "if process == self._process:",
+        "if is_local or (process not in live and has_room):",
+        "if is_local:",
         DUTIES,
     ),
     Mutation(
--- a/bench/restart_mutations.py
+++ b/bench/restart_mutations.py
@@ -27,14 +27,15 @@
     Mutation(
         "R an unreadable row names no endpoint",
         "process/forwarding/endpoints.py",
-        "            self._unreadable.add(endpoint_id)\n        self._drop(endpoint_id)",
+        "            self._unreadable.add(endpoint_id)\n"
+        "        self._drop(endpoint_id, FROM_STORE)",
         "            self._unreadable.add(endpoint_id)",
         ENDPOINTS,
     ),
     Mutation(
         "R a row that vanishes after the return has less grace",
         "process/forwarding/endpoints.py",
-        "if not self._store_unreachable and not self._in_first_answer:",
+        "if not self._outages.is_failing and not self._in_first_answer:",
         "if False:",
         ENDPOINTS,
     ),
--- a/flamingofront/process/forwarding/digests.py
+++ b/flamingofront/process/forwarding/digests.py
@@ -17,6 +17,7 @@
     decode_ages,
     decode_endpoint_numbers,
     decode_rollouts,
+    decode_time,
 )
 from flamingofront.process.quarantine_codec import (
     decode_quarantine_update,
@@ -163,6 +164,7 @@
             [relay.position, relay.ages],
             relay.confirmed,
             relay.removed_endpoints,
+            relay.answered,
         ]
         self._body = orjson.dumps(values)
 
@@ -222,6 +224,7 @@
         # Earlier versions send neither times nor removed endpoints.
         confirmed=decode_ages(*values[20:21] or ((None, None),)),
         removed_endpoints=decode_endpoint_numbers(*values[21:22] or ((),)),
+        answered=decode_time(*values[22:23] or (None,)),
     )
     fencing, lease_version, released, holder_ip = claim
     return Digest(
--- a/flamingofront/process/forwarding/follower.py
+++ b/flamingofront/process/forwarding/follower.py
@@ -41,13 +41,14 @@
     on_failure : callable
         Called with each call that failed.
     on_answer : callable
-        Called with each answer, before its rows are passed on.
+        Called with the time of the call and the store's time for each answer, before its rows are
+        passed on.
     """
 
     on_reload: Callable[[tuple[StoredRow, ...], int], None]
     on_changes: Callable[[tuple[StoredRow, ...]], None]
     on_failure: Callable[[], None] = lambda: None
-    on_answer: Callable[[], None] = lambda: None
+    on_answer: Callable[[float, float | None], None] = lambda asked_at, time: None
 
 
 class TableWatcher:
@@ -198,7 +199,7 @@
         changes = yield from self._store.read_changes(self.table, after, 0.0)
         if after < max(self.version, self._peer_version()):
             return False  # the long poll was answered meanwhile
-        self.answered_at = self._now()
+        self._record_answer(asked_at, changes.time)
         self._record_unconfirmed_time(asked_at)
         self._apply_changes(changes, after, asked_at)
         return bool(changes.rows)
@@ -219,7 +220,7 @@
         asked_at = self._now()
         if self._version is None:
             rows, version, time = yield from self._read_all()
-            self._record_answer()
+            self._record_answer(asked_at, time)
             self._record_unconfirmed_time(asked_at)
             self.confirmed_at = asked_at
             self.confirmed_time = time
@@ -236,7 +237,7 @@
             changes = yield from self._store.read_changes(self.table, after, wait)
         finally:
             self._long_poll_at = None
-        self._record_answer()
+        self._record_answer(asked_at, changes.time)
         self._record_unconfirmed_time(asked_at)
         self._apply_changes(changes, after, asked_at)
         if changes.rows and self._pause():
@@ -274,12 +275,12 @@
             rows += found.rows
         return rows, version, time
 
-    def _record_answer(self) -> None:
+    def _record_answer(self, asked_at: float, time: float | None) -> None:
         self.answered_at = self._now()
         if self._failures:
             self._log.info("store reachable again", table=self.table, failures=self._failures)
             self._failures = 0
-        self._listener.on_answer()
+        self._listener.on_answer(asked_at, time)
 
     def _record_unconfirmed_time(self, asked_at: float) -> None:
         """Record how long before a poll the local copy was last confirmed."""
--- a/flamingofront/process/forwarding/knowledge.py
+++ b/flamingofront/process/forwarding/knowledge.py
@@ -26,6 +26,8 @@
 
 # Long-poll timeout of the endpoint table; `FeedCheck` notices a dead long poll sooner.
 ENDPOINT_FEED_WAIT_SECONDS = 10.0
+# Calls that are answered within this time were accepted just before.
+SHORT_CALL_SECONDS = 1.0
 # Limit on unreadable rows that are logged, each once until it is readable again.
 MAX_REJECTED_ROWS_LOGGED = 256
 
@@ -109,8 +111,10 @@
         self._metrics = metrics
         self._log = log
         self._store = store
-        # When the store last answered any process.
+        # When the store last answered a short call of any process, here and on its own clock.
+        # A long poll may be answered while the store accepts no calls.
         self._answered_at: float | None = None
+        self._answered_time: float | None = None
         configuration_listener = TableListener(
             lambda rows, version: self._apply_configuration_rows(rows),
             self._apply_configuration_rows,
@@ -162,18 +166,26 @@
         return self.watchers[1].is_standby
 
     def store_answer_age(self) -> float | None:
-        """Return the seconds since the store last answered any process; None if unknown."""
+        """Return the seconds since the store answered a short call of any process."""
         return None if self._answered_at is None else self._now() - self._answered_at
 
-    def _record_answer(self) -> None:
-        self._record_answer_to_any(self._now())
+    def answered_time(self) -> float | None:
+        """Return the store's time of its last answer to a short call of any process."""
+        return self._answered_time
 
-    def _record_answer_to_any(self, at: float) -> None:
+    def _record_answer(self, asked_at: float, time: float | None) -> None:
+        now = self._now()
+        if now - asked_at <= SHORT_CALL_SECONDS:
+            self._record_answer_to_any(now, time)
+
+    def _record_answer_to_any(self, at: float, time: float | None) -> None:
         self._answered_at = at if self._answered_at is None else max(self._answered_at, at)
+        if time is not None:
+            self._answered_time = max(time, self._answered_time or time)
         self.endpoints.record_store_answer_to_any(at)
 
-    def _record_endpoint_answer(self) -> None:
-        self._record_answer()
+    def _record_endpoint_answer(self, asked_at: float, time: float | None) -> None:
+        self._record_answer(asked_at, time)
         self.endpoints.record_store_answer()
 
     def poll_configuration(self) -> None:
@@ -242,9 +254,9 @@
     def merge_peer_ages(self, report: PeerReport) -> None:
         """Merge the staleness that a peer reports for state that this process has, too."""
         configuration_at, endpoints_at = self._locate_confirmations(report)
-        for each in (configuration_at, endpoints_at):
-            if each is not None:
-                self._record_answer_to_any(each)
+        answered_at = self._to_local(report.answered)
+        if answered_at is not None:
+            self._record_answer_to_any(answered_at, report.answered)
         if report.configuration == self.configuration.version:
             self._peer_position = max(self._peer_position, report.position)
             self._merge_confirmation(
--- a/flamingofront/process/forwarding/reports.py
+++ b/flamingofront/process/forwarding/reports.py
@@ -33,6 +33,7 @@
     "encode_report",
     "is_load_delta",
     "decode_ages",
+    "decode_time",
     "decode_endpoint_numbers",
     "without_counts",
 ]
@@ -117,6 +118,9 @@
         unknown.
     confirmed : tuple of (float or None, float or None)
         Times of the store's steady clock up to which both were current. None if unknown.
+    answered : float or None
+        Time of the store's steady clock at its last answer to a short call of any process. None if
+        unknown.
     removed_endpoints : tuple of (str, int)
         Endpoints that were removed recently, with the revision of the store up to which a row is
         older than the removal.
@@ -152,6 +156,7 @@
     ages: tuple[float | None, float | None] = (None, None)
     confirmed: tuple[float | None, float | None] = (None, None)
     removed_endpoints: tuple[tuple[str, int], ...] = ()
+    answered: float | None = None
 
     @property
     def process(self) -> str:
@@ -206,6 +211,7 @@
     named["leaving_endpoints"] = decode_endpoint_numbers(named.get("leaving_endpoints", ()))
     named["ages"] = decode_ages(named.get("ages", (None, None)))
     named["confirmed"] = decode_ages(named.get("confirmed", (None, None)))
+    named["answered"] = decode_time(named.get("answered"))
     named["removed_endpoints"] = decode_endpoint_numbers(named.get("removed_endpoints", ()))
     return PeerReport(**named)
 
@@ -244,6 +250,20 @@
         raise ValueError(f"malformed numbers of endpoints: {exc!r:.100}") from exc
 
 
+def decode_time(value: Any) -> float | None:
+    """Return a time in seconds; None if it is unknown.
+
+    Raises
+    ------
+    ValueError
+        If the value is malformed.
+    """
+    try:
+        return None if value is None else float(value)
+    except TypeError as exc:
+        raise ValueError(f"malformed time: {exc!r:.100}") from exc
+
+
 def decode_ages(value: Any) -> tuple[float | None, float | None]:
     """Return the ages, or times, of the cached configuration and endpoints, in seconds.
 
