A new start of an endpoint under its old id is used where rows tell no start time

An endpoint that was removed and registered again under one id by a new start, whose numbers begin anew, stayed unused until they passed the old ones, or for good if the old start had said that it leaves. Cause: without a start time in the rows only the number of the write told rows apart. Change: a row that the store had after the removal and that names another address is another start. A row of the same address keeps its old order, since it may be a late write of the start that left. Result: test_new_start_under_one_id_is_used_where_rows_tell_no_start_time fails before (gone), in both cases, and passes; late writes still bring nothing back.

--- a/flamingofront/process/forwarding/endpoints.py
+++ b/flamingofront/process/forwarding/endpoints.py
@@ -301,11 +301,14 @@
         is leaving too is not outdated, since it may add the time until the VM is reclaimed.
         """
         is_present = row.endpoint_id in self._rows
+        has_returned = not is_present and self._has_returned(row, before, read_version)
+        if has_returned and row.address != before.address:
+            return False  # another start, where rows tell no start time
         if row.born == before.born and not before.ready and row.ready:
             return True
         if is_present or row.endpoint_id in self._unreadable:
             return row.order_key < before.order_key
-        if row.order_key == before.order_key and self._has_returned(row, before, read_version):
+        if has_returned and row.order_key == before.order_key:
             return False
         return row.order_key <= before.order_key
 
--- a/flamingofront/process/forwarding/tests/test_endpoints.py
+++ b/flamingofront/process/forwarding/tests/test_endpoints.py
@@ -417,3 +417,17 @@
         harness.view.remove("i-1", revision=100)
         harness.view.replace_all((self.WRITTEN,), version=99)
         assert harness.state() is VmState.GONE
+
+    @pytest.mark.parametrize("is_ready", [True, False])
+    def test_new_start_under_one_id_is_used_where_rows_tell_no_start_time(self, harness, is_ready):
+        """Guards against an endpoint that stays unused since its numbers began anew."""
+        harness.view.merge_row(replace(ROW, sequence=50, ready=is_ready, revision=95))
+        harness.view.remove("i-1", revision=100)
+        harness.view.merge_row(replace(ROW, sequence=1, address="127.0.0.1:2", revision=101))
+        assert harness.state() is VmState.LIVE
+
+    def test_late_write_of_an_endpoint_that_left_does_not_bring_it_back(self, harness):
+        harness.view.merge_row(replace(ROW, sequence=7, ready=False, revision=95))
+        harness.view.remove("i-1", revision=100)
+        harness.view.merge_row(replace(ROW, sequence=6, revision=101))
+        assert harness.state() is VmState.GONE
