Failed polls of standby processes and of the quarantine table are further apart

Change: failed polls of processes that are no relay are up to 2 s apart, those of the quarantine table up to 4 s, since peers tell changes as soon as one of them reaches the store; a first read is retried as before.

--- a/flamingofront/process/forwarding/follower.py
+++ b/flamingofront/process/forwarding/follower.py
@@ -12,7 +12,7 @@
 from flamingofront.process.store_clock import StoreClock
 from flamingofront.process.tasks import Task
 
-__all__ = ["TableWatcher", "TableListener"]
+__all__ = ["BACKOFF", "STANDBY_BACKOFF", "TableListener", "TableWatcher"]
 
 # Long-poll timeout. An unresponsive store never answers a long poll, so this bounds how long that
 # goes unnoticed. With 3.5 s, a reconnected process receives a change within the allowed 2 s.
@@ -26,6 +26,8 @@
 # First and longest delay in seconds: reconnects within a second of the store's recovery, and limits
 # 100 processes to 100 calls per second.
 BACKOFF = Backoff(0.1, 1.0)
+# Same for processes that others tell of changes as soon as these reach the store.
+STANDBY_BACKOFF = Backoff(0.1, 2.0)
 
 
 @dataclass(frozen=True)
@@ -70,6 +72,8 @@
         Gets the store's time of each answer.
     answer_age : callable
         Returns the seconds since the store's last answer to any process; None if unknown.
+    backoff : callable
+        Returns the delays between failed polls for changes; a first read is retried faster.
     """
 
     def __init__(
@@ -86,9 +90,11 @@
         peer_version: Callable[[], int] = lambda: 0,
         clock: StoreClock | None = None,
         answer_age: Callable[[], float | None] = lambda: None,
+        backoff: Callable[[], Backoff] = lambda: BACKOFF,
     ):
         self._peer_version = peer_version
         self._answer_age = answer_age
+        self._backoff = backoff
         self._long_poll_at: float | None = None
         self._wait_seconds = wait
         self._can_stand_by = can_stand_by
@@ -182,7 +188,8 @@
                     self._log.info("change feed reconnected: answer lost", **self._log_fields(exc))
                     continue
                 self._record_failure(exc)
-                yield Sleep(BACKOFF.compute_delay(self._failures - 1, self._rng))
+                backoff = BACKOFF if self._version is None else self._backoff()
+                yield Sleep(backoff.compute_delay(self._failures - 1, self._rng))
 
     def _is_lost_answer(self, exc: PlatformError) -> bool:
         """Return True if an answer was lost, since the store answers other calls."""
--- a/flamingofront/process/forwarding/held_requests.py
+++ b/flamingofront/process/forwarding/held_requests.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable, Iterable
 
+from flamingofront.process.backoff import Backoff
 from flamingofront.process.forwarding.follower import TableListener, TableWatcher
 from flamingofront.process.forwarding.peers import Peers
 from flamingofront.process.holds import QUARANTINE_TABLE, QuarantineStore, TableQuarantine
@@ -26,6 +27,8 @@
 # table serves zones without peer reports. With 3.5 s, as for other tables, an idle process would
 # make three times the calls.
 FEED_WAIT_SECONDS = 10.0
+# In an outage of the store all processes of a deployment poll; peers report changes meanwhile.
+FEED_BACKOFF = Backoff(0.1, 4.0)
 # An entry written by another process appears in the feed within about ten milliseconds.
 FEED_LATENCY_SECONDS = 0.5
 
@@ -78,6 +81,7 @@
             services.log,
             is_standby,
             wait=FEED_WAIT_SECONDS,
+            backoff=lambda: FEED_BACKOFF,
         )
 
     def run(self) -> Task:
--- a/flamingofront/process/forwarding/knowledge.py
+++ b/flamingofront/process/forwarding/knowledge.py
@@ -6,10 +6,11 @@
 
 from flamingofront.decisions.rollout import RolloutSpec
 from flamingofront.errors import ConfigurationError, PlatformError
+from flamingofront.process.backoff import Backoff
 from flamingofront.process.forwarding.document_copies import DeltaSource
 from flamingofront.process.forwarding.endpoint_row import EndpointRow
 from flamingofront.process.forwarding.endpoints import EndpointView
-from flamingofront.process.forwarding.follower import TableListener, TableWatcher
+from flamingofront.process.forwarding.follower import BACKOFF, TableListener, TableWatcher
 from flamingofront.process.forwarding.news import EndpointHistory, EndpointUpdate, to_change_number
 from flamingofront.process.forwarding.provenance import FROM_STORE, Provenance, Source, Way
 from flamingofront.process.forwarding.reports import PeerReport
@@ -68,6 +69,8 @@
         Returns True if other processes watch the store for this one.
     pause : callable
         Returns the seconds to wait after an answer with endpoint changes before the next poll.
+    backoff : callable
+        Returns the delays between failed polls.
 
     Attributes
     ----------
@@ -89,6 +92,7 @@
         log: Log,
         can_stand_by: Callable[[], bool] = lambda: False,
         pause: Callable[[], float] = lambda: 0.0,
+        backoff: Callable[[], Backoff] = lambda: BACKOFF,
     ):
         self.on_change: Callable[[], None] = lambda: None
         self.on_rollout: Callable[[RolloutSpec], None] = lambda spec: None
@@ -139,6 +143,7 @@
                 peer_version=lambda: self._peer_position,
                 clock=self._clock,
                 answer_age=self.store_answer_age,
+                backoff=backoff,
             ),
             TableWatcher(
                 store,
@@ -152,6 +157,7 @@
                 wait=ENDPOINT_FEED_WAIT_SECONDS,
                 clock=self._clock,
                 answer_age=self.store_answer_age,
+                backoff=backoff,
             ),
         )
 
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -14,6 +14,7 @@
 from flamingofront.decisions.retry import RetryBudget
 from flamingofront.decisions.shared_retry import SharedRetryBudget
 from flamingofront.messages import InboundRequest
+from flamingofront.process.backoff import Backoff
 from flamingofront.process.counted_store import CountedTableStore
 from flamingofront.process.former_sends import SenderProcess
 from flamingofront.process.forwarding.control import ControlHandler
@@ -22,6 +23,7 @@
 from flamingofront.process.forwarding.endpoints import EndpointView
 from flamingofront.process.forwarding.exchange import STALENESS_CHECK_SECONDS, PeerSync
 from flamingofront.process.forwarding.feed_check import FeedCheck
+from flamingofront.process.forwarding.follower import BACKOFF, STANDBY_BACKOFF
 from flamingofront.process.forwarding.freshness import FreshnessCheck
 from flamingofront.process.forwarding.held_requests import QuarantineSync
 from flamingofront.process.forwarding.inquiries import ArbiterContext
@@ -192,6 +194,7 @@
             self.log,
             self._is_standby,
             self._feed_pause,
+            self._store_backoff,
         )
         self.hub = RequestHub(
             HubSettings(
@@ -389,6 +392,11 @@
             self.peers.broadcast_report,
         )
 
+    def _store_backoff(self) -> Backoff:
+        """Return the delays between failed polls of the store."""
+        relaying = self.peers.relaying
+        return STANDBY_BACKOFF if self.peers.is_relayed and not relaying.is_relay else BACKOFF
+
     def _feed_pause(self) -> float:
         """Return the mean pause in seconds after a poll that found changes."""
         return FEED_PAUSE_SECONDS if self.peers.is_relayed else 0.0
