Stale reads and times of an earlier clock do not make a copy seem current

An answer whose version is older than the copy confirmed the copy, and a time of the store's clock from before it began anew, as after a restore, lay in the future and counted as now, at each process that it was passed on to. Change: such an answer confirms nothing; times in the future are dropped, not passed on.

--- a/flamingofront/process/forwarding/follower.py
+++ b/flamingofront/process/forwarding/follower.py
@@ -255,8 +255,9 @@
         """Pass the changes after a version on, and record when the local copy was current."""
         # A large answer may have been in transit for a while; any other one is current.
         is_large = sum(len(each.value or b"") for each in changes.rows) > LARGE_ANSWER_BYTES
-        self.confirmed_at = asked_at if is_large else self.answered_at
-        self._record_time(changes.time, asked_at)
+        if changes.version >= after:  # else it is a stale read
+            self.confirmed_at = asked_at if is_large else self.answered_at
+            self._record_time(changes.time, asked_at)
         self._poll_requested |= is_large
         self._version = max(after, changes.version)
         if changes.rows:
--- a/flamingofront/process/forwarding/knowledge.py
+++ b/flamingofront/process/forwarding/knowledge.py
@@ -27,6 +27,8 @@
 
 # Long-poll timeout of the endpoint table; `FeedCheck` notices a dead long poll sooner.
 ENDPOINT_FEED_WAIT_SECONDS = 10.0
+# Difference between clocks up to which a time of the store is not taken for one in the future.
+MAX_CLOCK_ERROR_SECONDS = 0.5
 # Calls that are answered within this time were accepted just before.
 SHORT_CALL_SECONDS = 1.0
 # Limit on unreadable rows that are logged, each once until it is readable again.
@@ -177,7 +179,7 @@
 
     def answered_time(self) -> float | None:
         """Return the store's time of its last answer to a short call of any process."""
-        return self._answered_time
+        return self._find_latest(self._answered_time)
 
     def _record_answer(self, asked_at: float, time: float | None) -> None:
         now = self._now()
@@ -186,8 +188,7 @@
 
     def _record_answer_to_any(self, at: float, time: float | None) -> None:
         self._answered_at = at if self._answered_at is None else max(self._answered_at, at)
-        if time is not None:
-            self._answered_time = max(time, self._answered_time or time)
+        self._answered_time = self._find_latest(time, self._answered_time)
         self.endpoints.record_store_answer_to_any(at)
 
     def _record_endpoint_answer(self, asked_at: float, time: float | None) -> None:
@@ -254,8 +255,19 @@
         return self._confirmed_time(configuration), self._confirmed_time(endpoints)
 
     def _confirmed_time(self, watcher: TableWatcher) -> float | None:
-        times = (watcher.confirmed_time, self._peer_confirmed_time.get(watcher.table))
-        return max((each for each in times if each is not None), default=None)
+        return self._find_latest(
+            watcher.confirmed_time, self._peer_confirmed_time.get(watcher.table)
+        )
+
+    def _find_latest(self, *store_times: float | None) -> float | None:
+        """Return the latest of some times of the store, without those of an earlier clock."""
+        possible = (each for each in store_times if each is not None and self._is_possible(each))
+        return max(possible, default=None)
+
+    def _is_possible(self, store_time: float) -> bool:
+        """Return False for a time in the future: the clock of the store has begun anew since."""
+        local = self._clock.to_local(store_time)
+        return local is None or local <= self._now() + MAX_CLOCK_ERROR_SECONDS
 
     def merge_peer_ages(self, report: PeerReport) -> None:
         """Merge the staleness that a peer reports for state that this process has, too."""
@@ -288,8 +300,10 @@
         return configuration, endpoints
 
     def _to_local(self, store_time: float | None) -> float | None:
-        """Return a time of the store on the local clock, which is not in the future."""
-        local = None if store_time is None else self._clock.to_local(store_time)
+        """Return a time of the store on the local clock; None if that is not known."""
+        if store_time is None or not self._is_possible(store_time):
+            return None
+        local = self._clock.to_local(store_time)
         return None if local is None else min(local, self._now())
 
     def _merge_confirmation(
@@ -297,9 +311,9 @@
     ) -> None:
         if confirmed_at is not None:
             self._record_confirmation(table, confirmed_at)
-        if store_time is not None:
-            known = self._peer_confirmed_time.get(table, store_time)
-            self._peer_confirmed_time[table] = max(known, store_time)
+        latest = self._find_latest(store_time, self._peer_confirmed_time.get(table))
+        if latest is not None:
+            self._peer_confirmed_time[table] = latest
 
     def build_configuration_delta(self, base_version: int) -> bytes:
         """Return the delta from a peer's version to the active configuration.
--- a/flamingofront/process/forwarding/tests/test_freshness.py
+++ b/flamingofront/process/forwarding/tests/test_freshness.py
@@ -10,6 +10,7 @@
     MAX_CURRENT_AGE_SECONDS,
     MAX_WAIT_SECONDS,
 )
+from flamingofront.process.forwarding.reports import PeerReport
 from flamingofront.standins.table_store import StoreFault
 from flamingofront.tests.forwarding_world import ForwardingWorld, configuration, ready_world
 from flamingofront.tests.narrow_links import NarrowLinksWorld
@@ -137,6 +138,20 @@
             assert front.store_view.configuration_age() >= 4.0
             assert front.store_view.endpoints_age() >= 4.0
 
+    def test_age_grows_after_the_clock_of_the_store_began_anew(self):
+        """Guards against times of the earlier clock, which lie in the future of the new one."""
+        world = ready_world(fronts=3)
+        for front in world.fronts.values():
+            front.store_view.merge_peer_ages(
+                PeerReport("vm", 1, 1, "z", "1.2.3.4", "1.2.3.4:5", confirmed=(1e6, 1e6))
+            )
+        for name in world.fronts:
+            world.cut(name, "store")
+        world.run(4.0)
+        for front in world.fronts.values():
+            assert front.store_view.endpoints_age() >= 4.0
+            assert max(front.store_view.confirmed_times()) < 1e6
+
     def test_show_lists_staleness_of_each_process(self):
         world = large_world()
         relay = next(each for each in world.fronts.values() if each.peers.relaying.is_relay)
