Split the largest forwarding modules; a stale read confirms no configuration

On re-reading, two faults: a poll for an unknown route confirmed the configuration also where the store answered from an older copy (version below the one asked from), and an unknown endpoint that a peer had reported removed stayed unused though a later read of the store had its row.

Change: confirmations.py (StoreConfirmations), removals.py (EndpointRemovals), peer_addresses.py, change_reports.py and leader_tasks.py, each one subject; the watchers of the store have names instead of positions; WatcherRank instead of a bare pair. A stale read is not recorded as a confirmation; a row that the store has is used. Mutations name the new files, their texts are the same changes as before.

--- a/bench/departure_mutations.py
+++ b/bench/departure_mutations.py
@@ -32,14 +32,14 @@
     ),
     Mutation(
         "Depart: a row that the store has brings an endpoint back",
-        "process/forwarding/endpoints.py",
+        "process/forwarding/removals.py",
         "return is_same_era and (is_written_after or 0 < read_version >= removed)",
         "return False",
         ENDPOINTS,
     ),
     Mutation(
         "Depart: a restored row does not bring an endpoint back",
-        "process/forwarding/endpoints.py",
+        "process/forwarding/removals.py",
         "return is_same_era and (is_written_after or 0 < read_version >= removed)",
         "return is_written_after or 0 < read_version >= removed",
         ENDPOINTS,
--- a/bench/restart_mutations.py
+++ b/bench/restart_mutations.py
@@ -111,8 +111,8 @@
     ),
     Mutation(
         "R a process that starts looks up how far a roll-out is",
-        "process/forwarding/node.py",
-        "self.rollouts.on_order = lambda: self.tasks.start(rollout_controller.load_status())",
+        "process/forwarding/leader_tasks.py",
+        "node.rollouts.on_order = lambda: node.tasks.start(controller.load_status())",
         "pass",
         ROLLOUTS,
     ),
--- a/flamingofront/process/forwarding/endpoints.py
+++ b/flamingofront/process/forwarding/endpoints.py
@@ -10,26 +10,20 @@
 from flamingofront.decisions.stream_origin import VersionHistory
 from flamingofront.process.forwarding.endpoint_row import EndpointRow
 from flamingofront.process.forwarding.provenance import FROM_STORE, Provenance, Source, Way
+from flamingofront.process.forwarding.removals import DEPARTURE_REPORT_SECONDS, EndpointRemovals
 from flamingofront.process.logs import Log
 from flamingofront.process.membership import Fact, FactTable, Role, VmState
 from flamingofront.process.metrics import Metrics
-from flamingofront.process.store import get_era
 from flamingofront.process.timers import TimerService
 
 __all__ = ["EndpointView", "EXPIRY_GRACE_SECONDS"]
 
 # A row deleted after the store recovered may belong to an endpoint that is leaving, which accepts
-# requests for two more seconds, minus the transit time. With the longer grace period above, a
-# request reached such an endpoint 2,082 ms after its row was deleted.
+# requests for two more seconds, minus the transit time. With `EXPIRY_GRACE_SECONDS`, a request
+# reached such an endpoint 2,082 ms after its row was deleted.
 DELETION_GRACE_SECONDS = 1.5
-# An endpoint is reported as leaving or removed for this long: several reports, since a few may be
-# lost.
-LEAVING_REPORT_SECONDS = 3.0
 # Limit per report, latest endpoints first. Peers fetch the others with the endpoint update.
 MAX_REPORTED_LEAVING = 64
-MAX_REPORTED_REMOVED = 64
-# Removed endpoints whose revision is kept, so that late word of peers does not bring them back.
-MAX_KEPT_REMOVALS = 4096
 FROM_PEER = Provenance(Source.PEER, way=Way.UPDATE)
 FROM_REPORT = Provenance(Source.PEER, way=Way.REPORT)
 
@@ -97,10 +91,7 @@
         self._origins: dict[str, Provenance] = {}
         # When each leaving endpoint was detected, by a response or row; kept while it is reported.
         self._leaving_since: dict[str, float] = {}
-        # Revision up to which the rows of a removed endpoint are older than its removal, and when
-        # the removal was learned; the latter is kept while it is reported.
-        self._removed_revisions: dict[str, int] = {}
-        self._removed_since: dict[str, float] = {}
+        self._removals = EndpointRemovals(timers.now)
         self._outages = StoreOutages()
         self._in_first_answer = False
 
@@ -162,7 +153,7 @@
 
     def recently_leaving(self) -> tuple[tuple[str, int], ...]:
         """Return id and start time of the endpoints to report as leaving, latest first."""
-        since = self._timers.now() - LEAVING_REPORT_SECONDS
+        since = self._timers.now() - DEPARTURE_REPORT_SECONDS
         self._leaving_since = {name: at for name, at in self._leaving_since.items() if at > since}
         latest = sorted(self._leaving_since, key=lambda name: -self._leaving_since[name])[
             :MAX_REPORTED_LEAVING
@@ -181,26 +172,13 @@
         for endpoint_id, revision in reported:
             row = self._rows.get(endpoint_id)
             if row is None:
-                self._record_removal(endpoint_id, revision)
+                self._removals.record(endpoint_id, revision)
             elif row.revision < revision and endpoint_id not in self._missing:
                 self.remove(endpoint_id, origin, revision)
 
     def recently_removed(self) -> tuple[tuple[str, int], ...]:
         """Return id and revision of the endpoints to report as removed, latest first."""
-        since = self._timers.now() - LEAVING_REPORT_SECONDS
-        self._removed_since = {name: at for name, at in self._removed_since.items() if at > since}
-        latest = sorted(self._removed_since, key=lambda name: -self._removed_since[name])
-        return tuple(
-            (name, self._removed_revisions[name])
-            for name in latest[:MAX_REPORTED_REMOVED]
-            if name not in self._rows and self._removed_revisions.get(name)
-        )
-
-    def _record_removal(self, endpoint_id: str, revision: int) -> None:
-        known = self._removed_revisions.get(endpoint_id, 0)
-        self._removed_revisions[endpoint_id] = max(known, revision)
-        while len(self._removed_revisions) > MAX_KEPT_REMOVALS:
-            self._removed_revisions.pop(next(iter(self._removed_revisions)))
+        return tuple(each for each in self._removals.list_recent() if each[0] not in self._rows)
 
     def record_store_failure(self) -> None:
         """Record that a call to the store failed: rows may expire while their endpoints run."""
@@ -275,8 +253,8 @@
         before = self._rows.get(endpoint_id) or self._last_rows.get(endpoint_id)
         if before is not None and self._is_outdated(row, before, read_version):
             return
-        if before is None and 0 < row.revision <= self._removed_revisions.get(endpoint_id, 0):
-            return  # a peer has reported the removal of an endpoint that was unknown here
+        if before is None and self._is_known_removed(row, read_version):
+            return
         newer = endpoint_id not in self._rows or row.order_key > before.order_key
         if newer or not from_peer:
             self._missing.pop(endpoint_id, None)
@@ -301,7 +279,9 @@
         is leaving too is not outdated, since it may add the time until the VM is reclaimed.
         """
         is_present = row.endpoint_id in self._rows
-        has_returned = not is_present and self._has_returned(row, before, read_version)
+        has_returned = not is_present and self._removals.has_returned(
+            row.endpoint_id, row.revision, read_version, before.revision
+        )
         if has_returned and row.address != before.address:
             return False  # another start, where rows tell no start time
         if row.born == before.born and not before.ready and row.ready:
@@ -312,19 +292,12 @@
             return False
         return row.order_key <= before.order_key
 
-    def _has_returned(self, row: EndpointRow, before: EndpointRow, read_version: int) -> bool:
-        """Return True if the store had a row after the removal that this process learned of.
-
-        Notes
-        -----
-        A store that was restored from a snapshot has rows again that were removed, in a later era.
-        """
-        removed = self._removed_revisions.get(row.endpoint_id, 0)
-        is_same_era = get_era(max(row.revision, read_version)) == get_era(
-            max(removed, before.revision)
+    def _is_known_removed(self, row: EndpointRow, read_version: int) -> bool:
+        """Return True if a peer has reported the removal of an endpoint that was unknown here."""
+        removed = self._removals.revision_of(row.endpoint_id)
+        return 0 < row.revision <= removed and not self._removals.has_returned(
+            row.endpoint_id, row.revision, read_version
         )
-        is_written_after = 0 < removed < row.revision
-        return is_same_era and (is_written_after or 0 < read_version >= removed)
 
     def _merge_row_fact(
         self, row: EndpointRow, restarted: bool, newer: bool, origin: Provenance
@@ -414,7 +387,7 @@
         row = self._rows.get(endpoint_id)
         if row is not None and 0 < revision < row.revision:
             return  # a late answer of the store: the row was written after the removal
-        self._record_removal(endpoint_id, revision)
+        self._removals.record(endpoint_id, revision)
         if row is None:
             return
         now = self._timers.now()
@@ -431,12 +404,12 @@
         """Remove an endpoint at once: a peer that reaches the store reports its row as deleted."""
         row = self._rows.get(endpoint_id)
         if row is None or not 0 < revision < row.revision:
-            self._record_removal(endpoint_id, revision)
+            self._removals.record(endpoint_id, revision)
             self._drop(endpoint_id, origin)
 
     def removed_revision(self, endpoint_id: str) -> int:
         """Return the revision up to which the rows of a removed endpoint are outdated."""
-        return self._removed_revisions.get(endpoint_id, 0)
+        return self._removals.revision_of(endpoint_id)
 
     def _drop_missing(self) -> None:
         for endpoint_id in list(self._missing):
@@ -456,7 +429,7 @@
             return
         # Only a row newer than this one may revive the endpoint.
         self._last_rows[endpoint_id] = row
-        self._removed_since[endpoint_id] = self._timers.now()
+        self._removals.record_learned(endpoint_id)
         fact = self._facts.get(endpoint_id)
         if fact is not None:
             self._merge_fact(row, fact.incarnation, VmState.GONE, origin, waited)
--- a/flamingofront/process/forwarding/feed_check.py
+++ b/flamingofront/process/forwarding/feed_check.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from flamingofront.errors import PlatformError
 from flamingofront.process.forwarding.follower import TableWatcher
@@ -20,10 +21,25 @@
 LAG_POLL_INTERVAL_SECONDS = 1.0
 # A long poll that has become needless ends after this time.
 STANDBY_SECONDS = 3.5
-# Ranks that add to the delay of a check; more would delay it beyond its use.
-MAX_RANK = 4
+# Later processes wait no longer than the one at this position: a check would come too late.
+MAX_POSITION = 4
 
-WatcherRank = Callable[[], tuple[int, float]]
+
+@dataclass(frozen=True)
+class WatcherRank:
+    """Turn of a process among those that watch a table.
+
+    Parameters
+    ----------
+    position : int
+        0 for the process that polls first.
+    seconds_per_position : float
+        Time by which each further process waits longer: until an answer to the one before it would
+        be known to it.
+    """
+
+    position: int
+    seconds_per_position: float
 
 
 class FeedCheck:
@@ -35,8 +51,7 @@
         Returns the seconds since the store confirmed the table to any process; None if it never
         did.
     rank : callable
-        Returns the rank of this process among those that watch the table, and the seconds by which
-        each rank waits longer: the time until its answers are known to the others.
+        Returns the `WatcherRank` of this process.
     max_age : float
         Age in seconds at which the first process polls.
     lag : callable
@@ -53,7 +68,7 @@
         tasks: TaskRunner,
         timers: TimerService,
         age: Callable[[], float | None],
-        rank: WatcherRank,
+        rank: Callable[[], WatcherRank],
         max_age: float,
         lag: Callable[[], float | None],
         max_lag: Callable[[], float],
@@ -102,8 +117,8 @@
         age = self._age()
         if age is None or age <= self._max_age:
             return False
-        rank, seconds_per_rank = self._rank()
-        return age > self._max_age + min(rank, MAX_RANK) * seconds_per_rank
+        rank = self._rank()
+        return age > self._max_age + min(rank.position, MAX_POSITION) * rank.seconds_per_position
 
     def _end_poll(self, result: object) -> None:
         self._is_polling = False
--- a/flamingofront/process/forwarding/knowledge.py
+++ b/flamingofront/process/forwarding/knowledge.py
@@ -7,6 +7,7 @@
 from flamingofront.decisions.rollout import RolloutSpec
 from flamingofront.errors import ConfigurationError, PlatformError
 from flamingofront.process.backoff import Backoff
+from flamingofront.process.forwarding.confirmations import StoreConfirmations
 from flamingofront.process.forwarding.document_copies import DeltaSource
 from flamingofront.process.forwarding.endpoint_row import EndpointRow
 from flamingofront.process.forwarding.endpoints import EndpointView
@@ -19,7 +20,6 @@
 from flamingofront.process.logs import Log
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.store import StoredRow, TableStore
-from flamingofront.process.store_clock import StoreClock
 from flamingofront.process.tasks import Task
 from flamingofront.version.forwarding import ForwardingConfiguration
 
@@ -27,10 +27,6 @@
 
 # Long-poll timeout of the endpoint table; `FeedCheck` notices a dead long poll sooner.
 ENDPOINT_FEED_WAIT_SECONDS = 10.0
-# Difference between clocks up to which a time of the store is not taken for one in the future.
-MAX_CLOCK_ERROR_SECONDS = 0.5
-# Calls that are answered within this time were accepted just before.
-SHORT_CALL_SECONDS = 1.0
 # Limit on unreadable rows that are logged, each once until it is readable again.
 MAX_REJECTED_ROWS_LOGGED = 256
 
@@ -80,6 +76,10 @@
         Called after a change of the configuration or the endpoints.
     on_rollout : callable
         Called with each rollout spec that is read.
+    configuration_watcher, endpoint_watcher : TableWatcher
+        Watchers of the two tables.
+    confirmations : StoreConfirmations
+        When the store confirmed these tables, and answered calls, to any process.
     """
 
     def __init__(
@@ -108,23 +108,15 @@
         self._on_configuration = on_configuration
         self._peer_versions = VersionTracker()
         self._now = now
-        self._clock = StoreClock()
-        # From peers: when each table was last confirmed, on the local clock and on the clock of the
-        # store, and the configuration's feed position.
-        self._peer_confirmed_at: dict[str, float] = {}
-        self._peer_confirmed_time: dict[str, float] = {}
+        self.confirmations = StoreConfirmations(now, endpoints.record_store_answer_to_any)
         self._peer_position = 0
         self._metrics = metrics
         self._log = log
         self._store = store
-        # When the store last answered a short call of any process, here and on its own clock.
-        # A long poll may be answered while the store accepts no calls.
-        self._answered_at: float | None = None
-        self._answered_time: float | None = None
         configuration_listener = TableListener(
             lambda rows, version: self._apply_configuration_rows(rows),
             self._apply_configuration_rows,
-            on_answer=self._record_answer,
+            on_answer=self.confirmations.record_answer,
         )
         endpoint_listener = TableListener(
             self._reload_endpoints,
@@ -132,72 +124,53 @@
             endpoints.record_store_failure,
             self._record_endpoint_answer,
         )
-        self.watchers = (
-            # No pause here: changes are rare, and one may take a second on a small link.
-            TableWatcher(
-                store,
-                tables.configuration,
-                configuration_listener,
-                now,
-                rng,
-                log,
-                can_stand_by,
-                peer_version=lambda: self._peer_position,
-                clock=self._clock,
-                answer_age=self.store_answer_age,
-                backoff=backoff,
-            ),
-            TableWatcher(
-                store,
-                tables.endpoints,
-                endpoint_listener,
-                now,
-                rng,
-                log,
-                can_stand_by,
-                pause,
-                wait=ENDPOINT_FEED_WAIT_SECONDS,
-                clock=self._clock,
-                answer_age=self.store_answer_age,
-                backoff=backoff,
-            ),
+        # No pause here: changes are rare, and one may take a second on a small link.
+        self.configuration_watcher = TableWatcher(
+            store,
+            tables.configuration,
+            configuration_listener,
+            now,
+            rng,
+            log,
+            can_stand_by,
+            peer_version=lambda: self._peer_position,
+            clock=self.confirmations.clock,
+            answer_age=self.confirmations.answer_age,
+            backoff=backoff,
         )
+        self.endpoint_watcher = TableWatcher(
+            store,
+            tables.endpoints,
+            endpoint_listener,
+            now,
+            rng,
+            log,
+            can_stand_by,
+            pause,
+            wait=ENDPOINT_FEED_WAIT_SECONDS,
+            clock=self.confirmations.clock,
+            answer_age=self.confirmations.answer_age,
+            backoff=backoff,
+        )
+        self.watchers = (self.configuration_watcher, self.endpoint_watcher)
 
     @property
     def is_store_unreachable(self) -> bool:
         """True while polls of the endpoint table fail."""
-        return self.watchers[1].is_unreachable
+        return self.endpoint_watcher.is_unreachable
 
     @property
     def is_standby(self) -> bool:
         """True while other processes watch the store for this one."""
-        return self.watchers[1].is_standby
-
-    def store_answer_age(self) -> float | None:
-        """Return the seconds since the store answered a short call of any process."""
-        return None if self._answered_at is None else self._now() - self._answered_at
-
-    def answered_time(self) -> float | None:
-        """Return the store's time of its last answer to a short call of any process."""
-        return self._find_latest(self._answered_time)
-
-    def _record_answer(self, asked_at: float, time: float | None) -> None:
-        now = self._now()
-        if now - asked_at <= SHORT_CALL_SECONDS:
-            self._record_answer_to_any(now, time)
-
-    def _record_answer_to_any(self, at: float, time: float | None) -> None:
-        self._answered_at = at if self._answered_at is None else max(self._answered_at, at)
-        self._answered_time = self._find_latest(time, self._answered_time)
-        self.endpoints.record_store_answer_to_any(at)
+        return self.endpoint_watcher.is_standby
 
     def _record_endpoint_answer(self, asked_at: float, time: float | None) -> None:
-        self._record_answer(asked_at, time)
+        self.confirmations.record_answer(asked_at, time)
         self.endpoints.record_store_answer()
 
     def poll_configuration(self) -> None:
         """Request a poll of the configuration, also in standby."""
-        self.watchers[0].poll_once()
+        self.configuration_watcher.poll_once()
 
     def poll_store(self) -> None:
         """Request a poll of both tables, also in standby."""
@@ -206,8 +179,8 @@
 
     def reload_rollouts(self) -> None:
         """Request a reload of the rollout specs, which peers do not send with a configuration."""
-        self.watchers[0].schedule_reload()
-        self.watchers[0].poll_once()
+        self.configuration_watcher.schedule_reload()
+        self.configuration_watcher.poll_once()
 
     def refresh_configuration(self) -> Task:
         """Poll the store for a newer configuration and activate it.
@@ -221,99 +194,47 @@
         after = self.configuration_position()
         changes = yield from self._store.read_changes(self._tables.configuration, after, 0.0)
         self._apply_configuration_rows(changes.rows)
-        self._peer_position = max(self._peer_position, changes.version)
-        self._record_confirmation(self._tables.configuration, asked_at)
+        self.confirmations.record_answer(asked_at, changes.time)
+        if changes.version >= after:  # else it is a stale read
+            self._peer_position = max(self._peer_position, changes.version)
+            self.confirmations.record(self._tables.configuration, asked_at)
 
     def configuration_position(self) -> int:
         """Return the feed position up to which the configuration is current."""
-        return max(self.watchers[0].version, self._peer_position)
+        return max(self.configuration_watcher.version, self._peer_position)
 
     def configuration_age(self) -> float | None:
         """Return the seconds since the configuration was confirmed as the newest; None if never."""
-        return self._compute_age(self.watchers[0])
+        return self._compute_age(self.configuration_watcher)
 
     def endpoints_age(self) -> float | None:
         """Return the seconds since the endpoints were confirmed as current; None if never."""
-        return self._compute_age(self.watchers[1])
+        return self._compute_age(self.endpoint_watcher)
 
     def _compute_age(self, watcher: TableWatcher) -> float | None:
-        confirmed = (watcher.confirmed_at, self._peer_confirmed_at.get(watcher.table))
-        times = [each for each in confirmed if each is not None]
-        return self._now() - max(times) if times else None
-
-    def _record_confirmation(self, table: str, confirmed_at: float) -> None:
-        self._peer_confirmed_at[table] = max(
-            confirmed_at, self._peer_confirmed_at.get(table, confirmed_at)
-        )
+        return self.confirmations.age(watcher.table, watcher.confirmed_at)
 
     def confirmed_times(self) -> tuple[float | None, float | None]:
         """Return the store's times up to which configuration and endpoints are known to be current.
 
         None for a table that was never confirmed, or by a store that tells no time.
         """
-        configuration, endpoints = self.watchers
-        return self._confirmed_time(configuration), self._confirmed_time(endpoints)
-
-    def _confirmed_time(self, watcher: TableWatcher) -> float | None:
-        return self._find_latest(
-            watcher.confirmed_time, self._peer_confirmed_time.get(watcher.table)
+        configuration, endpoints = (
+            self.confirmations.latest_time(each.table, each.confirmed_time)
+            for each in self.watchers
         )
-
-    def _find_latest(self, *store_times: float | None) -> float | None:
-        """Return the latest of some times of the store, without those of an earlier clock."""
-        possible = (each for each in store_times if each is not None and self._is_possible(each))
-        return max(possible, default=None)
-
-    def _is_possible(self, store_time: float) -> bool:
-        """Return False for a time in the future: the clock of the store has begun anew since."""
-        local = self._clock.to_local(store_time)
-        return local is None or local <= self._now() + MAX_CLOCK_ERROR_SECONDS
+        return configuration, endpoints
 
     def merge_peer_ages(self, report: PeerReport) -> None:
         """Merge the staleness that a peer reports for state that this process has, too."""
-        configuration_at, endpoints_at = self._locate_confirmations(report)
-        answered_at = self._to_local(report.answered)
-        if answered_at is not None:
-            self._record_answer_to_any(answered_at, report.answered)
+        tables = (self._tables.configuration, self._tables.endpoints)
+        configuration, endpoints = zip(tables, report.ages, report.confirmed, strict=True)
+        self.confirmations.merge_answer(report.answered)
         if report.configuration == self.configuration.version:
             self._peer_position = max(self._peer_position, report.position)
-            self._merge_confirmation(
-                self._tables.configuration, configuration_at, report.confirmed[0]
-            )
+            self.confirmations.merge(*configuration)
         if report.endpoints <= self.endpoints_change_number():
-            self._merge_confirmation(self._tables.endpoints, endpoints_at, report.confirmed[1])
-
-    def _locate_confirmations(self, report: PeerReport) -> tuple[float | None, float | None]:
-        """Return when the store confirmed a peer's configuration and endpoints, on the local clock.
-
-        Notes
-        -----
-        The times of the store are preferred to the ages, which are those at the time of sending.
-        """
-        now = self._now()
-        configuration, endpoints = (
-            now - age if local is None and age is not None else local
-            for age, local in zip(
-                report.ages, (self._to_local(each) for each in report.confirmed), strict=True
-            )
-        )
-        return configuration, endpoints
-
-    def _to_local(self, store_time: float | None) -> float | None:
-        """Return a time of the store on the local clock; None if that is not known."""
-        if store_time is None or not self._is_possible(store_time):
-            return None
-        local = self._clock.to_local(store_time)
-        return None if local is None else min(local, self._now())
-
-    def _merge_confirmation(
-        self, table: str, confirmed_at: float | None, store_time: float | None
-    ) -> None:
-        if confirmed_at is not None:
-            self._record_confirmation(table, confirmed_at)
-        latest = self._find_latest(store_time, self._peer_confirmed_time.get(table))
-        if latest is not None:
-            self._peer_confirmed_time[table] = latest
+            self.confirmations.merge(*endpoints)
 
     def build_configuration_delta(self, base_version: int) -> bytes:
         """Return the delta from a peer's version to the active configuration.
@@ -459,7 +380,9 @@
 
     def _describe_answer(self, way: Way) -> Provenance:
         """Return the origin of the endpoints in the last answer of the store."""
-        return Provenance(Source.STORE, way=way, max_delay=self.watchers[1].unconfirmed_seconds)
+        return Provenance(
+            Source.STORE, way=way, max_delay=self.endpoint_watcher.unconfirmed_seconds
+        )
 
     def _apply_endpoint_changes(self, rows: tuple[StoredRow, ...]) -> None:
         origin = self._describe_answer(Way.FEED)
@@ -479,7 +402,7 @@
         -----
         This may be at the end of its grace period, when later changes are already recorded.
         """
-        change_number = to_change_number(self.watchers[1].version) + 1
+        change_number = to_change_number(self.endpoint_watcher.version) + 1
         self._history.record_change(endpoint_id, max(change_number, self._history.change_number))
         self.on_change()
 
@@ -501,7 +424,7 @@
 
     def apply_endpoint_update(self, update: EndpointUpdate, peer: str) -> None:
         """Merge an update from a peer that can reach the store."""
-        self.watchers[1].schedule_reload()
+        self.endpoint_watcher.schedule_reload()
         origin = self._describe_update(peer)
         if update.is_full:
             self._history.reset(update.change_number)
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -8,7 +8,6 @@
 from flamingofront.connection.client import MAX_IDLE_CONNECTIONS_PER_ADDRESS
 from flamingofront.connection.interfaces import Exchange, Transport
 from flamingofront.decisions.choice import BacklogChoice
-from flamingofront.decisions.fleet_plan import CheapestSafeFleet
 from flamingofront.decisions.quota import SharedQuota
 from flamingofront.decisions.quota_facts import QuotaLimits
 from flamingofront.decisions.retry import RetryBudget
@@ -17,6 +16,7 @@
 from flamingofront.process.backoff import Backoff
 from flamingofront.process.counted_store import CountedTableStore
 from flamingofront.process.former_sends import SenderProcess
+from flamingofront.process.forwarding.change_reports import ChangeReports
 from flamingofront.process.forwarding.control import ControlHandler
 from flamingofront.process.forwarding.duty import LeaderLease
 from flamingofront.process.forwarding.endpoint_row import EndpointRow
@@ -28,11 +28,13 @@
 from flamingofront.process.forwarding.held_requests import QuarantineSync
 from flamingofront.process.forwarding.inquiries import ArbiterContext
 from flamingofront.process.forwarding.knowledge import SharedTables, StoreView
+from flamingofront.process.forwarding.leader_tasks import build_leader_tasks
 from flamingofront.process.forwarding.limit_arbiter import LimitArbiters, LimitContext
 from flamingofront.process.forwarding.limit_members import LimitMembers
 from flamingofront.process.forwarding.observations import Observations
 from flamingofront.process.forwarding.origin_members import OriginMembers
 from flamingofront.process.forwarding.own_report import LocalReport, ReportSources
+from flamingofront.process.forwarding.peer_addresses import PeerAddresses
 from flamingofront.process.forwarding.peer_word import PeerDispatcher, UpdateReceivers
 from flamingofront.process.forwarding.peers import Peers
 from flamingofront.process.forwarding.provenance import FROM_ANSWER
@@ -42,13 +44,11 @@
 from flamingofront.process.forwarding.readers import ZoneWatchers
 from flamingofront.process.forwarding.relaying import RelayListener
 from flamingofront.process.forwarding.reports import PeerReport
-from flamingofront.process.forwarding.rollouts import RolloutController, Rollouts
-from flamingofront.process.forwarding.scaling import ScalingController
+from flamingofront.process.forwarding.rollouts import Rollouts
 from flamingofront.process.forwarding.settings import DeploymentSettings
 from flamingofront.process.forwarding.shared_origins import SharedOrigins
-from flamingofront.process.forwarding.usage import UsageBook, UsageCoverage, UsageReporter
+from flamingofront.process.forwarding.usage import UsageBook
 from flamingofront.process.forwarding.vanished import UnobservedRemovals
-from flamingofront.process.forwarding.whole_load import ClusterLoad
 from flamingofront.process.intent_rows import IntentRows
 from flamingofront.process.intents import IntentRecorder
 from flamingofront.process.logs import Log
@@ -92,8 +92,6 @@
 IDLE_SHARE = 0.5
 # Age up to which the known endpoints count as current; reports that confirm them come each 0.25 s.
 CURRENT_ENDPOINTS_SECONDS = 3.0
-USAGE = "usage"
-SCALING = "scaling"
 
 
 @dataclass(frozen=True)
@@ -122,8 +120,6 @@
         self.metrics = Metrics({"vm": settings.vm_id, "zone": settings.zone})
         self.on_configuration: Callable[[ForwardingConfiguration], None] = lambda cfg: None
         self.stopping = False
-        self._has_unsent_departure = False
-        self._is_change_report_due = False
         self._started_at = dependencies.timers.now()
         self.store = EraStore(CountedTableStore(dependencies.store, self.metrics), log)
         self._dependencies = replace(dependencies, store=self.store)
@@ -183,7 +179,7 @@
                 self.timers,
                 self.metrics,
                 self.log,
-                on_leaving=self._on_row_leaving,
+                on_leaving=lambda row: self.change_reports.record_departure(),
                 on_removed=self._on_endpoint_removed,
                 on_restarted=self._on_endpoint_restarted,
             ),
@@ -217,7 +213,6 @@
         self.hub.on_endpoint_leaving = self._on_endpoint_leaving
         self.hub.paths.monitor.enabled = True
         self.hub.paths.monitor.probe_target_of = self._probe_target_of
-        self.hub.paths.peers.addresses = self._proxy_addresses
         self.hub.on_outcome = self._record_outcome
         self.hub.cache_tokens = self._cache_tokens
         self.directory.sample_size = self._sample_size
@@ -266,7 +261,7 @@
         self.hub.guard.crash_detector.record_row_removal(row.endpoint_id, announced=not row.ready)
         self._forget_endpoint(row.endpoint_id)
         self._dependencies.transport.drop_idle(row.address)
-        self._has_unsent_departure = True
+        self.change_reports.record_departure()
         self.store_view.record_removed_endpoint(row.endpoint_id)
 
     def _forget_endpoint(self, endpoint_id: str) -> None:
@@ -368,9 +363,12 @@
         self.peers.on_quota_reply = self.arbiters.handle_reply
         self._build_limits()
         self._build_origins()
+        identity = self._report_builder.identity
+        addresses = PeerAddresses(identity, self.peers, self.timers.now, self._rng)
+        self.hub.paths.peers.addresses = addresses.proxies
         self.exchange = PeerSync(self.store_view, self.tasks, self.timers.now, self._rng, self.log)
-        self.exchange.remote_watchers = self._remote_relays
-        self.exchange.zone_peers = self._zone_peers
+        self.exchange.remote_watchers = addresses.remote_relays
+        self.exchange.zone_peers = addresses.zone_peers
         self.gateway.config_freshness = FreshnessCheck(
             self.store_view, self.tasks, self.timers, self.log
         )
@@ -379,9 +377,10 @@
             self.settings.zone,
             lambda: self.peers.table.live_reports(self.timers.now()),
         )
-        self.store_view.on_change = self._on_store_change
+        self.change_reports = ChangeReports(self.peers, self.timers)
+        self.store_view.on_change = self.change_reports.record_change
         self.feed_check = FeedCheck(
-            self.store_view.watchers[1],
+            self.store_view.endpoint_watcher,
             self.tasks,
             self.timers,
             self.store_view.endpoints_age,
@@ -401,31 +400,6 @@
         """Return the mean pause in seconds after a poll that found changes."""
         return FEED_PAUSE_SECONDS if self.peers.is_relayed else 0.0
 
-    def _remote_relays(self) -> list[str]:
-        """Return the control addresses of the other zones' relays, in random order."""
-        return self._addresses(self.peers.relaying.remote_relays() if self.peers.is_relayed else [])
-
-    def _zone_peers(self) -> list[str]:
-        """Return the control addresses of the other processes in the zone, in random order."""
-        near = self.peers.relaying.zone_members() if self.peers.is_relayed else {}
-        return self._addresses(sorted({*near.values()} - {self._report_builder.identity.ip}))
-
-    def _proxy_addresses(self) -> list[str]:
-        """Return the control addresses of the peers that may proxy attempts."""
-        if not self.peers.is_relayed:
-            live = self.peers.table.live_reports(self.timers.now())
-            return [each.address for each in live if not each.leaving]
-        identity = self._report_builder.identity
-        ips = self.peers.relaying.known_ips() - {identity.ip}
-        return [identity.address.replace(identity.ip, each, 1) for each in sorted(ips)]
-
-    def _addresses(self, ips: list[str]) -> list[str]:
-        """Return the control addresses for some IP addresses, in random order."""
-        identity = self._report_builder.identity
-        return [
-            identity.address.replace(identity.ip, ip, 1) for ip in self._rng.sample(ips, len(ips))
-        ]
-
     def _build_limits(self) -> None:
         """Build the arbitration of the rate limits that endpoints advertise."""
         limits, permits = self.hub.limits, self.hub.permits
@@ -480,24 +454,6 @@
             return self.peers.relaying.has_watching_relay()
         return self.readers.can_stand_by()
 
-    def _on_store_change(self) -> None:
-        """Report a store change to the peers once all changes of an answer are applied."""
-        if not self._is_change_report_due:
-            self._is_change_report_due = True
-            self.timers.once(0.0, self._report_store_change)
-
-    def _report_store_change(self) -> None:
-        """Report a change to the zone, which may rely on this watcher, and a departure to all."""
-        self._is_change_report_due = False
-        self.peers.notify_zone()
-        if self._has_unsent_departure:
-            self._has_unsent_departure = False
-            self.peers.broadcast_leaving()
-
-    def _on_row_leaving(self, row: EndpointRow) -> None:
-        """Let the next report of a change go to all zones."""
-        self._has_unsent_departure = True
-
     def _build_leader_tasks(self) -> None:
         """Build the leader lease and the leader tasks that this deployment needs."""
         settings, dependencies = self.settings, self._dependencies
@@ -510,58 +466,7 @@
             self._rng,
             self.log,
         )
-        load = ClusterLoad(self.hub, self.peers, self.facts, self.timers)
-        self.leader_tasks: list[UsageReporter | ScalingController | RolloutController] = []
-        if dependencies.cloud is None:
-            return
-        if USAGE in settings.duties:
-            self.leader_tasks.append(
-                UsageReporter(
-                    self.lease,
-                    dependencies.cloud,
-                    self.usage,
-                    settings.rules,
-                    settings.vm_id,
-                    UsageCoverage(
-                        self.peers.cluster_time,
-                        self.peers.usage_sync_delay,
-                        self.peers.member_count,
-                    ),
-                    self.timers.now,
-                    self.metrics,
-                    self.log,
-                )
-            )
-        if SCALING in settings.duties:
-            self.leader_tasks.append(
-                ScalingController(
-                    self.lease,
-                    dependencies.cloud,
-                    CheapestSafeFleet(),
-                    settings.vm_id,
-                    self.timers.now,
-                    lambda: self.configuration,
-                    self.store_view.endpoints.rows,
-                    load.compute_demand,
-                    self.metrics,
-                    self.log,
-                    settings.first_start,
-                )
-            )
-        self.rollouts.on_verdict = self.peers.broadcast_report
-        rollout_controller = RolloutController(
-            self.lease,
-            dependencies.store,
-            dependencies.tables.rollouts,
-            self.rollouts,
-            load.count_at_other_versions,
-            self.timers.now,
-            self.peers.cluster_time,
-            self.log,
-        )
-        self.store.add_restore_listener(rollout_controller.invalidate_rows)
-        self.rollouts.on_order = lambda: self.tasks.start(rollout_controller.load_status())
-        self.leader_tasks.append(rollout_controller)
+        self.leader_tasks = build_leader_tasks(self, dependencies)
 
     def _cache_tokens(self, service: str) -> float:
         """Return the tokens that an endpoint of a service can cache; infinite if not configured."""
@@ -612,7 +517,7 @@
             self.tasks.start(self.lease.run())
         for task in self.leader_tasks:
             self.tasks.start(task.run())
-        self.tasks.start(self.store_view.watchers[0].run())
+        self.tasks.start(self.store_view.configuration_watcher.run())
         self.feed_check.start()
         self.tasks.start(self.quarantine_sync.run())
         self.timers.every(
--- a/flamingofront/process/forwarding/own_report.py
+++ b/flamingofront/process/forwarding/own_report.py
@@ -91,7 +91,7 @@
             position=knowledge.configuration_position(),
             ages=(_round_age(knowledge.configuration_age()), _round_age(knowledge.endpoints_age())),
             confirmed=knowledge.confirmed_times(),
-            answered=knowledge.answered_time(),
+            answered=knowledge.confirmations.answered_time(),
             removed_endpoints=knowledge.endpoints.recently_removed(),
         )
 
--- a/flamingofront/process/forwarding/peers.py
+++ b/flamingofront/process/forwarding/peers.py
@@ -10,6 +10,7 @@
 from flamingofront.errors import PlatformError
 from flamingofront.messages import Sleep
 from flamingofront.process.forwarding.digests import decode_digest, is_digest
+from flamingofront.process.forwarding.feed_check import WatcherRank
 from flamingofront.process.forwarding.limit_messages import (
     is_permit_reply,
     is_permit_request,
@@ -270,16 +271,8 @@
         """Return the seconds until a new leader has received the usage of all processes."""
         return RELAYED_USAGE_DELAY_SECONDS if self.is_relayed else 0.0
 
-    def rank_as_watcher(self) -> tuple[int, float]:
-        """Return this process's rank among those that watch the store.
-
-        Returns
-        -------
-        rank : int
-            0 for the first one by rendezvous hash.
-        seconds : float
-            Time until an answer to one of them is known to the others.
-        """
+    def rank_as_watcher(self) -> WatcherRank:
+        """Return this process's rank among those that watch the store."""
         reports = (
             self.relaying.live_relays()
             if self.is_relayed
@@ -292,7 +285,7 @@
         }
         ranked = rank("store watchers", {*watchers, self._identity.vm_id})
         seconds = self.report_period() + ANSWER_SHARING_DELAY_SECONDS
-        return ranked.index(self._identity.vm_id), seconds
+        return WatcherRank(ranked.index(self._identity.vm_id), seconds)
 
     def start_times(self) -> list[float]:
         """Return the wall-clock start times of the live processes, including this one."""
@@ -423,8 +416,8 @@
         if any(not each.watches_store for each in live):
             self._send_report_to([each.ip for each in live], without_counts(self._build_report()))
 
-    def broadcast_leaving(self) -> None:
-        """Report endpoints that began to leave to all zones at once, in large deployments."""
+    def broadcast_departures(self) -> None:
+        """Report endpoints that left to the relays of all zones at once, in large deployments."""
         if self.is_relayed:
             self.relaying.notify_all_relays()
 
--- a/flamingofront/process/forwarding/tests/test_endpoints.py
+++ b/flamingofront/process/forwarding/tests/test_endpoints.py
@@ -10,7 +10,6 @@
 from flamingofront.process.forwarding.endpoint_row import EndpointRow
 from flamingofront.process.forwarding.endpoints import (
     EXPIRY_GRACE_SECONDS,
-    LEAVING_REPORT_SECONDS,
     EndpointView,
 )
 from flamingofront.process.forwarding.news import (
@@ -18,6 +17,7 @@
     decode_endpoint_update,
     encode_endpoint_update,
 )
+from flamingofront.process.forwarding.removals import DEPARTURE_REPORT_SECONDS
 from flamingofront.process.logs import Log
 from flamingofront.process.membership import FactTable, VmState
 from flamingofront.process.metrics import Metrics
@@ -353,7 +353,7 @@
         assert harness.state() is VmState.LIVE
         assert harness.view.recently_removed() == ()
 
-    def test_late_word_of_a_peer_does_not_bring_an_endpoint_back(self, harness):
+    def test_late_report_of_a_peer_does_not_bring_an_endpoint_back(self, harness):
         """Guards against peers that know less, also where the endpoint was never known."""
         harness.view.merge_removed((("i-1", 100), ("i-2", 100)))
         for name in ("i-1", "i-2"):
@@ -388,7 +388,7 @@
 
     def test_reports_end_after_a_while(self, harness):
         harness.view.remove("i-1", revision=100)
-        harness.pass_time(LEAVING_REPORT_SECONDS + 0.1)
+        harness.pass_time(DEPARTURE_REPORT_SECONDS + 0.1)
         assert harness.view.recently_removed() == ()
 
     def test_update_carries_revisions_that_earlier_versions_ignore(self):
@@ -431,3 +431,12 @@
         harness.view.remove("i-1", revision=100)
         harness.view.merge_row(replace(ROW, sequence=6, revision=101))
         assert harness.state() is VmState.GONE
+
+    def test_row_that_the_store_has_is_used_where_a_peer_reported_a_removal_before(self, harness):
+        """Guards against an endpoint that was unknown here, and that a peer was wrong about."""
+        other = replace(self.WRITTEN, endpoint_id="i-2")
+        harness.view.merge_removed((("i-2", 100),))
+        harness.view.replace_all((other, self.WRITTEN), version=99)
+        assert other not in harness.view.rows()
+        harness.view.replace_all((other, self.WRITTEN), version=105)
+        assert other in harness.view.rows()
