Test: a poll that an older copy answers confirms no configuration

Change: a scripted store answers with the version asked from, and with the one before it. Result: with the condition taken out (scratch copy) the second case fails, as it stands both pass.

--- a/flamingofront/process/forwarding/tests/test_freshness.py
+++ b/flamingofront/process/forwarding/tests/test_freshness.py
@@ -11,6 +11,7 @@
     MAX_WAIT_SECONDS,
 )
 from flamingofront.process.forwarding.reports import PeerReport
+from flamingofront.process.store import RowChanges
 from flamingofront.standins.table_store import StoreFault
 from flamingofront.tests.forwarding_world import ForwardingWorld, configuration, ready_world
 from flamingofront.tests.narrow_links import NarrowLinksWorld
@@ -20,6 +21,17 @@
 PROCESS_COUNT = 24
 
 
+class StaleStore:
+    """Store that answers each poll at once with the same changes."""
+
+    def __init__(self, answer):
+        self.answer = answer
+
+    def read_changes(self, table, after, wait):
+        yield from ()
+        return self.answer
+
+
 def large_world():
     """Return a world of many processes, most of them in standby."""
     world = ForwardingWorld()
@@ -119,6 +131,18 @@
                 assert front.store_view.configuration_age() < 4.0
                 assert front.store_view.endpoints_age() < 4.0
 
+    @pytest.mark.parametrize("behind", [0, 1])
+    def test_poll_that_an_older_copy_answers_confirms_nothing(self, behind):
+        """Guards against 404s from a configuration that a stale read seems to confirm."""
+        world = large_world()
+        view = world.fronts["front-0"].store_view
+        world.run(0.3)
+        age = view.configuration_age()
+        answer = RowChanges((), view.configuration_position() - behind)
+        view._store = StaleStore(answer)
+        assert list(view.refresh_configuration()) == []
+        assert view.configuration_age() == (age if behind else 0.0)
+
     @pytest.mark.parametrize("processes", [5, 24])
     def test_age_that_processes_pass_on_does_not_shrink(self, processes):
         """Guards against copies that seem current because peers confirm them to one another."""
