Line of a crash tells unanswered requests with the parts of their prompts

Cause: no line had the parts of a prompt, and `endpoint crashed` did not tell requests that had received events from those that had not. In the incident of prompt parts a shared part, workspace and route looked alike.

Change: `InterruptedRequest` goes with each lost connection: fingerprint, shared parts of the prompt (all but the last one), and whether the endpoint had begun to write the answer. `endpoint crashed` has them as `unanswered`, bounded. No decision uses them yet.

Measured: a test of the line; tests of requests, decisions and processes pass (55 s).

--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -8,6 +8,7 @@
 from flamingofront.decisions.admission import Ticket
 from flamingofront.decisions.choice import Candidate
 from flamingofront.decisions.endpoint_rule import EndpointRule
+from flamingofront.decisions.part_facts import InterruptedRequest
 from flamingofront.decisions.quarantine_facts import QuarantineStatus
 from flamingofront.errors import ErrorKind, Executed, RequestError
 from flamingofront.messages import (
@@ -457,9 +458,13 @@
         """Report that the connection of the current attempt was lost before the response ended."""
         if not self.done and attempt_id == self.machine.attempt_id:
             self.hub.guard.crash_detector.record_connection_loss(
-                self.endpoint_id, self.endpoint_address, self.fingerprint
+                self.endpoint_id, self.endpoint_address, self.describe_interruption()
             )
 
+    def describe_interruption(self) -> InterruptedRequest:
+        """Return what the loss of the current attempt's connection tells about the request."""
+        return InterruptedRequest(self.fingerprint)
+
     def _send_tokens(self, action: Emit) -> None:
         for each in list(self.attachments):
             if each.wants_tokens and not each.send_tokens(action.offset, action.tokens):
--- a/flamingofront/request/endpoint_ends.py
+++ b/flamingofront/request/endpoint_ends.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from flamingofront.connection.interfaces import ConnectResult, Transport
+from flamingofront.decisions.part_facts import InterruptedRequest
 from flamingofront.decisions.quarantine_facts import EndpointCrash
 from flamingofront.process.logs import Log
 from flamingofront.process.metrics import Metrics
@@ -31,6 +32,7 @@
 # takes two to three seconds.
 CRASH_RETENTION_SECONDS = 3.0
 MAX_LOGGED_REQUESTS = 16
+MAX_LOGGED_PARTS = 16
 
 
 @dataclass
@@ -41,14 +43,14 @@
     ----------
     lost_at : float
         Time of the first lost connection, on the clock of the timer service.
-    fingerprints : set of str
-        Fingerprints of the requests whose connections were lost.
+    requests : dict of str to InterruptedRequest
+        Requests whose connections were lost, by fingerprint.
     """
 
     address: str
     zone: str
     lost_at: float
-    fingerprints: set[str] = field(default_factory=set)
+    requests: dict[str, InterruptedRequest] = field(default_factory=dict)
     probe_count: int = 0
     is_crashed: bool = False
 
@@ -99,25 +101,21 @@
         )
         self.is_path_lost: Callable[[str], bool] = lambda endpoint_id: False
 
-    def record_connection_loss(self, endpoint_id: str, address: str, fingerprint: str) -> None:
-        """Record that the connection of a request that was sent to an endpoint was lost.
-
-        Parameters
-        ----------
-        fingerprint : str
-            Fingerprint of the request.
-        """
+    def record_connection_loss(
+        self, endpoint_id: str, address: str, request: InterruptedRequest
+    ) -> None:
+        """Record that the connection of a request that was sent to an endpoint was lost."""
         check = self._checks.get(endpoint_id)
         if check is not None:
-            if fingerprint not in check.fingerprints:
-                check.fingerprints.add(fingerprint)
+            if request.fingerprint not in check.requests:
+                check.requests[request.fingerprint] = request
                 if check.is_crashed:
-                    self._notify_crash(endpoint_id, check, frozenset((fingerprint,)))
+                    self._notify_crash(endpoint_id, check, (request,))
             return
         if self._directory.is_unavailable(endpoint_id):
             return
         zone = self._directory.zone_of(endpoint_id)
-        check = _CrashCheck(address, zone, self._timers.now(), {fingerprint})
+        check = _CrashCheck(address, zone, self._timers.now(), {request.fingerprint: request})
         self._checks[endpoint_id] = check
         self._send_probe(endpoint_id, check)
 
@@ -172,18 +170,17 @@
         self._directory.record_connect_failure(endpoint_id, self._timers.now(), is_refused=True)
         self.on_crash_found(endpoint_id)
 
-    def record_restart(self, endpoint_id: str, fingerprints: frozenset[str]) -> None:
-        """Record that an endpoint restarted while it had requests, given by their fingerprints."""
+    def record_restart(self, endpoint_id: str, request: InterruptedRequest) -> None:
+        """Record that an endpoint restarted while it had a request."""
         check = self._checks.get(endpoint_id)
         if check is None:
             zone = self._directory.zone_of(endpoint_id)
             check = self._checks[endpoint_id] = _CrashCheck("", zone, self._timers.now())
-        added = fingerprints - check.fingerprints
-        check.fingerprints |= added
+        is_new = check.requests.setdefault(request.fingerprint, request) is request
         if not check.is_crashed:
             self._declare_crash(endpoint_id, check)
-        elif added:
-            self._notify_crash(endpoint_id, check, added)
+        elif is_new:
+            self._notify_crash(endpoint_id, check, (request,))
 
     def _send_probe(self, endpoint_id: str, check: _CrashCheck) -> None:
         if self._checks.get(endpoint_id) is not check or check.is_crashed:
@@ -253,14 +250,18 @@
             endpoint=endpoint_id,
             zone_of_endpoint=check.zone,
             ago=round(self._timers.now() - check.lost_at, 3),
-            running=len(check.fingerprints),
-            work=sorted(check.fingerprints)[:MAX_LOGGED_REQUESTS],
+            running=len(check.requests),
+            work=sorted(check.requests)[:MAX_LOGGED_REQUESTS],
+            unanswered=[
+                [each.fingerprint, each.parts[:MAX_LOGGED_PARTS]]
+                for _, each in sorted(check.requests.items())
+                if not each.is_answered
+            ][:MAX_LOGGED_REQUESTS],
         )
-        self._notify_crash(endpoint_id, check, frozenset(check.fingerprints))
+        self._notify_crash(endpoint_id, check, tuple(check.requests.values()))
 
     def _notify_crash(
-        self, endpoint_id: str, check: _CrashCheck, fingerprints: frozenset[str]
+        self, endpoint_id: str, check: _CrashCheck, requests: tuple[InterruptedRequest, ...]
     ) -> None:
-        self.on_crash(
-            EndpointCrash(endpoint_id, check.zone, check.lost_at, tuple(sorted(fingerprints)))
-        )
+        fingerprints = tuple(sorted(each.fingerprint for each in requests))
+        self.on_crash(EndpointCrash(endpoint_id, check.zone, check.lost_at, fingerprints))
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -8,6 +8,7 @@
 from flamingofront.decisions.endpoint_rule import EndpointRule
 from flamingofront.decisions.engine_rates import ServiceRates
 from flamingofront.decisions.lateness import LatencyEstimate, classify_urgency, compute_yield_delay
+from flamingofront.decisions.part_facts import InterruptedRequest, shared_parts
 from flamingofront.decisions.stopping import StreamTimes
 from flamingofront.errors import ErrorKind, Executed, RequestError
 from flamingofront.messages import (
@@ -136,6 +137,11 @@
         """Return the ids of the prompt parts."""
         return tuple(each.part_id for each in self.work.prompt)
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Sorted ids of the parts of the prompt that other requests may share."""
+        return shared_parts(self.prefix_blocks())
+
     def shared_prefix(self) -> SharedPrefix | None:
         """Return the prompt without its last part, which is specific to the request."""
         shared = self.work.prompt[:-1]
@@ -416,10 +422,15 @@
         """
         if self.has_attempt_in_flight and self.sent_at < started_at - CLOCK_MARGIN_SECONDS:
             self.hub.guard.crash_detector.record_restart(
-                self.endpoint_id, frozenset((self.fingerprint,))
+                self.endpoint_id, self.describe_interruption()
             )
             self.fail_attempt(self.machine.attempt_id, Executed.UNKNOWN, "endpoint started again")
 
+    def describe_interruption(self) -> InterruptedRequest:
+        """Return what the loss of the current attempt's connection tells about the request."""
+        is_answered = self.relay.count > self._events_before_attempt
+        return InterruptedRequest(self.fingerprint, self.shared_parts, is_answered)
+
     def _has_attempts_left(self) -> bool:
         limit = self.machine.facts.max_attempts
         return limit is None or self.machine.attempts < limit
--- a/flamingofront/request/tests/test_endpoint_ends.py
+++ b/flamingofront/request/tests/test_endpoint_ends.py
@@ -1,8 +1,10 @@
 """Tests of the detection of crashed endpoints after lost connections."""
 
+import logbook
 import pytest
 
 from flamingofront.connection.interfaces import ConnectResult
+from flamingofront.decisions.part_facts import InterruptedRequest
 from flamingofront.process.logs import Log
 from flamingofront.process.membership import Fact, FactTable, Role, VmState
 from flamingofront.process.metrics import Metrics
@@ -46,7 +48,7 @@
 
     def lose_connections(self, *requests):
         for each in requests:
-            self.detector.record_connection_loss("e-1", ADDRESS, each)
+            self.detector.record_connection_loss("e-1", ADDRESS, InterruptedRequest(each))
 
     def run(self, seconds):
         end = self.clock.time + seconds
@@ -118,6 +120,20 @@
 
     def test_restart_of_endpoint_is_a_crash(self):
         world = CrashDetectorHarness()
-        world.detector.record_restart("e-1", frozenset({"one"}))
-        world.detector.record_restart("e-1", frozenset({"two"}))
+        world.detector.record_restart("e-1", InterruptedRequest("one"))
+        world.detector.record_restart("e-1", InterruptedRequest("two"))
         assert [each.requests for each in world.crashes] == [("one",), ("two",)]
+
+    def test_line_of_a_crash_tells_unanswered_requests_with_their_parts(self):
+        """Without it a part, a workspace and a route that requests share look alike."""
+        with logbook.TestHandler(bubble=True).applicationbound() as log:
+            world = CrashDetectorHarness()
+            for each in (
+                InterruptedRequest("one", ("a", "b")),
+                InterruptedRequest("two", ("a", "c"), is_answered=True),
+            ):
+                world.detector.record_connection_loss("e-1", ADDRESS, each)
+            world.run(0.1)
+        (record,) = [each for each in log.records if each.message == "endpoint crashed"]
+        assert record.kwargs["unanswered"] == [["one", ("a", "b")]]
+        assert record.kwargs["work"] == ["one", "two"]
