--- a/bench/known_failure_mutations.py
+++ b/bench/known_failure_mutations.py
@@ -117,8 +117,8 @@
     Mutation(
         "S a single end is kept",
         "request/guard.py",
-        "self._persist_evidence(self._observed_fingerprints, min_crashes=1)",
-        "self._persist_evidence(self._observed_fingerprints, min_crashes=2)",
+        "self._persist_evidence(self._observed_fingerprints, self._observed_parts, min_crashes=1)",
+        "self._persist_evidence(self._observed_fingerprints, self._observed_parts, min_crashes=2)",
         CRASHING,
     ),
 )
--- a/bench/quarantine_mutations.py
+++ b/bench/quarantine_mutations.py
@@ -73,7 +73,7 @@
     Mutation(
         "Q others are told",
         "process/forwarding/peer_word.py",
-        "        self._reported.hub.guard.merge_update(report.quarantine)\n",
+        "        self._reported.hub.guard.merge_updates(report.quarantine, report.suspect_parts)\n",
         "",
         WORLD,
     ),
@@ -95,7 +95,7 @@
     Mutation(
         "Q what is held is refused at once",
         "request/guard.py",
-        "        if self.quarantine_status(fingerprint) is QuarantineStatus.QUARANTINED:\n"
+        "        if self.quarantine_status(identity) is QuarantineStatus.QUARANTINED:\n"
         "            raise",
         "        if False:\n            raise",
         WORLD,
--- /dev/null
+++ b/flamingofront/decisions/part_evidence.py
@@ -0,0 +1,393 @@
+"""Detection of prompt parts that crash the endpoints which begin to answer requests with them.
+
+Load pattern: requests that differ in everything but one part of their prompts crash one endpoint
+after the other. Each has a fingerprint of its own, so that counting by fingerprint never adds up.
+
+Evidence against a part is a crash of an endpoint that had a request with it and had not begun to
+answer that request. An answer to any request with the part refutes all earlier evidence. Parts that
+many requests share are present at most crashes too, but requests with them are answered all the
+time, while no request with a poison part ever is.
+
+A hypothesis is a set of parts: those that all interrupted requests with a suspect part have in
+common and that no request is known to have been answered with. Only requests that hold the whole
+set are rejected, so that companions of a poison part are not blamed before an answer tells them
+apart. A crash at which a request held a quarantined set is explained, and is no evidence against
+other parts.
+"""
+
+from collections import OrderedDict, deque
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
+
+from flamingofront.decisions.part_facts import (
+    InterruptedRequest,
+    PartAnswer,
+    PartCrash,
+    PartUpdate,
+)
+from flamingofront.decisions.quarantine_facts import EVIDENCE_LIFETIME_SECONDS
+
+__all__ = ["Hypothesis", "PartEvidence"]
+
+# Crashes that are sufficient against a part that no request is known to have been answered with.
+# The users allow five before a part has to be known; the word between processes takes a part of it.
+CRASHES_TO_BLAME = 4
+# Requests that have to be involved. Repeats of a single request are left to its fingerprint.
+REQUESTS_TO_BLAME = 2
+# Answers that a process must have seen before it blames a part for the lack of answers: after a
+# restart, parts that all requests share have not been answered either.
+MIN_ANSWERS = 4
+# The same for a part that has been answered, and may have begun to crash a new model version.
+PROVEN_CRASHES_TO_BLAME = 6
+PROVEN_REQUESTS_TO_BLAME = 4
+PROVEN_MIN_ANSWERS = 6
+# Largest number of parts in a hypothesis; prompts may hold hundreds that come together.
+MAX_HYPOTHESIS_PARTS = 8
+# Time after a crash until gossip about answers has arrived.
+PROPAGATION_SECONDS = 1.0
+# Reports on an endpoint within this time describe one crash.
+SAME_CRASH_SECONDS = 3.0
+# Crashes with a common cause, such as a power loss in a zone, occur within this time.
+COMMON_CAUSE_SECONDS = 0.2
+MAX_CRASHES = 256
+MAX_REQUESTS_PER_CRASH = 128
+MAX_ANSWERED_PARTS = 4096
+MAX_RECENT_ANSWERS = 256
+# Time for which a crash is gossiped, and the largest number of parts in one message, counted once
+# for each request: a report to 16 peers must stay small enough to be sent to all of them at once.
+GOSSIP_SECONDS = 3.0
+MAX_GOSSIPED_PARTS = 64
+
+
+@dataclass(frozen=True)
+class Hypothesis:
+    """Parts of which at least one is thought to crash endpoints.
+
+    Parameters
+    ----------
+    parts : frozenset of str
+        Parts that all requests involved hold.
+    endpoints : tuple of str
+        Endpoints that crashed, in the order of their crashes.
+    since : float
+        Time of the last of these crashes, in seconds of the wall clock.
+    request_count : int
+        Number of different requests involved.
+    """
+
+    parts: frozenset[str]
+    endpoints: tuple[str, ...]
+    since: float
+    request_count: int
+
+    @property
+    def rank(self) -> tuple[int, int, list[str]]:
+        """Sort key: the hypothesis with the most evidence comes first."""
+        return -len(self.endpoints), -self.request_count, sorted(self.parts)
+
+
+@dataclass(eq=False)
+class _Crash:
+    """Crash of an endpoint, with the parts of each request that it had not begun to answer."""
+
+    endpoint_id: str
+    zone: str
+    at: float
+    requests: dict[str, frozenset[str]] = field(default_factory=dict)
+    parts: set[str] = field(default_factory=set)
+
+    def add(self, request: InterruptedRequest) -> bool:
+        """Add a request; return True if it brought anything new."""
+        known = self.requests.get(request.fingerprint)
+        if known is None and len(self.requests) >= MAX_REQUESTS_PER_CRASH:
+            return False
+        merged = (known or frozenset()).union(request.parts)
+        self.requests[request.fingerprint] = merged
+        self.parts |= merged
+        return merged != known
+
+    def is_explained(self, blamed: Collection[frozenset[str]]) -> bool:
+        """Return True if an unanswered request held a quarantined set of parts."""
+        return any(held <= parts for parts in self.requests.values() for held in blamed)
+
+
+class PartEvidence:
+    """Crashes and answers by prompt part; times are shared wall clock seconds."""
+
+    def __init__(self):
+        self._crashes: list[_Crash] = []
+        self._by_part: dict[str, list[_Crash]] = {}
+        self._answered: OrderedDict[str, float] = OrderedDict()
+        # Times and parts of the latest answers of this process.
+        self._recent: deque[tuple[float, frozenset[str]]] = deque(maxlen=MAX_RECENT_ANSWERS)
+
+    def __bool__(self) -> bool:
+        """Return True while any crash is known."""
+        return bool(self._crashes)
+
+    # Crashes
+
+    def record_crash(self, crash: PartCrash, now: float) -> bool:
+        """Record a crash; return True if it brought anything new."""
+        if now - crash.at > EVIDENCE_LIFETIME_SECONDS:
+            return False
+        existing = self._find_crash(crash)
+        is_new = existing is None
+        if existing is None:
+            existing = _Crash(crash.endpoint_id, crash.zone, crash.at)
+            self._crashes.append(existing)
+        changes = [existing.add(each) for each in crash.requests if not each.is_answered]
+        for part in existing.parts:
+            crashes = self._by_part.setdefault(part, [])
+            if existing not in crashes:
+                crashes.append(existing)
+        if len(self._crashes) > MAX_CRASHES:
+            self._keep(self._crashes[-MAX_CRASHES:])
+        return is_new or any(changes)
+
+    def _keep(self, crashes: list[_Crash]) -> None:
+        """Drop all other crashes."""
+        self._crashes = crashes
+        self._by_part = {}
+        for crash in crashes:
+            for part in crash.parts:
+                self._by_part.setdefault(part, []).append(crash)
+
+    def _find_crash(self, crash: PartCrash) -> _Crash | None:
+        for each in reversed(self._crashes):
+            is_same_time = abs(each.at - crash.at) < SAME_CRASH_SECONDS
+            if each.endpoint_id == crash.endpoint_id and is_same_time:
+                return each
+        return None
+
+    def drop_expired(self, now: float) -> None:
+        """Drop crashes that are too old to be evidence."""
+        fresh = [each for each in self._crashes if now - each.at <= EVIDENCE_LIFETIME_SECONDS]
+        if len(fresh) < len(self._crashes):
+            self._keep(fresh)
+
+    # Answers
+
+    def record_answer(self, parts: Collection[str], now: float) -> tuple[str, ...]:
+        """Record that an endpoint begins to answer a request of this process.
+
+        Returns
+        -------
+        tuple of str
+            Parts that this answer frees from suspicion.
+        """
+        self._recent.append((now, frozenset(parts)))
+        cleared = tuple(each for each in parts if self._crashes and self._find_evidence(each))
+        for each in parts:
+            self._store_answer(each, now)
+        return cleared
+
+    def merge_answer(self, answer: PartAnswer) -> bool:
+        """Merge an answer that another process has seen; return True if it is new evidence."""
+        if self._answered.get(answer.part, float("-inf")) >= answer.at:
+            return False
+        has_evidence = bool(self._find_evidence(answer.part))
+        self._store_answer(answer.part, answer.at)
+        return has_evidence
+
+    def _store_answer(self, part: str, at: float) -> None:
+        self._answered[part] = at
+        self._answered.move_to_end(part)
+        if len(self._answered) > MAX_ANSWERED_PARTS:
+            self._answered.popitem(last=False)
+
+    def clear(self, part: str, now: float) -> None:
+        """Take a part as refuted, because another process or an operator has released it."""
+        self._store_answer(part, now)
+
+    def last_answer(self, part: str) -> float | None:
+        """Return the time of the last known answer to a request with a part; None if none."""
+        return self._answered.get(part)
+
+    # Hypotheses
+
+    def _find_evidence(self, part: str) -> list[_Crash]:
+        """Return the crashes of requests with a part since its last answer."""
+        answered_at = self._answered.get(part, float("-inf"))
+        return [each for each in self._by_part.get(part, ()) if each.at > answered_at]
+
+    def count_crashes(self, part: str) -> int:
+        """Return the number of crashes of requests with a part since its last answer."""
+        return len(self._find_evidence(part))
+
+    def list_suspects(self) -> dict[str, list[PartCrash]]:
+        """Return the crashes since the last answer, by part, for all parts that have any."""
+        found = ((part, self._find_evidence(part)) for part in sorted(self._by_part))
+        return {
+            part: [_select_part(each, part) for each in crashes]
+            for part, crashes in found
+            if crashes
+        }
+
+    def collect_evidence(
+        self, parts: Iterable[str], min_crashes: int
+    ) -> dict[str, list[PartCrash]]:
+        """Return the evidence to persist, by part, for parts without any known answer."""
+        found = {}
+        for part in parts:
+            crashes = self._find_evidence(part)
+            if len(crashes) >= min_crashes and part not in self._answered:
+                found[part] = [_select_part(each, part) for each in crashes]
+        return found
+
+    def find_hypotheses(self, blamed: Collection[frozenset[str]], now: float) -> list[Hypothesis]:
+        """Return the hypotheses with sufficient evidence, those with the most evidence first.
+
+        Parameters
+        ----------
+        blamed : collection of frozenset of str
+            Sets of parts that are quarantined already; crashes that they explain do not count.
+
+        Notes
+        -----
+        If one hypothesis is a part of another one, the larger set is returned in its place: it
+        rejects fewer requests, and an answer to one of them shrinks it.
+        """
+        suspects = sorted(
+            each for each, crashes in self._by_part.items() if len(crashes) >= CRASHES_TO_BLAME
+        )
+        found: list[Hypothesis] = []
+        while True:
+            explained = [*blamed, *(each.parts for each in found)]
+            candidates = [
+                each
+                for part in suspects
+                if (each := self._build_hypothesis(part, explained, now)) is not None
+            ]
+            if not candidates:
+                return found
+            best = min(candidates, key=lambda each: each.rank)
+            more_specific = [each for each in candidates if each.parts > best.parts]
+            found.append(max(more_specific, key=lambda each: len(each.parts), default=best))
+
+    def _build_hypothesis(
+        self, part: str, explained: list[frozenset[str]], now: float
+    ) -> Hypothesis | None:
+        """Return the hypothesis that a part is involved, None without sufficient evidence."""
+        answered_at = self._answered.get(part)
+        crashes = [each for each in self._find_evidence(part) if not each.is_explained(explained)]
+        if len(crashes) < CRASHES_TO_BLAME:
+            return None
+        holders = {
+            name: held for crash in crashes for name, held in crash.requests.items() if part in held
+        }
+        if answered_at is None:
+            is_sufficient = self._is_sufficient(part, crashes, len(holders))
+        else:
+            is_sufficient = self._is_sufficient_despite_answers(part, crashes, len(holders), now)
+        if not is_sufficient:
+            return None
+        common = frozenset.intersection(*holders.values())
+        parts = sorted(each for each in common if each == part or each not in self._answered)
+        crashes.sort(key=lambda each: each.at)
+        return Hypothesis(
+            frozenset(parts[:MAX_HYPOTHESIS_PARTS]),
+            tuple(each.endpoint_id for each in crashes),
+            crashes[-1].at,
+            len(holders),
+        )
+
+    def _is_sufficient(self, part: str, crashes: list[_Crash], request_count: int) -> bool:
+        return (
+            request_count >= REQUESTS_TO_BLAME
+            and len(self._recent) >= MIN_ANSWERS
+            and self._count_causes(part, crashes) >= CRASHES_TO_BLAME
+        )
+
+    def _is_sufficient_despite_answers(
+        self, part: str, crashes: list[_Crash], request_count: int, now: float
+    ) -> bool:
+        """Return True if a part that was answered has begun to crash endpoints.
+
+        Notes
+        -----
+        Meanwhile other requests must be answered and none with the part. Only crashes count after
+        which gossip has had time to tell of answers at other processes.
+        """
+        settled = [each for each in crashes if now - each.at >= PROPAGATION_SECONDS]
+        if not settled or request_count < PROVEN_REQUESTS_TO_BLAME:
+            return False
+        first = min(each.at for each in settled)
+        others = sum(at > first and part not in held for at, held in self._recent)
+        return (
+            others >= PROVEN_MIN_ANSWERS
+            and self._count_causes(part, settled) >= PROVEN_CRASHES_TO_BLAME
+        )
+
+    def _count_causes(self, part: str, crashes: list[_Crash]) -> int:
+        """Count crashes; simultaneous ones of a zone count once if one there lacks the part."""
+        without = [each for each in self._crashes if part not in each.parts]
+        causes = set()
+        for crash in crashes:
+            has_other_cause = any(
+                each.zone == crash.zone and abs(each.at - crash.at) <= COMMON_CAUSE_SECONDS
+                for each in without
+            )
+            slot = int(crash.at / COMMON_CAUSE_SECONDS)
+            causes.add((crash.zone, slot) if has_other_cause else id(crash))
+        return len(causes)
+
+    def crash_times(self, parts: frozenset[str]) -> list[float]:
+        """Return the times of all crashes under requests that held all of some parts, in order."""
+        return sorted(each.at for each in self._crashes if each.is_explained((parts,)))
+
+    def find_explained(self, parts: frozenset[str]) -> tuple[str, ...]:
+        """Return the endpoints that crashed under requests that held all of some parts."""
+        return tuple(each.endpoint_id for each in self._crashes if each.is_explained((parts,)))
+
+    # Gossip
+
+    def build_update(self, now: float) -> PartUpdate | None:
+        """Return the gossip message for peers, None if there is nothing to send."""
+        recent = [each for each in self._crashes if now - each.at <= GOSSIP_SECONDS]
+        if not recent:
+            return None
+        listed = self._select_gossip(recent)
+        crashes = tuple(
+            PartCrash(
+                each.endpoint_id,
+                each.zone,
+                each.at,
+                tuple(
+                    InterruptedRequest(name, tuple(sorted(parts)))
+                    for name, parts in listed.get(id(each), {}).items()
+                ),
+            )
+            for each in recent
+        )
+        parts = {part for held in listed.values() for each in held.values() for part in each}
+        answers = tuple(
+            PartAnswer(each, self._answered[each])
+            for each in sorted(parts)
+            if each in self._answered
+        )
+        return PartUpdate(crashes, answers)
+
+    def _select_gossip(self, crashes: list[_Crash]) -> dict[int, dict[str, list[str]]]:
+        """Return the most suspect parts, by crash and request, up to the message limit."""
+        listings = [
+            (crash, name, part)
+            for crash in crashes
+            for name, held in crash.requests.items()
+            for part in held
+        ]
+        listings.sort(
+            key=lambda each: (each[2] in self._answered, -len(self._by_part[each[2]]), each[2])
+        )
+        selected: dict[int, dict[str, list[str]]] = {}
+        for crash, name, part in listings[:MAX_GOSSIPED_PARTS]:
+            selected.setdefault(id(crash), {}).setdefault(name, []).append(part)
+        return selected
+
+
+def _select_part(crash: _Crash, part: str) -> PartCrash:
+    """Return a crash with the requests that held a part, without their other parts."""
+    requests = tuple(
+        InterruptedRequest(name, (part,)) for name, held in crash.requests.items() if part in held
+    )
+    return PartCrash(crash.endpoint_id, crash.zone, crash.at, requests)
--- a/flamingofront/decisions/quarantine.py
+++ b/flamingofront/decisions/quarantine.py
@@ -26,6 +26,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field, replace
 
+from flamingofront.decisions.part_facts import parse_part_key
 from flamingofront.decisions.quarantine_facts import (
     EVIDENCE_LIFETIME_SECONDS,
     TRIAL_SECONDS,
@@ -71,6 +72,7 @@
 RESTART_SECONDS = 8.0
 MAX_UNOBSERVED = 64
 NO_INTENTS = IntentSummary()
+PartEntry = tuple[frozenset[str], QuarantineEntry]
 # These bounds limit memory to 1.6 MB when all suspects are present at 512 crashes.
 MAX_SUSPECTS = 4096
 MAX_CRASHES = 512
@@ -110,6 +112,8 @@
         self._unobserved: deque[tuple[str, float]] = deque(maxlen=MAX_UNOBSERVED)
         # Intents in the store outlive the processes that sent the request.
         self._intents: OrderedDict[str, IntentSummary] = OrderedDict()
+        # Entries of prompt parts, all and the smallest sets; None after a change of the entries.
+        self._part_entries: tuple[list[PartEntry], list[PartEntry]] | None = None
 
     def __bool__(self) -> bool:
         """Return True while there is evidence against any request, or an intent for it."""
@@ -159,6 +163,7 @@
             self._drop_crash(next(iter(self._crashes)))
         while len(self._entries) > MAX_ENTRIES:
             self._entries.popitem(last=False)
+            self._part_entries = None
         while len(self._released) > MAX_RELEASES:
             self._released.popitem(last=False)
 
@@ -327,7 +332,7 @@
             worst = sorted(each for each in confirmed if len(self._suspects[each]) == most)
             entries = [self._create_entry(each, restarts) for each in worst]
             for entry in entries:
-                self._store_entry(entry)
+                self.store_entry(entry)
             found += entries
         return tuple(found)
 
@@ -366,10 +371,15 @@
         }
         return len(crashed_near_restart.union(unobserved).difference(endpoint_ids))
 
-    def _store_entry(self, entry: QuarantineEntry) -> None:
+    def store_entry(self, entry: QuarantineEntry) -> None:
+        """Store an entry in place of an older one with its fingerprint or key."""
+        self._part_entries = None
         self._entries[entry.fingerprint] = entry
         self._entries.move_to_end(entry.fingerprint)
-        if not entry.is_released:
+        if entry.is_released:
+            for crash in self._crashes.values():
+                crash.explained_by.discard(entry.fingerprint)
+        else:
             for crash in self._suspects.get(entry.fingerprint, ()):
                 crash.explained_by.add(entry.fingerprint)
         self._evict_oldest()
@@ -390,11 +400,36 @@
             return False
         if existing is not None and entry.rank <= existing.rank:
             return False
-        self._store_entry(entry)
+        self.store_entry(entry)
         if entry.is_released:
             self.clear_request(entry.fingerprint, entry.since)
         return True
 
+    def all_part_entries(self) -> list[PartEntry]:
+        """Return the parts and the entry of each quarantined set of prompt parts."""
+        return self._index_part_entries()[0]
+
+    def part_entries(self) -> list[PartEntry]:
+        """Return the sets of prompt parts without those that contain another one."""
+        return self._index_part_entries()[1]
+
+    def _index_part_entries(self) -> tuple[list[PartEntry], list[PartEntry]]:
+        if self._part_entries is None:
+            found = ((parse_part_key(each.fingerprint), each) for each in self.list_entries())
+            entries = [(parts, entry) for parts, entry in found if parts]
+            smallest = [
+                each for each in entries if not any(other < each[0] for other, _ in entries)
+            ]
+            self._part_entries = entries, smallest
+        return self._part_entries
+
+    def explain_crashes(self, key: str, endpoint_ids: Iterable[str]) -> None:
+        """Mark the crashes of some endpoints as explained by a quarantined set of parts."""
+        explained = frozenset(endpoint_ids)
+        for crash in self._crashes.values():
+            if crash.endpoint_id in explained:
+                crash.explained_by.add(key)
+
     def list_suspects(self, now: float) -> frozenset[str]:
         """Return the fingerprints of suspected requests, which are still run."""
         return frozenset(
@@ -412,7 +447,7 @@
             return False
         entry = self.get_entry(fingerprint)
         if entry is not None:
-            self._entries[fingerprint] = replace(entry, is_released=True)
+            self.store_entry(replace(entry, is_released=True))
         for crash in self._suspects.get(fingerprint, ()):
             crash.explained_by.discard(fingerprint)
         self._drop_suspect(fingerprint)
@@ -437,6 +472,7 @@
         expired = [each for each in self._entries.values() if is_entry_expired(each, now)]
         for entry in expired:
             del self._entries[entry.fingerprint]
+            self._part_entries = None
         for name in [name for name, at in self._released.items() if is_expired(at, now)]:
             del self._released[name]
         while self._unobserved and is_expired(self._unobserved[0][1], now):
--- a/flamingofront/errors.py
+++ b/flamingofront/errors.py
@@ -58,6 +58,7 @@
     ENDPOINT_FAILED = "endpoint_failed"
     OUTCOME_UNKNOWN = "outcome_unknown"
     CRASHES_ENDPOINTS = "crashes_endpoints"
+    PROMPT_PART_CRASHES = "prompt_part_crashes_endpoints"
     KEY_REUSED = "idempotency_key_reused"
     KEY_IN_PROGRESS = "idempotency_key_in_progress"
     STORE_UNAVAILABLE = "store_unavailable"
@@ -140,6 +141,9 @@
     ErrorKind.CRASHES_ENDPOINTS: ErrorResponse(
         502, Executed.YES, False, "endpoints ended while they ran this request; it is not run again"
     ),
+    ErrorKind.PROMPT_PART_CRASHES: ErrorResponse(
+        503, Executed.NO, True, "endpoints ended under requests with a part of this prompt"
+    ),
     ErrorKind.KEY_REUSED: ErrorResponse(
         422, Executed.NO, False, "the idempotency key was used with another request"
     ),
--- a/flamingofront/process/forwarding/digests.py
+++ b/flamingofront/process/forwarding/digests.py
@@ -20,7 +20,9 @@
     decode_time,
 )
 from flamingofront.process.quarantine_codec import (
+    decode_part_update,
     decode_quarantine_update,
+    encode_part_update,
     encode_quarantine_update,
 )
 
@@ -165,6 +167,7 @@
             relay.confirmed,
             relay.removed_endpoints,
             relay.answered,
+            encode_part_update(relay.suspect_parts),
         ]
         self._body = orjson.dumps(values)
 
@@ -225,6 +228,7 @@
         confirmed=decode_ages(*values[20:21] or ((None, None),)),
         removed_endpoints=decode_endpoint_numbers(*values[21:22] or ((),)),
         answered=decode_time(*values[22:23] or (None,)),
+        suspect_parts=decode_part_update(*values[23:24] or (None,)),
     )
     fencing, lease_version, released, holder_ip = claim
     return Digest(
--- a/flamingofront/process/forwarding/own_report.py
+++ b/flamingofront/process/forwarding/own_report.py
@@ -86,6 +86,7 @@
             work=self._round_work(sources.hub),
             rollouts=sources.rollouts.phase_update(),
             quarantine=sources.hub.guard.build_update(),
+            suspect_parts=sources.hub.guard.build_part_update(),
             limits=sources.hub.limits.recent_changes(),
             leaving_endpoints=knowledge.endpoints.recently_leaving(),
             position=knowledge.configuration_position(),
--- a/flamingofront/process/forwarding/peer_word.py
+++ b/flamingofront/process/forwarding/peer_word.py
@@ -67,7 +67,7 @@
             report.process, report.consumed, is_continuous and peers.is_counting_directly()
         )
         self._apply_rollouts(report)
-        self._reported.hub.guard.merge_update(report.quarantine)
+        self._reported.hub.guard.merge_updates(report.quarantine, report.suspect_parts)
         self._reported.hub.limits.merge(report.limits)
         self._merge_leaving(report, Way.REPORT)
         if report.usage is not None:
@@ -94,7 +94,7 @@
         """Apply the state of a relay and the lease advertisement that it forwards."""
         self._metrics.count("peer_digests_total")
         self._apply_rollouts(relay)
-        self._reported.hub.guard.merge_update(relay.quarantine)
+        self._reported.hub.guard.merge_updates(relay.quarantine, relay.suspect_parts)
         self._reported.hub.limits.merge(relay.limits)
         self._merge_leaving(relay, Way.DIGEST)
         self._reported.lease.observe_report(
--- a/flamingofront/process/forwarding/reports.py
+++ b/flamingofront/process/forwarding/reports.py
@@ -13,11 +13,14 @@
 
 import orjson
 
+from flamingofront.decisions.part_facts import PartUpdate
 from flamingofront.decisions.quarantine_facts import QuarantineUpdate
 from flamingofront.decisions.rollout import Phase
 from flamingofront.process.forwarding.limit_messages import decode_limits, encode_limits
 from flamingofront.process.quarantine_codec import (
+    decode_part_update,
     decode_quarantine_update,
+    encode_part_update,
     encode_quarantine_update,
 )
 from flamingofront.request.endpoint_limits import EndpointLimit
@@ -124,6 +127,9 @@
     removed_endpoints : tuple of (str, int)
         Endpoints that were removed recently, with the revision of the store up to which a row is
         older than the removal.
+    suspect_parts : PartUpdate, optional
+        Endpoints that have just crashed, with the prompt parts of requests that they had not begun
+        to answer. None if there are none.
     """
 
     vm_id: str
@@ -157,6 +163,7 @@
     confirmed: tuple[float | None, float | None] = (None, None)
     removed_endpoints: tuple[tuple[str, int], ...] = ()
     answered: float | None = None
+    suspect_parts: PartUpdate | None = None
 
     @property
     def process(self) -> str:
@@ -170,7 +177,11 @@
 
 
 _FIELDS = tuple(each.name for each in dataclasses.fields(PeerReport))
-_ENCODERS = {"quarantine": encode_quarantine_update, "limits": encode_limits}
+_ENCODERS = {
+    "quarantine": encode_quarantine_update,
+    "limits": encode_limits,
+    "suspect_parts": encode_part_update,
+}
 _REQUIRED_COUNT = sum(
     each.default is dataclasses.MISSING and each.default_factory is dataclasses.MISSING
     for each in dataclasses.fields(PeerReport)
@@ -213,6 +224,7 @@
     named["confirmed"] = decode_ages(named.get("confirmed", (None, None)))
     named["answered"] = decode_time(named.get("answered"))
     named["removed_endpoints"] = decode_endpoint_numbers(named.get("removed_endpoints", ()))
+    named["suspect_parts"] = decode_part_update(named.get("suspect_parts"))
     return PeerReport(**named)
 
 
--- a/flamingofront/process/held_rows.py
+++ b/flamingofront/process/held_rows.py
@@ -1,7 +1,9 @@
-"""Rows of the operator query on quarantined and suspect requests, and on recorded sends."""
+"""Rows of the operator query on quarantined and suspect requests and prompt parts."""
 
 from typing import Any
 
+from flamingofront.decisions.part_facts import PartCrash, part_key
+from flamingofront.decisions.quarantine_facts import QuarantineStatus
 from flamingofront.decisions.send_intents import IntentRecord
 from flamingofront.request.guard import RequestGuard
 
@@ -22,24 +24,46 @@
 
 
 def held_rows(vm_id: str, guard: RequestGuard) -> list[dict[str, Any]]:
-    """Return one row for each request that a process has quarantined, suspects or has recorded."""
+    """Return a row for each request and prompt part that a process quarantines or suspects."""
     records = {each.fingerprint: each for each in guard.intents.known_records()}
     quarantined = {each.fingerprint for each in guard.quarantine.list_entries()}
     fingerprints = sorted({*quarantined, *guard.suspects(), *records})
-    return [{"vm": vm_id, **_build_row(guard, each, records.get(each))} for each in fingerprints]
+    rows = [_build_row(guard, each, records.get(each)) for each in fingerprints]
+    suspects = guard.parts.evidence.list_suspects()
+    rows += [
+        _build_suspect_row(part, crashes, guard.wall())
+        for part, crashes in suspects.items()
+        if not guard.parts.match((part,))
+    ]
+    return [{"vm": vm_id, **each} for each in rows]
+
+
+def _build_suspect_row(part: str, crashes: list[PartCrash], wall: float) -> dict[str, Any]:
+    """Return the columns of a prompt part with evidence against it that is not quarantined."""
+    return {
+        "work": part_key((part,)),
+        "state": QuarantineStatus.SUSPECTED.value,
+        "endpoints": " ".join(each.endpoint_id for each in crashes),
+        "last_end_age": round(wall - max(each.at for each in crashes), 1),
+        "trials": None,
+        "next_trial_in": None,
+        "recorded_sends": 0,
+        "unseen_ends": 0,
+        "waiting": 0,
+    }
 
 
 def _build_row(
     guard: RequestGuard, fingerprint: str, record: IntentRecord | None
 ) -> dict[str, Any]:
     """Return the columns of one request, without the VM id; ages and delays are in seconds."""
-    wall, entry = guard.wall(), guard.quarantine_entry(fingerprint)
+    wall, entry = guard.wall(), guard.quarantine.get_entry(fingerprint)
     crashes = guard.quarantine.get_crashes(fingerprint)
     names = entry.endpoints if entry is not None else [each.endpoint_id for each in crashes]
     since = entry.since if entry is not None else max((each.at for each in crashes), default=None)
     return {
         "work": fingerprint,
-        "state": guard.quarantine_status(fingerprint).value,
+        "state": guard.quarantine.get_status(fingerprint, wall).value,
         "endpoints": " ".join(names),
         "last_end_age": None if since is None else round(wall - since, 1),
         "trials": entry.trials if entry is not None else None,
--- a/flamingofront/process/holds.py
+++ b/flamingofront/process/holds.py
@@ -11,6 +11,7 @@
 
 import orjson
 
+from flamingofront.decisions.part_facts import parse_part_key
 from flamingofront.decisions.quarantine import MAX_ENTRIES
 from flamingofront.decisions.quarantine_facts import (
     EndpointCrash,
@@ -113,7 +114,11 @@
             RowWrite(
                 QUARANTINE_TABLE,
                 EVIDENCE_PREFIX + fingerprint,
-                orjson.dumps(encode_evidence(crashes)) if crashes else None,
+                (
+                    orjson.dumps(encode_evidence(crashes, bool(parse_part_key(fingerprint))))
+                    if crashes
+                    else None
+                ),
             )
             for fingerprint, crashes in evidence.items()
         ]
@@ -152,7 +157,7 @@
         writes = [
             Write(
                 DOCUMENT_EVIDENCE_PREFIX + fingerprint,
-                encode_evidence(crashes) if crashes else None,
+                encode_evidence(crashes, bool(parse_part_key(fingerprint))) if crashes else None,
             )
             for fingerprint, crashes in evidence.items()
         ]
@@ -282,6 +287,8 @@
         """Pass stored crashes of a request to the guard; delete them if all have expired."""
         if all(is_expired(each.at, self._guard.wall()) for each in crashes):
             self._tasks.start(self._store_evidence({fingerprint: ()}))
+        elif parse_part_key(fingerprint):
+            self._guard.load_part_evidence(fingerprint, crashes)
         else:
             self._guard.load_evidence(crashes)
 
--- a/flamingofront/process/metrics.py
+++ b/flamingofront/process/metrics.py
@@ -37,6 +37,8 @@
     "endpoint_probes_total": "Connections opened to see whether an endpoint has ended",
     "requests_held_total": "Requests that are not run any more, by source",
     "requests_released_total": "Requests that are run again, by reason",
+    "part_crashes_total": "Endpoints that ended under requests with a quarantined part, by part",
+    "part_refusals_total": "Requests refused for a quarantined part of their prompt, by part",
     "request_trials_total": "Trials of requests that are held back, by result",
     "recorded_sends_total": "Requests that are recorded before they are sent, by result",
     "platform_errors_total": "Failed platform operations, by operation",
--- a/flamingofront/process/quarantine_codec.py
+++ b/flamingofront/process/quarantine_codec.py
@@ -4,6 +4,13 @@
 
 import orjson
 
+from flamingofront.decisions.part_facts import (
+    InterruptedRequest,
+    PartAnswer,
+    PartCrash,
+    PartUpdate,
+    parse_part_key,
+)
 from flamingofront.decisions.quarantine_facts import (
     EndpointCrash,
     QuarantineEntry,
@@ -14,9 +21,11 @@
 
 __all__ = [
     "decode_evidence",
+    "decode_part_update",
     "decode_quarantine_entry",
     "decode_quarantine_update",
     "encode_evidence",
+    "encode_part_update",
     "encode_quarantine_entry",
     "encode_quarantine_update",
 ]
@@ -67,6 +76,53 @@
         raise ValueError(f"malformed quarantine update: {exc!r:.100}") from exc
 
 
+def encode_part_update(update: PartUpdate | None) -> list | None:
+    """Return the JSON values of an update on prompt parts, None if there is no update."""
+    if update is None:
+        return None
+    return [
+        [
+            [
+                each.endpoint_id,
+                each.zone,
+                each.at,
+                [[request.fingerprint, request.parts] for request in each.requests],
+            ]
+            for each in update.crashes
+        ],
+        [[each.part, each.at] for each in update.answers],
+    ]
+
+
+def decode_part_update(value: Any) -> PartUpdate | None:
+    """Return the update on prompt parts that another process has sent, None if it sent none.
+
+    Raises
+    ------
+    ValueError
+        If the value is malformed.
+    """
+    if value is None:
+        return None
+    try:
+        crash_values, answer_values = value
+        return PartUpdate(
+            tuple(
+                PartCrash(str(name), str(zone), float(at), _requests_from_list(requests))
+                for name, zone, at, requests in crash_values
+            ),
+            tuple(PartAnswer(str(part), float(at)) for part, at in answer_values),
+        )
+    except (TypeError, ValueError) as exc:
+        raise ValueError(f"malformed update on prompt parts: {exc!r:.100}") from exc
+
+
+def _requests_from_list(values: Any) -> tuple[InterruptedRequest, ...]:
+    return tuple(
+        InterruptedRequest(str(name), tuple(str(each) for each in parts)) for name, parts in values
+    )
+
+
 def _entry_to_list(entry: QuarantineEntry) -> list:
     """Return the fields of an entry in the order in which updates contain them."""
     return [
@@ -135,20 +191,31 @@
         raise PlatformError(f"malformed quarantine entry {key}: {exc!r:.100}") from exc
 
 
-def encode_evidence(evidence: tuple[EndpointCrash, ...]) -> dict[str, Any]:
-    """Return the crashes attributed to one request as a JSON object, as they are stored."""
-    return {
-        "ends": [
-            {"endpoint": each.endpoint_id, "zone": each.zone, "at": each.at} for each in evidence
+def encode_evidence(
+    evidence: tuple[EndpointCrash, ...], with_requests: bool = False
+) -> dict[str, Any]:
+    """Return the crashes attributed to one request or prompt part as a JSON object.
+
+    Parameters
+    ----------
+    with_requests : bool
+        True for a part, which several requests hold.
+    """
+    ends = [{"endpoint": each.endpoint_id, "zone": each.zone, "at": each.at} for each in evidence]
+    if with_requests:
+        ends = [
+            {**end, "work": list(each.requests)} for end, each in zip(ends, evidence, strict=True)
         ]
-    }
+    return {"ends": ends}
 
 
-def decode_evidence(fingerprint: str, value: Any) -> tuple[EndpointCrash, ...]:
-    """Return the stored crashes that are attributed to one request.
+def decode_evidence(key: str, value: Any) -> tuple[EndpointCrash, ...]:
+    """Return the stored crashes that are attributed to one request or prompt part.
 
     Parameters
     ----------
+    key : str
+        Fingerprint of the request, or key of the part.
     value : object
         JSON text as bytes, or the decoded JSON object.
 
@@ -157,13 +224,18 @@
     PlatformError
         If the value is malformed.
     """
+    is_part = bool(parse_part_key(key))
     try:
         doc = orjson.loads(value) if isinstance(value, bytes) else value
         return tuple(
             EndpointCrash(
-                str(each["endpoint"]), str(each["zone"]), float(each["at"]), (fingerprint,), 1
+                str(each["endpoint"]),
+                str(each["zone"]),
+                float(each["at"]),
+                tuple(map(str, each["work"])) if is_part else (key,),
+                1,
             )
             for each in doc["ends"]
         )
     except (KeyError, TypeError, ValueError) as exc:
-        raise PlatformError(f"malformed crash evidence of {fingerprint}: {exc!r:.100}") from exc
+        raise PlatformError(f"malformed crash evidence of {key}: {exc!r:.100}") from exc
--- a/flamingofront/process/tests/test_holds.py
+++ b/flamingofront/process/tests/test_holds.py
@@ -7,6 +7,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from flamingofront.decisions.part_facts import (
+    InterruptedRequest,
+    PartAnswer,
+    PartCrash,
+    PartUpdate,
+    RequestIdentity,
+)
 from flamingofront.decisions.quarantine_facts import (
     ENTRY_LIFETIME_SECONDS,
     EVIDENCE_LIFETIME_SECONDS,
@@ -20,9 +27,11 @@
 from flamingofront.process.holds import EVIDENCE_PREFIX, QUARANTINE_TABLE
 from flamingofront.process.quarantine_codec import (
     decode_evidence,
+    decode_part_update,
     decode_quarantine_entry,
     decode_quarantine_update,
     encode_evidence,
+    encode_part_update,
     encode_quarantine_entry,
     encode_quarantine_update,
 )
@@ -45,7 +54,33 @@
 )
 
 
+PART_UPDATE = PartUpdate(
+    (PartCrash("e-1", "zone-a", 12.5, (InterruptedRequest("f-1", ("a", "b")),)),),
+    (PartAnswer("a", 11.0),),
+)
+
+
 class TestCodec:
+    def test_part_update_round_trip(self):
+        values = orjson.loads(orjson.dumps(encode_part_update(PART_UPDATE)))
+        assert decode_part_update(values) == PART_UPDATE
+        assert decode_part_update(encode_part_update(None)) is None
+
+    @given(JSON)
+    def test_malformed_part_update_raises_a_value_error(self, value):
+        try:
+            found = decode_part_update(value)
+        except ValueError as exc:
+            assert "malformed update on prompt parts" in str(exc)
+        else:
+            assert found is None or isinstance(found, PartUpdate)
+
+    def test_evidence_against_a_part_keeps_the_requests(self):
+        """Repeats of one request would count as several after a restart."""
+        evidence = (EndpointCrash("e-1", "zone-a", 12.5, ("f-1", "f-2"), 1),)
+        stored = orjson.dumps(encode_evidence(evidence, with_requests=True))
+        assert decode_evidence("part/a", stored) == evidence
+
     def test_update_round_trip(self):
         assert (
             decode_quarantine_update(orjson.loads(orjson.dumps(encode_quarantine_update(UPDATE))))
@@ -98,7 +133,7 @@
         world.store.fault = StoreFault.NONE
         world.run(3.0)
         assert set(self.read_stored_entries(world)) == {"f-1"}
-        assert all(each.hub.guard.quarantine_entry("f-1") for each in world.fronts.values())
+        assert all(each.hub.guard.quarantine.get_entry("f-1") for each in world.fronts.values())
 
     def test_entry_that_all_processes_found_is_written_once(self):
         world = ready_world(fronts=8)
@@ -121,7 +156,7 @@
         world.run(1.0)
         rng, outcomes = random.Random(seed), []
         for node in world.fronts.values():
-            node.hub.guard.claim_trial("f-1", outcomes.append)
+            node.hub.guard.claim_trial(RequestIdentity("f-1"), outcomes.append)
             world.run(rng.choice((0.0, 0.001, 0.003)))
         world.run(3.0)
         assert sorted(outcomes) == [False] * 4 + [True]
@@ -154,9 +189,9 @@
         ]
         world.store.put(QUARANTINE_TABLE, EVIDENCE_PREFIX + "f-2", encode_evidence(tuple(evidence)))
         world.run(5.0)
-        assert guard.quarantine_status("f-2") is QuarantineStatus.SUSPECTED
+        assert guard.quarantine_status(RequestIdentity("f-2")) is QuarantineStatus.SUSPECTED
         guard.load_evidence((EndpointCrash("e-9", "zone-9", now + 5.0, ("f-2",)),))
-        assert guard.quarantine_status("f-2") is QuarantineStatus.QUARANTINED
+        assert guard.quarantine_status(RequestIdentity("f-2")) is QuarantineStatus.QUARANTINED
 
     @given(JSON)
     def test_malformed_evidence_raises_an_error_with_its_fingerprint(self, value):
--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -26,8 +26,7 @@
 from flamingofront.request.attempts import Action, Phase, RequestFacts, RequestMachine
 from flamingofront.request.directory import SharedPrefix
 from flamingofront.request.endpoint_paths import PathRequest
-from flamingofront.request.fingerprint import compute_fingerprint
-from flamingofront.request.guard import quarantine_error
+from flamingofront.request.fingerprint import identify_request
 from flamingofront.request.host import RequestHost
 from flamingofront.request.intent_gate import AttemptIntents
 from flamingofront.request.permit_claims import PermitClaims
@@ -83,7 +82,7 @@
         self.endpoint_address = ""
         self._sent_at = 0.0
         self.proxy_address = ""
-        self.fingerprint = compute_fingerprint(record)
+        self.identity = identify_request(record)
         self.on_finished: Callable[[StoredAnswer | None, RequestError | None], None] | None = None
         self.log = hub.log.bind(
             request=record.request_id, workspace=record.workspace, work=self.fingerprint
@@ -118,6 +117,11 @@
         """Id of the request."""
         return self.record.request_id
 
+    @property
+    def fingerprint(self) -> str:
+        """Digest that is the same for repeats of the request."""
+        return self.identity.fingerprint
+
     @property
     def done(self) -> bool:
         """True if the request is answered, cancelled or handed over."""
@@ -149,7 +153,7 @@
         """
         if not self.record.may_repeat:
             return True
-        return self.hub.guard.quarantine_status(self.fingerprint) is not QuarantineStatus.CLEAR
+        return self.hub.guard.quarantine_status(self.identity) is not QuarantineStatus.CLEAR
 
     @abstractmethod
     def _build_call(self, action: StartAttempt, chosen: Candidate) -> OutboundCall:
@@ -269,12 +273,12 @@
 
     def _start_attempt(self, action: StartAttempt) -> None:
         """Start an attempt, unless the request is quarantined for crashing endpoints."""
-        status = self.hub.guard.quarantine_status(self.fingerprint)
+        status = self.hub.guard.quarantine_status(self.identity)
         if status is QuarantineStatus.QUARANTINED:
             self.fail_quarantined()
         elif status is QuarantineStatus.TRIAL_DUE:
             self.hub.guard.claim_trial(
-                self.fingerprint, lambda is_granted: self._on_trial_reply(action, is_granted)
+                self.identity, lambda is_granted: self._on_trial_reply(action, is_granted)
             )
         else:
             self.dispatch_attempt(action)
@@ -291,7 +295,7 @@
     @property
     def is_quarantined(self) -> bool:
         """True if the request is quarantined and is not the trial request."""
-        status = self.hub.guard.quarantine_status(self.fingerprint)
+        status = self.hub.guard.quarantine_status(self.identity)
         return not self.is_trial and status in (
             QuarantineStatus.QUARANTINED,
             QuarantineStatus.TRIAL_DUE,
@@ -299,10 +303,10 @@
 
     def fail_quarantined(self) -> None:
         """Fail a quarantined request, cancelling an attempt in flight."""
-        entry = self.hub.guard.quarantine_entry(self.fingerprint)
-        if entry is not None:
-            exc = quarantine_error(entry, self.hub.guard.wall())
-            self.execute(self.machine.fail(exc.kind, exc.detail))
+        exc = self.hub.guard.find_rejection(self.identity)
+        if exc is not None:
+            self.log.info("request stopped by the quarantine", **exc.log_fields)
+            self.execute(self.machine.fail(exc.kind, exc.detail, exc.retry_after))
 
     def dispatch_attempt(self, action: StartAttempt) -> None:
         """Choose an endpoint for an attempt and send it there."""
@@ -463,7 +467,7 @@
 
     def describe_interruption(self) -> InterruptedRequest:
         """Return what the loss of the current attempt's connection tells about the request."""
-        return InterruptedRequest(self.fingerprint)
+        return InterruptedRequest(self.fingerprint, self.identity.parts)
 
     def _send_tokens(self, action: Emit) -> None:
         for each in list(self.attachments):
--- a/flamingofront/request/endpoint_ends.py
+++ b/flamingofront/request/endpoint_ends.py
@@ -19,6 +19,8 @@
 
 __all__ = ["CrashDetector"]
 
+Interrupted = tuple[InterruptedRequest, ...]
+
 # The connect timeout of attempts; a reachable endpoint accepts within a few milliseconds.
 PROBE_TIMEOUT_SECONDS = 0.25
 # Data sent before a crash may still be read this long after the first connection is lost. In a
@@ -61,8 +63,9 @@
     Attributes
     ----------
     on_crash : callable
-        Called with each `EndpointCrash`, with its time on the clock of the timer service. Another
-        call for the same crash has the requests whose lost connections were detected later.
+        Called with each `EndpointCrash`, with its time on the clock of the timer service, and a
+        tuple of the `InterruptedRequest` objects. Another call for the same crash has the requests
+        whose lost connections were detected later.
     on_unobserved_crash : callable
         Called with each endpoint whose row was deleted without notice while this process had no
         request there.
@@ -92,7 +95,7 @@
         self._metrics = metrics
         self._log = log
         self._checks: dict[str, _CrashCheck] = {}
-        self.on_crash: Callable[[EndpointCrash], None] = lambda crash: None
+        self.on_crash: Callable[[EndpointCrash, Interrupted], None] = lambda crash, requests: None
         self.on_unobserved_crash: Callable[[str], None] = lambda endpoint_id: None
         self.on_crash_found: Callable[[str], None] = lambda endpoint_id: None
         self.on_refused: Callable[[str], None] = lambda endpoint_id: None
@@ -260,8 +263,6 @@
         )
         self._notify_crash(endpoint_id, check, tuple(check.requests.values()))
 
-    def _notify_crash(
-        self, endpoint_id: str, check: _CrashCheck, requests: tuple[InterruptedRequest, ...]
-    ) -> None:
+    def _notify_crash(self, endpoint_id: str, check: _CrashCheck, requests: Interrupted) -> None:
         fingerprints = tuple(sorted(each.fingerprint for each in requests))
-        self.on_crash(EndpointCrash(endpoint_id, check.zone, check.lost_at, fingerprints))
+        self.on_crash(EndpointCrash(endpoint_id, check.zone, check.lost_at, fingerprints), requests)
--- a/flamingofront/request/fingerprint.py
+++ b/flamingofront/request/fingerprint.py
@@ -9,15 +9,25 @@
 
 import orjson
 
+from flamingofront.decisions.part_facts import RequestIdentity, shared_parts
 from flamingofront.request.forward_work import ForwardWork
 from flamingofront.request.records import ModelWork, PlainWork, RequestRecord
 
-__all__ = ["compute_fingerprint"]
+__all__ = ["compute_fingerprint", "identify_request"]
 
 # With 64 bits, the probability of a collision among a million requests is 1 in 37 million.
 FINGERPRINT_BYTES = 8
 
 
+def identify_request(record: RequestRecord) -> RequestIdentity:
+    """Return the fingerprint of a request and the parts of its prompt that others may share."""
+    work = record.work
+    parts: tuple[str, ...] = ()
+    if isinstance(work, ForwardWork):
+        parts = shared_parts(each.part_id for each in work.prompt)
+    return RequestIdentity(compute_fingerprint(record), parts)
+
+
 def compute_fingerprint(record: RequestRecord) -> str:
     """Return the fingerprint of a request: a hex digest of its workspace, target and body.
 
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -8,7 +8,7 @@
 from flamingofront.decisions.endpoint_rule import EndpointRule
 from flamingofront.decisions.engine_rates import ServiceRates
 from flamingofront.decisions.lateness import LatencyEstimate, classify_urgency, compute_yield_delay
-from flamingofront.decisions.part_facts import InterruptedRequest, shared_parts
+from flamingofront.decisions.part_facts import InterruptedRequest
 from flamingofront.decisions.stopping import StreamTimes
 from flamingofront.errors import ErrorKind, Executed, RequestError
 from flamingofront.messages import (
@@ -109,6 +109,7 @@
         self._tokens_ahead = 0
         self._is_load_recorded = False
         self._was_postponed = False
+        self._answered_attempt = ""
         self._event_count = 0
         self._last_event_at = 0.0
 
@@ -137,11 +138,6 @@
         """Return the ids of the prompt parts."""
         return tuple(each.part_id for each in self.work.prompt)
 
-    @property
-    def shared_parts(self) -> tuple[str, ...]:
-        """Sorted ids of the parts of the prompt that other requests may share."""
-        return shared_parts(self.prefix_blocks())
-
     def shared_prefix(self) -> SharedPrefix | None:
         """Return the prompt without its last part, which is specific to the request."""
         shared = self.work.prompt[:-1]
@@ -308,12 +304,19 @@
         self._record_event_interval()
         self.record_response_start()
         self.machine.record_progress(attempt_id)
+        self._record_parts_answered()
         self.status = answer.status
         for each in list(self.attachments):
             each.send_head(answer.status, answer.fields)
             if not each.send_events(data):
                 self._abort_slow_consumer(each)
 
+    def _record_parts_answered(self) -> None:
+        """Record, once an attempt, that the endpoint has begun to write the answer."""
+        if self._answered_attempt != self.machine.attempt_id:
+            self._answered_attempt = self.machine.attempt_id
+            self.hub.guard.record_parts_answered(self.identity)
+
     def record_contact(self) -> None:
         """Record that data from the endpoint has been received."""
         self.hub.directory.record_contact(
@@ -372,6 +375,8 @@
             return
         self.status = answer.status
         self.hub.guard.record_response(self.fingerprint)
+        if answer.status < FIRST_ERROR_STATUS:
+            self.hub.guard.record_parts_answered(self.identity)
         self.record_response_start()
         self._record_endpoint_result(answer)
         self._end_call(cancel=False)
@@ -429,7 +434,7 @@
     def describe_interruption(self) -> InterruptedRequest:
         """Return what the loss of the current attempt's connection tells about the request."""
         is_answered = self.relay.count > self._events_before_attempt
-        return InterruptedRequest(self.fingerprint, self.shared_parts, is_answered)
+        return InterruptedRequest(self.fingerprint, self.identity.parts, is_answered)
 
     def _has_attempts_left(self) -> bool:
         limit = self.machine.facts.max_attempts
--- a/flamingofront/request/guard.py
+++ b/flamingofront/request/guard.py
@@ -1,16 +1,26 @@
 """Quarantine of poison requests, which crash the endpoints that run them, in one process.
 
-`flamingofront.decisions.quarantine` decides. `RequestGuard` provides it with crashes observed by
-this process and with gossip from other processes, and enforces its decisions on the requests.
+`flamingofront.decisions.quarantine` decides on requests, by their fingerprints, and
+`flamingofront.decisions.part_evidence` on the parts of their prompts. `RequestGuard` provides both
+with crashes observed by this process and with gossip from other processes, and enforces their
+decisions on the requests.
 """
 
 from collections import OrderedDict, deque
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
+from flamingofront.decisions.part_facts import (
+    InterruptedRequest,
+    PartUpdate,
+    RequestIdentity,
+    parse_part_key,
+    part_key,
+)
 from flamingofront.decisions.quarantine import (
     CRASHES_TO_PERSIST,
+    MAX_ENTRIES,
     MAX_SUSPECTS,
     MAX_UNOBSERVED,
     PROPAGATION_SECONDS,
@@ -28,43 +38,63 @@
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.timers import TimerService
 from flamingofront.request.endpoint_ends import CrashDetector
-from flamingofront.request.fingerprint import compute_fingerprint
+from flamingofront.request.fingerprint import identify_request
 from flamingofront.request.intent_gate import IntentLog, NullIntentLog
+from flamingofront.request.part_guard import PartGuard
 from flamingofront.request.records import RequestRecord
 
 if TYPE_CHECKING:
     from flamingofront.request.active import ActiveRequest
 
-__all__ = ["Evidence", "RequestGuard", "quarantine_error"]
+__all__ = ["Evidence", "RequestGuard"]
 
 Evidence = Mapping[str, tuple[EndpointCrash, ...]]
 
 # Period of the removal of expired entries.
 CLEANUP_PERIOD_SECONDS = 10.0
+# A caller that comes back sooner than the trial of a part is rejected again.
+MIN_RETRY_SECONDS = 1.0
 # Received updates are forwarded in batches, because tens of processes report the same crash.
 GOSSIP_BATCH_SECONDS = 0.03
 
 
-def quarantine_error(entry: QuarantineEntry, wall: float) -> RequestError:
-    """Return the error for a quarantined request, with the crashes that it caused.
-
-    Parameters
-    ----------
-    wall : float
-        Current wall time, in seconds.
-    """
-    ago = max(0.0, wall - entry.since)
+@dataclass(frozen=True)
+class _Source:
+    """From whom this process has an entry, and the wall time of that in seconds."""
+
+    name: str
+    at: float
+
+
+def _make_error(
+    entry: QuarantineEntry, identity: RequestIdentity, source: _Source, wall: float
+) -> RequestError:
+    """Return the error for a quarantined request, with the crashes behind it."""
+    ago, parts = max(0.0, wall - entry.since), sorted(parse_part_key(entry.fingerprint))
+    log_fields = {
+        "work": identity.fingerprint,
+        "parts": parts,
+        "endpoints": entry.endpoints,
+        "last_end_age": round(ago, 3),
+        "trials": entry.trials,
+        "next_trial_in": round(entry.next_trial - wall, 1),
+        "known_by": source.name,
+        "known_age": round(wall - source.at, 3),
+    }
+    count = len(entry.endpoints)
+    if not parts:
+        return RequestError(
+            ErrorKind.CRASHES_ENDPOINTS,
+            f"{count} endpoints ended while they ran this request, the last one {ago:.1f} s ago; "
+            "do not repeat it",
+            log_fields=log_fields,
+        )
     return RequestError(
-        ErrorKind.CRASHES_ENDPOINTS,
-        f"{len(entry.endpoints)} endpoints ended while they ran this request, the last one "
-        f"{ago:.1f} s ago; do not repeat it",
-        log_fields={
-            "work": entry.fingerprint,
-            "endpoints": entry.endpoints,
-            "last_end_age": round(ago, 3),
-            "trials": entry.trials,
-            "next_trial_in": round(entry.next_trial - wall, 1),
-        },
+        ErrorKind.PROMPT_PART_CRASHES,
+        f"{count} endpoints ended under requests whose prompts hold {' and '.join(parts)}, the "
+        f"last one {ago:.1f} s ago",
+        retry_after=max(MIN_RETRY_SECONDS, entry.next_trial - wall),
+        log_fields=log_fields,
     )
 
 
@@ -113,6 +143,7 @@
         crash_detector.on_crash_found = self._on_crash_found
         self.quarantine = Quarantine()
         self.wall: Callable[[], float] = timers.wall
+        self.parts = PartGuard(self.quarantine, lambda: self.wall(), metrics, log)
         self.on_update: Callable[[], None] = lambda: None
         self.on_quarantine_change: Callable[[QuarantineEntry, bool], None] = (
             lambda entry, is_local: None
@@ -135,6 +166,8 @@
         self._observed_fingerprints: set[str] = set()
         # Fingerprints of requests whose crashes are in the store, as far as this process knows.
         self._persisted: OrderedDict[str, None] = OrderedDict()
+        self._observed_parts: set[str] = set()
+        self._sources: OrderedDict[str, _Source] = OrderedDict()
         self._gossip_scheduled = False
         self._evaluation_scheduled = False
         timers.every(
@@ -143,15 +176,36 @@
 
     # Quarantine status
 
-    def quarantine_status(self, fingerprint: str) -> QuarantineStatus:
-        """Return the quarantine status of a request."""
+    def quarantine_status(self, identity: RequestIdentity) -> QuarantineStatus:
+        """Return the quarantine status of a request, by its fingerprint and its prompt parts."""
         if not self.quarantine:
             return QuarantineStatus.CLEAR
-        return self.quarantine.get_status(fingerprint, self.wall())
-
-    def quarantine_entry(self, fingerprint: str) -> QuarantineEntry | None:
-        """Return the quarantine entry of a request; None if it is not quarantined."""
-        return self.quarantine.get_entry(fingerprint)
+        now = self.wall()
+        entries = self._find_entries(identity)
+        if not entries:
+            return self.quarantine.get_status(identity.fingerprint, now)
+        statuses = {self.quarantine.get_status(each.fingerprint, now) for each in entries}
+        if QuarantineStatus.QUARANTINED in statuses:
+            return QuarantineStatus.QUARANTINED
+        return QuarantineStatus.TRIAL_DUE
+
+    def _find_entries(self, identity: RequestIdentity) -> list[QuarantineEntry]:
+        """Return the entries that reject a request, those of its prompt parts first."""
+        entry = self.quarantine.get_entry(identity.fingerprint)
+        found = self.parts.match(identity.parts)
+        return found if entry is None else [*found, entry]
+
+    def find_rejection(self, identity: RequestIdentity) -> RequestError | None:
+        """Return the error for a request that is quarantined; None if it is not."""
+        now = self.wall()
+        entries = self._find_entries(identity)
+        if not entries:
+            return None
+        entry = max(entries, key=lambda each: each.next_trial)
+        if parse_part_key(entry.fingerprint):
+            self._metrics.count("part_refusals_total", part=entry.fingerprint)
+        source = self._sources.get(entry.fingerprint, _Source("unknown", now))
+        return _make_error(entry, identity, source, now)
 
     def suspects(self) -> frozenset[str]:
         """Return the fingerprints of requests that are suspect but not quarantined."""
@@ -167,9 +221,9 @@
         """
         if not self.quarantine:
             return
-        fingerprint = compute_fingerprint(record)
-        if self.quarantine_status(fingerprint) is QuarantineStatus.QUARANTINED:
-            raise quarantine_error(self.quarantine_entry(fingerprint), self.wall())
+        identity = identify_request(record)
+        if self.quarantine_status(identity) is QuarantineStatus.QUARANTINED:
+            raise self.find_rejection(identity)
 
     def endpoints_to_avoid(self, request: "ActiveRequest") -> frozenset[str]:
         """Return the endpoints that a suspect request should avoid while there are others.
@@ -183,7 +237,7 @@
             return frozenset()
         if (
             not request.is_trial
-            and self.quarantine_status(request.fingerprint) is not QuarantineStatus.SUSPECTED
+            and self.quarantine_status(request.identity) is not QuarantineStatus.SUSPECTED
         ):
             return frozenset()
         return frozenset(
@@ -198,20 +252,22 @@
         if other.fingerprint == request.fingerprint:
             return True
         return (
-            request.is_trial
-            or self.quarantine_status(other.fingerprint) is not QuarantineStatus.CLEAR
+            request.is_trial or self.quarantine_status(other.identity) is not QuarantineStatus.CLEAR
         )
 
     # Crashes and responses
 
-    def _on_crash(self, crash: EndpointCrash) -> None:
+    def _on_crash(self, crash: EndpointCrash, requests: tuple[InterruptedRequest, ...]) -> None:
         """Record a crash that this process has observed."""
         at = self.wall() - (self._timers.now() - crash.at)
         self.on_endpoint_crash(crash.endpoint_id)
-        if self.quarantine.record_crash(replace(crash, at=at), self.wall()):
+        is_new = self.quarantine.record_crash(replace(crash, at=at), self.wall())
+        if self.parts.record_crash(crash, requests, at) or is_new:
+            parts = {part for each in requests if not each.is_answered for part in each.parts}
             self._observed_fingerprints.update(crash.requests)
+            self._observed_parts.update(parts)
             self._evaluate(is_local=True)
-            self._persist_evidence(crash.requests, CRASHES_TO_PERSIST)
+            self._persist_evidence(crash.requests, parts, CRASHES_TO_PERSIST)
             self.on_update()
         self.intents.record_crash(crash.endpoint_id)
 
@@ -260,9 +316,12 @@
         self.quarantine.record_crash(EndpointCrash(endpoint_id, zone, now, ()), now)
         self._schedule_gossip()
 
-    def _persist_evidence(self, fingerprints: Iterable[str], min_crashes: int) -> None:
-        """Persist the crashes of requests that have at least `min_crashes` of them."""
+    def _persist_evidence(
+        self, fingerprints: Iterable[str], parts: Iterable[str], min_crashes: int
+    ) -> None:
+        """Persist the crashes of requests and parts that have at least `min_crashes` of them."""
         evidence = self.quarantine.collect_evidence(fingerprints, min_crashes)
+        evidence |= self.parts.collect_evidence(parts, min_crashes)
         if evidence:
             self._mark_persisted(evidence)
             self.on_evidence(evidence)
@@ -273,7 +332,7 @@
             self._persisted.popitem(last=False)
 
     def load_evidence(self, crashes: Iterable[EndpointCrash]) -> None:
-        """Merge crashes that were read from the store."""
+        """Merge crashes under requests that were read from the store."""
         changes = []
         for each in crashes:
             self._mark_persisted(each.requests)
@@ -281,6 +340,12 @@
         if any(changes):
             self._evaluate(is_local=False)
 
+    def load_part_evidence(self, key: str, crashes: Iterable[EndpointCrash]) -> None:
+        """Merge crashes under requests with a prompt part, given by its key, from the store."""
+        self._mark_persisted((key,))
+        if self.parts.load_evidence(key, crashes):
+            self._evaluate(is_local=False)
+
     def record_response(self, fingerprint: str) -> None:
         """Record that an endpoint has responded to a request, which clears it."""
         self.intents.record_response(fingerprint)
@@ -305,6 +370,45 @@
             )
         self.on_update()
 
+    def record_parts_answered(self, identity: RequestIdentity) -> None:
+        """Record that an endpoint begins to write an answer, which no poison part survives."""
+        if not identity.parts:
+            return
+        released, reduced, cleared = self.parts.record_answer(identity.parts)
+        for entry in released:
+            self.release(entry, "answered")
+        for entry in reduced:
+            self._enforce_quarantine(entry, "reduced")
+            self.on_quarantine_change(entry, True)
+        persisted = [key for each in cleared if (key := part_key((each,))) in self._persisted]
+        for key in persisted:
+            self._persisted.pop(key)
+        if persisted:
+            self.on_evidence({key: () for key in persisted})
+        if cleared or reduced:
+            self._schedule_gossip()
+
+    def release(self, entry: QuarantineEntry, reason: str) -> None:
+        """Release a quarantined request or set of prompt parts everywhere."""
+        if not self.quarantine.clear_request(entry.fingerprint, self.wall()):
+            return
+        self._log_release(entry, reason)
+        self.on_quarantine_change(replace(entry, is_released=True), True)
+        for larger in self.parts.forget(entry.fingerprint):
+            self.release(larger, reason)
+        self.on_update()
+
+    def merge_updates(
+        self, update: QuarantineUpdate | None, part_update: PartUpdate | None
+    ) -> None:
+        """Merge the updates of another process on requests and on prompt parts."""
+        if part_update is not None and self.parts.merge_update(part_update):
+            self._evaluate(is_local=False)
+            self._schedule_gossip()
+        if part_update is not None and self.parts.has_unreported_answer(part_update):
+            self._schedule_gossip()
+        self.merge_update(update)
+
     def merge_update(self, update: QuarantineUpdate | None) -> None:
         """Merge an update from another process; None is ignored."""
         if update is None:
@@ -334,6 +438,10 @@
         """Return the update for other processes; None if there is nothing to send."""
         return self.quarantine.build_update(self.wall())
 
+    def build_part_update(self) -> PartUpdate | None:
+        """Return the update on prompt parts for other processes; None if there is none."""
+        return self.parts.evidence.build_update(self.wall())
+
     def _schedule_gossip(self) -> None:
         """Schedule the forwarding of an update: some processes cannot reach its source."""
         if not self._gossip_scheduled:
@@ -355,8 +463,11 @@
         for fingerprint, entry in previous.items():
             if fingerprint not in after:
                 self._log_release(entry, f"answered, says {source}")
+                for larger in self.parts.forget(fingerprint):
+                    self.release(larger, f"answered, says {source}")
 
     def _evaluate(self, is_local: bool) -> None:
+        self._evaluate_parts("own" if is_local else "ends", is_local)
         for entry in self.quarantine.evaluate(self.wall(), self.entry_start_times()):
             self._enforce_quarantine(entry, "own" if is_local else "ends")
             self.on_quarantine_change(entry, is_local)
@@ -364,21 +475,35 @@
             self._evaluation_scheduled = True
             self._timers.once(PROPAGATION_SECONDS, self._evaluate_settled)
 
+    def _evaluate_parts(self, source: str, is_local: bool) -> None:
+        """Quarantine prompt parts, whose crashes then are no evidence against requests."""
+        for entry in self.parts.evaluate():
+            self._enforce_quarantine(entry, source)
+            self.on_quarantine_change(entry, is_local)
+
     def _evaluate_settled(self) -> None:
         """Evaluate again once the reports of all processes have been received."""
         self._evaluation_scheduled = False
-        self._persist_evidence(self._observed_fingerprints, min_crashes=1)
+        self._persist_evidence(self._observed_fingerprints, self._observed_parts, min_crashes=1)
         self._observed_fingerprints.clear()
+        self._observed_parts.clear()
+        self._evaluate_parts("settled", False)
         for entry in self.quarantine.evaluate(self.wall(), self.entry_start_times()):
             self._enforce_quarantine(entry, "settled")
             self.on_quarantine_change(entry, False)
 
     def _enforce_quarantine(self, entry: QuarantineEntry, source: str) -> None:
         """Log a new quarantine entry and quarantine the matching requests in flight here."""
+        parts = parse_part_key(entry.fingerprint)
+        self._record_source(entry.fingerprint, source)
+        if parts:
+            count = len(entry.endpoints)
+            self._metrics.count("part_crashes_total", count, part=entry.fingerprint)
         self._metrics.count("requests_held_total", source=source)
         self._log.warning(
-            "request quarantined",
+            "prompt part quarantined" if parts else "request quarantined",
             work=entry.fingerprint,
+            parts=sorted(parts),
             source=source,
             endpoints=entry.endpoints,
             last_end_age=round(self.wall() - entry.since, 3),
@@ -387,13 +512,25 @@
         )
         for request in self._active():
             has_started = request.machine.ran is Executed.YES
-            if request.fingerprint == entry.fingerprint and not (has_started or request.is_trial):
+            is_same = request.fingerprint == entry.fingerprint
+            is_match = is_same or (parts and parts.issubset(request.identity.parts))
+            if is_match and not (has_started or request.is_trial):
                 request.fail_quarantined()
 
+    def _record_source(self, key: str, source: str) -> None:
+        self._sources[key] = _Source(source, self.wall())
+        while len(self._sources) > MAX_ENTRIES:
+            self._sources.popitem(last=False)
+
     def _log_release(self, entry: QuarantineEntry, reason: str) -> None:
         self._metrics.count("requests_released_total", reason=reason)
+        is_part = bool(parse_part_key(entry.fingerprint))
         self._log.info(
-            "request released from quarantine",
+            (
+                "prompt part released from quarantine"
+                if is_part
+                else "request released from quarantine"
+            ),
             work=entry.fingerprint,
             reason=reason,
             endpoints=entry.endpoints,
@@ -401,7 +538,7 @@
             trials=entry.trials,
         )
 
-    def claim_trial(self, fingerprint: str, on_done: Callable[[bool], None]) -> None:
+    def claim_trial(self, identity: RequestIdentity, on_done: Callable[[bool], None]) -> None:
         """Claim a trial of a quarantined request, exclusively for this process.
 
         Parameters
@@ -410,8 +547,8 @@
             Called with True if the request may be sent: the trial was granted, or the request is no
             longer quarantined.
         """
-        entry = self.quarantine_entry(fingerprint)
-        if entry is None or self.quarantine_status(fingerprint) is not QuarantineStatus.TRIAL_DUE:
+        entry = next(iter(self._find_entries(identity)), None)
+        if entry is None or self.quarantine_status(identity) is not QuarantineStatus.TRIAL_DUE:
             on_done(entry is None)
             return
         self.acquire_trial(entry, lambda granted: self._on_trial_claim(entry, granted, on_done))
@@ -431,6 +568,7 @@
         on_done(granted)
 
     def _remove_expired(self) -> None:
+        self.parts.evidence.drop_expired(self.wall())
         previous = {each.fingerprint: each for each in self.quarantine.list_entries()}
         for fingerprint in self.quarantine.drop_expired(self.wall()):
             self._log_release(previous[fingerprint], "forgotten")
--- a/flamingofront/request/tests/test_endpoint_ends.py
+++ b/flamingofront/request/tests/test_endpoint_ends.py
@@ -44,7 +44,7 @@
             self.transport, self.timers, self.directory, self.metrics, Log("test")
         )
         self.crashes = []
-        self.detector.on_crash = self.crashes.append
+        self.detector.on_crash = lambda crash, requests: self.crashes.append(crash)
 
     def lose_connections(self, *requests):
         for each in requests:
--- a/flamingofront/tests/part_load.py
+++ b/flamingofront/tests/part_load.py
@@ -98,23 +98,22 @@
         return [SHARED_PART, f"5b000{self._number % 4}"]
 
     def _ask_sound(self, now: float) -> None:
-        self._number += 1
         path = SOUND_PATHS[self._number % len(SOUND_PATHS)]
-        caller = self._ask(path, self._parts())
+        caller = self.ask(path, self._parts())
         if caller is not None:
             self.sound.append(_Asked(now, caller))
 
     def _ask_poison(self) -> None:
-        self._number += 1
         count = next(self._poison_count)
         part = self.poison_parts[count % len(self.poison_parts)]
         parts = insert_part(self._parts(), part, self.place, count)
-        caller = self._ask(self.paths[count % len(self.paths)], parts)
+        caller = self.ask(self.paths[count % len(self.paths)], parts)
         if caller is not None:
             self.poison.append(caller)
 
-    def _ask(self, path: str, parts: list[str]) -> Caller | None:
+    def ask(self, path: str, parts: list[str]) -> Caller | None:
         """Send a request whose id, body, length and last part no other one has."""
+        self._number += 1
         if not self.world.live_fronts():
             return None
         body = b"prompt %d " % self._number + b"x" * (self._number % 37)
--- a/flamingofront/tests/test_poison_prompt_parts.py
+++ b/flamingofront/tests/test_poison_prompt_parts.py
@@ -155,3 +155,40 @@
         load.play(seconds=32.0, poison_from=2.0)
         assert not self.held(load)
         assert all(each.status == 200 for each in load.poison[-4:])
+
+
+class TestPartsWithOtherHistories:
+    def test_part_that_was_answered_before_is_found_out_when_it_begins_to_crash(self):
+        """As with a new version of the model; requests without the part are served meanwhile."""
+        load = make_load(poison_parts=())
+        world, part = load.world, "5b0001"
+        load.at(4.0, lambda: world.poison_parts.add(part))
+        load.play(seconds=14.0, poison_from=60.0)
+        assert len(world.crashes_with_part(part)) >= 6
+        assert world.sent_late_with_part(part) <= MAX_SENT_LATE
+        late = [each for each in load.sound if each.at > world.clock.now() - 12.0]
+        assert sum(each.is_served for each in late) >= 0.7 * len(late)
+
+    def test_part_is_found_out_before_any_request_was_answered(self):
+        load = make_load().play(seconds=12.0, poison_from=0.0)
+        assert len(load.world.crashes_with_part(POISON_PART)) <= MAX_CRASHES
+        assert load.world.sent_late_with_part(POISON_PART) == 0
+
+    def test_part_is_found_out_after_other_parts_that_come_with_it_alone(self):
+        """Requests with these other parts alone are served all the while."""
+        load = make_load()
+        asked = []
+
+        def ask_poison() -> None:
+            companion = "aaaa" if load.elapsed < 6.0 else "bbbb"
+            load.poison.append(load.ask("/stream/again/x", [companion, POISON_PART]))
+
+        for number in range(20):
+            load.at(2.0 + number / 2, ask_poison)
+        for number in range(6):
+            ask = lambda: asked.append(load.ask("/stream/again/x", ["aaaa"]))  # noqa: E731
+            load.at(4.0 + number, ask)
+        load.play(seconds=14.0, poison_from=60.0)
+        assert len(load.world.crashes_with_part(POISON_PART)) <= MAX_CRASHES
+        assert load.world.sent_late_with_part(POISON_PART) == 0
+        assert {each.status for each in asked} == {200}
