--- /dev/null
+++ b/flamingofront/tests/skewed_connections.py
@@ -0,0 +1,309 @@
+"""Real entry processes on loopback, one of which gets most new connections for some seconds.
+
+The processes may run at a fraction of the machine's strength: each is stopped for a part of every
+20 ms, as on a small VM. Callers open a new connection for a part of their requests, give up after
+a second, and try again at another process when they were not read.
+"""
+
+import asyncio
+import http.client
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+import threading
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+__all__ = ["Deployment", "FirstTry", "SkewedLoad"]
+
+BIN = Path(sys.executable).parent
+HEAD = (
+    b"GET /lookup/7 HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer demo-key\r\n"
+    b"X-Flamingofront-Request-Id: %s\r\nX-Flamingofront-Deadline-Ms: 1000\r\n\r\n"
+)
+PORT = 19480
+STORE_PORT = 19400
+SLICE_SECONDS = 0.02
+PATIENCE_SECONDS = 1.0
+MAX_TRIES = 4
+CONFIGURATION = {
+    "version": 1,
+    "routes": [
+        {
+            "name": "lookup",
+            "host": "desk.example",
+            "prefix": "/lookup/",
+            "kind": "idempotent",
+            "service": "records",
+            "timeout_ms": 5000,
+            "latency_goal_ms": 300,
+            "priority": 1,
+            "max_attempts": 2,
+        }
+    ],
+    "services": [{"name": "records", "health_path": "/health", "max_conns": 400}],
+    "tenants": [{"name": "desk", "api_keys": ["demo-key"], "priority": 1}],
+    "limits": {},
+}
+
+
+def _fetch_status(ip: str, port: int, path: str) -> int:
+    conn = http.client.HTTPConnection(ip, port, timeout=1.0)
+    try:
+        conn.request("GET", path)
+        return conn.getresponse().status
+    except OSError:
+        return 0
+    finally:
+        conn.close()
+
+
+class Deployment:
+    """A store, endpoints and entry processes; ends all of them when left.
+
+    Parameters
+    ----------
+    network : int
+        Third number of the loopback addresses, so that several deployments run side by side.
+    pause : float
+        Fraction of the time for which each entry process is stopped.
+    """
+
+    def __init__(
+        self, folder: Path, network: int = 90, processes: int = 5, endpoints: int = 8, pause=0.0
+    ):
+        self.folder = folder
+        self.processes = processes
+        self.fronts: list[subprocess.Popen] = []
+        self._network = network
+        self._endpoint_count = endpoints
+        self._pause = pause
+        self._children: list[subprocess.Popen] = []
+        self._is_over = threading.Event()
+        self._throttle = threading.Thread(target=self._run_throttle, daemon=True)
+
+    def ip_of(self, front: int) -> str:
+        """Return the address of an entry process; -1 for that of store and endpoints."""
+        return f"127.2.{self._network}.{front + 2}"
+
+    def __enter__(self) -> "Deployment":
+        host = self.ip_of(-1)
+        config = self.folder / "forwarding.json"
+        config.write_text(json.dumps(CONFIGURATION))
+        self._start("standin-store", "--bind", f"{host}:{STORE_PORT}", "--config", str(config))
+        self._wait_for(host, STORE_PORT, "/")
+        for number in range(self._endpoint_count):
+            self._start_endpoint(host, number)
+        for number in range(self.processes):
+            self._start_front(host, number)
+        for number in range(self.processes):
+            self._wait_for(self.ip_of(number), PORT + 1, "/api/ready", (200,))
+        if self._pause:
+            self._throttle.start()
+        return self
+
+    def __exit__(self, *exc: object) -> None:
+        self._is_over.set()
+        if self._throttle.is_alive():
+            self._throttle.join()
+        for child in self._children:
+            child.kill()
+            child.wait()
+
+    def _run_throttle(self) -> None:
+        """Stop all entry processes for a part of each slice."""
+        while not self._is_over.is_set():
+            self._signal_fronts(signal.SIGSTOP)
+            time.sleep(SLICE_SECONDS * self._pause)
+            self._signal_fronts(signal.SIGCONT)
+            time.sleep(SLICE_SECONDS * (1 - self._pause))
+
+    def _signal_fronts(self, signum: signal.Signals) -> None:
+        for each in self.fronts:
+            if each.poll() is None:
+                each.send_signal(signum)
+
+    def _start_endpoint(self, host: str, number: int) -> None:
+        words = ["--bind", f"{host}:{STORE_PORT + 1 + number}", "--store", f"{host}:{STORE_PORT}"]
+        words += ["--endpoint-id", f"e-{number}", "--slots", "64", "--gap", "0.06"]
+        self._start("standin-endpoint", *words)
+
+    def _start_front(self, host: str, number: int) -> None:
+        ip = self.ip_of(number)
+        values = {
+            "node_name": f"front-{number}",
+            "zone": f"zone-{number % 2}",
+            "ip": ip,
+            "listen.front": f"{ip}:{PORT}",
+            "listen.ready": f"{ip}:{PORT + 1}",
+            "listen.control": f"{ip}:{PORT + 2}",
+            "port_range": f"{PORT + 3},{PORT + 9}",
+            "seeds": f"{self.ip_of(0)}:{PORT + 2}",
+            "bootstrap": "true",
+            "platform.address": f"{host}:{STORE_PORT}",
+            "cloud_api.address": f"{host}:{STORE_PORT}",
+        }
+        settings = self.folder / f"front-{number}.conf"
+        settings.write_text("".join(f"{name}={value}\n" for name, value in values.items()))
+        environment = {**os.environ, "FLAMINGOFRONT_BOOT": str(settings)}
+        self.fronts.append(
+            self._start("forward", environment=environment, output=f"front-{number}")
+        )
+
+    def _start(self, program: str, *words: str, environment=None, output="standins"):
+        with open(self.folder / f"{output}.log", "a") as log:
+            child = subprocess.Popen(
+                [BIN / f"flamingofront-{program}", *words], stdout=log, stderr=log, env=environment
+            )
+        self._children.append(child)
+        return child
+
+    @staticmethod
+    def _wait_for(ip: str, port: int, path: str, statuses: tuple[int, ...] = ()) -> None:
+        end = time.monotonic() + 20.0
+        while time.monotonic() < end:
+            status = _fetch_status(ip, port, path)
+            if status and (not statuses or status in statuses):
+                return
+            time.sleep(0.05)
+        raise TimeoutError(f"{ip}:{port} does not answer {path}")
+
+
+@dataclass
+class FirstTry:
+    """The first try of a request and what became of it.
+
+    Parameters
+    ----------
+    is_served : bool
+        True if the first try was answered with 200.
+    was_read : bool
+        False if the connection was refused, or closed without an answer.
+    is_late_served : bool
+        True if a later try was answered with 200.
+    """
+
+    at: float
+    is_served: bool = False
+    was_read: bool = True
+    is_late_served: bool = False
+    seconds: float = 0.0
+
+    @property
+    def counts(self) -> bool:
+        """True if the try counts: an unread one does not if a later one was served."""
+        return self.was_read or not self.is_late_served
+
+
+@dataclass
+class SkewedLoad:
+    """Callers of a deployment.
+
+    Parameters
+    ----------
+    rate : float
+        Requests per second.
+    """
+
+    deployment: Deployment
+    rate: float
+    seed: int = 1
+    tries: list[FirstTry] = field(default_factory=list)
+
+    def __post_init__(self):
+        self._rng = random.Random(self.seed)
+        self._idle: list[list] = [[] for _ in range(self.deployment.processes)]
+        self._target: int | None = None
+        self._number = 0
+
+    def play(self, calm: float, skewed: float, after: float = 0.0) -> None:
+        """Play some seconds without skew, with it, and without it again."""
+        asyncio.run(self._play(calm, skewed, after))
+
+    async def _play(self, calm: float, skewed: float, after: float) -> None:
+        start = time.monotonic()
+        tasks = set()
+        count = int((calm + skewed + after) * self.rate)
+        for number in range(count):
+            due = number / self.rate
+            await asyncio.sleep(max(0.0, start + due - time.monotonic()))
+            self._target = 0 if calm <= due < calm + skewed else None
+            task = asyncio.create_task(self._request(due))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+        await asyncio.gather(*tasks)
+
+    async def _request(self, due: float) -> None:
+        first = FirstTry(due)
+        self.tries.append(first)
+        begun = time.monotonic()
+        front, is_new = self._choose()
+        status = await self._try(front, is_new)
+        first.is_served, first.was_read = status == 200, status is not None
+        first.seconds = time.monotonic() - begun
+        for _ in range(MAX_TRIES - 1):
+            if first.is_served or first.is_late_served:
+                return
+            others = [each for each in range(self.deployment.processes) if each != front]
+            front = self._rng.choice(others or [front])
+            first.is_late_served = await self._try(front, True) == 200
+
+    def _choose(self) -> tuple[int, bool]:
+        """Return the process of a request, and whether it needs a new connection."""
+        is_skewed = self._target is not None
+        if self._rng.random() >= (0.6 if is_skewed else 0.15):
+            front = self._rng.randrange(self.deployment.processes)
+            return front, not self._idle[front]
+        if is_skewed and self._rng.random() < 0.95:
+            return self._target, True
+        return self._rng.randrange(self.deployment.processes), True
+
+    async def _try(self, front: int, is_new: bool) -> int | None:
+        """Return the status of one try: None if it was not read, 0 after the patience."""
+        self._number += 1
+        conn = None
+        try:
+            async with asyncio.timeout(PATIENCE_SECONDS):
+                if is_new:
+                    conn = await asyncio.open_connection(self.deployment.ip_of(front), PORT)
+                else:
+                    conn = self._idle[front].pop()
+                status = await self._exchange(*conn)
+        except TimeoutError:
+            status = 0
+        except (OSError, asyncio.IncompleteReadError):
+            status = None
+        if conn is None:
+            return status
+        if status and len(self._idle[front]) < 40:
+            self._idle[front].append(conn)
+        else:
+            conn[1].transport.abort()
+        return status
+
+    async def _exchange(self, reader, writer) -> int:
+        writer.write(HEAD % b"r%d" % self._number)
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = next(
+            int(line.split(b":")[1])
+            for line in head.lower().split(b"\r\n")
+            if line.startswith(b"content-length")
+        )
+        await reader.readexactly(length)
+        return int(head.split()[1])
+
+    def share(self, start: float, end: float) -> float:
+        """Return the share of first tries in a span of the play that were served, of those read."""
+        counted = [each for each in self.tries if start <= each.at < end and each.counts]
+        return sum(each.is_served for each in counted) / len(counted)
+
+    def never_served(self, start: float, end: float) -> int:
+        """Return the number of requests of a span that no try served."""
+        return sum(
+            start <= each.at < end and not (each.is_served or each.is_late_served)
+            for each in self.tries
+        )
