A process that gets most new connections refuses some while others have room

Cause: a process accepted one connection in each turn of its event loop, and read what it could not answer in time; others had room. Nothing told a caller to go elsewhere. Class: a limit (of places at endpoints) that knows nothing of the processor time of the process itself.

Change: `AcceptControl` takes the delay until a new connection is read (length of turns, time for which connections wait). While its mean is over 0.1 s and twice that of most other processes, which reports and digests tell (`delay_ms`), a growing fraction of new connections is reset unread, and from one half on kept connections are closed after their answer. Where all are overloaded nobody refuses. Lines `refusal of new connections started` and `ended` with the inputs, a counter. Nothing leaves the balancer.

Why it holds: a reset tells the caller that nothing was read, so that it tries again elsewhere at once; resets cost little.

--- a/flamingofront/connection/poller.py
+++ b/flamingofront/connection/poller.py
@@ -63,6 +63,13 @@
     on_fault : callable
         Called with each unhandled exception of a callback or a socket owner.
 
+    Attributes
+    ----------
+    on_turn : callable
+        Called after each turn with the time and the seconds since the end of the wait for events.
+    turn_number : int
+        Number of the current turn.
+
     Notes
     -----
     A datagram costs 27 us of the event loop's thread, instead of 57 us with the poller of circuits
@@ -75,6 +82,9 @@
         super().__init__(channel="poller")
         self._timers = timers
         self._on_fault = on_fault
+        self.on_turn: Callable[[float, float], None] | None = None
+        self._woken_at = timers.now()
+        self.turn_number = 0
         self._epoll = select.epoll()
         self._watches: dict[int, _Watch] = {}
         self._wake_read, self._wake_write = os.pipe()
@@ -136,7 +146,13 @@
         All registrations are looked up before the first notification, because a socket opened in
         one notification may reuse the file descriptor of a socket closed in another.
         """
+        if self.on_turn is not None:
+            now = self._timers.now()
+            self.on_turn(now, now - self._woken_at)
         ready = self._epoll.poll(poll_timeout)
+        self.turn_number += 1
+        if self.on_turn is not None:
+            self._woken_at = self._timers.now()
         for watch, mask in [(self._watches.get(fileno), mask) for fileno, mask in ready]:
             if watch is None:
                 self._drain_wake_ups()
--- a/flamingofront/connection/server.py
+++ b/flamingofront/connection/server.py
@@ -278,7 +278,7 @@
     def _encode_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> bytes:
         lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}"]
         lines += [f"{name}: {value}" for name, value in headers]
-        if self._server.closing:
+        if self._server.closing or self._server.must_close():
             self._keep_alive = False
         if not self._keep_alive:
             lines.append("Connection: close")
@@ -328,6 +328,8 @@
         May be replaced at any time; the new limits apply from the next request of a connection.
     closing : bool
         If True, each connection is closed after its current response.
+    must_close : callable
+        Returns True if the connection of a response is closed after it.
     """
 
     def __init__(
@@ -345,6 +347,7 @@
         self.timers = timers
         self.limits = limits or ServerLimits()
         self.closing = False
+        self.must_close: Callable[[], bool] = lambda: False
         self.render_error = render_error
         self.count_rejection = count_rejection
         self._on_request = on_request
@@ -359,6 +362,15 @@
         """Port that the server listens on."""
         return self._sockets.port
 
+    def set_refusal(self, must_refuse: Callable[[], bool | None]) -> None:
+        """Set the function that returns True if the next new connection is reset unread."""
+        self._sockets.must_refuse = must_refuse
+
+    @property
+    def waiting_seconds(self) -> float:
+        """Seconds for which new connections have waited to be accepted."""
+        return self._sockets.waiting_seconds
+
     @property
     def connections(self) -> int:
         """Number of open connections."""
--- a/flamingofront/connection/sockets.py
+++ b/flamingofront/connection/sockets.py
@@ -3,6 +3,7 @@
 import contextlib
 import errno
 import socket
+import struct
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Callable
@@ -25,6 +26,12 @@
 KEEPALIVE_PROBE_COUNT = 3
 # Same for bytes that are not acknowledged. Linux also gives keep-alive probes up after this time.
 USER_TIMEOUT_MS = 10_000
+# Connections accepted and refused at most in one turn of the event loop while some are refused.
+# Otherwise one is accepted in each turn: a process that has too much to do anyway reads no more.
+MAX_ACCEPTED_AT_ONCE = 4
+MAX_REFUSED_AT_ONCE = 64
+# Closes a connection with a reset, which tells the caller at once that nothing was read.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # No connection is pending, or the caller closed it before it was accepted.
 _NO_CONNECTION_ERRORS = (errno.EAGAIN, errno.ECONNABORTED)
 
@@ -63,6 +70,9 @@
     ----------
     unsent_bytes : dict of socket to int
         Bytes queued on each connection; a connection without queued bytes has no entry.
+    must_refuse : callable
+        Returns True if the next new connection is reset without reading from it; None while none
+        is refused.
     """
 
     def __init__(
@@ -76,6 +86,10 @@
     ):
         super().__init__(channel=channel)
         self.unsent_bytes: dict[socket.socket, int] = {}
+        self.must_refuse: Callable[[], bool | None] = lambda: None
+        # Since when connections wait in each turn of the event loop, and the last such turn.
+        self._waiting_since = 0.0
+        self._waiting_turn: int | None = None
         self._listener = listener
         self._timers = timers
         self._read_bytes = read_bytes
@@ -110,18 +124,52 @@
 
     def on_readable(self, sock: socket.socket) -> None:
         """Accept a connection, or read from an accepted one."""
-        if sock is self._listen_socket:
-            self._accept()
-        else:
+        if sock is not self._listen_socket:
             self.read_available(sock)
+            return
+        self._record_waiting()
+        accepted = 0
+        for _ in range(MAX_REFUSED_AT_ONCE):
+            pending = self._take_pending()
+            if pending is None:
+                return
+            is_refused = self.must_refuse()
+            if is_refused:
+                pending.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+                pending.close()
+            else:
+                self._accept(pending)
+                accepted += 1
+            if is_refused is None or accepted >= MAX_ACCEPTED_AT_ONCE:
+                return
+
+    def _record_waiting(self) -> None:
+        if not self._has_waiting:
+            self._waiting_since = self._timers.now()
+        self._waiting_turn = self._poller.turn_number
+
+    @property
+    def _has_waiting(self) -> bool:
+        """True if connections were waiting in this turn of the event loop or the one before."""
+        return self._waiting_turn is not None and self._poller.turn_number <= self._waiting_turn + 1
 
-    def _accept(self) -> None:
+    @property
+    def waiting_seconds(self) -> float:
+        """Seconds for which connections have waited to be accepted; 0 if none does."""
+        return self._timers.now() - self._waiting_since if self._has_waiting else 0.0
+
+    def _take_pending(self) -> socket.socket | None:
+        """Return a connection that waits to be accepted, None if there is none."""
         try:
-            sock, _ = self._listen_socket.accept()
+            return self._listen_socket.accept()[0]
         except OSError as exc:
             if exc.errno not in _NO_CONNECTION_ERRORS:
                 self._on_fault(exc)
-            return
+            self._waiting_turn = None
+            return None
+
+    def _accept(self, sock: socket.socket) -> None:
+        """Start to read from a connection."""
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         _enable_keepalive(sock)
--- a/flamingofront/forward_daemon.py
+++ b/flamingofront/forward_daemon.py
@@ -17,6 +17,7 @@
 from flamingofront.connection.datagrams import DatagramSocket
 from flamingofront.connection.runtime import Runtime
 from flamingofront.connection.server import HTTPServer, ServerLimits
+from flamingofront.decisions.accept_control import AcceptControl, Transition
 from flamingofront.errors import RequestError, SettingsError
 from flamingofront.platform.cloud import PlatformCloud
 from flamingofront.platform.config import CONFIG_KEY, CONFIG_TABLE, decode_configuration
@@ -74,6 +75,11 @@
         self.node.on_configuration = self._apply_caller_limits
         self._client.max_idle = self.node.max_idle
         self.callers = self._make_server(settings.caller_bind, self.node.handle_caller, "callers")
+        self._accept_control = AcceptControl(random.Random())
+        self.callers.set_refusal(self._must_refuse)
+        self.callers.must_close = self._accept_control.must_close
+        self.runtime.poller.on_turn = self._record_turn
+        self.node.delay_ms = lambda: round(self._accept_control.mean_delay_seconds * 1000)
         ready = self._make_server(settings.ready_bind, self.node.handle_ready, "ready")
         metrics = Address(settings.ip, metrics_port)
         servers = {
@@ -143,6 +149,37 @@
                 max_head=max(default.max_head, limits.max_head + PROXY_HEAD_BYTES),
             )
 
+    def _must_refuse(self) -> bool | None:
+        """Return True if a new connection is refused, because another process can serve it."""
+        if not self._accept_control.is_refusing:
+            return None
+        is_refused = self._accept_control.must_refuse()
+        if is_refused:
+            self.node.metrics.count("connections_refused_total")
+        return is_refused
+
+    def _record_turn(self, now: float, busy: float) -> None:
+        """Log when the event loop becomes overloaded, so that connections are refused."""
+        transition = self._accept_control.record_turn(
+            now, busy, lambda: self.callers.waiting_seconds, self.node.peers.peer_delays
+        )
+        if transition is None:
+            return
+        state = self._accept_control.state
+        self._log.warning(
+            f"refusal of new connections {transition.value}",
+            turn_ms=round(state.turn_seconds * 1000, 1),
+            waiting_ms=round(state.waiting_seconds * 1000, 1),
+            delay_ms_of_peers=round(state.peer_delay_seconds * 1000, 1),
+            fraction=round(state.fraction, 2),
+            refused=state.refused,
+            peers=self.node.peers.live_count(),
+            requests=len(self.node.hub.active),
+            connections=self.callers.connections,
+        )
+        if transition is Transition.ENDED:
+            self._accept_control.reset_count()
+
     def _handle_exception(self, exc: BaseException) -> None:
         self.node.fault(exc)
 
--- a/flamingofront/process/forwarding/digests.py
+++ b/flamingofront/process/forwarding/digests.py
@@ -15,6 +15,7 @@
     PeerReport,
     ProcessCounts,
     decode_ages,
+    decode_delay,
     decode_endpoint_numbers,
     decode_rollouts,
     decode_time,
@@ -168,6 +169,7 @@
             relay.removed_endpoints,
             relay.answered,
             encode_part_update(relay.suspect_parts),
+            relay.delay_ms,
         ]
         self._body = orjson.dumps(values)
 
@@ -229,6 +231,7 @@
         removed_endpoints=decode_endpoint_numbers(*values[21:22] or ((),)),
         answered=decode_time(*values[22:23] or (None,)),
         suspect_parts=decode_part_update(*values[23:24] or (None,)),
+        delay_ms=decode_delay(*values[24:25] or (None,)),
     )
     fencing, lease_version, released, holder_ip = claim
     return Digest(
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -119,6 +119,8 @@
         self.log = log
         self.metrics = Metrics({"vm": settings.vm_id, "zone": settings.zone})
         self.on_configuration: Callable[[ForwardingConfiguration], None] = lambda cfg: None
+        # Mean delay until a new connection is read, if it is measured.
+        self.delay_ms: Callable[[], int | None] = lambda: None
         self.stopping = False
         self._started_at = dependencies.timers.now()
         self.store = EraStore(CountedTableStore(dependencies.store, self.metrics), log)
@@ -134,6 +136,7 @@
             str(settings.control_bind or settings.ready_bind),
         )
         self._report_builder = LocalReport(identity, dependencies.timers, rng)
+        self._report_builder.delay_ms = lambda: self.delay_ms()
         self.usage = UsageBook(identity.process, settings.rules.usage_window)
         self.rollouts = Rollouts(settings.rules.expose_share, self.timers.now, rng, log)
         self._build_requests()
--- a/flamingofront/process/forwarding/own_report.py
+++ b/flamingofront/process/forwarding/own_report.py
@@ -1,6 +1,7 @@
 """The report that this process sends to its peers."""
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 from flamingofront.process.forwarding.duty import LeaderLease
@@ -41,12 +42,15 @@
         Number of the last report.
     leaving : bool
         True during a graceful shutdown.
+    delay_ms : callable
+        Returns the mean delay until a new connection is read; None if it is not known.
     """
 
     def __init__(self, identity: PeerReport, timers: TimerService, rng: random.Random):
         self.identity = identity
         self.sequence = 0
         self.leaving = False
+        self.delay_ms: Callable[[], int | None] = lambda: None
         self._timers = timers
         self._rng = rng
 
@@ -86,6 +90,7 @@
             work=self._round_work(sources.hub),
             rollouts=sources.rollouts.phase_update(),
             quarantine=sources.hub.guard.build_update(),
+            delay_ms=self.delay_ms(),
             suspect_parts=sources.hub.guard.build_part_update(),
             limits=sources.hub.limits.recent_changes(),
             leaving_endpoints=knowledge.endpoints.recently_leaving(),
--- a/flamingofront/process/forwarding/peers.py
+++ b/flamingofront/process/forwarding/peers.py
@@ -216,6 +216,13 @@
             for each in live
         ]
 
+    def peer_delays(self) -> list[float]:
+        """Return the delays until other processes read a new connection, in seconds."""
+        reports = self.table.live_reports(self._timers.now())
+        if self.is_relayed:
+            reports = reports + self.relaying.live_relays()
+        return [each.delay_ms / 1000 for each in reports if each.delay_ms is not None]
+
     def unreachable_zones(self) -> frozenset[str]:
         """Return the zones without a live member."""
         if self.is_relayed:
--- a/flamingofront/process/forwarding/reports.py
+++ b/flamingofront/process/forwarding/reports.py
@@ -130,6 +130,9 @@
     suspect_parts : PartUpdate, optional
         Endpoints that have just crashed, with the prompt parts of requests that they had not begun
         to answer. None if there are none.
+    delay_ms : int, optional
+        Mean delay until it reads a new connection, which grows with its load. None if it is not
+        known.
     """
 
     vm_id: str
@@ -164,6 +167,7 @@
     removed_endpoints: tuple[tuple[str, int], ...] = ()
     answered: float | None = None
     suspect_parts: PartUpdate | None = None
+    delay_ms: int | None = None
 
     @property
     def process(self) -> str:
@@ -224,6 +228,7 @@
     named["confirmed"] = decode_ages(named.get("confirmed", (None, None)))
     named["answered"] = decode_time(named.get("answered"))
     named["removed_endpoints"] = decode_endpoint_numbers(named.get("removed_endpoints", ()))
+    named["delay_ms"] = decode_delay(named.get("delay_ms"))
     named["suspect_parts"] = decode_part_update(named.get("suspect_parts"))
     return PeerReport(**named)
 
@@ -262,6 +267,19 @@
         raise ValueError(f"malformed numbers of endpoints: {exc!r:.100}") from exc
 
 
+def decode_delay(value: Any) -> int | None:
+    """Return a delay in milliseconds; None if it is unknown.
+
+    Raises
+    ------
+    ValueError
+        If the value is malformed.
+    """
+    if value is None or isinstance(value, int):
+        return value
+    raise ValueError(f"malformed delay: {value!r:.60}")
+
+
 def decode_time(value: Any) -> float | None:
     """Return a time in seconds; None if it is unknown.
 
--- a/flamingofront/process/forwarding/tests/test_limit_messages.py
+++ b/flamingofront/process/forwarding/tests/test_limit_messages.py
@@ -59,10 +59,10 @@
         assert digest.relay.limits == REPORT.limits
 
     def test_messages_of_an_earlier_version_carry_no_limits(self):
-        report = orjson.dumps(orjson.loads(encode_report(REPORT))[:-8])
+        report = orjson.dumps(orjson.loads(encode_report(REPORT))[:-9])
         assert decode_report(report).limits == ()
         head, _, body = (
             DigestWriter(Digest(REPORT, "zone-a", 1.0, 1, 1)).datagram().partition(b"\n")
         )
-        earlier = head + b"\n" + orjson.dumps(orjson.loads(body)[:-7])
+        earlier = head + b"\n" + orjson.dumps(orjson.loads(body)[:-8])
         assert decode_digest(earlier).relay.limits == ()
--- a/flamingofront/process/metrics.py
+++ b/flamingofront/process/metrics.py
@@ -11,6 +11,7 @@
 # Names and help texts; docs/OPERATIONS.md must list the same names.
 COUNTERS: Mapping[str, str] = {
     "requests_accepted_total": "Accepted requests, by service",
+    "connections_refused_total": "New connections reset unread, since this process is overloaded",
     "requests_completed_total": "Requests answered whole, by service",
     "refusals_total": "Error answers, by kind",
     "retries_total": "Further attempts, by reason",
