--- a/flamingofront/cli.py
+++ b/flamingofront/cli.py
@@ -391,6 +391,23 @@
 )
 
 
+def release(
+    work: str, *, entry: str = "", operator: str = "", token: str = "", json: bool = False
+) -> None:
+    """Run a quarantined request, or requests with a quarantined prompt part, again.
+
+    Example: flamingofront release part/5c1e07a2
+
+    :param work: the work as in show held
+    :param entry: control IP:PORT[,IP:PORT] of entry VMs; FLAMINGOFRONT_ENTRY
+    :param operator: your name; FLAMINGOFRONT_OPERATOR
+    :param token: control token; FLAMINGOFRONT_CONTROL_TOKEN
+    :param json: print JSON instead of text
+    """
+    options = _resolve_options(entry, operator, token, json)
+    _run_query(options, _make_statement("release", (work,)))
+
+
 def apply(
     file: Path,
     *,
@@ -498,6 +515,7 @@
         "drain": drain,
         "undrain": undrain,
         "settle": settle,
+        "release": release,
         "apply": apply,
         "wait": wait,
         "logs": logs,
--- a/flamingofront/process/forwarding/operators.py
+++ b/flamingofront/process/forwarding/operators.py
@@ -13,10 +13,15 @@
 from flamingofront.errors import CommandError, ErrorKind, RequestError
 from flamingofront.messages import InboundRequest
 from flamingofront.process.forwarding.reports import PeerReport
-from flamingofront.process.held_rows import QUARANTINE_COLUMNS, held_rows
+from flamingofront.process.held_rows import (
+    QUARANTINE_COLUMNS,
+    RELEASE_COLUMNS,
+    held_rows,
+    release_rows,
+)
 from flamingofront.process.membership import Fact, Role, VmState
 from flamingofront.process.path_rows import PATH_COLUMNS, path_rows
-from flamingofront.version.language import Query, Statement, parse
+from flamingofront.version.language import Query, Release, Statement, parse
 from flamingofront.version.query import run_query
 
 if TYPE_CHECKING:
@@ -92,10 +97,16 @@
 
     def _run_statements(self, statements: list[Statement], exchange: Exchange) -> None:
         query = statements[0]
+        if len(statements) == 1 and isinstance(query, Release):
+            vm_id, guard = self._node.settings.vm_id, self._node.hub.guard
+            rows = release_rows(vm_id, guard, query.work)
+            body = {"columns": RELEASE_COLUMNS, "rows": rows, "missing": []}
+            exchange.respond(200, JSON_HEADERS, orjson.dumps(body))
+            return
         if len(statements) != 1 or not isinstance(query, Query):
             raise CommandError(
                 "the configuration of forwarded routes belongs to the platform's operator and is "
-                "read-only here; only show is possible"
+                "read-only here; only show and release are possible"
             )
         columns = COLUMNS.get(query.subject)
         if columns is None:
--- a/flamingofront/process/held_rows.py
+++ b/flamingofront/process/held_rows.py
@@ -5,9 +5,10 @@
 from flamingofront.decisions.part_facts import PartCrash, part_key
 from flamingofront.decisions.quarantine_facts import QuarantineStatus
 from flamingofront.decisions.send_intents import IntentRecord
+from flamingofront.errors import CommandError
 from flamingofront.request.guard import RequestGuard
 
-__all__ = ["QUARANTINE_COLUMNS", "held_rows"]
+__all__ = ["QUARANTINE_COLUMNS", "RELEASE_COLUMNS", "held_rows", "release_rows"]
 
 QUARANTINE_COLUMNS = (
     "vm",
@@ -23,6 +24,24 @@
 )
 
 
+RELEASE_COLUMNS = ("vm", "work", "state")
+
+
+def release_rows(vm_id: str, guard: RequestGuard, work: str) -> list[dict[str, Any]]:
+    """Release a quarantined request or prompt part and return a row that says so.
+
+    Raises
+    ------
+    CommandError
+        If nothing is quarantined under this fingerprint or key.
+    """
+    if not guard.release_work(work):
+        raise CommandError(
+            f"{work!r} is not held by {vm_id}; flamingofront show held lists what is"
+        )
+    return [{"vm": vm_id, "work": work, "state": "released"}]
+
+
 def held_rows(vm_id: str, guard: RequestGuard) -> list[dict[str, Any]]:
     """Return a row for each request and prompt part that a process quarantines or suspects."""
     records = {each.fingerprint: each for each in guard.intents.known_records()}
--- a/flamingofront/process/node.py
+++ b/flamingofront/process/node.py
@@ -16,6 +16,7 @@
 from flamingofront.process.drain import DrainController, DrainState
 from flamingofront.process.expiry import Sweeper
 from flamingofront.process.former_sends import SenderProcess
+from flamingofront.process.held_rows import release_rows
 from flamingofront.process.holds import DocumentQuarantine, QuarantineStore
 from flamingofront.process.intent_rows import DocumentIntents
 from flamingofront.process.intents import IntentRecorder
@@ -307,6 +308,7 @@
             self._rng,
             self.rows.build_rows,
             self.activate_configuration,
+            lambda work: release_rows(self.settings.vm_id, self.hub.guard, work),
         )
         self.control = ControlInterface(
             self.settings.control_token,
--- a/flamingofront/process/operators.py
+++ b/flamingofront/process/operators.py
@@ -14,14 +14,14 @@
 from flamingofront.process.dissemination import Dissemination
 from flamingofront.process.documents import DocumentStore
 from flamingofront.process.expiry import RETENTION_SECONDS
-from flamingofront.process.held_rows import QUARANTINE_COLUMNS
+from flamingofront.process.held_rows import QUARANTINE_COLUMNS, RELEASE_COLUMNS
 from flamingofront.process.path_rows import PATH_COLUMNS
 from flamingofront.process.peers import PeerLinks
 from flamingofront.process.tasks import TaskRunner
 from flamingofront.process.timers import TimerService
 from flamingofront.version.commit import CommitOutcome, CommitState, commit, settle_operation
 from flamingofront.version.edits import Edit
-from flamingofront.version.language import EditStatement, Query, Settle, parse
+from flamingofront.version.language import EditStatement, Query, Release, Settle, parse
 from flamingofront.version.model import Configuration, ObjectKind
 from flamingofront.version.query import run_query
 
@@ -103,6 +103,8 @@
         Returns this process's rows of a subject.
     on_configuration : callable
         Called with each configuration committed by this process.
+    release : callable
+        Releases a quarantined request and returns the rows of the response.
     """
 
     def __init__(
@@ -115,6 +117,7 @@
         rng: random.Random,
         local_rows: Callable[[str], list[dict[str, Any]]],
         on_configuration: Callable[[Configuration], None],
+        release: Callable[[str], list[dict[str, Any]]],
     ):
         self._gossip = dissemination
         self._documents = documents
@@ -123,6 +126,7 @@
         self._links = links
         self._rng = rng
         self._local_rows = local_rows
+        self._release = release
         self._on_configuration = on_configuration
 
     def handle(self, req: InboundRequest, exchange: Exchange) -> None:
@@ -142,6 +146,10 @@
             raise CommandError("only changes can be given together in one call")
         elif isinstance(statements[0], Query):
             self._respond_query(statements[0], exchange)
+        elif isinstance(statements[0], Release):
+            rows = self._release(statements[0].work)
+            body = {"columns": RELEASE_COLUMNS, "rows": rows, "missing": []}
+            exchange.respond(200, JSON_HEADERS, orjson.dumps(body))
         else:
             self._settle(statements[0], data["operator"], exchange)
 
--- a/flamingofront/request/guard.py
+++ b/flamingofront/request/guard.py
@@ -388,6 +388,19 @@
         if cleared or reduced:
             self._schedule_gossip()
 
+    def release_work(self, work: str) -> bool:
+        """Release a request or prompt part for an operator; return False if it is not quarantined.
+
+        Parameters
+        ----------
+        work : str
+            Fingerprint of the request, or key of the part.
+        """
+        entry = self.quarantine.get_entry(work)
+        if entry is not None:
+            self.release(entry, "operator")
+        return entry is not None
+
     def release(self, entry: QuarantineEntry, reason: str) -> None:
         """Release a quarantined request or set of prompt parts everywhere."""
         if not self.quarantine.clear_request(entry.fingerprint, self.wall()):
--- a/flamingofront/standins/forward_endpoint.py
+++ b/flamingofront/standins/forward_endpoint.py
@@ -7,9 +7,10 @@
 from flamingofront.messages import InboundRequest
 from flamingofront.process.timers import TimerService
 
-__all__ = ["ForwardEndpointStandIn", "ForwardFault"]
+__all__ = ["ForwardEndpointStandIn", "ForwardFault", "list_shared_parts"]
 
 REQUEST_ID = "x-flamingofront-request-id"
+PROMPT_HEADER = "x-flamingofront-prompt-prefix"
 STATUS_WRONG_ENDPOINT = 421
 # Requests for the state of the endpoint, which it does not run.
 STATE_PATHS = ("/health", "/api/report")
@@ -20,6 +21,12 @@
 START_SECONDS = 0.02
 
 
+def list_shared_parts(req: InboundRequest) -> frozenset[str]:
+    """Return the ids of the parts of a request's prompt, but for the last one."""
+    ids = [each.partition(":")[0] for each in req.header(PROMPT_HEADER).split(",")]
+    return frozenset(ids[:-1])
+
+
 class ForwardFault(StrEnum):
     """How a request fails."""
 
--- a/flamingofront/standins/programs.py
+++ b/flamingofront/standins/programs.py
@@ -2,6 +2,7 @@
 
 import base64
 import http.client
+import os
 import random
 import sys
 from collections.abc import Callable
@@ -17,7 +18,11 @@
 from flamingofront.messages import InboundRequest
 from flamingofront.process.settings import parse_address
 from flamingofront.standins.engine import EngineOptions, EngineStandIn
-from flamingofront.standins.forward_endpoint import ForwardEndpointStandIn, ForwardFault
+from flamingofront.standins.forward_endpoint import (
+    ForwardEndpointStandIn,
+    ForwardFault,
+    list_shared_parts,
+)
 from flamingofront.standins.plain import PlainStandIn
 from flamingofront.standins.platform import PlatformStandIn
 from flamingofront.standins.table_store import TableStoreStandIn
@@ -134,6 +139,7 @@
     software: str = "v1",
     events: int = 8,
     cut: float = 0.0,
+    crash_part: str = "",
 ) -> None:
     """Serve forwarded requests as an endpoint that registers itself in the store.
 
@@ -153,6 +159,7 @@
     :param software: software version in the row
     :param events: number of events in a stream
     :param cut: fraction of the streams that break off in the middle of an event
+    :param crash_part: exit when a request with this part in its prompt, but last, begins to run
     """
     row = {
         "service": service,
@@ -170,6 +177,9 @@
         standin = ForwardEndpointStandIn(endpoint_id, runtime.timers, events, gap)
         standin.rate_limit = rate_limit or None
         standin.leaving, standin.retry_after = leaving, retry_after
+        if crash_part:
+            standin.crashes_on = lambda req: crash_part in list_shared_parts(req)
+            standin.on_crash = lambda req: os._exit(1)
         rng = random.Random(endpoint_id)
 
         def handle(req: InboundRequest, exchange: Exchange) -> None:
--- a/flamingofront/tests/crashing_world.py
+++ b/flamingofront/tests/crashing_world.py
@@ -5,6 +5,7 @@
 
 from flamingofront.messages import InboundRequest
 from flamingofront.platform.endpoints import ENDPOINT_TABLE
+from flamingofront.standins.forward_endpoint import list_shared_parts
 from flamingofront.standins.table_store import StoreFault
 from flamingofront.tests.forwarding_world import ForwardingWorld
 
@@ -16,7 +17,6 @@
     "Send",
     "ZONES",
     "crashing_world",
-    "list_parts",
 ]
 
 # Word of what happened is owed to all processes so much later, as the platform sees it.
@@ -24,16 +24,9 @@
 # A crashed endpoint's row lapses after three reports that did not come.
 LAPSE_SECONDS = 3.6
 BACK_SECONDS = 3.0
-PROMPT_HEADER = "x-flamingofront-prompt-prefix"
 ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
 
 
-def list_parts(req: InboundRequest) -> frozenset[str]:
-    """Return the ids of the parts of a request's prompt, but for the last one."""
-    ids = [each.partition(":")[0] for each in req.header(PROMPT_HEADER).split(",")]
-    return frozenset(ids[:-1])
-
-
 @dataclass(frozen=True)
 class Crash:
     """An endpoint that ended under a request."""
@@ -88,7 +81,7 @@
 
         def handle(req, exchange):
             front = exchange._link.source.name
-            in_touch, parts = self._is_in_touch(front), list_parts(req)
+            in_touch, parts = self._is_in_touch(front), list_shared_parts(req)
             self.sent.append(Send(self.clock.now(), req.body, front, in_touch, parts))
             inner(req, exchange)
 
@@ -96,7 +89,7 @@
         return endpoint
 
     def _is_poison(self, req: InboundRequest) -> bool:
-        return req.body in self.poison or not self.poison_parts.isdisjoint(list_parts(req))
+        return req.body in self.poison or not self.poison_parts.isdisjoint(list_shared_parts(req))
 
     def _is_in_touch(self, front: str) -> bool:
         since = max(self.disturbed.get(front, 0.0), self.store_disturbed)
@@ -108,7 +101,7 @@
 
     def _crashed(self, req, name: str, service: str, zone: str) -> None:
         if not self.host(name).dead:
-            self.crashes.append(Crash(self.clock.now(), name, req.body, list_parts(req)))
+            self.crashes.append(Crash(self.clock.now(), name, req.body, list_shared_parts(req)))
             self.end_endpoint(name, service, zone)
 
     def end_endpoint(self, name: str, service: str, zone: str) -> None:
--- a/flamingofront/tests/test_forward_processes.py
+++ b/flamingofront/tests/test_forward_processes.py
@@ -72,7 +72,7 @@
 
     def endpoint(self, name, service):
         """Start an endpoint, and register it under the address that it got."""
-        address = self.standin("endpoint", "--store", self.store, "--endpoint-id", name)
+        address = self.start_endpoint(name)
         row = {"service": service, "address": address, "zone": "zone-a", "slots": 4}
         row |= {"state": "ready", "sequence": 2, "version": "v1", "cold_left_ms": 0}
         value = base64.b64encode(orjson.dumps(row)).decode()
@@ -80,6 +80,10 @@
         body = orjson.dumps({"expected_rev": [], "writes": [write], "remove": []})
         assert get(self.store, "/api/rows-tx", method="POST", body=body)[0] == 200
 
+    def start_endpoint(self, name):
+        """Start an endpoint and return its address."""
+        return self.standin("endpoint", "--store", self.store, "--endpoint-id", name)
+
     def start(self, environment):
         child = subprocess.Popen(
             [BIN / "flamingofront-forward", "--metrics-port", "0"],
--- a/flamingofront/tests/test_operating.py
+++ b/flamingofront/tests/test_operating.py
@@ -16,10 +16,10 @@
 from flamingofront.tests.network import Caller
 
 
-def operate(world, text):
-    """Send a statement to the first process and return the answer."""
-    node = world.fronts["front-1"]
-    caller = Caller(node, world.host("front-1"))
+def operate(world, text, front="front-1"):
+    """Send a statement to a process and return the answer."""
+    node = world.fronts[front]
+    caller = Caller(node, world.host(front))
     body = orjson.dumps({"statements": [text]})
     node.handle_control(InboundRequest("POST", "/operate", {}, {}, body), caller)
     return orjson.loads(caller.body)
--- a/flamingofront/tests/test_poison_prompt_parts.py
+++ b/flamingofront/tests/test_poison_prompt_parts.py
@@ -6,9 +6,12 @@
 
 import pytest
 
+from flamingofront.decisions.quarantine_facts import TRIAL_SECONDS
+from flamingofront.errors import RequestError
 from flamingofront.standins.table_store import StoreFault
 from flamingofront.tests.crashing_world import ZONES, crashing_world
 from flamingofront.tests.part_load import POISON_PART, PartLoad
+from flamingofront.tests.test_operating import operate
 
 MAX_SENT_LATE = 3
 # Endpoints that may crash before a part is found out.
@@ -157,6 +160,37 @@
         assert all(each.status == 200 for each in load.poison[-4:])
 
 
+class TestOperator:
+    def test_held_part_is_listed_with_its_endpoints_and_released_everywhere(self):
+        load = make_load().play(seconds=6.0, poison_from=2.0)
+        world, key = load.world, f"part/{POISON_PART}"
+        world.poison_parts.clear()
+        rows = operate(world, "show held", "front-3")["rows"]
+        (row,) = [each for each in rows if each["work"] == key]
+        assert row["state"] == "held" and len(row["endpoints"].split()) >= 4
+        refused = load.ask("/stream/again/x", [POISON_PART])
+        error = refused.error
+        assert (refused.status, error["kind"], error["ran"]) == (
+            503,
+            "prompt_part_crashes_endpoints",
+            "no",
+        )
+        assert 1.0 <= float(refused.headers["retry-after"]) <= TRIAL_SECONDS[0]
+        assert operate(world, f"release {key}", "front-3")["rows"][0]["state"] == "released"
+        world.run(1.0)
+        callers = [
+            world.ask(name, "/stream/again/x", X_Flamingofront_Prompt_Prefix=f"{POISON_PART}:9,z:9")
+            for name in world.fronts
+        ]
+        world.finish(*callers)
+        assert {each.status for each in callers} == {200}
+
+    def test_release_of_what_is_not_held_is_an_error(self):
+        world = make_load(fronts=1).world
+        with pytest.raises(RequestError, match="is not held"):
+            operate(world, "release part/0", "front-0")
+
+
 class TestPartsWithOtherHistories:
     def test_part_that_was_answered_before_is_found_out_when_it_begins_to_crash(self):
         """As with a new version of the model; requests without the part are served meanwhile."""
--- a/flamingofront/version/language.py
+++ b/flamingofront/version/language.py
@@ -8,6 +8,7 @@
     set share MOVE PERCENT
     drain vm|endpoint|side|zone TARGET    undrain vm|endpoint|side|zone TARGET
     settle OPERATION
+    release WORK
 
 ``OP`` is one of ``= != < <= > >= ~`` (contains).
 """
@@ -27,6 +28,7 @@
     "EditStatement",
     "Filter",
     "Query",
+    "Release",
     "Settle",
     "Statement",
     "parse",
@@ -49,7 +51,18 @@
     "paths",
 )
 OPERATORS = ("=", "!=", "<", "<=", ">", ">=", "~")
-_VERBS = ("show", "create", "change", "put", "delete", "set", "drain", "undrain", "settle")
+_VERBS = (
+    "show",
+    "create",
+    "change",
+    "put",
+    "delete",
+    "set",
+    "drain",
+    "undrain",
+    "settle",
+    "release",
+)
 _CONDITION = re.compile(r"([a-z_]+)(!=|<=|>=|=|<|>|~)(.*)", re.DOTALL)
 _TRUE = ("true", "yes", "on")
 _FALSE = ("false", "no", "off")
@@ -90,7 +103,20 @@
     operation: str
 
 
-Statement = Query | EditStatement | Settle
+@dataclass(frozen=True)
+class Release:
+    """A ``release`` statement: runs a quarantined request, or requests with a part, again.
+
+    Parameters
+    ----------
+    work : str
+        Fingerprint of the request, or key of the prompt part.
+    """
+
+    work: str
+
+
+Statement = Query | EditStatement | Settle | Release
 
 
 class _TokenReader:
@@ -284,6 +310,10 @@
     return Settle(tokens.next_word("the operation id"))
 
 
+def _parse_release(verb: str, tokens: _TokenReader) -> Release:
+    return Release(tokens.next_word("the work to release, as in show held"))
+
+
 _PARSERS = {
     "show": _parse_show,
     "create": _parse_edit,
@@ -294,4 +324,5 @@
     "drain": _parse_drain,
     "undrain": _parse_drain,
     "settle": _parse_settle,
+    "release": _parse_release,
 }
--- a/flamingofront/version/tests/test_language.py
+++ b/flamingofront/version/tests/test_language.py
@@ -5,7 +5,7 @@
 from flamingofront.errors import CommandError, ConfigurationError
 from flamingofront.version.edits import Edit, EditAction, apply_edits
 from flamingofront.version.files import load_statements
-from flamingofront.version.language import Filter, Query, Settle, parse
+from flamingofront.version.language import Filter, Query, Release, Settle, parse
 from flamingofront.version.model import Configuration, ObjectKind
 from flamingofront.version.query import run_query
 
@@ -69,6 +69,11 @@
     def test_parses_settle(self):
         assert parse("settle op-1") == Settle("op-1")
 
+    def test_release_names_the_work(self):
+        assert parse("release part/5c1e07a2") == Release("part/5c1e07a2")
+        with pytest.raises(CommandError, match="the work to release"):
+            parse("release")
+
     @pytest.mark.parametrize(
         ("text", "message"),
         [
