Refused probes count against prompt parts while paths seem to be lost

Cause: where all endpoints of a VM crash, its paths to them seem to be lost, and peers that see the same cannot tell. A crash was then known only when its row lapsed, 3.6 s later, and requests with a poison part were sent on meanwhile.

Change: an endpoint that refuses a probe while paths are uncertain counts as evidence against parts at once; an answer refutes it as any other. Requests by their fingerprints still wait for certainty.

--- a/flamingofront/request/endpoint_ends.py
+++ b/flamingofront/request/endpoint_ends.py
@@ -66,6 +66,9 @@
         Called with each `EndpointCrash`, with its time on the clock of the timer service, and a
         tuple of the `InterruptedRequest` objects. Another call for the same crash has the requests
         whose lost connections were detected later.
+    on_refused_uncertain : callable
+        Called like `on_crash` for an endpoint that refuses a probe while the paths of this VM are
+        not known to work, so that it may not have crashed.
     on_unobserved_crash : callable
         Called with each endpoint whose row was deleted without notice while this process had no
         request there.
@@ -96,6 +99,9 @@
         self._log = log
         self._checks: dict[str, _CrashCheck] = {}
         self.on_crash: Callable[[EndpointCrash, Interrupted], None] = lambda crash, requests: None
+        self.on_refused_uncertain: Callable[[EndpointCrash, Interrupted], None] = (
+            lambda crash, requests: None
+        )
         self.on_unobserved_crash: Callable[[str], None] = lambda endpoint_id: None
         self.on_crash_found: Callable[[str], None] = lambda endpoint_id: None
         self.on_refused: Callable[[str], None] = lambda endpoint_id: None
@@ -239,6 +245,8 @@
 
     def _wait_for_paths(self, endpoint_id: str, check: _CrashCheck) -> None:
         """Probe again until the paths are known to work, or the row of the endpoint has expired."""
+        requests = tuple(check.requests.values())
+        self.on_refused_uncertain(self._build_crash(endpoint_id, check, requests), requests)
         if check.probe_count < MAX_PROBES:
             self._timers.once(PROBE_RETRY_SECONDS, lambda: self._send_probe(endpoint_id, check))
         else:
@@ -264,5 +272,9 @@
         self._notify_crash(endpoint_id, check, tuple(check.requests.values()))
 
     def _notify_crash(self, endpoint_id: str, check: _CrashCheck, requests: Interrupted) -> None:
+        self.on_crash(self._build_crash(endpoint_id, check, requests), requests)
+
+    @staticmethod
+    def _build_crash(endpoint_id: str, check: _CrashCheck, requests: Interrupted) -> EndpointCrash:
         fingerprints = tuple(sorted(each.fingerprint for each in requests))
-        self.on_crash(EndpointCrash(endpoint_id, check.zone, check.lost_at, fingerprints), requests)
+        return EndpointCrash(endpoint_id, check.zone, check.lost_at, fingerprints)
--- a/flamingofront/request/guard.py
+++ b/flamingofront/request/guard.py
@@ -139,6 +139,7 @@
     ):
         self.crash_detector = crash_detector
         crash_detector.on_crash = self._on_crash
+        crash_detector.on_refused_uncertain = self._on_refused_uncertain
         crash_detector.on_unobserved_crash = self._on_unobserved_crash
         crash_detector.on_crash_found = self._on_crash_found
         self.quarantine = Quarantine()
@@ -271,6 +272,21 @@
             self.on_update()
         self.intents.record_crash(crash.endpoint_id)
 
+    def _on_refused_uncertain(
+        self, crash: EndpointCrash, requests: tuple[InterruptedRequest, ...]
+    ) -> None:
+        """Record that an endpoint refuses connections and has probably crashed.
+
+        Notes
+        -----
+        If all endpoints of a VM crash, its paths seem to be lost, and peers cannot tell either.
+        Parts may be blamed all the same, because an answer refutes such evidence.
+        """
+        at = self.wall() - (self._timers.now() - crash.at)
+        if self.parts.record_crash(crash, requests, at):
+            self._evaluate(is_local=True)
+            self.on_update()
+
     def _is_recorded(self, endpoint_id: str) -> bool:
         return (
             endpoint_id in self.quarantine.get_crashed_endpoints()
--- a/flamingofront/tests/part_load.py
+++ b/flamingofront/tests/part_load.py
@@ -4,10 +4,10 @@
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 
-from flamingofront.tests.crashing_world import CONTACT_SECONDS, CrashingWorld
+from flamingofront.tests.crashing_world import CONTACT_SECONDS, AnyTrouble, CrashingWorld
 from flamingofront.tests.network import Caller
 
-__all__ = ["POISON_PART", "PartLoad", "insert_part"]
+__all__ = ["POISON_PART", "PartLoad", "PartTrouble", "insert_part"]
 
 POISON_PART = "dead01"
 SHARED_PART = "5a0001"
@@ -133,3 +133,45 @@
         before = [each.is_served for each in self.sound if each.at < first - 1.0]
         after = [each.is_served for each in self.sound if each.at > self._known_at]
         return sum(before) / len(before), sum(after) / len(after)
+
+
+class PartTrouble(AnyTrouble):
+    """Plays requests of all kinds, some of which hold a poison part, beside troubles by chance."""
+
+    PARTS = (POISON_PART, "dead02")
+
+    def __init__(self, seed: int):
+        super().__init__(seed)
+        self.world.poison.clear()
+        self.world.poison_parts.update(self.PARTS)
+        self._number = 0
+
+    def _ask(self) -> None:
+        if self.rng.random() < 0.25:
+            for _ in range(self.rng.choice((1, 1, 1, 4))):
+                self._ask_with([self.rng.choice(self.PARTS)])
+        else:
+            for _ in range(self.rng.choice((1, 3, 8))):
+                self.callers.append(self._ask_with([]))
+
+    def _ask_with(self, poison: list[str]) -> Caller | None:
+        """Send a request of any kind with some parts beside those that others share."""
+        running = [each for each in self.world.live_fronts() if each not in self._paused]
+        if not running:
+            return None
+        self._number += 1
+        parts = [SHARED_PART, f"5b000{self._number % 4}"]
+        for each in poison:
+            parts.insert(self.rng.randrange(3), each)
+        prompt = ",".join(f"{each}:40" for each in [*parts, f"1a57{self._number:06x}"])
+        return self.world.ask(
+            self.rng.choice(running),
+            self.rng.choice(self.PATHS),
+            body=b"prompt %d" % self.rng.getrandbits(60),
+            X_Flamingofront_Prompt_Prefix=prompt,
+        )
+
+    def refused_by_part(self) -> int:
+        """Return how many sound requests were refused for a part of their prompts."""
+        callers = [each for each in self.callers if each is not None]
+        return sum(b"prompt_part_crashes" in each.body for each in callers)
--- a/flamingofront/tests/test_poison_prompt_parts.py
+++ b/flamingofront/tests/test_poison_prompt_parts.py
@@ -10,7 +10,7 @@
 from flamingofront.errors import RequestError
 from flamingofront.standins.table_store import StoreFault
 from flamingofront.tests.crashing_world import ZONES, crashing_world
-from flamingofront.tests.part_load import POISON_PART, PartLoad
+from flamingofront.tests.part_load import POISON_PART, PartLoad, PartTrouble
 from flamingofront.tests.test_operating import operate
 
 MAX_SENT_LATE = 3
@@ -113,6 +113,18 @@
         check(load.play(seconds=16.0, poison_from=2.0))
 
 
+class TestAnyTrouble:
+    """Kills, stops, cuts, outages, lost datagrams and ends of endpoints, in any order."""
+
+    @pytest.mark.parametrize("seed", [2, 5])
+    def test_bound_holds_for_processes_in_touch_and_no_sound_part_is_blamed(self, seed):
+        """With seed 5 all endpoints of a VM refuse, so that its paths seem to be lost."""
+        trouble = PartTrouble(seed).play(25.0)
+        for part in trouble.PARTS:
+            assert trouble.world.sent_late_with_part(part) <= MAX_SENT_LATE
+        assert trouble.refused_by_part() == 0
+
+
 class TestSoundParts:
     """Parts that are not at fault are not blamed, though they are present at each crash."""
 
