The search for poison parts takes bounded time

Cause: each hypothesis looked at all parts and all crashes again. With 256 crashes of twelve unanswered requests each, 20,000 prompts and hardly any answers, one evaluation took 691 ms, in which a process serves nobody.

Change: 128 crashes are kept, the 48 parts with the most are considered, and four hypotheses found, in one evaluation; explained crashes are worked out once.

--- a/flamingofront/decisions/part_evidence.py
+++ b/flamingofront/decisions/part_evidence.py
@@ -49,7 +49,10 @@
 SAME_CRASH_SECONDS = 3.0
 # Crashes with a common cause, such as a power loss in a zone, occur within this time.
 COMMON_CAUSE_SECONDS = 0.2
-MAX_CRASHES = 256
+MAX_CRASHES = 128
+# Parts with the most crashes that are considered, and hypotheses found, in one evaluation.
+MAX_CANDIDATES = 48
+MAX_HYPOTHESES = 4
 MAX_REQUESTS_PER_CRASH = 128
 MAX_ANSWERED_PARTS = 4096
 MAX_RECENT_ANSWERS = 256
@@ -248,29 +251,42 @@
         If one hypothesis is a part of another one, the larger set is returned in its place: it
         rejects fewer requests, and an answer to one of them shrinks it.
         """
-        suspects = sorted(
-            each for each, crashes in self._by_part.items() if len(crashes) >= CRASHES_TO_BLAME
-        )
+        suspects = self._select_suspects()
         found: list[Hypothesis] = []
-        while True:
+        while suspects and len(found) < MAX_HYPOTHESES:
             explained = [*blamed, *(each.parts for each in found)]
+            is_open = {id(each) for each in self._crashes if not each.is_explained(explained)}
             candidates = [
                 each
                 for part in suspects
-                if (each := self._build_hypothesis(part, explained, now)) is not None
+                if (each := self._build_hypothesis(part, is_open, now)) is not None
             ]
             if not candidates:
-                return found
+                break
             best = min(candidates, key=lambda each: each.rank)
             more_specific = [each for each in candidates if each.parts > best.parts]
             found.append(max(more_specific, key=lambda each: len(each.parts), default=best))
+        return found
+
+    def _select_suspects(self) -> list[str]:
+        """Return the parts with enough crashes, those with the most first, up to a limit."""
+        counts = {
+            part: len(crashes)
+            for part, crashes in self._by_part.items()
+            if len(crashes) >= CRASHES_TO_BLAME
+        }
+        return sorted(counts, key=lambda each: (-counts[each], each))[:MAX_CANDIDATES]
 
-    def _build_hypothesis(
-        self, part: str, explained: list[frozenset[str]], now: float
-    ) -> Hypothesis | None:
-        """Return the hypothesis that a part is involved, None without sufficient evidence."""
+    def _build_hypothesis(self, part: str, is_open: set[int], now: float) -> Hypothesis | None:
+        """Return the hypothesis that a part is involved, None without sufficient evidence.
+
+        Parameters
+        ----------
+        is_open : set of int
+            Identities of the crashes that no quarantined set of parts explains.
+        """
         answered_at = self._answered.get(part)
-        crashes = [each for each in self._find_evidence(part) if not each.is_explained(explained)]
+        crashes = [each for each in self._find_evidence(part) if id(each) in is_open]
         if len(crashes) < CRASHES_TO_BLAME:
             return None
         holders = {
