Documentation of the guard names prompt parts

Cause: its attributes were described for requests alone.

Change: doc comments only.

Measured: formatter and linter pass; no code is changed.

--- a/flamingofront/request/guard.py
+++ b/flamingofront/request/guard.py
@@ -99,7 +99,7 @@
 
 
 class RequestGuard:
-    """Local state of the quarantine of poison requests.
+    """Local state of the quarantine of poison requests and prompt parts.
 
     Parameters
     ----------
@@ -108,16 +108,21 @@
 
     Attributes
     ----------
+    quarantine : Quarantine
+        Evidence against requests, and the entries of requests and parts.
+    parts : PartGuard
+        Evidence against prompt parts.
     wall : callable
         Returns the wall time on which the entry processes agree, in seconds.
     on_update : callable
-        Called when the other processes need an update, which `build_update` returns.
+        Called when the other processes need an update, which `build_update` and
+        `build_part_update` return.
     on_quarantine_change : callable
         Called with each quarantine entry that is new or cleared, and True if this process detected
         the change itself.
     on_evidence : callable
-        Called with the crashes to persist, by fingerprint; the tuple is empty for a request that a
-        response has cleared.
+        Called with the crashes to persist, by fingerprint or key of a part; the tuple is empty for
+        a request or part that a response has cleared.
     on_endpoint_crash : callable
         Called with each endpoint that has crashed, whether observed here or reported.
     entry_start_times : callable
--- a/flamingofront/request/part_guard.py
+++ b/flamingofront/request/part_guard.py
@@ -37,6 +37,9 @@
 class PartGuard:
     """Evidence against prompt parts and their entries in a quarantine.
 
+    `RequestGuard` passes it the crashes and answers of its process and word of others, and enforces
+    and gossips the entries that it returns.
+
     Parameters
     ----------
     quarantine : Quarantine
