Endpoints that a VM does not reach are used through the peer that reached them

Cause: a process remembered through which peer any attempt had worked, and not for which endpoint. Where each VM reaches a few endpoints only, most peers have no path to the one wanted; after two of them it got no attempts for a second.

Change: `ProxyPeers` keeps for five seconds which peer brought a response of which endpoint, prefers it, and such an endpoint is not taken for unreached.

Why it holds: a peer that has just reached an endpoint most likely still does; one that loses its path says so, and is forgotten for this endpoint.

--- a/flamingofront/request/endpoint_paths.py
+++ b/flamingofront/request/endpoint_paths.py
@@ -134,7 +134,8 @@
     def record_unreached(self, endpoint_id: str, peer: str) -> None:
         """Record that a peer could not connect to an endpoint; other peers may reach it."""
         self.peers.record_no_path(peer, endpoint_id, UNREACHED_SECONDS)
-        if self.peers.count_without_path(endpoint_id) >= MAX_UNREACHING_PEERS:
+        is_unreached = self.peers.count_without_path(endpoint_id) >= MAX_UNREACHING_PEERS
+        if is_unreached and not self.peers.is_reached(endpoint_id):
             self._unreached_until[endpoint_id] = self._timers.now() + UNREACHED_SECONDS
 
     def start(self, attempt: PathRequest) -> tuple[CallHandle, str]:
@@ -253,7 +254,7 @@
             is_written = event.wrote if self._failure is None else self._failure.wrote
             self._listener(CallFailed(event.reason, is_written, event.reused, by_proxy=True))
         elif self._failure is None:
-            self._peers.record_response(self._address)
+            self._peers.record_response(self._address, self._endpoint_id)
             self._listener(event)
         elif isinstance(event, ResponseEnd):
             self._fail(self._failure)
--- a/flamingofront/request/proxy_peers.py
+++ b/flamingofront/request/proxy_peers.py
@@ -23,6 +23,8 @@
 JITTER_FRACTION = 0.25
 # Pairs of peer and endpoint without a path that are kept before expired ones are dropped.
 MAX_NO_PATHS = 1024
+# Same for pairs of peer and endpoint through which a response came.
+MAX_REACHED = 1024
 # Time for which a peer counts as proven after a response through it.
 PROVEN_SECONDS = 5.0
 
@@ -44,6 +46,8 @@
         # Until when a peer is not asked for an endpoint that it does not reach.
         self._no_path_until: dict[tuple[str, str], float] = {}
         self._responded_at: dict[str, float] = {}
+        # When a response of an endpoint last came through a peer.
+        self._reached_at: dict[tuple[str, str], float] = {}
 
     def choose(self, other_than: Collection[str] = (), endpoint_id: str = "") -> str | None:
         """Return the address of a peer, at random to spread the load; None if there is none.
@@ -57,8 +61,9 @@
 
         Notes
         -----
-        If most peers are in backoff, those that have just proxied an attempt are preferred, so that
-        a request does not ask one peer without a path after the other.
+        A peer through which a response of the endpoint has just come is preferred: if each VM
+        reaches a few endpoints only, most other peers have no path to it. If most peers are in
+        backoff, those that have just proxied any attempt are preferred.
         """
         now, addresses = self._timers.now(), self.addresses()
         usable = [
@@ -66,6 +71,9 @@
             for each in addresses
             if each not in other_than and self._may_ask(each, endpoint_id, now)
         ]
+        reaching = [each for each in usable if self._has_reached(each, endpoint_id, now)]
+        if reaching:
+            return self._rng.choice(reaching)
         proven = [each for each in usable if now - self.responded_at(each) < PROVEN_SECONDS]
         if proven and 2 * len(usable) < len(addresses):
             usable = proven
@@ -111,14 +119,37 @@
             (name for name, at in self._responded_at.items() if now - at < PROVEN_SECONDS), ""
         )
 
-    def record_response(self, address: str) -> None:
-        """Record that the response of an endpoint came through a peer."""
-        self._responded_at[address] = self._timers.now()
+    def is_reached(self, endpoint_id: str) -> bool:
+        """Return True if a response of an endpoint has just come through a peer."""
+        now = self._timers.now()
+        return any(self._has_reached(each, endpoint_id, now) for each in self.addresses())
+
+    def _has_reached(self, address: str, endpoint_id: str, now: float) -> bool:
+        return now - self._reached_at.get((address, endpoint_id), -math.inf) < PROVEN_SECONDS
+
+    def record_response(self, address: str, endpoint_id: str = "") -> None:
+        """Record that the response of an endpoint came through a peer.
+
+        Parameters
+        ----------
+        endpoint_id : str
+            The endpoint; empty if it is not known.
+        """
+        now = self._timers.now()
+        self._responded_at[address] = now
         self._backoff_until.pop(address, None)
+        if not endpoint_id:
+            return
+        if len(self._reached_at) >= MAX_REACHED:
+            self._reached_at = {
+                key: at for key, at in self._reached_at.items() if now - at < PROVEN_SECONDS
+            }
+        self._reached_at[address, endpoint_id] = now
 
     def record_no_path(self, address: str, endpoint_id: str, seconds: float) -> None:
         """Record that a peer does not reach an endpoint; it is asked for others."""
         now = self._timers.now()
+        self._reached_at.pop((address, endpoint_id), None)
         if len(self._no_path_until) >= MAX_NO_PATHS:
             self._no_path_until = {
                 key: until for key, until in self._no_path_until.items() if until > now
