A relay's method is not replaced by another of its name

Cause: `live_relays`, added with the refusal of connections, replaced the method of the same name in the base class, which leaves relays out that are not live members. Class: a name taken without a look at the base class.

What callers saw: none seen; among 24 processes a removed endpoint was known after 4.16 s (1.0 s is the target), as feeds that had died were not checked.

Change: the method is gone; `Peers.peer_delays` uses the one of the base class.

Why it holds: it returns the same reports, for the processes that count as relays.

--- a/flamingofront/process/forwarding/relaying.py
+++ b/flamingofront/process/forwarding/relaying.py
@@ -426,16 +426,6 @@
                 self._forward_digest(digest, data)
                 self._drop_expired(by_relay)
 
-    def live_relays(self) -> list[PeerReport]:
-        """Return the state of the relays from which digests came recently."""
-        now = self._timers.now()
-        return [
-            each.digest.relay
-            for by_relay in (self._zone_digests, *self._remote_digests.values())
-            for each in by_relay.values()
-            if now - each.received_at <= DIGEST_EXPIRY_SECONDS
-        ]
-
     def _store_digest(self, digest: Digest, digests: dict[str, ReceivedDigest]) -> bool:
         """Store and apply a digest; False if it is not newer than the stored one of its relay."""
         now = self._timers.now()
