--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,8 @@
 	@exec scripts/run-platform-demo.sh
 
 test: .venv/installed
-	$(BIN)/python -m pytest -n auto
+	$(BIN)/python -m pytest -n auto -m "not alone"
+	$(BIN)/python -m pytest -m alone
 
 lint: .venv/installed
 	$(BIN)/black --check -q -l 100 .
