--- a/flamingofront/decisions/part_evidence.py
+++ b/flamingofront/decisions/part_evidence.py
@@ -30,7 +30,7 @@
 __all__ = ["Hypothesis", "PartEvidence"]
 
 # Crashes that are sufficient against a part that no request is known to have been answered with.
-# The users allow five before a part has to be known; the word between processes takes a part of it.
+# One fewer than the five after which all processes have to know a part, since gossip takes time.
 CRASHES_TO_BLAME = 4
 # Requests that have to be involved. Repeats of a single request are left to its fingerprint.
 REQUESTS_TO_BLAME = 2
