New connections that have waited long are refused, also where all processes are busy

Cause: the time for which new connections wait was taken as the time since their queue was last seen empty, and counted up to 0.4 s. Near the limit of a deployment the queue of each process is seldom empty, so that each reported 0.4 s, none seemed to have room, and no connection was refused. Each process then read connections in their order, when their callers were about to give up. Class: a bound on a measured value that hides the difference which is to be measured.

Change: each new connection tells how long it has waited (milliseconds since its last data, of the kernel's TCP_INFO). A window counts for 0.4 s beyond twice the mean, so that one pause is no overload, while a lasting delay is counted in full. While connections wait for over 0.25 s on average, those that waited longer are reset unread, whatever other processes report. A deployment of the test that cannot start ends its processes.

Why it holds: what is read has waited 0.25 s at most, so that its caller still waits for the answer; a reset costs far less than a request that nobody reads.

--- a/flamingofront/connection/poller.py
+++ b/flamingofront/connection/poller.py
@@ -67,8 +67,6 @@
     ----------
     on_turn : callable
         Called after each turn with the time and the seconds since the end of the wait for events.
-    turn_number : int
-        Number of the current turn.
 
     Notes
     -----
@@ -84,7 +82,6 @@
         self._on_fault = on_fault
         self.on_turn: Callable[[float, float], None] | None = None
         self._woken_at = timers.now()
-        self.turn_number = 0
         self._epoll = select.epoll()
         self._watches: dict[int, _Watch] = {}
         self._wake_read, self._wake_write = os.pipe()
@@ -150,7 +147,6 @@
             now = self._timers.now()
             self.on_turn(now, now - self._woken_at)
         ready = self._epoll.poll(poll_timeout)
-        self.turn_number += 1
         if self.on_turn is not None:
             self._woken_at = self._timers.now()
         for watch, mask in [(self._watches.get(fileno), mask) for fileno, mask in ready]:
--- a/flamingofront/connection/server.py
+++ b/flamingofront/connection/server.py
@@ -362,15 +362,17 @@
         """Port that the server listens on."""
         return self._sockets.port
 
-    def set_refusal(self, must_refuse: Callable[[], bool | None]) -> None:
-        """Set the function that returns True if the next new connection is reset unread."""
+    def set_refusal(self, must_refuse: Callable[[float], bool | None]) -> None:
+        """Set the function that decides whether a new connection is reset unread.
+
+        Parameters
+        ----------
+        must_refuse : callable
+            Gets the seconds for which the connection has waited to be accepted; returns None while
+            none is refused.
+        """
         self._sockets.must_refuse = must_refuse
 
-    @property
-    def waiting_seconds(self) -> float:
-        """Seconds for which new connections have waited to be accepted."""
-        return self._sockets.waiting_seconds
-
     @property
     def connections(self) -> int:
         """Number of open connections."""
--- a/flamingofront/connection/sockets.py
+++ b/flamingofront/connection/sockets.py
@@ -30,6 +30,10 @@
 # Otherwise one is accepted in each turn: a process that has too much to do anyway reads no more.
 MAX_ACCEPTED_AT_ONCE = 4
 MAX_REFUSED_AT_ONCE = 64
+# Linux: struct tcp_info has the milliseconds since data last came, or since the connection was
+# established if none has, as its twelfth 32-bit number after eight bytes.
+_TCP_INFO_BYTES = 56
+_LAST_DATA_RECEIVED = struct.Struct("=52xI")
 # Closes a connection with a reset, which tells the caller at once that nothing was read.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # No connection is pending, or the caller closed it before it was accepted.
@@ -71,8 +75,8 @@
     unsent_bytes : dict of socket to int
         Bytes queued on each connection; a connection without queued bytes has no entry.
     must_refuse : callable
-        Returns True if the next new connection is reset without reading from it; None while none
-        is refused.
+        Gets the seconds for which a new connection has waited; returns True if it is reset without
+        reading from it, None while none is refused.
     """
 
     def __init__(
@@ -86,10 +90,7 @@
     ):
         super().__init__(channel=channel)
         self.unsent_bytes: dict[socket.socket, int] = {}
-        self.must_refuse: Callable[[], bool | None] = lambda: None
-        # Since when connections wait in each turn of the event loop, and the last such turn.
-        self._waiting_since = 0.0
-        self._waiting_turn: int | None = None
+        self.must_refuse: Callable[[float], bool | None] = lambda waited: None
         self._listener = listener
         self._timers = timers
         self._read_bytes = read_bytes
@@ -127,13 +128,12 @@
         if sock is not self._listen_socket:
             self.read_available(sock)
             return
-        self._record_waiting()
         accepted = 0
         for _ in range(MAX_REFUSED_AT_ONCE):
             pending = self._take_pending()
             if pending is None:
                 return
-            is_refused = self.must_refuse()
+            is_refused = self.must_refuse(_get_waited_seconds(pending))
             if is_refused:
                 pending.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
                 pending.close()
@@ -143,21 +143,6 @@
             if is_refused is None or accepted >= MAX_ACCEPTED_AT_ONCE:
                 return
 
-    def _record_waiting(self) -> None:
-        if not self._has_waiting:
-            self._waiting_since = self._timers.now()
-        self._waiting_turn = self._poller.turn_number
-
-    @property
-    def _has_waiting(self) -> bool:
-        """True if connections were waiting in this turn of the event loop or the one before."""
-        return self._waiting_turn is not None and self._poller.turn_number <= self._waiting_turn + 1
-
-    @property
-    def waiting_seconds(self) -> float:
-        """Seconds for which connections have waited to be accepted; 0 if none does."""
-        return self._timers.now() - self._waiting_since if self._has_waiting else 0.0
-
     def _take_pending(self) -> socket.socket | None:
         """Return a connection that waits to be accepted, None if there is none."""
         try:
@@ -165,7 +150,6 @@
         except OSError as exc:
             if exc.errno not in _NO_CONNECTION_ERRORS:
                 self._on_fault(exc)
-            self._waiting_turn = None
             return None
 
     def _accept(self, sock: socket.socket) -> None:
@@ -285,3 +269,9 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBE_COUNT)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+def _get_waited_seconds(sock: socket.socket) -> float:
+    """Return the seconds since a connection that is accepted now last received anything."""
+    info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES)
+    return _LAST_DATA_RECEIVED.unpack(info)[0] / 1000
--- a/flamingofront/connection/tests/test_server.py
+++ b/flamingofront/connection/tests/test_server.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 import threading
+import time
 
 import pytest
 from hypothesis import given, settings
@@ -341,3 +342,30 @@
         assert b"whole" in busy.recv(4096)
         idle.close()
         busy.close()
+
+
+class TestRefusal:
+    def test_time_that_a_connection_has_waited_is_measured_and_a_refused_one_is_reset(self, server):
+        """The process saw only that some connection waited, not for how long each had."""
+        waits = []
+        server.server.set_refusal(lambda waited: waits.append(waited) or waited > 0.15)
+        is_connected = threading.Event()
+
+        def block():
+            assert is_connected.wait(WAIT_SECONDS)
+            time.sleep(0.2)
+
+        server.runtime.timers.once(0.0, block)
+        server.runtime.poller.resume()
+        try:
+            with server.connect() as conn:
+                conn.sendall(b"GET /late HTTP/1.1\r\nHost: a.example\r\n\r\n")
+                is_connected.set()
+                with pytest.raises(ConnectionResetError):
+                    conn.recv(1)
+            with server.connect() as conn:
+                conn.sendall(b"GET /soon HTTP/1.1\r\nHost: a.example\r\n\r\n")
+                assert read_response(conn)[0] == 200
+        finally:
+            server.server.set_refusal(lambda waited: None)
+        assert 0.15 < waits[0] < 5.0 and waits[1] < 0.15
--- a/flamingofront/decisions/accept_control.py
+++ b/flamingofront/decisions/accept_control.py
@@ -6,10 +6,13 @@
 was read waits for its answer.
 
 The delay until a new connection is read shows an overload: a turn of the event loop serves all
-sockets that became ready during the one before, and connections may wait over several turns. While
-the delay is too long, and much longer than that of other processes, the fraction of new connections
-that is refused rises; otherwise it falls. If all processes are overloaded, none refuses: a caller
-that tries again elsewhere is one more request there.
+sockets that became ready during the one before, and connections wait in the queue of the listening
+socket. While the delay is too long, and much longer than that of other processes, the fraction of
+new connections that is refused rises; otherwise it falls. If all processes are overloaded, this
+fraction is zero: a caller that tries again elsewhere is one more request there.
+
+A long queue is cut short in any case: callers that have waited long give up soon after their
+requests are read, so that a process that reads these first serves nobody in time.
 """
 
 import random
@@ -27,8 +30,10 @@
 MEAN_WEIGHT = 0.2
 # A request takes several turns, so that its answer comes after some times this delay.
 MAX_DELAY_SECONDS = 0.1
-# A longer delay in one window counts no more than this.
-MAX_COUNTED_SECONDS = 0.4
+# A window counts for no more than this beyond twice the mean of those before.
+MAX_JUMP_SECONDS = 0.4
+# While connections wait longer than this on average, those that have waited longer are refused.
+MAX_QUEUE_SECONDS = 0.25
 # A delay that is so many times longer than that of most others shows that these have room.
 MIN_RATIO_TO_PEERS = 2.0
 INCREASE = 0.1
@@ -56,7 +61,7 @@
     turn_seconds : float
         Mean length of the turns of the last window, weighted by their length.
     waiting_seconds : float
-        Time for which connections have waited to be accepted.
+        Mean time for which the new connections of the last window have waited to be accepted.
     peer_delay_seconds : float
         Median delay of other processes.
     fraction : float
@@ -87,7 +92,10 @@
         self._busy = 0.0
         self._weighted = 0.0
         self._turn_seconds = 0.0
+        self._waited = 0.0
+        self._waited_count = 0
         self._waiting_seconds = 0.0
+        self._mean_waiting_seconds = 0.0
         self._peer_delay_seconds = 0.0
         self._mean_seconds = 0.0
         self._fraction = 0.0
@@ -112,14 +120,14 @@
     @property
     def is_refusing(self) -> bool:
         """True while some new connections are refused."""
-        return self._fraction > 0
+        return self._fraction > 0 or self._is_queue_long
+
+    @property
+    def _is_queue_long(self) -> bool:
+        return min(self._waiting_seconds, self._mean_waiting_seconds) > MAX_QUEUE_SECONDS
 
     def record_turn(
-        self,
-        now: float,
-        busy: float,
-        waiting: Callable[[], float],
-        peer_delays: Callable[[], Sequence[float]],
+        self, now: float, busy: float, peer_delays: Callable[[], Sequence[float]]
     ) -> Transition | None:
         """Record that a turn of the event loop has ended; return a change of state.
 
@@ -127,8 +135,6 @@
         ----------
         busy : float
             Seconds from the end of the wait for events until now.
-        waiting : callable
-            Returns the seconds for which connections have waited to be accepted.
         peer_delays : callable
             Returns the delays that other processes report, in seconds.
         """
@@ -137,17 +143,20 @@
         if now < self._window_end:
             return None
         self._window_end = now + WINDOW_SECONDS
-        self._turn_seconds = self._weighted / self._busy if self._busy > 0 else 0.0
-        self._waiting_seconds = waiting()
-        self._busy = self._weighted = 0.0
-        delay = min(MAX_COUNTED_SECONDS, max(self._turn_seconds, self._waiting_seconds))
-        self._mean_seconds += (delay - self._mean_seconds) * MEAN_WEIGHT
-        return self._adjust(delay, peer_delays)
-
-    def _adjust(
-        self, delay: float, peer_delays: Callable[[], Sequence[float]]
-    ) -> Transition | None:
         was_refusing = self.is_refusing
+        self._turn_seconds = self._weighted / self._busy if self._busy > 0 else 0.0
+        self._waiting_seconds = self._waited / self._waited_count if self._waited_count else 0.0
+        self._busy = self._weighted = self._waited = 0.0
+        self._waited_count = 0
+        delay = max(self._turn_seconds, self._waiting_seconds)
+        self._mean_seconds = _update_mean(self._mean_seconds, delay)
+        self._mean_waiting_seconds = _update_mean(self._mean_waiting_seconds, self._waiting_seconds)
+        self._adjust_fraction(delay, peer_delays)
+        if self.is_refusing == was_refusing:
+            return None
+        return Transition.STARTED if self.is_refusing else Transition.ENDED
+
+    def _adjust_fraction(self, delay: float, peer_delays: Callable[[], Sequence[float]]) -> None:
         is_overloaded = min(delay, self._mean_seconds) > MAX_DELAY_SECONDS
         if is_overloaded and self._have_peers_room(peer_delays()):
             self._fraction = min(MAX_FRACTION, self._fraction + INCREASE)
@@ -155,18 +164,26 @@
             self._fraction *= DECREASE_FACTOR
             if self._fraction < MIN_FRACTION:
                 self._fraction = 0.0
-        if self.is_refusing == was_refusing:
-            return None
-        return Transition.STARTED if self.is_refusing else Transition.ENDED
 
     def _have_peers_room(self, peer_delays: Sequence[float]) -> bool:
         self._peer_delay_seconds = statistics.median(peer_delays) if peer_delays else 0.0
         limit = MIN_RATIO_TO_PEERS * self._peer_delay_seconds
         return bool(peer_delays) and self._mean_seconds > limit
 
-    def must_refuse(self) -> bool:
-        """Return True if the next new connection is refused."""
-        if self._rng.random() >= self._fraction:
+    def must_refuse(self, waited: float) -> bool | None:
+        """Record a new connection; return True if it is refused, None while none is.
+
+        Parameters
+        ----------
+        waited : float
+            Seconds for which the connection has waited to be accepted.
+        """
+        self._waited += waited
+        self._waited_count += 1
+        if not self.is_refusing:
+            return None
+        has_waited_long = self._is_queue_long and waited > MAX_QUEUE_SECONDS
+        if not has_waited_long and self._rng.random() >= self._fraction:
             return False
         self._refused += 1
         return True
@@ -178,3 +195,8 @@
     def reset_count(self) -> None:
         """Begin to count refused connections anew."""
         self._refused = 0
+
+
+def _update_mean(mean: float, value: float) -> float:
+    counted = min(value, MAX_JUMP_SECONDS + 2 * mean)
+    return mean + (counted - mean) * MEAN_WEIGHT
--- a/flamingofront/decisions/tests/test_accept_control.py
+++ b/flamingofront/decisions/tests/test_accept_control.py
@@ -5,6 +5,7 @@
 from flamingofront.decisions.accept_control import (
     MAX_DELAY_SECONDS,
     MAX_FRACTION,
+    MAX_QUEUE_SECONDS,
     WINDOW_SECONDS,
     AcceptControl,
     Transition,
@@ -28,13 +29,12 @@
         end = self.now + seconds
         while self.now < end:
             self.now += max(turn, WINDOW_SECONDS / 4)
-            found = self.control.record_turn(
-                self.now, turn, lambda: self.waiting, lambda: self.peers
-            )
+            self.control.must_refuse(self.waiting)
+            found = self.control.record_turn(self.now, turn, lambda: self.peers)
             self.transitions += [found] if found is not None else []
 
-    def refused(self, count=1000):
-        return sum(self.control.must_refuse() for _ in range(count)) / count
+    def refused(self, count=1000, waited=0.0):
+        return sum(bool(self.control.must_refuse(waited)) for _ in range(count)) / count
 
 
 class TestAcceptControl:
@@ -59,6 +59,33 @@
         case.play(SHORT, 2.0)
         assert case.transitions == [Transition.STARTED]
 
+    def test_process_with_most_connections_refuses_while_others_are_busy_too(self):
+        """A delay that was counted only up to a bound was never twice that of the others."""
+        case = Case(peers=(MAX_QUEUE_SECONDS, MAX_QUEUE_SECONDS, MAX_QUEUE_SECONDS))
+        case.waiting = 8 * MAX_QUEUE_SECONDS
+        case.play(SHORT, 3.0)
+        assert case.refused() >= 0.9
+
+    def test_connections_that_waited_long_are_refused_where_all_are_overloaded(self):
+        """All were read when their callers were about to give up, so that nobody was served."""
+        for peers in ((1.0, 1.0, 1.0), ()):
+            case = Case(peers)
+            case.waiting = 1.0
+            case.play(SHORT, 2.0)
+            assert case.transitions == [Transition.STARTED]
+            assert case.refused(waited=0.9 * MAX_QUEUE_SECONDS) == 0
+            assert case.refused(waited=1.1 * MAX_QUEUE_SECONDS) == 1
+
+    def test_connections_that_waited_for_a_suspended_process_are_read(self):
+        """Their callers still wait, and nothing else is late."""
+        case = Case()
+        case.play(SHORT, 1.0)
+        case.waiting = 3.0
+        case.play(3.0, 0.1)
+        case.waiting = 0.0
+        case.play(SHORT, 1.0)
+        assert not case.transitions
+
     def test_single_long_turns_refuse_nothing(self):
         """Such as the parsing of a large configuration."""
         case = Case()
--- a/flamingofront/forward_daemon.py
+++ b/flamingofront/forward_daemon.py
@@ -149,20 +149,16 @@
                 max_head=max(default.max_head, limits.max_head + PROXY_HEAD_BYTES),
             )
 
-    def _must_refuse(self) -> bool | None:
-        """Return True if a new connection is refused, because another process can serve it."""
-        if not self._accept_control.is_refusing:
-            return None
-        is_refused = self._accept_control.must_refuse()
+    def _must_refuse(self, waited: float) -> bool | None:
+        """Return True if a new connection is refused, None while none is."""
+        is_refused = self._accept_control.must_refuse(waited)
         if is_refused:
             self.node.metrics.count("connections_refused_total")
         return is_refused
 
     def _record_turn(self, now: float, busy: float) -> None:
         """Log when the event loop becomes overloaded, so that connections are refused."""
-        transition = self._accept_control.record_turn(
-            now, busy, lambda: self.callers.waiting_seconds, self.node.peers.peer_delays
-        )
+        transition = self._accept_control.record_turn(now, busy, self.node.peers.peer_delays)
         if transition is None:
             return
         state = self._accept_control.state
--- a/flamingofront/tests/skewed_connections.py
+++ b/flamingofront/tests/skewed_connections.py
@@ -91,6 +91,14 @@
         return f"127.2.{self._network}.{front + 2}"
 
     def __enter__(self) -> "Deployment":
+        try:
+            self._start_all()
+        except BaseException:
+            self.__exit__()
+            raise
+        return self
+
+    def _start_all(self) -> None:
         host = self.ip_of(-1)
         config = self.folder / "forwarding.json"
         config.write_text(json.dumps(CONFIGURATION))
@@ -104,7 +112,6 @@
             self._wait_for(self.ip_of(number), PORT + 1, "/api/ready", (200,))
         if self._pause:
             self._throttle.start()
-        return self
 
     def __exit__(self, *exc: object) -> None:
         self._is_over.set()
