Peers are asked until one reaches an endpoint, and an endpoint that is refused again waits

Cause: while cuts overlap, a VM asked two peers at most whether one reaches an endpoint that had refused its connection, ended at the first no, forgot a yes, and asked again a second later. Until then the endpoint counted as reached directly, so that one request was sent to it twelve times within 6 ms and then refused with `no_endpoint`. A peer without paths to most endpoints answered `no path` for one of them, and was not asked for any other for two seconds. Class: an answer about one pair of VM and endpoint that is taken for all pairs, or not kept.

Change: `find_peer` asks on, up to eight peers while paths are lost, and `ProxyPeers` keeps each answer for the attempts that follow; a VM that reaches any endpoint refuses only for the endpoint asked for. A request that is refused again by an endpoint, which it tries since no other one is left, waits 25 to 200 ms between tries, and ends with `no_endpoint` at the time at which it would without any.

Why it holds: the answer that is missing is asked for before the next attempt, at each peer once; what is known is not asked again.

Tests of request/, decisions/ and lost paths pass.

--- a/flamingofront/process/forwarding/proxy.py
+++ b/flamingofront/process/forwarding/proxy.py
@@ -98,7 +98,7 @@
         monitor = node.hub.paths.monitor
         is_certain = monitor.status is not PathStatus.CHECKING
         if is_certain and monitor.is_lost(call.endpoint_id):
-            is_partial = monitor.status is PathStatus.WORKING
+            is_partial = monitor.status is PathStatus.WORKING or monitor.reaches_any
             return ProxyRefusal.NO_PATH_TO_ENDPOINT if is_partial else ProxyRefusal.NO_PATH
         return ProxyRefusal.BUSY if len(self._attempts) >= MAX_PROXIED_ATTEMPTS else None
 
--- a/flamingofront/request/attempts.py
+++ b/flamingofront/request/attempts.py
@@ -29,6 +29,8 @@
 
 Action = StartAttempt | CancelAttempt | ScheduleRetry | Emit | Complete | Fail
 
+# Doublings of the delay before an endpoint that was not reached is tried again.
+MAX_REPEAT_DOUBLINGS = 2
 MAX_FAILURES_WITHOUT_PROGRESS = 12
 DEFAULT_BACKOFF = Backoff(0.05, 2.0)
 
@@ -204,6 +206,7 @@
         if attempt_id != self.attempt_id or self.phase is not Phase.RUNNING:
             return []
         self._failures += 1
+        is_repeated = endpoint_id in self._failed_endpoints
         self._failed_endpoints.add(endpoint_id)
         self._update_ran(executed)
         if now >= self.facts.deadline:
@@ -217,6 +220,8 @@
             return self._fail(kind, detail, self._backoff.max_seconds)
         if not sent and self.facts.max_attempts is not None:
             self.attempts -= 1
+            if is_repeated:
+                return self._wait_for_endpoint(now)
             return self._retry_or_fail(now, 0.0, ErrorKind.ENDPOINT_FAILED)
         if self.facts.max_attempts is not None and self.attempts >= self.facts.max_attempts:
             return self._fail(self._exhausted_error_kind(), detail)
@@ -225,6 +230,14 @@
             delay = max(delay, self._backoff.compute_delay(self._failures - 2, self._rng))
         return self._retry_or_fail(now, delay, ErrorKind.RETRY_BUDGET_EXHAUSTED)
 
+    def _wait_for_endpoint(self, now: float) -> list[Action]:
+        """Wait after an endpoint was not reached again, which is chosen if no other one is left."""
+        doublings = min(self._failures - 2, MAX_REPEAT_DOUBLINGS)
+        delay = self._backoff.compute_delay(doublings, self._rng)
+        if now + delay >= self.facts.choice_deadline and self.ran is Executed.NO:
+            return self._fail(ErrorKind.NO_ENDPOINT, retry_after=delay)
+        return self._retry_or_fail(now, delay, ErrorKind.ENDPOINT_FAILED)
+
     def _update_ran(self, executed: Executed) -> None:
         """Update whether the request ran; a rejected attempt says nothing about earlier ones."""
         if executed is Executed.NO and self.ran is not Executed.YES:
--- a/flamingofront/request/endpoint_paths.py
+++ b/flamingofront/request/endpoint_paths.py
@@ -3,7 +3,7 @@
 import math
 import random
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from urllib.parse import urlencode
 
 from flamingofront.connection.interfaces import CallEvent, CallHandle, Transport
@@ -42,6 +42,8 @@
 # their paths too reply at once that they cannot tell.
 MAX_QUESTIONS = 2
 MAX_RESPONSE_QUESTIONS = 8
+# Peers that are asked for a path to one endpoint while the paths to others are lost.
+MAX_SEARCHED_PEERS = 8
 ANSWERS = {STATUS_REACHED: True, STATUS_NOT_REACHED: False}
 
 
@@ -65,6 +67,49 @@
     listener: Callable[[CallEvent], None]
 
 
+@dataclass(frozen=True)
+class _Question:
+    """Whether some peer reaches an endpoint.
+
+    Parameters
+    ----------
+    is_search : bool
+        True if a peer that does not reach the endpoint does not end the question: another may.
+    asked : frozenset of str
+        Peers that were asked already.
+    answer : bool, optional
+        False if one of them does not reach the endpoint.
+    """
+
+    endpoint_id: str
+    on_answer: Callable[[bool | None], None]
+    limit: int
+    needs_response: bool = False
+    is_search: bool = False
+    asked: frozenset[str] = frozenset()
+    answer: bool | None = None
+
+    def record(self, peer: str, answer: bool | None) -> "_Question":
+        """Return the question after the answer of a peer."""
+        return replace(
+            self,
+            asked=self.asked | {peer},
+            answer=self.answer if answer is None else answer,
+        )
+
+    def make_call(self, peer: str) -> OutboundCall:
+        """Return the call that asks a peer."""
+        kind = BY_RESPONSE if self.needs_response else BY_CONNECTION
+        return OutboundCall(
+            peer,
+            "GET",
+            f"{REACH_PATH}?{urlencode({'endpoint': self.endpoint_id, 'by': kind})}",
+            timeout=QUESTION_TIMEOUT_SECONDS,
+            stream=True,
+            connect_timeout=QUESTION_TIMEOUT_SECONDS,
+        )
+
+
 class EndpointPaths:
     """Starts attempts on the path that reaches their endpoint.
 
@@ -94,6 +139,7 @@
     ):
         self.monitor = PathMonitor(transport, timers, directory, metrics, log, rng, zone)
         self.monitor.ask_peer = self.ask_peer
+        self.monitor.find_peer = self.find_peer
         self.peers = ProxyPeers(timers, rng)
         self._vm_id = vm_id
         self._transport = transport
@@ -166,11 +212,7 @@
         )
 
     def ask_peer(
-        self,
-        endpoint_id: str,
-        needs_response: bool,
-        on_answer: Callable[[bool | None], None],
-        asked: frozenset[str] = frozenset(),
+        self, endpoint_id: str, needs_response: bool, on_answer: Callable[[bool | None], None]
     ) -> None:
         """Ask a peer whether it reaches an endpoint, and another one if it cannot tell.
 
@@ -180,34 +222,43 @@
             True if a connection is no evidence, only a response of the endpoint.
         on_answer : callable
             Called with the answer; with None if no peer knows, with False if there is no peer.
-        asked : frozenset of str
-            Peers that were asked already.
         """
         limit = MAX_RESPONSE_QUESTIONS if needs_response else MAX_QUESTIONS
-        peer = self.peers.choose(asked, endpoint_id) if len(asked) < limit else None
+        self._ask(_Question(endpoint_id, on_answer, limit, needs_response))
+
+    def find_peer(self, endpoint_id: str, on_answer: Callable[[bool | None], None]) -> None:
+        """Ask peers until one connects to an endpoint, while this VM reaches others.
+
+        Parameters
+        ----------
+        on_answer : callable
+            Called with the answer; with None if no peer knows, with False if none reaches it.
+        """
+        limit = MAX_SEARCHED_PEERS if self.monitor.has_losses else MAX_QUESTIONS
+        self._ask(_Question(endpoint_id, on_answer, limit, is_search=True))
+
+    def _ask(self, question: "_Question") -> None:
+        may_ask = len(question.asked) < question.limit
+        peer = self.peers.choose(question.asked, question.endpoint_id) if may_ask else None
         if peer is None:
-            on_answer(None if self.peers.has_any else False)
+            question.on_answer(question.answer if self.peers.has_any else False)
             return
-
-        def on_event(event: CallEvent) -> None:
-            if isinstance(event, CallFailed):
-                self.peers.record_failure(peer)
-                self.ask_peer(endpoint_id, needs_response, on_answer, asked | {peer})
-            elif isinstance(event, ResponseHead) and event.status in ANSWERS:
-                on_answer(ANSWERS[event.status])
-            elif isinstance(event, ResponseHead):
-                self.ask_peer(endpoint_id, needs_response, on_answer, asked | {peer})
-
-        kind = BY_RESPONSE if needs_response else BY_CONNECTION
-        call = OutboundCall(
-            peer,
-            "GET",
-            f"{REACH_PATH}?{urlencode({'endpoint': endpoint_id, 'by': kind})}",
-            timeout=QUESTION_TIMEOUT_SECONDS,
-            stream=True,
-            connect_timeout=QUESTION_TIMEOUT_SECONDS,
+        self._transport.start(
+            question.make_call(peer), lambda event: self._on_answer(question, peer, event)
         )
-        self._transport.start(call, on_event)
+
+    def _on_answer(self, question: "_Question", peer: str, event: CallEvent) -> None:
+        answer = ANSWERS.get(event.status) if isinstance(event, ResponseHead) else None
+        if answer:
+            self.peers.record_reached(peer, question.endpoint_id)
+        elif answer is False and not question.needs_response:
+            self.peers.record_no_path(peer, question.endpoint_id, UNREACHED_SECONDS)
+        elif isinstance(event, CallFailed):
+            self.peers.record_failure(peer)
+        if answer or (answer is False and not question.is_search):
+            question.on_answer(answer)
+        elif isinstance(event, (ResponseHead, CallFailed)):
+            self._ask(question.record(peer, answer))
 
     def list_unresponsive(self, pending: Iterable[tuple[str, float]]) -> set[str]:
         """Return the peers that do not respond, and back off from them.
--- a/flamingofront/request/path_monitor.py
+++ b/flamingofront/request/path_monitor.py
@@ -58,6 +58,8 @@
     ask_peer : callable
         Asks a peer whether it reaches an endpoint, by a response if the second argument is True,
         and calls back with the answer.
+    find_peer : callable
+        Asks peers until one connects to an endpoint, and calls back with the answer.
     probe_target_of : callable
         Returns the target of a request for the state of an endpoint.
     """
@@ -78,6 +80,9 @@
         self.ask_peer: Callable[[str, bool, Callable[[bool | None], None]], None] = (
             lambda endpoint_id, needs_response, on_answer: None
         )
+        self.find_peer: Callable[[str, Callable[[bool | None], None]], None] = (
+            lambda endpoint_id, on_answer: None
+        )
         self.probe_target_of: Callable[[str], str] = lambda endpoint_id: "/"
         self._paths = DirectPaths()
         self._timers = timers
@@ -110,6 +115,16 @@
         """Return True if the direct path to an endpoint is lost, or in doubt during a check."""
         return self._paths.is_lost(endpoint_id)
 
+    @property
+    def has_losses(self) -> bool:
+        """True if the paths to some endpoints, or to all, are known to be lost."""
+        return self._paths.status is PathStatus.LOST or self._paths.has_single_losses
+
+    @property
+    def reaches_any(self) -> bool:
+        """True if an endpoint was reached since the paths were last found to be lost."""
+        return self._paths.count_reached(self._directory.ready_endpoints()) > 0
+
     def get_evidence_age(self, endpoint_id: str) -> tuple[float | None, float | None]:
         """Return the seconds since the last established and the last failed connection."""
         now = self._timers.now()
@@ -163,9 +178,8 @@
         if not self.enabled or is_lost or now - asked_at < QUESTION_PAUSE_SECONDS:
             return
         self._endpoint_asked_at[endpoint_id] = now
-        self.ask_peer(
+        self.find_peer(
             endpoint_id,
-            False,
             lambda is_reached: self._on_endpoint_answer(endpoint_id, now, is_reached),
         )
 
@@ -397,7 +411,7 @@
     def _retry_lost(self) -> None:
         """Probe some of the endpoints that are not reached directly."""
         self._is_retry_scheduled = False
-        if self._paths.status is not PathStatus.LOST and not self._paths.has_single_losses:
+        if not self.has_losses:
             return
         lost = [each for each in self._directory.ready_endpoints() if self.is_lost(each)]
         count = RETRIED_AFTER_SUCCESS if self._has_progress else RETRIED_ENDPOINTS
@@ -407,7 +421,7 @@
                 self._pending.add(each)
                 self._probe(each, lambda: None)
         self._restore_if_reached()
-        if self._paths.status is PathStatus.LOST or self._paths.has_single_losses:
+        if self.has_losses:
             self._schedule_retry()
 
     def _restore_if_reached(self) -> None:
--- a/flamingofront/request/proxy_peers.py
+++ b/flamingofront/request/proxy_peers.py
@@ -23,9 +23,10 @@
 JITTER_FRACTION = 0.25
 # Pairs of peer and endpoint without a path that are kept before expired ones are dropped.
 MAX_NO_PATHS = 1024
-# Same for pairs of peer and endpoint through which a response came.
+# Same for pairs of a peer and an endpoint that it reaches.
 MAX_REACHED = 1024
-# Time for which a peer counts as proven after a response through it.
+# Time for which a peer counts as proven after a response through it, or its word that it reaches
+# an endpoint.
 PROVEN_SECONDS = 5.0
 
 
@@ -46,7 +47,7 @@
         # Until when a peer is not asked for an endpoint that it does not reach.
         self._no_path_until: dict[tuple[str, str], float] = {}
         self._responded_at: dict[str, float] = {}
-        # When a response of an endpoint last came through a peer.
+        # When a peer was last known to reach an endpoint.
         self._reached_at: dict[tuple[str, str], float] = {}
 
     def choose(self, other_than: Collection[str] = (), endpoint_id: str = "") -> str | None:
@@ -61,8 +62,8 @@
 
         Notes
         -----
-        A peer through which a response of the endpoint has just come is preferred: if each VM
-        reaches a few endpoints only, most other peers have no path to it. If most peers are in
+        A peer that has just reached the endpoint is preferred: if each VM reaches a few endpoints
+        only, most other peers have no path to it. If most peers are in
         backoff, those that have just proxied any attempt are preferred.
         """
         now, addresses = self._timers.now(), self.addresses()
@@ -120,7 +121,7 @@
         )
 
     def is_reached(self, endpoint_id: str) -> bool:
-        """Return True if a response of an endpoint has just come through a peer."""
+        """Return True if a peer has just reached an endpoint."""
         now = self._timers.now()
         return any(self._has_reached(each, endpoint_id, now) for each in self.addresses())
 
@@ -138,8 +139,13 @@
         now = self._timers.now()
         self._responded_at[address] = now
         self._backoff_until.pop(address, None)
-        if not endpoint_id:
-            return
+        if endpoint_id:
+            self.record_reached(address, endpoint_id)
+
+    def record_reached(self, address: str, endpoint_id: str) -> None:
+        """Record that a peer reaches an endpoint."""
+        now = self._timers.now()
+        self._no_path_until.pop((address, endpoint_id), None)
         if len(self._reached_at) >= MAX_REACHED:
             self._reached_at = {
                 key: at for key, at in self._reached_at.items() if now - at < PROVEN_SECONDS
--- a/flamingofront/tests/paths_world.py
+++ b/flamingofront/tests/paths_world.py
@@ -56,9 +56,9 @@
     return sum(served) / len(served)
 
 
-def paths_world(fronts: int = 5, **options) -> ForwardingWorld:
+def paths_world(fronts: int = 5, engines: int = 4, plains: int = 4, **options) -> ForwardingWorld:
     """Return a ready world whose entry processes keep idle connections."""
-    world = ready_world(fronts=fronts, engines=4, plains=4, **options)
+    world = ready_world(fronts=fronts, engines=engines, plains=plains, **options)
     world.keeps_connections = True
     return world
 
--- a/flamingofront/tests/test_serving_without_paths.py
+++ b/flamingofront/tests/test_serving_without_paths.py
@@ -1,5 +1,6 @@
 """VMs that have lost their network paths to the endpoints, in the simulated network."""
 
+import random
 from collections import Counter
 from types import SimpleNamespace
 
@@ -110,6 +111,30 @@
         assert served_share(sent, FRONTS, start + REACTION_SECONDS) >= 1 - 1 / 50
         assert max(Counter(runs_of(world, "/write/")).values()) == 1
 
+    @pytest.mark.parametrize("gap", [None, 0.4], ids=["short", "long"])
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    def test_each_endpoint_is_reached_by_one_vm_only(self, seed, gap):
+        # Requests went again and again to endpoints whose connections this VM had just refused.
+        rng = random.Random(seed)
+        world = paths_world(fronts=7, engines=10, plains=5)
+        for each in world.endpoints.values():
+            each.gap = gap or each.gap
+        offer(world, 1.0)
+        names, fronts = sorted(world.endpoints), sorted(world.fronts)
+        keeps = {name: rng.choice(fronts) for name in names}
+        for _ in range(3):
+            for front in rng.sample(fronts, 5):
+                lost = [each for each in names if keeps[each] != front]
+                world.fail_paths((front,), lost, PathFault.REFUSED)
+            offer_for(world, 1.0)
+        for front in fronts:
+            lost = [each for each in names if keeps[each] != front]
+            world.fail_paths((front,), lost, PathFault.REFUSED)
+        start = world.clock.now()
+        sent = offer(world, 8.0)
+        assert served_share(sent, fronts, start + REACTION_SECONDS) >= 1 - 1 / 50
+        assert max(Counter(runs_of(world, "/write/")).values()) == 1
+
     def test_most_processes_among_many_lose_their_paths(self):
         # With more than 17 processes, a process hears of the others only through relays.
         world = paths_world(fronts=20)
