The test of refused connections connects only while the event loop is blocked

Cause: the test connected before the event loop had begun to block; beside other work the connection was accepted first, had waited for 0 s and was served.

Change: it waits until the loop is blocked. The bounds are as before.

--- a/flamingofront/connection/tests/test_server.py
+++ b/flamingofront/connection/tests/test_server.py
@@ -349,14 +349,16 @@
         """The process saw only that some connection waited, not for how long each had."""
         waits = []
         server.server.set_refusal(lambda waited: waits.append(waited) or waited > 0.15)
-        is_connected = threading.Event()
+        is_blocked, is_connected = threading.Event(), threading.Event()
 
         def block():
+            is_blocked.set()
             assert is_connected.wait(WAIT_SECONDS)
             time.sleep(0.2)
 
         server.runtime.timers.once(0.0, block)
         server.runtime.poller.resume()
+        assert is_blocked.wait(WAIT_SECONDS)
         try:
             with server.connect() as conn:
                 conn.sendall(b"GET /late HTTP/1.1\r\nHost: a.example\r\n\r\n")
