A request that is refused again waits three times before it is given up

A request that was refused again by an endpoint ended at once if the time for the choice of an endpoint had passed. An attempt at an endpoint that has just died may take that long by itself; the other version of the service was found 2 ms later. Class: a bound on waiting that counts time spent on trying.

Change: three waits of 25 to 200 ms are allowed in any case; after them the time for the choice counts.

Why it holds: a check of paths and the word of peers come within these waits.

Measured: the six cases pass, as do test_serving_without_paths.py, request/, decisions/ and connection/.

--- a/flamingofront/request/attempts.py
+++ b/flamingofront/request/attempts.py
@@ -29,8 +29,9 @@
 
 Action = StartAttempt | CancelAttempt | ScheduleRetry | Emit | Complete | Fail
 
-# Doublings of the delay before an endpoint that was not reached is tried again.
-MAX_REPEAT_DOUBLINGS = 2
+# Endpoints that were not reached are tried again so often in any case, each time after twice the
+# delay: others may be found within it.
+MAX_REPEATS = 3
 MAX_FAILURES_WITHOUT_PROGRESS = 12
 DEFAULT_BACKOFF = Backoff(0.05, 2.0)
 
@@ -108,6 +109,7 @@
         self._failures = 0
         self._ran_before_attempt = ran
         self._failed_endpoints: set[str] = set()
+        self._repeats = 0
         self._ids = itertools.count(1)
 
     def start(self) -> list[Action]:
@@ -232,9 +234,10 @@
 
     def _wait_for_endpoint(self, now: float) -> list[Action]:
         """Wait after an endpoint was not reached again, which is chosen if no other one is left."""
-        doublings = min(self._failures - 2, MAX_REPEAT_DOUBLINGS)
-        delay = self._backoff.compute_delay(doublings, self._rng)
-        if now + delay >= self.facts.choice_deadline and self.ran is Executed.NO:
+        delay = self._backoff.compute_delay(min(self._repeats, MAX_REPEATS - 1), self._rng)
+        self._repeats += 1
+        is_late = self._repeats > MAX_REPEATS and now + delay >= self.facts.choice_deadline
+        if is_late and self.ran is Executed.NO:
             return self._fail(ErrorKind.NO_ENDPOINT, retry_after=delay)
         return self._retry_or_fail(now, delay, ErrorKind.ENDPOINT_FAILED)
 
