Open connections are used where new ones fail and no peer reaches the endpoint

Cause: when paths were found to be lost, the idle connections to all lost endpoints were closed, since a request on a silent one would wait. Where only new connections fail, these were the last way to the endpoints.

What callers saw: 503 `no_endpoint` while endpoints answer on open connections.

Change: the idle connections to a lost endpoint are tested with a request for its state, once a second, and closed if they are silent. If no peer may be asked for the endpoint, attempts use them; a peer does the same for attempts that it proxies. Such calls (`idle_only`) use an idle connection or are not sent: `no idle connection`, which says nothing against the endpoint, and a peer that says so is asked again after 0.1 s.

Why it holds: an attempt is sent only on a connection whose like has just answered; nothing is opened on a path that is known to fail.

--- a/flamingofront/connection/client.py
+++ b/flamingofront/connection/client.py
@@ -20,6 +20,7 @@
 from flamingofront.connection.poller import READ, WRITE, DirectPoller, SocketOwner
 from flamingofront.errors import RequestError
 from flamingofront.messages import (
+    NO_IDLE_CONNECTION,
     CallFailed,
     OutboundCall,
     ResponseData,
@@ -394,7 +395,10 @@
         handle = _Call(call, listener)
         handle.timer = self.timers.once(call.timeout, lambda: self._on_timeout(handle))
         conn = None if call.new_connection else self._pop_idle(call.address)
-        if conn is None:
+        if conn is None and call.idle_only:
+            failure = CallFailed(NO_IDLE_CONNECTION, False)
+            self.timers.once(0.0, lambda: handle.finish(failure))
+        elif conn is None:
             conn = _ClientConnection(self, call.address)
             self._connections[conn.sock] = conn
             conn.start_call(handle)
@@ -430,6 +434,10 @@
         idle.append(conn)
         conn.idle_timer = self.timers.once(seconds, conn.close, relaxed=True)
 
+    def has_idle(self, address: str) -> bool:
+        """Return True if the next call to an address can use an idle connection."""
+        return any(not each.closed for each in self._idle.get(address, ()))
+
     def drop_idle(self, address: str) -> None:
         """Close the idle connections to an address whose process has ended.
 
--- a/flamingofront/connection/interfaces.py
+++ b/flamingofront/connection/interfaces.py
@@ -63,6 +63,10 @@
             Seconds without a response after which the result is ``UNANSWERED``.
         """
 
+    @abstractmethod
+    def has_idle(self, address: str) -> bool:
+        """Return True if the next call to an address can use an idle connection."""
+
     @abstractmethod
     def drop_idle(self, address: str) -> None:
         """Close the idle connections to an address whose process has ended."""
--- a/flamingofront/connection/tests/test_client.py
+++ b/flamingofront/connection/tests/test_client.py
@@ -10,6 +10,7 @@
 from flamingofront.connection.interfaces import ConnectResult
 from flamingofront.connection.runtime import Runtime
 from flamingofront.messages import (
+    NO_IDLE_CONNECTION,
     CallFailed,
     OutboundCall,
     ResponseData,
@@ -140,6 +141,16 @@
         client.call(endpoint.address)
         assert endpoint.connections == 2
 
+    def test_call_limited_to_idle_connections_opens_none(self, client):
+        """It was sent on a new connection, to a forwarder that reaches nobody."""
+        endpoint = Endpoint(encode_response(), encode_response())
+        assert client.call(endpoint.address, idle_only=True) == [
+            CallFailed(NO_IDLE_CONNECTION, False)
+        ]
+        client.call(endpoint.address)
+        client.call(endpoint.address, idle_only=True)
+        assert endpoint.connections == 1
+
     def test_fresh_call_opens_a_new_connection(self, client):
         endpoint = Endpoint(encode_response(), encode_response())
         client.call(endpoint.address)
--- a/flamingofront/messages.py
+++ b/flamingofront/messages.py
@@ -16,6 +16,7 @@
     "Fail",
     "Frame",
     "InboundRequest",
+    "NO_IDLE_CONNECTION",
     "OutboundCall",
     "ResponseData",
     "ResponseEnd",
@@ -27,6 +28,10 @@
 ]
 
 
+# Failure of a call that may use an idle connection only, while there is none.
+NO_IDLE_CONNECTION = "no idle connection"
+
+
 @dataclass(frozen=True)
 class InboundRequest:
     """One complete HTTP request from a caller, peer or operator.
@@ -72,6 +77,8 @@
         True to receive the response body in parts as it arrives.
     new_connection : bool
         True if the call must not reuse an idle connection.
+    idle_only : bool
+        True if the call fails unsent with `NO_IDLE_CONNECTION` unless it reuses one.
     host : str
         Value of the ``Host`` header; the address if empty.
     connect_timeout : float or None
@@ -93,6 +100,7 @@
     timeout: float = 2.0
     stream: bool = False
     new_connection: bool = False
+    idle_only: bool = False
     host: str = ""
     connect_timeout: float | None = None
     ack_timeout: float | None = None
--- a/flamingofront/process/forwarding/proxy.py
+++ b/flamingofront/process/forwarding/proxy.py
@@ -76,7 +76,7 @@
         """Respond whether this process reaches an endpoint."""
         endpoint_id = req.query.get("endpoint", "")
         address = self.node.directory.address_of(endpoint_id)
-        if not address or self.node.hub.paths.monitor.is_lost(endpoint_id):
+        if not address or self._is_lost(endpoint_id):
             exchange.respond(STATUS_UNKNOWN, (), b"")
             return
         self.node.metrics.count("endpoint_probes_total")
@@ -97,11 +97,15 @@
             return ProxyRefusal.UNKNOWN_ENDPOINT
         monitor = node.hub.paths.monitor
         is_certain = monitor.status is not PathStatus.CHECKING
-        if is_certain and monitor.is_lost(call.endpoint_id):
+        if is_certain and self._is_lost(call.endpoint_id):
             is_partial = monitor.status is PathStatus.WORKING or monitor.reaches_any
             return ProxyRefusal.NO_PATH_TO_ENDPOINT if is_partial else ProxyRefusal.NO_PATH
         return ProxyRefusal.BUSY if len(self._attempts) >= MAX_PROXIED_ATTEMPTS else None
 
+    def _is_lost(self, endpoint_id: str) -> bool:
+        paths = self.node.hub.paths
+        return paths.monitor.is_lost(endpoint_id) and not paths.has_open_connection(endpoint_id)
+
     def _refuse(self, call: ProxiedCall, exchange: Exchange, refusal: ProxyRefusal) -> None:
         next_peer = ""
         if refusal is ProxyRefusal.NO_PATH:
@@ -147,21 +151,20 @@
         fields = tuple(
             each for each in req.fields if each[0].lower() not in HOP_BY_HOP_FIELDS | {"host"}
         )
-        self._handle = self._node.hub.transport.start(
-            OutboundCall(
-                self._node.directory.address_of(call.endpoint_id),
-                call.method,
-                call.target,
-                req.body,
-                fields,
-                timeout=call.timeout,
-                stream=True,
-                new_connection=call.new_connection,
-                host=req.header("host"),
-                connect_timeout=call.connect_timeout,
-            ),
-            self._on_event,
+        outbound = OutboundCall(
+            self._node.directory.address_of(call.endpoint_id),
+            call.method,
+            call.target,
+            req.body,
+            fields,
+            timeout=call.timeout,
+            stream=True,
+            new_connection=call.new_connection,
+            host=req.header("host"),
+            connect_timeout=call.connect_timeout,
         )
+        limited = self._node.hub.paths.limit_to_open(call.endpoint_id, outbound)
+        self._handle = self._node.hub.transport.start(limited, self._on_event)
 
     def _on_event(self, event: CallEvent) -> None:
         if self._is_done:
--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -12,6 +12,7 @@
 from flamingofront.decisions.quarantine_facts import QuarantineStatus
 from flamingofront.errors import ErrorKind, Executed, RequestError
 from flamingofront.messages import (
+    NO_IDLE_CONNECTION,
     CallFailed,
     CancelAttempt,
     Complete,
@@ -435,7 +436,7 @@
                 attempt_id, executed, reason, sent=event.wrote, is_endpoint_failure=False
             )
             return
-        is_endpoint_failure = True
+        is_endpoint_failure = event.reason != NO_IDLE_CONNECTION
         if event.reason in NO_CONNECTION_REASONS:
             is_endpoint_failure = self._record_no_connection(event.reason)
         elif event.reason == "reset" and event.wrote and not self._is_stale_connection(event):
--- a/flamingofront/request/endpoint_paths.py
+++ b/flamingofront/request/endpoint_paths.py
@@ -30,6 +30,8 @@
 
 __all__ = ["EndpointPaths", "PathRequest"]
 
+# Time between two tests of the open connections to an endpoint while new ones fail.
+OPEN_TEST_PAUSE_SECONDS = 1.0
 # Time for which an endpoint gets no attempts after a peer could not connect to it.
 UNREACHED_SECONDS = 1.0
 # An endpoint that so many peers could not connect to is not reached by others either.
@@ -143,26 +145,78 @@
         self.peers = ProxyPeers(timers, rng)
         self._vm_id = vm_id
         self._transport = transport
+        self._directory = directory
         self._timers = timers
         self._metrics = metrics
         self._log = log
         self._unreached_until: dict[str, float] = {}
+        # Endpoints whose open connections work though new ones fail, and the times of the tests.
+        self._open: set[str] = set()
+        self._open_tested_at: dict[str, float] = {}
 
     def path_to(self, endpoint_id: str) -> EndpointPath:
         """Return the path on which an attempt reaches an endpoint.
 
         Notes
         -----
-        A process without any peer uses the direct path even if it seems lost.
+        A process without any peer uses the direct path even if it seems lost. Open connections may
+        work while new ones fail: an idle one is used once the endpoint has responded on one.
         """
         if not self.monitor.is_lost(endpoint_id) or not self.peers.has_any:
             return EndpointPath.DIRECT
         is_unreached = self._unreached_until.get(endpoint_id, -math.inf) > self._timers.now()
         if self.peers.may_reach(endpoint_id) and not is_unreached:
             return EndpointPath.PROXIED
+        if self.has_open_connection(endpoint_id):
+            return EndpointPath.DIRECT
         is_certain = self.monitor.status is not PathStatus.CHECKING
         return EndpointPath.NONE if is_certain else EndpointPath.DIRECT
 
+    def has_open_connection(self, endpoint_id: str) -> bool:
+        """Return True if an idle connection works, though new ones to the endpoint fail."""
+        address = self._directory.address_of(endpoint_id)
+        return endpoint_id in self._open and self._transport.has_idle(address)
+
+    def limit_to_open(self, endpoint_id: str, call: OutboundCall) -> OutboundCall:
+        """Return a direct call, which opens no connection if only open ones work."""
+        if self.monitor.is_lost(endpoint_id) and self.has_open_connection(endpoint_id):
+            return replace(call, idle_only=True, new_connection=False)
+        return call
+
+    def test_open_connections(self, is_new: bool = False) -> None:
+        """Test the idle connections to endpoints that new ones do not reach; close silent ones.
+
+        Parameters
+        ----------
+        is_new : bool
+            True if paths have just been lost, so that earlier tests say nothing.
+        """
+        now = self._timers.now()
+        if is_new:
+            self._open.clear()
+            self._open_tested_at.clear()
+        for each in self._directory.ready_endpoints():
+            if not self.monitor.is_lost(each):
+                self._open.discard(each)
+                self._open_tested_at.pop(each, None)
+            elif now - self._open_tested_at.get(
+                each, -math.inf
+            ) >= OPEN_TEST_PAUSE_SECONDS and self._transport.has_idle(
+                self._directory.address_of(each)
+            ):
+                self._open_tested_at[each] = now
+                self._test_open_connection(each)
+
+    def _test_open_connection(self, endpoint_id: str) -> None:
+        def on_result(is_reached: bool) -> None:
+            if is_reached:
+                self._open.add(endpoint_id)
+            else:
+                self._open.discard(endpoint_id)
+                self._transport.drop_idle(self._directory.address_of(endpoint_id))
+
+        self.monitor.probe_open_connection(endpoint_id, on_result)
+
     def wait_seconds(self, endpoint_id: str) -> float:
         """Return the seconds until an endpoint may be reached; 0 if a path is known now."""
         if self.path_to(endpoint_id) is not EndpointPath.NONE:
@@ -175,6 +229,8 @@
     def forget(self, endpoint_id: str) -> None:
         """Drop the evidence on an endpoint that was removed."""
         self.monitor.forget(endpoint_id)
+        self._open.discard(endpoint_id)
+        self._open_tested_at.pop(endpoint_id, None)
         self._unreached_until.pop(endpoint_id, None)
 
     def record_unreached(self, endpoint_id: str, peer: str) -> None:
@@ -193,7 +249,8 @@
         if self.path_to(attempt.endpoint_id) is EndpointPath.PROXIED:
             peer = self.peers.choose(endpoint_id=attempt.endpoint_id)
         if peer is None:
-            return self._transport.start(attempt.call, attempt.listener), ""
+            call = self.limit_to_open(attempt.endpoint_id, attempt.call)
+            return self._transport.start(call, attempt.listener), ""
         call = ProxiedCall(
             attempt.endpoint_id,
             attempt.request_id,
--- a/flamingofront/request/path_failover.py
+++ b/flamingofront/request/path_failover.py
@@ -88,7 +88,8 @@
 
         Notes
         -----
-        Idle connections are closed: a request on one that hangs would wait for its timeout.
+        Idle connections are tested before they are used, and closed if they hang: a request on one
+        would wait for its timeout.
         """
         lost = [
             each
@@ -96,8 +97,7 @@
             if self._hub.paths.monitor.is_lost(each)
         ]
         self._hub.directory.forget_failures(lost)
-        for each in lost:
-            self._hub.transport.drop_idle(self._hub.directory.address_of(each))
+        self._hub.paths.test_open_connections(is_new=True)
         self.leave_lost_paths(UNANSWERED_SECONDS)
 
     def leave_lost_paths(self, seconds: float = LATER_UNANSWERED_SECONDS) -> None:
--- a/flamingofront/request/path_monitor.py
+++ b/flamingofront/request/path_monitor.py
@@ -95,6 +95,9 @@
         self._response_probe = ResponseProbe(
             transport, directory, lambda endpoint_id: self.probe_target_of(endpoint_id)
         )
+        self._open_probe = ResponseProbe(
+            transport, directory, lambda endpoint_id: self.probe_target_of(endpoint_id), False
+        )
         self._needs_response = False
         self._response_checked_at = -math.inf
         self._response_check_pause = RESPONSE_CHECK_PAUSE_SECONDS
@@ -295,6 +298,11 @@
         probe = self._response_probe if needs_response else self._connect_probe
         probe.start(endpoint_id, on_result)
 
+    def probe_open_connection(self, endpoint_id: str, on_result: Callable[[bool], None]) -> None:
+        """Pass on whether an endpoint responds on an open connection."""
+        self._metrics.count("endpoint_probes_total")
+        self._open_probe.start(endpoint_id, on_result)
+
     def _on_probe_result(
         self, endpoint_id: str, is_reached: bool, on_result: Callable[[], None]
     ) -> None:
--- a/flamingofront/request/path_probes.py
+++ b/flamingofront/request/path_probes.py
@@ -1,4 +1,4 @@
-"""Probes that tell whether an endpoint is reached on a new connection."""
+"""Probes that tell whether an endpoint is reached, on a new connection or an idle one."""
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
@@ -39,12 +39,14 @@
 
 
 class ResponseProbe(PathProbe):
-    """Sends a request for the state of the endpoint on a new connection.
+    """Sends a request for the state of the endpoint.
 
     Parameters
     ----------
     target_of : callable
         Returns the request target at an endpoint.
+    needs_new_connection : bool
+        False if an idle connection is tested, if there is one.
 
     Notes
     -----
@@ -57,10 +59,12 @@
         transport: Transport,
         directory: EndpointDirectory,
         target_of: Callable[[str], str],
+        needs_new_connection: bool = True,
     ):
         self._transport = transport
         self._directory = directory
         self._target_of = target_of
+        self._needs_new_connection = needs_new_connection
 
     def start(self, endpoint_id: str, on_result: Callable[[bool], None]) -> None:
         """Pass on whether the endpoint responded, whatever the status."""
@@ -78,7 +82,7 @@
                 "GET",
                 self._target_of(endpoint_id),
                 timeout=PROBE_TIMEOUT_SECONDS,
-                new_connection=True,
+                new_connection=self._needs_new_connection,
                 connect_timeout=PROBE_TIMEOUT_SECONDS,
             ),
             on_event,
--- a/flamingofront/request/proxy_messages.py
+++ b/flamingofront/request/proxy_messages.py
@@ -10,7 +10,7 @@
 from enum import StrEnum
 from urllib.parse import parse_qsl, urlencode
 
-from flamingofront.messages import OutboundCall
+from flamingofront.messages import NO_IDLE_CONNECTION, OutboundCall
 
 __all__ = [
     "BY_CONNECTION",
@@ -49,6 +49,8 @@
     """The peer has no direct path to the endpoint either."""
     NO_PATH_TO_ENDPOINT = "no path to endpoint"
     """The peer has lost its direct path to this endpoint, while it reaches others."""
+    NO_IDLE_CONNECTION = NO_IDLE_CONNECTION
+    """The peer reaches the endpoint on open connections only, all of which are in use."""
     UNKNOWN_ENDPOINT = "unknown endpoint"
     """The peer does not know the endpoint, or knows that it takes no new requests."""
     BUSY = "busy"
--- a/flamingofront/request/proxy_peers.py
+++ b/flamingofront/request/proxy_peers.py
@@ -14,6 +14,7 @@
 REFUSAL_BACKOFF_SECONDS = {
     ProxyRefusal.NO_PATH: 2.0,
     ProxyRefusal.NO_PATH_TO_ENDPOINT: 2.0,
+    ProxyRefusal.NO_IDLE_CONNECTION: 0.1,
     ProxyRefusal.UNKNOWN_ENDPOINT: 0.2,
     ProxyRefusal.BUSY: 0.2,
     ProxyRefusal.STOPPING: 10.0,
@@ -180,7 +181,7 @@
             Peer with a path according to the refusing one; empty if it knows none.
         """
         seconds = REFUSAL_BACKOFF_SECONDS.get(reason, FAILURE_BACKOFF_SECONDS)
-        if reason == ProxyRefusal.NO_PATH_TO_ENDPOINT:
+        if reason in (ProxyRefusal.NO_PATH_TO_ENDPOINT, ProxyRefusal.NO_IDLE_CONNECTION):
             self.record_no_path(address, endpoint_id, seconds)
         else:
             self._back_off(address, seconds)
--- a/flamingofront/tests/network.py
+++ b/flamingofront/tests/network.py
@@ -9,6 +9,7 @@
 
 from flamingofront.connection.interfaces import CallHandle, ConnectResult, Exchange, Transport
 from flamingofront.messages import (
+    NO_IDLE_CONNECTION,
     CallFailed,
     InboundRequest,
     ResponseData,
@@ -137,6 +138,8 @@
             self._wrote = True
             if fault.blocks_open and fault is not PathFault.ACCEPTED_SILENT:
                 self._reset_after(USER_TIMEOUT_SECONDS)
+        elif self.call.idle_only:
+            self.source.timers.once(LATENCY, lambda: self.fail(NO_IDLE_CONNECTION, False))
         elif fault.accepts:
             self._wrote = True
             if fault is not PathFault.ACCEPTED_SILENT:
@@ -373,5 +376,8 @@
             reach = ConnectResult.REFUSED if target.dead else ConnectResult.CONNECTED
             timers.once(2 * LATENCY, lambda: listener(reach))
 
+    def has_idle(self, address):
+        return (self._host.name, address) in self._world.idle
+
     def drop_idle(self, address):
         self._world.idle.discard((self._host.name, address))
