--- a/flamingofront/request/endpoint_paths.py
+++ b/flamingofront/request/endpoint_paths.py
@@ -199,14 +199,15 @@
             if not self.monitor.is_lost(each):
                 self._open.discard(each)
                 self._open_tested_at.pop(each, None)
-            elif now - self._open_tested_at.get(
-                each, -math.inf
-            ) >= OPEN_TEST_PAUSE_SECONDS and self._transport.has_idle(
-                self._directory.address_of(each)
-            ):
+            elif self._is_test_due(each, now):
                 self._open_tested_at[each] = now
                 self._test_open_connection(each)
 
+    def _is_test_due(self, endpoint_id: str, now: float) -> bool:
+        if now - self._open_tested_at.get(endpoint_id, -math.inf) < OPEN_TEST_PAUSE_SECONDS:
+            return False
+        return self._transport.has_idle(self._directory.address_of(endpoint_id))
+
     def _test_open_connection(self, endpoint_id: str) -> None:
         def on_result(is_reached: bool) -> None:
             if is_reached:
--- a/flamingofront/request/path_probes.py
+++ b/flamingofront/request/path_probes.py
@@ -46,7 +46,7 @@
     target_of : callable
         Returns the request target at an endpoint.
     needs_new_connection : bool
-        False if an idle connection is tested, if there is one.
+        False if an idle connection is tested.
 
     Notes
     -----
@@ -83,6 +83,7 @@
                 self._target_of(endpoint_id),
                 timeout=PROBE_TIMEOUT_SECONDS,
                 new_connection=self._needs_new_connection,
+                idle_only=not self._needs_new_connection,
                 connect_timeout=PROBE_TIMEOUT_SECONDS,
             ),
             on_event,
--- a/flamingofront/request/proxy_peers.py
+++ b/flamingofront/request/proxy_peers.py
@@ -64,8 +64,8 @@
         Notes
         -----
         A peer that has just reached the endpoint is preferred: if each VM reaches a few endpoints
-        only, most other peers have no path to it. If most peers are in
-        backoff, those that have just proxied any attempt are preferred.
+        only, most other peers have no path to it. If most peers are in backoff, those that have
+        just proxied any attempt are preferred.
         """
         now, addresses = self._timers.now(), self.addresses()
         usable = [
