Waits before an endpoint is tried again are some milliseconds at first

Cause:, own fault: three waits of 25 to 200 ms held back a request until after the time at which all had to know that it crashes endpoints.

Change: the waits begin at 2 to 4 ms and double, up to 200 ms. What a check of paths or the word of a peer finds comes within the first ones.

Why it holds: three waits take 28 ms at most; later ones only while the time for the choice of an endpoint lasts.

--- a/flamingofront/request/attempts.py
+++ b/flamingofront/request/attempts.py
@@ -29,9 +29,10 @@
 
 Action = StartAttempt | CancelAttempt | ScheduleRetry | Emit | Complete | Fail
 
-# Endpoints that were not reached are tried again so often in any case, each time after twice the
-# delay: others may be found within it.
+# Endpoints that were not reached are tried again so often in any case, within some milliseconds:
+# others may be found meanwhile.
 MAX_REPEATS = 3
+REPEAT_BACKOFF = Backoff(0.004, 0.2)
 MAX_FAILURES_WITHOUT_PROGRESS = 12
 DEFAULT_BACKOFF = Backoff(0.05, 2.0)
 
@@ -234,7 +235,7 @@
 
     def _wait_for_endpoint(self, now: float) -> list[Action]:
         """Wait after an endpoint was not reached again, which is chosen if no other one is left."""
-        delay = self._backoff.compute_delay(min(self._repeats, MAX_REPEATS - 1), self._rng)
+        delay = REPEAT_BACKOFF.compute_delay(self._repeats, self._rng)
         self._repeats += 1
         is_late = self._repeats > MAX_REPEATS and now + delay >= self.facts.choice_deadline
         if is_late and self.ran is Executed.NO:
