Methods that check open connections are not named like tests

Cause: found while reading the diff: `EndpointPaths.test_open_connections` reads like a test in a module of the product.

Change: `check_open_connections` and names after it; nothing else.

--- a/flamingofront/process/forwarding/observations.py
+++ b/flamingofront/process/forwarding/observations.py
@@ -213,7 +213,7 @@
         self._hub.paths.monitor.check_silent(self._hub.failover.silent_endpoints())
         self._hub.failover.leave_lost_paths()
         if self._hub.paths.monitor.has_losses:
-            self._hub.paths.test_open_connections()
+            self._hub.paths.check_open_connections()
         self._hub.failover.fail_over_unresponsive_peers()
         zones = self._hub.directory.zones
         unreachable = self._peers.unreachable_zones() - {self._zone}
--- a/flamingofront/request/endpoint_paths.py
+++ b/flamingofront/request/endpoint_paths.py
@@ -30,8 +30,8 @@
 
 __all__ = ["EndpointPaths", "PathRequest"]
 
-# Time between two tests of the open connections to an endpoint while new ones fail.
-OPEN_TEST_PAUSE_SECONDS = 1.0
+# Time between two checks of the open connections to an endpoint while new ones fail.
+OPEN_CHECK_PAUSE_SECONDS = 1.0
 # Time for which an endpoint gets no attempts after a peer could not connect to it.
 UNREACHED_SECONDS = 1.0
 # An endpoint that so many peers could not connect to is not reached by others either.
@@ -150,9 +150,9 @@
         self._metrics = metrics
         self._log = log
         self._unreached_until: dict[str, float] = {}
-        # Endpoints whose open connections work though new ones fail, and the times of the tests.
+        # Endpoints whose open connections work though new ones fail, and the times of the checks.
         self._open: set[str] = set()
-        self._open_tested_at: dict[str, float] = {}
+        self._open_checked_at: dict[str, float] = {}
 
     def path_to(self, endpoint_id: str) -> EndpointPath:
         """Return the path on which an attempt reaches an endpoint.
@@ -183,32 +183,32 @@
             return replace(call, idle_only=True, new_connection=False)
         return call
 
-    def test_open_connections(self, is_new: bool = False) -> None:
-        """Test the idle connections to endpoints that new ones do not reach; close silent ones.
+    def check_open_connections(self, is_new: bool = False) -> None:
+        """Check the idle connections to endpoints that new ones do not reach; close silent ones.
 
         Parameters
         ----------
         is_new : bool
-            True if paths have just been lost, so that earlier tests say nothing.
+            True if paths have just been lost, so that earlier checks say nothing.
         """
         now = self._timers.now()
         if is_new:
             self._open.clear()
-            self._open_tested_at.clear()
+            self._open_checked_at.clear()
         for each in self._directory.ready_endpoints():
             if not self.monitor.is_lost(each):
                 self._open.discard(each)
-                self._open_tested_at.pop(each, None)
-            elif self._is_test_due(each, now):
-                self._open_tested_at[each] = now
-                self._test_open_connection(each)
+                self._open_checked_at.pop(each, None)
+            elif self._is_check_due(each, now):
+                self._open_checked_at[each] = now
+                self._check_open_connection(each)
 
-    def _is_test_due(self, endpoint_id: str, now: float) -> bool:
-        if now - self._open_tested_at.get(endpoint_id, -math.inf) < OPEN_TEST_PAUSE_SECONDS:
+    def _is_check_due(self, endpoint_id: str, now: float) -> bool:
+        if now - self._open_checked_at.get(endpoint_id, -math.inf) < OPEN_CHECK_PAUSE_SECONDS:
             return False
         return self._transport.has_idle(self._directory.address_of(endpoint_id))
 
-    def _test_open_connection(self, endpoint_id: str) -> None:
+    def _check_open_connection(self, endpoint_id: str) -> None:
         def on_result(is_reached: bool) -> None:
             if is_reached:
                 self._open.add(endpoint_id)
@@ -231,7 +231,7 @@
         """Drop the evidence on an endpoint that was removed."""
         self.monitor.forget(endpoint_id)
         self._open.discard(endpoint_id)
-        self._open_tested_at.pop(endpoint_id, None)
+        self._open_checked_at.pop(endpoint_id, None)
         self._unreached_until.pop(endpoint_id, None)
 
     def record_unreached(self, endpoint_id: str, peer: str) -> None:
--- a/flamingofront/request/path_failover.py
+++ b/flamingofront/request/path_failover.py
@@ -97,7 +97,7 @@
             if self._hub.paths.monitor.is_lost(each)
         ]
         self._hub.directory.forget_failures(lost)
-        self._hub.paths.test_open_connections(is_new=True)
+        self._hub.paths.check_open_connections(is_new=True)
         self.leave_lost_paths(UNANSWERED_SECONDS)
 
     def leave_lost_paths(self, seconds: float = LATER_UNANSWERED_SECONDS) -> None:
