Attempts and kept rows tell what was believed of the store, and by which failed call

Cause: a request that reaches an endpoint after it has left left no line that told why: whether its row was kept as one that may have expired, since when and because of which failed call, and what peers had told.

No change of logic.

Measured: tests of endpoints, outages, feed checks, departures and pages pass.

--- a/flamingofront/decisions/store_outage.py
+++ b/flamingofront/decisions/store_outage.py
@@ -27,20 +27,24 @@
     ----------
     is_failing : bool
         True from the first failed call of this process until its next answer.
+    failed_call : str
+        The first failed call of the last outage, and how it failed.
     """
 
     def __init__(self):
         self.is_failing = False
+        self.failed_call = ""
         self._first_failure = -math.inf
         self._last_failure = -math.inf
         self._answered_between = False
         self._first_answer_since: float | None = None
         self._ended_at = -math.inf
 
-    def record_failure(self, now: float) -> None:
+    def record_failure(self, now: float, call: str = "") -> None:
         """Record a call of this process that failed."""
         if not self.is_failing:
             self.is_failing, self._first_failure = True, now
+            self.failed_call = call
             self._answered_between = False
         elif self._first_answer_since is not None:
             self._answered_between = True
@@ -67,6 +71,19 @@
         failing_seconds = self._last_failure - self._first_failure
         return self.is_failing and self._answered_between and failing_seconds >= MIN_PARTIAL_SECONDS
 
+    def describe(self, now: float) -> dict[str, object]:
+        """Return what is believed of the store and why, for the log; times in milliseconds."""
+        if not self.may_have_expired(now):
+            return {"store": "failing for this process" if self.is_failing else "available"}
+        facts = {
+            "store": "away" if self.is_failing else "back from an outage",
+            "failed_call": self.failed_call,
+            "failed_ago_ms": round((now - self._first_failure) * 1000),
+        }
+        if not self.is_failing:
+            facts["grace_left_ms"] = round((self.grace_end - now) * 1000)
+        return facts
+
     def may_have_expired(self, now: float) -> bool:
         """Return True if a row that is missing now may belong to an endpoint that runs."""
         if self.is_failing:
--- a/flamingofront/process/forwarding/endpoints.py
+++ b/flamingofront/process/forwarding/endpoints.py
@@ -30,10 +30,17 @@
 
 @dataclass(frozen=True)
 class _MissingRow:
-    """A row that is missing from the store, but may have expired in an outage."""
+    """A row that is missing from the store, but may have expired in an outage.
+
+    Parameters
+    ----------
+    reported_by : str
+        VM of the first peer that reported the endpoint as removed; empty if none did.
+    """
 
     since: float
     origin: Provenance
+    reported_by: str = ""
 
 
 class EndpointView:
@@ -111,9 +118,23 @@
         row = self._rows.get(endpoint_id)
         return None if row is None else row.born
 
-    def origin_of(self, endpoint_id: str) -> Provenance | None:
-        """Return where the state of an endpoint was learned; None if it has no row."""
-        return self._origins.get(endpoint_id)
+    def describe(self, endpoint_id: str) -> dict[str, object]:
+        """Return what is known of an endpoint and of the store, for the log."""
+        now = self._timers.now()
+        origin, missing = self._origins.get(endpoint_id), self._missing.get(endpoint_id)
+        facts = {
+            "known_by": origin.way if origin is not None else "",
+            "known_from": origin.sender if origin is not None else "",
+            **self._outages.describe(now),
+        }
+        if missing is not None:
+            facts |= {
+                "row_missing_ms": _to_milliseconds(now - missing.since),
+                "missing_by": missing.origin.way,
+                "missing_from": missing.origin.sender,
+                "removal_reported_by": missing.reported_by,
+            }
+        return facts
 
     def mark_leaving(self, endpoint_id: str, origin: Provenance, request_id: str = "") -> None:
         """Mark an endpoint as leaving before its row says so.
@@ -175,14 +196,34 @@
                 self._removals.record(endpoint_id, revision)
             elif row.revision < revision and endpoint_id not in self._missing:
                 self.remove(endpoint_id, origin, revision)
+            elif row.revision < revision:
+                self._record_report_of_missing(endpoint_id, origin)
+
+    def _record_report_of_missing(self, endpoint_id: str, origin: Provenance) -> None:
+        """Record that a peer has removed an endpoint whose missing row is kept here."""
+        missing = self._missing[endpoint_id]
+        if not missing.reported_by:
+            self._missing[endpoint_id] = replace(missing, reported_by=origin.sender)
+            self._log.info(
+                "peer removed endpoint that is kept here",
+                endpoint=endpoint_id,
+                teller=origin.sender,
+                **self._outages.describe(self._timers.now()),
+            )
 
     def recently_removed(self) -> tuple[tuple[str, int], ...]:
         """Return id and revision of the endpoints to report as removed, latest first."""
         return tuple(each for each in self._removals.list_recent() if each[0] not in self._rows)
 
-    def record_store_failure(self) -> None:
-        """Record that a call to the store failed: rows may expire while their endpoints run."""
-        self._outages.record_failure(self._timers.now())
+    def record_store_failure(self, call: str = "") -> None:
+        """Record that a call to the store failed: rows may expire while their endpoints run.
+
+        Parameters
+        ----------
+        call : str
+            The call and how it failed, for the log.
+        """
+        self._outages.record_failure(self._timers.now(), call)
         if self._outages.is_partial:
             self._drop_missing()
 
@@ -361,6 +402,7 @@
                 waited_ms=_to_milliseconds(waited),
                 store_away=self._outages.is_failing,
                 row=str(row),
+                **self._outages.describe(self._timers.now()),
             )
             if state is not VmState.LIVE:
                 self._observe_delay(origin, waited)
@@ -394,7 +436,17 @@
         if not self._outages.may_have_expired(now):
             self._drop(endpoint_id, origin)
             return
-        self._missing.setdefault(endpoint_id, _MissingRow(now, origin))
+        if endpoint_id not in self._missing:
+            self._missing[endpoint_id] = _MissingRow(now, origin)
+            self._log.info(
+                "missing endpoint row kept",
+                endpoint=endpoint_id,
+                source=origin.source,
+                way=origin.way,
+                teller=origin.sender,
+                revision=revision,
+                **self._outages.describe(now),
+            )
         if not self._outages.is_failing and not self._in_first_answer:
             self._timers.once(DELETION_GRACE_SECONDS, lambda: self._end_row_grace(endpoint_id))
 
--- a/flamingofront/process/forwarding/follower.py
+++ b/flamingofront/process/forwarding/follower.py
@@ -41,7 +41,7 @@
     on_changes : callable
         Called with changed rows, in order.
     on_failure : callable
-        Called with each call that failed.
+        Called with the error of each call that failed.
     on_answer : callable
         Called with the time of the call and the store's time for each answer, before its rows are
         passed on.
@@ -49,7 +49,7 @@
 
     on_reload: Callable[[tuple[StoredRow, ...], int], None]
     on_changes: Callable[[tuple[StoredRow, ...]], None]
-    on_failure: Callable[[], None] = lambda: None
+    on_failure: Callable[[PlatformError], None] = lambda exc: None
     on_answer: Callable[[float, float | None], None] = lambda asked_at, time: None
 
 
@@ -300,4 +300,4 @@
         self._failures += 1
         if self._failures == 1:
             self._log.warning("store unreachable", **self._log_fields(exc))
-        self._listener.on_failure()
+        self._listener.on_failure(exc)
--- a/flamingofront/process/forwarding/knowledge.py
+++ b/flamingofront/process/forwarding/knowledge.py
@@ -121,7 +121,7 @@
         endpoint_listener = TableListener(
             self._reload_endpoints,
             self._apply_endpoint_changes,
-            endpoints.record_store_failure,
+            lambda exc: endpoints.record_store_failure(str(exc)),
             self._record_endpoint_answer,
         )
         # No pause here: changes are rare, and one may take a second on a small link.
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -235,11 +235,9 @@
     def _describe_endpoint_knowledge(self, endpoint_id: str) -> dict[str, object]:
         """Return the age of what this process knows of an endpoint and its origin, for the log."""
         age = self.store_view.endpoints_age()
-        origin = self.store_view.endpoints.origin_of(endpoint_id)
         return {
             "known_age": None if age is None else round(age, 3),
-            "known_by": origin.way if origin is not None else "",
-            "known_from": origin.sender if origin is not None else "",
+            **self.store_view.endpoints.describe(endpoint_id),
         }
 
     def _probe_target_of(self, endpoint_id: str) -> str:
--- a/flamingofront/process/forwarding/tests/test_feed_check.py
+++ b/flamingofront/process/forwarding/tests/test_feed_check.py
@@ -59,7 +59,7 @@
         )
         self.run(self.watcher.step())
 
-    def _count_failure(self):
+    def _count_failure(self, exc):
         self.failures += 1
 
     def run(self, task):
