--- a/flamingofront/standins/table_store.py
+++ b/flamingofront/standins/table_store.py
@@ -305,7 +305,11 @@
         if not rows and not is_timeout:
             return False
         waiting.done = True
-        if self.fault is not StoreFault.SILENT:
+        if self.fault is StoreFault.BUSY:
+            waiting.exchange.respond(503, self._make_era_headers(), b"")
+        elif self.fault is StoreFault.RESET:
+            waiting.exchange.abort()
+        elif self.fault is not StoreFault.SILENT:
             self._make_responder(waiting.exchange)(200, {"rows": rows, **self._make_stamp()})
         return True
 
--- a/flamingofront/tests/network.py
+++ b/flamingofront/tests/network.py
@@ -122,7 +122,11 @@
             source.timers.once(LATENCY, lambda: self.fail(reason, False))
         elif not world.is_cut(source, target):
             self.reused = world.takes_idle(source, call)
-            self._send()
+            if self.reused and world.closes_idle(target):
+                self._wrote = True
+                source.timers.once(2 * LATENCY, lambda: self.fail("reset", True, reused=True))
+            else:
+                self._send()
 
     def _send(self) -> None:
         self._wrote = True
--- a/flamingofront/tests/world.py
+++ b/flamingofront/tests/world.py
@@ -59,6 +59,8 @@
         # Connections that are kept, by host and address; none unless a test wants them.
         self.keeps_connections = False
         self.idle: set[tuple[str, str]] = set()
+        # Hosts that close connections while they are idle, so that the next call is reset.
+        self.closing: set[str] = set()
         self.engines: dict[str, EngineStandIn] = {}
         self.plains: dict[str, PlainStandIn] = {}
         self.nodes: dict[str, EntryNode] = {}
@@ -137,6 +139,10 @@
         self.idle.discard(known)
         return True
 
+    def closes_idle(self, target: Host) -> bool:
+        """Return True if a host has closed its idle connections."""
+        return target.name in self.closing
+
     # Building
 
     def engine(self, name: str, zone: str = "zone-a", side: str = "", listed=True, **options):
