Soak of departures plays single failed calls, and judges arrivals at both ends

Cause: the soak of real processes let calls fail only as in an outage, and passed over each arrival whose sender was disturbed at any time since the departure.

A late arrival counts if no process was disturbed before the departure and the sender was not before the arrival. More than half of the processes may be killed at once.

--- a/scripts/soak_departures.py
+++ b/scripts/soak_departures.py
@@ -2,10 +2,12 @@
 """Soak of real processes with endpoints that leave, and an oracle over what reaches them.
 
 Endpoints leave in several ways and serve on, each entry process reaches the store through a relay
-that rejects, resets, silences or delays its calls, and entry processes are killed, suspended and
-reloaded. Exits with 1 if a request of an undisturbed process reaches an endpoint too late.
+that rejects, resets, silences or delays its calls, single calls fail in further ways, and entry
+processes are killed, suspended and reloaded. Exits with 1 if a request reaches an endpoint too
+late, with the store undisturbed before the departure and the sender before the arrival.
 
     .venv/bin/python scripts/soak_departures.py 7 --seconds 60
+    .venv/bin/python scripts/soak_departures.py 7 --only closed
 """
 
 import asyncio
@@ -27,7 +29,8 @@
 from pathlib import Path
 
 import defopt
-from try_lost_paths import BIN, ROOT, _cancel_others, _read_message, _wait_for
+from store_relay import CallFault, Outage, StoreRelay
+from try_lost_paths import BIN, ROOT, _cancel_others, _wait_for
 
 PORT = 20480
 MAX_NETWORKS = 250
@@ -39,57 +42,10 @@
 CONTACT_SECONDS = 3.0
 # An endpoint has written its row within this time after its start, also on a busy machine.
 REGISTRATION_SECONDS = 4.0
-MODES = ("busy", "reset", "silent", "slow")
-SLOW_SECONDS = 1.2
-REJECTION = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
-
-
-class StoreRelay:
-    """Relay of one entry process to the store, whose connections can fail."""
-
-    def __init__(self, host: str):
-        self.mode = ""
-        self.port = 0
-        self._host = host
-        self._writers: set[asyncio.StreamWriter] = set()
-        self._dead: set[asyncio.StreamWriter] = set()
-
-    async def open(self) -> None:
-        """Listen on a free port."""
-        server = await asyncio.start_server(self._serve, self._host, 0)
-        self.port = server.sockets[0].getsockname()[1]
-
-    async def _serve(self, reader, writer) -> None:
-        self._writers.add(writer)
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            while True:
-                head, body = await _read_message(reader)
-                await self._answer(head + body, writer)
-        self._writers.discard(writer)
-
-    async def _answer(self, request: bytes, writer) -> None:
-        if self.mode == "busy":
-            writer.write(REJECTION)
-            return
-        if self.mode == "slow":
-            await asyncio.sleep(SLOW_SECONDS)
-        near, far = await asyncio.open_connection(self._host, PORT)
-        far.write(request)
-        head, body = await _read_message(near)
-        far.close()
-        if self.mode == "silent" or writer in self._dead:
-            # A connection on which a response was lost delivers nothing further.
-            self._dead.add(writer)
-            return
-        writer.write(head + body)
-
-    async def set_mode(self, mode: str) -> None:
-        """Let calls fail in a way from now on; an empty mode lets them work."""
-        self.mode = mode
-        for each in list(self._writers) if mode == "reset" else ():
-            each.transport.abort()
-        if mode == "silent":
-            self._dead |= self._writers
+KILLED_SHARE = 0.55
+KILLED_SECONDS = 2.0
+# A row that says that its endpoint leaves is removed within this time after.
+MAX_STEP_SECONDS = 1.0
 
 
 @dataclass
@@ -135,7 +91,7 @@
         self._loop.set_exception_handler(lambda loop, context: None)
         threading.Thread(target=self._loop.run_forever, daemon=True).start()
         self.fronts: list[subprocess.Popen] = []
-        self.relays = [StoreRelay(self.host) for _ in range(processes)]
+        self.relays = [StoreRelay(self.host, PORT) for _ in range(processes)]
         self.endpoints: list[Endpoint] = []
 
     def run_in_loop(self, coroutine):
@@ -256,14 +212,15 @@
 class Soak:
     """Callers, endpoints that leave, and faults of the store's relays and of processes."""
 
-    def __init__(self, deployment: Deployment, rng: random.Random):
+    def __init__(self, deployment: Deployment, rng: random.Random, only: str = ""):
         self._deployment = deployment
+        self._only = CallFault(only) if only else None
         self._rng = rng
         self.senders: dict[str, int] = {}
         self.statuses: Counter[int] = Counter()
         self.faults: Counter[str] = Counter()
-        self.disturbed: dict[int, list[float]] = defaultdict(list)
-        self._busy: set[int] = set()
+        # Begin and end of disturbances, by entry process.
+        self.disturbed: dict[int, list[tuple[float, float]]] = defaultdict(list)
         self._timers: list[threading.Timer] = []
 
     def call_until(self, end: float, rate: float) -> list[threading.Thread]:
@@ -312,18 +269,49 @@
     def play_until(self, end: float) -> None:
         """Play rounds of faults, calm seconds, and endpoints that leave."""
         while time.monotonic() < end:
-            for _ in range(self._rng.choice((0, 1, 1, 2))):
+            for _ in range(self._rng.choice((0, 1, 1, 2)) if self._only is None else 0):
                 self._disturb()
                 time.sleep(0.3 * self._rng.random())
-            time.sleep(CONTACT_SECONDS + 1.5 * self._rng.random())
-            for _ in range(self._rng.choice((1, 2, 3))):
-                self._leave()
-            if self._rng.random() < 0.3:
-                self._disturb()
+            time.sleep(CONTACT_SECONDS + 0.2 + self._rng.random())
+            if self._only is None and self._rng.random() < 0.4:
+                self._leave_beside_outage()
+            else:
+                self._leave_beside_failed_calls()
             time.sleep(DRAIN_SECONDS + 0.8)
         for timer in self._timers:
             timer.join()
 
+    def _leave_beside_failed_calls(self) -> None:
+        """Let endpoints leave before, in and after a time in which single calls fail."""
+        fault = self._only or self._rng.choice(list(CallFault))
+        self.faults[fault.value] += 1
+        fronts = range(self._deployment.processes)
+        if self._rng.random() < 0.3:
+            fronts = self._rng.sample(fronts, 1 + self._rng.randrange(len(fronts)))
+        seconds = {CallFault.QUIET: 1.0, CallFault.CLOSED: 2.0, CallFault.ANNOUNCED: 2.0}
+        if self._rng.random() < 0.5:
+            self._leave()
+            time.sleep(0.1 * self._rng.random())
+        self._set_call_fault(fronts, fault)
+        time.sleep(0.1 * self._rng.random())
+        for _ in range(self._rng.choice((1, 1, 2, 4))):
+            self._leave()
+        time.sleep(seconds.get(fault, 0.25))
+        self._set_call_fault(fronts, None)
+        if self._rng.random() < 0.3:
+            self._leave()
+
+    def _leave_beside_outage(self) -> None:
+        """Let endpoints leave just before an outage, which excuses nothing after it."""
+        for _ in range(self._rng.choice((1, 2, 3))):
+            self._leave()
+        if self._rng.random() < 0.5:
+            self._disturb()
+
+    def _set_call_fault(self, fronts, fault: CallFault | None) -> None:
+        for each in fronts:
+            self._deployment.run_in_loop(self._deployment.relays[each].set_call_fault(fault))
+
     # Endpoints
 
     def _registered(self) -> list[Endpoint]:
@@ -334,6 +322,8 @@
     def _leave(self) -> None:
         by_service = Counter(each.service for each in self._deployment.serving())
         found = [each for each in self._registered() if by_service[each.service] > 2]
+        if not found:
+            return
         endpoint = self._rng.choice(found)
         way = self._rng.choice(("removed", "removed", "draining", "both", "just written"))
         self.faults[way] += 1
@@ -356,7 +346,8 @@
             endpoint.left_at = self._deployment.write_rows({}, (endpoint.name,))
         if way == "both":
             self._later(
-                self._rng.random(), lambda: self._deployment.write_rows({}, (endpoint.name,))
+                MAX_STEP_SECONDS * self._rng.random(),
+                lambda: self._deployment.write_rows({}, (endpoint.name,)),
             )
         self._deployment.add_endpoint()
         self._later(DRAIN_SECONDS + 4.0, endpoint.child.kill)
@@ -369,89 +360,91 @@
 
     def _disturb(self) -> None:
         action = self._rng.choice(
-            (self._fail_store, self._fail_store, self._lose_answer, self._lose_answer)
-            + (self._kill, self._suspend, self._reload)
+            (self._fail_store, self._fail_store, self._kill, self._kill_most)
+            + (self._suspend, self._reload)
         )
         self.faults[action.__name__.strip("_")] += 1
         action()
 
-    def _note(self, fronts: list[int]) -> None:
+    @contextlib.contextmanager
+    def _disturbance(self, fronts: list[int]):
+        """Record that entry processes are disturbed meanwhile."""
+        began = time.monotonic()
+        yield
         for each in fronts:
-            self.disturbed[each].append(time.monotonic())
+            self.disturbed[each].append((began, time.monotonic()))
 
     def _fail_store(self) -> None:
         count = self._rng.choice((1, 2, self._deployment.processes))
         fronts = self._rng.sample(range(self._deployment.processes), count)
-        self._set_mode(fronts, self._rng.choice(MODES), 0.3 + 3 * self._rng.random())
-
-    def _lose_answer(self) -> None:
-        """Lose one answer at each process, whose change feed has just begun a long poll."""
-        endpoint = self._rng.choice(self._deployment.serving())
-        row = {
-            "service": endpoint.service,
-            "address": f"{self._deployment.host}:{endpoint.port}",
-            "zone": ZONES[0],
-        }
-        row |= {"version": "v1", "slots": 64, "state": "ready", "cold_left_ms": 0, "sequence": 2}
-        self._deployment.write_rows({endpoint.name: row})
-        time.sleep(0.1 + self._rng.random())
-        self._set_mode(list(range(self._deployment.processes)), "silent", 0.25)
-
-    def _set_mode(self, fronts: list[int], mode: str, seconds: float) -> None:
-        for each in fronts:
-            self._deployment.run_in_loop(self._deployment.relays[each].set_mode(mode))
-        self._note(fronts)
-        time.sleep(seconds)
-        for each in fronts:
-            self._deployment.run_in_loop(self._deployment.relays[each].set_mode(""))
-        self._note(fronts)
+        outage = self._rng.choice(list(Outage))
+        with self._disturbance(fronts):
+            for each in fronts:
+                self._deployment.run_in_loop(self._deployment.relays[each].set_outage(outage))
+            time.sleep(0.3 + 3 * self._rng.random())
+            for each in fronts:
+                self._deployment.run_in_loop(self._deployment.relays[each].set_outage(None))
 
     def _pick(self) -> int:
         return self._rng.randrange(self._deployment.processes)
 
     def _kill(self) -> None:
         front = self._pick()
-        self._note([front])
-        self._deployment.fronts[front].kill()
-        self._deployment.fronts[front].wait()
-        self._deployment.fronts[front] = self._deployment.run_front(front)
-        _wait_for(f"{self._deployment.ip_of(front)}:{PORT + 1001}", "/api/ready")
-        self._note([front])
+        with self._disturbance([front]):
+            self._deployment.fronts[front].kill()
+            self._deployment.fronts[front].wait()
+            self._deployment.fronts[front] = self._deployment.run_front(front)
+
+    def _kill_most(self) -> None:
+        """Kill more than half of the processes at once, and start them again after a while."""
+        count = round(KILLED_SHARE * self._deployment.processes)
+        fronts = self._rng.sample(range(self._deployment.processes), count)
+        with self._disturbance(fronts):
+            for each in fronts:
+                self._deployment.fronts[each].kill()
+            time.sleep(KILLED_SECONDS)
+            for each in fronts:
+                self._deployment.fronts[each].wait()
+                self._deployment.fronts[each] = self._deployment.run_front(each)
 
     def _suspend(self) -> None:
         front = self._pick()
-        self._note([front])
-        self._deployment.fronts[front].send_signal(signal.SIGSTOP)
-        time.sleep(0.3 + 4 * self._rng.random())
-        self._deployment.fronts[front].send_signal(signal.SIGCONT)
-        self._note([front])
+        with self._disturbance([front]):
+            self._deployment.fronts[front].send_signal(signal.SIGSTOP)
+            time.sleep(0.3 + 4 * self._rng.random())
+            self._deployment.fronts[front].send_signal(signal.SIGCONT)
 
     def _reload(self) -> None:
         self._deployment.fronts[self._pick()].send_signal(signal.SIGHUP)
 
     # Oracle
 
-    def late(self, is_strict: bool) -> list[tuple[str, int, float]]:
+    def late(self) -> list[tuple[str, int, float]]:
         """Return endpoint, sender and delay of the requests that reached endpoints too late.
 
-        Parameters
-        ----------
-        is_strict : bool
-            True to leave out those while other processes were disturbed, too.
+        Notes
+        -----
+        No process was disturbed for `CONTACT_SECONDS` before the departure, and the sender was not
+        for as long before the arrival. What lies between excuses nothing.
         """
         found = []
         for endpoint in self._deployment.endpoints:
+            left = endpoint.left_at
+            if left is None or any(self._was_disturbed(each, left) for each in self.disturbed):
+                continue
             for at, request_id in endpoint.arrivals:
-                if endpoint.left_at is None or at - endpoint.left_at <= DRAIN_SECONDS:
-                    continue
                 front = self.senders.get(request_id, -1)
-                fronts = self.disturbed if is_strict else (front,)
-                since = endpoint.left_at - CONTACT_SECONDS
-                times = [each for name in fronts for each in self.disturbed[name]]
-                if front >= 0 and not any(since <= each <= at for each in times):
-                    found.append((endpoint.name, front, round(at - endpoint.left_at, 2)))
+                is_late = at - left > DRAIN_SECONDS and front >= 0
+                if is_late and not self._was_disturbed(front, at):
+                    found.append((endpoint.name, front, round(at - left, 2), request_id))
         return found
 
+    def _was_disturbed(self, front: int, at: float) -> bool:
+        """Return True if an entry process was disturbed within `CONTACT_SECONDS` before a time."""
+        return any(
+            began <= at and ended >= at - CONTACT_SECONDS for began, ended in self.disturbed[front]
+        )
+
 
 def count_exceptions(folder: Path) -> int:
     """Return the number of unhandled exceptions in the logs of the entry processes."""
@@ -459,30 +452,40 @@
     return sum('"event":"fault"' in line for line in lines)
 
 
-def main(seed: int, *, seconds: float = 40.0, processes: int = 5, rate: float = 5.0) -> None:
+def main(
+    seed: int,
+    *,
+    seconds: float = 40.0,
+    processes: int = 5,
+    rate: float = 5.0,
+    only: str = "",
+    endpoints: int = 10,
+) -> None:
     """Run the soak with one seed.
 
     :param seed: seed of the faults and of the callers
     :param seconds: length of the soak
     :param processes: entry processes
     :param rate: requests a second at each entry process
+    :param only: the one thing that befalls calls, without any other fault
+    :param endpoints: endpoints that serve at any time
     """
     folder = Path(tempfile.mkdtemp())
-    with Deployment(folder, seed % MAX_NETWORKS, processes, 10) as deployment:
-        soak = Soak(deployment, random.Random(seed))
+    with Deployment(folder, seed % MAX_NETWORKS, processes, endpoints) as deployment:
+        soak = Soak(deployment, random.Random(seed), only)
         time.sleep(REGISTRATION_SECONDS)
         end = time.monotonic() + seconds
         callers = soak.call_until(end + DRAIN_SECONDS + 2.0, rate)
         soak.play_until(end)
         for each in callers:
             each.join()
-        late = soak.late(is_strict=False)
+        late = soak.late()
         departures = len(deployment.endpoints) - len(deployment.serving())
     exceptions = count_exceptions(folder)
     print(
         f"seed {seed}, {processes} processes: {departures} departures, {len(soak.senders)} "
         f"requests {dict(soak.statuses)}; faults {dict(soak.faults)}; {exceptions} exceptions; "
-        f"late {len(late)}, of these {len(soak.late(is_strict=True))} in full calm {late[:4]}; "
+        f"late {len(late)} {late[:4]}; "
         f"logs in {folder}",
         flush=True,
     )
