Calls that are safe to repeat are sent again where a reused connection was closed

Cause: a call on a kept connection that the store, a peer or an endpoint had closed while it was idle was reset, and the reset was taken for a failure of the other side. Class: the state of one connection that stands for the state of the other side.

Change: reads of the store, calls of the object store, and questions to peers are sent again on a new connection if their reused one is reset unanswered within 0.25 s; the timeout goes on. A connection whose end has arrived is not reused by any call.

Why it holds: nothing of the reset reaches the caller of the client; a reset later than that, or on a new connection, is a failure as before.

Measured: the first and last test of TestClosedWhileIdle fail on the code before, all four pass five times. Tests of connection/, process/, request/ and platform/ pass.

--- a/flamingofront/connection/client.py
+++ b/flamingofront/connection/client.py
@@ -97,6 +97,7 @@
         # Time of the last data of the response body.
         self.last_data_at: float | None = None
         self.reused = False
+        self.started_at = 0.0
         self._wrote = False
 
     @property
@@ -148,6 +149,16 @@
         self._call: _Call | None = None
         self._unsent = b""
 
+    def was_closed_by_peer(self) -> bool:
+        """Return True if the peer has closed this idle connection, or sent unexpected bytes."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            pass
+        return True
+
     def connect(self) -> None:
         """Start to connect; the socket becomes writable when the connection is established."""
         host, _, port = self.address.rpartition(":")
@@ -171,6 +182,7 @@
         self._set_user_timeout(call.call.ack_timeout)
         self._heads = HeadBuffer(is_request=False, max_bytes=MAX_RESPONSE_HEAD_BYTES)
         self._head: Head | None = None
+        self._has_received = False
         self._decoder: BodyDecoder | None = None
         self._unsent = _encode_request(call.call)
         if self.connected:
@@ -247,6 +259,7 @@
 
     def _parse_response(self, data: bytes) -> None:
         call = self._call
+        self._has_received = True
         try:
             if self._head is None and not self._parse_head(data):
                 return
@@ -290,12 +303,21 @@
         call.finish(ResponseEnd())
 
     def fail(self, reason: str) -> None:
-        """Close the connection and report the failure to its call."""
+        """Close the connection and report the failure to its call, or repeat the call."""
         call = self._call
+        was_stale = call is not None and reason == "reset" and self._was_stale(call)
         self.close()
-        if call is not None:
+        if was_stale:
+            self._client.repeat(call)
+        elif call is not None:
             call.finish(CallFailed(reason, call.wrote, call.reused))
 
+    def _was_stale(self, call: _Call) -> bool:
+        """Return True if the peer had closed the connection before a repeatable call was sent."""
+        if not call.reused or self._has_received or not call.call.stale_seconds:
+            return False
+        return self._client.timers.now() - call.started_at <= call.call.stale_seconds
+
     def close(self) -> None:
         """Close the connection; further calls have no effect."""
         if self.closed:
@@ -393,21 +415,31 @@
         ambiguity.
         """
         handle = _Call(call, listener)
+        handle.started_at = self.timers.now()
         handle.timer = self.timers.once(call.timeout, lambda: self._on_timeout(handle))
         conn = None if call.new_connection else self._pop_idle(call.address)
         if conn is None and call.idle_only:
             failure = CallFailed(NO_IDLE_CONNECTION, False)
             self.timers.once(0.0, lambda: handle.finish(failure))
         elif conn is None:
-            conn = _ClientConnection(self, call.address)
-            self._connections[conn.sock] = conn
-            conn.start_call(handle)
-            conn.connect()
+            self._connect(handle)
         else:
             handle.reused = True
             conn.start_call(handle)
         return handle
 
+    def _connect(self, handle: _Call) -> None:
+        """Start a call on a new connection."""
+        conn = _ClientConnection(self, handle.call.address)
+        self._connections[conn.sock] = conn
+        conn.start_call(handle)
+        conn.connect()
+
+    def repeat(self, handle: _Call) -> None:
+        """Repeat a call on a new connection; its timeout goes on."""
+        handle.reused = False
+        self._connect(handle)
+
     def probe(
         self, address: str, timeout: float, listener: Callable[[ConnectResult], None]
     ) -> None:
@@ -420,9 +452,10 @@
         idle = self._idle.get(address)
         while idle:
             conn = idle.pop()
-            if not conn.closed:
+            if not conn.closed and not conn.was_closed_by_peer():
                 conn.idle_timer.cancel()
                 return conn
+            conn.close()
         return None
 
     def keep_idle(self, conn: _ClientConnection, seconds: float) -> None:
--- a/flamingofront/connection/tests/test_client.py
+++ b/flamingofront/connection/tests/test_client.py
@@ -1,8 +1,10 @@
 """Tests of the HTTP client against misbehaving endpoints, with real sockets and a manual clock."""
 
 import queue
+import select
 import socket
 import threading
+import time
 
 import pytest
 
@@ -58,6 +60,24 @@
                 return
 
 
+class ClosingEndpoint(Endpoint):
+    """Endpoint that closes a connection, unread, after it got its second request."""
+
+    def __init__(self, *responses):
+        self.may_close = threading.Event()
+        self.may_close.set()
+        super().__init__(*responses)
+
+    def _serve(self, conn):
+        conn.recv(65536)
+        self.requests.append(1)
+        conn.sendall(self.responses.pop(0))
+        # The next request waits unread, so that closing the socket resets the connection.
+        select.select([conn], [], [], WAIT_SECONDS)
+        self.may_close.wait(WAIT_SECONDS)
+        conn.close()
+
+
 class Client:
     """HTTP client in its own thread."""
 
@@ -308,3 +328,49 @@
 
     def test_call_to_a_closed_port_is_refused(self, client):
         assert client.call(find_unused_address()) == [CallFailed("refused", False)]
+
+
+class TestClosedWhileIdle:
+    """A reused connection turns out to have been closed by its target."""
+
+    def test_repeatable_call_is_sent_again_on_a_new_connection(self, client):
+        """Guards against a connection that was closed while idle, taken for a failure."""
+        endpoint = ClosingEndpoint(encode_response(), encode_response(b"again"))
+        client.call(endpoint.address)
+        events = client.call(endpoint.address, stale_seconds=0.25)
+        assert [type(each) for each in events] == [ResponseHead, ResponseData, ResponseEnd]
+        assert events[1].data == b"again" and not events[0].reused
+        assert endpoint.connections == 2
+
+    def test_call_that_must_not_be_repeated_fails(self, client):
+        endpoint = ClosingEndpoint(encode_response())
+        client.call(endpoint.address)
+        assert client.call(endpoint.address) == [CallFailed("reset", True, True)]
+
+    def test_reset_long_after_the_call_was_sent_is_a_failure(self, client):
+        """Guards against a long poll that is reset, taken for one on a closed connection."""
+        endpoint = ClosingEndpoint(encode_response())
+        client.call(endpoint.address)
+        endpoint.may_close.clear()
+        events = queue.Queue()
+        call = OutboundCall(endpoint.address, "GET", "/x", timeout=60.0, stale_seconds=0.25)
+        client.run_in_loop(lambda: client.client.start(call, events.put))
+        client.advance_time(0.0)  # the call has started
+        client.advance_time(0.3)
+        endpoint.may_close.set()
+        assert events.get(timeout=WAIT_SECONDS) == CallFailed("reset", True, True)
+
+    def test_connection_whose_end_has_arrived_is_not_used(self, client):
+        """Guards against a call sent before the event loop has read the end of the connection."""
+        endpoint = Endpoint(encode_response(), encode_response(), close_after=True)
+        done = queue.Queue()
+
+        def call_again(event):
+            if isinstance(event, ResponseEnd):
+                time.sleep(0.05)
+                client.client.start(OutboundCall(endpoint.address, "POST", "/x"), done.put)
+
+        call = OutboundCall(endpoint.address, "GET", "/x", timeout=60.0)
+        client.run_in_loop(lambda: client.client.start(call, call_again))
+        assert done.get(timeout=WAIT_SECONDS).status == 200
+        assert endpoint.connections == 2
--- a/flamingofront/messages.py
+++ b/flamingofront/messages.py
@@ -17,6 +17,7 @@
     "Frame",
     "InboundRequest",
     "NO_IDLE_CONNECTION",
+    "STALE_SECONDS",
     "OutboundCall",
     "ResponseData",
     "ResponseEnd",
@@ -30,6 +31,9 @@
 
 # Failure of a call that may use an idle connection only, while there is none.
 NO_IDLE_CONNECTION = "no idle connection"
+# `OutboundCall.stale_seconds` of calls that are safe to repeat: a round trip, and the time for
+# which a busy process does not read.
+STALE_SECONDS = 0.25
 
 
 @dataclass(frozen=True)
@@ -77,6 +81,10 @@
         True to receive the response body in parts as it arrives.
     new_connection : bool
         True if the call must not reuse an idle connection.
+    stale_seconds : float
+        Seconds after sending within which a reset of a reused connection shows that the target had
+        closed it while it was idle. The call is then sent again on a new connection. 0 for calls
+        that must not be executed twice.
     idle_only : bool
         True if the call fails unsent with `NO_IDLE_CONNECTION` unless it reuses one.
     host : str
@@ -100,6 +108,7 @@
     timeout: float = 2.0
     stream: bool = False
     new_connection: bool = False
+    stale_seconds: float = 0.0
     idle_only: bool = False
     host: str = ""
     connect_timeout: float | None = None
--- a/flamingofront/platform/objects.py
+++ b/flamingofront/platform/objects.py
@@ -2,7 +2,7 @@
 
 from urllib.parse import quote
 
-from flamingofront.messages import OutboundCall
+from flamingofront.messages import STALE_SECONDS, OutboundCall
 from flamingofront.platform.store import STATUS_OK
 from flamingofront.process.calls import send_call
 from flamingofront.process.store import ObjectStore
@@ -48,5 +48,10 @@
 
     def _make_call(self, method: str, path: str, name: str, data: bytes = b"") -> OutboundCall:
         return OutboundCall(
-            self._address, method, path + quote(name, safe=""), data, timeout=self._timeout
+            self._address,
+            method,
+            path + quote(name, safe=""),
+            data,
+            timeout=self._timeout,
+            stale_seconds=STALE_SECONDS,
         )
--- a/flamingofront/platform/store.py
+++ b/flamingofront/platform/store.py
@@ -8,7 +8,7 @@
 import orjson
 
 from flamingofront.errors import PlatformError
-from flamingofront.messages import BufferedResponse, OutboundCall
+from flamingofront.messages import STALE_SECONDS, BufferedResponse, OutboundCall
 from flamingofront.process.calls import send_call
 from flamingofront.process.store import (
     HistoryLostError,
@@ -135,6 +135,7 @@
             timeout=timeout,
             # A response may be too large to arrive within the timeout over a slow link.
             stall_timeout=self._timeout,
+            stale_seconds=STALE_SECONDS,
         )
 
 
--- a/flamingofront/process/forwarding/exchange.py
+++ b/flamingofront/process/forwarding/exchange.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Callable
 
-from flamingofront.messages import BufferedResponse, OutboundCall, Sleep
+from flamingofront.messages import STALE_SECONDS, BufferedResponse, OutboundCall, Sleep
 from flamingofront.process.forwarding.document_copies import apply_delta
 from flamingofront.process.forwarding.knowledge import StoreView
 from flamingofront.process.forwarding.news import EndpointUpdate, decode_endpoint_update
@@ -225,7 +225,12 @@
 
     def _request_peer(self, peer: str, address: str, path: str) -> Task:
         reply = yield OutboundCall(
-            address, "GET", path, timeout=FETCH_TIMEOUT_SECONDS, stall_timeout=FETCH_TIMEOUT_SECONDS
+            address,
+            "GET",
+            path,
+            timeout=FETCH_TIMEOUT_SECONDS,
+            stall_timeout=FETCH_TIMEOUT_SECONDS,
+            stale_seconds=STALE_SECONDS,
         )
         if isinstance(reply, BufferedResponse) and reply.status == 200:
             return reply.body
--- a/flamingofront/process/orders.py
+++ b/flamingofront/process/orders.py
@@ -7,7 +7,7 @@
 
 import orjson
 
-from flamingofront.messages import CallFailed, OutboundCall
+from flamingofront.messages import STALE_SECONDS, CallFailed, OutboundCall
 from flamingofront.process.dissemination import Dissemination
 from flamingofront.process.leases import LeaseKeeper
 from flamingofront.process.membership import Fact, Role
@@ -54,7 +54,9 @@
 
     def _reconcile_engine(self, fact: Fact, model: str) -> Task:
         """Read an engine's state and request the model if it has loaded another."""
-        reply = yield OutboundCall(fact.address, "GET", "/state", timeout=CALL_TIMEOUT_SECONDS)
+        reply = yield OutboundCall(
+            fact.address, "GET", "/state", timeout=CALL_TIMEOUT_SECONDS, stale_seconds=STALE_SECONDS
+        )
         if isinstance(reply, CallFailed) or reply.status != 200:
             return
         if orjson.loads(reply.body)["model"] == model:
--- a/flamingofront/process/peers.py
+++ b/flamingofront/process/peers.py
@@ -7,7 +7,7 @@
 
 import orjson
 
-from flamingofront.messages import CallFailed, OutboundCall
+from flamingofront.messages import STALE_SECONDS, CallFailed, OutboundCall
 from flamingofront.process.dissemination import (
     PUSH_FANOUT,
     Digest,
@@ -136,7 +136,13 @@
             return False
         path = f"/peer/claims/{quote(request_id)}"
         reply = yield OutboundCall(
-            fact.address, "GET", path, b"", self.headers, REQUEST_TIMEOUT_SECONDS
+            fact.address,
+            "GET",
+            path,
+            b"",
+            self.headers,
+            REQUEST_TIMEOUT_SECONDS,
+            stale_seconds=STALE_SECONDS,
         )
         if isinstance(reply, CallFailed) or reply.status != 200:
             return False
--- a/flamingofront/process/vm_list.py
+++ b/flamingofront/process/vm_list.py
@@ -8,7 +8,7 @@
 
 import orjson
 
-from flamingofront.messages import OutboundCall
+from flamingofront.messages import STALE_SECONDS, OutboundCall
 from flamingofront.process.calls import send_call
 from flamingofront.process.tasks import Task
 
@@ -84,4 +84,6 @@
         return dict(orjson.loads(reply.body)["notices"])
 
     def _get(self, path: str, headers: tuple[tuple[str, str], ...] = ()) -> OutboundCall:
-        return OutboundCall(self._address, "GET", path, b"", headers, self._timeout)
+        return OutboundCall(
+            self._address, "GET", path, b"", headers, self._timeout, stale_seconds=STALE_SECONDS
+        )
--- a/flamingofront/process/watch.py
+++ b/flamingofront/process/watch.py
@@ -13,7 +13,7 @@
 import orjson
 
 from flamingofront.errors import PlatformError
-from flamingofront.messages import CallFailed, OutboundCall, Sleep
+from flamingofront.messages import STALE_SECONDS, CallFailed, OutboundCall, Sleep
 from flamingofront.process.dissemination import Dissemination
 from flamingofront.process.documents import DocumentStore
 from flamingofront.process.membership import Fact, Role, VmState
@@ -273,7 +273,11 @@
     def _read_load(self, fact: Fact) -> Task:
         since = self._next_event.get(fact.vm_id, 0)
         reply = yield OutboundCall(
-            fact.address, "GET", f"/load?since={since}", timeout=LOAD_TIMEOUT_SECONDS
+            fact.address,
+            "GET",
+            f"/load?since={since}",
+            timeout=LOAD_TIMEOUT_SECONDS,
+            stale_seconds=STALE_SECONDS,
         )
         if isinstance(reply, CallFailed) or reply.status != 200:
             return
--- a/flamingofront/request/endpoint_paths.py
+++ b/flamingofront/request/endpoint_paths.py
@@ -8,7 +8,13 @@
 
 from flamingofront.connection.interfaces import CallEvent, CallHandle, Transport
 from flamingofront.decisions.direct_paths import EndpointPath, PathStatus
-from flamingofront.messages import CallFailed, OutboundCall, ResponseEnd, ResponseHead
+from flamingofront.messages import (
+    STALE_SECONDS,
+    CallFailed,
+    OutboundCall,
+    ResponseEnd,
+    ResponseHead,
+)
 from flamingofront.process.logs import Log
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.timers import TimerService
@@ -108,6 +114,7 @@
             f"{REACH_PATH}?{urlencode({'endpoint': self.endpoint_id, 'by': kind})}",
             timeout=QUESTION_TIMEOUT_SECONDS,
             stream=True,
+            stale_seconds=STALE_SECONDS,
             connect_timeout=QUESTION_TIMEOUT_SECONDS,
         )
 
--- a/flamingofront/request/reattach.py
+++ b/flamingofront/request/reattach.py
@@ -12,7 +12,13 @@
 from flamingofront.connection.interfaces import CallEvent, CallHandle, Exchange, Transport
 from flamingofront.connection.server import JSON_HEADERS
 from flamingofront.errors import ErrorKind, Executed, PlatformError, RequestError
-from flamingofront.messages import OutboundCall, ResponseData, ResponseEnd, ResponseHead
+from flamingofront.messages import (
+    STALE_SECONDS,
+    OutboundCall,
+    ResponseData,
+    ResponseEnd,
+    ResponseHead,
+)
 from flamingofront.process.documents import DocumentStore
 from flamingofront.process.tasks import Task, TaskRunner
 from flamingofront.request.active import ActiveRequest
@@ -188,7 +194,14 @@
         position = f"workspace={quote(workspace)}&offset={offset}&stream={int(stream)}"
         path = f"/peer/requests/{quote(request_id)}?{position}"
         call = OutboundCall(
-            address, "GET", path, b"", self._peer_headers, RELAY_TIMEOUT_SECONDS, stream=True
+            address,
+            "GET",
+            path,
+            b"",
+            self._peer_headers,
+            RELAY_TIMEOUT_SECONDS,
+            stream=True,
+            stale_seconds=STALE_SECONDS,
         )
         return self._transport.start(call, listener)
 
--- a/flamingofront/tests/network.py
+++ b/flamingofront/tests/network.py
@@ -123,11 +123,19 @@
         elif not world.is_cut(source, target):
             self.reused = world.takes_idle(source, call)
             if self.reused and world.closes_idle(target):
-                self._wrote = True
-                source.timers.once(2 * LATENCY, lambda: self.fail("reset", True, reused=True))
+                self._meet_closed_connection()
             else:
                 self._send()
 
+    def _meet_closed_connection(self) -> None:
+        """Repeat a call on a new connection if that is safe, else reset it."""
+        self._wrote = True
+        if self.call.stale_seconds:
+            self.reused = False
+            self.source.timers.once(2 * LATENCY, self._send)
+        else:
+            self._reset_after(2 * LATENCY)
+
     def _send(self) -> None:
         self._wrote = True
         self.target.links.append(self)
