An outage of the store is two failed calls in a row, not one

Cause: the first failed call of a process began an outage, and its next answer ended one that never was. Each row that was missing from then on was kept for up to 2.2 s as one that may have expired, also where it had been removed. A feed that was reset, an answer 429, a history that was gone on a closed connection: each failed once, and where it recurred the grace period never ended. Class: one failed call that stands for "the other side is away".

What callers saw: requests at endpoints that had left, 2.0 to 6.4 s after the store had acknowledged it (2 s are allowed).

An outage is a failed call and a later one that was sent after it and failed too, not both of a change feed; calls that wait for 0.2 s count like failed ones. An answer to any process between them, also one told late, shows that there was none, and endpoints that were kept go at once. 429 is an answer. A poll that failed alone is followed at once by a read of the table, which shows whether the store answers and what has changed. A check beside the long poll that waits for 0.2 s or fails does the same. A process that finds the store away says so at once, and those that hear it call the store themselves. A read after an outage no longer shortens the grace period of rows that were missing before, and the end of one outage does not end that of the next.

Why it holds: what befalls a single call is followed by one that is answered, on a new connection and of another kind, before anything is believed.

--- a/flamingofront/errors.py
+++ b/flamingofront/errors.py
@@ -16,6 +16,7 @@
     "ErrorKind",
     "FlamingofrontError",
     "PlatformError",
+    "PlatformRateLimitError",
     "PlatformTimeoutError",
     "Executed",
     "RequestError",
@@ -217,6 +218,10 @@
     """A call to the platform was not answered in time."""
 
 
+class PlatformRateLimitError(PlatformError):
+    """A call to the platform was over the allowed rate: the platform serves."""
+
+
 class RequestError(FlamingofrontError):
     """A caller's request fails with an error response.
 
--- a/flamingofront/process/calls.py
+++ b/flamingofront/process/calls.py
@@ -1,13 +1,14 @@
 """Calls to the services of the platform, with errors that tell if a write may have taken effect."""
 
-from flamingofront.errors import PlatformError, PlatformTimeoutError
+from flamingofront.errors import PlatformError, PlatformRateLimitError, PlatformTimeoutError
 from flamingofront.messages import CallFailed, OutboundCall
 from flamingofront.process.tasks import Task
 
 __all__ = ["send_call"]
 
 # Responses that guarantee that the call had no effect.
-REJECTED_STATUSES = (429, 503)
+STATUS_RATE_LIMITED = 429
+REJECTED_STATUSES = (STATUS_RATE_LIMITED, 503)
 TIMEOUT_REASON = "timeout"
 
 
@@ -33,8 +34,8 @@
         error = PlatformTimeoutError if reply.reason == TIMEOUT_REASON else PlatformError
         raise error(f"{where}: {reply.reason}", maybe_applied=is_write and reply.wrote)
     if reply.status not in allowed_statuses:
+        is_limited = reply.status == STATUS_RATE_LIMITED
+        error = PlatformRateLimitError if is_limited else PlatformError
         is_rejected = reply.status in REJECTED_STATUSES
-        raise PlatformError(
-            f"{where}: status {reply.status}", maybe_applied=is_write and not is_rejected
-        )
+        raise error(f"{where}: status {reply.status}", maybe_applied=is_write and not is_rejected)
     return reply
--- a/flamingofront/process/forwarding/endpoints.py
+++ b/flamingofront/process/forwarding/endpoints.py
@@ -6,7 +6,11 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
-from flamingofront.decisions.store_outage import EXPIRY_GRACE_SECONDS, StoreOutages
+from flamingofront.decisions.store_outage import (
+    EXPIRY_GRACE_SECONDS,
+    FailedCall,
+    StoreOutages,
+)
 from flamingofront.decisions.stream_origin import VersionHistory
 from flamingofront.process.forwarding.endpoint_row import EndpointRow
 from flamingofront.process.forwarding.provenance import FROM_STORE, Provenance, Source, Way
@@ -69,6 +73,8 @@
     ----------
     versions : VersionHistory
         Versions that the endpoints have had.
+    on_store_away : callable
+        Called when calls of this process show that an outage of the store has begun.
     """
 
     def __init__(
@@ -89,6 +95,7 @@
         self._on_removed = on_removed
         self._on_restarted = on_restarted
         self.versions = VersionHistory(timers.now)
+        self.on_store_away: Callable[[], None] = lambda: None
         self._rows: dict[str, EndpointRow] = {}
         # Last rows of removed endpoints, and ids of those removed because of an unreadable row.
         self._last_rows: dict[str, EndpointRow] = {}
@@ -157,7 +164,7 @@
             way=origin.way,
             teller=origin.sender,
             row_sequence=row.sequence,
-            store_away=self._outages.is_failing,
+            store_away=self._outages.is_away,
             request=request_id,
         )
         self._leaving_since[endpoint_id] = self._timers.now()
@@ -215,31 +222,41 @@
         """Return id and revision of the endpoints to report as removed, latest first."""
         return tuple(each for each in self._removals.list_recent() if each[0] not in self._rows)
 
-    def record_store_failure(self, call: str = "") -> None:
-        """Record that a call to the store failed: rows may expire while their endpoints run.
-
-        Parameters
-        ----------
-        call : str
-            The call and how it failed, for the log.
-        """
+    def record_store_failure(self, call: FailedCall) -> None:
+        """Record a call to the store that failed; rows expire only in an outage of the store."""
+        was_away = self._outages.is_away
         self._outages.record_failure(self._timers.now(), call)
-        if self._outages.is_partial:
-            self._drop_missing()
+        self._update_missing()
+        self._report_store_away(was_away)
+
+    def record_store_unanswered(self, call: FailedCall) -> None:
+        """Record a call to the store that has not been answered for a while."""
+        was_away = self._outages.is_away
+        self._outages.record_unanswered(call)
+        self._report_store_away(was_away)
+
+    def _report_store_away(self, was_away: bool) -> None:
+        if self._outages.is_away and not was_away:
+            self._log.warning("store away", **self._outages.describe(self._timers.now()))
+            self.on_store_away()
+
+    @property
+    def is_store_away(self) -> bool:
+        """True if the store answers no process, as far as this one knows."""
+        return self._outages.is_away
 
     def record_store_answer_to_any(self, at: float) -> None:
         """Record a time at which the store answered this or another process."""
         self._outages.record_answer_to_any(at)
+        self._update_missing()
 
     def record_store_answer(self) -> None:
-        """Record an answer of the store, which begins the grace period after an outage."""
-        if not self._outages.is_failing:
-            return
-        now = self._timers.now()
-        self._outages.record_answer(now)
-        self._in_first_answer = True
-        self._timers.once(0.0, self._end_first_answer)
-        self._timers.once(max(0.0, self._outages.grace_end - now), self._drop_missing)
+        """Record an answer of the store to this process, before its rows are merged."""
+        if self._outages.is_failing:
+            self._in_first_answer = True
+            self._timers.once(0.0, self._end_first_answer)
+        self._outages.record_answer(self._timers.now())
+        self._update_missing()
 
     def _end_first_answer(self) -> None:
         """Record that all rows of the first answer after an outage have been merged."""
@@ -400,7 +417,7 @@
                 teller=origin.sender,
                 max_delay_ms=_to_milliseconds(origin.max_delay),
                 waited_ms=_to_milliseconds(waited),
-                store_away=self._outages.is_failing,
+                store_away=self._outages.is_away,
                 row=str(row),
                 **self._outages.describe(self._timers.now()),
             )
@@ -436,18 +453,20 @@
         if not self._outages.may_have_expired(now):
             self._drop(endpoint_id, origin)
             return
-        if endpoint_id not in self._missing:
-            self._missing[endpoint_id] = _MissingRow(now, origin)
-            self._log.info(
-                "missing endpoint row kept",
-                endpoint=endpoint_id,
-                source=origin.source,
-                way=origin.way,
-                teller=origin.sender,
-                revision=revision,
-                **self._outages.describe(now),
-            )
-        if not self._outages.is_failing and not self._in_first_answer:
+        if endpoint_id in self._missing:
+            return
+        self._missing[endpoint_id] = _MissingRow(now, origin)
+        self._log.info(
+            "missing endpoint row kept",
+            endpoint=endpoint_id,
+            source=origin.source,
+            way=origin.way,
+            teller=origin.sender,
+            revision=revision,
+            **self._outages.describe(now),
+        )
+        self._update_missing()
+        if not self._outages.is_away and not self._in_first_answer:
             self._timers.once(DELETION_GRACE_SECONDS, lambda: self._end_row_grace(endpoint_id))
 
     def confirm_deleted(
@@ -463,14 +482,20 @@
         """Return the revision up to which the rows of a removed endpoint are outdated."""
         return self._removals.revision_of(endpoint_id)
 
-    def _drop_missing(self) -> None:
+    def _update_missing(self) -> None:
+        """Remove the endpoints whose missing rows cannot have expired, now or once that is so."""
+        now = self._timers.now()
+        if not self._missing or self._outages.is_away:
+            return
+        if self._outages.may_have_expired(now):
+            self._timers.once(self._outages.grace_end - now, self._update_missing)
+            return
         for endpoint_id in list(self._missing):
             self._end_row_grace(endpoint_id)
 
     def _end_row_grace(self, endpoint_id: str) -> None:
         missing = self._missing.get(endpoint_id)
-        is_away = self._outages.is_failing and not self._outages.is_partial
-        if missing is not None and not is_away:
+        if missing is not None and not self._outages.is_away:
             self._drop(endpoint_id, missing.origin, self._timers.now() - missing.since)
 
     def _drop(self, endpoint_id: str, origin: Provenance, waited: float = 0.0) -> None:
--- a/flamingofront/process/forwarding/exchange.py
+++ b/flamingofront/process/forwarding/exchange.py
@@ -58,6 +58,8 @@
         Returns the addresses of processes in other zones that watch the store.
     zone_peers : callable
         Returns the addresses of the other processes of the zone, in random order.
+    on_peer_cut_off : callable
+        Called when a peer begins to report that the store does not answer it.
     """
 
     def __init__(
@@ -70,6 +72,8 @@
     ):
         self.remote_watchers: Callable[[], list[str]] = lambda: []
         self.zone_peers: Callable[[], list[str]] = lambda: []
+        self.on_peer_cut_off: Callable[[], None] = lambda: None
+        self._cut_off_peers: set[str] = set()
         self._store_view = store_view
         self._tasks = tasks
         self._now = now
@@ -91,6 +95,7 @@
         now = self._now()
         self._store_view.record_peer_version(report.configuration, report.vm_id)
         self._store_view.merge_peer_ages(report)
+        self._record_reach(report)
         waited = self._store_view.configuration_lag() or 0.0
         can_reach_store = report.watches_store and not report.store_unreachable
         if can_reach_store:
@@ -122,6 +127,14 @@
         ):
             self._start_endpoint_fetch(report.vm_id, report.address)
 
+    def _record_reach(self, report: PeerReport) -> None:
+        """Record whether the store answers a peer."""
+        if not report.store_unreachable:
+            self._cut_off_peers.discard(report.vm_id)
+        elif report.vm_id not in self._cut_off_peers:
+            self._cut_off_peers.add(report.vm_id)
+            self.on_peer_cut_off()
+
     def check_staleness(self) -> None:
         """Poll the store if no watcher reports to this standby process, or the state is stale.
 
--- a/flamingofront/process/forwarding/feed_check.py
+++ b/flamingofront/process/forwarding/feed_check.py
@@ -17,6 +17,13 @@
 __all__ = ["FeedCheck", "WatcherRank"]
 
 CHECK_PERIOD_SECONDS = 0.1
+# Time after which a short call counts as unanswered: long for a store that works, and short for all
+# that is to be known within a second.
+MAX_ANSWER_SECONDS = 0.2
+# Checks further apart than this show that the process itself was late.
+MAX_CHECK_INTERVAL_SECONDS = 0.15
+# Shortest interval of the polls that peers' word of a store that is away sets off.
+HINT_INTERVAL_SECONDS = 0.5
 # Interval of the polls for a version that a peer has reported, which may be no change of the store.
 LAG_POLL_INTERVAL_SECONDS = 1.0
 # A long poll that has become needless ends after this time.
@@ -85,7 +92,10 @@
         self._on_found = on_found
         self._running: RunningTask | None = None
         self._is_polling = False
-        self._next_lag_poll_at = timers.now()
+        # Counts polls and the reads that replace them, so that a late failure starts no other read.
+        self._poll_number = 0
+        self._checked_at = timers.now()
+        self._next_lag_poll_at = self._next_hint_at = timers.now()
 
     def start(self) -> None:
         """Start to watch the table."""
@@ -95,14 +105,31 @@
         )
 
     def _check(self) -> None:
+        is_slow = self._is_punctual() and self._watcher.report_slow_calls(MAX_ANSWER_SECONDS)
+        if is_slow and self._is_polling:
+            self._read()
+            return
         if self._is_polling or not self._watcher.is_long_polling:
             return
         if self._watcher.long_poll_seconds > STANDBY_SECONDS and self._watcher.could_stand_by():
             self._restart()
             return
         if self._is_stale() or self._is_lagging():
+            self.poll()
+
+    def _is_punctual(self) -> bool:
+        """Return True if this process runs as it should: answers may wait to be read else."""
+        now, before = self._timers.now(), self._checked_at
+        self._checked_at = now
+        return now - before <= MAX_CHECK_INTERVAL_SECONDS
+
+    def poll(self) -> None:
+        """Poll beside the long poll, unless such a poll is pending."""
+        if not self._is_polling and self._watcher.is_long_polling:
             self._is_polling = True
-            self._tasks.start(self._poll(), self._end_poll)
+            self._poll_number += 1
+            number = self._poll_number
+            self._tasks.start(self._poll(number), lambda _: self._end_poll(number))
 
     def _is_lagging(self) -> bool:
         """Return True if a peer has had a newer version for so long that the long poll is dead."""
@@ -120,22 +147,47 @@
         rank = self._rank()
         return age > self._max_age + min(rank.position, MAX_POSITION) * rank.seconds_per_position
 
-    def _end_poll(self, result: object) -> None:
-        self._is_polling = False
+    def check_now(self) -> None:
+        """Call the store at once, since a peer reports that it does not answer.
 
-    def _poll(self) -> Task:
-        """Poll for changes; replace the long poll if it has missed some or the store fails."""
+        Notes
+        -----
+        Rows that expire in an outage are kept only by processes whose own calls show it.
+        """
+        now = self._timers.now()
+        if self._watcher.is_standby or self._is_polling or now < self._next_hint_at:
+            return
+        self._next_hint_at = now + HINT_INTERVAL_SECONDS
+        if self._watcher.is_long_polling:
+            self.poll()
+        else:
+            self._read()
+
+    def _end_poll(self, number: int) -> None:
+        if number == self._poll_number:
+            self._is_polling = False
+
+    def _poll(self, number: int) -> Task:
+        """Poll for changes; read the table if that fails, since the long poll may be dead, too."""
+        asked_at = self._timers.now()
         try:
             has_changes = yield from self._watcher.poll_beside()
         except HistoryLostError:
-            self._watcher.schedule_reload()
+            self._read()
         except PlatformError as exc:
-            if not self._watcher.record_failed_check(exc):
-                return
+            self._watcher.record_failed_check(exc, asked_at)
+            if number == self._poll_number:
+                self._read()
         else:
-            if not has_changes:
-                return
-            self._on_found()
+            if has_changes:
+                self._on_found()
+                self._restart()
+
+    def _read(self) -> None:
+        """Read the whole table in place of the long poll."""
+        self._poll_number += 1
+        self._is_polling = False
+        self._watcher.schedule_reload()
         self._restart()
 
     def _restart(self) -> None:
--- a/flamingofront/process/forwarding/follower.py
+++ b/flamingofront/process/forwarding/follower.py
@@ -1,10 +1,12 @@
 """Watcher of a table of the store: reads it once, then long-polls its change feed."""
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from flamingofront.errors import PlatformError, PlatformTimeoutError
+from flamingofront.decisions.store_outage import FailedCall
+from flamingofront.errors import PlatformError, PlatformRateLimitError, PlatformTimeoutError
 from flamingofront.messages import Sleep
 from flamingofront.process.backoff import Backoff
 from flamingofront.process.logs import Log
@@ -23,6 +25,10 @@
 LARGE_ANSWER_BYTES = 64 * 1024
 # Interval of the check that other processes still watch the store for this one.
 STANDBY_CHECK_SECONDS = 0.2
+# Delays between reads of a table whose history is lost again and again.
+HISTORY_BACKOFF = Backoff(0.05, 0.3)
+# Failed polls further apart than this count anew.
+FAILED_POLL_MEMORY_SECONDS = 2.0
 # First and longest delay in seconds: reconnects within a second of the store's recovery, and limits
 # 100 processes to 100 calls per second.
 BACKOFF = Backoff(0.1, 1.0)
@@ -41,7 +47,9 @@
     on_changes : callable
         Called with changed rows, in order.
     on_failure : callable
-        Called with the error of each call that failed.
+        Called with the `FailedCall` of each call that failed. A call over the rate is answered.
+    on_unanswered : callable
+        Called with the `FailedCall` of a short call that has not been answered for a while.
     on_answer : callable
         Called with the time of the call and the store's time for each answer, before its rows are
         passed on.
@@ -49,7 +57,8 @@
 
     on_reload: Callable[[tuple[StoredRow, ...], int], None]
     on_changes: Callable[[tuple[StoredRow, ...]], None]
-    on_failure: Callable[[PlatformError], None] = lambda exc: None
+    on_failure: Callable[[FailedCall], None] = lambda call: None
+    on_unanswered: Callable[[FailedCall], None] = lambda call: None
     on_answer: Callable[[float, float | None], None] = lambda asked_at, time: None
 
 
@@ -74,6 +83,9 @@
         Returns the seconds since the store's last answer to any process; None if unknown.
     backoff : callable
         Returns the delays between failed polls for changes; a first read is retried faster.
+    reads_after_failure : bool
+        True to read the whole table after a failed poll, which shows at once whether the store
+        answers other calls than those of its change feed.
     """
 
     def __init__(
@@ -91,7 +103,9 @@
         clock: StoreClock | None = None,
         answer_age: Callable[[], float | None] = lambda: None,
         backoff: Callable[[], Backoff] = lambda: BACKOFF,
+        reads_after_failure: bool = False,
     ):
+        self._reads_after_failure = reads_after_failure
         self._peer_version = peer_version
         self._answer_age = answer_age
         self._backoff = backoff
@@ -109,6 +123,11 @@
         self._rng = rng
         self._log = log
         self._failures = 0
+        # Failed polls in a row, whatever reads were answered between them.
+        self._failed_polls = 0
+        self._last_failed_poll_at = -math.inf
+        # When each short call without an answer was sent, and if it is one of the change feed.
+        self._pending: dict[float, bool] = {}
         self._version: int | None = None
         self.answered_at: float | None = None
         self._clock = clock
@@ -174,6 +193,7 @@
                 continue
             if self._needs_reload:
                 self._needs_reload, self._version = False, None
+            asked_at = self._now()
             try:
                 yield from self.step()
             except HistoryLostError as exc:
@@ -183,13 +203,32 @@
                     detail=str(exc),
                 )
                 self._version = None
+                self._record_failed_poll()
+                if self._failed_polls > 1:
+                    yield Sleep(HISTORY_BACKOFF.compute_delay(self._failed_polls - 2, self._rng))
             except PlatformError as exc:
+                self._record_failed_poll()
                 if self._is_lost_answer(exc):
                     self._log.info("change feed reconnected: answer lost", **self._log_fields(exc))
-                    continue
-                self._record_failure(exc)
-                backoff = BACKOFF if self._version is None else self._backoff()
-                yield Sleep(backoff.compute_delay(self._failures - 1, self._rng))
+                else:
+                    self._record_failure(exc, asked_at, self._version is not None)
+                    yield Sleep(self._compute_pause(exc))
+                self._needs_reload |= self._reads_after_failure
+
+    def _record_failed_poll(self) -> None:
+        now = self._now()
+        if now - self._last_failed_poll_at > FAILED_POLL_MEMORY_SECONDS:
+            self._failed_polls = 0
+        self._failed_polls += 1
+        self._last_failed_poll_at = now
+
+    def _compute_pause(self, exc: PlatformError) -> float:
+        """Return the seconds until the next call; a call that failed alone is repeated at once."""
+        failures = max(self._failures, self._failed_polls)
+        if failures == 1 and not isinstance(exc, PlatformRateLimitError):
+            return 0.0
+        backoff = BACKOFF if self._version is None else self._backoff()
+        return backoff.compute_delay(max(0, failures - 2), self._rng)
 
     def _is_lost_answer(self, exc: PlatformError) -> bool:
         """Return True if an answer was lost, since the store answers other calls."""
@@ -203,7 +242,7 @@
     def poll_beside(self) -> Task:
         """Poll for changes without wait, beside the long poll; return True if there are any."""
         asked_at, after = self._now(), max(self.version, self._peer_version())
-        changes = yield from self._store.read_changes(self.table, after, 0.0)
+        changes = yield from self._track(self._store.read_changes(self.table, after, 0.0), True)
         if after < max(self.version, self._peer_version()):
             return False  # the long poll was answered meanwhile
         self._record_answer(asked_at, changes.time)
@@ -211,13 +250,38 @@
         self._apply_changes(changes, after, asked_at)
         return bool(changes.rows)
 
-    def record_failed_check(self, exc: PlatformError) -> bool:
-        """Record that a poll beside the long poll failed; return False if its answer was lost."""
+    def record_failed_check(self, exc: PlatformError, asked_at: float) -> None:
+        """Record that a poll beside the long poll failed, or that its answer was lost."""
         if self._is_lost_answer(exc):
             self._log.info("answer of the store lost", **self._log_fields(exc))
-            return False
-        self._record_failure(exc)
-        return True
+        else:
+            self._record_failure(exc, asked_at, True)
+
+    def _track(self, call: Task, is_feed: bool) -> Task:
+        """Run a short call, which counts as pending meanwhile."""
+        sent_at = self._now()
+        self._pending[sent_at] = is_feed
+        try:
+            return (yield from call)
+        finally:
+            self._pending.pop(sent_at, None)
+
+    def report_slow_calls(self, max_seconds: float) -> bool:
+        """Report the short calls that have been pending for longer; return True if there are any.
+
+        Parameters
+        ----------
+        max_seconds : float
+            Seconds after which a call counts as unanswered.
+        """
+        now = self._now()
+        slow = sorted(each for each in self._pending if now - each > max_seconds)
+        for sent_at in slow:
+            kind = "poll" if self._pending[sent_at] else "read"
+            description = f"{kind} of table {self.table} pending"
+            call = FailedCall(description, sent_at, sent_at, self._pending[sent_at])
+            self._listener.on_unanswered(call)
+        return bool(slow)
 
     def _log_fields(self, exc: PlatformError) -> dict[str, object]:
         return {"table": self.table, "detail": str(exc), "age": self.age()}
@@ -226,7 +290,7 @@
         """Read the whole table, or long-poll its next changes."""
         asked_at = self._now()
         if self._version is None:
-            rows, version, time = yield from self._read_all()
+            rows, version, time = yield from self._track(self._read_all(), False)
             self._record_answer(asked_at, time)
             self._record_unconfirmed_time(asked_at)
             self.confirmed_at = asked_at
@@ -240,10 +304,12 @@
         self._poll_requested = False
         after = max(self._version, self._peer_version())
         self._long_poll_at = asked_at if wait else None
+        poll = self._store.read_changes(self.table, after, wait)
         try:
-            changes = yield from self._store.read_changes(self.table, after, wait)
+            changes = yield from (poll if wait else self._track(poll, True))
         finally:
             self._long_poll_at = None
+        self._failed_polls = 0
         self._record_answer(asked_at, changes.time)
         self._record_unconfirmed_time(asked_at)
         self._apply_changes(changes, after, asked_at)
@@ -295,9 +361,15 @@
         if self.confirmed_at is not None:
             self.unconfirmed_seconds = max(0.0, asked_at - self.confirmed_at)
 
-    def _record_failure(self, exc: PlatformError) -> None:
+    def _record_failure(self, exc: PlatformError, asked_at: float, is_feed: bool) -> None:
         self.errors += 1
         self._failures += 1
         if self._failures == 1:
             self._log.warning("store unreachable", **self._log_fields(exc))
-        self._listener.on_failure(exc)
+        if isinstance(exc, PlatformRateLimitError):
+            self._listener.on_answer(asked_at, None)
+            return
+        # What was reset or rejected shows that the store failed now, an answer that did not come
+        # that it has not answered since.
+        since = asked_at if isinstance(exc, PlatformTimeoutError) else self._now()
+        self._listener.on_failure(FailedCall(str(exc), asked_at, since, is_feed))
--- a/flamingofront/process/forwarding/knowledge.py
+++ b/flamingofront/process/forwarding/knowledge.py
@@ -121,7 +121,8 @@
         endpoint_listener = TableListener(
             self._reload_endpoints,
             self._apply_endpoint_changes,
-            lambda exc: endpoints.record_store_failure(str(exc)),
+            endpoints.record_store_failure,
+            endpoints.record_store_unanswered,
             self._record_endpoint_answer,
         )
         # No pause here: changes are rare, and one may take a second on a small link.
@@ -151,13 +152,14 @@
             clock=self.confirmations.clock,
             answer_age=self.confirmations.answer_age,
             backoff=backoff,
+            reads_after_failure=True,
         )
         self.watchers = (self.configuration_watcher, self.endpoint_watcher)
 
     @property
     def is_store_unreachable(self) -> bool:
-        """True while polls of the endpoint table fail."""
-        return self.endpoint_watcher.is_unreachable
+        """True while polls of the endpoint table fail, or are not answered."""
+        return self.endpoint_watcher.is_unreachable or self.endpoints.is_store_away
 
     @property
     def is_standby(self) -> bool:
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -391,6 +391,8 @@
             lambda: MAX_FEED_LAG_SECONDS + self._feed_pause(),
             self.peers.broadcast_report,
         )
+        self.store_view.endpoints.on_store_away = self.peers.broadcast_report
+        self.exchange.on_peer_cut_off = self.feed_check.check_now
 
     def _store_backoff(self) -> Backoff:
         """Return the delays between failed polls of the store."""
--- a/flamingofront/process/forwarding/tests/test_endpoints.py
+++ b/flamingofront/process/forwarding/tests/test_endpoints.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from flamingofront.decisions.store_outage import FailedCall
 from flamingofront.process.forwarding.endpoint_row import EndpointRow
 from flamingofront.process.forwarding.endpoints import (
     EXPIRY_GRACE_SECONDS,
@@ -55,6 +56,16 @@
         self.clock.time += seconds
         self.timers.run_due()
 
+    def fail_call(self):
+        now = self.clock.now()
+        self.view.record_store_failure(FailedCall("call", now, now))
+
+    def begin_outage(self):
+        """Let two calls fail one after the other."""
+        self.fail_call()
+        self.pass_time(0.001)
+        self.fail_call()
+
 
 @pytest.fixture
 def harness():
@@ -112,7 +123,7 @@
 
 class TestOutage:
     def test_missing_row_has_grace_period_after_outage(self, harness):
-        harness.view.record_store_failure()
+        harness.begin_outage()
         harness.view.remove("i-1")
         harness.pass_time(60.0)
         assert harness.state() is VmState.LIVE
@@ -123,7 +134,7 @@
         assert harness.state() is VmState.GONE
 
     def test_row_written_again_within_grace_period_stays(self, harness):
-        harness.view.record_store_failure()
+        harness.begin_outage()
         harness.view.remove("i-1")
         harness.view.record_store_answer()
         harness.view.merge_row(replace(ROW, sequence=6))
@@ -131,7 +142,7 @@
         assert harness.state() is VmState.LIVE
 
     def test_row_missing_in_first_answer_has_full_grace_period(self, harness):
-        harness.view.record_store_failure()
+        harness.begin_outage()
         harness.view.record_store_answer()
         harness.view.remove("i-1")
         harness.pass_time(EXPIRY_GRACE_SECONDS - 0.1)
@@ -140,7 +151,7 @@
         assert harness.state() is VmState.LIVE
 
     def test_row_deleted_after_recovery_has_shorter_grace_period(self, harness):
-        harness.view.record_store_failure()
+        harness.begin_outage()
         harness.pass_time(9.0)
         harness.view.record_store_answer()
         harness.pass_time(0.024)
@@ -150,8 +161,49 @@
         harness.pass_time(0.6)
         assert harness.state() is VmState.GONE
 
+    def test_row_is_removed_at_once_after_a_call_that_failed_alone(self, harness):
+        """Guards against a grace period after one failed call of a store that serves."""
+        harness.fail_call()
+        harness.view.record_store_answer()
+        harness.view.remove("i-1")
+        assert harness.state() is VmState.GONE
+
+    def test_missing_row_goes_once_an_answer_shows_that_there_was_no_outage(self, harness):
+        harness.begin_outage()
+        began_at = harness.clock.now()
+        harness.pass_time(0.3)
+        harness.view.record_store_answer()
+        harness.view.remove("i-1")
+        assert harness.state() is VmState.LIVE
+        harness.view.record_store_answer_to_any(began_at + 0.1)
+        harness.pass_time(EXPIRY_GRACE_SECONDS - 0.15)
+        assert harness.state() is VmState.GONE
+
+    def test_grace_period_after_a_second_outage_is_not_ended_by_that_of_the_first(self, harness):
+        """Guards against endpoints that are left while their rows may still be written again."""
+        for _ in range(2):
+            harness.pass_time(0.1)
+            harness.begin_outage()
+            harness.pass_time(1.0)
+            harness.view.record_store_answer()
+            harness.view.remove("i-1")
+        harness.pass_time(EXPIRY_GRACE_SECONDS - 0.1)
+        assert harness.state() is VmState.LIVE
+        harness.pass_time(0.2)
+        assert harness.state() is VmState.GONE
+
+    def test_second_read_after_an_outage_does_not_shorten_the_grace_period(self, harness):
+        """Guards against endpoints that are left when the table is read once more."""
+        harness.begin_outage()
+        harness.view.record_store_answer()
+        harness.view.remove("i-1")
+        harness.pass_time(0.05)
+        harness.view.remove("i-1")
+        harness.pass_time(EXPIRY_GRACE_SECONDS - 0.1)
+        assert harness.state() is VmState.LIVE
+
     def test_confirmed_rows_of_peer_apply_at_once(self, harness):
-        harness.view.record_store_failure()
+        harness.begin_outage()
         harness.view.replace_all((), confirmed=True)
         assert harness.state() is VmState.GONE
 
@@ -202,7 +254,7 @@
         assert harness.state() is VmState.LIVE
 
     def test_unreadable_row_has_no_grace_period(self, harness):
-        harness.view.record_store_failure()
+        harness.begin_outage()
         harness.view.mark_unreadable("i-1")
         assert harness.state() is VmState.GONE
 
@@ -379,7 +431,7 @@
 
     def test_reported_removal_gets_grace_in_an_outage(self, harness):
         """Guards against endpoints that all drop because one process missed an outage."""
-        harness.view.record_store_failure()
+        harness.begin_outage()
         harness.view.merge_removed((("i-1", 100),))
         assert harness.state() is VmState.LIVE
         harness.view.record_store_answer()
--- a/flamingofront/process/forwarding/tests/test_feed_check.py
+++ b/flamingofront/process/forwarding/tests/test_feed_check.py
@@ -4,14 +4,15 @@
 
 import pytest
 
-from flamingofront.errors import PlatformError, PlatformTimeoutError
+from flamingofront.errors import PlatformError, PlatformRateLimitError, PlatformTimeoutError
+from flamingofront.messages import Sleep
 from flamingofront.process.forwarding.follower import (
     RECENT_ANSWER_SECONDS,
     TableListener,
     TableWatcher,
 )
 from flamingofront.process.logs import Log
-from flamingofront.process.store import RowChanges, RowRange, TableStore
+from flamingofront.process.store import HistoryLostError, RowChanges, RowRange, TableStore
 from flamingofront.process.timers import ManualClock
 
 
@@ -21,10 +22,12 @@
     def __init__(self):
         self.version = 10
         self.failure = None
+        self.reads = 0
 
     def read(self, table, part="", first="", end="", limit=0):
         """Return no rows."""
         yield from ()
+        self.reads += 1
         return RowRange((), self.version)
 
     def read_changes(self, table, after, wait):
@@ -47,7 +50,13 @@
         self.store = ScriptedStore()
         self.answer_age = None
         self.failures = 0
-        listener = TableListener(lambda rows, version: None, lambda rows: None, self._count_failure)
+        self.answers = 0
+        listener = TableListener(
+            lambda rows, version: None,
+            lambda rows: None,
+            self._count_failure,
+            on_answer=self._count_answer,
+        )
         self.watcher = TableWatcher(
             self.store,
             "servers",
@@ -56,12 +65,16 @@
             random.Random(1),
             Log("entry"),
             answer_age=lambda: self.answer_age,
+            reads_after_failure=True,
         )
         self.run(self.watcher.step())
 
-    def _count_failure(self, exc):
+    def _count_failure(self, call):
         self.failures += 1
 
+    def _count_answer(self, asked_at, time):
+        self.answers += 1
+
     def run(self, task):
         """Run a task that makes no calls, and return its result."""
         try:
@@ -95,16 +108,54 @@
 class TestFailedChecks:
     def test_timeout_while_the_store_answers_others_is_a_lost_answer(self, harness):
         harness.answer_age = RECENT_ANSWER_SECONDS / 2
-        assert not harness.watcher.record_failed_check(PlatformTimeoutError("no answer"))
+        harness.watcher.record_failed_check(PlatformTimeoutError("no answer"), 0.0)
         assert not harness.failures and not harness.watcher.is_unreachable
 
     @pytest.mark.parametrize("answer_age", [None, 2 * RECENT_ANSWER_SECONDS])
     def test_timeout_of_a_store_that_answers_nobody_is_a_failure(self, harness, answer_age):
         harness.answer_age = answer_age
-        assert harness.watcher.record_failed_check(PlatformTimeoutError("no answer"))
+        harness.watcher.record_failed_check(PlatformTimeoutError("no answer"), 0.0)
         assert harness.failures == 1 and harness.watcher.is_unreachable
 
     def test_rejection_is_a_failure_whoever_is_answered(self, harness):
         harness.answer_age = 0.0
-        assert harness.watcher.record_failed_check(PlatformError("status 503"))
+        harness.watcher.record_failed_check(PlatformError("status 503"), 0.0)
         assert harness.failures == 1
+
+    def test_rejection_over_the_rate_is_an_answer(self, harness):
+        """Guards against a rate limit of the store that is taken for an outage."""
+        harness.answers = 0
+        harness.watcher.record_failed_check(PlatformRateLimitError("status 429"), 0.0)
+        assert not harness.failures and harness.answers == 1 and harness.watcher.is_unreachable
+
+
+class TestFailedPolls:
+    """Polls of the change feed that fail, and the calls that follow."""
+
+    def _run_for(self, harness, steps):
+        """Return the sleeps of the watcher in so many steps."""
+        task, sleeps = harness.watcher.run(), []
+        for _ in range(steps):
+            request = next(task)
+            assert isinstance(request, Sleep)
+            sleeps.append(request.seconds)
+            harness.clock.time += request.seconds
+        return sleeps
+
+    def test_table_is_read_at_once_after_a_poll_that_failed(self, harness):
+        """Guards against a failed poll that no other call confirms."""
+        harness.store.failure = PlatformError("reset")
+        reads_before = harness.store.reads
+        sleeps = self._run_for(harness, 2)
+        assert sleeps[0] == 0.0 and sleeps[1] > 0.0
+        assert harness.store.reads == reads_before + 1
+
+    def test_calls_over_the_rate_are_not_repeated_at_once(self, harness):
+        harness.store.failure = PlatformRateLimitError("status 429")
+        assert all(each > 0.0 for each in self._run_for(harness, 3))
+
+    def test_history_that_is_lost_again_and_again_is_not_asked_for_without_pause(self, harness):
+        """Guards against a watcher that reads and polls as fast as the store answers."""
+        harness.store.failure = HistoryLostError("gone")
+        sleeps = self._run_for(harness, 6)
+        assert all(each > 0.0 for each in sleeps) and max(sleeps) <= 0.3
--- a/flamingofront/tests/departures_world.py
+++ b/flamingofront/tests/departures_world.py
@@ -114,7 +114,9 @@
 
     def watch(self, seconds: float) -> None:
         """Let time pass, and record when processes learn that endpoints left."""
+        end = self.clock.now() + seconds
         self.run_until(self._record_knowledge, seconds, must=False)
+        self.run(max(0.0, end - self.clock.now()))
 
     def _record_knowledge(self) -> bool:
         for endpoint, at in self.left_at.items():
--- a/flamingofront/tests/forwarding_world.py
+++ b/flamingofront/tests/forwarding_world.py
@@ -159,7 +159,9 @@
             lambda data, target: self._datagram(host, target[0], data),
             int(self.clock.now() * 1000) + len(self.hosts),
         )
-        node = ForwardingNode(settings, needs, random.Random(self.rng.random()), Log("entry"))
+        node = ForwardingNode(
+            settings, needs, random.Random(self.rng.random()), Log("entry", vm=name)
+        )
         host.handler = node.handle_control
         self.fronts[name] = node
         node.start()
