Answers to any call of a process show that the store serves

Cause: only polls of the configuration and the endpoints counted as answers, so that an outage could be assumed while the store answered writes and other tables.

Change: AnsweredTableStore reports each answer to each call of a process, also that a call was over the rate or that history is lost. Transactions carry the store's time.

--- a/flamingofront/platform/store.py
+++ b/flamingofront/platform/store.py
@@ -125,7 +125,8 @@
         reply = yield from send_call(call, True, (STATUS_OK, STATUS_CONDITION_FAILED))
         doc, era = _decode_body(reply), _parse_era(reply)
         version = make_revision(era, doc.get("ver", 0))
-        return TransactionOutcome(reply.status == STATUS_OK, version, _decode_rows(doc, era))
+        is_ok, rows = reply.status == STATUS_OK, _decode_rows(doc, era)
+        return TransactionOutcome(is_ok, version, rows, _decode_time(doc))
 
     def _make_get_call(self, path: str, query: dict[str, Any], timeout: float) -> OutboundCall:
         return OutboundCall(
--- a/flamingofront/process/forwarding/knowledge.py
+++ b/flamingofront/process/forwarding/knowledge.py
@@ -116,14 +116,13 @@
         configuration_listener = TableListener(
             lambda rows, version: self._apply_configuration_rows(rows),
             self._apply_configuration_rows,
-            on_answer=self.confirmations.record_answer,
         )
         endpoint_listener = TableListener(
             self._reload_endpoints,
             self._apply_endpoint_changes,
             endpoints.record_store_failure,
             endpoints.record_store_unanswered,
-            self._record_endpoint_answer,
+            lambda asked_at, time: endpoints.record_store_answer(),
         )
         # No pause here: changes are rare, and one may take a second on a small link.
         self.configuration_watcher = TableWatcher(
@@ -166,10 +165,6 @@
         """True while other processes watch the store for this one."""
         return self.endpoint_watcher.is_standby
 
-    def _record_endpoint_answer(self, asked_at: float, time: float | None) -> None:
-        self.confirmations.record_answer(asked_at, time)
-        self.endpoints.record_store_answer()
-
     def poll_configuration(self) -> None:
         """Request a poll of the configuration, also in standby."""
         self.configuration_watcher.poll_once()
@@ -196,7 +191,6 @@
         after = self.configuration_position()
         changes = yield from self._store.read_changes(self._tables.configuration, after, 0.0)
         self._apply_configuration_rows(changes.rows)
-        self.confirmations.record_answer(asked_at, changes.time)
         if changes.version >= after:  # else it is a stale read
             self._peer_position = max(self._peer_position, changes.version)
             self.confirmations.record(self._tables.configuration, asked_at)
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -13,6 +13,7 @@
 from flamingofront.decisions.retry import RetryBudget
 from flamingofront.decisions.shared_retry import SharedRetryBudget
 from flamingofront.messages import InboundRequest
+from flamingofront.process.answered_store import AnsweredTableStore
 from flamingofront.process.backoff import Backoff
 from flamingofront.process.counted_store import CountedTableStore
 from flamingofront.process.former_sends import SenderProcess
@@ -123,7 +124,10 @@
         self.delay_ms: Callable[[], int | None] = lambda: None
         self.stopping = False
         self._started_at = dependencies.timers.now()
-        self.store = EraStore(CountedTableStore(dependencies.store, self.metrics), log)
+        self._answered_store = AnsweredTableStore(
+            CountedTableStore(dependencies.store, self.metrics), self.timers.now
+        )
+        self.store = EraStore(self._answered_store, log)
         self._dependencies = replace(dependencies, store=self.store)
         self._rng = rng
         self.tasks = TaskRunner(dependencies.transport, dependencies.timers, self.fault)
@@ -195,6 +199,7 @@
             self._feed_pause,
             self._store_backoff,
         )
+        self._answered_store.on_answer = self.store_view.confirmations.record_answer
         self.hub = RequestHub(
             HubSettings(
                 settings.vm_id,
--- a/flamingofront/process/store.py
+++ b/flamingofront/process/store.py
@@ -154,11 +154,14 @@
         Revision of the store after the transaction.
     rows : tuple of StoredRow
         Current rows of the conditions that did not hold.
+    time : float or None
+        Time of the store's steady clock at the answer, in seconds; None if it tells none.
     """
 
     ok: bool
     version: int
     rows: tuple[StoredRow, ...] = ()
+    time: float | None = None
 
 
 class TableStore(ABC):
