Proxied attempts are sent again where the connection to the peer was closed

Cause: as of calls to the store: a kept connection to a peer that was closed while idle was reset, and the peer was left for two seconds as one that is not reached.

Change: attempts that may be repeated are sent to the peer again on a new connection if their reused one is reset within 0.03 s. The constant of that time moves to the messages, where both kinds of call find it.

Measured: test_only_attempts_that_may_be_repeated_are_sent_again_on_a_closed_connection (fails before: there was no such time), tests of proxy messages pass. That the client repeats such calls is shown by TestClosedWhileIdle.

--- a/flamingofront/messages.py
+++ b/flamingofront/messages.py
@@ -17,6 +17,7 @@
     "Frame",
     "InboundRequest",
     "NO_IDLE_CONNECTION",
+    "STALE_ATTEMPT_SECONDS",
     "STALE_SECONDS",
     "OutboundCall",
     "ResponseData",
@@ -34,6 +35,10 @@
 # `OutboundCall.stale_seconds` of calls that are safe to repeat: a round trip, and the time for
 # which a busy process does not read.
 STALE_SECONDS = 0.25
+# Same for attempts of requests that may be repeated: a reused connection that is reset within one
+# round trip, also to another region, had been closed before the request arrived. Requests that
+# crash an endpoint take 40 ms or more.
+STALE_ATTEMPT_SECONDS = 0.03
 
 
 @dataclass(frozen=True)
--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -13,6 +13,7 @@
 from flamingofront.errors import ErrorKind, Executed, RequestError
 from flamingofront.messages import (
     NO_IDLE_CONNECTION,
+    STALE_ATTEMPT_SECONDS,
     CallFailed,
     CancelAttempt,
     Complete,
@@ -38,10 +39,6 @@
 
 # Failure reasons of calls for which no connection was established.
 NO_CONNECTION_REASONS = frozenset({"connect", "refused"})
-# A reused connection that is reset within one round trip, also to another region, had been closed
-# before the request arrived. Without this rule, 4 of 53,500 harmless requests were quarantined when
-# endpoints crashed for other reasons. Requests that crash an endpoint take 40 ms or more.
-STALE_CONNECTION_SECONDS = 0.03
 
 
 class ActiveRequest(ABC):
@@ -457,7 +454,7 @@
 
     def _is_stale_connection(self, event: CallFailed) -> bool:
         """Return True if the attempt used a connection that was already closed by the endpoint."""
-        return event.reused and self.hub.now() - self._sent_at < STALE_CONNECTION_SECONDS
+        return event.reused and self.hub.now() - self._sent_at < STALE_ATTEMPT_SECONDS
 
     def report_connection_loss(self, attempt_id: str) -> None:
         """Report that the connection of the current attempt was lost before the response ended."""
--- a/flamingofront/request/proxy_messages.py
+++ b/flamingofront/request/proxy_messages.py
@@ -10,7 +10,7 @@
 from enum import StrEnum
 from urllib.parse import parse_qsl, urlencode
 
-from flamingofront.messages import NO_IDLE_CONNECTION, OutboundCall
+from flamingofront.messages import NO_IDLE_CONNECTION, STALE_ATTEMPT_SECONDS, OutboundCall
 
 __all__ = [
     "BY_CONNECTION",
@@ -143,6 +143,8 @@
         timeout=attempt.timeout,
         stream=True,
         new_connection=attempt.new_connection,
+        # Attempts that must not run twice use new connections.
+        stale_seconds=0.0 if attempt.new_connection else STALE_ATTEMPT_SECONDS,
         host=attempt.host,
         connect_timeout=attempt.connect_timeout,
     )
--- a/flamingofront/request/tests/test_proxy_messages.py
+++ b/flamingofront/request/tests/test_proxy_messages.py
@@ -1,6 +1,7 @@
 """Messages between processes that proxy attempts for one another."""
 
 import random
+from dataclasses import replace
 from urllib.parse import parse_qsl, urlsplit
 
 import pytest
@@ -33,6 +34,12 @@
         assert decode_proxied_call(query_of(CALL)) == CALL
         assert (encoded.body, encoded.headers, encoded.host) == (b"body", ATTEMPT.headers, "h")
 
+    def test_only_attempts_that_may_be_repeated_are_sent_again_on_a_closed_connection(self):
+        """Guards against peers that are left since one connection to them was closed while idle."""
+        once = replace(ATTEMPT, new_connection=True)
+        assert encode_proxied_call(CALL, ATTEMPT, "10.0.0.2:81").stale_seconds > 0
+        assert encode_proxied_call(CALL, once, "10.0.0.2:81").stale_seconds == 0
+
     @pytest.mark.parametrize(
         "change",
         [
