--- a/bench/restart_mutations.py
+++ b/bench/restart_mutations.py
@@ -35,7 +35,7 @@
     Mutation(
         "R a row that vanishes after the return has less grace",
         "process/forwarding/endpoints.py",
-        "if not self._outages.is_failing and not self._in_first_answer:",
+        "if not self._outages.is_away and not self._in_first_answer:",
         "if False:",
         ENDPOINTS,
     ),
