The release of a request leaves the quarantined prompt parts

Cause: once a quarantined request was answered, or released by an operator, each process that heard of it released the sets of parts that are larger than those of the released entry. A request's fingerprint names no parts, and every set is larger than the empty one, so that all quarantined prompt parts were released everywhere, with their evidence.

Change: PartGuard.forget returns no larger sets for a key that names no parts.

Measured: test_release_of_a_request_leaves_quarantined_parts fails before.

--- a/flamingofront/request/part_guard.py
+++ b/flamingofront/request/part_guard.py
@@ -234,9 +234,12 @@
         Returns
         -------
         list of QuarantineEntry
-            Entries of larger sets of parts, which are refuted too.
+            Entries of larger sets of parts, which are refuted too. None if the key is that of a
+            request, of which every set of parts would be a larger one.
         """
         parts = parse_part_key(key)
+        if not parts:
+            return []
         for each in parts:
             self.evidence.clear(each, self._wall())
         return [entry for blamed, entry in self._quarantine.all_part_entries() if blamed > parts]
--- a/flamingofront/tests/test_poison_prompt_parts.py
+++ b/flamingofront/tests/test_poison_prompt_parts.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from flamingofront.decisions.quarantine_facts import TRIAL_SECONDS
+from flamingofront.decisions.quarantine_facts import TRIAL_SECONDS, QuarantineEntry
 from flamingofront.errors import RequestError
 from flamingofront.standins.table_store import StoreFault
 from flamingofront.tests.crashing_world import ZONES, crashing_world
@@ -197,6 +197,20 @@
         world.finish(*callers)
         assert {each.status for each in callers} == {200}
 
+    def test_release_of_a_request_leaves_quarantined_parts(self):
+        """Guards against the release of one request that ends the quarantine of all parts."""
+        load = make_load().play(seconds=6.0, poison_from=2.0)
+        world, key = load.world, f"part/{POISON_PART}"
+        guards = [each.hub.guard for each in world.fronts.values()]
+        since = guards[0].wall()
+        guards[0].load_entry(QuarantineEntry("request-1", ("engine-1",), since, 0, since + 60.0))
+        world.run(1.0)
+        assert all(each.quarantine.get_entry("request-1") for each in guards)
+        operate(world, "release request-1", "front-3")
+        world.run(1.0)
+        assert not any(each.quarantine.get_entry("request-1") for each in guards)
+        assert all(each.quarantine.get_entry(key) for each in guards)
+
     def test_release_of_what_is_not_held_is_an_error(self):
         world = make_load(fronts=1).world
         with pytest.raises(RequestError, match="is not held"):
