--- a/scripts/soak_departures.py
+++ b/scripts/soak_departures.py
@@ -42,6 +42,7 @@
 CONTACT_SECONDS = 3.0
 # An endpoint has written its row within this time after its start, also on a busy machine.
 REGISTRATION_SECONDS = 4.0
+SLICE_SECONDS = 0.02
 KILLED_SHARE = 0.55
 KILLED_SECONDS = 2.0
 # A row that says that its endpoint leaves is removed within this time after.
@@ -209,6 +210,44 @@
         return child
 
 
+class Throttle:
+    """Stops all entry processes for a part of each slice of time, as on a small VM.
+
+    Parameters
+    ----------
+    pause : float
+        Fraction of the time for which they are stopped.
+    """
+
+    def __init__(self, deployment: Deployment, pause: float):
+        self._deployment = deployment
+        self._pause = pause
+        self._is_over = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def __enter__(self) -> "Throttle":
+        if self._pause:
+            self._thread.start()
+        return self
+
+    def __exit__(self, *exc: object) -> None:
+        self._is_over.set()
+        if self._pause:
+            self._thread.join()
+
+    def _run(self) -> None:
+        while not self._is_over.is_set():
+            self._signal(signal.SIGSTOP)
+            time.sleep(SLICE_SECONDS * self._pause)
+            self._signal(signal.SIGCONT)
+            time.sleep(SLICE_SECONDS * (1 - self._pause))
+
+    def _signal(self, signum: signal.Signals) -> None:
+        for each in list(self._deployment.fronts):
+            if each.poll() is None:
+                each.send_signal(signum)
+
+
 class Soak:
     """Callers, endpoints that leave, and faults of the store's relays and of processes."""
 
@@ -460,6 +499,7 @@
     rate: float = 5.0,
     only: str = "",
     endpoints: int = 10,
+    pause: float = 0.0,
 ) -> None:
     """Run the soak with one seed.
 
@@ -469,6 +509,7 @@
     :param rate: requests a second at each entry process
     :param only: the one thing that befalls calls, without any other fault
     :param endpoints: endpoints that serve at any time
+    :param pause: fraction of the time for which entry processes are stopped, in slices of 20 ms
     """
     folder = Path(tempfile.mkdtemp())
     with Deployment(folder, seed % MAX_NETWORKS, processes, endpoints) as deployment:
@@ -476,9 +517,10 @@
         time.sleep(REGISTRATION_SECONDS)
         end = time.monotonic() + seconds
         callers = soak.call_until(end + DRAIN_SECONDS + 2.0, rate)
-        soak.play_until(end)
-        for each in callers:
-            each.join()
+        with Throttle(deployment, pause):
+            soak.play_until(end)
+            for each in callers:
+                each.join()
         late = soak.late()
         departures = len(deployment.endpoints) - len(deployment.serving())
     exceptions = count_exceptions(folder)
