Checks of change feeds allow for the delay of relaxed timers

Cause: a quiet process runs its checks up to 0.1 s late, 0.2 s apart, which counted as a process that is late itself, so that a call without an answer was not reported.

Change: checks up to 0.25 s apart are punctual. A poll that was replaced by a read starts no second read when its history is lost.

--- a/flamingofront/process/forwarding/feed_check.py
+++ b/flamingofront/process/forwarding/feed_check.py
@@ -20,8 +20,9 @@
 # Time after which a short call counts as unanswered: long for a store that works, and short for all
 # that is to be known within a second.
 MAX_ANSWER_SECONDS = 0.2
-# Checks further apart than this show that the process itself was late.
-MAX_CHECK_INTERVAL_SECONDS = 0.15
+# Checks further apart than their period and the delay of a relaxed timer show that the process
+# itself was late.
+MAX_CHECK_INTERVAL_SECONDS = 0.25
 # Shortest interval of the polls that peers' word of a store that is away sets off.
 HINT_INTERVAL_SECONDS = 0.5
 # Interval of the polls for a version that a peer has reported, which may be no change of the store.
@@ -172,10 +173,9 @@
         asked_at = self._timers.now()
         try:
             has_changes = yield from self._watcher.poll_beside()
-        except HistoryLostError:
-            self._read()
         except PlatformError as exc:
-            self._watcher.record_failed_check(exc, asked_at)
+            if not isinstance(exc, HistoryLostError):
+                self._watcher.record_failed_check(exc, asked_at)
             if number == self._poll_number:
                 self._read()
         else:
