--- a/flamingofront/process/forwarding/follower.py
+++ b/flamingofront/process/forwarding/follower.py
@@ -27,8 +27,8 @@
 STANDBY_CHECK_SECONDS = 0.2
 # Delays between reads of a table whose history is lost again and again.
 HISTORY_BACKOFF = Backoff(0.05, 0.3)
-# Failed polls further apart than this count anew.
-FAILED_POLL_MEMORY_SECONDS = 2.0
+# Failed calls further apart than this count anew.
+FAILED_CALL_MEMORY_SECONDS = 2.0
 # First and longest delay in seconds: reconnects within a second of the store's recovery, and limits
 # 100 processes to 100 calls per second.
 BACKOFF = Backoff(0.1, 1.0)
@@ -123,9 +123,9 @@
         self._rng = rng
         self._log = log
         self._failures = 0
-        # Failed polls in a row, whatever reads were answered between them.
-        self._failed_polls = 0
-        self._last_failed_poll_at = -math.inf
+        # Failed calls in a row; a read that is answered does not end the row, a poll does.
+        self._failed_calls = 0
+        self._last_failed_call_at = -math.inf
         # When each short call without an answer was sent, and if it is one of the change feed.
         self._pending: dict[float, bool] = {}
         self._version: int | None = None
@@ -203,11 +203,11 @@
                     detail=str(exc),
                 )
                 self._version = None
-                self._record_failed_poll()
-                if self._failed_polls > 1:
-                    yield Sleep(HISTORY_BACKOFF.compute_delay(self._failed_polls - 2, self._rng))
+                self._record_failed_call()
+                if self._failed_calls > 1:
+                    yield Sleep(HISTORY_BACKOFF.compute_delay(self._failed_calls - 2, self._rng))
             except PlatformError as exc:
-                self._record_failed_poll()
+                self._record_failed_call()
                 if self._is_lost_answer(exc):
                     self._log.info("change feed reconnected: answer lost", **self._log_fields(exc))
                 else:
@@ -215,16 +215,16 @@
                     yield Sleep(self._compute_pause(exc))
                 self._needs_reload |= self._reads_after_failure
 
-    def _record_failed_poll(self) -> None:
+    def _record_failed_call(self) -> None:
         now = self._now()
-        if now - self._last_failed_poll_at > FAILED_POLL_MEMORY_SECONDS:
-            self._failed_polls = 0
-        self._failed_polls += 1
-        self._last_failed_poll_at = now
+        if now - self._last_failed_call_at > FAILED_CALL_MEMORY_SECONDS:
+            self._failed_calls = 0
+        self._failed_calls += 1
+        self._last_failed_call_at = now
 
     def _compute_pause(self, exc: PlatformError) -> float:
         """Return the seconds until the next call; a call that failed alone is repeated at once."""
-        failures = max(self._failures, self._failed_polls)
+        failures = max(self._failures, self._failed_calls)
         if failures == 1 and not isinstance(exc, PlatformRateLimitError):
             return 0.0
         backoff = BACKOFF if self._version is None else self._backoff()
@@ -309,7 +309,7 @@
             changes = yield from (poll if wait else self._track(poll, True))
         finally:
             self._long_poll_at = None
-        self._failed_polls = 0
+        self._failed_calls = 0
         self._record_answer(asked_at, changes.time)
         self._record_unconfirmed_time(asked_at)
         self._apply_changes(changes, after, asked_at)
