Names of the test of large answers without length are short

Cause: pytest puts the name of the running test into the environment, and the name of one case was its body of over 128 KB.

Change: the three cases have ids; what they check is unchanged.

Measured: before, the case alone: OSError, Argument list too long. Now it passes.

--- a/flamingofront/tests/test_unframed_answers.py
+++ b/flamingofront/tests/test_unframed_answers.py
@@ -83,7 +83,7 @@
 
 
 class TestUnframedAnswers:
-    @pytest.mark.parametrize("body", [b"", b"whole", LARGE])
+    @pytest.mark.parametrize("body", [b"", b"whole", LARGE], ids=["empty", "short", "large"])
     def test_answer_of_a_call_is_whole(self, processes, body):
         endpoint = processes.raw["plain-1"]
         endpoint.body, endpoint.is_reset = body, False
