Soak of versions starts an endpoint where all others have left

An endpoint is started then; the order of random numbers of other plays stays. The seconds of a play can be named on the command line.

--- a/flamingofront/tests/versions_soak.py
+++ b/flamingofront/tests/versions_soak.py
@@ -1,6 +1,6 @@
 """Streams of several versions beside random faults, with an oracle over all events of callers.
 
-Run further seeds by hand with ``python -m flamingofront.tests.versions_soak FIRST LAST``.
+Run further seeds by hand with ``python -m flamingofront.tests.versions_soak FIRST LAST [SECONDS]``.
 """
 
 import random
@@ -112,8 +112,15 @@
         )
 
     def _pick_engine(self) -> str:
+        """Return an endpoint that serves; start one if all others have left."""
         serving = [each for each in self.world.versions if self.world.is_serving(each)]
-        return self.rng.choice(serving)
+        return self.rng.choice(serving) if serving else self._start_engine()
+
+    def _start_engine(self) -> str:
+        version = self.rng.choice(VERSIONS)
+        name = f"engine-{next(self._engines)}"
+        self.world.versioned_engine(name, version, self.rng.choice(ZONES))
+        return name
 
     def _break_off(self) -> None:
         endpoint = self.world.endpoints[self._pick_engine()]
@@ -146,11 +153,9 @@
     def _kill_engine(self) -> None:
         """Replace an endpoint by one of another version, at times at the same address."""
         name = self._pick_engine()
-        version = self.rng.choice(VERSIONS)
         self.world.kill(name)
         self.world.store.drop("servers", name)
-        new = f"engine-{next(self._engines)}"
-        self.world.versioned_engine(new, version, self.rng.choice(ZONES))
+        self._start_engine()
 
     def _leave_engine(self) -> None:
         name = self._pick_engine()
@@ -174,10 +179,10 @@
         return found
 
 
-def main(first: int, last: int) -> None:
+def main(first: int, last: int, seconds: int = 20) -> None:
     """Play the seeds from `first` to `last`, and print what each one breaks."""
     for seed in range(first, last + 1):
-        soak = VersionsSoak(seed).play(20.0)
+        soak = VersionsSoak(seed).play(seconds)
         found = soak.violations()
         whole = sum(each.is_whole for each in soak.callers)
         print(
@@ -190,4 +195,4 @@
 
 
 if __name__ == "__main__":
-    main(*map(int, sys.argv[1:3]))
+    main(*map(int, sys.argv[1:4]))
