Objects of the start are left out of garbage collection

Callers: a pause of 0.27 s of one entry process at a fifth of its strength, some ten seconds after its start, in which new connections wait and the slowest twentieth of first tries takes 0.8 s. Cause: the first full collection looks at the 90,000 objects of modules and settings: 62 ms of processor time (measured with a callback of the collector, trial). Change: they are frozen once the process has started.

--- a/flamingofront/forward_daemon.py
+++ b/flamingofront/forward_daemon.py
@@ -4,6 +4,7 @@
 from flamingofront.process.early_signals import was_reload_requested
 
 # isort: split
+import gc
 import os
 import random
 import signal
@@ -209,6 +210,8 @@
             self.runtime.timers.once(0.0, self._reload_settings)
         self._log.info("listening", ip=self._settings.ip, ports=self._ports)
         self.node.start()
+        # Modules and settings stay until the end: a full collection would look at them each time.
+        gc.freeze()
         self.runtime.run()
         self._log.info("stopped")
 
