--- a/scripts/try_versions.py
+++ b/scripts/try_versions.py
@@ -35,7 +35,7 @@
 GAP_SECONDS = 0.06
 DEADLINE_MS = 12_000
 MAX_TRIES = 4
-WAYS = ("none", "break", "kill", "stop", "restart", "suspend", "gone")
+WAYS = ("none", "break", "kill", "stop", "restart", "suspend", "gone", "died")
 EVENT = re.compile(rb"id: (\d+)\ndata: (\S+)\n\n")
 
 
@@ -271,7 +271,9 @@
     mixed = sum(len(each.seen_versions) > 1 for each in callers)
     print(
         f"{way}: {len(callers)} streams, {sum(bool(each.events) for each in callers)} began, "
-        f"{sum(each.is_whole for each in callers)} whole, {mixed} of two versions; "
+        f"{sum(each.is_whole for each in callers)} whole, "
+        f"{sum(each.tries[0].is_complete for each in callers)} at the first try, "
+        f"{mixed} of two versions; "
         f"{len(went_on)} of {len(resumed)} resumed ones went on {dict(statuses)}; refusals "
         f"{statistics.median(refused or [0.0]) * 1000:.0f} ms in the median; {len(bad)} not in "
         "order or mixed"
@@ -290,7 +292,8 @@
     """Disturb streams of two versions in one way.
 
     :param way: none, break (endpoints break off a third of their runs), kill, stop, restart or
-        suspend (two entry processes), or gone (all endpoints of a version)
+        suspend (two entry processes), gone (all endpoints of a version), or died (the same just
+        before the streams)
     :param processes: entry processes
     :param streams: callers, each with a stream
     :param seed: seed of the callers' choices
@@ -315,10 +318,12 @@
             )
             for number in range(streams)
         ]
+        if way == "died":
+            _disturb(deployment, "gone", [])
         for caller in callers:
             caller.start()
             time.sleep(0.01)
-        if way not in ("none", "break"):
+        if way not in ("none", "break", "died"):
             time.sleep(0.5)
             _disturb(deployment, way, victims)
         for caller in callers:
