A connection that is handed over is reset unread where connecting fails at once

Callers: where the peer's address has no route, connect fails in the call itself, and the socket's error is cleared with it: the connection counted as established and ended as one that was read. Change: the code of the call decides. Failed before: test_peer_that_does_not_listen_leaves_the_connection_unread[no route]; 10 passed now.

--- a/flamingofront/connection/splice.py
+++ b/flamingofront/connection/splice.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import errno
 import socket
 from collections import Counter
 from collections.abc import Callable
@@ -70,11 +71,12 @@
     def connect(self) -> None:
         """Start to connect to the peer."""
         host, _, port = self.address.rpartition(":")
-        self._peer.connect_ex((host, int(port)))  # a failure makes the socket writable, too
-        self._splicer.poller.watch(self._peer, self, WRITE)
-        self._timer = self._splicer.timers.once(
-            CONNECT_TIMEOUT_SECONDS, lambda: self.end(SpliceEnd.NOT_CONNECTED)
-        )
+        code = self._peer.connect_ex((host, int(port)))
+        has_failed = code not in (0, errno.EINPROGRESS)
+        if not has_failed:
+            self._splicer.poller.watch(self._peer, self, WRITE)
+        seconds = 0.0 if has_failed else CONNECT_TIMEOUT_SECONDS
+        self._timer = self._splicer.timers.once(seconds, lambda: self.end(SpliceEnd.NOT_CONNECTED))
 
     def on_readable(self, sock: socket.socket) -> None:
         """Copy bytes from one side to the other; at the end of a stream close both."""
--- a/flamingofront/connection/tests/test_splice.py
+++ b/flamingofront/connection/tests/test_splice.py
@@ -131,11 +131,12 @@
             assert answer == body and b"Connection: close" in head
             assert sock.recv(1) == b""
 
-    def test_peer_that_does_not_listen_leaves_the_connection_unread(self, pair):
+    @pytest.mark.parametrize("ip", ["127.0.0.1", "127.255.255.255"], ids=["refused", "no route"])
+    def test_peer_that_does_not_listen_leaves_the_connection_unread(self, pair, ip):
         # A caller whose request was read must not send it again if it runs at most once.
         with socket.socket() as unused:
             unused.bind(("127.0.0.1", 0))
-            pair.address = f"127.0.0.1:{unused.getsockname()[1]}"
+            pair.address = f"{ip}:{unused.getsockname()[1]}"
             with pair.connect() as sock, pytest.raises(ConnectionResetError):
                 send(sock, "/lost")
                 assert sock.recv(1) == b"", "the connection was not reset"
