--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -18,6 +18,7 @@
 from bench.platform_mutations import PLATFORM_MUTATIONS
 from bench.quarantine_mutations import QUARANTINE_MUTATIONS
 from bench.restart_mutations import RESTART_MUTATIONS
+from bench.splice_mutations import SPLICE_MUTATIONS
 
 ROOT = Path(__file__).resolve().parent.parent
 TIME_LIMIT_SECONDS = 90
@@ -178,6 +179,7 @@
     *MUTATIONS,
     *PLATFORM_MUTATIONS,
     *RESTART_MUTATIONS,
+    *SPLICE_MUTATIONS,
     *QUARANTINE_MUTATIONS,
     *KNOWN_FAILURE_MUTATIONS,
     *ANSWER_MUTATIONS,
