Test: endpoints leave when the processes that watch the store are lost

Cause: relays that are killed or suspended at the acknowledgement were played by chance in soaks only. Change: all or half of those that watch the store are killed or suspended 0.6 and 0.05 s before, at and 0.05 s after the departure of three endpoints, 24 processes.

--- a/flamingofront/tests/failed_calls_world.py
+++ b/flamingofront/tests/failed_calls_world.py
@@ -63,6 +63,10 @@
         self._serve = self.host("store").handler
         self.host("store").handler = self._handle
 
+    def watchers(self) -> list[str]:
+        """Return the entry processes that watch the store; the others are on standby."""
+        return [name for name, node in self.fronts.items() if not node.store_view.is_standby]
+
     def _later(self, seconds: float, action: Callable[[], None]) -> None:
         self.host("engine-1").timers.once(seconds, action)
 
--- a/flamingofront/tests/test_failed_calls.py
+++ b/flamingofront/tests/test_failed_calls.py
@@ -92,6 +92,40 @@
         assert not any(lost.values()), lost
 
 
+@pytest.mark.parametrize("way", ["removed", "draining"])
+@pytest.mark.parametrize("loss", ["kill", "pause"])
+@pytest.mark.parametrize("step", [1, 2], ids=["all", "half"])
+class TestWatchersLost:
+    """Processes that watch the store for others are lost when endpoints leave."""
+
+    def test_departure_is_known_in_time(self, step, loss, way):
+        """Guards against processes on standby that wait for word of watchers that are gone."""
+        slowest = {timing: self.play(step, loss, way, timing) for timing in TIMINGS}
+        assert max(slowest.values()) <= TARGET_SECONDS, slowest
+
+    def play(self, step, loss, way, timing):
+        """Return when the last of the other processes knew."""
+        world = FailedCallsWorld(seed=24, fronts=24)
+        lost = world.watchers()[::step]
+        assert 0 < len(lost) < len(world.fronts) / 2
+        names = world.serving()[:3]
+        if timing >= 0:
+            leave(world, way, *names)
+        world.watch(abs(timing))
+        for each in lost:
+            world.disturb(each)
+            world.lose(each, loss)
+        if timing < 0:
+            leave(world, way, *names)
+        others = [each for each in world.fronts if each not in lost]
+        for _ in range(30):
+            world.ask(world.rng.choice(others), "/read/x", "GET")
+            world.watch(0.1)
+        assert world.late_arrivals == []
+        pairs = [(front, name) for front in others for name in names]
+        return max(world.learned_after.get(each, float("inf")) for each in pairs)
+
+
 class TestLogOfLateArrival:
     """A request reaches an endpoint that has left, and the log of its sender tells why."""
 
