--- a/flamingofront/tests/skewed_connections.py
+++ b/flamingofront/tests/skewed_connections.py
@@ -157,9 +157,20 @@
         settings = self.folder / f"front-{number}.conf"
         settings.write_text("".join(f"{name}={value}\n" for name, value in values.items()))
         environment = {**os.environ, "FLAMINGOFRONT_BOOT": str(settings)}
-        self.fronts.append(
-            self._start("forward", environment=environment, output=f"front-{number}")
-        )
+        process = self._start("forward", environment=environment, output=f"front-{number}")
+        self.fronts[number : number + 1] = [process]
+
+    def restart_front(self, number: int, signum: signal.Signals) -> None:
+        """End an entry process with a signal, and start it again."""
+        process = self.fronts[number]
+        process.send_signal(signal.SIGCONT)
+        process.send_signal(signum)
+        process.wait()
+        self._start_front(self.ip_of(-1), number)
+
+    def reload_front(self, number: int) -> None:
+        """Let an entry process read its settings again."""
+        self.fronts[number].send_signal(signal.SIGHUP)
 
     def _start(self, program: str, *words: str, environment=None, output="standins"):
         with open(self.folder / f"{output}.log", "a") as log:
--- a/scripts/try_skewed_connections.py
+++ b/scripts/try_skewed_connections.py
@@ -7,7 +7,9 @@
     .venv/bin/python scripts/try_skewed_connections.py --rate 300 --pause 0.8
 """
 
+import signal
 import tempfile
+import threading
 from pathlib import Path
 
 import defopt
@@ -15,6 +17,19 @@
 from flamingofront.tests.skewed_connections import Deployment, SkewedLoad
 
 
+def _schedule_disturbances(deployment: Deployment) -> None:
+    """Let processes reload, stop, be killed and start again during the skew."""
+    actions = (
+        (7.0, lambda: deployment.reload_front(0)),
+        (8.0, lambda: deployment.restart_front(1, signal.SIGTERM)),
+        (10.0, lambda: deployment.restart_front(2, signal.SIGKILL)),
+    )
+    for seconds, action in actions:
+        timer = threading.Timer(seconds, action)
+        timer.daemon = True
+        timer.start()
+
+
 def main(
     *,
     rate: float = 300.0,
@@ -26,6 +41,7 @@
     network: int = 91,
     keep: str = "",
     returns: bool = False,
+    disturb: bool = False,
 ) -> None:
     """Play a load with skewed connections.
 
@@ -37,12 +53,16 @@
     :param endpoints: number of endpoints
     :param network: third number of the loopback addresses
     :param keep: folder for the logs of the processes
+    :param disturb: while most connections go to one process, it reloads its settings, another one
+        is stopped and started again, and a third one is killed and started again
     :param returns: further tries go where first tries go, as behind a balancer
     """
     with tempfile.TemporaryDirectory() as folder:
         path = Path(keep or folder)
         with Deployment(path, network, processes, endpoints, pause) as deployment:
             load = SkewedLoad(deployment, rate, seed, returns)
+            if disturb:
+                _schedule_disturbances(deployment)
             load.play(6.0, skewed, 3.0)
     spans = (("before", 2.0, 6.0), ("first 3 s", 6.0, 9.0), ("with skew", 9.0, 6.0 + skewed))
     for name, start, end in (*spans, ("after", 7.0 + skewed, 9.0 + skewed)):
