One throttle for soaks and trials at a fraction of a process's strength

Cause: the same class stood in the soak of departures and in the world of skewed connections. Change: tests/throttle.py has it, both use it.

--- a/flamingofront/tests/skewed_connections.py
+++ b/flamingofront/tests/skewed_connections.py
@@ -13,11 +13,12 @@
 import signal
 import subprocess
 import sys
-import threading
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from flamingofront.tests.throttle import Throttle
+
 __all__ = ["Deployment", "FirstTry", "SkewedLoad"]
 
 BIN = Path(sys.executable).parent
@@ -27,7 +28,6 @@
 )
 PORT = 19480
 STORE_PORT = 19400
-SLICE_SECONDS = 0.02
 PATIENCE_SECONDS = 1.0
 MAX_TRIES = 4
 CONFIGURATION = {
@@ -81,10 +81,8 @@
         self.fronts: list[subprocess.Popen] = []
         self._network = network
         self._endpoint_count = endpoints
-        self._pause = pause
         self._children: list[subprocess.Popen] = []
-        self._is_over = threading.Event()
-        self._throttle = threading.Thread(target=self._run_throttle, daemon=True)
+        self._throttle = Throttle(lambda: self.fronts, pause)
 
     def ip_of(self, front: int) -> str:
         """Return the address of an entry process; -1 for that of store and endpoints."""
@@ -110,30 +108,14 @@
             self._start_front(host, number)
         for number in range(self.processes):
             self._wait_for(self.ip_of(number), PORT + 1, "/api/ready", (200,))
-        if self._pause:
-            self._throttle.start()
+        self._throttle.start()
 
     def __exit__(self, *exc: object) -> None:
-        self._is_over.set()
-        if self._throttle.is_alive():
-            self._throttle.join()
+        self._throttle.stop()
         for child in self._children:
             child.kill()
             child.wait()
 
-    def _run_throttle(self) -> None:
-        """Stop all entry processes for a part of each slice."""
-        while not self._is_over.is_set():
-            self._signal_fronts(signal.SIGSTOP)
-            time.sleep(SLICE_SECONDS * self._pause)
-            self._signal_fronts(signal.SIGCONT)
-            time.sleep(SLICE_SECONDS * (1 - self._pause))
-
-    def _signal_fronts(self, signum: signal.Signals) -> None:
-        for each in self.fronts:
-            if each.poll() is None:
-                each.send_signal(signum)
-
     def _start_endpoint(self, host: str, number: int) -> None:
         words = ["--bind", f"{host}:{STORE_PORT + 1 + number}", "--store", f"{host}:{STORE_PORT}"]
         words += ["--endpoint-id", f"e-{number}", "--slots", "64", "--gap", "0.06"]
--- a/scripts/soak_departures.py
+++ b/scripts/soak_departures.py
@@ -32,6 +32,8 @@
 from store_relay import CallFault, Outage, StoreRelay
 from try_lost_paths import BIN, ROOT, _cancel_others, _wait_for
 
+from flamingofront.tests.throttle import Throttle
+
 PORT = 20480
 MAX_NETWORKS = 250
 ENDPOINT_PORTS = 200
@@ -42,7 +44,6 @@
 CONTACT_SECONDS = 3.0
 # An endpoint has written its row within this time after its start, also on a busy machine.
 REGISTRATION_SECONDS = 4.0
-SLICE_SECONDS = 0.02
 KILLED_SHARE = 0.55
 KILLED_SECONDS = 2.0
 # A row that says that its endpoint leaves is removed within this time after.
@@ -210,44 +211,6 @@
         return child
 
 
-class Throttle:
-    """Stops all entry processes for a part of each slice of time, as on a small VM.
-
-    Parameters
-    ----------
-    pause : float
-        Fraction of the time for which they are stopped.
-    """
-
-    def __init__(self, deployment: Deployment, pause: float):
-        self._deployment = deployment
-        self._pause = pause
-        self._is_over = threading.Event()
-        self._thread = threading.Thread(target=self._run, daemon=True)
-
-    def __enter__(self) -> "Throttle":
-        if self._pause:
-            self._thread.start()
-        return self
-
-    def __exit__(self, *exc: object) -> None:
-        self._is_over.set()
-        if self._pause:
-            self._thread.join()
-
-    def _run(self) -> None:
-        while not self._is_over.is_set():
-            self._signal(signal.SIGSTOP)
-            time.sleep(SLICE_SECONDS * self._pause)
-            self._signal(signal.SIGCONT)
-            time.sleep(SLICE_SECONDS * (1 - self._pause))
-
-    def _signal(self, signum: signal.Signals) -> None:
-        for each in list(self._deployment.fronts):
-            if each.poll() is None:
-                each.send_signal(signum)
-
-
 class Soak:
     """Callers, endpoints that leave, and faults of the store's relays and of processes."""
 
@@ -517,7 +480,7 @@
         time.sleep(REGISTRATION_SECONDS)
         end = time.monotonic() + seconds
         callers = soak.call_until(end + DRAIN_SECONDS + 2.0, rate)
-        with Throttle(deployment, pause):
+        with Throttle(lambda: deployment.fronts, pause):
             soak.play_until(end)
             for each in callers:
                 each.join()
