--- a/Makefile
+++ b/Makefile
@@ -14,9 +14,15 @@
 run-platform: .venv/installed
 	@exec scripts/run-platform-demo.sh
 
+# The order of sets, and with it simulated plays, depends on the hash seed: printed to repeat a run.
+ifndef HASH_SEED
+HASH_SEED := $(shell shuf -i 1-4294967295 -n 1)
+endif
+
 test: .venv/installed
-	$(BIN)/python -m pytest -n auto -m "not alone"
-	$(BIN)/python -m pytest -m alone
+	@echo "hash seed $(HASH_SEED): make test HASH_SEED=$(HASH_SEED)"
+	PYTHONHASHSEED=$(HASH_SEED) $(BIN)/python -m pytest -n auto -m "not alone"
+	PYTHONHASHSEED=$(HASH_SEED) $(BIN)/python -m pytest -m alone
 
 lint: .venv/installed
 	$(BIN)/black --check -q -l 100 .
