The control of new connections asks for the delays of peers only while it is overloaded

Cause: found in the reading of the change: the room of peers was looked up in each window of 0.1 s, also in calm. A queue that is slow implies an overload, so that the outcome is the same. Tests of decisions/ and connection/ pass.

--- a/flamingofront/decisions/accept_control.py
+++ b/flamingofront/decisions/accept_control.py
@@ -2,8 +2,8 @@
 
 Load pattern: the balancer hands most new connections to one of several processes for some seconds.
 That process goes on accepting and reading what it cannot answer in time, while the others have
-room. A caller whose connection is closed unread tries again at another process; one whose request
-was read waits for its answer.
+room. A connection that is refused is handed over to one of these unread, or closed, so that its
+caller tries again; a caller whose request was read waits for its answer.
 
 The delay until a new connection is read shows an overload: a turn of the event loop serves all
 sockets that became ready during the one before, and connections wait in the queue of the listening
@@ -11,8 +11,9 @@
 new connections that is refused rises; otherwise it falls. If all processes are overloaded, this
 fraction is zero: a caller that tries again elsewhere is one more request there.
 
-A long queue is cut short in any case: callers that have waited long give up soon after their
-requests are read, so that a process that reads these first serves nobody in time.
+Connections that have waited too long while others have room are handed over, too, and stay if no
+process takes them. A long queue is cut short in any case: callers that have waited long give up
+soon after their requests are read, so that a process that reads these first serves nobody in time.
 """
 
 import random
@@ -160,8 +161,8 @@
 
     def _adjust_fraction(self, delay: float, peer_delays: Callable[[], Sequence[float]]) -> None:
         is_overloaded = min(delay, self._mean_seconds) > MAX_DELAY_SECONDS
-        self._has_room_elsewhere = self._have_peers_room(peer_delays())
-        if is_overloaded and self._has_room_elsewhere:
+        self._has_room_elsewhere = is_overloaded and self._have_peers_room(peer_delays())
+        if self._has_room_elsewhere:
             self._fraction = min(MAX_FRACTION, self._fraction + INCREASE)
         else:
             self._fraction *= DECREASE_FACTOR
--- a/flamingofront/decisions/splice_choice.py
+++ b/flamingofront/decisions/splice_choice.py
@@ -1,7 +1,7 @@
 """Choice of the peer that serves connections which an overloaded process hands over.
 
 Delays are reported a few times a second. Until the next report the connections that a peer has not
-begun to answer show how busy it is: it gets no more while there are some. Of two peers taken at
+begun to answer show how busy it is: it gets no more while there are many. Of two peers taken at
 random the one with fewer of them is chosen.
 """
 
@@ -14,7 +14,7 @@
 
 # Time for which a peer that accepted no connection gets no other one.
 AVOID_SECONDS = 1.0
-# A VM that serves a hundred requests a second begins to answer so many within 0.1 s.
+# A VM that serves a hundred requests a second answers so many within 0.3 s.
 MAX_UNANSWERED = 28
 
 
