--- a/scripts/soak_departures.py
+++ b/scripts/soak_departures.py
@@ -63,12 +63,16 @@
     arrivals: list[tuple[float, str]] = field(default_factory=list)
 
     def read(self) -> None:
-        """Record the arrivals that the process prints, until it ends."""
+        """Record the arrivals that the process prints, until it ends.
+
+        Notes
+        -----
+        A probe of an entry process has no request id, and is no request.
+        """
         for line in self.child.stdout:
-            word, _, rest = line.partition(" ")
-            if word == "arrival":
-                at, _, request_id = rest.split()
-                self.arrivals.append((float(at), request_id))
+            words = line.split()
+            if len(words) == 4 and words[0] == "arrival":
+                self.arrivals.append((float(words[1]), words[3]))
 
 
 class Deployment:
