--- a/flamingofront/connection/splice.py
+++ b/flamingofront/connection/splice.py
@@ -42,7 +42,7 @@
 
 
 class _Splice(SocketOwner):
-    """The connections of one caller and to its peer.
+    """The connection of a caller, and the one to the peer that serves it.
 
     Parameters
     ----------
