Endpoints that accept connections while they end have crashed

Cause: a process probes an endpoint at once after a connection with a request was reset, and took an established connection for a sign of life. The kernel closes the sockets of a process that ends in reverse order, its listening sockets last, so that they still accept connections after the reset. The class: one connect that stands for "the endpoint lives".

Change: an endpoint that accepts a probe is probed again 0.03, 0.1 and 0.25 s after its last lost connection. The check is kept until then, so that a row that goes meanwhile declares the crash too. 'endpoint crashed' tells how many probes it took. The simulated hosts accept connections for a while after their end, if told so.

--- a/flamingofront/request/endpoint_ends.py
+++ b/flamingofront/request/endpoint_ends.py
@@ -2,8 +2,8 @@
 
 A lost connection alone does not show a crash: the endpoint may have failed to send one response or
 reset one of many connections. It has crashed if it sends no more data and no process listens at its
-address, or if its row is deleted without notice. An endpoint that announced its shutdown does not
-count as crashed.
+address shortly after, or if its row is deleted without notice. An endpoint that announced its
+shutdown does not count as crashed.
 """
 
 from collections.abc import Callable
@@ -27,6 +27,9 @@
 # crash, all connections were lost within 4 ms (241 connections of seven processes).
 LAST_DATA_SECONDS = 0.01
 SETTLE_DELAY_SECONDS = 0.02
+# The kernel closes the connections of a process that ends before its listening sockets. An endpoint
+# that accepts a probe is probed again so long after the last lost connection.
+CONFIRM_SECONDS = (0.03, 0.1, 0.25)
 # Probes that get no reply are repeated until the row of the endpoint has had time to expire.
 PROBE_RETRY_SECONDS = 1.0
 MAX_PROBES = 6
@@ -43,17 +46,23 @@
 
     Parameters
     ----------
-    lost_at : float
-        Time of the first lost connection, on the clock of the timer service.
+    lost_at, last_lost_at : float
+        Times of the first and the last lost connection, on the clock of the timer service.
     requests : dict of str to InterruptedRequest
         Requests whose connections were lost, by fingerprint.
+    probe_count : int
+        Number of probes sent.
+    probed_at : float
+        Time of the last probe.
     """
 
     address: str
     zone: str
     lost_at: float
+    last_lost_at: float
     requests: dict[str, InterruptedRequest] = field(default_factory=dict)
     probe_count: int = 0
+    probed_at: float = 0.0
     is_crashed: bool = False
 
 
@@ -116,6 +125,7 @@
         """Record that the connection of a request that was sent to an endpoint was lost."""
         check = self._checks.get(endpoint_id)
         if check is not None:
+            check.last_lost_at = self._timers.now()
             if request.fingerprint not in check.requests:
                 check.requests[request.fingerprint] = request
                 if check.is_crashed:
@@ -123,8 +133,8 @@
             return
         if self._directory.is_unavailable(endpoint_id):
             return
-        zone = self._directory.zone_of(endpoint_id)
-        check = _CrashCheck(address, zone, self._timers.now(), {request.fingerprint: request})
+        zone, now = self._directory.zone_of(endpoint_id), self._timers.now()
+        check = _CrashCheck(address, zone, now, now, {request.fingerprint: request})
         self._checks[endpoint_id] = check
         self._send_probe(endpoint_id, check)
 
@@ -183,8 +193,8 @@
         """Record that an endpoint restarted while it had a request."""
         check = self._checks.get(endpoint_id)
         if check is None:
-            zone = self._directory.zone_of(endpoint_id)
-            check = self._checks[endpoint_id] = _CrashCheck("", zone, self._timers.now())
+            zone, now = self._directory.zone_of(endpoint_id), self._timers.now()
+            check = self._checks[endpoint_id] = _CrashCheck("", zone, now, now)
         is_new = check.requests.setdefault(request.fingerprint, request) is request
         if not check.is_crashed:
             self._declare_crash(endpoint_id, check)
@@ -195,6 +205,7 @@
         if self._checks.get(endpoint_id) is not check or check.is_crashed:
             return
         check.probe_count += 1
+        check.probed_at = self._timers.now()
         self._metrics.count("endpoint_probes_total")
         self._transport.probe(
             check.address,
@@ -211,11 +222,22 @@
             self._timers.once(
                 SETTLE_DELAY_SECONDS, lambda: self._conclude_check(endpoint_id, check)
             )
-        elif reach is ConnectResult.UNANSWERED and check.probe_count < MAX_PROBES:
+        elif check.probe_count >= MAX_PROBES:
+            del self._checks[endpoint_id]
+        elif reach is ConnectResult.UNANSWERED:
             self._timers.once(PROBE_RETRY_SECONDS, lambda: self._send_probe(endpoint_id, check))
+        elif due := self._find_next_confirmation(check):
+            seconds = max(0.0, due - self._timers.now())
+            self._timers.once(seconds, lambda: self._send_probe(endpoint_id, check))
         else:
             del self._checks[endpoint_id]
 
+    @staticmethod
+    def _find_next_confirmation(check: _CrashCheck) -> float | None:
+        """Return when to probe an endpoint again that accepted a probe; None if it lives."""
+        times = (check.last_lost_at + seconds for seconds in CONFIRM_SECONDS)
+        return next((each for each in times if each > check.probed_at), None)
+
     def _conclude_check(self, endpoint_id: str, check: _CrashCheck) -> None:
         """Declare a crash of an endpoint that refuses connections, unless it still sends data."""
         if self._checks.get(endpoint_id) is not check or check.is_crashed:
@@ -261,6 +283,7 @@
             endpoint=endpoint_id,
             zone_of_endpoint=check.zone,
             ago=round(self._timers.now() - check.lost_at, 3),
+            probes=check.probe_count,
             running=len(check.requests),
             work=sorted(check.requests)[:MAX_LOGGED_REQUESTS],
             unanswered=[
--- a/flamingofront/request/tests/test_endpoint_ends.py
+++ b/flamingofront/request/tests/test_endpoint_ends.py
@@ -10,7 +10,7 @@
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.timers import ManualClock, TimerService
 from flamingofront.request.directory import EndpointDirectory
-from flamingofront.request.endpoint_ends import MAX_PROBES, CrashDetector
+from flamingofront.request.endpoint_ends import CONFIRM_SECONDS, MAX_PROBES, CrashDetector
 
 ADDRESS = "10.0.0.1:80"
 
@@ -73,7 +73,30 @@
         world.transport.reach = ConnectResult.CONNECTED
         world.lose_connections("one")
         world.run(10.0)
-        assert not world.crashes and world.transport.count == 1
+        assert not world.crashes and world.transport.count == 1 + len(CONFIRM_SECONDS)
+
+    @pytest.mark.parametrize("ending", [0.003, 0.02, 0.2])
+    def test_endpoint_that_accepts_a_connection_while_it_ends_has_crashed(self, ending):
+        # The kernel closes the connections of a process that ends before its listening sockets.
+        world = CrashDetectorHarness()
+        world.transport.reach = ConnectResult.CONNECTED
+        world.lose_connections("one")
+        world.run(ending)
+        world.transport.reach = ConnectResult.REFUSED
+        world.run(0.2)
+        assert [each.requests for each in world.crashes] == [("one",)]
+
+    def test_each_lost_connection_may_be_that_of_an_endpoint_that_ends(self):
+        # The first one had been reset by a live endpoint.
+        world = CrashDetectorHarness()
+        world.transport.reach = ConnectResult.CONNECTED
+        world.lose_connections("one")
+        world.run(0.09)
+        world.lose_connections("two")
+        world.run(0.03)
+        world.transport.reach = ConnectResult.REFUSED
+        world.run(0.2)
+        assert [each.requests for each in world.crashes] == [("one", "two")]
 
     def test_endpoint_that_still_sends_has_not_crashed(self):
         """An endpoint at its connection limit refuses new connections but serves the others."""
--- a/flamingofront/tests/crashing_world.py
+++ b/flamingofront/tests/crashing_world.py
@@ -58,7 +58,8 @@
     """Requests whose body is among `poison` crash whatever begins to run them.
 
     So do requests that have one of `poison_parts` in their prompt, unless it is the last part. A
-    crashed endpoint is back after `back_seconds`, at its address and under another id.
+    crashed endpoint is back after `back_seconds`, at its address and under another id. Its
+    listening sockets are closed `ending_seconds` after its connections.
     """
 
     def __init__(self, seed: int = 1):
@@ -66,6 +67,7 @@
         self.poison: set[bytes] = set()
         self.poison_parts: set[str] = set()
         self.back_seconds = BACK_SECONDS
+        self.ending_seconds = 0.0
         self.crashes: list[Crash] = []
         self.sent: list[Send] = []
         self._starts = 0
@@ -106,6 +108,7 @@
 
     def end_endpoint(self, name: str, service: str, zone: str) -> None:
         """Let an endpoint end without notice, whatever the reason, and come back later."""
+        self.host(name).listens_until = self.clock.now() + self.ending_seconds
         self.kill(name)
         timers = self.host("store").timers
         timers.once(LAPSE_SECONDS, lambda: self.store.drop(ENDPOINT_TABLE, name))
--- a/flamingofront/tests/network.py
+++ b/flamingofront/tests/network.py
@@ -86,7 +86,14 @@
 
 @dataclass
 class Host:
-    """A machine in the fake network."""
+    """A machine in the fake network.
+
+    Attributes
+    ----------
+    listens_until : float
+        Time until which the listening sockets of a process that has ended accept connections, as
+        the kernel closes them last. Such connections are reset.
+    """
 
     name: str
     zone: str
@@ -95,8 +102,14 @@
     paused: bool = False
     dead: bool = False
     dark: bool = False
+    listens_until: float = 0.0
     links: list = field(default_factory=list)
 
+    @property
+    def accepts_while_ending(self) -> bool:
+        """True if the process has ended and its listening sockets are still open."""
+        return self.dead and self.timers.now() < self.listens_until
+
 
 class _Link(CallHandle):
     """One call between two hosts."""
@@ -117,6 +130,9 @@
         elif target is not None and target.dead and world.takes_idle(source, call):
             self._wrote = True
             source.timers.once(2 * LATENCY, lambda: self.fail("reset", True, reused=True))
+        elif target is not None and target.accepts_while_ending:
+            self._wrote = True
+            self._reset_after(2 * LATENCY)
         elif target is None or target.dead:
             reason = "connect" if target is None or target.dark else "refused"
             source.timers.once(LATENCY, lambda: self.fail(reason, False))
@@ -385,7 +401,8 @@
         ):
             timers.once(timeout, lambda: listener(ConnectResult.UNANSWERED))
         else:
-            reach = ConnectResult.REFUSED if target.dead else ConnectResult.CONNECTED
+            is_refused = target.dead and not target.accepts_while_ending
+            reach = ConnectResult.REFUSED if is_refused else ConnectResult.CONNECTED
             timers.once(2 * LATENCY, lambda: listener(reach))
 
     def has_idle(self, address):
--- a/flamingofront/tests/test_poison_prompt_parts.py
+++ b/flamingofront/tests/test_poison_prompt_parts.py
@@ -63,6 +63,13 @@
         load.world.back_seconds = back
         check(load.play(seconds=16.0, poison_from=2.0), max_sent_late=0)
 
+    @pytest.mark.parametrize("ending", [0.005, 0.03])
+    def test_bound_holds_for_endpoints_that_accept_connections_while_they_end(self, ending):
+        # A probe that connected was taken for a sign of life, so that no crash was counted.
+        load = make_load()
+        load.world.ending_seconds = ending
+        check(load.play(seconds=16.0, poison_from=2.0), max_sent_late=0)
+
     @pytest.mark.parametrize("fronts", [1, 24])
     def test_bound_holds_for_one_process_and_for_many(self, fronts):
         load = make_load(fronts=fronts).play(seconds=14.0, poison_from=2.0)
