--- a/scripts/soak_departures.py
+++ b/scripts/soak_departures.py
@@ -82,14 +82,24 @@
     ----------
     network : int
         Third number of the loopback addresses, so that several soaks run side by side.
+    endpoint_words : tuple of str
+        Further words of the command line of each endpoint.
     """
 
-    def __init__(self, folder: Path, network: int, processes: int, endpoints: int):
+    def __init__(
+        self,
+        folder: Path,
+        network: int,
+        processes: int,
+        endpoints: int,
+        endpoint_words: tuple[str, ...] = (),
+    ):
         self.folder = folder
         self._network = network
         self.host = self.ip_of(-1)
         self.processes = processes
         self._endpoint_count = endpoints
+        self._endpoint_words = endpoint_words
         self._numbers = itertools.count()
         self._children: list[subprocess.Popen] = []
         self._loop = asyncio.new_event_loop()
@@ -170,6 +180,7 @@
         ]
         words += ["--service", service, "--zone", ZONES[number // 2 % 2], "--gap", "0.03"]
         words += ["--log-arrivals", "--slots", "64", "--software", f"v{number % 3}"]
+        words += self._endpoint_words
         child = self._start("flamingofront-standin-endpoint", words, is_read=True)
         self.endpoints.append(Endpoint(name, service, port, child, time.monotonic()))
         threading.Thread(target=self.endpoints[-1].read, daemon=True).start()
