Peers that reach an endpoint on open connections say so

Cause: a process takes the paths to a service for lost once a peer reaches an endpoint of it, and the peer tested that by a new connection alone, which was refused too. So the paths counted as working: attempts went on new connections, and none through a peer with an open one.

Change: a peer that is asked whether it reaches an endpoint tests an open connection when no new one is established.

It holds because an answer now means what a proxied attempt would meet: the same open connection.

--- a/flamingofront/process/forwarding/proxy.py
+++ b/flamingofront/process/forwarding/proxy.py
@@ -80,10 +80,9 @@
             exchange.respond(STATUS_UNKNOWN, (), b"")
             return
         self.node.metrics.count("endpoint_probes_total")
-        needs_response = req.query.get("by") == BY_RESPONSE
-        self.node.hub.paths.monitor.start_probe(
+        self.node.hub.paths.probe_for_peer(
             endpoint_id,
-            needs_response,
+            req.query.get("by") == BY_RESPONSE,
             lambda is_reached: exchange.respond(
                 STATUS_REACHED if is_reached else STATUS_NOT_REACHED, (), b""
             ),
--- a/flamingofront/request/endpoint_paths.py
+++ b/flamingofront/request/endpoint_paths.py
@@ -225,6 +225,26 @@
 
         self.monitor.probe_open_connection(endpoint_id, on_result)
 
+    def probe_for_peer(
+        self, endpoint_id: str, needs_response: bool, on_result: Callable[[bool], None]
+    ) -> None:
+        """Test whether attempts of a peer would reach an endpoint, on a new or an open connection.
+
+        Parameters
+        ----------
+        needs_response : bool
+            True if an established connection is no evidence.
+        """
+
+        def on_new_connection(is_reached: bool) -> None:
+            address = self._directory.address_of(endpoint_id)
+            if is_reached or not self._transport.has_idle(address):
+                on_result(is_reached)
+            else:
+                self.monitor.probe_open_connection(endpoint_id, on_result)
+
+        self.monitor.start_probe(endpoint_id, needs_response, on_new_connection)
+
     def wait_seconds(self, endpoint_id: str) -> float:
         """Return the seconds until an endpoint may be reached; 0 if a path is known now."""
         if self.path_to(endpoint_id) is not EndpointPath.NONE:
--- a/flamingofront/tests/test_serving_without_paths.py
+++ b/flamingofront/tests/test_serving_without_paths.py
@@ -201,6 +201,24 @@
         assert len(runs_of(world, "/")) - runs >= 0.9 * len(sent)
         assert max(Counter(runs_of(world, "/write/")).values()) == 1
 
+    @pytest.mark.parametrize("prefix", ["engine", "plain"])
+    @pytest.mark.parametrize(
+        "fault", [PathFault.NEW_REFUSED, PathFault.NEW_SILENT], ids=["refused", "silent"]
+    )
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    def test_open_connections_to_one_service_are_used(self, prefix, fault, seed):
+        # Other services were reached, so that paths counted as working while attempts were refused.
+        world = paths_world(seed=seed)
+        offer(world, 1.0)
+        world.fail_paths(
+            FRONTS, [each for each in world.endpoints if each.startswith(prefix)], fault
+        )
+        offer_for(world, 3.0)
+        start = world.clock.now()
+        sent = offer(world, 6.0)
+        assert served_share(sent, FRONTS, start) >= 1 - 1 / 50
+        assert max(Counter(runs_of(world, "/write/")).values()) == 1
+
     def test_open_connections_that_are_silent_are_not_used(self):
         # Each request on one would wait until it moves to a peer.
         world = paths_world()
