Mutations of paths to endpoints and of crash checks

Cause: no mutation took a mechanism of the paths away, and none of the checks of crashed endpoints.

Two of them were not noticed at first: the test of a second lost connection now loses it so late that only the later probes can tell, and the test of silent open connections asks that they are closed (a call on one would wait once paths seem to work again).

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -15,6 +15,7 @@
 from bench.knowledge_mutations import KNOWLEDGE_MUTATIONS
 from bench.known_failure_mutations import KNOWN_FAILURE_MUTATIONS
 from bench.mutation import Mutation
+from bench.path_mutations import PATH_MUTATIONS
 from bench.platform_mutations import PLATFORM_MUTATIONS
 from bench.quarantine_mutations import QUARANTINE_MUTATIONS
 from bench.restart_mutations import RESTART_MUTATIONS
@@ -180,6 +181,7 @@
     *PLATFORM_MUTATIONS,
     *RESTART_MUTATIONS,
     *SPLICE_MUTATIONS,
+    *PATH_MUTATIONS,
     *QUARANTINE_MUTATIONS,
     *KNOWN_FAILURE_MUTATIONS,
     *ANSWER_MUTATIONS,
--- a/flamingofront/request/tests/test_endpoint_ends.py
+++ b/flamingofront/request/tests/test_endpoint_ends.py
@@ -91,11 +91,11 @@
         world = CrashDetectorHarness()
         world.transport.reach = ConnectResult.CONNECTED
         world.lose_connections("one")
-        world.run(0.09)
+        world.run(0.24)
         world.lose_connections("two")
-        world.run(0.03)
+        world.run(0.02)
         world.transport.reach = ConnectResult.REFUSED
-        world.run(0.2)
+        world.run(0.3)
         assert [each.requests for each in world.crashes] == [("one", "two")]
 
     def test_endpoint_that_still_sends_has_not_crashed(self):
--- a/flamingofront/tests/test_serving_without_paths.py
+++ b/flamingofront/tests/test_serving_without_paths.py
@@ -220,11 +220,13 @@
         assert max(Counter(runs_of(world, "/write/")).values()) == 1
 
     def test_open_connections_that_are_silent_are_not_used(self):
-        # Each request on one would wait until it moves to a peer.
+        # Each request on one would wait until it moves to a peer, also once new ones are refused.
         world = paths_world()
         offer(world, 1.0)
         cut_off(world, FRONTS[:2], PathFault.HANGING)
         offer_for(world, 1.0)
+        addresses = {world.host(each).address for each in world.endpoints}
+        assert not [each for each in world.idle if each[0] in FRONTS[:2] and each[1] in addresses]
         start = world.clock.now()
         sent = offer(world, 4.0)
         assert served_share(sent, FRONTS[:2], start) >= 1 - 1 / 50
