Soak of prompt parts plays answers without framing and slow processes

Cause: answers that end with their connection, and streams that end inside an event, were tested with prepared bytes at one process, and never beside kills, crashes and skewed connections.

Change: scripts/unframed_relay.py stands before a share of the endpoints and takes length and chunks away; one in twenty of their streams ends inside an event.

--- a/flamingofront/standins/programs.py
+++ b/flamingofront/standins/programs.py
@@ -140,6 +140,7 @@
     events: int = 8,
     cut: float = 0.0,
     crash_part: str = "",
+    advertise: str = "",
 ) -> None:
     """Serve forwarded requests as an endpoint that registers itself in the store.
 
@@ -160,10 +161,11 @@
     :param events: number of events in a stream
     :param cut: fraction of the streams that break off in the middle of an event
     :param crash_part: exit when a request with this part in its prompt, but last, begins to run
+    :param advertise: IP:PORT in the row, if a relay listens there for the endpoint
     """
     row = {
         "service": service,
-        "address": bind,
+        "address": advertise or bind,
         "zone": zone,
         "version": software,
         "slots": slots,
--- a/scripts/soak_departures.py
+++ b/scripts/soak_departures.py
@@ -181,10 +181,15 @@
         words += ["--service", service, "--zone", ZONES[number // 2 % 2], "--gap", "0.03"]
         words += ["--log-arrivals", "--slots", "64", "--software", f"v{number % 3}"]
         words += self._endpoint_words
+        words += self.words_of_relay(port)
         child = self._start("flamingofront-standin-endpoint", words, is_read=True)
         self.endpoints.append(Endpoint(name, service, port, child, time.monotonic()))
         threading.Thread(target=self.endpoints[-1].read, daemon=True).start()
 
+    def words_of_relay(self, port: int) -> list[str]:
+        """Return the words of the command line of an endpoint that is reached through a relay."""
+        return []
+
     def serving(self) -> list[Endpoint]:
         """Return the endpoints that have not left."""
         return [each for each in self.endpoints if each.left_at is None]
--- a/scripts/soak_parts.py
+++ b/scripts/soak_parts.py
@@ -2,6 +2,7 @@
 """Soak of real processes with prompt parts that crash endpoints, and an oracle over all requests.
 
 Each endpoint exits when a request with such a part begins to run, and another one takes its place.
+The answers of some end with their connection, and some of their streams inside an event.
 Entry processes are killed, suspended, reloaded and cut from the store meanwhile, endpoints are
 killed for other reasons, and callers prefer one process for some seconds. Exits with 1 if requests
 with such a part reach endpoints late, if sound ones are refused for a part or seldom served, or if
@@ -25,6 +26,7 @@
 import defopt
 from soak_departures import (
     CONTACT_SECONDS,
+    MAX_NETWORKS,
     PORT,
     REGISTRATION_SECONDS,
     Deployment,
@@ -32,8 +34,10 @@
     Soak,
     count_exceptions,
 )
+from unframed_relay import UnframedRelay
 
 from flamingofront.tests.part_load import POISON_PART, SHARED_PART, insert_part
+from flamingofront.tests.throttle import Throttle
 
 CRASH_STATUS = 1
 # Crashes after which a part is quarantined; the time for word of it begins with the last.
@@ -51,11 +55,19 @@
 PREFERRED_SHARE = 0.9
 REFUSED_FOR_PART = "prompt_part_crashes_endpoints"
 EVENTS = 8
+# Share of the streams of relayed endpoints that end inside an event.
+CUT_STREAMS = 0.05
 
 
 @dataclass(frozen=True)
 class Outcome:
-    """Result of one request; status 0 if its connection ended before the end of the response."""
+    """Result of one request; status 0 if its connection ended before the end of the response.
+
+    Parameters
+    ----------
+    is_unread : bool
+        True if no process listened, so that the caller knows that nothing was read.
+    """
 
     request_id: str
     front: int
@@ -65,6 +77,32 @@
     status: int
     error: str
     has_retry_after: bool
+    is_unread: bool
+
+
+class RelayedDeployment(Deployment):
+    """Deployment in which some endpoints are reached through an `UnframedRelay`."""
+
+    def __init__(self, *args, rng: random.Random, unframed: float):
+        super().__init__(*args)
+        self._rng = rng
+        self._unframed = unframed
+        self._endpoint_relays: dict[int, UnframedRelay] = {}
+
+    def words_of_relay(self, port: int) -> list[str]:
+        """Return the words for an endpoint, and start its relay if it gets one."""
+        if self._rng.random() >= self._unframed:
+            return []
+        relay = UnframedRelay(self.host, (self.host, port), self._rng, CUT_STREAMS)
+        self.run_in_loop(relay.open())
+        self._endpoint_relays[port] = relay
+        return ["--advertise", f"{self.host}:{relay.port}"]
+
+    def close_relay(self, port: int) -> None:
+        """Close the relay of an endpoint that has ended, if there is one."""
+        relay = self._endpoint_relays.pop(port, None)
+        if relay is not None:
+            self.run_in_loop(relay.close())
 
 
 class PartSoak(Soak):
@@ -157,7 +195,7 @@
         }
         conn = self._take_connection(conns, front)
         sent_at = time.monotonic()
-        status, error, res = 0, "", None
+        status, error, res, is_unread = 0, "", None, False
         body = b"prompt %d" % number + b"x" * (number % 37)
         path = "/stream/letter/1" if rng.random() < 0.6 else "/lookup/1"
         try:
@@ -168,18 +206,25 @@
             if status == 200 and path.startswith("/stream"):
                 self._check_stream(request_id, answer)
             error = answer.decode(errors="replace") if status != 200 else ""
-        except (OSError, http.client.HTTPException):
-            pass
+        except (OSError, http.client.HTTPException) as exc:
+            is_unread = isinstance(exc, ConnectionRefusedError)
         if status and not res.will_close:
             conns[front] = conn, time.monotonic()
         else:
             conn.close()
         self.statuses[status] += 1
-        has_retry_after = bool(res and res.getheader("Retry-After"))
-        seconds = time.monotonic() - sent_at
-        is_poison = bool(poison_parts)
         self.outcomes.append(
-            Outcome(request_id, front, is_poison, sent_at, seconds, status, error, has_retry_after)
+            Outcome(
+                request_id,
+                front,
+                bool(poison_parts),
+                sent_at,
+                time.monotonic() - sent_at,
+                status,
+                error,
+                bool(res and res.getheader("Retry-After")),
+                is_unread,
+            )
         )
 
     def _take_connection(self, conns: dict, front: int) -> http.client.HTTPConnection:
@@ -211,6 +256,7 @@
 
     def _note_exit(self, endpoint: Endpoint) -> None:
         endpoint.left_at = time.monotonic()
+        self._deployment.close_relay(endpoint.port)
         if endpoint.child.returncode == CRASH_STATUS:
             self.crashed_at.append(endpoint.left_at)
         self._deployment.write_rows({}, (endpoint.name,))
@@ -269,7 +315,8 @@
 
         Notes
         -----
-        Requests at processes that were disturbed before or at that time are left out.
+        Requests at processes that were disturbed before or at that time are left out, and those at
+        processes that do not listen yet.
         """
         since = sorted(self.crashed_at)[:KNOWN_CRASHES][-1] if self.crashed_at else 0.0
         since += 2 * CONTACT_SECONDS
@@ -277,6 +324,7 @@
             each.status == 200
             for each in self.outcomes
             if not each.is_poison
+            and not each.is_unread
             and each.sent_at > since
             and not self._was_disturbed(each.front, each.sent_at + each.seconds)
         ]
@@ -319,6 +367,8 @@
     processes: int = 5,
     rate: float = 5.0,
     endpoints: int = 10,
+    pause: float = 0.0,
+    unframed: float = 0.3,
 ) -> None:
     """Run the soak with one seed.
 
@@ -327,13 +377,18 @@
     :param processes: entry processes
     :param rate: sound requests a second at each entry process
     :param endpoints: endpoints that serve at any time
+    :param pause: fraction of the time for which entry processes are stopped, in slices of 20 ms
+    :param unframed: fraction of the endpoints whose answers have neither a length nor chunks
     """
     folder = Path(tempfile.mkdtemp())
     words = ("--crash-part", POISON_PART)
-    with Deployment(folder, seed % 250, processes, endpoints, words) as deployment:
-        soak = PartSoak(deployment, random.Random(seed))
+    rng = random.Random(seed)
+    args = (folder, seed % MAX_NETWORKS, processes, endpoints, words)
+    with RelayedDeployment(*args, rng=rng, unframed=unframed) as deployment:
+        soak = PartSoak(deployment, rng)
         time.sleep(REGISTRATION_SECONDS)
-        soak.play(seconds, rate)
+        with Throttle(lambda: deployment.fronts, pause):
+            soak.play(seconds, rate)
         found = soak.violations()
     exceptions = count_exceptions(folder)
     poison = Counter(each.status for each in soak.outcomes if each.is_poison)
