Data from before a later loss is no sign of life

Cause: the check of an endpoint that accepts probes lasts up to a quarter of a second since, but data was compared with the first lost connection. An endpoint that reset one connection, sent data on others and crashed within that time counted as alive.

Change: data counts if it came after the last lost connection.

Measured: test_each_lost_connection_may_be_that_of_an_endpoint_that_ends, with data between the two losses, failed before and passes; tests of the crash checks, parts, brittle endpoints and limits pass.

--- a/flamingofront/request/endpoint_ends.py
+++ b/flamingofront/request/endpoint_ends.py
@@ -242,7 +242,7 @@
         """Declare a crash of an endpoint that refuses connections, unless it still sends data."""
         if self._checks.get(endpoint_id) is not check or check.is_crashed:
             return
-        if self._directory.last_contact_at(endpoint_id) > check.lost_at + LAST_DATA_SECONDS:
+        if self._directory.last_contact_at(endpoint_id) > check.last_lost_at + LAST_DATA_SECONDS:
             del self._checks[endpoint_id]
         elif self.is_path_lost(endpoint_id):
             self._wait_for_paths(endpoint_id, check)
--- a/flamingofront/request/tests/test_endpoint_ends.py
+++ b/flamingofront/request/tests/test_endpoint_ends.py
@@ -91,7 +91,9 @@
         world = CrashDetectorHarness()
         world.transport.reach = ConnectResult.CONNECTED
         world.lose_connections("one")
-        world.run(0.24)
+        world.run(0.12)
+        world.directory.record_contact("e-1", world.clock.now())
+        world.run(0.12)
         world.lose_connections("two")
         world.run(0.02)
         world.transport.reach = ConnectResult.REFUSED
