Soak of prompt parts: relays reset, shorter functions

One function sent, read and recorded a request, one held all checks.

Change: the relay resets connections of an endpoint that has ended. Responses are data of their own; each check is a function.

--- a/scripts/soak_parts.py
+++ b/scripts/soak_parts.py
@@ -19,6 +19,7 @@
 import threading
 import time
 from collections import Counter
+from collections.abc import Iterator
 from dataclasses import dataclass
 from http import HTTPStatus
 from pathlib import Path
@@ -46,6 +47,7 @@
 # Endpoints that may crash before all processes know a part.
 MAX_CRASHES = 8
 MIN_SERVED = 0.9
+MAX_SHOWN = 6
 PLACES = ("first", "middle", "deep", "anywhere")
 BACK_SECONDS = (0.8, 2.0, 4.0)
 POISON_RATES = (1.0, 4.0, 12.0)
@@ -53,31 +55,49 @@
 SOUND_SECONDS = 4.0
 PREFERRED_SECONDS = 5.0
 PREFERRED_SHARE = 0.9
-REFUSED_FOR_PART = "prompt_part_crashes_endpoints"
+STREAM_SHARE = 0.6
+# Bytes by which the bodies of requests differ in length.
+MAX_PADDING = 37
+REFUSED_FOR_PART = b"prompt_part_crashes_endpoints"
 EVENTS = 8
 # Share of the streams of relayed endpoints that end inside an event.
 CUT_STREAMS = 0.05
 
 
 @dataclass(frozen=True)
-class Outcome:
-    """Result of one request; status 0 if its connection ended before the end of the response.
+class Response:
+    """Response to a caller; status 0 if its connection ended before the end of the response.
 
     Parameters
     ----------
+    is_kept : bool
+        True if the connection may be used again.
     is_unread : bool
         True if no process listened, so that the caller knows that nothing was read.
     """
 
+    status: int = 0
+    body: bytes = b""
+    has_retry_after: bool = False
+    is_kept: bool = False
+    is_unread: bool = False
+
+    @property
+    def is_refused_for_part(self) -> bool:
+        """True if it was refused for a part of its prompt."""
+        return self.status != HTTPStatus.OK and REFUSED_FOR_PART in self.body
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """Result of one request; times in seconds of the monotonic clock."""
+
     request_id: str
     front: int
     is_poison: bool
     sent_at: float
-    seconds: float
-    status: int
-    error: str
-    has_retry_after: bool
-    is_unread: bool
+    ended_at: float
+    response: Response
 
 
 class RelayedDeployment(Deployment):
@@ -179,52 +199,52 @@
         """Send a request that is unlike all others, on a kept connection if there is one."""
         number = rng.getrandbits(32)
         request_id = f"r{rng.getrandbits(64):016x}"
+        self.senders[request_id] = front
+        if poison_parts:
+            self.poison.add(request_id)
+        is_stream = rng.random() < STREAM_SHARE
+        conn = self._take_connection(conns, front)
+        sent_at = time.monotonic()
+        response = self._call(conn, request_id, is_stream, self._list_parts(number, poison_parts))
+        if response.is_kept:
+            conns[front] = conn, time.monotonic()
+        else:
+            conn.close()
+        if is_stream and response.status == HTTPStatus.OK:
+            self._check_stream(request_id, response.body)
+        self.statuses[response.status] += 1
+        self.outcomes.append(
+            Outcome(request_id, front, bool(poison_parts), sent_at, time.monotonic(), response)
+        )
+
+    def _list_parts(self, number: int, poison_parts: tuple[str, ...]) -> list[str]:
+        """Return the parts of a prompt: some that others share, and a last one of its own."""
         parts = [SHARED_PART, f"5b000{number % 4}"]
         for each in poison_parts:
             parts = insert_part(parts, each, self._place, number)
-            self.poison.add(request_id)
-        self.senders[request_id] = front
+        return [*parts, f"1a57{number:08x}"]
+
+    def _call(
+        self, conn: http.client.HTTPConnection, request_id: str, is_stream: bool, parts: list[str]
+    ) -> Response:
+        """Send a request and read its response."""
         fields = {
             "Host": "desk.example",
             "Authorization": "Bearer demo-key",
             "X-Flamingofront-Deadline-Ms": "3000",
             "X-Flamingofront-Request-Id": request_id,
-            "X-Flamingofront-Prompt-Prefix": ",".join(
-                f"{each}:40" for each in [*parts, f"1a57{number:08x}"]
-            ),
+            "X-Flamingofront-Prompt-Prefix": ",".join(f"{each}:40" for each in parts),
         }
-        conn = self._take_connection(conns, front)
-        sent_at = time.monotonic()
-        status, error, res, is_unread = 0, "", None, False
-        body = b"prompt %d" % number + b"x" * (number % 37)
-        path = "/stream/letter/1" if rng.random() < 0.6 else "/lookup/1"
+        method, path = ("POST", "/stream/letter/1") if is_stream else ("GET", "/lookup/1")
         try:
-            conn.request("POST" if path.startswith("/stream") else "GET", path, body, fields)
+            body = parts[-1].encode().ljust(len(parts[-1]) + int(parts[-1], 16) % MAX_PADDING)
+            conn.request(method, path, body, fields)
             res = conn.getresponse()
-            answer = res.read()
-            status = res.status
-            if status == 200 and path.startswith("/stream"):
-                self._check_stream(request_id, answer)
-            error = answer.decode(errors="replace") if status != 200 else ""
+            body = res.read()
         except (OSError, http.client.HTTPException) as exc:
-            is_unread = isinstance(exc, ConnectionRefusedError)
-        if status and not res.will_close:
-            conns[front] = conn, time.monotonic()
-        else:
-            conn.close()
-        self.statuses[status] += 1
-        self.outcomes.append(
-            Outcome(
-                request_id,
-                front,
-                bool(poison_parts),
-                sent_at,
-                time.monotonic() - sent_at,
-                status,
-                error,
-                bool(res and res.getheader("Retry-After")),
-                is_unread,
-            )
+            return Response(is_unread=isinstance(exc, ConnectionRefusedError))
+        return Response(
+            res.status, body, res.getheader("Retry-After") is not None, not res.will_close
         )
 
     def _take_connection(self, conns: dict, front: int) -> http.client.HTTPConnection:
@@ -321,43 +341,52 @@
         since = sorted(self.crashed_at)[:KNOWN_CRASHES][-1] if self.crashed_at else 0.0
         since += 2 * CONTACT_SECONDS
         found = [
-            each.status == 200
+            each.response.status == HTTPStatus.OK
             for each in self.outcomes
             if not each.is_poison
-            and not each.is_unread
+            and not each.response.is_unread
             and each.sent_at > since
-            and not self._was_disturbed(each.front, each.sent_at + each.seconds)
+            and not self._was_disturbed(each.front, each.ended_at)
         ]
         return sum(found), len(found)
 
     def violations(self) -> list[str]:
         """Return what is wrong; empty if nothing is."""
-        found = list(self.broken)
+        return [
+            *self.broken,
+            *self._find_sent_late(),
+            *self._find_crashes(),
+            *self._find_refused(),
+            *self._find_unserved(),
+        ]
+
+    def _find_sent_late(self) -> Iterator[str]:
         if len(late := self.sent_late()) > MAX_TRIALS:
-            found.append(f"{len(late)} requests sent late: {late[:6]}")
-        early = [each for each in self.crashed_at if each <= (self.known_at() or each)]
+            yield f"{len(late)} requests sent late: {late[:MAX_SHOWN]}"
+
+    def _find_crashes(self) -> Iterator[str]:
+        known_at = self.known_at()
+        early = [each for each in self.crashed_at if known_at is None or each <= known_at]
         if len(early) > MAX_CRASHES:
-            found.append(f"{len(early)} endpoints crashed before the part was known")
-        refused = [
-            each.request_id
-            for each in self.outcomes
-            if not each.is_poison and REFUSED_FOR_PART in each.error
-        ]
-        if refused:
-            found.append(f"sound requests refused for a part: {refused[:6]}")
-        served, count = self.served_share()
-        if served < MIN_SERVED * count:
-            found.append(f"{served} of {count} sound requests served")
+            yield f"{len(early)} endpoints crashed before the part was known"
+
+    def _find_refused(self) -> Iterator[str]:
+        refused = [each for each in self.outcomes if each.response.is_refused_for_part]
+        if sound := [each.request_id for each in refused if not each.is_poison]:
+            yield f"sound requests refused for a part: {sound[:MAX_SHOWN]}"
         untrue = [
             each.request_id
-            for each in self.outcomes
-            if REFUSED_FOR_PART in each.error
-            and each.status == HTTPStatus.SERVICE_UNAVAILABLE
-            and not each.has_retry_after
+            for each in refused
+            if each.response.status == HTTPStatus.SERVICE_UNAVAILABLE
+            and not each.response.has_retry_after
         ]
         if untrue:
-            found.append(f"refused without Retry-After: {untrue[:6]}")
-        return found
+            yield f"refused without Retry-After: {untrue[:MAX_SHOWN]}"
+
+    def _find_unserved(self) -> Iterator[str]:
+        served, count = self.served_share()
+        if served < MIN_SERVED * count:
+            yield f"{served} of {count} sound requests served"
 
 
 def main(
@@ -391,7 +420,7 @@
             soak.play(seconds, rate)
         found = soak.violations()
     exceptions = count_exceptions(folder)
-    poison = Counter(each.status for each in soak.outcomes if each.is_poison)
+    poison = Counter(each.response.status for each in soak.outcomes if each.is_poison)
     served, count = soak.served_share()
     summary = {
         "seed": seed,
--- a/scripts/unframed_relay.py
+++ b/scripts/unframed_relay.py
@@ -3,9 +3,12 @@
 import asyncio
 import contextlib
 import random
+import socket
 
 from try_lost_paths import _read_message
 
+from flamingofront.connection.sockets import RESET_ON_CLOSE
+
 __all__ = ["UnframedRelay"]
 
 # Share of the events after which a stream that is to be cut off ends.
@@ -44,7 +47,7 @@
         """Reset all connections and refuse new ones, as the endpoint has ended."""
         self._server.close()
         for each in list(self._writers):
-            each.transport.abort()
+            _reset(each)
 
     async def _serve(self, reader, writer) -> None:
         self._writers.add(writer)
@@ -56,7 +59,7 @@
             far.close()
             writer.close()
         except (OSError, asyncio.IncompleteReadError, ConnectionError):
-            writer.transport.abort()
+            _reset(writer)
         finally:
             self._writers.discard(writer)
 
@@ -81,6 +84,13 @@
             await writer.drain()
 
 
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection, since one that is closed between two events looks whole."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    writer.transport.abort()
+
+
 async def _read_chunks(reader):
     """Yield the chunks of a body."""
     while size := int(await reader.readuntil(b"\r\n"), 16):
