--- a/bench/quarantine_mutations.py
+++ b/bench/quarantine_mutations.py
@@ -24,7 +24,7 @@
     Mutation(
         "Q an endpoint that still sends has not ended",
         "request/endpoint_ends.py",
-        "if self._directory.last_contact_at(endpoint_id) > check.lost_at + LAST_DATA_SECONDS:",
+        "if self._directory.last_contact_at(endpoint_id) > check.last_lost_at + LAST_DATA_SECONDS:",
         "if False:",
         ENDS,
     ),
