Log what was answered and abandoned at crashes, and what cleared a prompt part

Change: fields answered and abandoned of 'endpoint crashed', abandoned of 'unobserved endpoint crash', line 'prompt parts cleared' and part_evidence_cleared_total; the stand-ins can send a head, half an event or events before a crash, hosts can go without a reset, callers can leave. No decision changes.

--- a/flamingofront/decisions/part_facts.py
+++ b/flamingofront/decisions/part_facts.py
@@ -42,7 +42,7 @@
 
 @dataclass(frozen=True)
 class InterruptedRequest:
-    """A request that was in flight at an endpoint when its connection was lost.
+    """A request that was in flight at an endpoint when its connection was lost or given up.
 
     Parameters
     ----------
@@ -50,11 +50,14 @@
         As in `RequestIdentity`.
     is_answered : bool
         True if the endpoint had begun to write the answer.
+    seconds : float
+        Time from sending the request until then.
     """
 
     fingerprint: str
     parts: tuple[str, ...] = ()
     is_answered: bool = False
+    seconds: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/flamingofront/process/metrics.py
+++ b/flamingofront/process/metrics.py
@@ -40,6 +40,8 @@
     "requests_held_total": "Requests that are not run any more, by source",
     "requests_released_total": "Requests that are run again, by reason",
     "part_crashes_total": "Endpoints that ended under requests with a quarantined part, by part",
+    "part_evidence_cleared_total": "Answers that refuted crashes held against parts of prompts, "
+    "by what was received of the answer",
     "part_refusals_total": "Requests refused for a quarantined part of their prompt, by part",
     "request_trials_total": "Trials of requests that are held back, by result",
     "recorded_sends_total": "Requests that are recorded before they are sent, by result",
--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -259,6 +259,7 @@
             elif isinstance(action, ScheduleRetry):
                 self._retry_timer = self.hub.timers.once(action.delay, self._start_retry)
             elif isinstance(action, CancelAttempt):
+                self.record_abandoned()
                 self._end_call()
             elif isinstance(action, Complete):
                 self._complete_answer()
@@ -428,6 +429,8 @@
         """Handle a call that ended without a response."""
         executed = Executed.UNKNOWN if event.wrote else Executed.NO
         if event.by_proxy:
+            if event.wrote:
+                self.record_abandoned()
             reason = f"proxy: {event.reason}"
             self.fail_attempt(
                 attempt_id, executed, reason, sent=event.wrote, is_endpoint_failure=False
@@ -436,6 +439,8 @@
         is_endpoint_failure = event.reason != NO_IDLE_CONNECTION
         if event.reason in NO_CONNECTION_REASONS:
             is_endpoint_failure = self._record_no_connection(event.reason)
+        elif event.reason in ("timeout", "framing"):
+            self.record_abandoned()
         elif event.reason == "reset" and event.wrote and not self._is_stale_connection(event):
             self.report_connection_loss(attempt_id)
             if not event.reused and not self.proxy_address and not self.has_response:
@@ -463,9 +468,18 @@
                 self.endpoint_id, self.endpoint_address, self.describe_interruption()
             )
 
+    def record_abandoned(self) -> None:
+        """Record that the attempt in flight is given up, if its endpoint may run it."""
+        if self._handle is not None and self._handle.wrote and self.endpoint_id:
+            self.hub.guard.crash_detector.record_abandoned_attempt(
+                self.endpoint_id, self.describe_interruption()
+            )
+
     def describe_interruption(self) -> InterruptedRequest:
         """Return what the loss of the current attempt's connection tells about the request."""
-        return InterruptedRequest(self.fingerprint, self.identity.parts)
+        return InterruptedRequest(
+            self.fingerprint, self.identity.parts, seconds=self.hub.now() - self._sent_at
+        )
 
     def _send_tokens(self, action: Emit) -> None:
         for each in list(self.attachments):
--- a/flamingofront/request/answer_reader.py
+++ b/flamingofront/request/answer_reader.py
@@ -104,12 +104,14 @@
         self._chunks.append(data)
         self._received_bytes += len(data)
         if self._received_bytes > MAX_RESPONSE_BYTES:
+            self._request.record_abandoned()
             self._fail_attempt(Executed.UNKNOWN, "the answer is too large")
 
     def _relay_events(self, data: bytes) -> None:
         try:
             events = self._request.relay.feed(data)
         except ValueError as exc:
+            self._request.record_abandoned()
             self._fail_attempt(Executed.UNKNOWN, str(exc))
             return
         if events:
--- a/flamingofront/request/endpoint_ends.py
+++ b/flamingofront/request/endpoint_ends.py
@@ -15,6 +15,7 @@
 from flamingofront.process.logs import Log
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.timers import TimerService
+from flamingofront.request.abandoned_attempts import AbandonedAttempt, AbandonedAttempts
 from flamingofront.request.directory import EndpointDirectory
 
 __all__ = ["CrashDetector"]
@@ -36,6 +37,8 @@
 # Connections lost up to this long after a crash still belong to it, because detection by timeout
 # takes two to three seconds.
 CRASH_RETENTION_SECONDS = 3.0
+# A crash may come so long after an attempt was abandoned at the endpoint.
+ABANDONED_SECONDS = 2.0
 MAX_LOGGED_REQUESTS = 16
 MAX_LOGGED_PARTS = 16
 
@@ -107,6 +110,7 @@
         self._metrics = metrics
         self._log = log
         self._checks: dict[str, _CrashCheck] = {}
+        self._abandoned = AbandonedAttempts()
         self.on_crash: Callable[[EndpointCrash, Interrupted], None] = lambda crash, requests: None
         self.on_refused_uncertain: Callable[[EndpointCrash, Interrupted], None] = (
             lambda crash, requests: None
@@ -138,6 +142,28 @@
         self._checks[endpoint_id] = check
         self._send_probe(endpoint_id, check)
 
+    def record_abandoned_attempt(self, endpoint_id: str, request: InterruptedRequest) -> None:
+        """Record that this process gave up an attempt that may run at an endpoint."""
+        self._abandoned.add(AbandonedAttempt(endpoint_id, request, self._timers.now()))
+
+    def describe_abandoned(self, endpoint_id: str, since: float) -> dict[str, object]:
+        """Return a field for the log: the requests that were abandoned at an endpoint.
+
+        Each has its fingerprint, its prompt parts and the seconds since it was abandoned.
+        """
+        now = self._timers.now()
+        found = self._abandoned.list_at(endpoint_id, since)[-MAX_LOGGED_REQUESTS:]
+        return {
+            "abandoned": [
+                [
+                    each.request.fingerprint,
+                    each.request.parts[:MAX_LOGGED_PARTS],
+                    round(now - each.at, 3),
+                ]
+                for each in found
+            ]
+        }
+
     def record_row_removal(self, endpoint_id: str, announced: bool = False) -> None:
         """Record that the row of an endpoint was deleted or has expired.
 
@@ -286,11 +312,9 @@
             probes=check.probe_count,
             running=len(check.requests),
             work=sorted(check.requests)[:MAX_LOGGED_REQUESTS],
-            unanswered=[
-                [each.fingerprint, each.parts[:MAX_LOGGED_PARTS]]
-                for _, each in sorted(check.requests.items())
-                if not each.is_answered
-            ][:MAX_LOGGED_REQUESTS],
+            unanswered=_describe_requests(check, is_answered=False),
+            answered=_describe_requests(check, is_answered=True),
+            **self.describe_abandoned(endpoint_id, check.lost_at - ABANDONED_SECONDS),
         )
         self._notify_crash(endpoint_id, check, tuple(check.requests.values()))
 
@@ -301,3 +325,12 @@
     def _build_crash(endpoint_id: str, check: _CrashCheck, requests: Interrupted) -> EndpointCrash:
         fingerprints = tuple(sorted(each.fingerprint for each in requests))
         return EndpointCrash(endpoint_id, check.zone, check.lost_at, fingerprints)
+
+
+def _describe_requests(check: _CrashCheck, is_answered: bool) -> list[list[object]]:
+    """Return the requests at a crash for the log, each with its fingerprint and prompt parts."""
+    return [
+        [each.fingerprint, each.parts[:MAX_LOGGED_PARTS]]
+        for _, each in sorted(check.requests.items())
+        if each.is_answered is is_answered
+    ][:MAX_LOGGED_REQUESTS]
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -315,7 +315,7 @@
         """Record, once an attempt, that the endpoint has begun to write the answer."""
         if self._answered_attempt != self.machine.attempt_id:
             self._answered_attempt = self.machine.attempt_id
-            self.hub.guard.record_parts_answered(self.identity)
+            self.hub.guard.record_parts_answered(self.identity, "first event")
 
     def record_contact(self) -> None:
         """Record that data from the endpoint has been received."""
@@ -376,7 +376,7 @@
         self.status = answer.status
         self.hub.guard.record_response(self.fingerprint)
         if answer.status < FIRST_ERROR_STATUS:
-            self.hub.guard.record_parts_answered(self.identity)
+            self.hub.guard.record_parts_answered(self.identity, "response")
         self.record_response_start()
         self._record_endpoint_result(answer)
         self._end_call(cancel=False)
@@ -409,6 +409,7 @@
                 attempt_id, Executed.NO, reason, sent=False, is_endpoint_failure=False
             )
         elif attempt_id and self.work.repeatable and self._has_attempts_left():
+            self.record_abandoned()
             # The outcome is unknown, so it must not count against the endpoint's version.
             self.fail_attempt(attempt_id, Executed.UNKNOWN, reason, is_endpoint_failure=False)
 
@@ -434,7 +435,8 @@
     def describe_interruption(self) -> InterruptedRequest:
         """Return what the loss of the current attempt's connection tells about the request."""
         is_answered = self.relay.count > self._events_before_attempt
-        return InterruptedRequest(self.fingerprint, self.identity.parts, is_answered)
+        seconds = self.hub.now() - self._sent_at
+        return InterruptedRequest(self.fingerprint, self.identity.parts, is_answered, seconds)
 
     def _has_attempts_left(self) -> bool:
         limit = self.machine.facts.max_attempts
--- a/flamingofront/request/guard.py
+++ b/flamingofront/request/guard.py
@@ -323,7 +323,12 @@
         now, start_times = self.wall(), self.entry_start_times()
         self._unobserved.append(endpoint_id)
         self.quarantine.add_unobserved_crash(endpoint_id, now)
-        self._log.info("unobserved endpoint crash", endpoint=endpoint_id, source=source)
+        self._log.info(
+            "unobserved endpoint crash",
+            endpoint=endpoint_id,
+            source=source,
+            **self.crash_detector.describe_abandoned(endpoint_id, since=0.0),
+        )
         if is_near_restart(now, start_times):
             self.intents.record_unobserved_crash(endpoint_id)
         self.intents.record_crash(endpoint_id)
@@ -391,11 +396,17 @@
             )
         self.on_update()
 
-    def record_parts_answered(self, identity: RequestIdentity) -> None:
-        """Record that an endpoint begins to write an answer, which no poison part survives."""
+    def record_parts_answered(self, identity: RequestIdentity, evidence: str) -> None:
+        """Record that an endpoint begins to write an answer, which no poison part survives.
+
+        Parameters
+        ----------
+        evidence : str
+            What was received of the answer, for the log.
+        """
         if not identity.parts:
             return
-        released, reduced, cleared = self.parts.record_answer(identity.parts)
+        released, reduced, cleared = self.parts.record_answer(identity, evidence)
         for entry in released:
             self.release(entry, "answered")
         for entry in reduced:
--- a/flamingofront/request/part_guard.py
+++ b/flamingofront/request/part_guard.py
@@ -13,6 +13,7 @@
     InterruptedRequest,
     PartCrash,
     PartUpdate,
+    RequestIdentity,
     parse_part_key,
     part_key,
 )
@@ -202,9 +203,14 @@
             self._quarantine.explain_crashes(entry.fingerprint, self.evidence.find_explained(parts))
 
     def record_answer(
-        self, parts: tuple[str, ...]
+        self, identity: RequestIdentity, evidence: str
     ) -> tuple[list[QuarantineEntry], list[QuarantineEntry], tuple[str, ...]]:
-        """Record that an endpoint begins to answer a request with some parts.
+        """Record that an endpoint begins to answer a request.
+
+        Parameters
+        ----------
+        evidence : str
+            What was received of the answer, for the log.
 
         Returns
         -------
@@ -215,7 +221,10 @@
         cleared : tuple of str
             Parts that the answer frees from suspicion.
         """
+        parts = identity.parts
+        before = {each: self.evidence.count_crashes(each) for each in parts}
         cleared = self.evidence.record_answer(parts, self._wall())
+        self._log_cleared(identity, evidence, {each: before[each] for each in cleared})
         held = frozenset(parts)
         released, reduced = [], []
         for blamed, entry in self._quarantine.all_part_entries():
@@ -228,6 +237,21 @@
             self._quarantine.store_entry(entry)
         return released, fresh, cleared
 
+    def _log_cleared(
+        self, identity: RequestIdentity, evidence: str, crashes_by_part: dict[str, int]
+    ) -> None:
+        """Log which request refuted the crashes that parts were suspected of."""
+        if not crashes_by_part:
+            return
+        self._metrics.count("part_evidence_cleared_total", evidence=evidence)
+        worst = sorted(crashes_by_part.items(), key=lambda each: (-each[1], each[0]))
+        self._log.info(
+            "prompt parts cleared",
+            work=identity.fingerprint,
+            evidence=evidence,
+            crashes_by_part=dict(worst[:MAX_LOGGED_PARTS]),
+        )
+
     def forget(self, key: str) -> list[QuarantineEntry]:
         """Drop the evidence against the parts of a released entry.
 
--- a/flamingofront/request/tests/test_endpoint_ends.py
+++ b/flamingofront/request/tests/test_endpoint_ends.py
@@ -162,3 +162,20 @@
         (record,) = [each for each in log.records if each.message == "endpoint crashed"]
         assert record.kwargs["unanswered"] == [["one", ("a", "b")]]
         assert record.kwargs["work"] == ["one", "two"]
+
+    def test_line_of_a_crash_tells_answered_and_abandoned_requests_with_their_parts(self):
+        """Without them a crash looks as if no request with a part had been there."""
+        with logbook.TestHandler(bubble=True).applicationbound() as log:
+            world = CrashDetectorHarness()
+            world.detector.record_abandoned_attempt("e-1", InterruptedRequest("old", ("z",)))
+            world.run(3.0)
+            world.detector.record_abandoned_attempt("e-1", InterruptedRequest("one", ("a",)))
+            world.detector.record_abandoned_attempt("e-2", InterruptedRequest("other", ("a",)))
+            world.run(0.5)
+            two = InterruptedRequest("two", ("a", "c"), is_answered=True)
+            world.detector.record_connection_loss("e-1", ADDRESS, two)
+            world.run(0.1)
+        (record,) = [each for each in log.records if each.message == "endpoint crashed"]
+        assert record.kwargs["answered"] == [["two", ("a", "c")]]
+        ((work, parts, ago),) = record.kwargs["abandoned"]
+        assert (work, parts) == ("one", ("a",)) and 0.5 <= ago < 0.6
--- a/flamingofront/standins/forward_endpoint.py
+++ b/flamingofront/standins/forward_endpoint.py
@@ -7,7 +7,7 @@
 from flamingofront.messages import InboundRequest
 from flamingofront.process.timers import TimerService
 
-__all__ = ["ForwardEndpointStandIn", "ForwardFault", "list_shared_parts"]
+__all__ = ["CrashAnswer", "ForwardEndpointStandIn", "ForwardFault", "list_shared_parts"]
 
 REQUEST_ID = "x-flamingofront-request-id"
 PROMPT_HEADER = "x-flamingofront-prompt-prefix"
@@ -16,6 +16,9 @@
 STATE_PATHS = ("/health", "/api/report")
 # Time from the arrival of a poison request until the endpoint crashes, as observed with engines.
 CRASH_SECONDS = 0.09
+# An endpoint that begins to answer a poison request sends what it still sends so long before it
+# crashes.
+LAST_DATA_SECONDS = 0.01
 # Time from the arrival of a request until it starts to run. A request cancelled before does not
 # crash the endpoint.
 START_SECONDS = 0.02
@@ -41,6 +44,16 @@
     """Respond with status 503 and a ``Retry-After`` header."""
 
 
+class CrashAnswer(StrEnum):
+    """What an endpoint sends of its answer to a poison request before it crashes."""
+
+    NOTHING = "nothing"
+    HEAD = "head"
+    PARTIAL_EVENT = "partial event"
+    EVENTS = "events"
+    """Some whole events, or the head and half of the body of a call."""
+
+
 class ForwardEndpointStandIn:
     """One endpoint, which records the requests that it executed and those that it rejected.
 
@@ -72,6 +85,10 @@
         # Which requests crash the endpoint shortly after they start, and the callback for that.
         self.crashes_on: Callable[[InboundRequest], bool] = lambda req: False
         self.on_crash: Callable[[InboundRequest], None] = lambda req: None
+        self.crash_seconds = CRASH_SECONDS
+        # What it sends of the answer before it crashes.
+        self.crash_answer = CrashAnswer.NOTHING
+        self.events_before_crash = 1
         self._timers = timers
 
     def inject_fault(self, fault: ForwardFault, count: int = -1) -> None:
@@ -111,14 +128,37 @@
         self._timers.once(self.gap, lambda: self._respond(req, exchange, fault))
 
     def _schedule_crash(self, req: InboundRequest, exchange: Exchange) -> None:
-        crash = self._timers.once(CRASH_SECONDS, lambda: self.on_crash(req))
+        crash = self._timers.once(self.crash_seconds, lambda: self.on_crash(req))
+        answer = self._timers.once(
+            self.crash_seconds - LAST_DATA_SECONDS, lambda: self._begin_answer(req, exchange)
+        )
         starts_at = self._timers.now() + START_SECONDS
 
-        def cancel_before_start() -> None:
+        def on_disconnect() -> None:
+            answer.cancel()
             if self._timers.now() < starts_at:
                 crash.cancel()
 
-        exchange.on_disconnect = cancel_before_start
+        exchange.on_disconnect = on_disconnect
+
+    def _begin_answer(self, req: InboundRequest, exchange: Exchange) -> None:
+        """Send what the endpoint still sends before it crashes."""
+        if self.crash_answer is CrashAnswer.NOTHING:
+            return
+        fields = (*self._make_headers(req), ("X-Flamingofront-Response-Seal", self.endpoint_id))
+        is_stream = req.path.startswith("/stream/")
+        if is_stream:
+            exchange.begin(200, (*fields, ("Content-Type", "text/event-stream")))
+        else:
+            exchange.begin(200, (*fields, ("Content-Length", "20")))
+        number = int(req.header("last-event-id") or 0) + 1
+        if self.crash_answer is CrashAnswer.PARTIAL_EVENT:
+            exchange.send(b"id: %d\nda" % number)
+        elif self.crash_answer is CrashAnswer.EVENTS and not is_stream:
+            exchange.send(b"half of it")
+        elif self.crash_answer is CrashAnswer.EVENTS:
+            for each in range(number, number + self.events_before_crash):
+                exchange.send(b"id: %d\ndata: %s\n\n" % (each, self.endpoint_id.encode()))
 
     def _count_abandoned(self) -> None:
         self.abandoned += 1
--- a/flamingofront/tests/crashing_world.py
+++ b/flamingofront/tests/crashing_world.py
@@ -59,7 +59,10 @@
 
     So do requests that have one of `poison_parts` in their prompt, unless it is the last part. A
     crashed endpoint is back after `back_seconds`, at its address and under another id. Its
-    listening sockets are closed `ending_seconds` after its connections.
+    listening sockets are closed `ending_seconds` after its connections. If `is_host_lost`, its
+    connections are not reset, and nobody refuses new ones.
+
+    `crash_options` are attributes of the stand-ins: when they crash, and what they send before.
     """
 
     def __init__(self, seed: int = 1):
@@ -68,6 +71,8 @@
         self.poison_parts: set[str] = set()
         self.back_seconds = BACK_SECONDS
         self.ending_seconds = 0.0
+        self.is_host_lost = False
+        self.crash_options: dict[str, object] = {}
         self.crashes: list[Crash] = []
         self.sent: list[Send] = []
         self._starts = 0
@@ -78,6 +83,8 @@
     def endpoint(self, name, service, zone="zone-a", version="v1", **options):
         endpoint = super().endpoint(name, service, zone, version, **options)
         endpoint.crashes_on = self._is_poison
+        for option, value in self.crash_options.items():
+            setattr(endpoint, option, value)
         endpoint.on_crash = lambda req: self._crashed(req, name, service, zone)
         inner = endpoint.handle
 
@@ -109,13 +116,20 @@
     def end_endpoint(self, name: str, service: str, zone: str) -> None:
         """Let an endpoint end without notice, whatever the reason, and come back later."""
         self.host(name).listens_until = self.clock.now() + self.ending_seconds
-        self.kill(name)
+        self.kill(name, dark=self.is_host_lost, silent=self.is_host_lost)
         timers = self.host("store").timers
         timers.once(LAPSE_SECONDS, lambda: self.store.drop(ENDPOINT_TABLE, name))
         self._starts += 1
         again = f"{name.partition('+')[0]}+{self._starts}"
         timers.once(self.back_seconds, lambda: self.endpoint(again, service, zone))
 
+    def set_crash_options(self, **options: object) -> None:
+        """Set attributes of all endpoints, also of those that start later."""
+        self.crash_options.update(options)
+        for endpoint in self.endpoints.values():
+            for option, value in options.items():
+                setattr(endpoint, option, value)
+
     def alive(self, service: str) -> list[str]:
         """Return the endpoints of a service that have not ended."""
         prefix = "engine" if service == "engines" else "plain"
--- a/flamingofront/tests/part_load.py
+++ b/flamingofront/tests/part_load.py
@@ -7,7 +7,7 @@
 from flamingofront.tests.crashing_world import CONTACT_SECONDS, AnyTrouble, CrashingWorld
 from flamingofront.tests.network import Caller
 
-__all__ = ["POISON_PART", "PartLoad", "PartTrouble", "insert_part"]
+__all__ = ["POISON_PART", "SHARED_PART", "PartLoad", "PartTrouble", "insert_part"]
 
 POISON_PART = "dead01"
 SHARED_PART = "5a0001"
@@ -49,6 +49,12 @@
         Seconds between two requests with such a part.
     paths : tuple of str
         Targets of the requests with such a part, in turn.
+    leave_seconds : tuple of float, optional
+        Shortest and longest time after which callers with such a part close their connections.
+    leaving_share : float
+        Share of them that do so.
+    poison_front : str, optional
+        Entry process that gets all requests with such a part.
     """
 
     world: CrashingWorld
@@ -56,6 +62,9 @@
     poison_parts: tuple[str, ...] = (POISON_PART,)
     poison_period: float = 0.25
     paths: tuple[str, ...] = ("/stream/again/x",)
+    leave_seconds: tuple[float, float] | None = None
+    leaving_share: float = 1.0
+    poison_front: str | None = None
     events: list[tuple[float, Callable[[], object]]] = field(default_factory=list)
     sound: list[_Asked] = field(default_factory=list)
     poison: list[Caller] = field(default_factory=list)
@@ -107,18 +116,23 @@
         count = next(self._poison_count)
         part = self.poison_parts[count % len(self.poison_parts)]
         parts = insert_part(self._parts(), part, self.place, count)
-        caller = self.ask(self.paths[count % len(self.paths)], parts)
-        if caller is not None:
-            self.poison.append(caller)
-
-    def ask(self, path: str, parts: list[str]) -> Caller | None:
+        caller = self.ask(self.paths[count % len(self.paths)], parts, self.poison_front)
+        if caller is None:
+            return
+        self.poison.append(caller)
+        rng = self.world.rng
+        if self.leave_seconds is not None and rng.random() < self.leaving_share:
+            timers = self.world.host("store").timers
+            timers.once(rng.uniform(*self.leave_seconds), caller.leave)
+
+    def ask(self, path: str, parts: list[str], front: str | None = None) -> Caller | None:
         """Send a request whose id, body, length and last part no other one has."""
         self._number += 1
         if not self.world.live_fronts():
             return None
         body = b"prompt %d " % self._number + b"x" * (self._number % 37)
         prompt = ",".join(f"{each}:40" for each in [*parts, f"1a57{self._number:05x}"])
-        return self.world.ask_one(path, body, X_Flamingofront_Prompt_Prefix=prompt)
+        return self.world.ask_one(path, body, front, X_Flamingofront_Prompt_Prefix=prompt)
 
     @property
     def _known_at(self) -> float:
--- a/flamingofront/tests/test_poison_prompt_parts.py
+++ b/flamingofront/tests/test_poison_prompt_parts.py
@@ -4,13 +4,14 @@
 fingerprints tell nothing. Sound requests share their key and their other parts.
 """
 
+import logbook
 import pytest
 
 from flamingofront.decisions.quarantine_facts import TRIAL_SECONDS, QuarantineEntry
 from flamingofront.errors import RequestError
 from flamingofront.standins.table_store import StoreFault
 from flamingofront.tests.crashing_world import ZONES, crashing_world
-from flamingofront.tests.part_load import POISON_PART, PartLoad, PartTrouble
+from flamingofront.tests.part_load import POISON_PART, SHARED_PART, PartLoad, PartTrouble
 from flamingofront.tests.test_operating import operate
 
 MAX_SENT_LATE = 3
@@ -224,6 +225,23 @@
             operate(world, "release part/0", "front-0")
 
 
+class TestLog:
+    def test_line_tells_which_request_cleared_a_part(self):
+        """Without it nobody can tell why a part is not quarantined after many crashes."""
+        with logbook.TestHandler(bubble=True).applicationbound() as log:
+            load = make_load().play(seconds=4.0, poison_from=2.0)
+        lines = [each.kwargs for each in log.records if each.message == "prompt parts cleared"]
+        assert lines and all(each["work"] and each["evidence"] for each in lines)
+        assert {part for each in lines for part in each["crashes_by_part"]} >= {SHARED_PART}
+        assert not any(POISON_PART in each["crashes_by_part"] for each in lines)
+        nodes = load.world.fronts.values()
+        assert sum(
+            node.metrics.value("part_evidence_cleared_total", evidence=each)
+            for node in nodes
+            for each in {line["evidence"] for line in lines}
+        ) == len(lines)
+
+
 class TestPartsWithOtherHistories:
     def test_part_that_was_answered_before_is_found_out_when_it_begins_to_crash(self):
         """As with a new version of the model; requests without the part are served meanwhile."""
--- a/flamingofront/tests/world.py
+++ b/flamingofront/tests/world.py
@@ -211,23 +211,25 @@
 
     # Failures
 
-    def kill(self, name: str, dark: bool = False) -> None:
+    def kill(self, name: str, dark: bool = False, silent: bool = False) -> None:
         """End a host at once; its peers see resets.
 
         Parameters
         ----------
         dark : bool
             True if its VM answers nobody any more: connections are not even refused.
+        silent : bool
+            True if its open connections are not reset either.
         """
         host = self.host(name)
         host.dead, host.dark = True, dark
         if name in self.engines:
             self.engines[name].dead = True
         for link in list(host.links):
-            if link.target is host:
-                link.source.timers.once(LATENCY, lambda link=link: link.fail("reset", link.wrote))
-            else:
+            if link.target is not host:
                 link.cancel()
+            elif not silent:
+                link.source.timers.once(LATENCY, lambda link=link: link.fail("reset", link.wrote))
 
     def pause(self, name: str) -> None:
         self.host(name).paused = True
