--- a/flamingofront/tests/part_load.py
+++ b/flamingofront/tests/part_load.py
@@ -7,7 +7,14 @@
 from flamingofront.tests.crashing_world import CONTACT_SECONDS, AnyTrouble, CrashingWorld
 from flamingofront.tests.network import Caller
 
-__all__ = ["POISON_PART", "SHARED_PART", "PartLoad", "PartTrouble", "insert_part"]
+__all__ = [
+    "POISON_PART",
+    "SHARED_PART",
+    "LongStreamLoad",
+    "PartLoad",
+    "PartTrouble",
+    "insert_part",
+]
 
 POISON_PART = "dead01"
 SHARED_PART = "5a0001"
@@ -149,6 +156,34 @@
         return sum(before) / len(before), sum(after) / len(after)
 
 
+@dataclass
+class LongStreamLoad(PartLoad):
+    """Sound requests with long streams, some of whose callers leave.
+
+    Parameters
+    ----------
+    leaving_sound : float
+        Share of the callers that leave within four seconds.
+    requests_of_rare_part : int
+        Number of requests that share a part which no others have.
+    """
+
+    leaving_sound: float = 0.2
+    requests_of_rare_part: int = 3
+
+    def _parts(self) -> list[str]:
+        return [*super()._parts(), f"7a{self._number // self.requests_of_rare_part:05x}"]
+
+    def _ask_sound(self, now: float) -> None:
+        if self._number % 2:
+            self._number += 1
+            return
+        super()._ask_sound(now)
+        if self.sound and self.world.rng.random() < self.leaving_sound:
+            timers = self.world.host("store").timers
+            timers.once(4.0 * self.world.rng.random() ** 3, self.sound[-1].caller.leave)
+
+
 class PartTrouble(AnyTrouble):
     """Plays requests of all kinds, some of which hold a poison part, beside troubles by chance."""
 
