Only whole responses refute crashes that are held against prompt parts

A first event counted as an answer. A request that had one was left out of the crash, and its parts were cleared of all earlier ones; an endpoint that crashes after an event so cleared the part each time. An early sign of success stood for success. Change: requests count at crashes whether or not they had events; only a whole response clears. Long streams of sound requests have no whole response for long, so two things more are asked before a part is blamed: that so many crashes are unlikely by chance, given how long requests with it were at the endpoints and the rate of crashes without it; and that no requests with it received events for much longer than others did before their crashes. Why it holds: a response that ends in full is the one thing that a poison request never has.

--- a/bench/quarantine_mutations.py
+++ b/bench/quarantine_mutations.py
@@ -73,8 +73,8 @@
     Mutation(
         "Q others are told",
         "process/forwarding/peer_word.py",
-        "        self._reported.hub.guard.merge_updates(report.quarantine, report.suspect_parts)\n",
-        "",
+        "            report.quarantine, report.suspect_parts, report.part_times\n",
+        "            None, None, None\n",
         WORLD,
     ),
     Mutation(
--- a/flamingofront/decisions/part_evidence.py
+++ b/flamingofront/decisions/part_evidence.py
@@ -3,10 +3,12 @@
 Load pattern: requests that differ in everything but one part of their prompts crash one endpoint
 after the other. Each has a fingerprint of its own, so that counting by fingerprint never adds up.
 
-Evidence against a part is a crash of an endpoint that had a request with it and had not begun to
-answer that request. An answer to any request with the part refutes all earlier evidence. Parts that
-many requests share are present at most crashes too, but requests with them are answered all the
-time, while no request with a poison part ever is.
+Evidence against a part is a crash of an endpoint that had a request with it, whether or not it had
+begun to answer that request, or from which such a request had been withdrawn a moment before: an
+endpoint may crash after some events, and after its caller has left. Only a whole response to a
+request with the part refutes all earlier evidence. Parts that many requests share are present at
+most crashes too. They are told apart by such responses, and before there are any by the time that
+requests with them spend at endpoints (`flamingofront.decisions.part_exposure`).
 
 A hypothesis is a set of parts: those that all interrupted requests with a suspect part have in
 common and that no request is known to have been answered with. Only requests that hold the whole
@@ -15,28 +17,46 @@
 other parts.
 """
 
-from collections import OrderedDict, deque
-from collections.abc import Collection, Iterable
+import math
+from collections import Counter, OrderedDict, deque
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
+from flamingofront.decisions.part_exposure import PartExposure, compute_chance
 from flamingofront.decisions.part_facts import (
     InterruptedRequest,
     PartAnswer,
     PartCrash,
+    PartTimes,
     PartUpdate,
 )
 from flamingofront.decisions.quarantine_facts import EVIDENCE_LIFETIME_SECONDS
 
 __all__ = ["Hypothesis", "PartEvidence"]
 
+# Answers of one process by which a part counts as common.
+MIN_COMMON_ANSWERS = 4
 # Crashes that are sufficient against a part that no request is known to have been answered with.
 # One fewer than the five after which all processes have to know a part, since gossip takes time.
 CRASHES_TO_BLAME = 4
 # Requests that have to be involved. Repeats of a single request are left to its fingerprint.
 REQUESTS_TO_BLAME = 2
-# Answers that a process must have seen before it blames a part for the lack of answers: after a
-# restart, parts that all requests share have not been answered either.
+# Answers that a process must have seen before it blames a part for the lack of answers, unless it
+# knows that few requests have the part: after a restart, parts that all requests share have not
+# been answered either.
 MIN_ANSWERS = 4
+# Largest probability that as many crashes come by chance while requests with a part are there. An
+# hour of random crashes tests thousands of parts that few requests share.
+MAX_CHANCE = 1e-5
+# The rate of other crashes is taken over at least so long before the first one with a part; half a
+# crash is added, since none in a short time does not show that there are none.
+BASE_SECONDS = 10.0
+PRIOR_CRASHES = 0.5
+MIN_EXPOSURE_SECONDS = 0.05
+MAX_SHARE = 0.9
+# Answers to requests with a part that would be expected beside those to other requests, and their
+# lack outweighs requests with the part that go on elsewhere.
+EXPECTED_ANSWERS = 8.0
 # The same for a part that has been answered, and may have begun to crash a new model version.
 PROVEN_CRASHES_TO_BLAME = 6
 PROVEN_REQUESTS_TO_BLAME = 4
@@ -49,6 +69,8 @@
 SAME_CRASH_SECONDS = 3.0
 # Crashes with a common cause, such as a power loss in a zone, occur within this time.
 COMMON_CAUSE_SECONDS = 0.2
+# Crashes in several zones so close to each other have a common cause.
+SIMULTANEOUS_SECONDS = 0.02
 MAX_CRASHES = 128
 # Parts with the most crashes that are considered, and hypotheses found, in one evaluation.
 MAX_CANDIDATES = 48
@@ -60,6 +82,7 @@
 # for each request: a report to 16 peers must stay small enough to be sent to all of them at once.
 GOSSIP_SECONDS = 3.0
 MAX_GOSSIPED_PARTS = 64
+MAX_GOSSIPED_SURVIVORS = 32
 
 
 @dataclass(frozen=True)
@@ -91,13 +114,15 @@
 
 @dataclass(eq=False)
 class _Crash:
-    """Crash of an endpoint, with the parts of each request that it had not begun to answer."""
+    """Crash of an endpoint, with the parts of each request and the seconds that it was there."""
 
     endpoint_id: str
     zone: str
     at: float
     requests: dict[str, frozenset[str]] = field(default_factory=dict)
     parts: set[str] = field(default_factory=set)
+    seconds: dict[str, float] = field(default_factory=dict)
+    active_seconds: dict[str, float] = field(default_factory=dict)
 
     def add(self, request: InterruptedRequest) -> bool:
         """Add a request; return True if it brought anything new."""
@@ -107,20 +132,48 @@
         merged = (known or frozenset()).union(request.parts)
         self.requests[request.fingerprint] = merged
         self.parts |= merged
+        self.add_times(request.fingerprint, request.seconds, request.active_seconds)
         return merged != known
 
+    def add_times(self, fingerprint: str, seconds: float, active_seconds: float) -> None:
+        """Keep the longest times of a request."""
+        for known, added in ((self.seconds, seconds), (self.active_seconds, active_seconds)):
+            known[fingerprint] = max(added, known.get(fingerprint, 0.0))
+
+    def seconds_with(self, part: str) -> float:
+        """Return the longest time for which a request with a part had been there."""
+        return max(self.seconds[name] for name, held in self.requests.items() if part in held)
+
+    def active_seconds_with(self, part: str) -> float:
+        """Return the longest time until the last event of a request with a part."""
+        found = (name for name, held in self.requests.items() if part in held)
+        return max(self.active_seconds[name] for name in found)
+
     def is_explained(self, blamed: Collection[frozenset[str]]) -> bool:
-        """Return True if an unanswered request held a quarantined set of parts."""
+        """Return True if a request held a quarantined set of parts."""
         return any(held <= parts for parts in self.requests.values() for held in blamed)
 
 
 class PartEvidence:
-    """Crashes and answers by prompt part; times are shared wall clock seconds."""
+    """Crashes and answers by prompt part; times are shared wall clock seconds.
+
+    Attributes
+    ----------
+    exposure : PartExposure
+        Requests with parts that did not end in crashes.
+    endpoint_count : callable
+        Returns the number of live endpoints.
+    """
 
     def __init__(self):
+        self.exposure = PartExposure()
+        self.endpoint_count: Callable[[], int] = lambda: 1
         self._crashes: list[_Crash] = []
         self._by_part: dict[str, list[_Crash]] = {}
         self._answered: OrderedDict[str, float] = OrderedDict()
+        # Number of answers of this process, by part.
+        self._answer_counts: Counter[str] = Counter()
+        self._has_loaded_answers = False
         # Times and parts of the latest answers of this process.
         self._recent: deque[tuple[float, frozenset[str]]] = deque(maxlen=MAX_RECENT_ANSWERS)
 
@@ -139,7 +192,7 @@
         if existing is None:
             existing = _Crash(crash.endpoint_id, crash.zone, crash.at)
             self._crashes.append(existing)
-        changes = [existing.add(each) for each in crash.requests if not each.is_answered]
+        changes = [existing.add(each) for each in crash.requests]
         for part in existing.parts:
             crashes = self._by_part.setdefault(part, [])
             if existing not in crashes:
@@ -172,7 +225,7 @@
     # Answers
 
     def record_answer(self, parts: Collection[str], now: float) -> tuple[str, ...]:
-        """Record that an endpoint begins to answer a request of this process.
+        """Record that an endpoint has answered a request of this process in full.
 
         Returns
         -------
@@ -183,8 +236,24 @@
         cleared = tuple(each for each in parts if self._crashes and self._find_evidence(each))
         for each in parts:
             self._store_answer(each, now)
+            self._answer_counts[each] += 1
         return cleared
 
+    def list_common_answers(self, limit: int) -> dict[str, float]:
+        """Return the times of the last answers to the parts with the most answers, up to a limit.
+
+        Parts with few answers are left out.
+        """
+        most = self._answer_counts.most_common(limit)
+        return {part: self._answered[part] for part, count in most if count >= MIN_COMMON_ANSWERS}
+
+    def load_answers(self, answers: Mapping[str, float]) -> None:
+        """Merge answers to common parts from the store, where earlier processes have left them."""
+        self._has_loaded_answers = True
+        for part, at in answers.items():
+            if self._answered.get(part, -math.inf) < at:
+                self._store_answer(part, at)
+
     def merge_answer(self, answer: PartAnswer) -> bool:
         """Merge an answer that another process has seen; return True if it is new evidence."""
         if self._answered.get(answer.part, float("-inf")) >= answer.at:
@@ -197,7 +266,8 @@
         self._answered[part] = at
         self._answered.move_to_end(part)
         if len(self._answered) > MAX_ANSWERED_PARTS:
-            self._answered.popitem(last=False)
+            part, _ = self._answered.popitem(last=False)
+            self._answer_counts.pop(part, None)
 
     def clear(self, part: str, now: float) -> None:
         """Take a part as refuted, because another process or an operator has released it."""
@@ -218,6 +288,10 @@
         """Return the number of crashes of requests with a part since its last answer."""
         return len(self._find_evidence(part))
 
+    def list_crashed_parts(self) -> frozenset[str]:
+        """Return the parts of requests at crashes since their last answers."""
+        return frozenset(each for each in self._by_part if self._find_evidence(each))
+
     def list_suspects(self) -> dict[str, list[PartCrash]]:
         """Return the crashes since the last answer, by part, for all parts that have any."""
         found = ((part, self._find_evidence(part)) for part in sorted(self._by_part))
@@ -296,7 +370,9 @@
             is_sufficient = self._is_sufficient(part, crashes, len(holders))
         else:
             is_sufficient = self._is_sufficient_despite_answers(part, crashes, len(holders), now)
-        if not is_sufficient:
+        if not is_sufficient or self._is_contested(part, crashes, now):
+            return None
+        if self._compute_chance(part, crashes, is_open, now) > MAX_CHANCE:
             return None
         common = frozenset.intersection(*holders.values())
         parts = sorted(each for each in common if each == part or each not in self._answered)
@@ -311,10 +387,14 @@
     def _is_sufficient(self, part: str, crashes: list[_Crash], request_count: int) -> bool:
         return (
             request_count >= REQUESTS_TO_BLAME
-            and len(self._recent) >= MIN_ANSWERS
+            and (len(self._recent) >= MIN_ANSWERS or self._is_known_to_be_uncommon(part))
             and self._count_causes(part, crashes) >= CRASHES_TO_BLAME
         )
 
+    def _is_known_to_be_uncommon(self, part: str) -> bool:
+        """Return True if earlier processes have not counted a part among those often answered."""
+        return self._has_loaded_answers and self.exposure.is_known_to_be_uncommon(part)
+
     def _is_sufficient_despite_answers(
         self, part: str, crashes: list[_Crash], request_count: int, now: float
     ) -> bool:
@@ -335,11 +415,51 @@
             and self._count_causes(part, settled) >= PROVEN_CRASHES_TO_BLAME
         )
 
+    def _is_contested(self, part: str, crashes: list[_Crash], now: float) -> bool:
+        """Return True if requests with a part went on for much longer than before most crashes.
+
+        Notes
+        -----
+        Poison requests may run for long too. The lack of answers decides once those to other
+        requests show that many to requests with the part would have to be expected.
+        """
+        seconds = {each.endpoint_id: each.active_seconds_with(part) for each in crashes}
+        crashed = {each.endpoint_id for each in self._crashes}
+        if not self.exposure.is_outlasted(part, seconds, crashed, now):
+            return False
+        first = min(each.at for each in crashes)
+        others = sum(at > first and part not in held for at, held in self._recent)
+        share = min(self.exposure.compute_share(part), MAX_SHARE)
+        is_expected = others * share / (1.0 - share) >= EXPECTED_ANSWERS
+        return len(crashes) < PROVEN_CRASHES_TO_BLAME or not is_expected
+
+    def _compute_chance(
+        self, part: str, crashes: list[_Crash], is_open: set[int], now: float
+    ) -> float:
+        """Return the probability that as many crashes came by chance while a part was there."""
+        start = min(each.at for each in crashes) - BASE_SECONDS
+        others = sum(
+            id(each) in is_open and part not in each.parts and each.at >= start
+            for each in self._crashes
+        )
+        endpoint_seconds = max(1, self.endpoint_count()) * (now - start)
+        exposed = sum(max(MIN_EXPOSURE_SECONDS, each.seconds_with(part)) for each in crashes)
+        expected = (others + PRIOR_CRASHES) / endpoint_seconds * exposed
+        return compute_chance(self._count_causes(part, crashes), expected)
+
     def _count_causes(self, part: str, crashes: list[_Crash]) -> int:
-        """Count crashes; simultaneous ones of a zone count once if one there lacks the part."""
+        """Count crashes; simultaneous ones count once, also those of a zone if one lacks the part.
+
+        Crashes of a zone are simultaneous within a longer time than those of several zones.
+        """
         without = [each for each in self._crashes if part not in each.parts]
         causes = set()
-        for crash in crashes:
+        last_at = -math.inf
+        for crash in sorted(crashes, key=lambda each: each.at):
+            is_simultaneous = crash.at - last_at <= SIMULTANEOUS_SECONDS
+            last_at = crash.at
+            if is_simultaneous:
+                continue
             has_other_cause = any(
                 each.zone == crash.zone and abs(each.at - crash.at) <= COMMON_CAUSE_SECONDS
                 for each in without
@@ -384,6 +504,34 @@
         )
         return PartUpdate(crashes, answers)
 
+    def build_times(self, update: PartUpdate, now: float) -> PartTimes:
+        """Return the gossip message on the times of the requests in an update."""
+        listed = {
+            (crash.endpoint_id, each.fingerprint)
+            for crash in update.crashes
+            for each in crash.requests
+        }
+        at_crashes = {
+            (crash.endpoint_id, name): (seconds, crash.active_seconds[name])
+            for crash in self._crashes
+            for name, seconds in crash.seconds.items()
+            if (crash.endpoint_id, name) in listed
+        }
+        parts = {part for crash in update.crashes for each in crash.requests for part in each.parts}
+        survivors = [each for each in self.exposure.list_survivors(now) if each.part in parts]
+        return PartTimes(
+            tuple((*key, *found) for key, found in at_crashes.items()),
+            tuple(survivors[:MAX_GOSSIPED_SURVIVORS]),
+        )
+
+    def merge_times(self, times: PartTimes) -> bool:
+        """Merge times that another process has sent; return True if a survivor is news."""
+        found = {(name, work): seconds for name, work, *seconds in times.at_crashes}
+        for crash in self._crashes:
+            for work in crash.requests:
+                crash.add_times(work, *found.get((crash.endpoint_id, work), (0.0, 0.0)))
+        return self.exposure.record_survivors(times.survivors)
+
     def _select_gossip(self, crashes: list[_Crash]) -> dict[int, dict[str, list[str]]]:
         """Return the most suspect parts, by crash and request, up to the message limit."""
         listings = [
@@ -404,6 +552,8 @@
 def _select_part(crash: _Crash, part: str) -> PartCrash:
     """Return a crash with the requests that held a part, without their other parts."""
     requests = tuple(
-        InterruptedRequest(name, (part,)) for name, held in crash.requests.items() if part in held
+        InterruptedRequest(name, (part,), seconds=crash.seconds[name])
+        for name, held in crash.requests.items()
+        if part in held
     )
     return PartCrash(crash.endpoint_id, crash.zone, crash.at, requests)
--- a/flamingofront/decisions/part_facts.py
+++ b/flamingofront/decisions/part_facts.py
@@ -9,6 +9,8 @@
     "InterruptedRequest",
     "PartAnswer",
     "PartCrash",
+    "PartSurvivor",
+    "PartTimes",
     "PartUpdate",
     "RequestIdentity",
     "parse_part_key",
@@ -52,17 +54,20 @@
         True if the endpoint had begun to write the answer.
     seconds : float
         Time from sending the request until then.
+    active_seconds : float
+        Time from sending the request until the endpoint last sent an event; 0 without any.
     """
 
     fingerprint: str
     parts: tuple[str, ...] = ()
     is_answered: bool = False
     seconds: float = 0.0
+    active_seconds: float = 0.0
 
 
 @dataclass(frozen=True)
 class PartCrash:
-    """Crash of an endpoint, with the requests that it had not begun to answer.
+    """Crash of an endpoint, with the requests that were there or had just been abandoned there.
 
     Parameters
     ----------
@@ -78,12 +83,30 @@
 
 @dataclass(frozen=True)
 class PartAnswer:
-    """Last known time at which an endpoint began to answer a request with a part."""
+    """Last known time at which an endpoint answered a request with a part in full."""
 
     part: str
     at: float
 
 
+@dataclass(frozen=True)
+class PartSurvivor:
+    """A request with a part that receives events from an endpoint.
+
+    Parameters
+    ----------
+    active_seconds : float
+        Time from sending the request until the endpoint last sent an event.
+    at : float
+        Time of this observation in seconds of the shared wall clock.
+    """
+
+    part: str
+    endpoint_id: str
+    active_seconds: float
+    at: float
+
+
 @dataclass(frozen=True)
 class PartUpdate:
     """Gossip message of a process: recent crashes, and the last answers to their parts."""
@@ -92,6 +115,23 @@
     answers: tuple[PartAnswer, ...] = ()
 
 
+@dataclass(frozen=True)
+class PartTimes:
+    """Gossip message of a process beside a `PartUpdate`: how long requests were at endpoints.
+
+    Parameters
+    ----------
+    at_crashes : tuple of (str, str, float, float)
+        Endpoint that crashed, fingerprint of a request, and its time there as `seconds` and
+        `active_seconds` of `InterruptedRequest`.
+    survivors : tuple of PartSurvivor
+        Requests with suspect parts that go on.
+    """
+
+    at_crashes: tuple[tuple[str, str, float, float], ...] = ()
+    survivors: tuple[PartSurvivor, ...] = ()
+
+
 def shared_parts(part_ids: Iterable[str]) -> tuple[str, ...]:
     """Return the sorted, normalized ids of all parts of a prompt but the last one."""
     return tuple(sorted({_normalize(each) for each in tuple(part_ids)[:-1]}))
--- a/flamingofront/decisions/quarantine_facts.py
+++ b/flamingofront/decisions/quarantine_facts.py
@@ -48,6 +48,9 @@
         Fingerprints of the requests, from one process or several.
     omitted : int
         Number of further requests, left out of `requests`.
+    seconds : float
+        Longest time for which one of the requests had been there; only known for crashes that are
+        stored as evidence against a prompt part.
     """
 
     endpoint_id: str
@@ -55,6 +58,7 @@
     at: float
     requests: tuple[str, ...]
     omitted: int = 0
+    seconds: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/flamingofront/process/forwarding/digests.py
+++ b/flamingofront/process/forwarding/digests.py
@@ -21,8 +21,10 @@
     decode_time,
 )
 from flamingofront.process.quarantine_codec import (
+    decode_part_times,
     decode_part_update,
     decode_quarantine_update,
+    encode_part_times,
     encode_part_update,
     encode_quarantine_update,
 )
@@ -170,6 +172,7 @@
             relay.answered,
             encode_part_update(relay.suspect_parts),
             relay.delay_ms,
+            encode_part_times(relay.part_times),
         ]
         self._body = orjson.dumps(values)
 
@@ -232,6 +235,7 @@
         answered=decode_time(*values[22:23] or (None,)),
         suspect_parts=decode_part_update(*values[23:24] or (None,)),
         delay_ms=decode_delay(*values[24:25] or (None,)),
+        part_times=decode_part_times(*values[25:26] or (None,)),
     )
     fencing, lease_version, released, holder_ip = claim
     return Digest(
--- a/flamingofront/process/forwarding/own_report.py
+++ b/flamingofront/process/forwarding/own_report.py
@@ -66,6 +66,7 @@
         lease, knowledge, peers = sources.lease.valid_lease(), sources.knowledge, sources.peers
         live = peers.table.live_reports(self._timers.now())
         directory = sources.hub.directory
+        suspect_parts = sources.hub.guard.build_part_update()
         rounded_units = {name: round(units) for name, units in consumed.items()}
         return replace(
             self.identity,
@@ -91,7 +92,8 @@
             rollouts=sources.rollouts.phase_update(),
             quarantine=sources.hub.guard.build_update(),
             delay_ms=self.delay_ms(),
-            suspect_parts=sources.hub.guard.build_part_update(),
+            suspect_parts=suspect_parts,
+            part_times=sources.hub.guard.build_part_times(suspect_parts),
             limits=sources.hub.limits.recent_changes(),
             leaving_endpoints=knowledge.endpoints.recently_leaving(),
             position=knowledge.configuration_position(),
--- a/flamingofront/process/forwarding/peer_word.py
+++ b/flamingofront/process/forwarding/peer_word.py
@@ -67,7 +67,9 @@
             report.process, report.consumed, is_continuous and peers.is_counting_directly()
         )
         self._apply_rollouts(report)
-        self._reported.hub.guard.merge_updates(report.quarantine, report.suspect_parts)
+        self._reported.hub.guard.merge_updates(
+            report.quarantine, report.suspect_parts, report.part_times
+        )
         self._reported.hub.limits.merge(report.limits)
         self._merge_leaving(report, Way.REPORT)
         if report.usage is not None:
@@ -94,7 +96,9 @@
         """Apply the state of a relay and the lease advertisement that it forwards."""
         self._metrics.count("peer_digests_total")
         self._apply_rollouts(relay)
-        self._reported.hub.guard.merge_updates(relay.quarantine, relay.suspect_parts)
+        self._reported.hub.guard.merge_updates(
+            relay.quarantine, relay.suspect_parts, relay.part_times
+        )
         self._reported.hub.limits.merge(relay.limits)
         self._merge_leaving(relay, Way.DIGEST)
         self._reported.lease.observe_report(
--- a/flamingofront/process/forwarding/reports.py
+++ b/flamingofront/process/forwarding/reports.py
@@ -13,13 +13,15 @@
 
 import orjson
 
-from flamingofront.decisions.part_facts import PartUpdate
+from flamingofront.decisions.part_facts import PartTimes, PartUpdate
 from flamingofront.decisions.quarantine_facts import QuarantineUpdate
 from flamingofront.decisions.rollout import Phase
 from flamingofront.process.forwarding.limit_messages import decode_limits, encode_limits
 from flamingofront.process.quarantine_codec import (
+    decode_part_times,
     decode_part_update,
     decode_quarantine_update,
+    encode_part_times,
     encode_part_update,
     encode_quarantine_update,
 )
@@ -128,11 +130,13 @@
         Endpoints that were removed recently, with the revision of the store up to which a row is
         older than the removal.
     suspect_parts : PartUpdate, optional
-        Endpoints that have just crashed, with the prompt parts of requests that they had not begun
-        to answer. None if there are none.
+        Endpoints that have just crashed, with the prompt parts of requests that were there. None if
+        there are none.
     delay_ms : int, optional
         Mean delay until it reads a new connection, which grows with its load. None if it is not
         known.
+    part_times : PartTimes, optional
+        How long these requests were there, and others with the same parts at other endpoints.
     """
 
     vm_id: str
@@ -168,6 +172,7 @@
     answered: float | None = None
     suspect_parts: PartUpdate | None = None
     delay_ms: int | None = None
+    part_times: PartTimes | None = None
 
     @property
     def process(self) -> str:
@@ -185,6 +190,7 @@
     "quarantine": encode_quarantine_update,
     "limits": encode_limits,
     "suspect_parts": encode_part_update,
+    "part_times": encode_part_times,
 }
 _REQUIRED_COUNT = sum(
     each.default is dataclasses.MISSING and each.default_factory is dataclasses.MISSING
@@ -230,6 +236,7 @@
     named["removed_endpoints"] = decode_endpoint_numbers(named.get("removed_endpoints", ()))
     named["delay_ms"] = decode_delay(named.get("delay_ms"))
     named["suspect_parts"] = decode_part_update(named.get("suspect_parts"))
+    named["part_times"] = decode_part_times(named.get("part_times"))
     return PeerReport(**named)
 
 
--- a/flamingofront/process/quarantine_codec.py
+++ b/flamingofront/process/quarantine_codec.py
@@ -8,6 +8,8 @@
     InterruptedRequest,
     PartAnswer,
     PartCrash,
+    PartSurvivor,
+    PartTimes,
     PartUpdate,
     parse_part_key,
 )
@@ -21,15 +23,21 @@
 
 __all__ = [
     "decode_evidence",
+    "decode_part_times",
     "decode_part_update",
     "decode_quarantine_entry",
     "decode_quarantine_update",
     "encode_evidence",
+    "encode_part_times",
     "encode_part_update",
     "encode_quarantine_entry",
     "encode_quarantine_update",
 ]
 
+# Assumed time of requests at an endpoint if it is not known: too long, so that too little is held
+# against their parts.
+UNKNOWN_SECONDS = 2.0
+
 
 def encode_quarantine_update(update: QuarantineUpdate | None) -> list | None:
     """Return the JSON values of an update, None if there is no update.
@@ -123,6 +131,48 @@
     )
 
 
+def encode_part_times(times: PartTimes | None) -> list | None:
+    """Return the JSON values of the times beside an update on prompt parts, None without one."""
+    if times is None:
+        return None
+    return [
+        [
+            [name, work, round(seconds, 3), round(active_seconds, 3)]
+            for name, work, seconds, active_seconds in times.at_crashes
+        ],
+        [
+            [each.part, each.endpoint_id, round(each.active_seconds, 3), each.at]
+            for each in times.survivors
+        ],
+    ]
+
+
+def decode_part_times(value: Any) -> PartTimes | None:
+    """Return the times that another process has sent beside its update, None if it sent none.
+
+    Raises
+    ------
+    ValueError
+        If the value is malformed.
+    """
+    if value is None:
+        return None
+    try:
+        crash_values, survivor_values = value
+        return PartTimes(
+            tuple(
+                (str(name), str(work), float(seconds), float(active_seconds))
+                for name, work, seconds, active_seconds in crash_values
+            ),
+            tuple(
+                PartSurvivor(str(part), str(name), float(seconds), float(at))
+                for part, name, seconds, at in survivor_values
+            ),
+        )
+    except (TypeError, ValueError) as exc:
+        raise ValueError(f"malformed times of prompt parts: {exc!r:.100}") from exc
+
+
 def _entry_to_list(entry: QuarantineEntry) -> list:
     """Return the fields of an entry in the order in which updates contain them."""
     return [
@@ -204,7 +254,8 @@
     ends = [{"endpoint": each.endpoint_id, "zone": each.zone, "at": each.at} for each in evidence]
     if with_requests:
         ends = [
-            {**end, "work": list(each.requests)} for end, each in zip(ends, evidence, strict=True)
+            {**end, "work": list(each.requests), "seconds": round(each.seconds, 3)}
+            for end, each in zip(ends, evidence, strict=True)
         ]
     return {"ends": ends}
 
@@ -234,6 +285,8 @@
                 float(each["at"]),
                 tuple(map(str, each["work"])) if is_part else (key,),
                 1,
+                # Processes of earlier versions store no seconds.
+                float(each.get("seconds", UNKNOWN_SECONDS)) if is_part else 0.0,
             )
             for each in doc["ends"]
         )
--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -351,6 +351,7 @@
         self.has_response = False
         self.hub.backoffs.record_send(chosen.endpoint_id)
         self.hub.directory.record_attempt_start(chosen.endpoint_id)
+        self.hub.guard.record_send(chosen.endpoint_id, self.identity)
         listener = self._make_listener(action.attempt_id, chosen)
         self._handle, self.proxy_address = self.hub.paths.start(
             PathRequest(
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -109,7 +109,6 @@
         self._tokens_ahead = 0
         self._is_load_recorded = False
         self._was_postponed = False
-        self._answered_attempt = ""
         self._event_count = 0
         self._last_event_at = 0.0
 
@@ -304,19 +303,12 @@
         self._record_event_interval()
         self.record_response_start()
         self.machine.record_progress(attempt_id)
-        self._record_parts_answered()
         self.status = answer.status
         for each in list(self.attachments):
             each.send_head(answer.status, answer.fields)
             if not each.send_events(data):
                 self._abort_slow_consumer(each)
 
-    def _record_parts_answered(self) -> None:
-        """Record, once an attempt, that the endpoint has begun to write the answer."""
-        if self._answered_attempt != self.machine.attempt_id:
-            self._answered_attempt = self.machine.attempt_id
-            self.hub.guard.record_parts_answered(self.identity, "first event")
-
     def record_contact(self) -> None:
         """Record that data from the endpoint has been received."""
         self.hub.directory.record_contact(
@@ -376,7 +368,7 @@
         self.status = answer.status
         self.hub.guard.record_response(self.fingerprint)
         if answer.status < FIRST_ERROR_STATUS:
-            self.hub.guard.record_parts_answered(self.identity, "response")
+            self.hub.guard.record_parts_answered(self.identity, "whole response")
         self.record_response_start()
         self._record_endpoint_result(answer)
         self._end_call(cancel=False)
@@ -435,8 +427,13 @@
     def describe_interruption(self) -> InterruptedRequest:
         """Return what the loss of the current attempt's connection tells about the request."""
         is_answered = self.relay.count > self._events_before_attempt
-        seconds = self.hub.now() - self._sent_at
-        return InterruptedRequest(self.fingerprint, self.identity.parts, is_answered, seconds)
+        return InterruptedRequest(
+            self.fingerprint,
+            self.identity.parts,
+            is_answered,
+            seconds=self.hub.now() - self._sent_at,
+            active_seconds=self._last_event_at - self._sent_at if is_answered else 0.0,
+        )
 
     def _has_attempts_left(self) -> bool:
         limit = self.machine.facts.max_attempts
--- a/flamingofront/request/guard.py
+++ b/flamingofront/request/guard.py
@@ -13,6 +13,7 @@
 
 from flamingofront.decisions.part_facts import (
     InterruptedRequest,
+    PartTimes,
     PartUpdate,
     RequestIdentity,
     parse_part_key,
@@ -150,6 +151,7 @@
         self.quarantine = Quarantine()
         self.wall: Callable[[], float] = timers.wall
         self.parts = PartGuard(self.quarantine, lambda: self.wall(), metrics, log)
+        self.parts.list_running = self._list_running
         self.on_update: Callable[[], None] = lambda: None
         self.on_quarantine_change: Callable[[QuarantineEntry, bool], None] = (
             lambda entry, is_local: None
@@ -269,7 +271,7 @@
         self.on_endpoint_crash(crash.endpoint_id)
         is_new = self.quarantine.record_crash(replace(crash, at=at), self.wall())
         if self.parts.record_crash(crash, requests, at) or is_new:
-            parts = {part for each in requests if not each.is_answered for part in each.parts}
+            parts = {part for each in requests for part in each.parts}
             self._observed_fingerprints.update(crash.requests)
             self._observed_parts.update(parts)
             self._evaluate(is_local=True)
@@ -277,6 +279,14 @@
             self.on_update()
         self.intents.record_crash(crash.endpoint_id)
 
+    def _list_running(self) -> Iterable[tuple[str, InterruptedRequest]]:
+        """Return the endpoint of each request in flight here, and what its loss would tell."""
+        return (
+            (each.endpoint_id, each.describe_interruption())
+            for each in self._active()
+            if each.has_attempt_in_flight
+        )
+
     def _on_refused_uncertain(
         self, crash: EndpointCrash, requests: tuple[InterruptedRequest, ...]
     ) -> None:
@@ -396,8 +406,13 @@
             )
         self.on_update()
 
+    def record_send(self, endpoint_id: str, identity: RequestIdentity) -> None:
+        """Record that a request is sent to an endpoint."""
+        if identity.parts:
+            self.parts.evidence.exposure.record_request(identity.parts)
+
     def record_parts_answered(self, identity: RequestIdentity, evidence: str) -> None:
-        """Record that an endpoint begins to write an answer, which no poison part survives.
+        """Record that an endpoint has answered a request in full, which no poison part survives.
 
         Parameters
         ----------
@@ -444,10 +459,13 @@
         self.on_update()
 
     def merge_updates(
-        self, update: QuarantineUpdate | None, part_update: PartUpdate | None
+        self,
+        update: QuarantineUpdate | None,
+        part_update: PartUpdate | None,
+        part_times: PartTimes | None = None,
     ) -> None:
         """Merge the updates of another process on requests and on prompt parts."""
-        if part_update is not None and self.parts.merge_update(part_update):
+        if part_update is not None and self.parts.merge_update(part_update, part_times):
             self._evaluate(is_local=False)
             self._schedule_gossip()
         if part_update is not None and self.parts.has_unreported_answer(part_update):
@@ -487,6 +505,10 @@
         """Return the update on prompt parts for other processes; None if there is none."""
         return self.parts.evidence.build_update(self.wall())
 
+    def build_part_times(self, update: PartUpdate | None) -> PartTimes | None:
+        """Return the times of the requests in an update; None if there is no update."""
+        return None if update is None else self.parts.build_times(update)
+
     def _schedule_gossip(self) -> None:
         """Schedule the forwarding of an update: some processes cannot reach its source."""
         if not self._gossip_scheduled:
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -126,6 +126,7 @@
             crash_detector, timers, metrics, log, lambda: tuple(self.active.values())
         )
         self.guard.on_endpoint_crash = self._on_endpoint_crash
+        self.guard.parts.evidence.endpoint_count = lambda: len(directory.ready_endpoints())
         self.origins: StreamOrigins = LocalOrigins(timers)
         self.limits = EndpointLimits(timers, metrics, log)
         self.permits = Permits(self.limits, timers, metrics, rng)
--- a/flamingofront/request/part_guard.py
+++ b/flamingofront/request/part_guard.py
@@ -5,13 +5,15 @@
 rows in the store and their trials are the same.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import replace
 
 from flamingofront.decisions.part_evidence import PartEvidence
 from flamingofront.decisions.part_facts import (
     InterruptedRequest,
     PartCrash,
+    PartSurvivor,
+    PartTimes,
     PartUpdate,
     RequestIdentity,
     parse_part_key,
@@ -47,6 +49,13 @@
         Keeps the entries, together with those of poison requests.
     wall : callable
         Returns the wall time on which the entry processes agree, in seconds.
+
+    Attributes
+    ----------
+    evidence : PartEvidence
+        Crashes and answers by part.
+    list_running : callable
+        Returns the endpoint of each request in flight in this process, and the request.
     """
 
     def __init__(
@@ -57,6 +66,7 @@
         self._wall = wall
         self._metrics = metrics
         self._log = log
+        self.list_running: Callable[[], Iterable[tuple[str, InterruptedRequest]]] = lambda: ()
 
     # Entries
 
@@ -83,16 +93,16 @@
         return is_new
 
     def _find_culprits(self, requests: tuple[InterruptedRequest, ...]) -> list[QuarantineEntry]:
-        """Return the entries of quarantined parts that unanswered requests held."""
+        """Return the entries of quarantined parts that requests at a crash held."""
         return [
             entry
             for blamed, entry in self._quarantine.part_entries()
-            if any(blamed.issubset(each.parts) for each in requests if not each.is_answered)
+            if any(blamed.issubset(each.parts) for each in requests)
         ]
 
     def _log_suspects(self, endpoint_id: str, requests: tuple[InterruptedRequest, ...]) -> None:
-        """Log the parts of unanswered requests at a crash that no request was answered with."""
-        parts = {part for each in requests if not each.is_answered for part in each.parts}
+        """Log the parts of requests at a crash that no request was answered with in full."""
+        parts = {part for each in requests for part in each.parts}
         counts = {
             each: self.evidence.count_crashes(each)
             for each in parts
@@ -116,7 +126,10 @@
                     each.endpoint_id,
                     each.zone,
                     each.at,
-                    tuple(InterruptedRequest(name, parts) for name in each.requests),
+                    tuple(
+                        InterruptedRequest(name, parts, seconds=each.seconds)
+                        for name in each.requests
+                    ),
                 ),
                 self._wall(),
             )
@@ -124,6 +137,10 @@
         ]
         return any(changes)
 
+    def load_crash(self, crash: PartCrash) -> bool:
+        """Merge a crash that was found by recorded sends; return True if it is news."""
+        return self.evidence.record_crash(crash, self._wall())
+
     def collect_evidence(
         self, parts: Iterable[str], min_crashes: int
     ) -> dict[str, tuple[EndpointCrash, ...]]:
@@ -137,6 +154,7 @@
                     each.at,
                     tuple(request.fingerprint for request in each.requests),
                     omitted=1,
+                    seconds=max((request.seconds for request in each.requests), default=0.0),
                 )
                 for each in crashes
             )
@@ -144,13 +162,38 @@
             if not self.match((part,))
         }
 
-    def merge_update(self, update: PartUpdate) -> bool:
+    def merge_update(self, update: PartUpdate, times: PartTimes | None = None) -> bool:
         """Merge an update of another process; return True if it changed any evidence."""
         now = self._wall()
         changes = [self.evidence.merge_answer(each) for each in update.answers]
         changes += [self.evidence.record_crash(each, now) for each in update.crashes]
+        if times is not None:
+            self.evidence.merge_times(times)
+        listed = {
+            part for crash in update.crashes for each in crash.requests for part in each.parts
+        }
+        changes.append(self.evidence.exposure.record_survivors(self._find_survivors(listed)))
         return any(changes)
 
+    def build_times(self, update: PartUpdate) -> PartTimes:
+        """Return how long the requests in an update of this process were at endpoints."""
+        return self.evidence.build_times(update, self._wall())
+
+    def is_unproven(self, parts: Iterable[str]) -> bool:
+        """Return True if no request with one of some parts is known to have been answered."""
+        return any(self.evidence.last_answer(each) is None for each in parts)
+
+    def _find_survivors(self, parts: Collection[str]) -> list[PartSurvivor]:
+        """Return the requests of this process with some parts that receive events."""
+        now = self._wall()
+        return [
+            PartSurvivor(part, endpoint_id, each.active_seconds, now)
+            for endpoint_id, each in self.list_running()
+            if each.is_answered
+            for part in each.parts
+            if part in parts
+        ]
+
     def has_unreported_answer(self, update: PartUpdate) -> bool:
         """Return True if this process knows of answers that the sender of an update does not."""
         reported = {each.part for each in update.answers}
@@ -164,6 +207,8 @@
     def evaluate(self) -> list[QuarantineEntry]:
         """Quarantine all parts with sufficient evidence and return their new entries."""
         blamed = [each for each, _ in self._quarantine.part_entries()]
+        suspects = self.evidence.list_crashed_parts()
+        self.evidence.exposure.record_survivors(self._find_survivors(suspects))
         entries = []
         for each in self.evidence.find_hypotheses(blamed, self._wall()):
             entry = QuarantineEntry(
@@ -205,7 +250,7 @@
     def record_answer(
         self, identity: RequestIdentity, evidence: str
     ) -> tuple[list[QuarantineEntry], list[QuarantineEntry], tuple[str, ...]]:
-        """Record that an endpoint begins to answer a request.
+        """Record that an endpoint has answered a request in full.
 
         Parameters
         ----------
