Crashes are attributed to attempts that were abandoned a moment before

An attempt that was cancelled was forgotten, with its endpoint. Nobody had a connection there when it crashed, so that nobody probed it, and the row that expired 3.6 s later named no request. Evidence was kept only while somebody waited for it. Change: abandoned attempts are remembered for 8 s and count at a crash within two seconds of it, however it is found: a lost connection, a refused attempt, a peer's report, a removed row (probed first). If a part of the request has no known answer, the endpoint is probed 0.25, 1 and 2 s after, unless it has just sent data. Requests by fingerprint get the same evidence, marked as incomplete. Why it holds: what a crash is held against no longer depends on a caller that stays.

--- a/bench/quarantine_mutations.py
+++ b/bench/quarantine_mutations.py
@@ -12,6 +12,8 @@
 SERIES = "tests/test_series_of_kills.py"
 INTENTS = "decisions/tests/test_send_intents.py"
 RECORDER = "process/tests/test_intents.py"
+EXPOSURE = "decisions/tests/test_part_exposure.py"
+KEPT = "tests/test_part_evidence_kept.py"
 
 QUARANTINE_MUTATIONS = (
     Mutation(
@@ -163,4 +165,47 @@
         "if False:",
         PRODUCT,
     ),
+    Mutation(
+        "R requests with events count at crashes",
+        "decisions/part_evidence.py",
+        "[existing.add(each) for each in crash.requests]",
+        "[existing.add(each) for each in crash.requests if not each.is_answered]",
+        EXPOSURE,
+    ),
+    Mutation(
+        "R a first event clears no part",
+        "request/forwarded_request.py",
+        "        self.machine.record_progress(attempt_id)\n",
+        "        self.machine.record_progress(attempt_id)\n"
+        "        self.hub.guard.record_parts_answered(self.identity, 'event')\n",
+        KEPT,
+    ),
+    Mutation(
+        "R crashes that are likely by chance blame no part",
+        "decisions/part_evidence.py",
+        "if self._compute_chance(part, crashes, is_open, now) > MAX_CHANCE:",
+        "if False:",
+        EXPOSURE,
+    ),
+    Mutation(
+        "R requests that outlast others at crashes speak for a part",
+        "decisions/part_evidence.py",
+        "if not is_sufficient or self._is_contested(part, crashes, now):",
+        "if not is_sufficient:",
+        EXPOSURE,
+    ),
+    Mutation(
+        "R abandoned attempts count at crashes",
+        "request/endpoint_ends.py",
+        "            *self._list_abandoned(endpoint_id, check.lost_at),\n",
+        "",
+        ENDS,
+    ),
+    Mutation(
+        "R silent endpoints with abandoned attempts are probed",
+        "request/endpoint_ends.py",
+        "elif self.has_unproven_part(request):",
+        "elif False:",
+        ENDS,
+    ),
 )
--- a/flamingofront/decisions/quarantine.py
+++ b/flamingofront/decisions/quarantine.py
@@ -194,6 +194,11 @@
         """Return the ids of endpoints with recorded crashes."""
         return frozenset(endpoint_id for endpoint_id, _ in self._crashes)
 
+    def last_crash_at(self, endpoint_id: str) -> float | None:
+        """Return the time of the last recorded crash of an endpoint, None if there is none."""
+        times = [each.at for (name, _), each in self._crashes.items() if name == endpoint_id]
+        return max(times, default=None)
+
     def is_unattributed(self, endpoint_id: str) -> bool:
         """Return True if an endpoint crashed and no request is known to have been running on it."""
         crashes = [each for (name, _), each in self._crashes.items() if name == endpoint_id]
--- a/flamingofront/process/metrics.py
+++ b/flamingofront/process/metrics.py
@@ -40,6 +40,8 @@
     "requests_held_total": "Requests that are not run any more, by source",
     "requests_released_total": "Requests that are run again, by reason",
     "part_crashes_total": "Endpoints that ended under requests with a quarantined part, by part",
+    "crashes_attributed_late_total": "Known crashes of endpoints that turned out to have had "
+    "requests of this process which it had abandoned",
     "part_evidence_cleared_total": "Answers that refuted crashes held against parts of prompts, "
     "by what was received of the answer",
     "part_refusals_total": "Requests refused for a quarantined part of their prompt, by part",
--- a/flamingofront/request/abandoned_attempts.py
+++ b/flamingofront/request/abandoned_attempts.py
@@ -10,7 +10,7 @@
 
 from flamingofront.decisions.part_facts import InterruptedRequest
 
-__all__ = ["AbandonedAttempt", "AbandonedAttempts"]
+__all__ = ["RETENTION_SECONDS", "AbandonedAttempt", "AbandonedAttempts"]
 
 # Rows of endpoints expire up to four seconds after a crash, and a crash may come two seconds after
 # the attempt was abandoned.
@@ -52,6 +52,10 @@
         while attempt.at - self._attempts[0].at > RETENTION_SECONDS:
             self._attempts.popleft()
 
+    def has_any(self, endpoint_id: str) -> bool:
+        """Return True if an attempt was abandoned at an endpoint."""
+        return any(each.endpoint_id == endpoint_id for each in self._attempts)
+
     def list_at(self, endpoint_id: str, since: float) -> list[AbandonedAttempt]:
         """Return the attempts at an endpoint that were abandoned since a time, oldest first."""
         return [
--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -456,6 +456,8 @@
             return True
         self.hub.directory.record_connect_failure(endpoint_id, self.hub.now(), reason == "refused")
         paths.monitor.record_failure(endpoint_id, reason)
+        if reason == "refused":
+            self.hub.guard.crash_detector.record_refused_attempt(endpoint_id)
         return not paths.monitor.is_lost(endpoint_id)
 
     def _is_stale_connection(self, event: CallFailed) -> bool:
--- a/flamingofront/request/directory.py
+++ b/flamingofront/request/directory.py
@@ -517,6 +517,22 @@
         """Return the time of the last data from an endpoint; minus infinity if there was none."""
         return self._last_contact_at.get(endpoint_id, -math.inf)
 
+    def find_neighbour(self, endpoint_id: str, excluded: Collection[str]) -> str:
+        """Return the live endpoint of the same zone with the latest data; empty if there is none.
+
+        Parameters
+        ----------
+        excluded : collection of str
+            Endpoints that may have crashed.
+        """
+        zone = self.zone_of(endpoint_id)
+        found = [
+            each
+            for each in self.ready_endpoints()
+            if each != endpoint_id and each not in excluded and self.zone_of(each) == zone
+        ]
+        return max(found, key=self.last_contact_at, default="")
+
     def last_contact_of_any(self) -> float:
         """Return the time of the last data from any endpoint; minus infinity if there was none."""
         return self._last_contact_of_any
--- a/flamingofront/request/endpoint_ends.py
+++ b/flamingofront/request/endpoint_ends.py
@@ -4,6 +4,9 @@
 reset one of many connections. It has crashed if it sends no more data and no process listens at its
 address shortly after, or if its row is deleted without notice. An endpoint that announced its
 shutdown does not count as crashed.
+
+Attempts that were abandoned leave no connection that could be lost. Silent endpoints at which there
+are such attempts are therefore probed, and each crash is attributed to them too.
 """
 
 from collections.abc import Callable
@@ -15,7 +18,11 @@
 from flamingofront.process.logs import Log
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.timers import TimerService
-from flamingofront.request.abandoned_attempts import AbandonedAttempt, AbandonedAttempts
+from flamingofront.request.abandoned_attempts import (
+    RETENTION_SECONDS,
+    AbandonedAttempt,
+    AbandonedAttempts,
+)
 from flamingofront.request.directory import EndpointDirectory
 
 __all__ = ["CrashDetector"]
@@ -31,6 +38,13 @@
 # The kernel closes the connections of a process that ends before its listening sockets. An endpoint
 # that accepts a probe is probed again so long after the last lost connection.
 CONFIRM_SECONDS = (0.03, 0.1, 0.25)
+# Times after an attempt was abandoned at which its endpoint is probed if it has been silent.
+ABANDONED_CHECK_SECONDS = (0.25, 1.0, 2.0)
+# The same for an attempt that is in flight.
+UNANSWERED_CHECK_SECONDS = (0.5, 1.0, 2.0)
+SILENCE_SECONDS = 0.2
+# Streams send data every 20 to 300 ms.
+SILENT_STREAM_SECONDS = 0.4
 # Probes that get no reply are repeated until the row of the endpoint has had time to expire.
 PROBE_RETRY_SECONDS = 1.0
 MAX_PROBES = 6
@@ -57,6 +71,8 @@
         Number of probes sent.
     probed_at : float
         Time of the last probe.
+    has_abandoned : bool
+        True if some of the requests were abandoned, so that others may be missing.
     """
 
     address: str
@@ -67,6 +83,7 @@
     probe_count: int = 0
     probed_at: float = 0.0
     is_crashed: bool = False
+    has_abandoned: bool = False
 
 
 class CrashDetector:
@@ -78,9 +95,9 @@
         Called with each `EndpointCrash`, with its time on the clock of the timer service, and a
         tuple of the `InterruptedRequest` objects. Another call for the same crash has the requests
         whose lost connections were detected later.
-    on_refused_uncertain : callable
-        Called like `on_crash` for an endpoint that refuses a probe while the paths of this VM are
-        not known to work, so that it may not have crashed.
+    on_uncertain_crash : callable
+        Called like `on_crash` for an endpoint that has probably crashed: it refuses a probe while
+        the paths of this VM are not known to work.
     on_unobserved_crash : callable
         Called with each endpoint whose row was deleted without notice while this process had no
         request there.
@@ -94,6 +111,11 @@
     is_path_lost : callable
         Returns True if the direct path to an endpoint is or may be lost, so that probes do not show
         whether it has crashed.
+    has_unproven_part : callable
+        Returns True if a part of a request's prompt is not known to be harmless, so that it matters
+        whether an endpoint crashes under the request.
+    list_running : callable
+        Returns the requests of this process that are in flight at an endpoint.
     """
 
     def __init__(
@@ -112,7 +134,7 @@
         self._checks: dict[str, _CrashCheck] = {}
         self._abandoned = AbandonedAttempts()
         self.on_crash: Callable[[EndpointCrash, Interrupted], None] = lambda crash, requests: None
-        self.on_refused_uncertain: Callable[[EndpointCrash, Interrupted], None] = (
+        self.on_uncertain_crash: Callable[[EndpointCrash, Interrupted], None] = (
             lambda crash, requests: None
         )
         self.on_unobserved_crash: Callable[[str], None] = lambda endpoint_id: None
@@ -122,6 +144,10 @@
             lambda endpoint_id, on_answer: on_answer(False)
         )
         self.is_path_lost: Callable[[str], bool] = lambda endpoint_id: False
+        self.has_unproven_part: Callable[[InterruptedRequest], bool] = lambda request: False
+        self.list_running: Callable[[str], Interrupted] = lambda endpoint_id: ()
+        # Times of the crashes of the last seconds, however they became known.
+        self._crashed_at: dict[str, float] = {}
 
     def record_connection_loss(
         self, endpoint_id: str, address: str, request: InterruptedRequest
@@ -135,6 +161,9 @@
                 if check.is_crashed:
                     self._notify_crash(endpoint_id, check, (request,))
             return
+        if endpoint_id in self._crashed_at:
+            self._attribute(endpoint_id, self._crashed_at[endpoint_id], (request,))
+            return
         if self._directory.is_unavailable(endpoint_id):
             return
         zone, now = self._directory.zone_of(endpoint_id), self._timers.now()
@@ -145,6 +174,95 @@
     def record_abandoned_attempt(self, endpoint_id: str, request: InterruptedRequest) -> None:
         """Record that this process gave up an attempt that may run at an endpoint."""
         self._abandoned.add(AbandonedAttempt(endpoint_id, request, self._timers.now()))
+        if endpoint_id in self._crashed_at:
+            self._attribute(endpoint_id, self._crashed_at[endpoint_id], (request,))
+        elif self.has_unproven_part(request):
+            for seconds in ABANDONED_CHECK_SECONDS:
+                self._timers.once(seconds, lambda: self._check_if_silent(endpoint_id))
+
+    def record_attempt(self, endpoint_id: str, request: InterruptedRequest) -> None:
+        """Record that an attempt is sent, whose endpoint is checked if it stays silent."""
+        if self.has_unproven_part(request):
+            for seconds in UNANSWERED_CHECK_SECONDS:
+                self._timers.once(seconds, lambda: self._check_attempts(endpoint_id))
+
+    def record_refused_attempt(self, endpoint_id: str) -> None:
+        """Record that an endpoint refused the connection of an attempt."""
+        if self._abandoned.has_any(endpoint_id):
+            self._start_check(endpoint_id)
+
+    def _check_attempts(self, endpoint_id: str) -> None:
+        """Probe an endpoint at which attempts are in flight, unless it has just sent data."""
+        running = self.list_running(endpoint_id)
+        if running:
+            is_answering = any(each.is_answered for each in running)
+            self._check_if_silent(
+                endpoint_id, SILENT_STREAM_SECONDS if is_answering else SILENCE_SECONDS
+            )
+
+    def _check_if_silent(self, endpoint_id: str, seconds: float = SILENCE_SECONDS) -> None:
+        """Probe an endpoint that has sent nothing for a time."""
+        if self._timers.now() - self._directory.last_contact_at(endpoint_id) >= seconds:
+            self._start_check(endpoint_id)
+
+    def _start_check(self, endpoint_id: str) -> None:
+        """Check whether an endpoint has crashed to which no connection was lost."""
+        is_known = endpoint_id in self._checks or endpoint_id in self._crashed_at
+        if is_known or self._directory.is_unavailable(endpoint_id):
+            return
+        zone, now = self._directory.zone_of(endpoint_id), self._timers.now()
+        check = _CrashCheck(self._directory.address_of(endpoint_id), zone, now, now)
+        self._checks[endpoint_id] = check
+        self._send_probe(endpoint_id, check)
+
+    def record_known_crash(self, endpoint_id: str, at: float) -> None:
+        """Record a crash that was found otherwise, and attribute it to abandoned attempts.
+
+        Parameters
+        ----------
+        at : float
+            Time of the crash on the clock of the timer service.
+        """
+        if endpoint_id in self._crashed_at:
+            return
+        self._store_crash(endpoint_id, at)
+        requests = self._list_abandoned(endpoint_id, at)
+        if requests:
+            self._attribute(endpoint_id, at, requests)
+
+    def has_abandoned(self, endpoint_id: str) -> bool:
+        """Return True if this process has just abandoned attempts at an endpoint."""
+        return self._abandoned.has_any(endpoint_id)
+
+    def _store_crash(self, endpoint_id: str, at: float) -> None:
+        """Keep the time of a crash for as long as requests may be found to have been there."""
+        self._crashed_at[endpoint_id] = at
+        self._timers.once(RETENTION_SECONDS, lambda: self._crashed_at.pop(endpoint_id, None))
+
+    def _list_abandoned(self, endpoint_id: str, crashed_at: float) -> Interrupted:
+        """Return the requests that were abandoned shortly before a crash, or since then.
+
+        If the endpoint fell silent, it may have crashed at any time after its last data.
+        """
+        silent_since = min(crashed_at, self._directory.last_contact_at(endpoint_id))
+        found = self._abandoned.list_at(endpoint_id, silent_since - ABANDONED_SECONDS)
+        return tuple(each.extend(crashed_at) for each in found)
+
+    def _attribute(self, endpoint_id: str, at: float, requests: Interrupted) -> None:
+        """Attribute a known crash to further requests, which this process has abandoned."""
+        fingerprints = tuple(sorted(each.fingerprint for each in requests))
+        self._log.info(
+            "crash attributed to abandoned requests",
+            endpoint=endpoint_id,
+            ago=round(self._timers.now() - at, 3),
+            abandoned=[
+                [each.fingerprint, each.parts[:MAX_LOGGED_PARTS], round(each.seconds, 3)]
+                for each in requests[:MAX_LOGGED_REQUESTS]
+            ],
+        )
+        self._metrics.count("crashes_attributed_late_total")
+        zone = self._directory.zone_of(endpoint_id)
+        self.on_crash(EndpointCrash(endpoint_id, zone, at, fingerprints, omitted=1), requests)
 
     def describe_abandoned(self, endpoint_id: str, since: float) -> dict[str, object]:
         """Return a field for the log: the requests that were abandoned at an endpoint.
@@ -252,6 +370,9 @@
             del self._checks[endpoint_id]
         elif reach is ConnectResult.UNANSWERED:
             self._timers.once(PROBE_RETRY_SECONDS, lambda: self._send_probe(endpoint_id, check))
+        elif not check.requests:
+            # No connection was lost: the endpoint is silent because it has nothing to send.
+            del self._checks[endpoint_id]
         elif due := self._find_next_confirmation(check):
             seconds = max(0.0, due - self._timers.now())
             self._timers.once(seconds, lambda: self._send_probe(endpoint_id, check))
@@ -293,15 +414,44 @@
 
     def _wait_for_paths(self, endpoint_id: str, check: _CrashCheck) -> None:
         """Probe again until the paths are known to work, or the row of the endpoint has expired."""
-        requests = tuple(check.requests.values())
-        self.on_refused_uncertain(self._build_crash(endpoint_id, check, requests), requests)
+        self._report_uncertain(endpoint_id, check)
         if check.probe_count < MAX_PROBES:
             self._timers.once(PROBE_RETRY_SECONDS, lambda: self._send_probe(endpoint_id, check))
         else:
             del self._checks[endpoint_id]
 
+    def _report_uncertain(self, endpoint_id: str, check: _CrashCheck) -> None:
+        """Report a probable crash, with the requests that were there or were abandoned there."""
+        requests = tuple(self._collect_requests(endpoint_id, check).values())
+        self._log.info(
+            "endpoint has probably crashed",
+            endpoint=endpoint_id,
+            zone_of_endpoint=check.zone,
+            ago=round(self._timers.now() - check.lost_at, 3),
+            probes=check.probe_count,
+            work=sorted(each.fingerprint for each in requests)[:MAX_LOGGED_REQUESTS],
+        )
+        self.on_uncertain_crash(self._build_crash(endpoint_id, check, requests), requests)
+
+    def _collect_requests(
+        self, endpoint_id: str, check: _CrashCheck
+    ) -> dict[str, InterruptedRequest]:
+        """Return the requests at an endpoint that has crashed, by fingerprint.
+
+        Connections to a host that is gone are not lost, and abandoned attempts have none.
+        """
+        others = (
+            *self._list_abandoned(endpoint_id, check.lost_at),
+            *self.list_running(endpoint_id),
+        )
+        return {**{each.fingerprint: each for each in others}, **check.requests}
+
     def _declare_crash(self, endpoint_id: str, check: _CrashCheck) -> None:
         check.is_crashed = True
+        self._store_crash(endpoint_id, check.lost_at)
+        lost = len(check.requests)
+        check.requests = self._collect_requests(endpoint_id, check)
+        check.has_abandoned = len(check.requests) > lost
         self._timers.once(CRASH_RETENTION_SECONDS, lambda: self._checks.pop(endpoint_id, None))
         self._metrics.count("endpoint_ends_total")
         self._log.warning(
@@ -310,7 +460,7 @@
             zone_of_endpoint=check.zone,
             ago=round(self._timers.now() - check.lost_at, 3),
             probes=check.probe_count,
-            running=len(check.requests),
+            running=lost,
             work=sorted(check.requests)[:MAX_LOGGED_REQUESTS],
             unanswered=_describe_requests(check, is_answered=False),
             answered=_describe_requests(check, is_answered=True),
@@ -324,7 +474,8 @@
     @staticmethod
     def _build_crash(endpoint_id: str, check: _CrashCheck, requests: Interrupted) -> EndpointCrash:
         fingerprints = tuple(sorted(each.fingerprint for each in requests))
-        return EndpointCrash(endpoint_id, check.zone, check.lost_at, fingerprints)
+        omitted = int(check.has_abandoned)
+        return EndpointCrash(endpoint_id, check.zone, check.lost_at, fingerprints, omitted)
 
 
 def _describe_requests(check: _CrashCheck, is_answered: bool) -> list[list[object]]:
--- a/flamingofront/request/guard.py
+++ b/flamingofront/request/guard.py
@@ -13,6 +13,7 @@
 
 from flamingofront.decisions.part_facts import (
     InterruptedRequest,
+    PartCrash,
     PartTimes,
     PartUpdate,
     RequestIdentity,
@@ -145,13 +146,17 @@
     ):
         self.crash_detector = crash_detector
         crash_detector.on_crash = self._on_crash
-        crash_detector.on_refused_uncertain = self._on_refused_uncertain
+        crash_detector.on_uncertain_crash = self._on_uncertain_crash
+        crash_detector.has_unproven_part = lambda request: self.parts.is_unproven(request.parts)
         crash_detector.on_unobserved_crash = self._on_unobserved_crash
         crash_detector.on_crash_found = self._on_crash_found
         self.quarantine = Quarantine()
         self.wall: Callable[[], float] = timers.wall
         self.parts = PartGuard(self.quarantine, lambda: self.wall(), metrics, log)
         self.parts.list_running = self._list_running
+        crash_detector.list_running = lambda endpoint_id: tuple(
+            each for name, each in self._list_running() if name == endpoint_id
+        )
         self.on_update: Callable[[], None] = lambda: None
         self.on_quarantine_change: Callable[[QuarantineEntry, bool], None] = (
             lambda entry, is_local: None
@@ -178,6 +183,7 @@
         self._sources: OrderedDict[str, _Source] = OrderedDict()
         self._gossip_scheduled = False
         self._evaluation_scheduled = False
+        self._is_load_pending = False
         timers.every(
             CLEANUP_PERIOD_SECONDS, self._remove_expired, first=CLEANUP_PERIOD_SECONDS, relaxed=True
         )
@@ -287,10 +293,10 @@
             if each.has_attempt_in_flight
         )
 
-    def _on_refused_uncertain(
+    def _on_uncertain_crash(
         self, crash: EndpointCrash, requests: tuple[InterruptedRequest, ...]
     ) -> None:
-        """Record that an endpoint refuses connections and has probably crashed.
+        """Record that an endpoint has probably crashed.
 
         Notes
         -----
@@ -311,11 +317,13 @@
     def _on_unobserved_crash(self, endpoint_id: str) -> None:
         """Record a crash of an endpoint whose row was deleted while it had no local requests.
 
-        Near a restart of an entry process, the endpoint is probed first.
+        The endpoint is probed first near a restart of an entry process, whose requests are not
+        known, and if attempts were abandoned there: its row may be deleted while it serves on.
         """
         if self._is_recorded(endpoint_id):
             return
-        if is_near_restart(self.wall(), self.entry_start_times()):
+        is_doubtful = is_near_restart(self.wall(), self.entry_start_times())
+        if is_doubtful or self.crash_detector.has_abandoned(endpoint_id):
             self.crash_detector.confirm_crash(
                 endpoint_id, lambda: self._record_unobserved(endpoint_id, "row")
             )
@@ -342,6 +350,7 @@
         if is_near_restart(now, start_times):
             self.intents.record_unobserved_crash(endpoint_id)
         self.intents.record_crash(endpoint_id)
+        self.crash_detector.record_known_crash(endpoint_id, self._timers.now())
 
     def _on_crash_found(self, endpoint_id: str) -> None:
         """Record and gossip an unobserved crash that this process is the first to find."""
@@ -376,11 +385,26 @@
         if any(changes):
             self._evaluate(is_local=False)
 
+    def load_part_crashes(self, crashes: Iterable[PartCrash]) -> None:
+        """Merge crashes with the prompt parts of the requests that were recorded there."""
+        if any([self.parts.load_crash(each) for each in crashes]):
+            self._evaluate_soon()
+
     def load_part_evidence(self, key: str, crashes: Iterable[EndpointCrash]) -> None:
         """Merge crashes under requests with a prompt part, given by its key, from the store."""
         self._mark_persisted((key,))
         if self.parts.load_evidence(key, crashes):
-            self._evaluate(is_local=False)
+            self._evaluate_soon()
+
+    def _evaluate_soon(self) -> None:
+        """Schedule an evaluation: rows on the same crashes are read in the same moment."""
+        if not self._is_load_pending:
+            self._is_load_pending = True
+            self._timers.once(GOSSIP_BATCH_SECONDS, self._evaluate_loaded)
+
+    def _evaluate_loaded(self) -> None:
+        self._is_load_pending = False
+        self._evaluate(is_local=False)
 
     def record_response(self, fingerprint: str) -> None:
         """Record that an endpoint has responded to a request, which clears it."""
@@ -410,6 +434,9 @@
         """Record that a request is sent to an endpoint."""
         if identity.parts:
             self.parts.evidence.exposure.record_request(identity.parts)
+            self.crash_detector.record_attempt(
+                endpoint_id, InterruptedRequest(identity.fingerprint, identity.parts)
+            )
 
     def record_parts_answered(self, identity: RequestIdentity, evidence: str) -> None:
         """Record that an endpoint has answered a request in full, which no poison part survives.
@@ -468,10 +495,18 @@
         if part_update is not None and self.parts.merge_update(part_update, part_times):
             self._evaluate(is_local=False)
             self._schedule_gossip()
+        for crash in part_update.crashes if part_update is not None else ():
+            self._attribute_crash(crash.endpoint_id, crash.at)
         if part_update is not None and self.parts.has_unreported_answer(part_update):
             self._schedule_gossip()
         self.merge_update(update)
 
+    def _attribute_crash(self, endpoint_id: str, at: float) -> None:
+        """Attribute a crash that a peer reports to attempts that were abandoned here."""
+        if self.crash_detector.has_abandoned(endpoint_id):
+            now = self._timers.now()
+            self.crash_detector.record_known_crash(endpoint_id, now - (self.wall() - at))
+
     def merge_update(self, update: QuarantineUpdate | None) -> None:
         """Merge an update from another process; None is ignored."""
         if update is None:
@@ -482,6 +517,7 @@
             return
         for endpoint_id in self.quarantine.get_crashed_endpoints() - previous_crashes:
             self.on_endpoint_crash(endpoint_id)
+            self._attribute_crash(endpoint_id, self._find_crash_time(endpoint_id))
             if self.quarantine.is_unattributed(endpoint_id):
                 self._record_unobserved(endpoint_id, "peer")
             else:
@@ -490,6 +526,10 @@
         self._evaluate(is_local=False)
         self._schedule_gossip()
 
+    def _find_crash_time(self, endpoint_id: str) -> float:
+        """Return the time of the last known crash of an endpoint, now if there is none."""
+        return self.quarantine.last_crash_at(endpoint_id) or self.wall()
+
     def load_entry(self, entry: QuarantineEntry) -> None:
         """Merge a quarantine entry that was read from the store."""
         previous = {each.fingerprint: each for each in self.quarantine.list_entries()}
--- a/flamingofront/request/tests/test_endpoint_ends.py
+++ b/flamingofront/request/tests/test_endpoint_ends.py
@@ -13,6 +13,7 @@
 from flamingofront.request.endpoint_ends import CONFIRM_SECONDS, MAX_PROBES, CrashDetector
 
 ADDRESS = "10.0.0.1:80"
+NEIGHBOUR = "10.0.0.2:80"
 
 
 class ProbeTransport:
@@ -21,12 +22,14 @@
     def __init__(self, timers):
         self.timers = timers
         self.reach = ConnectResult.REFUSED
+        self.neighbour_reach = ConnectResult.CONNECTED
         self.count = 0
 
     def probe(self, address, timeout, listener):
         self.count += 1
-        assert address == ADDRESS
-        self.timers.once(0.002, lambda: listener(self.reach))
+        assert address in (ADDRESS, NEIGHBOUR)
+        reach = self.reach if address == ADDRESS else self.neighbour_reach
+        self.timers.once(0.002, lambda: listener(reach))
 
 
 class CrashDetectorHarness:
@@ -36,7 +39,12 @@
         self.clock = ManualClock(100.0)
         self.timers = TimerService(self.clock)
         facts = FactTable()
-        facts.merge((Fact("e-1", 1, state, Role.ENDPOINT, "zone-a", ADDRESS, "engines"),))
+        facts.merge(
+            (
+                Fact("e-1", 1, state, Role.ENDPOINT, "zone-a", ADDRESS, "engines"),
+                Fact("e-2", 1, VmState.LIVE, Role.ENDPOINT, "zone-a", NEIGHBOUR, "engines"),
+            )
+        )
         self.directory = EndpointDirectory(facts, None)
         self.transport = ProbeTransport(self.timers)
         self.metrics = Metrics()
@@ -45,11 +53,20 @@
         )
         self.crashes = []
         self.detector.on_crash = lambda crash, requests: self.crashes.append(crash)
+        self.uncertain = []
+        self.detector.on_uncertain_crash = lambda crash, requests: self.uncertain.append(
+            (crash.endpoint_id, tuple(each.fingerprint for each in requests))
+        )
+        self.detector.has_unproven_part = lambda request: bool(request.parts)
 
     def lose_connections(self, *requests):
         for each in requests:
             self.detector.record_connection_loss("e-1", ADDRESS, InterruptedRequest(each))
 
+    def abandon(self, *requests, parts=("p",)):
+        for each in requests:
+            self.detector.record_abandoned_attempt("e-1", InterruptedRequest(each, parts))
+
     def run(self, seconds):
         end = self.clock.time + seconds
         while (due := self.timers.next_due()) is not None and due <= end:
@@ -167,6 +184,7 @@
         """Without them a crash looks as if no request with a part had been there."""
         with logbook.TestHandler(bubble=True).applicationbound() as log:
             world = CrashDetectorHarness()
+            world.detector.has_unproven_part = lambda request: False
             world.detector.record_abandoned_attempt("e-1", InterruptedRequest("old", ("z",)))
             world.run(3.0)
             world.detector.record_abandoned_attempt("e-1", InterruptedRequest("one", ("a",)))
@@ -179,3 +197,67 @@
         assert record.kwargs["answered"] == [["two", ("a", "c")]]
         ((work, parts, ago),) = record.kwargs["abandoned"]
         assert (work, parts) == ("one", ("a",)) and 0.5 <= ago < 0.6
+
+
+class TestAbandonedAttempts:
+    """Nobody waits for their outcome, and the endpoint crashes a moment later."""
+
+    def test_silent_endpoint_is_probed_and_its_crash_attributed(self):
+        world = CrashDetectorHarness()
+        world.abandon("one")
+        world.run(0.4)
+        assert [each.requests for each in world.crashes] == [("one",)]
+        assert world.crashes[0].omitted == 1
+
+    def test_endpoint_that_sends_data_is_not_probed(self):
+        world = CrashDetectorHarness()
+        world.abandon("one")
+        for _ in range(30):
+            world.directory.record_contact("e-1", world.clock.now())
+            world.run(0.1)
+        assert not world.transport.count
+
+    def test_endpoint_with_proven_requests_only_is_not_probed(self):
+        world = CrashDetectorHarness()
+        world.abandon("one", parts=())
+        world.run(3.0)
+        assert not world.transport.count
+
+    def test_crash_that_a_lost_connection_shows_is_attributed_too(self):
+        world = CrashDetectorHarness()
+        world.abandon("one")
+        world.run(0.05)
+        world.lose_connections("two")
+        world.run(0.1)
+        assert [each.requests for each in world.crashes] == [("one", "two")]
+
+    def test_crash_that_a_peer_reports_is_attributed_once(self):
+        world = CrashDetectorHarness()
+        world.abandon("one")
+        for _ in range(2):
+            world.detector.record_known_crash("e-1", world.clock.now())
+        assert [each.requests for each in world.crashes] == [("one",)]
+
+    def test_attempt_that_is_abandoned_after_the_crash_is_attributed(self):
+        world = CrashDetectorHarness()
+        world.detector.record_known_crash("e-1", world.clock.now())
+        world.run(1.0)
+        world.abandon("one")
+        assert [each.requests for each in world.crashes] == [("one",)]
+
+    def test_attempt_that_was_abandoned_long_before_is_not_attributed(self):
+        world = CrashDetectorHarness()
+        world.transport.reach = ConnectResult.CONNECTED
+        world.abandon("one")
+        world.run(4.0)
+        world.directory.record_contact("e-1", world.clock.now())
+        world.run(0.1)
+        world.detector.record_known_crash("e-1", world.clock.now())
+        assert not world.crashes
+
+    def test_refused_attempt_at_the_endpoint_starts_a_check(self):
+        world = CrashDetectorHarness()
+        world.abandon("one", parts=())
+        world.detector.record_refused_attempt("e-1")
+        world.run(0.1)
+        assert [each.requests for each in world.crashes] == [("one",)]
