Hosts that are gone and endpoints that only accept connections count as probably crashed

A check ended at the first connection that was established, or waited for a refusal that never comes; data read late by a busy process counted as a sign of life too. Change: after the last accepted probe the endpoint is asked for its state, and only its own response ends the check (one with another id is from a later endpoint at the address). Silent endpoints with attempts in flight are probed too. One that answers no connection has probably crashed if an endpoint of its zone is reached and no peer reaches it; a zone that is cut off shows no such endpoint. An endpoint that refuses connections after data is probed again. Why it holds: each sign of life is now one that a dead endpoint cannot give.

--- a/bench/quarantine_mutations.py
+++ b/bench/quarantine_mutations.py
@@ -26,7 +26,7 @@
     Mutation(
         "Q an endpoint that still sends has not ended",
         "request/endpoint_ends.py",
-        "if self._directory.last_contact_at(endpoint_id) > check.last_lost_at + LAST_DATA_SECONDS:",
+        "if contact_at > check.last_lost_at + LAST_DATA_SECONDS:",
         "if False:",
         ENDS,
     ),
@@ -208,4 +208,18 @@
         "elif False:",
         ENDS,
     ),
+    Mutation(
+        "R a zone without a reached endpoint may be partitioned",
+        "request/endpoint_ends.py",
+        "            if reach is ConnectResult.CONNECTED:\n                self.ask_peer(",
+        "            if True:\n                self.ask_peer(",
+        ENDS,
+    ),
+    Mutation(
+        "R an accepted connection is no sign of life",
+        "request/endpoint_ends.py",
+        "if is_alive or has_data or",
+        "if True or",
+        ENDS,
+    ),
 )
--- a/flamingofront/platform/requests.py
+++ b/flamingofront/platform/requests.py
@@ -27,6 +27,7 @@
 TOKEN_COUNTS_HEADER = HEADER_PREFIX + "token-counts"
 PROMPT_PARTS_HEADER = HEADER_PREFIX + "prompt-prefix"
 # Id of the endpoint process that must run the request; any other endpoint rejects it.
+ENDPOINT_ID_HEADER = HEADER_PREFIX + "instance-id"
 EXPECTED_ENDPOINT_HEADER = "X-Flamingofront-Expect-Instance"
 WORKSPACE_HEADER = "X-Flamingofront-Tenant"
 # One digit: 0 is the most urgent. Endpoints assume 5 if the header is absent.
@@ -69,7 +70,7 @@
         HEADER_PREFIX + "kv-from",
         HEADER_PREFIX + "duty-holder",
         HEADER_PREFIX + "fencing-token",
-        HEADER_PREFIX + "instance-id",
+        ENDPOINT_ID_HEADER,
         "kv-fetch",
         "kv-from",
     }
@@ -131,6 +132,10 @@
             fields += ((URGENCY_HEADER, str(int(facts.urgency))),)
         return fields
 
+    def is_from_endpoint(self, endpoint_id: str, head: ResponseHead) -> bool:
+        """Return True unless a response to a state request names another endpoint."""
+        return head.headers.get(ENDPOINT_ID_HEADER, endpoint_id) == endpoint_id
+
     def probe_target(self, service: ForwardedService | None) -> str:
         """Return the target of a request for the state of an endpoint of a service."""
         if service is None:
--- a/flamingofront/request/endpoint_ends.py
+++ b/flamingofront/request/endpoint_ends.py
@@ -73,6 +73,8 @@
         Time of the last probe.
     has_abandoned : bool
         True if some of the requests were abandoned, so that others may be missing.
+    has_late_data : bool
+        True if the endpoint sent data after it had refused a probe.
     """
 
     address: str
@@ -84,6 +86,7 @@
     probed_at: float = 0.0
     is_crashed: bool = False
     has_abandoned: bool = False
+    has_late_data: bool = False
 
 
 class CrashDetector:
@@ -97,7 +100,8 @@
         whose lost connections were detected later.
     on_uncertain_crash : callable
         Called like `on_crash` for an endpoint that has probably crashed: it refuses a probe while
-        the paths of this VM are not known to work.
+        the paths of this VM are not known to work, it accepts connections and does not respond, or
+        no process reaches it.
     on_unobserved_crash : callable
         Called with each endpoint whose row was deleted without notice while this process had no
         request there.
@@ -111,6 +115,8 @@
     is_path_lost : callable
         Returns True if the direct path to an endpoint is or may be lost, so that probes do not show
         whether it has crashed.
+    probe_response : callable
+        Sends an endpoint a request for its state, and calls back with True if it responds.
     has_unproven_part : callable
         Returns True if a part of a request's prompt is not known to be harmless, so that it matters
         whether an endpoint crashes under the request.
@@ -144,6 +150,9 @@
             lambda endpoint_id, on_answer: on_answer(False)
         )
         self.is_path_lost: Callable[[str], bool] = lambda endpoint_id: False
+        self.probe_response: Callable[[str, Callable[[bool], None]], None] = (
+            lambda endpoint_id, on_result: on_result(True)
+        )
         self.has_unproven_part: Callable[[InterruptedRequest], bool] = lambda request: False
         self.list_running: Callable[[str], Interrupted] = lambda endpoint_id: ()
         # Times of the crashes of the last seconds, however they became known.
@@ -369,6 +378,7 @@
         elif check.probe_count >= MAX_PROBES:
             del self._checks[endpoint_id]
         elif reach is ConnectResult.UNANSWERED:
+            self._suspect_lost_host(endpoint_id, check)
             self._timers.once(PROBE_RETRY_SECONDS, lambda: self._send_probe(endpoint_id, check))
         elif not check.requests:
             # No connection was lost: the endpoint is silent because it has nothing to send.
@@ -377,7 +387,42 @@
             seconds = max(0.0, due - self._timers.now())
             self._timers.once(seconds, lambda: self._send_probe(endpoint_id, check))
         else:
+            self.probe_response(
+                endpoint_id, lambda is_alive: self._on_response(endpoint_id, check, is_alive)
+            )
+
+    def _on_response(self, endpoint_id: str, check: _CrashCheck, is_alive: bool) -> None:
+        """End a check if the endpoint responds; else only its listening socket is still open."""
+        if self._checks.get(endpoint_id) is not check or check.is_crashed:
+            return
+        has_data = self._directory.last_contact_at(endpoint_id) > check.probed_at
+        if is_alive or has_data or self._directory.is_leaving(endpoint_id):
             del self._checks[endpoint_id]
+        else:
+            self._report_uncertain(endpoint_id, check)
+            self._timers.once(PROBE_RETRY_SECONDS, lambda: self._send_probe(endpoint_id, check))
+
+    def _suspect_lost_host(self, endpoint_id: str, check: _CrashCheck) -> None:
+        """Report a probable crash if an endpoint beside it is reached, and no peer reaches it.
+
+        Without such an endpoint the zone may be partitioned.
+        """
+        neighbour = self._directory.find_neighbour(endpoint_id, {*self._checks, *self._crashed_at})
+        if not neighbour:
+            return
+
+        def on_answer(is_reached: bool | None) -> None:
+            is_open = self._checks.get(endpoint_id) is check and not check.is_crashed
+            if is_open and is_reached is False:
+                self._report_uncertain(endpoint_id, check)
+
+        def on_neighbour(reach: ConnectResult) -> None:
+            if reach is ConnectResult.CONNECTED:
+                self.ask_peer(endpoint_id, on_answer)
+
+        self._metrics.count("endpoint_probes_total")
+        address = self._directory.address_of(neighbour)
+        self._transport.probe(address, PROBE_TIMEOUT_SECONDS, on_neighbour)
 
     @staticmethod
     def _find_next_confirmation(check: _CrashCheck) -> float | None:
@@ -389,7 +434,11 @@
         """Declare a crash of an endpoint that refuses connections, unless it still sends data."""
         if self._checks.get(endpoint_id) is not check or check.is_crashed:
             return
-        if self._directory.last_contact_at(endpoint_id) > check.last_lost_at + LAST_DATA_SECONDS:
+        contact_at = self._directory.last_contact_at(endpoint_id)
+        if contact_at > check.last_lost_at + LAST_DATA_SECONDS:
+            self._probe_after_data(endpoint_id, check, contact_at)
+        elif check.has_late_data:
+            self._report_uncertain(endpoint_id, check)
             del self._checks[endpoint_id]
         elif self.is_path_lost(endpoint_id):
             self._wait_for_paths(endpoint_id, check)
@@ -398,6 +447,19 @@
                 endpoint_id, lambda is_reached: self._on_answer(endpoint_id, check, is_reached)
             )
 
+    def _probe_after_data(self, endpoint_id: str, check: _CrashCheck, contact_at: float) -> None:
+        """Probe an endpoint again that refuses connections and still sent data.
+
+        The data may have been sent before the crash and read later by a busy process. If no more
+        follows, the endpoint has probably crashed; it may also be at its connection limit.
+        """
+        if check.probe_count >= MAX_PROBES:
+            del self._checks[endpoint_id]
+            return
+        check.last_lost_at = contact_at
+        check.has_late_data = True
+        self._timers.once(CONFIRM_SECONDS[-1], lambda: self._send_probe(endpoint_id, check))
+
     def _on_answer(self, endpoint_id: str, check: _CrashCheck, is_reached: bool | None) -> None:
         """Declare a crash unless a peer reaches the endpoint, or cannot tell."""
         if self._checks.get(endpoint_id) is not check or check.is_crashed:
--- a/flamingofront/request/forward_work.py
+++ b/flamingofront/request/forward_work.py
@@ -190,6 +190,10 @@
 class ForwardProtocol(ABC):
     """Header names and formats of forwarded requests, for callers and endpoints."""
 
+    @abstractmethod
+    def is_from_endpoint(self, endpoint_id: str, head: ResponseHead) -> bool:
+        """Return True unless a response to a state request names another endpoint."""
+
     @abstractmethod
     def request_id(self, req: InboundRequest) -> str:
         """Return the request id that the caller gave; empty if there is none."""
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -35,6 +35,7 @@
 from flamingofront.request.host import HubSettings, RequestHost
 from flamingofront.request.model_request import ModelRequest
 from flamingofront.request.path_failover import PathFailover
+from flamingofront.request.path_probes import ResponseProbe
 from flamingofront.request.permits import Permits
 from flamingofront.request.plain_request import PlainRequest
 from flamingofront.request.records import ModelWork, RequestRecord
@@ -122,6 +123,14 @@
             endpoint_id, False, on_answer
         )
         crash_detector.is_path_lost = self.paths.monitor.is_lost
+        if protocol is not None:
+            # Such endpoints respond to requests for their state without running them.
+            crash_detector.probe_response = ResponseProbe(
+                transport,
+                directory,
+                lambda endpoint_id: self.paths.monitor.probe_target_of(endpoint_id),
+                is_from=protocol.is_from_endpoint,
+            ).start
         self.guard = RequestGuard(
             crash_detector, timers, metrics, log, lambda: tuple(self.active.values())
         )
--- a/flamingofront/request/path_probes.py
+++ b/flamingofront/request/path_probes.py
@@ -47,6 +47,9 @@
         Returns the request target at an endpoint.
     needs_new_connection : bool
         False if an idle connection is tested.
+    is_from : callable
+        Returns True if a response head is from the endpoint, and not from a later one at its
+        address.
 
     Notes
     -----
@@ -60,11 +63,13 @@
         directory: EndpointDirectory,
         target_of: Callable[[str], str],
         needs_new_connection: bool = True,
+        is_from: Callable[[str, ResponseHead], bool] = lambda endpoint_id, head: True,
     ):
         self._transport = transport
         self._directory = directory
         self._target_of = target_of
         self._needs_new_connection = needs_new_connection
+        self._is_from = is_from
 
     def start(self, endpoint_id: str, on_result: Callable[[bool], None]) -> None:
         """Pass on whether the endpoint responded, whatever the status."""
@@ -74,7 +79,8 @@
         def on_event(event: CallEvent) -> None:
             if isinstance(event, ResponseHead | CallFailed):
                 # A connection may fail after the head; only the first event counts.
-                next(results, lambda is_reached: None)(isinstance(event, ResponseHead))
+                is_reached = isinstance(event, ResponseHead) and self._is_from(endpoint_id, event)
+                next(results, lambda is_reached: None)(is_reached)
 
         self._transport.start(
             OutboundCall(
--- a/flamingofront/request/tests/test_endpoint_ends.py
+++ b/flamingofront/request/tests/test_endpoint_ends.py
@@ -261,3 +261,59 @@
         world.detector.record_refused_attempt("e-1")
         world.run(0.1)
         assert [each.requests for each in world.crashes] == [("one",)]
+
+
+class TestUncertainCrashes:
+    def test_host_that_nobody_reaches_beside_one_that_is_reached(self):
+        """Its connections are never reset, and its row expires seconds later."""
+        world = CrashDetectorHarness()
+        world.transport.reach = ConnectResult.UNANSWERED
+        world.abandon("one")
+        world.run(1.0)
+        assert world.uncertain == [("e-1", ("one",))] and not world.crashes
+
+    @pytest.mark.parametrize("neighbour, is_reached", [("unanswered", False), ("connected", True)])
+    def test_partitioned_zone_or_endpoint_that_a_peer_reaches(self, neighbour, is_reached):
+        world = CrashDetectorHarness()
+        world.transport.reach = ConnectResult.UNANSWERED
+        world.transport.neighbour_reach = ConnectResult(neighbour)
+        world.detector.ask_peer = lambda endpoint_id, on_answer: on_answer(is_reached)
+        world.abandon("one")
+        world.run(1.0)
+        assert not world.uncertain
+
+    def test_endpoint_that_accepts_connections_and_does_not_respond(self):
+        """Its listening sockets are closed a second after its connections."""
+        world = CrashDetectorHarness()
+        world.transport.reach = ConnectResult.CONNECTED
+        world.detector.probe_response = lambda endpoint_id, on_result: on_result(False)
+        world.lose_connections("one")
+        world.run(0.4)
+        assert world.uncertain == [("e-1", ("one",))]
+        world.transport.reach = ConnectResult.REFUSED
+        world.run(1.5)
+        assert [each.requests for each in world.crashes] == [("one",)]
+
+    def test_endpoint_that_responds_lives(self):
+        world = CrashDetectorHarness()
+        world.transport.reach = ConnectResult.CONNECTED
+        world.lose_connections("one")
+        world.run(10.0)
+        assert not world.uncertain and not world.crashes
+
+    def test_data_that_a_busy_process_reads_late_is_no_sign_of_life(self):
+        world = CrashDetectorHarness()
+        world.lose_connections("one")
+        world.run(0.015)
+        world.directory.record_contact("e-1", world.clock.now())
+        world.run(0.5)
+        assert world.uncertain == [("e-1", ("one",))]
+
+    def test_request_in_flight_at_a_silent_host_counts(self):
+        world = CrashDetectorHarness()
+        world.transport.reach = ConnectResult.UNANSWERED
+        request = InterruptedRequest("one", ("p",))
+        world.detector.list_running = lambda endpoint_id: (request,)
+        world.detector.record_attempt("e-1", request)
+        world.run(1.2)
+        assert world.uncertain[0] == ("e-1", ("one",))
