Parts of recorded sends and common parts outlast a restart of all processes

Cause: a fresh process blamed no part before it had seen four answers, and no endpoint lived long enough to answer; sends that were recorded before a kill had fingerprints and no parts. Evidence was kept only in processes that were gone. Change: recorded sends have the parts of their prompts (16 at most), and evidence in the store the seconds of its requests. The few parts that many requests share and that were answered are kept in the row answered-parts of held-requests, written when a new one is missing. A process that has read it blames a part that is not among them, and that few of its own requests have, without answers. Evidence that is read is evaluated once for all rows, so that no part is blamed before the row of another one on the same crashes is read. Processes of earlier versions log 'quarantine row rejected' for the new row.

--- a/bench/quarantine_mutations.py
+++ b/bench/quarantine_mutations.py
@@ -14,6 +14,7 @@
 RECORDER = "process/tests/test_intents.py"
 EXPOSURE = "decisions/tests/test_part_exposure.py"
 KEPT = "tests/test_part_evidence_kept.py"
+ANSWERED = "process/tests/test_answered_parts.py"
 
 QUARANTINE_MUTATIONS = (
     Mutation(
@@ -222,4 +223,11 @@
         "if True or",
         ENDS,
     ),
+    Mutation(
+        "R fresh processes know the common parts",
+        "process/answered_parts.py",
+        "        self._evidence.load_answers(answers)\n",
+        "",
+        ANSWERED,
+    ),
 )
--- a/flamingofront/decisions/send_intents.py
+++ b/flamingofront/decisions/send_intents.py
@@ -48,6 +48,8 @@
         VM and incarnation (start time in milliseconds) of the sending process.
     at : float
         Time of the send in seconds of the shared wall clock.
+    parts : tuple of str
+        Parts of the request's prompt that other requests may share.
     """
 
     endpoint_id: str
@@ -56,6 +58,7 @@
     vm_id: str
     incarnation: int
     at: float
+    parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/flamingofront/process/former_sends.py
+++ b/flamingofront/process/former_sends.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from flamingofront.connection.interfaces import ConnectResult
+from flamingofront.decisions.part_facts import InterruptedRequest, PartCrash
 from flamingofront.decisions.quarantine_facts import EndpointCrash, IntentSummary
 from flamingofront.decisions.send_intents import IntentRecord, SendIntent
 from flamingofront.errors import PlatformError
@@ -272,6 +273,8 @@
             )
             self._guard.intents.record_unobserved_crash(crash.endpoint_id)
         self._guard.load_evidence(crashes)
+        now = self._guard.wall()
+        self._guard.load_part_crashes(_build_part_crash(each, now) for each in at_endpoint.values())
 
 
 def _build_crash(sends: list[tuple[str, SendIntent]]) -> EndpointCrash:
@@ -288,3 +291,16 @@
     # Other requests may have been in flight there: a request that an endpoint has answered before
     # is not recorded.
     return EndpointCrash(first.endpoint_id, first.zone, at, fingerprints, omitted=1)
+
+
+def _build_part_crash(sends: list[tuple[str, SendIntent]], now: float) -> PartCrash:
+    """Return the crash of one endpoint with the prompt parts of the requests recorded there.
+
+    When it crashed is not known, so that the requests may have been there until now.
+    """
+    crash, found = _build_crash(sends), dict(sends)
+    requests = tuple(
+        InterruptedRequest(each, found[each].parts, seconds=max(0.0, now - found[each].at))
+        for each in crash.requests
+    )
+    return PartCrash(crash.endpoint_id, crash.zone, crash.at, requests)
--- a/flamingofront/process/forwarding/held_requests.py
+++ b/flamingofront/process/forwarding/held_requests.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable, Iterable
 
+from flamingofront.process.answered_parts import AnsweredParts
 from flamingofront.process.backoff import Backoff
 from flamingofront.process.forwarding.follower import TableListener, TableWatcher
 from flamingofront.process.forwarding.peers import Peers
@@ -67,6 +68,9 @@
         self._keeper = QuarantineStore(
             guard, TableQuarantine(store), services, FEED_LATENCY_SECONDS, is_standby
         )
+        self._keeper.answered_parts = AnsweredParts(
+            store, QUARANTINE_TABLE, guard.parts.evidence, services
+        )
         store.add_restore_listener(self._keeper.rewrite_entries)
         self._recorder = make_recorder(TableIntents(store), services)
         store.add_restore_listener(self._recorder.rewrite_intents)
--- a/flamingofront/process/holds.py
+++ b/flamingofront/process/holds.py
@@ -21,6 +21,7 @@
 )
 from flamingofront.errors import PlatformError
 from flamingofront.messages import Sleep
+from flamingofront.process.answered_parts import ANSWERED_PARTS_KEY, AnsweredParts
 from flamingofront.process.backoff import Backoff
 from flamingofront.process.documents import Condition, DocumentStore, Write
 from flamingofront.process.quarantine_codec import (
@@ -214,6 +215,11 @@
         Seconds within which this process learns of an entry that another process has stored.
     is_standby : callable
         Returns True if other processes watch the store on behalf of this one.
+
+    Attributes
+    ----------
+    answered_parts : AnsweredParts or None
+        Common prompt parts that were answered; None if they are not kept.
     """
 
     def __init__(
@@ -234,6 +240,7 @@
         self._log = services.log
         self._versions: dict[str, int] = {}
         self._stored: dict[str, QuarantineEntry] = {}
+        self.answered_parts: AnsweredParts | None = None
         guard.on_quarantine_change = self._on_entry_change
         guard.acquire_trial = self._acquire_trial
         guard.on_evidence = lambda evidence: self._tasks.start(self._store_evidence(evidence))
@@ -274,7 +281,10 @@
             if row.value is None:
                 continue
             try:
-                if row.key.startswith(EVIDENCE_PREFIX):
+                if row.key == ANSWERED_PARTS_KEY:
+                    if self.answered_parts is not None:
+                        self.answered_parts.merge_row(row)
+                elif row.key.startswith(EVIDENCE_PREFIX):
                     fingerprint = row.key.removeprefix(EVIDENCE_PREFIX)
                     self.merge_evidence(fingerprint, decode_evidence(fingerprint, row.value))
                 else:
@@ -296,6 +306,8 @@
         """Store all entries again after the store was restored from an older snapshot."""
         self._versions.clear()
         self._stored.clear()
+        if self.answered_parts is not None:
+            self.answered_parts.rewrite()
         for entry in self._guard.quarantine.list_entries():
             self._on_entry_change(entry, is_local=False)
 
--- a/flamingofront/process/intent_rows.py
+++ b/flamingofront/process/intent_rows.py
@@ -70,6 +70,8 @@
         str(doc["vm_id"]),
         int(doc["incarnation"]),
         float(doc["at"]),
+        # Processes of earlier versions record no parts.
+        tuple(str(each) for each in doc.get("parts", ())),
     )
 
 
--- a/flamingofront/process/intents.py
+++ b/flamingofront/process/intents.py
@@ -194,6 +194,7 @@
             self._sender.vm_id,
             self._sender.incarnation,
             self._guard.wall(),
+            details.parts,
         )
         handle = _SendHandle(self, details.fingerprint, intent, on_ready, self._timers.now())
         self._local_sends[intent] = handle
--- a/flamingofront/request/intent_gate.py
+++ b/flamingofront/request/intent_gate.py
@@ -27,6 +27,10 @@
 ]
 
 
+# Prompts may hold hundreds of parts, and a transaction many records.
+MAX_RECORDED_PARTS = 16
+
+
 class RecordOutcome(StrEnum):
     """State of the record of a send at the time at which the request may be sent."""
 
@@ -44,12 +48,13 @@
 
 @dataclass(frozen=True)
 class SendDetails:
-    """Recorded details of an attempt: the fingerprint of the request and its target."""
+    """Recorded details of an attempt: the fingerprint and parts of the request, and its target."""
 
     fingerprint: str
     endpoint_id: str
     address: str
     zone: str
+    parts: tuple[str, ...] = ()
 
 
 class IntentHandle(ABC):
@@ -148,7 +153,13 @@
     def record_attempt(self, action: StartAttempt, chosen: Candidate) -> None:
         """Record an attempt, then send it."""
         request, asked_at = self._request, self._request.hub.now()
-        details = SendDetails(request.fingerprint, chosen.endpoint_id, chosen.address, chosen.zone)
+        details = SendDetails(
+            request.fingerprint,
+            chosen.endpoint_id,
+            chosen.address,
+            chosen.zone,
+            request.identity.parts[:MAX_RECORDED_PARTS],
+        )
         self._pending[action.attempt_id] = request.hub.guard.intents.record_send(
             details, lambda outcome: self._on_recorded(action, chosen, outcome, asked_at)
         )
