Soak of prompt parts plays events before crashes and callers that leave

Change: stand-in endpoints send events before they exit (--crash-events); half or all of the callers with the part close their connections 0.03 to 0.5 s after sending, by seed.

--- a/flamingofront/standins/programs.py
+++ b/flamingofront/standins/programs.py
@@ -19,6 +19,7 @@
 from flamingofront.process.settings import parse_address
 from flamingofront.standins.engine import EngineOptions, EngineStandIn
 from flamingofront.standins.forward_endpoint import (
+    CrashAnswer,
     ForwardEndpointStandIn,
     ForwardFault,
     list_shared_parts,
@@ -140,6 +141,7 @@
     events: int = 8,
     cut: float = 0.0,
     crash_part: str = "",
+    crash_events: int = 0,
     advertise: str = "",
 ) -> None:
     """Serve forwarded requests as an endpoint that registers itself in the store.
@@ -161,6 +163,7 @@
     :param events: number of events in a stream
     :param cut: fraction of the streams that break off in the middle of an event
     :param crash_part: exit when a request with this part in its prompt, but last, begins to run
+    :param crash_events: events of its answer that are sent before the exit
     :param advertise: IP:PORT in the row, if a relay listens there for the endpoint
     """
     row = {
@@ -181,6 +184,9 @@
         standin.leaving, standin.retry_after = leaving, retry_after
         if crash_part:
             standin.crashes_on = lambda req: crash_part in list_shared_parts(req)
+            if crash_events:
+                standin.crash_answer = CrashAnswer.EVENTS
+                standin.events_before_crash = crash_events
             standin.on_crash = lambda req: os._exit(1)
         rng = random.Random(endpoint_id)
 
--- a/scripts/soak_parts.py
+++ b/scripts/soak_parts.py
@@ -1,7 +1,8 @@
 #!/usr/bin/env python3
 """Soak of real processes with prompt parts that crash endpoints, and an oracle over all requests.
 
-Each endpoint exits when a request with such a part begins to run, and another one takes its place.
+Each endpoint exits when a request with such a part begins to run, with or without some events, and
+another one takes its place. Some callers with the part close their connections before.
 The answers of some end with their connection, and some of their streams inside an event.
 Entry processes are killed, suspended, reloaded and cut from the store meanwhile, endpoints are
 killed for other reasons, and callers prefer one process for some seconds. Exits with 1 if requests
@@ -51,6 +52,11 @@
 PLACES = ("first", "middle", "deep", "anywhere")
 BACK_SECONDS = (0.8, 2.0, 4.0)
 POISON_RATES = (1.0, 4.0, 12.0)
+# Events that endpoints send before they exit, and the share of the callers with the part that close
+# their connections within a time, in seconds.
+CRASH_EVENTS = (0, 1, 3)
+LEAVING_SHARES = (0.0, 0.5, 1.0)
+LEAVE_SECONDS = (0.03, 0.5)
 # Sound requests go on alone for so long at first, so that their parts have been answered.
 SOUND_SECONDS = 4.0
 PREFERRED_SECONDS = 5.0
@@ -146,6 +152,7 @@
         self._place = rng.choice(PLACES)
         self._poison_rate = rng.choice(POISON_RATES)
         self._back_seconds = rng.choice(BACK_SECONDS)
+        self._leaving_share = rng.choice(LEAVING_SHARES)
         self._watched: set[str] = set()
         self._is_over = False
 
@@ -204,6 +211,8 @@
             self.poison.add(request_id)
         is_stream = rng.random() < STREAM_SHARE
         conn = self._take_connection(conns, front)
+        if poison_parts and rng.random() < self._leaving_share:
+            conn.timeout = rng.uniform(*LEAVE_SECONDS)
         sent_at = time.monotonic()
         response = self._call(conn, request_id, is_stream, self._list_parts(number, poison_parts))
         if response.is_kept:
@@ -410,8 +419,9 @@
     :param unframed: fraction of the endpoints whose answers have neither a length nor chunks
     """
     folder = Path(tempfile.mkdtemp())
-    words = ("--crash-part", POISON_PART)
     rng = random.Random(seed)
+    events = rng.choice(CRASH_EVENTS)
+    words = ("--crash-part", POISON_PART, "--crash-events", str(events))
     args = (folder, seed % MAX_NETWORKS, processes, endpoints, words)
     with RelayedDeployment(*args, rng=rng, unframed=unframed) as deployment:
         soak = PartSoak(deployment, rng)
@@ -424,6 +434,7 @@
     served, count = soak.served_share()
     summary = {
         "seed": seed,
+        "crash_events": events,
         "crashes": len(soak.crashed_at),
         "crash_seconds": [round(each - min(soak.crashed_at), 2) for each in soak.crashed_at],
         "sent_late": len(soak.sent_late()),
