--- a/flamingofront/request/abandoned_attempts.py
+++ b/flamingofront/request/abandoned_attempts.py
@@ -56,6 +56,11 @@
         """Return True if an attempt was abandoned at an endpoint."""
         return any(each.endpoint_id == endpoint_id for each in self._attempts)
 
+    def discard(self, endpoint_id: str) -> None:
+        """Drop the attempts at an endpoint, to which a crash was attributed."""
+        kept = (each for each in self._attempts if each.endpoint_id != endpoint_id)
+        self._attempts = deque(kept, maxlen=MAX_ATTEMPTS)
+
     def list_at(self, endpoint_id: str, since: float) -> list[AbandonedAttempt]:
         """Return the attempts at an endpoint that were abandoned since a time, oldest first."""
         return [
--- a/flamingofront/request/endpoint_ends.py
+++ b/flamingofront/request/endpoint_ends.py
@@ -170,8 +170,9 @@
                 if check.is_crashed:
                     self._notify_crash(endpoint_id, check, (request,))
             return
-        if endpoint_id in self._crashed_at:
-            self._attribute(endpoint_id, self._crashed_at[endpoint_id], (request,))
+        crashed_at = self._crashed_at.get(endpoint_id)
+        if crashed_at is not None and self._timers.now() - crashed_at <= CRASH_RETENTION_SECONDS:
+            self._attribute(endpoint_id, crashed_at, (request,))
             return
         if self._directory.is_unavailable(endpoint_id):
             return
@@ -236,6 +237,7 @@
             return
         self._store_crash(endpoint_id, at)
         requests = self._list_abandoned(endpoint_id, at)
+        self._abandoned.discard(endpoint_id)
         if requests:
             self._attribute(endpoint_id, at, requests)
 
@@ -258,7 +260,7 @@
         return tuple(each.extend(crashed_at) for each in found)
 
     def _attribute(self, endpoint_id: str, at: float, requests: Interrupted) -> None:
-        """Attribute a known crash to further requests, which this process has abandoned."""
+        """Attribute a known crash to further requests, which were abandoned or lost later."""
         fingerprints = tuple(sorted(each.fingerprint for each in requests))
         self._log.info(
             "crash attributed to abandoned requests",
@@ -513,7 +515,7 @@
         self._store_crash(endpoint_id, check.lost_at)
         lost = len(check.requests)
         check.requests = self._collect_requests(endpoint_id, check)
-        check.has_abandoned = len(check.requests) > lost
+        check.has_abandoned = bool(self._list_abandoned(endpoint_id, check.lost_at))
         self._timers.once(CRASH_RETENTION_SECONDS, lambda: self._checks.pop(endpoint_id, None))
         self._metrics.count("endpoint_ends_total")
         self._log.warning(
@@ -528,6 +530,7 @@
             answered=_describe_requests(check, is_answered=True),
             **self.describe_abandoned(endpoint_id, check.lost_at - ABANDONED_SECONDS),
         )
+        self._abandoned.discard(endpoint_id)
         self._notify_crash(endpoint_id, check, tuple(check.requests.values()))
 
     def _notify_crash(self, endpoint_id: str, check: _CrashCheck, requests: Interrupted) -> None:
--- a/flamingofront/request/tests/test_endpoint_ends.py
+++ b/flamingofront/request/tests/test_endpoint_ends.py
@@ -262,6 +262,25 @@
         world.run(0.1)
         assert [each.requests for each in world.crashes] == [("one",)]
 
+    def test_second_crash_under_the_same_id_is_found(self):
+        """Guards against an endpoint that starts again under its id and crashes once more."""
+        world = CrashDetectorHarness()
+        world.abandon("one")
+        world.run(0.4)
+        world.run(3.5)
+        world.lose_connections("two")
+        world.run(0.1)
+        assert [each.requests for each in world.crashes] == [("one",), ("two",)]
+
+    def test_requests_in_flight_at_a_crash_leave_it_complete(self):
+        """Guards against a lone poison request for which others seem to be left out."""
+        world = CrashDetectorHarness()
+        world.detector.list_running = lambda endpoint_id: (InterruptedRequest("two"),)
+        world.lose_connections("one")
+        world.run(0.1)
+        (crash,) = world.crashes
+        assert (crash.requests, crash.omitted) == (("one", "two"), 0)
+
 
 class TestUncertainCrashes:
     def test_host_that_nobody_reaches_beside_one_that_is_reached(self):
