The row of common prompt parts has only parts that a notable share of requests have

Change: a common part is in a twentieth of the recent requests; a process writes at most once in ten seconds, and not into a row of 64 parts.

--- a/flamingofront/decisions/part_evidence.py
+++ b/flamingofront/decisions/part_evidence.py
@@ -240,12 +240,11 @@
         return cleared
 
     def list_common_answers(self, limit: int) -> dict[str, float]:
-        """Return the times of the last answers to the parts with the most answers, up to a limit.
-
-        Parts with few answers are left out.
-        """
-        most = self._answer_counts.most_common(limit)
-        return {part: self._answered[part] for part, count in most if count >= MIN_COMMON_ANSWERS}
+        """Return the times of the last answers to common parts with several, up to a limit."""
+        common = self.exposure.list_common()
+        counts = {each: count for each in common if (count := self._answer_counts[each])}
+        most = sorted(counts, key=lambda each: (-counts[each], each))[:limit]
+        return {each: self._answered[each] for each in most if counts[each] >= MIN_COMMON_ANSWERS}
 
     def load_answers(self, answers: Mapping[str, float]) -> None:
         """Merge answers to common parts from the store, where earlier processes have left them."""
--- a/flamingofront/decisions/part_exposure.py
+++ b/flamingofront/decisions/part_exposure.py
@@ -9,7 +9,7 @@
 
 import math
 import statistics
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Collection, Iterable, Mapping
 
 from flamingofront.decisions.part_facts import PartSurvivor
@@ -20,6 +20,8 @@
 # Requests without a part that a process must have seen to know that not all have it.
 MIN_OTHER_REQUESTS = 4
 MAX_COMMON_SHARE = 0.75
+# Share of the requests from which on a part is likely to be at several crashes by chance.
+MIN_COMMON_SHARE = 0.05
 DEFAULT_SHARE = 0.5
 # Endpoints at which requests with a part have outlasted those at most crashes.
 MIN_SURVIVORS = 2
@@ -57,6 +59,12 @@
             return DEFAULT_SHARE
         return sum(part in each for each in self._recent) / len(self._recent)
 
+    def list_common(self) -> set[str]:
+        """Return the parts that a notable share of the recent requests have."""
+        counts = Counter(part for each in self._recent for part in each)
+        least = MIN_COMMON_SHARE * len(self._recent)
+        return {part for part, count in counts.items() if count >= least}
+
     def is_known_to_be_uncommon(self, part: str) -> bool:
         """Return True if enough recent requests of this process do not have a part."""
         others = sum(part not in each for each in self._recent)
--- a/flamingofront/decisions/tests/test_part_exposure.py
+++ b/flamingofront/decisions/tests/test_part_exposure.py
@@ -206,9 +206,13 @@
     def test_nothing_is_blamed_without_word_of_common_parts(self):
         assert self.crash_without_answers(False).blamed() == []
 
-    def test_only_parts_with_several_answers_are_common(self):
+    def test_only_parts_of_many_requests_with_several_answers_are_common(self):
+        """Guards against a row that is written for each session."""
         case = Case()
+        for number in range(100):
+            parts = {"s", "c", f"x{number}"} | ({"r"} if number < 4 else set())
+            case.evidence.exposure.record_request(parts)
         for number in range(MIN_COMMON_ANSWERS):
-            case.evidence.record_answer(("c", f"x{number}"), case.now)
+            case.evidence.record_answer(("c", "r", f"x{number}"), case.now)
         assert set(case.evidence.list_common_answers(9)) == {"s", "c"}
         assert set(case.evidence.list_common_answers(1)) == {"s"}
--- a/flamingofront/process/answered_parts.py
+++ b/flamingofront/process/answered_parts.py
@@ -19,6 +19,8 @@
 ANSWERED_PARTS_KEY = "answered-parts"
 # Any process may write the row; each waits for a random time, so that mostly one does.
 PERIOD_SECONDS = 2.0
+# Time between two writes of one process.
+WRITE_PAUSE_SECONDS = 10.0
 MAX_PARTS = 64
 
 
@@ -46,6 +48,8 @@
 
     def _list_missing(self) -> dict[str, float]:
         """Return the common parts that the row lacks, with the times of their last answers."""
+        if len(self._stored) >= MAX_PARTS:
+            return {}
         common = self._evidence.list_common_answers(MAX_PARTS)
         return {part: at for part, at in common.items() if part not in self._stored}
 
@@ -60,6 +64,7 @@
         missing = self._list_missing()
         if missing:
             yield from self._write({**self._stored, **missing})
+            yield Sleep(WRITE_PAUSE_SECONDS)
         self._is_writing = False
 
     def _write(self, answers: dict[str, float]) -> Task:
