Evidence against prompt parts is stored for fewer parts and deleted in batches

Change: after a single crash only parts of requests without events are stored; refuted evidence is deleted every two seconds in one call.

--- a/flamingofront/request/guard.py
+++ b/flamingofront/request/guard.py
@@ -58,6 +58,8 @@
 MIN_RETRY_SECONDS = 1.0
 # Received updates are forwarded in batches, because tens of processes report the same crash.
 GOSSIP_BATCH_SECONDS = 0.03
+# Evidence that was refuted is deleted in batches, since each write costs a call to the store.
+REFUTATION_BATCH_SECONDS = 2.0
 
 
 @dataclass(frozen=True)
@@ -180,6 +182,8 @@
         # Fingerprints of requests whose crashes are in the store, as far as this process knows.
         self._persisted: OrderedDict[str, None] = OrderedDict()
         self._observed_parts: set[str] = set()
+        # Keys of parts whose evidence in the store is to be deleted.
+        self._refuted: set[str] = set()
         self._sources: OrderedDict[str, _Source] = OrderedDict()
         self._gossip_scheduled = False
         self._evaluation_scheduled = False
@@ -279,7 +283,10 @@
         if self.parts.record_crash(crash, requests, at) or is_new:
             parts = {part for each in requests for part in each.parts}
             self._observed_fingerprints.update(crash.requests)
-            self._observed_parts.update(parts)
+            # Parts of requests with events are stored once they were at two crashes.
+            self._observed_parts.update(
+                part for each in requests if not each.is_answered for part in each.parts
+            )
             self._evaluate(is_local=True)
             self._persist_evidence(crash.requests, parts, CRASHES_TO_PERSIST)
             self.on_update()
@@ -373,6 +380,7 @@
 
     def _mark_persisted(self, fingerprints: Iterable[str]) -> None:
         self._persisted.update(dict.fromkeys(fingerprints))
+        self._refuted.difference_update(fingerprints)
         while len(self._persisted) > MAX_SUSPECTS:
             self._persisted.popitem(last=False)
 
@@ -454,14 +462,23 @@
         for entry in reduced:
             self._enforce_quarantine(entry, "reduced")
             self.on_quarantine_change(entry, True)
-        persisted = [key for each in cleared if (key := part_key((each,))) in self._persisted]
-        for key in persisted:
-            self._persisted.pop(key)
-        if persisted:
-            self.on_evidence({key: () for key in persisted})
+        for key in map(part_key, ((each,) for each in cleared)):
+            if self._persisted.pop(key, self) is None:
+                self._refute_stored(key)
         if cleared or reduced:
             self._schedule_gossip()
 
+    def _refute_stored(self, key: str) -> None:
+        """Delete the stored evidence against a part, together with that against others."""
+        if not self._refuted:
+            self._timers.once(REFUTATION_BATCH_SECONDS, self._delete_refuted)
+        self._refuted.add(key)
+
+    def _delete_refuted(self) -> None:
+        refuted, self._refuted = self._refuted, set()
+        if refuted:
+            self.on_evidence({key: () for key in sorted(refuted)})
+
     def release_work(self, work: str) -> bool:
         """Release a request or prompt part for an operator; return False if it is not quarantined.
 
