--- a/flamingofront/decisions/part_evidence.py
+++ b/flamingofront/decisions/part_evidence.py
@@ -453,12 +453,11 @@
         """
         without = [each for each in self._crashes if part not in each.parts]
         causes = set()
-        last_at = -math.inf
+        first_at = -math.inf
         for crash in sorted(crashes, key=lambda each: each.at):
-            is_simultaneous = crash.at - last_at <= SIMULTANEOUS_SECONDS
-            last_at = crash.at
-            if is_simultaneous:
+            if crash.at - first_at <= SIMULTANEOUS_SECONDS:
                 continue
+            first_at = crash.at
             has_other_cause = any(
                 each.zone == crash.zone and abs(each.at - crash.at) <= COMMON_CAUSE_SECONDS
                 for each in without
--- a/flamingofront/decisions/tests/test_part_exposure.py
+++ b/flamingofront/decisions/tests/test_part_exposure.py
@@ -84,6 +84,13 @@
         assert case.blamed() == []
         assert compute_chance(1, 0.001) > MAX_CHANCE
 
+    def test_quick_succession_of_crashes_is_not_one_cause(self):
+        """Guards against a hundred poison requests a second that are never found out."""
+        case = Case()
+        for _ in range(30):
+            case.crash({"s", "q"}, apart=0.01)
+        assert case.blamed() == [{"q"}]
+
 
 class TestAnswersThatBegin:
     """A first event is no answer: an endpoint may crash after it."""
