--- a/flamingofront/decisions/part_evidence.py
+++ b/flamingofront/decisions/part_evidence.py
@@ -53,9 +53,10 @@
 BASE_SECONDS = 10.0
 PRIOR_CRASHES = 0.5
 MIN_EXPOSURE_SECONDS = 0.05
+# A part counts as absent from a tenth of the requests at least, so that answers to others count.
 MAX_SHARE = 0.9
-# Answers to requests with a part that would be expected beside those to other requests, and their
-# lack outweighs requests with the part that go on elsewhere.
+# If answers to other requests let so many be expected to requests with a part and there are none,
+# this outweighs its requests that go on elsewhere.
 EXPECTED_ANSWERS = 8.0
 # The same for a part that has been answered, and may have begun to crash a new model version.
 PROVEN_CRASHES_TO_BLAME = 6
