Review: a stopping process takes a stream late and breaks it off, in place of a lesser case

Cause: the expected time of a stream is scaled by the tokens that requesters allowed, not by those that were generated, so streams that ended early stand for the longest ones.

The stand-in of runners has streams and answers without end.

--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -29,11 +29,15 @@
 
 @dataclass
 class Answer:
-    """What a requester saw of one attempt; status 0 if the channel ended without an answer."""
+    """What a requester saw of one attempt.
+
+    The status is 0 if the channel ended without a complete answer, `has_head` tells if one began.
+    """
 
     status: int
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
+    has_head: bool = False
 
 
 @dataclass
@@ -211,6 +215,15 @@
         return (self.temp / f"{name}.log").read_text(errors="replace")
 
 
+def read_memory_mb(front: Front) -> float:
+    """Return the resident memory of an entry process in megabytes; 0 if it has ended."""
+    if front.process.poll() is not None:
+        return 0.0
+    lines = Path(f"/proc/{front.process.pid}/status").read_text().splitlines()
+    found = (line.split()[1] for line in lines if line.startswith("VmRSS:"))
+    return int(next(found, 0)) / 1000
+
+
 async def send(
     address: str,
     method: str,
@@ -233,7 +246,7 @@
     finally:
         writer.close()
     if response is None or not response.complete:
-        return Answer(0)
+        return Answer(0, has_head=response is not None)
     return Answer(response.status, response.headers, response.body)
 
 
--- a/review/common/runner.py
+++ b/review/common/runner.py
@@ -5,12 +5,19 @@
 drops a request when its channel closes. A request whose prompt holds the part given by `poison`
 ends the process in place of its answer.
 
+The answer to a path with `/stream/` is a stream of events, one for each `stride` tokens.
+`X-Flamingofront-Length-Hint` tells how many tokens it generates, which may be fewer than the most
+that the requester allows.
+
 A faulty runner (`broken` is not 0) breaks off its answer with that number, and after that sends a
 second copy of its next answer to a request for its state. The copy arrives late: before the answer
 to the next request on the channel.
 
+A runner in trouble (`endless` is not 0) gives that share of the requests of some seconds bytes
+without end, after a head of an answer without a length, until the caller closes the channel.
+
 Each line of the record has the time, the event and the id of the request: `arrived`, `began`,
-`answered`, `dropped`, `crashed`, `broken-off` or `second-answer`.
+`answered`, `dropped`, `crashed`, `broken-off`, `second-answer` or `endless`.
 """
 
 import argparse
@@ -23,6 +30,8 @@
 import wire
 
 HEARTBEAT_SECONDS = 1.2
+ENDLESS_BYTES_PER_SECOND = 1_000_000
+ENDLESS_PERIOD_SECONDS = 0.02
 
 
 class Runner:
@@ -34,6 +43,8 @@
         self._sequence = 0
         self._answers = 0
         self._must_repeat = False
+        self._started_at = time.monotonic()
+        self._endless_due = 0.0
         # Copies that are still to be sent, by channel.
         self._copies: dict[asyncio.StreamWriter, bytes] = {}
 
@@ -92,7 +103,13 @@
         if writer in self._copies:
             self.log("second-answer", request_id)
             writer.write(self._copies.pop(writer))
-        work = asyncio.ensure_future(self._work(req, request_id))
+        if self._is_endless():
+            self.log("endless", request_id)
+            await self._send_without_end(writer)
+            return False
+        is_stream = "/stream/" in path
+        run = self._stream(req, request_id, headers, writer) if is_stream else None
+        work = asyncio.ensure_future(run or self._work(req, request_id))
         gone = asyncio.ensure_future(reader.read(1))
         await asyncio.wait({work, gone}, return_when=asyncio.FIRST_COMPLETED)
         if not work.done():
@@ -101,6 +118,8 @@
             return False
         gone.cancel()
         await asyncio.sleep(0)
+        if is_stream:
+            return True
         headers["X-Flamingofront-Response-Seal"] = f"{self._options.id}.{request_id}"
         body = json.dumps({"runner": self._options.id, "request": request_id}).encode()
         answer = wire.encode_response(200, headers, body)
@@ -114,12 +133,48 @@
         self.log("answered", request_id)
         return True
 
+    def _is_endless(self) -> bool:
+        options = self._options
+        since = time.monotonic() - self._started_at - options.trouble_at
+        if not options.endless or not 0 <= since < options.trouble_for:
+            return False
+        self._endless_due += options.endless
+        if self._endless_due < 1.0:
+            return False
+        self._endless_due -= 1.0
+        return True
+
+    async def _send_without_end(self, writer: asyncio.StreamWriter) -> None:
+        """Send bytes at a steady rate until the caller closes the channel."""
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n")
+        with contextlib.suppress(ConnectionError):
+            while True:
+                writer.write(b"x" * int(ENDLESS_BYTES_PER_SECOND * ENDLESS_PERIOD_SECONDS))
+                await writer.drain()
+                await asyncio.sleep(ENDLESS_PERIOD_SECONDS)
+
     def _find_rejection(self, req: wire.Message, request_id: str) -> int:
         expected = req.headers.get("x-flamingofront-expect-instance", self._options.id)
         if expected != self._options.id:
             return 421
         return 0 if request_id else 400
 
+    async def _stream(self, req: wire.Message, request_id: str, headers, writer) -> None:
+        options = self._options
+        headers["X-Flamingofront-Response-Seal"] = f"{options.id}.{request_id}"
+        headers |= {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
+        tokens = int(req.headers["x-flamingofront-length-hint"])
+        await asyncio.sleep(options.start)
+        self.log("began", request_id)
+        lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        writer.write(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode())
+        for number in range(1, tokens // options.stride + 1):
+            await asyncio.sleep(options.token * options.stride)
+            event = f"id: {number}\ndata: {request_id}\n\n".encode()
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+        writer.write(b"0\r\n\r\n")
+        self.log("answered", request_id)
+
     async def _work(self, req: wire.Message, request_id: str) -> None:
         options = self._options
         counts = req.headers.get("x-flamingofront-token-counts", "")
@@ -149,7 +204,11 @@
     parser.add_argument("--slots", type=int, default=8)
     parser.add_argument("--start", type=float, default=0.02)
     parser.add_argument("--token", type=float, default=0.01)
+    parser.add_argument("--stride", type=int, default=6)
     parser.add_argument("--work", type=float, default=0.05)
     parser.add_argument("--poison", default="")
     parser.add_argument("--broken", type=int, default=0)
+    parser.add_argument("--endless", type=float, default=0.0)
+    parser.add_argument("--trouble-at", type=float, default=0.0)
+    parser.add_argument("--trouble-for", type=float, default=0.0)
     asyncio.run(main(parser.parse_args()))
