--- a/flamingofront/process/forwarding/duty.py
+++ b/flamingofront/process/forwarding/duty.py
@@ -64,6 +64,9 @@
         VMs that held the lease before, the most recent first.
     era : int
         Era of the store in which the row was written.
+    reports_from : int
+        First usage window of which `reports` tells whether it was reported. A restore of the store
+        has removed what earlier holders recorded of the windows before it.
     """
 
     holder: str = ""
@@ -72,6 +75,7 @@
     reports: Mapping[str, Mapping[str, int]] = field(default_factory=dict)
     past: tuple[str, ...] = ()
     era: int = 0
+    reports_from: int = 0
 
 
 @dataclass(frozen=True)
@@ -98,6 +102,8 @@
         The row as last read or written.
     released_fencing : int
         Fencing token of the lease that this process has released; 0 if it has not.
+    current_window : callable
+        Returns the number of the usage window that has not ended yet.
     """
 
     def __init__(
@@ -129,9 +135,7 @@
         self._era = 0
         self._highest_fencing = 0
         self._cached_reports: dict[str, Mapping[str, int]] = {}
-        # Called when the lease is acquired after the store was restored from an older snapshot:
-        # what previous holders have reported since the snapshot is unknown.
-        self.on_restore: Callable[[], None] = lambda: None
+        self.current_window: Callable[[], int] = lambda: 0
 
     @property
     def version(self) -> int:
@@ -228,7 +232,7 @@
             yield from self._acquire()
 
     def _merge_row(self, row: StoredRow | None, version: int) -> None:
-        """Apply the row as read now, keeping usage reports already seen here.
+        """Apply the row as read now, keeping what this process knows of usage reports.
 
         Notes
         -----
@@ -244,7 +248,11 @@
                 # A holder of this era has dropped the window because it was reported long ago.
                 del self._cached_reports[window]
         self._cached_reports = {**state.reports, **self._cached_reports}
-        self.state = replace(state, reports=dict(self._cached_reports))
+        self.state = replace(
+            state,
+            reports=dict(self._cached_reports),
+            reports_from=max(state.reports_from, self.state.reports_from),
+        )
 
     def _is_held_by_vm(self) -> bool:
         """Return True if an earlier process of this VM, which must have ended, held the lease."""
@@ -255,12 +263,18 @@
         last = self.state.holder
         past = ((last,) if last else ()) + tuple(self.state.past)
         is_behind = self.state.era < self._era
+        reports_from = self.state.reports_from
+        if is_behind:
+            # Stored with the lease: this holder may end before it has reported a window.
+            reports_from = max(reports_from, self.current_window())
+            self._log.warning("usage windows skipped", before=reports_from)
         state = replace(
             self.state,
             holder=self._vm_id,
             incarnation=self._incarnation,
             fencing=self._highest_fencing + (ERA_FENCING_GAP if is_behind else 1),
             past=past[:MAX_PAST_HOLDERS],
+            reports_from=reports_from,
         )
         sent_at = self._now()
         if not (yield from self._write(state)):
@@ -268,8 +282,6 @@
             self._last_seen_at = self._now()
             self._log.info("leader lease not acquired", fencing=state.fencing)
             return
-        if is_behind:
-            self.on_restore()
         # After a restore the holders since the snapshot are unknown, and this VM may be one of
         # them.
         held_before = is_behind or (self._vm_id in past and past[0] != self._vm_id)
--- /dev/null
+++ b/flamingofront/process/forwarding/tests/test_holders_after_restore.py
@@ -0,0 +1,153 @@
+"""Several holders of the leader lease in turn, after the store was restored from a snapshot.
+
+What a holder learns of a restore has to reach its successors: a holder that ended before it had
+acted took it with it, and the next one reported windows again that earlier holders had reported.
+"""
+
+import random
+
+import pytest
+
+from flamingofront.process.forwarding.duty import LEADER_KEY, LEADER_PARTITION, LEADER_TABLE
+from flamingofront.process.forwarding.tests.test_duties import (
+    assert_one_holder_at_a_time,
+    cloud_calls,
+    reported_usage,
+)
+from flamingofront.process.forwarding.tests.test_restored_store import restore
+from flamingofront.standins.table_store import StoreFault
+from flamingofront.tests.forwarding_world import ready_world
+
+# Requests that run for longer than a window are counted, after its end, in the window of their
+# start, so that a second report of a window differs from the first one.
+WORK_SECONDS = 3.0
+DUE_SECONDS = 12.0
+# A restart of the holder until its successor has been stopped too takes some seconds.
+RESTART_SECONDS = 2.0
+
+
+class RestoredDuties:
+    """A deployment whose holders of the lease end one after the other."""
+
+    def __init__(self, seed=1, fronts=4):
+        self.rng = random.Random(seed)
+        self.world = ready_world(fronts=fronts, plains=4, seed=seed)
+        for name, each in self.world.endpoints.items():
+            if name.startswith("plain"):
+                each.gap = WORK_SECONDS
+        self.run(16.0)
+
+    def run(self, seconds):
+        """Let some seconds pass, with six requests a second."""
+        end = self.world.clock.now() + seconds
+        while self.world.clock.now() < end:
+            running = [
+                name
+                for name in self.list_live()
+                if not self.world.fronts[name].stopping and self.world.fronts[name].ready
+            ]
+            if running:
+                name = self.rng.choice(running)
+                self.world.ask(name, "/read/x", X_Flamingofront_Deadline_Ms="4000")
+            self.world.run(1.0 / 6.0)
+
+    def list_live(self):
+        """Return the VMs whose process runs."""
+        return [name for name in self.world.fronts if not self.world.host(name).dead]
+
+    def find_holder(self):
+        """Return the VM that holds the lease; None if there is none."""
+        for name in self.list_live():
+            if self.world.fronts[name].lease.valid_lease() is not None:
+                return name
+        return None
+
+    def run_until_held(self, limit=12.0):
+        end = self.world.clock.now() + limit
+        while self.find_holder() is None and self.world.clock.now() < end:
+            self.run(0.1)
+        return self.find_holder()
+
+    def end_holder(self, way):
+        """Stop the holder, or kill it, and start it again later."""
+        name = self.run_until_held()
+        if name is None:
+            return
+        node = self.world.fronts[name]
+        if way == "stop":
+            node.stopping = True
+            node.tasks.start(node.lease.release())
+            node.peers.broadcast_report()
+            self.run(1.5)
+        self.world.kill(name)
+        timers = self.world.host("store").timers
+        timers.once(RESTART_SECONDS, lambda: self.world.front(name, first_start=False))
+
+    def restore_while_holder_ends(self, age, way="kill"):
+        """Restore the store to a snapshot; the holder before ends while the store is away."""
+        self.world.store.fault = StoreFault.RESET
+        self.run(0.2)
+        self.end_holder(way)
+        restore(self.world, age, outage=0.2)
+
+    def check(self):
+        """Check that no window has two counts and that each token belongs to one holder."""
+        reported_usage(self.world)
+        assert_one_holder_at_a_time(self.world)
+        holders = {}
+        for each in self.world.store.leader_calls:
+            assert holders.setdefault(each.fencing, each.holder) == each.holder
+
+    def last_window(self):
+        """Return the newest window that was reported."""
+        return max(each.body["window_id"] for each in cloud_calls(self.world, "/usage"))
+
+
+class TestHoldersInTurn:
+    @pytest.mark.parametrize("way", ["stop", "kill"])
+    @pytest.mark.parametrize("holders", [1, 2, 3])
+    @pytest.mark.parametrize("age", [4.0, 8.0])
+    def test_windows_lost_in_a_restore_are_not_reported_by_later_holders(self, age, holders, way):
+        """The second holder after a restore reported a window again, with another count."""
+        duties = RestoredDuties()
+        duties.restore_while_holder_ends(age, way)
+        for _ in range(holders):
+            duties.end_holder(way)
+        duties.run(DUE_SECONDS)
+        duties.check()
+        now = duties.world.fronts["front-1"].usage.window_at(duties.world.clock.now())
+        assert duties.last_window() >= now - 3
+
+    @pytest.mark.parametrize("age", [6.0, 10.0])
+    def test_restore_while_nobody_holds_the_lease(self, age):
+        """Nobody saw the restore as holder, and the first one after it ended at once."""
+        duties = RestoredDuties()
+        duties.world.kill(duties.find_holder())
+        duties.run(1.0)
+        restore(duties.world, age)
+        assert duties.find_holder() is None
+        duties.end_holder("kill")
+        duties.run(DUE_SECONDS)
+        duties.check()
+
+    def test_snapshot_older_than_the_lease(self):
+        """The row of the lease is missing in the snapshot, as if there had been no holder."""
+        duties = RestoredDuties()
+        duties.end_holder("kill")
+        restore(duties.world, 1000.0)
+        for each in ("stop", "kill"):
+            duties.end_holder(each)
+        duties.run(DUE_SECONDS)
+        duties.check()
+
+
+class TestStoredRestore:
+    def test_row_holds_what_the_next_holder_needs(self):
+        """The lease row is all that outlasts its holder."""
+        duties = RestoredDuties()
+        duties.world.kill(duties.find_holder())
+        restore(duties.world, 6.0)
+        duties.run_until_held()
+        row = duties.world.store.get_value(LEADER_TABLE, LEADER_KEY, LEADER_PARTITION)
+        window = duties.world.fronts["front-1"].usage.window_at(duties.world.clock.now())
+        assert window - 1 <= row["reports_from"] <= window
--- a/flamingofront/process/forwarding/usage.py
+++ b/flamingofront/process/forwarding/usage.py
@@ -213,20 +213,7 @@
         self._log = log
         self._confirmed: set[str] = set()
         self._first_window = book.window_at(coverage.true_time())
-        # Windows before this one may have been reported by holders whose record the store has lost.
-        self._first_known_window = 0
-        lease.on_restore = self._skip_unknown_windows
-
-    def _skip_unknown_windows(self) -> None:
-        """Skip windows that may have been reported, since a restore has removed the record of it.
-
-        Notes
-        -----
-        The cloud requires that repeated reports of a window agree: a report with other counts
-        violates this, while a skipped window is only missing.
-        """
-        self._first_known_window = self._book.window_at(self._coverage.true_time())
-        self._log.warning("usage windows skipped", before=self._first_known_window)
+        lease.current_window = lambda: book.window_at(coverage.true_time())
 
     def run(self) -> Task:
         """Report whenever a window is due; never returns."""
@@ -269,7 +256,8 @@
         newest = max(
             (int(each) for each in self._lease.state.reports), default=self._first_window - 1
         )
-        due = max(newest + 1, last - KEPT_WINDOWS + 2, self._first_known_window)
+        # A window may be missing, but two reports of it with different counts are never accepted.
+        due = max(newest + 1, last - KEPT_WINDOWS + 2, self._lease.state.reports_from)
         return due if due <= last else None
 
     def _store_window(self, window: int) -> Task:
