--- a/flamingofront/process/forwarding/duty.py
+++ b/flamingofront/process/forwarding/duty.py
@@ -40,9 +40,9 @@
 # Previous holders that the row keeps. At about one second each, as in a rolling restart, they cover
 # several leases.
 MAX_PAST_HOLDERS = 8
-# Fencing tokens skipped by the first holder after the store is restored from an older snapshot. The
-# gap exceeds the changes of holder that the snapshot can lack: each takes at least one second, and
-# a snapshot is some seconds old.
+# Fencing tokens skipped for each restore of the store from an older snapshot since the row was
+# written. The gap exceeds the changes of holder that a snapshot can lack: each takes at least one
+# second, and a snapshot is some seconds old. Holders between two restores may have left no trace.
 ERA_FENCING_GAP = 100
 
 
@@ -262,7 +262,9 @@
         """Write this process into the row as holder, with a higher fencing token."""
         last = self.state.holder
         past = ((last,) if last else ()) + tuple(self.state.past)
-        is_behind = self.state.era < self._era
+        # The era of the store rises by one with each restore.
+        restores = self._era - self.state.era
+        is_behind = restores > 0
         reports_from = self.state.reports_from
         if is_behind:
             # Stored with the lease: this holder may end before it has reported a window.
@@ -272,7 +274,7 @@
             self.state,
             holder=self._vm_id,
             incarnation=self._incarnation,
-            fencing=self._highest_fencing + (ERA_FENCING_GAP if is_behind else 1),
+            fencing=self._highest_fencing + max(1, ERA_FENCING_GAP * restores),
             past=past[:MAX_PAST_HOLDERS],
             reports_from=reports_from,
         )
--- a/flamingofront/process/forwarding/tests/test_holders_after_restore.py
+++ b/flamingofront/process/forwarding/tests/test_holders_after_restore.py
@@ -140,6 +140,23 @@
         duties.run(DUE_SECONDS)
         duties.check()
 
+    def test_process_that_knows_nothing_of_the_restored_holder_uses_another_token(self):
+        """Two restores within seconds led two holders to the same fencing token."""
+        duties = RestoredDuties()
+        for _ in range(3):
+            last = duties.find_holder()
+            for name in duties.list_live():
+                duties.world.kill(name)
+            # Older than the lease that was acquired since the restore before.
+            restore(duties.world, 12.0)
+            for name in list(duties.world.fronts):
+                if name != last:
+                    duties.world.front(name, first_start=False)
+            assert duties.run_until_held()
+            duties.run(4.0)
+        duties.run(DUE_SECONDS)
+        duties.check()
+
 
 class TestStoredRestore:
     def test_row_holds_what_the_next_holder_needs(self):
