--- a/flamingofront/process/forwarding/duty.py
+++ b/flamingofront/process/forwarding/duty.py
@@ -67,6 +67,9 @@
     reports_from : int
         First usage window of which `reports` tells whether it was reported. A restore of the store
         has removed what earlier holders recorded of the windows before it.
+    holders_unknown : bool
+        True from a restore on until a holder has waited for a whole lease: VMs that have just held
+        the lease may be missing in `past`.
     """
 
     holder: str = ""
@@ -76,6 +79,7 @@
     past: tuple[str, ...] = ()
     era: int = 0
     reports_from: int = 0
+    holders_unknown: bool = False
 
 
 @dataclass(frozen=True)
@@ -277,6 +281,7 @@
             fencing=self._highest_fencing + max(1, ERA_FENCING_GAP * restores),
             past=past[:MAX_PAST_HOLDERS],
             reports_from=reports_from,
+            holders_unknown=is_behind or self.state.holders_unknown,
         )
         sent_at = self._now()
         if not (yield from self._write(state)):
@@ -284,9 +289,7 @@
             self._last_seen_at = self._now()
             self._log.info("leader lease not acquired", fencing=state.fencing)
             return
-        # After a restore the holders since the snapshot are unknown, and this VM may be one of
-        # them.
-        held_before = is_behind or (self._vm_id in past and past[0] != self._vm_id)
+        held_before = state.holders_unknown or (self._vm_id in past and past[0] != self._vm_id)
         acts_from = self._now() + self._duration if held_before else sent_at
         self._lease = HeldLease(state.fencing, sent_at, acts_from, sent_at + self._duration)
         self._log.info("leader lease acquired", fencing=state.fencing, last_holder=last)
@@ -314,12 +317,14 @@
 
     def _renew(self, reports: Mapping[str, Mapping[str, int]] | None) -> Task:
         """Write the row, with one retry after a conflict that leaves the lease here."""
-        fencing = self._lease.fencing
+        fencing, acts_from = self._lease.fencing, self._lease.acts_from
         stored = self.state
         for _ in range(2):
             if self.state.fencing < fencing:
                 self.state = replace(stored, reports=self.state.reports)
             state = self.state if reports is None else replace(self.state, reports=reports)
+            if self._now() >= acts_from:
+                state = replace(state, holders_unknown=False)
             sent_at = self._now()
             if (yield from self._write(state)):
                 if self._lease is not None:
--- a/flamingofront/process/forwarding/tests/test_duties.py
+++ b/flamingofront/process/forwarding/tests/test_duties.py
@@ -33,7 +33,7 @@
     return next(name for name, each in world.fronts.items() if each.lease.valid_lease() is not None)
 
 
-def assert_one_holder_at_a_time(world):
+def assert_one_holder_at_a_time(world, lease_seconds=LEASE_SECONDS):
     """Check that fencing tokens never fall and no VM acts around another within one lease."""
     last = None
     last_acts = {}
@@ -43,7 +43,7 @@
             if each.holder != last.holder:
                 assert each.fencing > last.fencing
                 before = last_acts.get(each.holder)
-                assert before is None or each.at - before >= LEASE_SECONDS
+                assert before is None or each.at - before >= lease_seconds
         last = each
         last_acts[each.holder] = each.at
 
--- a/flamingofront/process/forwarding/tests/test_holders_after_restore.py
+++ b/flamingofront/process/forwarding/tests/test_holders_after_restore.py
@@ -5,6 +5,7 @@
 """
 
 import random
+from dataclasses import replace
 
 import pytest
 
@@ -16,7 +17,7 @@
 )
 from flamingofront.process.forwarding.tests.test_restored_store import restore
 from flamingofront.standins.table_store import StoreFault
-from flamingofront.tests.forwarding_world import ready_world
+from flamingofront.tests.forwarding_world import RULES, ready_world
 
 # Requests that run for longer than a window are counted, after its end, in the window of their
 # start, so that a second report of a window differs from the first one.
@@ -24,14 +25,16 @@
 DUE_SECONDS = 12.0
 # A restart of the holder until its successor has been stopped too takes some seconds.
 RESTART_SECONDS = 2.0
+LONG_LEASE_SECONDS = 8.0
 
 
 class RestoredDuties:
     """A deployment whose holders of the lease end one after the other."""
 
-    def __init__(self, seed=1, fronts=4):
+    def __init__(self, seed=1, fronts=4, lease_seconds=RULES.lease_seconds):
         self.rng = random.Random(seed)
-        self.world = ready_world(fronts=fronts, plains=4, seed=seed)
+        self.rules = replace(RULES, lease_seconds=lease_seconds)
+        self.world = ready_world(fronts=fronts, plains=4, seed=seed, rules=self.rules)
         for name, each in self.world.endpoints.items():
             if name.startswith("plain"):
                 each.gap = WORK_SECONDS
@@ -68,7 +71,13 @@
             self.run(0.1)
         return self.find_holder()
 
-    def end_holder(self, way):
+    def run_until(self, condition, limit=20.0):
+        end = self.world.clock.now() + limit
+        while not condition():
+            assert self.world.clock.now() < end
+            self.run(0.1)
+
+    def end_holder(self, way, restart_after=RESTART_SECONDS):
         """Stop the holder, or kill it, and start it again later."""
         name = self.run_until_held()
         if name is None:
@@ -81,13 +90,17 @@
             self.run(1.5)
         self.world.kill(name)
         timers = self.world.host("store").timers
-        timers.once(RESTART_SECONDS, lambda: self.world.front(name, first_start=False))
+        timers.once(restart_after, lambda: self.start(name))
+
+    def start(self, name):
+        """Start an entry process again."""
+        self.world.front(name, rules=self.rules, first_start=False)
 
-    def restore_while_holder_ends(self, age, way="kill"):
+    def restore_while_holder_ends(self, age, way="kill", restart_after=RESTART_SECONDS):
         """Restore the store to a snapshot; the holder before ends while the store is away."""
         self.world.store.fault = StoreFault.RESET
         self.run(0.2)
-        self.end_holder(way)
+        self.end_holder(way, restart_after)
         restore(self.world, age, outage=0.2)
 
     def check(self):
@@ -151,12 +164,54 @@
             restore(duties.world, 12.0)
             for name in list(duties.world.fronts):
                 if name != last:
-                    duties.world.front(name, first_start=False)
+                    duties.start(name)
             assert duties.run_until_held()
             duties.run(4.0)
         duties.run(DUE_SECONDS)
         duties.check()
 
+    def test_holder_that_the_snapshot_lacks_waits_as_if_it_were_known(self):
+        """A VM acted, another one, and the first one again, within the duration of a lease.
+
+        The restore had taken the first one out of the previous holders that the row lists.
+        """
+        duties = RestoredDuties(lease_seconds=LONG_LEASE_SECONDS)
+        duties.end_holder("stop")
+        duties.run_until_held()
+        lost = duties.find_holder()
+        duties.run(1.0)
+        duties.restore_while_holder_ends(5.0, "stop", restart_after=0.2)
+        duties.end_holder("stop")
+        duties.run_until(lambda: duties.find_holder() not in (None, lost))
+        duties.run(0.5)
+        for name in duties.list_live():
+            if name not in (lost, duties.find_holder()):
+                duties.world.kill(name)
+        duties.end_holder("stop")
+        duties.run(DUE_SECONDS)
+        assert_one_holder_at_a_time(duties.world, LONG_LEASE_SECONDS)
+
+    @pytest.mark.parametrize("seed", range(10))
+    def test_restores_amid_any_series_of_holders(self, seed):
+        duties = RestoredDuties(seed)
+        for _ in range(4):
+            for _ in range(duties.rng.randrange(3)):
+                duties.end_holder(duties.rng.choice(("stop", "kill")))
+                duties.run(2.0 * duties.rng.random())
+            if duties.rng.random() < 0.3:
+                for name in duties.list_live():
+                    duties.world.kill(name)
+                    again = duties.world.host("store").timers
+                    again.once(1.0, lambda name=name: duties.start(name))
+            age = 10.0 * duties.rng.random()
+            if duties.rng.random() < 0.5:
+                duties.restore_while_holder_ends(age, duties.rng.choice(("stop", "kill")))
+            else:
+                restore(duties.world, age, 2.0 * duties.rng.random(), duties.rng)
+        duties.run(DUE_SECONDS)
+        duties.check()
+        assert duties.world.store.leader_calls[-1].at > duties.world.clock.now() - 6.0
+
 
 class TestStoredRestore:
     def test_row_holds_what_the_next_holder_needs(self):
@@ -168,3 +223,7 @@
         row = duties.world.store.get_value(LEADER_TABLE, LEADER_KEY, LEADER_PARTITION)
         window = duties.world.fronts["front-1"].usage.window_at(duties.world.clock.now())
         assert window - 1 <= row["reports_from"] <= window
+        assert row["holders_unknown"] is True
+        duties.run(5.0)
+        row = duties.world.store.get_value(LEADER_TABLE, LEADER_KEY, LEADER_PARTITION)
+        assert row["holders_unknown"] is False
--- a/flamingofront/tests/forwarding_world.py
+++ b/flamingofront/tests/forwarding_world.py
@@ -234,7 +234,12 @@
 
 
 def ready_world(
-    fronts: int = 1, engines: int = 2, plains: int = 2, seed: int = 1, **changes
+    fronts: int = 1,
+    engines: int = 2,
+    plains: int = 2,
+    seed: int = 1,
+    rules: SharedRules = RULES,
+    **changes,
 ) -> ForwardingWorld:
     """Return a world whose entry processes are ready, `front-1` first."""
     world = ForwardingWorld(seed)
@@ -244,7 +249,7 @@
     for number in range(1, plains + 1):
         world.endpoint(f"plain-{number}", "records")
     for number in range(1, fronts + 1):
-        world.front(f"front-{number}")
+        world.front(f"front-{number}", rules=rules)
     world.run_until(lambda: all(each.ready for each in world.fronts.values()))
     world.run(3.0)
     return world
