--- a/flamingofront/decisions/stopping.py
+++ b/flamingofront/decisions/stopping.py
@@ -3,14 +3,26 @@
 Load pattern: rolling restarts, in which a process gets new requests until its load balancer stops
 sending them, and for longer if few other processes are in rotation. Most requests are short, but
 some take longer than the remaining time. A mean does not bound these, so a request is evaluated by
-an upper bound: its deadline, or its number of tokens at the slowest recently observed rate.
+an upper bound: its deadline, or the tokens that its caller allows at the slowest recent pace.
+
+Most streams end before they have used their allowance, so the pace is taken from the tokens that
+were generated: the events of a stream times the tokens of an event. The latter are estimated from
+the lengths that callers expect, which are accurate at the median only.
 """
 
 import math
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass
 
-__all__ = ["CompletionBounds", "StreamBound", "StreamTimes", "can_complete"]
+__all__ = [
+    "SAFETY_FACTOR",
+    "SAFETY_FACTOR_OUT_OF_ROTATION",
+    "CompletionBounds",
+    "StreamBound",
+    "StreamTimes",
+    "can_complete",
+]
 
 # Streams kept per service; a change of its endpoints is fully visible after this many.
 KEPT_STREAMS = 128
@@ -22,6 +34,12 @@
 STREAMS_PER_OUTLIER = 100
 # The next stream may be slower than all observed ones by this factor.
 SAFETY_FACTOR = 1.25
+# Same once the load balancer has removed the process: callers then use other processes or kept
+# connections, so that a refusal costs little, and endpoints that slow down have less time left.
+SAFETY_FACTOR_OUT_OF_ROTATION = 2.5
+# Rank of the estimate of the tokens of an event among those of the observed streams. Below the
+# median, because expected lengths that are too long would shorten the bound.
+EVENT_TOKENS_QUANTILE = 0.25
 
 
 @dataclass(frozen=True)
@@ -36,15 +54,37 @@
         Seconds from the first event to completion.
     output_tokens : int
         Maximum output tokens allowed by the caller.
+    events : int
+        Number of events; 0 if the stream is to count as one that has used its allowance.
+    expected_tokens : int
+        Output tokens that the caller expected; 0 if it did not say.
+    longest_pause : float
+        Longest time between two events in seconds.
     """
 
     first_event: float
     rest: float
     output_tokens: int
+    events: int = 0
+    expected_tokens: int = 0
+    longest_pause: float = 0.0
+
+    def scale_duration(self, output_tokens: int, event_tokens: float) -> float:
+        """Return the duration of a stream of some tokens at the pace of this one.
 
-    def scale_duration(self, output_tokens: int) -> float:
-        """Return the duration of a stream at the same rate, at least as long as this one."""
-        return self.first_event + self.rest * max(1.0, output_tokens / self.output_tokens)
+        Parameters
+        ----------
+        event_tokens : float
+            Tokens of an event.
+
+        Notes
+        -----
+        A short stream may meet the longest pause of a long one.
+        """
+        generated = self.output_tokens
+        if self.events:
+            generated = min(generated, self.events * event_tokens)
+        return self.first_event + self.longest_pause + self.rest * output_tokens / generated
 
 
 class StreamBound:
@@ -58,8 +98,21 @@
         if times.output_tokens > 0:
             self._observations.append(times)
 
-    def estimate_max_seconds(self, output_tokens: int) -> float:
-        """Return the maximum seconds from acceptance to completion, infinity if unknown."""
+    def estimate_max_seconds(
+        self,
+        output_tokens: int,
+        running: Iterable[StreamTimes] = (),
+        safety_factor: float = SAFETY_FACTOR,
+    ) -> float:
+        """Return the maximum seconds from acceptance to completion, infinity if unknown.
+
+        Parameters
+        ----------
+        running : iterable of StreamTimes
+            Streams in progress, by what they have taken until now.
+        safety_factor : float
+            Factor by which the stream may be slower than all of them.
+        """
         if output_tokens <= 0 or len(self._observations) < MIN_STREAMS:
             return math.inf
         similar = [
@@ -68,8 +121,23 @@
             if each.output_tokens >= SIMILAR_SIZE_FRACTION * output_tokens
         ]
         streams = similar if len(similar) >= MIN_STREAMS else self._observations
-        durations = sorted(each.scale_duration(output_tokens) for each in streams)
-        return SAFETY_FACTOR * durations[-1 - len(durations) // STREAMS_PER_OUTLIER]
+        event_tokens = self._estimate_event_tokens()
+        durations = sorted(each.scale_duration(output_tokens, event_tokens) for each in streams)
+        longest = durations[-1 - len(durations) // STREAMS_PER_OUTLIER]
+        for each in running:
+            longest = max(longest, each.scale_duration(output_tokens, event_tokens))
+        return safety_factor * longest
+
+    def _estimate_event_tokens(self) -> float:
+        """Return the tokens of an event, at least one and rather too few than too many."""
+        ratios = sorted(
+            each.expected_tokens / each.events
+            for each in self._observations
+            if each.expected_tokens and each.events
+        )
+        if len(ratios) < MIN_STREAMS:
+            return 1.0
+        return max(1.0, ratios[int(EVENT_TOKENS_QUANTILE * len(ratios))])
 
 
 class CompletionBounds:
--- a/flamingofront/platform/requests.py
+++ b/flamingofront/platform/requests.py
@@ -25,6 +25,8 @@
 DEADLINE_HEADER = HEADER_PREFIX + "deadline-ms"
 # Two numbers: tokens in the prompt, and the maximum number of tokens in the response.
 TOKEN_COUNTS_HEADER = HEADER_PREFIX + "token-counts"
+# Number of tokens that the caller expects in the response; accurate at the median only.
+EXPECTED_TOKENS_HEADER = HEADER_PREFIX + "length-hint"
 PROMPT_PARTS_HEADER = HEADER_PREFIX + "prompt-prefix"
 # Id of the endpoint process that must run the request; any other endpoint rejects it.
 ENDPOINT_ID_HEADER = HEADER_PREFIX + "instance-id"
@@ -111,6 +113,7 @@
             prompt_tokens=counts[0] if counts else 0,
             output_tokens=counts[1] if counts else 0,
             counts_tokens=counts is not None,
+            expected_tokens=_parse_count(req.header(EXPECTED_TOKENS_HEADER)) or 0,
             origin_id=req.header(ORIGIN_HEADER),
             last_event=req.header(LAST_EVENT_HEADER),
             fields=_remove_headers(req.fields, NOT_FORWARDED | hop_names),
--- a/flamingofront/process/forwarding/shutdown.py
+++ b/flamingofront/process/forwarding/shutdown.py
@@ -63,6 +63,9 @@
         self._node.stopping = True
         self._callers.closing = True
         self._node.hub.shutdown_seconds_left = lambda: self._remaining(ANSWER_MARGIN_SECONDS)
+        self._node.hub.is_out_of_rotation = lambda: (
+            timers.now() - self._started_at >= BALANCER_REACTION_SECONDS
+        )
         self._node.tasks.start(self._node.lease.release())
         self._node.peers.broadcast_report()
         self._node.log.info("stopping", requests=len(self._node.hub.active))
--- a/flamingofront/request/forward_gateway.py
+++ b/flamingofront/request/forward_gateway.py
@@ -354,6 +354,7 @@
             origin_id=caller.origin_id if route.resumable else "",
             last_event=caller.last_event if route.resumable else "",
             resumed=resumed,
+            expected_tokens=caller.expected_tokens,
         )
         return RequestRecord(
             request_id=f"{caller.request_id}#{next(self._numbers)}",
--- a/flamingofront/request/forward_work.py
+++ b/flamingofront/request/forward_work.py
@@ -49,6 +49,8 @@
         Maximum number of tokens of the response.
     counts_tokens : bool
         True if the request states its numbers of tokens.
+    expected_tokens : int
+        Number of tokens of the response that the caller expects; 0 if it does not say.
     origin_id : str
         Id of the caller's attempt that brought the first event of the stream to be resumed; empty
         if the caller names none.
@@ -70,6 +72,7 @@
     fields: Fields
     origin_id: str = ""
     last_event: str = ""
+    expected_tokens: int = 0
 
 
 @dataclass(frozen=True)
@@ -91,6 +94,8 @@
         the caller resumes a stream; empty otherwise.
     resumed : OriginLookup, optional
         Where the stream that the caller resumes began.
+    expected_tokens : int
+        Number of tokens of the response that the caller expects; 0 if it does not say.
     """
 
     method: str
@@ -110,6 +115,7 @@
     origin_id: str = ""
     last_event: str = ""
     resumed: OriginLookup | None = None
+    expected_tokens: int = 0
 
 
 @dataclass(frozen=True)
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -111,6 +111,7 @@
         self._was_postponed = False
         self._event_count = 0
         self._last_event_at = 0.0
+        self._longest_pause = 0.0
 
     @property
     def work(self) -> ForwardWork:
@@ -325,6 +326,7 @@
         count = self.relay.count - self._event_count
         if self.first_response_at is not None and count > 0:
             interval = (now - self._last_event_at) / count
+            self._longest_pause = max(self._longest_pause, now - self._last_event_at)
             self.hub.directory.record_token_time(self.endpoint_id, interval)
             self._rates.record_pause(interval)
         self._event_count, self._last_event_at = self.relay.count, now
@@ -350,16 +352,23 @@
             self._rates.record_call(now - self.sent_at)
         elif self.relay.count:
             self._rates.record_event_count(self.relay.count)
-            self._record_stream_times(now)
-
-    def _record_stream_times(self, now: float) -> None:
-        """Record the duration of a stream, which bounds later streams during a shutdown."""
-        times = StreamTimes(
-            self.first_response_at - self.accepted_at,
-            now - self.first_response_at,
-            self.work.output_tokens,
+            # The duration bounds that of later streams during a shutdown.
+            bound = self.hub.completion.for_service(self.record.service.name)
+            bound.observe(self.measure_stream())
+
+    def measure_stream(self) -> StreamTimes:
+        """Return what the stream has taken until now."""
+        now, work = self.hub.now(), self.work
+        first = now if self.first_response_at is None else self.first_response_at
+        return StreamTimes(
+            first - self.accepted_at,
+            now - first,
+            work.output_tokens,
+            self.relay.count,
+            # The caller of a resumed stream expects the events that it has as well.
+            work.expected_tokens if work.resumed is None else 0,
+            max(self._longest_pause, now - max(first, self._last_event_at)),
         )
-        self.hub.completion.for_service(self.record.service.name).observe(times)
 
     def complete_response(self, attempt_id: str, answer: EndpointResponse) -> None:
         """Send the endpoint's complete response to the caller."""
--- a/flamingofront/request/host.py
+++ b/flamingofront/request/host.py
@@ -6,7 +6,7 @@
 import math
 import random
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -14,7 +14,7 @@
 from flamingofront.decisions.choice import Candidate
 from flamingofront.decisions.engine_rates import LearnedRates
 from flamingofront.decisions.retry import RetryBudget
-from flamingofront.decisions.stopping import CompletionBounds
+from flamingofront.decisions.stopping import CompletionBounds, StreamTimes
 from flamingofront.process.logs import Log
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.timers import TimerService
@@ -96,6 +96,8 @@
         Bounds on the duration of streams, learned from completed ones.
     shutdown_seconds_left : callable
         Returns the seconds until this process exits; infinity unless it is shutting down.
+    is_out_of_rotation : callable
+        Returns True once the load balancer has removed this process because it shuts down.
     """
 
     settings: HubSettings
@@ -117,6 +119,7 @@
     on_endpoint_leaving: Callable[[str, str], None]
     completion: CompletionBounds
     shutdown_seconds_left: Callable[[], float]
+    is_out_of_rotation: Callable[[], bool]
 
     @abstractmethod
     def now(self) -> float:
@@ -166,6 +169,10 @@
     def choice_retry_delay(self, service: str, priority: float) -> float:
         """Return the seconds until the next choice of an endpoint, after a choice found none."""
 
+    @abstractmethod
+    def measure_streams(self, service: str) -> Iterable[StreamTimes]:
+        """Return what each forwarded stream of a service in progress has taken until now."""
+
     @abstractmethod
     def record_load(self, service: str, tokens: int) -> None:
         """Record the load of a request, by the prompt tokens that its endpoint has to prefill."""
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -3,7 +3,7 @@
 import math
 import random
 from collections import Counter, OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from flamingofront.connection.interfaces import Transport
 from flamingofront.decisions.admission import FairAdmission, Ticket, WorkspaceShare
@@ -17,7 +17,7 @@
 from flamingofront.decisions.demand import LoadMeter
 from flamingofront.decisions.engine_rates import LearnedRates
 from flamingofront.decisions.retry import PacedRetryBudget, RetryBudget
-from flamingofront.decisions.stopping import CompletionBounds
+from flamingofront.decisions.stopping import CompletionBounds, StreamTimes
 from flamingofront.errors import ErrorKind, Executed, RequestError
 from flamingofront.process.logs import Log
 from flamingofront.process.metrics import Metrics
@@ -115,6 +115,7 @@
         self.rates = LearnedRates()
         self.completion = CompletionBounds()
         self.shutdown_seconds_left: Callable[[], float] = lambda: math.inf
+        self.is_out_of_rotation: Callable[[], bool] = lambda: False
         crash_detector = CrashDetector(transport, timers, directory, metrics, log)
         crash_detector.on_refused = lambda endpoint_id: self.paths.monitor.record_failure(
             endpoint_id, "probe refused"
@@ -333,6 +334,17 @@
             self.rates.for_service(service.name).estimate(),
         )
 
+    def measure_streams(self, service: str) -> Iterable[StreamTimes]:
+        """Return what each forwarded stream of a service in progress has taken until now."""
+        return [
+            each.measure_stream()
+            for each in self.active.values()
+            if isinstance(each, ForwardedRequest)
+            and each.work.stream
+            and each.work.output_tokens
+            and each.record.service.name == service
+        ]
+
     def record_load(self, service: str, tokens: int) -> None:
         """Record the load of a request, by the prompt tokens that its endpoint has to prefill."""
         self.load_meter.add(
--- a/flamingofront/request/stop_refusal.py
+++ b/flamingofront/request/stop_refusal.py
@@ -2,7 +2,11 @@
 
 import math
 
-from flamingofront.decisions.stopping import can_complete
+from flamingofront.decisions.stopping import (
+    SAFETY_FACTOR,
+    SAFETY_FACTOR_OUT_OF_ROTATION,
+    can_complete,
+)
 from flamingofront.errors import ErrorKind, Executed, RequestError
 from flamingofront.request.forward_work import ForwardWork
 from flamingofront.request.host import RequestHost
@@ -27,7 +31,7 @@
     seconds_left = hub.shutdown_seconds_left()
     if math.isinf(seconds_left):
         return None
-    bound = _duration_bound(hub, record.service.name, record.work)
+    bound = _compute_duration_bound(hub, record.service.name, record.work)
     if can_complete(deadline_left, bound, seconds_left):
         return None
     return RequestError(
@@ -44,10 +48,13 @@
     )
 
 
-def _duration_bound(hub: RequestHost, service: str, work: ForwardWork) -> float:
+def _compute_duration_bound(hub: RequestHost, service: str, work: ForwardWork) -> float:
     """Return the longest expected duration in seconds, by output size; infinity if unknown."""
-    return (
-        hub.completion.for_service(service).estimate_max_seconds(work.output_tokens)
-        if work.stream
-        else math.inf
+    if not work.stream:
+        return math.inf
+    is_out = hub.is_out_of_rotation()
+    return hub.completion.for_service(service).estimate_max_seconds(
+        work.output_tokens,
+        hub.measure_streams(service),
+        SAFETY_FACTOR_OUT_OF_ROTATION if is_out else SAFETY_FACTOR,
     )
