--- a/conftest.py
+++ b/conftest.py
@@ -1,10 +1,13 @@
 """Settings of the test suite: the same examples in every run, and no fault left in a log."""
 
+import sys
+
 import logbook
 import pytest
 from hypothesis import HealthCheck, settings
 
 from flamingofront.process.logs import RESERVED_FIELDS
+from flamingofront.tests.promises import check_promises
 
 settings.register_profile(
     "fixed",
@@ -45,3 +48,14 @@
     unexpected = [each for each in watch.errors if not each.startswith(expected or ("\0",))]
     assert not unexpected, f"errors in the log: {unexpected[:3]}"
     assert not watch.misnamed, f"reserved names as fields: {watch.misnamed}"
+
+
+@pytest.fixture(autouse=True)
+def checked_promises():
+    """Check the promises to callers in each simulated deployment of a test, at its end."""
+    yield
+    module = sys.modules.get("flamingofront.tests.forwarding_world")
+    if module is not None:
+        worlds = module.created_worlds[:]
+        module.created_worlds.clear()
+        check_promises(worlds)
--- a/flamingofront/errors.py
+++ b/flamingofront/errors.py
@@ -255,6 +255,10 @@
         self.ran = ran if ran is not None else ERROR_RESPONSES[kind].ran
         self.retry_after = self._resolve_retry_after(retry_after)
 
+    def with_execution(self, ran: Executed) -> "RequestError":
+        """Return the same error with another statement on whether the request was executed."""
+        return RequestError(self.kind, self.detail, ran, self.retry_after, self.log_fields)
+
     def _resolve_retry_after(self, seconds: float | None) -> float | None:
         """Return the seconds to advertise, or None if the kind does not allow a retry."""
         if not ERROR_RESPONSES[self.kind].allows_retry:
--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -98,6 +98,7 @@
             hub.rng,
             tokens=record.tokens,
             ran=record.ran,
+            was_written=lambda: self._handle is not None and self._handle.wrote,
         )
         self._handle: CallHandle | None = None
         self._retry_timer: Timer | None = None
@@ -216,13 +217,11 @@
         if self.attachments or self.done:
             return
         self.hub.metrics.count("refusals_total", kind="caller_gone")
-        self._record_written_bytes()
         self.execute(self.machine.end_without_answer())
         self._clean_up()
         self.hub.remove_request(self)
 
     def _on_deadline(self) -> None:
-        self._record_written_bytes()
         self.execute(self.machine.expire())
 
     def reject_unstarted(self, exc: RequestError) -> None:
@@ -245,10 +244,6 @@
         self._clean_up()
         self.hub.remove_request(self)
 
-    def _record_written_bytes(self) -> None:
-        if self._handle is not None and self._handle.wrote and self.machine.attempt_id:
-            self.machine.record_write(self.machine.attempt_id)
-
     def execute(self, actions: list[Action]) -> None:
         """Execute the actions of the state machine."""
         for action in actions:
@@ -518,7 +513,16 @@
         return max(action.retry_after or 0.0, self.hub.choice_retry_delay(service, priority))
 
     def _finish(self, answer: StoredAnswer | None, exc: RequestError | None) -> None:
-        """Send the final answer or error to all consumers."""
+        """Send the final answer or error to all consumers.
+
+        Notes
+        -----
+        No error states that the request was not executed unless the state machine says so.
+        """
+        if exc is not None and exc.ran is Executed.NO:
+            exc = exc.with_execution(self.machine.ran)
+        if exc is not None:
+            self._record_error(exc)
         self._clean_up()
         self.answer = answer
         if exc is not None:
@@ -534,6 +538,9 @@
             self.on_finished(answer, exc)
         self.hub.remove_request(self)
 
+    def _record_error(self, exc: RequestError) -> None:  # noqa: B027
+        """Record the error with which the request ends; does nothing by default."""
+
     def _clean_up(self) -> None:
         self._end_call()
         for timer in (self._deadline_timer, self._retry_timer, self._grace_timer):
@@ -542,7 +549,6 @@
 
     def freeze(self) -> RequestRecord:
         """Stop extending the answer permanently and return the record to hand over."""
-        self._record_written_bytes()
         self.execute(self.machine.freeze())
         self._clean_up()
         return self.to_record()
--- a/flamingofront/request/attempts.py
+++ b/flamingofront/request/attempts.py
@@ -8,6 +8,7 @@
 import itertools
 import math
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -80,8 +81,10 @@
         Retry budget, shared by all requests of the service.
     tokens : tuple of str
         Tokens that were generated before a hand-over.
-    ran : Ran
+    ran : Executed
         Whether the request was executed before a hand-over.
+    was_written : callable
+        Returns True if bytes of the current attempt may have reached its endpoint.
 
     Attributes
     ----------
@@ -97,28 +100,44 @@
         backoff: Backoff = DEFAULT_BACKOFF,
         tokens: tuple[str, ...] = (),
         ran: Executed = Executed.NO,
+        was_written: Callable[[], bool] = lambda: False,
     ):
         self.facts = facts
         self.assembler = Assembler(facts.request_id, tokens)
         self.phase = Phase.WAITING
-        self.ran = ran
         self.attempts = 0
         self.attempt_id: str | None = None
         self._budget = budget
         self._rng = rng
         self._backoff = backoff
         self._failures = 0
+        self._ran = ran
         self._ran_before_attempt = ran
+        self._was_written = was_written
         self._failed_endpoints: set[str] = set()
         self._repeats = 0
         self._ids = itertools.count(1)
 
+    @property
+    def ran(self) -> Executed:
+        """Whether the request was executed, as far as is certain now.
+
+        Notes
+        -----
+        Derived from what was written whenever it is read, so that whoever ends the request need not
+        record that first.
+        """
+        has_attempt = self.phase is Phase.RUNNING and self.attempt_id is not None
+        if self._ran is Executed.NO and has_attempt and self._was_written():
+            return Executed.UNKNOWN
+        return self._ran
+
     def start(self) -> list[Action]:
         """Start the first attempt, or the next one when a scheduled retry is due."""
         if self.phase is not Phase.WAITING:
             return []
         self.attempts += 1
-        self._ran_before_attempt = self.ran
+        self._ran_before_attempt = self._ran
         self.attempt_id = (
             f"{self.facts.request_id}.{next(self._ids)}.{self._rng.randrange(1 << 32):08x}"
         )
@@ -129,8 +148,8 @@
 
     def record_write(self, attempt_id: str) -> None:
         """Record that bytes of an attempt may have reached its endpoint."""
-        if attempt_id == self.attempt_id and self.ran is Executed.NO:
-            self.ran = Executed.UNKNOWN
+        if attempt_id == self.attempt_id and self._ran is Executed.NO:
+            self._ran = Executed.UNKNOWN
 
     def accept_frame(self, frame: Frame) -> list[Action]:
         """Add the tokens of a frame to the answer; frames of other attempts are dropped."""
@@ -139,11 +158,11 @@
             return []
         actions: list[Action] = []
         if added:
-            self.ran = Executed.YES
+            self._ran = Executed.YES
             self._failures = 0
             actions.append(Emit(self.assembler.offset - len(added), added))
         if self.assembler.complete:
-            self.ran = Executed.YES
+            self._ran = Executed.YES
             self._finish()
             actions.append(Complete(self.assembler.offset))
         return actions
@@ -152,7 +171,7 @@
         """Accept a complete response; return False if it is not for the current attempt."""
         if self.phase is not Phase.RUNNING or attempt_id != self.attempt_id:
             return False
-        self.ran = Executed.YES
+        self._ran = Executed.YES
         self._finish()
         return True
 
@@ -184,7 +203,7 @@
     def record_progress(self, attempt_id: str) -> None:
         """Record that a part of the response was forwarded to the caller."""
         if attempt_id == self.attempt_id:
-            self.ran = Executed.YES
+            self._ran = Executed.YES
             self._failures = 0
 
     def handle_attempt_failure(
@@ -244,10 +263,12 @@
 
     def _update_ran(self, executed: Executed) -> None:
         """Update whether the request ran; a rejected attempt says nothing about earlier ones."""
-        if executed is Executed.NO and self.ran is not Executed.YES:
-            self.ran = self._ran_before_attempt
-        elif executed is not Executed.NO and self.ran is Executed.NO:
-            self.ran = Executed.UNKNOWN
+        if executed is Executed.NO and self._ran is not Executed.YES:
+            self._ran = self._ran_before_attempt
+        elif executed is not Executed.NO and self._ran is Executed.NO:
+            self._ran = Executed.UNKNOWN
+        # The attempt has ended, so that what was written of it says nothing more.
+        self.attempt_id = None
 
     def _exhausted_error_kind(self) -> ErrorKind:
         """Return the error kind for a request that has reached its maximum number of attempts."""
@@ -265,8 +286,9 @@
         """Cancel the current attempt and start another one, for a planned migration."""
         if attempt_id != self.attempt_id or self.phase is not Phase.RUNNING:
             return []
+        actions = self._stop_attempt()
         self.phase = Phase.WAITING
-        return [CancelAttempt(attempt_id), *self.start()]
+        return [*actions, *self.start()]
 
     def fail(self, kind: ErrorKind, detail: str, retry_after: float | None = None) -> list[Action]:
         """Fail the request without further attempts."""
@@ -298,6 +320,7 @@
         return actions
 
     def _stop_attempt(self) -> list[Action]:
+        self._ran = self.ran
         running = self.phase is Phase.RUNNING and self.attempt_id is not None
         return [CancelAttempt(self.attempt_id)] if running else []
 
@@ -308,5 +331,6 @@
         return [Fail(kind, self.ran, detail, retry_after)]
 
     def _finish(self) -> None:
+        self._ran = self.ran
         self.phase = Phase.DONE
         self.assembler.set_owner(None)
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -486,7 +486,6 @@
         """Fail the request because this process exits, unless a stream was partly sent."""
         if self.done or self.has_sent_events:
             return
-        self._record_written_bytes()
         kind = ErrorKind.DRAINING
         if self.machine.ran is not Executed.NO:
             # A 503 would state that the request has not run.
@@ -511,11 +510,9 @@
             return
         super()._fail_request(action)
 
-    def _finish(self, answer, exc: RequestError | None) -> None:
-        if exc is not None:
-            self.failure = exc.kind.value
-            self.status = 0 if self.has_sent_events else self.protocol.render_error(exc)[0]
-        super()._finish(answer, exc)
+    def _record_error(self, exc: RequestError) -> None:
+        self.failure = exc.kind.value
+        self.status = 0 if self.has_sent_events else self.protocol.render_error(exc)[0]
 
     def _clean_up(self) -> None:
         super()._clean_up()
--- a/flamingofront/tests/forwarding_world.py
+++ b/flamingofront/tests/forwarding_world.py
@@ -17,11 +17,16 @@
 from flamingofront.standins.forward_endpoint import ForwardEndpointStandIn
 from flamingofront.standins.table_store import TableStoreStandIn
 from flamingofront.tests.network import LATENCY, Caller, FakeTransport
+from flamingofront.tests.promises import AskedRequest
 from flamingofront.tests.world import World
 
-__all__ = ["ForwardingWorld", "RULES", "configuration", "ready_world"]
+__all__ = ["ForwardingWorld", "RULES", "configuration", "created_worlds", "ready_world"]
 
 TIMEOUT = 1.0
+# Paths of the routes whose requests may run once only.
+RUN_ONCE = ("/write/", "/stream/once/")
+# Worlds of the current test, whose promises are checked at its end.
+created_worlds: list["ForwardingWorld"] = []
 RULES = SharedRules(
     retry_ratio=0.2,
     retry_window=10.0,
@@ -85,10 +90,14 @@
 
     def __init__(self, seed: int = 1):
         super().__init__(seed)
+        created_worlds.append(self)
         self.store = TableStoreStandIn(self._host("store", "store").timers)
         self.host("store").handler = self.store.handle
         self.fronts: dict[str, ForwardingNode] = {}
         self.endpoints: dict[str, ForwardEndpointStandIn] = {}
+        # All endpoints, also those that others of the same name have replaced.
+        self.started_endpoints: list[ForwardEndpointStandIn] = []
+        self.asked: list[AskedRequest] = []
         self.lost_datagrams = 0.0
         self.burst_bytes = 24_000
         self._bursts: dict[str, tuple[float, int]] = {}
@@ -101,6 +110,7 @@
         endpoint = ForwardEndpointStandIn(name, host.timers, **options)
         host.handler = endpoint.handle
         self.endpoints[name] = endpoint
+        self.started_endpoints.append(endpoint)
         self.register(name, service, zone, version=version)
         return endpoint
 
@@ -194,6 +204,14 @@
         self._bursts[source.name] = (self.clock.now(), sent)
         return sent <= self.burst_bytes
 
+    def list_runs(self) -> list[tuple[str, str]]:
+        """Return request id and endpoint of each request that an endpoint did not reject."""
+        return [
+            (req.header("x-flamingofront-request-id"), each.endpoint_id)
+            for each in self.started_endpoints
+            for req in each.runs
+        ]
+
     def refusal(self, front: str, path: str, version: int) -> int:
         """Return the status of a request that a version refuses, which has to be in force now.
 
@@ -219,9 +237,11 @@
         """Send a caller's request to an entry process without waiting."""
         host = self.host(front)
         caller = Caller(self.fronts[front], host)
+        request_id = request_id or f"r-{self.rng.getrandbits(48):012x}"
+        self.asked.append(AskedRequest(request_id, path, caller, not path.startswith(RUN_ONCE)))
         fields = [
             ("Host", "desk.example"),
-            ("X-Flamingofront-Request-Id", request_id or f"r-{self.rng.getrandbits(48):012x}"),
+            ("X-Flamingofront-Request-Id", request_id),
             ("X-Flamingofront-Deadline-Ms", "3000"),
         ]
         if key is not None:
