--- a/bench/known_failure_mutations.py
+++ b/bench/known_failure_mutations.py
@@ -23,7 +23,7 @@
     Mutation(
         "S longer streams take longer than those that were seen",
         "decisions/stopping.py",
-        "self.rest * max(1.0, output_tokens / self.output_tokens)",
+        "self.rest * output_tokens / generated",
         "self.rest",
         STOPPING,
     ),
--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -17,6 +17,7 @@
 from bench.mutation import Mutation
 from bench.path_mutations import PATH_MUTATIONS
 from bench.platform_mutations import PLATFORM_MUTATIONS
+from bench.promise_mutations import PROMISE_MUTATIONS
 from bench.quarantine_mutations import QUARANTINE_MUTATIONS
 from bench.restart_mutations import RESTART_MUTATIONS
 from bench.splice_mutations import SPLICE_MUTATIONS
@@ -187,6 +188,7 @@
     *ANSWER_MUTATIONS,
     *KNOWLEDGE_MUTATIONS,
     *DEPARTURE_MUTATIONS,
+    *PROMISE_MUTATIONS,
 )
 
 
--- /dev/null
+++ b/bench/promise_mutations.py
@@ -0,0 +1,82 @@
+"""Mutations of what keeps promises across holders of a lease, shutdowns and quarantines."""
+
+from bench.mutation import Mutation
+
+__all__ = ["PROMISE_MUTATIONS"]
+
+HOLDERS = "process/forwarding/tests/test_holders_after_restore.py"
+EARLY_ENDINGS = "process/forwarding/tests/test_early_endings.py"
+REFUSALS = "tests/test_refusals.py"
+
+PROMISE_MUTATIONS = (
+    Mutation(
+        "Holder: the first holder after a restore leaves out earlier windows",
+        "process/forwarding/duty.py",
+        "reports_from = max(reports_from, self.current_window())",
+        "reports_from = reports_from",
+        HOLDERS,
+    ),
+    Mutation(
+        "Holder: the row tells its successors from which window reports are known",
+        "process/forwarding/duty.py",
+        "            reports_from=reports_from,\n",
+        "            reports_from=0,\n",
+        HOLDERS,
+    ),
+    Mutation(
+        "Holder: tokens skip a gap for each restore",
+        "process/forwarding/duty.py",
+        "max(1, ERA_FENCING_GAP * restores)",
+        "(ERA_FENCING_GAP if is_behind else 1)",
+        HOLDERS,
+    ),
+    Mutation(
+        "Holder: all wait until one has waited for a lease",
+        "process/forwarding/duty.py",
+        "holders_unknown=is_behind or self.state.holders_unknown,",
+        "holders_unknown=is_behind,",
+        HOLDERS,
+    ),
+    Mutation(
+        "Stop: streams that end early do not bound those that do not",
+        "decisions/stopping.py",
+        "generated = min(generated, self.events * event_tokens)",
+        "pass",
+        EARLY_ENDINGS,
+    ),
+    Mutation(
+        "Stop: streams in progress count",
+        "decisions/stopping.py",
+        "        for each in running:\n",
+        "        for each in ():\n",
+        EARLY_ENDINGS,
+    ),
+    Mutation(
+        "Stop: expected lengths that are too long do not shorten the bound",
+        "decisions/stopping.py",
+        "EVENT_TOKENS_QUANTILE = 0.25",
+        "EVENT_TOKENS_QUANTILE = 0.9",
+        EARLY_ENDINGS,
+    ),
+    Mutation(
+        "Stop: endpoints may slow down once the process is out of rotation",
+        "decisions/stopping.py",
+        "SAFETY_FACTOR_OUT_OF_ROTATION = 2.5",
+        "SAFETY_FACTOR_OUT_OF_ROTATION = 1.0",
+        EARLY_ENDINGS,
+    ),
+    Mutation(
+        "Refusal: what was written may have run",
+        "request/attempts.py",
+        "if self._ran is Executed.NO and has_attempt and self._was_written():",
+        "if False:",
+        REFUSALS,
+    ),
+    Mutation(
+        "Refusal: no error says more than the state machine",
+        "request/active.py",
+        "exc = exc.with_execution(self.machine.ran)",
+        "pass",
+        REFUSALS,
+    ),
+)
--- a/flamingofront/process/forwarding/tests/test_early_endings.py
+++ b/flamingofront/process/forwarding/tests/test_early_endings.py
@@ -191,6 +191,23 @@
         stopping.run_to_exit(0.1, 180, 180)
         assert stopping.list_cut_off() == []
 
+    @pytest.mark.parametrize("at", [5.6, 6.0, 6.4, 6.8])
+    def test_endpoints_become_slower_after_a_stream_was_taken(self, at):
+        """No stream in progress tells of it yet, so there is time in reserve."""
+        stopping = AllowedTokens(gap=0.03)
+        stopping.warm_up(60, 180, 90)
+        stopping.stop()
+        # Keeps the process running.
+        stopping.ask(3000, 3000)
+        stopping.world.run(at - 0.5)
+        for _ in range(10):
+            stopping.ask(180, 180)
+            stopping.world.run(0.05)
+        for each in stopping.world.endpoints.values():
+            each.gap *= 2.0
+        stopping.run_to_exit(0.1, 180, 180)
+        assert stopping.list_cut_off() == []
+
     def test_first_events_come_late(self):
         """Streams wait for an endpoint for longer than any stream before."""
         stopping = AllowedTokens(gap=0.02)
--- a/flamingofront/process/forwarding/tests/test_stopping.py
+++ b/flamingofront/process/forwarding/tests/test_stopping.py
@@ -11,6 +11,7 @@
 from flamingofront.decisions.stopping import StreamBound, StreamTimes, can_complete
 from flamingofront.errors import ErrorKind
 from flamingofront.process.forwarding.shutdown import GracefulShutdown
+from flamingofront.request.forwarded_request import ForwardedRequest
 from flamingofront.standins.forward_endpoint import ForwardFault
 from flamingofront.tests.forwarding_world import ready_world
 
@@ -239,17 +240,21 @@
             stopping.world.finish(short, plain)
             assert (short.status, plain.status) == (200, 200)
 
-    def test_request_waiting_for_an_endpoint_is_rejected(self):
+    def test_request_waiting_for_an_endpoint_is_rejected(self, monkeypatch):
         """A request admitted in time may find an endpoint only when it is too late to complete."""
         stopping = StoppingProcess(1, 30)
         stopping.stop.begin()
         stopping.world.run(5.0)
+        waits = iter([2.5])
+        monkeypatch.setattr(
+            ForwardedRequest, "_compute_postponement", lambda request, chosen: next(waits, 0.0)
+        )
         caller = stopping.ask(events=4)
         request = next(iter(stopping.front.hub.active.values()))
-        assert not request.done
-        request.execute(request.machine.postpone(request.machine.attempt_id, 0.0, 2.5))
+        assert not request.done and not request.has_attempt_in_flight
         stopping.world.run_until(lambda: stopping.active_at_exit)
         assert caller.done and not caller.broken and caller.status == 503
+        assert caller.request_id not in {name for name, _ in stopping.world.list_runs()}
 
 
 class TestFinalErrors:
