--- a/bench/origins.py
+++ b/bench/origins.py
@@ -14,7 +14,11 @@
 from flamingofront.process.forwarding.shared_origins import SharedOrigins
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.timers import ManualClock, TimerService
-from flamingofront.request.stream_origins import OriginRecord, compute_origin_key
+from flamingofront.request.stream_origins import (
+    OriginRecord,
+    RecordedVersions,
+    compute_origin_key,
+)
 from flamingofront.tests.versions_world import (
     GAP_SECONDS,
     StreamCaller,
@@ -157,6 +161,16 @@
         return ["10.0.0.2", "10.0.0.3", "10.0.0.4"]
 
 
+class _NoRecordedVersions(RecordedVersions):
+    """Nothing is recorded."""
+
+    def read(self, on_read) -> None:
+        on_read(None)
+
+    def record_new_version(self) -> None:
+        pass
+
+
 def _make_origins(clock: ManualClock, sent: list[bytes]) -> SharedOrigins:
     timers = TimerService(clock)
     versions = VersionHistory(timers.now)
@@ -166,6 +180,7 @@
         _FixedMembers(),
         versions,
         lambda: True,
+        _NoRecordedVersions(),
         lambda data, ip: sent.append(data),
         timers,
         Metrics({"vm": "front-1"}),
--- a/bench/promise_mutations.py
+++ b/bench/promise_mutations.py
@@ -7,6 +7,8 @@
 HOLDERS = "process/forwarding/tests/test_holders_after_restore.py"
 EARLY_ENDINGS = "process/forwarding/tests/test_early_endings.py"
 REFUSALS = "tests/test_refusals.py"
+RESTARTS = "tests/test_versions_after_restarts.py"
+STORED_VERSIONS = "process/forwarding/tests/test_stored_versions.py"
 
 PROMISE_MUTATIONS = (
     Mutation(
@@ -79,4 +81,39 @@
         "pass",
         REFUSALS,
     ),
+    Mutation(
+        "Versions: what is present does not tell what was",
+        "process/forwarding/shared_origins.py",
+        "return make_sole_version(seen | versions)",
+        "return make_sole_version(seen)",
+        RESTARTS,
+    ),
+    Mutation(
+        "Versions: a new version is stored",
+        "process/forwarding/shared_origins.py",
+        "        self._recorded.record_new_version()\n",
+        "",
+        RESTARTS,
+    ),
+    Mutation(
+        "Versions: a row of an earlier era does not count",
+        "process/forwarding/stored_versions.py",
+        "if row is not None and row.era == self._era else None",
+        "if row is not None else None",
+        RESTARTS,
+    ),
+    Mutation(
+        "Versions: a missing row does not count",
+        "process/forwarding/stored_versions.py",
+        "is_first = self._rules.first_start and self._row is None",
+        "is_first = self._row is None",
+        STORED_VERSIONS,
+    ),
+    Mutation(
+        "Versions: a version stays while its streams can be resumed",
+        "process/forwarding/stored_versions.py",
+        "if now - since >= seconds}",
+        "if now - since >= 1.0}",
+        STORED_VERSIONS,
+    ),
 )
--- a/flamingofront/decisions/stream_origin.py
+++ b/flamingofront/decisions/stream_origin.py
@@ -6,7 +6,7 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 from flamingofront.decisions.endpoint_rule import EndpointRule
@@ -60,6 +60,14 @@
         return {name: fact for name, fact in facts.items() if fact.side == self.version}
 
 
+def _group(versions: Iterable[tuple[str, str]]) -> dict[str, frozenset[str]]:
+    """Return the versions of each service."""
+    found: dict[str, set[str]] = {}
+    for service, version in versions:
+        found.setdefault(service, set()).add(version)
+    return {service: frozenset(names) for service, names in found.items()}
+
+
 class VersionHistory:
     """Versions that the endpoints of each service have had.
 
@@ -115,14 +123,17 @@
 
     def versions_since(self, service: str, seconds: float) -> frozenset[str]:
         """Return the versions that endpoints of a service have had in the last seconds."""
+        return self.all_versions_since(seconds).get(service, frozenset())
+
+    def present_versions(self) -> dict[str, frozenset[str]]:
+        """Return the versions that endpoints have now, by service."""
+        return _group(self._versions.values())
+
+    def all_versions_since(self, seconds: float) -> dict[str, frozenset[str]]:
+        """Return the versions that endpoints have had in the last seconds, by service."""
         since = self._now() - seconds
-        present = {version for name, version in self._versions.values() if name == service}
-        left = {
-            version
-            for (name, version), at in self._left_at.items()
-            if name == service and at >= since
-        }
-        return frozenset(present | left)
+        left = (each for each, at in self._left_at.items() if at >= since)
+        return _group((*self._versions.values(), *left))
 
     def covers(self, seconds: float) -> bool:
         """Return True if the history is at least this many seconds long."""
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -48,6 +48,7 @@
 from flamingofront.process.forwarding.rollouts import Rollouts
 from flamingofront.process.forwarding.settings import DeploymentSettings
 from flamingofront.process.forwarding.shared_origins import SharedOrigins
+from flamingofront.process.forwarding.stored_versions import StoredVersions, VersionRules
 from flamingofront.process.forwarding.usage import UsageBook
 from flamingofront.process.forwarding.vanished import UnobservedRemovals
 from flamingofront.process.intent_rows import IntentRows
@@ -65,6 +66,7 @@
 from flamingofront.request.forward_work import ForwardProtocol
 from flamingofront.request.forwarded_request import ForwardedRequest
 from flamingofront.request.hub import HubSettings, RequestHub
+from flamingofront.request.stream_origins import RESUME_SECONDS
 from flamingofront.version.forwarding import ForwardingConfiguration
 from flamingofront.version.model import Service
 
@@ -437,16 +439,39 @@
 
     def _build_origins(self) -> None:
         """Build the announcement and lookup of the versions that began streams."""
+        history = self.store_view.endpoints.versions
+        self.stored_versions = StoredVersions(
+            self._dependencies.store,
+            history,
+            VersionRules(
+                self._longest_resume_seconds,
+                self.peers.member_count,
+                self._has_current_endpoints,
+                lambda: self.lease.usable_lease() is not None,
+                self.settings.first_start,
+            ),
+            self.tasks,
+            self.timers,
+            self._rng,
+            self.log,
+        )
+        self.store.add_restore_listener(self.stored_versions.reload)
         self.hub.origins = self.origins = SharedOrigins(
             OriginMembers(self._report_builder.identity, self.peers, self.timers),
-            self.store_view.endpoints.versions,
+            history,
             self._has_current_endpoints,
+            self.stored_versions,
             self.peers.send,
             self.timers,
             self.metrics,
         )
         self.peers.on_origin_datagram = self.origins.receive
 
+    def _longest_resume_seconds(self) -> float:
+        """Return the longest time after its begin in which a stream can be resumed."""
+        routes = self.configuration.routes
+        return max((each.timeout for each in routes), default=0.0) + RESUME_SECONDS
+
     def _has_current_endpoints(self) -> bool:
         """Return True if the known endpoints were confirmed a moment ago."""
         age = self.store_view.endpoints_age()
@@ -527,6 +552,7 @@
             self.tasks.start(task.run())
         self.tasks.start(self.store_view.configuration_watcher.run())
         self.feed_check.start()
+        self.stored_versions.start()
         self.tasks.start(self.quarantine_sync.run())
         self.timers.every(
             STALENESS_CHECK_SECONDS,
--- a/flamingofront/process/forwarding/shared_origins.py
+++ b/flamingofront/process/forwarding/shared_origins.py
@@ -7,7 +7,7 @@
 """
 
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
 
 from flamingofront.decisions.stream_origin import StreamOrigin, VersionHistory
@@ -35,6 +35,7 @@
     OriginLookup,
     OriginQuery,
     OriginRecord,
+    RecordedVersions,
     StreamOrigins,
     make_sole_version,
 )
@@ -44,6 +45,7 @@
 # After a new version appeared, all streams in progress are announced, some at each flush.
 FLUSH_SECONDS = 0.005
 MAX_RECORDS_PER_FLUSH = 64
+Versions = Mapping[str, frozenset[str]]
 # Peers that have not replied are asked again after the first time, and not waited for after the
 # second one; a reply takes some milliseconds.
 RESEND_SECONDS = 0.03
@@ -79,6 +81,8 @@
         Versions of the endpoints.
     is_current : callable
         Returns True if the known endpoints are those of a moment ago.
+    recorded : RecordedVersions
+        Versions that any process has seen.
     send : callable
         Sends a datagram to an IP address.
     """
@@ -88,12 +92,14 @@
         members: OriginMembers,
         versions: VersionHistory,
         is_current: Callable[[], bool],
+        recorded: RecordedVersions,
         send: Callable[[bytes, str], None],
         timers: TimerService,
         metrics: Metrics,
     ):
         self.local = LocalOrigins(timers, versions, is_current)
         self._members = members
+        self._recorded = recorded
         self._send = send
         self._timers = timers
         self._metrics = metrics
@@ -125,7 +131,8 @@
         return len(versions.versions_since(service, seconds)) > 1 or not versions.covers(seconds)
 
     def _on_new_version(self, service: str) -> None:
-        """Announce the streams in progress, which were begun at the only version."""
+        """Record the version, and announce the streams that were begun at the only one before."""
+        self._recorded.record_new_version()
         if len(self.local.versions.versions_since(service, RESUME_SECONDS)) > 1:
             for key, record in self.local.table.own_records(service):
                 self._announce_later(key, record)
@@ -166,15 +173,13 @@
     def look_up(self, query: OriginQuery, on_found: Callable[[OriginLookup], None]) -> None:
         """Look up an origin here, and at peers if this process has no record of it."""
         found = self.local.find_record(query)
-        if found is None and not query.key:
-            found = self.local.find_sole_version(query)
         if found is not None:
             on_found(found)
             return
-        ips = self._members.list_candidates(query.key)
+        ips = self._members.list_candidates(query.key) if query.key else []
         request = OriginRequest(next(self._numbers), query)
         pending = _PendingLookup(request, on_found, set(ips), set(ips))
-        if not ips and self._members.is_complete():
+        if not query.key or (not ips and self._members.is_complete()):
             self._finish(pending)
             return
         self._pending[request.number] = pending
@@ -193,33 +198,52 @@
         -----
         A process that has just started learns of its peers meanwhile.
         """
-        if pending.replied and self.local.find_sole_version(pending.request.query) is not None:
-            self._finish(pending)
-            return
+        seconds = GIVE_UP_SECONDS - RESEND_SECONDS
+        pending.timer = self._timers.once(seconds, lambda: self._finish(pending))
+        if pending.replied:
+            self._recorded.read(lambda versions: self._end_if_sole(pending, versions))
         new = set(self._members.list_candidates(pending.request.query.key)) - pending.asked
         pending.asked |= new
         pending.silent |= new
-        seconds = GIVE_UP_SECONDS - RESEND_SECONDS
-        pending.timer = self._timers.once(seconds, lambda: self._finish(pending))
         self._ask(pending)
 
+    def _end_if_sole(self, pending: _PendingLookup, recorded: Versions | None) -> None:
+        """End a lookup if only one version can have begun the stream."""
+        found = self._find_sole_version(pending, recorded)
+        if found is not None and pending.request.number in self._pending:
+            self._close(pending, found)
+
     def _finish(self, pending: _PendingLookup) -> None:
-        """End a lookup without a record: the version is known only if it is the sole one.
+        """End a lookup without a record of the stream: its version is known only if it is sole."""
+        self._pending.pop(pending.request.number, None)
+        self._recorded.read(
+            lambda versions: self._close(
+                pending,
+                self._find_sole_version(pending, versions) or OriginLookup(None, Evidence.NONE),
+            )
+        )
+
+    def _find_sole_version(
+        self, pending: _PendingLookup, recorded: Versions | None
+    ) -> OriginLookup | None:
+        """Return the only origin that a stream can have; None if there are several.
 
         Notes
         -----
-        After a start of all processes nobody has watched the versions for long enough. What all of
-        them see now is taken then, so that callers of a service with one version are not refused.
+        What is present now does not tell which versions were present when the stream began, and
+        the processes that saw them may have ended. Only the recorded versions do; a version that
+        has just appeared may not be recorded yet, but is seen by a process with a current view.
         """
         query = pending.request.query
-        versions = frozenset(pending.versions) | self.local.list_versions(query)
-        evidence = Evidence.NONE
-        if pending.is_complete or self.local.knows_all_versions(query):
-            evidence = Evidence.SOLE_VERSION
-        elif not pending.silent and self._members.is_complete() and self.local.is_current():
-            evidence = Evidence.SOLE_PRESENT
-        found = None if evidence is Evidence.NONE else make_sole_version(versions, evidence)
-        self._close(pending, found or OriginLookup(None, Evidence.NONE))
+        if recorded is None or not self.local.is_current():
+            return None
+        versions = {
+            (service, version)
+            for service in query.services
+            for version in recorded.get(service, frozenset())
+        }
+        seen = frozenset(pending.versions) | self.local.list_versions(query)
+        return make_sole_version(seen | versions)
 
     def _close(self, pending: _PendingLookup, found: OriginLookup) -> None:
         self._pending.pop(pending.request.number, None)
@@ -254,7 +278,7 @@
     def _make_reply(self, request: OriginRequest) -> OriginReply:
         query = request.query
         record = self.local.table.get(query.key)
-        if record is not None:
+        if record is not None and self.is_certain(record.origin, record.began_at):
             return OriginReply(request.number, self._make_announcement(query.key, record))
         versions = self.local.list_versions(query)
         return OriginReply(request.number, None, versions, self.local.knows_all_versions(query))
--- a/flamingofront/request/stream_origins.py
+++ b/flamingofront/request/stream_origins.py
@@ -3,7 +3,7 @@
 import hashlib
 from abc import ABC, abstractmethod
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 from enum import StrEnum
 
@@ -17,6 +17,7 @@
     "OriginQuery",
     "OriginRecord",
     "OriginTable",
+    "RecordedVersions",
     "StreamOrigins",
     "compute_origin_key",
 ]
@@ -42,8 +43,6 @@
     """A peer replied with it."""
     SOLE_VERSION = "sole version"
     """All endpoints of the service have had this version while the stream can have begun."""
-    SOLE_PRESENT = "sole version present"
-    """All endpoints of the service have it now; no process has run for long enough to tell more."""
     NONE = "none"
     """It is not known."""
 
@@ -206,6 +205,22 @@
         """Return True if the endpoint of an origin has kept its version since a time."""
 
 
+class RecordedVersions(ABC):
+    """Versions that endpoints have had, as recorded where restarts of processes do not reach."""
+
+    @abstractmethod
+    def read(self, on_read: Callable[[Mapping[str, frozenset[str]] | None], None]) -> None:
+        """Pass on the recorded versions by service, or None if they are not known.
+
+        A version is recorded when a process first sees it, and for as long after its endpoints have
+        left as a stream that they began can be resumed.
+        """
+
+    @abstractmethod
+    def record_new_version(self) -> None:
+        """Record the versions that this process sees, one of which has just appeared."""
+
+
 class LocalOrigins(StreamOrigins):
     """Origins that this process knows by itself.
 
--- a/flamingofront/standins/forward_endpoint.py
+++ b/flamingofront/standins/forward_endpoint.py
@@ -67,6 +67,8 @@
 
     def __init__(self, endpoint_id: str, timers: TimerService, events: int = 4, gap: float = 0.02):
         self.endpoint_id = endpoint_id
+        # Data of each event.
+        self.event_text = endpoint_id
         self.events = events
         self.gap = gap
         self.fault = ForwardFault.NONE
@@ -158,7 +160,7 @@
             exchange.send(b"half of it")
         elif self.crash_answer is CrashAnswer.EVENTS:
             for each in range(number, number + self.events_before_crash):
-                exchange.send(b"id: %d\ndata: %s\n\n" % (each, self.endpoint_id.encode()))
+                exchange.send(b"id: %d\ndata: %s\n\n" % (each, self.event_text.encode()))
 
     def _count_abandoned(self) -> None:
         self.abandoned += 1
@@ -200,7 +202,7 @@
             exchange.send(b"id: %d\nda" % number)
             exchange.abort()
             return
-        exchange.send(b"id: %d\ndata: %s\n\n" % (number, self.endpoint_id.encode()))
+        exchange.send(b"id: %d\ndata: %s\n\n" % (number, self.event_text.encode()))
         send_next: Callable[[], None] = lambda: self._send_events(  # noqa: E731
             exchange, number + 1, cut
         )
--- a/scripts/try_versions.py
+++ b/scripts/try_versions.py
@@ -35,7 +35,10 @@
 GAP_SECONDS = 0.06
 DEADLINE_MS = 12_000
 MAX_TRIES = 4
-WAYS = ("none", "break", "kill", "stop", "restart", "suspend", "gone", "died")
+# Ways in which all entry processes are killed at once and start again: nothing else happens, or the
+# endpoints of the first version end before and their rows are removed, or are replaced.
+ALL_KILLED = ("killed", "removed", "replaced")
+WAYS = ("none", "break", "kill", "stop", "restart", "suspend", "gone", "died", *ALL_KILLED)
 EVENT = re.compile(rb"id: (\d+)\ndata: (\S+)\n\n")
 
 
@@ -54,7 +57,15 @@
 class Deployment:
     """Store, endpoints of two versions in two zones, entry processes; ends them when left."""
 
-    def __init__(self, folder: Path, processes: int, cut: float, other: Path | None = None):
+    def __init__(
+        self,
+        folder: Path,
+        processes: int,
+        cut: float,
+        other: Path | None = None,
+        versions: int = len(VERSIONS),
+    ):
+        self._versions = VERSIONS[:versions]
         self._folder = folder
         self._cut = cut
         self._other = other
@@ -68,7 +79,7 @@
         words = ["--bind", store, "--config", str(self._write_configuration())]
         self._start("flamingofront-standin-store", words)
         _wait_for(store)
-        for row, version in enumerate(VERSIONS):
+        for row, version in enumerate(self._versions):
             self.endpoints[version] = [
                 self.start_endpoint(version, ENDPOINTS * row + number, number)
                 for number in range(ENDPOINTS)
@@ -101,6 +112,19 @@
         words += ["--events", str(EVENTS), "--cut", str(self._cut), "--slots", "64"]
         return self._start("flamingofront-standin-endpoint", words, output=f"endpoint-{offset}")
 
+    def remove_endpoints(self, version: str) -> None:
+        """End the endpoints of a version, and remove their rows."""
+        for child in self.endpoints[version]:
+            child.kill()
+            child.wait()
+        names = [f"{version}-{number}" for number in range(ENDPOINTS)]
+        rows = [{"table": "servers", "part": "", "key": name} for name in names]
+        body = json.dumps({"expected_rev": [], "writes": [], "remove": rows})
+        conn = http.client.HTTPConnection(f"{HOST}:{PORT}", timeout=2.0)
+        conn.request("POST", "/api/rows-tx", body, {"Content-Type": "application/json"})
+        conn.getresponse().read()
+        conn.close()
+
     def _write_settings(self, number: int) -> None:
         ip = _ip_of(number)
         values = {
@@ -235,8 +259,25 @@
             attempt.error = data.decode(errors="replace")
 
 
-def _disturb(deployment: Deployment, way: str, victims: list[int]) -> None:
+def _kill_all(deployment: Deployment, way: str, pause: float) -> None:
+    """Kill all entry processes and start them again, after what happens to the endpoints."""
+    if way != "killed":
+        deployment.remove_endpoints(VERSIONS[0])
+        if way == "replaced":
+            for number in range(ENDPOINTS):
+                deployment.start_endpoint(VERSIONS[1], 2 * ENDPOINTS + number, ENDPOINTS + number)
+        time.sleep(pause)
+    for front in deployment.fronts:
+        front.send_signal(signal.SIGKILL)
+    for number in range(deployment.processes):
+        deployment.restart_front(number)
+
+
+def _disturb(deployment: Deployment, way: str, victims: list[int], pause: float = 0.05) -> None:
     """Disturb some entry processes, or all endpoints of a version."""
+    if way in ALL_KILLED:
+        _kill_all(deployment, way, pause)
+        return
     if way == "gone":
         for child in deployment.endpoints["v1"]:
             child.kill()
@@ -288,22 +329,28 @@
     streams: int = 60,
     seed: int = 1,
     other: Path | None = None,
+    pause: float = 0.05,
+    versions: int = len(VERSIONS),
 ) -> None:
     """Disturb streams of two versions in one way.
 
     :param way: none, break (endpoints break off a third of their runs), kill, stop, restart or
-        suspend (two entry processes), gone (all endpoints of a version), or died (the same just
-        before the streams)
+        suspend (two entry processes), gone (all endpoints of a version), died (the same just
+        before the streams), or all entry processes killed at once: killed, removed or replaced (the
+        endpoints of one version end before)
     :param processes: entry processes
     :param streams: callers, each with a stream
     :param seed: seed of the callers' choices
     :param other: checkout of another build, which every second entry process runs
+    :param pause: seconds from the end of the endpoints to the kill of all
+    :param versions: number of versions, 1 or 2
     """
     if way not in WAYS:
         raise SystemExit(f"no way {way!r}; ways are {', '.join(WAYS)}")
     folder = Path(tempfile.mkdtemp())
     rng = random.Random(seed)
-    with Deployment(folder, processes, 1 / 3 if way == "break" else 0.0, other) as deployment:
+    cut = 1 / 3 if way == "break" else 0.0
+    with Deployment(folder, processes, cut, other, versions) as deployment:
         time.sleep(1.0)
         victims = [0, 1] if way in ("kill", "stop", "restart", "suspend") else []
         others = [each for each in range(processes) if each not in victims]
@@ -314,7 +361,7 @@
                 begins_at[number % len(begins_at)],
                 others,
                 random.Random(rng.random()),
-                way != "restart",
+                way not in ("restart", *ALL_KILLED),
             )
             for number in range(streams)
         ]
@@ -325,7 +372,7 @@
             time.sleep(0.01)
         if way not in ("none", "break", "died"):
             time.sleep(0.5)
-            _disturb(deployment, way, victims)
+            _disturb(deployment, way, victims, pause)
         for caller in callers:
             caller.join(20.0)
         for number in victims:
