--- a/flamingofront/decisions/stopping.py
+++ b/flamingofront/decisions/stopping.py
@@ -16,8 +16,6 @@
 from dataclasses import dataclass
 
 __all__ = [
-    "SAFETY_FACTOR",
-    "SAFETY_FACTOR_OUT_OF_ROTATION",
     "CompletionBounds",
     "StreamBound",
     "StreamTimes",
@@ -34,12 +32,11 @@
 STREAMS_PER_OUTLIER = 100
 # The next stream may be slower than all observed ones by this factor.
 SAFETY_FACTOR = 1.25
-# Same once the load balancer has removed the process: callers then use other processes or kept
-# connections, so that a refusal costs little, and endpoints that slow down have less time left.
-SAFETY_FACTOR_OUT_OF_ROTATION = 2.5
+# Same for the upper bound, which also covers endpoints that slow down during the shutdown.
+MAX_SLOWDOWN = 2.5
 # Rank of the estimate of the tokens of an event among those of the observed streams. Below the
 # median, because expected lengths that are too long would shorten the bound.
-EVENT_TOKENS_QUANTILE = 0.25
+EVENT_TOKENS_QUANTILE = 0.4
 
 
 @dataclass(frozen=True)
@@ -79,12 +76,14 @@
 
         Notes
         -----
-        A short stream may meet the longest pause of a long one.
+        A short stream may meet the longest pause of a long one, but only once.
         """
-        generated = self.output_tokens
-        if self.events:
-            generated = min(generated, self.events * event_tokens)
-        return self.first_event + self.longest_pause + self.rest * output_tokens / generated
+        if not self.events:
+            return self.first_event + self.rest * output_tokens / self.output_tokens
+        # What is left without the longest pause was spent on one event less.
+        steady = max(0.0, self.rest - self.longest_pause)
+        generated = min(self.output_tokens, max(1, self.events - 1) * event_tokens)
+        return self.first_event + self.longest_pause + steady * output_tokens / generated
 
 
 class StreamBound:
@@ -94,15 +93,25 @@
         self._observations: deque[StreamTimes] = deque(maxlen=KEPT_STREAMS)
 
     def observe(self, times: StreamTimes) -> None:
-        """Record a complete stream; streams without a token limit are ignored."""
-        if times.output_tokens > 0:
+        """Record a complete stream; one without a token limit or a pace is ignored."""
+        if times.output_tokens > 0 and times.events != 1:
             self._observations.append(times)
 
+    def estimate_usual_seconds(self, output_tokens: int) -> float:
+        """Return the longest usual seconds from acceptance to completion, infinity if unknown.
+
+        Notes
+        -----
+        Streams that end before they have used their allowance stand for those that do not.
+        """
+        streams = self._select_similar(output_tokens)
+        return SAFETY_FACTOR * _find_longest(
+            each.first_event + each.rest * max(1.0, output_tokens / each.output_tokens)
+            for each in streams
+        )
+
     def estimate_max_seconds(
-        self,
-        output_tokens: int,
-        running: Iterable[StreamTimes] = (),
-        safety_factor: float = SAFETY_FACTOR,
+        self, output_tokens: int, running: Iterable[StreamTimes] = ()
     ) -> float:
         """Return the maximum seconds from acceptance to completion, infinity if unknown.
 
@@ -110,23 +119,26 @@
         ----------
         running : iterable of StreamTimes
             Streams in progress, by what they have taken until now.
-        safety_factor : float
-            Factor by which the stream may be slower than all of them.
         """
+        event_tokens = self._estimate_event_tokens()
+        longest = _find_longest(
+            each.scale_duration(output_tokens, event_tokens)
+            for each in self._select_similar(output_tokens)
+        )
+        for each in running:
+            longest = max(longest, each.scale_duration(output_tokens, event_tokens))
+        return MAX_SLOWDOWN * longest
+
+    def _select_similar(self, output_tokens: int) -> list[StreamTimes]:
+        """Return the streams that tell of one with an allowance; none if there are too few."""
         if output_tokens <= 0 or len(self._observations) < MIN_STREAMS:
-            return math.inf
+            return []
         similar = [
             each
             for each in self._observations
             if each.output_tokens >= SIMILAR_SIZE_FRACTION * output_tokens
         ]
-        streams = similar if len(similar) >= MIN_STREAMS else self._observations
-        event_tokens = self._estimate_event_tokens()
-        durations = sorted(each.scale_duration(output_tokens, event_tokens) for each in streams)
-        longest = durations[-1 - len(durations) // STREAMS_PER_OUTLIER]
-        for each in running:
-            longest = max(longest, each.scale_duration(output_tokens, event_tokens))
-        return safety_factor * longest
+        return similar if len(similar) >= MIN_STREAMS else list(self._observations)
 
     def _estimate_event_tokens(self) -> float:
         """Return the tokens of an event, at least one and rather too few than too many."""
@@ -140,6 +152,12 @@
         return max(1.0, ratios[int(EVENT_TOKENS_QUANTILE * len(ratios))])
 
 
+def _find_longest(durations: Iterable[float]) -> float:
+    """Return the longest duration but for outliers; infinity if there is none."""
+    found = sorted(durations)
+    return found[-1 - len(found) // STREAMS_PER_OUTLIER] if found else math.inf
+
+
 class CompletionBounds:
     """Bounds of stream durations of all services."""
 
--- a/flamingofront/request/stop_refusal.py
+++ b/flamingofront/request/stop_refusal.py
@@ -2,11 +2,7 @@
 
 import math
 
-from flamingofront.decisions.stopping import (
-    SAFETY_FACTOR,
-    SAFETY_FACTOR_OUT_OF_ROTATION,
-    can_complete,
-)
+from flamingofront.decisions.stopping import can_complete
 from flamingofront.errors import ErrorKind, Executed, RequestError
 from flamingofront.request.forward_work import ForwardWork
 from flamingofront.request.host import RequestHost
@@ -49,12 +45,16 @@
 
 
 def _compute_duration_bound(hub: RequestHost, service: str, work: ForwardWork) -> float:
-    """Return the longest expected duration in seconds, by output size; infinity if unknown."""
+    """Return the longest expected duration in seconds, by output size; infinity if unknown.
+
+    Notes
+    -----
+    Until the load balancer has removed this process, most requests come here, and nearly all end in
+    the time that is left. Afterwards a stream must end in time in any case.
+    """
     if not work.stream:
         return math.inf
-    is_out = hub.is_out_of_rotation()
-    return hub.completion.for_service(service).estimate_max_seconds(
-        work.output_tokens,
-        hub.measure_streams(service),
-        SAFETY_FACTOR_OUT_OF_ROTATION if is_out else SAFETY_FACTOR,
-    )
+    bound = hub.completion.for_service(service)
+    if hub.is_out_of_rotation():
+        return bound.estimate_max_seconds(work.output_tokens, hub.measure_streams(service))
+    return bound.estimate_usual_seconds(work.output_tokens)
