--- a/flamingofront/platform/requests.py
+++ b/flamingofront/platform/requests.py
@@ -154,6 +154,7 @@
             not_run=NOT_RUN_HEADER in head.headers or wrong_endpoint,
             is_mismatched=head.headers.get(REQUEST_ID_HEADER, request_id) != request_id,
             wrong_endpoint=wrong_endpoint,
+            is_refusal=head.status in NOT_RUN_STATUSES,
             stream=head.headers.get("content-type", "").startswith("text/event-stream"),
             fields=_remove_headers(
                 head.fields, HOP_BY_HOP_FIELDS | get_connection_options(head.fields)
--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -254,13 +254,26 @@
             elif isinstance(action, ScheduleRetry):
                 self._retry_timer = self.hub.timers.once(action.delay, self._start_retry)
             elif isinstance(action, CancelAttempt):
-                self.record_abandoned()
-                self._end_call()
+                self._cancel_attempt(action)
             elif isinstance(action, Complete):
                 self._complete_answer()
             elif isinstance(action, Fail):
                 self._fail_request(action)
 
+    def _cancel_attempt(self, action: CancelAttempt) -> None:
+        """Give up the attempt in flight, if any."""
+        if self._handle is not None:
+            self.log.info(
+                "attempt cancelled",
+                attempt=action.attempt_id,
+                endpoint=self.endpoint_id,
+                proxy=self.proxy_address,
+                wrote=self._handle.wrote,
+                sent_age=round(self.hub.now() - self._sent_at, 3),
+            )
+        self.record_abandoned()
+        self._end_call()
+
     def _start_retry(self) -> None:
         self._retry_timer = None
         self.execute(self.machine.start())
@@ -399,6 +412,7 @@
         if not sent or executed is Executed.NO:
             self._attempt_intents.withdraw()
         proxy_address = self.proxy_address
+        was_written = self._handle is not None and self._handle.wrote
         self._end_call()
         self.hub.record_attempt_loss(
             self.record.service, self.endpoint_id, reason, is_endpoint_failure
@@ -409,6 +423,7 @@
             endpoint=self.endpoint_id,
             proxy=proxy_address,
             reason=reason,
+            wrote=was_written,
             ran=executed.value,
         )
         self.execute(
--- a/flamingofront/request/answer_reader.py
+++ b/flamingofront/request/answer_reader.py
@@ -130,6 +130,10 @@
             self._fail_attempt(
                 Executed.UNKNOWN, f"the stream went on with status {response.status}"
             )
+        elif response.is_refusal and not self._request.work.repeatable:
+            # The status would promise to the caller what the endpoint does not state.
+            reason = f"status {response.status} without a statement that it did not run"
+            self._fail_attempt(Executed.UNKNOWN, reason)
         elif response.status >= FIRST_ERROR_STATUS:
             self._request.handle_endpoint_error(self._attempt_id, complete)
         else:
--- a/flamingofront/request/forward_work.py
+++ b/flamingofront/request/forward_work.py
@@ -152,6 +152,8 @@
         True if the response belongs to another request.
     wrong_endpoint : bool
         True if another endpoint now uses the address.
+    is_refusal : bool
+        True if the status promises to a caller that the request was not executed.
     stream : bool
         True if the body is an event stream.
     fields : tuple of (str, str)
@@ -177,6 +179,7 @@
     wrong_endpoint: bool
     stream: bool
     fields: Fields
+    is_refusal: bool = False
     has_rate_limit_header: bool = False
     rate_limit: float | None = None
     max_rejections: int | None = None
--- a/flamingofront/tests/test_refusals.py
+++ b/flamingofront/tests/test_refusals.py
@@ -8,6 +8,7 @@
 import random
 from types import SimpleNamespace
 
+import logbook
 import pytest
 
 from flamingofront.errors import ErrorKind, Executed, RequestError
@@ -134,6 +135,28 @@
         assert (caller.status, caller.error["ran"]) == (503, "no")
         assert caller.headers["retry-after"] == "1.000"
 
+    @pytest.mark.parametrize("status", [408, 429, 503])
+    @pytest.mark.parametrize("path", ONCE)
+    def test_refusal_of_an_endpoint_that_does_not_state_that_it_did_not_run(self, path, status):
+        """Its answer was passed on, though it had begun to run the request."""
+        world = ready_world()
+        for each in world.endpoints.values():
+            each._respond = lambda req, exchange, fault, each=each: exchange.respond(
+                status, each._make_headers(req), b"busy"
+            )
+        caller = world.ask("front-1", path)
+        world.finish(caller)
+        assert (caller.status, caller.error["ran"]) == (502, "unknown")
+
+    def test_log_tells_what_was_written_of_a_cancelled_attempt(self):
+        world = ready_world()
+        with logbook.TestHandler(level="INFO", bubble=True).applicationbound() as log:
+            _, request = self.ask_running(world)
+            request.execute(request.machine.fail(ErrorKind.PROMPT_PART_CRASHES, "", 1.0))
+        line = next(each for each in log.records if each.message == "attempt cancelled")
+        assert line.kwargs["wrote"] is True and line.kwargs["endpoint"] in world.endpoints
+        assert line.kwargs["sent_age"] >= 0.2 and line.kwargs["proxy"] == ""
+
     def test_replaced_attempt_counts_as_written(self):
         world = ready_world()
         _, request = self.ask_running(world, "/stream/again/x")
