--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -452,7 +452,7 @@
             ),
             self.tasks,
             self.timers,
-            self._rng,
+            random.Random(self._report_builder.identity.process),
             self.log,
         )
         self.store.add_restore_listener(self.stored_versions.reload)
--- a/flamingofront/process/forwarding/tests/test_holders_after_restore.py
+++ b/flamingofront/process/forwarding/tests/test_holders_after_restore.py
@@ -89,8 +89,9 @@
             node.peers.broadcast_report()
             self.run(1.5)
         self.world.kill(name)
-        timers = self.world.host("store").timers
-        timers.once(restart_after, lambda: self.start(name))
+        if restart_after is not None:
+            timers = self.world.host("store").timers
+            timers.once(restart_after, lambda: self.start(name))
 
     def start(self, name):
         """Start an entry process again."""
@@ -180,14 +181,15 @@
         duties.run_until_held()
         lost = duties.find_holder()
         duties.run(1.0)
-        duties.restore_while_holder_ends(5.0, "stop", restart_after=0.2)
-        duties.end_holder("stop")
-        duties.run_until(lambda: duties.find_holder() not in (None, lost))
+        duties.restore_while_holder_ends(5.0, "stop", restart_after=None)
+        duties.end_holder("stop", restart_after=None)
+        duties.run_until(lambda: duties.find_holder() is not None)
+        duties.start(lost)
         duties.run(0.5)
         for name in duties.list_live():
             if name not in (lost, duties.find_holder()):
                 duties.world.kill(name)
-        duties.end_holder("stop")
+        duties.end_holder("stop", restart_after=None)
         duties.run(DUE_SECONDS)
         assert_one_holder_at_a_time(duties.world, LONG_LEASE_SECONDS)
 
