--- a/flamingofront/platform/requests.py
+++ b/flamingofront/platform/requests.py
@@ -152,7 +152,7 @@
         return EndpointResponseHead(
             status=head.status,
             not_run=NOT_RUN_HEADER in head.headers or wrong_endpoint,
-            is_mismatched=head.headers.get(REQUEST_ID_HEADER, request_id) != request_id,
+            is_mismatched=_is_mismatched(request_id, head),
             wrong_endpoint=wrong_endpoint,
             is_refusal=head.status in NOT_RUN_STATUSES,
             stream=head.headers.get("content-type", "").startswith("text/event-stream"),
@@ -183,6 +183,19 @@
         return status, fields, encode_error(exc)
 
 
+def _is_mismatched(request_id: str, head: ResponseHead) -> bool:
+    """Return True if a response belongs to another request.
+
+    Notes
+    -----
+    A second response to a request for the endpoint's state has no id. It may come late, on a
+    connection that by then carries another request.
+    """
+    if REQUEST_ID_HEADER not in head.headers:
+        return head.reused
+    return head.headers[REQUEST_ID_HEADER] != request_id
+
+
 def _remove_headers(fields: Fields, names: frozenset[str]) -> Fields:
     return tuple(each for each in fields if each[0].lower() not in names)
 
--- a/flamingofront/platform/tests/test_adapter.py
+++ b/flamingofront/platform/tests/test_adapter.py
@@ -259,6 +259,12 @@
         with pytest.raises(RequestError, match="soon"):
             protocol.decode(InboundRequest("GET", "/", {}, headers, b""))
 
+    @pytest.mark.parametrize("reused", [False, True])
+    def test_response_without_an_id_on_a_connection_that_was_used_before(self, reused):
+        """A second response to a request for an endpoint's state was passed on as a success."""
+        head = ResponseHead(200, {}, (), reused)
+        assert PlatformProtocol().decode_response_head("r-1", head).is_mismatched is reused
+
     @pytest.mark.parametrize(
         "headers, not_run, crossed",
         [
