--- a/flamingofront/connection/server.py
+++ b/flamingofront/connection/server.py
@@ -116,13 +116,55 @@
     return ERROR_RESPONSES[exc.kind].status, build_error_headers(exc), encode_error(exc)
 
 
-class _Connection(Exchange):
-    """State of one caller connection, and the `Exchange` of its current request.
+class _RequestExchange(Exchange):
+    """Response channel of one request on a connection.
+
+    Once the request is answered, what its handler still sends is dropped: it would be taken for the
+    response to a later request.
+    """
+
+    def __init__(self, conn: "_Connection"):
+        self._conn = conn
+        self.on_disconnect = None
+
+    @property
+    def _is_open(self) -> bool:
+        return self._conn.exchange is self
+
+    def respond(self, status: int, headers: tuple[tuple[str, str], ...], body: bytes) -> None:
+        """Send a complete response."""
+        if self._is_open:
+            self._conn.respond(status, headers, body)
+
+    def begin(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
+        """Start a streamed response by sending its head."""
+        if self._is_open:
+            self._conn.begin(status, headers)
+
+    def send(self, data: bytes) -> bool:
+        """Send one chunk; return False if the caller disconnected or reads too slowly."""
+        return self._is_open and self._conn.send(data)
+
+    def finish(self) -> None:
+        """End a streamed response."""
+        if self._is_open:
+            self._conn.finish()
+
+    def abort(self) -> None:
+        """Close the connection at once, without sending queued bytes."""
+        if self._is_open:
+            self._conn.abort()
+
+
+class _Connection:
+    """State of one caller connection.
 
     Attributes
     ----------
     request_count : int
         Number of complete requests received on this connection.
+    exchange : _RequestExchange or None
+        Response channel of the request that is being answered.
     """
 
     def __init__(self, server: "HTTPServer", sock):
@@ -130,11 +172,12 @@
         self._sock = sock
         self._pipelined = bytearray()
         self._timer: Timer | None = None
+        self._next_timer: Timer | None = None
         self._closed = False
         self.request_count = 0
         self._keep_alive = True
         self._method = ""
-        self.on_disconnect = None
+        self.exchange: _RequestExchange | None = None
         self._start_request()
 
     def _start_request(self) -> None:
@@ -144,12 +187,17 @@
         self._body = bytearray()
         self._responding = False
         self._head_received_at = 0.0
-        self.on_disconnect = None
+        self.exchange = None
 
     @property
     def is_idle(self) -> bool:
         """True if no request is being received or answered."""
-        return not self._responding and self._head is None and self._heads.is_empty
+        return not self._is_busy and self._head is None and self._heads.is_empty
+
+    @property
+    def _is_busy(self) -> bool:
+        """True while a request is answered, or the next one has been read already."""
+        return self._responding or self._next_timer is not None
 
     def start_idle_timer(self) -> None:
         """Close the connection if no request starts within the idle timeout."""
@@ -164,9 +212,13 @@
 
     def receive(self, data: bytes) -> None:
         """Handle bytes received from the socket."""
-        if self._responding:
+        if self._is_busy:
             self._buffer_data(data)
-            return
+        else:
+            self._receive_next(data)
+
+    def _receive_next(self, data: bytes) -> None:
+        """Handle bytes of the next request."""
         if self._head is None and self._heads.is_empty:
             self._set_timer(self._server.limits.request_timeout, self._on_request_timeout)
         try:
@@ -218,7 +270,8 @@
             head.fields,
             self._head_received_at,
         )
-        self._server.dispatch(req, self)
+        self.exchange = _RequestExchange(self)
+        self._server.dispatch(req, self.exchange)
 
     def _on_request_timeout(self) -> None:
         self._reject(RequestError(ErrorKind.REQUEST_TIMEOUT, retry_after=1.0))
@@ -269,11 +322,12 @@
     def mark_closed(self) -> None:
         """Record that the socket is closed and notify the handler of a pending response."""
         self._closed = True
-        if self._timer is not None:
-            self._timer.cancel()
-        if self._responding and self.on_disconnect is not None:
-            listener, self.on_disconnect = self.on_disconnect, None
-            listener()
+        for timer in (self._timer, self._next_timer):
+            if timer is not None:
+                timer.cancel()
+        exchange, self.exchange = self.exchange, None
+        if self._responding and exchange is not None and exchange.on_disconnect is not None:
+            exchange.on_disconnect()
 
     def _encode_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> bytes:
         lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}"]
@@ -294,12 +348,19 @@
         if not self._keep_alive:
             self._close()
             return
-        pipelined = bytes(self._pipelined)
-        self._pipelined.clear()
         self._start_request()
         self.start_idle_timer()
-        if pipelined:
-            self.receive(pipelined)
+        if self._pipelined:
+            # Not at once: each request that is answered at once would nest in the one before it.
+            self._next_timer = self._server.timers.once(0.0, self._receive_pipelined)
+
+    def _receive_pipelined(self) -> None:
+        """Handle the bytes that arrived before the last response was complete."""
+        self._next_timer = None
+        data = bytes(self._pipelined)
+        self._pipelined.clear()
+        if not (self._closed or self._responding):
+            self._receive_next(data)
 
     def _close(self) -> None:
         if not self._closed:
@@ -390,14 +451,23 @@
         return len(self._connections)
 
     def dispatch(self, req: InboundRequest, exchange: Exchange) -> None:
-        """Pass a request to the handler; an exception is answered with an error response."""
+        """Pass a request to the handler; an exception is answered with an error response.
+
+        Notes
+        -----
+        The handler may have accepted the request before the exception: it is told that its caller
+        has gone, as nothing that it still sends reaches the caller.
+        """
         try:
             self._on_request(req, exchange)
         except RequestError as exc:
             exchange.respond(*self.render_error(exc))
         except Exception as exc:  # the caller must get a response in any case
             self._on_fault(exc)
+            listener = exchange.on_disconnect
             exchange.respond(*self.render_error(RequestError(ErrorKind.INTERNAL)))
+            if listener is not None:
+                listener()
 
     def count_unsent(self, sock) -> int:
         """Return the number of response bytes queued on `sock`."""
--- a/flamingofront/connection/tests/test_server.py
+++ b/flamingofront/connection/tests/test_server.py
@@ -39,6 +39,10 @@
     def handle(self, req, exchange):
         if req.path == "/fault":
             raise RuntimeError("secret detail")
+        if req.path == "/accepted-fault":
+            exchange.on_disconnect = self.disconnected.set
+            self.pending["exchange"] = exchange
+            raise RuntimeError("after the request was accepted")
         if req.path == "/hold":
             exchange.on_disconnect = self.disconnected.set
             self.pending["exchange"] = exchange
@@ -126,6 +130,43 @@
             data.index(b"GET /%d " % n) for n in range(5)
         )
 
+    def test_many_requests_that_are_answered_at_once_do_not_nest(self, server):
+        """Each was handled within the answer to the one before, up to Python's limit of frames."""
+        count, before = 1500, len(server.faults)
+        requests = b"".join(b"GET /%d HTTP/1.1\r\n\r\n" % n for n in range(count))
+        buffer, found = bytearray(), []
+        with server.connect() as conn:
+            conn.sendall(requests)
+            for _ in range(count):
+                found.append(read_response(conn, buffer))
+        assert found == [(200, b"GET /%d " % n) for n in range(count)]
+        assert server.faults[before:] == []
+
+    def test_other_connections_are_served_beside_many_pipelined_requests(self, server):
+        with server.connect() as busy, server.connect() as other:
+            busy.sendall(b"".join(b"GET /%d HTTP/1.1\r\n\r\n" % n for n in range(3000)))
+            start = time.monotonic()
+            other.sendall(b"GET /other HTTP/1.1\r\n\r\n")
+            assert read_response(other) == (200, b"GET /other ")
+            assert time.monotonic() - start < 1.0
+
+    def test_late_answer_to_a_request_that_failed_is_dropped(self, server):
+        """A second answer was taken for the one to the next request on the connection."""
+        server.disconnected.clear()
+        with server.connect() as conn:
+            conn.sendall(b"GET /accepted-fault HTTP/1.1\r\n\r\n")
+            assert read_response(conn)[0] == 500
+            assert server.disconnected.wait(WAIT_SECONDS)
+            first = server.pending["exchange"]
+            server.arrived.clear()
+            conn.sendall(b"GET /hold HTTP/1.1\r\n\r\n")
+            assert server.arrived.wait(WAIT_SECONDS)
+            second = server.pending["exchange"]
+            server.run_in_loop(lambda: first.respond(504, (), b"late"))
+            server.run_in_loop(lambda: second.respond(200, (), b"its own"))
+            assert read_response(conn) == (200, b"its own")
+        server.faults.clear()
+
     def test_request_received_during_a_response_is_deferred(self, server):
         server.arrived.clear()
         server.hold_count = 0
