--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -163,8 +163,8 @@
     Mutation(
         "8 one request at a time on a connection",
         "connection/server.py",
-        "        if self._responding:\n            self._buffer_data(data)\n            return\n",
-        "",
+        "        if self._is_busy:\n            self._buffer_data(data)\n",
+        "        if False:\n            self._buffer_data(data)\n",
         "connection/tests/test_server.py",
     ),
     Mutation(
--- a/bench/promise_mutations.py
+++ b/bench/promise_mutations.py
@@ -123,4 +123,32 @@
         "if now - since >= 1.0}",
         STORED_VERSIONS,
     ),
+    Mutation(
+        "Channel: a request's channel is closed with its answer",
+        "connection/server.py",
+        "return self._conn.exchange is self",
+        "return True",
+        "connection/tests/test_server.py",
+    ),
+    Mutation(
+        "Channel: pipelined requests do not nest",
+        "connection/server.py",
+        "self._next_timer = self._server.timers.once(0.0, self._receive_pipelined)",
+        "self._receive_pipelined()",
+        "connection/tests/test_server.py",
+    ),
+    Mutation(
+        "Channel: a response without an id on a used connection is another's",
+        "platform/requests.py",
+        "        return head.reused\n",
+        "        return False\n",
+        "platform/tests/test_adapter.py",
+    ),
+    Mutation(
+        "Memory: all responses together are bounded",
+        "request/response_memory.py",
+        "while self.total > MAX_TOTAL_BYTES:",
+        "while False:",
+        "request/tests/test_response_memory.py",
+    ),
 )
--- a/flamingofront/request/answer_reader.py
+++ b/flamingofront/request/answer_reader.py
@@ -6,6 +6,7 @@
 from flamingofront.errors import Executed
 from flamingofront.messages import CallFailed, ResponseData, ResponseEnd, ResponseHead
 from flamingofront.request.forward_work import EndpointResponse, EndpointResponseHead
+from flamingofront.request.response_memory import CollectedResponse
 
 if TYPE_CHECKING:
     from flamingofront.request.forwarded_request import ForwardedRequest
@@ -16,7 +17,7 @@
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 
 
-class ResponseReader:
+class ResponseReader(CollectedResponse):
     """Handles the transport events of one attempt and reports its outcome to the request."""
 
     def __init__(self, request: "ForwardedRequest", attempt_id: str):
@@ -104,8 +105,20 @@
         self._chunks.append(data)
         self._received_bytes += len(data)
         if self._received_bytes > MAX_RESPONSE_BYTES:
-            self._request.record_abandoned()
-            self._fail_attempt(Executed.UNKNOWN, "the answer is too large")
+            self.give_up("the answer is too large")
+        else:
+            self._request.hub.response_memory.record(self, self._received_bytes)
+
+    def give_up(self, reason: str) -> None:
+        """End the attempt because of the size of its answer."""
+        self._release()
+        self._request.record_abandoned()
+        self._fail_attempt(Executed.UNKNOWN, reason)
+
+    def _release(self) -> None:
+        """Drop what was received."""
+        self._chunks.clear()
+        self._request.hub.response_memory.forget(self)
 
     def _relay_events(self, data: bytes) -> None:
         try:
@@ -120,6 +133,7 @@
     def _on_end(self) -> None:
         response = self._response
         body = b"".join(self._chunks)
+        self._release()
         complete = EndpointResponse(response.status, response.fields, body)
         if self._is_stream and (
             self._request.relay.has_partial_event or not self._request.has_any_event
@@ -140,4 +154,5 @@
             self._request.complete_response(self._attempt_id, complete)
 
     def _on_failure(self, event: CallFailed) -> None:
+        self._release()
         self._request.handle_call_failure(self._attempt_id, event)
--- a/flamingofront/request/host.py
+++ b/flamingofront/request/host.py
@@ -26,6 +26,7 @@
 from flamingofront.request.guard import RequestGuard
 from flamingofront.request.permits import Permits
 from flamingofront.request.records import RequestRecord
+from flamingofront.request.response_memory import ResponseMemory
 from flamingofront.request.stream_origins import StreamOrigins
 from flamingofront.version.model import Service
 
@@ -94,6 +95,8 @@
         Permits to send to endpoints with a rate limit.
     completion : CompletionBounds
         Bounds on the duration of streams, learned from completed ones.
+    response_memory : ResponseMemory
+        Bound on the memory of responses that are collected as a whole.
     shutdown_seconds_left : callable
         Returns the seconds until this process exits; infinity unless it is shutting down.
     is_out_of_rotation : callable
@@ -118,6 +121,7 @@
     backoffs: EndpointBackoffs
     on_endpoint_leaving: Callable[[str, str], None]
     completion: CompletionBounds
+    response_memory: ResponseMemory
     shutdown_seconds_left: Callable[[], float]
     is_out_of_rotation: Callable[[], bool]
 
--- a/flamingofront/request/hub.py
+++ b/flamingofront/request/hub.py
@@ -39,6 +39,7 @@
 from flamingofront.request.permits import Permits
 from flamingofront.request.plain_request import PlainRequest
 from flamingofront.request.records import ModelWork, RequestRecord
+from flamingofront.request.response_memory import ResponseMemory
 from flamingofront.request.stream_origins import LocalOrigins, StreamOrigins
 from flamingofront.version.model import Service
 
@@ -114,6 +115,7 @@
         directory.path_to = self.paths.path_to
         self.rates = LearnedRates()
         self.completion = CompletionBounds()
+        self.response_memory = ResponseMemory()
         self.shutdown_seconds_left: Callable[[], float] = lambda: math.inf
         self.is_out_of_rotation: Callable[[], bool] = lambda: False
         crash_detector = CrashDetector(transport, timers, directory, metrics, log)
