--- a/flamingofront/connection/server.py
+++ b/flamingofront/connection/server.py
@@ -229,7 +229,8 @@
     def _buffer_data(self, data: bytes) -> None:
         self._pipelined += data
         if len(self._pipelined) > MAX_PIPELINED_BYTES:
-            self.abort()
+            # The request in progress is still answered; what follows waits in the caller's socket.
+            self._server.set_reading(self._sock, False)
 
     def _parse_request(self, data: bytes) -> None:
         if self._head is None:
@@ -359,6 +360,7 @@
         self._next_timer = None
         data = bytes(self._pipelined)
         self._pipelined.clear()
+        self._server.set_reading(self._sock, True)
         if not (self._closed or self._responding):
             self._receive_next(data)
 
@@ -482,6 +484,10 @@
         """
         self._sockets.write(sock, data)
 
+    def set_reading(self, sock: socket.socket, is_reading: bool) -> None:
+        """Stop to read from `sock`, or read from it again."""
+        self._sockets.set_reading(sock, is_reading)
+
     def close_after_sending(self, sock: socket.socket) -> None:
         """Close `sock` after its queued bytes have been sent."""
         self._sockets.close(sock)
--- a/flamingofront/connection/sockets.py
+++ b/flamingofront/connection/sockets.py
@@ -103,6 +103,7 @@
         self._on_fault = on_fault
         self._buffers: dict[socket.socket, deque[bytes]] = {}
         self._closing: set[socket.socket] = set()
+        self._paused: set[socket.socket] = set()
         self._poller: DirectPoller | None = None
         self._listen_socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._listen_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -204,7 +205,26 @@
         if data:
             buffer.append(data)
             self.unsent_bytes[sock] = self.unsent_bytes.get(sock, 0) + len(data)
-            self._poller.watch(sock, self, READ | WRITE)
+            self._poller.watch(sock, self, self._read_mask(sock) | WRITE)
+
+    def _read_mask(self, sock: socket.socket) -> int:
+        return 0 if sock in self._paused else READ
+
+    def set_reading(self, sock: socket.socket, is_reading: bool) -> None:
+        """Stop to read from a connection, or read from it again.
+
+        Notes
+        -----
+        Meanwhile a reset by the caller is noticed, but not the end of its stream.
+        """
+        if sock not in self._buffers or sock in self._closing:
+            return
+        if is_reading:
+            self._paused.discard(sock)
+        else:
+            self._paused.add(sock)
+        write = WRITE if self.unsent_bytes.get(sock) else 0
+        self._poller.watch(sock, self, self._read_mask(sock) | write)
 
     @staticmethod
     def _try_send(sock: socket.socket, data: bytes) -> int:
@@ -241,7 +261,7 @@
         if sock in self._closing:
             self.drop(sock)
         else:
-            self._poller.watch(sock, self, READ)
+            self._poller.watch(sock, self, self._read_mask(sock))
 
     def close(self, sock: socket.socket) -> None:
         """Close a connection after its queued bytes have been sent."""
@@ -258,6 +278,7 @@
             return
         self.unsent_bytes.pop(sock, None)
         self._closing.discard(sock)
+        self._paused.discard(sock)
         self._poller.unwatch(sock)
         with contextlib.suppress(OSError):  # the caller has closed it already
             sock.shutdown(socket.SHUT_RDWR)
--- a/flamingofront/connection/tests/test_server.py
+++ b/flamingofront/connection/tests/test_server.py
@@ -150,6 +150,25 @@
             assert read_response(other) == (200, b"GET /other ")
             assert time.monotonic() - start < 1.0
 
+    def test_large_request_behind_one_in_progress_does_not_end_it(self, server):
+        """More than 64 KiB of the next request closed the connection, and lost the answer."""
+        server.arrived.clear()
+        bodies = [b"POST /%d HTTP/1.1\r\nContent-Length: 1500\r\n\r\n" % n for n in range(200)]
+        buffer, found = bytearray(), []
+        with server.connect() as conn:
+            conn.sendall(b"GET /hold HTTP/1.1\r\n\r\n")
+            assert server.arrived.wait(WAIT_SECONDS)
+            data = b"".join(each + b"x" * 1500 for each in bodies)
+            sender = threading.Thread(target=conn.sendall, args=(data,), daemon=True)
+            sender.start()
+            time.sleep(0.2)
+            held = server.pending["exchange"]
+            server.run_in_loop(lambda: held.respond(200, (), b"held"))
+            found = [read_response(conn, buffer) for _ in range(201)]
+            sender.join(WAIT_SECONDS)
+        assert found[0] == (200, b"held")
+        assert [body[:10].split()[1] for _, body in found[1:]] == [b"/%d" % n for n in range(200)]
+
     def test_late_answer_to_a_request_that_failed_is_dropped(self, server):
         """A second answer was taken for the one to the next request on the connection."""
         server.disconnected.clear()
