--- a/flamingofront/process/forwarding/duty.py
+++ b/flamingofront/process/forwarding/duty.py
@@ -273,7 +273,6 @@
         if is_behind:
             # Stored with the lease: this holder may end before it has reported a window.
             reports_from = max(reports_from, self.current_window())
-            self._log.warning("usage windows skipped", before=reports_from)
         state = replace(
             self.state,
             holder=self._vm_id,
@@ -289,6 +288,8 @@
             self._last_seen_at = self._now()
             self._log.info("leader lease not acquired", fencing=state.fencing)
             return
+        if is_behind:
+            self._log.warning("usage windows skipped", before=reports_from)
         held_before = state.holders_unknown or (self._vm_id in past and past[0] != self._vm_id)
         acts_from = self._now() + self._duration if held_before else sent_at
         self._lease = HeldLease(state.fencing, sent_at, acts_from, sent_at + self._duration)
--- a/flamingofront/process/forwarding/shared_origins.py
+++ b/flamingofront/process/forwarding/shared_origins.py
@@ -50,6 +50,8 @@
 # second one; a reply takes some milliseconds.
 RESEND_SECONDS = 0.03
 GIVE_UP_SECONDS = 0.1
+# Longest wait for the recorded versions after that: a slow store must not delay a refusal.
+READ_SECONDS = 0.2
 
 
 @dataclass(eq=False)
@@ -61,8 +63,8 @@
     asked: set[str]
     silent: set[str]
     versions: set[tuple[str, str]] = field(default_factory=set)
-    is_complete: bool = False
     timer: Timer | None = None
+    is_closed: bool = False
 
     @property
     def replied(self) -> int:
@@ -210,16 +212,19 @@
     def _end_if_sole(self, pending: _PendingLookup, recorded: Versions | None) -> None:
         """End a lookup if only one version can have begun the stream."""
         found = self._find_sole_version(pending, recorded)
-        if found is not None and pending.request.number in self._pending:
+        if found is not None:
             self._close(pending, found)
 
     def _finish(self, pending: _PendingLookup) -> None:
         """End a lookup without a record of the stream: its version is known only if it is sole."""
+        nothing = OriginLookup(None, Evidence.NONE)
         self._pending.pop(pending.request.number, None)
+        if pending.timer is not None:
+            pending.timer.cancel()
+        pending.timer = self._timers.once(READ_SECONDS, lambda: self._close(pending, nothing))
         self._recorded.read(
             lambda versions: self._close(
-                pending,
-                self._find_sole_version(pending, versions) or OriginLookup(None, Evidence.NONE),
+                pending, self._find_sole_version(pending, versions) or nothing
             )
         )
 
@@ -246,6 +251,10 @@
         return make_sole_version(seen | versions)
 
     def _close(self, pending: _PendingLookup, found: OriginLookup) -> None:
+        """Pass on the result of a lookup, once."""
+        if pending.is_closed:
+            return
+        pending.is_closed = True
         self._pending.pop(pending.request.number, None)
         if pending.timer is not None:
             pending.timer.cancel()
@@ -294,6 +303,5 @@
             self._close(pending, self.local.judge(record, Evidence.PEER))
             return
         pending.versions |= reply.versions
-        pending.is_complete = pending.is_complete or reply.is_complete
         if not pending.silent:
             self._finish(pending)
--- a/flamingofront/tests/test_versions_after_restarts.py
+++ b/flamingofront/tests/test_versions_after_restarts.py
@@ -244,6 +244,34 @@
         play(world, steps)
 
 
+class TestSlowStore:
+    @pytest.mark.parametrize("delay", [0.02, 0.05, 0.15, 0.6])
+    @pytest.mark.parametrize("versions", [(OLD,), (OLD, NEW)])
+    def test_each_lookup_has_one_result_in_time(self, versions, delay):
+        """A read that outlasts a timer of the lookup would let the request be accepted twice."""
+        world = versions_world(versions=versions)
+        inner = world.store._serve
+
+        def serve(req, exchange, respond):
+            timers = world.host("store").timers
+            timers.once(delay, lambda: inner(req, exchange, respond))
+
+        callers = start_streams(world, 20, world.live_fronts())
+        world.run(AMID_STREAM)
+        start_all(world, kill_all(world))
+        # Until the row has to be read again.
+        world.run(1.0)
+        world.store._serve = serve
+        lost = resume(world, callers)
+        assert len(lost) >= 10
+        world.run(REFUSAL_SECONDS + 0.2)
+        assert all(each.caller.answers == 1 for each in lost)
+        world.run(WHOLE_STREAM)
+        check(world, callers)
+        runs = [request_id for request_id, _ in world.list_runs()]
+        assert len(runs) == len(set(runs))
+
+
 class TestOneVersion:
     """Streams go on where no other version can have begun them."""
 
