A timer that a signal handler schedules is not lost

What callers saw: nothing reported. A stop or reload signal that arrives between two steps of the event loop could be ignored: the process serves on until it is killed, and its streams are cut. Cause: the timer service looked at the first timer, found it cancelled and removed the first one of the heap. A timer scheduled in between, by a signal handler, is earlier, so that it was removed. Change: what is removed is looked at again, and put back unless it is cancelled. Result: test_timer_of_a_signal_handler_is_kept failed before (next_due() was None) and passes.

--- a/flamingofront/process/tests/test_timers.py
+++ b/flamingofront/process/tests/test_timers.py
@@ -1,5 +1,7 @@
 """Exact timers, and relaxed timers that run with other wake-ups."""
 
+import heapq
+
 import pytest
 
 from flamingofront.process.timers import SLACK_SECONDS, ManualClock, TimerService
@@ -61,3 +63,21 @@
     def test_period_must_be_above_zero(self, timers):
         with pytest.raises(ValueError, match="above 0"):
             timers.every(0.0, lambda: None)
+
+
+class TestInterruptions:
+    def test_timer_of_a_signal_handler_is_kept(self, timers):
+        """Guards against a stop signal that is lost between the look at a timer and its removal."""
+
+        class Interrupted:
+            @property
+            def cancelled(self):
+                if not scheduled:
+                    scheduled.append(timers.once(0.0, lambda: seen.append("handler")))
+                return True
+
+        seen, scheduled = [], []
+        heapq.heappush(timers._exact, (101.0, -1, Interrupted()))
+        assert timers.next_due() == 100.0
+        run_due_at(timers, 100.5)
+        assert seen == ["handler"]
--- a/flamingofront/process/timers.py
+++ b/flamingofront/process/timers.py
@@ -175,5 +175,8 @@
 def _get_first_due(heap: list[tuple[float, int, Timer]]) -> float | None:
     """Remove cancelled timers from the top of a heap; return when its first timer is due."""
     while heap and heap[0][2].cancelled:
-        heapq.heappop(heap)
+        entry = heapq.heappop(heap)
+        if not entry[2].cancelled:
+            # A signal handler has scheduled an earlier timer since the check.
+            heapq.heappush(heap, entry)
     return heap[0][0] if heap else None
