The command line survives an answer that stops in its head

What operators saw: nothing reported. An entry process that ends while it answers left a traceback and exit code 1 in place of the next entry process, or of exit code 5 (unknown). Cause: http.client takes the end of the connection for the end of a head, and what is left of the body, often nothing, is no JSON; that error was not expected. A cut answer was never taken for whole. Change: an answer that is no JSON counts as lost, as one that breaks off in its body does.

--- a/flamingofront/cli.py
+++ b/flamingofront/cli.py
@@ -113,7 +113,8 @@
                 return self._post(address, orjson.dumps(body))
             except ConnectionRefusedError as exc:
                 detail = f"{address}: {exc}"
-            except (OSError, http.client.HTTPException) as exc:
+            except (OSError, http.client.HTTPException, orjson.JSONDecodeError) as exc:
+                # http.client takes the end of the connection for the end of a response head.
                 sent = True
                 detail = f"{address}: {exc or type(exc).__name__}"
         return Reply(0, {"detail": detail}, sent)
--- a/flamingofront/tests/test_answers_cut_short.py
+++ b/flamingofront/tests/test_answers_cut_short.py
@@ -10,6 +10,7 @@
 import orjson
 import pytest
 
+from flamingofront.cli import OperatorClient
 from flamingofront.connection.server import HTTPServer
 from flamingofront.connection.splice import ConnectionSplicer
 from flamingofront.connection.tests.test_client import Client
@@ -358,3 +359,30 @@
             child.kill()
             child.wait()
             child.stdout.close()
+
+
+class TestCommandLine:
+    REPLY = orjson.dumps({"state": "accepted", "revision": 3})
+
+    @pytest.mark.parametrize("frame", FRAMINGS)
+    def test_answer_that_stops_leaves_the_outcome_open(self, partners, frame):
+        """Guards against an exception, and a change that is reported as not sent."""
+        client = OperatorClient([partners.address], "op")
+        answer = frame(self.REPLY)
+        # The last chunk ends the body for http.client, which then has all of it.
+        size = answer.find(b"\r\n0\r\n") + 4 if frame is chunked else len(answer)
+        for number in range(0, size, 2):
+            partners.answer(answer[:number], ENDINGS[number // 2 % 2])
+            reply = client.send(["show vms"])
+            assert (reply.status, reply.sent) == (0, True), answer[:number]
+        partners.answer(answer)
+        assert client.send(["show vms"]).data["revision"] == 3
+
+    @pytest.mark.parametrize("size", [0, 17, 40, 60])
+    def test_next_entry_process_is_asked(self, partners, size):
+        whole = unframed(self.REPLY)
+        cut = CutPartner(lambda req: Answer((whole[:size],)))
+        partners.answer(whole)
+        reply = OperatorClient([cut.address, partners.address], "op").send(["show vms"])
+        cut.close()
+        assert (reply.status, reply.data["revision"]) == (200, 3)
