A stream that goes on does not end with an endpoint that closes right after its head

Cause: the close of the connection ends an answer without framing. For the first attempt of a stream "no event" counted as broken off, but a stream that goes on may have no further event. Change: the client does not take an event stream without framing and without any byte for complete. With framing it is complete as before. A caller that has all events but the end, resuming at an endpoint that sends no framing, gets a visible failure now: the two cases look alike. Evidence: real process and endpoint on loopback, two events in chunks, cut inside the third, then the head and a close: (200, two events) before. test_close_right_after_the_head_does_not_end_it and test_close_right_after_the_head_is_no_stream_of_a_proxied_attempt failed before and pass. A stream without framing that is closed between two events still ends as whole: nothing shows it.

--- a/flamingofront/connection/framing.py
+++ b/flamingofront/connection/framing.py
@@ -47,6 +47,7 @@
 
 MAX_HEAD_BYTES = 16 * 1024
 MAX_CHUNK_LINE_BYTES = 64
+EVENT_STREAM_TYPE = "text/event-stream"
 _HEAD_END = b"\r\n\r\n"
 _REQUEST_KIND = 0
 _RESPONSE_KIND = 1
@@ -244,15 +245,25 @@
 
 
 class UntilCloseDecoder(BodyDecoder):
-    """Decoder for a response body that ends when the connection is closed."""
+    """Decoder for a response body that ends when the connection is closed.
+
+    Parameters
+    ----------
+    may_be_empty : bool
+        False if a body without any byte is not complete.
+    """
+
+    def __init__(self, may_be_empty: bool = True):
+        self._has_content = may_be_empty
 
     def feed(self, data: bytes) -> tuple[bytes, bytes]:
         """Return all of `data` as body bytes."""
+        self._has_content = self._has_content or bool(data)
         return data, b""
 
     def can_end_at_close(self) -> bool:
-        """Return True: the close of the connection ends the body."""
-        return True
+        """Return True: the close of the connection ends the body, unless it must not be empty."""
+        return self._has_content
 
 
 class ChunkedDecoder(BodyDecoder):
@@ -363,6 +374,10 @@
     return LengthDecoder(length)
 
 
+def _is_event_stream(head: Head) -> bool:
+    return head.headers.get("content-type", "").lower().startswith(EVENT_STREAM_TYPE)
+
+
 def create_response_decoder(head: Head, method: str) -> BodyDecoder:
     """Create the decoder for the body of a response to a request with this method."""
     if method == "HEAD" or head.status in (204, 304):
@@ -370,4 +385,7 @@
     if _is_chunked(head):
         return ChunkedDecoder()
     length = _parse_content_length(head)
-    return UntilCloseDecoder() if length is None else LengthDecoder(length)
+    if length is not None:
+        return LengthDecoder(length)
+    # A sender that ends right after the head closes as it does after a stream without events.
+    return UntilCloseDecoder(may_be_empty=not _is_event_stream(head))
--- a/flamingofront/tests/test_processes_cut_short.py
+++ b/flamingofront/tests/test_processes_cut_short.py
@@ -185,10 +185,20 @@
         assert resumed(chunked(b"", EVENT_STREAM), 2) == [(200, first)]
         assert resumed(with_length(b"", EVENT_STREAM), 3) == [(200, first)]
 
+    def test_close_right_after_the_head_does_not_end_it(self, resumed):
+        """Guards against a stream that ends as whole before its last events."""
+        assert resumed(unframed(b"", EVENT_STREAM), 4) == []
+
     @pytest.mark.parametrize("cut", [0, 17, 30, -1])
     def test_cut_head_does_not_end_it(self, resumed, cut):
         assert resumed(unframed(b"", EVENT_STREAM)[:cut], f"cut-{cut}") == []
 
+    def test_close_right_after_the_head_is_no_stream_of_a_proxied_attempt(self, processes):
+        partner = processes.partners["engine-1"]
+        partner.answer_to = lambda req: Answer((unframed(b"", EVENT_STREAM),))
+        data, is_closed = processes.ask(proxy_target("engine-1", "/stream/letter/p"), "control")
+        assert split_answers(data, is_closed)[0] == []
+
 
 class TestKilledProcess:
     """Runs last: it ends the process."""
