Mutations of what keeps an answer that stops early from looking whole

Cause: the tests of cut answers pass on the code as it is; nothing showed that they can fail. The copy in which mutations are played gets the examples as well: tests of forwarding processes need one, and failed there for want of it.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 from bench.answer_mutations import ANSWER_MUTATIONS
+from bench.cut_answer_mutations import CUT_ANSWER_MUTATIONS
 from bench.departure_mutations import DEPARTURE_MUTATIONS
 from bench.knowledge_mutations import KNOWLEDGE_MUTATIONS
 from bench.known_failure_mutations import KNOWN_FAILURE_MUTATIONS
@@ -186,6 +187,7 @@
     *QUARANTINE_MUTATIONS,
     *KNOWN_FAILURE_MUTATIONS,
     *ANSWER_MUTATIONS,
+    *CUT_ANSWER_MUTATIONS,
     *KNOWLEDGE_MUTATIONS,
     *DEPARTURE_MUTATIONS,
     *PROMISE_MUTATIONS,
@@ -203,7 +205,8 @@
     """Return whether all tests still pass with the mutation."""
     with tempfile.TemporaryDirectory() as folder:
         copy = Path(folder)
-        shutil.copytree(ROOT / "flamingofront", copy / "flamingofront")
+        for name in ("flamingofront", "examples"):
+            shutil.copytree(ROOT / name, copy / name)
         shutil.copy(ROOT / "conftest.py", copy)
         shutil.copy(ROOT / "pyproject.toml", copy)
         path = copy / "flamingofront" / mutation.file
