An unreadable VM list does not end the reading of VM lists

What callers saw: nothing reported. A VM list or a list of notices without framing whose connection closed early ended the task that reads them, with an error in the log: from then on the process learned of no VM, and of no reclaim, by the platform. Cause: the loop goes on after a PlatformError; malformed JSON raised another error. Change: it raises a PlatformError, as in the client of the store. Result: test_json_without_framing_that_stops_raises[vms] and [notices] failed before and pass.

--- a/flamingofront/process/vm_list.py
+++ b/flamingofront/process/vm_list.py
@@ -4,11 +4,13 @@
 """
 
 from dataclasses import dataclass
+from typing import Any
 from urllib.parse import quote
 
 import orjson
 
-from flamingofront.messages import STALE_SECONDS, OutboundCall
+from flamingofront.errors import PlatformError
+from flamingofront.messages import STALE_SECONDS, BufferedResponse, OutboundCall
 from flamingofront.process.calls import send_call
 from flamingofront.process.tasks import Task
 
@@ -73,7 +75,7 @@
         call = self._get("/vms", headers)
         reply = yield from send_call(call, False, (STATUS_OK, STATUS_NOT_MODIFIED))
         if reply.status == STATUS_OK:
-            self._list = tuple(VmRecord(**each) for each in orjson.loads(reply.body)["vms"])
+            self._list = tuple(VmRecord(**each) for each in _decode_body(reply)["vms"])
             self._list_tag = reply.headers.get("etag", "")
         return self._list
 
@@ -81,9 +83,16 @@
         """Return the reclaim notices of a zone as a mapping from VM id to seconds left."""
         call = self._get(f"/cloud/notices?zone={quote(zone)}")
         reply = yield from send_call(call, False, (STATUS_OK,))
-        return dict(orjson.loads(reply.body)["notices"])
+        return dict(_decode_body(reply)["notices"])
 
     def _get(self, path: str, headers: tuple[tuple[str, str], ...] = ()) -> OutboundCall:
         return OutboundCall(
             self._address, "GET", path, b"", headers, self._timeout, stale_seconds=STALE_SECONDS
         )
+
+
+def _decode_body(reply: BufferedResponse) -> dict[str, Any]:
+    try:
+        return orjson.loads(reply.body)
+    except orjson.JSONDecodeError as exc:
+        raise PlatformError(f"malformed JSON in the platform's response: {exc}") from exc
--- a/flamingofront/tests/test_answers_cut_short.py
+++ b/flamingofront/tests/test_answers_cut_short.py
@@ -26,6 +26,7 @@
 from flamingofront.process.store import RowWrite, ScalingRequest, UsageReport
 from flamingofront.process.store_eras import EraStore
 from flamingofront.process.tasks import TaskRunner
+from flamingofront.process.vm_list import VmList
 from flamingofront.request.endpoint_paths import EndpointPaths, PathRequest
 from flamingofront.request.path_probes import ResponseProbe
 from flamingofront.request.proxy_messages import ProxyFailure, encode_proxy_failure
@@ -176,6 +177,8 @@
         b"{}",
         True,
     ),
+    "vms": (lambda at: VmList(at, 9.0).list_vms(), b'{"vms": []}', False),
+    "notices": (lambda at: VmList(at, 9.0).fetch_notices("zone-a"), b'{"notices": {}}', False),
     "scale": (
         lambda at: PlatformCloud(at, 9.0).request_endpoints(
             "h", 1, ScalingRequest("engines", "zone-a", 2, False)
@@ -200,8 +203,8 @@
         partners.answer(frame(body))
         assert not isinstance(partners.finish(make_task(partners.address)), PlatformError)
 
-    @pytest.mark.parametrize("name", ["read", "feed", "write"])
-    def test_rows_without_framing_that_stop_raise(self, partners, name):
+    @pytest.mark.parametrize("name", ["read", "feed", "write", "vms", "notices"])
+    def test_json_without_framing_that_stops_raises(self, partners, name):
         """The end of the connection ends such a body: only its text shows that it is cut."""
         make_task, body, is_write = STORE_CALLS[name]
         answer = unframed(body)
