What a peer states about its own connections is told from the response of the endpoint

What callers saw: 503 with Retry-After for a write and for a stream that may not be resumed, while an endpoint had the request (REFUSED); 200 with the answer to another request (MIXED); 413, 431 and 500 of an entry process as if they were the endpoint's. Cause: of an attempt that a peer proxies, the sender took the facts of its connection to the peer for those of the peer's connection to the endpoint. A response without an id belongs to nobody if its connection was used before; the one to the peer is new for requests that may run once, while the peer uses an open connection where new ones fail. Any header of the endpoint that is named like that of a peer's failure counted as that failure, with its word on what was written; and a response that the server of the peer makes by itself counted as the endpoint's. Change: the peer marks each response of an endpoint, with the connection on which it came, and removes such headers from what the endpoint sends. A response without the mark is taken for one on a used connection, so that only its id can show that it belongs to the request.

--- a/flamingofront/process/forwarding/proxy.py
+++ b/flamingofront/process/forwarding/proxy.py
@@ -28,6 +28,7 @@
     ProxyFailure,
     ProxyRefusal,
     decode_proxied_call,
+    encode_endpoint_response,
     encode_proxy_failure,
 )
 
@@ -188,10 +189,10 @@
             self._node.hub.paths.monitor.record_connected(endpoint_id)
         self._has_begun = True
         if head.status in BODILESS_STATUSES:
-            self._exchange.respond(head.status, _end_to_end_fields(head), b"")
+            self._exchange.respond(head.status, _encode_fields(head), b"")
             self._end("complete")
         else:
-            self._exchange.begin(head.status, _end_to_end_fields(head))
+            self._exchange.begin(head.status, _encode_fields(head))
 
     def _on_failure(self, event: CallFailed) -> None:
         if event.reason in NO_CONNECTION_REASONS:
@@ -222,7 +223,6 @@
         )
 
 
-def _end_to_end_fields(head: ResponseHead) -> tuple[tuple[str, str], ...]:
-    """Return the headers of a response without those that concern one connection only."""
-    dropped = HOP_BY_HOP_FIELDS | get_connection_options(head.fields)
-    return tuple(each for each in head.fields if each[0].lower() not in dropped)
+def _encode_fields(head: ResponseHead) -> tuple[tuple[str, str], ...]:
+    """Return the headers for the sender, without those that concern one connection only."""
+    return encode_endpoint_response(head, HOP_BY_HOP_FIELDS | get_connection_options(head.fields))
--- a/flamingofront/request/endpoint_paths.py
+++ b/flamingofront/request/endpoint_paths.py
@@ -29,6 +29,7 @@
     STATUS_REACHED,
     ProxiedCall,
     ProxyFailure,
+    decode_endpoint_response,
     decode_proxy_failure,
     encode_proxied_call,
 )
@@ -391,7 +392,8 @@
             self._listener(CallFailed(event.reason, is_written, event.reused, by_proxy=True))
         elif self._failure is None:
             self._peers.record_response(self._address, self._endpoint_id)
-            self._listener(event)
+            is_head = isinstance(event, ResponseHead)
+            self._listener(decode_endpoint_response(event) if is_head else event)
         elif isinstance(event, ResponseEnd):
             self._fail(self._failure)
 
--- a/flamingofront/request/proxy_messages.py
+++ b/flamingofront/request/proxy_messages.py
@@ -2,15 +2,21 @@
 
 A process without a direct path to an endpoint sends the attempt to a peer, which sends it on and
 returns the response. The parameters of the call are in the query, so that the headers and the body
-are those of the attempt. A failure is one header of the response, which endpoints do not use.
+are those of the attempt. A header of the response tells whether it is that of the endpoint, or that
+the attempt failed; it is removed from what endpoints send.
 """
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 from urllib.parse import parse_qsl, urlencode
 
-from flamingofront.messages import NO_IDLE_CONNECTION, STALE_ATTEMPT_SECONDS, OutboundCall
+from flamingofront.messages import (
+    NO_IDLE_CONNECTION,
+    STALE_ATTEMPT_SECONDS,
+    OutboundCall,
+    ResponseHead,
+)
 
 __all__ = [
     "BY_CONNECTION",
@@ -18,6 +24,7 @@
     "FAILURE_HEADER",
     "PROXY_PATH",
     "REACH_PATH",
+    "RESPONSE_HEADER",
     "STATUS_NOT_REACHED",
     "STATUS_REACHED",
     "STATUS_UNKNOWN",
@@ -25,13 +32,19 @@
     "ProxyFailure",
     "ProxyRefusal",
     "decode_proxied_call",
+    "decode_endpoint_response",
     "decode_proxy_failure",
+    "encode_endpoint_response",
     "encode_proxied_call",
     "encode_proxy_failure",
 ]
 
 PROXY_PATH = "/proxy"
 FAILURE_HEADER = "proxy-failure"
+# Marks the response of an endpoint, and tells on which connection of the peer it came.
+RESPONSE_HEADER = "proxy-response"
+ON_NEW_CONNECTION = "new"
+ON_REUSED_CONNECTION = "reused"
 # A question whether a peer reaches an endpoint, and the statuses of the answer.
 REACH_PATH = "/reach"
 # What counts as reached, in the parameter "by" of the question; a connection if it is absent.
@@ -180,6 +193,36 @@
     return call
 
 
+def encode_endpoint_response(
+    head: ResponseHead, dropped: frozenset[str]
+) -> tuple[tuple[str, str], ...]:
+    """Return the headers with which the response of an endpoint is returned to the sender.
+
+    Parameters
+    ----------
+    dropped : frozenset of str
+        Lower-case names of the headers that concern the peer's connection only.
+    """
+    dropped |= {FAILURE_HEADER, RESPONSE_HEADER}
+    fields = tuple(each for each in head.fields if each[0].lower() not in dropped)
+    mark = ON_REUSED_CONNECTION if head.reused else ON_NEW_CONNECTION
+    return (*fields, (RESPONSE_HEADER, mark))
+
+
+def decode_endpoint_response(head: ResponseHead) -> ResponseHead:
+    """Return the response of an endpoint as it came to the peer.
+
+    Notes
+    -----
+    Whether a connection was used before concerns that to the endpoint: a late response to an
+    earlier request comes on it. It is assumed where the peer does not tell.
+    """
+    headers = dict(head.headers)
+    mark = headers.pop(RESPONSE_HEADER, ON_REUSED_CONNECTION)
+    fields = tuple(each for each in head.fields if each[0].lower() != RESPONSE_HEADER)
+    return replace(head, headers=headers, fields=fields, reused=mark != ON_NEW_CONNECTION)
+
+
 def encode_proxy_failure(failure: ProxyFailure) -> tuple[str, str]:
     """Return the header that describes a failure."""
     values = {
