A call that fails while it is started reports that only after its handle is known

Cause: a send on a kept connection can fail at once. The failure was reported within `HTTPClient.start`, before the request had stored the handle: the request took the attempt for one that was never sent (no end of the attempt recorded, nothing written as far as its handle told), and then kept the handle of the ended call as that of a running one. Change: such a failure is reported from the next turn of the event loop; the interface says so. Evidence: by reading; a connection whose sending side is shut shows it on real sockets.

--- a/flamingofront/connection/client.py
+++ b/flamingofront/connection/client.py
@@ -188,8 +188,9 @@
         self._interim_count = 0
         self._decoder: BodyDecoder | None = None
         self._unsent = _encode_request(call.call)
-        if self.connected:
-            self.on_writable()
+        if self.connected and not self._send():
+            # Not at once: whoever starts the call has no handle yet.
+            self._client.timers.once(0.0, lambda: self.fail("reset"))
 
     def _set_user_timeout(self, seconds: float | None) -> None:
         """Set the time until the kernel resets the connection if sent bytes are unacknowledged."""
@@ -202,17 +203,21 @@
             return
         if not self._unsent:
             self._client.watch(self, READ)
-            return
+        elif not self._send():
+            self.fail("reset")
+
+    def _send(self) -> bool:
+        """Send what the kernel takes; return False if the connection has failed."""
         self._call.mark_written()
         try:
             sent = self.sock.send(self._unsent)
         except BlockingIOError:
             sent = 0
         except OSError:
-            self.fail("reset")
-            return
+            return False
         self._unsent = self._unsent[sent:]
         self._client.watch(self, READ | WRITE if self._unsent else READ)
+        return True
 
     def _finish_connect(self) -> bool:
         code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
--- a/flamingofront/connection/interfaces.py
+++ b/flamingofront/connection/interfaces.py
@@ -49,7 +49,10 @@
 
     @abstractmethod
     def start(self, call: OutboundCall, listener: Callable[[CallEvent], None]) -> CallHandle:
-        """Start a call; the last event that `listener` gets is `ResponseEnd` or `CallFailed`."""
+        """Start a call; the last event that `listener` gets is `ResponseEnd` or `CallFailed`.
+
+        No event comes before the handle is returned.
+        """
 
     @abstractmethod
     def probe(
