A rejected request gets one answer, also while that waits for the caller to read

What callers saw: a 400 and, on the same connection, a 408 that belongs to no request. Cause: the timer of an incomplete request ran on after the request had been rejected. The connection stays open until the caller has read what is queued, so that the timer could end it a second time; likewise after the rejection of incomplete requests at shutdown (by reading). Change: a rejection stops the timer.

--- a/flamingofront/connection/server.py
+++ b/flamingofront/connection/server.py
@@ -286,6 +286,7 @@
 
     def _reject(self, exc: RequestError) -> None:
         """Send an error response and close, since the end of the request is unknown."""
+        self._timer.cancel()
         self._server.count_rejection(exc.kind)
         self._responding = True
         self._keep_alive = False
--- a/flamingofront/connection/tests/test_refused_connections.py
+++ b/flamingofront/connection/tests/test_refused_connections.py
@@ -6,6 +6,7 @@
 import pytest
 
 from flamingofront.connection.tests.test_client import Client, Endpoint, encode_response
+from flamingofront.connection.tests.test_server import Server
 from flamingofront.messages import CallFailed, OutboundCall
 
 WAIT_SECONDS = 5.0
@@ -19,6 +20,29 @@
     assert started.faults == []
 
 
+class RejectingServer(Server):
+    """Server that counts what it rejects, and has a large answer."""
+
+    def __init__(self):
+        self.rejected = []
+        super().__init__()
+        self.server.count_rejection = self.rejected.append
+
+    def handle(self, req, exchange):
+        if req.path == "/large":
+            exchange.respond(200, (), b"x" * 8_000_000)
+            self.arrived.set()
+            return
+        super().handle(req, exchange)
+
+
+@pytest.fixture
+def server():
+    running = RejectingServer()
+    yield running
+    running.stop()
+
+
 class KeepingEndpoint(Endpoint):
     """Endpoint that answers one request on a connection and leaves it open."""
 
@@ -56,3 +80,20 @@
         (before, wrote), events = self.start_on_broken_connection(client, endpoint.address)
         assert before == [] and wrote
         assert events == [CallFailed("reset", True, True)]
+
+
+class TestRejectionOfIncompleteRequests:
+    def test_rejected_request_is_not_answered_again_while_the_answer_waits(self, server):
+        """A caller that reads late found a second response, to no request."""
+        with server.connect() as conn:
+            conn.sendall(b"GET /large HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert server.arrived.wait(WAIT_SECONDS)
+            conn.sendall(b"GET / HTTP/9.9\r\n\r\n")
+            while not server.rejected:
+                server.run_in_loop(lambda: None)
+            server.advance_time(6.0)
+            server.run_in_loop(lambda: None)
+            received = b""
+            while data := conn.recv(1 << 20):
+                received += data
+        assert [each[:3] for each in received.split(b"HTTP/1.1 ")[1:]] == [b"200", b"400"]
