An error raised after a request was accepted does not refuse it

What callers would see: 503 "not executed" for a request that goes on. Not known to happen: no handler raises such an error after it has accepted a request (by reading of the 39 places that raise one). Cause: `HTTPServer.dispatch` answered each `RequestError` of a handler as a refusal. Other exceptions told the handler that its caller has gone, this one did not. Change: a handler that listens for the end of the connection has accepted the request. Any exception then is a fault: 500, logged, and the handler is told. Measured: test_request_that_was_accepted_is_not_refused, real sockets: 503 before, 500 now.

--- a/flamingofront/connection/server.py
+++ b/flamingofront/connection/server.py
@@ -458,16 +458,18 @@
 
         Notes
         -----
-        The handler may have accepted the request before the exception: it is told that its caller
-        has gone, as nothing that it still sends reaches the caller.
+        A handler that listens for the end of the connection has accepted the request, so that its
+        error does not refuse it. It is told that its caller has gone, as nothing that it still
+        sends reaches the caller.
         """
         try:
             self._on_request(req, exchange)
-        except RequestError as exc:
-            exchange.respond(*self.render_error(exc))
         except Exception as exc:  # the caller must get a response in any case
-            self._on_fault(exc)
             listener = exchange.on_disconnect
+            if isinstance(exc, RequestError) and listener is None:
+                exchange.respond(*self.render_error(exc))
+                return
+            self._on_fault(exc)
             exchange.respond(*self.render_error(RequestError(ErrorKind.INTERNAL)))
             if listener is not None:
                 listener()
--- a/flamingofront/connection/tests/test_refused_connections.py
+++ b/flamingofront/connection/tests/test_refused_connections.py
@@ -6,7 +6,8 @@
 import pytest
 
 from flamingofront.connection.tests.test_client import Client, Endpoint, encode_response
-from flamingofront.connection.tests.test_server import Server
+from flamingofront.connection.tests.test_server import Server, read_response
+from flamingofront.errors import ErrorKind, RequestError
 from flamingofront.messages import CallFailed, OutboundCall
 
 WAIT_SECONDS = 5.0
@@ -20,8 +21,8 @@
     assert started.faults == []
 
 
-class RejectingServer(Server):
-    """Server that counts what it rejects, and has a large answer."""
+class RefusingServer(Server):
+    """Server whose handler refuses a request, at once or after it has accepted it."""
 
     def __init__(self):
         self.rejected = []
@@ -33,12 +34,16 @@
             exchange.respond(200, (), b"x" * 8_000_000)
             self.arrived.set()
             return
+        if req.path == "/refuse-accepted":
+            exchange.on_disconnect = self.disconnected.set
+        if req.path.startswith("/refuse"):
+            raise RequestError(ErrorKind.OVERLOADED, retry_after=1.0)
         super().handle(req, exchange)
 
 
 @pytest.fixture
 def server():
-    running = RejectingServer()
+    running = RefusingServer()
     yield running
     running.stop()
 
@@ -82,6 +87,22 @@
         assert events == [CallFailed("reset", True, True)]
 
 
+class TestErrorsOfHandlers:
+    def ask(self, server, path):
+        with server.connect() as conn:
+            conn.sendall(f"POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n".encode())
+            return read_response(conn)[0]
+
+    def test_request_that_was_accepted_is_not_refused(self, server):
+        """Its handler went on with it, unaware of the response that its caller got."""
+        assert self.ask(server, "/refuse-accepted") == 500
+        assert server.disconnected.wait(WAIT_SECONDS) and len(server.faults) == 1
+
+    def test_request_that_was_not_accepted_is_refused(self, server):
+        assert self.ask(server, "/refuse") == 503
+        assert not server.disconnected.is_set() and server.faults == []
+
+
 class TestRejectionOfIncompleteRequests:
     def test_rejected_request_is_not_answered_again_while_the_answer_waits(self, server):
         """A caller that reads late found a second response, to no request."""
