An attempt is not started after the actions before it have ended the request

What callers saw: their answer, after which a process sent the request again, for nobody. An endpoint that the request crashes got it once more after the quarantine. Cause: a migration gives an attempt up and starts another one, in one list of actions. Giving it up can show that it crashed its endpoint, which fails the request; the start was executed all the same. Change: a start is executed only if its attempt is the current one of a request that has not ended. The same question was asked in five places, which now share its answer. Evidence: by reading; the test makes the crash known before the migration. Measured: test_stream_that_ends_while_its_attempt_is_given_up_is_not_sent_again failed before (an attempt in flight after a 502), passes with test_reclaims, test_attempts, test_at_most_once and test_crashing_requests.

--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -126,6 +126,10 @@
         """True if the request is answered, cancelled or handed over."""
         return self.machine.phase in (Phase.DONE, Phase.FROZEN)
 
+    def is_current(self, attempt_id: str) -> bool:
+        """Return True if the request has not ended and its current attempt is this one."""
+        return not self.done and attempt_id == self.machine.attempt_id
+
     @property
     def has_attempt_in_flight(self) -> bool:
         """True while an attempt is in flight."""
@@ -248,7 +252,9 @@
         """Execute the actions of the state machine."""
         for action in actions:
             if isinstance(action, StartAttempt):
-                self._start_attempt(action)
+                # The actions before it may have ended the request.
+                if self.is_current(action.attempt_id):
+                    self._start_attempt(action)
             elif isinstance(action, Emit):
                 self._send_tokens(action)
             elif isinstance(action, ScheduleRetry):
@@ -291,7 +297,7 @@
             self.dispatch_attempt(action)
 
     def _on_trial_reply(self, action: StartAttempt, is_granted: bool) -> None:
-        if self.done or self.machine.attempt_id != action.attempt_id:
+        if not self.is_current(action.attempt_id):
             return
         if is_granted:
             self.is_trial = True
@@ -404,7 +410,7 @@
         is_endpoint_failure : bool
             False if the path to the endpoint failed.
         """
-        if self.done or attempt_id != self.machine.attempt_id:
+        if not self.is_current(attempt_id):
             return
         now = self.hub.now()
         if sent and is_endpoint_failure and self._counts_against_version(executed):
@@ -476,7 +482,7 @@
 
     def report_connection_loss(self, attempt_id: str) -> None:
         """Report that the connection of the current attempt was lost before the response ended."""
-        if not self.done and attempt_id == self.machine.attempt_id:
+        if self.is_current(attempt_id):
             self.hub.guard.crash_detector.record_connection_loss(
                 self.endpoint_id, self.endpoint_address, self.describe_interruption()
             )
--- a/flamingofront/request/intent_gate.py
+++ b/flamingofront/request/intent_gate.py
@@ -168,7 +168,7 @@
         self, action: StartAttempt, chosen: Candidate, outcome: RecordOutcome, asked_at: float
     ) -> None:
         request, handle = self._request, self._pending.pop(action.attempt_id)
-        if request.done or request.machine.attempt_id != action.attempt_id:
+        if not request.is_current(action.attempt_id):
             handle.withdraw()
             return
         request.log.info(
--- a/flamingofront/request/permit_claims.py
+++ b/flamingofront/request/permit_claims.py
@@ -58,7 +58,7 @@
         )
 
     def _is_current(self, action: StartAttempt) -> bool:
-        return not self._request.done and self._request.machine.attempt_id == action.attempt_id
+        return self._request.is_current(action.attempt_id)
 
     def _on_decision(self, action: StartAttempt, chosen: Candidate, permit: Permit) -> None:
         if permit.is_granted and permit.decision.delay > 0 and self._is_current(action):
--- a/flamingofront/request/tests/test_reclaims.py
+++ b/flamingofront/request/tests/test_reclaims.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from flamingofront.errors import ErrorKind
 from flamingofront.process.drain import DrainState
 from flamingofront.request.recovery import ResumeOnLoss
 from flamingofront.standins.engine import compute_token
@@ -345,3 +346,24 @@
         assert not node.ready
         world.run(1.0)
         assert "entry-a1" in world.exited
+
+
+class TestRequestThatEndsMeanwhile:
+    def test_stream_that_ends_while_its_attempt_is_given_up_is_not_sent_again(self):
+        """The attempt was found to have crashed its endpoint, and the request failed for that."""
+        world = demo_world(ZONES)
+        caller = world.complete(next(iter(world.nodes)), "word " * 50, 20)
+        world.run(0.01)
+        hub = next(iter(world.nodes.values())).hub
+        (request,) = hub.active.values()
+        assert request.has_attempt_in_flight
+        detector = hub.guard.crash_detector
+        detector.record_known_crash(request.endpoint_id, hub.now())
+        detector.on_crash = lambda crash, requests: request.execute(
+            request.machine.fail(ErrorKind.CRASHES_ENDPOINTS, "")
+        )
+        sent = hub.metrics.value("attempts_total", service=request.record.service.name)
+        request.execute(request.machine.replace_attempt(request.machine.attempt_id))
+        assert caller.status == 502 and request.done
+        assert not request.has_attempt_in_flight
+        assert hub.metrics.value("attempts_total", service=request.record.service.name) == sent
