What an attempt wrote is kept when its call is dropped

What callers would see: 503 "not executed" for a request that an endpoint has. Not known to happen: nothing that runs between the end of a call and the decision on the request fails it now (by reading). Cause: what was written was read from the call in flight. A failed attempt drops its call first, then records the loss of its endpoint, and only then decides; whoever ended the request in between, such as a quarantine that follows from the loss, found no call and so nothing written. Class: a promise that depends on the order of steps. Change: whoever drops a call records in the state machine that it was written. Evidence that it was not executed still takes that back. Measured: test_refusals_of_ended_attempts.py: 503, "no" before in both cases, 502, "unknown" now.

--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -386,6 +386,8 @@
         self._permit_claims.release()
         if handle is None:
             return
+        if handle.wrote:
+            self.machine.record_write(self.machine.attempt_id)
         self._attempt_intents.close_current()
         if cancel:
             handle.cancel()
