An adopted job that may have run is not reported as not executed

What callers saw: "ran": "no" in the stored error of a job that an engine had run, after the process that held it and the engines had ended (docs/CALLERS.md: "no" states that it was not executed). Cause: the row of a job holds the request as it was accepted, and only a job that must not run twice is marked as running before it is sent. A process that adopts another one took it for unsent. Change: a job that may be repeated, or is marked, is adopted as one of unknown outcome. Measured: test_repeatable_job_that_may_have_run_is_not_reported_as_not_run: "no" before, "unknown" now; request/tests/test_reclaims.py, test_at_most_once.py, test_restored_documents.py and process/tests pass.

--- a/flamingofront/request/jobs.py
+++ b/flamingofront/request/jobs.py
@@ -5,13 +5,13 @@
 """
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 
-from flamingofront.errors import PlatformError
+from flamingofront.errors import Executed, PlatformError
 from flamingofront.messages import Sleep
 from flamingofront.process.backoff import Backoff
-from flamingofront.process.documents import Condition, DocumentStore, Write
+from flamingofront.process.documents import Condition, Document, DocumentStore, Write
 from flamingofront.process.expiry import build_expiry_write
 from flamingofront.process.tasks import Task
 from flamingofront.request.claims import retry_until_done
@@ -159,6 +159,15 @@
     yield from retry_until_done(write_once, rng)
 
 
+def _make_adopted_job(row: Document) -> AdoptedJob:
+    """Return the job of a row; only those that must not run twice are marked before a send."""
+    record = RequestRecord.from_json(row.value["record"])
+    maybe_ran = record.may_repeat or row.value["state"] == JobState.RUNNING.value
+    if maybe_ran:
+        record = replace(record, ran=Executed.UNKNOWN)
+    return AdoptedJob(record, maybe_ran)
+
+
 def move_job(documents: DocumentStore, request_id: str, old_owner: str, new_owner: str) -> Task:
     """Move a job to a new owner; return an `AdoptedJob`, or None if it is finished or was moved."""
     (row,) = yield from documents.read([_job_key(request_id)])
@@ -173,8 +182,7 @@
     )
     if not (yield from documents.replace(row, value, *moved)):
         return None
-    maybe_ran = row.value["state"] == JobState.RUNNING.value
-    return AdoptedJob(RequestRecord.from_json(row.value["record"]), maybe_ran)
+    return _make_adopted_job(row)
 
 
 def move_jobs(documents: DocumentStore, old_owner: str, new_owner: str) -> Task:
@@ -191,10 +199,7 @@
     keys = [_job_key(row.key.rsplit("/", 1)[1]) for row in index]
     rows = yield from documents.read(keys)
     return [
-        AdoptedJob(
-            RequestRecord.from_json(row.value["record"]),
-            row.value["state"] == JobState.RUNNING.value,
-        )
+        _make_adopted_job(row)
         for row in rows
         if row.value is not None and row.value["state"] != JobState.DONE.value
     ]
--- a/flamingofront/request/tests/test_reclaims.py
+++ b/flamingofront/request/tests/test_reclaims.py
@@ -324,6 +324,22 @@
         assert later.error["kind"] == "outcome_unknown"
         assert sum(sum(each.executions.values()) for each in world.plains.values()) <= 1
 
+    def test_repeatable_job_that_may_have_run_is_not_reported_as_not_run(self):
+        """Its row does not tell whether the process that ended had sent it."""
+        world = demo_world(ZONES)
+        headers = {"prefer": "respond-async", "x-deadline": "30"}
+        caller = world.complete("entry-a1", "q", 400, stream=False, headers=headers)
+        world.finish(caller)
+        world.run(2.0)
+        assert any(each.counts.prefilled for each in world.engines.values())
+        for name in ["entry-a1", *world.engines]:
+            world.kill(name)
+            world.platform.remove_vm(name)
+        world.run(60.0)
+        later = world.call("entry-b1", "GET", caller.headers["location"])
+        world.finish(later)
+        assert later.error["ran"] == "unknown"
+
     def test_keyed_request_of_a_crashed_process_can_be_repeated(self):
         world = demo_world(ZONES)
         first = world.complete("entry-a1", tokens=200, headers={"idempotency-key": "k"})
