The channel of a request is closed with its answer, also if the connection ends with it

What callers would see: a second answer after the last one of a connection, on a connection that stays open until they have read the first; a handler would be told that its caller has gone after it had answered. Not known to happen: no handler answers twice now (by reading). Cause: the channel of a request was closed by the start of the next one. After an answer with "Connection: close", as while the process stops, there is none. Change: the end of the answer closes it.

--- a/flamingofront/connection/server.py
+++ b/flamingofront/connection/server.py
@@ -187,7 +187,6 @@
         self._body = bytearray()
         self._responding = False
         self._head_received_at = 0.0
-        self.exchange = None
 
     @property
     def is_idle(self) -> bool:
@@ -347,6 +346,7 @@
     def _finish_response(self) -> None:
         if self._closed:
             return
+        self.exchange = None
         if not self._keep_alive:
             self._close()
             return
--- a/flamingofront/connection/tests/test_refused_connections.py
+++ b/flamingofront/connection/tests/test_refused_connections.py
@@ -31,7 +31,9 @@
 
     def handle(self, req, exchange):
         if req.path == "/large":
+            exchange.on_disconnect = self.disconnected.set
             exchange.respond(200, (), b"x" * 8_000_000)
+            self.pending["exchange"] = exchange
             self.arrived.set()
             return
         if req.path == "/refuse-accepted":
@@ -118,3 +120,20 @@
             while data := conn.recv(1 << 20):
                 received += data
         assert [each[:3] for each in received.split(b"HTTP/1.1 ")[1:]] == [b"200", b"400"]
+
+
+class TestLastResponseOfAConnection:
+    def test_what_its_handler_still_sends_is_dropped(self, server):
+        """The channel of a request was closed by the next request, and here there is none."""
+        server.run_in_loop(lambda: setattr(server.server, "closing", True))
+        with server.connect() as conn:
+            conn.sendall(b"GET /large HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert server.arrived.wait(WAIT_SECONDS)
+            late = server.pending["exchange"]
+            server.run_in_loop(lambda: late.respond(503, (), b"late"))
+            received = b""
+            while data := conn.recv(1 << 20):
+                received += data
+        server.run_in_loop(lambda: None)
+        assert [each[:3] for each in received.split(b"HTTP/1.1 ")[1:]] == [b"200"]
+        assert not server.disconnected.is_set()
