--- a/bench/promise_mutations.py
+++ b/bench/promise_mutations.py
@@ -7,6 +7,8 @@
 HOLDERS = "process/forwarding/tests/test_holders_after_restore.py"
 EARLY_ENDINGS = "process/forwarding/tests/test_early_endings.py"
 REFUSALS = "tests/test_refusals.py"
+PEER_REFUSALS = "tests/test_refusals_through_peers.py"
+REFUSED_CONNECTIONS = "connection/tests/test_refused_connections.py"
 RESTARTS = "tests/test_versions_after_restarts.py"
 STORED_VERSIONS = "process/forwarding/tests/test_stored_versions.py"
 
@@ -88,6 +90,69 @@
         "pass",
         REFUSALS,
     ),
+    Mutation(
+        "Refusal: what was written outlasts the call",
+        "request/active.py",
+        "            self.machine.record_write(self.machine.attempt_id)\n",
+        "            pass\n",
+        "tests/test_refusals_of_ended_attempts.py",
+    ),
+    Mutation(
+        "Refusal: a request that has ended is not sent",
+        "request/active.py",
+        "                if self.is_current(action.attempt_id):\n                    self._start",
+        "                if True:\n                    self._start",
+        "request/tests/test_reclaims.py::TestRequestThatEndsMeanwhile",
+    ),
+    Mutation(
+        "Refusal: an adopted job may have run",
+        "request/jobs.py",
+        "        record = replace(record, ran=Executed.UNKNOWN)\n",
+        "        pass\n",
+        "request/tests/test_reclaims.py::TestEntryCrash",
+    ),
+    Mutation(
+        "Refusal: a peer tells on which connection a response came",
+        "request/proxy_messages.py",
+        "reused=mark != ON_NEW_CONNECTION)",
+        "reused=False)",
+        PEER_REFUSALS,
+    ),
+    Mutation(
+        "Refusal: a response that the peer does not mark is its own",
+        "request/proxy_messages.py",
+        "headers.pop(RESPONSE_HEADER, ON_REUSED_CONNECTION)",
+        "headers.pop(RESPONSE_HEADER, ON_NEW_CONNECTION)",
+        PEER_REFUSALS,
+    ),
+    Mutation(
+        "Refusal: endpoints do not speak for peers",
+        "request/proxy_messages.py",
+        "    dropped |= {FAILURE_HEADER, RESPONSE_HEADER}\n",
+        "",
+        PEER_REFUSALS,
+    ),
+    Mutation(
+        "Refusal: a call has a handle before it fails",
+        "connection/client.py",
+        'self._client.timers.once(0.0, lambda: self.fail("reset"))',
+        'self.fail("reset")',
+        REFUSED_CONNECTIONS,
+    ),
+    Mutation(
+        "Refusal: a rejected request is answered once",
+        "connection/server.py",
+        "        self._timer.cancel()\n        self._server.count_rejection",
+        "        self._server.count_rejection",
+        REFUSED_CONNECTIONS,
+    ),
+    Mutation(
+        "Refusal: an accepted request is not refused",
+        "connection/server.py",
+        "if isinstance(exc, RequestError) and listener is None:",
+        "if isinstance(exc, RequestError):",
+        REFUSED_CONNECTIONS,
+    ),
     Mutation(
         "Versions: what is present does not tell what was",
         "process/forwarding/shared_origins.py",
@@ -130,6 +195,13 @@
         "return True",
         "connection/tests/test_server.py",
     ),
+    Mutation(
+        "Channel: it is closed with the last answer of a connection as well",
+        "connection/server.py",
+        "        self.exchange = None\n        if not self._keep_alive:\n",
+        "        if not self._keep_alive:\n",
+        REFUSED_CONNECTIONS,
+    ),
     Mutation(
         "Channel: pipelined requests do not nest",
         "connection/server.py",
