Only a peer that states that it did not take a request over frees it for another

What callers saw: nothing yet (by reading). Two processes would go on with one stream, and the one that is asked for the rest of it would be either. Cause: any error of a peer counted as evidence that it had not accepted the record. A peer accepts the record first and then starts all requests that may start; an error there is answered 500, which states nothing. The offer of a frozen request is to be withdrawn with evidence only. Change: an error without "ran": "no" leaves it open, and the offer is repeated to the same peer, which accepts a record once. The reader of that statement is shared with that of engines. Measured: test_peer_that_failed_while_it_accepted_a_record_may_hold_it: "not taken" before, "taken" by the repeated offer now; request/tests/test_reclaims.py, test_whole_path.py and process/tests/test_graceful_stop.py pass.

--- a/flamingofront/connection/server.py
+++ b/flamingofront/connection/server.py
@@ -22,7 +22,7 @@
 )
 from flamingofront.connection.interfaces import Exchange
 from flamingofront.connection.sockets import ConnectionListener, ServerSockets
-from flamingofront.errors import ERROR_RESPONSES, ErrorKind, RequestError
+from flamingofront.errors import ERROR_RESPONSES, ErrorKind, Executed, RequestError
 from flamingofront.messages import InboundRequest
 from flamingofront.process.timers import Timer, TimerService
 
@@ -33,6 +33,7 @@
     "build_error_headers",
     "encode_error",
     "render_default_error",
+    "states_not_executed",
 ]
 
 READ_BYTES = 64 * 1024
@@ -100,6 +101,14 @@
     )
 
 
+def states_not_executed(body: bytes) -> bool:
+    """Return True if the body of an error response states that the request was not executed."""
+    try:
+        return orjson.loads(body)["error"]["ran"] == Executed.NO.value
+    except (orjson.JSONDecodeError, KeyError, TypeError):
+        return False
+
+
 def build_error_headers(exc: RequestError) -> tuple[tuple[str, str], ...]:
     """Return the headers of the error response for `exc`, with Retry-After if it has one."""
     if exc.retry_after is None:
--- a/flamingofront/request/handover.py
+++ b/flamingofront/request/handover.py
@@ -10,6 +10,7 @@
 
 import orjson
 
+from flamingofront.connection.server import states_not_executed
 from flamingofront.messages import CallFailed, OutboundCall, Sleep
 from flamingofront.process.membership import Fact
 from flamingofront.process.rendezvous import rank
@@ -93,6 +94,8 @@
             maybe_taken = maybe_taken or reply.wrote
         elif reply.status == 200:
             return HandoverResult.TAKEN
+        elif not states_not_executed(reply.body):
+            maybe_taken = True
         elif not maybe_taken:
             return HandoverResult.NOT_TAKEN
         yield Sleep(RETRY_SECONDS)
--- a/flamingofront/request/model_request.py
+++ b/flamingofront/request/model_request.py
@@ -5,6 +5,7 @@
 import orjson
 
 from flamingofront.connection.interfaces import CallEvent
+from flamingofront.connection.server import states_not_executed
 from flamingofront.decisions.admission import Ticket
 from flamingofront.decisions.choice import Candidate
 from flamingofront.errors import Executed
@@ -177,7 +178,7 @@
         self._request.handle_frame(frame, data.get("prefilled", 0))
 
     def _on_response_end(self) -> None:
-        is_rejected = self._status != 200 and _is_not_run(self._buffer)
+        is_rejected = self._status != 200 and states_not_executed(self._buffer)
         executed = Executed.NO if is_rejected else Executed.UNKNOWN
         reason = "refused" if is_rejected else f"ended with status {self._status}"
         self._request.fail_attempt(self._attempt_id, executed, reason)
@@ -205,11 +206,3 @@
             "prefilled": prefilled,
         }
     return joined
-
-
-def _is_not_run(body: bytes) -> bool:
-    """Return True if an engine's error response states that the request was not run."""
-    try:
-        return orjson.loads(body)["error"]["ran"] == "no"
-    except (orjson.JSONDecodeError, KeyError, TypeError):
-        return False
--- a/flamingofront/request/tests/test_reclaims.py
+++ b/flamingofront/request/tests/test_reclaims.py
@@ -2,12 +2,17 @@
 
 import pytest
 
-from flamingofront.errors import ErrorKind
+from flamingofront.connection.server import encode_error
+from flamingofront.errors import ERROR_RESPONSES, ErrorKind, RequestError
+from flamingofront.messages import BufferedResponse, OutboundCall
 from flamingofront.process.drain import DrainState
+from flamingofront.request.handover import HandoverResult, HandoverTarget, offer_record
+from flamingofront.request.records import ModelWork, RequestRecord
 from flamingofront.request.recovery import ResumeOnLoss
 from flamingofront.standins.engine import compute_token
 from flamingofront.standins.platform import FaultMode
 from flamingofront.tests.world import demo_world
+from flamingofront.version.model import Service, ServiceKind
 
 ZONES = ("zone-a", "zone-b")
 TOKENS = 300
@@ -176,6 +181,34 @@
         assert text == expected_text(prompt_tokens(caller.prompt), 1500)
 
 
+class TestOfferedRecords:
+    def offer(self, *errors):
+        """Return the outcome of an offer to a peer that responds with errors, then accepts."""
+        work = ModelWork("m", ("a",), 9, False)
+        service = Service("engines", ServiceKind.MODEL, model="m")
+        record = RequestRecord("r", "desk", "m", service, work)
+        task = offer_record(record, "entry-a1", [HandoverTarget("entry-b1", "10.0.0.1:1")], ())
+        replies = [
+            BufferedResponse(ERROR_RESPONSES[kind].status, {}, encode_error(RequestError(kind)))
+            for kind in errors
+        ]
+        replies.append(BufferedResponse(200, {}, b"{}"))
+        value = next(task)
+        try:
+            while True:
+                value = task.send(replies.pop(0) if isinstance(value, OutboundCall) else None)
+        except StopIteration as done:
+            return done.value[0], len(replies)
+
+    def test_peer_that_failed_while_it_accepted_a_record_may_hold_it(self):
+        """It went on with the request, as did the process that had offered it."""
+        assert self.offer(ErrorKind.INTERNAL) == (HandoverResult.TAKEN, 0)
+
+    @pytest.mark.parametrize("kind", [ErrorKind.DRAINING, ErrorKind.NOT_FOUND])
+    def test_peer_that_refuses_a_record_does_not_hold_it(self, kind):
+        assert self.offer(kind) == (HandoverResult.NOT_TAKEN, 1)
+
+
 class TestHandoverOfStoredRequests:
     def test_key_is_handed_over_with_its_request(self):
         world = demo_world(ZONES)
