A connection is handed over also before the splicer's registration is handled

What callers saw: nothing known; a connection that was to be handed over in the first turn of the loop was neither served nor closed, until its caller gave up. Cause: the splicer found its poller in the handler of its registration, which runs in a later turn. Change: it finds the poller when it needs it, as the client does. Measured: test_connection_that_comes_before_the_registration_is_handled_is_handed_over failed before, passes with all of test_splice.py.

--- a/flamingofront/connection/splice.py
+++ b/flamingofront/connection/splice.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from enum import StrEnum
 
-from circuits import BaseComponent, handler
+from circuits import BaseComponent
 from circuits.core.utils import findcmp
 
 from flamingofront.connection.poller import READ, WRITE, DirectPoller, SocketOwner
@@ -74,7 +74,7 @@
         code = self._peer.connect_ex((host, int(port)))
         has_failed = code not in (0, errno.EINPROGRESS)
         if not has_failed:
-            self._splicer.poller.watch(self._peer, self, WRITE)
+            self._splicer.find_poller().watch(self._peer, self, WRITE)
         seconds = 0.0 if has_failed else CONNECT_TIMEOUT_SECONDS
         self._timer = self._splicer.timers.once(seconds, lambda: self.end(SpliceEnd.NOT_CONNECTED))
 
@@ -142,7 +142,7 @@
         mask = 0 if is_full or sock in self._finished else READ
         if self._unsent[sock]:
             mask |= WRITE
-        self._splicer.poller.watch(sock, self, mask)
+        self._splicer.find_poller().watch(sock, self, mask)
 
     def on_socket_error(self, sock: socket.socket) -> None:
         """End with the side that failed."""
@@ -164,7 +164,7 @@
         if self._timer is not None:
             self._timer.cancel()
         for sock in (self._caller, self._peer):
-            self._splicer.poller.unwatch(sock)
+            self._splicer.find_poller().unwatch(sock)
             if how is not SpliceEnd.CLOSED:
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             else:
@@ -193,15 +193,16 @@
     def __init__(self, timers: TimerService, on_end: Callable[[str, SpliceEnd], None]):
         super().__init__(channel="splicer")
         self.timers = timers
-        self.poller: DirectPoller | None = None
+        self._poller: DirectPoller | None = None
         self.unanswered: Counter[str] = Counter()
         self._on_end = on_end
         self._splices: set[_Splice] = set()
 
-    @handler("registered", channel="*")
-    def _on_registered(self, component, manager) -> None:
-        if self.poller is None:
-            self.poller = findcmp(self.root, DirectPoller)
+    def find_poller(self) -> DirectPoller:
+        """Return the poller; a connection may come before the event of the registration."""
+        if self._poller is None:
+            self._poller = findcmp(self.root, DirectPoller)
+        return self._poller
 
     @property
     def has_room(self) -> bool:
--- a/flamingofront/connection/tests/test_splice.py
+++ b/flamingofront/connection/tests/test_splice.py
@@ -206,3 +206,15 @@
 
             pair.run_in_loop(send_and_close)
             assert read_response(sock)[1] == b"answer"
+
+
+class TestStart:
+    def test_connection_that_comes_before_the_registration_is_handled_is_handed_over(self):
+        """The event of the registration is handled in a later turn of the loop."""
+        runtime = Runtime(lambda exc: None)
+        splicer = ConnectionSplicer(runtime.timers, lambda address, how: None).register(runtime)
+        with socket.create_server(("127.0.0.1", 0)) as peer:
+            caller = socket.create_connection(peer.getsockname())
+            splicer.start(caller, f"127.0.0.1:{peer.getsockname()[1]}")
+            assert splicer.count_open() == 1
+            splicer.close_idle()
