Cancelled calls and handed-over connections are tested for what still arrives

Change: tests only, on real sockets. A call that was cancelled unwritten leaves no byte at its endpoint; of one that was written in part, what the kernel still held is dropped; two requests in two writes through another process get the answers of their own; a caller that ends its side there gets none. A mutation leaves out the reset of a cancelled call.

--- a/bench/promise_mutations.py
+++ b/bench/promise_mutations.py
@@ -139,6 +139,13 @@
         'self.fail("reset")',
         REFUSED_CONNECTIONS,
     ),
+    Mutation(
+        "Refusal: what the kernel holds of a cancelled call is not sent",
+        "connection/client.py",
+        "self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)",
+        "pass",
+        REFUSED_CONNECTIONS,
+    ),
     Mutation(
         "Refusal: a rejected request is answered once",
         "connection/server.py",
--- a/flamingofront/connection/tests/test_refused_connections.py
+++ b/flamingofront/connection/tests/test_refused_connections.py
@@ -1,12 +1,15 @@
 """What a call or a connection states of a request that was refused, on real sockets."""
 
+import contextlib
 import socket
 import threading
+import time
 
 import pytest
 
 from flamingofront.connection.tests.test_client import Client, Endpoint, encode_response
 from flamingofront.connection.tests.test_server import Server, read_response
+from flamingofront.connection.tests.test_splice import Pair
 from flamingofront.errors import ErrorKind, RequestError
 from flamingofront.messages import CallFailed, OutboundCall
 
@@ -89,6 +92,92 @@
         assert events == [CallFailed("reset", True, True)]
 
 
+class UnreadEndpoint:
+    """Endpoint that reads nothing until it is told to."""
+
+    def __init__(self):
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+
+    def read_all(self):
+        """Return what arrived on the first connection until its end."""
+        conn, _ = self.listener.accept()
+        received = b""
+        with conn, contextlib.suppress(ConnectionResetError):
+            while data := conn.recv(1 << 20):
+                received += data
+        return received
+
+
+class TestCancelledCalls:
+    """What a call that is given up has written, and what still arrives."""
+
+    def start(self, client, address, body):
+        call = OutboundCall(address, "POST", "/x", body, timeout=60.0)
+        return client.client.start(call, lambda event: None)
+
+    def test_call_that_was_not_written_never_arrives(self, client):
+        endpoint, wrote = UnreadEndpoint(), []
+
+        def start_and_cancel():
+            handle = self.start(client, endpoint.address, b"body")
+            handle.cancel()
+            wrote.append(handle.wrote)
+
+        client.run_in_loop(start_and_cancel)
+        client.advance_time(0.0)
+        assert wrote == [False] and endpoint.read_all() == b""
+
+    def test_what_the_kernel_still_held_never_arrives(self, client):
+        endpoint, size, seen = UnreadEndpoint(), 32_000_000, []
+        client.run_in_loop(lambda: seen.append(self.start(client, endpoint.address, bytes(size))))
+        time.sleep(0.2)
+
+        def cancel():
+            (handle,) = seen
+            seen.append(size - len(handle.conn._unsent))
+            handle.cancel()
+
+        client.run_in_loop(cancel)
+        client.advance_time(0.0)
+        handle, accepted = seen
+        assert handle.wrote and len(endpoint.read_all()) < accepted < size
+
+
+class TestHandedOverConnections:
+    """A connection that another process serves carries its answers, and ends as it does."""
+
+    @pytest.fixture
+    def pair(self):
+        pair = Pair()
+        yield pair
+        pair.run_in_loop(pair.runtime.stop)
+        assert pair.faults == []
+
+    @pytest.mark.parametrize("cut", [1, 40, -1])
+    def test_requests_in_two_writes_get_the_answers_of_their_own(self, pair, cut):
+        requests = [
+            b"POST /%d HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n%d" % (n, n)
+            for n in range(2)
+        ]
+        buffer = bytearray()
+        with pair.connect() as conn:
+            conn.sendall(requests[0] + requests[1][:cut])
+            assert read_response(conn, buffer) == (200, b"0")
+            conn.sendall(requests[1][cut:])
+            assert read_response(conn, buffer) == (200, b"1")
+        assert [each.path for each in pair.requests] == ["/0", "/1"]
+
+    def test_caller_that_ends_its_side_gets_no_refusal(self, pair):
+        with pair.connect() as conn:
+            conn.sendall(b"POST /hold HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+            assert pair.held.wait(WAIT_SECONDS)
+            conn.shutdown(socket.SHUT_WR)
+            assert pair.left.wait(WAIT_SECONDS)
+            with contextlib.suppress(ConnectionResetError):
+                assert conn.recv(100) == b""
+
+
 class TestErrorsOfHandlers:
     def ask(self, server, path):
         with server.connect() as conn:
