--- a/flamingofront/connection/tests/test_refused_connections.py
+++ b/flamingofront/connection/tests/test_refused_connections.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from flamingofront.connection.runtime import Runtime
+from flamingofront.connection.server import HTTPServer
 from flamingofront.connection.tests.test_client import Client, Endpoint, encode_response
 from flamingofront.connection.tests.test_server import Server, read_response
 from flamingofront.connection.tests.test_splice import Pair
@@ -226,3 +228,26 @@
         server.run_in_loop(lambda: None)
         assert [each[:3] for each in received.split(b"HTTP/1.1 ")[1:]] == [b"200"]
         assert not server.disconnected.is_set()
+
+
+class TestPipelinedRequests:
+    def test_other_connection_is_served_between_them(self):
+        """With a clock that stands still all of them are due in one turn, before any other."""
+        handled, runtime = [], Runtime(lambda exc: None)
+
+        def handle(req, exchange):
+            handled.append(req.path)
+            exchange.respond(200, (), b"")
+
+        server = HTTPServer(("127.0.0.1", 0), handle, runtime.timers).register(runtime)
+        thread = threading.Thread(target=runtime.run, daemon=True)
+        thread.start()
+        address = ("127.0.0.1", server.port)
+        with socket.create_connection(address) as busy, socket.create_connection(address) as other:
+            busy.sendall(b"".join(b"GET /%d HTTP/1.1\r\n\r\n" % n for n in range(3000)))
+            other.sendall(b"GET /other HTTP/1.1\r\n\r\n")
+            assert read_response(other)[0] == 200
+        assert handled.index("/other") < 1000
+        runtime.timers.once(0.0, runtime.stop)
+        runtime.poller.resume()
+        thread.join(WAIT_SECONDS)
