An unreadable reply of an engine or peer does not end the task that asked

What callers saw: nothing reported. A reply with status 200 whose body had no framing and was cut raised in the task that had asked, and what waits for its end went on waiting: the load of that engine was never read again, its model never checked again, a cache transfer never fell back to recomputing, and a caller with an idempotency key whose claim is held elsewhere got no answer. Cause: the tasks handled failed calls and other statuses, but not a body that is no JSON. Change: read_json returns the body of a successful reply, and None for all else.

--- a/flamingofront/process/orders.py
+++ b/flamingofront/process/orders.py
@@ -12,7 +12,7 @@
 from flamingofront.process.leases import LeaseKeeper
 from flamingofront.process.membership import Fact, Role
 from flamingofront.process.metrics import Metrics
-from flamingofront.process.tasks import Reply, Task, TaskRunner
+from flamingofront.process.tasks import Reply, Task, TaskRunner, read_json
 from flamingofront.version.model import ServiceKind
 
 __all__ = ["EngineReconciler"]
@@ -57,9 +57,8 @@
         reply = yield OutboundCall(
             fact.address, "GET", "/state", timeout=CALL_TIMEOUT_SECONDS, stale_seconds=STALE_SECONDS
         )
-        if isinstance(reply, CallFailed) or reply.status != 200:
-            return
-        if orjson.loads(reply.body)["model"] == model:
+        state = read_json(reply)
+        if state is None or state["model"] == model:
             return
         # The lease may have expired during the state request; it must be valid at the load request.
         lease = self._lease.valid_lease()
--- a/flamingofront/process/peers.py
+++ b/flamingofront/process/peers.py
@@ -18,7 +18,7 @@
 from flamingofront.process.membership import Fact, Role, VmState
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.rendezvous import rank
-from flamingofront.process.tasks import Task, TaskRunner
+from flamingofront.process.tasks import Task, TaskRunner, read_json
 from flamingofront.process.timers import TimerService
 from flamingofront.request.reattach import parse_origin_vm
 
@@ -78,11 +78,12 @@
     def _exchange_digests_with(self, address: str) -> Task:
         digest = self._gossip.make_digest(self._timers.now())
         reply = yield self._post(address, "/peer/digest", digest.to_json())
-        if isinstance(reply, CallFailed) or reply.status != 200:
+        data = read_json(reply)
+        if data is None:
             self._metrics.count("gossip_total", kind="digest", result="failed")
             return
         self._metrics.count("gossip_total", kind="digest", result="ok")
-        digest_reply = DigestReply.from_json(orjson.loads(reply.body))
+        digest_reply = DigestReply.from_json(data)
         to_peer, onward = self._gossip.apply_reply(digest_reply, self._timers.now())
         if onward is not None:
             self.push(onward)
@@ -144,9 +145,8 @@
             REQUEST_TIMEOUT_SECONDS,
             stale_seconds=STALE_SECONDS,
         )
-        if isinstance(reply, CallFailed) or reply.status != 200:
-            return False
-        return orjson.loads(reply.body)["not_run"] is True
+        data = read_json(reply)
+        return data is not None and data["not_run"] is True
 
     def collect_rows(self, subject: str, on_done: Callable[[list[dict], list[str]], None]) -> None:
         """Collect the rows of a subject from all peers.
@@ -163,9 +163,8 @@
         reply = yield self._post(
             peer.address, "/peer/rows", {"subject": subject}, REQUEST_TIMEOUT_SECONDS
         )
-        if isinstance(reply, CallFailed) or reply.status != 200:
-            return None
-        return orjson.loads(reply.body)["rows"]
+        data = read_json(reply)
+        return None if data is None else data["rows"]
 
 
 class _RowCollection:
--- a/flamingofront/process/tasks.py
+++ b/flamingofront/process/tasks.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable, Generator
 from typing import Any
 
+import orjson
+
 from flamingofront.connection.interfaces import CallEvent, CallHandle, Transport
 from flamingofront.messages import (
     BufferedResponse,
@@ -20,12 +22,38 @@
 )
 from flamingofront.process.timers import Timer, TimerService
 
-__all__ = ["Reply", "ReplyCollector", "RunningTask", "Task", "TaskRunner", "call_buffered"]
+__all__ = [
+    "Reply",
+    "ReplyCollector",
+    "RunningTask",
+    "Task",
+    "TaskRunner",
+    "call_buffered",
+    "read_json",
+]
 
 Reply = BufferedResponse | CallFailed
 Task = Generator[OutboundCall | Sleep, Reply | None, Any]
 
 
+STATUS_OK = 200
+
+
+def read_json(reply: Reply) -> Any:
+    """Return the JSON in the body of a successful response; None for any other reply.
+
+    Notes
+    -----
+    A body without framing that was cut is malformed: an exception would end the task.
+    """
+    if isinstance(reply, CallFailed) or reply.status != STATUS_OK:
+        return None
+    try:
+        return orjson.loads(reply.body)
+    except orjson.JSONDecodeError:
+        return None
+
+
 class ReplyCollector:
     """Collects the events of one call into one buffered reply.
 
--- a/flamingofront/process/watch.py
+++ b/flamingofront/process/watch.py
@@ -10,16 +10,14 @@
 from collections import Counter
 from collections.abc import Callable
 
-import orjson
-
 from flamingofront.errors import PlatformError
-from flamingofront.messages import STALE_SECONDS, CallFailed, OutboundCall, Sleep
+from flamingofront.messages import STALE_SECONDS, OutboundCall, Sleep
 from flamingofront.process.dissemination import Dissemination
 from flamingofront.process.documents import DocumentStore
 from flamingofront.process.membership import Fact, Role, VmState
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.rendezvous import rank
-from flamingofront.process.tasks import Task, TaskRunner
+from flamingofront.process.tasks import Task, TaskRunner, read_json
 from flamingofront.process.timers import TimerService
 from flamingofront.process.vm_list import VmList, VmRecord
 from flamingofront.version.commit import load_configuration, load_revision
@@ -279,9 +277,9 @@
             timeout=LOAD_TIMEOUT_SECONDS,
             stale_seconds=STALE_SECONDS,
         )
-        if isinstance(reply, CallFailed) or reply.status != 200:
+        data = read_json(reply)
+        if data is None:
             return
-        data = orjson.loads(reply.body)
         self._on_load(fact.vm_id, float(data["load"]))
         events = data.get("events", {})
         if events:
--- a/flamingofront/request/migration.py
+++ b/flamingofront/request/migration.py
@@ -7,7 +7,7 @@
 
 from flamingofront.decisions.choice import Candidate
 from flamingofront.messages import CallFailed, OutboundCall
-from flamingofront.process.tasks import Task, TaskRunner
+from flamingofront.process.tasks import Task, TaskRunner, read_json
 from flamingofront.request.active import ActiveRequest
 from flamingofront.request.hub import RequestHub
 from flamingofront.request.model_request import ModelRequest
@@ -137,6 +137,5 @@
     reply = yield OutboundCall(
         target, "POST", "/kv/import", reply.body, JSON_HEADERS, TRANSFER_TIMEOUT_SECONDS
     )
-    if isinstance(reply, CallFailed) or reply.status != 200:
-        return ""
-    return orjson.loads(reply.body)["handle"]
+    data = read_json(reply)
+    return "" if data is None else data["handle"]
