--- a/scripts/try_lost_paths.py
+++ b/scripts/try_lost_paths.py
@@ -46,7 +46,7 @@
     """TCP forwarder from one entry process to one endpoint, which can fail."""
 
     def __init__(self, target: int):
-        self._target = target
+        self.target = target
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
         self._accepting_fault = ""
@@ -65,7 +65,7 @@
             writer.transport.abort()
             return
         try:
-            far_reader, far_writer = await asyncio.open_connection(HOST, self._target)
+            far_reader, far_writer = await asyncio.open_connection(HOST, self.target)
         except OSError:
             writer.transport.abort()
             return
@@ -205,13 +205,17 @@
         for number, port in enumerate(self._endpoint_ports):
             words = ["--bind", f"{HOST}:{port}", "--store", store, "--gap", "0.05"]
             name = f"plain-{number}"
-            words += ["--endpoint-id", name, "--log-arrivals"]
+            words += ["--endpoint-id", name, "--log-arrivals", *self.endpoint_flags(number)]
             child = self._start("flamingofront-standin-endpoint", words, output=name)
             self.endpoint_processes.append(child)
         for number in range(self.fronts):
             self._start_front(number)
         return self
 
+    def endpoint_flags(self, number: int) -> list[str]:
+        """Return further flags of an endpoint."""
+        return []
+
     def _write_configuration(self) -> Path:
         """Write the example configuration with a route whose requests may run once only."""
         doc = json.loads((ROOT / "examples/forwarding.json").read_text())
