A test of pipelined requests counts what is handled before, in place of a wall time

Change: the test has its name and what it guards; with a clock that moves fewer than 100 of the 3000 may be handled first, and the other request is sent before the second is handled. The old one would have passed had all 3000 come first on a fast machine; this one fails then.

--- a/flamingofront/connection/tests/test_refused_connections.py
+++ b/flamingofront/connection/tests/test_refused_connections.py
@@ -231,11 +231,12 @@
 
 
 class TestPipelinedRequests:
-    def test_other_connection_is_served_between_them(self):
+    def test_other_connections_are_served_beside_many_pipelined_requests(self):
         """With a clock that stands still all of them are due in one turn, before any other."""
-        handled, runtime = [], Runtime(lambda exc: None)
+        handled, runtime, is_sent = [], Runtime(lambda exc: None), threading.Event()
 
         def handle(req, exchange):
+            is_sent.wait(WAIT_SECONDS)
             handled.append(req.path)
             exchange.respond(200, (), b"")
 
@@ -246,8 +247,9 @@
         with socket.create_connection(address) as busy, socket.create_connection(address) as other:
             busy.sendall(b"".join(b"GET /%d HTTP/1.1\r\n\r\n" % n for n in range(3000)))
             other.sendall(b"GET /other HTTP/1.1\r\n\r\n")
+            is_sent.set()
             assert read_response(other)[0] == 200
-        assert handled.index("/other") < 1000
+        assert handled.index("/other") < 100
         runtime.timers.once(0.0, runtime.stop)
         runtime.poller.resume()
         thread.join(WAIT_SECONDS)
--- a/flamingofront/connection/tests/test_server.py
+++ b/flamingofront/connection/tests/test_server.py
@@ -142,14 +142,6 @@
         assert found == [(200, b"GET /%d " % n) for n in range(count)]
         assert server.faults[before:] == []
 
-    def test_other_connections_are_served_beside_many_pipelined_requests(self, server):
-        with server.connect() as busy, server.connect() as other:
-            busy.sendall(b"".join(b"GET /%d HTTP/1.1\r\n\r\n" % n for n in range(3000)))
-            start = time.monotonic()
-            other.sendall(b"GET /other HTTP/1.1\r\n\r\n")
-            assert read_response(other) == (200, b"GET /other ")
-            assert time.monotonic() - start < 1.0
-
     def test_large_request_behind_one_in_progress_does_not_end_it(self, server):
         """More than 64 KiB of the next request closed the connection, and lost the answer."""
         server.arrived.clear()
