A peer that has just not reached an endpoint is asked again whether it has ended

Cause: an endpoint that refuses a probe counts as ended if a peer does not reach it either. The refused probe also starts a search for a path, and peers that the search has asked are left alone for that endpoint for a second. With one or two peers in hearing the check found nobody to ask and took that for "no peer can tell", so that the end was known when the row lapsed, 3.6 s later. Change: a question whether an endpoint has ended asks such a peer again; searches do not.

--- a/flamingofront/request/endpoint_paths.py
+++ b/flamingofront/request/endpoint_paths.py
@@ -324,8 +324,7 @@
         self._ask(_Question(endpoint_id, on_answer, limit, is_search=True))
 
     def _ask(self, question: "_Question") -> None:
-        may_ask = len(question.asked) < question.limit
-        peer = self.peers.choose(question.asked, question.endpoint_id) if may_ask else None
+        peer = self._choose_informant(question) if len(question.asked) < question.limit else None
         if peer is None:
             question.on_answer(question.answer if self.peers.has_any else False)
             return
@@ -333,6 +332,19 @@
             question.make_call(peer), lambda event: self._on_answer(question, peer, event)
         )
 
+    def _choose_informant(self, question: "_Question") -> str | None:
+        """Return the peer to ask next; None if no other one may be asked.
+
+        Notes
+        -----
+        A peer that has just failed to connect to the endpoint is of no use to a search, but its
+        answer tells whether the endpoint has crashed.
+        """
+        peer = self.peers.choose(question.asked, question.endpoint_id)
+        if peer is None and not question.is_search:
+            peer = self.peers.choose(question.asked)
+        return peer
+
     def _on_answer(self, question: "_Question", peer: str, event: CallEvent) -> None:
         answer = ANSWERS.get(event.status) if isinstance(event, ResponseHead) else None
         if answer:
--- a/flamingofront/tests/test_crashing_requests.py
+++ b/flamingofront/tests/test_crashing_requests.py
@@ -249,6 +249,19 @@
         assert world.sent_late(POISON) <= MAX_SENT_LATE
 
 
+class TestProcessesWithFewPeers:
+    @pytest.mark.parametrize("fronts", [1, 2, 3])
+    def test_crash_is_confirmed_before_the_row_of_the_endpoint_expires(self, fronts):
+        """The peers had just been asked for a path, and none was left to ask for the crash."""
+        world = crashing_world(fronts=fronts)
+        world.poison.add(POISON)
+        world.ask("front-0", "/stream/once/x", body=POISON)
+        world.run(0.5)
+        (crash,) = world.ends_under(POISON)
+        quarantine = world.fronts["front-0"].hub.guard.quarantine
+        assert quarantine.get_crashed_endpoints() == {crash.endpoint_id}
+
+
 class TestOthers:
     def refused(self, callers):
         return sum(b"crashes_endpoints" in each.body for each in callers)
