--- a/flamingofront/tests/promises.py
+++ b/flamingofront/tests/promises.py
@@ -7,7 +7,13 @@
 if TYPE_CHECKING:
     from flamingofront.tests.forwarding_world import ForwardingWorld
 
-__all__ = ["AskedRequest", "BrokenRefusal", "check_promises", "list_broken_refusals"]
+__all__ = [
+    "AskedRequest",
+    "BrokenRefusal",
+    "check_promises",
+    "list_broken_refusals",
+    "list_repeated_runs",
+]
 
 # These statuses state that a request was not executed and never will be.
 REFUSAL_STATUSES = frozenset({408, 421, 429, 503})
@@ -68,6 +74,24 @@
     ]
 
 
+def list_repeated_runs(
+    asked: Iterable[AskedRequest], runs: Iterable[tuple[str, str]]
+) -> list[tuple[str, tuple[str, ...]]]:
+    """Return id and endpoints of the requests that may run once and have run more than once.
+
+    Parameters
+    ----------
+    runs : iterable of (str, str)
+        Request id and endpoint of each request that an endpoint received and did not reject.
+    """
+    once = {each.request_id for each in asked if not each.is_repeatable}
+    endpoints: dict[str, tuple[str, ...]] = {}
+    for request_id, endpoint_id in runs:
+        if request_id in once:
+            endpoints[request_id] = (*endpoints.get(request_id, ()), endpoint_id)
+    return [(request_id, found) for request_id, found in endpoints.items() if len(found) > 1]
+
+
 def check_promises(worlds: "Iterable[ForwardingWorld]") -> None:
     """Check the promises in each of some worlds, at the end of a play."""
     for world in worlds:
--- a/flamingofront/tests/test_refusals.py
+++ b/flamingofront/tests/test_refusals.py
@@ -19,7 +19,11 @@
 from flamingofront.tests.network import PathFault
 from flamingofront.tests.part_load import PartLoad, PartTrouble
 from flamingofront.tests.paths_world import paths_world
-from flamingofront.tests.promises import AskedRequest, list_broken_refusals
+from flamingofront.tests.promises import (
+    AskedRequest,
+    list_broken_refusals,
+    list_repeated_runs,
+)
 
 ONCE = ("/stream/once/x", "/write/x")
 
@@ -240,6 +244,12 @@
         assert not list_broken_refusals([self.ask(503)], [("r-2", "plain-1")])
         assert not list_broken_refusals([self.ask(503, True)], [("r-1", "plain-1")])
 
+    def test_request_that_ran_twice_is_found(self):
+        runs = [("r-1", "plain-1"), ("r-1", "plain-2"), ("r-2", "plain-1")]
+        assert list_repeated_runs([self.ask(200)], runs) == [("r-1", ("plain-1", "plain-2"))]
+        assert not list_repeated_runs([self.ask(200, True)], runs)
+        assert not list_repeated_runs([self.ask(200)], runs[1:])
+
     def test_play_of_a_world_is_checked(self):
         world = ready_world()
         caller = world.ask("front-1", "/write/x")
--- a/scripts/soak_departures.py
+++ b/scripts/soak_departures.py
@@ -84,6 +84,8 @@
         Third number of the loopback addresses, so that several soaks run side by side.
     endpoint_words : tuple of str
         Further words of the command line of each endpoint.
+    configuration : Path
+        Configuration document of the operator.
     """
 
     def __init__(
@@ -93,8 +95,10 @@
         processes: int,
         endpoints: int,
         endpoint_words: tuple[str, ...] = (),
+        configuration: Path = ROOT / "examples/forwarding.json",
     ):
         self.folder = folder
+        self._configuration = configuration
         self._network = network
         self.host = self.ip_of(-1)
         self.processes = processes
@@ -112,14 +116,18 @@
 
     def run_in_loop(self, coroutine):
         """Run a coroutine of the relays and return its result."""
-        return asyncio.run_coroutine_threadsafe(coroutine, self._loop).result(10.0)
+        return self.start_in_loop(coroutine).result(10.0)
+
+    def start_in_loop(self, coroutine):
+        """Start a coroutine beside the relays and return its concurrent future."""
+        return asyncio.run_coroutine_threadsafe(coroutine, self._loop)
 
     def __enter__(self) -> "Deployment":
         words = [
             "--bind",
             f"{self.host}:{PORT}",
             "--config",
-            str(ROOT / "examples/forwarding.json"),
+            str(self._configuration),
         ]
         self._start("flamingofront-standin-store", words)
         _wait_for(f"{self.host}:{PORT}")
