The play of refusals tells causes apart and plays endpoints that state untruly

Cause: a case whose lines point to a write that was taken as not written, to a send after the end of a request or to the answer of another request was printed as unknown; exceptions of the play's own endpoints were dropped with those of broken connections. Change: the record names these causes; `--untrue` lets endpoints refuse with their statement after they have begun, which no entry process can know, and shows that a whole play can fail; exceptions of the play other than of connections end it with 1.

--- a/scripts/refusal_record.py
+++ b/scripts/refusal_record.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from refusal_callers import Attempt
-from refusing_endpoint import Arrival
+from refusing_endpoint import UNTRUE, Arrival
 
 from flamingofront.tests.promises import (
     REFUSAL_STATUSES,
@@ -21,7 +21,7 @@
 __all__ = ["LogLines", "RefusalRecord"]
 
 MAX_LINES = 14
-MAX_LINE_LENGTH = 420
+MAX_LINE_LENGTH = 600
 BURST_SECONDS = 0.3
 PART_SECONDS = 6.0
 
@@ -181,13 +181,18 @@
 
 def _guess_cause(attempt: Attempt, arrivals: list[Arrival], lines: list[str]) -> str:
     """Return the cause that the log lines and the arrivals point to."""
-    text = "\n".join(lines)
-    if '"event":"request stopped by the quarantine"' in text:
+    events = [line.partition('"event":"')[2].partition('"')[0] for line in lines]
+    if "request stopped by the quarantine" in events:
         return "stopped by a quarantine"
-    if attempt.answer.kind == "endpoint" and any(
-        each.answered == attempt.answer.status for each in arrivals
-    ):
-        return "answer of the endpoint passed on"
-    if '"event":"request ended"' in text and '"event":"request failed"' not in text:
-        return "answer of another request, or unknown"
+    if any(each.how == UNTRUE for each in arrivals):
+        return "untrue statement of an endpoint"
+    is_passed = any(each.answered == attempt.answer.status for each in arrivals)
+    if attempt.answer.kind == "endpoint" and is_passed:
+        return "answer of an endpoint passed on"
+    if "request ended" in events and "attempt started" in events[events.index("request ended") :]:
+        return "sent after its end"
+    if any('"attempt failed"' in line and '"ran":"no"' in line for line in lines):
+        return "written, taken as not written"
+    if "request ended" in events and "request failed" not in events:
+        return "answer of another request"
     return "unknown"
--- a/scripts/refusing_endpoint.py
+++ b/scripts/refusing_endpoint.py
@@ -16,10 +16,11 @@
 
 from flamingofront.connection.sockets import RESET_ON_CLOSE
 
-__all__ = ["Arrival", "Behaviour", "RefusingEndpoint"]
+__all__ = ["UNTRUE", "Arrival", "Behaviour", "RefusingEndpoint"]
 
 # Header of the play that names an attempt of a caller; entry processes pass it on.
 ATTEMPT_HEADER = "x-attempt"
+UNTRUE = "untrue statement"
 STATE_PATHS = ("/health", "/api/report")
 STATUS_WRONG_ENDPOINT = 421
 # Statuses that an endpoint sends of which callers read that the request was not executed.
@@ -43,6 +44,8 @@
         Answered 500, or not at all with a reset connection.
     broken : float
         Answered with a part of an answer and a reset connection.
+    untrue : float
+        Refused after they have begun, with the statement that they have not run.
     late : float
         Fraction of the unstated refusals and failures that come after the deadline.
     crashes : bool
@@ -53,6 +56,7 @@
     unstated: float = 0.05
     failed: float = 0.03
     broken: float = 0.03
+    untrue: float = 0.0
     late: float = 0.15
     crashes: bool = True
 
@@ -197,6 +201,7 @@
             (rules.unstated, self._refuse_unstated),
             (rules.failed, self._fail),
             (rules.broken, self._break_off),
+            (rules.untrue, self._refuse_untruly),
         ):
             if chance < share:
                 await treat(req, arrival, writer)
@@ -228,6 +233,11 @@
             more["X-Flamingofront-Response-Seal"] = self.name
         self._answer(arrival, self.rng.choice(REFUSALS), writer, more)
 
+    async def _refuse_untruly(self, req: _Request, arrival: Arrival, writer) -> None:
+        await asyncio.sleep(self._draw_delay())
+        self._reject(arrival, self.rng.choice(REFUSALS), writer, {})
+        arrival.is_rejected, arrival.how = False, UNTRUE
+
     async def _fail(self, req: _Request, arrival: Arrival, writer) -> None:
         arrival.how = "failure"
         await asyncio.sleep(self._draw_delay())
--- a/scripts/soak_refusals.py
+++ b/scripts/soak_refusals.py
@@ -12,6 +12,7 @@
     .venv/bin/python scripts/soak_refusals.py 7 --only record --unstated 0
 """
 
+import asyncio
 import json
 import os
 import random
@@ -72,6 +73,11 @@
     ----------
     code : str
         Checkout from which the entry processes run; the installed one if empty.
+
+    Attributes
+    ----------
+    errors : list of str
+        Exceptions of the play itself.
     """
 
     def __init__(self, *args, rng: random.Random, behaviour: Behaviour, poison: Poison, code: str):
@@ -80,6 +86,13 @@
         self._behaviour = behaviour
         self._poison = poison
         self._code = code
+        self.errors: list[str] = []
+        self._loop.set_exception_handler(self._record_error)
+
+    def _record_error(self, loop: asyncio.AbstractEventLoop, context: dict) -> None:
+        exc = context.get("exception")
+        if exc is not None and not isinstance(exc, OSError | EOFError):
+            self.errors.append(repr(exc))
 
     def __enter__(self) -> "RefusalDeployment":
         try:
@@ -140,6 +153,7 @@
     poison: float = 0.12,
     stated: float = 0.08,
     unstated: float = 0.05,
+    untrue: float = 0.0,
     lanes: int = 2,
     only: str = "",
     code: str = "",
@@ -155,6 +169,7 @@
     :param poison: fraction of the requests that hold what crashes endpoints
     :param stated: fraction of the requests that endpoints refuse with a statement
     :param unstated: fraction of the requests that endpoints refuse after they have begun
+    :param untrue: fraction of those that endpoints refuse with the statement though they have begun
     :param lanes: faults side by side
     :param only: the one fault that is played
     :param code: checkout from which the entry processes run
@@ -167,7 +182,7 @@
     with RefusalDeployment(
         *args,
         rng=rng,
-        behaviour=Behaviour(stated=stated, unstated=unstated),
+        behaviour=Behaviour(stated=stated, unstated=unstated, untrue=untrue),
         poison=used,
         code=code,
     ) as deployment:
@@ -200,13 +215,14 @@
         "faults": dict(faults.counts),
         "log_events": dict(logs.events),
         "exceptions": exceptions,
+        "errors_of_play": deployment.errors,
         "broken": {title: len(cases) for title, cases in found.items()},
         "causes": dict(Counter(each["cause"] for each in cases)),
         "cases": cases,
         "logs": str(folder),
     }
     print(json.dumps(summary), flush=True)
-    sys.exit(any(found.values()) or bool(exceptions))
+    sys.exit(any(found.values()) or bool(exceptions) or bool(deployment.errors))
 
 
 if __name__ == "__main__":
