The play of refusals takes the fraction of requests that run beside what crashes endpoints

Cause: a request that runs to its end with a part under which others crash was always a quarter of them. Change: `--sound` sets that fraction, so that more or fewer streams run when a part is quarantined.

--- a/scripts/refusal_callers.py
+++ b/scripts/refusal_callers.py
@@ -21,8 +21,6 @@
 # Callers come again so long after a process did not listen.
 UNREAD_SECONDS = 0.4
 POISON_PREFIX = "dead"
-# Fraction of the requests with poison that run to their end all the same.
-SOUND_SHARE = 0.25
 CRASH_SECONDS = (0.02, 1.6)
 
 
@@ -99,10 +97,16 @@
         Those that callers use now.
     share : float
         Fraction of the requests that hold one.
+
+    Parameters
+    ----------
+    sound : float
+        Fraction of these requests that run to their end all the same.
     """
 
-    def __init__(self, rng: random.Random, share: float):
+    def __init__(self, rng: random.Random, share: float, sound: float = 0.25):
         self.share = share
+        self._sound = sound
         self._rng = rng
         self._usual_share = share
         self._number = 0
@@ -127,7 +131,7 @@
         """Return the seconds until a request crashes its endpoint, or None if it is sound."""
         if POISON_PREFIX not in prompt and POISON_PREFIX not in body:
             return None
-        if self._rng.random() < SOUND_SHARE:
+        if self._rng.random() < self._sound:
             return None
         shortest, longest = CRASH_SECONDS
         return shortest + (longest - shortest) * self._rng.random() ** 2
--- a/scripts/soak_refusals.py
+++ b/scripts/soak_refusals.py
@@ -151,6 +151,7 @@
     rate: float = 10.0,
     endpoints: int = 16,
     poison: float = 0.12,
+    sound: float = 0.25,
     stated: float = 0.08,
     unstated: float = 0.05,
     untrue: float = 0.0,
@@ -167,6 +168,7 @@
     :param rate: requests a second at each entry process
     :param endpoints: endpoints that serve at any time
     :param poison: fraction of the requests that hold what crashes endpoints
+    :param sound: fraction of these that run to their end all the same
     :param stated: fraction of the requests that endpoints refuse with a statement
     :param unstated: fraction of the requests that endpoints refuse after they have begun
     :param untrue: fraction of those that endpoints refuse with the statement though they have begun
@@ -176,7 +178,7 @@
     :param network: third number of the loopback addresses; from the seed if 0
     """
     folder, rng = Path(tempfile.mkdtemp()), random.Random(seed)
-    used = Poison(random.Random(rng.random()), poison)
+    used = Poison(random.Random(rng.random()), poison, sound)
     network = network or FIRST_NETWORK + seed % NETWORKS
     args = (folder, network, processes, endpoints)
     with RefusalDeployment(
