A copy of a rejection does not refuse the next attempt of its request

What callers would see: 503 with Retry-After and "ran": "no" for a write or a stream that may not be resumed, while an endpoint runs it (REFUSED), or a second attempt beside it. Not known to have happened. Cause: a response on a used connection was attributed to the attempt by the id of the request alone. All attempts of a request have the same id, and an endpoint may send a response twice, the copy where the next one is expected. The process that holds the request closes the connection of a rejected attempt; a peer that proxies it has read the whole response by then and keeps the connection. While new connections fail, the next attempt is sent on it, and the copy stated for that one that it did not run. Change: a rejection on a used connection by an endpoint that has rejected the request before leaves it open whether the request ran, if it must not run twice. Evidence: by reading; the test lets endpoints reject a request, and repeat that if it comes again.

--- a/bench/promise_mutations.py
+++ b/bench/promise_mutations.py
@@ -132,6 +132,13 @@
         "",
         PEER_REFUSALS,
     ),
+    Mutation(
+        "Refusal: a copy of a rejection is no rejection of the next attempt",
+        "request/forwarded_request.py",
+        "return is_repeated and head.reused and not self.work.repeatable",
+        "return False",
+        PEER_REFUSALS,
+    ),
     Mutation(
         "Refusal: a call has a handle before it fails",
         "connection/client.py",
--- a/flamingofront/request/answer_reader.py
+++ b/flamingofront/request/answer_reader.py
@@ -55,6 +55,8 @@
         elif response.wrong_endpoint:
             self._request.hub.directory.mark_address_reused(self._request.endpoint_id)
             self._fail_attempt(Executed.NO, "another endpoint has the address")
+        elif response.not_run and self._request.may_be_repeated_rejection(head):
+            self._fail_attempt(Executed.UNKNOWN, "may repeat an earlier rejection")
         elif response.not_run:
             self._request.record_rejection()
             self._fail_attempt(Executed.NO, f"refused with status {response.status}")
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -15,6 +15,7 @@
     CallFailed,
     Fail,
     OutboundCall,
+    ResponseHead,
     StartAttempt,
 )
 from flamingofront.request.active import NO_CONNECTION_REASONS, ActiveRequest
@@ -104,6 +105,7 @@
         self.on_response_start: Callable[[ForwardedRequest], None] = lambda request: None
         self.on_end: Callable[[ForwardedRequest], None] = lambda request: None
         self._error_response: EndpointResponse | None = None
+        self._rejecting_endpoints: set[str] = set()
         self._backlog_tokens = 0
         self._backlog_endpoint = ""
         self._tokens_ahead = 0
@@ -318,8 +320,20 @@
 
     def record_rejection(self) -> None:
         """Record that the endpoint rejected the current attempt."""
+        self._rejecting_endpoints.add(self.endpoint_id)
         self._permit_claims.record_rejection()
 
+    def may_be_repeated_rejection(self, head: ResponseHead) -> bool:
+        """Return True if a rejection may be a late copy of that of an earlier attempt.
+
+        Notes
+        -----
+        A peer keeps the connection of a rejected attempt. Only requests that must not run twice
+        need the distinction.
+        """
+        is_repeated = self.endpoint_id in self._rejecting_endpoints
+        return is_repeated and head.reused and not self.work.repeatable
+
     def _record_event_interval(self) -> None:
         """Record the mean interval between events, which shows a slow endpoint."""
         now = self.hub.now()
--- a/flamingofront/tests/test_refusals_through_peers.py
+++ b/flamingofront/tests/test_refusals_through_peers.py
@@ -80,3 +80,43 @@
         world.finish(caller)
         assert caller.status in (502, 503, 504) and caller.error["kind"]
         assert caller.error["ran"] == "unknown" or path == "/read/x"
+
+
+class TestRefusalsThatComeTwice:
+    """A second copy of a response may come where the response to the next request is expected."""
+
+    def refuse_twice(self, world):
+        """Let endpoints reject a request, and repeat that on the connection if it comes again.
+
+        Returns the requests that came again, which the endpoints run.
+        """
+        rejected, again = set(), []
+
+        def respond_for(endpoint):
+            def respond(req, exchange, fault):
+                key = (endpoint.endpoint_id, req.header("x-flamingofront-request-id"))
+                if key in rejected:
+                    assert exchange._link.reused
+                    again.append(key)
+                else:
+                    rejected.add(key)
+                    endpoint.runs.remove(req)
+                    endpoint.rejected.append(req)
+                fields = (*endpoint._make_headers(req), ("X-Flamingofront-Not-Executed", "1"))
+                exchange.respond(503, fields, b"")
+
+            return respond
+
+        for each in world.endpoints.values():
+            each._respond = respond_for(each)
+        return again
+
+    @pytest.mark.parametrize("path", ONCE)
+    def test_copy_of_a_refusal_does_not_refuse_the_next_attempt(self, path):
+        """The peer keeps the connection of an attempt that was rejected, and uses it again."""
+        world = world_with_open_connections()
+        again = self.refuse_twice(world)
+        callers = [world.ask("front-1", path) for _ in range(4)]
+        world.finish(*callers)
+        assert again
+        assert [each.error["ran"] for each in callers].count("unknown") == len(again)
