An error of the start of a request is not taken for its rejection

What callers would see: 503 with Retry-After and "ran": "no" for a request that goes on at an endpoint (REFUSED). Not known to happen: nothing that starts a request raises such an error (by reading). Cause: the gateway answers each `RequestError` as the rejection of the request that it accepts. It starts the request, and others that wait, within the same step. `HTTPServer.dispatch` no longer answers such an error of an accepted request, but never gets it from the gateway, which catches it before. Change: once a request is accepted, such an error is a fault. Measured: test_error_of_the_start_does_not_refuse_an_accepted_request, simulated network: both cases failed before (503, then the answer of the endpoint; also in the check of refusals at the end of the play), and pass; test_forwarding.py and test_mutations.py pass.

--- a/bench/promise_mutations.py
+++ b/bench/promise_mutations.py
@@ -104,6 +104,13 @@
         "                if True:\n                    self._start",
         "request/tests/test_reclaims.py::TestRequestThatEndsMeanwhile",
     ),
+    Mutation(
+        "Refusal: an error of the start is none of the request",
+        "request/forward_gateway.py",
+        'raise RuntimeError("an accepted request was not started") from exc',
+        "raise exc",
+        "tests/test_refusals_of_ended_attempts.py::TestErrorsAfterAcceptance",
+    ),
     Mutation(
         "Refusal: an adopted job may have run",
         "request/jobs.py",
--- a/flamingofront/request/forward_gateway.py
+++ b/flamingofront/request/forward_gateway.py
@@ -278,7 +278,11 @@
         request.on_end = lambda finished: self._on_request_end(finished, pending)
         caller_id = pending.record.work.caller_id
         request.attach(ForwardAttachment(pending.exchange, caller_id, self._protocol))
-        self._hub.start_ready_requests()
+        try:
+            self._hub.start_ready_requests()
+        except RequestError as exc:
+            # As a rejection it would be sent to a caller whose request goes on.
+            raise RuntimeError("an accepted request was not started") from exc
 
     def _version_rule(self, request: ForwardedRequest) -> VersionRule | None:
         return self.version_rule(request.record.service.name, not request.endpoints)
--- a/flamingofront/tests/test_refusals_of_ended_attempts.py
+++ b/flamingofront/tests/test_refusals_of_ended_attempts.py
@@ -1,8 +1,8 @@
-"""A request that ends while an attempt of it ends is not refused if the attempt was written."""
+"""A request is not refused by an error that comes after it was accepted, sent or given up."""
 
 import pytest
 
-from flamingofront.errors import ErrorKind
+from flamingofront.errors import ErrorKind, RequestError
 from flamingofront.standins.forward_endpoint import ForwardFault
 from flamingofront.tests.forwarding_world import ready_world
 
@@ -24,3 +24,26 @@
         )
         world.finish(caller)
         assert (caller.status, caller.error["ran"]) == (502, "unknown")
+
+
+class TestErrorsAfterAcceptance:
+    @pytest.mark.parametrize("path", ["/write/x", "/stream/once/x"])
+    def test_error_of_the_start_does_not_refuse_an_accepted_request(self, path):
+        """It was taken for a rejection of the request, which went on at its endpoint."""
+        world = ready_world()
+        hub = world.fronts["front-1"].hub
+        start = hub.start_ready_requests
+
+        def start_and_fail():
+            hub.start_ready_requests = start
+            start()
+            raise RequestError(ErrorKind.OVERLOADED, retry_after=1.0)
+
+        hub.start_ready_requests = start_and_fail
+        with pytest.raises(RuntimeError):
+            world.ask("front-1", path)
+            world.run(0.01)
+        caller = world.asked[-1].caller
+        assert caller.answers == 0
+        world.finish(caller)
+        assert (caller.status, caller.answers) == (200, 1)
