A request that is released during the claim of its trial is sent

What callers saw: 504 at the deadline for a request that no process held back any more. Not known to have happened in a deployment. Cause: a denied claim of a trial ends the request with the error of its quarantine. If the entry was released while the claim was under way there is no such error, and the request stayed without an attempt. Change: a request that is no longer quarantined when its claim is denied is sent. Evidence: by reading; the test releases the entry within the claim.

--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -302,8 +302,10 @@
         if is_granted:
             self.is_trial = True
             self.dispatch_attempt(action)
-        else:
+        elif self.is_quarantined:
             self.fail_quarantined()
+        else:
+            self.dispatch_attempt(action)
 
     @property
     def is_quarantined(self) -> bool:
--- a/flamingofront/tests/test_crashing_requests.py
+++ b/flamingofront/tests/test_crashing_requests.py
@@ -438,6 +438,25 @@
         world.finish(*callers)
         assert len(world.sent) == sent + 1
 
+    def test_request_released_during_its_claim_is_sent(self):
+        """It was neither sent nor answered until its deadline."""
+        world = crashing_world()
+        world.poison.add(POISON)
+        repeat(world, "/stream/once/x", seconds=3.0)
+        world.poison.clear()
+        world.run(TRIAL_SECONDS[0] + 1.0)
+        front = next(iter(world.fronts))
+        guard = world.fronts[front].hub.guard
+
+        def release_and_deny(entry, on_done):
+            guard.release(entry, "operator")
+            on_done(False)
+
+        guard.acquire_trial = release_and_deny
+        caller = world.ask(front, "/stream/once/x", body=POISON)
+        world.finish(caller)
+        assert caller.status == 200
+
     def test_without_the_store_there_is_no_trial(self):
         world = crashing_world()
         world.poison.add(POISON)
