A part that stands out at six crashes is blamed though hardly any request was answered

Cause: a part without any answer is blamed only by a process that has itself seen four answers to whatever request, or that knows from earlier processes which parts are common. Engines that crash 0.1 s after each start answer hardly anybody, so that the fault kept the condition from being met. Change: where there are too few answers, six crashes under four requests of 0.5 s at most are enough, if nearly no crash was without the part, at most three of four requests there hold it, and each other part without an answer was absent from two of them. Companions are blamed together with it.

--- a/flamingofront/decisions/part_evidence.py
+++ b/flamingofront/decisions/part_evidence.py
@@ -22,7 +22,12 @@
 from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
-from flamingofront.decisions.part_exposure import PartExposure, compute_chance
+from flamingofront.decisions.part_exposure import (
+    MAX_COMMON_SHARE,
+    MIN_OTHER_REQUESTS,
+    PartExposure,
+    compute_chance,
+)
 from flamingofront.decisions.part_facts import (
     InterruptedRequest,
     PartAnswer,
@@ -62,6 +67,12 @@
 PROVEN_CRASHES_TO_BLAME = 6
 PROVEN_REQUESTS_TO_BLAME = 4
 PROVEN_MIN_ANSWERS = 6
+# Crashes by which a part has to be ahead of all others if too few answers are known.
+MIN_LEAD = 2
+# Crashes that it then has to be at for each one without it.
+CRASHES_PER_OTHER = 8
+# Time within which its requests then crash endpoints; others that crash later answer before.
+MAX_EARLY_SECONDS = 0.5
 # Largest number of parts in a hypothesis; prompts may hold hundreds that come together.
 MAX_HYPOTHESIS_PARTS = 8
 # Time after a crash until gossip about answers has arrived.
@@ -367,7 +378,7 @@
             name: held for crash in crashes for name, held in crash.requests.items() if part in held
         }
         if answered_at is None:
-            is_sufficient = self._is_sufficient(part, crashes, len(holders))
+            is_sufficient = self._is_sufficient(part, crashes, len(holders), is_open)
         else:
             is_sufficient = self._is_sufficient_despite_answers(part, crashes, len(holders), now)
         if not is_sufficient or self._is_contested(part, crashes, now):
@@ -384,12 +395,52 @@
             len(holders),
         )
 
-    def _is_sufficient(self, part: str, crashes: list[_Crash], request_count: int) -> bool:
+    def _is_sufficient(
+        self, part: str, crashes: list[_Crash], request_count: int, is_open: set[int]
+    ) -> bool:
         return (
             request_count >= REQUESTS_TO_BLAME
-            and (len(self._recent) >= MIN_ANSWERS or self._is_known_to_be_uncommon(part))
             and self._count_causes(part, crashes) >= CRASHES_TO_BLAME
+            and (
+                len(self._recent) >= MIN_ANSWERS
+                or self._is_known_to_be_uncommon(part)
+                or self._stands_out(part, crashes, is_open)
+            )
+        )
+
+    def _stands_out(self, part: str, crashes: list[_Crash], is_open: set[int]) -> bool:
+        """Return True if a part is at nearly all crashes, and each other unanswered one is not.
+
+        Notes
+        -----
+        Endpoints that crash soon after their start answer hardly any request, so that answers tell
+        nothing. Parts that most requests hold, or that come with others, do not stand out, nor do
+        those of long requests that any crash interrupts.
+        """
+        since = min(each.at for each in crashes)
+        without = sum(
+            id(each) in is_open and bool(each.parts) and part not in each.parts and each.at >= since
+            for each in self._crashes
+        )
+        if without > len(crashes) // CRASHES_PER_OTHER:
+            return False
+        if max(each.seconds_with(part) for each in crashes) > MAX_EARLY_SECONDS:
+            return False
+        requests = {name: held for each in crashes for name, held in each.requests.items()}
+        holders = [held for held in requests.values() if part in held]
+        other_count = len(requests) - len(holders)
+        if len(crashes) < PROVEN_CRASHES_TO_BLAME or len(holders) < PROVEN_REQUESTS_TO_BLAME:
+            return False
+        if other_count < MIN_OTHER_REQUESTS or len(holders) > MAX_COMMON_SHARE * len(requests):
+            return False
+        companions = frozenset.intersection(*holders)
+        rivals = Counter(
+            other
+            for each in crashes
+            for other in each.parts
+            if other not in companions and other not in self._answered
         )
+        return max(rivals.values(), default=0) <= len(crashes) - MIN_LEAD
 
     def _is_known_to_be_uncommon(self, part: str) -> bool:
         """Return True if earlier processes have not counted a part among those often answered."""
--- a/flamingofront/decisions/tests/test_part_evidence.py
+++ b/flamingofront/decisions/tests/test_part_evidence.py
@@ -5,6 +5,7 @@
     MAX_CRASHES,
     MAX_GOSSIPED_PARTS,
     MAX_HYPOTHESIS_PARTS,
+    PROVEN_CRASHES_TO_BLAME,
     PartEvidence,
 )
 from flamingofront.decisions.part_facts import (
@@ -112,6 +113,34 @@
         assert len(found) == MAX_HYPOTHESIS_PARTS
 
 
+class TestFewAnswers:
+    """Endpoints that crash soon after each start answer hardly anybody."""
+
+    def play(self, *requests, crashes=PROVEN_CRASHES_TO_BLAME, answers=()):
+        case = Case(answers=answers)
+        for number in range(crashes):
+            case.crash(*(each[number % len(each)] for each in requests))
+        return case.blamed()
+
+    def test_part_that_stands_out_is_blamed_together_with_its_companion(self):
+        """Without an answer nothing tells them apart."""
+        requests = [{"s", "p"}], [{"s", "c"}, {"s", "d"}]
+        assert self.play(*requests) == [{"s", "p"}]
+        assert self.play(*requests, answers=("s",)) == [{"p"}]
+        assert self.play(*requests, crashes=PROVEN_CRASHES_TO_BLAME - 1) == []
+
+    def test_nothing_is_blamed_while_another_part_is_at_nearly_all_of_the_crashes(self):
+        poison = [{"s", "p"}]
+        assert self.play(poison, [{"s", "c"}]) == []
+        assert self.play(poison, [{"s", "c"}] * 5 + [{"s", "d"}]) == []
+        assert self.play(poison, [{"s", "c"}] * 4 + [{"s", "d"}] * 2) == [{"s", "p"}]
+
+    def test_part_that_most_requests_hold_is_not_blamed(self):
+        poison, others = [{"s", "p"}], [{"s", "c"}, {"s", "d"}]
+        assert self.play(poison, poison, poison, others) == [{"s", "p"}]
+        assert self.play(poison, poison, poison, poison, others) == []
+
+
 class TestPartsWithAnswers:
     """A part may begin to crash endpoints with a new version of the model."""
 
