The play of restarts amid quarantines has a name of its own

Cause: it was called after the users' record, which a newcomer does not know, and like the record of a play.

--- a/scripts/refusal_callers.py
+++ b/scripts/refusal_callers.py
@@ -204,7 +204,7 @@
             await asyncio.sleep(delay)
             front = self._rng.randrange(len(self._addresses))
             conn = _Connection(self._addresses[front])
-            # A few callers repeat the id, against the page.
+            # A few callers repeat the id, though each attempt is to have its own.
             if self._rng.random() > 0.1:
                 request_id = self._make_id()
 
--- a/scripts/refusal_faults.py
+++ b/scripts/refusal_faults.py
@@ -62,7 +62,7 @@
             "group": self._end_group,
             "poison": self._renew_poison,
             "burst": self._play_burst,
-            "record": self._play_record,
+            "restart": self._restart_amid_quarantines,
         }
         if only:
             self._actions = {only: self._actions[only]}
@@ -221,8 +221,8 @@
                 self._deployment.run_in_loop(each.set_call_fault(fault))
             time.sleep(0.2)
 
-    def _play_record(self) -> None:
-        """Play parts and requests that are quarantined as most processes are killed and start."""
+    def _restart_amid_quarantines(self) -> None:
+        """Start most processes again while parts and requests are quarantined."""
         self._poison.renew_parts(self._rng.choice((1, 2)))
         self._poison.set_share(PART_SHARE)
         time.sleep(2.0 + 2.0 * self._rng.random())
--- a/scripts/soak_refusals.py
+++ b/scripts/soak_refusals.py
@@ -9,7 +9,7 @@
 or if one ran twice. Each such case is printed with the lines that name it.
 
     .venv/bin/python scripts/soak_refusals.py 7 --seconds 40 --processes 8
-    .venv/bin/python scripts/soak_refusals.py 7 --only record --unstated 0
+    .venv/bin/python scripts/soak_refusals.py 7 --only restart --unstated 0
 """
 
 import asyncio
