--- a/flamingofront/decisions/part_evidence.py
+++ b/flamingofront/decisions/part_evidence.py
@@ -71,7 +71,8 @@
 MIN_LEAD = 2
 # Crashes that it then has to be at for each one without it.
 CRASHES_PER_OTHER = 8
-# Time within which its requests then crash endpoints; others that crash later answer before.
+# Longest time from the sending of its requests to the crashes. Requests that run for longer are
+# interrupted by crashes of any cause.
 MAX_EARLY_SECONDS = 0.5
 # Largest number of parts in a hypothesis; prompts may hold hundreds that come together.
 MAX_HYPOTHESIS_PARTS = 8
--- a/flamingofront/request/endpoint_paths.py
+++ b/flamingofront/request/endpoint_paths.py
@@ -324,7 +324,7 @@
         self._ask(_Question(endpoint_id, on_answer, limit, is_search=True))
 
     def _ask(self, question: "_Question") -> None:
-        peer = self._choose_informant(question) if len(question.asked) < question.limit else None
+        peer = self._choose_peer_to_ask(question) if len(question.asked) < question.limit else None
         if peer is None:
             question.on_answer(question.answer if self.peers.has_any else False)
             return
@@ -332,7 +332,7 @@
             question.make_call(peer), lambda event: self._on_answer(question, peer, event)
         )
 
-    def _choose_informant(self, question: "_Question") -> str | None:
+    def _choose_peer_to_ask(self, question: "_Question") -> str | None:
         """Return the peer to ask next; None if no other one may be asked.
 
         Notes
