Log lines and metrics tell why word of endpoints is late

Cause: for the incident of requests at endpoints that leave (80 VMs) three hypotheses explain the same lines: 'endpoint state changed' says how old the copy of a process was, and not whether the message waited at its sender, was old there already, or waited to be read. Change: transit and age at the sender in that line, a line and a histogram for datagrams that are queued and for long turns of the event loop. No decision changes.

--- a/flamingofront/process/forwarding/endpoints.py
+++ b/flamingofront/process/forwarding/endpoints.py
@@ -416,6 +416,8 @@
                 way=origin.way,
                 teller=origin.sender,
                 max_delay_ms=_to_milliseconds(origin.max_delay),
+                transit_ms=_to_milliseconds(origin.transit),
+                sender_age_ms=_to_milliseconds(origin.sender_age),
                 waited_ms=_to_milliseconds(waited),
                 store_away=self._outages.is_away,
                 row=str(row),
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -19,6 +19,7 @@
 from flamingofront.process.former_sends import SenderProcess
 from flamingofront.process.forwarding.change_reports import ChangeReports
 from flamingofront.process.forwarding.control import ControlHandler
+from flamingofront.process.forwarding.delays import DelayMonitor
 from flamingofront.process.forwarding.duty import LeaderLease
 from flamingofront.process.forwarding.endpoint_row import EndpointRow
 from flamingofront.process.forwarding.endpoints import EndpointView
@@ -336,6 +337,8 @@
             self.metrics,
             self.log,
         )
+        self.delays = DelayMonitor(self.timers, self.metrics, self.log)
+        self.peers.relaying.sender.on_sent = self._record_queued
         self.observations = Observations(
             self.hub,
             self.peers,
@@ -401,6 +404,11 @@
         self.store_view.endpoints.on_store_away = self.peers.broadcast_report
         self.exchange.on_peer_cut_off = self.feed_check.check_now
 
+    def _record_queued(self, seconds: float) -> None:
+        """Record the time for which a datagram was queued until it was sent."""
+        sender = self.peers.relaying.sender
+        self.delays.record_queued(seconds, len(sender), sender.dropped)
+
     def _store_backoff(self) -> Backoff:
         """Return the delays between failed polls of the store."""
         relaying = self.peers.relaying
--- a/flamingofront/process/forwarding/overload.py
+++ b/flamingofront/process/forwarding/overload.py
@@ -106,6 +106,7 @@
 
     def record_turn(self, now: float, busy: float) -> None:
         """Log when the event loop becomes overloaded, so that connections are refused."""
+        self._node.delays.record_turn(busy)
         transition = self._control.record_turn(now, busy, self._node.peers.peer_delays)
         if transition is None:
             return
--- a/flamingofront/process/forwarding/peer_word.py
+++ b/flamingofront/process/forwarding/peer_word.py
@@ -95,6 +95,8 @@
     def apply_relay_state(self, relay: PeerReport, claim: LeaseClaim) -> None:
         """Apply the state of a relay and the lease advertisement that it forwards."""
         self._metrics.count("peer_digests_total")
+        transit = self._reported.peers.cluster_time() - relay.wall
+        self._metrics.observe("digest_transit_seconds", max(0.0, transit))
         self._apply_rollouts(relay)
         self._reported.hub.guard.merge_updates(
             relay.quarantine, relay.suspect_parts, relay.part_times
@@ -114,7 +116,14 @@
     def _merge_leaving(self, report: PeerReport, way: Way) -> None:
         """Merge the endpoints that began to leave, or were removed, according to a peer."""
         knowledge = self._reported.knowledge
-        origin = Provenance(Source.PEER, report.vm_id, way=way, max_delay=knowledge.endpoints_age())
+        origin = Provenance(
+            Source.PEER,
+            report.vm_id,
+            way=way,
+            max_delay=knowledge.endpoints_age(),
+            transit=self._reported.peers.cluster_time() - report.wall,
+            sender_age=report.ages[1],
+        )
         knowledge.endpoints.merge_leaving(report.leaving_endpoints, origin)
         knowledge.endpoints.merge_removed(report.removed_endpoints, origin)
 
--- a/flamingofront/process/forwarding/provenance.py
+++ b/flamingofront/process/forwarding/provenance.py
@@ -48,6 +48,11 @@
     max_delay : float or None
         Longest time in seconds for which the store may have had the update before; None if
         unknown.
+    transit : float or None
+        Seconds since the sender put the message together, by the median clock of the members; None
+        if unknown.
+    sender_age : float or None
+        Seconds for which the sender's own copy had not been confirmed then; None if unknown.
     """
 
     source: Source
@@ -56,6 +61,8 @@
     size_bytes: int = 0
     way: Way = Way.FEED
     max_delay: float | None = None
+    transit: float | None = None
+    sender_age: float | None = None
 
 
 FROM_STORE = Provenance(Source.STORE)
--- a/flamingofront/process/forwarding/relaying.py
+++ b/flamingofront/process/forwarding/relaying.py
@@ -120,6 +120,11 @@
         Sends a datagram to an IP address.
     listener : RelayListener
         Callbacks for received data.
+
+    Attributes
+    ----------
+    sender : PacedSender
+        Queue of the datagrams to send.
     """
 
     def __init__(
@@ -132,7 +137,8 @@
         rng: random.Random,
     ):
         super().__init__(identity, table, timers)
-        self._send = PacedSender(send, timers).send
+        self.sender = PacedSender(send, timers)
+        self._send = self.sender.send
         self._listener = listener
         self._rng = rng
         self._source_selector = SourceSelector()
--- a/flamingofront/process/metrics.py
+++ b/flamingofront/process/metrics.py
@@ -92,6 +92,9 @@
     "request_seconds": "Time from acceptance to the end",
     "configuration_missing_seconds": "Time from word of a newer configuration until it is in force",
     "endpoint_departure_seconds": "Longest time for which an endpoint had left unknown, by way",
+    "event_loop_turn_seconds": "Turns of the event loop of ten milliseconds and more",
+    "peer_queue_seconds": "Time for which datagrams to other entry processes were queued",
+    "digest_transit_seconds": "Time from the building of a relay's digest until it was applied",
 }
 
 
