--- a/flamingofront/tests/test_word_of_leaving.py
+++ b/flamingofront/tests/test_word_of_leaving.py
@@ -3,6 +3,7 @@
 import pytest
 
 from flamingofront.process.membership import VmState
+from flamingofront.tests.busy_world import BusyWorld
 from flamingofront.tests.narrow_links import NarrowLinksWorld
 
 # From the store's confirmation that an endpoint leaves until no process sends it anything.
@@ -79,3 +80,25 @@
             world.watch(0.3)
         world.watch(8.0)
         assert world.late(lost) == []
+
+
+class TestRelaysWithoutStore:
+    """All relays lost the store at once, and the others heard them as before."""
+
+    @pytest.mark.parametrize(
+        ("seed", "turn_seconds", "seconds_before"), [(1, 0.0, 1.5), (4, 0.05, 1.0), (6, 0.08, 2.0)]
+    )
+    def test_departures_are_known_in_time_to_all_that_reach_the_store(
+        self, seed, turn_seconds, seconds_before
+    ):
+        """Guards against a copy that nobody confirms and that is used though its age is known."""
+        world = BusyWorld(seed)
+        world.make_busy(turn_seconds)
+        world.offer(1.5, 50)
+        lost = [name for zone in ZONES[:2] for name in world.relays(zone)]
+        for name in lost:
+            world.lose(name, "cut")
+        world.offer(seconds_before, 50)
+        world.release(8, 0.5, 50)
+        world.offer(4.0, 25)
+        assert [each for each in world.late() if each[1] not in lost] == []
