A process looks at the store itself once its endpoints are 1.6 s old

What callers saw: requests at endpoints that had announced their leaving 3.7 and 4.4 s before (80 VMs, 3.0 s allowed). Cause: a process that hears its relays asked the store itself only once its copy of the endpoints was 4.5 s old. That bound came from the configuration, whose long poll takes 3.5 s; it is longer than the time in which all have to know that an endpoint leaves. So the age was known, told and not acted on, whatever made the copy old: queues, relays without the store, slow relays. Change: a bound of its own for the endpoints: 1.6 s, as long as two watchers need to notice that they were not confirmed. Test that failed: TestRelaysWithoutStore, 3.94, 4.46 and 4.76 s at worst, now at most 2.0 s. Why it holds: the age is that of the store's own clock, which no hop changes.

--- a/flamingofront/process/forwarding/exchange.py
+++ b/flamingofront/process/forwarding/exchange.py
@@ -32,8 +32,11 @@
 # Without a report from a process that watches the store for this long, a standby process polls the
 # store itself. Several digests arrive in this time, of which a few may be lost.
 WATCHER_TIMEOUT_SECONDS = 0.7
-# It also polls if its state is staler than this: a long poll of a relay takes 3.5 s at most.
-MAX_STALENESS_SECONDS = 4.5
+# It also polls if its configuration is staler than this: a long poll takes 3.5 s at most.
+MAX_CONFIGURATION_STALENESS_SECONDS = 4.5
+# As long as two watchers need to notice one after the other that the endpoints were not confirmed
+# for a while, and the answer to the second takes to arrive here.
+MAX_ENDPOINTS_STALENESS_SECONDS = 1.6
 STORE_POLL_INTERVAL_SECONDS = 1.0
 STALENESS_CHECK_SECONDS = 0.2
 CONFIGURATION_PATH = "/forwarding/configuration"
@@ -147,8 +150,9 @@
             return
         quiet = now - self._watcher_report_at
         ages = (self._store_view.configuration_age(), self._store_view.endpoints_age())
+        limits = (MAX_CONFIGURATION_STALENESS_SECONDS, MAX_ENDPOINTS_STALENESS_SECONDS)
         if quiet < WATCHER_TIMEOUT_SECONDS and all(
-            age is None or age < MAX_STALENESS_SECONDS for age in ages
+            age is None or age < limit for age, limit in zip(ages, limits, strict=True)
         ):
             return
         self._polled_at = now
