A process that lost a second answer says that it has lost the store

Cause: while the store answered other processes, each answer that a process missed passed for a single lost one. A relay that was cut off from the store for good went on to say that it watches it, and its zone rested on it. Change: an answer counts as lost alone only if any call of this process was answered since the last one that was lost. Why it holds: own answers tell the own path, those of others the store.

--- a/flamingofront/process/forwarding/confirmations.py
+++ b/flamingofront/process/forwarding/confirmations.py
@@ -40,11 +40,13 @@
         self._confirmed_time: dict[str, float] = {}
         # A long poll may be answered while the store accepts no calls, so only short calls count.
         self._answered_at: float | None = None
+        # Time of the last answer to any call of this process; None before the first.
+        self.own_answer_at: float | None = None
         self._answered_time: float | None = None
 
     def record_answer(self, asked_at: float, store_time: float | None) -> None:
         """Record an answer to a call of this process."""
-        now = self._now()
+        now = self.own_answer_at = self._now()
         if now - asked_at <= SHORT_CALL_SECONDS:
             self._record_answer_at(now, store_time)
 
--- a/flamingofront/process/forwarding/follower.py
+++ b/flamingofront/process/forwarding/follower.py
@@ -81,6 +81,9 @@
         Gets the store's time of each answer.
     answer_age : callable
         Returns the seconds since the store's last answer to any process; None if unknown.
+    own_answer_at : callable
+        Returns the time of the store's last answer to any call of this process; None if there was
+        none.
     backoff : callable
         Returns the delays between failed polls for changes; a first read is retried faster.
     reads_after_failure : bool
@@ -102,12 +105,16 @@
         peer_version: Callable[[], int] = lambda: 0,
         clock: StoreClock | None = None,
         answer_age: Callable[[], float | None] = lambda: None,
+        own_answer_at: Callable[[], float | None] = lambda: None,
         backoff: Callable[[], Backoff] = lambda: BACKOFF,
         reads_after_failure: bool = False,
     ):
         self._reads_after_failure = reads_after_failure
         self._peer_version = peer_version
         self._answer_age = answer_age
+        self._own_answer_at = own_answer_at
+        # When an answer was first found lost since the last answer to any call of this process.
+        self._lost_since: float | None = None
         self._backoff = backoff
         self._long_poll_at: float | None = None
         self._wait_seconds = wait
@@ -237,8 +244,17 @@
             isinstance(exc, PlatformTimeoutError)
             and answer_age is not None
             and answer_age <= RECENT_ANSWER_SECONDS
+            and not self._has_lost_another()
         )
 
+    def _has_lost_another(self) -> bool:
+        """Return True if this process lost an answer before, and had none to any call since."""
+        answered_at = self._own_answer_at()
+        if self._lost_since is None or (answered_at or -math.inf) > self._lost_since:
+            self._lost_since = self._now()
+            return False
+        return True
+
     def poll_beside(self) -> Task:
         """Poll for changes without wait, beside the long poll; return True if there are any."""
         asked_at, after = self._now(), max(self.version, self._peer_version())
--- a/flamingofront/process/forwarding/knowledge.py
+++ b/flamingofront/process/forwarding/knowledge.py
@@ -136,6 +136,7 @@
             peer_version=lambda: self._peer_position,
             clock=self.confirmations.clock,
             answer_age=self.confirmations.answer_age,
+            own_answer_at=lambda: self.confirmations.own_answer_at,
             backoff=backoff,
         )
         self.endpoint_watcher = TableWatcher(
@@ -150,6 +151,7 @@
             wait=ENDPOINT_FEED_WAIT_SECONDS,
             clock=self.confirmations.clock,
             answer_age=self.confirmations.answer_age,
+            own_answer_at=lambda: self.confirmations.own_answer_at,
             backoff=backoff,
             reads_after_failure=True,
         )
--- a/flamingofront/tests/test_word_of_leaving.py
+++ b/flamingofront/tests/test_word_of_leaving.py
@@ -102,3 +102,31 @@
         world.release(8, 0.5, 50)
         world.offer(4.0, 25)
         assert [each for each in world.late() if each[1] not in lost] == []
+
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    def test_relay_tells_that_it_has_lost_the_store(self, seed):
+        """Guards against lost answers that pass for single ones while others are answered."""
+        world = BusyWorld(seed)
+        world.run(0.3 * seed)
+        lost = world.relays(ZONES[0])
+        for name in lost:
+            world.lose(name, "cut")
+        world.run(4.0)
+        assert [world.fronts[name].build_report().store_unreachable for name in lost] == [True] * 2
+        world.heal()
+        world.run(3.0)
+        assert not any(world.fronts[name].build_report().store_unreachable for name in lost)
+
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    def test_one_lost_answer_is_no_loss_of_the_store(self, seed):
+        """Guards against relays that are left for one lost answer."""
+        world = BusyWorld(seed)
+        relay = world.relays(ZONES[0])[0]
+        reports = []
+        world.lose(relay, "cut")
+        world.run(0.3)
+        world.heal()
+        for _ in range(30):
+            world.run(0.1)
+            reports.append(world.fronts[relay].build_report().store_unreachable)
+        assert not any(reports)
