Requests without a prompt leave no backlog behind

What operators saw: another operator reported processes that fell silent after one odd row. Change: a backlog of no tokens is not added.

--- a/flamingofront/request/directory.py
+++ b/flamingofront/request/directory.py
@@ -411,6 +411,8 @@
 
     def add_backlog(self, endpoint_id: str, tokens: int) -> None:
         """Add prompt tokens that an endpoint has to prefill for this process."""
+        if not tokens:
+            return  # removed by nobody, so that the endpoint would be reported for good
         self._backlog[endpoint_id] += tokens
         self.on_load_change(endpoint_id, 0, tokens)
 
