Messages to peers are bounded, and so are the ids and names that they repeat

What operators saw: another operator reported processes that ended, or stopped following the rows, after one odd entry. Here a row with a key of 60,000 characters parted all processes: reports did not fit into a datagram ('Message too long') or were cut by their receivers, 'live peers' had heard 0 for as long as the reports named it; and beside them the entry stayed in each log line about the endpoint. Cause: nothing bounded what other writers name, nor a message as a whole; a message that could not be sent was silence. Change: ids, services, zones and versions of endpoints have 256 characters at most; a row beyond is rejected with one line, which has 64 characters of its key. A report or digest over 48 KB goes without its largest parts (line 'message shortened', one a second, and a counter), so that what callers or operators name at length costs these parts and not the peers. Why it holds: a report without all parts that grow has some hundred bytes.

--- a/flamingofront/platform/endpoints.py
+++ b/flamingofront/platform/endpoints.py
@@ -46,7 +46,7 @@
             leaves_in=None if leaves is None else _require_number(leaves) / _MS_PER_SECOND,
         )
     except (KeyError, TypeError, ValueError, AttributeError) as exc:
-        raise PlatformError(f"malformed row of endpoint {key}: {exc!r:.200}") from exc
+        raise PlatformError(f"malformed row of endpoint {key:.64}: {exc!r:.200}") from exc
 
 
 def _require_number(value: object) -> float:
--- a/flamingofront/process/forwarding/digests.py
+++ b/flamingofront/process/forwarding/digests.py
@@ -11,6 +11,7 @@
 import orjson
 
 from flamingofront.process.forwarding.limit_messages import decode_limits, encode_limits
+from flamingofront.process.forwarding.message_size import MAX_MESSAGE_BYTES, encode_within
 from flamingofront.process.forwarding.reports import (
     PeerReport,
     ProcessCounts,
@@ -45,7 +46,9 @@
 _PREFIX = b"D3 "
 _HEADER_END = b"\n"
 # Longer digests are rejected. 600 endpoints, 64 workspaces and 41 members take under 20 KB.
-MAX_DIGEST_BYTES = 48 * 1024
+MAX_DIGEST_BYTES = MAX_MESSAGE_BYTES
+# Length of the number of the addressee's report and of what encloses it.
+_MAX_HEADER_BYTES = 64
 
 
 @dataclass(frozen=True)
@@ -126,6 +129,27 @@
     acknowledged: int = 0
 
 
+# Position, name and default of the values that grow with what they name.
+_USAGE = 14
+_OMISSIBLE = {
+    6: ("loads", {}),
+    8: ("unreachable", ()),
+    9: ("consumed", None),
+    10: ("demand", None),
+    11: ("work", None),
+    12: ("roster", None),
+    13: ("relays", None),
+    _USAGE: ("usage", None),
+    15: ("usage_until", {}),
+    16: ("quarantine", None),
+    17: ("limits", ()),
+    18: ("leaving_endpoints", ()),
+    21: ("removed_endpoints", ()),
+    23: ("suspect_parts", None),
+    25: ("part_times", None),
+}
+
+
 def is_digest(data: bytes) -> bool:
     """Return True if a datagram is a digest, of any version."""
     return data.startswith(_PREFIX[:1])
@@ -138,6 +162,11 @@
     ----------
     digest : Digest
         Its `acknowledged` is ignored; `datagram` gets the number for each addressee.
+
+    Attributes
+    ----------
+    omitted : tuple of str
+        Names of the parts that were left out, since the digest was too long.
     """
 
     def __init__(self, digest: Digest):
@@ -174,7 +203,11 @@
             relay.delay_ms,
             encode_part_times(relay.part_times),
         ]
-        self._body = orjson.dumps(values)
+        omissible = {position: default for position, (_, default) in _OMISSIBLE.items()}
+        # A digest of usage is known by it, also if nothing of it fits.
+        omissible[_USAGE] = None if digest.usage is None else {}
+        self._body, omitted = encode_within(values, omissible, MAX_DIGEST_BYTES - _MAX_HEADER_BYTES)
+        self.omitted = tuple(_OMISSIBLE[each][0] for each in omitted)
 
     def datagram(self, acknowledged: int = 0) -> bytes:
         """Return the datagram for an addressee whose last report has this number."""
--- a/flamingofront/process/forwarding/endpoint_row.py
+++ b/flamingofront/process/forwarding/endpoint_row.py
@@ -4,9 +4,11 @@
 import math
 from dataclasses import dataclass
 
-__all__ = ["EndpointRow"]
+__all__ = ["EndpointRow", "MAX_TEXT_CHARACTERS", "is_endpoint_id"]
 
 MAX_PORT = 65535
+# Limit on ids and names, which reports and log lines repeat.
+MAX_TEXT_CHARACTERS = 256
 # Writers keep these counts in signed 64-bit integers.
 MAX_COUNT = 2**63 - 1
 
@@ -41,8 +43,9 @@
     Raises
     ------
     ValueError
-        If a value has the wrong type or is out of range. Rows come from peers and from the store,
-        where other programs write, so that errors have to be found here and not at later use.
+        If a value has the wrong type, is out of range or too long. Rows come from peers and from
+        the store, where other programs write, so that errors have to be found here and not at
+        later use.
     """
 
     endpoint_id: str
@@ -68,6 +71,7 @@
         for name in ("ready", "reclaimable"):
             _check_type(name, getattr(self, name), bool)
         _check_type("version", self.version, str)
+        _check_length("version", self.version)
         _check_seconds("warming", self.warming)
         if self.leaves_in is not None:
             _check_seconds("leaves_in", self.leaves_in)
@@ -78,6 +82,11 @@
         return self.born, self.sequence
 
 
+def is_endpoint_id(text: str) -> bool:
+    """Return True if a text may be the id of an endpoint."""
+    return 0 < len(text) <= MAX_TEXT_CHARACTERS
+
+
 def _check_type(name: str, value: object, wanted: type) -> None:
     if type(value) is not wanted:
         raise ValueError(f"{name} is {value!r:.60}, expected {wanted.__name__}")
@@ -87,6 +96,13 @@
     _check_type(name, value, str)
     if not value:
         raise ValueError(f"{name} is empty")
+    _check_length(name, value)
+
+
+def _check_length(name: str, value: str) -> None:
+    if len(value) > MAX_TEXT_CHARACTERS:
+        limit = MAX_TEXT_CHARACTERS
+        raise ValueError(f"{name} has {len(value)} characters, at most {limit} are accepted")
 
 
 def _check_address(address: str) -> None:
--- a/flamingofront/process/forwarding/knowledge.py
+++ b/flamingofront/process/forwarding/knowledge.py
@@ -9,7 +9,7 @@
 from flamingofront.process.backoff import Backoff
 from flamingofront.process.forwarding.confirmations import StoreConfirmations
 from flamingofront.process.forwarding.document_copies import DeltaSource
-from flamingofront.process.forwarding.endpoint_row import EndpointRow
+from flamingofront.process.forwarding.endpoint_row import EndpointRow, is_endpoint_id
 from flamingofront.process.forwarding.endpoints import EndpointView
 from flamingofront.process.forwarding.follower import BACKOFF, TableListener, TableWatcher
 from flamingofront.process.forwarding.news import EndpointHistory, EndpointUpdate, to_change_number
@@ -27,6 +27,8 @@
 
 # Long-poll timeout of the endpoint table; `FeedCheck` notices a dead long poll sooner.
 ENDPOINT_FEED_WAIT_SECONDS = 10.0
+# Characters of the key of an unreadable row that are logged.
+MAX_LOGGED_KEY_CHARACTERS = 64
 # Limit on unreadable rows that are logged, each once until it is readable again.
 MAX_REJECTED_ROWS_LOGGED = 256
 
@@ -343,18 +345,16 @@
             except PlatformError as exc:
                 self._reject_row(row.key, exc)
             else:
-                self._rejected_rows.discard(row.key)
+                self._rejected_rows.discard(row.key[:MAX_LOGGED_KEY_CHARACTERS])
         return found
 
     def _reject_row(self, endpoint_id: str, exc: PlatformError) -> None:
         """Mark an endpoint as unreadable; logged once, since writers may repeat every second."""
         self._metrics.count("platform_errors_total", operation="endpoint")
-        if (
-            endpoint_id not in self._rejected_rows
-            and len(self._rejected_rows) < MAX_REJECTED_ROWS_LOGGED
-        ):
-            self._rejected_rows.add(endpoint_id)
-            self._log.warning("endpoint row rejected", endpoint=endpoint_id, detail=str(exc))
+        key = endpoint_id[:MAX_LOGGED_KEY_CHARACTERS]
+        if key not in self._rejected_rows and len(self._rejected_rows) < MAX_REJECTED_ROWS_LOGGED:
+            self._rejected_rows.add(key)
+            self._log.warning("endpoint row rejected", endpoint=key, detail=str(exc))
         self.endpoints.mark_unreadable(endpoint_id)
 
     def _reload_endpoints(self, rows: tuple[StoredRow, ...], version: int) -> None:
@@ -385,6 +385,9 @@
     def _apply_endpoint_changes(self, rows: tuple[StoredRow, ...]) -> None:
         origin = self._describe_answer(Way.FEED)
         for row in rows:
+            if not is_endpoint_id(row.key):
+                self._decode_endpoints((row,) if row.value is not None else ())
+                continue
             if row.value is None:
                 self.endpoints.remove(row.key, origin, row.version)
             else:
--- a/flamingofront/process/forwarding/peers.py
+++ b/flamingofront/process/forwarding/peers.py
@@ -1,5 +1,6 @@
 """Gossip between entry processes: membership, liveness, and the exchange of reports."""
 
+import math
 import random
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
@@ -81,6 +82,8 @@
 # each peer gave 38,000 lines at the start of 195 VMs.
 LIVENESS_LOG_PERIOD_SECONDS = 1.0
 MAX_NAMED_PEERS = 8
+# Shortest interval between two log lines on messages that were too long.
+OMISSION_LOG_PERIOD_SECONDS = 1.0
 # Number of senders for which a rejected datagram is logged.
 MAX_LOGGED_REJECTIONS = 64
 
@@ -159,6 +162,8 @@
         self._rng = rng
         self._log = log
         self.relaying = Relaying(identity, self.table, self._send_one, relay_listener, timers, rng)
+        self.relaying.on_omitted = self._record_omitted
+        self._omission_logged_at = -math.inf
         self._registered: dict[str, float] = {}
         self.is_table_read = False
         self._is_registered = False
@@ -405,10 +410,18 @@
             self._send_report_to(self.relaying.direct_targets(self._ips), self._build_report())
 
     def _send_report_to(self, ips: Iterable[str], report: PeerReport) -> None:
-        data = encode_report(report)
+        data = encode_report(report, self._record_omitted)
         for ip in ips:
             self._send_one(data, ip)
 
+    def _record_omitted(self, names: tuple[str, ...]) -> None:
+        """Count a message that was too long, and log what was left out, once a second."""
+        self._metrics.count("peer_messages_shortened_total")
+        now = self._timers.now()
+        if now - self._omission_logged_at >= OMISSION_LOG_PERIOD_SECONDS:
+            self._omission_logged_at = now
+            self._log.warning("message shortened", omitted=names)
+
     def send(self, data: bytes, ip: str) -> None:
         """Send a datagram to the process at an IP address."""
         self._send_one(data, ip)
@@ -535,7 +548,8 @@
         if gap is None:
             # The first report of a sender: one of the two has just started and needs the other's
             # state before the next period.
-            self._send_one(encode_report(self._build_report()), report.ip)
+            answer = encode_report(self._build_report(), self._record_omitted)
+            self._send_one(answer, report.ip)
         self._ips.add(report.ip)
         self._ips.update(each for each in report.peers if each != self._identity.ip)
         self._on_report(report, gap)
--- a/flamingofront/process/forwarding/relaying.py
+++ b/flamingofront/process/forwarding/relaying.py
@@ -127,6 +127,8 @@
     ----------
     sender : PacedSender
         Queue of the datagrams to send.
+    on_omitted : callable
+        Called with the names of the parts that were left out of a message that was too long.
     """
 
     def __init__(
@@ -141,6 +143,7 @@
         super().__init__(identity, table, timers)
         self.sender = PacedSender(send, timers)
         self._send = self.sender.send
+        self.on_omitted: Callable[[tuple[str, ...]], None] = lambda names: None
         self._listener = listener
         self._rng = rng
         self._source_selector = SourceSelector()
@@ -228,7 +231,7 @@
         self._sent_reports[report.sequence] = report
         while len(self._sent_reports) > MAX_KEPT_REPORTS:
             self._sent_reports.popitem(last=False)
-        data = encode_report(report)
+        data = encode_report(report, self.on_omitted)
         for ip in ips:
             self._send(data, ip, REPORT)
 
@@ -258,10 +261,16 @@
             local.consumed, self._zone_consumed.total, self._remote_consumed.total
         )
         digest = replace(digest, consumed=consumed)
-        writer = DigestWriter(digest if is_full else replace(digest, demand=None, work=None))
+        writer = self._write(digest if is_full else replace(digest, demand=None, work=None))
         for each in reports:
             self._send(writer.datagram(each.sequence), each.ip, ZONE_DIGEST, is_full)
 
+    def _write(self, digest: Digest) -> DigestWriter:
+        writer = DigestWriter(digest)
+        if writer.omitted:
+            self.on_omitted(writer.omitted)
+        return writer
+
     def _build_digest(self, local: PeerReport, scope: str, loads: list[PeerLoad]) -> Digest:
         members, live = self.count_members() if scope == ALL_ZONES else self._count_zone_members()
         return Digest(
@@ -341,7 +350,7 @@
         members = {**self._other_members_in_zone(), self._identity.vm_id: self._identity.ip}
         ips = tuple(members[each] for each in self._relays.chosen if each in members)
         digest = replace(digest, consumed=consumed, relays={self._identity.zone: ips})
-        data = DigestWriter(digest).datagram()
+        data = self._write(digest).datagram()
         for ip in _flatten(self._relays_by_zone().values()):
             self._send(data, ip, REMOTE_DIGEST)
 
@@ -367,7 +376,7 @@
             if local.process in batch:
                 until[local.process] = wall
             digest = Digest(local, self._identity.zone, wall, 0, 0, usage=counts, usage_until=until)
-            data = DigestWriter(digest).datagram()
+            data = self._write(digest).datagram()
             for ip in sorted(targets - {"", self._identity.ip}):
                 self._send(data, ip, (USAGE, windows, start))
 
--- a/flamingofront/process/forwarding/reports.py
+++ b/flamingofront/process/forwarding/reports.py
@@ -7,7 +7,7 @@
 """
 
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -17,6 +17,7 @@
 from flamingofront.decisions.quarantine_facts import QuarantineUpdate
 from flamingofront.decisions.rollout import Phase
 from flamingofront.process.forwarding.limit_messages import decode_limits, encode_limits
+from flamingofront.process.forwarding.message_size import encode_within
 from flamingofront.process.quarantine_codec import (
     decode_part_times,
     decode_part_update,
@@ -198,16 +199,41 @@
 )
 
 
-def encode_report(report: PeerReport) -> bytes:
+def _find_omissible() -> dict[int, object]:
+    """Return position and default of the fields of a report that grow with what they name."""
+    defaults = {}
+    for position, each in enumerate(dataclasses.fields(PeerReport)):
+        if each.default_factory is not dataclasses.MISSING:
+            defaults[position] = each.default_factory()
+        elif each.default is None or each.default == ():
+            defaults[position] = each.default
+    return defaults
+
+
+_OMISSIBLE = _find_omissible()
+
+
+def encode_report(
+    report: PeerReport, on_omitted: Callable[[tuple[str, ...]], None] = lambda names: None
+) -> bytes:
     """Return the datagram of a report: the values in the order of the fields.
 
+    Parameters
+    ----------
+    on_omitted : callable
+        Called with the names of the fields that were left out of a report that was too long.
+
     Notes
     -----
     Without the names of the fields the short form of a process with 16 workspaces takes 705 bytes
     instead of 907.
     """
     values = ((_ENCODERS.get(name), getattr(report, name)) for name in _FIELDS)
-    return orjson.dumps([value if encode is None else encode(value) for encode, value in values])
+    encoded = [value if encode is None else encode(value) for encode, value in values]
+    data, omitted = encode_within(encoded, _OMISSIBLE)
+    if omitted:
+        on_omitted(tuple(_FIELDS[each] for each in omitted))
+    return data
 
 
 def decode_report(data: bytes) -> PeerReport:
--- a/flamingofront/process/metrics.py
+++ b/flamingofront/process/metrics.py
@@ -61,6 +61,7 @@
     "peer_datagrams_total": "Datagrams to and from other entry processes, by way and kind",
     "peer_bytes_total": "Bytes of these datagrams, by way and kind",
     "peer_datagrams_refused_total": "Datagrams that were malformed or not their sender's own",
+    "peer_messages_shortened_total": "Messages that went without some parts, being too long",
     "quota_questions_total": "Questions to other processes on quotas",
     "quota_questions_unanswered_total": "Questions on quotas without a reply in time",
     "quota_replies_total": "Replies to questions on quotas, by verdict",
--- a/flamingofront/tests/forwarding_world.py
+++ b/flamingofront/tests/forwarding_world.py
@@ -2,6 +2,7 @@
 
 import random
 
+from flamingofront.connection.datagrams import MAX_DATAGRAM_BYTES
 from flamingofront.messages import InboundRequest
 from flamingofront.platform.cloud import PlatformCloud
 from flamingofront.platform.config import CONFIG_KEY, CONFIG_TABLE, decode_configuration
@@ -23,6 +24,8 @@
 __all__ = ["ForwardingWorld", "RULES", "configuration", "created_worlds", "ready_world"]
 
 TIMEOUT = 1.0
+# Largest datagram of IPv4.
+MAX_SENT_BYTES = 65_507
 # Paths of the routes whose requests may run once only.
 RUN_ONCE = ("/write/", "/stream/once/")
 # Worlds of the current test, whose promises are checked at its end.
@@ -192,7 +195,9 @@
             return
         if self.rng.random() < self.lost_datagrams or not self._link_takes(source, len(data)):
             return
-        node = self.fronts[target.name]
+        if len(data) > MAX_SENT_BYTES:
+            return
+        node, data = self.fronts[target.name], data[:MAX_DATAGRAM_BYTES]
         target.timers.once(
             LATENCY, lambda: target.dead or node.peers.receive_datagram(data, source.address)
         )
