A process whose endpoints alone are old asks for the endpoints alone

Cause: with a bound of its own for the age of the endpoints, a process that found only these old asked the store and two peers for the configuration, too. During a large change that is the transfer that keeps word late. Change: the configuration is asked for by its own age, or when no watcher is heard.

--- a/flamingofront/process/forwarding/exchange.py
+++ b/flamingofront/process/forwarding/exchange.py
@@ -150,17 +150,21 @@
             return
         quiet = now - self._watcher_report_at
         ages = (self._store_view.configuration_age(), self._store_view.endpoints_age())
-        limits = (MAX_CONFIGURATION_STALENESS_SECONDS, MAX_ENDPOINTS_STALENESS_SECONDS)
-        if quiet < WATCHER_TIMEOUT_SECONDS and all(
-            age is None or age < limit for age, limit in zip(ages, limits, strict=True)
-        ):
+        is_unwatched = quiet >= WATCHER_TIMEOUT_SECONDS or _exceeds(
+            ages[0], MAX_CONFIGURATION_STALENESS_SECONDS
+        )
+        if not is_unwatched and not _exceeds(ages[1], MAX_ENDPOINTS_STALENESS_SECONDS):
             return
         self._polled_at = now
         self._log.info("polling the store: no recent report from a watcher", quiet=quiet, ages=ages)
-        self._store_view.poll_store()
-        for address in self.remote_watchers()[:MAX_CONCURRENT_FETCHES]:
-            self._start_configuration_fetch(address, address)
+        self._store_view.poll_endpoints()
+        watchers = self.remote_watchers()[:MAX_CONCURRENT_FETCHES]
+        for address in watchers:
             self._start_endpoint_fetch(address, address)
+        if is_unwatched:
+            self._store_view.poll_configuration()
+            for address in watchers:
+                self._start_configuration_fetch(address, address)
 
     def _start_retries(self) -> None:
         """Fetch from peers of the zone in turn until the newer configuration arrives."""
@@ -275,3 +279,7 @@
         )
         if update.change_number > self._store_view.endpoints_change_number():
             self._store_view.apply_endpoint_update(update, peer)
+
+
+def _exceeds(age: float | None, limit: float) -> bool:
+    return age is not None and age >= limit
--- a/flamingofront/process/forwarding/knowledge.py
+++ b/flamingofront/process/forwarding/knowledge.py
@@ -173,10 +173,9 @@
         """Request a poll of the configuration, also in standby."""
         self.configuration_watcher.poll_once()
 
-    def poll_store(self) -> None:
-        """Request a poll of both tables, also in standby."""
-        for each in self.watchers:
-            each.poll_once()
+    def poll_endpoints(self) -> None:
+        """Request a poll of the endpoints, also in standby."""
+        self.endpoint_watcher.poll_once()
 
     def reload_rollouts(self) -> None:
         """Request a reload of the rollout specs, which peers do not send with a configuration."""
