--- a/flamingofront/process/forwarding/pacing.py
+++ b/flamingofront/process/forwarding/pacing.py
@@ -12,13 +12,13 @@
 
 __all__ = ["PacedSender"]
 
-# Bytes sent in one burst, and again after each pause: 3.3 Mbit/s, two thirds of the smallest link
-# of a VM. A relay of 30 processes sent 155 KB in a second. When about 30 KB were sent in one burst,
-# the end was lost, each time for the same addressees.
-BURST_BYTES = 4096
+# Bytes sent in one burst, and again after each pause: 2.5 Mbit/s, half of the smallest link of a
+# VM, so that copies of a large configuration pass beside them. When about 30 KB were sent in one
+# burst, the end was lost, each time for the same addressees.
+BURST_BYTES = 3072
 PAUSE_SECONDS = 0.01
 # Limit on the burst after a pause that took longer than planned, since the event loop was busy.
-MAX_BURST_BYTES = 4 * BURST_BYTES
+MAX_BURST_BYTES = 5 * BURST_BYTES
 # Limit on queued datagrams: several times the addressees of a relay.
 MAX_QUEUED_DATAGRAMS = 400
 
