A port that is taken ends the start with one line

What operators saw: a process whose metrics port was taken ended with a traceback, 'OSError: [Errno 98] Address already in use', which names neither the address nor what it is for. Change: 'cannot listen on ADDRESS for NAME: ...' on standard error and status 2, as for other settings. Test that failed: test_port_that_is_taken_ends_the_start_with_one_line, three ports, status 1 and a traceback before.

--- a/flamingofront/forward_daemon.py
+++ b/flamingofront/forward_daemon.py
@@ -10,6 +10,8 @@
 import signal
 import sys
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import replace
 
 import defopt
@@ -54,6 +56,21 @@
 )
 
 
+@contextmanager
+def _report_bind_error(name: str, bind: Address) -> Iterator[None]:
+    """Name the address and its use if a socket cannot be bound.
+
+    Raises
+    ------
+    SettingsError
+        If another program listens there, or the VM does not have the address.
+    """
+    try:
+        yield
+    except OSError as exc:
+        raise SettingsError(f"cannot listen on {bind} for {name}: {exc.strerror}") from exc
+
+
 class ForwardDaemon:
     """A `ForwardingNode` connected to its sockets and timers.
 
@@ -73,9 +90,10 @@
         self._log = Log("entry", vm=settings.vm_id, zone=settings.zone)
         self.runtime = Runtime(self._handle_exception, self._handle_stop_signal)
         self._client = HTTPClient(self.runtime.timers).register(self.runtime)
-        self._datagrams = DatagramSocket(
-            (settings.ip, settings.peer_port), self._receive_datagram, self._handle_exception
-        ).register(self.runtime)
+        with _report_bind_error("datagrams", Address(settings.ip, settings.peer_port)):
+            self._datagrams = DatagramSocket(
+                (settings.ip, settings.peer_port), self._receive_datagram, self._handle_exception
+            ).register(self.runtime)
         self.node = ForwardingNode(settings, self._make_dependencies(), random.Random(), self._log)
         self.node.on_configuration = self._apply_caller_limits
         self._client.max_idle = self.node.max_idle
@@ -138,16 +156,17 @@
         self.node.peers.receive_datagram(data, ip)
 
     def _make_server(self, bind: Address, handler, channel: str) -> HTTPServer:
-        return HTTPServer(
-            (bind.host, bind.port),
-            handler,
-            self.runtime.timers,
-            ServerLimits(),
-            self._record_rejection,
-            self._handle_exception,
-            channel=channel,
-            render_error=PlatformProtocol().render_error,
-        ).register(self.runtime)
+        with _report_bind_error(channel, bind):
+            return HTTPServer(
+                (bind.host, bind.port),
+                handler,
+                self.runtime.timers,
+                ServerLimits(),
+                self._record_rejection,
+                self._handle_exception,
+                channel=channel,
+                render_error=PlatformProtocol().render_error,
+            ).register(self.runtime)
 
     def _apply_caller_limits(self, cfg: ForwardingConfiguration) -> None:
         """Apply the caller limits of a newly activated configuration."""
@@ -241,11 +260,11 @@
             raise SettingsError(
                 f"{SETTINGS_VARIABLE} is not set: expected the path of the settings file"
             )
-        settings = read_settings(path)
+        daemon = ForwardDaemon(read_settings(path), path, metrics_port)
     except SettingsError as exc:
         print(f"flamingofront-forward: {exc}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
-    ForwardDaemon(settings, path, metrics_port).run()
+    daemon.run()
 
 
 def main() -> None:
--- a/flamingofront/tests/test_forward_processes.py
+++ b/flamingofront/tests/test_forward_processes.py
@@ -208,6 +208,23 @@
         assert child.returncode == 2
         assert named in errors and errors.count(b"\n") == 1
 
+    @pytest.mark.parametrize("taken", ["callers", "ready", "metrics"])
+    def test_port_that_is_taken_ends_the_start_with_one_line(self, processes, taken):
+        """Guards against a traceback that names neither the address nor what it is for."""
+        address = processes.address(taken)
+        words = ["--metrics-port", address.rpartition(":")[2] if taken == "metrics" else "0"]
+        names = {"callers": "listen.front", "ready": "listen.ready"}
+        processes.write_settings(**{names[taken]: address} if taken in names else {})
+        child = subprocess.run(
+            [BIN / "flamingofront-forward", *words],
+            capture_output=True,
+            text=True,
+            env={**os.environ, "FLAMINGOFRONT_BOOT": str(processes.settings)},
+            timeout=WAIT_SECONDS,
+        )
+        line = f"cannot listen on {address} for {taken}: Address already in use"
+        assert (child.returncode, child.stderr.strip()) == (2, f"flamingofront-forward: {line}")
+
 
 class TestEarlyReload:
     def test_reload_signal_during_the_imports_does_not_end_the_process(self):
