--- a/bench/knowledge_mutations.py
+++ b/bench/knowledge_mutations.py
@@ -8,6 +8,8 @@
 FRESHNESS = "process/forwarding/tests/test_freshness.py"
 LARGE = "tests/test_large_changes.py"
 LEAVING = "tests/test_word_of_leaving.py"
+ODD_ROWS = "tests/test_odd_rows.py"
+PACING = "process/forwarding/tests/test_pacing.py"
 READERS = "process/forwarding/tests/test_readers.py"
 
 KNOWLEDGE_MUTATIONS = (
@@ -74,4 +76,46 @@
         "        for endpoint_id in ():\n",
         READERS,
     ),
+    Mutation(
+        "Know: newer datagrams replace queued ones",
+        "process/forwarding/pacing.py",
+        "key = (ip, self._number) if subject is None else (ip, subject)",
+        "key = (ip, self._number)",
+        PACING,
+    ),
+    Mutation(
+        "Know: long turns allow larger bursts",
+        "process/forwarding/pacing.py",
+        "limit = MAX_BURST_BYTES if self._is_pausing else BURST_BYTES",
+        "limit = BURST_BYTES",
+        PACING,
+    ),
+    Mutation(
+        "Know: only members with an unsent full digest get one",
+        "process/forwarding/relaying.py",
+        "if is_full or self.sender.has_queued_full(each.ip, ZONE_DIGEST)",
+        "if True",
+        LARGE,
+    ),
+    Mutation(
+        "Know: a second lost answer is a lost store",
+        "process/forwarding/follower.py",
+        "            and not self._has_lost_another()\n",
+        "",
+        LEAVING,
+    ),
+    Mutation(
+        "Know: a report that is too long goes without its largest parts",
+        "process/forwarding/message_size.py",
+        "    if len(data) <= max_bytes:\n        return data, ()\n",
+        "    return data, ()\n",
+        ODD_ROWS,
+    ),
+    Mutation(
+        "Know: ids and names of endpoints are bounded",
+        "process/forwarding/endpoint_row.py",
+        "    if len(value) > MAX_TEXT_CHARACTERS:\n",
+        "    if False:\n",
+        ODD_ROWS,
+    ),
 )
