--- a/bench/knowledge_mutations.py
+++ b/bench/knowledge_mutations.py
@@ -58,7 +58,7 @@
     Mutation(
         "Know: a process without word asks the store",
         "process/forwarding/exchange.py",
-        "        self._store_view.poll_store()\n",
+        "        self._store_view.poll_endpoints()\n",
         "        return\n",
         LARGE,
     ),
