--- a/flamingofront/process/forwarding/delays.py
+++ b/flamingofront/process/forwarding/delays.py
@@ -10,7 +10,7 @@
 
 # Shorter turns of the event loop are not counted, since most of a hundred a second take less.
 MIN_COUNTED_TURN_SECONDS = 0.01
-# Longer delays are logged: a tenth of the time in which all processes have to know of a change.
+# Longer delays are logged: all processes have to know of a change within a few seconds.
 MIN_LOGGED_SECONDS = 0.25
 # Shortest interval between two lines of the same kind.
 LOG_INTERVAL_SECONDS = 1.0
--- a/flamingofront/process/forwarding/message_size.py
+++ b/flamingofront/process/forwarding/message_size.py
@@ -10,7 +10,7 @@
 
 __all__ = ["MAX_MESSAGE_BYTES", "encode_within"]
 
-# Below the largest datagram of IPv4, and several times the messages of 300 processes.
+# Below the largest datagram of IPv4 and the buffers of receivers.
 MAX_MESSAGE_BYTES = 48 * 1024
 
 
