Streams are taken up at a process that missed how a new version joined

What operators saw: another operator reported a machine that was out of step for seconds while runners of a new version joined; streams that had begun there through others were taken up at it and went on at another version. Not played: 24 processes, one-way paths, a row that is read and not yet confirmed.

--- a/flamingofront/tests/test_streams_of_versions.py
+++ b/flamingofront/tests/test_streams_of_versions.py
@@ -177,6 +177,48 @@
         assert count_mixed(callers) <= MAX_MIXED
 
 
+class TestProcessOutOfStep:
+    """Streams are taken up at a process that missed how endpoints of a new version joined."""
+
+    @pytest.mark.parametrize("ended", ["all", "some", "none"])
+    @pytest.mark.parametrize("way", ["pause", "cut off", "store", "peers", "restart"])
+    def test_streams_go_on_at_their_version_or_are_refused(self, way, ended):
+        """Guards against a process that continues streams at the version that it knows alone."""
+        world = versions_world(versions=("v1",))
+        if way == "restart":
+            world.kill("front-5")
+        elif way == "pause":
+            world.pause("front-5")
+        else:
+            others = {"store": ["store"], "peers": [f"front-{each}" for each in range(1, 5)]}
+            for name in others.get(way, [each for each in world.hosts_by_name()]):
+                world.cut(name, "front-5")
+        world.run(1.6)
+        for number in range(1, 4):
+            world.versioned_engine(f"v2-{number}", "v2", "zone-b")
+        world.run(0.3)
+        callers = start_streams(world, 30, ["front-1", "front-2"])
+        world.run(AMID_STREAM)
+        begun = [each for each in callers if each.seen_versions == {"v2"}]
+        for number in {"all": (1, 2, 3), "some": (1, 2), "none": ()}[ended]:
+            world.kill(f"v2-{number}")
+            world.store.drop("servers", f"v2-{number}")
+        for name in ("front-1", "front-2"):
+            world.kill(name)
+        if way == "restart":
+            world.front("front-5", first_start=False)
+        elif way == "pause":
+            world.resume("front-5")
+        else:
+            world.heal()
+        for each in begun:
+            each.call("front-5")
+        world.run(WHOLE_STREAM)
+        assert len(begun) >= 10
+        assert count_mixed(begun) == 0
+        assert_true_ends(begun)
+
+
 class TestUnknownOrigin:
     def test_stream_of_unknown_origin_is_refused_at_once(self):
         # Any endpoint went on, whichever version had begun the stream.
