Lines tell why an attempt was given up, and which evidence a lost path rests on

Callers saw streams end midway with 'attempt failed', 'path lost'. The lines could not tell whether a loss was concluded or still in doubt, for how long the endpoint had been silent, which peer had reached it, and how much later than this process's own probes. New: 'attempt given up' and 'peer told of path to endpoint', fields of 'paths to service lost' and 'proxy peer does not respond'.

--- a/flamingofront/request/endpoint_paths.py
+++ b/flamingofront/request/endpoint_paths.py
@@ -347,6 +347,8 @@
 
     def _on_answer(self, question: "_Question", peer: str, event: CallEvent) -> None:
         answer = ANSWERS.get(event.status) if isinstance(event, ResponseHead) else None
+        if isinstance(event, ResponseHead | CallFailed):
+            self._log_answer(question, peer, answer)
         if answer:
             self.peers.record_reached(peer, question.endpoint_id)
         elif answer is False and not question.needs_response:
@@ -358,6 +360,17 @@
         elif isinstance(event, (ResponseHead, CallFailed)):
             self._ask(question.record(peer, answer))
 
+    def _log_answer(self, question: "_Question", peer: str, answer: bool | None) -> None:
+        """Log what a peer told of an endpoint; a question has a few answers at most."""
+        self._log.info(
+            "peer told of path to endpoint",
+            endpoint=question.endpoint_id,
+            peer=peer,
+            reached=answer,
+            by=BY_RESPONSE if question.needs_response else BY_CONNECTION,
+            asked_before=len(question.asked),
+        )
+
     def list_unresponsive(self, pending: Iterable[tuple[str, float]]) -> set[str]:
         """Return the peers that do not respond, and back off from them.
 
@@ -367,15 +380,17 @@
             Peer, and time since which no data came, of each proxied attempt in flight.
         """
         now = self._timers.now()
-        found = {
-            peer
-            for peer, since in pending
-            if now - max(since, self.peers.responded_at(peer)) > UNRESPONSIVE_PEER_SECONDS
-        }
-        for peer in found:
-            self._log.warning("proxy peer does not respond", peer=peer)
+        found = {}
+        for peer, since in pending:
+            silent_seconds = now - max(since, self.peers.responded_at(peer))
+            if silent_seconds > UNRESPONSIVE_PEER_SECONDS:
+                found[peer] = max(silent_seconds, found.get(peer, 0.0))
+        for peer, seconds in found.items():
+            self._log.warning(
+                "proxy peer does not respond", peer=peer, silent_ms=round(seconds * 1000)
+            )
             self.peers.record_failure(peer)
-        return found
+        return set(found)
 
 
 class _ProxiedResponse:
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -424,10 +424,28 @@
                 attempt_id, Executed.NO, reason, sent=False, is_endpoint_failure=False
             )
         elif attempt_id and self.work.repeatable and self._has_attempts_left():
+            self._log_given_up(attempt_id, reason)
             self.record_abandoned()
             # The outcome is unknown, so it must not count against the endpoint's version.
             self.fail_attempt(attempt_id, Executed.UNKNOWN, reason, is_endpoint_failure=False)
 
+    def _log_given_up(self, attempt_id: str, reason: str) -> None:
+        """Log an attempt that is given up while its endpoint may work on it, with the evidence."""
+        now, monitor = self.hub.now(), self.hub.paths.monitor
+        connected_age, failed_age = monitor.get_evidence_age(self.endpoint_id)
+        self.log.info(
+            "attempt given up",
+            attempt=attempt_id,
+            endpoint=self.endpoint_id,
+            proxy=self.proxy_address,
+            reason=reason,
+            silent_ms=round((now - self.compute_last_activity()) * 1000),
+            events=self.relay.count,
+            paths=monitor.status.value,
+            connected_age=connected_age,
+            failed_age=failed_age,
+        )
+
     def leave_lost_path(self, waiting_since: float) -> None:
         """Retry through a peer, if allowed, unless data came after a time."""
         if not self._handle.wrote or self.compute_last_activity() <= waiting_since:
--- a/flamingofront/request/path_monitor.py
+++ b/flamingofront/request/path_monitor.py
@@ -387,7 +387,7 @@
                 self.ask_peer(
                     failed,
                     needs_response,
-                    lambda is_reached: self._on_answer(service, since, is_reached),
+                    lambda is_reached: self._on_answer(service, since, is_reached, failed),
                 )
 
         for each in sample:
@@ -395,7 +395,9 @@
         if not sample:
             on_result("")
 
-    def _on_answer(self, service: str, since: float, is_reached: bool | None) -> None:
+    def _on_answer(
+        self, service: str, since: float, is_reached: bool | None, asked_for: str
+    ) -> None:
         """Take the paths to a service for lost if a peer reaches an endpoint of it."""
         endpoints = list(self._directory.zones_of(service))
         if not is_reached or self._paths.count_reached_since(endpoints, since):
@@ -403,7 +405,13 @@
         self._response_check_pause = RESPONSE_CHECK_PAUSE_SECONDS
         self._lost_at = self._timers.now()
         self._paths.record_loss(endpoints, self._lost_at)
-        self._log.warning("paths to service lost", service=service, endpoints=len(endpoints))
+        self._log.warning(
+            "paths to service lost",
+            service=service,
+            endpoints=len(endpoints),
+            reached_by_peer=asked_for,
+            unreached_ms=round((self._lost_at - since) * 1000),
+        )
         self._schedule_retry()
         self.on_lost()
 
