Attempts are not given up while a check of the paths is in progress

Callers saw streams end midway while their endpoints stood still for a second. Cause: during a check, paths count as lost to each endpoint that has not responded to it yet, so that attempts went through peers at once. Doubt now only concerns attempts that were not sent yet; a running one is left once the check has found a loss.

--- a/flamingofront/decisions/direct_paths.py
+++ b/flamingofront/decisions/direct_paths.py
@@ -115,9 +115,14 @@
 
     def is_lost(self, endpoint_id: str) -> bool:
         """Return True if the direct path to an endpoint is lost, or in doubt during a check."""
+        is_in_doubt = self.status is PathStatus.CHECKING and not self._is_connected(endpoint_id)
+        return is_in_doubt or self.is_known_lost(endpoint_id)
+
+    def is_known_lost(self, endpoint_id: str) -> bool:
+        """Return True if a check has found that the direct path to an endpoint is lost."""
         if endpoint_id in self._singly_lost_at:
             return True
-        return self.status is not PathStatus.WORKING and not self._is_connected(endpoint_id)
+        return self.status is PathStatus.LOST and not self._is_connected(endpoint_id)
 
     def is_singly_lost(self, endpoint_id: str) -> bool:
         """Return True if the path to an endpoint is lost while others work."""
--- a/flamingofront/request/path_failover.py
+++ b/flamingofront/request/path_failover.py
@@ -107,6 +107,11 @@
         ----------
         seconds : float
             Time without data; open connections may work while new ones fail.
+
+        Notes
+        -----
+        While a check is in progress, only attempts that were not sent are retried: an endpoint that
+        stands still is as silent as one whose path is lost, and may go on.
         """
         waiting_since = self._hub.now() - seconds
         for request in list(self._hub.active.values()):
@@ -115,7 +120,8 @@
                 and request.has_direct_attempt
                 and self._hub.paths.path_to(request.endpoint_id) is EndpointPath.PROXIED
             ):
-                request.leave_lost_path(waiting_since)
+                is_certain = self._hub.paths.monitor.is_known_lost(request.endpoint_id)
+                request.leave_lost_path(waiting_since if is_certain else -math.inf)
 
     def fail_over_unresponsive_peers(self) -> None:
         """Retry the requests whose attempts a peer proxies that no longer responds."""
--- a/flamingofront/request/path_monitor.py
+++ b/flamingofront/request/path_monitor.py
@@ -118,6 +118,10 @@
         """Return True if the direct path to an endpoint is lost, or in doubt during a check."""
         return self._paths.is_lost(endpoint_id)
 
+    def is_known_lost(self, endpoint_id: str) -> bool:
+        """Return True if a check has found that the direct path to an endpoint is lost."""
+        return self._paths.is_known_lost(endpoint_id)
+
     @property
     def has_losses(self) -> bool:
         """True if the paths to some endpoints, or to all, are known to be lost."""
