A path counts as lost only if a peer reached the endpoint at the time of the own probes

Callers saw streams end midway and calls end with 502 after a silence of their endpoints of about a second. Checks by connections did not ask a peer at all, so that endpoints that all stand still looked like lost paths to everyone.

Change: PathComparison probes and asks a peer at the same time, and probes again if its failed probes had ended before the answer came. Attempts are left only while a peer is known to reach an endpoint.

--- a/flamingofront/request/path_failover.py
+++ b/flamingofront/request/path_failover.py
@@ -110,9 +110,11 @@
 
         Notes
         -----
-        While a check is in progress, only attempts that were not sent are retried: an endpoint that
-        stands still is as silent as one whose path is lost, and may go on.
+        An endpoint that stands still is as silent as one whose path is lost, and may go on. While a
+        check is in progress, or no peer is known to reach any endpoint, only attempts that were not
+        sent are retried.
         """
+        has_way = self._hub.paths.peers.reaches_any
         waiting_since = self._hub.now() - seconds
         for request in list(self._hub.active.values()):
             if (
@@ -120,8 +122,8 @@
                 and request.has_direct_attempt
                 and self._hub.paths.path_to(request.endpoint_id) is EndpointPath.PROXIED
             ):
-                is_certain = self._hub.paths.monitor.is_known_lost(request.endpoint_id)
-                request.leave_lost_path(waiting_since if is_certain else -math.inf)
+                is_lost = self._hub.paths.monitor.is_known_lost(request.endpoint_id)
+                request.leave_lost_path(waiting_since if is_lost and has_way else -math.inf)
 
     def fail_over_unresponsive_peers(self) -> None:
         """Retry the requests whose attempts a peer proxies that no longer responds."""
--- a/flamingofront/request/path_monitor.py
+++ b/flamingofront/request/path_monitor.py
@@ -4,7 +4,7 @@
 paths are lost, further ones are opened regularly to notice when an endpoint is reached again.
 
 If connections are established and then reset or silent, as by a forwarder that reaches nobody, only
-responses count. Endpoints that are silent by themselves look alike, so that a peer is asked too.
+responses count. Endpoints that stand still look alike, so that a peer probes at the same time.
 """
 
 import math
@@ -18,6 +18,7 @@
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.timers import TimerService
 from flamingofront.request.directory import EndpointDirectory
+from flamingofront.request.path_comparison import PathComparison, PathVerdict
 from flamingofront.request.path_probes import ConnectProbe, PathProbe, ResponseProbe
 
 __all__ = ["PathMonitor"]
@@ -185,15 +186,16 @@
         if not self.enabled or is_lost or now - asked_at < QUESTION_PAUSE_SECONDS:
             return
         self._endpoint_asked_at[endpoint_id] = now
-        self.find_peer(
+        self._compare(
+            (endpoint_id,),
             endpoint_id,
-            lambda is_reached: self._on_endpoint_answer(endpoint_id, now, is_reached),
+            self.find_peer,
+            lambda verdict: self._on_endpoint_verdict(endpoint_id, verdict),
         )
 
-    def _on_endpoint_answer(self, endpoint_id: str, since: float, is_reached: bool | None) -> None:
-        """Take the path to an endpoint for lost if a peer reaches it."""
-        is_connected = self._paths.count_reached_since((endpoint_id,), since) > 0
-        if not is_reached or is_connected or self._paths.status is PathStatus.LOST:
+    def _on_endpoint_verdict(self, endpoint_id: str, verdict: PathVerdict) -> None:
+        """Take the path to an endpoint for lost if only a peer reaches it."""
+        if verdict is not PathVerdict.LOST or self._paths.status is PathStatus.LOST:
             return
         self._lost_at = self._timers.now()
         self._paths.record_loss((endpoint_id,), self._lost_at)
@@ -264,11 +266,28 @@
         self._paths.start_check(self._timers.now())
         others = [each for each in self._directory.ready_endpoints() if each != failed]
         self._checked = self._choose_sample(others)
-        self._pending = set(self._checked)
         if not self._checked:
-            self._conclude(cause, failed)
-        for each in self._checked:
-            self._probe(each, lambda: self._on_check_result(cause, failed))
+            self._conclude(cause, failed, PathVerdict.UNKNOWN)
+            return
+        self._compare(
+            self._checked,
+            self._checked[0],
+            self._ask_for_response if self._needs_response else self.find_peer,
+            lambda verdict: self._conclude(cause, failed, verdict),
+        )
+
+    def _ask_for_response(self, endpoint_id: str, on_answer: Callable[[bool | None], None]) -> None:
+        self.ask_peer(endpoint_id, True, on_answer)
+
+    def _compare(
+        self,
+        endpoint_ids: Iterable[str],
+        asked_for: str,
+        ask_peer: Callable[[str, Callable[[bool | None], None]], None],
+        on_end: Callable[[PathVerdict], None],
+    ) -> None:
+        """Compare this VM's path to endpoints with that of a peer."""
+        PathComparison(endpoint_ids, asked_for, self._timers, self._probe, ask_peer, on_end).start()
 
     def _choose_sample(self, endpoint_ids: Iterable[str]) -> tuple[str, ...]:
         ordered = self._spread(endpoint_ids)
@@ -288,7 +307,8 @@
             counts[group] += 1
         return sorted(shuffled, key=turns.__getitem__)
 
-    def _probe(self, endpoint_id: str, on_result: Callable[[], None]) -> None:
+    def _probe(self, endpoint_id: str, on_result: Callable[[bool], None]) -> None:
+        self._pending.add(endpoint_id)
         self._metrics.count("endpoint_probes_total")
         self._probe_kind.start(
             endpoint_id,
@@ -308,40 +328,28 @@
         self._open_probe.start(endpoint_id, on_result)
 
     def _on_probe_result(
-        self, endpoint_id: str, is_reached: bool, on_result: Callable[[], None]
+        self, endpoint_id: str, is_reached: bool, on_result: Callable[[bool], None]
     ) -> None:
         self._pending.discard(endpoint_id)
         if is_reached:
             self.record_connected(endpoint_id)
         else:
             self._paths.record_failure(endpoint_id, self._timers.now())
-        on_result()
+        on_result(is_reached)
 
-    def _on_check_result(self, cause: str, failed: str) -> None:
-        if self._paths.status is not PathStatus.CHECKING:
-            return
-        if self._paths.count_reached(self._checked):
-            self._conclude(cause, failed)
-        elif not self._pending and self._needs_response:
-            # Endpoints that stand still do not respond either, but to nobody.
-            self.ask_peer(
-                self._checked[0],
-                True,
-                lambda is_reached: self._conclude(cause, failed, bool(is_reached)),
-            )
-        elif not self._pending:
-            self._conclude(cause, failed)
-
-    def _conclude(self, cause: str, failed: str, is_confirmed: bool = True) -> None:
+    def _conclude(self, cause: str, failed: str, verdict: PathVerdict) -> None:
         """End a check by its results, and log the evidence.
 
-        Parameters
-        ----------
-        is_confirmed : bool
-            False if no peer reaches an endpoint that was not reached.
+        Notes
+        -----
+        If no peer could tell, failed connections alone show that the paths are lost: the peers may
+        have lost theirs as well. Missing responses do not.
         """
         if self._paths.status is not PathStatus.CHECKING:
             return
+        is_confirmed = verdict is PathVerdict.LOST or (
+            verdict is PathVerdict.UNKNOWN and not self._needs_response
+        )
         status = self._paths.conclude_check(self._checked, is_confirmed)
         now = self._timers.now()
         self._metrics.count("path_checks_total", outcome=status.value)
@@ -351,6 +359,7 @@
             cause=cause,
             probed=self._checked,
             by="response" if self._needs_response else "connection",
+            verdict=verdict.value,
             reached=self._paths.count_reached(self._checked),
             check_ms=round((now - self._paths.since) * 1000),
             data_age=round(min(now - self._directory.last_contact_of_any(), now), 3),
@@ -382,29 +391,24 @@
         self._asked_at[service] = now
         self._needs_response = self._needs_response or needs_response
         others = [each for each in endpoints if each != failed]
-        sample = set(self._spread(others)[:CHECKED_OF_SERVICE])
-        waiting = set(sample)
-
-        def on_result(endpoint_id: str) -> None:
-            waiting.discard(endpoint_id)
-            if not waiting and not self._paths.count_reached_since(endpoints, since):
-                self.ask_peer(
-                    failed,
-                    needs_response,
-                    lambda is_reached: self._on_answer(service, since, is_reached, failed),
-                )
-
-        for each in sample:
-            self._probe(each, lambda each=each: on_result(each))
-        if not sample:
-            on_result("")
-
-    def _on_answer(
-        self, service: str, since: float, is_reached: bool | None, asked_for: str
+        self._compare(
+            (failed, *self._spread(others)[: CHECKED_OF_SERVICE - 1]),
+            failed,
+            self._ask_for_response if needs_response else self._ask_for_connection,
+            lambda verdict: self._on_service_verdict(service, since, verdict, failed),
+        )
+
+    def _ask_for_connection(
+        self, endpoint_id: str, on_answer: Callable[[bool | None], None]
+    ) -> None:
+        self.ask_peer(endpoint_id, False, on_answer)
+
+    def _on_service_verdict(
+        self, service: str, since: float, verdict: PathVerdict, asked_for: str
     ) -> None:
-        """Take the paths to a service for lost if a peer reaches an endpoint of it."""
+        """Take the paths to a service for lost if only a peer reaches an endpoint of it."""
         endpoints = list(self._directory.zones_of(service))
-        if not is_reached or self._paths.count_reached_since(endpoints, since):
+        if verdict is not PathVerdict.LOST or self._paths.count_reached_since(endpoints, since):
             return
         self._response_check_pause = RESPONSE_CHECK_PAUSE_SECONDS
         self._lost_at = self._timers.now()
@@ -438,8 +442,7 @@
         self._has_progress = False
         for each in self._spread(lost)[:count]:
             if each not in self._pending:
-                self._pending.add(each)
-                self._probe(each, lambda: None)
+                self._probe(each, lambda is_reached: None)
         self._restore_if_reached()
         if self.has_losses:
             self._schedule_retry()
--- a/flamingofront/request/proxy_peers.py
+++ b/flamingofront/request/proxy_peers.py
@@ -121,6 +121,15 @@
             (name for name, at in self._responded_at.items() if now - at < PROVEN_SECONDS), ""
         )
 
+    @property
+    def reaches_any(self) -> bool:
+        """True if a peer has just reached some endpoint."""
+        now, addresses = self._timers.now(), self.addresses()
+        return any(
+            now - at < PROVEN_SECONDS and address in addresses
+            for (address, _), at in self._reached_at.items()
+        )
+
     def is_reached(self, endpoint_id: str) -> bool:
         """Return True if a peer has just reached an endpoint."""
         now = self._timers.now()
--- a/flamingofront/tests/test_silent_endpoints.py
+++ b/flamingofront/tests/test_silent_endpoints.py
@@ -86,6 +86,43 @@
         assert count_given_up(world) == 0
 
 
+class TestSilenceThatEndsDuringACheck:
+    """A peer's probe succeeds after that of this process has failed, as the silence has ended."""
+
+    @pytest.mark.parametrize("seconds", [0.72, 0.8, 0.92])
+    def test_path_to_service_is_not_lost(self, seconds):
+        # Each process took the paths to the silent service for lost, and gave up its attempts.
+        world = silent_world()
+        callers = ask_all(world, PATHS)
+        world.run(BEGUN_SECONDS)
+        names = ["engine-1", "engine-2", "engine-3", "engine-4"]
+        for name in names:
+            world.pause(name)
+        resumed_at = world.clock.now() + seconds
+        while world.clock.now() + 0.1 < resumed_at:
+            callers += ask_all(world, ("/read/1", "/stream/again/1"))
+            world.run(0.1)
+        world.run(resumed_at - world.clock.now())
+        for name in names:
+            world.resume(name)
+        world.run(1.0)
+        assert [node.hub.paths.monitor.count_lost() for node in world.fronts.values()] == [0] * 5
+        world.run(2.0)
+        assert [each.status for each in callers if not is_whole(each)] == []
+        assert count_given_up(world) == 0
+
+    @pytest.mark.parametrize("seconds", [1.0, 1.06, 1.12, 1.18])
+    def test_attempts_are_kept_if_no_peer_reaches_any_endpoint(self, seconds):
+        # All endpoints stand still, and no process can tell this from lost paths.
+        world = silent_world()
+        callers = ask_all(world, PATHS)
+        world.run(BEGUN_SECONDS)
+        silence(world, world.endpoints, seconds)
+        world.run(3.0)
+        assert [each.status for each in callers if not is_whole(each)] == []
+        assert count_given_up(world) == 0
+
+
 class TestProcessThatHasJustStarted:
     """The retry budget of a process is small in its first window."""
 
