A running attempt is given up only if a retry is certain

Callers saw streams end midway (status 0) and calls end with 502, 'retry_budget_exhausted' in the same instant as 'attempt failed', while their endpoints were at work; most at processes that had just started, whose retry budget is a tenth. Cause and class: an attempt that is still made is given up on a belief before another one is certain. What it would need was asked for afterwards: the retry budget, the number of attempts, an endpoint and a path, a permit, no quarantine.

Change: ForwardedRequest.fail_over asks first, and keeps the attempt otherwise, with one line ('attempt kept', with the obstacle) and a metric. If the path is lost indeed, the connection fails within about two seconds, and the retry is decided then.

--- a/flamingofront/decisions/retry.py
+++ b/flamingofront/decisions/retry.py
@@ -26,6 +26,10 @@
     def record_request(self, now: float) -> None:
         """Record a newly accepted request."""
 
+    @abstractmethod
+    def can_reserve(self, now: float) -> bool:
+        """Return True if a retry that is reserved now may start at once."""
+
     @abstractmethod
     def reserve(self, now: float) -> float:
         """Reserve one retry and return the seconds until it may start."""
@@ -37,6 +41,10 @@
     def record_request(self, now: float) -> None:
         """Ignore the request."""
 
+    def can_reserve(self, now: float) -> bool:
+        """Return True."""
+        return True
+
     def reserve(self, now: float) -> float:
         """Return 0."""
         return 0.0
@@ -79,6 +87,11 @@
         self._refill(now)
         self._tokens = min(self._burst, self._tokens + self._ratio)
 
+    def can_reserve(self, now: float) -> bool:
+        """Return True if a token has been earned."""
+        self._refill(now)
+        return self._tokens >= 1.0
+
     def reserve(self, now: float) -> float:
         """Charge one token, possibly in advance, and return the seconds until it is earned."""
         self._refill(now)
--- a/flamingofront/decisions/shared_retry.py
+++ b/flamingofront/decisions/shared_retry.py
@@ -60,13 +60,17 @@
             while times and times[0] < now - self._window:
                 times.popleft()
 
-    def reserve(self, now: float) -> float:
-        """Reserve one retry and return 0, or return infinity if the budget is used up."""
+    def can_reserve(self, now: float) -> bool:
+        """Return True if the budget of the window is not used up."""
         self._drop_expired(now)
         is_new = now - self._started_at < self._window
         fraction = INITIAL_ALLOWANCE_FRACTION if is_new else USED_ALLOWANCE_FRACTION
         allowance = self._allowance * fraction * self._member_share()
-        if len(self._attempts) + 1 > self._ratio * len(self._requests) + allowance:
+        return len(self._attempts) + 1 <= self._ratio * len(self._requests) + allowance
+
+    def reserve(self, now: float) -> float:
+        """Reserve one retry and return 0, or return infinity if the budget is used up."""
+        if not self.can_reserve(now):
             return math.inf
         self._attempts.append(now)
         return 0.0
--- a/flamingofront/decisions/tests/test_zone_reach.py
+++ b/flamingofront/decisions/tests/test_zone_reach.py
@@ -109,6 +109,8 @@
     def test_requests_to_partitioned_zone_move_within_a_second(self, path):
         """Connections would fail only after two seconds, when callers of streams disconnect."""
         world = self.make_world()
+        # In the first window of a process most of these requests would have no retry.
+        world.run(8.0)
         local = [name for name in world.endpoints if "zone-a" in name]
         for name in local:
             world.endpoints[name].gap = 5.0
@@ -128,6 +130,7 @@
             world.endpoints[name].gap = 0.02
         world.run(1.4)
         assert not [each for each in remote if "zone-b" in each.endpoint_id and not each.done]
+        assert not [each.failure for each in remote if each.failure]
         assert callers
 
     def test_partition_ends_when_peers_report_again(self):
--- a/flamingofront/process/metrics.py
+++ b/flamingofront/process/metrics.py
@@ -15,6 +15,7 @@
     "connections_spliced_total": "Connections of callers that one process handed to another",
     "requests_completed_total": "Requests answered whole, by service",
     "refusals_total": "Error answers, by kind",
+    "attempts_kept_total": "Attempts that go on though their path seems lost: no retry is certain",
     "retries_total": "Further attempts, by reason",
     "attempts_total": "Attempts started, by service",
     "frames_dropped_total": "Frames that were not used, by reason",
--- a/flamingofront/request/attempts.py
+++ b/flamingofront/request/attempts.py
@@ -252,6 +252,17 @@
             delay = max(delay, self._backoff.compute_delay(self._failures - 2, self._rng))
         return self._retry_or_fail(now, delay, ErrorKind.RETRY_BUDGET_EXHAUSTED)
 
+    def find_retry_obstacle(self, now: float) -> str:
+        """Return why an attempt that fails now would not be retried at once; empty if it would."""
+        limit = self.facts.max_attempts
+        if not self.facts.repeatable:
+            return "may not run twice"
+        if limit is not None and self.attempts >= limit:
+            return "attempts used up"
+        if self._failures + 1 >= MAX_FAILURES_WITHOUT_PROGRESS or now >= self.facts.deadline:
+            return "time used up"
+        return "" if self._budget.can_reserve(now) else "retry budget used up"
+
     def _wait_for_endpoint(self, now: float) -> list[Action]:
         """Wait after an endpoint was not reached again, which is chosen if no other one is left."""
         delay = REPEAT_BACKOFF.compute_delay(self._repeats, self._rng)
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -5,10 +5,12 @@
 from flamingofront.connection.interfaces import CallEvent
 from flamingofront.decisions.admission import Ticket
 from flamingofront.decisions.choice import Candidate
+from flamingofront.decisions.direct_paths import EndpointPath
 from flamingofront.decisions.endpoint_rule import EndpointRule
 from flamingofront.decisions.engine_rates import ServiceRates
 from flamingofront.decisions.lateness import LatencyEstimate, classify_urgency, compute_yield_delay
 from flamingofront.decisions.part_facts import InterruptedRequest
+from flamingofront.decisions.quarantine_facts import QuarantineStatus
 from flamingofront.decisions.stopping import StreamTimes
 from flamingofront.errors import ErrorKind, Executed, RequestError
 from flamingofront.messages import (
@@ -114,6 +116,8 @@
         self._event_count = 0
         self._last_event_at = 0.0
         self._longest_pause = 0.0
+        # Attempt that is not given up, with the failure of its path and the obstacle to a retry.
+        self._kept_attempt = ("", "", "")
 
     @property
     def work(self) -> ForwardWork:
@@ -411,23 +415,62 @@
         return max(self.sent_at, self._last_event_at)
 
     def fail_over(self, reason: str) -> None:
-        """Retry on another path, if allowed, because the current one does not work.
+        """Retry on another path, if that is certain to be possible.
 
         Parameters
         ----------
         reason : str
             Failure of the path, for the log.
+
+        Notes
+        -----
+        The endpoint may still work on the attempt, and a silent one may go on: what is given up
+        without a retry is an answer lost.
         """
         attempt_id = self.machine.attempt_id
-        if attempt_id and self.has_attempt_in_flight and not self._handle.wrote:
+        if not attempt_id or not self.has_attempt_in_flight:
+            return
+        if not self._handle.wrote:
             self.fail_attempt(
                 attempt_id, Executed.NO, reason, sent=False, is_endpoint_failure=False
             )
-        elif attempt_id and self.work.repeatable and self._has_attempts_left():
-            self._log_given_up(attempt_id, reason)
-            self.record_abandoned()
-            # The outcome is unknown, so it must not count against the endpoint's version.
-            self.fail_attempt(attempt_id, Executed.UNKNOWN, reason, is_endpoint_failure=False)
+            return
+        obstacle = self.machine.find_retry_obstacle(self.hub.now()) or self._find_path_obstacle()
+        if obstacle:
+            self._log_kept(attempt_id, reason, obstacle)
+            return
+        self._log_given_up(attempt_id, reason)
+        self.record_abandoned()
+        # The outcome is unknown, so it must not count against the endpoint's version.
+        self.fail_attempt(attempt_id, Executed.UNKNOWN, reason, is_endpoint_failure=False)
+
+    def _find_path_obstacle(self) -> str:
+        """Return why no other endpoint or path is certain to take the request; empty if one is."""
+        if self.hub.guard.quarantine_status(self.identity) is not QuarantineStatus.CLEAR:
+            return "quarantined"
+        chosen = self.hub.choose_endpoint(self, frozenset((self.endpoint_id,)))
+        if chosen is None:
+            return "no endpoint"
+        is_same = chosen.endpoint_id == self.endpoint_id
+        if is_same and (chosen.path is EndpointPath.PROXIED) == bool(self.proxy_address):
+            return "no other path"
+        return "needs a permit" if self.hub.permits.is_required(chosen.endpoint_id) else ""
+
+    def _log_kept(self, attempt_id: str, reason: str, obstacle: str) -> None:
+        """Log once for each reason that an attempt goes on, as a retry is not certain."""
+        if (attempt_id, reason, obstacle) == self._kept_attempt:
+            return
+        self._kept_attempt = (attempt_id, reason, obstacle)
+        self.hub.metrics.count("attempts_kept_total", reason=reason)
+        self.log.info(
+            "attempt kept",
+            attempt=attempt_id,
+            endpoint=self.endpoint_id,
+            proxy=self.proxy_address,
+            reason=reason,
+            obstacle=obstacle,
+            silent_ms=round((self.hub.now() - self.compute_last_activity()) * 1000),
+        )
 
     def _log_given_up(self, attempt_id: str, reason: str) -> None:
         """Log an attempt that is given up while its endpoint may work on it, with the evidence."""
@@ -476,10 +519,6 @@
             active_seconds=self._last_event_at - self._sent_at if is_answered else 0.0,
         )
 
-    def _has_attempts_left(self) -> bool:
-        limit = self.machine.facts.max_attempts
-        return limit is None or self.machine.attempts < limit
-
     def _complete_answer(self) -> None:
         raise AssertionError("a forwarded request is completed by its response")
 
