Sockets are read before timers that a long turn or a stop made late

Cause: the event loop ran its timers before it polled. After a turn that took long, and after a stop signal (the wait is interrupted and reports no socket, though some are ready), each time since the last data looked long while the data waited in the socket: monitors gave up paths, peers and zones, connect timeouts of 0.25 s counted against endpoints, and deadline timers ended answers that had come in time.

Change: if a turn or a wait took 20 ms longer than it should, timers that became due in it wait for one more poll; those without a delay (end of a turn) do not. A wait that ends late and empty counts as interrupted, so that nothing is taken to be read by then.

--- a/flamingofront/connection/poller.py
+++ b/flamingofront/connection/poller.py
@@ -22,6 +22,9 @@
 _SOCKET_ERROR = select.EPOLLHUP | select.EPOLLERR
 # Bounds the delay that a missed wake-up can cause.
 MAX_POLL_SECONDS = 1.0
+# After a turn or a wait that took longer than it should by so much, sockets are polled once more
+# before the timers that became due in it: these may compare times of data that waits unread.
+LATE_SECONDS = 0.02
 _MAX_WAKE_UP_BYTES = 64
 
 
@@ -82,6 +85,8 @@
         self._on_fault = on_fault
         self.on_turn: Callable[[float, float], None] | None = None
         self._woken_at = timers.now()
+        # Time at which the sockets were polled last: what had come by then has been read.
+        self._polled_at = timers.now()
         self._epoll = select.epoll()
         self._watches: dict[int, _Watch] = {}
         self._wake_read, self._wake_write = os.pipe()
@@ -124,8 +129,9 @@
             self._serve_ready(self._get_poll_timeout())
 
     def _run_timers(self) -> None:
+        is_late = self._timers.now() - self._polled_at > LATE_SECONDS
         try:
-            self._timers.run_due()
+            self._timers.run_due(self._polled_at if is_late else None)
         except Exception as exc:  # an exception in a callback must not end the event loop
             self._on_fault(exc)
 
@@ -146,7 +152,7 @@
         if self.on_turn is not None:
             now = self._timers.now()
             self.on_turn(now, now - self._woken_at)
-        ready = self._epoll.poll(poll_timeout)
+        ready = self._poll(poll_timeout)
         if self.on_turn is not None:
             self._woken_at = self._timers.now()
         for watch, mask in [(self._watches.get(fileno), mask) for fileno, mask in ready]:
@@ -155,6 +161,21 @@
             elif watch.active:
                 self._notify_owner(watch, mask)
 
+    def _poll(self, poll_timeout: float) -> list[tuple[int, int]]:
+        """Wait until a socket is ready, and record until when none has been missed.
+
+        Notes
+        -----
+        A wait that a stop signal interrupts reports no socket, though some may be ready by the time
+        that the process goes on.
+        """
+        started_at = self._timers.now()
+        ready = self._epoll.poll(poll_timeout)
+        ended_at = self._timers.now()
+        is_interrupted = not ready and ended_at - started_at > poll_timeout + LATE_SECONDS
+        self._polled_at = started_at if is_interrupted else ended_at
+        return ready
+
     def _drain_wake_ups(self) -> None:
         try:
             os.read(self._wake_read, _MAX_WAKE_UP_BYTES)
--- a/flamingofront/process/timers.py
+++ b/flamingofront/process/timers.py
@@ -69,12 +69,18 @@
 class Timer:
     """Handle of one scheduled callback."""
 
-    __slots__ = ("callback", "cancelled", "due", "period", "relaxed")
+    __slots__ = ("callback", "cancelled", "due", "is_immediate", "period", "relaxed")
 
     def __init__(
-        self, due: float, callback: Callable[[], None], period: float | None, relaxed: bool
+        self,
+        due: float,
+        callback: Callable[[], None],
+        period: float | None,
+        relaxed: bool,
+        is_immediate: bool = False,
     ):
         self.due = due
+        self.is_immediate = is_immediate
         self.callback = callback
         self.period = period
         self.relaxed = relaxed
@@ -117,7 +123,8 @@
 
     def once(self, delay: float, callback: Callable[[], None], relaxed: bool = False) -> Timer:
         """Call `callback` once after `delay` seconds and return the handle."""
-        return self._schedule(Timer(self.now() + max(0.0, delay), callback, None, relaxed))
+        due = self.now() + max(0.0, delay)
+        return self._schedule(Timer(due, callback, None, relaxed, delay <= 0))
 
     def every(
         self,
@@ -140,23 +147,51 @@
         latest = relaxed + SLACK_SECONDS
         return latest if exact is None else min(exact, latest)
 
-    def run_due(self) -> int:
+    def run_due(self, until: float | None = None) -> int:
         """Run all callbacks that are due and return their number.
 
+        Parameters
+        ----------
+        until : float, optional
+            Callbacks that were due later wait, except those scheduled without a delay. All that
+            are due run if it is not given.
+
         Notes
         -----
         A periodic timer that is several periods late, such as after a suspension of the VM, runs
         only once.
         """
         now = self.now()
-        return self._run_due_timers(self._exact, now) + self._run_due_timers(self._relaxed, now)
-
-    def _run_due_timers(self, heap: list[tuple[float, int, Timer]], now: float) -> int:
+        until = now if until is None else until
+        return sum(self._run_due_timers(heap, now, until) for heap in (self._exact, self._relaxed))
+
+    def _run_due_timers(
+        self, heap: list[tuple[float, int, Timer]], now: float, until: float
+    ) -> int:
+        later = []
+        try:
+            return self._run_until(heap, now, until, later)
+        finally:
+            for entry in later:
+                heapq.heappush(heap, entry)
+
+    def _run_until(
+        self,
+        heap: list[tuple[float, int, Timer]],
+        now: float,
+        until: float,
+        later: list[tuple[float, int, Timer]],
+    ) -> int:
+        """Run the due callbacks of a heap, and move those that wait to `later`."""
         count = 0
         while heap and heap[0][0] <= now:
-            timer = heapq.heappop(heap)[2]
+            entry = heapq.heappop(heap)
+            timer = entry[2]
             if timer.cancelled:
                 continue
+            if timer.due > until and not timer.is_immediate:
+                later.append(entry)
+                continue
             if timer.period is not None:
                 timer.due = max(timer.due + timer.period, now)
                 self._schedule(timer)
