Peers that wait for silent endpoints are asked, and not taken to be stopped

Callers saw streams cut and 502 (retry_budget_exhausted) though their endpoints were at work, only silent for a second, and the peer between was sound. Cause: no response through a peer for 1 s was taken for a stopped peer; but nothing comes through a peer that waits for a silent endpoint either. The peer was then backed off for 2 s for all other endpoints.

Change: after half a second without any sign, the peer is asked at its control address (/responds, which it answers without asking anybody; an older one answers 404, which is a sign too). It counts as stopped after a second without any sign, once it has had 0.25 s for the answer.

Why it holds: what is asked is the process that is suspected, and an attempt of a process that answers is left to its connection.

--- a/flamingofront/process/forwarding/control.py
+++ b/flamingofront/process/forwarding/control.py
@@ -11,7 +11,7 @@
 from flamingofront.process.forwarding.news import encode_endpoint_update
 from flamingofront.process.forwarding.operators import OperatorQueries
 from flamingofront.process.membership import Role, VmState
-from flamingofront.request.proxy_messages import PROXY_PATH, REACH_PATH
+from flamingofront.request.proxy_messages import PROXY_PATH, REACH_PATH, RESPONDS_PATH
 
 if TYPE_CHECKING:
     from flamingofront.process.forwarding.node import ForwardingNode
@@ -36,6 +36,8 @@
             self._operators.handle(req, exchange)
         elif req.path == PROXY_PATH:
             self._node.proxy.handle(req, exchange)
+        elif req.path == RESPONDS_PATH:
+            exchange.respond(200, (), b"")
         elif req.path == REACH_PATH:
             self._node.proxy.handle_question(req, exchange)
         elif req.path == CONFIGURATION_PATH:
--- a/flamingofront/process/metrics.py
+++ b/flamingofront/process/metrics.py
@@ -34,6 +34,7 @@
     "endpoint_leaving_total": "Endpoints of which an answer, or a peer, says that they leave",
     "path_checks_total": "Checks of the direct paths to endpoints, by outcome",
     "proxied_attempts_total": "Attempts through a peer, by role in them",
+    "proxy_peer_questions_total": "Questions to silent peers that proxy attempts",
     "proxy_refusals_total": "Attempts of peers that were not sent on, by reason",
     "endpoint_ends_total": "Endpoints that ended without notice while requests of this process ran",
     "endpoint_probes_total": "Connections opened to see whether an endpoint has ended",
--- a/flamingofront/request/endpoint_paths.py
+++ b/flamingofront/request/endpoint_paths.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from urllib.parse import urlencode
 
@@ -34,6 +34,7 @@
     encode_proxied_call,
 )
 from flamingofront.request.proxy_peers import ProxyPeers
+from flamingofront.request.silent_peers import SilentPeers
 
 __all__ = ["EndpointPaths", "PathRequest"]
 
@@ -43,8 +44,6 @@
 UNREACHED_SECONDS = 1.0
 # An endpoint that so many peers could not connect to is not reached by others either.
 MAX_UNREACHING_PEERS = 2
-# A peer that has sent nothing for so long while a response is pending is taken to be stopped.
-UNRESPONSIVE_PEER_SECONDS = 1.0
 # The peer waits a quarter of a second for a connection.
 QUESTION_TIMEOUT_SECONDS = 0.5
 # Peers that are asked at most; more if endpoints accept connections, since peers that have lost
@@ -134,6 +133,8 @@
         State of the direct paths.
     peers : ProxyPeers
         Peers that proxy attempts.
+    silent_peers : SilentPeers
+        Which of them have stopped.
     """
 
     def __init__(
@@ -151,6 +152,7 @@
         self.monitor.ask_peer = self.ask_peer
         self.monitor.find_peer = self.find_peer
         self.peers = ProxyPeers(timers, rng)
+        self.silent_peers = SilentPeers(transport, timers, self.peers, metrics, log)
         self._vm_id = vm_id
         self._transport = transport
         self._directory = directory
@@ -358,25 +360,6 @@
         elif isinstance(event, (ResponseHead, CallFailed)):
             self._ask(question.record(peer, answer))
 
-    def list_unresponsive(self, pending: Iterable[tuple[str, float]]) -> set[str]:
-        """Return the peers that do not respond, and back off from them.
-
-        Parameters
-        ----------
-        pending : iterable of (str, float)
-            Peer, and time since which no data came, of each proxied attempt in flight.
-        """
-        now = self._timers.now()
-        found = {
-            peer
-            for peer, since in pending
-            if now - max(since, self.peers.responded_at(peer)) > UNRESPONSIVE_PEER_SECONDS
-        }
-        for peer in found:
-            self._log.warning("proxy peer does not respond", peer=peer)
-            self.peers.record_failure(peer)
-        return found
-
 
 class _ProxiedResponse:
     """Passes the events of a proxied call on as if they came from the endpoint."""
--- a/flamingofront/request/path_failover.py
+++ b/flamingofront/request/path_failover.py
@@ -124,7 +124,7 @@
             for each in self._hub.active.values()
             if isinstance(each, ForwardedRequest) and each.proxy_address
         ]
-        peers = self._hub.paths.list_unresponsive(
+        peers = self._hub.paths.silent_peers.list_stopped(
             (each.proxy_address, each.compute_last_activity()) for each in proxied
         )
         for request in proxied:
--- a/flamingofront/request/proxy_messages.py
+++ b/flamingofront/request/proxy_messages.py
@@ -24,6 +24,7 @@
     "FAILURE_HEADER",
     "PROXY_PATH",
     "REACH_PATH",
+    "RESPONDS_PATH",
     "RESPONSE_HEADER",
     "STATUS_NOT_REACHED",
     "STATUS_REACHED",
@@ -50,6 +51,8 @@
 # What counts as reached, in the parameter "by" of the question; a connection if it is absent.
 BY_CONNECTION = "connection"
 BY_RESPONSE = "response"
+# A question that a process answers at once, by which it shows that it responds.
+RESPONDS_PATH = "/responds"
 STATUS_REACHED = 200
 STATUS_NOT_REACHED = 504
 STATUS_UNKNOWN = 503
