No attempt is given up while its path is in doubt

Callers saw streams cut and 502 (retry_budget_exhausted) while endpoints were silent and at work: 'attempt failed' with 'path lost' though no path was lost. Cause: the tick that starts a check of the paths looks for attempts on lost ones next, and is_lost() is true for all that are in doubt during the check (which is meant for the choice of a path for new attempts). So each attempt without data for half a second was given up before the first probe was answered.

Change: during a check no attempt in flight is looked at. A check that finds the paths lost looks at them at once (on_lost), as before.

Why it holds: attempts are given up by the conclusion of a check only. A path that was lost singly before waits for the end of the check.

--- a/flamingofront/request/path_failover.py
+++ b/flamingofront/request/path_failover.py
@@ -3,7 +3,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from flamingofront.decisions.direct_paths import EndpointPath
+from flamingofront.decisions.direct_paths import EndpointPath, PathStatus
 from flamingofront.request.forwarded_request import ForwardedRequest
 
 if TYPE_CHECKING:
@@ -107,7 +107,13 @@
         ----------
         seconds : float
             Time without data; open connections may work while new ones fail.
+
+        Notes
+        -----
+        During a check all paths are in doubt, and no attempt in flight is given up.
         """
+        if self._hub.paths.monitor.status is PathStatus.CHECKING:
+            return
         waiting_since = self._hub.now() - seconds
         for request in list(self._hub.active.values()):
             if (
