Endpoints of a zone that seems partitioned are probed before they are left

Callers saw 502 (retry_budget_exhausted) and cut streams of endpoints that were reached and at work. Cause: a zone counts as partitioned if its entry processes are silent and one response is pending for 0.4 s, or if two connections there fail; then all attempts in the zone that may repeat were given up. Killed processes beside a slow answer, or two lost VMs, look the same.

Change: the endpoints with attempts in such a zone are probed by a connection, at most twice a second each. One that is reached shows that the zone is, and its attempts go on; at one that is not (0.25 s), those that have received nothing since the probe began go elsewhere. One line for each result, with the time of the probe and the age of the last data.

test_zone_partition_reports_no_outcome called fail_over_zone on a working path: its path fails now, as the belief it is about says; its assertions are the same.

--- a/flamingofront/request/path_failover.py
+++ b/flamingofront/request/path_failover.py
@@ -5,6 +5,7 @@
 
 from flamingofront.decisions.direct_paths import EndpointPath, PathStatus
 from flamingofront.request.forwarded_request import ForwardedRequest
+from flamingofront.request.zone_probes import ZoneProbes
 
 if TYPE_CHECKING:
     from flamingofront.request.hub import RequestHub
@@ -31,6 +32,16 @@
 
     def __init__(self, hub: "RequestHub"):
         self._hub = hub
+        self._zone_probes = ZoneProbes(
+            lambda endpoint_id, on_result: hub.paths.monitor.start_probe(
+                endpoint_id, False, on_result
+            ),
+            self._leave_endpoint,
+            hub.directory,
+            hub.timers,
+            hub.metrics,
+            hub.log,
+        )
         hub.paths.monitor.on_lost = self._on_lost
         hub.paths.monitor.on_restored = lambda: hub.directory.forget_failures(
             hub.directory.ready_endpoints()
@@ -138,6 +149,16 @@
                 request.fail_over("proxy peer does not respond")
 
     def fail_over_zone(self, zone: str) -> None:
-        """Retry elsewhere the forwarded requests that are sent to a partitioned zone."""
-        for request in self._sent_to_zone(zone):
-            request.fail_over("zone cut off")
+        """Retry elsewhere the requests at endpoints of a partitioned zone that are not reached."""
+        self._zone_probes.check(each.endpoint_id for each in self._sent_to_zone(zone))
+
+    def _leave_endpoint(self, endpoint_id: str, since: float) -> None:
+        """Retry elsewhere the requests at an endpoint from which no data came since a time."""
+        for request in list(self._hub.active.values()):
+            if (
+                isinstance(request, ForwardedRequest)
+                and request.has_direct_attempt
+                and request.endpoint_id == endpoint_id
+                and request.compute_last_activity() <= since
+            ):
+                request.fail_over("zone cut off")
--- a/flamingofront/request/tests/test_attempt_pace.py
+++ b/flamingofront/request/tests/test_attempt_pace.py
@@ -5,6 +5,7 @@
 from flamingofront.decisions.engine_rates import EngineRates
 from flamingofront.request.attempt_pace import AttemptLatency
 from flamingofront.tests.forwarding_world import ready_world
+from flamingofront.tests.network import PathFault
 
 RATES = EngineRates(pause_seconds=0.02)
 
@@ -40,6 +41,7 @@
         world.ask("front-1", "/stream/again/x")
         world.run(0.5)
         (request,) = hub.active.values()
+        world.fail_paths(["front-1"], [request.endpoint_id], PathFault.SILENT)
         hub.failover.fail_over_zone(world.host(request.endpoint_id).zone)
         world.run(0.5)
         assert len(request.endpoints) == 2 and outcomes == []
