A receiver that stands still may take a large request when it goes on

Callers saw 502 for writes, and retries for others, with reason 'reset', after an endpoint or a peer had stood still for two seconds while a large body was sent to it. Cause: with TCP_USER_TIMEOUT Linux ends a connection whose receiver has no room for that time, though it acknowledges every probe of its window.

Change: while a request of more than 8 KB is not acknowledged, the user timeout is off, and SendWatch reads from the kernel whether anything is in flight, or probes are, that nobody acknowledges for the same two seconds. Then, or once all is acknowledged and the user timeout is back, it is as before.

Linux limits the acknowledgements of probes to two a second, so that a single one without a reply says nothing (seen in the states of a still receiver).

--- a/flamingofront/connection/client.py
+++ b/flamingofront/connection/client.py
@@ -18,6 +18,7 @@
 from flamingofront.connection.framing import BodyDecoder, Head, HeadBuffer, create_response_decoder
 from flamingofront.connection.interfaces import CallEvent, CallHandle, ConnectResult, Transport
 from flamingofront.connection.poller import READ, WRITE, DirectPoller, SocketOwner
+from flamingofront.connection.send_watch import SendWatch
 from flamingofront.errors import ErrorKind, RequestError
 from flamingofront.messages import (
     NO_IDLE_CONNECTION,
@@ -44,6 +45,8 @@
 # An unresponsive target (VM down, partition) is detected after about two seconds instead of never;
 # callers of streams disconnect after two seconds without data.
 USER_TIMEOUT_MS = 2000
+# Larger requests may not fit into the buffers of a receiver that stands still.
+WATCHED_BYTES = 8 * 1024
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBE_COUNT = 2
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -150,6 +153,8 @@
         self._connect_timer: Timer | None = None
         self._call: _Call | None = None
         self._unsent = b""
+        self._user_timeout_ms = USER_TIMEOUT_MS
+        self._send_watch: SendWatch | None = None
 
     def was_closed_by_peer(self) -> bool:
         """Return True if the peer has closed this idle connection, or sent unexpected bytes."""
@@ -194,8 +199,30 @@
 
     def _set_user_timeout(self, seconds: float | None) -> None:
         """Set the time until the kernel resets the connection if sent bytes are unacknowledged."""
-        limit = USER_TIMEOUT_MS if seconds is None else int(seconds * 1000)
-        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit)
+        self._user_timeout_ms = USER_TIMEOUT_MS if seconds is None else int(seconds * 1000)
+        self._apply_user_timeout(self._user_timeout_ms)
+
+    def _apply_user_timeout(self, milliseconds: int) -> None:
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+
+    def _watch_sending(self) -> None:
+        """Let a receiver that stands still take a large request when it goes on."""
+        self._apply_user_timeout(0)
+        self._send_watch = SendWatch(
+            self.sock,
+            lambda: bool(self._unsent),
+            self._user_timeout_ms / 1000,
+            self._client.timers,
+            self._end_send_watch,
+            lambda: self.fail("reset"),
+        )
+
+    def _end_send_watch(self) -> None:
+        """Let the kernel end the connection again if sent bytes are unacknowledged."""
+        if self._send_watch is not None:
+            self._send_watch.cancel()
+            self._send_watch = None
+            self._apply_user_timeout(self._user_timeout_ms)
 
     def on_writable(self) -> None:
         """Send the remaining bytes of the request."""
@@ -209,6 +236,8 @@
     def _send(self) -> bool:
         """Send what the kernel takes; return False if the connection has failed."""
         self._call.mark_written()
+        if self._send_watch is None and len(self._unsent) > WATCHED_BYTES:
+            self._watch_sending()
         try:
             sent = self.sock.send(self._unsent)
         except BlockingIOError:
@@ -305,6 +334,7 @@
     def _finish_call(self, trailing: bytes) -> None:
         """End the call; keep the connection unless bytes are unsent or follow the response."""
         call, self._call = self._call, None
+        self._end_send_watch()
         idle_timeout = _get_idle_timeout(self._head)
         reusable = self._head.keep_alive and not self._unsent and not trailing
         if reusable and idle_timeout > 0:
@@ -338,7 +368,7 @@
             # A reset discards unsent bytes, so that none arrives after the call was cancelled.
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
         self._call = None
-        for timer in (self.idle_timer, self._connect_timer):
+        for timer in (self.idle_timer, self._connect_timer, self._send_watch):
             if timer is not None:
                 timer.cancel()
         self._client.remove_connection(self)
