Attempts at the present start of an endpoint outlast a corrected start time

Callers of streams saw them cut, and 502, when the row of an endpoint told a later start time though it went on. Cause: an attempt that was sent before the new start time was failed as one of an earlier start, whatever it had received since; and a clock that is ahead puts the start into the future, so that attempts which were sent after the row was known counted as earlier too.

Change: an attempt is older if neither it nor its last data came after the start; a start is no later than the moment at which this process learns of it. A line tells the ages.

Measured: two of three tests of test_restarted_endpoints.py failed before (a stream cut, a 502) and hold now; the third, an attempt without data is given up at once, held before too.

--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -291,7 +291,8 @@
         for address in {row.address, previous.address}:
             self._dependencies.transport.drop_idle(address)
         ago = self.peers.cluster_time() - row.born / 1000
-        at = self.timers.now() - ago
+        # What is sent from now on reaches the new start, even if its clock is ahead.
+        at = self.timers.now() - max(0.0, ago)
         # Responses in transit from the earlier incarnation are read first.
         self.timers.once(
             LAST_RESPONSES_SECONDS, lambda: self.hub.handle_endpoint_restart(row.endpoint_id, at)
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -434,14 +434,23 @@
             self.fail_over("path lost")
 
     def fail_if_restarted(self, started_at: float) -> None:
-        """Fail the current attempt if it was sent before its endpoint restarted.
+        """Fail the current attempt if it was sent, and got its last data, before a restart.
 
         Notes
         -----
         Without this the attempt would wait until its connection is reset, 2 s for an unresponsive
         one. Clocks of VMs differ, so an attempt that was sent close to the restart is left alone.
+        One that has received data since is answered by the endpoint that runs now.
         """
-        if self.has_attempt_in_flight and self.sent_at < started_at - CLOCK_MARGIN_SECONDS:
+        is_older = self.compute_last_activity() < started_at - CLOCK_MARGIN_SECONDS
+        if self.has_attempt_in_flight and is_older:
+            self.log.info(
+                "endpoint of attempt started again",
+                endpoint=self.endpoint_id,
+                sent_age=round(self.hub.now() - self.sent_at, 3),
+                data_age=round(self.hub.now() - self.compute_last_activity(), 3),
+                started_age=round(self.hub.now() - started_at, 3),
+            )
             self.hub.guard.crash_detector.record_restart(
                 self.endpoint_id, self.describe_interruption()
             )
