--- a/flamingofront/request/endpoint_paths.py
+++ b/flamingofront/request/endpoint_paths.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from urllib.parse import urlencode
 
@@ -34,6 +34,7 @@
     encode_proxied_call,
 )
 from flamingofront.request.proxy_peers import ProxyPeers
+from flamingofront.request.silent_peers import SilentPeers
 
 __all__ = ["EndpointPaths", "PathRequest"]
 
@@ -43,8 +44,6 @@
 UNREACHED_SECONDS = 1.0
 # An endpoint that so many peers could not connect to is not reached by others either.
 MAX_UNREACHING_PEERS = 2
-# A peer that has sent nothing for so long while a response is pending is taken to be stopped.
-UNRESPONSIVE_PEER_SECONDS = 1.0
 # The peer waits a quarter of a second for a connection.
 QUESTION_TIMEOUT_SECONDS = 0.5
 # Peers that are asked at most; more if endpoints accept connections, since peers that have lost
@@ -134,6 +133,8 @@
         State of the direct paths.
     peers : ProxyPeers
         Peers that proxy attempts.
+    silent_peers : SilentPeers
+        Which of them have stopped.
     """
 
     def __init__(
@@ -151,6 +152,7 @@
         self.monitor.ask_peer = self.ask_peer
         self.monitor.find_peer = self.find_peer
         self.peers = ProxyPeers(timers, rng)
+        self.silent_peers = SilentPeers(transport, timers, self.peers, metrics, log)
         self._vm_id = vm_id
         self._transport = transport
         self._directory = directory
@@ -371,27 +373,6 @@
             asked_before=len(question.asked),
         )
 
-    def list_unresponsive(self, pending: Iterable[tuple[str, float]]) -> set[str]:
-        """Return the peers that do not respond, and back off from them.
-
-        Parameters
-        ----------
-        pending : iterable of (str, float)
-            Peer, and time since which no data came, of each proxied attempt in flight.
-        """
-        now = self._timers.now()
-        found = {}
-        for peer, since in pending:
-            silent_seconds = now - max(since, self.peers.responded_at(peer))
-            if silent_seconds > UNRESPONSIVE_PEER_SECONDS:
-                found[peer] = max(silent_seconds, found.get(peer, 0.0))
-        for peer, seconds in found.items():
-            self._log.warning(
-                "proxy peer does not respond", peer=peer, silent_ms=round(seconds * 1000)
-            )
-            self.peers.record_failure(peer)
-        return set(found)
-
 
 class _ProxiedResponse:
     """Passes the events of a proxied call on as if they came from the endpoint."""
