A stop ends within the grace period of the settings that are in force

Cause: GracefulShutdown kept the grace period of the settings that the process was started with. SIGHUP reached the node's settings, but not the shutdown, and a change of the file without a signal was not read at all.

Change: a reload sets the grace period of the shutdown, and the settings are read once more at SIGTERM. A stop that has begun follows only a shorter one: which of two applies to a signal that was sent before is not known.

--- a/flamingofront/forward_daemon.py
+++ b/flamingofront/forward_daemon.py
@@ -213,6 +213,8 @@
         self.node.gateway.record_rejection(RequestError(kind))
 
     def _handle_stop_signal(self) -> None:
+        # The settings file may have changed without a signal, and the time until the kill with it.
+        self._reload_settings()
         self._stop.begin()
 
     def _handle_reload_signal(self, signo, frame) -> None:
@@ -231,6 +233,7 @@
         if changed:
             self._settings = settings
             self.node.settings = settings
+            self._stop.set_grace(settings.stop_grace)
 
     def run(self) -> None:
         """Serve until a graceful shutdown is complete."""
--- a/flamingofront/process/forwarding/shutdown.py
+++ b/flamingofront/process/forwarding/shutdown.py
@@ -54,6 +54,16 @@
         self._started_at: float | None = None
         self._has_answered_remaining = False
 
+    def set_grace(self, seconds: float) -> None:
+        """Set the time from the signal until the process would be killed.
+
+        Notes
+        -----
+        Once the shutdown has begun, the time can only become shorter: it is not known whether a
+        longer one applies to a signal that was sent before.
+        """
+        self._grace = seconds if self._started_at is None else min(self._grace, seconds)
+
     def begin(self) -> None:
         """Start the shutdown; a second call has no effect."""
         if self._started_at is not None:
