A stop with less grace than the balancer needs ends by itself, with answers

What callers saw: with a grace period under 2.5 s each process was killed. Calls in flight, also those that may not be repeated, ended without an answer.

Cause: all that a stop does at its end is started by the timer that closes idle connections 2.5 s after the signal, which then never fires.

Change: that timer fires once no request can end in time any more, if this is sooner.

--- a/flamingofront/process/forwarding/shutdown.py
+++ b/flamingofront/process/forwarding/shutdown.py
@@ -88,10 +88,16 @@
         self._node.log.info(
             "stopping", requests=len(self._node.hub.active), noticed_ms=round(late * 1000)
         )
-        timers.once(BALANCER_REACTION_SECONDS - late, self._close_idle)
+        first_close = min(BALANCER_REACTION_SECONDS - late, self._remaining(ANSWER_MARGIN_SECONDS))
+        timers.once(first_close, self._close_idle)
 
     def _close_idle(self) -> None:
-        """Close idle connections: the balancer sends their callers to another VM by now."""
+        """Close idle connections: the balancer sends their callers to another VM by now.
+
+        Notes
+        -----
+        Or there is no time left until then, and new requests are refused already.
+        """
         closed = self._callers.close_idle()
         self._node.log.info("idle connections closed", closed=closed)
         self._check()
