Requests that wait for a lookup are answered before a stopping process exits

What callers saw: a stream that is resumed, or a request whose route or key is not known, sent in the last 0.3 s of a stop: no answer, if peers or the store were silent.

Cause: the look-up of a stream's origin (up to 0.3 s) and the check for a newer configuration (up to 0.25 s) start before the request is checked against the stop, and requests that wait for them are in no list that the end of a stop answers.

--- a/flamingofront/request/forward_gateway.py
+++ b/flamingofront/request/forward_gateway.py
@@ -18,7 +18,7 @@
 from flamingofront.request.quota_gate import LocalQuotaGate, QuotaDecision, QuotaGate
 from flamingofront.request.records import RequestRecord
 from flamingofront.request.resumption import Resumption
-from flamingofront.request.stop_refusal import make_shutdown_rejection
+from flamingofront.request.stop_refusal import make_shutdown_rejection, reject_at_end
 from flamingofront.request.stream_origins import OriginLookup, OriginQuery, compute_origin_key
 from flamingofront.request.unknown_gate import AssumedFreshness, ConfigFreshness
 from flamingofront.version.forwarding import (
@@ -223,6 +223,8 @@
         cfg = self.configuration
         if not cfg.version:
             raise RequestError(ErrorKind.NOT_READY, retry_after=NOT_READY_RETRY_SECONDS)
+        # Before all lookups: the process could exit while a request waits for them.
+        reject_at_end(self._hub)
         caller = self._protocol.decode(req)
         route = cfg.find_route(caller.host, caller.path)
         if route is None:
--- a/flamingofront/request/stop_refusal.py
+++ b/flamingofront/request/stop_refusal.py
@@ -8,12 +8,31 @@
 from flamingofront.request.host import RequestHost
 from flamingofront.request.records import RequestRecord
 
-__all__ = ["make_shutdown_rejection"]
+__all__ = ["make_shutdown_rejection", "reject_at_end"]
 
 # Short, because another entry process can accept the request immediately.
 SHUTDOWN_RETRY_SECONDS = 0.05
 
 
+def reject_at_end(hub: RequestHost) -> None:
+    """Reject any request once none could end before this process exits.
+
+    Raises
+    ------
+    RequestError
+        If no time is left.
+    """
+    seconds_left = hub.shutdown_seconds_left()
+    if seconds_left <= 0:
+        raise RequestError(
+            ErrorKind.DRAINING,
+            "this process stops now",
+            Executed.NO,
+            SHUTDOWN_RETRY_SECONDS,
+            {"stop_left": round(seconds_left, 2)},
+        )
+
+
 def make_shutdown_rejection(
     hub: RequestHost, record: RequestRecord, deadline_left: float
 ) -> RequestError | None:
