A stopping process hands no late connection to a peer

What callers would see: a request on a new connection to a process that is overloaded and stops ends with no answer, after a peer has passed it on.

Cause: an overloaded process hands new connections to peers with room and copies their bytes. The peer that serves one takes requests by its own time, not by what is left of the stop of the process that the connection goes through.

Not seen in a play of real processes.

--- a/flamingofront/process/forwarding/overload.py
+++ b/flamingofront/process/forwarding/overload.py
@@ -71,7 +71,15 @@
         return is_passed_on
 
     def _hand_over(self, sock: socket.socket, waited: float) -> bool:
-        """Let a peer serve a connection; return False if none has room."""
+        """Let a peer serve a connection; return False if none has room.
+
+        Notes
+        -----
+        Late in a shutdown none is handed over: the peer does not know when this process ends, and
+        would pass on requests that outlast it.
+        """
+        if self._node.hub.is_out_of_rotation():
+            return False
         now = self._timers.now()
         if now >= self._delays_until:
             self._delays = self._node.peers.delays_by_ip()
