Streams of two events tell how long one of many takes

What callers saw: a long stream, sent 4 s after the signal, was taken and cut by the exit 4 s later, if the streams before it had two events, or events that came in two parts.

Cause: StreamTimes leaves the longest pause of a stream out of its pace, since a short stream may meet it once only. With a single pause nothing was left: the bound of 720 tokens was 0.31 s (7.2 s true). With some events more, what was left was divided by one event too many: 9.3 s in place of 18 s after three events.

Change: pauses are counted, so that the pace is that of the events after the pauses that are left; a single pause is taken for a usual one; a stream whose events all came at once has no pace and isn't looked at. The time after the last event is no pause between events.

--- a/flamingofront/decisions/stopping.py
+++ b/flamingofront/decisions/stopping.py
@@ -57,6 +57,10 @@
         Output tokens that the caller expected; 0 if it did not say.
     longest_pause : float
         Longest time between two events in seconds.
+    last_pause : float
+        Seconds of `rest` after the last event.
+    pauses : int or None
+        Number of pauses between events that came apart; None if each event came alone.
     """
 
     first_event: float
@@ -65,6 +69,17 @@
     events: int = 0
     expected_tokens: int = 0
     longest_pause: float = 0.0
+    last_pause: float = 0.0
+    pauses: int | None = None
+
+    @property
+    def has_pace(self) -> bool:
+        """True if the stream tells how long one with more tokens would take."""
+        return self.events == 0 or self._pause_count > 0
+
+    @property
+    def _pause_count(self) -> int:
+        return self.events - 1 if self.pauses is None else self.pauses
 
     def scale_duration(self, output_tokens: int, event_tokens: float) -> float:
         """Return the duration of a stream of some tokens at the pace of this one.
@@ -80,10 +95,23 @@
         """
         if not self.events:
             return self.first_event + self.rest * output_tokens / self.output_tokens
-        # What is left without the longest pause was spent on one event less.
-        steady = max(0.0, self.rest - self.longest_pause)
-        generated = min(self.output_tokens, max(1, self.events - 1) * event_tokens)
-        return self.first_event + self.longest_pause + steady * output_tokens / generated
+        pause = max(self.longest_pause, self.last_pause)
+        seconds, count = self._measure_pace()
+        generated = min(self.output_tokens, count * event_tokens)
+        return self.first_event + pause + seconds * output_tokens / generated
+
+    def _measure_pace(self) -> tuple[float, float]:
+        """Return the time of some events, at least one, without the longest pause.
+
+        Notes
+        -----
+        The events before the first pause end none. A single pause is taken for a usual one.
+        """
+        between = max(0.0, self.rest - self.last_pause)
+        if self._pause_count > 1:
+            between = max(0.0, between - self.longest_pause)
+        counted = max(1, self._pause_count - 1)
+        return between, max(1.0, self.events * counted / (self._pause_count + 1))
 
 
 class StreamBound:
@@ -94,7 +122,7 @@
 
     def observe(self, times: StreamTimes) -> None:
         """Record a complete stream; one without a token limit or a pace is ignored."""
-        if times.output_tokens > 0 and times.events != 1:
+        if times.output_tokens > 0 and times.has_pace:
             self._observations.append(times)
 
     def estimate_usual_seconds(self, output_tokens: int) -> float:
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -114,6 +114,7 @@
         self._event_count = 0
         self._last_event_at = 0.0
         self._longest_pause = 0.0
+        self._pause_count = 0
 
     @property
     def work(self) -> ForwardWork:
@@ -341,6 +342,7 @@
         if self.first_response_at is not None and count > 0:
             interval = (now - self._last_event_at) / count
             self._longest_pause = max(self._longest_pause, now - self._last_event_at)
+            self._pause_count += 1
             self.hub.directory.record_token_time(self.endpoint_id, interval)
             self._rates.record_pause(interval)
         self._event_count, self._last_event_at = self.relay.count, now
@@ -381,7 +383,9 @@
             self.relay.count,
             # The caller of a resumed stream expects the events that it has as well.
             work.expected_tokens if work.resumed is None else 0,
-            max(self._longest_pause, now - max(first, self._last_event_at)),
+            self._longest_pause,
+            now - max(first, self._last_event_at),
+            self._pause_count,
         )
 
     def complete_response(self, attempt_id: str, answer: EndpointResponse) -> None:
--- a/flamingofront/tests/test_late_requests_of_stops.py
+++ b/flamingofront/tests/test_late_requests_of_stops.py
@@ -38,10 +38,21 @@
     ----------
     token_seconds : float
         Time of an endpoint for each token of a prompt.
+    events_at_once : int
+        Events that an endpoint sends together.
     """
 
-    def __init__(self, seed=1, gap=0.06, token_seconds=0.0, grace=GRACE_SECONDS, **options):
+    def __init__(
+        self,
+        seed=1,
+        gap=0.06,
+        token_seconds=0.0,
+        grace=GRACE_SECONDS,
+        events_at_once=1,
+        **options,
+    ):
         self.token_seconds = token_seconds
+        self.events_at_once = events_at_once
         self.grace = grace
         self.prompts, self.seconds = {}, {}
         self.limits, self.cut_at = {}, {}
@@ -65,11 +76,14 @@
             send(exchange, 1, max(1, tokens // TOKENS_PER_EVENT))
 
         def send(exchange, number, count):
-            exchange.send(b"id: %d\ndata: x\n\n" % number)
-            if number >= count:
+            end = min(count + 1, number + self.events_at_once)
+            events = (b"id: %d\ndata: x\n\n" % each for each in range(number, end))
+            exchange.send(b"".join(events))
+            if end > count:
                 exchange.finish()
                 return
-            endpoint._timers.once(endpoint.gap, lambda: send(exchange, number + 1, count))
+            pause = endpoint.gap * self.events_at_once
+            endpoint._timers.once(pause, lambda: send(exchange, end, count))
 
         endpoint._respond = respond
 
@@ -146,6 +160,18 @@
             bound.observe(StreamTimes(0.1, rest, tokens, events, tokens, longest_pause=0.1))
         assert bound.estimate_max_seconds(100 * TOKENS_PER_EVENT) >= 2.5 * 9.9
 
+    @pytest.mark.parametrize("events", [4, 10])
+    def test_long_stream_after_streams_whose_events_came_together(self, events):
+        """All events came in two parts, so that the only pause was left out as the longest one."""
+        stopping = StoppingWorld(events_at_once=events // 2)
+        tokens = TOKENS_PER_EVENT * events
+        stopping.warm_up(60, tokens, tokens)
+        stopping.stop()
+        stopping.world.run(4.0)
+        stopping.send("/stream/once/x", 1440, 1440)
+        stopping.run_until_exit()
+        assert stopping.unanswered == []
+
     @pytest.mark.parametrize("at", [3.5, 4.5])
     def test_long_prompt_after_short_ones(self, at):
         stopping = StoppingWorld(token_seconds=1e-3, gap=0.02)
