A stream with a long prompt is taken late only if its prefill ends in time too

What callers saw: a stream with a prompt far longer than those before, sent 3.5 or 4.5 s after the signal, was taken; its first event came after seconds, and the exit cut it.

Cause: the bound of the duration of a stream scales its output only. The time to its first event was that of the streams before, whatever the length of its prompt.

Change: the bound has the prefill of the prompt at the learned rate as well, with the same factor for endpoints that slow down. The whole prompt is counted, as the streams before may have found theirs in the cache.

Result: test_long_prompt_after_short_ones fails before (two plays) and passes now; test_stopping.py and test_early_endings.py pass.

--- a/flamingofront/decisions/stopping.py
+++ b/flamingofront/decisions/stopping.py
@@ -139,7 +139,7 @@
         )
 
     def estimate_max_seconds(
-        self, output_tokens: int, running: Iterable[StreamTimes] = ()
+        self, output_tokens: int, running: Iterable[StreamTimes] = (), first_event: float = 0.0
     ) -> float:
         """Return the maximum seconds from acceptance to completion, infinity if unknown.
 
@@ -147,6 +147,12 @@
         ----------
         running : iterable of StreamTimes
             Streams in progress, by what they have taken until now.
+        first_event : float
+            Expected seconds to the first event, by the length of the prompt.
+
+        Notes
+        -----
+        The observed streams may have had shorter prompts, so their first events came sooner.
         """
         event_tokens = self._estimate_event_tokens()
         longest = _find_longest(
@@ -155,7 +161,7 @@
         )
         for each in running:
             longest = max(longest, each.scale_duration(output_tokens, event_tokens))
-        return MAX_SLOWDOWN * longest
+        return MAX_SLOWDOWN * (longest + first_event)
 
     def _select_similar(self, output_tokens: int) -> list[StreamTimes]:
         """Return the streams that tell of one with an allowance; none if there are too few."""
--- a/flamingofront/request/stop_refusal.py
+++ b/flamingofront/request/stop_refusal.py
@@ -75,5 +75,8 @@
         return math.inf
     bound = hub.completion.for_service(service)
     if hub.is_out_of_rotation():
-        return bound.estimate_max_seconds(work.output_tokens, hub.measure_streams(service))
+        prefill = hub.rates.for_service(service).estimate().token_seconds * work.prompt_tokens
+        return bound.estimate_max_seconds(
+            work.output_tokens, hub.measure_streams(service), prefill
+        )
     return bound.estimate_usual_seconds(work.output_tokens)
