--- a/flamingofront/forward_daemon.py
+++ b/flamingofront/forward_daemon.py
@@ -213,7 +213,9 @@
         self.node.gateway.record_rejection(RequestError(kind))
 
     def _handle_stop_signal(self) -> None:
-        self._stop.begin()
+        # The settings file may have changed without a signal, and the time until the kill with it.
+        self._reload_settings()
+        self._stop.begin(self.runtime.stop_signal_at)
 
     def _handle_reload_signal(self, signo, frame) -> None:
         self.runtime.timers.once(0.0, self._reload_settings)
@@ -231,6 +233,7 @@
         if changed:
             self._settings = settings
             self.node.settings = settings
+            self._stop.set_grace(settings.stop_grace)
 
     def run(self) -> None:
         """Serve until a graceful shutdown is complete."""
--- a/flamingofront/process/forwarding/shutdown.py
+++ b/flamingofront/process/forwarding/shutdown.py
@@ -54,12 +54,28 @@
         self._started_at: float | None = None
         self._has_answered_remaining = False
 
-    def begin(self) -> None:
-        """Start the shutdown; a second call has no effect."""
+    def set_grace(self, seconds: float) -> None:
+        """Set the time from the signal until the process would be killed.
+
+        Notes
+        -----
+        Once the shutdown has begun, the time can only become shorter: it is not known whether a
+        longer one applies to a signal that was sent before.
+        """
+        self._grace = seconds if self._started_at is None else min(self._grace, seconds)
+
+    def begin(self, signalled_at: float | None = None) -> None:
+        """Start the shutdown; a second call has no effect.
+
+        Parameters
+        ----------
+        signalled_at : float, optional
+            Time of the signal, if the event loop has noticed it later; now by default.
+        """
         if self._started_at is not None:
             return
         timers = self._node.timers
-        self._started_at = timers.now()
+        self._started_at = timers.now() if signalled_at is None else signalled_at
         self._node.stopping = True
         self._callers.closing = True
         self._node.hub.shutdown_seconds_left = lambda: self._remaining(ANSWER_MARGIN_SECONDS)
@@ -68,11 +84,20 @@
         )
         self._node.tasks.start(self._node.lease.release())
         self._node.peers.broadcast_report()
-        self._node.log.info("stopping", requests=len(self._node.hub.active))
-        timers.once(BALANCER_REACTION_SECONDS, self._close_idle)
+        late = timers.now() - self._started_at
+        self._node.log.info(
+            "stopping", requests=len(self._node.hub.active), noticed_ms=round(late * 1000)
+        )
+        first_close = min(BALANCER_REACTION_SECONDS - late, self._remaining(ANSWER_MARGIN_SECONDS))
+        timers.once(first_close, self._close_idle)
 
     def _close_idle(self) -> None:
-        """Close idle connections: the balancer sends their callers to another VM by now."""
+        """Close idle connections: the balancer sends their callers to another VM by now.
+
+        Notes
+        -----
+        Or there is no time left until then, and new requests are refused already.
+        """
         closed = self._callers.close_idle()
         self._node.log.info("idle connections closed", closed=closed)
         self._check()
--- a/flamingofront/request/stop_refusal.py
+++ b/flamingofront/request/stop_refusal.py
@@ -8,12 +8,31 @@
 from flamingofront.request.host import RequestHost
 from flamingofront.request.records import RequestRecord
 
-__all__ = ["make_shutdown_rejection"]
+__all__ = ["make_shutdown_rejection", "reject_at_end"]
 
 # Short, because another entry process can accept the request immediately.
 SHUTDOWN_RETRY_SECONDS = 0.05
 
 
+def reject_at_end(hub: RequestHost) -> None:
+    """Reject any request once none could end before this process exits.
+
+    Raises
+    ------
+    RequestError
+        If no time is left.
+    """
+    seconds_left = hub.shutdown_seconds_left()
+    if seconds_left <= 0:
+        raise RequestError(
+            ErrorKind.DRAINING,
+            "this process stops now",
+            Executed.NO,
+            SHUTDOWN_RETRY_SECONDS,
+            {"stop_left": round(seconds_left, 2)},
+        )
+
+
 def make_shutdown_rejection(
     hub: RequestHost, record: RequestRecord, deadline_left: float
 ) -> RequestError | None:
@@ -56,5 +75,8 @@
         return math.inf
     bound = hub.completion.for_service(service)
     if hub.is_out_of_rotation():
-        return bound.estimate_max_seconds(work.output_tokens, hub.measure_streams(service))
+        prefill = hub.rates.for_service(service).estimate().token_seconds * work.prompt_tokens
+        return bound.estimate_max_seconds(
+            work.output_tokens, hub.measure_streams(service), prefill
+        )
     return bound.estimate_usual_seconds(work.output_tokens)
