--- a/scripts/refusal_callers.py
+++ b/scripts/refusal_callers.py
@@ -11,7 +11,15 @@
 
 from flamingofront.tests.promises import REFUSAL_STATUSES
 
-__all__ = ["KINDS", "Answer", "Attempt", "Poison", "RefusalCallers", "RequestKindOfPlay"]
+__all__ = [
+    "KINDS",
+    "Answer",
+    "Attempt",
+    "CallerConnection",
+    "Poison",
+    "RefusalCallers",
+    "RequestKindOfPlay",
+]
 
 HOST = "desk.example"
 CALLER_TIMEOUT = 7.0
@@ -176,7 +184,7 @@
         await asyncio.gather(*tasks)
 
     async def _run_user(self, front: int, end: float, rate: float) -> None:
-        conn = _Connection(self._addresses[front])
+        conn = CallerConnection(self._addresses[front])
         while time.monotonic() < end:
             await asyncio.sleep(self._rng.expovariate(rate))
             if self._rng.random() < 0.06:
@@ -185,7 +193,7 @@
                 await self._ask_with_retries(conn, front)
         conn.close()
 
-    async def _ask_with_retries(self, conn: "_Connection", front: int) -> None:
+    async def _ask_with_retries(self, conn: "CallerConnection", front: int) -> None:
         """Send a request, and again as long as it is refused and time is left."""
         kind = self._rng.choices(KINDS, [each.weight for each in KINDS])[0]
         fields, body = self._make_content(kind)
@@ -203,7 +211,7 @@
                 return
             await asyncio.sleep(delay)
             front = self._rng.randrange(len(self._addresses))
-            conn = _Connection(self._addresses[front])
+            conn = CallerConnection(self._addresses[front])
             # A few callers repeat the id, though each attempt is to have its own.
             if self._rng.random() > 0.1:
                 request_id = self._make_id()
@@ -234,7 +242,7 @@
 
     async def _pipeline(self, front: int) -> None:
         """Send some requests at once on one connection, and read their answers in turn."""
-        conn = _Connection(self._addresses[front])
+        conn = CallerConnection(self._addresses[front])
         attempts = []
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError, ValueError):
             async with asyncio.timeout(CALLER_TIMEOUT):
@@ -290,7 +298,7 @@
         return fields, body
 
 
-class _Connection:
+class CallerConnection:
     """Connection of a caller that is kept as long as it lasts."""
 
     def __init__(self, address: tuple[str, int]):
@@ -298,6 +306,11 @@
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
 
+    @property
+    def is_open(self) -> bool:
+        """True if another request may be sent on the connection."""
+        return self._writer is not None
+
     async def open(self) -> None:
         """Connect, unless the connection is kept."""
         if self._reader is not None and self._reader.at_eof():
@@ -311,11 +324,20 @@
             self._writer.transport.abort()
         self._reader = self._writer = None
 
-    def send(self, kind: RequestKindOfPlay, fields: dict[str, str], body: bytes) -> None:
-        """Write a request."""
+    def send(
+        self,
+        kind: RequestKindOfPlay,
+        fields: dict[str, str],
+        body: bytes,
+        is_chunked: bool = False,
+    ) -> None:
+        """Write a request, its body with a length or in chunks."""
         lines = [f"{kind.method} {kind.path} HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in fields.items()]
-        if kind.method == "POST":
+        if is_chunked:
+            lines.append("Transfer-Encoding: chunked")
+            body = _encode_chunks(body)
+        elif kind.method == "POST":
             lines.append(f"Content-Length: {len(body)}")
         self._writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
 
@@ -357,3 +379,9 @@
         if "content-length" in fields:
             return await self._reader.readexactly(int(fields["content-length"]))
         return await self._reader.read()
+
+
+def _encode_chunks(body: bytes) -> bytes:
+    middle = len(body) // 2
+    parts = (each for each in (body[:middle], body[middle:]) if each)
+    return b"".join(b"%x\r\n%s\r\n" % (len(each), each) for each in parts) + b"0\r\n\r\n"
--- a/scripts/refusing_endpoint.py
+++ b/scripts/refusing_endpoint.py
@@ -159,7 +159,7 @@
         if req.path in STATE_PATHS:
             writer.write(_encode(200, {"X-Flamingofront-Instance-Id": self.name}, b"{}"))
             return
-        arrival = Arrival(
+        arrival = self._record_arrival(
             req.fields.get(ATTEMPT_HEADER, ""),
             req.fields.get("x-flamingofront-request-id", ""),
             self.name,
@@ -172,6 +172,9 @@
             return
         await self._run(req, arrival, writer)
 
+    def _record_arrival(self, *args) -> Arrival:
+        return Arrival(*args)
+
     def _reject(self, arrival: Arrival, status: int, writer, more: dict[str, str]) -> None:
         arrival.is_rejected, arrival.how = True, "stated refusal"
         self._answer(arrival, status, writer, {"X-Flamingofront-Not-Executed": "1", **more})
--- a/scripts/soak_departures.py
+++ b/scripts/soak_departures.py
@@ -86,8 +86,18 @@
         Further words of the command line of each endpoint.
     configuration : Path
         Configuration document of the operator.
+
+    Attributes
+    ----------
+    port : int
+        Port of the store; those of the endpoints follow.
+    front_port : int
+        First port of each entry process.
     """
 
+    port = PORT
+    front_port = PORT + 1000
+
     def __init__(
         self,
         folder: Path,
@@ -111,7 +121,7 @@
         self._loop.set_exception_handler(lambda loop, context: None)
         threading.Thread(target=self._loop.run_forever, daemon=True).start()
         self.fronts: list[subprocess.Popen] = []
-        self.relays = [StoreRelay(self.host, PORT) for _ in range(processes)]
+        self.relays = [StoreRelay(self.host, self.port) for _ in range(processes)]
         self.endpoints: list[Endpoint] = []
 
     def run_in_loop(self, coroutine):
@@ -125,12 +135,12 @@
     def __enter__(self) -> "Deployment":
         words = [
             "--bind",
-            f"{self.host}:{PORT}",
+            f"{self.host}:{self.port}",
             "--config",
             str(self._configuration),
         ]
         self._start("flamingofront-standin-store", words)
-        _wait_for(f"{self.host}:{PORT}")
+        _wait_for(f"{self.host}:{self.port}")
         for _ in range(self._endpoint_count):
             self.add_endpoint()
         for number, relay in enumerate(self.relays):
@@ -138,7 +148,7 @@
             self._write_settings(number, relay.port)
             self.fronts.append(self.run_front(number))
         for number in range(self.processes):
-            _wait_for(f"{self.ip_of(number)}:{PORT + 1001}", "/api/ready")
+            _wait_for(f"{self.ip_of(number)}:{self.front_port + 1}", "/api/ready")
         return self
 
     def __exit__(self, *exc: object) -> None:
@@ -153,11 +163,13 @@
         """Return the address of an entry process; -1 for that of store and endpoints."""
         return f"127.1.{self._network}.{front + 2}"
 
-    def write_rows(self, writes: dict[str, dict], removed: tuple[str, ...] = ()) -> float:
-        """Write and remove rows of endpoints; return the time of the store's confirmation."""
+    def write_rows(
+        self, writes: dict[str, dict], removed: tuple[str, ...] = (), table: str = "servers"
+    ) -> float:
+        """Write rows and remove some of endpoints; return the time of the store's confirmation."""
         rows = [
             {
-                "table": "servers",
+                "table": table,
                 "part": "",
                 "key": name,
                 "value": base64.b64encode(json.dumps(row).encode()).decode(),
@@ -166,7 +178,7 @@
         ]
         remove = [{"table": "servers", "part": "", "key": name} for name in removed]
         body = {"expected_rev": [], "writes": rows, "remove": remove}
-        conn = http.client.HTTPConnection(self.host, PORT, timeout=5.0)
+        conn = http.client.HTTPConnection(self.host, self.port, timeout=5.0)
         conn.request("POST", "/api/rows-tx", json.dumps(body))
         conn.getresponse().read()
         conn.close()
@@ -175,14 +187,14 @@
     def add_endpoint(self) -> None:
         """Start an endpoint of one of the services, under a new id."""
         number = next(self._numbers)
-        port = PORT + 1 + number % ENDPOINT_PORTS
+        port = self.port + 1 + number % ENDPOINT_PORTS
         service = ("records", "engines")[number % 2]
         name = f"e-{number}"
         words = [
             "--bind",
             f"{self.host}:{port}",
             "--store",
-            f"{self.host}:{PORT}",
+            f"{self.host}:{self.port}",
             "--endpoint-id",
             name,
         ]
@@ -208,14 +220,14 @@
             "node_name": f"front-{number}",
             "zone": ZONES[number % len(ZONES)],
             "ip": ip,
-            "listen.front": f"{ip}:{PORT + 1000}",
-            "listen.ready": f"{ip}:{PORT + 1001}",
-            "listen.control": f"{ip}:{PORT + 1002}",
-            "port_range": f"{PORT + 1003},{PORT + 1009}",
-            "seeds": f"{self.ip_of(0)}:{PORT + 1002}",
+            "listen.front": f"{ip}:{self.front_port}",
+            "listen.ready": f"{ip}:{self.front_port + 1}",
+            "listen.control": f"{ip}:{self.front_port + 2}",
+            "port_range": f"{self.front_port + 3},{self.front_port + 9}",
+            "seeds": f"{self.ip_of(0)}:{self.front_port + 2}",
             "bootstrap": "true",
             "platform.address": f"{self.host}:{store_port}",
-            "cloud_api.address": f"{self.host}:{PORT}",
+            "cloud_api.address": f"{self.host}:{self.port}",
         }
         settings = self.folder / f"front-{number}.conf"
         settings.write_text("".join(f"{name}={value}\n" for name, value in values.items()))
--- a/scripts/soak_refusals.py
+++ b/scripts/soak_refusals.py
@@ -66,7 +66,7 @@
     return path
 
 
-class RefusalDeployment(Deployment):
+class DeploymentInLoop(Deployment):
     """Deployment whose endpoints run in the event loop of the play.
 
     Parameters
@@ -80,11 +80,8 @@
         Exceptions of the play itself.
     """
 
-    def __init__(self, *args, rng: random.Random, behaviour: Behaviour, poison: Poison, code: str):
-        super().__init__(*args, configuration=write_configuration(args[0] / "configuration.json"))
-        self._rng = rng
-        self._behaviour = behaviour
-        self._poison = poison
+    def __init__(self, *args, configuration: Path, code: str):
+        super().__init__(*args, configuration=configuration)
         self._code = code
         self.errors: list[str] = []
         self._loop.set_exception_handler(self._record_error)
@@ -94,7 +91,7 @@
         if exc is not None and not isinstance(exc, OSError | EOFError):
             self.errors.append(repr(exc))
 
-    def __enter__(self) -> "RefusalDeployment":
+    def __enter__(self) -> "DeploymentInLoop":
         try:
             return super().__enter__()
         except BaseException:
@@ -102,6 +99,25 @@
             self.__exit__()
             raise
 
+    def run_front(self, number: int) -> subprocess.Popen:
+        """Start an entry process."""
+        settings = self.folder / f"front-{number}.conf"
+        environment = {**os.environ, "FLAMINGOFRONT_BOOT": str(settings)}
+        if self._code:
+            environment["PYTHONPATH"] = self._code
+        return self._start("flamingofront-forward", [], environment, f"front-{number}")
+
+
+class RefusalDeployment(DeploymentInLoop):
+    """Deployment of the routes and endpoints of this play."""
+
+    def __init__(self, *args, rng: random.Random, behaviour: Behaviour, poison: Poison, code: str):
+        configuration = write_configuration(args[0] / "configuration.json")
+        super().__init__(*args, configuration=configuration, code=code)
+        self._rng = rng
+        self._behaviour = behaviour
+        self._poison = poison
+
     def add_endpoint(self) -> None:
         """Start an endpoint of one of the services, under a new id."""
         number = next(self._numbers)
@@ -128,14 +144,6 @@
         }
         self.write_rows({endpoint.name: row})
 
-    def run_front(self, number: int) -> subprocess.Popen:
-        """Start an entry process."""
-        settings = self.folder / f"front-{number}.conf"
-        environment = {**os.environ, "FLAMINGOFRONT_BOOT": str(settings)}
-        if self._code:
-            environment["PYTHONPATH"] = self._code
-        return self._start("flamingofront-forward", [], environment, f"front-{number}")
-
     def _write_settings(self, number: int, store_port: int) -> None:
         super()._write_settings(number, store_port)
         with open(self.folder / f"front-{number}.conf", "a") as file:
