Ended requests give their memory back

Callers saw: a process whose callers had left went on to hold what they had sent. Ten seconds after a crowd of 60 callers that send 1.9 MB each and reset their connections, the process still held 739 of 739 MB (at rest 52), and after callers that read no answers 378 of 378 MB.

Cause: references, not the allocator. A cancelled timer stays in the heap until it is due, and its callback refers to the request. An ended request is also part of reference cycles, so that its body and its answer stay until a full collection. An attempt copied the body twice: with the head, and again with each partial write.

Change: a timer drops its callback when it is cancelled or has run; a forwarded request drops body and answer at its end; an outgoing request refers to the body and sends parts of it.

--- a/flamingofront/connection/client.py
+++ b/flamingofront/connection/client.py
@@ -18,6 +18,7 @@
 from flamingofront.connection.framing import BodyDecoder, Head, HeadBuffer, create_response_decoder
 from flamingofront.connection.interfaces import CallEvent, CallHandle, ConnectResult, Transport
 from flamingofront.connection.poller import READ, WRITE, DirectPoller, SocketOwner
+from flamingofront.connection.request_bytes import RequestBytes
 from flamingofront.errors import ErrorKind, RequestError
 from flamingofront.messages import (
     NO_IDLE_CONNECTION,
@@ -48,7 +49,6 @@
 KEEPALIVE_PROBE_COUNT = 2
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d{1,6})")
-BODILESS_METHODS = ("GET", "HEAD")
 _IN_PROGRESS = (errno.EINPROGRESS, errno.EWOULDBLOCK, errno.EALREADY)
 
 
@@ -57,14 +57,6 @@
     return "refused" if code == errno.ECONNREFUSED else "connect"
 
 
-def _encode_request(call: OutboundCall) -> bytes:
-    lines = [f"{call.method} {call.path} HTTP/1.1", f"Host: {call.host or call.address}"]
-    lines += [f"{name}: {value}" for name, value in call.headers]
-    if call.body or call.method not in BODILESS_METHODS:
-        lines.append(f"Content-Length: {len(call.body)}")
-    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1", "replace") + call.body
-
-
 def _enable_keepalive(sock: socket.socket) -> None:
     """Enable TCP keep-alive, so that the kernel resets a connection to an unresponsive peer."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -149,7 +141,7 @@
         self.idle_timer: Timer | None = None
         self._connect_timer: Timer | None = None
         self._call: _Call | None = None
-        self._unsent = b""
+        self._unsent: RequestBytes | None = None
 
     def was_closed_by_peer(self) -> bool:
         """Return True if the peer has closed this idle connection, or sent unexpected bytes."""
@@ -187,7 +179,7 @@
         self._has_received = False
         self._interim_count = 0
         self._decoder: BodyDecoder | None = None
-        self._unsent = _encode_request(call.call)
+        self._unsent = RequestBytes(call.call)
         if self.connected and not self._send():
             # Not at once: whoever starts the call has no handle yet.
             self._client.timers.once(0.0, lambda: self.fail("reset"))
@@ -210,12 +202,12 @@
         """Send what the kernel takes; return False if the connection has failed."""
         self._call.mark_written()
         try:
-            sent = self.sock.send(self._unsent)
+            while self._unsent:
+                self._unsent.remove(self.sock.send(self._unsent.peek()))
         except BlockingIOError:
-            sent = 0
+            pass  # the rest is sent once there is room
         except OSError:
             return False
-        self._unsent = self._unsent[sent:]
         self._client.watch(self, READ | WRITE if self._unsent else READ)
         return True
 
@@ -338,6 +330,7 @@
             # A reset discards unsent bytes, so that none arrives after the call was cancelled.
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
         self._call = None
+        self._unsent = None
         for timer in (self.idle_timer, self._connect_timer):
             if timer is not None:
                 timer.cancel()
--- a/flamingofront/process/tests/test_timers.py
+++ b/flamingofront/process/tests/test_timers.py
@@ -1,6 +1,7 @@
 """Exact timers, and relaxed timers that run with other wake-ups."""
 
 import heapq
+import weakref
 
 import pytest
 
@@ -81,3 +82,26 @@
         assert timers.next_due() == 100.0
         run_due_at(timers, 100.5)
         assert seen == ["handler"]
+
+
+class TestEndedTimers:
+    """A cancelled timer stays in the heap until it is due."""
+
+    @pytest.mark.parametrize("end", [lambda timer, run: timer.cancel(), lambda timer, run: run()])
+    def test_ended_timer_does_not_keep_what_its_callback_refers_to(self, end):
+        class Large:
+            def act(self):
+                pass
+
+        clock = ManualClock()
+        timers, large = TimerService(clock), Large()
+        kept = weakref.ref(large)
+        timer = timers.once(60.0, large.act)
+
+        def run():
+            clock.time += 60.0
+            timers.run_due()
+
+        del large
+        end(timer, run)
+        assert kept() is None
--- a/flamingofront/process/timers.py
+++ b/flamingofront/process/timers.py
@@ -66,6 +66,10 @@
         return self.time
 
 
+def _do_nothing() -> None:
+    """Stand in for the callback of a timer that has ended."""
+
+
 class Timer:
     """Handle of one scheduled callback."""
 
@@ -83,6 +87,8 @@
     def cancel(self) -> None:
         """Cancel the callback; a second call has no effect."""
         self.cancelled = True
+        # The timer stays in the heap until it is due, and its callback may refer to a large body.
+        self.callback = _do_nothing
 
 
 class TimerService:
@@ -160,7 +166,10 @@
             if timer.period is not None:
                 timer.due = max(timer.due + timer.period, now)
                 self._schedule(timer)
-            timer.callback()
+            callback = timer.callback
+            if timer.period is None:
+                timer.callback = _do_nothing
+            callback()
             count += 1
             if timer.period is not None and timer.due <= now:
                 break
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -1,6 +1,7 @@
 """A forwarded request in flight: the body is relayed unchanged, a stream as it arrives."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from flamingofront.connection.interfaces import CallEvent
 from flamingofront.decisions.admission import Ticket
@@ -524,11 +525,18 @@
             return
         super()._fail_request(action)
 
+    def _finish(self, answer: EndpointResponse | None, exc: RequestError | None) -> None:
+        super()._finish(answer, exc)
+        # Like the body of the request.
+        self.answer = self._error_response = None
+
     def _record_error(self, exc: RequestError) -> None:
         self.failure = exc.kind.value
         self.status = 0 if self.has_sent_events else self.protocol.render_error(exc)[0]
 
     def _clean_up(self) -> None:
         super()._clean_up()
+        # An ended request is referred to in cycles until they are collected.
+        self.record = replace(self.record, work=replace(self.work, body=b""))
         on_end, self.on_end = self.on_end, lambda request: None
         on_end(self)
