Memory that connections hold is limited by one account in bytes

Callers saw: a process that ran out of memory ended, with the requests of all callers on it. Large bodies of legal size, whole, in pieces or in chunks, short of their end, were enough; so were complete ones before slow endpoints, and callers that read no answers.

Cause: each request, connection and response had a limit, and nothing limited their sum. limits.memory_mb of the settings file was not read.

Change: MemoryAccount has what connections make a process keep, in bytes by kind: connections, requests that are received (an announced body in full before it is read), complete requests until they are answered, pipelined bytes, collected responses, unsent bytes and copies to peers. Its size is 0.45 of the memory above 64 MB. While it is full, connections that wait for their callers without progress for a second are ended, the longest first; a complete request never is. A quarter is left to connections that hold little. A request without room is answered 503 before its body is read, and nothing of it is kept; its connection lingers for a second at most, so that the answer is not lost to a reset. A peer takes such a refusal for that of a busy proxy. A body is kept once: its buffer becomes the body, and the kernel's buffer of a connection is 128 KiB.

--- a/flamingofront/connection/framing.py
+++ b/flamingofront/connection/framing.py
@@ -104,6 +104,11 @@
         """True if no byte of a head has been received."""
         return not self._data
 
+    @property
+    def size(self) -> int:
+        """Number of bytes of the incomplete head."""
+        return len(self._data)
+
     def feed(self, data: bytes) -> tuple[Head, bytes] | None:
         """Add received bytes; return the head and the remaining bytes once the head is complete.
 
@@ -230,9 +235,16 @@
 
 
 class LengthDecoder(BodyDecoder):
-    """Decoder for a body with a Content-Length."""
+    """Decoder for a body with a Content-Length.
+
+    Attributes
+    ----------
+    length : int
+        Size of the body in bytes.
+    """
 
     def __init__(self, length: int):
+        self.length = length
         self._left = length
         self.complete = length == 0
 
--- a/flamingofront/connection/sockets.py
+++ b/flamingofront/connection/sockets.py
@@ -11,12 +11,15 @@
 from circuits import BaseComponent, handler
 from circuits.core.utils import findcmp
 
+from flamingofront.connection.lingering import LingeringSockets
 from flamingofront.connection.poller import READ, WRITE, DirectPoller, SocketOwner
 from flamingofront.process.timers import TimerService
 
 __all__ = ["RESET_ON_CLOSE", "ConnectionListener", "ServerSockets", "enable_keepalive"]
 
 MAX_SEND_BYTES = 256 * 1024
+# Bytes that the kernel keeps of a connection that is not read; Linux counts its own overhead too.
+RECEIVE_BUFFER_BYTES = 128 * 1024
 # Large enough that all callers of a VM can connect at once.
 LISTEN_BACKLOG = 4096
 # A connection whose client is silent for these seconds gets a keep-alive probe, and is reset after
@@ -51,6 +54,17 @@
     def received(self, sock: socket.socket, data: bytes) -> None:
         """Handle bytes that were received on a connection."""
 
+    def unsent_changed(  # noqa: B027
+        self, sock: socket.socket, size: int, has_progress: bool
+    ) -> None:
+        """Handle a change of the number of bytes that are queued; does nothing by default.
+
+        Parameters
+        ----------
+        has_progress : bool
+            True if some were sent, False if some were added.
+        """
+
     @abstractmethod
     def closed(self, sock: socket.socket) -> None:
         """Handle the close of a connection by either side."""
@@ -99,14 +113,17 @@
         )
         self._listener = listener
         self._timers = timers
+        self._lingering = LingeringSockets(timers, self._find_poller)
         self._read_bytes = read_bytes
         self._on_fault = on_fault
-        self._buffers: dict[socket.socket, deque[bytes]] = {}
-        self._closing: set[socket.socket] = set()
+        self._buffers: dict[socket.socket, deque[memoryview]] = {}
+        # Connections to be closed once all is sent, and whether their callers may still send.
+        self._closing: dict[socket.socket, bool] = {}
         self._paused: set[socket.socket] = set()
         self._poller: DirectPoller | None = None
         self._listen_socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._listen_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listen_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self._listen_socket.setblocking(False)
         self._listen_socket.bind(bind)
         self._listen_socket.listen(LISTEN_BACKLOG)
@@ -152,6 +169,9 @@
             if is_refused is None or accepted >= MAX_ACCEPTED_AT_ONCE:
                 return
 
+    def _find_poller(self) -> DirectPoller:
+        return self._poller
+
     def _take_pending(self) -> socket.socket | None:
         """Return a connection that waits to be accepted, None if there is none."""
         try:
@@ -200,12 +220,14 @@
         buffer = self._buffers.get(sock)
         if buffer is None:
             return
+        left = memoryview(data)
         if not buffer:
-            data = data[self._try_send(sock, data) :]
-        if data:
-            buffer.append(data)
-            self.unsent_bytes[sock] = self.unsent_bytes.get(sock, 0) + len(data)
+            left = left[self._try_send(sock, data) :]
+        if left:
+            buffer.append(left)
+            self.unsent_bytes[sock] = self.unsent_bytes.get(sock, 0) + len(left)
             self._poller.watch(sock, self, self._read_mask(sock) | WRITE)
+            self._listener.unsent_changed(sock, self.unsent_bytes[sock], False)
 
     def _read_mask(self, sock: socket.socket) -> int:
         return 0 if sock in self._paused else READ
@@ -237,55 +259,88 @@
     def on_writable(self, sock: socket.socket) -> None:
         """Send queued bytes of a connection."""
         buffer = self._buffers[sock]
-        parts, size = [], 0
-        while buffer and size < MAX_SEND_BYTES:
-            parts.append(buffer.popleft())
-            size += len(parts[-1])
-        joined = b"".join(parts)
+        data = _take_next(buffer)
         try:
-            sent = sock.send(joined)
+            sent = sock.send(data)
         except BlockingIOError:
             sent = 0
         except OSError:
             self.drop(sock)
             return
-        if sent < len(joined):
-            buffer.appendleft(joined[sent:])
+        if sent < len(data):
+            buffer.appendleft(data[sent:])
         self.unsent_bytes[sock] -= sent
+        left = self.unsent_bytes[sock]
         if not buffer:
             self._on_all_sent(sock)
+        # Last, since it may close the connection.
+        self._listener.unsent_changed(sock, left, sent > 0)
 
     def _on_all_sent(self, sock: socket.socket) -> None:
         """Close the connection if that was requested, otherwise resume reading."""
         del self.unsent_bytes[sock]
         if sock in self._closing:
-            self.drop(sock)
+            self._end(sock, self._closing[sock])
         else:
             self._poller.watch(sock, self, self._read_mask(sock))
 
-    def close(self, sock: socket.socket) -> None:
-        """Close a connection after its queued bytes have been sent."""
+    def close(self, sock: socket.socket, lingers: bool = False) -> None:
+        """Close a connection after its queued bytes have been sent.
+
+        Parameters
+        ----------
+        lingers : bool
+            True if the caller may still send; see `LingeringSockets`.
+        """
+        if sock not in self._buffers:
+            return
         if self.unsent_bytes.get(sock):
-            self._closing.add(sock)
+            self._closing[sock] = lingers
             # Reading stops: otherwise each poll would report the end of the caller's stream.
             self._poller.watch(sock, self, WRITE)
         else:
+            self._end(sock, lingers)
+
+    def _end(self, sock: socket.socket, lingers: bool) -> None:
+        """Close a connection whose bytes have all been sent."""
+        if not lingers:
             self.drop(sock)
+            return
+        self._forget(sock)
+        self._lingering.add(sock)
 
     def drop(self, sock: socket.socket) -> None:
         """Close a connection without sending its queued bytes."""
-        if self._buffers.pop(sock, None) is None:
+        if sock not in self._buffers:
             return
-        self.unsent_bytes.pop(sock, None)
-        self._closing.discard(sock)
-        self._paused.discard(sock)
-        self._poller.unwatch(sock)
+        self._forget(sock)
         with contextlib.suppress(OSError):  # the caller has closed it already
             sock.shutdown(socket.SHUT_RDWR)
         sock.close()
+
+    def _forget(self, sock: socket.socket) -> None:
+        """Drop the state of a connection, and notify the listener that it is closed."""
+        del self._buffers[sock]
+        self.unsent_bytes.pop(sock, None)
+        self._closing.pop(sock, None)
+        self._paused.discard(sock)
+        self._poller.unwatch(sock)
         self._timers.once(0.0, lambda: self._listener.closed(sock))
 
 
+def _take_next(buffer: deque[memoryview]) -> memoryview:
+    """Remove and return the bytes to send next: a part of a large piece, or small ones joined."""
+    first = buffer.popleft()
+    if len(first) > MAX_SEND_BYTES:
+        buffer.appendleft(first[MAX_SEND_BYTES:])
+        return first[:MAX_SEND_BYTES]
+    parts, size = [first], len(first)
+    while buffer and size + len(buffer[0]) <= MAX_SEND_BYTES:
+        parts.append(buffer.popleft())
+        size += len(parts[-1])
+    return first if len(parts) == 1 else memoryview(b"".join(parts))
+
+
 def _reset(sock: socket.socket) -> None:
     """Close a connection with a reset, which tells the caller at once that nothing was read."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
--- a/flamingofront/connection/splice.py
+++ b/flamingofront/connection/splice.py
@@ -17,6 +17,7 @@
 
 from flamingofront.connection.poller import READ, WRITE, DirectPoller, SocketOwner
 from flamingofront.connection.sockets import RESET_ON_CLOSE, enable_keepalive
+from flamingofront.decisions.memory_account import MemoryAccount, MemoryKind
 from flamingofront.process.timers import Timer, TimerService
 
 __all__ = ["ConnectionSplicer", "SpliceEnd"]
@@ -28,6 +29,8 @@
 CONNECT_TIMEOUT_SECONDS = 0.25
 # Each takes two sockets.
 MAX_SPLICES = 512
+# Size of the account of a splicer that is given none.
+DEFAULT_MEMORY_BYTES = 32 * 1024 * 1024
 
 
 class SpliceEnd(StrEnum):
@@ -39,6 +42,8 @@
     """One side reset it."""
     NOT_CONNECTED = "not connected"
     """The peer accepted no connection, and the caller's was reset unread."""
+    EVICTED = "evicted"
+    """The bytes in between were not taken, and this process needed their memory."""
 
 
 class _Splice(SocketOwner):
@@ -67,6 +72,8 @@
         self._is_answered = False
         self._is_ended = False
         self._timer: Timer | None = None
+        self._holding = splicer.memory.open(lambda: self.end(SpliceEnd.EVICTED))
+        self._held = 0
 
     def connect(self) -> None:
         """Start to connect to the peer."""
@@ -115,9 +122,10 @@
             return
         unsent = self._unsent[sock]
         try:
-            del unsent[: sock.send(unsent)]
+            sent = sock.send(unsent)
+            del unsent[:sent]
         except BlockingIOError:
-            pass
+            sent = 0
         except OSError:
             self.end(SpliceEnd.RESET)
             return
@@ -126,6 +134,18 @@
             return
         self._update(sock)
         self._update(self._other[sock])
+        self._record_held(sent > 0)
+
+    def _record_held(self, has_progress: bool) -> None:
+        """Enter the bytes in between in the account."""
+        held = sum(map(len, self._unsent.values()))
+        if held == self._held:
+            return
+        self._held = held
+        now = self._splicer.timers.now()
+        if has_progress:
+            self._holding.record_progress(now)
+        self._holding.record(MemoryKind.COPIED, held, now)
 
     def _begin(self) -> None:
         if self._peer.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
@@ -163,6 +183,7 @@
         self._record_answer()
         if self._timer is not None:
             self._timer.cancel()
+        self._holding.close()
         for sock in (self._caller, self._peer):
             self._splicer.find_poller().unwatch(sock)
             if how is not SpliceEnd.CLOSED:
@@ -181,6 +202,8 @@
     ----------
     on_end : callable
         Called with the address of the peer and the `SpliceEnd` of each spliced connection.
+    memory : MemoryAccount, optional
+        Account of what the connections hold.
 
     Attributes
     ----------
@@ -190,9 +213,15 @@
 
     channel = "splicer"
 
-    def __init__(self, timers: TimerService, on_end: Callable[[str, SpliceEnd], None]):
+    def __init__(
+        self,
+        timers: TimerService,
+        on_end: Callable[[str, SpliceEnd], None],
+        memory: MemoryAccount | None = None,
+    ):
         super().__init__(channel="splicer")
         self.timers = timers
+        self.memory = memory or MemoryAccount(DEFAULT_MEMORY_BYTES)
         self._poller: DirectPoller | None = None
         self.unanswered: Counter[str] = Counter()
         self._on_end = on_end
--- a/flamingofront/connection/tests/test_splice.py
+++ b/flamingofront/connection/tests/test_splice.py
@@ -12,6 +12,7 @@
 from flamingofront.connection.runtime import Runtime
 from flamingofront.connection.server import HTTPServer, ServerLimits
 from flamingofront.connection.splice import ConnectionSplicer, SpliceEnd
+from flamingofront.decisions.memory_account import MemoryKind
 
 WAIT_SECONDS = 5.0
 LARGE = 3_000_000
@@ -184,6 +185,20 @@
             send(sock, "/flood")
             assert pair.held.wait(WAIT_SECONDS)
 
+    def test_bytes_that_a_caller_does_not_take_are_in_the_account(self, pair):
+        """They were bounded for one connection, not for all of them."""
+        kind = MemoryKind.COPIED
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 10_000)
+            sock.connect(("127.0.0.1", pair.callers.port))
+            send(sock, "/echo", bytes(LARGE) * 2)
+            end = time.monotonic() + WAIT_SECONDS
+            while not pair.splicer.memory.state.by_kind[kind] and time.monotonic() < end:
+                time.sleep(0.01)
+            assert pair.splicer.memory.state.by_kind[kind] > 0
+        pair.wait_for_ends()
+        assert pair.splicer.memory.state.used == 0
+
     def test_close_idle_keeps_connections_with_a_request(self, pair):
         # A request was cut off when the process that took its connection stopped.
         with pair.connect() as idle, pair.connect() as busy:
--- a/flamingofront/errors.py
+++ b/flamingofront/errors.py
@@ -50,6 +50,7 @@
     HOLDER_UNREACHABLE = "holder_unreachable"
     LIMIT_EXCEEDED = "limit_exceeded"
     OVERLOADED = "overloaded"
+    MEMORY_EXHAUSTED = "memory_exhausted"
     DRAINING = "draining"
     NOT_READY = "not_ready"
     NO_ENDPOINT = "no_endpoint"
@@ -123,6 +124,9 @@
         429, Executed.NO, True, "the workspace is over its limit"
     ),
     ErrorKind.OVERLOADED: ErrorResponse(503, Executed.NO, True, "the endpoints are at capacity"),
+    ErrorKind.MEMORY_EXHAUSTED: ErrorResponse(
+        503, Executed.NO, True, "this entry VM has no memory for the request now"
+    ),
     ErrorKind.DRAINING: ErrorResponse(503, Executed.NO, True, "this entry VM is draining"),
     ErrorKind.NOT_READY: ErrorResponse(503, Executed.NO, True, "this entry VM is starting"),
     ErrorKind.NO_ENDPOINT: ErrorResponse(
--- a/flamingofront/forward_daemon.py
+++ b/flamingofront/forward_daemon.py
@@ -35,6 +35,7 @@
 from flamingofront.process.forwarding.knowledge import SharedTables
 from flamingofront.process.forwarding.node import Dependencies, ForwardingNode
 from flamingofront.process.forwarding.overload import ConnectionOverload
+from flamingofront.process.forwarding.proxy import render_peer_error
 from flamingofront.process.forwarding.settings import DeploymentSettings
 from flamingofront.process.forwarding.shutdown import GracefulShutdown
 from flamingofront.process.logs import Log, NonBlockingStream, set_up_logs
@@ -122,11 +123,13 @@
             "ready": ready,
             "metrics": self._make_server(metrics, self.node.handle_control, "metrics"),
         }
+        render_error = PlatformProtocol().render_error
         self._control: HTTPServer | None = None
         if settings.control_bind is not None:
             self._control = self._make_server(
                 settings.control_bind, self.node.handle_control, "control"
             )
+            self._control.render_error = lambda exc: render_peer_error(exc, render_error(exc))
             servers["control"] = self._control
         self._ports = {name: server.port for name, server in servers.items()}
         self._stop = GracefulShutdown(
@@ -166,6 +169,7 @@
                 self._handle_exception,
                 channel=channel,
                 render_error=PlatformProtocol().render_error,
+                memory=self.node.memory,
             ).register(self.runtime)
 
     def _apply_caller_limits(self, cfg: ForwardingConfiguration) -> None:
--- a/flamingofront/platform/settings.py
+++ b/flamingofront/platform/settings.py
@@ -1,16 +1,22 @@
 """Parser of the platform's settings file: lines ``a.b=value``, lists separated by commas."""
 
+import math
 import os
 from collections.abc import Mapping
 
 from flamingofront.errors import SettingsError
-from flamingofront.process.forwarding.settings import DeploymentSettings, SharedRules
+from flamingofront.process.forwarding.settings import (
+    DeploymentSettings,
+    ProcessResources,
+    SharedRules,
+)
 from flamingofront.process.settings import Address, parse_address
 
 __all__ = ["SETTINGS_VARIABLE", "parse_settings", "read_settings", "get_settings_path"]
 
 # Environment variable that holds the path of the settings file.
 SETTINGS_VARIABLE = "FLAMINGOFRONT_BOOT"
+BYTES_PER_MEGABYTE = 1_000_000
 
 
 def get_settings_path(environment: Mapping[str, str] = os.environ) -> str | None:
@@ -59,9 +65,18 @@
         # Seconds between SIGTERM and SIGKILL.
         stop_grace=fields.get_float("bounds.grace_s", 8.0),
         rules=_parse_rules(fields),
+        resources=_parse_resources(fields),
     )
 
 
+def _parse_resources(fields: "_Fields") -> ProcessResources:
+    """Return what the process may use."""
+    default = ProcessResources()
+    megabytes = fields.get_positive("limits.memory_mb", default.memory / BYTES_PER_MEGABYTE)
+    descriptors = fields.get_positive("limits.max_fds", default.descriptors)
+    return ProcessResources(int(megabytes * BYTES_PER_MEGABYTE), int(descriptors))
+
+
 def _parse_rules(fields: "_Fields") -> SharedRules:
     """Return the limits that all entry processes enforce together, with times in seconds."""
     return SharedRules(
@@ -114,6 +129,12 @@
         except ValueError:
             raise SettingsError(f"settings: {key} must be a number, got {text!r}") from None
 
+    def get_positive(self, key: str, default: float) -> float:
+        value = self.get_float(key, default)
+        if not 0 < value < math.inf:
+            raise SettingsError(f"settings: {key} must be above 0, got {value:g}")
+        return value
+
     def get_integers(self, key: str) -> tuple[int, ...]:
         items = self.get_list(key)
         if not items or not all(each.isdigit() for each in items):
--- a/flamingofront/process/forwarding/control.py
+++ b/flamingofront/process/forwarding/control.py
@@ -11,6 +11,7 @@
 from flamingofront.process.forwarding.news import encode_endpoint_update
 from flamingofront.process.forwarding.operators import OperatorQueries
 from flamingofront.process.membership import Role, VmState
+from flamingofront.process.memory import set_memory_gauges
 from flamingofront.request.proxy_messages import PROXY_PATH, REACH_PATH
 
 if TYPE_CHECKING:
@@ -67,6 +68,7 @@
         node, gauge = self._node, self._node.metrics.gauge
         gauge("requests_in_flight", len(node.hub.active))
         gauge("requests_waiting", node.hub.count_queued())
+        set_memory_gauges(node.memory, node.metrics)
         gauge("requests_suspected", len(node.hub.guard.suspects()))
         gauge("requests_held", len(node.hub.guard.quarantine.list_entries()))
         counts = Counter(map(node.hub.paths.path_to, node.directory.ready_endpoints()))
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -8,6 +8,7 @@
 from flamingofront.connection.client import MAX_IDLE_CONNECTIONS_PER_ADDRESS
 from flamingofront.connection.interfaces import Exchange, Transport
 from flamingofront.decisions.choice import BacklogChoice
+from flamingofront.decisions.memory_account import MemoryAccount
 from flamingofront.decisions.quota import SharedQuota
 from flamingofront.decisions.quota_facts import QuotaLimits
 from flamingofront.decisions.retry import RetryBudget
@@ -56,6 +57,7 @@
 from flamingofront.process.intents import IntentRecorder
 from flamingofront.process.logs import Log
 from flamingofront.process.membership import FactTable
+from flamingofront.process.memory import LoggedMemory, compute_account_size
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.services import Services
 from flamingofront.process.store import Cloud, TableStore
@@ -122,6 +124,9 @@
         self.timers = dependencies.timers
         self.log = log
         self.metrics = Metrics({"vm": settings.vm_id, "zone": settings.zone})
+        self.memory = MemoryAccount(
+            compute_account_size(settings.resources.memory, 0), LoggedMemory(self.metrics, log)
+        )
         self.on_configuration: Callable[[ForwardingConfiguration], None] = lambda cfg: None
         # Mean delay until a new connection is read, if it is measured.
         self.delay_ms: Callable[[], int | None] = lambda: None
@@ -220,6 +225,7 @@
             dependencies.protocol,
             self._retry_budget,
         )
+        self.hub.response_memory.use_account(self.memory, self.timers.now)
         self.store_view.on_rollout = self.rollouts.apply_order
         self.hub.on_endpoint_leaving = self._on_endpoint_leaving
         self.hub.paths.monitor.enabled = True
@@ -584,6 +590,7 @@
         """Apply a new active configuration."""
         self.gateway.configuration = cfg
         self.quota.start_buckets(cfg.workspaces, self.timers.now())
+        self.memory.size = compute_account_size(self.settings.resources.memory, cfg.limits.max_body)
         self.on_configuration(cfg)
 
     @property
--- a/flamingofront/process/forwarding/overload.py
+++ b/flamingofront/process/forwarding/overload.py
@@ -51,7 +51,7 @@
         self._handed_over = self._reset = 0
         self._delays: dict[str, float] = {}
         self._delays_until = 0.0
-        self.splicer = ConnectionSplicer(timers, self._on_splice_end)
+        self.splicer = ConnectionSplicer(timers, self._on_splice_end, node.memory)
         callers.set_refusal(self._must_refuse, self._take_over)
         callers.must_close = control.must_close
         node.delay_ms = lambda: round(control.mean_delay_seconds * 1000)
--- a/flamingofront/process/forwarding/proxy.py
+++ b/flamingofront/process/forwarding/proxy.py
@@ -9,7 +9,9 @@
 
 from flamingofront.connection.framing import HOP_BY_HOP_FIELDS, get_connection_options
 from flamingofront.connection.interfaces import CallEvent, CallHandle, Exchange
+from flamingofront.connection.server import RenderedError
 from flamingofront.decisions.direct_paths import PathStatus
+from flamingofront.errors import ErrorKind, RequestError
 from flamingofront.messages import (
     CallFailed,
     InboundRequest,
@@ -35,7 +37,7 @@
 if TYPE_CHECKING:
     from flamingofront.process.forwarding.node import ForwardingNode
 
-__all__ = ["AttemptProxy"]
+__all__ = ["AttemptProxy", "render_peer_error"]
 
 # Attempts proxied at once; beyond it peers ask another process, so that one VM is not overloaded
 # by the callers of many.
@@ -126,6 +128,20 @@
         self._attempts.discard(attempt)
 
 
+def render_peer_error(exc: RequestError, rendered: RenderedError) -> RenderedError:
+    """Return the response to a peer for an error, given the response that a caller would get.
+
+    Notes
+    -----
+    The peer takes a response without a failure for that of the endpoint. A request that this
+    process has no memory for was refused before it was read.
+    """
+    if exc.kind is not ErrorKind.MEMORY_EXHAUSTED:
+        return rendered
+    status, headers, body = rendered
+    return status, (*headers, encode_proxy_failure(ProxyFailure(ProxyRefusal.BUSY.value))), body
+
+
 def respond_failure(exchange: Exchange, failure: ProxyFailure) -> None:
     """Tell the peer that its attempt failed before a response started."""
     exchange.respond(STATUS_NOT_PROXIED, (encode_proxy_failure(failure),), b"")
--- a/flamingofront/process/forwarding/settings.py
+++ b/flamingofront/process/forwarding/settings.py
@@ -4,7 +4,7 @@
 
 from flamingofront.process.settings import Address
 
-__all__ = ["DeploymentSettings", "SharedRules"]
+__all__ = ["DeploymentSettings", "ProcessResources", "SharedRules"]
 
 
 @dataclass(frozen=True)
@@ -39,6 +39,22 @@
     expose_share: float = 0.1
 
 
+@dataclass(frozen=True)
+class ProcessResources:
+    """What one process may use.
+
+    Parameters
+    ----------
+    memory : int
+        Bytes of memory; the process is killed when it exceeds them.
+    descriptors : int
+        Open descriptors, some of which only files may use.
+    """
+
+    memory: int = 512_000_000
+    descriptors: int = 4096
+
+
 @dataclass(frozen=True)
 class DeploymentSettings:
     """Addresses of an entry process, and the platform services it depends on.
@@ -60,6 +76,8 @@
         Names of the leader tasks, each done by one entry process at a time.
     stop_grace : float
         Seconds from SIGTERM until the process is killed.
+    resources : ProcessResources
+        What the process may use.
     """
 
     vm_id: str
@@ -76,3 +94,4 @@
     duties: tuple[str, ...]
     stop_grace: float
     rules: SharedRules = SharedRules()
+    resources: ProcessResources = ProcessResources()
--- a/flamingofront/process/metrics.py
+++ b/flamingofront/process/metrics.py
@@ -15,6 +15,8 @@
     "connections_spliced_total": "Connections of callers that one process handed to another",
     "requests_completed_total": "Requests answered whole, by service",
     "refusals_total": "Error answers, by kind",
+    "memory_refusals_total": "Requests refused for want of memory, by what it was wanted for",
+    "memory_evictions_total": "Connections ended for their memory, by what it was held for",
     "retries_total": "Further attempts, by reason",
     "attempts_total": "Attempts started, by service",
     "frames_dropped_total": "Frames that were not used, by reason",
@@ -72,6 +74,8 @@
 GAUGES: Mapping[str, str] = {
     "requests_in_flight": "Requests held here",
     "requests_waiting": "Requests that wait for an endpoint",
+    "memory_limit_bytes": "Memory that connections may hold",
+    "memory_held_bytes": "Memory that connections hold, by what it is held for",
     "requests_suspected": "Requests at which endpoints ended, and that are run",
     "requests_held": "Requests that are not run",
     "configuration_revision": "Revision in force",
