Accepted connections leave descriptors for endpoints and the store

Callers saw: a process took connections until it had no descriptors left, also those that only files may use, so that it could not connect to endpoints, the store or peers.

Change: each server of a process has a share of the descriptors without the 200 for files. A new connection beyond it closes the one that has been idle for longest, after a last read; without an idle one it goes to a peer with room or is reset unread. Connections that are handed over have a share, too.

--- a/flamingofront/connection/caller_connection.py
+++ b/flamingofront/connection/caller_connection.py
@@ -134,6 +134,7 @@
 
     def start_idle_timer(self) -> None:
         """Close the connection if no request starts within the idle timeout."""
+        self._server.mark_idle(self._sock)
         self._set_timer(
             self._server.limits.idle_timeout, lambda: self._server.close_if_idle(self._sock)
         )
@@ -153,6 +154,7 @@
     def _receive_next(self, data: bytes) -> None:
         """Handle bytes of the next request."""
         if self._receiver.is_empty:
+            self._server.mark_busy(self._sock)
             self._set_timer(self._server.limits.request_timeout, self._on_request_timeout)
         try:
             self._parse_request(data)
--- a/flamingofront/connection/server.py
+++ b/flamingofront/connection/server.py
@@ -127,9 +127,12 @@
         self._on_request = on_request
         self._on_fault = on_fault
         self._connections: dict[socket.socket, CallerConnection] = {}
+        # Connections without a request, those that have been idle for longest first.
+        self._idle: dict[socket.socket, None] = {}
         self._sockets = ServerSockets(bind, self, timers, READ_BYTES, on_fault, channel).register(
             self
         )
+        self._sockets.make_room = self._close_longest_idle
 
     @property
     def port(self) -> int:
@@ -158,6 +161,10 @@
         self._sockets.must_refuse = must_refuse
         self._sockets.take_over = take_over
 
+    def limit_connections(self, count: int) -> None:
+        """Set the maximum number of open connections; idle ones are closed for new ones."""
+        self._sockets.max_connections = count
+
     @property
     def connections(self) -> int:
         """Number of open connections."""
@@ -209,6 +216,21 @@
         """Close `sock` like `close_after_sending`, though its caller may still send."""
         self._sockets.close(sock, lingers=True)
 
+    def mark_idle(self, sock: socket.socket) -> None:
+        """Record that a connection has no request."""
+        self._idle[sock] = None
+
+    def mark_busy(self, sock: socket.socket) -> None:
+        """Record that a request arrives on a connection."""
+        self._idle.pop(sock, None)
+
+    def _close_longest_idle(self) -> None:
+        """Close the connection that has been idle for longest."""
+        sock = next(iter(self._idle), None)
+        if sock is not None:
+            del self._idle[sock]
+            self.close_if_idle(sock)
+
     def close_idle(self) -> int:
         """Close the connections without a request and return the number of those found idle."""
         idle = [sock for sock, conn in self._connections.items() if conn.is_idle]
@@ -256,4 +278,5 @@
 
     def closed(self, sock: socket.socket) -> None:
         """Remove a closed connection."""
+        self._idle.pop(sock, None)
         self._connections.pop(sock).mark_closed()
--- a/flamingofront/connection/sockets.py
+++ b/flamingofront/connection/sockets.py
@@ -4,6 +4,7 @@
 import errno
 import socket
 import struct
+import sys
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Callable
@@ -91,6 +92,10 @@
     must_refuse : callable
         Gets the seconds for which a new connection has waited; returns True if it is refused
         without reading from it, None while none is refused.
+    max_connections : int
+        Open connections beyond which a new one is refused.
+    make_room : callable
+        Called when a new connection is beyond this number, to close another.
     take_over : callable
         Gets each new connection while some are refused, the seconds for which it has waited, and
         whether it is refused. Returns True if it has passed the connection on.
@@ -111,6 +116,8 @@
         self.take_over: Callable[[socket.socket, float, bool], bool] = (
             lambda sock, waited, is_refused: False
         )
+        self.max_connections = sys.maxsize
+        self.make_room: Callable[[], None] = lambda: None
         self._listener = listener
         self._timers = timers
         self._lingering = LingeringSockets(timers, self._find_poller)
@@ -159,6 +166,8 @@
                 return
             waited = _get_waited_seconds(pending)
             is_refused = self.must_refuse(waited)
+            if not is_refused and not self._has_room():
+                is_refused = True
             if is_refused is not None and self.take_over(pending, waited, is_refused):
                 continue
             if is_refused:
@@ -169,6 +178,15 @@
             if is_refused is None or accepted >= MAX_ACCEPTED_AT_ONCE:
                 return
 
+    def _has_room(self) -> bool:
+        """Return True if another connection may be open, for which an idle one may be closed."""
+        if self._count_open() >= self.max_connections:
+            self.make_room()
+        return self._count_open() < self.max_connections
+
+    def _count_open(self) -> int:
+        return len(self._buffers) + len(self._lingering)
+
     def _find_poller(self) -> DirectPoller:
         return self._poller
 
--- a/flamingofront/connection/splice.py
+++ b/flamingofront/connection/splice.py
@@ -207,6 +207,8 @@
 
     Attributes
     ----------
+    max_open : int
+        Maximum number of connections.
     unanswered : Counter of str
         Connections at each address on which nothing has come from the peer yet.
     """
@@ -222,6 +224,7 @@
         super().__init__(channel="splicer")
         self.timers = timers
         self.memory = memory or MemoryAccount(DEFAULT_MEMORY_BYTES)
+        self.max_open = MAX_SPLICES
         self._poller: DirectPoller | None = None
         self.unanswered: Counter[str] = Counter()
         self._on_end = on_end
@@ -236,7 +239,7 @@
     @property
     def has_room(self) -> bool:
         """True if another connection can be handed over."""
-        return len(self._splices) < MAX_SPLICES
+        return len(self._splices) < self.max_open
 
     def count_open(self) -> int:
         """Return the number of connections that are open."""
--- a/flamingofront/connection/tests/test_server_memory.py
+++ b/flamingofront/connection/tests/test_server_memory.py
@@ -237,3 +237,34 @@
                     server.advance_time(LINGER_SECONDS)
                     conn.sendall(b"x")
                     time.sleep(0.01)
+
+
+class TestManyConnections:
+    def test_connection_that_has_been_idle_for_longest_makes_room(self, server):
+        server.run_in_loop(lambda: server.server.limit_connections(3))
+        conns = [server.connect() for _ in range(3)]
+        for conn in (conns[1], conns[0], conns[2]):
+            conn.sendall(build_head(1) + b"x")
+            assert read_response(conn)[0] == 200
+        with server.connect() as new:
+            new.sendall(build_head(1) + b"x")
+            assert read_response(new)[0] == 200
+        assert conns[1].recv(1) == b""
+        conns[0].sendall(build_head(1) + b"x")
+        assert read_response(conns[0])[0] == 200
+        for conn in conns:
+            conn.close()
+
+    def test_connections_with_requests_are_kept_and_a_new_one_is_reset(self, server):
+        server.run_in_loop(lambda: server.server.limit_connections(2))
+        conns = [server.connect() for _ in range(2)]
+        for conn in conns:
+            conn.sendall(build_head(1, "/keep") + b"x")
+        server.wait_until(lambda: len(server.held) == 2)
+        with server.connect() as new, pytest.raises(ConnectionResetError):
+            new.recv(1)
+        for each in list(server.held):
+            server.run_in_loop(lambda each=each: each.respond(200, (), b"whole"))
+        assert [read_response(each) for each in conns] == [(200, b"whole")] * 2
+        for conn in conns:
+            conn.close()
--- a/flamingofront/forward_daemon.py
+++ b/flamingofront/forward_daemon.py
@@ -39,6 +39,7 @@
 from flamingofront.process.forwarding.settings import DeploymentSettings
 from flamingofront.process.forwarding.shutdown import GracefulShutdown
 from flamingofront.process.logs import Log, NonBlockingStream, set_up_logs
+from flamingofront.process.memory import compute_connection_limits
 from flamingofront.process.settings import Address
 from flamingofront.version.forwarding import ForwardingConfiguration
 
@@ -115,13 +116,14 @@
         self.spliced.closing = True
         # Several are accepted in one turn of the event loop, as where some are refused.
         self.spliced.set_refusal(lambda waited: False)
-        ready = self._make_server(settings.ready_bind, self.node.handle_ready, "ready")
+        self._ready = self._make_server(settings.ready_bind, self.node.handle_ready, "ready")
         metrics = Address(settings.ip, metrics_port)
+        self._metrics = self._make_server(metrics, self.node.handle_control, "metrics")
         servers = {
             "callers": self.callers,
             "spliced": self.spliced,
-            "ready": ready,
-            "metrics": self._make_server(metrics, self.node.handle_control, "metrics"),
+            "ready": self._ready,
+            "metrics": self._metrics,
         }
         render_error = PlatformProtocol().render_error
         self._control: HTTPServer | None = None
@@ -131,6 +133,7 @@
             )
             self._control.render_error = lambda exc: render_peer_error(exc, render_error(exc))
             servers["control"] = self._control
+        self._limit_connections()
         self._ports = {name: server.port for name, server in servers.items()}
         self._stop = GracefulShutdown(
             self.node,
@@ -172,6 +175,17 @@
                 memory=self.node.memory,
             ).register(self.runtime)
 
+    def _limit_connections(self) -> None:
+        """Divide the descriptors of this process among its servers."""
+        limits = compute_connection_limits(self._settings.resources.descriptors)
+        self.callers.limit_connections(limits.callers)
+        self.spliced.limit_connections(limits.spliced)
+        self._ready.limit_connections(limits.probes)
+        self._metrics.limit_connections(limits.probes)
+        if self._control is not None:
+            self._control.limit_connections(limits.control)
+        self._overload.splicer.max_open = limits.handed_over
+
     def _apply_caller_limits(self, cfg: ForwardingConfiguration) -> None:
         """Apply the caller limits of a newly activated configuration."""
         limits = cfg.limits
@@ -235,6 +249,7 @@
         if changed:
             self._settings = settings
             self.node.settings = settings
+            self._limit_connections()
 
     def run(self) -> None:
         """Serve until a graceful shutdown is complete."""
--- a/flamingofront/process/memory.py
+++ b/flamingofront/process/memory.py
@@ -1,4 +1,6 @@
-"""Share of the memory of a process that its callers may use, and the log of its use."""
+"""Shares of the resources of a process that its callers may use, and the log of their use."""
+
+from dataclasses import dataclass
 
 from flamingofront.decisions.memory_account import (
     MemoryAccount,
@@ -10,8 +12,10 @@
 from flamingofront.process.metrics import Metrics
 
 __all__ = [
+    "ConnectionLimits",
     "LoggedMemory",
     "compute_account_size",
+    "compute_connection_limits",
     "set_memory_gauges",
 ]
 
@@ -22,6 +26,38 @@
 ACCOUNT_SHARE = 0.45
 # The account holds two of the largest bodies in any case.
 MIN_LARGEST_BODIES = 2
+# Descriptors that only files may use.
+FILE_DESCRIPTORS = 200
+# Parts of the other descriptors that connections of callers, of peers that hand connections over,
+# of peers and operators, and of probes may use. The rest is for endpoints, the store and peers.
+CALLER_SHARE = 0.4
+SPLICED_SHARE = 0.05
+CONTROL_SHARE = 0.08
+PROBE_SHARE = 0.01
+# Each connection that is handed over to a peer takes two.
+HANDED_OVER_SHARE = 0.06
+MIN_CONNECTIONS = 4
+
+
+@dataclass(frozen=True)
+class ConnectionLimits:
+    """Maximum numbers of open connections of the servers of a process.
+
+    Parameters
+    ----------
+    callers, spliced, control : int
+        Connections of callers, those handed over by peers, and those of peers and operators.
+    probes : int
+        Connections of the balancer's checks, and of those that read metrics.
+    handed_over : int
+        Connections of callers that peers serve.
+    """
+
+    callers: int
+    spliced: int
+    control: int
+    probes: int
+    handed_over: int
 
 
 def compute_account_size(memory: int, max_body: int) -> int:
@@ -38,6 +74,22 @@
     return max(share, MIN_LARGEST_BODIES * max_body)
 
 
+def compute_connection_limits(descriptors: int) -> ConnectionLimits:
+    """Return the maximum numbers of connections with so many descriptors."""
+    sockets = descriptors - FILE_DESCRIPTORS
+
+    def part(share: float) -> int:
+        return max(MIN_CONNECTIONS, int(sockets * share))
+
+    return ConnectionLimits(
+        callers=part(CALLER_SHARE),
+        spliced=part(SPLICED_SHARE),
+        control=part(CONTROL_SHARE),
+        probes=part(PROBE_SHARE),
+        handed_over=part(HANDED_OVER_SHARE),
+    )
+
+
 class LoggedMemory(MemoryObserver):
     """Logs when an account is full and when it has room again, and counts its decisions."""
 
--- a/flamingofront/process/tests/test_memory.py
+++ b/flamingofront/process/tests/test_memory.py
@@ -5,8 +5,10 @@
 from flamingofront.decisions.memory_account import MemoryAccount, MemoryKind
 from flamingofront.process.logs import Log
 from flamingofront.process.memory import (
+    FILE_DESCRIPTORS,
     LoggedMemory,
     compute_account_size,
+    compute_connection_limits,
     set_memory_gauges,
 )
 from flamingofront.process.metrics import Metrics
@@ -21,6 +23,14 @@
     def test_account_holds_the_largest_bodies_in_any_case(self):
         assert compute_account_size(50 * MEGABYTE, 4 * MEGABYTE) == 8 * MEGABYTE
 
+    @pytest.mark.parametrize("descriptors", [440, 1024, 4100])
+    def test_connections_leave_descriptors_for_files_and_endpoints(self, descriptors):
+        limits = compute_connection_limits(descriptors)
+        accepted = limits.callers + limits.spliced + limits.control + 2 * limits.probes
+        used = accepted + 2 * limits.handed_over
+        assert used <= 0.7 * (descriptors - FILE_DESCRIPTORS)
+        assert limits.callers > limits.control > limits.probes > 0
+
 
 class TestLoggedMemory:
     def test_log_and_metrics_show_that_the_account_is_full(self, log_lines):
