Large blocks go back to the system when they are freed

Callers saw: after a crowd had left, a process of 300 MB still held 134 MB (at rest 52), though the account showed that nothing was kept.

Cause: the allocator. The GNU C library raises the size from which a block is mapped on its own to that of the largest one that was freed; bodies then lie in the heap, which stays large while anything is in use at its end.

Change: the size is fixed at 128 KiB by mallopt.

--- a/flamingofront/forward_daemon.py
+++ b/flamingofront/forward_daemon.py
@@ -32,6 +32,7 @@
 from flamingofront.platform.rollouts import ROLLOUT_ROWS
 from flamingofront.platform.settings import SETTINGS_VARIABLE, get_settings_path, read_settings
 from flamingofront.platform.store import PlatformTableStore
+from flamingofront.process.allocator import return_large_blocks
 from flamingofront.process.forwarding.knowledge import SharedTables
 from flamingofront.process.forwarding.node import Dependencies, ForwardingNode
 from flamingofront.process.forwarding.overload import ConnectionOverload
@@ -272,6 +273,7 @@
     :param log_level: debug, info, warning or error
     :param metrics_port: port for metrics on the VM's address, 0 to let the kernel choose one
     """
+    return_large_blocks()
     set_up_logs(log_level, NonBlockingStream(sys.stdout.fileno()))
     path = get_settings_path(os.environ) or None
     try:
