Bodies in tiny chunks do not keep the event loop busy

Callers saw: while 100 callers sent bodies in chunks of one byte, ordinary requests were hardly answered.

Cause: each chunk cost some slices and method calls, and a turn of the event loop read up to 64 KiB, nearly 11,000 chunks, from each connection.

Change: complete chunks are decoded in one loop, and a connection with tiny chunks is read 4 KiB at a time.

--- a/flamingofront/connection/caller_connection.py
+++ b/flamingofront/connection/caller_connection.py
@@ -176,7 +176,9 @@
             self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
         if rest is not None:
             self._dispatch(rest)
-        elif not had_head and self._receiver.head is not None:
+        elif self._receiver.has_tiny_chunks:
+            self._server.read_slowly(self._sock)
+        if rest is None and not had_head and self._receiver.head is not None:
             self._set_timer(self._server.limits.request_timeout, self._on_request_timeout)
 
     def _dispatch(self, rest: bytes) -> None:
--- a/flamingofront/connection/framing.py
+++ b/flamingofront/connection/framing.py
@@ -55,6 +55,7 @@
 _FIELD_NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _LENGTH = re.compile(r"[0-9]{1,15}")
 _CHUNK_SIZE = re.compile(rb"[0-9a-fA-F]{1,8}")
+_CHUNK_START = re.compile(rb"([0-9a-fA-F]{1,8})\r\n")
 _METHOD = re.compile(r"[A-Z]{1,20}")
 _SINGLE_FIELDS = (b"content-length", b"transfer-encoding", b"host")
 
@@ -281,68 +282,91 @@
 class ChunkedDecoder(BodyDecoder):
     """Decoder for a body in chunked transfer coding without trailers.
 
+    Attributes
+    ----------
+    chunk_count : int
+        Number of chunks, or parts of them, in the bytes that were last added.
+
     Notes
     -----
     Trailers are rejected: nothing in this system uses them, and they can smuggle header fields.
     """
 
     def __init__(self):
-        self._buffer = bytearray()
+        self._data = b""  # bytes that are not parsed, and those of the next call
+        self._position = 0
         self._chunk_left = -1  # bytes of the current chunk and its CRLF, -1 between chunks
+        self.chunk_count = 0
 
     def feed(self, data: bytes) -> tuple[bytes, bytes]:
         """Return the decoded body bytes in `data` and the bytes after the last chunk."""
-        self._buffer += data
-        body = bytearray()
-        while not self.complete and self._parse_next(body):
+        self._data = self._data + data if self._data else data
+        self._position = 0
+        parts: list[bytes] = []
+        while not self.complete and self._parse_next(parts):
             pass
-        if not self.complete:
-            return bytes(body), b""
-        rest = bytes(self._buffer)
-        self._buffer.clear()
-        return bytes(body), rest
-
-    def _parse_next(self, body: bytearray) -> bool:
+        self.chunk_count = len(parts)
+        rest, self._data = self._data[self._position :], b""
+        if self.complete:
+            return b"".join(parts), rest
+        self._data = rest
+        return b"".join(parts), b""
+
+    def _parse_next(self, parts: list[bytes]) -> bool:
         if self._chunk_left >= 0:
-            return self._parse_chunk_data(body)
+            return self._parse_chunk_data(parts)
+        self._parse_whole_chunks(parts)
         return self._parse_chunk_size()
 
-    def _parse_chunk_data(self, body: bytearray) -> bool:
+    def _parse_whole_chunks(self, parts: list[bytes]) -> None:
+        """Parse chunks of which all bytes are there: with small ones, most of them."""
+        data, position = self._data, self._position
+        while match := _CHUNK_START.match(data, position):
+            start = match.end()
+            end = start + int(match[1], 16)
+            if end == start or data[end : end + 2] != b"\r\n":
+                break
+            parts.append(data[start:end])
+            position = end + 2
+        self._position = position
+
+    def _parse_chunk_data(self, parts: list[bytes]) -> bool:
         data_left = self._chunk_left - 2
         if data_left > 0:
-            part = self._buffer[:data_left]
-            body += part
-            del self._buffer[: len(part)]
+            part = self._data[self._position : self._position + data_left]
+            parts.append(part)
+            self._position += len(part)
             self._chunk_left -= len(part)
-        if self._chunk_left > 2 or len(self._buffer) < 2:
+        end = self._data[self._position : self._position + 2]
+        if self._chunk_left > 2 or len(end) < 2:
             return False
-        if self._buffer[:2] != b"\r\n":
+        if end != b"\r\n":
             raise _malformed_error("a chunk does not end where its size says")
-        del self._buffer[:2]
+        self._position += 2
         self._chunk_left = -1
         return True
 
     def _parse_chunk_size(self) -> bool:
-        end = self._buffer.find(b"\r\n")
-        if end < 0 and len(self._buffer) <= MAX_CHUNK_LINE_BYTES:
+        end = self._data.find(b"\r\n", self._position)
+        if end < 0 and len(self._data) - self._position <= MAX_CHUNK_LINE_BYTES:
             return False
-        line = bytes(self._buffer[: max(0, end)])
+        line = self._data[self._position : max(self._position, end)]
         if end < 0 or not _CHUNK_SIZE.fullmatch(line):
             raise _malformed_error(f"bad chunk size {line[:20]!r}")
         size = int(line, 16)
         if size:
-            del self._buffer[: end + 2]
+            self._position = end + 2
             self._chunk_left = size + 2
             return True
         return self._parse_last_chunk(end)
 
     def _parse_last_chunk(self, end: int) -> bool:
-        line_end = self._buffer[end + 2 : end + 4]
+        line_end = self._data[end + 2 : end + 4]
         if len(line_end) < 2:
             return False
         if line_end != b"\r\n":
             raise _malformed_error("trailers are not accepted")
-        del self._buffer[: end + 4]
+        self._position = end + 4
         self.complete = True
         return False
 
--- a/flamingofront/connection/request_receiver.py
+++ b/flamingofront/connection/request_receiver.py
@@ -5,6 +5,7 @@
 
 from flamingofront.connection.framing import (
     BodyDecoder,
+    ChunkedDecoder,
     Head,
     HeadBuffer,
     LengthDecoder,
@@ -22,6 +23,8 @@
 RESERVED_STEP_BYTES = 64 * 1024
 # So many bytes of a body count as progress; a byte now and then does not.
 PROGRESS_BYTES = 64 * 1024
+# More chunks than this are decoded in some turns of the event loop; 1,000 take about a millisecond.
+MAX_CHUNKS = 1000
 
 
 def make_memory_rejection() -> RequestError:
@@ -74,6 +77,12 @@
         """Bytes of memory that the complete request takes."""
         return self._head_bytes + self._body_bytes
 
+    @property
+    def has_tiny_chunks(self) -> bool:
+        """True if the bytes last added took long to decode."""
+        count = self._decoder.chunk_count if isinstance(self._decoder, ChunkedDecoder) else 0
+        return count > MAX_CHUNKS
+
     @property
     def expects_continue(self) -> bool:
         """True if the caller waits for leave to send the body."""
--- a/flamingofront/connection/server.py
+++ b/flamingofront/connection/server.py
@@ -32,6 +32,7 @@
 ]
 
 READ_BYTES = 64 * 1024
+SLOW_READ_BYTES = 4 * 1024
 # Size of the account of a server that is given none.
 DEFAULT_MEMORY_BYTES = 128 * 1024 * 1024
 JSON_HEADERS = (("Content-Type", "application/json"),)
@@ -208,6 +209,10 @@
         """Stop to read from `sock`, or read from it again."""
         self._sockets.set_reading(sock, is_reading)
 
+    def read_slowly(self, sock: socket.socket) -> None:
+        """Read few bytes of `sock` at once, since they take long to decode."""
+        self._sockets.limit_reads(sock, SLOW_READ_BYTES)
+
     def close_after_sending(self, sock: socket.socket) -> None:
         """Close `sock` after its queued bytes have been sent."""
         self._sockets.close(sock)
--- a/flamingofront/connection/sockets.py
+++ b/flamingofront/connection/sockets.py
@@ -127,6 +127,7 @@
         # Connections to be closed once all is sent, and whether their callers may still send.
         self._closing: dict[socket.socket, bool] = {}
         self._paused: set[socket.socket] = set()
+        self._read_limits: dict[socket.socket, int] = {}
         self._poller: DirectPoller | None = None
         self._listen_socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._listen_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -213,7 +214,7 @@
         if sock not in self._buffers:
             return
         try:
-            data = sock.recv(self._read_bytes)
+            data = sock.recv(self._read_limits.get(sock, self._read_bytes))
         except BlockingIOError:
             return
         except OSError:
@@ -224,6 +225,11 @@
         else:
             self.close(sock)
 
+    def limit_reads(self, sock: socket.socket, size: int) -> None:
+        """Read at most `size` bytes at once from a connection until it is closed."""
+        if sock in self._buffers:
+            self._read_limits[sock] = size
+
     def on_socket_error(self, sock: socket.socket) -> None:
         """Close a connection that the caller reset."""
         self.drop(sock)
@@ -342,6 +348,7 @@
         self.unsent_bytes.pop(sock, None)
         self._closing.pop(sock, None)
         self._paused.discard(sock)
+        self._read_limits.pop(sock, None)
         self._poller.unwatch(sock)
         self._timers.once(0.0, lambda: self._listener.closed(sock))
 
--- a/flamingofront/connection/tests/test_framing.py
+++ b/flamingofront/connection/tests/test_framing.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from flamingofront.connection.framing import HeadBuffer, create_request_decoder
+from flamingofront.connection.framing import ChunkedDecoder, HeadBuffer, create_request_decoder
 from flamingofront.errors import ErrorKind, RequestError
 
 MAX_BODY = 1000
@@ -121,3 +121,31 @@
     def test_backslashes_in_header_are_unchanged(self):
         head, _, _ = parse([b"GET / HTTP/1.1\r\nA: \\x41\\N{DASH}\\\r\n\r\n"])
         assert head.headers["a"] == "\\x41\\N{DASH}\\"
+
+
+class TestTinyChunks:
+    @pytest.mark.parametrize("size", [1, 7])
+    @pytest.mark.parametrize("piece", [1, 5, 1000, 65_536])
+    def test_body_is_the_same_however_it_arrives(self, size, piece):
+        body = bytes(each % 251 for each in range(3500))
+        parts = (body[at : at + size] for at in range(0, len(body), size))
+        wire = b"".join(b"%x\r\n%b\r\n" % (len(each), each) for each in parts) + b"0\r\n\r\n"
+        wire += b"next"
+        decoder, found, rest = ChunkedDecoder(), b"", b""
+        for start in range(0, len(wire), piece):
+            if decoder.complete:
+                rest += wire[start : start + piece]
+                continue
+            part, rest = decoder.feed(wire[start : start + piece])
+            found += part
+        assert decoder.complete and found == body and rest == b"next"
+
+    def test_number_of_chunks_is_counted(self):
+        decoder = ChunkedDecoder()
+        decoder.feed(b"1\r\nx\r\n" * 50)
+        assert decoder.chunk_count == 50
+
+    @pytest.mark.parametrize("end", [b"xx", b"\r\r", b"\n\r"])
+    def test_chunk_that_does_not_end_is_malformed(self, end):
+        with pytest.raises(RequestError):
+            ChunkedDecoder().feed(b"1\r\nx\r\n1\r\nx" + end + b"0\r\n\r\n")
--- a/flamingofront/connection/tests/test_server_memory.py
+++ b/flamingofront/connection/tests/test_server_memory.py
@@ -170,6 +170,17 @@
             conn.sendall(head + b"1\r\nx\r\n" * 200_000 + b"0\r\n\r\n")
             assert read_response(conn) == (200, b"200000")
 
+    @pytest.mark.parametrize(("size", "is_slow"), [(1, True), (60_000, False)])
+    def test_tiny_chunks_are_read_in_smaller_pieces(self, server, size, is_slow):
+        """Decoding them kept the event loop busy, and other callers waiting."""
+        head = b"POST /x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        chunk = b"%x\r\n%b\r\n" % (size, bytes(size))
+        with server.connect() as conn:
+            conn.sendall(head + chunk * (240_000 // size))
+            conn.sendall(b"0\r\n\r\n")
+            assert read_response(conn)[0] == 200
+            assert bool(server.server._sockets._read_limits) is is_slow
+
 
 class TestUnreadResponses:
     def test_callers_that_do_not_read_are_ended(self, server):
