--- a/flamingofront/platform/settings.py
+++ b/flamingofront/platform/settings.py
@@ -72,8 +72,8 @@
 def _parse_resources(fields: "_Fields") -> ProcessResources:
     """Return what the process may use."""
     default = ProcessResources()
-    megabytes = fields.get_positive("limits.memory_mb", default.memory / BYTES_PER_MEGABYTE)
-    descriptors = fields.get_positive("limits.max_fds", default.descriptors)
+    megabytes = fields.get_limit("limits.memory_mb", default.memory / BYTES_PER_MEGABYTE)
+    descriptors = fields.get_limit("limits.max_fds", default.descriptors)
     return ProcessResources(int(megabytes * BYTES_PER_MEGABYTE), int(descriptors))
 
 
@@ -129,11 +129,12 @@
         except ValueError:
             raise SettingsError(f"settings: {key} must be a number, got {text!r}") from None
 
-    def get_positive(self, key: str, default: float) -> float:
+    def get_limit(self, key: str, default: float) -> float:
+        """Return a limit, the default if it is missing or 0."""
         value = self.get_float(key, default)
-        if not 0 < value < math.inf:
-            raise SettingsError(f"settings: {key} must be above 0, got {value:g}")
-        return value
+        if not 0 <= value < math.inf:
+            raise SettingsError(f"settings: {key} must be 0 or more, got {value:g}")
+        return value or default
 
     def get_integers(self, key: str) -> tuple[int, ...]:
         items = self.get_list(key)
--- a/flamingofront/platform/tests/test_adapter.py
+++ b/flamingofront/platform/tests/test_adapter.py
@@ -21,6 +21,7 @@
 from flamingofront.platform.endpoints import decode_endpoint
 from flamingofront.platform.requests import PlatformProtocol
 from flamingofront.platform.settings import parse_settings
+from flamingofront.process.forwarding.settings import ProcessResources
 from flamingofront.process.store import ScalingRequest, UsageReport
 from flamingofront.version.forwarding import Backend, ForwardedRoute, RequestKind
 
@@ -71,12 +72,23 @@
         assert [each.host for each in settings.seeds] == ["127.0.0.1", "127.0.0.2"]
         assert settings.control_bind is None
 
+    def test_memory_and_descriptors_are_those_of_the_process(self):
+        settings = parse_settings(SETTINGS + "limits.memory_mb=300\nlimits.max_fds=4100\n")
+        assert settings.resources == ProcessResources(300_000_000, 4100)
+
+    @pytest.mark.parametrize("lines", ["", "limits.memory_mb=0\nlimits.max_fds=0\n"])
+    def test_resources_that_are_not_limited_have_defaults(self, lines):
+        assert parse_settings(SETTINGS + lines).resources == ProcessResources()
+
     @pytest.mark.parametrize(
         "line, expected_text",
         [
             ("listen.front=nonsense", "listen.front"),
             ("bounds.grace_s=soon", "bounds.grace_s"),
             ("port_range=x", "port_range"),
+            ("limits.memory_mb=much", "limits.memory_mb"),
+            ("limits.max_fds=-1", "limits.max_fds"),
+            ("limits.memory_mb=inf", "limits.memory_mb"),
             ("node_name=", "node_name"),
             ("no equals sign", "no equals sign"),
         ],
