--- a/flamingofront/connection/caller_connection.py
+++ b/flamingofront/connection/caller_connection.py
@@ -185,7 +185,8 @@
         self._timer.cancel()
         self._responding = True
         self.request_count += 1
-        self._pipelined += rest
+        if rest:
+            self._buffer_data(rest)
         receiver = self._receiver
         head = receiver.head
         self._keep_alive = head.keep_alive
