--- a/flamingofront/connection/tests/test_framing.py
+++ b/flamingofront/connection/tests/test_framing.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from flamingofront.connection.framing import HeadBuffer, create_request_decoder
+from flamingofront.connection.framing import ChunkedDecoder, HeadBuffer, create_request_decoder
 from flamingofront.errors import ErrorKind, RequestError
 
 MAX_BODY = 1000
@@ -121,3 +121,56 @@
     def test_backslashes_in_header_are_unchanged(self):
         head, _, _ = parse([b"GET / HTTP/1.1\r\nA: \\x41\\N{DASH}\\\r\n\r\n"])
         assert head.headers["a"] == "\\x41\\N{DASH}\\"
+
+
+class TestTinyChunks:
+    @pytest.mark.parametrize("size", [1, 7])
+    @pytest.mark.parametrize("piece", [1, 5, 1000, 65_536])
+    def test_body_is_the_same_however_it_arrives(self, size, piece):
+        body = bytes(each % 251 for each in range(3500))
+        parts = (body[at : at + size] for at in range(0, len(body), size))
+        wire = b"".join(b"%x\r\n%b\r\n" % (len(each), each) for each in parts) + b"0\r\n\r\n"
+        wire += b"next"
+        decoder, found, rest = ChunkedDecoder(), b"", b""
+        for start in range(0, len(wire), piece):
+            if decoder.complete:
+                rest += wire[start : start + piece]
+                continue
+            part, rest = decoder.feed(wire[start : start + piece])
+            found += part
+        assert decoder.complete and found == body and rest == b"next"
+
+    def test_number_of_chunks_is_counted(self):
+        decoder = ChunkedDecoder()
+        decoder.feed(b"1\r\nx\r\n2\r\nxx\r\n" * 50)
+        assert decoder.chunk_count == 100
+
+    @given(
+        st.lists(
+            st.tuples(st.sampled_from([1, 2, 9, 10, 15, 16, 40]), st.sampled_from([1, 8, 9, 30])),
+            max_size=20,
+        ),
+        st.integers(0, 3),
+        st.sampled_from([1, 7, 100, 5000]),
+    )
+    def test_chunks_of_equal_and_other_sizes_are_decoded_alike(self, runs, kind, piece):
+        """Chunks of the same size are decoded together; a body may look like the end of one."""
+        sizes = [size for size, count in runs for _ in range(count)]
+        pattern = (b"\r\n", b"1\r\nx\r\n", b"9\r\n", bytes(range(251)))[kind]
+        body = (pattern * (sum(sizes) // len(pattern) + 1))[: sum(sizes)]
+        wire, start = b"", 0
+        for size in sizes:
+            wire += b"%x\r\n%b\r\n" % (size, body[start : start + size])
+            start += size
+        wire += b"0\r\n\r\n"
+        decoder, found = ChunkedDecoder(), b""
+        for at in range(0, len(wire), piece):
+            part, rest = decoder.feed(wire[at : at + piece])
+            found += part
+            assert rest == b""
+        assert decoder.complete and found == body
+
+    @pytest.mark.parametrize("end", [b"xx", b"\r\r", b"\n\r"])
+    def test_chunk_that_does_not_end_is_malformed(self, end):
+        with pytest.raises(RequestError):
+            ChunkedDecoder().feed(b"1\r\nx\r\n1\r\nx" + end + b"0\r\n\r\n")
--- a/flamingofront/request/stop_refusal.py
+++ b/flamingofront/request/stop_refusal.py
@@ -76,7 +76,5 @@
     bound = hub.completion.for_service(service)
     if hub.is_out_of_rotation():
         prefill = hub.rates.for_service(service).estimate().token_seconds * work.prompt_tokens
-        return bound.estimate_max_seconds(
-            work.output_tokens, hub.measure_streams(service), prefill
-        )
+        return bound.estimate_max_seconds(work.output_tokens, hub.measure_streams(service), prefill)
     return bound.estimate_usual_seconds(work.output_tokens)
