Responses of the platform that have no end do not exhaust the memory

Cause: ReplyCollector keeps all parts of a response until its end. A read of the store times out only without data, so a response without end is kept without bound; other calls of the platform, peers and plain services keep what comes within their timeout of 1 to 2 s.

Change: the HTTP client bounds the bodies of responses that are not passed on in parts: 8 MiB each, which is the platform's largest object, and 32 MiB together, beyond which the largest responses fail. The call fails as "too large", like a malformed response.

--- a/flamingofront/connection/client.py
+++ b/flamingofront/connection/client.py
@@ -35,6 +35,10 @@
 MAX_RESPONSE_HEAD_BYTES = 64 * 1024
 # Responses with a status of 1xx before the final one; servers send one or two.
 MAX_INTERIM_RESPONSES = 32
+# Body of one response that is collected as a whole, and of all of them in progress together. The
+# platform's largest are objects of 8 MiB.
+MAX_COLLECTED_BYTES = 8 * 1024 * 1024
+MAX_TOTAL_COLLECTED_BYTES = 32 * 1024 * 1024
 MAX_IDLE_CONNECTIONS_PER_ADDRESS = 16
 IDLE_TIMEOUT_SECONDS = 20.0
 # An idle connection is closed this long before the keep-alive timeout of the target, so that no
@@ -279,6 +283,8 @@
             return
         if body:
             self._client.renew_timeout(call)
+            if not call.call.stream:
+                self._client.record_collected(self, len(body))
             call.deliver(ResponseData(body))
         if self._decoder.complete and self._call is call:
             self._finish_call(trailing)
@@ -305,6 +311,7 @@
     def _finish_call(self, trailing: bytes) -> None:
         """End the call; keep the connection unless bytes are unsent or follow the response."""
         call, self._call = self._call, None
+        self._client.forget_collected(self)
         idle_timeout = _get_idle_timeout(self._head)
         reusable = self._head.keep_alive and not self._unsent and not trailing
         if reusable and idle_timeout > 0:
@@ -415,6 +422,8 @@
         self._poller: DirectPoller | None = None
         self._connections: dict[socket.socket, _ClientConnection | _Probe] = {}
         self._idle: dict[str, deque[_ClientConnection]] = {}
+        # Bytes received of the bodies of responses that are collected as a whole.
+        self._collected: dict[_ClientConnection, int] = {}
 
     def start(self, call: OutboundCall, listener: Callable[[CallEvent], None]) -> CallHandle:
         """Start a call on an idle or a new connection.
@@ -493,9 +502,28 @@
         for conn in tuple(self._idle.get(address, ())):
             conn.close()
 
+    def record_collected(self, conn: _ClientConnection, size: int) -> None:
+        """Record received bytes of a response that is collected as a whole.
+
+        Notes
+        -----
+        A response that is too large fails. If all of them together are, the largest ones fail.
+        """
+        collected = self._collected
+        collected[conn] = collected.get(conn, 0) + size
+        if collected[conn] > MAX_COLLECTED_BYTES:
+            conn.fail("too large")
+        while sum(collected.values()) > MAX_TOTAL_COLLECTED_BYTES:
+            max(collected, key=collected.__getitem__).fail("too large")
+
+    def forget_collected(self, conn: _ClientConnection) -> None:
+        """Stop counting the bytes of a response that has ended."""
+        self._collected.pop(conn, None)
+
     def remove_connection(self, conn: _ClientConnection | _Probe) -> None:
         """Remove a connection that is being closed."""
         self._connections.pop(conn.sock, None)
+        self.forget_collected(conn)
         idle = self._idle.get(conn.address)
         if idle is not None and conn in idle:
             idle.remove(conn)
--- a/flamingofront/connection/tests/test_client.py
+++ b/flamingofront/connection/tests/test_client.py
@@ -8,7 +8,12 @@
 
 import pytest
 
-from flamingofront.connection.client import USER_TIMEOUT_MS, HTTPClient
+from flamingofront.connection.client import (
+    MAX_COLLECTED_BYTES,
+    MAX_TOTAL_COLLECTED_BYTES,
+    USER_TIMEOUT_MS,
+    HTTPClient,
+)
 from flamingofront.connection.interfaces import ConnectResult
 from flamingofront.connection.runtime import Runtime
 from flamingofront.messages import (
@@ -421,3 +426,62 @@
         assert events[-1] == CallFailed("framing", True)
         assert endpoint.is_closed.wait(WAIT_SECONDS)
         assert endpoint.sent_bytes <= self.MAX_SENT_BYTES
+
+
+class TestCollectedResponses:
+    """Bytes without end in a body, which is collected as a whole."""
+
+    PIECE = b"x" * 65536
+
+    @pytest.mark.parametrize(
+        "head",
+        [
+            b"Content-Length: 999999999999\r\n\r\n",
+            b"\r\n",
+            b"Transfer-Encoding: chunked\r\n\r\nffffffff\r\n",
+        ],
+        ids=["length", "to close", "chunk"],
+    )
+    def test_response_that_is_too_large_fails(self, client, head):
+        endpoint = EndlessEndpoint(b"HTTP/1.1 200 OK\r\n" + head, self.PIECE)
+        events = client.call(endpoint.address)
+        assert events[-1] == CallFailed("too large", True)
+        assert sum(len(each.data) for each in events[1:-1]) <= MAX_COLLECTED_BYTES
+        assert endpoint.is_closed.wait(WAIT_SECONDS)
+
+    def test_largest_legal_response_is_read(self, client):
+        endpoint = Endpoint(encode_response(b"x" * MAX_COLLECTED_BYTES))
+        events = client.call(endpoint.address)
+        assert events[-1] == ResponseEnd()
+        assert sum(len(each.data) for each in events[1:-1]) == MAX_COLLECTED_BYTES
+
+    def test_largest_of_too_many_fail(self, client):
+        count = MAX_TOTAL_COLLECTED_BYTES // MAX_COLLECTED_BYTES
+        size = MAX_COLLECTED_BYTES - 1
+        unfinished = b"HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n" + b"x" * size
+        endpoints = [SlowEndpoint() for _ in range(count + 1)]
+        failures = queue.Queue()
+
+        def listen(event):
+            if isinstance(event, CallFailed):
+                failures.put(event.reason)
+
+        for endpoint in endpoints:
+            call = OutboundCall(endpoint.address, "GET", "/", timeout=60.0)
+            client.run_in_loop(lambda call=call: client.client.start(call, listen))
+            endpoint.send(unfinished)
+        assert failures.get(timeout=WAIT_SECONDS) == "too large"
+        for endpoint in endpoints:
+            endpoint.stop()
+        rest = [failures.get(timeout=WAIT_SECONDS) for _ in range(count)]
+        assert rest == ["reset"] * count
+
+    def test_response_that_is_passed_on_is_not_bounded(self, client):
+        endpoint = Endpoint(encode_response(b"x" * (MAX_COLLECTED_BYTES + 1)))
+        assert client.call(endpoint.address, stream=True)[-1] == ResponseEnd()
+
+    def test_responses_that_have_ended_do_not_count(self, client):
+        count = MAX_TOTAL_COLLECTED_BYTES // MAX_COLLECTED_BYTES + 1
+        endpoint = Endpoint(*[encode_response(b"x" * MAX_COLLECTED_BYTES)] * count)
+        for _ in range(count):
+            assert client.call(endpoint.address)[-1] == ResponseEnd()
--- a/flamingofront/messages.py
+++ b/flamingofront/messages.py
@@ -172,7 +172,8 @@
     ----------
     reason : str
         One of ``refused`` (no process listens on the port), ``connect`` (no connection could be
-        established), ``reset``, ``timeout``, ``framing`` (malformed response), ``cancelled``.
+        established), ``reset``, ``timeout``, ``framing`` (malformed response), ``too large``
+        (response that is collected as a whole), ``cancelled``.
     wrote : bool
         False only if it is certain that no byte of the request was sent.
     reused : bool
--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -460,7 +460,7 @@
         is_endpoint_failure = event.reason != NO_IDLE_CONNECTION
         if event.reason in NO_CONNECTION_REASONS:
             is_endpoint_failure = self._record_no_connection(event.reason)
-        elif event.reason in ("timeout", "framing"):
+        elif event.reason in ("timeout", "framing", "too large"):
             self.record_abandoned()
         elif event.reason == "reset" and event.wrote and not self._is_stale_connection(event):
             self.report_connection_loss(attempt_id)
--- a/flamingofront/tests/memory_deployment.py
+++ b/flamingofront/tests/memory_deployment.py
@@ -15,7 +15,7 @@
 from flamingofront.tests.memory_crowd import HOST, KEY, Crowd, CrowdPlay
 from flamingofront.tests.memory_endpoint import ORDINARY_BODY
 
-__all__ = ["RESERVED_DESCRIPTORS", "Deployment", "Limits", "Usage"]
+__all__ = ["IP", "RESERVED_DESCRIPTORS", "Deployment", "Limits", "Usage", "fetch"]
 
 BIN = Path(sys.executable).parent
 IP = "127.0.0.1"
@@ -82,8 +82,15 @@
     ----------
     usage : Usage
         Peaks since the start of the process.
+    slots : int
+        Requests that an endpoint runs at once.
+    more_settings : dict of str to str
+        Further settings of the process.
     """
 
+    slots = 8
+    more_settings: dict[str, str] = {}
+
     def __init__(self, folder: Path, limits: Limits):
         self.limits = limits
         self.usage = Usage()
@@ -108,17 +115,30 @@
             if child.stdout is not None:
                 child.stdout.close()
 
+    def make_configuration(self) -> dict:
+        """Return the operator's configuration."""
+        return make_configuration(self.limits.max_body)
+
+    def start_platform(self, store: str) -> str:
+        """Return the address of the platform for the entry process, given that of the store."""
+        return store
+
     def _start_all(self) -> None:
         config = self._folder / "forwarding.json"
-        config.write_text(json.dumps(make_configuration(self.limits.max_body)))
+        config.write_text(json.dumps(self.make_configuration()))
         words = [BIN / "flamingofront-standin-store", "--bind", f"{IP}:0", "--config", config]
         self._store = self._start_listening(words).split()[-1]
+        platform = self.start_platform(self._store)
         for name in ("plain-1", "plain-2"):
-            words = [sys.executable, "-m", "flamingofront.tests.memory_endpoint", name]
-            self._register(name, f"{IP}:{int(self._start_listening(words))}")
-        self._start_front()
+            port = self.start_program("flamingofront.tests.memory_endpoint", name)
+            self._register(name, f"{IP}:{int(port)}")
+        self._start_front(platform)
         self._wait_ready()
 
+    def start_program(self, module: str, *words: str) -> str:
+        """Start a module of the tests as a program, and return the line with its port."""
+        return self._start_listening([sys.executable, "-m", module, *words])
+
     def _start_listening(self, words: list) -> str:
         """Start a program, and return the line with its address."""
         child = subprocess.Popen(words, stdout=subprocess.PIPE, text=True)
@@ -127,14 +147,14 @@
 
     def _register(self, name: str, address: str) -> None:
         """Write the row of an endpoint."""
-        row = {"service": "records", "address": address, "zone": "zone-a", "slots": 8}
+        row = {"service": "records", "address": address, "zone": "zone-a", "slots": self.slots}
         row |= {"state": "ready", "sequence": 2, "version": "v1", "cold_left_ms": 0}
         value = base64.b64encode(json.dumps(row).encode()).decode()
         write = {"table": "servers", "part": "", "key": name, "value": value}
         body = json.dumps({"expected_rev": [], "writes": [write], "remove": []})
         assert fetch(self._store, "POST", "/api/rows-tx", body.encode())[0] == 200
 
-    def _start_front(self) -> None:
+    def _start_front(self, platform: str) -> None:
         values = {
             "node_name": "front-1",
             "zone": "zone-a",
@@ -143,8 +163,9 @@
             "listen.ready": f"{IP}:0",
             "listen.control": f"{IP}:0",
             "port_range": "0,0",
-            "platform.address": self._store,
-            "cloud_api.address": self._store,
+            "platform.address": platform,
+            "cloud_api.address": platform,
+            **self.more_settings,
             "limits.memory_mb": self.limits.memory_mb,
             "limits.max_fds": self.limits.descriptors,
         }
--- a/flamingofront/tests/memory_endpoint.py
+++ b/flamingofront/tests/memory_endpoint.py
@@ -2,15 +2,19 @@
 
 import asyncio
 import contextlib
+import re
 import sys
 
+from flamingofront.tests.endless_relay import send_endless
+
 __all__ = ["LARGE_BODY_BYTES", "ORDINARY_BODY", "SLOW_SECONDS", "MemoryEndpoint"]
 
-# By the first part of the path after the prefix of the route.
+# By a part of the path.
 SLOW_SECONDS = 1.5
 LARGE_BODY_BYTES = 3_000_000
 ORDINARY_BODY = b"served"
 READ_BYTES = 256 * 1024
+ENDLESS = re.compile("/endless-([a-z-]+)/")
 FIELDS = "X-Flamingofront-Instance-Id: {name}\r\nX-Flamingofront-Response-Seal: {name}\r\n"
 
 
@@ -39,14 +43,18 @@
 
     async def _answer(self, writer, target: str, fields: dict[str, str]) -> None:
         body = ORDINARY_BODY
+        endless = ENDLESS.search(target)
+        request = fields.get("x-flamingofront-request-id", "")
+        own_fields = f"{self._fields}X-Flamingofront-Request-Id: {request}\r\n"
+        if endless:
+            await send_endless(writer, endless.group(1), own_fields.encode())
+            raise ConnectionResetError
         if "/slow/" in target:
             await asyncio.sleep(SLOW_SECONDS)
         elif "/large/" in target:
             body = bytes(LARGE_BODY_BYTES)
-        request = fields.get("x-flamingofront-request-id", "")
-        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n{self._fields}"
-        writer.write(f"{head}X-Flamingofront-Request-Id: {request}\r\n\r\n".encode())
-        writer.write(body)
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n{own_fields}\r\n"
+        writer.write(head.encode() + body)
         await writer.drain()
 
 
