Events without an end do not keep the event loop busy

Cause: with each piece of an event stream the relay searched the whole incomplete event for its end. An endpoint that sends an event without an end, in pieces as the network cuts them, took the square of its size in processor time, up to the limit of 1 MiB, for each caller.

Change: only the new bytes and those that may begin the end of the event are searched.

--- a/flamingofront/request/event_stream.py
+++ b/flamingofront/request/event_stream.py
@@ -6,6 +6,7 @@
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _EVENT_ID = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)")
+_LONGEST_END = len(b"\r\n\r\n")
 _MAX_EVENT_BYTES = 1024 * 1024
 
 
@@ -48,9 +49,11 @@
             If a numeric event id is not greater than the last one, or an incomplete event exceeds
             1 MiB.
         """
+        # An incomplete event has no end but one that its last bytes begin.
+        searched = max(0, len(self._buffer) - _LONGEST_END + 1)
         self._buffer += data
         end = 0
-        for match in _EVENT_END.finditer(self._buffer):
+        for match in _EVENT_END.finditer(self._buffer, searched):
             self._record_event(self._buffer[end : match.end()])
             end = match.end()
         events, self._buffer = self._buffer[:end], self._buffer[end:]
--- a/flamingofront/request/tests/test_event_stream.py
+++ b/flamingofront/request/tests/test_event_stream.py
@@ -1,5 +1,7 @@
 """Tests of the relay of server-sent events."""
 
+import time
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -20,6 +22,26 @@
         assert all(each == b"" or each.endswith(b"\n\n") for each in events)
         assert (relay.last_id, relay.count, relay.has_partial_event) == ("5", 5, False)
 
+    @given(st.lists(st.integers(0, 80), max_size=8), st.sampled_from([b"\r\n", b"\n"]))
+    def test_event_ends_at_its_first_empty_line(self, cuts, line_end):
+        events = [each.replace(b"\n", line_end) for each in EVENTS]
+        data, relay = b"".join(events), EventRelay()
+        cut_points = sorted({0, len(data), *(min(each, len(data)) for each in cuts)})
+        received = 0
+        for start, end in zip(cut_points, cut_points[1:], strict=False):
+            received += len(relay.feed(data[start:end]))
+            ends = [len(b"".join(events[:count])) for count in range(len(events) + 1)]
+            assert received == max(each for each in ends if each <= end)
+        assert relay.count == len(events)
+
+    def test_large_event_in_small_pieces_does_not_take_long(self):
+        """The whole event was searched again with each piece."""
+        relay, piece, started_at = EventRelay(), b"x" * 256, time.process_time()
+        with pytest.raises(ValueError, match="too large"):
+            while True:
+                relay.feed(piece)
+        assert time.process_time() - started_at < 10.0
+
     def test_events_without_id_are_counted(self):
         relay = EventRelay()
         assert relay.feed(b": note\n\ndata: x\n\n") == b": note\n\ndata: x\n\n"
