Events without an end are bounded together, and end with their request

Cause: the incomplete event of a stream may have 1 MiB, and those of all streams together were not bounded. That of a request that had failed was kept until its reference cycle was collected.

Change: incomplete events count among the large responses in progress (32 MiB together, the largest attempt fails), and are dropped when their request ends. The test of endpoints that answer without end has 120 callers for 4 s in place of 60 for 2 s, 880 descriptors as each caller has a connection to an endpoint too, and such events; check_limits uses the limits of the deployment.

--- a/flamingofront/request/answer_reader.py
+++ b/flamingofront/request/answer_reader.py
@@ -112,13 +112,13 @@
             self._request.hub.response_memory.record(self, self._received_bytes)
 
     def give_up(self, reason: str) -> None:
-        """End the attempt because of the size of its answer."""
+        """End the attempt because of the size or the order of its answer."""
         self._release()
         self._request.record_abandoned()
         self._fail_attempt(Executed.UNKNOWN, reason)
 
     def _release(self) -> None:
-        """Drop what was received."""
+        """Drop what was received, but for an incomplete event, which is the request's."""
         self._chunks.clear()
         self._request.hub.response_memory.forget(self)
 
@@ -126,11 +126,19 @@
         try:
             events = self._request.relay.feed(data)
         except ValueError as exc:
-            self._request.record_abandoned()
-            self._fail_attempt(Executed.UNKNOWN, str(exc))
+            self.give_up(str(exc))
             return
         if events:
             self._request.forward_events(self._attempt_id, self._response, events)
+        is_current = self._request.is_current(self._attempt_id)
+        self._count_partial_event(self._request.relay.partial_bytes if is_current else 0)
+
+    def _count_partial_event(self, size: int) -> None:
+        """Record the size of an incomplete event, which may end this attempt or another one."""
+        if size != self._received_bytes:
+            self._received_bytes = size
+            self._request.hub.response_memory.forget(self)
+            self._request.hub.response_memory.record(self, size)
 
     def _on_end(self) -> None:
         response = self._response
--- a/flamingofront/request/event_stream.py
+++ b/flamingofront/request/event_stream.py
@@ -36,6 +36,11 @@
         """True if the buffer holds the beginning of an event."""
         return bool(self._buffer)
 
+    @property
+    def partial_bytes(self) -> int:
+        """Size of the beginning of an event in the buffer."""
+        return len(self._buffer)
+
     def discard_partial_event(self) -> None:
         """Discard the incomplete event, before another endpoint continues the stream."""
         self._buffer = b""
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -530,5 +530,7 @@
 
     def _clean_up(self) -> None:
         super()._clean_up()
+        # An ended request is referred to in cycles until they are collected.
+        self.relay.discard_partial_event()
         on_end, self.on_end = self.on_end, lambda request: None
         on_end(self)
--- a/flamingofront/tests/test_answers_without_end.py
+++ b/flamingofront/tests/test_answers_without_end.py
@@ -1,6 +1,7 @@
 """Partners that answer one entry process with little memory without end."""
 
 import time
+from dataclasses import replace
 from urllib.parse import urlencode
 
 import pytest
@@ -16,6 +17,10 @@
 )
 
 FIRST_CALL_SECONDS = 15.0
+ENDPOINT_CALLERS = 2 * CALLERS
+ENDPOINT_SECONDS = 2 * PLAY_SECONDS
+# Each caller has a connection to an endpoint.
+ENDPOINT_LIMITS = replace(LIMITS, descriptors=2 * LIMITS.descriptors)
 
 
 class EndlessDeployment(Deployment):
@@ -89,11 +94,12 @@
         [
             "/lookup/endless-length/1",
             "/stream/endless-events/1",
+            "/stream/endless-one-event/1",
             "/stream/endless-head/1",
         ],
     )
     def test_callers_that_do_not_read_beside(self, tmp_path, target):
         """Several endpoints answer many callers at once."""
-        with EndlessDeployment(tmp_path, LIMITS) as deployment:
-            deployment.play(ask(target), CALLERS, PLAY_SECONDS)
+        with EndlessDeployment(tmp_path, ENDPOINT_LIMITS) as deployment:
+            deployment.play(ask(target), ENDPOINT_CALLERS, ENDPOINT_SECONDS)
             check_limits(deployment)
--- a/flamingofront/tests/test_callers_that_exhaust_memory.py
+++ b/flamingofront/tests/test_callers_that_exhaust_memory.py
@@ -45,10 +45,10 @@
     deployment.measure()
     assert deployment.is_alive
     assert is_served
-    usage = deployment.usage
-    assert usage.memory_mb < LIMITS.memory_mb
-    assert usage.descriptors < LIMITS.descriptors
-    assert usage.sockets <= LIMITS.descriptors - RESERVED_DESCRIPTORS
+    usage, limits = deployment.usage, deployment.limits
+    assert usage.memory_mb < limits.memory_mb
+    assert usage.descriptors < limits.descriptors
+    assert usage.sockets <= limits.descriptors - RESERVED_DESCRIPTORS
 
 
 @pytest.mark.alone
