--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -608,5 +608,6 @@
         super()._clean_up()
         # An ended request is referred to in cycles until they are collected.
         self.record = replace(self.record, work=replace(self.work, body=b""))
+        self.relay.discard_partial_event()
         on_end, self.on_end = self.on_end, lambda request: None
         on_end(self)
