--- a/flamingofront/connection/caller_connection.py
+++ b/flamingofront/connection/caller_connection.py
@@ -39,7 +39,7 @@
     503: "Service Unavailable",
     504: "Gateway Timeout",
 }
-# Memory of the state of an open connection, measured with 1,500 idle ones.
+# Memory of the state of an open connection, with a margin.
 CONNECTION_BYTES = 8 * 1024
 
 
