A changed memory limit applies without a new configuration

A reload of the settings file changed the shares of the descriptors at once, and the size of the memory account only with the next configuration.

--- a/flamingofront/forward_daemon.py
+++ b/flamingofront/forward_daemon.py
@@ -250,6 +250,7 @@
         if changed:
             self._settings = settings
             self.node.settings = settings
+            self.node.apply_memory_limit()
             self._limit_connections()
 
     def run(self) -> None:
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -590,9 +590,15 @@
         """Apply a new active configuration."""
         self.gateway.configuration = cfg
         self.quota.start_buckets(cfg.workspaces, self.timers.now())
-        self.memory.size = compute_account_size(self.settings.resources.memory, cfg.limits.max_body)
+        self.apply_memory_limit()
         self.on_configuration(cfg)
 
+    def apply_memory_limit(self) -> None:
+        """Set the size of the memory account by the settings and the active configuration."""
+        self.memory.size = compute_account_size(
+            self.settings.resources.memory, self.gateway.configuration.limits.max_body
+        )
+
     @property
     def ready(self) -> bool:
         """True if the balancer may send new connections to this process."""
