--- a/flamingofront/forward_daemon.py
+++ b/flamingofront/forward_daemon.py
@@ -253,6 +253,7 @@
             self._settings = settings
             self.node.settings = settings
             self._stop.set_grace(settings.stop_grace)
+            self.node.apply_memory_limit()
             self._limit_connections()
 
     def run(self) -> None:
