No attempt is given up for an endpoint that is not reached either

Callers saw 502 although the endpoint was at work and its open connection fine: a zone whose endpoints accept no new connections seems cut off, and the attempts there were given up for other endpoints of the same zone.

Cause: ForwardedRequest._find_path_obstacle took any chosen endpoint for a certain retry. If no endpoint is reached, the choice falls back to those that are not; that suits an attempt that has nothing to lose, not one in flight. Change: an endpoint that is not reachable is an obstacle.

--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -453,7 +453,7 @@
         if self.hub.guard.quarantine_status(self.identity) is not QuarantineStatus.CLEAR:
             return "quarantined"
         chosen = self.hub.choose_endpoint(self, frozenset((self.endpoint_id,)))
-        if chosen is None:
+        if chosen is None or not chosen.reachable:
             return "no endpoint"
         is_same = chosen.endpoint_id == self.endpoint_id
         if is_same and (chosen.path is EndpointPath.PROXIED) == bool(self.proxy_address):
