All data of an endpoint shows that it responds, not only whole events

Large answers of calls that were arriving were given up as 'path lost' and sent again while new connections to their endpoints failed and open ones worked.

Cause: ForwardedRequest.compute_last_activity knew of whole events of streams alone. A call whose answer came in pieces, a head, and parts of an event counted as silence, also for lost zones, silent peers and restarted endpoints. Change: each piece of the answer to the current attempt is recorded, with the contact of its endpoint.

--- a/flamingofront/request/answer_reader.py
+++ b/flamingofront/request/answer_reader.py
@@ -101,6 +101,8 @@
         return self._response.stream and self._response.status == 200
 
     def _on_data(self, data: bytes) -> None:
+        if self._request.is_current(self._attempt_id):
+            self._request.record_contact()
         if self._is_stream:
             self._relay_events(data)
             return
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -115,6 +115,7 @@
         self._was_postponed = False
         self._event_count = 0
         self._last_event_at = 0.0
+        self._last_data_at = 0.0
         self._longest_pause = 0.0
         # Attempt that is not given up, with the failure of its path and the obstacle to a retry.
         self._kept_attempt = ("", "", "")
@@ -307,7 +308,6 @@
         if self.machine.attempt_id != attempt_id:
             return
         self.stream_origin.fix()
-        self.record_contact()
         self._record_event_interval()
         self.record_response_start()
         self.machine.record_progress(attempt_id)
@@ -319,6 +319,7 @@
 
     def record_contact(self) -> None:
         """Record that data from the endpoint has been received."""
+        self._last_data_at = self.hub.now()
         self.hub.directory.record_contact(
             self.endpoint_id, self.hub.now(), is_direct=not self.proxy_address
         )
@@ -415,8 +416,8 @@
             self.complete_response(attempt_id, answer)
 
     def compute_last_activity(self) -> float:
-        """Return the time of the endpoint's last event, or of the attempt if that is later."""
-        return max(self.sent_at, self._last_event_at)
+        """Return the time of the endpoint's last data, or of the attempt if that is later."""
+        return max(self.sent_at, self._last_data_at)
 
     def fail_over(self, reason: str) -> None:
         """Retry on another path, if that is certain to be possible.
