An attempt at the only endpoint leaves a peer that stands still for another one

Callers of a service with a single endpoint waited until the peer that had their attempt went on or the deadline came.

Cause: since attempts are given up only for a certain retry, a way through another peer to the same endpoint counted as 'no other path': both are proxied. Change: another peer is another path, if one may be asked.

--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -456,11 +456,16 @@
         chosen = self.hub.choose_endpoint(self, frozenset((self.endpoint_id,)))
         if chosen is None or not chosen.reachable:
             return "no endpoint"
-        is_same = chosen.endpoint_id == self.endpoint_id
-        if is_same and (chosen.path is EndpointPath.PROXIED) == bool(self.proxy_address):
+        if chosen.endpoint_id == self.endpoint_id and not self._has_other_path(chosen):
             return "no other path"
         return "needs a permit" if self.hub.permits.is_required(chosen.endpoint_id) else ""
 
+    def _has_other_path(self, chosen: Candidate) -> bool:
+        """Return True if an attempt at the same endpoint would take another path."""
+        if chosen.path is EndpointPath.DIRECT:
+            return bool(self.proxy_address)
+        return self.hub.paths.peers.may_reach(self.endpoint_id, (self.proxy_address,))
+
     def _log_kept(self, attempt_id: str, reason: str, obstacle: str) -> None:
         """Log once for each reason that an attempt goes on, as a retry is not certain."""
         if (attempt_id, reason, obstacle) == self._kept_attempt:
--- a/flamingofront/request/proxy_peers.py
+++ b/flamingofront/request/proxy_peers.py
@@ -92,10 +92,19 @@
         now = self._timers.now()
         return any(not self._is_in_backoff(each, now) for each in self.addresses())
 
-    def may_reach(self, endpoint_id: str) -> bool:
-        """Return True if a peer may be asked now to reach an endpoint."""
+    def may_reach(self, endpoint_id: str, other_than: Collection[str] = ()) -> bool:
+        """Return True if a peer may be asked now to reach an endpoint.
+
+        Parameters
+        ----------
+        other_than : collection of str
+            Peers that do not count.
+        """
         now = self._timers.now()
-        return any(self._may_ask(each, endpoint_id, now) for each in self.addresses())
+        return any(
+            each not in other_than and self._may_ask(each, endpoint_id, now)
+            for each in self.addresses()
+        )
 
     def wait_seconds(self, endpoint_id: str = "") -> float:
         """Return the seconds until a peer may be asked; 0 if one may be asked now."""
--- a/flamingofront/tests/test_silent_proxied_attempts.py
+++ b/flamingofront/tests/test_silent_proxied_attempts.py
@@ -79,3 +79,23 @@
         kept = [fields for event, fields in lines if event == "proxy peer responds"]
         assert kept and all(each["silent_for"] > 0.5 for each in kept)
         assert len(kept) <= 8
+
+
+class TestPeerThatStandsStill:
+    """A peer stands still while the only endpoint of a service works on its attempts."""
+
+    def test_attempt_at_the_only_endpoint_goes_to_another_peer(self):
+        # The way through another peer was taken for the same path, and the attempt was kept.
+        world = proxied_world(engines=1, plains=1)
+        world.endpoints["plain-1"].gap = 0.5
+        callers = [world.ask("front-1", "/read/x") for _ in range(6)]
+        world.run(0.05)
+        name = next(name for name, node in world.fronts.items() if node.proxy.count_active())
+        front, peer = world.fronts["front-1"], world.host(name).address
+        waiting = [each for each in front.hub.active.values() if each.proxy_address == peer]
+        world.pause(name)
+        world.run(2.5)
+        assert waiting
+        assert [each.proxy_address for each in waiting if not each.done] == []
+        world.resume(name)
+        world.finish(*callers)
