A peer that stands still is logged once in five seconds

The log got a warning each third of a second and peer while attempts that may not run twice, or have no retry, were kept at a peer that stands still; before, such attempts were given up at the first one. Change: as for peers that respond, the next line is due after LOG_PAUSE_SECONDS.

--- a/flamingofront/request/silent_peers.py
+++ b/flamingofront/request/silent_peers.py
@@ -26,7 +26,7 @@
 MIN_ANSWER_SECONDS = 0.25
 # A peer that has given no sign for so long while an attempt waits is taken to be stopped.
 UNRESPONSIVE_SECONDS = 1.0
-# Time between two log lines on a peer that responds while its attempts are silent.
+# Time between two log lines on a peer that responds, or on one that does not, while attempts wait.
 LOG_PAUSE_SECONDS = 5.0
 
 
@@ -71,10 +71,11 @@
         self._peers = peers
         self._metrics = metrics
         self._log = log
-        # Peers with attempts in flight: last answer, last question, and last log line.
+        # Peers with attempts in flight: last answer, last question, and last log line of each kind.
         self._answered_at: dict[str, float] = {}
         self._asked_at: dict[str, float] = {}
         self._logged_at: dict[str, float] = {}
+        self._stop_logged_at: dict[str, float] = {}
 
     def list_stopped(self, pending: Iterable[tuple[str, float]]) -> set[str]:
         """Return the peers that do not respond, and ask those that have been silent for a while.
@@ -107,7 +108,12 @@
         return found
 
     def _forget_others(self, silences: dict[str, _Silence]) -> None:
-        for times in (self._answered_at, self._asked_at, self._logged_at):
+        for times in (
+            self._answered_at,
+            self._asked_at,
+            self._logged_at,
+            self._stop_logged_at,
+        ):
             for peer in [each for each in times if each not in silences]:
                 del times[peer]
 
@@ -117,14 +123,17 @@
         return silence.silent_for > UNRESPONSIVE_SECONDS and asked_for >= MIN_ANSWER_SECONDS
 
     def _record_stopped(self, peer: str, silence: _Silence) -> None:
-        self._log.warning(
-            "proxy peer does not respond",
-            peer=peer,
-            silent_for=round(silence.silent_for, 3),
-            waiting_for=round(silence.waiting_for, 3),
-            asked_ago=round(self._timers.now() - self._asked_at[peer], 3),
-            attempts=silence.attempts,
-        )
+        now = self._timers.now()
+        if now - self._stop_logged_at.get(peer, -math.inf) >= LOG_PAUSE_SECONDS:
+            self._stop_logged_at[peer] = now
+            self._log.warning(
+                "proxy peer does not respond",
+                peer=peer,
+                silent_for=round(silence.silent_for, 3),
+                waiting_for=round(silence.waiting_for, 3),
+                asked_ago=round(now - self._asked_at[peer], 3),
+                attempts=silence.attempts,
+            )
         del self._asked_at[peer]
         self._peers.record_failure(peer)
 
--- a/flamingofront/tests/test_silent_proxied_attempts.py
+++ b/flamingofront/tests/test_silent_proxied_attempts.py
@@ -99,3 +99,23 @@
         assert [each.proxy_address for each in waiting if not each.done] == []
         world.resume(name)
         world.finish(*callers)
+
+    def test_lines_on_a_peer_are_rare_while_attempts_are_kept(self):
+        # Two lines a second and peer, as long as the attempts that may not run twice were kept.
+        world = proxied_world()
+        for each in world.endpoints.values():
+            each.gap = 0.5
+        lines = []
+        log = world.fronts["front-1"].hub.paths._log
+        log.warning = lambda event, **fields: lines.append((event, fields))
+        callers = [world.ask("front-1", "/write/x") for _ in range(6)]
+        world.run(0.05)
+        name = next(name for name, node in world.fronts.items() if node.proxy.count_active())
+        world.pause(name)
+        world.run(3.5)
+        event = "proxy peer does not respond"
+        stopped = [fields["peer"] for each, fields in lines if each == event]
+        world.resume(name)
+        world.finish(*callers)
+        assert stopped
+        assert len(stopped) == len(set(stopped))
