A kept attempt is logged once for each reason and obstacle

The log got a line for each change between two reasons or two obstacles, several a second for each kept attempt: paths are checked four times a second, and a zone may be cut off while a path is lost. Cause: only the last line was remembered. Change: all lines of the request are, a few dozen at most.

--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -117,8 +117,9 @@
         self._last_event_at = 0.0
         self._last_data_at = 0.0
         self._longest_pause = 0.0
-        # Attempt that is not given up, with the failure of its path and the obstacle to a retry.
-        self._kept_attempt = ("", "", "")
+        # Attempts that were not given up, with the failures of their paths and what is in the way
+        # of a retry.
+        self._kept_attempts: set[tuple[str, str, str]] = set()
         self._pause_count = 0
 
     @property
@@ -467,10 +468,11 @@
         return self.hub.paths.peers.may_reach(self.endpoint_id, (self.proxy_address,))
 
     def _log_kept(self, attempt_id: str, reason: str, obstacle: str) -> None:
-        """Log once for each reason that an attempt goes on, as a retry is not certain."""
-        if (attempt_id, reason, obstacle) == self._kept_attempt:
+        """Log once for each reason and obstacle that an attempt goes on."""
+        kept = (attempt_id, reason, obstacle)
+        if kept in self._kept_attempts:
             return
-        self._kept_attempt = (attempt_id, reason, obstacle)
+        self._kept_attempts.add(kept)
         self.hub.metrics.count("attempts_kept_total", reason=reason)
         self.log.info(
             "attempt kept",
--- a/flamingofront/tests/test_silent_endpoints.py
+++ b/flamingofront/tests/test_silent_endpoints.py
@@ -156,3 +156,17 @@
         world.heal()
         world.run(3.0)
         assert [each.status for each in callers if not is_whole(each)] == []
+
+    def test_kept_attempt_is_logged_once_for_each_reason(self):
+        # Two reasons in turn made a line each time, several a second for each attempt.
+        world = silent_world()
+        caller = world.ask("front-1", "/stream/again/1")
+        world.run(BEGUN_SECONDS)
+        (request,) = world.fronts["front-1"].hub.active.values()
+        lines = []
+        request.log.info = lambda event, **fields: lines.append((event, fields["reason"]))
+        for _ in range(5):
+            request.fail_over("path lost")
+            request.fail_over("zone cut off")
+        assert sorted(lines) == [("attempt kept", "path lost"), ("attempt kept", "zone cut off")]
+        world.finish(caller)
