An attempt is not given up if the delay of its retry reaches the deadline

A request that had failed before and has little time left ended with 502 at once, though its attempt was at work until then. Cause: RequestMachine.find_retry_obstacle left out the backoff that follows a further failure. Change: its upper bound counts.

--- a/flamingofront/process/backoff.py
+++ b/flamingofront/process/backoff.py
@@ -29,5 +29,8 @@
         The jitter covers the upper half of the range, so that retries of many processes spread out
         but none retries immediately.
         """
-        ceiling = min(self.max_seconds, self.first_seconds * 2 ** min(failures, 30))
-        return ceiling * (0.5 + 0.5 * rng.random())
+        return self.compute_max_delay(failures) * (0.5 + 0.5 * rng.random())
+
+    def compute_max_delay(self, failures: int) -> float:
+        """Return the upper bound of the delay after `failures` failed attempts."""
+        return min(self.max_seconds, self.first_seconds * 2 ** min(failures, 30))
--- a/flamingofront/request/attempts.py
+++ b/flamingofront/request/attempts.py
@@ -253,13 +253,15 @@
         return self._retry_or_fail(now, delay, ErrorKind.RETRY_BUDGET_EXHAUSTED)
 
     def find_retry_obstacle(self, now: float) -> str:
-        """Return why an attempt that fails now would not be retried at once; empty if it would."""
+        """Return why an attempt that fails now might not be retried; empty if it would."""
         limit = self.facts.max_attempts
         if not self.facts.repeatable:
             return "may not run twice"
         if limit is not None and self.attempts >= limit:
             return "attempts used up"
-        if self._failures + 1 >= MAX_FAILURES_WITHOUT_PROGRESS or now >= self.facts.deadline:
+        delay = self._backoff.compute_max_delay(self._failures - 1) if self._failures else 0.0
+        is_late = now + delay >= self.facts.deadline
+        if is_late or self._failures + 1 >= MAX_FAILURES_WITHOUT_PROGRESS:
             return "time used up"
         return "" if self._budget.can_reserve(now) else "retry budget used up"
 
--- a/flamingofront/request/tests/test_attempts.py
+++ b/flamingofront/request/tests/test_attempts.py
@@ -52,6 +52,22 @@
         (fail,) = machine.expire()
         assert fail.ran is Executed.NO
 
+    def test_no_obstacle_means_that_an_attempt_that_fails_is_retried(self):
+        # The delay of the retry was left out: an attempt was given up, and the request failed.
+        for failures in range(12):
+            for left in (0.02, 0.2, 0.9, 1.5, 5.0):
+                machine = make_machine(deadline=1.0 + left)
+                for _ in range(failures):
+                    (start,) = machine.start()
+                    machine.handle_attempt_failure(start.attempt_id, "e", Executed.NO, 0.0)
+                    machine.phase = Phase.WAITING
+                (start,) = machine.start()
+                obstacle = machine.find_retry_obstacle(1.0)
+                (action,) = machine.handle_attempt_failure(
+                    start.attempt_id, "f", Executed.UNKNOWN, 1.0
+                )
+                assert obstacle or isinstance(action, ScheduleRetry), (failures, left)
+
     def test_retry_delay_beyond_the_deadline_fails_immediately(self):
         budget = PacedRetryBudget(ratio=0.0, floor_rate=0.1, burst=0.0)
         machine = make_machine(deadline=5.0, budget=budget)
