--- a/flamingofront/tests/test_silent_proxied_attempts.py
+++ b/flamingofront/tests/test_silent_proxied_attempts.py
@@ -79,3 +79,43 @@
         kept = [fields for event, fields in lines if event == "proxy peer responds"]
         assert kept and all(each["silent_for"] > 0.5 for each in kept)
         assert len(kept) <= 8
+
+
+class TestPeerThatStandsStill:
+    """A peer stands still while the only endpoint of a service works on its attempts."""
+
+    def test_attempt_at_the_only_endpoint_goes_to_another_peer(self):
+        # The way through another peer was taken for the same path, and the attempt was kept.
+        world = proxied_world(engines=1, plains=1)
+        world.endpoints["plain-1"].gap = 0.5
+        callers = [world.ask("front-1", "/read/x") for _ in range(6)]
+        world.run(0.05)
+        name = next(name for name, node in world.fronts.items() if node.proxy.count_active())
+        front, peer = world.fronts["front-1"], world.host(name).address
+        waiting = [each for each in front.hub.active.values() if each.proxy_address == peer]
+        world.pause(name)
+        world.run(2.5)
+        assert waiting
+        assert [each.proxy_address for each in waiting if not each.done] == []
+        world.resume(name)
+        world.finish(*callers)
+
+    def test_lines_on_a_peer_are_rare_while_attempts_are_kept(self):
+        # Two lines a second and peer, as long as the attempts that may not run twice were kept.
+        world = proxied_world()
+        for each in world.endpoints.values():
+            each.gap = 0.5
+        lines = []
+        log = world.fronts["front-1"].hub.paths._log
+        log.warning = lambda event, **fields: lines.append((event, fields))
+        callers = [world.ask("front-1", "/write/x") for _ in range(6)]
+        world.run(0.05)
+        name = next(name for name, node in world.fronts.items() if node.proxy.count_active())
+        world.pause(name)
+        world.run(3.5)
+        event = "proxy peer does not respond"
+        stopped = [fields["peer"] for each, fields in lines if each == event]
+        world.resume(name)
+        world.finish(*callers)
+        assert stopped
+        assert len(stopped) == len(set(stopped))
