--- a/flamingofront/connection/client.py
+++ b/flamingofront/connection/client.py
@@ -18,6 +18,7 @@
 from flamingofront.connection.framing import BodyDecoder, Head, HeadBuffer, create_response_decoder
 from flamingofront.connection.interfaces import CallEvent, CallHandle, ConnectResult, Transport
 from flamingofront.connection.poller import READ, WRITE, DirectPoller, SocketOwner
+from flamingofront.connection.request_bytes import RequestBytes
 from flamingofront.connection.send_watch import SendWatch
 from flamingofront.errors import ErrorKind, RequestError
 from flamingofront.messages import (
@@ -36,6 +37,10 @@
 MAX_RESPONSE_HEAD_BYTES = 64 * 1024
 # Responses with a status of 1xx before the final one; servers send one or two.
 MAX_INTERIM_RESPONSES = 32
+# Body of one response that is collected as a whole, and of all of them in progress together. The
+# platform's largest are objects of 8 MiB.
+MAX_COLLECTED_BYTES = 8 * 1024 * 1024
+MAX_TOTAL_COLLECTED_BYTES = 32 * 1024 * 1024
 MAX_IDLE_CONNECTIONS_PER_ADDRESS = 16
 IDLE_TIMEOUT_SECONDS = 20.0
 # An idle connection is closed this long before the keep-alive timeout of the target, so that no
@@ -51,7 +56,6 @@
 KEEPALIVE_PROBE_COUNT = 2
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d{1,6})")
-BODILESS_METHODS = ("GET", "HEAD")
 _IN_PROGRESS = (errno.EINPROGRESS, errno.EWOULDBLOCK, errno.EALREADY)
 
 
@@ -60,14 +64,6 @@
     return "refused" if code == errno.ECONNREFUSED else "connect"
 
 
-def _encode_request(call: OutboundCall) -> bytes:
-    lines = [f"{call.method} {call.path} HTTP/1.1", f"Host: {call.host or call.address}"]
-    lines += [f"{name}: {value}" for name, value in call.headers]
-    if call.body or call.method not in BODILESS_METHODS:
-        lines.append(f"Content-Length: {len(call.body)}")
-    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1", "replace") + call.body
-
-
 def _enable_keepalive(sock: socket.socket) -> None:
     """Enable TCP keep-alive, so that the kernel resets a connection to an unresponsive peer."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -152,7 +148,7 @@
         self.idle_timer: Timer | None = None
         self._connect_timer: Timer | None = None
         self._call: _Call | None = None
-        self._unsent = b""
+        self._unsent: RequestBytes | None = None
         self._user_timeout_ms = USER_TIMEOUT_MS
         self._send_watch: SendWatch | None = None
 
@@ -192,7 +188,7 @@
         self._has_received = False
         self._interim_count = 0
         self._decoder: BodyDecoder | None = None
-        self._unsent = _encode_request(call.call)
+        self._unsent = RequestBytes(call.call)
         if self.connected and not self._send():
             # Not at once: whoever starts the call has no handle yet.
             self._client.timers.once(0.0, lambda: self.fail("reset"))
@@ -239,12 +235,12 @@
         if self._send_watch is None and len(self._unsent) > WATCHED_BYTES:
             self._watch_sending()
         try:
-            sent = self.sock.send(self._unsent)
+            while self._unsent:
+                self._unsent.remove(self.sock.send(self._unsent.peek()))
         except BlockingIOError:
-            sent = 0
+            pass  # the rest is sent once there is room
         except OSError:
             return False
-        self._unsent = self._unsent[sent:]
         self._client.watch(self, READ | WRITE if self._unsent else READ)
         return True
 
@@ -308,6 +304,8 @@
             return
         if body:
             self._client.renew_timeout(call)
+            if not call.call.stream:
+                self._client.record_collected(self, len(body))
             call.deliver(ResponseData(body))
         if self._decoder.complete and self._call is call:
             self._finish_call(trailing)
@@ -335,6 +333,7 @@
         """End the call; keep the connection unless bytes are unsent or follow the response."""
         call, self._call = self._call, None
         self._end_send_watch()
+        self._client.forget_collected(self)
         idle_timeout = _get_idle_timeout(self._head)
         reusable = self._head.keep_alive and not self._unsent and not trailing
         if reusable and idle_timeout > 0:
@@ -368,6 +367,7 @@
             # A reset discards unsent bytes, so that none arrives after the call was cancelled.
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
         self._call = None
+        self._unsent = None
         for timer in (self.idle_timer, self._connect_timer, self._send_watch):
             if timer is not None:
                 timer.cancel()
@@ -445,6 +445,8 @@
         self._poller: DirectPoller | None = None
         self._connections: dict[socket.socket, _ClientConnection | _Probe] = {}
         self._idle: dict[str, deque[_ClientConnection]] = {}
+        # Bytes received of the bodies of responses that are collected as a whole.
+        self._collected: dict[_ClientConnection, int] = {}
 
     def start(self, call: OutboundCall, listener: Callable[[CallEvent], None]) -> CallHandle:
         """Start a call on an idle or a new connection.
@@ -523,9 +525,28 @@
         for conn in tuple(self._idle.get(address, ())):
             conn.close()
 
+    def record_collected(self, conn: _ClientConnection, size: int) -> None:
+        """Record received bytes of a response that is collected as a whole.
+
+        Notes
+        -----
+        A response that is too large fails. If all of them together are, the largest ones fail.
+        """
+        collected = self._collected
+        collected[conn] = collected.get(conn, 0) + size
+        if collected[conn] > MAX_COLLECTED_BYTES:
+            conn.fail("too large")
+        while sum(collected.values()) > MAX_TOTAL_COLLECTED_BYTES:
+            max(collected, key=collected.__getitem__).fail("too large")
+
+    def forget_collected(self, conn: _ClientConnection) -> None:
+        """Stop counting the bytes of a response that has ended."""
+        self._collected.pop(conn, None)
+
     def remove_connection(self, conn: _ClientConnection | _Probe) -> None:
         """Remove a connection that is being closed."""
         self._connections.pop(conn.sock, None)
+        self.forget_collected(conn)
         idle = self._idle.get(conn.address)
         if idle is not None and conn in idle:
             idle.remove(conn)
--- a/flamingofront/forward_daemon.py
+++ b/flamingofront/forward_daemon.py
@@ -32,12 +32,15 @@
 from flamingofront.platform.rollouts import ROLLOUT_ROWS
 from flamingofront.platform.settings import SETTINGS_VARIABLE, get_settings_path, read_settings
 from flamingofront.platform.store import PlatformTableStore
+from flamingofront.process.allocator import return_large_blocks
 from flamingofront.process.forwarding.knowledge import SharedTables
 from flamingofront.process.forwarding.node import Dependencies, ForwardingNode
 from flamingofront.process.forwarding.overload import ConnectionOverload
+from flamingofront.process.forwarding.proxy import render_peer_error
 from flamingofront.process.forwarding.settings import DeploymentSettings
 from flamingofront.process.forwarding.shutdown import GracefulShutdown
 from flamingofront.process.logs import Log, NonBlockingStream, set_up_logs
+from flamingofront.process.memory import compute_connection_limits
 from flamingofront.process.settings import Address
 from flamingofront.version.forwarding import ForwardingConfiguration
 
@@ -114,20 +117,24 @@
         self.spliced.closing = True
         # Several are accepted in one turn of the event loop, as where some are refused.
         self.spliced.set_refusal(lambda waited: False)
-        ready = self._make_server(settings.ready_bind, self.node.handle_ready, "ready")
+        self._ready = self._make_server(settings.ready_bind, self.node.handle_ready, "ready")
         metrics = Address(settings.ip, metrics_port)
+        self._metrics = self._make_server(metrics, self.node.handle_control, "metrics")
         servers = {
             "callers": self.callers,
             "spliced": self.spliced,
-            "ready": ready,
-            "metrics": self._make_server(metrics, self.node.handle_control, "metrics"),
+            "ready": self._ready,
+            "metrics": self._metrics,
         }
+        render_error = PlatformProtocol().render_error
         self._control: HTTPServer | None = None
         if settings.control_bind is not None:
             self._control = self._make_server(
                 settings.control_bind, self.node.handle_control, "control"
             )
+            self._control.render_error = lambda exc: render_peer_error(exc, render_error(exc))
             servers["control"] = self._control
+        self._limit_connections()
         self._ports = {name: server.port for name, server in servers.items()}
         self._stop = GracefulShutdown(
             self.node,
@@ -166,8 +173,20 @@
                 self._handle_exception,
                 channel=channel,
                 render_error=PlatformProtocol().render_error,
+                memory=self.node.memory,
             ).register(self.runtime)
 
+    def _limit_connections(self) -> None:
+        """Divide the descriptors of this process among its servers."""
+        limits = compute_connection_limits(self._settings.resources.descriptors)
+        self.callers.limit_connections(limits.callers)
+        self.spliced.limit_connections(limits.spliced)
+        self._ready.limit_connections(limits.probes)
+        self._metrics.limit_connections(limits.probes)
+        if self._control is not None:
+            self._control.limit_connections(limits.control)
+        self._overload.splicer.max_open = limits.handed_over
+
     def _apply_caller_limits(self, cfg: ForwardingConfiguration) -> None:
         """Apply the caller limits of a newly activated configuration."""
         limits = cfg.limits
@@ -213,7 +232,9 @@
         self.node.gateway.record_rejection(RequestError(kind))
 
     def _handle_stop_signal(self) -> None:
-        self._stop.begin()
+        # The settings file may have changed without a signal, and the time until the kill with it.
+        self._reload_settings()
+        self._stop.begin(self.runtime.stop_signal_at)
 
     def _handle_reload_signal(self, signo, frame) -> None:
         self.runtime.timers.once(0.0, self._reload_settings)
@@ -231,6 +252,9 @@
         if changed:
             self._settings = settings
             self.node.settings = settings
+            self._stop.set_grace(settings.stop_grace)
+            self.node.apply_memory_limit()
+            self._limit_connections()
 
     def run(self) -> None:
         """Serve until a graceful shutdown is complete."""
@@ -253,6 +277,7 @@
     :param log_level: debug, info, warning or error
     :param metrics_port: port for metrics on the VM's address, 0 to let the kernel choose one
     """
+    return_large_blocks()
     set_up_logs(log_level, NonBlockingStream(sys.stdout.fileno()))
     path = get_settings_path(os.environ) or None
     try:
--- a/flamingofront/process/forwarding/overload.py
+++ b/flamingofront/process/forwarding/overload.py
@@ -51,7 +51,7 @@
         self._handed_over = self._reset = 0
         self._delays: dict[str, float] = {}
         self._delays_until = 0.0
-        self.splicer = ConnectionSplicer(timers, self._on_splice_end)
+        self.splicer = ConnectionSplicer(timers, self._on_splice_end, node.memory)
         callers.set_refusal(self._must_refuse, self._take_over)
         callers.must_close = control.must_close
         node.delay_ms = lambda: round(control.mean_delay_seconds * 1000)
@@ -71,7 +71,15 @@
         return is_passed_on
 
     def _hand_over(self, sock: socket.socket, waited: float) -> bool:
-        """Let a peer serve a connection; return False if none has room."""
+        """Let a peer serve a connection; return False if none has room.
+
+        Notes
+        -----
+        Late in a shutdown none is handed over: the peer does not know when this process ends, and
+        would pass on requests that outlast it.
+        """
+        if self._node.hub.is_out_of_rotation():
+            return False
         now = self._timers.now()
         if now >= self._delays_until:
             self._delays = self._node.peers.delays_by_ip()
--- a/flamingofront/request/event_stream.py
+++ b/flamingofront/request/event_stream.py
@@ -6,6 +6,7 @@
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _EVENT_ID = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)")
+_LONGEST_END = len(b"\r\n\r\n")
 _MAX_EVENT_BYTES = 1024 * 1024
 
 
@@ -35,6 +36,11 @@
         """True if the buffer holds the beginning of an event."""
         return bool(self._buffer)
 
+    @property
+    def partial_bytes(self) -> int:
+        """Size of the beginning of an event in the buffer."""
+        return len(self._buffer)
+
     def discard_partial_event(self) -> None:
         """Discard the incomplete event, before another endpoint continues the stream."""
         self._buffer = b""
@@ -48,9 +54,11 @@
             If a numeric event id is not greater than the last one, or an incomplete event exceeds
             1 MiB.
         """
+        # An incomplete event has no end but one that its last bytes begin.
+        searched = max(0, len(self._buffer) - _LONGEST_END + 1)
         self._buffer += data
         end = 0
-        for match in _EVENT_END.finditer(self._buffer):
+        for match in _EVENT_END.finditer(self._buffer, searched):
             self._record_event(self._buffer[end : match.end()])
             end = match.end()
         events, self._buffer = self._buffer[:end], self._buffer[end:]
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -1,6 +1,7 @@
 """A forwarded request in flight: the body is relayed unchanged, a stream as it arrives."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from flamingofront.connection.interfaces import CallEvent
 from flamingofront.decisions.admission import Ticket
@@ -115,9 +116,12 @@
         self._was_postponed = False
         self._event_count = 0
         self._last_event_at = 0.0
+        self._last_data_at = 0.0
         self._longest_pause = 0.0
-        # Attempt that is not given up, with the failure of its path and the obstacle to a retry.
-        self._kept_attempt = ("", "", "")
+        # Attempts that were not given up, with the failures of their paths and what is in the way
+        # of a retry.
+        self._kept_attempts: set[tuple[str, str, str]] = set()
+        self._pause_count = 0
 
     @property
     def work(self) -> ForwardWork:
@@ -306,7 +310,6 @@
         if self.machine.attempt_id != attempt_id:
             return
         self.stream_origin.fix()
-        self.record_contact()
         self._record_event_interval()
         self.record_response_start()
         self.machine.record_progress(attempt_id)
@@ -318,6 +321,7 @@
 
     def record_contact(self) -> None:
         """Record that data from the endpoint has been received."""
+        self._last_data_at = self.hub.now()
         self.hub.directory.record_contact(
             self.endpoint_id, self.hub.now(), is_direct=not self.proxy_address
         )
@@ -345,6 +349,7 @@
         if self.first_response_at is not None and count > 0:
             interval = (now - self._last_event_at) / count
             self._longest_pause = max(self._longest_pause, now - self._last_event_at)
+            self._pause_count += 1
             self.hub.directory.record_token_time(self.endpoint_id, interval)
             self._rates.record_pause(interval)
         self._event_count, self._last_event_at = self.relay.count, now
@@ -385,7 +390,9 @@
             self.relay.count,
             # The caller of a resumed stream expects the events that it has as well.
             work.expected_tokens if work.resumed is None else 0,
-            max(self._longest_pause, now - max(first, self._last_event_at)),
+            self._longest_pause,
+            now - max(first, self._last_event_at),
+            self._pause_count,
         )
 
     def complete_response(self, attempt_id: str, answer: EndpointResponse) -> None:
@@ -411,8 +418,8 @@
             self.complete_response(attempt_id, answer)
 
     def compute_last_activity(self) -> float:
-        """Return the time of the endpoint's last event, or of the attempt if that is later."""
-        return max(self.sent_at, self._last_event_at)
+        """Return the time of the endpoint's last data, or of the attempt if that is later."""
+        return max(self.sent_at, self._last_data_at)
 
     def fail_over(self, reason: str) -> None:
         """Retry on another path, if that is certain to be possible.
@@ -449,18 +456,24 @@
         if self.hub.guard.quarantine_status(self.identity) is not QuarantineStatus.CLEAR:
             return "quarantined"
         chosen = self.hub.choose_endpoint(self, frozenset((self.endpoint_id,)))
-        if chosen is None:
+        if chosen is None or not chosen.reachable:
             return "no endpoint"
-        is_same = chosen.endpoint_id == self.endpoint_id
-        if is_same and (chosen.path is EndpointPath.PROXIED) == bool(self.proxy_address):
+        if chosen.endpoint_id == self.endpoint_id and not self._has_other_path(chosen):
             return "no other path"
         return "needs a permit" if self.hub.permits.is_required(chosen.endpoint_id) else ""
 
+    def _has_other_path(self, chosen: Candidate) -> bool:
+        """Return True if an attempt at the same endpoint would take another path."""
+        if chosen.path is EndpointPath.DIRECT:
+            return bool(self.proxy_address)
+        return self.hub.paths.peers.may_reach(self.endpoint_id, (self.proxy_address,))
+
     def _log_kept(self, attempt_id: str, reason: str, obstacle: str) -> None:
-        """Log once for each reason that an attempt goes on, as a retry is not certain."""
-        if (attempt_id, reason, obstacle) == self._kept_attempt:
+        """Log once for each reason and obstacle that an attempt goes on."""
+        kept = (attempt_id, reason, obstacle)
+        if kept in self._kept_attempts:
             return
-        self._kept_attempt = (attempt_id, reason, obstacle)
+        self._kept_attempts.add(kept)
         self.hub.metrics.count("attempts_kept_total", reason=reason)
         self.log.info(
             "attempt kept",
@@ -590,11 +603,19 @@
             return
         super()._fail_request(action)
 
+    def _finish(self, answer: EndpointResponse | None, exc: RequestError | None) -> None:
+        super()._finish(answer, exc)
+        # Like the body of the request.
+        self.answer = self._error_response = None
+
     def _record_error(self, exc: RequestError) -> None:
         self.failure = exc.kind.value
         self.status = 0 if self.has_sent_events else self.protocol.render_error(exc)[0]
 
     def _clean_up(self) -> None:
         super()._clean_up()
+        # An ended request is referred to in cycles until they are collected.
+        self.record = replace(self.record, work=replace(self.work, body=b""))
+        self.relay.discard_partial_event()
         on_end, self.on_end = self.on_end, lambda request: None
         on_end(self)
