Both sides of a comparison of paths look for the same evidence

An endpoint that stood still was taken for one whose path is lost: during a check by responses, a failed connection to it made this process wait for a response and ask a peer for a connection, which the endpoint accepts from anybody.

Cause: PathMonitor probed in the way that the last check had set, and PathMonitor._ask_for_endpoint always asked for connections; the way could also change between the two rounds of probes. Change: PathMonitor._compare fixes one way for both sides until the end.

--- a/flamingofront/request/path_monitor.py
+++ b/flamingofront/request/path_monitor.py
@@ -272,7 +272,7 @@
         self._compare(
             self._checked,
             self._checked[0],
-            self._ask_for_response if self._needs_response else self.find_peer,
+            self.find_peer,
             lambda verdict: self._conclude(cause, failed, verdict),
         )
 
@@ -283,11 +283,25 @@
         self,
         endpoint_ids: Iterable[str],
         asked_for: str,
-        ask_peer: Callable[[str, Callable[[bool | None], None]], None],
+        ask_for_connection: Callable[[str, Callable[[bool | None], None]], None],
         on_end: Callable[[PathVerdict], None],
     ) -> None:
-        """Compare this VM's path to endpoints with that of a peer."""
-        PathComparison(endpoint_ids, asked_for, self._timers, self._probe, ask_peer, on_end).start()
+        """Compare this VM's path to endpoints with that of a peer.
+
+        Notes
+        -----
+        Both sides look for the same evidence until the end: an endpoint that stands still accepts
+        connections, and does not respond.
+        """
+        probe = self._probe_kind
+        PathComparison(
+            endpoint_ids,
+            asked_for,
+            self._timers,
+            lambda endpoint_id, on_result: self._probe(endpoint_id, probe, on_result),
+            self._ask_for_response if self._needs_response else ask_for_connection,
+            on_end,
+        ).start()
 
     def _choose_sample(self, endpoint_ids: Iterable[str]) -> tuple[str, ...]:
         ordered = self._spread(endpoint_ids)
@@ -307,10 +321,10 @@
             counts[group] += 1
         return sorted(shuffled, key=turns.__getitem__)
 
-    def _probe(self, endpoint_id: str, on_result: Callable[[bool], None]) -> None:
+    def _probe(self, endpoint_id: str, probe: PathProbe, on_result: Callable[[bool], None]) -> None:
         self._pending.add(endpoint_id)
         self._metrics.count("endpoint_probes_total")
-        self._probe_kind.start(
+        probe.start(
             endpoint_id,
             lambda is_reached: self._on_probe_result(endpoint_id, is_reached, on_result),
         )
@@ -394,7 +408,7 @@
         self._compare(
             (failed, *self._spread(others)[: CHECKED_OF_SERVICE - 1]),
             failed,
-            self._ask_for_response if needs_response else self._ask_for_connection,
+            self._ask_for_connection,
             lambda verdict: self._on_service_verdict(service, since, verdict, failed),
         )
 
@@ -442,7 +456,7 @@
         self._has_progress = False
         for each in self._spread(lost)[:count]:
             if each not in self._pending:
-                self._probe(each, lambda is_reached: None)
+                self._probe(each, self._probe_kind, lambda is_reached: None)
         self._restore_if_reached()
         if self.has_losses:
             self._schedule_retry()
--- a/flamingofront/tests/test_paths_in_doubt.py
+++ b/flamingofront/tests/test_paths_in_doubt.py
@@ -29,3 +29,17 @@
         assert front.hub.paths.monitor.status is PathStatus.WORKING
         assert [each.status for each in callers if each.broken or each.status != 200] == []
         assert len(world.list_runs()) == len(callers)
+
+    def test_endpoint_that_accepts_connections_is_not_lost(self):
+        # The process waited for a response, and its peer was content with a connection.
+        world = paths_world()
+        world.run(10.0)
+        for name in world.endpoints:
+            world.host(name).handler = lambda req, exchange: None
+        callers = [world.ask("front-1", "/read/1") for _ in range(3)]
+        monitor = world.fronts["front-1"].hub.paths.monitor
+        world.run_until(lambda: monitor.status is PathStatus.CHECKING)
+        monitor.record_failure("plain-1", "connect")
+        world.run(1.0)
+        assert not monitor.is_known_lost("plain-1")
+        world.finish(*callers)
