Mutations follow the code of connections and stops; reasons to keep an attempt are typed

Reasons to keep an attempt are values of RetryObstacle in place of bare strings; the log has the same words.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -163,7 +163,7 @@
     ),
     Mutation(
         "8 one request at a time on a connection",
-        "connection/server.py",
+        "connection/caller_connection.py",
         "        if self._is_busy:\n            self._buffer_data(data)\n",
         "        if False:\n            self._buffer_data(data)\n",
         "connection/tests/test_server.py",
--- a/bench/promise_mutations.py
+++ b/bench/promise_mutations.py
@@ -44,7 +44,7 @@
     Mutation(
         "Stop: streams that end early do not bound those that do not",
         "decisions/stopping.py",
-        "min(self.output_tokens, max(1, self.events - 1) * event_tokens)",
+        "min(self.output_tokens, count * event_tokens)",
         "self.output_tokens",
         EARLY_ENDINGS,
     ),
@@ -162,7 +162,7 @@
     ),
     Mutation(
         "Refusal: a rejected request is answered once",
-        "connection/server.py",
+        "connection/caller_connection.py",
         "        self._timer.cancel()\n        self._server.count_rejection",
         "        self._server.count_rejection",
         REFUSED_CONNECTIONS,
@@ -211,21 +211,21 @@
     ),
     Mutation(
         "Channel: a request's channel is closed with its answer",
-        "connection/server.py",
+        "connection/caller_connection.py",
         "return self._conn.exchange is self",
         "return True",
         "connection/tests/test_server.py",
     ),
     Mutation(
         "Channel: it is closed with the last answer of a connection as well",
-        "connection/server.py",
-        "        self.exchange = None\n        if not self._keep_alive:\n",
-        "        if not self._keep_alive:\n",
+        "connection/caller_connection.py",
+        "        self.exchange = None\n        self._holding.release(MemoryKind.REQUEST)\n",
+        "        self._holding.release(MemoryKind.REQUEST)\n",
         REFUSED_CONNECTIONS,
     ),
     Mutation(
         "Channel: pipelined requests do not nest",
-        "connection/server.py",
+        "connection/caller_connection.py",
         "self._next_timer = self._server.timers.once(0.0, self._receive_pipelined)",
         "self._receive_pipelined()",
         "connection/tests/test_server.py",
@@ -240,7 +240,7 @@
     Mutation(
         "Memory: all responses together are bounded",
         "request/response_memory.py",
-        "while self.total > MAX_TOTAL_BYTES:",
+        "while self._total and not self._has_room():",
         "while False:",
         "request/tests/test_response_memory.py",
     ),
--- a/flamingofront/request/attempts.py
+++ b/flamingofront/request/attempts.py
@@ -25,6 +25,7 @@
 )
 from flamingofront.process.backoff import Backoff
 from flamingofront.request.assembly import Assembler
+from flamingofront.request.retry_obstacles import RetryObstacle
 
 __all__ = ["Action", "Phase", "RequestFacts", "RequestMachine"]
 
@@ -252,18 +253,18 @@
             delay = max(delay, self._backoff.compute_delay(self._failures - 2, self._rng))
         return self._retry_or_fail(now, delay, ErrorKind.RETRY_BUDGET_EXHAUSTED)
 
-    def find_retry_obstacle(self, now: float) -> str:
-        """Return why an attempt that fails now might not be retried; empty if it would."""
+    def find_retry_obstacle(self, now: float) -> RetryObstacle | None:
+        """Return why an attempt that fails now might not be retried; None if it would."""
         limit = self.facts.max_attempts
         if not self.facts.repeatable:
-            return "may not run twice"
+            return RetryObstacle.NOT_REPEATABLE
         if limit is not None and self.attempts >= limit:
-            return "attempts used up"
+            return RetryObstacle.ATTEMPTS_USED_UP
         delay = self._backoff.compute_max_delay(self._failures - 1) if self._failures else 0.0
         is_late = now + delay >= self.facts.deadline
         if is_late or self._failures + 1 >= MAX_FAILURES_WITHOUT_PROGRESS:
-            return "time used up"
-        return "" if self._budget.can_reserve(now) else "retry budget used up"
+            return RetryObstacle.TIME_USED_UP
+        return None if self._budget.can_reserve(now) else RetryObstacle.BUDGET_USED_UP
 
     def _wait_for_endpoint(self, now: float) -> list[Action]:
         """Wait after an endpoint was not reached again, which is chosen if no other one is left."""
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -37,6 +37,7 @@
 from flamingofront.request.origin_tracker import OriginTracker
 from flamingofront.request.records import RequestRecord
 from flamingofront.request.resumption import MAX_LOGGED_ID, log_continuation
+from flamingofront.request.retry_obstacles import RetryObstacle
 from flamingofront.request.stop_refusal import make_shutdown_rejection
 
 __all__ = ["ForwardedRequest"]
@@ -443,7 +444,7 @@
             )
             return
         obstacle = self.machine.find_retry_obstacle(self.hub.now()) or self._find_path_obstacle()
-        if obstacle:
+        if obstacle is not None:
             self._log_kept(attempt_id, reason, obstacle)
             return
         self._log_given_up(attempt_id, reason)
@@ -451,16 +452,17 @@
         # The outcome is unknown, so it must not count against the endpoint's version.
         self.fail_attempt(attempt_id, Executed.UNKNOWN, reason, is_endpoint_failure=False)
 
-    def _find_path_obstacle(self) -> str:
-        """Return why no other endpoint or path is certain to take the request; empty if one is."""
+    def _find_path_obstacle(self) -> RetryObstacle | None:
+        """Return why no other endpoint or path is certain to take the request; None if one is."""
         if self.hub.guard.quarantine_status(self.identity) is not QuarantineStatus.CLEAR:
-            return "quarantined"
+            return RetryObstacle.QUARANTINED
         chosen = self.hub.choose_endpoint(self, frozenset((self.endpoint_id,)))
         if chosen is None or not chosen.reachable:
-            return "no endpoint"
+            return RetryObstacle.NO_ENDPOINT
         if chosen.endpoint_id == self.endpoint_id and not self._has_other_path(chosen):
-            return "no other path"
-        return "needs a permit" if self.hub.permits.is_required(chosen.endpoint_id) else ""
+            return RetryObstacle.NO_OTHER_PATH
+        is_limited = self.hub.permits.is_required(chosen.endpoint_id)
+        return RetryObstacle.NEEDS_PERMIT if is_limited else None
 
     def _has_other_path(self, chosen: Candidate) -> bool:
         """Return True if an attempt at the same endpoint would take another path."""
@@ -468,7 +470,7 @@
             return bool(self.proxy_address)
         return self.hub.paths.peers.may_reach(self.endpoint_id, (self.proxy_address,))
 
-    def _log_kept(self, attempt_id: str, reason: str, obstacle: str) -> None:
+    def _log_kept(self, attempt_id: str, reason: str, obstacle: RetryObstacle) -> None:
         """Log once for each reason and obstacle that an attempt goes on."""
         kept = (attempt_id, reason, obstacle)
         if kept in self._kept_attempts:
@@ -481,7 +483,7 @@
             endpoint=self.endpoint_id,
             proxy=self.proxy_address,
             reason=reason,
-            obstacle=obstacle,
+            obstacle=obstacle.value,
             silent_ms=round((self.hub.now() - self.compute_last_activity()) * 1000),
         )
 
