A refusal through a peer is no sign of the direct paths

Checks of lost paths were put off, and a zone counted as reached, after a refusal that had come through a peer. Cause: a refusal ends its attempt before its contact is recorded, so that the attempt's peer was not known any more. Change: the path of the attempt is read first. A refusal on a new direct connection now shows that this was established.

--- a/flamingofront/request/answer_reader.py
+++ b/flamingofront/request/answer_reader.py
@@ -45,6 +45,7 @@
         self._request.fail_attempt(self._attempt_id, ran, reason)
 
     def _on_head(self, head: ResponseHead) -> None:
+        is_direct = self._request.has_direct_attempt
         response = self._request.protocol.decode_response_head(self._request.work.caller_id, head)
         if not response.is_mismatched and not response.wrong_endpoint:
             # Applied before the attempt ends, because the next choice of an endpoint depends on it.
@@ -64,8 +65,8 @@
             self._response = response
         self._request.has_response = True
         if not response.is_mismatched:
-            self._request.record_contact()
-            if not head.reused and self._request.has_direct_attempt:
+            self._request.record_contact(is_direct)
+            if not head.reused and is_direct:
                 self._request.hub.paths.monitor.record_connected(self._request.endpoint_id)
 
     def _apply_rate_limit(self, response: EndpointResponseHead) -> None:
@@ -102,7 +103,7 @@
 
     def _on_data(self, data: bytes) -> None:
         if self._request.is_current(self._attempt_id):
-            self._request.record_contact()
+            self._request.record_contact(self._request.has_direct_attempt)
         if self._is_stream:
             self._relay_events(data)
             return
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -318,12 +318,10 @@
             if not each.send_events(data):
                 self._abort_slow_consumer(each)
 
-    def record_contact(self) -> None:
-        """Record that data from the endpoint has been received."""
+    def record_contact(self, is_direct: bool) -> None:
+        """Record that data from the endpoint has been received, directly or through a peer."""
         self._last_data_at = self.hub.now()
-        self.hub.directory.record_contact(
-            self.endpoint_id, self.hub.now(), is_direct=not self.proxy_address
-        )
+        self.hub.directory.record_contact(self.endpoint_id, self.hub.now(), is_direct)
 
     def record_rejection(self) -> None:
         """Record that the endpoint rejected the current attempt."""
--- a/flamingofront/tests/test_silent_proxied_attempts.py
+++ b/flamingofront/tests/test_silent_proxied_attempts.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from flamingofront.standins.forward_endpoint import ForwardFault
 from flamingofront.tests.forwarding_world import RULES
 from flamingofront.tests.network import PathFault
 from flamingofront.tests.paths_world import cut_off, offer, paths_world
@@ -119,3 +120,19 @@
         world.finish(*callers)
         assert stopped
         assert len(stopped) == len(set(stopped))
+
+
+class TestRefusalsThroughPeers:
+    """Responses through a peer tell nothing about the paths of this process."""
+
+    def test_refusal_is_no_sign_of_the_direct_paths(self):
+        # The attempt had ended, so that its response counted as direct.
+        world = proxied_world()
+        directory = world.fronts["front-1"].directory
+        for each in world.endpoints.values():
+            each.inject_fault(ForwardFault.REFUSE)
+        before = directory.last_contact_of_any()
+        callers = [world.ask("front-1", path) for path in PATHS]
+        world.finish(*callers)
+        assert any(each.rejected for each in world.endpoints.values())
+        assert directory.last_contact_of_any() == before
