--- a/flamingofront/tests/test_refusals_through_peers.py
+++ b/flamingofront/tests/test_refusals_through_peers.py
@@ -8,9 +8,9 @@
 ONCE = ("/stream/once/x", "/write/x")
 
 
-def world_with_open_connections():
+def world_with_open_connections(**options):
     """Return a world in which one process depends on peers, which reach endpoints on idle ones."""
-    world = paths_world()
+    world = paths_world(**options)
     offer(world, 1.0)
     cut_off(world, FRONTS[:1], PathFault.REFUSED)
     cut_off(world, FRONTS[1:], PathFault.NEW_REFUSED)
@@ -114,7 +114,8 @@
     @pytest.mark.parametrize("path", ONCE)
     def test_copy_of_a_refusal_does_not_refuse_the_next_attempt(self, path):
         """The peer keeps the connection of an attempt that was rejected, and uses it again."""
-        world = world_with_open_connections()
+        # With one endpoint of a service, each second attempt goes to it again.
+        world = world_with_open_connections(engines=1, plains=1)
         again = self.refuse_twice(world)
         callers = [world.ask("front-1", path) for _ in range(4)]
         world.finish(*callers)
