--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -21,6 +21,7 @@
 from bench.promise_mutations import PROMISE_MUTATIONS
 from bench.quarantine_mutations import QUARANTINE_MUTATIONS
 from bench.restart_mutations import RESTART_MUTATIONS
+from bench.silence_mutations import SILENCE_MUTATIONS
 from bench.splice_mutations import SPLICE_MUTATIONS
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -191,6 +192,7 @@
     *KNOWLEDGE_MUTATIONS,
     *DEPARTURE_MUTATIONS,
     *PROMISE_MUTATIONS,
+    *SILENCE_MUTATIONS,
 )
 
 
--- a/flamingofront/tests/test_silent_endpoints.py
+++ b/flamingofront/tests/test_silent_endpoints.py
@@ -89,10 +89,11 @@
 class TestSilenceThatEndsDuringACheck:
     """A peer's probe succeeds after that of this process has failed, as the silence has ended."""
 
+    @pytest.mark.parametrize("rules", [NO_RETRIES, RULES], ids=["no-retries", "retries"])
     @pytest.mark.parametrize("seconds", [0.72, 0.8, 0.92])
-    def test_path_to_service_is_not_lost(self, seconds):
+    def test_path_to_service_is_not_lost(self, seconds, rules):
         # Each process took the paths to the silent service for lost, and gave up its attempts.
-        world = silent_world()
+        world = silent_world(rules=rules)
         callers = ask_all(world, PATHS)
         world.run(BEGUN_SECONDS)
         names = ["engine-1", "engine-2", "engine-3", "engine-4"]
