A process without peers notices that its paths are lost

Cause: the question of a process without peers is answered 'not reached'. Change: without a peer, failed connections alone are evidence, as they were.

--- a/flamingofront/request/endpoint_paths.py
+++ b/flamingofront/request/endpoint_paths.py
@@ -152,6 +152,7 @@
         self.monitor.ask_peer = self.ask_peer
         self.monitor.find_peer = self.find_peer
         self.peers = ProxyPeers(timers, rng)
+        self.monitor.has_peers = lambda: self.peers.has_any
         self.silent_peers = SilentPeers(transport, timers, self.peers, metrics, log)
         self._vm_id = vm_id
         self._transport = transport
--- a/flamingofront/request/path_monitor.py
+++ b/flamingofront/request/path_monitor.py
@@ -61,6 +61,8 @@
         and calls back with the answer.
     find_peer : callable
         Asks peers until one connects to an endpoint, and calls back with the answer.
+    has_peers : callable
+        Returns True if there is a peer to be asked.
     probe_target_of : callable
         Returns the target of a request for the state of an endpoint.
     """
@@ -84,6 +86,7 @@
         self.find_peer: Callable[[str, Callable[[bool | None], None]], None] = (
             lambda endpoint_id, on_answer: None
         )
+        self.has_peers: Callable[[], bool] = lambda: False
         self.probe_target_of: Callable[[str], str] = lambda endpoint_id: "/"
         self._paths = DirectPaths()
         self._timers = timers
@@ -356,14 +359,13 @@
 
         Notes
         -----
-        If no peer could tell, failed connections alone show that the paths are lost: the peers may
-        have lost theirs as well. Missing responses do not.
+        If there is no peer, or none could tell, failed connections alone show that the paths are
+        lost: the peers may have lost theirs as well. Missing responses do not.
         """
         if self._paths.status is not PathStatus.CHECKING:
             return
-        is_confirmed = verdict is PathVerdict.LOST or (
-            verdict is PathVerdict.UNKNOWN and not self._needs_response
-        )
+        is_untold = verdict is PathVerdict.UNKNOWN or not self.has_peers()
+        is_confirmed = verdict is PathVerdict.LOST or (is_untold and not self._needs_response)
         status = self._paths.conclude_check(self._checked, is_confirmed)
         now = self._timers.now()
         self._metrics.count("path_checks_total", outcome=status.value)
--- a/flamingofront/tests/test_lost_paths.py
+++ b/flamingofront/tests/test_lost_paths.py
@@ -67,6 +67,16 @@
         crash_probes = 2 * 40
         assert node.metrics.value("endpoint_probes_total") - before <= crash_probes + 4 * 7 * 2
 
+    def test_process_without_peers_notices_that_its_paths_are_lost(self):
+        # No peer could be asked, which counted as one that reaches no endpoint either.
+        world = paths_world(fronts=1)
+        cut_off(world, ["front-1"], PathFault.HANGING)
+        world.ask("front-1", "/write/1")
+        world.run(0.02)
+        node = world.fronts["front-1"]
+        assert node.hub.paths.monitor.status is PathStatus.LOST
+        assert node.metrics.value("ejections_total", service="records") == 0
+
     def test_each_change_of_belief_is_counted(self):
         world = paths_world()
         metrics = world.fronts["front-1"].metrics
