Lines of leader calls and takeovers tell when the lease was checked and why it ended

Cause: after a call with a lower fencing token nothing told whether it had been sent late, delivered late, or whether the next holder had taken the lease too early.

Change: scaling requests and usage reports, answered or failed, have the time left of the lease at the check and the times of the connection, the last byte and the end of the call. `leader lease acquired` has the evidence by which the last lease had ended, with its ages. A failed usage report has a line of its own; `usage window not stored` names the store. No decision changes.

--- a/flamingofront/connection/client.py
+++ b/flamingofront/connection/client.py
@@ -15,6 +15,7 @@
 from circuits import BaseComponent
 from circuits.core.utils import findcmp
 
+from flamingofront.connection.call_guard import CallStep
 from flamingofront.connection.framing import BodyDecoder, Head, HeadBuffer, create_response_decoder
 from flamingofront.connection.interfaces import CallEvent, CallHandle, ConnectResult, Transport
 from flamingofront.connection.poller import READ, WRITE, DirectPoller, SocketOwner
@@ -110,6 +111,11 @@
         """Record that bytes of the request may have been sent."""
         self._wrote = True
 
+    def record(self, step: CallStep) -> None:
+        """Tell the guard of the call that it has reached a step."""
+        if self.call.guard is not None:
+            self.call.guard.record(step)
+
     def cancel(self) -> None:
         """Cancel the call without a further event."""
         self.listener = None
@@ -165,12 +171,13 @@
     def connect(self) -> None:
         """Start to connect; the socket becomes writable when the connection is established."""
         host, _, port = self.address.rpartition(":")
+        self._call.record(CallStep.CONNECTING)
         code = self.sock.connect_ex((host, int(port)))
         if code and code not in _IN_PROGRESS:
             self._client.timers.once(0.0, lambda: self.fail(_get_connect_failure(code)))
             return
         self._client.watch(self, WRITE)
-        if self._call is not None and self._call.call.connect_timeout is not None:
+        if self._call.call.connect_timeout is not None:
             seconds = self._call.call.connect_timeout
             self._connect_timer = self._client.timers.once(seconds, self._on_connect_timeout)
 
@@ -241,6 +248,8 @@
             pass  # the rest is sent once there is room
         except OSError:
             return False
+        if not self._unsent:
+            self._call.record(CallStep.WRITTEN)
         self._client.watch(self, READ | WRITE if self._unsent else READ)
         return True
 
@@ -250,6 +259,7 @@
             self.fail(_get_connect_failure(code))
             return False
         self.connected = True
+        self._call.record(CallStep.CONNECTED)
         if self._connect_timer is not None:
             self._connect_timer.cancel()
         return True
--- a/flamingofront/connection/tests/test_client.py
+++ b/flamingofront/connection/tests/test_client.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from flamingofront.connection.call_guard import CallGuard, CallStep
 from flamingofront.connection.client import (
     MAX_COLLECTED_BYTES,
     MAX_TOTAL_COLLECTED_BYTES,
@@ -241,6 +242,37 @@
         assert conn.sock.getsockopt(*option) == USER_TIMEOUT_MS
 
 
+class StepRecorder(CallGuard):
+    """Keeps the steps of a call."""
+
+    def __init__(self):
+        self.steps = []
+
+    def record(self, step):
+        self.steps.append(step)
+
+
+class TestSteps:
+    """The time at which a call was written could not be told from that of its response."""
+
+    def test_steps_on_a_new_and_on_an_idle_connection(self, client):
+        endpoint = Endpoint(encode_response(), encode_response())
+        found = []
+        for _ in range(2):
+            guard = StepRecorder()
+            client.call(endpoint.address, guard=guard)
+            found.append(guard.steps)
+        assert found == [list(CallStep), [CallStep.WRITTEN]]
+
+    def test_refused_connection_is_never_established(self, client):
+        listener = socket.create_server(("127.0.0.1", 0))
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        listener.close()
+        guard = StepRecorder()
+        client.call(address, guard=guard)
+        assert guard.steps == [CallStep.CONNECTING]
+
+
 class SlowEndpoint:
     """Endpoint whose response is sent piece by piece by the test."""
 
--- a/flamingofront/messages.py
+++ b/flamingofront/messages.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from flamingofront.connection.call_guard import CallGuard
 from flamingofront.errors import ErrorKind, Executed
 
 __all__ = [
@@ -103,6 +104,8 @@
     stall_timeout : float or None
         Longest time without data within a started response, in seconds, so that a large response
         may take as long as its link needs. None if `timeout` applies to the whole response.
+    guard : CallGuard or None
+        Follows the steps of the call.
     """
 
     address: str
@@ -119,6 +122,7 @@
     connect_timeout: float | None = None
     ack_timeout: float | None = None
     stall_timeout: float | None = None
+    guard: CallGuard | None = None
 
 
 @dataclass(frozen=True)
--- a/flamingofront/platform/cloud.py
+++ b/flamingofront/platform/cloud.py
@@ -4,6 +4,7 @@
 
 import orjson
 
+from flamingofront.connection.call_guard import CallGuard
 from flamingofront.messages import OutboundCall
 from flamingofront.platform.store import JSON_HEADERS, STATUS_OK
 from flamingofront.process.calls import send_call
@@ -36,22 +37,27 @@
         self._address = address
         self._timeout = timeout
 
-    def report_usage(self, holder: str, fencing: int, report: UsageReport) -> Task:
+    def report_usage(
+        self, holder: str, fencing: int, report: UsageReport, guard: CallGuard | None = None
+    ) -> Task:
         """Send the request counts of one usage window, with the caller's fencing token."""
         body = {"window_id": report.window, "counts": dict(report.counts)}
-        yield from send_call(self._make_call("/usage", holder, fencing, body), True, (STATUS_OK,))
+        call = self._make_call("/usage", holder, fencing, body, guard)
+        yield from send_call(call, True, (STATUS_OK,))
 
-    def request_endpoints(self, holder: str, fencing: int, order: ScalingRequest) -> Task:
+    def request_endpoints(
+        self, holder: str, fencing: int, order: ScalingRequest, guard: CallGuard | None = None
+    ) -> Task:
         """Request a number of endpoints; return False if the zone has no capacity now."""
         body = {"service": order.service, "zone": order.zone, "desired": order.count}
         if order.reclaimable:
             body["spot"] = True
-        call = self._make_call("/scale", holder, fencing, body)
+        call = self._make_call("/scale", holder, fencing, body, guard)
         reply = yield from send_call(call, True, (STATUS_OK, STATUS_NO_CAPACITY))
         return reply.status == STATUS_OK
 
     def _make_call(
-        self, path: str, holder: str, fencing: int, body: dict[str, Any]
+        self, path: str, holder: str, fencing: int, body: dict[str, Any], guard: CallGuard | None
     ) -> OutboundCall:
         headers = (*JSON_HEADERS, (HOLDER_HEADER, holder), (FENCING_HEADER, str(fencing)))
         return OutboundCall(
@@ -62,4 +68,5 @@
             headers,
             self._timeout,
             ack_timeout=self._timeout * ACK_TIMEOUT_FRACTION,
+            guard=guard,
         )
--- a/flamingofront/process/forwarding/duty.py
+++ b/flamingofront/process/forwarding/duty.py
@@ -14,11 +14,13 @@
 import random
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
+from enum import StrEnum
 
 import orjson
 
 from flamingofront.errors import PlatformError
 from flamingofront.messages import Sleep
+from flamingofront.process.forwarding.leader_call import LeaderCall
 from flamingofront.process.forwarding.reports import PeerReport
 from flamingofront.process.logs import Log
 from flamingofront.process.store import RowCondition, RowWrite, StoredRow, TableStore, get_era
@@ -92,6 +94,19 @@
     valid_until: float
 
 
+class LeaseEnd(StrEnum):
+    """Evidence by which a process takes the lease of the last holder to have ended."""
+
+    NO_HOLDER = "no holder"
+    """The row names no holder: there was none, or it has released the lease."""
+    RELEASE_REPORTED = "release reported"
+    """The last holder has reported that it has released the lease."""
+    OWN_VM = "own VM"
+    """The row names this VM: its earlier process has ended."""
+    EXPIRED = "expired"
+    """The lease was not renewed for its duration."""
+
+
 class LeaderLease:
     """Acquires, renews and releases the leader lease.
 
@@ -131,6 +146,10 @@
         self._version: int | None = None
         self._lease: HeldLease | None = None
         self._last_seen_at = now()
+        # For log lines only: the last sign of the holder, and the report that it has released.
+        self._last_sign_at = now()
+        self._release_heard_at: float | None = None
+        self._started_at = now()
         self._announced_version = 0
         self._reported_fencing = 0
         self._stopped = False
@@ -156,6 +175,11 @@
             return None
         return lease
 
+    def start_call(self) -> LeaderCall | None:
+        """Return a call under the lease, to be sent now; None if this process may not act."""
+        lease = self.usable_lease()
+        return None if lease is None else LeaderCall(lease.fencing, lease.valid_until, self._now)
+
     def valid_lease(self) -> HeldLease | None:
         """Return the lease if it is valid, even if this process may not act on it yet."""
         lease = self._lease
@@ -165,10 +189,11 @@
         """Record from a peer's report that it holds the lease, or has released it."""
         if report.released and report.released >= max(self.state.fencing, self._reported_fencing):
             self._last_seen_at = -math.inf
+            self._release_heard_at = self._now()
             return
         self._highest_fencing = max(self._highest_fencing, report.fencing, report.released)
         if report.fencing and report.fencing >= self.state.fencing:
-            self._last_seen_at = self._now()
+            self._see_holder()
             self._reported_fencing = report.fencing
             self._announced_version = max(self._announced_version, report.lease_version)
 
@@ -215,7 +240,7 @@
         self._lease = None
         row = next((each for each in found.rows if each.key == LEADER_KEY), None)
         self._merge_row(row, found.version)
-        self._last_seen_at = self._now()
+        self._see_holder()
         return True
 
     def _has_expired(self) -> bool:
@@ -226,14 +251,32 @@
     def _poll_row(self) -> Task:
         """Read the row and acquire the lease if it is free."""
         previous, self._version = self._version, None
+        read_at = self._now()
         found = yield from self._store.read(LEADER_TABLE, LEADER_PARTITION)
         row = next((each for each in found.rows if each.key == LEADER_KEY), None)
         self._merge_row(row, found.version)
         if previous is None or self._version not in (previous, self._announced_version):
-            self._last_seen_at = self._now()
+            self._see_holder()
         # A report of a new holder may have arrived during the read, so the expiry is checked again.
-        if not self.state.holder or self._is_held_by_vm() or self._has_expired():
-            yield from self._acquire()
+        end = self._find_lease_end()
+        if end is not None:
+            yield from self._acquire(end, read_at)
+
+    def _see_holder(self) -> None:
+        """Record a sign of a holder: a report, or a change of the row."""
+        self._last_seen_at = self._last_sign_at = self._now()
+
+    def _find_lease_end(self) -> LeaseEnd | None:
+        """Return how the lease of the last holder has ended, given the row as just read."""
+        if not self.state.holder:
+            return LeaseEnd.NO_HOLDER
+        if self._is_held_by_vm():
+            return LeaseEnd.OWN_VM
+        if not self._has_expired():
+            return None
+        if self._last_seen_at == -math.inf:
+            return LeaseEnd.RELEASE_REPORTED
+        return LeaseEnd.EXPIRED
 
     def _merge_row(self, row: StoredRow | None, version: int) -> None:
         """Apply the row as read now, keeping what this process knows of usage reports.
@@ -262,8 +305,16 @@
         """Return True if an earlier process of this VM, which must have ended, held the lease."""
         return self.state.holder == self._vm_id
 
-    def _acquire(self) -> Task:
-        """Write this process into the row as holder, with a higher fencing token."""
+    def _acquire(self, end: LeaseEnd, read_at: float) -> Task:
+        """Write this process into the row as holder, with a higher fencing token.
+
+        Parameters
+        ----------
+        end : LeaseEnd
+            How the lease of the last holder has ended.
+        read_at : float
+            Time at which the read of the row was sent.
+        """
         last = self.state.holder
         past = ((last,) if last else ()) + tuple(self.state.past)
         # The era of the store rises by one with each restore.
@@ -285,15 +336,27 @@
         sent_at = self._now()
         if not (yield from self._write(state)):
             # Another process has just acquired the lease, which starts now.
-            self._last_seen_at = self._now()
-            self._log.info("leader lease not acquired", fencing=state.fencing)
+            self._see_holder()
+            self._log.info("leader lease not acquired", fencing=state.fencing, end=end)
             return
         if is_behind:
             self._log.warning("usage windows skipped", before=reports_from)
         held_before = state.holders_unknown or (self._vm_id in past and past[0] != self._vm_id)
         acts_from = self._now() + self._duration if held_before else sent_at
         self._lease = HeldLease(state.fencing, sent_at, acts_from, sent_at + self._duration)
-        self._log.info("leader lease acquired", fencing=state.fencing, last_holder=last)
+        now = self._now()
+        self._log.info(
+            "leader lease acquired",
+            fencing=state.fencing,
+            last_holder=last,
+            end=end,
+            sign_ago_ms=_get_age_ms(self._last_sign_at, now),
+            release_ago_ms=_get_age_ms(self._release_heard_at, now),
+            read_ago_ms=_get_age_ms(read_at, now),
+            write_ago_ms=_get_age_ms(sent_at, now),
+            started_ago_ms=_get_age_ms(self._started_at, now),
+            acts_in_ms=-_get_age_ms(max(acts_from, now), now),
+        )
 
     def renew(self, reports: Mapping[str, Mapping[str, int]] | None = None) -> Task:
         """Renew the lease, storing `reports` in the same write; return True on success.
@@ -337,7 +400,7 @@
             if not self._is_held_here(self.state, fencing):
                 self._log.warning("leader lease lost", fencing=fencing)
                 self._lease = None
-                self._last_seen_at = self._now()
+                self._see_holder()
                 return False
             # The response to an earlier write was lost, but the write took effect: keep what it
             # stored.
@@ -391,6 +454,11 @@
             self._log.info("leader lease not released; it will expire", detail=str(exc))
 
 
+def _get_age_ms(at: float | None, now: float) -> int | None:
+    """Return the age of an event in milliseconds; None if it did not happen."""
+    return None if at is None else round((now - at) * 1000)
+
+
 def _encode(state: LeaseState) -> bytes:
     return orjson.dumps(state)
 
--- a/flamingofront/process/forwarding/scaling.py
+++ b/flamingofront/process/forwarding/scaling.py
@@ -138,10 +138,7 @@
                 self._fencing = lease.fencing
                 self._last_requests.clear()
             for request in list(self.plan_requests()):
-                try:
-                    yield from self._send_request(request)
-                except PlatformError as exc:
-                    self._log.warning("scaling request failed", order=str(request), detail=str(exc))
+                yield from self._send_request(request)
 
     def plan_requests(self) -> Iterable[ScalingRequest]:
         """Return the scaling requests to send now."""
@@ -277,10 +274,23 @@
 
     def _send_request(self, request: ScalingRequest) -> Task:
         """Send a scaling request while the lease is held, and record whether it was granted."""
-        lease = self._lease.usable_lease()
-        if lease is None:
+        call = self._lease.start_call()
+        if call is None:
+            return
+        try:
+            granted = yield from self._cloud.request_endpoints(
+                self._vm_id, call.fencing, request, call
+            )
+        except PlatformError as exc:
+            self._log.warning(
+                "scaling request failed",
+                order=str(request),
+                fencing=call.fencing,
+                detail=str(exc),
+                maybe_applied=exc.maybe_applied,
+                **call.log_fields(),
+            )
             return
-        granted = yield from self._cloud.request_endpoints(self._vm_id, lease.fencing, request)
         result = "granted" if granted else "refused"
         self._metrics.count("orders_total", kind="endpoints", result=result)
         now = self._now()
@@ -299,7 +309,8 @@
             count=request.count,
             reclaimable=request.reclaimable,
             granted=granted,
-            fencing=lease.fencing,
+            fencing=call.fencing,
+            **call.log_fields(),
             **self._decision_fields(request.service, now),
         )
 
--- a/flamingofront/process/forwarding/usage.py
+++ b/flamingofront/process/forwarding/usage.py
@@ -221,7 +221,7 @@
             try:
                 yield from self.step()
             except PlatformError as exc:
-                self._log.warning("usage report failed", detail=str(exc))
+                self._log.warning("usage window not stored", detail=str(exc))
             yield Sleep(STEP_SECONDS, relaxed=True)
 
     def step(self) -> Task:
@@ -234,8 +234,8 @@
         if window is not None and not (yield from self._store_window(window)):
             return
         for name, counts in sorted(self._lease.state.reports.items()):
-            if name not in self._confirmed:
-                yield from self._send_report(name, counts)
+            if name not in self._confirmed and not (yield from self._send_report(name, counts)):
+                return
 
     def _next_due_window(self) -> int | None:
         """Return the next window to store, with complete counts; None if there is none.
@@ -268,13 +268,31 @@
         return (yield from self._lease.renew(kept))
 
     def _send_report(self, name: str, counts: Mapping[str, int]) -> Task:
-        """Send a stored report to the cloud while the lease is held."""
-        lease = self._lease.usable_lease()
-        if lease is None:
-            return
+        """Send a stored report to the cloud while the lease is held; return True on success."""
+        call = self._lease.start_call()
+        if call is None:
+            return False
         report = UsageReport(int(name), counts)
-        yield from self._cloud.report_usage(self._vm_id, lease.fencing, report)
+        try:
+            yield from self._cloud.report_usage(self._vm_id, call.fencing, report, call)
+        except PlatformError as exc:
+            self._log.warning(
+                "usage report failed",
+                window=report.window,
+                fencing=call.fencing,
+                detail=str(exc),
+                maybe_applied=exc.maybe_applied,
+                **call.log_fields(),
+            )
+            return False
         self._metrics.count("usage_reports_total")
         self._confirmed.add(name)
         self._confirmed &= {*self._lease.state.reports, name}
-        self._log.info("usage reported", window=report.window, counts=counts, fencing=lease.fencing)
+        self._log.info(
+            "usage reported",
+            window=report.window,
+            counts=counts,
+            fencing=call.fencing,
+            **call.log_fields(),
+        )
+        return True
--- a/flamingofront/process/store.py
+++ b/flamingofront/process/store.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
+from flamingofront.connection.call_guard import CallGuard
 from flamingofront.errors import PlatformError
 from flamingofront.process.tasks import Task
 
@@ -259,7 +260,9 @@
     """Platform calls that only the holder of a leader lease may make, with its fencing token."""
 
     @abstractmethod
-    def report_usage(self, holder: str, fencing: int, report: UsageReport) -> Task:
+    def report_usage(
+        self, holder: str, fencing: int, report: UsageReport, guard: CallGuard | None = None
+    ) -> Task:
         """Send a usage report.
 
         Raises
@@ -269,5 +272,7 @@
         """
 
     @abstractmethod
-    def request_endpoints(self, holder: str, fencing: int, request: ScalingRequest) -> Task:
+    def request_endpoints(
+        self, holder: str, fencing: int, request: ScalingRequest, guard: CallGuard | None = None
+    ) -> Task:
         """Request endpoints; return False if the zone has no such capacity now."""
--- a/flamingofront/tests/network.py
+++ b/flamingofront/tests/network.py
@@ -7,6 +7,7 @@
 
 import orjson
 
+from flamingofront.connection.call_guard import CallStep
 from flamingofront.connection.interfaces import CallHandle, ConnectResult, Exchange, Transport
 from flamingofront.messages import (
     NO_IDLE_CONNECTION,
@@ -154,9 +155,16 @@
 
     def _send(self) -> None:
         self._wrote = True
+        self._record_steps()
         self.target.links.append(self)
         self.target.timers.once(LATENCY, self._arrive)
 
+    def _record_steps(self) -> None:
+        if self.call.guard is not None:
+            for step in CallStep:
+                if not self.reused or step is CallStep.WRITTEN:
+                    self.call.guard.record(step)
+
     def _start_on_faulty_path(self, fault: PathFault) -> None:
         """Use an idle connection if there is one, or fail to establish a new one."""
         self.reused = self.world.takes_idle(self.source, self.call)
