--- a/flamingofront/messages.py
+++ b/flamingofront/messages.py
@@ -18,6 +18,7 @@
     "Frame",
     "InboundRequest",
     "NO_IDLE_CONNECTION",
+    "SEND_WITHDRAWN",
     "STALE_ATTEMPT_SECONDS",
     "STALE_SECONDS",
     "OutboundCall",
@@ -33,6 +34,8 @@
 
 # Failure of a call that may use an idle connection only, while there is none.
 NO_IDLE_CONNECTION = "no idle connection"
+# Failure of a call that its guard has withdrawn before all of it was written.
+SEND_WITHDRAWN = "withdrawn"
 # `OutboundCall.stale_seconds` of calls that are safe to repeat: a round trip, and the time for
 # which a busy process does not read.
 STALE_SECONDS = 0.25
--- a/flamingofront/tests/world.py
+++ b/flamingofront/tests/world.py
@@ -56,6 +56,8 @@
         # Faults of one-way paths, by the names of the calling and the called host.
         self.path_faults: dict[tuple[str, str], PathFault] = {}
         self.max_extra_delay = 0.0
+        # Seconds by which the connections of guarded calls are established late, by source.
+        self.connect_delays: dict[str, float] = {}
         # Connections that are kept, by host and address; none unless a test wants them.
         self.keeps_connections = False
         self.idle: set[tuple[str, str]] = set()
