Calls under the leader lease are checked again right before their bytes are sent

Cause: the lease was checked when the task yielded the call. Until its first byte lie turns of the event loop, a new connection and the wait for a writable socket, in which a process may be busy, slow or stand still; nothing checked the lease again, and the margins of the lease are guesses of the usual time. After a release the next holder acts 1.1 s later.

Change: an outgoing call may have a guard, which the client asks before each write. It fails as withdrawn, and says whether a byte was sent. The guard of calls to the cloud asks the lease for the same token, so that expiry, stop and loss withdraw what is not written.

Why it holds: the time between decision and first byte no longer counts; what is left is the time from a write to its delivery, which the kernel bounds.

--- a/flamingofront/connection/client.py
+++ b/flamingofront/connection/client.py
@@ -24,6 +24,7 @@
 from flamingofront.errors import ErrorKind, RequestError
 from flamingofront.messages import (
     NO_IDLE_CONNECTION,
+    SEND_WITHDRAWN,
     CallFailed,
     OutboundCall,
     ResponseData,
@@ -111,6 +112,10 @@
         """Record that bytes of the request may have been sent."""
         self._wrote = True
 
+    def may_send(self) -> bool:
+        """Return True if bytes may be sent now, as far as the guard of the call decides."""
+        return self.call.guard is None or self.call.guard.may_send()
+
     def record(self, step: CallStep) -> None:
         """Tell the guard of the call that it has reached a step."""
         if self.call.guard is not None:
@@ -196,9 +201,12 @@
         self._interim_count = 0
         self._decoder: BodyDecoder | None = None
         self._unsent = RequestBytes(call.call)
-        if self.connected and not self._send():
+        if not self.connected:
+            return
+        failure = self._send()
+        if failure:
             # Not at once: whoever starts the call has no handle yet.
-            self._client.timers.once(0.0, lambda: self.fail("reset"))
+            self._client.timers.once(0.0, lambda: self.fail(failure))
 
     def _set_user_timeout(self, seconds: float | None) -> None:
         """Set the time until the kernel resets the connection if sent bytes are unacknowledged."""
@@ -233,11 +241,15 @@
             return
         if not self._unsent:
             self._client.watch(self, READ)
-        elif not self._send():
-            self.fail("reset")
-
-    def _send(self) -> bool:
-        """Send what the kernel takes; return False if the connection has failed."""
+            return
+        failure = self._send()
+        if failure:
+            self.fail(failure)
+
+    def _send(self) -> str:
+        """Send what the kernel takes; return the reason if the call fails, else an empty string."""
+        if not self._call.may_send():
+            return SEND_WITHDRAWN
         self._call.mark_written()
         if self._send_watch is None and len(self._unsent) > WATCHED_BYTES:
             self._watch_sending()
@@ -247,11 +259,11 @@
         except BlockingIOError:
             pass  # the rest is sent once there is room
         except OSError:
-            return False
+            return "reset"
         if not self._unsent:
             self._call.record(CallStep.WRITTEN)
         self._client.watch(self, READ | WRITE if self._unsent else READ)
-        return True
+        return ""
 
     def _finish_connect(self) -> bool:
         code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
--- a/flamingofront/connection/tests/test_client.py
+++ b/flamingofront/connection/tests/test_client.py
@@ -248,6 +248,9 @@
     def __init__(self):
         self.steps = []
 
+    def may_send(self):
+        return True
+
     def record(self, step):
         self.steps.append(step)
 
--- a/flamingofront/messages.py
+++ b/flamingofront/messages.py
@@ -108,7 +108,7 @@
         Longest time without data within a started response, in seconds, so that a large response
         may take as long as its link needs. None if `timeout` applies to the whole response.
     guard : CallGuard or None
-        Follows the steps of the call.
+        Decides before each write whether the call may still be sent, and follows its steps.
     """
 
     address: str
@@ -180,7 +180,7 @@
     reason : str
         One of ``refused`` (no process listens on the port), ``connect`` (no connection could be
         established), ``reset``, ``timeout``, ``framing`` (malformed response), ``too large``
-        (response that is collected as a whole), ``cancelled``.
+        (response that is collected as a whole), ``cancelled``, `SEND_WITHDRAWN`.
     wrote : bool
         False only if it is certain that no byte of the request was sent.
     reused : bool
--- a/flamingofront/process/forwarding/duty.py
+++ b/flamingofront/process/forwarding/duty.py
@@ -178,7 +178,14 @@
     def start_call(self) -> LeaderCall | None:
         """Return a call under the lease, to be sent now; None if this process may not act."""
         lease = self.usable_lease()
-        return None if lease is None else LeaderCall(lease.fencing, lease.valid_until, self._now)
+        if lease is None:
+            return None
+        return LeaderCall(lease.fencing, lease.valid_until, self.is_usable, self._now)
+
+    def is_usable(self, fencing: int) -> bool:
+        """Return True if this process may act now under the lease with a fencing token."""
+        lease = self.usable_lease()
+        return lease is not None and lease.fencing == fencing
 
     def valid_lease(self) -> HeldLease | None:
         """Return the lease if it is valid, even if this process may not act on it yet."""
--- a/flamingofront/process/forwarding/leader_call.py
+++ b/flamingofront/process/forwarding/leader_call.py
@@ -10,29 +10,43 @@
 
 
 class LeaderCall(CallGuard):
-    """A call under the leader lease, with the times of its steps.
+    """A call under the leader lease, which is checked again before bytes are sent.
 
     Parameters
     ----------
     fencing : int
         Fencing token of the lease.
     valid_until : float
-        Time until which the lease is valid, as known at the check.
+        Time until which the lease is valid, as known at the first check.
+    is_usable : callable
+        Returns True while this process may act under a fencing token.
     now : callable
         Monotonic clock in seconds.
 
     Notes
     -----
-    To be created when the lease is checked.
+    To be created when the lease is checked. Between that and the first byte lie turns of the event
+    loop and a new connection, and the process may stand still.
     """
 
-    def __init__(self, fencing: int, valid_until: float, now: Callable[[], float]):
+    def __init__(
+        self,
+        fencing: int,
+        valid_until: float,
+        is_usable: Callable[[int], bool],
+        now: Callable[[], float],
+    ):
         self.fencing = fencing
+        self._is_usable = is_usable
         self._now = now
         self._checked_at = now()
         self._lease_left = valid_until - self._checked_at
         self._reached_at: dict[CallStep, float] = {}
 
+    def may_send(self) -> bool:
+        """Return True while this process may act under the lease of this call."""
+        return self._is_usable(self.fencing)
+
     def record(self, step: CallStep) -> None:
         """Record that the call has reached a step."""
         self._reached_at[step] = self._now()
--- a/flamingofront/tests/network.py
+++ b/flamingofront/tests/network.py
@@ -11,6 +11,7 @@
 from flamingofront.connection.interfaces import CallHandle, ConnectResult, Exchange, Transport
 from flamingofront.messages import (
     NO_IDLE_CONNECTION,
+    SEND_WITHDRAWN,
     CallFailed,
     InboundRequest,
     ResponseData,
@@ -176,8 +177,12 @@
             self._write_guarded(guard)
 
     def _write_guarded(self, guard: CallGuard) -> None:
-        self._write()
-        guard.record(CallStep.WRITTEN)
+        if guard.may_send():
+            self._write()
+            guard.record(CallStep.WRITTEN)
+        else:
+            # Not at once: whoever starts the call has no handle yet.
+            self.source.timers.once(0.0, lambda: self.fail(SEND_WITHDRAWN, False, self.reused))
 
     def _write(self) -> None:
         self._wrote = True
