A call is not written after its timeout

What receivers saw: a request that arrived 0.6 to 2 s after its caller had been told that it timed out (trial on loopback: an event loop that is busy for 1.6 and 3.0 s after the start).

Cause: after a long turn sockets are served before late timers, so that data which came meanwhile counts. The socket of a call whose timeout has passed is served then as well.

Change: the client looks at the time before it writes; the call fails with its timeout, and as not written if no byte was sent. A connection that was established in time and noticed late is still used.

--- a/flamingofront/connection/client.py
+++ b/flamingofront/connection/client.py
@@ -248,6 +248,8 @@
 
     def _send(self) -> str:
         """Send what the kernel takes; return the reason if the call fails, else an empty string."""
+        if self._client.is_overdue(self._call):
+            return "timeout"
         if not self._call.may_send():
             return SEND_WITHDRAWN
         self._call.mark_written()
@@ -590,6 +592,17 @@
             handle.timer = self.timers.once(stall_timeout, lambda: self._on_timeout(handle))
         handle.last_data_at = self.timers.now()
 
+    def is_overdue(self, handle: _Call) -> bool:
+        """Return True if the time of a call is over, though its timer may not have run yet.
+
+        Notes
+        -----
+        After a long turn of the event loop, sockets are served before the timers.
+        """
+        if handle.last_data_at is not None:
+            return False
+        return self.timers.now() >= handle.started_at + handle.call.timeout
+
     def _on_timeout(self, handle: _Call) -> None:
         if handle.conn is None or handle.conn.closed:
             return
