The kernel limits the delivery of large calls that must not arrive late

What receivers could see: a usage report of over 8 KB that arrives minutes after its process stood still, under an old fencing token. Found by reading; no play showed it.

Cause: requests of over 8 KB are watched by the event loop, so that a receiver that stands still is not taken for a lost one. The kernel's limit for unacknowledged bytes is off meanwhile, and the event loop of a process that stands still watches nothing.

Change: calls with a limit of their own keep it, whatever their size.

Result: test_large_call_is_given_up_by_the_kernel_too failed before (0 in place of 800 ms) and passes.

--- a/flamingofront/connection/client.py
+++ b/flamingofront/connection/client.py
@@ -253,7 +253,9 @@
         if not self._call.may_send():
             return SEND_WITHDRAWN
         self._call.mark_written()
-        if self._send_watch is None and len(self._unsent) > WATCHED_BYTES:
+        # Only the kernel's limit holds while this process stands still.
+        is_watched = self._call.call.ack_timeout is None and len(self._unsent) > WATCHED_BYTES
+        if self._send_watch is None and is_watched:
             self._watch_sending()
         try:
             while self._unsent:
