The kernel discards calls of a killed process that must not arrive late

What receivers could see: a call of a holder that was killed, beside the first calls of the process that was started in its place and acquires the lease at once. Found by reading.

Cause: the kernel goes on sending, and repeating, what a process had passed to it when it was killed; a reset was asked for only when the process itself closed the connection.

Change: connections of calls with a limit for unacknowledged bytes are reset on close from the start of the call to its answer, so that a kill discards their bytes as well.

Result: test_bytes_of_a_killed_process_are_not_sent failed before (8 MiB call, the rest of what the kernel had taken was delivered after the kill) and passes in five of five runs.

--- a/flamingofront/connection/client.py
+++ b/flamingofront/connection/client.py
@@ -57,6 +57,7 @@
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBE_COUNT = 2
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_SEND_ON_CLOSE = struct.pack("ii", 0, 0)
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d{1,6})")
 _IN_PROGRESS = (errno.EINPROGRESS, errno.EWOULDBLOCK, errno.EALREADY)
 
@@ -195,6 +196,9 @@
         self._call = call
         call.conn = self
         self._set_user_timeout(call.call.ack_timeout)
+        if call.call.ack_timeout is not None:
+            # Also if this process is killed: the kernel then discards what it has not sent.
+            self._set_reset_on_close(True)
         self._heads = HeadBuffer(is_request=False, max_bytes=MAX_RESPONSE_HEAD_BYTES)
         self._head: Head | None = None
         self._has_received = False
@@ -208,6 +212,11 @@
             # Not at once: whoever starts the call has no handle yet.
             self._client.timers.once(0.0, lambda: self.fail(failure))
 
+    def _set_reset_on_close(self, enabled: bool) -> None:
+        """Let the kernel discard unsent bytes and reset the connection when it is closed."""
+        value = _RESET_ON_CLOSE if enabled else _SEND_ON_CLOSE
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
     def _set_user_timeout(self, seconds: float | None) -> None:
         """Set the time until the kernel resets the connection if sent bytes are unacknowledged."""
         self._user_timeout_ms = USER_TIMEOUT_MS if seconds is None else int(seconds * 1000)
@@ -358,6 +367,8 @@
     def _finish_call(self, trailing: bytes) -> None:
         """End the call; keep the connection unless bytes are unsent or follow the response."""
         call, self._call = self._call, None
+        if call.call.ack_timeout is not None:
+            self._set_reset_on_close(False)
         self._end_send_watch()
         self._client.forget_collected(self)
         idle_timeout = _get_idle_timeout(self._head)
@@ -391,7 +402,7 @@
         self.closed = True
         if self._call is not None:
             # A reset discards unsent bytes, so that none arrives after the call was cancelled.
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            self._set_reset_on_close(True)
         self._call = None
         self._unsent = None
         for timer in (self.idle_timer, self._connect_timer, self._send_watch):
