A new holder after a restore waits for calls of holders that it does not know

What the cloud could see: a call under an older fencing token beside the first calls of the holder that acquired the lease after the store had come back from a copy. Found by reading.

Cause: where the restored row may lack a holder, the new one waits for a whole lease. The lost holder may write its last call 0.3 s before that ends, and the kernel delivers it up to 1.1 s later; only the wait after an expiry had a margin for it.

Change: the same margin as after an expiry (1.2 s). The constants name what they bound: MAX_DELIVERY_SECONDS, from the last write to the arrival.

--- a/flamingofront/process/forwarding/duty.py
+++ b/flamingofront/process/forwarding/duty.py
@@ -8,6 +8,9 @@
 
 A VM that held the lease, lost it to another and acquires it again waits for a whole lease before it
 acts: its calls before and after those of the other holder are never closer than that.
+
+A call is checked against the lease when it begins, and again right before its bytes are written
+(`LeaderCall`). From then on only the kernel delays it, for `MAX_DELIVERY_SECONDS` at most.
 """
 
 import math
@@ -32,13 +35,14 @@
 LEADER_PARTITION = "duties"
 LEADER_KEY = "all"
 RENEWALS_PER_LEASE = 3
-# A call of the previous holder may be in flight for as long as its response timeout (1 s).
-TAKEOVER_MARGIN_SECONDS = 1.2
-# The holder acts only with this much of its lease left: the latency of a call to the cloud.
+# Longest time from the last write of a call until the cloud can receive it: the kernel discards it
+# once it is unacknowledged for 0.8 s, counted from its first repetition.
+MAX_DELIVERY_SECONDS = 1.1
+# Bytes of a call are written only with this much of the lease left.
 ACT_MARGIN_SECONDS = 0.3
+# Others wait this much longer than a lease: what is left of `MAX_DELIVERY_SECONDS`, and a reserve.
+TAKEOVER_MARGIN_SECONDS = 1.2
 RETRY_SECONDS = 0.3
-# Longest time a call of this holder may still be in flight when it releases the lease.
-MAX_CALL_SECONDS = 1.1
 # Previous holders that the row keeps. At about one second each, as in a rolling restart, they cover
 # several leases.
 MAX_PAST_HOLDERS = 8
@@ -348,8 +352,12 @@
             return
         if is_behind:
             self._log.warning("usage windows skipped", before=reports_from)
-        held_before = state.holders_unknown or (self._vm_id in past and past[0] != self._vm_id)
-        acts_from = self._now() + self._duration if held_before else sent_at
+        acts_from = sent_at
+        if state.holders_unknown:
+            # One of them may hold a valid lease, and has calls in flight at its end.
+            acts_from = self._now() + self._duration + TAKEOVER_MARGIN_SECONDS
+        elif self._vm_id in past and past[0] != self._vm_id:
+            acts_from = self._now() + self._duration
         self._lease = HeldLease(state.fencing, sent_at, acts_from, sent_at + self._duration)
         now = self._now()
         self._log.info(
@@ -444,13 +452,14 @@
 
         Notes
         -----
-        A call that is still in flight must not arrive after the successor's first one.
+        No call is written from now on. One that was written must not arrive after the successor's
+        first one.
         """
         self._stopped = True
         lease = self._lease
         if lease is None:
             return
-        yield Sleep(MAX_CALL_SECONDS)
+        yield Sleep(MAX_DELIVERY_SECONDS)
         self._lease = None
         past = (self._vm_id, *self.state.past)[:MAX_PAST_HOLDERS]
         try:
--- a/flamingofront/process/forwarding/tests/test_calls_after_the_lease.py
+++ b/flamingofront/process/forwarding/tests/test_calls_after_the_lease.py
@@ -6,11 +6,19 @@
 
 import pytest
 
+from flamingofront.process.forwarding.duty import ACT_MARGIN_SECONDS, MAX_DELIVERY_SECONDS
 from flamingofront.process.forwarding.tests.test_duties import (
     assert_one_holder_at_a_time,
     cloud_calls,
     find_holder,
 )
+from flamingofront.process.forwarding.tests.test_lease_fuzz import (
+    DURATION,
+    Clock,
+    NaiveStore,
+    Process,
+)
+from flamingofront.process.store import make_revision
 from flamingofront.tests.forwarding_world import ready_world
 
 # Longer than a lease and the wait of the next holder together.
@@ -87,3 +95,21 @@
         sent = len(play.world.store.leader_calls)
         play.world.run(10.0)
         assert {each.fencing for each in play.world.store.leader_calls[sent:]} == {2}
+
+
+class TestRestoredStore:
+    """A holder after a restore acted beside calls of the one that the restored row lacks."""
+
+    def test_holder_waits_for_calls_of_holders_that_it_does_not_know(self):
+        clock, store = Clock(), NaiveStore()
+        first = Process(0, store, clock)
+        for _ in range(2):
+            first.step(store.carry_out(first.call))
+        last_write_at = first.lease.valid_lease().valid_until - ACT_MARGIN_SECONDS
+        store.version, store.row = make_revision(1, 0), None
+        second = Process(1, store, clock)
+        for _ in range(2):
+            second.step(store.carry_out(second.call))
+        acts_from = second.lease.valid_lease().acts_from
+        assert acts_from >= last_write_at + MAX_DELIVERY_SECONDS
+        assert acts_from >= clock.time + DURATION
--- a/flamingofront/process/forwarding/tests/test_holders_after_restore.py
+++ b/flamingofront/process/forwarding/tests/test_holders_after_restore.py
@@ -9,7 +9,12 @@
 
 import pytest
 
-from flamingofront.process.forwarding.duty import LEADER_KEY, LEADER_PARTITION, LEADER_TABLE
+from flamingofront.process.forwarding.duty import (
+    LEADER_KEY,
+    LEADER_PARTITION,
+    LEADER_TABLE,
+    TAKEOVER_MARGIN_SECONDS,
+)
 from flamingofront.process.forwarding.tests.test_duties import (
     assert_one_holder_at_a_time,
     cloud_calls,
@@ -226,6 +231,9 @@
         window = duties.world.fronts["front-1"].usage.window_at(duties.world.clock.now())
         assert window - 1 <= row["reports_from"] <= window
         assert row["holders_unknown"] is True
-        duties.run(5.0)
+        duties.run(3.5)
+        row = duties.world.store.get_value(LEADER_TABLE, LEADER_KEY, LEADER_PARTITION)
+        assert row["holders_unknown"] is True
+        duties.run(1.5 + TAKEOVER_MARGIN_SECONDS)
         row = duties.world.store.get_value(LEADER_TABLE, LEADER_KEY, LEADER_PARTITION)
         assert row["holders_unknown"] is False
