--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -15,6 +15,7 @@
 from bench.departure_mutations import DEPARTURE_MUTATIONS
 from bench.knowledge_mutations import KNOWLEDGE_MUTATIONS
 from bench.known_failure_mutations import KNOWN_FAILURE_MUTATIONS
+from bench.leader_mutations import LEADER_MUTATIONS
 from bench.mutation import Mutation
 from bench.path_mutations import PATH_MUTATIONS
 from bench.platform_mutations import PLATFORM_MUTATIONS
@@ -187,6 +188,7 @@
     *PATH_MUTATIONS,
     *QUARANTINE_MUTATIONS,
     *KNOWN_FAILURE_MUTATIONS,
+    *LEADER_MUTATIONS,
     *ANSWER_MUTATIONS,
     *CUT_ANSWER_MUTATIONS,
     *KNOWLEDGE_MUTATIONS,
--- a/bench/platform_mutations.py
+++ b/bench/platform_mutations.py
@@ -103,8 +103,8 @@
     Mutation(
         "P the wait is looked at again behind the read",
         "process/forwarding/duty.py",
-        "if not self.state.holder or self._is_held_by_vm() or self._has_expired():",
-        "if not self.state.holder or self._is_held_by_vm() or previous is not None:",
+        "        if not self._has_expired():\n            return None\n",
+        "",
         FUZZ,
     ),
     Mutation(
--- a/bench/promise_mutations.py
+++ b/bench/promise_mutations.py
@@ -149,15 +149,15 @@
     Mutation(
         "Refusal: a call has a handle before it fails",
         "connection/client.py",
-        'self._client.timers.once(0.0, lambda: self.fail("reset"))',
-        'self.fail("reset")',
+        "self._client.timers.once(0.0, lambda: self.fail(failure))",
+        "self.fail(failure)",
         REFUSED_CONNECTIONS,
     ),
     Mutation(
         "Refusal: what the kernel holds of a cancelled call is not sent",
         "connection/client.py",
-        "self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)",
-        "pass",
+        "arrives after the call was cancelled.\n            self._set_reset_on_close(True)",
+        "arrives after the call was cancelled.\n            pass",
         REFUSED_CONNECTIONS,
     ),
     Mutation(
