A stopping holder releases the lease though a renewal was not answered

What was seen: no holder for a whole lease and its margin after a stop, while the holder announced that it had released the lease. Found by reading.

Cause: the release is one conditional write. If a renewal took effect and its answer was lost, or comes later, the condition fails; the result was not looked at.

Change: the release is repeated once if the row still names this holder, and is announced only if it was made.

Result: test_row_is_released_though_the_answer_to_a_renewal_was_lost failed before (the row still named the holder) and passes; tests of the lease pass.

--- a/flamingofront/process/forwarding/duty.py
+++ b/flamingofront/process/forwarding/duty.py
@@ -461,13 +461,24 @@
             return
         yield Sleep(MAX_DELIVERY_SECONDS)
         self._lease = None
-        past = (self._vm_id, *self.state.past)[:MAX_PAST_HOLDERS]
         try:
-            yield from self._write(replace(self.state, holder="", past=past))
-            self.released_fencing = lease.fencing
-            self._log.info("leader lease released", fencing=lease.fencing)
+            has_released = yield from self._write_release()
+            if not has_released and self._is_held_here(self.state, lease.fencing):
+                # A renewal whose response was lost, or is still to come, took effect.
+                has_released = yield from self._write_release()
         except PlatformError as exc:
             self._log.info("leader lease not released; it will expire", detail=str(exc))
+            return
+        if not has_released:
+            self._log.info("leader lease not released; the row has changed", fencing=lease.fencing)
+            return
+        self.released_fencing = lease.fencing
+        self._log.info("leader lease released", fencing=lease.fencing)
+
+    def _write_release(self) -> Task:
+        """Write the row without a holder; return False if it has changed since last seen."""
+        past = (self._vm_id, *self.state.past)[:MAX_PAST_HOLDERS]
+        return (yield from self._write(replace(self.state, holder="", past=past)))
 
 
 def _get_age_ms(at: float | None, now: float) -> int | None:
--- a/flamingofront/process/forwarding/tests/test_calls_after_the_lease.py
+++ b/flamingofront/process/forwarding/tests/test_calls_after_the_lease.py
@@ -4,6 +4,7 @@
 established late, wrote the call under a lease that had ended, beside those of the next holder.
 """
 
+import orjson
 import pytest
 
 from flamingofront.process.forwarding.duty import ACT_MARGIN_SECONDS, MAX_DELIVERY_SECONDS
@@ -113,3 +114,33 @@
         acts_from = second.lease.valid_lease().acts_from
         assert acts_from >= last_write_at + MAX_DELIVERY_SECONDS
         assert acts_from >= clock.time + DURATION
+
+
+class TestRelease:
+    """A stopping holder announced a release that the store had not made."""
+
+    def stop(self, answered):
+        """Stop a holder whose last renewal was carried out; return its row and its lease."""
+        clock, store = Clock(), NaiveStore()
+        holder = Process(0, store, clock)
+        for _ in range(2):
+            holder.step(store.carry_out(holder.call))
+        clock.time = holder.wake_at
+        holder.step(None)
+        result = store.carry_out(holder.call)
+        if answered:
+            holder.step(result)
+        release = holder.lease.release()
+        answer = next(release)
+        clock.time += answer.seconds
+        answer = None
+        with pytest.raises(StopIteration):
+            while True:
+                answer = store.carry_out(release.send(answer))
+        return orjson.loads(store.row.value), holder.lease
+
+    @pytest.mark.parametrize("answered", [True, False])
+    def test_row_is_released_though_the_answer_to_a_renewal_was_lost(self, answered):
+        row, lease = self.stop(answered)
+        assert row["holder"] == ""
+        assert lease.released_fencing == 1
