A holder whose lease has expired does not renew over its successor's row

What the cloud could see: a former holder that goes on under its old fencing token, after a restore of the store.

Cause: a holder whose lease has expired reads the row before it renews, and compared only the era of the store. It ignored that the row named another holder, counting on its conditional write; a restore between the read and the write makes that succeed.

Change: the lease is dropped unless the row read names this process under its token.

--- a/flamingofront/process/forwarding/duty.py
+++ b/flamingofront/process/forwarding/duty.py
@@ -228,28 +228,29 @@
     def _renew_or_poll(self) -> Task:
         """Renew a held lease; otherwise read the row if the holder's lease may have expired."""
         if self._lease is not None:
-            if self._now() < self._lease.valid_until or not (yield from self._lost_in_restore()):
+            if self._now() < self._lease.valid_until or not (yield from self._lost_after_expiry()):
                 yield from self.renew()
             return
         if self._version is None or self._has_expired():
             yield from self._poll_row()
 
-    def _lost_in_restore(self) -> Task:
+    def _lost_after_expiry(self) -> Task:
         """Return True, dropping the lease, if it must be acquired again instead of renewed.
 
         Notes
         -----
-        The lease has expired here. Normally the row shows that nobody else acquired it meanwhile.
-        It does not if the store was restored from an older snapshot: a holder that had been
-        suspended would continue with a lower fencing token than its successor's.
+        The lease has expired here. A conditional write alone does not show whether another process
+        acquired it meanwhile: the store may be restored from an older snapshot before or after the
+        read, and a holder that had been suspended would continue with a lower fencing token than
+        its successor's.
         """
-        era = self._era
+        era, fencing = self._era, self._lease.fencing
         found = yield from self._store.read(LEADER_TABLE, LEADER_PARTITION)
-        if get_era(found.version) == era:
+        row = next((each for each in found.rows if each.key == LEADER_KEY), None)
+        if get_era(found.version) == era and self._is_held_here(_decode(row), fencing):
             return False
-        self._log.warning("leader lease lost", fencing=self._lease.fencing, era=era)
+        self._log.warning("leader lease lost", fencing=fencing, era=era)
         self._lease = None
-        row = next((each for each in found.rows if each.key == LEADER_KEY), None)
         self._merge_row(row, found.version)
         self._see_holder()
         return True
--- a/flamingofront/process/forwarding/tests/test_calls_after_the_lease.py
+++ b/flamingofront/process/forwarding/tests/test_calls_after_the_lease.py
@@ -115,6 +115,25 @@
         assert acts_from >= last_write_at + MAX_DELIVERY_SECONDS
         assert acts_from >= clock.time + DURATION
 
+    def test_holder_that_read_its_successor_does_not_renew(self):
+        """A restore between its read and its write made the write succeed, with the old token."""
+        clock, store = Clock(), NaiveStore()
+        first, second = (Process(index, store, clock) for index in range(2))
+        for process in (first, first, second):
+            process.step(store.carry_out(process.call))
+        copy = store.version, store.row
+        clock.time += DURATION + 2.0
+        second.step(None)
+        for _ in range(2):
+            second.step(store.carry_out(second.call))
+        assert second.lease.usable_lease().fencing == 2
+        first.step(None)
+        first.step(store.carry_out(first.call))
+        store.version, store.row = make_revision(1, copy[0]), copy[1]
+        if first.call is not None:
+            first.step(store.carry_out(first.call))
+        assert first.lease.valid_lease() is None
+
 
 class TestRelease:
     """A stopping holder announced a release that the store had not made."""
