--- a/flamingofront/process/forwarding/duty.py
+++ b/flamingofront/process/forwarding/duty.py
@@ -16,24 +16,28 @@
 import math
 import random
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from enum import StrEnum
 
-import orjson
-
 from flamingofront.errors import PlatformError
 from flamingofront.messages import Sleep
 from flamingofront.process.forwarding.leader_call import LeaderCall
+from flamingofront.process.forwarding.lease_row import (
+    LEADER_KEY,
+    LEADER_PARTITION,
+    LEADER_TABLE,
+    LeaseState,
+    decode_state,
+    encode_state,
+    find_lease_row,
+)
 from flamingofront.process.forwarding.reports import PeerReport
 from flamingofront.process.logs import Log
 from flamingofront.process.store import RowCondition, RowWrite, StoredRow, TableStore, get_era
 from flamingofront.process.tasks import Task
 
-__all__ = ["LeaderLease", "LeaseState", "HeldLease"]
+__all__ = ["HeldLease", "LeaderLease", "LeaseEnd"]
 
-LEADER_TABLE = "duties"
-LEADER_PARTITION = "duties"
-LEADER_KEY = "all"
 RENEWALS_PER_LEASE = 3
 # Longest time from the last write of a call until the cloud can receive it: the kernel discards it
 # once it is unacknowledged for 0.8 s, counted from its first repetition.
@@ -52,42 +56,6 @@
 ERA_FENCING_GAP = 100
 
 
-@dataclass(frozen=True)
-class LeaseState:
-    """Contents of the lease row.
-
-    Parameters
-    ----------
-    holder : str
-        VM of the lease holder, empty if nobody holds the lease.
-    incarnation : int
-        Incarnation of the holder's process.
-    fencing : int
-        Fencing token; grows with each change of holder.
-    reports : mapping
-        Usage counts by window that were, or are about to be, reported.
-    past : tuple of str
-        VMs that held the lease before, the most recent first.
-    era : int
-        Era of the store in which the row was written.
-    reports_from : int
-        First usage window of which `reports` tells whether it was reported. A restore of the store
-        has removed what earlier holders recorded of the windows before it.
-    holders_unknown : bool
-        True from a restore on until a holder has waited for a whole lease: VMs that have just held
-        the lease may be missing in `past`.
-    """
-
-    holder: str = ""
-    incarnation: int = 0
-    fencing: int = 0
-    reports: Mapping[str, Mapping[str, int]] = field(default_factory=dict)
-    past: tuple[str, ...] = ()
-    era: int = 0
-    reports_from: int = 0
-    holders_unknown: bool = False
-
-
 @dataclass(frozen=True)
 class HeldLease:
     """A lease held by this process; times in seconds of the local monotonic clock."""
@@ -246,8 +214,8 @@
         """
         era, fencing = self._era, self._lease.fencing
         found = yield from self._store.read(LEADER_TABLE, LEADER_PARTITION)
-        row = next((each for each in found.rows if each.key == LEADER_KEY), None)
-        if get_era(found.version) == era and self._is_held_here(_decode(row), fencing):
+        row = find_lease_row(found.rows)
+        if get_era(found.version) == era and self._is_held_here(decode_state(row), fencing):
             return False
         self._log.warning("leader lease lost", fencing=fencing, era=era)
         self._lease = None
@@ -265,7 +233,7 @@
         previous, self._version = self._version, None
         read_at = self._now()
         found = yield from self._store.read(LEADER_TABLE, LEADER_PARTITION)
-        row = next((each for each in found.rows if each.key == LEADER_KEY), None)
+        row = find_lease_row(found.rows)
         self._merge_row(row, found.version)
         if previous is None or self._version not in (previous, self._announced_version):
             self._see_holder()
@@ -300,7 +268,7 @@
         """
         self._era = max(self._era, get_era(version))
         self._version = row.version if row is not None else 0
-        state = _decode(row)
+        state = decode_state(row)
         self._highest_fencing = max(self._highest_fencing, state.fencing)
         for window in [each for each in self._cached_reports if each not in state.reports]:
             if state.era >= self._era:
@@ -427,7 +395,7 @@
         """Write the row if it is unchanged since last seen; otherwise apply its contents."""
         state = replace(state, era=self._era)
         condition = RowCondition(LEADER_TABLE, LEADER_KEY, self._version or 0)
-        write = RowWrite(LEADER_TABLE, LEADER_KEY, _encode(state))
+        write = RowWrite(LEADER_TABLE, LEADER_KEY, encode_state(state))
         outcome = yield from self._store.transact(LEADER_PARTITION, (condition,), (write,))
         if outcome.ok:
             self._era = max(self._era, get_era(outcome.version))
@@ -435,7 +403,7 @@
             self._highest_fencing = max(self._highest_fencing, state.fencing)
             self._cached_reports = dict(state.reports)
             return True
-        row = next((each for each in outcome.rows if each.key == LEADER_KEY), None)
+        row = find_lease_row(outcome.rows)
         self._merge_row(row, outcome.version)
         return False
 
@@ -485,24 +453,3 @@
 def _get_age_ms(at: float | None, now: float) -> int | None:
     """Return the age of an event in milliseconds; None if it did not happen."""
     return None if at is None else round((now - at) * 1000)
-
-
-def _encode(state: LeaseState) -> bytes:
-    return orjson.dumps(state)
-
-
-def _decode(row: StoredRow | None) -> LeaseState:
-    """Return the state in a row, or an empty state if there is no row.
-
-    Raises
-    ------
-    PlatformError
-        If the row is malformed.
-    """
-    if row is None or row.value is None:
-        return LeaseState()
-    try:
-        values = orjson.loads(row.value)
-        return LeaseState(**{**values, "past": tuple(values.get("past", ()))})
-    except (TypeError, orjson.JSONDecodeError) as exc:
-        raise PlatformError(f"malformed leader lease row: {exc}") from exc
--- a/flamingofront/process/forwarding/tests/test_duties.py
+++ b/flamingofront/process/forwarding/tests/test_duties.py
@@ -5,7 +5,7 @@
 from flamingofront.decisions.demand import Demand, OfferedLoad
 from flamingofront.decisions.fleet_plan import CheapestSafeFleet, FleetState
 from flamingofront.platform.endpoints import ENDPOINT_TABLE
-from flamingofront.process.forwarding.duty import LEADER_KEY, LEADER_PARTITION, LEADER_TABLE
+from flamingofront.process.forwarding.lease_row import LEADER_KEY, LEADER_PARTITION, LEADER_TABLE
 from flamingofront.process.forwarding.usage import MAX_DEPARTED, UsageBook
 from flamingofront.standins.table_store import StoreFault
 from flamingofront.tests.forwarding_world import ForwardingWorld, ready_world
--- a/flamingofront/process/forwarding/tests/test_holders_after_restore.py
+++ b/flamingofront/process/forwarding/tests/test_holders_after_restore.py
@@ -9,11 +9,11 @@
 
 import pytest
 
-from flamingofront.process.forwarding.duty import (
+from flamingofront.process.forwarding.duty import TAKEOVER_MARGIN_SECONDS
+from flamingofront.process.forwarding.lease_row import (
     LEADER_KEY,
     LEADER_PARTITION,
     LEADER_TABLE,
-    TAKEOVER_MARGIN_SECONDS,
 )
 from flamingofront.process.forwarding.tests.test_duties import (
     assert_one_holder_at_a_time,
--- a/flamingofront/process/forwarding/tests/test_leader_call_lines.py
+++ b/flamingofront/process/forwarding/tests/test_leader_call_lines.py
@@ -3,7 +3,7 @@
 import logbook
 import pytest
 
-from flamingofront.process.forwarding.duty import LEADER_KEY, LEADER_PARTITION, LEADER_TABLE
+from flamingofront.process.forwarding.lease_row import LEADER_KEY, LEADER_PARTITION, LEADER_TABLE
 from flamingofront.process.forwarding.tests.test_duties import find_holder
 from flamingofront.standins.table_store import StoreFault
 from flamingofront.tests.forwarding_world import ready_world
--- a/flamingofront/process/forwarding/vanished.py
+++ b/flamingofront/process/forwarding/vanished.py
@@ -1,9 +1,9 @@
 """Endpoints that crashed while no entry process ran to observe the removal of their rows."""
 
 from flamingofront.errors import PlatformError
-from flamingofront.process.forwarding.duty import LEADER_KEY, LEADER_PARTITION, LEADER_TABLE
 from flamingofront.process.forwarding.endpoint_row import EndpointRow
 from flamingofront.process.forwarding.knowledge import SharedTables
+from flamingofront.process.forwarding.lease_row import LEADER_KEY, LEADER_PARTITION, LEADER_TABLE
 from flamingofront.process.store import StoredRow, TableStore
 from flamingofront.process.tasks import Task
 
--- a/flamingofront/process/tests/test_intents.py
+++ b/flamingofront/process/tests/test_intents.py
@@ -6,7 +6,7 @@
 
 from flamingofront.decisions.send_intents import IntentRecord, SendIntent
 from flamingofront.errors import PlatformError
-from flamingofront.process.forwarding.duty import LEADER_TABLE
+from flamingofront.process.forwarding.lease_row import LEADER_TABLE
 from flamingofront.process.intent_rows import INTENT_TABLE, decode_record, encode_record
 from flamingofront.process.intent_state import WRITE_BURST
 from flamingofront.process.intents import MAX_CLUSTER_WRITES_PER_SECOND
