A release counts only for the holder that made it

Cause: a process that had heard of a new holder and then, late, of the earlier one, forgot the new one: the token that was heard last was kept, not the largest. The release of the earlier lease, which its process and the relays report for seconds, then counted as that of the present one. The row had the version that the new holder had announced, which was not taken for a change, so that the lease was acquired from a live holder. That one acted on until its next renewal failed, up to a second later.

Change: the largest token that was heard as held and as released are kept apart, and the lease is taken for a release only if no newer holder was heard and the row, as just read, names none. Relays' reports of a release and of the new holder both count.

Why it holds: reports can no longer lower what is known, in whichever order they come, and the row is asked for the holder whose release was heard.

--- a/bench/leader_mutations.py
+++ b/bench/leader_mutations.py
@@ -4,6 +4,7 @@
 
 __all__ = ["LEADER_MUTATIONS"]
 
+FUZZ = "process/forwarding/tests/test_lease_fuzz.py"
 CALLS = "process/forwarding/tests/test_calls_after_the_lease.py"
 WRITES = "connection/tests/test_late_writes.py"
 
@@ -29,6 +30,20 @@
         "acts_from = self._now() + self._duration",
         CALLS,
     ),
+    Mutation(
+        "Lease: an older holder does not replace a newer one that was heard",
+        "process/forwarding/duty.py",
+        "report.fencing >= max(self.state.fencing, self._reported_fencing):",
+        "report.fencing >= self.state.fencing:",
+        FUZZ,
+    ),
+    Mutation(
+        "Lease: a release counts for its own holder only",
+        "process/forwarding/duty.py",
+        "return self._reported_release >= max(self.state.fencing, self._reported_fencing, 1)",
+        "return self._reported_release > 0",
+        FUZZ,
+    ),
     Mutation(
         "Write: the guard is asked before each write",
         "connection/client.py",
--- a/bench/platform_mutations.py
+++ b/bench/platform_mutations.py
@@ -103,8 +103,8 @@
     Mutation(
         "P the wait is looked at again behind the read",
         "process/forwarding/duty.py",
-        "        if not self._has_expired():\n            return None\n",
-        "",
+        "return LeaseEnd.EXPIRED if self._has_expired() else None",
+        "return LeaseEnd.EXPIRED",
         FUZZ,
     ),
     Mutation(
--- a/flamingofront/process/forwarding/duty.py
+++ b/flamingofront/process/forwarding/duty.py
@@ -13,7 +13,6 @@
 (`LeaderCall`). From then on only the kernel delays it, for `MAX_DELIVERY_SECONDS` at most.
 """
 
-import math
 import random
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
@@ -118,8 +117,8 @@
         self._version: int | None = None
         self._lease: HeldLease | None = None
         self._last_seen_at = now()
-        # For log lines only: the last sign of the holder, and the report that it has released.
-        self._last_sign_at = now()
+        # Largest fencing token that was reported as released; the time is for log lines only.
+        self._reported_release = 0
         self._release_heard_at: float | None = None
         self._started_at = now()
         self._announced_version = 0
@@ -165,13 +164,18 @@
         return lease if lease is not None and self._now() < lease.valid_until else None
 
     def observe_report(self, report: PeerReport) -> None:
-        """Record from a peer's report that it holds the lease, or has released it."""
-        if report.released and report.released >= max(self.state.fencing, self._reported_fencing):
-            self._last_seen_at = -math.inf
-            self._release_heard_at = self._now()
-            return
+        """Record from a peer's report that it holds the lease, or has released it.
+
+        Notes
+        -----
+        Reports arrive late and in any order. Those of relays have the newest holder and the newest
+        release that they know, which may belong to different holders.
+        """
         self._highest_fencing = max(self._highest_fencing, report.fencing, report.released)
-        if report.fencing and report.fencing >= self.state.fencing:
+        if report.released > self._reported_release:
+            self._reported_release = report.released
+            self._release_heard_at = self._now()
+        if report.fencing and report.fencing >= max(self.state.fencing, self._reported_fencing):
             self._see_holder()
             self._reported_fencing = report.fencing
             self._announced_version = max(self._announced_version, report.lease_version)
@@ -199,7 +203,7 @@
             if self._now() < self._lease.valid_until or not (yield from self._lost_after_expiry()):
                 yield from self.renew()
             return
-        if self._version is None or self._has_expired():
+        if self._version is None or self._has_expired() or self._is_reported_released():
             yield from self._poll_row()
 
     def _lost_after_expiry(self) -> Task:
@@ -223,6 +227,10 @@
         self._see_holder()
         return True
 
+    def _is_reported_released(self) -> bool:
+        """Return True if the lease of the newest holder that is known is reported as released."""
+        return self._reported_release >= max(self.state.fencing, self._reported_fencing, 1)
+
     def _has_expired(self) -> bool:
         """Return True if the holder was last seen longer ago than a lease can last."""
         waited = self._now() - self._last_seen_at
@@ -244,7 +252,7 @@
 
     def _see_holder(self) -> None:
         """Record a sign of a holder: a report, or a change of the row."""
-        self._last_seen_at = self._last_sign_at = self._now()
+        self._last_seen_at = self._now()
 
     def _find_lease_end(self) -> LeaseEnd | None:
         """Return how the lease of the last holder has ended, given the row as just read."""
@@ -252,11 +260,9 @@
             return LeaseEnd.NO_HOLDER
         if self._is_held_by_vm():
             return LeaseEnd.OWN_VM
-        if not self._has_expired():
-            return None
-        if self._last_seen_at == -math.inf:
+        if self._is_reported_released():
             return LeaseEnd.RELEASE_REPORTED
-        return LeaseEnd.EXPIRED
+        return LeaseEnd.EXPIRED if self._has_expired() else None
 
     def _merge_row(self, row: StoredRow | None, version: int) -> None:
         """Apply the row as read now, keeping what this process knows of usage reports.
@@ -334,7 +340,7 @@
             fencing=state.fencing,
             last_holder=last,
             end=end,
-            sign_ago_ms=_get_age_ms(self._last_sign_at, now),
+            sign_ago_ms=_get_age_ms(self._last_seen_at, now),
             release_ago_ms=_get_age_ms(self._release_heard_at, now),
             read_ago_ms=_get_age_ms(read_at, now),
             write_ago_ms=_get_age_ms(sent_at, now),
--- a/flamingofront/process/forwarding/tests/test_lease_fuzz.py
+++ b/flamingofront/process/forwarding/tests/test_lease_fuzz.py
@@ -16,7 +16,7 @@
 
 from flamingofront.errors import PlatformError
 from flamingofront.messages import Sleep
-from flamingofront.process.forwarding.duty import LeaderLease
+from flamingofront.process.forwarding.duty import TAKEOVER_MARGIN_SECONDS, LeaderLease
 from flamingofront.process.forwarding.reports import PeerReport
 from flamingofront.process.logs import Log
 from flamingofront.process.store import (
@@ -103,6 +103,7 @@
             "",
             "",
             fencing=held.fencing if held else 0,
+            released=self.lease.released_fencing,
             lease_version=self.lease.version if held else 0,
         )
 
@@ -134,6 +135,66 @@
         assert not isinstance(third.call, _Write)
 
 
+class TestReleaseOfAnEarlierHolder:
+    """Guards against a process that takes the lease of a live holder, both of whom then act.
+
+    A process reports for seconds that it has released the lease, and reports of the next holder do
+    not arrive everywhere in the order in which they were sent.
+    """
+
+    def setup_method(self):
+        self.clock, self.store = Clock(), NaiveStore()
+        self.first, self.second, self.third = (
+            Process(index, self.store, self.clock) for index in range(3)
+        )
+        for process in (self.first, self.first, self.third):
+            process.step(self.store.carry_out(process.call))
+        self.claim_of_first, self.row_of_first = self.first.report(), self.store.row
+        release = self.first.lease.release()
+        self.clock.time += next(release).seconds
+        with pytest.raises(StopIteration):
+            release.send(self.store.carry_out(release.send(None)))
+        self.release_of_first = self.first.report()
+        assert self.release_of_first.released == 1
+        for _ in range(2):
+            self.second.step(self.store.carry_out(self.second.call))
+        assert self.second.lease.usable_lease().fencing == 2
+
+    def poll(self):
+        """Let the third process read the row if it wants to; return the call it makes then."""
+        self.clock.time = max(self.clock.time, self.third.wake_at)
+        self.third.step(None)
+        if self.third.call is not None:
+            self.third.step(self.store.carry_out(self.third.call))
+        return self.third.call
+
+    def test_claim_of_the_earlier_holder_that_arrives_late(self):
+        """It made the process forget that the new holder had been heard."""
+        for report in (self.second.report(), self.claim_of_first, self.release_of_first):
+            self.third.lease.observe_report(report)
+        assert not isinstance(self.poll(), _Write)
+
+    def test_relay_that_reports_the_release_and_the_new_holder_at_once(self):
+        """The new holder was not noticed beside the release of the earlier one."""
+        both = replace(self.second.report(), released=1)
+        for report in (self.second.report(), self.claim_of_first, both):
+            self.third.lease.observe_report(report)
+        assert not isinstance(self.poll(), _Write)
+
+    def test_late_claims_of_an_earlier_holder_do_not_postpone_the_takeover(self):
+        self.third.lease.observe_report(self.second.report())
+        end = self.clock.time + DURATION + TAKEOVER_MARGIN_SECONDS
+        while self.clock.time < end:
+            self.clock.time += 0.5
+            self.third.lease.observe_report(self.claim_of_first)
+        assert isinstance(self.poll(), _Write)
+
+    def test_release_is_used_while_no_new_holder_is_known(self):
+        self.store.row = self.row_of_first
+        self.third.lease.observe_report(self.release_of_first)
+        assert isinstance(self.poll(), _Write)
+
+
 class TestStoredReports:
     def setup_method(self):
         self.clock, self.store = Clock(), NaiveStore()
