Model of lease holders whose calls arrive at the cloud later than they are sent

The fuzz test of the leader lease let a process act in the instant in which it held a usable lease, so that no call was ever on its way when a lease ended, and two holders whose calls crossed passed. A call now begins, is written where its guard allows it in that step, and arrives up to MAX_DELIVERY_SECONDS later, while holders stand still, are stopped, killed and started again or cut off, store calls are carried out seconds late and the store is restored. The oracle looks at the order of arrival.

--- a/flamingofront/process/forwarding/tests/test_lease_fuzz.py
+++ b/flamingofront/process/forwarding/tests/test_lease_fuzz.py
@@ -3,6 +3,9 @@
 Several processes run the real `LeaderLease` over a naive store. The fuzzer decides when a call is
 carried out, whether its response arrives, which peer reports are received and which processes are
 suspended. The oracle checks only acts: a process acts whenever it holds a usable lease.
+
+In `CallMachine` an act is a call that is begun, written and delivered at different times, and the
+oracle checks the order in which calls arrive (`lease_model`).
 """
 
 import random
@@ -18,6 +21,7 @@
 from flamingofront.messages import Sleep
 from flamingofront.process.forwarding.duty import TAKEOVER_MARGIN_SECONDS, LeaderLease
 from flamingofront.process.forwarding.reports import PeerReport
+from flamingofront.process.forwarding.tests.lease_model import LeasePlay, StoreDelays
 from flamingofront.process.logs import Log
 from flamingofront.process.store import (
     RowRange,
@@ -348,3 +352,93 @@
 
 TestLeaseMachine = LeaseMachine.TestCase
 TestLeaseMachine.settings = settings(max_examples=200, stateful_step_count=50)
+
+
+class CallMachine(RuleBasedStateMachine):
+    """Holders that end in any way while their calls are on their way to the cloud."""
+
+    def __init__(self):
+        super().__init__()
+        self.play = LeasePlay(killed_delivery_seconds=0.0)
+        self.play.draw_delays = self._draw_delays
+        self.play.draw_report_delay = lambda: self.report_delay
+        self.delays = []
+        self.report_delay = 0.05
+        self.cut_off = set()
+        self.play.run(2.0)
+
+    def _draw_delays(self, process):
+        if process in self.cut_off:
+            return StoreDelays(request=None)
+        return self.delays.pop() if self.delays else StoreDelays()
+
+    def _choose(self, index):
+        """Return a process: the holder for 0 if there is one."""
+        live = self.play.live()
+        holder = self.play.holder() if index == 0 else None
+        return holder or (live[index % len(live)] if live else None)
+
+    @rule(seconds=st.sampled_from([0.05, 0.3, 1.0, 2.5, 5.0]))
+    def advance(self, seconds):
+        self.play.run(seconds)
+
+    @rule(
+        request=st.sampled_from([None, 0.0, 0.5, 1.5, 3.0, 6.0]),
+        response=st.sampled_from([None, 0.0, 0.5]),
+    )
+    def delay_next_call(self, request, response):
+        """Let the next call to the store be carried out late, or not, or without a response."""
+        self.delays.append(StoreDelays(request, response))
+
+    @rule(seconds=st.sampled_from([0.05, 1.5, None]))
+    def delay_reports(self, seconds):
+        self.report_delay = seconds
+
+    @rule(index=st.integers(0, 2), restart_after=st.sampled_from([0.05, 0.3, 1.0, 4.0]))
+    def kill(self, index, restart_after):
+        process = self._choose(index)
+        if process is not None:
+            self.play.kill(process, restart_after)
+
+    @rule(
+        index=st.integers(0, 2),
+        restart_after=st.sampled_from([0.05, 1.0, 4.0]),
+        grace=st.sampled_from([None, 0.5, 1.1]),
+    )
+    def stop(self, index, restart_after, grace):
+        process = self._choose(index)
+        if process is not None:
+            self.play.stop(process, restart_after, grace)
+
+    @rule(index=st.integers(0, 2), seconds=st.sampled_from([0.3, 1.0, 3.0, 6.0]))
+    def freeze(self, index, seconds):
+        process = self._choose(index)
+        if process is not None:
+            self.play.freeze(process, seconds)
+
+    @rule(index=st.integers(0, 2))
+    def toggle_cut_off(self, index):
+        """Cut a process off from the store, or connect it again."""
+        process = self._choose(index)
+        if process is not None:
+            self.cut_off ^= {process}
+
+    @rule(age=st.sampled_from([0.3, 1.0, 3.0, 8.0]))
+    def restore(self, age):
+        self.play.restore(age)
+
+    @rule(seconds=st.sampled_from([0.3, 1.0, 4.5]))
+    def resume_all(self, seconds):
+        """Let all run and reach the store, so that one of them acts."""
+        self.cut_off.clear()
+        self.delays.clear()
+        self.report_delay = 0.05
+        self.play.run(seconds)
+
+    @invariant()
+    def calls_arrive_in_the_order_of_their_holders(self):
+        assert self.play.breaches() == []
+
+
+TestCallMachine = CallMachine.TestCase
+TestCallMachine.settings = settings(max_examples=150, stateful_step_count=40)
