Failing test of an old release that counts after a newer holder's report

A process that hears of a new holder, then a late report of the earlier one, and then its release, takes the new holder's lease: the late report lowers the token that a release must reach, and the version in the row is that which the new holder has reported, so the wait is not begun again.

--- a/flamingofront/process/forwarding/tests/test_lease_ends.py
+++ b/flamingofront/process/forwarding/tests/test_lease_ends.py
@@ -167,3 +167,25 @@
         self.play.restore(self.play.time - acquired_at + 0.2)
         self.play.run(LONG_SECONDS)
         assert self.play.breaches() == []
+
+
+class TestOldReports:
+    """ONE: a process took the lease of a live holder, who acted until its next renewal failed."""
+
+    def test_release_of_an_earlier_lease_does_not_end_that_of_a_live_holder(self):
+        """A late report of the earlier holder let its release count after a newer holder's."""
+        play = LeasePlay()
+        play.run(6.0)
+        first = play.holder()
+        listener = next(each for each in play.live() if each is not first)
+        while_held = first.report()
+        play.deaf.add(listener)
+        play.stop(first)
+        play.run_until(lambda: play.holder() not in (None, first))
+        holder = play.holder()
+        version = holder.lease.version
+        play.run_until(lambda: holder.lease.version > version)
+        for report in (holder.report(), while_held, first.report()):
+            listener.lease.observe_report(report)
+        play.run(LONG_SECONDS)
+        assert play.breaches() == []
