Failing tests of writes that a restore of the store lets succeed

A renewal or an acquisition whose condition was read before a restore, and that is carried out after it, succeeds although another process acquired the lease in between and the restore undid that: the version of the row is the old one again. The old token goes on, or both have the same token.

--- a/flamingofront/process/forwarding/tests/test_lease_ends.py
+++ b/flamingofront/process/forwarding/tests/test_lease_ends.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from flamingofront.process.forwarding.tests.lease_model import LeasePlay, StoreDelays
+from flamingofront.process.forwarding.tests.lease_model import LeasePlay, StoreDelays, is_write
 
 # Longer than the longest wait of a successor.
 LONG_SECONDS = 15.0
@@ -168,6 +168,53 @@
         self.play.run(LONG_SECONDS)
         assert self.play.breaches() == []
 
+    def test_renewal_that_a_restore_lets_succeed_late_does_not_keep_the_lease(self):
+        """It was sent in time and carried out seconds later, behind those of another holder."""
+        holder = self.wait_for_renewal()
+        sent_at = []
+
+        def draw_delays(process):
+            if process is holder and not sent_at:
+                sent_at.append(self.play.time)
+                return StoreDelays(request=None)
+            return StoreDelays(request=None if process in self.cut_off else 0.0)
+
+        self.play.draw_delays = draw_delays
+        self.play.run_until(lambda: sent_at)
+        (job,) = [each for each in holder.jobs if each.call is not None]
+        holder.frozen = True
+        self.play.run_until(lambda: self.play.holder() not in (None, holder))
+        acquired_at = self.play.time
+        self.play.run(0.3)
+        self.play.restore(self.play.time - acquired_at + 0.2)
+        job.answer, job.answer_at = self.play.store.carry_out(job.call), self.play.time
+        holder.frozen = False
+        self.cut_off.add(self.play.holder())
+        self.play.run(LONG_SECONDS)
+        assert self.play.breaches() == []
+
+    def test_acquisition_that_a_restore_lets_succeed_has_no_token_of_another_holder(self):
+        """The row was read, another process acquired the lease, and a restore undid that."""
+        holder = self.play.holder()
+        writers = []
+
+        def draw_delays(process):
+            if process is holder:
+                return StoreDelays(request=None)
+            (job,) = [each for each in process.jobs if each.call is not None]
+            is_first_write = is_write(job.call) and not writers
+            if is_write(job.call):
+                writers.append(process)
+            return StoreDelays(request=0.6 if is_first_write else 0.0)
+
+        self.play.draw_delays = draw_delays
+        self.play.run_until(lambda: self.play.holder() not in (None, holder))
+        self.play.run(0.2)
+        self.play.restore(0.4)
+        self.play.run(LONG_SECONDS)
+        assert len(set(writers)) == 2
+        assert self.play.breaches() == []
+
 
 class TestOldReports:
     """ONE: a process took the lease of a live holder, who acted until its next renewal failed."""
