A token acquired across a restore of the store is not used

What the cloud could see: two holders with the same fencing token. Found by the model of lease holders (read of the row, acquisition by another process, restore, write).

Cause: the token is one more than the largest that the process knows; a restore between its read and its write undoes the acquisition of another process with that number, and lets the conditional write succeed.

Result: test_acquisition_that_a_restore_lets_succeed_has_no_token_of_another_holder failed before and passes.

--- a/flamingofront/process/forwarding/duty.py
+++ b/flamingofront/process/forwarding/duty.py
@@ -319,12 +319,17 @@
             reports_from=reports_from,
             holders_unknown=is_behind or self.state.holders_unknown,
         )
-        sent_at = self._now()
+        sent_at, era = self._now(), self._era
         if not (yield from self._write(state)):
             # Another process has just acquired the lease, which starts now.
             self._see_holder()
             self._log.info("leader lease not acquired", fencing=state.fencing, end=end)
             return
+        if self._era != era:
+            # A holder that the restore has removed since the read may have the same token.
+            self._version = None
+            self._log.warning("leader lease lost", fencing=state.fencing, era=self._era)
+            return
         if is_behind:
             self._log.warning("usage windows skipped", before=reports_from)
         acts_from = sent_at
