A renewal that a restore lets succeed late does not keep the lease

What the cloud could see: a former holder that goes on under its old token. Found by the model of lease holders.

Cause: a renewal that was sent in time may be carried out seconds later, after a restore that removed the next holder, and is answered when the lease has expired here. The answer brings the era of the store along, so that the check of an expired lease saw no restore.

Change: a renewal answered in another era after the end of the lease drops it.

Result: test_renewal_that_a_restore_lets_succeed_late_does_not_keep_the_lease failed before and passes; tests of the lease pass.

--- a/flamingofront/process/forwarding/duty.py
+++ b/flamingofront/process/forwarding/duty.py
@@ -221,10 +221,8 @@
         row = find_lease_row(found.rows)
         if get_era(found.version) == era and self._is_held_here(decode_state(row), fencing):
             return False
-        self._log.warning("leader lease lost", fencing=fencing, era=era)
-        self._lease = None
         self._merge_row(row, found.version)
-        self._see_holder()
+        self._drop_lease(fencing)
         return True
 
     def _is_reported_released(self) -> bool:
@@ -377,6 +375,7 @@
     def _renew(self, reports: Mapping[str, Mapping[str, int]] | None) -> Task:
         """Write the row, with one retry after a conflict that leaves the lease here."""
         fencing, acts_from = self._lease.fencing, self._lease.acts_from
+        valid_until, era = self._lease.valid_until, self._era
         stored = self.state
         for _ in range(2):
             if self.state.fencing < fencing:
@@ -385,7 +384,12 @@
             if self._now() >= acts_from:
                 state = replace(state, holders_unknown=False)
             sent_at = self._now()
-            if (yield from self._write(state)):
+            is_written = yield from self._write(state)
+            if self._era != era and self._now() >= valid_until:
+                # A restore may have removed a holder that acquired the lease after its end.
+                self._drop_lease(fencing)
+                return False
+            if is_written:
                 if self._lease is not None:
                     self._lease = replace(self._lease, valid_until=sent_at + self._duration)
                 return self._lease is not None
@@ -393,15 +397,19 @@
                 # The row predates this lease, so nobody has acquired it in this era.
                 continue
             if not self._is_held_here(self.state, fencing):
-                self._log.warning("leader lease lost", fencing=fencing)
-                self._lease = None
-                self._see_holder()
+                self._drop_lease(fencing)
                 return False
             # The response to an earlier write was lost, but the write took effect: keep what it
             # stored.
             reports = None
         return False
 
+    def _drop_lease(self, fencing: int) -> None:
+        """Give the lease up, since another process may have acquired it."""
+        self._log.warning("leader lease lost", fencing=fencing, era=self._era)
+        self._lease = None
+        self._see_holder()
+
     def _write(self, state: LeaseState) -> Task:
         """Write the row if it is unchanged since last seen; otherwise apply its contents."""
         state = replace(state, era=self._era)
