One test of stops among many processes

Change: the one of 40 processes stays, and checks in addition that no lease was taken for a release that was only reported, as the other one did.

--- a/flamingofront/process/forwarding/tests/test_stops_of_many.py
+++ b/flamingofront/process/forwarding/tests/test_stops_of_many.py
@@ -4,8 +4,10 @@
 may be older than what a process has heard from another one.
 """
 
+import logbook
 import pytest
 
+from flamingofront.process.forwarding.duty import LeaseEnd
 from flamingofront.process.forwarding.tests.test_duties import assert_one_holder_at_a_time
 from flamingofront.tests.forwarding_world import ForwardingWorld
 
@@ -64,6 +66,9 @@
     def test_lease_of_a_live_holder_is_not_taken(self, seed):
         """ONE: relays repeated an earlier release after the claim of the next holder."""
         series = SeriesOfStops(seed, fronts=40)
-        series.run()
+        with logbook.TestHandler(level="INFO", bubble=True).applicationbound() as log:
+            series.run()
+        acquired = [each for each in log.records if each.message == "leader lease acquired"]
+        assert {each.kwargs["end"] for each in acquired} == {LeaseEnd.NO_HOLDER}
         assert len({each.fencing for each in series.world.store.leader_calls}) >= 4
         assert_one_holder_at_a_time(series.world)
