A lease that is acquired while its process begins to stop is released at once

What was seen: no holder for a whole lease and its margin. Found by the review.

Cause: a release without a lease returned at once, though an acquisition was in flight. Its write then named a stopping process as the holder.

Change: an acquisition whose answer comes after the begin of the stop is released; no call was made under its token.

--- a/flamingofront/process/forwarding/duty.py
+++ b/flamingofront/process/forwarding/duty.py
@@ -328,6 +328,10 @@
             self._version = None
             self._log.warning("leader lease lost", fencing=state.fencing, era=self._era)
             return
+        if self._stopped:
+            # The stop began while the write was in flight; no call was made under this token.
+            yield from self._give_up(state.fencing)
+            return
         if is_behind:
             self._log.warning("usage windows skipped", before=reports_from)
         acts_from = sent_at
@@ -449,19 +453,23 @@
             return
         yield Sleep(MAX_DELIVERY_SECONDS)
         self._lease = None
+        yield from self._give_up(lease.fencing)
+
+    def _give_up(self, fencing: int) -> Task:
+        """Write the row without a holder, if it still names this process under a token."""
         try:
             has_released = yield from self._write_release()
-            if not has_released and self._is_held_here(self.state, lease.fencing):
+            if not has_released and self._is_held_here(self.state, fencing):
                 # A renewal whose response was lost, or is still to come, took effect.
                 has_released = yield from self._write_release()
         except PlatformError as exc:
             self._log.info("leader lease not released; it will expire", detail=str(exc))
             return
         if not has_released:
-            self._log.info("leader lease not released; the row has changed", fencing=lease.fencing)
+            self._log.info("leader lease not released; the row has changed", fencing=fencing)
             return
-        self.released_fencing = lease.fencing
-        self._log.info("leader lease released", fencing=lease.fencing)
+        self.released_fencing = fencing
+        self._log.info("leader lease released", fencing=fencing)
 
     def _write_release(self) -> Task:
         """Write the row without a holder; return False if it has changed since last seen."""
