Calls to the cloud may arrive late in the simulated network

The simulated network delivered each call a millisecond after it was written, so that no test could have a call on its way while its holder ended and the next one acted. A delay by source now lets guarded calls arrive later, also if the sender has given them up or stands still; what a killed process wrote is discarded, as by its kernel.

--- a/flamingofront/tests/network.py
+++ b/flamingofront/tests/network.py
@@ -187,7 +187,10 @@
     def _write(self) -> None:
         self._wrote = True
         self.target.links.append(self)
-        self.target.timers.once(LATENCY, self._arrive)
+        delay = 0.0
+        if self.call.guard is not None:
+            delay = self.world.delivery_delays.get(self.source.name, 0.0)
+        self.target.timers.once(LATENCY + delay, self._arrive)
 
     def _start_on_faulty_path(self, fault: PathFault) -> None:
         """Use an idle connection if there is one, or fail to establish a new one."""
@@ -253,6 +256,8 @@
         is_withdrawn = self.closed and self.call.guard is None
         if is_withdrawn or self.target.dead:
             return
+        if self.call.guard is not None and self._is_discarded():
+            return
         parts = urlsplit(self.call.path)
         query = dict(parse_qsl(parts.query))
         fields = (("Host", self.call.host or self.call.address), *self.call.headers)
@@ -270,6 +275,11 @@
         self.exchange = FakeExchange(self)
         self.target.handler(req, self.exchange)
 
+    def _is_discarded(self) -> bool:
+        """Return True if a call that is delivered late is repeated by its kernel no more."""
+        is_late = self.world.delivery_delays.get(self.source.name, 0.0) > 0.0
+        return is_late and (self.source.dead or self.world.is_cut(self.source, self.target))
+
     def back(self, *events) -> None:
         """Carry events to the caller, in order; those that a cut loses are sent again after it."""
         self._unsent += events
--- a/flamingofront/tests/world.py
+++ b/flamingofront/tests/world.py
@@ -58,6 +58,9 @@
         self.max_extra_delay = 0.0
         # Seconds by which the connections of guarded calls are established late, by source.
         self.connect_delays: dict[str, float] = {}
+        # Seconds by which guarded calls arrive late once they are written, by source. They arrive
+        # also if the source has given them up or stands still, but not if it was killed.
+        self.delivery_delays: dict[str, float] = {}
         # Connections that are kept, by host and address; none unless a test wants them.
         self.keeps_connections = False
         self.idle: set[tuple[str, str]] = set()
