Test that a late timer of a call comes before that of the release

A stopping holder waits MAX_DELIVERY_SECONDS before it releases the lease, and relies on the timeout of its calls, a tenth of a second shorter, which resets their connections. After a standstill both timers are late. The test shows that the one of the call runs first, so that the row is not written while a call can still leave the kernel.

--- a/flamingofront/process/forwarding/tests/test_lease_bounds.py
+++ b/flamingofront/process/forwarding/tests/test_lease_bounds.py
@@ -28,6 +28,7 @@
     LeasePlay,
     StoreDelays,
 )
+from flamingofront.process.timers import ManualClock, TimerService
 
 ACK_TIMEOUT_SECONDS = PLATFORM_TIMEOUT_SECONDS * ACK_TIMEOUT_FRACTION
 # Linux: shortest time until the first repetition of a lost segment, with its slack. It is a probe;
@@ -204,6 +205,16 @@
         """It is closed with a reset when its timeout is over, which counts from its begin."""
         assert PLATFORM_TIMEOUT_SECONDS <= MAX_DELIVERY_SECONDS
 
+    def test_call_ends_before_the_release_also_after_a_standstill(self):
+        """Both timers are late then; the one of the call, which resets it, is due first."""
+        clock, order = ManualClock(100.0), []
+        timers = TimerService(clock)
+        timers.once(MAX_DELIVERY_SECONDS, lambda: order.append("release"))
+        timers.once(PLATFORM_TIMEOUT_SECONDS, lambda: order.append("end of the call"))
+        clock.time += 10.0
+        timers.run_due()
+        assert order == ["end of the call", "release"]
+
     def test_expired_lease(self):
         """Last write before the margin, delivery, then the first write of the successor."""
         last_arrival = DURATION - ACT_MARGIN_SECONDS + MAX_DELIVERY_SECONDS
