--- a/flamingofront/tests/test_leader_processes.py
+++ b/flamingofront/tests/test_leader_processes.py
@@ -2,7 +2,10 @@
 
 import json
 import signal
+import subprocess
+import sys
 import time
+from pathlib import Path
 
 import pytest
 
@@ -10,6 +13,8 @@
 from flamingofront.tests.leader_deployment import LeaderDeployment
 from flamingofront.tests.leader_record import HolderEnd, LeaderRecord
 
+ROOT = Path(__file__).resolve().parents[2]
+
 # A call that was on its way has come, or never will.
 LATE_SECONDS = 1.5
 
@@ -70,6 +75,21 @@
         assert violations() == []
 
 
+@pytest.mark.alone
+class TestSoak:
+    """A short play of all kinds of end, beside faults of store and cloud."""
+
+    def test_cloud_gets_no_call_that_it_may_not_see(self):
+        """ONE: calls of two holders in the wrong order."""
+        words = ["5", "--seconds", "9", "--longest", "6", "--calm", "1"]
+        command = [sys.executable, ROOT / "scripts/soak_leaders.py", *words]
+        done = subprocess.run(command, capture_output=True, text=True, timeout=90)
+        assert done.returncode == 0, done.stdout + done.stderr
+        summary = json.loads(done.stdout.splitlines()[-1])
+        assert summary["excused"] == {}
+        assert summary["ended_holders"] >= 1 and summary["calls"] > 10
+
+
 def make_call(at, process, fencing, subject="usage", body=None, accepted_at=None):
     """Return a call that has arrived."""
     accepted_at = at if accepted_at is None else accepted_at
