Failing test of a call that is sent after the stop signal

What the cloud sees: a process that was told to stop while it stood still writes the call that was on its way first, and notices the stop in a later turn of its event loop. The next process of its VM takes the lease at once ("own VM") and acts under a higher token.

Cause: the guard of a call asks the lease, which learns of the stop from the timer that the signal handler starts; sockets are served before it. `Runtime.stop_signal_at` is known by then.

--- a/flamingofront/tests/test_leader_processes.py
+++ b/flamingofront/tests/test_leader_processes.py
@@ -64,6 +64,17 @@
         deployment.start(holder.place)
         assert violations() == []
 
+    def test_holder_sends_nothing_once_it_was_told_to_stop(self, deployment):
+        """The next process of its VM takes the lease at once, and acts under a higher token."""
+        holder = deployment.freeze_before_first_byte()
+        holder.child.send_signal(signal.SIGTERM)
+        known = len(deployment.cloud.calls)
+        deployment.thaw(holder)
+        assert holder.child.wait(12.0) == 0
+        deployment.start(holder.place)
+        late = [each for each in deployment.cloud.calls[known:] if each.process == holder.number]
+        assert late == []
+
     def test_holder_that_was_killed_is_followed_by_its_next_process(self, deployment, violations):
         """The next process of the VM takes the lease at once, without a wait."""
         holder = deployment.freeze_before_first_byte()
