No call to the cloud is sent once the stop signal has come

What the cloud saw: a process that was told to stop while it stood still wrote the call that was on its way first, and noticed the stop in a later turn (real processes, 5 of 5).

Cause: the guard asks the lease, which learns of the stop from a timer that the signal handler starts; sockets are served before it.

Change: the lease is not usable from the signal on, whose time is known at once.

--- a/bench/leader_mutations.py
+++ b/bench/leader_mutations.py
@@ -23,6 +23,13 @@
         "return lease is not None",
         CALLS,
     ),
+    Mutation(
+        "Lease: no call is sent once the stop signal has come",
+        "process/forwarding/duty.py",
+        "if lease is None or self._stopped or self.is_stop_signalled():",
+        "if lease is None or self._stopped:",
+        "process/forwarding/tests/test_calls_after_the_lease.py",
+    ),
     Mutation(
         "Lease: calls of unknown holders are waited for",
         "process/forwarding/duty.py",
--- a/flamingofront/process/forwarding/duty.py
+++ b/flamingofront/process/forwarding/duty.py
@@ -94,6 +94,8 @@
         Fencing token of the lease that this process has released; 0 if it has not.
     current_window : callable
         Returns the number of the usage window that has not ended yet.
+    is_stop_signalled : callable
+        Returns True from the stop signal on, which the event loop may notice later.
     """
 
     def __init__(
@@ -130,6 +132,7 @@
         self._highest_fencing = 0
         self._cached_reports: dict[str, Mapping[str, int]] = {}
         self.current_window: Callable[[], int] = lambda: 0
+        self.is_stop_signalled: Callable[[], bool] = lambda: False
 
     @property
     def version(self) -> int:
@@ -139,7 +142,7 @@
     def usable_lease(self) -> HeldLease | None:
         """Return the lease if this process may act on it now; to be called before each act."""
         lease = self._lease
-        if lease is None or self._stopped:
+        if lease is None or self._stopped or self.is_stop_signalled():
             return None
         now = self._now()
         if now < lease.acts_from or now >= lease.valid_until - ACT_MARGIN_SECONDS:
--- a/flamingofront/process/forwarding/tests/test_calls_after_the_lease.py
+++ b/flamingofront/process/forwarding/tests/test_calls_after_the_lease.py
@@ -89,6 +89,14 @@
         assert play.late_calls() == []
         assert_one_holder_at_a_time(world)
 
+    def test_holder_sends_nothing_once_the_stop_signal_has_come(self, path):
+        """The event loop noticed the signal only after it had served the sockets."""
+        play = CallOnItsWay(path, delay=0.5)
+        play.node.lease.is_stop_signalled = lambda: True
+        sent = len(play.world.store.leader_calls)
+        play.world.run(1.0)
+        assert play.world.store.leader_calls[sent:] == []
+
     def test_holder_that_loses_its_lease_while_it_connects_does_not_send(self, path):
         """It acquires the lease again at once, with a higher token, and acts under that."""
         play = CallOnItsWay(path, delay=0.5)
