Orders to engines are checked against the lease again right before they are sent

What engines that ignore fencing tokens saw: an order to load a model that an earlier lease holder had decided could arrive after its successor's. The lease was checked before the connection was established (up to 1.5 s) and not again, so that a process that stood still in between sent the order whenever it went on; a successor waited 2 s after the expiry, a guess.

The order has a guard now (LeaseCall), which the client asks before each write, and an ack_timeout of 0.8 s that bounds what the kernel repeats. What a successor waits is derived from that: 0.8 s and 0.2 s for the last copy of a segment, counted from the expiry, since nothing is written after it.

--- a/flamingofront/process/leases.py
+++ b/flamingofront/process/leases.py
@@ -2,7 +2,8 @@
 
 No clocks are compared between processes. A holder counts its lease from the time at which it sent
 the renewal, on its own clock. Another process acquires the lease only after it has itself seen the
-row unchanged for the whole duration. Each change of holder increments the fencing token.
+row unchanged for the whole duration, and for as long as a call that was sent at its end may take to
+arrive. Each change of holder increments the fencing token.
 """
 
 import contextlib
@@ -10,15 +11,30 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from flamingofront.connection.call_guard import CallGuard
 from flamingofront.errors import PlatformError
 from flamingofront.messages import Sleep
 from flamingofront.process.documents import Document, DocumentStore
 from flamingofront.process.tasks import Task
 
-__all__ = ["Lease", "LeaseKeeper", "LeaseView"]
+__all__ = [
+    "ACK_SECONDS",
+    "LATEST_ARRIVAL_SECONDS",
+    "Lease",
+    "LeaseCall",
+    "LeaseKeeper",
+    "LeaseView",
+]
 
 LEASE_PREFIX = "lease/"
 RENEWALS_PER_DURATION = 3
+# Time after which the kernel discards bytes of a call that the endpoint has not acknowledged; also
+# those of a process that has ended.
+ACK_SECONDS = 0.8
+# Time that the last copy of a segment spends in the network, and the kernel's timers are late.
+TRANSIT_SECONDS = 0.2
+# Latest arrival of a call after its bytes were passed to the kernel.
+LATEST_ARRIVAL_SECONDS = ACK_SECONDS + TRANSIT_SECONDS
 
 
 @dataclass(frozen=True)
@@ -58,6 +74,26 @@
     valid_until: float
 
 
+class LeaseCall(CallGuard):
+    """A call that only the holder of a lease may make, checked again before bytes are sent.
+
+    Parameters
+    ----------
+    fencing : int
+        Fencing token of the lease.
+    confirm_send : callable
+        Returns True while the lease with a fencing token is valid.
+    """
+
+    def __init__(self, fencing: int, confirm_send: Callable[[int], bool]):
+        self.fencing = fencing
+        self._confirm_send = confirm_send
+
+    def may_send(self) -> bool:
+        """Return True while the lease of this call is valid."""
+        return self._confirm_send(self.fencing)
+
+
 class LeaseKeeper:
     """Acquires and renews one lease.
 
@@ -70,8 +106,8 @@
     duration : float
         Lifetime of a lease in seconds without renewal.
     takeover_delay : float
-        Seconds that another process waits beyond the duration. A call of the last holder may be in
-        flight for this long, and some endpoints ignore fencing tokens.
+        Seconds that another process waits beyond the duration. A call that the last holder sent at
+        its end arrives by then; some endpoints ignore fencing tokens.
     """
 
     def __init__(
@@ -82,15 +118,15 @@
         now: Callable[[], float],
         rng: random.Random,
         duration: float = 6.0,
-        takeover_delay: float = 2.0,
+        takeover_delay: float = LATEST_ARRIVAL_SECONDS,
     ):
         self.name = name
+        self.takeover_delay = takeover_delay
         self._documents = documents
         self._holder = holder
         self._now = now
         self._rng = rng
         self._duration = duration
-        self._takeover_delay = takeover_delay
         self._lease: Lease | None = None
         self._last_row: Document | None = None
         self._unchanged_since = 0.0
@@ -101,12 +137,27 @@
         return self._duration / RENEWALS_PER_DURATION
 
     def valid_lease(self) -> Lease | None:
-        """Return the lease if it is valid now, else None; to be called right before each action."""
+        """Return the lease if it is valid now, else None."""
         lease = self._lease
         if lease is None or self._now() >= lease.valid_until:
             return None
         return lease
 
+    def start_call(self) -> LeaseCall | None:
+        """Return the guard of a call under the lease, to be started now; None without a lease.
+
+        Notes
+        -----
+        The call needs an `ack_timeout` of `ACK_SECONDS`.
+        """
+        lease = self.valid_lease()
+        return None if lease is None else LeaseCall(lease.fencing, self._confirm_send)
+
+    def _confirm_send(self, fencing: int) -> bool:
+        """Return True if bytes of a call under a fencing token may be sent now."""
+        lease = self.valid_lease()
+        return lease is not None and lease.fencing == fencing
+
     def get_view(self) -> LeaseView:
         """Return the last known state of the lease."""
         value = self._last_row.value if self._last_row is not None else None
@@ -148,7 +199,7 @@
         """Return True if the lease has no holder or was not renewed for its whole duration."""
         if row.value is None or row.value["holder"] == "":
             return True
-        return self._now() - self._unchanged_since >= self._duration + self._takeover_delay
+        return self._now() - self._unchanged_since >= self._duration + self.takeover_delay
 
     def _write_lease(self, row: Document, fencing: int) -> Task:
         """Write this process as the holder, if the row has not changed since it was read."""
--- a/flamingofront/process/orders.py
+++ b/flamingofront/process/orders.py
@@ -2,14 +2,15 @@
 
 Each request to an engine is declarative and idempotent ("load model X"), so a repeated or delayed
 one does no harm. It carries the lease's fencing token; endpoints that check the token reject
-requests of an earlier holder. The state of the other endpoints is read again and corrected.
+requests of an earlier holder. For the others, the lease is checked again before bytes are sent, and
+their state is read again and corrected.
 """
 
 import orjson
 
-from flamingofront.messages import STALE_SECONDS, CallFailed, OutboundCall
+from flamingofront.messages import SEND_WITHDRAWN, STALE_SECONDS, CallFailed, OutboundCall
 from flamingofront.process.dissemination import Dissemination
-from flamingofront.process.leases import LeaseKeeper
+from flamingofront.process.leases import ACK_SECONDS, LeaseKeeper
 from flamingofront.process.membership import Fact, Role
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.tasks import Reply, Task, TaskRunner, read_json
@@ -60,12 +61,11 @@
         state = read_json(reply)
         if state is None or state["model"] == model:
             return
-        # The lease may have expired during the state request; it must be valid at the load request.
-        lease = self._lease.valid_lease()
-        if lease is None:
+        call = self._lease.start_call()
+        if call is None:
             self._metrics.count("orders_total", kind="load", result="lease_lapsed")
             return
-        body = orjson.dumps({"order": "load", "model": model, "fencing": lease.fencing})
+        body = orjson.dumps({"order": "load", "model": model, "fencing": call.fencing})
         reply = yield OutboundCall(
             fact.address,
             "POST",
@@ -73,12 +73,16 @@
             body,
             (("Content-Type", "application/json"),),
             CALL_TIMEOUT_SECONDS,
+            ack_timeout=ACK_SECONDS,
+            guard=call,
         )
         self._metrics.count("orders_total", kind="load", result=_classify_reply(reply))
 
 
 def _classify_reply(reply: Reply) -> str:
     if isinstance(reply, CallFailed):
+        if reply.reason == SEND_WITHDRAWN and not reply.wrote:
+            return "lease_lapsed"
         return "unknown" if reply.wrote else "not_sent"
     if reply.status == STATUS_STALE_FENCING:
         return "stale_fencing"
