A released lease stays released, and is given up only once the orders sent under it have arrived

What engines saw: a process that exits wrote the row of its lease at once, though an order that it had just sent could be under way for a second, so that a successor's order could overtake it. The answer to a renewal that was under way made the lease valid again for its whole duration after the row had been released, and the loop that renews it acquired it again: two holders at once, or a lease held by a process that had ended, until it expired.

release() ends the loop and all validity at once, waits until the last order has arrived (LATEST_ARRIVAL_SECONDS after its bytes; not at all without an order), and writes the row twice if a renewal came in between. A process exits 0.3 s after that wait.

Failed before: the five tests of TestRelease but the one without an order.

--- a/flamingofront/process/leases.py
+++ b/flamingofront/process/leases.py
@@ -28,6 +28,8 @@
 
 LEASE_PREFIX = "lease/"
 RENEWALS_PER_DURATION = 3
+# A renewal that was under way changes the row once.
+RELEASE_ATTEMPTS = 2
 # Time after which the kernel discards bytes of a call that the endpoint has not acknowledged; also
 # those of a process that has ended.
 ACK_SECONDS = 0.8
@@ -128,6 +130,9 @@
         self._rng = rng
         self._duration = duration
         self._lease: Lease | None = None
+        # Time at which bytes of a call may last have been sent.
+        self._last_sent_at: float | None = None
+        self._released = False
         self._last_row: Document | None = None
         self._unchanged_since = 0.0
 
@@ -139,7 +144,7 @@
     def valid_lease(self) -> Lease | None:
         """Return the lease if it is valid now, else None."""
         lease = self._lease
-        if lease is None or self._now() >= lease.valid_until:
+        if lease is None or self._released or self._now() >= lease.valid_until:
             return None
         return lease
 
@@ -156,7 +161,16 @@
     def _confirm_send(self, fencing: int) -> bool:
         """Return True if bytes of a call under a fencing token may be sent now."""
         lease = self.valid_lease()
-        return lease is not None and lease.fencing == fencing
+        if lease is None or lease.fencing != fencing:
+            return False
+        self._last_sent_at = self._now()
+        return True
+
+    def seconds_in_flight(self) -> float:
+        """Return the seconds until the calls that were sent have arrived, 0 if they have."""
+        if self._last_sent_at is None:
+            return 0.0
+        return max(0.0, self._last_sent_at + LATEST_ARRIVAL_SECONDS - self._now())
 
     def get_view(self) -> LeaseView:
         """Return the last known state of the lease."""
@@ -166,8 +180,8 @@
         return LeaseView(self.name, holder, fencing, self.valid_lease() is not None)
 
     def run(self) -> Task:
-        """Renew the lease, or try to acquire it while it is free; never returns."""
-        while True:
+        """Renew the lease, or try to acquire it while it is free, until it is released."""
+        while not self._released:
             # An unconfirmed renewal does not count: the lease then expires on the local clock.
             with contextlib.suppress(PlatformError):
                 yield from self.renew_or_acquire()
@@ -203,6 +217,8 @@
 
     def _write_lease(self, row: Document, fencing: int) -> Task:
         """Write this process as the holder, if the row has not changed since it was read."""
+        if self._released:
+            return
         sent_at = self._now()
         value = {"holder": self._holder, "fencing": fencing}
         if (yield from self._documents.replace(row, value)):
@@ -211,15 +227,26 @@
             self._lease = None
 
     def release(self) -> Task:
-        """Release the lease, so that a successor can acquire it at once."""
-        lease, self._lease = self._lease, None
-        if lease is None:
+        """Release the lease once its calls have arrived, so that a successor can acquire it.
+
+        Notes
+        -----
+        This process neither acts under the lease nor acquires it again from now on. A renewal that
+        is under way may still change the row.
+        """
+        self._released = True
+        if self._lease is None:
             return
-        try:
-            (row,) = yield from self._documents.read([LEASE_PREFIX + self.name])
-            if row.value is None or row.value["holder"] != self._holder:
-                return
-            value = {"holder": "", "fencing": row.value["fencing"]}
-            yield from self._documents.replace(row, value)
-        except PlatformError:
-            return  # The lease expires by itself.
+        seconds = self.seconds_in_flight()
+        if seconds > 0:
+            yield Sleep(seconds)
+        for _ in range(RELEASE_ATTEMPTS):
+            try:
+                (row,) = yield from self._documents.read([LEASE_PREFIX + self.name])
+                if row.value is None or row.value["holder"] != self._holder:
+                    return
+                value = {"holder": "", "fencing": row.value["fencing"]}
+                if (yield from self._documents.replace(row, value)):
+                    return
+            except PlatformError:
+                return  # The lease expires by itself.
--- a/flamingofront/process/node.py
+++ b/flamingofront/process/node.py
@@ -410,7 +410,7 @@
     def _release_and_exit(self) -> None:
         self.tasks.start(self.lease.release())
         # Leaves time to release the lease, push the last updates and flush responses to callers.
-        self.timers.once(0.3, self._on_exit)
+        self.timers.once(self.lease.seconds_in_flight() + 0.3, self._on_exit)
 
     # Membership
 
--- a/flamingofront/process/tests/test_orders_after_the_lease.py
+++ b/flamingofront/process/tests/test_orders_after_the_lease.py
@@ -150,6 +150,45 @@
         assert call.ack_timeout < LATEST_ARRIVAL_SECONDS <= process.lease.takeover_delay
 
 
+class TestRelease:
+    """A lease that was released at once, or came back after its release."""
+
+    def test_waits_for_an_order_that_was_just_sent(self, process):
+        process.acquire()
+        assert process.start_order().guard.may_send()
+        process.tasks.start(process.lease.release())
+        process.run(LATEST_ARRIVAL_SECONDS - 0.1)
+        assert process.documents.row.value["holder"] == "me/1"
+        process.run(0.2)
+        assert process.documents.row.value["holder"] == ""
+
+    def test_does_not_wait_without_an_order(self, process):
+        process.acquire()
+        process.tasks.start(process.lease.release())
+        process.run(3 * STORE_SECONDS)
+        assert process.documents.row.value["holder"] == ""
+
+    def test_ends_a_lease_whose_renewal_is_under_way(self, process):
+        """The answer to the renewal made the lease valid again for its whole duration."""
+        process.acquire()
+        process.tasks.start(process.lease.renew_or_acquire())
+        process.run(1.5 * STORE_SECONDS)
+        process.tasks.start(process.lease.release())
+        process.run(0.1)
+        assert process.lease.valid_lease() is None
+        assert process.documents.row.value["holder"] == ""
+
+    @pytest.mark.parametrize("later", [0.0, 0.5])
+    def test_process_does_not_acquire_the_lease_again(self, process, later):
+        """A process that exits held the lease anew, so that others waited for its expiry."""
+        process.tasks.start(process.lease.run())
+        process.run(0.1 + later)
+        process.tasks.start(process.lease.release())
+        process.run(LEASE_SECONDS)
+        assert process.lease.valid_lease() is None
+        assert process.documents.row.value["holder"] == ""
+
+
 class TestInTheNetwork:
     def test_order_whose_connection_takes_long_is_not_sent(self):
         """The connection was established after the lease had ended."""
@@ -173,3 +212,14 @@
     def _seconds_left(world, node):
         lease = node.lease.valid_lease()
         return lease.valid_until - world.clock.time if lease is not None else 0.0
+
+    def test_process_that_exits_waits_for_its_orders(self):
+        """It exited with its lease unreleased, so that no engine was in order until its expiry."""
+        world = demo_world(entries_per_zone=1)
+        world.run(10.0)
+        node = world.nodes["entry-a1"]
+        assert node.lease.start_call().may_send()
+        node.shut_down()
+        world.run(LATEST_ARRIVAL_SECONDS + 0.5)
+        value, _ = world.platform.rows["lease/models/zone-a"]
+        assert value["holder"] == ""
