An order to an engine names the model that is configured when it is sent

What engines saw: the model of an order was looked up before the state of the engine was read, which takes up to 1.5 s. After a change of the configuration in that time the engine was told to load the former model, and again the right one seconds later, each of which costs it its caches.

The model is looked up once the state has been read. Failed before: test_orders_after_the_lease.py::TestOrderOnItsWay::test_carries_the_model_that_is_configured_now. process/tests and process/forwarding/tests pass.

--- a/flamingofront/process/orders.py
+++ b/flamingofront/process/orders.py
@@ -44,22 +44,29 @@
             return
         zone = self._gossip.facts.get(self._gossip.own_id).zone
         for fact in self._gossip.facts.select(Role.ENDPOINT):
-            service = self._gossip.configuration.find_service(fact.service)
-            is_engine = service is not None and service.kind is ServiceKind.MODEL
+            is_engine = self._find_model(fact) is not None
             if fact.zone == zone and is_engine and fact.vm_id not in self._in_progress:
                 self._in_progress.add(fact.vm_id)
                 self._tasks.start(
-                    self._reconcile_engine(fact, service.model),
+                    self._reconcile_engine(fact),
                     lambda _, vm_id=fact.vm_id: self._in_progress.discard(vm_id),
                 )
 
-    def _reconcile_engine(self, fact: Fact, model: str) -> Task:
+    def _find_model(self, fact: Fact) -> str | None:
+        """Return the model that an endpoint is to have loaded; None if it is no engine."""
+        service = self._gossip.configuration.find_service(fact.service)
+        is_engine = service is not None and service.kind is ServiceKind.MODEL
+        return service.model if is_engine else None
+
+    def _reconcile_engine(self, fact: Fact) -> Task:
         """Read an engine's state and request the model if it has loaded another."""
         reply = yield OutboundCall(
             fact.address, "GET", "/state", timeout=CALL_TIMEOUT_SECONDS, stale_seconds=STALE_SECONDS
         )
         state = read_json(reply)
-        if state is None or state["model"] == model:
+        # The configuration may have changed during the state request.
+        model = self._find_model(fact)
+        if state is None or model is None or state["model"] == model:
             return
         call = self._lease.start_call()
         if call is None:
--- a/flamingofront/process/tests/test_orders_after_the_lease.py
+++ b/flamingofront/process/tests/test_orders_after_the_lease.py
@@ -149,6 +149,16 @@
         call = process.start_order()
         assert call.ack_timeout < LATEST_ARRIVAL_SECONDS <= process.lease.takeover_delay
 
+    def test_carries_the_model_that_is_configured_now(self, process):
+        """An order that was decided before a change made an engine load the former model."""
+        process.acquire()
+        process.reconciler.reconcile()
+        process.model = "newer"
+        _, listener = process.transport.calls[-1]
+        for event in (ResponseHead(200, {}), ResponseData(b'{"model":"other"}'), ResponseEnd()):
+            listener(event)
+        assert b'"newer"' in process.transport.calls[-1][0].body
+
 
 class TestRelease:
     """A lease that was released at once, or came back after its release."""
