Usage counts in reports that waited unread are not taken for recent ones

What was reported: a usage window is sent once the counts of all processes are known up to its end. The time up to which they are known was taken from the time at which a report was read. A process that was busy or stood still reads reports of seconds ago (the socket's buffer keeps the oldest), so that a lease holder, or a relay that passes the times on, took old counts for complete ones.

The poller tells since when what it reads may have waited (the end of the poll before), the datagram socket keeps that for datagrams that don't fit into one turn, and the counts of a report are known up to that time. It is a few milliseconds while the event loop turns as usual.

--- a/flamingofront/connection/datagrams.py
+++ b/flamingofront/connection/datagrams.py
@@ -42,6 +42,24 @@
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.setblocking(False)
         self._sock.bind(bind)
+        self._poller: DirectPoller | None = None
+        # Time from which on the datagrams that are read now may have waited.
+        self._unread_since = 0.0
+        self._has_more = False
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """IP address and port that this socket is bound to."""
+        return self._sock.getsockname()
+
+    def seconds_unread(self) -> float:
+        """Return the longest time for which the datagram that is read now may have waited.
+
+        Notes
+        -----
+        It is a few milliseconds unless this process was busy or stood still.
+        """
+        return 0.0 if self._poller is None else self._poller.seconds_since(self._unread_since)
 
     def send(self, data: bytes, address: tuple[str, int]) -> None:
         """Send one datagram, or drop it if the send buffer is full."""
@@ -55,14 +73,19 @@
     @handler("registered", channel="*")
     def _on_registered(self, component, manager) -> None:
         if component is self:
-            findcmp(self.root, DirectPoller).watch(self._sock, self, READ)
+            self._poller = findcmp(self.root, DirectPoller)
+            self._poller.watch(self._sock, self, READ)
 
     def on_readable(self, sock: socket.socket) -> None:
         """Pass the received datagrams to `on_datagram`."""
+        if not self._has_more:
+            self._unread_since = self._poller.unread_since
+        self._has_more = True
         for _ in range(MAX_READS_PER_TURN):
             try:
                 data, address = sock.recvfrom(MAX_DATAGRAM_BYTES)
             except BlockingIOError:
+                self._has_more = False
                 return
             except OSError as exc:
                 self._on_fault(exc)
--- a/flamingofront/connection/poller.py
+++ b/flamingofront/connection/poller.py
@@ -70,6 +70,8 @@
     ----------
     on_turn : callable
         Called after each turn with the time and the seconds since the end of the wait for events.
+    unread_since : float
+        Time from which on what is read now may have waited: the sockets were polled before then.
 
     Notes
     -----
@@ -86,7 +88,7 @@
         self.on_turn: Callable[[float, float], None] | None = None
         self._woken_at = timers.now()
         # Time at which the sockets were polled last: what had come by then has been read.
-        self._polled_at = timers.now()
+        self._polled_at = self.unread_since = timers.now()
         self._epoll = select.epoll()
         self._watches: dict[int, _Watch] = {}
         self._wake_read, self._wake_write = os.pipe()
@@ -94,6 +96,10 @@
             os.set_blocking(fileno, False)
         self._epoll.register(self._wake_read, READ)
 
+    def seconds_since(self, at: float) -> float:
+        """Return the seconds since a time of the timer service."""
+        return self._timers.now() - at
+
     def watch(self, sock: socket.socket, owner: SocketOwner, mask: int) -> None:
         """Watch a socket for exactly the events in `mask`, a combination of `READ` and `WRITE`."""
         fileno = sock.fileno()
@@ -170,6 +176,7 @@
         that the process goes on.
         """
         started_at = self._timers.now()
+        self.unread_since = self._polled_at
         ready = self._epoll.poll(poll_timeout)
         ended_at = self._timers.now()
         is_interrupted = not ready and ended_at - started_at > poll_timeout + LATE_SECONDS
--- a/flamingofront/forward_daemon.py
+++ b/flamingofront/forward_daemon.py
@@ -98,6 +98,7 @@
                 (settings.ip, settings.peer_port), self._receive_datagram, self._handle_exception
             ).register(self.runtime)
         self.node = ForwardingNode(settings, self._make_dependencies(), random.Random(), self._log)
+        self.node.peers.seconds_unread = self._datagrams.seconds_unread
         self.node.on_configuration = self._apply_caller_limits
         self._client.max_idle = self.node.max_idle
         self.callers = self._make_server(settings.caller_bind, self.node.handle_caller, "callers")
--- a/flamingofront/process/forwarding/peer_word.py
+++ b/flamingofront/process/forwarding/peer_word.py
@@ -73,7 +73,8 @@
         self._reported.hub.limits.merge(report.limits)
         self._merge_leaving(report, Way.REPORT)
         if report.usage is not None:
-            usage.merge_report(report.usage, report.process, peers.cluster_time())
+            sent_after = peers.cluster_time() - peers.seconds_unread()
+            usage.merge_report(report.usage, report.process, sent_after)
         self._reported.lease.observe_report(report)
         self._receivers.exchange.sync_with(report)
         if peers.is_relayed:
--- a/flamingofront/process/forwarding/peers.py
+++ b/flamingofront/process/forwarding/peers.py
@@ -175,6 +175,8 @@
         self.on_quota_request: Callable[[bytes, str], None] = lambda data, ip: None
         self.on_quota_reply: Callable[[bytes, str], None] = lambda data, ip: None
         self.on_origin_datagram: Callable[[bytes, str], None] = lambda data, ip: None
+        # Returns the longest time for which the datagram that is processed now may have waited.
+        self.seconds_unread: Callable[[], float] = lambda: 0.0
         # Returns, by IP address, which of the given endpoints that process prefers too.
         self.shared_endpoints: Callable[[Iterable[str]], Mapping[str, list[str]]] = (
             lambda endpoints: {}
--- a/flamingofront/process/forwarding/usage.py
+++ b/flamingofront/process/forwarding/usage.py
@@ -25,7 +25,7 @@
 # Longest wait after the end of a window for counts known to be missing. The report is due ten
 # seconds after the end, and a successor needs five if the lease holder is lost.
 MAX_MISSING_WAIT_SECONDS = 4.5
-# Largest age of a report on receipt, including its wait in the rate-limited sender.
+# Largest age of a report when it arrives, including its wait in the rate-limited sender.
 REPORT_DELAY_SECONDS = 0.15
 STEP_SECONDS = 0.25
 # Largest number of processes without a live report whose counts one report forwards, so that it
@@ -115,7 +115,13 @@
         return {each: round(received[each], 3) for each in processes if each in received}
 
     def merge_report(self, update: ProcessCounts, process: str, wall: float) -> None:
-        """Merge the counts that a process has reported directly at a wall-clock time."""
+        """Merge the counts that a process has reported directly.
+
+        Parameters
+        ----------
+        wall : float
+            Wall-clock time after which the report was received: it may have waited to be read.
+        """
         self.merge_counts(update, {process: wall - REPORT_DELAY_SECONDS})
 
     def is_complete_until(self, until: float, process_count: int, wall: float) -> bool:
