Messages that waited unread do not make the clocks of the others seem slow

What was reported: after it had stood still, a process took the senders' clocks to be slow by the time for which their messages had waited, until their next ones: the cluster's time, the median, fell back by up to the stop. The counts of the usage window that had ended meanwhile could then be taken for complete or missing, and requests were counted in a window before their own.

The offset of a sender's clock is kept if its message may have waited for over 0.1 s.

--- a/flamingofront/process/forwarding/peers.py
+++ b/flamingofront/process/forwarding/peers.py
@@ -177,6 +177,7 @@
         self.on_origin_datagram: Callable[[bytes, str], None] = lambda data, ip: None
         # Returns the longest time for which the datagram that is processed now may have waited.
         self.seconds_unread: Callable[[], float] = lambda: 0.0
+        self.relaying.seconds_unread = lambda: self.seconds_unread()
         # Returns, by IP address, which of the given endpoints that process prefers too.
         self.shared_endpoints: Callable[[Iterable[str]], Mapping[str, list[str]]] = (
             lambda endpoints: {}
@@ -545,7 +546,7 @@
         now = self._timers.now()
         self.table.set_report_period(self.report_period())
         gap = self.table.seconds_since_report(report.vm_id, now)
-        if not self.table.store_report(report, now):
+        if not self.table.store_report(report, now, self.seconds_unread()):
             return
         if gap is None:
             # The first report of a sender: one of the two has just started and needs the other's
--- a/flamingofront/process/forwarding/relay_hearing.py
+++ b/flamingofront/process/forwarding/relay_hearing.py
@@ -28,10 +28,11 @@
 
 @dataclass(frozen=True)
 class ReceivedDigest:
-    """A digest, and when it was received on the local monotonic clock."""
+    """A digest, when it was received on the local monotonic clock, and the offset of its clock."""
 
     digest: Digest
     received_at: float
+    clock_offset: float
 
 
 class RelayView:
@@ -259,7 +260,7 @@
     def relay_clock_offsets(self) -> list[float]:
         """Return the relays' wall clocks minus the local monotonic clock, in seconds."""
         digests = [*self._live_zone_digests(), *self._live_remote_digests().values()]
-        return [each.digest.wall - each.received_at for each in digests]
+        return [each.clock_offset for each in digests]
 
     def unreachable_zones(self) -> frozenset[str]:
         """Return the zones without a live member."""
--- a/flamingofront/process/forwarding/relaying.py
+++ b/flamingofront/process/forwarding/relaying.py
@@ -23,6 +23,7 @@
     PeerReport,
     PeerTable,
     ProcessCounts,
+    choose_clock_offset,
     encode_report,
 )
 from flamingofront.process.forwarding.streams import ConsumptionLedger, SourceSelector, SumAction
@@ -129,6 +130,8 @@
         Queue of the datagrams to send.
     on_omitted : callable
         Called with the names of the parts that were left out of a message that was too long.
+    seconds_unread : callable
+        Returns the longest time for which the datagram that is processed now may have waited.
     """
 
     def __init__(
@@ -144,6 +147,7 @@
         self.sender = PacedSender(send, timers)
         self._send = self.sender.send
         self.on_omitted: Callable[[tuple[str, ...]], None] = lambda names: None
+        self.seconds_unread: Callable[[], float] = lambda: 0.0
         self._listener = listener
         self._rng = rng
         self._source_selector = SourceSelector()
@@ -463,7 +467,10 @@
             if (relay.incarnation, relay.sequence) <= (before.incarnation, before.sequence):
                 return False
             digest = _fill_omitted(digest, last.digest)
-        digests[relay.vm_id] = ReceivedDigest(digest, now)
+        offset = choose_clock_offset(
+            digest.wall - now, last and last.clock_offset, self.seconds_unread()
+        )
+        digests[relay.vm_id] = ReceivedDigest(digest, now, offset)
         self._record_consumption(digest, now)
         self._listener.on_relay_state(relay, digest.claim)
         return True
--- a/flamingofront/process/forwarding/reports.py
+++ b/flamingofront/process/forwarding/reports.py
@@ -31,6 +31,7 @@
 __all__ = [
     "LoadDelta",
     "PeerReport",
+    "choose_clock_offset",
     "PeerTable",
     "ProcessCounts",
     "decode_load_delta",
@@ -59,6 +60,8 @@
 # A process without a report for this long is no longer a member. This is longer than any restart or
 # partition after which it would return with its old counters.
 MEMBER_EXPIRY_SECONDS = 30.0
+# A message that may have waited for longer than this shows a clock that seems slow by as much.
+MAX_CLOCK_WAIT_SECONDS = 0.1
 
 
 @dataclass(frozen=True)
@@ -402,6 +405,19 @@
     return {**counts, name: max(0, counts.get(name, 0) + change)}
 
 
+def choose_clock_offset(offset: float, last: float | None, waited: float) -> float:
+    """Return the offset of a sender's clock, given that of the message that is read now.
+
+    Parameters
+    ----------
+    last : float or None
+        Offset by its previous messages; None if there are none.
+    waited : float
+        Longest time for which the message may have waited to be read, in seconds.
+    """
+    return offset if last is None or waited <= MAX_CLOCK_WAIT_SECONDS else last
+
+
 class PeerTable:
     """Last report of each other process.
 
@@ -425,8 +441,14 @@
         """Return True if a process whose last report is this many seconds old counts as live."""
         return age <= self._liveness_timeout
 
-    def store_report(self, report: PeerReport, now: float) -> bool:
-        """Store a report; False if it is not newer than the stored one, or from this process."""
+    def store_report(self, report: PeerReport, now: float, waited: float = 0.0) -> bool:
+        """Store a report; False if it is not newer than the stored one, or from this process.
+
+        Parameters
+        ----------
+        waited : float
+            Longest time for which the report may have waited to be read, in seconds.
+        """
         if report.vm_id == self._local_id:
             return False
         last = self._reports.get(report.vm_id)
@@ -435,7 +457,8 @@
             return False
         if last and report.demand is None:
             report = replace(report, demand=last.report.demand, work=last.report.work)
-        self._reports[report.vm_id] = _ReceivedReport(report, now, report.wall - now)
+        offset = choose_clock_offset(report.wall - now, last and last.clock_offset, waited)
+        self._reports[report.vm_id] = _ReceivedReport(report, now, offset)
         return True
 
     def apply_delta(self, delta: LoadDelta) -> bool:
