Tests of a second process under the settings of one that lives

A second entry process of a VM would take its lease at once, as that of an earlier process that must have ended. What prevents it is the port for peers, which only one socket can be bound to, before the lease is tried: the second process ends with status 2, names the port and what it is for, and leaves the row of the lease as it was; one starts only once the event loop of the first has ended, after which no call is begun. Both tests pass on the code before; nothing is changed.

--- a/flamingofront/tests/test_forward_processes.py
+++ b/flamingofront/tests/test_forward_processes.py
@@ -226,6 +226,57 @@
         assert (child.returncode, child.stderr.strip()) == (2, f"flamingofront-forward: {line}")
 
 
+class TestSecondProcess:
+    """ONE: two processes of a VM under the same settings, of which each took the other's lease."""
+
+    @pytest.fixture
+    def fixed(self, processes, request):
+        """The same processes; the entry process has a fixed port for its peers."""
+        processes.write_settings(port_range=f"{request.param},{request.param}")
+        processes.front.kill()
+        processes.front.wait(WAIT_SECONDS)
+        processes.front = processes.start({"FLAMINGOFRONT_BOOT": str(processes.settings)})
+        processes.wait_event("leader lease acquired")
+        return processes
+
+    @staticmethod
+    def start_second(processes):
+        return processes.start({"FLAMINGOFRONT_BOOT": str(processes.settings)})
+
+    @staticmethod
+    def fencing(processes):
+        """Return the fencing token in the row of the leader lease."""
+        path = "/api/rows-get?" + urlencode({"table": "duties", "part": "duties"})
+        status, _, body = get(processes.store, path)
+        assert status == 200
+        (row,) = (each for each in orjson.loads(body)["rows"] if each["key"] == "all")
+        return orjson.loads(base64.b64decode(row["value"]))["fencing"]
+
+    @pytest.mark.parametrize("fixed", [21007], indirect=True)
+    def test_ends_before_it_tries_the_lease(self, fixed):
+        before = self.fencing(fixed)
+        second = self.start_second(fixed)
+        output, errors = second.communicate(timeout=WAIT_SECONDS)
+        line = f"cannot listen on {IP}:21007 for datagrams: Address already in use"
+        assert second.returncode == 2
+        assert errors.decode().strip() == f"flamingofront-forward: {line}"
+        assert output == b""
+        assert self.fencing(fixed) == before
+
+    @pytest.mark.parametrize("fixed", [21008], indirect=True)
+    def test_starts_only_once_the_event_loop_of_the_first_has_ended(self, fixed):
+        """No call is begun by a process whose port another one has."""
+        fixed.front.send_signal(signal.SIGTERM)
+        for _ in range(100):
+            second = self.start_second(fixed)
+            if second.stdout.readline():
+                break
+            assert second.wait(WAIT_SECONDS) == 2
+        events = [orjson.loads(line)["event"] for line in fixed.front.stdout]
+        assert events[-1] == "stopped"
+        assert fixed.front.wait(WAIT_SECONDS) == 0
+
+
 class TestEarlyReload:
     def test_reload_signal_during_the_imports_does_not_end_the_process(self):
         # A process that was started and told to reload at once was ended by the signal.
