--- a/flamingofront/process/forwarding/tests/test_calls_after_the_lease.py
+++ b/flamingofront/process/forwarding/tests/test_calls_after_the_lease.py
@@ -4,13 +4,22 @@
 established late, wrote the call under a lease that had ended, beside those of the next holder.
 """
 
+import orjson
 import pytest
 
+from flamingofront.process.forwarding.duty import ACT_MARGIN_SECONDS, MAX_DELIVERY_SECONDS
 from flamingofront.process.forwarding.tests.test_duties import (
     assert_one_holder_at_a_time,
     cloud_calls,
     find_holder,
 )
+from flamingofront.process.forwarding.tests.test_lease_fuzz import (
+    DURATION,
+    Clock,
+    NaiveStore,
+    Process,
+)
+from flamingofront.process.store import make_revision
 from flamingofront.tests.forwarding_world import ready_world
 
 # Longer than a lease and the wait of the next holder together.
@@ -87,3 +96,70 @@
         sent = len(play.world.store.leader_calls)
         play.world.run(10.0)
         assert {each.fencing for each in play.world.store.leader_calls[sent:]} == {2}
+
+
+class TestRestoredStore:
+    """A holder after a restore acted beside calls of the one that the restored row lacks."""
+
+    def test_holder_waits_for_calls_of_holders_that_it_does_not_know(self):
+        clock, store = Clock(), NaiveStore()
+        first = Process(0, store, clock)
+        for _ in range(2):
+            first.step(store.carry_out(first.call))
+        last_write_at = first.lease.valid_lease().valid_until - ACT_MARGIN_SECONDS
+        store.version, store.row = make_revision(1, 0), None
+        second = Process(1, store, clock)
+        for _ in range(2):
+            second.step(store.carry_out(second.call))
+        acts_from = second.lease.valid_lease().acts_from
+        assert acts_from >= last_write_at + MAX_DELIVERY_SECONDS
+        assert acts_from >= clock.time + DURATION
+
+    def test_holder_that_read_its_successor_does_not_renew(self):
+        """A restore between its read and its write made the write succeed, with the old token."""
+        clock, store = Clock(), NaiveStore()
+        first, second = (Process(index, store, clock) for index in range(2))
+        for process in (first, first, second):
+            process.step(store.carry_out(process.call))
+        copy = store.version, store.row
+        clock.time += DURATION + 2.0
+        second.step(None)
+        for _ in range(2):
+            second.step(store.carry_out(second.call))
+        assert second.lease.usable_lease().fencing == 2
+        first.step(None)
+        first.step(store.carry_out(first.call))
+        store.version, store.row = make_revision(1, copy[0]), copy[1]
+        if first.call is not None:
+            first.step(store.carry_out(first.call))
+        assert first.lease.valid_lease() is None
+
+
+class TestRelease:
+    """A stopping holder announced a release that the store had not made."""
+
+    def stop(self, answered):
+        """Stop a holder whose last renewal was carried out; return its row and its lease."""
+        clock, store = Clock(), NaiveStore()
+        holder = Process(0, store, clock)
+        for _ in range(2):
+            holder.step(store.carry_out(holder.call))
+        clock.time = holder.wake_at
+        holder.step(None)
+        result = store.carry_out(holder.call)
+        if answered:
+            holder.step(result)
+        release = holder.lease.release()
+        answer = next(release)
+        clock.time += answer.seconds
+        answer = None
+        with pytest.raises(StopIteration):
+            while True:
+                answer = store.carry_out(release.send(answer))
+        return orjson.loads(store.row.value), holder.lease
+
+    @pytest.mark.parametrize("answered", [True, False])
+    def test_row_is_released_though_the_answer_to_a_renewal_was_lost(self, answered):
+        row, lease = self.stop(answered)
+        assert row["holder"] == ""
+        assert lease.released_fencing == 1
