Mutations of what keeps the effect of a decision from coming after its grounds

Sixteen edits that take away the guard of orders, the wait and the end of a release, the age of reports that waited and the port of a second process. Two were not noticed at first: a process that exits could acquire the lease anew (test_ends_an_acquisition_that_is_under_way, new), and a renewal under way could defeat the release (the store of the test took writes at once; they take 0.03 s now). Both are noticed by that, as the other 14 and the two of the lease that name changed lines.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 from bench.answer_mutations import ANSWER_MUTATIONS
+from bench.control_mutations import CONTROL_MUTATIONS
 from bench.cut_answer_mutations import CUT_ANSWER_MUTATIONS
 from bench.departure_mutations import DEPARTURE_MUTATIONS
 from bench.knowledge_mutations import KNOWLEDGE_MUTATIONS
@@ -152,14 +153,14 @@
     Mutation(
         "7 lease counts from before the renewal",
         "process/leases.py",
-        "if lease is None or self._now() >= lease.valid_until:",
-        "if lease is None:",
+        "if lease is None or self._released or self._now() >= lease.valid_until:",
+        "if lease is None or self._released:",
         "process/tests/test_leases.py",
     ),
     Mutation(
         "7 a taker waits the whole duration",
         "process/leases.py",
-        "return self._now() - self._unchanged_since >= self._duration + self._takeover_delay",
+        "return self._now() - self._unchanged_since >= self._duration + self.takeover_delay",
         "return True",
         "process/tests/test_leases.py",
     ),
@@ -189,6 +190,7 @@
     *QUARANTINE_MUTATIONS,
     *KNOWN_FAILURE_MUTATIONS,
     *LEADER_MUTATIONS,
+    *CONTROL_MUTATIONS,
     *ANSWER_MUTATIONS,
     *CUT_ANSWER_MUTATIONS,
     *KNOWLEDGE_MUTATIONS,
--- a/flamingofront/process/tests/test_orders_after_the_lease.py
+++ b/flamingofront/process/tests/test_orders_after_the_lease.py
@@ -19,6 +19,8 @@
 
 LEASE_SECONDS = 6.0
 STORE_SECONDS = 0.01
+# Time until a write arrives at the store.
+WRITE_SECONDS = 0.03
 ENGINE = Fact("e-1", 1, VmState.LIVE, Role.ENDPOINT, "zone-a", "10.0.0.1:80", "demo")
 OWN = Fact("me", 1, VmState.LIVE, Role.ENTRY, "zone-a", "10.0.0.2:80", "")
 
@@ -37,6 +39,7 @@
 
     def replace(self, document, value):
         """Write the row if it is unchanged when the call arrives."""
+        yield Sleep(WRITE_SECONDS)
         is_unchanged = document.revision == self.row.revision
         if is_unchanged:
             self.row = Document("lease", value, self.row.revision + 1)
@@ -175,7 +178,7 @@
     def test_does_not_wait_without_an_order(self, process):
         process.acquire()
         process.tasks.start(process.lease.release())
-        process.run(3 * STORE_SECONDS)
+        process.run(2 * STORE_SECONDS + WRITE_SECONDS)
         assert process.documents.row.value["holder"] == ""
 
     def test_ends_a_lease_whose_renewal_is_under_way(self, process):
@@ -184,10 +187,18 @@
         process.tasks.start(process.lease.renew_or_acquire())
         process.run(1.5 * STORE_SECONDS)
         process.tasks.start(process.lease.release())
-        process.run(0.1)
+        process.run(0.2)
         assert process.lease.valid_lease() is None
         assert process.documents.row.value["holder"] == ""
 
+    def test_ends_an_acquisition_that_is_under_way(self, process):
+        """A process that held no lease acquired one while it exited."""
+        process.tasks.start(process.lease.renew_or_acquire())
+        process.run(0.5 * STORE_SECONDS)
+        process.tasks.start(process.lease.release())
+        process.run(0.2)
+        assert process.documents.row.value is None
+
     @pytest.mark.parametrize("later", [0.0, 0.5])
     def test_process_does_not_acquire_the_lease_again(self, process, later):
         """A process that exits held the lease anew, so that others waited for its expiry."""
