What others consumed while a process stood still counts for its quotas and rollouts

What could be admitted: a gap in a peer's reports is taken for a partition, in which the peer lived on its own share, so that what it consumed meanwhile is not charged. If it was this process that stood still, the others used the whole quota by another arbiter: this one went on with a bucket that had refilled and a window without that consumption, and with rollout tallies that lacked its responses.

A gap is shortened by the time for which the message may have waited to be read, for reports and for digests of relays. The simulated network tells how long what a process reads after a pause may have waited.

--- a/flamingofront/process/forwarding/peer_word.py
+++ b/flamingofront/process/forwarding/peer_word.py
@@ -62,7 +62,10 @@
         self._metrics.count(
             "peer_reports_total", result="heard" if since_previous is not None else "first"
         )
-        is_continuous = since_previous is not None and peers.table.is_within_timeout(since_previous)
+        # While this process stands still, the others share the whole quota, and respond.
+        is_continuous = since_previous is not None and peers.table.is_within_timeout(
+            since_previous - peers.seconds_unread()
+        )
         self.apply_sums(
             report.process, report.consumed, is_continuous and peers.is_counting_directly()
         )
--- a/flamingofront/process/forwarding/relaying.py
+++ b/flamingofront/process/forwarding/relaying.py
@@ -492,7 +492,9 @@
         if is_global and digest.acknowledged not in self._sent_reports:
             return
         period = DIGEST_PERIOD_SECONDS if is_global else DIGEST_PERIOD_SECONDS * TICKS_PER_REPORT
-        action = self._source_selector.select_action(digest.scope, process, period, now)
+        action = self._source_selector.select_action(
+            digest.scope, process, period, now, self.seconds_unread()
+        )
         if action is SumAction.IGNORE:
             return
         is_counted = action is SumAction.COUNT
--- a/flamingofront/process/forwarding/streams.py
+++ b/flamingofront/process/forwarding/streams.py
@@ -42,7 +42,9 @@
         self._active: dict[str, _ActiveSource] = {}
         self._last_seen: dict[str, float] = {}
 
-    def select_action(self, group: str, process: str, period: float, now: float) -> SumAction:
+    def select_action(
+        self, group: str, process: str, period: float, now: float, waited: float = 0.0
+    ) -> SumAction:
         """Return how the totals in a newly received digest are used.
 
         Parameters
@@ -53,10 +55,12 @@
             The source: VM and incarnation.
         period : float
             Seconds between two digests of a source.
+        waited : float
+            Longest time for which the digest may have waited to be read, in seconds.
         """
         last_seen = self._last_seen.get(process)
         self._last_seen[process] = now
-        is_recent = last_seen is not None and now - last_seen <= SOURCE_EXPIRY_SECONDS
+        is_recent = last_seen is not None and now - waited - last_seen <= SOURCE_EXPIRY_SECONDS
         active = self._active.get(group)
         if active is not None and active.process != process:
             age = now - active.last_at
--- a/flamingofront/process/forwarding/tests/test_reports_that_waited.py
+++ b/flamingofront/process/forwarding/tests/test_reports_that_waited.py
@@ -9,7 +9,9 @@
 from flamingofront.forward_daemon import ForwardDaemon
 from flamingofront.platform.settings import read_settings
 from flamingofront.process.forwarding.reports import encode_report
+from flamingofront.process.forwarding.streams import SourceSelector, SumAction
 from flamingofront.process.forwarding.tests.test_duties import find_holder, reported_usage
+from flamingofront.process.forwarding.tests.test_quota_arbiter import QuotaWorld
 from flamingofront.process.forwarding.usage import REPORT_DELAY_SECONDS, SETTLE_SECONDS
 from flamingofront.tests.forwarding_world import RULES, ready_world
 
@@ -146,3 +148,27 @@
         assert play.node.peers.cluster_time() == pytest.approx(
             play.world.clock.time + 100.0, abs=0.05
         )
+
+
+class TestConsumption:
+    """QUOTA: what others consumed while an arbiter stood still did not count for its decisions."""
+
+    @pytest.mark.parametrize("fronts", [4])
+    @pytest.mark.parametrize("seconds", [2.5, 4.0])
+    def test_arbiter_that_stood_still_knows_what_others_consumed(self, fronts, seconds):
+        world = QuotaWorld(fronts)
+        ip = next(iter(world.fronts.values())).quota_members.rank_arbiters("desk")[0]
+        name = next(each.name for each in world.hosts.values() if each.address == ip)
+        world.pause(name)
+        before = len(world.ran_at)
+        world.send_requests(1.0, seconds, [each for each in world.fronts if each != name])
+        world.resume(name)
+        world.run(1.2)
+        now, quota = world.clock.now(), world.fronts[name].quota
+        assert quota._sum_window("desk", now) >= 0.9 * (len(world.ran_at) - before)
+
+    @pytest.mark.parametrize("waited, action", [(0.0, SumAction.RECORD), (4.0, SumAction.COUNT)])
+    def test_totals_that_waited_are_counted(self, waited, action):
+        selector = SourceSelector()
+        selector.select_action("zone-b", "relay", 0.5, 100.0)
+        assert selector.select_action("zone-b", "relay", 0.5, 104.5, waited) is action
--- a/flamingofront/tests/forwarding_world.py
+++ b/flamingofront/tests/forwarding_world.py
@@ -104,6 +104,9 @@
         self.lost_datagrams = 0.0
         self.burst_bytes = 24_000
         self._bursts: dict[str, tuple[float, int]] = {}
+        # By host: since when it stands still, and when it last did so and went on.
+        self._paused_at: dict[str, float] = {}
+        self._resumed: dict[str, tuple[float, float]] = {}
 
     def endpoint(
         self, name: str, service: str, zone: str = "zone-a", version: str = "v1", **options
@@ -177,9 +180,26 @@
         )
         host.handler = node.handle_control
         self.fronts[name] = node
+        node.peers.seconds_unread = lambda: self.seconds_unread(name)
         node.start()
         return node
 
+    def pause(self, name: str) -> None:
+        """Let a host stand still; what is sent to it waits."""
+        super().pause(name)
+        self._paused_at.setdefault(name, self.clock.now())
+
+    def resume(self, name: str) -> None:
+        """Let a host go on, which reads at once what has waited."""
+        super().resume(name)
+        if name in self._paused_at:
+            self._resumed[name] = (self._paused_at.pop(name), self.clock.now())
+
+    def seconds_unread(self, name: str) -> float:
+        """Return the longest time for which what a process reads now may have waited."""
+        paused_at, resumed_at = self._resumed.get(name, (0.0, -1.0))
+        return self.clock.now() - paused_at if self.clock.now() == resumed_at else 0.0
+
     def lose(self, name: str, way: str) -> None:
         """Kill an entry process, freeze it, or cut it off from the store."""
         if way == "kill":
