A relay that stood still counts by the digests of the other relay at first

What could be admitted: with more than 16 processes, a relay counts what is consumed by the reports of its zone and the digests of other zones. While it stands still, the others choose another relay and send both to that. Once it went on, it still took itself for a relay that hears all, ignored the digests of the other one, and decided on quotas without what others consumed.

A relay whose messages may have waited for a second begins anew as one: it counts by the digests of the other relay for the 1.5 s in which a new relay receives the reports of all.

Failed before: test_arbiter_that_stood_still_knows_what_others_consumed with 30 processes (knew 14 of 45 requests after 2.5 s, 14 of 80 after 4 s; all of them now in a play of 2.5 s).

--- a/bench/control_mutations.py
+++ b/bench/control_mutations.py
@@ -116,6 +116,27 @@
         "",
         WAITED,
     ),
+    Mutation(
+        "Control: what others consumed during a stop counts",
+        "process/forwarding/peer_word.py",
+        "            since_previous - peers.seconds_unread()\n",
+        "            since_previous\n",
+        WAITED,
+    ),
+    Mutation(
+        "Control: totals of digests that waited count",
+        "process/forwarding/streams.py",
+        "now - waited - last_seen <= SOURCE_EXPIRY_SECONDS",
+        "now - last_seen <= SOURCE_EXPIRY_SECONDS",
+        WAITED,
+    ),
+    Mutation(
+        "Control: a relay that stood still counts by the other one at first",
+        "process/forwarding/relaying.py",
+        "            self._relay_since = self._timers.now()\n",
+        "            pass\n",
+        WAITED,
+    ),
     Mutation(
         "Control: a second process of a VM ends before it tries the lease",
         "connection/datagrams.py",
--- a/flamingofront/process/forwarding/relaying.py
+++ b/flamingofront/process/forwarding/relaying.py
@@ -71,6 +71,8 @@
 # Processes of the own zone, and as many of the other zones, that get a direct report while no relay
 # is live.
 DIRECT_TARGETS_PER_GROUP = 8
+# A relay whose messages waited for so long may have been replaced.
+STOP_SECONDS = 1.0
 # Subjects of datagrams: a newer one replaces one that is queued. A forwarded digest has its relay.
 REPORT, ZONE_DIGEST, REMOTE_DIGEST, USAGE = "report", "zone digest", "remote digest", "usage"
 
@@ -423,11 +425,22 @@
         """
         if report.zone != self._identity.zone:
             return
+        self._warm_up_after_stop()
         self._zone_consumed.add_sums(report.process, report.consumed, is_continuous)
         self._processes_with_usage.update(report.usage or ())
         if is_new:
             self._send_zone_digest(self._listener.build_report(), is_full=True)
 
+    def _warm_up_after_stop(self) -> None:
+        """Count by the digests of the other relay at first if this process has stood still.
+
+        Notes
+        -----
+        The others have chosen another relay meanwhile, and send their reports and digests to it.
+        """
+        if self.seconds_unread() >= STOP_SECONDS:
+            self._relay_since = self._timers.now()
+
     def is_valid_source(self, digest: Digest, ip: str) -> bool:
         """Return True if a digest may come from an IP address.
 
@@ -443,6 +456,7 @@
 
     def receive_digest(self, digest: Digest, data: bytes) -> None:
         """Process a digest from a relay of the own zone or of another zone."""
+        self._warm_up_after_stop()
         if digest.relay.vm_id == self._identity.vm_id:
             return
         if digest.usage is not None:
--- a/flamingofront/process/forwarding/tests/test_reports_that_waited.py
+++ b/flamingofront/process/forwarding/tests/test_reports_that_waited.py
@@ -153,7 +153,7 @@
 class TestConsumption:
     """QUOTA: what others consumed while an arbiter stood still did not count for its decisions."""
 
-    @pytest.mark.parametrize("fronts", [4])
+    @pytest.mark.parametrize("fronts", [4, 30])
     @pytest.mark.parametrize("seconds", [2.5, 4.0])
     def test_arbiter_that_stood_still_knows_what_others_consumed(self, fronts, seconds):
         world = QuotaWorld(fronts)
