--- a/flamingofront/process/forwarding/duty.py
+++ b/flamingofront/process/forwarding/duty.py
@@ -38,8 +38,8 @@
 __all__ = ["HeldLease", "LeaderLease", "LeaseEnd"]
 
 RENEWALS_PER_LEASE = 3
-# Longest time from the last write of a call until the cloud can receive it: the kernel discards it
-# once it is unacknowledged for 0.8 s, counted from its first repetition.
+# Longest time from the last write of a call until the cloud can receive it: the last segment that
+# the kernel sends again leaves within 1 s, for round trips of up to 0.3 s.
 MAX_DELIVERY_SECONDS = 1.1
 # Bytes of a call are written only with this much of the lease left.
 ACT_MARGIN_SECONDS = 0.3
@@ -221,10 +221,8 @@
         row = find_lease_row(found.rows)
         if get_era(found.version) == era and self._is_held_here(decode_state(row), fencing):
             return False
-        self._log.warning("leader lease lost", fencing=fencing, era=era)
-        self._lease = None
         self._merge_row(row, found.version)
-        self._see_holder()
+        self._drop_lease(fencing)
         return True
 
     def _is_reported_released(self) -> bool:
@@ -319,12 +317,21 @@
             reports_from=reports_from,
             holders_unknown=is_behind or self.state.holders_unknown,
         )
-        sent_at = self._now()
+        sent_at, era = self._now(), self._era
         if not (yield from self._write(state)):
             # Another process has just acquired the lease, which starts now.
             self._see_holder()
             self._log.info("leader lease not acquired", fencing=state.fencing, end=end)
             return
+        if self._era != era:
+            # A holder that the restore has removed since the read may have the same token.
+            self._version = None
+            self._log.warning("leader lease lost", fencing=state.fencing, era=self._era)
+            return
+        if self._stopped:
+            # The stop began while the write was in flight; no call was made under this token.
+            yield from self._give_up(state.fencing)
+            return
         if is_behind:
             self._log.warning("usage windows skipped", before=reports_from)
         acts_from = sent_at
@@ -372,6 +379,7 @@
     def _renew(self, reports: Mapping[str, Mapping[str, int]] | None) -> Task:
         """Write the row, with one retry after a conflict that leaves the lease here."""
         fencing, acts_from = self._lease.fencing, self._lease.acts_from
+        valid_until, era = self._lease.valid_until, self._era
         stored = self.state
         for _ in range(2):
             if self.state.fencing < fencing:
@@ -380,7 +388,12 @@
             if self._now() >= acts_from:
                 state = replace(state, holders_unknown=False)
             sent_at = self._now()
-            if (yield from self._write(state)):
+            is_written = yield from self._write(state)
+            if self._era != era and self._now() >= valid_until:
+                # A restore may have removed a holder that acquired the lease after its end.
+                self._drop_lease(fencing)
+                return False
+            if is_written:
                 if self._lease is not None:
                     self._lease = replace(self._lease, valid_until=sent_at + self._duration)
                 return self._lease is not None
@@ -388,15 +401,19 @@
                 # The row predates this lease, so nobody has acquired it in this era.
                 continue
             if not self._is_held_here(self.state, fencing):
-                self._log.warning("leader lease lost", fencing=fencing)
-                self._lease = None
-                self._see_holder()
+                self._drop_lease(fencing)
                 return False
             # The response to an earlier write was lost, but the write took effect: keep what it
             # stored.
             reports = None
         return False
 
+    def _drop_lease(self, fencing: int) -> None:
+        """Give the lease up, since another process may have acquired it."""
+        self._log.warning("leader lease lost", fencing=fencing, era=self._era)
+        self._lease = None
+        self._see_holder()
+
     def _write(self, state: LeaseState) -> Task:
         """Write the row if it is unchanged since last seen; otherwise apply its contents."""
         state = replace(state, era=self._era)
@@ -436,19 +453,23 @@
             return
         yield Sleep(MAX_DELIVERY_SECONDS)
         self._lease = None
+        yield from self._give_up(lease.fencing)
+
+    def _give_up(self, fencing: int) -> Task:
+        """Write the row without a holder, if it still names this process under a token."""
         try:
             has_released = yield from self._write_release()
-            if not has_released and self._is_held_here(self.state, lease.fencing):
+            if not has_released and self._is_held_here(self.state, fencing):
                 # A renewal whose response was lost, or is still to come, took effect.
                 has_released = yield from self._write_release()
         except PlatformError as exc:
             self._log.info("leader lease not released; it will expire", detail=str(exc))
             return
         if not has_released:
-            self._log.info("leader lease not released; the row has changed", fencing=lease.fencing)
+            self._log.info("leader lease not released; the row has changed", fencing=fencing)
             return
-        self.released_fencing = lease.fencing
-        self._log.info("leader lease released", fencing=lease.fencing)
+        self.released_fencing = fencing
+        self._log.info("leader lease released", fencing=fencing)
 
     def _write_release(self) -> Task:
         """Write the row without a holder; return False if it has changed since last seen."""
