--- a/flamingofront/forward_daemon.py
+++ b/flamingofront/forward_daemon.py
@@ -99,6 +99,7 @@
             ).register(self.runtime)
         self.node = ForwardingNode(settings, self._make_dependencies(), random.Random(), self._log)
         self.node.lease.is_stop_signalled = lambda: self.runtime.stop_signal_at is not None
+        self.node.peers.seconds_unread = self._datagrams.seconds_unread
         self.node.on_configuration = self._apply_caller_limits
         self._client.max_idle = self.node.max_idle
         self.callers = self._make_server(settings.caller_bind, self.node.handle_caller, "callers")
--- a/flamingofront/process/forwarding/peer_word.py
+++ b/flamingofront/process/forwarding/peer_word.py
@@ -62,7 +62,10 @@
         self._metrics.count(
             "peer_reports_total", result="heard" if since_previous is not None else "first"
         )
-        is_continuous = since_previous is not None and peers.table.is_within_timeout(since_previous)
+        # While this process stands still, the others share the whole quota, and respond.
+        is_continuous = since_previous is not None and peers.table.is_within_timeout(
+            since_previous - peers.seconds_unread()
+        )
         self.apply_sums(
             report.process, report.consumed, is_continuous and peers.is_counting_directly()
         )
@@ -73,7 +76,8 @@
         self._reported.hub.limits.merge(report.limits)
         self._merge_leaving(report, Way.REPORT)
         if report.usage is not None:
-            usage.merge_report(report.usage, report.process, peers.cluster_time())
+            sent_after = peers.cluster_time() - peers.seconds_unread()
+            usage.merge_report(report.usage, report.process, sent_after)
         self._reported.lease.observe_report(report)
         self._receivers.exchange.sync_with(report)
         if peers.is_relayed:
--- a/flamingofront/process/forwarding/relaying.py
+++ b/flamingofront/process/forwarding/relaying.py
@@ -23,6 +23,7 @@
     PeerReport,
     PeerTable,
     ProcessCounts,
+    choose_clock_offset,
     encode_report,
 )
 from flamingofront.process.forwarding.streams import ConsumptionLedger, SourceSelector, SumAction
@@ -70,6 +71,8 @@
 # Processes of the own zone, and as many of the other zones, that get a direct report while no relay
 # is live.
 DIRECT_TARGETS_PER_GROUP = 8
+# A relay whose messages waited for so long may have been replaced.
+STOP_SECONDS = 1.0
 # Subjects of datagrams: a newer one replaces one that is queued. A forwarded digest has its relay.
 REPORT, ZONE_DIGEST, REMOTE_DIGEST, USAGE = "report", "zone digest", "remote digest", "usage"
 
@@ -129,6 +132,8 @@
         Queue of the datagrams to send.
     on_omitted : callable
         Called with the names of the parts that were left out of a message that was too long.
+    seconds_unread : callable
+        Returns the longest time for which the datagram that is processed now may have waited.
     """
 
     def __init__(
@@ -144,6 +149,7 @@
         self.sender = PacedSender(send, timers)
         self._send = self.sender.send
         self.on_omitted: Callable[[tuple[str, ...]], None] = lambda names: None
+        self.seconds_unread: Callable[[], float] = lambda: 0.0
         self._listener = listener
         self._rng = rng
         self._source_selector = SourceSelector()
@@ -419,11 +425,22 @@
         """
         if report.zone != self._identity.zone:
             return
+        self._warm_up_after_stop()
         self._zone_consumed.add_sums(report.process, report.consumed, is_continuous)
         self._processes_with_usage.update(report.usage or ())
         if is_new:
             self._send_zone_digest(self._listener.build_report(), is_full=True)
 
+    def _warm_up_after_stop(self) -> None:
+        """Count by the digests of the other relay at first if this process has stood still.
+
+        Notes
+        -----
+        The others have chosen another relay meanwhile, and send their reports and digests to it.
+        """
+        if self.seconds_unread() >= STOP_SECONDS:
+            self._relay_since = self._timers.now()
+
     def is_valid_source(self, digest: Digest, ip: str) -> bool:
         """Return True if a digest may come from an IP address.
 
@@ -439,6 +456,7 @@
 
     def receive_digest(self, digest: Digest, data: bytes) -> None:
         """Process a digest from a relay of the own zone or of another zone."""
+        self._warm_up_after_stop()
         if digest.relay.vm_id == self._identity.vm_id:
             return
         if digest.usage is not None:
@@ -463,7 +481,10 @@
             if (relay.incarnation, relay.sequence) <= (before.incarnation, before.sequence):
                 return False
             digest = _fill_omitted(digest, last.digest)
-        digests[relay.vm_id] = ReceivedDigest(digest, now)
+        offset = choose_clock_offset(
+            digest.wall - now, last and last.clock_offset, self.seconds_unread()
+        )
+        digests[relay.vm_id] = ReceivedDigest(digest, now, offset)
         self._record_consumption(digest, now)
         self._listener.on_relay_state(relay, digest.claim)
         return True
@@ -485,7 +506,9 @@
         if is_global and digest.acknowledged not in self._sent_reports:
             return
         period = DIGEST_PERIOD_SECONDS if is_global else DIGEST_PERIOD_SECONDS * TICKS_PER_REPORT
-        action = self._source_selector.select_action(digest.scope, process, period, now)
+        action = self._source_selector.select_action(
+            digest.scope, process, period, now, self.seconds_unread()
+        )
         if action is SumAction.IGNORE:
             return
         is_counted = action is SumAction.COUNT
--- a/flamingofront/process/orders.py
+++ b/flamingofront/process/orders.py
@@ -2,14 +2,15 @@
 
 Each request to an engine is declarative and idempotent ("load model X"), so a repeated or delayed
 one does no harm. It carries the lease's fencing token; endpoints that check the token reject
-requests of an earlier holder. The state of the other endpoints is read again and corrected.
+requests of an earlier holder. For the others, the lease is checked again before bytes are sent, and
+their state is read again and corrected.
 """
 
 import orjson
 
-from flamingofront.messages import STALE_SECONDS, CallFailed, OutboundCall
+from flamingofront.messages import SEND_WITHDRAWN, STALE_SECONDS, CallFailed, OutboundCall
 from flamingofront.process.dissemination import Dissemination
-from flamingofront.process.leases import LeaseKeeper
+from flamingofront.process.leases import ACK_SECONDS, LeaseKeeper
 from flamingofront.process.membership import Fact, Role
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.tasks import Reply, Task, TaskRunner, read_json
@@ -43,29 +44,35 @@
             return
         zone = self._gossip.facts.get(self._gossip.own_id).zone
         for fact in self._gossip.facts.select(Role.ENDPOINT):
-            service = self._gossip.configuration.find_service(fact.service)
-            is_engine = service is not None and service.kind is ServiceKind.MODEL
+            is_engine = self._find_model(fact) is not None
             if fact.zone == zone and is_engine and fact.vm_id not in self._in_progress:
                 self._in_progress.add(fact.vm_id)
                 self._tasks.start(
-                    self._reconcile_engine(fact, service.model),
+                    self._reconcile_engine(fact),
                     lambda _, vm_id=fact.vm_id: self._in_progress.discard(vm_id),
                 )
 
-    def _reconcile_engine(self, fact: Fact, model: str) -> Task:
+    def _find_model(self, fact: Fact) -> str | None:
+        """Return the model that an endpoint is to have loaded; None if it is no engine."""
+        service = self._gossip.configuration.find_service(fact.service)
+        is_engine = service is not None and service.kind is ServiceKind.MODEL
+        return service.model if is_engine else None
+
+    def _reconcile_engine(self, fact: Fact) -> Task:
         """Read an engine's state and request the model if it has loaded another."""
         reply = yield OutboundCall(
             fact.address, "GET", "/state", timeout=CALL_TIMEOUT_SECONDS, stale_seconds=STALE_SECONDS
         )
         state = read_json(reply)
-        if state is None or state["model"] == model:
+        # The configuration may have changed during the state request.
+        model = self._find_model(fact)
+        if state is None or model is None or state["model"] == model:
             return
-        # The lease may have expired during the state request; it must be valid at the load request.
-        lease = self._lease.valid_lease()
-        if lease is None:
+        call = self._lease.start_call()
+        if call is None:
             self._metrics.count("orders_total", kind="load", result="lease_lapsed")
             return
-        body = orjson.dumps({"order": "load", "model": model, "fencing": lease.fencing})
+        body = orjson.dumps({"order": "load", "model": model, "fencing": call.fencing})
         reply = yield OutboundCall(
             fact.address,
             "POST",
@@ -73,12 +80,16 @@
             body,
             (("Content-Type", "application/json"),),
             CALL_TIMEOUT_SECONDS,
+            ack_timeout=ACK_SECONDS,
+            guard=call,
         )
         self._metrics.count("orders_total", kind="load", result=_classify_reply(reply))
 
 
 def _classify_reply(reply: Reply) -> str:
     if isinstance(reply, CallFailed):
+        if reply.reason == SEND_WITHDRAWN and not reply.wrote:
+            return "lease_lapsed"
         return "unknown" if reply.wrote else "not_sent"
     if reply.status == STATUS_STALE_FENCING:
         return "stale_fencing"
