Attempts are sent only while the deadline that they state is true

What callers saw: nothing; an endpoint was told a deadline up to as much too late as its request was sent late, and ran requests of callers that had left.

Cause: the deadline header is computed when the attempt is decided on. A connection has to be established before the first byte is sent, and a process that is busy or stands still notices that late: sockets are served before late timers, so that not even the limit of 0.25 s for connecting ends the attempt.

Change: an attempt has a guard, which withdraws it if it would begin over 0.3 s after its deadline was computed. A withdrawn attempt was not sent: it uses up neither attempts nor the retry budget, is no evidence against its endpoint, and its permit and record are returned. The next one starts some milliseconds later, behind what came meanwhile, and states a deadline that is true if it is sent as late as the last one was, so that a slow process does not withdraw for ever. An attempt that has begun goes on.

--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -13,6 +13,7 @@
 from flamingofront.errors import ErrorKind, Executed, RequestError
 from flamingofront.messages import (
     NO_IDLE_CONNECTION,
+    SEND_WITHDRAWN,
     STALE_ATTEMPT_SECONDS,
     CallFailed,
     CancelAttempt,
@@ -448,6 +449,9 @@
 
     def handle_call_failure(self, attempt_id: str, event: CallFailed) -> None:
         """Handle a call that ended without a response."""
+        if event.reason == SEND_WITHDRAWN and not event.wrote:
+            self._withdraw_attempt(attempt_id)
+            return
         executed = Executed.UNKNOWN if event.wrote else Executed.NO
         if event.by_proxy:
             if event.wrote:
@@ -468,6 +472,23 @@
                 self.hub.paths.monitor.record_unanswered(self.endpoint_id)
         self.fail_attempt(attempt_id, executed, event.reason, event.wrote, is_endpoint_failure)
 
+    def _withdraw_attempt(self, attempt_id: str) -> None:
+        """Choose again for an attempt that was not sent, which tells nothing about its endpoint."""
+        if not self.is_current(attempt_id):
+            return
+        self._attempt_intents.withdraw()
+        self._permit_claims.return_unused()
+        self.log.info(
+            "attempt withdrawn",
+            attempt=attempt_id,
+            endpoint=self.endpoint_id,
+            proxy=self.proxy_address,
+            started_age=round(self.hub.now() - self._sent_at, 3),
+        )
+        self._end_call()
+        self.hub.metrics.count("retries_total", reason=SEND_WITHDRAWN)
+        self.execute(self.machine.withdraw_attempt(attempt_id, self.hub.now()))
+
     def _record_no_connection(self, reason: str) -> bool:
         """Record that no connection was established; return False if the path may be lost."""
         paths, endpoint_id = self.hub.paths, self.endpoint_id
--- a/flamingofront/request/attempts.py
+++ b/flamingofront/request/attempts.py
@@ -117,6 +117,7 @@
         self._was_written = was_written
         self._failed_endpoints: set[str] = set()
         self._repeats = 0
+        self._withdrawals = 0
         self._ids = itertools.count(1)
 
     @property
@@ -201,6 +202,19 @@
         self.attempts -= 1
         return self._retry_or_fail(now, delay, ErrorKind.OVERLOADED)
 
+    def withdraw_attempt(self, attempt_id: str, now: float) -> list[Action]:
+        """Start the current attempt again, which was withdrawn before any byte of it was sent."""
+        if attempt_id != self.attempt_id or self.phase is not Phase.RUNNING:
+            return []
+        self.attempts -= 1
+        self._update_ran(Executed.NO)
+        if now >= self.facts.deadline:
+            return self._fail(ErrorKind.DEADLINE_EXCEEDED)
+        # What comes at the same time, such as the caller's leaving, is handled first.
+        delay = REPEAT_BACKOFF.compute_delay(self._withdrawals, self._rng)
+        self._withdrawals += 1
+        return self._retry_or_fail(now, delay, ErrorKind.OVERLOADED)
+
     def record_progress(self, attempt_id: str) -> None:
         """Record that a part of the response was forwarded to the caller."""
         if attempt_id == self.attempt_id:
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -23,6 +23,7 @@
 )
 from flamingofront.request.active import NO_CONNECTION_REASONS, ActiveRequest
 from flamingofront.request.answer_reader import FIRST_ERROR_STATUS, ResponseReader
+from flamingofront.request.attempt_guard import MAX_EXCESS_SECONDS, AttemptGuard
 from flamingofront.request.attempt_pace import AttemptLatency
 from flamingofront.request.directory import SharedPrefix
 from flamingofront.request.event_stream import EventRelay
@@ -104,6 +105,8 @@
         self.version_rule_of: Callable[[ForwardedRequest], EndpointRule | None] = (
             lambda request: None
         )
+        # Time that the last attempt would have taken until it was sent, if it was withdrawn.
+        self._send_delay = 0.0
         self._latency = AttemptLatency()
         self._events_before_attempt = 0
         self.on_response_start: Callable[[ForwardedRequest], None] = lambda request: None
@@ -248,9 +251,10 @@
         self._log_attempt(action, chosen)
         self._add_backlog(chosen)
         seconds_left = self.machine.facts.deadline - self.hub.now()
+        expected_delay, self._send_delay = min(self._send_delay, seconds_left / 2), 0.0
         facts = AttemptFacts(
             chosen.endpoint_id,
-            seconds_left,
+            seconds_left - expected_delay,
             self.relay.last_id,
             classify_urgency(self._make_expectation(chosen)),
         )
@@ -277,8 +281,16 @@
             new_connection=self.needs_fresh_connection,
             host=work.host,
             connect_timeout=CONNECT_TIMEOUT_SECONDS,
+            guard=AttemptGuard(self.hub, self.sent_at + expected_delay + MAX_EXCESS_SECONDS),
         )
 
+    def _withdraw_attempt(self, attempt_id: str) -> None:
+        """Let the next attempt state a deadline that is true if it is sent as late as this one."""
+        if self.is_current(attempt_id):
+            self._send_delay = self.hub.now() - self.sent_at
+            self.endpoints.pop()
+        super()._withdraw_attempt(attempt_id)
+
     def _make_listener(self, attempt_id: str, chosen: Candidate) -> Callable[[CallEvent], None]:
         return ResponseReader(self, attempt_id)
 
--- a/flamingofront/request/permit_claims.py
+++ b/flamingofront/request/permit_claims.py
@@ -36,6 +36,12 @@
         if permit is not None:
             self._request.hub.permits.release(permit, was_rejected)
 
+    def return_unused(self) -> None:
+        """Return the permit of an attempt that was withdrawn, if it needed one."""
+        permit, self._held = self._held, None
+        if permit is not None:
+            self._request.hub.permits.return_unused(permit)
+
     def is_exhausted(self, action: StartAttempt) -> bool:
         """Return True if an attempt may claim no more permits.
 
--- a/flamingofront/request/tests/test_attempts.py
+++ b/flamingofront/request/tests/test_attempts.py
@@ -86,6 +86,37 @@
         assert again.exclude == {"e"}
 
 
+class TestWithdrawal:
+    """An attempt of which nothing was sent counted like one that had failed."""
+
+    def test_it_uses_up_neither_attempts_nor_budget(self):
+        budget = PacedRetryBudget(ratio=0.0, floor_rate=0.1, burst=0.0)
+        facts = RequestFacts("r", False, 100.0, max_attempts=1)
+        machine = RequestMachine(facts, budget, random.Random(1))
+        for _ in range(20):
+            (start,) = machine.start()
+            (again,) = machine.withdraw_attempt(start.attempt_id, 1.0)
+            assert again.delay <= 0.2
+        (start,) = machine.start()
+        assert start.exclude == frozenset()
+        assert machine.ran is Executed.NO
+
+    def test_request_whose_time_is_up_fails_as_not_run(self):
+        machine = make_machine(deadline=5.0)
+        (start,) = machine.start()
+        (fail,) = machine.withdraw_attempt(start.attempt_id, 5.0)
+        assert (fail.kind, fail.ran) == (ErrorKind.DEADLINE_EXCEEDED, Executed.NO)
+
+    def test_it_leaves_the_outcome_of_an_earlier_attempt_unknown(self):
+        machine = make_machine()
+        (start,) = machine.start()
+        machine.record_write(start.attempt_id)
+        machine.handle_attempt_failure(start.attempt_id, "e", Executed.UNKNOWN, 1.0)
+        (second,) = machine.start()
+        machine.withdraw_attempt(second.attempt_id, 1.0)
+        assert machine.ran is Executed.UNKNOWN
+
+
 class TestFreeze:
     def test_frozen_request_ignores_all_events(self):
         """Once a request is offered to a peer, only the peer may extend or end it."""
@@ -115,6 +146,7 @@
         self.executions = 0
         self.sent_after_execution = False
         self.attempts = {}
+        self.written = set()
         self.frozen = False
         self.execute(self.machine.start())
 
@@ -154,6 +186,7 @@
                 return
             self.executions = max(1, self.executions)
             self.machine.record_write(attempt)
+            self.written.add(attempt)
         start = self.attempts[attempt]
         tokens = tuple(f"{attempt}:{start + n}" for n in range(count))
         final = start + count >= ANSWER_TOKENS
@@ -176,6 +209,12 @@
             executed = Executed.UNKNOWN
         self.execute(self.machine.handle_attempt_failure(attempt, "e", executed, self.now))
 
+    @rule()
+    def attempt_is_withdrawn(self):
+        attempt = self.current_attempt()
+        if attempt is not None and attempt not in self.written:
+            self.execute(self.machine.withdraw_attempt(attempt, self.now))
+
     @rule(seconds=st.floats(0.0, 5.0))
     def time_passes(self, seconds):
         self.now += seconds
--- a/flamingofront/tests/network.py
+++ b/flamingofront/tests/network.py
@@ -159,25 +159,35 @@
 
         Notes
         -----
-        Other calls are written at once, so that few events are needed for each of them.
+        Calls without a guard, and attempts, are written at once, so that few events are needed for
+        each of them, unless connections between the two hosts are delayed.
         """
         guard = self.call.guard
-        if guard is None:
-            self._write()
-        elif self.reused:
+        delay = self.world.path_connect_delays.get((self.source.name, self.target.name), 0.0)
+        has_handshake = delay > 0 or self._is_followed
+        if self.reused or not has_handshake:
             self._write_guarded(guard)
-        else:
+            return
+        if guard is not None:
             guard.record(CallStep.CONNECTING)
-            delay = self.world.connect_delays.get(self.source.name, 0.0)
-            self.source.timers.once(2 * LATENCY + delay, lambda: self._finish_connect(guard))
+            delay += self.world.connect_delays.get(self.source.name, 0.0)
+        self.source.timers.once(2 * LATENCY + delay, lambda: self._finish_connect(guard))
 
-    def _finish_connect(self, guard: CallGuard) -> None:
+    @property
+    def _is_followed(self) -> bool:
+        """True for a guarded call other than an attempt."""
+        return self.call.guard is not None and not self.call.stream
+
+    def _finish_connect(self, guard: CallGuard | None) -> None:
         if not self.closed and not self.source.dead:
-            guard.record(CallStep.CONNECTED)
+            if guard is not None:
+                guard.record(CallStep.CONNECTED)
             self._write_guarded(guard)
 
-    def _write_guarded(self, guard: CallGuard) -> None:
-        if guard.may_send():
+    def _write_guarded(self, guard: CallGuard | None) -> None:
+        if guard is None:
+            self._write()
+        elif guard.may_send():
             self._write()
             guard.record(CallStep.WRITTEN)
         else:
@@ -250,7 +260,7 @@
 
     def _arrive(self) -> None:
         # What was written before a reset may be read, which matters for guarded calls.
-        is_withdrawn = self.closed and self.call.guard is None
+        is_withdrawn = self.closed and not self._is_followed
         if is_withdrawn or self.target.dead:
             return
         parts = urlsplit(self.call.path)
--- a/flamingofront/tests/world.py
+++ b/flamingofront/tests/world.py
@@ -58,6 +58,8 @@
         self.max_extra_delay = 0.0
         # Seconds by which the connections of guarded calls are established late, by source.
         self.connect_delays: dict[str, float] = {}
+        # Seconds until connections from one host to another are established, for all calls.
+        self.path_connect_delays: dict[tuple[str, str], float] = {}
         # Connections that are kept, by host and address; none unless a test wants them.
         self.keeps_connections = False
         self.idle: set[tuple[str, str]] = set()
