No attempt begins at an endpoint that has left while it connected

What callers saw: nothing; a request reached an endpoint up to 0.25 s and a turn of the event loop after this process had learned that it leaves or is gone, in addition to the time that the word itself takes.

Cause: whether an endpoint takes requests was checked when it was chosen, and again only behind a permit or a record; not once the connection was established. A process that stands still meanwhile sent it however late.

Change: the guard of an attempt also asks the directory, by the rule that excludes endpoints from the choice, right before the first byte. The attempt is withdrawn and another endpoint is chosen at once, without a retry.

--- a/flamingofront/request/attempt_guard.py
+++ b/flamingofront/request/attempt_guard.py
@@ -15,12 +15,14 @@
 
 
 class AttemptGuard(CallGuard):
-    """Lets an attempt begin as long as the deadline that it states is true.
+    """Lets an attempt begin while its endpoint takes requests and the stated deadline is true.
 
     Parameters
     ----------
     host : RequestHost
         Components of the process that sends the attempt.
+    endpoint_id : str
+        Endpoint that the attempt is sent to, directly or by a peer.
     latest_start : float
         Time after which the deadline in the headers of the attempt would be too long.
 
@@ -29,15 +31,18 @@
     What has begun goes on: an endpoint may run what it has received.
     """
 
-    def __init__(self, host: "RequestHost", latest_start: float):
+    def __init__(self, host: "RequestHost", endpoint_id: str, latest_start: float):
         self._host = host
+        self._endpoint_id = endpoint_id
         self._latest_start = latest_start
         self._has_begun = False
 
     def may_send(self) -> bool:
         """Return True if the attempt has begun or may begin now."""
         if not self._has_begun:
-            self._has_begun = self._host.now() <= self._latest_start
+            is_late = self._host.now() > self._latest_start
+            is_unavailable = self._host.directory.is_unavailable(self._endpoint_id)
+            self._has_begun = not is_late and not is_unavailable
         return self._has_begun
 
     def record(self, step: CallStep) -> None:
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -281,7 +281,11 @@
             new_connection=self.needs_fresh_connection,
             host=work.host,
             connect_timeout=CONNECT_TIMEOUT_SECONDS,
-            guard=AttemptGuard(self.hub, self.sent_at + expected_delay + MAX_EXCESS_SECONDS),
+            guard=AttemptGuard(
+                self.hub,
+                chosen.endpoint_id,
+                self.sent_at + expected_delay + MAX_EXCESS_SECONDS,
+            ),
         )
 
     def _withdraw_attempt(self, attempt_id: str) -> None:
--- a/flamingofront/request/tests/test_attempt_guard.py
+++ b/flamingofront/request/tests/test_attempt_guard.py
@@ -28,8 +28,9 @@
 
 def make_guard(client, seconds):
     """Return the guard of an attempt that may begin within some seconds."""
-    host = SimpleNamespace(now=client.clock.now)
-    return AttemptGuard(host, client.clock.now() + seconds)
+    directory = SimpleNamespace(is_unavailable=lambda endpoint_id: False)
+    host = SimpleNamespace(now=client.clock.now, directory=directory)
+    return AttemptGuard(host, "endpoint", client.clock.now() + seconds)
 
 
 def call_with_guard(client, address, seconds, late=0.0, body=b"", while_sent=lambda: None):
--- a/flamingofront/tests/test_late_attempts.py
+++ b/flamingofront/tests/test_late_attempts.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from flamingofront.platform.endpoints import ENDPOINT_TABLE
 from flamingofront.tests.forwarding_world import RULES, ready_world
 
 DEADLINE_SECONDS = 3.0
@@ -71,6 +72,39 @@
         assert world.clock.now() - asked_at < 2 * seconds + 0.4
 
 
+class TestEndpointThatLeaves:
+    """An endpoint that had left while the connection was established got a new request."""
+
+    @pytest.mark.parametrize("path", PATHS)
+    @pytest.mark.parametrize("is_removed", [False, True])
+    def test_request_goes_to_another_endpoint(self, path, is_removed):
+        world = ready_world(rules=NO_RETRIES)
+        delay_connections(world, 0.2)
+        caller = world.ask("front-1", path)
+        world.run(0.05)
+        (request,) = world.fronts["front-1"].hub.active.values()
+        name = request.endpoint_id
+        if is_removed:
+            world.store.drop(ENDPOINT_TABLE, name)
+        else:
+            service = request.record.service.name
+            world.register(name, service, world.host(name).zone, state="draining", sequence=2)
+        world.finish(caller)
+        assert world.endpoints[name].runs == []
+        assert caller.status == 200
+
+    def test_request_that_has_begun_goes_on(self):
+        """An endpoint that leaves answers what it has received."""
+        world = ready_world(rules=NO_RETRIES)
+        caller = world.ask("front-1", "/write/x")
+        world.run(0.004)
+        (request,) = world.fronts["front-1"].hub.active.values()
+        world.register(request.endpoint_id, "records", state="draining", sequence=2)
+        world.finish(caller)
+        assert caller.status == 200
+        assert [endpoint for _, endpoint in world.list_runs()] == [request.endpoint_id]
+
+
 class TestCallerThatLeaves:
     """A process that had stood still sent a request before it noticed that its caller had left."""
 
