A peer subtracts the time for which it read a proxied attempt from its deadline

What callers saw: nothing; an endpoint behind a peer was told a deadline that was too long by the time that the body took from one process to the other.

Cause: the process of the caller computes the deadline header when it begins to send the attempt to its peer. The peer reads the whole body first, which takes long on a narrow link, and sent the header on as it had come.

Change: the peer shortens the header by the time since it had received the head, as the process of the caller does with the time for its own reading.

--- a/flamingofront/platform/requests.py
+++ b/flamingofront/platform/requests.py
@@ -1,5 +1,6 @@
 """Headers of forwarded requests and responses."""
 
+import math
 import re
 
 from flamingofront.connection.framing import HOP_BY_HOP_FIELDS, get_connection_options
@@ -135,6 +136,17 @@
             fields += ((URGENCY_HEADER, str(int(facts.urgency))),)
         return fields
 
+    def shorten_deadline(self, fields: Fields, seconds: float) -> Fields:
+        """Return the headers of an attempt with a deadline that is some seconds earlier."""
+        return tuple(
+            (
+                (name, str(max(1, int(value) - math.ceil(seconds * 1000))))
+                if name.lower() == DEADLINE_HEADER and COUNT.fullmatch(value)
+                else (name, value)
+            )
+            for name, value in fields
+        )
+
     def is_from_endpoint(self, endpoint_id: str, head: ResponseHead) -> bool:
         """Return True unless a response to a state request names another endpoint."""
         return head.headers.get(ENDPOINT_ID_HEADER, endpoint_id) == endpoint_id
--- a/flamingofront/process/forwarding/proxy.py
+++ b/flamingofront/process/forwarding/proxy.py
@@ -167,6 +167,9 @@
         fields = tuple(
             each for each in req.fields if each[0].lower() not in HOP_BY_HOP_FIELDS | {"host"}
         )
+        # Since the peer computed the deadline: a large body may take long.
+        spent = self._started_at - req.head_received_at
+        fields = self._node.hub.protocol.shorten_deadline(fields, spent)
         outbound = OutboundCall(
             self._node.directory.address_of(call.endpoint_id),
             call.method,
--- a/flamingofront/request/forward_work.py
+++ b/flamingofront/request/forward_work.py
@@ -215,6 +215,10 @@
     def encode_attempt_headers(self, work: ForwardWork, facts: AttemptFacts) -> Fields:
         """Return the headers of an attempt."""
 
+    @abstractmethod
+    def shorten_deadline(self, fields: Fields, seconds: float) -> Fields:
+        """Return the headers of an attempt with a deadline that is some seconds earlier."""
+
     @abstractmethod
     def probe_target(self, service: ForwardedService | None) -> str:
         """Return the target of a request for the state of an endpoint of a service."""
--- a/flamingofront/tests/network.py
+++ b/flamingofront/tests/network.py
@@ -197,7 +197,12 @@
     def _write(self) -> None:
         self._wrote = True
         self.target.links.append(self)
-        self.target.timers.once(LATENCY, self._arrive)
+        self.target.timers.once(LATENCY + self._upload_seconds, self._arrive)
+
+    @property
+    def _upload_seconds(self) -> float:
+        """Seconds between the arrival of the head and that of the last byte."""
+        return self.world.upload_seconds.get((self.source.name, self.target.name), 0.0)
 
     def _start_on_faulty_path(self, fault: PathFault) -> None:
         """Use an idle connection if there is one, or fail to establish a new one."""
@@ -275,7 +280,7 @@
             self.call.body,
             self.call.path,
             fields,
-            self.target.timers.now(),
+            self.target.timers.now() - self._upload_seconds,
         )
         self.exchange = FakeExchange(self)
         self.target.handler(req, self.exchange)
--- a/flamingofront/tests/test_late_attempts.py
+++ b/flamingofront/tests/test_late_attempts.py
@@ -6,6 +6,8 @@
 
 from flamingofront.platform.endpoints import ENDPOINT_TABLE
 from flamingofront.tests.forwarding_world import RULES, ready_world
+from flamingofront.tests.network import PathFault
+from flamingofront.tests.paths_world import cut_off, offer, paths_world
 
 DEADLINE_SECONDS = 3.0
 # Difference between the deadline that an endpoint is told and that of the caller.
@@ -117,3 +119,31 @@
         world.host("front-1").timers.once(0.01, caller.leave)
         world.run(3.0)
         assert world.list_runs() == []
+
+
+def proxied_world():
+    """Return a world in which `front-1` reaches the two endpoints through `front-2` only."""
+    world = paths_world(fronts=2, engines=1, plains=1, rules=NO_RETRIES)
+    offer(world, 0.5)
+    cut_off(world, ("front-1",), PathFault.SILENT)
+    offer(world, 1.5)
+    world.run(10.0)
+    for each in world.endpoints.values():
+        each.runs.clear()
+    world.idle.clear()
+    return world
+
+
+class TestProxiedAttempts:
+    """An endpoint was told a deadline that had been computed at another process, long before."""
+
+    @pytest.mark.parametrize("path", ["/read/x", "/write/x"])
+    def test_body_that_takes_long_to_the_peer(self, path):
+        world = proxied_world()
+        world.upload_seconds["front-1", "front-2"] = 0.8
+        asked_at = world.clock.now()
+        caller = world.ask("front-1", path)
+        world.finish(caller)
+        (excess,) = list_excesses(world, asked_at)
+        assert excess <= MAX_EXCESS_SECONDS
+        assert caller.status == 200
--- a/flamingofront/tests/world.py
+++ b/flamingofront/tests/world.py
@@ -60,6 +60,8 @@
         self.connect_delays: dict[str, float] = {}
         # Seconds until connections from one host to another are established, for all calls.
         self.path_connect_delays: dict[tuple[str, str], float] = {}
+        # Seconds that requests from one host to another take from their head to their last byte.
+        self.upload_seconds: dict[tuple[str, str], float] = {}
         # Connections that are kept, by host and address; none unless a test wants them.
         self.keeps_connections = False
         self.idle: set[tuple[str, str]] = set()
