Proxied attempts are checked again on both hops right before they are sent

What callers saw: nothing; an endpoint behind a peer was told a deadline that was too long by the time for which either process stood still, or got a request after the peer had learned that it leaves.

Cause: as for direct attempts, between the decision and the first byte lie a connection and the turns of an event loop, here twice, and the two add up. The header stays that of the first process.

Change: the call to the peer bears the guard of the attempt, and the peer has one of its own; each allows 0.2 s, so that both together stay within 0.5 s. A peer sends a withdrawn attempt again with an earlier deadline, or refuses it as one to an unknown endpoint if that has left. A call to a peer that is withdrawn is no evidence against the peer.

Mutations "Late: ..." take the checks away.

--- a/bench/promise_mutations.py
+++ b/bench/promise_mutations.py
@@ -4,6 +4,7 @@
 
 __all__ = ["PROMISE_MUTATIONS"]
 
+LATE = "tests/test_late_attempts.py"
 HOLDERS = "process/forwarding/tests/test_holders_after_restore.py"
 EARLY_ENDINGS = "process/forwarding/tests/test_early_endings.py"
 REFUSALS = "tests/test_refusals.py"
@@ -244,4 +245,46 @@
         "while False:",
         "request/tests/test_response_memory.py",
     ),
+    Mutation(
+        "Late: an attempt states a true deadline",
+        "request/attempt_guard.py",
+        "is_late = self._host.now() > self._latest_start",
+        "is_late = False",
+        LATE,
+    ),
+    Mutation(
+        "Late: no attempt begins at an endpoint that has left",
+        "request/attempt_guard.py",
+        "is_unavailable = self._host.directory.is_unavailable(self._endpoint_id)",
+        "is_unavailable = False",
+        LATE,
+    ),
+    Mutation(
+        "Late: an attempt that has begun goes on",
+        "request/attempt_guard.py",
+        "        if not self._has_begun:\n",
+        "        if True:\n",
+        "request/tests/test_attempt_guard.py",
+    ),
+    Mutation(
+        "Late: a withdrawn attempt is no failure",
+        "request/active.py",
+        "if event.reason == SEND_WITHDRAWN and not event.wrote:",
+        "if False:",
+        LATE,
+    ),
+    Mutation(
+        "Late: the attempt behind a withdrawn one allows for the delay",
+        "request/forwarded_request.py",
+        "self._send_delay = self.hub.now() - self.sent_at",
+        "self._send_delay = 0.0",
+        LATE,
+    ),
+    Mutation(
+        "Late: a peer shortens the deadline",
+        "process/forwarding/proxy.py",
+        "spent = self._sent_at - req.head_received_at + expected_delay",
+        "spent = 0.0",
+        LATE,
+    ),
 )
--- a/flamingofront/process/forwarding/proxy.py
+++ b/flamingofront/process/forwarding/proxy.py
@@ -13,6 +13,7 @@
 from flamingofront.decisions.direct_paths import PathStatus
 from flamingofront.errors import ErrorKind, RequestError
 from flamingofront.messages import (
+    SEND_WITHDRAWN,
     CallFailed,
     InboundRequest,
     OutboundCall,
@@ -21,6 +22,7 @@
     ResponseHead,
 )
 from flamingofront.request.active import NO_CONNECTION_REASONS
+from flamingofront.request.attempt_guard import MAX_HOP_EXCESS_SECONDS, AttemptGuard
 from flamingofront.request.proxy_messages import (
     BY_RESPONSE,
     STATUS_NOT_REACHED,
@@ -157,18 +159,27 @@
         self._exchange = exchange
         self._handle: CallHandle | None = None
         self._started_at = self._node.timers.now()
+        self._sent_at = self._started_at
+        # The peer's request until it is sent on.
+        self._unsent: InboundRequest | None = None
         self._has_begun = False
         self._is_done = False
 
     def start(self, req: InboundRequest) -> None:
         """Send the attempt to the endpoint."""
-        call = self._call
         self._exchange.on_disconnect = self._on_disconnect
+        self._unsent = req
+        self._send()
+
+    def _send(self, expected_delay: float = 0.0) -> None:
+        """Send the attempt with a deadline that is true after an expected delay."""
+        call, req = self._call, self._unsent
+        self._sent_at = self._node.timers.now()
         fields = tuple(
             each for each in req.fields if each[0].lower() not in HOP_BY_HOP_FIELDS | {"host"}
         )
         # Since the peer computed the deadline: a large body may take long.
-        spent = self._started_at - req.head_received_at
+        spent = self._sent_at - req.head_received_at + expected_delay
         fields = self._node.hub.protocol.shorten_deadline(fields, spent)
         outbound = OutboundCall(
             self._node.directory.address_of(call.endpoint_id),
@@ -181,6 +192,11 @@
             new_connection=call.new_connection,
             host=req.header("host"),
             connect_timeout=call.connect_timeout,
+            guard=AttemptGuard(
+                self._node.hub,
+                call.endpoint_id,
+                self._sent_at + expected_delay + MAX_HOP_EXCESS_SECONDS,
+            ),
         )
         limited = self._node.hub.paths.limit_to_open(call.endpoint_id, outbound)
         self._handle = self._node.hub.transport.start(limited, self._on_event)
@@ -207,13 +223,27 @@
         if not head.reused:
             self._node.hub.paths.monitor.record_connected(endpoint_id)
         self._has_begun = True
+        self._unsent = None
         if head.status in BODILESS_STATUSES:
             self._exchange.respond(head.status, _encode_fields(head), b"")
             self._end("complete")
         else:
             self._exchange.begin(head.status, _encode_fields(head))
 
+    def _on_withdrawn(self) -> None:
+        """Send the attempt again with a true deadline, unless its endpoint has left meanwhile."""
+        if self._node.directory.is_unavailable(self._call.endpoint_id):
+            respond_failure(self._exchange, ProxyFailure(ProxyRefusal.UNKNOWN_ENDPOINT.value))
+            self._end(SEND_WITHDRAWN)
+            return
+        # What comes at the same time, such as the end of the peer's call, is handled first.
+        delay = self._node.timers.now() - self._sent_at
+        self._node.timers.once(0.0, lambda: self._is_done or self._send(delay))
+
     def _on_failure(self, event: CallFailed) -> None:
+        if event.reason == SEND_WITHDRAWN and not event.wrote:
+            self._on_withdrawn()
+            return
         if event.reason in NO_CONNECTION_REASONS:
             self._node.hub.paths.monitor.record_failure(self._call.endpoint_id, event.reason)
         if self._has_begun:
@@ -230,6 +260,7 @@
 
     def _end(self, outcome: str) -> None:
         self._is_done = True
+        self._unsent = None
         self._proxy.remove(self)
         self._node.log.info(
             "proxied attempt ended",
--- a/flamingofront/request/attempt_guard.py
+++ b/flamingofront/request/attempt_guard.py
@@ -7,11 +7,13 @@
 if TYPE_CHECKING:
     from flamingofront.request.host import RequestHost
 
-__all__ = ["MAX_EXCESS_SECONDS", "AttemptGuard"]
+__all__ = ["MAX_EXCESS_SECONDS", "MAX_HOP_EXCESS_SECONDS", "AttemptGuard"]
 
 # Time by which the deadline that an endpoint is told may be too long when the attempt is sent. A
 # slow connection takes most of it; messages in transit add to it.
 MAX_EXCESS_SECONDS = 0.3
+# Same for each of the two hops of an attempt that a peer proxies.
+MAX_HOP_EXCESS_SECONDS = 0.2
 
 
 class AttemptGuard(CallGuard):
--- a/flamingofront/request/endpoint_paths.py
+++ b/flamingofront/request/endpoint_paths.py
@@ -9,6 +9,7 @@
 from flamingofront.connection.interfaces import CallEvent, CallHandle, Transport
 from flamingofront.decisions.direct_paths import EndpointPath, PathStatus
 from flamingofront.messages import (
+    SEND_WITHDRAWN,
     STALE_SECONDS,
     CallFailed,
     OutboundCall,
@@ -395,6 +396,8 @@
         """Handle one event."""
         if isinstance(event, ResponseHead) and FAILURE_HEADER in event.headers:
             self._failure = decode_proxy_failure(event.headers[FAILURE_HEADER])
+        elif isinstance(event, CallFailed) and event.reason == SEND_WITHDRAWN:
+            self._listener(replace(event, by_proxy=True))
         elif isinstance(event, CallFailed):
             self._peers.record_failure(self._address)
             is_written = event.wrote if self._failure is None else self._failure.wrote
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -23,7 +23,11 @@
 )
 from flamingofront.request.active import NO_CONNECTION_REASONS, ActiveRequest
 from flamingofront.request.answer_reader import FIRST_ERROR_STATUS, ResponseReader
-from flamingofront.request.attempt_guard import MAX_EXCESS_SECONDS, AttemptGuard
+from flamingofront.request.attempt_guard import (
+    MAX_EXCESS_SECONDS,
+    MAX_HOP_EXCESS_SECONDS,
+    AttemptGuard,
+)
 from flamingofront.request.attempt_pace import AttemptLatency
 from flamingofront.request.directory import SharedPrefix
 from flamingofront.request.event_stream import EventRelay
@@ -269,6 +273,8 @@
             self.sent_at, self._rates.estimate().first_event_seconds(tokens_ahead)
         )
         self._events_before_attempt = self.relay.count
+        is_proxied = chosen.path is EndpointPath.PROXIED
+        max_excess = MAX_HOP_EXCESS_SECONDS if is_proxied else MAX_EXCESS_SECONDS
         return OutboundCall(
             chosen.address,
             work.method,
@@ -282,9 +288,7 @@
             host=work.host,
             connect_timeout=CONNECT_TIMEOUT_SECONDS,
             guard=AttemptGuard(
-                self.hub,
-                chosen.endpoint_id,
-                self.sent_at + expected_delay + MAX_EXCESS_SECONDS,
+                self.hub, chosen.endpoint_id, self.sent_at + expected_delay + max_excess
             ),
         )
 
--- a/flamingofront/request/proxy_messages.py
+++ b/flamingofront/request/proxy_messages.py
@@ -163,6 +163,7 @@
         stale_seconds=0.0 if attempt.new_connection else STALE_ATTEMPT_SECONDS,
         host=attempt.host,
         connect_timeout=attempt.connect_timeout,
+        guard=attempt.guard,
     )
 
 
--- a/flamingofront/tests/test_late_attempts.py
+++ b/flamingofront/tests/test_late_attempts.py
@@ -137,6 +137,44 @@
 class TestProxiedAttempts:
     """An endpoint was told a deadline that had been computed at another process, long before."""
 
+    @pytest.mark.parametrize("path", PATHS)
+    def test_process_that_stands_still_while_it_connects_to_its_peer(self, path):
+        """The peer that was not asked is asked at once, and not left alone for a while."""
+        world = proxied_world()
+        world.path_connect_delays["front-1", "front-2"] = 0.2
+        asked_at = world.clock.now()
+        caller = world.ask("front-1", path)
+        stand_still(world, "front-1", 0.7)
+        world.finish(caller)
+        (excess,) = list_excesses(world, asked_at)
+        assert excess <= MAX_EXCESS_SECONDS
+        assert caller.status == 200
+
+    @pytest.mark.parametrize("path", PATHS)
+    def test_peer_that_stands_still_while_it_connects(self, path):
+        world = proxied_world()
+        delay_connections(world, 0.2, ("front-2",))
+        asked_at = world.clock.now()
+        caller = world.ask("front-1", path)
+        stand_still(world, "front-2", 0.7)
+        world.finish(caller)
+        (excess,) = list_excesses(world, asked_at)
+        assert excess <= MAX_EXCESS_SECONDS
+        assert caller.status == 200
+
+    @pytest.mark.parametrize("path", PATHS)
+    def test_peer_that_notices_each_connection_late(self, path):
+        """The attempt is sent with a true deadline, rather than withdrawn until it ends."""
+        world = proxied_world()
+        delay_connections(world, 0.7, ("front-2",))
+        asked_at = world.clock.now()
+        caller = world.ask("front-1", path)
+        world.finish(caller)
+        (excess,) = list_excesses(world, asked_at)
+        assert excess <= MAX_EXCESS_SECONDS
+        assert caller.status == 200
+        assert world.clock.now() - asked_at < 1.7
+
     @pytest.mark.parametrize("path", ["/read/x", "/write/x"])
     def test_body_that_takes_long_to_the_peer(self, path):
         world = proxied_world()
@@ -147,3 +185,18 @@
         (excess,) = list_excesses(world, asked_at)
         assert excess <= MAX_EXCESS_SECONDS
         assert caller.status == 200
+
+    @pytest.mark.parametrize("path", PATHS)
+    def test_endpoint_that_leaves_while_the_peer_connects(self, path):
+        """The caller is refused, as no other endpoint is left, and the request never runs."""
+        world = proxied_world()
+        delay_connections(world, 0.2, ("front-2",))
+        caller = world.ask("front-1", path)
+        world.run(0.05)
+        (request,) = world.fronts["front-1"].hub.active.values()
+        name = request.endpoint_id
+        world.register(name, request.record.service.name, state="draining", sequence=2)
+        world.finish(caller)
+        assert request.endpoints == [name]
+        assert world.endpoints[name].runs == []
+        assert caller.status == 503
