--- a/flamingofront/process/forwarding/duty.py
+++ b/flamingofront/process/forwarding/duty.py
@@ -8,37 +8,44 @@
 
 A VM that held the lease, lost it to another and acquires it again waits for a whole lease before it
 acts: its calls before and after those of the other holder are never closer than that.
+
+A call is checked against the lease when it begins, and again right before its bytes are written
+(`LeaderCall`). From then on only the kernel delays it, for `MAX_DELIVERY_SECONDS` at most.
 """
 
-import math
 import random
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from enum import StrEnum
 
-import orjson
-
 from flamingofront.errors import PlatformError
 from flamingofront.messages import Sleep
 from flamingofront.process.forwarding.leader_call import LeaderCall
+from flamingofront.process.forwarding.lease_row import (
+    LEADER_KEY,
+    LEADER_PARTITION,
+    LEADER_TABLE,
+    LeaseState,
+    decode_state,
+    encode_state,
+    find_lease_row,
+)
 from flamingofront.process.forwarding.reports import PeerReport
 from flamingofront.process.logs import Log
 from flamingofront.process.store import RowCondition, RowWrite, StoredRow, TableStore, get_era
 from flamingofront.process.tasks import Task
 
-__all__ = ["LeaderLease", "LeaseState", "HeldLease"]
+__all__ = ["HeldLease", "LeaderLease", "LeaseEnd"]
 
-LEADER_TABLE = "duties"
-LEADER_PARTITION = "duties"
-LEADER_KEY = "all"
 RENEWALS_PER_LEASE = 3
-# A call of the previous holder may be in flight for as long as its response timeout (1 s).
-TAKEOVER_MARGIN_SECONDS = 1.2
-# The holder acts only with this much of its lease left: the latency of a call to the cloud.
+# Longest time from the last write of a call until the cloud can receive it: the kernel discards it
+# once it is unacknowledged for 0.8 s, counted from its first repetition.
+MAX_DELIVERY_SECONDS = 1.1
+# Bytes of a call are written only with this much of the lease left.
 ACT_MARGIN_SECONDS = 0.3
+# Others wait this much longer than a lease: what is left of `MAX_DELIVERY_SECONDS`, and a reserve.
+TAKEOVER_MARGIN_SECONDS = 1.2
 RETRY_SECONDS = 0.3
-# Longest time a call of this holder may still be in flight when it releases the lease.
-MAX_CALL_SECONDS = 1.1
 # Previous holders that the row keeps. At about one second each, as in a rolling restart, they cover
 # several leases.
 MAX_PAST_HOLDERS = 8
@@ -48,42 +55,6 @@
 ERA_FENCING_GAP = 100
 
 
-@dataclass(frozen=True)
-class LeaseState:
-    """Contents of the lease row.
-
-    Parameters
-    ----------
-    holder : str
-        VM of the lease holder, empty if nobody holds the lease.
-    incarnation : int
-        Incarnation of the holder's process.
-    fencing : int
-        Fencing token; grows with each change of holder.
-    reports : mapping
-        Usage counts by window that were, or are about to be, reported.
-    past : tuple of str
-        VMs that held the lease before, the most recent first.
-    era : int
-        Era of the store in which the row was written.
-    reports_from : int
-        First usage window of which `reports` tells whether it was reported. A restore of the store
-        has removed what earlier holders recorded of the windows before it.
-    holders_unknown : bool
-        True from a restore on until a holder has waited for a whole lease: VMs that have just held
-        the lease may be missing in `past`.
-    """
-
-    holder: str = ""
-    incarnation: int = 0
-    fencing: int = 0
-    reports: Mapping[str, Mapping[str, int]] = field(default_factory=dict)
-    past: tuple[str, ...] = ()
-    era: int = 0
-    reports_from: int = 0
-    holders_unknown: bool = False
-
-
 @dataclass(frozen=True)
 class HeldLease:
     """A lease held by this process; times in seconds of the local monotonic clock."""
@@ -146,8 +117,8 @@
         self._version: int | None = None
         self._lease: HeldLease | None = None
         self._last_seen_at = now()
-        # For log lines only: the last sign of the holder, and the report that it has released.
-        self._last_sign_at = now()
+        # Largest fencing token that was reported as released; the time is for log lines only.
+        self._reported_release = 0
         self._release_heard_at: float | None = None
         self._started_at = now()
         self._announced_version = 0
@@ -193,13 +164,18 @@
         return lease if lease is not None and self._now() < lease.valid_until else None
 
     def observe_report(self, report: PeerReport) -> None:
-        """Record from a peer's report that it holds the lease, or has released it."""
-        if report.released and report.released >= max(self.state.fencing, self._reported_fencing):
-            self._last_seen_at = -math.inf
-            self._release_heard_at = self._now()
-            return
+        """Record from a peer's report that it holds the lease, or has released it.
+
+        Notes
+        -----
+        Reports arrive late and in any order. Those of relays have the newest holder and the newest
+        release that they know, which may belong to different holders.
+        """
         self._highest_fencing = max(self._highest_fencing, report.fencing, report.released)
-        if report.fencing and report.fencing >= self.state.fencing:
+        if report.released > self._reported_release:
+            self._reported_release = report.released
+            self._release_heard_at = self._now()
+        if report.fencing and report.fencing >= max(self.state.fencing, self._reported_fencing):
             self._see_holder()
             self._reported_fencing = report.fencing
             self._announced_version = max(self._announced_version, report.lease_version)
@@ -224,32 +200,35 @@
     def _renew_or_poll(self) -> Task:
         """Renew a held lease; otherwise read the row if the holder's lease may have expired."""
         if self._lease is not None:
-            if self._now() < self._lease.valid_until or not (yield from self._lost_in_restore()):
+            if self._now() < self._lease.valid_until or not (yield from self._lost_after_expiry()):
                 yield from self.renew()
             return
-        if self._version is None or self._has_expired():
+        if self._version is None or self._has_expired() or self._is_reported_released():
             yield from self._poll_row()
 
-    def _lost_in_restore(self) -> Task:
+    def _lost_after_expiry(self) -> Task:
         """Return True, dropping the lease, if it must be acquired again instead of renewed.
 
         Notes
         -----
-        The lease has expired here. Normally the row shows that nobody else acquired it meanwhile.
-        It does not if the store was restored from an older snapshot: a holder that had been
-        suspended would continue with a lower fencing token than its successor's.
+        The lease has expired here. A conditional write alone does not show whether another process
+        acquired it meanwhile: the store may be restored from an older snapshot before or after the
+        read, and a holder that had been suspended would continue with a lower fencing token than
+        its successor's.
         """
-        era = self._era
+        era, fencing = self._era, self._lease.fencing
         found = yield from self._store.read(LEADER_TABLE, LEADER_PARTITION)
-        if get_era(found.version) == era:
+        row = find_lease_row(found.rows)
+        if get_era(found.version) == era and self._is_held_here(decode_state(row), fencing):
             return False
-        self._log.warning("leader lease lost", fencing=self._lease.fencing, era=era)
-        self._lease = None
-        row = next((each for each in found.rows if each.key == LEADER_KEY), None)
         self._merge_row(row, found.version)
-        self._see_holder()
+        self._drop_lease(fencing)
         return True
 
+    def _is_reported_released(self) -> bool:
+        """Return True if the lease of the newest holder that is known is reported as released."""
+        return self._reported_release >= max(self.state.fencing, self._reported_fencing, 1)
+
     def _has_expired(self) -> bool:
         """Return True if the holder was last seen longer ago than a lease can last."""
         waited = self._now() - self._last_seen_at
@@ -260,7 +239,7 @@
         previous, self._version = self._version, None
         read_at = self._now()
         found = yield from self._store.read(LEADER_TABLE, LEADER_PARTITION)
-        row = next((each for each in found.rows if each.key == LEADER_KEY), None)
+        row = find_lease_row(found.rows)
         self._merge_row(row, found.version)
         if previous is None or self._version not in (previous, self._announced_version):
             self._see_holder()
@@ -271,7 +250,7 @@
 
     def _see_holder(self) -> None:
         """Record a sign of a holder: a report, or a change of the row."""
-        self._last_seen_at = self._last_sign_at = self._now()
+        self._last_seen_at = self._now()
 
     def _find_lease_end(self) -> LeaseEnd | None:
         """Return how the lease of the last holder has ended, given the row as just read."""
@@ -279,11 +258,9 @@
             return LeaseEnd.NO_HOLDER
         if self._is_held_by_vm():
             return LeaseEnd.OWN_VM
-        if not self._has_expired():
-            return None
-        if self._last_seen_at == -math.inf:
+        if self._is_reported_released():
             return LeaseEnd.RELEASE_REPORTED
-        return LeaseEnd.EXPIRED
+        return LeaseEnd.EXPIRED if self._has_expired() else None
 
     def _merge_row(self, row: StoredRow | None, version: int) -> None:
         """Apply the row as read now, keeping what this process knows of usage reports.
@@ -295,7 +272,7 @@
         """
         self._era = max(self._era, get_era(version))
         self._version = row.version if row is not None else 0
-        state = _decode(row)
+        state = decode_state(row)
         self._highest_fencing = max(self._highest_fencing, state.fencing)
         for window in [each for each in self._cached_reports if each not in state.reports]:
             if state.era >= self._era:
@@ -340,16 +317,25 @@
             reports_from=reports_from,
             holders_unknown=is_behind or self.state.holders_unknown,
         )
-        sent_at = self._now()
+        sent_at, era = self._now(), self._era
         if not (yield from self._write(state)):
             # Another process has just acquired the lease, which starts now.
             self._see_holder()
             self._log.info("leader lease not acquired", fencing=state.fencing, end=end)
             return
+        if self._era != era:
+            # A holder that the restore has removed since the read may have the same token.
+            self._version = None
+            self._log.warning("leader lease lost", fencing=state.fencing, era=self._era)
+            return
         if is_behind:
             self._log.warning("usage windows skipped", before=reports_from)
-        held_before = state.holders_unknown or (self._vm_id in past and past[0] != self._vm_id)
-        acts_from = self._now() + self._duration if held_before else sent_at
+        acts_from = sent_at
+        if state.holders_unknown:
+            # One of them may hold a valid lease, and has calls in flight at its end.
+            acts_from = self._now() + self._duration + TAKEOVER_MARGIN_SECONDS
+        elif self._vm_id in past and past[0] != self._vm_id:
+            acts_from = self._now() + self._duration
         self._lease = HeldLease(state.fencing, sent_at, acts_from, sent_at + self._duration)
         now = self._now()
         self._log.info(
@@ -357,7 +343,7 @@
             fencing=state.fencing,
             last_holder=last,
             end=end,
-            sign_ago_ms=_get_age_ms(self._last_sign_at, now),
+            sign_ago_ms=_get_age_ms(self._last_seen_at, now),
             release_ago_ms=_get_age_ms(self._release_heard_at, now),
             read_ago_ms=_get_age_ms(read_at, now),
             write_ago_ms=_get_age_ms(sent_at, now),
@@ -389,6 +375,7 @@
     def _renew(self, reports: Mapping[str, Mapping[str, int]] | None) -> Task:
         """Write the row, with one retry after a conflict that leaves the lease here."""
         fencing, acts_from = self._lease.fencing, self._lease.acts_from
+        valid_until, era = self._lease.valid_until, self._era
         stored = self.state
         for _ in range(2):
             if self.state.fencing < fencing:
@@ -397,7 +384,12 @@
             if self._now() >= acts_from:
                 state = replace(state, holders_unknown=False)
             sent_at = self._now()
-            if (yield from self._write(state)):
+            is_written = yield from self._write(state)
+            if self._era != era and self._now() >= valid_until:
+                # A restore may have removed a holder that acquired the lease after its end.
+                self._drop_lease(fencing)
+                return False
+            if is_written:
                 if self._lease is not None:
                     self._lease = replace(self._lease, valid_until=sent_at + self._duration)
                 return self._lease is not None
@@ -405,20 +397,24 @@
                 # The row predates this lease, so nobody has acquired it in this era.
                 continue
             if not self._is_held_here(self.state, fencing):
-                self._log.warning("leader lease lost", fencing=fencing)
-                self._lease = None
-                self._see_holder()
+                self._drop_lease(fencing)
                 return False
             # The response to an earlier write was lost, but the write took effect: keep what it
             # stored.
             reports = None
         return False
 
+    def _drop_lease(self, fencing: int) -> None:
+        """Give the lease up, since another process may have acquired it."""
+        self._log.warning("leader lease lost", fencing=fencing, era=self._era)
+        self._lease = None
+        self._see_holder()
+
     def _write(self, state: LeaseState) -> Task:
         """Write the row if it is unchanged since last seen; otherwise apply its contents."""
         state = replace(state, era=self._era)
         condition = RowCondition(LEADER_TABLE, LEADER_KEY, self._version or 0)
-        write = RowWrite(LEADER_TABLE, LEADER_KEY, _encode(state))
+        write = RowWrite(LEADER_TABLE, LEADER_KEY, encode_state(state))
         outcome = yield from self._store.transact(LEADER_PARTITION, (condition,), (write,))
         if outcome.ok:
             self._era = max(self._era, get_era(outcome.version))
@@ -426,7 +422,7 @@
             self._highest_fencing = max(self._highest_fencing, state.fencing)
             self._cached_reports = dict(state.reports)
             return True
-        row = next((each for each in outcome.rows if each.key == LEADER_KEY), None)
+        row = find_lease_row(outcome.rows)
         self._merge_row(row, outcome.version)
         return False
 
@@ -444,44 +440,35 @@
 
         Notes
         -----
-        A call that is still in flight must not arrive after the successor's first one.
+        No call is written from now on. One that was written must not arrive after the successor's
+        first one.
         """
         self._stopped = True
         lease = self._lease
         if lease is None:
             return
-        yield Sleep(MAX_CALL_SECONDS)
+        yield Sleep(MAX_DELIVERY_SECONDS)
         self._lease = None
-        past = (self._vm_id, *self.state.past)[:MAX_PAST_HOLDERS]
         try:
-            yield from self._write(replace(self.state, holder="", past=past))
-            self.released_fencing = lease.fencing
-            self._log.info("leader lease released", fencing=lease.fencing)
+            has_released = yield from self._write_release()
+            if not has_released and self._is_held_here(self.state, lease.fencing):
+                # A renewal whose response was lost, or is still to come, took effect.
+                has_released = yield from self._write_release()
         except PlatformError as exc:
             self._log.info("leader lease not released; it will expire", detail=str(exc))
+            return
+        if not has_released:
+            self._log.info("leader lease not released; the row has changed", fencing=lease.fencing)
+            return
+        self.released_fencing = lease.fencing
+        self._log.info("leader lease released", fencing=lease.fencing)
+
+    def _write_release(self) -> Task:
+        """Write the row without a holder; return False if it has changed since last seen."""
+        past = (self._vm_id, *self.state.past)[:MAX_PAST_HOLDERS]
+        return (yield from self._write(replace(self.state, holder="", past=past)))
 
 
 def _get_age_ms(at: float | None, now: float) -> int | None:
     """Return the age of an event in milliseconds; None if it did not happen."""
     return None if at is None else round((now - at) * 1000)
-
-
-def _encode(state: LeaseState) -> bytes:
-    return orjson.dumps(state)
-
-
-def _decode(row: StoredRow | None) -> LeaseState:
-    """Return the state in a row, or an empty state if there is no row.
-
-    Raises
-    ------
-    PlatformError
-        If the row is malformed.
-    """
-    if row is None or row.value is None:
-        return LeaseState()
-    try:
-        values = orjson.loads(row.value)
-        return LeaseState(**{**values, "past": tuple(values.get("past", ()))})
-    except (TypeError, orjson.JSONDecodeError) as exc:
-        raise PlatformError(f"malformed leader lease row: {exc}") from exc
--- a/flamingofront/process/forwarding/tests/test_lease_fuzz.py
+++ b/flamingofront/process/forwarding/tests/test_lease_fuzz.py
@@ -3,6 +3,9 @@
 Several processes run the real `LeaderLease` over a naive store. The fuzzer decides when a call is
 carried out, whether its response arrives, which peer reports are received and which processes are
 suspended. The oracle checks only acts: a process acts whenever it holds a usable lease.
+
+In `CallMachine` an act is a call that is begun, written and delivered at different times, and the
+oracle checks the order in which calls arrive (`lease_model`).
 """
 
 import random
@@ -16,8 +19,9 @@
 
 from flamingofront.errors import PlatformError
 from flamingofront.messages import Sleep
-from flamingofront.process.forwarding.duty import LeaderLease
+from flamingofront.process.forwarding.duty import TAKEOVER_MARGIN_SECONDS, LeaderLease
 from flamingofront.process.forwarding.reports import PeerReport
+from flamingofront.process.forwarding.tests.lease_model import LeasePlay, StoreDelays
 from flamingofront.process.logs import Log
 from flamingofront.process.store import (
     RowRange,
@@ -103,6 +107,7 @@
             "",
             "",
             fencing=held.fencing if held else 0,
+            released=self.lease.released_fencing,
             lease_version=self.lease.version if held else 0,
         )
 
@@ -134,6 +139,66 @@
         assert not isinstance(third.call, _Write)
 
 
+class TestReleaseOfAnEarlierHolder:
+    """Guards against a process that takes the lease of a live holder, both of whom then act.
+
+    A process reports for seconds that it has released the lease, and reports of the next holder do
+    not arrive everywhere in the order in which they were sent.
+    """
+
+    def setup_method(self):
+        self.clock, self.store = Clock(), NaiveStore()
+        self.first, self.second, self.third = (
+            Process(index, self.store, self.clock) for index in range(3)
+        )
+        for process in (self.first, self.first, self.third):
+            process.step(self.store.carry_out(process.call))
+        self.claim_of_first, self.row_of_first = self.first.report(), self.store.row
+        release = self.first.lease.release()
+        self.clock.time += next(release).seconds
+        with pytest.raises(StopIteration):
+            release.send(self.store.carry_out(release.send(None)))
+        self.release_of_first = self.first.report()
+        assert self.release_of_first.released == 1
+        for _ in range(2):
+            self.second.step(self.store.carry_out(self.second.call))
+        assert self.second.lease.usable_lease().fencing == 2
+
+    def poll(self):
+        """Let the third process read the row if it wants to; return the call it makes then."""
+        self.clock.time = max(self.clock.time, self.third.wake_at)
+        self.third.step(None)
+        if self.third.call is not None:
+            self.third.step(self.store.carry_out(self.third.call))
+        return self.third.call
+
+    def test_claim_of_the_earlier_holder_that_arrives_late(self):
+        """It made the process forget that the new holder had been heard."""
+        for report in (self.second.report(), self.claim_of_first, self.release_of_first):
+            self.third.lease.observe_report(report)
+        assert not isinstance(self.poll(), _Write)
+
+    def test_relay_that_reports_the_release_and_the_new_holder_at_once(self):
+        """The new holder was not noticed beside the release of the earlier one."""
+        both = replace(self.second.report(), released=1)
+        for report in (self.second.report(), self.claim_of_first, both):
+            self.third.lease.observe_report(report)
+        assert not isinstance(self.poll(), _Write)
+
+    def test_late_claims_of_an_earlier_holder_do_not_postpone_the_takeover(self):
+        self.third.lease.observe_report(self.second.report())
+        end = self.clock.time + DURATION + TAKEOVER_MARGIN_SECONDS
+        while self.clock.time < end:
+            self.clock.time += 0.5
+            self.third.lease.observe_report(self.claim_of_first)
+        assert isinstance(self.poll(), _Write)
+
+    def test_release_is_used_while_no_new_holder_is_known(self):
+        self.store.row = self.row_of_first
+        self.third.lease.observe_report(self.release_of_first)
+        assert isinstance(self.poll(), _Write)
+
+
 class TestStoredReports:
     def setup_method(self):
         self.clock, self.store = Clock(), NaiveStore()
@@ -287,3 +352,93 @@
 
 TestLeaseMachine = LeaseMachine.TestCase
 TestLeaseMachine.settings = settings(max_examples=200, stateful_step_count=50)
+
+
+class CallMachine(RuleBasedStateMachine):
+    """Holders that end in any way while their calls are on their way to the cloud."""
+
+    def __init__(self):
+        super().__init__()
+        self.play = LeasePlay(killed_delivery_seconds=0.0)
+        self.play.draw_delays = self._draw_delays
+        self.play.draw_report_delay = lambda: self.report_delay
+        self.delays = []
+        self.report_delay = 0.05
+        self.cut_off = set()
+        self.play.run(2.0)
+
+    def _draw_delays(self, process):
+        if process in self.cut_off:
+            return StoreDelays(request=None)
+        return self.delays.pop() if self.delays else StoreDelays()
+
+    def _choose(self, index):
+        """Return a process: the holder for 0 if there is one."""
+        live = self.play.live()
+        holder = self.play.holder() if index == 0 else None
+        return holder or (live[index % len(live)] if live else None)
+
+    @rule(seconds=st.sampled_from([0.05, 0.3, 1.0, 2.5, 5.0]))
+    def advance(self, seconds):
+        self.play.run(seconds)
+
+    @rule(
+        request=st.sampled_from([None, 0.0, 0.5, 1.5, 3.0, 6.0]),
+        response=st.sampled_from([None, 0.0, 0.5]),
+    )
+    def delay_next_call(self, request, response):
+        """Let the next call to the store be carried out late, or not, or without a response."""
+        self.delays.append(StoreDelays(request, response))
+
+    @rule(seconds=st.sampled_from([0.05, 1.5, None]))
+    def delay_reports(self, seconds):
+        self.report_delay = seconds
+
+    @rule(index=st.integers(0, 2), restart_after=st.sampled_from([0.05, 0.3, 1.0, 4.0]))
+    def kill(self, index, restart_after):
+        process = self._choose(index)
+        if process is not None:
+            self.play.kill(process, restart_after)
+
+    @rule(
+        index=st.integers(0, 2),
+        restart_after=st.sampled_from([0.05, 1.0, 4.0]),
+        grace=st.sampled_from([None, 0.5, 1.1]),
+    )
+    def stop(self, index, restart_after, grace):
+        process = self._choose(index)
+        if process is not None:
+            self.play.stop(process, restart_after, grace)
+
+    @rule(index=st.integers(0, 2), seconds=st.sampled_from([0.3, 1.0, 3.0, 6.0]))
+    def freeze(self, index, seconds):
+        process = self._choose(index)
+        if process is not None:
+            self.play.freeze(process, seconds)
+
+    @rule(index=st.integers(0, 2))
+    def toggle_cut_off(self, index):
+        """Cut a process off from the store, or connect it again."""
+        process = self._choose(index)
+        if process is not None:
+            self.cut_off ^= {process}
+
+    @rule(age=st.sampled_from([0.3, 1.0, 3.0, 8.0]))
+    def restore(self, age):
+        self.play.restore(age)
+
+    @rule(seconds=st.sampled_from([0.3, 1.0, 4.5]))
+    def resume_all(self, seconds):
+        """Let all run and reach the store, so that one of them acts."""
+        self.cut_off.clear()
+        self.delays.clear()
+        self.report_delay = 0.05
+        self.play.run(seconds)
+
+    @invariant()
+    def calls_arrive_in_the_order_of_their_holders(self):
+        assert self.play.breaches() == []
+
+
+TestCallMachine = CallMachine.TestCase
+TestCallMachine.settings = settings(max_examples=150, stateful_step_count=40)
