Attempts on idle connections are not checked a second time

What callers saw: nothing; each attempt asked the directory for its endpoint a second time within the same turn, which costs processor time on the hot path.

Cause: the guard of an attempt made no difference between an idle connection, on which the first byte is sent as soon as the attempt is decided on, and a new one, on which time passes until then.

Change: the guard checks once a new connection was requested, and again if the call is repeated on another one.

--- a/bench/promise_mutations.py
+++ b/bench/promise_mutations.py
@@ -262,7 +262,7 @@
     Mutation(
         "Late: an attempt that has begun goes on",
         "request/attempt_guard.py",
-        "        if not self._has_begun:\n",
+        "        if self._needs_check:\n",
         "        if True:\n",
         "request/tests/test_attempt_guard.py",
     ),
--- a/flamingofront/request/attempt_guard.py
+++ b/flamingofront/request/attempt_guard.py
@@ -30,24 +30,25 @@
 
     Notes
     -----
-    What has begun goes on: an endpoint may run what it has received.
+    On an idle connection an attempt begins at once, so that only new connections are checked. What
+    has begun goes on: an endpoint may run what it has received.
     """
 
     def __init__(self, host: "RequestHost", endpoint_id: str, latest_start: float):
         self._host = host
         self._endpoint_id = endpoint_id
         self._latest_start = latest_start
-        self._has_begun = False
+        self._needs_check = False
 
     def may_send(self) -> bool:
         """Return True if the attempt has begun or may begin now."""
-        if not self._has_begun:
+        if self._needs_check:
             is_late = self._host.now() > self._latest_start
             is_unavailable = self._host.directory.is_unavailable(self._endpoint_id)
-            self._has_begun = not is_late and not is_unavailable
-        return self._has_begun
+            self._needs_check = is_late or is_unavailable
+        return not self._needs_check
 
     def record(self, step: CallStep) -> None:
-        """Ask again before the first byte on a new connection, as on that of a repeated call."""
+        """Check before the first byte on a new connection, also on that of a repeated call."""
         if step is CallStep.CONNECTING:
-            self._has_begun = False
+            self._needs_check = True
