A request that is handed over later has less time left

What callers saw: nothing; a peer could run a request that was handed over to it past its deadline.

Cause: the record that is offered states the time that was left when the request was frozen. It was encoded once, and offered up to four times to each peer in turn, each with a limit of a second.

Change: each offer is encoded when it is made, with the time since the first one subtracted.

Result: with tries that take 0.5 s each all eight offers stated 3.0 s; the new test, which failed with that, sees 3.0, 2.5 and so on down to 0.

--- a/flamingofront/process/drain.py
+++ b/flamingofront/process/drain.py
@@ -135,7 +135,7 @@
             self._metrics.count("handovers_total", result="no_peer")
             return
         record = request.freeze()
-        task = offer_record(record, self._own_id, targets, self._headers)
+        task = offer_record(record, self._own_id, targets, self._headers, self._timers.now)
         self._tasks.start(task, lambda outcome: self._handle_offer_result(request, *outcome))
 
     def _handle_offer_result(
--- a/flamingofront/request/handover.py
+++ b/flamingofront/request/handover.py
@@ -5,7 +5,8 @@
 previous one did not accept the record.
 """
 
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, replace
 from enum import StrEnum
 
 import orjson
@@ -61,35 +62,48 @@
     sender: str,
     targets: list[HandoverTarget],
     headers: tuple[tuple[str, str], ...],
+    now: Callable[[], float],
 ) -> Task:
     """Offer a frozen record to one peer after the other until one may have accepted it.
 
+    Parameters
+    ----------
+    now : callable
+        Returns the current time in seconds, by which the time left of the request is reduced.
+
     Returns
     -------
     tuple of (HandoverResult, HandoverTarget or None)
         Outcome and the peer that accepted the record or may have; None if none did.
     """
-    body = orjson.dumps({"record": record.to_json(), "sender": sender})
+    offered_at = now()
+
+    def encode() -> bytes:
+        seconds_left = max(0.0, record.deadline_left - (now() - offered_at))
+        offered = replace(record, deadline_left=seconds_left)
+        return orjson.dumps({"record": offered.to_json(), "sender": sender})
+
     for target in targets:
-        result = yield from _offer_to(target, body, headers)
+        result = yield from _offer_to(target, encode, headers)
         if result is not HandoverResult.NOT_TAKEN:
             return result, target
     return HandoverResult.NOT_TAKEN, None
 
 
-def _offer_to(target: HandoverTarget, body: bytes, headers: tuple[tuple[str, str], ...]) -> Task:
-    call = OutboundCall(
-        target.address,
-        "POST",
-        "/peer/handover",
-        body,
-        headers,
-        OFFER_TIMEOUT_SECONDS,
-        new_connection=True,
-    )
+def _offer_to(
+    target: HandoverTarget, encode: Callable[[], bytes], headers: tuple[tuple[str, str], ...]
+) -> Task:
     maybe_taken = False
     for _ in range(OFFER_TRIES):
-        reply = yield call
+        reply = yield OutboundCall(
+            target.address,
+            "POST",
+            "/peer/handover",
+            encode(),
+            headers,
+            OFFER_TIMEOUT_SECONDS,
+            new_connection=True,
+        )
         if isinstance(reply, CallFailed):
             maybe_taken = maybe_taken or reply.wrote
         elif reply.status == 200:
--- a/flamingofront/request/tests/test_reclaims.py
+++ b/flamingofront/request/tests/test_reclaims.py
@@ -1,11 +1,13 @@
 """Tests of reclaims with and without notice: each accepted request gets a complete answer."""
 
+import orjson
 import pytest
 
 from flamingofront.connection.server import encode_error
 from flamingofront.errors import ERROR_RESPONSES, ErrorKind, RequestError
-from flamingofront.messages import BufferedResponse, OutboundCall
+from flamingofront.messages import BufferedResponse, CallFailed, OutboundCall
 from flamingofront.process.drain import DrainState
+from flamingofront.process.timers import ManualClock
 from flamingofront.request.handover import HandoverResult, HandoverTarget, offer_record
 from flamingofront.request.records import ModelWork, RequestRecord
 from flamingofront.request.recovery import ResumeOnLoss
@@ -187,7 +189,9 @@
         work = ModelWork("m", ("a",), 9, False)
         service = Service("engines", ServiceKind.MODEL, model="m")
         record = RequestRecord("r", "desk", "m", service, work)
-        task = offer_record(record, "entry-a1", [HandoverTarget("entry-b1", "10.0.0.1:1")], ())
+        task = offer_record(
+            record, "entry-a1", [HandoverTarget("entry-b1", "10.0.0.1:1")], (), lambda: 0.0
+        )
         replies = [
             BufferedResponse(ERROR_RESPONSES[kind].status, {}, encode_error(RequestError(kind)))
             for kind in errors
@@ -209,6 +213,30 @@
         assert self.offer(kind) == (HandoverResult.NOT_TAKEN, 1)
 
 
+class TestDeadlineOfOfferedRecords:
+    def test_peer_that_is_asked_later_gets_a_request_with_less_time(self):
+        """A peer ran a request past its deadline, by the time that the tries before had taken."""
+        clock = ManualClock(10.0)
+        work = ModelWork("m", ("a",), 9, False)
+        service = Service("engines", ServiceKind.MODEL, model="m")
+        record = RequestRecord("r", "desk", "m", service, work, deadline_left=3.0)
+        targets = [
+            HandoverTarget("entry-b1", "10.0.0.1:1"),
+            HandoverTarget("entry-c1", "10.0.0.2:1"),
+        ]
+        task = offer_record(record, "entry-a1", targets, (), clock.now)
+        value, deadlines = next(task), []
+        with pytest.raises(StopIteration):
+            while True:
+                reply = None
+                if isinstance(value, OutboundCall):
+                    deadlines.append(orjson.loads(value.body)["record"]["deadline_left"])
+                    clock.time += 0.5
+                    reply = CallFailed("connect", False)
+                value = task.send(reply)
+        assert deadlines == [3.0, 2.5, 2.0, 1.5, 1.0, 0.5, 0.0, 0.0]
+
+
 class TestHandoverOfStoredRequests:
     def test_key_is_handed_over_with_its_request(self):
         world = demo_world(ZONES)
