One bound for the delivery of calls that must not arrive late

Cause: the two kinds of lease had constants of their own for the same kernel; that of the engines' orders (0.8 s, 1.0 s in all) was shorter than what was measured for the other one, and its successor's wait had no reserve.

--- a/bench/control_mutations.py
+++ b/bench/control_mutations.py
@@ -26,7 +26,7 @@
     Mutation(
         "Control: the kernel gives an order up before a successor acts",
         "process/orders.py",
-        "            ack_timeout=ACK_SECONDS,\n",
+        "            ack_timeout=ACK_TIMEOUT_SECONDS,\n",
         "",
         ORDERS,
     ),
--- a/flamingofront/connection/call_guard.py
+++ b/flamingofront/connection/call_guard.py
@@ -7,7 +7,14 @@
 from abc import ABC, abstractmethod
 from enum import StrEnum
 
-__all__ = ["CallGuard", "CallStep"]
+__all__ = ["ACK_TIMEOUT_SECONDS", "MAX_DELIVERY_SECONDS", "CallGuard", "CallStep"]
+
+# `OutboundCall.ack_timeout` of calls that must not arrive late. The kernel counts it from its first
+# true retransmission, after two of its own timeouts.
+ACK_TIMEOUT_SECONDS = 0.5
+# Longest time from the last write of such a call until its target can receive it: the last segment
+# that the kernel sends again leaves within 1 s, for round trips of up to 0.3 s.
+MAX_DELIVERY_SECONDS = 1.1
 
 
 class CallStep(StrEnum):
--- a/flamingofront/platform/cloud.py
+++ b/flamingofront/platform/cloud.py
@@ -4,7 +4,7 @@
 
 import orjson
 
-from flamingofront.connection.call_guard import CallGuard
+from flamingofront.connection.call_guard import ACK_TIMEOUT_SECONDS, CallGuard
 from flamingofront.messages import OutboundCall
 from flamingofront.platform.store import JSON_HEADERS, STATUS_OK
 from flamingofront.process.calls import send_call
@@ -16,10 +16,6 @@
 HOLDER_HEADER = "X-Flamingofront-Duty-Holder"
 FENCING_HEADER = "X-Flamingofront-Fencing-Token"
 STATUS_NO_CAPACITY = 409
-# Fraction of the call timeout after which the kernel discards unacknowledged data. Otherwise a call
-# delayed by a network partition could arrive after the partition heals, behind calls of the next
-# lease holder. The kernel counts from its first true retransmission, after two of its timeouts.
-ACK_TIMEOUT_FRACTION = 0.5
 
 
 class PlatformCloud(Cloud):
@@ -67,6 +63,7 @@
             orjson.dumps(body),
             headers,
             self._timeout,
-            ack_timeout=self._timeout * ACK_TIMEOUT_FRACTION,
+            # A call that a network partition delays could arrive behind calls of the next holder.
+            ack_timeout=ACK_TIMEOUT_SECONDS,
             guard=guard,
         )
--- a/flamingofront/process/forwarding/duty.py
+++ b/flamingofront/process/forwarding/duty.py
@@ -18,6 +18,7 @@
 from dataclasses import dataclass, replace
 from enum import StrEnum
 
+from flamingofront.connection.call_guard import MAX_DELIVERY_SECONDS
 from flamingofront.errors import PlatformError
 from flamingofront.messages import Sleep
 from flamingofront.process.forwarding.leader_call import LeaderCall
@@ -38,9 +39,6 @@
 __all__ = ["HeldLease", "LeaderLease", "LeaseEnd"]
 
 RENEWALS_PER_LEASE = 3
-# Longest time from the last write of a call until the cloud can receive it: the last segment that
-# the kernel sends again leaves within 1 s, for round trips of up to 0.3 s.
-MAX_DELIVERY_SECONDS = 1.1
 # Bytes of a call are written only with this much of the lease left.
 ACT_MARGIN_SECONDS = 0.3
 # Others wait this much longer than a lease: what is left of `MAX_DELIVERY_SECONDS`, and a reserve.
--- a/flamingofront/process/forwarding/tests/test_lease_bounds.py
+++ b/flamingofront/process/forwarding/tests/test_lease_bounds.py
@@ -15,8 +15,8 @@
 
 import pytest
 
+from flamingofront.connection.call_guard import ACK_TIMEOUT_SECONDS
 from flamingofront.forward_daemon import PLATFORM_TIMEOUT_SECONDS
-from flamingofront.platform.cloud import ACK_TIMEOUT_FRACTION
 from flamingofront.process.forwarding.duty import (
     ACT_MARGIN_SECONDS,
     MAX_DELIVERY_SECONDS,
@@ -30,7 +30,6 @@
 )
 from flamingofront.process.timers import ManualClock, TimerService
 
-ACK_TIMEOUT_SECONDS = PLATFORM_TIMEOUT_SECONDS * ACK_TIMEOUT_FRACTION
 # Linux: shortest time until the first repetition of a lost segment, with its slack. It is a probe;
 # the acknowledgement timeout counts from the first true retransmission, after twice this time.
 FIRST_REPETITION_SECONDS = 0.22
--- a/flamingofront/process/leases.py
+++ b/flamingofront/process/leases.py
@@ -11,32 +11,20 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from flamingofront.connection.call_guard import CallGuard
+from flamingofront.connection.call_guard import MAX_DELIVERY_SECONDS, CallGuard
 from flamingofront.errors import PlatformError
 from flamingofront.messages import Sleep
 from flamingofront.process.documents import Document, DocumentStore
 from flamingofront.process.tasks import Task
 
-__all__ = [
-    "ACK_SECONDS",
-    "LATEST_ARRIVAL_SECONDS",
-    "Lease",
-    "LeaseCall",
-    "LeaseKeeper",
-    "LeaseView",
-]
+__all__ = ["Lease", "LeaseCall", "LeaseKeeper", "LeaseView"]
 
 LEASE_PREFIX = "lease/"
 RENEWALS_PER_DURATION = 3
 # A renewal that was under way changes the row once.
 RELEASE_ATTEMPTS = 2
-# Time after which the kernel discards bytes of a call that the endpoint has not acknowledged; also
-# those of a process that has ended.
-ACK_SECONDS = 0.8
-# Time that the last copy of a segment spends in the network, and the kernel's timers are late.
-TRANSIT_SECONDS = 0.2
-# Latest arrival of a call after its bytes were passed to the kernel.
-LATEST_ARRIVAL_SECONDS = ACK_SECONDS + TRANSIT_SECONDS
+# For late timers and time in the network.
+TAKEOVER_RESERVE_SECONDS = 0.4
 
 
 @dataclass(frozen=True)
@@ -120,7 +108,7 @@
         now: Callable[[], float],
         rng: random.Random,
         duration: float = 6.0,
-        takeover_delay: float = LATEST_ARRIVAL_SECONDS,
+        takeover_delay: float = MAX_DELIVERY_SECONDS + TAKEOVER_RESERVE_SECONDS,
     ):
         self.name = name
         self.takeover_delay = takeover_delay
@@ -153,7 +141,7 @@
 
         Notes
         -----
-        The call needs an `ack_timeout` of `ACK_SECONDS`.
+        The call needs an `ack_timeout` of `ACK_TIMEOUT_SECONDS`.
         """
         lease = self.valid_lease()
         return None if lease is None else LeaseCall(lease.fencing, self._confirm_send)
@@ -170,7 +158,7 @@
         """Return the seconds until the calls that were sent have arrived, 0 if they have."""
         if self._last_sent_at is None:
             return 0.0
-        return max(0.0, self._last_sent_at + LATEST_ARRIVAL_SECONDS - self._now())
+        return max(0.0, self._last_sent_at + MAX_DELIVERY_SECONDS - self._now())
 
     def get_view(self) -> LeaseView:
         """Return the last known state of the lease."""
--- a/flamingofront/process/orders.py
+++ b/flamingofront/process/orders.py
@@ -8,9 +8,10 @@
 
 import orjson
 
+from flamingofront.connection.call_guard import ACK_TIMEOUT_SECONDS
 from flamingofront.messages import SEND_WITHDRAWN, STALE_SECONDS, CallFailed, OutboundCall
 from flamingofront.process.dissemination import Dissemination
-from flamingofront.process.leases import ACK_SECONDS, LeaseKeeper
+from flamingofront.process.leases import LeaseKeeper
 from flamingofront.process.membership import Fact, Role
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.tasks import Reply, Task, TaskRunner, read_json
@@ -80,7 +81,7 @@
             body,
             (("Content-Type", "application/json"),),
             CALL_TIMEOUT_SECONDS,
-            ack_timeout=ACK_SECONDS,
+            ack_timeout=ACK_TIMEOUT_SECONDS,
             guard=call,
         )
         self._metrics.count("orders_total", kind="load", result=_classify_reply(reply))
--- a/flamingofront/process/tests/test_orders_after_the_lease.py
+++ b/flamingofront/process/tests/test_orders_after_the_lease.py
@@ -5,9 +5,10 @@
 
 import pytest
 
+from flamingofront.connection.call_guard import MAX_DELIVERY_SECONDS
 from flamingofront.messages import ResponseData, ResponseEnd, ResponseHead, Sleep
 from flamingofront.process.documents import Document
-from flamingofront.process.leases import LATEST_ARRIVAL_SECONDS, LeaseKeeper
+from flamingofront.process.leases import LeaseKeeper
 from flamingofront.process.membership import Fact, Role, VmState
 from flamingofront.process.metrics import Metrics
 from flamingofront.process.orders import EngineReconciler
@@ -150,7 +151,7 @@
         """What the kernel repeats for an order is bounded by what a successor waits."""
         process.acquire()
         call = process.start_order()
-        assert call.ack_timeout < LATEST_ARRIVAL_SECONDS <= process.lease.takeover_delay
+        assert call.ack_timeout < MAX_DELIVERY_SECONDS <= process.lease.takeover_delay
 
     def test_carries_the_model_that_is_configured_now(self, process):
         """An order that was decided before a change made an engine load the former model."""
@@ -170,7 +171,7 @@
         process.acquire()
         assert process.start_order().guard.may_send()
         process.tasks.start(process.lease.release())
-        process.run(LATEST_ARRIVAL_SECONDS - 0.1)
+        process.run(MAX_DELIVERY_SECONDS - 0.1)
         assert process.documents.row.value["holder"] == "me/1"
         process.run(0.2)
         assert process.documents.row.value["holder"] == ""
@@ -241,6 +242,6 @@
         node = world.nodes["entry-a1"]
         assert node.lease.start_call().may_send()
         node.shut_down()
-        world.run(LATEST_ARRIVAL_SECONDS + 0.5)
+        world.run(MAX_DELIVERY_SECONDS + 0.5)
         value, _ = world.platform.rows["lease/models/zone-a"]
         assert value["holder"] == ""
