Answers with an invalid status are failures of their endpoint

Callers saw an answer of an endpoint in trouble whose status was 000: "HTTP/1.1 0 Status" with the endpoint's headers and body. The same happened with 001, 099, 600 and 999, for calls, streams and through a peer that proxies.

Cause: the first line of a response was left to circuits.web, which takes any three digits for a status, and any character between the digits of the version. Status 0 is below the first error status and no refusal, so the request counted as answered.

Evidence: test_malformed_answers.py (real entry process, endpoints on raw sockets) and TestStatusLine.

--- a/flamingofront/connection/tests/test_framing.py
+++ b/flamingofront/connection/tests/test_framing.py
@@ -174,3 +174,52 @@
     def test_chunk_that_does_not_end_is_malformed(self, end):
         with pytest.raises(RequestError):
             ChunkedDecoder().feed(b"1\r\nx\r\n1\r\nx" + end + b"0\r\n\r\n")
+
+
+def parse_response(line, fields=b""):
+    """Return the head of a response with this first line, or the kind of its error."""
+    try:
+        return HeadBuffer(False).feed(line + b"\r\n" + fields + b"\r\n")[0]
+    except RequestError as exc:
+        return exc.kind
+
+
+class TestStatusLine:
+    @pytest.mark.parametrize(
+        "line",
+        [
+            *(b"HTTP/1.1 %03d OK" % status for status in (0, 1, 99, 600, 999)),
+            b"HTTP/1.1 00 OK",
+            b"HTTP/1.1 0200 OK",
+            b"HTTP/1.1 +20 OK",
+            b"HTTP/1.1 200OK",
+            b"HTTP/1.1 20 0",
+            b"HTTP/1.1 20\xb2 OK",
+            b"HTTP/1.1  200 OK",
+            b" HTTP/1.1 200 OK",
+            b"HTTP/1.1\t200 OK",
+            b"HTTP/1.1 200\tOK",
+            b"HTTP/1.1\xa0200 OK",
+            b"HTTP/1.1 200\x85OK",
+            b"HTTP/1x1 200 OK",
+            b"HTTP/01.1 200 OK",
+            b"HTTP/2.0 200 OK",
+            b"HTTP/1.1 200 OK\x00",
+            b"200 OK",
+        ],
+    )
+    def test_line_that_breaks_the_protocol_is_rejected(self, line):
+        """Guards against an answer with a status that is none."""
+        assert parse_response(line) is ErrorKind.MALFORMED_REQUEST
+
+    @given(st.integers(0, 999))
+    def test_status_is_accepted_within_its_range_only(self, status):
+        head = parse_response(b"HTTP/1.1 %03d OK" % status)
+        if 100 <= status < 600:
+            assert head.status == status
+        else:
+            assert head is ErrorKind.MALFORMED_REQUEST
+
+    @pytest.mark.parametrize("line", [b"HTTP/1.1 200 OK", b"HTTP/1.0 200 OK", b"HTTP/1.1 200 "])
+    def test_usual_line_is_accepted(self, line):
+        assert parse_response(line).status == 200
--- /dev/null
+++ b/flamingofront/tests/test_malformed_answers.py
@@ -0,0 +1,97 @@
+"""Entry processes before endpoints whose answers have a head that breaks the protocol."""
+
+import itertools
+
+import pytest
+
+from flamingofront.tests.cut_answers import (
+    INTERIM,
+    Answer,
+    chunked,
+    split_answers,
+    unframed,
+    with_length,
+)
+from flamingofront.tests.test_processes_cut_short import (
+    BODY,
+    EVENT_STREAM,
+    EVENTS,
+    CutProcesses,
+    proxy_target,
+)
+
+FRAMINGS = {"length": with_length, "chunks": chunked, "close": unframed}
+STATUSES = ["000", "001", "099", "600", "999"]
+SEAL = "X-Flamingofront-Response-Seal: endpoint"
+NOT_RUN = "X-Flamingofront-Not-Executed: full"
+numbers = itertools.count()
+
+
+@pytest.fixture(scope="class")
+def processes(tmp_path_factory):
+    started = CutProcesses(tmp_path_factory.mktemp("malformed"))
+    started.wait_ready()
+    yield started
+    started.stop()
+
+
+class Route:
+    """Ways on which the answer of an endpoint reaches a caller or a peer.
+
+    Parameters
+    ----------
+    body : bytes
+        What the endpoint answers.
+    fields : tuple of str
+        Its header lines.
+    """
+
+    def __init__(self, processes, kind):
+        self._processes = processes
+        self._kind = kind
+        is_stream = kind == "stream"
+        self._partner = processes.partners["engine-1" if is_stream else "plain-1"]
+        self.body = EVENTS if is_stream else BODY
+        self.fields = (EVENT_STREAM, SEAL) if is_stream else (SEAL,)
+
+    def ask(self, answer):
+        """Return the bytes of the response to a request that the endpoint answers like this."""
+        path = f"/{'stream/letter' if self._kind == 'stream' else 'lookup'}/{next(numbers)}"
+        self._partner.answer_to = lambda req: Answer((answer,))
+        if self._kind == "proxied":
+            result = self._processes.ask(proxy_target("plain-1", path), "control")
+        else:
+            result = self._processes.ask(path)
+        assert any(path.encode() in each for each in self._partner.requests), "not sent"
+        return result
+
+    def assert_fails(self, answer):
+        """Check that the endpoint's answer is replaced by a failure that promises nothing."""
+        data, is_closed = self.ask(answer)
+        answers = split_answers(data, is_closed)[0]
+        assert [status for status, _ in answers] == [502], (answer, data)
+        assert self.body not in data and SEAL.encode() not in data, (answer, data)
+        if self._kind == "proxied":
+            assert b"wrote=1" in data, data
+
+
+@pytest.fixture(params=["call", "stream", "proxied"])
+def route(processes, request):
+    return Route(processes, request.param)
+
+
+@pytest.mark.parametrize("frame", FRAMINGS.values(), ids=FRAMINGS)
+class TestStatus:
+    @pytest.mark.parametrize("status", STATUSES)
+    def test_status_that_is_none_is_not_passed_on(self, route, frame, status):
+        """Guards against an answer with status 0 that reaches the caller."""
+        route.assert_fails(frame(route.body, *route.fields, status=f"{status} OK"))
+        route.assert_fails(INTERIM + frame(route.body, *route.fields, status=f"{status} OK"))
+
+    def test_status_that_is_none_does_not_promise_that_nothing_ran(self, route, frame):
+        """Guards against a refusal that is repeated though the request may have run."""
+        route.assert_fails(frame(route.body, *route.fields, NOT_RUN, status="000 OK"))
+
+    def test_valid_answer_is_passed_on(self, route, frame):
+        data, is_closed = route.ask(frame(route.body, *route.fields))
+        assert split_answers(data, is_closed)[0] == [(200, route.body)]
