--- a/flamingofront/tests/test_malformed_answers.py
+++ b/flamingofront/tests/test_malformed_answers.py
@@ -22,6 +22,9 @@
 
 FRAMINGS = {"length": with_length, "chunks": chunked, "close": unframed}
 STATUSES = ["000", "001", "099", "600", "999"]
+# Bytes that no name may hold: blanks, control bytes, and those of C1 in Latin-1.
+BAD_NAME_BYTES = [*range(0x21), 0x7F, *range(0x80, 0xA1)]
+BAD_NAMES = [b"%b", b"%bX-A", b"X%bA", b"X-A%b"]
 SEAL = "X-Flamingofront-Response-Seal: endpoint"
 NOT_RUN = "X-Flamingofront-Not-Executed: full"
 numbers = itertools.count()
@@ -95,3 +98,32 @@
     def test_valid_answer_is_passed_on(self, route, frame):
         data, is_closed = route.ask(frame(route.body, *route.fields))
         assert split_answers(data, is_closed)[0] == [(200, route.body)]
+
+
+class TestFieldNames:
+    @pytest.mark.parametrize("pattern", BAD_NAMES)
+    def test_name_with_a_blank_or_control_byte_is_not_passed_on(self, route, pattern):
+        """Guards against a line that a caller reads as another field or as the end of the head."""
+        for byte in BAD_NAME_BYTES:
+            head, _, rest = with_length(route.body, *route.fields).partition(b"\r\n")
+            route.assert_fails(b"%b\r\n%b: b\r\n%b" % (head, pattern % bytes([byte]), rest))
+
+    @pytest.mark.parametrize(
+        "line",
+        [
+            b"Content-Length : 5",
+            b"Content-Length\t: 5",
+            b" Content-Length: 5",
+            b"Content-Length\x00: 5",
+            b"Content-Length\xa0: 5",
+            b"Transfer-Encoding : chunked",
+            b"Transfer-Encoding\x0b: chunked",
+            b"Content -Length: 5",
+        ],
+    )
+    def test_name_with_a_blank_does_not_frame_the_body(self, route, line):
+        """Guards against a body that is not the one that the endpoint sent."""
+        head, _, rest = unframed(route.body, *route.fields).partition(b"\r\n")
+        route.assert_fails(b"%b\r\n%b\r\n%b" % (head, line, rest))
+        head, _, rest = with_length(route.body, *route.fields).partition(b"\r\n")
+        route.assert_fails(b"%b\r\n%b\r\n%b" % (head, line, rest))
