A change of protocol that nobody asked for fails the attempt

Callers got bytes behind "HTTP/1.1 101 Switching Protocols" as the answer of an endpoint in trouble, if they looked like one: all responses with a status of 1xx were read as interim ones. No request asks for another protocol (Upgrade concerns one connection and is not forwarded), so what follows such a head is no answer.

--- a/flamingofront/connection/client.py
+++ b/flamingofront/connection/client.py
@@ -46,6 +46,7 @@
 MAX_TOTAL_COLLECTED_BYTES = 32 * 1024 * 1024
 MAX_IDLE_CONNECTIONS_PER_ADDRESS = 16
 IDLE_TIMEOUT_SECONDS = 20.0
+STATUS_SWITCHING_PROTOCOLS = 101
 SUCCESS_STATUSES = range(200, 300)
 # An idle connection is closed this long before the keep-alive timeout of the target, so that no
 # call is sent while the target closes: about twice the slowest round trip plus the resolution of
@@ -380,6 +381,8 @@
             head, data = result
             if not 100 <= head.status < 200:
                 break
+            if head.status == STATUS_SWITCHING_PROTOCOLS:
+                raise RequestError(ErrorKind.MALFORMED_REQUEST, "no other protocol was requested")
             self._interim_count += 1
             if self._interim_count > MAX_INTERIM_RESPONSES:
                 raise RequestError(ErrorKind.MALFORMED_REQUEST, "too many interim responses")
--- a/flamingofront/tests/test_malformed_answers.py
+++ b/flamingofront/tests/test_malformed_answers.py
@@ -95,6 +95,13 @@
         """Guards against a refusal that is repeated though the request may have run."""
         route.assert_fails(frame(route.body, *route.fields, NOT_RUN, status="000 OK"))
 
+    def test_bytes_after_a_change_of_protocol_are_not_passed_on(self, route, frame):
+        """Guards against an answer that is made of bytes of a protocol that nobody asked for."""
+        fields = b"Connection: upgrade\r\nUpgrade: other\r\n"
+        switch = b"HTTP/1.1 101 Switching Protocols\r\n" + fields + b"\r\n"
+        route.assert_fails(switch + frame(route.body, *route.fields))
+        route.assert_fails(INTERIM + switch + frame(route.body, *route.fields))
+
     def test_valid_answer_is_passed_on(self, route, frame):
         data, is_closed = route.ask(frame(route.body, *route.fields))
         assert split_answers(data, is_closed)[0] == [(200, route.body)]
