Answers are passed on whatever their reason phrase is

Callers got 502 in place of valid answers of endpoints such as "203 Non-Authoritative Information" or "418 I'm a teapot", and requests that may be repeated were sent again: circuits.web accepts only words and blanks in the reason.

Change: the reason, which nothing uses, is removed before the head is passed to that parser. Control bytes in it are rejected as before.

Evidence: test_any_reason_is_accepted and test_status_with_any_reason_is_passed_on (real entry process): 23 of 199 tests of the two files failed before, 199 pass now.

--- a/flamingofront/connection/framing.py
+++ b/flamingofront/connection/framing.py
@@ -56,7 +56,7 @@
 _RESPONSE_KIND = 1
 _FORBIDDEN = re.compile(rb"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]|(?<!\r)\n|\r(?!\n)")
 # Statuses outside of 100 to 599 are invalid (RFC 9110, section 15).
-_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2} [^\r]*\r\n")
+_STATUS_LINE = re.compile(rb"(HTTP/1\.[01] [1-5][0-9]{2} )[^\r]*\r\n")
 _FIELD_NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _LENGTH = re.compile(r"[0-9]{1,15}")
 _CHUNK_SIZE = re.compile(rb"[0-9a-fA-F]{1,8}")
@@ -163,13 +163,22 @@
         seen_names.add(lower)
 
 
+def _remove_reason(raw: bytes) -> bytes:
+    """Return the head of a response without its reason phrase, after a check of its first line.
+
+    The parser of circuits accepts other separators and statuses, and only words in the reason.
+    """
+    line = _STATUS_LINE.match(raw)
+    if line is None:
+        raise _malformed_error(f"bad status line {raw[:60]!r}")
+    return line[1] + b"\r\n" + raw[line.end() :]
+
+
 def _parse_head(raw: bytes, is_request: bool) -> Head:
     _check_head_bytes(raw)
-    if not is_request and not _STATUS_LINE.match(raw):
-        raise _malformed_error(f"bad status line {raw[:60]!r}")
     parser = HttpParser(kind=_REQUEST_KIND if is_request else _RESPONSE_KIND)
     # The parser decodes backslash escapes; doubling each backslash keeps the headers unchanged.
-    escaped = raw.replace(b"\\", b"\\\\")
+    escaped = (raw if is_request else _remove_reason(raw)).replace(b"\\", b"\\\\")
     try:
         parser.execute(escaped, len(escaped))
     except ValueError as exc:
--- a/flamingofront/connection/tests/test_framing.py
+++ b/flamingofront/connection/tests/test_framing.py
@@ -223,3 +223,17 @@
     @pytest.mark.parametrize("line", [b"HTTP/1.1 200 OK", b"HTTP/1.0 200 OK", b"HTTP/1.1 200 "])
     def test_usual_line_is_accepted(self, line):
         assert parse_response(line).status == 200
+
+    @pytest.mark.parametrize(
+        "line",
+        [
+            b"HTTP/1.1 203 Non-Authoritative Information",
+            b"HTTP/1.1 418 I'm a teapot",
+            b"HTTP/1.1 200 \xc3\x96k (all right)!",
+            b"HTTP/1.1 200 \\x00",
+            b"HTTP/1.1 500 line 1: \t{}",
+        ],
+    )
+    def test_any_reason_is_accepted(self, line):
+        """Guards against a valid answer that is replaced by a failure for its reason phrase."""
+        assert parse_response(line).status == int(line[9:12])
--- a/flamingofront/tests/test_malformed_answers.py
+++ b/flamingofront/tests/test_malformed_answers.py
@@ -102,6 +102,12 @@
         route.assert_fails(switch + frame(route.body, *route.fields))
         route.assert_fails(INTERIM + switch + frame(route.body, *route.fields))
 
+    @pytest.mark.parametrize("status", ["203 Non-Authoritative Information", "418 I'm a teapot"])
+    def test_status_with_any_reason_is_passed_on(self, route, frame, status):
+        """Guards against a failure in place of an answer whose reason holds other than words."""
+        data, is_closed = route.ask(frame(route.body, *route.fields, status=status))
+        assert split_answers(data, is_closed)[0] == [(int(status[:3]), route.body)]
+
     def test_valid_answer_is_passed_on(self, route, frame):
         data, is_closed = route.ask(frame(route.body, *route.fields))
         assert split_answers(data, is_closed)[0] == [(200, route.body)]
