Values of headers are those that are passed on

A framing header whose value begins or ends with the byte 0x85 or 0xA0 was read without it: "Content-Length:" 0xA0 "5" ended a body after five bytes, though by the protocol such an answer has no valid length. Other values (request ids, keys) were compared without these bytes and passed on with them.

Cause: the values by name came from the parser of circuits, which strips all blanks of Unicode; those in order, which are passed on, are cut from the bytes.

Change: both come from the bytes; the values of one name are joined by commas as before.

Seen by a trial at the parser only, not with a process.

--- a/flamingofront/connection/framing.py
+++ b/flamingofront/connection/framing.py
@@ -187,16 +187,16 @@
         raise _malformed_error(f"bad first line: {exc}") from exc
     if parser.errno is not None or not parser.is_headers_complete():
         raise _malformed_error(f"bad first line or header: {parser.errstr[:80]}")
-    headers = {name.lower(): value for name, value in parser.get_headers().items()}
+    fields = _parse_fields(raw)
     return Head(
         method=parser.get_method() or "",
         path=unquote(parser.get_path() or ""),
         query=dict(parse_qsl(parser.get_query_string() or "", keep_blank_values=True)),
         status=parser.get_status_code() or 0,
-        headers=headers,
+        headers=_join_values(fields),
         keep_alive=parser.should_keep_alive(),
         target=_parse_target(raw) if is_request else "",
-        fields=_parse_fields(raw),
+        fields=fields,
     )
 
 
@@ -208,7 +208,16 @@
 def _parse_fields(raw: bytes) -> tuple[tuple[str, str], ...]:
     """Return the names and values of the headers as received, in order."""
     pairs = (line.partition(b":") for line in raw[:-4].split(b"\r\n")[1:])
-    return tuple((name.decode(), value.strip().decode("latin-1")) for name, _, value in pairs)
+    return tuple((name.decode(), value.strip(b" \t").decode("latin-1")) for name, _, value in pairs)
+
+
+def _join_values(fields: tuple[tuple[str, str], ...]) -> dict[str, str]:
+    """Return the values by lower-case name; those of one name are joined by commas."""
+    headers: dict[str, str] = {}
+    for name, value in fields:
+        lower = name.lower()
+        headers[lower] = f"{headers[lower]}, {value}" if lower in headers else value
+    return headers
 
 
 def get_connection_options(fields: tuple[tuple[str, str], ...]) -> frozenset[str]:
--- a/flamingofront/connection/tests/test_framing.py
+++ b/flamingofront/connection/tests/test_framing.py
@@ -4,7 +4,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from flamingofront.connection.framing import ChunkedDecoder, HeadBuffer, create_request_decoder
+from flamingofront.connection.framing import (
+    ChunkedDecoder,
+    HeadBuffer,
+    create_request_decoder,
+    create_response_decoder,
+)
 from flamingofront.errors import ErrorKind, RequestError
 
 MAX_BODY = 1000
@@ -248,3 +253,27 @@
     def test_any_reason_is_accepted(self, line):
         """Guards against a valid answer that is replaced by a failure for its reason phrase."""
         assert parse_response(line).status == int(line[9:12])
+
+
+class TestFieldValues:
+    @pytest.mark.parametrize("blank", [b"\x85", b"\xa0"])
+    @pytest.mark.parametrize(
+        "value", [b"Content-Length:_5", b"Content-Length: 5_", b"Transfer-Encoding: _chunked"]
+    )
+    def test_blanks_beyond_those_of_the_protocol_do_not_frame_a_body(self, value, blank):
+        """Guards against a body whose end the other side sees elsewhere."""
+        head = parse_response(b"HTTP/1.1 200 OK", value.replace(b"_", blank) + b"\r\n")
+        with pytest.raises(RequestError):
+            create_response_decoder(head, "GET")
+
+    @given(st.binary(max_size=30).filter(lambda value: not {*b"\r\n"} & {*value}))
+    def test_values_are_the_same_by_name_and_in_order(self, value):
+        head = parse_response(b"HTTP/1.1 200 OK", b"A: x\r\nB:" + value + b"\r\n")
+        if isinstance(head, ErrorKind):
+            return
+        assert head.fields == (("A", "x"), ("B", value.strip(b" \t").decode("latin-1")))
+        assert dict(head.headers) == {name.lower(): text for name, text in head.fields}
+
+    def test_values_of_one_name_are_joined_in_order(self):
+        head = parse_response(b"HTTP/1.1 200 OK", b"A: x\r\nb: y\r\na: z\r\n")
+        assert head.headers == {"a": "x, z", "b": "y"}
