Lines tell what is malformed in a response

An attempt that fails with "framing" told nothing of what the endpoint had sent: a status of 000, a name with a blank and a wrong chunk looked alike. The text of the error was dropped by the client.

`malformed response` names it with request, attempt, endpoint and peer; `proxied attempt ended` has it for attempts of peers, and errors of calls to the platform end with it. One line an attempt. No decision changed.

--- a/flamingofront/connection/client.py
+++ b/flamingofront/connection/client.py
@@ -360,8 +360,8 @@
             data = self._after_head if self._after_head is not None else data
             self._after_head = None
             body, trailing = self._decoder.feed(data)
-        except RequestError:
-            self.fail("framing")
+        except RequestError as exc:
+            self.fail("framing", exc.detail)
             return
         if body:
             self._client.renew_timeout(call)
@@ -407,7 +407,7 @@
             self.close()
         call.finish(ResponseEnd())
 
-    def fail(self, reason: str) -> None:
+    def fail(self, reason: str, detail: str = "") -> None:
         """Close the connection and report the failure to its call, or repeat the call."""
         call = self._call
         was_stale = call is not None and reason == "reset" and self._was_stale(call)
@@ -415,7 +415,7 @@
         if was_stale:
             self._client.repeat(call)
         elif call is not None:
-            call.finish(CallFailed(reason, call.wrote, call.reused))
+            call.finish(CallFailed(reason, call.wrote, call.reused, detail=detail))
 
     def _was_stale(self, call: _Call) -> bool:
         """Return True if the peer had closed the connection before a repeatable call was sent."""
--- a/flamingofront/messages.py
+++ b/flamingofront/messages.py
@@ -188,12 +188,15 @@
         long before.
     by_proxy : bool
         True if the peer that proxied the call failed, which tells nothing about the endpoint.
+    detail : str
+        What is malformed in the response, for the log.
     """
 
     reason: str
     wrote: bool
     reused: bool = False
     by_proxy: bool = False
+    detail: str = field(default="", compare=False)
 
 
 @dataclass(frozen=True)
--- a/flamingofront/process/calls.py
+++ b/flamingofront/process/calls.py
@@ -32,7 +32,8 @@
     where = f"{call.method} {call.path.split('?')[0]}"
     if isinstance(reply, CallFailed):
         error = PlatformTimeoutError if reply.reason == TIMEOUT_REASON else PlatformError
-        raise error(f"{where}: {reply.reason}", maybe_applied=is_write and reply.wrote)
+        cause = f"{reply.reason}, {reply.detail}" if reply.detail else reply.reason
+        raise error(f"{where}: {cause}", maybe_applied=is_write and reply.wrote)
     if reply.status not in allowed_statuses:
         is_limited = reply.status == STATUS_RATE_LIMITED
         error = PlatformRateLimitError if is_limited else PlatformError
--- a/flamingofront/process/forwarding/proxy.py
+++ b/flamingofront/process/forwarding/proxy.py
@@ -250,7 +250,7 @@
             self._exchange.abort()
         else:
             respond_failure(self._exchange, ProxyFailure(event.reason, event.wrote, event.reused))
-        self._end(event.reason)
+        self._end(event.reason, event.detail)
 
     def _on_disconnect(self) -> None:
         """Cancel the attempt: the peer's caller has left, or the peer is gone."""
@@ -258,7 +258,7 @@
             self._handle.cancel()
             self._end("the peer disconnected")
 
-    def _end(self, outcome: str) -> None:
+    def _end(self, outcome: str, detail: str = "") -> None:
         self._is_done = True
         self._unsent = None
         self._proxy.remove(self)
@@ -268,6 +268,7 @@
             sender=self._call.sender,
             endpoint=self._call.endpoint_id,
             outcome=outcome,
+            detail=detail,
             wrote=self._handle is not None and self._handle.wrote,
             total_ms=round((self._node.timers.now() - self._started_at) * 1000),
         )
--- a/flamingofront/request/active.py
+++ b/flamingofront/request/active.py
@@ -452,6 +452,14 @@
         if event.reason == SEND_WITHDRAWN and not event.wrote:
             self._withdraw_attempt(attempt_id)
             return
+        if event.detail:
+            self.log.info(
+                "malformed response",
+                attempt=attempt_id,
+                endpoint=self.endpoint_id,
+                proxy=self.proxy_address,
+                detail=event.detail,
+            )
         executed = Executed.UNKNOWN if event.wrote else Executed.NO
         if event.by_proxy:
             if event.wrote:
--- a/flamingofront/request/endpoint_paths.py
+++ b/flamingofront/request/endpoint_paths.py
@@ -401,7 +401,7 @@
         elif isinstance(event, CallFailed):
             self._peers.record_failure(self._address)
             is_written = event.wrote if self._failure is None else self._failure.wrote
-            self._listener(CallFailed(event.reason, is_written, event.reused, by_proxy=True))
+            self._listener(replace(event, wrote=is_written, by_proxy=True))
         elif self._failure is None:
             self._peers.record_response(self._address, self._endpoint_id)
             is_head = isinstance(event, ResponseHead)
--- a/flamingofront/tests/test_malformed_answers.py
+++ b/flamingofront/tests/test_malformed_answers.py
@@ -113,6 +113,29 @@
         assert split_answers(data, is_closed)[0] == [(200, route.body)]
 
 
+class TestLogs:
+    """Runs a process of its own, whose log is read at its end."""
+
+    @pytest.fixture
+    def processes(self, tmp_path):
+        started = CutProcesses(tmp_path)
+        started.wait_ready()
+        yield started
+        started.stop()
+
+    @pytest.mark.parametrize("kind", ["call", "proxied"])
+    def test_lines_tell_what_is_malformed(self, processes, kind):
+        route = Route(processes, kind)
+        route.assert_fails(with_length(route.body, status="000 OK"))
+        processes.front.terminate()
+        processes.errors()
+        event = "proxied attempt ended" if kind == "proxied" else "malformed response"
+        lines = [each for each in processes.lines if each["event"] == event]
+        assert lines and all("HTTP/1.1 000 OK" in each["detail"] for each in lines)
+        assert {each["endpoint"] for each in lines} == {"plain-1"}
+        assert {each["request"] for each in lines} == {"r#1" if kind == "proxied" else "r1#1"}
+
+
 class TestFieldNames:
     @pytest.mark.parametrize("pattern", BAD_NAMES)
     def test_name_with_a_blank_or_control_byte_is_not_passed_on(self, route, pattern):
