--- a/bench/cut_answer_mutations.py
+++ b/bench/cut_answer_mutations.py
@@ -7,9 +7,10 @@
 ANSWERS = "tests/test_answers_cut_short.py"
 PROCESSES = "tests/test_processes_cut_short.py"
 ENGINES = "tests/test_engines_cut_short.py"
+EARLY = "tests/test_early_answers.py"
 CLIENT = "connection/client.py"
-PEER_CLOSE = """        if self._is_complete_at_close():
-            call, self._call = self._call, None
+PEER_CLOSE = """        if not self._is_complete_at_close():
+            self.fail("reset")
 """
 END_OF_HEAD = """        if self._call is not None and self._head is None:
             self._parse_response(b"\\r\\n\\r\\n")
@@ -57,6 +58,20 @@
 """,
         f"{ANSWERS}::TestCalls::test_unframed_answer_that_is_reset_fails",
     ),
+    Mutation(
+        "Cut: a success without a length waits until its request is taken",
+        CLIENT,
+        "elif self._head.status in SUCCESS_STATUSES:",
+        "elif False:",
+        f"{EARLY}::TestCloses",
+    ),
+    Mutation(
+        "Cut: a request that is not taken is reset",
+        "connection/upload_watch.py",
+        "elif self._has_unsent() or read_send_state(self._sock).queued:",
+        "elif False:",
+        f"{EARLY}::TestCloses",
+    ),
     Mutation(
         "Cut: a proxy breaks off what its endpoint breaks off",
         "process/forwarding/proxy.py",
--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -17,6 +17,7 @@
 from bench.knowledge_mutations import KNOWLEDGE_MUTATIONS
 from bench.known_failure_mutations import KNOWN_FAILURE_MUTATIONS
 from bench.leader_mutations import LEADER_MUTATIONS
+from bench.malformed_head_mutations import MALFORMED_HEAD_MUTATIONS
 from bench.mutation import Mutation
 from bench.path_mutations import PATH_MUTATIONS
 from bench.platform_mutations import PLATFORM_MUTATIONS
@@ -193,6 +194,7 @@
     *CONTROL_MUTATIONS,
     *ANSWER_MUTATIONS,
     *CUT_ANSWER_MUTATIONS,
+    *MALFORMED_HEAD_MUTATIONS,
     *KNOWLEDGE_MUTATIONS,
     *DEPARTURE_MUTATIONS,
     *PROMISE_MUTATIONS,
