Events that were not passed on do not count as received

Callers got streams that ended as complete with events missing, or no answer at all until they left, if an endpoint in trouble repeats an event: with the event 1, then 2, then 3, 4, 2, 5 in one piece the caller got 1, 5, 6. With the repeated event in the first piece the request stood still ("fault" in the log: a stream that goes on has no origin).

Cause: the relay of events fails at the first id that does not increase, and returns none of the events of that piece; but it had counted those before it, and the next attempt asked to go on behind the last one (Last-Event-Id).

Change: a piece counts as a whole or not at all; the stream goes on behind the last event that was passed on. The same holds if an incomplete event is too large.

--- a/flamingofront/request/event_stream.py
+++ b/flamingofront/request/event_stream.py
@@ -52,26 +52,29 @@
         ------
         ValueError
             If a numeric event id is not greater than the last one, or an incomplete event exceeds
-            1 MiB.
+            1 MiB. No event of `data` then counts as received, since none is returned.
         """
         # An incomplete event has no end but one that its last bytes begin.
         searched = max(0, len(self._buffer) - _LONGEST_END + 1)
-        self._buffer += data
-        end = 0
-        for match in _EVENT_END.finditer(self._buffer, searched):
-            self._record_event(self._buffer[end : match.end()])
+        buffer, last_id = self._buffer + data, self.last_id
+        count = end = 0
+        for match in _EVENT_END.finditer(buffer, searched):
+            last_id = _find_next_id(buffer[end : match.end()], last_id)
+            count += 1
             end = match.end()
-        events, self._buffer = self._buffer[:end], self._buffer[end:]
-        if len(self._buffer) > _MAX_EVENT_BYTES:
+        if len(buffer) - end > _MAX_EVENT_BYTES:
             raise ValueError("an event is too large")
-        return events
+        self._buffer, self.last_id = buffer[end:], last_id
+        self.count += count
+        return buffer[:end]
 
-    def _record_event(self, event: bytes) -> None:
-        self.count += 1
-        match = _EVENT_ID.search(event)
-        if match is None:
-            return
-        event_id = match.group(1).decode("latin-1")
-        if event_id.isdigit() and self.last_id.isdigit() and int(event_id) <= int(self.last_id):
-            raise ValueError("an event came out of order")
-        self.last_id = event_id
+
+def _find_next_id(event: bytes, last_id: str) -> str:
+    """Return the id of an event, or that of the one before if it has none."""
+    match = _EVENT_ID.search(event)
+    if match is None:
+        return last_id
+    event_id = match.group(1).decode("latin-1")
+    if event_id.isdigit() and last_id.isdigit() and int(event_id) <= int(last_id):
+        raise ValueError("an event came out of order")
+    return event_id
--- a/flamingofront/request/tests/test_event_stream.py
+++ b/flamingofront/request/tests/test_event_stream.py
@@ -54,6 +54,17 @@
         relay.discard_partial_event()
         assert relay.feed(EVENTS[1]) == EVENTS[1]
 
+    @pytest.mark.parametrize("end", [EVENTS[1], EVENTS[0] + EVENTS[4], b"x" * 2_000_000])
+    def test_events_that_are_not_returned_do_not_count(self, end):
+        """Guards against a stream that goes on after an event that nobody got."""
+        relay = EventRelay()
+        relay.feed(EVENTS[0] + EVENTS[1][:5])
+        with pytest.raises(ValueError):
+            relay.feed(EVENTS[1][5:] + EVENTS[2] + end)
+        assert (relay.last_id, relay.count) == ("1", 1)
+        relay.discard_partial_event()
+        assert relay.feed(EVENTS[1]) == EVENTS[1]
+
     @pytest.mark.parametrize("repeated_event", [EVENTS[0], EVENTS[1]])
     def test_repeated_event_is_rejected(self, repeated_event):
         relay = EventRelay()
