--- a/flamingofront/tests/test_malformed_answers.py
+++ b/flamingofront/tests/test_malformed_answers.py
@@ -43,6 +43,11 @@
 
     Parameters
     ----------
+    kind : str
+        One of ``call``, ``stream``, ``proxied``.
+
+    Attributes
+    ----------
     body : bytes
         What the endpoint answers.
     fields : tuple of str
@@ -52,14 +57,14 @@
     def __init__(self, processes, kind):
         self._processes = processes
         self._kind = kind
-        is_stream = kind == "stream"
-        self._partner = processes.partners["engine-1" if is_stream else "plain-1"]
-        self.body = EVENTS if is_stream else BODY
-        self.fields = (EVENT_STREAM, SEAL) if is_stream else (SEAL,)
+        self.is_stream = kind == "stream"
+        self._partner = processes.partners["engine-1" if self.is_stream else "plain-1"]
+        self.body = EVENTS if self.is_stream else BODY
+        self.fields = (EVENT_STREAM, SEAL) if self.is_stream else (SEAL,)
 
     def ask(self, answer):
         """Return the bytes of the response to a request that the endpoint answers like this."""
-        path = f"/{'stream/letter' if self._kind == 'stream' else 'lookup'}/{next(numbers)}"
+        path = f"/{'stream/letter' if self.is_stream else 'lookup'}/{next(numbers)}"
         self._partner.answer_to = lambda req: Answer((answer,))
         if self._kind == "proxied":
             result = self._processes.ask(proxy_target("plain-1", path), "control")
