An exception of one request does not end the recording of sends

After the fault that repeated events caused, a process recorded no send any more: no run shows what callers see of it; by reading, a request that crashes endpoints goes on to further ones after a restart because nothing names the endpoints that had it.

Cause: the outcome of a record is passed to its request within the task that writes all records of the process. An exception there ended the task, and the mark that it runs was left behind.

Change: such an exception is logged as a fault, and the task goes on.

Evidence: test_exception_of_one_request_does_not_end_the_recording failed before (the next request of another prompt was not recorded) and passes; tests of processes, requests and disordered events pass.

--- a/flamingofront/process/intents.py
+++ b/flamingofront/process/intents.py
@@ -426,10 +426,16 @@
         for each in records:
             self._cache.update(VersionedRecord(each.record, version))
         for handle in (handle for handles in batch.values() for handle in handles):
-            handle.resolve(RecordOutcome.STORED)
+            self._resolve_stored(handle)
             if handle.is_removed:
                 self._remove_stored_send(handle)
 
+    def _resolve_stored(self, handle: _SendHandle) -> None:
+        try:
+            handle.resolve(RecordOutcome.STORED)
+        except Exception as exc:  # an exception for one request must not affect the others
+            self._tasks.on_fault(exc)
+
     def _build_record(self, fingerprint: str, handles: list[_SendHandle]) -> IntentRecord:
         """Return the record of a request with further sends and the unobserved crashes."""
         record = self._cache.get_record(fingerprint).with_unobserved(self._policy.get_unobserved())
--- a/flamingofront/process/tests/test_intents.py
+++ b/flamingofront/process/tests/test_intents.py
@@ -11,6 +11,7 @@
 from flamingofront.process.intent_state import WRITE_BURST
 from flamingofront.process.intents import MAX_CLUSTER_WRITES_PER_SECOND
 from flamingofront.process.tests.test_holds import JSON
+from flamingofront.request.forwarded_request import ForwardedRequest
 from flamingofront.tests.crashing_world import CONTACT_SECONDS, crashing_world
 
 SEND = SendIntent("e-1", "10.0.0.1:80", "zone-a", "vm-1", 17, 12.5)
@@ -87,6 +88,26 @@
         (record,) = read_records(world).values()
         assert len(record.sends) == 2
 
+    @pytest.mark.logs_error("fault")
+    def test_exception_of_one_request_does_not_end_the_recording(self, monkeypatch):
+        """Guards against a process that records no send any more."""
+        world = recording_world()
+        world.ask("front-0", "/stream/once/x", body=BODY)
+        world.run(0.02)
+
+        def send_attempt(request, action, chosen):
+            raise RuntimeError("cannot be sent")
+
+        with monkeypatch.context() as patch:
+            patch.setattr(ForwardedRequest, "send_attempt", send_attempt)
+            world.ask("front-0", "/stream/once/x", body=BODY)
+            world.run(0.1)
+        assert world.fronts["front-0"].metrics.value("faults_total") == 1
+        before = read_records(world)
+        world.ask("front-0", "/stream/once/x", body=b"another prompt")
+        world.run(0.1)
+        assert len(read_records(world)) == len(before) + 1
+
     def test_response_deletes_the_record(self):
         world = recording_world()
         caller = world.ask("front-0", "/stream/once/x", body=BODY)
