Constants of statuses beside each other, one accept loop for endpoints of tests

Two constants of the client stood between a timeout and its comment, and the endpoint that answers early had its own copy of the accept loop of CutPartner. No behaviour changed; test_early_answers.py: 120 passed, three times.

--- a/flamingofront/connection/client.py
+++ b/flamingofront/connection/client.py
@@ -40,14 +40,14 @@
 MAX_RESPONSE_HEAD_BYTES = 64 * 1024
 # Responses with a status of 1xx before the final one; servers send one or two.
 MAX_INTERIM_RESPONSES = 32
+STATUS_SWITCHING_PROTOCOLS = 101
+SUCCESS_STATUSES = range(200, 300)
 # Body of one response that is collected as a whole, and of all of them in progress together. The
 # platform's largest are objects of 8 MiB.
 MAX_COLLECTED_BYTES = 8 * 1024 * 1024
 MAX_TOTAL_COLLECTED_BYTES = 32 * 1024 * 1024
 MAX_IDLE_CONNECTIONS_PER_ADDRESS = 16
 IDLE_TIMEOUT_SECONDS = 20.0
-STATUS_SWITCHING_PROTOCOLS = 101
-SUCCESS_STATUSES = range(200, 300)
 # An idle connection is closed this long before the keep-alive timeout of the target, so that no
 # call is sent while the target closes: about twice the slowest round trip plus the resolution of
 # the announced timeout, which is in whole seconds.
--- a/flamingofront/tests/test_early_answers.py
+++ b/flamingofront/tests/test_early_answers.py
@@ -4,14 +4,19 @@
 import itertools
 import re
 import socket
-import threading
 import time
 from enum import StrEnum
 
 import pytest
 
-from flamingofront.tests.cut_answers import HEAD_END, RESET_ON_CLOSE, read_to_end, split_answers
-from flamingofront.tests.test_forward_processes import CALL, IP
+from flamingofront.tests.cut_answers import (
+    HEAD_END,
+    RESET_ON_CLOSE,
+    CutPartner,
+    read_to_end,
+    split_answers,
+)
+from flamingofront.tests.test_forward_processes import CALL
 from flamingofront.tests.test_processes_cut_short import EVENT_STREAM, CutProcesses, proxy_target
 
 UPLOADS = {"small": 60_000, "medium": 400_000, "large": 4_000_000}
@@ -33,7 +38,7 @@
     """Its side is closed, and the rest of the upload is read."""
 
 
-class EarlyEndpoint:
+class EarlyEndpoint(CutPartner):
     """Endpoint that answers a request once its head has come.
 
     Attributes
@@ -61,19 +66,8 @@
         self.status, self.body, self.fields = b"200 OK", b"", b""
         self.read_bytes, self.pause = 0, 0.0
         self.end, self.keeps_first = End.RESET, False
-        self.requests: list[bytes] = []
         self.read_sizes: list[int] = []
-        self._sock = socket.create_server((IP, 0), backlog=128)
-        self.address = f"{IP}:{self._sock.getsockname()[1]}"
-        threading.Thread(target=self._run, daemon=True).start()
-
-    def _run(self) -> None:
-        while True:
-            try:
-                conn, _ = self._sock.accept()
-            except OSError:
-                return
-            threading.Thread(target=self._serve, args=(conn,), daemon=True).start()
+        super().__init__()
 
     def _serve(self, conn: socket.socket) -> None:
         conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -107,10 +101,6 @@
         self.read_sizes.append(size)
         conn.close()
 
-    def close(self) -> None:
-        """Stop listening."""
-        self._sock.close()
-
 
 def _receive(conn, data, is_enough):
     """Return what has come once it is enough, nothing if the connection ends before."""
