--- a/bench/platform_mutations.py
+++ b/bench/platform_mutations.py
@@ -47,10 +47,23 @@
     Mutation(
         "P only whole events pass",
         "request/event_stream.py",
-        "events, self._buffer = self._buffer[:end], self._buffer[end:]",
-        'events, self._buffer = self._buffer, b""',
+        """        self._buffer, self.last_id = buffer[end:], last_id
+        self.count += count
+        return buffer[:end]
+""",
+        """        self._buffer, self.last_id = b"", last_id
+        self.count += count
+        return buffer
+""",
         FORWARDING,
     ),
+    Mutation(
+        "P events that are not passed on do not count",
+        "request/event_stream.py",
+        "            count += 1\n",
+        "            count += 1\n            self.last_id = last_id\n",
+        "tests/test_disordered_events.py",
+    ),
     Mutation(
         "P requests are kept apart by a number of our own",
         "request/forward_gateway.py",
--- a/flamingofront/tests/test_engines_cut_short.py
+++ b/flamingofront/tests/test_engines_cut_short.py
@@ -136,3 +136,35 @@
             processes.plain.answer_to = lambda req, left=answers: Answer((next(left, answer),))
             status, _, body = processes.ask("GET", f"/services/records/{number}")
             assert (status, body) == (200, b'{"done": true}')
+
+
+INVALID_STATUSES = [b"000 OK", b"600 OK", b"101 Switching Protocols"]
+
+
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+@pytest.mark.parametrize("frame", FRAMINGS)
+class TestInvalidStatuses:
+    def test_text_does_not_come_from_such_an_answer(self, processes, frame, status):
+        """Guards against a text that is taken from an answer that is none."""
+        statuses = itertools.chain([status], itertools.repeat(b"200 OK"))
+
+        def answer_to(req):
+            if not req.startswith(b"POST /generate "):
+                return Answer((with_length(b"{}"),))
+            answer = frame(encode_frames(orjson.loads(req.partition(b"\r\n\r\n")[2])))
+            return Answer((answer.replace(b"200 OK", next(statuses), 1),))
+
+        processes.engine.answer_to = answer_to
+        body = {"model": "demo", "prompt": f"{frame.__name__} {status.decode()}", "max_tokens": 9}
+        code, _, answer = processes.ask("POST", "/v1/completions", body)
+        assert code == 200 and orjson.loads(answer)["choices"][0]["text"] == "".join(TOKENS)
+        assert next(statuses) == b"200 OK"
+
+    def test_such_an_answer_of_a_service_is_not_passed_on(self, processes, frame, status):
+        answer = frame(b'{"done": true}')
+        answers = itertools.chain([answer.replace(b"200 OK", status, 1)], itertools.repeat(answer))
+        processes.plain.answer_to = lambda req: Answer((next(answers),))
+        path = f"/{frame.__name__}-{status[:3].decode()}"
+        code, _, body = processes.ask("GET", f"/services/records{path}")
+        assert (code, body) == (200, b'{"done": true}')
+        assert sum(path.encode() in each for each in processes.plain.requests) == 2
