Endpoints of tests that close each connection say so

Traced by lines of the process: the attempt was sent on an idle connection and reset. The endpoint of these tests closes each connection behind its answer, also behind a whole one without "Connection: close"; a request that goes out on it before the close has come is lost.

Change, in the tests' endpoint only: whole answers state the close. Where defects may remove that header, a request that was not received has to end with 502, and another one is sent.

--- a/flamingofront/tests/test_disordered_events.py
+++ b/flamingofront/tests/test_disordered_events.py
@@ -21,6 +21,7 @@
 
 
 WHOLE = make_events(range(1, LAST + 1))
+FIELDS = (EVENT_STREAM, "Connection: close")
 
 
 @pytest.fixture(scope="class")
@@ -28,7 +29,7 @@
     """An entry process; requests that are answered pay for the retries of others."""
     started = CutProcesses(tmp_path_factory.mktemp("disordered"))
     started.wait_ready()
-    started.partners["engine-1"].answer_to = lambda req: Answer((chunked(WHOLE, EVENT_STREAM),))
+    started.partners["engine-1"].answer_to = lambda req: Answer((chunked(WHOLE, *FIELDS),))
     for number in range(RETRY_CREDIT_REQUESTS):
         started.ask(f"/stream/letter/whole-{number}")
     yield started
@@ -40,18 +41,18 @@
     """Return a function that plays a stream whose first answer has these events."""
 
     def play(pieces):
-        first = chunked(b"", EVENT_STREAM).removesuffix(b"0\r\n\r\n")
+        first = chunked(b"", *FIELDS).removesuffix(b"0\r\n\r\n")
         chunks = [b"%x\r\n%b\r\n" % (len(each), each) for each in map(make_events, pieces)]
         served = itertools.count()
 
         def answer_to(req):
             if b"/stream/" not in req.partition(b"\r\n")[0]:
-                return Answer((with_length(b"{}"),))
+                return Answer((with_length(b"{}", "Connection: close"),))
             if not next(served):
                 return Answer((first, *chunks, b"0\r\n\r\n"))
             match = re.search(rb"\r\nlast-event-id: *(\d+)", req, re.IGNORECASE)
             rest = range(int(match[1]) + 1 if match else 1, LAST + 1)
-            return Answer((chunked(make_events(rest), EVENT_STREAM),))
+            return Answer((chunked(make_events(rest), *FIELDS),))
 
         processes.partners["engine-1"].answer_to = answer_to
         answers, rest = split_answers(*processes.ask(f"/stream/letter/{next(numbers)}"))
--- a/flamingofront/tests/test_engines_cut_short.py
+++ b/flamingofront/tests/test_engines_cut_short.py
@@ -150,8 +150,9 @@
 
         def answer_to(req):
             if not req.startswith(b"POST /generate "):
-                return Answer((with_length(b"{}"),))
-            answer = frame(encode_frames(orjson.loads(req.partition(b"\r\n\r\n")[2])))
+                return Answer((with_length(b"{}", "Connection: close"),))
+            frames = encode_frames(orjson.loads(req.partition(b"\r\n\r\n")[2]))
+            answer = frame(frames, "Connection: close")
             return Answer((answer.replace(b"200 OK", next(statuses), 1),))
 
         processes.engine.answer_to = answer_to
@@ -161,7 +162,7 @@
         assert next(statuses) == b"200 OK"
 
     def test_such_an_answer_of_a_service_is_not_passed_on(self, processes, frame, status):
-        answer = frame(b'{"done": true}')
+        answer = frame(b'{"done": true}', "Connection: close")
         answers = itertools.chain([answer.replace(b"200 OK", status, 1)], itertools.repeat(answer))
         processes.plain.answer_to = lambda req: Answer((next(answers),))
         path = f"/{frame.__name__}-{status[:3].decode()}"
--- a/flamingofront/tests/test_malformed_answers.py
+++ b/flamingofront/tests/test_malformed_answers.py
@@ -27,6 +27,7 @@
 BAD_NAMES = [b"%b", b"%bX-A", b"X%bA", b"X-A%b"]
 SEAL = "X-Flamingofront-Response-Seal: endpoint"
 NOT_RUN = "X-Flamingofront-Not-Executed: full"
+MAX_REQUESTS = 3
 numbers = itertools.count()
 
 
@@ -63,15 +64,24 @@
         self.fields = (EVENT_STREAM, SEAL) if self.is_stream else (SEAL,)
 
     def ask(self, answer):
-        """Return the bytes of the response to a request that the endpoint answers like this."""
-        path = f"/{'stream/letter' if self.is_stream else 'lookup'}/{next(numbers)}"
+        """Return the bytes of the response to a request that the endpoint answers like this.
+
+        The endpoint closes each connection. A request on an idle one that has just been closed is
+        not received; it fails, and another one is sent.
+        """
         self._partner.answer_to = lambda req: Answer((answer,))
+        for _ in range(MAX_REQUESTS):
+            path = f"/{'stream/letter' if self.is_stream else 'lookup'}/{next(numbers)}"
+            result = self._send(path)
+            if any(path.encode() in each for each in self._partner.requests):
+                return result
+            assert [status for status, _ in split_answers(*result)[0]] == [502], result
+        raise AssertionError("not sent")
+
+    def _send(self, path):
         if self._kind == "proxied":
-            result = self._processes.ask(proxy_target("plain-1", path), "control")
-        else:
-            result = self._processes.ask(path)
-        assert any(path.encode() in each for each in self._partner.requests), "not sent"
-        return result
+            return self._processes.ask(proxy_target("plain-1", path), "control")
+        return self._processes.ask(path)
 
     def assert_fails(self, answer):
         """Check that the endpoint's answer is replaced by a failure that promises nothing."""
--- a/flamingofront/tests/test_processes_cut_short.py
+++ b/flamingofront/tests/test_processes_cut_short.py
@@ -28,6 +28,8 @@
 BODY = b"the whole answer"
 EVENTS = b"".join(b"id: %d\ndata: word\n\n" % number for number in range(1, 5))
 EVENT_STREAM = "Content-Type: text/event-stream"
+# The endpoints close each connection: a request on an idle one may be lost unless they say so.
+CLOSE = "Connection: close"
 ANSWERS = {
     "length": (with_length(BODY), True),
     "chunks": (chunked(BODY), True),
@@ -109,7 +111,7 @@
     def answer_to(req):
         match = re.match(rb"\S+ " + path.encode() + rb"(\d+) ", req)
         if match is None:
-            return Answer((with_length(b"{}"),))
+            return Answer((with_length(b"{}", CLOSE),))
         number = int(match[1])
         return Answer((cuts[number],), ENDINGS[number % 2])
 
@@ -155,7 +157,7 @@
     def with_retries(self, processes):
         """Requests that are answered pay for the retries of others."""
         partner = processes.partners["engine-1"]
-        partner.answer_to = lambda req: Answer((chunked(EVENTS, EVENT_STREAM),))
+        partner.answer_to = lambda req: Answer((chunked(EVENTS, EVENT_STREAM, CLOSE),))
         for number in range(RETRY_CREDIT_REQUESTS):
             processes.ask(f"/stream/letter/whole-{number}")
         return processes
@@ -165,7 +167,7 @@
         """Return a function that plays a stream which breaks off and goes on with an answer."""
 
         def play(rest, number):
-            first = chunked(EVENTS, EVENT_STREAM)
+            first = chunked(EVENTS, EVENT_STREAM, CLOSE)
             cut = first[: first.index(b"id: 3") + 2]
 
             def answer_to(req):
@@ -182,8 +184,8 @@
 
     def test_end_without_events_is_passed_on(self, resumed):
         first = EVENTS[: EVENTS.index(b"id: 3")]
-        assert resumed(chunked(b"", EVENT_STREAM), 2) == [(200, first)]
-        assert resumed(with_length(b"", EVENT_STREAM), 3) == [(200, first)]
+        assert resumed(chunked(b"", EVENT_STREAM, CLOSE), 2) == [(200, first)]
+        assert resumed(with_length(b"", EVENT_STREAM, CLOSE), 3) == [(200, first)]
 
     def test_close_right_after_the_head_does_not_end_it(self, resumed):
         """Guards against a stream that ends as whole before its last events."""
