--- a/bench/malformed_head_mutations.py
+++ b/bench/malformed_head_mutations.py
@@ -44,7 +44,7 @@
         "tests/test_odd_first_lines.py",
     ),
     Mutation(
-        "Malformed: values keep the blanks that are none of the protocol",
+        "Malformed: values keep blanks that the protocol does not have",
         FRAMING,
         'value.strip(b" \\t").decode("latin-1")',
         'value.decode("latin-1").strip()',
--- a/flamingofront/connection/tests/test_framing.py
+++ b/flamingofront/connection/tests/test_framing.py
@@ -225,7 +225,7 @@
         ],
     )
     def test_line_that_breaks_the_protocol_is_rejected(self, line):
-        """Guards against an answer with a status that is none."""
+        """Guards against an answer with an invalid status."""
         assert parse_response(line) is ErrorKind.MALFORMED_REQUEST
 
     @given(st.integers(0, 999))
--- a/flamingofront/tests/test_engines_cut_short.py
+++ b/flamingofront/tests/test_engines_cut_short.py
@@ -144,8 +144,8 @@
 @pytest.mark.parametrize("status", INVALID_STATUSES)
 @pytest.mark.parametrize("frame", FRAMINGS)
 class TestInvalidStatuses:
-    def test_text_does_not_come_from_such_an_answer(self, processes, frame, status):
-        """Guards against a text that is taken from an answer that is none."""
+    def test_text_does_not_come_from_it(self, processes, frame, status):
+        """Guards against a text that is taken from an invalid answer."""
         statuses = itertools.chain([status], itertools.repeat(b"200 OK"))
 
         def answer_to(req):
@@ -161,7 +161,7 @@
         assert code == 200 and orjson.loads(answer)["choices"][0]["text"] == "".join(TOKENS)
         assert next(statuses) == b"200 OK"
 
-    def test_such_an_answer_of_a_service_is_not_passed_on(self, processes, frame, status):
+    def test_answer_of_a_service_is_not_passed_on(self, processes, frame, status):
         answer = frame(b'{"done": true}', "Connection: close")
         answers = itertools.chain([answer.replace(b"200 OK", status, 1)], itertools.repeat(answer))
         processes.plain.answer_to = lambda req: Answer((next(answers),))
--- a/flamingofront/tests/test_malformed_answers.py
+++ b/flamingofront/tests/test_malformed_answers.py
@@ -40,7 +40,7 @@
 
 
 class Route:
-    """Ways on which the answer of an endpoint reaches a caller or a peer.
+    """One way on which the answer of an endpoint reaches a caller or a peer.
 
     Parameters
     ----------
@@ -101,12 +101,12 @@
 @pytest.mark.parametrize("frame", FRAMINGS.values(), ids=FRAMINGS)
 class TestStatus:
     @pytest.mark.parametrize("status", STATUSES)
-    def test_status_that_is_none_is_not_passed_on(self, route, frame, status):
-        """Guards against an answer with status 0 that reaches the caller."""
+    def test_invalid_status_is_not_passed_on(self, route, frame, status):
+        """Guards against an answer with the status 000 that reaches the caller."""
         route.assert_fails(frame(route.body, *route.fields, status=f"{status} OK"))
         route.assert_fails(INTERIM + frame(route.body, *route.fields, status=f"{status} OK"))
 
-    def test_status_that_is_none_does_not_promise_that_nothing_ran(self, route, frame):
+    def test_invalid_status_does_not_promise_that_nothing_ran(self, route, frame):
         """Guards against a refusal that is repeated though the request may have run."""
         route.assert_fails(frame(route.body, *route.fields, NOT_RUN, status="000 OK"))
 
