Lines tell the bytes between processes, and where requests that were not in time were lost

Cause: three hypotheses on too little served could not be told apart: bytes between processes were only sums since the start, and a late request looked alike whether it had waited at its process, been sent again, or waited at its endpoint.

--- a/flamingofront/cli.py
+++ b/flamingofront/cli.py
@@ -17,6 +17,7 @@
 import orjson
 
 from flamingofront.errors import CommandError
+from flamingofront.log_summary import format_summary, summarize_requests
 from flamingofront.logview import select_lines
 from flamingofront.version.files import load_statements
 
@@ -478,7 +479,14 @@
     print(f"drained: {kind} {target}")
 
 
-def logs(*files: str, request: str = "", event: str = "", since: str = "", work: str = "") -> None:
+def logs(
+    *files: str,
+    request: str = "",
+    event: str = "",
+    since: str = "",
+    work: str = "",
+    summary: float = 0.0,
+) -> None:
     """Print matching log lines of entry processes, sorted by time.
 
     :param files: log files of JSON lines; standard input if none is given
@@ -486,7 +494,12 @@
     :param event: only lines of this event
     :param since: only lines from this time on, for example 2026-01-31T12:00:00
     :param work: only lines with this digest of the request content, equal for all its repeats
+    :param summary: in place of the lines, the outcomes of requests by zone in windows of so many
+        seconds; the filters do not apply
     """
+    if summary < 0:
+        _print_error("--summary: the length of the windows must be positive")
+        sys.exit(ExitCode.BAD_COMMAND)
     try:
         lines = [line for name in files for line in Path(name).read_text().splitlines()]
     except OSError as exc:
@@ -495,7 +508,12 @@
     if not files:
         lines = sys.stdin.read().splitlines()
     try:
-        for text in select_lines(lines, request, event, since, work):
+        found = (
+            map(format_summary, summarize_requests(lines, summary))
+            if summary
+            else select_lines(lines, request, event, since, work)
+        )
+        for text in found:
             print(text)
         sys.stdout.flush()
     except BrokenPipeError:
--- a/flamingofront/logview.py
+++ b/flamingofront/logview.py
@@ -5,7 +5,7 @@
 
 import orjson
 
-__all__ = ["select_lines"]
+__all__ = ["parse_line", "select_lines"]
 
 # Fields printed first, by value only. All other fields follow as name=value in log order.
 LEADING_FIELDS = ("time", "level", "vm", "event")
@@ -32,7 +32,7 @@
     Lines that are not a JSON object are skipped, for example the truncated last line of a killed
     process.
     """
-    parsed = (_parse_line(line) for line in lines)
+    parsed = (parse_line(line) for line in lines)
     selected = [
         data
         for data in parsed
@@ -53,7 +53,7 @@
     return work in value if isinstance(value, list) else value == work
 
 
-def _parse_line(line: str) -> dict[str, Any]:
+def parse_line(line: str) -> dict[str, Any]:
     """Return the JSON object of a line, or an empty dict if it has none."""
     start = line.find("{")
     if start < 0:
--- a/flamingofront/process/forwarding/peers.py
+++ b/flamingofront/process/forwarding/peers.py
@@ -12,6 +12,7 @@
 from flamingofront.messages import Sleep
 from flamingofront.process.forwarding.digests import decode_digest, is_digest
 from flamingofront.process.forwarding.feed_check import WatcherRank
+from flamingofront.process.forwarding.gossip_traffic import GossipTraffic
 from flamingofront.process.forwarding.limit_messages import (
     is_permit_reply,
     is_permit_request,
@@ -148,6 +149,7 @@
         log: Log,
     ):
         self._metrics = metrics
+        self._traffic = GossipTraffic(log)
         self.table = PeerTable(identity.vm_id)
         self._identity = identity
         self._port = port
@@ -333,7 +335,8 @@
         return now + offsets[len(offsets) // 2]
 
     def _log_liveness(self) -> None:
-        """Log the live members of each zone and the missing ones, if they changed."""
+        """Log the last period's traffic, and the live and missing members if they changed."""
+        self._traffic.end_period(len(self.relaying.sender))
         now = self._timers.now()
         live = self.table.live_reports(now)
         zones = dict(sorted(Counter(each.zone for each in live).items()))
@@ -437,6 +440,7 @@
         kind = _datagram_kind(data)
         self._metrics.count("peer_datagrams_total", way=direction, kind=kind)
         self._metrics.count("peer_bytes_total", len(data), way=direction, kind=kind)
+        self._traffic.record(direction, kind, len(data))
 
     def notify_zone(self) -> None:
         """Send a report to the own zone at once, if any member there does not watch the store."""
--- a/flamingofront/request/forward_gateway.py
+++ b/flamingofront/request/forward_gateway.py
@@ -375,7 +375,7 @@
         now = self._hub.now()
         if pending.workspace is not None and request.first_response_at is None:
             self._quota.refund(pending.workspace, pending.units, now)
-        first = request.first_response_at
+        sent, first = request.first_sent_at, request.first_response_at
         self._log.info(
             "request ended",
             request=request.request_id,
@@ -390,6 +390,9 @@
             endpoints=request.endpoints,
             events=request.relay.count,
             output=request.work.output_tokens,
+            objective_ms=round(request.record.service.first_token_target * 1000),
+            zone_of_endpoint=self._hub.directory.zone_of(request.endpoint_id),
+            sent_ms=None if sent is None else round((sent - request.accepted_at) * 1000),
             first_ms=None if first is None else round((first - request.accepted_at) * 1000),
             total_ms=round((now - request.accepted_at) * 1000),
         )
--- a/flamingofront/request/forwarded_request.py
+++ b/flamingofront/request/forwarded_request.py
@@ -79,6 +79,8 @@
         Endpoints that the request was sent to, in order.
     sent_at : float
         Time at which the current attempt was sent.
+    first_sent_at : float or None
+        Time at which the first attempt was sent; None if none was.
     first_response_at : float or None
         Time at which the response first started.
     failure : str
@@ -101,6 +103,7 @@
         self.status = 0
         self.endpoints: list[str] = []
         self.sent_at = 0.0
+        self.first_sent_at: float | None = None
         self.first_response_at: float | None = None
         self.failure = ""
         self.stream_origin = OriginTracker(self)
@@ -268,6 +271,8 @@
         if self.has_sent_events:
             log_continuation(self, "resumed")
         self.sent_at = self.hub.now()
+        if self.first_sent_at is None:
+            self.first_sent_at = self.sent_at
         tokens_ahead = self._tokens_ahead if work.stream else 0
         self._latency = AttemptLatency(
             self.sent_at, self._rates.estimate().first_event_seconds(tokens_ahead)
