Evidence on crashes no longer fills the links between entry processes

What callers saw: after a few engines had crashed, most requests of all zones were late, refused or lost for up to ten seconds, at engines that had room.

Cause: each process put all evidence of the last three seconds (4 to 10 KB) into each of its messages, also into those that only tell of a placed prompt; it sent one more to all at each change, and again 30 ms after it had learned anything from others, who did the same. On links of 5 to 10 Mbit/s the processes then lost one another, and calls to the store, the cloud and the endpoints timed out: the leader lease lapsed, and no endpoints were ordered.

Change: messages have a scope (GossipScope): notes on prompts carry no evidence, messages because of a crash what this process has just observed, twice a second at most, reports to relays what it observed in the last second, other periodic messages what it learned in the last second, every second one, and all evidence each two seconds. What was learned from others is forwarded by relays only, else with the next periodic report. Reports to all that a link does not take at once are paced. Times and survivors are told of suspect parts only.

Why it holds: what a process sends because of crashes is bounded in rate and size, however many crash and however many processes learn of it.

--- a/flamingofront/decisions/part_evidence.py
+++ b/flamingofront/decisions/part_evidence.py
@@ -22,6 +22,7 @@
 from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
+from flamingofront.decisions.gossip_scope import GossipedCrash, GossipScope
 from flamingofront.decisions.part_exposure import (
     MAX_COMMON_SHARE,
     MIN_OTHER_REQUESTS,
@@ -91,11 +92,12 @@
 MAX_REQUESTS_PER_CRASH = 128
 MAX_ANSWERED_PARTS = 4096
 MAX_RECENT_ANSWERS = 256
-# Time for which a crash is gossiped, and the largest number of parts in one message, counted once
-# for each request: a report to 16 peers must stay small enough to be sent to all of them at once.
-GOSSIP_SECONDS = 3.0
+# Largest number of parts in one message, counted once for each request: a report to 16 peers must
+# stay small enough to be sent to all of them at once.
 MAX_GOSSIPED_PARTS = 64
 MAX_GOSSIPED_SURVIVORS = 32
+# Survivors decide on parts with `CRASHES_TO_BLAME` crashes, and are gossiped from half as many on.
+CRASHES_TO_GOSSIP_SURVIVORS = CRASHES_TO_BLAME // 2
 
 
 @dataclass(frozen=True)
@@ -126,12 +128,9 @@
 
 
 @dataclass(eq=False)
-class _Crash:
+class _Crash(GossipedCrash):
     """Crash of an endpoint, with the parts of each request and the seconds that it was there."""
 
-    endpoint_id: str
-    zone: str
-    at: float
     requests: dict[str, frozenset[str]] = field(default_factory=dict)
     parts: set[str] = field(default_factory=set)
     seconds: dict[str, float] = field(default_factory=dict)
@@ -196,8 +195,14 @@
 
     # Crashes
 
-    def record_crash(self, crash: PartCrash, now: float) -> bool:
-        """Record a crash; return True if it brought anything new."""
+    def record_crash(self, crash: PartCrash, now: float, is_own: bool = False) -> bool:
+        """Record a crash; return True if it brought anything new.
+
+        Parameters
+        ----------
+        is_own : bool
+            True if this process has observed the crash.
+        """
         if now - crash.at > EVIDENCE_LIFETIME_SECONDS:
             return False
         existing = self._find_crash(crash)
@@ -205,14 +210,16 @@
         if existing is None:
             existing = _Crash(crash.endpoint_id, crash.zone, crash.at)
             self._crashes.append(existing)
-        changes = [existing.add(each) for each in crash.requests]
+        is_changed = any([existing.add(each) for each in crash.requests]) or is_new
+        if is_changed:
+            existing.mark_changed(now, is_own)
         for part in existing.parts:
             crashes = self._by_part.setdefault(part, [])
             if existing not in crashes:
                 crashes.append(existing)
         if len(self._crashes) > MAX_CRASHES:
             self._keep(self._crashes[-MAX_CRASHES:])
-        return is_new or any(changes)
+        return is_changed
 
     def _keep(self, crashes: list[_Crash]) -> None:
         """Drop all other crashes."""
@@ -529,9 +536,16 @@
 
     # Gossip
 
-    def build_update(self, now: float) -> PartUpdate | None:
+    def mark_own_news(self, parts: Collection[str], now: float) -> None:
+        """Gossip the crashes with some parts, on which this process knows what others do not."""
+        for part in parts:
+            for crash in self._by_part.get(part, ()):
+                if crash.is_in_scope(GossipScope.ALL, now):
+                    crash.mark_changed(now, is_own=True)
+
+    def build_update(self, now: float, scope: GossipScope = GossipScope.ALL) -> PartUpdate | None:
         """Return the gossip message for peers, None if there is nothing to send."""
-        recent = [each for each in self._crashes if now - each.at <= GOSSIP_SECONDS]
+        recent = [each for each in self._crashes if each.is_in_scope(scope, now)]
         if not recent:
             return None
         listed = self._select_gossip(recent)
@@ -556,11 +570,19 @@
         return PartUpdate(crashes, answers)
 
     def build_times(self, update: PartUpdate, now: float) -> PartTimes:
-        """Return the gossip message on the times of the requests in an update."""
+        """Return the gossip message on the times of the requests in an update.
+
+        Notes
+        -----
+        Requests all of whose parts have been answered since are left out: times decide on suspects.
+        """
+        parts = {part for crash in update.crashes for each in crash.requests for part in each.parts}
+        suspects = {each for each in parts if self._find_evidence(each)}
         listed = {
             (crash.endpoint_id, each.fingerprint)
             for crash in update.crashes
             for each in crash.requests
+            if not suspects.isdisjoint(each.parts)
         }
         at_crashes = {
             (crash.endpoint_id, name): (seconds, crash.active_seconds[name])
@@ -568,8 +590,10 @@
             for name, seconds in crash.seconds.items()
             if (crash.endpoint_id, name) in listed
         }
-        parts = {part for crash in update.crashes for each in crash.requests for part in each.parts}
-        survivors = [each for each in self.exposure.list_survivors(now) if each.part in parts]
+        repeated = {
+            each for each in suspects if self.count_crashes(each) >= CRASHES_TO_GOSSIP_SURVIVORS
+        }
+        survivors = [each for each in self.exposure.list_survivors(now) if each.part in repeated]
         return PartTimes(
             tuple((*key, *found) for key, found in at_crashes.items()),
             tuple(survivors[:MAX_GOSSIPED_SURVIVORS]),
--- a/flamingofront/decisions/quarantine.py
+++ b/flamingofront/decisions/quarantine.py
@@ -26,6 +26,12 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field, replace
 
+from flamingofront.decisions.gossip_scope import (
+    GOSSIP_SECONDS,
+    RECENT_SECONDS,
+    GossipedCrash,
+    GossipScope,
+)
 from flamingofront.decisions.part_facts import parse_part_key
 from flamingofront.decisions.quarantine_facts import (
     EVIDENCE_LIFETIME_SECONDS,
@@ -78,20 +84,16 @@
 MAX_CRASHES = 512
 MAX_ENTRIES = 1024
 MAX_RELEASES = 1024
-# Time for which new evidence is gossiped, and the maximum number of requests and entries in one
-# message: a report to 16 peers must stay small enough to be sent to all of them at once.
-GOSSIP_SECONDS = 3.0
+# Maximum number of requests and entries in one message: a report to 16 peers must stay small enough
+# to be sent to all of them at once.
 MAX_GOSSIPED_REQUESTS = 96
 MAX_GOSSIPED_ENTRIES = 48
 
 
 @dataclass(eq=False)
-class _Crash:
+class _Crash(GossipedCrash):
     """Crash of an endpoint, with the requests that were running on it."""
 
-    endpoint_id: str
-    zone: str
-    at: float
     requests: set[str] = field(default_factory=set)
     omitted: int = 0
     explained_by: set[str] = field(default_factory=set)
@@ -121,8 +123,14 @@
 
     # Evidence
 
-    def record_crash(self, crash: EndpointCrash, now: float) -> bool:
-        """Record a crash and return True if it added a crash or a request."""
+    def record_crash(self, crash: EndpointCrash, now: float, is_own: bool = False) -> bool:
+        """Record a crash and return True if it added a crash or a request.
+
+        Parameters
+        ----------
+        is_own : bool
+            True if this process has observed the crash.
+        """
         if now - crash.at > EVIDENCE_LIFETIME_SECONDS:
             return False
         existing = self._find_crash(crash)
@@ -141,6 +149,8 @@
             self._suspects.move_to_end(fingerprint)
             if fingerprint in self._entries and not self._entries[fingerprint].is_released:
                 existing.explained_by.add(fingerprint)
+        if is_new:
+            existing.mark_changed(now, is_own)
         self._evict_oldest()
         return is_new
 
@@ -486,17 +496,27 @@
 
     # Gossip
 
-    def build_update(self, now: float) -> QuarantineUpdate | None:
+    def build_update(
+        self, now: float, scope: GossipScope = GossipScope.ALL
+    ) -> QuarantineUpdate | None:
         """Return the gossip message for peers, None if there is nothing to send."""
-        recent = [each for each in self._crashes.values() if now - each.at <= GOSSIP_SECONDS]
-        entries = tuple(self._entries.values())[-MAX_GOSSIPED_ENTRIES:]
+        if scope is GossipScope.NONE:
+            return None
+        crashes = [each for each in self._crashes.values() if each.is_in_scope(scope, now)]
+        entries = self._entries.values()
+        seconds = GOSSIP_SECONDS
+        if scope is not GossipScope.ALL:
+            entries = [each for each in entries if now - each.since <= GOSSIP_SECONDS]
+            seconds = RECENT_SECONDS
         released = tuple(
-            Release(name, at) for name, at in self._released.items() if now - at <= GOSSIP_SECONDS
+            Release(name, at) for name, at in self._released.items() if now - at <= seconds
         )
-        if not recent and not entries and not released:
+        if not crashes and not entries and not released:
             return None
         return QuarantineUpdate(
-            self._select_gossip(recent), entries, released[-MAX_GOSSIPED_REQUESTS:]
+            self._select_gossip(crashes),
+            tuple(entries)[-MAX_GOSSIPED_ENTRIES:],
+            released[-MAX_GOSSIPED_REQUESTS:],
         )
 
     def _select_gossip(self, crashes: list[_Crash]) -> tuple[EndpointCrash, ...]:
--- a/flamingofront/process/forwarding/held_requests.py
+++ b/flamingofront/process/forwarding/held_requests.py
@@ -63,7 +63,8 @@
         first_start: float | None = None,
     ):
         guard.wall = peers.cluster_time
-        guard.on_update = peers.broadcast_report
+        guard.on_update = peers.broadcast_evidence
+        guard.on_received = peers.forward_evidence
         guard.entry_start_times = lambda: _restart_times(peers.start_times(), first_start)
         self._keeper = QuarantineStore(
             guard, TableQuarantine(store), services, FEED_LATENCY_SECONDS, is_standby
--- a/flamingofront/process/forwarding/node.py
+++ b/flamingofront/process/forwarding/node.py
@@ -8,6 +8,7 @@
 from flamingofront.connection.client import MAX_IDLE_CONNECTIONS_PER_ADDRESS
 from flamingofront.connection.interfaces import Exchange, Transport
 from flamingofront.decisions.choice import BacklogChoice
+from flamingofront.decisions.gossip_scope import GossipScope
 from flamingofront.decisions.memory_account import MemoryAccount
 from flamingofront.decisions.quota import SharedQuota
 from flamingofront.decisions.quota_facts import QuotaLimits
@@ -534,10 +535,10 @@
 
     # Peers
 
-    def build_report(self) -> PeerReport:
-        """Return this process's current report."""
+    def build_report(self, scope: GossipScope = GossipScope.ALL) -> PeerReport:
+        """Return this process's current report, with evidence on crashes of a scope."""
         self._report_builder.leaving = self.stopping
-        return self._gossip.build_report()
+        return self._gossip.build_report(scope)
 
     def max_idle(self, address: str) -> int:
         """Return how many idle connections to an address this process may keep.
--- a/flamingofront/process/forwarding/own_report.py
+++ b/flamingofront/process/forwarding/own_report.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
+from flamingofront.decisions.gossip_scope import GossipScope
 from flamingofront.process.forwarding.duty import LeaderLease
 from flamingofront.process.forwarding.knowledge import StoreView
 from flamingofront.process.forwarding.peers import MAX_PEERS_LISTED, Peers
@@ -54,11 +55,15 @@
         self._timers = timers
         self._rng = rng
 
-    def build(self, sources: ReportSources, consumed: dict[str, float]) -> PeerReport:
+    def build(
+        self, sources: ReportSources, consumed: dict[str, float], scope: GossipScope
+    ) -> PeerReport:
         """Return a new report with the current state.
 
         Parameters
         ----------
+        scope : GossipScope
+            Evidence on crashes to include.
         consumed : dict of str to float
             Quota units consumed by this process since its start, by workspace.
         """
@@ -66,7 +71,7 @@
         lease, knowledge, peers = sources.lease.valid_lease(), sources.knowledge, sources.peers
         live = peers.table.live_reports(self._timers.now())
         directory = sources.hub.directory
-        suspect_parts = sources.hub.guard.build_part_update()
+        suspect_parts = sources.hub.guard.build_part_update(scope)
         rounded_units = {name: round(units) for name, units in consumed.items()}
         return replace(
             self.identity,
@@ -90,7 +95,7 @@
             demand=sources.hub.in_flight_by_service(),
             work=self._round_work(sources.hub),
             rollouts=sources.rollouts.phase_update(),
-            quarantine=sources.hub.guard.build_update(),
+            quarantine=sources.hub.guard.build_update(scope),
             delay_ms=self.delay_ms(),
             suspect_parts=suspect_parts,
             part_times=sources.hub.guard.build_part_times(suspect_parts),
--- a/flamingofront/process/forwarding/pacing.py
+++ b/flamingofront/process/forwarding/pacing.py
@@ -10,7 +10,7 @@
 
 from flamingofront.process.timers import TimerService
 
-__all__ = ["PacedSender"]
+__all__ = ["MAX_BURST_BYTES", "PacedSender"]
 
 # Bytes sent in one burst, and again after each pause: 2.5 Mbit/s, half of the smallest link of a
 # VM, so that copies of a large configuration pass beside them. When about 30 KB were sent in one
--- a/flamingofront/process/forwarding/peer_word.py
+++ b/flamingofront/process/forwarding/peer_word.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
+from flamingofront.decisions.gossip_scope import GossipScope
 from flamingofront.decisions.quota import SharedQuota
 from flamingofront.process.forwarding.digests import LeaseClaim
 from flamingofront.process.forwarding.exchange import PeerSync
@@ -46,9 +47,10 @@
         self._timers = timers
         self._metrics = metrics
 
-    def build_report(self) -> PeerReport:
+    def build_report(self, scope: GossipScope) -> PeerReport:
         """Return a new report of this process with the current state."""
-        return self._local_report.build(self._reported, self._receivers.quota.get_consumed())
+        consumed = self._receivers.quota.get_consumed()
+        return self._local_report.build(self._reported, consumed, scope)
 
     def apply_report(self, report: PeerReport, since_previous: float | None) -> None:
         """Apply a peer's report: quota consumption, usage, lease, load and rollouts.
--- a/flamingofront/process/forwarding/peers.py
+++ b/flamingofront/process/forwarding/peers.py
@@ -3,11 +3,12 @@
 import math
 import random
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import replace
 
 import orjson
 
+from flamingofront.decisions.gossip_scope import EVIDENCE_PERIOD_SECONDS, GossipScope
 from flamingofront.errors import PlatformError
 from flamingofront.messages import Sleep
 from flamingofront.process.forwarding.digests import decode_digest, is_digest
@@ -18,12 +19,15 @@
     is_permit_request,
 )
 from flamingofront.process.forwarding.origin_messages import is_origin_datagram
+from flamingofront.process.forwarding.pacing import MAX_BURST_BYTES
 from flamingofront.process.forwarding.quota_messages import is_quota_reply, is_quota_request
 from flamingofront.process.forwarding.relaying import (
     DIGEST_PERIOD_SECONDS,
+    REPORT,
     TICKS_PER_REPORT,
     Relaying,
     RelayListener,
+    choose_scope,
 )
 from flamingofront.process.forwarding.reports import (
     LoadDelta,
@@ -39,6 +43,7 @@
 from flamingofront.process.forwarding.sums import PeerLoad, load_from_report
 from flamingofront.process.logs import Log
 from flamingofront.process.metrics import Metrics
+from flamingofront.process.rate_limited import RateLimitedAction
 from flamingofront.process.rendezvous import rank
 from flamingofront.process.settings import Address
 from flamingofront.process.store import RowWrite, TableStore
@@ -112,7 +117,7 @@
     seeds : tuple of Address
         Peers to contact first.
     build_report : callable
-        Returns a new report of this process.
+        Returns a new report of this process, with evidence on crashes of a `GossipScope`.
     send : callable
         Sends a datagram to an IP address and port.
     on_report : callable
@@ -136,7 +141,7 @@
         identity: PeerReport,
         port: int,
         seeds: tuple[Address, ...],
-        build_report: Callable[[], PeerReport],
+        build_report: Callable[[GossipScope], PeerReport],
         send: Callable[[bytes, tuple[str, int]], None],
         on_report: Callable[[PeerReport, float | None], None],
         on_load_delta: Callable[[LoadDelta], None],
@@ -165,6 +170,15 @@
         self._log = log
         self.relaying = Relaying(identity, self.table, self._send_one, relay_listener, timers, rng)
         self.relaying.on_omitted = self._record_omitted
+        self._ticks = 0
+        # Asks for a message with the evidence on crashes that this process has observed, and with
+        # what it has learned.
+        self.broadcast_evidence = RateLimitedAction(
+            self._broadcast_evidence, EVIDENCE_PERIOD_SECONDS, timers
+        )
+        self.forward_evidence = RateLimitedAction(
+            self.relaying.forward_evidence, EVIDENCE_PERIOD_SECONDS, timers
+        )
         self._omission_logged_at = -math.inf
         self._registered: dict[str, float] = {}
         self.is_table_read = False
@@ -410,15 +424,26 @@
     # Sending
 
     def _send_report(self) -> None:
+        self._ticks += 1
+        scope = choose_scope(self._ticks)
         if not self.is_relayed:
-            self._send_report_to(self._ips, self._build_report())
+            self._send_report_to(self._ips, self._build_report(scope))
         elif not self.relaying.run_tick():
-            self._send_report_to(self.relaying.direct_targets(self._ips), self._build_report())
+            targets = self.relaying.direct_targets(self._ips)
+            self._send_report_to(targets, self._build_report(scope))
 
-    def _send_report_to(self, ips: Iterable[str], report: PeerReport) -> None:
+    def _send_report_to(self, ips: Collection[str], report: PeerReport) -> None:
+        """Send a report, paced if a small link does not take it to all addressees at once."""
         data = encode_report(report, self._record_omitted)
+        sender = self.relaying.sender
+        is_paced = not self.is_relayed and (
+            len(sender) > 0 or len(ips) * len(data) > MAX_BURST_BYTES
+        )
         for ip in ips:
-            self._send_one(data, ip)
+            if is_paced:
+                sender.send(data, ip, REPORT)
+            else:
+                self._send_one(data, ip)
 
     def _record_omitted(self, names: tuple[str, ...]) -> None:
         """Count a message that was too long, and log what was left out, once a second."""
@@ -453,7 +478,8 @@
             if self._is_in_own_zone(each)
         ]
         if any(not each.watches_store for each in live):
-            self._send_report_to([each.ip for each in live], without_counts(self._build_report()))
+            report = self._build_report(GossipScope.NONE)
+            self._send_report_to([each.ip for each in live], without_counts(report))
 
     def broadcast_departures(self) -> None:
         """Report endpoints that left to the relays of all zones at once, in large deployments."""
@@ -487,7 +513,7 @@
         }
         if not large:
             return
-        self.relaying.send_report_now()
+        self.relaying.send_report_now(GossipScope.NONE)
         for ip, names in self.shared_endpoints(large).items():
             part = replace(delta, changes={name: large[name] for name in names})
             self._send_one(encode_load_delta(part), ip)
@@ -495,10 +521,19 @@
     def broadcast_report(self) -> None:
         """Send the local report at once, after a change that the others need soon."""
         if self.is_relayed:
-            self.relaying.send_report_now()
+            self.relaying.send_report_now(GossipScope.OWN)
             self.relaying.send_zone_digest_now()
         else:
-            self._send_report_to(self._ips, self._build_report())
+            self._send_report_to(self._ips, self._build_report(GossipScope.OWN))
+
+    def _broadcast_evidence(self) -> None:
+        """Send the evidence on crashes that this process has observed."""
+        if self.is_relayed:
+            self.relaying.send_report_now(GossipScope.NEWS)
+            self.relaying.forward_evidence()
+        else:
+            report = without_counts(self._build_report(GossipScope.NEWS))
+            self._send_report_to(self._ips, report)
 
     def receive_datagram(self, data: bytes, ip: str) -> None:
         """Process a datagram from an IP address; malformed ones are counted and logged."""
@@ -555,7 +590,8 @@
         if gap is None:
             # The first report of a sender: one of the two has just started and needs the other's
             # state before the next period.
-            answer = encode_report(self._build_report(), self._record_omitted)
+            report_back = self._build_report(GossipScope.ALL)
+            answer = encode_report(report_back, self._record_omitted)
             self._send_one(answer, report.ip)
         self._ips.add(report.ip)
         self._ips.update(each for each in report.peers if each != self._identity.ip)
--- a/flamingofront/process/forwarding/relaying.py
+++ b/flamingofront/process/forwarding/relaying.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
 
+from flamingofront.decisions.gossip_scope import GossipScope
 from flamingofront.process.forwarding.digests import ALL_ZONES, Digest, DigestWriter, LeaseClaim
 from flamingofront.process.forwarding.pacing import PacedSender
 from flamingofront.process.forwarding.relay_hearing import (
@@ -38,7 +39,7 @@
 from flamingofront.process.rendezvous import rank
 from flamingofront.process.timers import TimerService
 
-__all__ = ["DIGEST_PERIOD_SECONDS", "RelayListener", "Relaying"]
+__all__ = ["DIGEST_PERIOD_SECONDS", "REPORT", "RelayListener", "Relaying", "choose_scope"]
 
 # Period of the digests of a relay to its zone. The two relays alternate, so that load data is 0.1 s
 # old in the mean when it arrives there.
@@ -46,6 +47,9 @@
 # A tick is one digest period. Every second tick a report goes to the relays, and a digest to the
 # other zones.
 TICKS_PER_REPORT = 2
+# Every fourth message that holds evidence on crashes holds all of it, for those that have missed
+# some.
+MESSAGES_PER_FULL_SCOPE = 4
 # Every fourth tick the usage goes to the leader: a window is reported two seconds after its end at
 # the earliest.
 TICKS_PER_USAGE = 4
@@ -84,7 +88,7 @@
     Parameters
     ----------
     build_report : callable
-        Returns a new report of this process.
+        Returns a new report of this process, with evidence on crashes of a `GossipScope`.
     on_relay_state : callable
         Called with the state of a relay and the lease advertisement that it forwards.
     on_consumed : callable
@@ -102,7 +106,7 @@
         Returns the median wall clock of the members.
     """
 
-    build_report: Callable[[], PeerReport]
+    build_report: Callable[[GossipScope], PeerReport]
     on_relay_state: Callable[[PeerReport, LeaseClaim], None]
     on_consumed: Callable[[str, Mapping[str, float], bool], None]
     on_loads: Callable[[], None]
@@ -180,9 +184,11 @@
         relays = self._choose_relays()
         self._ticks += 1
         is_report_due = self._ticks % TICKS_PER_REPORT == 0 or self._relays.chosen != before
-        if is_report_due or self.is_relay or self._zone_reports():
+        has_receivers = self.is_relay or bool(self._zone_reports())
+        if is_report_due or has_receivers:
+            scope = choose_scope(self._ticks) if has_receivers else GossipScope.OWN
             self._send_due(
-                self._listener.build_report(), tuple(relays.values()) if is_report_due else ()
+                self._listener.build_report(scope), tuple(relays.values()) if is_report_due else ()
             )
         self._source_selector.drop_expired(self._timers.now())
         if self._ticks % TICKS_PER_USAGE == 0:
@@ -217,19 +223,24 @@
         }
         self._remote_consumed.retain_only(sources)
 
-    def send_report_now(self) -> None:
-        """Send a report to the relays at once."""
-        self._send_report(self._listener.build_report(), self._choose_relays().values())
+    def send_report_now(self, scope: GossipScope) -> None:
+        """Send a report to the relays at once, with evidence on crashes of a scope."""
+        self._send_report(self._listener.build_report(scope), self._choose_relays().values())
 
     def send_zone_digest_now(self) -> None:
         """Send a digest to the zone at once, if this process is a relay."""
         if self.is_relay:
-            self._send_zone_digest(self._listener.build_report(), is_full=False)
+            self._send_zone_digest(self._listener.build_report(GossipScope.NONE), is_full=False)
+
+    def forward_evidence(self) -> None:
+        """Send a digest with recent evidence to the zone at once, if this process is a relay."""
+        if self.is_relay:
+            self._send_zone_digest(self._listener.build_report(GossipScope.RECENT), is_full=False)
 
     def notify_all_relays(self) -> None:
         """Send a report and a digest to the relays of all zones at once, if this is a relay."""
         if self.is_relay:
-            local = self._listener.build_report()
+            local = self._listener.build_report(GossipScope.NONE)
             self._send_report(local, self._choose_relays().values())
             self._send_remote_digest(local)
 
@@ -429,7 +440,7 @@
         self._zone_consumed.add_sums(report.process, report.consumed, is_continuous)
         self._processes_with_usage.update(report.usage or ())
         if is_new:
-            self._send_zone_digest(self._listener.build_report(), is_full=True)
+            self._send_zone_digest(self._listener.build_report(GossipScope.ALL), is_full=True)
 
     def _warm_up_after_stop(self) -> None:
         """Count by the digests of the other relay at first if this process has stood still.
@@ -562,6 +573,14 @@
         return [*local[:DIRECT_TARGETS_PER_GROUP], *remote[:DIRECT_TARGETS_PER_GROUP]]
 
 
+def choose_scope(tick: int) -> GossipScope:
+    """Return which evidence on crashes the messages of a tick hold."""
+    if tick % TICKS_PER_REPORT != 1:
+        return GossipScope.NONE
+    is_all_due = tick // TICKS_PER_REPORT % MESSAGES_PER_FULL_SCOPE == 0
+    return GossipScope.ALL if is_all_due else GossipScope.RECENT
+
+
 def _fill_omitted(digest: Digest, last: Digest) -> Digest:
     """Return a digest with the parts that it leaves out copied from the previous one."""
     changes = {
--- a/flamingofront/request/guard.py
+++ b/flamingofront/request/guard.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
+from flamingofront.decisions.gossip_scope import GossipScope
 from flamingofront.decisions.part_facts import (
     InterruptedRequest,
     PartCrash,
@@ -119,8 +120,10 @@
     wall : callable
         Returns the wall time on which the entry processes agree, in seconds.
     on_update : callable
-        Called when the other processes need an update, which `build_update` and
-        `build_part_update` return.
+        Called when this process has found something that the other processes need to know, which
+        `build_update` and `build_part_update` return.
+    on_received : callable
+        Called when it has learned something from others, some of which cannot reach each other.
     on_quarantine_change : callable
         Called with each quarantine entry that is new or cleared, and True if this process detected
         the change itself.
@@ -160,6 +163,7 @@
             each for name, each in self._list_running() if name == endpoint_id
         )
         self.on_update: Callable[[], None] = lambda: None
+        self.on_received: Callable[[], None] = lambda: self.on_update()
         self.on_quarantine_change: Callable[[QuarantineEntry, bool], None] = (
             lambda entry, is_local: None
         )
@@ -279,7 +283,7 @@
         """Record a crash that this process has observed."""
         at = self.wall() - (self._timers.now() - crash.at)
         self.on_endpoint_crash(crash.endpoint_id)
-        is_new = self.quarantine.record_crash(replace(crash, at=at), self.wall())
+        is_new = self.quarantine.record_crash(replace(crash, at=at), self.wall(), is_own=True)
         if self.parts.record_crash(crash, requests, at) or is_new:
             parts = {part for each in requests for part in each.parts}
             self._observed_fingerprints.update(crash.requests)
@@ -514,8 +518,8 @@
             self._schedule_gossip()
         for crash in part_update.crashes if part_update is not None else ():
             self._attribute_crash(crash.endpoint_id, crash.at)
-        if part_update is not None and self.parts.has_unreported_answer(part_update):
-            self._schedule_gossip()
+        if part_update is not None and self.parts.mark_unreported_answers(part_update):
+            self.on_update()
         self.merge_update(update)
 
     def _attribute_crash(self, endpoint_id: str, at: float) -> None:
@@ -554,13 +558,13 @@
             self._apply_changes(previous, "store")
             self._schedule_gossip()
 
-    def build_update(self) -> QuarantineUpdate | None:
+    def build_update(self, scope: GossipScope = GossipScope.ALL) -> QuarantineUpdate | None:
         """Return the update for other processes; None if there is nothing to send."""
-        return self.quarantine.build_update(self.wall())
+        return self.quarantine.build_update(self.wall(), scope)
 
-    def build_part_update(self) -> PartUpdate | None:
+    def build_part_update(self, scope: GossipScope = GossipScope.ALL) -> PartUpdate | None:
         """Return the update on prompt parts for other processes; None if there is none."""
-        return self.parts.evidence.build_update(self.wall())
+        return self.parts.evidence.build_update(self.wall(), scope)
 
     def build_part_times(self, update: PartUpdate | None) -> PartTimes | None:
         """Return the times of the requests in an update; None if there is no update."""
@@ -574,7 +578,7 @@
 
     def _send_gossip(self) -> None:
         self._gossip_scheduled = False
-        self.on_update()
+        self.on_received()
 
     # Enforcement
 
--- a/flamingofront/request/part_guard.py
+++ b/flamingofront/request/part_guard.py
@@ -85,7 +85,7 @@
     ) -> bool:
         """Record a crash that this process has observed; return True if it is news."""
         part_crash = PartCrash(crash.endpoint_id, crash.zone, at, requests)
-        is_new = self.evidence.record_crash(part_crash, self._wall())
+        is_new = self.evidence.record_crash(part_crash, self._wall(), is_own=True)
         if is_new:
             self._log_suspects(crash.endpoint_id, requests)
             for entry in self._find_culprits(requests):
@@ -194,13 +194,17 @@
             if part in parts
         ]
 
-    def has_unreported_answer(self, update: PartUpdate) -> bool:
-        """Return True if this process knows of answers that the sender of an update does not."""
+    def mark_unreported_answers(self, update: PartUpdate) -> bool:
+        """Gossip the answers that the sender of an update does not know; False if there is none."""
         reported = {each.part for each in update.answers}
         listed = {
             part for crash in update.crashes for each in crash.requests for part in each.parts
         }
-        return any(self.evidence.last_answer(each) is not None for each in listed - reported)
+        unreported = [
+            each for each in listed - reported if self.evidence.last_answer(each) is not None
+        ]
+        self.evidence.mark_own_news(unreported, self._wall())
+        return bool(unreported)
 
     # Verdicts
 
