Placed prompts are told to relays without usage counts and evidence

What callers saw: in deployments with relays, loads of engines were known late at all processes, and small VMs that relay were slow for everything else.

Cause: a process that places a large prompt sends a report to both relays of its zone at once; it held the usage of all workspaces in four windows (2 to 4 KB) beside the load. At 89 VMs that made 0.3 to 0.9 MB a second into each relay (lines `gossip traffic` of the users' deployment), and every two seconds digests of up to 13 KB with all evidence on crashes went to each of some 30 members, which took over a second at the pace of a small link.

Change: such reports hold the load only; periodic messages hold recent evidence, all of it only for a process that is heard for the first time.

--- a/flamingofront/decisions/gossip_scope.py
+++ b/flamingofront/decisions/gossip_scope.py
@@ -37,7 +37,7 @@
     RECENT = "recent"
     """Crashes on which this process has learned something recently, from whomever."""
     ALL = "all"
-    """All recent crashes, also if nothing was learned since."""
+    """All recent crashes, also if nothing was learned since: for a process that knows nothing."""
 
 
 @dataclass(eq=False)
--- a/flamingofront/process/forwarding/peers.py
+++ b/flamingofront/process/forwarding/peers.py
@@ -513,7 +513,7 @@
         }
         if not large:
             return
-        self.relaying.send_report_now(GossipScope.NONE)
+        self.relaying.send_loads_now()
         for ip, names in self.shared_endpoints(large).items():
             part = replace(delta, changes={name: large[name] for name in names})
             self._send_one(encode_load_delta(part), ip)
--- a/flamingofront/process/forwarding/relaying.py
+++ b/flamingofront/process/forwarding/relaying.py
@@ -26,6 +26,7 @@
     ProcessCounts,
     choose_clock_offset,
     encode_report,
+    without_counts,
 )
 from flamingofront.process.forwarding.streams import ConsumptionLedger, SourceSelector, SumAction
 from flamingofront.process.forwarding.sums import (
@@ -47,9 +48,6 @@
 # A tick is one digest period. Every second tick a report goes to the relays, and a digest to the
 # other zones.
 TICKS_PER_REPORT = 2
-# Every fourth message that holds evidence on crashes holds all of it, for those that have missed
-# some.
-MESSAGES_PER_FULL_SCOPE = 4
 # Every fourth tick the usage goes to the leader: a window is reported two seconds after its end at
 # the earliest.
 TICKS_PER_USAGE = 4
@@ -227,6 +225,11 @@
         """Send a report to the relays at once, with evidence on crashes of a scope."""
         self._send_report(self._listener.build_report(scope), self._choose_relays().values())
 
+    def send_loads_now(self) -> None:
+        """Send the relays the local load at once, without counts and evidence on crashes."""
+        report = without_counts(self._listener.build_report(GossipScope.NONE))
+        self._send_report(report, self._choose_relays().values())
+
     def send_zone_digest_now(self) -> None:
         """Send a digest to the zone at once, if this process is a relay."""
         if self.is_relay:
@@ -575,10 +578,7 @@
 
 def choose_scope(tick: int) -> GossipScope:
     """Return which evidence on crashes the messages of a tick hold."""
-    if tick % TICKS_PER_REPORT != 1:
-        return GossipScope.NONE
-    is_all_due = tick // TICKS_PER_REPORT % MESSAGES_PER_FULL_SCOPE == 0
-    return GossipScope.ALL if is_all_due else GossipScope.RECENT
+    return GossipScope.RECENT if tick % TICKS_PER_REPORT == 1 else GossipScope.NONE
 
 
 def _fill_omitted(digest: Digest, last: Digest) -> Digest:
--- a/flamingofront/process/forwarding/tests/test_reports.py
+++ b/flamingofront/process/forwarding/tests/test_reports.py
@@ -92,6 +92,18 @@
             shares = [each.peers.live_share() for each in world.fronts.values()]
             assert min(shares) >= 1.0 - 1.5 / LARGE_COUNT
 
+    def test_placed_prompt_is_told_without_usage_counts(self):
+        """Each prompt sent the usage of all workspaces to both relays and filled their links."""
+        world = large_world()
+        name = sorted(set(world.fronts) - relay_names(world))[0]
+        front, sent = world.fronts[name], []
+        front.usage.count_started("desk", front.peers.cluster_time())
+        front.peers._send = lambda data, target: sent.append(data)
+        front.peers.send_load_delta(1, {"engine-1": (1, 5000)})
+        reports = [decode_report(each) for each in sent if each.startswith(b"[")]
+        assert len(reports) == 2
+        assert all(each.usage is None and each.demand is None for each in reports)
+
     def test_traffic_per_process_is_independent_of_cluster_size(self):
         """Guards against traffic per process that grows with the number of processes.
 
