All endpoints that were found are kept until the demand is known

What callers saw: in the first six seconds of traffic of a large deployment half of the requests were late or refused.

Cause: before any request had come, the leader replaced 45 endpoints that had been set up by 30 (two thirds of each zone); offered load of 28 rising to 44 busy endpoints met these 30, the first order followed after 1.6 s and its endpoints served 4 s later; queues lasted until the first reclaim. The number that operators set up is the only information on the demand before it is seen, and the price of the difference for these seconds is small.

Change: the plan keeps as many endpoints in each zone as were found there until the demand is known; a fraction is no longer a parameter.

--- a/flamingofront/decisions/fleet_plan.py
+++ b/flamingofront/decisions/fleet_plan.py
@@ -98,10 +98,11 @@
         Maximum fraction of the slots in use.
     initial_per_zone : int
         Minimum number of endpoints per zone until the demand has been observed.
-    initial_fraction : float
-        Fraction of the endpoints found in a zone at start that are kept until the demand has been
-        observed, as they are the only information about it. With half of 90 endpoints kept, 25 in
-        100 requests of the first six seconds were late.
+
+    Notes
+    -----
+    As many endpoints as were found in a zone at start are kept there until the demand has been
+    observed, since they are the only information about it.
 
     References
     ----------
@@ -114,7 +115,6 @@
     survivor_utilization: float = 0.75
     slot_utilization: float = 0.6
     initial_per_zone: int = 2
-    initial_fraction: float = 2 / 3
 
     def plan(self, limits: ScalingLimits, demand: Demand, state: FleetState) -> FleetCounts:
         """Return the target number of endpoints; cheaper zones are filled first."""
@@ -146,10 +146,7 @@
         minimum = max(1, limits.least)
         if demand.known:
             return minimum
-        return min(
-            limits.most,
-            max(minimum, self.initial_per_zone, math.ceil(found * self.initial_fraction)),
-        )
+        return min(limits.most, max(minimum, self.initial_per_zone, found))
 
     @staticmethod
     def _generate_reclaimable_counts(
--- a/flamingofront/process/forwarding/tests/test_duties.py
+++ b/flamingofront/process/forwarding/tests/test_duties.py
@@ -252,10 +252,11 @@
         counts = [sum(self.make_plan(work).reclaimable.values()) for work in (0, 0.8, 1.6, 2.0, 50)]
         assert counts == sorted(counts) and counts[-1] == 9
 
-    def test_most_initial_endpoints_stay_until_the_demand_is_known(self):
+    def test_initial_endpoints_stay_until_the_demand_is_known(self):
+        """Guards against a fleet that is too small for the first requests of a deployment."""
         found = {"zone-a": 4, "zone-b": 3}
         first = self.make_plan(0, known=False, found=found).reclaimable
-        assert first == {"zone-a": 3, "zone-b": 2, "zone-c": 2}
+        assert first == {"zone-a": 3, "zone-b": 3, "zone-c": 2}
         later = self.make_plan(0, found=found).reclaimable
         assert set(later.values()) == {1}
 
