What this process finds out about crashes on its own counts as its own news

Cause: two things that a process learns itself were taken for what others had told: a crash that a probe found after a restart, and an answer that clears parts of a prompt.

Change: a crash found by a probe is told at once; crashes with cleared parts are in the next periodic message as own news.

--- a/flamingofront/request/guard.py
+++ b/flamingofront/request/guard.py
@@ -369,8 +369,8 @@
             return
         self._record_unobserved(endpoint_id, "probe")
         zone, now = self.crash_detector.zone_of(endpoint_id), self.wall()
-        self.quarantine.record_crash(EndpointCrash(endpoint_id, zone, now, ()), now)
-        self._schedule_gossip()
+        self.quarantine.record_crash(EndpointCrash(endpoint_id, zone, now, ()), now, is_own=True)
+        self.on_update()
 
     def _persist_evidence(
         self, fingerprints: Iterable[str], parts: Iterable[str], min_crashes: int
@@ -469,8 +469,10 @@
         for key in map(part_key, ((each,) for each in cleared)):
             if self._persisted.pop(key, self) is None:
                 self._refute_stored(key)
-        if cleared or reduced:
-            self._schedule_gossip()
+        # Told with the next periodic message: many processes get answers with a common part.
+        self.parts.evidence.mark_own_news(cleared, self.wall())
+        if reduced:
+            self.on_update()
 
     def _refute_stored(self, key: str) -> None:
         """Delete the stored evidence against a part, together with that against others."""
