--- a/flamingofront/decisions/gossip_scope.py
+++ b/flamingofront/decisions/gossip_scope.py
@@ -18,7 +18,7 @@
 # meanwhile goes out together: an endpoint that crashes under many requests is news to many
 # processes at once.
 EVIDENCE_PERIOD_SECONDS = 0.5
-# What changed within this time was not in such a message before the last one.
+# Age up to which evidence is in such a message: the period and a margin for late timers.
 NEWS_SECONDS = 0.6
 # Time for which evidence is in the messages of a process after it has changed there. Several are
 # sent meanwhile, as datagrams are lost.
--- a/flamingofront/log_summary.py
+++ b/flamingofront/log_summary.py
@@ -10,7 +10,7 @@
 
 __all__ = ["RequestSummary", "classify_request", "format_summary", "summarize_requests"]
 
-FIRST_ERROR_STATUS = 400
+MIN_FAILED_STATUS = 400
 # A request that was first sent after this fraction of its latency objective waited at its process.
 LATE_SEND_FRACTION = 0.5
 
@@ -53,7 +53,7 @@
         return f"{data.get('kind', '')}, not sent"
     sent_ms = data.get("sent_ms")
     status = data.get("status", 0)
-    if data.get("failure") or not 0 < status < FIRST_ERROR_STATUS:
+    if data.get("failure") or not 0 < status < MIN_FAILED_STATUS:
         name = data.get("failure") or ("cut off" if not status else f"status {status}")
         return name if sent_ms is not None else f"{name}, not sent"
     objective, first_ms = data.get("objective_ms", 0), data.get("first_ms")
