--- a/flamingofront/tests/test_crash_evidence_traffic.py
+++ b/flamingofront/tests/test_crash_evidence_traffic.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from flamingofront.tests.crashing_world import CrashingWorld
+from flamingofront.decisions.gossip_scope import GossipScope
+from flamingofront.decisions.part_facts import (
+    InterruptedRequest,
+    PartCrash,
+    PartUpdate,
+    RequestIdentity,
+)
+from flamingofront.tests.crashing_world import CrashingWorld, crashing_world
 from flamingofront.tests.narrow_links import NARROW_LINK, NarrowLinksWorld
 from flamingofront.tests.network import Caller
 
@@ -151,6 +158,18 @@
         assert play.fewest_heard == fronts - 1
 
 
+class TestOwnNews:
+    def test_answer_that_clears_a_part_is_told_as_own(self):
+        """Members of a zone with relays kept such answers to themselves."""
+        guard = crashing_world(fronts=1).fronts["front-0"].hub.guard
+        crash = PartCrash("e1", "zone-a", guard.wall(), (InterruptedRequest("w1", ("p1",)),))
+        guard.merge_updates(None, PartUpdate((crash,), ()))
+        assert guard.build_part_update(GossipScope.OWN) is None
+        guard.record_parts_answered(RequestIdentity("w2", ("p1",)), "whole response")
+        update = guard.build_part_update(GossipScope.OWN)
+        assert [each.part for each in update.answers] == ["p1"]
+
+
 class TestZones:
     @pytest.mark.parametrize(
         "shares",
